End the connection after a bad or chunked request: no body is read as a request

Cause: a request with both lengths was answered 400 and its connection kept. net/http ends such a body at the last chunk, so the rest of it was read as the next request and the message in it taken on and sent. The endpoints' 400s then counted as failures of healthy partners.

The test fails without the change (the connection stays open).

--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -46,7 +46,9 @@
 
 // ServeHTTP answers a client.
 func (in *intake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if in.isClosing() {
+	// Where a request also gives a length, net/http drops it and ends the body at the
+	// last chunk; by that length, what follows is body still and no request.
+	if in.isClosing() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/healthz" {
@@ -66,6 +68,8 @@
 	var bad badRequest
 	switch {
 	case errors.As(err, &bad):
+		// Who sends such a request may mean its end otherwise than it was read.
+		w.Header().Set("Connection", "close")
 		if bad.status == http.StatusMethodNotAllowed {
 			w.Header().Set("Allow", http.MethodPost)
 		}
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"wingmount/policy"
 )
@@ -40,6 +44,39 @@
 	}
 }
 
+// What stands in the body of a request is no request, however its end is marked:
+// the connection ends with the answer to the first.
+func TestBodiesAreNoRequests(t *testing.T) {
+	head := "POST %s HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Priority-Class: note\r\n" +
+		"X-Timeout-Ms: 5000\r\nIdempotency-Key: k\r\nX-Route-To: dest=7\r\n"
+	inner := fmt.Sprintf(head, "/note", "inner") + "Content-Length: 0\r\n\r\n"
+	chunked := fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 5+len(inner)) + inner
+	for name, text := range map[string]string{
+		"message with both lengths": fmt.Sprintf(head, "/note", "outer") + chunked,
+		"other path":                fmt.Sprintf(head, "/else", "outer") + chunked,
+		"health":                    "GET /healthz HTTP/1.1\r\nHost: x\r\n" + chunked,
+		"no length at all":          fmt.Sprintf(head, "/note", "outer") + "\r\n" + inner,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var accepted []*message
+			in := newIntake(t, &accepted)
+			server := httptest.NewServer(in)
+			defer server.Close()
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			must(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, text)
+			must(t, err)
+			must(t, conn.SetReadDeadline(time.Now().Add(patience)))
+			answers, err := io.ReadAll(conn)
+			must(t, err) // a deadline here means that the connection was kept
+			if n := strings.Count(string(answers), "HTTP/1.1 "); n != 1 || in.count() != 0 {
+				t.Errorf("%d answers and %d messages taken, want one answer:\n%s", n, in.count(), answers)
+			}
+		})
+	}
+}
+
 // A journal that can't be written refuses, frees the place and never crashes.
 func TestFailedJournalRefuses(t *testing.T) {
 	var accepted []*message
