Let go of client connections without a whole request after 2 s

Cause: a connection that was idle after its first request was kept for 2 minutes, one with half a request for 5 to 10 s. Strangers held all of the 230 places for clients from 8 s on, and whoever came later queued unheard.

--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"wingmount/policy"
@@ -77,6 +78,51 @@
 	}
 }
 
+// pipes is a listener without sockets, so that time can be a fake one.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Who holds a connection without a request that comes in whole is let go within 3 s:
+// strangers must not fill the places of the clients.
+func TestStrangersAreLetGo(t *testing.T) {
+	head := "POST /note HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\nX-Priority-Class: note\r\n" +
+		"X-Timeout-Ms: 5000\r\nIdempotency-Key: k\r\nX-Route-To: dest=7\r\n"
+	for name, text := range map[string]string{
+		"nothing":        "",
+		"half a head":    head,
+		"half a body":    head + "Content-Length: 9\r\n\r\nhalf",
+		"one and silent": "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var accepted []*message
+				in := newIntake(t, &accepted)
+				listener, server := make(pipes), newServer(in, in.log)
+				go func() { _ = server.Serve(listener) }()
+				peer, conn := net.Pipe()
+				listener <- conn
+				start := time.Now()
+				_, err := io.WriteString(peer, text)
+				must(t, err)
+				_, err = io.Copy(io.Discard, peer)
+				must(t, err)
+				if held := time.Since(start); held > 3*time.Second || len(accepted) != 0 {
+					t.Errorf("held for %v with %d messages taken, want 3 s and none at most", held, len(accepted))
+				}
+				close(listener)
+			})
+		})
+	}
+}
+
 // A journal that can't be written refuses, frees the place and never crashes.
 func TestFailedJournalRefuses(t *testing.T) {
 	var accepted []*message
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,11 +24,15 @@
 	// sent until stopTaking, and what is out then has until stopWaiting.
 	stopTaking  = 2200 * time.Millisecond
 	stopWaiting = 3300 * time.Millisecond
-	// A request must come in whole within these times.
-	headerTimeout  = 5 * time.Second
-	requestTimeout = 10 * time.Second
-	keepAlive      = 2 * time.Minute
-	maxHeader      = 16 << 10
+	// A request must come in whole within these times. A peer that sends rubbish or
+	// nothing is owed an error or a close within 3 s of connecting.
+	headerTimeout  = 2 * time.Second
+	requestTimeout = 2500 * time.Millisecond
+	answerTimeout  = 10 * time.Second
+	// Anyone may connect and hold a place among the clients' connections, so one
+	// without an open request is kept no longer than it has to be.
+	keepAlive = 2 * time.Second
+	maxHeader = 16 << 10
 	// clientShare of the sockets may be held by clients' connections.
 	clientShare = 0.6
 	eventRoom   = 4096
@@ -95,9 +99,7 @@
 		in.taken(m.id)
 		l.post(m)
 	}
-	server := &http.Server{Handler: in, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
-		WriteTimeout: requestTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	server := newServer(in, log)
 	served := make(chan error, 1)
 	running.Go(func() { served <- server.Serve(listener) })
 	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(owed))
@@ -116,6 +118,12 @@
 	return errors.Join(err, j.close())
 }
 
+func newServer(in *intake, log *slog.Logger) *http.Server {
+	return &http.Server{Handler: in, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+		WriteTimeout: answerTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+}
+
 // stop lets go of the clients first, then of the endpoints. What is still owed
 // after that waits in the journal for the next start.
 func (l *loop) stop(server *http.Server, quiet chan<- struct{}) {
