Judge broken answers by the terms: 200 in the first line is true, the rest may have run

Cause: an answer that broke off after a first line with 200 counted as a reset, and a refusal whose body or wait could not be read counted as proof that nothing ran, so that a charge could have been sent twice.

Each new row of TestAnswers fails without the change.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -22,10 +22,11 @@
 const (
 	// maxAnswer bounds what is read of an answer.
 	maxAnswer = 64 << 10
-	// drainAnswer is how long the rest of an answer is read for, so that the
-	// connection can be used again.
-	drainAnswer = 100 * time.Millisecond
-	waitHeader  = "X-Backoff-Ms"
+	// drainAnswer is how long the rest of an answer is read for.
+	drainAnswer = 200 * time.Millisecond
+	// firstLine is how much of an answer is kept to see what its first line says.
+	firstLine  = len("HTTP/1.1 200 ")
+	waitHeader = "X-Backoff-Ms"
 	// maxIdle bounds the kept connections to one endpoint, and so those to all.
 	maxIdle = 8
 )
@@ -73,10 +74,44 @@
 	since time.Time // when it became idle
 }
 
-// tracked tells whether any byte of a call went out.
+// tracked tells whether any byte of a call went out, and how its answer began.
 type tracked struct {
 	net.Conn
 	wrote atomic.Bool
+
+	mu   sync.Mutex
+	head []byte // the first bytes of the answer
+}
+
+// begin makes the connection ready for the next call.
+func (t *tracked) begin() {
+	t.wrote.Store(false)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.head = t.head[:0]
+}
+
+// Read keeps the first bytes of an answer.
+func (t *tracked) Read(b []byte) (int, error) {
+	n, err := t.Conn.Read(b)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.head = append(t.head, b[:min(n, firstLine-len(t.head))]...)
+	return n, err
+}
+
+// delivered tells whether the first line of the answer says 200: that is true also
+// when the rest can't be read.
+func (t *tracked) delivered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	line, cut := string(t.head), len(t.head) < firstLine
+	version, ok := strings.CutPrefix(line, "HTTP/1.")
+	if !ok || version == "" || version[0] != '0' && version[0] != '1' {
+		return false
+	}
+	status, ok := strings.CutPrefix(version[1:], " 200")
+	return ok && (cut && status == "" || status != "" && strings.Contains(" \r\n", status[:1]))
 }
 
 // Write counts a write that failed with nothing taken as never made.
@@ -235,7 +270,7 @@
 			defer t.Stop()
 		}
 	}
-	conn.wire.wrote.Store(false)
+	conn.wire.begin()
 	req, err := k.request(ctx)
 	if err != nil {
 		k.endpoint.pool.put(conn)
@@ -252,6 +287,8 @@
 		switch {
 		case !conn.wire.wrote.Load():
 			c.endAll(k, policy.Unreachable, 0, false)
+		case len(k.parts) == 1 && conn.wire.delivered():
+			c.endAll(k, policy.Delivered, 0, false)
 		case errors.Is(ctx.Err(), context.DeadlineExceeded):
 			c.endAll(k, policy.TimedOut, 0, false)
 		default:
@@ -312,7 +349,7 @@
 
 // answered takes in an answer.
 func (c *caller) answered(ctx context.Context, k *call, conn *connection, resp *http.Response) {
-	wait := toldWait(resp.Header)
+	wait, waitOK := toldWait(resp)
 	if wait > 0 {
 		// Not a moment longer than the module counts: a send that it decides on
 		// when the wait is over would be stopped here, and use up an attempt.
@@ -321,15 +358,23 @@
 	bundle := len(k.parts) > 1 && resp.StatusCode == http.StatusOK
 	if !bundle {
 		outcome, over := c.single(k, resp)
-		c.endAll(k, outcome, wait, over)
+		if outcome == policy.Delivered { // whatever comes behind the first line
+			c.endAll(k, outcome, wait, over)
+		}
 		ctx2, cancel := context.WithTimeout(ctx, drainAnswer)
 		defer cancel()
 		stop := context.AfterFunc(ctx2, func() { _ = conn.Close() })
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
 		if !stop() {
-			return
+			err = context.Cause(ctx2)
+		}
+		if err != nil || !waitOK {
+			// Only an answer that can be read proves that nothing ran.
+			c.log.Debug("call: unreadable answer", "endpoint", k.endpoint.name, "status", resp.Status, "err", err)
+			outcome, over = policy.Failed, false
 		}
 		c.release(k, conn, resp, err)
+		c.endAll(k, outcome, wait, over)
 		return
 	}
 	ends, err := readEnds(io.LimitReader(resp.Body, maxAnswer))
@@ -393,12 +438,13 @@
 	return policy.Failed, false
 }
 
-func toldWait(h http.Header) time.Duration {
-	ms, err := strconv.ParseInt(h.Get(waitHeader), 10, 32)
+// toldWait reads the wait of a refusal. A 429 has one, or it is not readable.
+func toldWait(resp *http.Response) (wait time.Duration, ok bool) {
+	ms, err := strconv.ParseInt(resp.Header.Get(waitHeader), 10, 32)
 	if err != nil || ms < 0 {
-		return 0
+		return 0, resp.StatusCode != http.StatusTooManyRequests
 	}
-	return time.Duration(ms) * time.Millisecond
+	return time.Duration(ms) * time.Millisecond, true
 }
 
 // readEnds reads the ends of a bundle's messages.
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -245,7 +245,14 @@
 		"delivered":    {"200 OK\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Delivered, Final: true}}},
 		"error":        {"500 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Failed}}},
 		"wait":         {"429 X\r\n" + wait + "Content-Length: 0", 1, []policy.Ended{{Outcome: policy.Full, Wait: 250 * time.Millisecond}}},
-		"nonsense":     {"429 X\r\nX-Backoff-Ms: soon\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Full}}},
+		"nonsense":     {"429 X\r\nX-Backoff-Ms: soon\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Failed}}},
+		"no wait":      {"429 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Failed}}},
+		"full torn":    {"503 X\r\nContent-Length: 9\r\n\r\nhalf", 1, []policy.Ended{{Outcome: policy.Failed}}},
+		"wait torn":    {"429 X\r\n" + wait + "Content-Length: 9\r\n\r\n", 1, []policy.Ended{{Outcome: policy.Failed, Wait: 250 * time.Millisecond}}},
+		"200 torn":     {"200 OK\r\nContent-Length: 9\r\n\r\nhalf", 1, []policy.Ended{{Outcome: policy.Delivered, Final: true}}},
+		"200 spoilt":   {"200 OK\r\nContent-Length: soon", 1, []policy.Ended{{Outcome: policy.Delivered, Final: true}}},
+		"500 spoilt":   {"500 X\r\nContent-Length: soon", 1, []policy.Ended{{Outcome: policy.Reset}}},
+		"200 misread":  {"2000 OK\r\n\r\n", 1, []policy.Ended{{Outcome: policy.Reset}}},
 		"full":         {"503 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Full}}},
 		"no slot":      {"503 X\r\nX-Egress-Full: 1\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Moot}}},
 		"used up":      {"504 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Moot}}},
@@ -278,16 +285,24 @@
 			}
 		})
 	}
-	addr := rawServer(t, func(_ int64, conn net.Conn) {
-		defer conn.Close()
-		if readRequest(bufio.NewReader(conn)) == nil {
-			fmt.Fprint(conn, "what?\r\n\r\n")
+	for answer, want := range map[string]policy.Outcome{
+		"what?\r\n\r\n":                  policy.Reset,
+		"HTTP/1.1 20":                    policy.Reset,
+		"HTTP/1.1 200":                   policy.Delivered,
+		"HTTP/1.1 200 OK\r\nContent-Len": policy.Delivered,
+		"HTTP/1.1 503 X\r\nContent-Leng": policy.Reset,
+	} {
+		addr := rawServer(t, func(_ int64, conn net.Conn) {
+			defer conn.Close()
+			if readRequest(bufio.NewReader(conn)) == nil {
+				fmt.Fprint(conn, answer)
+			}
+		})
+		r := newCallRig(t, addr)
+		r.start(5*time.Second, 1)
+		if e := r.next(); e.Outcome != want {
+			t.Errorf("%q: %v, want %v", answer, e.Outcome, want)
 		}
-	})
-	r := newCallRig(t, addr)
-	r.start(5*time.Second, 1)
-	if e := r.next(); e.Outcome != policy.Reset {
-		t.Errorf("an unreadable answer: %v, want a reset", e.Outcome)
 	}
 }
 
