--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,17 +60,20 @@
 	timeoutDeviations = 5
 	minTimeout        = 1600 * time.Millisecond
 	gatherShare       = 0.25 // so much of its aim, less half a latency, a message waits for others
-	itemWork          = 0.2  // each further message in a call is taken to add this much to its time
+	itemWork          = 0.2  // what each further message in a call is taken to add to its time
 	// Slower than its baseline by this, when the others are not, a destination
 	// gets a small part of the slots.
 	slowFactor = 3
 
 	// Failure score: a failure moves it towards 1, a success shrinks it; from
-	// outScore on the endpoint is out. Two errors in a row do that, one does not;
-	// silence is judged slower (calls get lost), a refused connection at once.
+	// outScore on the endpoint is out. Two errors in a row do that, one does not; a
+	// refused connection at once. Calls and connections get lost: silence and resets
+	// are judged slower, and few resets cast no doubt. Who is gone refuses the next.
 	outScore      = 0.5
+	suspectScore  = 0.4
 	errorWeight   = 0.35
 	timeoutWeight = 0.25
+	resetWeight   = 0.2
 	successShrink = 0.6
 
 	// Silence or resets for under so many fall windows are taken for lost calls.
@@ -86,8 +89,7 @@
 	leastRate = 6
 	roughOver = 1.5 // a rough rate is up to half over the true one
 
-	// Backoff between attempts at one message, doubled each time.
-	backoffBase = 200 * time.Millisecond
+	backoffBase = 200 * time.Millisecond // between attempts at one message, doubled each time
 	backoffMax  = 4 * time.Second
 
 	// The hold makes room when so little of it is left, by ending messages
@@ -698,8 +700,10 @@
 		}
 	case Failed:
 		weight = errorWeight
-	case Unreachable, Reset:
+	case Unreachable:
 		weight = outScore
+	case Reset:
+		weight = resetWeight
 	case TimedOut:
 		weight = timeoutWeight
 		e.timeouts++
@@ -708,9 +712,9 @@
 	if weight == 0 {
 		return
 	}
-	e.suspect = true
 	e.trouble(s.now)
 	e.score += weight * (1 - e.score)
+	e.suspect = e.suspect || outcome != Reset || e.score >= suspectScore
 	if outcome != TimedOut && outcome != Reset {
 		e.broken = true
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -524,6 +524,32 @@
 	}
 }
 
+// Connections get lost between two answers: that keeps no message waiting. Many
+// resets in turn with no answer are an outage still.
+func TestLoneResetsCastNoDoubt(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	e := b.path().endpoints[0]
+	for range 4 {
+		b.arrive(0)
+		b.finish(Delivered, 0)
+		b.arrive(3)
+		b.finish(Reset, 0)
+		b.arrive(3)
+		if len(b.sent) != 1 {
+			t.Fatalf("an unsafe message waits after one reset: out %v, suspect %v", e.out, e.suspect)
+		}
+		b.finish(Delivered, 0)
+	}
+	b.arrive(0)
+	for n := 0; !e.out; n++ {
+		if n == 4 {
+			t.Fatal("four resets in turn are no outage")
+		}
+		b.finish(Reset, 0)
+		b.wait(time.Second)
+	}
+}
+
 func TestUnsafeMessagesKeepOffSuspectEndpoints(t *testing.T) {
 	b := with(t, testSettings(), 0, 1, 0)
 	b.path().endpoints[0].suspect = true
