Learn how long an idle connection to an endpoint lasts, and dial again after a reset

Reset dials (5 in 100) counted as refused connections.

Ruled out: the settings' limit (15 s), a limit of uses (breaks at any), single endpoints (all alike).

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"wingmount/policy"
@@ -198,7 +199,7 @@
 	journal   *journal
 	log       *slog.Logger
 	connect   time.Duration
-	idle      time.Duration
+	idle      *idleLimit
 	tell      func(policy.Event)
 	running   sync.WaitGroup
 }
@@ -214,7 +215,7 @@
 	return &caller{journal: j, log: log, connect: connect, tell: tell,
 		// An endpoint closes an idle connection some time before the settings' limit
 		// at the latest; a request on its way then would end as a reset.
-		idle: c.IdleClose * 4 / 5,
+		idle: &idleLimit{told: c.IdleClose * 4 / 5},
 		transport: &http.Transport{
 			DisableCompression: true, MaxResponseHeaderBytes: maxAnswer,
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -270,6 +271,10 @@
 			defer t.Stop()
 		}
 	}
+	age := time.Duration(-1) // of a fresh connection
+	if !conn.since.IsZero() {
+		age = now.Sub(conn.since)
+	}
 	conn.wire.begin()
 	req, err := k.request(ctx)
 	if err != nil {
@@ -280,6 +285,7 @@
 	}
 	// A ClientConn never sends a request again by itself, unlike a Transport.
 	resp, err := conn.RoundTrip(req)
+	c.idle.used(age, err != nil && ctx.Err() == nil, time.Now())
 	if err != nil {
 		// Closed before the outcome is told: the slot and the endpoint must be free
 		// of this call when the next one goes out.
@@ -302,13 +308,19 @@
 
 // connection takes an idle connection or makes one.
 func (c *caller) connection(ctx context.Context, k *call) (*connection, error) {
-	if conn := k.endpoint.pool.get(k.addr, time.Now().Add(-c.idle)); conn != nil {
+	now := time.Now()
+	if conn := k.endpoint.pool.get(k.addr, now.Add(-c.idle.limit(now))); conn != nil {
 		return conn, nil
 	}
 	var wire *tracked
 	ctx, cancel := context.WithTimeout(context.WithValue(ctx, trackKey{}, &wire), c.connect)
 	defer cancel()
 	cc, err := c.transport.NewClientConn(ctx, "http", k.addr)
+	if errors.Is(err, syscall.ECONNRESET) {
+		// Nobody refused it: it got lost on the way. Nothing was sent, and a dead
+		// endpoint shows at the second try as well as at the first.
+		cc, err = c.transport.NewClientConn(ctx, "http", k.addr)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("connecting to %s: %w", k.addr, err)
 	}
--- /dev/null
+++ b/internal/node/idle.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// youngest is the idle time up to which a connection is taken for as good as new.
+	youngest = 75 * time.Millisecond
+	// ages is how many spans of idle time are told apart, each twice as long as the
+	// one before.
+	ages = 8
+	// halfLife is when what was seen counts for half: then older connections are tried
+	// again.
+	halfLife = 10 * time.Second
+	// fewUses tell nothing; badShare more of them broken than of young ones do.
+	fewUses  = 4
+	badShare = 0.15
+)
+
+// idleLimit is how long a connection may stand idle and still be used. The settings
+// tell when the far side closes it at the latest; where something on the way forgets
+// it sooner, that shows only when a call on it breaks, and a call that broke may have
+// run. So it is learnt from the calls on connections that were idle for longer or
+// shorter. It is safe for concurrent use.
+type idleLimit struct {
+	told time.Duration
+
+	mu   sync.Mutex
+	at   time.Time // when the counts last faded
+	seen [ages]struct{ uses, broken float64 }
+}
+
+// spanOf is the span that an idle time falls in; the last one has no end.
+func spanOf(idle time.Duration) int {
+	n := 0
+	for end := youngest; n < ages-1 && idle >= end; n++ {
+		end *= 2
+	}
+	return n
+}
+
+// used tells how a call went on a connection that was idle for so long.
+func (l *idleLimit) used(idle time.Duration, broken bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fade(now)
+	s := &l.seen[spanOf(idle)]
+	s.uses++
+	if broken {
+		s.broken++
+	}
+}
+
+func (l *idleLimit) fade(now time.Time) {
+	if past := now.Sub(l.at); past > 0 {
+		keep := math.Exp2(-float64(past) / float64(halfLife))
+		for i := range l.seen {
+			l.seen[i].uses *= keep
+			l.seen[i].broken *= keep
+		}
+		l.at = now
+	}
+}
+
+// limit is the longest idle time at which connections are no worse than young ones.
+func (l *idleLimit) limit(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fade(now)
+	young := l.seen[0].broken / max(1, l.seen[0].uses)
+	end := youngest
+	for _, s := range l.seen[1:] {
+		if s.uses >= fewUses && s.broken/s.uses > young+badShare {
+			return min(l.told, end)
+		}
+		end *= 2
+	}
+	return l.told
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -65,7 +65,7 @@
 			continue
 		case now := <-reaper.C:
 			for _, e := range l.endpoints {
-				e.pool.closeIdle(now.Add(-l.caller.idle))
+				e.pool.closeIdle(now.Add(-l.caller.idle.limit(now)))
 			}
 			continue
 		case e := <-l.events:
