--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -12,9 +12,10 @@
 	// ages is how many spans of idle time are told apart, each twice as long as the
 	// one before.
 	ages = 8
-	// halfLife is when what was seen counts for half: then older connections are tried
-	// again.
-	halfLife = 10 * time.Second
+	// halfLife is when what was seen counts for half. No more than manyUses count, so
+	// that older connections are tried again two half-lives after they were given up.
+	halfLife = 5 * time.Second
+	manyUses = 16
 	// fewUses tell nothing; badShare more of them broken than of young ones do.
 	fewUses  = 4
 	badShare = 0.15
@@ -52,6 +53,10 @@
 	if broken {
 		s.broken++
 	}
+	if s.uses > manyUses {
+		s.broken *= manyUses / s.uses
+		s.uses = manyUses
+	}
 }
 
 func (l *idleLimit) fade(now time.Time) {
