Try an endpoint again quickly when resets alone put it out

Cause: trials after resets came once in a fall window and a half, like those after a refused connection, and a resetting network fails many of them.

The test fails without the change.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// The two windows. One destination gets a few calls a second, so the
-	// narrow window must span seconds to count more than one or two; the wide
-	// one remembers what a cut slice let through before the cut.
+	// The two windows. One destination gets a few calls a second: the narrow one must
+	// span seconds; the wide one remembers what a slice let through before a cut.
 	narrowWindow = 2 * time.Second
 	wideWindow   = 12 * time.Second
 
@@ -45,8 +44,7 @@
 	waitJitter = 250 * time.Millisecond
 	shutRun    = 3 // a told wait over a window, or so many refusals in turn: it is shut
 
-	// The latency estimate and its slow baseline, as moving averages.
-	latencyGain  = 0.2
+	latencyGain  = 0.2 // of the latency's moving average
 	baselineGain = 0.02
 	firstLatency = 500 * time.Millisecond // before anything was seen
 	// A call unanswered for so many latencies stalls its endpoint: see stalled.
@@ -65,10 +63,10 @@
 	// gets a small part of the slots.
 	slowFactor = 3
 
-	// Failure score: a failure moves it towards 1, a success shrinks it; from
-	// outScore on the endpoint is out. Two errors in a row do that, one does not; a
-	// refused connection at once. Calls and connections get lost: silence and resets
-	// are judged slower, and few resets cast no doubt. Who is gone refuses the next.
+	// Failure score: a failure moves it towards 1, a success shrinks it; from outScore
+	// on the endpoint is out. Two errors in a row do that, a refused connection at once.
+	// Calls and connections get lost: silence and resets are judged slower, and few
+	// resets cast no doubt. Who is gone refuses the next.
 	outScore      = 0.5
 	suspectScore  = 0.4
 	errorWeight   = 0.35
@@ -79,11 +77,9 @@
 	// Silence or resets for under so many fall windows are taken for lost calls.
 	outageFalls = 2
 	// The rest is for calls in flight at the return, and who saw nothing of the outage.
-	coldMargin = 0.85
-	// The best of the windows of a day is about so many deviations over the mean.
-	peakDeviations = 2
-	// Of fewer passes in a window than these in the mean the best is more than that.
-	fewPasses = 2
+	coldMargin     = 0.85
+	peakDeviations = 2 // the best window of a day is about so many over the mean,
+	fewPasses      = 2 // and more than that of fewer passes in the mean than these
 	// Any destination is taken to bear so many calls a second from all senders when
 	// warm. The settings don't tell; with less small ones would hardly be tried.
 	leastRate = 6
@@ -677,7 +673,11 @@
 func (s *Sender) trialGap(e *endpoint) time.Duration {
 	gap := s.set.FallWindow + s.jitter(s.set.FallWindow/2)
 	if b := s.coldBudget(e, s.warmth(s.now)); b > 0 && !(e.lead && s.notesCome()) {
-		gap = max(gap, time.Duration(float64(s.set.FallWindow)*s.drawPhase()/b))
+		part := time.Duration(float64(s.set.FallWindow) * s.drawPhase() / b)
+		if e.score >= outScore && !e.broken && e.timeouts == 0 {
+			return part // resets alone: connections get lost, and a reset holds no slot
+		}
+		gap = max(gap, part)
 	}
 	return gap
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -685,6 +685,26 @@
 	}
 }
 
+// Where resets alone made an outage, trials come as the cold budget allows.
+func TestTrialsAfterResetsAloneAreQuick(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	e := b.path().endpoints[0]
+	b.arrive(0)
+	for range 4 {
+		b.finish(Reset, 0)
+		b.wait(time.Second)
+	}
+	budget := b.s.coldBudget(e, b.s.warmth(b.now))
+	most := time.Duration((1 + stretchSpread) * float64(b.s.set.FallWindow) / budget)
+	if gap := b.s.trialGap(e); !e.out || gap > most || most >= b.s.set.FallWindow {
+		t.Errorf("out %v with trials %v apart, want %v at most", e.out, gap, most)
+	}
+	e.broken = true
+	if gap := b.s.trialGap(e); gap < b.s.set.FallWindow {
+		t.Errorf("trials %v apart after a refusal, want a fall window", gap)
+	}
+}
+
 func toldSettings() Settings {
 	set := testSettings()
 	set.Senders, set.MayTell = 400, true
