Follow discovery to its new address at SIGHUP instead of ending

Cause: no handler was installed, so the signal ended the process. The watch and the notices had their address fixed at the start. TestDiscoveryMoves fails without the change (the process is gone).

--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -38,6 +38,7 @@
 	endpoint  *httptest.Server
 	dir       string
 	listen    string
+	config    string // the file that the node was last started with
 
 	mu       sync.Mutex
 	answer   func(id string) int // 0 for none
@@ -168,16 +169,23 @@
 	end chan error
 }
 
-// start starts a process and waits until it is ready.
-func (p *platform) start() *process {
+// configure writes the configuration file.
+func (p *platform) configure() {
 	p.t.Helper()
-	config := filepath.Join(p.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
 		p.listen, p.discovery.Listener.Addr(), settings)
-	must(p.t, os.WriteFile(config, []byte(text), 0o600))
+	must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
+}
+
+// start starts a process and waits until it is ready.
+func (p *platform) start() *process {
+	p.t.Helper()
+	p.config = filepath.Join(p.t.TempDir(), "config.json")
+	p.configure()
 	n := &process{cmd: exec.Command(os.Args[0]), end: make(chan error, 1)}
-	n.cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+config, "PROXY_STATE="+p.dir,
+	n.cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+p.config, "PROXY_STATE="+p.dir,
+		"PROXY_DISCOVERY="+p.discovery.Listener.Addr().String(),
 		"GORACE=atexit_sleep_ms=0") // the race detector would add a second to each end
 	n.cmd.Stderr = &n.log
 	must(p.t, n.cmd.Start())
@@ -320,6 +328,39 @@
 	})
 }
 
+// SIGHUP: the list and the notices go to where the new file says, a file that makes
+// no sense changes nothing, and what was taken before goes on.
+func TestDiscoveryMoves(t *testing.T) {
+	p := newPlatform(t)
+	p.answer = func(string) int { return 0 }
+	n := p.start()
+	p.send("a", 20*time.Second)
+	p.eventually("the call", func() bool { return p.calls["a"] == 1 })
+	must(t, os.WriteFile(p.config, []byte("{"), 0o600))
+	must(t, n.cmd.Process.Signal(syscall.SIGHUP))
+	p.send("b", 500*time.Millisecond)
+	p.eventually("a notice at the old address", func() bool { return p.finals["b"] != "" })
+	old := p.discovery
+	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
+	t.Cleanup(p.discovery.Close)
+	t.Cleanup(p.discovery.CloseClientConnections)
+	p.configure()
+	must(t, n.cmd.Process.Signal(syscall.SIGHUP))
+	old.CloseClientConnections()
+	old.Close()
+	before := 0
+	p.set(func() { before = len(p.watches) })
+	p.send("c", 500*time.Millisecond)
+	p.eventually("a notice and watches at the new address", func() bool {
+		return p.finals["c"] != "" && len(p.watches) > before+1
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.calls["a"] != 1 || p.finals["a"] != "" {
+		t.Errorf("%d calls and notice %q for what was out, want one and none", p.calls["a"], p.finals["a"])
+	}
+}
+
 // The watch comes again within 200 ms of an answer, or changes in between would
 // not count as told; and a silent agent must not stall it.
 func TestWatchGoesOn(t *testing.T) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -28,7 +28,8 @@
 	Peers     []netip.AddrPort
 	PeersAll  string
 	Me        int
-	Known     list // the endpoints as this node last had them
+	Path      string // of the configuration file
+	Known     list   // the endpoints as this node last had them
 	Settings  policy.Settings
 	Names     names
 	IdleClose time.Duration
@@ -75,28 +76,28 @@
 	PolicyLimits   struct{ IdleCloseUs int64 }
 }
 
-// LoadConfig reads the file that PROXY_CONFIG names; the other variables of the
-// platform come first where both tell something.
+// LoadConfig reads the file that PROXY_CONFIG names. The other variables of the
+// platform come first where both tell something, but for the address of discovery:
+// the platform moves it by a new file.
 func LoadConfig(env func(string) string) (Config, error) {
 	path := env("PROXY_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("PROXY_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
+	f, err := readConfig(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("reading the configuration: %w", err)
+		return Config{}, err
 	}
-	var f configFile
-	if err := json.Unmarshal(text, &f); err != nil {
-		return Config{}, fmt.Errorf("reading the configuration %s: %w", path, err)
+	if f.Discovery == "" {
+		f.Discovery = env("PROXY_DISCOVERY")
 	}
 	c := Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: env("PROXY_STATE"),
+		Path: path, Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: env("PROXY_STATE"),
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		DiskBytes: int64(f.Limits.DiskMB * 1e6), PeerBind: f.PeerListen, PeersAll: f.PeersAll, Known: f.Known,
 	}
 	for name, field := range map[string]*string{
-		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen} {
 		if v := env(name); v != "" {
 			*field = v
 		}
@@ -146,3 +147,27 @@
 	}
 	return c, nil
 }
+
+func readConfig(path string) (configFile, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return configFile{}, fmt.Errorf("reading the configuration: %w", err)
+	}
+	var f configFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		return configFile{}, fmt.Errorf("reading the configuration %s: %w", path, err)
+	}
+	return f, nil
+}
+
+// reloadDiscovery reads the address of discovery from a file that was replaced.
+func reloadDiscovery(path string) (string, error) {
+	f, err := readConfig(path)
+	if err != nil {
+		return "", err
+	}
+	if _, err := netip.ParseAddrPort(f.Discovery); err != nil {
+		return "", fmt.Errorf("reading the configuration %s: discovery: %w", path, err)
+	}
+	return f.Discovery, nil
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -8,6 +8,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
+	"sync"
 	"time"
 )
 
@@ -39,31 +41,91 @@
 	Size     float64 `json:"size"`
 }
 
+// agent is where discovery is spoken to. It may move while the node runs.
+type agent struct {
+	mu   sync.Mutex
+	addr string
+	here context.Context // ends when the address no longer holds
+	left context.CancelFunc
+}
+
+func newAgent(addr string) *agent {
+	a := &agent{}
+	a.move(addr)
+	return a
+}
+
+func (a *agent) move(addr string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.addr == addr {
+		return
+	}
+	if a.left != nil {
+		a.left()
+	}
+	a.addr = addr
+	a.here, a.left = context.WithCancel(context.Background())
+}
+
+// follow moves at each hangup to where the configuration file says, until the context
+// ends. A file that makes no sense changes nothing.
+func (a *agent) follow(ctx context.Context, hangups <-chan os.Signal, path string, log *slog.Logger) {
+	for {
+		select {
+		case <-hangups:
+		case <-ctx.Done():
+			return
+		}
+		addr, err := reloadDiscovery(path)
+		if err != nil {
+			log.Error("hangup: nothing changes", "err", err)
+			continue
+		}
+		log.Info("hangup", "discovery", addr)
+		a.move(addr)
+	}
+}
+
+func (a *agent) at() (addr string, here context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.addr, a.here
+}
+
 // discovery follows the list of endpoints.
 type discovery struct {
-	url    string
+	agent  *agent
 	client *http.Client
 	log    *slog.Logger
 	tell   func(list)
 }
 
-func newDiscovery(addr string, log *slog.Logger, tell func(list)) *discovery {
-	return &discovery{url: "http://" + addr + "/v1/servers", log: log, tell: tell,
+func newDiscovery(a *agent, log *slog.Logger, tell func(list)) *discovery {
+	return &discovery{agent: a, log: log, tell: tell,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
 // run fetches the whole list and then watches it until the context ends.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
-	at := int64(-1)
+	at, last := int64(-1), ""
 	for ctx.Err() == nil {
-		url, limit := d.url, watchMargin
+		addr, here := d.agent.at()
+		if addr != last { // what was told before the move is asked for as a whole
+			at, last = -1, addr
+			d.client.CloseIdleConnections()
+		}
+		url, limit := "http://"+addr+"/v1/servers", watchMargin
 		if at >= 0 {
-			url = fmt.Sprintf("%s?index=%d&wait=%d", d.url, at, watchWait.Milliseconds())
+			url = fmt.Sprintf("%s?index=%d&wait=%d", url, at, watchWait.Milliseconds())
 			limit += watchWait
 		}
 		asked := time.Now()
-		l, err := d.get(ctx, url, limit)
+		l, err := d.get(ctx, here, url, limit)
+		if here.Err() != nil {
+			continue
+		}
 		if err == nil && (l.Complete || at >= 0 && l.Revision > at) {
 			d.tell(l)
 			at = l.Revision
@@ -84,9 +146,11 @@
 	}
 }
 
-func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (list, error) {
+// get asks once; it gives up when the agent has moved from here.
+func (d *discovery) get(ctx, here context.Context, url string, limit time.Duration) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	defer context.AfterFunc(here, cancel)()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return list{}, err
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -45,7 +45,7 @@
 // finals tells the platform of messages that ended undelivered, again and again
 // until it has answered: only then is nothing owed any more.
 type finals struct {
-	url     string
+	agent   *agent
 	client  *http.Client
 	journal *journal
 	log     *slog.Logger
@@ -55,8 +55,8 @@
 	more  chan struct{} // holds a token while the queue may hold messages
 }
 
-func newFinals(discovery string, j *journal, log *slog.Logger) *finals {
-	return &finals{url: "http://" + discovery + "/v2/finals", journal: j, log: log,
+func newFinals(a *agent, j *journal, log *slog.Logger) *finals {
+	return &finals{agent: a, journal: j, log: log,
 		more:   make(chan struct{}, 1),
 		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{DisableCompression: true}}}
 }
@@ -131,7 +131,8 @@
 			return 0, fmt.Errorf("writing a notice: %w", err)
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url, &body)
+	addr, _ := f.agent.at()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v2/finals", &body)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -36,7 +36,7 @@
 		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 12 * time.Second,
 			Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1}}}
 	l := &loop{sender: policy.New(settings, 1), settings: settings, log: quietLog(), journal: j, origin: time.Now(),
-		names: names{kinds: map[string]int{"major": 0}, zones: map[string]int{"a": 0}}, finals: newFinals("127.0.0.1:1", j, quietLog()),
+		names: names{kinds: map[string]int{"major": 0}, zones: map[string]int{"a": 0}}, finals: newFinals(newAgent("127.0.0.1:1"), j, quietLog()),
 		intake: &intake{held: map[string]bool{}}, held: map[policy.MessageID]*message{},
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
 	outcomes := make(chan policy.Event, 8)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -38,8 +39,9 @@
 	eventRoom   = 4096
 )
 
-// Run serves until the context ends and then stops in good order.
-func Run(ctx context.Context, c Config, log *slog.Logger) error {
+// Run serves until the context ends and then stops in good order. At a hangup it
+// reads from its configuration file anew where discovery is.
+func Run(ctx context.Context, c Config, hangups <-chan os.Signal, log *slog.Logger) error {
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
 	}
@@ -63,9 +65,10 @@
 	for _, k := range c.Settings.Classes {
 		in.keyed = append(in.keyed, k.Repeat == policy.Deduplicated)
 	}
+	a := newAgent(c.Discovery)
 	l := &loop{
 		sender: policy.New(c.Settings, c.Seed), settings: c.Settings, names: c.Names, log: log,
-		journal: j, finals: newFinals(c.Discovery, j, log), intake: in, origin: time.Now(),
+		journal: j, finals: newFinals(a, j, log), intake: in, origin: time.Now(),
 		events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
 		held:      map[policy.MessageID]*message{},
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
@@ -84,7 +87,8 @@
 	quiet := make(chan struct{})
 	running.Go(func() { l.run(life, quiet) })
 	running.Go(func() { l.finals.run(life) })
-	running.Go(func() { newDiscovery(c.Discovery, log, func(in list) { l.post(in) }).run(life) })
+	running.Go(func() { newDiscovery(a, log, func(in list) { l.post(in) }).run(life) })
+	running.Go(func() { a.follow(life, hangups, c.Path, log) })
 	if l.peers != nil {
 		running.Go(func() { l.peers.run(life) })
 	}
