Know the ids of messages that are over, so that none is taken a second time

Cause: the intake forgot an id as soon as its message was over. TestIDIsTakenOnce fails without the change.

--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -16,6 +16,9 @@
 	maxID = 256
 	// fullRetry is what a client is told that finds the hold full.
 	fullRetry = time.Second
+	// maxOver is how many ids of messages that are over are known still: more than a
+	// node takes on within any message's time.
+	maxOver = 4096
 	// maxTimeout bounds what a client may ask for.
 	maxTimeout = 24 * time.Hour
 )
@@ -32,6 +35,7 @@
 
 	mu      sync.Mutex
 	held    map[string]bool // ids of messages that have not ended; true once taken
+	over    idRing          // ids of messages taken that are over
 	closing bool            // answers close their connections
 	refuse  bool            // nothing is taken any more
 }
@@ -168,10 +172,45 @@
 	return 0, errors.New("dest is missing")
 }
 
-// reserve keeps a place in the hold. Again tells that the message is held already.
+// idRing knows the last ids that were added to it, up to its size.
+type idRing struct {
+	size  int
+	ids   []string
+	next  int
+	known map[string]struct{}
+}
+
+func newIDRing(size int) idRing {
+	return idRing{size: size, ids: make([]string, 0, size), known: make(map[string]struct{}, size)}
+}
+
+func (r *idRing) has(id string) bool {
+	_, ok := r.known[id]
+	return ok
+}
+
+func (r *idRing) add(id string) {
+	if r.size == 0 || r.has(id) {
+		return
+	}
+	if len(r.ids) < r.size {
+		r.ids = append(r.ids, id)
+	} else {
+		delete(r.known, r.ids[r.next])
+		r.ids[r.next] = id
+		r.next = (r.next + 1) % r.size
+	}
+	r.known[id] = struct{}{}
+}
+
+// reserve keeps a place in the hold. Again tells that the message was taken already:
+// it is held, or it is over, and whoever hands it in once more is owed nothing new.
 func (in *intake) reserve(id string) (again, ok bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if in.over.has(id) {
+		return true, false
+	}
 	if taken, known := in.held[id]; known {
 		return taken, false
 	}
@@ -195,13 +234,23 @@
 	return len(in.held)
 }
 
-// ended frees the place of a message.
+// ended frees the place of a message and keeps the id of one that was taken.
 func (in *intake) ended(id string) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if in.held[id] {
+		in.over.add(id)
+	}
 	delete(in.held, id)
 }
 
+// wasOver tells of a message that an earlier life of the node brought to its end.
+func (in *intake) wasOver(id string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.over.add(id)
+}
+
 // close makes every answer the last of its connection, so that clients go
 // elsewhere by themselves and no request is cut off.
 func (in *intake) close(refuse bool) {
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -45,6 +45,39 @@
 	}
 }
 
+// An id that was taken once is answered so and not taken again, also when its message
+// is over and in the next life of the node: a charge would run twice.
+func TestIDIsTakenOnce(t *testing.T) {
+	dir := t.TempDir()
+	hand := func(in *intake, id string) int {
+		w := httptest.NewRecorder()
+		in.ServeHTTP(w, noteRequest(context.Background(), id))
+		return w.Code
+	}
+	var accepted []*message
+	in := newIntake(t, &accepted)
+	in.journal, _ = mustOpen(t, dir, minDisk)
+	in.over = newIDRing(2)
+	for range 2 {
+		if code := hand(in, "a"); code != http.StatusAccepted || len(accepted) != 1 {
+			t.Fatalf("answered %d with %d messages taken, want 202 and one", code, len(accepted))
+		}
+		must(t, in.journal.closed(accepted[0], "e1", time.Now()))
+		in.ended("a")
+	}
+	next, owed := mustOpen(t, dir, minDisk)
+	if len(owed) != 0 || !next.over.has("a") {
+		t.Errorf("the next life is owed %d messages and knows %v", len(owed), next.over.ids)
+	}
+	for _, id := range []string{"b", "c", "d"} {
+		hand(in, id)
+		in.ended(id)
+	}
+	if in.over.has("b") || !in.over.has("c") || !in.over.has("d") || len(in.over.ids) != 2 {
+		t.Errorf("ids known %v, want the last two", in.over.ids)
+	}
+}
+
 // What stands in the body of a request is no request, however its end is marked:
 // the connection ends with the answer to the first.
 func TestBodiesAreNoRequests(t *testing.T) {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -129,6 +129,7 @@
 	liveSize int64
 	next     policy.MessageID
 	memories map[string]*memory // of the lives before this one
+	over     idRing             // of messages that those lives brought to their end
 	buf      []byte
 }
 
@@ -142,7 +143,8 @@
 // something come back in the order in which they were taken.
 func openJournal(dir string, limit int64, log *slog.Logger) (*journal, []*message, error) {
 	j := &journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, maxBody+4<<10),
-		live: map[policy.MessageID]*message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*memory{}}
+		live: map[policy.MessageID]*message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*memory{},
+		over: newIDRing(maxOver)}
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, nil, fmt.Errorf("opening the journal: %w", err)
@@ -262,6 +264,9 @@
 		if e := j.remember(name); name != "" && !r.bad && e.backAt.IsZero() {
 			e.backAt = at
 		}
+		if m != nil {
+			j.over.add(m.id)
+		}
 		delete(j.live, seq)
 		delete(j.home, seq)
 	default:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,7 +61,8 @@
 	if c.Sockets > 0 {
 		listener = netutil.LimitListener(listener, max(1, int(clientShare*float64(c.Sockets))))
 	}
-	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld, held: map[string]bool{}}
+	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld,
+		held: map[string]bool{}, over: j.over}
 	for _, k := range c.Settings.Classes {
 		in.keyed = append(in.keyed, k.Repeat == policy.Deduplicated)
 	}
@@ -97,6 +98,7 @@
 	}
 	for _, m := range owed {
 		if m.notice != nil {
+			in.wasOver(m.id)
 			l.finals.add(m)
 			continue
 		}
