--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"wingmount/policy"
 )
 
@@ -138,7 +141,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var accepted []*message
 				in := newIntake(t, &accepted)
-				listener, server := make(pipes), newServer(in, in.log)
+				listener, server := make(pipes), newServer(in, 0, in.log)
 				go func() { _ = server.Serve(listener) }()
 				peer, conn := net.Pipe()
 				listener <- conn
@@ -156,6 +159,32 @@
 	}
 }
 
+// Strangers that hold all places with a request each do not keep a client waiting.
+func TestIdleStrangersMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var accepted []*message
+		in := newIntake(t, &accepted)
+		inner := make(pipes)
+		server := newServer(in, 4, in.log)
+		go func() { _ = server.Serve(netutil.LimitListener(inner, 4)) }()
+		start := time.Now()
+		for range 12 { // each stays open
+			peer, conn := net.Pipe()
+			go func() { inner <- conn }()
+			_, err := io.WriteString(peer, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+			must(t, err)
+			_, err = http.ReadResponse(bufio.NewReader(peer), nil)
+			must(t, err)
+			synctest.Wait()
+		}
+		if waited := time.Since(start); waited > 0 {
+			t.Errorf("12 peers waited for %v in all", waited)
+		}
+		close(inner)
+		must(t, server.Close())
+	})
+}
+
 // A journal that can't be written refuses, frees the place and never crashes.
 func TestFailedJournalRefuses(t *testing.T) {
 	var accepted []*message
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,8 +58,10 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
 	}
+	places := 0
 	if c.Sockets > 0 {
-		listener = netutil.LimitListener(listener, max(1, int(clientShare*float64(c.Sockets))))
+		places = max(1, int(clientShare*float64(c.Sockets)))
+		listener = netutil.LimitListener(listener, places)
 	}
 	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld,
 		held: map[string]bool{}, over: j.over}
@@ -105,7 +107,7 @@
 		in.taken(m.id)
 		l.post(m)
 	}
-	server := newServer(in, log)
+	server := newServer(in, places, log)
 	served := make(chan error, 1)
 	running.Go(func() { served <- server.Serve(listener) })
 	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(owed))
@@ -124,10 +126,11 @@
 	return errors.Join(err, j.close())
 }
 
-func newServer(in *intake, log *slog.Logger) *http.Server {
+func newServer(in *intake, places int, log *slog.Logger) *http.Server {
 	return &http.Server{Handler: in, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
 		WriteTimeout: answerTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+		ConnState: newClients(places).state,
+		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 }
 
 // stop lets go of the clients first, then of the endpoints. What is still owed
