Keep idle connections to endpoints only while descriptors are left

8 for each endpoint and 0.6 of the descriptors for clients came to more than 256 with 20 endpoints. Found by counting; the test fails without the change.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -28,8 +28,10 @@
 	// firstLine is how much of an answer is kept to see what its first line says.
 	firstLine  = len("HTTP/1.1 200 ")
 	waitHeader = "X-Backoff-Ms"
-	// maxIdle bounds the kept connections to one endpoint, and so those to all.
+	// maxIdle bounds the kept connections to one endpoint.
 	maxIdle = 8
+	// ownSockets are left for the listener, discovery, notices and the journal.
+	ownSockets = 24
 )
 
 // gate says from when, or until when, nothing may be sent. The module keeps both
@@ -79,11 +81,18 @@
 type tracked struct {
 	net.Conn
 	wrote atomic.Bool
+	gone  func() // once, when it closes
 
 	mu   sync.Mutex
 	head []byte // the first bytes of the answer
 }
 
+// Close may come more than once.
+func (t *tracked) Close() error {
+	t.gone()
+	return t.Conn.Close()
+}
+
 // begin makes the connection ready for the next call.
 func (t *tracked) begin() {
 	t.wrote.Store(false)
@@ -202,6 +211,8 @@
 	idle      *idleLimit
 	tell      func(policy.Event)
 	running   sync.WaitGroup
+	open      atomic.Int64 // connections to endpoints
+	maxOpen   int64        // beyond it none is kept idle; 0 for any number
 }
 
 type trackKey struct{}
@@ -212,23 +223,38 @@
 		connect = time.Second
 	}
 	dialer := net.Dialer{Timeout: connect, KeepAlive: -1}
-	return &caller{journal: j, log: log, connect: connect, tell: tell,
+	k := &caller{journal: j, log: log, connect: connect, tell: tell,
 		// An endpoint closes an idle connection some time before the settings' limit
 		// at the latest; a request on its way then would end as a reset.
-		idle: &idleLimit{told: c.IdleClose * 4 / 5},
-		transport: &http.Transport{
-			DisableCompression: true, MaxResponseHeaderBytes: maxAnswer,
-			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				conn, err := dialer.DialContext(ctx, network, addr)
-				if err != nil {
-					return nil, err
-				}
-				t := &tracked{Conn: conn}
-				if out, ok := ctx.Value(trackKey{}).(**tracked); ok {
-					*out = t
-				}
-				return t, nil
-			}}}
+		idle: &idleLimit{told: c.IdleClose * 4 / 5}}
+	if c.Sockets > 0 {
+		k.maxOpen = int64(max(1, c.Sockets-clientPlaces(c.Sockets)-ownSockets-c.Settings.Slots))
+	}
+	k.transport = &http.Transport{
+		DisableCompression: true, MaxResponseHeaderBytes: maxAnswer,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			k.open.Add(1)
+			t := &tracked{Conn: conn, gone: sync.OnceFunc(func() { k.open.Add(-1) })}
+			if out, ok := ctx.Value(trackKey{}).(**tracked); ok {
+				*out = t
+			}
+			return t, nil
+		}}
+	return k
+}
+
+// keep makes a connection ready for a later call, unless there are too many: the
+// descriptors are shared with the clients and the journal.
+func (c *caller) keep(k *call, conn *connection) {
+	if c.maxOpen > 0 && c.open.Load() > c.maxOpen {
+		_ = conn.Close()
+		return
+	}
+	k.endpoint.pool.put(conn)
 }
 
 // start makes a call in the background.
@@ -253,14 +279,14 @@
 	// Between the module's decision and now the connection was made. What was told
 	// in the meantime binds this call too, and it has not been sent.
 	if !k.endpoint.leaves.open(now) || !k.endpoint.waits.open(now) {
-		k.endpoint.pool.put(conn)
+		c.keep(k, conn)
 		c.endAll(k, policy.Moot, 0, false)
 		return
 	}
 	for _, p := range k.parts {
 		if err := c.journal.attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
 			c.log.Warn("call: not sent", "id", p.message.id, "err", err)
-			k.endpoint.pool.put(conn)
+			c.keep(k, conn)
 			c.endAll(k, policy.Moot, 0, false)
 			return
 		}
@@ -278,7 +304,7 @@
 	conn.wire.begin()
 	req, err := k.request(ctx)
 	if err != nil {
-		k.endpoint.pool.put(conn)
+		c.keep(k, conn)
 		c.log.Error("call: no request", "err", err)
 		c.endAll(k, policy.Moot, 0, false)
 		return
@@ -424,7 +450,7 @@
 		_ = conn.Close()
 		return
 	}
-	k.endpoint.pool.put(conn)
+	c.keep(k, conn)
 }
 
 // single tells what a status means, and whether the message is over.
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -378,6 +378,32 @@
 	}
 }
 
+// Kept connections leave descriptors for clients and for calls that are out.
+func TestKeptConnectionsLeaveDescriptors(t *testing.T) {
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		_, _ = io.Copy(io.Discard, conn) // until the other side closes
+	})
+	r := newCallRig(t, addr)
+	r.caller.maxOpen = 3
+	var conns []*connection
+	for range 5 {
+		conn, err := r.caller.connection(context.Background(), &call{endpoint: r.endpoint, addr: addr})
+		must(t, err)
+		conns = append(conns, conn)
+	}
+	for _, conn := range conns {
+		r.caller.keep(&call{endpoint: r.endpoint}, conn)
+	}
+	if n, open := len(r.endpoint.pool.idle), r.caller.open.Load(); n != 3 || open != 3 {
+		t.Errorf("%d kept and %d open, want 3", n, open)
+	}
+	r.endpoint.pool.closeIdle(time.Now())
+	if open := r.caller.open.Load(); open != 0 {
+		t.Errorf("%d open after all were closed", open)
+	}
+}
+
 // The bundle's form is fixed by the protocol.
 func TestBundleForm(t *testing.T) {
 	a, b := newMessage("a", 0), newMessage("b", 0)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,7 +60,7 @@
 	}
 	places := 0
 	if c.Sockets > 0 {
-		places = max(1, int(clientShare*float64(c.Sockets)))
+		places = clientPlaces(c.Sockets)
 		listener = netutil.LimitListener(listener, places)
 	}
 	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld,
@@ -126,6 +126,9 @@
 	return errors.Join(err, j.close())
 }
 
+// clientPlaces is how many connections clients may hold.
+func clientPlaces(sockets int) int { return max(1, int(clientShare*float64(sockets))) }
+
 func newServer(in *intake, places int, log *slog.Logger) *http.Server {
 	return &http.Server{Handler: in, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
 		WriteTimeout: answerTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
