Take calls that were never sent out of the window logs again

Cause: a call answered 410, 504 or for want of a slot never reached the destination, but counted in both windows. The test fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,8 +36,7 @@
 	smallGrowth   = 3
 	stretchSpread = 0.5 // such windows differ by up to this share of their length
 
-	// A full that tells no wait closes the logs for this long, doubled with
-	// each further full that no success comes between, up to the maximum.
+	// A full that tells no wait closes the logs, for twice as long with each in turn.
 	fullPause    = 200 * time.Millisecond
 	maxFullPause = 2 * time.Second
 	// All senders hear a wait's end in the same instant: each adds up to this.
@@ -50,9 +49,7 @@
 	// A call unanswered for so many latencies stalls its endpoint: see stalled.
 	stallFactor = 4
 	minStall    = 500 * time.Millisecond
-	// One in so many slots, and at least one, may be held by calls to endpoints
-	// in doubt before another trial or call to such an endpoint starts.
-	doubtShare = 4
+	doubtShare  = 4 // one in so many slots, and at least one, may be held by calls in doubt
 	// The time-out is the latency and so many deviations, twice that while half
 	// of the slots are idle: an answer that comes too late was made in vain.
 	timeoutDeviations = 5
@@ -74,8 +71,7 @@
 	resetWeight   = 0.2
 	successShrink = 0.6
 
-	// Silence or resets for under so many fall windows are taken for lost calls.
-	outageFalls = 2
+	outageFalls = 2 // silence or resets for under so many fall windows are lost calls
 	// The rest is for calls in flight at the return, and who saw nothing of the outage.
 	coldMargin     = 0.85
 	peakDeviations = 2 // the best window of a day is about so many over the mean,
@@ -802,6 +798,10 @@
 	if c.left--; c.left == 0 {
 		c.endpoint.calls = remove(c.endpoint.calls, c)
 		s.inFlight--
+		if o.Outcome == Moot && !c.judged { // never sent: it used up nothing of the limit
+			c.endpoint.path.narrow.forget(c.sent)
+			c.endpoint.path.wide.forget(c.sent)
+		}
 	}
 	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled {
 		c.judged = true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -129,6 +129,26 @@
 	}
 }
 
+// A call that was never sent, as its message was over or no slot was free, leaves the
+// room that it had taken to the next.
+func TestMootCallsUseNoRoom(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	p := b.path()
+	p.slice = 1
+	for _, o := range []Outcome{Moot, Moot, Full} {
+		b.arrive(0)
+		if len(b.sent) != 1 {
+			t.Fatalf("no room after calls that were never sent: %d and %d in the logs", len(p.narrow.times), len(p.wide.times))
+		}
+		s := b.sent[0]
+		b.sent = nil
+		b.step(Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: o, Final: o == Moot})
+	}
+	if len(p.narrow.times) != 1 || len(p.wide.times) != 1 {
+		t.Errorf("%d and %d in the logs, want the call that was refused", len(p.narrow.times), len(p.wide.times))
+	}
+}
+
 func TestFirstFullSetsTheSliceLaterOnesCutIt(t *testing.T) {
 	b := with(t, testSettings(), 0, 1, 0)
 	p := b.path()
--- a/policy/state.go
+++ b/policy/state.go
@@ -79,6 +79,13 @@
 
 func (l *sendLog) record(now Time) { l.times = append(l.times, now) }
 
+// forget takes one send out again.
+func (l *sendLog) forget(at Time) {
+	if i := slices.Index(l.times, at); i >= 0 {
+		l.times = slices.Delete(l.times, i, i+1)
+	}
+}
+
 // call is one call that is out: one message, or a bundle with one fate.
 type call struct {
 	endpoint *endpoint
