Weigh breaks of idle connections against good uses taken to have come before

What had nearly faded came back with the next use, good or not, so a limit that was learnt could stick. The new line of TestIdleLimitIsLearnt fails without the change.

--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -13,11 +13,13 @@
 	// one before.
 	ages = 8
 	// halfLife is when what was seen counts for half. No more than manyUses count, so
-	// that older connections are tried again two half-lives after they were given up.
+	// that older connections are tried again soon after they were given up.
 	halfLife = 5 * time.Second
 	manyUses = 16
-	// fewUses tell nothing; badShare more of them broken than of young ones do.
-	fewUses  = 4
+	// An age is bad when badShare more break at it than of young ones, where goodUses
+	// that went well are taken to have come before: one break tells nothing, and what
+	// has nearly faded does not outweigh the next use.
+	goodUses = 6
 	badShare = 0.15
 )
 
@@ -75,10 +77,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fade(now)
-	young := l.seen[0].broken / max(1, l.seen[0].uses)
+	young := l.seen[0].broken / (l.seen[0].uses + goodUses)
 	end := youngest
 	for _, s := range l.seen[1:] {
-		if s.uses >= fewUses && s.broken/s.uses > young+badShare {
+		if s.broken/(s.uses+goodUses) > young+badShare {
 			return min(l.told, end)
 		}
 		end *= 2
--- a/internal/node/idle_test.go
+++ b/internal/node/idle_test.go
@@ -29,16 +29,21 @@
 	if got := l.limit(now); got != 2*youngest {
 		t.Errorf("limit %v where half break at 200 ms, want %v", got, 2*youngest)
 	}
-	if got := l.limit(now.Add(2*halfLife + 1)); got != told {
+	now = now.Add(2 * halfLife)
+	if got := l.limit(now); got != told {
 		t.Errorf("limit %v long after, want what was told", got)
 	}
+	l.used(200*time.Millisecond, false, now)
+	if got := l.limit(now); got != told {
+		t.Errorf("limit %v after another good use, want what was told", got)
+	}
 }
 
 // A broken call on a connection that was idle is counted for its age.
 func TestBrokenCallCountsForItsIdleTime(t *testing.T) {
 	addr := rawServer(t, closesUnanswered)
 	r := newCallRig(t, addr)
-	r.caller.idle.seen[3].uses, r.caller.idle.seen[3].broken, r.caller.idle.at = fewUses, fewUses-1, time.Now()
+	r.caller.idle.seen[3].uses, r.caller.idle.seen[3].broken, r.caller.idle.at = 1, 1, time.Now()
 	conn, err := r.caller.connection(t.Context(), &call{endpoint: r.endpoint, addr: addr})
 	must(t, err)
 	r.endpoint.pool.put(conn)
