Count calls out together as one refusal for each limit, not for each endpoint

Cause: endpoints of one destination share its limit, but each kept its own time of the last full, so calls out together to three endpoints cut the slice three times. The test fails without the change.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -228,7 +228,7 @@
 // full cuts a slice after a full, or sets it from the narrow count the first
 // time, and closes the logs for the told wait.
 func (s *Sender) full(p *path, e *endpoint, sent Time, wait time.Duration) {
-	if sent >= e.fullAt { // calls that were out together count as one refusal
+	if sent >= p.fullAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
 			s.resize(p, max(1, float64(p.narrow.count(s.now))))
 		} else {
@@ -243,7 +243,7 @@
 			s.resize(p, max(1/float64(s.set.Senders), p.slice*cut))
 		}
 		e.fullRun++
-		e.fullAt = s.now
+		p.fullAt = s.now
 	}
 	if p.slice <= 1 && s.set.MayTell && s.jam(p) {
 		s.tell(e, Jam)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -175,6 +175,27 @@
 	}
 }
 
+// Calls that were out together tell of one full limit once, whichever of its endpoints
+// refused them.
+func TestFullsOfCallsOutTogetherCutOnce(t *testing.T) {
+	b := with(t, testSettings(), 0, 3, 0)
+	b.path().slice = 30
+	for range 3 {
+		b.arrive(0)
+		b.now += 100 * time.Millisecond
+	}
+	if len(b.sent) != 3 || b.sent[0].Endpoint == b.sent[1].Endpoint {
+		t.Fatalf("sends %v, want three to different endpoints", b.sent)
+	}
+	out := b.sent
+	for _, s := range out {
+		b.step(Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: Full, Wait: time.Second})
+	}
+	if got, want := b.path().slice, 30*sliceCut; math.Abs(got-want) > 1e-9 {
+		t.Errorf("slice %v after three fulls of calls out together, want %v", got, want)
+	}
+}
+
 func TestSuccessGrowsABindingSliceOnly(t *testing.T) {
 	b := with(t, testSettings(), 0, 1, 0)
 	p := b.path()
--- a/policy/state.go
+++ b/policy/state.go
@@ -114,7 +114,6 @@
 	timeouts int     // time-outs in a row
 	broken   bool    // an error, a refusal or no connection came since its last success
 	fullRun  int     // fulls in a row, of calls sent after the one before was heard
-	fullAt   Time    // when the last full was heard
 	warming  bool    // back from an outage
 	warmFrom Time    // when it was first seen back
 	cold     sendLog // calls, while it may be cold
@@ -142,6 +141,7 @@
 	listed       float64 // listed part of this sender in calls a second, or 0
 	sureRate     float64 // the least that listed may mean
 	closedUntil  Time    // told wait or pause
+	fullAt       Time    // when the last full was heard
 	nextTrial    Time    // during an outage
 	latency      time.Duration
 	deviation    time.Duration // mean distance of an answer from latency
