--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -59,7 +59,10 @@
 	t.Cleanup(p.discovery.CloseClientConnections)
 	t.Cleanup(p.endpoint.Close)
 	t.Cleanup(p.endpoint.CloseClientConnections)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// The port is free again before the node binds it. At a loopback address of this
+	// process alone, nobody else is given it meanwhile.
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
 	must(t, err)
 	p.listen = l.Addr().String()
 	must(t, l.Close())
