--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -26,7 +26,7 @@
 	// drainAnswer is how long the rest of an answer is read for.
 	drainAnswer = 200 * time.Millisecond
 	// firstLine is how much of an answer is kept to see what its first line says.
-	firstLine  = len("HTTP/1.1 200 ")
+	firstLine  = 128
 	waitHeader = "X-Backoff-Ms"
 	// maxIdle bounds the kept connections to one endpoint.
 	maxIdle = 8
@@ -115,13 +115,10 @@
 func (t *tracked) delivered() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	line, cut := string(t.head), len(t.head) < firstLine
-	version, ok := strings.CutPrefix(line, "HTTP/1.")
-	if !ok || version == "" || version[0] != '0' && version[0] != '1' {
-		return false
-	}
-	status, ok := strings.CutPrefix(version[1:], " 200")
-	return ok && (cut && status == "" || status != "" && strings.Contains(" \r\n", status[:1]))
+	line, _, whole := strings.Cut(string(t.head), "\n") // a line that was cut off proves nothing
+	version, status, _ := strings.Cut(line, " ")
+	status, _, _ = strings.Cut(strings.TrimSuffix(status, "\r"), " ")
+	return whole && (version == "HTTP/1.1" || version == "HTTP/1.0") && status == "200"
 }
 
 // Write counts a write that failed with nothing taken as never made.
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -294,7 +294,8 @@
 	for answer, want := range map[string]policy.Outcome{
 		"what?\r\n\r\n":                  policy.Reset,
 		"HTTP/1.1 20":                    policy.Reset,
-		"HTTP/1.1 200":                   policy.Delivered,
+		"HTTP/1.1 200":                   policy.Reset,
+		"HTTP/1.1 200 O":                 policy.Reset,
 		"HTTP/1.1 200 OK\r\nContent-Len": policy.Delivered,
 		"HTTP/1.1 503 X\r\nContent-Leng": policy.Reset,
 	} {
