--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -14,9 +14,10 @@
 
 const (
 	// noticeTimeout is short: a notice must land 300 ms after the deadline at the
-	// latest, and one that is sent twice does no harm.
-	noticeTimeout = 150 * time.Millisecond
-	noticePause   = 20 * time.Millisecond
+	// latest, so there must be time for several tries. The agent answers at once, and
+	// a notice that is sent twice does no harm.
+	noticeTimeout = 60 * time.Millisecond
+	noticePause   = 10 * time.Millisecond
 	noticeBatch   = 64
 )
 
