Let a second process take over from the first at an upgrade, on the inherited socket

Readiness is told at the console. Events that the module only remembers are handled in state.go.

Tests: two real processes, killed at each step.

--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"wingmount/internal/node"
 )
 
 const patience = 15 * time.Second
@@ -25,6 +27,14 @@
 // stop and kill a real process.
 func TestMain(m *testing.M) {
 	if os.Getenv("WINGMOUNT_TEST_NODE") != "" {
+		if last := os.Getenv("WINGMOUNT_TEST_LAST_STEP"); last != "" {
+			node.HandoverStep = func(step string) {
+				if step == last {
+					_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+					select {} // until it arrives
+				}
+			}
+		}
 		main()
 		return
 	}
@@ -181,8 +191,8 @@
 	must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
 }
 
-// start starts a process and waits until it is ready.
-func (p *platform) start() *process {
+// launch starts a process, with further variables and descriptors from 3 on.
+func (p *platform) launch(files []*os.File, env ...string) *process {
 	p.t.Helper()
 	p.config = filepath.Join(p.t.TempDir(), "config.json")
 	p.configure()
@@ -190,10 +200,19 @@
 	n.cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+p.config, "PROXY_STATE="+p.dir,
 		"PROXY_DISCOVERY="+p.discovery.Listener.Addr().String(),
 		"GORACE=atexit_sleep_ms=0") // the race detector would add a second to each end
+	n.cmd.Env = append(n.cmd.Env, env...)
+	n.cmd.ExtraFiles = files
 	n.cmd.Stderr = &n.log
 	must(p.t, n.cmd.Start())
 	go func() { n.end <- n.cmd.Wait() }()
 	p.t.Cleanup(func() { _ = n.cmd.Process.Kill() })
+	return n
+}
+
+// start starts a process and waits until it is ready.
+func (p *platform) start() *process {
+	p.t.Helper()
+	n := p.launch(nil)
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		resp, err := http.Get("http://" + p.listen + "/healthz")
 		if err == nil {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -61,6 +61,7 @@
 	id     policy.EndpointID
 	name   string
 	addr   string // owned by the loop
+	last   member // as it was last listed; owned by the loop
 	dest   int
 	kind   int
 	zone   int
@@ -185,6 +186,8 @@
 	attempt int
 	timeout time.Duration
 	over    bool // its outcome has been told; guarded by the call
+	// attempted says that its attempt is on record: a call that is not can't be sent.
+	attempted bool
 }
 
 // call is one call to an endpoint: one message, or several in a bundle.
@@ -203,6 +206,7 @@
 type caller struct {
 	transport *http.Transport
 	journal   *journal
+	owner     *ownership
 	log       *slog.Logger
 	connect   time.Duration
 	idle      *idleLimit
@@ -210,6 +214,7 @@
 	running   sync.WaitGroup
 	open      atomic.Int64 // connections to endpoints
 	maxOpen   int64        // beyond it none is kept idle; 0 for any number
+	retired   atomic.Bool  // another process makes the calls now; none is kept idle
 }
 
 type trackKey struct{}
@@ -247,7 +252,7 @@
 // keep makes a connection ready for a later call, unless there are too many: the
 // descriptors are shared with the clients and the journal.
 func (c *caller) keep(k *call, conn *connection) {
-	if c.maxOpen > 0 && c.open.Load() > c.maxOpen {
+	if c.retired.Load() || c.maxOpen > 0 && c.open.Load() > c.maxOpen {
 		_ = conn.Close()
 		return
 	}
@@ -287,6 +292,7 @@
 			c.endAll(k, policy.Moot, 0, false)
 			return
 		}
+		p.attempted = true
 	}
 	for _, p := range k.parts {
 		if p.timeout < k.limit {
@@ -513,14 +519,14 @@
 	if !first {
 		return
 	}
-	var err error
-	switch {
-	case outcome == policy.Delivered:
-		err = c.journal.closed(p.message, k.endpoint.name, time.Now())
-	case over:
-		err = c.journal.closed(p.message, "", time.Now())
-	default:
-		err = c.journal.outcome(p.message, outcome, k.endpoint.name, time.Now())
+	err := c.record(k, p, outcome, over)
+	for errors.Is(err, errGiven) {
+		to, _ := c.owner.owner(context.Background()) // settled within handoverTimeout
+		if to != nil {
+			c.passOn(to, endedCall{Message: p.message.seq, Outcome: outcome, Wait: wait, Over: over}, p.attempted)
+			return
+		}
+		err = c.record(k, p, outcome, over)
 	}
 	if err != nil {
 		// The attempt alone is on record then: after a restart it may have run.
@@ -530,6 +536,28 @@
 		Wait: wait, Final: over || outcome == policy.Delivered, Took: time.Since(k.started)})
 }
 
+// record journals the outcome of one message.
+func (c *caller) record(k *call, p *part, outcome policy.Outcome, over bool) error {
+	switch {
+	case outcome == policy.Delivered:
+		return c.journal.closed(p.message, k.endpoint.name, time.Now())
+	case over:
+		return c.journal.closed(p.message, "", time.Now())
+	}
+	return c.journal.outcome(p.message, outcome, k.endpoint.name, time.Now())
+}
+
+// passOn tells the process that owns the message now how its call ended. It knows
+// nothing of a call that never went out.
+func (c *caller) passOn(to *link, e endedCall, attempted bool) {
+	if !attempted {
+		return
+	}
+	if _, _, err := to.pass(passedOn{Ended: &e}); err != nil {
+		c.log.Error("handover: outcome", "message", e.Message, "err", err)
+	}
+}
+
 // neverRan tells which outcomes prove that an attempt has not run.
 func neverRan(o policy.Outcome) bool {
 	return o == policy.Full || o == policy.Unreachable || o == policy.Moot
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -23,6 +23,13 @@
 	return &clients{max: max, idle: idles.New(), at: map[net.Conn]*idles.Element{}}
 }
 
+// count is how many connections there are.
+func (c *clients) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
 // state follows a connection; it is the server's ConnState.
 func (c *clients) state(conn net.Conn, s http.ConnState) {
 	if old := c.follow(conn, s); old != nil {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -28,6 +28,8 @@
 	Peers     []netip.AddrPort
 	PeersAll  string
 	Me        int
+	Console   string // where the staff call; empty for nowhere
+	AcceptFD  int    // the clients' listening socket, where the platform holds it; else 0
 	Path      string // of the configuration file
 	Known     list   // the endpoints as this node last had them
 	Settings  policy.Settings
@@ -52,6 +54,7 @@
 type configFile struct {
 	Name      string
 	Listen    string
+	Console   string
 	Discovery string
 	Seed      string
 	Limits    struct {
@@ -92,21 +95,30 @@
 		f.Discovery = env("PROXY_DISCOVERY")
 	}
 	c := Config{
-		Path: path, Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: env("PROXY_STATE"),
+		Path: path, Name: f.Name, Listen: f.Listen, Console: f.Console, Discovery: f.Discovery, State: env("PROXY_STATE"),
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		DiskBytes: int64(f.Limits.DiskMB * 1e6), PeerBind: f.PeerListen, PeersAll: f.PeersAll, Known: f.Known,
 	}
 	for name, field := range map[string]*string{
-		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen} {
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_CONSOLE": &c.Console} {
 		if v := env(name); v != "" {
 			*field = v
 		}
 	}
-	for name, value := range map[string]string{"PROXY_LISTEN": c.Listen, "PROXY_DISCOVERY": c.Discovery} {
+	addresses := map[string]string{"PROXY_LISTEN": c.Listen, "PROXY_DISCOVERY": c.Discovery}
+	if c.Console != "" {
+		addresses["PROXY_CONSOLE"] = c.Console
+	}
+	for name, value := range addresses {
 		if _, err := netip.ParseAddrPort(value); err != nil {
 			return Config{}, fmt.Errorf("%s: %w", name, err)
 		}
 	}
+	if v := env("PROXY_ACCEPT_FD"); v != "" {
+		if c.AcceptFD, err = strconv.Atoi(v); err != nil || c.AcceptFD < 3 {
+			return Config{}, fmt.Errorf("PROXY_ACCEPT_FD: %q is no descriptor that can be inherited", v)
+		}
+	}
 	if c.State == "" {
 		return Config{}, errors.New("PROXY_STATE is not set")
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -99,17 +99,19 @@
 	client *http.Client
 	log    *slog.Logger
 	tell   func(list)
+	known  int64 // the version of the list that is known at the start, or -1
 }
 
-func newDiscovery(a *agent, log *slog.Logger, tell func(list)) *discovery {
-	return &discovery{agent: a, log: log, tell: tell,
+func newDiscovery(a *agent, known int64, log *slog.Logger, tell func(list)) *discovery {
+	return &discovery{agent: a, known: known, log: log, tell: tell,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
-// run fetches the whole list and then watches it until the context ends.
+// run watches the list until the context ends, after fetching it whole where none is known.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
-	at, last := int64(-1), ""
+	at := d.known
+	last, _ := d.agent.at()
 	for ctx.Err() == nil {
 		addr, here := d.agent.at()
 		if addr != last { // what was told before the move is asked for as a whole
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -104,13 +105,21 @@
 			status, err = f.post(ctx, batch)
 		}
 		if err == nil && status == http.StatusNoContent {
+			closed := 0
 			for _, m := range batch {
-				if err := f.journal.closed(m, "", time.Now()); err != nil {
+				err = f.journal.closed(m, "", time.Now())
+				if errors.Is(err, errGiven) {
+					break // whoever owns the journal then sends it again, which does no harm
+				}
+				if err != nil {
 					f.log.Error("journal: notice answered", "id", m.id, "err", err)
 				}
+				closed++
+			}
+			pending = append(pending[:0], pending[closed:]...)
+			if closed == len(batch) {
+				continue
 			}
-			pending = append(pending[:0], pending[len(batch):]...)
-			continue
 		}
 		f.log.Warn("finals: not answered", "notices", len(batch), "status", status, "err", err)
 		if status == http.StatusBadRequest { // to the end of the line
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -29,6 +30,7 @@
 	names   names
 	keyed   []bool // per class: a message needs a key
 	journal *journal
+	owner   *ownership
 	log     *slog.Logger
 	maxHeld int
 	accept  func(*message)
@@ -87,26 +89,68 @@
 	}
 	// A context that has ended may mean a client that has only closed its sending
 	// side and waits for the answer, so it is not asked here.
-	again, ok := in.reserve(m.id)
-	if again { // sent once more by a client that did not hear the answer
-		w.WriteHeader(http.StatusAccepted)
-		return
+	status, why := in.take(m)
+	if in.isClosing() { // meanwhile
+		w.Header().Set("Connection", "close")
 	}
-	if !ok {
-		in.turnAway(w, "the hold is full")
-		return
+	switch status {
+	case http.StatusAccepted:
+		w.WriteHeader(status)
+	case http.StatusServiceUnavailable:
+		in.turnAway(w, why)
+	default:
+		http.Error(w, why, status)
 	}
-	if err := in.journal.take(m); err != nil {
-		in.ended(m.id)
-		if !errors.Is(err, errNoRoom) {
-			in.log.Error("intake: not journaled", "id", m.id, "err", err)
+}
+
+// take takes a message on, here or in the process that has taken over.
+func (in *intake) take(m *message) (status int, why string) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), linkTimeout)
+		to, err := in.owner.owner(ctx)
+		cancel()
+		if err != nil {
+			return http.StatusServiceUnavailable, "no process takes messages"
 		}
-		in.turnAway(w, "the journal takes no more")
-		return
+		if to != nil {
+			return in.passOn(to, m)
+		}
+		again, ok := in.reserve(m.id)
+		if again { // sent once more by a client that did not hear the answer
+			return http.StatusAccepted, ""
+		}
+		if !ok {
+			return http.StatusServiceUnavailable, "the hold is full"
+		}
+		switch err := in.journal.take(m); {
+		case err == nil:
+			in.taken(m.id)
+			in.accept(m)
+			return http.StatusAccepted, ""
+		case errors.Is(err, errGiven):
+			in.ended(m.id) // the next round knows who has it
+		default:
+			in.ended(m.id)
+			if !errors.Is(err, errNoRoom) {
+				in.log.Error("intake: not journaled", "id", m.id, "err", err)
+			}
+			return http.StatusServiceUnavailable, "the journal takes no more"
+		}
+	}
+}
+
+// passOn hands a message to the process that has taken over.
+func (in *intake) passOn(to *link, m *message) (status int, why string) {
+	a, sent, err := to.pass(passedOn{Message: &handedIn{ID: m.id, Key: m.key, Class: m.class, Dest: m.dest,
+		Deadline: m.deadline, Body: m.body}})
+	if err == nil {
+		return a.Status, a.Text
+	}
+	in.log.Error("handover: message", "id", m.id, "err", err)
+	if sent { // it may have been taken on: that handing it in again does no harm can't be said
+		return http.StatusInternalServerError, "not known to be taken on"
 	}
-	in.taken(m.id)
-	in.accept(m)
-	w.WriteHeader(http.StatusAccepted)
+	return http.StatusServiceUnavailable, "no process takes messages"
 }
 
 // read checks a request and reads its message.
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -141,7 +141,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var accepted []*message
 				in := newIntake(t, &accepted)
-				listener, server := make(pipes), newServer(in, 0, in.log)
+				listener, server := make(pipes), newServer(in, newClients(0), in.log)
 				go func() { _ = server.Serve(listener) }()
 				peer, conn := net.Pipe()
 				listener <- conn
@@ -165,7 +165,7 @@
 		var accepted []*message
 		in := newIntake(t, &accepted)
 		inner := make(pipes)
-		server := newServer(in, 4, in.log)
+		server := newServer(in, newClients(4), in.log)
 		go func() { _ = server.Serve(netutil.LimitListener(inner, 4)) }()
 		start := time.Now()
 		for range 12 { // each stays open
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -44,7 +44,9 @@
 	// errNoRoom refuses a message for which the journal has no room.
 	errNoRoom = errors.New("the journal is full")
 	// errLate says that a message which may have run can't be sent any more.
-	errLate  = errors.New("the destination has forgotten the key")
+	errLate = errors.New("the destination has forgotten the key")
+	// errGiven says that another process writes the journal now, or is about to.
+	errGiven = errors.New("the journal has been given away")
 	crcTable = crc32.MakeTable(crc32.Castagnoli)
 )
 
@@ -72,11 +74,15 @@
 	mayRun   bool
 	ranAt    time.Time
 	ranZone  int
+	// Where and when the last attempt was sent; known to the process that sent it and
+	// to one that takes over from it, and not on disk.
+	outTo string
+	outAt time.Time
 }
 
-func (p *past) attempt(zone int, at time.Time) {
+func (p *past) attempt(endpoint string, zone int, at time.Time) {
 	p.attempts++
-	p.out = true
+	p.out, p.outTo, p.outAt = true, endpoint, at
 	if !p.mayRun {
 		p.mayRun, p.ranAt, p.ranZone = true, at, zone
 	}
@@ -131,6 +137,7 @@
 	memories map[string]*memory // of the lives before this one
 	over     idRing             // of messages that those lives brought to their end
 	buf      []byte
+	given    bool // another process writes it, or is about to
 }
 
 func segmentPath(dir string, n uint64) string {
@@ -142,12 +149,22 @@
 // openJournal replays the journal in a folder. The messages that are owed
 // something come back in the order in which they were taken.
 func openJournal(dir string, limit int64, log *slog.Logger) (*journal, []*message, error) {
+	j, err := replayJournal(dir, limit, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	owed, err := j.begin(nil)
+	return j, owed, err
+}
+
+// replayJournal reads what is in a folder and writes nothing.
+func replayJournal(dir string, limit int64, log *slog.Logger) (*journal, error) {
 	j := &journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, maxBody+4<<10),
 		live: map[policy.MessageID]*message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*memory{},
 		over: newIDRing(maxOver)}
 	files, err := os.ReadDir(dir)
 	if err != nil {
-		return nil, nil, fmt.Errorf("opening the journal: %w", err)
+		return nil, fmt.Errorf("opening the journal: %w", err)
 	}
 	for _, f := range files {
 		var n uint64
@@ -155,23 +172,63 @@
 			continue
 		}
 		if err := j.replay(n); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
+	return j, nil
+}
+
+// begin makes this process the one that writes. Out are the attempts whose outcome
+// another process still waits for.
+func (j *journal) begin(out []attemptOut) ([]*message, error) {
 	// Always a new segment: nothing is ever written behind a torn tail.
 	if err := j.roll(); err != nil {
-		return nil, nil, err
+		return nil, err
+	}
+	waits := map[policy.MessageID]attemptOut{}
+	for _, a := range out {
+		waits[a.Message] = a
 	}
 	owed := make([]*message, 0, len(j.live))
 	for _, m := range j.live {
-		if m.past.out { // when the process ended; it may have run, or may yet
+		if a, ok := waits[m.seq]; ok && m.past.out {
+			m.past.outTo, m.past.outAt = a.Endpoint, a.At
+		} else if m.past.out { // when the process ended; it may have run, or may yet
 			m.past.out, m.past.settled = false, true
 		}
 		owed = append(owed, m)
 		j.liveSize += cost(m)
 	}
 	sort.Slice(owed, func(a, b int) bool { return owed[a].seq < owed[b].seq })
-	return j, owed, nil
+	return owed, nil
+}
+
+// attemptOut is an attempt without an outcome yet.
+type attemptOut struct {
+	Message  policy.MessageID
+	Endpoint string
+	At       time.Time
+}
+
+// giveAway lets nothing more be written, and tells which attempts are out.
+func (j *journal) giveAway() []attemptOut {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.given = true
+	var out []attemptOut
+	for _, m := range j.live {
+		if m.past.out {
+			out = append(out, attemptOut{Message: m.seq, Endpoint: m.past.outTo, At: m.past.outAt})
+		}
+	}
+	return out
+}
+
+// takeBack goes on writing: nobody else has begun to.
+func (j *journal) takeBack() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.given = false
 }
 
 // replay reads one segment up to its end or its torn tail.
@@ -240,7 +297,7 @@
 			e.sent = append(e.sent, at)
 		}
 		if m != nil {
-			m.past.attempt(zone, at)
+			m.past.attempt(name, zone, at)
 		}
 	case recOutcome:
 		outcome, name, at := policy.Outcome(r.u8()), string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
@@ -285,6 +342,9 @@
 func (j *journal) take(m *message) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.given {
+		return errGiven
+	}
 	// Three segments are left: for records that no longer count, for the next one,
 	// and for a copy made while old and new lie there together.
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
@@ -305,6 +365,9 @@
 func (j *journal) attempt(m *message, endpoint string, zone int, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.given {
+		return errGiven
+	}
 	if j.live[m.seq] == nil {
 		return nil
 	}
@@ -318,7 +381,7 @@
 	if err := j.append(b, nil); err != nil {
 		return err
 	}
-	m.past.attempt(zone, at)
+	m.past.attempt(endpoint, zone, at)
 	return nil
 }
 
@@ -326,6 +389,9 @@
 func (j *journal) outcome(m *message, o policy.Outcome, endpoint string, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.given {
+		return errGiven
+	}
 	if j.live[m.seq] == nil {
 		return nil
 	}
@@ -338,6 +404,9 @@
 func (j *journal) ended(m *message, n *notice) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.given {
+		return errGiven
+	}
 	if j.live[m.seq] == nil {
 		return nil
 	}
@@ -350,6 +419,9 @@
 func (j *journal) closed(m *message, endpoint string, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.given {
+		return errGiven
+	}
 	if j.live[m.seq] == nil {
 		return nil
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -28,6 +28,10 @@
 	events    chan any      // policy.Event, list or *message
 	done      chan struct{} // closed when the loop has ended
 	quieted   chan struct{} // closed when no call is started any more
+	owner     *ownership
+	giveaways chan *giveaway
+	connected func() int // clients' connections; nil where nobody asks
+	revision  int64      // of the last list
 	held      map[policy.MessageID]*message
 	endpoints map[policy.EndpointID]*endpoint
 	waits     map[int]*gate // by destination, where routes share a limit
@@ -46,9 +50,9 @@
 	}
 }
 
-// run steps the module until the context ends. Once quiet ends no new call is
-// started; outcomes are still taken in.
-func (l *loop) run(ctx context.Context, quiet <-chan struct{}) {
+// run steps the module until the context ends; calls is the context of what it sends.
+// Once quiet ends no new call is started; outcomes are still taken in.
+func (l *loop) run(ctx, calls context.Context, quiet <-chan struct{}) {
 	defer close(l.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -68,6 +72,14 @@
 				e.pool.closeIdle(now.Add(-l.caller.idle.limit(now)))
 			}
 			continue
+		case g := <-l.giveaways:
+			if l.giveAway(g) {
+				l.quiet = true
+				for _, e := range l.endpoints { // they count for both processes together
+					e.pool.closeIdle(time.Now())
+				}
+			}
+			continue
 		case e := <-l.events:
 			l.take(e)
 		case <-timer.C:
@@ -90,7 +102,7 @@
 			l.batch = l.batch[:0]
 			continue
 		}
-		if wake := l.step(ctx); wake > 0 {
+		if wake := l.step(calls); wake > 0 {
 			timer.Reset(wake - l.now())
 		}
 	}
@@ -103,6 +115,7 @@
 		l.held[e.seq] = e
 		l.batch = append(l.batch, l.arrived(e))
 	case list:
+		l.revision = e.Revision
 		l.batch = append(l.batch, l.listed(e))
 		l.remind()
 	case policy.Ended:
@@ -125,6 +138,10 @@
 		if p.mayRun {
 			a.Past.RanAt = l.past(p.ranAt)
 		}
+		if p.out { // by its wall clock, the same for all messages of a bundle
+			a.Past.Out, a.Past.OutTo = true, policy.EndpointID(hash(p.outTo))
+			a.Past.OutSince, a.Past.Settled = min(l.now(), clockStart+p.outAt.Sub(l.origin)), p.settled
+		}
 	}
 	if class.Repeat == policy.Deduplicated {
 		m.window = class.Window
@@ -195,12 +212,14 @@
 			e.addr = m.HostPort
 		}
 		named[id] = true
+		e.last = m
 		l.setLeaving(e, state != policy.Ready)
 		out.Entries = append(out.Entries, l.entry(e, m, state))
 	}
 	if in.Complete {
 		for id, e := range l.endpoints {
 			if !named[id] {
+				e.last.Phase = "left"
 				l.setLeaving(e, true)
 			}
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,26 +45,49 @@
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
 	}
-	j, owed, err := openJournal(c.State, c.DiskBytes, log)
+	// Everything below runs until the node has stopped, not until it is told to; what
+	// only an owner does ends when another process has taken over.
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	owned, retire := context.WithCancel(life)
+	defer retire()
+	calls, abandon := context.WithCancel(life)
+	defer abandon()
+	var running sync.WaitGroup
+	staff := &console{}
+	if c.Console != "" {
+		k, callers, err := openConsole(c.Console, log)
+		if err != nil {
+			return err
+		}
+		staff = k
+		running.Go(func() { k.run(life, callers) })
+	}
+	e, listener, err := begin(ctx, c, log)
 	if err != nil {
 		return err
 	}
-	for _, m := range owed {
+	if e.lock != nil {
+		defer e.lock.Close() // again, where it was let go of at a handover
+	}
+	j := e.journal
+	quit := func(err error) error { return errors.Join(err, listener.Close(), j.close()) }
+	for _, m := range e.owed {
 		if m.class >= len(c.Settings.Classes) {
-			return errors.Join(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.class), j.close())
+			return quit(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.class))
 		}
 	}
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
-	}
 	places := 0
 	if c.Sockets > 0 {
 		places = clientPlaces(c.Sockets)
+		if e.told != nil { // some are the old process's still
+			places = max(places/4, places-e.told.Connected)
+		}
 		listener = netutil.LimitListener(listener, places)
 	}
-	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld,
-		held: map[string]bool{}, over: j.over}
+	owner := newOwnership(owning)
+	in := &intake{names: c.Names, journal: j, owner: owner, log: log, maxHeld: c.Settings.MaxHeld,
+		held: map[string]bool{}}
 	for _, k := range c.Settings.Classes {
 		in.keyed = append(in.keyed, k.Repeat == policy.Deduplicated)
 	}
@@ -73,77 +96,149 @@
 		sender: policy.New(c.Settings, c.Seed), settings: c.Settings, names: c.Names, log: log,
 		journal: j, finals: newFinals(a, j, log), intake: in, origin: time.Now(),
 		events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
-		held:      map[policy.MessageID]*message{},
+		held: map[policy.MessageID]*message{}, owner: owner, giveaways: make(chan *giveaway),
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
 	}
 	l.caller = newCaller(c, j, log, func(e policy.Event) { l.post(e) })
+	l.caller.owner = owner
 	in.accept = func(m *message) { l.post(m) }
 	if c.Settings.MayTell && c.PeerBind != "" && c.PeersAll != "" {
 		if l.peers, err = openPeers(c, log, func(e policy.Event) { l.post(e) }); err != nil {
-			return errors.Join(err, listener.Close(), j.close())
+			return quit(err)
 		}
 	}
-
-	// Everything below runs until the node has stopped, not until it is told to.
-	life, end := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	quiet := make(chan struct{})
-	running.Go(func() { l.run(life, quiet) })
-	running.Go(func() { l.finals.run(life) })
-	running.Go(func() { newDiscovery(a, log, func(in list) { l.post(in) }).run(life) })
-	running.Go(func() { a.follow(life, hangups, c.Path, log) })
-	if l.peers != nil {
-		running.Go(func() { l.peers.run(life) })
+	in.over = j.over
+	known := int64(-1)
+	switch {
+	case e.told != nil:
+		l.inherit(e.told)
+		known = e.told.Revision
+	case len(c.Known.Members) > 0:
+		l.take(c.Known)
 	}
-	if len(c.Known.Members) > 0 {
-		l.post(c.Known)
+	var before *heir
+	if e.before != nil {
+		before = &heir{link: e.before, intake: in, caller: l.caller, log: log, out: map[policy.MessageID]*call{}, gone: func() {}}
 	}
-	for _, m := range owed {
+	for _, m := range e.owed {
+		if m.past.out {
+			if to := l.endpoints[policy.EndpointID(hash(m.past.outTo))]; to != nil {
+				before.expect(m, to)
+			}
+		}
 		if m.notice != nil {
 			in.wasOver(m.id)
 			l.finals.add(m)
 			continue
 		}
 		in.taken(m.id)
-		l.post(m)
+		l.take(m)
+	}
+
+	quiet := make(chan struct{})
+	running.Go(func() { l.run(life, calls, quiet) })
+	running.Go(func() { l.finals.run(owned) })
+	running.Go(func() { newDiscovery(a, known, log, func(in list) { l.post(in) }).run(owned) })
+	running.Go(func() { a.follow(life, hangups, c.Path, log) })
+	if l.peers != nil {
+		running.Go(func() { l.peers.run(owned) })
+	}
+	if before != nil {
+		running.Go(func() { before.run(life) })
 	}
-	server := newServer(in, places, log)
+	connected := newClients(places)
+	l.connected = connected.count
+	server := newServer(in, connected, log)
 	served := make(chan error, 1)
 	running.Go(func() { served <- server.Serve(listener) })
-	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(owed))
+	if e.lock != nil {
+		next, err := listenForHandover(c.State)
+		if err != nil {
+			log.Error("handover: no process can take over from this one", "err", err)
+		} else {
+			h := &handover{listener: next, owner: owner, loop: l, lock: e.lock, dir: c.State, log: log, abandon: abandon,
+				retire: func() {
+					staff.ready.Store(false)
+					l.caller.retired.Store(true)
+					retire()
+					_ = listener.Close() // the platform and the next process have it still
+				}}
+			running.Go(func() { h.run(owned) })
+		}
+	}
+	staff.ready.Store(true)
+	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(e.owed), "taken over", e.told != nil)
 
 	select {
 	case <-ctx.Done():
-		l.stop(server, quiet)
 		err = nil
 	case err = <-served:
-		err = fmt.Errorf("serving clients: %w", err)
+		if to, _ := owner.owner(ctx); to != nil {
+			<-ctx.Done() // its clients' connections and its calls go on
+			err = nil
+		} else {
+			err = fmt.Errorf("serving clients: %w", err)
+		}
+	}
+	if err == nil {
+		l.stop(server, quiet, func() { staff.ready.Store(false) })
 	}
 	end()
 	running.Wait()
 	l.caller.running.Wait() // their outcomes go on record before the journal closes
 	log.Info("stopped", "owed", len(l.held))
+	if to, _ := owner.owner(context.Background()); to != nil {
+		_ = to.conn.Close() // it may have been closed for an error
+		return err
+	}
 	return errors.Join(err, j.close())
 }
 
+// begin opens the journal and the clients' listener: the platform's where it holds
+// one, and then another process may have the journal still.
+func begin(ctx context.Context, c Config, log *slog.Logger) (*estate, net.Listener, error) {
+	if c.AcceptFD > 0 {
+		listener, err := inheritedListener(c.AcceptFD)
+		if err != nil {
+			return nil, nil, err
+		}
+		e, err := takeOver(ctx, c, log)
+		if err != nil {
+			return nil, nil, errors.Join(err, listener.Close())
+		}
+		return e, listener, nil
+	}
+	j, owed, err := openJournal(c.State, c.DiskBytes, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, nil, errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
+	}
+	return &estate{journal: j, owed: owed}, listener, nil
+}
+
 // clientPlaces is how many connections clients may hold.
 func clientPlaces(sockets int) int { return max(1, int(clientShare*float64(sockets))) }
 
-func newServer(in *intake, places int, log *slog.Logger) *http.Server {
+func newServer(in *intake, connected *clients, log *slog.Logger) *http.Server {
 	return &http.Server{Handler: in, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
 		WriteTimeout: answerTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
-		ConnState: newClients(places).state,
+		ConnState: connected.state,
 		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 }
 
 // stop lets go of the clients first, then of the endpoints. What is still owed
-// after that waits in the journal for the next start.
-func (l *loop) stop(server *http.Server, quiet chan<- struct{}) {
+// after that waits in the journal for the next start. Refusing is called when no
+// message is taken any more.
+func (l *loop) stop(server *http.Server, quiet chan<- struct{}, refusing func()) {
 	start := time.Now()
 	l.log.Info("stopping", "owed", l.intake.count())
 	l.intake.close(false)
 	time.Sleep(stopTaking)
 	l.intake.close(true)
+	refusing()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(stopWaiting))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/policy/api.go
+++ b/policy/api.go
@@ -141,6 +141,12 @@
 	MayRun   bool // one of them may have run, or may run yet
 	RanAt    Time // when the first such attempt was sent
 	RanZone  int  // where it was sent
+	// Out says that the last attempt still waits for its outcome, in the process that
+	// had the message before; Settled that an earlier one may have run.
+	Out      bool
+	OutTo    EndpointID
+	OutSince Time
+	Settled  bool
 }
 
 // Outcome says how an attempt ended.
@@ -207,6 +213,42 @@
 	BackAt   Time // the first such
 }
 
+// Inherited brings what the process knew that had the node's messages until now, by
+// the same clock. It comes after the list and before the first message.
+type Inherited struct{ Memory Memory }
+
+// Memory is all that a sender knows beside its messages, the list and orders.
+type Memory struct {
+	Started     Time
+	Usual, Pace float64
+	Paths       []PathMemory
+	Endpoints   []EndpointMemory
+}
+
+// PathMemory is what a sender knows of what shares one limit.
+type PathMemory struct {
+	Endpoint                     EndpointID // one of those that share it
+	Narrow, Wide, Passed         []Time
+	Peak, Passes, Most           int
+	Slice, BeforeRun             float64
+	NarrowWindow, WideWindow     time.Duration
+	ClosedUntil, FullAt          Time
+	NextTrial, JamAt             Time
+	JamFor                       time.Duration
+	Latency, Deviation, Baseline time.Duration
+}
+
+// EndpointMemory is what a sender knows of the health of an endpoint.
+type EndpointMemory struct {
+	Endpoint                                         EndpointID
+	Told, LastSent, LastOK, Since, WarmFrom, Trouble Time
+	Score, Phase                                     float64
+	Suspect, Out, Lead, Broken, Warming              bool
+	Timeouts, FullRun                                int
+	Cold                                             []Time
+	ColdWindow                                       time.Duration
+}
+
 // Woken says that the time of a [Wake] has come.
 type Woken struct{}
 
@@ -217,6 +259,7 @@
 func (Withdrawn) event()  {}
 func (Told) event()       {}
 func (Remembered) event() {}
+func (Inherited) event()  {}
 func (Woken) event()      {}
 
 // Action is something that the node shall do, at once and in the order given.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -104,26 +104,14 @@
 		_, note := e.(Told)
 		hearsay = hearsay && note
 		switch e := e.(type) {
-		case Listed:
-			s.listed(e)
 		case ListFailed:
 			s.subscribed, s.subscribeAt = false, now+backoffMax/2+s.jitter(backoffMax/2)
-		case Arrived:
-			s.arrived(e)
 		case Ended:
 			s.finished(e)
-		case Withdrawn:
-			if m := s.messages[e.Message]; m != nil && !m.ended {
-				s.end(m)
-			}
 		case Told:
 			s.heard(e)
-		case Remembered:
-			s.remembered(e)
-		case Woken:
-			if s.armed <= now {
-				s.armed = 0
-			}
+		default:
+			s.note(e)
 		}
 	}
 	if hearsay {
--- a/policy/state.go
+++ b/policy/state.go
@@ -285,6 +285,28 @@
 	return list
 }
 
+// note takes in an event that calls for no judgement.
+func (s *Sender) note(e Event) {
+	switch e := e.(type) {
+	case Listed:
+		s.listed(e)
+	case Arrived:
+		s.arrived(e)
+	case Withdrawn:
+		if m := s.messages[e.Message]; m != nil && !m.ended {
+			s.end(m)
+		}
+	case Remembered:
+		s.remembered(e)
+	case Inherited:
+		s.inherited(e.Memory)
+	case Woken:
+		if s.armed <= s.now {
+			s.armed = 0
+		}
+	}
+}
+
 func (s *Sender) listed(l Listed) {
 	named := map[EndpointID]bool{}
 	for _, entry := range l.Entries {
@@ -328,7 +350,11 @@
 		ranAt: a.Past.RanAt, ranZone: a.Past.RanZone}
 	s.messages[m.id] = m
 	s.open = append(s.open, m)
-	m.dest.queue = append(m.dest.queue, m)
+	if e := s.endpoints[a.Past.OutTo]; a.Past.Out && e != nil {
+		s.stillOut(m, e, a.Past)
+	} else {
+		m.dest.queue = append(m.dest.queue, m)
+	}
 	if class.Ordered && a.Key != 0 {
 		if s.turns[a.Key] == nil {
 			s.turns[a.Key] = &turn{}
@@ -443,6 +469,75 @@
 	}
 }
 
+// stillOut takes over a call that another process waits for: it holds its slot. The
+// messages of a bundle were sent at the same time.
+func (s *Sender) stillOut(m *message, e *endpoint, past Past) {
+	m.settled = past.Settled
+	i := slices.IndexFunc(e.calls, func(c *call) bool { return c.sent == past.OutSince })
+	if i < 0 {
+		i = len(e.calls)
+		e.calls = append(e.calls, &call{endpoint: e, sent: past.OutSince})
+		s.inFlight++
+	}
+	m.call = e.calls[i]
+	m.call.size++
+	m.call.left++
+}
+
+// Memory tells what the sender knows, for a process that goes on in its place.
+func (s *Sender) Memory() Memory {
+	out := Memory{Started: s.started, Usual: s.usual, Pace: s.pace}
+	for _, d := range s.ordered {
+		for _, p := range d.paths {
+			if len(p.endpoints) == 0 {
+				continue
+			}
+			out.Paths = append(out.Paths, PathMemory{Endpoint: p.endpoints[0].id,
+				Narrow: slices.Clone(p.narrow.times), Wide: slices.Clone(p.wide.times), Passed: slices.Clone(p.passed.times),
+				Peak: p.peak, Passes: p.passes, Most: p.most, Slice: p.slice, BeforeRun: p.beforeRun,
+				NarrowWindow: p.narrow.window, WideWindow: p.wide.window, ClosedUntil: p.closedUntil, FullAt: p.fullAt,
+				NextTrial: p.nextTrial, JamAt: p.jamAt, JamFor: p.jamFor,
+				Latency: p.latency, Deviation: p.deviation, Baseline: p.baseline})
+			for _, e := range p.endpoints {
+				out.Endpoints = append(out.Endpoints, EndpointMemory{Endpoint: e.id, Told: e.told,
+					LastSent: e.lastSent, LastOK: e.lastOK, Since: e.since, WarmFrom: e.warmFrom, Trouble: e.troubled,
+					Score: e.score, Phase: e.phase, Suspect: e.suspect, Out: e.out, Lead: e.lead, Broken: e.broken,
+					Warming: e.warming, Timeouts: e.timeouts, FullRun: e.fullRun,
+					Cold: slices.Clone(e.cold.times), ColdWindow: e.cold.window})
+			}
+		}
+	}
+	return out
+}
+
+// inherited takes over the memory of another process.
+func (s *Sender) inherited(m Memory) {
+	s.started, s.usual, s.pace = m.Started, m.Usual, m.Pace
+	for _, r := range m.Paths {
+		e := s.endpoints[r.Endpoint]
+		if e == nil {
+			continue
+		}
+		p := e.path
+		p.narrow, p.wide = sendLog{r.NarrowWindow, r.Narrow}, sendLog{r.WideWindow, r.Wide}
+		p.passed.times = r.Passed
+		p.peak, p.passes, p.most, p.slice, p.beforeRun = r.Peak, r.Passes, r.Most, r.Slice, r.BeforeRun
+		p.closedUntil, p.fullAt, p.nextTrial = r.ClosedUntil, r.FullAt, r.NextTrial
+		p.jamAt, p.jamFor = r.JamAt, r.JamFor
+		p.latency, p.deviation, p.baseline = r.Latency, r.Deviation, r.Baseline
+	}
+	for _, r := range m.Endpoints {
+		e := s.endpoints[r.Endpoint]
+		if e == nil {
+			continue
+		}
+		e.told, e.lastSent, e.lastOK, e.since, e.warmFrom, e.troubled = r.Told, r.LastSent, r.LastOK, r.Since, r.WarmFrom, r.Trouble
+		e.score, e.phase, e.suspect, e.out, e.lead = r.Score, r.Phase, r.Suspect, r.Out, r.Lead
+		e.broken, e.warming, e.timeouts, e.fullRun = r.Broken, r.Warming, r.Timeouts, r.FullRun
+		e.cold = sendLog{r.ColdWindow, r.Cold}
+	}
+}
+
 // returned takes an endpoint out of its outage.
 func (s *Sender) returned(e *endpoint, news News) {
 	e.out = false
