--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -58,6 +58,7 @@
 	watches  []time.Time
 	answered []time.Time
 	silent   int // so many watches get no answer
+	whole    int // so many watches are answered with the whole list
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -105,7 +106,13 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	if r.URL.Query().Get("index") == "" {
+	p.mu.Lock()
+	whole := r.URL.Query().Get("index") == "" || p.whole > 0
+	if p.whole > 0 {
+		p.whole--
+	}
+	p.mu.Unlock()
+	if whole {
 		fmt.Fprintf(w, `{"revision":1,"complete":true,"members":[{"id":"s1","host_port":%q,"locality":"a",`+
 			`"flavor":"general","cell":7,"phase":"active","size":100},{"id":"odd","phase":"whatever"}]}`,
 			p.endpoint.Listener.Addr())
--- a/cmd/wingmount/upgrade_test.go
+++ b/cmd/wingmount/upgrade_test.go
@@ -179,6 +179,20 @@
 		t.Errorf("after the old ones ended: answered %d", status)
 	}
 	u.once("alone")
+	// How the first process's call ended is on record: it is not made again.
+	must(t, third.cmd.Process.Kill())
+	_ = third.wait(t) // killed
+	fourth, console4 := u.begin()
+	u.ready(fourth, console4)
+	if status, _ := u.hand(u.keep(), "last"); status != http.StatusAccepted {
+		t.Errorf("after a kill: answered %d", status)
+	}
+	u.eventually("the last call", func() bool { return u.calls["last"] == 1 })
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.calls["out"] != 1 {
+		t.Errorf("%d calls with what the first process had out, want one", u.calls["out"])
+	}
 }
 
 // Wherever the old process is killed, the new one has everything: what was out may
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -65,8 +65,9 @@
 	dest   int
 	kind   int
 	zone   int
-	leaves *gate // that it drains or is gone
-	waits  *gate // of its route, or of its destination where routes share a limit
+	leaves *gate       // that it drains or is gone
+	barred atomic.Bool // the staff have taken it out
+	waits  *gate       // of its route, or of its destination where routes share a limit
 	pool   pool
 }
 
@@ -230,7 +231,11 @@
 		// at the latest; a request on its way then would end as a reset.
 		idle: &idleLimit{told: c.IdleClose * 4 / 5}}
 	if c.Sockets > 0 {
-		k.maxOpen = int64(max(1, c.Sockets-clientPlaces(c.Sockets)-ownSockets-c.Settings.Slots))
+		own := ownSockets
+		if c.Console != "" {
+			own += consoleCallers
+		}
+		k.maxOpen = int64(max(1, c.Sockets-clientPlaces(c.Sockets)-own-c.Settings.Slots))
 	}
 	k.transport = &http.Transport{
 		DisableCompression: true, MaxResponseHeaderBytes: maxAnswer,
@@ -249,10 +254,10 @@
 	return k
 }
 
-// keep makes a connection ready for a later call, unless there are too many: the
-// descriptors are shared with the clients and the journal.
+// keep makes a connection ready for a later call, unless its endpoint is about to be
+// restarted or there are too many: the descriptors are shared with the clients and the journal.
 func (c *caller) keep(k *call, conn *connection) {
-	if c.retired.Load() || c.maxOpen > 0 && c.open.Load() > c.maxOpen {
+	if c.retired.Load() || k.endpoint.barred.Load() || c.maxOpen > 0 && c.open.Load() > c.maxOpen {
 		_ = conn.Close()
 		return
 	}
@@ -280,7 +285,7 @@
 	now := time.Now()
 	// Between the module's decision and now the connection was made. What was told
 	// in the meantime binds this call too, and it has not been sent.
-	if !k.endpoint.leaves.open(now) || !k.endpoint.waits.open(now) {
+	if k.endpoint.barred.Load() || !k.endpoint.leaves.open(now) || !k.endpoint.waits.open(now) {
 		c.keep(k, conn)
 		c.endAll(k, policy.Moot, 0, false)
 		return
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"wingmount/policy"
 )
 
 const (
@@ -22,6 +26,7 @@
 	// consoleAnswer is how long a caller may wait for the answer at most, with something
 	// to spare of the second that it has.
 	consoleAnswer = 800 * time.Millisecond
+	maxOrder      = 4 << 10
 )
 
 // console is where the staff call: a listener and a server of its own, so that
@@ -30,6 +35,9 @@
 	server *http.Server
 	log    *slog.Logger
 	ready  atomic.Bool // clients are taken
+
+	up   chan struct{} // closed when there is a loop
+	loop *loop
 }
 
 // openConsole listens at once; calls that need the node's state wait for it.
@@ -38,10 +46,8 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("listening for the staff: %w", err)
 	}
-	c := &console{log: log}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /ops/readiness", c.readiness)
-	c.server = &http.Server{Handler: mux, ReadTimeout: consoleTimeout, WriteTimeout: consoleTimeout + consoleAnswer,
+	c := &console{log: log, up: make(chan struct{})}
+	c.server = &http.Server{Handler: c, ReadTimeout: consoleTimeout, WriteTimeout: consoleTimeout + consoleAnswer,
 		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	c.server.SetKeepAlivesEnabled(false) // one call a connection
 	return c, &newestCallers{Listener: listener, max: consoleCallers}, nil
@@ -55,12 +61,154 @@
 	}
 }
 
-func (c *console) readiness(w http.ResponseWriter, _ *http.Request) {
+// serves lets the calls through that need the node's state.
+func (c *console) serves(l *loop) {
+	c.loop = l
+	close(c.up)
+}
+
+// ServeHTTP answers one call: 2xx is yes, all else is no.
+func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	method := http.MethodPut
+	switch r.URL.Path {
+	case "/ops/readiness":
+		method = http.MethodGet
+	case "/ops/endpoints/down", "/ops/endpoints/up":
+	default:
+		http.Error(w, "no such call", http.StatusNotFound)
+		return
+	}
+	if r.Method != method {
+		w.Header().Set("Allow", method)
+		http.Error(w, method+" only", http.StatusMethodNotAllowed)
+		return
+	}
+	var status int
+	var text string
+	if r.URL.Path == "/ops/readiness" {
+		status, text = c.readiness()
+	} else if id, err := orderedHost(http.MaxBytesReader(w, r.Body, maxOrder)); err != nil {
+		status, text = http.StatusBadRequest, err.Error()
+	} else {
+		status, text = c.order(id, r.URL.Path == "/ops/endpoints/down")
+		c.log.Info("console", "call", r.URL.Path, "host", id, "status", status, "text", text)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	fmt.Fprintln(w, text)
+}
+
+func (c *console) readiness() (status int, text string) {
 	if !c.ready.Load() {
-		http.Error(w, "no clients are taken", http.StatusServiceUnavailable)
+		return http.StatusServiceUnavailable, "no clients are taken"
+	}
+	return http.StatusOK, "clients are taken"
+}
+
+// orderedHost reads the endpoint that an order names.
+func orderedHost(body io.Reader) (string, error) {
+	var o struct{ Host string }
+	dec := json.NewDecoder(body)
+	if err := dec.Decode(&o); err != nil {
+		return "", fmt.Errorf("unreadable order: %w", err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return "", errors.New("unreadable order: more than one value")
+	}
+	if o.Host == "" {
+		return "", errors.New(`the order names no "host"`)
+	}
+	return o.Host, nil
+}
+
+func (c *console) order(id string, out bool) (status int, text string) {
+	ctx, cancel := context.WithTimeout(context.Background(), consoleAnswer)
+	defer cancel()
+	select {
+	case <-c.up:
+		return c.loop.obey(ctx, id, out)
+	case <-ctx.Done():
+		return http.StatusServiceUnavailable, "the process before still has the orders"
+	}
+}
+
+var errUnknownHost = errors.New("no such endpoint")
+
+// order is a call of the staff on its way through the loop.
+type order struct {
+	host  string
+	out   bool
+	reply chan error
+	begun atomic.Bool // by the loop, or by a caller that no longer waits
+}
+
+// obey has an order carried out, by the process that owns what is owed. It is on
+// record and known to the module before the yes, and nothing happens after a no.
+func (l *loop) obey(ctx context.Context, host string, out bool) (status int, text string) {
+	for {
+		to, err := l.owner.owner(ctx)
+		if err != nil {
+			return http.StatusServiceUnavailable, "no process has the orders just now"
+		}
+		if to != nil {
+			a, _, err := to.pass(passedOn{Order: &staffOrder{Endpoint: host, Out: out}})
+			if err != nil {
+				return http.StatusServiceUnavailable, err.Error()
+			}
+			return a.Status, a.Text
+		}
+		o := &order{host: host, out: out, reply: make(chan error, 1)}
+		select {
+		case l.events <- o:
+			err = o.wait(ctx)
+		case <-ctx.Done():
+			err = ctx.Err()
+		case <-l.done:
+			err = errors.New("stopped")
+		}
+		switch {
+		case err == nil:
+			return http.StatusOK, "done"
+		case errors.Is(err, errUnknownHost):
+			return http.StatusNotFound, err.Error()
+		case !errors.Is(err, errGiven):
+			return http.StatusServiceUnavailable, err.Error()
+		}
+	}
+}
+
+func (o *order) wait(ctx context.Context) error {
+	select {
+	case err := <-o.reply:
+		return err
+	case <-ctx.Done():
+		if o.begun.CompareAndSwap(false, true) {
+			return ctx.Err()
+		}
+		return <-o.reply // the loop is at it
+	}
+}
+
+// order carries out an order of the staff; the yes follows the next step.
+func (l *loop) order(o *order) {
+	if !o.begun.CompareAndSwap(false, true) {
 		return
 	}
-	fmt.Fprintln(w, "clients are taken")
+	id := policy.EndpointID(hash(o.host))
+	e := l.endpoints[id]
+	if e == nil && !l.journal.barred(o.host) {
+		o.reply <- errUnknownHost
+		return
+	}
+	if err := l.journal.order(o.host, o.out, time.Now()); err != nil {
+		o.reply <- err
+		return
+	}
+	if e != nil && e.barred.Swap(o.out) != o.out {
+		e.pool.closeIdle(time.Now()) // it is about to be restarted, or has been
+		l.batch = append(l.batch, policy.Ordered{Endpoint: id, Out: o.out})
+	}
+	l.obeyed = append(l.obeyed, o)
 }
 
 // newestCallers is a listener that closes the oldest of its connections when there
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -112,6 +112,7 @@
 type passedOn struct {
 	Message *handedIn
 	Ended   *endedCall
+	Order   *staffOrder
 }
 
 // handedIn is a message that a client handed in at the old process.
@@ -130,6 +131,12 @@
 	Over    bool
 }
 
+// staffOrder is a call to the console of the old process.
+type staffOrder struct {
+	Endpoint string
+	Out      bool
+}
+
 // answer is what the new process says to it.
 type answer struct {
 	Status int
@@ -461,6 +468,7 @@
 	link   *link
 	intake *intake
 	caller *caller
+	loop   *loop
 	log    *slog.Logger
 	out    map[policy.MessageID]*call // of the old process
 	gone   func()                     // told when the old process has ended
@@ -510,6 +518,11 @@
 			}
 			h.caller.endAll(k, p.Ended.Outcome, p.Ended.Wait, p.Ended.Over)
 		}
+	case p.Order != nil:
+		ctx, cancel := context.WithTimeout(context.Background(), consoleAnswer)
+		defer cancel()
+		status, text := h.loop.obey(ctx, p.Order.Endpoint, p.Order.Out)
+		return answer{Status: status, Text: text}
 	}
 	return answer{}
 }
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -38,6 +38,7 @@
 	recOutcome = 3 // how the last attempt ended
 	recEnded   = 4 // ended undelivered; the notice is owed
 	recClosed  = 5 // nothing is owed any more; delivered where it names an endpoint
+	recOrder   = 6 // the staff's order for an endpoint, in place of the one before
 )
 
 var (
@@ -137,7 +138,8 @@
 	memories map[string]*memory // of the lives before this one
 	over     idRing             // of messages that those lives brought to their end
 	buf      []byte
-	given    bool // another process writes it, or is about to
+	given    bool              // another process writes it, or is about to
+	orders   map[string]uint64 // endpoints that the staff have taken out; the segment with the order
 }
 
 func segmentPath(dir string, n uint64) string {
@@ -161,7 +163,7 @@
 func replayJournal(dir string, limit int64, log *slog.Logger) (*journal, error) {
 	j := &journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, maxBody+4<<10),
 		live: map[policy.MessageID]*message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*memory{},
-		over: newIDRing(maxOver)}
+		over: newIDRing(maxOver), orders: map[string]uint64{}}
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, fmt.Errorf("opening the journal: %w", err)
@@ -199,6 +201,9 @@
 		owed = append(owed, m)
 		j.liveSize += cost(m)
 	}
+	for name := range j.orders {
+		j.liveSize += orderCost(name)
+	}
 	sort.Slice(owed, func(a, b int) bool { return owed[a].seq < owed[b].seq })
 	return owed, nil
 }
@@ -326,6 +331,18 @@
 		}
 		delete(j.live, seq)
 		delete(j.home, seq)
+	case recOrder:
+		out, name, at := r.u8() == 1, string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
+		if r.bad {
+			break
+		}
+		if out {
+			j.orders[name] = segment
+			break
+		}
+		delete(j.orders, name)
+		e := j.remember(name) // it was restarted, and is cold
+		e.failedAt, e.backAt = at, at
 	default:
 		return fmt.Errorf("unknown kind %d", kind)
 	}
@@ -432,6 +449,51 @@
 	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
 }
 
+func orderCost(endpoint string) int64 { return int64(len(endpoint)) + ownShare }
+
+// order journals that the staff take an endpoint out or let it serve again.
+func (j *journal) order(endpoint string, out bool, at time.Time) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.given {
+		return errGiven
+	}
+	if _, known := j.orders[endpoint]; known == out {
+		return nil
+	}
+	room := orderCost(endpoint)
+	if out && j.liveSize+room > j.limit-3*j.segSize {
+		return errNoRoom
+	}
+	if err := j.append(orderRecord(endpoint, out, at), nil); err != nil {
+		return err
+	}
+	if out {
+		j.orders[endpoint] = j.segments[len(j.segments)-1].number
+		j.liveSize += room
+	} else {
+		delete(j.orders, endpoint)
+		j.liveSize -= room
+	}
+	return nil
+}
+
+// barred tells whether the staff have taken an endpoint out.
+func (j *journal) barred(endpoint string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	_, out := j.orders[endpoint]
+	return out
+}
+
+func orderRecord(endpoint string, out bool, at time.Time) []byte {
+	flag := byte(0)
+	if out {
+		flag = 1
+	}
+	return binary.AppendUvarint(appendBytes(append(record(recOrder, 0), flag), []byte(endpoint)), uint64(at.UnixMicro()))
+}
+
 func (j *journal) close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -535,6 +597,14 @@
 			return err
 		}
 	}
+	for name, n := range j.orders {
+		if n == oldest.number {
+			if err := j.write(orderRecord(name, true, time.Now()), nil); err != nil {
+				return err
+			}
+			j.orders[name] = j.segments[len(j.segments)-1].number
+		}
+	}
 	if err := os.Remove(segmentPath(j.dir, oldest.number)); err != nil {
 		return fmt.Errorf("cleaning the journal: %w", err)
 	}
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -253,3 +253,66 @@
 		})
 	}
 }
+
+// The staff's orders stay on record when their segment is cleaned, until they are
+// called back, and who comes back is cold.
+func TestJournalKeepsOrders(t *testing.T) {
+	dir := t.TempDir()
+	const limit = 1 << 20
+	j, _ := mustOpen(t, dir, limit)
+	for _, name := range []string{"out", "back"} {
+		must(t, j.order(name, true, time.Now()))
+		must(t, j.order(name, true, time.Now()))
+	}
+	first := j.segments[0].number
+	for i := 0; j.segments[0].number < first+30; i++ {
+		m := newMessage(fmt.Sprint("m", i), 20000)
+		must(t, j.take(m))
+		must(t, j.closed(m, "", time.Now()))
+	}
+	must(t, j.order("back", false, time.Now()))
+	must(t, j.close())
+	again, _ := mustOpen(t, dir, limit)
+	if !again.barred("out") || again.barred("back") || again.barred("other") {
+		t.Errorf("on record as out: %v, want one alone", again.orders)
+	}
+	if m := again.memories["back"]; m == nil || m.backAt.IsZero() || m.failedAt.IsZero() {
+		t.Errorf("back is remembered as %+v, want it just back", m)
+	}
+	if again.liveSize != orderCost("out") {
+		t.Errorf("room kept for what is owed: %d, want that of one order", again.liveSize)
+	}
+}
+
+// From the moment that the journal is given away nothing more is written by this
+// process, until it is taken back.
+func TestGivenJournalIsNotWritten(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := mustOpen(t, dir, minDisk)
+	held, out := newMessage("held", 10), newMessage("out", 10)
+	must(t, j.take(held))
+	must(t, j.take(out))
+	at := time.Now()
+	must(t, j.attempt(out, "e1", 1, at))
+	size := dirSize(t, dir)
+	if given := j.giveAway(); len(given) != 1 || given[0] != (attemptOut{Message: out.seq, Endpoint: "e1", At: at}) {
+		t.Errorf("given away with %+v out, want the one attempt", given)
+	}
+	for name, err := range map[string]error{
+		"take": j.take(newMessage("new", 1)), "attempt": j.attempt(held, "e1", 1, at), "closed": j.closed(held, "", at),
+		"outcome": j.outcome(out, policy.Full, "e1", at), "ended": j.ended(held, newNotice("held", true, 0)),
+		"order": j.order("e1", true, at),
+	} {
+		if !errors.Is(err, errGiven) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if dirSize(t, dir) != size || held.notice != nil || !out.past.out || !out.past.mayRun {
+		t.Error("something changed though the journal was given away")
+	}
+	j.takeBack()
+	must(t, j.outcome(out, policy.Full, "e1", at))
+	if out.past.out || out.past.mayRun {
+		t.Errorf("taken back: %+v", out.past)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -25,13 +25,15 @@
 	intake    *intake
 	peers     *peers // nil where notes are not allowed
 	origin    time.Time
-	events    chan any      // policy.Event, list or *message
+	events    chan any      // policy.Event, list, *order or *message
 	done      chan struct{} // closed when the loop has ended
 	quieted   chan struct{} // closed when no call is started any more
 	owner     *ownership
 	giveaways chan *giveaway
-	connected func() int // clients' connections; nil where nobody asks
-	revision  int64      // of the last list
+	connected func() int     // clients' connections; nil where nobody asks
+	revision  int64          // of the last list
+	orders    []policy.Event // for endpoints that are listed for the first time
+	obeyed    []*order       // the module hears of them in the next step
 	held      map[policy.MessageID]*message
 	endpoints map[policy.EndpointID]*endpoint
 	waits     map[int]*gate // by destination, where routes share a limit
@@ -100,11 +102,13 @@
 		last = time.Now()
 		if l.quiet {
 			l.batch = l.batch[:0]
-			continue
-		}
-		if wake := l.step(calls); wake > 0 {
+		} else if wake := l.step(calls); wake > 0 {
 			timer.Reset(wake - l.now())
 		}
+		for _, o := range l.obeyed {
+			o.reply <- nil
+		}
+		l.obeyed = l.obeyed[:0]
 	}
 }
 
@@ -117,7 +121,11 @@
 	case list:
 		l.revision = e.Revision
 		l.batch = append(l.batch, l.listed(e))
+		l.batch = append(l.batch, l.orders...)
+		l.orders = l.orders[:0]
 		l.remind()
+	case *order:
+		l.order(e)
 	case policy.Ended:
 		if e.Final {
 			if m := l.held[e.Message]; m != nil {
@@ -207,6 +215,10 @@
 				e.waits = l.waits[m.Cell]
 			}
 			l.endpoints[id] = e
+			if l.journal.barred(e.name) {
+				e.barred.Store(true)
+				l.orders = append(l.orders, policy.Ordered{Endpoint: id, Out: true})
+			}
 		}
 		if state != policy.Gone {
 			e.addr = m.HostPort
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,7 @@
 	calls, abandon := context.WithCancel(life)
 	defer abandon()
 	var running sync.WaitGroup
-	staff := &console{}
+	staff := &console{up: make(chan struct{})}
 	if c.Console != "" {
 		k, callers, err := openConsole(c.Console, log)
 		if err != nil {
@@ -118,7 +118,7 @@
 	}
 	var before *heir
 	if e.before != nil {
-		before = &heir{link: e.before, intake: in, caller: l.caller, log: log, out: map[policy.MessageID]*call{}, gone: func() {}}
+		before = &heir{link: e.before, intake: in, caller: l.caller, loop: l, log: log, out: map[policy.MessageID]*call{}, gone: func() {}}
 	}
 	for _, m := range e.owed {
 		if m.past.out {
@@ -166,6 +166,7 @@
 			running.Go(func() { h.run(owned) })
 		}
 	}
+	staff.serves(l)
 	staff.ready.Store(true)
 	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(e.owed), "taken over", e.told != nil)
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -213,6 +213,13 @@
 	BackAt   Time // the first such
 }
 
+// Ordered brings the staff's order for an endpoint, whatever the list says of it. It is
+// Out from one such until the next, and then comes back cold.
+type Ordered struct {
+	Endpoint EndpointID
+	Out      bool
+}
+
 // Inherited brings what the process knew that had the node's messages until now, by
 // the same clock. It comes after the list and before the first message.
 type Inherited struct{ Memory Memory }
@@ -259,6 +266,7 @@
 func (Withdrawn) event()  {}
 func (Told) event()       {}
 func (Remembered) event() {}
+func (Ordered) event()    {}
 func (Inherited) event()  {}
 func (Woken) event()      {}
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -453,11 +453,11 @@
 	return !e.out && !e.warming || s.coldRoom(e)
 }
 
-// listedFor keeps drains: nothing goes to an endpoint from the notice on,
+// listedFor keeps drains and orders: nothing goes to an endpoint from the notice on,
 // unless its destination has no other and the grace still runs.
 func (s *Sender) listedFor(e *endpoint) bool {
-	if e.state == Ready {
-		return true
+	if e.state == Ready || e.barred {
+		return !e.barred
 	}
 	if e.state == Gone || s.now-e.told >= s.set.DrainGrace/2 {
 		return false
--- a/policy/state.go
+++ b/policy/state.go
@@ -97,11 +97,12 @@
 
 // endpoint is one address of a destination.
 type endpoint struct {
-	id    EndpointID
-	path  *path
-	zone  int
-	state EndpointState
-	told  Time // when it was told to be draining or gone
+	id     EndpointID
+	path   *path
+	zone   int
+	state  EndpointState
+	told   Time // when it was told to be draining or gone
+	barred bool // by the staff's order, whatever the list says
 
 	calls    []*call // out, oldest first
 	lastSent Time
@@ -181,14 +182,14 @@
 	restUntil Time
 }
 
-// outSince tells whether all endpoints of a path are out, and from when.
+// outSince tells whether all endpoints of a path are out or barred, and from when.
 func (p *path) outSince() (Time, bool) {
 	from, any := Time(0), false
 	for _, e := range p.endpoints {
 		if e.state != Ready {
 			continue
 		}
-		if !e.out {
+		if !e.out && !e.barred {
 			return 0, false
 		}
 		from, any = max(from, e.since), true
@@ -232,7 +233,7 @@
 func (p *path) readyEndpoints() int {
 	n := 0
 	for _, e := range p.endpoints {
-		if e.state == Ready {
+		if e.state == Ready && !e.barred {
 			n++
 		}
 	}
@@ -298,6 +299,8 @@
 		}
 	case Remembered:
 		s.remembered(e)
+	case Ordered:
+		s.order(e)
 	case Inherited:
 		s.inherited(e.Memory)
 	case Woken:
@@ -469,6 +472,25 @@
 	}
 }
 
+// order bars an endpoint, or lets it serve again: it was restarted meanwhile, so it
+// counts as just back from an outage, and nothing that was seen before says how it is.
+func (s *Sender) order(o Ordered) {
+	e := s.endpoints[o.Endpoint]
+	if e == nil || e.barred == o.Out {
+		return
+	}
+	e.barred = o.Out
+	e.trouble(s.now)
+	if o.Out {
+		if !e.out {
+			e.since = s.now
+		}
+		return
+	}
+	e.suspect, e.broken, e.timeouts, e.fullRun, e.score = false, false, 0, 0, 0
+	s.returned(e, BackCold)
+}
+
 // stillOut takes over a call that another process waits for: it holds its slot. The
 // messages of a bundle were sent at the same time.
 func (s *Sender) stillOut(m *message, e *endpoint, past Past) {
