--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"sync"
@@ -20,6 +21,9 @@
 	watchMargin = time.Second
 	// watchPause must stay well under the 200 ms in which a watch goes on.
 	watchPause = 50 * time.Millisecond
+	// maxPause bounds the pause after calls that failed in a row. What is to be told counts
+	// as told 6 s later, so there must be time for some tries.
+	maxPause = 1600 * time.Millisecond
 	maxList    = 4 << 20
 )
 
@@ -110,7 +114,7 @@
 // run watches the list until the context ends, after fetching it whole where none is known.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
-	at := d.known
+	at, failed := d.known, 0
 	last, _ := d.agent.at()
 	for ctx.Err() == nil {
 		addr, here := d.agent.at()
@@ -130,24 +134,45 @@
 		}
 		if err == nil && (l.Complete || at >= 0 && l.Revision > at) {
 			d.tell(l)
-			at = l.Revision
+			at, failed = l.Revision, 0
 			continue
 		}
 		if err == nil && at < 0 {
 			err = errors.New("the whole list was asked for and a part came")
 		}
-		if err != nil || time.Since(asked) < watchPause { // no agent answers a watch at once with nothing
-			if err != nil && ctx.Err() == nil {
-				d.log.Warn("discovery: no list", "err", err)
-			}
-			select {
-			case <-time.After(watchPause):
-			case <-ctx.Done():
+		pause := time.Duration(0)
+		switch {
+		case err != nil:
+			if ctx.Err() == nil {
+				d.log.Warn("discovery: no list", "err", err, "in a row", failed+1)
 			}
+			pause = retryPause(failed)
+			failed++
+		case time.Since(asked) < watchPause: // no agent answers a watch at once with nothing
+			pause = watchPause
+		default:
+			failed = 0
+		}
+		select {
+		case <-time.After(pause):
+		case <-here.Done(): // what failed there says nothing of the new place
+			failed = 0
+		case <-ctx.Done():
 		}
 	}
 }
 
+// retryPause is how long to wait after so many failures before this one. The first try
+// comes in time for a watch to go on; after that all nodes that were turned away
+// together, as after a release, must not come back together.
+func retryPause(failed int) time.Duration {
+	if failed == 0 {
+		return watchPause
+	}
+	longest := min(maxPause, watchPause<<min(2*failed, 10))
+	return longest/4 + rand.N(longest*3/4)
+}
+
 // get asks once; it gives up when the agent has moved from here.
 func (d *discovery) get(ctx, here context.Context, url string, limit time.Duration) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -163,7 +188,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return list{}, fmt.Errorf("answered %s", resp.Status)
+		return list{}, fmt.Errorf("%s answered %s, Retry-After %q", req.URL.RequestURI(), resp.Status, resp.Header.Get("Retry-After"))
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,9 @@
 		known = e.told.Revision
 	case len(c.Known.Members) > 0:
 		l.take(c.Known)
+		if c.Known.Complete {
+			known = c.Known.Revision
+		}
 	}
 	var before *heir
 	if e.before != nil {
