--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -24,7 +24,7 @@
 	// maxPause bounds the pause after calls that failed in a row. What is to be told counts
 	// as told 6 s later, so there must be time for some tries.
 	maxPause = 1600 * time.Millisecond
-	maxList    = 4 << 20
+	maxList  = 4 << 20
 )
 
 // list is the endpoints, or what has changed of them, in discovery's form.
