Let a slice grow while its wide window alone binds

After a cut the wide window counts 12 s of what went before and closes the slice alone; what passed then did not grow it, so large partners stayed at a quarter of their listed rate with 369 messages waiting and few refusals.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,7 +16,7 @@
 	narrowWindow = 2 * time.Second
 	wideWindow   = 12 * time.Second
 
-	// A success under a binding slice adds this much of a call to it, a full
+	// A success under a slice that binds in either window adds this much of a call to it, a full
 	// takes this share away. A refusal costs little, unused room costs the
 	// messages that wait, so growth is quick and the cut mild.
 	sliceGrowth = 0.25
@@ -266,7 +266,8 @@
 	p.passed.record(s.now)
 	p.peak = max(p.peak, p.passed.count(s.now))
 	s.usual += (took.Seconds() - s.usual) * baselineGain
-	if !math.IsInf(p.slice, 1) && float64(p.narrow.count(s.now)) >= p.slice-1 {
+	wide := float64(p.wide.count(s.now)) >= p.slice*float64(wideWindow/narrowWindow)-1
+	if !math.IsInf(p.slice, 1) && (wide || float64(p.narrow.count(s.now)) >= p.slice-1) {
 		share := growthShare
 		if p.slice < 1 {
 			share = math.Pow(s.smallCut, -1.0/smallGrowth) - 1
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -214,6 +214,22 @@
 	}
 }
 
+// After a cut the wide window alone may bind for seconds: what passes then is success
+// under a binding slice too.
+func TestSuccessGrowsASliceThatBindsInTheWideWindow(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	p := b.path()
+	p.slice = 10
+	for i := range 60 - 1 {
+		p.wide.record(b.now - wideWindow/2 + time.Duration(i)*time.Millisecond)
+	}
+	b.arrive(0)
+	b.finish(Delivered, 0)
+	if p.slice != 10+sliceGrowth {
+		t.Errorf("slice %v, want %v", p.slice, 10+sliceGrowth)
+	}
+}
+
 func TestCallsUnderABindingSliceAreSpread(t *testing.T) {
 	b := with(t, testSettings(), 0, 2, 0)
 	b.path().slice = 4
