--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,9 +53,12 @@
 	// The time-out is the latency and so many deviations, twice that while half
 	// of the slots are idle: an answer that comes too late was made in vain.
 	timeoutDeviations = 5
-	minTimeout        = 1600 * time.Millisecond
-	gatherShare       = 0.25 // so much of its aim, less half a latency, a message waits for others
-	itemWork          = 0.2  // what each further message in a call is taken to add to its time
+	// It is no less than so many usual latencies: a lost call holds its slot for as long.
+	usualTimeout = 8
+	minTimeout   = 600 * time.Millisecond
+	maxFloor     = 1600 * time.Millisecond
+	gatherShare  = 0.25 // so much of its aim, less half a latency, a message waits for others
+	itemWork     = 0.2  // what each further message in a call is taken to add to its time
 	// Slower than its baseline by this, when the others are not, a destination
 	// gets a small part of the slots.
 	slowFactor = 3
@@ -539,7 +542,8 @@
 	if e.warming {
 		t /= s.warmth(e.warmFrom)
 	}
-	first := max(minTimeout, time.Duration(t))
+	floor := time.Duration(usualTimeout * s.usual * float64(time.Second))
+	first := max(minTimeout, min(maxFloor, floor), time.Duration(t))
 	d := min(first<<min(e.timeouts, 4), max(first, (m.class.Deadline-m.class.Aim)/4))
 	if m.class.Repeat == AtMostOnce {
 		// A time-out is its end: it can be neither resent nor refused. That no
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -513,6 +513,11 @@
 	if one < minTimeout {
 		t.Errorf("time-out %v, want %v at least", one, minTimeout)
 	}
+	// Where all calls are quick, a lost one holds its slot for less.
+	e.timeouts, b.s.usual = 0, 0.1
+	if quick := b.s.timeout(e, m, 1); quick >= one || quick < minTimeout {
+		t.Errorf("time-out %v where calls take 0.1 s, %v where they take %v", quick, one, firstLatency)
+	}
 }
 
 func TestSlowIsJudgedAgainstTheOthers(t *testing.T) {
