Give requests 2.8 s in whole, and let silent connections make room first

A header had 2 s though a true message may take longer in pieces, and only idle connections made room, so that half-written ones could fill all places.

--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -166,7 +166,7 @@
 		in := newIntake(t, &accepted)
 		inner := make(pipes)
 		server := newServer(in, newClients(4), in.log)
-		go func() { _ = server.Serve(netutil.LimitListener(inner, 4)) }()
+		go func() { _ = server.Serve(heardListener{netutil.LimitListener(inner, 4)}) }()
 		start := time.Now()
 		for range 12 { // each stays open
 			peer, conn := net.Pipe()
@@ -185,6 +185,53 @@
 	})
 }
 
+// Strangers that send nothing or half a request do not keep a client out, though its
+// own request comes in pieces over more than 2 s.
+func TestSlowClientAmongStrangers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var accepted []*message
+		in := newIntake(t, &accepted)
+		inner := make(pipes)
+		const places = 8
+		server := newServer(in, newClients(places), in.log)
+		go func() { _ = server.Serve(heardListener{netutil.LimitListener(inner, places)}) }()
+		connect := func(text string) net.Conn {
+			peer, conn := net.Pipe()
+			inner <- conn
+			if _, err := io.WriteString(peer, text); err != nil {
+				t.Errorf("writing: %v", err)
+			}
+			synctest.Wait()
+			return peer
+		}
+		start := time.Now()
+		for range 3 {
+			connect("POST /note HT")
+		}
+		client := connect("POST /note HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\nX-Priority-Cl")
+		for range 30 {
+			connect("")
+		}
+		if waited := time.Since(start); waited > 0 {
+			t.Errorf("30 strangers waited for %v in all", waited)
+		}
+		time.Sleep(2300 * time.Millisecond) // of the fake clock
+		_, err := io.WriteString(client, "ass: note\r\nX-Timeout-Ms: 5000\r\nX-Route-To: dest=7\r\n"+
+			"Idempotency-Key: k\r\nContent-Length: 4\r\n\r\nbo")
+		must(t, err)
+		time.Sleep(300 * time.Millisecond)
+		_, err = io.WriteString(client, "dy")
+		must(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		must(t, err)
+		if resp.StatusCode != http.StatusAccepted || len(accepted) != 1 {
+			t.Errorf("answered %s with %d messages taken", resp.Status, len(accepted))
+		}
+		close(inner)
+		must(t, server.Close())
+	})
+}
+
 // A journal that can't be written refuses, frees the place and never crashes.
 func TestFailedJournalRefuses(t *testing.T) {
 	var accepted []*message
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,10 +25,10 @@
 	// sent until stopTaking, and what is out then has until stopWaiting.
 	stopTaking  = 2200 * time.Millisecond
 	stopWaiting = 3300 * time.Millisecond
-	// A request must come in whole within these times. A peer that sends rubbish or
-	// nothing is owed an error or a close within 3 s of connecting.
-	headerTimeout  = 2 * time.Second
-	requestTimeout = 2500 * time.Millisecond
+	// A request must come in whole within this time, head and body together: a true one
+	// may come in pieces and take over 2 s, while a peer that sends rubbish or nothing is
+	// owed an error or a close within 3 s of connecting.
+	requestTimeout = 2800 * time.Millisecond
 	answerTimeout  = 10 * time.Second
 	// Anyone may connect and hold a place among the clients' connections, so one
 	// without an open request is kept no longer than it has to be.
@@ -153,7 +153,7 @@
 	l.connected = connected.count
 	server := newServer(in, connected, log)
 	served := make(chan error, 1)
-	running.Go(func() { served <- server.Serve(listener) })
+	running.Go(func() { served <- server.Serve(heardListener{listener}) })
 	if e.lock != nil {
 		next, err := listenForHandover(c.State)
 		if err != nil {
@@ -227,7 +227,7 @@
 func clientPlaces(sockets int) int { return max(1, int(clientShare*float64(sockets))) }
 
 func newServer(in *intake, connected *clients, log *slog.Logger) *http.Server {
-	return &http.Server{Handler: in, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+	return &http.Server{Handler: in, ReadTimeout: requestTimeout,
 		WriteTimeout: answerTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
 		ConnState: connected.state,
 		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
