--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -64,6 +64,13 @@
 	return c.open
 }
 
+// limit sets how many there may be; who is over it goes as others come.
+func (c *clients) limit(max int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.max = max
+}
+
 // state follows a connection; it is the server's ConnState.
 func (c *clients) state(conn net.Conn, s http.ConnState) {
 	if old := c.follow(conn, s); old != nil {
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -277,3 +277,25 @@
 		t.Error("endpoints of one destination that share a limit share its waits")
 	}
 }
+
+// While two processes share the limits of one node, the new one keeps to what the old
+// one leaves.
+func TestFewerPlacesWhileAnotherProcessHasSome(t *testing.T) {
+	c := newClients(4)
+	var conns []net.Conn
+	come := func() net.Conn {
+		conn, _ := net.Pipe()
+		conns = append(conns, conn)
+		return c.follow(conn, http.StateNew)
+	}
+	come()
+	c.limit(2)
+	if old := come(); old != conns[0] {
+		t.Errorf("of two places for both the oldest was not let go, but %v", old)
+	}
+	c.follow(conns[0], http.StateClosed)
+	c.limit(4)
+	if old := come(); old != nil {
+		t.Errorf("%v was let go though there are places again", old)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,9 +42,7 @@
 // Run serves until the context ends and then stops in good order. At a hangup it
 // reads from its configuration file anew where discovery is.
 func Run(ctx context.Context, c Config, hangups <-chan os.Signal, log *slog.Logger) error {
-	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
-	}
+	c.limitMemory(1)
 	// Everything below runs until the node has stopped, not until it is told to; what
 	// only an owner does ends when another process has taken over.
 	life, end := context.WithCancel(context.Background())
@@ -80,9 +78,6 @@
 	places := 0
 	if c.Sockets > 0 {
 		places = clientPlaces(c.Sockets)
-		if e.told != nil { // some are the old process's still
-			places = max(places/4, places-e.told.Connected)
-		}
 		listener = netutil.LimitListener(listener, places)
 	}
 	owner := newOwnership(owning)
@@ -121,7 +116,7 @@
 	}
 	var before *heir
 	if e.before != nil {
-		before = &heir{link: e.before, intake: in, caller: l.caller, loop: l, log: log, out: map[policy.MessageID]*call{}, gone: func() {}}
+		before = &heir{link: e.before, intake: in, caller: l.caller, loop: l, log: log, out: map[policy.MessageID]*call{}}
 	}
 	for _, m := range e.owed {
 		if m.past.out {
@@ -146,11 +141,21 @@
 	if l.peers != nil {
 		running.Go(func() { l.peers.run(owned) })
 	}
+	connected := newClients(places)
+	l.connected = connected.count
+	if e.told != nil { // the limits are for both processes, until the old one has ended
+		c.limitMemory(2)
+		if places > 0 {
+			connected.limit(max(places/4, places-e.told.Connected))
+		}
+		before.gone = func() {
+			c.limitMemory(1)
+			connected.limit(places)
+		}
+	}
 	if before != nil {
 		running.Go(func() { before.run(life) })
 	}
-	connected := newClients(places)
-	l.connected = connected.count
 	server := newServer(in, connected, log)
 	served := make(chan error, 1)
 	running.Go(func() { served <- server.Serve(heardListener{listener}) })
@@ -162,6 +167,7 @@
 			h := &handover{listener: next, owner: owner, loop: l, lock: e.lock, dir: c.State, log: log, abandon: abandon,
 				retire: func() {
 					staff.ready.Store(false)
+					c.limitMemory(2)
 					l.caller.retired.Store(true)
 					retire()
 					_ = listener.Close() // the platform and the next process have it still
@@ -223,6 +229,13 @@
 	return &estate{journal: j, owed: owed}, listener, nil
 }
 
+// limitMemory keeps the heap to a part of the limit, where so many processes share it.
+func (c Config) limitMemory(processes int) {
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10 / int64(processes))
+	}
+}
+
 // clientPlaces is how many connections clients may hold.
 func clientPlaces(sockets int) int { return max(1, int(clientShare*float64(sockets))) }
 
