--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -253,7 +253,7 @@
 // ask asks the process that has the journal for it. Nothing is written before that
 // process has let go.
 func ask(c Config, log *slog.Logger) (*estate, error) {
-	conn, err := net.DialTimeout("unix", filepath.Join(c.State, handoverName), handoverTimeout)
+	conn, err := dialHandover(c.State)
 	if err != nil {
 		return nil, err
 	}
@@ -313,13 +313,41 @@
 	abandon  func() // ends the calls that are out
 }
 
+// maxSocketPath is what the kernel takes as the address of a Unix socket.
+const maxSocketPath = 107
+
+// atSocket gives a path to a socket that the kernel takes: one that is too long goes by
+// a descriptor of its folder.
+func atSocket(path string, use func(short string) error) error {
+	if len(path) <= maxSocketPath {
+		return use(path)
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(use(fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path))), dir.Close())
+}
+
+func dialHandover(dir string) (conn net.Conn, err error) {
+	err = atSocket(filepath.Join(dir, handoverName), func(short string) error {
+		conn, err = net.DialTimeout("unix", short, handoverTimeout)
+		return err
+	})
+	return conn, err
+}
+
 func listenForHandover(dir string) (*net.UnixListener, error) {
 	path := filepath.Join(dir, handoverName)
 	// What lies there is of a process that has died or has given everything away.
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("listening for the next process: %w", err)
 	}
-	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	var l *net.UnixListener
+	err := atSocket(path, func(short string) (err error) {
+		l, err = net.ListenUnix("unix", &net.UnixAddr{Name: short, Net: "unix"})
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("listening for the next process: %w", err)
 	}
