Stretch the windows to whole calls, so that the part of a call in a slice is not lost

Counted over the 80 nodes, each second: a limit of 53 a second, slices of 1.33 to 1.77 calls in 2 s, 65 to 78 calls in 2 s in all logs together, 80 of 80 nodes without room. Checked and ruled out: slots (20 to 45 of 480 in use), refusals (none there), outages (none there). At fault: hasRoom compared the count with slice-1, so only the whole calls of a slice could be sent: 1.33 was 1. With 2 senders that is a few percent, with 80 a quarter to a half of small limits. A least slice of one call, on the other hand, let 80 senders send above a small limit. Now both windows stretch until the slice is a whole number of calls.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -156,14 +156,14 @@
 // The ordinary path: two sliding windows for each path
 
 // newPath starts with an unbound slice, or with this sender's part of the
-// listed rate, at least one call in a window.
+// listed rate.
 func (s *Sender) newPath(d *destination, kind Kind, entry Entry) *path {
 	p := &path{dest: d, kind: kind, slice: math.Inf(1),
 		narrow: sendLog{window: narrowWindow}, wide: sendLog{window: wideWindow},
 		passed: sendLog{window: narrowWindow}, most: 1, latency: firstLatency}
 	if s.set.Listing != RateUnlisted && entry.Rate > 0 {
 		p.listed = entry.Rate / float64(s.set.Senders)
-		p.slice = max(1, p.listed*narrowWindow.Seconds())
+		s.resize(p, p.listed*narrowWindow.Seconds())
 		p.sureRate = p.listed
 		if s.set.Listing == RateRough {
 			p.sureRate /= roughOver
@@ -182,18 +182,20 @@
 	if n := len(p.narrow.times); p.slice > 1 && n > 0 && s.now-p.narrow.times[n-1] < gap {
 		return false
 	}
-	if s.now < p.closedUntil || float64(p.narrow.count(s.now)) > slice-1 ||
-		float64(p.wide.count(s.now)) > slice*float64(wideWindow/narrowWindow)-1 {
+	calls := math.Ceil(slice)
+	if s.now < p.closedUntil || float64(p.narrow.count(s.now)) >= calls ||
+		float64(p.wide.count(s.now)) >= calls*float64(wideWindow/narrowWindow) {
 		return false
 	}
 	return p.inFlight() < s.bound(p)
 }
 
-// resize sets a slice and the windows to it. With many senders a fair slice is
-// less than one call in a window: the windows stretch until it is one, by
-// lengths drawn apart, or senders that were refused together come back together.
+// resize sets a slice and the windows to it. With many senders a fair slice is one
+// call and a part of one, or less than one: the windows stretch until it is whole, or
+// the part would be nobody's. Where it is one, their lengths are drawn apart, or
+// senders that were refused together come back together.
 func (s *Sender) resize(p *path, slice float64) {
-	stretch := 1.0
+	stretch := math.Ceil(slice) / slice
 	if slice <= 1 {
 		stretch = s.drawPhase() / slice
 	}
@@ -269,8 +271,9 @@
 	p.passed.record(s.now)
 	p.peak = max(p.peak, p.passed.count(s.now))
 	s.usual += (took.Seconds() - s.usual) * baselineGain
-	wide := float64(p.wide.count(s.now)) >= p.slice*float64(wideWindow/narrowWindow)-1
-	if !math.IsInf(p.slice, 1) && (wide || float64(p.narrow.count(s.now)) >= p.slice-1) {
+	calls := math.Ceil(p.slice)
+	wide := float64(p.wide.count(s.now)) >= calls*float64(wideWindow/narrowWindow)-1
+	if !math.IsInf(p.slice, 1) && (wide || float64(p.narrow.count(s.now)) >= calls-1) {
 		share := growthShare
 		if p.slice < 1 {
 			share = math.Pow(s.smallCut, -1.0/smallGrowth) - 1
