Let all nodes take turns at asking discovery, where asking is work for it

A line for each call: 14 to 16 answers a second at the most, taking 0.3 s, then 1.6 s, then failures after 2.0 s only, at 10 as at 45 calls a second. Its work is done in vain once it runs late. Checked and ruled out: the size of the list (changes of 1 to 16 entries), the agent (it answers). At fault: discovery.go: watchWait of 2 s for all sites, no pause after news, retryPause of 0.05 to 1.6 s whatever the number of nodes, and a start that asks at once.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -35,6 +35,7 @@
 	Settings  policy.Settings
 	Names     names
 	IdleClose time.Duration
+	AskEvery  time.Duration // a node that has not asked for so long counts as told; 0 if nothing is said
 }
 
 // names translates between the words of the settings and the module's numbers.
@@ -77,6 +78,7 @@
 	MachineTypes   []string
 	FailureDomains []string
 	PolicyLimits   struct{ IdleCloseUs int64 }
+	Obligations    struct{ AskEveryUs int64 }
 }
 
 // LoadConfig reads the file that PROXY_CONFIG names. The other variables of the
@@ -154,6 +156,7 @@
 	c.Me = n.Me
 	c.Names = names{classes: index(classes), kinds: index(n.MachineTypes), zones: index(n.FailureDomains)}
 	c.IdleClose = time.Duration(n.PolicyLimits.IdleCloseUs) * time.Microsecond
+	c.AskEvery = time.Duration(n.Obligations.AskEveryUs) * time.Microsecond
 	if c.IdleClose <= 0 {
 		c.IdleClose = 15 * time.Second
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -24,7 +24,12 @@
 	// maxPause bounds the pause after calls that failed in a row. What is to be told counts
 	// as told 6 s later, so there must be time for some tries.
 	maxPause = 1600 * time.Millisecond
-	maxList  = 4 << 20
+	// askGap is how far apart the calls of all nodes together should come where each is
+	// work for discovery. Two nodes still ask within the 200 ms in which a watch goes on.
+	askGap = 80 * time.Millisecond
+	// turnsWatched is how many turns of all nodes a watch waits where that is longer.
+	turnsWatched = 5
+	maxList      = 4 << 20
 )
 
 // list is the endpoints, or what has changed of them, in discovery's form.
@@ -104,18 +109,41 @@
 	log    *slog.Logger
 	tell   func(list)
 	known  int64 // the version of the list that is known at the start, or -1
+	// turn is the time in which each of all nodes may ask once: what many nodes would do
+	// at one moment they do at random within it. It is 0 where asking is no work.
+	turn time.Duration
 }
 
-func newDiscovery(a *agent, known int64, log *slog.Logger, tell func(list)) *discovery {
-	return &discovery{agent: a, known: known, log: log, tell: tell,
+func newDiscovery(a *agent, known int64, turn time.Duration, log *slog.Logger, tell func(list)) *discovery {
+	return &discovery{agent: a, known: known, turn: turn, log: log, tell: tell,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
+// discoveryTurn follows from how many nodes there are. A node that has not asked for
+// AskEvery counts as told all the same, so its turn comes before, with room for two calls
+// that are slow to be answered.
+func discoveryTurn(c Config) time.Duration {
+	turn := time.Duration(c.Settings.Senders) * askGap
+	switch {
+	case !c.Settings.MustSubscribe:
+		return 0
+	case c.AskEvery > 0:
+		return min(turn, c.AskEvery*11/20)
+	}
+	return turn
+}
+
+// partOf is a random part of a pause, three fifths of it at least.
+func partOf(pause time.Duration) time.Duration { return pause*3/5 + rand.N(pause*2/5+1) }
+
 // run watches the list until the context ends, after fetching it whole where none is known.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	at, failed := d.known, 0
-	last, _ := d.agent.at()
+	last, here := d.agent.at()
+	if at >= 0 { // nodes that start together do not ask together; who knows when they last did
+		rest(ctx, here, rand.N(d.turn/6+1))
+	}
 	for ctx.Err() == nil {
 		addr, here := d.agent.at()
 		if addr != last { // what was told before the move is asked for as a whole
@@ -124,8 +152,9 @@
 		}
 		url, limit := "http://"+addr+"/v1/servers", watchMargin
 		if at >= 0 {
-			url = fmt.Sprintf("%s?index=%d&wait=%d", url, at, watchWait.Milliseconds())
-			limit += watchWait
+			wait := max(watchWait, partOf(turnsWatched*d.turn))
+			url = fmt.Sprintf("%s?index=%d&wait=%d", url, at, wait.Milliseconds())
+			limit += wait
 		}
 		asked := time.Now()
 		l, err := d.get(ctx, here, url, limit)
@@ -135,6 +164,7 @@
 		if err == nil && (l.Complete || at >= 0 && l.Revision > at) {
 			d.tell(l)
 			at, failed = l.Revision, 0
+			rest(ctx, here, partOf(d.turn)) // all nodes hear of a change at the same moment
 			continue
 		}
 		if err == nil && at < 0 {
@@ -146,31 +176,44 @@
 			if ctx.Err() == nil {
 				d.log.Warn("discovery: no list", "err", err, "in a row", failed+1)
 			}
-			pause = retryPause(failed)
+			pause = d.retryPause(failed)
 			failed++
 		case time.Since(asked) < watchPause: // no agent answers a watch at once with nothing
 			pause = watchPause
 		default:
 			failed = 0
 		}
-		select {
-		case <-time.After(pause):
-		case <-here.Done(): // what failed there says nothing of the new place
-			failed = 0
-		case <-ctx.Done():
+		if rest(ctx, here, pause); here.Err() != nil {
+			failed = 0 // what failed there says nothing of the new place
 		}
 	}
 }
 
+// rest waits, unless one of the contexts ends before.
+func rest(ctx, here context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-here.Done():
+	case <-ctx.Done():
+	}
+}
+
 // retryPause is how long to wait after so many failures before this one. The first try
-// comes in time for a watch to go on; after that all nodes that were turned away
-// together, as after a release, must not come back together.
-func retryPause(failed int) time.Duration {
-	if failed == 0 {
+// of few nodes comes in time for a watch to go on; else all nodes that were turned away
+// together, as after a release, must not come back together, nor sooner than their turn.
+func (d *discovery) retryPause(failed int) time.Duration {
+	if failed == 0 && d.turn < 4*watchPause {
 		return watchPause
 	}
-	longest := min(maxPause, watchPause<<min(2*failed, 10))
-	return longest/4 + rand.N(longest*3/4)
+	if d.turn < maxPause {
+		return partOf(min(maxPause, watchPause<<min(2*failed, 10)))
+	}
+	return partOf(d.turn)
 }
 
 // get asks once; it gives up when the agent has moved from here.
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -23,7 +25,7 @@
 		told := make(chan list, nodes)
 		ctx, cancel := context.WithCancel(context.Background())
 		for n := range nodes {
-			d := newDiscovery(newAgent("127.0.0.1:1"), 41, quietLog(), func(l list) { told <- l })
+			d := newDiscovery(newAgent("127.0.0.1:1"), 41, 0, quietLog(), func(l list) { told <- l })
 			d.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
 				mu.Lock()
 				asked[n] = append(asked[n], time.Since(start))
@@ -68,3 +70,98 @@
 		cancel()
 	})
 }
+
+// shortOfRoom is a discovery that works on one call after the other, answers a watch when
+// there is news, and turns a call away that it did not come to within 2 s; the work for it
+// is done all the same.
+type shortOfRoom struct {
+	work time.Duration
+	born time.Time
+
+	mu     sync.Mutex
+	free   time.Time // when it comes to the next call
+	failed int
+}
+
+// revision changes every 1.2 s from 10 s to 28 s.
+func (s *shortOfRoom) revision() int64 {
+	return int64(max(0, min(15, (time.Since(s.born)-10*time.Second)/(1200*time.Millisecond))))
+}
+
+func (s *shortOfRoom) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	s.free = time.Now().Add(max(0, time.Until(s.free)) + s.work)
+	wait := time.Until(s.free)
+	s.mu.Unlock()
+	if wait > 2*time.Second {
+		time.Sleep(2 * time.Second)
+		s.mu.Lock()
+		s.failed++
+		s.mu.Unlock()
+		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
+	}
+	time.Sleep(wait)
+	at, _ := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
+	watch, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
+	for end := time.Now().Add(time.Duration(watch) * time.Millisecond); s.revision() <= at && time.Now().Before(end); {
+		time.Sleep(50 * time.Millisecond)
+		if r.Context().Err() != nil {
+			return nil, r.Context().Err()
+		}
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(
+		fmt.Sprintf(`{"revision":%d,"complete":false,"members":[]}`, s.revision())))}, nil
+}
+
+// Many nodes hear of each change at one moment. If each asks again at once discovery comes
+// to none of them within its time, and does the work in vain.
+func TestManyNodesLeaveDiscoveryRoom(t *testing.T) {
+	const nodes, askEvery = 80, 10 * time.Second
+	c := Config{AskEvery: askEvery}
+	c.Settings.Senders, c.Settings.MustSubscribe = nodes, true
+	synctest.Test(t, func(t *testing.T) {
+		d := &shortOfRoom{work: 64 * time.Millisecond, born: time.Now()}
+		var mu sync.Mutex
+		knows := make([]int64, nodes)
+		calls := 0
+		last := make([]time.Time, nodes)
+		ctx, cancel := context.WithCancel(context.Background())
+		for n := range nodes {
+			one := newDiscovery(newAgent("127.0.0.1:1"), 0, discoveryTurn(c), quietLog(), func(l list) {
+				mu.Lock()
+				defer mu.Unlock()
+				knows[n] = l.Revision
+			})
+			last[n] = time.Now()
+			one.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+				mu.Lock()
+				calls++
+				if gap := time.Since(last[n]); gap > askEvery {
+					t.Errorf("node %d asked after %v only", n, gap)
+				}
+				mu.Unlock()
+				resp, err := d.RoundTrip(r)
+				mu.Lock()
+				last[n] = time.Now()
+				mu.Unlock()
+				return resp, err
+			})
+			go one.run(ctx)
+		}
+		time.Sleep(36 * time.Second)
+		mu.Lock()
+		late := 0
+		for _, k := range knows {
+			if k < 15 {
+				late++
+			}
+		}
+		t.Logf("%d calls, %d in vain, %d nodes lack the last change after 8 s", calls, d.failed, late)
+		if d.failed > calls/4 || late > nodes/20 {
+			t.Errorf("%d of %d calls in vain; %d of %d nodes lack the last change after 8 s", d.failed, calls, late, nodes)
+		}
+		mu.Unlock()
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,7 +136,8 @@
 	quiet := make(chan struct{})
 	running.Go(func() { l.run(life, calls, quiet) })
 	running.Go(func() { l.finals.run(owned) })
-	running.Go(func() { newDiscovery(a, known, log, func(in list) { l.post(in) }).run(owned) })
+	turn := discoveryTurn(c)
+	running.Go(func() { newDiscovery(a, known, turn, log, func(in list) { l.post(in) }).run(owned) })
 	running.Go(func() { a.follow(life, hangups, c.Path, log) })
 	if l.peers != nil {
 		running.Go(func() { l.peers.run(owned) })
