Try a destination's other endpoints soon once one is back, and with charges where safe

Slices had room. Checked and ruled out: the cold budget (a node's part is one call a second, 0.2 were sent), refusals (none). At fault: policy.go trialGap (3 to 4.5 s between trials of a destination however many endpoints it has, also once one is back) and fitForTrial (no charge before half of its time, also where the last failure proved that nothing ran).

--- a/policy/api.go
+++ b/policy/api.go
@@ -273,7 +273,7 @@
 	Endpoint                                         EndpointID
 	Told, LastSent, LastOK, Since, WarmFrom, Trouble Time
 	Score, Phase                                     float64
-	Suspect, Out, Lead, Broken, Warming              bool
+	Suspect, Out, Lead, Broken, Harmless, Warming    bool
 	Timeouts, FullRun                                int
 	Cold                                             []Time
 	ColdWindow                                       time.Duration
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -577,9 +577,10 @@
 	return !slices.ContainsFunc(e.path.endpoints, func(o *endpoint) bool { return o.out && len(o.calls) > 0 })
 }
 
-// fitForTrial keeps messages that a time-out would end out of early trials.
+// fitForTrial keeps messages that a failure would end out of early trials. Where the
+// last call was turned away or found no connection, the next would not end its message.
 func (s *Sender) fitForTrial(m *message, e *endpoint) bool {
-	return m.class.Repeat != AtMostOnce || s.now-m.born > m.class.Deadline/2
+	return e.harmless || m.class.Repeat != AtMostOnce || s.now-m.born > m.class.Deadline/2
 }
 
 // coldBudget is how many calls in a fall window a path may get from this sender
@@ -647,6 +648,9 @@
 		if e.score >= outScore && !e.broken && e.timeouts == 0 {
 			return part // resets alone: connections get lost, and a reset holds no slot
 		}
+		if slices.ContainsFunc(e.path.endpoints, func(o *endpoint) bool { return o.state == Ready && !o.out }) {
+			return part // others of the destination serve: this one may be back as well
+		}
 		gap = max(gap, part)
 	}
 	return gap
@@ -685,9 +689,8 @@
 	e.trouble(s.now)
 	e.score += weight * (1 - e.score)
 	e.suspect = e.suspect || outcome != Reset || e.score >= suspectScore
-	if outcome != TimedOut && outcome != Reset {
-		e.broken = true
-	}
+	e.broken = e.broken || outcome != TimedOut && outcome != Reset
+	e.harmless = outcome == Unreachable || outcome == Full
 	if e.warming && c.sent >= e.warmFrom {
 		e.warmFrom = s.now // whatever failed was not back yet
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -771,6 +772,34 @@
 	}
 }
 
+// An outage takes all endpoints of a destination as a rule, and all come back together. With
+// many senders each would find out for each endpoint alone, a fall window after the other.
+func TestOneReturnBringsTheTrialsOfTheOthersForward(t *testing.T) {
+	set := testSettings()
+	set.Senders, set.Listing = 80, RateNominal
+	b := with(t, set, 0, 3, 300)
+	p := b.path()
+	for _, e := range p.endpoints {
+		e.out, e.broken, e.harmless, e.score = true, true, true, 1
+		e.since, e.troubled = b.now-5*time.Second, b.now-5*time.Second
+	}
+	for range 6 { // that must never take effect twice: nothing ran in the outage, so they may be tried
+		b.arrive(3)
+	}
+	back := b.now
+	for b.now < back+10*time.Second && slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return e.out }) {
+		for len(b.sent) > 0 {
+			b.finish(Delivered, 0)
+		}
+		b.wait(10 * time.Millisecond)
+	}
+	budget := b.s.coldBudget(p.endpoints[0], set.ColdShare)
+	most := time.Duration(2 * (1 + stretchSpread) * float64(set.FallWindow) / budget)
+	if took := b.now - back; took > most+100*time.Millisecond || most > 2*set.FallWindow {
+		t.Errorf("all are taken for back after %v, want %v at most: two parts of the cold budget", took, most)
+	}
+}
+
 // Where resets alone made an outage, trials come as the cold budget allows.
 func TestTrialsAfterResetsAloneAreQuick(t *testing.T) {
 	b := with(t, testSettings(), 0, 1, 0)
--- a/policy/state.go
+++ b/policy/state.go
@@ -114,6 +114,7 @@
 	lead     bool    // this sender told the others of it
 	timeouts int     // time-outs in a row
 	broken   bool    // an error, a refusal or no connection came since its last success
+	harmless bool    // its last failure proved that the call had not run
 	fullRun  int     // fulls in a row, of calls sent after the one before was heard
 	warming  bool    // back from an outage
 	warmFrom Time    // when it was first seen back
@@ -524,7 +525,7 @@
 			for _, e := range p.endpoints {
 				out.Endpoints = append(out.Endpoints, EndpointMemory{Endpoint: e.id, Told: e.told,
 					LastSent: e.lastSent, LastOK: e.lastOK, Since: e.since, WarmFrom: e.warmFrom, Trouble: e.troubled,
-					Score: e.score, Phase: e.phase, Suspect: e.suspect, Out: e.out, Lead: e.lead, Broken: e.broken,
+					Score: e.score, Phase: e.phase, Suspect: e.suspect, Out: e.out, Lead: e.lead, Broken: e.broken, Harmless: e.harmless,
 					Warming: e.warming, Timeouts: e.timeouts, FullRun: e.fullRun,
 					Cold: slices.Clone(e.cold.times), ColdWindow: e.cold.window})
 			}
@@ -556,7 +557,7 @@
 		}
 		e.told, e.lastSent, e.lastOK, e.since, e.warmFrom, e.troubled = r.Told, r.LastSent, r.LastOK, r.Since, r.WarmFrom, r.Trouble
 		e.score, e.phase, e.suspect, e.out, e.lead = r.Score, r.Phase, r.Suspect, r.Out, r.Lead
-		e.broken, e.warming, e.timeouts, e.fullRun = r.Broken, r.Warming, r.Timeouts, r.FullRun
+		e.broken, e.harmless, e.warming, e.timeouts, e.fullRun = r.Broken, r.Harmless, r.Warming, r.Timeouts, r.FullRun
 		e.cold = sendLog{r.ColdWindow, r.Cold}
 	}
 }
@@ -564,6 +565,7 @@
 // returned takes an endpoint out of its outage.
 func (s *Sender) returned(e *endpoint, news News) {
 	e.out = false
+	e.path.nextTrial = min(e.path.nextTrial, s.now+s.trialGap(e))
 	if news == BackCold {
 		e.warming, e.warmFrom = true, s.now
 	}
