--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -116,7 +116,7 @@
 // Many nodes hear of each change at one moment. If each asks again at once discovery comes
 // to none of them within its time, and does the work in vain.
 func TestManyNodesLeaveDiscoveryRoom(t *testing.T) {
-	const nodes, askEvery = 80, 10 * time.Second
+	const nodes, restarted, askEvery = 80, 56, 10 * time.Second
 	c := Config{AskEvery: askEvery}
 	c.Settings.Senders, c.Settings.MustSubscribe = nodes, true
 	synctest.Test(t, func(t *testing.T) {
@@ -126,13 +126,12 @@
 		calls := 0
 		last := make([]time.Time, nodes)
 		ctx, cancel := context.WithCancel(context.Background())
-		for n := range nodes {
-			one := newDiscovery(newAgent("127.0.0.1:1"), 0, discoveryTurn(c), quietLog(), func(l list) {
+		start := func(ctx context.Context, n int) {
+			one := newDiscovery(newAgent("127.0.0.1:1"), knows[n], discoveryTurn(c), quietLog(), func(l list) {
 				mu.Lock()
 				defer mu.Unlock()
 				knows[n] = l.Revision
 			})
-			last[n] = time.Now()
 			one.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
 				mu.Lock()
 				calls++
@@ -148,7 +147,32 @@
 			})
 			go one.run(ctx)
 		}
-		time.Sleep(36 * time.Second)
+		killed, kill := context.WithCancel(ctx)
+		for n := range nodes {
+			last[n] = time.Now()
+			if n < restarted {
+				start(killed, n)
+			} else {
+				start(ctx, n)
+			}
+		}
+		time.Sleep(13 * time.Second)
+		kill()
+		time.Sleep(1500 * time.Millisecond)
+		for n := range restarted {
+			start(ctx, n)
+		}
+		behind, most := 0.0, 0.0
+		for range 43 {
+			time.Sleep(500 * time.Millisecond)
+			mu.Lock()
+			now := d.revision()
+			for _, k := range knows {
+				behind += float64(now-k) / 43 / nodes
+				most = max(most, float64(now-k))
+			}
+			mu.Unlock()
+		}
 		mu.Lock()
 		late := 0
 		for _, k := range knows {
@@ -156,7 +180,8 @@
 				late++
 			}
 		}
-		t.Logf("%d calls, %d in vain, %d nodes lack the last change after 8 s", calls, d.failed, late)
+		t.Logf("%d calls, %d in vain, %d nodes lack the last change after 8 s; %.1f changes behind in the mean, %.0f at the most",
+			calls, d.failed, late, behind, most)
 		if d.failed > calls/4 || late > nodes/20 {
 			t.Errorf("%d of %d calls in vain; %d of %d nodes lack the last change after 8 s", d.failed, calls, late, nodes)
 		}
