--- /dev/null
+++ b/cmd/wingmount/build_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// The platform of the large fleet loads a library into the node, which only a program that
+// is linked dynamically against the C library lets it do; and it follows one process.
+func TestDeployedNodeIsDynamic(t *testing.T) {
+	const root = "../.."
+	text, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	must(t, err)
+	keys := map[string]string{}
+	for _, m := range regexp.MustCompile(`(?m)^(\w+) = "(.*)"`).FindAllStringSubmatch(string(text), -1) {
+		keys[m[1]] = m[2]
+	}
+	if run := keys["run"]; run != "exec bin/wingmount" {
+		t.Errorf("run is %q, want the node by exec", run)
+	}
+	out := t.TempDir() + "/"
+	build := exec.Command("sh", "-c", strings.ReplaceAll(keys["build"], "-o bin/", "-o "+out))
+	build.Dir = root
+	if said, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%s: %v\n%s", keys["build"], err, said)
+	}
+	f, err := elf.Open(out + "wingmount")
+	must(t, err)
+	defer f.Close()
+	libraries, err := f.ImportedLibraries()
+	must(t, err)
+	if !slices.Contains(libraries, "libc.so.6") {
+		t.Errorf("the node needs the libraries %q, want the C library among them", libraries)
+	}
+	if !slices.ContainsFunc(f.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+		t.Error("the node names no dynamic linker")
+	}
+}
