Judge the room that is left by a moving average, as it falls within each span

By tenths of a second: x0 0.5 to 0.9 with each call that passes, 0.0 to 0.1 with each refused one. Checked and ruled out: nodes that return together after told waits (their calls are spread over the first second). At fault: policy.go follow and passedOne took the last x0 alone: a call that passes early in a span hears of much room.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,7 @@
 	// Where answers tell of the room that is left, a slice moves by what is over or under
 	// this: half is left in the mean of a span that is just used up at its end.
 	evenRoom = 0.5
+	roomGain = 0.3 // of its moving average
 	// A full right after a full, no success between, cuts deeper: the destination
 	// is jammed, and where refused calls use up the limit it stays so.
 	jamCut = 0.75
@@ -281,6 +282,9 @@
 	if before == 0 {
 		before = p.listed * float64(s.set.Senders)
 	}
+	if p.told.Limit > 0 { // within a span the room falls from all to none: its mean tells
+		told.Left = p.told.Left + (told.Left-p.told.Left)*roomGain
+	}
 	if p.told = told; before > 0 && !math.IsInf(p.slice, 1) {
 		slice := p.slice * told.Limit / before
 		if fair := s.fair(p); slice > fair && told.Left < evenRoom { // what is over it was others' room
