Try an outage more often where the last failure did no harm, within the cold budget

Seen: on zone+vast the last nodes tried a partner 4 s after it was back, and 10% of the traffic waited for each. Checked and ruled out: the cold budget (a fifth of it was used), slots (20 of 480), the list (no change). At fault: policy.go trialGap: a fall window and a half at the most between trials whatever the failure, though a refused connection or call ends no message and holds no slot.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -78,6 +78,8 @@
 	resetWeight   = 0.2
 	successShrink = 0.6
 
+	harmlessPace = 4 // trials come so many times as often where the last failure did no harm
+
 	outageFalls = 2 // silence or resets for under so many fall windows are lost calls
 	// The rest is for calls in flight at the return, and who saw nothing of the outage.
 	coldMargin     = 0.85
@@ -647,6 +649,9 @@
 // part of the cold budget of all endpoints for others.
 func (s *Sender) trialGap(e *endpoint) time.Duration {
 	gap := s.set.FallWindow + s.jitter(s.set.FallWindow/2)
+	if e.harmless {
+		gap /= harmlessPace // it ends no message and holds no slot for long
+	}
 	if b := s.coldBudget(e, s.warmth(s.now)); b > 0 && !(e.lead && s.notesCome()) {
 		part := time.Duration(float64(s.set.FallWindow) * s.drawPhase() / b)
 		if e.score >= outScore && !e.broken && e.timeouts == 0 {
