--- a/policy/policy.go
+++ b/policy/policy.go
@@ -657,7 +657,8 @@
 		if e.score >= outScore && !e.broken && e.timeouts == 0 {
 			return part // resets alone: connections get lost, and a reset holds no slot
 		}
-		if slices.ContainsFunc(e.path.endpoints, func(o *endpoint) bool { return o.state == Ready && !o.out }) {
+		back := func(o *endpoint) bool { return o.state == Ready && !o.out }
+		if slices.ContainsFunc(e.path.endpoints, back) {
 			return part // others of the destination serve: this one may be back as well
 		}
 		gap = max(gap, part)
