--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -127,7 +127,10 @@
 		last := make([]time.Time, nodes)
 		ctx, cancel := context.WithCancel(context.Background())
 		start := func(ctx context.Context, n int) {
-			one := newDiscovery(newAgent("127.0.0.1:1"), knows[n], discoveryTurn(c), quietLog(), func(l list) {
+			mu.Lock()
+			known := knows[n]
+			mu.Unlock()
+			one := newDiscovery(newAgent("127.0.0.1:1"), known, discoveryTurn(c), quietLog(), func(l list) {
 				mu.Lock()
 				defer mu.Unlock()
 				knows[n] = l.Revision
@@ -149,7 +152,9 @@
 		}
 		killed, kill := context.WithCancel(ctx)
 		for n := range nodes {
+			mu.Lock()
 			last[n] = time.Now()
+			mu.Unlock()
 			if n < restarted {
 				start(killed, n)
 			} else {
@@ -180,10 +185,13 @@
 				late++
 			}
 		}
+		d.mu.Lock()
+		failed := d.failed
+		d.mu.Unlock()
 		t.Logf("%d calls, %d in vain, %d nodes lack the last change after 8 s; %.1f changes behind in the mean, %.0f at the most",
-			calls, d.failed, late, behind, most)
-		if d.failed > calls/4 || late > nodes/20 {
-			t.Errorf("%d of %d calls in vain; %d of %d nodes lack the last change after 8 s", d.failed, calls, late, nodes)
+			calls, failed, late, behind, most)
+		if failed > calls/4 || late > nodes/20 {
+			t.Errorf("%d of %d calls in vain; %d of %d nodes lack the last change after 8 s", failed, calls, late, nodes)
 		}
 		mu.Unlock()
 		cancel()
