Remember over a restart which endpoints were told to leave

What discovery has written counts as told; the next life began with the older list of the configuration and sent to the endpoint until it heard again. At fault: node.go took c.Known as it is; nothing told of the list outlasted the process.

--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -486,6 +486,28 @@
 	return out
 }
 
+// leavingMark stands before the name of an endpoint in the record that it was told to
+// leave. No endpoint has a name that begins so.
+const leavingMark = "\x00"
+
+// maxLeaving bounds these records in a long life.
+const maxLeaving = 256
+
+// leaves journals whether an endpoint was last told to drain or to be gone: the list that
+// the next life starts with may be older than that.
+func (j *journal) leaves(endpoint string, leaves bool, at time.Time) error {
+	j.mu.Lock()
+	full := len(j.orders) >= maxLeaving
+	j.mu.Unlock()
+	if leaves && full {
+		return nil
+	}
+	return j.order(leavingMark+endpoint, leaves, at)
+}
+
+// left tells whether an endpoint was last told to drain or to be gone.
+func (j *journal) left(endpoint string) bool { return j.barred(leavingMark + endpoint) }
+
 func orderRecord(endpoint string, out bool, at time.Time) []byte {
 	flag := byte(0)
 	if out {
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -316,3 +316,31 @@
 		t.Errorf("taken back: %+v", out.past)
 	}
 }
+
+// The list that a start begins with may be older than what the life before was told: an
+// endpoint that drained then must get nothing new.
+func TestTheNextLifeKnowsWhatDrains(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := mustOpen(t, dir, minDisk)
+	l := &loop{names: names{kinds: map[string]int{"m": 0}, zones: map[string]int{"a": 0}}, log: quietLog(), journal: j,
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
+	list := func(complete bool, phases ...string) list {
+		in := list{Complete: complete}
+		for i, phase := range phases {
+			if phase != "" {
+				in.Members = append(in.Members, member{ID: string(rune('a' + i)), Flavor: "m", Locality: "a", Phase: phase})
+			}
+		}
+		return in
+	}
+	l.listed(list(true, "active", "active", "active", "active"))
+	l.listed(list(false, "leaving", "left", "leaving"))
+	l.listed(list(true, "leaving", "left", "active"))
+	must(t, j.close())
+	j, _ = mustOpen(t, dir, minDisk)
+	for name, want := range map[string]bool{"a": true, "b": true, "c": false, "d": true, "e": false} {
+		if j.left(name) != want {
+			t.Errorf("%s: known to leave is %v after a restart, want %v", name, !want, want)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -226,6 +226,7 @@
 		named[id] = true
 		e.last = m
 		l.setLeaving(e, state != policy.Ready)
+		l.recordLeaving(e, state != policy.Ready)
 		out.Entries = append(out.Entries, l.entry(e, m, state))
 	}
 	if in.Complete {
@@ -233,12 +234,20 @@
 			if !named[id] {
 				e.last.Phase = "left"
 				l.setLeaving(e, true)
+				l.recordLeaving(e, true)
 			}
 		}
 	}
 	return out
 }
 
+// recordLeaving keeps what the list tells for the next life of the node.
+func (l *loop) recordLeaving(e *endpoint, leaves bool) {
+	if err := l.journal.leaves(e.name, leaves, time.Now()); err != nil {
+		l.log.Warn("journal: what the list tells", "endpoint", e.name, "err", err)
+	}
+}
+
 func (l *loop) entry(e *endpoint, m member, state policy.EndpointState) policy.Entry {
 	return policy.Entry{Endpoint: e.id, Destination: e.dest, Kind: e.kind, Zone: e.zone, State: state, Rate: m.Size}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,6 +109,11 @@
 		l.inherit(e.told)
 		known = e.told.Revision
 	case len(c.Known.Members) > 0:
+		for i, m := range c.Known.Members {
+			if j.left(m.ID) { // told to an earlier life; this list may be older
+				c.Known.Members[i].Phase = "leaving"
+			}
+		}
 		l.take(c.Known)
 		if c.Known.Complete {
 			known = c.Known.Revision
