Move the learnt idle limit to internal/upstream, unchanged

The package will own the connections to endpoints. Nothing but names changes: the type and its two methods are exported, its user in internal/node imports them.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"wingmount/internal/upstream"
 	"wingmount/policy"
 )
 
@@ -213,7 +214,7 @@
 	owner     *ownership
 	log       *slog.Logger
 	connect   time.Duration
-	idle      *idleLimit
+	idle      *upstream.IdleLimit
 	reported  []string // names of the values in a load report
 	tell      func(policy.Event)
 	running   sync.WaitGroup
@@ -233,7 +234,7 @@
 	k := &caller{journal: j, log: log, connect: connect, reported: c.Settings.Reported, tell: tell,
 		// An endpoint closes an idle connection some time before the settings' limit
 		// at the latest; a request on its way then would end as a reset.
-		idle: &idleLimit{told: c.IdleClose * 4 / 5}}
+		idle: &upstream.IdleLimit{Told: c.IdleClose * 4 / 5}}
 	if c.Sockets > 0 {
 		own := ownSockets
 		if c.Console != "" {
@@ -323,7 +324,7 @@
 	}
 	// A ClientConn never sends a request again by itself, unlike a Transport.
 	resp, err := conn.RoundTrip(req)
-	c.idle.used(age, err != nil && ctx.Err() == nil, time.Now())
+	c.idle.Used(age, err != nil && ctx.Err() == nil, time.Now())
 	if err != nil {
 		// Closed before the outcome is told: the slot and the endpoint must be free
 		// of this call when the next one goes out.
@@ -347,7 +348,7 @@
 // connection takes an idle connection or makes one.
 func (c *caller) connection(ctx context.Context, k *call) (*connection, error) {
 	now := time.Now()
-	if conn := k.endpoint.pool.get(k.addr, now.Add(-c.idle.limit(now))); conn != nil {
+	if conn := k.endpoint.pool.get(k.addr, now.Add(-c.idle.Limit(now))); conn != nil {
 		return conn, nil
 	}
 	var wire *tracked
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -445,3 +445,20 @@
 		}
 	}
 }
+
+// A broken call on a connection that was idle is counted for its age.
+func TestBrokenCallCountsForItsIdleTime(t *testing.T) {
+	addr := rawServer(t, closesUnanswered)
+	r := newCallRig(t, addr)
+	r.caller.idle.Used(375*time.Millisecond, true, time.Now())
+	conn, err := r.caller.connection(t.Context(), &call{endpoint: r.endpoint, addr: addr})
+	must(t, err)
+	r.endpoint.pool.put(conn)
+	conn.since = time.Now().Add(-5 * 75 * time.Millisecond)
+	r.start(5*time.Second, 1)
+	r.next()
+	r.caller.running.Wait()
+	if got := r.caller.idle.Limit(time.Now()); got != 300*time.Millisecond {
+		t.Errorf("limit %v, want %v", got, 300*time.Millisecond)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -71,7 +71,7 @@
 			continue
 		case now := <-reaper.C:
 			for _, e := range l.endpoints {
-				e.pool.closeIdle(now.Add(-l.caller.idle.limit(now)))
+				e.pool.closeIdle(now.Add(-l.caller.idle.Limit(now)))
 			}
 			continue
 		case g := <-l.giveaways:
--- a/internal/node/idle.go
+++ b/internal/upstream/idle.go
@@ -1,4 +1,4 @@
-package node
+package upstream
 
 import (
 	"math"
@@ -23,13 +23,13 @@
 	badShare = 0.15
 )
 
-// idleLimit is how long a connection may stand idle and still be used. The settings
+// IdleLimit is how long a connection may stand idle and still be used. The settings
 // tell when the far side closes it at the latest; where something on the way forgets
 // it sooner, that shows only when a call on it breaks, and a call that broke may have
 // run. So it is learnt from the calls on connections that were idle for longer or
 // shorter. It is safe for concurrent use.
-type idleLimit struct {
-	told time.Duration
+type IdleLimit struct {
+	Told time.Duration // by the settings
 
 	mu   sync.Mutex
 	at   time.Time // when the counts last faded
@@ -45,8 +45,8 @@
 	return n
 }
 
-// used tells how a call went on a connection that was idle for so long.
-func (l *idleLimit) used(idle time.Duration, broken bool, now time.Time) {
+// Used tells how a call went on a connection that was idle for so long.
+func (l *IdleLimit) Used(idle time.Duration, broken bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fade(now)
@@ -61,7 +61,7 @@
 	}
 }
 
-func (l *idleLimit) fade(now time.Time) {
+func (l *IdleLimit) fade(now time.Time) {
 	if past := now.Sub(l.at); past > 0 {
 		keep := math.Exp2(-float64(past) / float64(halfLife))
 		for i := range l.seen {
@@ -72,8 +72,8 @@
 	}
 }
 
-// limit is the longest idle time at which connections are no worse than young ones.
-func (l *idleLimit) limit(now time.Time) time.Duration {
+// Limit is the longest idle time at which connections are no worse than young ones.
+func (l *IdleLimit) Limit(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fade(now)
@@ -81,9 +81,9 @@
 	end := youngest
 	for _, s := range l.seen[1:] {
 		if s.broken/(s.uses+goodUses) > young+badShare {
-			return min(l.told, end)
+			return min(l.Told, end)
 		}
 		end *= 2
 	}
-	return l.told
+	return l.Told
 }
