--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -13,6 +14,13 @@
 )
 
 func main() {
+	warm := flag.Bool("warm", false, "open connections to endpoints ahead, for as many calls at once as there were of late; "+
+		"each costs its endpoint a handshake and a place, in every node that does so")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "wingmount: %q is no flag\n", flag.Arg(0))
+		os.Exit(1)
+	}
 	level := slog.LevelInfo
 	if os.Getenv("WINGMOUNT_DEBUG") != "" {
 		level = slog.LevelDebug
@@ -22,16 +30,17 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, hangups, log); err != nil {
+	if err := run(ctx, *warm, hangups, log); err != nil {
 		fmt.Fprintf(os.Stderr, "wingmount: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, hangups <-chan os.Signal, log *slog.Logger) error {
+func run(ctx context.Context, warm bool, hangups <-chan os.Signal, log *slog.Logger) error {
 	c, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
+	c.Warm = warm
 	return node.Run(ctx, c, hangups, log)
 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -1,13 +1,12 @@
 package node
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -15,7 +14,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"wingmount/internal/upstream"
@@ -27,12 +25,10 @@
 	maxAnswer = 64 << 10
 	// drainAnswer is how long the rest of an answer is read for.
 	drainAnswer = 200 * time.Millisecond
-	// firstLine is how much of an answer is kept to see what its first line says.
-	firstLine  = 128
-	waitHeader = "X-Backoff-Ms"
-	loadHeader = "X-Server-Load"
-	// maxIdle bounds the kept connections to one endpoint.
-	maxIdle = 8
+	waitHeader  = "X-Backoff-Ms"
+	loadHeader  = "X-Server-Load"
+	// manySockets is how many connections to endpoints there may be where no limit is told.
+	manySockets = 1024
 	// ownSockets are left for the listener, discovery, notices and the journal.
 	ownSockets = 24
 )
@@ -71,117 +67,8 @@
 	leaves *gate       // that it drains or is gone
 	barred atomic.Bool // the staff have taken it out
 	waits  *gate       // of its route, or of its destination where routes share a limit
-	pool   pool
-}
-
-// connection is one connection to an endpoint. It carries one call at a time.
-type connection struct {
-	*http.ClientConn
-	wire  *tracked
-	addr  string
-	since time.Time // when it became idle
-}
-
-// tracked tells whether any byte of a call went out, and how its answer began.
-type tracked struct {
-	net.Conn
-	wrote atomic.Bool
-	gone  func() // once, when it closes
-
-	mu   sync.Mutex
-	head []byte // the first bytes of the answer
-}
-
-// Close may come more than once.
-func (t *tracked) Close() error {
-	t.gone()
-	return t.Conn.Close()
-}
-
-// begin makes the connection ready for the next call.
-func (t *tracked) begin() {
-	t.wrote.Store(false)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.head = t.head[:0]
-}
-
-// Read keeps the first bytes of an answer.
-func (t *tracked) Read(b []byte) (int, error) {
-	n, err := t.Conn.Read(b)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.head = append(t.head, b[:min(n, firstLine-len(t.head))]...)
-	return n, err
-}
-
-// delivered tells whether the first line of the answer says 200: that is true also
-// when the rest can't be read.
-func (t *tracked) delivered() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	line, _, whole := strings.Cut(string(t.head), "\n") // a line that was cut off proves nothing
-	version, status, _ := strings.Cut(line, " ")
-	status, _, _ = strings.Cut(strings.TrimSuffix(status, "\r"), " ")
-	return whole && (version == "HTTP/1.1" || version == "HTTP/1.0") && status == "200"
-}
-
-// Write counts a write that failed with nothing taken as never made.
-func (t *tracked) Write(b []byte) (int, error) {
-	before := t.wrote.Swap(true)
-	n, err := t.Conn.Write(b)
-	if err != nil && n == 0 && !before {
-		t.wrote.Store(false)
-	}
-	return n, err
-}
-
-// pool keeps the idle connections to one endpoint.
-type pool struct {
-	mu   sync.Mutex
-	idle []*connection // the longest idle first
-}
-
-// get returns the connection that was used last and is still good, or nil.
-func (p *pool) get(addr string, oldest time.Time) *connection {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if c.Err() == nil && c.addr == addr && c.since.After(oldest) {
-			return c
-		}
-		_ = c.Close()
-	}
-	return nil
-}
-
-func (p *pool) put(c *connection) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.since = time.Now()
-	p.idle = append(p.idle, c)
-	if len(p.idle) > maxIdle {
-		_ = p.idle[0].Close()
-		p.idle = append(p.idle[:0], p.idle[1:]...)
-	}
-}
-
-// closeIdle closes the connections that are idle since before a time.
-func (p *pool) closeIdle(before time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	keep := p.idle[:0]
-	for _, c := range p.idle {
-		if c.Err() == nil && c.since.After(before) {
-			keep = append(keep, c)
-		} else {
-			_ = c.Close()
-		}
-	}
-	clear(p.idle[len(keep):])
-	p.idle = keep
+	pool   *upstream.Pool
+	out    int // messages on their way to it; owned by the loop
 }
 
 // part is one message of a call.
@@ -209,64 +96,42 @@
 
 // caller makes calls. Each runs in a goroutine of its own.
 type caller struct {
-	transport *http.Transport
-	journal   *journal
-	owner     *ownership
-	log       *slog.Logger
-	connect   time.Duration
-	idle      *upstream.IdleLimit
-	reported  []string // names of the values in a load report
-	tell      func(policy.Event)
-	running   sync.WaitGroup
-	open      atomic.Int64 // connections to endpoints
-	maxOpen   int64        // beyond it none is kept idle; 0 for any number
-	retired   atomic.Bool  // another process makes the calls now; none is kept idle
+	pools    *upstream.Pools
+	journal  *journal
+	owner    *ownership
+	log      *slog.Logger
+	reported []string // names of the values in a load report
+	tell     func(policy.Event)
+	running  sync.WaitGroup
 }
 
-type trackKey struct{}
-
 func newCaller(c Config, j *journal, log *slog.Logger, tell func(policy.Event)) *caller {
 	connect := c.Settings.ConnectTimeout
 	if connect <= 0 {
 		connect = time.Second
 	}
-	dialer := net.Dialer{Timeout: connect, KeepAlive: -1}
-	k := &caller{journal: j, log: log, connect: connect, reported: c.Settings.Reported, tell: tell,
-		// An endpoint closes an idle connection some time before the settings' limit
-		// at the latest; a request on its way then would end as a reset.
-		idle: &upstream.IdleLimit{Told: c.IdleClose * 4 / 5}}
-	if c.Sockets > 0 {
-		own := ownSockets
-		if c.Console != "" {
-			own += consoleCallers
-		}
-		k.maxOpen = int64(max(1, c.Sockets-clientPlaces(c.Sockets)-own-c.Settings.Slots))
-	}
-	k.transport = &http.Transport{
-		DisableCompression: true, MaxResponseHeaderBytes: maxAnswer,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			k.open.Add(1)
-			t := &tracked{Conn: conn, gone: sync.OnceFunc(func() { k.open.Add(-1) })}
-			if out, ok := ctx.Value(trackKey{}).(**tracked); ok {
-				*out = t
-			}
-			return t, nil
-		}}
-	return k
+	dialer := net.Dialer{KeepAlive: -1}
+	return &caller{journal: j, log: log, reported: c.Settings.Reported, tell: tell,
+		pools: upstream.New(upstream.Config{
+			Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
+			Now:  time.Now, Rand: rand.Float64,
+			Senders: c.Settings.Senders, MaxOpen: c.endpointSockets(), DialTimeout: connect,
+			// An endpoint closes an idle connection some time before the settings' limit
+			// at the latest; a request on its way then would end as a reset.
+			IdleLimit: c.IdleClose * 4 / 5, Warm: c.Warm, WarmUp: c.Settings.WarmUp})}
 }
 
-// keep makes a connection ready for a later call, unless its endpoint is about to be
-// restarted or there are too many: the descriptors are shared with the clients and the journal.
-func (c *caller) keep(k *call, conn *connection) {
-	if c.retired.Load() || k.endpoint.barred.Load() || c.maxOpen > 0 && c.open.Load() > c.maxOpen {
-		_ = conn.Close()
-		return
+// endpointSockets is how many descriptors are left for connections to endpoints, when
+// the clients, the journal, discovery, notices and the staff have theirs.
+func (c Config) endpointSockets() int {
+	if c.Sockets <= 0 {
+		return manySockets
+	}
+	own := ownSockets
+	if c.Console != "" {
+		own += consoleCallers
 	}
-	k.endpoint.pool.put(conn)
+	return max(1, c.Sockets-clientPlaces(c.Sockets)-own)
 }
 
 // start makes a call in the background.
@@ -281,8 +146,13 @@
 func (c *caller) run(ctx context.Context, k *call) {
 	ctx, cancel := context.WithDeadline(ctx, k.started.Add(k.limit))
 	defer cancel()
-	conn, err := c.connection(ctx, k)
-	if err != nil {
+	conn, err := k.endpoint.pool.Take(ctx)
+	switch {
+	case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone): // it says nothing of the endpoint
+		c.log.Debug("call: not sent", "endpoint", k.endpoint.name, "err", err)
+		c.endAll(k, policy.Moot, 0, false)
+		return
+	case err != nil:
 		c.log.Debug("call: no connection", "endpoint", k.endpoint.name, "err", err)
 		c.endAll(k, policy.Unreachable, 0, false)
 		return
@@ -290,15 +160,15 @@
 	now := time.Now()
 	// Between the module's decision and now the connection was made. What was told
 	// in the meantime binds this call too, and it has not been sent.
-	if k.endpoint.barred.Load() || !k.endpoint.leaves.open(now) || !k.endpoint.waits.open(now) {
-		c.keep(k, conn)
+	if !k.endpoint.mayCall() {
+		conn.Done(upstream.Unused)
 		c.endAll(k, policy.Moot, 0, false)
 		return
 	}
 	for _, p := range k.parts {
 		if err := c.journal.attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
 			c.log.Warn("call: not sent", "id", p.message.id, "err", err)
-			c.keep(k, conn)
+			conn.Done(upstream.Unused)
 			c.endAll(k, policy.Moot, 0, false)
 			return
 		}
@@ -310,31 +180,31 @@
 			defer t.Stop()
 		}
 	}
-	age := time.Duration(-1) // of a fresh connection
-	if !conn.since.IsZero() {
-		age = now.Sub(conn.since)
-	}
-	conn.wire.begin()
 	req, err := k.request(ctx)
 	if err != nil {
-		c.keep(k, conn)
+		conn.Done(upstream.Unused)
 		c.log.Error("call: no request", "err", err)
 		c.endAll(k, policy.Moot, 0, false)
 		return
 	}
-	// A ClientConn never sends a request again by itself, unlike a Transport.
-	resp, err := conn.RoundTrip(req)
-	c.idle.Used(age, err != nil && ctx.Err() == nil, time.Now())
+	resp, err := conn.Send(ctx, req)
 	if err != nil {
-		// Closed before the outcome is told: the slot and the endpoint must be free
+		// Given back before the outcome is told: the slot and the endpoint must be free
 		// of this call when the next one goes out.
-		_ = conn.Close()
+		late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+		if late {
+			conn.Done(upstream.GaveUp)
+		} else {
+			conn.Done(upstream.Broken)
+		}
+		var broke *upstream.CallError
+		sent := !errors.As(err, &broke) || broke.Sent
 		switch {
-		case !conn.wire.wrote.Load():
-			c.endAll(k, policy.Unreachable, 0, false)
-		case len(k.parts) == 1 && conn.wire.delivered():
+		case len(k.parts) == 1 && broke != nil && broke.Delivered:
 			c.endAll(k, policy.Delivered, 0, false)
-		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		case !sent:
+			c.endAll(k, policy.Unreachable, 0, false)
+		case late:
 			c.endAll(k, policy.TimedOut, 0, false)
 		default:
 			c.log.Debug("call: broken", "endpoint", k.endpoint.name, "err", err)
@@ -345,27 +215,6 @@
 	c.answered(ctx, k, conn, resp)
 }
 
-// connection takes an idle connection or makes one.
-func (c *caller) connection(ctx context.Context, k *call) (*connection, error) {
-	now := time.Now()
-	if conn := k.endpoint.pool.get(k.addr, now.Add(-c.idle.Limit(now))); conn != nil {
-		return conn, nil
-	}
-	var wire *tracked
-	ctx, cancel := context.WithTimeout(context.WithValue(ctx, trackKey{}, &wire), c.connect)
-	defer cancel()
-	cc, err := c.transport.NewClientConn(ctx, "http", k.addr)
-	if errors.Is(err, syscall.ECONNRESET) {
-		// Nobody refused it: it got lost on the way. Nothing was sent, and a dead
-		// endpoint shows at the second try as well as at the first.
-		cc, err = c.transport.NewClientConn(ctx, "http", k.addr)
-	}
-	if err != nil {
-		return nil, fmt.Errorf("connecting to %s: %w", k.addr, err)
-	}
-	return &connection{ClientConn: cc, wire: wire, addr: k.addr}, nil
-}
-
 // request writes the call.
 func (k *call) request(ctx context.Context) (*http.Request, error) {
 	path, body := "/events", k.parts[0].message.body
@@ -399,7 +248,7 @@
 }
 
 // answered takes in an answer.
-func (c *caller) answered(ctx context.Context, k *call, conn *connection, resp *http.Response) {
+func (c *caller) answered(ctx context.Context, k *call, conn *upstream.Conn, resp *http.Response) {
 	k.mu.Lock()
 	k.told = c.allowance(resp.Header.Get(loadHeader))
 	k.mu.Unlock()
@@ -415,24 +264,28 @@
 		if outcome == policy.Delivered { // whatever comes behind the first line
 			c.endAll(k, outcome, wait, over)
 		}
-		ctx2, cancel := context.WithTimeout(ctx, drainAnswer)
+		drain, cancel := context.WithTimeout(ctx, drainAnswer)
 		defer cancel()
-		stop := context.AfterFunc(ctx2, func() { _ = conn.Close() })
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
-		if !stop() {
-			err = context.Cause(ctx2)
+		_, err := conn.Body(drain, resp, maxAnswer)
+		end := endOf(err)
+		if err == nil && outcome == policy.Full && wait == 0 {
+			end = upstream.Full
 		}
+		conn.Done(end)
 		if err != nil || !waitOK {
 			// Only an answer that can be read proves that nothing ran.
 			c.log.Debug("call: unreadable answer", "endpoint", k.endpoint.name, "status", resp.Status, "err", err)
 			outcome, over = policy.Failed, false
 		}
-		c.release(k, conn, resp, err)
 		c.endAll(k, outcome, wait, over)
 		return
 	}
-	ends, err := readEnds(io.LimitReader(resp.Body, maxAnswer))
-	c.release(k, conn, resp, err)
+	var ends map[string]string // none, if the answer can't be read
+	body, err := conn.Body(ctx, resp, maxAnswer)
+	if err == nil {
+		ends = readEnds(body)
+	}
+	conn.Done(endOf(err))
 	lost := policy.Failed // an answer that leaves a message out: it may have run
 	if err != nil {
 		lost = policy.Reset
@@ -459,14 +312,12 @@
 	}
 }
 
-// release puts a connection back whose answer was read to its end.
-func (c *caller) release(k *call, conn *connection, resp *http.Response, err error) {
-	_ = resp.Body.Close()
-	if err != nil || resp.Close || conn.Err() != nil {
-		_ = conn.Close()
-		return
+// endOf tells what reading an answer to its end says of the connection.
+func endOf(err error) upstream.End {
+	if err != nil {
+		return upstream.Broken
 	}
-	c.keep(k, conn)
+	return upstream.Answered
 }
 
 // single tells what a status means, and whether the message is over.
@@ -515,19 +366,14 @@
 }
 
 // readEnds reads the ends of a bundle's messages.
-func readEnds(r io.Reader) (map[string]string, error) {
+func readEnds(body []byte) map[string]string {
 	ends := map[string]string{}
-	lines := bufio.NewScanner(r)
-	for lines.Scan() {
-		id, end, ok := strings.Cut(strings.TrimSpace(lines.Text()), " ")
-		if ok {
+	for line := range strings.Lines(string(body)) {
+		if id, end, ok := strings.Cut(strings.TrimSpace(line), " "); ok {
 			ends[id] = end
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return nil, fmt.Errorf("reading the ends: %w", err)
-	}
-	return ends, nil
+	return ends
 }
 
 func (c *caller) endAll(k *call, outcome policy.Outcome, wait time.Duration, over bool) {
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"wingmount/internal/upstream"
 	"wingmount/policy"
 )
 
@@ -33,8 +34,12 @@
 	c := Config{IdleClose: 15 * time.Second}
 	c.Settings.ConnectTimeout = time.Second
 	r.caller = newCaller(c, r.journal, quietLog(), func(e policy.Event) { r.outcomes <- e.(policy.Ended) })
-	r.endpoint = &endpoint{id: 1, name: "e1", addr: addr, leaves: &gate{}, waits: &gate{}}
-	t.Cleanup(func() { r.caller.running.Wait() })
+	r.endpoint = &endpoint{id: 1, name: "e1", addr: addr, leaves: &gate{}, waits: &gate{},
+		pool: r.caller.pools.Endpoint(upstream.Endpoint{Name: "e1", Addr: addr})}
+	t.Cleanup(func() {
+		r.caller.running.Wait()
+		r.caller.pools.Close()
+	})
 	return r
 }
 
@@ -162,10 +167,6 @@
 		t.Errorf("%d connections for two calls, want 1", n)
 	}
 	<-closed
-	deadline := time.Now().Add(patience)
-	for p := &r.endpoint.pool; len(p.idle) > 0 && p.idle[0].Err() == nil && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
 	r.start(5*time.Second, 1)
 	if e := r.next(); e.Outcome != policy.Delivered {
 		t.Errorf("after the endpoint closed an idle connection: %+v", e)
@@ -232,7 +233,7 @@
 				t.Error("it may have run, says the journal")
 			}
 			r.caller.running.Wait()
-			r.endpoint.pool.closeIdle(time.Now())
+			r.endpoint.pool.CloseIdle()
 			if n := bytes.Load(); n != 0 {
 				t.Errorf("%d bytes were sent", n)
 			}
@@ -358,53 +359,6 @@
 	}
 }
 
-// Kept connections to one endpoint are few, however many calls it had at once.
-func TestPoolIsBounded(t *testing.T) {
-	addr := rawServer(t, func(_ int64, conn net.Conn) {
-		defer conn.Close()
-		_, _ = io.Copy(io.Discard, conn) // until the other side closes
-	})
-	r := newCallRig(t, addr)
-	for range 3 * maxIdle {
-		conn, err := r.caller.connection(context.Background(), &call{endpoint: &endpoint{}, addr: addr})
-		must(t, err)
-		r.endpoint.pool.put(conn)
-	}
-	if n := len(r.endpoint.pool.idle); n != maxIdle {
-		t.Errorf("%d kept connections, want %d", n, maxIdle)
-	}
-	r.endpoint.pool.closeIdle(time.Now())
-	if n := len(r.endpoint.pool.idle); n != 0 {
-		t.Errorf("%d left after closing all", n)
-	}
-}
-
-// Kept connections leave descriptors for clients and for calls that are out.
-func TestKeptConnectionsLeaveDescriptors(t *testing.T) {
-	addr := rawServer(t, func(_ int64, conn net.Conn) {
-		defer conn.Close()
-		_, _ = io.Copy(io.Discard, conn) // until the other side closes
-	})
-	r := newCallRig(t, addr)
-	r.caller.maxOpen = 3
-	var conns []*connection
-	for range 5 {
-		conn, err := r.caller.connection(context.Background(), &call{endpoint: r.endpoint, addr: addr})
-		must(t, err)
-		conns = append(conns, conn)
-	}
-	for _, conn := range conns {
-		r.caller.keep(&call{endpoint: r.endpoint}, conn)
-	}
-	if n, open := len(r.endpoint.pool.idle), r.caller.open.Load(); n != 3 || open != 3 {
-		t.Errorf("%d kept and %d open, want 3", n, open)
-	}
-	r.endpoint.pool.closeIdle(time.Now())
-	if open := r.caller.open.Load(); open != 0 {
-		t.Errorf("%d open after all were closed", open)
-	}
-}
-
 // The bundle's form is fixed by the protocol.
 func TestBundleForm(t *testing.T) {
 	a, b := newMessage("a", 0), newMessage("b", 0)
@@ -445,20 +399,3 @@
 		}
 	}
 }
-
-// A broken call on a connection that was idle is counted for its age.
-func TestBrokenCallCountsForItsIdleTime(t *testing.T) {
-	addr := rawServer(t, closesUnanswered)
-	r := newCallRig(t, addr)
-	r.caller.idle.Used(375*time.Millisecond, true, time.Now())
-	conn, err := r.caller.connection(t.Context(), &call{endpoint: r.endpoint, addr: addr})
-	must(t, err)
-	r.endpoint.pool.put(conn)
-	conn.since = time.Now().Add(-5 * 75 * time.Millisecond)
-	r.start(5*time.Second, 1)
-	r.next()
-	r.caller.running.Wait()
-	if got := r.caller.idle.Limit(time.Now()); got != 300*time.Millisecond {
-		t.Errorf("limit %v, want %v", got, 300*time.Millisecond)
-	}
-}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -35,6 +35,7 @@
 	Settings  policy.Settings
 	Names     names
 	IdleClose time.Duration
+	Warm      bool          // connections are opened ahead, for demand that was seen
 	AskEvery  time.Duration // a node that has not asked for so long counts as told; 0 if nothing is said
 }
 
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -27,6 +27,8 @@
 	// to spare of the second that it has.
 	consoleAnswer = 800 * time.Millisecond
 	maxOrder      = 4 << 10
+	// maxPools bounds the answer that shows the connections to endpoints.
+	maxPools = 1000
 )
 
 // console is where the staff call: a listener and a server of its own, so that
@@ -69,11 +71,12 @@
 
 // ServeHTTP answers one call: 2xx is yes, all else is no.
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	method := http.MethodPut
+	var method string
 	switch r.URL.Path {
-	case "/ops/readiness":
+	case "/ops/readiness", "/ops/pools":
 		method = http.MethodGet
 	case "/ops/endpoints/down", "/ops/endpoints/up":
+		method = http.MethodPut
 	default:
 		http.Error(w, "no such call", http.StatusNotFound)
 		return
@@ -85,11 +88,18 @@
 	}
 	var status int
 	var text string
-	if r.URL.Path == "/ops/readiness" {
+	switch r.URL.Path {
+	case "/ops/pools":
+		c.shows(w, func(l *loop) any { return l.caller.pools.Stats(maxPools) })
+		return
+	case "/ops/readiness":
 		status, text = c.readiness()
-	} else if id, err := orderedHost(http.MaxBytesReader(w, r.Body, maxOrder)); err != nil {
-		status, text = http.StatusBadRequest, err.Error()
-	} else {
+	default:
+		id, err := orderedHost(http.MaxBytesReader(w, r.Body, maxOrder))
+		if err != nil {
+			status, text = http.StatusBadRequest, err.Error()
+			break
+		}
 		status, text = c.order(id, r.URL.Path == "/ops/endpoints/down")
 		c.log.Info("console", "call", r.URL.Path, "host", id, "status", status, "text", text)
 	}
@@ -98,6 +108,24 @@
 	fmt.Fprintln(w, text)
 }
 
+// shows answers with figures of the node, once it has any.
+func (c *console) shows(w http.ResponseWriter, figures func(*loop) any) {
+	select {
+	case <-c.up:
+	case <-time.After(consoleAnswer):
+		http.Error(w, "nothing to show yet", http.StatusServiceUnavailable)
+		return
+	}
+	text, err := json.MarshalIndent(figures(c.loop), "", "  ")
+	if err != nil {
+		c.log.Error("console: figures", "err", err)
+		http.Error(w, "the figures can't be written", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(text, '\n')) // a caller that has gone needs no answer
+}
+
 func (c *console) readiness() (status int, text string) {
 	if !c.ready.Load() {
 		return http.StatusServiceUnavailable, "no clients are taken"
@@ -205,7 +233,7 @@
 		return
 	}
 	if e != nil && e.barred.Swap(o.out) != o.out {
-		e.pool.closeIdle(time.Now()) // it is about to be restarted, or has been
+		e.pool.CloseIdle() // it is about to be restarted, or has been
 		l.batch = append(l.batch, policy.Ordered{Endpoint: id, Out: o.out})
 	}
 	l.obeyed = append(l.obeyed, o)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -48,6 +48,7 @@
 	Cell     int     `json:"cell"`
 	Phase    string  `json:"phase"`
 	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"` // when it last started, in Unix time; 0 for long ago
 }
 
 // agent is where discovery is spoken to. It may move while the node runs.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"wingmount/internal/upstream"
 	"wingmount/policy"
 )
 
@@ -101,6 +102,7 @@
 	Out       []attemptOut
 	Memory    policy.Memory
 	Connected int // clients' connections that the old process still has
+	Pools     []upstream.Learnt
 }
 
 type gateState struct {
@@ -453,7 +455,7 @@
 // again. It tells whether all is given away.
 func (l *loop) giveAway(g *giveaway) bool {
 	l.owner.set(giving, nil)
-	s := snapshot{Out: l.journal.giveAway(), Memory: l.sender.Memory(), Revision: l.revision}
+	s := snapshot{Out: l.journal.giveAway(), Memory: l.sender.Memory(), Revision: l.revision, Pools: l.caller.pools.Memory()}
 	for _, e := range l.endpoints {
 		s.Members = append(s.Members, e.last)
 		s.Gates = append(s.Gates, gateState{ID: e.name, ClosedFrom: e.leaves.closedFrom.Load(), ClosedUntil: e.waits.closedUntil.Load()})
@@ -470,6 +472,7 @@
 func (l *loop) inherit(s *snapshot) {
 	l.origin = time.Now().Add(clockStart - s.Elapsed - time.Since(s.At))
 	clear(l.journal.memories) // the old process knows more
+	l.caller.pools.Inherit(s.Pools)
 	known := list{Revision: s.Revision, Complete: true}
 	leaving := list{Revision: s.Revision}
 	for _, m := range s.Members {
@@ -505,6 +508,7 @@
 
 // expect keeps the call of a message that the old process waits for.
 func (h *heir) expect(m *message, e *endpoint) {
+	e.out++
 	h.out[m.seq] = &call{endpoint: e, started: m.past.outAt, parts: []*part{{message: m, attempted: true}}}
 }
 
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -254,7 +254,8 @@
 func TestListsThatMakeNoSense(t *testing.T) {
 	l := &loop{names: names{kinds: map[string]int{"general": 0}, zones: map[string]int{"a": 0}}, log: quietLog(),
 		settings: policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: 1},
-		journal:  &journal{}, endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
+		journal:  &journal{}, endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
+		caller: newCaller(Config{}, nil, quietLog(), nil)}
 	entry := func(id, phase string) member {
 		return member{ID: id, HostPort: "127.0.0.1:1", Locality: "a", Flavor: "general", Cell: 3, Phase: phase, Size: 1}
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"wingmount/internal/upstream"
 	"wingmount/policy"
 )
 
@@ -69,17 +70,13 @@
 			l.quiet, quiet = true, nil
 			close(l.quieted)
 			continue
-		case now := <-reaper.C:
-			for _, e := range l.endpoints {
-				e.pool.closeIdle(now.Add(-l.caller.idle.Limit(now)))
-			}
+		case <-reaper.C:
+			l.caller.pools.Sweep()
 			continue
 		case g := <-l.giveaways:
 			if l.giveAway(g) {
 				l.quiet = true
-				for _, e := range l.endpoints { // they count for both processes together
-					e.pool.closeIdle(time.Now())
-				}
+				l.caller.pools.Retire() // idle ones count for both processes together
 			}
 			continue
 		case e := <-l.events:
@@ -132,6 +129,10 @@
 				l.forget(m)
 			}
 		}
+		if to := l.endpoints[e.Endpoint]; to != nil {
+			to.out--
+			l.forgetGone(to)
+		}
 		l.batch = append(l.batch, e)
 	case policy.Event:
 		l.batch = append(l.batch, e)
@@ -222,12 +223,17 @@
 		}
 		if state != policy.Gone {
 			e.addr = m.HostPort
+			e.pool = l.caller.pools.Endpoint(upstream.Endpoint{Name: e.name, Addr: e.addr, Since: m.UpSince, MayWarm: e.mayWarm})
 		}
 		named[id] = true
 		e.last = m
 		l.setLeaving(e, state != policy.Ready)
 		l.recordLeaving(e, state != policy.Ready)
 		out.Entries = append(out.Entries, l.entry(e, m, state))
+		if state == policy.Gone {
+			e.pool.Leave()
+			l.forgetGone(e)
+		}
 	}
 	if in.Complete {
 		for id, e := range l.endpoints {
@@ -235,12 +241,32 @@
 				e.last.Phase = "left"
 				l.setLeaving(e, true)
 				l.recordLeaving(e, true)
+				e.pool.Leave()
+				l.forgetGone(e)
 			}
 		}
 	}
 	return out
 }
 
+// forgetGone drops an endpoint that is no longer listed, once no call to it is out. The
+// journal still has what its next life must know.
+func (l *loop) forgetGone(e *endpoint) {
+	if e.last.Phase != "left" || e.out > 0 {
+		return
+	}
+	delete(l.endpoints, e.id)
+	if w := l.waits[e.dest]; w == nil || w != e.waits || !w.open(time.Now()) {
+		return // a wait that was told holds for whoever comes next
+	}
+	for _, o := range l.endpoints {
+		if o.waits == e.waits {
+			return
+		}
+	}
+	delete(l.waits, e.dest)
+}
+
 // recordLeaving keeps what the list tells for the next life of the node.
 func (l *loop) recordLeaving(e *endpoint, leaves bool) {
 	if err := l.journal.leaves(e.name, leaves, time.Now()); err != nil {
@@ -279,6 +305,16 @@
 // past turns a time of the wall clock into one of the module's.
 func (l *loop) past(t time.Time) policy.Time { return min(l.now(), l.now()-time.Since(t)) }
 
+// mayCall tells whether anything may be sent to an endpoint now, as far as the list, the
+// staff and told waits go.
+func (e *endpoint) mayCall() bool {
+	now := time.Now()
+	return !e.barred.Load() && e.leaves.open(now) && e.waits.open(now)
+}
+
+// mayWarm tells whether a connection may be opened there that no call needs yet.
+func (e *endpoint) mayWarm() bool { return e.leaves.closedFrom.Load() == 0 && e.mayCall() }
+
 // setLeaving closes an endpoint's gate within the grace after it was first told to
 // drain or to be gone, and after the module has ceased to send to it.
 func (l *loop) setLeaving(e *endpoint, leaves bool) {
@@ -309,6 +345,7 @@
 				calls = append(calls, k)
 			}
 			k.parts = append(k.parts, &part{message: m, timeout: a.Timeout})
+			e.out++
 			k.limit = max(k.limit, a.Timeout)
 		case policy.Refuse:
 			l.end(a.Message, true, a.Wait)
@@ -316,7 +353,7 @@
 			l.end(a.Message, false, 0)
 		case policy.CloseIdle:
 			if e := l.endpoints[a.Endpoint]; e != nil {
-				e.pool.closeIdle(time.Now())
+				e.pool.CloseIdle()
 			}
 		case policy.Tell:
 			if l.peers != nil {
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -70,3 +70,36 @@
 		t.Errorf("another call: %+v", <-calls)
 	}
 }
+
+// An endpoint that is gone leaves nothing behind, but for a call that is still out and a
+// wait that was told for its destination.
+func TestEndpointsThatAreGoneAreForgotten(t *testing.T) {
+	j, _ := mustOpen(t, t.TempDir(), minDisk)
+	l := &loop{names: names{kinds: map[string]int{"m": 0}, zones: map[string]int{"a": 0}}, log: quietLog(), journal: j,
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, caller: newCaller(Config{}, j, quietLog(), nil)}
+	come := func(n int, phase string) policy.EndpointID {
+		name := fmt.Sprint("e", n)
+		l.listed(list{Members: []member{{ID: name, Flavor: "m", Locality: "a", Cell: n, Phase: phase}}})
+		return policy.EndpointID(hash(name))
+	}
+	busy, waits := come(0, "active"), come(1, "active")
+	l.endpoints[busy].out = 1
+	l.endpoints[waits].waits.wait(time.Now().Add(time.Hour))
+	for n := range 1000 {
+		come(n, "active")
+		come(n, "leaving")
+		come(n, "left")
+	}
+	if len(l.endpoints) != 1 || l.endpoints[busy] == nil || len(l.waits) != 2 || len(l.caller.pools.Stats(9).Pools) != 0 {
+		t.Errorf("%d endpoints, %d waits and %d pools are left, want the busy one, its gate and that of the told wait",
+			len(l.endpoints), len(l.waits), len(l.caller.pools.Stats(9).Pools))
+	}
+	l.take(policy.Ended{Endpoint: busy})
+	if len(l.endpoints) != 0 || len(l.waits) != 1 {
+		t.Errorf("%d endpoints and %d waits are left, want the told wait alone", len(l.endpoints), len(l.waits))
+	}
+	come(1, "active")
+	if l.endpoints[waits].mayCall() {
+		t.Error("the told wait is forgotten")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,7 +174,7 @@
 				retire: func() {
 					staff.ready.Store(false)
 					c.limitMemory(2)
-					l.caller.retired.Store(true)
+					l.caller.pools.Retire()
 					retire()
 					_ = listener.Close() // the platform and the next process have it still
 				}}
@@ -202,6 +202,7 @@
 	end()
 	running.Wait()
 	l.caller.running.Wait() // their outcomes go on record before the journal closes
+	l.caller.pools.Close()
 	log.Info("stopped", "owed", len(l.held))
 	if to, _ := owner.owner(context.Background()); to != nil {
 		_ = to.conn.Close() // it may have been closed for an error
@@ -269,6 +270,7 @@
 	}
 	close(quiet)
 	<-l.quieted
+	l.caller.pools.Retire()
 	calls := make(chan struct{})
 	go func() {
 		l.caller.running.Wait()
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,227 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// maxAnswer bounds what one call may read: header lines, interim answers and body.
+	maxAnswer = 128 << 10
+	// maxInterim is how many 1xx answers may come before the one that counts.
+	maxInterim = 5
+	// firstLine is how much of an answer is kept to see what its first line says.
+	firstLine  = 128
+	readBuffer = 2 << 10
+	// inlineWrite is how long a request may be that is written before its answer is
+	// read: it fits what any kernel buffers of a connection on which nothing is under
+	// way. A longer one is written beside the reading, as its answer may come early.
+	inlineWrite = 8 << 10
+	// afterWrite is how long an answer may still come once the request can't be written.
+	afterWrite = 200 * time.Millisecond
+)
+
+var (
+	longAgo    = time.Unix(1, 0)
+	errTooLong = errors.New("the answer is too long")
+)
+
+// Conn is one connection to an endpoint, in the hands of one call.
+type Conn struct {
+	pool   *Pool
+	nc     net.Conn
+	in     *answerReader
+	br     *bufio.Reader
+	epoch  int           // of the endpoint's process that it leads to
+	opened time.Time     // when its dial began
+	since  time.Time     // when it became idle
+	age    time.Duration // how long it was idle before this call; negative if it is new
+
+	// Of this call.
+	used    bool
+	size    int  // of the request
+	sent    bool // its last byte was written
+	whole   bool // the answer was read to its end, and another may follow
+	stop    func() bool
+	written chan int // the bytes written, once; nil where that is known
+}
+
+func newConn(p *Pool, nc net.Conn, opened time.Time) *Conn {
+	in := &answerReader{nc: nc}
+	return &Conn{pool: p, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer), epoch: p.epoch, opened: opened, age: -1}
+}
+
+// answerReader bounds an answer and keeps how it began.
+type answerReader struct {
+	nc   net.Conn
+	left int
+	head []byte
+}
+
+func (r *answerReader) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.nc.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	r.head = append(r.head, b[:min(n, firstLine-len(r.head))]...)
+	return n, err
+}
+
+// delivered tells whether the first line of the answer says 200: that is true also
+// when the rest can't be read.
+func (r *answerReader) delivered() bool {
+	line, _, whole := strings.Cut(string(r.head), "\n") // a line that was cut off proves nothing
+	version, status, _ := strings.Cut(line, " ")
+	status, _, _ = strings.Cut(strings.TrimSuffix(status, "\r"), " ")
+	return whole && (version == "HTTP/1.1" || version == "HTTP/1.0") && status == "200"
+}
+
+// Reused tells whether the connection was there before this call.
+func (c *Conn) Reused() bool { return c.age >= 0 }
+
+// CallError says how a call broke.
+type CallError struct {
+	Sent      bool // its last byte was written: it may have run. If not, it never will
+	Delivered bool // the first line of its answer said 200
+	Err       error
+}
+
+func (e *CallError) Error() string {
+	if !e.Sent {
+		return fmt.Sprintf("the call was not written: %v", e.Err)
+	}
+	return fmt.Sprintf("no answer that can be read: %v", e.Err)
+}
+
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Send writes a call and reads the head of its answer, once: nothing is ever sent
+// again. It ends with the context. Its error is a *CallError.
+func (c *Conn) Send(ctx context.Context, req *http.Request) (*http.Response, error) {
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		return nil, &CallError{Err: fmt.Errorf("writing the request: %w", err)}
+	}
+	c.used, c.size, c.sent, c.whole, c.written = true, out.Len(), false, false, nil
+	c.in.left, c.in.head = maxAnswer, c.in.head[:0]
+	c.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(longAgo) })
+	if c.size <= inlineWrite {
+		n, err := c.nc.Write(out.Bytes())
+		if c.sent = n == c.size; !c.sent {
+			return nil, &CallError{Err: err}
+		}
+	} else {
+		written := make(chan int, 1)
+		c.written = written
+		go func() {
+			n, err := c.nc.Write(out.Bytes())
+			if err != nil { // what the endpoint said before may still be read
+				_ = c.nc.SetReadDeadline(time.Now().Add(afterWrite))
+			}
+			written <- n
+		}()
+	}
+	resp, err := c.readHead(req)
+	if err != nil {
+		c.settle()
+		return nil, &CallError{Sent: c.sent, Delivered: c.in.delivered(), Err: err}
+	}
+	return resp, nil
+}
+
+// readHead reads up to the body of the answer that counts.
+func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	for range maxInterim + 1 {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("the endpoint wants another protocol")
+		case resp.StatusCode >= 200:
+			return resp, nil
+		}
+		c.in.head = c.in.head[:0]
+		if n := c.br.Buffered(); n > 0 { // the next answer came with it
+			ahead, _ := c.br.Peek(min(n, firstLine))
+			c.in.head = append(c.in.head, ahead...)
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// Body reads the rest of an answer, up to a number of bytes, while the context lasts.
+func (c *Conn) Body(ctx context.Context, resp *http.Response, most int) ([]byte, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(longAgo) })
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(most)+1))
+	if err == nil && len(body) > most {
+		err = errTooLong
+	}
+	if !stop() {
+		if err == nil {
+			err = context.Cause(ctx)
+		}
+		return body, err
+	}
+	c.whole = err == nil && !resp.Close
+	return body, err
+}
+
+// settle ends the writing of a request and tells, in sent, whether all of it went out.
+func (c *Conn) settle() {
+	if c.written == nil {
+		return
+	}
+	_ = c.nc.SetWriteDeadline(longAgo) // no answer, or one that did not wait for the rest
+	c.sent, c.written = <-c.written == c.size, nil
+	if c.sent {
+		_ = c.nc.SetWriteDeadline(time.Time{})
+	}
+}
+
+// clean ends a call's hold on the connection and tells whether another call may
+// follow: the request was written and the answer read, each to its end, and nothing
+// came behind it.
+func (c *Conn) clean() bool {
+	if !c.used {
+		return true
+	}
+	c.used = false
+	c.settle()
+	return c.stop() && c.sent && c.whole && c.br.Buffered() == 0
+}
+
+// close ends the connection; nothing is owed on it.
+func (c *Conn) close() { _ = c.nc.Close() }
+
+// quiet looks, without waiting, whether the far side has said nothing since the last
+// answer: it has neither closed nor sent bytes that nobody asked for.
+func (c *Conn) quiet() bool {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true // it can't be looked at
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/upstream/conn_test.go
@@ -0,0 +1,398 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const patience = 10 * time.Second
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// standIn is an endpoint on loopback that serves each connection by a function.
+type standIn struct {
+	addr  string
+	conns atomic.Int64 // so far
+	open  atomic.Int64
+}
+
+func newStandIn(t *testing.T, serve func(n int64, conn net.Conn, r *bufio.Reader)) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	s := &standIn{addr: l.Addr().String()}
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	all := map[net.Conn]bool{}
+	running.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			all[conn] = true
+			mu.Unlock()
+			s.open.Add(1)
+			running.Go(func() {
+				defer s.open.Add(-1)
+				defer conn.Close()
+				serve(s.conns.Add(1), conn, bufio.NewReader(conn))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		mu.Lock()
+		for conn := range all {
+			_ = conn.Close()
+		}
+		mu.Unlock()
+		running.Wait()
+	})
+	return s
+}
+
+// readCall reads one request to its end.
+func readCall(r *bufio.Reader) error {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err
+}
+
+const ok200 = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// answers serves calls with the same answer for as long as they come.
+func answers(answer string) func(int64, net.Conn, *bufio.Reader) {
+	return func(_ int64, conn net.Conn, r *bufio.Reader) {
+		for readCall(r) == nil {
+			_, _ = io.WriteString(conn, answer)
+		}
+	}
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+func newPools(t *testing.T, change func(*Config)) *Pools {
+	c := Config{Dial: dialTCP, Now: time.Now, Rand: func() float64 { return 0.5 }, Senders: 1, MaxOpen: 100,
+		IdleLimit: time.Minute, DialTimeout: patience}
+	if change != nil {
+		change(&c)
+	}
+	ps := New(c)
+	t.Cleanup(ps.Close)
+	return ps
+}
+
+func request(addr string, body int) *http.Request {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/events", bytes.NewReader(make([]byte, body)))
+	if err != nil {
+		panic(err)
+	}
+	return req
+}
+
+// call makes one call and gives its connection back.
+func call(t *testing.T, p *Pool, body int) (status int, reused bool, err error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c, err := p.Take(ctx)
+	must(t, err)
+	reused = c.Reused()
+	resp, err := c.Send(ctx, request(p.at.Addr, body))
+	if err != nil {
+		c.Done(Broken)
+		return 0, reused, err
+	}
+	if _, err = c.Body(ctx, resp, 64<<10); err != nil {
+		c.Done(Broken)
+		return resp.StatusCode, reused, err
+	}
+	c.Done(Answered)
+	return resp.StatusCode, reused, nil
+}
+
+// wantStats compares what the pools count with open, idle, opened, reused and broken.
+func wantStats(t *testing.T, ps *Pools, open, idle int, opened, reused, broken int64) {
+	t.Helper()
+	o := ps.Stats(10)
+	s := o.Pools[0]
+	if o.Open != open || s.Idle != idle || s.Opened != opened || s.Reused != reused || s.Broken != broken {
+		t.Errorf("%d open, %+v; want %d open, %d idle, %d opened, %d reused, %d broken", o.Open, s, open, idle, opened, reused, broken)
+	}
+}
+
+// After each answer, whether another call may follow on its connection.
+func TestConnectionIsReusedOnlyAfterACleanEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		status int
+		keep   bool
+	}{
+		"clean":           {ok200, 200, true},
+		"empty":           {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 503, true},
+		"chunked":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, true},
+		"interim":         {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\n" + ok200, 200, true},
+		"says close":      {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 200, false},
+		"old":             {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, false},
+		"bytes behind":    {ok200 + "x", 200, false},
+		"answer behind":   {ok200 + ok200, 200, false},
+		"too long":        {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), 200, false},
+		"endless":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("4000\r\n"+strings.Repeat("x", 0x4000)+"\r\n", 20), 200, false},
+		"endless head":    {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: "+strings.Repeat("x", 1000)+"\r\n", 300), 0, false},
+		"endless interim": {strings.Repeat("HTTP/1.1 102 X\r\n\r\n", 50) + ok200, 0, false},
+		"switching":       {"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", 0, false},
+		"spoilt":          {"what?\r\n\r\n", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStandIn(t, answers(c.answer))
+			ps := newPools(t, nil)
+			p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+			status, _, err := call(t, p, 10)
+			if status != c.status || c.keep && err != nil {
+				t.Errorf("status %d, %v, want %d", status, err, c.status)
+			}
+			if idle := ps.Stats(1).Pools[0].Idle; idle == 1 != c.keep {
+				t.Errorf("%d connections kept, want kept: %v", idle, c.keep)
+			}
+			// The next call never gets what came behind the answer before.
+			if _, reused, _ := call(t, p, 10); reused != c.keep {
+				t.Errorf("reused: %v", reused)
+			}
+		})
+	}
+}
+
+// The first line tells of a delivery also when the rest can't be read; that of an
+// interim answer tells nothing.
+func TestFirstLineOfABrokenAnswer(t *testing.T) {
+	for answer, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Len": true,
+		"HTTP/1.1 200":                   false,
+		"HTTP/1.1 503 X\r\nContent-Len":  false,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Len": true,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 20":                    false,
+	} {
+		s := newStandIn(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+			if readCall(r) == nil {
+				_, _ = io.WriteString(conn, answer)
+			}
+		})
+		_, _, err := call(t, newPools(t, nil).Endpoint(Endpoint{Name: "e", Addr: s.addr}), 10)
+		var broke *CallError
+		if !errors.As(err, &broke) || !broke.Sent || broke.Delivered != want {
+			t.Errorf("%q: %+v, want sent, delivered %v", answer, broke, want)
+		}
+	}
+}
+
+// Whatever the far side has said of an idle connection is seen at the moment of use.
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){
+		"closed": func(c net.Conn) { _ = c.Close() },
+		"reset":  func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
+		"spoke":  func(c net.Conn) { _, _ = io.WriteString(c, ok200) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			s := newStandIn(t, func(n int64, conn net.Conn, r *bufio.Reader) {
+				for readCall(r) == nil {
+					_, _ = io.WriteString(conn, ok200)
+					if n == 1 {
+						end(conn)
+						close(ended)
+						_, _ = r.ReadByte() // until the other side closes
+						return
+					}
+				}
+			})
+			ps := newPools(t, nil)
+			p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+			if _, _, err := call(t, p, 10); err != nil {
+				t.Fatal(err)
+			}
+			<-ended
+			status, reused, err := call(t, p, 10)
+			if status != 200 || reused || err != nil {
+				t.Errorf("second call: %d, reused %v, %v; want a delivery on a new connection", status, reused, err)
+			}
+			wantStats(t, ps, 1, 1, 2, 0, 0)
+		})
+	}
+}
+
+// A call that breaks before its last byte never ran; after that it may have, and its
+// bytes go out once.
+func TestBrokenCallSaysWhetherItWasSent(t *testing.T) {
+	t.Run("reset half way", func(t *testing.T) {
+		s := newStandIn(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+			_, _ = r.ReadByte()
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		})
+		ps := newPools(t, nil)
+		_, _, err := call(t, ps.Endpoint(Endpoint{Name: "e", Addr: s.addr}), 32<<20) // more than any buffer holds
+		var broke *CallError
+		if !errors.As(err, &broke) || broke.Sent {
+			t.Errorf("%v, want a call that was not written", err)
+		}
+		wantStats(t, ps, 0, 0, 1, 0, 0)
+	})
+	for name, body := range map[string]int{"short": 10, "long": 60 << 10} {
+		t.Run("reset after the last byte, "+name, func(t *testing.T) {
+			var copies atomic.Int64
+			s := newStandIn(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+				for i := 0; readCall(r) == nil; i++ {
+					copies.Add(1)
+					if i == 1 {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+						return
+					}
+					_, _ = io.WriteString(conn, ok200)
+				}
+			})
+			ps := newPools(t, nil)
+			p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+			_, _, err := call(t, p, body)
+			must(t, err)
+			_, reused, err := call(t, p, body)
+			var broke *CallError
+			if !errors.As(err, &broke) || !broke.Sent || broke.Delivered || !reused {
+				t.Errorf("%v, reused %v; want a sent call that broke on a reused connection", err, reused)
+			}
+			if n := copies.Load(); n != 2 {
+				t.Errorf("%d requests came for 2 calls", n)
+			}
+			wantStats(t, ps, 0, 0, 1, 1, 1)
+		})
+	}
+	t.Run("accepted and closed at once", func(t *testing.T) {
+		s := newStandIn(t, func(int64, net.Conn, *bufio.Reader) {})
+		ps := newPools(t, nil)
+		for range 3 {
+			if _, _, err := call(t, ps.Endpoint(Endpoint{Name: "e", Addr: s.addr}), 10); err == nil {
+				t.Error("a call went well")
+			}
+		}
+		wantStats(t, ps, 0, 0, 3, 0, 0)
+	})
+}
+
+// An endpoint may answer without reading to the end. The answer counts, the connection
+// does not, and nothing goes on writing.
+func TestAnswerBeforeTheRequestIsWritten(t *testing.T) {
+	release := make(chan struct{})
+	s := newStandIn(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+		<-release
+	})
+	ps := newPools(t, nil)
+	status, _, err := call(t, ps.Endpoint(Endpoint{Name: "e", Addr: s.addr}), 32<<20)
+	if status != 503 || err != nil {
+		t.Errorf("%d, %v, want the early answer", status, err)
+	}
+	wantStats(t, ps, 0, 0, 1, 0, 0)
+	close(release)
+}
+
+// A long request whose answer comes when it has been read keeps its connection.
+func TestLongRequestKeepsItsConnection(t *testing.T) {
+	s := newStandIn(t, answers(ok200))
+	ps := newPools(t, nil)
+	p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+	for range 20 {
+		_, _, err := call(t, p, 60<<10)
+		must(t, err)
+	}
+	wantStats(t, ps, 1, 1, 1, 19, 0)
+}
+
+// A machine that says nothing any more holds a call no longer than its time, and its
+// connection is closed then.
+func TestSilentEndpointIsGivenUp(t *testing.T) {
+	closed := make(chan struct{})
+	s := newStandIn(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+		_, _ = io.Copy(io.Discard, r)
+		close(closed)
+	})
+	ps := newPools(t, nil)
+	p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+	ctx, cancel := context.WithCancel(context.Background())
+	c, err := p.Take(ctx)
+	must(t, err)
+	time.AfterFunc(0, cancel)
+	if _, err := c.Send(ctx, request(s.addr, 10)); err == nil || ctx.Err() == nil {
+		t.Errorf("%v, context %v", err, ctx.Err())
+	}
+	c.Done(GaveUp)
+	<-closed
+	wantStats(t, ps, 0, 0, 1, 0, 0)
+}
+
+// A body that comes too slowly ends with its context; its connection is not kept.
+func TestSlowBodyIsGivenUp(t *testing.T) {
+	s := newStandIn(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+		if readCall(r) == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			_, _ = r.ReadByte()
+		}
+	})
+	ps := newPools(t, nil)
+	p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+	c, err := p.Take(t.Context())
+	must(t, err)
+	resp, err := c.Send(t.Context(), request(s.addr, 10))
+	must(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(0, cancel)
+	if _, err := c.Body(ctx, resp, 100); err == nil {
+		t.Error("half a body was read as a whole")
+	}
+	c.Done(Broken)
+	wantStats(t, ps, 0, 0, 1, 0, 0)
+}
+
+// What was told to one call never reaches the next, however fast the connection changes
+// hands: an endpoint that sends its answers twice delivers nothing that it did not read.
+func TestAnswersNeverGoToTheNextCall(t *testing.T) {
+	var read atomic.Int64
+	s := newStandIn(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+		for readCall(r) == nil {
+			read.Add(1)
+			_, _ = fmt.Fprint(conn, ok200, ok200)
+		}
+	})
+	p := newPools(t, nil).Endpoint(Endpoint{Name: "e", Addr: s.addr})
+	good := int64(0)
+	for range 200 {
+		if status, _, err := call(t, p, 10); err == nil && status == 200 {
+			good++
+		}
+	}
+	if n := read.Load(); n < good {
+		t.Errorf("%d calls were answered and %d were read", good, n)
+	}
+}
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 )
 
@@ -21,17 +20,18 @@
 	// has nearly faded does not outweigh the next use.
 	goodUses = 6
 	badShare = 0.15
+	// ownUses of one endpoint in a span weigh more than what all endpoints show.
+	ownUses = 4
 )
 
-// IdleLimit is how long a connection may stand idle and still be used. The settings
+// idleLimit is how long a connection may stand idle and still be used. The settings
 // tell when the far side closes it at the latest; where something on the way forgets
 // it sooner, that shows only when a call on it breaks, and a call that broke may have
 // run. So it is learnt from the calls on connections that were idle for longer or
-// shorter. It is safe for concurrent use.
-type IdleLimit struct {
-	Told time.Duration // by the settings
+// shorter.
+type idleLimit struct {
+	told time.Duration // by the settings
 
-	mu   sync.Mutex
 	at   time.Time // when the counts last faded
 	seen [ages]struct{ uses, broken float64 }
 }
@@ -45,10 +45,8 @@
 	return n
 }
 
-// Used tells how a call went on a connection that was idle for so long.
-func (l *IdleLimit) Used(idle time.Duration, broken bool, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// used tells how a call went on a connection that was idle for so long.
+func (l *idleLimit) used(idle time.Duration, broken bool, now time.Time) {
 	l.fade(now)
 	s := &l.seen[spanOf(idle)]
 	s.uses++
@@ -61,7 +59,7 @@
 	}
 }
 
-func (l *IdleLimit) fade(now time.Time) {
+func (l *idleLimit) fade(now time.Time) {
 	if past := now.Sub(l.at); past > 0 {
 		keep := math.Exp2(-float64(past) / float64(halfLife))
 		for i := range l.seen {
@@ -72,18 +70,29 @@
 	}
 }
 
-// Limit is the longest idle time at which connections are no worse than young ones.
-func (l *IdleLimit) Limit(now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// badAt tells whether connections of a span break more than young ones. It knows once
+// there were enough uses.
+func (l *idleLimit) badAt(span int, enough float64) (bad, known bool) {
+	young, old := l.seen[0], l.seen[span]
+	bad = old.broken/(old.uses+goodUses) > young.broken/(young.uses+goodUses)+badShare
+	return bad, old.uses >= enough
+}
+
+// limit is the longest idle time at which connections are no worse than young ones.
+// Of a span in which the endpoint itself has shown little, all endpoints tell.
+func (l *idleLimit) limit(all *idleLimit, now time.Time) time.Duration {
 	l.fade(now)
-	young := l.seen[0].broken / (l.seen[0].uses + goodUses)
+	all.fade(now)
 	end := youngest
-	for _, s := range l.seen[1:] {
-		if s.broken/(s.uses+goodUses) > young+badShare {
-			return min(l.Told, end)
+	for span := 1; span < ages; span++ {
+		bad, known := l.badAt(span, ownUses)
+		if !known {
+			bad, _ = all.badAt(span, 0)
+		}
+		if bad {
+			return min(l.told, end)
 		}
 		end *= 2
 	}
-	return l.Told
+	return l.told
 }
