Forget endpoints and destinations that are long gone in the module

Seen: the module's tables of endpoints, tags, paths and destinations only ever grew; over 1,000 endpoints that came and went it kept all 1,001 of each, and a client that names destinations of its own invention made one entry each (state.go: addEndpoint and destination had no counterpart).

An endpoint goes when no call is out and nothing of it can count: after the longest time of a message and a warm-up. A path goes with its last endpoint once its wide log is empty and no told wait runs; a destination when nothing waits for it. As what was known to drain may be forgotten then, an endpoint first heard of as draining gets nothing now, as in the node: the random streams of TestRulesOnRandomStreams showed a send to one 25 s after it was told to leave. An order of the staff for an endpoint that the node no longer has still reaches the module.

--- a/cmd/wingmount/console_test.go
+++ b/cmd/wingmount/console_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -43,6 +44,8 @@
 		"unclean path":   {"PUT", "/ops//endpoints/down", `{"host":"s1"}`, 404},
 		"method":         {"POST", "/ops/endpoints/down", `{"host":"s1"}`, 405},
 		"other method":   {"PUT", "/ops/readiness", "", 405},
+		"pools, method":  {"POST", "/ops/pools", "", 405},
+		"pools, path":    {"GET", "/ops/pools/s1", "", 404},
 		"nothing":        {"PUT", "/ops/endpoints/down", "", 400},
 		"no JSON":        {"PUT", "/ops/endpoints/down", "host=s1", 400},
 		"half of it":     {"PUT", "/ops/endpoints/down", `{"host":"s1"`, 400},
@@ -64,6 +67,48 @@
 	u.once("a")
 }
 
+// The staff see what the connections to each endpoint do.
+func TestPoolsAreShown(t *testing.T) {
+	u := newUpgrades(t)
+	n, console := u.begin()
+	u.ready(n, console)
+	k := u.keep()
+	for _, id := range []string{"a", "b", "c"} {
+		if status, _ := u.hand(k, id); status != http.StatusAccepted {
+			t.Fatalf("%s: answered %d", id, status)
+		}
+		u.once(id)
+	}
+	var got struct {
+		Open, MaxOpen int
+		Pools         []struct {
+			Endpoint, Address                  string
+			Open, Idle, Opened, Reused, Broken int
+			IdleLimit                          int `json:"idle_limit_ms"`
+		}
+	}
+	u.eventually("three calls on one connection that is idle again", func() bool {
+		resp, err := http.Get("http://" + console + "/ops/pools")
+		must(t, err)
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || resp.Header.Get("Content-Type") != "application/json" {
+			t.Fatalf("answered %s as %q", resp.Status, resp.Header.Get("Content-Type"))
+		}
+		must(t, json.NewDecoder(resp.Body).Decode(&got))
+		return len(got.Pools) == 1 && got.Pools[0].Opened+got.Pools[0].Reused == 3 && got.Pools[0].Idle == got.Pools[0].Open
+	})
+	if p := got.Pools[0]; p.Endpoint != "s1" || p.Address != u.endpoint.Listener.Addr().String() || p.IdleLimit != 12000 ||
+		got.Open != p.Open || p.Broken != 0 {
+		t.Errorf("%+v", got)
+	}
+	resp, err := http.Post("http://"+console+"/ops/pools", "", nil)
+	must(t, err)
+	defer resp.Body.Close()
+	if allow := resp.Header.Get("Allow"); allow != http.MethodGet {
+		t.Errorf("Allow says %q", allow)
+	}
+}
+
 // The order holds from the yes, against what discovery says, over an upgrade, whichever
 // process is called, and over a restart; it may come twice, and one call back ends it.
 func TestMaintenance(t *testing.T) {
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -234,8 +234,8 @@
 	}
 	if e != nil && e.barred.Swap(o.out) != o.out {
 		e.pool.CloseIdle() // it is about to be restarted, or has been
-		l.batch = append(l.batch, policy.Ordered{Endpoint: id, Out: o.out})
 	}
+	l.batch = append(l.batch, policy.Ordered{Endpoint: id, Out: o.out}) // the module may know one that is gone
 	l.obeyed = append(l.obeyed, o)
 }
 
--- /dev/null
+++ b/policy/forget_test.go
@@ -0,0 +1,79 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// Endpoints that come and go leave nothing behind, once nothing of them counts any more.
+func TestWhatIsGoneIsForgotten(t *testing.T) {
+	set := testSettings()
+	b := with(t, set, 0, 1, 10)
+	keep := set.Classes[0].Deadline
+	for _, c := range set.Classes {
+		keep = max(keep, c.Deadline)
+	}
+	keep += set.WarmUp
+	for i := range 1000 {
+		e := Entry{Endpoint: EndpointID(100 + i), Destination: 1 + i, State: Ready, Rate: 10}
+		b.step(Listed{Entries: []Entry{e}})
+		e.State = Gone
+		b.now += time.Second
+		b.step(Listed{Entries: []Entry{e}})
+	}
+	most := int(keep/time.Second) + 2
+	s := b.s
+	if n := len(s.endpoints); n > most || len(s.tags) != n || len(s.dests) > n || len(s.ordered) != len(s.dests) {
+		t.Errorf("%d endpoints, %d tags, %d and %d destinations, want %d at the most", n, len(s.tags), len(s.dests), len(s.ordered), most)
+	}
+	b.now += keep
+	b.step(Listed{})
+	if len(s.endpoints) != 1 || len(s.dests) != 1 || s.dests[0] == nil {
+		t.Errorf("%d endpoints and %d destinations in the end, want the first of each", len(s.endpoints), len(s.dests))
+	}
+}
+
+// Destinations that are named by messages alone go with these.
+func TestUnknownDestinationsAreForgotten(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 10)
+	for i := range 1000 {
+		b.id++
+		b.step(Arrived{Message: b.id, Destination: 1 + i, GiveUpAt: b.now + time.Second})
+		b.step(Withdrawn{Message: b.id})
+	}
+	if n := len(b.s.dests); n != 1 || len(b.s.ordered) != 1 {
+		t.Errorf("%d destinations, want 1", n)
+	}
+}
+
+// An endpoint with a call out, or of which a message may still know, is not forgotten: its
+// calls count for the limit, and one that failed comes back as out.
+func TestWhatStillCountsIsKept(t *testing.T) {
+	set := testSettings()
+	b := with(t, set, 0, 1, 10)
+	b.arrive(0)
+	gone := Listed{Entries: []Entry{{Endpoint: 1, State: Gone}}}
+	b.step(gone)
+	b.now += time.Hour
+	b.step(Listed{})
+	if b.s.endpoints[1] == nil {
+		t.Fatal("forgotten with a call out")
+	}
+	b.finish(Unreachable, 0)
+	b.now += time.Hour
+	b.step(gone) // told once more
+	b.step(Listed{})
+	if b.s.endpoints[1] != nil {
+		t.Error("known still, long after")
+	}
+
+	b = with(t, set, 0, 1, 10)
+	b.arrive(0)
+	b.finish(Unreachable, 0)
+	b.step(gone)
+	b.now += time.Second
+	b.step(Listed{Entries: []Entry{{Endpoint: 1, State: Ready}}})
+	if e := b.s.endpoints[1]; e == nil || !e.out {
+		t.Error("an endpoint that failed, was gone and is back at once counts as sound")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -153,8 +153,9 @@
 
 // destination has the held messages of its paths.
 type destination struct {
-	paths []*path
-	queue []*message // held, in order of arrival
+	number int
+	paths  []*path
+	queue  []*message // held, in order of arrival
 }
 
 // message is one message from its arrival until it has ended and no attempt
@@ -245,7 +246,7 @@
 func (s *Sender) destination(n int) *destination {
 	d := s.dests[n]
 	if d == nil {
-		d = &destination{}
+		d = &destination{number: n}
 		s.dests[n] = d
 		s.ordered = append(s.ordered, d)
 	}
@@ -258,6 +259,7 @@
 	m.ended = true
 	s.open = remove(s.open, m)
 	m.dest.queue = remove(m.dest.queue, m)
+	s.forgetUnknown(m.dest)
 	if m.call == nil {
 		s.forget(m)
 	}
@@ -318,25 +320,55 @@
 		named[entry.Endpoint] = true
 		e := s.endpoints[entry.Endpoint]
 		if e == nil {
-			if entry.State == Gone {
+			if entry.State != Ready { // it may have been told of before, and the grace be over
 				continue
 			}
 			e = s.addEndpoint(entry)
 		}
 		s.setState(e, entry.State)
 	}
-	if !l.Whole {
-		return
-	}
 	for _, d := range s.ordered {
 		for _, p := range d.paths {
 			for _, e := range p.endpoints {
-				if !named[e.id] {
+				if l.Whole && !named[e.id] {
 					s.setState(e, Gone)
 				}
 			}
 		}
 	}
+	s.forgetGone()
+}
+
+// forgetGone drops the endpoints that have been gone for so long that nothing of them
+// counts any more: no message of then is left, and back under its name one would be warm.
+// With the last of a path its limit is forgotten, unless calls still count for it.
+func (s *Sender) forgetGone() {
+	for _, d := range slices.Clone(s.ordered) {
+		for _, p := range d.paths {
+			p.endpoints = slices.DeleteFunc(p.endpoints, func(e *endpoint) bool {
+				if e.state != Gone || len(e.calls) > 0 || s.now-e.told < s.longest+s.set.WarmUp {
+					return false
+				}
+				delete(s.endpoints, e.id)
+				if s.tags[e.id.tag()] == e {
+					delete(s.tags, e.id.tag())
+				}
+				return true
+			})
+		}
+		d.paths = slices.DeleteFunc(d.paths, func(p *path) bool {
+			return len(p.endpoints) == 0 && p.wide.count(s.now) == 0 && s.now >= p.closedUntil
+		})
+		s.forgetUnknown(d)
+	}
+}
+
+// forgetUnknown drops a destination of which nothing is known and for which nothing waits.
+func (s *Sender) forgetUnknown(d *destination) {
+	if len(d.paths) == 0 && len(d.queue) == 0 && s.dests[d.number] == d {
+		delete(s.dests, d.number)
+		s.ordered = remove(s.ordered, d)
+	}
 }
 
 func (s *Sender) setState(e *endpoint, state EndpointState) {
