--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -399,3 +399,20 @@
 		}
 	}
 }
+
+// Whatever the limit on descriptors, clients, endpoints and the node's own files fit in.
+func TestDescriptorsAreSharedOut(t *testing.T) {
+	for sockets := 64; sockets <= 4096; sockets += 7 {
+		for _, console := range []string{"", "127.0.0.1:1"} {
+			c := Config{Sockets: sockets, Console: console}
+			own := ownSockets
+			if console != "" {
+				own += consoleCallers
+			}
+			places, endpoints := clientPlaces(sockets), c.endpointSockets()
+			if sockets >= 128 && places+endpoints+own > sockets || endpoints < 1 || places < sockets/3 {
+				t.Errorf("%d descriptors: %d for clients, %d for endpoints, %d others", sockets, places, endpoints, own)
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,9 +154,11 @@
 		if places > 0 {
 			connected.limit(max(places/4, places-e.told.Connected))
 		}
+		l.caller.pools.Limit(c.endpointSockets() - c.Settings.Slots) // as many may be out with the old one
 		before.gone = func() {
 			c.limitMemory(1)
 			connected.limit(places)
+			l.caller.pools.Limit(c.endpointSockets())
 		}
 	}
 	if before != nil {
--- a/internal/upstream/pools.go
+++ b/internal/upstream/pools.go
@@ -196,6 +196,26 @@
 	}
 }
 
+// Limit changes how many connections all pools together may have. Idle ones beyond it
+// are closed, as far as there are any.
+func (ps *Pools) Limit(maxOpen int) {
+	ps.mu.Lock()
+	ps.cfg.MaxOpen = max(1, maxOpen)
+	var old []*Conn
+	for ps.open > ps.cfg.MaxOpen {
+		victim := ps.leastUsed(ps.cfg.Now())
+		if victim == nil {
+			break
+		}
+		old = append(old, victim)
+	}
+	for len(ps.waiting) > 0 && ps.open < ps.cfg.MaxOpen { // all look again
+		ps.wakeRoom()
+	}
+	ps.mu.Unlock()
+	closeAll(old)
+}
+
 // Retire closes what is idle and keeps nothing from now on: calls that are out end as
 // they would have.
 func (ps *Pools) Retire() {
@@ -359,6 +379,15 @@
 	if ps.open < ps.cfg.MaxOpen {
 		return nil, nil
 	}
+	if victim := ps.leastUsed(now); victim != nil {
+		return nil, victim
+	}
+	return &ps.waiting, nil
+}
+
+// leastUsed takes out the longest idle connection of the endpoint that is used least, for
+// its closing; nil if none is idle.
+func (ps *Pools) leastUsed(now time.Time) *Conn {
 	var least *Pool
 	for _, o := range ps.pools {
 		if len(o.idle) == 0 {
@@ -370,12 +399,12 @@
 		}
 	}
 	if least == nil {
-		return &ps.waiting, nil
+		return nil
 	}
-	victim = least.idle[0]
+	victim := least.idle[0]
 	least.idle = slices.Delete(least.idle, 0, 1)
 	ps.open--
-	return nil, victim
+	return victim
 }
 
 // dial opens a connection in a place that is kept for it.
--- a/internal/upstream/pools_test.go
+++ b/internal/upstream/pools_test.go
@@ -211,6 +211,35 @@
 	}
 }
 
+// A lower bound closes what is idle, the least used first; a higher one lets calls go on
+// that wait.
+func TestBoundThatChanges(t *testing.T) {
+	f, now := &far{holds: 10}, newClock()
+	ps := farPools(t, f, now, func(c *Config) { c.MaxOpen = 4 })
+	busy, rare := ps.Endpoint(Endpoint{Name: "a"}), ps.Endpoint(Endpoint{Name: "b"})
+	out := take(t, busy)
+	for range 3 {
+		served(take(t, busy), Answered)
+	}
+	served(take(t, rare), Answered)
+	ps.Limit(2)
+	if f.open != 2 || len(rare.idle) != 0 {
+		t.Errorf("%d open, %d of them to the endpoint that is used least; want 2 and none", f.open, len(rare.idle))
+	}
+	ps.Limit(1)
+	got := make(chan error)
+	go func() {
+		_, err := rare.Take(context.Background())
+		got <- err
+	}()
+	for ps.Stats(1).Waiting == 0 {
+		runtime.Gosched()
+	}
+	ps.Limit(2)
+	must(t, <-got)
+	out.Done(Unused)
+}
+
 // Calls that wait for a capped endpoint are few, and end with their time; the first of
 // them gets the connection that comes back.
 func TestWaitingIsBounded(t *testing.T) {
