--- a/internal/node/journal.go
+++ b/internal/journal/journal.go
@@ -1,4 +1,4 @@
-package node
+package journal
 
 import (
 	"encoding/binary"
@@ -18,10 +18,13 @@
 )
 
 const (
-	// minDisk is the least room in which a journal of full bodies can be cleaned.
-	minDisk = 512 << 10
-	// maxBody is the longest body of a message.
-	maxBody = 64 << 10
+	// MinDisk is the least room in which a journal of full bodies can be cleaned.
+	MinDisk = 512 << 10
+	// MaxBody is the longest body of a message.
+	MaxBody = 64 << 10
+	// maxOver is how many ids of messages that are over are known still: more than a
+	// node takes on within any message's time.
+	maxOver = 4096
 	// recordHead is the length and the checksum before each record.
 	recordHead = 8
 	// ownShare is room counted for each message beyond what is written of it: its
@@ -42,74 +45,74 @@
 )
 
 var (
-	// errNoRoom refuses a message for which the journal has no room.
-	errNoRoom = errors.New("the journal is full")
-	// errLate says that a message which may have run can't be sent any more.
-	errLate = errors.New("the destination has forgotten the key")
-	// errGiven says that another process writes the journal now, or is about to.
-	errGiven = errors.New("the journal has been given away")
+	// ErrNoRoom refuses a message for which the journal has no room.
+	ErrNoRoom = errors.New("the journal is full")
+	// ErrLate says that a message which may have run can't be sent any more.
+	ErrLate = errors.New("the destination has forgotten the key")
+	// ErrGiven says that another process writes the journal now, or is about to.
+	ErrGiven = errors.New("the journal has been given away")
 	crcTable = crc32.MakeTable(crc32.Castagnoli)
 )
 
-// message is one message that the node has taken on.
-type message struct {
-	seq      policy.MessageID
-	id       string
-	key      string
-	class    int
-	dest     int
-	deadline time.Time
-	body     []byte
-	window   time.Duration // how long its key is remembered, 0 where it has none
+// Message is one message that the node has taken on.
+type Message struct {
+	Seq      policy.MessageID
+	ID       string
+	Key      string
+	Class    int
+	Dest     int
+	Deadline time.Time
+	Body     []byte
+	Window   time.Duration // how long its key is remembered, 0 where it has none
 
 	// The rest is owned by the journal.
-	past   past
-	notice *notice // the end that is owed, nil while it runs
-}
-
-// past is what a message has behind it, as the module counts it.
-type past struct {
-	attempts int
-	settled  bool // a finished attempt may have run
-	out      bool // the last attempt has no outcome yet
-	mayRun   bool
-	ranAt    time.Time
-	ranZone  int
+	Past   Past
+	Notice *Notice // the end that is owed, nil while it runs
+}
+
+// Past is what a message has behind it, as the module counts it.
+type Past struct {
+	Attempts int
+	Settled  bool // a finished attempt may have run
+	Out      bool // the last attempt has no outcome yet
+	MayRun   bool
+	RanAt    time.Time
+	RanZone  int
 	// Where and when the last attempt was sent; known to the process that sent it and
 	// to one that takes over from it, and not on disk.
-	outTo string
-	outAt time.Time
+	OutTo string
+	OutAt time.Time
 }
 
-func (p *past) attempt(endpoint string, zone int, at time.Time) {
-	p.attempts++
-	p.out, p.outTo, p.outAt = true, endpoint, at
-	if !p.mayRun {
-		p.mayRun, p.ranAt, p.ranZone = true, at, zone
+func (p *Past) attempt(endpoint string, zone int, at time.Time) {
+	p.Attempts++
+	p.Out, p.OutTo, p.OutAt = true, endpoint, at
+	if !p.MayRun {
+		p.MayRun, p.RanAt, p.RanZone = true, at, zone
 	}
 }
 
-func (p *past) outcome(neverRan bool) {
-	p.out = false
+func (p *Past) outcome(neverRan bool) {
+	p.Out = false
 	if !neverRan {
-		p.settled = true
-	} else if !p.settled {
-		p.mayRun = false
+		p.Settled = true
+	} else if !p.Settled {
+		p.MayRun = false
 	}
 }
 
-// memory is what the records tell of an endpoint, for the next life of the node.
-type memory struct {
-	sent     []time.Time // calls, one for a bundle
-	failedAt time.Time   // the last failure
-	backAt   time.Time   // the first success since, zero while there is none
+// Memory is what the records tell of an endpoint, for the next life of the node.
+type Memory struct {
+	Sent     []time.Time // calls, one for a bundle
+	FailedAt time.Time   // the last failure
+	BackAt   time.Time   // the first success since, zero while there is none
 }
 
-func (j *journal) remember(endpoint string) *memory {
-	if j.memories[endpoint] == nil {
-		j.memories[endpoint] = &memory{}
+func (j *Journal) remember(endpoint string) *Memory {
+	if j.Memories[endpoint] == nil {
+		j.Memories[endpoint] = &Memory{}
 	}
-	return j.memories[endpoint]
+	return j.Memories[endpoint]
 }
 
 // segment is one file of the journal.
@@ -118,11 +121,11 @@
 	size   int64
 }
 
-// journal keeps what outlasts the process: records in segments of one folder.
+// Journal keeps what outlasts the process: records in segments of one folder.
 // The oldest segment is cleaned first, by writing what still counts of it to the
 // newest: so an end never goes before the message that it ends. It is safe for
 // concurrent use.
-type journal struct {
+type Journal struct {
 	dir     string
 	limit   int64 // bytes in the folder at most
 	segSize int64
@@ -131,12 +134,12 @@
 	mu       sync.Mutex
 	file     *os.File // the newest segment
 	segments []segment
-	live     map[policy.MessageID]*message
+	live     map[policy.MessageID]*Message
 	home     map[policy.MessageID]uint64 // the segment with the last recTaken of each
 	liveSize int64
 	next     policy.MessageID
-	memories map[string]*memory // of the lives before this one
-	over     idRing             // of messages that those lives brought to their end
+	Memories map[string]*Memory // of the lives before this one
+	Over     IDRing             // of messages that those lives brought to their end
 	buf      []byte
 	given    bool              // another process writes it, or is about to
 	orders   map[string]uint64 // endpoints that the staff have taken out; the segment with the order
@@ -148,22 +151,22 @@
 
 func onDisk(n int64) int64 { return (n + block - 1) / block * block }
 
-// openJournal replays the journal in a folder. The messages that are owed
+// Open replays the journal in a folder. The messages that are owed
 // something come back in the order in which they were taken.
-func openJournal(dir string, limit int64, log *slog.Logger) (*journal, []*message, error) {
-	j, err := replayJournal(dir, limit, log)
+func Open(dir string, limit int64, log *slog.Logger) (*Journal, []*Message, error) {
+	j, err := Replay(dir, limit, log)
 	if err != nil {
 		return nil, nil, err
 	}
-	owed, err := j.begin(nil)
+	owed, err := j.Begin(nil)
 	return j, owed, err
 }
 
-// replayJournal reads what is in a folder and writes nothing.
-func replayJournal(dir string, limit int64, log *slog.Logger) (*journal, error) {
-	j := &journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, maxBody+4<<10),
-		live: map[policy.MessageID]*message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*memory{},
-		over: newIDRing(maxOver), orders: map[string]uint64{}}
+// Replay reads what is in a folder and writes nothing.
+func Replay(dir string, limit int64, log *slog.Logger) (*Journal, error) {
+	j := &Journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, MaxBody+4<<10),
+		live: map[policy.MessageID]*Message{}, home: map[policy.MessageID]uint64{}, Memories: map[string]*Memory{},
+		Over: NewIDRing(maxOver), orders: map[string]uint64{}}
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, fmt.Errorf("opening the journal: %w", err)
@@ -180,23 +183,23 @@
 	return j, nil
 }
 
-// begin makes this process the one that writes. Out are the attempts whose outcome
+// Begin makes this process the one that writes. Out are the attempts whose outcome
 // another process still waits for.
-func (j *journal) begin(out []attemptOut) ([]*message, error) {
+func (j *Journal) Begin(out []AttemptOut) ([]*Message, error) {
 	// Always a new segment: nothing is ever written behind a torn tail.
 	if err := j.roll(); err != nil {
 		return nil, err
 	}
-	waits := map[policy.MessageID]attemptOut{}
+	waits := map[policy.MessageID]AttemptOut{}
 	for _, a := range out {
 		waits[a.Message] = a
 	}
-	owed := make([]*message, 0, len(j.live))
+	owed := make([]*Message, 0, len(j.live))
 	for _, m := range j.live {
-		if a, ok := waits[m.seq]; ok && m.past.out {
-			m.past.outTo, m.past.outAt = a.Endpoint, a.At
-		} else if m.past.out { // when the process ended; it may have run, or may yet
-			m.past.out, m.past.settled = false, true
+		if a, ok := waits[m.Seq]; ok && m.Past.Out {
+			m.Past.OutTo, m.Past.OutAt = a.Endpoint, a.At
+		} else if m.Past.Out { // when the process ended; it may have run, or may yet
+			m.Past.Out, m.Past.Settled = false, true
 		}
 		owed = append(owed, m)
 		j.liveSize += cost(m)
@@ -204,40 +207,40 @@
 	for name := range j.orders {
 		j.liveSize += orderCost(name)
 	}
-	sort.Slice(owed, func(a, b int) bool { return owed[a].seq < owed[b].seq })
+	sort.Slice(owed, func(a, b int) bool { return owed[a].Seq < owed[b].Seq })
 	return owed, nil
 }
 
-// attemptOut is an attempt without an outcome yet.
-type attemptOut struct {
+// AttemptOut is an attempt without an outcome yet.
+type AttemptOut struct {
 	Message  policy.MessageID
 	Endpoint string
 	At       time.Time
 }
 
-// giveAway lets nothing more be written, and tells which attempts are out.
-func (j *journal) giveAway() []attemptOut {
+// GiveAway lets nothing more be written, and tells which attempts are out.
+func (j *Journal) GiveAway() []AttemptOut {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.given = true
-	var out []attemptOut
+	var out []AttemptOut
 	for _, m := range j.live {
-		if m.past.out {
-			out = append(out, attemptOut{Message: m.seq, Endpoint: m.past.outTo, At: m.past.outAt})
+		if m.Past.Out {
+			out = append(out, AttemptOut{Message: m.Seq, Endpoint: m.Past.OutTo, At: m.Past.OutAt})
 		}
 	}
 	return out
 }
 
-// takeBack goes on writing: nobody else has begun to.
-func (j *journal) takeBack() {
+// TakeBack goes on writing: nobody else has begun to.
+func (j *Journal) TakeBack() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.given = false
 }
 
 // replay reads one segment up to its end or its torn tail.
-func (j *journal) replay(n uint64) error {
+func (j *Journal) replay(n uint64) error {
 	data, err := os.ReadFile(segmentPath(j.dir, n))
 	if err != nil {
 		return fmt.Errorf("replaying the journal: %w", err)
@@ -268,27 +271,27 @@
 }
 
 // apply takes one record into the state.
-func (j *journal) apply(segment uint64, payload []byte) error {
+func (j *Journal) apply(segment uint64, payload []byte) error {
 	r := reader{b: payload}
 	kind, seq := r.u8(), policy.MessageID(r.uvarint())
 	j.next = max(j.next, seq+1)
 	m := j.live[seq]
 	switch kind {
 	case recTaken:
-		m = &message{seq: seq}
-		m.id, m.key = string(r.bytes()), string(r.bytes())
-		m.class, m.dest = int(r.uvarint()), int(r.uvarint())
-		m.deadline = time.UnixMicro(int64(r.uvarint()))
-		m.past.attempts, m.past.ranZone = int(r.uvarint()), int(r.uvarint())
+		m = &Message{Seq: seq}
+		m.ID, m.Key = string(r.bytes()), string(r.bytes())
+		m.Class, m.Dest = int(r.uvarint()), int(r.uvarint())
+		m.Deadline = time.UnixMicro(int64(r.uvarint()))
+		m.Past.Attempts, m.Past.RanZone = int(r.uvarint()), int(r.uvarint())
 		flags := r.u8()
-		m.past.settled, m.past.out, m.past.mayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
-		if at := r.uvarint(); m.past.mayRun {
-			m.past.ranAt = time.UnixMicro(int64(at))
+		m.Past.Settled, m.Past.Out, m.Past.MayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
+		if at := r.uvarint(); m.Past.MayRun {
+			m.Past.RanAt = time.UnixMicro(int64(at))
 		}
 		if flags&8 != 0 {
-			m.notice = r.notice(m.id)
+			m.Notice = r.notice(m.ID)
 		}
-		m.body = append([]byte(nil), r.bytes()...)
+		m.Body = append([]byte(nil), r.bytes()...)
 		if r.bad {
 			return io.ErrUnexpectedEOF
 		}
@@ -298,11 +301,11 @@
 		if r.bad {
 			break
 		}
-		if e := j.remember(name); len(e.sent) == 0 || !e.sent[len(e.sent)-1].Equal(at) {
-			e.sent = append(e.sent, at)
+		if e := j.remember(name); len(e.Sent) == 0 || !e.Sent[len(e.Sent)-1].Equal(at) {
+			e.Sent = append(e.Sent, at)
 		}
 		if m != nil {
-			m.past.attempt(name, zone, at)
+			m.Past.attempt(name, zone, at)
 		}
 	case recOutcome:
 		outcome, name, at := policy.Outcome(r.u8()), string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
@@ -310,24 +313,24 @@
 			break
 		}
 		if m != nil {
-			m.past.outcome(neverRan(outcome))
+			m.Past.outcome(neverRan(outcome))
 		}
 		switch outcome {
 		case policy.Failed, policy.TimedOut, policy.Unreachable, policy.Reset:
 			e := j.remember(name)
-			e.failedAt, e.backAt = at, time.Time{}
+			e.FailedAt, e.BackAt = at, time.Time{}
 		}
 	case recEnded:
 		if m != nil {
-			m.notice = r.notice(m.id)
+			m.Notice = r.notice(m.ID)
 		}
 	case recClosed:
 		name, at := string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
-		if e := j.remember(name); name != "" && !r.bad && e.backAt.IsZero() {
-			e.backAt = at
+		if e := j.remember(name); name != "" && !r.bad && e.BackAt.IsZero() {
+			e.BackAt = at
 		}
 		if m != nil {
-			j.over.add(m.id)
+			j.Over.Add(m.ID)
 		}
 		delete(j.live, seq)
 		delete(j.home, seq)
@@ -342,7 +345,7 @@
 		}
 		delete(j.orders, name)
 		e := j.remember(name) // it was restarted, and is cold
-		e.failedAt, e.backAt = at, at
+		e.FailedAt, e.BackAt = at, at
 	default:
 		return fmt.Errorf("unknown kind %d", kind)
 	}
@@ -353,117 +356,117 @@
 }
 
 // cost is the room that a message may take up until nothing is owed for it.
-func cost(m *message) int64 { return int64(len(m.body)+len(m.id)+len(m.key)) + ownShare }
+func cost(m *Message) int64 { return int64(len(m.Body)+len(m.ID)+len(m.Key)) + ownShare }
 
-// take journals a new message and numbers it.
-func (j *journal) take(m *message) error {
+// Take journals a new message and numbers it.
+func (j *Journal) Take(m *Message) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.given {
-		return errGiven
+		return ErrGiven
 	}
 	// Three segments are left: for records that no longer count, for the next one,
 	// and for a copy made while old and new lie there together.
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
-		return errNoRoom
+		return ErrNoRoom
 	}
-	m.seq = j.next
+	m.Seq = j.next
 	if err := j.append(takenRecord(m), m); err != nil {
 		return err
 	}
 	j.next++
-	j.live[m.seq] = m
+	j.live[m.Seq] = m
 	j.liveSize += cost(m)
 	return nil
 }
 
-// attempt journals that a message is about to be sent. The module counts the key's
+// Attempt journals that a message is about to be sent. The module counts the key's
 // window when it decides; making the connection may have taken until after it.
-func (j *journal) attempt(m *message, endpoint string, zone int, at time.Time) error {
+func (j *Journal) Attempt(m *Message, endpoint string, zone int, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.given {
-		return errGiven
+		return ErrGiven
 	}
-	if j.live[m.seq] == nil {
+	if j.live[m.Seq] == nil {
 		return nil
 	}
-	if m.window > 0 && m.past.mayRun && at.Sub(m.past.ranAt) >= m.window {
-		return errLate
+	if m.Window > 0 && m.Past.MayRun && at.Sub(m.Past.RanAt) >= m.Window {
+		return ErrLate
 	}
-	b := record(recAttempt, m.seq)
+	b := record(recAttempt, m.Seq)
 	b = appendBytes(b, []byte(endpoint))
 	b = binary.AppendUvarint(b, uint64(zone))
 	b = binary.AppendUvarint(b, uint64(at.UnixMicro()))
 	if err := j.append(b, nil); err != nil {
 		return err
 	}
-	m.past.attempt(endpoint, zone, at)
+	m.Past.attempt(endpoint, zone, at)
 	return nil
 }
 
-// outcome journals how the last attempt at a message ended.
-func (j *journal) outcome(m *message, o policy.Outcome, endpoint string, at time.Time) error {
+// Outcome journals how the last attempt at a message ended.
+func (j *Journal) Outcome(m *Message, o policy.Outcome, endpoint string, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.given {
-		return errGiven
+		return ErrGiven
 	}
-	if j.live[m.seq] == nil {
+	if j.live[m.Seq] == nil {
 		return nil
 	}
-	m.past.outcome(neverRan(o))
-	b := appendBytes(append(record(recOutcome, m.seq), byte(o)), []byte(endpoint))
+	m.Past.outcome(neverRan(o))
+	b := appendBytes(append(record(recOutcome, m.Seq), byte(o)), []byte(endpoint))
 	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
 }
 
-// ended journals that a message is over and that its notice is owed.
-func (j *journal) ended(m *message, n *notice) error {
+// Ended journals that a message is over and that its notice is owed.
+func (j *Journal) Ended(m *Message, n *Notice) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.given {
-		return errGiven
+		return ErrGiven
 	}
-	if j.live[m.seq] == nil {
+	if j.live[m.Seq] == nil {
 		return nil
 	}
-	m.notice = n
-	return j.append(appendNotice(record(recEnded, m.seq), n), nil)
+	m.Notice = n
+	return j.append(appendNotice(record(recEnded, m.Seq), n), nil)
 }
 
-// closed journals that nothing is owed for a message any more. It names the
+// Closed journals that nothing is owed for a message any more. It names the
 // endpoint that took it, if one did.
-func (j *journal) closed(m *message, endpoint string, at time.Time) error {
+func (j *Journal) Closed(m *Message, endpoint string, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.given {
-		return errGiven
+		return ErrGiven
 	}
-	if j.live[m.seq] == nil {
+	if j.live[m.Seq] == nil {
 		return nil
 	}
 	j.liveSize -= cost(m)
-	delete(j.live, m.seq)
-	delete(j.home, m.seq)
-	b := appendBytes(record(recClosed, m.seq), []byte(endpoint))
+	delete(j.live, m.Seq)
+	delete(j.home, m.Seq)
+	b := appendBytes(record(recClosed, m.Seq), []byte(endpoint))
 	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
 }
 
 func orderCost(endpoint string) int64 { return int64(len(endpoint)) + ownShare }
 
-// order journals that the staff take an endpoint out or let it serve again.
-func (j *journal) order(endpoint string, out bool, at time.Time) error {
+// Order journals that the staff take an endpoint out or let it serve again.
+func (j *Journal) Order(endpoint string, out bool, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.given {
-		return errGiven
+		return ErrGiven
 	}
 	if _, known := j.orders[endpoint]; known == out {
 		return nil
 	}
 	room := orderCost(endpoint)
 	if out && j.liveSize+room > j.limit-3*j.segSize {
-		return errNoRoom
+		return ErrNoRoom
 	}
 	if err := j.append(orderRecord(endpoint, out, at), nil); err != nil {
 		return err
@@ -478,8 +481,8 @@
 	return nil
 }
 
-// barred tells whether the staff have taken an endpoint out.
-func (j *journal) barred(endpoint string) bool {
+// Barred tells whether the staff have taken an endpoint out.
+func (j *Journal) Barred(endpoint string) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	_, out := j.orders[endpoint]
@@ -493,20 +496,20 @@
 // maxLeaving bounds these records in a long life.
 const maxLeaving = 256
 
-// leaves journals whether an endpoint was last told to drain or to be gone: the list that
+// Leaves journals whether an endpoint was last told to drain or to be gone: the list that
 // the next life starts with may be older than that.
-func (j *journal) leaves(endpoint string, leaves bool, at time.Time) error {
+func (j *Journal) Leaves(endpoint string, leaves bool, at time.Time) error {
 	j.mu.Lock()
 	full := len(j.orders) >= maxLeaving
 	j.mu.Unlock()
 	if leaves && full {
 		return nil
 	}
-	return j.order(leavingMark+endpoint, leaves, at)
+	return j.Order(leavingMark+endpoint, leaves, at)
 }
 
-// left tells whether an endpoint was last told to drain or to be gone.
-func (j *journal) left(endpoint string) bool { return j.barred(leavingMark + endpoint) }
+// Left tells whether an endpoint was last told to drain or to be gone.
+func (j *Journal) Left(endpoint string) bool { return j.Barred(leavingMark + endpoint) }
 
 func orderRecord(endpoint string, out bool, at time.Time) []byte {
 	flag := byte(0)
@@ -516,7 +519,7 @@
 	return binary.AppendUvarint(appendBytes(append(record(recOrder, 0), flag), []byte(endpoint)), uint64(at.UnixMicro()))
 }
 
-func (j *journal) close() error {
+func (j *Journal) Close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.file.Close()
@@ -524,7 +527,7 @@
 
 // append writes one record, after making room for it. Taken is the message that
 // the record holds whole, if it does.
-func (j *journal) append(payload []byte, taken *message) error {
+func (j *Journal) append(payload []byte, taken *Message) error {
 	size := int64(len(payload) + recordHead)
 	if err := j.makeRoom(size); err != nil {
 		return err
@@ -532,7 +535,7 @@
 	return j.write(payload, taken)
 }
 
-func (j *journal) write(payload []byte, taken *message) error {
+func (j *Journal) write(payload []byte, taken *Message) error {
 	size := int64(len(payload) + recordHead)
 	if last := &j.segments[len(j.segments)-1]; last.size > 0 && last.size+size > j.segSize {
 		if err := j.roll(); err != nil {
@@ -557,13 +560,13 @@
 	}
 	last.size += size
 	if taken != nil {
-		j.home[taken.seq] = last.number
+		j.home[taken.Seq] = last.number
 	}
 	return nil
 }
 
 // roll starts a new segment.
-func (j *journal) roll() error {
+func (j *Journal) roll() error {
 	n := uint64(1)
 	if len(j.segments) > 0 {
 		n = j.segments[len(j.segments)-1].number + 1
@@ -582,7 +585,7 @@
 	return nil
 }
 
-func (j *journal) diskSize() int64 {
+func (j *Journal) diskSize() int64 {
 	sum := int64(0)
 	for _, s := range j.segments {
 		sum += onDisk(s.size)
@@ -592,10 +595,10 @@
 
 // makeRoom cleans the oldest segments until a record fits, with a segment's room
 // to spare: a cleaned segment and its copy lie there together for a moment.
-func (j *journal) makeRoom(size int64) error {
+func (j *Journal) makeRoom(size int64) error {
 	for tries := 2 * len(j.segments); j.diskSize()+size+j.segSize+2*block > j.limit; tries-- {
 		if tries <= 0 || len(j.segments) < 2 {
-			return errNoRoom
+			return ErrNoRoom
 		}
 		if err := j.clean(); err != nil {
 			return err
@@ -605,15 +608,15 @@
 }
 
 // clean moves what still counts of the oldest segment on, and removes it.
-func (j *journal) clean() error {
+func (j *Journal) clean() error {
 	oldest := j.segments[0]
-	var move []*message
+	var move []*Message
 	for seq, n := range j.home {
 		if n == oldest.number {
 			move = append(move, j.live[seq])
 		}
 	}
-	sort.Slice(move, func(a, b int) bool { return move[a].seq < move[b].seq })
+	sort.Slice(move, func(a, b int) bool { return move[a].Seq < move[b].Seq })
 	for _, m := range move {
 		if err := j.write(takenRecord(m), m); err != nil {
 			return err
@@ -643,30 +646,30 @@
 }
 
 // takenRecord holds a message with all that lies behind it.
-func takenRecord(m *message) []byte {
-	b := record(recTaken, m.seq)
-	b = appendBytes(appendBytes(b, []byte(m.id)), []byte(m.key))
-	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.class)), uint64(m.dest))
-	b = binary.AppendUvarint(b, uint64(m.deadline.UnixMicro()))
-	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.past.attempts)), uint64(m.past.ranZone))
+func takenRecord(m *Message) []byte {
+	b := record(recTaken, m.Seq)
+	b = appendBytes(appendBytes(b, []byte(m.ID)), []byte(m.Key))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.Class)), uint64(m.Dest))
+	b = binary.AppendUvarint(b, uint64(m.Deadline.UnixMicro()))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.Past.Attempts)), uint64(m.Past.RanZone))
 	flags := byte(0)
-	for i, set := range []bool{m.past.settled, m.past.out, m.past.mayRun, m.notice != nil} {
+	for i, set := range []bool{m.Past.Settled, m.Past.Out, m.Past.MayRun, m.Notice != nil} {
 		if set {
 			flags |= 1 << i
 		}
 	}
 	ranAt := uint64(0)
-	if m.past.mayRun {
-		ranAt = uint64(m.past.ranAt.UnixMicro())
+	if m.Past.MayRun {
+		ranAt = uint64(m.Past.RanAt.UnixMicro())
 	}
 	b = binary.AppendUvarint(append(b, flags), ranAt)
-	if m.notice != nil {
-		b = appendNotice(b, m.notice)
+	if m.Notice != nil {
+		b = appendNotice(b, m.Notice)
 	}
-	return appendBytes(b, m.body)
+	return appendBytes(b, m.Body)
 }
 
-func appendNotice(b []byte, n *notice) []byte {
+func appendNotice(b []byte, n *Notice) []byte {
 	kind := byte(0)
 	if n.HandedBack() {
 		kind = 1
@@ -711,7 +714,12 @@
 	return v
 }
 
-func (r *reader) notice(id string) *notice {
+func (r *reader) notice(id string) *Notice {
 	handedBack, retry := r.u8() == 1, r.uvarint()
-	return newNotice(id, handedBack, time.Duration(retry)*time.Millisecond)
+	return NewNotice(id, handedBack, time.Duration(retry)*time.Millisecond)
+}
+
+// neverRan tells which outcomes prove that an attempt has not run.
+func neverRan(o policy.Outcome) bool {
+	return o == policy.Full || o == policy.Unreachable || o == policy.Moot
 }
--- /dev/null
+++ b/internal/journal/message.go
@@ -0,0 +1,63 @@
+package journal
+
+import "time"
+
+// Notice is the end of a message that was not delivered, in the platform's form.
+type Notice struct {
+	Message   string `json:"message"`
+	Outcome   string `json:"outcome"`
+	RetryInMs int64  `json:"retry_in_ms,omitempty"`
+}
+
+const (
+	givenUp    = "given_up"
+	handedBack = "handed_back"
+)
+
+// NewNotice says whether a message is handed back, and when its client may come again.
+func NewNotice(id string, back bool, wait time.Duration) *Notice {
+	if back {
+		return &Notice{Message: id, Outcome: handedBack, RetryInMs: wait.Milliseconds()}
+	}
+	return &Notice{Message: id, Outcome: givenUp}
+}
+
+// HandedBack tells whether the client may come again.
+func (n *Notice) HandedBack() bool { return n.Outcome == handedBack }
+
+// IDRing knows the last ids that were added to it, up to its size.
+type IDRing struct {
+	size  int
+	ids   []string
+	next  int
+	known map[string]struct{}
+}
+
+// NewIDRing knows up to so many ids.
+func NewIDRing(size int) IDRing {
+	return IDRing{size: size, ids: make([]string, 0, size), known: make(map[string]struct{}, size)}
+}
+
+// Has tells whether an id is known.
+func (r *IDRing) Has(id string) bool {
+	_, ok := r.known[id]
+	return ok
+}
+
+// Len is how many ids are known.
+func (r *IDRing) Len() int { return len(r.ids) }
+
+// Add makes an id known, in place of the one known for longest where there is no room.
+func (r *IDRing) Add(id string) {
+	if r.size == 0 || r.Has(id) {
+		return
+	}
+	if len(r.ids) < r.size {
+		r.ids = append(r.ids, id)
+	} else {
+		delete(r.known, r.ids[r.next])
+		r.ids[r.next] = id
+		r.next = (r.next + 1) % r.size
+	}
+	r.known[id] = struct{}{}
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"wingmount/internal/journal"
 	"wingmount/internal/upstream"
 	"wingmount/policy"
 )
@@ -73,7 +74,7 @@
 
 // part is one message of a call.
 type part struct {
-	message *message
+	message *journal.Message
 	attempt int
 	timeout time.Duration
 	over    bool // its outcome has been told; guarded by the call
@@ -97,7 +98,7 @@
 // caller makes calls. Each runs in a goroutine of its own.
 type caller struct {
 	pools    *upstream.Pools
-	journal  *journal
+	journal  *journal.Journal
 	owner    *ownership
 	log      *slog.Logger
 	reported []string // names of the values in a load report
@@ -105,7 +106,7 @@
 	running  sync.WaitGroup
 }
 
-func newCaller(c Config, j *journal, log *slog.Logger, tell func(policy.Event)) *caller {
+func newCaller(c Config, j *journal.Journal, log *slog.Logger, tell func(policy.Event)) *caller {
 	connect := c.Settings.ConnectTimeout
 	if connect <= 0 {
 		connect = time.Second
@@ -166,8 +167,8 @@
 		return
 	}
 	for _, p := range k.parts {
-		if err := c.journal.attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
-			c.log.Warn("call: not sent", "id", p.message.id, "err", err)
+		if err := c.journal.Attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
+			c.log.Warn("call: not sent", "id", p.message.ID, "err", err)
 			conn.Done(upstream.Unused)
 			c.endAll(k, policy.Moot, 0, false)
 			return
@@ -217,17 +218,17 @@
 
 // request writes the call.
 func (k *call) request(ctx context.Context) (*http.Request, error) {
-	path, body := "/events", k.parts[0].message.body
+	path, body := "/events", k.parts[0].message.Body
 	if len(k.parts) > 1 {
 		path = "/events/bundle"
 		var b bytes.Buffer
 		for _, p := range k.parts {
-			key := p.message.key
+			key := p.message.Key
 			if key == "" {
 				key = "-"
 			}
-			fmt.Fprintf(&b, "%s %s %d\r\n", p.message.id, key, len(p.message.body))
-			b.Write(p.message.body)
+			fmt.Fprintf(&b, "%s %s %d\r\n", p.message.ID, key, len(p.message.Body))
+			b.Write(p.message.Body)
 			b.WriteString("\r\n")
 		}
 		body = b.Bytes()
@@ -239,8 +240,8 @@
 	req.Header.Set("User-Agent", "") // leaves it out
 	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, (k.limit-time.Since(k.started)).Milliseconds()), 10))
 	if len(k.parts) == 1 {
-		req.Header.Set("X-Request-ID", k.parts[0].message.id)
-		if key := k.parts[0].message.key; key != "" {
+		req.Header.Set("X-Request-ID", k.parts[0].message.ID)
+		if key := k.parts[0].message.Key; key != "" {
 			req.Header.Set("Idempotency-Key", key)
 		}
 	}
@@ -295,7 +296,7 @@
 		c.log.Warn("call: unreadable answer", "endpoint", k.endpoint.name, "err", err)
 	}
 	for _, p := range k.parts {
-		switch ends[p.message.id] {
+		switch ends[p.message.ID] {
 		case "done":
 			c.end(k, p, policy.Delivered, wait, false)
 		case "failed":
@@ -393,19 +394,19 @@
 		return
 	}
 	err := c.record(k, p, outcome, over)
-	for errors.Is(err, errGiven) {
+	for errors.Is(err, journal.ErrGiven) {
 		to, _ := c.owner.owner(context.Background()) // settled within handoverTimeout
 		if to != nil {
-			c.passOn(to, endedCall{Message: p.message.seq, Outcome: outcome, Wait: wait, Over: over, Told: told}, p.attempted)
+			c.passOn(to, endedCall{Message: p.message.Seq, Outcome: outcome, Wait: wait, Over: over, Told: told}, p.attempted)
 			return
 		}
 		err = c.record(k, p, outcome, over)
 	}
 	if err != nil {
 		// The attempt alone is on record then: after a restart it may have run.
-		c.log.Error("journal: outcome", "id", p.message.id, "err", err)
+		c.log.Error("journal: outcome", "id", p.message.ID, "err", err)
 	}
-	c.tell(policy.Ended{Message: p.message.seq, Attempt: p.attempt, Endpoint: k.endpoint.id, Outcome: outcome,
+	c.tell(policy.Ended{Message: p.message.Seq, Attempt: p.attempt, Endpoint: k.endpoint.id, Outcome: outcome,
 		Wait: wait, Final: over || outcome == policy.Delivered, Took: time.Since(k.started), Told: told})
 }
 
@@ -413,11 +414,11 @@
 func (c *caller) record(k *call, p *part, outcome policy.Outcome, over bool) error {
 	switch {
 	case outcome == policy.Delivered:
-		return c.journal.closed(p.message, k.endpoint.name, time.Now())
+		return c.journal.Closed(p.message, k.endpoint.name, time.Now())
 	case over:
-		return c.journal.closed(p.message, "", time.Now())
+		return c.journal.Closed(p.message, "", time.Now())
 	}
-	return c.journal.outcome(p.message, outcome, k.endpoint.name, time.Now())
+	return c.journal.Outcome(p.message, outcome, k.endpoint.name, time.Now())
 }
 
 // passOn tells the process that owns the message now how its call ended. It knows
@@ -430,8 +431,3 @@
 		c.log.Error("handover: outcome", "message", e.Message, "err", err)
 	}
 }
-
-// neverRan tells which outcomes prove that an attempt has not run.
-func neverRan(o policy.Outcome) bool {
-	return o == policy.Full || o == policy.Unreachable || o == policy.Moot
-}
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"wingmount/internal/journal"
 	"wingmount/internal/upstream"
 	"wingmount/policy"
 )
@@ -24,13 +25,13 @@
 	caller   *caller
 	endpoint *endpoint
 	outcomes chan policy.Ended
-	journal  *journal
+	journal  *journal.Journal
 	seq      int
 }
 
 func newCallRig(t *testing.T, addr string) *callRig {
 	r := &callRig{t: t, outcomes: make(chan policy.Ended, 16)}
-	r.journal, _ = mustOpen(t, t.TempDir(), minDisk)
+	r.journal, _ = mustOpen(t, t.TempDir(), journal.MinDisk)
 	c := Config{IdleClose: 15 * time.Second}
 	c.Settings.ConnectTimeout = time.Second
 	r.caller = newCaller(c, r.journal, quietLog(), func(e policy.Event) { r.outcomes <- e.(policy.Ended) })
@@ -43,14 +44,14 @@
 	return r
 }
 
-func (r *callRig) start(limit time.Duration, n int) []*message {
+func (r *callRig) start(limit time.Duration, n int) []*journal.Message {
 	r.t.Helper()
 	k := &call{endpoint: r.endpoint, addr: r.endpoint.addr, started: time.Now(), limit: limit}
-	var messages []*message
+	var messages []*journal.Message
 	for range n {
 		r.seq++
 		m := newMessage(fmt.Sprint("id", r.seq), 20)
-		must(r.t, r.journal.take(m))
+		must(r.t, r.journal.Take(m))
 		k.parts = append(k.parts, &part{message: m, timeout: limit})
 		messages = append(messages, m)
 	}
@@ -183,8 +184,8 @@
 	if e := r.next(); e.Outcome != policy.Unreachable {
 		t.Errorf("outcome %v, want unreachable", e.Outcome)
 	}
-	if m.past.mayRun || m.past.attempts != 0 {
-		t.Errorf("the journal has %+v of a call that was never sent", m.past)
+	if m.Past.MayRun || m.Past.Attempts != 0 {
+		t.Errorf("the journal has %+v of a call that was never sent", m.Past)
 	}
 }
 
@@ -205,7 +206,7 @@
 	if err := <-gone; err != nil {
 		t.Errorf("the connection was left open: %v", err)
 	}
-	if !m.past.mayRun {
+	if !m.Past.MayRun {
 		t.Error("a call that timed out may have run")
 	}
 }
@@ -229,7 +230,7 @@
 			if e := r.next(); e.Outcome != policy.Moot || e.Final {
 				t.Errorf("outcome %+v, want moot", e)
 			}
-			if m.past.mayRun {
+			if m.Past.MayRun {
 				t.Error("it may have run, says the journal")
 			}
 			r.caller.running.Wait()
@@ -285,7 +286,7 @@
 			for i, m := range messages {
 				got := r.next()
 				want := c.want[i]
-				want.Message, want.Endpoint, want.Took = m.seq, 1, got.Took
+				want.Message, want.Endpoint, want.Took = m.Seq, 1, got.Took
 				if got != want {
 					t.Errorf("message %d: %+v, want %+v", i, got, want)
 				}
@@ -347,10 +348,10 @@
 		want policy.Outcome
 	}{"within": {5 * time.Second, policy.Delivered}, "after": {13 * time.Second, policy.Moot}} {
 		m := newMessage(name, 5)
-		m.window = 12 * time.Second
-		must(t, r.journal.take(m))
-		must(t, r.journal.attempt(m, "e1", 0, time.Now().Add(-c.ago)))
-		must(t, r.journal.outcome(m, policy.TimedOut, "e1", time.Now()))
+		m.Window = 12 * time.Second
+		must(t, r.journal.Take(m))
+		must(t, r.journal.Attempt(m, "e1", 0, time.Now().Add(-c.ago)))
+		must(t, r.journal.Outcome(m, policy.TimedOut, "e1", time.Now()))
 		r.caller.start(context.Background(), &call{endpoint: r.endpoint, addr: addr, started: time.Now(),
 			limit: 5 * time.Second, parts: []*part{{message: m, timeout: 5 * time.Second}}})
 		if e := r.next(); e.Outcome != c.want {
@@ -362,7 +363,7 @@
 // The bundle's form is fixed by the protocol.
 func TestBundleForm(t *testing.T) {
 	a, b := newMessage("a", 0), newMessage("b", 0)
-	a.body, a.key, b.body = []byte("hello"), "", []byte("x\r\ny")
+	a.Body, a.Key, b.Body = []byte("hello"), "", []byte("x\r\ny")
 	k := &call{addr: "127.0.0.1:1", limit: time.Second, started: time.Now(), parts: []*part{{message: a}, {message: b}}}
 	req, err := k.request(context.Background())
 	must(t, err)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"wingmount/internal/journal"
 	"wingmount/internal/wire"
 	"wingmount/policy"
 )
@@ -125,7 +126,7 @@
 	if c.State == "" {
 		return Config{}, errors.New("PROXY_STATE is not set")
 	}
-	if c.DiskBytes < minDisk {
+	if c.DiskBytes < journal.MinDisk {
 		return Config{}, fmt.Errorf("limits.disk_mb is %v, less than a journal needs", f.Limits.DiskMB)
 	}
 	if f.Seed != "" {
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"wingmount/internal/journal"
 	"wingmount/policy"
 )
 
@@ -199,7 +200,7 @@
 			return http.StatusOK, "done"
 		case errors.Is(err, errUnknownHost):
 			return http.StatusNotFound, err.Error()
-		case !errors.Is(err, errGiven):
+		case !errors.Is(err, journal.ErrGiven):
 			return http.StatusServiceUnavailable, err.Error()
 		}
 	}
@@ -224,11 +225,11 @@
 	}
 	id := policy.EndpointID(hash(o.host))
 	e := l.endpoints[id]
-	if e == nil && !l.journal.barred(o.host) {
+	if e == nil && !l.journal.Barred(o.host) {
 		o.reply <- errUnknownHost
 		return
 	}
-	if err := l.journal.order(o.host, o.out, time.Now()); err != nil {
+	if err := l.journal.Order(o.host, o.out, time.Now()); err != nil {
 		o.reply <- err
 		return
 	}
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"wingmount/internal/journal"
 )
 
 const (
@@ -22,49 +24,27 @@
 	noticeBatch   = 64
 )
 
-// notice is the end of a message that was not delivered, in the platform's form.
-type notice struct {
-	Message   string `json:"message"`
-	Outcome   string `json:"outcome"`
-	RetryInMs int64  `json:"retry_in_ms,omitempty"`
-}
-
-const (
-	givenUp    = "given_up"
-	handedBack = "handed_back"
-)
-
-func newNotice(id string, back bool, wait time.Duration) *notice {
-	if back {
-		return &notice{Message: id, Outcome: handedBack, RetryInMs: wait.Milliseconds()}
-	}
-	return &notice{Message: id, Outcome: givenUp}
-}
-
-// HandedBack tells whether the client may come again.
-func (n *notice) HandedBack() bool { return n.Outcome == handedBack }
-
 // finals tells the platform of messages that ended undelivered, again and again
 // until it has answered: only then is nothing owed any more.
 type finals struct {
 	agent   *agent
 	client  *http.Client
-	journal *journal
+	journal *journal.Journal
 	log     *slog.Logger
 
 	mu    sync.Mutex
-	queue []*message
+	queue []*journal.Message
 	more  chan struct{} // holds a token while the queue may hold messages
 }
 
-func newFinals(a *agent, j *journal, log *slog.Logger) *finals {
+func newFinals(a *agent, j *journal.Journal, log *slog.Logger) *finals {
 	return &finals{agent: a, journal: j, log: log,
 		more:   make(chan struct{}, 1),
 		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{DisableCompression: true}}}
 }
 
 // add queues the notice of a message. It never waits.
-func (f *finals) add(m *message) {
+func (f *finals) add(m *journal.Message) {
 	f.mu.Lock()
 	f.queue = append(f.queue, m)
 	f.mu.Unlock()
@@ -74,7 +54,7 @@
 	}
 }
 
-func (f *finals) take() []*message {
+func (f *finals) take() []*journal.Message {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := f.queue
@@ -86,7 +66,7 @@
 // still, and the journal has it.
 func (f *finals) run(ctx context.Context) {
 	defer f.client.CloseIdleConnections()
-	var pending []*message
+	var pending []*journal.Message
 	for {
 		pending = append(pending, f.take()...)
 		if len(pending) == 0 {
@@ -107,12 +87,12 @@
 		if err == nil && status == http.StatusNoContent {
 			closed := 0
 			for _, m := range batch {
-				err = f.journal.closed(m, "", time.Now())
-				if errors.Is(err, errGiven) {
+				err = f.journal.Closed(m, "", time.Now())
+				if errors.Is(err, journal.ErrGiven) {
 					break // whoever owns the journal then sends it again, which does no harm
 				}
 				if err != nil {
-					f.log.Error("journal: notice answered", "id", m.id, "err", err)
+					f.log.Error("journal: notice answered", "id", m.ID, "err", err)
 				}
 				closed++
 			}
@@ -133,11 +113,11 @@
 	}
 }
 
-func (f *finals) post(ctx context.Context, batch []*message) (int, error) {
+func (f *finals) post(ctx context.Context, batch []*journal.Message) (int, error) {
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body)
 	for _, m := range batch {
-		if err := enc.Encode(m.notice); err != nil {
+		if err := enc.Encode(m.Notice); err != nil {
 			return 0, fmt.Errorf("writing a notice: %w", err)
 		}
 	}
@@ -152,6 +132,6 @@
 		return 0, err
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody)) // for reuse of the connection only
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, journal.MaxBody)) // for reuse of the connection only
 	return resp.StatusCode, nil
 }
--- a/internal/node/finals_test.go
+++ b/internal/node/finals_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"wingmount/internal/journal"
 )
 
 type roundTrip func(*http.Request) (*http.Response, error)
@@ -15,7 +17,7 @@
 // Connections to the agent may hang. A notice lands in time though three tries do.
 func TestNoticeLandsInTimeThoughTriesHang(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		j, _ := mustOpen(t, t.TempDir(), minDisk)
+		j, _ := mustOpen(t, t.TempDir(), journal.MinDisk)
 		f := newFinals(newAgent("127.0.0.1:1"), j, quietLog())
 		ctx, cancel := context.WithCancel(t.Context())
 		start, tries := time.Now(), 0
@@ -28,8 +30,8 @@
 			return &http.Response{StatusCode: http.StatusNoContent, Body: http.NoBody}, nil
 		})
 		m := newMessage("a", 1)
-		must(t, j.take(m))
-		m.notice = newNotice(m.id, false, 0)
+		must(t, j.Take(m))
+		m.Notice = journal.NewNotice(m.ID, false, 0)
 		f.add(m)
 		f.run(ctx)
 		if took := time.Since(start); tries != 4 || took > 300*time.Millisecond {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"wingmount/internal/journal"
 	"wingmount/internal/upstream"
 	"wingmount/policy"
 )
@@ -99,7 +100,7 @@
 	Revision  int64
 	Members   []member
 	Gates     []gateState
-	Out       []attemptOut
+	Out       []journal.AttemptOut
 	Memory    policy.Memory
 	Connected int // clients' connections that the old process still has
 	Pools     []upstream.Learnt
@@ -201,8 +202,8 @@
 
 // estate is what a process starts with.
 type estate struct {
-	journal *journal
-	owed    []*message
+	journal *journal.Journal
+	owed    []*journal.Message
 	lock    *os.File  // held while this process owns the journal; nil where there is one process only
 	before  *link     // to the process before this one, if it lives
 	told    *snapshot // by that process
@@ -217,7 +218,7 @@
 			return nil, err
 		}
 		if lock != nil {
-			j, owed, err := openJournal(c.State, c.DiskBytes, log)
+			j, owed, err := journal.Open(c.State, c.DiskBytes, log)
 			if err != nil {
 				return nil, errors.Join(err, lock.Close())
 			}
@@ -275,7 +276,7 @@
 		return fail("what the old process tells", err)
 	}
 	HandoverStep("new: told")
-	j, err := replayJournal(c.State, c.DiskBytes, log)
+	j, err := journal.Replay(c.State, c.DiskBytes, log)
 	if err != nil {
 		return fail("replaying", err)
 	}
@@ -294,7 +295,7 @@
 	if err != nil {
 		return fail("taking over", err)
 	}
-	owed, err := j.begin(told.Out)
+	owed, err := j.Begin(told.Out)
 	if err != nil {
 		return fail("taking over", errors.Join(err, lock.Close()))
 	}
@@ -412,7 +413,7 @@
 		err = h.letGo(l)
 	}
 	if err != nil { // it has written nothing
-		h.loop.journal.takeBack()
+		h.loop.journal.TakeBack()
 		h.owner.set(owning, nil)
 		g.gone <- false
 		return err
@@ -423,7 +424,7 @@
 	h.owner.set(given, l)
 	g.gone <- true
 	h.retire()
-	if err := h.loop.journal.close(); err != nil {
+	if err := h.loop.journal.Close(); err != nil {
 		h.log.Warn("handover: closing the journal", "err", err)
 	}
 	return nil
@@ -455,7 +456,7 @@
 // again. It tells whether all is given away.
 func (l *loop) giveAway(g *giveaway) bool {
 	l.owner.set(giving, nil)
-	s := snapshot{Out: l.journal.giveAway(), Memory: l.sender.Memory(), Revision: l.revision, Pools: l.caller.pools.Memory()}
+	s := snapshot{Out: l.journal.GiveAway(), Memory: l.sender.Memory(), Revision: l.revision, Pools: l.caller.pools.Memory()}
 	for _, e := range l.endpoints {
 		s.Members = append(s.Members, e.last)
 		s.Gates = append(s.Gates, gateState{ID: e.name, ClosedFrom: e.leaves.closedFrom.Load(), ClosedUntil: e.waits.closedUntil.Load()})
@@ -471,7 +472,7 @@
 // inherit takes over what the old process told, before the first message.
 func (l *loop) inherit(s *snapshot) {
 	l.origin = time.Now().Add(clockStart - s.Elapsed - time.Since(s.At))
-	clear(l.journal.memories) // the old process knows more
+	clear(l.journal.Memories) // the old process knows more
 	l.caller.pools.Inherit(s.Pools)
 	known := list{Revision: s.Revision, Complete: true}
 	leaving := list{Revision: s.Revision}
@@ -507,9 +508,9 @@
 }
 
 // expect keeps the call of a message that the old process waits for.
-func (h *heir) expect(m *message, e *endpoint) {
+func (h *heir) expect(m *journal.Message, e *endpoint) {
 	e.out++
-	h.out[m.seq] = &call{endpoint: e, started: m.past.outAt, parts: []*part{{message: m, attempted: true}}}
+	h.out[m.Seq] = &call{endpoint: e, started: m.Past.OutAt, parts: []*part{{message: m, attempted: true}}}
 }
 
 // run takes in what the old process passes on, until that has ended. Whatever it had
@@ -540,8 +541,8 @@
 func (h *heir) answer(p passedOn) answer {
 	switch {
 	case p.Message != nil:
-		status, text := h.intake.take(&message{id: p.Message.ID, key: p.Message.Key, class: p.Message.Class,
-			dest: p.Message.Dest, deadline: p.Message.Deadline, body: p.Message.Body})
+		status, text := h.intake.take(&journal.Message{ID: p.Message.ID, Key: p.Message.Key, Class: p.Message.Class,
+			Dest: p.Message.Dest, Deadline: p.Message.Deadline, Body: p.Message.Body})
 		return answer{Status: status, Text: text}
 	case p.Ended != nil:
 		if k := h.out[p.Ended.Message]; k != nil {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -11,15 +11,14 @@
 	"strings"
 	"sync"
 	"time"
+
+	"wingmount/internal/journal"
 )
 
 const (
 	maxID = 256
 	// fullRetry is what a client is told that finds the hold full.
 	fullRetry = time.Second
-	// maxOver is how many ids of messages that are over are known still: more than a
-	// node takes on within any message's time.
-	maxOver = 4096
 	// maxTimeout bounds what a client may ask for.
 	maxTimeout = 24 * time.Hour
 )
@@ -29,15 +28,15 @@
 type intake struct {
 	names   names
 	keyed   []bool // per class: a message needs a key
-	journal *journal
+	journal *journal.Journal
 	owner   *ownership
 	log     *slog.Logger
 	maxHeld int
-	accept  func(*message)
+	accept  func(*journal.Message)
 
 	mu      sync.Mutex
 	held    map[string]bool // ids of messages that have not ended; true once taken
-	over    idRing          // ids of messages taken that are over
+	over    journal.IDRing  // ids of messages taken that are over
 	closing bool            // answers close their connections
 	refuse  bool            // nothing is taken any more
 }
@@ -104,7 +103,7 @@
 }
 
 // take takes a message on, here or in the process that has taken over.
-func (in *intake) take(m *message) (status int, why string) {
+func (in *intake) take(m *journal.Message) (status int, why string) {
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), linkTimeout)
 		to, err := in.owner.owner(ctx)
@@ -115,24 +114,24 @@
 		if to != nil {
 			return in.passOn(to, m)
 		}
-		again, ok := in.reserve(m.id)
+		again, ok := in.reserve(m.ID)
 		if again { // sent once more by a client that did not hear the answer
 			return http.StatusAccepted, ""
 		}
 		if !ok {
 			return http.StatusServiceUnavailable, "the hold is full"
 		}
-		switch err := in.journal.take(m); {
+		switch err := in.journal.Take(m); {
 		case err == nil:
-			in.taken(m.id)
+			in.taken(m.ID)
 			in.accept(m)
 			return http.StatusAccepted, ""
-		case errors.Is(err, errGiven):
-			in.ended(m.id) // the next round knows who has it
+		case errors.Is(err, journal.ErrGiven):
+			in.ended(m.ID) // the next round knows who has it
 		default:
-			in.ended(m.id)
-			if !errors.Is(err, errNoRoom) {
-				in.log.Error("intake: not journaled", "id", m.id, "err", err)
+			in.ended(m.ID)
+			if !errors.Is(err, journal.ErrNoRoom) {
+				in.log.Error("intake: not journaled", "id", m.ID, "err", err)
 			}
 			return http.StatusServiceUnavailable, "the journal takes no more"
 		}
@@ -140,13 +139,13 @@
 }
 
 // passOn hands a message to the process that has taken over.
-func (in *intake) passOn(to *link, m *message) (status int, why string) {
-	a, sent, err := to.pass(passedOn{Message: &handedIn{ID: m.id, Key: m.key, Class: m.class, Dest: m.dest,
-		Deadline: m.deadline, Body: m.body}})
+func (in *intake) passOn(to *link, m *journal.Message) (status int, why string) {
+	a, sent, err := to.pass(passedOn{Message: &handedIn{ID: m.ID, Key: m.Key, Class: m.Class, Dest: m.Dest,
+		Deadline: m.Deadline, Body: m.Body}})
 	if err == nil {
 		return a.Status, a.Text
 	}
-	in.log.Error("handover: message", "id", m.id, "err", err)
+	in.log.Error("handover: message", "id", m.ID, "err", err)
 	if sent { // it may have been taken on: that handing it in again does no harm can't be said
 		return http.StatusInternalServerError, "not known to be taken on"
 	}
@@ -154,7 +153,7 @@
 }
 
 // read checks a request and reads its message.
-func (in *intake) read(r *http.Request) (*message, error) {
+func (in *intake) read(r *http.Request) (*journal.Message, error) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class, ok := in.names.classes[name]
 	if !ok {
@@ -169,29 +168,29 @@
 	if r.Header.Get("X-Priority-Class") != name {
 		return nil, bad("X-Priority-Class must name the class of the path")
 	}
-	m := &message{id: r.Header.Get("X-Request-ID"), key: r.Header.Get("Idempotency-Key"), class: class}
-	if !validWord(m.id) {
+	m := &journal.Message{ID: r.Header.Get("X-Request-ID"), Key: r.Header.Get("Idempotency-Key"), Class: class}
+	if !validWord(m.ID) {
 		return nil, bad("X-Request-ID is missing or malformed")
 	}
-	if in.keyed[class] && m.key == "" || m.key != "" && !validWord(m.key) {
+	if in.keyed[class] && m.Key == "" || m.Key != "" && !validWord(m.Key) {
 		return nil, bad("Idempotency-Key is missing or malformed")
 	}
 	ms, err := strconv.ParseInt(r.Header.Get("X-Timeout-Ms"), 10, 64)
 	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
 		return nil, bad("X-Timeout-Ms is missing or malformed")
 	}
-	m.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	if m.dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
+	m.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	if m.Dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
 		return nil, bad("X-Route-To: %v", err)
 	}
 	if r.ContentLength < 0 || r.Header.Get("Content-Length") == "" {
 		return nil, bad("Content-Length is missing")
 	}
-	if r.ContentLength > maxBody {
+	if r.ContentLength > journal.MaxBody {
 		return nil, badRequest{http.StatusRequestEntityTooLarge, "over 64 KiB"}
 	}
-	m.body = make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, m.body); err != nil {
+	m.Body = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, m.Body); err != nil {
 		return nil, fmt.Errorf("reading the body: %w", err)
 	}
 	return m, nil
@@ -216,43 +215,12 @@
 	return 0, errors.New("dest is missing")
 }
 
-// idRing knows the last ids that were added to it, up to its size.
-type idRing struct {
-	size  int
-	ids   []string
-	next  int
-	known map[string]struct{}
-}
-
-func newIDRing(size int) idRing {
-	return idRing{size: size, ids: make([]string, 0, size), known: make(map[string]struct{}, size)}
-}
-
-func (r *idRing) has(id string) bool {
-	_, ok := r.known[id]
-	return ok
-}
-
-func (r *idRing) add(id string) {
-	if r.size == 0 || r.has(id) {
-		return
-	}
-	if len(r.ids) < r.size {
-		r.ids = append(r.ids, id)
-	} else {
-		delete(r.known, r.ids[r.next])
-		r.ids[r.next] = id
-		r.next = (r.next + 1) % r.size
-	}
-	r.known[id] = struct{}{}
-}
-
 // reserve keeps a place in the hold. Again tells that the message was taken already:
 // it is held, or it is over, and whoever hands it in once more is owed nothing new.
 func (in *intake) reserve(id string) (again, ok bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.over.has(id) {
+	if in.over.Has(id) {
 		return true, false
 	}
 	if taken, known := in.held[id]; known {
@@ -283,7 +251,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.held[id] {
-		in.over.add(id)
+		in.over.Add(id)
 	}
 	delete(in.held, id)
 }
@@ -292,7 +260,7 @@
 func (in *intake) wasOver(id string) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.over.add(id)
+	in.over.Add(id)
 }
 
 // close makes every answer the last of its connection, so that clients go
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -15,14 +15,15 @@
 
 	"golang.org/x/net/netutil"
 
+	"wingmount/internal/journal"
 	"wingmount/policy"
 )
 
 // newIntake has one keyed class and remembers what it accepts.
-func newIntake(t *testing.T, accepted *[]*message) *intake {
-	j, _ := mustOpen(t, t.TempDir(), minDisk)
+func newIntake(t *testing.T, accepted *[]*journal.Message) *intake {
+	j, _ := mustOpen(t, t.TempDir(), journal.MinDisk)
 	return &intake{names: names{classes: map[string]int{"note": 0}}, keyed: []bool{true}, journal: j,
-		log: quietLog(), maxHeld: 2, held: map[string]bool{}, accept: func(m *message) { *accepted = append(*accepted, m) }}
+		log: quietLog(), maxHeld: 2, held: map[string]bool{}, accept: func(m *journal.Message) { *accepted = append(*accepted, m) }}
 }
 
 func noteRequest(ctx context.Context, id string) *http.Request {
@@ -37,13 +38,13 @@
 // net/http ends a request's context also when the client has only closed its
 // sending side: it waits for the answer, and one without a message taken loses it.
 func TestEndedContextIsNoReasonToDrop(t *testing.T) {
-	var accepted []*message
+	var accepted []*journal.Message
 	in := newIntake(t, &accepted)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	w := httptest.NewRecorder()
 	in.ServeHTTP(w, noteRequest(ctx, "a"))
-	if w.Code != http.StatusAccepted || len(accepted) != 1 || string(accepted[0].body) != "body" {
+	if w.Code != http.StatusAccepted || len(accepted) != 1 || string(accepted[0].Body) != "body" {
 		t.Errorf("answered %d with %d messages taken, want 202 and one", w.Code, len(accepted))
 	}
 }
@@ -57,27 +58,27 @@
 		in.ServeHTTP(w, noteRequest(context.Background(), id))
 		return w.Code
 	}
-	var accepted []*message
+	var accepted []*journal.Message
 	in := newIntake(t, &accepted)
-	in.journal, _ = mustOpen(t, dir, minDisk)
-	in.over = newIDRing(2)
+	in.journal, _ = mustOpen(t, dir, journal.MinDisk)
+	in.over = journal.NewIDRing(2)
 	for range 2 {
 		if code := hand(in, "a"); code != http.StatusAccepted || len(accepted) != 1 {
 			t.Fatalf("answered %d with %d messages taken, want 202 and one", code, len(accepted))
 		}
-		must(t, in.journal.closed(accepted[0], "e1", time.Now()))
+		must(t, in.journal.Closed(accepted[0], "e1", time.Now()))
 		in.ended("a")
 	}
-	next, owed := mustOpen(t, dir, minDisk)
-	if len(owed) != 0 || !next.over.has("a") {
-		t.Errorf("the next life is owed %d messages and knows %v", len(owed), next.over.ids)
+	next, owed := mustOpen(t, dir, journal.MinDisk)
+	if len(owed) != 0 || !next.Over.Has("a") {
+		t.Errorf("the next life is owed %d messages and knows %d ids", len(owed), next.Over.Len())
 	}
 	for _, id := range []string{"b", "c", "d"} {
 		hand(in, id)
 		in.ended(id)
 	}
-	if in.over.has("b") || !in.over.has("c") || !in.over.has("d") || len(in.over.ids) != 2 {
-		t.Errorf("ids known %v, want the last two", in.over.ids)
+	if in.over.Has("b") || !in.over.Has("c") || !in.over.Has("d") || in.over.Len() != 2 {
+		t.Errorf("%d ids known, want the last two", in.over.Len())
 	}
 }
 
@@ -95,7 +96,7 @@
 		"no length at all":          fmt.Sprintf(head, "/note", "outer") + "\r\n" + inner,
 	} {
 		t.Run(name, func(t *testing.T) {
-			var accepted []*message
+			var accepted []*journal.Message
 			in := newIntake(t, &accepted)
 			server := httptest.NewServer(in)
 			defer server.Close()
@@ -139,7 +140,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var accepted []*message
+				var accepted []*journal.Message
 				in := newIntake(t, &accepted)
 				listener, server := make(pipes), newServer(in, newClients(0), in.log)
 				go func() { _ = server.Serve(listener) }()
@@ -162,7 +163,7 @@
 // Strangers that hold all places with a request each do not keep a client waiting.
 func TestIdleStrangersMakeRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var accepted []*message
+		var accepted []*journal.Message
 		in := newIntake(t, &accepted)
 		inner := make(pipes)
 		server := newServer(in, newClients(4), in.log)
@@ -189,7 +190,7 @@
 // own request comes in pieces over more than 2 s.
 func TestSlowClientAmongStrangers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var accepted []*message
+		var accepted []*journal.Message
 		in := newIntake(t, &accepted)
 		inner := make(pipes)
 		const places = 8
@@ -234,9 +235,9 @@
 
 // A journal that can't be written refuses, frees the place and never crashes.
 func TestFailedJournalRefuses(t *testing.T) {
-	var accepted []*message
+	var accepted []*journal.Message
 	in := newIntake(t, &accepted)
-	must(t, in.journal.close())
+	must(t, in.journal.Close())
 	for _, id := range []string{"a", "b", "c", "a"} {
 		w := httptest.NewRecorder()
 		in.ServeHTTP(w, noteRequest(context.Background(), id))
@@ -254,7 +255,7 @@
 func TestListsThatMakeNoSense(t *testing.T) {
 	l := &loop{names: names{kinds: map[string]int{"general": 0}, zones: map[string]int{"a": 0}}, log: quietLog(),
 		settings: policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: 1},
-		journal:  &journal{}, endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
+		journal:  &journal.Journal{}, endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
 		caller: newCaller(Config{}, nil, quietLog(), nil)}
 	entry := func(id, phase string) member {
 		return member{ID: id, HostPort: "127.0.0.1:1", Locality: "a", Flavor: "general", Cell: 3, Phase: phase, Size: 1}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"wingmount/internal/journal"
 	"wingmount/internal/upstream"
 	"wingmount/policy"
 )
@@ -21,12 +22,12 @@
 	names     names
 	log       *slog.Logger
 	caller    *caller
-	journal   *journal
+	journal   *journal.Journal
 	finals    *finals
 	intake    *intake
 	peers     *peers // nil where notes are not allowed
 	origin    time.Time
-	events    chan any      // policy.Event, list, *order or *message
+	events    chan any      // policy.Event, list, *order or *journal.Message
 	done      chan struct{} // closed when the loop has ended
 	quieted   chan struct{} // closed when no call is started any more
 	owner     *ownership
@@ -35,7 +36,7 @@
 	revision  int64          // of the last list
 	orders    []policy.Event // for endpoints that are listed for the first time
 	obeyed    []*order       // the module hears of them in the next step
-	held      map[policy.MessageID]*message
+	held      map[policy.MessageID]*journal.Message
 	endpoints map[policy.EndpointID]*endpoint
 	waits     map[int]*gate // by destination, where routes share a limit
 	batch     []policy.Event
@@ -112,8 +113,8 @@
 // take turns what has come into an event of the module.
 func (l *loop) take(e any) {
 	switch e := e.(type) {
-	case *message:
-		l.held[e.seq] = e
+	case *journal.Message:
+		l.held[e.Seq] = e
 		l.batch = append(l.batch, l.arrived(e))
 	case list:
 		l.revision = e.Revision
@@ -139,24 +140,24 @@
 	}
 }
 
-func (l *loop) arrived(m *message) policy.Arrived {
-	now, class := l.now(), l.settings.Classes[m.class]
-	a := policy.Arrived{Message: m.seq, Destination: m.dest, Class: m.class, GiveUpAt: now + time.Until(m.deadline)}
-	if p := m.past; p.attempts > 0 {
-		a.Past = policy.Past{Attempts: p.attempts, MayRun: p.mayRun, RanZone: p.ranZone}
-		if p.mayRun {
-			a.Past.RanAt = l.past(p.ranAt)
+func (l *loop) arrived(m *journal.Message) policy.Arrived {
+	now, class := l.now(), l.settings.Classes[m.Class]
+	a := policy.Arrived{Message: m.Seq, Destination: m.Dest, Class: m.Class, GiveUpAt: now + time.Until(m.Deadline)}
+	if p := m.Past; p.Attempts > 0 {
+		a.Past = policy.Past{Attempts: p.Attempts, MayRun: p.MayRun, RanZone: p.RanZone}
+		if p.MayRun {
+			a.Past.RanAt = l.past(p.RanAt)
 		}
-		if p.out { // by its wall clock, the same for all messages of a bundle
-			a.Past.Out, a.Past.OutTo = true, policy.EndpointID(hash(p.outTo))
-			a.Past.OutSince, a.Past.Settled = min(l.now(), clockStart+p.outAt.Sub(l.origin)), p.settled
+		if p.Out { // by its wall clock, the same for all messages of a bundle
+			a.Past.Out, a.Past.OutTo = true, policy.EndpointID(hash(p.OutTo))
+			a.Past.OutSince, a.Past.Settled = min(l.now(), clockStart+p.OutAt.Sub(l.origin)), p.Settled
 		}
 	}
 	if class.Repeat == policy.Deduplicated {
-		m.window = class.Window
+		m.Window = class.Window
 	}
-	if class.Ordered && m.key != "" {
-		a.Key = hash(m.key) | 1
+	if class.Ordered && m.Key != "" {
+		a.Key = hash(m.Key) | 1
 	}
 	return a
 }
@@ -216,7 +217,7 @@
 				e.waits = l.waits[m.Cell]
 			}
 			l.endpoints[id] = e
-			if l.journal.barred(e.name) {
+			if l.journal.Barred(e.name) {
 				e.barred.Store(true)
 				l.orders = append(l.orders, policy.Ordered{Endpoint: id, Out: true})
 			}
@@ -269,7 +270,7 @@
 
 // recordLeaving keeps what the list tells for the next life of the node.
 func (l *loop) recordLeaving(e *endpoint, leaves bool) {
-	if err := l.journal.leaves(e.name, leaves, time.Now()); err != nil {
+	if err := l.journal.Leaves(e.name, leaves, time.Now()); err != nil {
 		l.log.Warn("journal: what the list tells", "endpoint", e.name, "err", err)
 	}
 }
@@ -282,23 +283,23 @@
 // just been given: its backlog must not go to one that is out or cold, and the
 // calls of late count for the limits still.
 func (l *loop) remind() {
-	for name, m := range l.journal.memories {
+	for name, m := range l.journal.Memories {
 		id := policy.EndpointID(hash(name))
 		if l.endpoints[id] == nil {
 			continue
 		}
 		r := policy.Remembered{Endpoint: id}
-		for _, at := range m.sent {
+		for _, at := range m.Sent {
 			r.Sent = append(r.Sent, l.past(at))
 		}
-		if !m.failedAt.IsZero() {
-			r.Failed, r.FailedAt = true, l.past(m.failedAt)
-			if !m.backAt.IsZero() {
-				r.Back, r.BackAt = true, l.past(m.backAt)
+		if !m.FailedAt.IsZero() {
+			r.Failed, r.FailedAt = true, l.past(m.FailedAt)
+			if !m.BackAt.IsZero() {
+				r.Back, r.BackAt = true, l.past(m.BackAt)
 			}
 		}
 		l.batch = append(l.batch, r)
-		delete(l.journal.memories, name)
+		delete(l.journal.Memories, name)
 	}
 }
 
@@ -382,16 +383,16 @@
 	if m == nil {
 		return
 	}
-	n := newNotice(m.id, back, wait)
-	if err := l.journal.ended(m, n); err != nil {
-		l.log.Error("journal: end", "id", m.id, "err", err)
+	n := journal.NewNotice(m.ID, back, wait)
+	if err := l.journal.Ended(m, n); err != nil {
+		l.log.Error("journal: end", "id", m.ID, "err", err)
 	}
-	l.log.Debug("ended", "id", m.id, "dest", m.dest, "outcome", n.Outcome, "left", time.Until(m.deadline))
+	l.log.Debug("ended", "id", m.ID, "dest", m.Dest, "outcome", n.Outcome, "left", time.Until(m.Deadline))
 	l.forget(m)
 	l.finals.add(m)
 }
 
-func (l *loop) forget(m *message) {
-	delete(l.held, m.seq)
-	l.intake.ended(m.id)
+func (l *loop) forget(m *journal.Message) {
+	delete(l.held, m.Seq)
+	l.intake.ended(m.ID)
 }
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"wingmount/internal/journal"
 	"wingmount/policy"
 )
 
@@ -30,21 +31,21 @@
 		calls <- seen{req.URL.Path, len(body)}
 		fmt.Fprint(conn, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
 	})
-	j, _ := mustOpen(t, t.TempDir(), minDisk)
+	j, _ := mustOpen(t, t.TempDir(), journal.MinDisk)
 	settings := policy.Settings{Senders: 1, Slots: 8, MaxHeld: 100, MaxAttempts: 6, Tick: 5 * time.Millisecond,
 		Kinds: []policy.Kind{{RoutesApart: true, BundleMax: 5}}, ConnectTimeout: time.Second,
 		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 12 * time.Second,
 			Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1}}}
 	l := &loop{sender: policy.New(settings, 1), settings: settings, log: quietLog(), journal: j, origin: time.Now(),
 		names: names{kinds: map[string]int{"major": 0}, zones: map[string]int{"a": 0}}, finals: newFinals(newAgent("127.0.0.1:1"), j, quietLog()),
-		intake: &intake{held: map[string]bool{}}, held: map[policy.MessageID]*message{},
+		intake: &intake{held: map[string]bool{}}, held: map[policy.MessageID]*journal.Message{},
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
 	outcomes := make(chan policy.Event, 8)
 	l.caller = newCaller(Config{Settings: settings, IdleClose: time.Minute}, j, quietLog(), func(e policy.Event) { outcomes <- e })
 	l.take(list{Complete: true, Members: []member{{ID: "s1", HostPort: addr, Locality: "a", Flavor: "major", Cell: 7, Phase: "active"}}})
 	for i := range 5 {
 		m := newMessage(fmt.Sprint("m", i), 10)
-		must(t, j.take(m))
+		must(t, j.Take(m))
 		l.take(m)
 	}
 	l.step(context.Background())
@@ -74,7 +75,7 @@
 // An endpoint that is gone leaves nothing behind, but for a call that is still out and a
 // wait that was told for its destination.
 func TestEndpointsThatAreGoneAreForgotten(t *testing.T) {
-	j, _ := mustOpen(t, t.TempDir(), minDisk)
+	j, _ := mustOpen(t, t.TempDir(), journal.MinDisk)
 	l := &loop{names: names{kinds: map[string]int{"m": 0}, zones: map[string]int{"a": 0}}, log: quietLog(), journal: j,
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, caller: newCaller(Config{}, j, quietLog(), nil)}
 	come := func(n int, phase string) policy.EndpointID {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/net/netutil"
 
+	"wingmount/internal/journal"
 	"wingmount/policy"
 )
 
@@ -69,10 +70,10 @@
 		defer e.lock.Close() // again, where it was let go of at a handover
 	}
 	j := e.journal
-	quit := func(err error) error { return errors.Join(err, listener.Close(), j.close()) }
+	quit := func(err error) error { return errors.Join(err, listener.Close(), j.Close()) }
 	for _, m := range e.owed {
-		if m.class >= len(c.Settings.Classes) {
-			return quit(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.class))
+		if m.Class >= len(c.Settings.Classes) {
+			return quit(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.Class))
 		}
 	}
 	places := 0
@@ -91,18 +92,18 @@
 		sender: policy.New(c.Settings, c.Seed), settings: c.Settings, names: c.Names, log: log,
 		journal: j, finals: newFinals(a, j, log), intake: in, origin: time.Now(),
 		events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
-		held: map[policy.MessageID]*message{}, owner: owner, giveaways: make(chan *giveaway),
+		held: map[policy.MessageID]*journal.Message{}, owner: owner, giveaways: make(chan *giveaway),
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
 	}
 	l.caller = newCaller(c, j, log, func(e policy.Event) { l.post(e) })
 	l.caller.owner = owner
-	in.accept = func(m *message) { l.post(m) }
+	in.accept = func(m *journal.Message) { l.post(m) }
 	if c.Settings.MayTell && c.PeerBind != "" && c.PeersAll != "" {
 		if l.peers, err = openPeers(c, log, func(e policy.Event) { l.post(e) }); err != nil {
 			return quit(err)
 		}
 	}
-	in.over = j.over
+	in.over = j.Over
 	known := int64(-1)
 	switch {
 	case e.told != nil:
@@ -110,7 +111,7 @@
 		known = e.told.Revision
 	case len(c.Known.Members) > 0:
 		for i, m := range c.Known.Members {
-			if j.left(m.ID) { // told to an earlier life; this list may be older
+			if j.Left(m.ID) { // told to an earlier life; this list may be older
 				c.Known.Members[i].Phase = "leaving"
 			}
 		}
@@ -124,17 +125,17 @@
 		before = &heir{link: e.before, intake: in, caller: l.caller, loop: l, log: log, out: map[policy.MessageID]*call{}}
 	}
 	for _, m := range e.owed {
-		if m.past.out {
-			if to := l.endpoints[policy.EndpointID(hash(m.past.outTo))]; to != nil {
+		if m.Past.Out {
+			if to := l.endpoints[policy.EndpointID(hash(m.Past.OutTo))]; to != nil {
 				before.expect(m, to)
 			}
 		}
-		if m.notice != nil {
-			in.wasOver(m.id)
+		if m.Notice != nil {
+			in.wasOver(m.ID)
 			l.finals.add(m)
 			continue
 		}
-		in.taken(m.id)
+		in.taken(m.ID)
 		l.take(m)
 	}
 
@@ -210,7 +211,7 @@
 		_ = to.conn.Close() // it may have been closed for an error
 		return err
 	}
-	return errors.Join(err, j.close())
+	return errors.Join(err, j.Close())
 }
 
 // begin opens the journal and the clients' listener: the platform's where it holds
@@ -227,13 +228,13 @@
 		}
 		return e, listener, nil
 	}
-	j, owed, err := openJournal(c.State, c.DiskBytes, log)
+	j, owed, err := journal.Open(c.State, c.DiskBytes, log)
 	if err != nil {
 		return nil, nil, err
 	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return nil, nil, errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
+		return nil, nil, errors.Join(fmt.Errorf("listening for clients: %w", err), j.Close())
 	}
 	return &estate{journal: j, owed: owed}, listener, nil
 }
