--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -3,22 +3,51 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"wingmount/internal/journal"
 	"wingmount/internal/node"
 )
 
+const usage = `usage: wingmount [flags]      a delivery node; PROXY_CONFIG and PROXY_STATE say how and where
+       wingmount check DIR    reads a state folder and changes nothing;
+                              exit 0: sound, 1: damaged, 2: not usable
+flags:
+`
+
+// largest is the largest file that check reads.
+const largest = 64 << 20
+
+// options are the parts that are switched on.
+type options struct{ warm, sync bool }
+
 func main() {
-	warm := flag.Bool("warm", false, "open connections to endpoints ahead, for as many calls at once as there were of late; "+
+	flags := flag.NewFlagSet("wingmount", flag.ContinueOnError)
+	var o options
+	flags.BoolVar(&o.warm, "warm", false, "open connections to endpoints ahead, for as many calls at once as there were of late;\n"+
 		"each costs its endpoint a handshake and a place, in every node that does so")
-	flag.Parse()
-	if flag.NArg() > 0 {
-		fmt.Fprintf(os.Stderr, "wingmount: %q is no flag\n", flag.Arg(0))
+	flags.BoolVar(&o.sync, "sync", false, "take a message on, and make a call that may not be repeated, only when that outlasts\n"+
+		"a loss of power; the folder is then for this version or a newer one")
+	flags.Usage = func() {
+		fmt.Fprint(flags.Output(), usage)
+		flags.PrintDefaults()
+	}
+	switch err := flags.Parse(os.Args[1:]); {
+	case errors.Is(err, flag.ErrHelp):
+		return
+	case err != nil:
+		os.Exit(1)
+	case flags.NArg() == 2 && flags.Arg(0) == "check" && flags.NFlag() == 0:
+		os.Exit(check(flags.Arg(1), os.Stdout))
+	case flags.NArg() > 0:
+		fmt.Fprintf(os.Stderr, "wingmount: %q is neither a flag nor 'check DIR'\n", flags.Arg(0))
 		os.Exit(1)
 	}
 	level := slog.LevelInfo
@@ -30,17 +59,45 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, *warm, hangups, log); err != nil {
+	if err := run(ctx, o, hangups, log); err != nil {
 		fmt.Fprintf(os.Stderr, "wingmount: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, warm bool, hangups <-chan os.Signal, log *slog.Logger) error {
+func run(ctx context.Context, o options, hangups <-chan os.Signal, log *slog.Logger) error {
 	c, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
-	c.Warm = warm
+	c.Warm, c.Sync = o.warm, o.sync
 	return node.Run(ctx, c, hangups, log)
 }
+
+// check tells what is in a state folder; it returns the exit status.
+func check(dir string, out io.Writer) int {
+	lock, err := journal.Lock(dir)
+	if err != nil {
+		fmt.Fprintf(out, "not usable: %v\n", err)
+		return 2
+	}
+	if lock == nil {
+		fmt.Fprintln(out, "in use by a running node: what is being written meanwhile may look torn")
+	} else {
+		_ = lock.Close() // a node may start meanwhile
+	}
+	report, err := journal.Check(journal.Dir(dir), largest)
+	if err != nil {
+		fmt.Fprintf(out, "not usable: %v\n", err)
+		return 2
+	}
+	if err := report.Write(out); err != nil {
+		return 2
+	}
+	if report.Damaged() {
+		fmt.Fprintln(out, "damaged")
+		return 1
+	}
+	fmt.Fprintln(out, "sound")
+	return 0
+}
--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -49,6 +49,8 @@
 	dir       string
 	listen    string
 	config    string // the file that the node was last started with
+	settings  string
+	flags     []string
 
 	mu       sync.Mutex
 	answer   func(id string) int // 0 for none
@@ -62,7 +64,7 @@
 }
 
 func newPlatform(t *testing.T) *platform {
-	p := &platform{t: t, dir: t.TempDir(), calls: map[string]int{}, finals: map[string]string{},
+	p := &platform{t: t, dir: t.TempDir(), settings: settings, calls: map[string]int{}, finals: map[string]string{},
 		answer: func(string) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
 	p.endpoint = httptest.NewServer(http.HandlerFunc(p.serveEndpoint))
@@ -194,7 +196,7 @@
 	p.t.Helper()
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
-		p.listen, p.discovery.Listener.Addr(), settings)
+		p.listen, p.discovery.Listener.Addr(), p.settings)
 	must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
 }
 
@@ -203,7 +205,7 @@
 	p.t.Helper()
 	p.config = filepath.Join(p.t.TempDir(), "config.json")
 	p.configure()
-	n := &process{cmd: exec.Command(os.Args[0]), end: make(chan error, 1)}
+	n := &process{cmd: exec.Command(os.Args[0], p.flags...), end: make(chan error, 1)}
 	n.cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+p.config, "PROXY_STATE="+p.dir,
 		"PROXY_DISCOVERY="+p.discovery.Listener.Addr().String(),
 		"GORACE=atexit_sleep_ms=0") // the race detector would add a second to each end
--- /dev/null
+++ b/internal/journal/damage_test.go
@@ -0,0 +1,578 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"wingmount/policy"
+)
+
+// golden is the script that the version in service wrote testdata/v1 with.
+func golden(t *testing.T, j *Journal) {
+	at := time.UnixMicro(1764600000123456)
+	msg := func(i, size int) *Message {
+		m := &Message{ID: fmt.Sprint("id", i), Key: fmt.Sprint("k", i), Class: i % 2, Dest: i, Deadline: at.Add(24 * time.Hour), Body: make([]byte, size)}
+		for k := range m.Body {
+			m.Body[k] = byte(k * 7)
+		}
+		if i%2 == 0 {
+			m.Key = ""
+		}
+		must(t, j.Take(m))
+		return m
+	}
+	var ms []*Message
+	for i := range 9 {
+		ms = append(ms, msg(i, []int{0, 10, 300, 5000}[i%4]))
+	}
+	for i, o := range []policy.Outcome{policy.Full, policy.TimedOut, policy.Unreachable, policy.Reset} {
+		must(t, j.Attempt(ms[i], "e1", i%2, at.Add(time.Duration(i)*time.Second)))
+		must(t, j.Outcome(ms[i], o, "e1", at.Add(time.Duration(i)*time.Second+time.Millisecond)))
+	}
+	must(t, j.Attempt(ms[4], "e2", 1, at))
+	must(t, j.Attempt(ms[5], "e2", 0, at))
+	must(t, j.Closed(ms[5], "e2", at.Add(time.Second)))
+	must(t, j.Ended(ms[6], NewNotice("id6", true, 500*time.Millisecond)))
+	must(t, j.Ended(ms[7], NewNotice("id7", false, 0)))
+	must(t, j.Closed(ms[7], "", at.Add(time.Second)))
+	must(t, j.Order("e3", true, at))
+	must(t, j.Order("e4", true, at))
+	must(t, j.Order("e4", false, at.Add(time.Second)))
+	must(t, j.Leaves("e5", true, at))
+	for i := range 20 { // over two segments
+		must(t, j.Closed(msg(100+i, 5000), "", at))
+	}
+}
+
+func readFolder(t *testing.T, dir string) map[string][]byte {
+	t.Helper()
+	files, err := os.ReadDir(dir)
+	must(t, err)
+	out := map[string][]byte{}
+	for _, f := range files {
+		if out[f.Name()], err = os.ReadFile(filepath.Join(dir, f.Name())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
+
+// Without syncs the folder is, byte for byte, what the version before wrote.
+func TestOffChangesNothingOnDisk(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := mustOpen(t, dir, MinDisk)
+	golden(t, j)
+	must(t, j.Sync())
+	must(t, j.Close())
+	got, want := readFolder(t, dir), readFolder(t, filepath.Join("testdata", "v1"))
+	if len(got) != len(want) {
+		t.Errorf("%d files, want %d", len(got), len(want))
+	}
+	for name := range want {
+		if !bytes.Equal(got[name], want[name]) {
+			t.Errorf("%s differs", name)
+		}
+	}
+	if j.syncer.count != 0 {
+		t.Errorf("%d syncs", j.syncer.count)
+	}
+}
+
+// A folder of the version before is read, with syncs and without, and what is then
+// written is read by either again.
+func TestFolderOfTheVersionBefore(t *testing.T) {
+	for _, sync := range [][2]bool{{false, false}, {false, true}, {true, false}, {true, true}} {
+		dir := t.TempDir()
+		must(t, os.CopyFS(dir, os.DirFS(filepath.Join("testdata", "v1"))))
+		for life, on := range sync {
+			j, owed, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: on})
+			must(t, err)
+			got := map[string]*Message{}
+			for _, m := range owed {
+				got[m.ID] = m
+			}
+			if len(got) != 7+life || got["id5"] != nil || got["id7"] != nil || len(got["id3"].Body) != 5000 || got["id3"].Dest != 3 {
+				t.Fatalf("sync %v, life %d: owed %d", sync, life, len(got))
+			}
+			for id, run := range map[string]bool{"id0": false, "id1": true, "id2": false, "id3": true, "id4": true, "id8": false} {
+				if got[id].Past.MayRun != run {
+					t.Errorf("sync %v, life %d: %s came back with %+v", sync, life, id, got[id].Past)
+				}
+			}
+			if n := got["id6"].Notice; n == nil || !n.HandedBack() || !j.Barred("e3") || j.Barred("e4") || !j.Left("e5") || !j.Over.Has("id5") {
+				t.Errorf("sync %v, life %d: notice %v, orders %v", sync, life, n, j.orders)
+			}
+			if len(j.recovery.report.Problems) > 0 {
+				t.Errorf("sync %v, life %d: %v", sync, life, j.recovery.report.Problems)
+			}
+			must(t, j.Take(&Message{ID: fmt.Sprint("life", life), Deadline: time.Now(), Body: []byte("x")}))
+			must(t, j.Close())
+		}
+	}
+}
+
+// small is a journal of two charges and a safe message, in each state, in one segment.
+func small(t *testing.T, sync bool) (d *disk, j *Journal) {
+	d = newDisk()
+	j, _, err := Open(Options{Folder: d, Limit: MinDisk, Sync: sync})
+	must(t, err)
+	at := time.UnixMicro(1764600000123456)
+	for _, id := range []string{"c-sent", "c-full", "s", "c-new", "c-done"} {
+		m := &Message{ID: id, Deadline: at, Body: []byte("body of " + id)}
+		must(t, j.Take(m))
+		if id == "c-new" {
+			continue
+		}
+		must(t, j.Attempt(m, "e1", 0, at))
+		switch id {
+		case "c-full":
+			must(t, j.Outcome(m, policy.Full, "e1", at))
+			must(t, j.Attempt(m, "e1", 0, at))
+		case "c-done":
+			must(t, j.Closed(m, "e1", at))
+		}
+	}
+	must(t, j.Order("e9", true, at))
+	return d, j
+}
+
+// One flipped bit, wherever it is: the start goes on, says what it found, and sends no
+// charge again that was sent. What it has mended is sound at the next start; one of two
+// headers stays spoilt, and is told of again.
+func TestOneFlippedBit(t *testing.T) {
+	for _, sync := range []bool{false, true} {
+		d, j := small(t, sync)
+		must(t, j.Close())
+		sound := d.names[segmentPath(1)].data
+		for bit := range len(sound) * 8 {
+			spoilt := bytes.Clone(sound)
+			spoilt[bit/8] ^= 1 << (bit % 8)
+			for _, last := range []bool{true, false} { // or with a segment behind it
+				d := newDisk()
+				d.names[segmentPath(1)] = &inode{data: bytes.Clone(spoilt)}
+				if !last {
+					d.names[segmentPath(2)] = &inode{}
+				}
+				what := fmt.Sprintf("sync %v, bit %d of %d, last %v", sync, bit, len(sound)*8, last)
+				report, err := Check(d, MinDisk)
+				must(t, err)
+				if d.ops > 0 || !bytes.Equal(d.names[segmentPath(1)].data, spoilt) {
+					t.Fatalf("%s: check has changed something", what)
+				}
+				if len(report.Problems) == 0 {
+					t.Errorf("%s: passed over in silence", what)
+				}
+				var first string
+				for start := range 2 {
+					j, owed, err := Open(Options{Folder: d, Limit: MinDisk, Sync: sync})
+					if err != nil {
+						t.Fatalf("%s: %v", what, err)
+					}
+					for _, m := range owed {
+						if m.ID != "c-new" && m.ID != "s" && !m.Past.MayRun {
+							t.Errorf("%s: %s would be sent again", what, m.ID)
+						}
+					}
+					if start == 0 {
+						first = state(j, owed)
+					} else if second := state(j, owed); second != first || len(j.recovery.report.Problems) > 0 && bit/8 >= headers {
+						t.Errorf("%s: then %s and %+v, first %s", what, second, j.recovery.report.Problems, first)
+					}
+					must(t, j.Close())
+				}
+				if t.Failed() {
+					return
+				}
+			}
+		}
+	}
+}
+
+// What is wrong with a folder, what a start makes of it, and what it finds then.
+func TestDamagedFolders(t *testing.T) {
+	for name, c := range map[string]struct {
+		spoil   func(t *testing.T, dir string)
+		damaged bool
+		owed    int // of 12 messages in four segments
+		aside   int
+	}{
+		"sound":            {func(*testing.T, string) {}, false, 12, 0},
+		"zeros at the end": {func(t *testing.T, dir string) { grow(t, dir, 4, make([]byte, 5000)) }, false, 12, 0},
+		"absurd length": {func(t *testing.T, dir string) {
+			grow(t, dir, 4, append(binary.LittleEndian.AppendUint32(nil, 1<<31), make([]byte, 8)...))
+		}, true, 12, 1},
+		"garbage at the end":   {func(t *testing.T, dir string) { grow(t, dir, 4, bytes.Repeat([]byte("garbage"), 99)) }, true, 12, 1},
+		"half a record":        {func(t *testing.T, dir string) { shorten(t, dir, 4, 7) }, false, 11, 0},
+		"half a middle record": {func(t *testing.T, dir string) { shorten(t, dir, 2, 7) }, true, 11, 1},
+		"missing in the middle": {func(t *testing.T, dir string) { must(t, os.Remove(filepath.Join(dir, segmentPath(2)))) },
+			true, 9, 0},
+		"two missing": {func(t *testing.T, dir string) {
+			must(t, os.Remove(filepath.Join(dir, segmentPath(2))))
+			must(t, os.Remove(filepath.Join(dir, segmentPath(3))))
+		}, true, 6, 0},
+		"another's number": {func(t *testing.T, dir string) {
+			data, err := os.ReadFile(filepath.Join(dir, segmentPath(2)))
+			must(t, err)
+			must(t, os.WriteFile(filepath.Join(dir, segmentPath(3)), data, 0o600))
+		}, true, 9, 1},
+		"foreign files": {func(t *testing.T, dir string) {
+			for _, n := range []string{"journal-1", "journal-00000000000000020", "journal-x", "notes", "damaged-x", "journal-0000000000000000"} {
+				must(t, os.WriteFile(filepath.Join(dir, n), []byte("x"), 0o600))
+			}
+			must(t, os.Mkdir(filepath.Join(dir, "folder"), 0o700))
+		}, false, 12, 0},
+		"too large": {func(t *testing.T, dir string) {
+			must(t, os.Truncate(filepath.Join(dir, segmentPath(3)), 1<<40))
+		}, true, 9, 0},
+		"a checkpoint begun": {func(t *testing.T, dir string) {
+			must(t, os.WriteFile(filepath.Join(dir, checkpointName), []byte("wingj"), 0o600))
+		}, false, 12, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			four(t, dir)
+			c.spoil(t, dir)
+			report, err := Check(Dir(dir), MinDisk)
+			must(t, err)
+			if report.Damaged() != c.damaged || report.Owed != c.owed {
+				t.Errorf("damaged %v and %d owed, want %v and %d: %+v", report.Damaged(), report.Owed, c.damaged, c.owed, report.Problems)
+			}
+			first := ""
+			for start := range 2 {
+				j, owed, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: true})
+				must(t, err)
+				if start == 0 {
+					first = state(j, owed)
+				} else if second := state(j, owed); second != first || len(j.recovery.report.Problems) > 0 {
+					t.Errorf("then %s and %+v, first %s", second, j.recovery.report.Problems, first)
+				}
+				if len(owed) != c.owed || len(j.aside) != c.aside {
+					t.Errorf("%d owed and %d set aside, want %d and %d", len(owed), len(j.aside), c.owed, c.aside)
+				}
+				must(t, j.Close())
+			}
+			if files := names(t, dir); strings.Contains(files, checkpointName) {
+				t.Errorf("left over: %s", files)
+			}
+		})
+	}
+}
+
+func names(t *testing.T, dir string) string {
+	files, err := os.ReadDir(dir)
+	must(t, err)
+	var names []string
+	for _, f := range files {
+		names = append(names, f.Name())
+	}
+	return strings.Join(names, " ")
+}
+
+// four writes 12 messages, three in each of four segments.
+func four(t *testing.T, dir string) {
+	for s := range 4 {
+		j, _, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: true})
+		must(t, err)
+		for i := range 3 {
+			must(t, j.Take(&Message{ID: fmt.Sprint("m", s, i), Deadline: time.Now(), Body: bytes.Repeat([]byte{1, 2}, 50)}))
+		}
+		must(t, j.Close())
+	}
+}
+
+func grow(t *testing.T, dir string, n uint64, b []byte) {
+	f, err := os.OpenFile(filepath.Join(dir, segmentPath(n)), os.O_WRONLY|os.O_APPEND, 0)
+	must(t, err)
+	_, err = f.Write(b)
+	must(t, errors.Join(err, f.Close()))
+}
+
+func shorten(t *testing.T, dir string, n uint64, by int64) {
+	path := filepath.Join(dir, segmentPath(n))
+	info, err := os.Stat(path)
+	must(t, err)
+	must(t, os.Truncate(path, info.Size()-by))
+}
+
+// A newer format ends the start with a plain message, and nothing is touched.
+func TestNewerFormatIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	four(t, dir)
+	path := filepath.Join(dir, segmentPath(3))
+	data, err := os.ReadFile(path)
+	must(t, err)
+	for _, at := range []int{0, headerSize} {
+		binary.LittleEndian.PutUint16(data[at+8:], formatVersion+1)
+		binary.LittleEndian.PutUint32(data[at+headerSize-4:], crc32.Checksum(data[at:at+headerSize-4], crcTable))
+	}
+	must(t, os.WriteFile(path, data, 0o600))
+	before := readFolder(t, dir)
+	for _, sync := range []bool{false, true} {
+		_, _, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: sync})
+		if !errors.Is(err, ErrNewer) || !strings.Contains(err.Error(), "format 3") {
+			t.Errorf("%v, want that it is newer", err)
+		}
+	}
+	after := readFolder(t, dir)
+	for name := range after {
+		if !bytes.Equal(before[name], after[name]) {
+			t.Errorf("%s has changed", name)
+		}
+	}
+	if len(after) != len(before) {
+		t.Errorf("%d files, %d before", len(after), len(before))
+	}
+}
+
+// A folder that can't be written ends the start; one that is not there too.
+func TestFolderThatCannotBeWritten(t *testing.T) {
+	d := newDisk()
+	d.failAt, d.fail = 1, os.ErrPermission
+	if _, _, err := Open(Options{Folder: d, Limit: MinDisk}); !errors.Is(err, os.ErrPermission) {
+		t.Errorf("%v, want that it is not permitted", err)
+	}
+	if _, err := Check(Dir(filepath.Join(t.TempDir(), "none")), MinDisk); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("%v, want that it is not there", err)
+	}
+}
+
+// Of two checkpoints the newer one that is whole counts; with the newer spoilt, what the
+// older one and the segments say does, and nothing is sent that may have run.
+func TestTwoCheckpoints(t *testing.T) {
+	make2 := func() (*disk, *world) {
+		d, w := newDisk(), newWorld(t)
+		j, _, err := openSmall(d, true)
+		must(t, err)
+		for range 2 {
+			must(t, w.script(j, play{20, 6}))
+			old := d.after(kept) // the files before the checkpoint come back
+			j.mu.Lock()
+			must(t, j.writeCheckpoint())
+			j.mu.Unlock()
+			for name, f := range old.names {
+				if d.names[name] == nil {
+					d.names[name], d.durable[name] = f, f
+				}
+			}
+			w = newWorld(t) // ids come again in the second round
+		}
+		must(t, j.Close())
+		return d, w
+	}
+	d, _ := make2()
+	j, owed, err := openSmall(d.after(kept), true)
+	must(t, err)
+	want := state(j, owed)
+	newest := j.recovery.report.Checkpoint
+	if newest == 0 || len(j.segments) != 3 || len(j.recovery.report.Problems) > 0 {
+		t.Fatalf("checkpoint %d, %+v, %v", newest, j.segments, j.recovery.report.Problems)
+	}
+	d, _ = make2()
+	d = d.after(kept)
+	f := d.names[segmentPath(newest)]
+	f.data[len(f.data)/2] ^= 4
+	j, owed, err = openSmall(d, true)
+	must(t, err)
+	if r := j.recovery.report; !r.Damaged() || r.Checkpoint == newest {
+		t.Errorf("a spoilt checkpoint counts: %+v", r)
+	}
+	for _, m := range owed {
+		if charge(m.ID) && !m.Past.MayRun && strings.Contains(want, m.ID+" ") && strings.Contains(want, m.ID+fmt.Sprintf(" %d true", len(m.Body))) {
+			t.Errorf("%s would be sent again", m.ID)
+		}
+	}
+}
+
+// Copies of damaged segments make room for work, the oldest first.
+func TestCopiesMakeRoom(t *testing.T) {
+	d := newDisk()
+	for range 3 {
+		j, _, err := openSmall(d, true)
+		must(t, err)
+		must(t, j.Take(&Message{ID: "a", Body: bytes.Repeat([]byte("a"), 800)}))
+		must(t, j.Take(&Message{ID: "b", Body: bytes.Repeat([]byte("b"), 100)}))
+		must(t, j.Close())
+		f := d.names[segmentPath(j.segments[len(j.segments)-1].number)]
+		f.data[len(f.data)-20] ^= 1
+	}
+	j, _, err := openSmall(d, true)
+	must(t, err)
+	if len(j.aside) != 3 {
+		t.Fatalf("%d copies, want 3", len(j.aside))
+	}
+	for i := 0; len(j.aside) > 0 && i < 1000; i++ {
+		m := &Message{ID: fmt.Sprint(i), Body: make([]byte, 900)}
+		must(t, j.Take(m))
+		if i >= 8 {
+			must(t, j.Closed(m, "", time.Now()))
+		}
+		if size := j.diskSize(); size > j.limit {
+			t.Fatalf("%d bytes on disk, over %d", size, j.limit)
+		}
+	}
+	if len(j.aside) > 0 {
+		t.Error("a copy is kept at the cost of work")
+	}
+}
+
+// Times on disk are compared with now alone: a clock that went back or far ahead changes
+// nothing of what is owed.
+func TestClockThatJumps(t *testing.T) {
+	for _, jump := range []time.Duration{-48 * time.Hour, 300 * 24 * time.Hour} {
+		dir := t.TempDir()
+		now := time.Now()
+		clock := func() time.Time { return now }
+		j, _, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: true, Now: clock})
+		must(t, err)
+		m := &Message{ID: "a", Deadline: now.Add(time.Minute)}
+		must(t, j.Take(m))
+		must(t, j.Attempt(m, "e1", 0, now))
+		must(t, j.Close())
+		now = now.Add(jump)
+		j, owed, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: true, Now: clock})
+		must(t, err)
+		if len(owed) != 1 || !owed[0].Past.MayRun || !owed[0].Deadline.Equal(m.Deadline.Truncate(time.Microsecond)) {
+			t.Errorf("jump %v: owed %+v", jump, owed)
+		}
+		must(t, j.Close())
+	}
+}
+
+// All that wait together are made durable by few syncs, and nothing is synced while
+// nothing waits.
+func TestSyncsAreGrouped(t *testing.T) {
+	d := &slowDisk{disk: newDisk(), release: make(chan struct{}), began: make(chan struct{}, 100)}
+	j, _, err := Open(Options{Folder: d, Limit: 1 << 20, Sync: true})
+	must(t, err)
+	before := j.Status().Syncs
+	d.slow = true
+	const n = 50
+	ends := make(chan error, n)
+	go func() { ends <- j.Take(&Message{ID: "first"}) }()
+	<-d.began // the first sync is on its way; the others come meanwhile
+	for i := range n - 1 {
+		go func() { ends <- j.Take(&Message{ID: fmt.Sprint(i)}) }()
+	}
+	for j.Status().Waiting < n {
+		time.Sleep(time.Millisecond) // they have nothing to tell of it
+	}
+	close(d.release)
+	for range n {
+		must(t, <-ends)
+	}
+	if syncs := j.Status().Syncs - before; syncs != 2 {
+		t.Errorf("%d syncs for %d messages, want 2", syncs, n)
+	}
+	must(t, j.Sync())
+	if syncs := j.Status().Syncs - before; syncs != 2 {
+		t.Errorf("%d syncs though nothing waits, want 2", syncs)
+	}
+}
+
+// slowDisk lets its syncs wait.
+type slowDisk struct {
+	*disk
+	slow    bool
+	release chan struct{}
+	began   chan struct{}
+}
+
+func (d *slowDisk) Create(name string) (File, error) {
+	f, err := d.disk.Create(name)
+	return &slowFile{f, d}, err
+}
+
+type slowFile struct {
+	File
+	d *slowDisk
+}
+
+func (f *slowFile) Sync() error {
+	if f.d.slow {
+		f.d.began <- struct{}{}
+		<-f.d.release
+	}
+	return f.File.Sync()
+}
+
+// A disk that is too slow takes nothing on: the message is ended here.
+func TestWaitForTheDiskIsBounded(t *testing.T) {
+	d := &slowDisk{disk: newDisk(), release: make(chan struct{}), began: make(chan struct{}, 100)}
+	j, _, err := Open(Options{Folder: d, Limit: 1 << 20, Sync: true})
+	must(t, err)
+	d.slow = true
+	if err := j.Take(&Message{ID: "a"}); !errors.Is(err, ErrNotDurable) {
+		t.Errorf("%v, want that it is not known to be durable", err)
+	}
+	if s := j.Status(); s.Live != 0 {
+		t.Errorf("%d messages are owed", s.Live)
+	}
+	close(d.release)
+	must(t, j.Sync())
+	must(t, j.Take(&Message{ID: "b"})) // slow is not failed
+}
+
+// The reader never panics on what it finds, and takes no more than there is.
+func FuzzReader(f *testing.F) {
+	for _, sync := range []bool{false, true} {
+		dir := f.TempDir()
+		j, _, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: sync})
+		if err != nil {
+			f.Fatal(err)
+		}
+		m := &Message{ID: "a", Key: "k", Body: []byte("body")}
+		if err := errors.Join(j.Take(m), j.Attempt(m, "e", 1, time.Now()), j.Outcome(m, policy.Reset, "e", time.Now()),
+			j.Ended(m, NewNotice("a", true, 1)), j.Order("e", true, time.Now()), j.Closed(m, "e", time.Now()), j.Close()); err != nil {
+			f.Fatal(err)
+		}
+		data, err := os.ReadFile(filepath.Join(dir, segmentPath(1)))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data, []byte{})
+		f.Add(data[:len(data)/2], data)
+	}
+	f.Fuzz(func(t *testing.T, one, two []byte) {
+		d := newDisk()
+		for n, data := range map[uint64][]byte{1: one, 2: two} {
+			d.names[segmentPath(n)] = &inode{data: bytes.Clone(data)}
+		}
+		report, err := Check(d, MinDisk)
+		if err != nil {
+			return
+		}
+		if err := report.Write(io.Discard); err != nil {
+			t.Fatal(err)
+		}
+		j, owed, err := Open(Options{Folder: d, Limit: MinDisk, Sync: true})
+		if err != nil {
+			return
+		}
+		size := 0
+		for _, m := range owed {
+			size += len(m.Body) + len(m.ID)
+		}
+		if size > len(one)+len(two) || len(owed) != report.Owed {
+			t.Errorf("%d bytes and %d messages from %d bytes, check tells of %d", size, len(owed), len(one)+len(two), report.Owed)
+		}
+		first := state(j, owed)
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if j, owed, err = Open(Options{Folder: d, Limit: MinDisk, Sync: true}); err != nil {
+			t.Fatal(err)
+		}
+		if second := state(j, owed); second != first {
+			t.Errorf("then %s, first %s", second, first)
+		}
+	})
+}
--- /dev/null
+++ b/internal/journal/folder.go
@@ -0,0 +1,125 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// Folder is where a journal lies. Names are of files in it. Tests put a disk in its
+// place that loses what was not synced, or fails.
+type Folder interface {
+	// List tells of the files, with their sizes. What is no file has no size.
+	List() ([]FileInfo, error)
+	// Read reads a file whole, if it is no longer than so many bytes.
+	Read(name string, most int64) ([]byte, error)
+	// Create makes a file that must not be there yet, for appending.
+	Create(name string) (File, error)
+	// Cut shortens a file, for good.
+	Cut(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	// Sync makes the names durable.
+	Sync() error
+}
+
+// FileInfo is the name and size of a file.
+type FileInfo struct {
+	Name string
+	Size int64
+}
+
+// File is a file that is written. Sync makes what was written durable.
+type File interface {
+	io.WriteCloser
+	Truncate(size int64) error
+	Sync() error
+}
+
+var errTooLarge = errors.New("larger than anything that was written here")
+
+// Lock takes the lock on a folder; nil if another process has it. The kernel lets go of it
+// when its holder dies.
+func Lock(path string) (*os.File, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("opening the state folder: %w", err)
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, f.Close()
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("locking the state folder: %w", err), f.Close())
+	}
+	return f, nil
+}
+
+// Dir is a folder of the file system.
+func Dir(path string) Folder { return dir(path) }
+
+type dir string
+
+func (d dir) path(name string) string { return filepath.Join(string(d), name) }
+
+func (d dir) List() ([]FileInfo, error) {
+	entries, err := os.ReadDir(string(d))
+	if err != nil {
+		return nil, err
+	}
+	var files []FileInfo
+	for _, e := range entries {
+		f := FileInfo{Name: e.Name()}
+		if info, err := e.Info(); err == nil && info.Mode().IsRegular() {
+			f.Size = info.Size()
+		} else if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return nil, err
+		}
+		files = append(files, f)
+	}
+	return files, nil
+}
+
+func (d dir) Read(name string, most int64) ([]byte, error) {
+	f, err := os.Open(d.path(name))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err != nil {
+		return nil, err
+	} else if info.Size() > most {
+		return nil, fmt.Errorf("%s: %w", name, errTooLarge)
+	}
+	return io.ReadAll(io.LimitReader(f, most))
+}
+
+func (d dir) Create(name string) (File, error) {
+	return os.OpenFile(d.path(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+func (d dir) Cut(name string, size int64) error {
+	f, err := os.OpenFile(d.path(name), os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	err = f.Truncate(size)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
+func (d dir) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
+func (d dir) Remove(name string) error     { return os.Remove(d.path(name)) }
+
+func (d dir) Sync() error {
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,14 +1,16 @@
+// Package journal keeps what a node owes, so that it outlasts the process and, where that
+// is asked for, a loss of power. docs/recovery.md says what it guarantees.
 package journal
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"log/slog"
-	"os"
-	"path/filepath"
+	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -25,8 +27,6 @@
 	// maxOver is how many ids of messages that are over are known still: more than a
 	// node takes on within any message's time.
 	maxOver = 4096
-	// recordHead is the length and the checksum before each record.
-	recordHead = 8
 	// ownShare is room counted for each message beyond what is written of it: its
 	// attempts, their outcomes, its end, and its state when it is moved on.
 	ownShare = 512
@@ -42,6 +42,10 @@
 	recEnded   = 4 // ended undelivered; the notice is owed
 	recClosed  = 5 // nothing is owed any more; delivered where it names an endpoint
 	recOrder   = 6 // the staff's order for an endpoint, in place of the one before
+	// These come in segments with a header, and when a folder was mended.
+	recOver = 7 // ids of messages that are over
+	recNext = 8 // the next number of a message; those below it are taken
+	recEnd  = 9 // the end of a checkpoint
 )
 
 var (
@@ -51,7 +55,6 @@
 	ErrLate = errors.New("the destination has forgotten the key")
 	// ErrGiven says that another process writes the journal now, or is about to.
 	ErrGiven = errors.New("the journal has been given away")
-	crcTable = crc32.MakeTable(crc32.Castagnoli)
 )
 
 // Message is one message that the node has taken on.
@@ -121,40 +124,65 @@
 	size   int64
 }
 
+// Options say where and how a journal is kept.
+type Options struct {
+	Folder Folder
+	Limit  int64 // bytes in the folder at most
+	// Sync makes a message durable before Take says that it is taken, lets Sync wait for
+	// all that was written, and writes segments with headers and checkpoints.
+	Sync bool
+	Now  func() time.Time // time.Now if nil
+	Log  *slog.Logger     // nothing is logged if nil
+}
+
 // Journal keeps what outlasts the process: records in segments of one folder.
 // The oldest segment is cleaned first, by writing what still counts of it to the
 // newest: so an end never goes before the message that it ends. It is safe for
 // concurrent use.
 type Journal struct {
-	dir     string
-	limit   int64 // bytes in the folder at most
+	fs      Folder
+	limit   int64
+	sync    bool
 	segSize int64
+	now     func() time.Time
 	log     *slog.Logger
 
-	mu       sync.Mutex
-	file     *os.File // the newest segment
-	segments []segment
-	live     map[policy.MessageID]*Message
-	home     map[policy.MessageID]uint64 // the segment with the last recTaken of each
-	liveSize int64
-	next     policy.MessageID
-	Memories map[string]*Memory // of the lives before this one
-	Over     IDRing             // of messages that those lives brought to their end
-	buf      []byte
-	given    bool              // another process writes it, or is about to
-	orders   map[string]uint64 // endpoints that the staff have taken out; the segment with the order
-}
-
-func segmentPath(dir string, n uint64) string {
-	return filepath.Join(dir, fmt.Sprintf("journal-%016d", n))
-}
+	// What a replay found, until Begin has dealt with it.
+	recovery *recovery
+	replaced []segment // older than the checkpoint
+	stray    bool      // a checkpoint that was not finished lies there
+
+	mu         sync.Mutex
+	file       File // the newest segment
+	format     format
+	segments   []segment
+	aside      []segment // copies of damaged ones
+	foreign    int64     // bytes on disk of files that are not the journal's
+	checkpoint uint64    // the segment that is the last checkpoint, or 0
+	checkedAt  time.Time // when it was written by this process
+	retryAt    int64     // how much is to be written before one is tried again that failed
+	live       map[policy.MessageID]*Message
+	home       map[policy.MessageID]uint64 // the segment with the last recTaken of each
+	liveSize   int64
+	next       policy.MessageID
+	Memories   map[string]*Memory // of the lives before this one
+	Over       IDRing             // of messages that those lives brought to their end
+	recent     map[string]*Memory // as Memories, with this life, for the next checkpoint
+	recentOver IDRing
+	buf        []byte
+	given      bool              // another process writes it, or is about to
+	orders     map[string]uint64 // endpoints that the staff have taken out; the segment with the order
+	syncer     syncer
+}
+
+func segmentPath(n uint64) string { return fmt.Sprintf(segmentName, n) }
 
 func onDisk(n int64) int64 { return (n + block - 1) / block * block }
 
-// Open replays the journal in a folder. The messages that are owed
-// something come back in the order in which they were taken.
-func Open(dir string, limit int64, log *slog.Logger) (*Journal, []*Message, error) {
-	j, err := Replay(dir, limit, log)
+// Open replays the journal in a folder. The messages that are owed something come back
+// in the order in which they were taken.
+func Open(o Options) (*Journal, []*Message, error) {
+	j, err := Replay(o)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -163,29 +191,31 @@
 }
 
 // Replay reads what is in a folder and writes nothing.
-func Replay(dir string, limit int64, log *slog.Logger) (*Journal, error) {
-	j := &Journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, MaxBody+4<<10),
-		live: map[policy.MessageID]*Message{}, home: map[policy.MessageID]uint64{}, Memories: map[string]*Memory{},
-		Over: NewIDRing(maxOver), orders: map[string]uint64{}}
-	files, err := os.ReadDir(dir)
-	if err != nil {
-		return nil, fmt.Errorf("opening the journal: %w", err)
+func Replay(o Options) (*Journal, error) {
+	if o.Now == nil {
+		o.Now = time.Now
 	}
-	for _, f := range files {
-		var n uint64
-		if _, err := fmt.Sscanf(f.Name(), "journal-%016d", &n); err != nil || !strings.HasPrefix(f.Name(), "journal-") {
-			continue
-		}
-		if err := j.replay(n); err != nil {
-			return nil, err
-		}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return j, nil
+	j := &Journal{fs: o.Folder, limit: o.Limit, sync: o.Sync, log: o.Log, now: o.Now, next: 1,
+		segSize: max(o.Limit/24, MaxBody+4<<10),
+		live:    map[policy.MessageID]*Message{}, home: map[policy.MessageID]uint64{}, Memories: map[string]*Memory{},
+		Over: NewIDRing(maxOver), orders: map[string]uint64{}}
+	return j, j.replay()
 }
 
 // Begin makes this process the one that writes. Out are the attempts whose outcome
 // another process still waits for.
 func (j *Journal) Begin(out []AttemptOut) ([]*Message, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if n := len(j.segments); j.sync && n > 0 { // as each is before the next one is begun
+		last := j.segments[n-1]
+		if err := j.fs.Cut(segmentPath(last.number), last.size); err != nil {
+			return nil, fmt.Errorf("opening the journal: %w", err)
+		}
+	}
 	// Always a new segment: nothing is ever written behind a torn tail.
 	if err := j.roll(); err != nil {
 		return nil, err
@@ -207,10 +237,54 @@
 	for name := range j.orders {
 		j.liveSize += orderCost(name)
 	}
+	if j.sync {
+		j.recent, j.recentOver = cloneMemories(j.Memories), j.Over.clone()
+	}
+	if err := errors.Join(j.tidy(), j.recovery.repair()); err != nil {
+		return nil, errors.Join(err, j.file.Close())
+	}
+	j.told()
 	sort.Slice(owed, func(a, b int) bool { return owed[a].Seq < owed[b].Seq })
 	return owed, nil
 }
 
+// tidy removes what a checkpoint replaces, and one that was not finished.
+func (j *Journal) tidy() error {
+	if err := j.removeStray(); err != nil {
+		return fmt.Errorf("recovering the journal: %w", err)
+	}
+	if len(j.replaced) > 0 { // the checkpoint's name must last before they go
+		if err := j.fs.Sync(); err != nil {
+			return fmt.Errorf("recovering the journal: %w", err)
+		}
+	}
+	for len(j.replaced) > 0 {
+		if err := j.fs.Remove(segmentPath(j.replaced[0].number)); err != nil {
+			return fmt.Errorf("recovering the journal: %w", err)
+		}
+		j.replaced = j.replaced[1:]
+	}
+	return nil
+}
+
+// told logs what the replay found.
+func (j *Journal) told() {
+	r := &j.recovery.report
+	level := slog.LevelInfo
+	if len(r.Problems) > 0 {
+		level = slog.LevelWarn
+	}
+	for _, p := range r.Problems {
+		j.log.Warn("journal: recovery", "file", p.File, "at", p.At, "what", p.What)
+	}
+	if r.Damaged() {
+		j.log.Error("journal: damaged, what is in doubt counts as possibly run", "messages", strings.Join(r.Doubt, " "),
+			"lost numbers", r.Lost, "set aside", r.SetAside)
+	}
+	j.log.Log(context.Background(), level, "journal: recovered", "segments", r.Segments, "records", r.Records, "bytes", r.Bytes,
+		"owed", r.Owed, "in doubt", len(r.Doubt), "set aside", len(r.SetAside), "checkpoint", r.Checkpoint, "took", r.Took)
+}
+
 // AttemptOut is an attempt without an outcome yet.
 type AttemptOut struct {
 	Message  policy.MessageID
@@ -239,39 +313,9 @@
 	j.given = false
 }
 
-// replay reads one segment up to its end or its torn tail.
-func (j *Journal) replay(n uint64) error {
-	data, err := os.ReadFile(segmentPath(j.dir, n))
-	if err != nil {
-		return fmt.Errorf("replaying the journal: %w", err)
-	}
-	j.segments = append(j.segments, segment{number: n, size: int64(len(data))})
-	for at := 0; at < len(data); {
-		rest := data[at:]
-		if len(rest) < recordHead {
-			j.log.Warn("journal: torn tail", "segment", n, "at", at)
-			return nil
-		}
-		size := int64(binary.LittleEndian.Uint32(rest))
-		if size > int64(len(rest)-recordHead) {
-			j.log.Warn("journal: torn tail", "segment", n, "at", at)
-			return nil
-		}
-		payload := rest[recordHead : recordHead+size]
-		if crc32.Checksum(payload, crcTable) != binary.LittleEndian.Uint32(rest[4:]) {
-			j.log.Warn("journal: bad checksum, the rest of the segment is passed over", "segment", n, "at", at)
-			return nil
-		}
-		if err := j.apply(n, payload); err != nil {
-			j.log.Warn("journal: unreadable record", "segment", n, "at", at, "err", err)
-		}
-		at += recordHead + int(size)
-	}
-	return nil
-}
-
-// apply takes one record into the state.
-func (j *Journal) apply(segment uint64, payload []byte) error {
+// apply takes one record into the state. In doubt, an outcome proves nothing: the
+// attempt that it belongs to may not be the one on record.
+func (j *Journal) apply(segment uint64, payload []byte, doubt bool) error {
 	r := reader{b: payload}
 	kind, seq := r.u8(), policy.MessageID(r.uvarint())
 	j.next = max(j.next, seq+1)
@@ -313,10 +357,9 @@
 			break
 		}
 		if m != nil {
-			m.Past.outcome(neverRan(outcome))
+			m.Past.outcome(neverRan(outcome) && !doubt)
 		}
-		switch outcome {
-		case policy.Failed, policy.TimedOut, policy.Unreachable, policy.Reset:
+		if failed(outcome) {
 			e := j.remember(name)
 			e.FailedAt, e.BackAt = at, time.Time{}
 		}
@@ -346,6 +389,11 @@
 		delete(j.orders, name)
 		e := j.remember(name) // it was restarted, and is cold
 		e.FailedAt, e.BackAt = at, at
+	case recOver:
+		for _, id := range r.ids() {
+			j.Over.Add(id)
+		}
+	case recNext, recEnd: // its number counts already
 	default:
 		return fmt.Errorf("unknown kind %d", kind)
 	}
@@ -358,30 +406,46 @@
 // cost is the room that a message may take up until nothing is owed for it.
 func cost(m *Message) int64 { return int64(len(m.Body)+len(m.ID)+len(m.Key)) + ownShare }
 
-// Take journals a new message and numbers it.
+// Take journals a new message and numbers it. Where it can't be made durable in time it
+// is ended, with ErrNotDurable: it may come back after a loss of power.
 func (j *Journal) Take(m *Message) error {
+	at, err := j.take(m)
+	if err != nil {
+		return err
+	}
+	if err := j.durable(at); err != nil {
+		return errors.Join(fmt.Errorf("%w: %w", ErrNotDurable, err), j.Closed(m, "", j.now()))
+	}
+	return nil
+}
+
+func (j *Journal) take(m *Message) (at uint64, err error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.given {
-		return ErrGiven
+		return 0, ErrGiven
+	}
+	if j.syncer.failed != nil {
+		return 0, j.syncer.failed
 	}
 	// Three segments are left: for records that no longer count, for the next one,
 	// and for a copy made while old and new lie there together.
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
-		return ErrNoRoom
+		return 0, ErrNoRoom
 	}
 	m.Seq = j.next
 	if err := j.append(takenRecord(m), m); err != nil {
-		return err
+		return 0, err
 	}
 	j.next++
 	j.live[m.Seq] = m
 	j.liveSize += cost(m)
-	return nil
+	return j.syncer.written, nil
 }
 
 // Attempt journals that a message is about to be sent. The module counts the key's
-// window when it decides; making the connection may have taken until after it.
+// window when it decides; making the connection may have taken until after it. One that
+// may not be repeated is made only after Sync.
 func (j *Journal) Attempt(m *Message, endpoint string, zone int, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -394,14 +458,11 @@
 	if m.Window > 0 && m.Past.MayRun && at.Sub(m.Past.RanAt) >= m.Window {
 		return ErrLate
 	}
-	b := record(recAttempt, m.Seq)
-	b = appendBytes(b, []byte(endpoint))
-	b = binary.AppendUvarint(b, uint64(zone))
-	b = binary.AppendUvarint(b, uint64(at.UnixMicro()))
-	if err := j.append(b, nil); err != nil {
+	if err := j.append(attemptRecord(m.Seq, endpoint, zone, at), nil); err != nil {
 		return err
 	}
 	m.Past.attempt(endpoint, zone, at)
+	j.noteSent(endpoint, at)
 	return nil
 }
 
@@ -416,8 +477,8 @@
 		return nil
 	}
 	m.Past.outcome(neverRan(o))
-	b := appendBytes(append(record(recOutcome, m.Seq), byte(o)), []byte(endpoint))
-	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
+	j.noteOutcome(endpoint, o, at)
+	return j.append(outcomeRecord(m.Seq, o, endpoint, at), nil)
 }
 
 // Ended journals that a message is over and that its notice is owed.
@@ -448,8 +509,8 @@
 	j.liveSize -= cost(m)
 	delete(j.live, m.Seq)
 	delete(j.home, m.Seq)
-	b := appendBytes(record(recClosed, m.Seq), []byte(endpoint))
-	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
+	j.noteClosed(m.ID, endpoint, at)
+	return j.append(closedRecord(m.Seq, endpoint, at), nil)
 }
 
 func orderCost(endpoint string) int64 { return int64(len(endpoint)) + ownShare }
@@ -471,6 +532,7 @@
 	if err := j.append(orderRecord(endpoint, out, at), nil); err != nil {
 		return err
 	}
+	j.noteOrder(endpoint, out, at)
 	if out {
 		j.orders[endpoint] = j.segments[len(j.segments)-1].number
 		j.liveSize += room
@@ -519,16 +581,23 @@
 	return binary.AppendUvarint(appendBytes(append(record(recOrder, 0), flag), []byte(endpoint)), uint64(at.UnixMicro()))
 }
 
+// Close ends the writing, with all of it durable where that is asked for.
 func (j *Journal) Close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.file.Close()
+	return errors.Join(j.syncFile(), j.file.Close())
 }
 
 // append writes one record, after making room for it. Taken is the message that
 // the record holds whole, if it does.
 func (j *Journal) append(payload []byte, taken *Message) error {
-	size := int64(len(payload) + recordHead)
+	if j.checkpointDue() {
+		if err := j.writeCheckpoint(); err != nil {
+			j.log.Error("journal: no checkpoint", "err", err)
+			j.retryAt = j.sinceCheckpoint() + j.segSize
+		}
+	}
+	size := int64(len(payload) + j.format.head())
 	if err := j.makeRoom(size); err != nil {
 		return err
 	}
@@ -536,16 +605,14 @@
 }
 
 func (j *Journal) write(payload []byte, taken *Message) error {
-	size := int64(len(payload) + recordHead)
-	if last := &j.segments[len(j.segments)-1]; last.size > 0 && last.size+size > j.segSize {
+	size := int64(len(payload) + j.format.head())
+	if last := &j.segments[len(j.segments)-1]; last.size > j.headSize() && last.size+size > j.segSize {
 		if err := j.roll(); err != nil {
 			return err
 		}
 	}
 	last := &j.segments[len(j.segments)-1]
-	j.buf = binary.LittleEndian.AppendUint32(j.buf[:0], uint32(len(payload)))
-	j.buf = binary.LittleEndian.AppendUint32(j.buf, crc32.Checksum(payload, crcTable))
-	j.buf = append(j.buf, payload...)
+	j.buf = j.format.frame(j.buf[:0], payload, last.size)
 	if n, err := j.file.Write(j.buf); err != nil {
 		// Part of a record may lie there now. It must not hide what comes after.
 		last.size += int64(n)
@@ -559,19 +626,36 @@
 		return fmt.Errorf("writing the journal: %w", err)
 	}
 	last.size += size
+	j.syncer.written += uint64(size)
 	if taken != nil {
 		j.home[taken.Seq] = last.number
 	}
 	return nil
 }
 
-// roll starts a new segment.
+// headSize is how long a segment is that holds nothing.
+func (j *Journal) headSize() int64 {
+	if j.sync {
+		return headers
+	}
+	return 0
+}
+
+// roll starts a new segment. Where that is asked for, the one before is durable first, and
+// the new one's header: so damage elsewhere than at the end is no loss of power.
 func (j *Journal) roll() error {
 	n := uint64(1)
 	if len(j.segments) > 0 {
 		n = j.segments[len(j.segments)-1].number + 1
 	}
-	f, err := os.OpenFile(segmentPath(j.dir, n), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err := j.syncFile(); err != nil {
+		return err
+	}
+	f := format{number: n}
+	if j.sync {
+		f = format{keyed: true, number: n, salt: rand.Uint64()}
+	}
+	file, err := j.create(segmentPath(n), f)
 	if err != nil {
 		return fmt.Errorf("starting a segment of the journal: %w", err)
 	}
@@ -580,14 +664,32 @@
 			j.log.Warn("journal: closing a segment", "err", err)
 		}
 	}
-	j.file = f
-	j.segments = append(j.segments, segment{number: n})
+	j.file, j.format = file, f
+	j.segments = append(j.segments, segment{number: n, size: j.headSize()})
 	return nil
 }
 
+// create makes a file, durable with its header if it has one.
+func (j *Journal) create(name string, f format) (File, error) {
+	file, err := j.fs.Create(name)
+	if err != nil || !f.keyed {
+		return file, err
+	}
+	if _, err = file.Write(f.header()); err == nil {
+		err = file.Sync()
+	}
+	if err == nil {
+		err = j.fs.Sync()
+	}
+	if err != nil {
+		return nil, errors.Join(err, file.Close(), j.fs.Remove(name))
+	}
+	return file, nil
+}
+
 func (j *Journal) diskSize() int64 {
-	sum := int64(0)
-	for _, s := range j.segments {
+	sum := j.foreign
+	for _, s := range slices.Concat(j.segments, j.aside, j.replaced) {
 		sum += onDisk(s.size)
 	}
 	return sum
@@ -597,6 +699,12 @@
 // to spare: a cleaned segment and its copy lie there together for a moment.
 func (j *Journal) makeRoom(size int64) error {
 	for tries := 2 * len(j.segments); j.diskSize()+size+j.segSize+2*block > j.limit; tries-- {
+		if len(j.aside) > 0 { // evidence goes before work is refused
+			if err := j.dropAside(0); err != nil {
+				return err
+			}
+			continue
+		}
 		if tries <= 0 || len(j.segments) < 2 {
 			return ErrNoRoom
 		}
@@ -624,16 +732,27 @@
 	}
 	for name, n := range j.orders {
 		if n == oldest.number {
-			if err := j.write(orderRecord(name, true, time.Now()), nil); err != nil {
+			if err := j.write(orderRecord(name, true, j.now()), nil); err != nil {
 				return err
 			}
 			j.orders[name] = j.segments[len(j.segments)-1].number
 		}
 	}
-	if err := os.Remove(segmentPath(j.dir, oldest.number)); err != nil {
+	// What was moved is durable before it goes, and that it goes before the next one does:
+	// an old segment that came back alone would owe what has ended.
+	err := j.syncFile()
+	if err == nil {
+		err = j.fs.Remove(segmentPath(oldest.number))
+	}
+	if err == nil && j.sync {
+		err = j.fs.Sync()
+	}
+	if err != nil {
 		return fmt.Errorf("cleaning the journal: %w", err)
 	}
-	j.segments = j.segments[1:]
+	if j.segments = j.segments[1:]; oldest.number == j.checkpoint {
+		j.checkpoint = 0
+	}
 	return nil
 }
 
@@ -669,6 +788,28 @@
 	return appendBytes(b, m.Body)
 }
 
+func attemptRecord(seq policy.MessageID, endpoint string, zone int, at time.Time) []byte {
+	b := appendBytes(record(recAttempt, seq), []byte(endpoint))
+	return binary.AppendUvarint(binary.AppendUvarint(b, uint64(zone)), uint64(at.UnixMicro()))
+}
+
+func outcomeRecord(seq policy.MessageID, o policy.Outcome, endpoint string, at time.Time) []byte {
+	b := appendBytes(append(record(recOutcome, seq), byte(o)), []byte(endpoint))
+	return binary.AppendUvarint(b, uint64(at.UnixMicro()))
+}
+
+func closedRecord(seq policy.MessageID, endpoint string, at time.Time) []byte {
+	return binary.AppendUvarint(appendBytes(record(recClosed, seq), []byte(endpoint)), uint64(at.UnixMicro()))
+}
+
+func overRecord(ids []string) []byte {
+	b := record(recOver, 0)
+	for _, id := range ids {
+		b = appendBytes(b, []byte(id))
+	}
+	return b
+}
+
 func appendNotice(b []byte, n *Notice) []byte {
 	kind := byte(0)
 	if n.HandedBack() {
@@ -714,11 +855,27 @@
 	return v
 }
 
+// ids reads what is left as ids.
+func (r *reader) ids() []string {
+	var ids []string
+	for len(r.b) > 0 {
+		if id := r.bytes(); !r.bad {
+			ids = append(ids, string(id))
+		}
+	}
+	return ids
+}
+
 func (r *reader) notice(id string) *Notice {
 	handedBack, retry := r.u8() == 1, r.uvarint()
 	return NewNotice(id, handedBack, time.Duration(retry)*time.Millisecond)
 }
 
+// failed tells which outcomes say that the endpoint is not well.
+func failed(o policy.Outcome) bool {
+	return o == policy.Failed || o == policy.TimedOut || o == policy.Unreachable || o == policy.Reset
+}
+
 // neverRan tells which outcomes prove that an attempt has not run.
 func neverRan(o policy.Outcome) bool {
 	return o == policy.Full || o == policy.Unreachable || o == policy.Moot
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -17,7 +17,7 @@
 
 func mustOpen(t *testing.T, dir string, limit int64) (*Journal, []*Message) {
 	t.Helper()
-	j, owed, err := Open(dir, limit, quietLog())
+	j, owed, err := Open(Options{Folder: Dir(dir), Limit: limit, Log: quietLog()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -122,7 +122,7 @@
 			must(t, j.Take(newMessage("a", 100)))
 			must(t, j.Take(newMessage("b", 100)))
 			must(t, j.Close())
-			path := segmentPath(dir, 1)
+			path := filepath.Join(dir, segmentPath(1))
 			data, err := os.ReadFile(path)
 			must(t, err)
 			must(t, os.WriteFile(path, spoil(data), 0o600))
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -1,6 +1,9 @@
 package journal
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Notice is the end of a message that was not delivered, in the platform's form.
 type Notice struct {
@@ -44,6 +47,18 @@
 	return ok
 }
 
+// all are the known ids, the one known for longest first.
+func (r *IDRing) all() []string { return slices.Concat(r.ids[r.next:], r.ids[:r.next]) }
+
+// clone returns one that knows the same.
+func (r *IDRing) clone() IDRing {
+	c := NewIDRing(r.size)
+	for _, id := range r.all() {
+		c.Add(id)
+	}
+	return c
+}
+
 // Len is how many ids are known.
 func (r *IDRing) Len() int { return len(r.ids) }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -102,6 +102,8 @@
 	owner    *ownership
 	log      *slog.Logger
 	reported []string // names of the values in a load report
+	sync     bool     // attempts that may not be repeated are durable before they are made
+	once     []bool   // by class: it may not be repeated
 	tell     func(policy.Event)
 	running  sync.WaitGroup
 }
@@ -112,7 +114,11 @@
 		connect = time.Second
 	}
 	dialer := net.Dialer{KeepAlive: -1}
-	return &caller{journal: j, log: log, reported: c.Settings.Reported, tell: tell,
+	var once []bool
+	for _, k := range c.Settings.Classes {
+		once = append(once, k.Repeat != policy.Idempotent)
+	}
+	return &caller{journal: j, log: log, reported: c.Settings.Reported, sync: c.Sync, once: once, tell: tell,
 		pools: upstream.New(upstream.Config{
 			Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
 			Now:  time.Now, Rand: rand.Float64,
@@ -175,6 +181,12 @@
 		}
 		p.attempted = true
 	}
+	if err := c.settled(k); err != nil {
+		c.log.Warn("call: not sent", "endpoint", k.endpoint.name, "err", err)
+		conn.Done(upstream.Unused)
+		c.endAll(k, policy.Moot, 0, false)
+		return
+	}
 	for _, p := range k.parts {
 		if p.timeout < k.limit {
 			t := time.AfterFunc(p.timeout-time.Since(k.started), func() { c.end(k, p, policy.TimedOut, 0, false) })
@@ -216,6 +228,21 @@
 	c.answered(ctx, k, conn, resp)
 }
 
+// settled makes the attempts at messages that may not be repeated durable, where that is
+// asked for. What was told while the disk was waited for binds the call still.
+func (c *caller) settled(k *call) error {
+	if !c.sync || !slices.ContainsFunc(k.parts, func(p *part) bool { return c.once[p.message.Class] }) {
+		return nil
+	}
+	if err := c.journal.Sync(); err != nil {
+		return fmt.Errorf("the attempt is not durable: %w", err)
+	}
+	if !k.endpoint.mayCall() {
+		return errors.New("the endpoint has closed meanwhile")
+	}
+	return nil
+}
+
 // request writes the call.
 func (k *call) request(ctx context.Context) (*http.Request, error) {
 	path, body := "/events", k.parts[0].message.Body
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -36,6 +36,7 @@
 	Settings  policy.Settings
 	Names     names
 	IdleClose time.Duration
+	Sync      bool          // what is taken on outlasts a loss of power too
 	Warm      bool          // connections are opened ahead, for demand that was seen
 	AskEvery  time.Duration // a node that has not asked for so long counts as told; 0 if nothing is said
 }
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -74,7 +74,7 @@
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var method string
 	switch r.URL.Path {
-	case "/ops/readiness", "/ops/pools":
+	case "/ops/readiness", "/ops/pools", "/ops/journal":
 		method = http.MethodGet
 	case "/ops/endpoints/down", "/ops/endpoints/up":
 		method = http.MethodPut
@@ -93,6 +93,9 @@
 	case "/ops/pools":
 		c.shows(w, func(l *loop) any { return l.caller.pools.Stats(maxPools) })
 		return
+	case "/ops/journal":
+		c.shows(w, func(l *loop) any { return l.journal.Status() })
+		return
 	case "/ops/readiness":
 		status, text = c.readiness()
 	default:
@@ -131,6 +134,9 @@
 	if !c.ready.Load() {
 		return http.StatusServiceUnavailable, "no clients are taken"
 	}
+	if err := c.loop.journal.Failed(); err != nil {
+		return http.StatusServiceUnavailable, "no clients are taken: " + err.Error()
+	}
 	return http.StatusOK, "clients are taken"
 }
 
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	journal *journal.Journal
 	log     *slog.Logger
 
+	sync bool   // what can't be undone is durable first
+	once []bool // by class: it may not be repeated
+
 	mu    sync.Mutex
 	queue []*journal.Message
 	more  chan struct{} // holds a token while the queue may hold messages
@@ -78,6 +82,7 @@
 			}
 		}
 		batch := pending[:min(len(pending), noticeBatch)]
+		f.settle(batch)
 		status, err := f.post(ctx, batch)
 		if status == http.StatusBadRequest && len(batch) > 1 {
 			// One line that the platform can't read must not hold the others back.
@@ -113,6 +118,28 @@
 	}
 }
 
+// settle makes it durable that messages are over whose clients are told to come again,
+// where that is asked for: after a loss of power such a charge would be owed here as well.
+// On a disk that fails they are not told so.
+func (f *finals) settle(batch []*journal.Message) {
+	back := func(m *journal.Message) bool { return f.once[m.Class] && m.Notice.HandedBack() }
+	if !f.sync || !slices.ContainsFunc(batch, back) {
+		return
+	}
+	err := f.journal.Sync()
+	if err == nil {
+		return
+	}
+	f.log.Error("finals: charges are given up and not handed back", "err", err)
+	for _, m := range batch {
+		if back(m) {
+			if err := f.journal.Ended(m, journal.NewNotice(m.ID, false, 0)); err != nil {
+				f.log.Error("journal: end", "id", m.ID, "err", err)
+			}
+		}
+	}
+}
+
 func (f *finals) post(ctx context.Context, batch []*journal.Message) (int, error) {
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -204,7 +204,8 @@
 type estate struct {
 	journal *journal.Journal
 	owed    []*journal.Message
-	lock    *os.File  // held while this process owns the journal; nil where there is one process only
+	lock    *os.File  // held while this process owns the journal and may give it away
+	hold    *os.File  // the same, held to its end where nothing is given away
 	before  *link     // to the process before this one, if it lives
 	told    *snapshot // by that process
 }
@@ -213,12 +214,12 @@
 // other one has it, else by asking that one for it, or when it has died.
 func takeOver(ctx context.Context, c Config, log *slog.Logger) (*estate, error) {
 	for {
-		lock, err := lockFolder(c.State)
+		lock, err := journal.Lock(c.State)
 		if err != nil {
 			return nil, err
 		}
 		if lock != nil {
-			j, owed, err := journal.Open(c.State, c.DiskBytes, log)
+			j, owed, err := journal.Open(c.journal(log))
 			if err != nil {
 				return nil, errors.Join(err, lock.Close())
 			}
@@ -237,23 +238,6 @@
 	}
 }
 
-// lockFolder takes the lock on the state folder; nil if another process has it. The
-// kernel lets go of it when its holder dies.
-func lockFolder(dir string) (*os.File, error) {
-	f, err := os.Open(dir)
-	if err != nil {
-		return nil, fmt.Errorf("opening the state folder: %w", err)
-	}
-	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-	if errors.Is(err, syscall.EWOULDBLOCK) {
-		return nil, f.Close()
-	}
-	if err != nil {
-		return nil, errors.Join(fmt.Errorf("locking the state folder: %w", err), f.Close())
-	}
-	return f, nil
-}
-
 // ask asks the process that has the journal for it. Nothing is written before that
 // process has let go.
 func ask(c Config, log *slog.Logger) (*estate, error) {
@@ -276,7 +260,7 @@
 		return fail("what the old process tells", err)
 	}
 	HandoverStep("new: told")
-	j, err := journal.Replay(c.State, c.DiskBytes, log)
+	j, err := journal.Replay(c.journal(log))
 	if err != nil {
 		return fail("replaying", err)
 	}
@@ -288,7 +272,7 @@
 	if err := l.dec.Decode(&free); err != nil {
 		return fail("taking over", err)
 	}
-	lock, err := lockFolder(c.State)
+	lock, err := journal.Lock(c.State)
 	if err == nil && lock == nil {
 		err = errors.New("a third process came first")
 	}
@@ -443,7 +427,7 @@
 		HandoverStep("old: let go")
 		return nil
 	}
-	lock, again := lockFolder(h.dir)
+	lock, again := journal.Lock(h.dir)
 	if again != nil || lock == nil {
 		h.log.Error("handover: the next process died when it had everything", "err", errors.Join(err, again))
 		return nil
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -66,6 +66,10 @@
 			in.turnAway(w, "stopping")
 			return
 		}
+		if in.journal.Failed() != nil {
+			in.turnAway(w, "the disk failed")
+			return
+		}
 		_, _ = io.WriteString(w, "ok\n") // a client that has gone needs no answer
 		return
 	}
@@ -128,9 +132,13 @@
 			return http.StatusAccepted, ""
 		case errors.Is(err, journal.ErrGiven):
 			in.ended(m.ID) // the next round knows who has it
+		case errors.Is(err, journal.ErrNotDurable): // that handing it in again does no harm can't be said
+			in.ended(m.ID)
+			in.log.Error("intake: not durable", "id", m.ID, "err", err)
+			return http.StatusInternalServerError, "not known to be taken on"
 		default:
 			in.ended(m.ID)
-			if !errors.Is(err, journal.ErrNoRoom) {
+			if !errors.Is(err, journal.ErrNoRoom) && !errors.Is(err, journal.ErrFailed) {
 				in.log.Error("intake: not journaled", "id", m.ID, "err", err)
 			}
 			return http.StatusServiceUnavailable, "the journal takes no more"
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -104,7 +104,7 @@
 			timer.Reset(wake - l.now())
 		}
 		for _, o := range l.obeyed {
-			o.reply <- nil
+			go func() { o.reply <- l.journal.Sync() }() // at once where nothing is made durable
 		}
 		l.obeyed = l.obeyed[:0]
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,8 +66,10 @@
 	if err != nil {
 		return err
 	}
-	if e.lock != nil {
-		defer e.lock.Close() // again, where it was let go of at a handover
+	for _, lock := range []*os.File{e.lock, e.hold} {
+		if lock != nil {
+			defer lock.Close() // again, where it was let go of at a handover
+		}
 	}
 	j := e.journal
 	quit := func(err error) error { return errors.Join(err, listener.Close(), j.Close()) }
@@ -97,6 +99,7 @@
 	}
 	l.caller = newCaller(c, j, log, func(e policy.Event) { l.post(e) })
 	l.caller.owner = owner
+	l.finals.sync, l.finals.once = c.Sync, l.caller.once
 	in.accept = func(m *journal.Message) { l.post(m) }
 	if c.Settings.MayTell && c.PeerBind != "" && c.PeersAll != "" {
 		if l.peers, err = openPeers(c, log, func(e policy.Event) { l.post(e) }); err != nil {
@@ -228,15 +231,27 @@
 		}
 		return e, listener, nil
 	}
-	j, owed, err := journal.Open(c.State, c.DiskBytes, log)
+	hold, err := journal.Lock(c.State)
 	if err != nil {
 		return nil, nil, err
 	}
+	if hold == nil {
+		return nil, nil, fmt.Errorf("%s is in use by another process", c.State)
+	}
+	j, owed, err := journal.Open(c.journal(log))
+	if err != nil {
+		return nil, nil, errors.Join(err, hold.Close())
+	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return nil, nil, errors.Join(fmt.Errorf("listening for clients: %w", err), j.Close())
+		return nil, nil, errors.Join(fmt.Errorf("listening for clients: %w", err), j.Close(), hold.Close())
 	}
-	return &estate{journal: j, owed: owed}, listener, nil
+	return &estate{journal: j, owed: owed, hold: hold}, listener, nil
+}
+
+// journal says how the journal is kept.
+func (c Config) journal(log *slog.Logger) journal.Options {
+	return journal.Options{Folder: journal.Dir(c.State), Limit: c.DiskBytes, Sync: c.Sync, Log: log}
 }
 
 // limitMemory keeps the heap to a part of the limit, where so many processes share it.
