--- a/cmd/wingmount/upgrade_test.go
+++ b/cmd/wingmount/upgrade_test.go
@@ -138,8 +138,18 @@
 // A second process takes over and a third one from that: a call that is out goes on in
 // the process that made it, what still reaches the old one is taken on by the new one,
 // and no connection of a client breaks.
-func TestUpgrade(t *testing.T) {
+func TestUpgrade(t *testing.T) { bothWays(t, upgrade) }
+
+// bothWays runs a test without syncs and with them.
+func bothWays(t *testing.T, test func(*testing.T, []string)) {
+	for _, flags := range [][]string{nil, {"-sync"}} {
+		t.Run(strings.Join(append([]string{"flags"}, flags...), " "), func(t *testing.T) { test(t, flags) })
+	}
+}
+
+func upgrade(t *testing.T, flags []string) {
 	u := newUpgrades(t)
+	u.flags = flags
 	release := u.hang("out")
 	first, console := u.begin()
 	u.ready(first, console)
@@ -197,11 +207,14 @@
 
 // Wherever the old process is killed, the new one has everything: what was out may
 // have run, and is repeated where that is allowed.
-func TestUpgradeWithTheOldProcessKilled(t *testing.T) {
+func TestUpgradeWithTheOldProcessKilled(t *testing.T) { bothWays(t, upgradeWithTheOldProcessKilled) }
+
+func upgradeWithTheOldProcessKilled(t *testing.T, flags []string) {
 	for _, step := range []string{"before", "old: asked", "old: told", "old: acknowledged", "old: unlocked", "old: let go", "after"} {
 		t.Run(strings.ReplaceAll(step, ": ", "-"), func(t *testing.T) {
 			t.Parallel()
 			u := newUpgrades(t)
+			u.flags = flags
 			u.hang("out")
 			old, console := u.begin("WINGMOUNT_TEST_LAST_STEP=" + step)
 			u.ready(old, console)
@@ -237,11 +250,14 @@
 
 // A new process that dies before it has everything leaves the old one at work, and the
 // next one takes over from that.
-func TestUpgradeWithTheNewProcessKilled(t *testing.T) {
+func TestUpgradeWithTheNewProcessKilled(t *testing.T) { bothWays(t, upgradeWithTheNewProcessKilled) }
+
+func upgradeWithTheNewProcessKilled(t *testing.T, flags []string) {
 	for _, step := range []string{"new: told", "new: replayed"} {
 		t.Run(strings.TrimPrefix(step, "new: "), func(t *testing.T) {
 			t.Parallel()
 			u := newUpgrades(t)
+			u.flags = flags
 			release := u.hang("out")
 			old, console := u.begin()
 			u.ready(old, console)
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -37,6 +37,7 @@
 // Report is what a start found in its folder.
 type Report struct {
 	Segments   int
+	Headed     int // of them have headers
 	Records    int
 	Bytes      int64 // read
 	Checkpoint uint64
@@ -214,6 +215,9 @@
 		r.problem(segmentPath(n), 0, err.Error(), false)
 		r.keep[n] = true
 	}
+	if f.keyed {
+		r.report.Headed++
+	}
 	for at < len(data) {
 		payload, next, err := f.record(data, at)
 		if err == nil {
@@ -507,7 +511,7 @@
 // Write prints a report for the staff.
 func (r *Report) Write(w io.Writer) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%d segments, %d records, %d bytes, %d messages owed", r.Segments, r.Records, r.Bytes, r.Owed)
+	fmt.Fprintf(&b, "%d segments (%d with headers), %d records, %d bytes, %d messages owed", r.Segments, r.Headed, r.Records, r.Bytes, r.Owed)
 	if r.Checkpoint > 0 {
 		fmt.Fprintf(&b, ", from the checkpoint "+segmentName, r.Checkpoint)
 	}
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -301,3 +303,78 @@
 		t.Errorf("%v was let go though there are places again", old)
 	}
 }
+
+// badDisk is a folder whose files can't be synced.
+type badDisk struct{ journal.Folder }
+
+type badFile struct{ journal.File }
+
+var badSync atomic.Bool
+
+func (d badDisk) Create(name string) (journal.File, error) {
+	f, err := d.Folder.Create(name)
+	return badFile{f}, err
+}
+
+func (f badFile) Sync() error {
+	if badSync.Load() {
+		return errors.New("input/output error")
+	}
+	return f.File.Sync()
+}
+
+// On a disk that fails a message is neither taken on nor refused, since it may come back;
+// from then on all are refused, also when the disk says that it is well, and readiness
+// says so.
+func TestDiskThatFails(t *testing.T) {
+	var accepted []*journal.Message
+	in := newIntake(t, &accepted)
+	var err error
+	in.journal, _, err = journal.Open(journal.Options{Folder: badDisk{journal.Dir(t.TempDir())}, Limit: journal.MinDisk, Sync: true})
+	must(t, err)
+	in.maxHeld = 10
+	hand := func(id string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		in.ServeHTTP(w, noteRequest(t.Context(), id))
+		return w
+	}
+	ready := func() (int, int) {
+		w := httptest.NewRecorder()
+		in.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/healthz", nil))
+		c := &console{loop: &loop{journal: in.journal}}
+		c.ready.Store(true)
+		status, _ := c.readiness()
+		return w.Code, status
+	}
+	if w := hand("a"); w.Code != http.StatusAccepted || len(accepted) != 1 {
+		t.Fatalf("answered %d", w.Code)
+	}
+	if a, b := ready(); a != 200 || b != 200 {
+		t.Errorf("ready: %d and %d", a, b)
+	}
+	badSync.Store(true)
+	defer badSync.Store(false)
+	if w := hand("b"); w.Code != http.StatusInternalServerError || len(accepted) != 1 {
+		t.Errorf("answered %d with %d accepted, want 500 and one", w.Code, len(accepted))
+	}
+	badSync.Store(false)
+	if w := hand("c"); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" || len(accepted) != 1 {
+		t.Errorf("answered %d with %d accepted, want 503 with Retry-After", w.Code, len(accepted))
+	}
+	if a, b := ready(); a != 503 || b != 503 {
+		t.Errorf("ready: %d and %d, want 503", a, b)
+	}
+	// A charge is not sent any more, and its client is not told to hand it in again.
+	r := newCallRig(t, "127.0.0.1:1")
+	r.caller.journal, r.caller.sync, r.caller.once = in.journal, true, []bool{true}
+	if err := r.caller.settled(&call{endpoint: r.endpoint, parts: []*part{{message: accepted[0]}}}); !errors.Is(err, journal.ErrFailed) {
+		t.Errorf("%v, want that the disk failed", err)
+	}
+	f := newFinals(newAgent("127.0.0.1:1"), in.journal, quietLog())
+	f.sync, f.once = true, []bool{true}
+	must(t, in.journal.Ended(accepted[0], journal.NewNotice("a", true, 0)))
+	f.settle(accepted)
+	if accepted[0].Notice.HandedBack() {
+		t.Error("a charge is handed back though its end is not on disk")
+	}
+}
