A sync that failed on a segment just left counts as failed; starts wait for the folder's lock

The kernel tells of a failed sync once. Where a segment was rolled while it was being synced for those who wait, that error was taken for the closing of its file and ignored (sync.go: synced asked whether the file was still the newest), and the next sync of it would have said that all was well. Only a file that was closed is let pass now. And whoever looks into a folder, as wingmount check does, has its lock for a moment: a start waits for it for up to 0.3 s before it says that the folder is in use.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -443,10 +443,8 @@
 	return j.syncer.written, nil
 }
 
-// Attempt journals that a message is about to be sent. The module counts the key's
-// window when it decides; making the connection may have taken until after it. One that
-// may not be repeated is made only after Sync.
-func (j *Journal) Attempt(m *Message, endpoint string, zone int, at time.Time) error {
+// change writes something about a message, if it is still owed and this process writes.
+func (j *Journal) change(m *Message, write func() error) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.given {
@@ -455,62 +453,53 @@
 	if j.live[m.Seq] == nil {
 		return nil
 	}
-	if m.Window > 0 && m.Past.MayRun && at.Sub(m.Past.RanAt) >= m.Window {
-		return ErrLate
-	}
-	if err := j.append(attemptRecord(m.Seq, endpoint, zone, at), nil); err != nil {
-		return err
-	}
-	m.Past.attempt(endpoint, zone, at)
-	j.noteSent(endpoint, at)
-	return nil
+	return write()
+}
+
+// Attempt journals that a message is about to be sent. The module counts the key's
+// window when it decides; making the connection may have taken until after it. One that
+// may not be repeated is made only after Sync.
+func (j *Journal) Attempt(m *Message, endpoint string, zone int, at time.Time) error {
+	return j.change(m, func() error {
+		if m.Window > 0 && m.Past.MayRun && at.Sub(m.Past.RanAt) >= m.Window {
+			return ErrLate
+		}
+		if err := j.append(attemptRecord(m.Seq, endpoint, zone, at), nil); err != nil {
+			return err
+		}
+		m.Past.attempt(endpoint, zone, at)
+		j.noteSent(endpoint, at)
+		return nil
+	})
 }
 
 // Outcome journals how the last attempt at a message ended.
 func (j *Journal) Outcome(m *Message, o policy.Outcome, endpoint string, at time.Time) error {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.given {
-		return ErrGiven
-	}
-	if j.live[m.Seq] == nil {
-		return nil
-	}
-	m.Past.outcome(neverRan(o))
-	j.noteOutcome(endpoint, o, at)
-	return j.append(outcomeRecord(m.Seq, o, endpoint, at), nil)
+	return j.change(m, func() error {
+		m.Past.outcome(neverRan(o))
+		j.noteOutcome(endpoint, o, at)
+		return j.append(outcomeRecord(m.Seq, o, endpoint, at), nil)
+	})
 }
 
 // Ended journals that a message is over and that its notice is owed.
 func (j *Journal) Ended(m *Message, n *Notice) error {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.given {
-		return ErrGiven
-	}
-	if j.live[m.Seq] == nil {
-		return nil
-	}
-	m.Notice = n
-	return j.append(appendNotice(record(recEnded, m.Seq), n), nil)
+	return j.change(m, func() error {
+		m.Notice = n
+		return j.append(appendNotice(record(recEnded, m.Seq), n), nil)
+	})
 }
 
 // Closed journals that nothing is owed for a message any more. It names the
 // endpoint that took it, if one did.
 func (j *Journal) Closed(m *Message, endpoint string, at time.Time) error {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.given {
-		return ErrGiven
-	}
-	if j.live[m.Seq] == nil {
-		return nil
-	}
-	j.liveSize -= cost(m)
-	delete(j.live, m.Seq)
-	delete(j.home, m.Seq)
-	j.noteClosed(m.ID, endpoint, at)
-	return j.append(closedRecord(m.Seq, endpoint, at), nil)
+	return j.change(m, func() error {
+		j.liveSize -= cost(m)
+		delete(j.live, m.Seq)
+		delete(j.home, m.Seq)
+		j.noteClosed(m.ID, endpoint, at)
+		return j.append(closedRecord(m.Seq, endpoint, at), nil)
+	})
 }
 
 func orderCost(endpoint string) int64 { return int64(len(endpoint)) + ownShare }
--- a/internal/journal/sync.go
+++ b/internal/journal/sync.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"time"
 )
 
@@ -76,12 +77,13 @@
 	s.running = false
 }
 
-// synced takes in how a sync of the newest segment ended. One that another has taken the
-// place of since was synced before that.
+// synced takes in how a sync of the newest segment ended. One that was closed meanwhile,
+// as another has taken its place, was synced before that.
 func (j *Journal) synced(file File, place uint64, err error) {
 	s := &j.syncer
 	s.count++
-	if err != nil && file == j.file {
+	if err != nil && !(file != j.file && errors.Is(err, os.ErrClosed)) {
+		// Also of a segment that another has taken the place of: a failure is told once.
 		_ = j.fail(err) // it is told to those who wait
 	}
 	if err == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,9 @@
 	// clientShare of the sockets may be held by clients' connections.
 	clientShare = 0.6
 	eventRoom   = 4096
+	// lockPatience is how long a start waits for the lock on its folder: whoever looks into
+	// the folder has it for a moment.
+	lockPatience = 300 * time.Millisecond
 )
 
 // Run serves until the context ends and then stops in good order. At a hangup it
@@ -231,12 +234,18 @@
 		}
 		return e, listener, nil
 	}
-	hold, err := journal.Lock(c.State)
-	if err != nil {
-		return nil, nil, err
-	}
-	if hold == nil {
-		return nil, nil, fmt.Errorf("%s is in use by another process", c.State)
+	var hold *os.File
+	for end := time.Now().Add(lockPatience); ; time.Sleep(ownerPause) {
+		var err error
+		if hold, err = journal.Lock(c.State); err != nil {
+			return nil, nil, err
+		}
+		if hold != nil {
+			break
+		}
+		if time.Now().After(end) {
+			return nil, nil, fmt.Errorf("%s is in use by another process", c.State)
+		}
 	}
 	j, owed, err := journal.Open(c.journal(log))
 	if err != nil {
