--- a/internal/journal/damage_test.go
+++ b/internal/journal/damage_test.go
@@ -576,3 +576,61 @@
 		}
 	})
 }
+
+// onceBad is a disk on which the first sync that is waited for fails, late; the next one
+// of the same file says that all is well, as a kernel does.
+type onceBad struct {
+	*disk
+	armed          bool
+	began, release chan struct{}
+}
+
+type onceBadFile struct {
+	File
+	d *onceBad
+}
+
+func (d *onceBad) Create(name string) (File, error) {
+	f, err := d.disk.Create(name)
+	return &onceBadFile{f, d}, err
+}
+
+func (f *onceBadFile) Sync() error {
+	if !f.d.armed {
+		return f.File.Sync()
+	}
+	f.d.armed = false
+	close(f.d.began)
+	<-f.d.release
+	return errors.New("input/output error")
+}
+
+// A failed sync counts, also when its segment was left meanwhile and a second one went well.
+func TestFailedSyncOfASegmentJustLeft(t *testing.T) {
+	d := &onceBad{disk: newDisk(), began: make(chan struct{}), release: make(chan struct{})}
+	j, _, err := Open(Options{Folder: d, Limit: MinDisk, Sync: true})
+	must(t, err)
+	m := &Message{ID: "a"}
+	must(t, j.Take(m))
+	d.armed = true
+	ends := make(chan error)
+	go func() { ends <- j.Take(&Message{ID: "b"}) }()
+	<-d.began
+	for first := len(j.segments); len(j.segments) == first; {
+		must(t, j.Attempt(m, "e1", 0, time.Now()))
+	}
+	close(d.release)
+	if err := <-ends; err != nil && !errors.Is(err, ErrNotDurable) {
+		t.Errorf("%v", err)
+	}
+	j.mu.Lock()
+	for j.syncer.running {
+		j.mu.Unlock()
+		time.Sleep(time.Millisecond) // the syncing goroutine is about to end
+		j.mu.Lock()
+	}
+	j.mu.Unlock()
+	if err := j.Failed(); !errors.Is(err, ErrFailed) {
+		t.Errorf("%v, want that the disk failed", err)
+	}
+}
