--- a/cmd/wingmount/recovery_test.go
+++ b/cmd/wingmount/recovery_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"wingmount/internal/node"
 )
 
 // chargeSettings have a class that may not be repeated and one that may.
@@ -221,3 +223,14 @@
 		t.Errorf("PUT: answered %d", status)
 	}
 }
+
+// The example that README names is a configuration that a node starts with.
+func TestExampleConfiguration(t *testing.T) {
+	c, err := node.LoadConfig(func(name string) string {
+		return map[string]string{"PROXY_CONFIG": "../../docs/example-config.json", "PROXY_STATE": t.TempDir()}[name]
+	})
+	must(t, err)
+	if c.Listen != "127.0.0.1:5000" || len(c.Settings.Classes) != 2 || len(c.Known.Members) != 1 {
+		t.Errorf("%+v", c)
+	}
+}
