--- /dev/null
+++ b/internal/group/core_test.go
@@ -0,0 +1,324 @@
+package group
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// machine is a small model of a machine: processes that are members, the kernel's locks,
+// the folder, and messages on their way. All decisions are those of the real code.
+type machine struct {
+	now    time.Duration
+	procs  []*proc
+	views  []View // on disk, in the order of writing
+	term   int    // of the last coordinator
+	lead   *proc  // that has the coordinator's lock of that term; nil when it is free
+	flight []message
+	torn   bool // the last view was torn when its writer died
+	next   int
+}
+
+type proc struct {
+	id      ID
+	member  *Member
+	lead    *Coordinator
+	term    int
+	stopped bool
+	dead    bool
+}
+
+type message struct {
+	to    *proc
+	lease *Lease
+	hello *Hello
+}
+
+// start starts a process, if there is room.
+func (m *machine) start() {
+	alive := 0
+	for _, p := range m.procs {
+		if !p.dead {
+			alive++
+		}
+	}
+	if alive < 3 && m.next < 6 {
+		m.next++
+		id := ID(fmt.Sprint("p", m.next))
+		m.procs = append(m.procs, &proc{id: id, member: NewMember(id)})
+	}
+}
+
+func (m *machine) kill(p *proc, torn bool) {
+	p.dead = true
+	if m.lead == p {
+		m.lead, m.torn = nil, torn && len(m.views) > 0
+	}
+}
+
+// beat is what a process does when its time comes: lead if nobody does, look at the
+// locks, share, and say hello.
+func (m *machine) beat(p *proc) {
+	if p.dead || p.stopped {
+		return
+	}
+	if leaderless := p.member.Beat(m.now); m.lead == nil || leaderless && m.lead != p {
+		m.term++
+		told := m.views[max(0, len(m.views)-2):]
+		epoch := uint64(m.term) << 32
+		if m.torn { // its name has the epoch still
+			epoch = max(epoch, m.views[len(m.views)-1].Epoch)
+			told = told[:len(told)-1]
+		}
+		p.lead, p.term = NewCoordinator(m.now, told, epoch, m.torn), m.term
+		m.lead, m.torn = p, false
+	}
+	if p.lead != nil && p.term < m.term {
+		p.lead = nil // another took over meanwhile
+	}
+	if c := p.lead; c != nil {
+		for _, o := range m.procs {
+			if o.dead {
+				c.Gone(o.id)
+			}
+		}
+		_ = c.Hear(m.now, p.member.Hello())
+		view, changed, leases := c.Share(m.now)
+		if changed {
+			m.views = append(m.views, view)
+		}
+		for _, l := range leases {
+			for _, o := range m.procs {
+				if o.id == l.Member {
+					m.flight = append(m.flight, message{to: o, lease: &l})
+				}
+			}
+		}
+	} else if m.lead != nil {
+		h := p.member.Hello()
+		m.flight = append(m.flight, message{to: m.lead, hello: &h})
+	}
+}
+
+// deliver lets a message arrive, late or out of turn.
+func (m *machine) deliver(i int) {
+	msg := m.flight[i]
+	m.flight = slices.Delete(m.flight, i, i+1)
+	switch {
+	case msg.to.dead || msg.to.stopped:
+	case msg.lease != nil:
+		_ = msg.to.member.Hear(m.now, *msg.lease)
+	case msg.to.lead != nil:
+		_ = msg.to.lead.Hear(m.now, *msg.hello)
+	}
+}
+
+// check is what has to hold at every moment: also a member that is stopped may be about
+// to send, and one that has died may have sent just now.
+func (m *machine) check(t *testing.T, trail []string) {
+	t.Helper()
+	sum := 0
+	for _, p := range m.procs {
+		if !p.dead {
+			sum += p.member.Parts(m.now)
+		}
+	}
+	if sum > Whole {
+		t.Fatalf("%d of %d parts are in force after %v", sum, Whole, trail)
+	}
+	for i := 1; i < len(m.views); i++ {
+		if m.views[i].Epoch <= m.views[i-1].Epoch {
+			t.Fatalf("epoch %d comes after %d: %v", m.views[i].Epoch, m.views[i-1].Epoch, trail)
+		}
+	}
+}
+
+// step does one of the things that may happen.
+func (m *machine) step(what int) string {
+	n := max(1, len(m.procs))
+	kind, of := what%8, what/8
+	var p *proc
+	if len(m.procs) > 0 {
+		p = m.procs[of%n]
+	}
+	switch {
+	case kind == 0 || p == nil:
+		m.start()
+		return "start"
+	case kind == 1:
+		m.kill(p, of%2 == 1)
+		return "kill " + string(p.id)
+	case kind == 2:
+		p.stopped = !p.stopped
+		return "stop or continue " + string(p.id)
+	case kind == 3 && len(m.flight) > 0: // lost
+		m.flight = slices.Delete(m.flight, of%len(m.flight), of%len(m.flight)+1)
+		return "lose"
+	case kind == 4:
+		m.now += []time.Duration{BeatEvery, LeaseTime / 2, 3 * LeaseTime}[of%3]
+		return "wait"
+	case kind == 5 && len(m.flight) > 0:
+		m.deliver(of % len(m.flight))
+		return "deliver"
+	case kind == 6:
+		for len(m.flight) > 0 {
+			m.deliver(0)
+		}
+		return "deliver all"
+	}
+	m.beat(p)
+	return "beat " + string(p.id)
+}
+
+// Every way in which a few processes start, die, stop, go on, beat and hear of each other:
+// the shares in force never come to more than one node's.
+func TestSharesInForceNeverExceedOneNode(t *testing.T) {
+	t.Run("each way of six steps", func(t *testing.T) {
+		steps := []int{0, 1, 2, 4, 6, 7, 15, 20} // the first and second process, a short and a long wait
+		var walk func(trail []int)
+		walk = func(trail []int) {
+			m, names := &machine{}, []string{}
+			m.start()
+			m.start()
+			for _, what := range append([]int{7, 6, 15, 6}, trail...) { // both have a share
+				names = append(names, m.step(what))
+				m.check(t, names)
+			}
+			if len(trail) < 6 {
+				for _, what := range steps {
+					walk(append(trail[:len(trail):len(trail)], what))
+				}
+			}
+		}
+		walk(nil)
+	})
+	t.Run("long ones at random", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 2))
+		used := 0
+		for range 3000 {
+			m, names := &machine{}, []string{}
+			for range 150 {
+				what := rng.IntN(8 * 60)
+				if what%8 == 1 && rng.IntN(4) > 0 || what%8 == 2 && rng.IntN(3) > 0 {
+					what = 7 + 8*(what/8)
+				}
+				names = append(names, m.step(what))
+				m.check(t, names)
+				for _, p := range m.procs {
+					used += p.member.Parts(m.now)
+				}
+			}
+		}
+		if used == 0 {
+			t.Error("no share was ever in force")
+		}
+	})
+}
+
+// Members that keep in touch come to use all of the node, with each number of them.
+func TestAllIsSharedOut(t *testing.T) {
+	for n := 1; n <= 3; n++ {
+		m := &machine{}
+		for range n {
+			m.start()
+		}
+		for range 16 {
+			for _, p := range m.procs {
+				m.beat(p)
+			}
+			for len(m.flight) > 0 {
+				m.deliver(0)
+			}
+			m.now += BeatEvery
+		}
+		for _, p := range m.procs {
+			if got := p.member.Parts(m.now); got != Whole/n {
+				t.Errorf("%d members: %s has %d parts, want %d", n, p.id, got, Whole/n)
+			}
+		}
+	}
+}
+
+// The rest takes over from a coordinator that is stopped, and that does no harm when it
+// goes on; a member that has died gives its share back.
+func TestStuckCoordinator(t *testing.T) {
+	m := &machine{}
+	m.start()
+	m.start()
+	play := func(d time.Duration) {
+		for end := m.now + d; m.now < end; m.now += BeatEvery {
+			for _, p := range m.procs {
+				m.beat(p)
+			}
+			for len(m.flight) > 0 {
+				m.deliver(0)
+			}
+			m.check(t, nil)
+		}
+	}
+	play(4 * LeaseTime)
+	first, second := m.procs[0], m.procs[1]
+	if m.lead != first {
+		t.Fatal("the first one does not lead")
+	}
+	first.stopped = true
+	play(8 * LeaseTime)
+	if m.lead != second || second.member.Parts(m.now) != Whole || first.member.Parts(m.now) != 0 {
+		t.Errorf("led by %s, which has %d parts; the one that is stopped has %d", m.lead.id, second.member.Parts(m.now), first.member.Parts(m.now))
+	}
+	first.stopped = false
+	play(8 * LeaseTime)
+	if first.lead != nil || first.member.Parts(m.now) != Whole/2 || second.member.Parts(m.now) != Whole/2 {
+		t.Errorf("%d and %d parts, want half each", first.member.Parts(m.now), second.member.Parts(m.now))
+	}
+	m.kill(second, true)
+	play(8 * LeaseTime)
+	if m.lead != first || first.member.Parts(m.now) != Whole {
+		t.Errorf("%d parts after the other one died, want all", first.member.Parts(m.now))
+	}
+}
+
+// What is of another version, of an older epoch, or for somebody else is refused.
+func TestWhatIsRefused(t *testing.T) {
+	m := NewMember("a")
+	if err := m.Hear(0, Lease{Version: Version, Epoch: 5, Member: "a", Parts: 3, Until: time.Hour}); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		l    Lease
+		want error
+	}{
+		{Lease{Version: Version + 1, Epoch: 9, Member: "a"}, ErrVersion},
+		{Lease{Version: Version, Epoch: 4, Member: "a"}, ErrOlder},
+	} {
+		if err := m.Hear(0, c.l); !errors.Is(err, c.want) {
+			t.Errorf("%+v: %v, want %v", c.l, err, c.want)
+		}
+	}
+	if err := m.Hear(0, Lease{Version: Version, Epoch: 9, Member: "b"}); err == nil {
+		t.Error("another's lease was taken")
+	}
+	c := NewCoordinator(0, []View{{Epoch: 7}}, 0, false)
+	if err := c.Hear(0, Hello{Version: Version + 1, Member: "a"}); !errors.Is(err, ErrVersion) {
+		t.Errorf("%v", err)
+	}
+	if err := c.Hear(0, Hello{Version: Version, Member: "a", Epoch: 99}); !errors.Is(err, ErrOlder) {
+		t.Errorf("%v", err)
+	}
+	for n := range MaxMembers {
+		if err := c.Hear(0, Hello{Version: Version, Member: ID(fmt.Sprint(n))}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.Hear(0, Hello{Version: Version, Member: "one more"}); !errors.Is(err, ErrFull) {
+		t.Errorf("%v, want that it is full", err)
+	}
+	for n := range MaxMembers {
+		if Whole%(n+1) != 0 {
+			t.Errorf("%d parts are not shared evenly among %d", Whole, n+1)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -279,6 +279,11 @@
 	ColdWindow                                       time.Duration
 }
 
+// Shared says which part of its node a sender may use, where several processes are one
+// node: of its slices, slots and hold. Without it, that is all. Kept is the part that it
+// had a moment ago and that nobody has had since.
+type Shared struct{ Parts, Whole, Kept int }
+
 // Woken says that the time of a [Wake] has come.
 type Woken struct{}
 
@@ -291,6 +296,7 @@
 func (Remembered) event() {}
 func (Ordered) event()    {}
 func (Inherited) event()  {}
+func (Shared) event()     {}
 func (Woken) event()      {}
 
 // Action is something that the node shall do, at once and in the order given.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -119,10 +119,13 @@
 			s.finished(e)
 		case Told:
 			s.heard(e)
+		case Shared:
+			s.shared(e)
 		default:
 			s.note(e)
 		}
 	}
+	s.grow()
 	if hearsay {
 		actions, s.out = s.out, nil
 		return actions
@@ -143,6 +146,9 @@
 // next answer falls due.
 func (s *Sender) wake() {
 	next := Time(math.MaxInt64)
+	if s.share.next > s.share.parts {
+		next = s.share.growAt
+	}
 	if s.set.MustSubscribe && !s.subscribed {
 		next = s.subscribeAt
 	}
@@ -159,6 +165,53 @@
 	}
 }
 
+// The share of one process of a node
+
+// shared takes in a part of the node. A smaller one binds at once. What a larger one adds
+// may have been used up by another a moment ago, so that waits until a wide window of its
+// own length would be empty; but for what nobody else has had since.
+func (s *Sender) shared(e Shared) {
+	parts := max(0, float64(e.Parts)/float64(max(1, e.Whole)))
+	s.resume(min(parts, max(s.share.parts, float64(e.Kept)/float64(max(1, e.Whole)))))
+	if parts > s.share.next || s.share.next <= s.share.parts {
+		s.share.growAt = s.now + wideWindow
+	}
+	s.share.next = parts
+}
+
+// grow takes a larger share into use when its time has come.
+func (s *Sender) grow() {
+	if s.share.next > s.share.parts && s.now >= s.share.growAt {
+		s.resume(s.share.next)
+	}
+}
+
+// resume uses a part of the node from now on: as one of so many more senders, with that part
+// of its slots and hold. A slice stays the same part of what the node may have.
+func (s *Sender) resume(parts float64) {
+	before := float64(s.set.Senders)
+	s.share.parts = parts
+	s.set.Slots = int(parts * float64(s.whole.Slots))
+	s.set.MaxHeld = s.whole.MaxHeld
+	if s.whole.MaxHeld > 0 {
+		s.set.MaxHeld = max(1, int(parts*float64(s.whole.MaxHeld)))
+	}
+	if parts <= 0 {
+		return // nothing is sent without slots; what is known stays for a share to come
+	}
+	s.set.Senders = int(math.Ceil(float64(s.whole.Senders) / parts))
+	ratio := before / float64(s.set.Senders)
+	for _, d := range s.ordered {
+		for _, p := range d.paths {
+			p.listed *= ratio
+			p.sureRate *= ratio
+			if !math.IsInf(p.slice, 1) {
+				s.resize(p, p.slice*ratio)
+			}
+		}
+	}
+}
+
 // The ordinary path: two sliding windows for each path
 
 // newPath starts with an unbound slice, or with this sender's part of the
--- /dev/null
+++ b/policy/share_test.go
@@ -0,0 +1,89 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// shareBench has a path with a listed rate of 10 calls a second.
+func shareBench(t *testing.T) *bench {
+	set := testSettings()
+	set.Senders, set.Listing, set.Slots, set.MaxHeld = 1, RateNominal, 40, 200
+	return with(t, set, 0, 1, 10)
+}
+
+// sent tells how many calls go out within a time, while messages wait and each call is
+// answered at once.
+func (b *bench) sentWithin(d time.Duration) int {
+	n := 0
+	for end := b.now + d; b.now < end; b.now += 20 * time.Millisecond {
+		for len(b.s.open) < 3 {
+			b.arrive(0)
+		}
+		b.step(Woken{})
+		for len(b.sent) > 0 {
+			n++
+			b.finish(Delivered, 0)
+		}
+	}
+	return n
+}
+
+// A smaller share binds at once, a larger one after a wide window; what nobody else has
+// had is taken up again at once.
+func TestShareShrinksAtOnceAndGrowsLate(t *testing.T) {
+	b := shareBench(t)
+	b.sentWithin(wideWindow)
+	slice, listed := b.path().slice, b.path().listed
+	b.step(Shared{Parts: 420, Whole: 840})
+	if b.s.set.Slots != 20 || b.s.set.MaxHeld != 100 || b.s.set.Senders != 2 {
+		t.Errorf("%d slots, %d held, %d senders at half of the node", b.s.set.Slots, b.s.set.MaxHeld, b.s.set.Senders)
+	}
+	if p := b.path(); p.slice != slice/2 || p.listed != listed/2 || p.sureRate != listed/2 {
+		t.Errorf("slice %v of %v, listed %v of %v at half of the node", p.slice, slice, p.listed, listed)
+	}
+	b.step(Shared{Parts: 840, Whole: 840})
+	for range 10 { // told again and again, that does not put it off
+		b.sentWithin(wideWindow / 10)
+		b.step(Shared{Parts: 840, Whole: 840})
+	}
+	if b.s.set.Slots != 40 {
+		t.Errorf("%d slots a wide window after the share grew, want 40", b.s.set.Slots)
+	}
+	b.step(Shared{Parts: 0, Whole: 840})
+	for len(b.sent) > 0 { // what was out before
+		b.finish(Delivered, 0)
+	}
+	if n := b.sentWithin(2 * time.Second); n != 0 {
+		t.Errorf("%d calls with no share", n)
+	}
+	b.step(Shared{Parts: 840, Whole: 840, Kept: 840})
+	if b.s.set.Slots != 40 || b.s.set.Senders != 1 {
+		t.Errorf("%d slots and %d senders, want what nobody else has had", b.s.set.Slots, b.s.set.Senders)
+	}
+}
+
+// A share that shrinks before it has grown does not grow further, and one that is to grow
+// more waits anew.
+func TestShareThatChangesItsMind(t *testing.T) {
+	b := shareBench(t)
+	b.step(Shared{Parts: 210, Whole: 840})
+	b.step(Shared{Parts: 840, Whole: 840})
+	b.wait(wideWindow / 2)
+	b.step(Shared{Parts: 420, Whole: 840})
+	b.wait(wideWindow / 2)
+	if b.s.set.Slots != 20 {
+		t.Errorf("%d slots, want half of 40", b.s.set.Slots)
+	}
+	b.step(Shared{Parts: 630, Whole: 840})
+	b.wait(wideWindow / 2)
+	b.step(Shared{Parts: 840, Whole: 840})
+	b.wait(wideWindow / 2)
+	if b.s.set.Slots != 20 {
+		t.Errorf("%d slots, half a window after it was to grow more", b.s.set.Slots)
+	}
+	b.wait(wideWindow / 2)
+	if b.s.set.Slots != 40 {
+		t.Errorf("%d slots in the end, want 40", b.s.set.Slots)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,6 +26,12 @@
 	open      []*message // not ended, in order of arrival
 	turns     map[uint64]*turn
 
+	whole Settings // of the node, where this is one of its processes
+	share struct {
+		parts, next float64 // of the node: in use, and from growAt on
+		growAt      Time
+	}
+
 	subscribed  bool // changes to the list come, or the answer is on its way
 	subscribeAt Time // when to ask again
 
@@ -48,12 +54,14 @@
 	for _, c := range settings.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	return &Sender{
-		longest: longest, set: settings, smallCut: math.Pow(float64(settings.Senders), -1.0/smallCuts),
+	s := &Sender{
+		whole: settings, longest: longest, set: settings, smallCut: math.Pow(float64(settings.Senders), -1.0/smallCuts),
 		rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), pace: 1, usual: firstLatency.Seconds(),
 		endpoints: map[EndpointID]*endpoint{}, tags: map[Tag]*endpoint{}, dests: map[int]*destination{},
 		messages: map[MessageID]*message{}, turns: map[uint64]*turn{},
 	}
+	s.share.parts, s.share.next = 1, 1
+	return s
 }
 
 // sendLog is one sliding window of send times.
