Groups: real members, with locks, views on disk and messages over Unix sockets

internal/group drives the leases with what the machine has: a lock for each life, one for each term of leading, views in files of their own with checksums, hellos and leases in frames of bounded length over Unix sockets, and the clock that all processes share. A coordinator that stands still is followed by the next term; what it granted before runs out, and when it goes on it sees the higher term. What a dead member has left is removed under its lock. Still nothing starts it: see docs/ROADMAP.md.

--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -224,6 +224,17 @@
 	return nil
 }
 
+// Members are those that are taken to be alive.
+func (c *Coordinator) Members() []ID {
+	var ids []ID
+	for id, p := range c.peers {
+		if p.alive {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Gone tells that a member's lock is free: it has died.
 func (c *Coordinator) Gone(id ID) {
 	if p := c.peers[id]; p != nil {
--- /dev/null
+++ b/internal/group/files.go
@@ -0,0 +1,226 @@
+package group
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+)
+
+const (
+	memberPrefix = "member-"
+	leadForm     = "lead-%08d"
+	viewForm     = "view-%016x"
+	newView      = "view.new"
+	// keptViews is how many views stay: the last may be torn.
+	keptViews = 2
+	maxView   = 64 << 10
+)
+
+var crcTable = crc32.MakeTable(crc32.Castagnoli)
+
+// folder is where a group keeps its locks and views.
+type folder string
+
+func (d folder) path(name string) string { return filepath.Join(string(d), name) }
+
+// lock takes the lock on a file, which it makes if need be; nil if another has it. The
+// kernel lets go of it when its holder dies.
+func (d folder) lock(name string) (*os.File, error) {
+	for {
+		f, err := os.OpenFile(d.path(name), os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, f.Close()
+		}
+		if err != nil {
+			return nil, errors.Join(err, f.Close())
+		}
+		// Before it was locked it may have been taken for a dead one's, and removed.
+		mine, err := f.Stat()
+		if err != nil {
+			return nil, errors.Join(err, f.Close())
+		}
+		if there, err := os.Stat(d.path(name)); err == nil && os.SameFile(mine, there) {
+			return f, nil
+		}
+		if err := f.Close(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// bury removes what a dead member has left.
+func (d folder) bury(id ID) error {
+	f, err := d.lock(memberPrefix + string(id))
+	if err != nil || f == nil { // it lives, or another buries it
+		return err
+	}
+	var errs []error
+	for _, name := range []string{socketName + string(id), memberPrefix + string(id)} {
+		if err := os.Remove(d.path(name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			errs = append(errs, err)
+		}
+	}
+	return errors.Join(append(errs, f.Close())...)
+}
+
+// held tells whether anyone has the lock on a file that is there.
+func (d folder) held(name string) (bool, error) {
+	f, err := os.Open(d.path(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	defer f.Close()
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return true, nil
+	}
+	return false, err
+}
+
+// members are the processes that have a file, dead or alive.
+func (d folder) members() ([]ID, error) {
+	entries, err := os.ReadDir(string(d))
+	if err != nil {
+		return nil, err
+	}
+	var ids []ID
+	for _, e := range entries {
+		if id, ok := strings.CutPrefix(e.Name(), memberPrefix); ok && e.Type().IsRegular() {
+			ids = append(ids, ID(id))
+		}
+	}
+	return ids, nil
+}
+
+// term is the last term that anyone led, 0 for none.
+func (d folder) term() (int, error) {
+	entries, err := os.ReadDir(string(d))
+	if err != nil {
+		return 0, err
+	}
+	last := 0
+	for _, e := range entries {
+		var n int
+		if _, err := fmt.Sscanf(e.Name(), leadForm, &n); err == nil && e.Name() == fmt.Sprintf(leadForm, n) {
+			last = max(last, n)
+		}
+	}
+	return last, nil
+}
+
+// lead tries to lead a term, which nobody did before. Those before are over with it.
+func (d folder) lead(term int) (*os.File, error) {
+	f, err := d.lock(fmt.Sprintf(leadForm, term))
+	if err != nil || f == nil {
+		return nil, err
+	}
+	if last, err := d.term(); err != nil || last > term {
+		return nil, errors.Join(err, f.Close())
+	}
+	for old := term - 1; old > 0; old-- {
+		if err := os.Remove(d.path(fmt.Sprintf(leadForm, old))); err != nil {
+			break // those before went with it
+		}
+	}
+	return f, nil
+}
+
+// views reads the views that are there. Epoch is the highest that any was written for, and
+// torn tells that one of them can't be read.
+func (d folder) views() (views []View, epoch uint64, torn bool, err error) {
+	names, err := d.viewNames()
+	if err != nil {
+		return nil, 0, false, err
+	}
+	for _, name := range names {
+		var n uint64
+		_, _ = fmt.Sscanf(name, viewForm, &n) // its form was checked
+		epoch = max(epoch, n)
+		v, err := d.readView(name)
+		if err != nil || v.Epoch != n {
+			torn = true
+			continue
+		}
+		if v.Version > Version {
+			return nil, 0, false, fmt.Errorf("%s: %w: %d, this one has %d", name, ErrVersion, v.Version, Version)
+		}
+		views = append(views, v)
+	}
+	return views, epoch, torn, nil
+}
+
+// viewNames are the views' files, the oldest first.
+func (d folder) viewNames() ([]string, error) {
+	entries, err := os.ReadDir(string(d))
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		var n uint64
+		if _, err := fmt.Sscanf(e.Name(), viewForm, &n); err == nil && e.Name() == fmt.Sprintf(viewForm, n) {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (d folder) readView(name string) (View, error) {
+	data, err := os.ReadFile(d.path(name))
+	if err != nil {
+		return View{}, err
+	}
+	if len(data) < 4 || len(data) > maxView || crc32.Checksum(data[4:], crcTable) != binary.LittleEndian.Uint32(data) {
+		return View{}, errors.New("the view does not check")
+	}
+	var v View
+	if err := json.Unmarshal(data[4:], &v); err != nil {
+		return View{}, err
+	}
+	if !slices.IsSortedFunc(v.Shares, func(a, b Share) int { return strings.Compare(string(a.Member), string(b.Member)) }) {
+		return View{}, errors.New("the view is not in order")
+	}
+	return v, nil
+}
+
+// writeView puts a view in place, whole or not at all, and removes the oldest.
+func (d folder) writeView(v View) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	data := append(binary.LittleEndian.AppendUint32(nil, crc32.Checksum(text, crcTable)), text...)
+	if err := os.WriteFile(d.path(newView), data, 0o600); err != nil {
+		return fmt.Errorf("writing a view: %w", err)
+	}
+	if err := os.Rename(d.path(newView), d.path(fmt.Sprintf(viewForm, v.Epoch))); err != nil {
+		return fmt.Errorf("writing a view: %w", err)
+	}
+	names, err := d.viewNames()
+	if err != nil {
+		return err
+	}
+	for len(names) > keptViews {
+		if err := os.Remove(d.path(names[0])); err != nil {
+			return fmt.Errorf("removing an old view: %w", err)
+		}
+		names = names[1:]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,422 @@
+package group
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxFrame bounds a message between members, callTimeout one exchange, maxCalls those
+	// at a time.
+	maxFrame    = 4 << 10
+	callTimeout = BeatEvery / 2
+	maxCalls    = 2 * MaxMembers
+	socketName  = "s-"
+)
+
+// Clock reads the machine's own clock, which all its processes share and nobody sets.
+func Clock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(fmt.Sprintf("the machine has no clock: %v", err)) // it takes a clock that Linux always has
+	}
+	return time.Duration(t.Nano())
+}
+
+// Config says how a process joins its group.
+type Config struct {
+	Dir   string // of the group, in the state folder
+	Clock func() time.Duration
+	Log   *slog.Logger
+	// Share is told of the share to use, whenever it changes. Kept is what this process
+	// had and nobody else has had since. It must not wait.
+	Share func(parts, kept int)
+}
+
+// Group is one process's part in its group.
+type Group struct {
+	cfg      Config
+	id       ID
+	dir      folder
+	hold     *os.File // the lock on its own file, for as long as it lives
+	listener *net.UnixListener
+
+	mu     sync.Mutex
+	member *Member
+	lead   *Coordinator
+	term   int
+	leader *os.File // the lock on the term that it leads
+	told   int      // the share that was last told
+	last   struct { // the last share above none, and in which epoch
+		parts int
+		epoch uint64
+	}
+}
+
+// Join makes this process a member, with no share yet.
+func Join(c Config) (*Group, error) {
+	if err := os.Mkdir(c.Dir, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
+		return nil, fmt.Errorf("joining the group: %w", err)
+	}
+	g := &Group{cfg: c, id: ID(rand.Text()[:16]), dir: folder(c.Dir)}
+	g.member = NewMember(g.id)
+	if _, _, _, err := g.dir.views(); err != nil {
+		return nil, fmt.Errorf("joining the group: %w", err)
+	}
+	hold, err := g.dir.lock(memberPrefix + string(g.id))
+	if err != nil || hold == nil {
+		return nil, fmt.Errorf("joining the group: its own lock: %w", errors.Join(err, errLock(hold)))
+	}
+	g.hold = hold
+	err = AtSocket(g.dir.path(socketName+string(g.id)), func(short string) (err error) {
+		g.listener, err = net.ListenUnix("unix", &net.UnixAddr{Name: short, Net: "unix"})
+		return err
+	})
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("joining the group: %w", err), g.leave())
+	}
+	g.listener.SetUnlinkOnClose(false) // by its path, which may be a short one
+	return g, nil
+}
+
+func errLock(f *os.File) error {
+	if f == nil {
+		return errors.New("another has it")
+	}
+	return nil
+}
+
+// ID is this process's name in the group.
+func (g *Group) ID() ID { return g.id }
+
+// leave removes what this process has in the folder, and lets its lock go after that.
+func (g *Group) leave() error {
+	var errs []error
+	for _, name := range []string{socketName + string(g.id), memberPrefix + string(g.id)} {
+		if err := os.Remove(g.dir.path(name)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			errs = append(errs, err)
+		}
+	}
+	if g.leader != nil {
+		errs = append(errs, g.leader.Close())
+	}
+	return errors.Join(append(errs, g.hold.Close())...)
+}
+
+// Run takes part in the group until the context ends, and leaves it then.
+func (g *Group) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	stop := context.AfterFunc(ctx, func() { _ = g.listener.Close() })
+	defer stop()
+	running.Go(func() { g.serve(ctx, &running) })
+	tick := time.NewTicker(BeatEvery)
+	defer tick.Stop()
+	for {
+		if err := g.beat(ctx); err != nil {
+			g.cfg.Log.Warn("group: beat", "err", err)
+		}
+		g.tell()
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return g.leave()
+		}
+	}
+}
+
+// beat renews this process's lease: from itself where it leads, else from who does.
+func (g *Group) beat(ctx context.Context) error {
+	g.mu.Lock()
+	now := g.cfg.Clock()
+	leaderless := g.member.Beat(now)
+	hello := g.member.Hello()
+	err := g.follow(now, leaderless)
+	lead, term := g.lead, g.term
+	if lead != nil && err == nil {
+		var l Lease
+		if l, err = g.share(now, hello); err == nil {
+			err = g.member.Hear(now, l)
+		}
+	}
+	g.mu.Unlock()
+	if err != nil || lead != nil || term == 0 {
+		return err
+	}
+	l, err := g.ask(ctx, term, hello)
+	if err != nil {
+		return fmt.Errorf("asking the coordinator: %w", err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.member.Hear(g.cfg.Clock(), l)
+}
+
+// follow finds out who leads, and leads where nobody does or who does is out of touch.
+func (g *Group) follow(now time.Duration, leaderless bool) error {
+	term, err := g.dir.term()
+	if err != nil {
+		return err
+	}
+	if g.lead != nil {
+		if term == g.term {
+			return nil
+		}
+		g.cfg.Log.Warn("group: another leads meanwhile", "term", term)
+		err = g.leader.Close()
+		g.lead, g.leader = nil, nil
+	}
+	if g.term = term; err != nil {
+		return err
+	}
+	held := false
+	if term > 0 {
+		if held, err = g.dir.held(fmt.Sprintf(leadForm, term)); err != nil {
+			return err
+		}
+	}
+	if held && !leaderless {
+		return nil
+	}
+	f, err := g.dir.lead(term + 1)
+	if err != nil || f == nil { // another was first
+		return err
+	}
+	views, epoch, torn, err := g.dir.views()
+	if err == nil {
+		_, err = f.WriteAt([]byte(g.id), 0) // where to ask
+	}
+	if err != nil {
+		return errors.Join(err, f.Close())
+	}
+	g.term, g.leader = term+1, f
+	// By its term in the upper half: one that led before and goes on is never above it.
+	g.lead = NewCoordinator(now, views, max(epoch, uint64(g.term)<<32), torn)
+	g.cfg.Log.Info("group: leads", "member", g.id, "term", g.term, "torn view", torn)
+	return nil
+}
+
+// share answers a member, with the view on disk before. It reads the clock before it looks
+// whether it still leads: what it grants after standing still has run out already.
+func (g *Group) share(now time.Duration, h Hello) (Lease, error) {
+	if g.lead == nil {
+		return Lease{}, errors.New("this member does not lead")
+	}
+	if term, err := g.dir.term(); err != nil || term != g.term {
+		return Lease{}, errors.Join(errors.New("another leads"), err)
+	}
+	ids, err := g.dir.members()
+	if err != nil {
+		return Lease{}, err
+	}
+	there := map[ID]bool{}
+	for _, id := range ids {
+		if there[id], err = g.dir.held(memberPrefix + string(id)); err != nil {
+			return Lease{}, err
+		}
+	}
+	for _, id := range g.lead.Members() {
+		if !there[id] {
+			g.lead.Gone(id)
+		}
+	}
+	for id, alive := range there {
+		if !alive {
+			if err := g.dir.bury(id); err != nil {
+				g.cfg.Log.Warn("group: what a dead member has left", "member", id, "err", err)
+			}
+		}
+	}
+	if !there[h.Member] {
+		return Lease{}, fmt.Errorf("%q holds no lock of a member", h.Member)
+	}
+	if err := g.lead.Hear(now, h); err != nil {
+		return Lease{}, err
+	}
+	view, changed, leases := g.lead.Share(now)
+	if changed {
+		if err := g.dir.writeView(view); err != nil {
+			// It can't be known to be there: nothing is told, and what it grants counts as out.
+			return Lease{}, err
+		}
+	}
+	for _, l := range leases {
+		if l.Member == h.Member {
+			return l, nil
+		}
+	}
+	return Lease{}, errors.New("no share")
+}
+
+// tell passes the share on that is in force.
+func (g *Group) tell() {
+	g.mu.Lock()
+	parts, epoch := g.member.Parts(g.cfg.Clock()), g.member.epoch
+	kept := 0
+	if epoch == g.last.epoch { // no other view came: nobody else has had it
+		kept = g.last.parts
+	}
+	if parts > 0 {
+		g.last.parts, g.last.epoch = parts, epoch
+	}
+	changed := parts != g.told
+	g.told = parts
+	g.mu.Unlock()
+	if changed {
+		g.cfg.Share(parts, min(kept, parts))
+	}
+}
+
+// MaySend tells whether a share is in force at this moment: a process that stood still
+// sends nothing on what it decided before.
+func (g *Group) MaySend() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.member.Parts(g.cfg.Clock()) > 0
+}
+
+// ask exchanges a hello for a lease with who leads a term.
+func (g *Group) ask(ctx context.Context, term int, h Hello) (Lease, error) {
+	id, err := os.ReadFile(g.dir.path(fmt.Sprintf(leadForm, term)))
+	if err != nil {
+		return Lease{}, err
+	}
+	if len(id) == 0 || len(id) > 64 || filepath.Base(string(id)) != string(id) {
+		return Lease{}, errors.New("it has not said who it is")
+	}
+	var conn net.Conn
+	err = AtSocket(g.dir.path(socketName+string(id)), func(short string) (err error) {
+		dialer := net.Dialer{Timeout: callTimeout}
+		conn, err = dialer.DialContext(ctx, "unix", short)
+		return err
+	})
+	if err != nil {
+		return Lease{}, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		return Lease{}, err
+	}
+	if err := writeFrame(conn, h); err != nil {
+		return Lease{}, err
+	}
+	var a reply
+	if err := readFrame(conn, &a); err != nil {
+		return Lease{}, err
+	}
+	if a.Refused != "" {
+		return Lease{}, errors.New(a.Refused)
+	}
+	return a.Lease, nil
+}
+
+// reply is what a coordinator says to a hello.
+type reply struct {
+	Version int
+	Lease   Lease
+	Refused string
+}
+
+// serve answers the other members, a bounded number at a time.
+func (g *Group) serve(ctx context.Context, running *sync.WaitGroup) {
+	places := make(chan struct{}, maxCalls)
+	for {
+		conn, err := g.listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				g.cfg.Log.Error("group: no member can ask any more", "err", err)
+			}
+			return
+		}
+		select {
+		case places <- struct{}{}:
+			running.Go(func() {
+				defer func() { <-places }()
+				g.answer(conn)
+			})
+		default:
+			_ = conn.Close() // it asks again
+		}
+	}
+}
+
+func (g *Group) answer(conn net.Conn) {
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		return
+	}
+	var h Hello
+	if err := readFrame(conn, &h); err != nil {
+		g.cfg.Log.Debug("group: a message without meaning", "err", err)
+		return
+	}
+	g.mu.Lock()
+	l, err := g.share(g.cfg.Clock(), h)
+	g.mu.Unlock()
+	a := reply{Version: Version, Lease: l}
+	if err != nil {
+		a.Refused = err.Error()
+	}
+	if err := writeFrame(conn, a); err != nil {
+		g.cfg.Log.Debug("group: answering", "member", h.Member, "err", err)
+	}
+}
+
+// writeFrame writes a message with its length.
+func writeFrame(w io.Writer, v any) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(text) > maxFrame {
+		return fmt.Errorf("a message of %d bytes", len(text))
+	}
+	_, err = w.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(text))), text...))
+	return err
+}
+
+// readFrame reads one, no longer than it may be.
+func readFrame(r io.Reader, v any) error {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := binary.LittleEndian.Uint32(head[:])
+	if n == 0 || n > maxFrame {
+		return fmt.Errorf("a message of %d bytes", n)
+	}
+	text := make([]byte, n)
+	if _, err := io.ReadFull(r, text); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, v)
+}
+
+// maxSocketPath is what the kernel takes as the address of a Unix socket.
+const maxSocketPath = 107
+
+// AtSocket gives a path to a socket that the kernel takes: one that is too long goes by
+// a descriptor of its folder.
+func AtSocket(path string, use func(short string) error) error {
+	if len(path) <= maxSocketPath {
+		return use(path)
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(use(fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path))), dir.Close())
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"wingmount/internal/group"
 	"wingmount/internal/journal"
 	"wingmount/internal/upstream"
 	"wingmount/policy"
@@ -301,24 +302,8 @@
 	abandon  func() // ends the calls that are out
 }
 
-// maxSocketPath is what the kernel takes as the address of a Unix socket.
-const maxSocketPath = 107
-
-// atSocket gives a path to a socket that the kernel takes: one that is too long goes by
-// a descriptor of its folder.
-func atSocket(path string, use func(short string) error) error {
-	if len(path) <= maxSocketPath {
-		return use(path)
-	}
-	dir, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	return errors.Join(use(fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path))), dir.Close())
-}
-
 func dialHandover(dir string) (conn net.Conn, err error) {
-	err = atSocket(filepath.Join(dir, handoverName), func(short string) error {
+	err = group.AtSocket(filepath.Join(dir, handoverName), func(short string) error {
 		conn, err = net.DialTimeout("unix", short, handoverTimeout)
 		return err
 	})
@@ -332,7 +317,7 @@
 		return nil, fmt.Errorf("listening for the next process: %w", err)
 	}
 	var l *net.UnixListener
-	err := atSocket(path, func(short string) (err error) {
+	err := group.AtSocket(path, func(short string) (err error) {
 		l, err = net.ListenUnix("unix", &net.UnixAddr{Name: short, Net: "unix"})
 		return err
 	})
