A start reads one segment at a time, and of the others their headers alone

All segments were read into memory at once to find the newest checkpoint, so a folder larger than the memory could not have been opened. Their headers are looked at first now; only a checkpoint is read to see that it is whole.

--- a/internal/journal/folder.go
+++ b/internal/journal/folder.go
@@ -16,6 +16,8 @@
 	List() ([]FileInfo, error)
 	// Read reads a file whole, if it is no longer than so many bytes.
 	Read(name string, most int64) ([]byte, error)
+	// Head reads the beginning of a file.
+	Head(name string, most int) ([]byte, error)
 	// Create makes a file that must not be there yet, for appending.
 	Create(name string) (File, error)
 	// Cut shortens a file, for good.
@@ -97,6 +99,15 @@
 	return io.ReadAll(io.LimitReader(f, most))
 }
 
+func (d dir) Head(name string, most int) ([]byte, error) {
+	f, err := os.Open(d.path(name))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, int64(most)))
+}
+
 func (d dir) Create(name string) (File, error) {
 	return os.OpenFile(d.path(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
 }
--- a/internal/journal/power_test.go
+++ b/internal/journal/power_test.go
@@ -71,6 +71,14 @@
 	return slices.Clone(f.data), nil
 }
 
+func (d *disk) Head(name string, most int) ([]byte, error) {
+	f := d.names[name]
+	if f == nil {
+		return nil, fmt.Errorf("%s is not there", name)
+	}
+	return slices.Clone(f.data[:min(most, len(f.data))]), nil
+}
+
 func (d *disk) Create(name string) (File, error) {
 	if d.names[name] != nil {
 		return nil, fmt.Errorf("%s is there", name)
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -110,46 +110,50 @@
 		}
 	}
 	slices.Sort(numbers)
-	byNumber := func(a, b segment) int { return int(int64(a.number) - int64(b.number)) }
+	byNumber := func(a, b segment) int { return cmp.Compare(a.number, b.number) }
 	slices.SortFunc(j.segments, byNumber)
 	slices.SortFunc(j.aside, byNumber)
 	r := &recovery{j: j, cuts: map[uint64]int64{}, keep: map[uint64]bool{}, doubt: map[policy.MessageID]bool{},
 		trace: map[policy.MessageID]bool{}, behind: behind{taken: map[policy.MessageID]bool{}, attempts: map[policy.MessageID]int{},
 			ended: map[policy.MessageID]bool{}, closed: map[policy.MessageID]bool{}, orders: map[string]bool{}}}
 	j.recovery = r
-	data := map[uint64][]byte{}
-	most := max(j.limit, 2*(MaxBody+4<<10)) // no file of ours is larger than the folder may be
-	for _, n := range numbers {
-		b, err := j.fs.Read(segmentPath(n), most)
-		if err != nil && !errors.Is(err, errTooLarge) {
-			return fmt.Errorf("replaying the journal: %w", err)
-		}
+	var checkpoints []int // in the order of their numbers
+	for i, n := range numbers {
+		head, err := j.fs.Head(segmentPath(n), headers)
 		if err != nil {
-			r.problem(segmentPath(n), 0, err.Error(), false)
-			b = []byte("\xff\xff\xff\xff") // nothing of it checks, and no copy of it fits
-			j.segments[slices.IndexFunc(j.segments, func(s segment) bool { return s.number == n })].size = 0
+			return fmt.Errorf("replaying the journal: %w", err)
 		}
-		if _, _, err := formatOf(b, n); errors.Is(err, ErrNewer) {
+		f, at, err := formatOf(head, n)
+		if errors.Is(err, ErrNewer) {
 			return fmt.Errorf("%s: %w", segmentPath(n), err)
 		}
-		data[n] = b
-		r.report.Bytes += int64(len(b))
-	}
-	for i := len(numbers) - 1; i >= 0; i-- { // what a checkpoint replaces does not count
-		if f, at, err := formatOf(data[numbers[i]], numbers[i]); at > 0 && f.checkpoint && whole(f, data[numbers[i]], at) {
-			_ = err // one spoilt header is no loss; it is told of when the segment is read
-			r.report.Checkpoint, j.checkpoint = numbers[i], numbers[i]
-			j.replaced = slices.Clone(j.segments[:i])
-			j.segments, numbers = j.segments[i:], numbers[i:]
-			break
+		if at > 0 && f.checkpoint { // one spoilt header is no loss, and told of when it is read
+			checkpoints = append(checkpoints, i)
+		}
+	}
+	for _, i := range slices.Backward(checkpoints) { // what a whole one replaces does not count
+		data, err := r.read(numbers[i])
+		if err != nil {
+			return err
+		}
+		if f, at, _ := formatOf(data, numbers[i]); at == 0 || !whole(f, data, at) {
+			continue
 		}
+		r.report.Checkpoint, j.checkpoint = numbers[i], numbers[i]
+		j.replaced = slices.Clone(j.segments[:i])
+		j.segments, numbers = j.segments[i:], numbers[i:]
+		break
 	}
+	r.report.Problems = nil // of those that were only looked at
 	for i, n := range numbers {
 		if i > 0 && n != numbers[i-1]+1 {
 			r.missing(numbers[i-1]+1, n-1)
 		}
-		r.segment(n, data[n], i == len(numbers)-1)
-		delete(data, n)
+		data, err := r.read(n) // one at a time: the folder may be larger than the memory
+		if err != nil {
+			return err
+		}
+		r.segment(n, data, i == len(numbers)-1)
 	}
 	r.report.Segments = len(numbers)
 	r.settle()
@@ -157,6 +161,23 @@
 	return nil
 }
 
+// read reads a segment. One that is too large to be anything of ours has nothing that
+// checks, and no copy of it fits.
+func (r *recovery) read(n uint64) ([]byte, error) {
+	j := r.j
+	data, err := j.fs.Read(segmentPath(n), max(j.limit, 2*(MaxBody+4<<10)))
+	switch {
+	case errors.Is(err, errTooLarge):
+		r.problem(segmentPath(n), 0, err.Error(), false)
+		j.segments[slices.IndexFunc(j.segments, func(s segment) bool { return s.number == n })].size = 0
+		return []byte("\xff\xff\xff\xff"), nil
+	case err != nil:
+		return nil, fmt.Errorf("replaying the journal: %w", err)
+	}
+	r.report.Bytes += int64(len(data))
+	return data, nil
+}
+
 // whole tells whether a checkpoint was written to its end.
 func whole(f format, data []byte, at int) bool {
 	for at < len(data) {
