--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -43,7 +43,7 @@
 
 // platform stands for discovery and for one endpoint.
 type platform struct {
-	t         *testing.T
+	t         testing.TB
 	discovery *httptest.Server
 	endpoint  *httptest.Server
 	dir       string
@@ -63,7 +63,7 @@
 	whole    int // so many watches are answered with the whole list
 }
 
-func newPlatform(t *testing.T) *platform {
+func newPlatform(t testing.TB) *platform {
 	p := &platform{t: t, dir: t.TempDir(), settings: settings, calls: map[string]int{}, finals: map[string]string{},
 		answer: func(string) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
@@ -82,7 +82,7 @@
 	return p
 }
 
-func must(t *testing.T, err error) {
+func must(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
@@ -235,7 +235,7 @@
 	return nil
 }
 
-func (n *process) wait(t *testing.T) error {
+func (n *process) wait(t testing.TB) error {
 	t.Helper()
 	select {
 	case err := <-n.end:
--- a/cmd/wingmount/recovery_test.go
+++ b/cmd/wingmount/recovery_test.go
@@ -44,7 +44,7 @@
 		t.Run(fmt.Sprint(flags), func(t *testing.T) {
 			p := newPlatform(t)
 			p.settings, p.flags = chargeSettings, flags
-			rng := rand.New(rand.NewPCG(1, 2))
+			rng, kills := rand.New(rand.NewPCG(1, 2)), rand.New(rand.NewPCG(3, 4)) // the first with the platform's lock
 			delivered, ran := map[string]bool{}, map[string]int{}
 			p.answer = func(id string) int {
 				answer := rng.IntN(80)
@@ -77,7 +77,7 @@
 			}()
 			n := p.start()
 			for range 24 {
-				for range 1 + rng.IntN(20) {
+				for range 1 + kills.IntN(20) {
 					<-moments
 				}
 				must(t, n.cmd.Process.Signal(syscall.SIGKILL))
