--- /dev/null
+++ b/internal/lab/insim/insim.go
@@ -0,0 +1,639 @@
+// Package insim plays a day in step: a policy.Sender for each node over the lab's world, in
+// simulated time, in one goroutine. The same day gives the same trace on any machine.
+package insim
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"time"
+
+	"wingmount/internal/lab/trace"
+	"wingmount/internal/lab/world"
+	"wingmount/internal/wire"
+	"wingmount/policy"
+)
+
+// clockStart keeps the module's clock away from zero, which means 'never' to it.
+const clockStart = time.Hour
+
+// restartTime is how long a node is away: 0.6 s until it is started, and its start.
+const restartTime = 800 * time.Millisecond
+
+// connectFails is how long a refused connection takes to be known, on top of the way there and back.
+const connectFails = time.Millisecond
+
+// mostSteps bounds the steps that a run may take without its clock getting on.
+const mostSteps = 1 << 20
+
+// Run plays a day. Stop ends it early, between two instants; it may be nil.
+func Run(d world.Day, note func(trace.Record), stop func(now time.Duration) bool) error {
+	s, err := newSim(d, note)
+	if err != nil {
+		return err
+	}
+	return s.run(stop)
+}
+
+type sim struct {
+	day      world.Day
+	world    *world.World
+	settings policy.Settings
+	note     func(trace.Record)
+	nodes    []*node
+	queue    agenda
+	seq      uint64
+	now      time.Duration
+	calls    map[uint64]*attempt // that are out, by the world's number
+	last     uint64
+	tries    map[policy.MessageID]world.Try // that have not ended at any node
+	end      time.Duration
+}
+
+type node struct {
+	me       int
+	sender   *policy.Sender
+	batch    []policy.Event
+	actions  []policy.Action
+	due      time.Duration // of the step that is planned; 0: none
+	wake     time.Duration
+	phase    time.Duration // of its ticks
+	up       bool
+	stopped  bool // SIGSTOP: it does nothing until it goes on
+	held     map[policy.MessageID]*message
+	order    []policy.MessageID // those held, oldest first
+	pools    [][]*conn          // idle ones, by endpoint
+	memories map[int]*memory
+	out      map[*attempt]bool
+	life     int
+}
+
+type message struct {
+	try      world.Try
+	id       policy.MessageID
+	attempts int
+	ran      bool
+	settled  bool
+	ranAt    time.Duration
+	out      *attempt
+}
+
+// memory is what the journal keeps of an endpoint for the next life of a node.
+type memory struct {
+	sent         []time.Duration
+	failed, back time.Duration // 0 for never
+}
+
+type conn struct {
+	ep   int
+	idle time.Duration // since then; moves on with each use
+	uses int
+}
+
+type attempt struct {
+	node   *node
+	life   int
+	msg    *message
+	number int
+	ep     int
+	sent   time.Duration
+	conn   *conn
+	call   uint64 // of the world; 0 while it connects
+	done   bool
+}
+
+type item struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type agenda []item
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	old[len(old)-1] = item{}
+	*a = old[:len(old)-1]
+	return x
+}
+
+func newSim(d world.Day, note func(trace.Record)) (*sim, error) {
+	s := &sim{day: d, note: note, calls: map[uint64]*attempt{}, tries: map[policy.MessageID]world.Try{}, end: d.Length}
+	settings, err := wire.DecodeSettings(d.Settings(0))
+	if err != nil {
+		return nil, fmt.Errorf("the settings of the day: %w", err)
+	}
+	s.settings = settings
+	s.world = world.New(d, s, note)
+	for i := range d.Nodes {
+		n := &node{me: i, phase: time.Duration(world.Random(d.Seed, "phase", uint64(i)).Int64N(int64(settings.Tick)))}
+		s.nodes = append(s.nodes, n)
+		s.start(n, nil)
+	}
+	for i := range d.Messages {
+		t := world.Try{Message: i, At: d.Messages[i].At, Node: d.Messages[i].Node}
+		s.end = max(s.end, d.Until(t))
+		s.at(t.At, func() { s.handIn(t) })
+	}
+	s.end += time.Second
+	return s, nil
+}
+
+func (s *sim) at(t time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, item{max(t, s.now), s.seq, do})
+}
+
+func (s *sim) run(stop func(time.Duration) bool) error {
+	for still := 0; ; still++ {
+		at, some := time.Duration(0), false
+		if len(s.queue) > 0 {
+			at, some = s.queue[0].at, true
+		}
+		theirs, has := s.world.Next()
+		if has && (!some || theirs <= at) {
+			at, some = theirs, true
+		}
+		if !some || at > s.end {
+			s.note(trace.Record{At: s.end, What: trace.Over})
+			return nil
+		}
+		if at > s.now {
+			still = 0
+			if stop != nil && stop(at) {
+				return errors.New("stopped")
+			}
+		}
+		if still > mostSteps {
+			return fmt.Errorf("the clock stands still at %v after %d steps", s.now, still)
+		}
+		s.now = at
+		if has && theirs <= at {
+			s.world.Advance(at)
+			continue
+		}
+		heap.Pop(&s.queue).(item).do()
+	}
+}
+
+// clock is the module's time.
+func (s *sim) clock() policy.Time { return clockStart + s.now }
+
+// handIn is a client at a node.
+func (s *sim) handIn(t world.Try) {
+	s.note(s.day.Born(t))
+	n := s.nodes[t.Node]
+	if !n.up || n.stopped { // refused, or not heard: the client goes elsewhere
+		s.note(trace.Record{At: s.now, What: trace.Turned, ID: t.ID(), Node: t.Node})
+		if next, ok := s.day.Died(t, s.now); ok {
+			s.at(next.At, func() { s.handIn(next) })
+		}
+		return
+	}
+	if len(n.held) >= s.settings.MaxHeld {
+		s.note(trace.Record{At: s.now, What: trace.Turned, ID: t.ID(), Node: t.Node, Status: 503, Wait: time.Second})
+		s.again(t, time.Second)
+		return
+	}
+	s.note(trace.Record{At: s.now, What: trace.Taken, ID: t.ID(), Node: t.Node})
+	s.last++
+	m := &message{try: t, id: policy.MessageID(s.last)}
+	n.held[m.id] = m
+	n.order = append(n.order, m.id)
+	s.tell(n, s.arrived(m))
+}
+
+func (s *sim) again(t world.Try, wait time.Duration) {
+	if next, ok := s.day.Refused(t, s.now, wait); ok {
+		s.at(next.At, func() { s.handIn(next) })
+	}
+}
+
+func (s *sim) arrived(m *message) policy.Arrived {
+	spec := s.day.Messages[m.try.Message]
+	a := policy.Arrived{Message: m.id, Destination: spec.Dest, Class: spec.Class, GiveUpAt: clockStart + s.day.Until(m.try)}
+	if m.attempts > 0 {
+		a.Past = policy.Past{Attempts: m.attempts, MayRun: m.ran, RanAt: clockStart + m.ranAt}
+	}
+	return a
+}
+
+// tell hands an event to a node, which acts at its next tick.
+func (s *sim) tell(n *node, e policy.Event) {
+	n.batch = append(n.batch, e)
+	s.plan(n, s.now)
+}
+
+// plan makes sure that a node steps at its first tick from then on.
+func (s *sim) plan(n *node, at time.Duration) {
+	tick := s.settings.Tick
+	at = (max(at, s.now)-n.phase+tick-1)/tick*tick + n.phase
+	if at <= s.now {
+		at += tick
+	}
+	if n.due > 0 && n.due <= at {
+		return
+	}
+	n.due = at
+	life := n.life
+	s.at(at, func() {
+		if n.life == life && n.due == at {
+			s.step(n)
+		}
+	})
+}
+
+func (s *sim) step(n *node) {
+	n.due = 0
+	if !n.up || n.stopped {
+		return
+	}
+	if n.wake > 0 && s.now >= n.wake {
+		n.wake = 0
+		n.batch = append(n.batch, policy.Woken{})
+	}
+	n.actions = n.sender.Step(s.clock(), n.batch, n.actions[:0])
+	n.batch = n.batch[:0]
+	for _, a := range n.actions {
+		switch a := a.(type) {
+		case policy.Send:
+			s.send(n, a)
+		case policy.Refuse:
+			s.finish(n, a.Message, "handed_back", a.Wait)
+		case policy.Fail:
+			s.finish(n, a.Message, "given_up", 0)
+		case policy.CloseIdle:
+			s.closeIdle(n, int(a.Endpoint)-1)
+		case policy.Wake:
+			n.wake = a.At - clockStart
+		}
+	}
+	if n.wake > 0 { // also where this step came before it, for another reason
+		s.plan(n, n.wake)
+	}
+}
+
+func (s *sim) finish(n *node, id policy.MessageID, how string, wait time.Duration) {
+	m := n.held[id]
+	if m == nil {
+		return
+	}
+	s.drop(n, m)
+	s.note(trace.Record{At: s.now, What: trace.Notice, ID: m.try.ID(), Node: n.me, Result: how, Wait: wait})
+	if how == "handed_back" {
+		s.again(m.try, wait)
+	}
+}
+
+func (s *sim) drop(n *node, m *message) {
+	delete(n.held, m.id)
+	for i, id := range n.order {
+		if id == m.id {
+			n.order = append(n.order[:i], n.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// memory of an endpoint, as the journal has it.
+func (n *node) memory(ep int) *memory {
+	if n.memories[ep] == nil {
+		n.memories[ep] = &memory{}
+	}
+	return n.memories[ep]
+}
+
+func (s *sim) send(n *node, a policy.Send) {
+	m := n.held[a.Message]
+	ep := int(a.Endpoint) - 1
+	t := &attempt{node: n, life: n.life, ep: ep, sent: s.now, msg: m}
+	if m == nil {
+		s.note(trace.Record{At: s.now, What: trace.Odd, Node: n.me, EP: ep, Result: "the module sent what it does not hold"})
+		return
+	}
+	t.number = m.attempts
+	m.attempts++
+	m.out = t
+	if len(n.out) >= s.settings.Slots {
+		s.at(s.now, func() { s.ended(t, policy.Moot, 0, policy.Allowance{}) })
+		return
+	}
+	n.out[t] = true
+	mem := n.memory(ep)
+	mem.sent = append(mem.sent, s.now)
+	if len(mem.sent) > 64 {
+		mem.sent = mem.sent[1:]
+	}
+	s.at(s.now+a.Timeout, func() { s.timeout(t) })
+	pool := n.pools[ep]
+	if len(pool) > 0 {
+		t.conn = pool[len(pool)-1]
+		n.pools[ep] = pool[:len(pool)-1]
+		s.dispatch(t, false)
+		return
+	}
+	switch s.world.Dial(s.now, n.me, ep) {
+	case world.Accepted:
+		t.conn = &conn{ep: ep}
+		s.dispatch(t, true)
+	case world.Refused:
+		s.at(s.now+2*s.day.OneWay+connectFails, func() { s.ended(t, policy.Unreachable, 0, policy.Allowance{}) })
+	case world.Unheard:
+		s.at(s.now+s.settings.ConnectTimeout, func() { s.ended(t, policy.Unreachable, 0, policy.Allowance{}) })
+	}
+}
+
+func (s *sim) dispatch(t *attempt, fresh bool) {
+	m := t.msg
+	if !m.ran {
+		m.ran, m.ranAt = true, s.now // until it is known not to have run
+	}
+	t.conn.uses++
+	t.call = s.world.Call(s.now, world.Attempt{ID: m.try.ID(), Message: m.try.Message, Try: m.try.N<<8 | t.number, Node: t.node.me,
+		EP: t.ep, Fresh: fresh, Began: s.now})
+	s.calls[t.call] = t
+}
+
+func (s *sim) timeout(t *attempt) {
+	if t.done || t.life != t.node.life || t.node.stopped {
+		return
+	}
+	s.hangUp(t)
+	if t.call == 0 {
+		s.ended(t, policy.Unreachable, 0, policy.Allowance{})
+		return
+	}
+	s.ended(t, policy.TimedOut, 0, policy.Allowance{})
+}
+
+// hangUp gives a call and its connection up.
+func (s *sim) hangUp(t *attempt) {
+	if t.call != 0 {
+		delete(s.calls, t.call)
+		s.world.Abandon(s.now, t.call)
+	}
+	if t.conn != nil {
+		s.world.Hangup(t.ep)
+		t.conn = nil
+	}
+}
+
+// Answer is the world's: an answer that has come, or a connection that broke.
+func (s *sim) Answer(now time.Duration, a world.Answer) {
+	s.now = now
+	t := s.calls[a.Call]
+	if t == nil {
+		return
+	}
+	delete(s.calls, a.Call)
+	n := t.node
+	if a.Status == 0 {
+		s.world.Hangup(t.ep)
+		s.ended(t, policy.Reset, 0, policy.Allowance{})
+		return
+	}
+	c := t.conn
+	c.idle = now
+	n.pools[t.ep] = append(n.pools[t.ep], c)
+	life, uses := n.life, c.uses
+	s.at(now+seconds(s.day.Scenario.Rules.IdleS), func() {
+		if n.life == life && c.uses == uses {
+			s.closeConn(n, c)
+		}
+	})
+	switch a.Status {
+	case 200:
+		s.ended(t, policy.Delivered, 0, a.Report)
+	case 500:
+		s.ended(t, policy.Failed, 0, a.Report)
+	default:
+		s.ended(t, policy.Full, a.Wait, a.Report)
+	}
+}
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+func (s *sim) closeConn(n *node, c *conn) {
+	for i, o := range n.pools[c.ep] {
+		if o == c {
+			n.pools[c.ep] = append(n.pools[c.ep][:i], n.pools[c.ep][i+1:]...)
+			s.world.Hangup(c.ep)
+			return
+		}
+	}
+}
+
+func (s *sim) closeIdle(n *node, ep int) {
+	for range n.pools[ep] {
+		s.world.Hangup(ep)
+	}
+	n.pools[ep] = nil
+}
+
+// ended tells the module how an attempt ended.
+func (s *sim) ended(t *attempt, o policy.Outcome, wait time.Duration, told policy.Allowance) {
+	n, m := t.node, t.msg
+	if t.done || t.life != n.life {
+		return
+	}
+	t.done = true
+	delete(n.out, t)
+	m.out = nil
+	mem := n.memory(t.ep)
+	switch o {
+	case policy.Full, policy.Unreachable, policy.Moot:
+		if !m.settled {
+			m.ran = false
+		}
+	default:
+		m.ran, m.settled = true, true
+	}
+	switch o {
+	case policy.Delivered:
+		if mem.failed > 0 && mem.back == 0 {
+			mem.back = s.now
+		}
+		if n.held[m.id] != nil {
+			s.drop(n, m)
+		}
+	case policy.Failed, policy.Reset, policy.TimedOut, policy.Unreachable:
+		mem.failed, mem.back = s.now, 0
+	}
+	s.tell(n, policy.Ended{Message: m.id, Attempt: t.number, Endpoint: policy.EndpointID(t.ep + 1), Outcome: o, Wait: wait,
+		Final: o == policy.Delivered, Took: s.now - t.sent, Told: told})
+}
+
+// Door is the world's; here, each connection asks the world itself.
+func (s *sim) Door(time.Duration, int, world.Dialled) {}
+
+// Listed is the world's: a node's agent hears of endpoints.
+func (s *sim) Listed(now time.Duration, me int, eps []int) {
+	s.now = now
+	if n := s.nodes[me]; n.up {
+		s.tell(n, s.list(me, eps, false))
+	}
+}
+
+func (s *sim) list(me int, eps []int, whole bool) policy.Listed {
+	l := policy.Listed{Whole: whole}
+	for _, ep := range eps {
+		m := s.world.Member(me, ep, "")
+		state := policy.Ready
+		switch m.Phase {
+		case world.Leaving:
+			state = policy.Draining
+		case world.Left:
+			state = policy.Gone
+		}
+		if whole && state == policy.Gone {
+			continue
+		}
+		l.Entries = append(l.Entries, policy.Entry{Endpoint: policy.EndpointID(ep + 1), Destination: m.Cell,
+			Kind: s.day.Dests[m.Cell].Kind, State: state, Rate: m.Size})
+	}
+	return l
+}
+
+// start begins a life of a node, with what its journal has.
+func (s *sim) start(n *node, owed []*message) {
+	n.life++
+	n.up, n.due, n.wake, n.batch = true, 0, 0, nil
+	n.sender = policy.New(s.settings, world.Random(s.day.Seed, "sender", uint64(n.me), uint64(n.life)).Uint64())
+	n.held, n.order, n.out = map[policy.MessageID]*message{}, nil, map[*attempt]bool{}
+	n.pools = make([][]*conn, len(s.day.Endpoints))
+	if n.memories == nil {
+		n.memories = map[int]*memory{}
+	}
+	all := make([]int, len(s.day.Endpoints))
+	for i := range all {
+		all[i] = i
+	}
+	s.note(trace.Record{At: s.now, What: trace.Ready, Node: n.me})
+	n.batch = append(n.batch, s.list(n.me, all, true))
+	for _, ep := range all {
+		m := n.memories[ep]
+		if m == nil {
+			continue
+		}
+		r := policy.Remembered{Endpoint: policy.EndpointID(ep + 1)}
+		for _, at := range m.sent {
+			if s.now-at < 15*time.Second {
+				r.Sent = append(r.Sent, clockStart+at)
+			}
+		}
+		if m.failed > 0 {
+			r.Failed, r.FailedAt = true, clockStart+m.failed
+			if m.back > 0 {
+				r.Back, r.BackAt = true, clockStart+m.back
+			}
+		}
+		n.batch = append(n.batch, r)
+	}
+	for _, m := range owed {
+		n.held[m.id] = m
+		n.order = append(n.order, m.id)
+		n.batch = append(n.batch, s.arrived(m))
+	}
+	s.plan(n, s.now)
+}
+
+// Strike is the world's: a trouble of a node.
+func (s *sim) Strike(now time.Duration, t world.Trouble, me int) {
+	s.now = now
+	n := s.nodes[me]
+	switch t.What {
+	case "kill":
+		s.kill(n, "SIGKILL", t.Lost)
+	case "term":
+		// What is out has until the process is killed; the journal has the rest.
+		if n.up {
+			s.at(now+2200*time.Millisecond, func() { s.kill(n, "SIGTERM", t.Lost) })
+		}
+	case "stop":
+		if !n.up {
+			return
+		}
+		n.stopped = true
+		life := n.life
+		s.at(t.Until, func() {
+			if n.life != life {
+				return
+			}
+			n.stopped = false
+			for _, a := range sorted(n.out) { // their times ran out meanwhile
+				s.at(s.now, func() { s.late(a) })
+			}
+			s.plan(n, s.now)
+		})
+	}
+}
+
+// late ends a call whose time-out passed while its node was stopped.
+func (s *sim) late(a *attempt) {
+	if !a.done && s.now-a.sent > 2*time.Second {
+		s.timeout(a)
+	}
+}
+
+func sorted(out map[*attempt]bool) []*attempt {
+	var all []*attempt
+	for a := range out {
+		all = append(all, a)
+	}
+	// By when they were sent and to whom: a map has no order of its own.
+	for i := 1; i < len(all); i++ {
+		for j := i; j > 0 && (all[j].sent < all[j-1].sent || all[j].sent == all[j-1].sent && all[j].msg.id < all[j-1].msg.id); j-- {
+			all[j], all[j-1] = all[j-1], all[j]
+		}
+	}
+	return all
+}
+
+func (s *sim) kill(n *node, signal string, lost bool) {
+	if !n.up {
+		return
+	}
+	n.up, n.stopped = false, false
+	if lost {
+		signal = "lost"
+	}
+	s.note(trace.Record{At: s.now, What: trace.Stop, Node: n.me, Result: signal})
+	for _, a := range sorted(n.out) {
+		a.done = true
+		s.hangUp(a)
+		a.msg.out = nil
+		a.msg.settled = a.msg.ran
+	}
+	for ep := range n.pools {
+		s.closeIdle(n, ep)
+	}
+	var owed []*message
+	for _, id := range n.order {
+		owed = append(owed, n.held[id])
+	}
+	if lost {
+		for _, m := range owed {
+			if m.ran && s.settings.Classes[s.day.Messages[m.try.Message].Class].Repeat == policy.AtMostOnce {
+				continue
+			}
+			if next, ok := s.day.Died(m.try, s.now); ok {
+				s.at(next.At, func() { s.handIn(next) })
+			}
+		}
+		owed, n.memories = nil, nil
+	}
+	life := n.life
+	s.at(s.now+restartTime, func() {
+		if n.life == life {
+			s.note(trace.Record{At: s.now, What: trace.Start, Node: n.me})
+			s.start(n, owed)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/live/agent.go
@@ -0,0 +1,214 @@
+package live
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"wingmount/internal/lab/trace"
+	"wingmount/internal/lab/world"
+)
+
+// agent is discovery on a node's own machine, and the place for notices.
+type agent struct {
+	run    *run
+	me     int
+	server *http.Server
+
+	mu       sync.Mutex
+	listener net.Listener
+
+	// What follows belongs to the loop.
+	revision int
+	changes  []change
+	news     chan struct{} // closed at the next change
+}
+
+type change struct{ revision, ep int }
+
+// list is discovery's form.
+type list struct {
+	Revision int            `json:"revision"`
+	Complete bool           `json:"complete"`
+	Members  []world.Member `json:"members"`
+}
+
+// oldStays is how long a place that discovery has left keeps its open connections.
+const oldStays = 1500 * time.Millisecond
+
+func newAgent(r *run, me int, host string) (*agent, error) {
+	a := &agent{run: r, me: me, revision: 1, news: make(chan struct{})}
+	return a, a.open(host)
+}
+
+func (a *agent) open(host string) error {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return fmt.Errorf("listening for discovery: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/servers", a.servers)
+	mux.HandleFunc("POST /v2/finals", a.finals)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	a.mu.Lock()
+	a.listener, a.server = l, server
+	a.mu.Unlock()
+	a.run.wg.Go(func() { _ = server.Serve(l) })
+	return nil
+}
+
+func (a *agent) addr() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.listener.Addr().String()
+}
+
+// move lets discovery be reached elsewhere from now on.
+func (a *agent) move(time.Duration) error {
+	a.mu.Lock()
+	old, l := a.server, a.listener
+	a.mu.Unlock()
+	host, _, err := net.SplitHostPort(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	if err := a.open(host); err != nil {
+		return err
+	}
+	_ = l.Close()
+	a.run.wg.Go(func() {
+		select {
+		case <-time.After(oldStays):
+		case <-a.run.ended:
+		}
+		_ = old.Close()
+	})
+	return nil
+}
+
+func (a *agent) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_ = a.server.Close()
+}
+
+// known is the whole list, as the agent has it.
+func (a *agent) known() list {
+	l := list{Revision: a.revision, Complete: true, Members: []world.Member{}}
+	for ep := range a.run.o.Day.Endpoints {
+		if m := a.member(ep); m.Phase != world.Left {
+			l.Members = append(l.Members, m)
+		}
+	}
+	return l
+}
+
+func (a *agent) member(ep int) world.Member {
+	return a.run.world.Member(a.me, ep, a.run.nodes[a.me].doors[ep].addr)
+}
+
+// changed is told by the loop which endpoints the agent has news of.
+func (a *agent) changed(eps []int) {
+	a.revision++
+	for _, ep := range eps {
+		a.changes = append(a.changes, change{a.revision, ep})
+	}
+	close(a.news)
+	a.news = make(chan struct{})
+}
+
+// since is what has changed after a version.
+func (a *agent) since(index int) list {
+	l := list{Revision: a.revision, Members: []world.Member{}}
+	seen := map[int]bool{}
+	for _, c := range a.changes {
+		if c.revision > index && !seen[c.ep] {
+			seen[c.ep] = true
+			l.Members = append(l.Members, a.member(c.ep))
+		}
+	}
+	return l
+}
+
+func (a *agent) servers(w http.ResponseWriter, r *http.Request) {
+	index, err := strconv.Atoi(r.URL.Query().Get("index"))
+	whole := r.URL.Query().Get("index") == ""
+	if !whole && err != nil {
+		http.Error(w, "index is no number", http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	timer := time.NewTimer(min(time.Minute, time.Duration(wait)*time.Millisecond))
+	defer timer.Stop()
+	for late := whole; ; {
+		var l list
+		var news chan struct{}
+		if !a.run.ask(func() {
+			news = a.news
+			switch {
+			case whole:
+				l = a.known()
+			case a.revision > index || late:
+				l = a.since(index)
+			default:
+				return
+			}
+			late = true
+			a.run.note(trace.Record{At: a.run.now(), What: trace.Ask, Node: a.me, Lines: len(l.Members)})
+		}) {
+			return
+		}
+		if late {
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(l) // a node that has gone hears nothing
+			return
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			late = true
+		case <-r.Context().Done():
+			return
+		case <-a.run.ended:
+			return
+		}
+	}
+}
+
+func (a *agent) finals(w http.ResponseWriter, r *http.Request) {
+	type notice struct {
+		Message string `json:"message"`
+		Outcome string `json:"outcome"`
+		RetryMs int64  `json:"retry_in_ms"`
+	}
+	var all []notice
+	dec := json.NewDecoder(io.LimitReader(r.Body, 8<<20))
+	for {
+		var n notice
+		err := dec.Decode(&n)
+		if err == io.EOF {
+			break
+		}
+		if err != nil || n.Outcome != "given_up" && n.Outcome != "handed_back" {
+			a.run.post(func() {
+				a.run.note(trace.Record{At: a.run.now(), What: trace.Odd, Node: a.me, Result: "notices that can't be read"})
+			})
+			http.Error(w, "unreadable", http.StatusBadRequest)
+			return
+		}
+		all = append(all, n)
+	}
+	a.run.ask(func() {
+		for _, n := range all {
+			wait := time.Duration(n.RetryMs) * time.Millisecond
+			a.run.note(trace.Record{At: a.run.now(), What: trace.Notice, ID: n.Message, Node: a.me, Result: n.Outcome, Wait: wait})
+			a.run.clients.noticed(n.Message, n.Outcome, wait)
+		}
+	})
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/lab/live/clients.go
@@ -0,0 +1,227 @@
+package live
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"wingmount/internal/lab/trace"
+	"wingmount/internal/lab/world"
+)
+
+const (
+	// patience is how long a client waits to hear that its message is taken on.
+	patience = 400 * time.Millisecond
+	// mostOut bounds how many clients wait at once.
+	mostOut = 2000
+	// frontPause is how long it takes until a client is led elsewhere.
+	frontPause = 200 * time.Millisecond
+)
+
+// clients hand in the day's messages. Their times are drawn ahead and do not wait for
+// answers, so what a slow node delays is counted from when its client had it.
+type clients struct {
+	run    *run
+	places chan struct{}
+	http   *http.Client
+}
+
+func newClients(r *run) *clients {
+	return &clients{run: r, places: make(chan struct{}, mostOut),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 4096, IdleConnTimeout: 1500 * time.Millisecond}}}
+}
+
+func (c *clients) close() { c.http.CloseIdleConnections() }
+
+// first hands in all first tries at their times.
+func (c *clients) first() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for i, m := range c.run.o.Day.Messages {
+		timer.Reset(m.At - c.run.now())
+		select {
+		case <-timer.C:
+		case <-c.run.ended:
+			return
+		}
+		c.start(world.Try{Message: i, At: m.At, Node: m.Node})
+	}
+}
+
+// start lets one client hand in its try, at a time that has just come.
+func (c *clients) start(t world.Try) {
+	select {
+	case c.places <- struct{}{}:
+	case <-c.run.ended:
+		return
+	}
+	late := c.run.now() - t.At
+	c.run.wg.Go(func() {
+		defer func() { <-c.places }()
+		c.handIn(t, late)
+	})
+}
+
+// plan lets a client come again. It runs in the loop.
+func (c *clients) plan(t world.Try) {
+	c.run.pending++
+	c.run.wg.Go(func() {
+		select {
+		case <-time.After(t.At - c.run.now()):
+			c.start(t)
+		case <-c.run.ended:
+		}
+	})
+}
+
+// heard is what a client made of its try.
+type heard struct {
+	status int // 0 for nothing
+	wait   time.Duration
+}
+
+func (c *clients) handIn(t world.Try, late time.Duration) {
+	r := c.run
+	id := t.ID()
+	if !r.ask(func() {
+		b := r.o.Day.Born(t)
+		r.note(b)
+		r.tries[id] = t
+		if late > lateSend {
+			r.note(trace.Record{At: r.now(), What: trace.Late, Node: t.Node, Wait: late})
+		}
+	}) {
+		return
+	}
+	h, err := c.send(t, id, false)
+	if err != nil && h.status == -1 { // an idle connection was closed meanwhile
+		h, err = c.send(t, id, true)
+	}
+	if err != nil {
+		h.status = 0
+	}
+	r.post(func() { c.heard(t, id, h) })
+}
+
+// send sends one request. Status -1 says that it met a connection that was closed.
+func (c *clients) send(t world.Try, id string, fresh bool) (heard, error) {
+	day := &c.run.o.Day
+	m := day.Messages[t.Message]
+	class := day.Scenario.Classes[m.Class].Name
+	left := day.Until(t) - c.run.now()
+	if left < time.Millisecond {
+		return heard{}, errors.New("its time is up")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	reused := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
+	// The body has no GetBody, so that the library sends nothing again by itself.
+	body := io.NopCloser(bytes.NewReader(bodyOf(id, m.Body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.run.nodes[t.Node].listen+"/"+class, body)
+	if err != nil {
+		return heard{}, err
+	}
+	req.ContentLength = int64(m.Body)
+	if m.Body == 0 {
+		req.Body = http.NoBody
+	}
+	req.Host = "origin.svc"
+	req.Close = fresh
+	req.Header.Set("X-Request-ID", id)
+	req.Header.Set("X-Priority-Class", class)
+	if tenants := day.Scenario.Tenants; m.Tenant < len(tenants) {
+		req.Header.Set("X-Tenant-Id", tenants[m.Tenant].Name)
+	}
+	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	req.Header.Set("X-Route-To", fmt.Sprintf("dest=%d", m.Dest))
+	switch {
+	case t.Again:
+		req.Header.Set("X-Retried", "again")
+	case t.N > 0:
+		req.Header.Set("X-Retried", "1")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if reused && ctx.Err() == nil {
+			return heard{status: -1}, err
+		}
+		return heard{}, err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 64<<10)) // so that the connection can be used again
+	h := heard{status: resp.StatusCode}
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 && s < 3600 {
+		h.wait = time.Duration(s * float64(time.Second))
+	}
+	return h, nil
+}
+
+// heard goes on from what a client heard. Like all below, it runs in the loop.
+func (c *clients) heard(t world.Try, id string, h heard) {
+	r := c.run
+	now := r.now()
+	r.pending--
+	switch h.status {
+	case http.StatusOK, http.StatusAccepted:
+		r.note(trace.Record{At: now, What: trace.Taken, ID: id, Node: t.Node})
+		if r.over[id] {
+			delete(r.over, id)
+		} else {
+			r.owed[id] = true
+		}
+		return
+	}
+	delete(r.tries, id)
+	delete(r.over, id)
+	r.note(trace.Record{At: now, What: trace.Turned, ID: id, Node: t.Node, Status: h.status, Wait: h.wait})
+	switch h.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if next, ok := r.o.Day.Refused(t, now, h.wait); ok {
+			c.plan(next)
+		}
+	case 0:
+		if next, ok := r.o.Day.Died(t, now+frontPause); ok {
+			c.plan(next)
+		}
+	}
+}
+
+// noticed goes on from a notice.
+func (c *clients) noticed(id, outcome string, wait time.Duration) {
+	r := c.run
+	t, known := r.tries[id]
+	r.end(id)
+	if !known || outcome != "handed_back" {
+		return
+	}
+	if next, ok := r.o.Day.Refused(t, r.now(), wait); ok {
+		c.plan(next)
+	}
+}
+
+// orphan hands in again what a node held that is lost with its folder, unless it may have
+// taken effect and may not be repeated.
+func (c *clients) orphan(node int) {
+	r := c.run
+	for id := range r.owed {
+		t := r.tries[id]
+		if t.Node != node {
+			continue
+		}
+		delete(r.owed, id)
+		class := r.o.Day.Scenario.Classes[r.o.Day.Messages[t.Message].Class]
+		if class.Repeat == "never" && r.nodes[node].attempts[id] > 0 {
+			continue
+		}
+		if next, ok := r.o.Day.Died(t, r.now()); ok {
+			c.plan(next)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/live/live.go
@@ -0,0 +1,288 @@
+// Package live plays a day against real delivery nodes: the built program as real processes,
+// and the lab's world behind real sockets on the loopback.
+package live
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"wingmount/internal/lab/trace"
+	"wingmount/internal/lab/world"
+)
+
+const (
+	// lateSend is how late the lab may hand a message in before it counts as its own fault.
+	lateSend = 50 * time.Millisecond
+	// startPatience is how long a node may take until it is ready.
+	startPatience = 30 * time.Second
+	// killAfter and startAfter are the platform's times of a planned restart.
+	killAfter  = 3700 * time.Millisecond
+	startAfter = 600 * time.Millisecond
+	// events bounds what waits for the run's one loop.
+	events = 1 << 14
+)
+
+// Options say what is run.
+type Options struct {
+	Node  string   // the program
+	Flags []string // its flags
+	Dir   string   // for the nodes' folders and logs
+	Day   world.Day
+	Note  func(trace.Record)
+	// Progress is told, about once a second, how far the day is.
+	Progress func(now, end time.Duration)
+}
+
+// Use is what one node's processes used.
+type Use struct {
+	CPU            time.Duration
+	RSS            int64 // bytes, at most
+	Files          int
+	Disk           int64
+	Starts         int
+	SlowestStart   time.Duration
+	LogBytesLost   int64
+	UnplannedExits int
+}
+
+// run is one play. All of its state belongs to the loop; others hand it functions.
+type run struct {
+	o       Options
+	world   *world.World
+	origin  time.Time
+	do      chan func()
+	ended   chan struct{}
+	nodes   []*node
+	clients *clients
+	calls   map[uint64]*conn // that wait for their answer
+	owed    map[string]bool  // ids that were taken on and have no end
+	over    map[string]bool  // ids with an end whose client has not heard that it was taken on
+	pending int              // tries that are to come, or out
+	tries   map[string]world.Try
+	wg      sync.WaitGroup
+	playing bool
+	fatal   error
+}
+
+// Run plays the day until all that was taken on has its end, or its time is up.
+func Run(ctx context.Context, o Options) ([]Use, error) {
+	r := &run{o: o, do: make(chan func(), events), ended: make(chan struct{}), calls: map[uint64]*conn{},
+		owed: map[string]bool{}, over: map[string]bool{}, tries: map[string]world.Try{}}
+	life, stop := context.WithCancel(context.Background())
+	defer stop()
+	r.origin = time.Now() // until the day begins
+	r.world = world.New(o.Day, r, r.note)
+	r.clients = newClients(r)
+	err := r.open(life)
+	if err == nil {
+		err = r.ready(ctx)
+	}
+	if err == nil {
+		err = r.play(ctx)
+	}
+	close(r.ended)
+	for _, n := range r.nodes {
+		n.quit()
+	}
+	stop()
+	for _, n := range r.nodes {
+		n.close()
+	}
+	r.clients.close()
+	r.wg.Wait()
+	var uses []Use
+	for _, n := range r.nodes {
+		uses = append(uses, n.use)
+	}
+	return uses, err
+}
+
+// note keeps a record; what is seen before the day begins is no part of it.
+func (r *run) note(rec trace.Record) {
+	if r.playing {
+		r.o.Note(rec)
+	}
+}
+
+func (r *run) now() time.Duration { return time.Since(r.origin) }
+
+// post hands a function to the loop; false tells that the run is over.
+func (r *run) post(f func()) bool {
+	select {
+	case r.do <- f:
+		return true
+	case <-r.ended:
+		return false
+	}
+}
+
+// ask hands a function to the loop and waits until it has run.
+func (r *run) ask(f func()) bool {
+	done := make(chan struct{})
+	if !r.post(func() { f(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-r.ended:
+		return false
+	}
+}
+
+// open listens for all nodes and starts them.
+func (r *run) open(life context.Context) error {
+	if err := os.MkdirAll(r.o.Dir, 0o755); err != nil {
+		return fmt.Errorf("the nodes' folder: %w", err)
+	}
+	for i := range r.o.Day.Nodes {
+		n := &node{run: r, me: i, dir: filepath.Join(r.o.Dir, fmt.Sprintf("n%d", i))}
+		r.nodes = append(r.nodes, n)
+		if err := n.open(life); err != nil {
+			return fmt.Errorf("node %d: %w", i, err)
+		}
+	}
+	for _, n := range r.nodes {
+		if err := n.start(); err != nil {
+			return fmt.Errorf("node %d: %w", n.me, err)
+		}
+	}
+	return nil
+}
+
+// ready waits until all nodes take clients; only then the day begins.
+func (r *run) ready(ctx context.Context) error {
+	timer := time.NewTimer(startPatience)
+	defer timer.Stop()
+	for {
+		up := 0
+		for _, n := range r.nodes {
+			if n.up {
+				up++
+			}
+		}
+		if up == len(r.nodes) {
+			return nil
+		}
+		select {
+		case f := <-r.do:
+			f()
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			return fmt.Errorf("%d of %d nodes were ready after %v; their logs are in %s", up, len(r.nodes), startPatience, r.o.Dir)
+		}
+		if r.fatal != nil {
+			return r.fatal
+		}
+	}
+}
+
+// play is the loop.
+func (r *run) play(ctx context.Context) error {
+	r.origin, r.playing = time.Now(), true
+	for _, n := range r.nodes {
+		r.note(trace.Record{What: trace.Ready, Node: n.me})
+	}
+	day := &r.o.Day
+	end := day.Length
+	r.pending = len(day.Messages)
+	for i, m := range day.Messages {
+		t := world.Try{Message: i, At: m.At, Node: m.Node}
+		end = max(end, day.Until(t))
+	}
+	end += time.Second
+	r.wg.Go(r.clients.first)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	told := time.Duration(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.New("stopped before its end")
+		case f := <-r.do:
+			f()
+		case <-timer.C:
+		}
+		for more := true; more; {
+			select {
+			case f := <-r.do:
+				f()
+			default:
+				more = false
+			}
+		}
+		now := r.now()
+		r.world.Advance(now)
+		if r.fatal != nil {
+			return r.fatal
+		}
+		if now > end || now > day.Length && r.pending == 0 && len(r.owed) == 0 {
+			r.note(trace.Record{At: now, What: trace.Over})
+			return nil
+		}
+		if r.o.Progress != nil && now-told >= time.Second {
+			told = now
+			r.o.Progress(now, end)
+		}
+		wake := 100 * time.Millisecond
+		if at, ok := r.world.Next(); ok {
+			wake = min(wake, max(0, at-r.now()))
+		}
+		timer.Reset(wake)
+	}
+}
+
+// Answer is the world's.
+func (r *run) Answer(now time.Duration, a world.Answer) {
+	c := r.calls[a.Call]
+	delete(r.calls, a.Call)
+	if c == nil {
+		return
+	}
+	c.call = 0
+	c.answer(a)
+	if a.Status == 200 {
+		r.end(a.ID)
+	}
+}
+
+// end frees what a message was owed.
+func (r *run) end(id string) {
+	if !r.owed[id] {
+		if _, waits := r.tries[id]; waits {
+			r.over[id] = true
+		}
+	}
+	delete(r.owed, id)
+}
+
+// Listed is the world's.
+func (r *run) Listed(_ time.Duration, me int, eps []int) { r.nodes[me].agent.changed(eps) }
+
+// Door is the world's.
+func (r *run) Door(_ time.Duration, ep int, as world.Dialled) {
+	for _, n := range r.nodes {
+		if err := n.doors[ep].set(as); err != nil && r.fatal == nil {
+			r.fatal = fmt.Errorf("endpoint %d: %w", ep, err)
+		}
+	}
+}
+
+// Strike is the world's.
+func (r *run) Strike(now time.Duration, t world.Trouble, me int) { r.nodes[me].strike(now, t) }
+
+// freePort finds an address that nobody has just now.
+func freePort(host string) (string, error) {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
--- /dev/null
+++ b/internal/lab/record/record.go
@@ -0,0 +1,217 @@
+// Package record keeps a run: its trace, its figures, the rules that it broke, in a folder
+// of its own where one is wanted.
+package record
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"wingmount/internal/lab/figures"
+	"wingmount/internal/lab/rules"
+	"wingmount/internal/lab/trace"
+	"wingmount/internal/lab/world"
+)
+
+// Summary is a run in short.
+type Summary struct {
+	Scenario string          `json:"scenario"`
+	Seed     uint64          `json:"seed"`
+	Way      string          `json:"way"` // "sim" or "run"
+	Revision string          `json:"revision"`
+	Variant  string          `json:"variant,omitempty"`
+	Length   float64         `json:"length_s"`
+	Nodes    int             `json:"nodes"`
+	Took     float64         `json:"took_s"` // of real time
+	Invalid  string          `json:"invalid,omitempty"`
+	Figures  figures.Figures `json:"figures"`
+	Broken   []rules.Broken  `json:"broken"`
+	Account  rules.Account   `json:"account"`
+	Usage    []Usage         `json:"usage,omitempty"` // of real processes
+}
+
+// Usage is what a node's processes used.
+type Usage struct {
+	Node     int     `json:"node"`
+	CPU      float64 `json:"cpu_s"`
+	RSS      float64 `json:"most_rss_mb"`
+	Files    int     `json:"most_descriptors"`
+	Disk     float64 `json:"most_disk_mb"`
+	Starts   int     `json:"starts"`
+	ReadyMax float64 `json:"slowest_start_s"`
+}
+
+// Goal is how the deployment weighs the parts of its service.
+var Goal = figures.Goal{Whole: 0.45, Window: 0.25, Class: 0.2, Tenant: 0.1}
+
+// Recorder takes the records of a run. It is safe for concurrent use.
+type Recorder struct {
+	mu      sync.Mutex
+	check   *rules.Checker
+	count   *figures.Counter
+	out     *trace.Writer
+	file    io.Closer
+	dir     string
+	last    time.Duration
+	summary Summary
+	began   time.Time
+}
+
+// Limits are the rules' figures of a day.
+func Limits(d world.Day, blur time.Duration) rules.Limits {
+	l := rules.Limits{DrainGrace: time.Duration(d.Scenario.Rules.DrainGraceMs * float64(time.Millisecond)), Slots: d.Slots, MaxOpen: d.MaxOpen,
+		MaxAttempts: d.Scenario.Rules.MaxAttempts, Blur: blur}
+	for _, c := range d.Scenario.Classes {
+		l.Never = append(l.Never, c.Repeat == "never")
+	}
+	for _, e := range d.Endpoints {
+		l.Dest = append(l.Dest, e.Dest)
+	}
+	return rules.Protocol(l)
+}
+
+// Classes are what the classes of a day are worth.
+func Classes(d world.Day) (all []figures.Class) {
+	for _, c := range d.Scenario.Classes {
+		all = append(all, figures.Class{Name: c.Name, Aim: time.Duration(c.AimMs * float64(time.Millisecond)),
+			Deadline: time.Duration(c.DeadlineS * float64(time.Second)), Worth: c.Worth, Late: c.LateWorth})
+	}
+	return all
+}
+
+// Revision is that of this program's sources.
+func Revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	rev, dirty := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision" && len(s.Value) > 12:
+			rev = s.Value[:12]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			dirty = " and changes"
+		}
+	}
+	return rev + dirty
+}
+
+// New begins to keep a run. An empty dir keeps no files.
+func New(d world.Day, way, dir string, blur time.Duration) (*Recorder, error) {
+	r := &Recorder{check: rules.New(Limits(d, blur)), dir: dir, began: time.Now(),
+		count: figures.New(Classes(d), len(d.Scenario.Tenants), Goal, d.Length),
+		summary: Summary{Scenario: d.Scenario.Name, Seed: d.Seed, Way: way, Revision: Revision(), Length: d.Length.Seconds(),
+			Nodes: len(d.Nodes)}}
+	if dir == "" {
+		return r, nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("the run's folder: %w", err)
+	}
+	text, err := json.MarshalIndent(d.Scenario, "", " ")
+	if err != nil {
+		return nil, fmt.Errorf("the scenario: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "scenario.json"), text, 0o644); err != nil {
+		return nil, fmt.Errorf("the run's folder: %w", err)
+	}
+	f, err := os.Create(filepath.Join(dir, "trace.jsonl"))
+	if err != nil {
+		return nil, fmt.Errorf("the run's folder: %w", err)
+	}
+	r.out, r.file = trace.NewWriter(f), f
+	return r, nil
+}
+
+// Note takes a record.
+func (r *Recorder) Note(rec trace.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec.At = max(rec.At, r.last) // of records that are seen at once, the order is the trace's
+	r.last = rec.At
+	r.check.Take(rec)
+	r.count.Take(rec)
+	if r.out != nil {
+		r.out.Add(rec)
+	}
+}
+
+// Finish ends the run and gives it in short. A folder that can't be written is an error,
+// and the summary stands all the same.
+func (r *Recorder) Finish(fill func(*Summary)) (Summary, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &r.summary
+	s.Broken, s.Account = r.check.Finish(r.last)
+	s.Figures = r.count.Finish()
+	s.Took = time.Since(r.began).Seconds()
+	if fill != nil {
+		fill(s)
+	}
+	if r.out == nil {
+		return *s, nil
+	}
+	err := errors.Join(r.out.Close(), r.file.Close())
+	text, failed := json.MarshalIndent(s, "", " ")
+	if failed == nil {
+		failed = os.WriteFile(filepath.Join(r.dir, "summary.json"), append(text, '\n'), 0o644)
+	}
+	return *s, errors.Join(err, failed)
+}
+
+// Print tells a person.
+func (s Summary) Print(w io.Writer) error {
+	f := s.Figures
+	p := printer{w: w}
+	p.line("%s, seed %d, %s: %d nodes, %.0f s (took %.1f s), revision %s", s.Scenario, s.Seed, s.Way, s.Nodes, s.Length, s.Took, s.Revision)
+	if s.Variant != "" {
+		p.line("flags: %s", s.Variant)
+	}
+	p.line("served %.4f   whole %.4f   worst 10 s %.4f (from %.0f s)   worst class %.4f   worst tenant %.4f",
+		f.Served, f.Whole, f.Worst10s, f.WorstFrom, f.Class, f.Tenant)
+	p.line("messages %d, tries %d, delivered %d; ms: median %.0f, 99th percentile %.0f, longest %.0f", f.Messages, f.Tries, f.Delivered, f.P50, f.P99, f.Max)
+	p.line("calls %d (%.2f a message), refused %.3f of them, ends %v; connections %d, failed %d; list lines %d",
+		f.Calls, f.PerMsg, f.Refused, f.Ends, f.Conns, f.NoConns, f.Asked)
+	a := s.Account
+	p.line("taken on %d: delivered %d, handed back %d, given up %d, lost %d, with a lost folder %d, open %d; turned away %d",
+		a.Taken, a.Delivered, a.Refused, a.GivenUp, a.Lost, a.Orphans, a.Open, a.Turned)
+	for _, u := range s.Usage {
+		p.line("node %d: CPU %.2f s, memory %.1f MB, descriptors %d, disk %.2f MB, %d starts, the slowest %.2f s", u.Node, u.CPU, u.RSS, u.Files,
+			u.Disk, u.Starts, u.ReadyMax)
+	}
+	for _, c := range f.Recovery {
+		if c.Took < 0 {
+			p.line("after the end of %s at %.1f s: not well again", c.Fault, c.At)
+		} else {
+			p.line("after the end of %s at %.1f s: well again within %.0f s", c.Fault, c.At, c.Took+1)
+		}
+	}
+	if s.Invalid != "" {
+		p.line("INVALID: %s", s.Invalid)
+	}
+	if len(s.Broken) == 0 {
+		p.line("all rules kept")
+	}
+	for _, b := range s.Broken {
+		p.line("BROKEN %s", b)
+	}
+	return p.err
+}
+
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) line(form string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, form+"\n", args...)
+	}
+}
--- /dev/null
+++ b/internal/lab/rules/rules.go
@@ -0,0 +1,445 @@
+// Package rules reads the trace of a run and tells which rules of the protocol it broke.
+// It knows nothing of how the run was made.
+package rules
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"wingmount/internal/lab/trace"
+)
+
+// Limits are the figures of the rules.
+type Limits struct {
+	Slack       time.Duration // every limit in time is longer by this
+	Notice      time.Duration // how late a notice may come
+	WaitPasses  time.Duration // calls that come so soon after a told wait are let through
+	Restart     time.Duration // from readiness until then no notice is overdue
+	DrainGrace  time.Duration
+	Slots       int
+	MaxOpen     int
+	MaxAttempts int
+	Blur        time.Duration // a count that is over its limit for less than this was only seen late
+	Never       []bool        // by class: it must not run twice
+	Dest        []int         // by endpoint
+}
+
+// Protocol fills in what the pages fix.
+func Protocol(l Limits) Limits {
+	l.Slack, l.Notice, l.WaitPasses, l.Restart = 50*time.Millisecond, 300*time.Millisecond, 100*time.Millisecond, 1500*time.Millisecond
+	return l
+}
+
+// The rules.
+const (
+	Unknown  = "no request that no client sent"
+	Astray   = "only to endpoints of its destination"
+	Twice    = "one attempt at a time"
+	Repeat   = "nothing is repeated outside its class"
+	Ended    = "nothing is sent after its end"
+	Refusal  = "only what never ran is refused"
+	Lost     = "exactly one final answer in time"
+	Drain    = "nothing new to an endpoint that leaves"
+	Wait     = "a told wait is kept"
+	Cold     = "no cold destination is pushed over"
+	Slots    = "no more calls out than slots"
+	Hold     = "no more messages than the hold takes"
+	Attempts = "no more attempts than are allowed"
+	Form     = "the protocol"
+)
+
+// Broken is a rule that was broken.
+type Broken struct {
+	Rule   string        `json:"rule"`
+	At     time.Duration `json:"at"`
+	Detail string        `json:"detail"`
+	Lines  []int         `json:"lines"` // of the trace, from 1
+}
+
+func (b Broken) String() string {
+	var lines []string
+	for _, n := range b.Lines {
+		lines = append(lines, fmt.Sprint(n))
+	}
+	return fmt.Sprintf("%.3f s  %s: %s (trace lines %s)", b.At.Seconds(), b.Rule, b.Detail, strings.Join(lines, ", "))
+}
+
+// most breaks of one rule are told in full; the rest is counted.
+const mostTold = 20
+
+// forgotten is how long after its time a message is remembered.
+const forgotten = 30 * time.Second
+
+type message struct {
+	id        string
+	node      int
+	class     int
+	dest      int
+	until     time.Duration
+	taken     bool
+	delivered bool
+	noticed   string
+	open      map[uint64]bool
+	attempts  int
+	ran       bool // an attempt may have run
+	ranLine   int
+	lines     []int
+	ended     bool
+	broken    bool // it was told to be lost
+}
+
+func (m *message) line(n int) {
+	if len(m.lines) < 24 {
+		m.lines = append(m.lines, n)
+	}
+}
+
+type node struct {
+	down    bool
+	since   time.Duration // it has been down, or up, since then
+	exempt  time.Duration
+	out     int
+	held    int
+	outOver time.Duration // over its slots since then; 0: it is not
+	hldOver time.Duration
+	life    int
+	waits   map[int]wait
+	leaves  map[int]time.Duration
+	lines   map[int]int // of the trace: where it was told that an endpoint leaves
+}
+
+type wait struct {
+	told, until time.Duration
+	line        int
+}
+
+type due struct {
+	at time.Duration
+	m  *message
+}
+
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	old[len(old)-1] = due{}
+	*d = old[:len(old)-1]
+	return x
+}
+
+// Checker reads records one by one. Its memory is bounded by the messages of a minute or so.
+type Checker struct {
+	lim      Limits
+	line     int
+	messages map[string]*message
+	nodes    []*node
+	counting time.Duration // when all counts were looked at last
+	calls    map[uint64]*message
+	dues     dues
+	old      dues // when to forget
+	told     []Broken
+	counts   map[string]int
+	accounts Account
+}
+
+// Account says what became of the tries that were handed in.
+type Account struct {
+	Tries     int `json:"tries"`
+	Taken     int `json:"taken"`
+	Turned    int `json:"turned"`    // its client heard no, or nothing
+	Delivered int `json:"delivered"` // of those taken
+	Refused   int `json:"refused"`
+	GivenUp   int `json:"given_up"`
+	Lost      int `json:"lost"`
+	Open      int `json:"open"`    // their time is not up
+	Orphans   int `json:"orphans"` // their node's folder was lost
+}
+
+// New begins to check.
+func New(l Limits) *Checker {
+	return &Checker{lim: l, messages: map[string]*message{}, calls: map[uint64]*message{}, counts: map[string]int{}}
+}
+
+func (c *Checker) node(n int) *node {
+	for n >= len(c.nodes) {
+		c.nodes = append(c.nodes, &node{waits: map[int]wait{}, leaves: map[int]time.Duration{}, lines: map[int]int{}})
+	}
+	return c.nodes[n]
+}
+
+func (c *Checker) broke(at time.Duration, rule string, lines []int, form string, args ...any) {
+	if c.counts[rule]++; c.counts[rule] <= mostTold {
+		c.told = append(c.told, Broken{rule, at, fmt.Sprintf(form, args...), slices.Compact(slices.Sorted(slices.Values(lines)))})
+	}
+}
+
+// Take reads one record. They come in the order of time.
+func (c *Checker) Take(r trace.Record) {
+	c.line++
+	c.overdue(r.At)
+	switch r.What {
+	case trace.Born:
+		m := &message{id: r.ID, node: r.Node, class: r.Class, dest: r.Dest, until: r.Until, open: map[uint64]bool{}, lines: []int{c.line}}
+		c.messages[r.ID] = m
+		c.accounts.Tries++
+		heap.Push(&c.dues, due{r.Until + c.lim.Notice + c.lim.Slack, m})
+		heap.Push(&c.old, due{r.Until + forgotten, m})
+	case trace.Taken:
+		c.taken(r)
+	case trace.Turned:
+		c.accounts.Turned++
+	case trace.Call:
+		c.call(r)
+	case trace.End:
+		c.end(r)
+	case trace.Notice:
+		c.notice(r)
+	case trace.Told:
+		n := c.node(r.Node)
+		if r.Result == "active" {
+			delete(n.leaves, r.EP)
+		} else if _, known := n.leaves[r.EP]; !known {
+			n.leaves[r.EP], n.lines[r.EP] = r.At, c.line
+		}
+	case trace.Fell:
+		if r.Share >= 2.0/3 {
+			c.broke(r.At, Cold, []int{c.line}, "destination %d fell over; %.0f%% of its calls came from nodes that had seen it fail", r.Dest, r.Share*100)
+		}
+	case trace.Stop:
+		c.stop(r)
+	case trace.Start:
+		clear(c.node(r.Node).waits) // a restart ends them
+	case trace.Ready:
+		n := c.node(r.Node)
+		n.down, n.exempt = false, r.At+c.lim.Restart
+	case trace.Odd:
+		c.broke(r.At, Form, []int{c.line}, "node %d, endpoint %d, message %s: %s", r.Node, r.EP, r.ID, r.Result)
+	}
+	c.counted(r.At)
+}
+
+func (c *Checker) taken(r trace.Record) {
+	m := c.messages[r.ID]
+	if m == nil {
+		c.broke(r.At, Form, []int{c.line}, "node %d took on %s, which nobody sent", r.Node, r.ID)
+		return
+	}
+	m.line(c.line)
+	if m.taken {
+		return
+	}
+	c.accounts.Taken++
+	m.taken, m.node = true, r.Node
+	c.node(r.Node).held++
+	if m.delivered || m.noticed != "" { // its client heard later than the platform
+		c.settle(m)
+	}
+}
+
+func (c *Checker) call(r trace.Record) {
+	m := c.messages[r.ID]
+	n := c.node(r.Node)
+	n.out++
+	if m == nil {
+		c.broke(r.At, Unknown, []int{c.line}, "%s came to endpoint %d from node %d", r.ID, r.EP, r.Node)
+		return
+	}
+	lines := append(slices.Clone(m.lines), c.line)
+	m.line(c.line)
+	c.calls[r.Call] = m
+	if r.EP < len(c.lim.Dest) && c.lim.Dest[r.EP] != m.dest {
+		c.broke(r.At, Astray, lines, "%s is for destination %d and came to endpoint %d of %d", r.ID, m.dest, r.EP, c.lim.Dest[r.EP])
+	}
+	if len(m.open) > 0 {
+		c.broke(r.At, Twice, lines, "%s came to endpoint %d while an earlier call was out", r.ID, r.EP)
+	}
+	if c.never(m) && m.ran {
+		c.broke(r.At, Repeat, lines, "%s may have run (line %d) and came to endpoint %d again", r.ID, m.ranLine, r.EP)
+	}
+	if m.noticed != "" {
+		c.broke(r.At, Ended, lines, "%s came to endpoint %d after its notice (%s)", r.ID, r.EP, m.noticed)
+	}
+	if m.attempts++; c.lim.MaxAttempts > 0 && m.attempts > c.lim.MaxAttempts {
+		c.broke(r.At, Attempts, lines, "%s came for the %dth time", r.ID, m.attempts)
+	}
+	m.open[r.Call] = true
+	if at, leaves := n.leaves[r.EP]; leaves && r.Since > at+c.lim.DrainGrace+c.lim.Slack {
+		c.broke(r.At, Drain, []int{n.lines[r.EP], c.line}, "node %d sent %s to endpoint %d, %.0f ms after it was told that it leaves",
+			r.Node, r.ID, r.EP, ms(r.Since-at))
+	}
+	if w, told := n.waits[m.dest]; told {
+		if r.At > w.told+c.lim.WaitPasses && r.At < w.until {
+			c.broke(r.At, Wait, []int{w.line, c.line}, "node %d sent %s to destination %d, %.0f ms before the end of a wait",
+				r.Node, r.ID, m.dest, ms(w.until-r.At))
+		}
+		if r.At >= w.until {
+			delete(n.waits, m.dest)
+		}
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func (c *Checker) never(m *message) bool { return m.class < len(c.lim.Never) && c.lim.Never[m.class] }
+
+func (c *Checker) end(r trace.Record) {
+	n := c.node(r.Node)
+	n.out--
+	m := c.calls[r.Call]
+	delete(c.calls, r.Call)
+	if m == nil {
+		return
+	}
+	m.line(c.line)
+	delete(m.open, r.Call)
+	switch r.Status {
+	case 429, 503:
+		if w := n.waits[m.dest]; r.Wait > 0 && r.At+r.Wait > w.until {
+			n.waits[m.dest] = wait{r.At, r.At + r.Wait, c.line}
+		}
+	default:
+		m.ran, m.ranLine = true, c.line
+		if r.Status == 200 {
+			c.over(m, "delivered")
+		}
+	}
+}
+
+// over ends a message once.
+func (c *Checker) over(m *message, how string) {
+	switch how {
+	case "delivered":
+		m.delivered = true
+	default:
+		m.noticed = how
+	}
+	if m.taken && !m.ended {
+		c.settle(m)
+	}
+}
+
+// settle counts a message that was taken on and has its end.
+func (c *Checker) settle(m *message) {
+	m.ended = true
+	c.node(m.node).held--
+	switch {
+	case m.delivered:
+		c.accounts.Delivered++
+	case m.noticed == "handed_back":
+		c.accounts.Refused++
+	default:
+		c.accounts.GivenUp++
+	}
+}
+
+func (c *Checker) notice(r trace.Record) {
+	m := c.messages[r.ID]
+	if m == nil {
+		c.broke(r.At, Unknown, []int{c.line}, "a notice for %s from node %d", r.ID, r.Node)
+		return
+	}
+	lines := append(slices.Clone(m.lines), c.line)
+	m.line(c.line)
+	if r.Result == "handed_back" && !m.delivered && c.never(m) && (m.ran || len(m.open) > 0) {
+		c.broke(r.At, Refusal, lines, "%s may have run (line %d) and was handed back", r.ID, m.ranLine)
+	}
+	if m.noticed != "" && m.noticed != r.Result {
+		c.broke(r.At, Lost, lines, "%s ended as %s and then as %s", r.ID, m.noticed, r.Result)
+	}
+	c.over(m, r.Result)
+}
+
+func (c *Checker) stop(r trace.Record) {
+	n := c.node(r.Node)
+	n.down, n.since, n.exempt = true, r.At, 0
+	if r.Result != "lost" {
+		return
+	}
+	for _, m := range c.messages {
+		if m.node == r.Node && m.taken && !m.ended {
+			m.ended = true
+			n.held--
+			c.accounts.Orphans++
+		}
+	}
+}
+
+// overdue finds messages whose time was up with no end.
+func (c *Checker) overdue(now time.Duration) {
+	for len(c.dues) > 0 && c.dues[0].at < now {
+		d := heap.Pop(&c.dues).(due)
+		m := d.m
+		if !m.taken || m.ended || m.broken {
+			continue
+		}
+		n := c.node(m.node)
+		if n.down || n.exempt >= now {
+			again := max(now, n.exempt) + time.Millisecond
+			if n.down {
+				again = now + 100*time.Millisecond
+			}
+			heap.Push(&c.dues, due{again, m})
+			continue
+		}
+		m.broken = true
+		c.accounts.Lost++
+		c.broke(d.at, Lost, m.lines, "%s was taken on by node %d and had no end %.0f ms after its time", m.id, m.node, ms(d.at-m.until))
+	}
+	for len(c.old) > 0 && c.old[0].at < now {
+		m := heap.Pop(&c.old).(due).m
+		if m.taken && !m.ended && !m.broken { // its node is down still
+			heap.Push(&c.old, due{now + forgotten, m})
+			continue
+		}
+		delete(c.messages, m.id)
+	}
+}
+
+// counted finds nodes that have been over a count for longer than it may have been seen late.
+func (c *Checker) counted(now time.Duration) {
+	if now-c.counting < 5*time.Millisecond {
+		return
+	}
+	c.counting = now
+	for i, n := range c.nodes {
+		c.overFor(now, i, n.out, c.lim.Slots, &n.outOver, Slots, "calls out")
+		c.overFor(now, i, n.held, c.lim.MaxOpen, &n.hldOver, Hold, "messages")
+	}
+}
+
+func (c *Checker) overFor(now time.Duration, i, count, most int, since *time.Duration, rule, what string) {
+	switch {
+	case most <= 0 || count <= most:
+		*since = 0
+	case *since == 0:
+		*since = max(now, 1)
+	case *since > 0 && now-*since > c.lim.Blur:
+		c.broke(now, rule, []int{c.line}, "node %d has had over %d %s for %.0f ms", i, most, what, ms(now-*since))
+		*since = -1 // told once, until it is within again
+	}
+}
+
+// Finish ends the check. What is still owed then and in time is told as open.
+func (c *Checker) Finish(now time.Duration) ([]Broken, Account) {
+	c.overdue(now)
+	for _, m := range c.messages {
+		if m.taken && !m.ended && !m.broken {
+			c.accounts.Open++
+		}
+	}
+	for _, rule := range slices.Sorted(maps.Keys(c.counts)) {
+		if more := c.counts[rule] - mostTold; more > 0 {
+			c.told = append(c.told, Broken{rule, now, fmt.Sprintf("and %d times more", more), nil})
+		}
+	}
+	return c.told, c.accounts
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,326 @@
+// Package scenario reads what the lab plays: ranges from which each seed draws a day.
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Range is a lowest and a highest value; a day draws evenly between them.
+type Range [2]float64
+
+// Scenario is a file in full. Times are in seconds or, where the key says so, milliseconds.
+type Scenario struct {
+	Name    string `toml:"name"`
+	Page    string `toml:"page"` // where it comes from
+	About   string `toml:"about"`
+	LengthS Range  `toml:"length_s"`
+
+	Nodes     Nodes     `toml:"nodes"`
+	Load      Load      `toml:"load"`
+	Net       Net       `toml:"net"`
+	Clients   Clients   `toml:"clients"`
+	Discovery Discovery `toml:"discovery"`
+	Rules     Rules     `toml:"rules"`
+	Dest      Dest      `toml:"destinations"`
+	Reports   Reports   `toml:"reports"`
+	Kinds     []Kind    `toml:"kind"`
+	Classes   []Class   `toml:"class"`
+	Tenants   []Tenant  `toml:"tenant"`
+	Faults    []Fault   `toml:"fault"`
+}
+
+// Nodes are the delivery nodes and their limits.
+type Nodes struct {
+	Count     int     `toml:"count"`
+	Uneven    float64 `toml:"uneven"`     // the k-th node gets traffic by 1/k to this power; 0 is even
+	SlotsRoom Range   `toml:"slots_room"` // slots over what load 1 keeps busy
+	Least     int     `toml:"least_slots"`
+	HoldS     Range   `toml:"hold_s"` // messages held: so many seconds of load 1
+	LeastOpen int     `toml:"least_open"`
+	MemoryMB  int     `toml:"memory_mb"`
+	Sockets   int     `toml:"sockets"`
+	DiskMB    float64 `toml:"disk_mb"`
+}
+
+// Load is what clients ask for, as a part of what load 1 is.
+type Load struct {
+	Level      Range `toml:"level"`
+	Clumps     Range `toml:"clumps"`  // the share of messages that come in clumps
+	ClumpS     Range `toml:"clump_s"` // a clump is so many seconds of its destination's limit
+	BodyBytes  Range `toml:"body_bytes"`
+	AllowanceX Range `toml:"allowance"` // tenants' allowances together, over load 1
+}
+
+// Net is the network between nodes and endpoints.
+type Net struct {
+	OneWayMs      Range `toml:"one_way_ms"`
+	HandshakeRTTs Range `toml:"handshake_rtts"`
+}
+
+// Clients says what they do after a refusal and how long they wait to be heard.
+type Clients struct {
+	Retries   Range   `toml:"retries"`
+	BackoffMs Range   `toml:"backoff_ms"`
+	Honour    float64 `toml:"honour"` // the share that heeds Retry-After
+	AgainMs   Range   `toml:"again_ms"`
+}
+
+// Discovery says how late nodes hear of a change.
+type Discovery struct {
+	NoticeS Range `toml:"notice_s"`
+}
+
+// Rules are the figures of the rules, as in the settings.
+type Rules struct {
+	DrainGraceMs   float64 `toml:"drain_grace_ms"`
+	FallMultiple   float64 `toml:"fall_multiple"`
+	FallMs         float64 `toml:"fall_ms"`
+	ColdFrom       Range   `toml:"cold_from"`
+	ColdS          Range   `toml:"cold_s"`
+	MaxAttempts    int     `toml:"max_attempts"`
+	ConnectMs      float64 `toml:"connect_timeout_ms"`
+	IdleS          float64 `toml:"idle_s"`
+	MaxRetryAfterS float64 `toml:"max_retry_after_s"`
+	TickMs         float64 `toml:"tick_ms"`
+}
+
+// Dest is how many destinations there are and how traffic is spread over them.
+type Dest struct {
+	Count     Range `toml:"count"`
+	Endpoints Range `toml:"endpoints"` // of each; rounded, and 1 at least
+	Rate      Range `toml:"rate"`      // messages a second of each, in the mean, at load 1
+	Zipf      Range `toml:"zipf"`
+}
+
+// Reports is what answers tell of a limit.
+type Reports struct {
+	PeriodMs Range `toml:"period_ms"`
+	DelayMs  Range `toml:"delay_ms"`
+	Noise    Range `toml:"noise"`
+}
+
+// Kind is one kind of destination.
+type Kind struct {
+	Name         string `toml:"name"`
+	Share        int    `toml:"share"` // so many of the sum of shares are of this kind
+	Limit        string `toml:"limit"` // "window", "rate" or "none"
+	WindowMs     int    `toml:"window_ms"`
+	Headroom     Range  `toml:"headroom"` // the limit over its calls at load 1
+	LeastRate    Range  `toml:"least_rate"`
+	Spare        Range  `toml:"spare"` // capacity over the limit
+	DepthS       Range  `toml:"depth_s"`
+	TellsWait    Range  `toml:"tells_wait"`
+	WaitMs       Range  `toml:"wait_ms"`
+	RefusedCount bool   `toml:"refused_count"`
+	Speed        Range  `toml:"speed"`
+	SlowCV       Range  `toml:"slow_cv"`
+	ErrorRate    Range  `toml:"error_rate"`
+	Conns        int    `toml:"conns"` // an endpoint takes so many connections; 0: any number
+}
+
+// Class is one class of message.
+type Class struct {
+	Name      string  `toml:"name"`
+	Share     float64 `toml:"share"`
+	WorkMs    Range   `toml:"work_ms"`
+	CV        float64 `toml:"cv"`
+	AimMs     float64 `toml:"aim_ms"`
+	DeadlineS float64 `toml:"deadline_s"`
+	Worth     float64 `toml:"worth"`
+	LateWorth float64 `toml:"late_worth"`
+	Repeat    string  `toml:"repeat"` // "safe" or "never"
+}
+
+// Tenant has a share of the destinations.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+}
+
+// Fault is one trouble.
+//
+// On endpoints: down, silent, hang, shut, errors, slow, pauses, drain, gone, lower (a limit), hot.
+// On nodes: kill, term, stop, hangup.
+type Fault struct {
+	What  string `toml:"what"`
+	AtS   Range  `toml:"at_s"`
+	ForS  Range  `toml:"for_s"`
+	Part  Range  `toml:"part"`   // of the traffic, or of the nodes
+	Size  Range  `toml:"size"`   // share that fails, times slower, the limit's new part, ms of a pause
+	EachS Range  `toml:"each_s"` // pauses: seconds between two; kill and term: between two nodes
+	Lost  bool   `toml:"lost"`   // kill: the folder goes with the process
+}
+
+// Load reads a file and checks it.
+func Read(path string) (Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Scenario{}, fmt.Errorf("reading a scenario: %w", err)
+	}
+	s, err := Parse(text)
+	if err != nil {
+		return Scenario{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads the text of a file and checks it. What the file leaves out is as in Default.
+func Parse(text []byte) (Scenario, error) {
+	s := Default()
+	kinds, classes, tenants := s.Kinds, s.Classes, s.Tenants
+	s.Kinds, s.Classes, s.Tenants = nil, nil, nil
+	d := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		var strict *toml.StrictMissingError
+		var wrong *toml.DecodeError
+		switch {
+		case errors.As(err, &strict):
+			var all []error
+			for _, e := range strict.Errors {
+				row, _ := e.Position()
+				all = append(all, fmt.Errorf("line %d: unknown key %q", row, strings.Join(e.Key(), ".")))
+			}
+			return Scenario{}, errors.Join(all...)
+		case errors.As(err, &wrong):
+			row, _ := wrong.Position()
+			return Scenario{}, fmt.Errorf("line %d: %s: %w", row, strings.Join(wrong.Key(), "."), err)
+		}
+		return Scenario{}, err
+	}
+	if s.Kinds == nil {
+		s.Kinds = kinds
+	}
+	if s.Classes == nil {
+		s.Classes = classes
+	}
+	if s.Tenants == nil {
+		s.Tenants = tenants
+	}
+	if err := s.check(newLines(text)); err != nil {
+		return Scenario{}, err
+	}
+	return s, nil
+}
+
+// Default is a quiet day of the deployment that BRIEF describes, small enough for a try.
+func Default() Scenario {
+	return Scenario{
+		Name: "default", LengthS: Range{20, 20},
+		Nodes: Nodes{Count: 2, SlotsRoom: Range{2, 2.4}, Least: 3, HoldS: Range{8.5, 12}, LeastOpen: 12,
+			MemoryMB: 192, Sockets: 1024, DiskMB: 3},
+		Load: Load{Level: Range{0.4, 0.5}, Clumps: Range{0.072, 0.17}, ClumpS: Range{1.6, 3.5},
+			BodyBytes: Range{50, 400}, AllowanceX: Range{0.77, 0.94}},
+		Net:       Net{OneWayMs: Range{5, 15}, HandshakeRTTs: Range{2, 3}},
+		Clients:   Clients{Retries: Range{1, 2.99}, BackoffMs: Range{410, 1400}, Honour: 0.75, AgainMs: Range{680, 1900}},
+		Discovery: Discovery{NoticeS: Range{1.7, 4.4}},
+		Rules: Rules{DrainGraceMs: 2000, FallMultiple: 1.5, FallMs: 3000, ColdFrom: Range{0.29, 0.41}, ColdS: Range{11, 14},
+			MaxAttempts: 6, ConnectMs: 1000, IdleS: 15, MaxRetryAfterS: 3, TickMs: 5},
+		Dest:    Dest{Count: Range{10, 13}, Endpoints: Range{1.8, 2.2}, Rate: Range{3.7, 4.8}, Zipf: Range{0.72, 0.88}},
+		Reports: Reports{PeriodMs: Range{110, 500}, DelayMs: Range{43, 280}, Noise: Range{0.036, 0.12}},
+		Kinds: []Kind{
+			{Name: "payment-houses", Share: 1, Limit: "window", WindowMs: 1000, Headroom: Range{1.2, 2.2}, LeastRate: Range{2.2, 4},
+				Spare: Range{1.2, 1.5}, DepthS: Range{0.48, 0.85}, TellsWait: Range{0.54, 0.96}, WaitMs: Range{290, 910},
+				RefusedCount: true, Speed: Range{0.59, 0.8}, SlowCV: Range{0.35, 0.85}, ErrorRate: Range{0, 0.005}},
+			{Name: "small-clubs", Share: 2, Limit: "window", WindowMs: 2000, Headroom: Range{1.2, 2.5}, LeastRate: Range{2.2, 4.6},
+				Spare: Range{1.2, 1.5}, DepthS: Range{0.37, 0.76}, TellsWait: Range{0.12, 0.43}, WaitMs: Range{480, 930},
+				Speed: Range{0.85, 1.1}, SlowCV: Range{0.31, 0.71}, ErrorRate: Range{0, 0.002}},
+		},
+		Classes: []Class{
+			{Name: "charge", Share: 0.73, WorkMs: Range{160, 280}, CV: 0.9, AimMs: 4000, DeadlineS: 24, Worth: 1, LateWorth: 0.3, Repeat: "never"},
+			{Name: "status", Share: 0.27, WorkMs: Range{160, 280}, CV: 1, AimMs: 3000, DeadlineS: 20, Worth: 1, LateWorth: 0.3, Repeat: "safe"},
+		},
+		Tenants: []Tenant{{"circolo-tennis-etna", 0.36}, {"lido-azzurro", 0.25}, {"golf-valle-alcantara", 0.17},
+			{"club-nautico-ortigia", 0.13}, {"palestra-centro", 0.09}},
+	}
+}
+
+// faults are the troubles with what each needs: a length, a size.
+var faults = map[string]struct{ length, size, node bool }{
+	"down": {length: true}, "silent": {length: true}, "hang": {length: true}, "shut": {length: true},
+	"errors": {length: true, size: true}, "slow": {length: true, size: true}, "pauses": {length: true, size: true},
+	"drain": {}, "gone": {}, "lower": {length: true, size: true}, "hot": {length: true, size: true},
+	"kill": {node: true}, "term": {node: true}, "stop": {length: true, node: true}, "hangup": {node: true},
+}
+
+// check finds every mistake in one go.
+func (s *Scenario) check(at lines) error {
+	var all []error
+	bad := func(key, form string, args ...any) {
+		all = append(all, fmt.Errorf("%s%s: %s", at.of(key), key, fmt.Sprintf(form, args...)))
+	}
+	within := func(key string, r Range, least, most float64) {
+		switch {
+		case math.IsNaN(r[0]) || math.IsNaN(r[1]) || r[0] > r[1]:
+			bad(key, "the range %v goes backwards", r)
+		case r[0] < least || r[1] > most:
+			bad(key, "the range %v has to lie within %v and %v", r, least, most)
+		}
+	}
+	within("length_s", s.LengthS, 1, 7200)
+	if s.Nodes.Count < 1 || s.Nodes.Count > 1000 {
+		bad("nodes.count", "%d has to lie within 1 and 1000", s.Nodes.Count)
+	}
+	within("nodes.slots_room", s.Nodes.SlotsRoom, 0.1, 100)
+	within("nodes.hold_s", s.Nodes.HoldS, 0.1, 1000)
+	within("load.level", s.Load.Level, 0.001, 10)
+	within("load.clumps", s.Load.Clumps, 0, 1)
+	within("load.body_bytes", s.Load.BodyBytes, 0, 64<<10)
+	within("net.one_way_ms", s.Net.OneWayMs, 0, 10000)
+	within("discovery.notice_s", s.Discovery.NoticeS, 0, 6)
+	within("destinations.count", s.Dest.Count, 1, 1000)
+	within("destinations.endpoints", s.Dest.Endpoints, 1, 16)
+	within("destinations.rate", s.Dest.Rate, 0.01, 100000)
+	within("rules.cold_from", s.Rules.ColdFrom, 0.01, 1)
+	within("reports.period_ms", s.Reports.PeriodMs, 10, 60000)
+	for i, k := range s.Kinds {
+		key := fmt.Sprintf("kind[%d]", i)
+		if k.Share < 1 {
+			bad(key+".share", "%d has to be 1 or more", k.Share)
+		}
+		if k.Limit != "window" && k.Limit != "rate" && k.Limit != "none" {
+			bad(key+".limit", `%q has to be "window", "rate" or "none"`, k.Limit)
+		}
+		if k.Limit == "window" && k.WindowMs < 10 {
+			bad(key+".window_ms", "%d has to be 10 or more", k.WindowMs)
+		}
+		within(key+".speed", k.Speed, 0.001, 1000)
+		within(key+".headroom", k.Headroom, 0.01, 100)
+		within(key+".spare", k.Spare, 0.1, 100)
+	}
+	for i, c := range s.Classes {
+		key := fmt.Sprintf("class[%d]", i)
+		if c.Repeat != "safe" && c.Repeat != "never" {
+			bad(key+".repeat", `%q has to be "safe" or "never"`, c.Repeat)
+		}
+		if c.DeadlineS*1000 < c.AimMs {
+			bad(key+".deadline_s", "the deadline comes before the aim")
+		}
+		within(key+".work_ms", c.WorkMs, 0.01, 600000)
+	}
+	for i, f := range s.Faults {
+		key := fmt.Sprintf("fault[%d]", i)
+		need, known := faults[f.What]
+		if !known {
+			bad(key+".what", "%q is no fault", f.What)
+			continue
+		}
+		within(key+".at_s", f.AtS, 0, s.LengthS[1])
+		if need.length {
+			within(key+".for_s", f.ForS, 0.001, 7200)
+		}
+		if need.size {
+			within(key+".size", f.Size, 0, 100000)
+		}
+		within(key+".part", f.Part, 0, 1)
+	}
+	return errors.Join(all...)
+}
+
+// OnNodes tells whether a fault strikes nodes, not endpoints.
+func (f Fault) OnNodes() bool { return faults[f.What].node }
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,59 @@
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestMistakesAreToldWithTheirLine(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"name = \"x\"\nlenght_s = [1, 2]\n", `line 2: unknown key "lenght_s"`},
+		{"[load]\nlevel = [2, 1]\n", "line 2: load.level: the range [2 1] goes backwards"},
+		{"length_s = [9, 9]\n\n[[fault]]\nwhat = \"flood\"\n", `line 4: fault[0].what: "flood" is no fault`},
+		{"length_s = [9, 9]\n[[fault]]\nwhat = \"down\"\nat_s = [3, 20]\nfor_s = [1, 1]\n", "line 4: fault[0].at_s: the range [3 20] has to lie within 0 and 9"},
+		{"length_s = [9, 9]\n[[fault]]\nwhat = \"hang\"\nat_s = [3, 3]\n", "line 2: fault[0].for_s: the range [0 0] has to lie within"},
+		{"[[class]]\nname = \"a\"\nrepeat = \"maybe\"\nwork_ms = [1, 1]\ndeadline_s = 1\n", `line 3: class[0].repeat: "maybe" has to be`},
+		{"length_s = \"long\"\n", "line 1: "},
+	} {
+		_, err := Parse([]byte(c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: got %v, want %q", c.text, err, c.want)
+		}
+	}
+	_, err := Parse([]byte("[nodes]\ncount = 0\n[load]\nlevel = [2, 1]\n"))
+	if err == nil || !strings.Contains(err.Error(), "nodes.count") || !strings.Contains(err.Error(), "load.level") {
+		t.Errorf("not all mistakes in one go: %v", err)
+	}
+}
+
+func TestTheLibraryIsSound(t *testing.T) {
+	files, err := filepath.Glob("../../../scenarios/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios", err)
+	}
+	for _, f := range files {
+		s, err := Read(f)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if s.Page == "" || s.About == "" || s.Name+".toml" != filepath.Base(f) {
+			t.Errorf("%s: no page, no word about it, or another name: %q", f, s.Name)
+		}
+	}
+	if _, err := Read(filepath.Join(t.TempDir(), "none")); !os.IsNotExist(unwrapAll(err)) {
+		t.Error(err)
+	}
+}
+
+func unwrapAll(err error) error {
+	for {
+		u, ok := err.(interface{ Unwrap() error })
+		if !ok {
+			return err
+		}
+		err = u.Unwrap()
+	}
+}
--- /dev/null
+++ b/internal/lab/world/settings.go
@@ -0,0 +1,125 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"wingmount/internal/lab/trace"
+)
+
+// Settings is what a node is told of the day, in the form of the platform.
+func (d *Day) Settings(me int) json.RawMessage {
+	s := &d.Scenario
+	us := func(ms float64) int64 { return int64(ms * 1000) }
+	type object = map[string]any
+	var classes, tenants []object
+	for _, c := range s.Classes {
+		repeat := "idempotent"
+		if c.Repeat == "never" {
+			repeat = "at_most_once"
+		}
+		classes = append(classes, object{"Name": c.Name, "AimUs": us(c.AimMs), "DeadlineUs": us(c.DeadlineS * 1000),
+			"Idempotency": repeat, "Worth": c.Worth, "LateWorth": c.LateWorth, "Group": "all", "WindowUs": 5000000})
+	}
+	for _, t := range s.Tenants {
+		tenants = append(tenants, object{"Name": t.Name, "Share": t.Share})
+	}
+	var kinds []string
+	var bundles []int
+	var apart []bool
+	for _, k := range s.Kinds {
+		kinds, bundles, apart = append(kinds, k.Name), append(bundles, 1), append(apart, false)
+	}
+	text, err := json.Marshal(object{
+		"NInstances": len(d.Nodes), "Me": me, "TickUs": us(s.Rules.TickMs), "WeightSource": "nominal", "Discovery": "automatic",
+		"Classes": classes, "Tenants": tenants, "MachineTypes": kinds, "FailureDomains": []string{"lab"},
+		"Report": object{"Fields": []string{"x0", "x1"}, "How": "piggyback"},
+		"Extra":  object{"BundleMax": bundles, "RoutesApart": apart, "FeeByZone": []float64{0}, "Late": "even", "MaxCalls": d.Slots},
+		"PolicyLimits": object{"MaxAttempts": s.Rules.MaxAttempts, "MaxOpen": d.MaxOpen, "RetryAfter": true, "MayTell": false,
+			"MaxRetryAfterUs": us(s.Rules.MaxRetryAfterS * 1000), "ConnectTimeoutUs": us(s.Rules.ConnectMs),
+			"IdleCloseUs": us(s.Rules.IdleS * 1000)},
+		"Obligations": object{"DrainGraceUs": us(s.Rules.DrainGraceMs), "WarmUpUs": d.WarmUp.Microseconds(), "FallUs": us(s.Rules.FallMs),
+			"ColdFrom": d.ColdFrom, "FallMultiple": s.Rules.FallMultiple, "AnswerSlackUs": 20000},
+	})
+	if err != nil {
+		panic(err) // numbers that no scenario can hold
+	}
+	return text
+}
+
+// Member is an endpoint in discovery's form.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    Phase   `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// Member is an endpoint as a node's agent tells of it.
+func (w *World) Member(node, ep int, hostPort string) Member {
+	d := w.Day.Endpoints[ep].Dest
+	rate := w.Day.Dests[d].Limit
+	if rate == 0 {
+		rate = w.Day.Dests[d].Capacity
+	}
+	return Member{ID: fmt.Sprintf("s-%08x", ep+1), HostPort: hostPort, Locality: "lab",
+		Flavor: w.Day.Scenario.Kinds[w.Day.Dests[d].Kind].Name, Cell: d, Phase: w.told[node][ep], Size: rate}
+}
+
+// Try is a client's attempt to hand a message in.
+type Try struct {
+	Message int
+	N       int // 0 for the first
+	At      time.Duration
+	Node    int
+	Again   bool // a node had it and died
+}
+
+// ID is the id of the try.
+func (t Try) ID() string { return ID(t.Message, t.N) }
+
+// Until is when the message is given up, which counts from its first try.
+func (d *Day) Until(t Try) time.Duration {
+	m := d.Messages[t.Message]
+	return m.At + seconds(d.Scenario.Classes[m.Class].DeadlineS)
+}
+
+// Born notes that a client has a message.
+func (d *Day) Born(t Try) trace.Record {
+	m := d.Messages[t.Message]
+	r := trace.Record{At: t.At, What: trace.Born, ID: t.ID(), Origin: ID(t.Message, 0), Node: t.Node, Dest: m.Dest, Class: m.Class,
+		Tenant: m.Tenant, Until: d.Until(t), Share: 1}
+	if !m.Inside {
+		r.Share = 0.1
+	}
+	return r
+}
+
+// Refused tells whether and when a client comes again after a refusal that told it to wait,
+// or 0. It comes to any node.
+func (d *Day) Refused(t Try, now, wait time.Duration) (Try, bool) {
+	if t.N >= d.Retries {
+		return Try{}, false
+	}
+	r := Random(d.Seed, "again", uint64(t.Message), uint64(t.N))
+	pause := millis(draw(r, d.Scenario.Clients.BackoffMs)) * time.Duration(math.Exp2(float64(t.N)))
+	if heeds := r.Float64() < d.Scenario.Clients.Honour; heeds && wait > 0 {
+		pause = min(wait, seconds(d.Scenario.Rules.MaxRetryAfterS))
+	}
+	next := Try{Message: t.Message, N: t.N + 1, At: now + pause, Node: r.IntN(len(d.Nodes)), Again: t.Again}
+	return next, next.At < d.Until(t)
+}
+
+// Died tells when a client hands in again what a node had that died, or did not answer.
+func (d *Day) Died(t Try, now time.Duration) (Try, bool) {
+	r := Random(d.Seed, "died", uint64(t.Message), uint64(t.N))
+	next := Try{Message: t.Message, N: t.N + 1, At: now + millis(draw(r, d.Scenario.Clients.AgainMs)),
+		Node: r.IntN(len(d.Nodes)), Again: true}
+	return next, t.N < 8 && next.At < d.Until(t)
+}
