--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -69,6 +69,7 @@
 	Window   time.Duration // how long its key is remembered, 0 where it has none
 
 	// The rest is owned by the journal.
+	home   *Journal
 	Past   Past
 	Notice *Notice // the end that is owed, nil while it runs
 }
@@ -128,6 +129,8 @@
 type Options struct {
 	Folder Folder
 	Limit  int64 // bytes in the folder at most
+	// Base is added to the numbers of its messages where a process has several journals.
+	Base policy.MessageID
 	// Sync makes a message durable before Take says that it is taken, lets Sync wait for
 	// all that was written, and writes segments with headers and checkpoints.
 	Sync bool
@@ -142,6 +145,7 @@
 type Journal struct {
 	fs      Folder
 	limit   int64
+	base    policy.MessageID
 	sync    bool
 	segSize int64
 	now     func() time.Time
@@ -198,7 +202,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	j := &Journal{fs: o.Folder, limit: o.Limit, sync: o.Sync, log: o.Log, now: o.Now, next: 1,
+	j := &Journal{fs: o.Folder, limit: o.Limit, base: o.Base, sync: o.Sync, log: o.Log, now: o.Now, next: 1,
 		segSize: max(o.Limit/24, MaxBody+4<<10),
 		live:    map[policy.MessageID]*Message{}, home: map[policy.MessageID]uint64{}, Memories: map[string]*Memory{},
 		Over: NewIDRing(maxOver), orders: map[string]uint64{}}
@@ -322,7 +326,7 @@
 	m := j.live[seq]
 	switch kind {
 	case recTaken:
-		m = &Message{Seq: seq}
+		m = &Message{Seq: seq, home: j}
 		m.ID, m.Key = string(r.bytes()), string(r.bytes())
 		m.Class, m.Dest = int(r.uvarint()), int(r.uvarint())
 		m.Deadline = time.UnixMicro(int64(r.uvarint()))
@@ -433,7 +437,7 @@
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
 		return 0, ErrNoRoom
 	}
-	m.Seq = j.next
+	m.Seq, m.home = j.next, j
 	if err := j.append(takenRecord(m), m); err != nil {
 		return 0, err
 	}
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"wingmount/policy"
 )
 
 // Notice is the end of a message that was not delivered, in the platform's form.
@@ -25,6 +27,17 @@
 	return &Notice{Message: id, Outcome: givenUp}
 }
 
+// Home is the journal that owes the message.
+func (m *Message) Home() *Journal { return m.home }
+
+// Number is the message's number among those of all journals that a process has.
+func (m *Message) Number() policy.MessageID {
+	if m.home == nil {
+		return m.Seq
+	}
+	return m.home.base + m.Seq
+}
+
 // HandedBack tells whether the client may come again.
 func (n *Notice) HandedBack() bool { return n.Outcome == handedBack }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -98,7 +98,6 @@
 // caller makes calls. Each runs in a goroutine of its own.
 type caller struct {
 	pools    *upstream.Pools
-	journal  *journal.Journal
 	owner    *ownership
 	log      *slog.Logger
 	reported []string // names of the values in a load report
@@ -108,7 +107,7 @@
 	running  sync.WaitGroup
 }
 
-func newCaller(c Config, j *journal.Journal, log *slog.Logger, tell func(policy.Event)) *caller {
+func newCaller(c Config, log *slog.Logger, tell func(policy.Event)) *caller {
 	connect := c.Settings.ConnectTimeout
 	if connect <= 0 {
 		connect = time.Second
@@ -118,7 +117,7 @@
 	for _, k := range c.Settings.Classes {
 		once = append(once, k.Repeat != policy.Idempotent)
 	}
-	return &caller{journal: j, log: log, reported: c.Settings.Reported, sync: c.Sync, once: once, tell: tell,
+	return &caller{log: log, reported: c.Settings.Reported, sync: c.Sync, once: once, tell: tell,
 		pools: upstream.New(upstream.Config{
 			Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
 			Now:  time.Now, Rand: rand.Float64,
@@ -173,7 +172,7 @@
 		return
 	}
 	for _, p := range k.parts {
-		if err := c.journal.Attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
+		if err := p.message.Home().Attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
 			c.log.Warn("call: not sent", "id", p.message.ID, "err", err)
 			conn.Done(upstream.Unused)
 			c.endAll(k, policy.Moot, 0, false)
@@ -234,8 +233,10 @@
 	if !c.sync || !slices.ContainsFunc(k.parts, func(p *part) bool { return c.once[p.message.Class] }) {
 		return nil
 	}
-	if err := c.journal.Sync(); err != nil {
-		return fmt.Errorf("the attempt is not durable: %w", err)
+	for _, j := range homes(k.parts, func(p *part) *journal.Message { return p.message }) {
+		if err := j.Sync(); err != nil {
+			return fmt.Errorf("the attempt is not durable: %w", err)
+		}
 	}
 	if !k.endpoint.mayCall() {
 		return errors.New("the endpoint has closed meanwhile")
@@ -243,6 +244,16 @@
 	return nil
 }
 
+// homes are the journals of some messages, each once.
+func homes[T any](of []T, message func(T) *journal.Message) (all []*journal.Journal) {
+	for _, x := range of {
+		if j := message(x).Home(); !slices.Contains(all, j) {
+			all = append(all, j)
+		}
+	}
+	return all
+}
+
 // request writes the call.
 func (k *call) request(ctx context.Context) (*http.Request, error) {
 	path, body := "/events", k.parts[0].message.Body
@@ -424,7 +435,7 @@
 	for errors.Is(err, journal.ErrGiven) {
 		to, _ := c.owner.owner(context.Background()) // settled within handoverTimeout
 		if to != nil {
-			c.passOn(to, endedCall{Message: p.message.Seq, Outcome: outcome, Wait: wait, Over: over, Told: told}, p.attempted)
+			c.passOn(to, endedCall{Message: p.message.Number(), Outcome: outcome, Wait: wait, Over: over, Told: told}, p.attempted)
 			return
 		}
 		err = c.record(k, p, outcome, over)
@@ -433,7 +444,7 @@
 		// The attempt alone is on record then: after a restart it may have run.
 		c.log.Error("journal: outcome", "id", p.message.ID, "err", err)
 	}
-	c.tell(policy.Ended{Message: p.message.Seq, Attempt: p.attempt, Endpoint: k.endpoint.id, Outcome: outcome,
+	c.tell(policy.Ended{Message: p.message.Number(), Attempt: p.attempt, Endpoint: k.endpoint.id, Outcome: outcome,
 		Wait: wait, Final: over || outcome == policy.Delivered, Took: time.Since(k.started), Told: told})
 }
 
@@ -441,11 +452,11 @@
 func (c *caller) record(k *call, p *part, outcome policy.Outcome, over bool) error {
 	switch {
 	case outcome == policy.Delivered:
-		return c.journal.Closed(p.message, k.endpoint.name, time.Now())
+		return p.message.Home().Closed(p.message, k.endpoint.name, time.Now())
 	case over:
-		return c.journal.Closed(p.message, "", time.Now())
+		return p.message.Home().Closed(p.message, "", time.Now())
 	}
-	return c.journal.Outcome(p.message, outcome, k.endpoint.name, time.Now())
+	return p.message.Home().Outcome(p.message, outcome, k.endpoint.name, time.Now())
 }
 
 // passOn tells the process that owns the message now how its call ended. It knows
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -34,7 +34,7 @@
 	r.journal, _ = mustOpen(t, t.TempDir(), journal.MinDisk)
 	c := Config{IdleClose: 15 * time.Second}
 	c.Settings.ConnectTimeout = time.Second
-	r.caller = newCaller(c, r.journal, quietLog(), func(e policy.Event) { r.outcomes <- e.(policy.Ended) })
+	r.caller = newCaller(c, quietLog(), func(e policy.Event) { r.outcomes <- e.(policy.Ended) })
 	r.endpoint = &endpoint{id: 1, name: "e1", addr: addr, leaves: &gate{}, waits: &gate{},
 		pool: r.caller.pools.Endpoint(upstream.Endpoint{Name: "e1", Addr: addr})}
 	t.Cleanup(func() {
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -28,10 +28,9 @@
 // finals tells the platform of messages that ended undelivered, again and again
 // until it has answered: only then is nothing owed any more.
 type finals struct {
-	agent   *agent
-	client  *http.Client
-	journal *journal.Journal
-	log     *slog.Logger
+	agent  *agent
+	client *http.Client
+	log    *slog.Logger
 
 	sync bool   // what can't be undone is durable first
 	once []bool // by class: it may not be repeated
@@ -41,8 +40,8 @@
 	more  chan struct{} // holds a token while the queue may hold messages
 }
 
-func newFinals(a *agent, j *journal.Journal, log *slog.Logger) *finals {
-	return &finals{agent: a, journal: j, log: log,
+func newFinals(a *agent, log *slog.Logger) *finals {
+	return &finals{agent: a, log: log,
 		more:   make(chan struct{}, 1),
 		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{DisableCompression: true}}}
 }
@@ -92,7 +91,7 @@
 		if err == nil && status == http.StatusNoContent {
 			closed := 0
 			for _, m := range batch {
-				err = f.journal.Closed(m, "", time.Now())
+				err = m.Home().Closed(m, "", time.Now())
 				if errors.Is(err, journal.ErrGiven) {
 					break // whoever owns the journal then sends it again, which does no harm
 				}
@@ -126,14 +125,17 @@
 	if !f.sync || !slices.ContainsFunc(batch, back) {
 		return
 	}
-	err := f.journal.Sync()
+	var err error
+	for _, j := range homes(batch, func(m *journal.Message) *journal.Message { return m }) {
+		err = errors.Join(err, j.Sync())
+	}
 	if err == nil {
 		return
 	}
 	f.log.Error("finals: charges are given up and not handed back", "err", err)
 	for _, m := range batch {
 		if back(m) {
-			if err := f.journal.Ended(m, journal.NewNotice(m.ID, false, 0)); err != nil {
+			if err := m.Home().Ended(m, journal.NewNotice(m.ID, false, 0)); err != nil {
 				f.log.Error("journal: end", "id", m.ID, "err", err)
 			}
 		}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -479,7 +479,7 @@
 // expect keeps the call of a message that the old process waits for.
 func (h *heir) expect(m *journal.Message, e *endpoint) {
 	e.out++
-	h.out[m.Seq] = &call{endpoint: e, started: m.Past.OutAt, parts: []*part{{message: m, attempted: true}}}
+	h.out[m.Number()] = &call{endpoint: e, started: m.Past.OutAt, parts: []*part{{message: m, attempted: true}}}
 }
 
 // run takes in what the old process passes on, until that has ended. Whatever it had
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -258,7 +258,7 @@
 	l := &loop{names: names{kinds: map[string]int{"general": 0}, zones: map[string]int{"a": 0}}, log: quietLog(),
 		settings: policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: 1},
 		journal:  &journal.Journal{}, endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
-		caller: newCaller(Config{}, nil, quietLog(), nil)}
+		caller: newCaller(Config{}, quietLog(), nil)}
 	entry := func(id, phase string) member {
 		return member{ID: id, HostPort: "127.0.0.1:1", Locality: "a", Flavor: "general", Cell: 3, Phase: phase, Size: 1}
 	}
@@ -366,11 +366,11 @@
 	}
 	// A charge is not sent any more, and its client is not told to hand it in again.
 	r := newCallRig(t, "127.0.0.1:1")
-	r.caller.journal, r.caller.sync, r.caller.once = in.journal, true, []bool{true}
+	r.caller.sync, r.caller.once = true, []bool{true}
 	if err := r.caller.settled(&call{endpoint: r.endpoint, parts: []*part{{message: accepted[0]}}}); !errors.Is(err, journal.ErrFailed) {
 		t.Errorf("%v, want that the disk failed", err)
 	}
-	f := newFinals(newAgent("127.0.0.1:1"), in.journal, quietLog())
+	f := newFinals(newAgent("127.0.0.1:1"), quietLog())
 	f.sync, f.once = true, []bool{true}
 	must(t, in.journal.Ended(accepted[0], journal.NewNotice("a", true, 0)))
 	f.settle(accepted)
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -39,7 +39,7 @@
 	dir := t.TempDir()
 	j, _ := mustOpen(t, dir, journal.MinDisk)
 	l := &loop{names: names{kinds: map[string]int{"m": 0}, zones: map[string]int{"a": 0}}, log: quietLog(), journal: j,
-		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, caller: newCaller(Config{}, j, quietLog(), nil)}
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, caller: newCaller(Config{}, quietLog(), nil)}
 	list := func(complete bool, phases ...string) list {
 		in := list{Complete: complete}
 		for i, phase := range phases {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -114,7 +114,7 @@
 func (l *loop) take(e any) {
 	switch e := e.(type) {
 	case *journal.Message:
-		l.held[e.Seq] = e
+		l.held[e.Number()] = e
 		l.batch = append(l.batch, l.arrived(e))
 	case list:
 		l.revision = e.Revision
@@ -142,7 +142,7 @@
 
 func (l *loop) arrived(m *journal.Message) policy.Arrived {
 	now, class := l.now(), l.settings.Classes[m.Class]
-	a := policy.Arrived{Message: m.Seq, Destination: m.Dest, Class: m.Class, GiveUpAt: now + time.Until(m.Deadline)}
+	a := policy.Arrived{Message: m.Number(), Destination: m.Dest, Class: m.Class, GiveUpAt: now + time.Until(m.Deadline)}
 	if p := m.Past; p.Attempts > 0 {
 		a.Past = policy.Past{Attempts: p.Attempts, MayRun: p.MayRun, RanZone: p.RanZone}
 		if p.MayRun {
@@ -384,7 +384,7 @@
 		return
 	}
 	n := journal.NewNotice(m.ID, back, wait)
-	if err := l.journal.Ended(m, n); err != nil {
+	if err := m.Home().Ended(m, n); err != nil {
 		l.log.Error("journal: end", "id", m.ID, "err", err)
 	}
 	l.log.Debug("ended", "id", m.ID, "dest", m.Dest, "outcome", n.Outcome, "left", time.Until(m.Deadline))
@@ -393,6 +393,6 @@
 }
 
 func (l *loop) forget(m *journal.Message) {
-	delete(l.held, m.Seq)
+	delete(l.held, m.Number())
 	l.intake.ended(m.ID)
 }
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -37,11 +37,11 @@
 		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 12 * time.Second,
 			Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1}}}
 	l := &loop{sender: policy.New(settings, 1), settings: settings, log: quietLog(), journal: j, origin: time.Now(),
-		names: names{kinds: map[string]int{"major": 0}, zones: map[string]int{"a": 0}}, finals: newFinals(newAgent("127.0.0.1:1"), j, quietLog()),
+		names: names{kinds: map[string]int{"major": 0}, zones: map[string]int{"a": 0}}, finals: newFinals(newAgent("127.0.0.1:1"), quietLog()),
 		intake: &intake{held: map[string]bool{}}, held: map[policy.MessageID]*journal.Message{},
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
 	outcomes := make(chan policy.Event, 8)
-	l.caller = newCaller(Config{Settings: settings, IdleClose: time.Minute}, j, quietLog(), func(e policy.Event) { outcomes <- e })
+	l.caller = newCaller(Config{Settings: settings, IdleClose: time.Minute}, quietLog(), func(e policy.Event) { outcomes <- e })
 	l.take(list{Complete: true, Members: []member{{ID: "s1", HostPort: addr, Locality: "a", Flavor: "major", Cell: 7, Phase: "active"}}})
 	for i := range 5 {
 		m := newMessage(fmt.Sprint("m", i), 10)
@@ -77,7 +77,7 @@
 func TestEndpointsThatAreGoneAreForgotten(t *testing.T) {
 	j, _ := mustOpen(t, t.TempDir(), journal.MinDisk)
 	l := &loop{names: names{kinds: map[string]int{"m": 0}, zones: map[string]int{"a": 0}}, log: quietLog(), journal: j,
-		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, caller: newCaller(Config{}, j, quietLog(), nil)}
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, caller: newCaller(Config{}, quietLog(), nil)}
 	come := func(n int, phase string) policy.EndpointID {
 		name := fmt.Sprint("e", n)
 		l.listed(list{Members: []member{{ID: name, Flavor: "m", Locality: "a", Cell: n, Phase: phase}}})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,12 +95,12 @@
 	a := newAgent(c.Discovery)
 	l := &loop{
 		sender: policy.New(c.Settings, c.Seed), settings: c.Settings, names: c.Names, log: log,
-		journal: j, finals: newFinals(a, j, log), intake: in, origin: time.Now(),
+		journal: j, finals: newFinals(a, log), intake: in, origin: time.Now(),
 		events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
 		held: map[policy.MessageID]*journal.Message{}, owner: owner, giveaways: make(chan *giveaway),
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
 	}
-	l.caller = newCaller(c, j, log, func(e policy.Event) { l.post(e) })
+	l.caller = newCaller(c, log, func(e policy.Event) { l.post(e) })
 	l.caller.owner = owner
 	l.finals.sync, l.finals.once = c.Sync, l.caller.once
 	in.accept = func(m *journal.Message) { l.post(m) }
