Policy: what other processes of the node saw, and waits they were told, as events

Members of a group are one node to rules and limits: an outage seen by one is one for all, and a told wait binds all. Hearsay and HeardWait bring that, Verdict tells it; own evidence since then outweighs it. A sender that was never told of a share acts as before. Each of the tests fails without its part.

--- a/policy/api.go
+++ b/policy/api.go
@@ -284,6 +284,20 @@
 // had a moment ago and that nobody has had since.
 type Shared struct{ Parts, Whole, Kept int }
 
+// Hearsay brings what another process of the same node has seen of an endpoint: Down, Back or
+// BackCold. It comes only with [Shared], and what this one has seen since outweighs it.
+type Hearsay struct {
+	Endpoint EndpointID
+	News     News
+	At       Time
+}
+
+// HeardWait brings a wait that was told to another process of the same node. It binds all.
+type HeardWait struct {
+	Endpoint EndpointID
+	Until    Time
+}
+
 // Woken says that the time of a [Wake] has come.
 type Woken struct{}
 
@@ -297,6 +311,8 @@
 func (Ordered) event()    {}
 func (Inherited) event()  {}
 func (Shared) event()     {}
+func (Hearsay) event()    {}
+func (HeardWait) event()  {}
 func (Woken) event()      {}
 
 // Action is something that the node shall do, at once and in the order given.
@@ -331,6 +347,12 @@
 	News News
 }
 
+// Verdict tells the other processes of the same node of an endpoint. It comes only after [Shared].
+type Verdict struct {
+	Endpoint EndpointID
+	News     News
+}
+
 // Wake asks for a [Woken] at the first step at or after a time.
 type Wake struct{ At Time }
 
@@ -340,4 +362,5 @@
 func (Subscribe) action() {}
 func (CloseIdle) action() {}
 func (Tell) action()      {}
+func (Verdict) action()   {}
 func (Wake) action()      {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -121,6 +121,12 @@
 			s.heard(e)
 		case Shared:
 			s.shared(e)
+		case Hearsay:
+			s.hearsay(e)
+		case HeardWait:
+			if o := s.endpoints[e.Endpoint]; o != nil {
+				o.path.closedUntil = max(o.path.closedUntil, e.Until)
+			}
 		default:
 			s.note(e)
 		}
@@ -176,7 +182,34 @@
 	if parts > s.share.next || s.share.next <= s.share.parts {
 		s.share.growAt = s.now + wideWindow
 	}
-	s.share.next = parts
+	s.share.next, s.share.group = parts, true
+}
+
+// Share is the part of the node that is in use.
+func (s *Sender) Share() float64 { return s.share.parts }
+
+// hearsay takes in what another process of the node has seen. The calls of all are one
+// node's, so an outage seen by one is an outage for all, and each goes on with its part of
+// the node's trials; an own success since then weighs more, and so does an own failure.
+func (s *Sender) hearsay(h Hearsay) {
+	e := s.endpoints[h.Endpoint]
+	switch {
+	case e == nil:
+	case h.News == Down && !e.out && e.lastOK < h.At:
+		e.out, e.since, e.suspect, e.broken, e.score = true, s.now, true, true, outScore
+		e.trouble(h.At)
+		e.path.nextTrial = max(e.path.nextTrial, s.now+s.trialGap(e))
+	case (h.News == Back || h.News == BackCold) && e.out && e.since < h.At:
+		s.returned(e, h.News)
+		e.suspect, e.broken, e.timeouts, e.fullRun, e.score = false, false, 0, 0, 0
+	}
+}
+
+// verdict passes on to the other processes of the node what was seen, where there are any.
+func (s *Sender) verdict(e *endpoint, news News) {
+	if s.share.group {
+		s.out = append(s.out, Verdict{Endpoint: e.id, News: news})
+	}
 }
 
 // grow takes a larger share into use when its time has come.
@@ -760,6 +793,7 @@
 	if sure := e.score >= outScore; !e.out && (sure || s.doubted(e)) {
 		e.lead = sure && s.tell(e, Down)
 		e.out, e.since = true, s.now
+		s.verdict(e, Down)
 		p.nextTrial = s.now
 		if outcome != Reset { // after a reset the next connection tells more
 			p.nextTrial += s.trialGap(e)
@@ -802,6 +836,7 @@
 			news = BackCold
 		}
 		s.tell(e, news)
+		s.verdict(e, news)
 		s.returned(e, news)
 	}
 	e.suspect, e.broken, e.timeouts, e.fullRun, e.lastOK = false, false, 0, 0, s.now
--- a/policy/share_test.go
+++ b/policy/share_test.go
@@ -87,3 +87,78 @@
 		t.Errorf("%d slots in the end, want 40", b.s.set.Slots)
 	}
 }
+
+// What another process of the node has seen binds this one, but for what it has seen since.
+func TestHearsay(t *testing.T) {
+	b := shareBench(t)
+	e := b.s.endpoints[1]
+	if b.step(Hearsay{Endpoint: 9, News: Down, At: b.now}); e.out {
+		t.Error("news of another endpoint")
+	}
+	b.sentWithin(time.Second) // it answers
+	seen := b.now
+	b.sentWithin(time.Second)
+	if b.step(Hearsay{Endpoint: 1, News: Down, At: seen}); e.out {
+		t.Error("an older failure outweighs an own success")
+	}
+	b.step(Shared{Parts: 420, Whole: 840})
+	b.wait(time.Second)
+	b.step(Hearsay{Endpoint: 1, News: Down, At: b.now})
+	if !e.out {
+		t.Fatal("an outage that another has seen is none")
+	}
+	b.sent = nil // what was out before
+	b.arrive(0)
+	if b.step(Woken{}); len(b.sent) > 0 {
+		t.Error("sent at once into an outage that another has seen")
+	}
+	if b.step(Hearsay{Endpoint: 1, News: BackCold, At: e.since - 1}); !e.out {
+		t.Error("an older success ends the outage")
+	}
+	b.wait(time.Second)
+	if b.step(Hearsay{Endpoint: 1, News: BackCold, At: b.now}); e.out || !e.warming {
+		t.Errorf("out %v, warming %v after another has seen it back and cold", e.out, e.warming)
+	}
+}
+
+func TestAWaitThatAnotherWasTold(t *testing.T) {
+	b := shareBench(t)
+	b.step(HeardWait{Endpoint: 1, Until: b.now + 3*time.Second})
+	b.step(HeardWait{Endpoint: 1, Until: b.now + time.Second}) // the longer one holds
+	b.step(HeardWait{Endpoint: 9, Until: b.now + time.Second})
+	if n := b.sentWithin(2900 * time.Millisecond); n > 0 {
+		t.Errorf("%d calls within a wait", n)
+	}
+	if n := b.sentWithin(2 * time.Second); n == 0 {
+		t.Error("no call after the wait")
+	}
+}
+
+// Verdicts are told the others of a group, and to nobody where there is none.
+func TestVerdicts(t *testing.T) {
+	for _, group := range []bool{false, true} {
+		b := shareBench(t)
+		if group {
+			b.step(Shared{Parts: 840, Whole: 840, Kept: 840})
+		}
+		var told []News
+		for i := range 400 {
+			outcome := Unreachable
+			if i > 100 {
+				outcome = Delivered
+			}
+			b.arrive(0)
+			for len(b.sent) > 0 {
+				for _, a := range b.finish(outcome, 0) {
+					if v, ok := a.(Verdict); ok {
+						told = append(told, v.News)
+					}
+				}
+			}
+			b.wait(100 * time.Millisecond)
+		}
+		if got := len(told) > 0; got != group || group && (told[0] != Down || told[len(told)-1] != BackCold) {
+			t.Errorf("in a group %v: told %v", group, told)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,6 +28,7 @@
 
 	whole Settings // of the node, where this is one of its processes
 	share struct {
+		group       bool    // there are others: what is seen is told them
 		parts, next float64 // of the node: in use, and from growAt on
 		growAt      Time
 	}
