Policy: a share grows in steps that each wait, and what was kept is used again at once

A growth now waits for itself alone; what a process used before it had no share, and nobody else has had since, it uses again at once; with no share the hold stays. A sender that is told of no share acts as before.

--- a/policy/api.go
+++ b/policy/api.go
@@ -280,9 +280,13 @@
 }
 
 // Shared says which part of its node a sender may use, where several processes are one
-// node: of its slices, slots and hold. Without it, that is all. Kept is the part that it
-// had a moment ago and that nobody has had since.
-type Shared struct{ Parts, Whole, Kept int }
+// node: of its slices, slots and hold. Without it, that is all. Kept is the part that it had
+// when it was last told, as far as nobody else has had it since. Alone says that there are no
+// others, and that all that was sent by those before is known here.
+type Shared struct {
+	Parts, Whole, Kept int
+	Alone              bool
+}
 
 // Hearsay brings what another process of the same node has seen of an endpoint: Down, Back or
 // BackCold. It comes only with [Shared], and what this one has seen since outweighs it.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -152,8 +152,8 @@
 // next answer falls due.
 func (s *Sender) wake() {
 	next := Time(math.MaxInt64)
-	if s.share.next > s.share.parts {
-		next = s.share.growAt
+	if len(s.share.grows) > 0 {
+		next = s.share.grows[0].at
 	}
 	if s.set.MustSubscribe && !s.subscribed {
 		next = s.subscribeAt
@@ -175,14 +175,28 @@
 
 // shared takes in a part of the node. A smaller one binds at once. What a larger one adds
 // may have been used up by another a moment ago, so that waits until a wide window of its
-// own length would be empty; but for what nobody else has had since.
+// own length would be empty; but for what this one used and nobody else has had since.
 func (s *Sender) shared(e Shared) {
-	parts := max(0, float64(e.Parts)/float64(max(1, e.Whole)))
-	s.resume(min(parts, max(s.share.parts, float64(e.Kept)/float64(max(1, e.Whole)))))
-	if parts > s.share.next || s.share.next <= s.share.parts {
-		s.share.growAt = s.now + wideWindow
+	whole := float64(max(1, e.Whole))
+	parts := max(0, float64(e.Parts)/whole)
+	now := min(parts, max(s.share.parts, min(s.share.had, float64(e.Kept)/whole)))
+	if e.Alone {
+		now = parts
 	}
-	s.share.next, s.share.group = parts, true
+	switch {
+	case !s.share.group: // before the first word of a share nothing was used
+		s.share.had = now
+	case now > 0 || s.share.parts > 0: // what was used before there was none is remembered
+		s.share.had = max(now, s.share.parts)
+	}
+	s.resume(now)
+	for i := range s.share.grows {
+		s.share.grows[i].parts = min(s.share.grows[i].parts, parts)
+	}
+	if n := len(s.share.grows); parts > now && (n == 0 || s.share.grows[n-1].parts < parts) {
+		s.share.grows = append(s.share.grows, growth{s.now + wideWindow, parts})
+	}
+	s.share.group = true
 }
 
 // Share is the part of the node that is in use.
@@ -212,10 +226,13 @@
 	}
 }
 
-// grow takes a larger share into use when its time has come.
+// grow takes larger shares into use when their times have come.
 func (s *Sender) grow() {
-	if s.share.next > s.share.parts && s.now >= s.share.growAt {
-		s.resume(s.share.next)
+	for len(s.share.grows) > 0 && s.now >= s.share.grows[0].at {
+		if s.share.grows[0].parts > s.share.parts {
+			s.resume(s.share.grows[0].parts)
+		}
+		s.share.grows = s.share.grows[1:]
 	}
 }
 
@@ -226,12 +243,12 @@
 	s.share.parts = parts
 	s.set.Slots = int(parts * float64(s.whole.Slots))
 	s.set.MaxHeld = s.whole.MaxHeld
+	if parts <= 0 {
+		return // nothing is sent without slots; what is held and known stays for a share to come
+	}
 	if s.whole.MaxHeld > 0 {
 		s.set.MaxHeld = max(1, int(parts*float64(s.whole.MaxHeld)))
 	}
-	if parts <= 0 {
-		return // nothing is sent without slots; what is known stays for a share to come
-	}
 	s.set.Senders = int(math.Ceil(float64(s.whole.Senders) / parts))
 	ratio := before / float64(s.set.Senders)
 	for _, d := range s.ordered {
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,9 +28,10 @@
 
 	whole Settings // of the node, where this is one of its processes
 	share struct {
-		group       bool    // there are others: what is seen is told them
-		parts, next float64 // of the node: in use, and from growAt on
-		growAt      Time
+		group bool     // there are others: what is seen is told them
+		parts float64  // of the node, in use
+		had   float64  // in use before the last change
+		grows []growth // what is to be used from later moments on, the first one first
 	}
 
 	subscribed  bool // changes to the list come, or the answer is on its way
@@ -61,10 +62,16 @@
 		endpoints: map[EndpointID]*endpoint{}, tags: map[Tag]*endpoint{}, dests: map[int]*destination{},
 		messages: map[MessageID]*message{}, turns: map[uint64]*turn{},
 	}
-	s.share.parts, s.share.next = 1, 1
+	s.share.parts, s.share.had = 1, 1
 	return s
 }
 
+// growth is a larger share from some moment on.
+type growth struct {
+	at    Time
+	parts float64
+}
+
 // sendLog is one sliding window of send times.
 type sendLog struct {
 	window time.Duration
