Group: news, questions and listeners between members; what a member kept of its share

Members tell each other news (queues bounded, the newest of each key wins, the teller never waits), ask questions, and hand listeners on over their Unix sockets.

A coordinator now says how much of a share its member had and nobody else has had since, also after another has died: views hold it. A successor reads the newest view alone, which names the most that each may be using; with the one before it gave itself nothing for a lease. The model of the group checks after each step that nobody takes up again what others had.

--- a/internal/group/core.go
+++ b/internal/group/core.go
@@ -44,6 +44,8 @@
 type Share struct {
 	Member ID
 	Parts  int
+	// Had is what it had last, less what others were given of it since.
+	Had int `json:",omitempty"`
 }
 
 // View is what a coordinator says of the group. It is sorted by member.
@@ -69,6 +71,7 @@
 	Member  ID
 	Parts   int
 	Members int // that the shares are meant for
+	Kept    int // of Parts, what this member had and nobody else has had since
 	Until   time.Duration
 }
 
@@ -134,6 +137,7 @@
 type peer struct {
 	heard time.Duration // when it last said anything
 	alive bool          // its lock is held
+	had   int           // what it was given last, less what others were given of that since
 	out   []grant       // leases that it may be using, the larger and older ones first
 }
 
@@ -166,16 +170,27 @@
 	peers map[ID]*peer
 }
 
-// NewCoordinator goes on above all epochs that there were. Told are the views on disk:
-// what they gave may be in use for one lease still. Torn says that one could not be read:
-// then anything may be.
+// NewCoordinator goes on above all epochs that there were. Told are the views on disk: what
+// the last one gave may be in use for one lease still. That counts for those before it as
+// well, as a view names the most that each may be using. Torn says that one could not be
+// read: then anything may be.
 func NewCoordinator(now time.Duration, told []View, epoch uint64, torn bool) *Coordinator {
 	c := &Coordinator{view: View{Version: Version, Epoch: epoch}, peers: map[ID]*peer{}}
+	last := uint64(0)
 	for _, v := range told {
-		c.view.Epoch = max(c.view.Epoch, v.Epoch)
+		last = max(last, v.Epoch)
+	}
+	c.view.Epoch = max(c.view.Epoch, last)
+	for _, v := range told {
+		if v.Epoch < last {
+			continue
+		}
 		for _, s := range v.Shares {
 			p := c.peer(s.Member)
 			p.grant(s.Parts, now+LeaseTime)
+			if !torn {
+				p.had = s.Had
+			}
 		}
 	}
 	if torn {
@@ -284,10 +299,15 @@
 		if p.state(now) == Active {
 			// Within what no other may be using.
 			parts := min(Whole/active, Whole-c.others(id, now))
+			kept := min(parts, p.had)
+			c.takes(id, parts-kept, now)
+			p.had = parts
 			p.grant(parts, now+LeaseTime)
-			leases = append(leases, Lease{Version: Version, Member: id, Parts: parts, Members: active, Until: now + LeaseTime})
+			leases = append(leases, Lease{Version: Version, Member: id, Parts: parts, Members: active, Kept: kept, Until: now + LeaseTime})
 		}
-		next.Shares = append(next.Shares, Share{Member: id, Parts: p.parts(now)})
+	}
+	for _, id := range ids {
+		next.Shares = append(next.Shares, Share{Member: id, Parts: c.peers[id].parts(now), Had: c.peers[id].had})
 	}
 	if changed = !slices.Equal(next.Shares, c.view.Shares); changed {
 		next.Epoch++
@@ -299,6 +319,23 @@
 	return next, changed, leases
 }
 
+// takes notes that a member is given more than it had: what nobody had goes first, then what
+// others had whose leases have run out. How much of whose is not known, so each loses all of it.
+func (c *Coordinator) takes(id ID, more int, now time.Duration) {
+	free := Whole
+	for _, p := range c.peers {
+		free -= p.had
+	}
+	if more -= max(0, free); more <= 0 {
+		return
+	}
+	for o, p := range c.peers {
+		if o != id {
+			p.had = max(min(p.had, p.parts(now)), p.had-more)
+		}
+	}
+}
+
 // others is what all but one may be using.
 func (c *Coordinator) others(but ID, now time.Duration) int {
 	sum := 0
--- a/internal/group/core_test.go
+++ b/internal/group/core_test.go
@@ -20,8 +20,15 @@
 	flight []message
 	torn   bool // the last view was torn when its writer died
 	next   int
+	// What each process had in force, and used at once, at each moment so far.
+	force, used [][maxProcs]int16
 }
 
+const maxProcs = 6
+
+// window stands for the module's wide window.
+const window = 2 * LeaseTime
+
 type proc struct {
 	id      ID
 	member  *Member
@@ -29,6 +36,9 @@
 	term    int
 	stopped bool
 	dead    bool
+	// As the module has it: what is used, and was before the last change; and what it was told.
+	use, had, told int
+	since          time.Duration
 }
 
 type message struct {
@@ -45,7 +55,7 @@
 			alive++
 		}
 	}
-	if alive < 3 && m.next < 6 {
+	if alive < 3 && m.next < maxProcs {
 		m.next++
 		id := ID(fmt.Sprint("p", m.next))
 		m.procs = append(m.procs, &proc{id: id, member: NewMember(id)})
@@ -129,6 +139,7 @@
 	if sum > Whole {
 		t.Fatalf("%d of %d parts are in force after %v", sum, Whole, trail)
 	}
+	m.keep(t, trail)
 	for i := 1; i < len(m.views); i++ {
 		if m.views[i].Epoch <= m.views[i-1].Epoch {
 			t.Fatalf("epoch %d comes after %d: %v", m.views[i].Epoch, m.views[i-1].Epoch, trail)
@@ -136,6 +147,57 @@
 	}
 }
 
+// keep follows what each process uses at once of what it is told that it kept: nobody else may
+// have had any of that since it last used as much.
+func (m *machine) keep(t *testing.T, trail []string) {
+	t.Helper()
+	var force, used [maxProcs]int16
+	for i, p := range m.procs {
+		if p.dead {
+			continue
+		}
+		parts := p.member.Parts(m.now)
+		force[i] = int16(parts)
+		if !p.stopped && parts != p.told {
+			p.told, p.since = parts, m.now
+			now := min(parts, max(p.use, min(p.had, p.member.lease.Kept)))
+			if now > 0 || p.use > 0 {
+				p.had = max(now, p.use)
+			}
+			if now > p.use {
+				m.kept(t, i, now, trail)
+			}
+			p.use = now
+		}
+		if parts != p.told || p.stopped {
+			p.since = m.now
+		}
+		if parts > 0 && m.now-p.since >= window { // it has waited for what it got
+			p.use, p.had = parts, parts
+		}
+		used[i] = int16(min(p.use, parts))
+	}
+	m.force, m.used = append(m.force, force), append(m.used, used)
+}
+
+func (m *machine) kept(t *testing.T, who, parts int, trail []string) {
+	t.Helper()
+	for at := len(m.used) - 1; at >= 0 && int(m.used[at][who]) < parts; at-- {
+		others := 0
+		for i, had := range m.force[at] {
+			if i != who {
+				others += int(had)
+			}
+		}
+		if others+parts > Whole {
+			t.Fatalf("%s takes %d parts up again; others have had %d since: %v", m.procs[who].id, parts, others, trail)
+		}
+		if at == 0 {
+			t.Fatalf("%s takes %d parts up that it never had: %v", m.procs[who].id, parts, trail)
+		}
+	}
+}
+
 // step does one of the things that may happen.
 func (m *machine) step(what int) string {
 	n := max(1, len(m.procs))
@@ -322,3 +384,100 @@
 		}
 	}
 }
+
+// A coordinator that dies or is stopped costs nobody what it kept, and one that joins gets
+// nothing of it at once.
+func TestWhatIsKept(t *testing.T) {
+	m := &machine{}
+	m.start()
+	m.start()
+	play := func(d time.Duration) {
+		for end := m.now + d; m.now < end; m.now += BeatEvery {
+			for _, p := range m.procs {
+				m.beat(p)
+			}
+			for len(m.flight) > 0 {
+				m.deliver(0)
+			}
+			m.check(t, nil)
+		}
+	}
+	play(4 * LeaseTime)
+	first, second := m.procs[0], m.procs[1]
+	first.use, first.had, second.use, second.had = Whole/2, Whole/2, Whole/2, Whole/2 // a window later
+	m.check(t, nil)
+	second.stopped = true
+	play(LeaseTime / 2)
+	second.stopped = false
+	play(LeaseTime)
+	if second.use != Whole/2 {
+		t.Errorf("%d parts in use after a short stop, want half", second.use)
+	}
+	m.kill(first, false)
+	play(BeatEvery)
+	if second.use != Whole/2 || second.member.Parts(m.now) != Whole/2 {
+		t.Errorf("%d parts in use when the coordinator has died, want half", second.use)
+	}
+	play(2 * LeaseTime)
+	if second.use != Whole/2 || second.member.Parts(m.now) != Whole {
+		t.Errorf("%d of %d parts in use, want half of all: the rest was the dead one's", second.use, second.member.Parts(m.now))
+	}
+	second.use, second.had = Whole, Whole // a window later
+	m.check(t, nil)
+	m.start()
+	play(2 * LeaseTime)
+	if third := m.procs[2]; third.use != 0 || third.member.Parts(m.now) != Whole/2 || second.use != Whole/2 {
+		t.Errorf("%d of %d parts in use by one that has joined", third.use, third.member.Parts(m.now))
+	}
+}
+
+// What others were given meanwhile is not kept: neither where that is known, nor where the last
+// view is torn and it may be.
+func TestWhatIsNotKept(t *testing.T) {
+	now, c := time.Duration(0), NewCoordinator(0, nil, 0, false)
+	leases := func(hello ...ID) map[ID]Lease {
+		t.Helper()
+		for _, id := range hello {
+			if err := c.Hear(now, Hello{Version: Version, Member: id}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, _, all := c.Share(now)
+		out := map[ID]Lease{}
+		for _, l := range all {
+			out[l.Member] = l
+		}
+		return out
+	}
+	for range 12 {
+		leases("a", "b")
+		now += BeatEvery
+	}
+	told := c.view
+	if l := leases("a", "b"); l["b"].Parts != Whole/2 || l["b"].Kept != Whole/2 {
+		t.Fatalf("%+v", l)
+	}
+	for range 12 { // b is stopped
+		now += BeatEvery
+		leases("a")
+	}
+	if l := leases("a"); l["a"].Parts != Whole {
+		t.Fatalf("%+v", l)
+	}
+	c.Gone("a") // just when b goes on
+	now += LeaseTime
+	if l := leases("b"); l["b"].Parts != Whole || l["b"].Kept != 0 {
+		t.Errorf("it kept what a has had: %+v", l)
+	}
+	for _, torn := range []bool{false, true} {
+		c = NewCoordinator(now, []View{told}, 1<<40, torn)
+		now += LeaseTime // in which everything may be in use
+		want := Whole / 2
+		if torn {
+			want = 0
+		}
+		if l := leases("a", "b"); l["b"].Parts != Whole/2 || l["b"].Kept != want {
+			t.Errorf("torn %v: %+v", torn, l)
+		}
+	}
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// maxFrame bounds a message between members, callTimeout one exchange, maxCalls those
+	// maxFrame bounds a request for a file, callTimeout one exchange, maxCalls those
 	// at a time.
 	maxFrame    = 4 << 10
 	callTimeout = BeatEvery / 2
@@ -44,6 +44,11 @@
 	// Share is told of the share to use, whenever it changes. Kept is what this process
 	// had and nobody else has had since. It must not wait.
 	Share func(parts, kept int)
+	// Hear is handed what other members tell (the answer is dropped) and ask. It must not
+	// wait for long: whoever asks does.
+	Hear func(m Message, asked bool) (answer any, err error)
+	// File gives what this process has open under a name, for another member; nil for none.
+	File func(name string) *os.File
 }
 
 // Group is one process's part in its group.
@@ -54,16 +59,16 @@
 	hold     *os.File // the lock on its own file, for as long as it lives
 	listener *net.UnixListener
 
+	peersMu sync.Mutex
+	peers   map[ID]*queue
+	endPeer map[ID]context.CancelFunc
+
 	mu     sync.Mutex
 	member *Member
 	lead   *Coordinator
 	term   int
 	leader *os.File // the lock on the term that it leads
 	told   int      // the share that was last told
-	last   struct { // the last share above none, and in which epoch
-		parts int
-		epoch uint64
-	}
 }
 
 // Join makes this process a member, with no share yet.
@@ -71,7 +76,7 @@
 	if err := os.Mkdir(c.Dir, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
 		return nil, fmt.Errorf("joining the group: %w", err)
 	}
-	g := &Group{cfg: c, id: ID(rand.Text()[:16]), dir: folder(c.Dir)}
+	g := &Group{cfg: c, id: ID(rand.Text()[:16]), dir: folder(c.Dir), peers: map[ID]*queue{}, endPeer: map[ID]context.CancelFunc{}}
 	g.member = NewMember(g.id)
 	if _, _, _, err := g.dir.views(); err != nil {
 		return nil, fmt.Errorf("joining the group: %w", err)
@@ -116,6 +121,9 @@
 	return errors.Join(append(errs, g.hold.Close())...)
 }
 
+// Abandon leaves a group that was joined and never run.
+func (g *Group) Abandon() error { return errors.Join(g.listener.Close(), g.leave()) }
+
 // Run takes part in the group until the context ends, and leaves it then.
 func (g *Group) Run(ctx context.Context) error {
 	var running sync.WaitGroup
@@ -126,10 +134,14 @@
 	tick := time.NewTicker(BeatEvery)
 	defer tick.Stop()
 	for {
+		g.MaySend() // it may have stood still
 		if err := g.beat(ctx); err != nil {
 			g.cfg.Log.Warn("group: beat", "err", err)
 		}
 		g.tell()
+		if err := g.meet(ctx, &running); err != nil {
+			g.cfg.Log.Warn("group: members", "err", err)
+		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -264,14 +276,7 @@
 // tell passes the share on that is in force.
 func (g *Group) tell() {
 	g.mu.Lock()
-	parts, epoch := g.member.Parts(g.cfg.Clock()), g.member.epoch
-	kept := 0
-	if epoch == g.last.epoch { // no other view came: nobody else has had it
-		kept = g.last.parts
-	}
-	if parts > 0 {
-		g.last.parts, g.last.epoch = parts, epoch
-	}
+	parts, kept := g.member.Parts(g.cfg.Clock()), g.member.lease.Kept
 	changed := parts != g.told
 	g.told = parts
 	g.mu.Unlock()
@@ -284,8 +289,15 @@
 // sends nothing on what it decided before.
 func (g *Group) MaySend() bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.member.Parts(g.cfg.Clock()) > 0
+	may, told := g.member.Parts(g.cfg.Clock()) > 0, g.told
+	if !may { // so that it is told anew when a lease comes, also of as much as before
+		g.told = 0
+	}
+	g.mu.Unlock()
+	if !may && told > 0 {
+		g.cfg.Share(0, 0)
+	}
+	return may
 }
 
 // ask exchanges a hello for a lease with who leads a term.
@@ -297,36 +309,15 @@
 	if len(id) == 0 || len(id) > 64 || filepath.Base(string(id)) != string(id) {
 		return Lease{}, errors.New("it has not said who it is")
 	}
-	var conn net.Conn
-	err = AtSocket(g.dir.path(socketName+string(id)), func(short string) (err error) {
-		dialer := net.Dialer{Timeout: callTimeout}
-		conn, err = dialer.DialContext(ctx, "unix", short)
-		return err
-	})
-	if err != nil {
-		return Lease{}, err
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
-		return Lease{}, err
-	}
-	if err := writeFrame(conn, h); err != nil {
-		return Lease{}, err
-	}
-	var a reply
-	if err := readFrame(conn, &a); err != nil {
-		return Lease{}, err
-	}
-	if a.Refused != "" {
-		return Lease{}, errors.New(a.Refused)
-	}
-	return a.Lease, nil
+	a, err := g.exchange(ctx, ID(id), request{Version: Version, Hello: &h}, callTimeout)
+	return a.Lease, err
 }
 
 // reply is what a coordinator says to a hello.
 type reply struct {
 	Version int
 	Lease   Lease
+	Body    json.RawMessage `json:",omitempty"`
 	Refused string
 }
 
@@ -358,30 +349,63 @@
 	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
 		return
 	}
-	var h Hello
-	if err := readFrame(conn, &h); err != nil {
+	var r request
+	if err := readFrame(conn, &r, maxNews); err != nil {
 		g.cfg.Log.Debug("group: a message without meaning", "err", err)
 		return
 	}
-	g.mu.Lock()
-	l, err := g.share(g.cfg.Clock(), h)
-	g.mu.Unlock()
-	a := reply{Version: Version, Lease: l}
+	if err := conn.SetDeadline(time.Now().Add(fileTimeout)); err != nil {
+		return
+	}
+	a, err := reply{Version: Version}, error(nil)
+	switch {
+	case r.Version != Version:
+		err = fmt.Errorf("%w: %d, this one has %d", ErrVersion, r.Version, Version)
+	case r.Hello != nil:
+		g.mu.Lock()
+		a.Lease, err = g.share(g.cfg.Clock(), *r.Hello)
+		g.mu.Unlock()
+	case r.File != "":
+		if err := g.hand(conn.(*net.UnixConn), r.File); err != nil {
+			g.cfg.Log.Warn("group: handing a file on", "name", r.File, "err", err)
+		}
+		return
+	case r.Tell != nil || r.Ask != nil:
+		a.Body, err = g.hear(r)
+	default:
+		err = errors.New("a message without meaning")
+	}
 	if err != nil {
 		a.Refused = err.Error()
 	}
-	if err := writeFrame(conn, a); err != nil {
-		g.cfg.Log.Debug("group: answering", "member", h.Member, "err", err)
+	if err := writeFrame(conn, a, maxNews); err != nil {
+		g.cfg.Log.Debug("group: answering", "err", err)
 	}
 }
 
+// hear passes on what another member tells or asks.
+func (g *Group) hear(r request) (json.RawMessage, error) {
+	m, asked := r.Tell, false
+	if m == nil {
+		m, asked = r.Ask, true
+	}
+	if g.cfg.Hear == nil {
+		return nil, errors.New("nobody hears")
+	}
+	answer, err := g.cfg.Hear(*m, asked)
+	if err != nil || !asked || answer == nil {
+		return nil, err
+	}
+	return json.Marshal(answer)
+}
+
 // writeFrame writes a message with its length.
-func writeFrame(w io.Writer, v any) error {
+func writeFrame(w io.Writer, v any, most int) error {
 	text, err := json.Marshal(v)
 	if err != nil {
 		return err
 	}
-	if len(text) > maxFrame {
+	if len(text) > most {
 		return fmt.Errorf("a message of %d bytes", len(text))
 	}
 	_, err = w.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(text))), text...))
@@ -389,17 +413,20 @@
 }
 
 // readFrame reads one, no longer than it may be.
-func readFrame(r io.Reader, v any) error {
+func readFrame(r io.Reader, v any, most int) error {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return err
 	}
 	n := binary.LittleEndian.Uint32(head[:])
-	if n == 0 || n > maxFrame {
+	if n == 0 || int64(n) > int64(most) {
 		return fmt.Errorf("a message of %d bytes", n)
 	}
-	text := make([]byte, n)
-	if _, err := io.ReadFull(r, text); err != nil {
+	text, err := io.ReadAll(io.LimitReader(r, int64(n))) // no more room than what comes
+	if err == nil && len(text) < int(n) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return err
 	}
 	return json.Unmarshal(text, v)
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -248,7 +248,7 @@
 // A view is whole or not there: each byte that is spoilt or missing shows.
 func TestTornViews(t *testing.T) {
 	d := folder(t.TempDir())
-	v := View{Version: Version, Epoch: 0x17, Shares: []Share{{"a", 420}, {"b", 420}}}
+	v := View{Version: Version, Epoch: 0x17, Shares: []Share{{"a", 420, 0}, {"b", 420, 420}}}
 	must(t, d.writeView(v))
 	path := d.path(fmt.Sprintf(viewForm, v.Epoch))
 	data, err := os.ReadFile(path)
@@ -267,12 +267,12 @@
 
 // Messages are no longer than they may be, however long they say they are.
 func TestFramesAreBounded(t *testing.T) {
-	if err := writeFrame(io.Discard, strings.Repeat("x", maxFrame)); err == nil {
+	if err := writeFrame(io.Discard, strings.Repeat("x", maxFrame), maxFrame); err == nil {
 		t.Error("a message that is too long was written")
 	}
 	for _, b := range []string{"", "\x01", "\x00\x00\x00\x00", "\xff\xff\xff\x7f{}", "\x05\x00\x00\x00{}", "\x02\x00\x00\x00{{"} {
 		var h Hello
-		if err := readFrame(strings.NewReader(b), &h); err == nil {
+		if err := readFrame(strings.NewReader(b), &h, maxFrame); err == nil {
 			t.Errorf("%q was read", b)
 		}
 	}
--- /dev/null
+++ b/internal/group/news_test.go
@@ -0,0 +1,220 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// talker is a member in this process that keeps what it hears.
+type talker struct {
+	*Group
+	heard chan Message
+	stop  func()
+}
+
+func talk(t *testing.T, dir string, change func(*Config)) *talker {
+	t.Helper()
+	k := &talker{heard: make(chan Message, 10000)}
+	c := Config{Dir: dir, Clock: Clock, Log: slog.New(slog.DiscardHandler), Share: func(int, int) {},
+		Hear: func(m Message, asked bool) (any, error) {
+			if asked {
+				return map[string]string{"said": string(m.Body)}, nil
+			}
+			k.heard <- m
+			return nil, nil
+		}}
+	if change != nil {
+		change(&c)
+	}
+	g, err := Join(c)
+	must(t, err)
+	k.Group = g
+	ctx, cancel := context.WithCancel(context.Background())
+	var run sync.WaitGroup
+	run.Go(func() {
+		if err := g.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	k.stop = func() { cancel(); run.Wait() }
+	t.Cleanup(k.stop)
+	return k
+}
+
+// meets waits until a member has a queue for so many others.
+func (k *talker) meets(t *testing.T, n int) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		k.peersMu.Lock()
+		have := len(k.peers)
+		k.peersMu.Unlock()
+		if have == n {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d others, want %d", have, n)
+		}
+	}
+}
+
+func (k *talker) next(t *testing.T) Message {
+	t.Helper()
+	select {
+	case m := <-k.heard:
+		return m
+	case <-time.After(patience):
+		t.Fatal("nothing was heard")
+		return Message{}
+	}
+}
+
+func TestNewsReachAllOthers(t *testing.T) {
+	dir := t.TempDir()
+	a, b, c := talk(t, dir, nil), talk(t, dir, nil), talk(t, dir, nil)
+	a.meets(t, 2)
+	must(t, a.Tell("wait", "e1", 7))
+	for _, k := range []*talker{b, c} {
+		if m := k.next(t); m.From != a.ID() || m.Kind != "wait" || m.Key != "e1" || string(m.Body) != "7" || m.At <= 0 {
+			t.Errorf("heard %+v", m)
+		}
+	}
+	if len(a.heard) > 0 {
+		t.Error("it told itself")
+	}
+	// In order, and after one has left the others hear on.
+	c.stop()
+	a.meets(t, 1)
+	for i := range 100 {
+		must(t, a.Tell("n", fmt.Sprint(i), i))
+	}
+	for i := range 100 {
+		if m := b.next(t); string(m.Body) != fmt.Sprint(i) {
+			t.Fatalf("heard %s as the %dth", m.Body, i)
+		}
+	}
+}
+
+// TestAMemberThatDoesNotListen blocks nobody and is told the newest when it does.
+func TestAMemberThatDoesNotListen(t *testing.T) {
+	dir := t.TempDir()
+	deaf := make(chan struct{})
+	b := talk(t, dir, nil)
+	hear := b.cfg.Hear
+	b.cfg.Hear = func(m Message, asked bool) (any, error) {
+		<-deaf
+		return hear(m, asked)
+	}
+	a := talk(t, dir, nil)
+	a.meets(t, 1)
+	for i := range 5000 {
+		must(t, a.Tell("list", "", i))
+		must(t, a.Tell("wait", fmt.Sprint(i), i))
+	}
+	s := a.Status()
+	if s.Queued > maxQueued || s.Dropped == 0 {
+		t.Errorf("%d wait, %d were dropped", s.Queued, s.Dropped)
+	}
+	close(deaf)
+	for {
+		m := b.next(t)
+		if m.Kind == "list" && string(m.Body) == "4999" {
+			break
+		}
+	}
+}
+
+func TestAsking(t *testing.T) {
+	dir := t.TempDir()
+	a, b := talk(t, dir, nil), talk(t, dir, func(c *Config) {
+		c.Hear = func(Message, bool) (any, error) { return nil, errors.New("not now") }
+	})
+	var got struct{ Said string }
+	must(t, b.Ask(t.Context(), a.ID(), "q", 1, &got))
+	if got.Said != "1" {
+		t.Errorf("got %+v", got)
+	}
+	if err := a.Ask(t.Context(), b.ID(), "q", 1, &got); !errors.Is(err, ErrUnanswered) || !strings.Contains(err.Error(), "not now") {
+		t.Error(err)
+	}
+	if err := a.Ask(t.Context(), "nobody", "q", 1, &got); !errors.Is(err, ErrUnanswered) {
+		t.Error(err)
+	}
+}
+
+// TestAListenerIsHandedOn: the second accepts what was sent to the first, also when that is gone.
+func TestAListenerIsHandedOn(t *testing.T) {
+	dir := t.TempDir()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	a := talk(t, dir, func(c *Config) {
+		c.File = func(name string) *os.File {
+			if name != "clients" {
+				return nil
+			}
+			f, err := l.(*net.TCPListener).File()
+			if err != nil {
+				return nil
+			}
+			return f
+		}
+	})
+	b := talk(t, dir, nil)
+	if f, err := b.File(t.Context(), a.ID(), "staff"); f != nil || err != nil {
+		t.Error(f, err)
+	}
+	f, err := b.File(t.Context(), a.ID(), "clients")
+	must(t, err)
+	second, err := net.FileListener(f)
+	must(t, err)
+	must(t, f.Close())
+	defer second.Close()
+	must(t, l.Close())
+	done := make(chan error, 1)
+	go func() {
+		conn, err := net.Dial("tcp", second.Addr().String())
+		if err == nil {
+			_, err = conn.Write([]byte("x"))
+		}
+		done <- err
+	}()
+	conn, err := second.Accept()
+	must(t, err)
+	defer conn.Close()
+	must(t, <-done)
+	if x, err := io.ReadAll(io.LimitReader(conn, 1)); string(x) != "x" || err != nil {
+		t.Errorf("%q %v", x, err)
+	}
+}
+
+// TestGarbage: peers that say nothing, half a message, rubbish, or one of another version.
+func TestGarbage(t *testing.T) {
+	dir := t.TempDir()
+	a, b := talk(t, dir, nil), talk(t, dir, nil)
+	path := a.dir.path(socketName + string(a.ID()))
+	for _, bytes := range []string{"", "\x05\x00", "\xff\xff\xff\x7f", "\x02\x00\x00\x00{}", "\x03\x00\x00\x00abc", "GET / HTTP/1.1\r\n\r\n"} {
+		conn, err := net.Dial("unix", path)
+		must(t, err)
+		defer conn.Close()
+		if _, err := conn.Write([]byte(bytes)); err != nil {
+			t.Error(err)
+		}
+	}
+	if _, err := b.exchange(t.Context(), a.ID(), request{Version: Version + 1, Hello: &Hello{}}, fileTimeout); err == nil ||
+		!strings.Contains(err.Error(), "another version") {
+		t.Error(err)
+	}
+	b.meets(t, 1)
+	must(t, b.Tell("still", "", 1))
+	if m := a.next(t); m.Kind != "still" {
+		t.Errorf("heard %+v", m)
+	}
+}
