-group: several processes of one machine serve as one node

Off by default. Members share the client and console listeners, one watch of discovery, told waits and verdicts; an order's yes says that all that live have it.

Tests with real processes: a member, the coordinator, or all killed; one stopped and continued; three started at one instant; members that come and go; refusals; a folder of a node alone, and back.

--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"syscall"
 
+	"wingmount/internal/group"
 	"wingmount/internal/journal"
 	"wingmount/internal/node"
 )
@@ -26,7 +27,10 @@
 const largest = 64 << 20
 
 // options are the parts that are switched on.
-type options struct{ warm, sync bool }
+type options struct {
+	warm, sync bool
+	group      int
+}
 
 func main() {
 	flags := flag.NewFlagSet("wingmount", flag.ContinueOnError)
@@ -35,6 +39,8 @@
 		"each costs its endpoint a handshake and a place, in every node that does so")
 	flags.BoolVar(&o.sync, "sync", false, "take a message on, and make a call that may not be repeated, only when that outlasts\n"+
 		"a loss of power; the folder is then for this version or a newer one")
+	flags.IntVar(&o.group, "group", 0, "be one node together with up to so many processes, this one counted, that are started\n"+
+		"with the same environment on the same state folder")
 	flags.Usage = func() {
 		fmt.Fprint(flags.Output(), usage)
 		flags.PrintDefaults()
@@ -50,6 +56,10 @@
 		fmt.Fprintf(os.Stderr, "wingmount: %q is neither a flag nor 'check DIR'\n", flags.Arg(0))
 		os.Exit(1)
 	}
+	if o.group < 0 || o.group > group.MaxMembers {
+		fmt.Fprintf(os.Stderr, "wingmount: -group %d: it has to be between 1 and %d, or 0 for none\n", o.group, group.MaxMembers)
+		os.Exit(1)
+	}
 	level := slog.LevelInfo
 	if os.Getenv("WINGMOUNT_DEBUG") != "" {
 		level = slog.LevelDebug
@@ -70,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	c.Warm, c.Sync = o.warm, o.sync
+	c.Warm, c.Sync, c.Members = o.warm, o.sync, o.group
 	return node.Run(ctx, c, hangups, log)
 }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -536,6 +537,16 @@
 	return nil
 }
 
+// Orders are the names of all orders that hold, those for what leaves among them.
+func (j *Journal) Orders() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Sorted(maps.Keys(j.orders))
+}
+
+// OverIDs are the ids of messages that the lives before this one brought to their end.
+func (j *Journal) OverIDs() []string { return j.Over.all() }
+
 // Barred tells whether the staff have taken an endpoint out.
 func (j *Journal) Barred(endpoint string) bool {
 	j.mu.Lock()
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"wingmount/internal/group"
 	"wingmount/internal/journal"
 	"wingmount/internal/upstream"
 	"wingmount/policy"
@@ -104,6 +105,7 @@
 	sync     bool     // attempts that may not be repeated are durable before they are made
 	once     []bool   // by class: it may not be repeated
 	tell     func(policy.Event)
+	cohort   *cohort // the other processes of the node; nil where there are none
 	running  sync.WaitGroup
 }
 
@@ -121,7 +123,7 @@
 		pools: upstream.New(upstream.Config{
 			Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) },
 			Now:  time.Now, Rand: rand.Float64,
-			Senders: c.Settings.Senders, MaxOpen: c.endpointSockets(), DialTimeout: connect,
+			Senders: c.Settings.Senders * max(1, c.Members), MaxOpen: c.endpointSockets(), DialTimeout: connect,
 			// An endpoint closes an idle connection some time before the settings' limit
 			// at the latest; a request on its way then would end as a reset.
 			IdleLimit: c.IdleClose * 4 / 5, Warm: c.Warm, WarmUp: c.Settings.WarmUp})}
@@ -166,7 +168,7 @@
 	now := time.Now()
 	// Between the module's decision and now the connection was made. What was told
 	// in the meantime binds this call too, and it has not been sent.
-	if !k.endpoint.mayCall() {
+	if !c.mayCall(k.endpoint) {
 		conn.Done(upstream.Unused)
 		c.endAll(k, policy.Moot, 0, false)
 		return
@@ -227,6 +229,12 @@
 	c.answered(ctx, k, conn, resp)
 }
 
+// mayCall tells whether a call may go out at this moment: a process that stood still may
+// find that its share of the node has run out.
+func (c *caller) mayCall(e *endpoint) bool {
+	return e.mayCall() && (c.cohort == nil || c.cohort.group.MaySend())
+}
+
 // settled makes the attempts at messages that may not be repeated durable, where that is
 // asked for. What was told while the disk was waited for binds the call still.
 func (c *caller) settled(k *call) error {
@@ -238,7 +246,7 @@
 			return fmt.Errorf("the attempt is not durable: %w", err)
 		}
 	}
-	if !k.endpoint.mayCall() {
+	if !c.mayCall(k.endpoint) {
 		return errors.New("the endpoint has closed meanwhile")
 	}
 	return nil
@@ -296,6 +304,9 @@
 		// Not a moment longer than the module counts: a send that it decides on
 		// when the wait is over would be stopped here, and use up an attempt.
 		k.endpoint.waits.wait(time.Now().Add(wait))
+		if c.cohort != nil {
+			c.cohort.tell(newsWait, k.endpoint.name, waitNews{group.Clock() + wait})
+		}
 	}
 	bundle := len(k.parts) > 1 && resp.StatusCode == http.StatusOK
 	if !bundle {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -37,6 +37,7 @@
 	Names     names
 	IdleClose time.Duration
 	Sync      bool          // what is taken on outlasts a loss of power too
+	Members   int           // processes at most that are this node together; 0 for this one alone
 	Warm      bool          // connections are opened ahead, for demand that was seen
 	AskEvery  time.Duration // a node that has not asked for so long counts as told; 0 if nothing is said
 }
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -39,17 +39,22 @@
 	log    *slog.Logger
 	ready  atomic.Bool // clients are taken
 
-	up   chan struct{} // closed when there is a loop
-	loop *loop
+	up     chan struct{} // closed when there is a loop
+	loop   *loop
+	cohort *cohort // the other processes of the node; nil where there are none
 }
 
 // openConsole listens at once; calls that need the node's state wait for it.
-func openConsole(addr string, log *slog.Logger) (*console, net.Listener, error) {
-	listener, err := net.Listen("tcp", addr)
+func openConsole(ctx context.Context, addr string, co *cohort, log *slog.Logger) (*console, net.Listener, error) {
+	listen := func() (net.Listener, error) { return net.Listen("tcp", addr) }
+	if co != nil {
+		listen = func() (net.Listener, error) { return co.listen(ctx, "staff", addr) }
+	}
+	listener, err := listen()
 	if err != nil {
 		return nil, nil, fmt.Errorf("listening for the staff: %w", err)
 	}
-	c := &console{log: log, up: make(chan struct{})}
+	c := &console{log: log, cohort: co, up: make(chan struct{})}
 	c.server = &http.Server{Handler: c, ReadTimeout: consoleTimeout, WriteTimeout: consoleTimeout + consoleAnswer,
 		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	c.server.SetKeepAlivesEnabled(false) // one call a connection
@@ -74,7 +79,7 @@
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var method string
 	switch r.URL.Path {
-	case "/ops/readiness", "/ops/pools", "/ops/journal":
+	case "/ops/readiness", "/ops/pools", "/ops/journal", "/ops/group":
 		method = http.MethodGet
 	case "/ops/endpoints/down", "/ops/endpoints/up":
 		method = http.MethodPut
@@ -96,6 +101,13 @@
 	case "/ops/journal":
 		c.shows(w, func(l *loop) any { return l.journal.Status() })
 		return
+	case "/ops/group":
+		if c.cohort == nil {
+			http.Error(w, "this process is in no group", http.StatusNotFound)
+			return
+		}
+		c.shows(w, func(*loop) any { return c.cohort.status() })
+		return
 	case "/ops/readiness":
 		status, text = c.readiness()
 	default:
@@ -132,6 +144,9 @@
 
 func (c *console) readiness() (status int, text string) {
 	if !c.ready.Load() {
+		if c.cohort != nil && c.cohort.anyone(askReady, nil) {
+			return http.StatusOK, "clients are taken, by another process of this node"
+		}
 		return http.StatusServiceUnavailable, "no clients are taken"
 	}
 	if err := c.loop.journal.Failed(); err != nil {
@@ -177,9 +192,17 @@
 	begun atomic.Bool // by the loop, or by a caller that no longer waits
 }
 
-// obey has an order carried out, by the process that owns what is owed. It is on
-// record and known to the module before the yes, and nothing happens after a no.
+// obey has an order carried out: by all processes of the node, or by the one that owns what
+// is owed. It is on record and known to the module before the yes, and nothing happens
+// after a no.
 func (l *loop) obey(ctx context.Context, host string, out bool) (status int, text string) {
+	if l.cohort != nil {
+		return l.cohort.order(ctx, host, out)
+	}
+	return l.obeyHere(ctx, host, out)
+}
+
+func (l *loop) obeyHere(ctx context.Context, host string, out bool) (status int, text string) {
 	for {
 		to, err := l.owner.owner(ctx)
 		if err != nil {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -205,10 +205,11 @@
 type estate struct {
 	journal *journal.Journal
 	owed    []*journal.Message
-	lock    *os.File  // held while this process owns the journal and may give it away
-	hold    *os.File  // the same, held to its end where nothing is given away
-	before  *link     // to the process before this one, if it lives
-	told    *snapshot // by that process
+	lock    *os.File     // held while this process owns the journal and may give it away
+	hold    *os.File     // the same, held to its end where nothing is given away
+	before  *link        // to the process before this one, if it lives
+	told    *snapshot    // by that process
+	joined  *memberState // by another member of the group
 }
 
 // takeOver waits until what the node owes belongs to this process: at once where no
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -39,6 +39,9 @@
 	over    journal.IDRing  // ids of messages taken that are over
 	closing bool            // answers close their connections
 	refuse  bool            // nothing is taken any more
+
+	cohort  *cohort // the other processes of the node; nil where there are none
+	noShare bool    // none of the node's limits may be used just now
 }
 
 // badRequest is a fault of the client.
@@ -118,6 +121,9 @@
 		if to != nil {
 			return in.passOn(to, m)
 		}
+		if in.cohort != nil && in.cohort.taken(m.ID) {
+			return http.StatusAccepted, ""
+		}
 		again, ok := in.reserve(m.ID)
 		if again { // sent once more by a client that did not hear the answer
 			return http.StatusAccepted, ""
@@ -234,7 +240,7 @@
 	if taken, known := in.held[id]; known {
 		return taken, false
 	}
-	if in.refuse || in.maxHeld > 0 && len(in.held) >= in.maxHeld {
+	if in.refuse || in.noShare || in.cohort != nil && !in.cohort.group.MaySend() || in.maxHeld > 0 && len(in.held) >= in.maxHeld {
 		return false, false
 	}
 	in.held[id] = false
@@ -264,6 +270,30 @@
 	delete(in.held, id)
 }
 
+// inherits takes in a message that a dead member took on: whoever hands it in again is
+// owed nothing new.
+func (in *intake) inherits(id string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.over.Has(id) {
+		in.held[id] = true
+	}
+}
+
+// knows tells whether a message is held here, or is over.
+func (in *intake) knows(id string) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.held[id] || in.over.Has(id)
+}
+
+// part sets which part of the node's hold is this process's.
+func (in *intake) part(most int, none bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.maxHeld, in.noShare = most, none
+}
+
 // wasOver tells of a message that an earlier life of the node brought to its end.
 func (in *intake) wasOver(id string) {
 	in.mu.Lock()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,8 +4,10 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
+	"wingmount/internal/group"
 	"wingmount/internal/journal"
 	"wingmount/internal/upstream"
 	"wingmount/policy"
@@ -34,6 +36,15 @@
 	giveaways chan *giveaway
 	connected func() int     // clients' connections; nil where nobody asks
 	revision  int64          // of the last list
+	cohort    *cohort        // the other processes of the node; nil where there are none
+	known     atomic.Int64   // the revision, for who watches discovery next
+	listAt    time.Duration  // when the list was seen, by the machine's clock
+	inUse     float64        // the part of the node that the module uses
+	serving   bool           // it has had one
+	shared    bool           // a share was told
+	shareBits atomic.Uint64  // inUse, for who asks
+	hearing   bool           // what is taken in comes from another member
+	called    bool           // a call was made: what is known of endpoints is this process's
 	orders    []policy.Event // for endpoints that are listed for the first time
 	obeyed    []*order       // the module hears of them in the next step
 	held      map[policy.MessageID]*journal.Message
@@ -98,6 +109,10 @@
 			}
 		}
 		last = time.Now()
+		if l.cohort != nil && l.inUse > 0 && !l.cohort.group.MaySend() {
+			// It stood still: what is sent now would come back unsent, and use up attempts.
+			l.batch = append(l.batch, policy.Shared{Whole: group.Whole})
+		}
 		if l.quiet {
 			l.batch = l.batch[:0]
 		} else if wake := l.step(calls); wake > 0 {
@@ -118,10 +133,12 @@
 		l.batch = append(l.batch, l.arrived(e))
 	case list:
 		l.revision = e.Revision
+		l.known.Store(e.Revision)
 		l.batch = append(l.batch, l.listed(e))
 		l.batch = append(l.batch, l.orders...)
 		l.orders = l.orders[:0]
 		l.remind()
+		l.passListOn()
 	case *order:
 		l.order(e)
 	case policy.Ended:
@@ -135,6 +152,15 @@
 			l.forgetGone(to)
 		}
 		l.batch = append(l.batch, e)
+	case heardNews:
+		l.hear(e.message)
+	case stateAsk:
+		e.reply <- l.memberState()
+	case *inheritance:
+		l.inheritDead(e)
+	case policy.Shared:
+		l.shared = true
+		l.batch = append(l.batch, e)
 	case policy.Event:
 		l.batch = append(l.batch, e)
 	}
@@ -283,7 +309,12 @@
 // just been given: its backlog must not go to one that is out or cold, and the
 // calls of late count for the limits still.
 func (l *loop) remind() {
-	for name, m := range l.journal.Memories {
+	l.remindOf(l.journal.Memories, true)
+}
+
+// remindOf tells of calls and, where nothing newer is known, of how endpoints were.
+func (l *loop) remindOf(memories map[string]*journal.Memory, health bool) {
+	for name, m := range memories {
 		id := policy.EndpointID(hash(name))
 		if l.endpoints[id] == nil {
 			continue
@@ -292,14 +323,14 @@
 		for _, at := range m.Sent {
 			r.Sent = append(r.Sent, l.past(at))
 		}
-		if !m.FailedAt.IsZero() {
+		if health && !m.FailedAt.IsZero() {
 			r.Failed, r.FailedAt = true, l.past(m.FailedAt)
 			if !m.BackAt.IsZero() {
 				r.Back, r.BackAt = true, l.past(m.BackAt)
 			}
 		}
 		l.batch = append(l.batch, r)
-		delete(l.journal.Memories, name)
+		delete(memories, name)
 	}
 }
 
@@ -360,13 +391,19 @@
 			if l.peers != nil {
 				l.peers.send(a)
 			}
+		case policy.Verdict:
+			if e := l.endpoints[a.Endpoint]; e != nil && l.cohort != nil {
+				l.cohort.tell(newsVerdict, e.name, verdictNews{a.News})
+			}
 		case policy.Wake:
 			wake = a.At
 		}
 	}
 	for _, k := range calls {
+		l.called = true
 		l.caller.start(ctx, k)
 	}
+	l.useShare()
 	return wake
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/net/netutil"
 
+	"wingmount/internal/group"
 	"wingmount/internal/journal"
 	"wingmount/policy"
 )
@@ -46,6 +47,13 @@
 // Run serves until the context ends and then stops in good order. At a hangup it
 // reads from its configuration file anew where discovery is.
 func Run(ctx context.Context, c Config, hangups <-chan os.Signal, log *slog.Logger) error {
+	var co *cohort
+	if c.Members > 0 {
+		var err error
+		if co, err = joinGroup(ctx, &c, log); err != nil {
+			return err
+		}
+	}
 	c.limitMemory(1)
 	// Everything below runs until the node has stopped, not until it is told to; what
 	// only an owner does ends when another process has taken over.
@@ -56,16 +64,26 @@
 	calls, abandon := context.WithCancel(life)
 	defer abandon()
 	var running sync.WaitGroup
-	staff := &console{up: make(chan struct{})}
+	if co != nil {
+		running.Go(func() { co.run(life) })
+		defer func() {
+			end()
+			running.Wait()
+			if err := co.close(); err != nil {
+				log.Warn("group: leaving", "err", err)
+			}
+		}()
+	}
+	staff := &console{up: make(chan struct{}), cohort: co}
 	if c.Console != "" {
-		k, callers, err := openConsole(c.Console, log)
+		k, callers, err := openConsole(ctx, c.Console, co, log)
 		if err != nil {
 			return err
 		}
 		staff = k
 		running.Go(func() { k.run(life, callers) })
 	}
-	e, listener, err := begin(ctx, c, log)
+	e, listener, err := begin(ctx, c, co, log)
 	if err != nil {
 		return err
 	}
@@ -87,13 +105,14 @@
 		listener = netutil.LimitListener(listener, places)
 	}
 	owner := newOwnership(owning)
-	in := &intake{names: c.Names, journal: j, owner: owner, log: log, maxHeld: c.Settings.MaxHeld,
+	in := &intake{cohort: co, names: c.Names, journal: j, owner: owner, log: log, maxHeld: c.Settings.MaxHeld,
 		held: map[string]bool{}}
 	for _, k := range c.Settings.Classes {
 		in.keyed = append(in.keyed, k.Repeat == policy.Deduplicated)
 	}
 	a := newAgent(c.Discovery)
 	l := &loop{
+		cohort: co, inUse: 1,
 		sender: policy.New(c.Settings, c.Seed), settings: c.Settings, names: c.Names, log: log,
 		journal: j, finals: newFinals(a, log), intake: in, origin: time.Now(),
 		events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
@@ -101,7 +120,7 @@
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
 	}
 	l.caller = newCaller(c, log, func(e policy.Event) { l.post(e) })
-	l.caller.owner = owner
+	l.caller.owner, l.caller.cohort = owner, co
 	l.finals.sync, l.finals.once = c.Sync, l.caller.once
 	in.accept = func(m *journal.Message) { l.post(m) }
 	if c.Settings.MayTell && c.PeerBind != "" && c.PeersAll != "" {
@@ -115,6 +134,9 @@
 	case e.told != nil:
 		l.inherit(e.told)
 		known = e.told.Revision
+	case e.joined != nil:
+		l.join(e.joined)
+		known = e.joined.Revision
 	case len(c.Known.Members) > 0:
 		for i, m := range c.Known.Members {
 			if j.Left(m.ID) { // told to an earlier life; this list may be older
@@ -126,6 +148,9 @@
 			known = c.Known.Revision
 		}
 	}
+	if co != nil { // nothing is sent before there is a lease
+		l.take(policy.Shared{Whole: group.Whole})
+	}
 	var before *heir
 	if e.before != nil {
 		before = &heir{link: e.before, intake: in, caller: l.caller, loop: l, log: log, out: map[policy.MessageID]*call{}}
@@ -149,7 +174,17 @@
 	running.Go(func() { l.run(life, calls, quiet) })
 	running.Go(func() { l.finals.run(owned) })
 	turn := discoveryTurn(c)
-	running.Go(func() { newDiscovery(a, known, turn, log, func(in list) { l.post(in) }).run(owned) })
+	l.known.Store(known)
+	watch := func(ctx context.Context, known int64) {
+		newDiscovery(a, known, turn, log, func(in list) { l.post(in) }).run(ctx)
+	}
+	if co == nil {
+		running.Go(func() { watch(owned, known) })
+	} else {
+		in.part(0, true) // until there is a share
+		co.serves(l)
+		running.Go(func() { co.follow(owned, watch) })
+	}
 	running.Go(func() { a.follow(life, hangups, c.Path, log) })
 	if l.peers != nil {
 		running.Go(func() { l.peers.run(owned) })
@@ -173,7 +208,19 @@
 	}
 	server := newServer(in, connected, log)
 	served := make(chan error, 1)
-	running.Go(func() { served <- server.Serve(heardListener{listener}) })
+	takesClients := func() {
+		staff.ready.Store(true)
+		log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(e.owed), "taken over", e.told != nil)
+	}
+	running.Go(func() {
+		if co != nil { // not before it may send
+			if !co.wait(life) {
+				return
+			}
+			takesClients()
+		}
+		served <- server.Serve(heardListener{listener})
+	})
 	if e.lock != nil {
 		next, err := listenForHandover(c.State)
 		if err != nil {
@@ -191,8 +238,9 @@
 		}
 	}
 	staff.serves(l)
-	staff.ready.Store(true)
-	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(e.owed), "taken over", e.told != nil)
+	if co == nil {
+		takesClients()
+	}
 
 	select {
 	case <-ctx.Done():
@@ -222,7 +270,16 @@
 
 // begin opens the journal and the clients' listener: the platform's where it holds
 // one, and then another process may have the journal still.
-func begin(ctx context.Context, c Config, log *slog.Logger) (*estate, net.Listener, error) {
+func begin(ctx context.Context, c Config, co *cohort, log *slog.Logger) (*estate, net.Listener, error) {
+	if co != nil {
+		return co.begin(ctx)
+	}
+	switch owed, err := owedByGroup(c.State, c.DiskBytes); {
+	case err != nil:
+		return nil, nil, fmt.Errorf("what a group has left in %s: %w", c.State, err)
+	case owed > 0:
+		return nil, nil, fmt.Errorf("%s holds %d messages of a group: start with -group until they are worked off", c.State, owed)
+	}
 	if c.AcceptFD > 0 {
 		listener, err := inheritedListener(c.AcceptFD)
 		if err != nil {
@@ -287,6 +344,9 @@
 	start := time.Now()
 	l.log.Info("stopping", "owed", l.intake.count())
 	l.intake.close(false)
+	if l.cohort != nil {
+		l.cohort.leaving()
+	}
 	time.Sleep(stopTaking)
 	l.intake.close(true)
 	refusing()
