--- a/internal/lab/live/agent.go
+++ b/internal/lab/live/agent.go
@@ -69,7 +69,7 @@
 }
 
 // move lets discovery be reached elsewhere from now on.
-func (a *agent) move(time.Duration) error {
+func (a *agent) move() error {
 	a.mu.Lock()
 	old, l := a.server, a.listener
 	a.mu.Unlock()
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -360,6 +360,10 @@
 
 func (c *Checker) stop(r trace.Record) {
 	n := c.node(r.Node)
+	if r.Result == "member" { // the others serve on, and adopt what it had
+		n.exempt = r.At + c.lim.Restart
+		return
+	}
 	n.down, n.since, n.exempt = true, r.At, 0
 	if r.Result != "lost" {
 		return
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -46,6 +46,9 @@
 	MemoryMB  int     `toml:"memory_mb"`
 	Sockets   int     `toml:"sockets"`
 	DiskMB    float64 `toml:"disk_mb"`
+	// Members is how many processes are one node together. Kill, term and stop then strike one
+	// of them, each time the next. It needs real processes.
+	Members int `toml:"members"`
 }
 
 // Load is what clients ask for, as a part of what load 1 is.
@@ -266,6 +269,9 @@
 	if s.Nodes.Count < 1 || s.Nodes.Count > 1000 {
 		bad("nodes.count", "%d has to lie within 1 and 1000", s.Nodes.Count)
 	}
+	if s.Nodes.Members < 0 || s.Nodes.Members > 8 {
+		bad("nodes.members", "%d has to lie within 0 and 8", s.Nodes.Members)
+	}
 	within("nodes.slots_room", s.Nodes.SlotsRoom, 0.1, 100)
 	within("nodes.hold_s", s.Nodes.HoldS, 0.1, 1000)
 	within("load.level", s.Load.Level, 0.001, 10)
