--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
 	"wingmount/internal/group"
@@ -104,10 +105,16 @@
 	if err := report.Write(out); err != nil {
 		return 2
 	}
+	status := 0
 	if report.Damaged() {
 		fmt.Fprintln(out, "damaged")
-		return 1
+		status = 1
+	} else {
+		fmt.Fprintln(out, "sound")
+	}
+	for _, member := range node.MemberFolders(dir) {
+		fmt.Fprintf(out, "%s: ", filepath.Base(member))
+		status = max(status, check(member, out))
 	}
-	fmt.Fprintln(out, "sound")
-	return 0
+	return status
 }
--- a/internal/node/cohort.go
+++ b/internal/node/cohort.go
@@ -903,16 +903,22 @@
 	return s
 }
 
+// MemberFolders are the journals of a group's members in a state folder.
+func MemberFolders(dir string) (all []string) {
+	for n := range 2 * group.MaxMembers {
+		if path := filepath.Join(dir, fmt.Sprintf(slotForm, n)); fingerprint(path) != "" {
+			all = append(all, path)
+		}
+	}
+	return all
+}
+
 // owedByGroup tells what members of a group owe in a folder, for a process without one.
 func owedByGroup(dir string, limit int64) (owed int, err error) {
 	if _, err := os.Stat(filepath.Join(dir, groupFolder)); errors.Is(err, os.ErrNotExist) {
 		return 0, nil
 	}
-	for n := range 2 * group.MaxMembers {
-		path := filepath.Join(dir, fmt.Sprintf(slotForm, n))
-		if fingerprint(path) == "" {
-			continue
-		}
+	for _, path := range MemberFolders(dir) {
 		report, err := journal.Check(journal.Dir(path), max(limit, 64<<20))
 		if err != nil {
 			return 0, err
