A member that leaves ends for sure: its listener is closed by the leaving itself

At fault: group.Run closed its listener by context.AfterFunc and called its stop on return. The context's channel closes before that function is begun, so a return may come first and stop it for good; serve then waits in Accept, and Run for serve. Ruled out: the node's own stop, which has a time limit at each wait; the loop, whose end lets each post return.

The listener is now closed on the way out.

--- a/cmd/wingmount/group_test.go
+++ b/cmd/wingmount/group_test.go
@@ -200,7 +200,13 @@
 	})
 	must(t, a.cmd.Process.Signal(syscall.SIGTERM))
 	sent := 0
+	deadline := time.Now().Add(patience)
 	for ended := false; !ended; sent++ {
+		if time.Now().After(deadline) {
+			_ = a.cmd.Process.Signal(syscall.SIGQUIT) // for its goroutines
+			_ = a.wait(t)
+			t.Fatalf("the member does not end: %s", a.log.String())
+		}
 		select {
 		case err := <-a.end:
 			if err != nil {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -128,8 +128,6 @@
 func (g *Group) Run(ctx context.Context) error {
 	var running sync.WaitGroup
 	defer running.Wait()
-	stop := context.AfterFunc(ctx, func() { _ = g.listener.Close() })
-	defer stop()
 	running.Go(func() { g.serve(ctx, &running) })
 	tick := time.NewTicker(BeatEvery)
 	defer tick.Stop()
@@ -145,6 +143,9 @@
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
+			// Here and not by context.AfterFunc: a return may come before that has begun, and
+			// whoever accepts would be waited for without end.
+			_ = g.listener.Close()
 			return g.leave()
 		}
 	}
--- a/internal/group/news_test.go
+++ b/internal/group/news_test.go
@@ -218,3 +218,24 @@
 		t.Errorf("heard %+v", m)
 	}
 }
+
+// lateContext has ended and has not begun yet to call what is to be called then.
+type lateContext struct{ context.Context }
+
+func (lateContext) AfterFunc(func()) func() bool { return func() bool { return true } }
+
+// TestLeavingEnds: what waits for others to ask is ended by the leaving itself.
+func TestLeavingEnds(t *testing.T) {
+	g, err := Join(Config{Dir: t.TempDir(), Clock: Clock, Log: slog.New(slog.DiscardHandler), Share: func(int, int) {}})
+	must(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(lateContext{ctx}) }()
+	select {
+	case err := <-ended:
+		must(t, err)
+	case <-time.After(patience):
+		t.Fatal("it does not end")
+	}
+}
