The test of a member that leaves now hangs without its mend

A context that has already ended calls what is to be called at once, so the test passed with the old code too. It now ends the context from within the run, and hides the one it wraps.

--- a/internal/group/news_test.go
+++ b/internal/group/news_test.go
@@ -219,17 +219,17 @@
 	}
 }
 
-// lateContext has ended and has not begun yet to call what is to be called then.
+// lateContext ends and does not begin to call what is to be called then.
 type lateContext struct{ context.Context }
 
 func (lateContext) AfterFunc(func()) func() bool { return func() bool { return true } }
+func (lateContext) Value(any) any                { return nil }
 
 // TestLeavingEnds: what waits for others to ask is ended by the leaving itself.
 func TestLeavingEnds(t *testing.T) {
-	g, err := Join(Config{Dir: t.TempDir(), Clock: Clock, Log: slog.New(slog.DiscardHandler), Share: func(int, int) {}})
-	must(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
+	g, err := Join(Config{Dir: t.TempDir(), Clock: Clock, Log: slog.New(slog.DiscardHandler), Share: func(int, int) { cancel() }})
+	must(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(lateContext{ctx}) }()
 	select {
