--- /dev/null
+++ b/cmd/winglab/compare.go
@@ -0,0 +1,395 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"wingmount/internal/lab/figures"
+	"wingmount/internal/lab/record"
+	"wingmount/internal/lab/report"
+	"wingmount/internal/lab/scenario"
+	"wingmount/internal/lab/trace"
+	"wingmount/internal/lab/world"
+)
+
+type compareCommand struct {
+	Scenario string   `arg:"" help:"The scenario's file."`
+	Seeds    int      `default:"6" help:"So many pairs, of seeds from --first on."`
+	First    uint64   `default:"1"`
+	Way      string   `enum:"sim,run" default:"run" help:"In step or on sockets."`
+	A        []string `name:"a" sep:"none" help:"What A is: a flag of the node (-sync), rev=REVISION, node=PROGRAM, or a setting (load.level=[0.9,0.9]). May be given more than once."`
+	B        []string `name:"b" sep:"none" help:"What B is, likewise."`
+	Out      string   `help:"A folder for the runs, the table and the page."`
+}
+
+// variant is one side of a comparison.
+type variant struct {
+	name     string
+	flags    []string
+	program  string
+	scenario scenario.Scenario
+}
+
+// variantOf reads one side.
+func variantOf(ctx context.Context, path, way string, words []string, dir string) (variant, error) {
+	v := variant{name: strings.Join(words, " ")}
+	if v.name == "" {
+		v.name = "as it is"
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return v, fmt.Errorf("reading a scenario: %w", err)
+	}
+	rev := ""
+	settings := map[string]string{}
+	for _, w := range words {
+		key, value, set := strings.Cut(w, "=")
+		switch {
+		case strings.HasPrefix(w, "-"):
+			v.flags = append(v.flags, w)
+		case key == "rev" && set:
+			rev = value
+		case key == "node" && set:
+			v.program = value
+		case set:
+			settings[key] = value
+		default:
+			return v, fmt.Errorf("%q is no flag, no revision, no program and no setting", w)
+		}
+	}
+	if way == "sim" && (rev != "" || v.program != "" || len(v.flags) > 0) {
+		return v, errors.New("flags, programs and revisions of the node need --way run")
+	}
+	if v.scenario, err = scenario.Override(text, settings); err != nil {
+		return v, fmt.Errorf("%s: %w", path, err)
+	}
+	if rev != "" {
+		v.program, err = buildRevision(ctx, rev, dir)
+	}
+	return v, err
+}
+
+// buildRevision builds the node of a revision of this repository, in a work tree of its own.
+func buildRevision(ctx context.Context, rev, dir string) (program string, err error) {
+	hash, err := exec.CommandContext(ctx, "git", "rev-parse", "--verify", rev+"^{commit}").Output()
+	if err != nil {
+		return "", fmt.Errorf("%q is no revision of this repository", rev)
+	}
+	tree := filepath.Join(dir, "tree-"+strings.TrimSpace(string(hash))[:12])
+	program = tree + "-wingmount"
+	if _, err := os.Stat(program); err == nil {
+		return program, nil
+	}
+	if out, err := exec.CommandContext(ctx, "git", "worktree", "add", "--detach", tree, rev).CombinedOutput(); err != nil {
+		return "", fmt.Errorf("revision %s: %w\n%s", rev, err, out)
+	}
+	defer func() {
+		if out, e := exec.Command("git", "worktree", "remove", "--force", tree).CombinedOutput(); e != nil {
+			err = errors.Join(err, fmt.Errorf("removing the work tree of %s: %w\n%s", rev, e, out))
+		}
+	}()
+	build := exec.CommandContext(ctx, "go", "build", "-o", program, "./cmd/wingmount")
+	build.Dir = tree
+	if out, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building %s: %w\n%s", rev, err, out)
+	}
+	return program, nil
+}
+
+// Run plays the pairs, A first in every second one, so that what drifts strikes both.
+func (c *compareCommand) Run(ctx context.Context) error {
+	dir := c.Out
+	if dir == "" {
+		tmp, err := os.MkdirTemp("", "winglab-compare-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(tmp)
+		dir = tmp
+	}
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	var sides [2]variant
+	for i, words := range [][]string{c.A, c.B} {
+		if sides[i], err = variantOf(ctx, c.Scenario, c.Way, words, dir); err != nil {
+			return err
+		}
+	}
+	if c.Way == "run" {
+		built, clean, err := nodeProgram(ctx, "")
+		if err != nil {
+			return err
+		}
+		defer clean()
+		for i := range sides {
+			if sides[i].program == "" {
+				sides[i].program = built
+			}
+		}
+	}
+	var runs [2][]record.Summary
+	var broken int
+	for n := range c.Seeds {
+		seed := c.First + uint64(n)
+		order := []int{0, 1}
+		if n%2 == 1 {
+			order = []int{1, 0}
+		}
+		var pair [2]record.Summary
+		for _, side := range order {
+			v := sides[side]
+			out := filepath.Join(dir, fmt.Sprintf("%s-%d", []string{"a", "b"}[side], seed))
+			var sum record.Summary
+			if c.Way == "sim" {
+				sum, err = playInStep(ctx, world.Draw(v.scenario, seed), out)
+			} else {
+				sum, err = playLive(ctx, world.Draw(v.scenario, seed), out, v.program, v.flags)
+			}
+			if err != nil {
+				return fmt.Errorf("%s, seed %d: %w", v.name, seed, err)
+			}
+			broken += len(sum.Broken)
+			fmt.Printf("seed %d %s: served %.4f, refused %.3f, broken %d%s\n", seed, []string{"A", "B"}[side], sum.Figures.Served,
+				sum.Figures.Refused, len(sum.Broken), invalid(sum))
+			pair[side] = sum
+		}
+		if pair[0].Invalid == "" && pair[1].Invalid == "" { // else the pair tells nothing
+			runs[0], runs[1] = append(runs[0], pair[0]), append(runs[1], pair[1])
+		}
+	}
+	effects := effectsOf(runs)
+	fmt.Printf("A: %s\nB: %s\n", sides[0].name, sides[1].name)
+	printEffects(effects)
+	if c.Out != "" && len(runs[0]) > 0 {
+		if err := c.page(dir, sides, runs, effects); err != nil {
+			return err
+		}
+	}
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func invalid(s record.Summary) string {
+	if s.Invalid == "" {
+		return ""
+	}
+	return ", INVALID: " + s.Invalid
+}
+
+// effectsOf compares all figures, and what real processes used.
+func effectsOf(runs [2][]record.Summary) (all []figures.Effect) {
+	if len(runs[0]) == 0 {
+		return nil
+	}
+	add := func(name string, more bool, of func(record.Summary) float64) {
+		var values [2][]float64
+		for side := range runs {
+			for _, s := range runs[side] {
+				values[side] = append(values[side], of(s))
+			}
+		}
+		all = append(all, figures.Paired(name, more, values[0], values[1]))
+	}
+	for _, f := range figures.Compared {
+		add(f.Name, f.More, func(s record.Summary) float64 { return f.Of(s.Figures) })
+	}
+	if len(runs[0][0].Usage) == 0 {
+		return all
+	}
+	sum := func(of func(record.Usage) float64) func(record.Summary) float64 {
+		return func(s record.Summary) (total float64) {
+			for _, u := range s.Usage {
+				total += of(u)
+			}
+			return total
+		}
+	}
+	add("CPU, s", false, sum(func(u record.Usage) float64 { return u.CPU }))
+	add("memory, MB", false, sum(func(u record.Usage) float64 { return u.RSS }))
+	add("descriptors", false, sum(func(u record.Usage) float64 { return float64(u.Files) }))
+	add("disk, MB", false, sum(func(u record.Usage) float64 { return u.Disk }))
+	return all
+}
+
+func printEffects(effects []figures.Effect) {
+	fmt.Printf("%-22s %10s %10s %10s  %-24s %s\n", "", "A", "B", "B - A", "95% of the mean", "pairs")
+	for _, e := range effects {
+		interval := "one pair: none"
+		if !math.IsInf(e.Low, 0) {
+			interval = fmt.Sprintf("%+.4g to %+.4g", e.Low, e.High)
+		}
+		fmt.Printf("%-22s %10.4g %10.4g %+10.3g  %-24s %d  %s\n", e.Name, e.A, e.B, e.Diff, interval, e.Pairs, e.Seen)
+	}
+}
+
+// page shows the first pair over time, and the table of all.
+func (c *compareCommand) page(dir string, sides [2]variant, runs [2][]record.Summary, effects []figures.Effect) error {
+	var both []report.Run
+	for side, s := range []string{"A", "B"} {
+		sum := runs[side][0]
+		bands, err := bandsOf(filepath.Join(dir, fmt.Sprintf("%s-%d", strings.ToLower(s), sum.Seed), "trace.jsonl"))
+		if err != nil {
+			return err
+		}
+		both = append(both, report.Run{Name: fmt.Sprintf("%s (%s), seed %d", s, sides[side].name, sum.Seed), Summary: sum, Bands: bands})
+	}
+	return writePage(filepath.Join(dir, "compare.html"), runs[0][0].Scenario, both, effects)
+}
+
+func writePage(path, title string, runs []report.Run, effects []figures.Effect) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	err = report.Page(f, title, runs, effects)
+	fmt.Println("page:", path)
+	return errors.Join(err, f.Close())
+}
+
+// bandsOf reads the faults of a run.
+func bandsOf(path string) (all []report.Band, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	seen := map[string]bool{}
+	err = trace.Read(f, func(r trace.Record) {
+		key := fmt.Sprint(r.Result, r.Until)
+		if r.What != trace.Fault || r.Until == 0 || seen[key] {
+			return
+		}
+		seen[key] = true
+		all = append(all, report.Band{What: r.Result, From: r.At.Seconds(), Until: math.Max(r.Until.Seconds(), r.At.Seconds()+0.3)})
+	})
+	return all, err
+}
+
+type reportCommand struct {
+	Dirs []string `arg:"" help:"The folder of a run, or of two." type:"existingdir"`
+	PNG  string   `help:"Write this plot (worth, latency or calls) as picture instead, to --out."`
+	Out  string   `help:"Where to; report.html in the first folder if not given."`
+}
+
+// Run makes a page, or one picture.
+func (c *reportCommand) Run() error {
+	if len(c.Dirs) > 2 {
+		return errors.New("one run, or two")
+	}
+	var runs []report.Run
+	for _, dir := range c.Dirs {
+		text, err := os.ReadFile(filepath.Join(dir, "summary.json"))
+		if err != nil {
+			return err
+		}
+		r := report.Run{Name: filepath.Base(dir)}
+		if err := json.Unmarshal(text, &r.Summary); err != nil {
+			return fmt.Errorf("%s: %w", dir, err)
+		}
+		if r.Bands, err = bandsOf(filepath.Join(dir, "trace.jsonl")); err != nil {
+			return err
+		}
+		runs = append(runs, r)
+	}
+	out := c.Out
+	if c.PNG != "" {
+		if out == "" {
+			return errors.New("--png needs --out")
+		}
+		f, err := os.Create(out)
+		if err != nil {
+			return err
+		}
+		return errors.Join(report.Plot(f, c.PNG, runs), f.Close())
+	}
+	if out == "" {
+		out = filepath.Join(c.Dirs[0], "report.html")
+	}
+	return writePage(out, runs[0].Summary.Scenario, runs, nil)
+}
+
+type sweepCommand struct {
+	Scenario string   `arg:"" help:"The scenario's file."`
+	Set      []string `required:"" sep:"none" help:"A setting and its values: load.level=0.5,0.7,0.9. Twice for all pairs of two."`
+	Seeds    int      `default:"5"`
+	First    uint64   `default:"1"`
+	Nodes    int      `help:"So many nodes, whatever the scenario says."`
+}
+
+// Run plays each value in step, over some seeds.
+func (c *sweepCommand) Run(ctx context.Context) error {
+	if len(c.Set) > 2 {
+		return errors.New("one setting, or two")
+	}
+	text, err := os.ReadFile(c.Scenario)
+	if err != nil {
+		return err
+	}
+	points := []map[string]string{{}}
+	for _, s := range c.Set {
+		key, values, ok := strings.Cut(s, "=")
+		if !ok {
+			return fmt.Errorf("%q is no setting with values", s)
+		}
+		var next []map[string]string
+		for _, p := range points {
+			for _, v := range strings.Split(values, ",") {
+				q := map[string]string{key: v}
+				for k, old := range p {
+					q[k] = old
+				}
+				next = append(next, q)
+			}
+		}
+		points = next
+	}
+	fmt.Printf("%-40s %8s %8s %8s %8s %8s %6s\n", "", "served", "least", "most", "p99 ms", "refused", "broken")
+	broken := 0
+	for _, p := range points {
+		s, err := scenario.Override(text, p)
+		if err != nil {
+			return err
+		}
+		if c.Nodes > 0 {
+			s.Nodes.Count = c.Nodes
+		}
+		var served, p99, refused float64
+		least, most, here := math.Inf(1), math.Inf(-1), 0
+		for n := range c.Seeds {
+			sum, err := playInStep(ctx, world.Draw(s, c.First+uint64(n)), "")
+			if err != nil {
+				return err
+			}
+			f := sum.Figures
+			served, p99, refused = served+f.Served, p99+f.P99, refused+f.Refused
+			least, most, here = min(least, f.Served), max(most, f.Served), here+len(sum.Broken)
+		}
+		n := float64(c.Seeds)
+		var names []string
+		for _, set := range c.Set {
+			key, _, _ := strings.Cut(set, "=")
+			names = append(names, key+"="+p[key])
+		}
+		broken += here
+		fmt.Printf("%-40s %8.4f %8.4f %8.4f %8.0f %8.3f %6s\n", strings.Join(names, " "), served/n, least, most, p99/n, refused/n, strconv.Itoa(here))
+	}
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/cmd/winglab/main.go
+++ b/cmd/winglab/main.go
@@ -26,10 +26,13 @@
 )
 
 type commands struct {
-	Demo  demoCommand  `cmd:"" help:"Build the node, play a short quiet day against it, and account for each message."`
-	Run   runCommand   `cmd:"" help:"Play a scenario against real delivery nodes on loopback sockets."`
-	Sim   simCommand   `cmd:"" help:"Play a scenario in simulated time: one module for each node, no sockets."`
-	Check checkCommand `cmd:"" help:"Read the trace of a run again: its rules and its figures."`
+	Demo    demoCommand    `cmd:"" help:"Build the node, play a short quiet day against it, and account for each message."`
+	Run     runCommand     `cmd:"" help:"Play a scenario against real delivery nodes on loopback sockets."`
+	Sim     simCommand     `cmd:"" help:"Play a scenario in simulated time: one module for each node, no sockets."`
+	Compare compareCommand `cmd:"" help:"A against B, in pairs by seed: two builds, revisions, sets of flags or settings."`
+	Sweep   sweepCommand   `cmd:"" help:"One setting, or two, over some values, in step."`
+	Report  reportCommand  `cmd:"" help:"One page with plots of a run, or of two."`
+	Check   checkCommand   `cmd:"" help:"Read the trace of a run again: its rules and its figures."`
 }
 
 type simCommand struct {
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -39,17 +39,20 @@
 	P99       float64 `json:"p99_ms"`
 	Max       float64 `json:"max_ms"`
 
-	Calls     int            `json:"calls"`
-	PerMsg    float64        `json:"calls_a_message"`
-	Ends      map[string]int `json:"ends"`
-	Refused   float64        `json:"refused_share"` // of the calls
-	Conns     int            `json:"connections"`
-	NoConns   int            `json:"failed_connections"`
-	Asked     int            `json:"list_lines"`
-	Restarts  int            `json:"restarts"`
-	LateSends int            `json:"late_sends"` // the lab itself fell behind
-	Windows   []Window       `json:"windows"`
-	Recovery  []Recovery     `json:"recovery,omitempty"`
+	Calls    int            `json:"calls"`
+	PerMsg   float64        `json:"calls_a_message"`
+	Ends     map[string]int `json:"ends"`
+	Refused  float64        `json:"refused_share"` // of the calls
+	Conns    int            `json:"connections"`
+	NoConns  int            `json:"failed_connections"`
+	Asked    int            `json:"list_lines"`
+	Restarts int            `json:"restarts"`
+	// InWindow is the most calls that came from one node to one destination within two seconds,
+	// over its even part of the limit: 1 is that part.
+	InWindow  float64    `json:"most_in_window"`
+	LateSends int        `json:"late_sends"` // the lab itself fell behind
+	Windows   []Window   `json:"windows"`
+	Recovery  []Recovery `json:"recovery,omitempty"`
 }
 
 // Window is a second of the run.
@@ -93,6 +96,8 @@
 	windows []Window
 	all     *hdrhistogram.Histogram
 	faults  []Recovery
+	parts   []float64                  // by destination: calls a second that are one node's even part
+	late    map[[2]int][]time.Duration // calls of the last window, by node and destination
 	f       Figures
 }
 
@@ -101,8 +106,8 @@
 }
 
 // New begins to count a run of so long.
-func New(classes []Class, tenants int, goal Goal, length time.Duration) *Counter {
-	c := &Counter{classes: classes, tenants: tenants, goal: goal, length: length, msgs: map[string]*origin{},
+func New(classes []Class, tenants int, goal Goal, length time.Duration, parts []float64) *Counter {
+	c := &Counter{parts: parts, late: map[[2]int][]time.Duration{}, classes: classes, tenants: tenants, goal: goal, length: length, msgs: map[string]*origin{},
 		tries: map[string]*origin{}, taken: map[string]bool{}, early: map[string]time.Duration{}, all: histogram()}
 	c.f.Ends = map[string]int{}
 	for i := range int(math.Ceil(length.Seconds())) {
@@ -142,6 +147,7 @@
 		}
 	case trace.Call:
 		c.f.Calls++
+		c.inWindow(r)
 		if w := c.window(r.At); w != nil {
 			w.Calls++
 		}
@@ -169,6 +175,26 @@
 	}
 }
 
+// partWindow is the window in which calls are held against a part of the limit, and leastPart
+// the calls that it has to hold for that to say anything.
+const (
+	partWindow = 2 * time.Second
+	leastPart  = 4
+)
+
+func (c *Counter) inWindow(r trace.Record) {
+	if r.Dest >= len(c.parts) || c.parts[r.Dest]*partWindow.Seconds() < leastPart {
+		return
+	}
+	key := [2]int{r.Node, r.Dest}
+	times := append(c.late[key], r.At)
+	for times[0] <= r.At-partWindow {
+		times = times[1:]
+	}
+	c.late[key] = times
+	c.f.InWindow = max(c.f.InWindow, float64(len(times))/(c.parts[r.Dest]*partWindow.Seconds()))
+}
+
 func (c *Counter) ended(r trace.Record) {
 	switch {
 	case r.Status == 200:
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -76,6 +76,14 @@
 	return rules.Protocol(l)
 }
 
+// parts are one node's even parts of the limits.
+func parts(d world.Day) (all []float64) {
+	for _, dest := range d.Dests {
+		all = append(all, dest.Limit/float64(len(d.Nodes)))
+	}
+	return all
+}
+
 // Classes are what the classes of a day are worth.
 func Classes(d world.Day) (all []figures.Class) {
 	for _, c := range d.Scenario.Classes {
@@ -106,7 +114,7 @@
 // New begins to keep a run. An empty dir keeps no files.
 func New(d world.Day, way, dir string, blur time.Duration) (*Recorder, error) {
 	r := &Recorder{check: rules.New(Limits(d, blur)), dir: dir, began: time.Now(),
-		count: figures.New(Classes(d), len(d.Scenario.Tenants), Goal, d.Length),
+		count: figures.New(Classes(d), len(d.Scenario.Tenants), Goal, d.Length, parts(d)),
 		summary: Summary{Scenario: d.Scenario.Name, Seed: d.Seed, Way: way, Revision: Revision(), Length: d.Length.Seconds(),
 			Nodes: len(d.Nodes)}}
 	if dir == "" {
@@ -180,6 +188,7 @@
 	p.line("calls %d (%.2f a message), refused %.3f of them, ends %v; connections %d, failed %d; list lines %d",
 		f.Calls, f.PerMsg, f.Refused, f.Ends, f.Conns, f.NoConns, f.Asked)
 	a := s.Account
+	p.line("most calls in 2 s from a node to a destination: %.2f of its even part of the limit", f.InWindow)
 	p.line("taken on %d: delivered %d, handed back %d, given up %d, lost %d, with a lost folder %d, open %d; turned away %d",
 		a.Taken, a.Delivered, a.Refused, a.GivenUp, a.Lost, a.Orphans, a.Open, a.Turned)
 	for _, u := range s.Usage {
