A path gets more than one call a step, and a lone refusal costs what it proves

Seen on the built node with one endpoint that answers in 5 to 35 ms and a listed limit of 5,000 calls a second: some 200 a second go out, whatever is asked.

Checked and ruled out: slots (9 connections in use of 400), the limit (0.04 of it in any window), the endpoint's queue. At fault: hasRoom asked for a gap since the last call, and two calls of one step have none, so a path began one call a step. Then dispatch looked at all that is held for each call, and each count of a window copied it.

Now as many calls go in as many gaps within four steps; a gap longer than a step is kept as before. Candidates of a step are put in a heap once. A full with no wait told, where few calls are refused of late and a pause would cost ten calls or more, closes the logs for one call's time and takes one call from the slice.

--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -124,7 +124,8 @@
 	Speed        Range  `toml:"speed"`
 	SlowCV       Range  `toml:"slow_cv"`
 	ErrorRate    Range  `toml:"error_rate"`
-	Conns        int    `toml:"conns"` // an endpoint takes so many connections; 0: any number
+	Refuses      Range  `toml:"refuses"` // the share of calls that are refused below the limit, with no wait
+	Conns        int    `toml:"conns"`   // an endpoint takes so many connections; 0: any number
 }
 
 // Class is one class of message.
@@ -295,6 +296,7 @@
 		if k.Limit == "window" && k.WindowMs < 10 {
 			bad(key+".window_ms", "%d has to be 10 or more", k.WindowMs)
 		}
+		within(key+".refuses", k.Refuses, 0, 1)
 		within(key+".speed", k.Speed, 0.001, 1000)
 		within(key+".headroom", k.Headroom, 0.01, 100)
 		within(key+".spare", k.Spare, 0.1, 100)
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -60,6 +60,7 @@
 	Conns     int // connections taken; 0 for any number
 	Pace      float64
 	ErrorRate float64
+	Refuses   float64
 }
 
 // Message is what a client hands in first.
@@ -185,6 +186,9 @@
 			cores := max(1, int(math.Round(capacity*work/pace/float64(count))))
 			ep := Endpoint{Dest: i, Cores: cores, Pace: pace, ErrorRate: draw(r, k.ErrorRate), Conns: k.Conns,
 				Depth: max(1, int(draw(r, k.DepthS)*capacity/float64(count)))}
+			if k.Refuses[1] > 0 { // a draw of its own, so that days without it stay as they are
+				ep.Refuses = draw(Random(d.Seed, "refuses", uint64(len(d.Endpoints))), k.Refuses)
+			}
 			dest.Capacity += float64(cores) * pace / work
 			dest.Endpoints = append(dest.Endpoints, len(d.Endpoints))
 			d.Endpoints = append(d.Endpoints, ep)
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -348,6 +348,10 @@
 		return
 	}
 	draws := Random(w.Day.Seed, "call", uint64(c.Message+1), uint64(c.Try))
+	if spec.Refuses > 0 && Random(w.Day.Seed, "refused", uint64(c.Message+1), uint64(c.Try)).Float64() < spec.Refuses {
+		w.refuse(c, 0)
+		return
+	}
 	if draws.Float64() < e.errs {
 		w.at(w.now+5*time.Millisecond, func() { w.answer(c, 500, 0) })
 		return
--- /dev/null
+++ b/policy/fast_test.go
@@ -0,0 +1,91 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// fastBench has a path with a listed rate of 5,000 calls a second.
+func fastBench(t *testing.T) *bench {
+	set := testSettings()
+	set.Senders, set.Listing, set.Slots, set.MaxHeld = 1, RateNominal, 400, 8000
+	return with(t, set, 0, 1, 5000)
+}
+
+// passed tells how many of the messages that come at a rate are delivered within a time, where
+// each call is answered after two ticks, every so manieth as full.
+func (b *bench) passed(rate float64, d time.Duration, fullEach int) int {
+	type out struct {
+		at Time
+		s  Send
+	}
+	var calls []out
+	n, sent, due := 0, 0, 0.0
+	for end := b.now + d; b.now < end; b.now += b.s.set.Tick {
+		var events []Event
+		for due += rate * b.s.set.Tick.Seconds(); due >= 1; due-- {
+			b.id++
+			events = append(events, Arrived{Message: b.id, GiveUpAt: b.now + b.s.set.Classes[0].Deadline})
+		}
+		for len(calls) > 0 && b.now >= calls[0].at {
+			c := calls[0]
+			calls = calls[1:]
+			e := Ended{Message: c.s.Message, Endpoint: c.s.Endpoint, Outcome: Delivered, Final: true, Took: 2 * b.s.set.Tick}
+			if sent++; fullEach > 0 && sent%fullEach == 0 {
+				e.Outcome, e.Final = Full, false
+			} else {
+				n++
+			}
+			events = append(events, e)
+		}
+		for _, a := range b.step(append(events, Woken{})...) {
+			if s, ok := a.(Send); ok {
+				calls = append(calls, out{b.now + 2*b.s.set.Tick, s})
+			}
+		}
+		b.sent = nil
+	}
+	return n
+}
+
+// A path is not bound to one call a step.
+func TestManyCallsAStep(t *testing.T) {
+	for _, rate := range []float64{100, 1000, 4500} {
+		if n := fastBench(t).passed(rate, 4*time.Second, 0); float64(n) < 0.97*4*rate {
+			t.Errorf("%d of %v a second for 4 s", n, rate)
+		}
+	}
+}
+
+// They come to no more than the slice in any of its windows, nor much more in part of one.
+func TestManyCallsAStepKeepTheSlice(t *testing.T) {
+	b := fastBench(t)
+	b.passed(9000, 4*time.Second, 0)
+	if n := b.path().narrow.count(b.now); float64(n) > math.Ceil(b.path().slice) || b.path().slice > 1.01*5000*narrowWindow.Seconds() {
+		t.Errorf("%d calls in a window of %v", n, b.path().narrow.window)
+	}
+	part, n := spreadTicks*b.s.set.Tick, 0
+	for _, at := range b.path().narrow.times {
+		if at > b.now-part {
+			n++
+		}
+	}
+	if most := 5000 / spread * part.Seconds(); float64(n) > most {
+		t.Errorf("%d calls in %v, at most %v keep the slice spread", n, part, most)
+	}
+}
+
+// A full among many successes costs what it proves; where many are, the logs close.
+func TestALoneFull(t *testing.T) {
+	for _, rate := range []float64{300, 1000, 4000} {
+		if n := fastBench(t).passed(rate, 8*time.Second, 100); float64(n) < 0.95*8*rate {
+			t.Errorf("%d of %v a second for 8 s, with one refused in 100", n, rate)
+		}
+	}
+	b := fastBench(t)
+	b.passed(1000, 4*time.Second, 100)
+	if n := b.passed(1000, 4*time.Second, 4); n > 2000 {
+		t.Errorf("%d calls in 4 s with one refused in four: the logs do not close", n)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,6 +5,7 @@
 package policy
 
 import (
+	"container/heap"
 	"math"
 	"slices"
 	"time"
@@ -34,6 +35,9 @@
 	// Calls under a binding slice keep this part of an even gap: a window's
 	// calls at once are refused by a destination that takes them at a rate.
 	spread = 0.8
+	// Where a gap is shorter than a step, the calls of so many steps may go together: one call
+	// in each step would be all that a path ever gets.
+	spreadTicks = 4
 	// So many fulls take a slice of one call to one for all senders; so many
 	// successes undo one full. Few outcomes are seen, so each counts for more.
 	smallCuts     = 3
@@ -43,6 +47,11 @@
 	// A full that tells no wait closes the logs, for twice as long with each in turn.
 	fullPause    = 200 * time.Millisecond
 	maxFullPause = 2 * time.Second
+	// A full where less than one call in so many is refused of late closes the logs for one
+	// call's time, if the pause would cost so many calls: a lone full costs what it proves.
+	loneAfter   = 20
+	loneCost    = 10
+	refusedGain = 1.0 / 64 // of the refused share's moving average: some times loneAfter
 	// All senders hear a wait's end in the same instant: each adds up to this.
 	waitJitter = 250 * time.Millisecond
 	shutRun    = 3 // a told wait over a window, or so many refusals in turn: it is shut
@@ -288,7 +297,12 @@
 func (s *Sender) hasRoom(p *path) bool {
 	slice := max(1, p.slice)
 	gap := time.Duration(spread * float64(narrowWindow) / slice)
-	if n := len(p.narrow.times); p.slice > 1 && n > 0 && s.now-p.narrow.times[n-1] < gap {
+	// So many calls in as many gaps: one, or what falls into some steps where many do.
+	some := 1
+	if gap < s.set.Tick {
+		some = int(spreadTicks * s.set.Tick / max(1, gap))
+	}
+	if n := len(p.narrow.times); p.slice > 1 && n >= some && s.now-p.narrow.times[n-some] < time.Duration(some)*gap {
 		return false
 	}
 	calls := math.Ceil(slice)
@@ -331,6 +345,9 @@
 // full cuts a slice after a full, or sets it from the narrow count the first
 // time, and closes the logs for the told wait.
 func (s *Sender) full(p *path, e *endpoint, sent Time, wait time.Duration) {
+	gap, lone := s.lone(p)
+	// One right after another is not, but those that were out together are one.
+	lone = lone && wait == 0 && (e.fullRun == 0 || sent < p.fullAt)
 	if sent >= p.fullAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
 			s.resize(p, max(1, float64(p.narrow.count(s.now))))
@@ -345,6 +362,9 @@
 			} else if slice <= 1 {
 				cut = s.smallCut
 			}
+			if lone {
+				cut = max(cut, 1-1/slice)
+			}
 			s.resize(p, slice*cut)
 		}
 		e.fullRun++
@@ -353,11 +373,26 @@
 	if p.slice <= 1 && s.set.MayTell && s.jam(p) {
 		s.tell(e, Jam)
 	}
-	pause := wait
+	pause, jitter := wait, waitJitter
 	if wait == 0 {
 		pause = min(maxFullPause, fullPause<<min(e.fullRun, 6))
 	}
-	p.closedUntil = max(p.closedUntil, s.now+pause+s.jitter(waitJitter))
+	if lone {
+		pause, jitter = gap, gap
+	}
+	p.refused += (1 - p.refused) * refusedGain
+	p.closedUntil = max(p.closedUntil, s.now+pause+s.jitter(jitter))
+}
+
+// lone tells whether a full with no wait told proves no more than that one call was too many:
+// few calls are refused of late, and while the logs are closed many would be had. Then they
+// close for as long as one call takes of the slice, which loses that call.
+func (s *Sender) lone(p *path) (time.Duration, bool) {
+	if math.IsInf(p.slice, 1) || p.passes < loneAfter || p.refused > 1.0/loneAfter {
+		return 0, false
+	}
+	gap := time.Duration(float64(narrowWindow) / max(1, p.slice))
+	return gap, fullPause >= loneCost*gap
 }
 
 // jam closes the logs of all who send less than a call a window, each for a part
@@ -401,6 +436,7 @@
 
 func (s *Sender) passedOne(p *path, took time.Duration) {
 	p.passes++
+	p.refused -= p.refused * refusedGain
 	p.passed.record(s.now)
 	p.peak = max(p.peak, p.passed.count(s.now))
 	s.usual += (took.Seconds() - s.usual) * baselineGain
@@ -431,24 +467,27 @@
 // dispatch sends while there are slots and some message has a way: next the one
 // that would lose most worth for the slot time it takes, if it had to wait.
 func (s *Sender) dispatch() {
-	for s.inFlight < s.set.Slots {
-		var best *message
-		var at *endpoint
-		var bestScore float64
-		for _, m := range s.open {
-			if !s.ready(m) || !slices.ContainsFunc(m.dest.paths, s.hasRoom) || s.gathers(m) {
-				continue
-			}
-			if score := s.score(m); best == nil || score > bestScore {
-				if e := s.choose(m); e != nil {
-					best, at, bestScore = m, e, score
-				}
-			}
+	if s.inFlight >= s.set.Slots {
+		return
+	}
+	for _, d := range s.ordered {
+		d.room = slices.ContainsFunc(d.paths, s.hasRoom)
+	}
+	s.line = s.line[:0]
+	for i, m := range s.open {
+		if m.dest.room && s.ready(m) && !s.gathers(m) {
+			s.line = append(s.line, candidate{m, s.score(m), i})
 		}
-		if best == nil {
-			return
+	}
+	heap.Init(&s.line)
+	for s.inFlight < s.set.Slots && len(s.line) > 0 {
+		m := heap.Pop(&s.line).(candidate).message
+		if !s.ready(m) || s.gathers(m) { // it went with another, or the others went
+			continue
+		}
+		if e := s.choose(m); e != nil {
+			s.sendCall(m, e)
 		}
-		s.sendCall(best, at)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,6 +34,8 @@
 		grows []growth // what is to be used from later moments on, the first one first
 	}
 
+	line candidates // of the step
+
 	subscribed  bool // changes to the list come, or the answer is on its way
 	subscribeAt Time // when to ask again
 
@@ -66,6 +68,28 @@
 	return s
 }
 
+// candidate is a message that may be sent in this step.
+type candidate struct {
+	message *message
+	score   float64
+	place   int // among those held: of equals the first goes first
+}
+
+// candidates is a heap with the best on top.
+type candidates []candidate
+
+func (c candidates) Len() int { return len(c) }
+func (c candidates) Less(i, j int) bool {
+	return c[i].score > c[j].score || c[i].score == c[j].score && c[i].place < c[j].place
+}
+func (c candidates) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+func (c *candidates) Push(x any)   { *c = append(*c, x.(candidate)) }
+func (c *candidates) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
 // growth is a larger share from some moment on.
 type growth struct {
 	at    Time
@@ -89,7 +113,7 @@
 	if n == 0 && stale > 0 {
 		stale--
 	}
-	l.times = append(l.times[:0], l.times[stale:]...)
+	l.times = l.times[stale:] // copied only when what was dropped is as much as is left
 	return n
 }
 
@@ -153,6 +177,7 @@
 	passed       sendLog   // successes within the narrow window
 	peak         int       // the most of them that there ever were
 	passes       int       // successes so far
+	refused      float64   // share of its calls that were refused, of late
 	most         int       // the most endpoints that were ready at a time
 	slice        float64   // calls in a narrow window; infinite while unbound
 	beforeRun    float64   // the slice before the fulls in a row of late, or 0
@@ -172,6 +197,7 @@
 	number int
 	paths  []*path
 	queue  []*message // held, in order of arrival
+	room   bool       // a path has room, as this step begins
 }
 
 // message is one message from its arrival until it has ended and no attempt
