--- a/policy/policy.go
+++ b/policy/policy.go
@@ -302,7 +302,8 @@
 	if gap < s.set.Tick {
 		some = int(spreadTicks * s.set.Tick / max(1, gap))
 	}
-	if n := len(p.narrow.times); p.slice > 1 && n >= some && s.now-p.narrow.times[n-some] < time.Duration(some)*gap {
+	n := len(p.narrow.times)
+	if p.slice > 1 && n >= some && s.now-p.narrow.times[n-some] < time.Duration(some)*gap {
 		return false
 	}
 	calls := math.Ceil(slice)
