--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -86,6 +86,9 @@
 	if err == nil {
 		err = r.play(ctx)
 	}
+	for _, n := range r.nodes {
+		n.keepView()
+	}
 	close(r.ended)
 	for _, n := range r.nodes {
 		n.quit()
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"net/http"
 	"os"
@@ -368,6 +369,26 @@
 	}
 }
 
+// keepView keeps what the members of a group say of it when the day is over, in the node's
+// folder: a few answers, as whichever member accepts gives its own.
+func (n *node) keepView() {
+	if !n.grouped() || !n.up() {
+		return
+	}
+	f, err := os.Create(filepath.Join(n.dir, "group.json"))
+	if err != nil {
+		return // the run's figures stand without it
+	}
+	defer f.Close()
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 4 * len(n.procs) {
+		if resp, err := client.Get("http://" + n.console + "/ops/group"); err == nil {
+			_, _ = io.Copy(f, io.LimitReader(resp.Body, 64<<10))
+			_ = resp.Body.Close()
+		}
+	}
+}
+
 // quit ends the processes, at last by force.
 func (n *node) quit() {
 	for _, p := range n.procs {
--- a/internal/node/cohort.go
+++ b/internal/node/cohort.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -138,12 +139,16 @@
 }
 
 type age struct {
-	Count int     `json:"count"`
-	Sum   float64 `json:"-"`
-	Mean  float64 `json:"mean_ms"`
-	Max   float64 `json:"max_ms"`
+	Count  int     `json:"count"`
+	Median float64 `json:"median_ms"` // of the last agesKept, as the 99th percentile
+	P99    float64 `json:"p99_ms"`
+	Max    float64 `json:"max_ms"`
+	last   []float64
 }
 
+// agesKept bounds what the figures of staleness are taken from.
+const agesKept = 1024
+
 func (s *staleness) add(kind string, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,9 +161,13 @@
 		s.all[kind] = a
 	}
 	ms := float64(d.Microseconds()) / 1000
+	a.Max = max(a.Max, ms)
+	if len(a.last) < agesKept {
+		a.last = append(a.last, ms)
+	} else {
+		a.last[a.Count%agesKept] = ms
+	}
 	a.Count++
-	a.Sum += ms
-	a.Mean, a.Max = a.Sum/float64(a.Count), max(a.Max, ms)
 }
 
 func (s *staleness) show() map[string]age {
@@ -166,7 +175,9 @@
 	defer s.mu.Unlock()
 	out := map[string]age{}
 	for k, a := range s.all {
-		out[k] = *a
+		sorted := slices.Sorted(slices.Values(a.last))
+		at := func(share float64) float64 { return sorted[int(share*float64(len(sorted)-1))] }
+		out[k] = age{Count: a.Count, Median: at(0.5), P99: at(0.99), Max: a.Max}
 	}
 	return out
 }
--- /dev/null
+++ b/internal/node/cohort_test.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"testing"
+	"time"
+)
+
+func TestStaleness(t *testing.T) {
+	var s staleness
+	for i := range 3 * agesKept {
+		s.add("wait", time.Duration(i)*time.Microsecond)
+	}
+	s.add("list", time.Millisecond)
+	got := s.show()
+	if a := got["list"]; a.Count != 1 || a.Median != 1 || a.P99 != 1 || a.Max != 1 {
+		t.Errorf("%+v", a)
+	}
+	// Of the last: from two thirds on.
+	a := got["wait"]
+	if a.Count != 3*agesKept || a.Max != float64(3*agesKept-1)/1000 || a.Median < 2.5*agesKept/1000-0.01 || a.Median > 2.5*agesKept/1000+0.01 || a.P99 <= a.Median {
+		t.Errorf("%+v", a)
+	}
+	if n := len(s.all["wait"].last); n != agesKept {
+		t.Errorf("%d are kept", n)
+	}
+}
