--- a/internal/group/core_test.go
+++ b/internal/group/core_test.go
@@ -310,17 +310,7 @@
 	m := &machine{}
 	m.start()
 	m.start()
-	play := func(d time.Duration) {
-		for end := m.now + d; m.now < end; m.now += BeatEvery {
-			for _, p := range m.procs {
-				m.beat(p)
-			}
-			for len(m.flight) > 0 {
-				m.deliver(0)
-			}
-			m.check(t, nil)
-		}
-	}
+	play := func(d time.Duration) { m.play(t, d) }
 	play(4 * LeaseTime)
 	first, second := m.procs[0], m.procs[1]
 	if m.lead != first {
@@ -343,6 +333,20 @@
 	}
 }
 
+// play lets all members beat and hear of each other for a time.
+func (m *machine) play(t *testing.T, d time.Duration) {
+	t.Helper()
+	for end := m.now + d; m.now < end; m.now += BeatEvery {
+		for _, p := range m.procs {
+			m.beat(p)
+		}
+		for len(m.flight) > 0 {
+			m.deliver(0)
+		}
+		m.check(t, nil)
+	}
+}
+
 // What is of another version, of an older epoch, or for somebody else is refused.
 func TestWhatIsRefused(t *testing.T) {
 	m := NewMember("a")
@@ -391,17 +395,7 @@
 	m := &machine{}
 	m.start()
 	m.start()
-	play := func(d time.Duration) {
-		for end := m.now + d; m.now < end; m.now += BeatEvery {
-			for _, p := range m.procs {
-				m.beat(p)
-			}
-			for len(m.flight) > 0 {
-				m.deliver(0)
-			}
-			m.check(t, nil)
-		}
-	}
+	play := func(d time.Duration) { m.play(t, d) }
 	play(4 * LeaseTime)
 	first, second := m.procs[0], m.procs[1]
 	first.use, first.had, second.use, second.had = Whole/2, Whole/2, Whole/2, Whole/2 // a window later
--- a/internal/lab/insim/insim.go
+++ b/internal/lab/insim/insim.go
@@ -3,11 +3,11 @@
 package insim
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"time"
 
+	"wingmount/internal/lab/agenda"
 	"wingmount/internal/lab/trace"
 	"wingmount/internal/lab/world"
 	"wingmount/internal/wire"
@@ -41,8 +41,7 @@
 	settings policy.Settings
 	note     func(trace.Record)
 	nodes    []*node
-	queue    agenda
-	seq      uint64
+	queue    agenda.Agenda
 	now      time.Duration
 	calls    map[uint64]*attempt // that are out, by the world's number
 	last     uint64
@@ -102,28 +101,6 @@
 	done   bool
 }
 
-type item struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type agenda []item
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
-func (a *agenda) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	old[len(old)-1] = item{}
-	*a = old[:len(old)-1]
-	return x
-}
-
 func newSim(d world.Day, note func(trace.Record)) (*sim, error) {
 	s := &sim{day: d, note: note, calls: map[uint64]*attempt{}, tries: map[policy.MessageID]world.Try{}, end: d.Length}
 	settings, err := wire.DecodeSettings(d.Settings(0))
@@ -146,17 +123,11 @@
 	return s, nil
 }
 
-func (s *sim) at(t time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, item{max(t, s.now), s.seq, do})
-}
+func (s *sim) at(t time.Duration, do func()) { s.queue.At(max(t, s.now), do) }
 
 func (s *sim) run(stop func(time.Duration) bool) error {
 	for still := 0; ; still++ {
-		at, some := time.Duration(0), false
-		if len(s.queue) > 0 {
-			at, some = s.queue[0].at, true
-		}
+		at, some := s.queue.Next()
 		theirs, has := s.world.Next()
 		if has && (!some || theirs <= at) {
 			at, some = theirs, true
@@ -179,7 +150,8 @@
 			s.world.Advance(at)
 			continue
 		}
-		heap.Pop(&s.queue).(item).do()
+		_, do := s.queue.Pop()
+		do()
 	}
 }
 
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -1,11 +1,11 @@
 package world
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"wingmount/internal/lab/agenda"
 	"wingmount/internal/lab/trace"
 	"wingmount/policy"
 )
@@ -60,8 +60,7 @@
 	now   time.Duration
 	host  Host
 	note  func(trace.Record)
-	queue agenda
-	seq   uint64
+	queue agenda.Agenda
 	calls map[uint64]*call
 	last  uint64
 	eps   []endpoint
@@ -116,28 +115,6 @@
 	node int
 }
 
-type item struct {
-	at  time.Duration
-	seq uint64
-	do  func()
-}
-
-type agenda []item
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
-func (a *agenda) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	old[len(old)-1] = item{}
-	*a = old[:len(old)-1]
-	return x
-}
-
 // New begins a day. Everything that is seen goes to note.
 func New(d Day, host Host, note func(trace.Record)) *World {
 	w := &World{Day: d, host: host, note: note, calls: map[uint64]*call{}}
@@ -167,27 +144,19 @@
 }
 
 // Next is when the world has something to do.
-func (w *World) Next() (time.Duration, bool) {
-	if len(w.queue) == 0 {
-		return 0, false
-	}
-	return w.queue[0].at, true
-}
+func (w *World) Next() (time.Duration, bool) { return w.queue.Next() }
 
 // Advance does all that is due until now.
 func (w *World) Advance(now time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= now {
-		it := heap.Pop(&w.queue).(item)
-		w.now = max(w.now, it.at)
-		it.do()
+	for at, some := w.queue.Next(); some && at <= now; at, some = w.queue.Next() {
+		at, do := w.queue.Pop()
+		w.now = max(w.now, at)
+		do()
 	}
 	w.now = max(w.now, now)
 }
 
-func (w *World) at(t time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, item{max(t, w.now), w.seq, do})
-}
+func (w *World) at(t time.Duration, do func()) { w.queue.At(max(t, w.now), do) }
 
 // Phases is what a node's agent has been told.
 func (w *World) Phases(node int) []Phase { return w.told[node] }
--- a/internal/node/cohort_loop.go
+++ b/internal/node/cohort_loop.go
@@ -118,16 +118,7 @@
 	l.hearing = true
 	defer func() { l.hearing = false }()
 	l.listAt = group.Clock()
-	active, leaving := list{Revision: s.Revision, Complete: true}, list{Revision: s.Revision}
-	for _, m := range s.Members {
-		if m.Phase != "active" {
-			leaving.Members = append(leaving.Members, m)
-			m.Phase = "active" // or it would be taken for one of which nothing was known
-		}
-		active.Members = append(active.Members, m)
-	}
-	l.take(active)
-	l.take(leaving)
+	l.takeKnown(s.Revision, s.Members)
 	for _, w := range s.Waits {
 		l.heardWait(l.endpoints[policy.EndpointID(hash(w.Endpoint))], w.Until)
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -444,17 +444,7 @@
 	l.origin = time.Now().Add(clockStart - s.Elapsed - time.Since(s.At))
 	clear(l.journal.Memories) // the old process knows more
 	l.caller.pools.Inherit(s.Pools)
-	known := list{Revision: s.Revision, Complete: true}
-	leaving := list{Revision: s.Revision}
-	for _, m := range s.Members {
-		if m.Phase != "active" {
-			leaving.Members = append(leaving.Members, m)
-			m.Phase = "active" // or it would be taken for one of which nothing was known
-		}
-		known.Members = append(known.Members, m)
-	}
-	l.take(known)
-	l.take(leaving)
+	l.takeKnown(s.Revision, s.Members)
 	for _, g := range s.Gates {
 		if e := l.endpoints[policy.EndpointID(hash(g.ID))]; e != nil {
 			e.leaves.closedFrom.Store(g.ClosedFrom)
@@ -466,6 +456,21 @@
 	l.batch = append(l.batch, policy.Inherited{Memory: s.Memory})
 }
 
+// takeKnown takes in a whole list that another process had.
+func (l *loop) takeKnown(revision int64, members []member) {
+	known := list{Revision: revision, Complete: true}
+	leaving := list{Revision: revision}
+	for _, m := range members {
+		if m.Phase != "active" {
+			leaving.Members = append(leaving.Members, m)
+			m.Phase = "active" // or it would be taken for one of which nothing was known
+		}
+		known.Members = append(known.Members, m)
+	}
+	l.take(known)
+	l.take(leaving)
+}
+
 // heir is the new process's side of the link to the old one.
 type heir struct {
 	link   *link
