A member that knows no list says so; newcomers are told what was told before they came

No member had a list: the logs lack the line about the list's odd entry, and all three had their share and served.

At fault: memberState told revision 0 where no list was known. Who joined from such a member and then led took that for the version it had, and watched discovery from 0 instead of fetching the whole list. Ruled out: shares (a third each, in use), the listener (all answer), news lost between a member's questions and its first news. That last can happen as well, and is mended too: who meets a newcomer tells it the list and the waits anew, with the time at which they were seen.

TestAMemberThatKnowsNoList and TestMet fail without their parts.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -47,6 +47,9 @@
 	// Hear is handed what other members tell (the answer is dropped) and ask. It must not
 	// wait for long: whoever asks does.
 	Hear func(m Message, asked bool) (answer any, err error)
+	// Met is told when others are there that were not: what was told before, they did not
+	// hear. It must not wait.
+	Met func()
 	// File gives what this process has open under a name, for another member; nil for none.
 	File func(name string) *os.File
 }
--- a/internal/group/news.go
+++ b/internal/group/news.go
@@ -93,12 +93,15 @@
 
 // Tell lets all other members know, those that join soon after not among them. It never
 // waits: to a member that is out of touch the newest of each key is told when it is back.
-func (g *Group) Tell(kind, key string, v any) error {
+func (g *Group) Tell(kind, key string, v any) error { return g.TellOf(g.cfg.Clock(), kind, key, v) }
+
+// TellOf tells of something that was seen at another moment.
+func (g *Group) TellOf(at time.Duration, kind, key string, v any) error {
 	body, err := json.Marshal(v)
 	if err != nil {
 		return fmt.Errorf("group: telling %s: %w", kind, err)
 	}
-	m := Message{From: g.id, Kind: kind, Key: key, At: g.cfg.Clock(), Body: body}
+	m := Message{From: g.id, Kind: kind, Key: key, At: at, Body: body}
 	g.peersMu.Lock()
 	defer g.peersMu.Unlock()
 	for _, p := range g.peers {
@@ -198,7 +201,12 @@
 	if err != nil {
 		return err
 	}
-	there := map[ID]bool{}
+	there, met := map[ID]bool{}, false
+	defer func() {
+		if met && g.cfg.Met != nil {
+			g.cfg.Met()
+		}
+	}()
 	g.peersMu.Lock()
 	defer g.peersMu.Unlock()
 	for _, id := range live {
@@ -208,7 +216,7 @@
 		}
 		q, life, end := newQueue(), context.Context(nil), context.CancelFunc(nil)
 		life, end = context.WithCancel(ctx)
-		g.peers[id], g.endPeer[id] = q, end
+		g.peers[id], g.endPeer[id], met = q, end, true
 		running.Go(func() { g.tellPeer(life, id, q) })
 	}
 	for id := range g.peers {
--- a/internal/group/news_test.go
+++ b/internal/group/news_test.go
@@ -219,6 +219,28 @@
 	}
 }
 
+// TestMet: who was there before is told of each that comes, after which it hears what is told.
+func TestMet(t *testing.T) {
+	dir := t.TempDir()
+	var a *talker
+	met := make(chan struct{}, 10)
+	a = talk(t, dir, func(c *Config) { c.Met = func() { met <- struct{}{} } })
+	for range 2 {
+		b := talk(t, dir, nil)
+		select {
+		case <-met:
+		case <-time.After(patience):
+			t.Fatal("nobody was met")
+		}
+		must(t, a.TellOf(7, "list", "", 1))
+		if m := b.next(t); m.Kind != "list" || m.At != 7 {
+			t.Errorf("heard %+v", m)
+		}
+		b.stop()
+		a.meets(t, 0)
+	}
+}
+
 // lateContext ends and does not begin to call what is to be called then.
 type lateContext struct{ context.Context }
 
--- a/internal/node/cohort.go
+++ b/internal/node/cohort.go
@@ -74,7 +74,8 @@
 	// memberState is what a member that joins has to know.
 	memberState struct {
 		Starting bool // this one knows nothing yet itself
-		Revision int64
+		ListAt   time.Duration
+		Revision int64 // of the list; -1 where none is known yet
 		Members  []member
 		Orders   []string
 		Waits    []waitState
@@ -91,6 +92,8 @@
 		message group.Message
 	}
 	stateAsk struct{ reply chan memberState }
+	// newcomers are members that have not heard what was told before.
+	newcomers struct{}
 	// inheritance is a dead member's journal.
 	inheritance struct {
 		journal *journal.Journal
@@ -120,6 +123,7 @@
 	usable chan struct{} // closed when there is a share that the module uses
 	loop   *loop
 	shares chan [2]int // parts, kept; the newest
+	met    chan struct{}
 
 	mu        sync.Mutex
 	adopted   []*slot
@@ -210,14 +214,19 @@
 		return nil, err
 	}
 	co := &cohort{log: log, slots: slots, state: state, up: make(chan struct{}), usable: make(chan struct{}),
-		shares: make(chan [2]int, 1), looked: map[int]string{}, owners: map[int]string{}, listeners: map[string]*net.TCPListener{}}
+		shares: make(chan [2]int, 1), met: make(chan struct{}, 1), looked: map[int]string{}, owners: map[int]string{}, listeners: map[string]*net.TCPListener{}}
 	// None of these can shrink at once, so each has its part of the most members from the start.
 	c.MemoryMB /= c.Members
 	c.Sockets /= c.Members
 	c.DiskBytes = (c.DiskBytes - groupDisk) / int64(slots)
 	co.cfg = *c
 	co.group, err = group.Join(group.Config{Dir: filepath.Join(c.State, groupFolder), Clock: group.Clock, Log: log,
-		Share: co.shared, Hear: co.hear, File: co.file})
+		Share: co.shared, Hear: co.hear, File: co.file, Met: func() {
+			select {
+			case co.met <- struct{}{}:
+			default: // one that waits stands for all
+			}
+		}})
 	if err != nil {
 		return nil, errors.Join(err, state.Close())
 	}
@@ -477,6 +486,8 @@
 				alone = true // what the dead have sent is known: nobody else has used any of it
 			}
 			co.loop.post(policy.Shared{Parts: s[0], Whole: group.Whole, Kept: s[1], Alone: alone})
+		case <-co.met:
+			co.loop.post(newcomers{})
 		case <-tick.C:
 			co.adoptDead()
 			co.letGo()
@@ -779,9 +790,11 @@
 	return nil, fmt.Errorf("%q is no question", m.Kind)
 }
 
-// tell lets the others know what this member has seen.
-func (co *cohort) tell(kind, key string, v any) {
-	if err := co.group.Tell(kind, key, v); err != nil {
+// tell lets the others know what this member has just seen.
+func (co *cohort) tell(kind, key string, v any) { co.tellOf(group.Clock(), kind, key, v) }
+
+func (co *cohort) tellOf(at time.Duration, kind, key string, v any) {
+	if err := co.group.TellOf(at, kind, key, v); err != nil {
 		co.log.Error("group: telling", "kind", kind, "err", err)
 	}
 }
--- a/internal/node/cohort_loop.go
+++ b/internal/node/cohort_loop.go
@@ -104,7 +104,7 @@
 
 // memberState is what a member that joins has to know.
 func (l *loop) memberState() memberState {
-	s := memberState{Revision: l.revision, Members: l.table(), Orders: l.journal.Orders()}
+	s := memberState{ListAt: l.listAt, Revision: l.known.Load(), Members: l.table(), Orders: l.journal.Orders()}
 	for _, e := range l.endpoints {
 		if left := time.Until(time.Unix(0, e.waits.closedUntil.Load())); left > 0 {
 			s.Waits = append(s.Waits, waitState{e.name, group.Clock() + left})
@@ -113,11 +113,23 @@
 	return s
 }
 
+// welcome tells all what those that have just come did not hear: between what they asked for and
+// now, something may have changed. Who has heard it passes it over.
+func (l *loop) welcome() {
+	s := l.memberState()
+	if l.listAt > 0 {
+		l.cohort.tellOf(l.listAt, newsList, "", list{Revision: s.Revision, Complete: true, Members: s.Members})
+	}
+	for _, w := range s.Waits {
+		l.cohort.tell(newsWait, w.Endpoint, waitNews{w.Until})
+	}
+}
+
 // join takes in what another member knew, before the first message.
 func (l *loop) join(s *memberState) {
 	l.hearing = true
 	defer func() { l.hearing = false }()
-	l.listAt = group.Clock()
+	l.listAt = s.ListAt
 	l.takeKnown(s.Revision, s.Members)
 	for _, w := range s.Waits {
 		l.heardWait(l.endpoints[policy.EndpointID(hash(w.Endpoint))], w.Until)
--- a/internal/node/cohort_test.go
+++ b/internal/node/cohort_test.go
@@ -3,8 +3,24 @@
 import (
 	"testing"
 	"time"
+
+	"wingmount/internal/journal"
 )
 
+// A member that knows no list yet says so: who joins and then leads fetches it whole.
+func TestAMemberThatKnowsNoList(t *testing.T) {
+	j, _ := mustOpen(t, t.TempDir(), journal.MinDisk)
+	l := &loop{journal: j}
+	l.known.Store(-1)
+	if s := l.memberState(); s.Revision != -1 || len(s.Members) > 0 {
+		t.Errorf("%+v", s)
+	}
+	l.known.Store(7)
+	if s := l.memberState(); s.Revision != 7 {
+		t.Errorf("%+v", s)
+	}
+}
+
 func TestStaleness(t *testing.T) {
 	var s staleness
 	for i := range 3 * agesKept {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -154,6 +154,8 @@
 		l.batch = append(l.batch, e)
 	case heardNews:
 		l.hear(e.message)
+	case newcomers:
+		l.welcome()
 	case stateAsk:
 		e.reply <- l.memberState()
 	case *inheritance:
