One queue of newest news for whoever is to be told; no change of behaviour

Members of a group keep the newest of each key for each other member. Nodes of a fleet will need the same, bounded in bytes, with an error where there is no room. The queue is a package of its own now; the group uses it as before.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"wingmount/internal/outbox"
 )
 
 const (
@@ -63,7 +65,7 @@
 	listener *net.UnixListener
 
 	peersMu sync.Mutex
-	peers   map[ID]*queue
+	peers   map[ID]*outbox.Queue[Message]
 	endPeer map[ID]context.CancelFunc
 
 	mu     sync.Mutex
@@ -79,7 +81,7 @@
 	if err := os.Mkdir(c.Dir, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
 		return nil, fmt.Errorf("joining the group: %w", err)
 	}
-	g := &Group{cfg: c, id: ID(rand.Text()[:16]), dir: folder(c.Dir), peers: map[ID]*queue{}, endPeer: map[ID]context.CancelFunc{}}
+	g := &Group{cfg: c, id: ID(rand.Text()[:16]), dir: folder(c.Dir), peers: map[ID]*outbox.Queue[Message]{}, endPeer: map[ID]context.CancelFunc{}}
 	g.member = NewMember(g.id)
 	if _, _, _, err := g.dir.views(); err != nil {
 		return nil, fmt.Errorf("joining the group: %w", err)
--- a/internal/group/news.go
+++ b/internal/group/news.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"wingmount/internal/outbox"
 )
 
 const (
@@ -36,61 +38,6 @@
 // ErrUnanswered says that a member has not answered a question.
 var ErrUnanswered = errors.New("a member has not answered")
 
-// queue is what one member is still to be told.
-type queue struct {
-	mu      sync.Mutex
-	waiting map[string]Message
-	order   []string
-	more    chan struct{}
-	dropped int
-}
-
-func newQueue() *queue { return &queue{waiting: map[string]Message{}, more: make(chan struct{}, 1)} }
-
-// put never waits. Where there is no room the oldest goes.
-func (q *queue) put(m Message) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	key := m.Kind + "\x00" + m.Key
-	if _, there := q.waiting[key]; !there {
-		if len(q.order) >= maxQueued {
-			delete(q.waiting, q.order[0])
-			q.order = q.order[1:]
-			q.dropped++
-		}
-		q.order = append(q.order, key)
-	}
-	q.waiting[key] = m
-	select {
-	case q.more <- struct{}{}:
-	default:
-	}
-}
-
-func (q *queue) first() (key string, m Message, ok bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.order) == 0 {
-		return "", Message{}, false
-	}
-	return q.order[0], q.waiting[q.order[0]], true
-}
-
-// done takes out what was told, unless something newer has taken its place.
-func (q *queue) done(key string, m Message) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.order) == 0 || q.order[0] != key {
-		return
-	}
-	q.order = q.order[1:]
-	if q.waiting[key].At != m.At {
-		q.order = append(q.order, key)
-		return
-	}
-	delete(q.waiting, key)
-}
-
 // Tell lets all other members know, those that join soon after not among them. It never
 // waits: to a member that is out of touch the newest of each key is told when it is back.
 func (g *Group) Tell(kind, key string, v any) error { return g.TellOf(g.cfg.Clock(), kind, key, v) }
@@ -105,7 +52,7 @@
 	g.peersMu.Lock()
 	defer g.peersMu.Unlock()
 	for _, p := range g.peers {
-		p.put(m)
+		p.Push(m.Kind+"\x00"+m.Key, m, 0)
 	}
 	return nil
 }
@@ -214,7 +161,7 @@
 		if g.peers[id] != nil {
 			continue
 		}
-		q, life, end := newQueue(), context.Context(nil), context.CancelFunc(nil)
+		q, life, end := outbox.New[Message](maxQueued, 0), context.Context(nil), context.CancelFunc(nil)
 		life, end = context.WithCancel(ctx)
 		g.peers[id], g.endPeer[id], met = q, end, true
 		running.Go(func() { g.tellPeer(life, id, q) })
@@ -230,12 +177,13 @@
 }
 
 // tellPeer tells one member what it is to know, in order, until it is gone.
-func (g *Group) tellPeer(ctx context.Context, id ID, q *queue) {
+func (g *Group) tellPeer(ctx context.Context, id ID, q *outbox.Queue[Message]) {
 	for {
-		key, m, ok := q.first()
+		e, ok := q.First()
+		m := e.Value
 		if !ok {
 			select {
-			case <-q.more:
+			case <-q.More():
 				continue
 			case <-ctx.Done():
 				return
@@ -253,7 +201,7 @@
 			}
 			continue
 		}
-		q.done(key, m)
+		q.Done(e)
 	}
 }
 
@@ -355,10 +303,9 @@
 	g.peersMu.Lock()
 	defer g.peersMu.Unlock()
 	for _, q := range g.peers {
-		q.mu.Lock()
-		s.Queued += len(q.order)
-		s.Dropped += q.dropped
-		q.mu.Unlock()
+		queued, _, dropped := q.Len()
+		s.Queued += queued
+		s.Dropped += dropped
 	}
 	return s
 }
