--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"syscall"
 
+	"wingmount/internal/fleet"
 	"wingmount/internal/group"
 	"wingmount/internal/journal"
 	"wingmount/internal/node"
@@ -31,6 +32,7 @@
 type options struct {
 	warm, sync bool
 	group      int
+	fleet      string
 }
 
 func main() {
@@ -42,6 +44,7 @@
 		"a loss of power; the folder is then for this version or a newer one")
 	flags.IntVar(&o.group, "group", 0, "be one node together with up to so many processes, this one counted, that are started\n"+
 		"with the same environment on the same state folder")
+	flags.StringVar(&o.fleet, "fleet", "", "know of the other delivery nodes that this `file` names, and talk to them; docs/fleet.md")
 	flags.Usage = func() {
 		fmt.Fprint(flags.Output(), usage)
 		flags.PrintDefaults()
@@ -82,6 +85,13 @@
 		return err
 	}
 	c.Warm, c.Sync, c.Members = o.warm, o.sync, o.group
+	if o.fleet != "" {
+		f, err := fleet.ReadFile(o.fleet, c.Name)
+		if err != nil {
+			return err
+		}
+		c.Fleet = &f
+	}
 	return node.Run(ctx, c, hangups, log)
 }
 
--- /dev/null
+++ b/internal/fleet/config.go
@@ -0,0 +1,130 @@
+// Package fleet lets delivery nodes know of each other and talk. Its page is docs/fleet.md.
+//
+// What decides is pure and stepped: Table (who is there), peer (what is on its way to one
+// other). Sockets, timers and memberlist stand around that. It imports internal/journal for
+// the seam of the file system alone.
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+)
+
+const (
+	// MaxMembers bounds a fleet: all tables, queues and counts are bounded by it.
+	MaxMembers = 1024
+	// maxName bounds names, so that a word about each fits its frame.
+	maxName = 64
+	maxFile = 1 << 20
+)
+
+// File is a fleet's file, the same on all its nodes.
+type File struct {
+	Fleet string `json:"fleet"`
+	Nodes []Node `json:"nodes"`
+}
+
+// Node is a line of it. Others reach the node at Address; it listens at, and sends from,
+// Listen, or Address where that is empty.
+type Node struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Listen  string `json:"listen,omitempty"`
+	Seed    bool   `json:"seed,omitempty"`
+}
+
+// ReadFile reads and checks a fleet's file for the node of a name.
+func ReadFile(path, own string) (File, error) {
+	r, err := os.Open(path)
+	if err != nil {
+		return File{}, fmt.Errorf("the fleet's file: %w", err)
+	}
+	defer r.Close()
+	text, err := io.ReadAll(io.LimitReader(r, maxFile+1))
+	if err != nil {
+		return File{}, fmt.Errorf("the fleet's file: %w", err)
+	}
+	f, err := Parse(text, own)
+	if err != nil {
+		return File{}, fmt.Errorf("the fleet's file %s: %w", path, err)
+	}
+	return f, nil
+}
+
+// Parse is ReadFile for a text. All mistakes come in one line.
+func Parse(text []byte, own string) (File, error) {
+	if len(text) > maxFile {
+		return File{}, fmt.Errorf("longer than %d bytes", maxFile)
+	}
+	var f File
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return File{}, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return File{}, errors.New("more than one value")
+	}
+	var all []string
+	bad := func(form string, args ...any) { all = append(all, fmt.Sprintf(form, args...)) }
+	if f.Fleet == "" || len(f.Fleet) > maxName {
+		bad("%q is no name of a fleet (1 to %d bytes)", f.Fleet, maxName)
+	}
+	if len(f.Nodes) > MaxMembers {
+		bad("%d nodes, over %d", len(f.Nodes), MaxMembers)
+	}
+	names, addresses := map[string]bool{}, map[string]string{}
+	seeds := 0
+	for _, n := range f.Nodes {
+		if n.Name == "" || len(n.Name) > maxName || strings.ContainsAny(n.Name, "/ \t\r\n") {
+			bad("%q is no name of a node", n.Name)
+		}
+		if names[n.Name] {
+			bad("two nodes are named %q", n.Name)
+		}
+		names[n.Name] = true
+		if n.Seed {
+			seeds++
+		}
+		used := []string{n.Address}
+		if n.Listen != "" && n.Listen != n.Address {
+			used = append(used, n.Listen)
+		}
+		for _, a := range used {
+			if to, err := netip.ParseAddrPort(a); err != nil || to.Port() == 0 || !to.Addr().Is4() {
+				bad("%q of %s is no IPv4 address with a port", a, n.Name)
+			} else if before, there := addresses[a]; there {
+				bad("%s and %s are both at %s", before, n.Name, a)
+			}
+			addresses[a] = n.Name
+		}
+	}
+	if !names[own] {
+		bad("this node, %q, is not in it", own)
+	}
+	if seeds == 0 {
+		bad("no node is a seed")
+	}
+	if len(all) > 0 {
+		return File{}, errors.New(strings.Join(all, "; "))
+	}
+	return f, nil
+}
+
+func (f File) node(name string) Node {
+	for _, n := range f.Nodes {
+		if n.Name == name {
+			if n.Listen == "" {
+				n.Listen = n.Address
+			}
+			return n
+		}
+	}
+	return Node{}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,656 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wingmount/internal/journal"
+)
+
+const (
+	// leaveTime bounds the leaving: SIGTERM leaves 3.5 s for all, and the calls have 3.3 of them.
+	leaveTime = 120 * time.Millisecond
+	// againAfter is the pause before what could not be begun is tried again: an address that is
+	// taken, a disk that is full.
+	againAfter = time.Second
+	// rivalEvery is how often a node that stays outside looks whether the other one has ended.
+	rivalEvery = 2 * time.Second
+	// askWho is how long a start looks for another process of its name before it says its own.
+	askWho = 1500 * time.Millisecond
+	// raiseEvery is the least time between two new incarnations, so that two who contend for
+	// a name, unseen by each other, cost little.
+	raiseEvery = 100 * time.Millisecond
+	// seekRemoved is for how long one that was removed is looked for, where it is no seed.
+	seekRemoved = 10 * time.Minute
+	// DefaultConns bounds the connections to and from other nodes where nothing is said.
+	DefaultConns = 256
+)
+
+// Net is what a part on top needs of the fleet. *Fleet is one, and fleettest has another.
+type Net interface {
+	Self() Member
+	Members() []Member
+	// Count is what limits are divided by.
+	Count() int
+	// Tell lets one member know, newest first of each kind and key, at least once while both
+	// are there. It never waits. Errors: ErrUnknown, ErrRoom.
+	Tell(to, kind, key string, body []byte) error
+	// Ask puts a question, which is written once at most. Errors: ErrNotSent, ErrMaybe,
+	// ErrRoom, ErrUnknown, AnswerError. Without a deadline in ctx it has askTime.
+	Ask(ctx context.Context, to, kind string, body []byte) ([]byte, error)
+	// OnNews, OnAsk and OnChange come before Run. What they are given must not wait, but for
+	// an asked one, which has its context.
+	OnNews(kind string, f NewsFunc)
+	OnAsk(kind string, f AskFunc)
+	OnChange(f func(Change))
+}
+
+// NewsFunc hears news; age is how old they were when they were written.
+type NewsFunc func(from Peer, key string, age time.Duration, body []byte)
+
+// AskFunc answers a question. Its error's text is the answer that says no.
+type AskFunc func(ctx context.Context, from Peer, body []byte) ([]byte, error)
+
+// Peer is who speaks on a link.
+type Peer struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Options are what a fleet stands on.
+type Options struct {
+	File   File
+	Name   string
+	Folder journal.Folder
+	// Listen opens the transport at an address.
+	Listen func(netip.AddrPort) (Transport, error)
+	Clock  func() time.Duration // monotonic
+	Seed   uint64
+	Conns  int // connections at most, both ways
+	Log    *slog.Logger
+}
+
+// Where a node stands with its fleet.
+const (
+	Starting = "starting"
+	Joined   = "joined"
+	Outside  = "outside" // its name is in use elsewhere
+	Waiting  = "waiting" // for its address or its disk
+	Ended    = "ended"
+)
+
+// Fleet is one node's part in it.
+type Fleet struct {
+	o       Options
+	key     uint64
+	address netip.AddrPort // where others reach it
+	listen  netip.AddrPort
+	seeds   []Node
+
+	life      context.Context // of the session
+	transport Transport
+	id        identity
+	gossip    *gossip
+	conns     chan struct{} // a place for each connection
+	running   *sync.WaitGroup
+	changed   chan struct{} // there is something for the session's own loop
+
+	onNews   map[string]NewsFunc
+	onAsk    map[string]AskFunc
+	onChange []func(Change)
+
+	inOrder sync.Mutex // changes are told in their order; taken before mu
+	mu      sync.Mutex // over what follows, and over life and transport
+	table   *Table
+	links   map[string]*link
+	state   string
+	why     string
+	claim   Claim
+	refused map[string]string // who was refused of late, and why
+	rand    *rand.Rand
+
+	stats counters
+}
+
+// counters count since the start of the process.
+type counters struct {
+	packetsOut, packetsIn, bytesOut, bytesIn             atomic.Int64
+	spoilt, strangers, versions, dropped, crowded, dials atomic.Int64
+	raised                                               atomic.Int64
+}
+
+// New checks nothing but what Parse has not: the file is whole and names this node.
+func New(o Options) (*Fleet, error) {
+	own := o.File.node(o.Name)
+	address, err := netip.ParseAddrPort(own.Address)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: the address of %s: %w", o.Name, err)
+	}
+	listen, err := netip.ParseAddrPort(own.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: where %s listens: %w", o.Name, err)
+	}
+	if o.Conns <= 0 {
+		o.Conns = DefaultConns
+	}
+	f := &Fleet{o: o, key: fleetKey(o.File.Fleet), address: address, listen: listen, conns: make(chan struct{}, o.Conns),
+		onNews: map[string]NewsFunc{}, onAsk: map[string]AskFunc{}, links: map[string]*link{}, state: Starting,
+		refused: map[string]string{}, changed: make(chan struct{}, 1), rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
+	for _, n := range o.File.Nodes {
+		if n.Seed && n.Name != o.Name {
+			f.seeds = append(f.seeds, n)
+		}
+	}
+	f.table = NewTable(Record{Name: o.Name, Address: own.Address}, o.Clock())
+	return f, nil
+}
+
+// OnNews registers who hears news of a kind.
+func (f *Fleet) OnNews(kind string, hear NewsFunc) { f.onNews[kind] = hear }
+
+// OnAsk registers who answers questions of a kind.
+func (f *Fleet) OnAsk(kind string, answer AskFunc) { f.onAsk[kind] = answer }
+
+// OnChange registers who hears of members' steps, in their order.
+func (f *Fleet) OnChange(hear func(Change)) { f.onChange = append(f.onChange, hear) }
+
+// Prepare takes the next incarnation and listens. An error that a start should end with is one
+// of ErrOtherNode and those of Listen; a disk that takes nothing is none, Run tries again.
+func (f *Fleet) Prepare() error {
+	if f.transport != nil {
+		return nil
+	}
+	transport, err := f.o.Listen(f.listen) // first: whoever has the address has the file too
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	id, spoilt, err := loadIdentity(f.o.Folder, f.o.File.Fleet, f.o.Name)
+	if err != nil {
+		return errors.Join(fmt.Errorf("fleet: %w", err), transport.Close())
+	}
+	if spoilt != nil {
+		f.o.Log.Warn("fleet: the incarnation is lost; others may know it", "err", spoilt)
+	}
+	id.Incarnation = max(id.Incarnation, f.id.Incarnation) + 1
+	if err := id.save(f.o.Folder); err != nil {
+		f.o.Log.Error("fleet: not joined, tried again", "err", errors.Join(err, transport.Close()))
+		f.stand(Waiting, err.Error())
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.id, f.transport = id, transport
+	return nil
+}
+
+// Run takes part until the context ends. Leave tells, then, whether the node has ended its
+// work: it says so only in that case, and else is silent.
+func (f *Fleet) Run(ctx context.Context, leave func() bool) {
+	for ctx.Err() == nil {
+		if err := f.Prepare(); err != nil {
+			f.stand(Waiting, err.Error())
+			f.o.Log.Error("fleet: not joined, tried again", "err", err)
+		}
+		if f.transport == nil {
+			wait(ctx, againAfter)
+			continue
+		}
+		f.session(ctx, leave)
+	}
+	f.stand(Ended, "")
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Fleet) stand(state, why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state, f.why = state, why
+}
+
+// session is one life in the fleet, under one incarnation or those that it is raised to.
+func (f *Fleet) session(ctx context.Context, leave func() bool) {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	self := Record{Name: f.o.Name, Incarnation: f.id.Incarnation, Start: rand.Uint64() | 1, Address: f.address.String()}
+	f.mu.Lock()
+	f.life, f.running, f.claim, f.state, f.why = life, &sync.WaitGroup{}, Claim{}, Starting, ""
+	old := f.table
+	f.table = NewTable(self, f.o.Clock())
+	for _, rec := range old.Records() { // what was known outlasts the session
+		f.table.Merge(rec, f.o.Clock())
+	}
+	f.mu.Unlock()
+	transport := f.transport
+	defer func() {
+		end()
+		if err := transport.Close(); err != nil {
+			f.o.Log.Debug("fleet: closing", "err", err)
+		}
+		f.mu.Lock()
+		f.transport = nil
+		links := f.links
+		f.links = map[string]*link{}
+		f.mu.Unlock()
+		for _, l := range links {
+			l.close()
+		}
+		f.running.Wait()
+	}()
+	f.running.Go(func() { f.acceptAll(transport) })
+	f.running.Go(func() { f.receiveAll(transport) })
+
+	f.lookAround(ctx)
+	for ctx.Err() == nil && !f.settleClaim(ctx) { // somebody has the name
+		wait(ctx, rivalEvery)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	g, err := f.startGossip()
+	if err != nil {
+		f.stand(Waiting, err.Error())
+		f.o.Log.Error("fleet: not joined, tried again", "err", err)
+		wait(ctx, againAfter)
+		return
+	}
+	f.mu.Lock()
+	f.gossip = g
+	f.mu.Unlock()
+	f.stand(Joined, "")
+	f.o.Log.Info("fleet: joined", "fleet", f.o.File.Fleet, "name", f.o.Name, "incarnation", f.Self().Incarnation)
+	f.running.Go(func() { g.rejoin(life) })
+	fenced := false
+	for ctx.Err() == nil && !fenced {
+		select {
+		case <-f.changed:
+			if !f.settleClaim(ctx) {
+				fenced = true
+				break
+			}
+			if err := g.list.UpdateNode(streamTime); err != nil {
+				f.o.Log.Debug("fleet: telling of an incarnation", "err", err)
+			}
+			wait(ctx, raiseEvery)
+		case <-ctx.Done():
+		}
+	}
+	if !fenced && leave() {
+		rec := f.Self().Record
+		rec.Left = rec.Incarnation
+		g.leave(rec, leaveTime)
+	}
+	f.mu.Lock()
+	f.gossip = nil
+	f.mu.Unlock()
+	if err := g.list.Shutdown(); err != nil {
+		f.o.Log.Debug("fleet: gossip", "err", err)
+	}
+}
+
+// heardOfSelf hears what others say of this node.
+func (f *Fleet) heardOfSelf(rec Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.judge(rec)
+}
+
+func (f *Fleet) judge(rec Record) {
+	c := f.table.Mine(rec)
+	if c == (Claim{}) {
+		return
+	}
+	f.claim.Raise = max(f.claim.Raise, c.Raise)
+	f.claim.Void = f.claim.Void || c.Void
+	if c.Rival != "" {
+		f.claim.Rival = c.Rival
+	}
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// settleClaim does what was heard asks for; false: another process has the name, now.
+func (f *Fleet) settleClaim(ctx context.Context) bool {
+	f.mu.Lock()
+	c := f.claim
+	f.claim = Claim{}
+	f.mu.Unlock()
+	if c.Rival != "" {
+		if start, ok := f.isThere(ctx, c.Rival); ok {
+			f.mu.Lock()
+			f.claim.Rival, f.claim.Raise = c.Rival, max(f.claim.Raise, c.Raise)
+			first := f.state != Outside
+			f.state, f.why = Outside, fmt.Sprintf("%s is in use at %s", f.o.Name, c.Rival)
+			f.mu.Unlock()
+			if first {
+				f.o.Log.Error("fleet: this node stays outside: its name is in use", "name", f.o.Name, "at", c.Rival, "start", start)
+			}
+			return false
+		}
+	}
+	own := f.Self()
+	if c.Raise <= own.Incarnation {
+		return true
+	}
+	id := f.id
+	id.Incarnation = c.Raise
+	if err := id.save(f.o.Folder); err != nil {
+		f.o.Log.Error("fleet: no new incarnation, tried again", "err", err)
+		f.mu.Lock()
+		f.claim.Raise, f.claim.Void = max(f.claim.Raise, c.Raise), f.claim.Void || c.Void
+		f.mu.Unlock()
+		time.AfterFunc(againAfter, func() {
+			select {
+			case f.changed <- struct{}{}:
+			default:
+			}
+		})
+		return true
+	}
+	f.id = id
+	f.stats.raised.Add(1)
+	f.mu.Lock()
+	f.table.Raised(id.Incarnation)
+	f.mu.Unlock()
+	f.o.Log.Info("fleet: a new incarnation", "incarnation", id.Incarnation, "removed", c.Void)
+	if c.Void { // whoever builds on members hears it as of any other
+		f.inOrder.Lock()
+		defer f.inOrder.Unlock()
+		f.tellChanges([]Change{{f.o.Name, own.Incarnation, Alive, Removed}, {f.o.Name, id.Incarnation, Removed, Alive}})
+	}
+	return true
+}
+
+// lookAround asks a few seeds who has this node's name before it says its own. Nobody waits
+// for it but the joining itself.
+func (f *Fleet) lookAround(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askWho)
+	defer cancel()
+	seeds := f.seeds
+	if len(seeds) > 3 {
+		f.mu.Lock()
+		order := f.rand.Perm(len(seeds))
+		f.mu.Unlock()
+		seeds = []Node{seeds[order[0]], seeds[order[1]], seeds[order[2]]}
+	}
+	var asked sync.WaitGroup
+	for _, s := range seeds {
+		asked.Go(func() {
+			to, err := netip.ParseAddrPort(s.Address)
+			if err != nil {
+				return
+			}
+			conn, w, err := f.hello(ctx, to, s.Name, true)
+			if err != nil {
+				f.o.Log.Debug("fleet: asking who has this name", "of", s.Name, "err", err)
+				return
+			}
+			_ = conn.Close()
+			f.meet(w)
+		})
+	}
+	asked.Wait()
+}
+
+// meet takes in what a welcome tells.
+func (f *Fleet) meet(w welcome) {
+	f.learn(func(t *Table, now time.Duration) []Change { return t.Merge(w.Self, now) })
+	if w.Known.Name == f.o.Name {
+		f.heardOfSelf(w.Known)
+	}
+}
+
+// isThere tells whether a process answers to this node's name at an address.
+func (f *Fleet) isThere(ctx context.Context, address string) (start uint64, ok bool) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil || to == f.address {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, greetTime)
+	defer cancel()
+	f.mu.Lock()
+	candidate := f.gossip == nil
+	f.mu.Unlock()
+	conn, w, err := f.hello(ctx, to, f.o.Name, candidate)
+	if err != nil {
+		return 0, false
+	}
+	_ = conn.Close()
+	return w.Self.Start, w.Self.Name == f.o.Name && w.Self.Start != f.Self().Start
+}
+
+func (f *Fleet) random() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.Float64()
+}
+
+// learn steps the table and tells what changed.
+func (f *Fleet) learn(step func(t *Table, now time.Duration) []Change) {
+	f.inOrder.Lock()
+	defer f.inOrder.Unlock()
+	f.mu.Lock()
+	changes := step(f.table, f.o.Clock())
+	var over []*link
+	for _, c := range changes {
+		if l := f.links[c.Name]; l != nil && c.To.Gone() {
+			over = append(over, l)
+			delete(f.links, c.Name)
+		}
+	}
+	f.mu.Unlock()
+	for _, l := range over {
+		l.close()
+	}
+	f.tellChanges(changes)
+}
+
+func (f *Fleet) tellChanges(changes []Change) {
+	for _, c := range changes {
+		f.o.Log.Info("fleet: member", "name", c.Name, "incarnation", c.Incarnation, "was", c.From, "is", c.To)
+		for _, hear := range f.onChange {
+			hear(c)
+		}
+	}
+}
+
+// take takes in words; those that it returns were new, and others should hear them.
+func (f *Fleet) take(w words) (fresh []Record) {
+	f.learn(func(t *Table, now time.Duration) (all []Change) {
+		for _, rec := range w.Records {
+			if rec.Name == f.o.Name {
+				f.judge(rec)
+			}
+			before, known := t.Member(rec.Name)
+			all = append(all, t.Merge(rec, now)...)
+			if after, _ := t.Member(rec.Name); known && (after.Left > before.Left || after.Removed > before.Removed) {
+				fresh = append(fresh, after.Record)
+			}
+		}
+		t.Told(w.Counts, now)
+		return all
+	})
+	return fresh
+}
+
+// known is all that others may know.
+func (f *Fleet) known() words {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return words{f.table.Records(), f.table.Sightings(f.o.Clock())}
+}
+
+// lost is the name and address, as memberlist takes them, of one that should be met again: it is silent, or a seed that is not
+// heard. One that was removed may be alive behind a split, where it has removed this one.
+func (f *Fleet) lost() (address string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.o.Clock()
+	var silent, seeds []string
+	for _, m := range f.table.Members() {
+		if m.State == Suspect || m.State == Removed && !m.Heard && now-m.Since < seekRemoved {
+			silent = append(silent, m.Name+"/"+m.Address)
+		}
+	}
+	for _, s := range f.seeds { // in service or not, they are where all meet
+		if m, there := f.table.Member(s.Name); !there || !m.Heard {
+			seeds = append(seeds, s.Name+"/"+s.Address)
+		}
+	}
+	all := silent
+	if len(silent) == 0 || len(seeds) > 0 && f.rand.IntN(2) == 0 {
+		all = seeds
+	}
+	if len(all) == 0 {
+		return "", false
+	}
+	return all[f.rand.IntN(len(all))], true
+}
+
+func (f *Fleet) current() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Current()
+}
+
+// Self is this node as the others should see it.
+func (f *Fleet) Self() Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, _ := f.table.Member(f.o.Name)
+	return m
+}
+
+// Members are all that are known, the gone and this node among them, by name.
+func (f *Fleet) Members() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Members()
+}
+
+// Count is the largest number of members that any current one has seen within CountTime.
+func (f *Fleet) Count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Count(f.o.Clock())
+}
+
+// Remove says, by the staff's word, that a member is gone in its present incarnation.
+func (f *Fleet) Remove(name string) error {
+	var rec Record
+	var ok bool
+	f.learn(func(t *Table, now time.Duration) (all []Change) {
+		rec, all, ok = t.Word(name, now)
+		return all
+	})
+	if !ok {
+		return fmt.Errorf("%w: %s", ErrUnknown, name)
+	}
+	f.mu.Lock()
+	g := f.gossip
+	f.mu.Unlock()
+	if g != nil {
+		g.spread(rec)
+	}
+	return nil
+}
+
+// refuse keeps whom this node can't talk to; each is said once.
+func (f *Fleet) refuse(who string, why error) {
+	f.stats.versions.Add(1)
+	f.mu.Lock()
+	before, there := f.refused[who]
+	if !there && len(f.refused) >= MaxMembers {
+		clear(f.refused)
+	}
+	f.refused[who] = why.Error()
+	f.mu.Unlock()
+	if before != why.Error() {
+		f.o.Log.Warn("fleet: refused", "who", who, "err", why)
+	}
+}
+
+// open is the transport of the session; memberlist may ask for it a moment longer.
+func (f *Fleet) open() (Transport, context.Context, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.transport == nil {
+		return nil, nil, net.ErrClosed
+	}
+	return f.transport, f.life, nil
+}
+
+// sendPacket sends a datagram.
+func (f *Fleet) sendPacket(payload []byte, to netip.AddrPort) error {
+	transport, _, err := f.open()
+	if err != nil {
+		return err
+	}
+	b := sealPacket(f.key, payload)
+	f.stats.packetsOut.Add(1)
+	f.stats.bytesOut.Add(int64(len(b)))
+	return transport.SendTo(b, to)
+}
+
+// place takes a place for a connection; false: there is none.
+func (f *Fleet) place() bool {
+	select {
+	case f.conns <- struct{}{}:
+		return true
+	default:
+	}
+	f.stats.crowded.Add(1)
+	return false
+}
+
+var errCrowded = errors.New("no place for a further connection")
+
+// counted counts a connection's bytes, ends with the session and gives its place back.
+type counted struct {
+	net.Conn
+	f    *Fleet
+	once sync.Once
+	stop func() bool
+}
+
+func (f *Fleet) counted(life context.Context, raw net.Conn) *counted {
+	c := &counted{Conn: raw, f: f}
+	c.stop = context.AfterFunc(life, func() { _ = c.Close() })
+	return c
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.f.stats.bytesIn.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.f.stats.bytesOut.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() {
+		c.stop()
+		<-c.f.conns
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/fleet/gossip.go
@@ -0,0 +1,269 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+const (
+	// probeEvery and probeTime are memberlist's for one network: a death is seen after some
+	// seconds, and a node that is busy for one is not yet suspected.
+	probeEvery  = time.Second
+	probeTime   = 500 * time.Millisecond
+	gossipEvery = 200 * time.Millisecond
+	streamTime  = 2 * time.Second
+	// rejoinEvery is the pause between tries to reach one that is silent, or a seed. It doubles
+	// up to rejoinMost while nothing comes of them.
+	rejoinEvery = time.Second
+	rejoinMost  = 5 * time.Second
+	packetRoom  = 256
+)
+
+// meta is what gossip carries with each member; memberlist gives it 512 bytes.
+type meta struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Start       uint64 `cbor:"2,keyasint"`
+	Lowest      uint8  `cbor:"3,keyasint"`
+	Highest     uint8  `cbor:"4,keyasint"`
+}
+
+// words is what nodes exchange beside what memberlist does: all that they know when they
+// meet, one record when it is new.
+type words struct {
+	Records []Record   `cbor:"1,keyasint"`
+	Counts  []Sighting `cbor:"2,keyasint,omitempty"`
+}
+
+// gossip is memberlist over the fleet's transport. What it calls back comes under a lock of
+// its own: nothing below may call it again.
+type gossip struct {
+	f     *Fleet
+	list  *memberlist.Memberlist
+	queue *memberlist.TransmitLimitedQueue
+
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+}
+
+func (f *Fleet) startGossip() (*gossip, error) {
+	g := &gossip{f: f, packets: make(chan *memberlist.Packet, packetRoom), streams: make(chan net.Conn)}
+	g.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: 4, NumNodes: func() int { return f.current() }}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport = f.o.Name, g
+	c.AdvertiseAddr, c.AdvertisePort = f.address.Addr().String(), int(f.address.Port())
+	c.BindAddr, c.BindPort = c.AdvertiseAddr, c.AdvertisePort
+	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval, c.TCPTimeout = probeEvery, probeTime, gossipEvery, streamTime
+	c.UDPBufferSize = maxPacket - packetHead
+	c.DeadNodeReclaimTime = time.Second // the staff have moved it; its records say whether it may be
+	c.EnableCompression, c.RequireNodeNames, c.DNSConfigPath = false, true, ""
+	c.Delegate, c.Events, c.Alive = g, g, g
+	c.Logger = log.New(quiet{f.o.Log}, "", 0)
+	var err error
+	if g.list, err = memberlist.Create(c); err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
+	}
+	return g, nil
+}
+
+// quiet is where memberlist's own log goes. Its warnings are about single packets.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Write(b []byte) (int, error) {
+	q.log.Debug("fleet: gossip", "says", strings.TrimSpace(string(b)))
+	return len(b), nil
+}
+
+// FinalAdvertiseAddr is memberlist's, as are the next five.
+func (g *gossip) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	return g.f.address.Addr().AsSlice(), int(g.f.address.Port()), nil
+}
+
+func (g *gossip) WriteTo(b []byte, addr string) (time.Time, error) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return time.Time{}, err
+	}
+	return time.Now(), g.f.sendPacket(b, to)
+}
+
+func (g *gossip) WriteToAddress(b []byte, addr memberlist.Address) (time.Time, error) {
+	return g.WriteTo(b, addr.Addr)
+}
+
+func (g *gossip) PacketCh() <-chan *memberlist.Packet { return g.packets }
+func (g *gossip) StreamCh() <-chan net.Conn           { return g.streams }
+func (g *gossip) Shutdown() error                     { return nil } // the transport is the fleet's
+
+func (g *gossip) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(g.f.life, timeout)
+	defer cancel()
+	return g.f.dial(ctx, to, forGossip)
+}
+
+func (g *gossip) DialAddressTimeout(addr memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return g.DialTimeout(addr.Addr, timeout)
+}
+
+// record is what memberlist knows of a node.
+func record(n *memberlist.Node) (Record, meta, error) {
+	var m meta
+	if err := decoding.Unmarshal(n.Meta, &m); err != nil {
+		return Record{}, meta{}, fmt.Errorf("%w: %w", errSpoilt, err)
+	}
+	ip, _ := netip.AddrFromSlice(n.Addr)
+	return Record{Name: n.Name, Incarnation: m.Incarnation, Start: m.Start, Address: netip.AddrPortFrom(ip.Unmap(), n.Port).String()}, m, nil
+}
+
+// NotifyAlive keeps out whom this node could not talk to, and hears of its own name.
+func (g *gossip) NotifyAlive(n *memberlist.Node) error {
+	rec, m, err := record(n)
+	if err != nil {
+		return err
+	}
+	if _, err := common(m.Lowest, m.Highest); err != nil {
+		g.f.refuse(n.Name, err)
+		return err
+	}
+	if rec.Name == g.f.o.Name {
+		g.f.heardOfSelf(rec)
+	}
+	return nil
+}
+
+// NotifyJoin and the next two follow who is heard.
+func (g *gossip) NotifyJoin(n *memberlist.Node) {
+	if rec, _, err := record(n); err == nil && rec.Name != g.f.o.Name {
+		g.f.learn(func(t *Table, now time.Duration) []Change { return t.Hear(rec, now) })
+	}
+}
+
+func (g *gossip) NotifyUpdate(n *memberlist.Node) { g.NotifyJoin(n) }
+
+func (g *gossip) NotifyLeave(n *memberlist.Node) {
+	g.f.learn(func(t *Table, now time.Duration) []Change { return t.Silence(n.Name, now) })
+}
+
+// NodeMeta and the next four are memberlist's Delegate.
+func (g *gossip) NodeMeta(limit int) []byte {
+	self := g.f.Self()
+	b, err := encoding.Marshal(meta{self.Incarnation, self.Start, lowestVersion, highestVersion})
+	if err != nil || len(b) > limit {
+		return nil // four numbers
+	}
+	return b
+}
+
+// NotifyMsg takes in one word and passes on what is new in it.
+func (g *gossip) NotifyMsg(b []byte) {
+	var w words
+	if err := decoding.Unmarshal(b, &w); err != nil {
+		g.f.stats.spoilt.Add(1)
+		return
+	}
+	for _, rec := range g.f.take(w) {
+		g.spread(rec)
+	}
+}
+
+func (g *gossip) GetBroadcasts(overhead, limit int) [][]byte {
+	return g.queue.GetBroadcasts(overhead, limit)
+}
+
+func (g *gossip) LocalState(bool) []byte {
+	b, err := encoding.Marshal(g.f.known())
+	if err != nil {
+		return nil // records of plain values
+	}
+	return b
+}
+
+func (g *gossip) MergeRemoteState(b []byte, _ bool) { g.NotifyMsg(b) }
+
+// spread lets all hear of a record by and by.
+func (g *gossip) spread(rec Record) {
+	if b, err := encoding.Marshal(words{Records: []Record{rec}}); err == nil {
+		g.queue.QueueBroadcast(word{rec.Name, b})
+	}
+}
+
+// word is a record on its way; a newer one of the same member takes its place.
+type word struct {
+	name string
+	b    []byte
+}
+
+func (w word) Name() string { return w.name }
+func (w word) Invalidates(o memberlist.Broadcast) bool {
+	n, ok := o.(word)
+	return ok && n.name == w.name
+}
+func (w word) Message() []byte { return w.b }
+func (w word) Finished()       {}
+
+// rejoin meets, now and then, one that is silent or a seed that was never heard: memberlist
+// forgets the dead, and the two halves of a split know nothing of each other any more.
+func (g *gossip) rejoin(ctx context.Context) {
+	pause := time.Duration(0)
+	for {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+		to, found := g.f.lost()
+		if !found {
+			pause = rejoinEvery
+			continue
+		}
+		if _, err := g.list.Join([]string{to}); err != nil {
+			g.f.o.Log.Debug("fleet: not reached", "address", to, "err", err)
+			pause = min(max(2*pause, rejoinEvery), rejoinMost)
+		} else {
+			pause = rejoinEvery / 4 // there may be others
+		}
+		pause = time.Duration(float64(pause) * (0.75 + 0.5*g.f.random()))
+	}
+}
+
+// leave says that this node has ended its work: to all by gossip, and to a few for sure.
+func (g *gossip) leave(rec Record, within time.Duration) {
+	b, err := encoding.Marshal(words{Records: []Record{rec}})
+	if err != nil {
+		return
+	}
+	g.spread(rec)
+	var sent sync.WaitGroup
+	few := 0
+	for _, n := range g.list.Members() {
+		if n.Name == g.f.o.Name || few >= 3 {
+			continue
+		}
+		few++
+		sent.Go(func() { _ = g.list.SendReliable(n, b) }) // those that hear pass it on
+	}
+	told := make(chan struct{})
+	go func() {
+		sent.Wait()
+		close(told)
+	}()
+	select {
+	case <-told:
+	case <-time.After(within):
+	}
+	if err := g.list.Leave(within); err != nil {
+		g.f.o.Log.Debug("fleet: leaving", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/link.go
@@ -0,0 +1,701 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+const (
+	// maxHello bounds the first frame of a link, which may be anybody's.
+	maxHello = 1 << 10
+	// writeTime is how long a frame may take to go out.
+	writeTime = 2 * time.Second
+	// idleTime is how long a link that nobody uses stays.
+	idleTime = 60 * time.Second
+	// askTime is a question's time where its asker names none.
+	askTime = 2 * time.Second
+	// answering bounds the questions of one member that are being answered.
+	answering = 64
+	dialLeast = 100 * time.Millisecond
+	dialMost  = 5 * time.Second
+)
+
+// hello begins a link, welcome is its answer.
+type hello struct {
+	Self      Record `cbor:"1,keyasint"`
+	To        string `cbor:"2,keyasint"`
+	Candidate bool   `cbor:"3,keyasint,omitempty"` // its sender was not announced yet, and will not use the link
+}
+
+type welcome struct {
+	Self    Record `cbor:"1,keyasint"`
+	Known   Record `cbor:"2,keyasint,omitempty"` // of who said hello
+	Refused string `cbor:"3,keyasint,omitempty"`
+}
+
+// dial connects, greets, and takes a place for the connection.
+func (f *Fleet) dial(ctx context.Context, to netip.AddrPort, purpose byte) (*framed, error) {
+	transport, life, err := f.open()
+	if err != nil {
+		return nil, err
+	}
+	if !f.place() {
+		return nil, errCrowded
+	}
+	f.stats.dials.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, greetTime)
+	defer cancel()
+	raw, err := transport.Dial(ctx, to)
+	if err != nil {
+		<-f.conns
+		return nil, err
+	}
+	conn := f.counted(life, raw)
+	defer closeWith(ctx, conn)()
+	if err := greet(conn, f.key, purpose); err != nil {
+		_ = conn.Close()
+		var version VersionError
+		var no RefusedError
+		if errors.As(err, &version) || errors.As(err, &no) {
+			f.refuse(to.String(), err)
+		}
+		return nil, err
+	}
+	return &framed{Conn: conn, key: f.key}, nil
+}
+
+// hello dials and says who this is.
+func (f *Fleet) hello(ctx context.Context, to netip.AddrPort, name string, candidate bool) (*framed, welcome, error) {
+	var w welcome
+	conn, err := f.dial(ctx, to, forLink)
+	if err != nil {
+		return nil, w, err
+	}
+	defer closeWith(ctx, conn)()
+	if err = conn.SetDeadline(time.Now().Add(greetTime)); err == nil {
+		err = conn.send(hello{f.Self().Record, name, candidate})
+	}
+	if err == nil {
+		err = conn.receive(&w, maxHello)
+	}
+	if err == nil {
+		err = conn.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		return nil, w, errors.Join(err, conn.Close())
+	}
+	return conn, w, nil
+}
+
+// acceptAll takes connections until the transport closes.
+func (f *Fleet) acceptAll(transport Transport) {
+	for {
+		raw, err := transport.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // no descriptors, say
+			f.o.Log.Debug("fleet: accepting", "err", err)
+			wait(f.life, dialLeast)
+			if f.life.Err() != nil {
+				return
+			}
+			continue
+		}
+		if !f.place() {
+			_ = raw.Close()
+			continue
+		}
+		conn := f.counted(f.life, raw)
+		f.running.Go(func() { f.accept(conn) })
+	}
+}
+
+func (f *Fleet) accept(raw net.Conn) {
+	bad := func(err error) {
+		_ = raw.Close()
+		var version VersionError
+		switch {
+		case errors.As(err, &version):
+			f.refuse(raw.RemoteAddr().String(), err)
+		case errors.Is(err, errSpoilt):
+			f.stats.spoilt.Add(1)
+		default:
+			f.stats.strangers.Add(1)
+		}
+		f.o.Log.Debug("fleet: a connection", "from", raw.RemoteAddr(), "err", err)
+	}
+	if err := raw.SetDeadline(time.Now().Add(greetTime)); err != nil {
+		bad(err)
+		return
+	}
+	purpose, err := greeted(raw, f.key)
+	if err != nil {
+		bad(err)
+		return
+	}
+	conn := &framed{Conn: raw, key: f.key}
+	if purpose == forGossip {
+		f.mu.Lock()
+		g := f.gossip
+		f.mu.Unlock()
+		if g == nil {
+			bad(errors.New("not joined"))
+			return
+		}
+		select {
+		case g.streams <- conn: // it has deadlines of its own from here on, and closes it
+		case <-f.life.Done():
+			bad(f.life.Err())
+		case <-time.After(greetTime):
+			bad(errors.New("gossip is busy"))
+		}
+		return
+	}
+	var h hello
+	if err := conn.receive(&h, maxHello); err != nil {
+		bad(err)
+		return
+	}
+	w, l := f.welcome(h)
+	if err := conn.send(w); err != nil || l == nil || w.Refused != "" {
+		_ = raw.Close()
+		return
+	}
+	if err := raw.SetDeadline(time.Time{}); err != nil {
+		bad(err)
+		return
+	}
+	l.attach(conn, h.Self)
+}
+
+// welcome judges a hello. Who only asks gets no link.
+func (f *Fleet) welcome(h hello) (welcome, *link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := f.table.Self()
+	w := welcome{Self: own}
+	if m, there := f.table.Member(h.Self.Name); there {
+		w.Known = m.Record
+	}
+	switch {
+	case h.To != own.Name:
+		w.Refused = "this is " + own.Name
+	case h.Self.Name == own.Name && h.Self.Start == own.Start:
+		w.Refused = "this is the same process"
+	case h.Self.Name == own.Name:
+		w.Refused = "the name is in use here"
+		if !h.Candidate && f.gossip != nil {
+			f.claim.Rival = h.Self.Address
+			select {
+			case f.changed <- struct{}{}:
+			default:
+			}
+		}
+	case h.Candidate:
+	case w.Known.Name != "" && h.Self.Incarnation <= max(w.Known.Removed, w.Known.Left):
+		w.Refused = "it was said to be gone"
+	case w.Known.Name != "" && h.Self.Incarnation < w.Known.Incarnation:
+		w.Refused = "a later incarnation is known"
+	case f.gossip == nil:
+		w.Refused = "not joined"
+	default:
+		l := f.link(h.Self.Name)
+		if l.mine(h.Self) {
+			w.Refused = "a link from here stands or is on its way"
+			return w, nil
+		}
+		return w, l
+	}
+	return w, nil
+}
+
+// receiveAll hands datagrams on until the transport closes.
+func (f *Fleet) receiveAll(transport Transport) {
+	for {
+		b, from, err := transport.Receive()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // a port that nobody had was hit before
+			if f.life.Err() != nil {
+				return
+			}
+			continue
+		}
+		f.stats.packetsIn.Add(1)
+		f.stats.bytesIn.Add(int64(len(b)))
+		payload, err := openPacket(f.key, b)
+		var version VersionError
+		switch {
+		case errors.As(err, &version):
+			f.refuse(from.String(), err)
+			continue
+		case errors.Is(err, errSpoilt):
+			f.stats.spoilt.Add(1)
+			continue
+		case err != nil:
+			f.stats.strangers.Add(1)
+			continue
+		}
+		f.mu.Lock()
+		g := f.gossip
+		f.mu.Unlock()
+		if g == nil {
+			continue
+		}
+		select {
+		case g.packets <- &memberlist.Packet{Buf: append([]byte(nil), payload...), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}:
+		default:
+			f.stats.dropped.Add(1)
+		}
+	}
+}
+
+// link is the connection with one member, or the wish for one. One goroutine writes, and dials
+// where there is something to write; one reads while there is a connection.
+type link struct {
+	f    *Fleet
+	name string
+	wake chan struct{}
+	life context.Context
+	end  context.CancelFunc
+
+	mu       sync.Mutex
+	peer     *peer
+	conn     *framed
+	theirs   Record // who is at the other end
+	dialling bool
+	used     time.Duration
+	ackUpTo  uint64
+	answers  []frame
+	open     int // questions that are being answered, or whose answer waits
+	ended    bool
+}
+
+// link is the one with a member; f.mu is held. It is ended when it was not used for long.
+func (f *Fleet) link(name string) *link {
+	if l := f.links[name]; l != nil {
+		return l
+	}
+	l := &link{f: f, name: name, wake: make(chan struct{}, 1), peer: newPeer(), used: f.o.Clock()}
+	l.life, l.end = context.WithCancel(f.life)
+	f.links[name] = l
+	f.running.Go(l.run)
+	return l
+}
+
+func (l *link) rouse() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) now() time.Duration { return l.f.o.Clock() }
+
+// mine tells whether this side's own link stands: of two that dial at the same time the one
+// with the lower name wins. A link that the other side no longer knows is looked after.
+func (l *link) mine(them Record) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.f.o.Name > l.name {
+		return false
+	}
+	if l.conn != nil && l.theirs.Start == them.Start {
+		_ = l.peer.tell("", "", nil, l.now()) // if nothing comes back, it is broken
+		l.rouse()
+		return true
+	}
+	return l.conn == nil && l.dialling
+}
+
+// attach makes a connection the link's.
+func (l *link) attach(conn *framed, them Record) {
+	l.mu.Lock()
+	if l.ended {
+		l.mu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	ends := l.detach()
+	l.conn, l.theirs, l.used, l.ackUpTo = conn, them, l.now(), 0
+	l.peer.connected()
+	l.mu.Unlock()
+	for _, end := range ends {
+		end()
+	}
+	l.f.running.Go(func() { l.read(conn, Peer{them.Name, them.Incarnation}) })
+	l.rouse()
+}
+
+// detach lets go of the connection; l.mu is held.
+func (l *link) detach() []done {
+	if l.conn == nil {
+		return nil
+	}
+	_ = l.conn.Close()
+	l.open -= len(l.answers)
+	l.conn, l.answers = nil, nil
+	return l.peer.broken()
+}
+
+// lost is told by whoever finds that a connection is broken.
+func (l *link) lost(conn *framed, err error) {
+	l.mu.Lock()
+	var ends []done
+	if l.conn == conn {
+		ends = l.detach()
+		l.f.o.Log.Debug("fleet: link", "with", l.name, "err", err)
+	}
+	l.mu.Unlock()
+	_ = conn.Close()
+	for _, end := range ends {
+		end()
+	}
+	l.rouse()
+}
+
+// close ends the link for good.
+func (l *link) close() {
+	l.mu.Lock()
+	l.ended = true
+	ends := l.detach()
+	ends = append(ends, l.peer.closed()...)
+	l.mu.Unlock()
+	l.end()
+	for _, end := range ends {
+		end()
+	}
+}
+
+// run writes what waits, and dials for it.
+func (l *link) run() {
+	pause := time.Duration(0)
+	var dialAt time.Duration
+	for l.life.Err() == nil {
+		now := l.now()
+		l.mu.Lock()
+		ends, stuck := l.peer.tick(now)
+		conn := l.conn
+		if stuck {
+			ends = append(ends, l.detach()...)
+			conn = nil
+		}
+		wants := l.peer.wants()
+		idle := now-l.used > idleTime && !wants && l.open == 0
+		if conn != nil && idle {
+			ends = append(ends, l.detach()...)
+			conn = nil
+		}
+		due, timed := l.peer.due()
+		l.mu.Unlock()
+		for _, end := range ends {
+			end()
+		}
+		switch {
+		case conn == nil && idle:
+			if l.retire() {
+				return
+			}
+		case conn != nil:
+			pause = 0
+			if l.write(conn) {
+				continue
+			}
+		case wants && now >= dialAt:
+			if l.dial() {
+				continue
+			}
+			pause = min(max(2*pause, dialLeast), dialMost)
+			dialAt = l.now() + time.Duration(float64(pause)*(0.75+0.5*l.f.random()))
+			continue
+		}
+		next := idleTime
+		if timed {
+			next = min(next, due-l.now())
+		}
+		if conn == nil && wants {
+			next = min(next, dialAt-l.now())
+		}
+		t := time.NewTimer(max(next, time.Millisecond))
+		select {
+		case <-l.wake:
+		case <-t.C:
+		case <-l.life.Done():
+		}
+		t.Stop()
+	}
+}
+
+// retire ends a link that nobody uses.
+func (l *link) retire() bool {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil || l.peer.wants() || len(l.peer.asks) > 0 || l.f.links[l.name] != l {
+		return false
+	}
+	delete(l.f.links, l.name)
+	l.ended = true
+	l.end()
+	return true
+}
+
+// write writes one frame; false: there is none.
+func (l *link) write(conn *framed) bool {
+	l.mu.Lock()
+	var out frame
+	ok := false
+	switch {
+	case l.conn != conn:
+	case l.ackUpTo > 0:
+		out, ok = frame{Type: frameAck, ID: l.ackUpTo}, true
+		l.ackUpTo = 0
+	case len(l.answers) > 0:
+		out, ok = l.answers[0], true
+		l.answers = l.answers[1:]
+		l.open--
+	default:
+		if out, ok = l.peer.next(l.now()); ok {
+			l.used = l.now()
+		}
+	}
+	l.mu.Unlock()
+	if !ok {
+		return false
+	}
+	err := conn.SetWriteDeadline(time.Now().Add(writeTime))
+	if err == nil {
+		err = conn.send(out)
+	}
+	if err != nil {
+		l.lost(conn, err)
+	}
+	return true
+}
+
+// dial opens the link. It gives way to one that has come meanwhile.
+func (l *link) dial() bool {
+	m, there := l.f.member(l.name)
+	if !there || m.State.Gone() {
+		return false
+	}
+	to, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		return false
+	}
+	l.mu.Lock()
+	if l.conn != nil || l.ended {
+		l.mu.Unlock()
+		return true
+	}
+	l.dialling = true
+	l.mu.Unlock()
+	conn, w, err := l.f.hello(l.life, to, l.name, false)
+	l.mu.Lock()
+	l.dialling = false
+	came := l.conn != nil
+	l.mu.Unlock()
+	if err == nil {
+		l.f.meet(w)
+		switch {
+		case w.Refused != "":
+			err = RefusedError(w.Refused)
+		case w.Self.Name != l.name:
+			err = fmt.Errorf("%s is there", w.Self.Name)
+		}
+		if err != nil || came {
+			_ = conn.Close()
+		}
+	}
+	if came {
+		return true
+	}
+	if err != nil {
+		l.f.o.Log.Debug("fleet: dialling", "to", l.name, "err", err)
+		return false
+	}
+	l.attach(conn, w.Self)
+	return true
+}
+
+// read takes frames until the connection breaks.
+func (l *link) read(conn *framed, from Peer) {
+	for {
+		var in frame
+		err := conn.receive(&in, maxFrame)
+		if err == nil {
+			err = l.got(conn, from, in)
+		}
+		if err != nil {
+			if errors.Is(err, errSpoilt) {
+				l.f.stats.spoilt.Add(1)
+			}
+			if errors.Is(err, io.EOF) {
+				err = errors.New("the other side has closed")
+			}
+			l.lost(conn, err)
+			return
+		}
+	}
+}
+
+func (l *link) got(conn *framed, from Peer, in frame) error {
+	switch in.Type {
+	case frameNews:
+		if hear := l.f.onNews[in.Kind]; hear != nil {
+			hear(from, in.Key, in.Age, in.Body)
+		}
+		l.mu.Lock()
+		if l.conn == conn {
+			l.ackUpTo, l.used = max(l.ackUpTo, in.ID), l.now()
+		}
+		l.mu.Unlock()
+		l.rouse()
+	case frameAsk:
+		l.asked(conn, from, in)
+	case frameAck, frameAnswer:
+		l.mu.Lock()
+		var ends []done
+		if l.conn == conn {
+			ends, l.used = l.peer.got(in, l.now()), l.now()
+		}
+		l.mu.Unlock()
+		for _, end := range ends {
+			end()
+		}
+	default:
+		return fmt.Errorf("%w: a frame of type %d", errSpoilt, in.Type)
+	}
+	return nil
+}
+
+// asked answers a question, beside others.
+func (l *link) asked(conn *framed, from Peer, in frame) {
+	answer := func(body []byte, err error) {
+		out := frame{Type: frameAnswer, ID: in.ID, Body: body}
+		if err != nil {
+			out.Body, out.No = nil, err.Error()
+		}
+		l.mu.Lock()
+		if l.conn == conn {
+			l.answers = append(l.answers, out)
+		} else {
+			l.open--
+		}
+		l.mu.Unlock()
+		l.rouse()
+	}
+	l.mu.Lock()
+	l.used = l.now()
+	busy := l.open >= answering
+	l.open++
+	full := l.open > 2*answering
+	l.mu.Unlock()
+	handle := l.f.onAsk[in.Kind]
+	switch {
+	case full: // it asks, and reads no answers
+		l.mu.Lock()
+		l.open--
+		l.mu.Unlock()
+		l.lost(conn, errors.New("it reads no answers"))
+	case busy:
+		answer(nil, errors.New("too many questions at once"))
+	case handle == nil:
+		answer(nil, fmt.Errorf("nothing is known of %q", in.Kind))
+	default:
+		l.f.running.Go(func() {
+			ctx, cancel := context.WithTimeout(l.life, min(max(in.Age, 0), time.Minute))
+			defer cancel()
+			answer(handle(ctx, from, in.Body))
+		})
+	}
+}
+
+func (f *Fleet) member(name string) (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Member(name)
+}
+
+// reach is the link with a member that is not gone.
+func (f *Fleet) reach(name string) (*link, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, there := f.table.Member(name); !there || m.State.Gone() || name == f.o.Name || f.gossip == nil {
+		return nil, fmt.Errorf("%w: %s", ErrUnknown, name)
+	}
+	return f.link(name), nil
+}
+
+// Tell is Net's.
+func (f *Fleet) Tell(to, kind, key string, body []byte) error {
+	l, err := f.reach(to)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return fmt.Errorf("%w: %s", ErrUnknown, to)
+	}
+	err = l.peer.tell(kind, key, body, l.now())
+	l.rouse()
+	return err
+}
+
+// Ask is Net's.
+func (f *Fleet) Ask(ctx context.Context, to, kind string, body []byte) ([]byte, error) {
+	l, err := f.reach(to)
+	if err != nil {
+		return nil, err
+	}
+	within := askTime
+	if at, ok := ctx.Deadline(); ok {
+		within = time.Until(at)
+	} else {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, askTime)
+		defer cancel()
+	}
+	type answer struct {
+		body []byte
+		err  error
+	}
+	got := make(chan answer, 1)
+	q := &question{kind: kind, body: body, until: l.now() + within, answered: func(b []byte, err error) { got <- answer{b, err} }}
+	l.mu.Lock()
+	if l.ended {
+		err = fmt.Errorf("%w: %s", ErrUnknown, to)
+	} else {
+		err = l.peer.ask(q)
+	}
+	l.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	l.rouse()
+	select {
+	case a := <-got:
+		return a.body, a.err
+	case <-ctx.Done():
+		l.mu.Lock()
+		end := l.peer.withdraw(q.id)
+		l.mu.Unlock()
+		if end != nil {
+			end()
+		}
+		a := <-got // it has ended one way or the other
+		return a.body, a.err
+	}
+}
--- /dev/null
+++ b/internal/fleet/table.go
@@ -0,0 +1,329 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// State is how a member stands.
+type State string
+
+// A suspect has not been heard of late, and that is all that is known: it may be at work.
+const (
+	Alive   State = "alive"
+	Suspect State = "suspect"
+	Left    State = "left"    // by its own word: it has ended its work
+	Removed State = "removed" // by the staff's word
+)
+
+// Gone tells whether one of the two words was said.
+func (s State) Gone() bool { return s == Left || s == Removed }
+
+// CountTime is for how long a count that a member has seen holds against smaller ones: longer
+// than a death takes to be told to all, and than the longest restart in turn.
+const CountTime = 60 * time.Second
+
+// Record is what nodes tell each other of a member. Records merge without order.
+type Record struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Start       uint64 `cbor:"3,keyasint"` // drawn anew at each start
+	Address     string `cbor:"4,keyasint"`
+	Left        uint64 `cbor:"5,keyasint,omitempty"` // all incarnations up to this one have left
+	Removed     uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Merge takes the later of each part. It is commutative, associative and idempotent.
+func (r Record) Merge(o Record) Record {
+	later := cmp.Or(cmp.Compare(o.Incarnation, r.Incarnation), cmp.Compare(o.Start, r.Start), cmp.Compare(o.Address, r.Address))
+	if later > 0 {
+		r.Incarnation, r.Start, r.Address = o.Incarnation, o.Start, o.Address
+	}
+	r.Left, r.Removed = max(r.Left, o.Left), max(r.Removed, o.Removed)
+	return r
+}
+
+// Change is a member's step from one state to another. From is empty for a new one.
+type Change struct {
+	Name        string
+	Incarnation uint64
+	From, To    State
+}
+
+// Member is one row of the table. Times are the table's clock.
+type Member struct {
+	Record
+	State State
+	Since time.Duration // in this state
+	Heard bool          // gossip reaches it just now, whatever was said of it
+}
+
+type row struct {
+	Record
+	heard      bool
+	heardAs    uint64 // the incarnation that is heard
+	state      State
+	since      time.Duration
+	count      int           // what it has told that it sees
+	countAt    time.Duration // when
+	countKnown bool
+}
+
+// Table is who is there, as one node knows it: pure, and driven by events with their times.
+// It is not safe for concurrent use.
+type Table struct {
+	self string
+	rows map[string]*row
+	seen []sight // own counts of late, each greater than those after it
+	// Refused counts members for whom there was no room.
+	Refused int
+}
+
+type sight struct {
+	at    time.Duration
+	count int
+}
+
+// NewTable begins with the node itself.
+func NewTable(self Record, now time.Duration) *Table {
+	t := &Table{self: self.Name, rows: map[string]*row{}}
+	t.rows[self.Name] = &row{Record: self, heard: true, heardAs: self.Incarnation, state: Alive, since: now}
+	t.sight(now)
+	return t
+}
+
+// Self is the node's own record.
+func (t *Table) Self() Record { return t.rows[t.self].Record }
+
+func (r *row) settle(now time.Duration) (Change, bool) {
+	to := Suspect
+	switch {
+	case r.Incarnation <= r.Removed:
+		to = Removed
+	case r.Incarnation <= r.Left:
+		to = Left
+	case r.heard && r.heardAs >= r.Incarnation:
+		to = Alive
+	}
+	if to == r.state {
+		return Change{}, false
+	}
+	c := Change{r.Name, r.Incarnation, r.state, to}
+	r.state, r.since = to, now
+	return c, true
+}
+
+// Merge takes in what anybody tells of a member. News of the node itself are not taken in
+// here but by Mine, and only the words about earlier incarnations count.
+func (t *Table) Merge(rec Record, now time.Duration) (all []Change) {
+	if rec.Name == "" || len(rec.Name) > maxName || len(rec.Address) > maxName {
+		return nil
+	}
+	r, before := t.rows[rec.Name], rec.Incarnation
+	switch {
+	case rec.Name == t.self:
+		r.Left, r.Removed = max(r.Left, min(rec.Left, r.Incarnation-1)), max(r.Removed, min(rec.Removed, r.Incarnation-1))
+		return nil
+	case r == nil:
+		if !t.room() {
+			t.Refused++
+			return nil
+		}
+		r = &row{Record: rec, since: now}
+		t.rows[rec.Name] = r
+	default:
+		before = r.Incarnation
+		r.Record = r.Record.Merge(rec)
+	}
+	if c, ok := r.settle(now); ok {
+		all = append(all, c)
+	} else if r.state == Alive && r.Incarnation > before { // it has started again
+		r.since = now
+		all = append(all, Change{r.Name, r.Incarnation, Alive, Alive})
+	}
+	t.sight(now)
+	return all
+}
+
+// room makes some: the one that has been gone for longest is forgotten. Who is not gone stays.
+func (t *Table) room() bool {
+	if len(t.rows) < MaxMembers {
+		return true
+	}
+	var oldest *row
+	for _, r := range t.rows {
+		if r.state.Gone() && (oldest == nil || cmp.Or(cmp.Compare(r.since, oldest.since), cmp.Compare(r.Name, oldest.Name)) < 0) {
+			oldest = r
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(t.rows, oldest.Name)
+	return true
+}
+
+// Hear tells that gossip reaches a member now, under this record.
+func (t *Table) Hear(rec Record, now time.Duration) []Change {
+	if rec.Name == t.self {
+		return nil
+	}
+	if t.rows[rec.Name] == nil {
+		t.Merge(rec, now)
+	}
+	r := t.rows[rec.Name]
+	if r == nil {
+		return nil
+	}
+	r.heard, r.heardAs = true, rec.Incarnation
+	return t.Merge(rec, now)
+}
+
+// Silence tells that gossip no longer reaches a member.
+func (t *Table) Silence(name string, now time.Duration) []Change {
+	r := t.rows[name]
+	if r == nil || name == t.self {
+		return nil
+	}
+	r.heard = false
+	if c, ok := r.settle(now); ok {
+		return []Change{c}
+	}
+	return nil
+}
+
+// Claim is what news of the node's own name ask of it.
+type Claim struct {
+	Raise uint64 // take at least this incarnation; 0: none
+	Void  bool   // it was removed: what belonged to the incarnation so far is void
+	Rival string // the name is in use at this address, or was; empty: it is not
+}
+
+// Mine judges what somebody tells of the node itself.
+func (t *Table) Mine(rec Record) (c Claim) {
+	own := t.Self()
+	if word := max(rec.Removed, rec.Left); word >= own.Incarnation {
+		c.Raise, c.Void = word+1, rec.Removed >= own.Incarnation
+	}
+	if rec.Start != own.Start && rec.Incarnation >= own.Incarnation {
+		c.Raise = max(c.Raise, rec.Incarnation+1)
+		if rec.Address != own.Address {
+			c.Rival = rec.Address
+		}
+	}
+	return c
+}
+
+// Raised tells that the node has a new incarnation, which is on disk.
+func (t *Table) Raised(incarnation uint64) {
+	r := t.rows[t.self]
+	r.Incarnation, r.heardAs = incarnation, incarnation
+}
+
+// Word says that a member is gone, up to its present incarnation, by the staff's word.
+func (t *Table) Word(name string, now time.Duration) (Record, []Change, bool) {
+	r := t.rows[name]
+	if r == nil || name == t.self {
+		return Record{}, nil, false
+	}
+	rec := r.Record
+	rec.Removed = rec.Incarnation
+	return rec, t.Merge(rec, now), true
+}
+
+// Records are all that is known, to be told.
+func (t *Table) Records() []Record {
+	all := make([]Record, 0, len(t.rows))
+	for _, name := range slices.Sorted(maps.Keys(t.rows)) {
+		all = append(all, t.rows[name].Record)
+	}
+	return all
+}
+
+// Member is one row.
+func (t *Table) Member(name string) (Member, bool) {
+	r := t.rows[name]
+	if r == nil {
+		return Member{}, false
+	}
+	return Member{r.Record, r.state, r.since, r.heard}, true
+}
+
+// Members are all rows, by name.
+func (t *Table) Members() []Member {
+	all := make([]Member, 0, len(t.rows))
+	for _, name := range slices.Sorted(maps.Keys(t.rows)) {
+		m, _ := t.Member(name)
+		all = append(all, m)
+	}
+	return all
+}
+
+// Current is how many are not gone now, the node itself and suspects among them.
+func (t *Table) Current() (n int) {
+	for _, r := range t.rows {
+		if !r.state.Gone() {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Table) sight(now time.Duration) {
+	s := sight{now, t.Current()}
+	for len(t.seen) > 0 && t.seen[len(t.seen)-1].count <= s.count {
+		t.seen = t.seen[:len(t.seen)-1]
+	}
+	t.seen = append(t.seen, s)
+}
+
+// Sighting is the largest count that a member has seen itself of late, so long ago as it said so.
+type Sighting struct {
+	Name  string        `cbor:"1,keyasint"`
+	Count int           `cbor:"2,keyasint"`
+	Age   time.Duration `cbor:"3,keyasint"`
+}
+
+// Told takes in the counts that members have seen. What others have told a member is not in
+// its own, or no count would ever fall.
+func (t *Table) Told(all []Sighting, now time.Duration) {
+	for _, s := range all {
+		r := t.rows[s.Name]
+		if r == nil || s.Name == t.self || s.Count < 1 || s.Count > MaxMembers || s.Age < 0 || s.Age >= CountTime {
+			continue
+		}
+		if at := now - s.Age; !r.countKnown || at > r.countAt {
+			r.count, r.countAt, r.countKnown = s.Count, at, true
+		}
+	}
+}
+
+// own is the largest count that this node has seen within CountTime.
+func (t *Table) own(now time.Duration) int {
+	for len(t.seen) > 1 && t.seen[1].at <= now-CountTime { // one holds until the next, smaller one
+		t.seen = t.seen[1:]
+	}
+	return t.seen[0].count
+}
+
+// Sightings are what is to be told of counts.
+func (t *Table) Sightings(now time.Duration) []Sighting {
+	all := []Sighting{{t.self, t.own(now), 0}}
+	for _, name := range slices.Sorted(maps.Keys(t.rows)) {
+		if r := t.rows[name]; r.countKnown && !r.state.Gone() && now-r.countAt < CountTime {
+			all = append(all, Sighting{name, r.count, now - r.countAt})
+		}
+	}
+	return all
+}
+
+// Count is what limits are divided by: the largest that the node itself or any current
+// member has seen within CountTime.
+func (t *Table) Count(now time.Duration) (n int) {
+	for _, s := range t.Sightings(now) {
+		n = max(n, s.Count)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/fleet/transport.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+)
+
+// Transport is the one place where bytes leave a node for others of its fleet, and come in.
+// Sockets is the real one.
+type Transport interface {
+	// SendTo sends a datagram, which may be lost. It doesn't wait.
+	SendTo(b []byte, to netip.AddrPort) error
+	// Receive waits for a datagram; the bytes are the caller's until the next call.
+	Receive() (b []byte, from netip.AddrPort, err error)
+	Dial(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	Accept() (net.Conn, error)
+	// Close ends Receive and Accept with net.ErrClosed.
+	Close() error
+}
+
+// maxPacket is the largest datagram that is read or written.
+const maxPacket = 1400
+
+// sockets are UDP and TCP at one address, which is also where connections come from.
+type sockets struct {
+	udp *net.UDPConn
+	tcp *net.TCPListener
+	own netip.Addr
+	buf []byte
+}
+
+// Sockets listens at an address.
+func Sockets(addr netip.AddrPort) (Transport, error) {
+	tcp, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("listening for the fleet: %w", err)
+	}
+	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("listening for the fleet: %w", err), tcp.Close())
+	}
+	return &sockets{udp: udp, tcp: tcp, own: addr.Addr(), buf: make([]byte, 64<<10)}, nil
+}
+
+func (s *sockets) SendTo(b []byte, to netip.AddrPort) error {
+	_, err := s.udp.WriteToUDPAddrPort(b, to)
+	return err
+}
+
+func (s *sockets) Receive() ([]byte, netip.AddrPort, error) {
+	n, from, err := s.udp.ReadFromUDPAddrPort(s.buf)
+	return s.buf[:n], from, err
+}
+
+func (s *sockets) Dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.own, 0)), KeepAlive: 15 * time.Second}
+	return d.DialContext(ctx, "tcp4", to.String())
+}
+
+func (s *sockets) Accept() (net.Conn, error) { return s.tcp.Accept() }
+
+func (s *sockets) Close() error { return errors.Join(s.tcp.Close(), s.udp.Close()) }
--- /dev/null
+++ b/internal/fleet/wire.go
@@ -0,0 +1,267 @@
+package fleet
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Versions of what goes over links and in datagrams. A peer whose range has none in common
+// is refused.
+const (
+	lowestVersion  = 1
+	highestVersion = 1
+)
+
+// The preamble is the same in all versions: it begins each connection, and its answer too.
+//
+//	magic (4), lowest, highest, what for, key of the fleet (8)
+//	magic (4), version or 0, length of the reason, the reason
+const (
+	magic        = "wmfl"
+	preambleSize = len(magic) + 3 + 8
+	forGossip    = 1
+	forLink      = 2
+
+	// frameHead is the length and the checksum before each frame.
+	frameHead = 4 + 8
+	maxFrame  = 1 << 20
+	// packetHead begins a datagram: magic (2), lowest, highest, checksum.
+	packetHead  = 4 + 8
+	packetMagic = "wf"
+	// greetTime is how long the beginning of a connection may take, on either side.
+	greetTime = time.Second
+)
+
+var (
+	errStranger = errors.New("what came is not of this program")
+	errSpoilt   = errors.New("what came does not check")
+	errTooLong  = fmt.Errorf("longer than %d bytes", maxFrame)
+)
+
+// VersionError says that a peer speaks no version that this program does.
+type VersionError struct{ Lowest, Highest uint8 }
+
+func (e VersionError) Error() string {
+	return fmt.Sprintf("it speaks versions %d to %d, this node %d to %d", e.Lowest, e.Highest, lowestVersion, highestVersion)
+}
+
+// RefusedError is the line with which a peer refuses.
+type RefusedError string
+
+func (e RefusedError) Error() string { return "refused: " + string(e) }
+
+func common(lowest, highest uint8) (version uint8, err error) {
+	if version = min(highest, highestVersion); lowest > highest || version < max(lowest, lowestVersion) {
+		return 0, VersionError{lowest, highest}
+	}
+	return version, nil
+}
+
+// fleetKey keeps fleets apart.
+func fleetKey(name string) uint64 { return xxhash.Sum64String(name) }
+
+// greet begins a connection that this node has dialled.
+func greet(conn net.Conn, key uint64, purpose byte) error {
+	b := append([]byte(magic), lowestVersion, highestVersion, purpose)
+	if _, err := conn.Write(binary.BigEndian.AppendUint64(b, key)); err != nil {
+		return err
+	}
+	head := make([]byte, len(magic)+2)
+	if _, err := io.ReadFull(conn, head); err != nil {
+		return fmt.Errorf("no answer to the greeting: %w", err)
+	}
+	if string(head[:len(magic)]) != magic {
+		return errStranger
+	}
+	version, reason := head[len(magic)], make([]byte, head[len(magic)+1])
+	if _, err := io.ReadFull(conn, reason); err != nil {
+		return fmt.Errorf("half an answer to the greeting: %w", err)
+	}
+	if version == 0 {
+		return RefusedError(reason)
+	}
+	if version < lowestVersion || version > highestVersion {
+		return VersionError{version, version}
+	}
+	return nil
+}
+
+// greeted reads the beginning of a connection that came and answers it.
+func greeted(conn net.Conn, key uint64) (purpose byte, err error) {
+	b := make([]byte, preambleSize)
+	if _, err := io.ReadFull(conn, b); err != nil {
+		return 0, fmt.Errorf("%w: %w", errStranger, err)
+	}
+	if string(b[:len(magic)]) != magic {
+		return 0, errStranger
+	}
+	refuse := func(err error) (byte, error) {
+		reason := err.Error()
+		answer := append([]byte(magic), 0, byte(len(reason)))
+		_, _ = conn.Write(append(answer, reason...)) // it is closed in any case
+		return 0, err
+	}
+	rest := b[len(magic):]
+	version, err := common(rest[0], rest[1])
+	if err != nil {
+		return refuse(err)
+	}
+	if binary.BigEndian.Uint64(rest[3:]) != key {
+		return refuse(errors.New("another fleet"))
+	}
+	if rest[2] != forGossip && rest[2] != forLink {
+		return refuse(fmt.Errorf("nothing is known of purpose %d", rest[2]))
+	}
+	_, err = conn.Write(append([]byte(magic), version, 0))
+	return rest[2], err
+}
+
+// framed carries frames over a connection. Each has a checksum over the fleet, its place in
+// the stream and itself, so one that is spoilt, doubled or left out is found.
+type framed struct {
+	net.Conn
+	key uint64
+
+	wmu     sync.Mutex
+	written uint64
+	read    uint64
+	left    []byte // of a frame that Read has begun
+}
+
+func sum(key, place uint64, payload []byte) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(key)
+	var at [8]byte
+	binary.BigEndian.PutUint64(at[:], place)
+	_, _ = d.Write(at[:])
+	_, _ = d.Write(payload)
+	return d.Sum64()
+}
+
+func (c *framed) writeFrame(payload []byte) error {
+	if len(payload) > maxFrame {
+		return errTooLong
+	}
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	b := make([]byte, frameHead, frameHead+len(payload))
+	binary.BigEndian.PutUint32(b, uint32(len(payload)))
+	binary.BigEndian.PutUint64(b[4:], sum(c.key, c.written, payload))
+	c.written++
+	_, err := c.Conn.Write(append(b, payload...))
+	return err
+}
+
+func (c *framed) readFrame(most int) ([]byte, error) {
+	var head [frameHead]byte
+	if _, err := io.ReadFull(c.Conn, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if int64(n) > int64(most) {
+		return nil, fmt.Errorf("%w: a frame of %d bytes", errSpoilt, n)
+	}
+	payload := make([]byte, n)
+	if _, err := io.ReadFull(c.Conn, payload); err != nil {
+		return nil, err
+	}
+	if binary.BigEndian.Uint64(head[4:]) != sum(c.key, c.read, payload) {
+		return nil, errSpoilt
+	}
+	c.read++
+	return payload, nil
+}
+
+// Write and Read make it a stream again, for gossip.
+func (c *framed) Write(b []byte) (n int, err error) {
+	for len(b) > 0 {
+		piece := b[:min(len(b), maxFrame)]
+		if err := c.writeFrame(piece); err != nil {
+			return n, err
+		}
+		n, b = n+len(piece), b[len(piece):]
+	}
+	return n, nil
+}
+
+func (c *framed) Read(b []byte) (int, error) {
+	for len(c.left) == 0 {
+		payload, err := c.readFrame(maxFrame)
+		if err != nil {
+			return 0, err
+		}
+		c.left = payload
+	}
+	n := copy(b, c.left)
+	c.left = c.left[n:]
+	return n, nil
+}
+
+// Foreign bytes are read within bounds: nothing that comes is nested, or has long lists but
+// of records.
+var (
+	encoding = must(cbor.CoreDetEncOptions().EncMode())
+	decoding = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxArrayElements: 4 * MaxMembers,
+		MaxMapPairs: 64, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err) // the options above are constants
+	}
+	return v
+}
+
+func (c *framed) send(v any) error {
+	b, err := encoding.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return c.writeFrame(b)
+}
+
+func (c *framed) receive(v any, most int) error {
+	b, err := c.readFrame(most)
+	if err != nil {
+		return err
+	}
+	if err := decoding.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("%w: %w", errSpoilt, err)
+	}
+	return nil
+}
+
+// sealPacket and openPacket frame a datagram.
+func sealPacket(key uint64, payload []byte) []byte {
+	b := append(make([]byte, 0, packetHead+len(payload)), packetMagic...)
+	b = append(b, lowestVersion, highestVersion)
+	b = binary.BigEndian.AppendUint64(b, sum(key, 0, payload))
+	return append(b, payload...)
+}
+
+func openPacket(key uint64, b []byte) ([]byte, error) {
+	if len(b) < packetHead || string(b[:2]) != packetMagic {
+		return nil, errStranger
+	}
+	if _, err := common(b[2], b[3]); err != nil {
+		return nil, err
+	}
+	if binary.BigEndian.Uint64(b[4:]) != sum(key, 0, b[packetHead:]) {
+		return nil, errSpoilt
+	}
+	return b[packetHead:], nil
+}
+
+// closeWith closes a connection when a context ends, until stop is called.
+func closeWith(ctx context.Context, conn net.Conn) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = conn.Close() })
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -135,7 +135,7 @@
 	if c.Sockets <= 0 {
 		return manySockets
 	}
-	own := ownSockets
+	own := ownSockets + c.fleetSockets()
 	if c.Console != "" {
 		own += consoleCallers
 	}
--- a/internal/node/cohort.go
+++ b/internal/node/cohort.go
@@ -858,6 +858,11 @@
 
 // follow runs the watch of discovery while this member coordinates.
 func (co *cohort) follow(ctx context.Context, watch func(ctx context.Context, known int64)) {
+	co.whileLeading(ctx, func(life context.Context) { watch(life, co.loop.known.Load()) })
+}
+
+// whileLeading runs what one process of the node does for all, while this member coordinates.
+func (co *cohort) whileLeading(ctx context.Context, f func(ctx context.Context)) {
 	tick := time.NewTicker(joinPause)
 	defer tick.Stop()
 	var end context.CancelFunc
@@ -869,7 +874,7 @@
 		case leads && end == nil:
 			var life context.Context
 			life, end = context.WithCancel(ctx)
-			running.Go(func() { watch(life, co.loop.known.Load()) })
+			running.Go(func() { f(life) })
 		case !leads && end != nil:
 			end()
 			end = nil
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"wingmount/internal/fleet"
 	"wingmount/internal/journal"
 	"wingmount/internal/wire"
 	"wingmount/policy"
@@ -38,6 +39,7 @@
 	IdleClose time.Duration
 	Sync      bool          // what is taken on outlasts a loss of power too
 	Members   int           // processes at most that are this node together; 0 for this one alone
+	Fleet     *fleet.File   // the nodes that are told of each other; nil for none
 	Warm      bool          // connections are opened ahead, for demand that was seen
 	AskEvery  time.Duration // a node that has not asked for so long counts as told; 0 if nothing is said
 }
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"wingmount/internal/fleet"
 	"wingmount/internal/journal"
 	"wingmount/policy"
 )
@@ -42,23 +43,24 @@
 	up     chan struct{} // closed when there is a loop
 	loop   *loop
 	cohort *cohort // the other processes of the node; nil where there are none
+	fleet  *fleet.Fleet
 }
 
 // openConsole listens at once; calls that need the node's state wait for it.
-func openConsole(ctx context.Context, addr string, co *cohort, log *slog.Logger) (*console, net.Listener, error) {
+func openConsole(ctx context.Context, addr string, c *console, log *slog.Logger) (net.Listener, error) {
 	listen := func() (net.Listener, error) { return net.Listen("tcp", addr) }
-	if co != nil {
-		listen = func() (net.Listener, error) { return co.listen(ctx, "staff", addr) }
+	if c.cohort != nil {
+		listen = func() (net.Listener, error) { return c.cohort.listen(ctx, "staff", addr) }
 	}
 	listener, err := listen()
 	if err != nil {
-		return nil, nil, fmt.Errorf("listening for the staff: %w", err)
+		return nil, fmt.Errorf("listening for the staff: %w", err)
 	}
-	c := &console{log: log, cohort: co, up: make(chan struct{})}
+	c.log = log
 	c.server = &http.Server{Handler: c, ReadTimeout: consoleTimeout, WriteTimeout: consoleTimeout + consoleAnswer,
 		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	c.server.SetKeepAlivesEnabled(false) // one call a connection
-	return c, &newestCallers{Listener: listener, max: consoleCallers}, nil
+	return &newestCallers{Listener: listener, max: consoleCallers}, nil
 }
 
 // run serves until the context ends. A console that fails leaves the node at work.
@@ -79,9 +81,9 @@
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var method string
 	switch r.URL.Path {
-	case "/ops/readiness", "/ops/pools", "/ops/journal", "/ops/group":
+	case "/ops/readiness", "/ops/pools", "/ops/journal", "/ops/group", "/ops/fleet":
 		method = http.MethodGet
-	case "/ops/endpoints/down", "/ops/endpoints/up":
+	case "/ops/endpoints/down", "/ops/endpoints/up", "/ops/fleet/remove":
 		method = http.MethodPut
 	default:
 		http.Error(w, "no such call", http.StatusNotFound)
@@ -108,6 +110,15 @@
 		}
 		c.shows(w, func(*loop) any { return c.cohort.status() })
 		return
+	case "/ops/fleet":
+		if c.fleet == nil {
+			http.Error(w, errNoFleet.Error(), http.StatusNotFound)
+			return
+		}
+		c.shows(w, func(*loop) any { return c.fleet.Status() })
+		return
+	case "/ops/fleet/remove":
+		status, text = c.removeMember(http.MaxBytesReader(w, r.Body, maxOrder))
 	case "/ops/readiness":
 		status, text = c.readiness()
 	default:
@@ -155,15 +166,45 @@
 	return http.StatusOK, "clients are taken"
 }
 
-// orderedHost reads the endpoint that an order names.
-func orderedHost(body io.Reader) (string, error) {
-	var o struct{ Host string }
+// removeMember says that a member of the fleet is gone. The yes means that this node knows it;
+// the others hear of it from here on.
+func (c *console) removeMember(body io.Reader) (status int, text string) {
+	if c.fleet == nil {
+		return http.StatusNotFound, errNoFleet.Error()
+	}
+	var o struct{ Name string }
+	err := readOrder(body, &o)
+	if err == nil && o.Name == "" {
+		err = errors.New(`the order names no "name"`)
+	}
+	if err != nil {
+		return http.StatusBadRequest, err.Error()
+	}
+	if err := c.fleet.Remove(o.Name); err != nil {
+		status, text = http.StatusNotFound, err.Error()
+	} else {
+		status, text = http.StatusOK, "done"
+	}
+	c.log.Info("console", "call", "/ops/fleet/remove", "name", o.Name, "status", status, "text", text)
+	return status, text
+}
+
+func readOrder(body io.Reader, o any) error {
 	dec := json.NewDecoder(body)
-	if err := dec.Decode(&o); err != nil {
-		return "", fmt.Errorf("unreadable order: %w", err)
+	if err := dec.Decode(o); err != nil {
+		return fmt.Errorf("unreadable order: %w", err)
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return "", errors.New("unreadable order: more than one value")
+		return errors.New("unreadable order: more than one value")
+	}
+	return nil
+}
+
+// orderedHost reads the endpoint that an order names.
+func orderedHost(body io.Reader) (string, error) {
+	var o struct{ Host string }
+	if err := readOrder(body, &o); err != nil {
+		return "", err
 	}
 	if o.Host == "" {
 		return "", errors.New(`the order names no "host"`)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/net/netutil"
 
+	"wingmount/internal/fleet"
 	"wingmount/internal/group"
 	"wingmount/internal/journal"
 	"wingmount/policy"
@@ -48,6 +49,9 @@
 // reads from its configuration file anew where discovery is.
 func Run(ctx context.Context, c Config, hangups <-chan os.Signal, log *slog.Logger) error {
 	var co *cohort
+	if c.Fleet != nil {
+		c.DiskBytes -= fleet.DiskRoom
+	}
 	if c.Members > 0 {
 		var err error
 		if co, err = joinGroup(ctx, &c, log); err != nil {
@@ -74,14 +78,17 @@
 			}
 		}()
 	}
-	staff := &console{up: make(chan struct{}), cohort: co}
+	others, err := joinFleet(c, log)
+	if err != nil {
+		return err
+	}
+	staff := &console{up: make(chan struct{}), cohort: co, fleet: others}
 	if c.Console != "" {
-		k, callers, err := openConsole(ctx, c.Console, co, log)
+		callers, err := openConsole(ctx, c.Console, staff, log)
 		if err != nil {
 			return err
 		}
-		staff = k
-		running.Go(func() { k.run(life, callers) })
+		running.Go(func() { staff.run(life, callers) })
 	}
 	e, listener, err := begin(ctx, c, co, log)
 	if err != nil {
@@ -99,6 +106,11 @@
 			return quit(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.Class))
 		}
 	}
+	if others != nil && co == nil && e.told == nil { // else another process of this node may have the address still
+		if err := others.Prepare(); err != nil {
+			return quit(err)
+		}
+	}
 	places := 0
 	if c.Sockets > 0 {
 		places = clientPlaces(c.Sockets)
@@ -186,6 +198,9 @@
 		running.Go(func() { co.follow(owned, watch) })
 	}
 	running.Go(func() { a.follow(life, hangups, c.Path, log) })
+	if others != nil {
+		running.Go(func() { runFleet(owned, others, co, owner) })
+	}
 	if l.peers != nil {
 		running.Go(func() { l.peers.run(owned) })
 	}
