--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,6 +115,8 @@
 	state   string
 	why     string
 	claim   Claim
+	rival   string            // where another process of this name was found, until it is gone
+	missed  int               // so often in a row nobody was there
 	refused map[string]string // who was refused of late, and why
 	rand    *rand.Rand
 
@@ -243,37 +246,37 @@
 		}
 		f.mu.Lock()
 		f.transport = nil
-		links := f.links
-		f.links = map[string]*link{}
 		f.mu.Unlock()
-		for _, l := range links {
-			l.close()
-		}
 		f.running.Wait()
 	}()
 	f.running.Go(func() { f.acceptAll(transport) })
 	f.running.Go(func() { f.receiveAll(transport) })
-
 	f.lookAround(ctx)
-	for ctx.Err() == nil && !f.settleClaim(ctx) { // somebody has the name
-		wait(ctx, rivalEvery)
-	}
-	if ctx.Err() != nil {
-		return
-	}
-	g, err := f.startGossip()
-	if err != nil {
-		f.stand(Waiting, err.Error())
-		f.o.Log.Error("fleet: not joined, tried again", "err", err)
-		wait(ctx, againAfter)
-		return
+	for ctx.Err() == nil {
+		if !f.settleClaim(ctx) { // somebody has the name
+			wait(ctx, rivalEvery)
+			continue
+		}
+		g, err := f.startGossip()
+		if err != nil {
+			f.stand(Waiting, err.Error())
+			f.o.Log.Error("fleet: not joined, tried again", "err", err)
+			wait(ctx, againAfter)
+			continue
+		}
+		f.follow(ctx, g, leave)
 	}
+}
+
+// follow takes part in gossip until the context ends or the name turns out to be another's too.
+func (f *Fleet) follow(ctx context.Context, g *gossip, leave func() bool) {
+	life, end := context.WithCancel(f.life)
 	f.mu.Lock()
-	f.gossip = g
+	f.gossip, f.state, f.why = g, Joined, ""
 	f.mu.Unlock()
-	f.stand(Joined, "")
 	f.o.Log.Info("fleet: joined", "fleet", f.o.File.Fleet, "name", f.o.Name, "incarnation", f.Self().Incarnation)
-	f.running.Go(func() { g.rejoin(life) })
+	var meeting sync.WaitGroup
+	meeting.Go(func() { g.rejoin(life) })
 	fenced := false
 	for ctx.Err() == nil && !fenced {
 		select {
@@ -297,9 +300,22 @@
 	f.mu.Lock()
 	f.gossip = nil
 	f.mu.Unlock()
+	f.closeLinks()
+	end()
 	if err := g.list.Shutdown(); err != nil {
 		f.o.Log.Debug("fleet: gossip", "err", err)
 	}
+	meeting.Wait()
+}
+
+func (f *Fleet) closeLinks() {
+	f.mu.Lock()
+	links := f.links
+	f.links = map[string]*link{}
+	f.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
 }
 
 // heardOfSelf hears what others say of this node.
@@ -330,19 +346,31 @@
 	f.mu.Lock()
 	c := f.claim
 	f.claim = Claim{}
+	rivals := slices.Compact([]string{f.rival, c.Rival})
 	f.mu.Unlock()
-	if c.Rival != "" {
-		if start, ok := f.isThere(ctx, c.Rival); ok {
-			f.mu.Lock()
-			f.claim.Rival, f.claim.Raise = c.Rival, max(f.claim.Raise, c.Raise)
-			first := f.state != Outside
-			f.state, f.why = Outside, fmt.Sprintf("%s is in use at %s", f.o.Name, c.Rival)
-			f.mu.Unlock()
-			if first {
-				f.o.Log.Error("fleet: this node stays outside: its name is in use", "name", f.o.Name, "at", c.Rival, "start", start)
+	for _, rival := range rivals {
+		seen := f.isThere(ctx, rival)
+		f.mu.Lock()
+		known := rival != "" && f.rival == rival
+		if known && seen == gone {
+			f.missed++
+		} else {
+			f.missed = 0
+		}
+		if seen != there && (!known || seen == gone && f.missed >= 2) {
+			if known {
+				f.rival = ""
 			}
-			return false
+			f.mu.Unlock()
+			continue
+		}
+		f.claim.Raise = max(f.claim.Raise, c.Raise)
+		f.rival, f.state, f.why = rival, Outside, fmt.Sprintf("%s is in use at %s", f.o.Name, rival)
+		f.mu.Unlock()
+		if !known {
+			f.o.Log.Error("fleet: this node stays outside: its name is in use", "name", f.o.Name, "at", rival)
 		}
+		return false
 	}
 	own := f.Self()
 	if c.Raise <= own.Incarnation {
@@ -416,11 +444,20 @@
 	}
 }
 
-// isThere tells whether a process answers to this node's name at an address.
-func (f *Fleet) isThere(ctx context.Context, address string) (start uint64, ok bool) {
+// What a look at another process of this name finds. One that is silent is not gone.
+type sightOf int
+
+const (
+	unsure sightOf = iota
+	there
+	gone
+)
+
+// isThere looks whether a process answers to this node's name at an address.
+func (f *Fleet) isThere(ctx context.Context, address string) sightOf {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil || to == f.address {
-		return 0, false
+		return gone
 	}
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
@@ -428,11 +465,18 @@
 	candidate := f.gossip == nil
 	f.mu.Unlock()
 	conn, w, err := f.hello(ctx, to, f.o.Name, candidate)
-	if err != nil {
-		return 0, false
+	var timeout net.Error
+	switch {
+	case err != nil && (ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout()):
+		return unsure
+	case err != nil:
+		return gone // refused or reset: nobody of this program is there
 	}
 	_ = conn.Close()
-	return w.Self.Start, w.Self.Name == f.o.Name && w.Self.Start != f.Self().Start
+	if w.Self.Name == f.o.Name && w.Self.Start != f.Self().Start {
+		return there
+	}
+	return gone
 }
 
 func (f *Fleet) random() float64 {
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -86,12 +86,10 @@
 	if err == nil {
 		err = conn.receive(&w, maxHello)
 	}
-	if err == nil {
-		err = conn.SetDeadline(time.Time{})
-	}
 	if err != nil {
 		return nil, w, errors.Join(err, conn.Close())
 	}
+	_ = conn.SetDeadline(time.Time{}) // it may be closed already: whoever uses it will see
 	return conn, w, nil
 }
 
--- /dev/null
+++ b/internal/fleet/peer_test.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// model is a real peer core, a link, and what the other side has seen.
+type model struct {
+	p       *peer
+	now     time.Duration
+	wire    []frame // on its way, in order
+	back    []frame
+	next    uint64 // the last news that the other side has on this link
+	heard   int    // the newest value that the other side has of the one key
+	told    int
+	handled map[string]int
+	ended   map[string][]error
+	asks    int
+}
+
+// The events of the model. A link that breaks takes with it whatever is on its way, or, where
+// it breaks after the other side has read, only what comes back.
+var modelEvents = []string{"tell", "ask", "write", "arrive", "return", "break", "connect", "late", "withdraw"}
+
+func (m *model) step(event string) bool {
+	run := func(ends []done) {
+		for _, end := range ends {
+			end()
+		}
+	}
+	switch event {
+	case "tell":
+		if m.told >= 2 {
+			return false
+		}
+		m.told++
+		if err := m.p.tell("k", "x", []byte{byte(m.told)}, m.now); err != nil {
+			panic(err)
+		}
+	case "ask":
+		if m.asks >= 2 {
+			return false
+		}
+		m.asks++
+		name := fmt.Sprint("q", m.asks)
+		q := &question{kind: "k", body: []byte(name), until: m.now + time.Second, answered: func(_ []byte, err error) { m.ended[name] = append(m.ended[name], err) }}
+		if err := m.p.ask(q); err != nil {
+			panic(err)
+		}
+	case "write":
+		f, ok := m.p.next(m.now)
+		if !ok {
+			return false
+		}
+		m.wire = append(m.wire, f)
+	case "arrive":
+		if len(m.wire) == 0 {
+			return false
+		}
+		f := m.wire[0]
+		m.wire = m.wire[1:]
+		if f.Type == frameAsk {
+			m.handled[string(f.Body)]++
+			m.back = append(m.back, frame{Type: frameAnswer, ID: f.ID})
+		} else {
+			m.heard = int(f.Body[0])
+			m.back = append(m.back, frame{Type: frameAck, ID: f.ID})
+		}
+	case "return":
+		if len(m.back) == 0 {
+			return false
+		}
+		f := m.back[0]
+		m.back = m.back[1:]
+		run(m.p.got(f, m.now))
+	case "break":
+		if !m.p.up {
+			return false
+		}
+		m.wire, m.back = nil, nil
+		run(m.p.broken())
+	case "connect":
+		if m.p.up {
+			return false
+		}
+		m.p.connected()
+	case "late":
+		m.now += 2 * time.Second
+		ends, stuck := m.p.tick(m.now)
+		run(ends)
+		if stuck {
+			m.wire, m.back = nil, nil
+			run(m.p.broken())
+		}
+	case "withdraw":
+		if len(m.p.asks) == 0 {
+			return false
+		}
+		run([]done{m.p.withdraw(m.p.asks[0].id)})
+	}
+	return true
+}
+
+// check is what holds after any events. At the end of an order all faults end.
+func (m *model) check() error {
+	for name, ends := range m.ended {
+		if len(ends) > 1 {
+			return fmt.Errorf("%s was ended %d times", name, len(ends))
+		}
+		n := m.handled[name]
+		switch err := ends[0]; {
+		case n > 1:
+			return fmt.Errorf("%s was handled %d times", name, n)
+		case err == nil && n != 1:
+			return fmt.Errorf("%s was answered and handled %d times", name, n)
+		case errors.Is(err, ErrNotSent) && n != 0:
+			return fmt.Errorf("%s was not sent, and handled", name)
+		case errors.Is(err, ErrMaybe) && errors.Is(err, ErrNotSent):
+			return fmt.Errorf("%s ended both ways", name)
+		}
+	}
+	if m.p.bytes < 0 {
+		return fmt.Errorf("%d bytes wait", m.p.bytes)
+	}
+	return nil
+}
+
+func (m *model) finish() error {
+	m.step("connect")
+	for range 20 {
+		if !m.step("write") && !m.step("arrive") && !m.step("return") {
+			break
+		}
+	}
+	if m.heard != m.told {
+		return fmt.Errorf("the other side has %d, %d was the last", m.heard, m.told)
+	}
+	m.step("late")
+	m.step("late")
+	if err := m.check(); err != nil {
+		return err
+	}
+	if len(m.ended) != m.asks || m.p.bytes != 0 || len(m.p.news) != 0 || len(m.p.order) != 0 {
+		return fmt.Errorf("%d of %d questions ended, %d bytes and %d news are left", len(m.ended), m.asks, m.p.bytes, len(m.p.news))
+	}
+	return nil
+}
+
+// TestEveryOrderOnALink plays every order of nine events to a stated depth through the real
+// core, and after each lets the faults end.
+func TestEveryOrderOnALink(t *testing.T) {
+	const depth = 8
+	played := 0
+	var order []string
+	var play func()
+	play = func() {
+		m := &model{p: newPeer(), handled: map[string]int{}, ended: map[string][]error{}}
+		for _, e := range order {
+			if !m.step(e) {
+				return // it can't happen here, nor does anything after it
+			}
+			if err := m.check(); err != nil {
+				t.Fatalf("after %v: %v", order, err)
+			}
+		}
+		played++
+		if err := m.finish(); err != nil {
+			t.Fatalf("after %v: %v", order, err)
+		}
+		if len(order) == depth {
+			return
+		}
+		for _, e := range modelEvents {
+			order = append(order, e)
+			play()
+			order = order[:len(order)-1]
+		}
+	}
+	play()
+	t.Logf("%d orders", played)
+}
+
+func TestWhatWaitsIsBounded(t *testing.T) {
+	p := newPeer()
+	big := make([]byte, 100<<10)
+	for i := range 20 {
+		err := p.tell("k", fmt.Sprint(i), big, 0)
+		if full := i >= 10; errors.Is(err, ErrRoom) != full {
+			t.Fatal(i, err)
+		}
+	}
+	if err := p.tell("k", "3", big, 0); err != nil {
+		t.Error("a newer one of the same key needs no further room:", err)
+	}
+	if err := p.ask(&question{body: big}); !errors.Is(err, ErrRoom) {
+		t.Error(err)
+	}
+	if p.Dropped != 11 || p.bytes > maxWaiting {
+		t.Error(p.Dropped, p.bytes)
+	}
+	p = newPeer()
+	for i := range maxAsked + 1 {
+		if err := p.ask(&question{}); errors.Is(err, ErrRoom) != (i == maxAsked) {
+			t.Fatal(i, err)
+		}
+	}
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -209,9 +209,11 @@
 	}
 	if rec.Start != own.Start && rec.Incarnation >= own.Incarnation {
 		c.Raise = max(c.Raise, rec.Incarnation+1)
-		if rec.Address != own.Address {
-			c.Rival = rec.Address
-		}
+	}
+	// At its own address nobody else can be. A copy of the folder begins above the one that it
+	// was taken from, so the incarnation tells nothing.
+	if rec.Start != own.Start && rec.Address != own.Address && rec.Incarnation > max(rec.Left, rec.Removed) {
+		c.Rival = rec.Address
 	}
 	return c
 }
--- /dev/null
+++ b/internal/fleet/table_test.go
@@ -0,0 +1,170 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Records merge in any order and any number of times to the same.
+func TestRecordsMergeWithoutOrder(t *testing.T) {
+	var all []Record
+	for inc := range uint64(3) {
+		for start := range uint64(2) {
+			for _, address := range []string{"x", "y"} {
+				for word := range uint64(9) {
+					all = append(all, Record{"a", inc, start, address, word % 3, word / 3})
+				}
+			}
+		}
+	}
+	for _, a := range all {
+		if a.Merge(a) != a {
+			t.Fatal("not idempotent", a)
+		}
+		for _, b := range all {
+			ab := a.Merge(b)
+			if ab != b.Merge(a) {
+				t.Fatal("not commutative", a, b)
+			}
+			for _, c := range all {
+				if ab.Merge(c) != a.Merge(b.Merge(c)) {
+					t.Fatal("not associative", a, b, c)
+				}
+			}
+		}
+	}
+}
+
+func member(t *testing.T, tab *Table, name string) Member {
+	t.Helper()
+	m, ok := tab.Member(name)
+	if !ok {
+		t.Fatal("no member", name)
+	}
+	return m
+}
+
+func TestSilentIsNotGone(t *testing.T) {
+	tab := NewTable(Record{Name: "a", Incarnation: 1, Start: 1, Address: "A"}, 0)
+	b := Record{Name: "b", Incarnation: 3, Start: 5, Address: "B"}
+	steps := []struct {
+		what string
+		do   func(now time.Duration) []Change
+		want State
+		from State
+	}{
+		{"heard", func(now time.Duration) []Change { return tab.Hear(b, now) }, Alive, Suspect},
+		{"silent", func(now time.Duration) []Change { return tab.Silence("b", now) }, Suspect, Alive},
+		{"for a year", func(now time.Duration) []Change { return tab.Silence("b", now+365*24*time.Hour) }, Suspect, ""},
+		{"heard under the incarnation before", func(now time.Duration) []Change {
+			old := b
+			old.Incarnation = 2
+			return tab.Hear(old, now)
+		}, Suspect, ""},
+		{"restarted", func(now time.Duration) []Change { b.Incarnation, b.Start = 4, 6; return tab.Hear(b, now) }, Alive, Suspect},
+		{"restarted unseen", func(now time.Duration) []Change { b.Incarnation, b.Start = 5, 7; return tab.Hear(b, now) }, Alive, Alive},
+		{"left", func(now time.Duration) []Change { w := b; w.Left = 5; return tab.Merge(w, now) }, Left, Alive},
+		{"an old word", func(now time.Duration) []Change { w := b; w.Removed = 4; return tab.Merge(w, now) }, Left, ""},
+		{"back", func(now time.Duration) []Change { b.Incarnation, b.Start = 6, 8; return tab.Hear(b, now) }, Alive, Left},
+		{"removed while it is heard", func(now time.Duration) []Change { _, c, _ := tab.Word("b", now); return c }, Removed, Alive},
+		{"new incarnation", func(now time.Duration) []Change { b.Incarnation = 7; return tab.Hear(b, now) }, Alive, Removed},
+	}
+	for i, s := range steps {
+		now := time.Duration(i) * time.Second
+		changes := s.do(now)
+		if got := member(t, tab, "b"); got.State != s.want {
+			t.Fatalf("%s: %s, want %s", s.what, got.State, s.want)
+		}
+		if i == 0 {
+			continue // two steps, from nothing
+		}
+		want := []Change{{"b", b.Incarnation, s.from, s.want}}
+		if s.from == "" {
+			want = nil
+		}
+		if !slices.Equal(changes, want) {
+			t.Errorf("%s: told %v, want %v", s.what, changes, want)
+		}
+	}
+}
+
+// The count falls late, and is the largest that anybody current has seen.
+func TestTheLargestCountHolds(t *testing.T) {
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	tab := NewTable(Record{Name: "a", Incarnation: 1, Start: 1}, 0)
+	want := func(s float64, n int) {
+		t.Helper()
+		if got := tab.Count(at(s)); got != n {
+			t.Errorf("at %v s: %d, want %d", s, got, n)
+		}
+	}
+	want(0, 1)
+	for _, name := range []string{"b", "c", "d"} {
+		tab.Hear(Record{Name: name, Incarnation: 1, Start: 2}, at(1))
+	}
+	want(1, 4)
+	tab.Silence("b", at(2))
+	want(500, 4)
+	tab.Merge(Record{Name: "c", Incarnation: 1, Start: 2, Left: 1}, at(500))
+	want(559, 4)
+	want(561, 3)
+	tab.Told([]Sighting{{"b", 9, 10 * time.Second}, {"d", 1000000, 0}, {"a", 50, 0}, {"x", 7, 0}}, at(600))
+	want(649, 9) // b saw nine, until 60 s after it did
+	want(651, 3)
+	tab.Told([]Sighting{{"b", 9, 0}, {"b", 5, 30 * time.Second}}, at(700)) // an older word changes nothing
+	want(701, 9)
+	if got := tab.Sightings(at(702)); !slices.Equal(got, []Sighting{{"a", 3, 0}, {"b", 9, 2 * time.Second}}) {
+		t.Errorf("passed on %v", got) // with its age, and without what others said as one's own
+	}
+	tab.Word("b", at(703))
+	want(704, 3) // b is no current member any more; a itself has seen three of late
+}
+
+func TestNewsOfOneself(t *testing.T) {
+	own := Record{Name: "a", Incarnation: 5, Start: 9, Address: "A"}
+	for _, c := range []struct {
+		what string
+		rec  Record
+		want Claim
+	}{
+		{"itself", own, Claim{}},
+		{"an earlier life", Record{Name: "a", Incarnation: 4, Start: 8, Address: "A"}, Claim{}},
+		{"an earlier life that has left", Record{Name: "a", Incarnation: 4, Start: 8, Address: "A", Left: 4}, Claim{}},
+		{"the folder is older than what others know", Record{Name: "a", Incarnation: 8, Start: 7, Address: "A"}, Claim{Raise: 9}},
+		{"the same number, another start", Record{Name: "a", Incarnation: 5, Start: 7, Address: "A"}, Claim{Raise: 6}},
+		{"somebody else", Record{Name: "a", Incarnation: 8, Start: 7, Address: "X"}, Claim{Raise: 9, Rival: "X"}},
+		{"an earlier one, elsewhere", Record{Name: "a", Incarnation: 3, Start: 7, Address: "X"}, Claim{Rival: "X"}},
+		{"an earlier one, elsewhere, that has left", Record{Name: "a", Incarnation: 3, Start: 7, Address: "X", Left: 3}, Claim{}},
+		{"removed", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 5}, Claim{Raise: 6, Void: true}},
+		{"removed before", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 4}, Claim{}},
+	} {
+		if got := NewTable(own, 0).Mine(c.rec); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.what, got, c.want)
+		}
+	}
+}
+
+// A table is bounded: who is gone makes room, who is not stays.
+func TestATableIsBounded(t *testing.T) {
+	tab := NewTable(Record{Name: "self", Incarnation: 1}, 0)
+	name := func(i int) string {
+		return string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
+	}
+	for i := range 3 * MaxMembers {
+		rec := Record{Name: name(i), Incarnation: 1}
+		if i%3 > 0 {
+			rec.Left = 1
+		}
+		tab.Hear(rec, time.Duration(i))
+	}
+	if n := len(tab.Members()); n != MaxMembers {
+		t.Errorf("%d rows", n)
+	}
+	if tab.Refused == 0 {
+		t.Error("nobody was refused")
+	}
+	if m, ok := tab.Member(name(0)); !ok || m.State != Alive {
+		t.Error("one that is not gone was forgotten")
+	}
+}
--- /dev/null
+++ b/internal/lab/faults/carrier.go
@@ -0,0 +1,220 @@
+package faults
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	pieceSize = 16 << 10
+	// pieces bounds what waits on a connection, flying what is delayed of datagrams.
+	pieces = 64
+	flying = 4096
+)
+
+// carrier carries out what a matrix says, whatever the bytes go over.
+type carrier struct {
+	*Matrix
+	// passed counts, for each pair, bytes that were handed on.
+	passed []atomic.Int64
+
+	life context.Context
+	end  context.CancelFunc
+	wg   sync.WaitGroup
+	air  chan struct{}
+}
+
+func newCarrier(n int, seed uint64) *carrier {
+	c := &carrier{Matrix: NewMatrix(n, seed), passed: make([]atomic.Int64, n*n), air: make(chan struct{}, flying)}
+	c.life, c.end = context.WithCancel(context.Background())
+	return c
+}
+
+// Passed is how many bytes were handed on from one node to another.
+func (r *carrier) Passed(from, to int) int64 { return r.passed[from*r.n+to].Load() }
+
+// fly carries a datagram; deliver may be called later, more than once, or never.
+func (r *carrier) fly(from, to int, packet []byte, deliver func([]byte) error) {
+	after, spoilt := r.Packet(from, to, len(packet))
+	for _, d := range after {
+		b := append([]byte(nil), packet...)
+		if spoilt >= 0 {
+			b[spoilt/8] ^= 1 << (spoilt % 8)
+		}
+		arrive := func() {
+			if deliver(b) == nil {
+				r.passed[from*r.n+to].Add(int64(len(b)))
+			}
+		}
+		if d <= 0 {
+			arrive()
+			continue
+		}
+		select {
+		case r.air <- struct{}{}:
+		default:
+			continue // more is on its way than a network holds
+		}
+		r.wg.Go(func() {
+			defer func() { <-r.air }()
+			t := time.NewTimer(d)
+			defer t.Stop()
+			select {
+			case <-t.C:
+				arrive()
+			case <-r.life.Done():
+			}
+		})
+	}
+}
+
+// abort closes a connection without a word, as a reset.
+func abort(conn net.Conn) {
+	if c, ok := conn.(interface{ SetLinger(int) error }); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// carry hands on what a connection brings. One through a cut comes up, as the kernel accepts it,
+// and stands still before its first byte.
+func (r *carrier) carry(conn net.Conn, from, to int, dial func(context.Context) (net.Conn, error)) {
+	life, end := context.WithCancel(r.life)
+	defer end()
+	defer conn.Close()
+	stop := context.AfterFunc(life, func() { _ = conn.Close() })
+	defer stop()
+	out := make(chan piece, pieces)
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { r.read(life, conn, out, from, to) })
+	for r.cutAtAll(from, to) {
+		_, change := r.At(from, to)
+		if !r.cutAtAll(from, to) {
+			break
+		}
+		select {
+		case <-change:
+		case <-life.Done():
+			return
+		}
+	}
+	other, err := dial(life)
+	if err != nil {
+		abort(conn) // nobody is there
+		end()
+		return
+	}
+	defer other.Close()
+	defer context.AfterFunc(life, func() { _ = other.Close() })()
+	back := make(chan piece, pieces)
+	running.Go(func() { r.read(life, other, back, to, from) })
+	running.Go(func() { r.write(life, end, conn, other, back, to, from) })
+	r.write(life, end, other, conn, out, from, to)
+	<-life.Done()
+}
+
+func (r *carrier) cutAtAll(from, to int) bool {
+	there, _ := r.At(from, to)
+	back, _ := r.At(to, from)
+	return there.Cut || back.Cut
+}
+
+// piece is a part of a connection's bytes; none at its end.
+type piece struct {
+	b  []byte
+	at time.Time
+}
+
+func (r *carrier) read(life context.Context, conn net.Conn, out chan<- piece, from, to int) {
+	defer close(out)
+	buf := make([]byte, pieceSize)
+	for {
+		n, err := conn.Read(buf)
+		if n > 0 {
+			d, spoilt := r.Piece(from, to, n)
+			b := append([]byte(nil), buf[:n]...)
+			if spoilt >= 0 {
+				b[spoilt/8] ^= 1 << (spoilt % 8)
+			}
+			select {
+			case out <- piece{b, time.Now().Add(d)}:
+			case <-life.Done():
+				return
+			}
+		}
+		if err != nil {
+			select {
+			case out <- piece{nil, time.Now()}:
+			case <-life.Done():
+			}
+			return
+		}
+	}
+}
+
+// write hands pieces on as the fault of the moment has it.
+func (r *carrier) write(life context.Context, end func(), conn, source net.Conn, in <-chan piece, from, to int) {
+	defer end()
+	sent := 0
+	pause := func(d time.Duration) bool {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			return true
+		case <-life.Done():
+			return false
+		}
+	}
+	for p := range in {
+		if !pause(time.Until(p.at)) {
+			return
+		}
+		for {
+			f, change := r.At(from, to)
+			if !f.Cut {
+				break
+			}
+			select {
+			case <-change:
+			case <-life.Done():
+				return
+			}
+		}
+		f, _ := r.At(from, to)
+		if f.Swallow { // nor is its end heard
+			continue
+		}
+		if len(p.b) == 0 {
+			return
+		}
+		b := p.b
+		if f.Reset > 0 && sent+len(b) >= f.Reset {
+			_, _ = conn.Write(b[:max(0, f.Reset-sent)])
+			abort(conn)
+			abort(source)
+			return
+		}
+		for len(b) > 0 {
+			n := len(b)
+			if f.Trickle > 0 {
+				n = 1
+				if !pause(time.Second / time.Duration(f.Trickle)) {
+					return
+				}
+				f, _ = r.At(from, to)
+			}
+			w, err := conn.Write(b[:n])
+			r.passed[from*r.n+to].Add(int64(w))
+			sent += w
+			if err != nil {
+				return
+			}
+			b = b[n:]
+		}
+	}
+}
--- a/internal/lab/faults/relays.go
+++ b/internal/lab/faults/relays.go
@@ -7,35 +7,21 @@
 	"net"
 	"net/netip"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 )
 
-const (
-	pieceSize = 16 << 10
-	// pieces bounds what waits on a connection, flying what is delayed of datagrams.
-	pieces      = 64
-	flying      = 4096
-	connectTime = 5 * time.Second
-)
+const connectTime = 5 * time.Second
 
 // Relays stand between the processes of a fleet. Each node has an address at which the
 // others reach it, which is a relay's, and one where it listens and from which it sends: by
 // that, a relay knows who calls, and so the pair. Nobody but the relays is told the latter.
 type Relays struct {
-	*Matrix
+	*carrier
 	nodes []relayed
 
 	// Stray counts what came from an address of no node.
 	Stray atomic.Int64
-	// passed counts, for each pair, bytes that were handed on.
-	passed []atomic.Int64
-
-	life context.Context
-	end  context.CancelFunc
-	wg   sync.WaitGroup
-	air  chan struct{}
 }
 
 type relayed struct {
@@ -52,8 +38,7 @@
 	if n < 1 || n > 120 {
 		return nil, fmt.Errorf("%d nodes: it has to be between 1 and 120", n)
 	}
-	r := &Relays{Matrix: NewMatrix(n, seed), passed: make([]atomic.Int64, n*n), air: make(chan struct{}, flying)}
-	r.life, r.end = context.WithCancel(context.Background())
+	r := &Relays{carrier: newCarrier(n, seed)}
 	pid, own := os.Getpid(), int(networks.Add(1))
 	for i := range n {
 		// The second and third part of an address are the process's, the last one the node's.
@@ -106,9 +91,6 @@
 // Listen is where a node has to listen, and to send from.
 func (r *Relays) Listen(i int) netip.AddrPort { return r.nodes[i].listen }
 
-// Passed is how many bytes were handed on from one node to another.
-func (r *Relays) Passed(from, to int) int64 { return r.passed[from*r.n+to].Load() }
-
 // Close ends all connections and listeners.
 func (r *Relays) Close() error {
 	r.end()
@@ -145,39 +127,11 @@
 		if !ok {
 			continue
 		}
-		after, spoilt := r.Packet(from, to, n)
-		for _, d := range after {
-			b := append([]byte(nil), buf[:n]...)
-			if spoilt >= 0 {
-				b[spoilt/8] ^= 1 << (spoilt % 8)
-			}
-			if d <= 0 {
-				r.deliver(from, to, b)
-				continue
-			}
-			select {
-			case r.air <- struct{}{}:
-			default:
-				continue // more is on its way than a network holds
-			}
-			r.wg.Go(func() {
-				defer func() { <-r.air }()
-				t := time.NewTimer(d)
-				defer t.Stop()
-				select {
-				case <-t.C:
-					r.deliver(from, to, b)
-				case <-r.life.Done():
-				}
-			})
-		}
-	}
-}
-
-// deliver sends as the one whom it comes from, so that an answer goes through a relay too.
-func (r *Relays) deliver(from, to int, b []byte) {
-	if _, err := r.nodes[from].udp.WriteToUDPAddrPort(b, r.nodes[to].listen); err == nil {
-		r.passed[from*r.n+to].Add(int64(len(b)))
+		r.fly(from, to, buf[:n], func(b []byte) error {
+			// It is sent as the one whom it comes from, so that an answer goes through a relay too.
+			_, err := r.nodes[from].udp.WriteToUDPAddrPort(b, r.nodes[to].listen)
+			return err
+		})
 	}
 }
 
@@ -196,147 +150,11 @@
 			_ = conn.Close()
 			continue
 		}
-		r.wg.Go(func() { r.relay(conn, from, to) })
-	}
-}
-
-// relay carries a connection. A connection through a cut comes up, as the kernel accepts it,
-// and stands still before its first byte.
-func (r *Relays) relay(conn *net.TCPConn, from, to int) {
-	life, end := context.WithCancel(r.life)
-	defer end()
-	defer conn.Close()
-	stop := context.AfterFunc(life, func() { _ = conn.Close() })
-	defer stop()
-	out := make(chan piece, pieces)
-	var running sync.WaitGroup
-	defer running.Wait()
-	running.Go(func() { r.read(life, conn, out, from, to) })
-	for r.cutAtAll(from, to) {
-		_, change := r.At(from, to)
-		if !r.cutAtAll(from, to) {
-			break
-		}
-		select {
-		case <-change:
-		case <-life.Done():
-			return
-		}
-	}
-	d := net.Dialer{Timeout: connectTime, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(r.nodes[from].address.Addr(), 0))}
-	c, err := d.DialContext(life, "tcp4", r.nodes[to].listen.String())
-	if err != nil {
-		_ = conn.SetLinger(0) // nobody is there
-		end()
-		return
-	}
-	other := c.(*net.TCPConn)
-	defer other.Close()
-	defer context.AfterFunc(life, func() { _ = other.Close() })()
-	back := make(chan piece, pieces)
-	running.Go(func() { r.read(life, other, back, to, from) })
-	running.Go(func() { r.write(life, end, conn, other, back, to, from) })
-	r.write(life, end, other, conn, out, from, to)
-	<-life.Done()
-}
-
-func (r *Relays) cutAtAll(from, to int) bool {
-	there, _ := r.At(from, to)
-	back, _ := r.At(to, from)
-	return there.Cut || back.Cut
-}
-
-// piece is a part of a connection's bytes; none at its end.
-type piece struct {
-	b  []byte
-	at time.Time
-}
-
-func (r *Relays) read(life context.Context, conn *net.TCPConn, out chan<- piece, from, to int) {
-	defer close(out)
-	buf := make([]byte, pieceSize)
-	for {
-		n, err := conn.Read(buf)
-		if n > 0 {
-			d, spoilt := r.Piece(from, to, n)
-			b := append([]byte(nil), buf[:n]...)
-			if spoilt >= 0 {
-				b[spoilt/8] ^= 1 << (spoilt % 8)
-			}
-			select {
-			case out <- piece{b, time.Now().Add(d)}:
-			case <-life.Done():
-				return
-			}
-		}
-		if err != nil {
-			select {
-			case out <- piece{nil, time.Now()}:
-			case <-life.Done():
-			}
-			return
-		}
-	}
-}
-
-// write hands pieces on as the fault of the moment has it.
-func (r *Relays) write(life context.Context, end func(), conn, source *net.TCPConn, in <-chan piece, from, to int) {
-	defer end()
-	sent := 0
-	pause := func(d time.Duration) bool {
-		t := time.NewTimer(d)
-		defer t.Stop()
-		select {
-		case <-t.C:
-			return true
-		case <-life.Done():
-			return false
-		}
-	}
-	for p := range in {
-		if !pause(time.Until(p.at)) {
-			return
-		}
-		for {
-			f, change := r.At(from, to)
-			if !f.Cut {
-				break
-			}
-			select {
-			case <-change:
-			case <-life.Done():
-				return
-			}
-		}
-		f, _ := r.At(from, to)
-		if f.Swallow { // nor is its end heard
-			continue
-		}
-		if len(p.b) == 0 {
-			return
-		}
-		b := p.b
-		if f.Reset > 0 && sent+len(b) >= f.Reset {
-			_, _ = conn.Write(b[:max(0, f.Reset-sent)])
-			_, _ = conn.SetLinger(0), source.SetLinger(0)
-			return
-		}
-		for len(b) > 0 {
-			n := len(b)
-			if f.Trickle > 0 {
-				n = 1
-				if !pause(time.Second / time.Duration(f.Trickle)) {
-					return
-				}
-				f, _ = r.At(from, to)
-			}
-			w, err := conn.Write(b[:n])
-			r.passed[from*r.n+to].Add(int64(w))
-			sent += w
-			if err != nil {
-				return
-			}
-			b = b[n:]
-		}
+		r.wg.Go(func() {
+			r.carry(conn, from, to, func(ctx context.Context) (net.Conn, error) {
+				d := net.Dialer{Timeout: connectTime, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(r.nodes[from].address.Addr(), 0))}
+				return d.DialContext(ctx, "tcp4", r.nodes[to].listen.String())
+			})
+		})
 	}
 }
