Fleet: nobody is missed after a change; what memberlist says after its end is not heard

Gossip says a thing a few times; who missed it waits for memberlist's next exchange of all, 30 s and, with 300, minutes apart.

Also: callbacks that came after the end of a session reached its listeners (gossip.heard), and a connection could be closed before it was whole (counted).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,8 @@
 	raiseEvery = 100 * time.Millisecond
 	// seekRemoved is for how long one that was removed is looked for, where it is no seed.
 	seekRemoved = 10 * time.Minute
+	// settleTime is for how long after a step of any member a node meets others by chance.
+	settleTime = 20 * time.Second
 	// DefaultConns bounds the connections to and from other nodes where nothing is said.
 	DefaultConns = 256
 )
@@ -118,6 +120,7 @@
 	rival   string            // where another process of this name was found, until it is gone
 	missed  int               // so often in a row nobody was there
 	refused map[string]string // who was refused of late, and why
+	news    time.Duration     // when a member last took a step
 	rand    *rand.Rand
 
 	stats counters
@@ -302,9 +305,7 @@
 	f.mu.Unlock()
 	f.closeLinks()
 	end()
-	if err := g.list.Shutdown(); err != nil {
-		f.o.Log.Debug("fleet: gossip", "err", err)
-	}
+	g.end()
 	meeting.Wait()
 }
 
@@ -491,6 +492,9 @@
 	defer f.inOrder.Unlock()
 	f.mu.Lock()
 	changes := step(f.table, f.o.Clock())
+	if len(changes) > 0 {
+		f.news = f.o.Clock()
+	}
 	var over []*link
 	for _, c := range changes {
 		if l := f.links[c.Name]; l != nil && c.To.Gone() {
@@ -567,6 +571,26 @@
 	return all[f.rand.IntN(len(all))], true
 }
 
+// settling is one to meet while news are fresh: gossip says a thing a few times, and whoever
+// missed it would wait for memberlist's next round, which takes minutes in a large fleet.
+func (f *Fleet) settling() (address string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.o.Clock()-f.news > settleTime {
+		return "", false
+	}
+	var all []string
+	for _, m := range f.table.Members() {
+		if m.State == Alive && m.Name != f.o.Name {
+			all = append(all, m.Name+"/"+m.Address)
+		}
+	}
+	if len(all) == 0 {
+		return "", false
+	}
+	return all[f.rand.IntN(len(all))], true
+}
+
 func (f *Fleet) current() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -668,13 +692,17 @@
 // counted counts a connection's bytes, ends with the session and gives its place back.
 type counted struct {
 	net.Conn
-	f    *Fleet
-	once sync.Once
-	stop func() bool
+	f *Fleet
+
+	mu     sync.Mutex
+	stop   func() bool
+	closed bool
 }
 
 func (f *Fleet) counted(life context.Context, raw net.Conn) *counted {
 	c := &counted{Conn: raw, f: f}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.stop = context.AfterFunc(life, func() { _ = c.Close() })
 	return c
 }
@@ -692,9 +720,13 @@
 }
 
 func (c *counted) Close() error {
-	c.once.Do(func() {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if first {
 		c.stop()
 		<-c.f.conns
-	})
+	}
 	return c.Conn.Close()
 }
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -52,6 +52,28 @@
 
 	packets chan *memberlist.Packet
 	streams chan net.Conn
+
+	mu   sync.RWMutex
+	over bool // memberlist may call back for a moment after its end, and is not heard any more
+}
+
+// heard runs what memberlist calls back, unless it is over.
+func (g *gossip) heard(what func()) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	if !g.over {
+		what()
+	}
+}
+
+// end shuts memberlist down; when it returns nothing more is heard of it.
+func (g *gossip) end() {
+	g.mu.Lock()
+	g.over = true
+	g.mu.Unlock()
+	if err := g.list.Shutdown(); err != nil {
+		g.f.o.Log.Debug("fleet: gossip", "err", err)
+	}
 }
 
 func (f *Fleet) startGossip() (*gossip, error) {
@@ -138,7 +160,7 @@
 		return err
 	}
 	if rec.Name == g.f.o.Name {
-		g.f.heardOfSelf(rec)
+		g.heard(func() { g.f.heardOfSelf(rec) })
 	}
 	return nil
 }
@@ -146,14 +168,14 @@
 // NotifyJoin and the next two follow who is heard.
 func (g *gossip) NotifyJoin(n *memberlist.Node) {
 	if rec, _, err := record(n); err == nil && rec.Name != g.f.o.Name {
-		g.f.learn(func(t *Table, now time.Duration) []Change { return t.Hear(rec, now) })
+		g.heard(func() { g.f.learn(func(t *Table, now time.Duration) []Change { return t.Hear(rec, now) }) })
 	}
 }
 
 func (g *gossip) NotifyUpdate(n *memberlist.Node) { g.NotifyJoin(n) }
 
 func (g *gossip) NotifyLeave(n *memberlist.Node) {
-	g.f.learn(func(t *Table, now time.Duration) []Change { return t.Silence(n.Name, now) })
+	g.heard(func() { g.f.learn(func(t *Table, now time.Duration) []Change { return t.Silence(n.Name, now) }) })
 }
 
 // NodeMeta and the next four are memberlist's Delegate.
@@ -173,9 +195,11 @@
 		g.f.stats.spoilt.Add(1)
 		return
 	}
-	for _, rec := range g.f.take(w) {
-		g.spread(rec)
-	}
+	g.heard(func() {
+		for _, rec := range g.f.take(w) {
+			g.spread(rec)
+		}
+	})
 }
 
 func (g *gossip) GetBroadcasts(overhead, limit int) [][]byte {
@@ -214,27 +238,33 @@
 func (w word) Finished()       {}
 
 // rejoin meets, now and then, one that is silent or a seed that was never heard: memberlist
-// forgets the dead, and the two halves of a split know nothing of each other any more.
+// forgets the dead, and the two halves of a split know nothing of each other any more. While
+// news are fresh it meets any.
 func (g *gossip) rejoin(ctx context.Context) {
-	pause := time.Duration(0)
-	for {
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-			return
-		}
-		to, found := g.f.lost()
-		if !found {
-			pause = rejoinEvery
-			continue
+	pause, failed := time.Duration(0), time.Duration(0)
+	for ctx.Err() == nil {
+		to, lost := g.f.lost()
+		met := lost
+		if !lost || failed > 0 && g.f.random() < 0.5 { // those that can't be reached don't stand in the way
+			if other, ok := g.f.settling(); ok {
+				to, met, lost = other, true, false
+			}
 		}
-		if _, err := g.list.Join([]string{to}); err != nil {
-			g.f.o.Log.Debug("fleet: not reached", "address", to, "err", err)
-			pause = min(max(2*pause, rejoinEvery), rejoinMost)
-		} else {
-			pause = rejoinEvery / 4 // there may be others
+		pause = rejoinEvery
+		if met {
+			_, err := g.list.Join([]string{to})
+			switch {
+			case err != nil:
+				g.f.o.Log.Debug("fleet: not reached", "address", to, "err", err)
+				failed = min(max(2*failed, rejoinEvery), rejoinMost)
+				pause = failed
+			case lost:
+				pause, failed = rejoinEvery/4, 0 // there may be others
+			default:
+				pause = 2 * rejoinEvery
+			}
 		}
-		pause = time.Duration(float64(pause) * (0.75 + 0.5*g.f.random()))
+		wait(ctx, time.Duration(float64(pause)*(0.75+0.5*g.f.random())))
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/simulated_test.go
@@ -0,0 +1,519 @@
+//go:build !race
+
+// In simulated time the runtime's own timers crash now and then under the race detector (a
+// ticker whose tick is due is run by whoever selects on it). What these tests play, it sees
+// in TestOverAndOver and in the real processes of cmd/wingmount.
+
+package fleet_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wingmount/internal/fleet"
+	"wingmount/internal/lab/faults"
+)
+
+// simulated is a world in a bubble of simulated time.
+func simulated(t *testing.T, n, seeds int) *world {
+	w := newWorld(t, n, seeds)
+	w.patience = time.Minute
+	return w
+}
+
+// A split, of which each half removes the other: all come together again, under new
+// incarnations, and who builds on members hears that it was removed.
+func TestASplitWithEachSideRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, 6, 2)
+		w.startAll()
+		w.await(healTime, "a fleet", func() bool { return w.whole(upTo(6)...) })
+		before := w.nodes[0].Self().Incarnation
+		w.net.Apply(faults.Pattern{What: faults.Split})
+		w.await(60*time.Second, "suspicion", func() bool { return w.sees(0, 3) == fleet.Suspect && w.sees(5, 0) == fleet.Suspect })
+		for j := range 3 {
+			if err := errors.Join(w.nodes[0].Remove(w.nodes[3+j].name), w.nodes[5].Remove(w.nodes[j].name)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.await(10*time.Second, "removed on both sides", func() bool { return w.sees(1, 4) == fleet.Removed && w.sees(4, 1) == fleet.Removed })
+		time.Sleep(30 * time.Second)
+		w.net.Heal()
+		w.await(healTime, "all together again", func() bool { return w.whole(upTo(6)...) })
+		n := w.nodes[0]
+		if now := n.Self().Incarnation; now <= before {
+			t.Errorf("incarnation %d after %d", now, before)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if !slices.ContainsFunc(n.changes, func(c fleet.Change) bool {
+			return c.Name == n.name && c.To == fleet.Removed && c.Incarnation == before
+		}) {
+			t.Errorf("it was not told of its own removal: %v", n.changes)
+		}
+	})
+}
+
+// Names: a folder that is an hour old, a folder that is lost, a copy of a folder.
+func TestOneProcessAName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, 5, 2)
+		for i := range 4 {
+			w.start(i)
+		}
+		old := t.TempDir()
+		w.await(healTime, "a fleet", func() bool { return w.whole(0, 1, 2, 3) })
+		if err := os.CopyFS(old, os.DirFS(w.nodes[3].dir)); err != nil {
+			t.Fatal(err)
+		}
+		for range 3 {
+			w.kill(3)
+			w.start(3)
+			w.await(healTime, "it is back", func() bool { return w.whole(0, 1, 2, 3) })
+		}
+		was := w.nodes[3].Self().Incarnation
+		for _, dir := range []string{old, t.TempDir()} {
+			w.kill(3)
+			w.nodes[3].dir = dir
+			w.start(3)
+			w.await(healTime, "it is back under a later incarnation", func() bool {
+				return w.whole(0, 1, 2, 3) && w.nodes[3].Self().Incarnation > was
+			})
+			was = w.nodes[3].Self().Incarnation
+		}
+
+		// A copy at another address, while the first one lives: it stays outside, the first is
+		// unharmed; when that has ended, it comes in.
+		at4 := w.file.Nodes[4].Address
+		w.file.Nodes = slices.Clone(w.file.Nodes[:4])
+		at3 := w.file.Nodes[3].Address
+		w.file.Nodes[3].Address = at4
+		w.nodes[4].name, w.nodes[4].dir = w.nodes[3].name, t.TempDir()
+		if err := os.CopyFS(w.nodes[4].dir, os.DirFS(w.nodes[3].dir)); err != nil {
+			t.Fatal(err)
+		}
+		w.start(4)
+		w.await(healTime, "the copy is refused", func() bool { return w.nodes[4].Status().State == fleet.Outside })
+		time.Sleep(time.Minute)
+		if s := w.nodes[3].Status(); s.State != fleet.Joined || s.Incarnation != was || !w.whole(0, 1, 2, 3) {
+			t.Errorf("the first is harmed: %+v", s)
+		}
+		if s := w.nodes[4].Status(); s.State != fleet.Outside || !strings.Contains(s.Why, at3) {
+			t.Errorf("the copy: %+v", s)
+		}
+		w.kill(3)
+		w.await(time.Minute, "the copy comes in", func() bool { return w.nodes[4].Status().State == fleet.Joined && w.whole(0, 1, 2, 4) })
+	})
+}
+
+// Two of one name that are announced in the two halves of a split both stay outside when it heals,
+// until one has ended.
+func TestTwoOfOneNameMeet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, 6, 3)
+		// Places 0 to 2 and 3 to 5; the name of 2 is also at 5, and each half has a seed.
+		w.file.Nodes[1].Seed, w.file.Nodes[2].Seed, w.file.Nodes[3].Seed = false, false, true
+		w.net.Apply(faults.Pattern{What: faults.Split})
+		for i := range 5 {
+			w.start(i)
+		}
+		w.file.Nodes = slices.Clone(w.file.Nodes[:5])
+		w.file.Nodes[2].Address = w.net.Address(5).String()
+		w.nodes[5].name = w.nodes[2].name
+		w.start(5)
+		w.await(healTime, "two halves", func() bool { return w.whole(0, 1, 2) && w.whole(3, 4, 5) })
+		w.net.Heal()
+		w.await(time.Minute, "both outside", func() bool {
+			return w.nodes[2].Status().State == fleet.Outside && w.nodes[5].Status().State == fleet.Outside
+		})
+		w.await(healTime, "the others are one", func() bool { return w.whole(0, 1, 3, 4) })
+		if s := w.sees(0, 2); s.Gone() {
+			t.Errorf("the name is %s, and nobody said so", s)
+		}
+		w.kill(5)
+		w.await(2*time.Minute, "the other comes in", func() bool { return w.whole(0, 1, 2, 3, 4) })
+	})
+}
+
+// A seed that is down for ever costs nobody anything, and a node that can't be heard by one
+// other for longer than every time-out stays what it is: a member.
+func TestOneWayAndASeedThatIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, 5, 2)
+		for i := 1; i < 5; i++ {
+			w.start(i)
+		}
+		w.await(healTime, "a fleet without its first seed", func() bool { return w.whole(1, 2, 3, 4) })
+		w.net.Set(3, 4, faults.Fault{Cut: true})
+		for range 120 {
+			time.Sleep(time.Second)
+			for _, i := range []int{1, 2, 3, 4} {
+				for _, j := range []int{1, 2, 3, 4} {
+					if w.sees(i, j).Gone() {
+						t.Fatalf("%d sees %d as gone", i, j)
+					}
+				}
+			}
+		}
+		w.net.Heal()
+		w.await(healTime, "all again", func() bool { return w.whole(1, 2, 3, 4) })
+		if n := w.nodes[1].Count(); n != 4 {
+			t.Errorf("counted %d", n)
+		}
+	})
+}
+
+// A half of a split fleet counts all, and so does a node that joins it meanwhile.
+func TestNobodyCountsTheSmallerHalf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, 9, 3)
+		w.file.Nodes[6].Seed = true
+		for i := range 8 {
+			w.start(i)
+		}
+		w.await(healTime, "a fleet", func() bool { return w.whole(upTo(8)...) })
+		w.net.Apply(faults.Pattern{What: faults.Split, Parts: 3})
+		time.Sleep(10 * time.Minute)
+		w.start(8)
+		w.await(healTime, "one more, in the last part", func() bool { return w.sees(7, 8) == fleet.Alive })
+		for i, want := range map[int]int{0: 8, 4: 8, 7: 9, 8: 9} {
+			if n := w.nodes[i].Count(); n != want {
+				t.Errorf("%d counts %d, want %d", i, n, want)
+			}
+		}
+		w.net.Heal()
+		w.await(healTime, "all", func() bool { return w.whole(upTo(9)...) })
+	})
+}
+
+// Restarts, flapping and loss: never gone without a word, and whole when it ends.
+func TestFlapping(t *testing.T) {
+	for _, period := range []time.Duration{300 * time.Millisecond, 1100 * time.Millisecond, 5 * time.Second, 9 * time.Second} {
+		t.Run(period.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := simulated(t, 6, 2)
+				w.startAll()
+				w.await(healTime, "a fleet", func() bool { return w.whole(upTo(6)...) })
+				for began := time.Now(); time.Since(began) < 2*time.Minute; {
+					w.net.Apply(faults.Pattern{What: faults.Split})
+					time.Sleep(period)
+					w.net.Heal()
+					time.Sleep(period)
+					if s := w.sees(0, 5); s.Gone() {
+						t.Fatal(s)
+					}
+				}
+				w.await(healTime, "all", func() bool { return w.whole(upTo(6)...) })
+			})
+		})
+	}
+}
+
+func TestFiftyRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, 4, 2)
+		w.startAll()
+		w.await(healTime, "a fleet", func() bool { return w.whole(upTo(4)...) })
+		for range 50 { // all within the time that a suspicion takes
+			w.kill(3)
+			w.start(3)
+			time.Sleep(50 * time.Millisecond)
+		}
+		w.await(healTime, "all", func() bool { return w.whole(upTo(4)...) })
+		if inc := w.nodes[3].Self().Incarnation; inc < 51 {
+			t.Errorf("incarnation %d", inc)
+		}
+	})
+}
+
+// Asked and told over links that break in each way: what an asker hears is true, and the newest
+// news come.
+func TestLinksThatBreak(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault faults.Fault
+	}{
+		{"whole", faults.Fault{}}, {"slow", faults.Fault{Delay: 100 * time.Millisecond, Jitter: 100 * time.Millisecond}},
+		{"cut", faults.Fault{Cut: true}}, {"swallowed", faults.Fault{Swallow: true}}, {"reset in a frame", faults.Fault{Reset: 300}},
+		{"spoilt", faults.Fault{Spoil: 0.2}}, {"a byte at a time", faults.Fault{Trickle: 1}}, {"lossy", faults.Fault{Lose: 0.2}},
+	} {
+		for _, way := range []string{"there", "back"} {
+			t.Run(c.name+" "+way, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := simulated(t, 2, 1)
+					var handled sync.Map
+					var heard atomic.Int64
+					w.start(0)
+					w.start(1, func(f *fleet.Fleet) {
+						f.OnAsk("q", func(_ context.Context, from fleet.Peer, body []byte) ([]byte, error) {
+							n, _ := handled.LoadOrStore(string(body), new(atomic.Int64))
+							n.(*atomic.Int64).Add(1)
+							if from.Name != "n000" {
+								return nil, errors.New("who is that")
+							}
+							return append([]byte("re "), body...), nil
+						})
+						f.OnNews("k", func(_ fleet.Peer, _ string, _ time.Duration, body []byte) {
+							v, _ := strconv.ParseInt(string(body), 10, 64)
+							heard.Store(v)
+						})
+					})
+					w.await(healTime, "a fleet", func() bool { return w.whole(0, 1) })
+					from, to := 0, 1
+					if way == "back" {
+						from, to = 1, 0
+					}
+					f := w.nodes[0]
+					if _, err := f.Ask(t.Context(), "n001", "q", []byte("first")); err != nil {
+						t.Fatal(err)
+					}
+					w.net.Set(from, to, c.fault)
+					var asked sync.WaitGroup
+					var mu sync.Mutex
+					outcomes := map[string]int{}
+					for i := range 60 {
+						if err := f.Tell("n001", "k", "x", []byte(strconv.Itoa(i))); err != nil {
+							t.Error(err)
+						}
+						asked.Go(func() {
+							ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+							defer cancel()
+							id := strconv.Itoa(i)
+							began := time.Now()
+							answer, err := f.Ask(ctx, "n001", "q", []byte(id))
+							if took := time.Since(began); took > time.Second {
+								t.Errorf("an asker waited %v", took)
+							}
+							n := int64(0)
+							if v, ok := handled.Load(id); ok {
+								n = v.(*atomic.Int64).Load()
+							}
+							how := ""
+							switch {
+							case err == nil:
+								how = "answered"
+								if string(answer) != "re "+id || n != 1 {
+									t.Errorf("%s: answered %q, handled %d times", id, answer, n)
+								}
+							case errors.Is(err, fleet.ErrNotSent):
+								how = "not sent"
+								if n != 0 {
+									t.Errorf("%s: not sent, and handled %d times", id, n)
+								}
+							case errors.Is(err, fleet.ErrMaybe):
+								how = "maybe"
+								if n > 1 {
+									t.Errorf("%s: handled %d times", id, n)
+								}
+							default:
+								t.Error(err)
+							}
+							mu.Lock()
+							defer mu.Unlock()
+							outcomes[how]++
+						})
+						time.Sleep(200 * time.Millisecond)
+					}
+					asked.Wait()
+					t.Log(outcomes)
+					w.net.Heal()
+					w.await(healTime, "the last news", func() bool { return heard.Load() == 59 })
+					handled.Range(func(id, n any) bool {
+						if n := n.(*atomic.Int64).Load(); n > 1 {
+							t.Errorf("%s was handled %d times", id, n)
+						}
+						return true
+					})
+				})
+			})
+		}
+	}
+}
+
+// Two that turn to each other at the same instant get one connection, and lose nothing.
+func TestBothDialAtOnce(t *testing.T) {
+	for _, delay := range []time.Duration{0, 50 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			w := simulated(t, 2, 1)
+			for i := range 2 {
+				w.start(i, func(f *fleet.Fleet) {
+					f.OnAsk("q", func(context.Context, fleet.Peer, []byte) ([]byte, error) { return []byte("a"), nil })
+				})
+			}
+			w.await(healTime, "a fleet", func() bool { return w.whole(0, 1) })
+			w.net.Apply(faults.Pattern{What: faults.All, Fault: faults.Fault{Delay: delay}})
+			var asked sync.WaitGroup
+			for i := range 2 {
+				for range 20 {
+					asked.Go(func() {
+						if _, err := w.nodes[i].Ask(t.Context(), w.nodes[1-i].name, "q", nil); err != nil {
+							t.Error(err)
+						}
+					})
+				}
+			}
+			asked.Wait()
+			time.Sleep(5 * time.Second)
+			for _, n := range w.nodes {
+				if c := n.Status().Traffic.Connections; c != 1 {
+					t.Errorf("%s has %d connections", n.name, c)
+				}
+			}
+		})
+	}
+}
+
+// A thousand joins and leaves leave nothing behind.
+func TestNothingIsLeftOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, 3, 2)
+		w.start(0)
+		w.start(1)
+		w.await(healTime, "two", func() bool { return w.whole(0, 1) })
+		time.Sleep(2 * time.Minute) // links that nobody uses are gone
+		synctest.Wait()
+		goroutines := runtime.NumGoroutine()
+		for i := range 1000 {
+			n := w.start(2)
+			w.await(healTime, "joined", func() bool { return n.Status().State == fleet.Joined && w.sees(0, 2) == fleet.Alive })
+			if _, err := n.Ask(t.Context(), "n000", "q", nil); !errors.As(err, new(fleet.AnswerError)) {
+				t.Fatal(err)
+			}
+			w.end(2, i%2 == 0)
+		}
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		if after := runtime.NumGoroutine(); after > goroutines {
+			buf := make([]byte, 1<<20)
+			t.Errorf("%d goroutines, %d before:\n%s", after, goroutines, buf[:runtime.Stack(buf, true)])
+		}
+		for i := range 2 {
+			if s := w.nodes[i].Status(); s.Traffic.Connections != 0 || len(s.Members) != 3 {
+				t.Errorf("%+v", s)
+			}
+		}
+	})
+}
+
+// TestTimeToKnow tells how long it takes until all know of a join, a leaving and a death, and what
+// that costs. FLEET_NODES and FLEET_LOSS (shares, as 300 and 0.05) make it a measurement.
+func TestTimeToKnow(t *testing.T) {
+	n, loss, rounds := 8, 0.05, 3
+	if v, err := strconv.Atoi(os.Getenv("FLEET_NODES")); err == nil {
+		n, rounds = v, 5
+	}
+	if v, err := strconv.ParseFloat(os.Getenv("FLEET_LOSS"), 64); err == nil {
+		loss = v
+	}
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, n, 3)
+		w.net.Apply(faults.Pattern{What: faults.All, Fault: faults.Fault{Lose: loss, Delay: 2 * time.Millisecond, Jitter: 3 * time.Millisecond}})
+		began := time.Now()
+		w.startAll()
+		took := w.await(2*time.Minute, "a fleet", func() bool { return w.whole(upTo(n)...) })
+		t.Logf("%d nodes, %v of what is sent lost: all know all %v after a start at one instant", n, loss, took)
+		time.Sleep(30 * time.Second)
+		traffic := func() (bytes, packets int64) {
+			for _, n := range w.nodes {
+				s := n.Status().Traffic
+				bytes, packets = bytes+s.BytesOut, packets+s.PacketsOut
+			}
+			return bytes, packets
+		}
+		false0 := w.falseSuspicions(began)
+		b0, p0 := traffic()
+		rest := 60 * time.Second
+		restFrom := time.Now()
+		time.Sleep(rest)
+		b1, p1 := traffic()
+		t.Logf("at rest, a node a second: %.0f bytes, %.1f datagrams out; false suspicions: %d at the start, %d in %v", float64(b1-b0)/rest.Seconds()/float64(n),
+			float64(p1-p0)/rest.Seconds()/float64(n), false0, w.falseSuspicions(restFrom), rest)
+		r := rand.New(rand.NewPCG(1, 2))
+		for _, what := range []string{"death", "join", "leave"} {
+			var all []time.Duration
+			for range rounds {
+				j := r.IntN(n)
+				switch what {
+				case "join":
+					w.kill(j)
+					w.await(3*time.Minute, "silent", func() bool { return w.allSee(j, fleet.Suspect) })
+				}
+				at := time.Now()
+				switch what {
+				case "death":
+					w.kill(j)
+					w.await(3*time.Minute, "death", func() bool { return w.allSee(j, fleet.Suspect) })
+				case "join":
+					w.start(j)
+					w.await(3*time.Minute, "join", func() bool { return w.allSee(j, fleet.Alive) })
+				case "leave":
+					w.end(j, true)
+					w.await(3*time.Minute, "leaving", func() bool { return w.allSee(j, fleet.Left) })
+				}
+				all = append(all, w.learnt(j, at)...)
+				if what != "join" {
+					w.start(j)
+					w.await(3*time.Minute, "back", func() bool { return w.whole(upTo(n)...) })
+				}
+			}
+			slices.Sort(all)
+			if len(all) == 0 {
+				t.Fatal("nobody learnt of a", what)
+			}
+			t.Logf("%s: known after median %v, 99th percentile %v, at most %v (%d)", what, all[len(all)/2].Round(time.Millisecond),
+				all[len(all)*99/100].Round(time.Millisecond), all[len(all)-1].Round(time.Millisecond), len(all))
+		}
+	})
+}
+
+func (w *world) allSee(j int, s fleet.State) bool {
+	for i, n := range w.nodes {
+		if i != j && n.stop != nil && w.sees(i, j) != s {
+			return false
+		}
+	}
+	return true
+}
+
+// learnt is how long after a moment each other node's last step about one came.
+func (w *world) learnt(j int, since time.Time) (all []time.Duration) {
+	for i, n := range w.nodes {
+		if i == j {
+			continue
+		}
+		n.mu.Lock()
+		for k := len(n.changes) - 1; k >= 0 && !n.at[k].Before(since); k-- {
+			if n.changes[k].Name == w.nodes[j].name {
+				all = append(all, n.at[k].Sub(since))
+				break
+			}
+		}
+		n.mu.Unlock()
+	}
+	return all
+}
+
+// falseSuspicions counts steps from alive to suspect since a moment at which nobody had died.
+func (w *world) falseSuspicions(since time.Time) (count int) {
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		for k, c := range n.changes {
+			if c.To == fleet.Suspect && c.From == fleet.Alive && !n.at[k].Before(since) {
+				count++
+			}
+		}
+		n.mu.Unlock()
+	}
+	return count
+}
--- a/internal/lab/faults/carrier.go
+++ b/internal/lab/faults/carrier.go
@@ -161,6 +161,9 @@
 	defer end()
 	sent := 0
 	pause := func(d time.Duration) bool {
+		if d <= 0 {
+			return true
+		}
 		t := time.NewTimer(d)
 		defer t.Stop()
 		select {
