--- a/cmd/wingmount/fleet_test.go
+++ b/cmd/wingmount/fleet_test.go
@@ -53,14 +53,10 @@
 		f.Nodes = append(f.Nodes, fleet.Node{Name: name, Address: r.net.Address(i).String(), Listen: r.net.Listen(i).String(), Seed: i < seeds})
 		p := newPlatform(t)
 		p.flags = []string{"-fleet", r.file}
-		host, _, err := net.SplitHostPort(p.listen)
-		must(t, err)
-		held, err := net.Listen("tcp", p.listen) // or it might be given out again
-		must(t, err)
-		l, err := net.Listen("tcp", host+":0")
-		must(t, err)
-		r.nodes = append(r.nodes, &fleetNode{platform: p, name: name, console: l.Addr().String()})
-		must(t, errors.Join(l.Close(), held.Close()))
+		// The address is this node's alone, so any port of it is free.
+		host, port := r.net.Listen(i).Addr(), 10000+os.Getpid()%20000
+		p.listen = fmt.Sprintf("%v:%d", host, port)
+		r.nodes = append(r.nodes, &fleetNode{platform: p, name: name, console: fmt.Sprintf("%v:%d", host, port+1)})
 	}
 	r.write(f)
 	return r
--- a/internal/lab/faults/relays.go
+++ b/internal/lab/faults/relays.go
@@ -41,9 +41,9 @@
 	r := &Relays{carrier: newCarrier(n, seed)}
 	pid, own := os.Getpid(), int(networks.Add(1))
 	for i := range n {
-		// The second and third part of an address are the process's, the last one the node's.
+		// The second part of an address is this rig's, the third the process's, the last the node's.
 		host := func(half int) netip.Addr {
-			return netip.AddrFrom4([4]byte{127, byte(128 + pid>>8&63 + 64*(own&1)), byte(pid), byte(1 + 120*half + i)})
+			return netip.AddrFrom4([4]byte{127, byte(128 + own&127), byte(pid), byte(1 + 120*half + i)})
 		}
 		var node relayed
 		var err error
