winglab fleet: fleets of real nodes with faults between them, and their rules

A scenario's table [fleet] puts a relay on each way between two nodes, sets patterns at drawn times and says the staff's word; the nodes' logs tell who sees whom. New rules: silent is never gone, an incarnation never falls, all see all 30 s after the last fault, no byte past the relays.

--- a/internal/lab/faults/relays.go
+++ b/internal/lab/faults/relays.go
@@ -11,7 +11,11 @@
 	"time"
 )
 
-const connectTime = 5 * time.Second
+const (
+	connectTime = 5 * time.Second
+	// MaxRelays is how many nodes may be between relays.
+	MaxRelays = 120
+)
 
 // Relays stand between the processes of a fleet. Each node has an address at which the
 // others reach it, which is a relay's, and one where it listens and from which it sends: by
@@ -35,15 +39,15 @@
 
 // NewRelays opens the relays of n nodes, on loopback addresses of this process alone.
 func NewRelays(n int, seed uint64) (*Relays, error) {
-	if n < 1 || n > 120 {
-		return nil, fmt.Errorf("%d nodes: it has to be between 1 and 120", n)
+	if n < 1 || n > MaxRelays {
+		return nil, fmt.Errorf("%d nodes: it has to be between 1 and %d", n, MaxRelays)
 	}
 	r := &Relays{carrier: newCarrier(n, seed)}
 	pid, own := os.Getpid(), int(networks.Add(1))
 	for i := range n {
 		// The second part of an address is this rig's, the third the process's, the last the node's.
 		host := func(half int) netip.Addr {
-			return netip.AddrFrom4([4]byte{127, byte(128 + own&127), byte(pid), byte(1 + 120*half + i)})
+			return netip.AddrFrom4([4]byte{127, byte(128 + own&127), byte(pid), byte(1 + MaxRelays*half + i)})
 		}
 		var node relayed
 		var err error
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -68,6 +68,7 @@
 	wg      sync.WaitGroup
 	playing bool
 	fatal   error
+	fleet   *fleet // nil where nodes know nothing of each other
 }
 
 // Run plays the day until all that was taken on has its end, or its time is up.
@@ -99,6 +100,7 @@
 	}
 	r.clients.close()
 	r.wg.Wait()
+	err = errors.Join(err, r.fleet.close())
 	var uses []Use
 	for _, n := range r.nodes {
 		uses = append(uses, n.use)
@@ -144,6 +146,9 @@
 	if err := os.MkdirAll(r.o.Dir, 0o755); err != nil {
 		return fmt.Errorf("the nodes' folder: %w", err)
 	}
+	if err := r.openFleet(); err != nil {
+		return fmt.Errorf("the fleet: %w", err)
+	}
 	for i := range r.o.Day.Nodes {
 		n := &node{run: r, me: i, dir: filepath.Join(r.o.Dir, fmt.Sprintf("n%d", i))}
 		r.nodes = append(r.nodes, n)
@@ -195,6 +200,7 @@
 	for _, n := range r.nodes {
 		r.note(trace.Record{What: trace.Ready, Node: n.me})
 	}
+	r.fleet.begin()
 	day := &r.o.Day
 	end := day.Length
 	r.pending = len(day.Messages)
@@ -229,6 +235,7 @@
 			return r.fatal
 		}
 		if now > end || now > day.Length && r.pending == 0 && len(r.owed) == 0 {
+			r.fleet.over()
 			r.note(trace.Record{At: now, What: trace.Over})
 			return nil
 		}
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -156,6 +156,9 @@
 	if n.grouped() {
 		flags = append(slices.Clone(flags), fmt.Sprintf("-group=%d", len(n.procs)))
 	}
+	if n.run.fleet != nil {
+		flags = append(slices.Clone(flags), "-fleet="+n.run.fleet.file)
+	}
 	cmd := exec.Command(n.run.o.Node, flags...)
 	tmp := filepath.Join(n.dir, "tmp")
 	if err := os.MkdirAll(tmp, 0o755); err != nil {
@@ -171,6 +174,10 @@
 	began, life := time.Now(), p.life
 	out := &readyLog{to: n.log, ready: func() { n.run.post(func() { p.isReady(life, time.Since(began)) }) }}
 	cmd.Stdout, cmd.Stderr = out, out
+	if f := n.run.fleet; f != nil {
+		all := &fleetLog{to: out, read: func(line []byte) { f.heard(n.me, line) }}
+		cmd.Stdout, cmd.Stderr = all, all
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the lab, however that ends
 	p.planned = false
 	if err := cmd.Start(); err != nil {
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -21,19 +21,20 @@
 
 // Summary is a run in short.
 type Summary struct {
-	Scenario string          `json:"scenario"`
-	Seed     uint64          `json:"seed"`
-	Way      string          `json:"way"` // "sim" or "run"
-	Revision string          `json:"revision"`
-	Variant  string          `json:"variant,omitempty"`
-	Length   float64         `json:"length_s"`
-	Nodes    int             `json:"nodes"`
-	Took     float64         `json:"took_s"` // of real time
-	Invalid  string          `json:"invalid,omitempty"`
-	Figures  figures.Figures `json:"figures"`
-	Broken   []rules.Broken  `json:"broken"`
-	Account  rules.Account   `json:"account"`
-	Usage    []Usage         `json:"usage,omitempty"` // of real processes
+	Scenario string              `json:"scenario"`
+	Seed     uint64              `json:"seed"`
+	Way      string              `json:"way"` // "sim" or "run"
+	Revision string              `json:"revision"`
+	Variant  string              `json:"variant,omitempty"`
+	Length   float64             `json:"length_s"`
+	Nodes    int                 `json:"nodes"`
+	Took     float64             `json:"took_s"` // of real time
+	Invalid  string              `json:"invalid,omitempty"`
+	Figures  figures.Figures     `json:"figures"`
+	Broken   []rules.Broken      `json:"broken"`
+	Account  rules.Account       `json:"account"`
+	Fleet    *rules.FleetAccount `json:"fleet,omitempty"`
+	Usage    []Usage             `json:"usage,omitempty"` // of real processes
 }
 
 // Usage is what a node's processes used.
@@ -158,6 +159,7 @@
 	defer r.mu.Unlock()
 	s := &r.summary
 	s.Broken, s.Account = r.check.Finish(r.last)
+	s.Fleet = r.check.Fleet()
 	s.Figures = r.count.Finish()
 	s.Took = time.Since(r.began).Seconds()
 	if fill != nil {
@@ -202,6 +204,14 @@
 			p.line("after the end of %s at %.1f s: well again within %.0f s", c.Fault, c.At, c.Took+1)
 		}
 	}
+	if s.Fleet != nil {
+		p.line("fleet of %d: false suspicions %d in %.0f s without a fault", s.Fleet.Nodes, s.Fleet.FalseSuspicions, s.Fleet.Calm)
+		for _, what := range []string{"start", "leaving", "death"} {
+			if k, seen := s.Fleet.Known[what]; seen {
+				p.line("  %s known after: median %.2f s, 99th percentile %.2f s, at most %.2f s (%d)", what, k.Median, k.P99, k.Most, k.Count)
+			}
+		}
+	}
 	if s.Invalid != "" {
 		p.line("INVALID: %s", s.Invalid)
 	}
--- /dev/null
+++ b/internal/lab/rules/fleet.go
@@ -0,0 +1,181 @@
+package rules
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"wingmount/internal/lab/trace"
+)
+
+// The rules of a fleet.
+const (
+	Gone    = "silent is never gone"
+	Later   = "an incarnation never falls"
+	Healed  = "all see all when faults have ended"
+	Through = "no byte between nodes but through the relays"
+)
+
+// HealTime is how long after the last fault all that run see all that run: a few of the fleet's
+// own periods (a try to meet again each 5 s at most, word of it by gossip), on a busy machine.
+const HealTime = 30 * time.Second
+
+// Known says how long it took until a node knew of a thing.
+type Known struct {
+	Count  int     `json:"count"`
+	Median float64 `json:"median_s"`
+	P99    float64 `json:"p99_s"`
+	Most   float64 `json:"most_s"`
+}
+
+// FleetAccount is what a run showed of a fleet.
+type FleetAccount struct {
+	Nodes           int              `json:"nodes"`
+	Known           map[string]Known `json:"known"`            // by what: death, leaving, start
+	FalseSuspicions int              `json:"false_suspicions"` // of a node that ran, with no fault between nodes
+	Calm            float64          `json:"calm_s"`           // for so long there was none
+}
+
+type view struct {
+	state       string
+	incarnation uint64
+	line        int
+}
+
+// event is what others are to learn of a node.
+type event struct {
+	what string
+	at   time.Duration
+	told map[int]bool
+}
+
+// fleet follows who sees whom. Nodes are numbers, as everywhere in a trace.
+type fleet struct {
+	c        *Checker
+	views    map[[2]int]view // by who looks, and at whom
+	up       map[int]bool
+	left     map[int]int // ended in good order, at this line
+	removed  map[int]int // by the staff's word
+	stopped  map[int]time.Duration
+	nets     int // faults between nodes that hold
+	last     time.Duration
+	calm     time.Duration
+	events   map[int]*event
+	took     map[string][]float64
+	suspects int
+	any      bool
+}
+
+func newFleet(c *Checker) *fleet {
+	return &fleet{c: c, views: map[[2]int]view{}, up: map[int]bool{}, left: map[int]int{}, removed: map[int]int{},
+		stopped: map[int]time.Duration{}, events: map[int]*event{}, took: map[string][]float64{}}
+}
+
+func (f *fleet) take(r trace.Record) {
+	switch r.What {
+	case trace.Ready:
+		f.disturbed(r.At)
+		if !f.up[r.Node] {
+			f.events[r.Node] = &event{"start", r.At, map[int]bool{}}
+		}
+		f.up[r.Node] = true
+	case trace.Start:
+		f.disturbed(r.At)
+		for pair := range f.views { // a new life knows nothing
+			if pair[0] == r.Node {
+				delete(f.views, pair)
+			}
+		}
+	case trace.Stop:
+		f.disturbed(r.At)
+		f.up[r.Node] = false
+		what := "death"
+		if r.Result == "SIGTERM" {
+			f.left[r.Node], what = f.c.line, "leaving"
+		}
+		f.events[r.Node] = &event{what, r.At, map[int]bool{}}
+	case trace.Fault:
+		if r.Result == "stop" {
+			f.disturbed(r.At)
+			f.stopped[r.Node] = r.Until
+		}
+	case trace.Net:
+		f.disturbed(r.At)
+		f.any = true
+		f.nets += r.Lines
+	case trace.Word:
+		f.disturbed(r.At)
+		f.removed[r.EP] = f.c.line
+	case trace.Member:
+		f.any = true
+		f.member(r)
+	case trace.Over:
+		f.disturbed(r.At)
+	}
+}
+
+// quiet is since when there has been no fault, as far as it is known now.
+func (f *fleet) quiet(now time.Duration) time.Duration {
+	since := f.last
+	for _, until := range f.stopped {
+		since = max(since, min(until, now))
+	}
+	return since
+}
+
+// disturbed looks, before something changes, whether all was well by now.
+func (f *fleet) disturbed(now time.Duration) {
+	since := f.quiet(now)
+	if f.nets == 0 && now-since >= HealTime && f.any {
+		f.calm += now - since - HealTime
+		f.whole(now, since)
+	}
+	f.last = now
+	maps.DeleteFunc(f.stopped, func(_ int, until time.Duration) bool { return until <= now })
+}
+
+func (f *fleet) whole(now, since time.Duration) {
+	for _, from := range slices.Sorted(maps.Keys(f.up)) {
+		for _, to := range slices.Sorted(maps.Keys(f.up)) {
+			if v := f.views[[2]int{from, to}]; from != to && f.up[from] && f.up[to] && v.state != "alive" {
+				f.c.broke(now, Healed, []int{v.line, f.c.line}, "node %d sees node %d as %q, %.0f s after the last fault", from, to, v.state, (now - since).Seconds())
+			}
+		}
+	}
+}
+
+func (f *fleet) member(r trace.Record) {
+	pair := [2]int{r.Node, r.EP}
+	was := f.views[pair]
+	v := view{r.Result, r.Call, f.c.line}
+	f.views[pair] = v
+	if v.incarnation < was.incarnation {
+		f.c.broke(r.At, Later, []int{was.line, v.line}, "node %d sees node %d under incarnation %d after %d", r.Node, r.EP, v.incarnation, was.incarnation)
+	}
+	switch {
+	case v.state == "left" && f.left[r.EP] == 0:
+		f.c.broke(r.At, Gone, []int{v.line}, "node %d sees node %d as left, which was never told to end", r.Node, r.EP)
+	case v.state == "removed" && f.removed[r.EP] == 0:
+		f.c.broke(r.At, Gone, []int{v.line}, "node %d sees node %d as removed, which nobody said", r.Node, r.EP)
+	case v.state == "suspect" && was.state == "alive" && f.up[r.EP] && f.up[r.Node] && f.nets == 0 && r.At-f.quiet(r.At) >= HealTime:
+		f.suspects++
+	}
+	if e := f.events[r.EP]; e != nil && !e.told[r.Node] {
+		if want := map[string]string{"death": "suspect", "leaving": "left", "start": "alive"}[e.what]; v.state == want {
+			e.told[r.Node] = true
+			f.took[e.what] = append(f.took[e.what], (r.At - e.at).Seconds())
+		}
+	}
+}
+
+func (f *fleet) finish() *FleetAccount {
+	if !f.any {
+		return nil
+	}
+	a := &FleetAccount{Nodes: len(f.up), Known: map[string]Known{}, FalseSuspicions: f.suspects, Calm: f.calm.Seconds()}
+	for what, all := range f.took {
+		slices.Sort(all)
+		a.Known[what] = Known{len(all), all[len(all)/2], all[len(all)*99/100], all[len(all)-1]}
+	}
+	return a
+}
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -149,6 +149,7 @@
 	told     []Broken
 	counts   map[string]int
 	accounts Account
+	fleet    *fleet
 }
 
 // Account says what became of the tries that were handed in.
@@ -166,7 +167,9 @@
 
 // New begins to check.
 func New(l Limits) *Checker {
-	return &Checker{lim: l, messages: map[string]*message{}, calls: map[uint64]*message{}, counts: map[string]int{}}
+	c := &Checker{lim: l, messages: map[string]*message{}, calls: map[uint64]*message{}, counts: map[string]int{}}
+	c.fleet = newFleet(c)
+	return c
 }
 
 func (c *Checker) node(n int) *node {
@@ -186,6 +189,7 @@
 func (c *Checker) Take(r trace.Record) {
 	c.line++
 	c.overdue(r.At)
+	c.fleet.take(r)
 	switch r.What {
 	case trace.Born:
 		m := &message{id: r.ID, node: r.Node, class: r.Class, dest: r.Dest, until: r.Until, open: map[uint64]bool{}, lines: []int{c.line}}
@@ -432,6 +436,9 @@
 	}
 }
 
+// Fleet is what was seen of a fleet; nil where there was none.
+func (c *Checker) Fleet() *FleetAccount { return c.fleet.finish() }
+
 // Finish ends the check. What is still owed then and in time is told as open.
 func (c *Checker) Finish(now time.Duration) ([]Broken, Account) {
 	c.overdue(now)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -7,8 +7,11 @@
 	"math"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	network "wingmount/internal/lab/faults"
 )
 
 // Range is a lowest and a highest value; a day draws evenly between them.
@@ -33,6 +36,44 @@
 	Classes   []Class   `toml:"class"`
 	Tenants   []Tenant  `toml:"tenant"`
 	Faults    []Fault   `toml:"fault"`
+	Fleet     Fleet     `toml:"fleet"`
+}
+
+// Fleet makes the nodes one fleet, with a relay on each way from one to another. It needs real
+// processes.
+type Fleet struct {
+	Seeds  int          `toml:"seeds"` // so many of the nodes; 0: they know nothing of each other
+	Faults []FleetFault `toml:"fault"`
+}
+
+// FleetFault is one trouble between nodes: a pattern of internal/lab/faults, or "remove", by
+// which the first of the nodes named is told that the second is gone.
+type FleetFault struct {
+	What     string  `toml:"what"`
+	AtS      Range   `toml:"at_s"`
+	ForS     Range   `toml:"for_s"`
+	EachS    Range   `toml:"each_s"` // over 0: it holds and heals by turns, each for so long
+	Parts    int     `toml:"parts"`
+	Nodes    []int   `toml:"nodes"`
+	Lose     float64 `toml:"lose"`
+	Double   float64 `toml:"double"`
+	Reorder  float64 `toml:"reorder"`
+	Spoil    float64 `toml:"spoil"`
+	DelayMs  float64 `toml:"delay_ms"`
+	JitterMs float64 `toml:"jitter_ms"`
+	Swallow  bool    `toml:"swallow"`
+	Reset    int     `toml:"reset"`
+	Trickle  int     `toml:"trickle"`
+}
+
+// RemoveMember is the staff's word among the troubles of a fleet.
+const RemoveMember = "remove"
+
+// Pattern is what a trouble sets between n nodes.
+func (f FleetFault) Pattern() network.Pattern {
+	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+	return network.Pattern{What: f.What, Parts: f.Parts, Nodes: f.Nodes, Fault: network.Fault{Lose: f.Lose, Double: f.Double,
+		Reorder: f.Reorder, Spoil: f.Spoil, Delay: ms(f.DelayMs), Jitter: ms(f.JitterMs), Swallow: f.Swallow, Reset: f.Reset, Trickle: f.Trickle}}
 }
 
 // Nodes are the delivery nodes and their limits.
@@ -311,6 +352,25 @@
 		}
 		within(key+".work_ms", c.WorkMs, 0.01, 600000)
 	}
+	if s.Fleet.Seeds < 0 || s.Fleet.Seeds > s.Nodes.Count {
+		bad("fleet.seeds", "%d of %d nodes", s.Fleet.Seeds, s.Nodes.Count)
+	}
+	if s.Fleet.Seeds > 0 && s.Nodes.Count > network.MaxRelays {
+		bad("nodes.count", "%d: a fleet on sockets has %d at most", s.Nodes.Count, network.MaxRelays)
+	}
+	for i, f := range s.Fleet.Faults {
+		key := fmt.Sprintf("fleet.fault[%d]", i)
+		within(key+".at_s", f.AtS, 0, s.LengthS[1])
+		within(key+".for_s", f.ForS, 0, 7200)
+		within(key+".each_s", f.EachS, 0, 7200)
+		if f.What == RemoveMember {
+			if len(f.Nodes) != 2 || f.Nodes[0] == f.Nodes[1] || min(f.Nodes[0], f.Nodes[1]) < 0 || max(f.Nodes[0], f.Nodes[1]) >= s.Nodes.Count {
+				bad(key+".nodes", "%v: one that is told and one that is gone", f.Nodes)
+			}
+		} else if err := f.Pattern().Check(s.Nodes.Count); err != nil {
+			bad(key+".what", "%v", err)
+		}
+	}
 	for i, f := range s.Faults {
 		key := fmt.Sprintf("fault[%d]", i)
 		need, known := faults[f.What]
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -33,6 +33,9 @@
 	Ready  What = "ready"  // a node takes clients (node)
 	Odd    What = "odd"    // something that no protocol allows (id, node, ep, result)
 	Over   What = "over"   // the run ends
+	Member What = "member" // a node sees another in a new state (node, ep: the other, result, call: its incarnation)
+	Net    What = "net"    // a fault between nodes begins or ends (result, lines: 1 or -1)
+	Word   What = "word"   // the staff told a node that another is gone (node, ep: the other)
 	Late   What = "late"   // the lab itself fell behind (wait: by so much)
 )
 
