--- a/internal/lab/faults/carrier.go
+++ b/internal/lab/faults/carrier.go
@@ -189,7 +189,11 @@
 			}
 		}
 		f, _ := r.At(from, to)
-		if f.Swallow { // nor is its end heard
+		if f.Swallow {
+			if len(p.b) == 0 { // nor is its end heard
+				<-life.Done()
+				return
+			}
 			continue
 		}
 		if len(p.b) == 0 {
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -30,16 +30,17 @@
 
 func TestTheLibraryIsSound(t *testing.T) {
 	files, err := filepath.Glob("../../../scenarios/*.toml")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scenarios", err)
+	fleets, err2 := filepath.Glob("../../../scenarios/fleet/*.toml")
+	if err != nil || err2 != nil || len(files) == 0 || len(fleets) == 0 {
+		t.Fatal("no scenarios", err, err2)
 	}
-	for _, f := range files {
+	for _, f := range append(files, fleets...) {
 		s, err := Read(f)
 		if err != nil {
 			t.Error(err)
 			continue
 		}
-		if s.Page == "" || s.About == "" || s.Name+".toml" != filepath.Base(f) {
+		if s.Page == "" || s.About == "" || s.Name+".toml" != filepath.Base(f) && s.Name+".toml" != "fleet-"+filepath.Base(f) {
 			t.Errorf("%s: no page, no word about it, or another name: %q", f, s.Name)
 		}
 	}
@@ -57,3 +58,19 @@
 		err = u.Unwrap()
 	}
 }
+
+func TestMistakesOfAFleet(t *testing.T) {
+	for text, wants := range map[string]string{
+		"[nodes]\ncount = 3\n[fleet]\nseeds = 4":                                                         "4 of 3 nodes",
+		"[nodes]\ncount = 200\n[fleet]\nseeds = 1":                                                       "120 at most",
+		"[nodes]\ncount = 3\n[fleet]\nseeds = 1\n[[fleet.fault]]\nwhat = \"half\"":                       "no pattern",
+		"[nodes]\ncount = 3\n[fleet]\nseeds = 1\n[[fleet.fault]]\nwhat = \"deaf\"\nnodes = [3]":          "no node 3 of 3",
+		"[nodes]\ncount = 3\n[fleet]\nseeds = 1\n[[fleet.fault]]\nwhat = \"remove\"\nnodes = [1, 1]":     "one that is told",
+		"[nodes]\ncount = 3\n[fleet]\nseeds = 1\n[[fleet.fault]]\nwhat = \"split\"\nat_s = [900, 901]":   "at_s",
+		"[nodes]\ncount = 3\n[fleet]\nseeds = 1\n[[fleet.fault]]\nwhat = \"split\"\nparts = 2\nsize = 1": "unknown key",
+	} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), wants) {
+			t.Errorf("%s\n%v, want %q", text, err, wants)
+		}
+	}
+}
