A restart remembers outages alone: a lone failed answer no longer makes an endpoint cold

Seen: one node at 0.6 of a limit of 500 a second whose endpoint gives a 500 for 3 in 100 of what is no charge: a SIGKILL with its folder kept costs a tenth of what is served from then on. Ruled out: the windows.

At 300 a second there is always a failure within 14 s. The life before had judged it by its failure score and gone on.

An outage stays one, whatever failed alone since.

--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -36,3 +36,9 @@
 		})
 	}
 }
+
+func TestTheExampleInDocs(t *testing.T) {
+	if _, err := ReadFile("../../docs/example-fleet.json", "n0"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/journal/checkpoint.go
+++ b/internal/journal/checkpoint.go
@@ -164,11 +164,13 @@
 	for _, at := range m.Sent {
 		out = append(out, attemptRecord(0, endpoint, 0, at))
 	}
-	if !m.FailedAt.IsZero() {
-		out = append(out, outcomeRecord(0, policy.Failed, endpoint, m.FailedAt))
-	}
-	if !m.BackAt.IsZero() {
-		out = append(out, closedRecord(0, endpoint, m.BackAt))
+	for _, run := range m.Runs {
+		for _, o := range run.Outcomes {
+			out = append(out, outcomeRecord(0, o, endpoint, run.FailedAt))
+		}
+		if !run.BackAt.IsZero() {
+			out = append(out, closedRecord(0, endpoint, run.BackAt))
+		}
 	}
 	return out
 }
@@ -177,7 +179,10 @@
 	out := make(map[string]*Memory, len(in))
 	for name, m := range in {
 		c := *m
-		c.Sent = slices.Clone(m.Sent)
+		c.Sent, c.Runs = slices.Clone(m.Sent), slices.Clone(m.Runs)
+		for i := range c.Runs {
+			c.Runs[i].Outcomes = slices.Clone(c.Runs[i].Outcomes)
+		}
 		out[name] = &c
 	}
 	return out
@@ -205,7 +210,10 @@
 }
 
 func (m *Memory) last() time.Time {
-	last := m.FailedAt
+	var last time.Time
+	if n := len(m.Runs); n > 0 {
+		last = m.Runs[n-1].FailedAt
+	}
 	if n := len(m.Sent); n > 0 && m.Sent[n-1].After(last) {
 		last = m.Sent[n-1]
 	}
@@ -221,7 +229,7 @@
 func (j *Journal) noteOutcome(endpoint string, o policy.Outcome, at time.Time) {
 	if m := j.note(endpoint); m != nil {
 		if failed(o) {
-			m.FailedAt, m.BackAt = at, time.Time{}
+			m.fail(o, at)
 		}
 	}
 }
@@ -231,14 +239,14 @@
 		return
 	}
 	j.recentOver.Add(id)
-	if m := j.note(endpoint); m != nil && endpoint != "" && m.BackAt.IsZero() {
-		m.BackAt = at
+	if m := j.note(endpoint); m != nil && endpoint != "" {
+		m.back(at)
 	}
 }
 
 func (j *Journal) noteOrder(endpoint string, out bool, at time.Time) {
 	if m := j.note(endpoint); m != nil && !out {
-		m.FailedAt, m.BackAt = at, at
+		m.restarted(at)
 	}
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -98,7 +98,7 @@
 	if n := got["over"].Notice; n == nil || !n.HandedBack() || n.RetryInMs != 500 {
 		t.Errorf("over came back with notice %+v", n)
 	}
-	if e := again.Memories["e1"]; e == nil || len(e.Sent) != 2 || !e.FailedAt.Equal(at) || !e.BackAt.IsZero() {
+	if e := again.Memories["e1"]; e == nil || len(e.Sent) != 2 || len(e.Runs) != 1 || !e.Runs[0].FailedAt.Equal(at) || !e.Runs[0].BackAt.IsZero() {
 		t.Errorf("e1 is remembered as %+v", e)
 	}
 	next := newMessage("next", 1)
@@ -276,7 +276,7 @@
 	if !again.Barred("out") || again.Barred("back") || again.Barred("other") {
 		t.Errorf("on record as out: %v, want one alone", again.orders)
 	}
-	if m := again.Memories["back"]; m == nil || m.BackAt.IsZero() || m.FailedAt.IsZero() {
+	if m := again.Memories["back"]; m == nil || len(m.Runs) != 1 || m.Runs[0].BackAt.IsZero() {
 		t.Errorf("back is remembered as %+v, want it just back", m)
 	}
 	if again.liveSize != orderCost("out") {
--- /dev/null
+++ b/internal/journal/runs_test.go
@@ -0,0 +1,46 @@
+package journal
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"wingmount/policy"
+)
+
+// Runs of failures come back as they were, from records and from a checkpoint alike, and are bounded;
+// of too many it is the lone failed answers that go.
+func TestRunsOfFailures(t *testing.T) {
+	at := func(n int) time.Time { return time.UnixMicro(int64(1e12) + int64(n)*1e6) }
+	m := &Memory{}
+	m.fail(policy.Unreachable, at(0))
+	m.fail(policy.Failed, at(1))
+	m.back(at(2))
+	m.back(at(3)) // not the first success
+	for i := range 3 * manyRuns {
+		m.fail(policy.Failed, at(10+2*i))
+		m.back(at(11 + 2*i))
+	}
+	for i := range 2 * manyOutcomes {
+		m.fail(policy.TimedOut, at(100+i))
+	}
+	if len(m.Runs) != manyRuns || len(m.Runs[0].Outcomes) != 2 || !m.Runs[0].FailedAt.Equal(at(1)) || !m.Runs[0].BackAt.Equal(at(2)) {
+		t.Fatalf("%+v", m.Runs)
+	}
+	if last := m.Runs[manyRuns-1]; len(last.Outcomes) != manyOutcomes || !last.BackAt.IsZero() || !last.FailedAt.Equal(at(99+2*manyOutcomes)) {
+		t.Errorf("%+v", last)
+	}
+	dir := t.TempDir()
+	j, _ := mustOpen(t, dir, 1<<20)
+	for _, rec := range m.records("e") {
+		must(t, j.append(rec, nil))
+	}
+	must(t, j.Close())
+	again, _ := mustOpen(t, dir, 1<<20)
+	got := again.Memories["e"]
+	if got == nil || !slices.EqualFunc(got.Runs, m.Runs, func(a, b Run) bool {
+		return slices.Equal(a.Outcomes, b.Outcomes) && a.FailedAt.Equal(b.FailedAt) && a.BackAt.Equal(b.BackAt)
+	}) {
+		t.Errorf("came back as %+v, want %+v", got, m)
+	}
+}
--- a/internal/lab/insim/insim.go
+++ b/internal/lab/insim/insim.go
@@ -79,8 +79,8 @@
 
 // memory is what the journal keeps of an endpoint for the next life of a node.
 type memory struct {
-	sent         []time.Duration
-	failed, back time.Duration // 0 for never
+	sent []time.Duration
+	runs []policy.Run // its times are the module's
 }
 
 type conn struct {
@@ -429,14 +429,18 @@
 	}
 	switch o {
 	case policy.Delivered:
-		if mem.failed > 0 && mem.back == 0 {
-			mem.back = s.now
+		if k := len(mem.runs); k > 0 && !mem.runs[k-1].Back {
+			mem.runs[k-1].Back, mem.runs[k-1].BackAt = true, clockStart+s.now
 		}
 		if n.held[m.id] != nil {
 			s.drop(n, m)
 		}
 	case policy.Failed, policy.Reset, policy.TimedOut, policy.Unreachable:
-		mem.failed, mem.back = s.now, 0
+		if k := len(mem.runs); k == 0 || mem.runs[k-1].Back {
+			mem.runs = append(mem.runs, policy.Run{})
+		}
+		run := &mem.runs[len(mem.runs)-1]
+		run.Outcomes, run.FailedAt = append(run.Outcomes, o), clockStart+s.now
 	}
 	s.tell(n, policy.Ended{Message: m.id, Attempt: t.number, Endpoint: policy.EndpointID(t.ep + 1), Outcome: o, Wait: wait,
 		Final: o == policy.Delivered, Took: s.now - t.sent, Told: told})
@@ -500,12 +504,7 @@
 				r.Sent = append(r.Sent, clockStart+at)
 			}
 		}
-		if m.failed > 0 {
-			r.Failed, r.FailedAt = true, clockStart+m.failed
-			if m.back > 0 {
-				r.Back, r.BackAt = true, clockStart+m.back
-			}
-		}
+		r.Runs = m.runs
 		n.batch = append(n.batch, r)
 	}
 	for _, m := range owed {
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -225,6 +225,11 @@
 	case trace.Ready:
 		n := c.node(r.Node)
 		n.down, n.exempt = false, r.At+c.lim.Restart
+	case trace.Fault:
+		if r.Result == "stop" && r.Until > r.At { // a node that is stopped can't tell of any end
+			n := c.node(r.Node)
+			n.exempt = max(n.exempt, r.Until+c.lim.Restart)
+		}
 	case trace.Odd:
 		c.broke(r.At, Form, []int{c.line}, "node %d, endpoint %d, message %s: %s", r.Node, r.EP, r.ID, r.Result)
 	}
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -69,6 +69,8 @@
 		{"just in time", "", append(start, notice(11.34, "a", "given_up")), ""},
 		{"two ends", Lost, append(start, notice(2, "a", "given_up"), notice(3, "a", "handed_back")), "ended as given_up and then as handed_back"},
 		{"owed while its node is down", "", append(append(start, restart...), notice(15.5, "a", "given_up")), ""},
+		{"owed while its node is stopped", "", append(start, Record{At: at(9), What: Fault, Result: "stop", Until: at(20)}, notice(21, "a", "given_up")), ""},
+		{"owed for too long after a stop", Lost, append(start, Record{At: at(9), What: Fault, Result: "stop", Until: at(20)}, born(23, "b", status)), ""},
 		{"owed for too long after a restart", Lost, append(append(start, restart...), born(17, "b", status)), ""},
 		{"drain", Drain, append([]Record{leaving}, append(start, drained)...), "2200 ms after it was told"},
 		{"drain within the grace", "", append([]Record{leaving}, append(start, justDrained, end(3.1, "a", 1, 200, ""))...), ""},
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -325,11 +325,15 @@
 		for _, at := range m.Sent {
 			r.Sent = append(r.Sent, l.past(at))
 		}
-		if health && !m.FailedAt.IsZero() {
-			r.Failed, r.FailedAt = true, l.past(m.FailedAt)
-			if !m.BackAt.IsZero() {
-				r.Back, r.BackAt = true, l.past(m.BackAt)
+		for _, run := range m.Runs {
+			if !health {
+				break
 			}
+			told := policy.Run{Outcomes: run.Outcomes, FailedAt: l.past(run.FailedAt)}
+			if !run.BackAt.IsZero() {
+				told.Back, told.BackAt = true, l.past(run.BackAt)
+			}
+			r.Runs = append(r.Runs, told)
 		}
 		l.batch = append(l.batch, r)
 		delete(memories, name)
--- a/policy/api.go
+++ b/policy/api.go
@@ -229,10 +229,15 @@
 type Remembered struct {
 	Endpoint EndpointID
 	Sent     []Time // calls, oldest first
-	Failed   bool
-	FailedAt Time // the last failure
-	Back     bool // a success came after it
-	BackAt   Time // the first such
+	Runs     []Run  // of failures, oldest first
+}
+
+// Run is failures in a row, as an earlier life of the node saw them.
+type Run struct {
+	Outcomes []Outcome // the first few
+	FailedAt Time      // the last failure
+	Back     bool      // a success came after it
+	BackAt   Time      // the first such
 }
 
 // Ordered brings the staff's order for an endpoint, whatever the list says of it. It is
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -825,14 +825,10 @@
 				s.resize(p, p.beforeRun) // shut: its refusals told nothing of the limit
 			}
 		}
-	case Failed:
-		weight = errorWeight
-	case Unreachable:
-		weight = outScore
-	case Reset:
-		weight = resetWeight
-	case TimedOut:
-		weight = timeoutWeight
+	default:
+		weight = weights[outcome]
+	}
+	if outcome == TimedOut {
 		e.timeouts++
 		s.out = append(s.out, CloseIdle{Endpoint: e.id}) // what was silent may be the connection alone
 	}
@@ -858,6 +854,35 @@
 	}
 }
 
+// weights are what a failure adds to the failure score.
+var weights = map[Outcome]float64{Failed: errorWeight, Unreachable: outScore, Reset: resetWeight, TimedOut: timeoutWeight}
+
+// recall judges what an earlier life saw of an endpoint as that life did: what failed last is
+// out if that was an outage, so that a restored backlog waits for a trial, and what came back
+// from one less than a warm-up ago is cold. A lone failed answer is no outage.
+func (s *Sender) recall(e *endpoint, r Remembered) {
+	for _, run := range r.Runs {
+		score := 0.0
+		for _, o := range run.Outcomes {
+			score += weights[o] * (1 - score)
+		}
+		switch {
+		case score < outScore && (run.Back || score == 0):
+		case score < outScore:
+			e.suspect, e.score = true, score
+			e.trouble(run.FailedAt)
+		case !run.Back:
+			e.out, e.suspect, e.broken, e.since, e.score = true, true, true, s.now, outScore
+			e.trouble(run.FailedAt)
+			e.path.nextTrial = max(e.path.nextTrial, s.now+s.trialGap(e))
+		case s.warmth(run.BackAt) < 1:
+			e.warming, e.warmFrom = true, run.BackAt
+			e.trouble(run.FailedAt)
+			e.cold.times = append(e.cold.times[:0], r.Sent...)
+		}
+	}
+}
+
 // heard takes in what another sender has seen; an own success of late weighs more.
 // Trials of an outage are left to who told it, but for rare ones: notes get lost.
 func (s *Sender) heard(n Told) {
--- a/policy/restart_test.go
+++ b/policy/restart_test.go
@@ -58,7 +58,7 @@
 func TestRestoredBacklogWaitsForATrial(t *testing.T) {
 	start := time.Hour
 	events := []Event{Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 100}}},
-		Remembered{Endpoint: 1, Failed: true, FailedAt: start - time.Second, Sent: []Time{start - time.Second}}}
+		Remembered{Endpoint: 1, Sent: []Time{start - time.Second}, Runs: []Run{{Outcomes: []Outcome{Failed, Failed}, FailedAt: start - time.Second}}}}
 	for i := range 50 {
 		events = append(events, Arrived{Message: MessageID(i + 1), GiveUpAt: start + 20*time.Second})
 	}
@@ -95,3 +95,35 @@
 		t.Errorf("sent %v over a full narrow window", sends)
 	}
 }
+
+// What an earlier life saw counts as it did in that life: a failed answer among many good ones
+// is no outage, and an endpoint that came back from one is cold, whatever failed since.
+func TestARestartRemembersOutagesAlone(t *testing.T) {
+	start := time.Hour
+	ago := func(s float64) Time { return start - Time(s*float64(time.Second)) }
+	lone := func(at float64) Run {
+		return Run{Outcomes: []Outcome{Failed}, FailedAt: ago(at), Back: true, BackAt: ago(at - 0.01)}
+	}
+	outage := Run{Outcomes: []Outcome{Failed, TimedOut}, FailedAt: ago(5), Back: true, BackAt: ago(4)}
+	for _, c := range []struct {
+		name               string
+		runs               []Run
+		out, cold, suspect bool
+	}{
+		{"nothing", nil, false, false, false},
+		{"lone failures", []Run{lone(9), lone(3), lone(0.5)}, false, false, false},
+		{"a lone one, and no success yet", []Run{{Outcomes: []Outcome{Failed}, FailedAt: ago(0.1)}}, false, false, true},
+		{"a reset", []Run{{Outcomes: []Outcome{Reset}, FailedAt: ago(1), Back: true, BackAt: ago(0.9)}}, false, false, false},
+		{"an outage", []Run{outage}, false, true, false},
+		{"an outage, and a lone failure since", []Run{outage, lone(1)}, false, true, false},
+		{"a refused connection", []Run{{Outcomes: []Outcome{Unreachable}, FailedAt: ago(3), Back: true, BackAt: ago(1)}}, false, true, false},
+		{"an outage of long ago", []Run{{Outcomes: []Outcome{Failed, Failed}, FailedAt: ago(90), Back: true, BackAt: ago(80)}}, false, false, false},
+		{"out", []Run{{Outcomes: []Outcome{Failed, Failed}, FailedAt: ago(1)}}, true, false, true},
+	} {
+		s := New(restartSettings(), 1)
+		s.Step(start, []Event{Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 100}}}, Remembered{Endpoint: 1, Runs: c.runs}}, nil)
+		if e := s.endpoints[1]; e.out != c.out || e.warming != c.cold || e.suspect != c.suspect {
+			t.Errorf("%s: out %v, cold %v, suspect %v", c.name, e.out, e.warming, e.suspect)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -522,8 +522,7 @@
 }
 
 // remembered takes over what an earlier life of the node saw of an endpoint: its
-// calls count for the logs still, and one that failed last is out, or cold if it
-// came back less than a warm-up ago, so that a restored backlog waits for a trial.
+// calls count for the logs still, and its failures for its health.
 func (s *Sender) remembered(r Remembered) {
 	e := s.endpoints[r.Endpoint]
 	if e == nil {
@@ -535,17 +534,7 @@
 		slices.Sort(log.times)
 		log.count(s.now)
 	}
-	switch {
-	case !r.Failed:
-	case !r.Back:
-		e.out, e.suspect, e.broken, e.since, e.score = true, true, true, s.now, outScore
-		e.trouble(r.FailedAt)
-		p.nextTrial = max(p.nextTrial, s.now+s.trialGap(e))
-	case s.warmth(r.BackAt) < 1:
-		e.warming, e.warmFrom = true, r.BackAt
-		e.trouble(r.FailedAt)
-		e.cold.times = append(e.cold.times, r.Sent...)
-	}
+	s.recall(e, r)
 }
 
 // order bars an endpoint, or lets it serve again: it was restarted meanwhile, so it
