Failures between two successes of one latency are no outage, unless many of the calls fail

Cause: two errors in a row put an endpoint out (judge), and with 20 calls out at once two stand side by side now and then. The next success, a millisecond later, ends that, and wellDone took any end of an outage with errors for a cold return: 14 s with the calls that a cold one may get.

Where calls come one after another the gap is longer than a latency, and nothing changes.

--- /dev/null
+++ b/internal/fleet/fleettest/fleettest.go
@@ -0,0 +1,219 @@
+// Package fleettest has a fleet that is stepped: what nodes tell each other waits until the test
+// lets it through, loses it or lets it come twice, and each question meets the fate that the
+// test gives it. A part on top of internal/fleet can so be driven through every order.
+package fleettest
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"wingmount/internal/fleet"
+)
+
+// Fate is what becomes of a question.
+type Fate int
+
+// A question is answered, never leaves, arrives with its answer lost, or is lost on its way.
+const (
+	Answered Fate = iota
+	NotSent
+	AnswerLost
+	Lost
+)
+
+// World is all nodes and what is on its way between them. It is not safe for concurrent use.
+type World struct {
+	// Now is every node's clock.
+	Now time.Duration
+	// Fate decides of questions; nil: all are answered.
+	Fate  func(from, to, kind string) Fate
+	nodes map[string]*Node
+	way   []*news
+}
+
+// New makes nodes that know of each other, alive under incarnation 1.
+func New(names ...string) *World {
+	w := &World{nodes: map[string]*Node{}}
+	for _, name := range names {
+		w.nodes[name] = &Node{w: w, name: name, news: map[string]fleet.NewsFunc{}, asks: map[string]fleet.AskFunc{},
+			table: fleet.NewTable(fleet.Record{Name: name, Incarnation: 1, Start: 1, Address: name}, 0)}
+	}
+	for _, a := range w.nodes {
+		for _, b := range w.nodes {
+			a.table.Hear(b.Self().Record, 0)
+		}
+	}
+	return w
+}
+
+// Node is one of them.
+func (w *World) Node(name string) *Node { return w.nodes[name] }
+
+// Hear lets a node hear of another as it is now; Silence ends that.
+func (w *World) Hear(at, of string) {
+	n := w.nodes[at]
+	n.changed(n.table.Hear(w.nodes[of].Self().Record, w.Now))
+}
+
+// Silence makes another a suspect of a node's.
+func (w *World) Silence(at, of string) {
+	n := w.nodes[at]
+	n.changed(n.table.Silence(of, w.Now))
+}
+
+// Leave says a node's own word, as one other hears it.
+func (w *World) Leave(at, of string) {
+	rec := w.nodes[of].Self().Record
+	rec.Left = rec.Incarnation
+	n := w.nodes[at]
+	n.changed(n.table.Merge(rec, w.Now))
+}
+
+// Remove says the staff's word at one node.
+func (w *World) Remove(at, of string) {
+	n := w.nodes[at]
+	_, changes, _ := n.table.Word(of, w.Now)
+	n.changed(changes)
+}
+
+// Restart gives a node its next incarnation. Those whom it had not reached yet are not told what
+// it had to say, and it hears nothing that was on its way to it.
+func (w *World) Restart(name string) {
+	n := w.nodes[name]
+	n.table.Raised(n.Self().Incarnation + 1)
+	w.way = slices.DeleteFunc(w.way, func(m *news) bool { return m.from == name || m.to == name })
+}
+
+// news is on its way, the newest of its kind and key.
+type news struct {
+	from, to, kind, key string
+	body                []byte
+	at                  time.Duration
+}
+
+// OnItsWay tells what waits, by sender, receiver, kind and key, in a fixed order.
+func (w *World) OnItsWay() (all []string) {
+	for _, m := range w.way {
+		all = append(all, fmt.Sprint(m.from, " to ", m.to, ": ", m.kind, " ", m.key))
+	}
+	return all
+}
+
+// Deliver lets the i-th of what waits arrive. With twice it stays on its way as well: its
+// acknowledgement was lost.
+func (w *World) Deliver(i int, twice bool) {
+	m := w.way[i]
+	if !twice {
+		w.way = slices.Delete(w.way, i, i+1)
+	}
+	if hear := w.nodes[m.to].news[m.kind]; hear != nil {
+		hear(w.peer(m.from), m.key, w.Now-m.at, m.body)
+	}
+}
+
+// DeliverAll lets all arrive, and what comes of that, up to a number of pieces.
+func (w *World) DeliverAll(most int) error {
+	for range most {
+		if len(w.way) == 0 {
+			return nil
+		}
+		w.Deliver(0, false)
+	}
+	return fmt.Errorf("%d pieces of news, and no end", most)
+}
+
+func (w *World) peer(name string) fleet.Peer {
+	return fleet.Peer{Name: name, Incarnation: w.nodes[name].Self().Incarnation}
+}
+
+// Node is one node's fleet.Net.
+type Node struct {
+	w     *World
+	name  string
+	table *fleet.Table
+	news  map[string]fleet.NewsFunc
+	asks  map[string]fleet.AskFunc
+	hears []func(fleet.Change)
+}
+
+var _ fleet.Net = (*Node)(nil)
+
+func (n *Node) changed(all []fleet.Change) {
+	for _, c := range all {
+		if c.To.Gone() {
+			n.w.way = slices.DeleteFunc(n.w.way, func(m *news) bool { return m.from == n.name && m.to == c.Name })
+		}
+		for _, hear := range n.hears {
+			hear(c)
+		}
+	}
+}
+
+// Self is fleet.Net's, as are the next six.
+func (n *Node) Self() fleet.Member {
+	m, _ := n.table.Member(n.name)
+	return m
+}
+
+func (n *Node) Members() []fleet.Member { return n.table.Members() }
+func (n *Node) Count() int              { return n.table.Count(n.w.Now) }
+
+func (n *Node) reach(to string) error {
+	if m, there := n.table.Member(to); !there || m.State.Gone() || to == n.name {
+		return fmt.Errorf("%w: %s", fleet.ErrUnknown, to)
+	}
+	return nil
+}
+
+func (n *Node) Tell(to, kind, key string, body []byte) error {
+	if err := n.reach(to); err != nil {
+		return err
+	}
+	m := &news{n.name, to, kind, key, body, n.w.Now}
+	for _, old := range n.w.way {
+		if old.from == m.from && old.to == m.to && old.kind == m.kind && old.key == m.key {
+			*old = *m
+			return nil
+		}
+	}
+	n.w.way = append(n.w.way, m)
+	slices.SortStableFunc(n.w.way, func(a, b *news) int {
+		return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to))
+	})
+	return nil
+}
+
+func (n *Node) Ask(ctx context.Context, to, kind string, body []byte) ([]byte, error) {
+	if err := n.reach(to); err != nil {
+		return nil, err
+	}
+	fate := Answered
+	if n.w.Fate != nil {
+		fate = n.w.Fate(n.name, to, kind)
+	}
+	switch fate {
+	case NotSent:
+		return nil, fleet.ErrNotSent
+	case Lost:
+		return nil, fleet.ErrMaybe
+	}
+	answer := n.w.nodes[to].asks[kind]
+	if answer == nil {
+		return nil, fleet.AnswerError(fmt.Sprintf("nothing is known of %q", kind))
+	}
+	b, err := answer(ctx, n.w.peer(n.name), body)
+	switch {
+	case fate == AnswerLost:
+		return nil, fleet.ErrMaybe
+	case err != nil:
+		return nil, fleet.AnswerError(err.Error())
+	}
+	return b, nil
+}
+
+func (n *Node) OnNews(kind string, f fleet.NewsFunc) { n.news[kind] = f }
+func (n *Node) OnAsk(kind string, f fleet.AskFunc)   { n.asks[kind] = f }
+func (n *Node) OnChange(f func(fleet.Change))        { n.hears = append(n.hears, f) }
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -289,11 +289,13 @@
 		sent.Wait()
 		close(told)
 	}()
-	select {
-	case <-told:
-	case <-time.After(within):
-	}
+	limit := time.NewTimer(within)
+	defer limit.Stop()
 	if err := g.list.Leave(within); err != nil {
 		g.f.o.Log.Debug("fleet: leaving", "err", err)
 	}
+	select {
+	case <-told:
+	case <-limit.C:
+	}
 }
--- a/policy/fast_test.go
+++ b/policy/fast_test.go
@@ -89,3 +89,55 @@
 		t.Errorf("%d calls in 4 s with one refused in four: the logs do not close", n)
 	}
 }
+
+// Two failures in a row among hundreds of calls that are out together are no outage: the path goes
+// on. Where most calls fail, or nothing comes for longer than an answer takes, it is one.
+func TestTwoFailuresAmongMany(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fails func(n int) bool // of the calls as they end, from 0
+		cold  bool
+	}{
+		{"none", func(int) bool { return false }, false},
+		{"two in a row", func(n int) bool { return n == 300 || n == 301 }, false},
+		{"two in a row, twice", func(n int) bool { return n == 300 || n == 301 || n == 340 || n == 341 }, false},
+		{"most of them", func(n int) bool { return n >= 300 && n < 400 && n%4 != 0 }, true},
+		{"all for a while", func(n int) bool { return n >= 300 && n < 322 }, true},
+	} {
+		set := restartSettings()
+		set.Slots, set.Senders = 400, 1
+		s := New(set, 1)
+		start := time.Hour
+		events := []Event{Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 5000}}}}
+		type out struct {
+			at   Time
+			send Send
+		}
+		var outs []out
+		next, ended, cold := MessageID(1), 0, false
+		for now := start; now < start+14*time.Second; now += 5 * time.Millisecond {
+			for range 5 { // 1,000 a second
+				events = append(events, Arrived{Message: next, GiveUpAt: now + 8*time.Second})
+				next++
+			}
+			for len(outs) > 0 && outs[0].at <= now {
+				o := outs[0]
+				outs = outs[1:]
+				how := Delivered
+				if c.fails(ended) {
+					how = Failed
+				}
+				ended++
+				events = append(events, Ended{Message: o.send.Message, Endpoint: 1, Outcome: how, Final: true, Took: 20 * time.Millisecond})
+			}
+			for _, send := range sendsOf(s.Step(now, append(events, Woken{}), nil)) {
+				outs = append(outs, out{now + 20*time.Millisecond, send})
+			}
+			events = nil
+			cold = cold || s.endpoints[1].warming
+		}
+		if cold != c.cold || ended < 300 {
+			t.Errorf("%s: cold %v after %d calls, want %v", c.name, cold, ended, c.cold)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,6 +86,10 @@
 	timeoutWeight = 0.25
 	resetWeight   = 0.2
 	successShrink = 0.6
+	// Two failures between two successes that are less than a latency apart were out together with
+	// those: no outage, unless as many of the last calls failed as in the mildest outage of errors.
+	failingGain  = 1.0 / 16 // of the failed share's moving average: some calls of one latency
+	failingShare = 0.3
 
 	harmlessPace = 4 // trials come so many times as often where the last failure did no harm
 
@@ -837,6 +841,7 @@
 	}
 	e.trouble(s.now)
 	e.score += weight * (1 - e.score)
+	e.failing += failingGain * (1 - e.failing)
 	e.suspect = e.suspect || outcome != Reset || e.score >= suspectScore
 	e.broken = e.broken || outcome != TimedOut && outcome != Reset
 	e.harmless = outcome == Unreachable || outcome == Full
@@ -913,8 +918,8 @@
 	p := e.path
 	if e.out {
 		// A few lost calls between two answers are no outage.
-		news := Back
-		if e.broken || s.now-e.lastOK >= outageFalls*s.set.FallWindow {
+		news, gap := Back, s.now-e.lastOK
+		if e.broken && (gap > p.latency || e.failing >= failingShare) || gap >= outageFalls*s.set.FallWindow {
 			news = BackCold
 		}
 		s.tell(e, news)
@@ -923,6 +928,7 @@
 	}
 	e.suspect, e.broken, e.timeouts, e.fullRun, e.lastOK = false, false, 0, 0, s.now
 	e.score *= successShrink
+	e.failing -= failingGain * e.failing
 	if e.warming = e.warming && s.warmth(e.warmFrom) < 1; !e.warming {
 		e.troubled = 0
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -148,6 +148,7 @@
 	lastSent Time
 	lastOK   Time
 	score    float64 // failure score
+	failing  float64 // share of its calls that failed, of late
 	suspect  bool    // its last outcome was a failure
 	out      bool    // an outage is on
 	since    Time    // when the outage was noticed
