--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,7 +86,7 @@
 	timeoutWeight = 0.25
 	resetWeight   = 0.2
 	successShrink = 0.6
-	// Two failures between two successes that are less than a latency apart were out together with
+	// Failures between two successes that are less than half a latency apart were out together with
 	// those: no outage, unless as many of the last calls failed as in the mildest outage of errors.
 	failingGain  = 1.0 / 16 // of the failed share's moving average: some calls of one latency
 	failingShare = 0.3
@@ -860,7 +860,8 @@
 }
 
 // weights are what a failure adds to the failure score.
-var weights = map[Outcome]float64{Failed: errorWeight, Unreachable: outScore, Reset: resetWeight, TimedOut: timeoutWeight}
+var weights = map[Outcome]float64{Failed: errorWeight, Unreachable: outScore, Reset: resetWeight,
+	TimedOut: timeoutWeight}
 
 // recall judges what an earlier life saw of an endpoint as that life did: what failed last is
 // out if that was an outage, so that a restored backlog waits for a trial, and what came back
@@ -919,7 +920,8 @@
 	if e.out {
 		// A few lost calls between two answers are no outage.
 		news, gap := Back, s.now-e.lastOK
-		if e.broken && (gap > p.latency || e.failing >= failingShare) || gap >= outageFalls*s.set.FallWindow {
+		together := gap <= p.latency/2 && e.failing < failingShare
+		if e.broken && !together || gap >= outageFalls*s.set.FallWindow {
 			news = BackCold
 		}
 		s.tell(e, news)
