Only errors count as out together: refusals of a shut destination and refused connections do not

That rule was meant for answers that failed, but held for runs of refusals and for refused connections too (the last failure is then harmless), which prove an outage by themselves.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,7 +86,7 @@
 	timeoutWeight = 0.25
 	resetWeight   = 0.2
 	successShrink = 0.6
-	// Failures between two successes that are less than half a latency apart were out together with
+	// Errors between two successes that are less than half a latency apart were out together with
 	// those: no outage, unless as many of the last calls failed as in the mildest outage of errors.
 	failingGain  = 1.0 / 16 // of the failed share's moving average: some calls of one latency
 	failingShare = 0.3
@@ -920,7 +920,7 @@
 	if e.out {
 		// A few lost calls between two answers are no outage.
 		news, gap := Back, s.now-e.lastOK
-		together := gap <= p.latency/2 && e.failing < failingShare
+		together := !e.harmless && gap <= p.latency/2 && e.failing < failingShare
 		if e.broken && !together || gap >= outageFalls*s.set.FallWindow {
 			news = BackCold
 		}
