Test of a fleet: a view counts once the node has joined

Seen in one run of all tests: incarnation 0 after 1. The console answers before the node has taken its incarnation, and then shows itself alone, as the test waited for.

--- a/cmd/wingmount/fleet_test.go
+++ b/cmd/wingmount/fleet_test.go
@@ -123,7 +123,7 @@
 
 func (r *fleetRig) awaitStates(i int, want string) fleet.Status {
 	r.t.Helper()
-	return r.await(i, want, func(s fleet.Status) bool { return states(s) == want })
+	return r.await(i, want, func(s fleet.Status) bool { return s.State == fleet.Joined && states(s) == want })
 }
 
 func (r *fleetRig) remove(at int, name string) int {
