One way to rouse the fleet's loop, to draw a member, and to do a thing later in the lab

The same select stood three times in internal/fleet, the same draw twice, and the lab's fleet had the nodes' after once more. No change of behaviour.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -336,6 +336,11 @@
 	if c.Rival != "" {
 		f.claim.Rival = c.Rival
 	}
+	f.rouse()
+}
+
+// rouse tells the session's loop that there is a claim to settle.
+func (f *Fleet) rouse() {
 	select {
 	case f.changed <- struct{}{}:
 	default:
@@ -384,12 +389,7 @@
 		f.mu.Lock()
 		f.claim.Raise, f.claim.Void = max(f.claim.Raise, c.Raise), f.claim.Void || c.Void
 		f.mu.Unlock()
-		time.AfterFunc(againAfter, func() {
-			select {
-			case f.changed <- struct{}{}:
-			default:
-			}
-		})
+		time.AfterFunc(againAfter, f.rouse)
 		return true
 	}
 	f.id = id
@@ -544,8 +544,8 @@
 	return words{f.table.Records(), f.table.Sightings(f.o.Clock())}
 }
 
-// lost is the name and address, as memberlist takes them, of one that should be met again: it is silent, or a seed that is not
-// heard. One that was removed may be alive behind a split, where it has removed this one.
+// lost is the name and address, as memberlist takes them, of one that should be met again: it
+// is silent, or a seed that is not heard. One that was removed may be alive behind a split, where it has removed this one.
 func (f *Fleet) lost() (address string, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -565,10 +565,7 @@
 	if len(silent) == 0 || len(seeds) > 0 && f.rand.IntN(2) == 0 {
 		all = seeds
 	}
-	if len(all) == 0 {
-		return "", false
-	}
-	return all[f.rand.IntN(len(all))], true
+	return f.oneOf(all)
 }
 
 // settling is one to meet while news are fresh: gossip says a thing a few times, and whoever
@@ -585,6 +582,11 @@
 			all = append(all, m.Name+"/"+m.Address)
 		}
 	}
+	return f.oneOf(all)
+}
+
+// oneOf draws; f.mu is held.
+func (f *Fleet) oneOf(all []string) (one string, ok bool) {
 	if len(all) == 0 {
 		return "", false
 	}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -193,10 +193,7 @@
 		w.Refused = "the name is in use here"
 		if !h.Candidate && f.gossip != nil {
 			f.claim.Rival = h.Self.Address
-			select {
-			case f.changed <- struct{}{}:
-			default:
-			}
+			f.rouse()
 		}
 	case h.Candidate:
 	case w.Known.Name != "" && h.Self.Incarnation <= max(w.Known.Removed, w.Known.Left):
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -76,7 +76,7 @@
 			return time.Duration((r[0] + (r[1]-r[0])*d.Float64()) * float64(time.Second))
 		}
 		at, length, each := draw(t.AtS), draw(t.ForS), draw(t.EachS)
-		f.after(at, func() {
+		f.run.after(at, func() {
 			if t.What == scenario.RemoveMember {
 				f.remove(t.Nodes[0], t.Nodes[1])
 				return
@@ -92,10 +92,10 @@
 // flap ends a trouble, and lets it come again until then.
 func (f *fleet) flap(i int, p faults.Pattern, until, each time.Duration) {
 	if each <= 0 {
-		f.after(until-f.run.now(), func() { f.set(i, p, false) })
+		f.run.after(until-f.run.now(), func() { f.set(i, p, false) })
 		return
 	}
-	f.after(each, func() {
+	f.run.after(each, func() {
 		_, on := f.active[i]
 		f.set(i, p, !on)
 		switch {
@@ -107,18 +107,6 @@
 	})
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
-	f.run.wg.Go(func() {
-		t := time.NewTimer(d)
-		defer t.Stop()
-		select {
-		case <-t.C:
-			f.run.post(do)
-		case <-f.run.ended:
-		}
-	})
-}
-
 // set begins or ends a trouble. Those that still hold stay, the later over the earlier.
 func (f *fleet) set(i int, p faults.Pattern, on bool) {
 	rec := trace.Record{At: f.run.now(), What: trace.Net, Result: p.What, Lines: 1}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// after hands a function to the loop when some time has passed, unless the run is over by then.
+func (r *run) after(d time.Duration, f func()) {
+	r.wg.Go(func() {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			r.post(f)
+		case <-r.ended:
+		}
+	})
+}
+
 // ask hands a function to the loop and waits until it has run.
 func (r *run) ask(f func()) bool {
 	done := make(chan struct{})
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -289,7 +289,7 @@
 		p.down("SIGTERM", t.Lost)
 		p.signal(syscall.SIGTERM)
 		life := p.life
-		n.after(killAfter, func() {
+		n.run.after(killAfter, func() {
 			if p.life == life {
 				p.signal(syscall.SIGKILL)
 				p.again(startAfter)
@@ -301,7 +301,7 @@
 			n.run.note(trace.Record{At: now, What: trace.Stop, Node: n.me, Result: "member"})
 		}
 		life := p.life
-		n.after(t.Until-now, func() {
+		n.run.after(t.Until-now, func() {
 			if p.life == life {
 				p.signal(syscall.SIGCONT)
 			}
@@ -340,7 +340,7 @@
 func (p *process) again(after time.Duration) {
 	n := p.node
 	p.planned = true
-	n.after(after, func() {
+	n.run.after(after, func() {
 		select {
 		case <-p.exited:
 		default: // it takes long to die
@@ -360,16 +360,6 @@
 	})
 }
 
-func (n *node) after(d time.Duration, f func()) {
-	n.run.wg.Go(func() {
-		select {
-		case <-time.After(d):
-			n.run.post(f)
-		case <-n.run.ended:
-		}
-	})
-}
-
 func (p *process) signal(s syscall.Signal) {
 	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		p.node.run.fatal = fmt.Errorf("node %d: %v: %w", p.node.me, s, err)
