Fleet: a removal heard while outside is told later; parts that run while joined

Seen on a reading: where another process has a node's name and the staff's word removed that name meanwhile, the claim kept its number alone (settleClaim), so the node came in again under a new incarnation and nobody who builds on members was told that the old one was void. Claim.keep keeps all of it, also where the disk takes no incarnation.

For the parts on top: While runs them while this node is joined and waits for their end before another process may have its place; OnOld tells that the folder is older than what others know, before the new incarnation is on disk. The test of two of one name fails without the first.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,6 +109,8 @@
 	onNews   map[string]NewsFunc
 	onAsk    map[string]AskFunc
 	onChange []func(Change)
+	onOld    []func() error
+	parts    []func(context.Context)
 
 	inOrder sync.Mutex // changes are told in their order; taken before mu
 	mu      sync.Mutex // over what follows, and over life and transport
@@ -168,6 +170,14 @@
 // OnChange registers who hears of members' steps, in their order.
 func (f *Fleet) OnChange(hear func(Change)) { f.onChange = append(f.onChange, hear) }
 
+// OnOld registers who hears that others know a later start of this node than its folder does:
+// what the folder has is from before that. With an error it is told again.
+func (f *Fleet) OnOld(hear func() error) { f.onOld = append(f.onOld, hear) }
+
+// While registers what runs whenever this node is joined, and has ended before another process
+// may have its place. It ends with its context.
+func (f *Fleet) While(run func(context.Context)) { f.parts = append(f.parts, run) }
+
 // Prepare takes the next incarnation and listens. An error that a start should end with is one
 // of ErrOtherNode and those of Listen; a disk that takes nothing is none, Run tries again.
 func (f *Fleet) Prepare() error {
@@ -280,6 +290,11 @@
 	f.o.Log.Info("fleet: joined", "fleet", f.o.File.Fleet, "name", f.o.Name, "incarnation", f.Self().Incarnation)
 	var meeting sync.WaitGroup
 	meeting.Go(func() { g.rejoin(life) })
+	working, rest := context.WithCancel(f.life)
+	var parts sync.WaitGroup
+	for _, run := range f.parts {
+		parts.Go(func() { run(working) })
+	}
 	fenced := false
 	for ctx.Err() == nil && !fenced {
 		select {
@@ -295,6 +310,8 @@
 		case <-ctx.Done():
 		}
 	}
+	rest()
+	parts.Wait()
 	if !fenced && leave() {
 		rec := f.Self().Record
 		rec.Left = rec.Incarnation
@@ -331,8 +348,7 @@
 	if c == (Claim{}) {
 		return
 	}
-	f.claim.Raise = max(f.claim.Raise, c.Raise)
-	f.claim.Void = f.claim.Void || c.Void
+	f.claim.keep(c)
 	if c.Rival != "" {
 		f.claim.Rival = c.Rival
 	}
@@ -370,7 +386,7 @@
 			f.mu.Unlock()
 			continue
 		}
-		f.claim.Raise = max(f.claim.Raise, c.Raise)
+		f.claim.keep(c) // until it is let in
 		f.rival, f.state, f.why = rival, Outside, fmt.Sprintf("%s is in use at %s", f.o.Name, rival)
 		f.mu.Unlock()
 		if !known {
@@ -384,10 +400,19 @@
 	}
 	id := f.id
 	id.Incarnation = c.Raise
-	if err := id.save(f.o.Folder); err != nil {
+	var err error
+	if c.Old { // before the folder has an incarnation that looks up to date
+		for _, hear := range f.onOld {
+			err = errors.Join(err, hear())
+		}
+	}
+	if err == nil {
+		err = id.save(f.o.Folder)
+	}
+	if err != nil {
 		f.o.Log.Error("fleet: no new incarnation, tried again", "err", err)
 		f.mu.Lock()
-		f.claim.Raise, f.claim.Void = max(f.claim.Raise, c.Raise), f.claim.Void || c.Void
+		f.claim.keep(c)
 		f.mu.Unlock()
 		time.AfterFunc(againAfter, f.rouse)
 		return true
@@ -397,7 +422,7 @@
 	f.mu.Lock()
 	f.table.Raised(id.Incarnation)
 	f.mu.Unlock()
-	f.o.Log.Info("fleet: a new incarnation", "incarnation", id.Incarnation, "removed", c.Void)
+	f.o.Log.Info("fleet: a new incarnation", "incarnation", id.Incarnation, "removed", c.Void, "old folder", c.Old)
 	if c.Void { // whoever builds on members hears it as of any other
 		f.inOrder.Lock()
 		defer f.inOrder.Unlock()
--- a/internal/fleet/simulated_test.go
+++ b/internal/fleet/simulated_test.go
@@ -133,6 +133,11 @@
 		w.nodes[5].name = w.nodes[2].name
 		w.start(5)
 		w.await(healTime, "two halves", func() bool { return w.whole(0, 1, 2) && w.whole(3, 4, 5) })
+		was := w.nodes[2].Self().Incarnation
+		if err := w.nodes[3].Remove(w.nodes[5].name); err != nil { // the other's word is also about the first
+			t.Fatal(err)
+		}
+		w.await(healTime, "the other is in again", func() bool { return w.whole(3, 4, 5) && w.nodes[5].Self().Incarnation > was })
 		w.net.Heal()
 		w.await(time.Minute, "both outside", func() bool {
 			return w.nodes[2].Status().State == fleet.Outside && w.nodes[5].Status().State == fleet.Outside
@@ -143,6 +148,12 @@
 		}
 		w.kill(5)
 		w.await(2*time.Minute, "the other comes in", func() bool { return w.whole(0, 1, 2, 3, 4) })
+		n := w.nodes[2]
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if !slices.ContainsFunc(n.changes, func(c fleet.Change) bool { return c.Name == n.name && c.To == fleet.Removed }) {
+			t.Errorf("it was removed while it was outside, and not told: %v", n.changes)
+		}
 	})
 }
 
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -198,17 +198,24 @@
 type Claim struct {
 	Raise uint64 // take at least this incarnation; 0: none
 	Void  bool   // it was removed: what belonged to the incarnation so far is void
+	Old   bool   // others know a later start than this one: the folder is from before it
 	Rival string // the name is in use at this address, or was; empty: it is not
 }
 
+// keep adds what another claim asks for besides; the rival is looked for, not kept.
+func (c *Claim) keep(o Claim) {
+	c.Raise, c.Void, c.Old = max(c.Raise, o.Raise), c.Void || o.Void, c.Old || o.Old
+}
+
 // Mine judges what somebody tells of the node itself.
 func (t *Table) Mine(rec Record) (c Claim) {
 	own := t.Self()
 	if word := max(rec.Removed, rec.Left); word >= own.Incarnation {
-		c.Raise, c.Void = word+1, rec.Removed >= own.Incarnation
+		// No process says its own word under an incarnation that it goes on with.
+		c.Raise, c.Void, c.Old = word+1, rec.Removed >= own.Incarnation, word > own.Incarnation || rec.Left >= own.Incarnation
 	}
 	if rec.Start != own.Start && rec.Incarnation >= own.Incarnation {
-		c.Raise = max(c.Raise, rec.Incarnation+1)
+		c.Raise, c.Old = max(c.Raise, rec.Incarnation+1), true
 	}
 	// At its own address nobody else can be. A copy of the folder begins above the one that it
 	// was taken from, so the incarnation tells nothing.
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -131,12 +131,14 @@
 		{"itself", own, Claim{}},
 		{"an earlier life", Record{Name: "a", Incarnation: 4, Start: 8, Address: "A"}, Claim{}},
 		{"an earlier life that has left", Record{Name: "a", Incarnation: 4, Start: 8, Address: "A", Left: 4}, Claim{}},
-		{"the folder is older than what others know", Record{Name: "a", Incarnation: 8, Start: 7, Address: "A"}, Claim{Raise: 9}},
-		{"the same number, another start", Record{Name: "a", Incarnation: 5, Start: 7, Address: "A"}, Claim{Raise: 6}},
-		{"somebody else", Record{Name: "a", Incarnation: 8, Start: 7, Address: "X"}, Claim{Raise: 9, Rival: "X"}},
+		{"the folder is older than what others know", Record{Name: "a", Incarnation: 8, Start: 7, Address: "A"}, Claim{Raise: 9, Old: true}},
+		{"the same number, another start", Record{Name: "a", Incarnation: 5, Start: 7, Address: "A"}, Claim{Raise: 6, Old: true}},
+		{"somebody else", Record{Name: "a", Incarnation: 8, Start: 7, Address: "X"}, Claim{Raise: 9, Old: true, Rival: "X"}},
 		{"an earlier one, elsewhere", Record{Name: "a", Incarnation: 3, Start: 7, Address: "X"}, Claim{Rival: "X"}},
 		{"an earlier one, elsewhere, that has left", Record{Name: "a", Incarnation: 3, Start: 7, Address: "X", Left: 3}, Claim{}},
 		{"removed", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 5}, Claim{Raise: 6, Void: true}},
+		{"removed in a later life", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 6}, Claim{Raise: 7, Void: true, Old: true}},
+		{"it has left, in this life", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Left: 5}, Claim{Raise: 6, Old: true}},
 		{"removed before", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 4}, Claim{}},
 	} {
 		if got := NewTable(own, 0).Mine(c.rec); got != c.want {
