--- a/cmd/wingmount/fleet_test.go
+++ b/cmd/wingmount/fleet_test.go
@@ -237,7 +237,7 @@
 	entries, err := os.ReadDir(n.dir)
 	must(t, err)
 	for _, e := range entries {
-		if strings.HasPrefix(e.Name(), "fleet") {
+		if strings.HasPrefix(e.Name(), "fleet") || strings.HasPrefix(e.Name(), "lease") {
 			t.Errorf("%s is in the folder", e.Name())
 		}
 	}
--- /dev/null
+++ b/cmd/wingmount/lease_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"wingmount/internal/fleet"
+	"wingmount/internal/lease"
+)
+
+// newLeases makes a fleet of n nodes with leases, of which the first so many vote.
+func newLeases(t *testing.T, n, voters int, longest float64) *fleetRig {
+	t.Helper()
+	r := newFleet(t, n, n)
+	text, err := os.ReadFile(r.file)
+	must(t, err)
+	var f fleet.File
+	must(t, json.Unmarshal(text, &f))
+	f.Leases = &fleet.Leases{LongestS: longest}
+	for i := range voters {
+		f.Leases.Voters = append(f.Leases.Voters, r.nodes[i].name)
+	}
+	r.write(f)
+	return r
+}
+
+// leases is what a node shows of them; empty where it does not answer.
+func (r *fleetRig) leases(i int) (s lease.Status) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + r.nodes[i].console + "/ops/leases")
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		_ = json.NewDecoder(resp.Body).Decode(&s) // it may be killed meanwhile
+	}
+	return s
+}
+
+func (r *fleetRig) awaitLeases(i int, what string, ok func(lease.Status) bool) (s lease.Status) {
+	r.t.Helper()
+	for end := time.Now().Add(fleetPatience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if s = r.leases(i); ok(s) {
+			return s
+		}
+	}
+	text, _ := json.Marshal(s)
+	r.t.Fatalf("%s has never shown: %s; the last %s; its log:\n%s", r.nodes[i].name, what, text, r.nodes[i].proc.log.String())
+	return s
+}
+
+// awaitVoters waits until a node has these voters, a leader, and grants.
+func (r *fleetRig) awaitVoters(i int, names ...string) lease.Status {
+	r.t.Helper()
+	return r.awaitLeases(i, fmt.Sprint("voters ", names), func(s lease.Status) bool {
+		return s.Voter != nil && strings.Join(s.Voter.Voters, " ") == strings.Join(names, " ") && s.Voter.Leader != "" && !s.Voter.Blocked &&
+			len(s.Voter.Learners) == 0
+	})
+}
+
+// order is one order of the staff about leases.
+func (r *fleetRig) order(at int, call, body string) (status int, text string) {
+	r.t.Helper()
+	req, err := http.NewRequest(http.MethodPut, "http://"+r.nodes[at].console+"/ops/leases/"+call, strings.NewReader(body))
+	must(r.t, err)
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	answer, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, strings.TrimSpace(string(answer))
+}
+
+// take tries until a node has a lease.
+func (r *fleetRig) take(at int, name string, seconds float64) (token uint64) {
+	r.t.Helper()
+	var text string
+	for end := time.Now().Add(fleetPatience); time.Now().Before(end); {
+		var status int
+		if status, text = r.order(at, "take", fmt.Sprintf(`{"name":%q,"length_s":%g}`, name, seconds)); status == http.StatusOK {
+			token, err := strconv.ParseUint(text, 10, 64)
+			must(r.t, err)
+			return token
+		}
+	}
+	for i := range r.nodes {
+		view, _ := json.Marshal(r.leases(i))
+		r.t.Logf("%s: %s", r.nodes[i].name, view)
+	}
+	r.t.Fatalf("%s does not get %s: %s", r.nodes[at].name, name, text)
+	return 0
+}
+
+func (r *fleetRig) leaderOf(at int) int {
+	r.t.Helper()
+	s := r.awaitLeases(at, "a leader", func(s lease.Status) bool { return s.Voter != nil && s.Voter.Leader != "" })
+	for i, n := range r.nodes {
+		if n.name == s.Voter.Leader {
+			return i
+		}
+	}
+	r.t.Fatalf("%q leads", s.Voter.Leader)
+	return -1
+}
+
+// Three vote, a fourth asks. Whoever has a lease keeps it through the death of the leader, nobody
+// else gets it meanwhile, and the next token is greater.
+func TestLeasesOfAFleet(t *testing.T) {
+	t.Parallel()
+	r := newLeases(t, 4, 3, 8)
+	r.launchAll()
+	r.awaitVoters(0, "n0", "n1", "n2")
+	first := r.take(3, "task", 8)
+	if status, text := r.order(0, "take", `{"name":"task","length_s":2}`); status != http.StatusConflict || !strings.Contains(text, "n3 has it") {
+		t.Errorf("a second holder: %d %s", status, text)
+	}
+	leader := r.leaderOf(1)
+	r.nodes[leader].proc.killed(t)
+	other := (leader + 1) % 3
+	r.awaitLeases(other, "another leader", func(s lease.Status) bool {
+		return s.Voter != nil && s.Voter.Leader != "" && s.Voter.Leader != r.nodes[leader].name
+	})
+	was := r.awaitLeases(other, "the lease", func(s lease.Status) bool { return s.Voter.Count == 1 }).Voter.Leases[0]
+	r.awaitLeases(other, "a renewal", func(s lease.Status) bool { return s.Voter.Count == 1 && s.Voter.Leases[0].Renewed > was.Renewed })
+	if s := r.leases(3); len(s.Leases) != 1 || s.Leases[0].Token != first {
+		t.Errorf("the holder has %+v, had %d", s.Leases, first)
+	}
+	if status, text := r.order(3, "give", fmt.Sprintf(`{"name":"task","token":%d}`, first)); status != http.StatusOK {
+		t.Errorf("giving back: %d %s", status, text)
+	}
+	if second := r.take(other, "task", 1); second <= first {
+		t.Errorf("token %d after %d", second, first)
+	}
+	r.launch(leader)
+	r.awaitVoters(leader, "n0", "n1", "n2")
+	if r.net.Stray.Load() != 0 {
+		t.Errorf("%d came from elsewhere", r.net.Stray.Load())
+	}
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -7,13 +7,16 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
+	"time"
 )
 
 const (
@@ -26,8 +29,51 @@
 
 // File is a fleet's file, the same on all its nodes.
 type File struct {
-	Fleet string `json:"fleet"`
-	Nodes []Node `json:"nodes"`
+	Fleet  string  `json:"fleet"`
+	Nodes  []Node  `json:"nodes"`
+	Leases *Leases `json:"leases,omitempty"` // nil: there are none
+}
+
+// Leases says who keeps the leases of a fleet: see internal/lease.
+type Leases struct {
+	Voters   []string `json:"voters"`
+	LongestS float64  `json:"longest_s,omitempty"` // the greatest length of a lease; LongestLease if 0
+	Number   int      `json:"most,omitempty"`      // so many are held at a time at most; DefaultLeases if 0
+}
+
+// LongestLease is the greatest length of a lease where the file names none, and MostLease is
+// what it may name.
+const (
+	LongestLease = 60 * time.Second
+	MostLease    = time.Hour
+	// DefaultLeases and MostLeases are the same for their number.
+	DefaultLeases = 200
+	MostLeases    = 10000
+)
+
+// Most is how many leases may be held at a time.
+func (l Leases) Most() int { return cmp.Or(l.Number, DefaultLeases) }
+
+// Longest is the greatest length of a lease.
+func (l Leases) Longest() time.Duration {
+	if l.LongestS == 0 {
+		return LongestLease
+	}
+	return time.Duration(l.LongestS * float64(time.Second))
+}
+
+// CheckVoters tells whether names may be all voters of a log: an even number of them survives no
+// more than one less.
+func CheckVoters(names []string) error {
+	if n := len(names); n != 1 && n != 3 && n != 5 {
+		return fmt.Errorf("%d voters: 1, 3 or 5 are wanted", n)
+	}
+	for i, name := range names {
+		if slices.Contains(names[:i], name) {
+			return fmt.Errorf("%q is named twice as a voter", name)
+		}
+	}
+	return nil
 }
 
 // Node is a line of it. Others reach the node at Address; it listens at, and sends from,
@@ -111,6 +157,22 @@
 	if seeds == 0 {
 		bad("no node is a seed")
 	}
+	if l := f.Leases; l != nil {
+		if err := CheckVoters(l.Voters); err != nil {
+			bad("%v", err)
+		}
+		for _, name := range l.Voters {
+			if !names[name] {
+				bad("%q is to be a voter and is no node", name)
+			}
+		}
+		if l.LongestS != 0 && !(l.LongestS >= 1 && l.LongestS <= MostLease.Seconds()) {
+			bad("longest_s of %v: it has to be 1 to %v", l.LongestS, MostLease.Seconds())
+		}
+		if l.Number < 0 || l.Number > MostLeases {
+			bad("most of %d: it has to be 1 to %d", l.Number, MostLeases)
+		}
+	}
 	if len(all) > 0 {
 		return File{}, errors.New(strings.Join(all, "; "))
 	}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,581 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"wingmount/internal/fleet"
+	"wingmount/internal/journal"
+)
+
+const (
+	// kind is what news and questions about leases go by, over the fleet's links.
+	kind = "lease"
+	// eventRoom bounds what waits for the voter's loop; more is refused. Each takes some
+	// microseconds, but while the disk syncs.
+	eventRoom = 2048
+	// flushEvery bounds how many events are taken in before what follows is carried out.
+	flushEvery = 256
+	// askTime is how long an answer is waited for: a little longer than the leader waits.
+	askTime = answerTime + 500*time.Millisecond
+)
+
+var (
+	// ErrNotHeld says that a lease is not held, or not for long enough.
+	ErrNotHeld = errors.New("the lease is not held for so long")
+	// ErrOutside says that this node takes no part in its fleet just now.
+	ErrOutside = errors.New("this node is not joined")
+)
+
+// Options are what leases stand on.
+type Options struct {
+	Net     fleet.Net
+	Folder  journal.Folder
+	Name    string
+	Voters  []string
+	Longest time.Duration
+	Most    int
+	// Clock never stops, also not while the machine sleeps.
+	Clock func() time.Duration
+	// Above is what tokens are above of a log that begins.
+	Above func() uint64
+	Seed  uint64
+	Log   *slog.Logger
+}
+
+// Leases is one node's part in the leases of its fleet.
+type Leases struct {
+	o      Options
+	events chan func(v *Voter, now time.Duration) // for the voter's loop
+	life   sync.Mutex                             // held where the voter begins and ends
+	votes  bool                                   // under life
+	wake   chan struct{}                          // for the asker's
+
+	mu     sync.Mutex // over what follows
+	asker  *Asker
+	leases map[string]*Lease
+	rand   *rand.Rand
+	joined bool
+	failed string // why there is no voter
+}
+
+// New registers with the fleet; Run does the rest.
+func New(o Options) *Leases {
+	l := &Leases{o: o, events: make(chan func(*Voter, time.Duration), eventRoom), wake: make(chan struct{}, 1),
+		leases: map[string]*Lease{}, rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
+	l.asker = NewAsker(o.Name, o.Voters, l.rand.Float64)
+	o.Net.OnNews(kind, l.hear)
+	o.Net.OnAsk(kind, l.asked)
+	o.Net.OnChange(func(c fleet.Change) {
+		if c.Name == o.Name {
+			l.rouse() // it may be another incarnation
+		}
+	})
+	return l
+}
+
+func (l *Leases) random() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rand.Uint64()
+}
+
+// Overtaken tells that others know a later start of this node than its folder does: what it has of
+// the log is from before, and is set aside. Without an error it surely is.
+func (l *Leases) Overtaken() error {
+	l.life.Lock()
+	defer l.life.Unlock()
+	if !l.votes {
+		return (&disk{folder: l.o.Folder}).setAside()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	out, err := await(ctx, l, func(v *Voter, _ time.Duration, reply func(error)) { reply(v.Old()) })
+	return errors.Join(err, out)
+}
+
+// Run takes part until the context ends: for as long as this node is joined to its fleet, and no
+// longer, since then another process may have its folder.
+func (l *Leases) Run(ctx context.Context) {
+	l.mu.Lock()
+	l.joined, l.failed = true, ""
+	l.mu.Unlock()
+	var running sync.WaitGroup
+	running.Go(func() { l.runVoter(ctx) })
+	running.Go(func() { l.runAsker(ctx) })
+	<-ctx.Done()
+	running.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.joined = false
+	l.asker.Restart(0)
+	l.settle(l.o.Clock())
+}
+
+func (l *Leases) rouse() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// post hands an event to the voter's loop; false: there is no room.
+func (l *Leases) post(f func(v *Voter, now time.Duration)) bool {
+	select {
+	case l.events <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *Leases) fail(why string) {
+	l.o.Log.Error("leases: this node does not vote", "why", why)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed = why
+}
+
+// runVoter steps the voter. What it can't go on after ends its part in the log, and nothing else:
+// a panic of raft says that what it stands on contradicts itself.
+func (l *Leases) runVoter(ctx context.Context) {
+	l.life.Lock()
+	v, err := NewVoter(VoterOptions{Name: l.o.Name, Folder: l.o.Folder, Voters: l.o.Voters, Longest: l.o.Longest, Most: l.o.Most,
+		Random: l.random, Above: l.o.Above, Log: l.o.Log}, l.o.Clock())
+	l.votes = err == nil
+	l.life.Unlock()
+	if err != nil {
+		l.fail(err.Error())
+		return
+	}
+	defer func() {
+		l.life.Lock()
+		defer l.life.Unlock()
+		l.votes = false
+		v.Close()
+		for len(l.events) > 0 { // whoever waits has a time
+			<-l.events
+		}
+	}()
+	defer func() {
+		if p := recover(); p != nil {
+			l.fail(fmt.Sprint(p))
+			l.o.Log.Error("leases: a panic of the log", "stack", string(debug.Stack()))
+		}
+	}()
+	tick := time.NewTicker(tickEvery / 2)
+	defer tick.Stop()
+	for {
+		var f func(*Voter, time.Duration)
+		select {
+		case <-ctx.Done():
+			return
+		case f = <-l.events:
+		case <-tick.C:
+		}
+		for n := 0; f != nil; n++ {
+			f(v, l.o.Clock())
+			f = nil
+			if n < flushEvery {
+				select {
+				case f = <-l.events:
+				default:
+				}
+			}
+		}
+		v.Tick(l.o.Clock())
+		for _, out := range v.Flush(l.o.Clock()) { // the time after all that was taken in
+			l.tell(v, out)
+		}
+	}
+}
+
+func (l *Leases) tell(v *Voter, out Outbound) {
+	if name, free := strings.CutPrefix(out.Key, freeKey); free && out.To == l.o.Name {
+		l.hearFree(name)
+		return
+	}
+	if err := l.o.Net.Tell(out.To, kind, out.Key, out.Body); err != nil {
+		v.Unreachable(out.To)
+	}
+}
+
+func (l *Leases) hear(from fleet.Peer, key string, _ time.Duration, body []byte) {
+	if name, free := strings.CutPrefix(key, freeKey); free {
+		l.hearFree(name)
+		return
+	}
+	l.post(func(v *Voter, now time.Duration) { v.Receive(now, from, body) }) // else it comes again, or raft says it anew
+}
+
+func (l *Leases) hearFree(name string) {
+	l.mu.Lock()
+	l.asker.Freed(name, l.o.Clock())
+	l.mu.Unlock()
+	l.rouse()
+}
+
+// asked answers another node's ask.
+func (l *Leases) asked(ctx context.Context, from fleet.Peer, body []byte) ([]byte, error) {
+	var a ask
+	if err := decoding.Unmarshal(body, &a); err != nil {
+		return nil, fmt.Errorf("unreadable: %w", err)
+	}
+	if a.Node != from.Name || a.Incarnation > from.Incarnation {
+		return nil, fmt.Errorf("%s asks as %s", from.Name, a.Node)
+	}
+	ans, err := l.put(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return encoding.Marshal(ans)
+}
+
+// put has an ask answered by this node's voter.
+func (l *Leases) put(ctx context.Context, a ask) (answer, error) {
+	return await(ctx, l, func(v *Voter, now time.Duration, reply func(answer)) { v.Ask(now, a, reply) })
+}
+
+// await has something done by the voter's loop, and waits for its reply.
+func await[T any](ctx context.Context, l *Leases, f func(v *Voter, now time.Duration, reply func(T))) (out T, err error) {
+	got := make(chan T, 1)
+	if !l.post(func(v *Voter, now time.Duration) { f(v, now, func(t T) { got <- t }) }) {
+		return out, errors.New("too many asks at once")
+	}
+	select {
+	case out = <-got:
+		return out, nil
+	case <-ctx.Done():
+		return out, fmt.Errorf("no answer of the voter: %w", ctx.Err())
+	}
+}
+
+// runAsker puts what the asker wants, one ask at a time.
+func (l *Leases) runAsker(ctx context.Context) {
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		now := l.o.Clock()
+		l.asker.Restart(l.o.Net.Self().Incarnation)
+		r := l.asker.Step(now)
+		l.settle(now)
+		at, timed := l.asker.Wake()
+		l.mu.Unlock()
+		if r != nil {
+			asking.Go(func() {
+				ans, err := l.ask(ctx, r)
+				l.mu.Lock()
+				if now := l.o.Clock(); err != nil {
+					l.asker.NoAnswer(r.Number, now)
+				} else {
+					l.asker.Answer(r.Number, ans, now)
+				}
+				l.mu.Unlock()
+				l.rouse()
+			})
+			continue
+		}
+		if !timed {
+			at = now + time.Hour
+		}
+		t := time.NewTimer(max(at-now, time.Millisecond))
+		select {
+		case <-l.wake:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+func (l *Leases) ask(ctx context.Context, r *request) (ans answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, r.patience())
+	defer cancel()
+	if r.To == l.o.Name {
+		return l.put(ctx, r.Ask)
+	}
+	body, err := encoding.Marshal(r.Ask)
+	if err != nil {
+		return ans, err
+	}
+	text, err := l.o.Net.Ask(ctx, r.To, kind, body)
+	if err != nil {
+		return ans, err
+	}
+	return ans, decoding.Unmarshal(text, &ans)
+}
+
+// Lease is one name that this node wants, until GiveBack.
+type Lease struct {
+	l    *Leases
+	name string
+
+	// Under l.mu.
+	token uint64
+	held  chan struct{} // closed while it is held
+	lost  chan struct{} // closed while it is not
+	acts  sync.WaitGroup
+	given bool
+}
+
+// Want asks for a lease, and renews it, from now on. It is the same for all who want a name at
+// this node.
+func (l *Leases) Want(name string, length time.Duration) (*Lease, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if have := l.leases[name]; have != nil {
+		return nil, fmt.Errorf("%q is wanted at this node already", name)
+	}
+	if length > l.o.Longest {
+		return nil, fmt.Errorf("a lease of %v: %v is the most", length, l.o.Longest)
+	}
+	if err := l.asker.Want(name, length, l.o.Clock()); err != nil {
+		return nil, err
+	}
+	t := &Lease{l: l, name: name, held: make(chan struct{}), lost: make(chan struct{})}
+	close(t.lost)
+	l.leases[name] = t
+	l.rouse()
+	return t, nil
+}
+
+// settle tells whoever waits what is held now and what is not; l.mu is held.
+func (l *Leases) settle(now time.Duration) {
+	for _, t := range l.leases {
+		token, _ := l.asker.Held(t.name, now)
+		if token == t.token {
+			continue
+		}
+		if t.token != 0 {
+			close(t.lost)
+			t.held = make(chan struct{})
+		}
+		if token != 0 {
+			close(t.held)
+			t.lost = make(chan struct{})
+		}
+		l.o.Log.Info("leases: held", "name", t.name, "token", token, "was", t.token)
+		t.token = token
+	}
+}
+
+// Held tells the token that this node has the lease under, and for how long still; 0: it has not.
+func (t *Lease) Held() (token uint64, left time.Duration) {
+	t.l.mu.Lock()
+	defer t.l.mu.Unlock()
+	if t.given {
+		return 0, 0
+	}
+	return t.l.asker.Held(t.name, t.l.o.Clock())
+}
+
+// Wait waits until the lease is held.
+func (t *Lease) Wait(ctx context.Context) (token uint64, err error) {
+	for {
+		t.l.mu.Lock()
+		held, given := t.held, t.given
+		t.l.mu.Unlock()
+		if given {
+			return 0, fmt.Errorf("%w: it was given back", ErrNotHeld)
+		}
+		select {
+		case <-held:
+			if token, _ := t.Held(); token != 0 {
+				return token, nil
+			}
+			t.l.rouse() // it has run out just now
+			select {
+			case <-time.After(time.Millisecond):
+			case <-ctx.Done():
+			}
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			return 0, fmt.Errorf("waiting for the lease %q: %w", t.name, ctx.Err())
+		}
+	}
+}
+
+// Lost is closed when the lease is not held, or no longer.
+func (t *Lease) Lost() <-chan struct{} {
+	t.l.mu.Lock()
+	defer t.l.mu.Unlock()
+	return t.lost
+}
+
+// Begin begins an act under the lease: only while more of it is left than the longest that the
+// act may take. The act has to end, with its last byte out, when its context does, and End
+// says that it has. Error: ErrNotHeld.
+func (t *Lease) Begin(ctx context.Context, longest time.Duration) (act *Act, err error) {
+	t.l.mu.Lock()
+	token, left := t.l.asker.Held(t.name, t.l.o.Clock())
+	ok := token != 0 && left > longest && !t.given
+	lost := t.lost
+	if ok {
+		t.acts.Add(1)
+	}
+	t.l.mu.Unlock()
+	if !ok {
+		return nil, fmt.Errorf("%w: %q, for %v", ErrNotHeld, t.name, longest)
+	}
+	a := &Act{Token: token, lease: t}
+	a.Context, a.cancel = context.WithTimeout(ctx, longest)
+	go func() { // ended by End at the latest
+		select {
+		case <-lost:
+			a.cancel()
+		case <-a.Context.Done():
+		}
+	}()
+	return a, nil
+}
+
+// Act is something that is being done under a lease.
+type Act struct {
+	Token   uint64
+	Context context.Context
+	cancel  context.CancelFunc
+	lease   *Lease
+	once    sync.Once
+}
+
+// End says that the act has ended.
+func (a *Act) End() {
+	a.once.Do(func() {
+		a.cancel()
+		a.lease.acts.Done()
+	})
+}
+
+// GiveBack ends the wish for the lease. No act begins any more; when those that are going on have
+// ended, the others may have it. It waits for them, unless the context ends: then the lease is
+// not renewed any more, and runs out.
+func (t *Lease) GiveBack(ctx context.Context) {
+	t.l.mu.Lock()
+	if t.given {
+		t.l.mu.Unlock()
+		return
+	}
+	t.given = true
+	t.l.mu.Unlock()
+	ended := make(chan struct{})
+	go func() { // each act has a time, after which it must have ended
+		t.acts.Wait()
+		close(ended)
+	}()
+	clean := true
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		clean = false
+	}
+	t.l.mu.Lock()
+	defer t.l.mu.Unlock()
+	if clean {
+		t.l.asker.Drop(t.name, t.l.o.Clock())
+	} else {
+		t.l.asker.Forget(t.name)
+	}
+	delete(t.l.leases, t.name)
+	if t.token != 0 {
+		close(t.lost)
+		t.token = 0
+	}
+	t.l.rouse()
+}
+
+// Names are the leases that this node wants.
+func (l *Leases) Names() (all []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asker.names()
+}
+
+// Take is Want and Wait for the staff, who have no act of which the end could be seen: the lease is
+// renewed until Give, or until this process ends. Without it by the context's end nothing is wanted.
+func (l *Leases) Take(ctx context.Context, name string, length time.Duration) (token uint64, err error) {
+	t, err := l.Want(name, length)
+	if err != nil {
+		return 0, err
+	}
+	if token, err = t.Wait(ctx); err != nil {
+		l.mu.Lock()
+		if tenure := l.asker.tenures[name]; tenure != nil && tenure.holder != "" {
+			err = fmt.Errorf("%w: %s has it", err, tenure.holder)
+		} else if tenure != nil && tenure.no != "" {
+			err = fmt.Errorf("%w: %s", err, tenure.no)
+		}
+		l.mu.Unlock()
+		t.GiveBack(context.Background()) // it has no acts
+	}
+	return token, err
+}
+
+// Give is GiveBack for the staff.
+func (l *Leases) Give(ctx context.Context, name string, token uint64) error {
+	l.mu.Lock()
+	t := l.leases[name]
+	l.mu.Unlock()
+	if t == nil {
+		return fmt.Errorf("%w: %q is not wanted at this node", ErrNotHeld, name)
+	}
+	if have, _ := t.Held(); have != token {
+		return fmt.Errorf("%w: %q under token %d; it is %d", ErrNotHeld, name, token, have)
+	}
+	t.GiveBack(ctx)
+	return nil
+}
+
+// SetVoters orders who should vote from now on. A yes means that the log has it; the voters
+// are changed one by one after that.
+func (l *Leases) SetVoters(ctx context.Context, names []string) error {
+	if err := fleet.CheckVoters(names); err != nil {
+		return err
+	}
+	for _, name := range names {
+		if !slices.ContainsFunc(l.o.Net.Members(), func(m fleet.Member) bool { return m.Name == name && m.State == fleet.Alive }) {
+			return fmt.Errorf("%w: %s, alive", fleet.ErrUnknown, name)
+		}
+	}
+	ans, err := await(ctx, l, func(v *Voter, now time.Duration, reply func(answer)) { v.Want(now, names, reply) })
+	switch {
+	case err != nil:
+		return err
+	case ans.No == errNotLeader.Error() && ans.Leader != "":
+		return fmt.Errorf("the order is to be given at %s, which leads", ans.Leader)
+	case ans.No != "":
+		return errors.New(ans.No)
+	}
+	return nil
+}
+
+// GivesUp is what has to be said, word for word, with the order to recover.
+const GivesUp = "what the lost voters alone have agreed on is void"
+
+// Recover begins the next epoch of the log at this node alone. Log is the number of the present
+// one, as Status shows it.
+func (l *Leases) Recover(ctx context.Context, log, givesUp string) error {
+	if givesUp != GivesUp {
+		return fmt.Errorf("the order has to say what it gives up, word for word: %q", GivesUp)
+	}
+	failed, err := await(ctx, l, func(v *Voter, now time.Duration, reply func(error)) {
+		switch {
+		case v.self.Log.String() != log:
+			reply(fmt.Errorf("the log of this node is %v, not %s", v.self.Log, log))
+		case v.Leader() != "":
+			reply(fmt.Errorf("%s leads: there is a majority", v.Leader()))
+		default:
+			reply(v.Recover(now))
+		}
+	})
+	return errors.Join(err, failed)
+}
--- /dev/null
+++ b/internal/lease/status.go
@@ -0,0 +1,126 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// maxShown bounds the leases that are shown.
+const maxShown = 200
+
+// Status is how leases look from one node, for the staff.
+type Status struct {
+	Voter  *VoterStatus `json:"voter,omitempty"` // none: this node has no part in the log
+	Why    string       `json:"why,omitempty"`   // why it does not vote, or not now
+	Asker  AskerStatus  `json:"asker"`
+	Leases []Wish       `json:"wanted"` // at this node
+}
+
+// VoterStatus is a voter's part in the log.
+type VoterStatus struct {
+	Log      string      `json:"log"`
+	Number   string      `json:"number"` // of this voter
+	Role     string      `json:"role"`
+	Term     uint64      `json:"term"`
+	Leader   string      `json:"leader"`
+	Voters   []string    `json:"voters"`
+	Learners []string    `json:"learners"`
+	Wanted   []string    `json:"wanted_voters"`
+	Commit   uint64      `json:"commit"`
+	Applied  uint64      `json:"applied"`
+	Bytes    int64       `json:"bytes"`
+	Token    uint64      `json:"last_token"`
+	Blocked  bool        `json:"blocked"` // a log that has just begun grants nothing yet
+	Count    int         `json:"count"`
+	Leases   []Holding   `json:"leases"` // the first of them by name
+	Nodes    int         `json:"nodes"`  // that have asked
+	Pending  int         `json:"pending"`
+	Stats    VoterStats  `json:"since_start"`
+	Failed   string      `json:"failed,omitempty"` // of the disk
+	Here     []VoterSeen `json:"seen"`
+}
+
+// VoterSeen is what another has said that it is.
+type VoterSeen struct {
+	Name   string  `json:"name"`
+	Log    string  `json:"log,omitempty"`
+	Number string  `json:"number,omitempty"`
+	Age    float64 `json:"age_s"`
+}
+
+// AskerStatus is what this node asks.
+type AskerStatus struct {
+	Incarnation uint64     `json:"incarnation"`
+	Asks        uint64     `json:"asks"`
+	Asking      string     `json:"asking,omitempty"` // whom, just now
+	Leader      string     `json:"leader,omitempty"`
+	Stats       AskerStats `json:"since_start"`
+}
+
+// Wish is a lease that this node wants.
+type Wish struct {
+	Name   string  `json:"name"`
+	Token  uint64  `json:"token"` // 0: not held
+	Left   float64 `json:"left_s"`
+	Length float64 `json:"length_s"`
+	Holder string  `json:"holder,omitempty"` // as the log said last
+	Why    string  `json:"why,omitempty"`
+}
+
+// Status tells all of it, within the context's time.
+func (l *Leases) Status(ctx context.Context) Status {
+	var s Status
+	l.mu.Lock()
+	now := l.o.Clock()
+	s.Why, s.Leases = l.failed, []Wish{}
+	if !l.joined {
+		s.Why = ErrOutside.Error()
+	}
+	s.Asker = AskerStatus{Incarnation: l.asker.incarnation, Asks: l.asker.number, Leader: l.asker.leader, Stats: l.asker.stats}
+	if l.asker.out != nil {
+		s.Asker.Asking = l.asker.out.To
+	}
+	for _, name := range l.asker.names() {
+		t := l.asker.tenures[name]
+		token, left := l.asker.Held(name, now)
+		s.Leases = append(s.Leases, Wish{name, token, left.Seconds(), t.length.Seconds(), t.holder, t.no})
+	}
+	l.mu.Unlock()
+	if s.Why != "" {
+		return s
+	}
+	voter, err := await(ctx, l, func(v *Voter, now time.Duration, reply func(*VoterStatus)) { reply(v.status(now)) })
+	if err != nil {
+		s.Why = err.Error()
+	}
+	s.Voter = voter
+	return s
+}
+
+func (v *Voter) status(now time.Duration) *VoterStatus {
+	if v.node == nil {
+		return nil
+	}
+	raft := v.node.BasicStatus()
+	s := &VoterStatus{Log: v.self.Log.String(), Number: fmt.Sprintf("%016x", v.self.Voter), Role: raft.RaftState.String(),
+		Term: raft.HardState.GetTerm(), Leader: v.Leader(), Voters: v.Voters(), Wanted: v.book.state.Wanted, Commit: raft.HardState.GetCommit(),
+		Applied: v.applied, Bytes: v.disk.size, Token: v.book.state.Token, Leases: v.book.holdings(maxShown), Nodes: len(v.book.state.Nodes) - 1,
+		Pending: len(v.pending), Stats: v.stats, Failed: v.why}
+	_, s.Blocked = v.book.state.Leases[blocked]
+	s.Count = len(v.book.state.Leases)
+	if s.Blocked {
+		s.Count--
+	}
+	for _, id := range v.conf.GetLearners() {
+		s.Learners = append(s.Learners, v.book.state.Voters[id])
+	}
+	for name, h := range v.here {
+		seen := VoterSeen{Name: name, Age: (now - h.at).Seconds()}
+		if h.id.Log != (logID{}) {
+			seen.Log, seen.Number = h.id.Log.String(), fmt.Sprintf("%016x", h.id.Voter)
+		}
+		s.Here = append(s.Here, seen)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/lease/voter.go
@@ -0,0 +1,1072 @@
+package lease
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"wingmount/internal/fleet"
+	"wingmount/internal/journal"
+)
+
+const (
+	// tickEvery is the log's own clock: a leader is heard each beatTicks of it, and missed after
+	// electionTicks to twice as many. An election must outlast a slow sync and a link that dials.
+	tickEvery     = 100 * time.Millisecond
+	electionTicks = 10
+	beatTicks     = 2
+	// lookEvery is how often the leader, and who may begin a log, ask other voters who they are;
+	// seenFor is how long their answer holds.
+	lookEvery = time.Second
+	seenFor   = 3 * time.Second
+	// snapshotTime is how long a snapshot may take on its way: 1 MiB at the most.
+	snapshotTime = 2 * time.Second
+	// changeEvery is the least time between two changes of the voters.
+	changeEvery = 300 * time.Millisecond
+	// sayAgain is when it is proposed again that a lease has run out.
+	sayAgain = time.Second
+	// answerTime is how long an ask may wait for the log's agreement.
+	answerTime = 3 * time.Second
+	maxPending = 1024
+	// maxProposed bounds what a leader has proposed and nobody has agreed to yet, in bytes.
+	maxProposed = 64 << 10
+	// windowOf is how many messages of one kind may wait for one voter; later ones replace them.
+	windowOf = 32
+	// clockError: a voter counts a lease longer by 3%, for two clocks whose rates are each wrong
+	// by up to 1% (1.01/0.99 is 1.0202).
+	clockErrorPercent = 3
+)
+
+// errNotLeader answers an ask at a voter that does not lead.
+var errNotLeader = errors.New("not the leader")
+
+// errNotProposed answers what raft has not taken: a leader may just have stepped down.
+var errNotProposed = errors.New("not proposed")
+
+// VoterOptions are what a voter stands on.
+type VoterOptions struct {
+	Name   string
+	Folder journal.Folder
+	Voters []string // who may begin a log, the first of them, and is in it then
+	// The greatest length and number of leases, of a log that begins.
+	Longest time.Duration
+	Most    int
+	Random  func() uint64
+	// Above is what tokens of a log that begins are above.
+	Above func() uint64
+	Log   *slog.Logger
+}
+
+// freeKey and a name say, to who waits for a lease, that nobody has it any more.
+const freeKey = "free "
+
+// Outbound is what a voter wants told to another. Newer replaces older of its key.
+type Outbound struct {
+	To, Key string
+	Body    []byte
+}
+
+// answer is what an asker gets.
+type answer struct {
+	Leader   string    `cbor:"1,keyasint,omitempty"` // who leads, where this one doesn't
+	Log      logID     `cbor:"2,keyasint"`
+	Outcomes []outcome `cbor:"3,keyasint,omitempty"`
+	No       string    `cbor:"4,keyasint,omitempty"` // the ask had no effect
+	Maybe    bool      `cbor:"5,keyasint,omitempty"` // it may have one yet
+	Voters   []string  `cbor:"6,keyasint,omitempty"` // who may be asked
+}
+
+// What voters tell each other.
+const (
+	sayRaft = iota + 1
+	sayWho  // who are you? With a log: be a voter of it
+	sayHere // the answer
+	sayOld  // a later incarnation of you was seen by this one
+)
+
+type message struct {
+	What uint8  `cbor:"1,keyasint"`
+	Log  logID  `cbor:"2,keyasint"` // the sender's; none: it has none
+	From uint64 `cbor:"3,keyasint,omitempty"`
+	To   uint64 `cbor:"4,keyasint,omitempty"`
+	Raft []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// counted is how long a lease has been counted here, as it was renewed last.
+type counted struct {
+	token, renewed uint64
+	since          time.Duration
+	said           time.Duration // when it was proposed last that it has run out
+}
+
+type sighting struct {
+	id identity
+	at time.Duration
+}
+
+type waiting struct {
+	reply func(answer)
+	until time.Duration
+}
+
+type askKey struct {
+	node                string
+	incarnation, number uint64
+}
+
+// Voter is one voter's part in the log: raft, the book, the file, and the time of leases. It is
+// stepped by events, after each of which Flush carries out what follows from them, and has no
+// clock, no goroutine and no link of its own. It is not safe for concurrent use.
+type Voter struct {
+	o     VoterOptions
+	disk  disk
+	self  identity
+	seen  map[uint64]uint64 // the last incarnation of each other voter
+	names map[uint64]string // who has said something under a number
+
+	node    *raft.RawNode // nil: there is no log
+	store   *raft.MemoryStorage
+	conf    *raftpb.ConfState
+	book    *Book
+	applied uint64
+	stuck   *raft.Ready // what the disk has not taken yet
+	why     string      // the last error of the disk
+
+	counts  map[string]*counted
+	pending map[askKey]waiting
+	wanted  map[uint64]waiting // orders of who should vote
+	freed   map[string]map[string]bool
+	here    map[string]sighting // by name
+	// When a snapshot was sent to a voter of which nothing has come back.
+	snapshots map[uint64]time.Duration
+	looked    time.Duration
+	changed   time.Duration
+	ticked    time.Duration
+	keys      uint64
+	out       []Outbound
+	stats     VoterStats
+}
+
+// VoterStats count since the start.
+type VoterStats struct {
+	Granted, Renewed, Lapsed, Given, Refused, Syncs, Elections, Strangers int
+}
+
+// NewVoter reads the folder. A log of which a part is lost is set aside. The error is of a disk
+// that can't be read.
+func NewVoter(o VoterOptions, now time.Duration) (*Voter, error) {
+	v := &Voter{o: o, disk: disk{folder: o.Folder}}
+	v.empty()
+	v.ticked, v.looked = now, now-lookEvery
+	all, err := v.disk.load()
+	if errors.Is(err, errDamaged) {
+		o.Log.Error("leases: set aside, this node is to be a new voter", "err", err)
+		return v, v.disk.setAside()
+	}
+	if err != nil || len(all) == 0 {
+		return v, err
+	}
+	if err := v.restore(all, now); err != nil {
+		o.Log.Error("leases: set aside, this node is to be a new voter", "err", err)
+		v.empty()
+		return v, v.disk.setAside()
+	}
+	return v, nil
+}
+
+// empty forgets all that belongs to a log.
+func (v *Voter) empty() {
+	v.dropPending("this voter has left the log")
+	v.self, v.node, v.store, v.conf, v.book, v.applied, v.stuck, v.why = identity{}, nil, nil, nil, nil, 0, nil, ""
+	v.seen, v.names, v.counts, v.here = map[uint64]uint64{}, map[uint64]string{}, map[string]*counted{}, map[string]sighting{}
+	v.snapshots = map[uint64]time.Duration{}
+	v.pending, v.wanted, v.freed = map[askKey]waiting{}, map[uint64]waiting{}, map[string]map[string]bool{}
+}
+
+func (v *Voter) dropPending(why string) {
+	for _, w := range v.pending {
+		w.reply(answer{No: why, Maybe: true})
+	}
+	for _, w := range v.wanted {
+		w.reply(answer{No: why, Maybe: true})
+	}
+	clear(v.pending)
+	clear(v.wanted)
+}
+
+// leave gives this part in the log up for good: it is to be a new voter.
+func (v *Voter) leave(why string) error {
+	v.o.Log.Error("leases: set aside, this node is to be a new voter", "why", why, "log", v.self.Log)
+	v.empty()
+	err := v.disk.setAside()
+	if err != nil {
+		v.o.Log.Error("leases", "err", err)
+	}
+	return err
+}
+
+// Old tells that others know a later incarnation of this node than its folder does: the folder
+// is from before, and so is what it has of the log.
+func (v *Voter) Old() error {
+	if v.node == nil {
+		return v.disk.setAside()
+	}
+	return v.leave("the folder is older than what others know of this node")
+}
+
+// restore rebuilds what was written.
+func (v *Voter) restore(all []record, now time.Duration) error {
+	v.store = raft.NewMemoryStorage()
+	for _, rec := range all {
+		if rec.Self != nil {
+			v.self = *rec.Self
+		}
+		for id, incarnation := range rec.Seen {
+			v.seen[id] = max(v.seen[id], incarnation)
+		}
+		if rec.Snapshot != nil {
+			snap := &raftpb.Snapshot{}
+			if err := proto.Unmarshal(rec.Snapshot, snap); err != nil {
+				return fmt.Errorf("%w: a snapshot: %w", errDamaged, err)
+			}
+			if err := v.store.ApplySnapshot(snap); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
+				return fmt.Errorf("%w: a snapshot: %w", errDamaged, err)
+			}
+		}
+		var entries []*raftpb.Entry
+		for _, text := range rec.Entries {
+			e := &raftpb.Entry{}
+			if err := proto.Unmarshal(text, e); err != nil {
+				return fmt.Errorf("%w: an entry: %w", errDamaged, err)
+			}
+			entries = append(entries, e)
+		}
+		if err := v.append(entries); err != nil {
+			return err
+		}
+		if rec.Hard != nil {
+			hard := &raftpb.HardState{}
+			if err := proto.Unmarshal(rec.Hard, hard); err != nil {
+				return fmt.Errorf("%w: a state: %w", errDamaged, err)
+			}
+			if err := v.store.SetHardState(hard); err != nil {
+				return err
+			}
+		}
+	}
+	return v.begin(now)
+}
+
+// append keeps entries in memory. There is no gap before them, or the file has lost something.
+func (v *Voter) append(entries []*raftpb.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	last, err := v.store.LastIndex()
+	if err == nil && entries[0].GetIndex() > last+1 {
+		err = fmt.Errorf("%w: entry %d comes after %d", errDamaged, entries[0].GetIndex(), last)
+	}
+	if err == nil {
+		err = v.store.Append(entries)
+	}
+	return err
+}
+
+// begin starts raft on what is in the store, and writes the file anew: what was read may be in
+// the machine's memory alone.
+func (v *Voter) begin(now time.Duration) error {
+	snap, err := v.store.Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := v.take(snap, now); err != nil {
+		return err
+	}
+	v.node, err = raft.NewRawNode(&raft.Config{ID: v.self.Voter, ElectionTick: electionTicks, HeartbeatTick: beatTicks, Storage: v.store,
+		Applied: v.applied, MaxSizePerMsg: 128 << 10, MaxCommittedSizePerReady: 4 << 20, MaxUncommittedEntriesSize: maxProposed,
+		MaxInflightMsgs: 16, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, StepDownOnRemoval: true,
+		Logger: raftLog{v.o.Log}})
+	if err != nil {
+		return err
+	}
+	if err := v.renew(); err != nil {
+		v.o.Log.Error("leases: no part in the log until the disk takes it", "err", err)
+		v.stuck, v.why = &raft.Ready{}, err.Error()
+	}
+	return nil
+}
+
+// take makes a snapshot the state. All leases are counted anew from now.
+func (v *Voter) take(snap *raftpb.Snapshot, now time.Duration) error {
+	v.applied, v.conf, v.book = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetConfState(), nil
+	v.counts = map[string]*counted{}
+	if v.applied == 0 {
+		v.book, v.conf = newBook(0, 0, 0, nil), &raftpb.ConfState{}
+		delete(v.book.state.Leases, blocked) // it has no log yet
+		return nil
+	}
+	book, err := readBook(snap.GetData())
+	if err != nil {
+		return fmt.Errorf("%w: %w", errDamaged, err)
+	}
+	v.book = book
+	for name := range book.state.Leases {
+		v.count(name, now)
+	}
+	return nil
+}
+
+// count begins the time of a lease anew.
+func (v *Voter) count(name string, now time.Duration) {
+	h := v.book.state.Leases[name]
+	v.counts[name] = &counted{token: h.Token, renewed: h.Renewed, since: now, said: now - sayAgain}
+}
+
+// create begins a log with this voter alone in it.
+func (v *Voter) create(id identity, book *Book, now time.Duration) error {
+	book.state.Voters = map[uint64]string{id.Voter: v.o.Name}
+	data, err := book.snapshot()
+	if err != nil {
+		return err
+	}
+	index, term := uint64(1), uint64(1)
+	snap := &raftpb.Snapshot{Data: data, Metadata: &raftpb.SnapshotMetadata{Index: &index, Term: &term,
+		ConfState: raftpb.EnsureConfState(&raftpb.ConfState{Voters: []uint64{id.Voter}})}}
+	v.empty()
+	v.self, v.store = id, raft.NewMemoryStorage()
+	if err := v.store.ApplySnapshot(snap); err != nil {
+		return err
+	}
+	return v.begin(now)
+}
+
+// join begins to learn a log that another has asked this one into.
+func (v *Voter) join(log logID, now time.Duration) {
+	v.empty()
+	v.self, v.store = identity{log, v.o.Random() | 1}, raft.NewMemoryStorage()
+	if err := v.begin(now); err != nil {
+		v.o.Log.Error("leases: joining a log", "err", err)
+		v.empty()
+		return
+	}
+	v.o.Log.Info("leases: a new voter is to learn", "log", log, "voter", v.self.Voter)
+}
+
+// renew writes the file anew.
+func (v *Voter) renew() error {
+	rec := record{Self: &v.self, Seen: v.seen}
+	hard, _, err := v.store.InitialState()
+	if err != nil {
+		return err
+	}
+	if rec.Hard, err = proto.Marshal(hard); err != nil {
+		return err
+	}
+	snap, err := v.store.Snapshot()
+	if err != nil {
+		return err
+	}
+	if !raft.IsEmptySnap(snap) {
+		if rec.Snapshot, err = proto.Marshal(snap); err != nil {
+			return err
+		}
+	}
+	first, err := v.store.FirstIndex()
+	if err != nil {
+		return err
+	}
+	last, err := v.store.LastIndex()
+	if err != nil {
+		return err
+	}
+	if last >= first {
+		entries, err := v.store.Entries(first, last+1, 1<<62)
+		if err != nil {
+			return err
+		}
+		if rec.Entries, err = marshalled(entries); err != nil {
+			return err
+		}
+	}
+	v.stats.Syncs++
+	return v.disk.renew(rec)
+}
+
+func marshalled(entries []*raftpb.Entry) (all [][]byte, err error) {
+	for _, e := range entries {
+		b, err := proto.Marshal(e)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, b)
+	}
+	return all, nil
+}
+
+// Tick tells the time. Each tickEvery of it is a step of the log's own clock; after a stop, few.
+func (v *Voter) Tick(now time.Duration) {
+	if v.node == nil {
+		v.look(now)
+		return
+	}
+	if v.stuck != nil {
+		v.unstick(now)
+		if v.stuck != nil {
+			return
+		}
+	}
+	for range 3 {
+		if now-v.ticked < tickEvery {
+			break
+		}
+		v.node.Tick()
+		v.ticked += tickEvery
+	}
+	if now-v.ticked >= tickEvery {
+		v.ticked = now
+	}
+	v.reportSnapshots()
+	for key, w := range v.pending {
+		if now >= w.until {
+			delete(v.pending, key)
+			w.reply(answer{Log: v.self.Log, No: "no majority has agreed in time", Maybe: true})
+		}
+	}
+	for key, w := range v.wanted {
+		if now >= w.until {
+			delete(v.wanted, key)
+			w.reply(answer{Log: v.self.Log, No: "no majority has agreed in time", Maybe: true})
+		}
+	}
+	if v.leads() {
+		v.expire(now)
+		v.arrange(now)
+	}
+	v.look(now)
+}
+
+// Voters are the names that the log has, sorted.
+func (v *Voter) Voters() (all []string) {
+	if v.book == nil {
+		return nil
+	}
+	for _, id := range v.conf.GetVoters() {
+		all = append(all, v.book.state.Voters[id])
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// no answers an ask that this one does nothing for.
+func (v *Voter) no(err error) answer {
+	return answer{Leader: v.Leader(), Log: v.self.Log, No: err.Error(), Voters: v.Voters()}
+}
+
+func (v *Voter) leads() bool {
+	return v.node != nil && v.stuck == nil && v.node.BasicStatus().RaftState == raft.StateLeader
+}
+
+// Leader is the name of who leads, as far as this one knows.
+func (v *Voter) Leader() string {
+	if v.node == nil {
+		return ""
+	}
+	return v.book.state.Voters[v.node.BasicStatus().Lead]
+}
+
+// longer is how long a voter counts a lease.
+func longer(length time.Duration) time.Duration {
+	return length + length*clockErrorPercent/100
+}
+
+// expire proposes what has run out.
+func (v *Voter) expire(now time.Duration) {
+	var all []lapse
+	for _, name := range slices.Sorted(maps.Keys(v.counts)) {
+		c := v.counts[name]
+		if now-c.since >= longer(v.book.state.Leases[name].Length) && now-c.said >= sayAgain {
+			c.said = now
+			all = append(all, lapse{name, c.token, c.renewed})
+			if len(all) == maxOps {
+				break
+			}
+		}
+	}
+	if len(all) > 0 {
+		v.propose(command{Lapsed: all})
+	}
+}
+
+func (v *Voter) propose(c command) bool {
+	b, err := encoding.Marshal(c)
+	if err == nil {
+		err = v.node.Propose(b)
+	}
+	if err != nil {
+		v.o.Log.Debug("leases: not proposed", "err", err)
+	}
+	return err == nil
+}
+
+// Ask puts a node's ask; reply is called once, now or from a later Flush or Tick.
+func (v *Voter) Ask(now time.Duration, a ask, reply func(answer)) {
+	switch {
+	case !v.leads():
+		reply(v.no(errNotLeader))
+		return
+	case len(v.pending) >= maxPending:
+		reply(v.no(errors.New("too many asks at once")))
+		return
+	}
+	key := askKey{a.Node, a.Incarnation, a.Number}
+	if _, there := v.pending[key]; there || !v.propose(command{Ask: &a}) {
+		reply(v.no(errNotProposed))
+		return
+	}
+	v.pending[key] = waiting{reply, now + answerTime}
+}
+
+// Want orders who should vote from now on.
+func (v *Voter) Want(now time.Duration, names []string, reply func(answer)) {
+	if !v.leads() {
+		reply(v.no(errNotLeader))
+		return
+	}
+	request := v.o.Random()
+	if !v.propose(command{Wanted: names, Request: request}) {
+		reply(v.no(errNotProposed))
+		return
+	}
+	v.wanted[request] = waiting{reply, now + answerTime}
+}
+
+// Flush carries out what follows from the events since the last one. Now was read after them.
+func (v *Voter) Flush(now time.Duration) []Outbound {
+	for v.node != nil && v.stuck == nil && v.node.HasReady() {
+		rd := v.node.Ready()
+		if err := v.save(rd); errors.Is(err, errDamaged) {
+			v.leave(err.Error())
+			break
+		} else if err != nil {
+			v.o.Log.Error("leases: no part in the log until the disk takes it", "err", err)
+			v.stuck, v.why = &rd, err.Error()
+			break
+		}
+		v.carryOut(rd, now)
+	}
+	v.tellFreed()
+	out := v.out
+	v.out = nil
+	return out
+}
+
+// save keeps what must be on disk before anybody hears of it.
+func (v *Voter) save(rd raft.Ready) (err error) {
+	var rec record
+	snapshot, hard := !raft.IsEmptySnap(rd.Snapshot), rd.HardState != nil && !raft.IsEmptyHardState(rd.HardState)
+	if snapshot {
+		err = v.store.ApplySnapshot(rd.Snapshot)
+	}
+	if err == nil {
+		err = v.append(rd.Entries)
+	}
+	if err == nil && hard {
+		err = v.store.SetHardState(rd.HardState)
+	}
+	if err != nil { // nothing of the disk's: it would come again
+		return fmt.Errorf("%w: %w", errDamaged, err)
+	}
+	if snapshot {
+		rec.Snapshot, err = proto.Marshal(rd.Snapshot)
+	}
+	if err == nil {
+		rec.Entries, err = marshalled(rd.Entries)
+	}
+	if err == nil && hard {
+		rec.Hard, err = proto.Marshal(rd.HardState)
+	}
+	if err != nil {
+		return err
+	}
+	if rec.Snapshot == nil && rec.Entries == nil && (rec.Hard == nil || !rd.MustSync) {
+		return nil // a commit alone is learnt again
+	}
+	v.stats.Syncs++
+	return v.disk.append(rec)
+}
+
+// unstick writes all of it anew. An append that has failed is never followed by another: what
+// the file has then is not known.
+func (v *Voter) unstick(now time.Duration) {
+	if err := v.renew(); err != nil {
+		v.why = err.Error()
+		return
+	}
+	rd := *v.stuck
+	v.stuck, v.why = nil, ""
+	v.o.Log.Info("leases: the disk takes the log again")
+	if rd.Messages != nil || rd.CommittedEntries != nil || rd.Entries != nil || rd.HardState != nil || rd.Snapshot != nil {
+		v.carryOut(rd, now)
+	}
+}
+
+func (v *Voter) carryOut(rd raft.Ready, now time.Duration) {
+	if rd.SoftState != nil {
+		v.stats.Elections++
+		v.o.Log.Info("leases: leader", "is", v.book.state.Voters[rd.SoftState.Lead], "this one", rd.SoftState.RaftState)
+		if rd.SoftState.RaftState != raft.StateLeader {
+			clear(v.freed)
+		}
+	}
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		if err := v.take(rd.Snapshot, now); err != nil {
+			v.leave(err.Error())
+			return
+		}
+	}
+	for _, m := range rd.Messages {
+		v.send(m)
+	}
+	for _, e := range rd.CommittedEntries {
+		if err := v.apply(e, now); err != nil {
+			v.leave(err.Error())
+			return
+		}
+	}
+	v.node.Advance(rd)
+	v.compact()
+}
+
+// compact makes a snapshot where much has come since the last one.
+func (v *Voter) compact() {
+	first, err := v.store.FirstIndex()
+	if err != nil || v.applied < first || !v.disk.full() {
+		return
+	}
+	data, err := v.book.snapshot()
+	if err == nil {
+		_, err = v.store.CreateSnapshot(v.applied, v.conf, data)
+	}
+	keep := v.applied
+	for size := 0; err == nil && keep >= first; keep-- {
+		var last []*raftpb.Entry
+		if last, err = v.store.Entries(keep, keep+1, keptLog); err == nil {
+			size += proto.Size(last[0])
+		}
+		if size > keptLog {
+			break
+		}
+	}
+	if err == nil && keep >= first {
+		err = v.store.Compact(keep)
+	}
+	if err == nil {
+		err = v.renew()
+	}
+	if err != nil {
+		v.o.Log.Error("leases: shortening the log", "err", err)
+		v.why = err.Error()
+	}
+}
+
+// apply takes in an entry that is agreed on.
+func (v *Voter) apply(e *raftpb.Entry, now time.Duration) error {
+	v.applied = e.GetIndex()
+	switch e.GetType() {
+	case raftpb.EntryConfChange:
+		cc := &raftpb.ConfChange{}
+		if err := proto.Unmarshal(e.GetData(), cc); err != nil {
+			return fmt.Errorf("%w: a change of the voters: %w", errDamaged, err)
+		}
+		v.conf = v.node.ApplyConfChange(cc)
+		if cc.GetType() == raftpb.ConfChangeRemoveNode {
+			delete(v.book.state.Voters, cc.GetNodeId())
+			delete(v.seen, cc.GetNodeId())
+		} else {
+			v.book.state.Voters[cc.GetNodeId()] = string(cc.GetContext())
+		}
+		// A learner takes no snapshot that does not know it.
+		data, err := v.book.snapshot()
+		if err == nil {
+			_, err = v.store.CreateSnapshot(v.applied, v.conf, data)
+		}
+		if err != nil {
+			return fmt.Errorf("%w: a snapshot: %w", errDamaged, err)
+		}
+		v.o.Log.Info("leases: voters", "change", cc.GetType(), "voter", string(cc.GetContext()), "number", cc.GetNodeId())
+		return nil
+	case raftpb.EntryNormal:
+		if len(e.GetData()) == 0 {
+			return nil
+		}
+	default:
+		return nil
+	}
+	var c command
+	if err := decoding.Unmarshal(e.GetData(), &c); err != nil {
+		return fmt.Errorf("%w: an entry: %w", errDamaged, err)
+	}
+	switch {
+	case c.Ask != nil:
+		v.applyAsk(c.Ask, now)
+	case c.Lapsed != nil:
+		was := len(v.book.state.Leases)
+		v.book.lapse(c.Lapsed)
+		v.stats.Lapsed += was - len(v.book.state.Leases)
+	case c.Wanted != nil:
+		v.book.want(c.Wanted)
+		if w, there := v.wanted[c.Request]; there {
+			delete(v.wanted, c.Request)
+			w.reply(answer{Log: v.self.Log})
+		}
+	}
+	return nil
+}
+
+func (v *Voter) applyAsk(a *ask, now time.Duration) {
+	all, changed, err := v.book.ask(a)
+	for _, name := range changed {
+		if v.book.state.Leases[name].Renewed > 0 {
+			v.stats.Renewed++
+		} else {
+			v.stats.Granted++
+		}
+		v.count(name, now)
+	}
+	key := askKey{a.Node, a.Incarnation, a.Number}
+	w, there := v.pending[key]
+	if !there {
+		return
+	}
+	delete(v.pending, key)
+	out := answer{Log: v.self.Log, Outcomes: all, Voters: v.Voters()}
+	if err != nil {
+		out = v.no(err)
+	}
+	for i, o := range all {
+		if a.Ops[i].Do == take && !o.Mine {
+			v.stats.Refused++
+			v.watch(a.Ops[i].Name, a.Node)
+		}
+	}
+	w.reply(out)
+}
+
+// watch notes who is to be told when a name is free.
+func (v *Voter) watch(name, node string) {
+	if len(v.freed) >= MaxLeases && v.freed[name] == nil {
+		return
+	}
+	if v.freed[name] == nil {
+		v.freed[name] = map[string]bool{}
+	}
+	if len(v.freed[name]) < fleet.MaxMembers {
+		v.freed[name][node] = true
+	}
+}
+
+// tellFreed forgets the time of what nobody has any more, and tells those who wait for it. One
+// that misses it asks again by itself.
+func (v *Voter) tellFreed() {
+	if v.book == nil {
+		return
+	}
+	for _, name := range v.book.freed {
+		if _, there := v.book.state.Leases[name]; !there {
+			delete(v.counts, name)
+		}
+		if !v.leads() {
+			continue
+		}
+		for _, node := range slices.Sorted(maps.Keys(v.freed[name])) {
+			v.out = append(v.out, Outbound{To: node, Key: freeKey + name})
+		}
+		delete(v.freed, name)
+	}
+	v.book.freed = nil
+}
+
+// send hands a message of raft on. Each kind has so many places on its way to a voter, and a
+// later one takes the place of an earlier: raft sends again what was lost.
+func (v *Voter) send(m *raftpb.Message) {
+	name := cmp.Or(v.book.state.Voters[m.GetTo()], v.names[m.GetTo()])
+	b, err := proto.Marshal(m)
+	if err != nil || name == "" || name == v.o.Name {
+		v.node.ReportUnreachable(m.GetTo())
+		return
+	}
+	key := m.GetType().String()
+	if t := m.GetType(); t == raftpb.MsgApp || t == raftpb.MsgAppResp {
+		v.keys++
+		key = fmt.Sprint(key, v.keys%windowOf)
+	}
+	v.say(name, key, message{What: sayRaft, From: v.self.Voter, To: m.GetTo(), Raft: b})
+	if m.GetType() == raftpb.MsgSnap {
+		v.snapshots[m.GetTo()] = v.ticked
+	}
+}
+
+// reportSnapshots lets raft try again where a snapshot has had its time. One that came is seen by
+// its answer.
+func (v *Voter) reportSnapshots() {
+	for id, sent := range v.snapshots {
+		if v.ticked-sent >= snapshotTime {
+			delete(v.snapshots, id)
+			v.node.ReportSnapshot(id, raft.SnapshotFailure)
+		}
+	}
+}
+
+func (v *Voter) say(to, key string, m message) {
+	m.Log = v.self.Log
+	b, err := encoding.Marshal(m)
+	if err != nil {
+		v.o.Log.Error("leases: a message", "err", err)
+		return
+	}
+	v.out = append(v.out, Outbound{to, key, b})
+}
+
+// Unreachable tells that what was for a voter found no room, or that it is not there.
+func (v *Voter) Unreachable(name string) {
+	if v.node == nil {
+		return
+	}
+	for id, n := range v.book.state.Voters {
+		if n == name && id != v.self.Voter {
+			v.node.ReportUnreachable(id)
+		}
+	}
+}
+
+// Receive takes in what another voter, or one that may be one, tells.
+func (v *Voter) Receive(now time.Duration, from fleet.Peer, body []byte) {
+	var m message
+	if err := decoding.Unmarshal(body, &m); err != nil {
+		v.stats.Strangers++
+		return
+	}
+	if v.node != nil && m.Log.ID == v.self.Log.ID && m.Log.Epoch > v.self.Log.Epoch && m.What != sayOld {
+		v.leave("a later epoch of the log has begun: " + m.Log.String())
+	}
+	same := v.node != nil && m.Log == v.self.Log
+	switch m.What {
+	case sayWho:
+		if v.node == nil && m.Log != (logID{}) {
+			v.join(m.Log, now)
+		}
+		v.say(from.Name, "here", message{What: sayHere, From: v.self.Voter})
+	case sayHere:
+		v.here[from.Name] = sighting{identity{m.Log, m.From}, now}
+	case sayOld:
+		if same && m.To == v.self.Voter {
+			v.leave("another voter has seen a later incarnation of this node")
+		}
+	case sayRaft:
+		if !same || m.To != v.self.Voter || v.stuck != nil {
+			return
+		}
+		if from.Incarnation < v.seen[m.From] {
+			v.say(from.Name, "old", message{What: sayOld, To: m.From})
+			return
+		}
+		v.hear(from, m)
+	default:
+		v.stats.Strangers++
+	}
+}
+
+func (v *Voter) hear(from fleet.Peer, m message) {
+	in := &raftpb.Message{}
+	if err := proto.Unmarshal(m.Raft, in); err != nil || in.GetFrom() != m.From || in.GetTo() != m.To || raft.IsLocalMsg(in.GetType()) {
+		v.stats.Strangers++
+		return
+	}
+	if from.Incarnation > v.seen[m.From] && len(v.seen) < fleet.MaxMembers {
+		v.seen[m.From] = from.Incarnation
+		if err := v.disk.append(record{Seen: map[uint64]uint64{m.From: from.Incarnation}}); err != nil {
+			v.o.Log.Error("leases: no part in the log until the disk takes it", "err", err)
+			v.stuck, v.why = &raft.Ready{}, err.Error()
+			return
+		}
+	}
+	v.names[m.From] = from.Name
+	if err := v.node.Step(in); err != nil {
+		v.o.Log.Debug("leases: a message of raft", "from", from.Name, "err", err)
+	}
+}
+
+// look asks others who they are: those that should vote, or, before there is a log, those that
+// are to be in its beginning.
+func (v *Voter) look(now time.Duration) {
+	begins := v.node == nil && len(v.o.Voters) > 0 && v.o.Voters[0] == v.o.Name
+	if !begins && !v.leads() || now-v.looked < lookEvery {
+		return
+	}
+	v.looked = now
+	ask := v.o.Voters
+	if !begins {
+		ask = v.book.state.Wanted
+	}
+	none := true // nobody has a log
+	for _, name := range ask {
+		if name == v.o.Name {
+			continue
+		}
+		s, there := v.here[name]
+		none = none && there && now-s.at < seenFor && s.id.Log == (logID{})
+		v.say(name, "who", message{What: sayWho})
+	}
+	if begins && none {
+		id := identity{logID{v.o.Random() | 1, 1}, v.o.Random() | 1}
+		if err := v.create(id, newBook(v.o.Above(), v.o.Longest, v.o.Most, v.o.Voters), now); err != nil {
+			v.o.Log.Error("leases: beginning a log", "err", err)
+			v.empty()
+			return
+		}
+		v.o.Log.Info("leases: a log begins", "log", id.Log, "voters", v.o.Voters)
+	}
+}
+
+// arrange brings the voters, one change at a time, to those that should vote: first who is
+// missing learns, then it takes its own lost number's place, then the others go.
+func (v *Voter) arrange(now time.Duration) {
+	if now-v.changed < changeEvery {
+		return
+	}
+	c := v.nextChange(now)
+	if c == nil {
+		return
+	}
+	v.changed = now
+	if c.GetType() == raftpb.ConfChangeRemoveNode && c.GetNodeId() == v.self.Voter {
+		for _, id := range v.conf.GetVoters() {
+			if id != v.self.Voter && slices.Contains(v.book.state.Wanted, v.book.state.Voters[id]) {
+				v.node.TransferLeader(id) // the next leader removes this one
+				return
+			}
+		}
+		return
+	}
+	if err := v.node.ProposeConfChange(c); err != nil {
+		v.o.Log.Debug("leases: a change of the voters", "err", err)
+	}
+}
+
+func (v *Voter) nextChange(now time.Duration) *raftpb.ConfChange {
+	change := func(t raftpb.ConfChangeType, id uint64, name string) *raftpb.ConfChange {
+		return &raftpb.ConfChange{Type: &t, NodeId: &id, Context: []byte(name)}
+	}
+	numbers := func(name string, among []uint64) (all []uint64) {
+		for _, id := range among {
+			if v.book.state.Voters[id] == name {
+				all = append(all, id)
+			}
+		}
+		return all
+	}
+	whole := true
+	for _, name := range slices.Sorted(slices.Values(v.book.state.Wanted)) {
+		s, there := v.here[name]
+		id := s.id.Voter
+		if name == v.o.Name {
+			id = v.self.Voter
+		} else if !there || now-s.at >= seenFor || s.id.Log != v.self.Log {
+			whole = whole && len(numbers(name, v.conf.GetVoters())) > 0
+			continue
+		}
+		voting, learning := numbers(name, v.conf.GetVoters()), numbers(name, v.conf.GetLearners())
+		switch {
+		case slices.Contains(voting, id):
+		case !slices.Contains(learning, id):
+			return change(raftpb.ConfChangeAddLearnerNode, id, name)
+		case !v.caughtUp(id):
+			whole = false
+			continue
+		case len(voting) > 0:
+			return change(raftpb.ConfChangeRemoveNode, voting[0], name)
+		default:
+			return change(raftpb.ConfChangeAddNode, id, name)
+		}
+		for _, old := range append(voting, learning...) {
+			if old != id {
+				return change(raftpb.ConfChangeRemoveNode, old, name)
+			}
+		}
+	}
+	if !whole {
+		return nil
+	}
+	for _, id := range append(slices.Clone(v.conf.GetVoters()), v.conf.GetLearners()...) {
+		if name := v.book.state.Voters[id]; !slices.Contains(v.book.state.Wanted, name) {
+			return change(raftpb.ConfChangeRemoveNode, id, name)
+		}
+	}
+	return nil
+}
+
+// caughtUp tells whether a learner has all that is agreed on.
+func (v *Voter) caughtUp(id uint64) bool {
+	s := v.node.Status()
+	p, there := s.Progress[id]
+	return there && p.RecentActive && p.Match >= s.HardState.GetCommit()
+}
+
+// Recover begins the next epoch of the log with this voter alone and what it has: the way out
+// when a majority is lost for good. What others alone have agreed on is void.
+func (v *Voter) Recover(now time.Duration) error {
+	if v.node == nil {
+		return errors.New("this node has nothing of the log")
+	}
+	data, err := v.book.snapshot()
+	if err != nil {
+		return err
+	}
+	book, err := readBook(data)
+	if err != nil {
+		return err
+	}
+	book.state.Token += newEpoch
+	book.state.Leases[blocked] = held{Token: book.state.Token, Length: book.state.Longest}
+	book.state.Wanted = []string{v.o.Name}
+	old := v.self
+	id := identity{logID{old.Log.ID, old.Log.Epoch + 1}, v.o.Random() | 1}
+	if err := v.create(id, book, now); err != nil {
+		return err
+	}
+	v.o.Log.Warn("leases: the next epoch begins, by the staff's word", "log", id.Log)
+	return nil
+}
+
+// Close lets go of the file.
+func (v *Voter) Close() {
+	v.dropPending("this voter has ended")
+	v.disk.close()
+}
+
+// raftLog puts what raft says on the node's log. What it panics with ends the voter, not the
+// process: see Leases.
+type raftLog struct{ log *slog.Logger }
+
+func (l raftLog) Debug(v ...any)           {}
+func (l raftLog) Debugf(string, ...any)    {}
+func (l raftLog) Info(v ...any)            { l.log.Debug("leases: raft", "says", fmt.Sprint(v...)) }
+func (l raftLog) Infof(f string, v ...any) { l.log.Debug("leases: raft", "says", fmt.Sprintf(f, v...)) }
+func (l raftLog) Warning(v ...any)         { l.log.Debug("leases: raft", "says", fmt.Sprint(v...)) }
+func (l raftLog) Warningf(f string, v ...any) {
+	l.log.Debug("leases: raft", "says", fmt.Sprintf(f, v...))
+}
+func (l raftLog) Error(v ...any)            { l.log.Warn("leases: raft", "says", fmt.Sprint(v...)) }
+func (l raftLog) Errorf(f string, v ...any) { l.log.Warn("leases: raft", "says", fmt.Sprintf(f, v...)) }
+func (l raftLog) Fatal(v ...any)            { panic(fmt.Sprint(v...)) }
+func (l raftLog) Fatalf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
+func (l raftLog) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
+func (l raftLog) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -9,12 +9,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"wingmount/internal/fleet"
 	"wingmount/internal/journal"
+	"wingmount/internal/lease"
 	"wingmount/policy"
 )
 
@@ -44,6 +46,7 @@
 	loop   *loop
 	cohort *cohort // the other processes of the node; nil where there are none
 	fleet  *fleet.Fleet
+	leases *lease.Leases
 }
 
 // openConsole listens at once; calls that need the node's state wait for it.
@@ -81,9 +84,9 @@
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var method string
 	switch r.URL.Path {
-	case "/ops/readiness", "/ops/pools", "/ops/journal", "/ops/group", "/ops/fleet":
+	case "/ops/readiness", "/ops/pools", "/ops/journal", "/ops/group", "/ops/fleet", "/ops/leases":
 		method = http.MethodGet
-	case "/ops/endpoints/down", "/ops/endpoints/up", "/ops/fleet/remove":
+	case "/ops/endpoints/down", "/ops/endpoints/up", "/ops/fleet/remove", "/ops/leases/voters", "/ops/leases/recover", "/ops/leases/take", "/ops/leases/give":
 		method = http.MethodPut
 	default:
 		http.Error(w, "no such call", http.StatusNotFound)
@@ -117,6 +120,17 @@
 		}
 		c.shows(w, func(*loop) any { return c.fleet.Status() })
 		return
+	case "/ops/leases":
+		if c.leases == nil {
+			http.Error(w, errNoLeases.Error(), http.StatusNotFound)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), consoleAnswer)
+		defer cancel()
+		c.shows(w, func(*loop) any { return c.leases.Status(ctx) })
+		return
+	case "/ops/leases/voters", "/ops/leases/recover", "/ops/leases/take", "/ops/leases/give":
+		status, text = c.orderLeases(r.Context(), r.URL.Path, http.MaxBytesReader(w, r.Body, maxOrder))
 	case "/ops/fleet/remove":
 		status, text = c.removeMember(http.MaxBytesReader(w, r.Body, maxOrder))
 	case "/ops/readiness":
@@ -189,6 +203,51 @@
 	return status, text
 }
 
+// orderLeases carries out what the staff order of the leases.
+func (c *console) orderLeases(ctx context.Context, call string, body io.Reader) (status int, text string) {
+	if c.leases == nil {
+		return http.StatusNotFound, errNoLeases.Error()
+	}
+	var o struct {
+		Voters  []string
+		Fleet   string
+		Log     string
+		GivesUp string `json:"gives_up"`
+		Name    string
+		LengthS float64 `json:"length_s"`
+		Token   uint64
+	}
+	if err := readOrder(body, &o); err != nil {
+		return http.StatusBadRequest, err.Error()
+	}
+	ctx, cancel := context.WithTimeout(ctx, consoleAnswer)
+	defer cancel()
+	var err error
+	text = "done"
+	switch call {
+	case "/ops/leases/voters":
+		err = c.leases.SetVoters(ctx, o.Voters)
+	case "/ops/leases/recover":
+		if own := c.fleet.Status().Fleet; o.Fleet != own {
+			err = fmt.Errorf("this node's fleet is %q, not %q", own, o.Fleet)
+			break
+		}
+		err = c.leases.Recover(ctx, o.Log, o.GivesUp)
+	case "/ops/leases/take":
+		var token uint64
+		token, err = c.leases.Take(ctx, o.Name, time.Duration(o.LengthS*float64(time.Second)))
+		text = strconv.FormatUint(token, 10)
+	case "/ops/leases/give":
+		err = c.leases.Give(ctx, o.Name, o.Token)
+	}
+	status = http.StatusOK
+	if err != nil {
+		status, text = http.StatusConflict, err.Error()
+	}
+	c.log.Info("console", "call", call, "name", o.Name, "voters", o.Voters, "log", o.Log, "status", status, "text", text)
+	return status, text
+}
+
 func readOrder(body io.Reader, o any) error {
 	dec := json.NewDecoder(body)
 	if err := dec.Decode(o); err != nil {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -4,10 +4,14 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"wingmount/internal/fleet"
 	"wingmount/internal/journal"
+	"wingmount/internal/lease"
 )
 
 // fleetConns bounds the connections to other nodes where the descriptors are few: so many of
@@ -39,6 +43,41 @@
 		Clock: func() time.Duration { return time.Since(origin) }, Seed: c.Seed, Conns: c.fleetConns(), Log: log})
 }
 
+// lastingClock never stops, also not while the machine sleeps: a lease that is held would seem to
+// last longer then.
+func lastingClock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // Linux has it since 2.6.39
+	}
+	return time.Duration(t.Nano())
+}
+
+// joinLeases makes this node's part in the fleet's leases; nil where there are none.
+func joinLeases(c Config, f *fleet.Fleet, log *slog.Logger) *lease.Leases {
+	if f == nil || c.Fleet.Leases == nil {
+		return nil
+	}
+	l := lease.New(lease.Options{Net: f, Folder: journal.Dir(c.State), Name: c.Name, Voters: c.Fleet.Leases.Voters,
+		Longest: c.Fleet.Leases.Longest(), Most: c.Fleet.Leases.Most(), Clock: lastingClock, Seed: c.Seed, Log: log,
+		// Above all that a log of this fleet may have granted before, as nothing is granted a million times a second.
+		Above: func() uint64 { return uint64(time.Now().Unix()) << 20 }})
+	f.OnOld(l.Overtaken)
+	f.While(l.Run)
+	return l
+}
+
+// fleetRoom is what the parts of the fleet take of the disk.
+func (c Config) fleetRoom() int64 {
+	switch {
+	case c.Fleet == nil:
+		return 0
+	case c.Fleet.Leases == nil || !slices.Contains(c.Fleet.Leases.Voters, c.Name):
+		return fleet.DiskRoom
+	}
+	return fleet.DiskRoom + lease.DiskRoom(c.Fleet.Leases.Most())
+}
+
 // runFleet takes part for as long as this process owns what the node owes. Of a group, the
 // member that coordinates speaks for the node. The node has left only if no process of it goes on.
 func runFleet(owned context.Context, f *fleet.Fleet, co *cohort, o *ownership) {
@@ -54,3 +93,6 @@
 
 // errNoFleet answers the staff of a node that is in none.
 var errNoFleet = errors.New("this node is in no fleet")
+
+// errNoLeases answers the staff where the fleet's file names no voters.
+var errNoLeases = errors.New("the fleet has no leases")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,7 +16,6 @@
 
 	"golang.org/x/net/netutil"
 
-	"wingmount/internal/fleet"
 	"wingmount/internal/group"
 	"wingmount/internal/journal"
 	"wingmount/policy"
@@ -49,8 +48,8 @@
 // reads from its configuration file anew where discovery is.
 func Run(ctx context.Context, c Config, hangups <-chan os.Signal, log *slog.Logger) error {
 	var co *cohort
-	if c.Fleet != nil {
-		c.DiskBytes -= fleet.DiskRoom
+	if c.DiskBytes -= c.fleetRoom(); c.DiskBytes < journal.MinDisk {
+		return fmt.Errorf("limits.disk_mb leaves %d bytes beside the fleet's %d, less than a journal needs", c.DiskBytes, c.fleetRoom())
 	}
 	if c.Members > 0 {
 		var err error
@@ -82,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	staff := &console{up: make(chan struct{}), cohort: co, fleet: others}
+	staff := &console{up: make(chan struct{}), cohort: co, fleet: others, leases: joinLeases(c, others, log)}
 	if c.Console != "" {
 		callers, err := openConsole(ctx, c.Console, staff, log)
 		if err != nil {
