--- /dev/null
+++ b/internal/journal/disktest/disktest.go
@@ -0,0 +1,200 @@
+// Package disktest has a folder in memory for tests: an operation of it can be made to fail, and
+// at a loss of power it forgets what was not synced, or a part of that.
+package disktest
+
+import (
+	"errors"
+	"io/fs"
+	"maps"
+	"slices"
+
+	"wingmount/internal/journal"
+)
+
+// ErrFull is what a failing operation says.
+var ErrFull = errors.New("the disk is full")
+
+// Disk is a journal.Folder. Each creation, write, sync, close, renaming and removal is one
+// operation. It is not safe for concurrent use.
+type Disk struct {
+	// FailAt is the operation that fails, counted from 1, and Fails how many from there on; a
+	// write that fails has written half. 0: none does.
+	FailAt, Fails int
+	// Ops counts operations.
+	Ops int
+
+	names, durable map[string]*inode
+	pending        []func(map[string]*inode) // changes of names since the last sync of the folder
+}
+
+type inode struct{ data, durable []byte }
+
+// New makes an empty one.
+func New() *Disk { return &Disk{names: map[string]*inode{}, durable: map[string]*inode{}} }
+
+func (d *Disk) op() error {
+	if d.Ops++; d.FailAt > 0 && d.Ops >= d.FailAt && d.Ops < d.FailAt+max(d.Fails, 1) {
+		return ErrFull
+	}
+	return nil
+}
+
+func (d *Disk) change(do func(map[string]*inode)) {
+	do(d.names)
+	d.pending = append(d.pending, do)
+}
+
+// PowerLoss leaves what was synced, of what was written since a beginning that pick chooses,
+// and of the names' changes as many. Pick draws from 0 to n-1.
+func (d *Disk) PowerLoss(pick func(n int) int) {
+	for _, do := range d.pending[:pick(len(d.pending)+1)] {
+		do(d.durable)
+	}
+	d.names, d.pending = map[string]*inode{}, nil
+	for name, f := range d.durable {
+		data := f.durable
+		if more := len(f.data) - len(data); more > 0 {
+			data = f.data[:len(data)+pick(more+1)]
+		}
+		d.names[name] = &inode{slices.Clone(data), slices.Clone(data)}
+	}
+	d.durable = maps.Clone(d.names)
+}
+
+// Copy is another disk with the same files, all of them synced.
+func (d *Disk) Copy() *Disk {
+	c := New()
+	for name, f := range d.names {
+		c.names[name] = &inode{slices.Clone(f.data), slices.Clone(f.data)}
+	}
+	c.durable = maps.Clone(c.names)
+	return c
+}
+
+// File is the contents of a file, to be looked at and changed in place; nil: there is none.
+func (d *Disk) File(name string) []byte {
+	if f := d.names[name]; f != nil {
+		return f.data
+	}
+	return nil
+}
+
+// Put makes a file, synced.
+func (d *Disk) Put(name string, data []byte) {
+	f := &inode{slices.Clone(data), slices.Clone(data)}
+	d.names[name], d.durable[name] = f, f
+}
+
+// The following are journal.Folder's.
+
+func (d *Disk) List() (all []journal.FileInfo, err error) {
+	for _, name := range slices.Sorted(maps.Keys(d.names)) {
+		all = append(all, journal.FileInfo{Name: name, Size: int64(len(d.names[name].data))})
+	}
+	return all, nil
+}
+
+func (d *Disk) Read(name string, most int64) ([]byte, error) {
+	f := d.names[name]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	if int64(len(f.data)) > most {
+		return nil, errors.New("larger than was asked for")
+	}
+	return slices.Clone(f.data), nil
+}
+
+func (d *Disk) Head(name string, most int) ([]byte, error) {
+	f := d.names[name]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(f.data[:min(most, len(f.data))]), nil
+}
+
+func (d *Disk) Create(name string) (journal.File, error) {
+	if err := d.op(); err != nil {
+		return nil, err
+	}
+	if d.names[name] != nil {
+		return nil, fs.ErrExist
+	}
+	f := &inode{}
+	d.change(func(names map[string]*inode) { names[name] = f })
+	return &file{d, f}, nil
+}
+
+func (d *Disk) Cut(name string, size int64) error {
+	if err := d.op(); err != nil {
+		return err
+	}
+	f := d.names[name]
+	f.data = f.data[:size]
+	f.durable = slices.Clone(f.data)
+	return nil
+}
+
+func (d *Disk) Rename(from, to string) error {
+	if err := d.op(); err != nil {
+		return err
+	}
+	if d.names[from] == nil {
+		return fs.ErrNotExist
+	}
+	d.change(func(names map[string]*inode) {
+		if f := names[from]; f != nil {
+			names[to] = f
+			delete(names, from)
+		}
+	})
+	return nil
+}
+
+func (d *Disk) Remove(name string) error {
+	if err := d.op(); err != nil {
+		return err
+	}
+	if d.names[name] == nil {
+		return fs.ErrNotExist
+	}
+	d.change(func(names map[string]*inode) { delete(names, name) })
+	return nil
+}
+
+func (d *Disk) Sync() error {
+	if err := d.op(); err != nil {
+		return err
+	}
+	d.durable, d.pending = maps.Clone(d.names), nil
+	return nil
+}
+
+type file struct {
+	d *Disk
+	f *inode
+}
+
+func (w *file) Write(b []byte) (int, error) {
+	if err := w.d.op(); err != nil {
+		w.f.data = append(w.f.data, b[:len(b)/2]...)
+		return len(b) / 2, err
+	}
+	w.f.data = append(w.f.data, b...)
+	return len(b), nil
+}
+
+func (w *file) Truncate(size int64) error {
+	w.f.data = w.f.data[:size]
+	return w.d.op()
+}
+
+func (w *file) Sync() error {
+	if err := w.d.op(); err != nil {
+		return err
+	}
+	w.f.durable = slices.Clone(w.f.data)
+	return nil
+}
+
+func (w *file) Close() error { return w.d.op() }
