--- a/internal/lease/disk.go
+++ b/internal/lease/disk.go
@@ -56,12 +56,18 @@
 
 // record is what is written at once. All but the first of a file hold what is new.
 type record struct {
-	Place    uint64            `cbor:"1,keyasint"` // in the file, from 1
-	Self     *identity         `cbor:"2,keyasint,omitempty"`
-	Hard     []byte            `cbor:"3,keyasint,omitempty"`
-	Entries  [][]byte          `cbor:"4,keyasint,omitempty"`
-	Snapshot []byte            `cbor:"5,keyasint,omitempty"`
-	Seen     map[uint64]uint64 `cbor:"6,keyasint,omitempty"` // the last incarnation of each other voter
+	Place    uint64          `cbor:"1,keyasint"` // in the file, from 1
+	Self     *identity       `cbor:"2,keyasint,omitempty"`
+	Hard     []byte          `cbor:"3,keyasint,omitempty"`
+	Entries  [][]byte        `cbor:"4,keyasint,omitempty"`
+	Snapshot []byte          `cbor:"5,keyasint,omitempty"`
+	Seen     map[uint64]life `cbor:"6,keyasint,omitempty"` // of other voters
+}
+
+// life is one life of a voter: each process of it draws another start.
+type life struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Start       uint64 `cbor:"2,keyasint"`
 }
 
 // disk is a voter's file. Each record stands in it twice, so that one spoilt byte never takes
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,6 +24,8 @@
 	eventRoom = 2048
 	// flushEvery bounds how many events are taken in before what follows is carried out.
 	flushEvery = 256
+	// voterPause is before a voter that has failed begins anew from its folder.
+	voterPause = 5 * time.Second
 	// askTime is how long an answer is waited for: a little longer than the leader waits.
 	askTime = answerTime + 500*time.Millisecond
 )
@@ -63,6 +65,7 @@
 	asker  *Asker
 	leases map[string]*Lease
 	rand   *rand.Rand
+	start  uint64
 	joined bool
 	failed string // why there is no voter
 }
@@ -71,6 +74,7 @@
 func New(o Options) *Leases {
 	l := &Leases{o: o, events: make(chan func(*Voter, time.Duration), eventRoom), wake: make(chan struct{}, 1),
 		leases: map[string]*Lease{}, rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
+	l.start = l.rand.Uint64()
 	l.asker = NewAsker(o.Name, o.Voters, l.rand.Float64)
 	o.Net.OnNews(kind, l.hear)
 	o.Net.OnAsk(kind, l.asked)
@@ -144,11 +148,24 @@
 	l.failed = why
 }
 
-// runVoter steps the voter. What it can't go on after ends its part in the log, and nothing else:
-// a panic of raft says that what it stands on contradicts itself.
+// runVoter steps the voter. What it can't go on after ends its part in the log for a while, and
+// nothing else: a panic of raft says that what it stands on contradicts itself, as on an old folder.
 func (l *Leases) runVoter(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.stepVoter(ctx)
+		t := time.NewTimer(voterPause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// stepVoter is one life of the voter.
+func (l *Leases) stepVoter(ctx context.Context) {
 	l.life.Lock()
-	v, err := NewVoter(VoterOptions{Name: l.o.Name, Folder: l.o.Folder, Voters: l.o.Voters, Longest: l.o.Longest, Most: l.o.Most,
+	v, err := NewVoter(VoterOptions{Name: l.o.Name, Start: l.start, Folder: l.o.Folder, Voters: l.o.Voters, Longest: l.o.Longest, Most: l.o.Most,
 		Random: l.random, Above: l.o.Above, Log: l.o.Log}, l.o.Clock())
 	l.votes = err == nil
 	l.life.Unlock()
@@ -156,6 +173,9 @@
 		l.fail(err.Error())
 		return
 	}
+	l.mu.Lock()
+	l.failed = ""
+	l.mu.Unlock()
 	defer func() {
 		l.life.Lock()
 		defer l.life.Unlock()
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -31,8 +31,6 @@
 	snapshotTime = 2 * time.Second
 	// changeEvery is the least time between two changes of the voters.
 	changeEvery = 300 * time.Millisecond
-	// sayAgain is when it is proposed again that a lease has run out.
-	sayAgain = time.Second
 	// answerTime is how long an ask may wait for the log's agreement.
 	answerTime = 3 * time.Second
 	maxPending = 1024
@@ -40,9 +38,6 @@
 	maxProposed = 64 << 10
 	// windowOf is how many messages of one kind may wait for one voter; later ones replace them.
 	windowOf = 32
-	// clockError: a voter counts a lease longer by 3%, for two clocks whose rates are each wrong
-	// by up to 1% (1.01/0.99 is 1.0202).
-	clockErrorPercent = 3
 )
 
 // errNotLeader answers an ask at a voter that does not lead.
@@ -54,6 +49,7 @@
 // VoterOptions are what a voter stands on.
 type VoterOptions struct {
 	Name   string
+	Start  uint64 // drawn anew by each process
 	Folder journal.Folder
 	Voters []string // who may begin a log, the first of them, and is in it then
 	// The greatest length and number of leases, of a log that begins.
@@ -89,7 +85,7 @@
 	sayRaft = iota + 1
 	sayWho  // who are you? With a log: be a voter of it
 	sayHere // the answer
-	sayOld  // a later incarnation of you was seen by this one
+	sayOld  // another life of you, no earlier than what you say, was seen by this one
 )
 
 type message struct {
@@ -98,13 +94,10 @@
 	From uint64 `cbor:"3,keyasint,omitempty"`
 	To   uint64 `cbor:"4,keyasint,omitempty"`
 	Raft []byte `cbor:"5,keyasint,omitempty"`
-}
-
-// counted is how long a lease has been counted here, as it was renewed last.
-type counted struct {
-	token, renewed uint64
-	since          time.Duration
-	said           time.Duration // when it was proposed last that it has run out
+	// Start is drawn by the sender's process: two of one incarnation are of two folders.
+	Start uint64 `cbor:"6,keyasint,omitempty"`
+	// Seen is, where the receiver is told that it is old, the start of a later life of it.
+	Seen uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 type sighting struct {
@@ -129,7 +122,7 @@
 	o     VoterOptions
 	disk  disk
 	self  identity
-	seen  map[uint64]uint64 // the last incarnation of each other voter
+	seen  map[uint64]life   // the last of each other voter
 	names map[uint64]string // who has said something under a number
 
 	node    *raft.RawNode // nil: there is no log
@@ -140,7 +133,7 @@
 	stuck   *raft.Ready // what the disk has not taken yet
 	why     string      // the last error of the disk
 
-	counts  map[string]*counted
+	counts  timekeeper
 	pending map[askKey]waiting
 	wanted  map[uint64]waiting // orders of who should vote
 	freed   map[string]map[string]bool
@@ -186,7 +179,7 @@
 func (v *Voter) empty() {
 	v.dropPending("this voter has left the log")
 	v.self, v.node, v.store, v.conf, v.book, v.applied, v.stuck, v.why = identity{}, nil, nil, nil, nil, 0, nil, ""
-	v.seen, v.names, v.counts, v.here = map[uint64]uint64{}, map[uint64]string{}, map[string]*counted{}, map[string]sighting{}
+	v.seen, v.names, v.counts, v.here = map[uint64]life{}, map[uint64]string{}, timekeeper{}, map[string]sighting{}
 	v.snapshots = map[uint64]time.Duration{}
 	v.pending, v.wanted, v.freed = map[askKey]waiting{}, map[uint64]waiting{}, map[string]map[string]bool{}
 }
@@ -229,9 +222,7 @@
 		if rec.Self != nil {
 			v.self = *rec.Self
 		}
-		for id, incarnation := range rec.Seen {
-			v.seen[id] = max(v.seen[id], incarnation)
-		}
+		maps.Copy(v.seen, rec.Seen)
 		if rec.Snapshot != nil {
 			snap := &raftpb.Snapshot{}
 			if err := proto.Unmarshal(rec.Snapshot, snap); err != nil {
@@ -307,7 +298,7 @@
 // take makes a snapshot the state. All leases are counted anew from now.
 func (v *Voter) take(snap *raftpb.Snapshot, now time.Duration) error {
 	v.applied, v.conf, v.book = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetConfState(), nil
-	v.counts = map[string]*counted{}
+	v.counts = timekeeper{}
 	if v.applied == 0 {
 		v.book, v.conf = newBook(0, 0, 0, nil), &raftpb.ConfState{}
 		delete(v.book.state.Leases, blocked) // it has no log yet
@@ -319,17 +310,11 @@
 	}
 	v.book = book
 	for name := range book.state.Leases {
-		v.count(name, now)
+		v.counts.count(book, name, now)
 	}
 	return nil
 }
 
-// count begins the time of a lease anew.
-func (v *Voter) count(name string, now time.Duration) {
-	h := v.book.state.Leases[name]
-	v.counts[name] = &counted{token: h.Token, renewed: h.Renewed, since: now, said: now - sayAgain}
-}
-
 // create begins a log with this voter alone in it.
 func (v *Voter) create(id identity, book *Book, now time.Duration) error {
 	book.state.Voters = map[uint64]string{id.Voter: v.o.Name}
@@ -360,14 +345,20 @@
 	v.o.Log.Info("leases: a new voter is to learn", "log", log, "voter", v.self.Voter)
 }
 
-// renew writes the file anew.
-func (v *Voter) renew() error {
-	rec := record{Self: &v.self, Seen: v.seen}
+// hard is raft's state that has to outlast a restart.
+func (v *Voter) hard() ([]byte, error) {
 	hard, _, err := v.store.InitialState()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if rec.Hard, err = proto.Marshal(hard); err != nil {
+	return proto.Marshal(hard)
+}
+
+// renew writes the file anew.
+func (v *Voter) renew() error {
+	rec := record{Self: &v.self, Seen: v.seen}
+	var err error
+	if rec.Hard, err = v.hard(); err != nil {
 		return err
 	}
 	snap, err := v.store.Snapshot()
@@ -482,25 +473,9 @@
 	return v.book.state.Voters[v.node.BasicStatus().Lead]
 }
 
-// longer is how long a voter counts a lease.
-func longer(length time.Duration) time.Duration {
-	return length + length*clockErrorPercent/100
-}
-
 // expire proposes what has run out.
 func (v *Voter) expire(now time.Duration) {
-	var all []lapse
-	for _, name := range slices.Sorted(maps.Keys(v.counts)) {
-		c := v.counts[name]
-		if now-c.since >= longer(v.book.state.Leases[name].Length) && now-c.said >= sayAgain {
-			c.said = now
-			all = append(all, lapse{name, c.token, c.renewed})
-			if len(all) == maxOps {
-				break
-			}
-		}
-	}
-	if len(all) > 0 {
+	if all := v.counts.due(v.book, now); len(all) > 0 {
 		v.propose(command{Lapsed: all})
 	}
 }
@@ -590,15 +565,18 @@
 	if err == nil {
 		rec.Entries, err = marshalled(rd.Entries)
 	}
-	if err == nil && hard {
-		rec.Hard, err = proto.Marshal(rd.HardState)
-	}
 	if err != nil {
 		return err
 	}
-	if rec.Snapshot == nil && rec.Entries == nil && (rec.Hard == nil || !rd.MustSync) {
+	if rec.Snapshot == nil && rec.Entries == nil && !(hard && rd.MustSync) {
 		return nil // a commit alone is learnt again
 	}
+	// With what was agreed on before, also where that came alone: who has the second of two changes
+	// of the voters knows after any restart that the first holds, and so never counts with voters two
+	// changes old, of whom a majority need not meet one of today's.
+	if rec.Hard, err = v.hard(); err != nil {
+		return err
+	}
 	v.stats.Syncs++
 	return v.disk.append(rec)
 }
@@ -739,7 +717,7 @@
 		} else {
 			v.stats.Granted++
 		}
-		v.count(name, now)
+		v.counts.count(v.book, name, now)
 	}
 	key := askKey{a.Node, a.Incarnation, a.Number}
 	w, there := v.pending[key]
@@ -780,9 +758,7 @@
 		return
 	}
 	for _, name := range v.book.freed {
-		if _, there := v.book.state.Leases[name]; !there {
-			delete(v.counts, name)
-		}
+		v.counts.forget(v.book, name)
 		if !v.leads() {
 			continue
 		}
@@ -803,10 +779,10 @@
 		v.node.ReportUnreachable(m.GetTo())
 		return
 	}
-	key := m.GetType().String()
+	key := fmt.Sprintf("%v %x", m.GetType(), m.GetTo()) // a name may have two numbers for a while
 	if t := m.GetType(); t == raftpb.MsgApp || t == raftpb.MsgAppResp {
 		v.keys++
-		key = fmt.Sprint(key, v.keys%windowOf)
+		key = fmt.Sprint(key, " ", v.keys%windowOf)
 	}
 	v.say(name, key, message{What: sayRaft, From: v.self.Voter, To: m.GetTo(), Raft: b})
 	if m.GetType() == raftpb.MsgSnap {
@@ -826,7 +802,7 @@
 }
 
 func (v *Voter) say(to, key string, m message) {
-	m.Log = v.self.Log
+	m.Log, m.Start = v.self.Log, v.o.Start
 	b, err := encoding.Marshal(m)
 	if err != nil {
 		v.o.Log.Error("leases: a message", "err", err)
@@ -867,15 +843,17 @@
 	case sayHere:
 		v.here[from.Name] = sighting{identity{m.Log, m.From}, now}
 	case sayOld:
-		if same && m.To == v.self.Voter {
+		// What came late from an earlier life is answered so too: then the later one is this.
+		if same && m.To == v.self.Voter && m.Seen != v.o.Start {
 			v.leave("another voter has seen a later incarnation of this node")
 		}
 	case sayRaft:
 		if !same || m.To != v.self.Voter || v.stuck != nil {
 			return
 		}
-		if from.Incarnation < v.seen[m.From] {
-			v.say(from.Name, "old", message{What: sayOld, To: m.From})
+		last, now := v.seen[m.From], life{from.Incarnation, m.Start}
+		if now.Incarnation < last.Incarnation || now.Incarnation == last.Incarnation && now != last {
+			v.say(from.Name, "old", message{What: sayOld, To: m.From, Seen: last.Start})
 			return
 		}
 		v.hear(from, m)
@@ -890,9 +868,12 @@
 		v.stats.Strangers++
 		return
 	}
-	if from.Incarnation > v.seen[m.From] && len(v.seen) < fleet.MaxMembers {
-		v.seen[m.From] = from.Incarnation
-		if err := v.disk.append(record{Seen: map[uint64]uint64{m.From: from.Incarnation}}); err != nil {
+	if now := (life{from.Incarnation, m.Start}); now != v.seen[m.From] {
+		if len(v.seen) >= fleet.MaxMembers { // voters that were replaced
+			clear(v.seen)
+		}
+		v.seen[m.From] = now
+		if err := v.disk.append(record{Seen: map[uint64]life{m.From: now}}); err != nil {
 			v.o.Log.Error("leases: no part in the log until the disk takes it", "err", err)
 			v.stuck, v.why = &raft.Ready{}, err.Error()
 			return
