--- a/internal/lease/book.go
+++ b/internal/lease/book.go
@@ -27,8 +27,9 @@
 	MaxName = 48
 	// maxOps bounds the names in one ask.
 	maxOps = 256
-	// newEpoch is between the tokens of two epochs of a log: more than one ever grants.
-	newEpoch = 1 << 40
+	// newEpoch is between the tokens of two epochs of a log: more than the lost can have granted
+	// that the survivor does not know of.
+	newEpoch = 1 << 30
 	// Shortest is the least length of a lease; the greatest is the log's own.
 	Shortest = 500 * time.Millisecond
 )
--- a/internal/lease/step_test.go
+++ b/internal/lease/step_test.go
@@ -34,6 +34,7 @@
 	agreed  map[string]uint64  // digests of books, by log and place
 	done    []string           // the last events
 	stats   map[string]int
+	pending []string      // who should vote, as the staff have ordered and nobody has confirmed
 	long    time.Duration // the greatest length
 }
 
@@ -366,12 +367,17 @@
 		if n.old == nil || s.pick(4) == 0 {
 			n.old, n.oldInc = n.disk.Copy(), n.inc
 		}
+	case c < 947 && s.pick(12) == 0:
+		s.disaster()
 	case c < 956 && n.stale && n.up && !n.paused:
 		s.fresh(i)
 	case c < 960 && s.rng.IntN(20) == 0:
 		s.pass(time.Duration(s.pick(5000)) * time.Millisecond)
 	}
 	s.believe()
+	if s.pending != nil && s.pick(100) == 0 {
+		s.wish()
+	}
 }
 
 // fresh lets a node on an old folder hear that others know a later incarnation.
@@ -413,12 +419,68 @@
 		n.disk, n.inc, n.stale = n.old.Copy(), n.oldInc, true
 		s.stats["old"]++
 		s.note("%s gets a folder of incarnation %d", n.name, n.oldInc)
+	case c < 8 && whole && n.disk.File(logName) != nil:
+		text := n.disk.File(logName)
+		text[s.pick(len(text))] ^= 1 << s.pick(8)
+		s.stats["spoilt"]++
+		s.note("%s: a bit of its log is spoilt", n.name)
 	default:
 		s.note("%s is killed", n.name)
 	}
 	s.stats["kills"]++
 }
 
+// disaster takes the folders of all voters, or of a majority of them; then the staff let one that
+// is left go on alone, and order who should vote.
+func (s *sim) disaster() {
+	if !s.whole() {
+		return
+	}
+	lose := len(s.voters())
+	if s.pick(2) == 0 {
+		lose = lose/2 + 1
+	}
+	order := s.rng.Perm(len(s.voters()))
+	for _, i := range order[:lose] {
+		n := s.nodes[i]
+		n.v.Close()
+		n.up, n.paused, n.v, n.disk, n.old = false, false, nil, disktest.New(), nil
+	}
+	s.note("%d of %d voters lose their folders", lose, len(order))
+	s.stats["disasters"]++
+	if lose == len(order) {
+		return
+	}
+	n := s.nodes[order[lose]]
+	n.disk.FailAt, n.paused = 0, false
+	for k := 0; n.v.Leader() != ""; k++ { // it finds out that there is no majority
+		if k == 100 {
+			s.fail("%s still sees a leader", n.name)
+		}
+		s.pass(100 * time.Millisecond)
+		s.believe()
+	}
+	if err := n.v.Recover(n.clock(s)); err != nil {
+		s.fail("the way out: %v", err)
+	}
+	s.settle(order[lose])
+	s.pending = s.voters()
+}
+
+// wish gives the staff's order of who should vote to whoever leads, until it is answered.
+func (s *sim) wish() {
+	for i, n := range s.nodes {
+		if s.pending != nil && n.up && !n.paused && n.v != nil && n.v.leads() && n.v.self.Log.Epoch > 1 {
+			n.v.Want(n.clock(s), s.pending, func(ans answer) {
+				if ans.No == "" {
+					s.pending = nil
+				}
+			})
+			s.settle(i)
+		}
+	}
+}
+
 // heal ends all faults, and checks that everybody who wants a lease gets it in time.
 func (s *sim) heal() {
 	clear(s.cut)
@@ -448,6 +510,9 @@
 			}
 			s.pass(10 * time.Millisecond)
 			s.believe()
+			if s.now%(100*time.Millisecond) < 10*time.Millisecond {
+				s.wish()
+			}
 		}
 	}
 	run("all vote", 60*time.Second, s.whole)
@@ -522,7 +587,7 @@
 		}
 	}
 	t.Log(stats)
-	if steps >= 10000 && last-first >= 10 && min(stats["grants"], stats["kills"], stats["lost"], stats["old"], stats["lapsed"]) == 0 {
+	if steps >= 10000 && last-first >= 10 && min(stats["grants"], stats["kills"], stats["lost"], stats["old"], stats["lapsed"], stats["disasters"], stats["spoilt"]) == 0 {
 		t.Errorf("something never came: %v", stats)
 	}
 }
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -803,6 +803,10 @@
 
 func (v *Voter) say(to, key string, m message) {
 	m.Log, m.Start = v.self.Log, v.o.Start
+	v.put(to, key, m)
+}
+
+func (v *Voter) put(to, key string, m message) {
 	b, err := encoding.Marshal(m)
 	if err != nil {
 		v.o.Log.Error("leases: a message", "err", err)
@@ -811,6 +815,16 @@
 	v.out = append(v.out, Outbound{to, key, b})
 }
 
+// bare tells whether there is nothing of a log here but its name: whoever was asked into one that
+// was lost then must not keep another from beginning.
+func (v *Voter) bare() bool {
+	if v.node == nil {
+		return true
+	}
+	last, err := v.store.LastIndex()
+	return err == nil && last == 0
+}
+
 // Unreachable tells that what was for a voter found no room, or that it is not there.
 func (v *Voter) Unreachable(name string) {
 	if v.node == nil {
@@ -836,9 +850,17 @@
 	same := v.node != nil && m.Log == v.self.Log
 	switch m.What {
 	case sayWho:
-		if v.node == nil && m.Log != (logID{}) {
+		begins := m.Log == logID{}
+		if v.node != nil && !begins && !same && m.Log.ID != v.self.Log.ID && v.bare() {
+			_ = v.leave("it has nothing of its log, and another asks it in") // join takes the file's place
+		}
+		if v.node == nil && !begins {
 			v.join(m.Log, now)
 		}
+		if begins && v.bare() {
+			v.put(from.Name, "here", message{What: sayHere, Start: v.o.Start})
+			return
+		}
 		v.say(from.Name, "here", message{What: sayHere, From: v.self.Voter})
 	case sayHere:
 		v.here[from.Name] = sighting{identity{m.Log, m.From}, now}
@@ -1015,7 +1037,7 @@
 	if err != nil {
 		return err
 	}
-	book.state.Token += newEpoch
+	book.state.Token = max(book.state.Token+newEpoch, v.o.Above())
 	book.state.Leases[blocked] = held{Token: book.state.Token, Length: book.state.Longest}
 	book.state.Wanted = []string{v.o.Name}
 	old := v.self
