--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -165,7 +165,8 @@
 // stepVoter is one life of the voter.
 func (l *Leases) stepVoter(ctx context.Context) {
 	l.life.Lock()
-	v, err := NewVoter(VoterOptions{Name: l.o.Name, Start: l.start, Folder: l.o.Folder, Voters: l.o.Voters, Longest: l.o.Longest, Most: l.o.Most,
+	v, err := NewVoter(VoterOptions{Name: l.o.Name, Start: l.start, Folder: l.o.Folder,
+		Incarnation: func() uint64 { return l.o.Net.Self().Incarnation }, Voters: l.o.Voters, Longest: l.o.Longest, Most: l.o.Most,
 		Random: l.random, Above: l.o.Above, Log: l.o.Log}, l.o.Clock())
 	l.votes = err == nil
 	l.life.Unlock()
--- a/internal/lease/step_test.go
+++ b/internal/lease/step_test.go
@@ -123,7 +123,7 @@
 	n.v, n.applied = nil, 0
 	if n.votes {
 		n.disk.FailAt = 0
-		v, err := NewVoter(VoterOptions{Name: n.name, Start: n.start, Folder: n.disk, Voters: s.voters(), Longest: s.long, Most: 100,
+		v, err := NewVoter(VoterOptions{Name: n.name, Start: n.start, Incarnation: func() uint64 { return n.inc }, Folder: n.disk, Voters: s.voters(), Longest: s.long, Most: 100,
 			Random: s.rng.Uint64, Above: func() uint64 { return uint64(s.now) }, Log: s.log(n)}, n.clock(s))
 		if err != nil {
 			s.fail("%s does not start: %v", n.name, err)
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -48,10 +48,12 @@
 
 // VoterOptions are what a voter stands on.
 type VoterOptions struct {
-	Name   string
-	Start  uint64 // drawn anew by each process
-	Folder journal.Folder
-	Voters []string // who may begin a log, the first of them, and is in it then
+	Name  string
+	Start uint64 // drawn anew by each process
+	// Incarnation is the present one.
+	Incarnation func() uint64
+	Folder      journal.Folder
+	Voters      []string // who may begin a log, the first of them, and is in it then
 	// The greatest length and number of leases, of a log that begins.
 	Longest time.Duration
 	Most    int
@@ -96,8 +98,8 @@
 	Raft []byte `cbor:"5,keyasint,omitempty"`
 	// Start is drawn by the sender's process: two of one incarnation are of two folders.
 	Start uint64 `cbor:"6,keyasint,omitempty"`
-	// Seen is, where the receiver is told that it is old, the start of a later life of it.
-	Seen uint64 `cbor:"7,keyasint,omitempty"`
+	// Seen is, where the receiver is told that it is old, the last life of it that was seen.
+	Seen life `cbor:"7,keyasint,omitempty"`
 }
 
 type sighting struct {
@@ -865,8 +867,9 @@
 	case sayHere:
 		v.here[from.Name] = sighting{identity{m.Log, m.From}, now}
 	case sayOld:
-		// What came late from an earlier life is answered so too: then the later one is this.
-		if same && m.To == v.self.Voter && m.Seen != v.o.Start {
+		// What came late from an earlier life is answered so too: then the later one is this, or
+		// one before it.
+		if same && m.To == v.self.Voter && m.Seen.Incarnation >= v.o.Incarnation() && m.Seen.Start != v.o.Start {
 			v.leave("another voter has seen a later incarnation of this node")
 		}
 	case sayRaft:
@@ -875,7 +878,7 @@
 		}
 		last, now := v.seen[m.From], life{from.Incarnation, m.Start}
 		if now.Incarnation < last.Incarnation || now.Incarnation == last.Incarnation && now != last {
-			v.say(from.Name, "old", message{What: sayOld, To: m.From, Seen: last.Start})
+			v.say(from.Name, "old", message{What: sayOld, To: m.From, Seen: last})
 			return
 		}
 		v.hear(from, m)
@@ -910,7 +913,7 @@
 // look asks others who they are: those that should vote, or, before there is a log, those that
 // are to be in its beginning.
 func (v *Voter) look(now time.Duration) {
-	begins := v.node == nil && len(v.o.Voters) > 0 && v.o.Voters[0] == v.o.Name
+	begins := v.bare() && len(v.o.Voters) > 0 && v.o.Voters[0] == v.o.Name
 	if !begins && !v.leads() || now-v.looked < lookEvery {
 		return
 	}
@@ -926,7 +929,11 @@
 		}
 		s, there := v.here[name]
 		none = none && there && now-s.at < seenFor && s.id.Log == (logID{})
-		v.say(name, "who", message{What: sayWho})
+		who := message{What: sayWho, Start: v.o.Start}
+		if !begins {
+			who.Log = v.self.Log
+		}
+		v.put(name, "who", who)
 	}
 	if begins && none {
 		id := identity{logID{v.o.Random() | 1, 1}, v.o.Random() | 1}
