--- /dev/null
+++ b/internal/lease/members.go
@@ -0,0 +1,244 @@
+package lease
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"wingmount/internal/fleet"
+)
+
+// Receive takes in what another voter, or one that may be one, tells.
+func (v *Voter) Receive(now time.Duration, from fleet.Peer, body []byte) {
+	var m message
+	if err := decoding.Unmarshal(body, &m); err != nil {
+		v.stats.Strangers++
+		return
+	}
+	if v.node != nil && m.Log.ID == v.self.Log.ID && m.Log.Epoch > v.self.Log.Epoch && m.What != sayOld {
+		v.leave("a later epoch of the log has begun: " + m.Log.String())
+	}
+	if v.node != nil && m.Log.ID == v.self.Log.ID && m.Log.Epoch < v.self.Log.Epoch && m.What == sayRaft {
+		v.say(from.Name, "here", message{What: sayHere, From: v.self.Voter}) // so it leaves the old epoch
+		return
+	}
+	same := v.node != nil && m.Log == v.self.Log
+	switch m.What {
+	case sayWho:
+		begins := m.Log == logID{}
+		if v.node != nil && !begins && !same && m.Log.ID != v.self.Log.ID && v.bare() {
+			_ = v.leave("it has nothing of its log, and another asks it in") // join takes the file's place
+		}
+		if v.node == nil && !begins {
+			v.join(m.Log, now)
+		}
+		if begins && v.bare() {
+			v.put(from.Name, "here", message{What: sayHere, Start: v.o.Start})
+			return
+		}
+		v.say(from.Name, "here", message{What: sayHere, From: v.self.Voter})
+	case sayHere:
+		v.here[from.Name] = sighting{identity{m.Log, m.From}, now}
+	case sayOld:
+		// What came late from an earlier life is answered so too: then the later one is this, or
+		// one before it.
+		if same && m.To == v.self.Voter && m.Seen.Incarnation >= v.o.Incarnation() && m.Seen.Start != v.o.Start {
+			v.leave("another voter has seen a later incarnation of this node")
+		}
+	case sayRaft:
+		if !same || m.To != v.self.Voter || v.stuck != nil {
+			return
+		}
+		last, now := v.seen[m.From], life{from.Incarnation, m.Start}
+		if now.Incarnation < last.Incarnation || now.Incarnation == last.Incarnation && now != last {
+			v.say(from.Name, "old", message{What: sayOld, To: m.From, Seen: last})
+			return
+		}
+		v.hear(from, m)
+	default:
+		v.stats.Strangers++
+	}
+}
+
+func (v *Voter) hear(from fleet.Peer, m message) {
+	in := &raftpb.Message{}
+	if err := proto.Unmarshal(m.Raft, in); err != nil || in.GetFrom() != m.From || in.GetTo() != m.To || raft.IsLocalMsg(in.GetType()) {
+		v.stats.Strangers++
+		return
+	}
+	if now := (life{from.Incarnation, m.Start}); now != v.seen[m.From] {
+		if len(v.seen) >= fleet.MaxMembers { // voters that were replaced
+			clear(v.seen)
+		}
+		v.seen[m.From] = now
+		if err := v.disk.append(record{Seen: map[uint64]life{m.From: now}}); err != nil {
+			v.o.Log.Error("leases: no part in the log until the disk takes it", "err", err)
+			v.stuck, v.why = &raft.Ready{}, err.Error()
+			return
+		}
+	}
+	v.names[m.From] = from.Name
+	if err := v.node.Step(in); err != nil {
+		v.o.Log.Debug("leases: a message of raft", "from", from.Name, "err", err)
+	}
+}
+
+// bare tells whether there is nothing of a log here but its name: whoever was asked into one that
+// was lost then must not keep another from beginning.
+func (v *Voter) bare() bool {
+	if v.node == nil {
+		return true
+	}
+	last, err := v.store.LastIndex()
+	return err == nil && last == 0
+}
+
+// look asks others who they are: those that should vote, or, before there is a log, those that
+// are to be in its beginning.
+func (v *Voter) look(now time.Duration) {
+	begins := v.bare() && len(v.o.Voters) > 0 && v.o.Voters[0] == v.o.Name
+	if !begins && !v.leads() || now-v.looked < lookEvery {
+		return
+	}
+	v.looked = now
+	ask := v.o.Voters
+	if !begins {
+		ask = v.book.state.Wanted
+	}
+	none := true // nobody has a log
+	for _, name := range ask {
+		if name == v.o.Name {
+			continue
+		}
+		s, there := v.here[name]
+		none = none && there && now-s.at < seenFor && s.id.Log == (logID{})
+		who := message{What: sayWho, Start: v.o.Start}
+		if !begins {
+			who.Log = v.self.Log
+		}
+		v.put(name, "who", who)
+	}
+	if begins && none {
+		id := identity{logID{v.o.Random() | 1, 1}, v.o.Random() | 1}
+		if err := v.create(id, newBook(v.o.Above(), v.o.Longest, v.o.Most, v.o.Voters), now); err != nil {
+			v.o.Log.Error("leases: beginning a log", "err", err)
+			v.empty()
+			return
+		}
+		v.o.Log.Info("leases: a log begins", "log", id.Log, "voters", v.o.Voters)
+	}
+}
+
+// arrange brings the voters, one change at a time, to those that should vote: first who is
+// missing learns, then it takes its own lost number's place, then the others go.
+func (v *Voter) arrange(now time.Duration) {
+	if now-v.changed < changeEvery {
+		return
+	}
+	c := v.nextChange(now)
+	if c == nil {
+		return
+	}
+	v.changed = now
+	if c.GetType() == raftpb.ConfChangeRemoveNode && c.GetNodeId() == v.self.Voter {
+		for _, id := range v.conf.GetVoters() {
+			if id != v.self.Voter && slices.Contains(v.book.state.Wanted, v.book.state.Voters[id]) {
+				v.node.TransferLeader(id) // the next leader removes this one
+				return
+			}
+		}
+		return
+	}
+	if err := v.node.ProposeConfChange(c); err != nil {
+		v.o.Log.Debug("leases: a change of the voters", "err", err)
+	}
+}
+
+func (v *Voter) nextChange(now time.Duration) *raftpb.ConfChange {
+	change := func(t raftpb.ConfChangeType, id uint64, name string) *raftpb.ConfChange {
+		return &raftpb.ConfChange{Type: &t, NodeId: &id, Context: []byte(name)}
+	}
+	numbers := func(name string, among []uint64) (all []uint64) {
+		for _, id := range among {
+			if v.book.state.Voters[id] == name {
+				all = append(all, id)
+			}
+		}
+		return all
+	}
+	whole := true
+	for _, name := range slices.Sorted(slices.Values(v.book.state.Wanted)) {
+		s, there := v.here[name]
+		id := s.id.Voter
+		if name == v.o.Name {
+			id = v.self.Voter
+		} else if !there || now-s.at >= seenFor || s.id.Log != v.self.Log {
+			whole = whole && len(numbers(name, v.conf.GetVoters())) > 0
+			continue
+		}
+		voting, learning := numbers(name, v.conf.GetVoters()), numbers(name, v.conf.GetLearners())
+		switch {
+		case slices.Contains(voting, id):
+		case !slices.Contains(learning, id):
+			return change(raftpb.ConfChangeAddLearnerNode, id, name)
+		case !v.caughtUp(id):
+			whole = false
+			continue
+		case len(voting) > 0:
+			return change(raftpb.ConfChangeRemoveNode, voting[0], name)
+		default:
+			return change(raftpb.ConfChangeAddNode, id, name)
+		}
+		for _, old := range append(voting, learning...) {
+			if old != id {
+				return change(raftpb.ConfChangeRemoveNode, old, name)
+			}
+		}
+	}
+	if !whole {
+		return nil
+	}
+	for _, id := range append(slices.Clone(v.conf.GetVoters()), v.conf.GetLearners()...) {
+		if name := v.book.state.Voters[id]; !slices.Contains(v.book.state.Wanted, name) {
+			return change(raftpb.ConfChangeRemoveNode, id, name)
+		}
+	}
+	return nil
+}
+
+// caughtUp tells whether a learner has all that is agreed on.
+func (v *Voter) caughtUp(id uint64) bool {
+	s := v.node.Status()
+	p, there := s.Progress[id]
+	return there && p.RecentActive && p.Match >= s.HardState.GetCommit()
+}
+
+// Recover begins the next epoch of the log with this voter alone and what it has: the way out
+// when a majority is lost for good. What others alone have agreed on is void.
+func (v *Voter) Recover(now time.Duration) error {
+	if v.node == nil {
+		return errors.New("this node has nothing of the log")
+	}
+	data, err := v.book.snapshot()
+	if err != nil {
+		return err
+	}
+	book, err := readBook(data)
+	if err != nil {
+		return err
+	}
+	book.state.Token = max(book.state.Token+newEpoch, v.o.Above())
+	book.state.Leases[blocked] = held{Token: book.state.Token, Length: book.state.Longest}
+	book.state.Wanted = []string{v.o.Name}
+	old := v.self
+	id := identity{logID{old.Log.ID, old.Log.Epoch + 1}, v.o.Random() | 1}
+	if err := v.create(id, book, now); err != nil {
+		return err
+	}
+	v.o.Log.Warn("leases: the next epoch begins, by the staff's word", "log", id.Log)
+	return nil
+}
