--- a/internal/lease/asker.go
+++ b/internal/lease/asker.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"time"
+	"unicode/utf8"
 )
 
 const (
@@ -103,7 +104,7 @@
 
 // Want asks for a lease from now on, and renews it, until Drop.
 func (a *Asker) Want(name string, length, now time.Duration) error {
-	if name == blocked || len(name) > MaxName {
+	if name == blocked || len(name) > MaxName || !utf8.ValidString(name) {
 		return fmt.Errorf("%q is no name of a lease (1 to %d bytes)", name, MaxName)
 	}
 	if length < Shortest {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,6 +24,8 @@
 	eventRoom = 2048
 	// flushEvery bounds how many events are taken in before what follows is carried out.
 	flushEvery = 256
+	// tookRoom is how many asks' times are kept for the staff.
+	tookRoom = 256
 	// voterPause is before a voter that has failed begins anew from its folder.
 	voterPause = 5 * time.Second
 	// askTime is how long an answer is waited for: a little longer than the leader waits.
@@ -66,6 +68,7 @@
 	leases map[string]*Lease
 	rand   *rand.Rand
 	start  uint64
+	took   []time.Duration // by the last asks, from before they left to their answers
 	joined bool
 	failed string // why there is no voter
 }
@@ -250,7 +253,7 @@
 	if err := decoding.Unmarshal(body, &a); err != nil {
 		return nil, fmt.Errorf("unreadable: %w", err)
 	}
-	if a.Node != from.Name || a.Incarnation > from.Incarnation {
+	if a.Node != from.Name { // its incarnation may be later than when the link began
 		return nil, fmt.Errorf("%s asks as %s", from.Name, a.Node)
 	}
 	ans, err := l.put(ctx, a)
@@ -299,6 +302,9 @@
 					l.asker.NoAnswer(r.Number, now)
 				} else {
 					l.asker.Answer(r.Number, ans, now)
+					if l.took = append(l.took, now-r.at); len(l.took) > tookRoom {
+						l.took = l.took[1:]
+					}
 				}
 				l.mu.Unlock()
 				l.rouse()
--- a/internal/lease/members.go
+++ b/internal/lease/members.go
@@ -53,8 +53,8 @@
 		if !same || m.To != v.self.Voter || v.stuck != nil {
 			return
 		}
-		last, now := v.seen[m.From], life{from.Incarnation, m.Start}
-		if now.Incarnation < last.Incarnation || now.Incarnation == last.Incarnation && now != last {
+		// One process may speak under an earlier incarnation than before: its link began then.
+		if last := v.seen[m.From]; m.Start != last.Start && from.Incarnation <= last.Incarnation {
 			v.say(from.Name, "old", message{What: sayOld, To: m.From, Seen: last})
 			return
 		}
@@ -70,7 +70,7 @@
 		v.stats.Strangers++
 		return
 	}
-	if now := (life{from.Incarnation, m.Start}); now != v.seen[m.From] {
+	if now := (life{from.Incarnation, m.Start}); now.Incarnation > v.seen[m.From].Incarnation {
 		if len(v.seen) >= fleet.MaxMembers { // voters that were replaced
 			clear(v.seen)
 		}
--- a/internal/lease/status.go
+++ b/internal/lease/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -56,6 +57,10 @@
 	Asking      string     `json:"asking,omitempty"` // whom, just now
 	Leader      string     `json:"leader,omitempty"`
 	Stats       AskerStats `json:"since_start"`
+	// How long the last asks took that were answered, a tookRoom of them.
+	Answered int     `json:"answered_of_late"`
+	Median   float64 `json:"median_ms"`
+	P99      float64 `json:"p99_ms"`
 }
 
 // Wish is a lease that this node wants.
@@ -78,6 +83,10 @@
 		s.Why = ErrOutside.Error()
 	}
 	s.Asker = AskerStatus{Incarnation: l.asker.incarnation, Asks: l.asker.number, Leader: l.asker.leader, Stats: l.asker.stats}
+	if took := slices.Sorted(slices.Values(l.took)); len(took) > 0 {
+		ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+		s.Asker.Answered, s.Asker.Median, s.Asker.P99 = len(took), ms(took[len(took)/2]), ms(took[len(took)*99/100])
+	}
 	if l.asker.out != nil {
 		s.Asker.Asking = l.asker.out.To
 	}
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -477,16 +477,20 @@
 
 // expire proposes what has run out.
 func (v *Voter) expire(now time.Duration) {
-	if len(v.conf.GetVoters()) <= len(v.book.state.Wanted)/2 {
-		return // a log that has just begun grants nothing that a few could lose
+	all := v.counts.due(v.book, now)
+	if len(v.conf.GetVoters()) <= len(v.book.state.Wanted)/2 { // a log that has just begun grants nothing that a few could lose
+		all = slices.DeleteFunc(all, func(l lapse) bool { return l.Name == blocked })
 	}
-	if all := v.counts.due(v.book, now); len(all) > 0 {
+	if len(all) > 0 {
 		v.propose(command{Lapsed: all})
 	}
 }
 
 func (v *Voter) propose(c command) bool {
 	b, err := encoding.Marshal(c)
+	if err == nil { // what can't be read would end all voters
+		err = decoding.Unmarshal(b, &command{})
+	}
 	if err == nil {
 		err = v.node.Propose(b)
 	}
