--- a/internal/lease/process_test.go
+++ b/internal/lease/process_test.go
@@ -344,6 +344,12 @@
 		return strings.Count(string(text), "change=ConfChangeAddNode") == 2
 	})
 	b.acts("the first act", patience)
+	old := b.t.TempDir() // the folder of a voter, of now
+	b.kill(2)
+	if err := os.CopyFS(old, os.DirFS(b.dirs[2])); err != nil {
+		t.Fatal(err)
+	}
+	b.start(2)
 	for range 2 { // the leader is killed
 		var leader int
 		b.await("a leader", patience, func() bool { leader = b.leader(); return leader >= 0 })
@@ -366,24 +372,26 @@
 		b.signal(i, syscall.SIGCONT)
 		b.acts("an act after that", patience)
 	}
-	// A voter's folder is lost: it learns, and takes its old number's place.
-	b.kill(1)
-	if err := os.RemoveAll(b.dirs[1]); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Mkdir(b.dirs[1], 0o700); err != nil {
-		t.Fatal(err)
-	}
-	promoted := func() (n int) { // as the others have it
-		for _, i := range []int{0, 2} {
-			text, _ := os.ReadFile(b.logs[i].Name())
-			n += strings.Count(string(text), "change=ConfChangeAddNode voter=n1")
+	// A voter's folder is lost, then another's is one of long ago: each is set aside, learns, and takes
+	// its old number's place.
+	for _, c := range []struct {
+		voter  int
+		others [2]int
+		folder string
+	}{{1, [2]int{0, 2}, b.t.TempDir()}, {2, [2]int{0, 1}, old}} {
+		promoted := func() (n int) { // as the others have it
+			for _, i := range c.others {
+				text, _ := os.ReadFile(b.logs[i].Name())
+				n += strings.Count(string(text), "change=ConfChangeAddNode voter="+b.names[c.voter])
+			}
+			return n
 		}
-		return n
+		before := promoted()
+		b.kill(c.voter)
+		b.dirs[c.voter] = c.folder
+		b.start(c.voter)
+		b.await("a new voter for "+b.names[c.voter], patience, func() bool { return promoted() == before+2 })
 	}
-	before := promoted()
-	b.start(1)
-	b.await("the new voter", patience, func() bool { return promoted() == before+2 })
 	b.kill(0) // so that it is needed
 	b.acts("an act with a majority that has the new voter in it", patience)
 	b.start(0)
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -152,7 +152,7 @@
 
 // VoterStats count since the start.
 type VoterStats struct {
-	Granted, Renewed, Lapsed, Given, Refused, Syncs, Elections, Strangers int
+	Granted, Renewed, Lapsed, Refused, Syncs, Elections, Strangers int
 }
 
 // NewVoter reads the folder. A log of which a part is lost is set aside. The error is of a disk
