Leases: the next epoch begins with nothing held; the lost may have given it to others

The survivor of a lost majority had not heard that 22 was given back and 23 granted; after the way out its book still had 22, and the first holder's next ask renewed it. Ruled out: the askers' give-back and the voters' count, both as they should be. At fault: Voter.Recover kept the leases of its own book.

--- a/internal/lease/members.go
+++ b/internal/lease/members.go
@@ -232,7 +232,12 @@
 		return err
 	}
 	book.state.Token = max(book.state.Token+newEpoch, v.o.Above())
-	book.state.Leases[blocked] = held{Token: book.state.Token, Length: book.state.Longest}
+	// What is held is held to its end and not renewed: the lost may have given it to others since.
+	book.state.Leases = map[string]held{blocked: {Token: book.state.Token, Length: book.state.Longest}}
+	for i := range book.state.Nodes {
+		book.state.Nodes[i].Holds = 0
+	}
+	book.state.Nodes[0].Holds = 1
 	book.state.Wanted = []string{v.o.Name}
 	old := v.self
 	id := identity{logID{old.Log.ID, old.Log.Epoch + 1}, v.o.Random() | 1}
