--- a/internal/lease/step_test.go
+++ b/internal/lease/step_test.go
@@ -460,6 +460,7 @@
 			n.v.Close()
 		}
 		n.up, n.paused, n.v, n.disk, n.old, n.stale = false, false, nil, disktest.New(), nil, false
+		n.inc = n.maxInc // as the others of the fleet know
 	}
 	s.note("%d of %d voters lose their folders", lose, len(order))
 	s.stats["disasters"]++
