Leases: one way to set a log aside, one way to answer those whose time is over

Read once more: NewVoter had the setting aside of Voter.leave twice over, and four loops answered asks and orders that are no longer waited for, alike but for the map.

--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -162,19 +162,15 @@
 	v.empty()
 	v.ticked, v.looked = now, now-lookEvery
 	all, err := v.disk.load()
-	if errors.Is(err, errDamaged) {
-		o.Log.Error("leases: set aside, this node is to be a new voter", "err", err)
-		return v, v.disk.setAside()
-	}
-	if err != nil || len(all) == 0 {
-		return v, err
+	if err == nil && len(all) > 0 {
+		if bad := v.restore(all, now); bad != nil {
+			err = fmt.Errorf("%w: %w", errDamaged, bad)
+		}
 	}
-	if err := v.restore(all, now); err != nil {
-		o.Log.Error("leases: set aside, this node is to be a new voter", "err", err)
-		v.empty()
-		return v, v.disk.setAside()
+	if errors.Is(err, errDamaged) {
+		return v, v.leave(err.Error())
 	}
-	return v, nil
+	return v, err
 }
 
 // empty forgets all that belongs to a log.
@@ -187,14 +183,19 @@
 }
 
 func (v *Voter) dropPending(why string) {
-	for _, w := range v.pending {
-		w.reply(answer{No: why, Maybe: true})
-	}
-	for _, w := range v.wanted {
-		w.reply(answer{No: why, Maybe: true})
+	all, ans := time.Duration(1<<63-1), answer{No: why, Maybe: true}
+	drop(v.pending, all, ans)
+	drop(v.wanted, all, ans)
+}
+
+// drop answers those whose time is over, and no longer waits for them.
+func drop[K comparable](all map[K]waiting, now time.Duration, ans answer) {
+	for key, w := range all {
+		if now >= w.until {
+			delete(all, key)
+			w.reply(ans)
+		}
 	}
-	clear(v.pending)
-	clear(v.wanted)
 }
 
 // leave gives this part in the log up for good: it is to be a new voter.
@@ -427,18 +428,9 @@
 		v.ticked = now
 	}
 	v.reportSnapshots()
-	for key, w := range v.pending {
-		if now >= w.until {
-			delete(v.pending, key)
-			w.reply(answer{Log: v.self.Log, No: "no majority has agreed in time", Maybe: true})
-		}
-	}
-	for key, w := range v.wanted {
-		if now >= w.until {
-			delete(v.wanted, key)
-			w.reply(answer{Log: v.self.Log, No: "no majority has agreed in time", Maybe: true})
-		}
-	}
+	late := answer{Log: v.self.Log, No: "no majority has agreed in time", Maybe: true}
+	drop(v.pending, now, late)
+	drop(v.wanted, now, late)
 	if v.leads() {
 		v.expire(now)
 		v.arrange(now)
