Leases: a note for the next holder, and a successor in the same place that need not wait

Copies need two things of the leases. Which copies count is one fact, so the holder of a log leaves it in the agreed log beside the lease (Lease.SetNote, Note; 256 bytes, as many as leases; of too many the one left longest ago goes, and whoever finds none must not take that for the first). The next epoch begins without notes. The fleet's file gets the part copies, read and checked, with no effect yet.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -32,6 +32,67 @@
 	Fleet  string  `json:"fleet"`
 	Nodes  []Node  `json:"nodes"`
 	Leases *Leases `json:"leases,omitempty"` // nil: there are none
+	Copies *Copies `json:"copies,omitempty"` // nil: all as CopiesOf says
+}
+
+// Copies says how nodes that are started with -copies keep copies of each other: see internal/replica.
+type Copies struct {
+	// Mode is CopyAfter or CopyBefore: whether a message is taken on before its copies have it, or after.
+	Mode string `json:"mode,omitempty"`
+	// Short is RefuseWork or GoOn: what a node does in CopyBefore that has fewer copies in reach than asked for.
+	Short    string  `json:"short,omitempty"`
+	LeaseS   float64 `json:"lease_s,omitempty"`   // a node's own log is its own for so long; the longest lease if 0
+	SilenceS float64 `json:"silence_s,omitempty"` // so long nothing is heard of a log before another takes it over; DefaultSilence if 0
+	ScrubS   float64 `json:"scrub_s,omitempty"`   // copies are compared so often; DefaultScrub if 0
+	LagMost  int     `json:"lag_most,omitempty"`  // changes that a copy may lack in CopyAfter before its node says so; DefaultLag if 0
+	LagMs    float64 `json:"lag_ms,omitempty"`    // and how old the oldest of them may be; DefaultLagTime if 0
+}
+
+// The words of Copies, and what holds where its file says nothing.
+const (
+	CopyAfter  = "after"
+	CopyBefore = "before"
+	RefuseWork = "refuse"
+	GoOn       = "go on"
+
+	DefaultSilence = 60 * time.Second
+	DefaultScrub   = 60 * time.Second
+	DefaultLag     = 256
+	DefaultLagTime = time.Second
+	// MostCopies is how many copies of a log there may be.
+	MostCopies = 3
+)
+
+// CopiesOf is how copies are kept, all defaults filled in.
+func (f File) CopiesOf() (c Copies) {
+	if f.Copies != nil {
+		c = *f.Copies
+	}
+	c.Mode, c.Short = cmp.Or(c.Mode, CopyAfter), cmp.Or(c.Short, RefuseWork)
+	if f.Leases != nil {
+		c.LeaseS = cmp.Or(c.LeaseS, f.Leases.Longest().Seconds())
+	}
+	c.SilenceS, c.ScrubS = cmp.Or(c.SilenceS, DefaultSilence.Seconds()), cmp.Or(c.ScrubS, DefaultScrub.Seconds())
+	c.LagMost, c.LagMs = cmp.Or(c.LagMost, DefaultLag), cmp.Or(c.LagMs, float64(DefaultLagTime.Milliseconds()))
+	return c
+}
+
+// check tells what is wrong with a part of the file.
+func (c Copies) check(f File, bad func(form string, args ...any)) {
+	if f.Leases == nil {
+		bad("copies need leases")
+	} else if c.LeaseS != 0 && !(c.LeaseS >= 1 && c.LeaseS <= f.Leases.Longest().Seconds()) {
+		bad("lease_s of %v: it has to be 1 to %v, the longest lease", c.LeaseS, f.Leases.Longest().Seconds())
+	}
+	if c.Mode != "" && c.Mode != CopyAfter && c.Mode != CopyBefore {
+		bad("mode %q: it has to be %q or %q", c.Mode, CopyAfter, CopyBefore)
+	}
+	if c.Short != "" && c.Short != RefuseWork && c.Short != GoOn {
+		bad("short %q: it has to be %q or %q", c.Short, RefuseWork, GoOn)
+	}
+	if c.SilenceS < 0 || c.ScrubS < 0 || c.LagMost < 0 || c.LagMs < 0 {
+		bad("a negative figure of copies")
+	}
 }
 
 // Leases says who keeps the leases of a fleet: see internal/lease.
@@ -83,6 +144,8 @@
 	Address string `json:"address"`
 	Listen  string `json:"listen,omitempty"`
 	Seed    bool   `json:"seed,omitempty"`
+	// Locality is where the node's machine stands: copies of one log lie in different ones, where they can.
+	Locality string `json:"locality,omitempty"`
 }
 
 // ReadFile reads and checks a fleet's file for the node of a name.
@@ -173,12 +236,18 @@
 			bad("most of %d: it has to be 1 to %d", l.Number, MostLeases)
 		}
 	}
+	if f.Copies != nil {
+		f.Copies.check(f, bad)
+	}
 	if len(all) > 0 {
 		return File{}, errors.New(strings.Join(all, "; "))
 	}
 	return f, nil
 }
 
+// Locality is where a node of the file stands; empty: it does not say.
+func (f File) Locality(name string) string { return f.node(name).Locality }
+
 func (f File) node(name string) Node {
 	for _, n := range f.Nodes {
 		if n.Name == name {
--- a/internal/lease/asker.go
+++ b/internal/lease/asker.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"maps"
@@ -34,7 +35,11 @@
 	until  time.Duration // of either, by this node's own clock
 	askAt  time.Duration // when something is to be asked for it next
 	holder string        // who had it when it was asked for last
-	no     string        // why there was no grant
+	since  uint64        // as of op; 0 for none
+	note   []byte        // of the name, as the log had it when it was asked last
+	set    []byte        // a note that is to take its place
+	toSet  bool
+	no     string // why there was no grant
 }
 
 // request is one ask on its way.
@@ -95,6 +100,7 @@
 	}
 	a.incarnation, a.out = incarnation, nil // numbers go on: an incarnation may join twice
 	for name, t := range a.tenures {
+		t.toSet = false
 		t.token, t.giving = 0, 0
 		if !t.wanted {
 			delete(a.tenures, name)
@@ -124,6 +130,29 @@
 	return nil
 }
 
+// Succeed lets a wish that is there take what earlier incarnations of this node have, as op says.
+func (a *Asker) Succeed(name string, since uint64) {
+	if t := a.tenures[name]; t != nil {
+		t.since = since
+	}
+}
+
+// SetNote asks for another note of a lease that is held.
+func (a *Asker) SetNote(name string, text []byte, now time.Duration) {
+	if t := a.tenures[name]; t != nil && t.token != 0 {
+		t.set, t.toSet, t.askAt = text, true, min(t.askAt, now)
+	}
+}
+
+// Note is the note of a lease as the log had it last, and whether it is the one that was asked for last.
+func (a *Asker) Note(name string) (text []byte, settled bool) {
+	t := a.tenures[name]
+	if t == nil {
+		return nil, false
+	}
+	return t.note, !t.toSet
+}
+
 // Drop gives a lease back. The caller has ended what it did under it.
 func (a *Asker) Drop(name string, now time.Duration) {
 	t := a.tenures[name]
@@ -167,7 +196,7 @@
 		if t.token != 0 {
 			a.stats.Lost++
 		}
-		t.token, t.giving, t.askAt = 0, 0, min(t.askAt, now)
+		t.token, t.giving, t.askAt, t.toSet = 0, 0, min(t.askAt, now), false
 		if !t.wanted {
 			delete(a.tenures, name) // it was not answered; the log finds out by itself
 		}
@@ -205,7 +234,7 @@
 	}
 	for _, name := range due[:min(len(due), maxOps)] {
 		t := a.tenures[name]
-		o := op{Do: take, Name: name, Token: t.token, Length: t.length}
+		o := op{Do: take, Name: name, Token: t.token, Length: t.length, Since: t.since, SetNote: t.toSet && t.token != 0, Note: t.set}
 		if t.giving != 0 || !t.wanted {
 			o = op{Do: give, Name: name, Token: t.giving}
 		}
@@ -329,7 +358,7 @@
 		if t.token != 0 {
 			a.stats.Lost++
 		}
-		t.token = 0
+		t.token, t.toSet = 0, false
 		if !t.wanted {
 			delete(a.tenures, o.Name)
 			return
@@ -341,8 +370,15 @@
 		}
 		return
 	}
+	t.note = out.Note
+	if o.SetNote && bytes.Equal(o.Note, t.set) {
+		t.toSet = false
+	}
 	t.token, t.until = out.Token, asked+out.Length
 	t.askAt = asked + out.Length/renewAfter
+	if t.toSet {
+		t.askAt = now
+	}
 	if !t.wanted {
 		t.giving, t.token, t.askAt = t.token, 0, now
 	}
--- a/internal/lease/book.go
+++ b/internal/lease/book.go
@@ -30,6 +30,8 @@
 	// newEpoch is between the tokens of two epochs of a log: more than the lost can have granted
 	// that the survivor does not know of.
 	newEpoch = 1 << 30
+	// MaxNote bounds a note; as many are kept as leases may be held.
+	MaxNote = 256
 	// Shortest is the least length of a lease; the greatest is the log's own.
 	Shortest = 500 * time.Millisecond
 )
@@ -46,6 +48,12 @@
 	Name   string        `cbor:"2,keyasint"`
 	Token  uint64        `cbor:"3,keyasint,omitempty"` // give: of this alone; take: no other, if not 0
 	Length time.Duration `cbor:"4,keyasint,omitempty"` // take
+	// SetNote: Note takes the place of the name's note, if the asker has the lease after this op; give: if it had.
+	SetNote bool   `cbor:"5,keyasint,omitempty"`
+	Note    []byte `cbor:"6,keyasint,omitempty"`
+	// Since, where it is not 0, is an incarnation of the asker from which on all before the present one
+	// have surely ended what they did under this name: what such a one has is the asker's to take.
+	Since uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // ask is what one node wants of the log, all at once.
@@ -64,6 +72,7 @@
 	Mine   bool          `cbor:"3,keyasint,omitempty"` // the asker has it, from before this ask on for Length
 	Length time.Duration `cbor:"4,keyasint,omitempty"`
 	No     string        `cbor:"5,keyasint,omitempty"` // why there was no grant, where nobody has it
+	Note   []byte        `cbor:"6,keyasint,omitempty"` // of the name, where the asker has it
 }
 
 // lapse says that a lease has run out, as far as it was renewed so often.
@@ -126,6 +135,13 @@
 	Wanted   []string          `cbor:"6,keyasint"`
 	Longest  time.Duration     `cbor:"7,keyasint"`
 	Most     int               `cbor:"8,keyasint"`
+	Notes    map[string]note   `cbor:"9,keyasint,omitempty"`
+}
+
+// note is what the last holder of a name, who may have it no longer, has left for the next.
+type note struct {
+	Text []byte `cbor:"1,keyasint"`
+	At   uint64 `cbor:"2,keyasint"` // so many commands had come then
 }
 
 // newBook begins a log: nothing is granted until a lease of the greatest length would have
@@ -232,12 +248,19 @@
 
 func (b *Book) do(i uint32, incarnation uint64, o op) (out outcome, began bool) {
 	h, there := b.state.Leases[o.Name]
+	if there && o.Do == take && h.Node == i && o.Since != 0 && h.Incarnation >= o.Since && h.Incarnation < incarnation {
+		b.drop(o.Name, h)
+		there = false
+	}
 	mine := there && h.Node == i && h.Incarnation == incarnation
 	switch {
 	case o.Name == blocked || len(o.Name) > MaxName:
 		return outcome{No: "no name of a lease"}, false
 	case o.Do == give:
 		if mine && h.Token == o.Token {
+			if o.SetNote {
+				b.note(o.Name, o.Note)
+			}
 			b.drop(o.Name, h)
 			return outcome{}, false
 		}
@@ -246,7 +269,10 @@
 	case mine && (o.Token == 0 || o.Token == h.Token):
 		h.Renewed++
 		b.state.Leases[o.Name] = h
-		return outcome{Token: h.Token, Holder: b.state.Nodes[i].Name, Mine: true, Length: h.Length}, true
+		if o.SetNote {
+			b.note(o.Name, o.Note)
+		}
+		return outcome{Token: h.Token, Holder: b.state.Nodes[i].Name, Mine: true, Length: h.Length, Note: b.state.Notes[o.Name].Text}, true
 	case there || o.Token != 0:
 	case b.state.Leases[blocked].Token != 0:
 		return outcome{No: "the log has begun a moment ago: leases of one before it may not have run out"}, false
@@ -258,7 +284,7 @@
 		b.state.Token++
 		b.state.Leases[o.Name] = held{Node: i, Incarnation: incarnation, Token: b.state.Token, Length: o.Length}
 		b.state.Nodes[i].Holds++
-		return outcome{Token: b.state.Token, Holder: b.state.Nodes[i].Name, Mine: true, Length: o.Length}, true
+		return outcome{Token: b.state.Token, Holder: b.state.Nodes[i].Name, Mine: true, Length: o.Length, Note: b.state.Notes[o.Name].Text}, true
 	}
 	if !there {
 		return outcome{}, false
@@ -266,6 +292,32 @@
 	return outcome{Token: h.Token, Holder: b.state.Nodes[h.Node].Name, Length: h.Length}, false
 }
 
+// note keeps the note of a name that is held, or none. Of too many, the one goes that was left longest ago
+// and that nobody holds the name of: whoever finds none must not take that for the first of a name.
+func (b *Book) note(name string, text []byte) {
+	if len(text) == 0 || len(text) > MaxNote {
+		delete(b.state.Notes, name)
+		return
+	}
+	if b.state.Notes == nil {
+		b.state.Notes = map[string]note{}
+	}
+	if _, there := b.state.Notes[name]; !there && len(b.state.Notes) >= b.state.Most {
+		oldest := ""
+		for _, other := range slices.Sorted(maps.Keys(b.state.Notes)) {
+			_, held := b.state.Leases[other]
+			if !held && (oldest == "" || b.state.Notes[other].At < b.state.Notes[oldest].At) {
+				oldest = other
+			}
+		}
+		if oldest == "" {
+			return // its holder sees that it is not there
+		}
+		delete(b.state.Notes, oldest)
+	}
+	b.state.Notes[name] = note{slices.Clone(text), b.state.Commands}
+}
+
 func (b *Book) drop(name string, h held) {
 	delete(b.state.Leases, name)
 	b.freed = append(b.freed, name)
--- a/internal/lease/book_test.go
+++ b/internal/lease/book_test.go
@@ -54,8 +54,8 @@
 		t.Errorf("read and written again it is another: %v", err)
 	}
 	l := disk{folder: disktest.New()}
-	if err := l.renew(record{Self: &identity{}, Snapshot: text}); err != nil || 3*l.size > DiskRoom(MaxLeases) {
-		t.Errorf("%d bytes on disk, of %d for three files: %v", l.size, DiskRoom(MaxLeases), err)
+	if err := l.renew(record{Self: &identity{}, Snapshot: text}); err != nil || 3*l.size > DiskRoom(MaxLeases, false) {
+		t.Errorf("%d bytes on disk, of %d for three files: %v", l.size, DiskRoom(MaxLeases, false), err)
 	}
 	for i := range MaxLeases { // the first node gives all of its own back
 		if i%fleet.MaxMembers == 0 {
--- a/internal/lease/disk.go
+++ b/internal/lease/disk.go
@@ -30,9 +30,13 @@
 )
 
 // DiskRoom is what a voter's files take in its folder, with so many leases at the most: the log, the
-// one that is to replace it, and one that was set aside.
-func DiskRoom(most int) int64 {
-	began := 2 * int64(most*leaseCost+(fleet.MaxMembers+1)*nodeCost+keptLog+4<<10) // records stand twice
+// one that is to replace it, and one that was set aside. Notes: each lease may have one.
+func DiskRoom(most int, notes bool) int64 {
+	cost := leaseCost
+	if notes {
+		cost += MaxName + MaxNote + 16
+	}
+	began := 2 * int64(most*cost+(fleet.MaxMembers+1)*nodeCost+keptLog+4<<10) // records stand twice
 	return began + 2*(began+growLog+2*maxProposed)
 }
 
--- a/internal/lease/explore_test.go
+++ b/internal/lease/explore_test.go
@@ -51,6 +51,7 @@
 func cloneBook(b *Book) *Book {
 	c := *b
 	c.state.Leases, c.state.Nodes, c.index, c.freed = maps.Clone(b.state.Leases), slices.Clone(b.state.Nodes), maps.Clone(b.index), nil
+	c.state.Notes = maps.Clone(b.state.Notes)
 	return &c
 }
 
@@ -77,7 +78,7 @@
 func (m *model) digest() uint64 {
 	h := fnv.New64a()
 	put := func(args ...any) { fmt.Fprintln(h, args...) }
-	lease := func(b *Book) { put(b.state.Leases, b.state.Nodes, b.state.Token) }
+	lease := func(b *Book) { put(b.state.Leases, b.state.Nodes, b.state.Token, b.state.Notes) }
 	lease(m.book)
 	put(m.last)
 	proposed := func(all []command) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -70,13 +71,14 @@
 	start  uint64
 	took   []time.Duration // by the last asks, from before they left to their answers
 	joined bool
-	failed string // why there is no voter
+	failed string        // why there is no voter
+	turn   chan struct{} // closed when something of what is held may have changed
 }
 
 // New registers with the fleet; Run does the rest.
 func New(o Options) *Leases {
 	l := &Leases{o: o, events: make(chan func(*Voter, time.Duration), eventRoom), wake: make(chan struct{}, 1),
-		leases: map[string]*Lease{}, rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
+		leases: map[string]*Lease{}, turn: make(chan struct{}), rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
 	l.start = l.rand.Uint64()
 	l.asker = NewAsker(o.Name, o.Voters, l.rand.Float64)
 	o.Net.OnNews(kind, l.hear)
@@ -393,6 +395,68 @@
 		l.o.Log.Info("leases: held", "name", t.name, "token", token, "was", t.token)
 		t.token = token
 	}
+	close(l.turn)
+	l.turn = make(chan struct{})
+}
+
+// Succeed lets this lease be taken from an earlier incarnation of this node, from one on that the caller
+// names: it knows that all of them have ended what they did under it.
+func (t *Lease) Succeed(since uint64) {
+	t.l.mu.Lock()
+	defer t.l.mu.Unlock()
+	t.l.asker.Succeed(t.name, since)
+	t.l.rouse()
+}
+
+// Note is what the last holder has left under this name, as the log had it when this node got the lease,
+// or what this node has set since. None is none, or one that was forgotten.
+func (t *Lease) Note() []byte {
+	t.l.mu.Lock()
+	defer t.l.mu.Unlock()
+	text, _ := t.l.asker.Note(t.name)
+	return text
+}
+
+// SetNote leaves a note under this name, for whoever holds it next. Without an error the log has it, and
+// this node still held the lease under the token.
+func (t *Lease) SetNote(ctx context.Context, token uint64, text []byte) error {
+	if len(text) > MaxNote {
+		return fmt.Errorf("a note of %d bytes, over %d", len(text), MaxNote)
+	}
+	for first := true; ; first = false {
+		t.l.mu.Lock()
+		have, _ := t.l.asker.Held(t.name, t.l.o.Clock())
+		if first && have == token && !t.given {
+			t.l.asker.SetNote(t.name, text, t.l.o.Clock())
+			t.l.rouse()
+		}
+		is, settled := t.l.asker.Note(t.name)
+		turn := t.l.turn
+		t.l.mu.Unlock()
+		switch {
+		case have != token || t.given:
+			return fmt.Errorf("%w: %q under %d", ErrNotHeld, t.name, token)
+		case settled && !bytes.Equal(is, text):
+			return fmt.Errorf("the log has no room for the note of %q", t.name)
+		case settled:
+			return nil
+		}
+		select {
+		case <-turn:
+		case <-ctx.Done():
+			return fmt.Errorf("leaving a note under %q: %w", t.name, ctx.Err())
+		}
+	}
+}
+
+// Holder is who had the lease when it was asked for last; empty: nobody, or nobody knows.
+func (t *Lease) Holder() string {
+	t.l.mu.Lock()
+	defer t.l.mu.Unlock()
+	if tenure := t.l.asker.tenures[t.name]; tenure != nil {
+		return tenure.holder
+	}
+	return ""
 }
 
 // Held tells the token that this node has the lease under, and for how long still; 0: it has not.
--- a/internal/lease/members.go
+++ b/internal/lease/members.go
@@ -234,6 +234,7 @@
 	book.state.Token = max(book.state.Token+newEpoch, v.o.Above())
 	// What is held is held to its end and not renewed: the lost may have given it to others since.
 	book.state.Leases = map[string]held{blocked: {Token: book.state.Token, Length: book.state.Longest}}
+	book.state.Notes = nil // the lost may have agreed on others
 	for i := range book.state.Nodes {
 		book.state.Nodes[i].Holds = 0
 	}
--- /dev/null
+++ b/internal/lease/note_test.go
@@ -0,0 +1,94 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A note outlasts its lease, is its holder's alone to set, and of too many the oldest goes whose
+// name nobody holds.
+func TestNotes(t *testing.T) {
+	const maxNotes = 20
+	b := newBook(0, time.Minute, maxNotes, nil)
+	b.lapse([]lapse{{blocked, 1, 0}})
+	number := uint64(0)
+	put := func(node string, incarnation uint64, o op) outcome {
+		t.Helper()
+		number++
+		out, _, err := b.ask(&ask{node, incarnation, number, []op{o}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out[0]
+	}
+	took := func(name, note string) op {
+		return op{Do: take, Name: name, Length: time.Second, SetNote: note != "", Note: []byte(note)}
+	}
+	first := put("a", 1, took("x", ""))
+	if out := put("b", 1, took("x", "from b")); out.Mine || len(b.state.Notes) != 0 {
+		t.Errorf("who has not the lease sets its note: %+v", out)
+	}
+	if out := put("a", 1, took("x", "from a")); string(out.Note) != "from a" {
+		t.Errorf("%+v", out)
+	}
+	put("a", 1, op{Do: give, Name: "x", Token: first.Token})
+	if out := put("b", 1, took("x", "")); !out.Mine || string(out.Note) != "from a" {
+		t.Errorf("the next holder finds %+v", out)
+	}
+	for i := range maxNotes + 5 {
+		name := fmt.Sprint("y", i)
+		out := put("c", 1, took(name, ""))
+		put("c", 1, took(name, "n"))
+		put("c", 1, op{Do: give, Name: name, Token: out.Token})
+	}
+	if len(b.state.Notes) != maxNotes || string(b.state.Notes["x"].Text) != "from a" || b.state.Notes["y0"].Text != nil {
+		t.Errorf("%d notes, that of a held name is %q", len(b.state.Notes), b.state.Notes["x"].Text)
+	}
+	text, err := b.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := readBook(text)
+	if err != nil || string(again.state.Notes["x"].Text) != "from a" {
+		t.Errorf("a snapshot has %q, %v", again.state.Notes["x"].Text, err)
+	}
+	if out := put("b", 1, op{Do: give, Name: "x", Token: b.state.Leases["x"].Token, SetNote: true}); out.Mine || b.state.Notes["x"].Text != nil {
+		t.Error("a note that was taken away is there still")
+	}
+}
+
+// A node's next incarnation takes what an earlier one has only where it says that this one has ended.
+func TestSuccession(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		holder, asker      string
+		was, is, since     uint64
+		succeeds, renewing bool
+	}{
+		{"the same place", "a", "a", 3, 4, 2, true, false},
+		{"from that very one on", "a", "a", 3, 4, 3, true, false},
+		{"an earlier place", "a", "a", 3, 5, 4, false, false},
+		{"nothing said", "a", "a", 3, 4, 0, false, false},
+		{"another node", "b", "a", 3, 4, 1, false, false},
+		{"itself", "a", "a", 4, 4, 1, false, true},
+	} {
+		b := newBook(0, time.Minute, 10, nil)
+		b.lapse([]lapse{{blocked, 1, 0}})
+		first, _, err := b.ask(&ask{c.holder, c.was, 1, []op{{Do: take, Name: "x", Length: time.Second}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		then, changed, err := b.ask(&ask{c.asker, c.is, 2, []op{{Do: take, Name: "x", Length: time.Second, Since: c.since}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		grown := then[0].Token > first[0].Token
+		if then[0].Mine != (c.succeeds || c.renewing) || grown != c.succeeds || (len(changed) == 1) != then[0].Mine {
+			t.Errorf("%s: %+v after %+v", c.name, then, first)
+		}
+		if h := b.state.Nodes[b.index["a"]].Holds + map[bool]int{true: b.state.Nodes[b.index[c.holder]].Holds}[c.holder != "a"]; h != 1 {
+			t.Errorf("%s: %d leases are counted", c.name, h)
+		}
+	}
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -75,7 +75,7 @@
 	case c.Fleet.Leases == nil || !slices.Contains(c.Fleet.Leases.Voters, c.Name):
 		return fleet.DiskRoom
 	}
-	return fleet.DiskRoom + lease.DiskRoom(c.Fleet.Leases.Most())
+	return fleet.DiskRoom + lease.DiskRoom(c.Fleet.Leases.Most(), c.Fleet.Copies != nil)
 }
 
 // runFleet takes part for as long as this process owns what the node owes. Of a group, the
@@ -94,5 +94,8 @@
 // errNoFleet answers the staff of a node that is in none.
 var errNoFleet = errors.New("this node is in no fleet")
 
+// errNoCopies answers the staff of a node that keeps none.
+var errNoCopies = errors.New("this node was started without -copies")
+
 // errNoLeases answers the staff where the fleet's file names no voters.
 var errNoLeases = errors.New("the fleet has no leases")
