Copies: what a node has taken on, at other nodes of the fleet; taken over when it is lost

In the mode before, a message's 202, a charge's first byte and a notice wait for the copies. GET /ops/copies. Off, nothing is told. TestCopiesOutlastAMachine: a node killed and its folder removed, in both modes: what may be repeated is delivered by another, a charge that was out is not sent again. TestEveryOrderDrawn: the real keepers, leases, journals and copies of five nodes in simulated time, with kills, losses of power and machines, cuts and loss.

--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -33,6 +33,7 @@
 	warm, sync bool
 	group      int
 	fleet      string
+	copies     int
 }
 
 func main() {
@@ -45,6 +46,7 @@
 	flags.IntVar(&o.group, "group", 0, "be one node together with up to so many processes, this one counted, that are started\n"+
 		"with the same environment on the same state folder")
 	flags.StringVar(&o.fleet, "fleet", "", "know of the other delivery nodes that this `file` names, and talk to them; docs/fleet.md")
+	flags.IntVar(&o.copies, "copies", 0, "have so many other nodes of the fleet keep what this one has taken on, and keep theirs; docs/copies.md")
 	flags.Usage = func() {
 		fmt.Fprint(flags.Output(), usage)
 		flags.PrintDefaults()
@@ -92,6 +94,7 @@
 		}
 		c.Fleet = &f
 	}
+	c.Copies = o.copies
 	return node.Run(ctx, c, hangups, log)
 }
 
--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -50,6 +51,7 @@
 	listen    string
 	config    string // the file that the node was last started with
 	settings  string
+	disk      float64 // its limit in MB; 3 if 0
 	flags     []string
 
 	mu       sync.Mutex
@@ -195,8 +197,8 @@
 func (p *platform) configure() {
 	p.t.Helper()
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
-		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
-		p.listen, p.discovery.Listener.Addr(), p.settings)
+		`"memory_mb":192,"sockets":256,"disk_mb":%g},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
+		p.listen, p.discovery.Listener.Addr(), cmp.Or(p.disk, 3), p.settings)
 	must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
 }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -219,6 +219,105 @@
 	given      bool              // another process writes it, or is about to
 	orders     map[string]uint64 // endpoints that the staff have taken out; the segment with the order
 	syncer     syncer
+	watch      Watcher // nil for none
+}
+
+// Watcher hears of what counts in a journal, in the order in which it was written and before whoever
+// wrote it goes on. It must not wait, nor call the journal.
+type Watcher interface {
+	// Changed tells of a message as it is now: it was taken, sent, answered for, or has ended.
+	Changed(m *Message)
+	// Over tells that nothing is owed for a message any more.
+	Over(m *Message)
+	// Ordered tells of all the staff's orders that hold now.
+	Ordered(out []string)
+}
+
+// Watch tells a watcher of all that is owed now, in the order in which it was taken, and from
+// here on of each change. Nil ends that.
+func (j *Journal) Watch(w Watcher) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.watch = w
+	if w == nil {
+		return
+	}
+	for _, seq := range sorted(j.live) {
+		w.Changed(j.live[seq])
+	}
+	w.Ordered(j.staffOrders())
+}
+
+// staffOrders are the endpoints that the staff have taken out, without those that leave by the list.
+func (j *Journal) staffOrders() (out []string) {
+	for _, name := range sorted(j.orders) {
+		if !strings.HasPrefix(name, leavingMark) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Problems are what the replay found that does not check.
+func (j *Journal) Problems() []Problem { return j.recovery.report.Problems }
+
+// Owed are the messages that are owed, in the order in which they were taken.
+func (j *Journal) Owed() (all []*Message) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, seq := range sorted(j.live) {
+		all = append(all, j.live[seq])
+	}
+	return all
+}
+
+// NoteOver writes down ids of messages that are over and were not in this journal.
+func (j *Journal) NoteOver(ids []string) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for some := range slices.Chunk(ids, overChunk) {
+		if err := j.append(overRecord(some), nil); err != nil {
+			return err
+		}
+		for _, id := range some {
+			j.Over.Add(id)
+			if j.sync {
+				j.recentOver.Add(id)
+			}
+		}
+	}
+	return nil
+}
+
+// Skip lets the next messages have numbers from here on, where they would have lower ones.
+func (j *Journal) Skip(to policy.MessageID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.next = max(j.next, to)
+}
+
+// Put writes a message whole, under the number that it has, in the place of what was written of it
+// before. It is for a journal that is a copy: nothing decides on it here.
+func (j *Journal) Put(m *Message) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.syncer.failed != nil {
+		return j.syncer.failed
+	}
+	if old := j.live[m.Seq]; old != nil {
+		j.liveSize -= cost(old)
+	}
+	m.home = j
+	j.liveSize += cost(m)
+	if err := j.append(takenRecord(m), m); err != nil {
+		if old := j.live[m.Seq]; old != nil {
+			j.liveSize += cost(old)
+		}
+		j.liveSize -= cost(m)
+		return err
+	}
+	j.live[m.Seq], j.next = m, max(j.next, m.Seq+1)
+	return nil
 }
 
 func segmentPath(n uint64) string { return fmt.Sprintf(segmentName, n) }
@@ -484,9 +583,17 @@
 	j.next++
 	j.live[m.Seq] = m
 	j.liveSize += cost(m)
+	j.changed(m)
 	return j.syncer.written, nil
 }
 
+// changed tells the watcher, where there is one.
+func (j *Journal) changed(m *Message) {
+	if j.watch != nil {
+		j.watch.Changed(m)
+	}
+}
+
 // change writes something about a message, if it is still owed and this process writes.
 func (j *Journal) change(m *Message, write func() error) error {
 	j.mu.Lock()
@@ -513,6 +620,7 @@
 		}
 		m.Past.attempt(endpoint, zone, at)
 		j.noteSent(endpoint, at)
+		j.changed(m)
 		return nil
 	})
 }
@@ -522,6 +630,7 @@
 	return j.change(m, func() error {
 		m.Past.outcome(neverRan(o))
 		j.noteOutcome(endpoint, o, at)
+		j.changed(m)
 		return j.append(outcomeRecord(m.Seq, o, endpoint, at), nil)
 	})
 }
@@ -530,6 +639,7 @@
 func (j *Journal) Ended(m *Message, n *Notice) error {
 	return j.change(m, func() error {
 		m.Notice = n
+		j.changed(m)
 		return j.append(appendNotice(record(recEnded, m.Seq), n), nil)
 	})
 }
@@ -542,6 +652,9 @@
 		delete(j.live, m.Seq)
 		delete(j.home, m.Seq)
 		j.noteClosed(m.ID, endpoint, at)
+		if j.watch != nil {
+			j.watch.Over(m)
+		}
 		return j.append(closedRecord(m.Seq, endpoint, at), nil)
 	})
 }
@@ -573,6 +686,9 @@
 		delete(j.orders, endpoint)
 		j.liveSize -= room
 	}
+	if j.watch != nil && !strings.HasPrefix(endpoint, leavingMark) {
+		j.watch.Ordered(j.staffOrders())
+	}
 	return nil
 }
 
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -72,6 +72,9 @@
 	return c
 }
 
+// IDs are the known ids, the one known for longest first.
+func (r *IDRing) IDs() []string { return r.all() }
+
 // Len is how many ids are known.
 func (r *IDRing) Len() int { return len(r.ids) }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -106,6 +106,7 @@
 	once     []bool   // by class: it may not be repeated
 	tell     func(policy.Event)
 	cohort   *cohort // the other processes of the node; nil where there are none
+	copies   *copies // what other nodes have of the journals; nil where they have nothing
 	running  sync.WaitGroup
 }
 
@@ -154,6 +155,8 @@
 func (c *caller) run(ctx context.Context, k *call) {
 	ctx, cancel := context.WithDeadline(ctx, k.started.Add(k.limit))
 	defer cancel()
+	ctx, end := c.copies.whileOurs(ctx, k)
+	defer end()
 	conn, err := k.endpoint.pool.Take(ctx)
 	switch {
 	case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone): // it says nothing of the endpoint
@@ -168,7 +171,7 @@
 	now := time.Now()
 	// Between the module's decision and now the connection was made. What was told
 	// in the meantime binds this call too, and it has not been sent.
-	if !c.mayCall(k.endpoint) {
+	if !c.mayCall(k.endpoint) || !c.copies.maySend(k) {
 		conn.Done(upstream.Unused)
 		c.endAll(k, policy.Moot, 0, false)
 		return
@@ -235,18 +238,24 @@
 	return e.mayCall() && (c.cohort == nil || c.cohort.group.MaySend())
 }
 
-// settled makes the attempts at messages that may not be repeated durable, where that is
-// asked for. What was told while the disk was waited for binds the call still.
+// settled makes the attempts at messages that may not be repeated durable, and has other nodes have
+// them, where that is asked for. What was told meanwhile binds the call still.
 func (c *caller) settled(k *call) error {
-	if !c.sync || !slices.ContainsFunc(k.parts, func(p *part) bool { return c.once[p.message.Class] }) {
+	if !c.sync && c.copies == nil || !c.anyOnce(k) {
 		return nil
 	}
-	for _, j := range homes(k.parts, func(p *part) *journal.Message { return p.message }) {
+	all := homes(k.parts, func(p *part) *journal.Message { return p.message })
+	for _, j := range all {
 		if err := j.Sync(); err != nil {
 			return fmt.Errorf("the attempt is not durable: %w", err)
 		}
 	}
-	if !c.mayCall(k.endpoint) {
+	if c.copies != nil {
+		if err := c.copies.copied(all, 1); err != nil {
+			return fmt.Errorf("no copy has the attempt: %w", err)
+		}
+	}
+	if !c.mayCall(k.endpoint) || !c.copies.maySend(k) {
 		return errors.New("the endpoint has closed meanwhile")
 	}
 	return nil
--- a/internal/node/cohort_loop.go
+++ b/internal/node/cohort_loop.go
@@ -139,19 +139,7 @@
 // inheritDead goes on with what a dead member owed. Attempts that were out may have run.
 func (l *loop) inheritDead(in *inheritance) {
 	if in.alone {
-		for _, name := range in.journal.Orders() { // out where any member said so
-			if l.journal.Barred(name) {
-				continue
-			}
-			if err := l.journal.Order(name, true, time.Now()); err != nil {
-				l.log.Error("group: a dead member's order", "endpoint", name, "err", err)
-				continue
-			}
-			if e := l.endpoints[policy.EndpointID(hash(name))]; e != nil {
-				e.barred.Store(true)
-				l.batch = append(l.batch, policy.Ordered{Endpoint: e.id, Out: true})
-			}
-		}
+		l.adoptOrders(in.journal.Orders()) // out where any member said so
 	}
 	l.remindOf(in.journal.Memories, in.alone && !l.called)
 	for _, m := range in.owed {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -40,6 +40,7 @@
 	Sync      bool          // what is taken on outlasts a loss of power too
 	Members   int           // processes at most that are this node together; 0 for this one alone
 	Fleet     *fleet.File   // the nodes that are told of each other; nil for none
+	Copies    int           // other nodes that keep what this one has taken on; 0 for none
 	Warm      bool          // connections are opened ahead, for demand that was seen
 	AskEvery  time.Duration // a node that has not asked for so long counts as told; 0 if nothing is said
 }
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -47,6 +47,8 @@
 	cohort *cohort // the other processes of the node; nil where there are none
 	fleet  *fleet.Fleet
 	leases *lease.Leases
+	copies *copies // nil where there are none, or not yet
+	copied bool    // there are some
 }
 
 // openConsole listens at once; calls that need the node's state wait for it.
@@ -84,7 +86,7 @@
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var method string
 	switch r.URL.Path {
-	case "/ops/readiness", "/ops/pools", "/ops/journal", "/ops/group", "/ops/fleet", "/ops/leases":
+	case "/ops/readiness", "/ops/pools", "/ops/journal", "/ops/group", "/ops/fleet", "/ops/leases", "/ops/copies":
 		method = http.MethodGet
 	case "/ops/endpoints/down", "/ops/endpoints/up", "/ops/fleet/remove", "/ops/leases/voters", "/ops/leases/recover", "/ops/leases/take", "/ops/leases/give":
 		method = http.MethodPut
@@ -120,6 +122,13 @@
 		}
 		c.shows(w, func(*loop) any { return c.fleet.Status() })
 		return
+	case "/ops/copies":
+		if !c.copied {
+			http.Error(w, errNoCopies.Error(), http.StatusNotFound)
+			return
+		}
+		c.shows(w, func(*loop) any { return c.copies.keeper.Status() })
+		return
 	case "/ops/leases":
 		if c.leases == nil {
 			http.Error(w, errNoLeases.Error(), http.StatusNotFound)
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -22,7 +22,9 @@
 	// a notice that is sent twice does no harm.
 	noticeTimeout = 60 * time.Millisecond
 	noticePause   = 10 * time.Millisecond
-	noticeBatch   = 64
+	// heldPause is how often it is looked whether what had to wait may be told.
+	heldPause   = 50 * time.Millisecond
+	noticeBatch = 64
 )
 
 // finals tells the platform of messages that ended undelivered, again and again
@@ -32,8 +34,9 @@
 	client *http.Client
 	log    *slog.Logger
 
-	sync bool   // what can't be undone is durable first
-	once []bool // by class: it may not be repeated
+	sync   bool    // what can't be undone is durable first
+	once   []bool  // by class: it may not be repeated
+	copies *copies // what other nodes have of the journals; nil where they have nothing
 
 	mu    sync.Mutex
 	queue []*journal.Message
@@ -80,7 +83,17 @@
 				return
 			}
 		}
-		batch := pending[:min(len(pending), noticeBatch)]
+		ready := f.ready(pending)
+		if ready == 0 {
+			select {
+			case <-f.more: // or one that waits may be told by then
+			case <-time.After(heldPause):
+			case <-ctx.Done():
+				return
+			}
+			continue
+		}
+		batch := pending[:min(ready, noticeBatch)]
 		f.settle(batch)
 		status, err := f.post(ctx, batch)
 		if status == http.StatusBadRequest && len(batch) > 1 {
@@ -117,18 +130,56 @@
 	}
 }
 
+// ready puts first what may be told now, and counts it. What may be told only when its time is up, as
+// its log may be another node's, is given up then.
+func (f *finals) ready(pending []*journal.Message) int {
+	if f.copies == nil {
+		return len(pending)
+	}
+	may := map[*journal.Message]bool{}
+	for _, m := range pending {
+		now, again := f.copies.mayTell(m)
+		may[m] = now
+		if now && !again && m.Notice.HandedBack() {
+			if err := m.Home().Ended(m, journal.NewNotice(m.ID, false, 0)); err != nil {
+				f.log.Error("journal: end", "id", m.ID, "err", err)
+			}
+		}
+	}
+	slices.SortStableFunc(pending, func(a, b *journal.Message) int {
+		switch {
+		case may[a] == may[b]:
+			return 0
+		case may[a]:
+			return -1
+		}
+		return 1
+	})
+	ready := 0
+	for _, m := range pending {
+		if may[m] {
+			ready++
+		}
+	}
+	return ready
+}
+
 // settle makes it durable that messages are over whose clients are told to come again,
 // where that is asked for: after a loss of power such a charge would be owed here as well.
 // On a disk that fails they are not told so.
 func (f *finals) settle(batch []*journal.Message) {
 	back := func(m *journal.Message) bool { return f.once[m.Class] && m.Notice.HandedBack() }
-	if !f.sync || !slices.ContainsFunc(batch, back) {
+	if f.copies == nil && (!f.sync || !slices.ContainsFunc(batch, back)) {
 		return
 	}
 	var err error
-	for _, j := range homes(batch, func(m *journal.Message) *journal.Message { return m }) {
+	all := homes(batch, func(m *journal.Message) *journal.Message { return m })
+	for _, j := range all {
 		err = errors.Join(err, j.Sync())
 	}
+	if err == nil && f.copies != nil { // or whoever takes the log over sends what was told to have ended
+		err = f.copies.copied(all, 1)
+	}
 	if err == nil {
 		return
 	}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -40,6 +40,7 @@
 	closing bool            // answers close their connections
 	refuse  bool            // nothing is taken any more
 
+	copies  *copies // what other nodes have of the journal; nil where they have nothing
 	cohort  *cohort // the other processes of the node; nil where there are none
 	noShare bool    // none of the node's limits may be used just now
 }
@@ -121,9 +122,14 @@
 		if to != nil {
 			return in.passOn(to, m)
 		}
-		if in.cohort != nil && in.cohort.taken(m.ID) {
+		if in.cohort != nil && in.cohort.taken(m.ID) || in.copies != nil && in.copies.keeper.Elsewhere(m.ID) {
 			return http.StatusAccepted, ""
 		}
+		if in.copies != nil {
+			if err := in.copies.keeper.Own().Ready(); err != nil {
+				return http.StatusServiceUnavailable, err.Error()
+			}
+		}
 		again, ok := in.reserve(m.ID)
 		if again { // sent once more by a client that did not hear the answer
 			return http.StatusAccepted, ""
@@ -131,7 +137,7 @@
 		if !ok {
 			return http.StatusServiceUnavailable, "the hold is full"
 		}
-		switch err := in.journal.Take(m); {
+		switch err := in.journaled(m); {
 		case err == nil:
 			in.taken(m.ID)
 			in.accept(m)
@@ -152,6 +158,19 @@
 	}
 }
 
+// journaled takes a message into the journal, and where staff want that first into its copies. One that
+// does not get there in time is ended, as nobody can say whether they have it.
+func (in *intake) journaled(m *journal.Message) error {
+	err := in.journal.Take(m)
+	if err != nil || in.copies == nil {
+		return err
+	}
+	if err := in.copies.copied([]*journal.Journal{in.journal}, in.copies.wanted); err != nil {
+		return errors.Join(fmt.Errorf("%w: %w", journal.ErrNotDurable, err), in.journal.Closed(m, "", time.Now()))
+	}
+	return nil
+}
+
 // passOn hands a message to the process that has taken over.
 func (in *intake) passOn(to *link, m *journal.Message) (status int, why string) {
 	a, sent, err := to.pass(passedOn{Message: &handedIn{ID: m.ID, Key: m.Key, Class: m.Class, Dest: m.Dest,
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -160,6 +160,10 @@
 		e.reply <- l.memberState()
 	case *inheritance:
 		l.inheritDead(e)
+	case *disowned:
+		l.disown(e)
+	case adoptedOrders:
+		l.adoptOrders(e)
 	case policy.Shared:
 		l.shared = true
 		l.batch = append(l.batch, e)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,13 @@
 // reads from its configuration file anew where discovery is.
 func Run(ctx context.Context, c Config, hangups <-chan os.Signal, log *slog.Logger) error {
 	var co *cohort
+	if err := c.checkCopies(); err != nil {
+		return err
+	}
+	copyLimit := c.copyLimit()
+	if c.Copies > 0 {
+		c.DiskBytes = copyLimit + c.fleetRoom()
+	}
 	if c.DiskBytes -= c.fleetRoom(); c.DiskBytes < journal.MinDisk {
 		return fmt.Errorf("limits.disk_mb leaves %d bytes beside the fleet's %d, less than a journal needs", c.DiskBytes, c.fleetRoom())
 	}
@@ -81,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	staff := &console{up: make(chan struct{}), cohort: co, fleet: others, leases: joinLeases(c, others, log)}
+	staff := &console{up: make(chan struct{}), cohort: co, fleet: others, leases: joinLeases(c, others, log), copied: c.Copies > 0}
 	if c.Console != "" {
 		callers, err := openConsole(ctx, c.Console, staff, log)
 		if err != nil {
@@ -140,6 +147,18 @@
 		}
 	}
 	in.over = j.Over
+	cs, err := joinCopies(c, others, l, staff.leases, copyLimit)
+	if err != nil {
+		return quit(err)
+	}
+	if cs != nil {
+		staff.copies, in.copies, l.caller.copies, l.finals.copies = cs, cs, cs, cs
+		defer func() {
+			if err := cs.keeper.Close(); err != nil {
+				log.Warn("copies: closing", "err", err)
+			}
+		}()
+	}
 	known := int64(-1)
 	switch {
 	case e.told != nil:
@@ -159,7 +178,7 @@
 			known = c.Known.Revision
 		}
 	}
-	if co != nil { // nothing is sent before there is a lease
+	if co != nil || cs != nil { // nothing is sent before there is a lease
 		l.take(policy.Shared{Whole: group.Whole})
 	}
 	var before *heir
@@ -183,6 +202,9 @@
 
 	quiet := make(chan struct{})
 	running.Go(func() { l.run(life, calls, quiet) })
+	if cs != nil {
+		cs.keeper.Resume()
+	}
 	running.Go(func() { l.finals.run(owned) })
 	turn := discoveryTurn(c)
 	l.known.Store(known)
