--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -281,10 +281,12 @@
 		}
 		switch {
 		case there:
-			e = Merge(old, e).fold()
-			if slices.Contains(b.Whole, e.Seq/rangeSize) && !b.isBare(e.Seq) { // as the writer has it
+			if slices.Contains(b.Whole, e.Seq/rangeSize) { // as the writer has it, whatever stands here
 				e = rewrite(old, e, b.Token)
+			} else {
+				e = Merge(old, e)
 			}
+			e = e.fold()
 		case e.Bare:
 			return fmt.Errorf("number %d is not here, and came without its text", e.Seq)
 		}
@@ -313,11 +315,6 @@
 	return nil
 }
 
-func (b Batch) isBare(seq uint64) bool {
-	i := slices.IndexFunc(b.Items, func(e Entry) bool { return e.Seq == seq })
-	return i >= 0 && b.Items[i].Bare
-}
-
 // rewrite takes what was taken, and the tenure of a token, from its writer, whatever stood there.
 func rewrite(old, sent Entry, token uint64) Entry {
 	earlier := slices.DeleteFunc(slices.Clone(old.Tenures), func(t Tenure) bool { return t.Token == token })
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -206,6 +206,13 @@
 // Begin goes on under a token. What was done before is told as far as it counts still, as what this
 // tenure began with.
 func (s *Source) Begin(token uint64, now time.Duration) {
+	if again := token == s.token; again { // it had run out by this node's clock alone: versions go on
+		s.fenced, s.noted = 0, nil
+		for _, f := range s.followers {
+			f.began, f.out = false, nil
+		}
+		return
+	}
 	s.token, s.fenced, s.noted = token, 0, nil
 	for el := s.order.Front(); el != nil; el = el.Next() {
 		it := el.Value.(*item)
--- a/internal/replica/work.go
+++ b/internal/replica/work.go
@@ -40,8 +40,10 @@
 	lagSince time.Duration // since when the lag has been over its bound; 0: it is not
 	why      string
 	over     journal.IDRing // of messages of this log for which nothing is owed any more
-	since0   time.Duration  // since when it is asked in vain who has gone on with the log
-	doubted  int            // messages that count as may have run, as nothing proved that they had not
+	// inherited says that the own log knows what is over of this one.
+	inherited bool
+	since0    time.Duration // since when it is asked in vain who has gone on with the log
+	doubted   int           // messages that count as may have run, as nothing proved that they had not
 }
 
 type copyWaiter struct {
@@ -766,13 +768,44 @@
 
 // abandon gives up a log that was taken over here, and then by another.
 func (w *Work) abandon() {
-	w.k.o.Log.Warn("copies: a log that was taken over here is another node's now", "owner", w.owner)
+	w.k.o.Log.Warn("copies: a log that was taken over here is done, or another node's now", "owner", w.owner)
 	w.k.o.Host.Forget(w, w.journal.Owed(), nil)
+	if err := w.inherit(); err != nil {
+		w.k.o.Log.Error("copies: what is over of a log is forgotten here", "owner", w.owner, "err", err)
+	}
 	w.remove()
 }
 
+// inherit keeps, in this node's own log and so in its copies, which messages of one that was taken over
+// are over: its owner asks for them when it returns.
+func (w *Work) inherit() error {
+	w.mu.Lock()
+	ids := w.over.IDs()
+	done := w.inherited
+	w.mu.Unlock()
+	if done {
+		return nil
+	}
+	own := w.k.own
+	if err := own.journal.NoteOver(ids); err != nil {
+		return fmt.Errorf("noting what is over: %w", err)
+	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	for _, id := range ids {
+		own.over.Add(id)
+		own.source.Over(0, id, w.k.o.Clock())
+	}
+	w.inherited = true // finish alone calls it again, from the same goroutine
+	return nil
+}
+
 // finish ends a log that was taken over, when nothing is owed for it any more.
 func (w *Work) finish(ctx context.Context, l *lease.Lease, token uint64) bool {
+	if err := w.inherit(); err != nil {
+		w.fail(err)
+		return false
+	}
 	if err := w.leave(ctx, l, token, note{Writer: w.k.o.Name, Token: token, Done: true}, true); err != nil {
 		w.k.o.Log.Warn("copies: a log that is worked off is not noted", "owner", w.owner, "err", err)
 		return false
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -517,6 +517,7 @@
 	defer p.mu.Unlock()
 	p.works[wk.Journal()] = wk
 	for _, m := range owed {
+		p.n.w.log("%s adopted by %s", m.ID, p.n.name)
 		if old := p.held[m.ID]; old != nil && old.m != m {
 			p.n.w.breaks("%s has %s twice", p.n.name, m.ID)
 		}
@@ -528,6 +529,7 @@
 
 func (p *wproc) Forget(_ *Work, gone, doubted []*journal.Message) {
 	for _, m := range gone {
+		p.n.w.log("%s is another's, says %s", m.ID, p.n.name)
 		p.end(m, func() { _ = m.Home().Closed(m, "", time.Now()) })
 	}
 	for _, m := range doubted {
@@ -638,6 +640,7 @@
 		a.finals++
 		a.back = a.back || back
 		w.mu.Unlock()
+		w.log("%s ended by %s, %s", m.ID, p.n.name, m.Notice.Outcome)
 		p.end(m, func() { _ = m.Home().Closed(m, "", time.Now()) })
 		return
 	}
@@ -708,6 +711,7 @@
 		a.ran++
 	}
 	w.mu.Unlock()
+	w.log("%s sent by %s", m.ID, p.n.name)
 	if bad != "" {
 		w.breaks(m.ID+" "+bad, p.n.name, by)
 	}
@@ -721,6 +725,7 @@
 	case <-p.life.Done():
 		return
 	}
+	w.log("%s answered to %s: broken %v, refused %v, fails %v", m.ID, p.n.name, broken, refused, fails)
 	w.mu.Lock()
 	a.out--
 	if !broken && !refused && !fails {
@@ -799,6 +804,7 @@
 	w.mu.Lock()
 	a.acked = acked
 	w.mu.Unlock()
+	w.log("%s taken on by %s: %v", a.id, n.name, acked)
 }
 
 // fault draws one.
