Leases: a look outside the lock in SetNote; no other note after a log is worked off

The race detector saw Lease.SetNote read whether the lease was given back after letting go of the lock. By reading: a note of holders that was still being left could have come after the one that the log is done (Work.follow); it is waited for now.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -432,9 +432,10 @@
 		}
 		is, settled := t.l.asker.Note(t.name)
 		turn := t.l.turn
+		held := have == token && !t.given
 		t.l.mu.Unlock()
 		switch {
-		case have != token || t.given:
+		case !held:
 			return fmt.Errorf("%w: %q under %d", ErrNotHeld, t.name, token)
 		case settled && !bytes.Equal(is, text):
 			return fmt.Errorf("the log has no room for the note of %q", t.name)
--- a/internal/replica/work.go
+++ b/internal/replica/work.go
@@ -539,7 +539,7 @@
 				planned <- w.leave(ctx, l, token, note{Writer: w.k.o.Name, Token: token, Holders: holders}, true)
 			})
 		}
-		if !w.own && w.journal.Status().Live == 0 && now-began > BeatEvery {
+		if !w.own && !planning && w.journal.Status().Live == 0 && now-began > BeatEvery { // no other note comes after this
 			if w.finish(ctx, l, token) {
 				return isDone
 			}
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -289,7 +289,10 @@
 		if n == p.n {
 			all = append(all, p.Self())
 		} else if s := p.seen[n.name]; s != "" {
-			all = append(all, fleet.Member{Record: fleet.Record{Name: n.name, Incarnation: n.incarnation}, State: s})
+			p.n.w.mu.Lock()
+			inc := n.incarnation
+			p.n.w.mu.Unlock()
+			all = append(all, fleet.Member{Record: fleet.Record{Name: n.name, Incarnation: inc}, State: s})
 		}
 	}
 	return all
