--- a/internal/replica/work.go
+++ b/internal/replica/work.go
@@ -437,7 +437,7 @@
 	w.source.Begin(token, k.o.Clock())
 	// A folder in another place may be from before what was done last, and so is one that others know to be
 	// old, or that is damaged. A note that is gone was forgotten, or agreed on in a log that is void.
-	behind := w.own && w.place.Noted && (w.behind || w.place.Since == 0 || !noted)
+	behind := w.own && (w.behind || w.place.Since == 0 && noted || w.place.Noted && !noted)
 	w.mu.Unlock()
 	if behind {
 		if err := w.catchUp(life, n); err != nil {
@@ -656,7 +656,8 @@
 }
 
 // catchUp takes in what copies have of this node's own log that its folder may lack. Where none of those
-// that count can be asked, what may not be repeated counts as possibly run.
+// that count can be asked, and in the mode after, where they may lack it too, what may not be repeated
+// counts as possibly run.
 func (w *Work) catchUp(ctx context.Context, n note) error {
 	log, _ := w.name()
 	var mu sync.Mutex
@@ -689,7 +690,7 @@
 		switch e, there := copies[m.ID]; {
 		case over[m.ID]:
 			gone = append(gone, m)
-		case w.k.o.Host.Once(m.Class) && m.Notice == nil && (!current || there && e.Past().MayRun && !m.Past.MayRun):
+		case w.k.o.Host.Once(m.Class) && m.Notice == nil && (!current || !w.k.before() || there && e.Past().MayRun && !m.Past.MayRun):
 			doubted = append(doubted, m)
 		}
 	}
@@ -1088,6 +1089,8 @@
 	Copies  []CopyStatus `json:"copies_held"`
 	Slots   int          `json:"room_for"`
 	Missing []string     `json:"silent_members"` // others' copies are asked for their ids
+	// Known is how many nodes are known to have the messages of each of these.
+	Known map[string]int `json:"silent_members_copies"`
 }
 
 // WorkStatus is a log that this node works on.
@@ -1134,10 +1137,13 @@
 
 // Status tells all of it.
 func (k *Keeper) Status() Status {
-	s := Status{Mode: k.o.Settings.Mode, Wanted: k.o.Copies, Works: []WorkStatus{}, Copies: []CopyStatus{}, Slots: k.o.Slots, Missing: []string{}}
+	s := Status{Mode: k.o.Settings.Mode, Wanted: k.o.Copies, Works: []WorkStatus{}, Copies: []CopyStatus{}, Slots: k.o.Slots, Missing: []string{}, Known: map[string]int{}}
 	k.mu.Lock()
 	works, held := slices.Collect(maps.Values(k.works)), slices.Collect(maps.Values(k.copies))
 	s.Missing = append(s.Missing, slices.Sorted(maps.Keys(k.missing))...)
+	for name, m := range k.missing {
+		s.Known[name] = len(m.holders)
+	}
 	k.mu.Unlock()
 	now := k.o.Clock()
 	for _, w := range works {
