--- a/internal/lease/wrong_test.go
+++ b/internal/lease/wrong_test.go
@@ -1,19 +1,16 @@
 package lease
 
 import (
-	"context"
-	"encoding/json"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"strings"
 	"testing"
 	"time"
+
+	"wingmount/internal/lab/wrongline"
 )
 
 // wrong are lines that would break what the page promises, one at a time. The steps have to find
 // each of them.
-var wrong = []struct{ name, file, line, instead string }{
+var wrong = []wrongline.Line{
 	{"counted from after the answer", "asker.go", "t.token, t.until = out.Token, asked+out.Length", "t.token, t.until = out.Token, now+out.Length"},
 	{"held without looking at the time", "asker.go", "if t == nil || !t.wanted || t.token == 0 || now >= t.until {", "if t == nil || !t.wanted || t.token == 0 {"},
 	{"held after it was given back", "asker.go", "		t.giving, t.token = t.token, 0\n	}\n	if t.giving == 0 &&", "		t.giving = t.token\n	}\n	if t.giving == 0 &&"},
@@ -50,55 +47,6 @@
 	if only == "" {
 		t.Skip("LEASE_WRONG is not set")
 	}
-	for _, w := range wrong {
-		if only != "1" && !strings.Contains(w.name, only) {
-			continue
-		}
-		t.Run(w.name, func(t *testing.T) {
-			t.Parallel()
-			here, err := filepath.Abs(w.file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			text, err := os.ReadFile(here)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if strings.Count(string(text), w.line) != 1 {
-				t.Fatalf("the line stands %d times in %s", strings.Count(string(text), w.line), w.file)
-			}
-			dir := t.TempDir()
-			changed, overlay := filepath.Join(dir, w.file), filepath.Join(dir, "overlay.json")
-			if err := os.WriteFile(changed, []byte(strings.Replace(string(text), w.line, w.instead, 1)), 0o600); err != nil {
-				t.Fatal(err)
-			}
-			list, err := json.Marshal(map[string]map[string]string{"Replace": {here: changed}})
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := os.WriteFile(overlay, list, 0o600); err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
-			defer cancel()
-			cmd := exec.CommandContext(ctx, "go", "test", "-overlay", overlay, "-count=1", "-failfast", "-run", "TestDisk|TestEveryOrder", ".")
-			cmd.Env = append(os.Environ(), "LEASE_WRONG=", "LEASE_SEEDS=100", "LEASE_STEPS=100000", "LEASE_DEPTH=7")
-			out, err := cmd.CombinedOutput()
-			if ctx.Err() != nil {
-				t.Fatal("it takes too long")
-			}
-			if err == nil {
-				t.Fatalf("not found:\n%s", out)
-			}
-			if strings.Contains(string(out), "[build failed]") {
-				t.Fatalf("it does not build:\n%s", out)
-			}
-			lines := strings.Split(strings.TrimSpace(string(out)), "\n")
-			for i, line := range lines {
-				if strings.Contains(line, "--- FAIL") && i > 0 {
-					t.Log(strings.TrimSpace(lines[i-1]))
-				}
-			}
-		})
-	}
+	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "TestDisk|TestEveryOrder"},
+		Env: []string{"LEASE_WRONG=", "LEASE_SEEDS=100", "LEASE_STEPS=100000", "LEASE_DEPTH=7"}, Within: 4 * time.Minute, Parallel: true})
 }
--- a/internal/replica/work.go
+++ b/internal/replica/work.go
@@ -503,14 +503,20 @@
 	planned := make(chan error, 1)
 	planning := false
 	began := w.k.o.Clock()
+	chosen := began - stepEvery
 	tick := time.NewTicker(stepEvery)
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		now := w.k.o.Clock()
-		log, _ := w.name()
-		candidates := w.k.candidates(w.owner, log)
+		if now-chosen >= stepEvery { // a change of a message changes no members
+			chosen = now
+			log, _ := w.name()
+			candidates := w.k.candidates(w.owner, log)
+			w.mu.Lock()
+			w.source.Choose(candidates, now)
+			w.mu.Unlock()
+		}
 		w.mu.Lock()
-		w.source.Choose(candidates, now)
 		for _, name := range slices.Sorted(maps.Keys(w.source.followers)) {
 			b := w.source.Next(name, now)
 			if b == nil {
--- a/internal/replica/wrong_test.go
+++ b/internal/replica/wrong_test.go
@@ -1,18 +1,15 @@
 package replica
 
 import (
-	"context"
-	"encoding/json"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"strings"
 	"testing"
 	"time"
+
+	"wingmount/internal/lab/wrongline"
 )
 
 // wrong are lines that would break what the page promises, one at a time. The tests have to find each.
-var wrong = []struct{ name, file, line, instead string }{
+var wrong = []wrongline.Line{
 	{"the earlier of two versions stands", "entry.go", "if t.compare(b[0]) < 0 {", "if t.compare(b[0]) > 0 {"},
 	{"only the last tenure's attempts count", "entry.go", "p.Attempts = max(p.Attempts, t.Base) + t.Attempts", "p.Attempts = t.Base + t.Attempts"},
 	{"what is out has not run", "entry.go", "if t.MayRun || t.Out || t.Settled {", "if t.MayRun && !t.Out || t.Settled {"},
@@ -45,40 +42,5 @@
 	if only == "" {
 		t.Skip("COPIES_WRONG is not set")
 	}
-	for _, w := range wrong {
-		if only != "1" && !strings.Contains(w.name, only) {
-			continue
-		}
-		t.Run(w.name, func(t *testing.T) {
-			here, err := filepath.Abs(w.file)
-			must0(t, err)
-			text, err := os.ReadFile(here)
-			must0(t, err)
-			if n := strings.Count(string(text), w.line); n != 1 {
-				t.Fatalf("the line stands %d times in %s", n, w.file)
-			}
-			dir := t.TempDir()
-			changed, overlay := filepath.Join(dir, w.file), filepath.Join(dir, "overlay.json")
-			must0(t, os.WriteFile(changed, []byte(strings.Replace(string(text), w.line, w.instead, 1)), 0o600))
-			list, err := json.Marshal(map[string]map[string]string{"Replace": {here: changed}})
-			must0(t, err)
-			must0(t, os.WriteFile(overlay, list, 0o600))
-			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
-			defer cancel()
-			cmd := exec.CommandContext(ctx, "go", "test", "-overlay", overlay, "-count=1", "-failfast", "-vet=off", "-timeout", "150s", ".")
-			cmd.Env = append(os.Environ(), "COPIES_WRONG=", "COPIES_SEEDS=120")
-			out, err := cmd.CombinedOutput()
-			if err == nil {
-				t.Fatal("not found")
-			}
-			if strings.Contains(string(out), "[build failed]") {
-				t.Fatalf("it does not build:\n%s", out)
-			}
-			for line := range strings.Lines(string(out)) {
-				if strings.Contains(line, "--- FAIL") || strings.Contains(line, "panic:") || strings.Contains(line, "BROKEN") {
-					t.Log(strings.TrimSpace(line))
-				}
-			}
-		})
-	}
+	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-timeout", "150s"}, Env: []string{"COPIES_WRONG=", "COPIES_SEEDS=120"}, Within: 3 * time.Minute})
 }
