Copies: what nobody reads is gone, and one way to ask whether a copy is used; no change of behaviour

Read once more: batches carried whether their copy counts, copies kept it, followers kept a version of orders and held copies a count of spoilt ones, and nothing read any of these. The replica's tests under -race and the copies among real processes pass.

--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -53,7 +53,6 @@
 	ids     map[string]uint64
 	over    journal.IDRing
 	at      uint64 // all that the writer has said up to here, under meta.Token, is here
-	noted   bool
 	place   string
 	gone    bool // it was dropped
 	// heard is when its writer was last heard, by this node's clock.
@@ -219,7 +218,7 @@
 		}
 		c.meta, c.at = next, 0
 	}
-	c.heard, c.noted = now, b.Noted
+	c.heard = now
 	if b.Begin {
 		return Ack{At: c.at, Has: bodiesOf(maps.Keys(c.entries), func(seq uint64) Entry { return c.entries[seq] })}, nil
 	}
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -157,7 +157,6 @@
 	writer   string
 	taking   bool
 	scrubbed time.Duration // when it was last read from its disk
-	spoilt   int           // so often it was not as it should be
 }
 
 // note is what the holder of a log leaves in the log of the leases.
@@ -724,7 +723,6 @@
 		return
 	}
 	k.o.Log.Error("copies: one is spoilt on this node's disk, and is written anew", "owner", h.owner, "err", err)
-	h.spoilt++
 	entries, meta := h.copy.Entries(), h.copy.meta
 	over, writer, heard := h.copy.over, h.writer, h.copy.heard
 	meta.Complete = false
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -51,8 +51,6 @@
 	Checked bool    `cbor:"12,keyasint,omitempty"` // Check is told, and may be of nothing
 	// Drop: this node holds no copy of the log any more.
 	Drop bool `cbor:"13,keyasint,omitempty"`
-	// Noted: this copy is one of those that count, so it has all that its writer acts on.
-	Noted bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Over is a message for which nothing is owed any more.
@@ -113,7 +111,6 @@
 	heardAt  time.Duration
 	why      string
 	pauseTo  time.Duration
-	orders   uint64
 }
 
 // Source is a log at the node that works on it. It is not safe for concurrent use.
@@ -268,6 +265,11 @@
 	}
 }
 
+// uses tells whether a node holds a copy that counts, or should hold one.
+func (s *Source) uses(name string) bool {
+	return slices.Contains(s.noted, name) || slices.Contains(s.wanted, name)
+}
+
 // Plan is who should be noted as holding the copies that count; ok: that is another set than is.
 // A complete copy is taken in, one that owes an answer for too long is let out, and one that is no
 // longer wanted goes only when there are enough without it.
@@ -302,9 +304,9 @@
 	if f == nil || f.out != nil || now < f.pauseTo || s.token == 0 || s.fenced != 0 {
 		return nil
 	}
-	b := &Batch{Owner: s.owner, Log: s.log, Token: s.token, Noted: slices.Contains(s.noted, to)}
+	b := &Batch{Owner: s.owner, Log: s.log, Token: s.token}
 	switch {
-	case !b.Noted && !slices.Contains(s.wanted, to):
+	case !s.uses(to):
 		b.Drop = true
 		f.began, f.complete, f.at = false, false, 0 // it has none from here on, as far as is known
 	case !f.began:
@@ -431,7 +433,7 @@
 		f.pauseTo = now + holderPatience
 		return
 	case b.Drop:
-		if !slices.Contains(s.noted, to) && !slices.Contains(s.wanted, to) {
+		if !s.uses(to) {
 			delete(s.followers, to)
 		}
 		return
@@ -481,7 +483,7 @@
 	}
 	f.out, f.why, f.pauseTo = nil, why.Error(), now+holderPatience/10
 	f.began = false // it may have been another process since
-	if b.Drop && now-f.heardAt > time.Minute && !slices.Contains(s.noted, to) && !slices.Contains(s.wanted, to) {
+	if b.Drop && now-f.heardAt > time.Minute && !s.uses(to) {
 		delete(s.followers, to) // it hears of it when it asks who holds what
 	}
 }
