--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,104 @@
+// Package view has what a proxy or a store knows of the system at a moment: the configuration in
+// force, the endpoints, the stores. A Snapshot is never changed once it is shared.
+package view
+
+import (
+	"sync/atomic"
+
+	"wingmount/internal/operator"
+)
+
+// State of an endpoint's incarnation. It only grows.
+type State uint8
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Endpoint is one incarnation of an endpoint.
+type Endpoint struct {
+	ID         string
+	Service    string
+	Address    string
+	Zone       string
+	Version    string
+	Capacity   int
+	State      State
+	ColdLeftMs int
+	Models     []Model
+	CallCount  uint64 // of its newest heartbeat that counted
+}
+
+// Model is a model that an endpoint serves.
+type Model struct {
+	Name    string
+	Version int
+}
+
+// Store is a storage machine by its identity on disk.
+type Store struct {
+	ID   uint64 // drawn at random when its disk was first used; an emptied disk has another
+	Name string
+	Addr string // of its links
+	Zone string
+}
+
+// Part is one part of the batch jobs: those whose id hashes to its place in the table.
+type Part struct {
+	Epoch   uint64
+	Primary uint64   // the store's ID; 0: none
+	Copies  []uint64 // with the primary; each holds, or is being handed, all of the part
+	Joining []uint64 // are being handed the part, and do not count yet
+}
+
+// Table says which stores hold which part.
+type Table struct {
+	Number   uint64 // grows with each change
+	Parts    []Part
+	Stores   map[uint64]Store
+	Retiring map[uint64]bool
+}
+
+// Part of a batch job, by its id.
+func (t *Table) PartOf(lot string) int {
+	if t == nil || len(t.Parts) == 0 {
+		return -1
+	}
+	return int(Hash(lot) % uint64(len(t.Parts)))
+}
+
+// Hash is FNV-1a with a final mix.
+func Hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h ^= uint64(s[i])
+		h *= 1099511628211
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// Snapshot is all of it.
+type Snapshot struct {
+	Config    *operator.Config       // nil: none is known, and nothing may be said of routes
+	Endpoints map[string][]*Endpoint // by service; those that are gone are left out
+	Senders   int                    // proxies that share the endpoints, this one too; at least 1
+	Table     *Table                 // nil: not known
+	// Listed tells that the endpoints come from a keeper that has heard a whole round of heartbeats.
+	Listed bool
+}
+
+// Holder holds the newest snapshot.
+type Holder struct{ p atomic.Pointer[Snapshot] }
+
+// Get returns the newest snapshot, nil before the first.
+func (h *Holder) Get() *Snapshot { return h.p.Load() }
+
+// Set puts a newer one in its place.
+func (h *Holder) Set(s *Snapshot) { h.p.Store(s) }
