--- /dev/null
+++ b/cmd/dunetide/keeper.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"wingmount/internal/control"
+	"wingmount/internal/journal"
+	"wingmount/internal/keeper"
+)
+
+// Ports of the roles' links and datagrams, counted from the first internal port.
+const (
+	keeperPort = 0
+	proxyPort  = 1
+	storePort  = 2
+)
+
+type keeperCmd struct{}
+
+// Run serves the role until the process is told to stop.
+func (keeperCmd) Run(c *cli) error {
+	p, err := start(c, control.RoleKeeper)
+	if err != nil {
+		return err
+	}
+	members, err := p.join(control.RoleKeeper, keeperPort)
+	if err != nil {
+		return err
+	}
+	defer members.Close()
+	var folder journal.Folder
+	if p.settings.DataDir != "" {
+		if folder, err = p.dataFolder(); err != nil {
+			return err
+		}
+	}
+	k, err := keeper.New(keeper.Options{Settings: p.settings, Folder: folder, Known: members.keepers, Log: p.log})
+	if err != nil {
+		return err
+	}
+	return k.Run(p.ctx)
+}
--- /dev/null
+++ b/cmd/dunetide/status.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+type statusCmd struct {
+	Control string `arg:"" help:"A keeper's control address (host:port)."`
+}
+
+// Run prints what the keeper knows, as JSON.
+func (s statusCmd) Run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Control+"/status", nil)
+	if err != nil {
+		return errUsage.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("no keeper answers at %s (see seeds in a settings file for others): %w", s.Control, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("the keeper at %s answered %s: ask another one", s.Control, resp.Status)
+	}
+	_, err = io.Copy(os.Stdout, resp.Body)
+	return err
+}
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,358 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wingmount/internal/link"
+	"wingmount/internal/operator"
+	"wingmount/internal/registry"
+	"wingmount/internal/view"
+)
+
+const (
+	// held is to how many keepers a process is attached.
+	held = 2
+	// saidFor is how long a drain or an end is remembered, whoever said it.
+	saidFor = 2 * time.Minute
+	// saidMost bounds what is remembered of drains and ends.
+	saidMost = 8192
+)
+
+// ClientOptions of a process that is attached to keepers.
+type ClientOptions struct {
+	Self      Node
+	Seeds     []string      // addresses of keepers' links
+	Known     func() []Node // keepers that membership knows of
+	Endpoints bool          // whether it wants the list of endpoints
+	Holder    *view.Holder
+	Changed   func(*view.Snapshot) // after each new snapshot, from one goroutine
+	Log       hclog.Logger
+}
+
+// Client attaches a process to keepers and holds what they push. What it knows never goes back
+// within its life.
+type Client struct {
+	o ClientOptions
+
+	mu      sync.Mutex
+	sources map[*link.Conn]*source
+	stale   *source // of the last keeper, while there is no other
+	said    map[string]saying
+	keepers []Node
+	config  *operator.Config
+	table   *view.Table
+	senders int
+	epoch   uint64 // of snapshots
+}
+
+// source is one keeper's word.
+type source struct {
+	node    Node
+	listed  bool
+	whole   bool
+	entries map[string]registry.Entry
+}
+
+type saying struct {
+	state view.State
+	at    time.Time
+}
+
+// NewClient returns a client that is not attached yet; Run attaches it.
+func NewClient(o ClientOptions) *Client {
+	return &Client{o: o, sources: map[*link.Conn]*source{}, said: map[string]saying{}}
+}
+
+// Run keeps the process attached until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i := range held {
+		wg.Add(1)
+		go func() { defer wg.Done(); c.hold(ctx, i) }()
+	}
+	wg.Wait()
+}
+
+// Keepers tells the attached keepers' links.
+func (c *Client) Keepers() []*link.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var conns []*link.Conn
+	for conn := range c.sources {
+		conns = append(conns, conn)
+	}
+	return conns
+}
+
+// hold keeps one place of attachment filled.
+func (c *Client) hold(ctx context.Context, place int) {
+	wait := 100 * time.Millisecond
+	for ctx.Err() == nil {
+		for _, addr := range c.candidates(place) {
+			conn, err := link.Dial(ctx, addr, c, link.DefaultOptions)
+			if err != nil {
+				continue
+			}
+			w := link.Writer{}
+			c.o.Self.Append(&w)
+			w.Bool(c.o.Endpoints)
+			hctx, cancel := context.WithTimeout(ctx, time.Second)
+			b, err := conn.Call(hctx, Hello, w.B)
+			cancel()
+			r := link.Reader{B: b}
+			node := ReadNode(&r)
+			if err != nil || r.Err != nil || node.Role != RoleKeeper || !c.adopt(conn, node) {
+				conn.Close()
+				continue
+			}
+			wait = 100 * time.Millisecond
+			select {
+			case <-conn.Done():
+			case <-ctx.Done():
+				conn.Close()
+			}
+			c.o.Log.Info("keeper detached", "keeper", node.Name)
+			break
+		}
+		select {
+		case <-time.After(wait/2 + rand.N(wait)):
+		case <-ctx.Done():
+		}
+		wait = min(wait*2, time.Second)
+	}
+}
+
+// candidates are keepers to try, the own zone's first for the first place and another's for the second.
+func (c *Client) candidates(place int) []string {
+	c.mu.Lock()
+	nodes := append([]Node(nil), c.keepers...)
+	attached := map[string]bool{}
+	for _, s := range c.sources {
+		attached[s.node.Addr] = true
+	}
+	c.mu.Unlock()
+	if c.o.Known != nil {
+		nodes = append(nodes, c.o.Known()...)
+	}
+	zones := map[string]string{}
+	var addrs []string
+	add := func(addr, zone string) {
+		if _, there := zones[addr]; !there && !attached[addr] {
+			zones[addr] = zone
+			addrs = append(addrs, addr)
+		}
+	}
+	for _, n := range nodes {
+		add(n.Addr, n.Zone)
+	}
+	for _, s := range c.o.Seeds {
+		add(s, "")
+	}
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	sort.SliceStable(addrs, func(i, j int) bool {
+		a, b := zones[addrs[i]] == c.o.Self.Zone, zones[addrs[j]] == c.o.Self.Zone
+		return a != b && a == (place == 0)
+	})
+	return addrs
+}
+
+func (c *Client) adopt(conn *link.Conn, node Node) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-conn.Done(): // Closed has been, or will find nothing
+		return false
+	default:
+	}
+	for _, s := range c.sources {
+		if s.node.Name == node.Name {
+			return false
+		}
+	}
+	// The first push may have come already.
+	s, _ := conn.Tag.Load().(*source)
+	if s == nil {
+		s = &source{entries: map[string]registry.Entry{}}
+		conn.Tag.Store(s)
+	}
+	s.node = node
+	c.sources[conn] = s
+	c.rebuild()
+	c.o.Log.Info("keeper attached", "keeper", node.Name)
+	return true
+}
+
+// Closed forgets a keeper's word once another one's is there.
+func (c *Client) Closed(conn *link.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.sources[conn]
+	if s == nil {
+		return
+	}
+	delete(c.sources, conn)
+	if s.whole && s.listed {
+		c.stale = s
+	}
+	c.rebuild()
+}
+
+// Message takes a push in and acknowledges it once it is in force.
+func (c *Client) Message(m *link.Message) {
+	if m.Kind != Push {
+		m.Fail("no such call here: both sides must run the same version")
+		return
+	}
+	u, err := ReadUpdate(m.Body)
+	if err != nil {
+		c.o.Log.Error("push unreadable", "err", err)
+		m.Conn.Close()
+		return
+	}
+	var config *operator.Config
+	if u.Config != nil && (c.version() < u.Version) {
+		if config, err = operator.Parse(u.Config); err != nil {
+			c.o.Log.Error("configuration unreadable", "version", u.Version, "err", err)
+		}
+	}
+	c.mu.Lock()
+	s, _ := m.Conn.Tag.Load().(*source)
+	if s == nil {
+		s = &source{entries: map[string]registry.Entry{}}
+		m.Conn.Tag.Store(s)
+	}
+	c.take(s, u, config)
+	c.rebuild()
+	c.mu.Unlock()
+	w := link.Writer{}
+	w.U64(u.Number)
+	_ = m.Conn.Send(Ack, w.B)
+}
+
+func (c *Client) version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
+func (c *Client) take(s *source, u *Update, config *operator.Config) {
+	if config != nil && (c.config == nil || config.Version > c.config.Version) {
+		c.config = config
+	}
+	if u.Table != nil && (c.table == nil || u.Table.Number > c.table.Number) {
+		c.table = u.Table
+	}
+	if u.Senders > 0 {
+		c.senders = u.Senders
+	}
+	if u.Keepers != nil {
+		c.keepers = u.Keepers
+	}
+	if u.Whole {
+		s.entries = map[string]registry.Entry{}
+		s.whole = true
+	}
+	s.listed = u.Listed
+	now := time.Now()
+	for _, e := range u.Entries {
+		s.entries[e.ID] = e
+		if e.State == view.Draining || e.State == view.Gone && !e.Silent {
+			if old, there := c.said[e.ID]; !there || old.state < e.State {
+				c.said[e.ID] = saying{e.State, now}
+			}
+		}
+		if e.State == view.Gone {
+			delete(s.entries, e.ID)
+		}
+	}
+	if len(c.said) > saidMost/2 {
+		for id, said := range c.said {
+			if now.Sub(said.at) > saidFor || len(c.said) > saidMost {
+				delete(c.said, id)
+			}
+		}
+	}
+}
+
+// rebuild makes the snapshot anew. An endpoint is there as long as one attached keeper that has
+// heard a whole round holds it; a drain or an end counts whoever said it.
+func (c *Client) rebuild() {
+	listed := false
+	var from []*source
+	for _, s := range c.sources {
+		if s.whole && s.listed {
+			listed = true
+		}
+		if s.whole {
+			from = append(from, s)
+		}
+	}
+	if listed {
+		c.stale = nil
+	} else if c.stale != nil {
+		from = append(from, c.stale)
+		listed = true
+	}
+	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: listed, Endpoints: map[string][]*view.Endpoint{}}
+	newest := map[string]registry.Entry{}
+	for _, s := range from {
+		for id, e := range s.entries {
+			if old, there := newest[id]; !there || old.CallCount < e.CallCount {
+				newest[id] = e
+			}
+		}
+	}
+	for id, e := range newest {
+		if said := c.said[id]; said.state > e.State {
+			e.State = said.state
+		}
+		if e.State == view.Gone {
+			continue
+		}
+		endpoint := e.Endpoint
+		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], &endpoint)
+	}
+	for _, list := range snap.Endpoints {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	c.o.Holder.Set(snap)
+	if c.o.Changed != nil {
+		c.o.Changed(snap)
+	}
+}
+
+// Report sends a call to an attached keeper, one after the other until one takes it.
+func (c *Client) Report(ctx context.Context, kind link.Kind, body []byte) error {
+	err := error(link.ErrClosed)
+	for _, conn := range c.Keepers() {
+		cctx, cancel := context.WithTimeout(ctx, time.Second)
+		_, err = conn.Call(cctx, kind, body)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// SeedLinks turns the seeds of the settings (control addresses) into addresses of keepers' links.
+func SeedLinks(seeds []string, port int) []string {
+	var out []string
+	for _, s := range seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			out = append(out, net.JoinHostPort(host, strconv.Itoa(port)))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/kinds.go
@@ -0,0 +1,20 @@
+// Package control has what goes between keepers and the processes attached to them: the messages,
+// and the side of those attached.
+package control
+
+import "wingmount/internal/link"
+
+// Kinds of messages on links to keepers. Those of batch jobs have their own, from 64 on.
+const (
+	Hello    link.Kind = 1  // call: who dials (Node); the reply says who was dialled (Node)
+	Push     link.Kind = 2  // one way, keeper to attached: a numbered change (Update)
+	Ack      link.Kind = 3  // one way, attached to keeper: the number of the newest change that is in force there
+	Agree    link.Kind = 4  // one way, between keepers: a register's name, the sender as a voter, a message of agreement
+	Entries  link.Kind = 5  // call, between keepers: entries of the list of endpoints that changed; empty reply
+	Heard    link.Kind = 6  // one way, between keepers: which incarnations were heard of, and how long ago
+	Attached link.Kind = 7  // one way, between keepers: the processes attached to the sender, all of them
+	Learn    link.Kind = 8  // one way, between keepers: a register's name and a decided state
+	Joined   link.Kind = 9  // call, store to keeper: a joining store has all of a part (part, epoch, store)
+	Lease    link.Kind = 10 // call, between keepers: a duty's name, the holder, the length; the reply says whether it is granted
+	Status   link.Kind = 11 // call: the status as JSON
+)
--- /dev/null
+++ b/internal/control/messages.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"sort"
+
+	"wingmount/internal/link"
+	"wingmount/internal/registry"
+	"wingmount/internal/view"
+)
+
+// Roles of processes.
+const (
+	RoleProxy  = "proxy"
+	RoleKeeper = "keeper"
+	RoleStore  = "store"
+)
+
+// Node is a process of the system.
+type Node struct {
+	Name    string
+	Role    string
+	Zone    string
+	Addr    string // of its links; of a proxy: none
+	Control string // a keeper's address for endpoints and operators
+	ID      uint64 // on its disk: a keeper's as a voter, a store's; 0: no disk
+	Life    uint64 // grows with each start
+}
+
+// Append writes a node into a message.
+func (n Node) Append(w *link.Writer) {
+	w.String(n.Name)
+	w.String(n.Role)
+	w.String(n.Zone)
+	w.String(n.Addr)
+	w.String(n.Control)
+	w.U64(n.ID)
+	w.U64(n.Life)
+}
+
+// ReadNode takes a node out of a message.
+func ReadNode(r *link.Reader) Node {
+	return Node{Name: r.String(), Role: r.String(), Zone: r.String(), Addr: r.String(), Control: r.String(), ID: r.U64(), Life: r.U64()}
+}
+
+// AppendNodes writes a list of nodes.
+func AppendNodes(w *link.Writer, nodes []Node) {
+	w.U32(uint32(len(nodes)))
+	for _, n := range nodes {
+		n.Append(w)
+	}
+}
+
+// ReadNodes takes a list of nodes out of a message.
+func ReadNodes(r *link.Reader) []Node {
+	nodes := make([]Node, r.Count(36))
+	for i := range nodes {
+		nodes[i] = ReadNode(r)
+	}
+	return nodes
+}
+
+// Update is a numbered change. What is not in it stays as it was.
+type Update struct {
+	Number  uint64 // grows by one a push, in one life of the keeper
+	Whole   bool   // the entries are all that there are
+	Listed  bool   // the keeper has heard a whole round of heartbeats
+	Senders int    // 0: not in it
+	Config  []byte // as the operator sent it; nil: not in it
+	Version uint64 // of Config
+	Table   *view.Table
+	Entries []registry.Entry
+	Keepers []Node // nil: not in it
+}
+
+// Encode writes the update's message.
+func (u *Update) Encode() []byte {
+	w := link.Writer{}
+	w.U64(u.Number)
+	w.Bool(u.Whole)
+	w.Bool(u.Listed)
+	w.Int(u.Senders)
+	w.Bytes(u.Config)
+	w.U64(u.Version)
+	w.Bool(u.Table != nil)
+	if u.Table != nil {
+		AppendTable(&w, u.Table)
+	}
+	w.U32(uint32(len(u.Entries)))
+	for i := range u.Entries {
+		registry.AppendEntry(&w, u.Entries[i])
+	}
+	AppendNodes(&w, u.Keepers)
+	return w.B
+}
+
+// ReadUpdate reads the update's message.
+func ReadUpdate(b []byte) (*Update, error) {
+	r := link.Reader{B: b}
+	u := &Update{Number: r.U64(), Whole: r.Bool(), Listed: r.Bool(), Senders: r.Int(), Config: r.Bytes(), Version: r.U64()}
+	if r.Bool() {
+		u.Table = ReadTable(&r)
+	}
+	for range r.Count(16) {
+		u.Entries = append(u.Entries, registry.ReadEntry(&r))
+	}
+	u.Keepers = ReadNodes(&r)
+	return u, r.Err
+}
+
+// AppendTable writes the table of the batch parts.
+func AppendTable(w *link.Writer, t *view.Table) {
+	ids := func(list []uint64) {
+		w.U32(uint32(len(list)))
+		for _, id := range list {
+			w.U64(id)
+		}
+	}
+	w.U64(t.Number)
+	w.U32(uint32(len(t.Parts)))
+	for _, p := range t.Parts {
+		w.U64(p.Epoch)
+		w.U64(p.Primary)
+		ids(p.Copies)
+		ids(p.Joining)
+	}
+	stores := make([]uint64, 0, len(t.Stores))
+	for id := range t.Stores {
+		stores = append(stores, id)
+	}
+	sort.Slice(stores, func(i, j int) bool { return stores[i] < stores[j] })
+	w.U32(uint32(len(stores)))
+	for _, id := range stores {
+		s := t.Stores[id]
+		w.U64(id)
+		w.String(s.Name)
+		w.String(s.Addr)
+		w.String(s.Zone)
+		w.Bool(t.Retiring[id])
+	}
+}
+
+// ReadTable takes a table out of a message.
+func ReadTable(r *link.Reader) *view.Table {
+	ids := func() []uint64 {
+		list := make([]uint64, r.Count(8))
+		for i := range list {
+			list[i] = r.U64()
+		}
+		return list
+	}
+	t := &view.Table{Number: r.U64(), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}}
+	for range r.Count(24) {
+		t.Parts = append(t.Parts, view.Part{Epoch: r.U64(), Primary: r.U64(), Copies: ids(), Joining: ids()})
+	}
+	for range r.Count(21) {
+		s := view.Store{ID: r.U64(), Name: r.String(), Addr: r.String(), Zone: r.String()}
+		t.Stores[s.ID] = s
+		if r.Bool() {
+			t.Retiring[s.ID] = true
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/keeper/agreement.go
@@ -0,0 +1,437 @@
+package keeper
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wingmount/internal/agree"
+	"wingmount/internal/control"
+	"wingmount/internal/link"
+	"wingmount/internal/record"
+)
+
+const (
+	logName = "keeper.log"
+	// Records of the log.
+	recordIdentity = 1
+	recordRegister = 2
+	// rewriteAbove is the least size at which the log is rewritten.
+	rewriteAbove = 1 << 20
+	// votersMost bounds the voters of a register.
+	votersMost = 9
+	// deadAfter is how long a voter is not met before another may take its place.
+	deadAfter = 1500 * time.Millisecond
+	// confirmWait is how long a keeper that has just started waits for a majority before it serves
+	// with what it has.
+	confirmWait = 3 * time.Second
+)
+
+var registerNames = []string{configRegister, tableRegister}
+
+// agreement plays the registers. One goroutine owns them and their log.
+type agreement struct {
+	k        *Keeper
+	id       uint64
+	proposer uint64
+	start    time.Time
+	log      *record.Log
+	saved    map[string][][]byte
+	commands chan func()
+	ended    chan struct{}
+	regs     map[string]*agree.Register
+
+	mu     sync.Mutex
+	known  []agree.Voter // of all registers
+	states map[string]agree.State
+
+	booted  bool
+	joining map[string]bool
+	tried   map[string]time.Time
+	grown   int64 // size of the log after it was last rewritten
+}
+
+func openAgreement(k *Keeper) (*agreement, error) {
+	a := &agreement{k: k, start: k.life, proposer: rand.Uint64() | 1, commands: make(chan func(), queueMost), ended: make(chan struct{}),
+		regs: map[string]*agree.Register{}, saved: map[string][][]byte{}, states: map[string]agree.State{},
+		joining: map[string]bool{}, tried: map[string]time.Time{}}
+	if k.o.Folder != nil {
+		log, err := record.Open(k.o.Folder, logName, func(b []byte, _ int64) error { return a.replay(b) })
+		if err != nil {
+			return nil, err
+		}
+		a.log = log
+		if a.id == 0 {
+			var b [8]byte
+			if _, err := crand.Read(b[:]); err != nil {
+				return nil, err
+			}
+			a.id = binary.BigEndian.Uint64(b[:]) | 1
+			if err := a.append(a.identity()); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for _, name := range registerNames {
+		r, err := agree.New(agree.Options{Name: name, ID: a.id, Proposer: a.proposer, Rand: rand.Float64,
+			Save: func(p []byte) error { return a.append(registerRecord(name, p)) },
+			Send: func(to agree.Voter, msg []byte) { a.send(name, to, msg) }, Decided: func(s agree.State) { a.decided(name, s) }}, a.saved[name])
+		if err != nil {
+			return nil, err
+		}
+		a.regs[name] = r
+		if s, ok := r.State(); ok {
+			a.decided(name, s)
+			a.booted = true
+		}
+	}
+	a.saved = nil
+	return a, nil
+}
+
+func (a *agreement) identity() []byte {
+	w := link.Writer{}
+	w.U8(recordIdentity)
+	w.U64(a.id)
+	return w.B
+}
+
+func registerRecord(name string, payload []byte) []byte {
+	w := link.Writer{}
+	w.U8(recordRegister)
+	w.String(name)
+	w.Bytes(payload)
+	return w.B
+}
+
+func (a *agreement) replay(b []byte) error {
+	r := link.Reader{B: append([]byte(nil), b...)}
+	switch r.U8() {
+	case recordIdentity:
+		a.id = r.U64()
+	case recordRegister:
+		name := r.String()
+		a.saved[name] = append(a.saved[name], r.Bytes())
+	}
+	return r.Err
+}
+
+func (a *agreement) append(b []byte) error {
+	if a.log == nil {
+		return errors.New("no disk")
+	}
+	if _, err := a.log.Append(b); err != nil {
+		return err
+	}
+	return a.log.Sync()
+}
+
+func (a *agreement) now() time.Duration { return time.Since(a.start) }
+
+func (a *agreement) do(f func()) {
+	select {
+	case a.commands <- f:
+	case <-a.ended:
+	}
+}
+
+func (a *agreement) run(ctx context.Context) {
+	defer close(a.ended)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case f := <-a.commands:
+			f()
+			for more := true; more; {
+				select {
+				case f := <-a.commands:
+					f()
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		case <-ctx.Done():
+			if a.log != nil {
+				_ = a.log.Close()
+			}
+			return
+		}
+		next := 200 * time.Millisecond
+		for _, name := range registerNames {
+			if n := a.regs[name].Tick(a.now()); n > 0 && n < next {
+				next = n
+			}
+			a.join(name)
+		}
+		a.rewrite()
+		timer.Reset(max(next, 2*time.Millisecond))
+	}
+}
+
+func (a *agreement) rewrite() {
+	if a.log == nil || a.log.Size() < max(rewriteAbove, 4*a.grown) {
+		return
+	}
+	err := a.log.Rewrite(func(add func([]byte) (int64, error)) error {
+		if _, err := add(a.identity()); err != nil {
+			return err
+		}
+		for _, name := range registerNames {
+			for _, p := range a.regs[name].Snapshot() {
+				if _, err := add(registerRecord(name, p)); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		a.k.log.Error("log not rewritten", "err", err)
+		return
+	}
+	a.grown = a.log.Size()
+}
+
+// send passes a message of agreement to a voter, or to oneself.
+func (a *agreement) send(name string, to agree.Voter, msg []byte) {
+	b := a.envelope(name, msg)
+	if to.ID == a.id && a.id != 0 {
+		go a.receive(b)
+		return
+	}
+	a.k.do(func() {
+		for _, p := range a.k.peers {
+			if p.conn != nil && (p.node.ID == to.ID && to.ID != 0 || p.node.Name == to.Name) {
+				_ = p.conn.Send(control.Agree, b)
+				return
+			}
+		}
+	})
+}
+
+// envelope is a message of agreement on its way: the register, who sends, the message.
+func (a *agreement) envelope(name string, msg []byte) []byte {
+	w := link.Writer{}
+	w.String(name)
+	w.U64(a.id)
+	w.String(a.k.self.Name)
+	w.String(a.k.self.Addr)
+	w.Bytes(msg)
+	return w.B
+}
+
+func (a *agreement) receive(b []byte) {
+	r := link.Reader{B: b}
+	name := r.String()
+	from := agree.Voter{ID: r.U64(), Name: r.String(), Addr: r.String()}
+	msg := r.Bytes()
+	if r.Err != nil || a.regs[name] == nil {
+		return
+	}
+	a.do(func() { a.regs[name].Receive(a.now(), from, msg) })
+}
+
+func (a *agreement) learn(b []byte) {
+	r := link.Reader{B: b}
+	name := r.String()
+	s, err := agree.ReadState(r.Bytes())
+	if r.Err != nil || err != nil || a.regs[name] == nil {
+		return
+	}
+	a.do(func() { a.regs[name].Learn(a.now(), s) })
+}
+
+// decided takes a newer state to the owner of the rest. It is called from the registers.
+func (a *agreement) decided(name string, s agree.State) {
+	a.mu.Lock()
+	a.states[name] = s
+	a.known = a.known[:0]
+	for _, st := range a.states {
+		a.known = append(a.known, st.Voters...)
+	}
+	a.mu.Unlock()
+	a.k.do(func() { a.k.decided(name, s) })
+}
+
+func (a *agreement) voters() []agree.Voter {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]agree.Voter(nil), a.known...)
+}
+
+// newest are the decided states, as messages.
+func (a *agreement) newest() [][]byte {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out [][]byte
+	for _, name := range registerNames {
+		if s, ok := a.states[name]; ok {
+			out = append(out, learnBody(name, s))
+		}
+	}
+	return out
+}
+
+func learnBody(name string, s agree.State) []byte {
+	w := link.Writer{}
+	w.String(name)
+	w.Bytes(agree.AppendState(nil, s))
+	return w.B
+}
+
+// met looks whether the first voters can be told: at the very first start they are the seeds that have a disk.
+func (a *agreement) met() {
+	s := a.k.o.Settings
+	if !s.FirstStart || a.id == 0 {
+		return
+	}
+	var voters []agree.Voter
+	in := false
+	for _, addr := range control.SeedLinks(s.Seeds, s.InternalFirst) {
+		if addr == a.k.self.Addr {
+			voters = append(voters, agree.Voter{ID: a.id, Name: a.k.self.Name, Addr: addr})
+			in = true
+			continue
+		}
+		var node *control.Node
+		for _, p := range a.k.peers {
+			if p.node.Addr == addr {
+				node = &p.node
+			}
+		}
+		if node == nil {
+			return
+		}
+		if node.ID != 0 {
+			voters = append(voters, agree.Voter{ID: node.ID, Name: node.Name, Addr: addr})
+		}
+	}
+	if !in {
+		return
+	}
+	a.do(func() { a.bootstrap(voters) })
+}
+
+func (a *agreement) bootstrap(voters []agree.Voter) {
+	if a.booted {
+		return
+	}
+	a.booted = true
+	for _, name := range registerNames {
+		if _, ok := a.regs[name].State(); !ok {
+			a.regs[name].Bootstrap(voters, nil)
+		}
+	}
+	a.k.log.Info("first voters", "count", len(voters))
+}
+
+// join proposes this keeper as a voter where it is none.
+func (a *agreement) join(name string) {
+	if a.id == 0 || a.joining[name] || time.Since(a.tried[name]) < 300*time.Millisecond {
+		return
+	}
+	s, ok := a.regs[name].State()
+	if !ok {
+		return
+	}
+	for _, v := range s.Voters {
+		if v.ID == a.id {
+			return
+		}
+	}
+	a.tried[name] = time.Now().Add(rand.N(300 * time.Millisecond))
+	met := ask(a.k, a.k.metIDs)
+	alive := 0
+	for _, v := range s.Voters {
+		if met[v.ID] {
+			alive++
+		}
+	}
+	if alive <= len(s.Voters)/2 || a.now() < deadAfter {
+		return
+	}
+	a.joining[name] = true
+	me := agree.Voter{ID: a.id, Name: a.k.self.Name, Addr: a.k.self.Addr}
+	a.regs[name].Propose(a.now(), 2*time.Second, func(cur agree.State) (agree.State, error) {
+		next, changed := agree.Admit(cur, me, func(v agree.Voter) bool { return !met[v.ID] }, votersMost)
+		if !changed {
+			return cur, agree.ErrUnchanged
+		}
+		return next, nil
+	}, func(_ agree.State, err error) {
+		a.joining[name] = false
+		a.k.log.Info("voter joins", "register", name, "err", err)
+	})
+}
+
+// metIDs are the identities of keepers that are met, or were until a moment ago.
+func (k *Keeper) metIDs() map[uint64]bool {
+	met := map[uint64]bool{k.agree.id: true}
+	for _, p := range k.peers {
+		if p.conn != nil || time.Since(p.lost) < deadAfter {
+			met[p.node.ID] = true
+		}
+	}
+	return met
+}
+
+// propose changes a register; done is called from the registers' goroutine.
+func (a *agreement) propose(name string, timeout time.Duration, change func(cur agree.State) (agree.State, error), done func(agree.State, error)) {
+	a.do(func() { a.regs[name].Propose(a.now(), timeout, change, done) })
+}
+
+func (a *agreement) read(name string, timeout time.Duration, done func(agree.State, error)) {
+	a.do(func() { a.regs[name].Read(a.now(), timeout, done) })
+}
+
+// decided takes in a newer state of a register.
+func (k *Keeper) decided(name string, s agree.State) {
+	switch name {
+	case configRegister:
+		v, err := readConfigValue(s.Value)
+		if err != nil {
+			k.log.Error("configuration's register unreadable", "slot", s.Slot, "err", err)
+			return
+		}
+		if v.version > k.config.version {
+			k.config = v
+			k.dirty = true
+			k.log.Info("configuration in force", "version", v.version, "slot", s.Slot)
+		}
+	case tableRegister:
+		r := link.Reader{B: s.Value}
+		if len(s.Value) == 0 {
+			return
+		}
+		t := control.ReadTable(&r)
+		if r.Err == nil && (k.parts == nil || t.Number > k.parts.Number) {
+			k.parts = t
+			k.dirty = true
+		}
+	}
+}
+
+// confirm makes the keeper fresh once a majority has confirmed the newest configuration.
+func (k *Keeper) confirm() {
+	var try func()
+	try = func() {
+		k.agree.read(configRegister, time.Second, func(_ agree.State, err error) {
+			k.do(func() {
+				if err != nil && time.Since(k.life) < confirmWait {
+					time.AfterFunc(100*time.Millisecond, try)
+					return
+				}
+				k.fresh, k.dirty = true, true
+				k.freshNow.Store(true)
+				k.log.Info("ready to push", "confirmed", err == nil)
+			})
+		})
+	}
+	try()
+}
--- /dev/null
+++ b/internal/keeper/calls.go
@@ -0,0 +1,342 @@
+package keeper
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wingmount/internal/agree"
+	"wingmount/internal/control"
+	"wingmount/internal/operator"
+	"wingmount/internal/view"
+)
+
+const (
+	beatMost   = 64 << 10
+	configMost = 8 << 20
+	// proposeWait is below the second after which an operator goes on to another keeper.
+	proposeWait = 900 * time.Millisecond
+)
+
+// call is a row of the table of all calls of endpoints and operators.
+type call struct {
+	method string
+	path   string // one that ends with a slash takes a name behind it
+	most   int64  // bytes of a body
+	serve  func(k *Keeper, w http.ResponseWriter, name string, body []byte, r *http.Request)
+}
+
+var calls = []call{
+	{http.MethodPut, "/instances/", beatMost, (*Keeper).beat},
+	{http.MethodDelete, "/instances/", beatMost, (*Keeper).leave},
+	{http.MethodPut, "/config", configMost, (*Keeper).putConfig},
+	{http.MethodGet, "/config", 0, (*Keeper).getConfig},
+	{http.MethodPost, "/retire/", beatMost, (*Keeper).postRetire},
+	{http.MethodGet, "/retire/", 0, (*Keeper).getRetire},
+	{http.MethodGet, "/status", 0, (*Keeper).getStatus},
+}
+
+func (k *Keeper) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		found := false
+		for _, c := range calls {
+			name, under := "", r.URL.Path == c.path
+			if strings.HasSuffix(c.path, "/") {
+				name, under = strings.CutPrefix(r.URL.Path, c.path)
+				under = under && name != "" && !strings.Contains(name, "/")
+			}
+			if !under {
+				continue
+			}
+			found = true
+			if c.method != r.Method {
+				continue
+			}
+			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(c.most, 1)))
+			if err != nil {
+				var long *http.MaxBytesError
+				if errors.As(err, &long) {
+					refuse(w, http.StatusRequestEntityTooLarge, "the body is over "+strconv.FormatInt(c.most, 10)+" bytes: send less")
+					return
+				}
+				refuse(w, http.StatusBadRequest, "the body was cut: send it again whole")
+				return
+			}
+			c.serve(k, w, name, body, r)
+			return
+		}
+		if found {
+			refuse(w, http.StatusMethodNotAllowed, "this path is called with another method")
+			return
+		}
+		refuse(w, http.StatusNotFound, "no such call")
+	})
+}
+
+func refuse(w http.ResponseWriter, code int, why string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	b, _ := json.Marshal(map[string]string{"error": why}) // strings always marshal
+	_, _ = w.Write(b)
+}
+
+// heartbeat is what an endpoint says of itself.
+type heartbeat struct {
+	Service    string  `json:"service"`
+	Address    string  `json:"address"`
+	Zone       string  `json:"zone"`
+	Version    string  `json:"version"`
+	Capacity   int     `json:"capacity"`
+	State      string  `json:"state"`
+	ColdLeftMs float64 `json:"cold_left_ms"`
+	CallCount  uint64  `json:"call_count"`
+	Models     []struct {
+		Name    string `json:"name"`
+		Version int    `json:"version"`
+	} `json:"models"`
+}
+
+func (k *Keeper) beat(w http.ResponseWriter, id string, body []byte, _ *http.Request) {
+	var h heartbeat
+	if err := json.Unmarshal(body, &h); err != nil {
+		refuse(w, http.StatusBadRequest, "a heartbeat must be JSON: "+err.Error())
+		return
+	}
+	e := view.Endpoint{ID: id, Service: h.Service, Address: h.Address, Zone: h.Zone, Version: h.Version, Capacity: h.Capacity,
+		ColdLeftMs: int(h.ColdLeftMs), CallCount: h.CallCount}
+	switch h.State {
+	case "ready":
+	case "draining":
+		e.State = view.Draining
+	default:
+		refuse(w, http.StatusBadRequest, `state: must be "ready" or "draining"`)
+		return
+	}
+	if h.Service == "" || h.Address == "" {
+		refuse(w, http.StatusBadRequest, "service and address: must be there")
+		return
+	}
+	for _, m := range h.Models {
+		e.Models = append(e.Models, view.Model{Name: m.Name, Version: m.Version})
+	}
+	k.register(w, func(now time.Time) bool { return k.table.Beat(now, e) }, h.Zone, e.State == view.Draining)
+}
+
+func (k *Keeper) leave(w http.ResponseWriter, id string, _ []byte, _ *http.Request) {
+	k.register(w, func(now time.Time) bool { return k.table.Leave(now, id) }, "", true)
+}
+
+// register changes the list and answers once those who need it have acknowledged the change, or have
+// had time to.
+func (k *Keeper) register(w http.ResponseWriter, change func(now time.Time) bool, zone string, ends bool) {
+	type result struct {
+		waiter *waiter
+		beatTo string
+	}
+	res := ask(k, func() result {
+		now := time.Now()
+		before := k.table.Newest()
+		changed := change(now)
+		beatTo := k.beatTo(zone)
+		if !changed && !ends {
+			return result{nil, beatTo}
+		}
+		wt := &waiter{change: k.table.Newest(), done: make(chan struct{})}
+		if changed {
+			k.dirty = true
+			list, _, _ := k.table.Changes(before)
+			k.tellEntries(list, wt)
+		}
+		k.wait(wt)
+		return result{wt, beatTo}
+	})
+	if res.waiter != nil {
+		<-res.waiter.done
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if res.beatTo != "" {
+		b, _ := json.Marshal(map[string]string{"beat_to": res.beatTo}) // strings always marshal
+		_, _ = w.Write(b)
+		return
+	}
+	_, _ = w.Write([]byte("{}"))
+}
+
+// beatTo names a keeper in an endpoint's own zone, so that its heartbeats stay there.
+func (k *Keeper) beatTo(zone string) string {
+	if zone == "" || zone == k.self.Zone {
+		return k.self.Control
+	}
+	for _, n := range k.keeperNodes() {
+		if n.Zone == zone {
+			return n.Control
+		}
+	}
+	return ""
+}
+
+func (k *Keeper) putConfig(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
+	base, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "If-Match: must be the number of the version that this builds on, 0 for the first")
+		return
+	}
+	c, err := operator.Parse(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	done := make(chan error, 1)
+	same := false
+	k.agree.propose(configRegister, proposeWait, func(cur agree.State) (agree.State, error) {
+		v, err := readConfigValue(cur.Value)
+		if err != nil {
+			return cur, err
+		}
+		next, err := v.put(body, c, base)
+		if err != nil {
+			return cur, err
+		}
+		if same = next == nil; same {
+			return cur, agree.ErrUnchanged
+		}
+		cur.Value = next.encode()
+		return cur, nil
+	}, func(s agree.State, err error) {
+		if err == agree.ErrUnchanged {
+			err = nil
+		}
+		if err == nil {
+			k.spread(configRegister, s)
+		}
+		done <- err
+	})
+	select {
+	case err = <-done:
+	case <-k.ended:
+		err = errors.New("this keeper stops: ask another one")
+	}
+	if err != nil {
+		k.log.Info("configuration refused", "version", c.Version, "base", base, "err", err)
+		refuse(w, statusOf(err), err.Error())
+		return
+	}
+	wt := &waiter{config: c.Version, done: make(chan struct{})}
+	k.do(func() { k.wait(wt) })
+	select {
+	case <-wt.done:
+	case <-k.ended:
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte("{}"))
+}
+
+// spread tells all other keepers of a decided state, also those who have no vote.
+func (k *Keeper) spread(name string, s agree.State) {
+	body := learnBody(name, s)
+	k.do(func() {
+		for _, p := range k.peers {
+			if p.conn != nil {
+				_ = p.conn.Send(control.Learn, body)
+			}
+		}
+	})
+}
+
+func (k *Keeper) getConfig(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
+	type result struct {
+		s   agree.State
+		err error
+	}
+	done := make(chan result, 1)
+	k.agree.read(configRegister, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
+	var res result
+	select {
+	case res = <-done:
+	case <-k.ended:
+		res.err = errors.New("this keeper stops: ask another one")
+	}
+	v, err := readConfigValue(res.s.Value)
+	if res.err != nil {
+		err = res.err
+	}
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	if v.version == 0 {
+		refuse(w, http.StatusServiceUnavailable, "no configuration was taken yet: put one first")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(v.raw)
+}
+
+func (k *Keeper) postRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
+	code := make(chan int, 1)
+	k.changeTable(func(cur *view.Table) (*view.Table, error) {
+		next, err := retireTable(cur, name, k.o.Settings.SurviveMachines)
+		if err != nil {
+			return nil, err
+		}
+		if next == nil {
+			return nil, agree.ErrUnchanged
+		}
+		return next, nil
+	}, func(err error) {
+		switch {
+		case err == nil || err == agree.ErrUnchanged:
+			code <- http.StatusOK
+		case errors.Is(err, errUnknownStore):
+			code <- http.StatusNotFound
+		case errors.Is(err, errTooFew):
+			code <- http.StatusConflict
+		default:
+			code <- http.StatusServiceUnavailable
+		}
+	})
+	c := <-code
+	if c != http.StatusOK {
+		refuse(w, c, map[int]string{http.StatusNotFound: errUnknownStore.Error(), http.StatusConflict: errTooFew.Error(),
+			http.StatusServiceUnavailable: "no majority answers: ask another keeper"}[c])
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte("{}"))
+}
+
+func (k *Keeper) getRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
+	type result struct {
+		s   agree.State
+		err error
+	}
+	done := make(chan result, 1)
+	k.agree.read(tableRegister, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
+	var res result
+	select {
+	case res = <-done:
+	case <-k.ended:
+		res.err = errors.New("this keeper stops: ask another one")
+	}
+	if res.err != nil {
+		refuse(w, http.StatusServiceUnavailable, res.err.Error())
+		return
+	}
+	state, known := retireState(res.s.Value, name, k.o.Settings.SurviveMachines)
+	if !known {
+		refuse(w, http.StatusNotFound, errUnknownStore.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	b, _ := json.Marshal(map[string]string{"state": state}) // strings always marshal
+	_, _ = w.Write(b)
+}
+
+func (k *Keeper) getStatus(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(ask(k, k.statusJSON))
+}
--- /dev/null
+++ b/internal/keeper/duty.go
@@ -0,0 +1,276 @@
+package keeper
+
+import (
+	"encoding/json"
+	"time"
+
+	"wingmount/internal/agree"
+	"wingmount/internal/control"
+	"wingmount/internal/link"
+	"wingmount/internal/view"
+)
+
+const (
+	leaseFor = 1500 * time.Millisecond
+	// leaseUse is how long a granted lease is used, from before it was asked for.
+	leaseUse   = 1200 * time.Millisecond
+	leaseEvery = 400 * time.Millisecond
+	dutyAssign = "assign"
+	// storeLost is how long a store is attached nowhere before its parts go elsewhere.
+	storeLost = 300 * time.Millisecond
+	partCount = 16
+)
+
+// grants are the leases that this keeper has granted, by duty. A keeper that has just started grants none
+// until whatever it may have granted before has ended.
+type grants struct {
+	from time.Time
+	by   map[string]grant
+}
+
+type grant struct {
+	holder string
+	until  time.Time
+}
+
+func newGrants(now time.Time) grants {
+	return grants{from: now.Add(leaseFor), by: map[string]grant{}}
+}
+
+// ask grants a lease if nobody else has it.
+func (g *grants) ask(now time.Time, duty, holder string) bool {
+	if now.Before(g.from) {
+		return false
+	}
+	if has, there := g.by[duty]; there && has.holder != holder && now.Before(has.until) {
+		return false
+	}
+	g.by[duty] = grant{holder, now.Add(leaseFor)}
+	return true
+}
+
+func (k *Keeper) leaseAsked(now time.Time, m *link.Message) {
+	r := link.Reader{B: m.Body}
+	duty, holder := r.String(), r.String()
+	if r.Err != nil {
+		m.Fail("%v", r.Err)
+		return
+	}
+	w := link.Writer{}
+	w.Bool(k.lease.ask(now, duty, holder))
+	m.Reply(w.B)
+}
+
+// assigner is the duty of placing the batch parts on stores.
+type assigner struct {
+	until    time.Time // of the lease, on this process's clock
+	askedAt  time.Time
+	running  bool
+	seen     map[uint64]time.Time // stores, when last attached anywhere
+	began    time.Time            // of the lease held without a break
+	proposed time.Time
+}
+
+// assign keeps the lease and, while it is held, proposes better tables.
+func (k *Keeper) assign(now time.Time) {
+	a := &k.assigner
+	if a.seen == nil {
+		a.seen = map[uint64]time.Time{}
+	}
+	stores := k.stores()
+	for id := range stores {
+		a.seen[id] = now
+	}
+	if now.Sub(a.askedAt) >= leaseEvery && k.fresh {
+		a.askedAt = now
+		k.askLease(now)
+	}
+	if now.After(a.until) {
+		a.began = time.Time{}
+		return
+	}
+	if a.began.IsZero() {
+		a.began = now
+	}
+	// One that has just taken the duty over has to hear from all stores first.
+	if now.Sub(a.began) < time.Second || a.running || now.Sub(a.proposed) < 100*time.Millisecond {
+		return
+	}
+	k.proposeTable(now, stores)
+}
+
+func (k *Keeper) proposeTable(now time.Time, stores map[uint64]view.Store) {
+	a := &k.assigner
+	lost := map[uint64]bool{}
+	if k.parts != nil {
+		for id := range k.parts.Stores {
+			lost[id] = now.Sub(a.seen[id]) > storeLost
+		}
+	}
+	var alive []view.Store
+	for _, s := range stores {
+		alive = append(alive, s)
+	}
+	isLost := func(id uint64) bool { return lost[id] }
+	if _, changed := nextTable(k.parts, alive, isLost, partCount, k.o.Settings.SurviveMachines); !changed {
+		return
+	}
+	a.running, a.proposed = true, now
+	k.changeTable(func(cur *view.Table) (*view.Table, error) {
+		next, changed := nextTable(cur, alive, isLost, partCount, k.o.Settings.SurviveMachines)
+		if !changed {
+			return nil, agree.ErrUnchanged
+		}
+		return next, nil
+	}, func(err error) {
+		k.do(func() { a.running = false })
+		if err != nil && err != agree.ErrUnchanged {
+			k.log.Warn("table not changed", "err", err)
+		}
+	})
+}
+
+// changeTable changes the agreed table; done is called from the registers' goroutine.
+func (k *Keeper) changeTable(change func(cur *view.Table) (*view.Table, error), done func(error)) {
+	k.agree.propose(tableRegister, 2*time.Second, func(cur agree.State) (agree.State, error) {
+		var t *view.Table
+		if len(cur.Value) > 0 {
+			r := link.Reader{B: cur.Value}
+			if t = control.ReadTable(&r); r.Err != nil {
+				return cur, r.Err
+			}
+		}
+		next, err := change(t)
+		if err != nil {
+			return cur, err
+		}
+		w := link.Writer{}
+		control.AppendTable(&w, next)
+		cur.Value = w.B
+		return cur, nil
+	}, func(_ agree.State, err error) { done(err) })
+}
+
+func (k *Keeper) askLease(now time.Time) {
+	voters := map[uint64]bool{}
+	for _, v := range k.agree.voters() {
+		voters[v.ID] = true
+	}
+	if k.agree.id == 0 || !voters[k.agree.id] {
+		return
+	}
+	// Who has a smaller name and is met does it.
+	for _, p := range k.peers {
+		if p.conn != nil && voters[p.node.ID] && p.node.Name < k.self.Name && now.Sub(p.since) > leaseFor && now.After(k.assigner.until) &&
+			now.Sub(k.life) < 4*leaseFor {
+			return
+		}
+	}
+	need := len(voters)/2 + 1
+	granted := 0
+	count := func(ok bool) {
+		if !ok {
+			return
+		}
+		if granted++; granted == need {
+			k.assigner.until = now.Add(leaseUse)
+		}
+	}
+	count(k.lease.ask(now, dutyAssign, k.self.Name))
+	w := link.Writer{}
+	w.String(dutyAssign)
+	w.String(k.self.Name)
+	for _, p := range k.peers {
+		if p.conn == nil || !voters[p.node.ID] {
+			continue
+		}
+		ch := p.conn.Go(control.Lease, w.B)
+		go func() {
+			reply := <-ch
+			r := link.Reader{B: reply.Body}
+			if ok := r.Bool(); reply.Err == nil && ok && r.Err == nil {
+				k.do(func() { count(true) })
+			}
+		}()
+	}
+}
+
+// joined takes the word of a store that it has all of a part.
+func (k *Keeper) joined(m *link.Message) {
+	r := link.Reader{B: m.Body}
+	part, epoch, id := r.Int(), r.U64(), r.U64()
+	if r.Err != nil {
+		m.Fail("%v", r.Err)
+		return
+	}
+	k.changeTable(func(cur *view.Table) (*view.Table, error) {
+		next, changed := joinedTable(cur, part, epoch, id)
+		if !changed {
+			return nil, agree.ErrUnchanged
+		}
+		return next, nil
+	}, func(err error) {
+		if err != nil && err != agree.ErrUnchanged {
+			m.Fail("%v", err)
+			return
+		}
+		m.Reply(nil)
+	})
+}
+
+// status is what operators are shown of a keeper.
+type status struct {
+	Node     string           `json:"node"`
+	Voter    bool             `json:"voter"`
+	Fresh    bool             `json:"fresh"`
+	Version  uint64           `json:"config_version"`
+	Table    uint64           `json:"table_number"`
+	Senders  int              `json:"proxies"`
+	Duty     bool             `json:"assigns_parts"`
+	Voters   []string         `json:"voters"`
+	Keepers  []string         `json:"keepers_met"`
+	Attached []attachedStatus `json:"attached"`
+	Services map[string]int   `json:"endpoints"`
+}
+
+type attachedStatus struct {
+	Node    string `json:"node"`
+	Role    string `json:"role"`
+	Zone    string `json:"zone"`
+	Version uint64 `json:"config_version"`
+	Behind  uint64 `json:"pushes_behind"`
+}
+
+func (k *Keeper) statusJSON() []byte {
+	s := status{Node: k.self.Name, Fresh: k.fresh, Version: k.config.version, Senders: k.senders, Services: map[string]int{},
+		Duty: time.Now().Before(k.assigner.until)}
+	if k.parts != nil {
+		s.Table = k.parts.Number
+	}
+	names := map[string]bool{}
+	for _, v := range k.agree.voters() {
+		if !names[v.Name] {
+			names[v.Name] = true
+			s.Voters = append(s.Voters, v.Name)
+		}
+		s.Voter = s.Voter || v.ID == k.agree.id && v.ID != 0
+	}
+	for _, n := range k.keeperNodes() {
+		s.Keepers = append(s.Keepers, n.Name)
+	}
+	for _, p := range k.attached {
+		m := p.inForce()
+		s.Attached = append(s.Attached, attachedStatus{p.node.Name, p.node.Role, p.node.Zone, m.version, p.pushed - p.acked})
+	}
+	list, _, _ := k.table.Changes(0)
+	for _, e := range list {
+		if e.State != view.Gone {
+			s.Services[e.Service]++
+		}
+	}
+	b, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return []byte("{}")
+	}
+	return append(b, '\n')
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,272 @@
+// Package keeper is the role that keeps control state: the agreed registers, the list of endpoints,
+// who is attached, and the pushes to them. docs/system.md says what it promises.
+//
+// One goroutine owns all of it but the registers, which have one of their own, as disks may be slow.
+// Both work through a queue of commands.
+package keeper
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wingmount/internal/control"
+	"wingmount/internal/journal"
+	"wingmount/internal/link"
+	"wingmount/internal/registry"
+	"wingmount/internal/settings"
+	"wingmount/internal/view"
+)
+
+const (
+	// queueMost bounds the commands that wait for the owner.
+	queueMost = 4096
+	// tickEvery is the owner's pace for what is not urgent.
+	tickEvery = 200 * time.Millisecond
+	// pushWait is how long an acknowledgement waits for those it concerns.
+	pushWait = 250 * time.Millisecond
+)
+
+// Options of a keeper.
+type Options struct {
+	Settings *settings.Settings
+	Folder   journal.Folder // nil: no disk, and no vote
+	Known    func() []control.Node
+	Log      hclog.Logger
+}
+
+// Keeper is one process of the role.
+type Keeper struct {
+	o     Options
+	log   hclog.Logger
+	self  control.Node
+	life  time.Time
+	agree *agreement
+
+	commands chan func()
+	ended    chan struct{}
+
+	// Owned by the loop.
+	table    *registry.Table
+	attached map[*link.Conn]*attachedProcess
+	peers    map[string]*peer // by name
+	conns    map[*link.Conn]*peer
+	config   *configValue // newest decided that is known
+	fresh    bool         // a majority has confirmed it in this life, or can't be had
+	parts    *view.Table
+	senders  int
+	dirty    bool
+	lease    grants
+	assigner assigner
+	lastTick time.Time
+	sentBeat time.Time
+	dialling map[string]bool
+	wanted   map[string]time.Time // addresses of keepers' links: when each may be dialled again
+	waiting  []*waiter
+
+	freshNow atomic.Bool
+}
+
+// New returns a keeper that is not running yet.
+func New(o Options) (*Keeper, error) {
+	s := o.Settings
+	now := time.Now()
+	k := &Keeper{o: o, log: o.Log, life: now, commands: make(chan func(), queueMost), ended: make(chan struct{}),
+		attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peer{},
+		config: &configValue{}, dialling: map[string]bool{}, wanted: map[string]time.Time{}}
+	k.table = registry.New(registry.Options{BeatEvery: time.Duration(s.BeatEveryMs) * time.Millisecond})
+	k.lease = newGrants(now)
+	a, err := openAgreement(k)
+	if err != nil {
+		return nil, err
+	}
+	k.agree = a
+	k.self = control.Node{Name: s.NodeName, Role: control.RoleKeeper, Zone: s.Zone, Addr: linkAddr(s), Control: s.Control,
+		ID: a.id, Life: uint64(now.UnixNano())}
+	return k, nil
+}
+
+// linkAddr is where a keeper's links are served.
+func linkAddr(s *settings.Settings) string {
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.InternalFirst))
+}
+
+// Run serves until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	links, err := net.Listen("tcp4", linkAddr(k.o.Settings))
+	if err != nil {
+		return err
+	}
+	defer links.Close()
+	calls, err := net.Listen("tcp4", k.o.Settings.Control)
+	if err != nil {
+		return err
+	}
+	server := k.server()
+	defer server.Close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Add(3)
+	go func() { defer wg.Done(); _ = link.Serve(links, k, link.DefaultOptions) }()
+	go func() { defer wg.Done(); _ = server.Serve(calls) }()
+	go func() { defer wg.Done(); k.agree.run(ctx) }()
+	k.loop(ctx)
+	close(k.ended)
+	_ = links.Close()
+	for c := range k.attached {
+		c.Close()
+	}
+	for c := range k.conns {
+		c.Close()
+	}
+	_ = server.Shutdown(context.Background())
+	return nil
+}
+
+func (k *Keeper) loop(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case f := <-k.commands:
+			f()
+			for more := true; more; {
+				select {
+				case f := <-k.commands:
+					f()
+				default:
+					more = false
+				}
+			}
+		case <-tick.C:
+			k.tick(time.Now())
+		case <-ctx.Done():
+			return
+		}
+		if k.dirty {
+			k.pushAll()
+		}
+	}
+}
+
+// do queues a command for the owner.
+func (k *Keeper) do(f func()) {
+	select {
+	case k.commands <- f:
+	case <-k.ended:
+	}
+}
+
+// ask queues a command and waits for its result.
+func ask[T any](k *Keeper, f func() T) (v T) {
+	done := make(chan T, 1)
+	k.do(func() { done <- f() })
+	select {
+	case v = <-done:
+	case <-k.ended:
+	}
+	return v
+}
+
+func (k *Keeper) tick(now time.Time) {
+	if k.lastTick.IsZero() || now.Sub(k.lastTick) > 4*tickEvery {
+		// The process stood still: what it heard before is older than it looks.
+		k.table.Woken(now)
+	}
+	k.lastTick = now
+	k.meet(now)
+	if gone := k.table.Expire(now); len(gone) > 0 {
+		for _, e := range gone {
+			k.log.Info("endpoint silent", "id", e.ID, "service", e.Service, "address", e.Address)
+		}
+		k.dirty = true
+	}
+	if now.Sub(k.sentBeat) >= time.Duration(k.o.Settings.BeatEveryMs)*time.Millisecond/2 {
+		k.sentBeat = now
+		k.tellHeard(now)
+	}
+	k.wakeWaiters(now)
+	k.assign(now)
+	for _, p := range k.attached {
+		if p.behind(k) {
+			k.dirty = true
+		}
+	}
+}
+
+// Message dispatches what comes over links.
+func (k *Keeper) Message(m *link.Message) {
+	switch m.Kind {
+	case control.Agree:
+		k.agree.receive(m.Body)
+	case control.Learn:
+		k.agree.learn(m.Body)
+	default:
+		k.do(func() { k.message(m) })
+	}
+}
+
+func (k *Keeper) message(m *link.Message) {
+	now := time.Now()
+	switch m.Kind {
+	case control.Hello:
+		k.hello(m)
+	case control.Ack:
+		if p := k.attached[m.Conn]; p != nil {
+			r := link.Reader{B: m.Body}
+			p.acked = max(p.acked, r.U64())
+			k.wakeWaiters(now)
+		}
+	case control.Entries:
+		k.entries(now, m)
+	case control.Heard:
+		k.heard(now, m)
+	case control.Attached:
+		if p := k.conns[m.Conn]; p != nil {
+			r := link.Reader{B: m.Body}
+			p.attached = control.ReadNodes(&r)
+			k.recount()
+		}
+	case control.Lease:
+		k.leaseAsked(now, m)
+	case control.Joined:
+		k.joined(m)
+	case control.Status:
+		m.Reply(k.statusJSON())
+	default:
+		m.Fail("no such call here: both sides must run the same version")
+	}
+}
+
+// Closed forgets a connection.
+func (k *Keeper) Closed(c *link.Conn) {
+	k.do(func() {
+		if p := k.attached[c]; p != nil {
+			delete(k.attached, c)
+			k.log.Info("detached", "node", p.node.Name, "role", p.node.Role)
+			k.recount()
+			k.tellAttached()
+			k.wakeWaiters(time.Now())
+		}
+		if p := k.conns[c]; p != nil {
+			delete(k.conns, c)
+			if p.conn == c {
+				p.conn = nil
+				p.lost = time.Now()
+				k.log.Info("keeper lost", "keeper", p.node.Name)
+				k.recount()
+			}
+		}
+	})
+}
+
+func (k *Keeper) server() *http.Server {
+	return &http.Server{Handler: k.handler(), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second,
+		MaxHeaderBytes: 32 << 10}
+}
--- /dev/null
+++ b/internal/keeper/value.go
@@ -0,0 +1,101 @@
+package keeper
+
+import (
+	"crypto/sha256"
+	"net/http"
+
+	"github.com/zeebo/errs"
+
+	"wingmount/internal/link"
+	"wingmount/internal/operator"
+)
+
+// Names of the registers.
+const (
+	configRegister = "config"
+	tableRegister  = "lots"
+)
+
+// digestsMost is how many versions are known to have been taken, the newest ones.
+const digestsMost = 1024
+
+// Errors of operators' calls. Their messages name the remedy.
+var (
+	ErrInvalid = errs.Class("invalid configuration")
+	ErrVersion = errs.Class("another version is in place")
+)
+
+// taken is a version that was in force.
+type taken struct {
+	version uint64
+	digest  [sha256.Size]byte
+}
+
+// configValue is the state of the configuration's register.
+type configValue struct {
+	version uint64
+	raw     []byte
+	past    []taken // oldest first, the version in force last
+}
+
+func (v *configValue) encode() []byte {
+	w := link.Writer{}
+	w.U64(v.version)
+	w.Bytes(v.raw)
+	w.U32(uint32(len(v.past)))
+	for _, t := range v.past {
+		w.U64(t.version)
+		w.Bytes(t.digest[:])
+	}
+	return w.B
+}
+
+func readConfigValue(b []byte) (*configValue, error) {
+	v := &configValue{}
+	if len(b) == 0 {
+		return v, nil
+	}
+	r := link.Reader{B: b}
+	v.version, v.raw = r.U64(), r.Bytes()
+	for range r.Count(12) {
+		t := taken{version: r.U64()}
+		copy(t.digest[:], r.Bytes())
+		v.past = append(v.past, t)
+	}
+	return v, r.Err
+}
+
+// put decides on a configuration that builds on a version. Where next is nil and err too, this very
+// configuration was taken before.
+func (v *configValue) put(raw []byte, c *operator.Config, base uint64) (next *configValue, err error) {
+	digest := sha256.Sum256(raw)
+	for _, t := range v.past {
+		if t.version == c.Version && t.digest == digest {
+			return nil, nil
+		}
+	}
+	if base != v.version {
+		return nil, ErrVersion.New("%d is in place and If-Match names %d: read /config and build on that", v.version, base)
+	}
+	if c.Version <= v.version {
+		return nil, ErrInvalid.New("version: %d is not above %d, which is in place: take a higher number", c.Version, v.version)
+	}
+	past := append(append([]taken(nil), v.past...), taken{c.Version, digest})
+	if len(past) > digestsMost {
+		past = past[len(past)-digestsMost:]
+	}
+	return &configValue{version: c.Version, raw: raw, past: past}, nil
+}
+
+// statusOf is the answer that an error means to an operator.
+func statusOf(err error) int {
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case ErrInvalid.Has(err):
+		return http.StatusBadRequest
+	case ErrVersion.Has(err):
+		return http.StatusPreconditionFailed
+	}
+	return http.StatusServiceUnavailable
+}
