Send log: moved out of policy for the tier to share; no change of behaviour

Cause: admission of the serving tier holds the same two windows an endpoint as the delivery node. Change: policy's sendLog is internal/sendlog.Log; it reads no clock, times are passed in.

--- a/policy/fast_test.go
+++ b/policy/fast_test.go
@@ -62,11 +62,11 @@
 func TestManyCallsAStepKeepTheSlice(t *testing.T) {
 	b := fastBench(t)
 	b.passed(9000, 4*time.Second, 0)
-	if n := b.path().narrow.count(b.now); float64(n) > math.Ceil(b.path().slice) || b.path().slice > 1.01*5000*narrowWindow.Seconds() {
-		t.Errorf("%d calls in a window of %v", n, b.path().narrow.window)
+	if n := b.path().narrow.Count(b.now); float64(n) > math.Ceil(b.path().slice) || b.path().slice > 1.01*5000*narrowWindow.Seconds() {
+		t.Errorf("%d calls in a window of %v", n, b.path().narrow.Window)
 	}
 	part, n := spreadTicks*b.s.set.Tick, 0
-	for _, at := range b.path().narrow.times {
+	for _, at := range b.path().narrow.Times {
 		if at > b.now-part {
 			n++
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,6 +9,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"wingmount/internal/sendlog"
 )
 
 const (
@@ -281,8 +283,8 @@
 // listed rate.
 func (s *Sender) newPath(d *destination, kind Kind, entry Entry) *path {
 	p := &path{dest: d, kind: kind, slice: math.Inf(1),
-		narrow: sendLog{window: narrowWindow}, wide: sendLog{window: wideWindow},
-		passed: sendLog{window: narrowWindow}, most: 1, latency: firstLatency}
+		narrow: sendlog.Log{Window: narrowWindow}, wide: sendlog.Log{Window: wideWindow},
+		passed: sendlog.Log{Window: narrowWindow}, most: 1, latency: firstLatency}
 	if s.set.Listing != RateUnlisted && entry.Rate > 0 {
 		p.listed = entry.Rate / float64(s.set.Senders)
 		s.resize(p, p.listed*narrowWindow.Seconds())
@@ -306,13 +308,13 @@
 	if gap < s.set.Tick {
 		some = int(spreadTicks * s.set.Tick / max(1, gap))
 	}
-	n := len(p.narrow.times)
-	if p.slice > 1 && n >= some && s.now-p.narrow.times[n-some] < time.Duration(some)*gap {
+	n := len(p.narrow.Times)
+	if p.slice > 1 && n >= some && s.now-p.narrow.Times[n-some] < time.Duration(some)*gap {
 		return false
 	}
 	calls := math.Ceil(slice)
-	if s.now < p.closedUntil || float64(p.narrow.count(s.now)) >= calls ||
-		float64(p.wide.count(s.now)) >= calls*float64(wideWindow/narrowWindow) {
+	if s.now < p.closedUntil || float64(p.narrow.Count(s.now)) >= calls ||
+		float64(p.wide.Count(s.now)) >= calls*float64(wideWindow/narrowWindow) {
 		return false
 	}
 	return p.inFlight() < s.bound(p)
@@ -329,8 +331,8 @@
 		stretch = s.drawPhase() / slice
 	}
 	p.slice = slice
-	p.narrow.window = time.Duration(stretch * float64(narrowWindow))
-	p.wide.window = time.Duration(stretch * float64(wideWindow))
+	p.narrow.Window = time.Duration(stretch * float64(narrowWindow))
+	p.wide.Window = time.Duration(stretch * float64(wideWindow))
 }
 
 // bound is how many unanswered calls a path may hold. The logs count starts
@@ -355,7 +357,7 @@
 	lone = lone && wait == 0 && (e.fullRun == 0 || sent < p.fullAt)
 	if sent >= p.fullAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
-			s.resize(p, max(1, float64(p.narrow.count(s.now))))
+			s.resize(p, max(1, float64(p.narrow.Count(s.now))))
 		} else {
 			cut := jamCut
 			if e.fullRun == 0 {
@@ -442,12 +444,12 @@
 func (s *Sender) passedOne(p *path, took time.Duration) {
 	p.passes++
 	p.refused -= p.refused * refusedGain
-	p.passed.record(s.now)
-	p.peak = max(p.peak, p.passed.count(s.now))
+	p.passed.Record(s.now)
+	p.peak = max(p.peak, p.passed.Count(s.now))
 	s.usual += (took.Seconds() - s.usual) * baselineGain
 	calls := math.Ceil(p.slice)
-	wide := float64(p.wide.count(s.now)) >= calls*float64(wideWindow/narrowWindow)-1
-	if !math.IsInf(p.slice, 1) && (wide || float64(p.narrow.count(s.now)) >= calls-1) {
+	wide := float64(p.wide.Count(s.now)) >= calls*float64(wideWindow/narrowWindow)-1
+	if !math.IsInf(p.slice, 1) && (wide || float64(p.narrow.Count(s.now)) >= calls-1) {
 		share, most := growthShare, sliceGrowth
 		if p.told.Limit > 0 {
 			share, most = max(0, p.told.Left-evenRoom), math.Inf(1)
@@ -624,8 +626,8 @@
 	c := &call{endpoint: e, sent: s.now}
 	e.calls = append(e.calls, c)
 	s.inFlight++
-	p.narrow.record(s.now)
-	p.wide.record(s.now)
+	p.narrow.Record(s.now)
+	p.wide.Record(s.now)
 	e.lastSent = s.now
 	if e.out {
 		p.nextTrial = s.now + s.trialGap(e)
@@ -653,7 +655,7 @@
 		s.take(best, c)
 	}
 	e.phase = s.drawPhase() * bundleWork(c.size)
-	e.cold.record(s.now)
+	e.cold.Record(s.now)
 	var timeout time.Duration // one fate, so one time-out
 	for _, n := range bundle {
 		timeout = max(timeout, s.timeout(e, n, c.size))
@@ -773,8 +775,8 @@
 	if b < 1 {
 		part = max(1, e.phase/b)
 	}
-	e.cold.window = time.Duration(float64(s.set.FallWindow) * part)
-	return e.cold.count(s.now) < 1
+	e.cold.Window = time.Duration(float64(s.set.FallWindow) * part)
+	return e.cold.Count(s.now) < 1
 }
 
 // doubted tells that one error is taken for an outage: what passed before is too
@@ -884,7 +886,7 @@
 		case s.warmth(run.BackAt) < 1:
 			e.warming, e.warmFrom = true, run.BackAt
 			e.trouble(run.FailedAt)
-			e.cold.times = append(e.cold.times[:0], r.Sent...)
+			e.cold.Times = append(e.cold.Times[:0], r.Sent...)
 		}
 	}
 }
@@ -964,8 +966,8 @@
 		c.endpoint.calls = remove(c.endpoint.calls, c)
 		s.inFlight--
 		if o.Outcome == Moot && !c.judged { // never sent: it used up nothing of the limit
-			c.endpoint.path.narrow.forget(c.sent)
-			c.endpoint.path.wide.forget(c.sent)
+			c.endpoint.path.narrow.Forget(c.sent)
+			c.endpoint.path.wide.Forget(c.sent)
 		}
 	}
 	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"wingmount/internal/sendlog"
 )
 
 // bench drives one sender by hand; calls end when a test says so.
@@ -69,12 +71,12 @@
 }
 
 func TestSendLogDropsWhatIsAWindowOld(t *testing.T) {
-	l := sendLog{window: 2 * time.Second}
-	l.record(10 * time.Second)
-	if n := l.count(12*time.Second - 1); n != 1 {
+	l := sendlog.Log{Window: 2 * time.Second}
+	l.Record(10 * time.Second)
+	if n := l.Count(12*time.Second - 1); n != 1 {
 		t.Errorf("%d entries just before a window has passed, want 1", n)
 	}
-	if n := l.count(12 * time.Second); n != 0 {
+	if n := l.Count(12 * time.Second); n != 0 {
 		t.Errorf("%d entries exactly a window later, want 0", n)
 	}
 }
@@ -86,9 +88,9 @@
 		t.Errorf("slice %v for 12 a second over 4 senders, want 6 in 2 s", got)
 	}
 	// Four senders with a call each in 2 s would be twice the limit: one call in a longer window.
-	if p := with(t, set, 0, 1, 1).path(); p.slice != 0.5 || p.narrow.window < 2*time.Second {
+	if p := with(t, set, 0, 1, 1).path(); p.slice != 0.5 || p.narrow.Window < 2*time.Second {
 		t.Errorf("slice %v in a window of %v for a low rate, want half a call, and a window in which it is one",
-			p.slice, p.narrow.window)
+			p.slice, p.narrow.Window)
 	}
 	if got := with(t, testSettings(), 0, 1, 12).path().slice; !math.IsInf(got, 1) {
 		t.Errorf("slice %v without listed rates, want unbound", got)
@@ -106,8 +108,8 @@
 		for end := b.now + time.Minute; b.now < end; b.now += 10 * time.Millisecond {
 			b.s.now = b.now
 			if b.s.hasRoom(p) {
-				p.narrow.record(b.now)
-				p.wide.record(b.now)
+				p.narrow.Record(b.now)
+				p.wide.Record(b.now)
 				sent++
 			}
 		}
@@ -122,7 +124,7 @@
 	p := b.path()
 	p.slice = 3
 	for range 3 {
-		p.narrow.record(b.now)
+		p.narrow.Record(b.now)
 	}
 	b.s.now = b.now + narrowWindow - 1
 	if b.s.hasRoom(p) {
@@ -133,7 +135,7 @@
 		t.Error("no room once the oldest entries are a window old")
 	}
 	for range 18 {
-		p.wide.record(b.s.now)
+		p.wide.Record(b.s.now)
 	}
 	if b.s.hasRoom(p) {
 		t.Error("room with the wide count at six slices")
@@ -148,9 +150,9 @@
 		b.arrive(1)
 	}
 	b.wait(time.Millisecond)
-	if len(b.sent) != 3 || len(p.narrow.times) != 1 || len(p.wide.times) != 1 || b.s.inFlight != 1 {
+	if len(b.sent) != 3 || len(p.narrow.Times) != 1 || len(p.wide.Times) != 1 || b.s.inFlight != 1 {
 		t.Errorf("%d sends, logs %d and %d, %d in flight; want one call with 3 messages", len(b.sent),
-			len(p.narrow.times), len(p.wide.times), b.s.inFlight)
+			len(p.narrow.Times), len(p.wide.Times), b.s.inFlight)
 	}
 }
 
@@ -163,14 +165,14 @@
 	for _, o := range []Outcome{Moot, Moot, Full} {
 		b.arrive(0)
 		if len(b.sent) != 1 {
-			t.Fatalf("no room after calls that were never sent: %d and %d in the logs", len(p.narrow.times), len(p.wide.times))
+			t.Fatalf("no room after calls that were never sent: %d and %d in the logs", len(p.narrow.Times), len(p.wide.Times))
 		}
 		s := b.sent[0]
 		b.sent = nil
 		b.step(Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: o, Final: o == Moot})
 	}
-	if len(p.narrow.times) != 1 || len(p.wide.times) != 1 {
-		t.Errorf("%d and %d in the logs, want the call that was refused", len(p.narrow.times), len(p.wide.times))
+	if len(p.narrow.Times) != 1 || len(p.wide.Times) != 1 {
+		t.Errorf("%d and %d in the logs, want the call that was refused", len(p.narrow.Times), len(p.wide.Times))
 	}
 }
 
@@ -192,7 +194,7 @@
 		t.Errorf("slice %v after a full right after a full, want %v", p.slice, want)
 	}
 	p.slice, p.beforeRun = 1/float64(b.s.set.Senders), 0
-	p.wide.times = nil // the wide window remembers what the cut slice let through
+	p.wide.Times = nil // the wide window remembers what the cut slice let through
 	b.wait(4 * time.Second)
 	b.finish(Full, 0)
 	if p.slice < 1/float64(b.s.set.Senders) {
@@ -246,7 +248,7 @@
 	p := b.path()
 	p.slice = 10
 	for i := range 60 - 1 {
-		p.wide.record(b.now - wideWindow/2 + time.Duration(i)*time.Millisecond)
+		p.wide.Record(b.now - wideWindow/2 + time.Duration(i)*time.Millisecond)
 	}
 	b.arrive(0)
 	b.finish(Delivered, 0)
@@ -671,9 +673,9 @@
 	whole := b.s.coldBudget(e, 1)
 	b.step(Listed{Entries: []Entry{{Endpoint: 2, State: Gone}, {Endpoint: 3, State: Gone}, {Endpoint: 4, State: Gone}}})
 	e.warming, e.warmFrom, b.s.now = true, b.now-b.s.set.WarmUp, b.now
-	e.cold.record(b.now)
+	e.cold.Record(b.now)
 	b.s.coldRoom(e)
-	if got, want := e.cold.window, time.Duration(4*float64(b.s.set.FallWindow)/whole); got < want-1 || got > want+1 {
+	if got, want := e.cold.Window, time.Duration(4*float64(b.s.set.FallWindow)/whole); got < want-1 || got > want+1 {
 		t.Errorf("a call each %v to one of four endpoints, want %v", got, want)
 	}
 }
@@ -742,14 +744,14 @@
 	p := b.path()
 	b.s.now = b.now
 	b.s.resize(p, 0.25)
-	if least, most := 4*time.Second, 12*time.Second; p.narrow.window < least || p.narrow.window > most {
-		t.Errorf("narrow window of %v for a quarter of a call in 2 s, want %v to %v", p.narrow.window, least, most)
+	if least, most := 4*time.Second, 12*time.Second; p.narrow.Window < least || p.narrow.Window > most {
+		t.Errorf("narrow window of %v for a quarter of a call in 2 s, want %v to %v", p.narrow.Window, least, most)
 	}
-	if ratio := float64(p.wide.window) / float64(p.narrow.window); math.Abs(ratio-6) > 1e-6 {
-		t.Errorf("windows of %v and %v, want the ratio kept", p.narrow.window, p.wide.window)
+	if ratio := float64(p.wide.Window) / float64(p.narrow.Window); math.Abs(ratio-6) > 1e-6 {
+		t.Errorf("windows of %v and %v, want the ratio kept", p.narrow.Window, p.wide.Window)
 	}
-	p.narrow.record(b.now)
-	if b.s.now += p.narrow.window - 1; b.s.hasRoom(p) {
+	p.narrow.Record(b.now)
+	if b.s.now += p.narrow.Window - 1; b.s.hasRoom(p) {
 		t.Error("room before the stretched window has passed")
 	}
 	if b.s.now++; !b.s.hasRoom(p) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"wingmount/internal/sendlog"
 )
 
 // This file holds what a sender remembers, the plain handling of it, and the figures
@@ -96,36 +98,6 @@
 	parts float64
 }
 
-// sendLog is one sliding window of send times.
-type sendLog struct {
-	window time.Duration
-	times  []Time
-}
-
-// count drops the entries that are a window old and tells how many are left.
-// The last one is kept beside the count, for a window that stretches later.
-func (l *sendLog) count(now Time) int {
-	stale := 0
-	for stale < len(l.times) && now-l.times[stale] >= l.window {
-		stale++
-	}
-	n := len(l.times) - stale
-	if n == 0 && stale > 0 {
-		stale--
-	}
-	l.times = l.times[stale:] // copied only when what was dropped is as much as is left
-	return n
-}
-
-func (l *sendLog) record(now Time) { l.times = append(l.times, now) }
-
-// forget takes one send out again.
-func (l *sendLog) forget(at Time) {
-	if i := slices.Index(l.times, at); i >= 0 {
-		l.times = slices.Delete(l.times, i, i+1)
-	}
-}
-
 // call is one call that is out: one message, or a bundle with one fate.
 type call struct {
 	endpoint *endpoint
@@ -147,21 +119,21 @@
 	calls    []*call // out, oldest first
 	lastSent Time
 	lastOK   Time
-	score    float64 // failure score
-	failing  float64 // share of its calls that failed, of late
-	suspect  bool    // its last outcome was a failure
-	out      bool    // an outage is on
-	since    Time    // when the outage was noticed
-	lead     bool    // this sender told the others of it
-	timeouts int     // time-outs in a row
-	broken   bool    // an error, a refusal or no connection came since its last success
-	harmless bool    // its last failure proved that the call had not run
-	fullRun  int     // fulls in a row, of calls sent after the one before was heard
-	warming  bool    // back from an outage
-	warmFrom Time    // when it was first seen back
-	cold     sendLog // calls, while it may be cold
-	phase    float64 // drawn with each call: how long a stretched window is, about 1
-	troubled Time    // when it was first seen or heard to fail since it was sound, or 0
+	score    float64     // failure score
+	failing  float64     // share of its calls that failed, of late
+	suspect  bool        // its last outcome was a failure
+	out      bool        // an outage is on
+	since    Time        // when the outage was noticed
+	lead     bool        // this sender told the others of it
+	timeouts int         // time-outs in a row
+	broken   bool        // an error, a refusal or no connection came since its last success
+	harmless bool        // its last failure proved that the call had not run
+	fullRun  int         // fulls in a row, of calls sent after the one before was heard
+	warming  bool        // back from an outage
+	warmFrom Time        // when it was first seen back
+	cold     sendlog.Log // calls, while it may be cold
+	phase    float64     // drawn with each call: how long a stretched window is, about 1
+	troubled Time        // when it was first seen or heard to fail since it was sound, or 0
 }
 
 // path is what shares one limit: a destination, or a route where routes are
@@ -174,20 +146,20 @@
 	fee       float64
 	endpoints []*endpoint
 
-	narrow, wide sendLog
-	passed       sendLog   // successes within the narrow window
-	peak         int       // the most of them that there ever were
-	passes       int       // successes so far
-	refused      float64   // share of its calls that were refused, of late
-	most         int       // the most endpoints that were ready at a time
-	slice        float64   // calls in a narrow window; infinite while unbound
-	beforeRun    float64   // the slice before the fulls in a row of late, or 0
-	listed       float64   // listed part of this sender in calls a second, or 0
-	sureRate     float64   // the least that listed may mean
-	told         Allowance // what the last answer told of the limit, for all senders
-	closedUntil  Time      // told wait or pause
-	fullAt       Time      // when the last full was heard
-	nextTrial    Time      // during an outage
+	narrow, wide sendlog.Log
+	passed       sendlog.Log // successes within the narrow window
+	peak         int         // the most of them that there ever were
+	passes       int         // successes so far
+	refused      float64     // share of its calls that were refused, of late
+	most         int         // the most endpoints that were ready at a time
+	slice        float64     // calls in a narrow window; infinite while unbound
+	beforeRun    float64     // the slice before the fulls in a row of late, or 0
+	listed       float64     // listed part of this sender in calls a second, or 0
+	sureRate     float64     // the least that listed may mean
+	told         Allowance   // what the last answer told of the limit, for all senders
+	closedUntil  Time        // told wait or pause
+	fullAt       Time        // when the last full was heard
+	nextTrial    Time        // during an outage
 	latency      time.Duration
 	deviation    time.Duration // mean distance of an answer from latency
 	baseline     time.Duration
@@ -273,7 +245,7 @@
 // counted takes a note that all hear at once as a call, for a time that differs.
 func (s *Sender) counted(e *endpoint) {
 	e.phase = s.rng.Float64()
-	e.cold.record(s.now)
+	e.cold.Record(s.now)
 }
 
 func (p *path) readyEndpoints() int {
@@ -400,7 +372,7 @@
 			})
 		}
 		d.paths = slices.DeleteFunc(d.paths, func(p *path) bool {
-			return len(p.endpoints) == 0 && p.wide.count(s.now) == 0 && s.now >= p.closedUntil
+			return len(p.endpoints) == 0 && p.wide.Count(s.now) == 0 && s.now >= p.closedUntil
 		})
 		s.forgetUnknown(d)
 	}
@@ -530,10 +502,10 @@
 		return
 	}
 	p := e.path
-	for _, log := range []*sendLog{&p.narrow, &p.wide} {
-		log.times = append(log.times, r.Sent...)
-		slices.Sort(log.times)
-		log.count(s.now)
+	for _, log := range []*sendlog.Log{&p.narrow, &p.wide} {
+		log.Times = append(log.Times, r.Sent...)
+		slices.Sort(log.Times)
+		log.Count(s.now)
 	}
 	s.recall(e, r)
 }
@@ -581,9 +553,9 @@
 				continue
 			}
 			out.Paths = append(out.Paths, PathMemory{Endpoint: p.endpoints[0].id,
-				Narrow: slices.Clone(p.narrow.times), Wide: slices.Clone(p.wide.times), Passed: slices.Clone(p.passed.times),
+				Narrow: slices.Clone(p.narrow.Times), Wide: slices.Clone(p.wide.Times), Passed: slices.Clone(p.passed.Times),
 				Peak: p.peak, Passes: p.passes, Most: p.most, Slice: p.slice, BeforeRun: p.beforeRun,
-				NarrowWindow: p.narrow.window, WideWindow: p.wide.window, ClosedUntil: p.closedUntil, FullAt: p.fullAt,
+				NarrowWindow: p.narrow.Window, WideWindow: p.wide.Window, ClosedUntil: p.closedUntil, FullAt: p.fullAt,
 				NextTrial: p.nextTrial, JamAt: p.jamAt, JamFor: p.jamFor,
 				Latency: p.latency, Deviation: p.deviation, Baseline: p.baseline, Told: p.told})
 			for _, e := range p.endpoints {
@@ -591,7 +563,7 @@
 					LastSent: e.lastSent, LastOK: e.lastOK, Since: e.since, WarmFrom: e.warmFrom, Trouble: e.troubled,
 					Score: e.score, Phase: e.phase, Suspect: e.suspect, Out: e.out, Lead: e.lead, Broken: e.broken, Harmless: e.harmless,
 					Warming: e.warming, Timeouts: e.timeouts, FullRun: e.fullRun,
-					Cold: slices.Clone(e.cold.times), ColdWindow: e.cold.window})
+					Cold: slices.Clone(e.cold.Times), ColdWindow: e.cold.Window})
 			}
 		}
 	}
@@ -607,8 +579,8 @@
 			continue
 		}
 		p := e.path
-		p.narrow, p.wide = sendLog{r.NarrowWindow, r.Narrow}, sendLog{r.WideWindow, r.Wide}
-		p.passed.times = r.Passed
+		p.narrow, p.wide = sendlog.Log{Window: r.NarrowWindow, Times: r.Narrow}, sendlog.Log{Window: r.WideWindow, Times: r.Wide}
+		p.passed.Times = r.Passed
 		p.peak, p.passes, p.most, p.slice, p.beforeRun = r.Peak, r.Passes, r.Most, r.Slice, r.BeforeRun
 		p.closedUntil, p.fullAt, p.nextTrial = r.ClosedUntil, r.FullAt, r.NextTrial
 		p.jamAt, p.jamFor = r.JamAt, r.JamFor
@@ -622,7 +594,7 @@
 		e.told, e.lastSent, e.lastOK, e.since, e.warmFrom, e.troubled = r.Told, r.LastSent, r.LastOK, r.Since, r.WarmFrom, r.Trouble
 		e.score, e.phase, e.suspect, e.out, e.lead = r.Score, r.Phase, r.Suspect, r.Out, r.Lead
 		e.broken, e.harmless, e.warming, e.timeouts, e.fullRun = r.Broken, r.Harmless, r.Warming, r.Timeouts, r.FullRun
-		e.cold = sendLog{r.ColdWindow, r.Cold}
+		e.cold = sendlog.Log{Window: r.ColdWindow, Times: r.Cold}
 	}
 }
 
