Forward: requests and streams go to endpoints, with one table of what may be answered

Cause: the tier needs its ingress: what is sent on, what may be sent again and what may be answered. Change: internal/forward (http.Handler, Server, Shutdown, RunItem, ServeReady, Tidy). upstream.Conn gains Open/Next/Whole for calls that are laid out already and answers read as they come, heeds Keep-Alive, and a pool may be told the most connections that it may have.

--- /dev/null
+++ b/internal/forward/exchange.go
@@ -0,0 +1,453 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"wingmount/internal/dispatch"
+	"wingmount/internal/operator"
+	"wingmount/internal/upstream"
+	"wingmount/internal/view"
+)
+
+// The names of headers, as the parser writes them.
+const (
+	headID       = "X-Dunetide-Request-Id"
+	headTimeLeft = "X-Dunetide-Time-Left-Ms"
+	headTarget   = "X-Dunetide-Target-Instance"
+	headSeal     = "X-Dunetide-Server-Seal"
+	headNotRun   = "X-Dunetide-Not-Run"
+	headLoad     = "X-Dunetide-Server-Load"
+	headModel    = "X-Dunetide-Model"
+	headTokens   = "X-Dunetide-Token-Count"
+	headPrefix   = "X-Dunetide-Prompt-Prefix"
+	headLast     = "Last-Event-Id"
+)
+
+const (
+	// atOnce is how long a body may be that is read whole before its head is passed on.
+	atOnce = 256 << 10
+	// longestEvent bounds one event.
+	longestEvent = 4 << 20
+	// maxSurplus is how many answers that belong to earlier calls may come before the one that counts.
+	maxSurplus = 3
+	// moreTurns is how many endpoints may turn a request away, beyond its tries.
+	moreTurns = 3
+	// worthwhile is the time that must be left for another sending.
+	worthwhile = 5 * time.Millisecond
+	// ownAnswer is how long before the client's deadline it is told that its time is up, and
+	// endpointAhead how much sooner an endpoint is told to stop.
+	ownAnswer     = 10 * time.Millisecond
+	endpointAhead = 10 * time.Millisecond
+	// pooledMost is the size of the largest buffer that is kept.
+	pooledMost = 64 << 10
+)
+
+var (
+	errNotNext = errors.New("an event is not the next one")
+	errTooLong = errors.New("an event is too long")
+	errForeign = errors.New("the answer is not the endpoint's to this request")
+)
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
+
+func getBuffer() *[]byte { return buffers.Get().(*[]byte) }
+
+func putBuffer(b *[]byte) {
+	if cap(*b) <= pooledMost {
+		*b = (*b)[:0]
+		buffers.Put(b)
+	}
+}
+
+// exchange is one request or item with all its sendings.
+type exchange struct {
+	p        *Proxy
+	ctx      context.Context // ends when nobody waits any more
+	req      dispatch.Request
+	method   string
+	head     []byte // of the call; what each sending adds begins at base
+	base     int
+	body     []byte
+	deadline time.Time // of the answer to the client; zero: none
+	last     string    // the event that was passed on last, or was named by the client
+
+	state      State
+	headed     bool // the head was passed on
+	tries      int  // endpoints that had it
+	turns      int  // those that turned it away, or could not be reached
+	retryAfter time.Duration
+	err        error // why the last sending broke
+
+	// Of the sending under way.
+	grant  dispatch.Grant
+	conn   *upstream.Conn
+	resp   *http.Response
+	load   dispatch.Load
+	stream events
+}
+
+func (x *exchange) now() time.Time { return x.p.o.Now() }
+
+// left is the time until the deadline; a lot where there is none.
+func (x *exchange) left() time.Duration {
+	if x.deadline.IsZero() {
+		return time.Hour
+	}
+	return x.deadline.Sub(x.now())
+}
+
+// having is what the next verdict depends on.
+func (x *exchange) having() having {
+	r := x.req.Route
+	time := x.left() > worthwhile
+	return having{
+		idempotent: r.Idempotent(),
+		resumable:  r.Resume && x.stream.lastID != "" && !x.stream.unnamed,
+		triesLeft:  time && x.tries < max(1, r.Tries),
+		turnsLeft:  time && x.turns < max(1, r.Tries)+moreTurns,
+	}
+}
+
+// follow takes an event in and says what is next.
+func (x *exchange) follow(e Event) Verdict {
+	switch e {
+	case TurnedAway, Unsent:
+		x.turns++
+	case Broken, Failed, Unkept, Cut:
+		x.tries++
+	default:
+	}
+	if x.headed {
+		x.state = Headed
+	}
+	var v Verdict
+	x.state, v = next(x.state, e, x.having())
+	return v
+}
+
+// acquire asks for an endpoint.
+func (x *exchange) acquire() (Event, bool) {
+	if x.left() <= 0 {
+		return Late, false
+	}
+	g, err := x.p.o.Admission.Acquire(x.ctx, &x.req)
+	if err == nil {
+		x.grant = g
+		return 0, true
+	}
+	if x.ctx.Err() != nil {
+		return ClientGone, false
+	}
+	var refused *dispatch.Refused
+	if errors.As(err, &refused) {
+		x.retryAfter = refused.RetryAfter
+	}
+	x.err = err
+	if x.left() <= worthwhile {
+		return Late, false
+	}
+	return Refused, false
+}
+
+// send sends the request to the endpoint of the grant and reads the head of its answer. Unless
+// it was answered, the sending is over then; a 500 that may have to be passed on is left open.
+func (x *exchange) send() Event {
+	target := x.grant.Endpoint()
+	x.req.Avoid = append(x.req.Avoid, target.ID)
+	x.load = dispatch.Load{}
+	conn, err := x.p.poolOf(target).Take(x.ctx)
+	if err != nil {
+		x.err = err
+		switch {
+		case x.ctx.Err() != nil:
+			x.finish(dispatch.Unsent, upstream.Unused)
+			return ClientGone
+		case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone):
+			x.finish(dispatch.Unsent, upstream.Unused)
+		default: // nobody takes its connections
+			x.finish(dispatch.Broken, upstream.Unused)
+		}
+		return Unsent
+	}
+	x.conn = conn
+	if x.left() <= worthwhile {
+		x.finish(dispatch.Unsent, upstream.Unused)
+		return Late
+	}
+	x.layOut(target.ID)
+	x.resp, err = conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
+	for n := 0; err == nil && x.resp.Header.Get(headID) != x.req.ID; n++ {
+		// The surplus of an earlier call, if it has an id and an end.
+		if n == maxSurplus || x.resp.Header.Get(headID) == "" || !x.delimited() || !x.drain(atOnce) {
+			err = &upstream.CallError{Sent: true, Err: errForeign}
+			break
+		}
+		x.resp, err = conn.Next()
+	}
+	if err != nil {
+		return x.failed(err)
+	}
+	x.load = loadOf(x.resp.Header)
+	e, outcome := x.classify()
+	switch e {
+	case Answered, Failed:
+		x.grant.First(x.load)
+	case TurnedAway:
+		x.retryAfter = retryAfterOf(x.resp.Header)
+		x.finishDrained(outcome)
+	default:
+		x.err = errForeign
+		x.finishDrained(outcome)
+	}
+	return e
+}
+
+// failed ends a sending that broke, and says what that was.
+func (x *exchange) failed(err error) Event {
+	x.err = err
+	var call *upstream.CallError
+	sent := !errors.As(err, &call) || call.Sent
+	switch {
+	case x.ctx.Err() != nil:
+		x.finish(dispatch.Left, upstream.GaveUp)
+		return ClientGone
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.left() <= worthwhile:
+		x.finish(dispatch.Silent, upstream.GaveUp)
+		if sent {
+			x.state = max(x.state, Sent)
+		}
+		return Late
+	case !sent:
+		x.finish(dispatch.Broken, upstream.Broken)
+		return Unsent
+	default:
+		x.finish(dispatch.Broken, upstream.Broken)
+		return Broken
+	}
+}
+
+// classify says what a head tells.
+func (x *exchange) classify() (Event, dispatch.Outcome) {
+	h, status := x.resp.Header, x.resp.StatusCode
+	notRun := h.Get(headNotRun) != ""
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return TurnedAway, dispatch.WrongOne
+	case notRun && status >= 400 && status != http.StatusBadRequest:
+		return TurnedAway, dispatch.NotRun
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable, status == http.StatusRequestTimeout:
+		return Unkept, dispatch.Failed
+	case !plain(h.Get("Content-Encoding")), !x.delimited():
+		return Broken, dispatch.Broken
+	case status < 300 && (notRun || h.Get(headSeal) == ""):
+		return Broken, dispatch.Broken
+	case x.headed && (status != http.StatusOK || !isStream(h)) && status != http.StatusInternalServerError:
+		return Broken, dispatch.Failed
+	case status == http.StatusInternalServerError:
+		return Failed, dispatch.Failed
+	case status == http.StatusGatewayTimeout:
+		return Answered, dispatch.Failed
+	}
+	return Answered, dispatch.Served
+}
+
+func plain(encoding string) bool { return encoding == "" || strings.EqualFold(encoding, "identity") }
+
+func isStream(h http.Header) bool {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+}
+
+// delimited tells whether the body's end can be told from a cut.
+func (x *exchange) delimited() bool {
+	return x.resp.ContentLength >= 0 || slices.Contains(x.resp.TransferEncoding, "chunked") || x.method == http.MethodHead
+}
+
+// drain reads the rest of the body, up to a bound, and tells whether it came to its end.
+func (x *exchange) drain(most int64) bool {
+	n, err := io.CopyN(io.Discard, x.resp.Body, most)
+	return n < most && errors.Is(err, io.EOF)
+}
+
+// finishDrained ends a sending whose answer is of no use but for its connection.
+func (x *exchange) finishDrained(o dispatch.Outcome) {
+	end := upstream.Answered
+	if o == dispatch.Broken {
+		end = upstream.Broken
+	} else if x.drain(4 << 10) {
+		x.conn.Whole(x.resp)
+	}
+	if o == dispatch.NotRun && x.resp.StatusCode == http.StatusServiceUnavailable {
+		end = upstream.Full
+	}
+	x.finish(o, end)
+}
+
+// finish ends a sending.
+func (x *exchange) finish(o dispatch.Outcome, end upstream.End) {
+	if x.conn != nil {
+		x.conn.Done(end)
+		x.conn = nil
+	}
+	if x.grant != nil {
+		x.grant.End(o, x.load)
+		x.grant = nil
+	}
+}
+
+// layOut puts what this sending adds behind the head that all have.
+func (x *exchange) layOut(target string) {
+	h := x.head[:x.base]
+	h = field(h, headTarget, target)
+	if !x.deadline.IsZero() {
+		left := max(1, (x.left() - endpointAhead).Milliseconds())
+		h = append(h, headTimeLeft...)
+		h = append(h, ": "...)
+		h = strconv.AppendInt(h, left, 10)
+		h = append(h, "\r\n"...)
+	}
+	if x.last != "" {
+		h = field(h, headLast, x.last)
+	}
+	x.head = append(h, "\r\n"...)
+}
+
+func field(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// ofConnection are the headers that concern one connection only, and those that are laid out by
+// themselves.
+var ofConnection = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Expect": true, "Content-Length": true, "Host": true,
+	headTarget: true, headTimeLeft: true, headLast: true,
+}
+
+// named tells which headers a Connection header names.
+func named(h http.Header) func(name string) bool {
+	lines := h["Connection"]
+	if len(lines) == 0 {
+		return func(string) bool { return false }
+	}
+	var names []string
+	for _, line := range lines {
+		for name := range strings.SplitSeq(line, ",") {
+			names = append(names, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return func(name string) bool { return slices.Contains(names, name) }
+}
+
+// layOutHead begins the head of a call: what all sendings have.
+func (x *exchange) layOutHead(target, host string, h http.Header, length int) {
+	b := append(x.head[:0], x.method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = field(b, "Host", host)
+	drop := named(h)
+	for name, values := range h {
+		if ofConnection[name] || drop(name) && name != headID {
+			continue
+		}
+		for _, v := range values {
+			b = field(b, name, v)
+		}
+	}
+	if length > 0 || x.method != http.MethodGet && x.method != http.MethodHead {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(length), 10)
+		b = append(b, "\r\n"...)
+	}
+	x.head, x.base = b, len(b)
+}
+
+// describe fills in what dispatch has to know.
+func (x *exchange) describe(route *operator.Route, get func(string) string) {
+	x.req.ID, x.req.Route = get(headID), route
+	x.req.Model = get(headModel)
+	if in, out, ok := strings.Cut(get(headTokens), ","); ok {
+		x.req.TokensIn, x.req.TokensOut = atoi(in), atoi(out)
+	}
+	if parts := get(headPrefix); parts != "" {
+		x.req.Prefix = make([]dispatch.Part, 0, strings.Count(parts, ",")+1)
+		for part := range strings.SplitSeq(parts, ",") {
+			id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
+			n, err := strconv.ParseUint(id, 16, 64)
+			if err != nil {
+				n = view.Hash(id)
+			}
+			x.req.Prefix = append(x.req.Prefix, dispatch.Part{ID: n, Tokens: atoi(tokens)})
+		}
+	}
+	x.req.Service = x.p.draw(route, x.req.ID)
+}
+
+// atoi reads a number that is not negative; 0 if it is none.
+func atoi(s string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(s))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// draw draws a service by the weights, the same one for the same id.
+func (p *Proxy) draw(route *operator.Route, id string) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	at := p.o.Rand()
+	if id != "" {
+		at = float64(view.Hash(id)>>11) / (1 << 53)
+	}
+	sum := 0.0
+	for _, s := range route.Shares {
+		sum += max(0, s.Weight)
+	}
+	at *= sum
+	drawn := ""
+	for _, s := range route.Shares {
+		if s.Weight <= 0 {
+			continue
+		}
+		drawn = s.Service
+		if at -= s.Weight; at < 0 {
+			break
+		}
+	}
+	return drawn
+}
+
+// loadOf reads "running,waiting,slots".
+func loadOf(h http.Header) dispatch.Load {
+	line := h.Get(headLoad)
+	if line == "" {
+		return dispatch.Load{}
+	}
+	running, rest, _ := strings.Cut(line, ",")
+	waiting, slots, ok := strings.Cut(rest, ",")
+	return dispatch.Load{Running: atoi(running), Waiting: atoi(waiting), Slots: atoi(slots), Known: ok}
+}
+
+func retryAfterOf(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || s < 0 || s > 60 {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/forward/item.go
@@ -0,0 +1,158 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+
+	"wingmount/internal/dispatch"
+	"wingmount/internal/operator"
+	"wingmount/internal/upstream"
+)
+
+// Item is one request of a batch job.
+type Item struct {
+	ID     string
+	Host   string // of its route
+	Path   string // with a query, if any
+	Header map[string]string
+	Body   []byte
+	Route  *operator.Route
+}
+
+// ItemState is how a run of an item ended.
+type ItemState uint8
+
+// The states.
+const (
+	ItemNotRun ItemState = iota // no endpoint has run it
+	ItemDone                    // its whole output came
+	ItemBroken                  // it broke off; it may go on after the last event that came
+	ItemFailed                  // the endpoint answered 500: a failed attempt
+	ItemNever                   // the endpoint answered 422: it can't be done
+)
+
+// Result is how a run of an item ended.
+type Result struct {
+	State ItemState
+	Err   error
+}
+
+var errNotAnItem = errors.New("not an item that can be sent")
+
+// Check tells whether an item can be sent as a request.
+func (it *Item) Check() error {
+	if it.Route == nil || it.ID == "" || !httpguts.ValidHeaderFieldValue(it.ID) || it.Host == "" || !httpguts.ValidHostHeader(it.Host) {
+		return errNotAnItem
+	}
+	if !strings.HasPrefix(it.Path, "/") || strings.ContainsFunc(it.Path, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
+		return fmt.Errorf("%w: its path", errNotAnItem)
+	}
+	for name, value := range it.Header {
+		if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+			return fmt.Errorf("%w: header %q", errNotAnItem, name)
+		}
+	}
+	return nil
+}
+
+// RunItem runs an item at an endpoint, after the event that is named, if any. Each whole event is
+// handed on as it comes; an answer that is no stream comes as one event. It ends with the context.
+func (p *Proxy) RunItem(ctx context.Context, it *Item, lastEventID string, event func(id string, data []byte)) Result {
+	if err := it.Check(); err != nil {
+		return Result{ItemNotRun, err}
+	}
+	header := make(http.Header, len(it.Header)+1)
+	for name, value := range it.Header {
+		header.Set(name, strings.TrimSpace(value))
+	}
+	header.Set(headID, it.ID)
+	x := &exchange{p: p, ctx: ctx, method: http.MethodPost, last: lastEventID, body: it.Body}
+	x.describe(it.Route, header.Get)
+	x.req.Bulk, x.req.Arrived = true, p.o.Now()
+	if deadline, ok := ctx.Deadline(); ok {
+		x.deadline, x.req.Deadline, x.req.Due = deadline, deadline, deadline
+	}
+	headBuffer, streamBuffer := getBuffer(), getBuffer()
+	defer func() {
+		x.finish(dispatch.Left, upstream.GaveUp)
+		*headBuffer, *streamBuffer = x.head, x.stream.buf
+		putBuffer(headBuffer)
+		putBuffer(streamBuffer)
+	}()
+	x.head, x.stream.buf = *headBuffer, *streamBuffer
+	x.layOutHead(it.Path, it.Host, header, len(it.Body))
+	for {
+		e, ok := x.acquire()
+		if ok {
+			e = x.send()
+		}
+		switch e {
+		case TurnedAway, Unsent:
+			if x.turns++; x.having().turnsLeft {
+				continue
+			}
+			return Result{ItemNotRun, x.err}
+		case Refused:
+			return Result{ItemNotRun, x.err}
+		case Late, ClientGone:
+			state := ItemBroken
+			if !ok {
+				state = ItemNotRun
+			}
+			return Result{state, errors.Join(context.Cause(ctx), x.err)}
+		case Failed:
+			x.finishDrained(dispatch.Failed)
+			return Result{ItemFailed, nil}
+		case Answered:
+			return x.itemAnswer(event)
+		default:
+			return Result{ItemBroken, x.err}
+		}
+	}
+}
+
+// itemAnswer reads the answer of an item.
+func (x *exchange) itemAnswer(event func(id string, data []byte)) Result {
+	status := x.resp.StatusCode
+	switch {
+	case status == http.StatusUnprocessableEntity:
+		x.finishDrained(dispatch.Served)
+		return Result{State: ItemNever}
+	case status == http.StatusBadRequest && x.resp.Header.Get(headNotRun) != "":
+		x.finishDrained(dispatch.NotRun)
+		return Result{ItemNotRun, errNotAnItem}
+	case status >= 300:
+		x.finishDrained(dispatch.Failed)
+		return Result{ItemBroken, fmt.Errorf("the endpoint answered %d", status)}
+	}
+	stream := isStream(x.resp.Header)
+	x.stream.reset(-1)
+	if n := atoi(x.last); stream && n > 0 {
+		x.stream.after = int64(n)
+	}
+	if stream {
+		x.stream.each = func(id string, one []byte) error {
+			event(id, dataOf(one))
+			return nil
+		}
+	}
+	var rest []byte
+	e := x.readEvents(func(whole []byte, end bool) error {
+		if !stream {
+			rest = append(rest, whole...)
+		}
+		return nil
+	})
+	if e != Whole {
+		return Result{ItemBroken, x.err}
+	}
+	if !stream {
+		event("", rest)
+	}
+	return Result{State: ItemDone}
+}
--- /dev/null
+++ b/internal/forward/proxy.go
@@ -0,0 +1,206 @@
+// Package forward takes requests from clients and sends them on to endpoints. It says what may be
+// answered at each moment of a request, so that nothing runs twice, nothing that may have run is
+// refused, and no answer looks complete that isn't.
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sys/unix"
+
+	"wingmount/internal/dispatch"
+	"wingmount/internal/operator"
+	"wingmount/internal/upstream"
+	"wingmount/internal/view"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// deadLink is how long bytes may stay unacknowledged before a link counts as dead.
+	deadLink = 2 * time.Second
+	// idleLimit is the longest that a connection to an endpoint stands idle.
+	idleLimit = 20 * time.Second
+	// growthShare is how many senders are taken to share an endpoint, where a pool tries to grow.
+	growthShare = 8
+)
+
+// Options are what a proxy is made of.
+type Options struct {
+	Holder    *view.Holder
+	Admission dispatch.Admission
+	// Match finds the route of a request; the host is lower case without a port, the path as it was
+	// sent without the query.
+	Match func(c *operator.Config, host, path string) *operator.Route
+	// Bulk answers calls of batch jobs: those of bulk routes, and of /lots/ and /items/ with no route.
+	Bulk func(w http.ResponseWriter, r *http.Request, route *operator.Route)
+	// Ready tells whether the process could serve; nil: it always could.
+	Ready func() bool
+	Now   func() time.Time // nil: time.Now
+	Rand  func() float64   // from 0 to 1; nil: math/rand
+	Log   hclog.Logger     // nil: nothing is logged
+	// Dial opens connections to endpoints; nil: TCP.
+	Dial    func(ctx context.Context, addr string) (net.Conn, error)
+	MaxOpen int // connections to all endpoints together; 0: 1024
+	// DrainWait is how long new connections are still served once the process is stopped; 0: 2.2 s.
+	DrainWait time.Duration
+	// IdleTimeout is how long a client's connection may stand idle; 0: 60 s.
+	IdleTimeout time.Duration
+	// HeaderWait is how long a client may take for a header; 0: 10 s.
+	HeaderWait time.Duration
+}
+
+// Proxy forwards requests. It is an http.Handler.
+type Proxy struct {
+	o        Options
+	conns    *upstream.Pools
+	server   *http.Server
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	pools map[string]pool // by incarnation
+}
+
+type pool struct {
+	*upstream.Pool
+	addr string
+	most int
+}
+
+// New returns a proxy.
+func New(o Options) *Proxy {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Rand == nil {
+		o.Rand = rand.Float64
+	}
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	if o.Dial == nil {
+		o.Dial = dial
+	}
+	if o.MaxOpen == 0 {
+		o.MaxOpen = 1024
+	}
+	if o.DrainWait == 0 {
+		o.DrainWait = 2200 * time.Millisecond
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = time.Minute
+	}
+	if o.HeaderWait == 0 {
+		o.HeaderWait = 10 * time.Second
+	}
+	p := &Proxy{o: o, pools: map[string]pool{}}
+	p.conns = upstream.New(upstream.Config{Dial: o.Dial, Now: o.Now, Rand: o.Rand, Senders: growthShare,
+		MaxOpen: o.MaxOpen, IdleLimit: idleLimit, DialTimeout: dialTimeout})
+	p.server = &http.Server{
+		Handler:           p,
+		ReadHeaderTimeout: o.HeaderWait,
+		IdleTimeout:       o.IdleTimeout,
+		MaxHeaderBytes:    256 << 10, // what the configuration allows is checked with it
+		ErrorLog:          o.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Error}),
+	}
+	return p
+}
+
+// dial opens a TCP connection to an endpoint.
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				// Without it a cut is found later, which is no reason not to connect.
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadLink.Milliseconds()))
+			})
+		},
+	}
+	return d.DialContext(ctx, "tcp4", addr)
+}
+
+// Server is the server of clients' connections; it is the same one each time.
+func (p *Proxy) Server() *http.Server { return p.server }
+
+// ServeReady answers whether clients should come here.
+func (p *Proxy) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusServiceUnavailable
+	if !p.draining.Load() && (p.o.Ready == nil || p.o.Ready()) {
+		status = http.StatusOK
+	}
+	h := w.Header()
+	h["Date"], h["Content-Type"] = nil, nil
+	h.Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// Shutdown ends the serving of clients: first the process is no longer ready, while whatever still
+// comes is served; then nothing new is taken, and what runs may end within the grace.
+func (p *Proxy) Shutdown(grace time.Duration) error {
+	began := p.o.Now()
+	p.draining.Store(true)
+	time.Sleep(min(p.o.DrainWait, grace))
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace-p.o.Now().Sub(began)))
+	defer cancel()
+	err := p.server.Shutdown(ctx)
+	if err != nil {
+		err = errors.Join(err, p.server.Close())
+	}
+	p.conns.Retire()
+	return err
+}
+
+// Tidy closes connections that have been idle for too long and forgets endpoints that are no longer
+// listed. It is to be called every second or two.
+func (p *Proxy) Tidy() {
+	if s := p.o.Holder.Get(); s != nil && s.Listed {
+		listed := map[string]bool{}
+		for _, all := range s.Endpoints {
+			for _, e := range all {
+				listed[e.ID] = e.State != view.Gone
+			}
+		}
+		var left []pool
+		p.mu.Lock()
+		for id, e := range p.pools {
+			if !listed[id] {
+				left = append(left, e)
+				delete(p.pools, id)
+			}
+		}
+		p.mu.Unlock()
+		for _, e := range left {
+			e.Leave()
+		}
+	}
+	p.conns.Sweep()
+}
+
+// poolOf has the connections to an incarnation.
+func (p *Proxy) poolOf(t dispatch.Target) *upstream.Pool {
+	most := 0
+	if s := p.o.Holder.Get(); s != nil && s.Config != nil {
+		if svc := s.Config.Services[t.Service]; svc != nil && svc.MaxConns > 0 {
+			// Some is left free, as not all senders see the same number of them.
+			most = max(1, svc.MaxConns*9/10/max(1, s.Senders))
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.pools[t.ID]; ok && e.addr == t.Address && e.most == most {
+		return e.Pool
+	}
+	e := pool{p.conns.Endpoint(upstream.Endpoint{Name: t.ID, Addr: t.Address, Most: most}), t.Address, most}
+	p.pools[t.ID] = e
+	return e.Pool
+}
--- /dev/null
+++ b/internal/forward/serve.go
@@ -0,0 +1,374 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"wingmount/internal/dispatch"
+	"wingmount/internal/operator"
+	"wingmount/internal/upstream"
+)
+
+const (
+	// bodyWait is how long a client may take for its body where no time is told.
+	bodyWait = 30 * time.Second
+	// defaultBody bounds a body where the configuration doesn't.
+	defaultBody = 16 << 20
+	// soon is when to come back where nothing better is known.
+	soon = 100 * time.Millisecond
+	// lateWrite is how long after the deadline a client may still take its answer.
+	lateWrite = 250 * time.Millisecond
+)
+
+// ServeHTTP answers a client.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := p.o.Now()
+	if p.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	target, path := r.RequestURI, r.URL.EscapedPath()
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	} else if raw, _, _ := strings.Cut(target, "?"); raw != path {
+		path = raw
+	}
+	if !strings.HasPrefix(target, "/") {
+		answer(w, r, http.StatusBadRequest, 0)
+		return
+	}
+	if p.o.Bulk != nil && (strings.HasPrefix(path, "/lots/") || strings.HasPrefix(path, "/items/")) {
+		p.o.Bulk(w, r, nil)
+		return
+	}
+	s := p.o.Holder.Get()
+	if s == nil || s.Config == nil {
+		answer(w, r, http.StatusServiceUnavailable, 3*soon)
+		return
+	}
+	route := p.o.Match(s.Config, hostOf(r.Host), path)
+	if route == nil {
+		answer(w, r, http.StatusNotFound, 0)
+		return
+	}
+	if route.Kind == operator.Bulk && p.o.Bulk != nil {
+		p.o.Bulk(w, r, route)
+		return
+	}
+	p.forward(w, r, route, &s.Config.Limits, target, arrived)
+}
+
+// hostOf is a host in lower case without its port.
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// forward answers a client's request of a route from an endpoint.
+func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, route *operator.Route, limits *operator.Limits, target string, arrived time.Time) {
+	x := &exchange{p: p, ctx: r.Context(), method: r.Method}
+	x.describe(route, r.Header.Get)
+	aim := time.Duration(route.TimeoutMs) * time.Millisecond
+	if ms, err := strconv.ParseInt(r.Header.Get(headTimeLeft), 10, 64); err == nil && ms >= 0 && ms < aim.Milliseconds() {
+		aim = time.Duration(ms) * time.Millisecond
+	}
+	x.deadline = arrived.Add(aim - min(ownAnswer, aim/8))
+	x.req.Arrived, x.req.Deadline = arrived, x.deadline
+	x.req.Due = arrived.Add(time.Duration(route.TargetMs) * time.Millisecond)
+	x.last = r.Header.Get(headLast)
+
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(arrived.Add(aim + lateWrite)) // a client that doesn't read holds nothing up for longer
+	bodyBuffer, headBuffer, streamBuffer := getBuffer(), getBuffer(), getBuffer()
+	defer func() {
+		x.finish(dispatch.Left, upstream.GaveUp) // where the handler was left early
+		*headBuffer, *streamBuffer = x.head, x.stream.buf
+		putBuffer(bodyBuffer)
+		putBuffer(headBuffer)
+		putBuffer(streamBuffer)
+	}()
+	x.head, x.stream.buf = *headBuffer, *streamBuffer
+	if r.ContentLength != 0 {
+		if status := readBody(rc, r, limits, bodyBuffer); status != 0 {
+			if status == http.StatusRequestEntityTooLarge || status == http.StatusRequestTimeout {
+				w.Header().Set("Connection", "close")
+			}
+			answer(w, r, status, 0)
+			return
+		}
+		x.body = *bodyBuffer
+	}
+	x.layOutHead(target, r.Host, r.Header, len(x.body))
+	if limits.MaxHeaderBytes > 0 && x.base > limits.MaxHeaderBytes+256 { // some is laid out otherwise than it came
+		answer(w, r, http.StatusRequestHeaderFieldsTooLarge, 0)
+		return
+	}
+	p.answerFrom(x, w, r, rc)
+}
+
+// answerFrom goes from endpoint to endpoint until there is an answer.
+func (p *Proxy) answerFrom(x *exchange, w http.ResponseWriter, r *http.Request, rc *http.ResponseController) {
+	e, ok := x.acquire()
+	for {
+		if ok {
+			e = x.send()
+		}
+		v := x.follow(e)
+		if v == PassOn {
+			if e = x.passOn(w, rc); e == Whole {
+				x.state = Ended
+				return
+			}
+			v = x.follow(e)
+		}
+		switch v {
+		case Again:
+			if e == Failed {
+				x.finishDrained(dispatch.Failed)
+			}
+			if x.headed {
+				x.last = x.stream.lastID
+			}
+			e, ok = x.acquire()
+			continue
+		case Refuse:
+			answer(w, r, http.StatusServiceUnavailable, x.comeBack())
+		case NoAnswer:
+			answer(w, r, http.StatusBadGateway, 0)
+		case TooLate:
+			answer(w, r, http.StatusGatewayTimeout, 0)
+		case Abort:
+			if e == Failed {
+				x.finishDrained(dispatch.Failed)
+			}
+			panic(http.ErrAbortHandler)
+		case Nothing, PassOn:
+		}
+		return
+	}
+}
+
+// comeBack is when a client that is refused should come back: in a third of its time at most.
+func (x *exchange) comeBack() time.Duration {
+	d := x.retryAfter
+	if d <= 0 {
+		d = soon
+	}
+	return max(time.Millisecond, min(d, x.left()/3))
+}
+
+// answer answers a client with a status of our own.
+func answer(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration) {
+	h := w.Header()
+	h["Date"], h["Content-Type"] = nil, nil
+	h.Set("Content-Length", "0")
+	if id := r.Header.Get(headID); id != "" {
+		h[headID] = []string{id}
+	}
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(status)
+}
+
+// readBody reads a request's body whole. It returns the status to answer if that can't be; 0 if
+// it is there.
+func readBody(rc *http.ResponseController, r *http.Request, limits *operator.Limits, into *[]byte) int {
+	most := limits.MaxBodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	if r.ContentLength > most {
+		return http.StatusRequestEntityTooLarge
+	}
+	_ = rc.SetReadDeadline(time.Now().Add(bodyWait))
+	b := *into
+	if n := int(r.ContentLength); n >= cap(b) {
+		b = make([]byte, 0, min(n+1, atOnce)) // what is only announced takes no more
+	}
+	defer func() { *into = b }()
+	for {
+		if len(b) == cap(b) {
+			b = append(b, 0)[:len(b)]
+		}
+		n, err := r.Body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case int64(len(b)) > most:
+			return http.StatusRequestEntityTooLarge
+		case errors.Is(err, io.EOF):
+			_ = rc.SetReadDeadline(time.Time{})
+			return 0
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return http.StatusRequestTimeout
+		case err != nil:
+			return http.StatusBadRequest
+		}
+	}
+}
+
+// passHead passes an answer's head on, with the length of its body if that is known.
+func (x *exchange) passHead(w http.ResponseWriter, length int64) {
+	h := w.Header()
+	drop := named(x.resp.Header)
+	h["Date"], h["Content-Type"] = nil, nil
+	for name, values := range x.resp.Header {
+		switch name {
+		case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
+			continue
+		}
+		if !drop(name) || name == headID || name == headSeal {
+			h[name] = values
+		}
+	}
+	if length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+	}
+	w.WriteHeader(x.resp.StatusCode)
+	x.headed = true
+}
+
+// passOn passes an answer on. It says how that ended.
+func (x *exchange) passOn(w http.ResponseWriter, rc *http.ResponseController) Event {
+	if x.resp.StatusCode == http.StatusOK && isStream(x.resp.Header) && x.method != http.MethodHead {
+		return x.passEvents(w, rc)
+	}
+	outcome := dispatch.Served
+	if x.resp.StatusCode == http.StatusInternalServerError || x.resp.StatusCode == http.StatusGatewayTimeout {
+		outcome = dispatch.Failed
+	}
+	length := x.resp.ContentLength
+	if x.method == http.MethodHead {
+		x.conn.Whole(x.resp)
+		x.passHead(w, length)
+		x.finish(outcome, upstream.Answered)
+		return Whole
+	}
+	b := x.stream.buf[:0]
+	if length >= int64(cap(b)) && length <= atOnce {
+		b = make([]byte, 0, length+1)
+	}
+	defer func() { x.stream.buf = b }()
+	for {
+		n, err := x.resp.Body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if errors.Is(err, io.EOF) {
+			x.conn.Whole(x.resp)
+			if !x.headed {
+				if bodyAllowed(x.resp.StatusCode) {
+					length = int64(len(b))
+				} else {
+					length = -1
+				}
+				x.passHead(w, length)
+			}
+			x.finish(outcome, upstream.Answered) // before the client has it all, who may ask again at once
+			if len(b) > 0 {
+				if _, err := w.Write(b); err != nil {
+					return ClientGone
+				}
+			}
+			return Whole
+		}
+		if err != nil {
+			return x.cut(err)
+		}
+		if len(b) < cap(b) {
+			continue
+		}
+		if len(b) < atOnce {
+			b = append(b, 0)[:len(b)]
+			continue
+		}
+		if !x.headed {
+			x.passHead(w, length)
+		}
+		if _, err := w.Write(b); err != nil {
+			x.finish(dispatch.Left, upstream.GaveUp)
+			return ClientGone
+		}
+		b = b[:0]
+	}
+}
+
+// bodyAllowed tells whether answers of a status may have a body.
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// cut ends a sending whose body broke off.
+func (x *exchange) cut(err error) Event {
+	if e := x.failed(err); e != Broken && e != Unsent {
+		return e
+	}
+	return Cut
+}
+
+// passEvents passes a stream on: each event as it comes, and only whole ones.
+func (x *exchange) passEvents(w http.ResponseWriter, rc *http.ResponseController) Event {
+	after := int64(-1)
+	if x.headed {
+		after, _ = strconv.ParseInt(x.last, 10, 64)
+	}
+	last := x.stream.lastID
+	x.stream.reset(after)
+	x.stream.lastID = last
+	return x.readEvents(func(whole []byte, end bool) error {
+		if !x.headed {
+			x.passHead(w, -1)
+		}
+		if len(whole) > 0 {
+			if _, err := w.Write(whole); err != nil {
+				return err
+			}
+		}
+		if end { // goes out with the end of the body
+			return nil
+		}
+		return rc.Flush()
+	})
+}
+
+// readEvents reads the answer's body as events and hands on what is whole. The end comes with what
+// is left, which the endpoint has ended properly.
+func (x *exchange) readEvents(hand func(whole []byte, end bool) error) Event {
+	s := &x.stream
+	for {
+		if len(s.buf) == cap(s.buf) {
+			if len(s.buf) > longestEvent {
+				return x.cut(errTooLong)
+			}
+			s.buf = append(s.buf, 0)[:len(s.buf)]
+		}
+		n, err := x.resp.Body.Read(s.buf[len(s.buf):cap(s.buf)])
+		s.buf = s.buf[:len(s.buf)+n]
+		whole, wrong := s.scan()
+		if wrong != nil {
+			return x.cut(wrong)
+		}
+		if errors.Is(err, io.EOF) {
+			x.conn.Whole(x.resp)
+			x.finish(dispatch.Served, upstream.Answered)
+			if hand(s.buf, true) != nil {
+				return ClientGone
+			}
+			return Whole
+		}
+		if whole > 0 {
+			if hand(s.buf[:whole], false) != nil {
+				x.finish(dispatch.Left, upstream.GaveUp)
+				return ClientGone
+			}
+			s.take()
+		}
+		if err != nil {
+			return x.cut(err)
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -28,6 +30,8 @@
 	inlineWrite = 8 << 10
 	// afterWrite is how long an answer may still come once the request can't be written.
 	afterWrite = 200 * time.Millisecond
+	// keepSlack is how long before the far side closes an idle connection it is not used any more.
+	keepSlack = 400 * time.Millisecond
 )
 
 var (
@@ -53,6 +57,10 @@
 	whole   bool // the answer was read to its end, and another may follow
 	stop    func() bool
 	written chan int // the bytes written, once; nil where that is known
+	asked   http.Request
+	surplus bool          // an answer came that was not this call's
+	timed   bool          // it has a deadline
+	keep    time.Duration // the far side said that it keeps an idle connection for so long; 0: nothing
 }
 
 func newConn(p *Pool, nc net.Conn, opened time.Time) *Conn {
@@ -112,11 +120,67 @@
 	if err := req.Write(&out); err != nil {
 		return nil, &CallError{Err: fmt.Errorf("writing the request: %w", err)}
 	}
-	c.used, c.size, c.sent, c.whole, c.written = true, out.Len(), false, false, nil
+	return c.send(ctx, req, out.Bytes(), nil)
+}
+
+// Open is Send for a call that is laid out already, in two pieces (the second may be
+// empty), and whose answer is read by the caller as it comes, without a bound on its
+// body. It ends at a deadline, if that is not zero, and with the context. Both pieces
+// are in use until Done. Once the body was read to its end, Whole says so.
+func (c *Conn) Open(ctx context.Context, method string, head, body []byte, deadline time.Time) (*http.Response, error) {
+	c.timed = !deadline.IsZero()
+	if c.timed {
+		_ = c.nc.SetDeadline(deadline)
+	}
+	c.asked = http.Request{Method: method}
+	resp, err := c.send(ctx, &c.asked, head, body)
+	if err == nil {
+		c.in.left = math.MaxInt
+	}
+	return resp, err
+}
+
+// Next reads one more answer to a call that was opened, after the body of the one
+// before was read to its end. No other call follows on the connection.
+func (c *Conn) Next() (*http.Response, error) {
+	c.surplus = true
+	c.in.left, c.in.head = maxAnswer, c.in.head[:0]
+	resp, err := c.readHead(&c.asked)
+	if err != nil {
+		c.settle()
+		return nil, &CallError{Sent: c.sent, Err: err}
+	}
+	c.in.left = math.MaxInt
+	return resp, nil
+}
+
+// Whole says that an opened call's answer was read to its end: another call may follow
+// if the far side keeps the connection.
+func (c *Conn) Whole(resp *http.Response) {
+	c.whole = !resp.Close && !c.surplus
+	c.keep = keepAlive(resp.Header)
+}
+
+// keepAlive is for how long the far side keeps an idle connection; 0 if it doesn't say.
+func keepAlive(h http.Header) time.Duration {
+	for _, line := range h["Keep-Alive"] {
+		for field := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+			if n, err := strconv.Atoi(value); err == nil && n >= 0 && n < 1e6 && strings.EqualFold(name, "timeout") {
+				return max(time.Duration(n)*time.Second-keepSlack, time.Millisecond)
+			}
+		}
+	}
+	return 0
+}
+
+// send writes a call of two pieces and reads the head of its answer.
+func (c *Conn) send(ctx context.Context, req *http.Request, first, second []byte) (*http.Response, error) {
+	c.used, c.size, c.sent, c.whole, c.surplus, c.written = true, len(first)+len(second), false, false, false, nil
 	c.in.left, c.in.head = maxAnswer, c.in.head[:0]
 	c.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(longAgo) })
 	if c.size <= inlineWrite {
-		n, err := c.nc.Write(out.Bytes())
+		n, err := c.write(first, second)
 		if c.sent = n == c.size; !c.sent {
 			return nil, &CallError{Err: err}
 		}
@@ -124,7 +188,7 @@
 		written := make(chan int, 1)
 		c.written = written
 		go func() {
-			n, err := c.nc.Write(out.Bytes())
+			n, err := c.write(first, second)
 			if err != nil { // what the endpoint said before may still be read
 				_ = c.nc.SetReadDeadline(time.Now().Add(afterWrite))
 			}
@@ -139,6 +203,15 @@
 	return resp, nil
 }
 
+func (c *Conn) write(first, second []byte) (int, error) {
+	if len(second) == 0 {
+		return c.nc.Write(first)
+	}
+	pieces := net.Buffers{first, second}
+	n, err := pieces.WriteTo(c.nc)
+	return int(n), err
+}
+
 // readHead reads up to the body of the answer that counts.
 func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
 	for range maxInterim + 1 {
@@ -199,7 +272,14 @@
 	}
 	c.used = false
 	c.settle()
-	return c.stop() && c.sent && c.whole && c.br.Buffered() == 0
+	if !c.stop() || !c.sent || !c.whole || c.br.Buffered() != 0 {
+		return false
+	}
+	if c.timed {
+		c.timed = false
+		return c.nc.SetDeadline(time.Time{}) == nil
+	}
+	return true
 }
 
 // close ends the connection; nothing is owed on it.
--- a/internal/upstream/pools.go
+++ b/internal/upstream/pools.go
@@ -88,6 +88,7 @@
 	Addr    string
 	Since   int64       // when its process last started, as far as the list tells
 	MayWarm func() bool // false while nothing may be sent there; nil for never
+	Most    int         // connections that this side may have to it; 0: not told
 }
 
 // Pool has the connections to one endpoint.
@@ -133,6 +134,11 @@
 	}
 	var old []*Conn
 	p.at.MayWarm = e.MayWarm
+	if !p.gone && p.at.Addr == e.Addr && p.at.Since == e.Since && p.at.Most == e.Most {
+		ps.mu.Unlock()
+		return p
+	}
+	p.at.Most = e.Most
 	switch {
 	case p.gone || p.at.Addr != e.Addr:
 		p.gone = false
@@ -277,8 +283,7 @@
 // the context allow. What is taken has to be given back by Done.
 func (p *Pool) Take(ctx context.Context) (*Conn, error) {
 	ps := p.set
-	ctx, cancel := context.WithTimeout(ctx, ps.cfg.DialTimeout)
-	defer cancel()
+	var cancel context.CancelFunc // once it has to wait
 	ps.mu.Lock()
 	for {
 		if p.gone {
@@ -296,6 +301,10 @@
 			closeAll(stale)
 			return c, nil
 		}
+		if cancel == nil {
+			ctx, cancel = context.WithTimeout(ctx, ps.cfg.DialTimeout)
+			defer cancel()
+		}
 		queue, victim := p.place(now)
 		if victim != nil {
 			stale = append(stale, victim)
@@ -357,7 +366,7 @@
 		last := len(p.idle) - 1
 		c := p.idle[last]
 		p.idle = slices.Delete(p.idle, last, last+1)
-		if c.age = now.Sub(c.since); c.age < limit && c.quiet() {
+		if c.age = now.Sub(c.since); c.age < c.idleFor(limit) && c.quiet() {
 			return c, stale
 		}
 		stale = append(stale, c)
@@ -366,14 +375,31 @@
 	return nil, stale
 }
 
+// most is how many connections the pool may have, by what was told and by what was learnt.
+func (p *Pool) most(now time.Time) int {
+	most := p.size.most(now, &p.set.cfg)
+	if p.at.Most > 0 {
+		return min(most, p.at.Most)
+	}
+	return most
+}
+
 // idleFor is how long a connection of the pool may stand idle.
 func (p *Pool) idleFor(now time.Time) time.Duration { return p.limit.limit(&p.set.idle, now) }
 
+// idleFor is the limit, or less where the far side has told less.
+func (c *Conn) idleFor(limit time.Duration) time.Duration {
+	if c.keep > 0 {
+		return min(limit, c.keep)
+	}
+	return limit
+}
+
 // place finds room for one more connection. Without, it tells which queue to wait in;
 // where the room is another's idle connection, that is to be closed.
 func (p *Pool) place(now time.Time) (queue *[]chan struct{}, victim *Conn) {
 	ps := p.set
-	if open := p.inUse + p.dialling + len(p.idle); open >= p.size.most(now, &ps.cfg) {
+	if open := p.inUse + p.dialling + len(p.idle); open >= p.most(now) {
 		return &p.waiting, nil
 	}
 	if ps.open < ps.cfg.MaxOpen {
@@ -462,7 +488,7 @@
 		p.learn(c, end, now)
 	}
 	keep := clean && !elsewhere && !ps.retired && ps.open <= ps.cfg.MaxOpen &&
-		p.inUse+p.dialling+len(p.idle) < p.size.most(now, &ps.cfg)
+		p.inUse+p.dialling+len(p.idle) < p.most(now)
 	if keep {
 		c.since = now
 		p.idle = append(p.idle, c)
@@ -508,7 +534,7 @@
 	for _, p := range ps.pools {
 		limit := p.idleFor(now)
 		p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
-			if now.Sub(c.since) < limit && c.quiet() {
+			if now.Sub(c.since) < c.idleFor(limit) && c.quiet() {
 				return false
 			}
 			old = append(old, c)
--- a/internal/upstream/warm.go
+++ b/internal/upstream/warm.go
@@ -41,7 +41,7 @@
 	ps := p.set
 	if !ps.cfg.Warm || p.warming || p.gone || ps.retired || p.at.MayWarm == nil || len(p.idle) > 0 ||
 		!p.failedAt.IsZero() && now.Sub(p.failedAt) < ps.cfg.WarmUp ||
-		p.inUse+p.dialling >= min(p.demand.peak(now), p.size.most(now, &ps.cfg)) || ps.open >= ps.cfg.MaxOpen {
+		p.inUse+p.dialling >= min(p.demand.peak(now), p.most(now)) || ps.open >= ps.cfg.MaxOpen {
 		return
 	}
 	p.warming = true
