Dispatch: admission by two send logs an endpoint, placement by load and parts of prompts

Cause: the tier's proxies need to know which endpoint a request may go to and when. Change: internal/dispatch has a stepped core (send logs, slices, hold, health, model of kept parts, choice) and Dispatcher, which lets whoever posts to the idle queue own the core.

--- /dev/null
+++ b/internal/dispatch/cache.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import "container/list"
+
+// chain is the hash of a part of a prompt with all the parts before it: a part is only of use with them.
+type chain uint64
+
+func chainOf(model string, parts []Part) []chain {
+	out := make([]chain, len(parts))
+	h := mix(0, 0)
+	for i := 0; i < len(model); i++ {
+		h = mix(h, uint64(model[i]))
+	}
+	for i, p := range parts {
+		h = mix(h, p.ID)
+		out[i] = chain(h)
+	}
+	return out
+}
+
+func mix(h, v uint64) uint64 {
+	h ^= v + 0x9e3779b97f4a7c15 + h<<6 + h>>2
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// prefixCache models which parts an endpoint keeps, by what was sent there: the least recently used give way.
+type prefixCache struct {
+	parts  map[chain]*list.Element
+	recent *list.List // of *kept, the latest first
+	tokens int64      // weighed
+}
+
+type kept struct {
+	chain  chain
+	weight int64
+}
+
+// cached is how many of the parts, from the first on, are believed to be kept.
+func (c *prefixCache) cached(chains []chain) int {
+	for i, h := range chains {
+		if c.parts[h] == nil {
+			return i
+		}
+	}
+	return len(chains)
+}
+
+// sent notes that the parts were read there. The last is some request's own: all the senders bring such.
+func (c *prefixCache) sent(chains []chain, parts []Part, senders int, most int64, mostParts int) {
+	if c.parts == nil {
+		c.parts, c.recent = map[chain]*list.Element{}, list.New()
+	}
+	for i := len(chains) - 1; i >= 0; i-- { // so that what others begin with goes last
+		if e := c.parts[chains[i]]; e != nil {
+			c.recent.MoveToFront(e)
+			continue
+		}
+		w := int64(max(parts[i].Tokens, 1))
+		if i == len(chains)-1 {
+			w *= int64(senders)
+		}
+		c.parts[chains[i]] = c.recent.PushFront(&kept{chains[i], w})
+		c.tokens += w
+	}
+	for c.recent.Len() > mostParts || most > 0 && c.tokens > most && c.recent.Len() > len(chains) {
+		e := c.recent.Back()
+		k := c.recent.Remove(e).(*kept)
+		delete(c.parts, k.chain)
+		c.tokens -= k.weight
+	}
+}
--- /dev/null
+++ b/internal/dispatch/choice.go
@@ -0,0 +1,298 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"wingmount/internal/view"
+)
+
+// choose picks the endpoint for a request, nil when none has room.
+func (c *core) choose(p *pool, w *waiter) (*endpoint, *run) {
+	var room []*endpoint
+	total, n := 0.0, 0
+	for _, e := range p.eps {
+		if !e.may(w) {
+			continue
+		}
+		total += e.load(c)
+		n++
+		if e.sound(c) {
+			room = append(room, e)
+		}
+	}
+	if n == 0 {
+		return nil, nil
+	}
+	if len(room) == 0 { // all are out: the least bad one is better than none
+		var least *endpoint
+		for _, e := range p.eps {
+			if e.may(w) && !e.probing && (least == nil || e.outTill < least.outTill) {
+				least = e
+			}
+		}
+		if least == nil {
+			return nil, nil
+		}
+		room = append(room, least)
+	}
+	room = slices.DeleteFunc(room, func(e *endpoint) bool { return !c.hasRoom(e, w) })
+	if len(room) == 0 {
+		return nil, nil
+	}
+	var ranks map[*endpoint]int
+	shared := 0.0
+	if len(w.chains) > 0 {
+		ranks = c.ranks(p, w)
+		for _, part := range w.r.Prefix[:sharedParts(w)] {
+			shared += float64(part.Tokens)
+		}
+	}
+	bound := c.set.LoadFactor*total/float64(n) + c.set.LoadSlack
+	base, slope := p.first.fit()
+	var best *endpoint
+	var bestRun run
+	bestCost, similar := math.Inf(1), 0
+	for _, e := range room {
+		r := run{e: e, read: float64(w.r.TokensIn)}
+		r.expected = c.toFirst(e, w, base, slope, &r.read)
+		cost := r.expected + c.preference(e, w)
+		if shared > 0 {
+			known := 0.0
+			for _, part := range w.r.Prefix[:min(e.cache.cached(w.chains), sharedParts(w))] {
+				known += float64(part.Tokens)
+			}
+			cost += c.set.Reread * slope * max(0, shared-max(known, belief(ranks[e])*shared))
+			// A home takes no more than its part, unless all are as full.
+			if l := e.load(c); l > bound && l > c.set.FreeShare*float64(e.slots()) {
+				cost += slope*shared + float64(c.set.LoadCost)/float64(time.Millisecond)*(l-bound)
+			}
+		}
+		if !c.inTime(e, w, r.expected) {
+			continue
+		}
+		const near = 0.25 // ms
+		switch {
+		case cost < bestCost-near:
+			best, bestRun, bestCost, similar = e, r, cost, 1
+		case cost <= bestCost+near: // one of those that are alike
+			similar++
+			if c.rng()*float64(similar) < 1 {
+				best, bestRun = e, r
+			}
+			bestCost = min(bestCost, cost)
+		}
+	}
+	if best == nil {
+		return nil, nil
+	}
+	return best, &bestRun
+}
+
+// may tells whether a request may go to an endpoint at all.
+func (e *endpoint) may(w *waiter) bool {
+	if e.unlisted || e.state != view.Ready || slices.Contains(w.r.Avoid, e.target.ID) {
+		return false
+	}
+	return w.r.Model == "" || len(e.models) == 0 ||
+		slices.ContainsFunc(e.models, func(m view.Model) bool { return m.Name == w.r.Model })
+}
+
+// sound tells whether an endpoint is in, or may be probed by one request.
+func (e *endpoint) sound(c *core) bool {
+	return e.outTill == 0 || c.now >= e.outTill && !e.probing
+}
+
+const slotsUnknown = 8
+
+func (e *endpoint) slots() int {
+	switch {
+	case e.capacity > 0:
+		return e.capacity
+	case e.pool.capacity > 0:
+		return e.pool.capacity
+	}
+	return slotsUnknown
+}
+
+// rest guesses how many requests of others an endpoint has: what it told last, which fades to the mean.
+func (e *endpoint) rest(c *core) float64 {
+	if !e.told {
+		return e.pool.rest.v
+	}
+	keep := math.Exp(-float64(c.now-e.toldAt) / float64(c.set.TrustLoad))
+	return e.pool.rest.v + keep*(e.others-e.pool.rest.v)
+}
+
+func (e *endpoint) load(c *core) float64 { return float64(len(e.running)) + e.rest(c) }
+
+// limit is the slice with what it has grown since it was cut.
+func (e *endpoint) limit(c *core) float64 {
+	if math.IsInf(e.slice, 1) {
+		return e.slice
+	}
+	return e.slice * math.Exp2(float64(c.now-e.cutAt)/(float64(c.set.Recover)*e.spread))
+}
+
+func (e *endpoint) ratio() float64 { return float64(e.wide.Window) / float64(e.narrow.Window) }
+
+// open checks both counts.
+func (e *endpoint) open(c *core) bool {
+	limit := e.limit(c)
+	narrow, wide := float64(e.narrow.Count(c.now)), float64(e.wide.Count(c.now))
+	if !math.IsInf(limit, 1) && limit > 4*(narrow+4) && c.now-e.cutAt > c.set.Narrow {
+		e.slice = math.Inf(1) // it has not bound for a window
+		return true
+	}
+	return narrow < limit && wide < limit*e.ratio()
+}
+
+// roomAt is when both logs have room, at the latest: a slice that grows has it sooner.
+func (e *endpoint) roomAt(c *core) Time {
+	if e.open(c) {
+		return c.now
+	}
+	limit := e.limit(c)
+	at := max(e.narrow.RoomAt(c.now, int(limit)), e.wide.RoomAt(c.now, int(limit*e.ratio())))
+	n := max(float64(e.narrow.Count(c.now)), float64(e.wide.Count(c.now))/e.ratio()) + 1e-3
+	grown := time.Duration(math.Log2(n/e.slice) * float64(c.set.Recover) * e.spread)
+	return max(c.now, min(at, e.cutAt+grown))
+}
+
+// hasRoom tells whether a request may go to an endpoint now.
+func (c *core) hasRoom(e *endpoint, w *waiter) bool {
+	if m := e.pool.maxConns; m > 0 && len(e.running) >= max(1, m*9/10/c.senders) {
+		return false
+	}
+	if c.now < e.fullTill || !e.open(c) {
+		return false
+	}
+	slots := float64(e.slots())
+	if e.fullAt > 0 && e.load(c) >= e.fullAt {
+		return false
+	}
+	if w.r.Bulk {
+		most := max(slots*(1-c.set.BulkHeadroom), 1)
+		if c.pressing(w) {
+			most = slots
+		}
+		return e.load(c)+1 <= most+1e-9
+	}
+	return e.load(c) < slots*(1+c.set.QueueInAim)
+}
+
+// pressing tells whether a bulk item falls due soon, so that it may have the headroom too.
+func (c *core) pressing(w *waiter) bool {
+	return w.due > 0 && c.now+2*time.Second > w.due
+}
+
+// toFirst guesses the ms until the first word: a slot, what is read before it, its own prompt.
+func (c *core) toFirst(e *endpoint, w *waiter, base, slope float64, read *float64) float64 {
+	for _, part := range w.r.Prefix[:e.cache.cached(w.chains)] {
+		*read -= float64(part.Tokens)
+	}
+	*read = max(*read, 0)
+	t := base + slope*(*read+e.unread())
+	t *= min(max(e.slowness.v, 0.5), 3)
+	if over := e.load(c) + 1 - float64(e.slots()); over > 0 {
+		t += over * e.pool.work.v / float64(e.slots())
+	}
+	return t
+}
+
+// unread is how many tokens of this sender's prompts are still to be read there.
+func (e *endpoint) unread() float64 {
+	n := 0.0
+	for _, r := range e.running {
+		if !r.told {
+			n += r.read
+		}
+	}
+	return n
+}
+
+// preference is what an endpoint costs beside its time, in ms.
+func (c *core) preference(e *endpoint, w *waiter) float64 {
+	ms := float64(time.Millisecond)
+	taken := e.load(c) / float64(e.slots())
+	cost := float64(c.set.LoadCost) / ms * taken * taken
+	if e.target.Zone != c.zone {
+		cost += float64(c.set.OtherZone) / ms
+	}
+	if e.coldTill > c.now {
+		cost += c.set.ColdCost * float64(e.coldTill-c.now) / ms
+	}
+	if len(e.running) > 0 { // its oldest call has no word for longer than it should
+		for _, r := range e.running {
+			if !r.told {
+				late := float64(c.now-r.sent)/ms - 3*max(r.expected, 20)
+				cost += max(0, late)
+				break
+			}
+		}
+	}
+	return cost + 10*e.score
+}
+
+// inTime tells whether an answer that takes so long is worth asking for: in the aim a long queue may be joined,
+// late only a short one, and a shorter one the less urgent the route is.
+func (c *core) inTime(e *endpoint, w *waiter, ms float64) bool {
+	if w.r.Bulk {
+		return true
+	}
+	at := c.now + time.Duration(ms*float64(time.Millisecond))
+	if at >= w.deadline {
+		return false
+	}
+	if w.due == 0 || at <= w.due {
+		return true
+	}
+	queue := c.set.QueueLate * math.Pow(0.7, float64(priority(w.r)))
+	return e.load(c) < float64(e.slots())*(1+queue)
+}
+
+// sharedParts is how many parts of a prompt others may bring too: all but the last, if there are more.
+func sharedParts(w *waiter) int { return max(len(w.r.Prefix)-1, min(len(w.r.Prefix), 1)) }
+
+// ranks orders the endpoints that a request may go to by the hash of its shared parts, the same for all senders.
+func (c *core) ranks(p *pool, w *waiter) map[*endpoint]int {
+	key := uint64(w.chains[sharedParts(w)-1])
+	type scored struct {
+		e *endpoint
+		h uint64
+	}
+	list := make([]scored, 0, len(p.eps))
+	for _, e := range p.eps {
+		if !e.unlisted && e.state == view.Ready {
+			list = append(list, scored{e, mix(key, e.hash)})
+		}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if a.h > b.h {
+			return -1
+		} else if a.h < b.h {
+			return 1
+		}
+		return 0
+	})
+	out := make(map[*endpoint]int, len(list))
+	for i, s := range list {
+		out[s.e] = i
+	}
+	return out
+}
+
+// belief is how surely shared parts that this sender has not sent to an endpoint are kept there, by its place in
+// their order: others send them there too.
+func belief(rank int) float64 {
+	switch rank {
+	case 0:
+		return 0.9
+	case 1:
+		return 0.5
+	case 2:
+		return 0.2
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/dispatch/core_test.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"wingmount/internal/operator"
+	"wingmount/internal/view"
+)
+
+// bench steps a core by hand.
+type bench struct {
+	c    *core
+	snap *view.Snapshot
+	seq  uint64
+	runs map[string]*run
+	wait map[string]*waiter
+	said []string
+}
+
+func newBench(set Settings) *bench {
+	rng := rand.New(rand.NewPCG(1, 2))
+	return &bench{c: newCore(set, "a", rng.Float64), runs: map[string]*run{}, wait: map[string]*waiter{},
+		snap: &view.Snapshot{Senders: 1, Endpoints: map[string][]*view.Endpoint{},
+			Config: &operator.Config{Services: map[string]*operator.Service{"s": {Name: "s"}}}}}
+}
+
+func (b *bench) add(ids ...string) {
+	for _, id := range ids {
+		b.snap.Endpoints["s"] = append(b.snap.Endpoints["s"],
+			&view.Endpoint{ID: id, Service: "s", Address: id + ":1", Zone: "a", Capacity: 4})
+	}
+	b.c.update(b.snap)
+}
+
+// ask steps a request in. Without Arrived, Deadline and Due of its own it has 4 s, with an aim of 400 ms.
+func (b *bench) ask(r *Request) *waiter {
+	b.seq++
+	if r.Service == "" {
+		r.Service = "s"
+	}
+	if r.Route == nil {
+		r.Route = &operator.Route{TargetMs: 400}
+	}
+	w := &waiter{r: r, seq: b.seq, deadline: b.c.now + 4*time.Second, due: b.c.now + 400*time.Millisecond}
+	if r.Bulk {
+		w.due = b.c.now + 10*time.Second
+	}
+	w.giveUp = b.c.giveUp(w, b.c.now)
+	w.done = func(w *waiter) {
+		if w.grant != nil {
+			b.runs[r.ID] = w.grant
+			b.said = append(b.said, r.ID+" to "+w.grant.target.ID)
+		} else {
+			b.said = append(b.said, r.ID+" refused")
+		}
+	}
+	b.wait[r.ID] = w
+	b.c.acquire(w)
+	return w
+}
+
+func (b *bench) pass(d time.Duration) { b.c.now += d; b.c.step() }
+
+func (b *bench) endpoint(id string) *endpoint { return b.c.endpoints[id] }
+
+var outcomes = map[string]Outcome{"served": Served, "notrun": NotRun, "wrong": WrongOne, "failed": Failed,
+	"broken": Broken, "silent": Silent, "left": Left, "unsent": Unsent}
+
+// TestStepped plays the tables of testdata.
+func TestStepped(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var b *bench
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			b = b.play(t, d)
+			said := strings.Join(b.said, "\n")
+			b.said = nil
+			return said
+		})
+	})
+}
+
+func (b *bench) play(t *testing.T, d *datadriven.TestData) *bench {
+	arg := func(key string) string {
+		for _, a := range d.CmdArgs {
+			if a.Key == key && len(a.Vals) > 0 {
+				return a.Vals[0]
+			}
+		}
+		return ""
+	}
+	number := func(key string, otherwise int) int {
+		if v := arg(key); v != "" {
+			n, err := strconv.Atoi(v)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return n
+		}
+		return otherwise
+	}
+	switch d.Cmd {
+	case "new":
+		b = newBench(Settings{})
+		b.c.senders = number("senders", 1)
+		b.snap.Senders = b.c.senders
+		b.snap.Config.Services["s"].MaxConns = number("conns", 0)
+	case "endpoint":
+		v := &view.Endpoint{ID: d.CmdArgs[0].Key, Service: "s", Zone: "a", Capacity: number("slots", 4),
+			ColdLeftMs: number("cold", 0)}
+		if z := arg("zone"); z != "" {
+			v.Zone = z
+		}
+		if m := arg("model"); m != "" {
+			v.Models = []view.Model{{Name: m}}
+		}
+		switch arg("state") {
+		case "draining":
+			v.State = view.Draining
+		case "gone":
+			v.State = view.Gone
+		}
+		list := slices.DeleteFunc(slices.Clone(b.snap.Endpoints["s"]), func(o *view.Endpoint) bool { return o.ID == v.ID })
+		b.snap.Endpoints["s"] = append(list, v)
+		b.c.update(b.snap)
+	case "remove":
+		b.snap.Endpoints["s"] = slices.DeleteFunc(slices.Clone(b.snap.Endpoints["s"]),
+			func(o *view.Endpoint) bool { return o.ID == d.CmdArgs[0].Key })
+		b.c.update(b.snap)
+	case "ask":
+		for _, a := range d.CmdArgs {
+			if len(a.Vals) > 0 {
+				continue
+			}
+			r := &Request{ID: a.Key, Model: arg("model"), Bulk: number("bulk", 0) == 1,
+				Route: &operator.Route{TargetMs: number("aim", 400), Priority: number("priority", 0)}}
+			if v := arg("avoid"); v != "" {
+				r.Avoid = strings.Split(v, "+")
+			}
+			b.ask(r)
+		}
+	case "deadline": // moves that of one in the hold
+		w := b.wait[d.CmdArgs[0].Key]
+		p := b.c.pool("s")
+		p.hold = slices.DeleteFunc(p.hold, func(o *waiter) bool { return o == w })
+		w.deadline = b.c.now + time.Duration(number("ms", 0))*time.Millisecond
+		i, _ := slices.BinarySearchFunc(p.hold, w, before)
+		p.hold = slices.Insert(p.hold, i, w)
+	case "end":
+		o := Served
+		l := Load{}
+		for name, v := range outcomes {
+			if slices.ContainsFunc(d.CmdArgs, func(a datadriven.CmdArg) bool { return a.Key == name }) {
+				o = v
+			}
+		}
+		if v := arg("load"); v != "" {
+			if _, err := fmt.Sscanf(v, "%d/%d/%d", &l.Running, &l.Waiting, &l.Slots); err != nil {
+				t.Fatal(err)
+			}
+			l.Known = true
+		}
+		for _, a := range d.CmdArgs {
+			if r := b.runs[a.Key]; r != nil && len(a.Vals) == 0 {
+				b.c.end(r, o, l)
+			}
+		}
+	case "pass":
+		left := time.Duration(number("ms", 0)) * time.Millisecond
+		for ; left > 0; left -= 5 * time.Millisecond {
+			b.pass(min(left, 5*time.Millisecond))
+		}
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"wingmount/internal/operator"
+	"wingmount/internal/view"
+)
+
+func snapshot(senders int, eps ...*view.Endpoint) *view.Snapshot {
+	return &view.Snapshot{Senders: senders, Config: &operator.Config{Services: map[string]*operator.Service{"s": {Name: "s"}}},
+		Endpoints: map[string][]*view.Endpoint{"s": eps}}
+}
+
+func request(now time.Time) *Request {
+	return &Request{Service: "s", Route: &operator.Route{TargetMs: 400}, Arrived: now,
+		Deadline: now.Add(time.Minute), Due: now.Add(400 * time.Millisecond)}
+}
+
+func TestAcquireGrants(t *testing.T) {
+	h := &view.Holder{}
+	h.Set(snapshot(1, &view.Endpoint{ID: "e1", Address: "x:1", Zone: "a", Capacity: 2}))
+	d := New(Options{Zone: "a", Holder: h})
+	defer d.Close()
+	g, err := d.Acquire(context.Background(), request(time.Now()))
+	if err != nil || g.Endpoint() != (Target{ID: "e1", Address: "x:1", Service: "s", Zone: "a"}) {
+		t.Fatalf("%v %v", g, err)
+	}
+	g.First(Load{Running: 1, Slots: 2, Known: true})
+	g.End(Served, Load{})
+	g.End(Served, Load{}) // once more has no effect
+	if n := len(d.core.endpoints["e1"].running); n != 0 {
+		t.Errorf("%d still run", n)
+	}
+}
+
+func TestAcquireLeavesTheHoldWithItsContext(t *testing.T) {
+	d := New(Options{Zone: "a"})
+	defer d.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	r := request(time.Now())
+	r.Bulk = true
+	cancelled := make(chan error)
+	go func() {
+		_, err := d.Acquire(ctx, r)
+		cancelled <- err
+	}()
+	cancel()
+	if err := <-cancelled; !errors.Is(err, context.Canceled) {
+		t.Errorf("%v", err)
+	}
+	if d.core.held != 0 {
+		t.Error("it is still held")
+	}
+}
+
+func TestHeldBulkGoesWhenAnEndpointComes(t *testing.T) {
+	d := New(Options{Zone: "a"})
+	defer d.Close()
+	r := request(time.Now())
+	r.Bulk = true
+	granted := make(chan string)
+	go func() {
+		g, err := d.Acquire(context.Background(), r)
+		if err != nil {
+			granted <- err.Error()
+			return
+		}
+		granted <- g.Endpoint().ID
+	}()
+	d.Update(snapshot(1, &view.Endpoint{ID: "e1", Zone: "a", Capacity: 2}))
+	if got := <-granted; got != "e1" {
+		t.Error(got)
+	}
+}
+
+func TestCloseRefusesWhatWaitsAndComes(t *testing.T) {
+	d := New(Options{Zone: "a"})
+	r := request(time.Now())
+	r.Bulk = true
+	answer := make(chan error)
+	go func() {
+		_, err := d.Acquire(context.Background(), r)
+		answer <- err
+	}()
+	d.Close()
+	var refused *Refused
+	if err := <-answer; !errors.As(err, &refused) {
+		t.Errorf("%v", err)
+	}
+	if _, err := d.Acquire(context.Background(), r); !errors.As(err, &refused) {
+		t.Errorf("after the close: %v", err)
+	}
+}
+
+// TestMany lets many ask at once, for the race detector.
+func TestMany(t *testing.T) {
+	d := New(Options{Zone: "a"})
+	defer d.Close()
+	var eps []*view.Endpoint
+	for _, id := range []string{"e1", "e2", "e3"} {
+		eps = append(eps, &view.Endpoint{ID: id, Zone: "a", Capacity: 8})
+	}
+	d.Update(snapshot(2, eps...))
+	var all sync.WaitGroup
+	for i := range 16 {
+		all.Go(func() {
+			for j := range 200 {
+				r := request(time.Now())
+				r.Bulk = i%2 == 0
+				g, err := d.Acquire(context.Background(), r)
+				if err != nil {
+					continue
+				}
+				if j%7 == 0 {
+					d.Update(snapshot(1+j%3, eps...))
+				}
+				g.First(Load{Running: 1, Slots: 8, Known: true})
+				g.End([]Outcome{Served, Left}[j%2], Load{})
+			}
+		})
+	}
+	all.Wait()
+	for id, e := range d.core.endpoints {
+		if len(e.running) != 0 {
+			t.Errorf("%d run at %s", len(e.running), id)
+		}
+	}
+	if d.core.held != 0 {
+		t.Errorf("%d are held", d.core.held)
+	}
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	d := New(Options{Zone: "a"})
+	var eps []*view.Endpoint
+	for i := range 18 {
+		eps = append(eps, &view.Endpoint{ID: string(rune('a' + i)), Zone: "a", Capacity: 24})
+	}
+	d.Update(snapshot(10, eps...))
+	r := request(time.Now().Add(time.Hour))
+	r.Prefix = []Part{{1, 10000}, {2, 3300}, {3, 3720}}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Prefix[2].ID++
+		g, err := d.Acquire(context.Background(), r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		g.First(Load{Running: 1, Slots: 24, Known: true})
+		g.End(Served, Load{})
+	}
+}
--- a/internal/sendlog/sendlog.go
+++ b/internal/sendlog/sendlog.go
@@ -14,6 +14,7 @@
 type Log struct {
 	Window time.Duration
 	Times  []Time
+	Most   int // entries that are kept: beyond it the oldest goes; 0: no bound
 }
 
 // Count drops the entries that are a window old and tells how many are left.
@@ -32,7 +33,21 @@
 }
 
 // Record puts a send in. Times do not go back.
-func (l *Log) Record(now Time) { l.Times = append(l.Times, now) }
+func (l *Log) Record(now Time) {
+	if l.Most > 0 && len(l.Times) >= l.Most {
+		l.Times = l.Times[len(l.Times)-l.Most+1:]
+	}
+	l.Times = append(l.Times, now)
+}
+
+// RoomAt tells from when on fewer than limit entries count.
+func (l *Log) RoomAt(now Time, limit int) Time {
+	n := l.Count(now)
+	if n < limit || n == 0 {
+		return now
+	}
+	return l.Times[n-max(limit, 1)] + l.Window
+}
 
 // Forget takes one send out again.
 func (l *Log) Forget(at Time) {
--- a/internal/sendlog/sendlog_test.go
+++ b/internal/sendlog/sendlog_test.go
@@ -31,3 +31,30 @@
 		}
 	}
 }
+
+func TestMostBoundsTheLog(t *testing.T) {
+	l := Log{Window: time.Minute, Most: 3}
+	for i := range 10 {
+		l.Record(Time(i))
+	}
+	if n := l.Count(10); n != 3 || l.Times[0] != 7 {
+		t.Errorf("%d entries are left from %v on, want the last 3", n, l.Times[0])
+	}
+}
+
+func TestRoomAt(t *testing.T) {
+	l := Log{Window: 5}
+	if at := l.RoomAt(1, 1); at != 1 {
+		t.Errorf("an empty log has room at %v, want now", at)
+	}
+	for limit, want := range map[int]Time{0: 8, 1: 8, 2: 7, 3: 6, 4: 3} {
+		l := Log{Window: 5, Times: []Time{1, 2, 3}}
+		at := l.RoomAt(3, limit)
+		if at != want {
+			t.Errorf("room under %d at %v, want %v", limit, at, want)
+		}
+		if limit < 4 && l.Count(at-1) < limit {
+			t.Errorf("under %d there was room sooner", limit)
+		}
+	}
+}
