Batch: stores with a primary and copies a part, quota owners, edge calls and the worker

Cause: batch jobs need a keeper. Change: internal/batch has the store (a pure core and a shell with links and group commit), placing (Assign, Switch, Retire), the quota of a route by one owner, the edge's calls and the worker; view.Part has Leaving. Result: a job is taken, run, read and ended over real links in TestOverLinks; takeover is written but not tested yet.

--- /dev/null
+++ b/internal/batch/assign.go
@@ -0,0 +1,344 @@
+package batch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"wingmount/internal/view"
+)
+
+// nextCopies is the group of a part once those that join have all and those that leave are gone.
+func nextCopies(row *view.Part) []uint64 {
+	next := slices.DeleteFunc(slices.Clone(row.Copies), func(id uint64) bool { return slices.Contains(row.Leaving, id) })
+	for _, id := range row.Joining {
+		if !slices.Contains(next, id) {
+			next = append(next, id)
+		}
+	}
+	return next
+}
+
+func cloneTable(t *view.Table) *view.Table {
+	n := &view.Table{Number: t.Number + 1, Parts: slices.Clone(t.Parts), Stores: maps.Clone(t.Stores), Retiring: maps.Clone(t.Retiring)}
+	if n.Stores == nil {
+		n.Stores = map[uint64]view.Store{}
+	}
+	if n.Retiring == nil {
+		n.Retiring = map[uint64]bool{}
+	}
+	return n
+}
+
+// Switch is the table in which a part's next group is its group. Its primary, leading under that epoch, has said
+// that the next group has all. False: the table has moved on.
+func Switch(cur *view.Table, part int, epoch uint64) (*view.Table, bool) {
+	if cur == nil || part < 0 || part >= len(cur.Parts) || cur.Parts[part].Epoch != epoch {
+		return cur, false
+	}
+	if row := &cur.Parts[part]; len(row.Joining)+len(row.Leaving) == 0 || slices.Contains(row.Leaving, row.Primary) {
+		return cur, false
+	}
+	next := cloneTable(cur)
+	row := &next.Parts[part]
+	row.Copies, row.Joining, row.Leaving = nextCopies(row), nil, nil
+	row.Epoch++
+	return next, true
+}
+
+// assigner has what Assign looks at.
+type assigner struct {
+	f         int
+	alive     map[uint64]view.Store
+	lost      func(uint64) bool
+	next      *view.Table
+	copies    map[uint64]int // parts held or to be held
+	primaries map[uint64]int
+}
+
+// usable tells whether a store may get something new to hold.
+func (a *assigner) usable(id uint64) bool {
+	_, ok := a.alive[id]
+	return ok && !a.lost(id) && !a.next.Retiring[id]
+}
+
+// Assign says how the parts should be placed. Alive are the stores that are heard of; lost tells of a store that it has
+// been away for so long that others should take its place. Every change of a part has a new epoch. The first table needs
+// f+2 stores, or as many as there are, so the caller asks for it when all that start together have been heard of.
+func Assign(cur *view.Table, alive []view.Store, lost func(id uint64) bool, parts, f int) (*view.Table, bool) {
+	if cur == nil {
+		cur = &view.Table{}
+	}
+	a := &assigner{f: f, alive: map[uint64]view.Store{}, next: cloneTable(cur), copies: map[uint64]int{}, primaries: map[uint64]int{}}
+	names := map[string]uint64{}
+	for _, s := range alive {
+		a.alive[s.ID] = s
+		names[s.Name] = s.ID
+	}
+	a.lost = func(id uint64) bool {
+		if now, ok := names[cur.Stores[id].Name]; ok && now != id && a.alive[id].ID != id {
+			return true // its disk was emptied
+		}
+		return lost(id)
+	}
+	changed := false
+	for _, s := range alive {
+		if cur.Stores[s.ID] != s {
+			a.next.Stores[s.ID] = s
+			changed = true
+		}
+	}
+	if len(a.next.Parts) == 0 {
+		usable := 0
+		for id := range a.alive {
+			if a.usable(id) {
+				usable++
+			}
+		}
+		if usable < f+1 {
+			return cur, false
+		}
+		a.next.Parts = make([]view.Part, parts)
+		for i := range a.next.Parts {
+			row := &a.next.Parts[i]
+			row.Epoch = 1
+			for len(row.Copies) < f+2 {
+				id := a.pick(row.Copies)
+				if id == 0 {
+					break
+				}
+				row.Copies = append(row.Copies, id)
+				a.copies[id]++
+			}
+			row.Primary = a.leader(row)
+			a.primaries[row.Primary]++
+		}
+		return a.next, true
+	}
+	for i := range a.next.Parts {
+		row := &a.next.Parts[i]
+		a.primaries[row.Primary]++
+		for _, id := range nextCopies(row) {
+			a.copies[id]++
+		}
+	}
+	for i := range a.next.Parts {
+		changed = a.part(&a.next.Parts[i]) || changed
+	}
+	if !changed {
+		changed = a.balance()
+	}
+	used := map[uint64]bool{}
+	for i := range a.next.Parts {
+		row := &a.next.Parts[i]
+		for _, ids := range [][]uint64{row.Copies, row.Joining} {
+			for _, id := range ids {
+				used[id] = true
+			}
+		}
+	}
+	for id := range a.next.Stores {
+		if _, ok := a.alive[id]; !ok && !used[id] && a.lost(id) && !a.next.Retiring[id] {
+			delete(a.next.Stores, id)
+			changed = true
+		}
+	}
+	if !changed {
+		return cur, false
+	}
+	return a.next, true
+}
+
+// full are the copies that are there.
+func (a *assigner) full(row *view.Part) (n int) {
+	for _, id := range row.Copies {
+		if _, ok := a.alive[id]; ok && !a.lost(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// part brings one part on its way.
+func (a *assigner) part(row *view.Part) bool {
+	old := *row
+	row.Joining, row.Leaving = slices.Clone(row.Joining), slices.Clone(row.Leaving)
+	_, there := a.alive[row.Primary]
+	if bad := !there && a.lost(row.Primary) || a.lost(row.Primary) || a.next.Retiring[row.Primary]; bad && a.full(row) >= max(len(row.Copies)-a.f, 1) {
+		if id := a.leader(row); id != 0 && id != row.Primary {
+			a.primaries[row.Primary]--
+			a.primaries[id]++
+			row.Primary = id
+		}
+	}
+	// Which copies should go, and how many are wanted for them.
+	var leaving []uint64
+	usable := 0
+	for id := range a.alive {
+		if a.usable(id) {
+			usable++
+		}
+	}
+	for _, id := range row.Copies {
+		if id != row.Primary && (a.lost(id) || a.next.Retiring[id]) {
+			leaving = append(leaving, id)
+		}
+	}
+	want := min(a.f+2, usable)
+	stay := len(row.Copies) - len(leaving)
+	joining := slices.DeleteFunc(slices.Clone(row.Joining), func(id uint64) bool { return !a.usable(id) && a.gone(id) })
+	need := max(want-stay, 0)
+	if len(joining) > need {
+		joining = joining[:need]
+	}
+	for len(joining) < need {
+		id := a.pick(append(slices.Clone(row.Copies), joining...))
+		if id == 0 {
+			break
+		}
+		joining = append(joining, id)
+		a.copies[id]++
+	}
+	// Nobody goes while too few would be left. Of those that are only lost, as many stay in the group as are not
+	// replaced, since they may come back.
+	for len(leaving) > 0 && stay+len(joining) < max(a.f+1, min(want, len(row.Copies))) {
+		keep := leaving[len(leaving)-1]
+		for _, id := range leaving {
+			if !a.next.Retiring[id] {
+				keep = id
+			}
+		}
+		leaving = slices.DeleteFunc(leaving, func(id uint64) bool { return id == keep })
+		stay++
+	}
+	row.Joining, row.Leaving = joining, leaving
+	if len(row.Joining) == 0 {
+		row.Joining = nil
+	}
+	if len(row.Leaving) == 0 {
+		row.Leaving = nil
+	}
+	if old.Primary == row.Primary && slices.Equal(old.Joining, row.Joining) && slices.Equal(old.Leaving, row.Leaving) {
+		*row = old
+		return false
+	}
+	row.Epoch++
+	return true
+}
+
+// gone: not only silent for a moment.
+func (a *assigner) gone(id uint64) bool { return a.lost(id) || a.next.Retiring[id] }
+
+// pick is the store with the least to hold, in a zone where none of the others is if there is one.
+func (a *assigner) pick(others []uint64) (best uint64) {
+	zones := map[string]int{}
+	for _, id := range others {
+		zones[a.next.Stores[id].Zone]++
+	}
+	ids := slices.Sorted(maps.Keys(a.alive))
+	less := func(x, y uint64) bool {
+		if d := cmp.Compare(zones[a.alive[x].Zone], zones[a.alive[y].Zone]); d != 0 {
+			return d < 0
+		}
+		return a.copies[x] < a.copies[y]
+	}
+	for _, id := range ids {
+		if a.usable(id) && !slices.Contains(others, id) && (best == 0 || less(id, best)) {
+			best = id
+		}
+	}
+	return best
+}
+
+// leader is the copy that is there and leads the fewest parts; one that retires only if there is no other.
+func (a *assigner) leader(row *view.Part) (best uint64) {
+	for _, retiring := range []bool{false, true} {
+		for _, id := range row.Copies {
+			if _, ok := a.alive[id]; !ok || a.lost(id) || a.next.Retiring[id] != retiring {
+				continue
+			}
+			if best == 0 || a.primaries[id] < a.primaries[best] {
+				best = id
+			}
+		}
+		if best != 0 {
+			return best
+		}
+	}
+	return 0
+}
+
+// balance moves the lead of one part from the store that leads most to one that leads two fewer, in calm times.
+func (a *assigner) balance() bool {
+	for i := range a.next.Parts {
+		row := &a.next.Parts[i]
+		if len(row.Joining)+len(row.Leaving) > 0 || a.full(row) < len(row.Copies) {
+			return false
+		}
+	}
+	for i := range a.next.Parts {
+		row := &a.next.Parts[i]
+		id := a.leader(row)
+		if id != 0 && a.primaries[row.Primary] > a.primaries[id]+1 {
+			row.Primary = id
+			row.Epoch++
+			return true
+		}
+	}
+	return false
+}
+
+// Retired tells how far the retiring of a store by this name is: known tells whether there is such a store, finished
+// whether nothing depends on it any more.
+func Retired(t *view.Table, name string, f int) (known, finished bool) {
+	if t == nil {
+		return false, false
+	}
+	finished = true
+	for id, s := range t.Stores {
+		if s.Name != name {
+			continue
+		}
+		known = true
+		if !t.Retiring[id] {
+			finished = false
+		}
+		for i := range t.Parts {
+			row := &t.Parts[i]
+			if slices.Contains(row.Copies, id) || slices.Contains(row.Joining, id) || len(row.Copies) < f+1 {
+				finished = false
+			}
+		}
+	}
+	return known, known && finished
+}
+
+// Retire is the table in which a store is to be emptied. Few: too few would be left.
+func Retire(cur *view.Table, name string, alive []view.Store, lost func(id uint64) bool, f int) (next *view.Table, known, few bool) {
+	if cur == nil {
+		return cur, false, false
+	}
+	next = cloneTable(cur)
+	left, retires := 0, false
+	for id, s := range cur.Stores {
+		if s.Name == name {
+			known = true
+			retires = retires || !cur.Retiring[id]
+			next.Retiring[id] = true
+		}
+	}
+	for _, s := range alive {
+		if !lost(s.ID) && !next.Retiring[s.ID] {
+			left++
+		}
+	}
+	switch {
+	case !known:
+		return cur, false, false
+	case !retires:
+		return cur, true, false // under way
+	case left < f+1:
+		return cur, true, true
+	}
+	return next, true, false
+}
--- /dev/null
+++ b/internal/batch/batch_test.go
@@ -0,0 +1,160 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wingmount/internal/link"
+	"wingmount/internal/operator"
+	"wingmount/internal/view"
+)
+
+// memLog is a log in memory.
+type memLog struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+func (l *memLog) Append(b []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := int64(len(l.data))
+	l.data = append(l.data, b...)
+	return at, nil
+}
+
+func (l *memLog) ReadAt(at int64, n int) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at < 0 || at+int64(n) > int64(len(l.data)) {
+		return nil, errors.New("outside")
+	}
+	return append([]byte(nil), l.data[at:at+int64(n)]...), nil
+}
+
+func (l *memLog) Rewrite(fn func(add func([]byte) (int64, error)) error) error {
+	next := &memLog{}
+	if err := fn(next.Append); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.data = next.data
+	return nil
+}
+
+func (l *memLog) Size() int64 { return int64(len(l.data)) }
+
+func (l *memLog) SyncTo(int64) error { return nil }
+
+// echo is a runner whose text is the item's body, an event a byte.
+type echo struct{ breakAt int }
+
+func (e *echo) Run(_ context.Context, it *Item, last string, event func(string, []byte)) Result {
+	if !it.MayStart() {
+		return Result{End: NotRun}
+	}
+	from := 0
+	if last != "" {
+		_, _ = fmt.Sscan(last, &from)
+	}
+	for i := from; i < len(it.Body); i++ {
+		if from == 0 && i == e.breakAt && e.breakAt > 0 {
+			return Result{End: Broken}
+		}
+		event(fmt.Sprint(i+1), it.Body[i:i+1])
+	}
+	return Result{End: Done}
+}
+
+func bulkConfig(most int64) *operator.Config {
+	return &operator.Config{Version: 1, Routes: []operator.Route{{Name: "b", Host: "h.example", PathStart: "/b/", Kind: operator.Bulk, DueMs: 5000, Tries: 2, MaxWaitMs: 60000, MaxQueued: most}}}
+}
+
+// TestOverLinks hands in a job, runs it and reads it over real connections.
+func TestOverLinks(t *testing.T) {
+	var stores []*Store
+	var all []view.Store
+	var mu sync.Mutex
+	holder := &view.Holder{}
+	publish := func(tab *view.Table) {
+		s := &view.Snapshot{Config: bulkConfig(1000), Table: tab}
+		holder.Set(s)
+		for _, st := range stores {
+			st.Update(s)
+		}
+	}
+	for i := range 3 {
+		st, err := NewStore(StoreOptions{Zone: "z", MachinesLost: 1, KeepMs: 60000,
+			Open:  func(func([]byte, int64) error) (Log, error) { return &memLog{}, nil },
+			Ready: func(int, uint64) {}, Logf: t.Logf})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer st.Close()
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() { _ = link.Serve(l, st, link.DefaultOptions) }()
+		stores = append(stores, st)
+		all = append(all, view.Store{ID: st.ID(), Name: fmt.Sprint("s", i), Addr: l.Addr().String(), Zone: fmt.Sprint("z", i)})
+	}
+	mu.Lock()
+	tab, ok := Assign(nil, all, func(uint64) bool { return false }, 8, 1)
+	mu.Unlock()
+	if !ok {
+		t.Fatal("no table")
+	}
+	publish(tab)
+	e := NewEdge(EdgeOptions{Views: holder, Name: "p", Zone: "z", Runner: &echo{breakAt: 2}, Logf: t.Logf})
+	defer e.Close()
+	e.SetLimit(6)
+	call := func(method, path, query string, header map[string]string, body string) Answer {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		return e.Serve(ctx, &Call{Method: method, Host: "h.example", Path: path, Query: query, Body: []byte(body), Header: func(n string) string { return header[n] }})
+	}
+	post := func(id string, tokens int) Answer {
+		return call("POST", "/b/x", "", map[string]string{"X-Dunetide-Request-Id": id},
+			fmt.Sprintf(`{"requests":[{"id":"i1","path":"/b/1","headers":{"A":"b"},"body":"aGVsbG8=","tokens":%d},{"id":"i2","path":"/b/2","headers":{},"body":"eW91","tokens":5}]}`, tokens))
+	}
+	if a := post("j1", 40); a.Status != 202 {
+		t.Fatalf("accept: %+v", a)
+	}
+	if a := post("j1", 40); a.Status != 202 {
+		t.Fatalf("accept again: %+v", a)
+	}
+	if a := post("j2", 2000); a.Status != 429 {
+		t.Fatalf("accept too much: %+v", a)
+	}
+	for range 2 {
+		a := call("GET", "/lots/j1", "start_after=1", map[string]string{"X-Dunetide-Wait-Ms": "3000"}, "")
+		if a.Status != 200 {
+			t.Fatalf("read: %+v", a)
+		}
+		t.Logf("%s", a.Body)
+	}
+	a := call("GET", "/lots/j1", "start_after=0", nil, "")
+	if want := "h\\ne\\nl\\nl\\no"; a.Status != 200 || !strings.Contains(string(a.Body), want) || !strings.Contains(string(a.Body), "y\\no\\nu") {
+		t.Fatalf("read all: %d %s", a.Status, a.Body)
+	}
+	if a := call("GET", "/lots/none", "", nil, ""); a.Status != 404 {
+		t.Fatalf("read none: %+v", a)
+	}
+	if a := call("GET", "/items/j1", "id=i1", nil, ""); a.Status != 200 || string(a.Body) != "hello" {
+		t.Fatalf("body: %+v", a)
+	}
+	for range 2 {
+		if a := call("DELETE", "/lots/j1", "", nil, ""); a.Status != 200 {
+			t.Fatalf("end: %+v", a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/store.go
@@ -0,0 +1,264 @@
+package batch
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"time"
+
+	"wingmount/internal/link"
+	"wingmount/internal/view"
+)
+
+// Log is where a store keeps what it has: internal/record's.
+type Log interface {
+	Disk
+	// SyncTo returns when the record at that place, and all before it, are durable.
+	SyncTo(at int64) error
+}
+
+// StoreOptions say what a store is.
+type StoreOptions struct {
+	// Open opens the log and replays what it holds.
+	Open func(replay func(payload []byte, at int64) error) (Log, error)
+	Zone string
+	// MachinesLost is how many may be lost at once (survive.machines).
+	MachinesLost int
+	// KeepMs is how long a job stays after it was sent (bounds.status_every_s).
+	KeepMs int64
+	// RoomBytes is what the log may take of the disk; 0: no limit.
+	RoomBytes int64
+	// Ready is called, again and again, when the next group of a part has all of it: Switch belongs into the register.
+	// It must not block.
+	Ready func(part int, epoch uint64)
+	Logf  func(format string, args ...any)
+}
+
+// Store keeps batch jobs. It is the link.Handler of the connections that others open to it.
+type Store struct {
+	core  *core
+	log   Log
+	pool  *pool
+	start time.Time
+	wake  chan struct{}
+	done  chan struct{}
+	err   error
+
+	mu     sync.Mutex
+	queue  []func()
+	closed bool
+
+	syncMu   sync.Mutex
+	syncWake chan struct{}
+	syncN    uint64
+	syncAt   int64
+}
+
+// lastAt notes where the last record lies, for the sync.
+type noting struct {
+	Log
+	s *Store
+}
+
+func (n noting) Append(b []byte) (int64, error) {
+	at, err := n.Log.Append(b)
+	if err == nil {
+		n.s.syncMu.Lock()
+		n.s.syncAt = at
+		n.s.syncN++
+		n.s.syncMu.Unlock()
+		select {
+		case n.s.syncWake <- struct{}{}:
+		default:
+		}
+	}
+	return at, err
+}
+
+// NewStore opens a store's log and begins to serve. An empty disk gets a new identity.
+func NewStore(o StoreOptions) (*Store, error) {
+	s := &Store{start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), syncWake: make(chan struct{}, 1)}
+	c := newCore(0, nil)
+	s.core = c
+	c.zone, c.most, c.keep, c.room, c.logf = o.Zone, o.MachinesLost, o.KeepMs, o.RoomBytes, o.Logf
+	if o.Ready != nil {
+		c.ready = o.Ready
+	}
+	c.fail = func(err error) { s.end(fmt.Errorf("the log of batch jobs: %w", err)) }
+	log, err := o.Open(c.replay)
+	if err != nil {
+		return nil, err
+	}
+	s.log = log
+	c.disk = noting{log, s}
+	if c.self == 0 {
+		var b [8]byte
+		for c.self == 0 {
+			if _, err := rand.Read(b[:]); err != nil {
+				return nil, err
+			}
+			c.self = binary.BigEndian.Uint64(b[:]) >> 1
+		}
+		c.append(encodeRec(recID, 0, c.self))
+	} else {
+		c.append(encodeRec(recID, 0, c.self)) // so that all that was replayed is durable with it
+	}
+	if c.dead {
+		return nil, s.err
+	}
+	if err := log.SyncTo(s.syncAt); err != nil {
+		return nil, err
+	}
+	c.synced(c.appended)
+	s.pool = &pool{to: map[uint64]*dialled{},
+		up:      func(id uint64, conn *link.Conn) { s.do(func() { c.peerUp(id, conn) }) },
+		down:    func(id uint64, conn *link.Conn) { s.do(func() { c.peerDown(id, conn) }) },
+		message: func(_ uint64, m *link.Message) { s.Message(m) },
+	}
+	go s.run()
+	go s.syncLoop()
+	return s, nil
+}
+
+// ID is the identity on this disk.
+func (s *Store) ID() uint64 { return s.core.self }
+
+// Update hands over a newer view. The table in it is the newest that is agreed.
+func (s *Store) Update(v *view.Snapshot) {
+	if v == nil {
+		return
+	}
+	s.do(func() {
+		if v.Config != nil && (s.core.config == nil || v.Config.Version >= s.core.config.Version) {
+			s.core.config = v.Config
+		}
+		s.core.setTable(v.Table)
+	})
+	if v.Table != nil {
+		s.pool.set(v.Table.Stores, s.core.self)
+	}
+}
+
+// Done is closed when the store can't go on; Err tells why.
+func (s *Store) Done() <-chan struct{} { return s.done }
+
+// Err is why the store ended.
+func (s *Store) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
+// Close ends it.
+func (s *Store) Close() { s.end(nil) }
+
+func (s *Store) end(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.closed, s.err = true, err
+		close(s.done)
+		if s.pool != nil {
+			go s.pool.close()
+		}
+	}
+}
+
+// Message takes what a peer sends.
+func (s *Store) Message(m *link.Message) {
+	if m.Kind == kHello {
+		m.Reply(binary.BigEndian.AppendUint64(nil, s.core.self))
+		return
+	}
+	s.do(func() {
+		var call Caller
+		if m.Wants() {
+			call = m
+		}
+		s.core.message(m.Conn, call, m.Kind, m.Body)
+	})
+}
+
+// Closed ends what hung on a connection.
+func (s *Store) Closed(c *link.Conn) { s.do(func() { s.core.pipeClosed(c) }) }
+
+// Handles tells whether a kind of message is one of batch jobs.
+func Handles(k link.Kind) bool { return k >= kHello && k <= kUsageAsk }
+
+func (s *Store) do(fn func()) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.queue = append(s.queue, fn)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run is the only goroutine that touches the core.
+func (s *Store) run() {
+	timer := time.NewTimer(200 * time.Millisecond)
+	defer timer.Stop()
+	next := time.Now()
+	for {
+		select {
+		case <-s.wake:
+		case <-timer.C:
+		case <-s.done:
+			return
+		}
+		s.mu.Lock()
+		todo := s.queue
+		s.queue = nil
+		s.mu.Unlock()
+		for _, fn := range todo {
+			s.clock()
+			fn()
+		}
+		s.clock()
+		pause := 250 * time.Millisecond
+		if s.core.busy() {
+			pause = 25 * time.Millisecond
+		}
+		if now := time.Now(); !now.Before(next) || now.Add(pause).Before(next) {
+			s.core.tick()
+			next = now.Add(pause)
+			timer.Reset(pause)
+		}
+	}
+}
+
+func (s *Store) clock() {
+	now := time.Now()
+	s.core.now = now.Sub(s.start).Milliseconds() + 1
+	s.core.wall = now.UnixMilli()
+}
+
+// syncLoop syncs what was appended, all that waits at once.
+func (s *Store) syncLoop() {
+	var last uint64
+	for {
+		select {
+		case <-s.syncWake:
+		case <-s.done:
+			return
+		}
+		s.syncMu.Lock()
+		n, at := s.syncN, s.syncAt
+		s.syncMu.Unlock()
+		if n == last {
+			continue
+		}
+		last = n
+		if err := s.log.SyncTo(at); err != nil {
+			s.end(fmt.Errorf("syncing the log of batch jobs: %w", err))
+			return
+		}
+		s.do(func() { s.core.synced(n); s.core.dispatch() })
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -50,8 +50,9 @@
 type Part struct {
 	Epoch   uint64
 	Primary uint64   // the store's ID; 0: none
-	Copies  []uint64 // with the primary; each holds, or is being handed, all of the part
+	Copies  []uint64 // with the primary; what is promised is on f+1 of them
 	Joining []uint64 // are being handed the part, and do not count yet
+	Leaving []uint64 // copies that go when those that join have all
 }
 
 // Table says which stores hold which part.
