Links: what is written is never what is being filled

Cause: a wake-up with nothing to write made the spare buffer both the one that is filled and, at the next turn, the one that is written; the race detector found it in internal/batch's TestOverLinks, where a text came with other bytes. Change: the spare is taken out of its place. Result: that test passes five times under the race detector.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -267,7 +267,7 @@
 		}
 		c.mu.Lock()
 		b := c.out
-		c.out = c.spare[:0]
+		c.out, c.spare = c.spare[:0], nil // never both: a wake-up with nothing to write would write what is being filled
 		c.mu.Unlock()
 		if len(b) == 0 {
 			continue
