--- a/cmd/dunetide/keeper.go
+++ b/cmd/dunetide/keeper.go
@@ -25,7 +25,6 @@
 	if err != nil {
 		return err
 	}
-	defer members.Close()
 	var folder journal.Folder
 	if p.settings.DataDir != "" {
 		if folder, err = p.dataFolder(); err != nil {
--- /dev/null
+++ b/cmd/dunetide/members.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"wingmount/internal/control"
+	"wingmount/internal/journal"
+	"wingmount/internal/membership"
+)
+
+// members is the process's partial view of the others.
+type members struct{ service *membership.Service }
+
+// addr is where a role's links and datagrams are on this machine.
+func (p *process) addr(port int) string {
+	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.InternalFirst+port))
+}
+
+// join starts the process's part in membership.
+func (p *process) join(role string, port int) (*members, error) {
+	at, err := net.ResolveUDPAddr("udp4", p.addr(port))
+	if err != nil {
+		return nil, errUsage.New("ip and internal_ports: %v", err)
+	}
+	conn, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return nil, fmt.Errorf("membership: %w", err)
+	}
+	s := p.settings
+	self := membership.Peer{Name: s.NodeName, Role: role, Zone: s.Zone, Addr: p.addr(port), Life: uint64(time.Now().UnixNano())}
+	service, err := membership.Start(p.ctx, conn, membership.Options{Self: self, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		control.SeedLinks(s.Seeds, s.InternalFirst+keeperPort))
+	if err != nil {
+		return nil, err
+	}
+	return &members{service}, nil
+}
+
+// keepers are those that the view knows of.
+func (m *members) keepers() []control.Node {
+	var nodes []control.Node
+	for _, peer := range m.service.Keepers() {
+		nodes = append(nodes, control.Node{Name: peer.Name, Role: control.RoleKeeper, Zone: peer.Zone, Addr: peer.Addr, Life: peer.Life})
+	}
+	return nodes
+}
+
+// dataFolder is where the role keeps what must last.
+func (p *process) dataFolder() (journal.Folder, error) {
+	return journal.Dir(p.settings.DataDir), nil
+}
--- /dev/null
+++ b/cmd/dunetide/proxy.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"wingmount/internal/control"
+	"wingmount/internal/dispatch"
+	"wingmount/internal/forward"
+	"wingmount/internal/operator"
+	"wingmount/internal/view"
+)
+
+type proxyCmd struct{}
+
+// Run serves the role until the process is told to stop, and then what is under way.
+func (proxyCmd) Run(c *cli) error {
+	p, err := start(c, control.RoleProxy)
+	if err != nil {
+		return err
+	}
+	s := p.settings
+	members, err := p.join(control.RoleProxy, proxyPort)
+	if err != nil {
+		return err
+	}
+	holder := &view.Holder{}
+	admission := dispatch.New(dispatch.Options{Zone: s.Zone, Holder: holder})
+	defer admission.Close()
+	jobs := newJobs(p, holder)
+	proxy := forward.New(forward.Options{Holder: holder, Admission: admission, Log: p.log,
+		Match: func(c *operator.Config, host, path string) *operator.Route { return c.Match(host, path) },
+		Bulk:  jobs.serve,
+		Ready: func() bool {
+			snap := holder.Get()
+			return snap != nil && snap.Config != nil && snap.Listed
+		}})
+	jobs.work(proxy)
+	client := control.NewClient(control.ClientOptions{Self: control.Node{Name: s.NodeName, Role: control.RoleProxy, Zone: s.Zone,
+		Life: uint64(time.Now().UnixNano())}, Seeds: control.SeedLinks(s.Seeds, s.InternalFirst+keeperPort), Known: members.keepers,
+		Endpoints: true, Holder: holder, Log: p.log, Changed: func(snap *view.Snapshot) { admission.Update(snap); jobs.update(snap) }})
+	// The links outlast the signal: what is under way still has to know of drains.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	front, err := net.Listen("tcp4", s.Front)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp4", s.Ready)
+	if err != nil {
+		return err
+	}
+	readyServer := &http.Server{Handler: http.HandlerFunc(proxy.ServeReady), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second}
+	wg.Add(3)
+	go func() { defer wg.Done(); client.Run(ctx) }()
+	go func() {
+		defer wg.Done()
+		if err := readyServer.Serve(ready); !errors.Is(err, http.ErrServerClosed) {
+			p.log.Error("readiness not served", "err", err)
+		}
+	}()
+	go func() {
+		defer wg.Done()
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				proxy.Tidy()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	served := make(chan error, 1)
+	go func() { served <- proxy.Server().Serve(front) }()
+	select {
+	case err = <-served:
+	case <-p.ctx.Done():
+		p.log.Info("stopping")
+		jobs.stop()
+		err = proxy.Shutdown(s.Bounds.Grace - 500*time.Millisecond)
+	}
+	cancel()
+	_ = readyServer.Close()
+	return err
+}
--- /dev/null
+++ b/cmd/dunetide/runner.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"wingmount/internal/batch"
+	"wingmount/internal/forward"
+	"wingmount/internal/view"
+)
+
+// again is when an item that no endpoint has run comes again.
+const again = 200 * time.Millisecond
+
+// runner runs items of batch jobs through the proxy, and so through its admission.
+type runner struct {
+	holder *view.Holder
+	proxy  atomic.Pointer[forward.Proxy]
+}
+
+// Run sends one item to an endpoint of its route's service.
+func (r *runner) Run(ctx context.Context, it *batch.Item, lastEventID string, event func(id string, data []byte)) batch.Result {
+	p, snap := r.proxy.Load(), r.holder.Get()
+	if p == nil || snap == nil || snap.Config == nil {
+		return batch.Result{End: batch.NotRun, RetryAfter: again}
+	}
+	item := &forward.Item{ID: it.ID, Host: it.Host, Path: it.Path, Header: map[string]string{}, Body: it.Body, MayStart: it.MayStart}
+	for _, h := range it.Headers {
+		item.Header[h[0]] = h[1]
+	}
+	for i := range snap.Config.Routes {
+		if snap.Config.Routes[i].Name == it.Route {
+			item.Route = &snap.Config.Routes[i]
+		}
+	}
+	if item.Route == nil {
+		return batch.Result{End: batch.NotRun, RetryAfter: again} // a newer configuration may have it, or the job ends
+	}
+	res := p.RunItem(ctx, item, lastEventID, event)
+	switch res.State {
+	case forward.ItemDone:
+		return batch.Result{End: batch.Done}
+	case forward.ItemBroken:
+		return batch.Result{End: batch.Broken}
+	case forward.ItemFailed:
+		return batch.Result{End: batch.Failed}
+	case forward.ItemNever:
+		return batch.Result{End: batch.Never}
+	}
+	return batch.Result{End: batch.NotRun, RetryAfter: again}
+}
--- /dev/null
+++ b/cmd/dunetide/store.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"wingmount/internal/batch"
+	"wingmount/internal/control"
+	"wingmount/internal/link"
+	"wingmount/internal/record"
+	"wingmount/internal/view"
+)
+
+// jobsLog is the file of batch jobs.
+const jobsLog = "lots.log"
+
+type storeCmd struct{}
+
+// Run serves the role until the process is told to stop.
+func (storeCmd) Run(c *cli) error {
+	p, err := start(c, control.RoleStore)
+	if err != nil {
+		return err
+	}
+	s := p.settings
+	members, err := p.join(control.RoleStore, storePort)
+	if err != nil {
+		return err
+	}
+	folder, err := p.dataFolder()
+	if err != nil {
+		return err
+	}
+	var client *control.Client
+	store, err := batch.NewStore(batch.StoreOptions{
+		Open: func(replay func(payload []byte, at int64) error) (batch.Log, error) {
+			return record.Open(folder, jobsLog, replay)
+		},
+		Zone: s.Zone, MachinesLost: s.SurviveMachines, KeepMs: s.Bounds.StatusEvery.Milliseconds(),
+		RoomBytes: int64(s.DiskMB) << 20 / 10 * 4, // a rewrite needs as much again
+		Ready: func(part int, epoch uint64) {
+			go func() {
+				w := link.Writer{}
+				w.Int(part)
+				w.U64(epoch)
+				ctx, cancel := context.WithTimeout(p.ctx, 3*time.Second)
+				defer cancel()
+				if err := client.Report(ctx, control.Joined, w.B); err != nil {
+					p.log.Warn("part not switched", "part", part, "epoch", epoch, "err", err)
+				}
+			}()
+		},
+		Logf: func(format string, args ...any) { p.log.Info("batch: "+format, args...) }})
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	links, err := net.Listen("tcp4", p.addr(storePort))
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer links.Close()
+	wg.Add(1)
+	go func() { defer wg.Done(); _ = link.Serve(links, store, link.DefaultOptions) }() // ends with the listener
+	client = control.NewClient(control.ClientOptions{Self: control.Node{Name: s.NodeName, Role: control.RoleStore, Zone: s.Zone,
+		Addr: p.addr(storePort), ID: store.ID(), Life: uint64(time.Now().UnixNano())}, Seeds: control.SeedLinks(s.Seeds, s.InternalFirst+keeperPort),
+		Known: members.keepers, Holder: &view.Holder{}, Changed: store.Update, Log: p.log})
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	wg.Add(1)
+	go func() { defer wg.Done(); client.Run(ctx) }()
+	select {
+	case <-store.Done():
+		return store.Err()
+	case <-p.ctx.Done():
+		return nil
+	}
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -267,12 +267,12 @@
 	now := time.Now()
 	for _, e := range u.Entries {
 		s.entries[e.ID] = e
-		if e.State == view.Draining || e.State == view.Gone && !e.Silent {
+		if e.State != view.Ready {
 			if old, there := c.said[e.ID]; !there || old.state < e.State {
 				c.said[e.ID] = saying{e.State, now}
 			}
 		}
-		if e.State == view.Gone {
+		if e.Gone() {
 			delete(s.entries, e.ID)
 		}
 	}
--- a/internal/control/kinds.go
+++ b/internal/control/kinds.go
@@ -14,7 +14,8 @@
 	Heard    link.Kind = 6  // one way, between keepers: which incarnations were heard of, and how long ago
 	Attached link.Kind = 7  // one way, between keepers: the processes attached to the sender, all of them
 	Learn    link.Kind = 8  // one way, between keepers: a register's name and a decided state
-	Joined   link.Kind = 9  // call, store to keeper: a joining store has all of a part (part, epoch, store)
+	Joined   link.Kind = 9  // call, store to keeper: the next group of a part has all of it (part, epoch)
 	Lease    link.Kind = 10 // call, between keepers: a duty's name, the holder, the length; the reply says whether it is granted
+	Missing  link.Kind = 12 // one way, between keepers: send all entries, as some are not known
 	Status   link.Kind = 11 // call: the status as JSON
 )
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -87,7 +87,7 @@
 	}
 	w.U32(uint32(len(u.Entries)))
 	for i := range u.Entries {
-		registry.AppendEntry(&w, u.Entries[i])
+		registry.AppendEntry(&w, &u.Entries[i])
 	}
 	AppendNodes(&w, u.Keepers)
 	return w.B
@@ -101,7 +101,11 @@
 		u.Table = ReadTable(&r)
 	}
 	for range r.Count(16) {
-		u.Entries = append(u.Entries, registry.ReadEntry(&r))
+		e, err := registry.ReadEntry(&r)
+		if err != nil {
+			return nil, err
+		}
+		u.Entries = append(u.Entries, e)
 	}
 	u.Keepers = ReadNodes(&r)
 	return u, r.Err
@@ -122,6 +126,7 @@
 		w.U64(p.Primary)
 		ids(p.Copies)
 		ids(p.Joining)
+		ids(p.Leaving)
 	}
 	stores := make([]uint64, 0, len(t.Stores))
 	for id := range t.Stores {
@@ -150,7 +155,7 @@
 	}
 	t := &view.Table{Number: r.U64(), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}}
 	for range r.Count(24) {
-		t.Parts = append(t.Parts, view.Part{Epoch: r.U64(), Primary: r.U64(), Copies: ids(), Joining: ids()})
+		t.Parts = append(t.Parts, view.Part{Epoch: r.U64(), Primary: r.U64(), Copies: ids(), Joining: ids(), Leaving: ids()})
 	}
 	for range r.Count(21) {
 		s := view.Store{ID: r.U64(), Name: r.String(), Addr: r.String(), Zone: r.String()}
--- a/internal/forward/item.go
+++ b/internal/forward/item.go
@@ -22,6 +22,8 @@
 	Header map[string]string
 	Body   []byte
 	Route  *operator.Route
+	// MayStart is asked right before the item is sent to an endpoint; nil: it always may.
+	MayStart func() bool
 }
 
 // ItemState is how a run of an item ended.
@@ -42,7 +44,10 @@
 	Err   error
 }
 
-var errNotAnItem = errors.New("not an item that can be sent")
+var (
+	errNotAnItem   = errors.New("not an item that can be sent")
+	errMayNotStart = errors.New("its job may have ended")
+)
 
 // Check tells whether an item can be sent as a request.
 func (it *Item) Check() error {
@@ -89,6 +94,10 @@
 	for {
 		e, ok := x.acquire()
 		if ok {
+			if it.MayStart != nil && !it.MayStart() {
+				x.finish(dispatch.Unsent, upstream.Unused)
+				return Result{ItemNotRun, errMayNotStart}
+			}
 			e = x.send()
 		}
 		switch e {
--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -164,10 +164,12 @@
 		}
 		next := 200 * time.Millisecond
 		for _, name := range registerNames {
-			if n := a.regs[name].Tick(a.now()); n > 0 && n < next {
-				next = n
+			reg := a.regs[name]
+			if now := a.now(); reg.Next() <= now {
+				reg.Tick(now)
 			}
 			a.join(name)
+			next = min(next, reg.Next()-a.now())
 		}
 		a.rewrite()
 		timer.Reset(max(next, 2*time.Millisecond))
@@ -240,8 +242,8 @@
 func (a *agreement) learn(b []byte) {
 	r := link.Reader{B: b}
 	name := r.String()
-	s, err := agree.ReadState(r.Bytes())
-	if r.Err != nil || err != nil || a.regs[name] == nil {
+	s := agree.ReadState(&r)
+	if r.Err != nil || a.regs[name] == nil {
 		return
 	}
 	a.do(func() { a.regs[name].Learn(a.now(), s) })
@@ -281,7 +283,7 @@
 func learnBody(name string, s agree.State) []byte {
 	w := link.Writer{}
 	w.String(name)
-	w.Bytes(agree.AppendState(nil, s))
+	s.Append(&w)
 	return w.B
 }
 
--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	return !p.whole || p.version < k.config.version || k.parts != nil && p.table < k.parts.Number || p.senders != k.senders ||
-		p.endpoints && (p.change < k.table.Newest() || p.listed != k.table.Listening(time.Now())) || p.keepers != k.keepersKey()
+		p.endpoints && (p.change < k.table.Newest() || p.listed != k.table.Listening(k.since(time.Now()))) || p.keepers != k.keepersKey()
 }
 
 // pushAll tells every attached process what it lacks.
@@ -102,7 +102,7 @@
 		if !p.behind(k) {
 			continue
 		}
-		u := control.Update{Listed: k.table.Listening(now), Senders: k.senders}
+		u := control.Update{Listed: k.table.Listening(k.since(now)), Senders: k.senders}
 		if p.version < k.config.version {
 			u.Config, u.Version = k.config.raw, k.config.version
 		}
@@ -113,11 +113,7 @@
 			u.Keepers, p.keepers = k.keeperNodes(), key
 		}
 		if p.endpoints {
-			entries, to, whole := k.table.Changes(p.change)
-			if !p.whole {
-				entries, to, whole = k.table.Changes(0)
-				whole = true
-			}
+			entries, to, whole := k.table.Changes(k.since(now), p.change)
 			u.Entries, u.Whole, p.change = entries, whole, to
 		} else if !p.whole {
 			u.Whole = true
@@ -227,13 +223,18 @@
 	r := link.Reader{B: m.Body}
 	var list []registry.Entry
 	for range r.Count(16) {
-		list = append(list, registry.ReadEntry(&r))
+		e, err := registry.ReadEntry(&r)
+		if err != nil {
+			m.Fail("%v", err)
+			return
+		}
+		list = append(list, e)
 	}
 	if r.Err != nil {
 		m.Fail("%v", r.Err)
 		return
 	}
-	if len(k.table.Merge(now, list)) == 0 {
+	if len(k.table.Merge(k.since(now), list)) == 0 {
 		m.Reply(nil)
 		return
 	}
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wingmount/internal/agree"
+	"wingmount/internal/batch"
 	"wingmount/internal/control"
 	"wingmount/internal/operator"
 	"wingmount/internal/view"
@@ -123,11 +124,11 @@
 	for _, m := range h.Models {
 		e.Models = append(e.Models, view.Model{Name: m.Name, Version: m.Version})
 	}
-	k.register(w, func(now time.Time) bool { return k.table.Beat(now, e) }, h.Zone, e.State == view.Draining)
+	k.register(w, func(now time.Time) bool { return k.table.Beat(k.since(now), e) }, h.Zone, e.State == view.Draining)
 }
 
 func (k *Keeper) leave(w http.ResponseWriter, id string, _ []byte, _ *http.Request) {
-	k.register(w, func(now time.Time) bool { return k.table.Leave(now, id) }, "", true)
+	k.register(w, func(now time.Time) bool { return k.table.Leave(k.since(now), id) }, "", true)
 }
 
 // register changes the list and answers once those who need it have acknowledged the change, or have
@@ -148,7 +149,7 @@
 		wt := &waiter{change: k.table.Newest(), done: make(chan struct{})}
 		if changed {
 			k.dirty = true
-			list, _, _ := k.table.Changes(before)
+			list, _, _ := k.table.Changes(k.since(now), before)
 			k.tellEntries(list, wt)
 		}
 		k.wait(wt)
@@ -278,18 +279,21 @@
 
 func (k *Keeper) postRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
 	code := make(chan int, 1)
+	alive, lost := k.storesNow()
 	k.changeTable(func(cur *view.Table) (*view.Table, error) {
-		next, err := retireTable(cur, name, k.o.Settings.SurviveMachines)
-		if err != nil {
-			return nil, err
-		}
-		if next == nil {
+		next, known, few := batch.Retire(cur, name, alive, lost, k.o.Settings.SurviveMachines)
+		switch {
+		case !known:
+			return nil, errUnknownStore
+		case few:
+			return nil, errTooFew
+		case next == nil || next == cur:
 			return nil, agree.ErrUnchanged
 		}
 		return next, nil
 	}, func(err error) {
 		switch {
-		case err == nil || err == agree.ErrUnchanged:
+		case err == nil:
 			code <- http.StatusOK
 		case errors.Is(err, errUnknownStore):
 			code <- http.StatusNotFound
@@ -299,7 +303,12 @@
 			code <- http.StatusServiceUnavailable
 		}
 	})
-	c := <-code
+	var c int
+	select {
+	case c = <-code:
+	case <-k.ended:
+		c = http.StatusServiceUnavailable
+	}
 	if c != http.StatusOK {
 		refuse(w, c, map[int]string{http.StatusNotFound: errUnknownStore.Error(), http.StatusConflict: errTooFew.Error(),
 			http.StatusServiceUnavailable: "no majority answers: ask another keeper"}[c])
@@ -326,7 +335,16 @@
 		refuse(w, http.StatusServiceUnavailable, res.err.Error())
 		return
 	}
-	state, known := retireState(res.s.Value, name, k.o.Settings.SurviveMachines)
+	table, err := tableOf(res.s)
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	known, finished := batch.Retired(table, name, k.o.Settings.SurviveMachines)
+	state := "in_progress"
+	if finished {
+		state = "finished"
+	}
 	if !known {
 		refuse(w, http.StatusNotFound, errUnknownStore.Error())
 		return
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"sort"
 	"time"
 
 	"wingmount/internal/agree"
+	"wingmount/internal/batch"
 	"wingmount/internal/control"
 	"wingmount/internal/link"
 	"wingmount/internal/view"
@@ -101,23 +104,13 @@
 
 func (k *Keeper) proposeTable(now time.Time, stores map[uint64]view.Store) {
 	a := &k.assigner
-	lost := map[uint64]bool{}
-	if k.parts != nil {
-		for id := range k.parts.Stores {
-			lost[id] = now.Sub(a.seen[id]) > storeLost
-		}
-	}
-	var alive []view.Store
-	for _, s := range stores {
-		alive = append(alive, s)
-	}
-	isLost := func(id uint64) bool { return lost[id] }
-	if _, changed := nextTable(k.parts, alive, isLost, partCount, k.o.Settings.SurviveMachines); !changed {
+	alive, isLost := k.storesAt(now, stores)
+	if _, changed := batch.Assign(k.parts, alive, isLost, partCount, k.o.Settings.SurviveMachines); !changed {
 		return
 	}
 	a.running, a.proposed = true, now
 	k.changeTable(func(cur *view.Table) (*view.Table, error) {
-		next, changed := nextTable(cur, alive, isLost, partCount, k.o.Settings.SurviveMachines)
+		next, changed := batch.Assign(cur, alive, isLost, partCount, k.o.Settings.SurviveMachines)
 		if !changed {
 			return nil, agree.ErrUnchanged
 		}
@@ -133,12 +126,9 @@
 // changeTable changes the agreed table; done is called from the registers' goroutine.
 func (k *Keeper) changeTable(change func(cur *view.Table) (*view.Table, error), done func(error)) {
 	k.agree.propose(tableRegister, 2*time.Second, func(cur agree.State) (agree.State, error) {
-		var t *view.Table
-		if len(cur.Value) > 0 {
-			r := link.Reader{B: cur.Value}
-			if t = control.ReadTable(&r); r.Err != nil {
-				return cur, r.Err
-			}
+		t, err := tableOf(cur)
+		if err != nil {
+			return cur, err
 		}
 		next, err := change(t)
 		if err != nil {
@@ -198,13 +188,13 @@
 // joined takes the word of a store that it has all of a part.
 func (k *Keeper) joined(m *link.Message) {
 	r := link.Reader{B: m.Body}
-	part, epoch, id := r.Int(), r.U64(), r.U64()
+	part, epoch := r.Int(), r.U64()
 	if r.Err != nil {
 		m.Fail("%v", r.Err)
 		return
 	}
 	k.changeTable(func(cur *view.Table) (*view.Table, error) {
-		next, changed := joinedTable(cur, part, epoch, id)
+		next, changed := batch.Switch(cur, part, epoch)
 		if !changed {
 			return nil, agree.ErrUnchanged
 		}
@@ -218,6 +208,54 @@
 	})
 }
 
+// Refusals of a retirement.
+var (
+	errUnknownStore = errors.New("no store has this name: GET /status tells of those that are there")
+	errTooFew       = errors.New("too few stores would be left: add one first")
+)
+
+// tableOf reads the register's value; nil before the first table.
+func tableOf(s agree.State) (*view.Table, error) {
+	if len(s.Value) == 0 {
+		return nil, nil
+	}
+	r := link.Reader{B: s.Value}
+	t := control.ReadTable(&r)
+	return t, r.Err
+}
+
+// storesAt are the stores that are attached, and whether one has been away for too long.
+func (k *Keeper) storesAt(now time.Time, stores map[uint64]view.Store) ([]view.Store, func(uint64) bool) {
+	lost := map[uint64]bool{}
+	if k.parts != nil {
+		for id := range k.parts.Stores {
+			lost[id] = now.Sub(k.assigner.seen[id]) > storeLost
+		}
+	}
+	var alive []view.Store
+	for _, s := range stores {
+		alive = append(alive, s)
+	}
+	sort.Slice(alive, func(i, j int) bool { return alive[i].ID < alive[j].ID })
+	return alive, func(id uint64) bool { return lost[id] }
+}
+
+// storesNow is storesAt for other goroutines.
+func (k *Keeper) storesNow() ([]view.Store, func(uint64) bool) {
+	type result struct {
+		alive []view.Store
+		lost  func(uint64) bool
+	}
+	res := ask(k, func() result {
+		alive, lost := k.storesAt(time.Now(), k.stores())
+		return result{alive, lost}
+	})
+	if res.lost == nil {
+		res.lost = func(uint64) bool { return false }
+	}
+	return res.alive, res.lost
+}
+
 // status is what operators are shown of a keeper.
 type status struct {
 	Node     string           `json:"node"`
@@ -262,11 +300,9 @@
 		m := p.inForce()
 		s.Attached = append(s.Attached, attachedStatus{p.node.Name, p.node.Role, p.node.Zone, m.version, p.pushed - p.acked})
 	}
-	list, _, _ := k.table.Changes(0)
+	list, _, _ := k.table.Changes(k.since(time.Now()), 0)
 	for _, e := range list {
-		if e.State != view.Gone {
-			s.Services[e.Service]++
-		}
+		s.Services[e.Service]++
 	}
 	b, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -64,7 +64,6 @@
 	dirty    bool
 	lease    grants
 	assigner assigner
-	lastTick time.Time
 	sentBeat time.Time
 	dialling map[string]bool
 	wanted   map[string]time.Time // addresses of keepers' links: when each may be dialled again
@@ -80,7 +79,7 @@
 	k := &Keeper{o: o, log: o.Log, life: now, commands: make(chan func(), queueMost), ended: make(chan struct{}),
 		attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peer{},
 		config: &configValue{}, dialling: map[string]bool{}, wanted: map[string]time.Time{}}
-	k.table = registry.New(registry.Options{BeatEvery: time.Duration(s.BeatEveryMs) * time.Millisecond})
+	k.table = registry.New(0, registry.Options{BeatEvery: time.Duration(s.BeatEveryMs) * time.Millisecond})
 	k.lease = newGrants(now)
 	a, err := openAgreement(k)
 	if err != nil {
@@ -116,6 +115,7 @@
 	go func() { defer wg.Done(); _ = link.Serve(links, k, link.DefaultOptions) }()
 	go func() { defer wg.Done(); _ = server.Serve(calls) }()
 	go func() { defer wg.Done(); k.agree.run(ctx) }()
+	k.confirm()
 	k.loop(ctx)
 	close(k.ended)
 	_ = links.Close()
@@ -175,13 +175,8 @@
 }
 
 func (k *Keeper) tick(now time.Time) {
-	if k.lastTick.IsZero() || now.Sub(k.lastTick) > 4*tickEvery {
-		// The process stood still: what it heard before is older than it looks.
-		k.table.Woken(now)
-	}
-	k.lastTick = now
 	k.meet(now)
-	if gone := k.table.Expire(now); len(gone) > 0 {
+	if gone := k.table.Expire(k.since(now)); len(gone) > 0 {
 		for _, e := range gone {
 			k.log.Info("endpoint silent", "id", e.ID, "service", e.Service, "address", e.Address)
 		}
@@ -200,6 +195,9 @@
 	}
 }
 
+// since is the time on the steady clock of this life, as the list of endpoints counts it.
+func (k *Keeper) since(now time.Time) time.Duration { return now.Sub(k.life) }
+
 // Message dispatches what comes over links.
 func (k *Keeper) Message(m *link.Message) {
 	switch m.Kind {
@@ -235,6 +233,8 @@
 		}
 	case control.Lease:
 		k.leaseAsked(now, m)
+	case control.Missing:
+		k.sendEntries(m.Conn, k.table.Entries(k.since(now), -1), nil)
 	case control.Joined:
 		k.joined(m)
 	case control.Status:
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -127,7 +127,7 @@
 	p.node, p.conn = node, c
 	k.conns[c] = p
 	// What it may lack.
-	if list, _, _ := k.table.Changes(0); len(list) > 0 {
+	if list := k.table.Entries(k.since(time.Now()), -1); len(list) > 0 {
 		k.sendEntries(c, list, nil)
 	}
 	for _, body := range k.agree.newest() {
@@ -143,8 +143,8 @@
 func (k *Keeper) sendEntries(c *link.Conn, list []registry.Entry, then func()) {
 	w := link.Writer{}
 	w.U32(uint32(len(list)))
-	for _, e := range list {
-		registry.AppendEntry(&w, e)
+	for i := range list {
+		registry.AppendEntry(&w, &list[i])
 	}
 	ch := c.Go(control.Entries, w.B)
 	if then != nil {
@@ -188,14 +188,11 @@
 }
 
 func (k *Keeper) tellHeard(now time.Time) {
-	heard := k.table.Heard(now)
-	if len(heard) == 0 {
-		return
-	}
+	heard := k.table.Heard(k.since(now), true)
 	w := link.Writer{}
 	w.U32(uint32(len(heard)))
-	for _, h := range heard {
-		registry.AppendHeard(&w, h)
+	for i := range heard {
+		registry.AppendHeard(&w, &heard[i])
 	}
 	for _, p := range k.peers {
 		if p.conn != nil {
@@ -208,11 +205,22 @@
 	r := link.Reader{B: m.Body}
 	var list []registry.Heard
 	for range r.Count(9) {
-		list = append(list, registry.ReadHeard(&r))
+		h, err := registry.ReadHeard(&r)
+		if err != nil {
+			return
+		}
+		list = append(list, h)
 	}
-	if r.Err == nil && len(k.table.MergeHeard(now, list)) > 0 {
+	if r.Err != nil {
+		return
+	}
+	changed, missing := k.table.MergeHeard(k.since(now), list)
+	if len(changed) > 0 {
 		k.dirty = true
 	}
+	if len(missing) > 0 {
+		_ = m.Conn.Send(control.Missing, nil)
+	}
 }
 
 // keeperNodes are this keeper and those that are met, by name.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -347,6 +347,9 @@
 	return entries
 }
 
+// Newest is the number of the newest change.
+func (t *Table) Newest() uint64 { return t.number }
+
 // Get returns the entry of an incarnation.
 func (t *Table) Get(now time.Duration, id string) (Entry, bool) {
 	r := t.byID[id]
