--- a/internal/journal/disktest/disktest.go
+++ b/internal/journal/disktest/disktest.go
@@ -3,6 +3,7 @@
 package disktest
 
 import (
+	"bytes"
 	"errors"
 	"io/fs"
 	"maps"
@@ -27,7 +28,12 @@
 	pending        []func(map[string]*inode) // changes of names since the last sync of the folder
 }
 
-type inode struct{ data, durable []byte }
+type inode struct {
+	data, durable []byte
+	writes        [][2]int // ranges written since the last sync
+}
+
+func (f *inode) sync() { f.durable, f.writes = slices.Clone(f.data), nil }
 
 // New makes an empty one.
 func New() *Disk { return &Disk{names: map[string]*inode{}, durable: map[string]*inode{}} }
@@ -47,25 +53,60 @@
 // PowerLoss leaves what was synced, of what was written since a beginning that pick chooses,
 // and of the names' changes as many. Pick draws from 0 to n-1.
 func (d *Disk) PowerLoss(pick func(n int) int) {
-	for _, do := range d.pending[:pick(len(d.pending)+1)] {
-		do(d.durable)
-	}
-	d.names, d.pending = map[string]*inode{}, nil
-	for name, f := range d.durable {
+	d.powerLoss(pick, func(f *inode) []byte {
 		data := f.durable
 		if more := len(f.data) - len(data); more > 0 {
 			data = f.data[:len(data)+pick(more+1)]
 		}
-		d.names[name] = &inode{slices.Clone(data), slices.Clone(data)}
+		return data
+	})
+}
+
+// PowerLossEach is PowerLoss for a disk that orders nothing: pick chooses for each write since
+// the last sync whether it is missing, there, or torn, and where; zeros are where something is
+// missing before something that is there.
+func (d *Disk) PowerLossEach(pick func(n int) int) {
+	d.powerLoss(pick, func(f *inode) []byte {
+		data := slices.Clone(f.durable)
+		for _, w := range f.writes {
+			end := w[0]
+			switch pick(3) {
+			case 1:
+				end = w[1]
+			case 2:
+				end += pick(w[1] - w[0])
+			}
+			if end > w[0] {
+				data = append(data, make([]byte, max(0, end-len(data)))...)
+				copy(data[w[0]:end], f.data[w[0]:])
+			}
+		}
+		return data
+	})
+}
+
+func (d *Disk) powerLoss(pick func(n int) int, left func(*inode) []byte) {
+	for _, do := range d.pending[:pick(len(d.pending)+1)] {
+		do(d.durable)
+	}
+	d.names, d.pending = map[string]*inode{}, nil
+	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
+		data := left(d.durable[name])
+		d.names[name] = newInode(data)
 	}
 	d.durable = maps.Clone(d.names)
 }
 
+// newInode is a file that is synced.
+func newInode(data []byte) *inode {
+	return &inode{data: slices.Clone(data), durable: slices.Clone(data)}
+}
+
 // Copy is another disk with the same files, all of them synced.
 func (d *Disk) Copy() *Disk {
 	c := New()
 	for name, f := range d.names {
-		c.names[name] = &inode{slices.Clone(f.data), slices.Clone(f.data)}
+		c.names[name] = newInode(f.data)
 	}
 	c.durable = maps.Clone(c.names)
 	return c
@@ -81,7 +122,7 @@
 
 // Put makes a file, synced.
 func (d *Disk) Put(name string, data []byte) {
-	f := &inode{slices.Clone(data), slices.Clone(data)}
+	f := newInode(data)
 	d.names[name], d.durable[name] = f, f
 }
 
@@ -125,13 +166,21 @@
 	return &file{d, f}, nil
 }
 
+func (d *Disk) Open(name string) (journal.OpenFile, error) {
+	f := d.names[name]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	return &file{d, f}, nil
+}
+
 func (d *Disk) Cut(name string, size int64) error {
 	if err := d.op(); err != nil {
 		return err
 	}
 	f := d.names[name]
 	f.data = f.data[:size]
-	f.durable = slices.Clone(f.data)
+	f.sync()
 	return nil
 }
 
@@ -177,15 +226,28 @@
 
 func (w *file) Write(b []byte) (int, error) {
 	if err := w.d.op(); err != nil {
-		w.f.data = append(w.f.data, b[:len(b)/2]...)
+		w.append(b[:len(b)/2])
 		return len(b) / 2, err
 	}
-	w.f.data = append(w.f.data, b...)
+	w.append(b)
 	return len(b), nil
 }
 
+func (w *file) append(b []byte) {
+	w.f.writes = append(w.f.writes, [2]int{len(w.f.data), len(w.f.data) + len(b)})
+	w.f.data = append(w.f.data, b...)
+}
+
+func (w *file) ReadAt(b []byte, at int64) (int, error) {
+	return bytes.NewReader(w.f.data).ReadAt(b, at)
+}
+
 func (w *file) Truncate(size int64) error {
 	w.f.data = w.f.data[:size]
+	w.f.writes = slices.DeleteFunc(w.f.writes, func(r [2]int) bool { return r[0] >= int(size) })
+	for i := range w.f.writes {
+		w.f.writes[i][1] = min(w.f.writes[i][1], int(size))
+	}
 	return w.d.op()
 }
 
@@ -193,7 +255,7 @@
 	if err := w.d.op(); err != nil {
 		return err
 	}
-	w.f.durable = slices.Clone(w.f.data)
+	w.f.sync()
 	return nil
 }
 
--- a/internal/journal/folder.go
+++ b/internal/journal/folder.go
@@ -21,6 +21,8 @@
 	Head(name string, most int) ([]byte, error)
 	// Create makes a file that must not be there yet, for appending.
 	Create(name string) (File, error)
+	// Open opens a file that is there, for reading anywhere and appending.
+	Open(name string) (OpenFile, error)
 	// Cut shortens a file, for good.
 	Cut(name string, size int64) error
 	Rename(from, to string) error
@@ -42,6 +44,12 @@
 	Sync() error
 }
 
+// OpenFile is a File that can be read too.
+type OpenFile interface {
+	File
+	io.ReaderAt
+}
+
 var errTooLarge = errors.New("larger than anything that was written here")
 
 // Lock takes the lock on a folder; nil if another process has it. The kernel lets go of it
@@ -137,6 +145,10 @@
 	return os.OpenFile(d.path(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
 }
 
+func (d dir) Open(name string) (OpenFile, error) {
+	return os.OpenFile(d.path(name), os.O_RDWR|os.O_APPEND, 0)
+}
+
 func (d dir) Cut(name string, size int64) error {
 	f, err := os.OpenFile(d.path(name), os.O_WRONLY, 0)
 	if err != nil {
--- a/internal/journal/power_test.go
+++ b/internal/journal/power_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"maps"
@@ -91,6 +92,18 @@
 	return &diskFile{d, f}, nil
 }
 
+func (d *disk) Open(name string) (OpenFile, error) {
+	f := d.names[name]
+	if f == nil {
+		return nil, fmt.Errorf("%s is not there", name)
+	}
+	return &diskFile{d, f}, nil
+}
+
+func (w *diskFile) ReadAt(b []byte, at int64) (int, error) {
+	return bytes.NewReader(w.f.data).ReadAt(b, at)
+}
+
 func (d *disk) Cut(name string, size int64) error {
 	if err := d.op(); err != nil {
 		return err
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"os"
@@ -176,6 +177,13 @@
 	}
 	return &wfile{f, file}, nil
 }
+func (f *wfolder) Open(name string) (file journal.OpenFile, err error) {
+	f.do(func() { file, err = f.f.Open(name) })
+	if err != nil {
+		return nil, err
+	}
+	return &wopen{wfile{f, file}, file}, nil
+}
 func (f *wfolder) Cut(name string, size int64) (err error) {
 	f.do(func() { err = f.f.Cut(name, size) })
 	return
@@ -206,6 +214,16 @@
 func (w *wfile) Sync() (err error)  { w.f.do(func() { err = w.file.Sync() }); return }
 func (w *wfile) Close() (err error) { w.f.do(func() { err = w.file.Close() }); return }
 
+type wopen struct {
+	wfile
+	at io.ReaderAt
+}
+
+func (w *wopen) ReadAt(b []byte, at int64) (n int, err error) {
+	w.f.do(func() { n, err = w.at.ReadAt(b, at) })
+	return
+}
+
 // wnode is a node: its disk, which lasts, and its process, which may not.
 type wnode struct {
 	w           *world
