--- a/cmd/dunetide/jobs.go
+++ b/cmd/dunetide/jobs.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"wingmount/internal/batch"
@@ -17,6 +19,8 @@
 	callMost = 4 * time.Second
 	// bodyMost bounds such a call's body where no configuration says it.
 	bodyMost = 8 << 20
+	// spareItems are in hand beyond the share, so that none has to be asked for when one ends.
+	spareItems = 2
 )
 
 // jobs is the batch side of a proxy.
@@ -24,21 +28,59 @@
 	edge   *batch.Edge
 	holder *view.Holder
 	runner *runner
+	// stopped: no more items are taken up.
+	stopped atomic.Bool
 }
 
 func newJobs(p *process, holder *view.Holder) *jobs {
 	j := &jobs{holder: holder, runner: &runner{holder: holder}}
 	j.edge = batch.NewEdge(batch.EdgeOptions{Views: holder, Name: p.settings.NodeName, Zone: p.settings.Zone, Runner: j.runner,
-		Logf: func(format string, args ...any) { p.log.Info("batch: "+format, args...) }})
+		Logf: func(format string, args ...any) { p.log.Info("batch", "event", fmt.Sprintf(format, args...)) }})
 	return j
 }
 
 // work lets the proxy run items.
 func (j *jobs) work(p *forward.Proxy) { j.runner.proxy.Store(p) }
 
-func (j *jobs) update(*view.Snapshot) { j.edge.Update() }
+// update follows the system: a proxy has its share of the endpoints' places in hand, and a few more.
+func (j *jobs) update(snap *view.Snapshot) {
+	if !j.stopped.Load() {
+		j.edge.SetLimit(inHand(snap))
+	}
+	j.edge.Update()
+}
 
-func (j *jobs) stop() { j.edge.SetLimit(0) }
+// inHand is how many items a proxy takes up at once.
+func inHand(snap *view.Snapshot) int {
+	if snap.Config == nil {
+		return 0
+	}
+	services := map[string]bool{}
+	for i := range snap.Config.Routes {
+		if r := &snap.Config.Routes[i]; r.Kind == operator.Bulk {
+			for _, s := range r.Shares {
+				services[s.Service] = true
+			}
+		}
+	}
+	places := 0
+	for s := range services {
+		for _, e := range snap.Endpoints[s] {
+			if e.State == view.Ready {
+				places += e.Capacity
+			}
+		}
+	}
+	if places == 0 {
+		return 0
+	}
+	return places/max(snap.Senders, 1) + spareItems
+}
+
+func (j *jobs) stop() {
+	j.stopped.Store(true)
+	j.edge.SetLimit(0)
+}
 
 // serve answers a client's call about batch jobs.
 func (j *jobs) serve(w http.ResponseWriter, r *http.Request, _ *operator.Route) {
--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -9,7 +10,6 @@
 	"wingmount/internal/batch"
 	"wingmount/internal/control"
 	"wingmount/internal/link"
-	"wingmount/internal/record"
 	"wingmount/internal/view"
 )
 
@@ -36,7 +36,7 @@
 	var client *control.Client
 	store, err := batch.NewStore(batch.StoreOptions{
 		Open: func(replay func(payload []byte, at int64) error) (batch.Log, error) {
-			return record.Open(folder, jobsLog, replay)
+			return openRawLog(folder, jobsLog, replay)
 		},
 		Zone: s.Zone, MachinesLost: s.SurviveMachines, KeepMs: s.Bounds.StatusEvery.Milliseconds(),
 		RoomBytes: int64(s.DiskMB) << 20 / 10 * 4, // a rewrite needs as much again
@@ -52,7 +52,7 @@
 				}
 			}()
 		},
-		Logf: func(format string, args ...any) { p.log.Info("batch: "+format, args...) }})
+		Logf: func(format string, args ...any) { p.log.Info("batch", "event", fmt.Sprintf(format, args...)) }})
 	if err != nil {
 		return err
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -369,6 +369,28 @@
 	return payload[markSize:], nil
 }
 
+// ReadRaw reads n bytes inside a payload back, unchecked, given the position of the first of them: that
+// after the record less the bytes up to the payload's end.
+func (l *Log) ReadRaw(at int64, n int) ([]byte, error) {
+	l.reads.RLock()
+	defer l.reads.RUnlock()
+	l.mu.Lock()
+	c, err := l.content, l.failed
+	l.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	start := at - c.base
+	if n < 0 || n > MaxPayload || start < journal.FramesHeader || start+int64(n) > c.size {
+		return nil, Moved.New("%s: position %d, %d bytes", l.name, at, n)
+	}
+	b := make([]byte, n)
+	if _, err := c.file.ReadAt(b, start); err != nil {
+		return nil, fmt.Errorf("reading a part of a record back: %w", err)
+	}
+	return b, nil
+}
+
 // Rewrite puts what write adds in the place of all that was appended. Appends wait meanwhile; reads and
 // syncs don't, and positions of before hold until it returns. Write must not call Append. After an error
 // that isn't Failed the log is as it was.
