Operator: configurations are read, checked and matched

Cause: keepers answer 4xx to what is invalid, and proxies pick routes by host and path.

Change: a reader of fields by path over maps, whose errors have a kind, the field's path and what would be right; Parse on it, and Match on an immutable radix tree that Parse builds once. What the protocol doesn't call invalid is taken where it can be understood: unknown fields, fractions, missing limits, a bulk route without timeout_ms.

--- /dev/null
+++ b/internal/operator/config_test.go
@@ -0,0 +1,127 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+const services = `[{"name":"a","health_path":"/health","max_conns":320,"protocol":"h1","tls":false},{"name":"b"}]`
+
+// TestConfigurations has three ways to give a configuration: whole, a field in the place of the whole's
+// or more of them (with), and routes alone over the services a and b.
+func TestConfigurations(t *testing.T) {
+	datadriven.Walk(t, "testdata/configs", func(t *testing.T, path string) {
+		var c *Config
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			raw := d.Input
+			switch d.Cmd {
+			case "whole":
+			case "with":
+				raw = `{"version":7,"routes":[],"services":` + services + `,` + d.Input + `}`
+			case "routes":
+				raw = `{"version":7,"services":` + services + `,"routes":[` + d.Input + `]}`
+			case "match":
+				var out strings.Builder
+				for line := range strings.Lines(d.Input) {
+					host, path, _ := strings.Cut(strings.TrimSpace(line), " ")
+					if r := c.Match(host, path); r != nil {
+						fmt.Fprintln(&out, r.Name)
+					} else {
+						fmt.Fprintln(&out, "none")
+					}
+				}
+				return out.String()
+			default:
+				d.Fatalf(t, "unknown command")
+			}
+			got, err := Parse([]byte(raw))
+			if err != nil {
+				if !Invalid.Has(err) || got != nil {
+					t.Errorf("%v, %v", got, err)
+				}
+				return strings.TrimPrefix(err.Error(), "invalid configuration: ") + "\n"
+			}
+			if string(got.Raw) != raw {
+				t.Errorf("raw is %q", got.Raw)
+			}
+			c = got
+			return show(c)
+		})
+	})
+}
+
+func show(c *Config) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "version %d, limits %+v\n", c.Version, c.Limits)
+	for _, r := range c.Routes {
+		fmt.Fprintf(&out, "%+v\n", r)
+	}
+	var names []string
+	for name := range c.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		s := *c.Services[name]
+		e := s.Engine
+		s.Engine = nil
+		fmt.Fprintf(&out, "%+v", s)
+		if e != nil {
+			fmt.Fprintf(&out, " %+v", *e)
+		}
+		out.WriteByte('\n')
+	}
+	return out.String()
+}
+
+func TestMatchBeforeParse(t *testing.T) {
+	if r := new(Config).Match("h", "/"); r != nil {
+		t.Error(r)
+	}
+}
+
+func TestEveryCutIsInvalid(t *testing.T) {
+	whole := `{"version":7,"services":` + services + `,"routes":[{"name":"r","host":"h","path_start":"/","kind":"writes","timeout_ms":1,"service":"a"}]}`
+	if _, err := Parse([]byte(whole)); err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(whole) {
+		if _, err := Parse([]byte(whole[:n])); !Unreadable.Has(err) {
+			t.Errorf("cut at %d: %v", n, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"version":7,"services":` + services + `,"routes":[{"name":"r","host":"h:80","path_start":"/x/","kind":"bulk","shares":[{"service":"a","weight":9e1},{"service":"b","weight":0}],"max_wait_s":1.5}],"limits":{}}`))
+	f.Add([]byte(`{"version":0,"services":[null],"routes":[3,{"service":{}}]} x`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c, err := Parse(raw)
+		if err != nil {
+			if !Invalid.Has(err) || c != nil {
+				t.Fatalf("%v, %v", c, err)
+			}
+			return
+		}
+		for i := range c.Routes {
+			r := &c.Routes[i]
+			sum := 0.0
+			for _, s := range r.Shares {
+				sum += s.Weight
+				if c.Services[s.Service] == nil || s.Weight < 0 {
+					t.Errorf("share %+v", s)
+				}
+			}
+			if sum <= 0 || r.TimeoutMs <= 0 || r.Tries < 1 || c.Version == 0 {
+				t.Errorf("taken: %+v", r)
+			}
+			if got := c.Match(r.Host, r.PathStart); got != r && !strings.ContainsRune(r.PathStart, '?') && plainHost(r.Host) == r.Host {
+				t.Errorf("%+v matches %+v", r, got)
+			}
+		}
+	})
+}
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -1,6 +1,8 @@
 // Package operator reads and checks what the operator sends: whole configurations.
 package operator
 
+import iradix "github.com/hashicorp/go-immutable-radix/v2"
+
 // Kind tells what may be repeated of a route's requests.
 type Kind uint8
 
@@ -19,6 +21,8 @@
 	Services map[string]*Service
 	Limits   Limits
 	Raw      []byte // as it was sent
+
+	byPath *iradix.Tree[*Route] // by host, NUL, path_start
 }
 
 // Route sends what begins with a prefix under a host to services.
