--- a/cmd/dunetide/main.go
+++ b/cmd/dunetide/main.go
@@ -76,8 +76,8 @@
 	if err != nil {
 		return nil, errUsage.Wrap(err)
 	}
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 7 / 10)
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryMB) << 20 * 7 / 10)
 	}
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	signal.Ignore(syscall.SIGPIPE)
--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -39,7 +39,7 @@
 			return openRawLog(folder, jobsLog, replay)
 		},
 		Zone: s.Zone, MachinesLost: s.SurviveMachines, KeepMs: s.Bounds.StatusEvery.Milliseconds(),
-		RoomBytes: int64(s.DiskMB) << 20 / 10 * 4, // a rewrite needs as much again
+		RoomBytes: int64(s.Limits.DiskMB) << 20 / 10 * 4, // a rewrite needs as much again
 		Ready: func(part int, epoch uint64) {
 			go func() {
 				w := link.Writer{}
