--- /dev/null
+++ b/internal/agree/kill_test.go
@@ -0,0 +1,54 @@
+package agree
+
+import (
+	"testing"
+	"time"
+)
+
+// TestKilledAtEachPoint plays short runs of two proposers and a change of voters, and kills the process that is
+// at point k, for each k: before and after each Save, and before each Send. It comes back with its disk, or with
+// an empty one.
+func TestKilledAtEachPoint(t *testing.T) {
+	type shape struct {
+		sz    size
+		empty bool
+	}
+	var shapes []shape
+	for _, sz := range sizes[:3] {
+		shapes = append(shapes, shape{sz, false}, shape{sz, true})
+	}
+	const pointsMost = 420
+	play(t, len(shapes)*pointsMost, func(seed uint64, set func(*world)) {
+		sh, at := shapes[int(seed)%len(shapes)], int(seed)/len(shapes)+1
+		w := newWorld(uint64(sh.sz.n), sh.sz.n, 1)
+		set(w)
+		w.run(time.Second)
+		w.points, w.killAt = 0, at
+		w.killing = func(m *machine) {
+			if sh.empty {
+				w.loseDisk(m, nil)
+				return
+			}
+			w.after(200*time.Millisecond, m.start)
+		}
+		w.propose(w.machines[0], 2*time.Second, nil)
+		w.propose(w.machines[1], 2*time.Second, nil)
+		w.run(w.now + 30*time.Millisecond)
+		spare := w.machines[sh.sz.n]
+		w.propose(w.machines[1], 2*time.Second, func(cur State) (State, error) {
+			next, ok := Admit(cur, spare.voter(), func(v Voter) bool { return v.Name == "n0" }, sh.sz.n)
+			if !ok {
+				return cur, ErrUnchanged
+			}
+			return next, nil
+		})
+		w.read(w.machines[0], 2*time.Second)
+		w.run(w.now + 100*time.Millisecond)
+		w.propose(spare, 2*time.Second, nil)
+		w.run(w.now + 3*time.Second)
+		w.calm()
+		w.run(w.now + 3*time.Second)
+		w.allRead(10 * time.Second)
+		w.check()
+	})
+}
--- /dev/null
+++ b/internal/agree/quorum_test.go
@@ -0,0 +1,48 @@
+package agree
+
+import (
+	"math/bits"
+	"testing"
+)
+
+// TestQuorums enumerates: any two majorities meet; and whatever a majority holds is with one of any majority of
+// those that are left when f disks are lost, where there are 2f+1 voters at least.
+func TestQuorums(t *testing.T) {
+	majority := func(n int) int {
+		r := Register{state: State{Voters: make([]Voter, n)}}
+		return r.majority()
+	}
+	for _, c := range []struct{ n, f int }{{3, 1}, {4, 1}, {5, 1}, {5, 2}, {8, 1}, {8, 2}} {
+		q := majority(c.n)
+		for wrote := range 1 << c.n {
+			if bits.OnesCount(uint(wrote)) != q {
+				continue
+			}
+			for read := range 1 << c.n {
+				if bits.OnesCount(uint(read)) == q && wrote&read == 0 {
+					t.Fatalf("%d voters: %b and %b do not meet", c.n, wrote, read)
+				}
+			}
+			for lost := range 1 << c.n {
+				if bits.OnesCount(uint(lost)) != c.f {
+					continue
+				}
+				left := (1<<c.n - 1) &^ lost
+				if bits.OnesCount(uint(left)) < q || wrote&left == 0 {
+					t.Fatalf("%d voters: %b wrote, %b are left", c.n, wrote, left)
+				}
+				for read := range 1 << c.n {
+					if read&^left == 0 && bits.OnesCount(uint(read)) == q && read&wrote&left == 0 {
+						t.Fatalf("%d voters: %b wrote, %b is lost, %b misses it", c.n, wrote, lost, read)
+					}
+				}
+			}
+		}
+	}
+	// One voter fewer than 2f+1 has no majority left.
+	for f := 1; f <= 3; f++ {
+		if n := 2 * f; n-f >= majority(n) {
+			t.Fatal(n, f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agree/wrong_test.go
@@ -0,0 +1,54 @@
+package agree
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"wingmount/internal/lab/wrongline"
+)
+
+// wrong are lines that would break what the page promises, one at a time. The tests have to find each of them.
+var wrong = []wrongline.Line{
+	{"a promise is not saved", "agree.go", "if !r.save(promisePayload(m.slot, m.ballot)) {", "if false {"},
+	{"what is accepted is not saved", "agree.go", "if !r.save(acceptedPayload(m.ballot, m.state)) {", "if false {"},
+	{"what is decided is not saved", "agree.go", "	r.save(decidedPayload(s))\n", ""},
+	{"a vote after a Save that failed", "agree.go", "	r.failed = r.o.Save(b)\n	return r.failed == nil", "	r.o.Save(b)\n	return true"},
+	{"a promise is broken by an accept", "agree.go", "case m.ballot.less(r.promised):", "case m.kind == prepare && m.ballot.less(r.promised):"},
+	{"a promise is broken by a prepare", "agree.go", "case m.ballot.less(r.promised):", "case m.kind == accept && m.ballot.less(r.promised):"},
+	{"a promise does not tell what was accepted", "agree.go", "out.kind, out.other, out.state = promise, r.accepted, r.proposal", "out.kind = promise"},
+	{"what was accepted is forgotten at a restart", "agree.go", "			r.accepted, r.proposal = b2, s\n", ""},
+	{"promises are forgotten at a restart", "agree.go", "		r.promised = b2\n		if kind", "		if kind"},
+	{"a promise for one slot stands for the next", "agree.go", "	r.known, r.state = true, s\n	r.promised, r.accepted, r.proposal = ballot{}, ballot{}, State{}\n	clear", "	r.known, r.state = true, s\n	clear"},
+	{"a voter that is not one votes", "agree.go", "case !r.state.Has(r.o.ID):", "case false:"},
+	{"a voter votes on a slot whose voters it does not know", "agree.go", "case !r.known || r.state.Slot+1 < m.slot:", "case !r.known:"},
+	{"a proposer counts who is no voter", "proposer.go", "|| !r.state.Has(m.id) ||", "||"},
+	{"half is a majority", "proposer.go", "return len(r.state.Voters)/2 + 1", "return (len(r.state.Voters) + 1) / 2"},
+	{"the oldest of what was accepted", "proposer.go", "		if r.best.less(m.other) {\n			r.best, r.value", "		if m.other != (ballot{}) && (r.best == ballot{} || m.other.less(r.best)) {\n			r.best, r.value"},
+	{"what was accepted is not finished first", "proposer.go", "		if r.best == (ballot{}) && !r.choose() {", "		if !r.choose() {"},
+	{"a ballot is used twice", "proposer.go", "	r.round++\n	r.slot", "	r.slot"},
+	{"late answers count", "proposer.go", "m.slot != r.slot || m.ballot != r.ballot ||", "m.slot != r.slot ||"},
+	{"answers to prepare count for accept", "proposer.go", "case m.kind == accepted && r.phase == accepting:", "case (m.kind == accepted || m.kind == promise) && r.phase == accepting:"},
+	{"a read of what is known here", "proposer.go", "case r.op.read && r.op.tries == 0:", "case r.op.read && r.op.tries == 0 && r.known && r.o.ID != 0:\n\t\tr.finish(r.state, nil)\n\tcase r.op.read && r.op.tries == 0:"},
+	{"a read does not look at what is accepted", "proposer.go", "case r.phase == querying && r.best == ballot{}, ", "case r.phase == querying, "},
+	{"an operation is applied again", "proposer.go", "		case by != mark{r.o.Proposer, op.number}:", "		case true:"},
+	{"another value for the same slot", "proposer.go", "	if !op.proposed {\n		next, err", "	if true {\n		next, err"},
+	{"refused though it may be in force", "proposer.go", "	case op.proposed:\n		return ErrTimeout", "	case false:\n		return ErrTimeout"},
+	{"what lost its slot is answered for", "proposer.go", "			op.proposed, op.next = false, State{}\n", "			r.finish(op.next, nil)\n			return\n"},
+	{"done before the new voters have it", "proposer.go", "case r.state.Slot > op.next.Slot || !op.moved:", "case true:"},
+	{"nobody says what he knows", "agree.go", "	for _, v := range others {\n		r.sendHave(v)\n	}\n", "	_ = others\n"},
+	{"a snapshot without the promise", "agree.go", "	if r.promised != r.accepted {\n", "	if false {\n"},
+	{"a snapshot without what is accepted", "agree.go", "	if r.accepted != (ballot{}) {\n		out", "	if false {\n		out"},
+	{"who is told has stored it", "proposer.go", "		if r.holders[v.ID] {\n			n++", "		if r.holders[v.ID] || v.ID != 0 {\n			n++"},
+}
+
+// Each wrong line is found by the tests. This takes minutes and all cores, so it is asked for: AGREE_WRONG=1, or
+// a part of a name.
+func TestWrongLinesAreFound(t *testing.T) {
+	only := os.Getenv("AGREE_WRONG")
+	if only == "" {
+		t.Skip("AGREE_WRONG is not set")
+	}
+	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "TestChaos|TestLastFault|TestKilled|TestEveryOrder|TestSteps"},
+		Env: []string{"AGREE_WRONG=", "AGREE_SEEDS=10000"}, Within: 6 * time.Minute})
+}
