Dispatch: late queues kept short, a floor for bulk, slices that don't ratchet; tables, a world

Change: what will be late goes only where less than 0.55 of the slots are taken, pressing bulk has a tenth of the slots, cuts are 0.5 s apart and not below 0.9 of what was served. Tests: tables, homes, limits, hold, overload, burst.

--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -44,7 +44,10 @@
 	var ranks map[*endpoint]int
 	shared := 0.0
 	if len(w.chains) > 0 {
-		ranks = c.ranks(p, w)
+		if w.listing != c.listing {
+			w.ranks, w.listing = c.ranks(p, w), c.listing
+		}
+		ranks = w.ranks
 		for _, part := range w.r.Prefix[:sharedParts(w)] {
 			shared += float64(part.Tokens)
 		}
@@ -132,7 +135,7 @@
 	if math.IsInf(e.slice, 1) {
 		return e.slice
 	}
-	return e.slice * math.Exp2(float64(c.now-e.cutAt)/(float64(c.set.Recover)*e.spread))
+	return e.slice * (1 + float64(c.now-e.refusedAt)/(float64(c.set.Recover)*e.spread))
 }
 
 func (e *endpoint) ratio() float64 { return float64(e.wide.Window) / float64(e.narrow.Window) }
@@ -141,7 +144,7 @@
 func (e *endpoint) open(c *core) bool {
 	limit := e.limit(c)
 	narrow, wide := float64(e.narrow.Count(c.now)), float64(e.wide.Count(c.now))
-	if !math.IsInf(limit, 1) && limit > 4*(narrow+4) && c.now-e.cutAt > c.set.Narrow {
+	if !math.IsInf(limit, 1) && limit > 4*(narrow+4) && c.now-e.refusedAt > c.set.Narrow {
 		e.slice = math.Inf(1) // it has not bound for a window
 		return true
 	}
@@ -156,8 +159,8 @@
 	limit := e.limit(c)
 	at := max(e.narrow.RoomAt(c.now, int(limit)), e.wide.RoomAt(c.now, int(limit*e.ratio())))
 	n := max(float64(e.narrow.Count(c.now)), float64(e.wide.Count(c.now))/e.ratio()) + 1e-3
-	grown := time.Duration(math.Log2(n/e.slice) * float64(c.set.Recover) * e.spread)
-	return max(c.now, min(at, e.cutAt+grown))
+	grown := time.Duration((n/e.slice - 1) * float64(c.set.Recover) * e.spread)
+	return max(c.now, min(at, e.refusedAt+grown))
 }
 
 // hasRoom tells whether a request may go to an endpoint now.
@@ -175,7 +178,9 @@
 	if w.r.Bulk {
 		most := max(slots*(1-c.set.BulkHeadroom), 1)
 		if c.pressing(w) {
-			most = slots
+			if most = slots; c.underFloor(e.pool) {
+				most = slots * (1 + c.set.QueueInAim)
+			}
 		}
 		return e.load(c)+1 <= most+1e-9
 	}
@@ -184,7 +189,18 @@
 
 // pressing tells whether a bulk item falls due soon, so that it may have the headroom too.
 func (c *core) pressing(w *waiter) bool {
-	return w.due > 0 && c.now+2*time.Second > w.due
+	return c.now+c.set.Pressing > w.due
+}
+
+// underFloor tells whether less bulk runs than always may, of this sender.
+func (c *core) underFloor(p *pool) bool {
+	slots := 0
+	for _, e := range p.eps {
+		if !e.unlisted && e.state == view.Ready {
+			slots += e.slots()
+		}
+	}
+	return float64(p.bulk) < max(1, c.set.BulkFloor*float64(slots)/float64(c.senders))
 }
 
 // toFirst guesses the ms until the first word: a slot, what is read before it, its own prompt.
@@ -241,15 +257,15 @@
 	if w.r.Bulk {
 		return true
 	}
-	at := c.now + time.Duration(ms*float64(time.Millisecond))
+	late := e.pool.late.v * math.Exp(-float64(c.now-e.pool.word)/float64(c.set.LagFades))
+	at := c.now + time.Duration((ms+max(0, late))*float64(time.Millisecond))
 	if at >= w.deadline {
 		return false
 	}
 	if w.due == 0 || at <= w.due {
 		return true
 	}
-	queue := c.set.QueueLate * math.Pow(0.7, float64(priority(w.r)))
-	return e.load(c) < float64(e.slots())*(1+queue)
+	return e.load(c) < float64(e.slots())*c.set.QueueLate*math.Pow(0.8, float64(priority(w.r)))
 }
 
 // sharedParts is how many parts of a prompt others may bring too: all but the last, if there are more.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -24,6 +24,7 @@
 	pools     map[string]*pool
 	order     []*pool // in order of first mention
 	held      int
+	listing   uint64 // counts the snapshots
 }
 
 // pool is the endpoints of a service with those who wait for one of them.
@@ -38,6 +39,9 @@
 	first line // ms to the first word, by tokens to read
 	work  mean // ms from the grant to the end
 	rest  mean // requests of others at an endpoint
+	bulk  int  // running
+	late  mean // ms that first words come later than expected, of late
+	word  Time // the last first word
 	hold  []*waiter
 }
 
@@ -52,9 +56,11 @@
 	coldTill Time
 
 	narrow, wide sendlog.Log
-	slice        float64 // starts in a narrow window; infinite until a refusal
-	cutAt        Time    // the last refusal that cut it
-	spread       float64 // so that senders that saw the same do not come back together
+	passed       sendlog.Log // runs that were served, in the narrow window
+	slice        float64     // starts in a narrow window; infinite until a refusal
+	cutAt        Time        // the last refusal that cut it
+	refusedAt    Time        // the last refusal, since which it has grown
+	spread       float64     // so that senders that saw the same do not come back together
 
 	running  []*run // granted and not ended, oldest first
 	others   float64
@@ -96,6 +102,8 @@
 	due      Time
 	giveUp   Time // refused then
 	seq      uint64
+	ranks    map[*endpoint]int // of listing
+	listing  uint64
 	grant    *run
 	refused  *Refused
 	done     func(*waiter) // called once, with grant or refused set
@@ -121,6 +129,7 @@
 	if s == nil {
 		return
 	}
+	c.listing++
 	if n := max(s.Senders, 1); n != c.senders {
 		for _, e := range c.endpoints {
 			e.slice = max(1, e.slice*float64(c.senders)/float64(n))
@@ -167,6 +176,7 @@
 		e = &endpoint{pool: p, hash: view.Hash(v.ID), slice: math.Inf(1), slowness: mean{1},
 			spread: 0.75 + 0.5*c.rng(),
 			narrow: sendlog.Log{Window: c.set.Narrow, Most: c.set.MostSends},
+			passed: sendlog.Log{Window: c.set.Narrow, Most: c.set.MostSends},
 			wide:   sendlog.Log{Window: c.set.Wide, Most: c.set.MostSends}}
 		c.endpoints[v.ID] = e
 		p.known = true
@@ -280,7 +290,13 @@
 		if before(h, w) > 0 {
 			return false
 		}
-		if w.r.Bulk && !h.r.Bulk || len(h.r.Avoid) == 0 && h.r.Model == w.r.Model {
+		if w.r.Bulk && !h.r.Bulk {
+			if c.pressing(w) {
+				continue
+			}
+			return true
+		}
+		if len(h.r.Avoid) == 0 && h.r.Model == w.r.Model {
 			return true
 		}
 	}
@@ -321,6 +337,9 @@
 	e.wide.Record(c.now)
 	r.alone = e.unread() == 0 && e.load(c) < float64(e.slots())/2
 	e.running = append(e.running, r)
+	if r.bulk {
+		e.pool.bulk++
+	}
 	if e.outTill != 0 {
 		e.probing, r.probe = true, true
 	}
@@ -371,33 +390,48 @@
 	}
 }
 
-const mostFailures = 16 // in a row in a hold: those behind them have no room either
+const mostFailures = 4 // in a hold: those behind them have no room either
 
 func (c *core) serve(p *pool) {
 	if len(p.hold) == 0 {
 		return
 	}
-	failures := 0
-	kept := p.hold[:0]
 	list := slices.Clone(p.hold)
-	for i, w := range list {
-		switch {
-		case !w.r.Bulk && c.now >= w.giveUp:
-			c.held--
+	// Bulk that is overdue goes last: else all of it would be late once some is.
+	slices.SortStableFunc(list, func(a, b *waiter) int { return c.overdue(a) - c.overdue(b) })
+	failures, bulkFailures, interactive, gone := 0, 0, false, false
+	for _, w := range list {
+		if !w.r.Bulk && c.now >= w.giveUp {
 			c.refuse(p, w, "no endpoint had room in time")
+			gone = true
 			continue
-		case failures < mostFailures && (len(kept) == 0 || !w.r.Bulk || kept[0].r.Bulk):
+		}
+		n := &failures
+		if w.r.Bulk {
+			n = &bulkFailures
+		}
+		if *n < mostFailures && (!w.r.Bulk || !interactive || c.pressing(w)) {
 			if e, run := c.choose(p, w); e != nil {
-				c.held--
 				c.start(w, run)
+				gone = true
 				continue
 			}
-			failures++
+			*n++
 		}
-		kept = append(kept, list[i])
+		interactive = interactive || !w.r.Bulk
+	}
+	if gone {
+		was := len(p.hold)
+		p.hold = slices.DeleteFunc(p.hold, func(w *waiter) bool { return w.grant != nil || w.refused != nil })
+		c.held -= was - len(p.hold)
+	}
+}
+
+func (c *core) overdue(w *waiter) int {
+	if w.r.Bulk && c.now >= w.due {
+		return 1
 	}
-	clear(p.hold[len(kept):])
-	p.hold = kept
+	return 0
 }
 
 // withdraw takes a request out of the hold again. It tells whether it was there.
@@ -457,12 +491,23 @@
 	c.tell(e, l)
 	took := float64(c.now-r.sent) / float64(time.Millisecond)
 	e.slowness.add(min(max(took/max(r.expected, 0.5), 0.25), 4), 0.1)
+	e.pool.lag(c.now, min(max(took-r.expected, -mostLag), mostLag), c.set.LagFades)
 	if r.alone {
 		e.pool.first.add(r.read, took)
 	}
 	c.serve(e.pool)
 }
 
+const mostLag = 300 // ms that one first word counts
+
+// lag takes in how many ms later than expected a first word came.
+func (p *pool) lag(now Time, ms float64, fades time.Duration) {
+	old := math.Exp(-float64(now-p.word) / float64(fades))
+	p.late.v *= old
+	p.late.add(ms, max(0.05, (1-old)/2))
+	p.word = now
+}
+
 // tell takes in what an endpoint says of its load: the part that isn't this sender's is the others'.
 func (c *core) tell(e *endpoint, l Load) {
 	if !l.Known {
@@ -492,6 +537,9 @@
 	if i := slices.Index(e.running, r); i >= 0 {
 		e.running = slices.Delete(e.running, i, i+1)
 	}
+	if r.bulk {
+		e.pool.bulk--
+	}
 	if r.probe {
 		e.probing = false
 	}
@@ -539,9 +587,7 @@
 	e.score = 0
 	e.outTill, e.outFor = 0, 0
 	e.pool.work.add(float64(c.now-r.sent)/float64(time.Millisecond), 0.05)
-	if r.sent >= e.cutAt && !math.IsInf(e.slice, 1) {
-		e.slice++
-	}
+	e.passed.Record(c.now)
 }
 
 // turnedAway cuts the slice: the first refusal tells the count that is full. Calls that were out when it was
@@ -553,16 +599,20 @@
 	} else if n := l.Running + l.Waiting; n >= e.slots() {
 		e.fullAt = float64(n)
 	}
-	if r.sent < e.cutAt {
-		return
-	}
 	count := float64(e.narrow.Count(c.now))
-	if math.IsInf(e.slice, 1) {
+	switch {
+	case math.IsInf(e.slice, 1):
 		e.slice = max(1, count)
-	} else {
-		e.slice = max(1, min(e.limit(c), count)*c.set.Cut)
+	case r.sent < e.cutAt:
+		return
+	case c.now-e.cutAt < c.set.Recover/2: // too soon to cut again, but what it grew is lost
+		e.refusedAt = c.now
+		return
+	default:
+		served := float64(e.passed.Count(c.now))
+		e.slice = max(1, c.set.LeastCut*served, c.set.Cut*min(e.limit(c), count))
 	}
-	e.cutAt = c.now
+	e.cutAt, e.refusedAt = c.now, c.now
 }
 
 func (c *core) failed(r *run, weight float64) {
--- /dev/null
+++ b/internal/dispatch/place_test.go
@@ -0,0 +1,275 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wingmount/internal/view"
+)
+
+// limited is an endpoint that takes so many starts in a second and turns the others away.
+func (b *bench) limited(t *testing.T, perSecond, offered int, d time.Duration) (refusals, served int) {
+	t.Helper()
+	var taken []time.Duration
+	gap := time.Second / time.Duration(offered)
+	for end := b.c.now + d; b.c.now < end; {
+		b.ask(&Request{ID: fmt.Sprint(b.seq)})
+		for id, r := range b.runs { // also those that were held
+			delete(b.runs, id)
+			for len(taken) > 0 && b.c.now-taken[0] >= time.Second {
+				taken = taken[1:]
+			}
+			if len(taken) >= perSecond {
+				refusals++
+				b.c.end(r, NotRun, Load{})
+			} else {
+				taken = append(taken, b.c.now)
+				served++
+				b.c.end(r, Served, Load{})
+			}
+		}
+		b.pass(gap)
+	}
+	return refusals, served
+}
+
+func TestCountsBindAfterRefusals(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1")
+	refusals, _ := b.limited(t, 1000, 30, 10*time.Second)
+	if refusals != 0 || !math.IsInf(b.endpoint("e1").slice, 1) {
+		t.Fatalf("%d refusals, slice %v, before there was a limit", refusals, b.endpoint("e1").slice)
+	}
+	b.limited(t, 20, 30, 10*time.Second)
+	first, _ := b.limited(t, 10, 30, 5*time.Second) // the limit is halved
+	later, served := b.limited(t, 10, 30, 5*time.Second)
+	t.Logf("%d refusals in the narrow window after the limit was halved, %d in the next, %d served", first, later, served)
+	if first > 30 || later > 20 || served < 45 { // of 150 that are offered, 50 fit
+		t.Errorf("%d refusals after the limit was halved, then %d, with %d served", first, later, served)
+	}
+	refusals, served = b.limited(t, 1000, 30, 3*time.Second) // the limit is gone: so is the slice, soon
+	if refusals > 0 || served < 60 {
+		t.Errorf("recovering: %d refusals, %d of 90 served", refusals, served)
+	}
+	if _, served := b.limited(t, 1000, 30, 2*time.Second); served < 58 {
+		t.Errorf("three seconds later %d of 60 are served", served)
+	}
+}
+
+func TestOneRefusalThrottlesNotForLong(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1")
+	b.c.end(b.ask(&Request{ID: "1"}).grant, NotRun, Load{})
+	if w := b.ask(&Request{ID: "2", Bulk: true}); w.grant != nil {
+		t.Error("granted right after the refusal")
+	}
+	b.pass(2 * time.Second)
+	if b.runs["2"] == nil {
+		t.Error("not granted two seconds after the refusal")
+	}
+}
+
+func TestRefusalOfCallsThatWereOutCutsOnce(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1")
+	for i := range 8 {
+		b.ask(&Request{ID: fmt.Sprint(i)})
+	}
+	b.pass(10 * time.Millisecond)
+	for i := range 8 {
+		b.c.end(b.runs[fmt.Sprint(i)], NotRun, Load{})
+	}
+	if s := b.endpoint("e1").slice; s != 8 {
+		t.Errorf("slice %v, want the count at the first refusal, 8", s)
+	}
+}
+
+func TestSliceFollowsTheNumberOfSenders(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1")
+	for i := range 8 {
+		b.ask(&Request{ID: fmt.Sprint(i)})
+	}
+	b.c.end(b.runs["0"], NotRun, Load{})
+	b.snap.Senders = 2
+	b.c.update(b.snap)
+	if s := b.endpoint("e1").slice; s != 4 {
+		t.Errorf("slice %v of two senders, want 4", s)
+	}
+}
+
+func TestToldRoomLiftsTheSlice(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1")
+	b.ask(&Request{ID: "0"})
+	b.ask(&Request{ID: "1"})
+	b.c.end(b.runs["0"], NotRun, Load{})
+	b.pass(100 * time.Millisecond)
+	b.c.first(b.runs["1"], Load{Running: 1, Slots: 4, Known: true})
+	if !math.IsInf(b.endpoint("e1").slice, 1) {
+		t.Error("still bound though three of four slots are free")
+	}
+}
+
+func prompt(subject uint64, own uint64) *Request {
+	return &Request{ID: fmt.Sprint(subject, "/", own), TokensIn: 17000,
+		Prefix: []Part{{subject, 13300}, {1<<32 + own, 3700}}}
+}
+
+// homes asks once about each subject and tells where it went.
+func (b *bench) homes(n int, round uint64) map[int]string {
+	out := map[int]string{}
+	for i := range n {
+		w := b.ask(prompt(uint64(i+1), round<<16+uint64(i)))
+		out[i] = w.grant.target.ID
+		b.pass(5*time.Millisecond + time.Duration(w.grant.read/130*float64(time.Millisecond)))
+		b.c.first(w.grant, Load{})
+		b.c.end(w.grant, Served, Load{})
+	}
+	return out
+}
+
+func moved(a, b map[int]string) int {
+	n := 0
+	for i := range a {
+		if a[i] != b[i] {
+			n++
+		}
+	}
+	return n
+}
+
+func TestHomesAreStableAndTheSameForAllSenders(t *testing.T) {
+	var ids []string
+	for i := range 12 {
+		ids = append(ids, fmt.Sprint("e", i))
+	}
+	b, other := newBench(Settings{}), newBench(Settings{})
+	other.c.zone = "b"
+	other.c.rng = rand.New(rand.NewPCG(7, 8)).Float64
+	b.add(ids...)
+	other.add(ids...)
+	const subjects = 60
+	was := b.homes(subjects, 1)
+	if n := moved(was, b.homes(subjects, 2)); n != 0 {
+		t.Errorf("%d of %d subjects moved for no reason", n, subjects)
+	}
+	if n := moved(was, other.homes(subjects, 3)); n > subjects/20 {
+		t.Errorf("another sender has other homes for %d of %d subjects", n, subjects)
+	}
+	b.snap.Endpoints["s"] = b.snap.Endpoints["s"][1:] // e0 leaves
+	b.c.update(b.snap)
+	now := b.homes(subjects, 4)
+	for i, home := range was {
+		if home != "e0" && now[i] != home {
+			t.Errorf("subject %d went from %s to %s though e0 left", i, home, now[i])
+		}
+	}
+}
+
+func TestAFullHomeIsPassedBy(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1", "e2", "e3")
+	places := map[string]int{}
+	for i := range 12 {
+		w := b.ask(prompt(1, uint64(i)))
+		if w.grant == nil {
+			t.Fatalf("request %d was not let through", i)
+		}
+		places[w.grant.target.ID]++
+		b.pass(time.Millisecond)
+	}
+	for id, n := range places {
+		if n > 6 {
+			t.Errorf("%d of 12 are at %s", n, id)
+		}
+	}
+	if len(places) < 3 {
+		t.Errorf("only %d endpoints are used", len(places))
+	}
+}
+
+func TestModelOfKeptParts(t *testing.T) {
+	var c prefixCache
+	add := func(most int64, parts ...Part) { c.sent(chainOf("m", parts), parts, 1, most, 100) }
+	kept := func(parts ...Part) int { return c.cached(chainOf("m", parts)) }
+	a, x, y, z := Part{1, 100}, Part{2, 50}, Part{3, 50}, Part{4, 50}
+	add(250, a, x)
+	add(250, a, y)
+	if kept(a, x) != 2 || kept(a, y) != 2 || kept(a, z) != 1 || kept(x) != 0 {
+		t.Error("parts that were sent are not kept with those before them")
+	}
+	if c.cached(chainOf("n", []Part{a})) != 0 {
+		t.Error("a part is kept for another model")
+	}
+	add(250, a, z) // over: the least recent gives way, and that is x
+	add(250, a, Part{5, 50})
+	if kept(a, x) != 1 || kept(a, z) != 2 || c.tokens > 250 {
+		t.Errorf("x %d, z %d, %d tokens", kept(a, x), kept(a, z), c.tokens)
+	}
+	for i := range 1000 {
+		c.sent([]chain{chain(i)}, []Part{{uint64(i), 1}}, 1, 0, 100)
+	}
+	if c.recent.Len() != 100 || len(c.parts) != 100 {
+		t.Errorf("%d parts are remembered, want at most 100", c.recent.Len())
+	}
+}
+
+func TestSpeedIsLearnt(t *testing.T) {
+	l := firstLine()
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 500 {
+		x := float64(rng.IntN(5000))
+		l.add(x, 3+x/400+rng.Float64())
+	}
+	base, slope := l.fit()
+	if math.Abs(1/slope-400) > 40 || math.Abs(base-3.5) > 1 {
+		t.Errorf("base %.1f, %.0f tokens a ms", base, 1/slope)
+	}
+}
+
+func TestTheHoldIsBounded(t *testing.T) {
+	b := newBench(Settings{MostHeld: 5})
+	for i := range 20 {
+		b.ask(&Request{ID: fmt.Sprint(i), Bulk: true})
+	}
+	if b.c.held != 5 || len(b.c.pool("s").hold) != 5 {
+		t.Errorf("%d are held", b.c.held)
+	}
+}
+
+func TestRetryAfterHasMeaning(t *testing.T) {
+	b := newBench(Settings{})
+	b.snap.Config.Services["s"].MaxConns = 1
+	b.add("e1")
+	b.ask(&Request{ID: "1"})
+	w := b.ask(&Request{ID: "2"})
+	b.pass(100 * time.Millisecond)
+	if w.refused == nil {
+		t.Fatal("not refused at a quarter of its aim")
+	}
+	if d := w.refused.RetryAfter; d < 50*time.Millisecond || d > 4*time.Second/3 {
+		t.Errorf("come back in %v", d)
+	}
+	if n := len(b.c.pool("s").hold) + b.c.held; n != 0 {
+		t.Errorf("%d are held still", n)
+	}
+}
+
+func TestWhatIsListedNoMoreIsForgottenWhenItsRunsEnd(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1")
+	w := b.ask(&Request{ID: "1"})
+	b.snap = &view.Snapshot{Senders: 1, Config: b.snap.Config}
+	b.c.update(b.snap)
+	if b.endpoint("e1") == nil {
+		t.Error("forgotten though a request runs there")
+	}
+	b.c.end(w.grant, Served, Load{})
+	if b.endpoint("e1") != nil || len(b.c.pool("s").eps) != 0 {
+		t.Error("not forgotten")
+	}
+}
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -6,8 +6,9 @@
 type Settings struct {
 	Narrow, Wide time.Duration // windows of the send logs
 	MostSends    int           // entries a log keeps
-	Recover      time.Duration // after a refusal a slice doubles in this time, while no other comes
+	Recover      time.Duration // after a refusal a slice grows by itself in this time, while no other comes
 	Cut          float64       // what a further refusal leaves of a slice
+	LeastCut     float64       // but no less than this of what was served in a narrow window
 
 	MostHeld     int           // requests in the hold, over all services
 	HoldShare    float64       // of a route's target, the longest a request is held
@@ -15,8 +16,11 @@
 	TrustLoad    time.Duration // in which what others are told to run fades to their mean
 	FullFor      time.Duration // an endpoint that refused without telling its load counts as full
 	QueueInAim   float64       // capacities that may queue at an endpoint while the answer is in aim
-	QueueLate    float64       // the same where the answer will be late
+	QueueLate    float64       // capacities that may be taken or queue where the answer will be late
+	LagFades     time.Duration // in which the lateness of first words fades
 	BulkHeadroom float64       // share of capacity that bulk leaves free
+	BulkFloor    float64       // share of capacity that pressing bulk may have however full it is
+	Pressing     time.Duration // before it falls due, bulk has the headroom too and waits for nobody
 
 	LoadFactor, LoadSlack float64 // bounded load: at most factor x mean + slack at a prompt's home
 	FreeShare             float64 // of a capacity; a load below it is never too much for a home
@@ -44,14 +48,18 @@
 	orElse(&s.MostSends, 8192)
 	orElse(&s.Recover, time.Second)
 	orElse(&s.Cut, 0.7)
+	orElse(&s.LeastCut, 0.9)
 	orElse(&s.MostHeld, 2048)
 	orElse(&s.HoldShare, 0.25)
 	orElse(&s.LeastRetry, 50*time.Millisecond)
 	orElse(&s.TrustLoad, 1500*time.Millisecond)
 	orElse(&s.FullFor, 60*time.Millisecond)
 	orElse(&s.QueueInAim, 3)
-	orElse(&s.QueueLate, 1)
+	orElse(&s.QueueLate, 0.55)
+	orElse(&s.LagFades, 300*time.Millisecond)
 	orElse(&s.BulkHeadroom, 0.15)
+	orElse(&s.BulkFloor, 0.1)
+	orElse(&s.Pressing, 3*time.Second)
 	orElse(&s.LoadFactor, 1.25)
 	orElse(&s.LoadSlack, 1)
 	orElse(&s.FreeShare, 0.25)
--- /dev/null
+++ b/internal/dispatch/world_test.go
@@ -0,0 +1,369 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"wingmount/internal/operator"
+	"wingmount/internal/view"
+)
+
+// world plays several senders and model endpoints in steps of a ms.
+type world struct {
+	rng   *rand.Rand
+	now   time.Duration
+	cores []*core
+	eps   []*engine
+	snap  *view.Snapshot
+	next  uint64
+	kinds []*kindOf
+
+	backOff []later
+}
+
+type kindOf struct {
+	name         string
+	perSecond    float64
+	groups       int // of shared parts
+	shared, own  int
+	out          int
+	aim          int
+	deadline     time.Duration
+	bulk         bool
+	priority     int
+	acc          float64
+	asked, inAim int
+	late, failed int
+	notRun       int
+	firsts       []float64
+	reread       int
+}
+
+type later struct {
+	at   time.Duration
+	task *task
+	core int
+}
+
+// task is a request of a client.
+type task struct {
+	kind    *kindOf
+	r       *Request
+	born    time.Duration
+	core    int
+	tries   int
+	w       *waiter
+	toRead  float64
+	toWrite float64
+	firstAt time.Duration
+	running bool
+}
+
+// engine is a model endpoint.
+type engine struct {
+	id       string
+	slots    int
+	queue    int
+	tasks    []*task // running first, then waiting
+	cache    prefixCache
+	reread   float64
+	everRead map[chain]bool
+	speed    float64
+}
+
+const (
+	readSpeed   = 128.0 // tokens a ms
+	cacheTokens = 400_000
+)
+
+func newWorld(senders, endpoints, zones int, set Settings) *world {
+	w := &world{rng: rand.New(rand.NewPCG(3, 4)), snap: &view.Snapshot{Senders: senders,
+		Endpoints: map[string][]*view.Endpoint{},
+		Config: &operator.Config{Services: map[string]*operator.Service{"s": {Name: "s", MaxConns: 220,
+			Engine: &operator.Engine{Capacity: 24, CacheTokens: cacheTokens}}}}}}
+	for i := range endpoints {
+		id := fmt.Sprintf("e%02d", i)
+		w.eps = append(w.eps, &engine{id: id, slots: 24, queue: 48, everRead: map[chain]bool{}, speed: 1})
+		w.snap.Endpoints["s"] = append(w.snap.Endpoints["s"],
+			&view.Endpoint{ID: id, Service: "s", Zone: fmt.Sprint(i % zones), Capacity: 24})
+	}
+	for i := range senders {
+		c := newCore(set, fmt.Sprint(i%zones), w.rng.Float64)
+		c.update(w.snap)
+		w.cores = append(w.cores, c)
+	}
+	return w
+}
+
+func (w *world) submit(k *kindOf) {
+	w.next++
+	group := uint64(w.rng.IntN(max(k.groups, 1))) + 1
+	t := &task{kind: k, born: w.now, core: w.rng.IntN(len(w.cores))}
+	own := int(float64(k.own) * (0.5 + w.rng.Float64()))
+	t.r = &Request{ID: fmt.Sprint(w.next), Service: "s", TokensIn: k.shared + own, TokensOut: k.out, Bulk: k.bulk,
+		Route:  &operator.Route{Name: k.name, TargetMs: k.aim, Priority: k.priority},
+		Prefix: []Part{{uint64(len(k.name))<<32 + group, k.shared}, {1<<60 + w.next, own}}}
+	k.asked++
+	w.ask(t)
+}
+
+func (w *world) ask(t *task) {
+	c := w.cores[t.core]
+	c.now = w.now
+	w.next++
+	t.w = &waiter{r: t.r, seq: w.next, deadline: t.born + t.kind.deadline,
+		due: t.born + time.Duration(t.kind.aim)*time.Millisecond}
+	t.w.giveUp = c.giveUp(t.w, w.now)
+	t.w.done = func(x *waiter) {
+		if x.refused != nil {
+			t.tries++
+			if t.tries > 1 || w.now+x.refused.RetryAfter > t.w.deadline {
+				t.kind.failed++
+				return
+			}
+			w.backOff = append(w.backOff, later{w.now + x.refused.RetryAfter, t, w.rng.IntN(len(w.cores))})
+			return
+		}
+		w.arrive(t, x.grant)
+	}
+	c.acquire(t.w)
+}
+
+func (w *world) load(e *engine) Load {
+	l := Load{Slots: e.slots, Known: true}
+	l.Running = min(len(e.tasks), e.slots)
+	l.Waiting = len(e.tasks) - l.Running
+	return l
+}
+
+func (w *world) arrive(t *task, r *run) {
+	i := slices.IndexFunc(w.eps, func(e *engine) bool { return e.id == r.target.ID })
+	e := w.eps[i]
+	if len(e.tasks) >= e.slots+e.queue {
+		t.kind.notRun++
+		w.backOff = append(w.backOff, later{w.now + time.Millisecond, t, -1})
+		return
+	}
+	t.firstAt = 0
+	t.running = false
+	e.tasks = append(e.tasks, t)
+}
+
+func (w *world) read(e *engine, t *task) {
+	chains := chainOf(t.r.Model, t.r.Prefix)
+	t.toRead = float64(t.r.TokensIn)
+	cached := e.cache.cached(chains)
+	for i := range cached {
+		t.toRead -= float64(t.r.Prefix[i].Tokens)
+	}
+	if shared := float64(t.r.Prefix[0].Tokens); cached == 0 && e.anyRead(w, chains[0]) {
+		e.reread += shared
+		t.kind.reread++
+	}
+	e.everRead[chains[0]] = true
+	e.cache.sent(chains, t.r.Prefix, 1, cacheTokens, 1<<20)
+	t.toWrite = float64(t.r.TokensOut)
+	t.running = true
+}
+
+func (e *engine) anyRead(w *world, h chain) bool {
+	return slices.ContainsFunc(w.eps, func(o *engine) bool { return o.everRead[h] })
+}
+
+func (w *world) step() {
+	w.now += time.Millisecond
+	for _, k := range w.kinds {
+		for k.acc += k.perSecond / 1000; k.acc > 0 && w.rng.Float64() < k.acc; k.acc-- {
+			w.submit(k)
+		}
+	}
+	due := w.backOff
+	w.backOff = nil
+	for _, l := range due {
+		switch {
+		case l.at > w.now:
+			w.backOff = append(w.backOff, l)
+		case l.core < 0: // the endpoint turned it away
+			c, t := w.cores[l.task.core], l.task
+			c.now = w.now
+			g := t.w.grant
+			i := slices.IndexFunc(w.eps, func(e *engine) bool { return e.id == g.target.ID })
+			c.end(g, NotRun, w.load(w.eps[i]))
+			t.r.Avoid = append(t.r.Avoid, g.target.ID)
+			if len(t.r.Avoid) > 2 {
+				t.kind.failed++
+				continue
+			}
+			w.ask(t)
+		default:
+			l.task.core = l.core
+			l.task.r.Avoid = nil
+			w.ask(l.task)
+		}
+	}
+	for _, e := range w.eps {
+		w.run(e)
+	}
+	for _, c := range w.cores {
+		c.now = w.now
+		if at, any := c.wake(); any && at <= w.now+time.Millisecond {
+			c.step()
+		}
+	}
+}
+
+func (w *world) run(e *engine) {
+	budget := readSpeed * e.speed
+	n := min(len(e.tasks), e.slots)
+	if n == 0 {
+		return
+	}
+	rate := e.speed / (1.85 + 0.05*float64(n))
+	var done []*task
+	for _, t := range e.tasks[:n] {
+		c := w.cores[t.core]
+		if !t.running {
+			w.read(e, t)
+		}
+		if t.toRead > 0 {
+			used := min(budget, t.toRead)
+			budget -= used
+			t.toRead -= used
+			continue
+		}
+		t.toWrite -= rate
+		if t.firstAt == 0 {
+			t.firstAt = w.now
+			c.now = w.now
+			c.first(t.w.grant, w.load(e))
+		}
+		if t.toWrite <= 0 {
+			done = append(done, t)
+		}
+	}
+	for _, t := range done {
+		e.tasks = slices.DeleteFunc(e.tasks, func(o *task) bool { return o == t })
+		ms := float64(t.firstAt-t.born) / float64(time.Millisecond)
+		t.kind.firsts = append(t.kind.firsts, ms)
+		if ms <= float64(t.kind.aim) {
+			t.kind.inAim++
+		} else {
+			t.kind.late++
+		}
+		c := w.cores[t.core]
+		c.now = w.now
+		c.end(t.w.grant, Served, Load{})
+	}
+}
+
+func (w *world) play(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.step()
+	}
+}
+
+func (w *world) report(t *testing.T) {
+	reread := 0.0
+	most := 0
+	for _, e := range w.eps {
+		reread += e.reread
+		most = max(most, len(e.tasks))
+	}
+	for _, k := range w.kinds {
+		slices.Sort(k.firsts)
+		q := func(f float64) float64 {
+			if len(k.firsts) == 0 {
+				return 0
+			}
+			return k.firsts[int(f*float64(len(k.firsts)-1))]
+		}
+		t.Logf("%s: %d asked, in aim %.3f, late %.3f, failed %.3f, turned away %d, reread %d, first p50 %.0f p90 %.0f p99 %.0f",
+			k.name, k.asked, float64(k.inAim)/float64(k.asked), float64(k.late)/float64(k.asked),
+			float64(k.failed)/float64(k.asked), k.notRun, k.reread, q(0.5), q(0.9), q(0.99))
+	}
+	t.Logf("worth %.3f", w.worth())
+	t.Logf("reread %.0f tokens a second; the fullest has %d", reread/w.now.Seconds(), most)
+}
+
+func ordinary(scale float64) []*kindOf {
+	return []*kindOf{
+		{name: "chat", perSecond: 141 * scale, groups: 40, shared: 172, own: 543, out: 72, aim: 200, deadline: 6 * time.Second},
+		{name: "review", perSecond: 19.6 * scale, groups: 12, shared: 13300, own: 3720, out: 28, aim: 300, deadline: 4 * time.Second},
+		{name: "letters", perSecond: 10 * scale, groups: 4, shared: 432, own: 768, out: 160, aim: 10000, deadline: 60 * time.Second, bulk: true},
+	}
+}
+
+// worth is what was earned of what was owed.
+func (w *world) worth() float64 {
+	earned, owed := 0.0, 0.0
+	for i, k := range w.kinds {
+		worth := []float64{2, 3, 2.2}[i%3]
+		earned += worth * (float64(k.inAim) + 0.3*float64(k.late) - 0.3*float64(k.failed))
+		owed += worth * float64(k.asked)
+	}
+	return earned / owed
+}
+
+func TestAnOrdinaryDayIsInAimAndReadsSharedPartsOnce(t *testing.T) {
+	for _, scale := range []float64{1, 4} {
+		t.Run(fmt.Sprint(scale), func(t *testing.T) {
+			w := newWorld(10, 18, 4, Settings{})
+			w.kinds = ordinary(scale)
+			w.play(20 * time.Second)
+			w.report(t)
+			if v := w.worth(); v < 0.98 {
+				t.Errorf("worth %.3f", v)
+			}
+			if k := w.kinds[1]; k.reread > k.asked/20 {
+				t.Errorf("%d of %d reviews were read again", k.reread, k.asked)
+			}
+		})
+	}
+}
+
+func TestOverloadIsServedInAim(t *testing.T) {
+	w := newWorld(10, 18, 4, Settings{})
+	w.kinds = ordinary(14)
+	w.play(8 * time.Second)
+	w.report(t)
+	for _, k := range w.kinds[:2] {
+		if k.inAim < 3*k.late {
+			t.Errorf("%s: %d in aim, %d late", k.name, k.inAim, k.late)
+		}
+		if 4*(k.inAim+k.late) < k.asked {
+			t.Errorf("%s starves: %d of %d served", k.name, k.inAim+k.late, k.asked)
+		}
+	}
+}
+
+func TestBulkIsNotStarvedByOverload(t *testing.T) {
+	w := newWorld(4, 6, 2, Settings{})
+	w.kinds = ordinary(14.0 / 3)
+	w.kinds[2].aim = 4000
+	w.play(20 * time.Second)
+	w.report(t)
+	if k := w.kinds[2]; 3*(k.inAim+k.late) < k.asked {
+		t.Errorf("%d of %d served", k.inAim+k.late, k.asked)
+	}
+}
+
+func TestABurstIsOverSoon(t *testing.T) {
+	w := newWorld(10, 18, 4, Settings{})
+	w.kinds = ordinary(4)
+	w.play(2 * time.Second)
+	w.kinds[0].perSecond *= 6
+	w.play(2 * time.Second)
+	w.kinds[0].perSecond /= 6
+	w.play(2 * time.Second)
+	for _, k := range w.kinds {
+		k.asked, k.inAim, k.late, k.failed, k.firsts = 0, 0, 0, 0, nil
+	}
+	w.play(4 * time.Second)
+	w.report(t)
+	if v := w.worth(); v < 0.95 {
+		t.Errorf("worth %.3f two seconds after it", v)
+	}
+}
