--- /dev/null
+++ b/policy/answers.go
@@ -0,0 +1,145 @@
+// This file has retries, and the answers to clients.
+
+package policy
+
+import "time"
+
+// mayRepeat decides whether a message may go to an endpoint after earlier attempts.
+func (s *Sender) mayRepeat(m *message, e *endpoint) bool {
+	if m.call != nil || m.ended || s.neverAgain(m) {
+		return false
+	}
+	free := !m.ran || m.class.Repeat == Idempotent
+	return free || m.class.GroupAll || m.class.GroupZone && e.zone == m.ranZone
+}
+
+// mayRefuse decides whether a client may be told that trying again is harmless.
+func (s *Sender) mayRefuse(m *message) bool {
+	return !m.ran || m.class.Repeat == Idempotent || m.class.Repeat == Deduplicated && m.class.GroupAll
+}
+
+func (s *Sender) finished(o Ended) {
+	m := s.messages[o.Message]
+	if m == nil || m.call == nil {
+		return
+	}
+	c := m.call
+	m.call = nil
+	if c.left--; c.left == 0 {
+		c.endpoint.calls = remove(c.endpoint.calls, c)
+		s.inFlight--
+		if o.Outcome == Moot && !c.judged { // never sent: it used up nothing of the limit
+			c.endpoint.path.narrow.Forget(c.sent)
+			c.endpoint.path.wide.Forget(c.sent)
+		}
+	}
+	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled {
+		c.judged = true
+		s.follow(c.endpoint.path, o.Told)
+		s.judge(c.endpoint, o.Outcome, o.Wait, c, o.Took)
+	}
+	if p := c.endpoint.path; o.Wait > 0 {
+		// Messages of one call may end apart, so each told wait is heeded.
+		p.closedUntil = max(p.closedUntil, s.now+o.Wait)
+	}
+	switch o.Outcome {
+	case Full, Unreachable, Moot:
+		if !m.settled {
+			m.ran = false
+		}
+	case TimedOut, Reset, Cancelled:
+		m.settled = true
+		if m.turn != nil {
+			m.turn.restUntil = max(m.turn.restUntil, s.now+s.set.TurnGap)
+		}
+	default:
+		m.settled = true
+	}
+	if o.Final || o.Outcome == Delivered {
+		if !m.ended {
+			s.end(m)
+			return
+		}
+	}
+	if m.ended {
+		s.forget(m)
+		return
+	}
+	m.failedAt = nil
+	if o.Outcome != Full && o.Outcome != Moot {
+		m.failedAt = c.endpoint
+		backoff := min(backoffMax, backoffBase<<min(m.attempts-1, 10))
+		m.notBefore = s.now + backoff/2 + s.jitter(backoff/2)
+	}
+	m.dest.queue = append(m.dest.queue, m)
+}
+
+// Answers
+
+// answerAt is when a message is answered at the latest: a tick before its time
+// is up, so that the answer is in time even if a step comes late.
+func (s *Sender) answerAt(m *message) Time { return m.giveUpAt - s.set.Tick }
+
+// answerDue answers before the deadline, and at once what can't be sent again.
+func (s *Sender) answerDue() {
+	for i := 0; i < len(s.open); i++ {
+		m := s.open[i]
+		hopeless := m.call == nil && (m.attempts >= s.set.MaxAttempts || s.neverAgain(m))
+		if s.now >= s.answerAt(m) || hopeless {
+			s.answer(m)
+			i--
+		}
+	}
+}
+
+// neverAgain tells that no endpoint may be sent the message any more.
+func (s *Sender) neverAgain(m *message) bool {
+	return m.ran && (m.class.Repeat == AtMostOnce ||
+		m.class.Repeat == Deduplicated && s.now-m.ranAt >= m.class.Window)
+}
+
+// answer refuses where that is allowed, since the client may come again, and
+// fails what can't be refused.
+func (s *Sender) answer(m *message) {
+	if s.mayRefuse(m) {
+		var wait time.Duration
+		if s.set.AdviseWait {
+			wait = min(s.set.MaxWait, s.drain(m.dest))
+		}
+		s.out = append(s.out, Refuse{Message: m.id, Wait: wait})
+	} else {
+		s.out = append(s.out, Fail{Message: m.id})
+	}
+	s.end(m)
+}
+
+// makeRoom keeps a little of the hold free: what comes to a full one is lost unseen.
+func (s *Sender) makeRoom() {
+	if s.set.MaxHeld <= 0 {
+		return
+	}
+	keep := s.set.MaxHeld - max(1, int(holdReserve*float64(s.set.MaxHeld)))
+	for len(s.open) > keep {
+		var worst *message
+		least := shedBelow
+		for _, m := range s.open {
+			if m.call != nil || m.class.Worth <= 0 {
+				continue
+			}
+			v := s.worth(m.class, s.now-m.born+s.drain(m.dest)) / m.class.Worth
+			if s.inFlight >= s.set.Slots && len(m.dest.paths) > 0 {
+				v *= min(1, s.usual/m.dest.paths[0].latency.Seconds())
+			}
+			if !s.mayRefuse(m) {
+				v += 0.1
+			}
+			if v < least {
+				worst, least = m, v
+			}
+		}
+		if worst == nil {
+			return
+		}
+		s.answer(worst)
+	}
+}
--- /dev/null
+++ b/policy/choice.go
@@ -0,0 +1,207 @@
+// This file chooses which message goes next, and to which endpoint.
+
+package policy
+
+import (
+	"container/heap"
+	"math"
+	"slices"
+	"time"
+)
+
+// dispatch sends while there are slots and some message has a way: next the one
+// that would lose most worth for the slot time it takes, if it had to wait.
+func (s *Sender) dispatch() {
+	if s.inFlight >= s.set.Slots {
+		return
+	}
+	for _, d := range s.ordered {
+		d.room = slices.ContainsFunc(d.paths, s.hasRoom)
+	}
+	s.line = s.line[:0]
+	for i, m := range s.open {
+		if m.dest.room && s.ready(m) && !s.gathers(m) {
+			s.line = append(s.line, candidate{m, s.score(m), i})
+		}
+	}
+	heap.Init(&s.line)
+	for s.inFlight < s.set.Slots && len(s.line) > 0 {
+		m := heap.Pop(&s.line).(candidate).message
+		if !s.ready(m) || s.gathers(m) { // it went with another, or the others went
+			continue
+		}
+		if e := s.choose(m); e != nil {
+			s.sendCall(m, e)
+		}
+	}
+}
+
+// ready tells whether a message may be tried now as far as it goes itself.
+func (s *Sender) ready(m *message) bool {
+	if m.call != nil || m.ended || s.now < m.notBefore || m.attempts >= s.set.MaxAttempts {
+		return false
+	}
+	if s.answerAt(m)-s.now <= 2*s.set.Tick {
+		return false
+	}
+	return m.turn == nil || m.turn.line[0] == m && (m.attempts > 0 || s.now >= m.turn.restUntil)
+}
+
+// gathers holds a message back for others to share its call, while a slice binds:
+// many senders get few messages each, and each call counts for the limit.
+func (s *Sender) gathers(m *message) bool {
+	p := m.dest.paths[0]
+	if m.attempts > 0 || len(m.dest.queue) >= p.kind.BundleMax || math.IsInf(p.slice, 1) {
+		return false
+	}
+	return s.now-m.born < time.Duration(gatherShare*float64(m.class.Aim))-p.latency/2
+}
+
+// score is the worth lost by waiting a window longer, for each second of a
+// slot; ties go to the message that has waited longest.
+func (s *Sender) score(m *message) float64 {
+	latency := m.dest.paths[0].latency
+	age := s.now - m.born
+	loss := s.worth(m.class, age+latency) - s.worth(m.class, age+latency+narrowWindow)
+	return loss/latency.Seconds() + 1e-6*age.Seconds()
+}
+
+// choose picks the endpoint for a message, nil if it must wait. A path without
+// a fee comes first; one with a fee is taken when waiting would cost more.
+func (s *Sender) choose(m *message) *endpoint {
+	var best *endpoint
+	free := s.freeWait(m)
+	for _, p := range m.dest.paths {
+		if !s.hasRoom(p) {
+			continue
+		}
+		if p.fee > 0 && free >= 0 && !s.scarce() {
+			age := s.now - m.born + p.latency
+			if s.worth(m.class, age)-s.worth(m.class, age+free) < p.fee*m.class.Worth {
+				continue
+			}
+		}
+		for _, e := range p.endpoints {
+			if s.usable(e, m) && (best == nil || s.better(e, best, m)) {
+				best = e
+			}
+		}
+	}
+	return best
+}
+
+// freeWait guesses how long a message would wait for a path without a fee;
+// negative if there is none that may take it.
+func (s *Sender) freeWait(m *message) time.Duration {
+	wait := time.Duration(-1)
+	for _, p := range m.dest.paths {
+		if p.fee > 0 {
+			continue
+		}
+		w := s.outage(p) + time.Duration(float64(len(p.dest.queue))/s.rate(p)*float64(time.Second))
+		may := func(e *endpoint) bool { return e.state == Ready && s.mayRepeat(m, e) }
+		if (wait < 0 || w < wait) && slices.ContainsFunc(p.endpoints, may) {
+			wait = w
+		}
+	}
+	return wait
+}
+
+// scarce tells that messages wait for slots: then a slot's time is worth more
+// than a fee, and the faster route is taken.
+func (s *Sender) scarce() bool { return len(s.open) > 2*s.set.Slots }
+
+func (s *Sender) better(a, b *endpoint, m *message) bool {
+	if x, y := a == m.failedAt, b == m.failedAt; x != y {
+		return y // leave out the endpoint that was just seen failing
+	}
+	if a.path.fee != b.path.fee {
+		if s.scarce() {
+			return a.path.latency < b.path.latency
+		}
+		return a.path.fee < b.path.fee
+	}
+	if a.out != b.out {
+		return a.out // a trial that is due
+	}
+	if len(a.calls) != len(b.calls) {
+		return len(a.calls) < len(b.calls)
+	}
+	return a.lastSent < b.lastSent // reuse of the last connection was tried: the uneven load costs more
+}
+
+// usable tells whether an endpoint may take a message now.
+func (s *Sender) usable(e *endpoint, m *message) bool {
+	if !s.mayRepeat(m, e) || !s.listedFor(e) {
+		return false
+	}
+	switch {
+	case s.stalled(e), (e.out || e.suspect) && !s.roomForDoubt():
+		return false
+	case e.out && !s.trialDue(e), (e.out || e.suspect) && !s.fitForTrial(m, e), e.suspect && len(e.calls) > 0:
+		return false
+	case e.out && (e.lead || !s.notesCome()):
+		return true
+	}
+	return !e.out && !e.warming || s.coldRoom(e)
+}
+
+// listedFor keeps drains and orders: nothing goes to an endpoint from the notice on,
+// unless its destination has no other and the grace still runs.
+func (s *Sender) listedFor(e *endpoint) bool {
+	if e.state == Ready || e.barred {
+		return !e.barred
+	}
+	if e.state == Gone || s.now-e.told >= s.set.DrainGrace/2 {
+		return false
+	}
+	return !slices.ContainsFunc(e.path.dest.paths, func(p *path) bool { return p.readyEndpoints() > 0 })
+}
+
+// sendCall makes one call to an endpoint, with all waiting messages that fit.
+func (s *Sender) sendCall(m *message, e *endpoint) {
+	p := e.path
+	c := &call{endpoint: e, sent: s.now}
+	e.calls = append(e.calls, c)
+	s.inFlight++
+	p.narrow.Record(s.now)
+	p.wide.Record(s.now)
+	e.lastSent = s.now
+	if e.out {
+		p.nextTrial = s.now + s.trialGap(e)
+	}
+	bundle := []*message{m}
+	s.take(m, c)
+	room := p.kind.BundleMax
+	if e.out || e.suspect {
+		room = 1 // a trial risks one message only
+	}
+	for c.size < room {
+		var best *message
+		var bestScore float64
+		for _, n := range p.dest.queue {
+			if s.ready(n) && s.mayRepeat(n, e) {
+				if score := s.score(n); best == nil || score > bestScore {
+					best, bestScore = n, score
+				}
+			}
+		}
+		if best == nil {
+			break
+		}
+		bundle = append(bundle, best)
+		s.take(best, c)
+	}
+	e.phase = s.drawPhase() * bundleWork(c.size)
+	e.cold.Record(s.now)
+	var timeout time.Duration // one fate, so one time-out
+	for _, n := range bundle {
+		timeout = max(timeout, s.timeout(e, n, c.size))
+	}
+	for _, n := range bundle {
+		left := s.answerAt(n) - s.set.Tick - s.now
+		s.out = append(s.out, Send{Message: n.id, Endpoint: e.id, Timeout: min(timeout, left)})
+	}
+}
+
+func bundleWork(size int) float64 { return 1 + itemWork*float64(size-1) }
