Forward: idle connections, wrong events, slow clients and the batch hook under test

Change: all answers say Connection: close once the process is stopped, the batch hook's too; tests of forward and of upstream's opened calls, told limits and waits; two benchmarks.

--- /dev/null
+++ b/internal/forward/bench_test.go
@@ -0,0 +1,42 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"wingmount/internal/operator"
+)
+
+// One request after the other on one connection, from a client over the proxy to an endpoint and back.
+func BenchmarkPlain(b *testing.B) {
+	e := newEndpoint(b, "e1", says(sealed, "the body"))
+	benchmark(b, newRig(b, route(operator.ReadOnly, 2), e))
+}
+
+// Streams of ten events that come one by one.
+func BenchmarkStream(b *testing.B) {
+	e := newEndpoint(b, "e1", func(c net.Conn, r call) bool {
+		_, _ = io.WriteString(c, streamHead(r.Header.Get(headID)))
+		for n := range 10 {
+			_, _ = io.WriteString(c, chunked(oneEvent(n+1)))
+		}
+		_, err := io.WriteString(c, chunked(""))
+		return err == nil
+	})
+	benchmark(b, newRig(b, route(operator.Streaming, 2), e))
+}
+
+func benchmark(b *testing.B, g *rig) {
+	c := g.dial()
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := c.ask(plainCall+"|X-Dunetide-Time-Left-Ms: 4000", "body"); err != nil {
+			b.Fatal(err)
+		}
+		if a, err := c.answer(); err != nil || a.status != http.StatusOK || a.err != nil {
+			b.Fatal(a, err)
+		}
+	}
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -718,3 +718,163 @@
 }
 
 func (r *recorder) WriteHeader(status int) { r.status = status }
+
+// An event that is not the next one ends the run that it came from, and what came right before it in the
+// same bytes is passed on.
+func TestEventThatIsNotTheNext(t *testing.T) {
+	for name, c := range map[string]struct {
+		first string
+		body  string
+		whole bool
+	}{
+		"twice":         {oneEvent(1) + oneEvent(2) + oneEvent(2), oneEvent(1) + oneEvent(2) + oneEvent(3), true},
+		"back":          {oneEvent(1) + oneEvent(2) + oneEvent(1), oneEvent(1) + oneEvent(2) + oneEvent(3), true},
+		"nameless last": {oneEvent(1) + "data: x\n\n" + oneEvent(1), oneEvent(1) + "data: x\n\n", false},
+		"comment last":  {oneEvent(1) + ": here\n\n" + oneEvent(1), oneEvent(1) + ": here\n\n" + oneEvent(2) + oneEvent(3), true},
+		"carriages":     {"id: 1\r\ndata: t1\r\n\r\nid: 1\r\n\r\n", "id: 1\r\ndata: t1\r\n\r\n" + oneEvent(2) + oneEvent(3), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e1 := newEndpoint(t, "e1", func(conn net.Conn, _ call) bool {
+				_, _ = io.WriteString(conn, streamHead("id1")+chunked(c.first, ""))
+				return true
+			})
+			e2 := newEndpoint(t, "e2", func(conn net.Conn, r call) bool {
+				body := ""
+				for n := atoi(r.Header.Get(headLast)) + 1; n <= 3; n++ {
+					body += oneEvent(n)
+				}
+				_, _ = io.WriteString(conn, streamHead("id1")+chunked(body, ""))
+				return true
+			})
+			r := route(operator.Streaming, 2)
+			r.Resume = true
+			g := newRig(t, r, e1, e2)
+			if a := g.do(plainCall, "body"); a.body != c.body || (a.err == nil) != c.whole {
+				t.Errorf("%+v, want %q", a, c.body)
+			}
+		})
+	}
+}
+
+// Bytes on an idle connection belong to no request.
+func TestBytesOnAnIdleConnection(t *testing.T) {
+	spoil, spoilt := make(chan bool), make(chan bool)
+	e := newEndpoint(t, "e1", func(conn net.Conn, r call) bool {
+		says(sealed, "ok")(conn, r)
+		if r.Header.Get(headID) == "id1" {
+			<-spoil
+			_, _ = io.WriteString(conn, answerOf("id2", sealed, "not it"))
+			close(spoilt)
+		}
+		return true
+	})
+	g := newRig(t, route(operator.Writes, 1), e)
+	if a := g.do(plainCall, "x"); a.body != "ok" {
+		t.Fatalf("%+v", a)
+	}
+	close(spoil)
+	<-spoilt
+	if a := g.do("POST /r/ HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id2", "x"); a.body != "ok" || e.opened() != 2 {
+		t.Errorf("%+v, %d connections", a, e.opened())
+	}
+}
+
+func TestBatchCallsGoToTheirHook(t *testing.T) {
+	g := newRig(t, route(operator.Bulk, 1))
+	var calls []string
+	g.p.o.Bulk = func(w http.ResponseWriter, r *http.Request, route *operator.Route) {
+		name := ""
+		if route != nil {
+			name = route.Name
+		}
+		calls = append(calls, r.Method+" "+r.URL.Path+" "+name)
+		w.WriteHeader(http.StatusAccepted)
+	}
+	for _, line := range []string{"POST /r/1", "GET /lots/1?start_after=2", "DELETE /lots/1", "GET /items/1?id=2"} {
+		if a := g.do(line+" HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: 1", ""); a.status != http.StatusAccepted {
+			t.Errorf("%s: %+v", line, a)
+		}
+	}
+	if want := []string{"POST /r/1 r", "GET /lots/1 ", "DELETE /lots/1 ", "GET /items/1 "}; !slices.Equal(calls, want) {
+		t.Errorf("%q", calls)
+	}
+}
+
+func TestServiceIsDrawnByWeight(t *testing.T) {
+	g := newRig(t, route(operator.ReadOnly, 1))
+	r := &operator.Route{Shares: []operator.Share{{Service: "none", Weight: 0}, {Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "never", Weight: 0}}}
+	drawn := map[string]int{}
+	for n := range 10000 {
+		id := fmt.Sprint("id", n)
+		s := g.p.draw(r, id)
+		drawn[s]++
+		if g.p.draw(r, id) != s {
+			t.Fatal("another service for the same id")
+		}
+	}
+	if drawn["a"]+drawn["b"] != 10000 || drawn["b"] < 850 || drawn["b"] > 1150 {
+		t.Errorf("%v", drawn)
+	}
+}
+
+// Connections to endpoints that are no longer listed are closed, others are kept.
+func TestTidy(t *testing.T) {
+	e1, e2 := newEndpoint(t, "e1", says(sealed, "ok")), newEndpoint(t, "e2", says(sealed, "ok"))
+	g := newRig(t, route(operator.ReadOnly, 1), e1)
+	g.do(plainCall, "x")
+	g.a.all = []*endpoint{e2}
+	g.do(plainCall, "x")
+	open := func() int { return g.p.conns.Stats(0).Open }
+	g.p.Tidy() // no list is known
+	if n := open(); n != 2 {
+		t.Fatalf("%d open", n)
+	}
+	s := *g.p.o.Holder.Get()
+	s.Listed, s.Endpoints = true, map[string][]*view.Endpoint{"svc": {{ID: "e1", State: view.Gone}, {ID: "e2", State: view.Draining}}}
+	g.p.o.Holder.Set(&s)
+	g.p.Tidy()
+	if n := open(); n != 1 || len(g.p.pools) != 1 {
+		t.Errorf("%d open", n)
+	}
+}
+
+// An endpoint that turns every request away is asked only so often; a client's body goes out whole or not at all.
+func TestTurnedAwayByAll(t *testing.T) {
+	var all []*endpoint
+	for n := range 9 {
+		all = append(all, newEndpoint(t, fmt.Sprint("e", n), says("503 X|X-Dunetide-Not-Run: 1|Retry-After: 0.5", "")))
+	}
+	g := newRig(t, route(operator.Writes, 2), all...)
+	if a := g.do(plainCall, "x"); a.status != 503 || a.header.Get("Retry-After") != "0.500" {
+		t.Errorf("%+v", a)
+	}
+	if n := len(g.a.outcomes()); n != 2+moreTurns {
+		t.Errorf("%d were asked", n)
+	}
+}
+
+// A client that doesn't take its answer holds up only itself, and not for ever.
+func TestClientThatDoesNotRead(t *testing.T) {
+	gone := make(chan bool)
+	e := newEndpoint(t, "e1", func(conn net.Conn, r call) bool {
+		if r.Header.Get(headID) == "id2" {
+			return says(sealed, "ok")(conn, r)
+		}
+		_, err := io.WriteString(conn, streamHead("id1"))
+		for n := 1; err == nil; n++ {
+			_, err = io.WriteString(conn, chunked(fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 8<<10))))
+		}
+		close(gone)
+		return false
+	})
+	g := newRig(t, route(operator.Streaming, 1), e)
+	c := g.dial()
+	must(t, c.ask(plainCall+"|X-Dunetide-Time-Left-Ms: 300", "x"))
+	if a := g.do("POST /r/ HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id2", "x"); a.body != "ok" {
+		t.Errorf("%+v", a)
+	}
+	<-gone
+	if a, err := c.answer(); err == nil && a.err == nil {
+		t.Errorf("%d, %d bytes: it looks complete", a.status, len(a.body))
+	}
+}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -28,9 +28,6 @@
 // ServeHTTP answers a client.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := p.o.Now()
-	if p.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	target, path := r.RequestURI, r.URL.EscapedPath()
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
@@ -38,24 +35,26 @@
 		path = raw
 	}
 	if !strings.HasPrefix(target, "/") {
-		answer(w, r, http.StatusBadRequest, 0)
+		p.answer(w, r, http.StatusBadRequest, 0)
 		return
 	}
 	if p.o.Bulk != nil && (strings.HasPrefix(path, "/lots/") || strings.HasPrefix(path, "/items/")) {
+		p.sayClose(w.Header())
 		p.o.Bulk(w, r, nil)
 		return
 	}
 	s := p.o.Holder.Get()
 	if s == nil || s.Config == nil {
-		answer(w, r, http.StatusServiceUnavailable, 3*soon)
+		p.answer(w, r, http.StatusServiceUnavailable, 3*soon)
 		return
 	}
 	route := p.o.Match(s.Config, hostOf(r.Host), path)
 	if route == nil {
-		answer(w, r, http.StatusNotFound, 0)
+		p.answer(w, r, http.StatusNotFound, 0)
 		return
 	}
 	if route.Kind == operator.Bulk && p.o.Bulk != nil {
+		p.sayClose(w.Header())
 		p.o.Bulk(w, r, route)
 		return
 	}
@@ -99,14 +98,14 @@
 			if status == http.StatusRequestEntityTooLarge || status == http.StatusRequestTimeout {
 				w.Header().Set("Connection", "close")
 			}
-			answer(w, r, status, 0)
+			p.answer(w, r, status, 0)
 			return
 		}
 		x.body = *bodyBuffer
 	}
 	x.layOutHead(target, r.Host, r.Header, len(x.body))
 	if limits.MaxHeaderBytes > 0 && x.base > limits.MaxHeaderBytes+256 { // some is laid out otherwise than it came
-		answer(w, r, http.StatusRequestHeaderFieldsTooLarge, 0)
+		p.answer(w, r, http.StatusRequestHeaderFieldsTooLarge, 0)
 		return
 	}
 	p.answerFrom(x, w, r, rc)
@@ -138,11 +137,11 @@
 			e, ok = x.acquire()
 			continue
 		case Refuse:
-			answer(w, r, http.StatusServiceUnavailable, x.comeBack())
+			p.answer(w, r, http.StatusServiceUnavailable, x.comeBack())
 		case NoAnswer:
-			answer(w, r, http.StatusBadGateway, 0)
+			p.answer(w, r, http.StatusBadGateway, 0)
 		case TooLate:
-			answer(w, r, http.StatusGatewayTimeout, 0)
+			p.answer(w, r, http.StatusGatewayTimeout, 0)
 		case Abort:
 			if e == Failed {
 				x.finishDrained(dispatch.Failed)
@@ -163,9 +162,17 @@
 	return max(time.Millisecond, min(d, x.left()/3))
 }
 
+// sayClose asks the client for another connection, and another machine, once this one is to be stopped.
+func (p *Proxy) sayClose(h http.Header) {
+	if p.draining.Load() {
+		h["Connection"] = []string{"close"}
+	}
+}
+
 // answer answers a client with a status of our own.
-func answer(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration) {
+func (p *Proxy) answer(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration) {
 	h := w.Header()
+	p.sayClose(h)
 	h["Date"], h["Content-Type"] = nil, nil
 	h.Set("Content-Length", "0")
 	if id := r.Header.Get(headID); id != "" {
@@ -217,6 +224,7 @@
 func (x *exchange) passHead(w http.ResponseWriter, length int64) {
 	h := w.Header()
 	drop := named(x.resp.Header)
+	x.p.sayClose(h)
 	h["Date"], h["Content-Type"] = nil, nil
 	for name, values := range x.resp.Header {
 		switch name {
