--- a/cmd/dunetide/runner.go
+++ b/cmd/dunetide/runner.go
@@ -25,7 +25,7 @@
 	if p == nil || snap == nil || snap.Config == nil {
 		return batch.Result{End: batch.NotRun, RetryAfter: again}
 	}
-	item := &forward.Item{ID: it.ID, Host: it.Host, Path: it.Path, Header: map[string]string{}, Body: it.Body, MayStart: it.MayStart}
+	item := &forward.Item{ID: it.ID, Host: it.Host, Path: it.Path, Header: map[string]string{}, Body: it.Body, Due: it.Due, MayStart: it.MayStart}
 	for _, h := range it.Headers {
 		item.Header[h[0]] = h[1]
 	}
--- a/internal/forward/item.go
+++ b/internal/forward/item.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -24,6 +25,7 @@
 	Route  *operator.Route
 	// MayStart is asked right before the item is sent to an endpoint; nil: it always may.
 	MayStart func() bool
+	Due    time.Time // its result should be there by then; zero: not told
 }
 
 // ItemState is how a run of an item ended.
@@ -80,8 +82,9 @@
 	x.describe(it.Route, header.Get)
 	x.req.Bulk, x.req.Arrived = true, p.o.Now()
 	if deadline, ok := ctx.Deadline(); ok {
-		x.deadline, x.req.Deadline, x.req.Due = deadline, deadline, deadline
+		x.deadline, x.req.Deadline = deadline, deadline
 	}
+	x.req.Due = it.Due
 	headBuffer, streamBuffer := getBuffer(), getBuffer()
 	defer func() {
 		x.finish(dispatch.Left, upstream.GaveUp)
