Tier lab: a stand-in for model endpoints and plain ones, with faults by call

A tier of real processes had nothing to serve without the platform. Engines work in batches with prefill in pieces and kept prompt parts, register by heartbeats, and record every run.

--- /dev/null
+++ b/internal/lab/tier/engine/batch.go
@@ -0,0 +1,183 @@
+package engine
+
+import (
+	"container/list"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// part is a piece of a prompt; its key names the model and all parts before it, too.
+type part struct {
+	key    string
+	tokens int
+}
+
+// parts reads a prompt's parts, ID:TOKENS by commas.
+func parts(model, header string) []part {
+	var out []part
+	key := model
+	for field := range strings.SplitSeq(header, ",") {
+		id, count, ok := strings.Cut(strings.TrimSpace(field), ":")
+		tokens, err := strconv.Atoi(count)
+		if !ok || err != nil || tokens < 0 {
+			return out
+		}
+		key += "/" + id
+		out = append(out, part{key, tokens})
+	}
+	return out
+}
+
+// cache keeps prompt parts; the least recently used give way.
+type cache struct {
+	tokens int
+	kept   map[string]*list.Element
+	order  *list.List // of part, the newest first
+}
+
+func newCache() *cache { return &cache{kept: map[string]*list.Element{}, order: list.New()} }
+
+// hit tells how many tokens of a prompt need no prefill, and marks their parts as used.
+func (c *cache) hit(prompt []part) (tokens int) {
+	for _, p := range prompt {
+		e := c.kept[p.key]
+		if e == nil {
+			break
+		}
+		c.order.MoveToFront(e)
+		tokens += p.tokens
+	}
+	return tokens
+}
+
+// shrink drops parts until no more than this many tokens are kept.
+func (c *cache) shrink(most int) {
+	for c.tokens > most && c.order.Len() > 0 {
+		p := c.order.Remove(c.order.Back()).(part)
+		delete(c.kept, p.key)
+		c.tokens -= p.tokens
+	}
+}
+
+func (c *cache) keep(prompt []part, most int) {
+	for _, p := range slices.Backward(prompt) { // the first part is the newest: the others need it
+		if e := c.kept[p.key]; e != nil {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.kept[p.key] = c.order.PushFront(p)
+		c.tokens += p.tokens
+	}
+	c.shrink(most)
+}
+
+// job is one request at a model endpoint.
+type job struct {
+	prompt  []part
+	out     int // tokens
+	next    int // the event that comes next
+	count   int // events of the whole stream
+	prefill int // tokens still to be read
+	holds   int // tokens of memory that it takes while it runs
+	begin   func() // called at its first token
+	begun   bool
+	events  chan int // as many fit as there are; closed at the end
+	running bool
+}
+
+func (j *job) size() int {
+	sum := j.out
+	for _, p := range j.prompt {
+		sum += p.tokens
+	}
+	return sum
+}
+
+// batch decides what runs at a model endpoint. It has no clock and no sockets.
+type batch struct {
+	o       Options
+	cache   *cache
+	waiting []*job
+	running []*job
+	used    int // tokens that can't give way
+}
+
+// offer takes a job on, or says that the endpoint is full.
+func (b *batch) offer(j *job) bool {
+	if len(b.waiting) >= b.o.Queue+max(0, b.o.Capacity-len(b.running)) || j.size() > b.o.CacheTokens {
+		return false
+	}
+	b.waiting = append(b.waiting, j)
+	return true
+}
+
+// admit lets waiting jobs in, in their order, as slots and memory allow.
+func (b *batch) admit() {
+	for len(b.waiting) > 0 && len(b.running) < b.o.Capacity {
+		j := b.waiting[0]
+		prompt := j.size() - j.out
+		hit := b.cache.hit(j.prompt)
+		need := prompt - hit + j.out
+		if b.used+need > b.o.CacheTokens {
+			return
+		}
+		b.waiting = b.waiting[1:]
+		j.prefill, j.holds, j.running = prompt-hit, need, true
+		b.used += need
+		b.cache.shrink(b.o.CacheTokens - b.used)
+		b.running = append(b.running, j)
+	}
+}
+
+// step plans one step: how long it takes, and what is to be done after that time.
+func (b *batch) step() (time.Duration, func()) {
+	b.admit()
+	piece := b.o.Piece
+	took := b.o.Step + time.Duration(len(b.running))*b.o.StepGrowth
+	var emit []*job
+	for _, j := range b.running {
+		read := min(piece, j.prefill)
+		piece -= read
+		j.prefill -= read
+		took += time.Duration(read) * b.o.PrefillToken
+		if j.prefill == 0 {
+			emit = append(emit, j)
+		}
+	}
+	return took, func() {
+		for _, j := range emit {
+			if j.running { // it may have been dropped meanwhile
+				b.emit(j)
+			}
+		}
+	}
+}
+
+func (b *batch) emit(j *job) {
+	if !j.begun {
+		j.begun = true
+		j.begin()
+		b.cache.keep(j.prompt, b.o.CacheTokens-b.used)
+	}
+	if j.next <= j.count {
+		j.events <- j.next
+		j.next++
+	}
+	if j.next > j.count {
+		close(j.events)
+		b.drop(j)
+	}
+}
+
+// drop takes a job out wherever it is.
+func (b *batch) drop(j *job) {
+	is := func(o *job) bool { return o == j }
+	b.waiting = slices.DeleteFunc(b.waiting, is)
+	if j.running {
+		j.running = false
+		b.running = slices.DeleteFunc(b.running, is)
+		b.used -= j.holds
+	}
+}
--- /dev/null
+++ b/internal/lab/tier/engine/beats.go
@@ -0,0 +1,147 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Beats tells how an endpoint registers.
+type Beats struct {
+	Controls func() []string // the addresses that take heartbeats; nil: it does not register
+	Every    time.Duration
+	DrainFor time.Duration // it serves on for so long after draining was acknowledged
+}
+
+var models = []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
+
+const (
+	beatWait    = time.Second
+	largestBeat = 4 << 10 // of an answer to a heartbeat
+	drainTries  = 5
+	afterDrain  = 300 * time.Millisecond
+)
+
+// beat sends heartbeats until the context ends.
+func (e *Endpoint) beat(ctx context.Context) {
+	client := &http.Client{Timeout: beatWait, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	tick := time.NewTicker(e.o.Beats.Every)
+	defer tick.Stop()
+	follow := ""
+	for {
+		follow, _ = e.register(ctx, client, follow) // a beat that nobody took: the next one may be
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// register sends one heartbeat to the first node that takes it, and tells where the next one goes.
+func (e *Endpoint) register(ctx context.Context, client *http.Client, follow string) (string, error) {
+	addrs := e.o.Beats.Controls()
+	if follow != "" {
+		addrs = append([]string{follow}, addrs...)
+	}
+	failed := errors.New("no control address")
+	for _, a := range addrs {
+		to, err := e.put(ctx, client, a)
+		if err == nil {
+			if to == "" && a == follow {
+				to = follow
+			}
+			return to, nil
+		}
+		failed = err
+	}
+	return "", failed
+}
+
+func (e *Endpoint) put(ctx context.Context, client *http.Client, addr string) (follow string, err error) {
+	e.mu.Lock()
+	e.beats++
+	say := map[string]any{"service": e.o.Service, "address": e.o.Address, "zone": e.o.Zone, "version": "v1", "capacity": e.o.Capacity,
+		"state": "ready", "cold_left_ms": 0, "stage": "both", "models": models, "call_count": e.beats}
+	if e.draining {
+		say["state"] = "draining"
+	}
+	e.mu.Unlock()
+	text, err := json.Marshal(say)
+	if err != nil {
+		return "", err
+	}
+	answer, err := call(ctx, client, http.MethodPut, addr, e.o.ID, text)
+	if err != nil {
+		return "", err
+	}
+	var told struct {
+		BeatTo string `json:"beat_to"`
+	}
+	_ = json.Unmarshal(answer, &told) // a 2xx acknowledges it, whatever it says
+	return told.BeatTo, nil
+}
+
+func call(ctx context.Context, client *http.Client, method, addr, id string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/instances/"+id, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, largestBeat+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case resp.StatusCode/100 != 2:
+		return nil, fmt.Errorf("%s of %s at %s: %s", method, id, addr, resp.Status)
+	case len(answer) > largestBeat:
+		return nil, fmt.Errorf("the answer of %s is over %d bytes", addr, largestBeat)
+	}
+	return answer, nil
+}
+
+// Leave ends it as planned: it says that it drains, serves on for a while, says that it is gone, and
+// ends. It tells when draining was acknowledged; zero: never.
+func (e *Endpoint) Leave(ctx context.Context) (acked time.Time) {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	client := &http.Client{Timeout: beatWait, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for range drainTries {
+		if _, err := e.register(ctx, client, ""); err == nil {
+			acked = time.Now()
+			break
+		}
+		pause(ctx, e.o.Beats.Every/2)
+	}
+	pause(ctx, e.o.Beats.DrainFor+afterDrain)
+	e.mute()
+	for _, a := range e.o.Beats.Controls() {
+		if _, err := call(ctx, client, http.MethodDelete, a, e.o.ID, nil); err == nil {
+			break
+		}
+	}
+	e.Crash()
+	return acked
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/lab/tier/engine/engine_test.go
@@ -0,0 +1,262 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func start(t *testing.T, o Options) *Endpoint {
+	t.Helper()
+	e, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Crash)
+	return e
+}
+
+func ask(t *testing.T, e *Endpoint, path string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	method := http.MethodPost
+	if path == "/health" || path == "/report" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequest(method, "http://"+e.Address()+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func TestStreamIsWholeAndContinues(t *testing.T) {
+	o := options()
+	e := start(t, o)
+	resp, body, err := ask(t, e, "/a/1", HeaderRequest, "r1", HeaderTokens, "20,45", HeaderModel, "m", HeaderPrefix, "aa:15,bb:5")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := ""
+	for n := 1; n <= 5; n++ {
+		want += fmt.Sprintf("id: %d\ndata: %s\n\n", n, Event("r1", n))
+	}
+	if body != want || resp.Header.Get(HeaderRequest) != "r1" || resp.Header.Get("Content-Type") != "text/event-stream" {
+		t.Errorf("the stream is %v %q", resp.Header, body)
+	}
+	runs := o.Runs.All()
+	if len(runs) != 1 || !runs[0].Whole || runs[0].Seal != resp.Header.Get(HeaderSeal) || runs[0].Sum != Sum("POST", "/a/1", nil) {
+		t.Errorf("the runs are %+v", runs)
+	}
+	o.ID, o.Address = "i-2", "127.0.0.1:0"
+	other := start(t, o)
+	_, rest, err := ask(t, other, "/a/1", HeaderRequest, "r1", HeaderTokens, "20,45", HeaderLast, "3")
+	if err != nil || !strings.HasSuffix(want, rest) || !strings.HasPrefix(rest, "id: 4\n") {
+		t.Errorf("after event 3 another endpoint goes on with %q, %v", rest, err)
+	}
+}
+
+func TestWhatHasNotRunIsSaid(t *testing.T) {
+	o := options()
+	e := start(t, o)
+	for _, c := range []struct {
+		status int
+		header []string
+	}{
+		{http.StatusMisdirectedRequest, []string{HeaderRequest, "r", HeaderTokens, "1,1", HeaderTarget, "i-9"}},
+		{http.StatusBadRequest, []string{HeaderTokens, "1,1"}},
+		{http.StatusServiceUnavailable, []string{HeaderRequest, "r", HeaderTokens, "5000,1"}},
+	} {
+		resp, _, err := ask(t, e, "/a/1", c.header...)
+		if err != nil || resp.StatusCode != c.status || resp.Header.Get(HeaderNotRun) == "" {
+			t.Errorf("%v: %v, %v", c.header, resp, err)
+		}
+	}
+	if runs := o.Runs.All(); len(runs) != 0 {
+		t.Errorf("ran: %+v", runs)
+	}
+	resp, _, err := ask(t, e, "/health")
+	if err != nil || resp.Header.Get(HeaderInstance) != "i-1" || resp.Header.Get(HeaderLoad) != "0,0,2" {
+		t.Errorf("health: %v, %v", resp, err)
+	}
+	var report struct {
+		CacheTotal int `json:"cache_total"`
+	}
+	if _, body, err := ask(t, e, "/report"); err != nil || json.Unmarshal([]byte(body), &report) != nil || report.CacheTotal != 1000 {
+		t.Errorf("report: %q, %v", body, err)
+	}
+}
+
+func TestPlainEndpointIsFullBeyondItsQueue(t *testing.T) {
+	o := options()
+	o.Work, o.Capacity, o.Queue = 200*time.Millisecond, 1, 1
+	e := start(t, o)
+	statuses := make(chan int, 4)
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			id := fmt.Sprint("r", i)
+			resp, body, err := ask(t, e, "/a/1", HeaderRequest, id)
+			if err != nil || resp.StatusCode == http.StatusOK && body != string(PlainBody(id)) {
+				t.Errorf("%q, %v", body, err)
+				return
+			}
+			statuses <- resp.StatusCode
+		})
+	}
+	wg.Wait()
+	close(statuses)
+	count := map[int]int{}
+	for s := range statuses {
+		count[s]++
+	}
+	if count[200] != 2 || count[503] != 2 || len(o.Runs.All()) != 2 || len(PlainBody("r")) != 800 {
+		t.Errorf("statuses %v, %d runs", count, len(o.Runs.All()))
+	}
+}
+
+func TestDeadlineEndsARun(t *testing.T) {
+	o := options()
+	o.Work = time.Hour
+	e := start(t, o)
+	resp, _, err := ask(t, e, "/a/1", HeaderRequest, "r", HeaderTimeLeft, "20")
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(HeaderNotRun) != "" {
+		t.Errorf("%v, %v", resp, err)
+	}
+	if runs := o.Runs.All(); len(runs) != 1 || runs[0].Whole {
+		t.Errorf("runs %+v", runs)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for _, work := range []time.Duration{0, time.Millisecond} {
+		o := options()
+		o.Work = work
+		e := start(t, o)
+		for i, f := range []Fault{Garble, Lost, Broken} {
+			e.Break(f)
+			if _, body, err := ask(t, e, "/a/1", HeaderRequest, "r", HeaderTokens, "5,20"); err == nil {
+				t.Errorf("fault %v gave %q", f, body)
+			}
+			if runs := o.Runs.All(); len(runs) != i+1 || runs[i].Whole {
+				t.Errorf("after fault %v: %+v", f, runs)
+			}
+		}
+		e.Break(Surplus)
+		c, err := net.Dial("tcp", e.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /a/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n%s: r9\r\n%s: 5,20\r\n\r\n", HeaderRequest, HeaderTokens)
+		all, err := io.ReadAll(c)
+		_ = c.Close()
+		if err != nil || strings.Count(string(all), "HTTP/1.1 200") != 2 {
+			t.Errorf("surplus: %q, %v", all, err)
+		}
+	}
+}
+
+func TestDarkSaysNothingUntilItIsLight(t *testing.T) {
+	o := options()
+	o.Work = time.Millisecond
+	e := start(t, o)
+	e.Dark(true)
+	got := make(chan error, 1)
+	go func() { _, _, err := ask(t, e, "/a/1", HeaderRequest, "r"); got <- err }()
+	select {
+	case err := <-got:
+		t.Fatalf("answered in the dark: %v", err)
+	case <-time.After(30 * time.Millisecond):
+	}
+	e.Dark(false)
+	if err := <-got; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestConnectionsBeyondTheMostAreReset(t *testing.T) {
+	o := options()
+	o.MaxConns = 1
+	e := start(t, o)
+	first, err := net.Dial("tcp", e.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	fmt.Fprintf(first, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := first.Read(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := ask(t, e, "/health"); err == nil {
+		t.Error("a second connection was served")
+	}
+}
+
+// control is a node that takes heartbeats.
+type control struct {
+	*httptest.Server
+	heard chan string
+	to    string
+}
+
+func newControl(t *testing.T, to string) *control {
+	c := &control{heard: make(chan string, 1000), to: to}
+	c.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var said struct {
+			State string
+			Count int `json:"call_count"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&said)
+		c.heard <- fmt.Sprintf("%s %s %s", r.Method, r.URL.Path, said.State)
+		fmt.Fprintf(w, `{"beat_to":%q}`, c.to)
+	}))
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (c *control) addr() string { return c.Listener.Addr().String() }
+
+func TestHeartbeatsFollowAndSayWhenTheyLeave(t *testing.T) {
+	second := newControl(t, "")
+	first := newControl(t, second.addr())
+	o := options()
+	o.Beats = Beats{Every: 5 * time.Millisecond, Controls: func() []string { return []string{"127.0.0.1:1", first.addr()} }}
+	e := start(t, o)
+	if got := <-first.heard; got != "PUT /instances/i-1 ready" {
+		t.Errorf("the first heartbeat is %q", got)
+	}
+	for range 3 {
+		if got := <-second.heard; got != "PUT /instances/i-1 ready" {
+			t.Errorf("a heartbeat that follows is %q", got)
+		}
+	}
+	if acked := e.Leave(t.Context()); acked.IsZero() {
+		t.Error("nobody acknowledged that it leaves")
+	}
+	var last string
+	for len(first.heard) > 0 {
+		last = <-first.heard
+	}
+	if last != "DELETE /instances/i-1 " {
+		t.Errorf("the last word is %q", last)
+	}
+	if _, _, err := ask(t, e, "/health"); err == nil {
+		t.Error("it serves after its end")
+	}
+}
--- /dev/null
+++ b/internal/lab/tier/engine/listener.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"net"
+	"sync"
+)
+
+// listener takes a bounded number of connections and may fall silent with all of them.
+type listener struct {
+	net.Listener
+	most int
+	mu   sync.Mutex
+	cond *sync.Cond
+	mute bool
+	open int
+}
+
+func newListener(l net.Listener, most int) *listener {
+	out := &listener{Listener: l, most: most}
+	out.cond = sync.NewCond(&out.mu)
+	return out
+}
+
+func (l *listener) dark(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mute = on
+	l.cond.Broadcast()
+}
+
+func (l *listener) wait() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.mute {
+		l.cond.Wait()
+	}
+}
+
+// Accept resets connections beyond the most.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		if l.most == 0 || l.open < l.most {
+			l.open++
+			l.mu.Unlock()
+			return &conn{Conn: c, l: l}, nil
+		}
+		l.mu.Unlock()
+		_ = c.(*net.TCPConn).SetLinger(0) // the close resets
+		_ = c.Close()
+	}
+}
+
+type conn struct {
+	net.Conn
+	l    *listener
+	once sync.Once
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.l.wait() // what came in the dark is read after it
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	c.l.wait()
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		c.l.mu.Lock()
+		defer c.l.mu.Unlock()
+		c.l.open--
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/lab/tier/engine/runs.go
@@ -0,0 +1,105 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The platform's header names.
+const (
+	HeaderRequest  = "X-Dunetide-Request-Id"
+	HeaderSeal     = "X-Dunetide-Server-Seal"
+	HeaderLoad     = "X-Dunetide-Server-Load"
+	HeaderTarget   = "X-Dunetide-Target-Instance"
+	HeaderInstance = "X-Dunetide-Instance"
+	HeaderNotRun   = "X-Dunetide-Not-Run"
+	HeaderTimeLeft = "X-Dunetide-Time-Left-Ms"
+	HeaderModel    = "X-Dunetide-Model"
+	HeaderTokens   = "X-Dunetide-Token-Count"
+	HeaderPrefix   = "X-Dunetide-Prompt-Prefix"
+	HeaderLast     = "Last-Event-Id"
+)
+
+// Run is one request that an endpoint began to work on.
+type Run struct {
+	Request  string
+	Service  string
+	Instance string
+	Seal     string
+	Sum      string // of what was asked, by Sum
+	From     int    // the Last-Event-Id it was asked with
+	Arrived  time.Time
+	Began    time.Time
+	Ended    time.Time // zero while it runs
+	Status   int
+	Whole    bool // the whole answer was written
+}
+
+// Sum is a digest of what a request asks: method, path with query, and body.
+func Sum(method, uri string, body []byte) string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s %s\n", method, uri)
+	h.Write(body)
+	return fmt.Sprintf("%x", h.Sum(nil)[:12])
+}
+
+// Event is the data of event n, from 1, of the stream that answers a request. It is the same at all endpoints.
+func Event(request string, n int) string {
+	return fmt.Sprintf("%x", sha256.Sum256(fmt.Appendf(nil, "%s/%d", request, n)))[:24]
+}
+
+// Text is the data of the events from after up to count, parted by line feeds.
+func Text(request string, after, count int) string {
+	var out []string
+	for n := after + 1; n <= count; n++ {
+		out = append(out, Event(request, n))
+	}
+	return strings.Join(out, "\n")
+}
+
+// plainSize is the length of a plain endpoint's body.
+const plainSize = 800
+
+// PlainBody answers a request to a plain endpoint.
+func PlainBody(request string) []byte {
+	sum := sha256.Sum256([]byte(request))
+	text := base64.StdEncoding.EncodeToString(sum[:])
+	return []byte(strings.Repeat(text, plainSize/len(text)+1)[:plainSize])
+}
+
+// Runs is the account of all endpoints of a tier: every run there was.
+type Runs struct {
+	mu  sync.Mutex
+	all []*Run
+}
+
+func (r *Runs) begin(run Run) *Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.Began = time.Now()
+	run.Seal = fmt.Sprintf("%s.%d.%.8s", run.Instance, len(r.all), Sum(http.MethodPost, run.Instance, []byte(run.Request)))
+	r.all = append(r.all, &run)
+	return &run
+}
+
+func (r *Runs) end(run *Run, status int, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.Ended, run.Status, run.Whole = time.Now(), status, whole
+}
+
+// All returns the runs there were, in the order in which they began.
+func (r *Runs) All() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Run, len(r.all))
+	for i, run := range r.all {
+		out[i] = *run
+	}
+	return out
+}
