--- a/internal/lab/tier/engine/batch.go
+++ b/internal/lab/tier/engine/batch.go
@@ -76,11 +76,11 @@
 // job is one request at a model endpoint.
 type job struct {
 	prompt  []part
-	out     int // tokens
-	next    int // the event that comes next
-	count   int // events of the whole stream
-	prefill int // tokens still to be read
-	holds   int // tokens of memory that it takes while it runs
+	out     int    // tokens
+	next    int    // the event that comes next
+	count   int    // events of the whole stream
+	prefill int    // tokens still to be read
+	holds   int    // tokens of memory that it takes while it runs
 	begin   func() // called at its first token
 	begun   bool
 	events  chan int // as many fit as there are; closed at the end
--- /dev/null
+++ b/internal/lab/tier/load/client.go
@@ -0,0 +1,405 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"wingmount/internal/lab/tier/engine"
+	"wingmount/internal/operator"
+)
+
+const (
+	dialWait = time.Second
+	mostTry  = 4
+	// peekFor is how long a kept connection is looked at for bytes that nobody asked for.
+	peekFor = 200 * time.Microsecond
+	// keepSlack is how long before the told end a client stops using a kept connection.
+	keepSlack = 500 * time.Millisecond
+)
+
+// Front names the address that the platform hands a client's new connection to; a retry meets another.
+type Front func(zone string, hash uint64) (addr string, ok bool)
+
+// client keeps connections, as clients do.
+type client struct {
+	book  *book
+	zone  string
+	hash  uint64
+	front Front
+
+	mu   sync.Mutex
+	kept []*conn
+}
+
+type conn struct {
+	net.Conn
+	br    *bufio.Reader
+	until time.Time // the node may close it then; zero: it has not said
+}
+
+// dial opens a connection to the front that this number chooses.
+func dial(ctx context.Context, front Front, zone string, hash uint64) (*conn, error) {
+	addr, ok := front(zone, hash)
+	if !ok {
+		return nil, errors.New("no front")
+	}
+	d := net.Dialer{Timeout: dialWait}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, br: bufio.NewReader(c)}, nil
+}
+
+// take gives a kept connection that is still good.
+func (c *client) take() *conn {
+	for {
+		c.mu.Lock()
+		if len(c.kept) == 0 {
+			c.mu.Unlock()
+			return nil
+		}
+		last := c.kept[len(c.kept)-1]
+		c.kept = c.kept[:len(c.kept)-1]
+		c.mu.Unlock()
+		if !last.until.IsZero() && time.Now().After(last.until) {
+			_ = last.Close()
+			continue
+		}
+		_ = last.SetReadDeadline(time.Now().Add(peekFor))
+		stray, err := last.br.Peek(1)
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			return last
+		}
+		if len(stray) > 0 {
+			c.book.broke(Mixed, last.RemoteAddr().String(), "bytes on a connection where no request waits")
+		}
+		_ = last.Close()
+	}
+}
+
+func (c *client) put(k *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept = append(c.kept, k)
+}
+
+func (c *client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.kept {
+		_ = k.Close()
+	}
+	c.kept = nil
+}
+
+// request is what a client wants, over all its tries.
+type request struct {
+	route  *operator.Route
+	kind   string
+	method string
+	uri    string
+	body   []byte
+	header http.Header
+	events int // of the whole stream; 0: a plain request
+	ids    *rand.Rand
+	born   time.Time
+
+	last     int // the newest event that came
+	first    time.Time
+	newest   time.Time
+	worstGap time.Duration
+}
+
+// outcome is how one try ended.
+type outcome struct {
+	status int
+	whole  bool
+	unsent bool // no node can have read it
+	wait   time.Duration
+	err    error
+}
+
+func (o outcome) String() string {
+	switch {
+	case o.whole:
+		return strconv.Itoa(o.status)
+	case o.err == nil:
+		return strconv.Itoa(o.status)
+	case o.unsent:
+		return "no connection"
+	}
+	var timeout net.Error
+	if errors.As(o.err, &timeout) && timeout.Timeout() || errors.Is(o.err, context.DeadlineExceeded) {
+		return "silence"
+	}
+	if o.status != 0 {
+		return "broken off"
+	}
+	return "closed"
+}
+
+// do plays a request with its retries and counts how it ended.
+func (c *client) do(ctx context.Context, r *request) {
+	deadline := r.born.Add(time.Duration(r.route.TimeoutMs) * time.Millisecond)
+	c.book.count(r.kind, func(f *Figures) { f.Asked++ })
+	var o outcome
+	for try := range mostTry {
+		o = c.try(r, uint64(try), deadline)
+		c.book.count(r.kind, func(f *Figures) { f.Tries++; f.Ends[o.String()]++ })
+		if o.whole || !c.again(r, o) {
+			break
+		}
+		left := time.Until(deadline)
+		if o.wait > left/3 || left <= 0 {
+			break
+		}
+		if !pause(ctx, o.wait) {
+			break
+		}
+	}
+	c.book.count(r.kind, func(f *Figures) {
+		switch {
+		case o.whole && r.inAim(time.Now()):
+			f.InAim++
+		case o.whole:
+			f.Late++
+		case promises(o.status):
+			f.Refused++
+		default:
+			f.Failed++
+		}
+	})
+}
+
+func (r *request) inAim(now time.Time) bool {
+	aim := time.Duration(r.route.TargetMs) * time.Millisecond
+	if r.events == 0 {
+		return now.Sub(r.born) <= aim
+	}
+	gap := time.Duration(r.route.GapAimMs) * time.Millisecond
+	return r.first.Sub(r.born) <= aim && (gap == 0 || r.worstGap <= gap)
+}
+
+// again tells whether a client tries once more.
+func (c *client) again(r *request, o outcome) bool {
+	switch o.status {
+	case 400, 401, 404, 413, 431:
+		return false
+	}
+	return o.unsent || promises(o.status) || r.route.Idempotent()
+}
+
+// silence is how long a client waits for the next byte.
+func (r *request) silence() time.Duration {
+	aim, gap := time.Duration(r.route.TargetMs)*time.Millisecond, time.Duration(r.route.GapAimMs)*time.Millisecond
+	return max(2*time.Second, 4*aim, 8*gap)
+}
+
+func (c *client) try(r *request, try uint64, deadline time.Time) (o outcome) {
+	var k *conn
+	if try == 0 {
+		k = c.take()
+	}
+	if k == nil {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		var err error
+		if k, err = dial(ctx, c.front, c.zone, c.hash+try); err != nil {
+			return outcome{unsent: true, err: err}
+		}
+	}
+	s := &sent{id: fmt.Sprintf("%016x", r.ids.Uint64()), sum: engine.Sum(r.method, r.uri, r.body), idempotent: r.route.Idempotent()}
+	for _, share := range r.route.Shares {
+		s.services = append(s.services, share.Service)
+	}
+	c.book.send(s)
+	keep := false
+	defer func() {
+		c.book.mu.Lock()
+		s.status = o.status
+		c.book.mu.Unlock()
+		if keep {
+			c.put(k)
+		} else {
+			_ = k.Close()
+		}
+	}()
+	_ = k.SetDeadline(deadline)
+	if _, err := k.Write(r.bytes(s.id, deadline)); err != nil {
+		return outcome{err: err} // it may have been read
+	}
+	wait := func() {
+		if end := time.Now().Add(r.silence()); r.events > 0 && end.Before(deadline) {
+			_ = k.SetReadDeadline(end)
+		}
+	}
+	wait()
+	if head, err := k.br.Peek(5); err != nil && len(head) == 0 {
+		return outcome{err: err}
+	} else if !strings.HasPrefix("HTTP/", string(head)) {
+		c.book.broke(Mixed, s.id, "bytes that are no answer: %q", head)
+		return outcome{err: errors.New("no answer")}
+	}
+	resp, err := http.ReadResponse(k.br, nil)
+	if err != nil {
+		if !errors.Is(err, io.ErrUnexpectedEOF) && !isNet(err) {
+			c.book.broke(Mixed, s.id, "no answer of HTTP: %v", err)
+		}
+		return outcome{err: err}
+	}
+	o.status = resp.StatusCode
+	if v, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		o.wait = time.Duration(v * float64(time.Second))
+	}
+	if id := resp.Header.Get(engine.HeaderRequest); id != "" && id != s.id {
+		c.book.broke(Mixed, s.id, "the answer is that of %s", id)
+	}
+	switch {
+	case o.status/100 != 2:
+		_, o.err = io.Copy(io.Discard, resp.Body)
+	case r.events == 0:
+		o.err = c.plain(s, resp)
+	default:
+		o.err = c.events(s, r, resp, wait)
+	}
+	o.whole = o.err == nil && o.status/100 == 2
+	if o.err != nil {
+		return o
+	}
+	if k.br.Buffered() > 0 {
+		c.book.broke(Mixed, s.id, "bytes behind the answer")
+		return o
+	}
+	keep = !resp.Close
+	if _, v, ok := strings.Cut(resp.Header.Get("Keep-Alive"), "timeout="); ok {
+		v, _, _ = strings.Cut(v, ",")
+		if seconds, err := strconv.Atoi(v); err == nil {
+			k.until = time.Now().Add(time.Duration(seconds)*time.Second - keepSlack)
+		}
+	}
+	return o
+}
+
+func isNet(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) || errors.Is(err, io.EOF)
+}
+
+func (r *request) bytes(id string, deadline time.Time) []byte {
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n%s: %s\r\n%s: %d\r\n", r.method, r.uri, r.route.Host, len(r.body),
+		engine.HeaderRequest, id, engine.HeaderTimeLeft, max(1, time.Until(deadline).Milliseconds()))
+	if r.last > 0 {
+		fmt.Fprintf(&out, "%s: %d\r\n", engine.HeaderLast, r.last)
+	}
+	_ = r.header.Write(&out) // into memory
+	out.WriteString("\r\n")
+	out.Write(r.body)
+	return out.Bytes()
+}
+
+// success keeps the stamp of an answer, to be held against the runs.
+func (c *client) success(s *sent, resp *http.Response) {
+	c.book.mu.Lock()
+	s.seal = resp.Header.Get(engine.HeaderSeal)
+	c.book.mu.Unlock()
+	if s.seal == "" {
+		c.book.broke(Mixed, s.id, "a success without a stamp")
+	}
+	if e := resp.Header.Get("Content-Encoding"); e != "" {
+		c.book.broke(Mixed, s.id, "a body that is encoded: %s", e)
+	}
+}
+
+func (c *client) plain(s *sent, resp *http.Response) error {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	c.success(s, resp)
+	if !bytes.Equal(body, engine.PlainBody(s.id)) {
+		c.book.broke(Mixed, s.id, "the body of %d bytes is not the endpoint's", len(body))
+	}
+	return nil
+}
+
+var errOrder = errors.New("the stream is out of order")
+
+// events reads a stream as it comes.
+func (c *client) events(s *sent, r *request, resp *http.Response, wait func()) error {
+	c.success(s, resp)
+	lines := bufio.NewReader(resp.Body)
+	id := 0
+	for {
+		wait()
+		line, err := lines.ReadString('\n')
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		if err != nil {
+			if r.last < r.events || line != "" {
+				c.book.broke(Order, s.id, "the stream ends as complete after event %d of %d", r.last, r.events)
+				return errOrder
+			}
+			return nil
+		}
+		field, value, _ := strings.Cut(strings.TrimSuffix(line, "\n"), ": ")
+		switch field {
+		case "id":
+			if id, err = strconv.Atoi(value); err != nil || id != r.last+1 {
+				c.book.broke(Order, s.id, "event %q after event %d", value, r.last)
+				return errOrder
+			}
+		case "data":
+			if id != r.last+1 || value != engine.Event(s.id, id) {
+				c.book.broke(Order, s.id, "event %d has other data", id)
+				return errOrder
+			}
+			now := time.Now()
+			if r.first.IsZero() {
+				r.first = now
+			} else {
+				r.worstGap = max(r.worstGap, now.Sub(r.newest))
+			}
+			r.newest = now
+			r.last = id
+		}
+	}
+}
+
+// pause tells whether the time went by before the context ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func sorted(m map[string]*Figures) (out []Figures) {
+	for _, f := range m {
+		out = append(out, *f)
+	}
+	slices.SortFunc(out, func(a, b Figures) int { return strings.Compare(a.Kind, b.Kind) })
+	return out
+}
--- /dev/null
+++ b/internal/lab/tier/load/jobs.go
@@ -0,0 +1,333 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"wingmount/internal/lab/tier/engine"
+	"wingmount/internal/operator"
+)
+
+const (
+	readEvery  = 500 * time.Millisecond
+	holdFor    = time.Second // what a read may be held for
+	holdSlack  = 1500 * time.Millisecond
+	dueSlack   = 700 * time.Millisecond
+	largestGot = 4 << 20
+)
+
+// item of a batch job, as it is handed in.
+type item struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    []byte            `json:"body"`
+	Tokens  int               `json:"tokens"`
+
+	events int
+}
+
+type result struct {
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	Message string `json:"message"`
+}
+
+// job is a batch job of a client. Its fields belong to the goroutine that plays it; the checker
+// reads them after that.
+type job struct {
+	o     Options
+	book  *book
+	route *operator.Route
+	rng   *rand.Rand
+	id    string
+	items map[string]*item
+	order []*item
+	early bool // its client ends it midway
+
+	born     time.Time
+	accepted time.Time
+	ended    time.Time
+	never    bool // every try at it was refused
+	results  []result
+	seen     []time.Time // when each position was first read
+	at       map[string]int
+}
+
+func newJob(o Options, b *book, js Jobs, rng *rand.Rand, n int) *job {
+	j := &job{o: o, book: b, route: js.Route, rng: rng, id: fmt.Sprintf("%016x", rng.Uint64()), items: map[string]*item{}, at: map[string]int{},
+		early: js.EndEvery > 0 && n%js.EndEvery == js.EndEvery-1}
+	var services []string
+	for _, s := range js.Route.Shares {
+		services = append(services, s.Service)
+	}
+	for range js.Items {
+		it := &item{ID: fmt.Sprintf("%016x", rng.Uint64()), Path: fmt.Sprintf("%s%x", js.Route.PathStart, rng.Uint32()), Headers: map[string]string{}, Body: bytesOf(rng, 100+rng.IntN(400))}
+		out := prompt(func(k, v string) { it.Headers[k] = v }, rng, js.In, js.Out, 4)
+		in, _, _ := cutTokens(it.Headers[engine.HeaderTokens])
+		it.Tokens, it.events = in+out, engine.Events(out, o.Stride)
+		j.items[it.ID] = it
+		j.order = append(j.order, it)
+		b.send(&sent{id: it.ID, sum: engine.Sum(http.MethodPost, it.Path, it.Body), idempotent: true, services: services, job: j})
+	}
+	b.jobs = append(b.jobs, j)
+	return j
+}
+
+func cutTokens(s string) (in, out int, err error) {
+	_, err = fmt.Sscanf(s, "%d,%d", &in, &out)
+	return in, out, err
+}
+
+// call makes one call on a new connection, at whichever node is met.
+func (j *job) call(ctx context.Context, wait time.Duration, method, uri string, body []byte, header ...string) (int, http.Header, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	c, err := dial(ctx, j.o.Front, j.o.Zones[j.rng.IntN(len(j.o.Zones))], j.rng.Uint64())
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(wait))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+j.route.Host+uri, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	if err := req.Write(c); err != nil {
+		return 0, nil, nil, err
+	}
+	resp, err := http.ReadResponse(c.br, req)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	got, err := io.ReadAll(io.LimitReader(resp.Body, largestGot))
+	return resp.StatusCode, resp.Header, got, err
+}
+
+// play hands the job in, reads it to its end or until it is to be over, and checks what it is told.
+func (j *job) play(ctx context.Context, until time.Time) {
+	j.born = time.Now()
+	j.book.count(j.route.Name, func(f *Figures) { f.Asked += len(j.order) })
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	defer j.account()
+	if !j.handIn(ctx) {
+		return
+	}
+	for n := 0; len(j.results) < len(j.order); n++ {
+		if !pause(ctx, readEvery) {
+			break
+		}
+		from := len(j.results)
+		if n%4 == 3 {
+			from = j.rng.IntN(from + 1)
+		}
+		j.read(ctx, from)
+		if n%3 == 0 && len(j.results) < len(j.order) {
+			j.body(ctx)
+		}
+		if j.early && n >= 1 {
+			j.end(ctx)
+			return
+		}
+	}
+	if ctx.Err() != nil { // its time is up: it still has to be readable
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(context.WithoutCancel(ctx), 2*holdSlack)
+		defer stop()
+	}
+	for range 10 { // all of it, from the start
+		if j.read(ctx, 0) || !pause(ctx, readEvery) {
+			return
+		}
+	}
+	j.book.broke(Lost, j.id, "can't be read at the end")
+}
+
+// handIn tries until the job is taken on.
+func (j *job) handIn(ctx context.Context) bool {
+	text, err := json.Marshal(map[string]any{"requests": j.order})
+	if err != nil {
+		panic(fmt.Errorf("a job can be written as JSON: %w", err))
+	}
+	uri := j.route.PathStart + j.id[:6]
+	promised := true
+	for {
+		status, header, _, err := j.call(ctx, 2*time.Second, http.MethodPost, uri, text, engine.HeaderRequest, j.id)
+		end := strconv.Itoa(status)
+		if err != nil {
+			end = "no answer"
+		}
+		j.book.count(j.route.Name, func(f *Figures) { f.Tries++; f.Ends["hand-in "+end]++ })
+		if err == nil && status == http.StatusAccepted {
+			j.accepted = time.Now()
+			return true
+		}
+		promised = promised && err == nil && promises(status)
+		if err == nil && status/100 == 4 && !promises(status) {
+			return false
+		}
+		wait := 100 * time.Millisecond
+		if v, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err == nil {
+			wait = max(wait, time.Duration(v*float64(time.Second)))
+		}
+		if !pause(ctx, wait) {
+			j.never = promised
+			return false
+		}
+	}
+}
+
+// read asks for the results from a position on, and tells whether it was answered.
+func (j *job) read(ctx context.Context, from int) bool {
+	asked := time.Now()
+	status, _, body, err := j.call(ctx, holdFor+holdSlack, http.MethodGet, fmt.Sprintf("/lots/%s?start_after=%d", j.id, from), nil, "X-Dunetide-Wait-Ms", strconv.Itoa(int(holdFor/time.Millisecond)))
+	j.book.count(j.route.Name, func(f *Figures) {
+		if err != nil {
+			f.Ends["read no answer"]++
+		} else {
+			f.Ends[fmt.Sprint("read ", status)]++
+		}
+	})
+	if err == nil && (status == http.StatusNotFound || status == http.StatusGone) && asked.Sub(j.accepted) > j.o.Settle {
+		j.book.broke(Lost, j.id, "is answered %d %v after it was accepted", status, asked.Sub(j.accepted))
+		return true
+	}
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	var got struct {
+		Total   int      `json:"total"`
+		Results []result `json:"results"`
+		Next    int      `json:"next_token"`
+	}
+	if err := json.Unmarshal(body, &got); err != nil {
+		j.book.broke(Mixed, j.id, "a read can't be understood: %v", err)
+		return false
+	}
+	if got.Total != len(j.order) {
+		j.book.broke(Mixed, j.id, "total is %d of %d items", got.Total, len(j.order))
+	}
+	if got.Next != from+len(got.Results) {
+		j.book.broke(Mixed, j.id, "next_token is %d after %d results from %d", got.Next, len(got.Results), from)
+	}
+	if len(got.Results) == 0 && from < len(j.results) && asked.Sub(j.seen[from]) > j.o.Settle {
+		j.book.broke(Lost, j.id, "position %d was read and is no longer there", from)
+	}
+	for i, r := range got.Results {
+		j.take(from+i, r)
+	}
+	return true
+}
+
+// take checks one result at its position.
+func (j *job) take(position int, r result) {
+	if position < len(j.results) {
+		if j.results[position] != r {
+			j.book.broke(Twice, j.id, "position %d held %s (%s) and holds %s (%s)", position, j.results[position].ID, j.results[position].State, r.ID, r.State)
+		}
+		return
+	}
+	it := j.items[r.ID]
+	if it == nil {
+		j.book.broke(Mixed, j.id, "position %d names %q, which is not an item of it", position, r.ID)
+	} else if was, ok := j.at[r.ID]; ok {
+		j.book.broke(Twice, j.id, "item %s stands at %d and at %d", r.ID, was, position)
+	}
+	j.at[r.ID] = position
+	j.results, j.seen = append(j.results, r), append(j.seen, time.Now())
+	switch {
+	case it == nil:
+	case r.State == "given_up":
+		if wait := time.Duration(j.route.MaxWaitMs) * time.Millisecond; time.Since(j.born) < wait {
+			j.book.broke(Mixed, r.ID, "was given up %v after its job's first send, before %v", time.Since(j.born), wait)
+		}
+	case r.State != "finished":
+		j.book.broke(Mixed, r.ID, "its state is %q", r.State)
+	case r.Message != engine.Text(r.ID, 0, it.events):
+		j.book.broke(Mixed, r.ID, "its text of %d bytes is not its whole output of %d events", len(r.Message), it.events)
+	}
+}
+
+// body asks for the body of an item that isn't listed.
+func (j *job) body(ctx context.Context) {
+	it := j.order[j.rng.IntN(len(j.order))]
+	if _, listed := j.at[it.ID]; listed {
+		return
+	}
+	status, _, got, err := j.call(ctx, 2*time.Second, http.MethodGet, fmt.Sprintf("/items/%s?id=%s", j.id, it.ID), nil)
+	if err == nil && status == http.StatusOK && !bytes.Equal(got, it.Body) {
+		j.book.broke(Mixed, it.ID, "its body came back as other %d bytes of %d", len(got), len(it.Body))
+	}
+	end := strconv.Itoa(status)
+	if err != nil {
+		end = "no answer"
+	}
+	j.book.count(j.route.Name, func(f *Figures) { f.Ends["body "+end]++ })
+}
+
+// end ends the job, and tries until that is acknowledged.
+func (j *job) end(ctx context.Context) {
+	for {
+		status, _, _, err := j.call(ctx, 2*time.Second, http.MethodDelete, "/lots/"+j.id, nil)
+		if err == nil && status == http.StatusOK {
+			j.ended = time.Now()
+			return
+		}
+		if err == nil && status == http.StatusNotFound && time.Since(j.accepted) > j.o.Settle {
+			j.book.broke(Lost, j.id, "its end is answered 404")
+			return
+		}
+		if !pause(ctx, 200*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// account counts the job's items.
+func (j *job) account() {
+	due := j.born.Add(time.Duration(j.route.DueMs)*time.Millisecond + dueSlack)
+	j.book.count(j.route.Name, func(f *Figures) {
+		for i, r := range j.results {
+			switch {
+			case r.State != "finished":
+				f.Failed++
+			case j.seen[i].After(due) || j.accepted.Sub(j.born) > time.Duration(j.route.TargetMs)*time.Millisecond:
+				f.Late++
+			default:
+				f.InAim++
+			}
+		}
+		rest := len(j.order) - len(j.results)
+		switch {
+		case !j.ended.IsZero(): // nothing is owed for what its client ended
+			f.Asked -= rest
+		case j.never:
+			f.Refused += rest
+		default:
+			f.Failed += rest
+		}
+	})
+}
+
+// open tells where a job stands that should be over and is not.
+func (j *job) open() string {
+	switch {
+	case j.born.IsZero() || !j.ended.IsZero() || len(j.results) == len(j.order):
+		return ""
+	case j.accepted.IsZero():
+		return fmt.Sprintf("%s was never taken on", j.id)
+	}
+	return fmt.Sprintf("%s: %d of %d items listed", j.id, len(j.results), len(j.order))
+}
--- /dev/null
+++ b/internal/lab/tier/load/load.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"wingmount/internal/lab/tier/engine"
+	"wingmount/internal/lab/world"
+	"wingmount/internal/operator"
+)
+
+// Traffic is a stream of requests on one route.
+type Traffic struct {
+	Route *operator.Route
+	Rate  float64 // a second
+	// Of streams.
+	In, Out  int // tokens, at most; at least a third of it
+	Sessions int
+}
+
+// Jobs are batch jobs on one route.
+type Jobs struct {
+	Route    *operator.Route
+	Count    int
+	Items    int // a job
+	In, Out  int
+	EndEvery int // each so many-th job is ended by its client midway; 0: none
+}
+
+// Options of a run.
+type Options struct {
+	Seed     uint64
+	Length   time.Duration
+	Clients  int
+	Zones    []string
+	Front    Front
+	Traffic  []Traffic
+	Jobs     []Jobs
+	Stride   int // tokens an event of the engines
+	FinishBy time.Duration
+	Settle   time.Duration
+	Cancel   time.Duration
+	Runs     *engine.Runs
+}
+
+// Account is what became of all.
+type Account struct {
+	Kinds  []Figures `json:"kinds"`
+	Broken []Broken  `json:"broken"`
+	Runs   int       `json:"runs"`
+	Cut    int       `json:"cut"` // runs that were not answered whole
+	Late   int       `json:"sent_late"`
+	Jobs   []string  `json:"jobs"` // of each that was not read to its end, where it stood
+}
+
+const sentLate = 50 * time.Millisecond
+
+// Run plays it and checks the rules. It ends by itself: each request has its deadline, and jobs
+// have what FinishBy says after the last request.
+func Run(ctx context.Context, o Options) Account {
+	b := newBook()
+	began := time.Now()
+	clients := make([]*client, max(1, o.Clients))
+	for i := range clients {
+		clients[i] = &client{book: b, zone: o.Zones[i%len(o.Zones)], hash: world.Random(o.Seed, "client", uint64(i)).Uint64(), front: o.Front}
+		defer clients[i].close()
+	}
+	var wg sync.WaitGroup
+	for i, t := range o.Traffic {
+		wg.Go(func() { play(ctx, o, b, clients, uint64(i), t, began) })
+	}
+	for i, js := range o.Jobs {
+		for n := range js.Count {
+			j := newJob(o, b, js, world.Random(o.Seed, "job", uint64(i), uint64(n)), n)
+			at := began.Add(o.Length * time.Duration(n) / time.Duration(2*js.Count)) // in the first half
+			wg.Go(func() {
+				if pause(ctx, time.Until(at)) {
+					j.play(ctx, began.Add(o.Length+o.FinishBy))
+				}
+			})
+		}
+	}
+	wg.Wait()
+	out := Account{Kinds: sorted(b.figures), Late: b.late}
+	runs := o.Runs.All()
+	out.Broken, out.Runs = b.check(runs, o.Cancel), len(runs)
+	for _, r := range runs {
+		if !r.Whole {
+			out.Cut++
+		}
+	}
+	for _, j := range b.jobs {
+		if text := j.open(); text != "" {
+			out.Jobs = append(out.Jobs, text)
+		}
+	}
+	return out
+}
+
+// play sends the requests of one route at their times.
+func play(ctx context.Context, o Options, b *book, clients []*client, number uint64, t Traffic, began time.Time) {
+	arrivals := world.Random(o.Seed, "arrivals", number)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	at := time.Duration(0)
+	for n := uint64(0); ; n++ {
+		at += time.Duration(arrivals.ExpFloat64() / t.Rate * float64(time.Second))
+		if at > o.Length || !pause(ctx, time.Until(began.Add(at))) {
+			return
+		}
+		if time.Since(began.Add(at)) > sentLate {
+			b.mu.Lock()
+			b.late++
+			b.mu.Unlock()
+		}
+		rng := world.Random(o.Seed, "request", number, n)
+		r := draw(t, rng, o.Stride)
+		r.born = began.Add(at)
+		c := clients[rng.IntN(len(clients))]
+		wg.Go(func() { c.do(ctx, r) })
+	}
+}
+
+// draw makes a request.
+func draw(t Traffic, rng *rand.Rand, stride int) *request {
+	r := &request{route: t.Route, kind: t.Route.Name, method: http.MethodPost, ids: rng, header: http.Header{},
+		uri: fmt.Sprintf("%s%x?q=%x", t.Route.PathStart, rng.Uint32(), rng.Uint32N(100)), body: bytesOf(rng, 40+rng.IntN(200))}
+	if t.Route.Kind == operator.Streaming {
+		out := prompt(r.header.Set, rng, t.In, t.Out, t.Sessions)
+		r.events = engine.Events(out, stride)
+	}
+	return r
+}
+
+// prompt names a prompt in three parts: one of a few that all share, one of its session, its own.
+func prompt(set func(name, value string), rng *rand.Rand, in, out, sessions int) (tokensOut int) {
+	in, out = in/3+rng.IntN(1+in*2/3), max(1, out/3+rng.IntN(1+out*2/3))
+	session := rng.IntN(max(1, sessions))
+	set(engine.HeaderModel, "m")
+	set(engine.HeaderTokens, fmt.Sprintf("%d,%d", in, out))
+	set(engine.HeaderPrefix, fmt.Sprintf("%x:%d,%x:%d,%x:%d", 0xa0+session%4, in/3, 0xb000+session, in/3, rng.Uint32(), in-in/3*2))
+	return out
+}
+
+func bytesOf(rng *rand.Rand, n int) []byte {
+	out := make([]byte, n)
+	for i := range out {
+		out[i] = byte(rng.Uint32())
+	}
+	return out
+}
