--- /dev/null
+++ b/cmd/winglab/tier.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"wingmount/internal/lab/tier"
+)
+
+type tierCommand struct {
+	Seed    uint64        `default:"1" help:"Draws the clients' requests."`
+	Length  time.Duration `default:"8s" help:"How long clients ask."`
+	Faults  bool          `help:"Kill a store and a keeper, and crash an engine, in the middle."`
+	Out     string        `help:"A folder for the account, the settings, disks and logs."`
+	Program string        `help:"The tier's program; without it, dunetide of this checkout is built." type:"existingfile"`
+}
+
+// tierMost bounds a play beyond the time in which clients ask: starting, finishing jobs, reading back.
+const tierMost = 60 * time.Second
+
+// Run plays a small tier of real processes.
+func (c *tierCommand) Run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Length+tierMost)
+	defer cancel()
+	work, err := os.MkdirTemp("", "winglab-tier-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(work)
+	program := c.Program
+	if program == "" {
+		program = filepath.Join(work, "dunetide")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
+			return fmt.Errorf("building dunetide (run this inside the checkout, or give --program): %w\n%s", err, out)
+		}
+	} else if program, err = filepath.Abs(program); err != nil {
+		return err
+	}
+	dir := filepath.Join(work, "run")
+	if c.Out != "" {
+		if dir, err = filepath.Abs(c.Out); err != nil {
+			return err
+		}
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	a, err := tier.Play(ctx, tier.Options{Program: program, Dir: dir, Seed: c.Seed, Length: c.Length, Faults: c.Faults,
+		Say: func(form string, args ...any) { fmt.Fprintf(os.Stderr, form+"\n", args...) }})
+	if err != nil && a.Kinds == nil {
+		return err
+	}
+	if err := errors.Join(err, a.Print(os.Stdout), a.Save(dir)); err != nil {
+		return err
+	}
+	switch {
+	case len(a.Broken) > 0:
+		return errBroken
+	case a.Bad():
+		return fmt.Errorf("%w: processes ended by themselves, or the configuration did not come back", errBroken)
+	}
+	return nil
+}
--- a/internal/lab/tier/cluster/cluster.go
+++ b/internal/lab/tier/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -173,8 +174,13 @@
 	return out
 }
 
-// Start starts all processes and the platform's look at who is ready.
+// Start empties all disks, starts all processes and the platform's look at who is ready.
 func (c *Cluster) Start() error {
+	for _, p := range c.procs {
+		if err := os.RemoveAll(p.dir); err != nil { // of an earlier run
+			return err
+		}
+	}
 	for _, p := range c.procs {
 		if err := p.Start(); err != nil {
 			return err
--- a/internal/lab/tier/load/load_test.go
+++ b/internal/lab/tier/load/load_test.go
@@ -16,37 +16,24 @@
 	"time"
 
 	"wingmount/internal/lab/tier/engine"
+	"wingmount/internal/lab/tier/tiertest"
 	"wingmount/internal/lab/world"
 	"wingmount/internal/operator"
 )
 
-// proxy is a trivial tier: it passes requests on to one endpoint a service, and runs batch jobs at once.
+// proxy is a trivial tier with an endpoint for each of two services.
 type proxy struct {
-	*httptest.Server
-	engine, plain string
-	http          http.Client
-
-	// What a test has it do wrong.
-	repeat  bool                                            // each request is sent twice
-	invent  bool                                            // each request is followed by one that nobody sent
-	change  func(body []byte) []byte                        // of a request
-	rewrite func(status int, body []byte) (int, []byte)     // an answer
-	results func(listed []result) []result                  // of a read
-	refuse  func(r *http.Request) (status int, wait string) // before anything is sent
-
-	mu    sync.Mutex
-	lots  map[string][]result
-	items map[string][]byte
-	ended map[string]bool
+	tiertest.Proxy
+	addr string
 }
 
 const stride = 10
 
 func newProxy(t *testing.T, runs *engine.Runs) *proxy {
 	t.Helper()
-	p := &proxy{lots: map[string][]result{}, items: map[string][]byte{}, ended: map[string]bool{}}
-	o := engine.Options{ID: "i-1", Service: "gen", Address: "127.0.0.1:0", Capacity: 20, Queue: 50, CacheTokens: 1 << 20, Stride: stride, Piece: 4096,
+	o := engine.Options{Address: "127.0.0.1:0", Capacity: 20, Queue: 50, CacheTokens: 1 << 20, Stride: stride, Piece: 4096,
 		Step: time.Millisecond, PrefillToken: time.Microsecond, Runs: runs}
+	addrs := map[string]string{}
 	for _, service := range []string{"gen", "web"} {
 		o.Service, o.ID = service, "i-"+service
 		if service == "web" {
@@ -57,172 +44,22 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(e.Crash)
-		if service == "gen" {
-			p.engine = e.Address()
-		} else {
-			p.plain = e.Address()
-		}
-	}
-	p.http.Transport = &http.Transport{DisableCompression: true}
-	p.Server = httptest.NewServer(p)
-	t.Cleanup(p.Close)
-	return p
-}
-
-func (p *proxy) front(string, uint64) (string, bool) { return p.Listener.Addr().String(), true }
-
-func (p *proxy) send(r *http.Request, addr string, body []byte) (*http.Response, error) {
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+addr+r.URL.RequestURI(), bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	out.GetBody = nil // nothing is sent again
-	out.Header = r.Header.Clone()
-	return p.http.Do(out)
-}
-
-func (p *proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if p.refuse != nil {
-		if status, wait := p.refuse(r); status != 0 {
-			w.Header().Set("Retry-After", wait)
-			w.WriteHeader(status)
-			return
-		}
-	}
-	body, _ := io.ReadAll(r.Body)
-	switch {
-	case strings.HasPrefix(r.URL.Path, "/lots/"), strings.HasPrefix(r.URL.Path, "/items/"):
-		p.lot(w, r)
-		return
-	case strings.HasPrefix(r.URL.Path, "/bulk/"):
-		p.handIn(w, r, body)
-		return
-	}
-	addr := p.engine
-	if strings.HasPrefix(r.URL.Path, "/web/") {
-		addr = p.plain
-	}
-	if p.change != nil {
-		body = p.change(body)
-	}
-	again := 0
-	if p.repeat {
-		again = 1
-	}
-	for range again {
-		if resp, err := p.send(r, addr, body); err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-		}
-	}
-	resp, err := p.send(r, addr, body)
-	if err != nil {
-		w.WriteHeader(http.StatusBadGateway)
-		return
-	}
-	defer resp.Body.Close()
-	if p.invent {
-		other := r.Clone(r.Context())
-		other.Header.Set(engine.HeaderRequest, "invented-"+r.Header.Get(engine.HeaderRequest))
-		if resp, err := p.send(other, addr, body); err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-		}
-	}
-	for k, v := range resp.Header {
-		w.Header()[k] = v
-	}
-	if p.rewrite != nil {
-		got, _ := io.ReadAll(resp.Body)
-		status, got := p.rewrite(resp.StatusCode, got)
-		w.Header().Del("Content-Length")
-		w.WriteHeader(status)
-		_, _ = w.Write(got)
-		return
+		addrs[service] = e.Address()
 	}
-	w.WriteHeader(resp.StatusCode)
-	flush := http.NewResponseController(w)
-	buf := make([]byte, 4096)
-	for {
-		n, err := resp.Body.Read(buf)
-		_, _ = w.Write(buf[:n])
-		_ = flush.Flush()
-		if err == io.EOF {
-			return
+	p := &proxy{}
+	p.Endpoint = func(path string) string {
+		if strings.HasPrefix(path, "/web/") {
+			return addrs["web"]
 		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-func (p *proxy) handIn(w http.ResponseWriter, r *http.Request, body []byte) {
-	var asked struct{ Requests []item }
-	if err := json.Unmarshal(body, &asked); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+		return addrs["gen"]
 	}
-	id := r.Header.Get(engine.HeaderRequest)
-	p.mu.Lock()
-	p.lots[id] = nil
-	for _, it := range asked.Requests {
-		p.items[it.ID] = it.Body
-	}
-	p.mu.Unlock()
-	go func() {
-		for _, it := range asked.Requests {
-			p.mu.Lock()
-			ended := p.ended[id]
-			p.mu.Unlock()
-			if ended {
-				return
-			}
-			req, _ := http.NewRequest(http.MethodPost, "http://"+p.engine+it.Path, bytes.NewReader(it.Body))
-			for k, v := range it.Headers {
-				req.Header.Set(k, v)
-			}
-			req.Header.Set(engine.HeaderRequest, it.ID)
-			resp, err := p.http.Do(req)
-			if err != nil {
-				return
-			}
-			all, _ := io.ReadAll(resp.Body)
-			_ = resp.Body.Close()
-			var text []string
-			for line := range strings.Lines(string(all)) {
-				if data, ok := strings.CutPrefix(line, "data: "); ok {
-					text = append(text, strings.TrimSuffix(data, "\n"))
-				}
-			}
-			p.mu.Lock()
-			p.lots[id] = append(p.lots[id], result{it.ID, "finished", strings.Join(text, "\n")})
-			p.mu.Unlock()
-		}
-	}()
-	w.WriteHeader(http.StatusAccepted)
+	s := httptest.NewServer(p)
+	t.Cleanup(s.Close)
+	p.addr = s.Listener.Addr().String()
+	return p
 }
 
-func (p *proxy) lot(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	id := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
-	listed, ok := p.lots[id]
-	switch {
-	case strings.HasPrefix(r.URL.Path, "/items/"):
-		_, _ = w.Write(p.items[r.URL.Query().Get("id")])
-	case !ok:
-		w.WriteHeader(http.StatusNotFound)
-	case r.Method == http.MethodDelete:
-		p.ended[id] = true
-	default:
-		if p.results != nil {
-			listed = p.results(slices.Clone(listed))
-		}
-		from, _ := strconv.Atoi(r.URL.Query().Get("start_after"))
-		listed = listed[min(from, len(listed)):]
-		_ = json.NewEncoder(w).Encode(map[string]any{"total": 3, "results": listed, "next_token": from + len(listed)})
-	}
-}
+func (p *proxy) front(string, uint64) (string, bool) { return p.addr, true }
 
 func route(name, service string, kind operator.Kind, resume bool) *operator.Route {
 	return &operator.Route{Name: name, Host: "h.example", PathStart: "/" + name + "/", Kind: kind, Resume: resume, TimeoutMs: 2000, TargetMs: 1000,
@@ -293,23 +130,23 @@
 		wrong func(*proxy)
 		rule  string
 	}{
-		{"repeated", web, func(p *proxy) { p.repeat = true }, Twice},
-		{"repeated stream", stream, func(p *proxy) { p.repeat = true }, Twice},
-		{"invented", web, func(p *proxy) { p.invent = true }, Unasked},
-		{"changed", web, func(p *proxy) { p.change = func([]byte) []byte { return []byte("other") } }, Unasked},
+		{"repeated", web, func(p *proxy) { p.Repeat = true }, Twice},
+		{"repeated stream", stream, func(p *proxy) { p.Repeat = true }, Twice},
+		{"invented", web, func(p *proxy) { p.Invent = true }, Unasked},
+		{"changed", web, func(p *proxy) { p.Change = func([]byte) []byte { return []byte("other") } }, Unasked},
 		{"other body", web, func(p *proxy) {
-			p.rewrite = func(s int, b []byte) (int, []byte) { return s, append([]byte("x"), b[1:]...) }
+			p.Rewrite = func(s int, b []byte) (int, []byte) { return s, append([]byte("x"), b[1:]...) }
 		}, Mixed},
 		{"refused though it ran", web, func(p *proxy) {
-			p.rewrite = func(int, []byte) (int, []byte) { return http.StatusServiceUnavailable, nil }
+			p.Rewrite = func(int, []byte) (int, []byte) { return http.StatusServiceUnavailable, nil }
 		}, Refused},
 		{"event lost", stream, func(p *proxy) {
-			p.rewrite = func(s int, b []byte) (int, []byte) {
+			p.Rewrite = func(s int, b []byte) (int, []byte) {
 				return s, b[bytes.Index(b, []byte("\n\n"))+2:]
 			}
 		}, Order},
 		{"ended early", stream, func(p *proxy) {
-			p.rewrite = func(s int, b []byte) (int, []byte) { return s, b[:bytes.Index(b, []byte("\n\n"))+2] }
+			p.Rewrite = func(s int, b []byte) (int, []byte) { return s, b[:bytes.Index(b, []byte("\n\n"))+2] }
 		}, Order},
 		{"wrong service", &operator.Route{Name: "web", Host: "h", PathStart: "/web/", Kind: operator.Writes, TimeoutMs: 1000, TargetMs: 1000,
 			Shares: []operator.Share{{Service: "gen"}}}, func(*proxy) {}, Route},
@@ -330,28 +167,28 @@
 func TestEachWrongOfAJobIsFound(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		wrong func([]result) []result
+		wrong func([]tiertest.Result) []tiertest.Result
 		rules []string
 	}{
-		{"text", func(l []result) []result {
+		{"text", func(l []tiertest.Result) []tiertest.Result {
 			for i := range l {
 				l[i].Message += "x"
 			}
 			return l
 		}, []string{Mixed}},
-		{"given up early", func(l []result) []result {
+		{"given up early", func(l []tiertest.Result) []tiertest.Result {
 			for i := range l {
 				l[i].State = "given_up"
 			}
 			return l
 		}, []string{Mixed}},
-		{"strange item", func(l []result) []result {
+		{"strange item", func(l []tiertest.Result) []tiertest.Result {
 			for i := range l {
 				l[i].ID += "x"
 			}
 			return l
 		}, []string{Mixed}},
-		{"item twice", func(l []result) []result {
+		{"item twice", func(l []tiertest.Result) []tiertest.Result {
 			if len(l) == 3 {
 				l[1] = l[0]
 			}
@@ -361,7 +198,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			runs := &engine.Runs{}
 			p := newProxy(t, runs)
-			p.results = c.wrong
+			p.Results = c.wrong
 			o := options(p, runs)
 			o.Jobs = []Jobs{{Route: route("bulk", "gen", operator.Bulk, false), Count: 1, Items: 3, In: 60, Out: 60}}
 			if got := names(Run(t.Context(), o).Broken); !slices.Equal(got, c.rules) {
@@ -424,7 +261,7 @@
 		p := newProxy(t, runs)
 		var mu sync.Mutex
 		var times []time.Time
-		p.refuse = func(*http.Request) (int, string) {
+		p.Refuse = func(*http.Request) (int, string) {
 			mu.Lock()
 			defer mu.Unlock()
 			times = append(times, time.Now())
@@ -459,7 +296,7 @@
 	} {
 		runs := &engine.Runs{}
 		p := newProxy(t, runs)
-		p.refuse = func(*http.Request) (int, string) { panic(http.ErrAbortHandler) }
+		p.Refuse = func(*http.Request) (int, string) { panic(http.ErrAbortHandler) }
 		b := newBook()
 		cl := &client{book: b, zone: "a", front: p.front}
 		r := draw(traffic(c.route)[0], world.Random(1, "test"), stride)
--- /dev/null
+++ b/internal/lab/tier/tier.go
@@ -0,0 +1,335 @@
+// Package tier plays a small serving tier of real processes against the lab's endpoints, clients and
+// operator.
+package tier
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"wingmount/internal/lab/tier/cluster"
+	"wingmount/internal/lab/tier/engine"
+	"wingmount/internal/lab/tier/load"
+	"wingmount/internal/lab/tier/operator"
+	config "wingmount/internal/operator"
+)
+
+const (
+	zones         = 2
+	engines       = 4
+	plain         = 2
+	stride        = 10
+	beatEvery     = 500 * time.Millisecond
+	grace         = 3 * time.Second
+	drainFor      = 2 * time.Second
+	configWait    = 15 * time.Second
+	readyWait     = 15 * time.Second
+	finishBy      = 10 * time.Second
+	backAfter     = time.Second // what was killed starts again
+	host          = "tier.example"
+	gen, web      = "gen", "web"
+	settle        = time.Second
+	cancelAfter   = 3 * time.Second
+	configVersion = 3
+)
+
+// Options of a play.
+type Options struct {
+	Program string
+	Dir     string
+	Seed    uint64
+	Length  time.Duration
+	Faults  bool
+	Say     func(format string, args ...any) // what happens, as it happens
+}
+
+// Account of a play.
+type Account struct {
+	load.Account
+	Seed     uint64   `json:"seed"`
+	ReadyS   float64  `json:"ready_s"`   // from the start of the processes
+	ConfigS  float64  `json:"config_s"`  // until the configuration was acknowledged
+	ReadBack string   `json:"read_back"` // same, or what came
+	Ends     []string `json:"ends"`      // processes that ended by themselves
+}
+
+// Bad tells whether a rule was broken or a process ended by itself.
+func (a Account) Bad() bool { return len(a.Broken) > 0 || len(a.Ends) > 0 || a.ReadBack != "same" }
+
+// traffic is what the clients ask for.
+func traffic() ([]load.Traffic, []load.Jobs) {
+	route := func(name, service string, kind config.Kind, timeout, aim int) *config.Route {
+		return &config.Route{Name: name, Host: host, PathStart: "/" + name + "/", Kind: kind, TimeoutMs: timeout, TargetMs: aim, Tries: 2,
+			Shares: []config.Share{{Service: service, Weight: 1}}}
+	}
+	talk, essay := route("talk", gen, config.Streaming, 5000, 400), route("essay", gen, config.Streaming, 6000, 600)
+	for _, r := range []*config.Route{talk, essay} {
+		r.GapAimMs, r.Sticky = 250, true
+	}
+	essay.Resume, essay.Priority = true, 1
+	lookup, save := route("lookup", web, config.ReadOnly, 2000, 150), route("save", web, config.Writes, 2000, 200)
+	bulk := route("bulk", gen, config.Bulk, 5000, 500)
+	bulk.DueMs, bulk.MaxWaitMs, bulk.Priority, bulk.Sticky = 10000, 20000, 2, true
+	return []load.Traffic{
+			{Route: talk, Rate: 10, In: 600, Out: 150, Sessions: 20},
+			{Route: essay, Rate: 6, In: 900, Out: 300, Sessions: 20},
+			{Route: lookup, Rate: 40},
+			{Route: save, Rate: 25},
+		}, []load.Jobs{
+			{Route: bulk, Count: 4, Items: 30, In: 600, Out: 200, EndEvery: 4},
+		}
+}
+
+// configuration is what the operator sends: all the routes of the traffic.
+func configuration(ts []load.Traffic, js []load.Jobs) []byte {
+	kinds := map[config.Kind]string{config.ReadOnly: "read_only", config.Writes: "writes", config.Streaming: "streaming", config.Bulk: "bulk"}
+	var routes []map[string]any
+	add := func(r *config.Route) {
+		out := map[string]any{"name": r.Name, "host": r.Host, "path_start": r.PathStart, "kind": kinds[r.Kind], "timeout_ms": r.TimeoutMs,
+			"target_ms": r.TargetMs, "priority": r.Priority, "service": r.Shares[0].Service, "tries": r.Tries}
+		switch r.Kind {
+		case config.Streaming:
+			out["sticky"], out["resume"], out["gap_aim_ms"] = r.Sticky, r.Resume, r.GapAimMs
+		case config.Bulk:
+			out["sticky"], out["due_ms"], out["max_wait_s"], out["max_queued"] = r.Sticky, r.DueMs, r.MaxWaitMs/1000, 0
+		}
+		routes = append(routes, out)
+	}
+	for _, t := range ts {
+		add(t.Route)
+	}
+	for _, j := range js {
+		add(j.Route)
+	}
+	o := endpointOptions(gen)
+	text, err := json.Marshal(map[string]any{
+		"version": configVersion, "routes": routes,
+		"services": []map[string]any{
+			{"name": gen, "health_path": "/health", "max_conns": o.MaxConns, "protocol": "h1", "tls": false, "engine": map[string]any{
+				"capacity": o.Capacity, "cache_tokens": o.CacheTokens, "token_bytes": 327680, "network_mbps": 4400000.0, "stride": stride,
+				"models": []map[string]any{{"name": "m"}}}},
+			{"name": web, "health_path": "/health", "max_conns": endpointOptions(web).MaxConns, "protocol": "h1", "tls": false},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_wait_ms": 3000, "idle_ms": 15000},
+	})
+	if err != nil {
+		panic(fmt.Errorf("a configuration can be written as JSON: %w", err))
+	}
+	return text
+}
+
+func endpointOptions(service string) engine.Options {
+	o := engine.Options{Service: service, Capacity: 8, Queue: 8, MaxConns: 60}
+	if service == web {
+		o.Work = 20 * time.Millisecond
+		return o
+	}
+	o.CacheTokens, o.Stride, o.Piece = 24000, stride, 512
+	o.Step, o.StepGrowth, o.PrefillToken = 10*time.Millisecond, 2*time.Millisecond, 20*time.Microsecond
+	return o
+}
+
+// rig is what stands around the tier.
+type rig struct {
+	o       Options
+	cluster *cluster.Cluster
+	runs    *engine.Runs
+	mu      sync.Mutex
+	starts  int
+	all     map[*engine.Endpoint]bool
+}
+
+func (r *rig) endpoint(service, addr string, zone int) (*engine.Endpoint, error) {
+	o := endpointOptions(service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts++
+	o.ID, o.Address, o.Zone, o.Runs = fmt.Sprintf("i-%08x", r.o.Seed<<16+uint64(r.starts)), addr, r.cluster.Zones()[zone], r.runs
+	o.Beats = engine.Beats{Controls: r.cluster.Controls, Every: beatEvery, DrainFor: drainFor}
+	e, err := engine.Start(o)
+	if err == nil {
+		r.all[e] = true
+	}
+	return e, err
+}
+
+func (r *rig) crash(e *engine.Endpoint) {
+	e.Crash()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.all, e)
+}
+
+func (r *rig) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for e := range r.all {
+		e.Crash()
+	}
+}
+
+// Play starts the tier and all around it, lets clients ask, and accounts for what they got.
+func Play(ctx context.Context, o Options) (Account, error) {
+	out := Account{Seed: o.Seed}
+	c, err := cluster.New(cluster.Options{Program: o.Program, Dir: o.Dir, Zones: zones, Edges: 2, Keepers: 2, Stores: 3, BeatEvery: beatEvery, Grace: grace,
+		Rules: "base,drain,config,cost,recover,batch,stream,engine"})
+	if err != nil {
+		return out, err
+	}
+	defer c.Close()
+	r := &rig{o: o, cluster: c, runs: &engine.Runs{}, all: map[*engine.Endpoint]bool{}}
+	defer r.close()
+	var first *engine.Endpoint
+	for n := range engines + plain {
+		service := gen
+		if n >= engines {
+			service = web
+		}
+		e, err := r.endpoint(service, c.EndpointAddress(n%zones, n/zones), n%zones)
+		if err != nil {
+			return out, err
+		}
+		if first == nil {
+			first = e
+		}
+	}
+	began := time.Now()
+	if err := c.Start(); err != nil {
+		return out, err
+	}
+	ts, js := traffic()
+	text := configuration(ts, js)
+	op := operator.New(c.Controls)
+	if err := bounded(ctx, configWait, func(ctx context.Context) error { return op.Put(ctx, 0, text) }); err != nil {
+		return out, explain(fmt.Errorf("the first configuration: %w", err), c)
+	}
+	out.ConfigS = time.Since(began).Seconds()
+	if err := bounded(ctx, readyWait, c.AwaitReady); err != nil {
+		return out, explain(err, c)
+	}
+	out.ReadyS = time.Since(began).Seconds()
+	o.Say("ready after %.1f s; %v of clients begin", out.ReadyS, o.Length)
+
+	var wg sync.WaitGroup
+	var failed error
+	if o.Faults {
+		wg.Go(func() { failed = r.faults(ctx, first) })
+	}
+	out.Account = load.Run(ctx, load.Options{Seed: o.Seed, Length: o.Length, Clients: 24, Zones: c.Zones(), Front: c.Front, Traffic: ts, Jobs: js,
+		Stride: stride, FinishBy: finishBy, Settle: settle, Cancel: cancelAfter, Runs: r.runs})
+	wg.Wait()
+	var got []byte
+	err = bounded(ctx, configWait, func(ctx context.Context) (err error) { got, err = op.Config(ctx); return err })
+	switch {
+	case err != nil:
+		out.ReadBack = err.Error()
+	case operator.Same(got, text):
+		out.ReadBack = "same"
+	default:
+		out.ReadBack = fmt.Sprintf("another one, of %d bytes", len(got))
+	}
+	out.Ends = c.Ends()
+	return out, errors.Join(failed, ctx.Err())
+}
+
+func bounded(ctx context.Context, most time.Duration, do func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	return do(ctx)
+}
+
+// explain adds what the processes logged that ended by themselves.
+func explain(err error, c *cluster.Cluster) error {
+	if ends := c.Ends(); len(ends) > 0 {
+		return fmt.Errorf("%w\n%s", err, strings.Join(ends, "\n"))
+	}
+	return err
+}
+
+// faults kills a store, a keeper and an engine in the middle of the play, and starts each again.
+func (r *rig) faults(ctx context.Context, victim *engine.Endpoint) error {
+	began := time.Now()
+	at := func(part float64) bool {
+		t := time.NewTimer(time.Until(began.Add(time.Duration(part * float64(r.o.Length)))))
+		defer t.Stop()
+		select {
+		case <-t.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	again := func(p *cluster.Process) error {
+		if err := p.Kill(); err != nil {
+			return err
+		}
+		r.o.Say("%4.1f s  killed: %v", time.Since(began).Seconds(), p)
+		time.Sleep(backAfter)
+		return p.Start()
+	}
+	if !at(0.3) {
+		return nil
+	}
+	if err := again(r.cluster.Find(cluster.Store, 0)); err != nil || !at(0.5) {
+		return err
+	}
+	if err := again(r.cluster.Find(cluster.Keeper, 0)); err != nil || !at(0.7) {
+		return err
+	}
+	r.crash(victim)
+	r.o.Say("%4.1f s  crashed: engine %s", time.Since(began).Seconds(), victim.ID())
+	time.Sleep(backAfter)
+	_, err := r.endpoint(gen, victim.Address(), 0)
+	return err
+}
+
+// Print writes the account for people.
+func (a Account) Print(w io.Writer) error {
+	var out strings.Builder
+	fmt.Fprintf(&out, "seed %d: configuration after %.1f s, ready after %.1f s; %d runs at endpoints, %d of them cut\n\n", a.Seed, a.ConfigS, a.ReadyS, a.Runs, a.Cut)
+	fmt.Fprintf(&out, "%-8s %7s %7s %7s %7s %7s   tries, by their end\n", "kind", "asked", "in aim", "late", "refused", "failed")
+	for _, k := range a.Kinds {
+		fmt.Fprintf(&out, "%-8s %7d %7d %7d %7d %7d   %d: %v\n", k.Kind, k.Asked, k.InAim, k.Late, k.Refused, k.Failed, k.Tries, k.Ends)
+	}
+	for _, j := range a.Jobs {
+		fmt.Fprintf(&out, "job not read to its end: %s\n", j)
+	}
+	if a.Late > 0 {
+		fmt.Fprintf(&out, "the lab itself sent %d requests late\n", a.Late)
+	}
+	fmt.Fprintf(&out, "configuration read back: %s\n", a.ReadBack)
+	for _, e := range a.Ends {
+		fmt.Fprintln(&out, e)
+	}
+	rules := map[string]int{}
+	for _, b := range a.Broken {
+		if rules[b.Rule]++; rules[b.Rule] <= mostTold {
+			fmt.Fprintln(&out, b)
+		}
+	}
+	if len(a.Broken) == 0 {
+		fmt.Fprintln(&out, "no rule was broken")
+	} else {
+		fmt.Fprintf(&out, "rules broken: %v\n", rules)
+	}
+	_, err := io.WriteString(w, out.String())
+	return err
+}
+
+const mostTold = 10
+
+// Save writes the account beside the logs.
+func (a Account) Save(dir string) error {
+	text, err := json.MarshalIndent(a, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "account.json"), text, 0o644)
+}
--- /dev/null
+++ b/internal/lab/tier/tiertest/proxy.go
@@ -0,0 +1,235 @@
+// Package tiertest has a trivial tier for the lab's own tests: one handler that passes requests on and
+// runs batch jobs in memory, right or wrong as a test asks.
+package tiertest
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"wingmount/internal/lab/tier/engine"
+)
+
+// Result of an item.
+type Result struct {
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	Message string `json:"message"`
+}
+
+// Proxy passes each request on to one endpoint. Paths under /bulk/ hand jobs in.
+type Proxy struct {
+	Endpoint func(path string) (addr string) // for a path; empty: none is known
+
+	// What a test has it do wrong.
+	Repeat  bool                                            // each request is sent twice
+	Invent  bool                                            // each request is followed by one that nobody sent
+	Change  func(body []byte) []byte                        // of a request
+	Rewrite func(status int, body []byte) (int, []byte)     // an answer
+	Results func(listed []Result) []Result                  // of a read
+	Refuse  func(r *http.Request) (status int, wait string) // before anything is sent
+
+	once   sync.Once
+	client http.Client
+	mu     sync.Mutex
+	lots   map[string]*lot
+}
+
+type lot struct {
+	items  map[string][]byte
+	listed []Result
+	ended  bool
+}
+
+type item struct {
+	ID      string
+	Path    string
+	Headers map[string]string
+	Body    []byte
+}
+
+func (p *Proxy) send(r *http.Request, body []byte) (*http.Response, error) {
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+p.Endpoint(r.URL.Path)+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	out.GetBody = nil // nothing is sent again
+	out.Header = r.Header.Clone()
+	return p.client.Do(out)
+}
+
+func (p *Proxy) drain(r *http.Request, body []byte) {
+	if resp, err := p.send(r, body); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+// ServeHTTP serves clients.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.once.Do(func() {
+		p.client.Transport = &http.Transport{DisableCompression: true}
+		p.lots = map[string]*lot{}
+	})
+	if p.Refuse != nil {
+		if status, wait := p.Refuse(r); status != 0 {
+			w.Header().Set("Retry-After", wait)
+			w.WriteHeader(status)
+			return
+		}
+	}
+	body, err := io.ReadAll(r.Body)
+	switch {
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	case strings.HasPrefix(r.URL.Path, "/lots/"), strings.HasPrefix(r.URL.Path, "/items/"):
+		p.read(w, r)
+		return
+	case strings.HasPrefix(r.URL.Path, "/bulk/"):
+		p.handIn(w, r, body)
+		return
+	case p.Endpoint(r.URL.Path) == "":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if p.Change != nil {
+		body = p.Change(body)
+	}
+	if p.Repeat {
+		p.drain(r, body)
+	}
+	resp, err := p.send(r, body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	defer resp.Body.Close()
+	if p.Invent {
+		other := r.Clone(r.Context())
+		other.Header.Set(engine.HeaderRequest, "invented-"+r.Header.Get(engine.HeaderRequest))
+		p.drain(other, body)
+	}
+	p.answer(w, resp)
+}
+
+func (p *Proxy) answer(w http.ResponseWriter, resp *http.Response) {
+	for k, v := range resp.Header {
+		w.Header()[k] = v
+	}
+	if p.Rewrite != nil {
+		got, _ := io.ReadAll(resp.Body)
+		status, got := p.Rewrite(resp.StatusCode, got)
+		w.Header().Del("Content-Length")
+		w.WriteHeader(status)
+		_, _ = w.Write(got)
+		return
+	}
+	w.WriteHeader(resp.StatusCode)
+	flush := http.NewResponseController(w)
+	buf := make([]byte, 4096)
+	for {
+		n, err := resp.Body.Read(buf)
+		_, _ = w.Write(buf[:n])
+		_ = flush.Flush()
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (p *Proxy) handIn(w http.ResponseWriter, r *http.Request, body []byte) {
+	var asked struct{ Requests []item }
+	if err := json.Unmarshal(body, &asked); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get(engine.HeaderRequest)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lots[id] == nil {
+		l := &lot{items: map[string][]byte{}}
+		for _, it := range asked.Requests {
+			l.items[it.ID] = it.Body
+		}
+		p.lots[id] = l
+		go p.run(l, asked.Requests)
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// run runs a job's items one after another.
+func (p *Proxy) run(l *lot, items []item) {
+	for _, it := range items {
+		p.mu.Lock()
+		ended := l.ended
+		p.mu.Unlock()
+		if ended {
+			return
+		}
+		req, err := http.NewRequest(http.MethodPost, it.Path, nil)
+		if err != nil {
+			return
+		}
+		for k, v := range it.Headers {
+			req.Header.Set(k, v)
+		}
+		req.Header.Set(engine.HeaderRequest, it.ID)
+		all := p.whole(req, it.Body)
+		var text []string
+		for line := range strings.Lines(string(all)) {
+			if data, ok := strings.CutPrefix(line, "data: "); ok {
+				text = append(text, strings.TrimSuffix(data, "\n"))
+			}
+		}
+		p.mu.Lock()
+		l.listed = append(l.listed, Result{it.ID, "finished", strings.Join(text, "\n")})
+		p.mu.Unlock()
+	}
+}
+
+// whole sends an item until an endpoint answers it whole.
+func (p *Proxy) whole(req *http.Request, body []byte) []byte {
+	for {
+		if resp, err := p.send(req, body); err == nil {
+			all, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if err == nil && resp.StatusCode == http.StatusOK {
+				return all
+			}
+		}
+		time.Sleep(sendAgain)
+	}
+}
+
+const sendAgain = 10 * time.Millisecond
+
+// read answers reads and the end of a job, and asks for bodies.
+func (p *Proxy) read(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.lots[r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]]
+	switch {
+	case l == nil:
+		w.WriteHeader(http.StatusNotFound)
+	case strings.HasPrefix(r.URL.Path, "/items/"):
+		_, _ = w.Write(l.items[r.URL.Query().Get("id")])
+	case r.Method == http.MethodDelete:
+		l.ended = true
+	default:
+		listed := append([]Result(nil), l.listed...)
+		if p.Results != nil {
+			listed = p.Results(listed)
+		}
+		from, _ := strconv.Atoi(r.URL.Query().Get("start_after"))
+		listed = listed[min(from, len(listed)):]
+		_ = json.NewEncoder(w).Encode(map[string]any{"total": len(l.items), "results": listed, "next_token": from + len(listed)})
+	}
+}
