--- a/cmd/winglab/tier.go
+++ b/cmd/winglab/tier.go
@@ -16,6 +16,7 @@
 	Seed    uint64        `default:"1" help:"Draws the clients' requests."`
 	Length  time.Duration `default:"8s" help:"How long clients ask."`
 	Faults  bool          `help:"Kill a store and a keeper, and crash an engine, in the middle."`
+	Spoil   bool          `help:"Endpoints spoil an answer now and then: no answer, a surplus one, one that is lost or broken off."`
 	Out     string        `help:"A folder for the account, the settings, disks and logs."`
 	Program string        `help:"The tier's program; without it, dunetide of this checkout is built." type:"existingfile"`
 }
@@ -50,7 +51,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	a, err := tier.Play(ctx, tier.Options{Program: program, Dir: dir, Seed: c.Seed, Length: c.Length, Faults: c.Faults,
+	a, err := tier.Play(ctx, tier.Options{Program: program, Dir: dir, Seed: c.Seed, Length: c.Length, Faults: c.Faults, Spoil: c.Spoil,
 		Say: func(form string, args ...any) { fmt.Fprintf(os.Stderr, form+"\n", args...) }})
 	if err != nil && a.Kinds == nil {
 		return err
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -33,6 +35,7 @@
 	readyWait     = 15 * time.Second
 	finishBy      = 10 * time.Second
 	backAfter     = time.Second // what was killed starts again
+	spoilEvery    = 100 * time.Millisecond
 	host          = "tier.example"
 	gen, web      = "gen", "web"
 	settle        = time.Second
@@ -46,7 +49,8 @@
 	Dir     string
 	Seed    uint64
 	Length  time.Duration
-	Faults  bool
+	Faults  bool                             // a store, a keeper and an engine are lost in the middle
+	Spoil   bool                             // endpoints spoil an answer now and then
 	Say     func(format string, args ...any) // what happens, as it happens
 }
 
@@ -222,8 +226,13 @@
 	if o.Faults {
 		wg.Go(func() { failed = r.faults(ctx, first) })
 	}
+	spoiling, stop := context.WithCancel(ctx)
+	if o.Spoil {
+		wg.Go(func() { r.spoil(spoiling) })
+	}
 	out.Account = load.Run(ctx, load.Options{Seed: o.Seed, Length: o.Length, Clients: 24, Zones: c.Zones(), Front: c.Front, Traffic: ts, Jobs: js,
 		Stride: stride, FinishBy: finishBy, Settle: settle, Cancel: cancelAfter, Runs: r.runs})
+	stop()
 	wg.Wait()
 	var got []byte
 	err = bounded(ctx, configWait, func(ctx context.Context) (err error) { got, err = op.Config(ctx); return err })
@@ -290,6 +299,24 @@
 	return err
 }
 
+// spoil has endpoints spoil answers, each in its turn.
+func (r *rig) spoil(ctx context.Context) {
+	tick := time.NewTicker(spoilEvery)
+	defer tick.Stop()
+	kinds := []engine.Fault{engine.Garble, engine.Surplus, engine.Lost, engine.Broken}
+	for n := 0; ; n++ {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		r.mu.Lock()
+		all := slices.SortedFunc(maps.Keys(r.all), func(a, b *engine.Endpoint) int { return strings.Compare(a.ID(), b.ID()) })
+		r.mu.Unlock()
+		all[n%len(all)].Break(kinds[n/len(all)%len(kinds)])
+	}
+}
+
 // Print writes the account for people.
 func (a Account) Print(w io.Writer) error {
 	var out strings.Builder
