--- a/internal/lab/tier/load/jobs.go
+++ b/internal/lab/tier/load/jobs.go
@@ -321,13 +321,38 @@
 	})
 }
 
-// open tells where a job stands that should be over and is not.
-func (j *job) open() string {
-	switch {
-	case j.born.IsZero() || !j.ended.IsZero() || len(j.results) == len(j.order):
-		return ""
-	case j.accepted.IsZero():
-		return fmt.Sprintf("%s was never taken on", j.id)
+// Job is what became of a batch job.
+type Job struct {
+	ID     string  `json:"id"`
+	Items  int     `json:"items"`
+	Taken  float64 `json:"taken_s"` // from its first send to its 202; negative: never
+	Listed int     `json:"listed"`  // items that were read as listed
+	Last   float64 `json:"last_s"`  // from its first send to the newest of these
+	Ended  bool    `json:"ended"`   // by its client
+}
+
+func (j *job) sum() Job {
+	out := Job{ID: j.id, Items: len(j.order), Taken: -1, Listed: len(j.results), Ended: !j.ended.IsZero()}
+	if !j.accepted.IsZero() {
+		out.Taken = j.accepted.Sub(j.born).Seconds()
+	}
+	if n := len(j.seen); n > 0 {
+		out.Last = j.seen[n-1].Sub(j.born).Seconds()
+	}
+	return out
+}
+
+func (j Job) String() string {
+	out := fmt.Sprintf("%s of %d items", j.ID, j.Items)
+	if j.Taken < 0 {
+		return out + ": never taken on"
+	}
+	out += fmt.Sprintf(": taken on after %.2f s", j.Taken)
+	if j.Listed > 0 {
+		out += fmt.Sprintf(", the newest of %d read after %.2f s", j.Listed, j.Last)
+	}
+	if j.Ended {
+		out += ", then ended by its client"
 	}
-	return fmt.Sprintf("%s: %d of %d items listed", j.id, len(j.results), len(j.order))
+	return out
 }
--- a/internal/lab/tier/load/load.go
+++ b/internal/lab/tier/load/load.go
@@ -54,7 +54,7 @@
 	Runs   int       `json:"runs"`
 	Cut    int       `json:"cut"` // runs that were not answered whole
 	Late   int       `json:"sent_late"`
-	Jobs   []string  `json:"jobs"` // of each that was not read to its end, where it stood
+	Jobs   []Job     `json:"jobs"`
 }
 
 const sentLate = 50 * time.Millisecond
@@ -94,9 +94,7 @@
 		}
 	}
 	for _, j := range b.jobs {
-		if text := j.open(); text != "" {
-			out.Jobs = append(out.Jobs, text)
-		}
+		out.Jobs = append(out.Jobs, j.sum())
 	}
 	return out
 }
--- a/internal/lab/tier/load/load_test.go
+++ b/internal/lab/tier/load/load_test.go
@@ -91,8 +91,8 @@
 	o.Traffic = slices.Concat(traffic(route("gen", "gen", operator.Streaming, false)), traffic(route("web", "web", operator.Writes, false)))
 	o.Jobs = []Jobs{{Route: route("bulk", "gen", operator.Bulk, false), Count: 1, Items: 3, In: 60, Out: 60}}
 	a := Run(t.Context(), o)
-	if len(a.Broken) > 0 || len(a.Jobs) > 0 {
-		t.Errorf("broken %v, open %v", a.Broken, a.Jobs)
+	if len(a.Broken) > 0 || len(a.Jobs) != 1 || a.Jobs[0].Listed != 3 {
+		t.Errorf("broken %v, jobs %v", a.Broken, a.Jobs)
 	}
 	if len(a.Kinds) != 3 {
 		t.Fatalf("kinds %+v", a.Kinds)
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -326,7 +326,7 @@
 		fmt.Fprintf(&out, "%-8s %7d %7d %7d %7d %7d   %d: %v\n", k.Kind, k.Asked, k.InAim, k.Late, k.Refused, k.Failed, k.Tries, k.Ends)
 	}
 	for _, j := range a.Jobs {
-		fmt.Fprintf(&out, "job not read to its end: %s\n", j)
+		fmt.Fprintf(&out, "job %v\n", j)
 	}
 	if a.Late > 0 {
 		fmt.Fprintf(&out, "the lab itself sent %d requests late\n", a.Late)
