--- /dev/null
+++ b/cmd/winglab/tier_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"wingmount/internal/lab/tier"
+)
+
+// TestTierKeepsTheRules plays a short day of the built tier, with losses and spoilt answers.
+func TestTierKeepsTheRules(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "dunetide")
+	if out, err := exec.Command("go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	a, err := tier.Play(t.Context(), tier.Options{Program: program, Dir: t.TempDir(), Seed: 1, Length: 4 * time.Second, Faults: true, Spoil: true, Say: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.Bad() {
+		t.Errorf("broken %v, ended %v, read back %q", a.Broken, a.Ends, a.ReadBack)
+	}
+	for _, k := range a.Kinds {
+		if served := k.InAim + k.Late; 2*served < k.Asked || served+k.Refused+k.Failed != k.Asked {
+			t.Errorf("%+v", k)
+		}
+	}
+}
