--- a/cmd/winglab/main.go
+++ b/cmd/winglab/main.go
@@ -21,6 +21,7 @@
 	"wingmount/internal/lab/live"
 	"wingmount/internal/lab/record"
 	"wingmount/internal/lab/scenario"
+	"wingmount/internal/lab/tier"
 	"wingmount/internal/lab/trace"
 	"wingmount/internal/lab/world"
 )
@@ -254,7 +255,7 @@
 	defer stop()
 	var c commands
 	k := kong.Parse(&c, kong.Name("winglab"), kong.Description("The lab: days of an emulated deployment, and what delivery nodes make of them."),
-		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.UsageOnError(), kong.Vars{"tierFaults": strings.Join(tier.Faults(), ", ")}, kong.BindTo(ctx, (*context.Context)(nil)))
 	if err := k.Run(); err != nil {
 		fmt.Fprintf(os.Stderr, "winglab: %v\n", err)
 		if errors.Is(err, errBroken) {
--- a/cmd/winglab/tier.go
+++ b/cmd/winglab/tier.go
@@ -15,8 +15,10 @@
 type tierCommand struct {
 	Seed    uint64        `default:"1" help:"Draws the clients' requests."`
 	Length  time.Duration `default:"8s" help:"How long clients ask."`
-	Faults  bool          `help:"Kill a store and a keeper, and crash an engine, in the middle."`
+	Faults  bool          `help:"Kill a store and a keeper, and crash an engine, in the middle: --fault=store,keeper,engine."`
+	Fault   []string      `help:"These faults, one after another: ${tierFaults}."`
 	Spoil   bool          `help:"Endpoints spoil an answer now and then: no answer, a surplus one, one that is lost or broken off."`
+	Load    float64       `default:"1" help:"The rates of requests, over the usual ones."`
 	Out     string        `help:"A folder for the account, the settings, disks and logs."`
 	Program string        `help:"The tier's program; without it, dunetide of this checkout is built." type:"existingfile"`
 }
@@ -51,7 +53,11 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	a, err := tier.Play(ctx, tier.Options{Program: program, Dir: dir, Seed: c.Seed, Length: c.Length, Faults: c.Faults, Spoil: c.Spoil,
+	faults := c.Fault
+	if c.Faults {
+		faults = append([]string{"store", "keeper", "engine"}, faults...)
+	}
+	a, err := tier.Play(ctx, tier.Options{Program: program, Dir: dir, Seed: c.Seed, Length: c.Length, Faults: faults, Spoil: c.Spoil, Load: c.Load,
 		Say: func(form string, args ...any) { fmt.Fprintf(os.Stderr, form+"\n", args...) }})
 	if err != nil && a.Kinds == nil {
 		return err
--- a/internal/lab/tier/cluster/cluster.go
+++ b/internal/lab/tier/cluster/cluster.go
@@ -289,6 +289,9 @@
 	return nil
 }
 
+// Processes are all of them.
+func (c *Cluster) Processes() []*Process { return slices.Clone(c.procs) }
+
 // Ends tells of processes that ended by themselves, with the end of what they logged.
 func (c *Cluster) Ends() (out []string) {
 	for _, p := range c.procs {
--- a/internal/lab/tier/engine/engine.go
+++ b/internal/lab/tier/engine/engine.go
@@ -99,6 +99,9 @@
 // ID is the incarnation's.
 func (e *Endpoint) ID() string { return e.o.ID }
 
+// Service is what it serves.
+func (e *Endpoint) Service() string { return e.o.Service }
+
 // Address is where it listens.
 func (e *Endpoint) Address() string { return e.o.Address }
 
@@ -236,6 +239,7 @@
 // plain works on a request for a while and answers with its body.
 func (e *Endpoint) plain(ctx context.Context, w http.ResponseWriter, run Run) {
 	if !e.acquire(ctx) {
+		e.o.Runs.turn(e.o.Service)
 		refuse(w, http.StatusServiceUnavailable)
 		return
 	}
@@ -374,6 +378,7 @@
 	taken := e.batch.offer(j)
 	e.mu.Unlock()
 	if !taken {
+		e.o.Runs.turn(e.o.Service)
 		refuse(w, http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/lab/tier/engine/runs.go
+++ b/internal/lab/tier/engine/runs.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -74,8 +75,26 @@
 
 // Runs is the account of all endpoints of a tier: every run there was.
 type Runs struct {
-	mu  sync.Mutex
-	all []*Run
+	mu     sync.Mutex
+	all    []*Run
+	turned map[string]int
+}
+
+// turn counts a request that was turned away because the endpoint was full.
+func (r *Runs) turn(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.turned == nil {
+		r.turned = map[string]int{}
+	}
+	r.turned[service]++
+}
+
+// Turned tells how many requests the endpoints of each service turned away.
+func (r *Runs) Turned() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.turned)
 }
 
 func (r *Runs) begin(run Run) *Run {
--- a/internal/lab/tier/load/jobs.go
+++ b/internal/lab/tier/load/jobs.go
@@ -328,14 +328,20 @@
 	Taken  float64 `json:"taken_s"` // from its first send to its 202; negative: never
 	Listed int     `json:"listed"`  // items that were read as listed
 	Last   float64 `json:"last_s"`  // from its first send to the newest of these
+	Missed int     `json:"missed"`  // items that ran whole and were not read as listed
 	Ended  bool    `json:"ended"`   // by its client
 }
 
-func (j *job) sum() Job {
+func (j *job) sum(whole map[string]bool) Job {
 	out := Job{ID: j.id, Items: len(j.order), Taken: -1, Listed: len(j.results), Ended: !j.ended.IsZero()}
 	if !j.accepted.IsZero() {
 		out.Taken = j.accepted.Sub(j.born).Seconds()
 	}
+	for id := range j.items {
+		if _, listed := j.at[id]; !listed && whole[id] {
+			out.Missed++
+		}
+	}
 	if n := len(j.seen); n > 0 {
 		out.Last = j.seen[n-1].Sub(j.born).Seconds()
 	}
@@ -351,6 +357,9 @@
 	if j.Listed > 0 {
 		out += fmt.Sprintf(", the newest of %d read after %.2f s", j.Listed, j.Last)
 	}
+	if j.Missed > 0 {
+		out += fmt.Sprintf(", %d more ran whole", j.Missed)
+	}
 	if j.Ended {
 		out += ", then ended by its client"
 	}
--- a/internal/lab/tier/load/load.go
+++ b/internal/lab/tier/load/load.go
@@ -88,13 +88,16 @@
 	out := Account{Kinds: sorted(b.figures), Late: b.late}
 	runs := o.Runs.All()
 	out.Broken, out.Runs = b.check(runs, o.Cancel), len(runs)
+	whole := map[string]bool{}
 	for _, r := range runs {
-		if !r.Whole {
+		if r.Whole {
+			whole[r.Request] = true
+		} else {
 			out.Cut++
 		}
 	}
 	for _, j := range b.jobs {
-		out.Jobs = append(out.Jobs, j.sum())
+		out.Jobs = append(out.Jobs, j.sum(whole))
 	}
 	return out
 }
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -3,6 +3,7 @@
 package tier
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -36,6 +37,7 @@
 	finishBy      = 10 * time.Second
 	backAfter     = time.Second // what was killed starts again
 	spoilEvery    = 100 * time.Millisecond
+	frozenFor     = 3 * time.Second
 	host          = "tier.example"
 	gen, web      = "gen", "web"
 	settle        = time.Second
@@ -49,19 +51,57 @@
 	Dir     string
 	Seed    uint64
 	Length  time.Duration
-	Faults  bool                             // a store, a keeper and an engine are lost in the middle
+	Faults  []string                         // of Faults, in their order, spread over the play
 	Spoil   bool                             // endpoints spoil an answer now and then
+	Load    float64                          // over the usual rates; 0: 1
 	Say     func(format string, args ...any) // what happens, as it happens
 }
 
 // Account of a play.
 type Account struct {
 	load.Account
-	Seed     uint64   `json:"seed"`
-	ReadyS   float64  `json:"ready_s"`   // from the start of the processes
-	ConfigS  float64  `json:"config_s"`  // until the configuration was acknowledged
-	ReadBack string   `json:"read_back"` // same, or what came
-	Ends     []string `json:"ends"`      // processes that ended by themselves
+	Seed     uint64    `json:"seed"`
+	ReadyS   float64   `json:"ready_s"`  // from the start of the processes
+	ConfigS  float64   `json:"config_s"` // until the configuration was acknowledged
+	Services []Service `json:"services"`
+	ReadBack string    `json:"read_back"` // same, or what came
+	Ends     []string  `json:"ends"`      // processes that ended by themselves
+}
+
+// Service is what the endpoints of a service saw.
+type Service struct {
+	Name   string  `json:"name"`
+	Runs   int     `json:"runs"`
+	Turned int     `json:"turned"` // requests turned away because an endpoint was full
+	Busy   float64 `json:"busy"`   // part of the places that runs took, over the time in which clients asked
+}
+
+// services counts the runs of the time in which clients asked.
+func services(runs *engine.Runs, from time.Time, length time.Duration) (out []Service) {
+	turned := runs.Turned()
+	for _, name := range []string{gen, web} {
+		s := Service{Name: name, Turned: turned[name]}
+		var busy time.Duration
+		end := from.Add(length)
+		for _, r := range runs.All() {
+			if r.Service != name {
+				continue
+			}
+			s.Runs++
+			last := end
+			if !r.Ended.IsZero() && r.Ended.Before(end) {
+				last = r.Ended
+			}
+			busy += max(0, last.Sub(r.Began))
+		}
+		count := engines
+		if name == web {
+			count = plain
+		}
+		s.Busy = busy.Seconds() / length.Seconds() / float64(count*endpointOptions(name).Capacity)
+		out = append(out, s)
+	}
+	return out
 }
 
 // Bad tells whether a rule was broken or a process ended by itself.
@@ -164,13 +204,6 @@
 	return e, err
 }
 
-func (r *rig) crash(e *engine.Endpoint) {
-	e.Crash()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.all, e)
-}
-
 func (r *rig) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -182,6 +215,11 @@
 // Play starts the tier and all around it, lets clients ask, and accounts for what they got.
 func Play(ctx context.Context, o Options) (Account, error) {
 	out := Account{Seed: o.Seed}
+	for _, name := range o.Faults {
+		if losses[name] == nil {
+			return out, fmt.Errorf("no fault is named %q; there are %s", name, strings.Join(Faults(), ", "))
+		}
+	}
 	c, err := cluster.New(cluster.Options{Program: o.Program, Dir: o.Dir, Zones: zones, Edges: 2, Keepers: 2, Stores: 3, BeatEvery: beatEvery, Grace: grace,
 		Rules: "base,drain,config,cost,recover,batch,stream,engine"})
 	if err != nil {
@@ -190,25 +228,23 @@
 	defer c.Close()
 	r := &rig{o: o, cluster: c, runs: &engine.Runs{}, all: map[*engine.Endpoint]bool{}}
 	defer r.close()
-	var first *engine.Endpoint
 	for n := range engines + plain {
 		service := gen
 		if n >= engines {
 			service = web
 		}
-		e, err := r.endpoint(service, c.EndpointAddress(n%zones, n/zones), n%zones)
-		if err != nil {
+		if _, err := r.endpoint(service, c.EndpointAddress(n%zones, n/zones), n%zones); err != nil {
 			return out, err
 		}
-		if first == nil {
-			first = e
-		}
 	}
 	began := time.Now()
 	if err := c.Start(); err != nil {
 		return out, err
 	}
 	ts, js := traffic()
+	for i := range ts {
+		ts[i].Rate *= cmp.Or(o.Load, 1)
+	}
 	text := configuration(ts, js)
 	op := operator.New(c.Controls)
 	if err := bounded(ctx, configWait, func(ctx context.Context) error { return op.Put(ctx, 0, text) }); err != nil {
@@ -223,17 +259,17 @@
 
 	var wg sync.WaitGroup
 	var failed error
-	if o.Faults {
-		wg.Go(func() { failed = r.faults(ctx, first) })
-	}
+	wg.Go(func() { failed = r.faults(ctx) })
 	spoiling, stop := context.WithCancel(ctx)
 	if o.Spoil {
 		wg.Go(func() { r.spoil(spoiling) })
 	}
+	asked := time.Now()
 	out.Account = load.Run(ctx, load.Options{Seed: o.Seed, Length: o.Length, Clients: 24, Zones: c.Zones(), Front: c.Front, Traffic: ts, Jobs: js,
 		Stride: stride, FinishBy: finishBy, Settle: settle, Cancel: cancelAfter, Runs: r.runs})
 	stop()
 	wg.Wait()
+	out.Services = services(r.runs, asked, o.Length)
 	var got []byte
 	err = bounded(ctx, configWait, func(ctx context.Context) (err error) { got, err = op.Config(ctx); return err })
 	switch {
@@ -262,43 +298,129 @@
 	return err
 }
 
-// faults kills a store, a keeper and an engine in the middle of the play, and starts each again.
-func (r *rig) faults(ctx context.Context, victim *engine.Endpoint) error {
+// losses are the faults that a play may have, one after another.
+var losses = map[string]func(*rig) error{
+	"store":         func(r *rig) error { return r.kill(r.cluster.Find(cluster.Store, 0), false) },
+	"keeper":        func(r *rig) error { return r.kill(r.cluster.Find(cluster.Keeper, 0), false) },
+	"proxy":         func(r *rig) error { return r.kill(r.cluster.Find(cluster.Proxy, 0), false) },
+	"engine":        (*rig).crash,
+	"store-disk":    func(r *rig) error { return r.kill(r.cluster.Find(cluster.Store, 1), true) },
+	"keeper-disk":   func(r *rig) error { return r.kill(r.cluster.Find(cluster.Keeper, 1), true) },
+	"freeze-store":  func(r *rig) error { return r.freeze(r.cluster.Find(cluster.Store, 2)) },
+	"freeze-keeper": func(r *rig) error { return r.freeze(r.cluster.Find(cluster.Keeper, 2)) },
+	"kill-all":      (*rig).killAll,
+	"dark":          (*rig).dark,
+	"leave":         (*rig).leave,
+}
+
+// Faults names all of them.
+func Faults() []string { return slices.Sorted(maps.Keys(losses)) }
+
+// faults plays the faults that were asked for, spread over the play.
+func (r *rig) faults(ctx context.Context) error {
 	began := time.Now()
-	at := func(part float64) bool {
-		t := time.NewTimer(time.Until(began.Add(time.Duration(part * float64(r.o.Length)))))
-		defer t.Stop()
+	for i, name := range r.o.Faults {
+		at := time.Duration(float64(r.o.Length) * (0.3 + 0.5*float64(i)/float64(len(r.o.Faults))))
+		t := time.NewTimer(time.Until(began.Add(at)))
 		select {
 		case <-t.C:
-			return true
 		case <-ctx.Done():
-			return false
+			t.Stop()
+			return nil
+		}
+		r.o.Say("%4.1f s  %s", time.Since(began).Seconds(), name)
+		if err := losses[name](r); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
-	again := func(p *cluster.Process) error {
-		if err := p.Kill(); err != nil {
+	return nil
+}
+
+// kill kills a process and starts it again after a while.
+func (r *rig) kill(p *cluster.Process, disk bool) error {
+	if err := p.Kill(); err != nil {
+		return err
+	}
+	if disk {
+		if err := p.Wipe(); err != nil {
 			return err
 		}
-		r.o.Say("%4.1f s  killed: %v", time.Since(began).Seconds(), p)
-		time.Sleep(backAfter)
-		return p.Start()
 	}
-	if !at(0.3) {
-		return nil
+	time.Sleep(backAfter)
+	return p.Start()
+}
+
+func (r *rig) killAll() error {
+	all := r.cluster.Processes()
+	for _, p := range all {
+		if err := p.Kill(); err != nil {
+			return err
+		}
 	}
-	if err := again(r.cluster.Find(cluster.Store, 0)); err != nil || !at(0.5) {
-		return err
+	time.Sleep(backAfter)
+	for _, p := range all {
+		if err := p.Start(); err != nil {
+			return err
+		}
 	}
-	if err := again(r.cluster.Find(cluster.Keeper, 0)); err != nil || !at(0.7) {
+	return nil
+}
+
+func (r *rig) freeze(p *cluster.Process) error {
+	if err := p.Freeze(); err != nil {
 		return err
 	}
-	r.crash(victim)
-	r.o.Say("%4.1f s  crashed: engine %s", time.Since(began).Seconds(), victim.ID())
+	time.Sleep(frozenFor)
+	return p.Thaw()
+}
+
+// victim is an engine that runs.
+func (r *rig) victim() *engine.Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ordered()[0]
+}
+
+// ordered are all endpoints in the order of their starts, the plain ones behind.
+func (r *rig) ordered() []*engine.Endpoint {
+	return slices.SortedFunc(maps.Keys(r.all), func(a, b *engine.Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Service(), b.Service()), cmp.Compare(a.ID(), b.ID()))
+	})
+}
+
+// replace starts a new incarnation where one has ended.
+func (r *rig) replace(e *engine.Endpoint) error {
+	r.mu.Lock()
+	delete(r.all, e)
+	r.mu.Unlock()
 	time.Sleep(backAfter)
-	_, err := r.endpoint(gen, victim.Address(), 0)
+	_, err := r.endpoint(gen, e.Address(), 0)
 	return err
 }
 
+func (r *rig) crash() error {
+	e := r.victim()
+	e.Crash()
+	return r.replace(e)
+}
+
+// leave has an engine end as planned.
+func (r *rig) leave() error {
+	e := r.victim()
+	if e.Leave(context.Background()).IsZero() {
+		r.o.Say("nobody acknowledged that %s leaves", e.ID())
+	}
+	return r.replace(e)
+}
+
+func (r *rig) dark() error {
+	e := r.victim()
+	e.Dark(true)
+	time.Sleep(frozenFor)
+	e.Dark(false)
+	return nil
+}
+
 // spoil has endpoints spoil answers, each in its turn.
 func (r *rig) spoil(ctx context.Context) {
 	tick := time.NewTicker(spoilEvery)
@@ -311,7 +433,7 @@
 			return
 		}
 		r.mu.Lock()
-		all := slices.SortedFunc(maps.Keys(r.all), func(a, b *engine.Endpoint) int { return strings.Compare(a.ID(), b.ID()) })
+		all := r.ordered()
 		r.mu.Unlock()
 		all[n%len(all)].Break(kinds[n/len(all)%len(kinds)])
 	}
@@ -325,6 +447,9 @@
 	for _, k := range a.Kinds {
 		fmt.Fprintf(&out, "%-8s %7d %7d %7d %7d %7d   %d: %v\n", k.Kind, k.Asked, k.InAim, k.Late, k.Refused, k.Failed, k.Tries, k.Ends)
 	}
+	for _, s := range a.Services {
+		fmt.Fprintf(&out, "endpoints of %s: %d runs, %.2f of the places taken, %d requests turned away\n", s.Name, s.Runs, s.Busy, s.Turned)
+	}
 	for _, j := range a.Jobs {
 		fmt.Fprintf(&out, "job %v\n", j)
 	}
