--- a/cmd/winglab/main.go
+++ b/cmd/winglab/main.go
@@ -21,6 +21,7 @@
 	"wingmount/internal/lab/live"
 	"wingmount/internal/lab/record"
 	"wingmount/internal/lab/scenario"
+	"wingmount/internal/lab/tier"
 	"wingmount/internal/lab/trace"
 	"wingmount/internal/lab/world"
 )
@@ -29,6 +30,7 @@
 	Demo    demoCommand    `cmd:"" help:"Build the node, play a short quiet day against it, and account for each message."`
 	Run     runCommand     `cmd:"" help:"Play a scenario against real delivery nodes on loopback sockets."`
 	Fleet   fleetCommand   `cmd:"" help:"Play a fleet of real nodes, with relays that break what is between them."`
+	Tier    tierCommand    `cmd:"" help:"Play a small serving tier of real dunetide processes, with endpoints and clients around it."`
 	Sim     simCommand     `cmd:"" help:"Play a scenario in simulated time: one module for each node, no sockets."`
 	Compare compareCommand `cmd:"" help:"A against B, in pairs by seed: two builds, revisions, sets of flags or settings."`
 	Sweep   sweepCommand   `cmd:"" help:"One setting, or two, over some values, in step."`
@@ -253,7 +255,7 @@
 	defer stop()
 	var c commands
 	k := kong.Parse(&c, kong.Name("winglab"), kong.Description("The lab: days of an emulated deployment, and what delivery nodes make of them."),
-		kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.UsageOnError(), kong.Vars{"tierFaults": strings.Join(tier.Faults(), ", ")}, kong.BindTo(ctx, (*context.Context)(nil)))
 	if err := k.Run(); err != nil {
 		fmt.Fprintf(os.Stderr, "winglab: %v\n", err)
 		if errors.Is(err, errBroken) {
--- /dev/null
+++ b/internal/lab/tier/load/load_test.go
@@ -0,0 +1,371 @@
+package load
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wingmount/internal/lab/tier/engine"
+	"wingmount/internal/lab/tier/tiertest"
+	"wingmount/internal/lab/world"
+	"wingmount/internal/operator"
+)
+
+// proxy is a trivial tier with an endpoint for each of two services.
+type proxy struct {
+	tiertest.Proxy
+	addr string
+}
+
+const stride = 10
+
+func newProxy(t *testing.T, runs *engine.Runs) *proxy {
+	t.Helper()
+	o := engine.Options{Address: "127.0.0.1:0", Capacity: 20, Queue: 50, CacheTokens: 1 << 20, Stride: stride, Piece: 4096,
+		Step: time.Millisecond, PrefillToken: time.Microsecond, Runs: runs}
+	addrs := map[string]string{}
+	for _, service := range []string{"gen", "web"} {
+		o.Service, o.ID = service, "i-"+service
+		if service == "web" {
+			o.Work = time.Millisecond
+		}
+		e, err := engine.Start(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Crash)
+		addrs[service] = e.Address()
+	}
+	p := &proxy{}
+	p.Endpoint = func(path string) string {
+		if strings.HasPrefix(path, "/web/") {
+			return addrs["web"]
+		}
+		return addrs["gen"]
+	}
+	s := httptest.NewServer(p)
+	t.Cleanup(s.Close)
+	p.addr = s.Listener.Addr().String()
+	return p
+}
+
+func (p *proxy) front(string, uint64) (string, bool) { return p.addr, true }
+
+func route(name, service string, kind operator.Kind, resume bool) *operator.Route {
+	return &operator.Route{Name: name, Host: "h.example", PathStart: "/" + name + "/", Kind: kind, Resume: resume, TimeoutMs: 2000, TargetMs: 1000,
+		GapAimMs: 500, DueMs: 5000, MaxWaitMs: 8000, Tries: 2, Shares: []operator.Share{{Service: service, Weight: 1}}}
+}
+
+func traffic(r *operator.Route) []Traffic {
+	return []Traffic{{Route: r, Rate: 100, In: 60, Out: 60, Sessions: 5}}
+}
+
+func options(p *proxy, runs *engine.Runs) Options {
+	return Options{Seed: 1, Length: 300 * time.Millisecond, Clients: 4, Zones: []string{"a"}, Front: p.front, Stride: stride,
+		FinishBy: 5 * time.Second, Settle: time.Second, Cancel: time.Second, Runs: runs}
+}
+
+func names(broken []Broken) (out []string) {
+	for _, b := range broken {
+		if !slices.Contains(out, b.Rule) {
+			out = append(out, b.Rule)
+		}
+	}
+	return out
+}
+
+func TestAllIsServedThroughATrivialProxy(t *testing.T) {
+	runs := &engine.Runs{}
+	p := newProxy(t, runs)
+	o := options(p, runs)
+	o.Traffic = slices.Concat(traffic(route("gen", "gen", operator.Streaming, false)), traffic(route("web", "web", operator.Writes, false)))
+	o.Jobs = []Jobs{{Route: route("bulk", "gen", operator.Bulk, false), Count: 1, Items: 3, In: 60, Out: 60}}
+	a := Run(t.Context(), o)
+	if len(a.Broken) > 0 || len(a.Jobs) != 1 || a.Jobs[0].Listed != 3 {
+		t.Errorf("broken %v, jobs %v", a.Broken, a.Jobs)
+	}
+	if len(a.Kinds) != 3 {
+		t.Fatalf("kinds %+v", a.Kinds)
+	}
+	for _, k := range a.Kinds {
+		if k.Asked == 0 || k.InAim+k.Late != k.Asked {
+			t.Errorf("%+v", k)
+		}
+	}
+}
+
+func TestSameSeedSameRequests(t *testing.T) {
+	var sums [2][]string
+	for i := range sums {
+		runs := &engine.Runs{}
+		p := newProxy(t, runs)
+		o := options(p, runs)
+		o.Traffic = traffic(route("web", "web", operator.ReadOnly, false))
+		Run(t.Context(), o)
+		for _, r := range runs.All() {
+			sums[i] = append(sums[i], r.Request+" "+r.Sum)
+		}
+		slices.Sort(sums[i])
+	}
+	if len(sums[0]) == 0 || !slices.Equal(sums[0], sums[1]) {
+		t.Errorf("%d and %d requests, which differ", len(sums[0]), len(sums[1]))
+	}
+}
+
+func TestEachWrongIsFound(t *testing.T) {
+	stream, web := route("gen", "gen", operator.Streaming, false), route("web", "web", operator.Writes, false)
+	for _, c := range []struct {
+		name  string
+		route *operator.Route
+		wrong func(*proxy)
+		rule  string
+	}{
+		{"repeated", web, func(p *proxy) { p.Repeat = true }, Twice},
+		{"repeated stream", stream, func(p *proxy) { p.Repeat = true }, Twice},
+		{"invented", web, func(p *proxy) { p.Invent = true }, Unasked},
+		{"changed", web, func(p *proxy) { p.Change = func([]byte) []byte { return []byte("other") } }, Unasked},
+		{"other body", web, func(p *proxy) {
+			p.Rewrite = func(s int, b []byte) (int, []byte) { return s, append([]byte("x"), b[1:]...) }
+		}, Mixed},
+		{"refused though it ran", web, func(p *proxy) {
+			p.Rewrite = func(int, []byte) (int, []byte) { return http.StatusServiceUnavailable, nil }
+		}, Refused},
+		{"event lost", stream, func(p *proxy) {
+			p.Rewrite = func(s int, b []byte) (int, []byte) {
+				return s, b[bytes.Index(b, []byte("\n\n"))+2:]
+			}
+		}, Order},
+		{"ended early", stream, func(p *proxy) {
+			p.Rewrite = func(s int, b []byte) (int, []byte) { return s, b[:bytes.Index(b, []byte("\n\n"))+2] }
+		}, Order},
+		{"wrong service", &operator.Route{Name: "web", Host: "h", PathStart: "/web/", Kind: operator.Writes, TimeoutMs: 1000, TargetMs: 1000,
+			Shares: []operator.Share{{Service: "gen"}}}, func(*proxy) {}, Route},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runs := &engine.Runs{}
+			p := newProxy(t, runs)
+			c.wrong(p)
+			o := options(p, runs)
+			o.Length, o.Traffic = 60*time.Millisecond, traffic(c.route)
+			if got := names(Run(t.Context(), o).Broken); !slices.Equal(got, []string{c.rule}) {
+				t.Errorf("broken %v, want %s", got, c.rule)
+			}
+		})
+	}
+}
+
+func TestEachWrongOfAJobIsFound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		wrong func([]tiertest.Result) []tiertest.Result
+		rules []string
+	}{
+		{"text", func(l []tiertest.Result) []tiertest.Result {
+			for i := range l {
+				l[i].Message += "x"
+			}
+			return l
+		}, []string{Mixed}},
+		{"given up early", func(l []tiertest.Result) []tiertest.Result {
+			for i := range l {
+				l[i].State = "given_up"
+			}
+			return l
+		}, []string{Mixed}},
+		{"strange item", func(l []tiertest.Result) []tiertest.Result {
+			for i := range l {
+				l[i].ID += "x"
+			}
+			return l
+		}, []string{Mixed}},
+		{"item twice", func(l []tiertest.Result) []tiertest.Result {
+			if len(l) == 3 {
+				l[1] = l[0]
+			}
+			return l
+		}, []string{Twice}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runs := &engine.Runs{}
+			p := newProxy(t, runs)
+			p.Results = c.wrong
+			o := options(p, runs)
+			o.Jobs = []Jobs{{Route: route("bulk", "gen", operator.Bulk, false), Count: 1, Items: 3, In: 60, Out: 60}}
+			if got := names(Run(t.Context(), o).Broken); !slices.Equal(got, c.rules) {
+				t.Errorf("broken %v, want %v", got, c.rules)
+			}
+		})
+	}
+}
+
+func TestAJobThatChangesOrGoesIsFound(t *testing.T) {
+	o := Options{Settle: 0, Stride: stride}
+	b := newBook()
+	j := newJob(o, b, Jobs{Route: route("bulk", "gen", operator.Bulk, false), Items: 2, In: 60, Out: 60}, world.Random(1, "test"), 0)
+	first := result{j.order[0].ID, "finished", engine.Text(j.order[0].ID, 0, j.order[0].events)}
+	j.take(0, first)
+	j.take(0, first)
+	if len(b.broken) > 0 {
+		t.Fatalf("broken %v", b.broken)
+	}
+	changed := first
+	changed.State = "given_up"
+	j.take(0, changed)
+	if got := names(b.broken); !slices.Equal(got, []string{Twice}) {
+		t.Errorf("a position that changes broke %v", got)
+	}
+	b.broken = nil
+	j.ended = time.Now()
+	run := engine.Run{Request: j.order[1].ID, Service: "gen", Sum: b.sent[j.order[1].ID].sum}
+	run.Arrived = j.ended.Add(2 * time.Second)
+	if got := names(b.check([]engine.Run{run}, time.Second)); !slices.Equal(got, []string{Unasked}) {
+		t.Errorf("an item that runs long after the end broke %v", got)
+	}
+	run.Arrived = j.ended
+	j.never = true
+	if got := names(b.check([]engine.Run{run}, time.Second)); !slices.Equal(got, []string{Refused}) {
+		t.Errorf("an item of a refused job that runs broke %v", got)
+	}
+}
+
+func TestReadsOfALostJob(t *testing.T) {
+	runs := &engine.Runs{}
+	p := newProxy(t, runs)
+	o := options(p, runs)
+	o.Settle = 0
+	b := newBook()
+	j := newJob(o, b, Jobs{Route: route("bulk", "gen", operator.Bulk, false), Items: 2, In: 60, Out: 60}, world.Random(1, "test"), 0)
+	j.accepted = time.Now()
+	j.read(t.Context(), 0)
+	if got := names(b.broken); !slices.Equal(got, []string{Lost}) {
+		t.Errorf("broken %v", got)
+	}
+}
+
+func TestRetryAfterIsHonouredUpToAThirdOfWhatIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		wait         string
+		tries, inAim int
+	}{{"0.05", 2, 1}, {"1.5", 1, 0}} {
+		runs := &engine.Runs{}
+		p := newProxy(t, runs)
+		var mu sync.Mutex
+		var times []time.Time
+		p.Refuse = func(*http.Request) (int, string) {
+			mu.Lock()
+			defer mu.Unlock()
+			times = append(times, time.Now())
+			if len(times) == 1 {
+				return http.StatusTooManyRequests, c.wait
+			}
+			return 0, ""
+		}
+		b := newBook()
+		cl := &client{book: b, zone: "a", front: p.front}
+		r := draw(traffic(route("web", "web", operator.Writes, false))[0], world.Random(1, "test"), stride)
+		r.born = time.Now()
+		cl.do(t.Context(), r)
+		cl.close()
+		f := b.figures["web"]
+		if f.Tries != c.tries || f.InAim != c.inAim || f.Refused != 1-c.inAim {
+			t.Errorf("Retry-After %s: %+v", c.wait, f)
+		}
+		if c.tries == 2 && times[1].Sub(times[0]) < 50*time.Millisecond {
+			t.Errorf("the second try came after %v", times[1].Sub(times[0]))
+		}
+	}
+}
+
+func TestOnlyWhatMayRepeatIsTriedAgainAfterABreak(t *testing.T) {
+	for _, c := range []struct {
+		route *operator.Route
+		tries int
+	}{
+		{route("web", "web", operator.ReadOnly, false), mostTry},
+		{route("web", "web", operator.Writes, false), 1},
+	} {
+		runs := &engine.Runs{}
+		p := newProxy(t, runs)
+		p.Refuse = func(*http.Request) (int, string) { panic(http.ErrAbortHandler) }
+		b := newBook()
+		cl := &client{book: b, zone: "a", front: p.front}
+		r := draw(traffic(c.route)[0], world.Random(1, "test"), stride)
+		r.born = time.Now()
+		cl.do(t.Context(), r)
+		if f := b.figures["web"]; f.Tries != c.tries || f.Failed != 1 || f.Ends["closed"] != c.tries {
+			t.Errorf("%+v, want %d tries", f, c.tries)
+		}
+	}
+}
+
+func TestAResumedStreamGoesOnAfterItsNewestEvent(t *testing.T) {
+	b := newBook()
+	cut := true
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(engine.HeaderRequest)
+		w.Header().Set(engine.HeaderSeal, "seal")
+		last, _ := strconv.Atoi(r.Header.Get(engine.HeaderLast))
+		for n := last + 1; n <= 4; n++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, engine.Event(id, n))
+			_ = http.NewResponseController(w).Flush()
+			if n == 2 && cut {
+				cut = false
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}))
+	defer s.Close()
+	cl := &client{book: b, front: func(string, uint64) (string, bool) { return s.Listener.Addr().String(), true }}
+	defer cl.close()
+	r := draw(traffic(route("gen", "gen", operator.Streaming, true))[0], world.Random(1, "test"), stride)
+	r.events, r.born = 4, time.Now()
+	cl.do(t.Context(), r)
+	if f := b.figures["gen"]; f.InAim != 1 || f.Tries != 2 || f.Ends["broken off"] != 1 || len(b.broken) > 0 {
+		t.Errorf("%+v, broken %v", f, b.broken)
+	}
+}
+
+func TestBytesBehindAnAnswerAreFound(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, _ := http.NewResponseController(w).Hijack()
+		defer c.Close()
+		body := engine.PlainBody(r.Header.Get(engine.HeaderRequest))
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", engine.HeaderSeal, len(body), body)
+		_, _ = io.WriteString(c, answer+answer)
+	}))
+	defer s.Close()
+	b := newBook()
+	cl := &client{book: b, front: func(string, uint64) (string, bool) { return s.Listener.Addr().String(), true }}
+	r := draw(traffic(route("web", "web", operator.Writes, false))[0], world.Random(1, "test"), stride)
+	r.born = time.Now()
+	cl.do(t.Context(), r)
+	if got := names(b.broken); !slices.Equal(got, []string{Mixed}) {
+		t.Errorf("broken %v", b.broken)
+	}
+}
+
+func TestItemsAreWrittenAsThePagesSay(t *testing.T) {
+	j := newJob(Options{Stride: stride}, newBook(), Jobs{Route: route("bulk", "gen", operator.Bulk, false), Items: 1, In: 60, Out: 60}, world.Random(1, "test"), 0)
+	text, err := json.Marshal(j.order[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got map[string]any
+	if err := json.Unmarshal(text, &got); err != nil {
+		t.Fatal(err)
+	}
+	if got["body"] != base64.StdEncoding.EncodeToString(j.order[0].Body) || len(got) != 5 {
+		t.Errorf("%s", text)
+	}
+}
