--- a/internal/lab/tier/engine/engine_test.go
+++ b/internal/lab/tier/engine/engine_test.go
@@ -7,8 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 )
@@ -105,29 +105,30 @@
 
 func TestPlainEndpointIsFullBeyondItsQueue(t *testing.T) {
 	o := options()
-	o.Work, o.Capacity, o.Queue = 200*time.Millisecond, 1, 1
+	o.Work, o.Capacity, o.Queue = time.Millisecond, 1, 1
 	e := start(t, o)
-	statuses := make(chan int, 4)
-	var wg sync.WaitGroup
-	for i := range 4 {
-		wg.Go(func() {
-			id := fmt.Sprint("r", i)
-			resp, body, err := ask(t, e, "/a/1", HeaderRequest, id)
-			if err != nil || resp.StatusCode == http.StatusOK && body != string(PlainBody(id)) {
-				t.Errorf("%q, %v", body, err)
-				return
-			}
-			statuses <- resp.StatusCode
-		})
-	}
-	wg.Wait()
-	close(statuses)
-	count := map[int]int{}
-	for s := range statuses {
-		count[s]++
-	}
-	if count[200] != 2 || count[503] != 2 || len(o.Runs.All()) != 2 || len(PlainBody("r")) != 800 {
-		t.Errorf("statuses %v, %d runs", count, len(o.Runs.All()))
+	if !e.acquire(t.Context()) { // the test holds the only slot
+		t.Fatal("no slot is free")
+	}
+	waits := make(chan string, 1)
+	go func() {
+		_, body, err := ask(t, e, "/a/1", HeaderRequest, "r1")
+		waits <- fmt.Sprint(body, err)
+	}()
+	for waiting := 0; waiting == 0; runtime.Gosched() {
+		e.mu.Lock()
+		_, waiting = e.counts()
+		e.mu.Unlock()
+	}
+	if resp, _, err := ask(t, e, "/a/1", HeaderRequest, "r2"); err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(HeaderNotRun) == "" {
+		t.Errorf("beyond the queue: %v, %v", resp, err)
+	}
+	e.release()
+	if got, want := <-waits, fmt.Sprint(string(PlainBody("r1")), nil); got != want || len(PlainBody("r1")) != 800 {
+		t.Errorf("what waited got %q", got)
+	}
+	if runs := o.Runs.All(); len(runs) != 1 || o.Runs.Turned()["s"] != 1 {
+		t.Errorf("%d runs, turned away %v", len(runs), o.Runs.Turned())
 	}
 }
 
