Duties: leases as a core of their own, without split votes

Now a candidate that gets no majority releases what it got and pauses for a drawn time; tested over drawn freezes, cuts and restarts.

--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -10,6 +10,7 @@
 	"wingmount/internal/batch"
 	"wingmount/internal/control"
 	"wingmount/internal/link"
+	"wingmount/internal/record"
 	"wingmount/internal/view"
 )
 
@@ -36,7 +37,7 @@
 	var client *control.Client
 	store, err := batch.NewStore(batch.StoreOptions{
 		Open: func(replay func(payload []byte, at int64) error) (batch.Log, error) {
-			return openRawLog(folder, jobsLog, replay)
+			return record.Open(folder, jobsLog, replay)
 		},
 		Zone: s.Zone, MachinesLost: s.SurviveMachines, KeepMs: s.Bounds.StatusEvery.Milliseconds(),
 		RoomBytes: int64(s.Limits.DiskMB) << 20 / 10 * 4, // a rewrite needs as much again
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,169 @@
+package duty
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// world has voters that are candidates too, on a clock of its own.
+type world struct {
+	rnd    *rand.Rand
+	now    time.Duration
+	grants []*Grants
+	cands  []*Candidate
+	skew   []time.Duration // of each one's clock
+	frozen []time.Duration // until when
+	down   func(from, to int) bool
+	flight []message
+}
+
+type message struct {
+	at time.Duration
+	do func()
+}
+
+func newWorld(seed uint64, n int) *world {
+	w := &world{rnd: rand.New(rand.NewPCG(seed, 1)), down: func(int, int) bool { return false }}
+	for range n {
+		skew := time.Duration(w.rnd.Int64N(int64(time.Hour)))
+		w.skew = append(w.skew, skew)
+		w.grants = append(w.grants, NewGrants(skew))
+		w.cands = append(w.cands, NewCandidate(w.rnd.Float64))
+		w.frozen = append(w.frozen, 0)
+	}
+	return w
+}
+
+func (w *world) send(from, to int, do func()) {
+	if w.down(from, to) || w.rnd.IntN(20) == 0 {
+		return
+	}
+	w.flight = append(w.flight, message{w.now + time.Duration(w.rnd.IntN(60))*time.Millisecond, do})
+}
+
+func name(i int) string { return fmt.Sprint("n", i) }
+
+func (w *world) step() {
+	w.now += 10 * time.Millisecond
+	flight := w.flight
+	w.flight = nil
+	for _, m := range flight {
+		if m.at > w.now {
+			w.flight = append(w.flight, m)
+			continue
+		}
+		m.do()
+	}
+	for i, c := range w.cands {
+		if w.now < w.frozen[i] {
+			continue
+		}
+		ask, release, round := c.Step(w.now+w.skew[i], len(w.cands))
+		for j := range w.grants {
+			if release {
+				w.send(i, j, func() { w.grants[j].Release("d", name(i)) })
+			}
+			if !ask {
+				continue
+			}
+			w.send(i, j, func() {
+				if w.now < w.frozen[j] || !w.grants[j].Ask(w.now+w.skew[j], "d", name(i)) {
+					return
+				}
+				w.send(j, i, func() {
+					if w.now >= w.frozen[i] {
+						c.Granted(w.now+w.skew[i], round, name(j))
+					}
+				})
+			})
+		}
+	}
+}
+
+func (w *world) holders() (holders []int) {
+	for i, c := range w.cands {
+		if c.Holds(w.now + w.skew[i]) {
+			holders = append(holders, i)
+		}
+	}
+	return holders
+}
+
+func TestNeverTwoHolders(t *testing.T) {
+	for seed := range uint64(300) {
+		n := []int{3, 4, 5, 8}[seed%4]
+		w := newWorld(seed, n)
+		cut := map[[2]int]bool{}
+		w.down = func(a, b int) bool { return a != b && cut[[2]int{a, b}] }
+		for range 3000 {
+			w.step()
+			if h := w.holders(); len(h) > 1 {
+				t.Fatalf("seed %d at %v: %v hold it", seed, w.now, h)
+			}
+			switch w.rnd.IntN(150) {
+			case 0: // one starts anew
+				i := w.rnd.IntN(n)
+				w.grants[i], w.cands[i] = NewGrants(w.now+w.skew[i]), NewCandidate(w.rnd.Float64)
+			case 1:
+				w.frozen[w.rnd.IntN(n)] = w.now + time.Duration(w.rnd.IntN(4000))*time.Millisecond
+			case 2:
+				cut[[2]int{w.rnd.IntN(n), w.rnd.IntN(n)}] = true
+			case 3:
+				clear(cut)
+			}
+		}
+	}
+}
+
+func TestOneHolderSoonAndForLong(t *testing.T) {
+	for seed := range uint64(200) {
+		w := newWorld(seed, 3+int(seed%6))
+		for w.now < 6*time.Second {
+			w.step()
+		}
+		first := w.holders()
+		if len(first) != 1 {
+			t.Fatalf("seed %d: after %v %v hold it, want one", seed, w.now, first)
+		}
+		without := 0
+		for range 1000 {
+			w.step()
+			if len(w.holders()) == 0 {
+				without++
+			}
+		}
+		if without > 100 {
+			t.Errorf("seed %d: for %d of 1,000 steps nobody holds it", seed, without)
+		}
+	}
+}
+
+func TestAnotherTakesOver(t *testing.T) {
+	for seed := range uint64(200) {
+		w := newWorld(seed, 3+int(seed%6))
+		for len(w.holders()) == 0 {
+			w.step()
+		}
+		old := w.holders()[0]
+		w.frozen[old] = w.now + time.Hour
+		at := w.now
+		for w.now < at+10*time.Second && (len(w.holders()) == 0 || w.holders()[0] == old) {
+			w.step()
+		}
+		if h := w.holders(); len(h) != 1 || h[0] == old {
+			t.Errorf("seed %d: %v after its holder froze %v hold it", seed, w.now-at, h)
+		}
+	}
+}
+
+func TestFreshVoterGrantsNothing(t *testing.T) {
+	g := NewGrants(0)
+	if g.Ask(Length-1, "d", "a") {
+		t.Error("granted what it may have granted to another before it started")
+	}
+	if !g.Ask(Length, "d", "a") || g.Ask(Length+1, "d", "b") || !g.Ask(2*Length, "d", "b") {
+		t.Error("one holder at a time, until its end")
+	}
+}
--- a/internal/forward/item.go
+++ b/internal/forward/item.go
@@ -25,7 +25,7 @@
 	Route  *operator.Route
 	// MayStart is asked right before the item is sent to an endpoint; nil: it always may.
 	MayStart func() bool
-	Due    time.Time // its result should be there by then; zero: not told
+	Due      time.Time // its result should be there by then; zero: not told
 }
 
 // ItemState is how a run of an item ended.
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -9,68 +9,42 @@
 	"wingmount/internal/agree"
 	"wingmount/internal/batch"
 	"wingmount/internal/control"
+	"wingmount/internal/duty"
 	"wingmount/internal/link"
 	"wingmount/internal/view"
 )
 
 const (
-	leaseFor = 1500 * time.Millisecond
-	// leaseUse is how long a granted lease is used, from before it was asked for.
-	leaseUse   = 1200 * time.Millisecond
-	leaseEvery = 400 * time.Millisecond
 	dutyAssign = "assign"
 	// storeLost is how long a store is attached nowhere before its parts go elsewhere.
 	storeLost = 300 * time.Millisecond
 	partCount = 16
+	// settle is how long one that has taken the duty over hears from all stores before it acts.
+	settle = time.Second
 )
 
-// grants are the leases that this keeper has granted, by duty. A keeper that has just started grants none
-// until whatever it may have granted before has ended.
-type grants struct {
-	from time.Time
-	by   map[string]grant
-}
-
-type grant struct {
-	holder string
-	until  time.Time
-}
-
-func newGrants(now time.Time) grants {
-	return grants{from: now.Add(leaseFor), by: map[string]grant{}}
-}
-
-// ask grants a lease if nobody else has it.
-func (g *grants) ask(now time.Time, duty, holder string) bool {
-	if now.Before(g.from) {
-		return false
-	}
-	if has, there := g.by[duty]; there && has.holder != holder && now.Before(has.until) {
-		return false
-	}
-	g.by[duty] = grant{holder, now.Add(leaseFor)}
-	return true
-}
-
 func (k *Keeper) leaseAsked(now time.Time, m *link.Message) {
 	r := link.Reader{B: m.Body}
-	duty, holder := r.String(), r.String()
+	name, holder, release := r.String(), r.String(), r.Bool()
 	if r.Err != nil {
 		m.Fail("%v", r.Err)
 		return
 	}
+	if release {
+		k.lease.Release(name, holder)
+		m.Reply(nil)
+		return
+	}
 	w := link.Writer{}
-	w.Bool(k.lease.ask(now, duty, holder))
+	w.Bool(k.lease.Ask(k.since(now), name, holder))
 	m.Reply(w.B)
 }
 
 // assigner is the duty of placing the batch parts on stores.
 type assigner struct {
-	until    time.Time // of the lease, on this process's clock
-	askedAt  time.Time
+	lease    *duty.Candidate
 	running  bool
 	seen     map[uint64]time.Time // stores, when last attached anywhere
-	began    time.Time            // of the lease held without a break
 	proposed time.Time
 }
 
@@ -84,19 +58,10 @@
 	for id := range stores {
 		a.seen[id] = now
 	}
-	if now.Sub(a.askedAt) >= leaseEvery && k.fresh {
-		a.askedAt = now
+	if k.fresh {
 		k.askLease(now)
 	}
-	if now.After(a.until) {
-		a.began = time.Time{}
-		return
-	}
-	if a.began.IsZero() {
-		a.began = now
-	}
-	// One that has just taken the duty over has to hear from all stores first.
-	if now.Sub(a.began) < time.Second || a.running || now.Sub(a.proposed) < 100*time.Millisecond {
+	if a.lease.Held(k.since(now)) < settle || a.running || now.Sub(a.proposed) < 100*time.Millisecond {
 		return
 	}
 	k.proposeTable(now, stores)
@@ -149,37 +114,30 @@
 	if k.agree.id == 0 || !voters[k.agree.id] {
 		return
 	}
-	// Who has a smaller name and is met does it.
-	for _, p := range k.peers {
-		if p.conn != nil && voters[p.node.ID] && p.node.Name < k.self.Name && now.Sub(p.since) > leaseFor && now.After(k.assigner.until) &&
-			now.Sub(k.life) < 4*leaseFor {
-			return
-		}
+	lease := k.assigner.lease
+	ask, release, round := lease.Step(k.since(now), len(voters))
+	if !ask && !release {
+		return
 	}
-	need := len(voters)/2 + 1
-	granted := 0
-	count := func(ok bool) {
-		if !ok {
-			return
-		}
-		if granted++; granted == need {
-			k.assigner.until = now.Add(leaseUse)
-		}
+	if release {
+		k.lease.Release(dutyAssign, k.self.Name)
+	} else if k.lease.Ask(k.since(now), dutyAssign, k.self.Name) {
+		lease.Granted(k.since(now), round, k.self.Name)
 	}
-	count(k.lease.ask(now, dutyAssign, k.self.Name))
 	w := link.Writer{}
 	w.String(dutyAssign)
 	w.String(k.self.Name)
+	w.Bool(release)
 	for _, p := range k.peers {
 		if p.conn == nil || !voters[p.node.ID] {
 			continue
 		}
-		ch := p.conn.Go(control.Lease, w.B)
+		name, ch := p.node.Name, p.conn.Go(control.Lease, w.B)
 		go func() {
 			reply := <-ch
 			r := link.Reader{B: reply.Body}
 			if ok := r.Bool(); reply.Err == nil && ok && r.Err == nil {
-				k.do(func() { count(true) })
+				k.do(func() { lease.Granted(k.since(time.Now()), round, name) })
 			}
 		}()
 	}
@@ -281,7 +239,7 @@
 
 func (k *Keeper) statusJSON() []byte {
 	s := status{Node: k.self.Name, Fresh: k.fresh, Version: k.config.version, Senders: k.senders, Services: map[string]int{},
-		Duty: time.Now().Before(k.assigner.until)}
+		Duty: k.assigner.lease.Holds(k.since(time.Now()))}
 	if k.parts != nil {
 		s.Table = k.parts.Number
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"wingmount/internal/control"
+	"wingmount/internal/duty"
 	"wingmount/internal/journal"
 	"wingmount/internal/link"
 	"wingmount/internal/registry"
@@ -62,7 +64,7 @@
 	parts    *view.Table
 	senders  int
 	dirty    bool
-	lease    grants
+	lease    *duty.Grants
 	assigner assigner
 	sentBeat time.Time
 	dialling map[string]bool
@@ -80,7 +82,8 @@
 		attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peer{},
 		config: &configValue{}, dialling: map[string]bool{}, wanted: map[string]time.Time{}}
 	k.table = registry.New(0, registry.Options{BeatEvery: time.Duration(s.BeatEveryMs) * time.Millisecond})
-	k.lease = newGrants(now)
+	k.lease = duty.NewGrants(0)
+	k.assigner.lease = duty.NewCandidate(rand.Float64)
 	a, err := openAgreement(k)
 	if err != nil {
 		return nil, err
