Batch: a world of stores on a clock, and the promises checked in it

Cause: takeover, copies and quotas need proof without sleeping. Change: a world in one goroutine with links, disks that forget what was not synced, keepers, workers and clients; lives with a disturbance at each step; mistakes put in on purpose.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -24,12 +24,11 @@
 func (l *memLog) Append(b []byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	at := int64(len(l.data))
 	l.data = append(l.data, b...)
-	return at, nil
+	return int64(len(l.data)), nil
 }
 
-func (l *memLog) ReadAt(at int64, n int) ([]byte, error) {
+func (l *memLog) ReadRaw(at int64, n int) ([]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if at < 0 || at+int64(n) > int64(len(l.data)) {
--- /dev/null
+++ b/internal/batch/clients_test.go
@@ -0,0 +1,498 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+
+	"wingmount/internal/link"
+	"wingmount/internal/view"
+)
+
+// promise is what clients know of a job.
+type promise struct {
+	id        string
+	items     []string
+	tokens    []int64
+	tries     int
+	refused   int // answers of 429 or 503
+	takenAt   int64
+	taken     bool
+	endAsked  bool
+	endedAt   int64
+	ended     bool
+	positions map[int]string // what was read
+	readAt    map[int]int64
+	ran       map[string]bool // items that a worker began
+	finished  map[string]bool // items that a worker ended
+}
+
+// simWorker is a proxy: it runs items and lets clients in.
+type simWorker struct {
+	w     *world
+	name  string
+	pipes map[uint64]*simPipe
+	table *view.Table
+	held  map[itemKey]*simRun
+	parts map[int]*simHold
+	runs  int
+}
+
+type simHold struct {
+	pipe  *simPipe
+	epoch uint64
+	noted bool
+}
+
+type simRun struct {
+	text string
+	done bool
+}
+
+func (w *world) addWorker(name string) *simWorker {
+	k := &simWorker{w: w, name: name, pipes: map[uint64]*simPipe{}, held: map[itemKey]*simRun{}, parts: map[int]*simHold{}}
+	w.works = append(w.works, k)
+	k.table = w.table
+	k.dial()
+	return k
+}
+
+func (k *simWorker) take(t *view.Table) {
+	if k.table == nil || t.Number > k.table.Number {
+		k.table = t
+		k.hold()
+	}
+}
+
+func (k *simWorker) dial() {
+	w := k.w
+	if k.table != nil {
+		for _, id := range sortedIDs(k.table.Stores) {
+			o := w.store(k.table.Stores[id].Name)
+			if p := k.pipes[id]; p != nil && p.open || o == nil || o.core == nil || o.core.self != id || o.frozen || w.isCut(k.name, o.name) {
+				continue
+			}
+			p := w.connect(k.name, o.name, k.receive, o.receive(o.life))
+			p.closed = func(*simPipe) {}
+			olife := o.life
+			p.peer.closed = func(q *simPipe) { o.do(olife, func() { o.core.pipeClosed(q) }) }
+			k.pipes[id] = p
+			var b link.Writer
+			b.String(k.name)
+			b.String("z0")
+			b.Int(3)
+			_ = p.Send(kAttach, b.B)
+		}
+		k.hold()
+	}
+	w.after(60, k.dial)
+}
+
+func (k *simWorker) hold() {
+	if k.table == nil {
+		return
+	}
+	for no := range k.table.Parts {
+		row := &k.table.Parts[no]
+		p := k.pipes[row.Primary]
+		if h := k.parts[no]; p == nil || !p.open || h != nil && h.pipe == p && h.epoch >= row.Epoch {
+			continue
+		}
+		k.parts[no] = &simHold{pipe: p, epoch: row.Epoch}
+		var b link.Writer
+		b.U32(uint32(no))
+		b.U64(row.Epoch)
+		var keys []itemKey
+		for key := range k.held {
+			if key.part == no {
+				keys = append(keys, key)
+			}
+		}
+		slices.SortFunc(keys, compareKeys)
+		b.U32(uint32(len(keys)))
+		for _, key := range keys {
+			b.String(key.job)
+			b.U32(uint32(key.item))
+		}
+		_ = p.Send(kHold, b.B)
+	}
+}
+
+func compareKeys(a, b itemKey) int {
+	if a.job != b.job {
+		if a.job < b.job {
+			return -1
+		}
+		return 1
+	}
+	return a.item - b.item
+}
+
+func (k *simWorker) receive(p *simPipe, _ Caller, kind link.Kind, body []byte) {
+	w := k.w
+	r := link.Reader{B: body}
+	key := itemKey{part: int(r.U32())}
+	switch kind {
+	case kGive:
+		key.job, key.item = r.String(), int(r.U32())
+		if h := k.parts[key.part]; h == nil || h.pipe != p {
+			k.parts[key.part] = &simHold{pipe: p, epoch: k.table.Parts[key.part].Epoch, noted: true}
+		}
+		if run := k.held[key]; run != nil {
+			if run.done {
+				k.report(p, key, run)
+			}
+			return
+		}
+		run := &simRun{}
+		k.held[key] = run
+		w.after(w.rng.Float64()*60, func() { k.begin(key, run) })
+	case kHeld:
+		epoch := r.U64()
+		if h := k.parts[key.part]; h != nil && h.pipe == p && h.epoch == epoch {
+			h.noted = true
+			for _, key := range k.keys() {
+				if key.part == int(h2part(body)) && k.held[key].done {
+					k.report(p, key, k.held[key])
+				}
+			}
+		}
+	case kListed:
+		key.job, key.item = r.String(), int(r.U32())
+		delete(k.held, key)
+	case kCancel:
+		key.job = r.String()
+		for _, h := range k.keys() {
+			if h.part == key.part && h.job == key.job {
+				delete(k.held, h)
+			}
+		}
+		_ = p.Send(kCancelled, body)
+	}
+}
+
+func h2part(body []byte) uint32 { r := link.Reader{B: body}; return r.U32() }
+
+func (k *simWorker) keys() []itemKey {
+	var keys []itemKey
+	for key := range k.held {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+// begin sends an item to an endpoint.
+func (k *simWorker) begin(key itemKey, run *simRun) {
+	w := k.w
+	if k.held[key] != run {
+		return
+	}
+	h := k.parts[key.part]
+	if h == nil || !h.noted || !h.pipe.open {
+		w.after(50, func() { k.begin(key, run) })
+		return
+	}
+	j := w.jobs[key.job]
+	if j == nil {
+		w.fault("an item of a job that nobody sent runs: %v", key)
+		return
+	}
+	item := j.items[key.item]
+	j.ran[item] = true
+	if j.tries > 0 && j.refused == j.tries {
+		w.fault("%s runs, and all %d tries of its job were refused", item, j.tries)
+	}
+	if j.ended && w.ms() > j.endedAt+3000 {
+		w.fault("%s begins %d ms after the end of its job was acknowledged", item, w.ms()-j.endedAt)
+	}
+	k.runs++
+	text := fmt.Sprintf("%s by %s run %d", item, k.name, k.runs)
+	w.after(w.rng.Float64()*80, func() {
+		if k.held[key] != run {
+			return
+		}
+		j.finished[item] = true
+		run.text, run.done = text, true
+		if h := k.parts[key.part]; h != nil && h.noted {
+			k.report(h.pipe, key, run)
+		}
+	})
+}
+
+func (k *simWorker) report(p *simPipe, key itemKey, run *simRun) {
+	var b link.Writer
+	b.U32(uint32(key.part))
+	b.String(key.job)
+	b.U32(uint32(key.item))
+	b.Bool(false)
+	b.Bytes([]byte(run.text))
+	_ = p.Send(kResult, b.B)
+}
+
+// reply is a call of a client; it is answered once, or cut.
+type reply struct {
+	w    *world
+	fn   func([]byte)
+	done bool
+}
+
+func (r *reply) Reply(b []byte) {
+	if r.done {
+		return
+	}
+	r.done = true
+	b = slices.Clone(b)
+	r.w.after(r.w.delay(), func() { r.fn(b) })
+}
+
+// call calls the primary of a job's part through a worker's connections; nil: no answer. It gives up after so many ms.
+func (k *simWorker) call(job string, kind link.Kind, body []byte, ms float64, fn func(b []byte, sent bool)) {
+	w := k.w
+	no := k.table.PartOf(job)
+	if no < 0 {
+		fn(nil, false)
+		return
+	}
+	p := k.pipes[k.table.Parts[no].Primary]
+	if p == nil || !p.open {
+		fn(nil, false)
+		return
+	}
+	over := false
+	r := &reply{w: w, fn: func(b []byte) {
+		if over {
+			return
+		}
+		over = true
+		if w.isCut(k.name, p.to) || !p.open {
+			b = nil
+		}
+		fn(b, true)
+	}}
+	_ = p.call(r, kind, body)
+	w.after(ms, func() {
+		if !over {
+			over = true
+			fn(nil, true)
+		}
+	})
+}
+
+// newJob is a job that clients will send.
+func (w *world) newJob(id string, tokens ...int64) *promise {
+	j := &promise{id: id, tokens: tokens, positions: map[int]string{}, readAt: map[int]int64{}, ran: map[string]bool{}, finished: map[string]bool{}}
+	for i := range tokens {
+		j.items = append(j.items, fmt.Sprintf("%s.%d", id, i))
+	}
+	w.jobs[id] = j
+	w.names = append(w.names, id)
+	return j
+}
+
+func (w *world) encode(j *promise) []byte {
+	r := w.config.Routes[0]
+	out := &Job{ID: j.id, Route: r.Name, Host: r.Host, PathStart: r.PathStart, SentMs: w.ms(), DueMs: 1000, Tries: 2, MaxQueued: w.most, Version: 1}
+	for i, id := range j.items {
+		out.Items = append(out.Items, JobItem{ID: id, Path: "/b/1", Body: []byte("body of " + id), Tokens: j.tokens[i]})
+	}
+	return out.encode()
+}
+
+// send hands a job in, once.
+func (k *simWorker) send(j *promise, then func(code uint8)) {
+	w := k.w
+	j.tries++
+	k.call(j.id, kAccept, w.encode(j), 1500, func(b []byte, sent bool) {
+		code := codeUnknown
+		if len(b) > 0 {
+			code = b[0]
+		} else if !sent {
+			code = codeUnavailable
+		}
+		switch code {
+		case codeOK:
+			if !j.taken {
+				j.taken, j.takenAt = true, w.ms()
+				w.countQuota()
+			}
+		case codeFull, codeUnavailable:
+			j.refused++
+			if j.refused == j.tries && len(j.ran) > 0 {
+				w.fault("job %s ran and all its tries were refused", j.id)
+			}
+		}
+		if then != nil {
+			then(code)
+		}
+	})
+}
+
+// countQuota checks the tokens at a 202.
+func (w *world) countQuota() {
+	var sum int64
+	for _, j := range w.jobs {
+		if !j.taken || j.endAsked {
+			continue
+		}
+		for i, id := range j.items {
+			if !j.finished[id] {
+				sum += j.tokens[i]
+			}
+		}
+	}
+	if w.most > 0 && sum > w.most {
+		w.fault("%d tokens wait, over %d", sum, w.most)
+	}
+}
+
+// insist sends a job until it is taken or so many tries are over, at workers in turn.
+func (w *world) insist(j *promise, tries int) {
+	k := w.works[w.rng.IntN(len(w.works))]
+	k.send(j, func(code uint8) {
+		if code != codeOK && tries > 1 {
+			w.after(100+w.rng.Float64()*100, func() { w.insist(j, tries-1) })
+		}
+	})
+}
+
+// read reads a job and checks the answer.
+func (k *simWorker) read(j *promise, after int, wait int64, then func(ok bool)) {
+	w := k.w
+	var b link.Writer
+	b.String(j.id)
+	b.Int(after)
+	b.Int(int(wait))
+	k.call(j.id, kRead, b.B, float64(wait)+1200, func(b []byte, _ bool) {
+		r := link.Reader{B: b}
+		ok := false
+		switch r.U8() {
+		case codeNone:
+			if j.taken && w.ms() > j.takenAt+1000 {
+				w.fault("404 for job %s, taken %d ms ago", j.id, w.ms()-j.takenAt)
+			}
+		case codeOK:
+			ok = true
+			if total := int(r.U32()); total != len(j.items) {
+				w.fault("job %s: total is %d", j.id, total)
+			}
+			n := r.Count(9)
+			seen := map[string]int{}
+			for pos, what := range j.positions {
+				seen[idOf(what)] = pos
+			}
+			for i := range n {
+				id, _ := r.String(), r.Bool()
+				what := id + "=" + string(r.Bytes())
+				pos := after + i
+				if old, ok := j.positions[pos]; ok && old != what {
+					w.fault("job %s: position %d was %q and is %q", j.id, pos, old, what)
+				}
+				if p, ok := seen[id]; ok && p != pos {
+					w.fault("job %s: %s stands at %d and at %d", j.id, id, p, pos)
+				}
+				seen[id] = pos
+				if !slices.Contains(j.items, id) {
+					w.fault("job %s lists %s", j.id, id)
+				}
+				if _, ok := j.positions[pos]; !ok {
+					j.positions[pos], j.readAt[pos] = what, w.ms()
+				}
+			}
+			if at, ok := j.readAt[after]; ok && n == 0 && w.ms() > at+1000 {
+				w.fault("job %s: nothing at position %d, which was read %d ms ago", j.id, after, w.ms()-at)
+			}
+		}
+		if then != nil {
+			then(ok)
+		}
+	})
+}
+
+func idOf(what string) string {
+	for i := range what {
+		if what[i] == '=' {
+			return what[:i]
+		}
+	}
+	return what
+}
+
+// follow reads a job over and over.
+func (w *world) follow(j *promise, until int64) {
+	if w.ms() > until {
+		return
+	}
+	k := w.works[w.rng.IntN(len(w.works))]
+	after := 0
+	if n := len(j.positions); n > 0 {
+		after = w.rng.IntN(n + 1)
+	}
+	k.read(j, after, int64(w.rng.IntN(300)), nil)
+	w.after(60+w.rng.Float64()*100, func() { w.follow(j, until) })
+}
+
+// end ends a job, until it is acknowledged.
+func (w *world) end(j *promise) {
+	k := w.works[w.rng.IntN(len(w.works))]
+	j.endAsked = true
+	var b link.Writer
+	b.String(j.id)
+	k.call(j.id, kEnd, b.B, 1500, func(b []byte, _ bool) {
+		if len(b) > 0 && b[0] == codeOK {
+			if !j.ended {
+				j.ended, j.endedAt = true, w.ms()
+			}
+			return
+		}
+		if len(b) > 0 && b[0] == codeNone && j.taken && w.ms() > j.takenAt+1000 {
+			w.fault("404 at the end of job %s", j.id)
+		}
+		w.after(100, func() { w.end(j) })
+	})
+}
+
+// settle heals everything and checks that all that was promised is there.
+func (w *world) settle(ms int64) {
+	w.cut = nil
+	for _, s := range w.stores {
+		if s.frozen {
+			s.frozen = false
+			all := s.waiting
+			s.waiting = nil
+			for _, fn := range all {
+				fn()
+			}
+		}
+		s.boot()
+	}
+	w.run(ms)
+	for _, id := range w.names {
+		j := w.jobs[id]
+		if !j.taken {
+			continue
+		}
+		read, had := false, len(j.positions)
+		w.works[0].read(j, 0, 0, func(ok bool) { read = ok })
+		w.run(1500)
+		if !read {
+			w.fault("job %s can't be read at the end", id)
+			continue
+		}
+		if len(j.positions) < had {
+			w.fault("job %s has lost positions", id)
+		}
+		if !j.endAsked && len(j.positions) < len(j.items) {
+			w.fault("job %s: %d of %d items are done at the end", id, len(j.positions), len(j.items))
+		}
+		w.served += len(j.positions)
+		var b link.Writer
+		b.String(id)
+		b.String(j.items[0])
+		body := ""
+		w.works[0].call(id, kBody, b.B, 1000, func(b []byte, _ bool) { body = string(b) })
+		w.run(1500)
+		if want := string([]byte{codeOK}) + "body of " + j.items[0]; body != want {
+			w.fault("job %s: body %q", id, body)
+		}
+	}
+}
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"hash/crc32"
 	"slices"
 
 	"wingmount/internal/link"
@@ -9,10 +11,11 @@
 	"wingmount/internal/view"
 )
 
-// Disk is the log of a store: appended records, made durable by SyncTo.
-type Disk interface {
+// disk is the log of a store: appended records. Here at is the place of a payload's first byte.
+type disk interface {
 	Append(payload []byte) (at int64, err error)
-	ReadAt(at int64, n int) ([]byte, error)
+	// ReadRaw reads bytes inside a payload, unchecked.
+	ReadRaw(at int64, n int) ([]byte, error)
 	Rewrite(func(add func([]byte) (int64, error)) error) error
 	Size() int64
 }
@@ -55,7 +58,7 @@
 	room  int64 // bytes that the log may have; 0: no limit
 	now   int64 // steady, in ms; set before each event
 	wall  int64
-	disk  Disk
+	disk  disk
 	fail  func(error)                      // the disk can't be used any more
 	ready func(part int, epoch uint64)     // the group of the next epoch has all
 	logf  func(format string, args ...any) // may be nil
@@ -174,8 +177,8 @@
 	deadline int64
 }
 
-func newCore(self uint64, disk Disk) *core {
-	return &core{self: self, disk: disk, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, keep: 120_000, most: 1,
+func newCore(self uint64, d disk) *core {
+	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, keep: 120_000, most: 1,
 		ready: func(int, uint64) {}, fail: func(error) {}}
 }
 
@@ -305,16 +308,21 @@
 func (c *core) whole(j *job) ([]byte, error) {
 	w := link.Writer{B: make([]byte, 0, j.bytes+int64(64+16*len(j.results)))}
 	w.String(j.id)
-	enc, err := c.disk.ReadAt(j.at, j.n)
+	enc, err := c.disk.ReadRaw(j.at, j.n)
 	if err != nil {
 		return nil, err
 	}
+	for i := range j.items {
+		if it := &j.items[i]; crc32.Checksum(enc[it.off:it.off+it.n], castagnoli) != it.sum {
+			return nil, errChanged
+		}
+	}
 	w.Bytes(enc)
 	w.U32(uint32(len(j.results)))
 	for _, res := range j.results {
 		w.U32(uint32(res.item))
 		w.Bool(res.givenUp)
-		text, err := c.disk.ReadAt(res.at, res.n)
+		text, err := c.text(res)
 		if err != nil {
 			return nil, err
 		}
@@ -324,6 +332,25 @@
 	return w.B, nil
 }
 
+var errChanged = errors.New("the disk gave back other bytes than were written")
+
+// text is that of a result.
+func (c *core) text(res result) ([]byte, error) { return c.checked(res.at, res.n, res.sum) }
+
+// segment is an item's path, headers and body.
+func (c *core) segment(j *job, no int) ([]byte, error) {
+	it := &j.items[no]
+	return c.checked(j.at+int64(it.off), int(it.n), it.sum)
+}
+
+func (c *core) checked(at int64, n int, sum uint32) ([]byte, error) {
+	b, err := c.disk.ReadRaw(at, n)
+	if err == nil && crc32.Checksum(b, castagnoli) != sum {
+		err = errChanged
+	}
+	return b, err
+}
+
 // afterSync calls when all that was appended until now is durable.
 func (c *core) afterSync(fn func()) {
 	if c.syncedN >= c.appended {
@@ -517,7 +544,8 @@
 	for _, a := range l.accts {
 		a.refuseHeld(c)
 	}
-	for _, j := range p.jobs {
+	for _, id := range sortedKeys(p.jobs) {
+		j := p.jobs[id]
 		for _, r := range j.readers {
 			r.from.Reply([]byte{codeUnavailable})
 		}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -106,6 +106,7 @@
 type item struct {
 	id     string
 	off, n uint32 // of its segment in the encoded job
+	sum    uint32 // of the segment
 	tokens int64
 	state  uint8
 	by     *worker
@@ -122,6 +123,7 @@
 	givenUp bool
 	at      int64
 	n       int
+	sum     uint32
 }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -166,6 +168,7 @@
 		seg := r.Bytes()
 		it.n = uint32(len(seg))
 		it.off = uint32(len(b) - len(r.B) - len(seg))
+		it.sum = crc32.Checksum(seg, castagnoli)
 	}
 	return j, r.Err
 }
@@ -178,13 +181,14 @@
 		j.waiting--
 	}
 	j.items[itemNo].state = itemListed
-	j.results = append(j.results, result{int32(itemNo), givenUp, at, len(text)})
+	sum := crc32.Checksum(text, castagnoli)
+	j.results = append(j.results, result{int32(itemNo), givenUp, at, len(text), sum})
 	j.bytes += int64(len(text))
 	g := uint64(0)
 	if givenUp {
 		g = 1
 	}
-	j.sum = mix(j.sum, uint64(itemNo)<<33|g<<32|uint64(crc32.Checksum(text, castagnoli)))
+	j.sum = mix(j.sum, uint64(itemNo)<<33|g<<32|uint64(sum))
 }
 
 // Operations, ordered by the primary of a part.
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -84,7 +84,7 @@
 			m.Reply([]byte{codeOK})
 			return
 		}
-		l.pend = append(l.pend, pending{int64(l.seq), takenOrUnknown(m)})
+		l.pend = append(l.pend, pending{int64(l.seq), c.takenOrUnknown(m)})
 		return
 	}
 	if in := l.incoming[id]; in != nil {
@@ -109,10 +109,12 @@
 	c.askTokens(p, in)
 }
 
-func takenOrUnknown(m Caller) func(bool) {
+func (c *core) takenOrUnknown(m Caller) func(bool) {
 	return func(ok bool) {
 		if ok {
 			m.Reply([]byte{codeOK})
+		} else if c.wrong == wrongRefusal {
+			m.Reply([]byte{codeUnavailable})
 		} else {
 			m.Reply([]byte{codeUnknown})
 		}
@@ -132,7 +134,7 @@
 			}
 		}
 		for _, m := range from {
-			takenOrUnknown(m)(ok)
+			c.takenOrUnknown(m)(ok)
 		}
 	})
 }
@@ -148,7 +150,7 @@
 		c.end(p, r.job, r.from)
 		return
 	}
-	if !r.isBody && j != nil && r.after >= j.visible && c.now < r.deadline && j.visible < len(j.items) && !j.endSeen {
+	if !r.isBody && j != nil && r.after >= c.seen(j) && c.now < r.deadline && c.seen(j) < len(j.items) && !j.endSeen {
 		j.readers = append(j.readers, r)
 		return
 	}
@@ -173,14 +175,14 @@
 	w.U8(codeOK)
 	w.U32(uint32(len(j.items)))
 	last, size := r.after, 0
-	for last < j.visible && (last == r.after || size+j.results[last].n < readBytes) {
+	for last < c.seen(j) && (last == r.after || size+j.results[last].n < readBytes) {
 		size += j.results[last].n + 100
 		last++
 	}
 	w.U32(uint32(max(0, last-r.after)))
 	for i := r.after; i < last; i++ {
 		res := j.results[i]
-		text, err := c.disk.ReadAt(res.at, res.n)
+		text, err := c.text(res)
 		if err != nil {
 			c.log("reading a result of job %s: %v", j.id, err)
 			r.from.Reply([]byte{codeUnavailable})
@@ -195,11 +197,10 @@
 
 func (c *core) readBody(j *job, r reader) {
 	for i := range j.items {
-		it := &j.items[i]
-		if it.id != r.body {
+		if j.items[i].id != r.body {
 			continue
 		}
-		seg, err := c.disk.ReadAt(j.at+int64(it.off), int(it.n))
+		seg, err := c.segment(j, i)
 		if err == nil {
 			var body []byte
 			if _, _, body, err = decodeSegment(seg); err == nil {
@@ -367,7 +368,7 @@
 
 func (c *core) give(p *part, j *job, no int, w *worker) {
 	it := &j.items[no]
-	seg, err := c.disk.ReadAt(j.at+int64(it.off), int(it.n))
+	seg, err := c.segment(j, no)
 	if err != nil {
 		c.log("reading an item of job %s: %v", j.id, err)
 		return
@@ -525,7 +526,7 @@
 		return
 	}
 	it := &j.items[k.item]
-	if it.state == itemListed && c.wrong != wrongListTwice {
+	if it.state == itemListed {
 		l.pend = append(l.pend, pending{int64(l.seq), func(ok bool) {
 			if ok {
 				delete(w.held, k)
@@ -543,6 +544,14 @@
 	})
 }
 
+// seen is how many results of a job may be read.
+func (c *core) seen(j *job) int {
+	if c.wrong == wrongEarlyRead {
+		return len(j.results)
+	}
+	return j.visible
+}
+
 func (c *core) list(p *part, j *job, no int, givenUp bool, text []byte, done func(bool)) {
 	it := &j.items[no]
 	if it.by != nil {
@@ -623,15 +632,15 @@
 		if p.lead == nil {
 			continue
 		}
-		for _, j := range p.jobs {
-			if len(j.readers) == 0 {
-				continue
-			}
-			due := false
-			for _, r := range j.readers {
-				due = due || c.now >= r.deadline
+		var due []string
+		for id, j := range p.jobs {
+			if slices.ContainsFunc(j.readers, func(r reader) bool { return c.now >= r.deadline }) {
+				due = append(due, id)
 			}
-			if due {
+		}
+		slices.Sort(due)
+		for _, id := range due {
+			if j := p.jobs[id]; j != nil && p.lead != nil {
 				c.wakeReaders(p, j)
 			}
 		}
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -11,10 +11,14 @@
 	"wingmount/internal/view"
 )
 
-// Log is where a store keeps what it has: internal/record's.
+// Log is where a store keeps what it has: internal/record's. Here at is the position after a record.
 type Log interface {
-	Disk
-	// SyncTo returns when the record at that place, and all before it, are durable.
+	Append(payload []byte) (at int64, err error)
+	// ReadRaw reads bytes inside a payload, unchecked: at is the place of the first of them.
+	ReadRaw(at int64, n int) ([]byte, error)
+	Rewrite(func(add func([]byte) (int64, error)) error) error
+	Size() int64
+	// SyncTo returns when all up to a position is durable.
 	SyncTo(at int64) error
 }
 
@@ -55,7 +59,7 @@
 	syncAt   int64
 }
 
-// lastAt notes where the last record lies, for the sync.
+// noting notes where the last record ends, for the sync.
 type noting struct {
 	Log
 	s *Store
@@ -66,6 +70,7 @@
 	if err == nil {
 		n.s.syncMu.Lock()
 		n.s.syncAt = at
+		at -= int64(len(b))
 		n.s.syncN++
 		n.s.syncMu.Unlock()
 		select {
@@ -76,6 +81,15 @@
 	return at, err
 }
 
+func (n noting) Rewrite(write func(add func([]byte) (int64, error)) error) error {
+	return n.Log.Rewrite(func(add func([]byte) (int64, error)) error {
+		return write(func(b []byte) (int64, error) {
+			at, err := add(b)
+			return at - int64(len(b)), err
+		})
+	})
+}
+
 // NewStore opens a store's log and begins to serve. An empty disk gets a new identity.
 func NewStore(o StoreOptions) (*Store, error) {
 	s := &Store{start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), syncWake: make(chan struct{}, 1)}
@@ -86,7 +100,7 @@
 		c.ready = o.Ready
 	}
 	c.fail = func(err error) { s.end(fmt.Errorf("the log of batch jobs: %w", err)) }
-	log, err := o.Open(c.replay)
+	log, err := o.Open(func(payload []byte, at int64) error { return c.replay(payload, at-int64(len(payload))) })
 	if err != nil {
 		return nil, err
 	}
