Batch: the log of a store is a record log, of which parts can be read

Cause: an item is handed out without its job of a megabyte being read. Change: record.ReadRaw, batch.OpenIn. Result: TestOverLinks runs on files.

--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"wingmount/internal/journal"
 	"wingmount/internal/link"
+	"wingmount/internal/record"
 	"wingmount/internal/view"
 )
 
@@ -90,6 +92,13 @@
 	})
 }
 
+// OpenIn opens the log of a store in a folder.
+func OpenIn(folder journal.Folder) func(replay func(payload []byte, at int64) error) (Log, error) {
+	return func(replay func(payload []byte, at int64) error) (Log, error) {
+		return record.Open(folder, "lots.log", replay)
+	}
+}
+
 // NewStore opens a store's log and begins to serve. An empty disk gets a new identity.
 func NewStore(o StoreOptions) (*Store, error) {
 	s := &Store{start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), syncWake: make(chan struct{}, 1)}
@@ -176,6 +185,9 @@
 		if s.pool != nil {
 			go s.pool.close()
 		}
+		if l, ok := s.log.(interface{ Close() error }); ok {
+			go func() { _ = l.Close() }() // what was not synced was not promised
+		}
 	}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -369,6 +369,28 @@
 	return payload[markSize:], nil
 }
 
+// ReadRaw reads n bytes that begin at a position inside a payload. They are not checked: whoever reads a part
+// of a record has a sum of that part. The first byte of a payload of n bytes is n before its position.
+func (l *Log) ReadRaw(at int64, n int) ([]byte, error) {
+	l.reads.RLock()
+	defer l.reads.RUnlock()
+	l.mu.Lock()
+	c, err := l.content, l.failed
+	l.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	start := at - c.base
+	if n < 0 || n > MaxPayload || start < journal.FramesHeader+overhead || start+int64(n) > c.size {
+		return nil, Moved.New("%s: %d bytes at position %d", l.name, n, at)
+	}
+	b := make([]byte, n)
+	if _, err := c.file.ReadAt(b, start); err != nil {
+		return nil, fmt.Errorf("reading a part of a record back: %w", err)
+	}
+	return b, nil
+}
+
 // Rewrite puts what write adds in the place of all that was appended. Appends wait meanwhile; reads and
 // syncs don't, and positions of before hold until it returns. Write must not call Append. After an error
 // that isn't Failed the log is as it was.
