Batch: a worker heeds only the newest primary, and starts nothing while it can't be sure

Cause: lives with a primary that was alone left items with nobody: it cancelled what its successor had handed out, and gives under an older epoch were dropped. Change: gives carry the epoch, cancels count only from the holder, an end is told to all workers, items go out only while the lead is confirmed (kUnsure otherwise), lost copies stay in their group until one takes their place.

--- a/internal/batch/assign.go
+++ b/internal/batch/assign.go
@@ -199,18 +199,24 @@
 		joining = append(joining, id)
 		a.copies[id]++
 	}
-	// Nobody goes while too few would be left. Of those that are only lost, as many stay in the group as are not
-	// replaced, since they may come back.
-	for len(leaving) > 0 && stay+len(joining) < max(a.f+1, min(want, len(row.Copies))) {
-		keep := leaving[len(leaving)-1]
-		for _, id := range leaving {
-			if !a.next.Retiring[id] {
-				keep = id
-			}
+	// Those that retire go first, and without one in their place as long as f+1 are left. Those that are lost go only when
+	// there is one for them: they may come back.
+	slices.SortStableFunc(leaving, func(x, y uint64) int {
+		return cmp.Compare(b2i(!a.next.Retiring[x]), b2i(!a.next.Retiring[y]))
+	})
+	spare := len(joining)
+	goes := leaving[:0:0]
+	for _, id := range leaving {
+		switch {
+		case spare > 0:
+			spare--
+		case a.next.Retiring[id] && len(row.Copies)-len(goes)-1+len(joining) >= a.f+1:
+		default:
+			continue
 		}
-		leaving = slices.DeleteFunc(leaving, func(id uint64) bool { return id == keep })
-		stay++
+		goes = append(goes, id)
 	}
+	leaving = goes
 	row.Joining, row.Leaving = joining, leaving
 	if len(row.Joining) == 0 {
 		row.Joining = nil
@@ -226,6 +232,13 @@
 	return true
 }
 
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // gone: not only silent for a moment.
 func (a *assigner) gone(id uint64) bool { return a.lost(id) || a.next.Retiring[id] }
 
--- a/internal/batch/clients_test.go
+++ b/internal/batch/clients_test.go
@@ -13,6 +13,7 @@
 	id        string
 	items     []string
 	tokens    []int64
+	slow      float64 // ms that an item takes besides
 	tries     int
 	refused   int // answers of 429 or 503
 	takenAt   int64
@@ -35,6 +36,7 @@
 	held  map[itemKey]*simRun
 	parts map[int]*simHold
 	runs  int
+	late  float64 // tables come that many ms later
 }
 
 type simHold struct {
@@ -93,28 +95,33 @@
 	}
 	for no := range k.table.Parts {
 		row := &k.table.Parts[no]
-		p := k.pipes[row.Primary]
-		if h := k.parts[no]; p == nil || !p.open || h != nil && h.pipe == p && h.epoch >= row.Epoch {
+		h := k.parts[no]
+		if h != nil && h.epoch > row.Epoch {
 			continue
 		}
-		k.parts[no] = &simHold{pipe: p, epoch: row.Epoch}
-		var b link.Writer
-		b.U32(uint32(no))
-		b.U64(row.Epoch)
-		var keys []itemKey
-		for key := range k.held {
-			if key.part == no {
-				keys = append(keys, key)
-			}
+		if p := k.pipes[row.Primary]; p != nil && p.open && (h == nil || h.pipe != p || h.epoch < row.Epoch) {
+			k.holdPart(no, p, row.Epoch)
 		}
-		slices.SortFunc(keys, compareKeys)
-		b.U32(uint32(len(keys)))
-		for _, key := range keys {
-			b.String(key.job)
-			b.U32(uint32(key.item))
+	}
+}
+
+func (k *simWorker) holdPart(no int, p *simPipe, epoch uint64) {
+	k.parts[no] = &simHold{pipe: p, epoch: epoch}
+	var b link.Writer
+	b.U32(uint32(no))
+	b.U64(epoch)
+	var keys []itemKey
+	for _, key := range k.keys() {
+		if key.part == no {
+			keys = append(keys, key)
 		}
-		_ = p.Send(kHold, b.B)
 	}
+	b.U32(uint32(len(keys)))
+	for _, key := range keys {
+		b.String(key.job)
+		b.U32(uint32(key.item))
+	}
+	_ = p.Send(kHold, b.B)
 }
 
 func compareKeys(a, b itemKey) int {
@@ -133,22 +140,38 @@
 	key := itemKey{part: int(r.U32())}
 	switch kind {
 	case kGive:
+		epoch := r.U64()
 		key.job, key.item = r.String(), int(r.U32())
-		if h := k.parts[key.part]; h == nil || h.pipe != p {
-			k.parts[key.part] = &simHold{pipe: p, epoch: k.table.Parts[key.part].Epoch, noted: true}
+		h := k.parts[key.part]
+		if h != nil && h.epoch > epoch && h.pipe != p {
+			var b link.Writer
+			b.U32(uint32(key.part))
+			b.String(key.job)
+			b.U32(uint32(key.item))
+			_ = p.Send(kPutBack, b.B)
+			return
 		}
-		if run := k.held[key]; run != nil {
+		run := k.held[key]
+		fresh := run == nil
+		if fresh {
+			run = &simRun{}
+			k.held[key] = run
+		}
+		if h == nil {
+			k.parts[key.part] = &simHold{pipe: p, epoch: epoch, noted: true}
+		} else if h.pipe != p || h.epoch < epoch {
+			k.holdPart(key.part, p, epoch)
+		}
+		if !fresh {
 			if run.done {
 				k.report(p, key, run)
 			}
 			return
 		}
-		run := &simRun{}
-		k.held[key] = run
 		w.after(w.rng.Float64()*60, func() { k.begin(key, run) })
 	case kHeld:
 		epoch := r.U64()
-		if h := k.parts[key.part]; h != nil && h.pipe == p && h.epoch == epoch {
+		if h := k.parts[key.part]; h != nil && h.pipe == p && (h.epoch == epoch || epoch == 0) {
 			h.noted = true
 			for _, key := range k.keys() {
 				if key.part == int(h2part(body)) && k.held[key].done {
@@ -156,11 +179,18 @@
 				}
 			}
 		}
+	case kUnsure:
+		if h := k.parts[key.part]; h != nil && h.pipe == p {
+			h.noted = false
+		}
 	case kListed:
 		key.job, key.item = r.String(), int(r.U32())
 		delete(k.held, key)
 	case kCancel:
 		key.job = r.String()
+		if h := k.parts[key.part]; h != nil && h.pipe != p {
+			return
+		}
 		for _, h := range k.keys() {
 			if h.part == key.part && h.job == key.job {
 				delete(k.held, h)
@@ -207,7 +237,7 @@
 	}
 	k.runs++
 	text := fmt.Sprintf("%s by %s run %d", item, k.name, k.runs)
-	w.after(w.rng.Float64()*80, func() {
+	w.after(w.rng.Float64()*80+j.slow, func() {
 		if k.held[key] != run {
 			return
 		}
@@ -453,7 +483,7 @@
 
 // settle heals everything and checks that all that was promised is there.
 func (w *world) settle(ms int64) {
-	w.cut = nil
+	w.cut, w.slow = nil, nil
 	for _, s := range w.stores {
 		if s.frozen {
 			s.frozen = false
@@ -463,6 +493,7 @@
 				fn()
 			}
 		}
+		s.deaf = false
 		s.boot()
 	}
 	w.run(ms)
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -8,6 +8,7 @@
 
 	"wingmount/internal/link"
 	"wingmount/internal/operator"
+	"wingmount/internal/record"
 	"wingmount/internal/view"
 )
 
@@ -55,6 +56,7 @@
 	zone  string
 	most  int // copies that may be lost (f)
 	keep  int64
+	small int64 // a log of fewer bytes is never rewritten
 	room  int64 // bytes that the log may have; 0: no limit
 	now   int64 // steady, in ms; set before each event
 	wall  int64
@@ -119,6 +121,7 @@
 	best      uint64
 	fetch     map[string]bool // still to come from the best one
 	barred    bool
+	unsure    bool     // workers are held back
 	confirmed int64    // when nobody had replaced this one, for sure
 	asked     int64    // the stamp of the newest confirmation asked for
 	readers   []reader // wait for a confirmation
@@ -178,7 +181,7 @@
 }
 
 func newCore(self uint64, d disk) *core {
-	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, keep: 120_000, most: 1,
+	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, keep: 120_000, most: 1, small: 4 << 20,
 		ready: func(int, uint64) {}, fail: func(error) {}}
 }
 
@@ -374,7 +377,7 @@
 func (c *core) compact() {
 	size := c.disk.Size()
 	garbage := size - c.live
-	if c.dead || size < 4<<20 || garbage*2 < size && !(c.room > 0 && size > c.room*45/100 && garbage*5 > size) {
+	if c.dead || size < c.small || garbage*2 < size && !(c.room > 0 && size > c.room*45/100 && garbage*5 > size) {
 		return
 	}
 	type moved struct {
@@ -423,9 +426,12 @@
 		}
 		return nil
 	})
-	if err != nil {
+	if record.Failed.Has(err) {
 		c.dead = true
 		c.fail(err)
+	}
+	if err != nil {
+		c.log("the log of batch jobs stays as it is: %v", err)
 		return
 	}
 	for _, m := range all {
@@ -496,6 +502,9 @@
 	}
 	l.peers = map[uint64]*peer{}
 	l.confirmed, l.asked, l.barred = -1<<60, 0, false
+	if goesOn {
+		l.confirmed = c.now - confirmMs - 1 // the grace that a worker has
+	}
 	c.append(encodeRec(recPromise, p.no, ballot))
 	if goesOn {
 		c.mark(p)
@@ -1165,6 +1174,11 @@
 		for _, r := range readers {
 			c.read(p, r)
 		}
+		if p.lead == l && l.active {
+			for _, w := range c.attached {
+				c.claim(p, w)
+			}
+		}
 	}
 }
 
--- a/internal/batch/kinds.go
+++ b/internal/batch/kinds.go
@@ -17,8 +17,9 @@
 
 	kAttach    // worker: name, zone, limit of items in hand from this store
 	kHold      // worker: part, epoch, count, (job, item): what it has in hand of a part whose primary is new to it
-	kHeld      // store: part, epoch: that is noted, and what has ended of it was said before
-	kGive      // store: part, job, item number, dueMs, tries, route, host, item id, tokens, segment
+	kHeld      // store: part, epoch (0: any): that is noted, and what has ended of it was said before
+	kUnsure    // store: part: this store may have been replaced, so nothing of the part is to start
+	kGive      // store: part, epoch, job, item number, dueMs, tries, route, host, item id, tokens, segment
 	kResult    // worker: part, job, item number, given up, text
 	kListed    // store: part, job, item number: the result is kept, or is not wanted
 	kCancel    // store: part, job: the job has ended
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -252,11 +252,12 @@
 func (c *core) endWorkers(e *ending) {
 	for _, w := range c.attached {
 		for k := range w.held {
-			if k.part == e.part.no && k.job == e.job && !e.waiting[w] {
+			if k.part == e.part.no && k.job == e.job {
 				e.waiting[w] = true
-				c.cancel(w, e.part.no, e.job)
+				break
 			}
 		}
+		c.cancel(w, e.part.no, e.job)
 	}
 	if len(e.waiting) == 0 {
 		e.reply()
@@ -334,6 +335,14 @@
 		if p.lead == nil || !p.lead.active || c.now < p.lead.handAt {
 			continue
 		}
+		if !c.sure(p.lead) {
+			if p.lead.asked+100 < c.now {
+				c.confirm(p)
+			}
+			if !c.sure(p.lead) {
+				continue
+			}
+		}
 		for i := range j.items {
 			if j.items[i].state != itemWaiting {
 				continue
@@ -376,6 +385,7 @@
 	c.hand(p, j, no, w)
 	b := link.Writer{B: make([]byte, 0, len(seg)+200)}
 	b.U32(uint32(p.no))
+	b.U64(p.epoch)
 	b.String(j.id)
 	b.U32(uint32(no))
 	b.Int(int(j.sentMs + j.dueMs))
@@ -480,6 +490,12 @@
 	if !said || h.epoch > p.epoch {
 		return
 	}
+	if !c.sure(p.lead) { // one that was replaced would take from the worker what its successor handed out
+		c.confirm(p)
+		if !c.sure(p.lead) {
+			return // countConfirmed comes back
+		}
+	}
 	delete(w.holds, p.no)
 	for _, k := range h.items {
 		j := p.jobs[k.job]
@@ -658,6 +674,7 @@
 		if l.nextReady {
 			c.ready(p.no, p.epoch)
 		}
+		c.keepSure(p)
 		for _, id := range sortedKeys(p.jobs) {
 			j := p.jobs[id]
 			if j == nil || !j.committed {
@@ -688,6 +705,40 @@
 	}
 }
 
+// keepSure confirms again and again that this store leads while workers run items of the part, and holds them back when that
+// can't be said: an end that a successor acknowledged would not reach them.
+func (c *core) keepSure(p *part) {
+	l := p.lead
+	var running []*worker
+	for _, w := range c.attached {
+		for k := range w.held {
+			if k.part == p.no {
+				running = append(running, w)
+				break
+			}
+		}
+	}
+	if len(running) == 0 {
+		return
+	}
+	c.confirm(p)
+	sure := c.now-l.confirmed <= 1500
+	if sure == !l.unsure {
+		return
+	}
+	l.unsure = !sure
+	for _, w := range running {
+		var b link.Writer
+		b.U32(uint32(p.no))
+		if sure {
+			b.U64(0)
+			_ = w.pipe.Send(kHeld, b.B)
+		} else {
+			_ = w.pipe.Send(kUnsure, b.B)
+		}
+	}
+}
+
 // routeGone tells whether the configuration has no route any more that a job came by.
 func (c *core) routeGone(j *job) bool {
 	if c.config == nil || c.config.Version < j.version {
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -26,17 +26,21 @@
 	table  *view.Table
 	config *operator.Config
 	cut    func(a, b string) bool // links that are cut
+	slow   func(a, b string) bool // links on which messages take 0.9 s
 	wrong  wrongLine
-	jobs   map[string]*promise
-	names  []string
-	bad    []string
-	nextID uint64
-	most   int64
-	nParts int
-	trace  func(format string, args ...any)
-	hook   func() // before each step
-	served int
-	all    []*simPipe
+
+	heard    map[uint64]int64
+	slowSync bool // syncs take up to 60 ms
+	jobs     map[string]*promise
+	names    []string
+	bad      []string
+	nextID   uint64
+	most     int64
+	nParts   int
+	trace    func(format string, args ...any)
+	hook     func() // before each step
+	served   int
+	all      []*simPipe
 }
 
 type event struct {
@@ -163,6 +167,7 @@
 	table   *view.Table
 	heard   int64
 	wiped   bool // taken away for good
+	deaf    bool // keepers don't hear of it, nor it of them
 }
 
 // simPipe is one side of a connection. Messages arrive at the other side in order, unless either has died.
@@ -185,10 +190,13 @@
 	}
 	body = slices.Clone(body)
 	at := max(p.last, p.w.now+int64(p.w.delay()*10))
+	if p.w.slow != nil && p.w.slow(p.from, p.to) {
+		at = max(at, p.w.now+9000)
+	}
 	p.last = at
 	q := p.peer
 	p.w.after(float64(at-p.w.now)/10, func() {
-		if !q.open || p.w.isCut(p.from, p.to) {
+		if !q.open || p.w.cut != nil && p.w.cut(p.from, p.to) {
 			return
 		}
 		q.deliver(q, m, kind, body)
@@ -219,7 +227,7 @@
 }
 
 func newWorld(seed uint64, n, f, parts int) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), f: f, jobs: map[string]*promise{}, nParts: parts, most: 100}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), f: f, jobs: map[string]*promise{}, heard: map[uint64]int64{}, nParts: parts, most: 100}
 	w.config = bulkConfig(100)
 	for i := range n {
 		s := &simStore{w: w, name: fmt.Sprintf("s%d", i), zone: fmt.Sprintf("z%d", i%3), disk: &simDisk{}}
@@ -265,7 +273,11 @@
 	s.synced = true
 	n, recs, life, disk := s.core.appended, len(s.disk.recs), s.life, s.disk
 	base := disk.base
-	s.w.after(0.5+s.w.rng.Float64()*4, func() {
+	most := 4.0
+	if s.w.slowSync {
+		most = 60
+	}
+	s.w.after(0.5+s.w.rng.Float64()*most, func() {
 		if s.life != life || s.disk != disk {
 			return
 		}
@@ -286,7 +298,7 @@
 	life := s.life
 	c := newCore(0, s.disk)
 	c.most, c.zone, c.wrong = w.f, s.zone, w.wrong
-	c.keep = 1 << 40
+	c.keep, c.small = 1<<40, 3000
 	if w.trace != nil {
 		c.logf = func(f string, a ...any) { w.say(s.name+": "+f, a...) }
 	}
@@ -306,6 +318,9 @@
 	s.disk.synced = len(s.disk.recs)
 	c.synced(c.appended)
 	c.ready = func(part int, epoch uint64) {
+		if s.deaf {
+			return
+		}
 		w.after(w.delay()*3, func() {
 			if next, ok := Switch(w.table, part, epoch); ok {
 				w.say("switch part %d from epoch %d: %v", part, epoch, next.Parts[part])
@@ -320,7 +335,7 @@
 			return
 		}
 		s.do(life, func() { s.core.tick() })
-		if !s.frozen {
+		if !s.frozen && !s.deaf {
 			s.heard = w.ms()
 		}
 		w.after(25+w.rng.Float64()*10, tick)
@@ -331,9 +346,21 @@
 			s.take(w.table, life)
 		}
 	})
+	w.after(700, func() { s.news(life) })
 	w.after(20, func() { s.dial(life) })
 }
 
+// news gives a store the newest table now and then, as a keeper that it has found does.
+func (s *simStore) news(life int) {
+	if s.life != life || s.core == nil {
+		return
+	}
+	if !s.deaf && s.w.table != nil {
+		s.take(s.w.table, life)
+	}
+	s.w.after(700, func() { s.news(life) })
+}
+
 // take gives a store a table.
 func (s *simStore) take(t *view.Table, life int) {
 	s.do(life, func() {
@@ -450,14 +477,12 @@
 // keep is the keepers' duty.
 func (w *world) keep() {
 	var alive []view.Store
-	lost := func(id uint64) bool {
-		for _, s := range w.stores {
-			if s.core != nil && s.core.self == id {
-				return w.ms()-s.heard > 1000
-			}
+	for _, s := range w.stores {
+		if s.core != nil {
+			w.heard[s.core.self] = s.heard
 		}
-		return true
 	}
+	lost := func(id uint64) bool { return w.ms()-w.heard[id] > 1000 }
 	starting := w.ms() < 300
 	for _, s := range w.stores {
 		if s.core != nil && (w.ms()-s.heard < 400 || starting) {
@@ -481,9 +506,11 @@
 	w.table = t
 	for _, s := range w.stores {
 		life := s.life
-		w.after(w.delay()*5, func() { s.take(t, life) })
+		if !s.deaf {
+			w.after(w.delay()*5, func() { s.take(t, life) })
+		}
 	}
 	for _, k := range w.works {
-		w.after(w.delay()*5, func() { k.take(t) })
+		w.after(w.delay()*5+k.late, func() { k.take(t) })
 	}
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -179,31 +179,40 @@
 	if w.table == nil {
 		return
 	}
-	byPart := map[int][]*running{}
-	for k, r := range w.jobs {
-		byPart[k.part] = append(byPart[k.part], r)
-	}
-	for no, all := range byPart {
-		if no >= len(w.table.Parts) {
-			continue
-		}
+	for no := range w.table.Parts {
 		row := &w.table.Parts[no]
-		c := w.conns[row.Primary]
-		if h := w.parts[no]; c == nil || h != nil && h.conn == c && h.epoch >= row.Epoch {
-			continue
+		h := w.parts[no]
+		if h != nil && h.epoch > row.Epoch {
+			continue // its primary is newer than the table
 		}
-		w.parts[no] = &holding{conn: c, epoch: row.Epoch}
-		var b link.Writer
-		b.U32(uint32(no))
-		b.U64(row.Epoch)
-		b.U32(uint32(len(all)))
-		for _, r := range all {
-			b.String(r.key.job)
-			b.U32(uint32(r.key.item))
+		if c := w.conns[row.Primary]; c != nil && (h == nil || h.conn != c || h.epoch < row.Epoch) {
+			w.holdPart(no, c, row.Epoch)
+		}
+	}
+}
+
+// holdPart tells the primary of a part under an epoch what is in hand of it. Until it has noted that, nothing of the part starts.
+func (w *workerSide) holdPart(no int, c *link.Conn, epoch uint64) {
+	var all []itemKey
+	for k := range w.jobs {
+		if k.part == no {
+			all = append(all, k)
 		}
-		_ = c.Send(kHold, b.B)
-		// A new primary that does not lead yet drops results, so they are said again once it has noted what is held.
 	}
+	if len(all) == 0 {
+		delete(w.parts, no)
+		return
+	}
+	w.parts[no] = &holding{conn: c, epoch: epoch}
+	var b link.Writer
+	b.U32(uint32(no))
+	b.U64(epoch)
+	b.U32(uint32(len(all)))
+	for _, k := range all {
+		b.String(k.job)
+		b.U32(uint32(k.item))
+	}
+	_ = c.Send(kHold, b.B)
 }
 
 func (w *workerSide) message(_ uint64, m *link.Message) {
@@ -211,6 +220,7 @@
 	k := itemKey{part: int(r.U32())}
 	switch m.Kind {
 	case kGive:
+		epoch := r.U64()
 		k.job, k.item = r.String(), int(r.U32())
 		due, tries := int64(r.Int()), r.Int()
 		it := &Item{Job: k.job, Due: time.UnixMilli(due), Route: r.String(), Host: r.String(), ID: r.String(), Tokens: int64(r.Int())}
@@ -219,13 +229,13 @@
 		if it.Path, it.Headers, it.Body, err = decodeSegment(seg); err != nil || r.Err != nil {
 			return
 		}
-		w.take(m.Conn, k, it, tries)
+		w.take(m.Conn, epoch, k, it, tries)
 	case kHeld:
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		epoch := r.U64()
 		h := w.parts[k.part]
-		if h == nil || h.conn != m.Conn || h.epoch != epoch {
+		if h == nil || h.conn != m.Conn || h.epoch != epoch && epoch != 0 {
 			return
 		}
 		h.noted = true
@@ -234,6 +244,12 @@
 				w.report(m.Conn, r)
 			}
 		}
+	case kUnsure:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if h := w.parts[k.part]; h != nil && h.conn == m.Conn {
+			h.noted = false
+		}
 	case kListed:
 		k.job, k.item = r.String(), int(r.U32())
 		w.mu.Lock()
@@ -246,6 +262,9 @@
 		k.job = r.String()
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		if h := w.parts[k.part]; h != nil && h.conn != m.Conn {
+			return // from a primary that has been replaced
+		}
 		for h, run := range w.jobs {
 			if h.part == k.part && h.job == k.job {
 				run.cancel()
@@ -256,17 +275,30 @@
 	}
 }
 
-func (w *workerSide) take(c *link.Conn, k itemKey, it *Item, tries int) {
+func (w *workerSide) take(c *link.Conn, epoch uint64, k itemKey, it *Item, tries int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if h := w.parts[k.part]; h == nil || h.conn != c {
-		w.parts[k.part] = &holding{conn: c, noted: true}
-		if w.table != nil && k.part < len(w.table.Parts) {
-			w.parts[k.part].epoch = w.table.Parts[k.part].Epoch
-		}
+	h := w.parts[k.part]
+	if h != nil && h.epoch > epoch && h.conn != c { // from a primary that has been replaced
+		var b link.Writer
+		b.U32(uint32(k.part))
+		b.String(k.job)
+		b.U32(uint32(k.item))
+		_ = c.Send(kPutBack, b.B)
+		return
 	}
-	if w.closed || w.jobs[k] != nil {
-		if run := w.jobs[k]; run != nil && run.done {
+	if w.closed {
+		return
+	}
+	defer func() {
+		if h == nil {
+			w.parts[k.part] = &holding{conn: c, epoch: epoch, noted: true}
+		} else if h.conn != c || h.epoch < epoch {
+			w.holdPart(k.part, c, epoch)
+		}
+	}()
+	if run := w.jobs[k]; run != nil {
+		if run.done {
 			w.report(c, run)
 		}
 		return
