--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -2,17 +2,21 @@
 
 import (
 	"cmp"
+	"errors"
+	"hash/crc32"
 	"slices"
 
 	"wingmount/internal/link"
 	"wingmount/internal/operator"
+	"wingmount/internal/record"
 	"wingmount/internal/view"
 )
 
-// Disk is the log of a store: appended records, made durable by SyncTo.
-type Disk interface {
+// disk is the log of a store: appended records. Here at is the place of a payload's first byte.
+type disk interface {
 	Append(payload []byte) (at int64, err error)
-	ReadAt(at int64, n int) ([]byte, error)
+	// ReadRaw reads bytes inside a payload, unchecked.
+	ReadRaw(at int64, n int) ([]byte, error)
 	Rewrite(func(add func([]byte) (int64, error)) error) error
 	Size() int64
 }
@@ -52,10 +56,11 @@
 	zone  string
 	most  int // copies that may be lost (f)
 	keep  int64
+	small int64 // a log of fewer bytes is never rewritten
 	room  int64 // bytes that the log may have; 0: no limit
 	now   int64 // steady, in ms; set before each event
 	wall  int64
-	disk  Disk
+	disk  disk
 	fail  func(error)                      // the disk can't be used any more
 	ready func(part int, epoch uint64)     // the group of the next epoch has all
 	logf  func(format string, args ...any) // may be nil
@@ -116,6 +121,7 @@
 	best      uint64
 	fetch     map[string]bool // still to come from the best one
 	barred    bool
+	unsure    bool     // workers are held back
 	confirmed int64    // when nobody had replaced this one, for sure
 	asked     int64    // the stamp of the newest confirmation asked for
 	readers   []reader // wait for a confirmation
@@ -174,8 +180,8 @@
 	deadline int64
 }
 
-func newCore(self uint64, disk Disk) *core {
-	return &core{self: self, disk: disk, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, keep: 120_000, most: 1,
+func newCore(self uint64, d disk) *core {
+	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, keep: 120_000, most: 1, small: 4 << 20,
 		ready: func(int, uint64) {}, fail: func(error) {}}
 }
 
@@ -305,16 +311,21 @@
 func (c *core) whole(j *job) ([]byte, error) {
 	w := link.Writer{B: make([]byte, 0, j.bytes+int64(64+16*len(j.results)))}
 	w.String(j.id)
-	enc, err := c.disk.ReadAt(j.at, j.n)
+	enc, err := c.disk.ReadRaw(j.at, j.n)
 	if err != nil {
 		return nil, err
 	}
+	for i := range j.items {
+		if it := &j.items[i]; crc32.Checksum(enc[it.off:it.off+it.n], castagnoli) != it.sum {
+			return nil, errChanged
+		}
+	}
 	w.Bytes(enc)
 	w.U32(uint32(len(j.results)))
 	for _, res := range j.results {
 		w.U32(uint32(res.item))
 		w.Bool(res.givenUp)
-		text, err := c.disk.ReadAt(res.at, res.n)
+		text, err := c.text(res)
 		if err != nil {
 			return nil, err
 		}
@@ -324,6 +335,25 @@
 	return w.B, nil
 }
 
+var errChanged = errors.New("the disk gave back other bytes than were written")
+
+// text is that of a result.
+func (c *core) text(res result) ([]byte, error) { return c.checked(res.at, res.n, res.sum) }
+
+// segment is an item's path, headers and body.
+func (c *core) segment(j *job, no int) ([]byte, error) {
+	it := &j.items[no]
+	return c.checked(j.at+int64(it.off), int(it.n), it.sum)
+}
+
+func (c *core) checked(at int64, n int, sum uint32) ([]byte, error) {
+	b, err := c.disk.ReadRaw(at, n)
+	if err == nil && crc32.Checksum(b, castagnoli) != sum {
+		err = errChanged
+	}
+	return b, err
+}
+
 // afterSync calls when all that was appended until now is durable.
 func (c *core) afterSync(fn func()) {
 	if c.syncedN >= c.appended {
@@ -347,7 +377,7 @@
 func (c *core) compact() {
 	size := c.disk.Size()
 	garbage := size - c.live
-	if c.dead || size < 4<<20 || garbage*2 < size && !(c.room > 0 && size > c.room*45/100 && garbage*5 > size) {
+	if c.dead || size < c.small || garbage*2 < size && !(c.room > 0 && size > c.room*45/100 && garbage*5 > size) {
 		return
 	}
 	type moved struct {
@@ -396,9 +426,12 @@
 		}
 		return nil
 	})
-	if err != nil {
+	if record.Failed.Has(err) {
 		c.dead = true
 		c.fail(err)
+	}
+	if err != nil {
+		c.log("the log of batch jobs stays as it is: %v", err)
 		return
 	}
 	for _, m := range all {
@@ -469,6 +502,9 @@
 	}
 	l.peers = map[uint64]*peer{}
 	l.confirmed, l.asked, l.barred = -1<<60, 0, false
+	if goesOn {
+		l.confirmed = c.now - confirmMs - 1 // the grace that a worker has
+	}
 	c.append(encodeRec(recPromise, p.no, ballot))
 	if goesOn {
 		c.mark(p)
@@ -517,7 +553,8 @@
 	for _, a := range l.accts {
 		a.refuseHeld(c)
 	}
-	for _, j := range p.jobs {
+	for _, id := range sortedKeys(p.jobs) {
+		j := p.jobs[id]
 		for _, r := range j.readers {
 			r.from.Reply([]byte{codeUnavailable})
 		}
@@ -1137,6 +1174,11 @@
 		for _, r := range readers {
 			c.read(p, r)
 		}
+		if p.lead == l && l.active {
+			for _, w := range c.attached {
+				c.claim(p, w)
+			}
+		}
 	}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -369,8 +369,8 @@
 	return payload[markSize:], nil
 }
 
-// ReadRaw reads n bytes inside a payload back, unchecked, given the position of the first of them: that
-// after the record less the bytes up to the payload's end.
+// ReadRaw reads n bytes that begin at a position inside a payload. They are not checked: whoever reads a part
+// of a record has a sum of that part. The first byte of a payload of n bytes is n before its position.
 func (l *Log) ReadRaw(at int64, n int) ([]byte, error) {
 	l.reads.RLock()
 	defer l.reads.RUnlock()
@@ -381,8 +381,8 @@
 		return nil, err
 	}
 	start := at - c.base
-	if n < 0 || n > MaxPayload || start < journal.FramesHeader || start+int64(n) > c.size {
-		return nil, Moved.New("%s: position %d, %d bytes", l.name, at, n)
+	if n < 0 || n > MaxPayload || start < journal.FramesHeader+overhead || start+int64(n) > c.size {
+		return nil, Moved.New("%s: %d bytes at position %d", l.name, n, at)
 	}
 	b := make([]byte, n)
 	if _, err := c.file.ReadAt(b, start); err != nil {
