--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -5,6 +5,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -415,6 +416,7 @@
 		if r.Err == nil && (k.parts == nil || t.Number > k.parts.Number) {
 			k.parts = t
 			k.dirty = true
+			k.log.Debug("table in force", "number", t.Number, "parts", fmt.Sprint(t.Parts), "stores", fmt.Sprint(t.Stores))
 		}
 	}
 }
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -43,6 +43,7 @@
 // assigner is the duty of placing the batch parts on stores.
 type assigner struct {
 	lease    *duty.Candidate
+	held     bool
 	running  bool
 	seen     map[uint64]time.Time // stores, when last attached anywhere
 	proposed time.Time
@@ -61,6 +62,10 @@
 	if k.fresh {
 		k.askLease(now)
 	}
+	if held := a.lease.Holds(k.since(now)); held != a.held {
+		a.held = held
+		k.log.Info("duty", "name", dutyAssign, "held", held)
+	}
 	if a.lease.Held(k.since(now)) < settle || a.running || now.Sub(a.proposed) < 100*time.Millisecond {
 		return
 	}
@@ -82,6 +87,7 @@
 		return next, nil
 	}, func(err error) {
 		k.do(func() { a.running = false })
+		k.log.Info("table proposed", "err", err)
 		if err != nil && err != agree.ErrUnchanged {
 			k.log.Warn("table not changed", "err", err)
 		}
