Batch: a group that has lost more than it can commit with goes on in the next group; storms

Cause: with f+1 copies left for a part, or f of f+2 disks gone for f=2, nothing could be committed any more, so the part stood still for good; a storm with a retired store and a wiped disk showed it. Change: the next group is ready when it has all of the primary's state, also where the old one can't commit.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -494,7 +494,7 @@
 		p.lead = l
 	}
 	p.from, p.session = nil, 0
-	l.ballot, l.stage, l.selfS, l.nextReady, l.told = ballot, promising, -1, false, false
+	l.ballot, l.stage, l.selfS, l.nextReady, l.told, l.start = ballot, promising, -1, false, false, 0
 	l.copies = row.Copies
 	l.next = nil
 	if len(row.Joining)+len(row.Leaving) > 0 {
@@ -1070,7 +1070,9 @@
 	n := c.reached(l, l.copies)
 	if l.next != nil {
 		m := c.reached(l, l.next)
-		if !l.nextReady && l.joined(c) && m >= max(l.commit, l.start) && l.active {
+		// Where so many copies are lost that nothing can be committed any more, the next group takes over what was: nothing
+		// has been committed under this ballot then, and what was before is in the primary's state.
+		if !l.nextReady && l.joined(c) && m >= max(l.commit, l.start) {
 			l.nextReady = true
 		}
 		if l.nextReady {
--- a/internal/batch/promises_test.go
+++ b/internal/batch/promises_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 )
@@ -239,3 +240,154 @@
 		}
 	}
 }
+
+// storm plays jobs without end while machines are disturbed, f at a time at most, and emptied.
+func storm(seed uint64, f int, retire bool) *world {
+	n := f + 2 + int(seed%3)
+	w := newWorld(seed, n, f, 6)
+	w.most = 300
+	w.slowSync = seed%4 == 1
+	w.start()
+	for i := range 3 {
+		w.addWorker(fmt.Sprintf("p%d", i))
+	}
+	w.run(400)
+	count := 0
+	var jobs func()
+	jobs = func() {
+		if w.ms() > 24000 {
+			return
+		}
+		count++
+		var tokens []int64
+		for range 1 + w.rng.IntN(5) {
+			tokens = append(tokens, int64(5+w.rng.IntN(20)))
+		}
+		j := w.newJob(fmt.Sprint("j", count), tokens...)
+		if w.rng.IntN(6) == 0 {
+			j.slow = float64(w.rng.IntN(2500))
+		}
+		w.insist(j, 1+w.rng.IntN(10))
+		if w.rng.IntN(3) == 0 {
+			w.works[w.rng.IntN(3)].send(j, nil)
+		}
+		w.follow(j, w.ms()+3000)
+		if w.rng.IntN(4) == 0 {
+			w.after(w.rng.Float64()*600, func() {
+				if j.taken {
+					w.end(j)
+				}
+			})
+		}
+		w.after(20+w.rng.Float64()*260, jobs)
+	}
+	jobs()
+	for w.ms() < 24000 {
+		w.run(200 + int64(w.rng.IntN(1500)))
+		hit := w.rng.Perm(n)
+		if f == 1 {
+			disturbances[w.rng.IntN(len(disturbances)-1)].do(w, w.stores[hit[0]])
+		} else {
+			for i := range f {
+				switch s := w.stores[hit[i]]; w.rng.IntN(4) {
+				case 0:
+					s.wipe()
+					w.after(300+w.rng.Float64()*2500, s.boot)
+				case 1:
+					s.power()
+					w.after(300+w.rng.Float64()*2500, s.boot)
+				case 2:
+					s.freeze(500 + w.rng.Float64()*2500)
+				default:
+					s.kill()
+					w.after(300+w.rng.Float64()*2500, s.boot)
+				}
+			}
+		}
+		w.run(9000) // until all is whole again
+		if bad := w.whole(); bad != "" {
+			w.fault("nine seconds after: %s", bad)
+			return w
+		}
+		if retire {
+			w.retire()
+		}
+		if len(w.bad) > 0 {
+			return w
+		}
+	}
+	w.settle(6000)
+	return w
+}
+
+// whole tells what is not as it should be: each part led, with all copies there.
+func (w *world) whole() string {
+	for no := range w.table.Parts {
+		row := &w.table.Parts[no]
+		if len(row.Joining)+len(row.Leaving) > 0 {
+			return fmt.Sprintf("part %d is on its way: %v", no, *row)
+		}
+		for _, id := range row.Copies {
+			s := w.store(w.table.Stores[id].Name)
+			if s == nil || s.core == nil || s.core.self != id {
+				return fmt.Sprintf("part %d has a copy at %d, which is not there: %v", no, id, *row)
+			}
+			if id == row.Primary && (s.core.parts[no].lead == nil || !s.core.parts[no].lead.active) {
+				return fmt.Sprintf("part %d is not led: %v", no, *row)
+			}
+		}
+	}
+	return ""
+}
+
+// retire empties a store and takes it away in the moment that it is finished, and the disk of another too.
+func (w *world) retire() {
+	s := w.stores[w.rng.IntN(len(w.stores))]
+	next, known, few := Retire(w.table, s.name, w.alive(), func(id uint64) bool { return w.ms()-w.heard[id] > 1000 }, w.f)
+	if few {
+		return
+	}
+	if !known {
+		w.fault("%s is not known", s.name)
+		return
+	}
+	w.say("%s retires", s.name)
+	w.publish(next)
+	for range 100 {
+		w.run(100)
+		if _, done := Retired(w.table, s.name, w.f); done {
+			w.say("%s is finished", s.name)
+			s.wipe()
+			s.name += "'" // the machine that comes in its place is another
+			o := w.stores[w.rng.IntN(len(w.stores))]
+			if o != s {
+				o.wipe()
+				w.after(400, o.boot)
+			}
+			w.after(2000, s.boot)
+			w.run(9000)
+			return
+		}
+	}
+	w.fault("%s is not empty after 10 s: %v", s.name, w.table.Parts)
+}
+
+var storms = flag.Uint64("storms", 24, "how many storms")
+
+func TestStorms(t *testing.T) {
+	seeds := *storms
+	if testing.Short() {
+		seeds = 4
+	}
+	for _, f := range []int{1, 2} {
+		for seed := range seeds {
+			w := storm(seed, f, seed%2 == 0)
+			if !check(t, w, fmt.Sprintf("f %d, seed %d", f, seed)) {
+				return
+			}
+			if w.served < 20 {
+				t.Fatalf("f %d, seed %d: only %d results", f, seed, w.served)
+			}
+		}
+	}
+}
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -668,12 +668,12 @@
 func (c *core) ages() {
 	for _, p := range c.parts {
 		l := p.lead
+		if l != nil && l.nextReady {
+			c.ready(p.no, p.epoch)
+		}
 		if l == nil || !l.active {
 			continue
 		}
-		if l.nextReady {
-			c.ready(p.no, p.epoch)
-		}
 		c.keepSure(p)
 		for _, id := range sortedKeys(p.jobs) {
 			j := p.jobs[id]
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -474,9 +474,18 @@
 	})
 }
 
+// alive are the stores that keepers hear of.
+func (w *world) alive() (alive []view.Store) {
+	for _, s := range w.stores {
+		if s.core != nil && (w.ms()-s.heard < 400 || w.ms() < 300) {
+			alive = append(alive, view.Store{ID: s.core.self, Name: s.name, Addr: s.name, Zone: s.zone})
+		}
+	}
+	return alive
+}
+
 // keep is the keepers' duty.
 func (w *world) keep() {
-	var alive []view.Store
 	for _, s := range w.stores {
 		if s.core != nil {
 			w.heard[s.core.self] = s.heard
@@ -484,11 +493,7 @@
 	}
 	lost := func(id uint64) bool { return w.ms()-w.heard[id] > 1000 }
 	starting := w.ms() < 300
-	for _, s := range w.stores {
-		if s.core != nil && (w.ms()-s.heard < 400 || starting) {
-			alive = append(alive, view.Store{ID: s.core.self, Name: s.name, Addr: s.name, Zone: s.zone})
-		}
-	}
+	alive := w.alive()
 	if !starting || len(alive) == len(w.stores) {
 		lost2 := lost
 		if starting {
