Batch: tests of placing and of the worker; a worker that is held back goes on

Cause: an item given after a worker was held back would have waited for a word that only those with items got. Change: a give lifts it, as it goes out only when the lead is sure. Result: TestAssignComesToRest, TestFirstTable, TestJoined and TestWorkerRuns pass.

--- /dev/null
+++ b/internal/batch/assign_test.go
@@ -0,0 +1,138 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"wingmount/internal/view"
+)
+
+func someStores(n, zones int) (all []view.Store) {
+	for i := range n {
+		all = append(all, view.Store{ID: uint64(i + 1), Name: fmt.Sprint("s", i), Addr: fmt.Sprint("a", i), Zone: fmt.Sprint("z", i%zones)})
+	}
+	return all
+}
+
+func none(uint64) bool { return false }
+
+func TestFirstTable(t *testing.T) {
+	for _, f := range []int{0, 1, 2} {
+		for n := 1; n <= 8; n++ {
+			next, ok := Assign(nil, someStores(n, 3), none, 16, f)
+			if n < f+1 {
+				if ok {
+					t.Fatalf("f %d, %d stores: a table", f, n)
+				}
+				continue
+			}
+			lead, held := map[uint64]int{}, map[uint64]int{}
+			for no, row := range next.Parts {
+				if len(row.Copies) != min(f+2, n) || !slices.Contains(row.Copies, row.Primary) || row.Epoch != 1 {
+					t.Fatalf("f %d, %d stores: part %d: %v", f, n, no, row)
+				}
+				zones := map[string]bool{}
+				for _, id := range row.Copies {
+					zones[next.Stores[id].Zone] = true
+					held[id]++
+				}
+				if len(zones) != min(f+2, n, 3) {
+					t.Fatalf("f %d, %d stores: part %d lies in %d zones", f, n, no, len(zones))
+				}
+				lead[row.Primary]++
+			}
+			for id := uint64(1); id <= uint64(n); id++ {
+				if most := (16+n-1)/n + 2; lead[id] > most {
+					t.Errorf("f %d, %d stores: %d leads %d parts of 16", f, n, id, lead[id])
+				}
+			}
+			if again, changed := Assign(next, someStores(n, 3), none, 16, f); changed && again.Number > next.Number+1 {
+				t.Errorf("f %d, %d stores: changes in a calm time", f, n)
+			}
+		}
+	}
+}
+
+// TestAssignComesToRest: whatever is lost, the tables that follow come to rest, and no step takes more from a group than
+// is safe.
+func TestAssignComesToRest(t *testing.T) {
+	for _, f := range []int{1, 2} {
+		for n := f + 2; n <= 7; n++ {
+			for away := range n {
+				all := someStores(n, 3)
+				cur, _ := Assign(nil, all, none, 8, f)
+				cur = settleTable(t, cur, all, none, f)
+				lost := func(id uint64) bool { return id == uint64(away+1) }
+				rest := slices.DeleteFunc(slices.Clone(all), func(s view.Store) bool { return lost(s.ID) })
+				end := settleTable(t, cur, rest, lost, f)
+				for no, row := range end.Parts {
+					if lost(row.Primary) {
+						t.Fatalf("f %d, %d stores: part %d is led by the lost one", f, n, no)
+					}
+					if n > f+2 && slices.ContainsFunc(row.Copies, lost) {
+						t.Fatalf("f %d, %d stores: part %d still counts on the lost one: %v", f, n, no, row)
+					}
+				}
+				// The same machine comes with an empty disk.
+				back := append(slices.Clone(rest), view.Store{ID: 100, Name: all[away].Name, Addr: all[away].Addr, Zone: all[away].Zone})
+				end = settleTable(t, end, back, lost, f)
+				for no, row := range end.Parts {
+					if len(row.Copies) != f+2 || slices.ContainsFunc(row.Copies, lost) {
+						t.Fatalf("f %d, %d stores: part %d after the return: %v", f, n, no, row)
+					}
+				}
+				// Another retires.
+				name := all[(away+1)%n].Name
+				next, known, few := Retire(end, name, back, lost, f)
+				if !known || few != (n-1 < f+1) {
+					t.Fatalf("f %d, %d stores: retire: known %v, few %v", f, n, known, few)
+				}
+				if few {
+					continue
+				}
+				next = settleTable(t, next, back, lost, f)
+				if _, done := Retired(next, name, f); !done {
+					t.Fatalf("f %d, %d stores: %s is not empty: %v", f, n, name, next.Parts)
+				}
+			}
+		}
+	}
+}
+
+func settleTable(t *testing.T, cur *view.Table, alive []view.Store, lost func(uint64) bool, f int) *view.Table {
+	t.Helper()
+	for range 200 {
+		next, changed := Assign(cur, alive, lost, 8, f)
+		if !changed {
+			done := true
+			for no := range cur.Parts {
+				if s, ok := Switch(cur, no, cur.Parts[no].Epoch); ok {
+					cur, done = s, false
+				}
+			}
+			if done {
+				return cur
+			}
+			continue
+		}
+		for no := range next.Parts {
+			a, b := &cur.Parts[no], &next.Parts[no]
+			if !slices.Equal(a.Copies, b.Copies) {
+				t.Fatalf("Assign took a copy away: %v, %v", a, b)
+			}
+			if slices.Contains(b.Leaving, b.Primary) {
+				t.Fatalf("the primary leaves: %v", b)
+			}
+			if fmt.Sprint(*a) != fmt.Sprint(*b) && b.Epoch != a.Epoch+1 {
+				t.Fatalf("changed without a new epoch: %v, %v", a, b)
+			}
+			if after := nextCopies(b); len(after) < f+1 {
+				t.Fatalf("too few would be left: %v", b)
+			}
+		}
+		cur = next
+	}
+	t.Fatalf("no rest: %v", cur.Parts)
+	return nil
+}
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -120,3 +120,85 @@
 		}
 	}
 }
+
+// TestJoined: a text goes on only with the event after its newest one.
+func TestJoined(t *testing.T) {
+	for _, c := range []struct {
+		ids   string
+		wrong bool
+	}{{"1 2 3", false}, {"5 6", false}, {"1 3", true}, {"1 1", true}, {"2 1", true}, {"1 x", true}, {"-1", true}} {
+		j := &joined{last: -1}
+		for _, id := range strings.Fields(c.ids) {
+			j.event(id, []byte("d"+id))
+		}
+		if j.wrong != c.wrong {
+			t.Errorf("%s: wrong is %v", c.ids, j.wrong)
+		}
+		if want := "d" + strings.ReplaceAll(c.ids, " ", "\nd"); !c.wrong && string(j.text) != want {
+			t.Errorf("%s: text %q", c.ids, j.text)
+		}
+	}
+}
+
+// script is a runner that plays runs in order.
+type script struct {
+	mu   sync.Mutex
+	runs []func(last string, event func(string, []byte)) Result
+}
+
+func (s *script) Run(_ context.Context, it *Item, last string, event func(string, []byte)) Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !it.MayStart() || len(s.runs) == 0 {
+		return Result{End: NotRun}
+	}
+	run := s.runs[0]
+	s.runs = s.runs[1:]
+	return run(last, event)
+}
+
+// TestWorkerRuns: breaks, wrong joins, failures and what can never be done.
+func TestWorkerRuns(t *testing.T) {
+	play := func(end End, ids ...string) func(string, func(string, []byte)) Result {
+		return func(last string, event func(string, []byte)) Result {
+			if len(ids) > 0 && ids[0] == "after" {
+				if last != ids[1] {
+					t.Errorf("asked for what follows %q, not %q", last, ids[1])
+				}
+				ids = ids[2:]
+			}
+			for _, id := range ids {
+				event(id, []byte(id))
+			}
+			return Result{End: end}
+		}
+	}
+	type runs = []func(string, func(string, []byte)) Result
+	for name, c := range map[string]struct {
+		runs    runs
+		text    string
+		givenUp bool
+	}{
+		"broken, goes on":      {runs{play(Broken, "1", "2"), play(Done, "after", "2", "3")}, "1\n2\n3", false},
+		"wrong join":           {runs{play(Broken, "1", "2"), play(Done, "after", "2", "4"), play(Done, "after", "", "1", "2")}, "1\n2", false},
+		"turned away":          {runs{play(NotRun), play(Done, "1")}, "1", false},
+		"failed, then done":    {runs{play(Failed), play(Done, "after", "", "1")}, "1", false},
+		"failed too often":     {runs{play(Failed), play(Failed)}, "", true},
+		"can never be done":    {runs{play(Never)}, "", true},
+		"broken before events": {runs{play(Broken), play(Done, "after", "", "1")}, "1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := &Edge{o: EdgeOptions{Runner: &script{runs: c.runs}}}
+			w := newWorkerSide(e)
+			r := &running{key: itemKey{0, "j", 0}, item: &Item{}, tries: 2}
+			r.ctx, r.cancel = context.WithCancel(context.Background())
+			r.item.MayStart = func() bool { return true }
+			w.jobs[r.key] = r
+			w.run(r)
+			if !r.done || string(r.text) != c.text || r.givenUp != c.givenUp {
+				t.Errorf("done %v, given up %v, text %q", r.done, r.givenUp, r.text)
+			}
+		})
+	}
+}
--- a/internal/batch/clients_test.go
+++ b/internal/batch/clients_test.go
@@ -43,6 +43,8 @@
 	pipe  *simPipe
 	epoch uint64
 	noted bool
+
+	unsure bool
 }
 
 type simRun struct {
@@ -151,6 +153,9 @@
 			_ = p.Send(kPutBack, b.B)
 			return
 		}
+		if h != nil && h.pipe == p {
+			h.unsure = false
+		}
 		run := k.held[key]
 		fresh := run == nil
 		if fresh {
@@ -172,7 +177,7 @@
 	case kHeld:
 		epoch := r.U64()
 		if h := k.parts[key.part]; h != nil && h.pipe == p && (h.epoch == epoch || epoch == 0) {
-			h.noted = true
+			h.noted, h.unsure = true, false
 			for _, key := range k.keys() {
 				if key.part == int(h2part(body)) && k.held[key].done {
 					k.report(p, key, k.held[key])
@@ -181,7 +186,7 @@
 		}
 	case kUnsure:
 		if h := k.parts[key.part]; h != nil && h.pipe == p {
-			h.noted = false
+			h.unsure = true
 		}
 	case kListed:
 		key.job, key.item = r.String(), int(r.U32())
@@ -218,7 +223,7 @@
 		return
 	}
 	h := k.parts[key.part]
-	if h == nil || !h.noted || !h.pipe.open {
+	if h == nil || !h.noted || h.unsure || !h.pipe.open {
 		w.after(50, func() { k.begin(key, run) })
 		return
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -66,9 +66,10 @@
 
 // holding tells on which connection and under which epoch a primary was told what is in hand, and whether it noted it.
 type holding struct {
-	conn  *link.Conn
-	epoch uint64
-	noted bool
+	conn   *link.Conn
+	epoch  uint64
+	noted  bool
+	unsure bool // it may have been replaced
 }
 
 // running is an item in hand.
@@ -238,7 +239,7 @@
 		if h == nil || h.conn != m.Conn || h.epoch != epoch && epoch != 0 {
 			return
 		}
-		h.noted = true
+		h.noted, h.unsure = true, false
 		for _, r := range w.jobs {
 			if r.key.part == k.part && r.done {
 				w.report(m.Conn, r)
@@ -248,7 +249,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if h := w.parts[k.part]; h != nil && h.conn == m.Conn {
-			h.noted = false
+			h.unsure = true
 		}
 	case kListed:
 		k.job, k.item = r.String(), int(r.U32())
@@ -290,6 +291,9 @@
 	if w.closed {
 		return
 	}
+	if h != nil && h.conn == c {
+		h.unsure = false // who is not sure hands nothing out
+	}
 	defer func() {
 		if h == nil {
 			w.parts[k.part] = &holding{conn: c, epoch: epoch, noted: true}
@@ -316,7 +320,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	h := w.parts[r.key.part]
-	if r.ctx.Err() != nil || w.jobs[r.key] != r || h == nil || !h.noted {
+	if r.ctx.Err() != nil || w.jobs[r.key] != r || h == nil || !h.noted || h.unsure {
 		return false
 	}
 	select {
