--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -225,21 +225,24 @@
 		Shares: []operator.Share{{Service: "svc", Weight: 1}}}
 }
 
+// firstMatch stands in for the configuration's own Match, which knows only what was parsed.
+func firstMatch(c *operator.Config, host, path string) *operator.Route {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for i := range c.Routes {
+		if r := &c.Routes[i]; r.Host == host && strings.HasPrefix(path, r.PathStart) {
+			return r
+		}
+	}
+	return nil
+}
+
 func newRig(t testing.TB, r operator.Route, endpoints ...*endpoint) *rig {
 	t.Helper()
 	c := &operator.Config{Version: 1, Routes: []operator.Route{r}, Services: map[string]*operator.Service{"svc": {Name: "svc"}}}
 	g := &rig{t: t, a: &admission{all: endpoints}, config: c}
 	holder := &view.Holder{}
 	holder.Set(&view.Snapshot{Config: c, Senders: 1})
-	g.p = New(Options{Holder: holder, Admission: g.a, DrainWait: time.Millisecond,
-		Match: func(c *operator.Config, host, path string) *operator.Route {
-			for i := range c.Routes {
-				if r := &c.Routes[i]; r.Host == host && strings.HasPrefix(path, r.PathStart) {
-					return r
-				}
-			}
-			return nil
-		}})
+	g.p = New(Options{Holder: holder, Admission: g.a, DrainWait: time.Millisecond, Match: firstMatch})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	g.addr = l.Addr().String()
@@ -597,6 +600,29 @@
 	}
 }
 
+// A parsed configuration finds its routes itself, also while none, and then another one, is in force.
+func TestParsedConfiguration(t *testing.T) {
+	e := newEndpoint(t, "e1", says(sealed, "ok"))
+	g := newRig(t, route(operator.ReadOnly, 1), e)
+	g.p.o.Match = New(Options{Holder: &view.Holder{}}).o.Match
+	for _, c := range []struct {
+		start  string
+		status int
+	}{{"/r/", 200}, {"/r/deeper/", 404}, {"", 404}, {"/", 200}} {
+		raw := `{"version":2,"routes":[],"services":[],"limits":{}}`
+		if c.start != "" {
+			raw = fmt.Sprintf(`{"version":1,"routes":[{"name":"r","host":"h.example","path_start":%q,"kind":"read_only","timeout_ms":3000,"target_ms":300,"priority":0,
+				"service":"svc","tries":1}],"services":[{"name":"svc","health_path":"/health","max_conns":20}],"limits":{"max_body_bytes":4194304}}`, c.start)
+		}
+		config, err := operator.Parse([]byte(raw))
+		must(t, err)
+		g.p.o.Holder.Set(&view.Snapshot{Config: config, Senders: 4})
+		if a := g.do(plainCall, "x"); a.status != c.status {
+			t.Errorf("%s: %+v", c.start, a)
+		}
+	}
+}
+
 func TestEndpointThatRefusesConnections(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -40,8 +40,8 @@
 type Options struct {
 	Holder    *view.Holder
 	Admission dispatch.Admission
-	// Match finds the route of a request; the host is lower case without a port, the path as it was
-	// sent without the query.
+	// Match finds the route of a request by its Host header and its path as it was sent, without the
+	// query; nil: the configuration's own.
 	Match func(c *operator.Config, host, path string) *operator.Route
 	// Bulk answers calls of batch jobs: those of bulk routes, and of /lots/ and /items/ with no route.
 	Bulk func(w http.ResponseWriter, r *http.Request, route *operator.Route)
@@ -80,6 +80,9 @@
 
 // New returns a proxy.
 func New(o Options) *Proxy {
+	if o.Match == nil {
+		o.Match = (*operator.Config).Match
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -48,7 +48,7 @@
 		p.answer(w, r, http.StatusServiceUnavailable, 3*soon)
 		return
 	}
-	route := p.o.Match(s.Config, hostOf(r.Host), path)
+	route := p.o.Match(s.Config, r.Host, path)
 	if route == nil {
 		p.answer(w, r, http.StatusNotFound, 0)
 		return
@@ -61,14 +61,6 @@
 	p.forward(w, r, route, &s.Config.Limits, target, arrived)
 }
 
-// hostOf is a host in lower case without its port.
-func hostOf(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	return strings.ToLower(host)
-}
-
 // forward answers a client's request of a route from an endpoint.
 func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, route *operator.Route, limits *operator.Limits, target string, arrived time.Time) {
 	x := &exchange{p: p, ctx: r.Context(), method: r.Method}
