--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -229,11 +229,17 @@
 	case control.Heard:
 		k.heard(now, m)
 	case control.Attached:
+		r := link.Reader{B: m.Body}
+		nodes := control.ReadNodes(&r)
+		if r.Err != nil {
+			return
+		}
 		if p := k.conns[m.Conn]; p != nil {
-			r := link.Reader{B: m.Body}
-			p.attached = control.ReadNodes(&r)
+			p.attached = nodes
 			k.recount()
+			return
 		}
+		m.Conn.Tag.Store(nodes) // until it is known whose word it is
 	case control.Lease:
 		k.leaseAsked(now, m)
 	case control.Missing:
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -126,6 +126,9 @@
 	}
 	p.node, p.conn = node, c
 	k.conns[c] = p
+	if nodes, ok := c.Tag.Load().([]control.Node); ok {
+		p.attached = nodes
+	}
 	// What it may lack.
 	if list := k.table.Entries(k.since(time.Now()), -1); len(list) > 0 {
 		k.sendEntries(c, list, nil)
