--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	votersMost = 9
 	// deadAfter is how long a voter is not met before another may take its place.
 	deadAfter = 1500 * time.Millisecond
+	// askUnknownEvery is how often others are asked for registers that are not known here.
+	askUnknownEvery = 300 * time.Millisecond
 	// confirmWait is how long a keeper that has just started waits for a majority before it serves
 	// with what it has.
 	confirmWait = 3 * time.Second
@@ -50,6 +53,8 @@
 	known  []agree.Voter // of all registers
 	states map[string]agree.State
 
+	peers   []agree.Voter // keepers that are or were met
+	askAt   time.Duration // when they are asked for what is not known here
 	booted  bool
 	joining map[string]bool
 	tried   map[string]time.Time
@@ -172,6 +177,7 @@
 			a.join(name)
 			next = min(next, reg.Next()-a.now())
 		}
+		a.askUnknown()
 		a.rewrite()
 		timer.Reset(max(next, 2*time.Millisecond))
 	}
@@ -290,6 +296,12 @@
 
 // met looks whether the first voters can be told: at the very first start they are the seeds that have a disk.
 func (a *agreement) met() {
+	a.mu.Lock()
+	a.peers = a.peers[:0]
+	for _, p := range a.k.peers {
+		a.peers = append(a.peers, agree.Voter{ID: p.node.ID, Name: p.node.Name, Addr: p.node.Addr})
+	}
+	a.mu.Unlock()
 	s := a.k.o.Settings
 	if !s.FirstStart || a.id == 0 {
 		return
@@ -334,6 +346,27 @@
 	a.k.log.Info("first voters", "count", len(voters))
 }
 
+// askUnknown asks all keepers for the registers of which nothing is known: what they are told when they meet
+// is all that who was met knew then.
+func (a *agreement) askUnknown() {
+	now := a.now()
+	if now < a.askAt {
+		return
+	}
+	a.askAt = now + askUnknownEvery
+	a.mu.Lock()
+	peers := slices.Clone(a.peers)
+	a.mu.Unlock()
+	for _, name := range registerNames {
+		if _, ok := a.regs[name].State(); ok {
+			continue
+		}
+		for _, v := range peers {
+			a.regs[name].Ask(now, v)
+		}
+	}
+}
+
 // join proposes this keeper as a voter where it is none.
 func (a *agreement) join(name string) {
 	if a.id == 0 || a.joining[name] || time.Since(a.tried[name]) < 300*time.Millisecond {
