Link: stuck writers, long frames and calls that were given up; contract tests

Cause: internal/link had no tests. Read as a reviewer it looked for silence in the writer, which may be stuck in a write; counted a frame under way as silence; kept calls that nobody waits for; ended the link for one body that is too long, and left the caller of a reply that is too long without any answer; made memory for a frame on the word of its head alone. Change: probes have a timer of their own; each read counts as heard; calls given up are forgotten; long bodies are refused to their sender alone; a frame's memory grows with its bytes. One contract test that TCP and net.Pipe pass, fuzz of frames and codec.

--- /dev/null
+++ b/internal/link/codec_test.go
@@ -0,0 +1,95 @@
+package link
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// What was written is read; what is cut off anywhere is short.
+func TestCodecRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w Writer
+		var checks []func(r *Reader) bool
+		for range rapid.IntRange(0, 20).Draw(t, "fields") {
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				v := rapid.Uint8().Draw(t, "u8")
+				w.U8(v)
+				checks = append(checks, func(r *Reader) bool { return r.U8() == v })
+			case 1:
+				v := rapid.Uint32().Draw(t, "u32")
+				w.U32(v)
+				checks = append(checks, func(r *Reader) bool { return r.U32() == v })
+			case 2:
+				v := rapid.Int().Draw(t, "int")
+				w.Int(v)
+				checks = append(checks, func(r *Reader) bool { return r.Int() == v })
+			case 3:
+				v := rapid.Bool().Draw(t, "bool")
+				w.Bool(v)
+				checks = append(checks, func(r *Reader) bool { return r.Bool() == v })
+			case 4:
+				v := rapid.String().Draw(t, "string")
+				w.String(v)
+				checks = append(checks, func(r *Reader) bool { return r.String() == v })
+			case 5:
+				v := rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")
+				w.Bytes(v)
+				checks = append(checks, func(r *Reader) bool { return bytes.Equal(r.Bytes(), v) })
+			}
+		}
+		r := Reader{B: w.B}
+		for i, check := range checks {
+			if !check(&r) || r.Err != nil {
+				t.Fatalf("field %d, %v", i, r.Err)
+			}
+		}
+		if len(r.B) != 0 {
+			t.Fatalf("%d bytes are left", len(r.B))
+		}
+		if len(w.B) > 0 {
+			r := Reader{B: w.B[:rapid.IntRange(0, len(w.B)-1).Draw(t, "cut")]}
+			for _, check := range checks {
+				check(&r)
+			}
+			if !errors.Is(r.Err, ErrShort) {
+				t.Fatal(r.Err)
+			}
+		}
+	})
+}
+
+// FuzzReader reads any bytes as any fields: no panic, nothing that was not there, nothing after the first error.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4, 5}, []byte{0, 0, 0, 1, 9})
+	f.Add([]byte{6, 4}, []byte{255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, fields, b []byte) {
+		r := Reader{B: b}
+		for _, kind := range fields {
+			before, failed := len(r.B), r.Err != nil
+			got := 0
+			switch kind % 7 {
+			case 0:
+				r.U8()
+			case 1:
+				r.U32()
+			case 2:
+				r.U64()
+			case 3:
+				r.Bool()
+			case 4:
+				got = len(r.String())
+			case 5:
+				got = len(r.Bytes())
+			case 6:
+				got = r.Count(int(kind)) * int(kind)
+			}
+			if got > before || len(r.B) > before || failed && (got > 0 || r.Err == nil) {
+				t.Fatalf("kind %d: %d of %d bytes", kind%7, got, before)
+			}
+		}
+	})
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -68,8 +68,11 @@
 
 // Reply answers a call, once.
 func (m *Message) Reply(body []byte) {
-	if m.call != 0 {
-		_ = m.Conn.write(kindReply, m.call, body)
+	if m.call == 0 {
+		return
+	}
+	if err := m.Conn.write(kindReply, m.call, body); errors.Is(err, errLong) {
+		m.Fail("the reply is %d bytes long: ask for less", len(body))
 	}
 }
 
@@ -94,9 +97,10 @@
 	out   []byte
 	spare []byte
 	wake  chan struct{}
-	calls map[uint32]chan Reply
+	calls map[uint32]chan Reply // nil: ended
 	next  uint32
 	err   error
+	pulse *time.Timer
 }
 
 // Reply to a call.
@@ -154,8 +158,11 @@
 	now := time.Now().UnixNano()
 	c.lastIn.Store(now)
 	c.lastOut.Store(now)
+	c.mu.Lock()
+	c.pulse = time.AfterFunc(o.Probe, func() { c.probe(o) })
+	c.mu.Unlock()
 	go c.read()
-	go c.writeLoop(o)
+	go c.writeLoop()
 	return c
 }
 
@@ -174,6 +181,7 @@
 		c.err = err
 		calls := c.calls
 		c.calls = nil
+		c.pulse.Stop()
 		c.mu.Unlock()
 		close(c.closed)
 		_ = c.nc.Close()
@@ -188,16 +196,26 @@
 
 // Go sends a call; the reply comes on the channel, once. ErrClosed may come there too.
 func (c *Conn) Go(kind Kind, body []byte) <-chan Reply {
+	ch, _ := c.call(kind, body)
+	return ch
+}
+
+func (c *Conn) call(kind Kind, body []byte) (<-chan Reply, uint32) {
 	ch := make(chan Reply, 1)
+	if len(body) > maxFrame-head {
+		ch <- Reply{Err: errLong}
+		return ch, 0
+	}
 	c.mu.Lock()
 	if c.calls == nil {
 		c.mu.Unlock()
 		ch <- Reply{Err: ErrClosed}
-		return ch
+		return ch, 0
 	}
-	c.next++
-	if c.next == 0 {
-		c.next = 1
+	for taken := true; taken; _, taken = c.calls[c.next] {
+		if c.next++; c.next == 0 {
+			c.next = 1
+		}
 	}
 	id := c.next
 	c.calls[id] = ch
@@ -205,15 +223,19 @@
 	if err := c.write(kind, id, body); err != nil {
 		c.end(err)
 	}
-	return ch
+	return ch, id
 }
 
 // Call sends a call and waits for its reply. With an error other than RemoteError it may have been done.
 func (c *Conn) Call(ctx context.Context, kind Kind, body []byte) ([]byte, error) {
+	ch, id := c.call(kind, body)
 	select {
-	case r := <-c.Go(kind, body):
+	case r := <-ch:
 		return r.Body, r.Err
 	case <-ctx.Done():
+		c.mu.Lock()
+		delete(c.calls, id) // a late reply finds nobody
+		c.mu.Unlock()
 		return nil, ctx.Err()
 	}
 }
@@ -244,24 +266,28 @@
 	return nil
 }
 
-func (c *Conn) writeLoop(o Options) {
-	tick := time.NewTicker(o.Probe)
-	defer tick.Stop()
+// probe ends a connection on which nothing is heard, and writes where nothing was written for long. It has a
+// timer of its own, as a writer may be stuck with a peer that does not read.
+func (c *Conn) probe(o Options) {
+	now := time.Now().UnixNano()
+	if now-c.lastIn.Load() > int64(o.Silence) {
+		c.end(fmt.Errorf("nothing heard for %v", o.Silence))
+		return
+	}
+	if now-c.lastOut.Load() >= int64(o.Probe)/2 && c.write(kindProbe, 0, nil) != nil {
+		return
+	}
+	c.mu.Lock()
+	if c.err == nil {
+		c.pulse.Reset(o.Probe)
+	}
+	c.mu.Unlock()
+}
+
+func (c *Conn) writeLoop() {
 	for {
 		select {
 		case <-c.wake:
-		case <-tick.C:
-			now := time.Now().UnixNano()
-			if now-c.lastIn.Load() > int64(o.Silence) {
-				c.end(fmt.Errorf("nothing heard for %v", o.Silence))
-				return
-			}
-			if now-c.lastOut.Load() < int64(o.Probe)/2 {
-				continue
-			}
-			if c.write(kindProbe, 0, nil) != nil {
-				return
-			}
 		case <-c.closed:
 			return
 		}
@@ -286,9 +312,20 @@
 	}
 }
 
+// heard notes the time of all that is read, also in the middle of a long frame.
+type heard struct{ c *Conn }
+
+func (h heard) Read(b []byte) (int, error) {
+	n, err := h.c.nc.Read(b)
+	if n > 0 {
+		h.c.lastIn.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 func (c *Conn) read() {
 	defer c.h.Closed(c)
-	br := bufio.NewReaderSize(c.nc, 4<<10)
+	br := bufio.NewReaderSize(heard{c}, 4<<10)
 	var h [head]byte
 	for {
 		if _, err := io.ReadFull(br, h[:]); err != nil {
@@ -296,16 +333,15 @@
 			return
 		}
 		n := int(binary.BigEndian.Uint32(h[:])) - 5
-		if n < 0 || n > maxFrame {
+		if n < 0 || n > maxFrame-head {
 			c.end(errLong)
 			return
 		}
 		kind, call := Kind(h[4]), binary.BigEndian.Uint32(h[5:])
-		c.lastIn.Store(time.Now().UnixNano())
 		var body []byte
 		if n > 0 {
-			body = make([]byte, n)
-			if _, err := io.ReadFull(br, body); err != nil {
+			var err error
+			if body, err = readBody(br, n); err != nil {
 				c.end(err)
 				return
 			}
@@ -330,3 +366,21 @@
 		}
 	}
 }
+
+// firstRead bounds the memory that a frame takes before its bytes are there.
+const firstRead = 256 << 10
+
+func readBody(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, min(n, firstRead))
+	for at := 0; ; {
+		if _, err := io.ReadFull(r, body[at:]); err != nil {
+			return nil, err
+		}
+		if at = len(body); at == n {
+			return body, nil
+		}
+		longer := make([]byte, min(n, 4*at))
+		copy(longer, body)
+		body = longer
+	}
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,385 @@
+package link
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// patience is how long a test waits for what must come.
+const patience = 20 * time.Second
+
+// steady options probe so seldom that no test meets a probe.
+var steady = Options{Probe: time.Hour, Silence: 2 * time.Hour}
+
+// side is a handler that passes on what it gets.
+type side struct {
+	messages chan *Message
+	closed   chan *Conn
+	act      func(m *Message) // in place of messages
+}
+
+func newSide() *side {
+	return &side{messages: make(chan *Message, 1<<16), closed: make(chan *Conn, 16)}
+}
+
+func (s *side) Message(m *Message) {
+	if s.act != nil {
+		s.act(m)
+		return
+	}
+	s.messages <- m
+}
+
+func (s *side) Closed(c *Conn) { s.closed <- c }
+
+// transport makes the two ends of one connection.
+type transport struct {
+	name string
+	pair func(t *testing.T) (a, b net.Conn)
+}
+
+var transports = []transport{
+	{"tcp", func(t *testing.T) (net.Conn, net.Conn) {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		a, err := net.Dial("tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a, b
+	}},
+	{"pipe", func(*testing.T) (net.Conn, net.Conn) { return net.Pipe() }},
+}
+
+// contract runs a check on links over each transport.
+func contract(t *testing.T, o Options, check func(t *testing.T, a, b *Conn, as, bs *side)) {
+	for _, tr := range transports {
+		t.Run(tr.name, func(t *testing.T) {
+			na, nb := tr.pair(t)
+			as, bs := newSide(), newSide()
+			a, b := start(na, as, o), start(nb, bs, o)
+			t.Cleanup(func() { a.Close(); b.Close() })
+			check(t, a, b, as, bs)
+		})
+	}
+}
+
+func get[T any](t *testing.T, ch <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-ch:
+	case <-time.After(patience):
+		t.Fatalf("%s did not come", what)
+	}
+	return v
+}
+
+func TestOrderIsKept(t *testing.T) {
+	contract(t, steady, func(t *testing.T, a, _ *Conn, _, bs *side) {
+		const n = 5000
+		for i := range n {
+			if err := a.Send(7, fmt.Appendf(nil, "%d%0*d", i, i%300, 0)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range n {
+			m := get(t, bs.messages, "a message")
+			if want := fmt.Sprintf("%d%0*d", i, i%300, 0); string(m.Body) != want || m.Kind != 7 || m.Wants() {
+				t.Fatalf("message %d: kind %d, %.40q", i, m.Kind, m.Body)
+			}
+		}
+	})
+}
+
+func TestCallsAreAnsweredLateAndInAnyOrder(t *testing.T) {
+	contract(t, steady, func(t *testing.T, a, _ *Conn, _, bs *side) {
+		const n = 50
+		var replies []<-chan Reply
+		for i := range n {
+			replies = append(replies, a.Go(7, []byte{byte(i)}))
+		}
+		var calls []*Message
+		for range n {
+			calls = append(calls, get(t, bs.messages, "a call"))
+		}
+		slices.Reverse(calls)
+		for _, m := range calls {
+			if m.Body[0]%3 == 0 {
+				m.Fail("refused %d", m.Body[0])
+			} else {
+				m.Reply([]byte{m.Body[0], 1})
+			}
+			m.Reply([]byte("once more")) // is for nobody
+		}
+		for i, ch := range replies {
+			r := get(t, ch, "a reply")
+			var refusal RemoteError
+			if refused := errors.As(r.Err, &refusal); refused != (i%3 == 0) || refused && string(refusal) != fmt.Sprint("refused ", i) {
+				t.Fatalf("call %d: %v", i, r.Err)
+			}
+			if r.Err == nil && !slices.Equal(r.Body, []byte{byte(i), 1}) {
+				t.Fatalf("call %d: %q", i, r.Body)
+			}
+		}
+		if left := remembered(a); left != 0 {
+			t.Fatalf("%d calls are remembered", left)
+		}
+	})
+}
+
+func remembered(c *Conn) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls)
+}
+
+func TestCloseEndsCallsUnderWay(t *testing.T) {
+	contract(t, steady, func(t *testing.T, a, b *Conn, as, bs *side) {
+		ch := a.Go(7, nil)
+		get(t, bs.messages, "the call")
+		b.Close()
+		if r := get(t, ch, "the end of the call"); !errors.Is(r.Err, ErrClosed) {
+			t.Fatal(r.Err)
+		}
+		get(t, as.closed, "the end at one side")
+		get(t, bs.closed, "the end at the other side")
+		if r := get(t, a.Go(7, nil), "the end of a later call"); !errors.Is(r.Err, ErrClosed) {
+			t.Fatal(r.Err)
+		}
+		if a.Send(7, nil) == nil {
+			t.Fatal("sent on a link that has ended")
+		}
+	})
+}
+
+// A call that nobody waits for any more is not remembered.
+func TestCallsGivenUpAreForgotten(t *testing.T) {
+	contract(t, steady, func(t *testing.T, a, _ *Conn, _, bs *side) {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { _, err := a.Call(ctx, 7, nil); ended <- err }()
+		m := get(t, bs.messages, "the call")
+		cancel()
+		if err := get(t, ended, "the call's end"); !errors.Is(err, context.Canceled) {
+			t.Fatal(err)
+		}
+		if left := remembered(a); left != 0 {
+			t.Fatalf("%d calls are remembered", left)
+		}
+		m.Reply(nil)
+		go func() { get(t, bs.messages, "a second call").Reply([]byte("yes")) }()
+		if b, err := a.Call(context.Background(), 7, nil); err != nil || string(b) != "yes" {
+			t.Fatalf("%q, %v", b, err)
+		}
+	})
+}
+
+// A frame that is too long is refused to its sender, and the link goes on.
+func TestTooLongIsRefused(t *testing.T) {
+	contract(t, steady, func(t *testing.T, a, b *Conn, _, bs *side) {
+		long := make([]byte, maxFrame)
+		if err := a.Send(7, long); !errors.Is(err, errLong) {
+			t.Fatal(err)
+		}
+		if r := get(t, a.Go(7, long), "the refusal"); !errors.Is(r.Err, errLong) {
+			t.Fatal(r.Err)
+		}
+		ch := a.Go(7, nil)
+		get(t, bs.messages, "the call").Reply(long)
+		var refusal RemoteError
+		if r := get(t, ch, "the refusal of the reply"); !errors.As(r.Err, &refusal) {
+			t.Fatal(r.Err)
+		}
+		if err := a.Send(7, make([]byte, maxFrame-head)); err != nil {
+			t.Fatal(err)
+		}
+		if m := get(t, bs.messages, "the longest frame"); len(m.Body) != maxFrame-head {
+			t.Fatal(len(m.Body))
+		}
+	})
+}
+
+func TestFrameTooLongEndsTheLink(t *testing.T) {
+	for _, tr := range transports {
+		t.Run(tr.name, func(t *testing.T) {
+			raw, nb := tr.pair(t)
+			defer raw.Close()
+			bs := newSide()
+			b := start(nb, bs, steady)
+			defer b.Close()
+			_, _ = raw.Write(binary.BigEndian.AppendUint32(nil, maxFrame+1))
+			_, _ = raw.Write([]byte{7, 0, 0, 0, 0})
+			get(t, bs.closed, "the end")
+			if !errors.Is(b.err, errLong) {
+				t.Fatal(b.err)
+			}
+		})
+	}
+}
+
+// What waits for a peer that does not read is bounded.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	contract(t, steady, func(t *testing.T, a, _ *Conn, as, bs *side) {
+		release := make(chan struct{})
+		bs.act = func(*Message) { <-release }
+		defer close(release)
+		body := make([]byte, 1<<20)
+		sent := 0
+		for a.Send(7, body) == nil {
+			if sent++; sent > 4*maxQueued>>20 {
+				t.Fatal("more and more waits")
+			}
+		}
+		get(t, as.closed, "the end")
+	})
+}
+
+// A peer that says nothing is found, also while the writer is stuck with it.
+func TestSilentPeerIsFound(t *testing.T) {
+	for _, tr := range transports {
+		for _, stuck := range []bool{false, true} {
+			t.Run(fmt.Sprint(tr.name, "/stuck=", stuck), func(t *testing.T) {
+				na, raw := tr.pair(t)
+				defer raw.Close()
+				as := newSide()
+				a := start(na, as, Options{Probe: 10 * time.Millisecond, Silence: 50 * time.Millisecond})
+				defer a.Close()
+				if stuck {
+					_ = a.Send(7, make([]byte, 15<<20))
+				}
+				ch := a.Go(7, nil)
+				get(t, as.closed, "the end")
+				if r := get(t, ch, "the end of the call"); !errors.Is(r.Err, ErrClosed) {
+					t.Fatal(r.Err)
+				}
+			})
+		}
+	}
+}
+
+// Probes hold a link on which nobody has anything to say.
+func TestProbesHoldALink(t *testing.T) {
+	contract(t, Options{Probe: 5 * time.Millisecond, Silence: 5 * time.Second}, func(t *testing.T, a, b *Conn, _, _ *side) {
+		began := time.Now().UnixNano()
+		for _, c := range []*Conn{a, b} {
+			deadline := time.Now().Add(patience)
+			for n, last := 0, began; n < 5; {
+				if at := c.lastIn.Load(); at > last {
+					n, last = n+1, at
+				}
+				if time.Now().After(deadline) {
+					t.Fatal("no probe is heard")
+				}
+				select {
+				case <-c.Done():
+					t.Fatal("the link has ended")
+				case <-time.After(time.Millisecond):
+				}
+			}
+		}
+	})
+}
+
+// A frame that takes longer than the silence allowed is heard all the while.
+func TestLongFrameIsNoSilence(t *testing.T) {
+	for _, tr := range transports {
+		t.Run(tr.name, func(t *testing.T) {
+			na, raw := tr.pair(t)
+			defer raw.Close()
+			as := newSide()
+			a := start(na, as, Options{Probe: 5 * time.Millisecond, Silence: 300 * time.Millisecond})
+			defer a.Close()
+			go func() { // reads the probes away
+				b := make([]byte, 1<<10)
+				for {
+					if _, err := raw.Read(b); err != nil {
+						return
+					}
+				}
+			}()
+			const n = 60
+			frame := append(binary.BigEndian.AppendUint32(nil, n+5), 7, 0, 0, 0, 0)
+			if _, err := raw.Write(frame); err != nil {
+				t.Fatal(err)
+			}
+			pace := time.NewTicker(15 * time.Millisecond)
+			defer pace.Stop()
+			for i := range n {
+				<-pace.C
+				if _, err := raw.Write([]byte{byte(i)}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if m := get(t, as.messages, "the frame"); len(m.Body) != n {
+				t.Fatal(len(m.Body))
+			}
+		})
+	}
+}
+
+// Many write at once, both ways, and all arrives, in each writer's order.
+func TestManyWriters(t *testing.T) {
+	contract(t, steady, func(t *testing.T, a, b *Conn, as, bs *side) {
+		const writers, each = 8, 300
+		var wg sync.WaitGroup
+		for _, c := range []*Conn{a, b} {
+			for w := range writers {
+				wg.Go(func() {
+					for i := range each {
+						_ = c.Send(Kind(w), binary.BigEndian.AppendUint32(nil, uint32(i)))
+					}
+				})
+			}
+		}
+		for _, s := range []*side{as, bs} {
+			next := map[Kind]uint32{}
+			for range writers * each {
+				m := get(t, s.messages, "a message")
+				if got := binary.BigEndian.Uint32(m.Body); got != next[m.Kind] {
+					t.Fatalf("writer %d: %d in place of %d", m.Kind, got, next[m.Kind])
+				}
+				next[m.Kind]++
+			}
+		}
+		wg.Wait()
+	})
+}
+
+// FuzzFrames reads any bytes: no panic, no memory beyond what came, and Closed is called last, once.
+func FuzzFrames(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 5, 7, 0, 0, 0, 1})
+	f.Add([]byte{0, 0, 0, 6, 250, 0, 0, 0, 1, 9})
+	f.Add([]byte{0, 0, 0, 4, 7, 0, 0, 0, 1})
+	f.Add([]byte{0, 255, 255, 255, 7, 0, 0, 0, 1, 1})
+	f.Add([]byte{255, 255, 255, 255, 252, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		raw, nb := net.Pipe()
+		s := newSide()
+		bytes := 0
+		s.act = func(m *Message) { bytes += len(m.Body) + head; m.Reply(nil) }
+		c := start(nb, s, steady)
+		go func() {
+			_, _ = raw.Write(b)
+			_ = raw.Close()
+		}()
+		get(t, s.closed, "the end")
+		c.Close()
+		if bytes > len(b) {
+			t.Fatalf("%d bytes out of %d", bytes, len(b))
+		}
+	})
+}
