--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/binary"
 	"sort"
 
 	"wingmount/internal/link"
@@ -50,11 +51,10 @@
 	}
 }
 
-// ReadNodes takes a list of nodes out of a message.
-func ReadNodes(r *link.Reader) []Node {
-	nodes := make([]Node, r.Count(36))
-	for i := range nodes {
-		nodes[i] = ReadNode(r)
+// ReadNodes takes a list of nodes out of a message; nil if it is empty.
+func ReadNodes(r *link.Reader) (nodes []Node) {
+	for range r.Count(36) {
+		nodes = append(nodes, ReadNode(r))
 	}
 	return nodes
 }
@@ -93,10 +93,16 @@
 	return w.B
 }
 
+// Renumber gives an update's message another number, as one message serves many processes.
+func Renumber(b []byte, number uint64) { binary.BigEndian.PutUint64(b, number) }
+
 // ReadUpdate reads the update's message.
 func ReadUpdate(b []byte) (*Update, error) {
 	r := link.Reader{B: b}
 	u := &Update{Number: r.U64(), Whole: r.Bool(), Listed: r.Bool(), Senders: r.Int(), Config: r.Bytes(), Version: r.U64()}
+	if len(u.Config) == 0 {
+		u.Config = nil
+	}
 	if r.Bool() {
 		u.Table = ReadTable(&r)
 	}
@@ -146,15 +152,14 @@
 
 // ReadTable takes a table out of a message.
 func ReadTable(r *link.Reader) *view.Table {
-	ids := func() []uint64 {
-		list := make([]uint64, r.Count(8))
-		for i := range list {
-			list[i] = r.U64()
+	ids := func() (list []uint64) {
+		for range r.Count(8) {
+			list = append(list, r.U64())
 		}
 		return list
 	}
 	t := &view.Table{Number: r.U64(), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}}
-	for range r.Count(24) {
+	for range r.Count(28) {
 		t.Parts = append(t.Parts, view.Part{Epoch: r.U64(), Primary: r.U64(), Copies: ids(), Joining: ids(), Leaving: ids()})
 	}
 	for range r.Count(21) {
