Dispatch: what is kept is believed by age and by the order that all have in common

Cause: a sender believed for good that its parts were kept where it once sent them, did not count what others keep at a prompt's home when it guessed the time to the first word, and left home at once when the bound was passed; 6 to 8 million tokens of shared parts were read again. Now parts are believed to stay for the lifetime that the flow into a memory leaves them, the common order counts in the guess too, and the bound costs by the excess. QueueLate is 1: at 2 the test of overload fails.

--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -68,17 +68,14 @@
 	bestCost, similar := math.Inf(1), 0
 	for _, e := range room {
 		r := run{e: e, read: float64(w.r.TokensIn)}
+		r.read -= c.kept(e, w, ranks, shared)
 		r.expected = c.toFirst(e, w, base, slope, &r.read)
 		cost := r.expected + c.preference(e, w)
 		if shared > 0 {
-			known := 0.0
-			for _, part := range w.r.Prefix[:min(e.cache.cached(w.chains), sharedParts(w))] {
-				known += float64(part.Tokens)
-			}
-			cost += c.set.Reread * slope * max(0, shared-max(known, belief(ranks[e])*shared))
+			cost += c.set.Reread * slope * min(shared, r.read)
 			// A home takes no more than its part, unless all are as full.
 			if l := e.load(c); l > bound && l > c.set.FreeShare*float64(e.slots()) {
-				cost += slope*shared + float64(c.set.LoadCost)/float64(time.Millisecond)*(l-bound)
+				cost += float64(c.set.LoadCost) / float64(time.Millisecond) * (l - bound)
 			}
 		}
 		if !c.inTime(e, w, r.expected) {
@@ -219,11 +216,25 @@
 	return float64(p.bulk) < max(1, c.set.BulkFloor*float64(slots)/float64(c.senders))
 }
 
+// kept guesses how many tokens of a prompt are kept at an endpoint: what this sender has sent there within the
+// lifetime of parts in that memory, or, of the shared parts, what others have by the order that all have in common.
+func (c *core) kept(e *endpoint, w *waiter, ranks map[*endpoint]int, shared float64) float64 {
+	if len(w.chains) == 0 {
+		return 0
+	}
+	known := 0.0
+	lifetime := e.cache.lifetime(c.now, c.senders, e.pool.cache)
+	for _, part := range w.r.Prefix[:e.cache.fresh(w.chains, c.now, lifetime)] {
+		known += float64(part.Tokens)
+	}
+	if rank, there := ranks[e]; there {
+		known = max(known, belief(rank)*shared)
+	}
+	return known
+}
+
 // toFirst guesses the ms until the first word: a slot, what is read before it, its own prompt.
 func (c *core) toFirst(e *endpoint, w *waiter, base, slope float64, read *float64) float64 {
-	for _, part := range w.r.Prefix[:e.cache.cached(w.chains)] {
-		*read -= float64(part.Tokens)
-	}
 	*read = max(*read, 0)
 	t := base + slope*(*read+e.unread())
 	t *= min(max(e.slowness.v, 0.5), 3)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -349,6 +349,8 @@
 		e.probing, r.probe = true, true
 	}
 	if len(w.chains) > 0 {
+		e.cache.now = c.now
+		e.cache.flow.add(c.now, r.read+float64(w.r.TokensOut))
 		e.cache.sent(w.chains, w.r.Prefix, c.senders, e.pool.cache, c.set.CacheParts)
 	}
 	w.grant = r
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -55,7 +55,7 @@
 	orElse(&s.TrustLoad, 1500*time.Millisecond)
 	orElse(&s.FullFor, 60*time.Millisecond)
 	orElse(&s.QueueInAim, 3)
-	orElse(&s.QueueLate, 2)
+	orElse(&s.QueueLate, 1)
 	orElse(&s.LagFades, 300*time.Millisecond)
 	orElse(&s.BulkHeadroom, 0.15)
 	orElse(&s.BulkFloor, 0.1)
