Keeper: a single keeper is its own first voter; a test for each fault that was found

Cause: first voters were only told at a meeting, so a system of one keeper never had any. A change of the list beside the one that was asked for (an address that another incarnation had) could go untold until the next. Change: a keeper looks for the first voters when it starts; the tick compares what was told with the list. Tests of queues, bounds, links, lists that differ, repeats, ends and a failed disk.

--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -121,7 +121,7 @@
 		return
 	}
 	now := time.Now()
-	k.listens = k.table.Listening(k.since(now))
+	k.listens, k.told = k.table.Listening(k.since(now)), k.table.Newest()
 	type message struct {
 		body []byte
 		to   uint64
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -153,7 +153,7 @@
 	res, ok := ask(k, func() result {
 		now := time.Now()
 		before := k.table.Newest()
-		changed := change(now)
+		changed := change(now) || k.table.Newest() != before // of another, whose address it has
 		beatTo := k.beatTo(zone)
 		if _, there := k.table.Get(k.since(now), id); !there && !ends {
 			return result{full: true}
--- /dev/null
+++ b/internal/keeper/faults_test.go
@@ -0,0 +1,413 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wingmount/internal/agree"
+	"wingmount/internal/control"
+	"wingmount/internal/journal/disktest"
+	"wingmount/internal/link"
+	"wingmount/internal/record"
+	"wingmount/internal/registry"
+	"wingmount/internal/settings"
+	"wingmount/internal/view"
+)
+
+// still makes a keeper that does not run: its parts are called by the test.
+func still(t *testing.T, name string) *Keeper {
+	t.Helper()
+	k, err := New(Options{Settings: &settings.Settings{NodeName: name, IP: "127.0.0.1", InternalFirst: 1, BeatEveryMs: 1200, Control: "127.0.0.1:2"},
+		Folder: disktest.New(), Log: hclog.NewNullLogger()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// sink takes what comes over links, at the far end.
+type sink struct{ messages chan *link.Message }
+
+func (s *sink) Message(m *link.Message) { s.messages <- m }
+func (s *sink) Closed(*link.Conn)       {}
+
+// wires makes links that lead to a sink.
+func wires(t *testing.T, n int) (conns []*link.Conn, far *sink) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	far = &sink{make(chan *link.Message, 1<<14)}
+	go func() { _ = link.Serve(l, far, link.DefaultOptions) }()
+	t.Cleanup(func() { _ = l.Close() })
+	for range n {
+		c, err := link.Dial(context.Background(), l.Addr().String(), &sink{make(chan *link.Message, 1<<14)}, link.DefaultOptions)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Close)
+		conns = append(conns, c)
+	}
+	return conns, far
+}
+
+func ended(c *link.Conn) bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func hello(name, role string) []byte {
+	w := link.Writer{}
+	control.Node{Name: name, Role: role}.Append(&w)
+	w.Bool(true)
+	return w.B
+}
+
+// The owner and the registers' goroutine each have a queue, and neither waits for the other's.
+func TestQueuesDoNotBlockEachOther(t *testing.T) {
+	k := still(t, "k1")
+	for range queueMost {
+		k.commands <- func() {}
+		k.agree.commands <- func() {}
+	}
+	done := make(chan struct{})
+	go func() { // the registers' goroutine
+		defer close(done)
+		k.agree.decided(configRegister, agree.State{Slot: 1, Voters: []agree.Voter{{ID: 9, Name: "k2"}}})
+		k.agree.send(configRegister, agree.Voter{ID: 9, Name: "k2"}, nil)
+		k.agree.join(configRegister)
+		k.spread(configRegister, agree.State{})
+	}()
+	get(t, done, "the end of what the registers' goroutine does")
+	failed := make(chan error, 1)
+	go k.changeTable(nil, func(err error) { failed <- err }) // the owner
+	if err := get(t, failed, "the refusal"); !errors.Is(err, errBusy) {
+		t.Fatal(err)
+	}
+}
+
+// A queue that is never empty holds up neither pushes nor ticks.
+func TestBusyQueue(t *testing.T) {
+	r := newRig(t, 1)
+	r.startAll()
+	r.untilMet(0)
+	k := r.running[0].k
+	var again func()
+	again = func() {
+		select {
+		case k.commands <- again:
+		default:
+		}
+	}
+	k.do(again)
+	get(t, r.raw(0, "p").pushes, "a push")
+}
+
+// Who acknowledges nothing is pushed no more than so much, and is told all in one once it does.
+func TestUnacknowledgedIsBounded(t *testing.T) {
+	k := still(t, "k1")
+	k.fresh = true
+	conns, _ := wires(t, 1)
+	k.hello(&link.Message{Conn: conns[0], Body: hello("p", control.RoleProxy)})
+	p := k.attached[conns[0]]
+	beat := func(i int) {
+		k.table.Beat(0, view.Endpoint{ID: fmt.Sprint("i", i), Service: "s", Address: fmt.Sprint("a:", i), CallCount: 1})
+		k.pushAll()
+	}
+	for i := range 1000 {
+		beat(i)
+	}
+	if p.pushed > unackedMost || len(p.marks) > unackedMost || p.inForce() != (mark{}) {
+		t.Fatalf("%d pushes, %d marks, in force %+v", p.pushed, len(p.marks), p.inForce())
+	}
+	if p.ack(p.pushed / 2); p.inForce().number != p.pushed/2 || p.inForce().change >= k.table.Newest() {
+		t.Fatalf("%+v", p.inForce())
+	}
+	k.pushAll()
+	if p.ack(1 << 60); p.inForce().change != k.table.Newest() || len(p.marks) != 1 {
+		t.Fatalf("%+v, %d marks", p.inForce(), len(p.marks))
+	}
+	beat(2000)
+	if p.inForce().change == k.table.Newest() {
+		t.Fatal("in force before it was acknowledged")
+	}
+}
+
+// A process whose link broke attaches anew before this side has seen the end of the old link.
+func TestAttachedTwice(t *testing.T) {
+	k := still(t, "k1")
+	conns, _ := wires(t, 2)
+	for _, c := range conns {
+		k.hello(&link.Message{Conn: c, Body: hello("p", control.RoleProxy)})
+	}
+	if len(k.attached) != 1 || k.attached[conns[1]] == nil || !ended(conns[0]) || ended(conns[1]) {
+		t.Fatalf("%d are attached", len(k.attached))
+	}
+}
+
+func TestLinksToOneKeeper(t *testing.T) {
+	node := func(name string, life uint64) control.Node {
+		return control.Node{Name: name, Role: control.RoleKeeper, ID: 7, Life: life}
+	}
+	for _, c := range []struct {
+		what       string
+		peer       string
+		dialled    [2]bool
+		used       int
+		firstEnds  bool
+		secondEnds bool
+	}{
+		{"the other dialled, then this one, whose name is smaller", "k2", [2]bool{false, true}, 1, false, false},
+		{"this one dialled, then the other, whose name is larger", "k2", [2]bool{true, false}, 0, false, false},
+		{"this one dialled, then the other, whose name is smaller", "k0", [2]bool{true, false}, 1, true, false},
+		{"the other dialled, then this one, whose name is larger", "k0", [2]bool{false, true}, 0, false, true},
+		{"this one dialled twice", "k2", [2]bool{true, true}, 1, true, false},
+	} {
+		k := still(t, "k1")
+		conns, _ := wires(t, 2)
+		for i, dialled := range c.dialled {
+			k.meeting(conns[i], node(c.peer, 1), dialled)
+		}
+		p := k.peers[c.peer]
+		if p.conn != conns[c.used] || ended(conns[0]) != c.firstEnds || ended(conns[1]) != c.secondEnds {
+			t.Fatalf("%s: the first is used: %v, ended %v, %v", c.what, p.conn == conns[0], ended(conns[0]), ended(conns[1]))
+		}
+		if got := k.links().to(agree.Voter{ID: 7}); got != p.conn {
+			t.Fatalf("%s: the registers use another link", c.what)
+		}
+		// The link in use ends, and the other takes its place if it is there.
+		other := conns[1-c.used]
+		k.parted(conns[c.used])
+		if p.conn != other {
+			t.Fatalf("%s: the other link is not used", c.what)
+		}
+		k.parted(other)
+		if p.conn != nil || len(k.conns) != 0 || k.links().to(agree.Voter{ID: 7}) != nil {
+			t.Fatalf("%s: links are left", c.what)
+		}
+		if !k.links().metIDs(1, time.Now())[7] || k.links().metIDs(1, time.Now().Add(2*deadAfter))[7] {
+			t.Fatalf("%s: who was met a moment ago", c.what)
+		}
+	}
+
+	// A clock that was set back, and a life that is over.
+	k := still(t, "k1")
+	conns, _ := wires(t, 3)
+	k.meeting(conns[0], node("k2", 10), false)
+	k.meeting(conns[1], node("k2", 5), false)
+	if p := k.peers["k2"]; p.conn != conns[0] || !ended(conns[1]) {
+		t.Fatal("an older life took the place of a newer one")
+	}
+	k.parted(conns[0])
+	k.meeting(conns[2], node("k2", 5), false)
+	if k.peers["k2"].conn != conns[2] || ended(conns[2]) {
+		t.Fatal("a keeper whose clock was set back is shut out")
+	}
+}
+
+func TestListsThatDiffer(t *testing.T) {
+	k := still(t, "k1")
+	conns, far := wires(t, 1)
+	k.meeting(conns[0], control.Node{Name: "k2", Role: control.RoleKeeper, Life: 1}, true)
+	word := func(sums [registry.Parts]uint64, at time.Duration) {
+		w := link.Writer{}
+		w.U32(0)
+		for _, sum := range sums {
+			w.U64(sum)
+		}
+		k.heard(k.life.Add(at), &link.Message{Conn: conns[0], Body: w.B})
+	}
+	other := [registry.Parts]uint64{3: 1}
+	word(other, 0)
+	word(k.digests(), 0) // it was a change under way
+	word(other, 0)
+	word(other, 0) // asks
+	for range 9 {
+		word(other, time.Second) // is asked a moment ago
+	}
+	_ = conns[0].Send(control.Ack, nil)
+	asked := 0
+	for m := get(t, far.messages, "a message"); m.Kind != control.Ack; m = get(t, far.messages, "a message") {
+		if m.Kind == control.Missing {
+			asked++
+		}
+	}
+	if asked != 1 {
+		t.Fatalf("asked %d times", asked)
+	}
+}
+
+// A word that one keeper took and nobody else has heard reaches the others, by the lists' sums.
+func TestLostWordsAreFound(t *testing.T) {
+	r := newRig(t, 3)
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	c := r.follower(2, "p1")
+	if a := r.beat(0, "1", "ready", 1); a.code != 200 {
+		t.Fatal(a)
+	}
+	until(t, "the client has it", func() bool { return c.state("1") == view.Ready })
+	r.drainUnheard(0, "1", 2)
+	until(t, "the client knows that it drains", func() bool { return c.state("1") == view.Draining })
+}
+
+// drainUnheard makes one keeper take a drain and tell nobody.
+func (r *rig) drainUnheard(i int, id string, count uint64) {
+	k := r.running[i].k
+	if changed, ok := ask(k, func() bool {
+		e, _ := k.table.Get(k.since(time.Now()), id)
+		e.State, e.CallCount = view.Draining, count
+		return k.table.Beat(k.since(time.Now()), e.Endpoint)
+	}); !changed || !ok {
+		r.t.Fatal("the drain is not taken")
+	}
+}
+
+// A drain that is said again is acknowledged when the others know it, too.
+func TestRepeatedDrain(t *testing.T) {
+	r := newRig(t, 3)
+	r.wait = patience
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	c := r.follower(2, "p1")
+	for i := range 10 {
+		id := fmt.Sprint(i)
+		if a := r.beat(0, id, "ready", 1); a.code != 200 {
+			t.Fatal(a)
+		}
+		r.drainUnheard(0, id, 2)
+		if a := r.beat(0, id, "draining", 2); a.code != 200 || c.state(id) != view.Draining {
+			t.Fatalf("%v, and the client sees %v", a, c.state(id))
+		}
+	}
+}
+
+// The very first change of a keeper's list may be an end.
+func TestFirstChangeIsAnEnd(t *testing.T) {
+	r := newRig(t, 3)
+	r.wait = patience
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	if a := r.call(0, "DELETE", "/instances/1", "", nil); a.code != 200 {
+		t.Fatal(a)
+	}
+	for i := range 3 {
+		k := r.running[i].k
+		if there, _ := ask(k, func() bool { _, there := k.table.Get(k.since(time.Now()), "1"); return there }); !there {
+			t.Fatalf("keeper %d does not know of it", i+1)
+		}
+	}
+}
+
+// What a keeper knows already is not acknowledged to another before those who are attached have it.
+func TestEntriesKnownAlready(t *testing.T) {
+	r := newRig(t, 1)
+	r.wait = patience
+	r.startAll()
+	r.untilMet(0)
+	p := r.raw(0, "p")
+	p.ack(get(t, p.pushes, "the first push").Number)
+	k := r.running[0].k
+	conn, err := link.Dial(context.Background(), k.self.Addr, &sink{make(chan *link.Message, 16)}, link.DefaultOptions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	w := link.Writer{}
+	w.U32(1)
+	registry.AppendEntry(&w, &registry.Entry{Endpoint: view.Endpoint{ID: "1", Service: "s", CallCount: 2, State: view.Draining}, Alive: 2})
+	first, second := conn.Go(control.Entries, w.B), conn.Go(control.Entries, w.B)
+	var u *control.Update
+	for u = get(t, p.pushes, "the push"); len(u.Entries) == 0; u = get(t, p.pushes, "the push") {
+		p.ack(u.Number)
+	}
+	// The keeper has taken both in once it has answered a call that came behind them.
+	if _, err := conn.Call(context.Background(), control.Status, nil); err != nil {
+		t.Fatal(err)
+	}
+	for i, ch := range []<-chan link.Reply{first, second} {
+		select {
+		case <-ch:
+			t.Fatalf("word %d is acknowledged before the attached has it", i+1)
+		default:
+		}
+	}
+	p.ack(u.Number)
+	for _, ch := range []<-chan link.Reply{first, second} {
+		if reply := get(t, ch, "the acknowledgement"); reply.Err != nil {
+			t.Fatal(reply.Err)
+		}
+	}
+}
+
+// A keeper that has ended acknowledges nothing.
+func TestEndedKeeperAcknowledgesNothing(t *testing.T) {
+	k := still(t, "k1")
+	close(k.ended)
+	for range queueMost { // nobody takes commands any more
+		k.commands <- func() {}
+	}
+	beat := `{"service":"s","address":"a:1","state":"ready","call_count":1}`
+	for _, c := range [][3]string{{"PUT", "/instances/1", beat}, {"DELETE", "/instances/1", ""}, {"GET", "/status", ""}, {"GET", "/config", ""},
+		{"POST", "/retire/x", ""}, {"GET", "/retire/x", ""}} {
+		w := httptest.NewRecorder()
+		k.handler().ServeHTTP(w, httptest.NewRequest(c[0], c[1], strings.NewReader(c[2])))
+		if w.Code != 503 {
+			t.Fatalf("%s %s: %d", c[0], c[1], w.Code)
+		}
+	}
+}
+
+// Calls that wait do not hold up the end of a keeper.
+func TestEndWithCallsUnderWay(t *testing.T) {
+	r := newRig(t, 1)
+	r.wait = 2 * patience
+	r.startAll()
+	r.untilMet(0)
+	r.raw(0, "p")
+	answers := make(chan answer, 1)
+	go func() { answers <- r.beat(0, "1", "draining", 1) }()
+	until(t, "the call waits", func() bool {
+		waits, _ := ask(r.running[0].k, func() bool { return len(r.running[0].k.waiting) > 0 })
+		return waits
+	})
+	r.kill(0)
+	if a := get(t, answers, "the answer"); a.code != 503 {
+		t.Fatal(a)
+	}
+}
+
+// A keeper whose disk failed ends, and is a voter again when it starts on the disk as it was.
+func TestFailedDisk(t *testing.T) {
+	r := newRig(t, 3)
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	if a := r.put(0, 3, 0, "a"); a.code != 200 {
+		t.Fatal(a)
+	}
+	run, disk := r.running[0], r.disks[0]
+	run.k.agree.do(func() { disk.FailAt, disk.Fails = disk.Ops+1, 1<<30 })
+	r.untilCode(200, func() answer { return r.put(1, 5, 3, "b") })
+	if err := get(t, run.done, "the end of the keeper"); !record.Failed.Has(err) {
+		t.Fatal(err)
+	}
+	r.running[0] = nil
+	disk.FailAt = 0
+	r.start(0)
+	r.untilMet(0, 1, 2)
+	r.kill(1)
+	r.untilCode(200, func() answer { return r.put(2, 8, 5, "c") })
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -75,6 +75,7 @@
 	waiting  []*waiter
 	met      uint64 // counts changes of the keepers that are met
 	listens  bool   // as the attached were told last
+	told     uint64 // the list's newest change, as they were told last
 	sums     digests
 
 	linked atomic.Pointer[links] // for other goroutines
@@ -133,6 +134,7 @@
 	go func() { defer wg.Done(); _ = link.Serve(links, k, link.DefaultOptions) }()
 	go func() { defer wg.Done(); _ = server.Serve(calls) }()
 	go func() { defer wg.Done(); defer cancel(); k.agree.run(ctx) }()
+	k.agree.met() // a single keeper meets nobody
 	k.confirm()
 	k.loop(ctx)
 	close(k.ended)
@@ -237,8 +239,8 @@
 	}
 	k.wakeWaiters(now)
 	k.assign(now)
-	if listens := k.table.Listening(k.since(now)); listens != k.listens {
-		k.listens, k.dirty = listens, true
+	if k.table.Listening(k.since(now)) != k.listens || k.table.Newest() != k.told {
+		k.dirty = true
 	}
 }
 
--- a/internal/keeper/rig_test.go
+++ b/internal/keeper/rig_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -267,6 +268,42 @@
 	return w
 }
 
+// follower is an attached process of one keeper alone, which acknowledges all.
+type follower struct {
+	mu     sync.Mutex
+	states map[string]view.State
+}
+
+func (r *rig) follower(i int, name string) *follower {
+	f := &follower{states: map[string]view.State{}}
+	w := r.raw(i, name)
+	go func() {
+		for {
+			select {
+			case u := <-w.pushes:
+				f.mu.Lock()
+				for _, e := range u.Entries {
+					f.states[e.ID] = e.Shown().State
+				}
+				f.mu.Unlock()
+				w.ack(u.Number)
+			case <-w.closed:
+				return
+			}
+		}
+	}()
+	return f
+}
+
+func (f *follower) state(id string) view.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, there := f.states[id]; there {
+		return s
+	}
+	return view.Gone
+}
+
 func get[T any](t *testing.T, ch <-chan T, what string) (v T) {
 	t.Helper()
 	select {
