Control: a test of links that end before they are adopted

Change: 200 links that end while the client adopts them. No fault was found there. Result: go test -race -count=3 ./internal/control passes.

--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -1,7 +1,10 @@
 package control
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"runtime"
 	"sort"
 	"strconv"
 	"strings"
@@ -183,3 +186,37 @@
 		t.Fatal(c.candidates(0))
 	}
 }
+
+type nobody struct{}
+
+func (nobody) Message(*link.Message) {}
+func (nobody) Closed(*link.Conn)     {}
+
+// A link that ended before it was adopted is not held, whenever its end is told.
+func TestEndedBeforeAdopted(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() { _ = link.Serve(l, nobody{}, link.DefaultOptions) }()
+	c := newPlayer().c
+	for range 200 {
+		conn, err := link.Dial(context.Background(), l.Addr().String(), c, link.DefaultOptions)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go conn.Close()
+		adopted := c.adopt(conn, Node{Name: "a"})
+		<-conn.Done()
+		for held := adopted; held; {
+			c.mu.Lock()
+			held = len(c.sources) > 0
+			c.mu.Unlock()
+			runtime.Gosched()
+		}
+		if c.adopt(conn, Node{Name: "a"}) || len(c.Keepers()) != 0 {
+			t.Fatal("a link that has ended is held")
+		}
+	}
+}
