Store: dispatch goes on where it was instead of through the whole job

Cause: each message to a store looked for the next waiting item from the job's first one on, so the processor time of an item grew with the size of its job. Change: a job keeps the place before which nothing waits; what is taken back lowers it.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -559,6 +559,7 @@
 			r.from.Reply([]byte{codeUnavailable})
 		}
 		j.readers, j.committed, j.visible, j.endSeen, j.queued, j.dropping = nil, false, 0, false, false, false
+		j.next = 0
 		for i := range j.items {
 			j.items[i].by = nil
 			if j.items[i].state == itemHanded {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -99,6 +99,7 @@
 	endSeen   bool // the end is committed
 	dropping  bool
 	waiting   int // items to hand out
+	next      int // no item before this one waits
 	queued    bool
 	readers   []reader
 }
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -295,7 +295,7 @@
 	if j.ended || j.queued {
 		return
 	}
-	j.waiting = 0
+	j.waiting, j.next = 0, 0
 	for i := range j.items {
 		if j.items[i].state == itemWaiting {
 			j.waiting++
@@ -343,8 +343,11 @@
 				continue
 			}
 		}
-		for i := range j.items {
+		for i := j.next; i < len(j.items); i++ {
 			if j.items[i].state != itemWaiting {
+				if i == j.next {
+					j.next++
+				}
 				continue
 			}
 			w := c.pick()
@@ -414,6 +417,7 @@
 	if it := &j.items[k.item]; it.state == itemHanded && it.by == w {
 		it.state, it.by = itemWaiting, nil
 		j.waiting++
+		j.next = min(j.next, k.item)
 	}
 }
 
