Lab: winglab hollow measures control by size, with hollow proxies and endpoints

Cause: real processes for 400 nodes and 600 endpoints don't fit on one machine, and what control costs at that size has to be worked out from measured slopes. Change: winglab hollow on internal/lab/tier/hollow: real keepers, proxies and stores; in the lab's process hollow proxies (two held links, view, membership over UDP) and hollow endpoints (heartbeats, beat_to). Four phases a size: nothing changes, configurations, drains, a keeper's loss; processor time, memory, bytes, delays, and the least squares fit over sizes, as text and CSV. Bounded in time, ends its processes by id, stops over half of the machine's memory.

--- a/cmd/winglab/tier.go
+++ b/cmd/winglab/tier.go
@@ -35,13 +35,8 @@
 		return err
 	}
 	defer os.RemoveAll(work)
-	program := c.Program
-	if program == "" {
-		program = filepath.Join(work, "dunetide")
-		if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
-			return fmt.Errorf("building dunetide (run this inside the checkout, or give --program): %w\n%s", err, out)
-		}
-	} else if program, err = filepath.Abs(program); err != nil {
+	program, err := tierProgram(ctx, c.Program, work)
+	if err != nil {
 		return err
 	}
 	dir := filepath.Join(work, "run")
@@ -73,3 +68,15 @@
 	}
 	return nil
 }
+
+// tierProgram gives the tier's program: the one that is named, or that of this checkout, built into a folder.
+func tierProgram(ctx context.Context, named, dir string) (string, error) {
+	if named != "" {
+		return filepath.Abs(named)
+	}
+	program := filepath.Join(dir, "dunetide")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building dunetide (run this inside the checkout, or give --program): %w\n%s", err, out)
+	}
+	return program, nil
+}
--- a/internal/lab/tier/cluster/cluster.go
+++ b/internal/lab/tier/cluster/cluster.go
@@ -146,6 +146,9 @@
 // Zones names them.
 func (c *Cluster) Zones() []string { return slices.Clone(c.zones) }
 
+// InternalFirst is the first of all machines' internal ports.
+func (c *Cluster) InternalFirst() int { return c.port + portInternal }
+
 // EndpointAddress is where endpoint n of a zone may listen.
 func (c *Cluster) EndpointAddress(zone, n int) string {
 	return fmt.Sprintf("%s:%d", address(zone, 100+n), c.port+portEndpoint)
@@ -161,8 +164,8 @@
 	return out
 }
 
-// seeds are the control addresses of three machines, of as many zones as there are.
-func (c *Cluster) seeds() (out []string) {
+// Seeds are the control addresses of three machines, of as many zones as there are.
+func (c *Cluster) Seeds() (out []string) {
 	all := c.Controls()
 	for n := range c.o.Keepers {
 		for z := range c.o.Zones {
@@ -334,7 +337,7 @@
 		set("listen_on.control", p.at(portControl))
 	}
 	set("internal_ports", fmt.Sprintf("%d,%d", c.port+portInternal, c.port+portInternalLast))
-	set("seeds", strings.Join(c.seeds(), ","))
+	set("seeds", strings.Join(c.Seeds(), ","))
 	set("first_start", c.first.Load())
 	set("counts_loss", true)
 	set("limits.cpu_share", 1.0)
--- a/internal/lab/tier/cluster/process.go
+++ b/internal/lab/tier/cluster/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -133,6 +134,30 @@
 	return nil
 }
 
+// PID is that of the process that runs, 0 when it is down.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.exited == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Disk is the number of bytes in its files: its disk and its log.
+func (p *Process) Disk() (size int64, err error) {
+	return size, filepath.WalkDir(p.dir, func(_ string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		info, err := d.Info()
+		if err == nil {
+			size += info.Size()
+		}
+		return err
+	})
+}
+
 // Kill ends it at once and waits for that; it stays down until Start.
 func (p *Process) Kill() error { return p.end(syscall.SIGKILL, 0) }
 
--- /dev/null
+++ b/internal/lab/tier/hollow/endpoint.go
@@ -0,0 +1,187 @@
+package hollow
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	beatWait    = time.Second
+	largestBeat = 4 << 10 // of an answer
+)
+
+// endpoint only sends heartbeats.
+type endpoint struct {
+	id, service, address, zone string
+
+	mu       sync.Mutex
+	draining bool
+	count    uint64
+}
+
+// endpoints are all of them.
+type endpoints struct {
+	controls func() []string
+	every    time.Duration
+	client   *http.Client
+	read     atomic.Int64 // bytes on all their connections
+	written  atomic.Int64
+	writes   atomic.Int64
+	beats    atomic.Int64
+	known    atomic.Int64 // that a keeper has taken a heartbeat of
+	missed   atomic.Int64 // heartbeats that no keeper took
+	wg       sync.WaitGroup
+	cancel   context.CancelFunc
+	all      []*endpoint
+}
+
+// startEndpoints starts so many, spread over models and zones.
+func startEndpoints(n, models int, every time.Duration, zones []string, controls func() []string) *endpoints {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &endpoints{controls: controls, every: every, cancel: cancel}
+	dialer := net.Dialer{}
+	f.client = &http.Client{Timeout: beatWait, Transport: &http.Transport{MaxIdleConnsPerHost: n + 1, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &counted{c, f}, nil
+	}}}
+	life := rand.Uint32()
+	for i := range n {
+		e := &endpoint{id: fmt.Sprintf("i-%08x-%04d", life, i), service: service(i % models), address: fmt.Sprintf("127.0.%d.%d:9000", 110+i/200, 1+i%200), zone: zones[i%len(zones)]}
+		f.all = append(f.all, e)
+		f.wg.Go(func() { f.beat(ctx, e) })
+	}
+	return f
+}
+
+func (f *endpoints) close() {
+	f.cancel()
+	f.wg.Wait()
+	f.client.CloseIdleConnections()
+}
+
+// beat sends heartbeats until the context ends; the first comes at a moment of chance.
+func (f *endpoints) beat(ctx context.Context, e *endpoint) {
+	select {
+	case <-time.After(rand.N(f.every)):
+	case <-ctx.Done():
+		return
+	}
+	tick := time.NewTicker(f.every)
+	defer tick.Stop()
+	follow, known := "", false
+	for {
+		var err error
+		switch follow, err = f.register(ctx, e, follow); {
+		case err == nil && !known:
+			known = true
+			f.known.Add(1)
+		case err != nil && ctx.Err() == nil:
+			f.missed.Add(1)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// register sends one heartbeat to the first keeper that takes it, and tells where the next one goes.
+func (f *endpoints) register(ctx context.Context, e *endpoint, follow string) (string, error) {
+	addrs := f.controls()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	if follow != "" {
+		addrs = append([]string{follow}, addrs...)
+	}
+	failed := errors.New("no control address")
+	for _, a := range addrs {
+		to, err := f.put(ctx, e, a)
+		if err == nil {
+			if to == "" && a == follow {
+				to = follow
+			}
+			return to, nil
+		}
+		failed = err
+	}
+	return "", failed
+}
+
+func (f *endpoints) put(ctx context.Context, e *endpoint, addr string) (follow string, err error) {
+	e.mu.Lock()
+	e.count++
+	say := map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "capacity": 8, "state": "ready",
+		"cold_left_ms": 0, "stage": "both", "models": []map[string]any{{"name": e.service, "version": 1, "adapters": []string{}}}, "call_count": e.count}
+	if e.draining {
+		say["state"] = "draining"
+	}
+	e.mu.Unlock()
+	text, err := json.Marshal(say)
+	if err != nil {
+		return "", err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+addr+"/instances/"+e.id, bytes.NewReader(text))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, largestBeat))
+	switch {
+	case err != nil:
+		return "", err
+	case resp.StatusCode/100 != 2:
+		return "", fmt.Errorf("a heartbeat of %s at %s: %s", e.id, addr, resp.Status)
+	}
+	f.beats.Add(1)
+	var told struct {
+		BeatTo string `json:"beat_to"`
+	}
+	_ = json.Unmarshal(answer, &told) // a 2xx acknowledges it, whatever it says
+	return told.BeatTo, nil
+}
+
+// drain says that one drains, and tells when that was acknowledged.
+func (f *endpoints) drain(ctx context.Context, e *endpoint) (time.Time, error) {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	_, err := f.register(ctx, e, "")
+	return time.Now(), err
+}
+
+// counted counts a connection's bytes.
+type counted struct {
+	net.Conn
+	f *endpoints
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.f.read.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.f.written.Add(int64(n))
+	c.f.writes.Add(1)
+	return n, err
+}
--- /dev/null
+++ b/internal/lab/tier/hollow/hollow.go
@@ -0,0 +1,500 @@
+// Package hollow measures what control costs by size: real keepers and stores, with many hollow proxies
+// and endpoints that share the lab's process. A hollow proxy has a proxy's attachment to keepers, its
+// view and its place in membership, and no clients; a hollow endpoint only sends heartbeats.
+package hollow
+
+import (
+	"context"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"wingmount/internal/control"
+	"wingmount/internal/lab/tier/cluster"
+	"wingmount/internal/lab/tier/operator"
+)
+
+const (
+	settleMost  = 60 * time.Second
+	inForceMost = 12 * time.Second
+	drainMost   = 5 * time.Second
+	attachMost  = 30 * time.Second
+	putMost     = 10 * time.Second
+	drains      = 4
+	lookEvery   = 10 * time.Millisecond
+	calm        = 2 * time.Second // between phases
+	grace       = 3 * time.Second
+)
+
+// Size is how many hollow ones there are.
+type Size struct{ Proxies, Endpoints int }
+
+// Options of a measurement.
+type Options struct {
+	Program     string
+	Dir         string
+	Sizes       []Size
+	Zones       int
+	Keepers     int // a zone; as many real proxies stand beside them
+	Stores      int
+	BeatEvery   time.Duration
+	Quiet       time.Duration // measured without changes
+	Changes     int           // of the configuration
+	ChangeEvery time.Duration
+	Tenants     int
+	Models      int
+	Say         func(format string, args ...any)
+}
+
+// Figure is one thing measured at one size.
+type Figure struct {
+	Name  string
+	Unit  string
+	Value float64
+}
+
+// Report is all that was measured. The figures of all sizes have the same names in the same order.
+type Report struct {
+	Sizes   []Size
+	Figures [][]Figure // by size
+	Config  int        // bytes of a configuration
+	Load    string     // of the machine, before the first size
+}
+
+// Run measures each size with processes of its own.
+func Run(ctx context.Context, o Options) (Report, error) {
+	var out Report
+	out.Config = len(configuration(1, o.Tenants, o.Models))
+	load, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return out, err
+	}
+	out.Load = strings.TrimSpace(string(load))
+	for _, size := range o.Sizes {
+		o.Say("%d proxies, %d endpoints", size.Proxies, size.Endpoints)
+		figures, err := one(ctx, o, size)
+		if err != nil {
+			return out, fmt.Errorf("%d proxies and %d endpoints: %w", size.Proxies, size.Endpoints, err)
+		}
+		out.Sizes, out.Figures = append(out.Sizes, size), append(out.Figures, figures)
+	}
+	return out, nil
+}
+
+// rig is what runs at one size.
+type rig struct {
+	o         Options
+	cluster   *cluster.Cluster
+	proxies   *proxies
+	endpoints *endpoints
+	op        *operator.Operator
+	version   uint64
+	figures   []Figure
+}
+
+func (r *rig) note(name, unit string, value float64) {
+	r.figures = append(r.figures, Figure{name, unit, value})
+}
+
+func one(ctx context.Context, o Options, size Size) ([]Figure, error) {
+	c, err := cluster.New(cluster.Options{Program: o.Program, Dir: filepath.Join(o.Dir, fmt.Sprintf("%dx%d", size.Proxies, size.Endpoints)), Zones: o.Zones,
+		Edges: o.Keepers, Keepers: o.Keepers, Stores: o.Stores, BeatEvery: o.BeatEvery, Grace: grace, Rules: "base,drain,config,cost,recover,batch,stream,engine"})
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	r := &rig{o: o, cluster: c, op: operator.New(c.Controls)}
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	if _, _, err := r.put(ctx); err != nil {
+		return nil, err
+	}
+	r.endpoints = startEndpoints(size.Endpoints, o.Models, o.BeatEvery, c.Zones(), c.Controls)
+	defer r.endpoints.close()
+	if !await(ctx, settleMost, func() bool { return r.endpoints.known.Load() == int64(size.Endpoints) }) {
+		return nil, errors.Join(ctx.Err(), errors.New("not all endpoints were taken by a keeper"), ended(c))
+	}
+	pause(ctx, calm)
+	before := heap()
+	began := time.Now()
+	r.proxies, err = startProxies(size.Proxies, c.Zones(), control.SeedLinks(c.Seeds(), c.InternalFirst()))
+	if err != nil {
+		return nil, err
+	}
+	defer r.proxies.close()
+	if !await(ctx, settleMost, func() bool { return r.proxies.settled(size.Endpoints) }) {
+		return nil, errors.Join(ctx.Err(), errors.New("not all are attached twice with the whole list"), ended(c))
+	}
+	r.note("attached and listed after", "s", time.Since(began).Seconds())
+	pause(ctx, calm)
+	r.note("hollow proxy: heap", "KB", max(0, heap()-before)/1e3/float64(size.Proxies))
+	for _, phase := range []func(context.Context) error{r.quiet, r.changes, r.drains, r.loss} {
+		if err := phase(ctx); err != nil {
+			return nil, err
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	return r.figures, ended(c)
+}
+
+func ended(c *cluster.Cluster) error {
+	if ends := c.Ends(); len(ends) > 0 {
+		return errors.New(strings.Join(ends, "\n"))
+	}
+	return nil
+}
+
+// heap is the memory in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func await(ctx context.Context, most time.Duration, done func() bool) bool {
+	end := time.Now().Add(most)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		if done() {
+			return true
+		}
+		time.Sleep(lookEvery)
+	}
+	return false
+}
+
+// reading is what all have used at a moment.
+type reading struct {
+	at        time.Time
+	roles     map[cluster.Role][]usage
+	disks     map[cluster.Role][]int64
+	self      usage // of hollow proxies and endpoints together
+	beats     usage // the part of heartbeats in its bytes and calls
+	beatCount int64
+	views     int64
+	datagrams uint64
+	dataBytes uint64
+}
+
+func (r *rig) read() (reading, error) {
+	out := reading{at: time.Now(), roles: map[cluster.Role][]usage{}, disks: map[cluster.Role][]int64{}}
+	var total int64
+	for _, p := range r.cluster.Processes() {
+		u, err := usageOf(p.PID())
+		if err != nil {
+			return out, fmt.Errorf("%v: %w", p, err)
+		}
+		disk, err := p.Disk()
+		if err != nil {
+			return out, err
+		}
+		out.roles[p.Role], out.disks[p.Role] = append(out.roles[p.Role], u), append(out.disks[p.Role], disk)
+		total += u.rss
+	}
+	var err error
+	if out.self, err = usageOf(os.Getpid()); err != nil {
+		return out, err
+	}
+	if most := memory() / 2; most > 0 && total+out.self.rss > most {
+		return out, fmt.Errorf("%d MB are in use, over half of the machine's", (total+out.self.rss)>>20)
+	}
+	e := r.endpoints
+	out.beats = usage{read: e.read.Load(), written: e.written.Load(), writes: e.writes.Load()}
+	out.beatCount, out.views = e.beats.Load(), r.proxies.views.Load()
+	out.datagrams, out.dataBytes = r.proxies.datagrams()
+	return out, nil
+}
+
+// memory is the machine's, 0 where that isn't told.
+func memory() int64 {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	var kb int64
+	if _, err := fmt.Sscanf(string(text), "MemTotal: %d kB", &kb); err != nil {
+		return 0
+	}
+	return kb << 10
+}
+
+// spent is what the processes of a role used between two readings: the mean, and the busiest's processor time.
+func spent(a, b reading, role cluster.Role) (mean usage, busiest time.Duration) {
+	n := int64(len(a.roles[role]))
+	if n == 0 {
+		return mean, 0
+	}
+	for i, before := range a.roles[role] {
+		u := b.roles[role][i].sub(before)
+		u.written -= b.disks[role][i] - a.disks[role][i] // write(2) to files is no traffic
+		mean.cpu, mean.read, mean.written, mean.writes = mean.cpu+u.cpu, mean.read+u.read, mean.written+u.written, mean.writes+u.writes
+		mean.rss = max(mean.rss, u.rss)
+		busiest = max(busiest, u.cpu)
+	}
+	mean.cpu, mean.read, mean.written, mean.writes = mean.cpu/time.Duration(n), mean.read/n, mean.written/n, mean.writes/n
+	return mean, busiest
+}
+
+// quiet measures while nothing changes.
+func (r *rig) quiet(ctx context.Context) error {
+	a, err := r.read()
+	if err != nil {
+		return err
+	}
+	pause(ctx, r.o.Quiet)
+	b, err := r.read()
+	if err != nil {
+		return err
+	}
+	s := b.at.Sub(a.at).Seconds()
+	n := float64(len(r.proxies.all))
+	for _, role := range []cluster.Role{cluster.Keeper, cluster.Proxy, cluster.Store} {
+		u, busiest := spent(a, b, role)
+		name := string(role) + ": "
+		r.note(name+"processor, mean", "ms/s", u.cpu.Seconds()*1e3/s)
+		r.note(name+"processor, the busiest", "ms/s", busiest.Seconds()*1e3/s)
+		r.note(name+"resident, the largest", "MB", float64(u.rss)/1e6)
+		r.note(name+"received", "KB/s", float64(u.read)/1e3/s)
+		r.note(name+"sent", "KB/s", float64(u.written)/1e3/s)
+		r.note(name+"writes", "1/s", float64(u.writes)/s)
+	}
+	self, beats := b.self.sub(a.self), b.beats.sub(a.beats)
+	r.note("lab: processor, proxies and endpoints", "ms/s", self.cpu.Seconds()*1e3/s)
+	r.note("lab: resident", "MB", float64(self.rss)/1e6)
+	r.note("hollow proxy: processor, heartbeats counted in", "ms/s", self.cpu.Seconds()*1e3/s/n)
+	r.note("hollow proxy: received on links", "KB/s", float64(self.read-beats.read)/1e3/s/n)
+	r.note("hollow proxy: sent on links", "KB/s", float64(self.written-beats.written)/1e3/s/n)
+	r.note("hollow proxy: writes", "1/s", float64(self.writes-beats.writes)/s/n)
+	r.note("hollow proxy: new views", "1/s", float64(b.views-a.views)/s/n)
+	r.note("hollow proxy: datagrams sent", "1/s", float64(b.datagrams-a.datagrams)/s/n)
+	r.note("hollow proxy: datagrams sent", "KB/s", float64(b.dataBytes-a.dataBytes)/1e3/s/n)
+	r.note("heartbeats taken", "1/s", float64(b.beatCount-a.beatCount)/s)
+	r.note("a heartbeat on the wire, both ways", "B", float64(beats.read+beats.written)/max(1, float64(b.beatCount-a.beatCount)))
+	return nil
+}
+
+// put sends the next configuration, and tells how long its acknowledgement took.
+func (r *rig) put(ctx context.Context) (took time.Duration, acked time.Time, err error) {
+	ctx, cancel := context.WithTimeout(ctx, putMost)
+	defer cancel()
+	text := configuration(r.version+1, r.o.Tenants, r.o.Models)
+	began := time.Now()
+	if err := r.op.Put(ctx, r.version, text); err != nil {
+		return 0, acked, fmt.Errorf("configuration %d: %w", r.version+1, errors.Join(err, ended(r.cluster)))
+	}
+	r.version++
+	acked = time.Now()
+	return acked.Sub(began), acked, nil
+}
+
+// forget drops sightings of before.
+func (f *proxies) forget() {
+	for len(f.news) > 0 {
+		<-f.news
+	}
+}
+
+// seen waits until all have seen something, and tells when each did; the last ones may be missing.
+func (f *proxies) seen(ctx context.Context, most time.Duration, is func(sighting) bool) (at []time.Time) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	for len(at) < len(f.all) {
+		select {
+		case s := <-f.news:
+			if is(s) {
+				at = append(at, s.at)
+			}
+		case <-t.C:
+			return at
+		case <-ctx.Done():
+			return at
+		}
+	}
+	return at
+}
+
+// delays are those after a moment, 0 for what came before.
+func delays(from time.Time, at []time.Time) (out []float64) {
+	for _, t := range at {
+		out = append(out, max(0, t.Sub(from).Seconds()*1e3))
+	}
+	return out
+}
+
+func median(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	s := slices.Sorted(slices.Values(v))
+	return s[len(s)/2]
+}
+
+func worst(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	return slices.Max(v)
+}
+
+// changes changes the configuration at a pace.
+func (r *rig) changes(ctx context.Context) error {
+	quiet, err := r.read()
+	if err != nil {
+		return err
+	}
+	pause(ctx, calm)
+	a, err := r.read()
+	if err != nil {
+		return err
+	}
+	r.proxies.forget()
+	var acks, after, whole []float64
+	missing := 0
+	for range r.o.Changes {
+		began := time.Now()
+		took, acked, err := r.put(ctx)
+		if err != nil {
+			return err
+		}
+		version := r.version
+		at := r.proxies.seen(ctx, inForceMost, func(s sighting) bool { return s.version == version })
+		missing += len(r.proxies.all) - len(at)
+		acks, after, whole = append(acks, took.Seconds()*1e3), append(after, delays(acked, at)...), append(whole, worst(delays(began, at)))
+		pause(ctx, time.Until(began.Add(r.o.ChangeEvery)))
+	}
+	pause(ctx, calm/2) // what follows on a change
+	b, err := r.read()
+	if err != nil {
+		return err
+	}
+	// What a change costs: beyond what the same time costs without any.
+	over := func(read func(reading, reading) float64) float64 {
+		rest := read(quiet, a) * b.at.Sub(a.at).Seconds() / a.at.Sub(quiet.at).Seconds()
+		return max(0, read(a, b)-rest) / float64(r.o.Changes)
+	}
+	r.note("change: acknowledged after, median", "ms", median(acks))
+	r.note("change: acknowledged after, worst", "ms", worst(acks))
+	r.note("change: in force after the 200, median", "ms", median(after))
+	r.note("change: in force after the 200, worst", "ms", worst(after))
+	r.note("change: in force at all after it was sent, worst", "ms", worst(whole))
+	r.note("change: not seen in force", "", float64(missing))
+	for _, role := range []cluster.Role{cluster.Keeper, cluster.Proxy, cluster.Store} {
+		name := "change: a " + string(role) + "'s "
+		r.note(name+"processor", "ms", over(func(a, b reading) float64 { u, _ := spent(a, b, role); return u.cpu.Seconds() * 1e3 }))
+		r.note(name+"received", "KB", over(func(a, b reading) float64 { u, _ := spent(a, b, role); return float64(u.read) / 1e3 }))
+		r.note(name+"sent", "KB", over(func(a, b reading) float64 { u, _ := spent(a, b, role); return float64(u.written) / 1e3 }))
+	}
+	u, _ := spent(a, b, cluster.Keeper)
+	r.note("change: a keeper's resident, the largest", "MB", float64(u.rss)/1e6)
+	n := float64(len(r.proxies.all))
+	r.note("change: a hollow proxy's processor", "ms", over(func(a, b reading) float64 { return b.self.sub(a.self).cpu.Seconds() * 1e3 })/n)
+	r.note("change: a hollow proxy's received", "KB", over(func(a, b reading) float64 {
+		return float64(b.self.sub(a.self).read-b.beats.sub(a.beats).read) / 1e3
+	})/n)
+	return nil
+}
+
+// drains has endpoints say that they drain.
+func (r *rig) drains(ctx context.Context) error {
+	var after []float64
+	missing := 0
+	for i := range min(drains, len(r.endpoints.all)) {
+		e := r.endpoints.all[i*len(r.endpoints.all)/drains]
+		r.proxies.watch.Store(&leaving{e.service, e.id})
+		r.proxies.forget()
+		acked, err := r.endpoints.drain(ctx, e)
+		if err != nil {
+			return err
+		}
+		at := r.proxies.seen(ctx, drainMost, func(s sighting) bool { return s.left == e.id })
+		missing += len(r.proxies.all) - len(at)
+		after = append(after, delays(acked, at)...)
+		pause(ctx, calm/4)
+	}
+	r.proxies.watch.Store(nil)
+	r.note("drain: known after its acknowledgement, median", "ms", median(after))
+	r.note("drain: known after its acknowledgement, worst", "ms", worst(after))
+	r.note("drain: not known", "", float64(missing))
+	return nil
+}
+
+// loss kills a keeper.
+func (r *rig) loss(ctx context.Context) error {
+	if err := r.cluster.Find(cluster.Keeper, 0).Kill(); err != nil {
+		return err
+	}
+	began := time.Now()
+	all := len(r.proxies.all)
+	await(ctx, calm, func() bool { return r.proxies.attachedTwice() < all })
+	if !await(ctx, attachMost, func() bool { return r.proxies.attachedTwice() == all }) {
+		r.o.Say("%d of %d are attached twice %v after a keeper's loss", r.proxies.attachedTwice(), all, attachMost)
+	}
+	r.note("keeper lost: all attached twice after", "s", time.Since(began).Seconds())
+	r.note("heartbeats that nobody took", "", float64(r.endpoints.missed.Load()))
+	return nil
+}
+
+// Print writes the figures and their slopes for people.
+func (r Report) Print(w io.Writer) error {
+	fmt.Fprintf(w, "configurations of %d bytes; load of the machine before: %s\n\n", r.Config, r.Load)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, row := range r.rows() {
+		fmt.Fprintln(t, strings.Join(row, "\t")+"\t")
+	}
+	return t.Flush()
+}
+
+// CSV writes the same as values separated by commas.
+func (r Report) CSV(w io.Writer) error {
+	out := csv.NewWriter(w)
+	if err := out.WriteAll(r.rows()); err != nil {
+		return err
+	}
+	return out.Error()
+}
+
+func (r Report) rows() (rows [][]string) {
+	head := []string{"figure", "unit"}
+	for _, s := range r.Sizes {
+		head = append(head, fmt.Sprintf("%dx%d", s.Proxies, s.Endpoints))
+	}
+	rows = append(rows, append(head, "at nothing", "a proxy", "an endpoint"))
+	if len(r.Figures) == 0 {
+		return rows
+	}
+	short := func(v float64) string { return strconv.FormatFloat(v, 'g', 4, 64) }
+	for i, f := range r.Figures[0] {
+		row, values := []string{f.Name, f.Unit}, []float64{}
+		for _, figures := range r.Figures {
+			row, values = append(row, short(figures[i].Value)), append(values, figures[i].Value)
+		}
+		if fit, ok := fitOf(r.Sizes, values); ok {
+			row = append(row, short(fit.Base), short(fit.Proxy), short(fit.Endpoint))
+		} else {
+			row = append(row, "", "", "")
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/lab/tier/hollow/proxy.go
@@ -0,0 +1,156 @@
+package hollow
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wingmount/internal/control"
+	"wingmount/internal/membership"
+	"wingmount/internal/view"
+)
+
+// startEvery is between the starts of proxies.
+const startEvery = 10 * time.Millisecond
+
+// proxy is attached to keepers and has its place in membership as a proxy has; it serves nobody.
+type proxy struct {
+	client  *control.Client
+	members *membership.Service
+	holder  view.Holder
+	fleet   *proxies
+	// version and left are what was seen last, so that each is told once.
+	version uint64
+	left    string
+}
+
+// proxies are all of them, and what they see.
+type proxies struct {
+	wg     sync.WaitGroup
+	cancel context.CancelFunc
+	all    []*proxy
+	views  atomic.Int64 // snapshots that were made
+	watch  atomic.Pointer[leaving]
+	news   chan sighting
+}
+
+// leaving is the endpoint whose end is looked for.
+type leaving struct{ service, id string }
+
+// sighting tells that one proxy has a configuration in force, or knows that an endpoint leaves.
+type sighting struct {
+	at      time.Time
+	version uint64
+	left    string
+}
+
+// startProxies starts so many, spread over the zones, each with an address of its own.
+func startProxies(n int, zones, seeds []string) (*proxies, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &proxies{cancel: cancel, news: make(chan sighting, 16*(n+1))}
+	for i := range n {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 100+byte(i/200), 1+byte(i%200))})
+		if err != nil {
+			f.close()
+			return nil, err
+		}
+		p := &proxy{fleet: f}
+		zone, life := zones[i%len(zones)], uint64(time.Now().UnixNano())
+		name := "hollow-" + conn.LocalAddr().String()
+		p.members, err = membership.Start(ctx, conn, membership.Options{Self: membership.Peer{Name: name, Role: control.RoleProxy, Zone: zone,
+			Addr: conn.LocalAddr().String(), Life: life}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}, seeds)
+		if err != nil {
+			_ = conn.Close()
+			f.close()
+			return nil, err
+		}
+		p.client = control.NewClient(control.ClientOptions{Self: control.Node{Name: name, Role: control.RoleProxy, Zone: zone, Life: life},
+			Seeds: seeds, Known: p.keepers, Endpoints: true, Holder: &p.holder, Changed: p.changed, Log: hclog.NewNullLogger()})
+		f.all = append(f.all, p)
+		f.wg.Go(func() { p.client.Run(ctx) })
+		time.Sleep(startEvery) // they share processors that real ones would not
+	}
+	return f, nil
+}
+
+func (f *proxies) close() {
+	f.cancel()
+	f.wg.Wait()
+	for _, p := range f.all {
+		<-p.members.Done()
+	}
+}
+
+func (p *proxy) keepers() (nodes []control.Node) {
+	for _, k := range p.members.Keepers() {
+		nodes = append(nodes, control.Node{Name: k.Name, Role: control.RoleKeeper, Zone: k.Zone, Addr: k.Addr, Life: k.Life})
+	}
+	return nodes
+}
+
+// changed is called one snapshot at a time.
+func (p *proxy) changed(s *view.Snapshot) {
+	p.fleet.views.Add(1)
+	saw := sighting{at: time.Now()}
+	if s.Config != nil && s.Config.Version > p.version {
+		p.version, saw.version = s.Config.Version, s.Config.Version
+	}
+	if w := p.fleet.watch.Load(); w != nil && p.left != w.id && s.Listed {
+		list := s.Endpoints[w.service]
+		at, there := slices.BinarySearchFunc(list, w.id, func(e *view.Endpoint, id string) int { return strings.Compare(e.ID, id) })
+		if !there || list[at].State != view.Ready {
+			p.left, saw.left = w.id, w.id
+		}
+	}
+	if saw.version == 0 && saw.left == "" {
+		return
+	}
+	select {
+	case p.fleet.news <- saw:
+	default: // nobody looks: it is counted as not seen
+	}
+}
+
+// settled tells whether all are attached twice and know as many endpoints as there are.
+func (f *proxies) settled(endpoints int) bool {
+	for _, p := range f.all {
+		s := p.holder.Get()
+		if len(p.client.Keepers()) < 2 || s == nil || !s.Listed || s.Config == nil {
+			return false
+		}
+		n := 0
+		for _, list := range s.Endpoints {
+			n += len(list)
+		}
+		if n != endpoints {
+			return false
+		}
+	}
+	return true
+}
+
+// attachedTwice counts those that hold two links.
+func (f *proxies) attachedTwice() (n int) {
+	for _, p := range f.all {
+		if len(p.client.Keepers()) >= 2 {
+			n++
+		}
+	}
+	return n
+}
+
+// datagrams are the membership messages sent so far.
+func (f *proxies) datagrams() (n, size uint64) {
+	for _, p := range f.all {
+		s := p.members.Stats()
+		n, size = n+s.Sent, size+s.SentBytes
+	}
+	return n, size
+}
