--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -51,6 +51,9 @@
 	table   *view.Table
 	senders int
 	epoch   uint64 // of snapshots
+	// merged is the list of endpoints in the newest snapshot, which shares it, and whether it is whole.
+	merged map[string][]*view.Endpoint
+	listed bool
 }
 
 // source is one keeper's word.
@@ -185,7 +188,7 @@
 	}
 	s.node = node
 	c.sources[conn] = s
-	c.rebuild()
+	c.rebuild(true)
 	c.o.Log.Info("keeper attached", "keeper", node.Name)
 	return true
 }
@@ -202,7 +205,7 @@
 	if s.whole && s.listed {
 		c.stale = s
 	}
-	c.rebuild()
+	c.rebuild(true)
 }
 
 // Message takes a push in and acknowledges it once it is in force.
@@ -229,8 +232,7 @@
 		s = &source{entries: map[string]registry.Entry{}}
 		m.Conn.Tag.Store(s)
 	}
-	c.take(s, u, config)
-	c.rebuild()
+	c.rebuild(c.take(s, u, config))
 	c.mu.Unlock()
 	w := link.Writer{}
 	w.U64(u.Number)
@@ -246,7 +248,8 @@
 	return c.config.Version
 }
 
-func (c *Client) take(s *source, u *Update, config *operator.Config) {
+// take takes a push in, and tells whether it may change the list of endpoints.
+func (c *Client) take(s *source, u *Update, config *operator.Config) (endpoints bool) {
 	if config != nil && (c.config == nil || config.Version > c.config.Version) {
 		c.config = config
 	}
@@ -259,6 +262,7 @@
 	if u.Keepers != nil {
 		c.keepers = u.Keepers
 	}
+	endpoints = u.Whole || len(u.Entries) > 0 || s.listed != u.Listed
 	if u.Whole {
 		s.entries = map[string]registry.Entry{}
 		s.whole = true
@@ -283,28 +287,41 @@
 			}
 		}
 	}
+	return endpoints
 }
 
-// rebuild makes the snapshot anew. An endpoint is there as long as one attached keeper that has
+// rebuild makes the snapshot anew. Where the list of endpoints can't have changed, it has that of the one
+// before: most pushes in a start of all are about something else, and the list is long.
+func (c *Client) rebuild(endpoints bool) {
+	if endpoints || c.merged == nil {
+		c.merge()
+	}
+	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: c.listed, Endpoints: c.merged}
+	c.o.Holder.Set(snap)
+	if c.o.Changed != nil {
+		c.o.Changed(snap)
+	}
+}
+
+// merge makes one list of what the keepers tell. An endpoint is there as long as one attached keeper that has
 // heard a whole round holds it; a drain or an end counts whoever said it.
-func (c *Client) rebuild() {
-	listed := false
+func (c *Client) merge() {
+	c.listed = false
 	var from []*source
 	for _, s := range c.sources {
 		if s.whole && s.listed {
-			listed = true
+			c.listed = true
 		}
 		if s.whole {
 			from = append(from, s)
 		}
 	}
-	if listed {
+	if c.listed {
 		c.stale = nil
 	} else if c.stale != nil {
 		from = append(from, c.stale)
-		listed = true
+		c.listed = true
 	}
-	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: listed, Endpoints: map[string][]*view.Endpoint{}}
 	newest := map[string]registry.Entry{}
 	for _, s := range from {
 		for id, e := range s.entries {
@@ -313,6 +330,7 @@
 			}
 		}
 	}
+	c.merged = map[string][]*view.Endpoint{} // the one before is shared
 	for id, e := range newest {
 		if said := c.said[id]; said.state > e.State {
 			e.State = said.state
@@ -321,15 +339,11 @@
 			continue
 		}
 		endpoint := e.Endpoint
-		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], &endpoint)
+		c.merged[e.Service] = append(c.merged[e.Service], &endpoint)
 	}
-	for _, list := range snap.Endpoints {
+	for _, list := range c.merged {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
-	c.o.Holder.Set(snap)
-	if c.o.Changed != nil {
-		c.o.Changed(snap)
-	}
 }
 
 // Report sends a call to an attached keeper, one after the other until one takes it.
--- /dev/null
+++ b/internal/control/merge_test.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wingmount/internal/link"
+	"wingmount/internal/registry"
+	"wingmount/internal/view"
+)
+
+// pushing is a keeper that says what the test has it say.
+// It takes one link, as a client wants another keeper for its second one.
+type pushing struct {
+	once  sync.Once
+	conns chan *link.Conn
+}
+
+func (p *pushing) Message(m *link.Message) {
+	if m.Kind != Hello {
+		return
+	}
+	first := false
+	p.once.Do(func() {
+		first = true
+		var w link.Writer
+		Node{Name: "k", Role: RoleKeeper}.Append(&w)
+		m.Reply(w.B)
+		p.conns <- m.Conn
+	})
+	if !first {
+		m.Fail("one link is enough")
+	}
+}
+
+func (p *pushing) Closed(*link.Conn) {}
+
+// The list of endpoints is made anew only when it may have changed, and one that was shared never changes.
+func TestTheListIsKeptWhileOtherThingsChange(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	keeper := &pushing{conns: make(chan *link.Conn, 1)}
+	go func() { _ = link.Serve(l, keeper, link.DefaultOptions) }()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	seen := make(chan *view.Snapshot, 64)
+	c := NewClient(ClientOptions{Self: Node{Name: "p", Role: RoleProxy}, Seeds: []string{l.Addr().String()}, Endpoints: true, Holder: &view.Holder{},
+		Changed: func(s *view.Snapshot) { seen <- s }, Log: hclog.NewNullLogger()})
+	ended := make(chan struct{})
+	go func() { defer close(ended); c.Run(ctx) }()
+	defer func() { cancel(); <-ended }()
+	conn := <-keeper.conns
+	await := func(what string, is func(*view.Snapshot) bool) *view.Snapshot {
+		t.Helper()
+		late := time.After(10 * time.Second)
+		for {
+			select {
+			case s := <-seen:
+				if is(s) {
+					return s
+				}
+			case <-late:
+				t.Fatalf("no snapshot with %s", what)
+			}
+		}
+	}
+	push := func(u Update) {
+		if err := conn.Send(Push, u.Encode()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	entry := func(id string, count uint64, state view.State) registry.Entry {
+		return registry.Entry{Endpoint: view.Endpoint{ID: id, Service: "s", Address: id + ":1", State: state, CallCount: count}, Alive: count}
+	}
+	same := func(a, b *view.Snapshot) bool {
+		return reflect.ValueOf(a.Endpoints).Pointer() == reflect.ValueOf(b.Endpoints).Pointer()
+	}
+
+	push(Update{Number: 1, Whole: true, Listed: true, Senders: 1, Entries: []registry.Entry{entry("a", 1, view.Ready)}})
+	one := await("the first endpoint", func(s *view.Snapshot) bool { return s.Listed && len(s.Endpoints["s"]) == 1 })
+	push(Update{Number: 2, Listed: true, Senders: 7})
+	two := await("seven senders", func(s *view.Snapshot) bool { return s.Senders == 7 })
+	if !two.Listed || !same(one, two) {
+		t.Error("the list was made anew though nothing of it changed")
+	}
+	push(Update{Number: 3, Listed: true, Entries: []registry.Entry{entry("b", 1, view.Ready), entry("a", 2, view.Draining)}})
+	three := await("two endpoints", func(s *view.Snapshot) bool { return len(s.Endpoints["s"]) == 2 })
+	if three.Senders != 7 || three.Endpoints["s"][0].State != view.Draining {
+		t.Errorf("%d senders, %+v", three.Senders, three.Endpoints["s"][0])
+	}
+	if len(two.Endpoints["s"]) != 1 || two.Endpoints["s"][0].State != view.Ready {
+		t.Error("a shared list changed")
+	}
+	push(Update{Number: 4, Listed: true, Entries: []registry.Entry{entry("a", 2, view.Gone)}})
+	await("one endpoint left", func(s *view.Snapshot) bool { return len(s.Endpoints["s"]) == 1 && s.Endpoints["s"][0].ID == "b" })
+	push(Update{Number: 5, Listed: false})
+	await("a list that is not whole", func(s *view.Snapshot) bool { return !s.Listed })
+	push(Update{Number: 6, Whole: true, Listed: true, Entries: []registry.Entry{entry("c", 1, view.Ready)}})
+	await("another whole list", func(s *view.Snapshot) bool {
+		return s.Listed && len(s.Endpoints["s"]) == 1 && s.Endpoints["s"][0].ID == "c"
+	})
+}
