Keeper: one that met the voters too early asks for the registers

Cause: keepers tell what they know when they meet, and what is decided later goes to voters, and to the others only where an operator's call decided it. A keeper that met the first voters before they knew of each other never heard of register lots. Change: who knows nothing of a register asks the keepers that are met, with a disk or without, every 300 ms.

--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -336,11 +336,16 @@
 
 // join proposes this keeper as a voter where it is none.
 func (a *agreement) join(name string) {
-	if a.id == 0 || a.joining[name] || time.Since(a.tried[name]) < 300*time.Millisecond {
+	if a.joining[name] || time.Since(a.tried[name]) < 300*time.Millisecond {
 		return
 	}
 	s, ok := a.regs[name].State()
 	if !ok {
+		a.tried[name] = time.Now()
+		a.askMet(name)
+		return
+	}
+	if a.id == 0 {
 		return
 	}
 	for _, v := range s.Voters {
@@ -373,6 +378,24 @@
 	})
 }
 
+// askMet asks the keepers that are met for a register that nothing is known of. They told what they knew when they were
+// met; what was decided since goes to the voters only.
+func (a *agreement) askMet(name string) {
+	a.k.do(func() {
+		var met []agree.Voter
+		for _, p := range a.k.peers {
+			if p.conn != nil {
+				met = append(met, agree.Voter{ID: p.node.ID, Name: p.node.Name, Addr: p.node.Addr})
+			}
+		}
+		a.do(func() {
+			for _, v := range met {
+				a.regs[name].Ask(a.now(), v)
+			}
+		})
+	})
+}
+
 // metIDs are the identities of keepers that are met, or were until a moment ago.
 func (k *Keeper) metIDs() map[uint64]bool {
 	met := map[uint64]bool{k.agree.id: true}
--- /dev/null
+++ b/internal/keeper/learn_test.go
@@ -0,0 +1,69 @@
+package keeper
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wingmount/internal/journal"
+	"wingmount/internal/settings"
+)
+
+// A keeper that met the first voters before they knew of each other hears of all registers, with a disk and
+// without: whoever has a duty or relays a call needs to know them, and nobody else would tell.
+func TestWhoMetTheVotersTooEarlyLearnsTheRegisters(t *testing.T) {
+	const first = "127.0.40.1"
+	l, err := net.Listen("tcp4", first+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := l.Addr().(*net.TCPAddr).Port
+	_ = l.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 3)
+	started := 0
+	defer func() {
+		cancel()
+		for range started {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	start := func(name, ip string, disk bool) *Keeper {
+		o := Options{Settings: &settings.Settings{NodeName: name, IP: ip, Zone: "z", Control: net.JoinHostPort(ip, strconv.Itoa(port+1)),
+			InternalFirst: port, InternalLast: port, Seeds: []string{net.JoinHostPort(first, strconv.Itoa(port+1))}, FirstStart: true, BeatEveryMs: 1200},
+			Log: hclog.NewNullLogger()}
+		if disk {
+			o.Folder = journal.Dir(t.TempDir())
+		}
+		k, err := New(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		started++
+		go func() { ended <- k.Run(ctx) }()
+		return k
+	}
+	// The seed knows itself for the first voter when it meets somebody, and by then has said what it knew.
+	late := []*Keeper{start("b", "127.0.40.2", true), start("c", "127.0.40.3", false)}
+	start("a", first, true)
+	knows := func(k *Keeper) int {
+		k.agree.mu.Lock()
+		defer k.agree.mu.Unlock()
+		return len(k.agree.states)
+	}
+	end := time.Now().Add(10 * time.Second)
+	for _, k := range late {
+		for knows(k) < len(registerNames) {
+			if time.Now().After(end) {
+				t.Fatalf("%s knows %d of %d registers", k.self.Name, knows(k), len(registerNames))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
