Control: a configuration that both keepers push at once is read once

Change: the second push waits for the first one's reading and finds the version there. TestAConfigurationIsReadOnce reads twice without the lock.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -40,7 +40,11 @@
 // Client attaches a process to keepers and holds what they push. What it knows never goes back
 // within its life.
 type Client struct {
-	o ClientOptions
+	o     ClientOptions
+	parse func([]byte) (*operator.Config, error)
+	// reading is held while a configuration is read and taken in: both keepers push it at once, and reading it
+	// takes long.
+	reading sync.Mutex
 
 	mu      sync.Mutex
 	sources map[*link.Conn]*source
@@ -71,7 +75,7 @@
 
 // NewClient returns a client that is not attached yet; Run attaches it.
 func NewClient(o ClientOptions) *Client {
-	return &Client{o: o, sources: map[*link.Conn]*source{}, said: map[string]saying{}}
+	return &Client{o: o, parse: operator.Parse, sources: map[*link.Conn]*source{}, said: map[string]saying{}}
 }
 
 // Run keeps the process attached until the context ends.
@@ -221,9 +225,13 @@
 		return
 	}
 	var config *operator.Config
-	if u.Config != nil && (c.version() < u.Version) {
-		if config, err = operator.Parse(u.Config); err != nil {
-			c.o.Log.Error("configuration unreadable", "version", u.Version, "err", err)
+	if u.Config != nil {
+		c.reading.Lock()
+		defer c.reading.Unlock()
+		if c.version() < u.Version {
+			if config, err = c.parse(u.Config); err != nil {
+				c.o.Log.Error("configuration unreadable", "version", u.Version, "err", err)
+			}
 		}
 	}
 	c.mu.Lock()
--- a/internal/control/merge_test.go
+++ b/internal/control/merge_test.go
@@ -5,12 +5,14 @@
 	"net"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"wingmount/internal/link"
+	"wingmount/internal/operator"
 	"wingmount/internal/registry"
 	"wingmount/internal/view"
 )
@@ -109,3 +111,35 @@
 		return s.Listed && len(s.Endpoints["s"]) == 1 && s.Endpoints["s"][0].ID == "c"
 	})
 }
+
+// A configuration that two keepers push at once is read once.
+func TestAConfigurationIsReadOnce(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := NewClient(ClientOptions{Self: Node{Name: "p", Role: RoleProxy}, Holder: &view.Holder{}, Log: hclog.NewNullLogger()})
+	var read atomic.Int64
+	c.parse = func([]byte) (*operator.Config, error) {
+		read.Add(1)
+		time.Sleep(100 * time.Millisecond) // the other push comes meanwhile
+		return &operator.Config{Version: 3}, nil
+	}
+	keeper := &pushing{conns: make(chan *link.Conn, 1)}
+	go func() { _ = link.Serve(l, keeper, link.DefaultOptions) }()
+	u := Update{Number: 1, Whole: true, Listed: true, Config: []byte("{}"), Version: 3}
+	var wg sync.WaitGroup
+	for range 2 {
+		conn, err := link.Dial(t.Context(), l.Addr().String(), c, link.DefaultOptions)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		wg.Go(func() { c.Message(&link.Message{Conn: conn, Kind: Push, Body: u.Encode()}) })
+	}
+	wg.Wait()
+	if n := read.Load(); n != 1 || c.o.Holder.Get().Config.Version != 3 {
+		t.Errorf("it was read %d times", n)
+	}
+}
