--- a/internal/lab/tier/hollow/hollow_test.go
+++ b/internal/lab/tier/hollow/hollow_test.go
@@ -109,3 +109,14 @@
 		t.Errorf("%v\n%s", err, table.String())
 	}
 }
+
+// BenchmarkParse is what a process spends on reading a configuration of 230 tenants and 22 models.
+func BenchmarkParse(b *testing.B) {
+	text := configuration(1, 230, 22)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := operator.Parse(text); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
