--- a/internal/keeper/faults_test.go
+++ b/internal/keeper/faults_test.go
@@ -421,3 +421,19 @@
 	for m := get(t, far.messages, "the question"); m.Kind != control.Agree; m = get(t, far.messages, "the question") {
 	}
 }
+
+// A keeper's list of attached processes may come before it is known who dialled: it counts from then on.
+func TestAttachedBeforeAdopted(t *testing.T) {
+	k := still(t, "k1")
+	conns, _ := wires(t, 1)
+	w := link.Writer{}
+	control.AppendNodes(&w, []control.Node{{Name: "s", Role: control.RoleStore, ID: 9, Addr: "127.0.0.1:3", Zone: "z"}})
+	k.message(&link.Message{Conn: conns[0], Kind: control.Attached, Body: w.B})
+	if n := len(k.stores()); n != 0 {
+		t.Fatalf("%d stores by the word of one who is not known", n)
+	}
+	k.meeting(conns[0], control.Node{Name: "k2", Role: control.RoleKeeper, ID: 7, Life: 1}, true)
+	if _, there := k.stores()[9]; !there {
+		t.Error("the store that was told of before is not known")
+	}
+}
