Certified nodes: the agreed document, the gate before each send, the chained record

Cause: users need regulated work to go only to endpoints certified for its regime.

Change: register certificates with PUT/GET /certificates, pushed with the updates; proxies ask keepers again and again whether theirs are the newest (a read by majority that begins after the question) and treat nobody as certified once no answer is younger than drain_ms. dispatch filters by the request's regime; forward asks once more right before it writes, and refuses with X-Dunetide-Reason. Each regulated run is handed to f+1 stores, which append it to a chained audit.log; dunetide audit reads it offline. keeper's documents share put and get.

--- /dev/null
+++ b/cmd/dunetide/audit.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"wingmount/internal/audit"
+)
+
+type auditCmd struct {
+	Files  []string      `arg:"" name:"file" help:"Files of stores: audit.log and audit-N.log, of as many stores as there are." type:"existingfile"`
+	CSV    bool          `help:"Write the rows as CSV to standard output, and what is wrong to standard error."`
+	Within time.Duration `default:"2s" help:"The time in which a withdrawal is in force everywhere: drain_ms of the deployment. 0: not checked."`
+}
+
+// Run reads the files and tells what is wrong with them or with the runs in them.
+func (c auditCmd) Run() error {
+	r, err := audit.Files(c.Files, audit.Options{Within: c.Within})
+	if err != nil {
+		return errUsage.Wrap(err)
+	}
+	if c.CSV {
+		if err := r.WriteCSV(os.Stdout); err != nil {
+			return err
+		}
+		err = r.WriteProblems(os.Stderr)
+	} else {
+		err = r.WriteText(os.Stdout)
+	}
+	if err == nil && len(r.Problems) > 0 {
+		err = fmt.Errorf("%d problems in the record of regulated runs", len(r.Problems))
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/dunetide/certify.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"wingmount/internal/certify"
+)
+
+type certifyCmd struct {
+	Put      certifyPutCmd      `cmd:"" help:"Put a whole document of certificates in force."`
+	Get      certifyGetCmd      `cmd:"" help:"Write the newest document to standard output."`
+	Withdraw certifyWithdrawCmd `cmd:"" help:"Take the certificates of an endpoint away, at once."`
+}
+
+// keeperAddress is where a keeper is called.
+type keeperAddress struct {
+	Control string `required:"" help:"A keeper's control address (host:port)."`
+}
+
+const (
+	certifyWait = 10 * time.Second
+	// withdrawTries is how often a withdrawal begins anew as another document came between.
+	withdrawTries = 10
+)
+
+func readCertificates(path string) (*certify.Set, []byte, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, errUsage.Wrap(err)
+	}
+	s, err := certify.Parse(b)
+	if err != nil {
+		return nil, nil, errUsage.New("%s: %w", path, err)
+	}
+	return s, b, nil
+}
+
+var errOtherVersion = errors.New("another version is in place")
+
+// call makes a call about certificates and answers its body.
+func (k keeperAddress) call(ctx context.Context, method string, base uint64, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+k.Control+"/certificates", bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, errUsage.Wrap(err)
+	}
+	if method == http.MethodPut {
+		req.Header.Set("If-Match", strconv.FormatUint(base, 10))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("no clear answer from %s; repeat the same command, there or at another keeper: %w", k.Control, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, certify.DocumentMost))
+	return resp.StatusCode, b, err
+}
+
+// newest reads the newest document; nil: there is none.
+func (k keeperAddress) newest(ctx context.Context) (*certify.Set, error) {
+	status, b, err := k.call(ctx, http.MethodGet, 0, nil)
+	switch {
+	case err != nil:
+		return nil, err
+	case status == http.StatusNotFound:
+		return nil, nil
+	case status != http.StatusOK:
+		return nil, refusal(status, b)
+	}
+	return certify.Parse(b)
+}
+
+func refusal(status int, b []byte) error {
+	var said struct{ Error string }
+	_ = json.Unmarshal(b, &said) // what isn't ours is told as it is
+	if said.Error == "" {
+		said.Error = string(b)
+	}
+	err := fmt.Errorf("the keeper answered %d: %s", status, said.Error)
+	if status == http.StatusPreconditionFailed {
+		err = errors.Join(errOtherVersion, err)
+	}
+	return err
+}
+
+func (k keeperAddress) put(ctx context.Context, base uint64, body []byte) error {
+	status, b, err := k.call(ctx, http.MethodPut, base, body)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return refusal(status, b)
+	}
+	var said struct {
+		Version  uint64 `json:"version"`
+		InForce  bool   `json:"in_force"`
+		WithinMs int64  `json:"within_ms"`
+	}
+	if err := json.Unmarshal(b, &said); err != nil {
+		return fmt.Errorf("the keeper's answer can't be read: %w", err)
+	}
+	if said.InForce {
+		fmt.Printf("version %d is in force at all processes that are attached\n", said.Version)
+		return nil
+	}
+	fmt.Printf("version %d is agreed; some processes have not acknowledged it yet: where an earlier version was in force, they use it no longer than %d ms from now\n",
+		said.Version, said.WithinMs)
+	return nil
+}
+
+type certifyPutCmd struct {
+	keeperAddress
+	File string  `arg:"" help:"The certificates, as JSON." type:"path"`
+	Base *uint64 `help:"The version that it builds on, 0 for the first; without it, the newest."`
+}
+
+func (c certifyPutCmd) Run() error {
+	_, body, err := readCertificates(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), certifyWait)
+	defer cancel()
+	base := uint64(0)
+	if c.Base != nil {
+		base = *c.Base
+	} else if s, err := c.newest(ctx); err != nil {
+		return err
+	} else if s != nil {
+		base = s.Version
+	}
+	return c.put(ctx, base, body)
+}
+
+type certifyGetCmd struct{ keeperAddress }
+
+func (c certifyGetCmd) Run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), certifyWait)
+	defer cancel()
+	s, err := c.newest(ctx)
+	if err != nil {
+		return err
+	}
+	if s == nil {
+		return errors.New("no certificates were ever put: nothing is regulated")
+	}
+	_, err = os.Stdout.Write(s.Raw)
+	return err
+}
+
+type certifyWithdrawCmd struct {
+	keeperAddress
+	Endpoint string `arg:"" help:"The incarnation's id."`
+	Regime   string `help:"Only this regime's; without it, all of the endpoint's."`
+}
+
+func (c certifyWithdrawCmd) Run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), certifyWait)
+	defer cancel()
+	for try := range withdrawTries {
+		s, err := c.newest(ctx)
+		if err != nil {
+			return err
+		}
+		if s == nil {
+			return errors.New("no certificates were ever put: nothing is regulated")
+		}
+		next, n := s.Without(c.Endpoint, c.Regime)
+		if n == 0 {
+			if try == 0 {
+				return fmt.Errorf("version %d has no such certificate of %s: see dunetide certify get", s.Version, c.Endpoint)
+			}
+			fmt.Printf("version %d, which came meanwhile, has none of %s\n", s.Version, c.Endpoint)
+			return nil
+		}
+		body, err := json.MarshalIndent(next, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := c.put(ctx, s.Version, body); !errors.Is(err, errOtherVersion) {
+			return err
+		}
+	}
+	return fmt.Errorf("other documents came between %d times: try again", withdrawTries)
+}
--- a/cmd/dunetide/check.go
+++ b/cmd/dunetide/check.go
@@ -10,8 +10,9 @@
 )
 
 type checkCmd struct {
-	Settings checkSettingsCmd `cmd:"" help:"Check the settings file of a process."`
-	Config   checkConfigCmd   `cmd:"" help:"Check a configuration as an operator would send it."`
+	Settings     checkSettingsCmd     `cmd:"" help:"Check the settings file of a process."`
+	Config       checkConfigCmd       `cmd:"" help:"Check a configuration as an operator would send it."`
+	Certificates checkCertificatesCmd `cmd:"" help:"Check a document of certificates."`
 }
 
 type checkSettingsCmd struct {
@@ -44,6 +45,19 @@
 	return nil
 }
 
+type checkCertificatesCmd struct {
+	File string `arg:"" help:"The certificates, as JSON." type:"path"`
+}
+
+func (k checkCertificatesCmd) Run() error {
+	s, _, err := readCertificates(k.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: sound: version=%d regulated_routes=%d certificates=%d\n", k.File, s.Version, len(s.Routes), len(s.Certificates))
+	return nil
+}
+
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
--- a/cmd/dunetide/main.go
+++ b/cmd/dunetide/main.go
@@ -31,6 +31,8 @@
 	Store   storeCmd   `cmd:"" help:"Keep batch jobs and hand their items out."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file or a configuration, offline."`
 	Status  statusCmd  `cmd:"" help:"Ask a keeper what it knows of the system."`
+	Certify certifyCmd `cmd:"" help:"Say which endpoints are certified for which regimes, and which routes demand one."`
+	Audit   auditCmd   `cmd:"" help:"Check the record of regulated runs, offline."`
 	Version versionCmd `cmd:"" help:"Tell the version."`
 }
 
--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -32,17 +32,25 @@
 	admission := dispatch.New(dispatch.Options{Zone: s.Zone, Holder: holder})
 	defer admission.Close()
 	jobs := newJobs(p, holder)
+	var client *control.Client
+	regulated := newRegulated(p, holder, func() time.Time { return client.Confirmed() })
 	proxy := forward.New(forward.Options{Holder: holder, Admission: admission, Log: p.log,
-		Match: func(c *operator.Config, host, path string) *operator.Route { return c.Match(host, path) },
-		Bulk:  jobs.serve,
+		Match:     func(c *operator.Config, host, path string) *operator.Route { return c.Match(host, path) },
+		Bulk:      jobs.serve,
+		Certified: regulated.gate, Record: regulated.recorder,
 		Ready: func() bool {
 			snap := holder.Get()
-			return snap != nil && snap.Config != nil && snap.Listed
+			return snap != nil && snap.Config != nil && snap.Listed && snap.CertificatesKnown
 		}})
 	jobs.work(proxy)
-	client := control.NewClient(control.ClientOptions{Self: control.Node{Name: s.NodeName, Role: control.RoleProxy, Zone: s.Zone,
+	client = control.NewClient(control.ClientOptions{Self: control.Node{Name: s.NodeName, Role: control.RoleProxy, Zone: s.Zone,
 		Life: uint64(time.Now().UnixNano())}, Seeds: control.SeedLinks(s.Seeds, s.InternalFirst+keeperPort), Known: members.keepers,
-		Endpoints: true, Holder: holder, Log: p.log, Changed: func(snap *view.Snapshot) { admission.Update(snap); jobs.update(snap) }})
+		Endpoints: true, Holder: holder, Log: p.log, ConfirmEvery: s.Bounds.Drain / 5,
+		Changed: func(snap *view.Snapshot) {
+			regulated.gate.Update(snap.Certificates)
+			admission.Update(snap)
+			jobs.update(snap)
+		}})
 	// The links outlast the signal: what is under way still has to know of drains.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -58,8 +66,9 @@
 		return err
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(proxy.ServeReady), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second}
-	wg.Add(3)
+	wg.Add(4)
 	go func() { defer wg.Done(); client.Run(ctx) }()
+	go func() { defer wg.Done(); regulated.recorder.Run(ctx) }()
 	go func() {
 		defer wg.Done()
 		if err := readyServer.Serve(ready); !errors.Is(err, http.ErrServerClosed) {
@@ -74,6 +83,7 @@
 			select {
 			case <-tick.C:
 				proxy.Tidy()
+				regulated.tell()
 			case <-ctx.Done():
 				return
 			}
@@ -87,6 +97,7 @@
 		p.log.Info("stopping")
 		jobs.stop()
 		err = proxy.Shutdown(s.Bounds.Grace - 500*time.Millisecond)
+		regulated.recorder.Drain(recordWait)
 	}
 	cancel()
 	_ = readyServer.Close()
--- /dev/null
+++ b/cmd/dunetide/regulated.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"time"
+
+	"wingmount/internal/audit"
+	"wingmount/internal/certify"
+	"wingmount/internal/view"
+)
+
+const (
+	// recordWait is how long a proxy that stops waits for stores to take the record of its regulated runs.
+	recordWait = 300 * time.Millisecond
+	// tellEvery is how often the counts of regulated work go into the log, where they have changed.
+	tellEvery = 10 * time.Second
+)
+
+// regulated is the side of a proxy that keeps to certificates.
+type regulated struct {
+	p        *process
+	gate     *certify.Gate
+	recorder *audit.Recorder
+	told     map[string]certify.Counts
+	toldAt   time.Time
+	fresh    bool
+}
+
+func newRegulated(p *process, holder *view.Holder, confirmed func() time.Time) *regulated {
+	s := p.settings
+	return &regulated{p: p, told: map[string]certify.Counts{},
+		gate: certify.NewGate(certify.GateOptions{Confirmed: confirmed, Stale: s.Bounds.Drain}),
+		recorder: audit.NewRecorder(audit.RecorderOptions{Node: s.NodeName, Life: uint64(time.Now().UnixNano()), Zone: s.Zone, Need: s.SurviveMachines + 1,
+			Log: p.log, Stores: func() (all []view.Store) {
+				snap := holder.Get()
+				if snap == nil || snap.Table == nil {
+					return nil
+				}
+				for id, store := range snap.Table.Stores {
+					if !snap.Table.Retiring[id] {
+						all = append(all, store)
+					}
+				}
+				return all
+			}})}
+}
+
+// tell writes the counts of regulated work into the log.
+func (r *regulated) tell() {
+	if r.gate.Set() == nil {
+		return
+	}
+	if fresh := r.gate.Fresh(); fresh != r.fresh {
+		r.fresh = fresh
+		if fresh {
+			r.p.log.Info("certificates confirmed", "version", r.gate.Set().Version)
+		} else {
+			r.p.log.Warn("no keeper confirms the certificates: nobody counts as certified", "version", r.gate.Set().Version, "for_longer_than", r.p.settings.Bounds.Drain)
+		}
+	}
+	if time.Since(r.toldAt) < tellEvery {
+		return
+	}
+	r.toldAt = time.Now()
+	for _, c := range r.gate.Counted() {
+		if r.told[c.Regime] != c.Counts {
+			r.told[c.Regime] = c.Counts
+			r.p.log.Info("regulated work", "regime", c.Regime, "certificates", r.gate.Set().Version, "runs", c.Runs, "refused", c.Refused,
+				"waited", c.Waited, "stopped", c.Stopped, "not_recorded_yet", r.recorder.Waiting())
+		}
+	}
+}
--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"wingmount/internal/audit"
 	"wingmount/internal/batch"
 	"wingmount/internal/control"
 	"wingmount/internal/link"
@@ -19,6 +20,21 @@
 
 type storeCmd struct{}
 
+// storeLinks passes on what comes over links to whom it is for.
+type storeLinks struct {
+	*batch.Store
+	records *audit.Store
+}
+
+// Message passes a message on.
+func (l storeLinks) Message(m *link.Message) {
+	if audit.Handles(m.Kind) {
+		l.records.Message(m)
+		return
+	}
+	l.Store.Message(m)
+}
+
 // Run serves the role until the process is told to stop.
 func (storeCmd) Run(c *cli) error {
 	p, err := start(c, control.RoleStore)
@@ -58,6 +74,11 @@
 		return err
 	}
 	defer store.Close()
+	records, err := audit.OpenStore(audit.StoreOptions{Folder: folder, FileBytes: int64(s.Limits.DiskMB) << 20 / 64, Log: p.log})
+	if err != nil {
+		return err
+	}
+	defer records.Close()
 	links, err := net.Listen("tcp4", p.addr(storePort))
 	if err != nil {
 		return err
@@ -66,7 +87,7 @@
 	defer wg.Wait()
 	defer links.Close()
 	wg.Add(1)
-	go func() { defer wg.Done(); _ = link.Serve(links, store, link.DefaultOptions) }() // ends with the listener
+	go func() { defer wg.Done(); _ = link.Serve(links, storeLinks{store, records}, link.DefaultOptions) }() // ends with the listener
 	client = control.NewClient(control.ClientOptions{Self: control.Node{Name: s.NodeName, Role: control.RoleStore, Zone: s.Zone,
 		Addr: p.addr(storePort), ID: store.ID(), Life: uint64(time.Now().UnixNano())}, Seeds: control.SeedLinks(s.Seeds, s.InternalFirst+keeperPort),
 		Known: members.keepers, Holder: &view.Holder{}, Changed: store.Update, Log: p.log})
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -7,10 +7,12 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"wingmount/internal/certify"
 	"wingmount/internal/link"
 	"wingmount/internal/operator"
 	"wingmount/internal/registry"
@@ -34,7 +36,9 @@
 	Endpoints bool          // whether it wants the list of endpoints
 	Holder    *view.Holder
 	Changed   func(*view.Snapshot) // after each new snapshot, from one goroutine
-	Log       hclog.Logger
+	// ConfirmEvery is how often keepers are asked whether the certificates are the newest, once there are any; 0: never.
+	ConfirmEvery time.Duration
+	Log          hclog.Logger
 }
 
 // Client attaches a process to keepers and holds what they push. What it knows never goes back
@@ -51,6 +55,11 @@
 	table   *view.Table
 	senders int
 	epoch   uint64 // of snapshots
+
+	certificates      *certify.Set
+	certificatesKnown bool
+	asked             chan struct{} // wakes confirming
+	confirmed         atomic.Pointer[time.Time]
 }
 
 // source is one keeper's word.
@@ -68,7 +77,7 @@
 
 // NewClient returns a client that is not attached yet; Run attaches it.
 func NewClient(o ClientOptions) *Client {
-	return &Client{o: o, sources: map[*link.Conn]*source{}, said: map[string]saying{}}
+	return &Client{o: o, sources: map[*link.Conn]*source{}, said: map[string]saying{}, asked: make(chan struct{}, 1)}
 }
 
 // Run keeps the process attached until the context ends.
@@ -78,9 +87,69 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); c.hold(ctx, i) }()
 	}
+	if c.o.ConfirmEvery > 0 {
+		wg.Add(1)
+		go func() { defer wg.Done(); c.confirm(ctx) }()
+	}
 	wg.Wait()
 }
 
+// Confirmed tells when the newest question was asked to which a keeper has answered that a majority knew of no newer
+// certificates than those it had pushed before; zero: none was answered yet. It is this process's own clock, so neither
+// the keepers' clocks nor the time that an answer took count for anything.
+func (c *Client) Confirmed() time.Time {
+	if at := c.confirmed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// confirm asks all attached keepers again and again, once there are certificates.
+func (c *Client) confirm(ctx context.Context) {
+	tick := time.NewTicker(c.o.ConfirmEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-c.asked:
+		case <-ctx.Done():
+			return
+		}
+		if s := c.o.Holder.Get(); s == nil || s.Certificates == nil {
+			continue
+		}
+		for _, conn := range c.Keepers() {
+			at, reply := time.Now(), conn.Go(Confirm, nil)
+			go func() {
+				select {
+				case r := <-reply:
+					if r.Err == nil {
+						c.raise(at)
+					}
+				case <-ctx.Done():
+				}
+			}()
+		}
+	}
+}
+
+func (c *Client) raise(at time.Time) {
+	for {
+		old := c.confirmed.Load()
+		if old != nil && !old.Before(at) || c.confirmed.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
+// ask has the keepers asked at once.
+func (c *Client) ask() {
+	select {
+	case c.asked <- struct{}{}:
+	default:
+	}
+}
+
 // Keepers tells the attached keepers' links.
 func (c *Client) Keepers() []*link.Conn {
 	c.mu.Lock()
@@ -186,6 +255,7 @@
 	s.node = node
 	c.sources[conn] = s
 	c.rebuild()
+	c.ask()
 	c.o.Log.Info("keeper attached", "keeper", node.Name)
 	return true
 }
@@ -223,6 +293,15 @@
 			c.o.Log.Error("configuration unreadable", "version", u.Version, "err", err)
 		}
 	}
+	var certificates *certify.Set
+	if len(u.Certificates) > 0 {
+		if certificates, err = certify.Parse(u.Certificates); err != nil {
+			// What can't be understood may withdraw what is in force: no acknowledgement, and no confirmation over this link.
+			c.o.Log.Error("certificates unreadable", "version", u.CertificatesVersion, "err", err)
+			m.Conn.Close()
+			return
+		}
+	}
 	c.mu.Lock()
 	s, _ := m.Conn.Tag.Load().(*source)
 	if s == nil {
@@ -230,6 +309,12 @@
 		m.Conn.Tag.Store(s)
 	}
 	c.take(s, u, config)
+	c.certificatesKnown = true
+	if certificates != nil && (c.certificates == nil || certificates.Version > c.certificates.Version) {
+		c.certificates = certificates
+		c.o.Log.Info("certificates in force", "version", certificates.Version, "certificates", len(certificates.Certificates), "regulated_routes", len(certificates.Routes))
+		c.ask()
+	}
 	c.rebuild()
 	c.mu.Unlock()
 	w := link.Writer{}
@@ -304,7 +389,8 @@
 		from = append(from, c.stale)
 		listed = true
 	}
-	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: listed, Endpoints: map[string][]*view.Endpoint{}}
+	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: listed,
+		Certificates: c.certificates, CertificatesKnown: c.certificatesKnown, Endpoints: map[string][]*view.Endpoint{}}
 	newest := map[string]registry.Entry{}
 	for _, s := range from {
 		for id, e := range s.entries {
--- a/internal/control/kinds.go
+++ b/internal/control/kinds.go
@@ -18,4 +18,6 @@
 	Lease    link.Kind = 10 // call, between keepers: a duty's name, the holder, the length; the reply says whether it is granted
 	Missing  link.Kind = 12 // one way, between keepers: send all entries, as some are not known
 	Status   link.Kind = 11 // call: the status as JSON
+	Confirm  link.Kind = 13 // call, attached to keeper: answered once a majority has said, after it came, that the certificates pushed are the newest
+	InForce  link.Kind = 14 // call, between keepers: a version of the certificates; the reply says whether all attached have it in force
 )
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -70,6 +70,9 @@
 	Table   *view.Table
 	Entries []registry.Entry
 	Keepers []Node // nil: not in it
+	// CertificatesVersion is always told; 0: none were ever put.
+	CertificatesVersion uint64
+	Certificates        []byte // as the operator sent them; empty: not in it
 }
 
 // Encode writes the update's message.
@@ -90,6 +93,8 @@
 		registry.AppendEntry(&w, &u.Entries[i])
 	}
 	AppendNodes(&w, u.Keepers)
+	w.U64(u.CertificatesVersion)
+	w.Bytes(u.Certificates)
 	return w.B
 }
 
@@ -108,6 +113,7 @@
 		u.Entries = append(u.Entries, e)
 	}
 	u.Keepers = ReadNodes(&r)
+	u.CertificatesVersion, u.Certificates = r.U64(), r.Bytes()
 	return u, r.Err
 }
 
--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -104,7 +104,7 @@
 
 // may tells whether a request may go to an endpoint at all.
 func (e *endpoint) may(w *waiter) bool {
-	if e.unlisted || e.state != view.Ready || slices.Contains(w.r.Avoid, e.target.ID) {
+	if e.unlisted || e.state != view.Ready || slices.Contains(w.r.Avoid, e.target.ID) || !w.r.may(e.target.ID) {
 		return false
 	}
 	return w.r.Model == "" || len(e.models) == 0 ||
@@ -194,7 +194,7 @@
 	if w.r.Bulk {
 		most := max(slots*(1-c.set.BulkHeadroom), 1)
 		if c.pressing(w) {
-			if most = slots; c.underFloor(e.pool) {
+			if most = slots; c.underFloor(e.pool, w) {
 				most = slots * (1 + c.set.QueueInAim)
 			}
 		}
@@ -209,10 +209,10 @@
 }
 
 // underFloor tells whether less bulk runs than always may, of this sender.
-func (c *core) underFloor(p *pool) bool {
+func (c *core) underFloor(p *pool, w *waiter) bool {
 	slots := 0
 	for _, e := range p.eps {
-		if !e.unlisted && e.state == view.Ready {
+		if !e.unlisted && e.state == view.Ready && w.r.may(e.target.ID) {
 			slots += e.slots()
 		}
 	}
@@ -287,7 +287,8 @@
 // sharedParts is how many parts of a prompt others may bring too: all but the last, if there are more.
 func sharedParts(w *waiter) int { return max(len(w.r.Prefix)-1, min(len(w.r.Prefix), 1)) }
 
-// ranks orders the endpoints that a request may go to by the hash of its shared parts, the same for all senders.
+// ranks orders the endpoints that a request may go to by the hash of its shared parts, the same for all senders. Those
+// that are not certified for its regime are no homes.
 func (c *core) ranks(p *pool, w *waiter) map[*endpoint]int {
 	key := uint64(w.chains[sharedParts(w)-1])
 	type scored struct {
@@ -296,7 +297,7 @@
 	}
 	list := make([]scored, 0, len(p.eps))
 	for _, e := range p.eps {
-		if !e.unlisted && e.state == view.Ready {
+		if !e.unlisted && e.state == view.Ready && w.r.may(e.target.ID) {
 			list = append(list, scored{e, mix(key, e.hash)})
 		}
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -230,7 +230,8 @@
 		}
 	}
 	if !w.r.Bulk {
-		if c.anyListed(p) && !slices.ContainsFunc(p.eps, func(e *endpoint) bool { return e.may(w) }) {
+		// A certificate may come or count again within the hold; another endpoint that was asked already doesn't.
+		if w.r.Regime == "" && c.anyListed(p) && !slices.ContainsFunc(p.eps, func(e *endpoint) bool { return e.may(w) }) {
 			c.refuse(p, w, "no endpoint is left to ask")
 			return
 		}
@@ -291,6 +292,9 @@
 		if before(h, w) > 0 {
 			return false
 		}
+		if !overlaps(h, w) {
+			continue
+		}
 		if w.r.Bulk && !h.r.Bulk {
 			if c.pressing(w) {
 				continue
@@ -304,6 +308,10 @@
 	return false
 }
 
+// overlaps tells whether one that waits may go wherever another may, by its regime: else it has not to be waited for,
+// as what it waits for may be of no use to the other.
+func overlaps(h, w *waiter) bool { return h.r.Regime == "" || h.r.Regime == w.r.Regime }
+
 // giveUp is how long a request is held: a share of its target, and twice that where an endpoint had a try.
 func (c *core) giveUp(w *waiter, arrived Time) Time {
 	hold := time.Duration(math.MaxInt64 / 4)
@@ -359,6 +367,9 @@
 	wait := max(c.expectedWait(p, w), c.set.LeastRetry)
 	wait = min(wait, max(0, w.deadline-c.now)/3)
 	w.refused = &Refused{Reason: p.service + ": " + reason, RetryAfter: max(wait, 0)}
+	if w.r.Regime != "" && reason != closing {
+		w.refused.Reason, w.refused.Regime = noneCertified(w.r.Regime), w.r.Regime
+	}
 	w.done(w)
 }
 
@@ -367,7 +378,7 @@
 	soonest := time.Duration(math.MaxInt64)
 	slots := 0.0
 	for _, e := range p.eps {
-		if e.unlisted || e.state != view.Ready {
+		if e.unlisted || e.state != view.Ready || !w.r.may(e.target.ID) {
 			continue
 		}
 		wait := max(0, e.outTill-c.now, e.fullTill-c.now, e.roomAt(c)-c.now)
@@ -379,7 +390,7 @@
 	}
 	ahead := 0
 	for _, h := range p.hold {
-		if before(h, w) < 0 {
+		if before(h, w) < 0 && overlaps(h, w) {
 			ahead++
 		}
 	}
@@ -397,6 +408,33 @@
 
 const mostFailures = 4 // in a hold: those behind them have no room either
 
+// failures counts those of one regime that found no room: they tell nothing of what others may go to.
+type failures struct {
+	regime string
+	bulk   bool
+	n      int
+}
+
+func failuresOf(all *[]failures, r *Request) *int {
+	for i := range *all {
+		if f := &(*all)[i]; f.regime == r.Regime && f.bulk == r.Bulk {
+			return &f.n
+		}
+	}
+	*all = append(*all, failures{regime: r.Regime, bulk: r.Bulk})
+	return &(*all)[len(*all)-1].n
+}
+
+// interactive tells whether interactive requests wait that may go wherever one may.
+func interactive(all []failures, r *Request) bool {
+	for _, f := range all {
+		if !f.bulk && f.n > 0 && (f.regime == "" || f.regime == r.Regime) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *core) serve(p *pool) {
 	if len(p.hold) == 0 {
 		return
@@ -404,18 +442,17 @@
 	list := slices.Clone(p.hold)
 	// Bulk that is overdue goes last: else all of it would be late once some is.
 	slices.SortStableFunc(list, func(a, b *waiter) int { return c.overdue(a) - c.overdue(b) })
-	failures, bulkFailures, interactive, gone := 0, 0, false, false
+	gone := false
+	var few [4]failures
+	all := few[:0]
 	for _, w := range list {
 		if !w.r.Bulk && c.now >= w.giveUp {
 			c.refuse(p, w, "no endpoint had room in time")
 			gone = true
 			continue
 		}
-		n := &failures
-		if w.r.Bulk {
-			n = &bulkFailures
-		}
-		if *n < mostFailures && (!w.r.Bulk || !interactive || c.pressing(w)) {
+		n := failuresOf(&all, w.r)
+		if *n < mostFailures && (!w.r.Bulk || !interactive(all, w.r) || c.pressing(w)) {
 			if e, run := c.choose(p, w); e != nil {
 				c.start(w, run)
 				gone = true
@@ -423,7 +460,6 @@
 			}
 			*n++
 		}
-		interactive = interactive || !w.r.Bulk
 	}
 	if gone {
 		was := len(p.hold)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,6 +24,18 @@
 	Due       time.Time // its full worth ends
 	Bulk      bool      // waits until ctx ends rather than be refused; urgent requests go first
 	Avoid     []string  // ids of incarnations that it may not go to (any more)
+	// Regime is what its route demands of endpoints; empty: nothing. Then Certified is asked of each of them anew whenever
+	// one is chosen.
+	Regime    string
+	Certified func(id string) bool
+}
+
+// may tells whether a request may go to an incarnation by its regime.
+func (r *Request) may(id string) bool { return r.Certified == nil || r.Certified(id) }
+
+// noneCertified is why regulated work is refused.
+func noneCertified(regime string) string {
+	return "no certified node for regime " + regime + " is free"
 }
 
 // Part of a prompt that others may share.
@@ -72,6 +84,7 @@
 type Refused struct {
 	Reason     string
 	RetryAfter time.Duration // when to come back
+	Regime     string        // for which no certified endpoint was free; empty: it wasn't that
 }
 
 func (e *Refused) Error() string {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -30,6 +30,7 @@
 	headTokens   = "X-Dunetide-Token-Count"
 	headPrefix   = "X-Dunetide-Prompt-Prefix"
 	headLast     = "Last-Event-Id"
+	headReason   = "X-Dunetide-Reason"
 )
 
 const (
@@ -85,10 +86,13 @@
 	tries      int  // endpoints that had it
 	turns      int  // those that turned it away, or could not be reached
 	retryAfter time.Duration
-	err        error // why the last sending broke
+	err        error  // why the last sending broke
+	reason     string // why it was refused, where the client is told
 
 	// Of the sending under way.
 	grant  dispatch.Grant
+	run    uint64 // of a regulated run: its number in the record; 0: none
+	unsent bool   // nothing of it was written
 	conn   *upstream.Conn
 	resp   *http.Response
 	load   dispatch.Load
@@ -150,6 +154,9 @@
 	var refused *dispatch.Refused
 	if errors.As(err, &refused) {
 		x.retryAfter = refused.RetryAfter
+		if refused.Regime != "" {
+			x.refusedFor(refused.Regime, refused.Reason)
+		}
 	}
 	x.err = err
 	if x.left() <= worthwhile {
@@ -184,6 +191,11 @@
 		return Late
 	}
 	x.layOut(target.ID)
+	if x.p.o.Certified.Set() != nil {
+		if e, ok := x.certified(target.ID); !ok {
+			return e
+		}
+	}
 	x.resp, err = conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
 	for n := 0; err == nil && x.resp.Header.Get(headID) != x.req.ID; n++ {
 		// The surplus of an earlier call, if it has an id and an end.
@@ -227,6 +239,7 @@
 		}
 		return Late
 	case !sent:
+		x.unsent = true
 		x.finish(dispatch.Broken, upstream.Broken)
 		return Unsent
 	default:
@@ -302,6 +315,9 @@
 		x.grant.End(o, x.load)
 		x.grant = nil
 	}
+	if x.run != 0 {
+		x.recorded(o)
+	}
 }
 
 // layOut puts what this sending adds behind the head that all have.
@@ -395,6 +411,9 @@
 		}
 	}
 	x.req.Service = x.p.draw(route, x.req.ID)
+	if x.p.o.Certified.Set() != nil {
+		x.demand()
+	}
 }
 
 // atoi reads a number that is not negative; 0 if it is none.
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sys/unix"
 
+	"wingmount/internal/certify"
 	"wingmount/internal/dispatch"
 	"wingmount/internal/operator"
 	"wingmount/internal/upstream"
@@ -45,6 +46,9 @@
 	Match func(c *operator.Config, host, path string) *operator.Route
 	// Bulk answers calls of batch jobs: those of bulk routes, and of /lots/ and /items/ with no route.
 	Bulk func(w http.ResponseWriter, r *http.Request, route *operator.Route)
+	// Certified says where regulated requests may go; nil: nothing is regulated. Record keeps their runs; nil: nobody does.
+	Certified *certify.Gate
+	Record    Recorder
 	// Ready tells whether the process could serve; nil: it always could.
 	Ready func() bool
 	Now   func() time.Time // nil: time.Now
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -129,6 +129,9 @@
 			e, ok = x.acquire()
 			continue
 		case Refuse:
+			if x.reason != "" {
+				w.Header().Set(headReason, x.reason)
+			}
 			p.answer(w, r, http.StatusServiceUnavailable, x.comeBack())
 		case NoAnswer:
 			p.answer(w, r, http.StatusBadGateway, 0)
--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -32,7 +32,7 @@
 	confirmWait = 3 * time.Second
 )
 
-var registerNames = []string{configRegister, tableRegister}
+var registerNames = []string{configRegister, tableRegister, certificatesRegister}
 
 // agreement plays the registers. One goroutine owns them and their log.
 type agreement struct {
@@ -397,7 +397,7 @@
 func (k *Keeper) decided(name string, s agree.State) {
 	switch name {
 	case configRegister:
-		v, err := readConfigValue(s.Value)
+		v, err := readDocument(s.Value)
 		if err != nil {
 			k.log.Error("configuration's register unreadable", "slot", s.Slot, "err", err)
 			return
@@ -407,6 +407,17 @@
 			k.dirty = true
 			k.log.Info("configuration in force", "version", v.version, "slot", s.Slot)
 		}
+	case certificatesRegister:
+		v, err := readDocument(s.Value)
+		if err != nil {
+			k.log.Error("certificates' register unreadable", "slot", s.Slot, "err", err)
+			return
+		}
+		if v.version > k.certificates.version {
+			k.tellCertificates(v, s.Slot)
+			k.certificates = v
+			k.dirty = true
+		}
 	case tableRegister:
 		r := link.Reader{B: s.Value}
 		if len(s.Value) == 0 {
@@ -421,14 +432,18 @@
 	}
 }
 
-// confirm makes the keeper fresh once a majority has confirmed the newest configuration.
+// confirm makes the keeper fresh once a majority has confirmed the newest configuration and certificates.
 func (k *Keeper) confirm() {
-	var try func()
-	try = func() {
-		k.agree.read(configRegister, time.Second, func(_ agree.State, err error) {
+	var try func(name string)
+	try = func(name string) {
+		k.agree.read(name, time.Second, func(_ agree.State, err error) {
 			k.do(func() {
 				if err != nil && time.Since(k.life) < confirmWait {
-					time.AfterFunc(100*time.Millisecond, try)
+					time.AfterFunc(100*time.Millisecond, func() { try(name) })
+					return
+				}
+				if name == configRegister && time.Since(k.life) < confirmWait {
+					try(certificatesRegister)
 					return
 				}
 				k.fresh, k.dirty = true, true
@@ -437,5 +452,5 @@
 			})
 		})
 	}
-	try()
+	try(configRegister)
 }
--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -25,13 +25,15 @@
 	change  uint64 // of the list of endpoints
 	version uint64
 	table   uint64
-	senders int
-	keepers string
-	marks   []mark // pushes that are not acknowledged, oldest first
+	// certificates is the version that was pushed.
+	certificates uint64
+	senders      int
+	keepers      string
+	marks        []mark // pushes that are not acknowledged, oldest first
 }
 
 // mark is what is in force once a push is acknowledged.
-type mark struct{ number, version, change, table uint64 }
+type mark struct{ number, version, change, table, certificates uint64 }
 
 // inForce is what a process has acknowledged.
 func (p *attachedProcess) inForce() mark {
@@ -87,7 +89,7 @@
 	if !k.fresh {
 		return false
 	}
-	return !p.whole || p.version < k.config.version || k.parts != nil && p.table < k.parts.Number || p.senders != k.senders ||
+	return !p.whole || p.version < k.config.version || p.certificates < k.certificates.version || k.parts != nil && p.table < k.parts.Number || p.senders != k.senders ||
 		p.endpoints && (p.change < k.table.Newest() || p.listed != k.table.Listening(k.since(time.Now()))) || p.keepers != k.keepersKey()
 }
 
@@ -106,6 +108,10 @@
 		if p.version < k.config.version {
 			u.Config, u.Version = k.config.raw, k.config.version
 		}
+		u.CertificatesVersion = k.certificates.version
+		if p.certificates < k.certificates.version {
+			u.Certificates = k.certificates.raw
+		}
 		if k.parts != nil && p.table < k.parts.Number {
 			u.Table = k.parts
 		}
@@ -121,11 +127,11 @@
 		p.pushed++
 		u.Number = p.pushed
 		p.whole, p.listed, p.senders = true, u.Listed, k.senders
-		p.version = k.config.version
+		p.version, p.certificates = k.config.version, k.certificates.version
 		if k.parts != nil {
 			p.table = k.parts.Number
 		}
-		p.marks = append(p.marks, mark{u.Number, p.version, p.change, p.table})
+		p.marks = append(p.marks, mark{u.Number, p.version, p.change, p.table, p.certificates})
 		p.prune()
 		_ = p.conn.Send(control.Push, u.Encode()) // a broken link is found by its own probes
 	}
@@ -136,8 +142,10 @@
 	until  time.Time
 	change uint64
 	config uint64
-	peers  int // keepers that have yet to say that they have it
-	done   chan struct{}
+	// certificates is their version.
+	certificates uint64
+	peers        int // keepers that have yet to say that they have it
+	done         chan struct{}
 }
 
 // wait calls back once all attached processes have acknowledged a state of the list or of the
@@ -167,7 +175,7 @@
 func (k *Keeper) inForceAt(w *waiter) bool {
 	for _, p := range k.attached {
 		m := p.inForce()
-		if m.version < w.config || p.endpoints && m.change < w.change {
+		if m.version < w.config || m.certificates < w.certificates || p.endpoints && m.change < w.change {
 			return false
 		}
 	}
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -11,6 +11,7 @@
 
 	"wingmount/internal/agree"
 	"wingmount/internal/batch"
+	"wingmount/internal/certify"
 	"wingmount/internal/control"
 	"wingmount/internal/operator"
 	"wingmount/internal/view"
@@ -36,6 +37,8 @@
 	{http.MethodDelete, "/instances/", beatMost, (*Keeper).leave},
 	{http.MethodPut, "/config", configMost, (*Keeper).putConfig},
 	{http.MethodGet, "/config", 0, (*Keeper).getConfig},
+	{http.MethodPut, certificatesPath, certify.DocumentMost, (*Keeper).putCertificates},
+	{http.MethodGet, certificatesPath, 0, (*Keeper).getCertificates},
 	{http.MethodPost, "/retire/", beatMost, (*Keeper).postRetire},
 	{http.MethodGet, "/retire/", 0, (*Keeper).getRetire},
 	{http.MethodGet, "/status", 0, (*Keeper).getStatus},
@@ -180,25 +183,26 @@
 	return ""
 }
 
-func (k *Keeper) putConfig(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
+// putDocument makes a document the newest value of its register, and tells its slot. On an error it has answered.
+func (k *Keeper) putDocument(w http.ResponseWriter, r *http.Request, register, path string, body []byte, parse func([]byte) (uint64, error)) (uint64, bool) {
 	base, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
 	if err != nil {
 		refuse(w, http.StatusBadRequest, "If-Match: must be the number of the version that this builds on, 0 for the first")
-		return
+		return 0, false
 	}
-	c, err := operator.Parse(body)
+	version, err := parse(body)
 	if err != nil {
 		refuse(w, http.StatusBadRequest, err.Error())
-		return
+		return 0, false
 	}
 	done := make(chan error, 1)
 	same := false
-	k.agree.propose(configRegister, proposeWait, func(cur agree.State) (agree.State, error) {
-		v, err := readConfigValue(cur.Value)
+	k.agree.propose(register, proposeWait, func(cur agree.State) (agree.State, error) {
+		v, err := readDocument(cur.Value)
 		if err != nil {
 			return cur, err
 		}
-		next, err := v.put(body, c, base)
+		next, err := v.put(body, version, base, path)
 		if err != nil {
 			return cur, err
 		}
@@ -212,7 +216,7 @@
 			err = nil
 		}
 		if err == nil {
-			k.spread(configRegister, s)
+			k.spread(register, s)
 		}
 		done <- err
 	})
@@ -222,11 +226,25 @@
 		err = errors.New("this keeper stops: ask another one")
 	}
 	if err != nil {
-		k.log.Info("configuration refused", "version", c.Version, "base", base, "err", err)
+		k.log.Info("document refused", "register", register, "version", version, "base", base, "err", err)
 		refuse(w, statusOf(err), err.Error())
+		return 0, false
+	}
+	return version, true
+}
+
+func (k *Keeper) putConfig(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
+	version, ok := k.putDocument(w, r, configRegister, "/config", body, func(b []byte) (uint64, error) {
+		c, err := operator.Parse(b)
+		if err != nil {
+			return 0, err
+		}
+		return c.Version, nil
+	})
+	if !ok {
 		return
 	}
-	wt := &waiter{config: c.Version, done: make(chan struct{})}
+	wt := &waiter{config: version, done: make(chan struct{})}
 	k.do(func() { k.wait(wt) })
 	select {
 	case <-wt.done:
@@ -248,20 +266,21 @@
 	})
 }
 
-func (k *Keeper) getConfig(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
+// getDocument answers with the newest document of a register.
+func (k *Keeper) getDocument(w http.ResponseWriter, register string, none int, why string) {
 	type result struct {
 		s   agree.State
 		err error
 	}
 	done := make(chan result, 1)
-	k.agree.read(configRegister, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
+	k.agree.read(register, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
 	var res result
 	select {
 	case res = <-done:
 	case <-k.ended:
 		res.err = errors.New("this keeper stops: ask another one")
 	}
-	v, err := readConfigValue(res.s.Value)
+	v, err := readDocument(res.s.Value)
 	if res.err != nil {
 		err = res.err
 	}
@@ -270,13 +289,17 @@
 		return
 	}
 	if v.version == 0 {
-		refuse(w, http.StatusServiceUnavailable, "no configuration was taken yet: put one first")
+		refuse(w, none, why)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(v.raw)
 }
 
+func (k *Keeper) getConfig(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
+	k.getDocument(w, configRegister, http.StatusServiceUnavailable, "no configuration was taken yet: put one first")
+}
+
 func (k *Keeper) postRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
 	code := make(chan int, 1)
 	alive, lost := k.storesNow()
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -222,29 +222,31 @@
 
 // status is what operators are shown of a keeper.
 type status struct {
-	Node     string           `json:"node"`
-	Voter    bool             `json:"voter"`
-	Fresh    bool             `json:"fresh"`
-	Version  uint64           `json:"config_version"`
-	Table    uint64           `json:"table_number"`
-	Senders  int              `json:"proxies"`
-	Duty     bool             `json:"assigns_parts"`
-	Voters   []string         `json:"voters"`
-	Keepers  []string         `json:"keepers_met"`
-	Attached []attachedStatus `json:"attached"`
-	Services map[string]int   `json:"endpoints"`
+	Node         string           `json:"node"`
+	Voter        bool             `json:"voter"`
+	Fresh        bool             `json:"fresh"`
+	Version      uint64           `json:"config_version"`
+	Certificates uint64           `json:"certificates_version"`
+	Table        uint64           `json:"table_number"`
+	Senders      int              `json:"proxies"`
+	Duty         bool             `json:"assigns_parts"`
+	Voters       []string         `json:"voters"`
+	Keepers      []string         `json:"keepers_met"`
+	Attached     []attachedStatus `json:"attached"`
+	Services     map[string]int   `json:"endpoints"`
 }
 
 type attachedStatus struct {
-	Node    string `json:"node"`
-	Role    string `json:"role"`
-	Zone    string `json:"zone"`
-	Version uint64 `json:"config_version"`
-	Behind  uint64 `json:"pushes_behind"`
+	Node         string `json:"node"`
+	Role         string `json:"role"`
+	Zone         string `json:"zone"`
+	Version      uint64 `json:"config_version"`
+	Certificates uint64 `json:"certificates_version"`
+	Behind       uint64 `json:"pushes_behind"`
 }
 
 func (k *Keeper) statusJSON() []byte {
-	s := status{Node: k.self.Name, Fresh: k.fresh, Version: k.config.version, Senders: k.senders, Services: map[string]int{},
+	s := status{Node: k.self.Name, Fresh: k.fresh, Version: k.config.version, Certificates: k.certificates.version, Senders: k.senders, Services: map[string]int{},
 		Duty: k.assigner.lease.Holds(k.since(time.Now()))}
 	if k.parts != nil {
 		s.Table = k.parts.Number
@@ -262,7 +264,7 @@
 	}
 	for _, p := range k.attached {
 		m := p.inForce()
-		s.Attached = append(s.Attached, attachedStatus{p.node.Name, p.node.Role, p.node.Zone, m.version, p.pushed - p.acked})
+		s.Attached = append(s.Attached, attachedStatus{p.node.Name, p.node.Role, p.node.Zone, m.version, m.certificates, p.pushed - p.acked})
 	}
 	list, _, _ := k.table.Changes(k.since(time.Now()), 0)
 	for _, e := range list {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -59,17 +59,21 @@
 	attached map[*link.Conn]*attachedProcess
 	peers    map[string]*peer // by name
 	conns    map[*link.Conn]*peer
-	config   *configValue // newest decided that is known
-	fresh    bool         // a majority has confirmed it in this life, or can't be had
-	parts    *view.Table
-	senders  int
-	dirty    bool
-	lease    *duty.Grants
-	assigner assigner
-	sentBeat time.Time
-	dialling map[string]bool
-	wanted   map[string]time.Time // addresses of keepers' links: when each may be dialled again
-	waiting  []*waiter
+	config   *document // newest decided that is known
+	// certificates are the newest decided that are known; version 0: none were ever put.
+	certificates *document
+	confirming   bool            // a read of the certificates' register is under way
+	asking       []*link.Message // those who wait for the next one
+	fresh        bool            // a majority has confirmed it in this life, or can't be had
+	parts        *view.Table
+	senders      int
+	dirty        bool
+	lease        *duty.Grants
+	assigner     assigner
+	sentBeat     time.Time
+	dialling     map[string]bool
+	wanted       map[string]time.Time // addresses of keepers' links: when each may be dialled again
+	waiting      []*waiter
 
 	freshNow atomic.Bool
 }
@@ -80,7 +84,7 @@
 	now := time.Now()
 	k := &Keeper{o: o, log: o.Log, life: now, commands: make(chan func(), queueMost), ended: make(chan struct{}),
 		attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peer{},
-		config: &configValue{}, dialling: map[string]bool{}, wanted: map[string]time.Time{}}
+		config: &document{}, certificates: &document{}, dialling: map[string]bool{}, wanted: map[string]time.Time{}}
 	k.table = registry.New(0, registry.Options{BeatEvery: time.Duration(s.BeatEveryMs) * time.Millisecond})
 	k.lease = duty.NewGrants(0)
 	k.assigner.lease = duty.NewCandidate(rand.Float64)
@@ -234,6 +238,11 @@
 			p.attached = control.ReadNodes(&r)
 			k.recount()
 		}
+	case control.Confirm:
+		k.asking = append(k.asking, m)
+		k.confirmCertificates()
+	case control.InForce:
+		k.inForceAsked(m)
 	case control.Lease:
 		k.leaseAsked(now, m)
 	case control.Missing:
--- a/internal/keeper/value.go
+++ b/internal/keeper/value.go
@@ -7,13 +7,13 @@
 	"github.com/zeebo/errs"
 
 	"wingmount/internal/link"
-	"wingmount/internal/operator"
 )
 
 // Names of the registers.
 const (
-	configRegister = "config"
-	tableRegister  = "lots"
+	configRegister       = "config"
+	tableRegister        = "lots"
+	certificatesRegister = "certificates"
 )
 
 // digestsMost is how many versions are known to have been taken, the newest ones.
@@ -21,7 +21,7 @@
 
 // Errors of operators' calls. Their messages name the remedy.
 var (
-	ErrInvalid = errs.Class("invalid configuration")
+	ErrInvalid = errs.Class("invalid document")
 	ErrVersion = errs.Class("another version is in place")
 )
 
@@ -31,14 +31,14 @@
 	digest  [sha256.Size]byte
 }
 
-// configValue is the state of the configuration's register.
-type configValue struct {
+// document is the state of a register whose value operators put whole, under versions.
+type document struct {
 	version uint64
 	raw     []byte
 	past    []taken // oldest first, the version in force last
 }
 
-func (v *configValue) encode() []byte {
+func (v *document) encode() []byte {
 	w := link.Writer{}
 	w.U64(v.version)
 	w.Bytes(v.raw)
@@ -50,8 +50,8 @@
 	return w.B
 }
 
-func readConfigValue(b []byte) (*configValue, error) {
-	v := &configValue{}
+func readDocument(b []byte) (*document, error) {
+	v := &document{}
 	if len(b) == 0 {
 		return v, nil
 	}
@@ -65,26 +65,26 @@
 	return v, r.Err
 }
 
-// put decides on a configuration that builds on a version. Where next is nil and err too, this very
-// configuration was taken before.
-func (v *configValue) put(raw []byte, c *operator.Config, base uint64) (next *configValue, err error) {
+// put decides on a document that builds on a version. Where next is nil and err too, this very
+// document was taken before.
+func (v *document) put(raw []byte, version, base uint64, path string) (next *document, err error) {
 	digest := sha256.Sum256(raw)
 	for _, t := range v.past {
-		if t.version == c.Version && t.digest == digest {
+		if t.version == version && t.digest == digest {
 			return nil, nil
 		}
 	}
 	if base != v.version {
-		return nil, ErrVersion.New("%d is in place and If-Match names %d: read /config and build on that", v.version, base)
+		return nil, ErrVersion.New("%d is in place and If-Match names %d: read %s and build on that", v.version, base, path)
 	}
-	if c.Version <= v.version {
-		return nil, ErrInvalid.New("version: %d is not above %d, which is in place: take a higher number", c.Version, v.version)
+	if version <= v.version {
+		return nil, ErrInvalid.New("version: %d is not above %d, which is in place: take a higher number", version, v.version)
 	}
-	past := append(append([]taken(nil), v.past...), taken{c.Version, digest})
+	past := append(append([]taken(nil), v.past...), taken{version, digest})
 	if len(past) > digestsMost {
 		past = past[len(past)-digestsMost:]
 	}
-	return &configValue{version: c.Version, raw: raw, past: past}, nil
+	return &document{version: version, raw: raw, past: past}, nil
 }
 
 // statusOf is the answer that an error means to an operator.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -478,3 +478,21 @@
 	_ = l.fail(errClosed) // of all calls from here on
 	return err
 }
+
+// Scan reads the whole records of a file that nobody need own, and changes nothing. It tells how many bytes of it count:
+// what is behind them was torn by a loss of power, or was changed.
+func Scan(file io.ReaderAt, size int64, name string, each func(payload []byte) error) (int64, error) {
+	l := &Log{name: name, content: content{file: readOnly{file}}}
+	err := l.restore(size, func(payload []byte, _ int64) error { return each(payload) })
+	return l.size, err
+}
+
+// readOnly is a file that is only read.
+type readOnly struct{ io.ReaderAt }
+
+var errReadOnly = errors.New("the file is only read")
+
+func (readOnly) Write([]byte) (int, error) { return 0, errReadOnly }
+func (readOnly) Truncate(int64) error      { return errReadOnly }
+func (readOnly) Sync() error               { return errReadOnly }
+func (readOnly) Close() error              { return nil }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -5,6 +5,7 @@
 import (
 	"sync/atomic"
 
+	"wingmount/internal/certify"
 	"wingmount/internal/operator"
 )
 
@@ -93,6 +94,10 @@
 	Table     *Table                 // nil: not known
 	// Listed tells that the endpoints come from a keeper that has heard a whole round of heartbeats.
 	Listed bool
+	// Certificates say which endpoints may have regulated work; nil: none were ever put, and nothing is regulated.
+	Certificates *certify.Set
+	// CertificatesKnown tells that a keeper has said whether there are any.
+	CertificatesKnown bool
 }
 
 // Holder holds the newest snapshot.
