Lab: winglab night plays a busy night with certified nodes

Cause: the convincing night has to be seen on real processes.

Change: winglab night: twice the traffic, a certified engine down for good, another frozen, a certificate withdrawn, a keeper frozen, in a drawn order; rules CERTIFIED, ONCE and AUDIT beside the others, and the stores' files are audited.

--- a/cmd/winglab/tier.go
+++ b/cmd/winglab/tier.go
@@ -26,50 +26,95 @@
 // tierMost bounds a play beyond the time in which clients ask: starting, finishing jobs, reading back.
 const tierMost = 60 * time.Second
 
-// Run plays a small tier of real processes.
-func (c *tierCommand) Run(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, c.Length+tierMost)
-	defer cancel()
+// prepare builds the program, if none is given, and makes the folder of a play. What stop removes is not to be kept.
+func prepare(ctx context.Context, program, out string) (built, dir string, stop func(), err error) {
 	work, err := os.MkdirTemp("", "winglab-tier-")
 	if err != nil {
-		return err
+		return "", "", nil, err
 	}
-	defer os.RemoveAll(work)
-	program := c.Program
+	stop = func() { _ = os.RemoveAll(work) } // in the system's folder for what may go
 	if program == "" {
 		program = filepath.Join(work, "dunetide")
-		if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
-			return fmt.Errorf("building dunetide (run this inside the checkout, or give --program): %w\n%s", err, out)
+		if text, failed := exec.CommandContext(ctx, "go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); failed != nil {
+			err = fmt.Errorf("building dunetide (run this inside the checkout, or give --program): %w\n%s", failed, text)
 		}
-	} else if program, err = filepath.Abs(program); err != nil {
-		return err
+	} else {
+		program, err = filepath.Abs(program)
 	}
-	dir := filepath.Join(work, "run")
-	if c.Out != "" {
-		if dir, err = filepath.Abs(c.Out); err != nil {
-			return err
-		}
+	dir = filepath.Join(work, "run")
+	if err == nil && out != "" {
+		dir, err = filepath.Abs(out)
 	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	if err == nil {
+		err = os.MkdirAll(dir, 0o755)
+	}
+	if err != nil {
+		stop()
+		return "", "", nil, err
+	}
+	return program, dir, stop, nil
+}
+
+func say(form string, args ...any) { fmt.Fprintf(os.Stderr, form+"\n", args...) }
+
+// ended tells what an account means for the program's exit.
+func ended(a tier.Account) error {
+	switch {
+	case len(a.Broken) > 0:
+		return errBroken
+	case a.Bad():
+		return fmt.Errorf("%w: processes ended by themselves, or the configuration did not come back", errBroken)
+	}
+	return nil
+}
+
+// Run plays a small tier of real processes.
+func (c *tierCommand) Run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Length+tierMost)
+	defer cancel()
+	program, dir, stop, err := prepare(ctx, c.Program, c.Out)
+	if err != nil {
 		return err
 	}
+	defer stop()
 	faults := c.Fault
 	if c.Faults {
 		faults = append([]string{"store", "keeper", "engine"}, faults...)
 	}
-	a, err := tier.Play(ctx, tier.Options{Program: program, Dir: dir, Seed: c.Seed, Length: c.Length, Faults: faults, Spoil: c.Spoil, Load: c.Load,
-		Say: func(form string, args ...any) { fmt.Fprintf(os.Stderr, form+"\n", args...) }})
+	a, err := tier.Play(ctx, tier.Options{Program: program, Dir: dir, Seed: c.Seed, Length: c.Length, Faults: faults, Spoil: c.Spoil, Load: c.Load, Say: say})
 	if err != nil && a.Kinds == nil {
 		return err
 	}
 	if err := errors.Join(err, a.Print(os.Stdout), a.Save(dir)); err != nil {
 		return err
 	}
-	switch {
-	case len(a.Broken) > 0:
-		return errBroken
-	case a.Bad():
-		return fmt.Errorf("%w: processes ended by themselves, or the configuration did not come back", errBroken)
+	return ended(a)
+}
+
+type nightCommand struct {
+	Seed    uint64        `default:"1" help:"Draws the clients' requests and the order of the troubles."`
+	Length  time.Duration `default:"12s" help:"How long clients ask."`
+	Spoil   bool          `help:"Endpoints spoil an answer now and then."`
+	Load    float64       `default:"1" help:"The rates of requests, over those of a busy night, which are twice the usual ones."`
+	Out     string        `help:"A folder for the account, the settings, disks and logs."`
+	Program string        `help:"The tier's program; without it, dunetide of this checkout is built." type:"existingfile"`
+}
+
+// Run plays a busy night.
+func (c *nightCommand) Run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Length+tierMost)
+	defer cancel()
+	program, dir, stop, err := prepare(ctx, c.Program, c.Out)
+	if err != nil {
+		return err
 	}
-	return nil
+	defer stop()
+	a, err := tier.Night(ctx, tier.Options{Program: program, Dir: dir, Seed: c.Seed, Length: c.Length, Spoil: c.Spoil, Load: c.Load, Say: say})
+	if err != nil && a.Kinds == nil {
+		return err
+	}
+	if err := errors.Join(err, a.Print(os.Stdout), a.Save(dir)); err != nil {
+		return err
+	}
+	return ended(a.Account)
 }
--- a/internal/lab/tier/cluster/process.go
+++ b/internal/lab/tier/cluster/process.go
@@ -45,6 +45,9 @@
 
 func (p *Process) data() string { return filepath.Join(p.dir, "data") }
 
+// Data is its disk.
+func (p *Process) Data() string { return p.data() }
+
 // Start starts it with the settings of this moment.
 func (p *Process) Start() error {
 	p.mu.Lock()
--- a/internal/lab/tier/engine/engine.go
+++ b/internal/lab/tier/engine/engine.go
@@ -203,7 +203,8 @@
 	if err != nil {
 		return // the caller went
 	}
-	run := Run{Request: r.Header.Get(HeaderRequest), Service: e.o.Service, Instance: e.o.ID, Arrived: time.Now(), Sum: Sum(r.Method, r.URL.RequestURI(), body)}
+	run := Run{Request: r.Header.Get(HeaderRequest), Service: e.o.Service, Instance: e.o.ID, Arrived: time.Now(), URI: r.URL.RequestURI(),
+		Sum: Sum(r.Method, r.URL.RequestURI(), body)}
 	ctx := r.Context()
 	if ms, err := strconv.Atoi(r.Header.Get(HeaderTimeLeft)); err == nil {
 		var cancel context.CancelFunc
--- a/internal/lab/tier/engine/runs.go
+++ b/internal/lab/tier/engine/runs.go
@@ -33,6 +33,7 @@
 	Instance string
 	Seal     string
 	Sum      string // of what was asked, by Sum
+	URI      string // path with query
 	From     int    // the Last-Event-Id it was asked with
 	Arrived  time.Time
 	Began    time.Time
--- a/internal/lab/tier/operator/operator.go
+++ b/internal/lab/tier/operator/operator.go
@@ -62,6 +62,27 @@
 	return o.call(ctx, http.MethodGet, "/config", nil)
 }
 
+// PutCertificates sends a document of certificates that builds on a version. It tells whether the node says that all
+// processes have it in force.
+func (o *Operator) PutCertificates(ctx context.Context, base uint64, document []byte) (inForce bool, err error) {
+	text, err := o.call(ctx, http.MethodPut, "/certificates", document, "If-Match", strconv.FormatUint(base, 10))
+	if err != nil {
+		return false, err
+	}
+	var said struct {
+		InForce bool `json:"in_force"`
+	}
+	if err := json.Unmarshal(text, &said); err != nil {
+		return false, fmt.Errorf("the answer to certificates: %w", err)
+	}
+	return said.InForce, nil
+}
+
+// Certificates reads the newest document of certificates back.
+func (o *Operator) Certificates(ctx context.Context) ([]byte, error) {
+	return o.call(ctx, http.MethodGet, "/certificates", nil)
+}
+
 // Retire asks for a storage machine to be emptied.
 func (o *Operator) Retire(ctx context.Context, node string, over time.Duration) error {
 	_, err := o.call(ctx, http.MethodPost, "/retire/"+node, fmt.Appendf(nil, `{"over_s":%g}`, over.Seconds()))
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -55,6 +55,8 @@
 	Spoil   bool                             // endpoints spoil an answer now and then
 	Load    float64                          // over the usual rates; 0: 1
 	Say     func(format string, args ...any) // what happens, as it happens
+
+	night *night // nil: nothing is regulated
 }
 
 // Account of a play.
@@ -228,9 +230,13 @@
 	defer c.Close()
 	r := &rig{o: o, cluster: c, runs: &engine.Runs{}, all: map[*engine.Endpoint]bool{}}
 	defer r.close()
-	for n := range engines + plain {
+	models := engines
+	if o.night != nil {
+		models = nightEngines
+	}
+	for n := range models + plain {
 		service := gen
-		if n >= engines {
+		if n >= models {
 			service = web
 		}
 		if _, err := r.endpoint(service, c.EndpointAddress(n%zones, n/zones), n%zones); err != nil {
@@ -255,11 +261,22 @@
 		return out, explain(err, c)
 	}
 	out.ReadyS = time.Since(began).Seconds()
+	if o.night != nil {
+		if err := o.night.begin(ctx, r, op); err != nil {
+			return out, explain(err, c)
+		}
+	}
 	o.Say("ready after %.1f s; %v of clients begin", out.ReadyS, o.Length)
 
 	var wg sync.WaitGroup
 	var failed error
-	wg.Go(func() { failed = r.faults(ctx) })
+	wg.Go(func() {
+		if o.night != nil {
+			failed = o.night.troubles(ctx, r, op)
+			return
+		}
+		failed = r.faults(ctx)
+	})
 	spoiling, stop := context.WithCancel(ctx)
 	if o.Spoil {
 		wg.Go(func() { r.spoil(spoiling) })
@@ -280,6 +297,9 @@
 	default:
 		out.ReadBack = fmt.Sprintf("another one, of %d bytes", len(got))
 	}
+	if o.night != nil {
+		o.night.account(ctx, r)
+	}
 	out.Ends = c.Ends()
 	return out, errors.Join(failed, ctx.Err())
 }
