Tests of certificates, the filter, the check before a send, and the audit

Cause: each part has to be shown by its own tests.

The audit now tells a head of which one copy was changed, which a store would outlive: the first draw of corruptions found it.

--- a/internal/audit/read.go
+++ b/internal/audit/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -73,6 +74,13 @@
 // scan reads a file to its end. All of it has to count: a file that a store has closed or opened has no torn end.
 func scan(file io.ReaderAt, size int64, name string, each func([]byte) error) (*chainOf, error) {
 	c := &chainOf{name: name, each: each}
+	// The head stands there twice so that a store outlives the loss of one; an auditor is told.
+	head := make([]byte, journal.FramesHeader)
+	if _, err := file.ReadAt(head, 0); err != nil && !errors.Is(err, io.EOF) {
+		return c, err
+	} else if !bytes.Equal(head[:len(head)/2], head[len(head)/2:]) {
+		return c, fmt.Errorf("%s: the two copies of its head differ", name)
+	}
 	whole, err := record.Scan(file, size, name, c.add)
 	switch {
 	case err != nil:
@@ -119,9 +127,18 @@
 	Within time.Duration
 }
 
+// Head is a file with the hash of its last record. Whoever keeps it elsewhere can tell later that nothing before it was
+// changed, also by somebody who writes all files anew.
+type Head struct {
+	Name          string
+	Chain, Number uint64
+	Records       int
+	Last          string
+}
+
 // Report of an audit.
 type Report struct {
-	Files    int
+	Files    []Head
 	Records  int
 	Versions []uint64
 	Runs     []Seen // by their beginning
@@ -168,7 +185,7 @@
 		if err != nil {
 			a.say(Chain, f.name, "%v", err)
 		}
-		a.r.Files++
+		a.r.Files = append(a.r.Files, Head{f.name, c.chain, c.number, c.records, fmt.Sprintf("%x", c.last[:])})
 		a.r.Records += c.records
 		if c.records > 0 {
 			chains = append(chains, c)
--- a/internal/audit/report.go
+++ b/internal/audit/report.go
@@ -112,7 +112,14 @@
 	if err := out.Flush(); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "%d files, %d records, certificates %v\n", r.Files, r.Records, r.Versions)
+	for _, f := range r.Files {
+		if _, err := fmt.Fprintf(w, "%s: chain %x, file %d, %d records, last hash %s\n", f.Name, f.Chain, f.Number, f.Records, f.Last); err != nil {
+			return err
+		}
+	}
+	if _, err := fmt.Fprintf(w, "%d files, %d records, certificates %v\n", len(r.Files), r.Records, r.Versions); err != nil {
+		return err
+	}
 	return r.WriteProblems(w)
 }
 
--- a/internal/audit/store.go
+++ b/internal/audit/store.go
@@ -37,7 +37,7 @@
 // Store appends what proxies hand over. Nothing is on its disk before the first record.
 type Store struct {
 	o     StoreOptions
-	queue chan *link.Message
+	queue chan handed
 	done  chan struct{}
 	wg    sync.WaitGroup
 
@@ -59,7 +59,7 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
-	s := &Store{o: o, queue: make(chan *link.Message, queueMost), done: make(chan struct{}), documents: map[uint64]bool{}, texts: map[uint64][]byte{}}
+	s := &Store{o: o, queue: make(chan handed, queueMost), done: make(chan struct{}), documents: map[uint64]bool{}, texts: map[uint64][]byte{}}
 	files, err := o.Folder.List()
 	if err != nil {
 		return nil, err
@@ -87,12 +87,31 @@
 	}
 }
 
+// handed is what a proxy handed over, and who is told once it is on disk, or why it isn't.
+type handed struct {
+	body []byte
+	done func(error)
+}
+
+var errBusy = errors.New("too much waits to be recorded here")
+
 // Message takes what a proxy hands over.
 func (s *Store) Message(m *link.Message) {
+	s.Append(m.Body, func(err error) {
+		if err != nil {
+			m.Fail("%v", err)
+			return
+		}
+		m.Reply(nil)
+	})
+}
+
+// Append takes the body of a message. It doesn't wait.
+func (s *Store) Append(body []byte, done func(error)) {
 	select {
-	case s.queue <- m:
+	case s.queue <- handed{body, done}:
 	default:
-		m.Fail("too much waits to be recorded here")
+		done(errBusy)
 	}
 }
 
@@ -100,7 +119,7 @@
 	for {
 		select {
 		case m := <-s.queue:
-			all := []*link.Message{m}
+			all := []handed{m}
 			for more := true; more && len(all) < queueMost; {
 				select {
 				case m := <-s.queue:
@@ -117,10 +136,10 @@
 }
 
 // take appends what came and answers once it is on disk.
-func (s *Store) take(all []*link.Message) {
+func (s *Store) take(all []handed) {
 	errs := make([]error, len(all))
 	for i, m := range all {
-		errs[i] = s.append(m.Body)
+		errs[i] = s.append(m.body)
 	}
 	err := s.failed
 	if err == nil && s.log != nil {
@@ -129,11 +148,7 @@
 		}
 	}
 	for i, m := range all {
-		if err := errors.Join(errs[i], err); err != nil {
-			m.Fail("%v", err)
-			continue
-		}
-		m.Reply(nil)
+		m.done(errors.Join(errs[i], err))
 	}
 }
 
--- /dev/null
+++ b/internal/certify/certify_test.go
@@ -0,0 +1,165 @@
+package certify
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestDocument plays the tables of testdata: parse, regime, certified, without.
+func TestDocument(t *testing.T) {
+	var s *Set
+	datadriven.RunTest(t, "testdata/document", func(t *testing.T, d *datadriven.TestData) string {
+		arg := func(key string) string {
+			for _, a := range d.CmdArgs {
+				if a.Key == key && len(a.Vals) > 0 {
+					return a.Vals[0]
+				}
+			}
+			return ""
+		}
+		switch d.Cmd {
+		case "parse":
+			got, err := Parse([]byte(d.Input))
+			if err != nil {
+				return err.Error()
+			}
+			s = got
+			return fmt.Sprintf("version %d: %d routes, %d certificates, demanding %v", s.Version, len(s.Routes), len(s.Certificates), s.Demanding())
+		case "regime":
+			return fmt.Sprintf("%q", s.Regime(arg("route")))
+		case "certified":
+			at, err := time.Parse(time.RFC3339, arg("at"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return fmt.Sprint(s.Certified(arg("endpoint"), arg("regime"), at))
+		case "without":
+			next, n := s.Without(arg("endpoint"), arg("regime"))
+			text, err := json.Marshal(next)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s, err = Parse(text); err != nil {
+				return err.Error()
+			}
+			return fmt.Sprintf("%d taken out, version %d has %d", n, s.Version, len(s.Certificates))
+		}
+		t.Fatalf("no command %q", d.Cmd)
+		return ""
+	})
+}
+
+// document certifies e1 and e2 for r, which route "a" demands, around noon.
+func document(t testing.TB, version uint64, endpoints ...string) *Set {
+	t.Helper()
+	d := Document{Version: version, Routes: []Route{{"a", "r"}}}
+	for _, e := range endpoints {
+		d.Certificates = append(d.Certificates, Certificate{e, "r", noon.Add(-time.Hour), noon.Add(time.Hour), "x"})
+	}
+	text, err := json.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+var noon = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+func TestTheGateFailsClosed(t *testing.T) {
+	now, confirmed := noon, time.Time{}
+	g := NewGate(GateOptions{Now: func() time.Time { return now }, Confirmed: func() time.Time { return confirmed }, Stale: 2 * time.Second})
+	expect := func(what, route, endpoint, regime string, ok bool) {
+		t.Helper()
+		if r, _, got := g.Allows(route, endpoint); r != regime || got != ok {
+			t.Errorf("%s: %s at %s: regime %q, allowed %v", what, route, endpoint, r, got)
+		}
+	}
+	expect("nothing was ever put", "a", "e1", "", true)
+	g.Update(nil)
+	expect("nothing was ever put", "a", "e1", "", true)
+	g.Update(document(t, 5, "e1", "e2"))
+	expect("nobody has confirmed it", "a", "e1", "r", false)
+	expect("a route that demands nothing", "b", "e9", "", true)
+	confirmed = now
+	expect("confirmed", "a", "e1", "r", true)
+	expect("another endpoint", "a", "e3", "r", false)
+	now = now.Add(2 * time.Second)
+	expect("confirmed a moment ago", "a", "e1", "r", true)
+	now = now.Add(time.Millisecond)
+	expect("confirmed too long ago", "a", "e1", "r", false)
+	expect("a route that demands nothing, unconfirmed", "b", "e9", "", true)
+	confirmed = now
+	expect("confirmed again", "a", "e1", "r", true)
+	g.Update(document(t, 4, "e1", "e3"))
+	expect("an older version came", "a", "e3", "r", false)
+	g.Update(document(t, 6, "e2"))
+	expect("withdrawn", "a", "e1", "r", false)
+	expect("not withdrawn", "a", "e2", "r", true)
+	g.Update(document(t, 5, "e1", "e2"))
+	expect("the version before came late", "a", "e1", "r", false)
+	now = noon.Add(time.Hour - ClockMargin)
+	confirmed = now
+	expect("expired but for the margin", "a", "e2", "r", false)
+}
+
+func TestNoGateMeansNothingIsRegulated(t *testing.T) {
+	var g *Gate
+	if g.Set() != nil || g.Set().Regime("a") != "" || g.Set().Demanding() {
+		t.Error("something is regulated")
+	}
+	if g.Set().Certified("e", "r", noon) {
+		t.Error("nobody said that e is certified")
+	}
+}
+
+func TestCountsAreByRegime(t *testing.T) {
+	g := NewGate(GateOptions{Confirmed: func() time.Time { return time.Time{} }})
+	g.Count("b", func(c *Counts) { c.Runs++ })
+	g.Count("a", func(c *Counts) { c.Refused++ })
+	g.Count("b", func(c *Counts) { c.Runs++ })
+	if got := fmt.Sprint(g.Counted()); got != "[{a {0 1 0 0}} {b {2 0 0 0}}]" {
+		t.Error(got)
+	}
+}
+
+// The check of a request, off and on.
+func BenchmarkGate(b *testing.B) {
+	run := func(name string, g *Gate) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if g.Set() != nil {
+					if _, _, ok := g.Allows("a", "e1"); !ok {
+						b.Fatal("not allowed")
+					}
+				}
+			}
+		})
+	}
+	o := GateOptions{Confirmed: time.Now, Stale: time.Hour}
+	run("off", NewGate(o))
+	on := NewGate(o)
+	d := document(b, 1)
+	for i := range 400 {
+		id := fmt.Sprint("e", i)
+		d.held[holding{id, "r"}] = []*Certificate{{id, "r", time.Now().Add(-time.Hour), time.Now().Add(time.Hour), "x"}}
+	}
+	on.Update(d)
+	run("on", on)
+}
+
+func TestAWrongDocumentIsToldInFullUpToABound(t *testing.T) {
+	_, err := Parse([]byte(`{"version":1,"routes":[` + strings.Repeat(`{"name":"","regime":""},`, 20) + `{"name":"a","regime":"b"}]}`))
+	if err == nil || strings.Count(err.Error(), "\n") != problemsMost || !strings.Contains(err.Error(), "more") {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/certified_test.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"wingmount/internal/operator"
+	"wingmount/internal/view"
+)
+
+// regulated is a request that only some endpoints may have; the list may change later.
+func regulated(id string, certified *[]string) *Request {
+	return &Request{ID: id, Regime: "r", Certified: func(e string) bool { return slices.Contains(*certified, e) }}
+}
+
+func expect(t *testing.T, b *bench, want string) {
+	t.Helper()
+	if got := strings.Join(b.said, ", "); got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	b.said = nil
+}
+
+func TestOnlyCertifiedEndpointsGetRegulatedWork(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1", "e2", "e3", "e4")
+	certified := []string{"e2", "e3"}
+	for range 200 {
+		b.ask(regulated("q", &certified))
+		b.pass(10 * time.Millisecond)
+		for _, r := range b.runs {
+			if r.target.ID != "e2" && r.target.ID != "e3" {
+				t.Fatal(r.target.ID)
+			}
+			b.c.end(r, Served, Load{})
+		}
+		b.runs = map[string]*run{}
+	}
+}
+
+func TestRegulatedWorkWaitsInTheHoldAndIsRefusedPlainly(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1", "e2")
+	var certified []string
+	b.ask(regulated("1", &certified))
+	expect(t, b, "") // nobody is certified: it waits
+	b.ask(&Request{ID: "2"})
+	expect(t, b, "2 to "+b.runs["2"].target.ID) // and nobody waits behind it
+	b.pass(50 * time.Millisecond)
+	certified = []string{"e2"}
+	b.pass(10 * time.Millisecond)
+	expect(t, b, "1 to e2")
+	certified = nil
+	w := b.ask(regulated("3", &certified))
+	b.pass(99 * time.Millisecond)
+	expect(t, b, "")
+	b.pass(time.Millisecond)
+	expect(t, b, "3 refused")
+	if w.refused.Regime != "r" || w.refused.Reason != "no certified node for regime r is free" || w.refused.RetryAfter <= 0 {
+		t.Errorf("%+v", w.refused)
+	}
+}
+
+func TestAllOutMeansAllCertifiedOnes(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1", "e2")
+	certified := []string{"e1"}
+	for range 2 { // e1 is sick from here on
+		w := b.ask(regulated("s", &certified))
+		b.c.end(w.grant, Broken, Load{})
+	}
+	if b.endpoint("e1").outTill == 0 {
+		t.Fatal("e1 is not out")
+	}
+	b.said = nil
+	b.ask(regulated("1", &certified))
+	expect(t, b, "1 to e1") // the least bad of those that are certified, though e2 is sound
+	certified = nil
+	b.ask(regulated("2", &certified))
+	expect(t, b, "")
+}
+
+func TestHeldRegulatedWorkBlocksNobodyElse(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1", "e2")
+	var certified []string
+	for i := range 3 * mostFailures {
+		w := regulated("held"+string(rune('a'+i)), &certified)
+		w.Bulk = true
+		b.ask(w)
+		u := regulated("int"+string(rune('a'+i)), &certified)
+		u.Route = &operator.Route{TargetMs: 4000}
+		b.ask(u)
+	}
+	expect(t, b, "")
+	b.ask(&Request{ID: "plain"})
+	b.ask(&Request{ID: "bulk", Bulk: true})
+	if b.runs["plain"] == nil || b.runs["bulk"] == nil {
+		t.Errorf("%q: they wait for what is of no use to them", b.said)
+	}
+	b.said = nil
+	b.c.end(b.runs["plain"], Served, Load{})
+	b.c.end(b.runs["bulk"], Served, Load{})
+	// Fill all, hold another plain one, and see that it goes when a place comes free, past those that are held.
+	b.runs = map[string]*run{}
+	for i := range 20 {
+		b.ask(&Request{ID: "f" + string(rune('a'+i)), Bulk: true})
+	}
+	ran := len(b.runs)
+	if ran == 20 {
+		t.Fatal("nothing waits")
+	}
+	for _, r := range b.runs {
+		b.c.end(r, Served, Load{})
+		break
+	}
+	if len(b.runs) != ran+1 {
+		t.Error("a place came free, and none of those that wait for any endpoint got it")
+	}
+}
+
+func TestHomesAreWithinTheCertifiedSet(t *testing.T) {
+	b := newBench(Settings{})
+	b.add("e1", "e2", "e3", "e4", "e5", "e6")
+	certified := []string{"e2", "e5"}
+	homes := map[string]int{}
+	for i := range 40 {
+		r := prompt(7, uint64(i))
+		r.ID, r.Regime, r.Certified = "h", "r", func(e string) bool { return slices.Contains(certified, e) }
+		w := b.ask(r)
+		if w.grant == nil {
+			t.Fatal("not granted")
+		}
+		homes[w.grant.target.ID]++
+		b.c.end(w.grant, Served, Load{})
+		b.pass(100 * time.Millisecond)
+	}
+	if homes["e2"]+homes["e5"] != 40 || max(homes["e2"], homes["e5"]) < 36 {
+		t.Errorf("%v", homes)
+	}
+}
+
+func TestAHeldItemGoesWhenItsCertificateComes(t *testing.T) {
+	d := New(Options{Zone: "a"})
+	defer d.Close()
+	d.Update(snapshot(1, &view.Endpoint{ID: "e1", Service: "s", Address: "e1:1", Zone: "a", Capacity: 4}))
+	begin := time.Now().Add(400 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	g, err := d.Acquire(ctx, &Request{Service: "s", Bulk: true, Regime: "r", Certified: func(string) bool { return time.Now().After(begin) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if time.Now().Before(begin) {
+		t.Error("granted before it counted")
+	}
+	g.End(Served, Load{})
+	_, err = d.Acquire(ctx, &Request{Service: "s", Route: &operator.Route{TargetMs: 100}, Arrived: time.Now(), Deadline: time.Now().Add(time.Second),
+		Regime: "r", Certified: func(string) bool { return false }})
+	var refused *Refused
+	if !errors.As(err, &refused) || refused.Regime != "r" {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/forward/certified_test.go
@@ -0,0 +1,247 @@
+package forward
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wingmount/internal/audit"
+	"wingmount/internal/certify"
+	"wingmount/internal/dispatch"
+	"wingmount/internal/operator"
+)
+
+// book is a record in memory.
+type book struct {
+	mu   sync.Mutex
+	runs []audit.Run
+	ends map[uint64]audit.Outcome
+	full bool
+}
+
+func (b *book) Begin(r audit.Run, _ []byte) (uint64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.full {
+		return 0, false
+	}
+	b.runs = append(b.runs, r)
+	return uint64(len(b.runs)), true
+}
+
+func (b *book) End(n uint64, o audit.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, twice := b.ends[n]; twice {
+		panic("a run ended twice")
+	}
+	b.ends[n] = o
+}
+
+// said is each run's endpoint and outcome, in order.
+func (b *book) said() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for i, r := range b.runs {
+		out = append(out, r.Endpoint+" "+b.ends[uint64(i+1)].String())
+	}
+	return strings.Join(out, ", ")
+}
+
+func certificates(t testing.TB, version uint64, endpoints ...string) *certify.Set {
+	t.Helper()
+	d := certify.Document{Version: version, Routes: []certify.Route{{Name: "r", Regime: "fin"}}}
+	for _, e := range endpoints {
+		d.Certificates = append(d.Certificates, certify.Certificate{Endpoint: e, Regime: "fin", NotBefore: time.Now().Add(-time.Hour),
+			NotAfter: time.Now().Add(time.Hour), By: "test"})
+	}
+	text, err := json.Marshal(d)
+	must(t, err)
+	s, err := certify.Parse(text)
+	must(t, err)
+	return s
+}
+
+// certify regulates the rig's route; the gate is confirmed all the time.
+func (g *rig) certify(endpoints ...string) *book {
+	b := &book{ends: map[uint64]audit.Outcome{}}
+	g.p.o.Certified = certify.NewGate(certify.GateOptions{Confirmed: time.Now, Stale: time.Second})
+	g.p.o.Certified.Update(certificates(g.t, 1, endpoints...))
+	g.p.o.Record = b
+	return b
+}
+
+func TestNothingIsSentToWhoIsNotCertified(t *testing.T) {
+	e1, e2 := newEndpoint(t, "e1", says(sealed, "one")), newEndpoint(t, "e2", says(sealed, "two"))
+	g := newRig(t, route(operator.Writes, 1), e1, e2) // its admission knows nothing of certificates, as one whose grant is late
+	b := g.certify("e2")
+	a := g.do(plainCall, "body")
+	if a.status != 200 || a.body != "two" || len(e1.got()) != 0 {
+		t.Errorf("%+v, %d calls at e1", a, len(e1.got()))
+	}
+	if got := b.said(); got != "e2 answered" {
+		t.Error(got)
+	}
+	if r := b.runs[0]; r.Regime != "fin" || r.Version != 1 || r.Route != "r" || r.Repeatable || r.Item || r.ID == "" {
+		t.Errorf("%+v", r)
+	}
+	if !slices.Equal(g.a.outcomes(), []dispatch.Outcome{dispatch.Left, dispatch.Served}) {
+		t.Errorf("%v: a certificate that is gone tells nothing of the endpoint's health", g.a.outcomes())
+	}
+	if q := g.a.asked[0]; q.Regime != "fin" || q.Certified("e1") || !q.Certified("e2") {
+		t.Errorf("%+v", q)
+	}
+}
+
+func TestWhereNobodyIsCertifiedItIsRefusedWithItsReason(t *testing.T) {
+	e1, e2 := newEndpoint(t, "e1", says(sealed, "one")), newEndpoint(t, "e2", says(sealed, "two"))
+	for _, kind := range []operator.Kind{operator.Writes, operator.ReadOnly} {
+		g := newRig(t, route(kind, 2), e1, e2)
+		g.certify()
+		a := g.do(plainCall, "body")
+		if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || a.header.Get(headReason) != "no certified node for regime fin is free" {
+			t.Errorf("%+v", a)
+		}
+	}
+	if len(e1.got())+len(e2.got()) != 0 {
+		t.Error("it was sent")
+	}
+}
+
+func TestWhatAdmissionRefusesForWantOfCertificatesIsCounted(t *testing.T) {
+	g := newRig(t, route(operator.Writes, 1))
+	g.certify()
+	g.a.refuse = &dispatch.Refused{Reason: "no certified node for regime fin is free", RetryAfter: 70 * time.Millisecond, Regime: "fin"}
+	if a := g.do(plainCall, "body"); a.status != 503 || a.header.Get(headReason) != "no certified node for regime fin is free" {
+		t.Errorf("%+v", a)
+	}
+	if got := g.p.o.Certified.Counted(); len(got) != 1 || got[0].Refused != 1 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// The first certificates come while a request is on its way to an endpoint that was granted before.
+func TestARouteThatIsRegulatedMeanwhile(t *testing.T) {
+	e1, e2 := newEndpoint(t, "e1", says(sealed, "one")), newEndpoint(t, "e2", says(sealed, "two"))
+	g := newRig(t, route(operator.Writes, 1), e1, e2)
+	b := g.certify("e2")
+	set := g.p.o.Certified.Set()
+	g.p.o.Certified = certify.NewGate(certify.GateOptions{Confirmed: time.Now, Stale: time.Second})
+	x := &exchange{p: g.p, ctx: t.Context(), method: http.MethodPost}
+	x.describe(&g.config.Routes[0], func(string) string { return "id9" })
+	if x.req.Certified != nil || x.req.Regime != "" {
+		t.Fatal("regulated before")
+	}
+	_, ok := x.acquire()
+	if !ok || x.grant.Endpoint().ID != "e1" {
+		t.Fatal("not granted")
+	}
+	g.p.o.Certified.Update(set)
+	if e, ok := x.certified("e1"); ok || e != Unsent || x.grant != nil {
+		t.Errorf("%v, %v", e, ok)
+	}
+	if x.req.Regime != "fin" || x.req.Certified("e1") {
+		t.Error("its next endpoint need not be certified")
+	}
+	if len(b.runs) != 0 {
+		t.Error("recorded")
+	}
+}
+
+func TestARecordThatIsFullStopsRegulatedWork(t *testing.T) {
+	e1 := newEndpoint(t, "e1", says(sealed, "one"))
+	g := newRig(t, route(operator.Writes, 1), e1)
+	b := g.certify("e1")
+	b.full = true
+	if a := g.do(plainCall, "body"); a.status != 503 || a.header.Get(headReason) != recordFull || len(e1.got()) != 0 {
+		t.Errorf("%+v", a)
+	}
+	res := g.p.RunItem(t.Context(), item(&g.config.Routes[0]), "", nil)
+	if res.State != ItemNotRun || len(e1.got()) != 0 {
+		t.Errorf("%+v", res)
+	}
+	b.full = false
+	if a := g.do(plainCall, "body"); a.status != 200 || b.said() != "e1 answered" {
+		t.Errorf("%+v, %s", a, b.said())
+	}
+}
+
+// How each end is recorded, and where a resumed stream goes on.
+func TestEachRunIsRecordedWithItsEnd(t *testing.T) {
+	cut := func(c net.Conn, r call) bool {
+		_, _ = io.WriteString(c, streamHead(r.Header.Get(headID))+chunked(oneEvent(1)))
+		return false
+	}
+	rest := func(c net.Conn, r call) bool {
+		_, _ = io.WriteString(c, streamHead(r.Header.Get(headID))+chunked(oneEvent(2), ""))
+		return true
+	}
+	resumed := route(operator.Streaming, 3)
+	resumed.Resume = true
+	for name, c := range map[string]struct {
+		route operator.Route
+		first func(net.Conn, call) bool
+		last  func(net.Conn, call) bool
+		want  string
+	}{
+		"turned away":    {route(operator.Writes, 1), says("503 X|X-Dunetide-Not-Run: 1", ""), says(sealed, "fine"), "e1 not-run, e3 answered"},
+		"another one":    {route(operator.Writes, 1), says("421 X", ""), says(sealed, "fine"), "e1 not-run, e3 answered"},
+		"500":            {route(operator.Writes, 1), says("500 X", "x"), nil, "e1 failed"},
+		"500, repeated":  {route(operator.ReadOnly, 2), says("500 X", "x"), says(sealed, "fine"), "e1 failed, e3 answered"},
+		"closed":         {route(operator.Writes, 1), func(net.Conn, call) bool { return false }, nil, "e1 broken"},
+		"resumed stream": {resumed, cut, rest, "e1 broken, e3 answered"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e1, e2 := newEndpoint(t, "e1", c.first), newEndpoint(t, "e2", says(sealed, "not certified"))
+			all := []*endpoint{e1, e2}
+			if c.last != nil {
+				all = append(all, newEndpoint(t, "e3", c.last))
+			}
+			g := newRig(t, c.route, all...)
+			b := g.certify("e1", "e3")
+			g.do(plainCall, "body")
+			for until := time.Now().Add(patience); len(b.said()) != len(c.want) && time.Now().Before(until); {
+				time.Sleep(time.Millisecond)
+			}
+			if got := b.said(); got != c.want || len(e2.got()) != 0 {
+				t.Errorf("%q, want %q; %d calls where nobody is certified", got, c.want, len(e2.got()))
+			}
+			if name == "resumed stream" && b.runs[1].After != "1" {
+				t.Errorf("%+v", b.runs[1])
+			}
+		})
+	}
+}
+
+func TestItemsGoOnOnlyAtCertifiedEndpoints(t *testing.T) {
+	e1, e2 := newEndpoint(t, "e1", says(sealed, "one")), newEndpoint(t, "e2", says(sealed, "two"))
+	g := newRig(t, route(operator.Bulk, 2), e1, e2)
+	b := g.certify("e2")
+	res := g.p.RunItem(t.Context(), item(&g.config.Routes[0]), "3", func(string, []byte) {})
+	if res.State != ItemDone || len(e1.got()) != 0 || b.said() != "e2 answered" || !b.runs[0].Item || b.runs[0].After != "3" || !b.runs[0].Repeatable {
+		t.Errorf("%+v, %+v", res, b.runs)
+	}
+}
+
+// One request after the other, where its route is regulated, and where others are. BenchmarkPlain has none.
+func BenchmarkCertified(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(map[bool]string{false: "another-route", true: "this-route"}[on], func(b *testing.B) {
+			r := route(operator.ReadOnly, 2)
+			if !on {
+				r.Name = "other"
+			}
+			e := newEndpoint(b, "e1", says(sealed, "the body"))
+			g := newRig(b, r, e)
+			g.certify("e1")
+			benchmark(b, g)
+		})
+	}
+}
--- a/internal/lab/wrongline/wrongline.go
+++ b/internal/lab/wrongline/wrongline.go
@@ -13,7 +13,8 @@
 	"time"
 )
 
-// Line is a name, a file, one line of it, or some, and what stands there instead.
+// Line is a name, a file of this package or, by its path from here, of another one, one line of it, or some, and what
+// stands there instead.
 type Line [4]string
 
 // Options say which tests have to find each.
@@ -59,7 +60,7 @@
 		t.Fatalf("the line stands %d times in %s", n, file)
 	}
 	dir := t.TempDir()
-	changed, overlay := filepath.Join(dir, file), filepath.Join(dir, "overlay.json")
+	changed, overlay := filepath.Join(dir, filepath.Base(file)), filepath.Join(dir, "overlay.json")
 	must(os.WriteFile(changed, []byte(strings.Replace(string(text), line, instead, 1)), 0o600))
 	list, err := json.Marshal(map[string]map[string]string{"Replace": {here: changed}})
 	must(err)
