--- a/cmd/dunetide/certify.go
+++ b/cmd/dunetide/certify.go
@@ -109,11 +109,11 @@
 		return fmt.Errorf("the keeper's answer can't be read: %w", err)
 	}
 	if said.InForce {
-		fmt.Printf("version %d is in force at all processes that are attached\n", said.Version)
-		return nil
+		fmt.Printf("version %d is in force at all processes that are in touch", said.Version)
+	} else {
+		fmt.Printf("version %d is agreed, and not yet acknowledged by all processes that are in touch", said.Version)
 	}
-	fmt.Printf("version %d is agreed; some processes have not acknowledged it yet: where an earlier version was in force, they use it no longer than %d ms from now\n",
-		said.Version, said.WithinMs)
+	fmt.Printf("; no process uses an earlier one longer than %d ms from now\n", said.WithinMs)
 	return nil
 }
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -58,6 +58,7 @@
 
 	certificates      *certify.Set
 	certificatesKnown bool
+	unreadable        uint64        // a version that was pushed and can't be understood here
 	asked             chan struct{} // wakes confirming
 	confirmed         atomic.Pointer[time.Time]
 }
@@ -133,7 +134,27 @@
 	}
 }
 
+// closeGate has nothing count as confirmed from here on, as newer certificates can't be understood, which may withdraw what is
+// in force. It tells whether there are any in force.
+func (c *Client) closeGate(version uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.certificates == nil {
+		return false
+	}
+	if version > c.certificates.Version {
+		c.unreadable = version
+		c.confirmed.Store(nil)
+	}
+	return true
+}
+
 func (c *Client) raise(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.certificates == nil || c.unreadable > c.certificates.Version {
+		return
+	}
 	for {
 		old := c.confirmed.Load()
 		if old != nil && !old.Before(at) || c.confirmed.CompareAndSwap(old, &at) {
@@ -296,10 +317,11 @@
 	var certificates *certify.Set
 	if len(u.Certificates) > 0 {
 		if certificates, err = certify.Parse(u.Certificates); err != nil {
-			// What can't be understood may withdraw what is in force: no acknowledgement, and no confirmation over this link.
 			c.o.Log.Error("certificates unreadable", "version", u.CertificatesVersion, "err", err)
-			m.Conn.Close()
-			return
+			if !c.closeGate(u.CertificatesVersion) { // then nobody here knows what is regulated
+				m.Conn.Close()
+				return
+			}
 		}
 	}
 	c.mu.Lock()
@@ -313,10 +335,12 @@
 	if certificates != nil && (c.certificates == nil || certificates.Version > c.certificates.Version) {
 		c.certificates = certificates
 		c.o.Log.Info("certificates in force", "version", certificates.Version, "certificates", len(certificates.Certificates), "regulated_routes", len(certificates.Routes))
-		c.ask()
 	}
 	c.rebuild()
 	c.mu.Unlock()
+	if certificates != nil {
+		c.ask()
+	}
 	w := link.Writer{}
 	w.U64(u.Number)
 	_ = m.Conn.Send(Ack, w.B)
--- /dev/null
+++ b/internal/forward/night_test.go
@@ -0,0 +1,733 @@
+//go:build !race
+
+// In simulated time, which the race detector does not take (see internal/fleet/simulated_test.go).
+
+package forward
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wingmount/internal/audit"
+	"wingmount/internal/certify"
+	"wingmount/internal/dispatch"
+	"wingmount/internal/journal"
+	"wingmount/internal/link"
+	"wingmount/internal/operator"
+	"wingmount/internal/view"
+)
+
+// A busy night: proxies with their dispatchers, gates and records, engines, stores with disks, and clients, in simulated time.
+// Keepers are played: they push documents and answer questions late, out of order or not at all.
+const (
+	nightLength  = 20 * time.Second
+	nightStale   = 2 * time.Second
+	nightProxies = 3
+	nightEngines = 7
+	nightEvents  = 6
+	nightItems   = 60
+	itemWait     = 12 * time.Second // after which an item that waits is given up
+)
+
+// trueRun is a run as an engine saw it.
+type trueRun struct {
+	id, engine, path string
+	began            time.Time
+	from             int
+	whole            bool
+}
+
+type night struct {
+	t    *testing.T
+	seed uint64
+	mu   sync.Mutex
+	rng  *rand.Rand
+	wg   sync.WaitGroup
+
+	document certify.Document
+	puts     []*certify.Set // in the order in which they were put
+	putAt    []time.Time
+	runs     []*trueRun
+	proxies  []*nightProxy
+	engines  map[string]*nightEngine
+	stores   []*audit.Store
+	lost     []bool // stores
+	config   *operator.Config
+	ctx      context.Context
+	refused  int
+	served   int
+	listed   map[string]int
+	givenUp  map[string]bool
+	answers  map[string]int // status by id
+	dir      string
+}
+
+func (n *night) draw(most int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rng.IntN(most)
+}
+
+func (n *night) ms(most int) time.Duration { return time.Duration(n.draw(most)) * time.Millisecond }
+
+// nightProxy is one proxy.
+type nightProxy struct {
+	n         *night
+	holder    *view.Holder
+	dispatch  *dispatch.Dispatcher
+	gate      *certify.Gate
+	record    *audit.Recorder
+	proxy     *Proxy
+	mu        sync.Mutex
+	cut       bool // from all keepers
+	confirmed time.Time
+}
+
+func (p *nightProxy) isCut() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut
+}
+
+func (p *nightProxy) setCut(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = on
+}
+
+// ask asks a keeper whether what is known is the newest: the answer is that of a read which begins after the question.
+func (p *nightProxy) ask() {
+	asked := time.Now()
+	time.Sleep(p.n.ms(20))
+	if p.isCut() {
+		return
+	}
+	newest := p.n.newest()
+	time.Sleep(p.n.ms(40))
+	if p.isCut() {
+		return
+	}
+	p.gate.Update(newest) // pushed before the answer
+	p.mu.Lock()
+	if asked.After(p.confirmed) {
+		p.confirmed = asked
+	}
+	p.mu.Unlock()
+}
+
+func (n *night) newest() *certify.Set {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.puts) == 0 {
+		return nil
+	}
+	return n.puts[len(n.puts)-1]
+}
+
+// put agrees on a document and pushes it, late and in any order.
+func (n *night) put(change func(d *certify.Document)) {
+	n.mu.Lock()
+	change(&n.document)
+	n.document.Version++
+	text, err := json.Marshal(n.document)
+	must(n.t, err)
+	s, err := certify.Parse(text)
+	must(n.t, err)
+	n.puts, n.putAt = append(n.puts, s), append(n.putAt, time.Now())
+	n.mu.Unlock()
+	for _, p := range n.proxies {
+		n.wg.Go(func() {
+			time.Sleep(n.ms(800)) // a push may be later than the answer to a question
+			if !p.isCut() {
+				p.gate.Update(s)
+			}
+		})
+	}
+}
+
+// nightEngine is an endpoint in memory.
+type nightEngine struct {
+	n    *night
+	id   string
+	mu   sync.Mutex
+	down bool
+	till time.Time // frozen
+	busy int
+	open map[net.Conn]bool
+}
+
+const engineSlots = 5
+
+func (e *nightEngine) dial() (net.Conn, error) {
+	time.Sleep(time.Duration(1+e.n.draw(8)) * time.Millisecond)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, errors.New("refused")
+	}
+	a, b := net.Pipe()
+	e.open[b] = true
+	e.n.wg.Go(func() { e.serve(b) })
+	return a, nil
+}
+
+func (e *nightEngine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	for c := range e.open {
+		_ = c.Close()
+	}
+}
+
+// pause lets time pass, and more if it is frozen.
+func (e *nightEngine) pause(d time.Duration) {
+	time.Sleep(d)
+	for {
+		e.mu.Lock()
+		left := time.Until(e.till)
+		e.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+func (e *nightEngine) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		e.mu.Lock()
+		delete(e.open, c)
+		e.mu.Unlock()
+	}()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return
+		}
+		if !e.answer(c, r) {
+			return
+		}
+	}
+}
+
+func (e *nightEngine) answer(c net.Conn, r *http.Request) bool {
+	id := r.Header.Get(headID)
+	e.pause(0)
+	e.mu.Lock()
+	full := e.busy >= engineSlots
+	if !full {
+		e.busy++
+	}
+	e.mu.Unlock()
+	if full || r.Header.Get(headTarget) != e.id {
+		status := "503 X"
+		if !full {
+			status = "421 X"
+		}
+		_, err := io.WriteString(c, answerOf(id, status+"|X-Dunetide-Not-Run: 1", ""))
+		return err == nil
+	}
+	defer func() {
+		e.mu.Lock()
+		e.busy--
+		e.mu.Unlock()
+	}()
+	run := &trueRun{id: id, engine: e.id, path: r.URL.Path, began: time.Now()}
+	run.from, _ = strconv.Atoi(r.Header.Get(headLast))
+	e.n.mu.Lock()
+	e.n.runs = append(e.n.runs, run)
+	e.n.mu.Unlock()
+	e.pause(time.Duration(5+e.n.draw(20)) * time.Millisecond)
+	if !strings.HasPrefix(r.URL.Path, "/bulk/") && !strings.HasPrefix(r.URL.Path, "/talk/") {
+		_, err := io.WriteString(c, answerOf(id, sealed, "fine"))
+		e.whole(run, err)
+		return err == nil
+	}
+	if _, err := io.WriteString(c, streamHead(id)); err != nil {
+		return false
+	}
+	for k := run.from + 1; k <= nightEvents; k++ {
+		e.pause(time.Duration(10+e.n.draw(40)) * time.Millisecond)
+		if _, err := io.WriteString(c, chunked(oneEvent(k))); err != nil {
+			return false
+		}
+		if e.n.draw(60) == 0 { // breaks off
+			return false
+		}
+	}
+	_, err := io.WriteString(c, chunked(""))
+	e.whole(run, err)
+	return err == nil
+}
+
+func (e *nightEngine) whole(run *trueRun, err error) {
+	e.n.mu.Lock()
+	defer e.n.mu.Unlock()
+	run.whole = err == nil
+}
+
+// toStore is a connection of a record to a store.
+type toStore struct {
+	n *night
+	i int
+}
+
+func (s toStore) Call(ctx context.Context, _ link.Kind, body []byte) ([]byte, error) {
+	time.Sleep(s.n.ms(10))
+	s.n.mu.Lock()
+	lost := s.n.lost[s.i]
+	s.n.mu.Unlock()
+	if lost {
+		return nil, link.ErrClosed
+	}
+	answer := make(chan error, 1)
+	s.n.stores[s.i].Append(body, func(err error) { answer <- err })
+	select {
+	case err := <-answer:
+		return nil, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+func (s toStore) Done() <-chan struct{} { return nil }
+func (s toStore) Close()                {}
+
+// nightRoutes: all but the last demand the regime.
+var nightRoutes = []operator.Route{
+	{Name: "save", Kind: operator.Writes, TimeoutMs: 2000, TargetMs: 400, Tries: 2},
+	{Name: "look", Kind: operator.ReadOnly, TimeoutMs: 2000, TargetMs: 400, Tries: 3},
+	{Name: "talk", Kind: operator.Streaming, TimeoutMs: 4000, TargetMs: 400, Tries: 3, Resume: true},
+	{Name: "bulk", Kind: operator.Bulk, DueMs: 8000, Tries: 3, MaxWaitMs: 12000},
+	{Name: "open", Kind: operator.Writes, TimeoutMs: 2000, TargetMs: 400, Tries: 2},
+}
+
+func newNight(t *testing.T, seed uint64) *night {
+	n := &night{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 99)), engines: map[string]*nightEngine{}, lost: make([]bool, 3),
+		listed: map[string]int{}, givenUp: map[string]bool{}, answers: map[string]int{}}
+	n.config = &operator.Config{Version: 1, Services: map[string]*operator.Service{"svc": {Name: "svc"}}}
+	for _, r := range nightRoutes {
+		r.Host, r.PathStart, r.Shares = "h.example", "/"+r.Name+"/", []operator.Share{{Service: "svc", Weight: 1}}
+		n.config.Routes = append(n.config.Routes, r)
+	}
+	endpoints := []*view.Endpoint{}
+	for i := range nightEngines {
+		id := fmt.Sprint("e", i)
+		n.engines[id] = &nightEngine{n: n, id: id, open: map[net.Conn]bool{}}
+		endpoints = append(endpoints, &view.Endpoint{ID: id, Service: "svc", Address: id, Zone: "z", Capacity: engineSlots})
+	}
+	n.dir = t.TempDir()
+	for i := range 3 {
+		at := filepath.Join(n.dir, fmt.Sprint("s", i))
+		must(t, os.Mkdir(at, 0o755))
+		s, err := audit.OpenStore(audit.StoreOptions{Folder: journal.Dir(at), FileBytes: 64 << 10})
+		must(t, err)
+		n.stores = append(n.stores, s)
+	}
+	for i := range nightProxies {
+		p := &nightProxy{n: n, holder: &view.Holder{}}
+		p.holder.Set(&view.Snapshot{Config: n.config, Senders: nightProxies, Listed: true, Endpoints: map[string][]*view.Endpoint{"svc": endpoints}})
+		p.gate = certify.NewGate(certify.GateOptions{Stale: nightStale, Confirmed: func() time.Time {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.confirmed
+		}})
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		p.dispatch = dispatch.New(dispatch.Options{Zone: "z", Holder: p.holder, Rand: rng.Float64})
+		p.record = audit.NewRecorder(audit.RecorderOptions{Node: fmt.Sprint("p", i), Life: 1, Need: 2, Held: 150,
+			Stores: func() (all []view.Store) {
+				for i := range n.stores {
+					all = append(all, view.Store{Name: fmt.Sprint("s", i), Addr: fmt.Sprint(i)})
+				}
+				return all
+			},
+			Dial: func(_ context.Context, addr string) (audit.Conn, error) {
+				i, err := strconv.Atoi(addr)
+				return toStore{n, i}, err
+			}})
+		p.proxy = New(Options{Holder: p.holder, Admission: p.dispatch, Match: firstMatch, Certified: p.gate, Record: p.record,
+			Dial: func(_ context.Context, addr string) (net.Conn, error) { return n.engines[addr].dial() }})
+		n.proxies = append(n.proxies, p)
+	}
+	return n
+}
+
+// certify certifies some engines, one of them only until the middle of the night, one from then on.
+func (n *night) certify() {
+	now := time.Now()
+	n.put(func(d *certify.Document) {
+		for _, r := range nightRoutes[:len(nightRoutes)-1] {
+			d.Routes = append(d.Routes, certify.Route{Name: r.Name, Regime: "fin"})
+		}
+		for i := range 5 {
+			c := certify.Certificate{Endpoint: fmt.Sprint("e", i), Regime: "fin", NotBefore: now.Add(-time.Hour), NotAfter: now.Add(time.Hour), By: "n"}
+			switch i {
+			case 3:
+				c.NotAfter = now.Add(nightLength / 2)
+			case 4:
+				c.NotBefore = now.Add(nightLength / 2)
+			}
+			d.Certificates = append(d.Certificates, c)
+		}
+	})
+}
+
+// interactive sends a request, again only after a promise.
+func (n *night) interactive(k int, route *operator.Route) {
+	deadline := time.Now().Add(time.Duration(route.TimeoutMs) * time.Millisecond)
+	for try := range 3 {
+		left := time.Until(deadline)
+		if left <= 0 {
+			return
+		}
+		id := fmt.Sprintf("%s-%d-%d", route.Name, k, try)
+		r := httptest.NewRequestWithContext(n.ctx, http.MethodPost, "http://h.example"+route.PathStart+"x", strings.NewReader("body"))
+		r.RequestURI = route.PathStart + "x"
+		r.Header.Set(headID, id)
+		r.Header.Set(headTimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
+		w := httptest.NewRecorder()
+		aborted := n.serve(n.proxies[n.draw(nightProxies)].proxy, w, r)
+		n.mu.Lock()
+		n.answers[id] = w.Code
+		if aborted {
+			n.answers[id] = 0
+		}
+		n.mu.Unlock()
+		regulated := route.Name != "open"
+		switch {
+		case aborted:
+			return
+		case w.Code == http.StatusOK:
+			body := w.Body.String()
+			if route.Kind == operator.Streaming && body != allEvents() || route.Kind != operator.Streaming && body != "fine" {
+				n.t.Errorf("seed %d: %s was answered %q", n.seed, id, body)
+			}
+			n.mu.Lock()
+			n.served++
+			n.mu.Unlock()
+			return
+		case w.Code != http.StatusServiceUnavailable:
+			return
+		}
+		reason := w.Header().Get(headReason)
+		n.mu.Lock()
+		n.refused++
+		n.mu.Unlock()
+		if w.Header().Get("Retry-After") == "" || !regulated && reason != "" {
+			n.t.Errorf("seed %d: %s was refused with %v", n.seed, id, w.Header())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func allEvents() (all string) {
+	for k := 1; k <= nightEvents; k++ {
+		all += oneEvent(k)
+	}
+	return all
+}
+
+func (n *night) serve(p *Proxy, w http.ResponseWriter, r *http.Request) (aborted bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(v)
+			}
+			aborted = true
+		}
+	}()
+	p.ServeHTTP(w, r)
+	return false
+}
+
+// item is run until it is whole or has waited for too long, each attempt by another proxy, as stores and workers would.
+func (n *night) item(k int) {
+	id := fmt.Sprintf("bulk-%d", k)
+	due := time.Now().Add(itemWait)
+	ctx, cancel := context.WithDeadline(n.ctx, due)
+	defer cancel()
+	last, text := 0, ""
+	for {
+		it := &Item{ID: id, Host: "h.example", Path: "/bulk/x", Body: []byte("b"), Route: &n.config.Routes[3], Due: due.Add(-4 * time.Second)}
+		from := ""
+		if last > 0 {
+			from = strconv.Itoa(last)
+		}
+		p := n.proxies[n.draw(nightProxies)]
+		// A store takes an item back from a proxy that does not begin it.
+		turn, end := context.WithTimeout(ctx, 3*time.Second)
+		res := p.proxy.RunItem(turn, it, from, func(id string, data []byte) {
+			if id != strconv.Itoa(last+1) {
+				n.t.Errorf("seed %d: event %s after %d", n.seed, id, last)
+			}
+			last++
+			text += string(data)
+		})
+		end()
+		switch {
+		case res.State == ItemDone && last == nightEvents:
+			n.mu.Lock()
+			n.listed[id]++
+			n.mu.Unlock()
+			return
+		case res.State == ItemDone:
+			n.t.Errorf("seed %d: %s is done after event %d", n.seed, id, last)
+			return
+		case ctx.Err() != nil:
+			n.mu.Lock()
+			n.givenUp[id] = true
+			n.mu.Unlock()
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// troubles are drawn: what happens to whom, and when.
+func (n *night) troubles() {
+	at := func(d time.Duration, do func()) { n.wg.Go(func() { time.Sleep(d); do() }) }
+	when := func() time.Duration { return nightLength/10 + n.ms(int(nightLength/time.Millisecond)*6/10) }
+	engine := func(i int) *nightEngine { return n.engines[fmt.Sprint("e", i)] }
+	order := n.rng.Perm(3) // of those that are certified from the start, to the end
+	at(when(), engine(order[0]).end)
+	at(when(), func() {
+		e := engine(order[1])
+		e.mu.Lock()
+		e.till = time.Now().Add(n.ms(4000))
+		e.mu.Unlock()
+	})
+	at(when(), func() {
+		n.put(func(d *certify.Document) { *d, _ = d.Without(fmt.Sprint("e", order[2]), "fin"); d.Version-- })
+	})
+	if n.draw(2) == 0 { // and it is certified again
+		at(nightLength*8/10, func() {
+			n.put(func(d *certify.Document) {
+				d.Certificates = append(d.Certificates, certify.Certificate{Endpoint: fmt.Sprint("e", order[2]), Regime: "fin",
+					NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), By: "n"})
+			})
+		})
+	}
+	if n.draw(4) == 0 { // nobody is certified any more
+		at(nightLength/4, func() { n.put(func(d *certify.Document) { d.Certificates = nil }) })
+	}
+	for range 1 + n.draw(2) {
+		p := n.proxies[n.draw(nightProxies)]
+		at(when(), func() { p.setCut(true); time.Sleep(n.ms(6000)); p.setCut(false) })
+	}
+	store := n.draw(3)
+	at(when(), func() {
+		n.setLost(store, true)
+		if n.draw(3) == 0 { // two at once: nothing can be recorded
+			n.setLost((store+1)%3, true)
+			time.Sleep(n.ms(4000))
+			n.setLost((store+1)%3, false)
+		}
+		time.Sleep(n.ms(4000))
+		n.setLost(store, false)
+	})
+}
+
+func (n *night) setLost(i int, lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost[i] = lost
+}
+
+// play plays the night, in a bubble.
+func (n *night) play() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.ctx = ctx
+	began := time.Now()
+	n.certify()
+	for _, p := range n.proxies {
+		p.gate.Update(n.newest()) // proxies are not ready before
+		n.wg.Go(func() { p.record.Run(ctx) })
+		n.wg.Go(func() {
+			for ctx.Err() == nil {
+				n.wg.Go(p.ask)
+				time.Sleep(nightStale / 5)
+			}
+		})
+	}
+	n.troubles()
+	var clients sync.WaitGroup
+	for i := range nightItems {
+		at := n.ms(int(nightLength / 2 / time.Millisecond))
+		clients.Go(func() { time.Sleep(at); n.item(i) })
+	}
+	for k := 0; time.Since(began) < nightLength; k++ {
+		mean := 30
+		if since := time.Since(began); since > nightLength/3 && since < nightLength*2/3 {
+			mean = 15 // twice the traffic
+		}
+		time.Sleep(n.ms(2 * mean))
+		route := &n.config.Routes[[]int{0, 1, 2, 4}[n.draw(4)]]
+		clients.Go(func() { n.interactive(k, route) })
+	}
+	clients.Wait()
+	for _, p := range n.proxies {
+		if !p.record.Drain(10 * time.Second) {
+			n.t.Errorf("seed %d: the record was not handed over", n.seed)
+		}
+	}
+	cancel()
+	for _, p := range n.proxies {
+		p.dispatch.Close()
+		p.proxy.conns.Close()
+	}
+	for _, e := range n.engines {
+		e.mu.Lock()
+		e.till = time.Time{}
+		e.mu.Unlock()
+		e.end()
+	}
+	n.wg.Wait()
+	for _, s := range n.stores {
+		s.Close()
+	}
+}
+
+// onTime is how long a request may be on its way to its engine after the last check.
+const onTime = 10 * time.Millisecond
+
+// certifiedAt tells whether an engine was certified by a document that was the newest a moment ago.
+func (n *night) certifiedAt(engine string, at time.Time) bool {
+	for i, s := range n.puts {
+		until := at.Add(time.Hour)
+		if i+1 < len(n.puts) {
+			until = n.putAt[i+1]
+		}
+		if !n.putAt[i].After(at) && !until.Add(nightStale+onTime).Before(at) &&
+			(s.Certified(engine, "fin", at) || s.Certified(engine, "fin", at.Add(-onTime))) {
+			return true
+		}
+	}
+	return false
+}
+
+// check holds what ran against the documents, the clients' answers and the record.
+func (n *night) check() (regulated int) {
+	fail := func(format string, args ...any) {
+		n.t.Errorf("seed %d: %s", n.seed, fmt.Sprintf(format, args...))
+	}
+	times, whole := map[string]int{}, map[string]int{}
+	type place struct{ id, engine string }
+	seen := map[place]int{}
+	openElsewhere := false
+	for _, run := range n.runs {
+		times[run.id]++
+		if run.whole {
+			whole[run.id]++
+		}
+		if strings.HasPrefix(run.id, "open-") {
+			openElsewhere = openElsewhere || run.engine == "e5" || run.engine == "e6"
+			continue
+		}
+		regulated++
+		seen[place{run.id, run.engine}]++
+		if !n.certifiedAt(run.engine, run.began) {
+			fail("%s began at %s, %v after the start, and it was not certified", run.id, run.engine, run.began.Sub(n.putAt[0]))
+		}
+	}
+	if !openElsewhere {
+		fail("what demands nothing never ran elsewhere")
+	}
+	for id, count := range times {
+		if (strings.HasPrefix(id, "save-") || strings.HasPrefix(id, "open-")) && count > 1 {
+			fail("%s ran %d times", id, count)
+		}
+		if status, asked := n.answers[id]; asked && status == http.StatusServiceUnavailable && !strings.HasPrefix(id, "look-") && !strings.HasPrefix(id, "talk-") {
+			fail("%s was refused and ran", id)
+		}
+	}
+	for i := range nightItems {
+		id := fmt.Sprintf("bulk-%d", i)
+		switch {
+		case n.listed[id] == 1 && whole[id] == 1 && !n.givenUp[id]:
+		case n.listed[id] == 0 && n.givenUp[id]:
+		default:
+			fail("%s was listed %d times, ran whole %d times, given up: %v", id, n.listed[id], whole[id], n.givenUp[id])
+		}
+	}
+	for _, p := range n.proxies {
+		for _, c := range p.gate.Counted() {
+			if c.Stopped > 20+c.Runs/10 {
+				fail("%d grants were for engines that were not certified, and %d runs began", c.Stopped, c.Runs)
+			}
+		}
+	}
+	files, err := filepath.Glob(filepath.Join(n.dir, "s*", "audit*.log"))
+	must(n.t, err)
+	report, err := audit.Files(files, audit.Options{Within: nightStale})
+	must(n.t, err)
+	for _, p := range report.Problems {
+		fail("the audit tells %v", p)
+	}
+	recorded := map[place]int{}
+	for _, run := range report.Runs {
+		if run.Outcome.MayHaveRun() {
+			recorded[place{run.ID, run.Endpoint}]++
+		}
+		if run.Outcome == audit.Open {
+			fail("the run of %s at %s has no end in the record", run.ID, run.Endpoint)
+		}
+		if run.Outcome == audit.Answered && seen[place{run.ID, run.Endpoint}] == 0 {
+			fail("%s is recorded as answered by %s, where it never ran", run.ID, run.Endpoint)
+		}
+	}
+	for k, count := range seen {
+		if recorded[k] < count {
+			fail("%s ran %d times at %s, and the record has %d", k.id, count, k.engine, recorded[k])
+		}
+	}
+	return regulated
+}
+
+// TestBusyNights plays as many drawn nights as fit in 20 s, or in as many seconds as CERTIFIED_NIGHTS_S says.
+func TestBusyNights(t *testing.T) {
+	most := 20.0
+	if v, err := strconv.ParseFloat(os.Getenv("CERTIFIED_NIGHTS_S"), 64); err == nil {
+		most = v
+	} else if testing.Short() {
+		most = 2
+	}
+	first := uint64(1)
+	if v, err := strconv.ParseUint(os.Getenv("CERTIFIED_NIGHTS_SEED"), 10, 64); err == nil {
+		first = v
+	}
+	nights, runs, served, refused, listed, givenUp := 0, 0, 0, 0, 0, 0
+	for began := time.Now(); nights == 0 || time.Since(began).Seconds() < most && !t.Failed(); nights++ {
+		seed := first + uint64(nights)
+		synctest.Test(t, func(t *testing.T) {
+			n := newNight(t, seed)
+			n.play()
+			runs += n.check()
+			served, refused, listed, givenUp = served+n.served, refused+n.refused, listed+len(n.listed), givenUp+len(n.givenUp)
+		})
+	}
+	t.Logf("%d nights from seed %d: %d regulated runs, %d requests served, %d refused, %d items listed, %d given up", nights, first, runs, served, refused, listed, givenUp)
+	if listed == 0 || served == 0 || nights > 3 && refused == 0 {
+		t.Error("they show nothing")
+	}
+}
