--- a/internal/control/certificates_test.go
+++ b/internal/control/certificates_test.go
@@ -19,11 +19,12 @@
 
 // keeper is one that says what a test wants.
 type keeper struct {
-	t    *testing.T
-	mu   sync.Mutex
-	conn *link.Conn
-	n    uint64
-	mute bool // it answers no question
+	t     *testing.T
+	mu    sync.Mutex
+	conns []*link.Conn // the client's second place finds this keeper too, and gives that link up again and again
+	c     *Client
+	n     uint64
+	mute  bool // it answers no question
 }
 
 func (k *keeper) Message(m *link.Message) {
@@ -35,7 +36,7 @@
 		Node{Name: "k", Role: RoleKeeper}.Append(&w)
 		w.Bool(true)
 		m.Reply(w.B)
-		k.conn = m.Conn
+		k.conns = append(k.conns, m.Conn)
 	case Confirm:
 		if k.mute {
 			m.Fail("no majority")
@@ -55,16 +56,14 @@
 
 func (k *keeper) push(version uint64, text []byte) {
 	k.t.Helper()
-	await(k.t, "attached", func() bool {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		if k.conn == nil {
-			return false
-		}
-		k.n++
-		u := Update{Number: k.n, Whole: k.n == 1, CertificatesVersion: version, Certificates: text}
-		return k.conn.Send(Push, u.Encode()) == nil
-	})
+	await(k.t, "attached", func() bool { return len(k.c.Keepers()) > 0 })
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.n++
+	u := Update{Number: k.n, Whole: k.n == 1, CertificatesVersion: version, Certificates: text}
+	for _, conn := range k.conns {
+		_ = conn.Send(Push, u.Encode()) // all but one were given up
+	}
 }
 
 func await(t *testing.T, what string, ok func() bool) {
@@ -94,6 +93,7 @@
 	go func() { _ = link.Serve(l, k, link.DefaultOptions) }() // it ends with the listener
 	holder := &view.Holder{}
 	c := NewClient(ClientOptions{Self: Node{Name: "p", Role: RoleProxy}, Seeds: []string{l.Addr().String()}, Holder: holder, ConfirmEvery: 20 * time.Millisecond, Log: hclog.NewNullLogger()})
+	k.c = c
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { c.Run(ctx); close(done) }()
--- a/internal/forward/night_test.go
+++ b/internal/forward/night_test.go
@@ -17,6 +17,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -355,7 +356,7 @@
 		}})
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		p.dispatch = dispatch.New(dispatch.Options{Zone: "z", Holder: p.holder, Rand: rng.Float64})
-		p.record = audit.NewRecorder(audit.RecorderOptions{Node: fmt.Sprint("p", i), Life: 1, Need: 2, Held: 150,
+		p.record = audit.NewRecorder(audit.RecorderOptions{Node: fmt.Sprint("p", i), Life: 1, Need: 2, Held: 60,
 			Stores: func() (all []view.Store) {
 				for i := range n.stores {
 					all = append(all, view.Store{Name: fmt.Sprint("s", i), Addr: fmt.Sprint(i)})
@@ -619,7 +620,9 @@
 			until = n.putAt[i+1]
 		}
 		if !n.putAt[i].After(at) && !until.Add(nightStale+onTime).Before(at) &&
-			(s.Certified(engine, "fin", at) || s.Certified(engine, "fin", at.Add(-onTime))) {
+			slices.ContainsFunc(s.Certificates, func(c certify.Certificate) bool {
+				return c.Endpoint == engine && c.Regime == "fin" && !at.Before(c.NotBefore) && at.Before(c.NotAfter)
+			}) {
 			return true
 		}
 	}
@@ -684,6 +687,13 @@
 	for _, p := range report.Problems {
 		fail("the audit tells %v", p)
 	}
+	newest := map[string]uint64{} // of each proxy
+	for _, run := range report.Runs {
+		if run.Version < newest[run.Proxy] {
+			fail("%s goes back from certificates %d to %d", run.Proxy, newest[run.Proxy], run.Version)
+		}
+		newest[run.Proxy] = run.Version
+	}
 	recorded := map[place]int{}
 	for _, run := range report.Runs {
 		if run.Outcome.MayHaveRun() {
