--- a/cmd/dunetide/regulated.go
+++ b/cmd/dunetide/regulated.go
@@ -65,7 +65,7 @@
 		if r.told[c.Regime] != c.Counts {
 			r.told[c.Regime] = c.Counts
 			r.p.log.Info("regulated work", "regime", c.Regime, "certificates", r.gate.Set().Version, "runs", c.Runs, "refused", c.Refused,
-				"waited", c.Waited, "stopped", c.Stopped, "not_recorded_yet", r.recorder.Waiting())
+				"waited", c.Waited, "given_up", c.GivenUp, "stopped", c.Stopped, "not_recorded_yet", r.recorder.Waiting())
 		}
 	}
 }
--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	defer store.Close()
-	records, err := audit.OpenStore(audit.StoreOptions{Folder: folder, FileBytes: int64(s.Limits.DiskMB) << 20 / 64, Log: p.log})
+	records, err := audit.OpenStore(audit.StoreOptions{Folder: folder, FileBytes: int64(s.Limits.DiskMB) << 20 / 128, Log: p.log})
 	if err != nil {
 		return err
 	}
--- a/internal/audit/store.go
+++ b/internal/audit/store.go
@@ -339,7 +339,7 @@
 	s.o.Log.Info("audit record rotated", "full", fullName(s.number-1))
 	if s.number > filesMost+1 {
 		if err := s.o.Folder.Remove(fullName(s.number - 1 - filesMost)); err == nil {
-			s.o.Log.Info("audit record removed", "file", fullName(s.number-1-filesMost))
+			s.o.Log.Warn("audit record removed", "file", fullName(s.number-1-filesMost))
 		}
 	}
 }
--- a/internal/certify/certify_test.go
+++ b/internal/certify/certify_test.go
@@ -126,7 +126,7 @@
 	g.Count("b", func(c *Counts) { c.Runs++ })
 	g.Count("a", func(c *Counts) { c.Refused++ })
 	g.Count("b", func(c *Counts) { c.Runs++ })
-	if got := fmt.Sprint(g.Counted()); got != "[{a {0 1 0 0}} {b {2 0 0 0}}]" {
+	if got := fmt.Sprint(g.Counted()); got != "[{a {0 1 0 0 0}} {b {2 0 0 0 0}}]" {
 		t.Error(got)
 	}
 }
--- a/internal/certify/gate.go
+++ b/internal/certify/gate.go
@@ -31,7 +31,8 @@
 type Counts struct {
 	Runs    uint64 // sent to an endpoint
 	Refused uint64 // interactive requests that no certified endpoint took in time
-	Waited  uint64 // turns of batch items at which none was free
+	Waited  uint64 // turns of batch items that waited for a certified endpoint
+	GivenUp uint64 // such turns that ended without one: the item was given up, or taken back
 	Stopped uint64 // grants that weren't used, as the certificate was gone before the request was sent
 }
 
--- a/internal/forward/certified.go
+++ b/internal/forward/certified.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"wingmount/internal/audit"
 	"wingmount/internal/certify"
@@ -21,6 +22,9 @@
 // recordFull is why regulated work is refused while runs can't be recorded.
 const recordFull = "the record of regulated runs is full, as too few stores take it"
 
+// longWait is how long a batch item waits before that is counted.
+const longWait = 100 * time.Millisecond
+
 var (
 	errNotCertified = errors.New("the endpoint is no longer certified")
 	errRecordFull   = errors.New(recordFull)
@@ -76,7 +80,7 @@
 	x.reason = reason
 	x.p.o.Certified.Count(regime, func(c *certify.Counts) {
 		if x.req.Bulk {
-			c.Waited++
+			c.GivenUp++
 		} else {
 			c.Refused++
 		}
@@ -84,6 +88,19 @@
 	x.p.o.Log.Debug("regulated work refused", "id", x.req.ID, "route", x.req.Route.Name, "regime", regime, "reason", reason)
 }
 
+// waited counts a batch item's turn that waited for a certified endpoint.
+func (x *exchange) waited(since time.Time, granted bool) {
+	if x.now().Sub(since) < longWait {
+		return
+	}
+	x.p.o.Certified.Count(x.req.Regime, func(c *certify.Counts) {
+		c.Waited++
+		if !granted {
+			c.GivenUp++
+		}
+	})
+}
+
 // recorded ends the record of a regulated run.
 func (x *exchange) recorded(o dispatch.Outcome) {
 	out := audit.Broken
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -143,7 +143,14 @@
 	if x.left() <= 0 {
 		return Late, false
 	}
+	since := time.Time{}
+	if x.req.Regime != "" && x.req.Bulk {
+		since = x.now()
+	}
 	g, err := x.p.o.Admission.Acquire(x.ctx, &x.req)
+	if !since.IsZero() {
+		x.waited(since, err == nil)
+	}
 	if err == nil {
 		x.grant = g
 		return 0, true
--- a/internal/keeper/certificates.go
+++ b/internal/keeper/certificates.go
@@ -16,6 +16,8 @@
 	certificatesPath = "/certificates"
 	// confirmRead bounds a read of the certificates' register for those who ask whether theirs are the newest.
 	confirmRead = 700 * time.Millisecond
+	// confirmEvery is how far such reads are apart, however many ask.
+	confirmEvery = 100 * time.Millisecond
 )
 
 // tellCertificates writes the lines of a change into the log: one for the version, and one for each certificate and route
@@ -149,14 +151,23 @@
 	k.getDocument(w, certificatesRegister, http.StatusNotFound, "no certificates were ever put: nothing is regulated")
 }
 
-// confirmCertificates has a majority say what the newest certificates are, for all who asked before it begins. They are
-// pushed before those who asked are answered, on the same links.
+// confirmCertificates has a majority say what the newest certificates are, for all who asked before it begins, at most once in
+// confirmEvery. They are pushed before those who asked are answered, on the same links.
 func (k *Keeper) confirmCertificates() {
 	if k.confirming || len(k.asking) == 0 {
 		return
 	}
+	k.confirming = true
+	if wait := confirmEvery - time.Since(k.confirmed); wait > 0 {
+		time.AfterFunc(wait, func() { k.do(k.readCertificates) })
+		return
+	}
+	k.readCertificates()
+}
+
+func (k *Keeper) readCertificates() {
 	asked := k.asking
-	k.asking, k.confirming = nil, true
+	k.asking, k.confirmed = nil, time.Now()
 	k.agree.read(certificatesRegister, confirmRead, func(s agree.State, err error) {
 		k.do(func() {
 			k.confirming = false
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -62,7 +62,8 @@
 	config   *document // newest decided that is known
 	// certificates are the newest decided that are known; version 0: none were ever put.
 	certificates *document
-	confirming   bool            // a read of the certificates' register is under way
+	confirming   bool            // a read of the certificates' register is under way, or about to begin
+	confirmed    time.Time       // the last one began
 	asking       []*link.Message // those who wait for the next one
 	fresh        bool            // a majority has confirmed it in this life, or can't be had
 	parts        *view.Table
