--- a/cmd/winglab/tier.go
+++ b/cmd/winglab/tier.go
@@ -33,14 +33,7 @@
 		return "", "", nil, err
 	}
 	stop = func() { _ = os.RemoveAll(work) } // in the system's folder for what may go
-	if program == "" {
-		program = filepath.Join(work, "dunetide")
-		if text, failed := exec.CommandContext(ctx, "go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); failed != nil {
-			err = fmt.Errorf("building dunetide (run this inside the checkout, or give --program): %w\n%s", failed, text)
-		}
-	} else {
-		program, err = filepath.Abs(program)
-	}
+	program, err = tierProgram(ctx, program, work)
 	dir = filepath.Join(work, "run")
 	if err == nil && out != "" {
 		dir, err = filepath.Abs(out)
@@ -118,3 +111,15 @@
 	}
 	return ended(a.Account)
 }
+
+// tierProgram gives the tier's program: the one that is named, or that of this checkout, built into a folder.
+func tierProgram(ctx context.Context, named, dir string) (string, error) {
+	if named != "" {
+		return filepath.Abs(named)
+	}
+	program := filepath.Join(dir, "dunetide")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building dunetide (run this inside the checkout, or give --program): %w\n%s", err, out)
+	}
+	return program, nil
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -35,7 +37,7 @@
 	Known     func() []Node // keepers that membership knows of
 	Endpoints bool          // whether it wants the list of endpoints
 	Holder    *view.Holder
-	Changed   func(*view.Snapshot) // after each new snapshot, from one goroutine
+	Changed   func(*view.Snapshot) // after each new snapshot, one call at a time; it must not call the Client
 	// ConfirmEvery is how often keepers are asked whether the certificates are the newest, once there are any; 0: never.
 	ConfirmEvery time.Duration
 	Log          hclog.Logger
@@ -44,17 +46,24 @@
 // Client attaches a process to keepers and holds what they push. What it knows never goes back
 // within its life.
 type Client struct {
-	o ClientOptions
+	o     ClientOptions
+	parse func([]byte) (*operator.Config, error)
+	// reading is held while a configuration is read and taken in: both keepers push it at once, and reading it
+	// takes long.
+	reading sync.Mutex
 
 	mu      sync.Mutex
 	sources map[*link.Conn]*source
-	stale   *source // of the last keeper, while there is no other
+	trying  map[string]bool // addresses that a place is dialling or holds
+	stale   *source         // of the last keeper, while there is no other
 	said    map[string]saying
 	keepers []Node
 	config  *operator.Config
 	table   *view.Table
 	senders int
-	epoch   uint64 // of snapshots
+	// merged is the list of endpoints in the newest snapshot, which shares it, and whether it is whole.
+	merged map[string][]*view.Endpoint
+	listed bool
 
 	certificates      *certify.Set
 	certificatesKnown bool
@@ -78,7 +87,7 @@
 
 // NewClient returns a client that is not attached yet; Run attaches it.
 func NewClient(o ClientOptions) *Client {
-	return &Client{o: o, sources: map[*link.Conn]*source{}, said: map[string]saying{}, asked: make(chan struct{}, 1)}
+	return &Client{o: o, parse: operator.Parse, sources: map[*link.Conn]*source{}, trying: map[string]bool{}, said: map[string]saying{}, asked: make(chan struct{}, 1)}
 }
 
 // Run keeps the process attached until the context ends.
@@ -187,30 +196,10 @@
 	wait := 100 * time.Millisecond
 	for ctx.Err() == nil {
 		for _, addr := range c.candidates(place) {
-			conn, err := link.Dial(ctx, addr, c, link.DefaultOptions)
-			if err != nil {
-				continue
+			if c.attach(ctx, addr) {
+				wait = 100 * time.Millisecond
+				break
 			}
-			w := link.Writer{}
-			c.o.Self.Append(&w)
-			w.Bool(c.o.Endpoints)
-			hctx, cancel := context.WithTimeout(ctx, time.Second)
-			b, err := conn.Call(hctx, Hello, w.B)
-			cancel()
-			r := link.Reader{B: b}
-			node := ReadNode(&r)
-			if err != nil || r.Err != nil || node.Role != RoleKeeper || !c.adopt(conn, node) {
-				conn.Close()
-				continue
-			}
-			wait = 100 * time.Millisecond
-			select {
-			case <-conn.Done():
-			case <-ctx.Done():
-				conn.Close()
-			}
-			c.o.Log.Info("keeper detached", "keeper", node.Name)
-			break
 		}
 		select {
 		case <-time.After(wait/2 + rand.N(wait)):
@@ -220,11 +209,57 @@
 	}
 }
 
+// attach holds a link to a keeper until it ends. False: there was none.
+func (c *Client) attach(ctx context.Context, addr string) bool {
+	if !c.reserve(addr) {
+		return false // the other place has it
+	}
+	defer c.release(addr)
+	conn, err := link.Dial(ctx, addr, c, link.DefaultOptions)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	w := link.Writer{}
+	c.o.Self.Append(&w)
+	w.Bool(c.o.Endpoints)
+	hctx, cancel := context.WithTimeout(ctx, time.Second)
+	b, err := conn.Call(hctx, Hello, w.B)
+	cancel()
+	r := link.Reader{B: b}
+	node := ReadNode(&r)
+	if err != nil || r.Err != nil || node.Role != RoleKeeper || !c.adopt(conn, node) {
+		return false
+	}
+	select {
+	case <-conn.Done():
+	case <-ctx.Done():
+	}
+	c.o.Log.Info("keeper detached", "keeper", node.Name)
+	return true
+}
+
+func (c *Client) reserve(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.trying[addr] {
+		return false
+	}
+	c.trying[addr] = true
+	return true
+}
+
+func (c *Client) release(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.trying, addr)
+}
+
 // candidates are keepers to try, the own zone's first for the first place and another's for the second.
 func (c *Client) candidates(place int) []string {
 	c.mu.Lock()
 	nodes := append([]Node(nil), c.keepers...)
-	attached := map[string]bool{}
+	attached := maps.Clone(c.trying)
 	for _, s := range c.sources {
 		attached[s.node.Addr] = true
 	}
@@ -275,7 +310,7 @@
 	}
 	s.node = node
 	c.sources[conn] = s
-	c.rebuild()
+	c.rebuild(true)
 	c.ask()
 	c.o.Log.Info("keeper attached", "keeper", node.Name)
 	return true
@@ -293,7 +328,15 @@
 	if s.whole && s.listed {
 		c.stale = s
 	}
-	c.rebuild()
+	// The newest of what an endpoint said of itself stays, so that it doesn't go back to what the others had.
+	for _, other := range c.sources {
+		for id, e := range other.entries {
+			if known, there := s.entries[id]; there && known.CallCount > e.CallCount {
+				other.entries[id] = known
+			}
+		}
+	}
+	c.rebuild(true)
 }
 
 // Message takes a push in and acknowledges it once it is in force.
@@ -309,13 +352,17 @@
 		return
 	}
 	var config *operator.Config
-	if u.Config != nil && (c.version() < u.Version) {
-		if config, err = operator.Parse(u.Config); err != nil {
-			c.o.Log.Error("configuration unreadable", "version", u.Version, "err", err)
+	if u.Config != nil {
+		c.reading.Lock()
+		defer c.reading.Unlock()
+		if c.version() < u.Version {
+			if config, err = c.parse(u.Config); err != nil {
+				c.o.Log.Error("configuration unreadable", "version", u.Version, "err", err)
+			}
 		}
 	}
 	var certificates *certify.Set
-	if len(u.Certificates) > 0 {
+	if u.Certificates != nil {
 		if certificates, err = certify.Parse(u.Certificates); err != nil {
 			c.o.Log.Error("certificates unreadable", "version", u.CertificatesVersion, "err", err)
 			if !c.closeGate(u.CertificatesVersion) { // then nobody here knows what is regulated
@@ -330,13 +377,13 @@
 		s = &source{entries: map[string]registry.Entry{}}
 		m.Conn.Tag.Store(s)
 	}
-	c.take(s, u, config)
+	endpoints := c.take(s, u, config)
 	c.certificatesKnown = true
 	if certificates != nil && (c.certificates == nil || certificates.Version > c.certificates.Version) {
 		c.certificates = certificates
 		c.o.Log.Info("certificates in force", "version", certificates.Version, "certificates", len(certificates.Certificates), "regulated_routes", len(certificates.Routes))
 	}
-	c.rebuild()
+	c.rebuild(endpoints)
 	c.mu.Unlock()
 	if certificates != nil {
 		c.ask()
@@ -355,7 +402,8 @@
 	return c.config.Version
 }
 
-func (c *Client) take(s *source, u *Update, config *operator.Config) {
+// take takes a push in, and tells whether it may change the list of endpoints.
+func (c *Client) take(s *source, u *Update, config *operator.Config) (endpoints bool) {
 	if config != nil && (c.config == nil || config.Version > c.config.Version) {
 		c.config = config
 	}
@@ -368,13 +416,20 @@
 	if u.Keepers != nil {
 		c.keepers = u.Keepers
 	}
+	before := s.entries
+	endpoints = u.Whole || len(u.Entries) > 0 || u.Listed && !s.listed
 	if u.Whole {
 		s.entries = map[string]registry.Entry{}
 		s.whole = true
 	}
-	s.listed = u.Listed
+	// A keeper that listens anew, after a freeze, takes nobody away before it has heard a round: its word stays good.
+	s.listed = s.listed || u.Listed
 	now := time.Now()
 	for _, e := range u.Entries {
+		if old, there := before[e.ID]; there && old.CallCount > e.CallCount && !e.Gone() {
+			old.State = max(old.State, e.State)
+			e = old
+		}
 		s.entries[e.ID] = e
 		if e.State != view.Ready {
 			if old, there := c.said[e.ID]; !there || old.state < e.State {
@@ -385,36 +440,57 @@
 			delete(s.entries, e.ID)
 		}
 	}
-	if len(c.said) > saidMost/2 {
-		for id, said := range c.said {
-			if now.Sub(said.at) > saidFor || len(c.said) > saidMost {
-				delete(c.said, id)
-			}
+	c.forget(now)
+	return endpoints
+}
+
+// forget keeps what was said bounded: what is old goes, and if that is not enough, the oldest.
+func (c *Client) forget(now time.Time) {
+	if len(c.said) <= saidMost {
+		return
+	}
+	ids := slices.Collect(maps.Keys(c.said))
+	slices.SortFunc(ids, func(a, b string) int { return c.said[a].at.Compare(c.said[b].at) })
+	for i, id := range ids {
+		if i < len(ids)-saidMost/2 || now.Sub(c.said[id].at) > saidFor {
+			delete(c.said, id)
 		}
 	}
 }
 
-// rebuild makes the snapshot anew. An endpoint is there as long as one attached keeper that has
+// rebuild makes the snapshot anew. Where the list of endpoints can't have changed, it has that of the one
+// before: most pushes in a start of all are about something else, and the list is long.
+func (c *Client) rebuild(endpoints bool) {
+	if endpoints || c.merged == nil {
+		c.merge()
+	}
+	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: c.listed, Endpoints: c.merged,
+		Certificates: c.certificates, CertificatesKnown: c.certificatesKnown}
+	c.o.Holder.Set(snap)
+	if c.o.Changed != nil {
+		c.o.Changed(snap)
+	}
+}
+
+// merge makes one list of what the keepers tell. An endpoint is there as long as one attached keeper that has
 // heard a whole round holds it; a drain or an end counts whoever said it.
-func (c *Client) rebuild() {
-	listed := false
+func (c *Client) merge() {
+	c.listed = false
 	var from []*source
 	for _, s := range c.sources {
 		if s.whole && s.listed {
-			listed = true
+			c.listed = true
 		}
 		if s.whole {
 			from = append(from, s)
 		}
 	}
-	if listed {
+	if c.listed {
 		c.stale = nil
 	} else if c.stale != nil {
 		from = append(from, c.stale)
-		listed = true
+		c.listed = true
 	}
-	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: listed,
-		Certificates: c.certificates, CertificatesKnown: c.certificatesKnown, Endpoints: map[string][]*view.Endpoint{}}
 	newest := map[string]registry.Entry{}
 	for _, s := range from {
 		for id, e := range s.entries {
@@ -423,6 +499,7 @@
 			}
 		}
 	}
+	c.merged = map[string][]*view.Endpoint{} // the one before is shared
 	for id, e := range newest {
 		if said := c.said[id]; said.state > e.State {
 			e.State = said.state
@@ -431,15 +508,11 @@
 			continue
 		}
 		endpoint := e.Endpoint
-		snap.Endpoints[e.Service] = append(snap.Endpoints[e.Service], &endpoint)
+		c.merged[e.Service] = append(c.merged[e.Service], &endpoint)
 	}
-	for _, list := range snap.Endpoints {
+	for _, list := range c.merged {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
-	c.o.Holder.Set(snap)
-	if c.o.Changed != nil {
-		c.o.Changed(snap)
-	}
 }
 
 // Report sends a call to an attached keeper, one after the other until one takes it.
--- a/internal/keeper/certificates.go
+++ b/internal/keeper/certificates.go
@@ -66,7 +66,7 @@
 }
 
 func (k *Keeper) putCertificates(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
-	version, ok := k.putDocument(w, r, certificatesRegister, certificatesPath, body, func(b []byte) (uint64, error) {
+	version, ok := k.putDocument(w, r, certificatesDocument, body, func(b []byte) (uint64, error) {
 		s, err := certify.Parse(b)
 		if err != nil {
 			return 0, err
@@ -79,7 +79,7 @@
 	k.log.Info("certificates put", "version", version, "from", r.RemoteAddr)
 	out := putAnswer{Version: version, WithinMs: k.o.Settings.Bounds.Drain.Milliseconds()}
 	replies := make(chan bool, peersMost+1)
-	asked := ask(k, func() int {
+	asked, _ := ask(k, func() int {
 		msg := link.Writer{}
 		msg.U64(version)
 		n := 0
@@ -100,7 +100,7 @@
 		return n
 	})
 	out.InForce = asked > 0
-	timeout := time.NewTimer(2 * pushWait)
+	timeout := time.NewTimer(2 * k.o.PushWait)
 	defer timeout.Stop()
 	for range asked {
 		select {
@@ -129,7 +129,8 @@
 		case <-wt.done:
 		case <-k.ended:
 		}
-		then(ask(k, func() bool { return k.inForceAt(wt) }))
+		in, ok := ask(k, func() bool { return k.inForceAt(wt) })
+		then(in && ok)
 	}()
 }
 
@@ -169,7 +170,7 @@
 	asked := k.asking
 	k.asking, k.confirmed = nil, time.Now()
 	k.agree.read(certificatesRegister, confirmRead, func(s agree.State, err error) {
-		k.do(func() {
+		k.post(func() {
 			k.confirming = false
 			if err == nil {
 				k.decided(certificatesRegister, s)
@@ -178,7 +179,8 @@
 				}
 			}
 			for _, m := range asked {
-				if err != nil || !k.fresh {
+				// One that was not pushed them, as it has yet to acknowledge too much, may not take the answer for theirs.
+				if p := k.attached[m.Conn]; err != nil || !k.fresh || p == nil || p.certificates < k.certificates.version {
 					m.Fail("no majority confirms the certificates")
 					continue
 				}
--- a/internal/keeper/value.go
+++ b/internal/keeper/value.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/errs"
 
+	"wingmount/internal/certify"
 	"wingmount/internal/link"
 )
 
@@ -21,10 +22,21 @@
 
 // Errors of operators' calls. Their messages name the remedy.
 var (
-	ErrInvalid = errs.Class("invalid document")
+	ErrInvalid = errs.Class("invalid configuration")
 	ErrVersion = errs.Class("another version is in place")
 )
 
+// documentKind is one of the documents that operators put.
+type documentKind struct {
+	register, path string
+	invalid        *errs.Class
+}
+
+var (
+	configDocument       = documentKind{configRegister, "/config", &ErrInvalid}
+	certificatesDocument = documentKind{certificatesRegister, certificatesPath, &certify.Invalid}
+)
+
 // taken is a version that was in force.
 type taken struct {
 	version uint64
@@ -67,7 +79,7 @@
 
 // put decides on a document that builds on a version. Where next is nil and err too, this very
 // document was taken before.
-func (v *document) put(raw []byte, version, base uint64, path string) (next *document, err error) {
+func (v *document) put(raw []byte, version, base uint64, of documentKind) (next *document, err error) {
 	digest := sha256.Sum256(raw)
 	for _, t := range v.past {
 		if t.version == version && t.digest == digest {
@@ -75,10 +87,10 @@
 		}
 	}
 	if base != v.version {
-		return nil, ErrVersion.New("%d is in place and If-Match names %d: read %s and build on that", v.version, base, path)
+		return nil, ErrVersion.New("%d is in place and If-Match names %d: read %s and build on that", v.version, base, of.path)
 	}
 	if version <= v.version {
-		return nil, ErrInvalid.New("version: %d is not above %d, which is in place: take a higher number", version, v.version)
+		return nil, of.invalid.New("version: %d is not above %d, which is in place: take a higher number", version, v.version)
 	}
 	past := append(append([]taken(nil), v.past...), taken{version, digest})
 	if len(past) > digestsMost {
@@ -92,7 +104,7 @@
 	switch {
 	case err == nil:
 		return http.StatusOK
-	case ErrInvalid.Has(err):
+	case ErrInvalid.Has(err), certify.Invalid.Has(err):
 		return http.StatusBadRequest
 	case ErrVersion.Has(err):
 		return http.StatusPreconditionFailed
