--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -9,10 +9,12 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"wingmount/internal/certify"
 	"wingmount/internal/link"
 	"wingmount/internal/operator"
 	"wingmount/internal/registry"
@@ -36,7 +38,9 @@
 	Endpoints bool          // whether it wants the list of endpoints
 	Holder    *view.Holder
 	Changed   func(*view.Snapshot) // after each new snapshot, one call at a time; it must not call the Client
-	Log       hclog.Logger
+	// ConfirmEvery is how often keepers are asked whether the certificates are the newest, once there are any; 0: never.
+	ConfirmEvery time.Duration
+	Log          hclog.Logger
 }
 
 // Client attaches a process to keepers and holds what they push. What it knows never goes back
@@ -60,6 +64,12 @@
 	// merged is the list of endpoints in the newest snapshot, which shares it, and whether it is whole.
 	merged map[string][]*view.Endpoint
 	listed bool
+
+	certificates      *certify.Set
+	certificatesKnown bool
+	unreadable        uint64        // a version that was pushed and can't be understood here
+	asked             chan struct{} // wakes confirming
+	confirmed         atomic.Pointer[time.Time]
 }
 
 // source is one keeper's word.
@@ -77,7 +87,7 @@
 
 // NewClient returns a client that is not attached yet; Run attaches it.
 func NewClient(o ClientOptions) *Client {
-	return &Client{o: o, parse: operator.Parse, sources: map[*link.Conn]*source{}, trying: map[string]bool{}, said: map[string]saying{}}
+	return &Client{o: o, parse: operator.Parse, sources: map[*link.Conn]*source{}, trying: map[string]bool{}, said: map[string]saying{}, asked: make(chan struct{}, 1)}
 }
 
 // Run keeps the process attached until the context ends.
@@ -87,9 +97,89 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); c.hold(ctx, i) }()
 	}
+	if c.o.ConfirmEvery > 0 {
+		wg.Add(1)
+		go func() { defer wg.Done(); c.confirm(ctx) }()
+	}
 	wg.Wait()
 }
 
+// Confirmed tells when the newest question was asked to which a keeper has answered that a majority knew of no newer
+// certificates than those it had pushed before; zero: none was answered yet. It is this process's own clock, so neither
+// the keepers' clocks nor the time that an answer took count for anything.
+func (c *Client) Confirmed() time.Time {
+	if at := c.confirmed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// confirm asks all attached keepers again and again, once there are certificates.
+func (c *Client) confirm(ctx context.Context) {
+	tick := time.NewTicker(c.o.ConfirmEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-c.asked:
+		case <-ctx.Done():
+			return
+		}
+		if s := c.o.Holder.Get(); s == nil || s.Certificates == nil {
+			continue
+		}
+		for _, conn := range c.Keepers() {
+			at, reply := time.Now(), conn.Go(Confirm, nil)
+			go func() {
+				select {
+				case r := <-reply:
+					if r.Err == nil {
+						c.raise(at)
+					}
+				case <-ctx.Done():
+				}
+			}()
+		}
+	}
+}
+
+// closeGate has nothing count as confirmed from here on, as newer certificates can't be understood, which may withdraw what is
+// in force. It tells whether there are any in force.
+func (c *Client) closeGate(version uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.certificates == nil {
+		return false
+	}
+	if version > c.certificates.Version {
+		c.unreadable = version
+		c.confirmed.Store(nil)
+	}
+	return true
+}
+
+func (c *Client) raise(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.certificates == nil || c.unreadable > c.certificates.Version {
+		return
+	}
+	for {
+		old := c.confirmed.Load()
+		if old != nil && !old.Before(at) || c.confirmed.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
+// ask has the keepers asked at once.
+func (c *Client) ask() {
+	select {
+	case c.asked <- struct{}{}:
+	default:
+	}
+}
+
 // Keepers tells the attached keepers' links.
 func (c *Client) Keepers() []*link.Conn {
 	c.mu.Lock()
@@ -221,6 +311,7 @@
 	s.node = node
 	c.sources[conn] = s
 	c.rebuild(true)
+	c.ask()
 	c.o.Log.Info("keeper attached", "keeper", node.Name)
 	return true
 }
@@ -270,14 +361,33 @@
 			}
 		}
 	}
+	var certificates *certify.Set
+	if u.Certificates != nil {
+		if certificates, err = certify.Parse(u.Certificates); err != nil {
+			c.o.Log.Error("certificates unreadable", "version", u.CertificatesVersion, "err", err)
+			if !c.closeGate(u.CertificatesVersion) { // then nobody here knows what is regulated
+				m.Conn.Close()
+				return
+			}
+		}
+	}
 	c.mu.Lock()
 	s, _ := m.Conn.Tag.Load().(*source)
 	if s == nil {
 		s = &source{entries: map[string]registry.Entry{}}
 		m.Conn.Tag.Store(s)
 	}
-	c.rebuild(c.take(s, u, config))
+	endpoints := c.take(s, u, config)
+	c.certificatesKnown = true
+	if certificates != nil && (c.certificates == nil || certificates.Version > c.certificates.Version) {
+		c.certificates = certificates
+		c.o.Log.Info("certificates in force", "version", certificates.Version, "certificates", len(certificates.Certificates), "regulated_routes", len(certificates.Routes))
+	}
+	c.rebuild(endpoints)
 	c.mu.Unlock()
+	if certificates != nil {
+		c.ask()
+	}
 	w := link.Writer{}
 	w.U64(u.Number)
 	_ = m.Conn.Send(Ack, w.B)
@@ -354,7 +464,8 @@
 	if endpoints || c.merged == nil {
 		c.merge()
 	}
-	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: c.listed, Endpoints: c.merged}
+	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: c.listed, Endpoints: c.merged,
+		Certificates: c.certificates, CertificatesKnown: c.certificatesKnown}
 	c.o.Holder.Set(snap)
 	if c.o.Changed != nil {
 		c.o.Changed(snap)
--- a/internal/control/messages_test.go
+++ b/internal/control/messages_test.go
@@ -55,6 +55,13 @@
 		if rapid.Bool().Draw(t, "has config") {
 			u.Config, u.Version = rapid.SliceOfN(rapid.Byte(), 1, 9).Draw(t, "config"), rapid.Uint64().Draw(t, "version")
 		}
+		if rapid.Bool().Draw(t, "has certificates") {
+			u.CertificatesVersion = rapid.Uint64().Draw(t, "certificates' version")
+			u.Certificates = rapid.SliceOfN(rapid.Byte(), 0, 9).Draw(t, "certificates")
+			if len(u.Certificates) == 0 {
+				u.Certificates = nil // only their version
+			}
+		}
 		if rapid.Bool().Draw(t, "has table") {
 			u.Table = tables().Draw(t, "table")
 		}
--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -25,13 +25,15 @@
 	change  uint64 // of the list of endpoints
 	version uint64
 	table   uint64
-	senders int
-	keepers uint64 // Keeper.met
-	marks   []mark // what is in force, and pushes that are not acknowledged, oldest first
+	// certificates is the version that was pushed.
+	certificates uint64
+	senders      int
+	keepers      uint64 // Keeper.met
+	marks        []mark // what is in force, and pushes that are not acknowledged, oldest first
 }
 
 // mark is what is in force once a push is acknowledged.
-type mark struct{ number, version, change, table uint64 }
+type mark struct{ number, version, change, table, certificates uint64 }
 
 // unackedMost is how many pushes a process may have yet to acknowledge; what changes meanwhile goes out in one.
 const unackedMost = 64
@@ -100,17 +102,18 @@
 type state struct {
 	whole, listed, endpoints bool
 	change, version, table   uint64
+	certificates             uint64
 	senders                  int
 	keepers                  uint64
 }
 
 func (p *attachedProcess) state() state {
-	return state{p.whole, p.listed, p.endpoints, p.change, p.version, p.table, p.senders, p.keepers}
+	return state{p.whole, p.listed, p.endpoints, p.change, p.version, p.table, p.certificates, p.senders, p.keepers}
 }
 
 // behind tells whether a process lacks something.
 func (p *attachedProcess) behind(k *Keeper) bool {
-	return !p.whole || p.version < k.config.version || k.parts != nil && p.table < k.parts.Number || p.senders != k.senders ||
+	return !p.whole || p.version < k.config.version || p.certificates < k.certificates.version || k.parts != nil && p.table < k.parts.Number || p.senders != k.senders ||
 		p.endpoints && (p.change < k.table.Newest() || p.listed != k.listens) || p.keepers != k.met
 }
 
@@ -140,11 +143,11 @@
 		p.pushed++
 		control.Renumber(m.body, p.pushed)
 		p.whole, p.listed, p.senders, p.keepers = true, k.listens, k.senders, k.met
-		p.change, p.version = m.to, k.config.version
+		p.change, p.version, p.certificates = m.to, k.config.version, k.certificates.version
 		if k.parts != nil {
 			p.table = k.parts.Number
 		}
-		p.marks = append(p.marks, mark{p.pushed, p.version, p.change, p.table})
+		p.marks = append(p.marks, mark{p.pushed, p.version, p.change, p.table, p.certificates})
 		if err := p.conn.Send(control.Push, m.body); err != nil {
 			k.log.Warn("push not sent", "node", p.node.Name, "err", err)
 			p.conn.Close() // it attaches anew, and is told all
@@ -154,7 +157,10 @@
 
 // update is what a process lacks, and the change of the list that it then has.
 func (k *Keeper) update(p *attachedProcess, now time.Time) (u *control.Update, change uint64) {
-	u = &control.Update{Listed: k.listens, Senders: k.senders}
+	u = &control.Update{Listed: k.listens, Senders: k.senders, CertificatesVersion: k.certificates.version}
+	if p.certificates < k.certificates.version {
+		u.Certificates = k.certificates.raw
+	}
 	if p.version < k.config.version {
 		u.Config, u.Version = k.config.raw, k.config.version
 	}
@@ -177,8 +183,10 @@
 	until  time.Time
 	change uint64
 	config uint64
-	peers  int // keepers that have yet to say that they have it
-	done   chan struct{}
+	// certificates is their version.
+	certificates uint64
+	peers        int // keepers that have yet to say that they have it
+	done         chan struct{}
 }
 
 // wait ends a waiter once all attached processes have acknowledged a state of the list or of the configuration, or
@@ -208,7 +216,7 @@
 func (k *Keeper) inForceAt(w *waiter) bool {
 	for _, p := range k.attached {
 		m := p.inForce()
-		if m.version < w.config || p.endpoints && m.change < w.change {
+		if m.version < w.config || m.certificates < w.certificates || p.endpoints && m.change < w.change {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/keeper/certificates_test.go
@@ -0,0 +1,197 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wingmount/internal/certify"
+	"wingmount/internal/control"
+	"wingmount/internal/view"
+)
+
+const stale = time.Second
+
+// lines is a log in memory.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lines) all() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func certificates(t *testing.T, version uint64, endpoints ...string) []byte {
+	t.Helper()
+	d := certify.Document{Version: version, Routes: []certify.Route{{Name: "q", Regime: "fin"}}}
+	for _, e := range endpoints {
+		d.Certificates = append(d.Certificates, certify.Certificate{Endpoint: e, Regime: "fin", NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), By: "test"})
+	}
+	b, err := json.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func (r *rig) certify(i int, match string, body []byte) answer {
+	return r.call(i, "PUT", certificatesPath, match, body)
+}
+
+// gate is a proxy's side: a real client and the gate behind it.
+func (r *rig) gate(seeds ...int) *certify.Gate {
+	var client *control.Client
+	gate := certify.NewGate(certify.GateOptions{Stale: stale, Confirmed: func() time.Time { return client.Confirmed() }})
+	var addrs []string
+	for _, i := range seeds {
+		addrs = append(addrs, fmt.Sprintf("%s:%d", r.ip(i), r.links))
+	}
+	client = control.NewClient(control.ClientOptions{Self: control.Node{Name: "p", Role: control.RoleProxy, Zone: "z", Life: 1},
+		Seeds: addrs, Endpoints: true, Holder: &view.Holder{}, ConfirmEvery: stale / 5, Log: hclog.NewNullLogger(),
+		Changed: func(s *view.Snapshot) { gate.Update(s.Certificates) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { client.Run(ctx); close(done) }()
+	r.t.Cleanup(func() { cancel(); <-done })
+	return gate
+}
+
+func TestCertificatesAreARegisterOfTheirOwn(t *testing.T) {
+	r := newRig(t, 3)
+	log := &lines{}
+	r.log = hclog.New(&hclog.LoggerOptions{Output: log})
+	r.startAll()
+	r.untilCode(404, func() answer { return r.call(0, "GET", certificatesPath, "", nil) }) // nothing was ever put
+	one := certificates(t, 5, "e1")
+	for _, c := range []struct {
+		match string
+		body  []byte
+		want  int
+	}{
+		{"", one, 400}, {"x", one, 400}, {"0", []byte("{"), 400}, {"0", []byte(`{"version":0}`), 400}, {"3", one, 412},
+		{"0", one, 200}, {"0", one, 200}, // said again
+		{"0", certificates(t, 6, "e2"), 412}, {"5", certificates(t, 5, "e2"), 400}, {"5", certificates(t, 4, "e2"), 400},
+	} {
+		if a := r.certify(0, c.match, c.body); a.code != c.want {
+			t.Errorf("If-Match %q, %.40s: %v, want %d", c.match, c.body, a, c.want)
+		}
+	}
+	two := certificates(t, 9, "e1", "e2")
+	if a := r.certify(1, `"5"`, two); a.code != 200 || !strings.Contains(a.body, `"in_force":true`) || !strings.Contains(a.body, `"version":9`) {
+		t.Errorf("%v", a)
+	}
+	if a := r.call(2, "GET", certificatesPath, "", nil); a.code != 200 || a.body != string(two) {
+		t.Errorf("%v", a)
+	}
+	if a := r.certify(0, "0", one); a.code != 200 {
+		t.Errorf("what was taken before is answered %v", a)
+	}
+	if a := r.call(0, "DELETE", certificatesPath, "", nil); a.code != 405 {
+		t.Errorf("%v", a)
+	}
+	for _, line := range []string{"certificates put: version=9", "certificate added: version=9 endpoint=e2 regime=fin", "certificates in force: version=9 before=5"} {
+		if !strings.Contains(log.all(), line) {
+			t.Errorf("the log lacks %q", line)
+		}
+	}
+	for i := range 3 {
+		r.kill(i)
+	}
+	r.startAll()
+	if a := r.untilCode(200, func() answer { return r.call(0, "GET", certificatesPath, "", nil) }); a.body != string(two) {
+		t.Errorf("after a start: %v", a)
+	}
+}
+
+// A withdrawal is in force at the proxy when it is acknowledged; with no majority left, the proxy treats nobody as certified once
+// that has lasted for the stated time, and goes on when there is one again. A minority agrees nothing.
+func TestAProxyFollowsTheAgreedCertificatesOrFailsClosed(t *testing.T) {
+	r := newRig(t, 3)
+	r.startAll()
+	allows := func(gate *certify.Gate, e string) bool { _, _, ok := gate.Allows("q", e); return ok }
+	r.untilCode(200, func() answer { return r.certify(0, "0", certificates(t, 1, "e1", "e2")) })
+	gate := r.gate(0, 1, 2)
+	until(t, "certified", func() bool { return gate.Set() != nil && allows(gate, "e1") && allows(gate, "e2") })
+	if allows(gate, "e3") {
+		t.Error("e3 is certified")
+	}
+	two := certificates(t, 2, "e1")
+	a := r.untilCode(200, func() answer { return r.certify(1, "1", two) })
+	if !strings.Contains(a.body, `"in_force":true`) {
+		t.Logf("the busy machine took its time: %v", a)
+		time.Sleep(stale)
+	}
+	if allows(gate, "e2") {
+		t.Error("e2 is still certified after its withdrawal was acknowledged")
+	}
+	until(t, "fresh", func() bool { return allows(gate, "e1") })
+
+	r.kill(0)
+	r.kill(1)
+	began := time.Now()
+	until(t, "closed without a majority", func() bool { return !allows(gate, "e1") })
+	if took := time.Since(began); took > stale+2*time.Second { // on a busy machine
+		t.Errorf("closed after %v", took)
+	}
+	if a := r.certify(2, "2", certificates(t, 3, "e1", "e2")); a.code == 200 {
+		t.Error("a minority agreed to certificates")
+	}
+	if allows(gate, "e1") || gate.Set().Version != 2 {
+		t.Errorf("version %d", gate.Set().Version)
+	}
+	r.start(0)
+	until(t, "open again", func() bool { return allows(gate, "e1") })
+	if gate.Set().Version == 2 && allows(gate, "e2") {
+		t.Error("what was withdrawn is certified again")
+	}
+}
+
+// Who was not pushed the newest, as it acknowledges nothing, is not told that what it has is the newest.
+func TestWhoIsBehindIsNotConfirmed(t *testing.T) {
+	r := newRig(t, 3)
+	r.wait = 10 * time.Millisecond // nobody acknowledges
+	r.startAll()
+	r.untilCode(200, func() answer { return r.certify(0, "0", certificates(t, 1, "e1")) })
+	w := r.raw(0, "p")
+	get(t, w.pushes, "the first push")
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if _, err := w.conn.Call(ctx, control.Confirm, nil); err != nil {
+		t.Fatal(err)
+	}
+	for i := range unackedMost + 8 {
+		r.beat(0, fmt.Sprint("e", i), "ready", 1)
+	}
+	r.untilCode(200, func() answer { return r.certify(0, "1", certificates(t, 2)) })
+	newest := uint64(0)
+	for more := true; more; {
+		select {
+		case u := <-w.pushes:
+			newest = max(newest, u.CertificatesVersion)
+		default:
+			more = false
+		}
+	}
+	if newest == 2 {
+		t.Skip("it was pushed them all the same")
+	}
+	if _, err := w.conn.Call(ctx, control.Confirm, nil); err == nil {
+		t.Error("what it has is confirmed, and it is not the newest")
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -62,21 +62,26 @@
 	attached map[*link.Conn]*attachedProcess
 	peers    map[string]*peer // by name
 	conns    map[*link.Conn]*peerLink
-	config   *configValue // newest decided that is known
-	fresh    bool         // a majority has confirmed it in this life, or can't be had
-	parts    *view.Table
-	senders  int
-	dirty    bool
-	lease    *duty.Grants
-	assigner assigner
-	sentBeat time.Time
-	dialling map[string]bool
-	wanted   map[string]time.Time // addresses of keepers' links: when each may be dialled again
-	waiting  []*waiter
-	met      uint64 // counts changes of the keepers that are met
-	listens  bool   // as the attached were told last
-	told     uint64 // the list's newest change, as they were told last
-	sums     digests
+	config   *document // newest decided that is known
+	// certificates are the newest decided that are known; version 0: none were ever put.
+	certificates *document
+	confirming   bool            // a read of the certificates' register is under way, or about to begin
+	confirmed    time.Time       // the last one began
+	asking       []*link.Message // those who wait for the next one
+	fresh        bool            // a majority has confirmed it in this life, or can't be had
+	parts        *view.Table
+	senders      int
+	dirty        bool
+	lease        *duty.Grants
+	assigner     assigner
+	sentBeat     time.Time
+	dialling     map[string]bool
+	wanted       map[string]time.Time // addresses of keepers' links: when each may be dialled again
+	waiting      []*waiter
+	met          uint64 // counts changes of the keepers that are met
+	listens      bool   // as the attached were told last
+	told         uint64 // the list's newest change, as they were told last
+	sums         digests
 
 	linked atomic.Pointer[links] // for other goroutines
 
@@ -91,7 +96,7 @@
 	now := time.Now()
 	k := &Keeper{o: o, log: o.Log, life: now, commands: make(chan func(), queueMost), ended: make(chan struct{}),
 		posted: make(chan struct{}, 1), attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peerLink{},
-		config: &configValue{}, dialling: map[string]bool{}, wanted: map[string]time.Time{}}
+		config: &document{}, certificates: &document{}, dialling: map[string]bool{}, wanted: map[string]time.Time{}}
 	if k.o.PushWait <= 0 {
 		k.o.PushWait = pushWait
 	}
@@ -288,6 +293,11 @@
 			return
 		}
 		m.Conn.Tag.Store(nodes) // until it is known whose word it is
+	case control.Confirm:
+		k.asking = append(k.asking, m)
+		k.confirmCertificates()
+	case control.InForce:
+		k.inForceAsked(m)
 	case control.Lease:
 		k.leaseAsked(now, m)
 	case control.Missing:
--- a/internal/keeper/rig_test.go
+++ b/internal/keeper/rig_test.go
@@ -34,6 +34,7 @@
 	control int
 	first   bool
 	wait    time.Duration
+	log     hclog.Logger
 	disks   []*disktest.Disk // nil: none
 	running []*running
 }
@@ -46,7 +47,7 @@
 
 // newRig makes n keepers that are not running, with empty disks; the first three are the seeds.
 func newRig(t *testing.T, n int) *rig {
-	r := &rig{t: t, net: fmt.Sprintf("127.%d.%d.", 2+rand.N(250), rand.N(256)), first: true, disks: make([]*disktest.Disk, n),
+	r := &rig{t: t, net: fmt.Sprintf("127.%d.%d.", 2+rand.N(250), rand.N(256)), first: true, log: hclog.NewNullLogger(), disks: make([]*disktest.Disk, n),
 		running: make([]*running, n)}
 	for i := range r.disks {
 		r.disks[i] = disktest.New()
@@ -84,7 +85,7 @@
 	if r.disks[i] != nil {
 		folder = r.disks[i]
 	}
-	k, err := New(Options{Settings: r.settings(i), Folder: folder, Log: hclog.NewNullLogger(), PushWait: r.wait})
+	k, err := New(Options{Settings: r.settings(i), Folder: folder, Log: r.log, PushWait: r.wait})
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/keeper/value.go
+++ b/internal/keeper/value.go
@@ -6,14 +6,15 @@
 
 	"github.com/zeebo/errs"
 
+	"wingmount/internal/certify"
 	"wingmount/internal/link"
-	"wingmount/internal/operator"
 )
 
 // Names of the registers.
 const (
-	configRegister = "config"
-	tableRegister  = "lots"
+	configRegister       = "config"
+	tableRegister        = "lots"
+	certificatesRegister = "certificates"
 )
 
 // digestsMost is how many versions are known to have been taken, the newest ones.
@@ -25,20 +26,31 @@
 	ErrVersion = errs.Class("another version is in place")
 )
 
+// documentKind is one of the documents that operators put.
+type documentKind struct {
+	register, path string
+	invalid        *errs.Class
+}
+
+var (
+	configDocument       = documentKind{configRegister, "/config", &ErrInvalid}
+	certificatesDocument = documentKind{certificatesRegister, certificatesPath, &certify.Invalid}
+)
+
 // taken is a version that was in force.
 type taken struct {
 	version uint64
 	digest  [sha256.Size]byte
 }
 
-// configValue is the state of the configuration's register.
-type configValue struct {
+// document is the state of a register whose value operators put whole, under versions.
+type document struct {
 	version uint64
 	raw     []byte
 	past    []taken // oldest first, the version in force last
 }
 
-func (v *configValue) encode() []byte {
+func (v *document) encode() []byte {
 	w := link.Writer{}
 	w.U64(v.version)
 	w.Bytes(v.raw)
@@ -50,8 +62,8 @@
 	return w.B
 }
 
-func readConfigValue(b []byte) (*configValue, error) {
-	v := &configValue{}
+func readDocument(b []byte) (*document, error) {
+	v := &document{}
 	if len(b) == 0 {
 		return v, nil
 	}
@@ -65,26 +77,26 @@
 	return v, r.Err
 }
 
-// put decides on a configuration that builds on a version. Where next is nil and err too, this very
-// configuration was taken before.
-func (v *configValue) put(raw []byte, c *operator.Config, base uint64) (next *configValue, err error) {
+// put decides on a document that builds on a version. Where next is nil and err too, this very
+// document was taken before.
+func (v *document) put(raw []byte, version, base uint64, of documentKind) (next *document, err error) {
 	digest := sha256.Sum256(raw)
 	for _, t := range v.past {
-		if t.version == c.Version && t.digest == digest {
+		if t.version == version && t.digest == digest {
 			return nil, nil
 		}
 	}
 	if base != v.version {
-		return nil, ErrVersion.New("%d is in place and If-Match names %d: read /config and build on that", v.version, base)
+		return nil, ErrVersion.New("%d is in place and If-Match names %d: read %s and build on that", v.version, base, of.path)
 	}
-	if c.Version <= v.version {
-		return nil, ErrInvalid.New("version: %d is not above %d, which is in place: take a higher number", c.Version, v.version)
+	if version <= v.version {
+		return nil, of.invalid.New("version: %d is not above %d, which is in place: take a higher number", version, v.version)
 	}
-	past := append(append([]taken(nil), v.past...), taken{c.Version, digest})
+	past := append(append([]taken(nil), v.past...), taken{version, digest})
 	if len(past) > digestsMost {
 		past = past[len(past)-digestsMost:]
 	}
-	return &configValue{version: c.Version, raw: raw, past: past}, nil
+	return &document{version: version, raw: raw, past: past}, nil
 }
 
 // statusOf is the answer that an error means to an operator.
@@ -92,7 +104,7 @@
 	switch {
 	case err == nil:
 		return http.StatusOK
-	case ErrInvalid.Has(err):
+	case ErrInvalid.Has(err), certify.Invalid.Has(err):
 		return http.StatusBadRequest
 	case ErrVersion.Has(err):
 		return http.StatusPreconditionFailed
--- a/internal/keeper/value_test.go
+++ b/internal/keeper/value_test.go
@@ -20,14 +20,14 @@
 // TestPut has two commands: put, with the version, the base that it builds on and a mark that makes its bytes, shows
 // the answer and what is in force; many puts versions up to one.
 func TestPut(t *testing.T) {
-	v := &configValue{}
+	v := &document{}
 	put := func(version, base uint64, mark string) string {
 		raw := configBody(version, mark)
 		c, err := operator.Parse(raw)
 		if err != nil {
 			t.Fatal(err)
 		}
-		next, err := v.put(raw, c, base)
+		next, err := v.put(raw, c.Version, base, configDocument)
 		out := fmt.Sprint(statusOf(err))
 		switch {
 		case err != nil:
@@ -65,16 +65,16 @@
 
 func TestConfigValueRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		v := &configValue{version: rapid.Uint64().Draw(t, "version"), raw: rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(t, "raw")}
+		v := &document{version: rapid.Uint64().Draw(t, "version"), raw: rapid.SliceOfN(rapid.Byte(), 1, 20).Draw(t, "raw")}
 		for range rapid.IntRange(0, 5).Draw(t, "past") {
 			v.past = append(v.past, taken{rapid.Uint64().Draw(t, "taken"), sha256.Sum256([]byte(rapid.String().Draw(t, "body")))})
 		}
 		b := v.encode()
-		got, err := readConfigValue(b)
+		got, err := readDocument(b)
 		if err != nil || !reflect.DeepEqual(got, v) {
 			t.Fatalf("%+v, %v", got, err)
 		}
-		if _, err := readConfigValue(b[:rapid.IntRange(1, len(b)-1).Draw(t, "cut")]); err == nil {
+		if _, err := readDocument(b[:rapid.IntRange(1, len(b)-1).Draw(t, "cut")]); err == nil {
 			t.Fatal("what was cut off was read")
 		}
 	})
