--- a/internal/lab/tier/engine/beats.go
+++ b/internal/lab/tier/engine/beats.go
@@ -46,13 +46,18 @@
 
 // register sends one heartbeat to the first node that takes it, and tells where the next one goes.
 func (e *Endpoint) register(ctx context.Context, client *http.Client, follow string) (string, error) {
-	addrs := e.o.Beats.Controls()
+	return FirstToTake(e.o.Beats.Controls(), follow, func(addr string) (string, error) { return e.put(ctx, client, addr) })
+}
+
+// FirstToTake puts a heartbeat to the address that is followed, if any, and then to the others in turn, until one
+// takes it; it tells where the next one goes.
+func FirstToTake(addrs []string, follow string, put func(addr string) (follow string, err error)) (string, error) {
 	if follow != "" {
 		addrs = append([]string{follow}, addrs...)
 	}
 	failed := errors.New("no control address")
 	for _, a := range addrs {
-		to, err := e.put(ctx, client, a)
+		to, err := put(a)
 		if err == nil {
 			if to == "" && a == follow {
 				to = follow
--- a/internal/lab/tier/hollow/endpoint.go
+++ b/internal/lab/tier/hollow/endpoint.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"wingmount/internal/lab/tier/engine"
 )
 
 const (
@@ -103,21 +104,7 @@
 func (f *endpoints) register(ctx context.Context, e *endpoint, follow string) (string, error) {
 	addrs := f.controls()
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	if follow != "" {
-		addrs = append([]string{follow}, addrs...)
-	}
-	failed := errors.New("no control address")
-	for _, a := range addrs {
-		to, err := f.put(ctx, e, a)
-		if err == nil {
-			if to == "" && a == follow {
-				to = follow
-			}
-			return to, nil
-		}
-		failed = err
-	}
-	return "", failed
+	return engine.FirstToTake(addrs, follow, func(addr string) (string, error) { return f.put(ctx, e, addr) })
 }
 
 func (f *endpoints) put(ctx context.Context, e *endpoint, addr string) (follow string, err error) {
