--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -11,8 +11,8 @@
 	"runtime/debug"
 	"time"
 
-	"wingmount/internal/wire"
-	"wingmount/policy"
+	"dunetide/internal/wire"
+	"dunetide/policy"
 )
 
 func main() {
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"wingmount/internal/wire"
-	"wingmount/policy"
+	"dunetide/internal/wire"
+	"dunetide/policy"
 )
 
 const settings = `{"NInstances": 1, "Classes": [{"AimUs": 1000000, "DeadlineUs": 5000000,
--- a/cmd/dunetide/audit.go
+++ b/cmd/dunetide/audit.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"wingmount/internal/audit"
+	"dunetide/internal/audit"
 )
 
 type auditCmd struct {
--- a/cmd/dunetide/certify.go
+++ b/cmd/dunetide/certify.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"wingmount/internal/certify"
+	"dunetide/internal/certify"
 )
 
 type certifyCmd struct {
--- a/cmd/dunetide/certify_test.go
+++ b/cmd/dunetide/certify_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/certify"
+	"dunetide/internal/certify"
 )
 
 // fakeKeeper is a keeper's calls about certificates, in memory. Another document may come between.
--- a/cmd/dunetide/check.go
+++ b/cmd/dunetide/check.go
@@ -5,8 +5,8 @@
 	"os"
 	"runtime/debug"
 
-	"wingmount/internal/operator"
-	"wingmount/internal/settings"
+	"dunetide/internal/operator"
+	"dunetide/internal/settings"
 )
 
 type checkCmd struct {
--- a/cmd/dunetide/jobs.go
+++ b/cmd/dunetide/jobs.go
@@ -8,10 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"wingmount/internal/batch"
-	"wingmount/internal/forward"
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/batch"
+	"dunetide/internal/forward"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 const (
--- a/cmd/dunetide/jobs_test.go
+++ b/cmd/dunetide/jobs_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 func TestInHand(t *testing.T) {
--- a/cmd/dunetide/keeper.go
+++ b/cmd/dunetide/keeper.go
@@ -1,9 +1,9 @@
 package main
 
 import (
-	"wingmount/internal/control"
-	"wingmount/internal/journal"
-	"wingmount/internal/keeper"
+	"dunetide/internal/control"
+	"dunetide/internal/journal"
+	"dunetide/internal/keeper"
 )
 
 // Ports of the roles' links and datagrams, counted from the first internal port.
--- a/cmd/dunetide/main.go
+++ b/cmd/dunetide/main.go
@@ -14,7 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 
-	"wingmount/internal/settings"
+	"dunetide/internal/settings"
 )
 
 // settingsVar holds the path of the settings file.
--- a/cmd/dunetide/members.go
+++ b/cmd/dunetide/members.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
-	"wingmount/internal/control"
-	"wingmount/internal/journal"
-	"wingmount/internal/membership"
+	"dunetide/internal/control"
+	"dunetide/internal/journal"
+	"dunetide/internal/membership"
 )
 
 // members is the process's partial view of the others.
--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -8,11 +8,11 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/control"
-	"wingmount/internal/dispatch"
-	"wingmount/internal/forward"
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/control"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/forward"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 type proxyCmd struct{}
--- a/cmd/dunetide/regulated.go
+++ b/cmd/dunetide/regulated.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"wingmount/internal/audit"
-	"wingmount/internal/certify"
-	"wingmount/internal/view"
+	"dunetide/internal/audit"
+	"dunetide/internal/certify"
+	"dunetide/internal/view"
 )
 
 const (
--- a/cmd/dunetide/runner.go
+++ b/cmd/dunetide/runner.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"wingmount/internal/batch"
-	"wingmount/internal/forward"
-	"wingmount/internal/view"
+	"dunetide/internal/batch"
+	"dunetide/internal/forward"
+	"dunetide/internal/view"
 )
 
 // again is when an item that no endpoint has run comes again.
--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/audit"
-	"wingmount/internal/batch"
-	"wingmount/internal/control"
-	"wingmount/internal/link"
-	"wingmount/internal/record"
-	"wingmount/internal/view"
+	"dunetide/internal/audit"
+	"dunetide/internal/batch"
+	"dunetide/internal/control"
+	"dunetide/internal/link"
+	"dunetide/internal/record"
+	"dunetide/internal/view"
 )
 
 // jobsLog is the file of batch jobs.
--- a/cmd/winglab/compare.go
+++ b/cmd/winglab/compare.go
@@ -12,12 +12,12 @@
 	"strconv"
 	"strings"
 
-	"wingmount/internal/lab/figures"
-	"wingmount/internal/lab/record"
-	"wingmount/internal/lab/report"
-	"wingmount/internal/lab/scenario"
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/figures"
+	"dunetide/internal/lab/record"
+	"dunetide/internal/lab/report"
+	"dunetide/internal/lab/scenario"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 type compareCommand struct {
--- a/cmd/winglab/fleet.go
+++ b/cmd/winglab/fleet.go
@@ -7,8 +7,8 @@
 	"path/filepath"
 	"time"
 
-	"wingmount/internal/lab/scenario"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/scenario"
+	"dunetide/internal/lab/world"
 )
 
 type fleetCommand struct {
--- a/cmd/winglab/hollow.go
+++ b/cmd/winglab/hollow.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"time"
 
-	"wingmount/internal/lab/tier/hollow"
+	"dunetide/internal/lab/tier/hollow"
 )
 
 type hollowCommand struct {
--- a/cmd/winglab/main.go
+++ b/cmd/winglab/main.go
@@ -17,13 +17,13 @@
 
 	"github.com/alecthomas/kong"
 
-	"wingmount/internal/lab/insim"
-	"wingmount/internal/lab/live"
-	"wingmount/internal/lab/record"
-	"wingmount/internal/lab/scenario"
-	"wingmount/internal/lab/tier"
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/insim"
+	"dunetide/internal/lab/live"
+	"dunetide/internal/lab/record"
+	"dunetide/internal/lab/scenario"
+	"dunetide/internal/lab/tier"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 type commands struct {
@@ -189,7 +189,7 @@
 	}
 	clean = func() { _ = os.RemoveAll(dir) }
 	program = filepath.Join(dir, "wingmount")
-	if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "wingmount/cmd/wingmount").CombinedOutput(); err != nil {
+	if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "dunetide/cmd/wingmount").CombinedOutput(); err != nil {
 		clean()
 		return "", nil, fmt.Errorf("building the node (run this inside the checkout, or give --node): %w\n%s", err, out)
 	}
--- a/cmd/winglab/main_test.go
+++ b/cmd/winglab/main_test.go
@@ -11,16 +11,16 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/record"
-	"wingmount/internal/lab/scenario"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/record"
+	"dunetide/internal/lab/scenario"
+	"dunetide/internal/lab/world"
 )
 
 // builtNode is the node's program, built once.
 func builtNode(t *testing.T) string {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "wingmount")
-	if out, err := exec.Command("go", "build", "-o", program, "wingmount/cmd/wingmount").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program, "dunetide/cmd/wingmount").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	return program
@@ -129,12 +129,12 @@
 
 // TestNothingOfTheLabIsInTheNode keeps its libraries out of the program in service.
 func TestNothingOfTheLabIsInTheNode(t *testing.T) {
-	out, err := exec.Command("go", "list", "-deps", "wingmount/cmd/wingmount", "wingmount/cmd/adapter").CombinedOutput()
+	out, err := exec.Command("go", "list", "-deps", "dunetide/cmd/wingmount", "wingmount/cmd/adapter").CombinedOutput()
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	for _, dep := range strings.Fields(string(out)) {
-		for _, not := range []string{"wingmount/internal/lab", "alecthomas", "pelletier", "HdrHistogram", "gonum"} {
+		for _, not := range []string{"dunetide/internal/lab", "alecthomas", "pelletier", "HdrHistogram", "gonum"} {
 			if strings.Contains(dep, not) {
 				t.Errorf("the node or the adapter needs %s", dep)
 			}
--- a/cmd/winglab/night_test.go
+++ b/cmd/winglab/night_test.go
@@ -6,13 +6,13 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/tier"
+	"dunetide/internal/lab/tier"
 )
 
 // TestABusyNightKeepsToCertifiedNodes plays a short night on real processes.
 func TestABusyNightKeepsToCertifiedNodes(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "dunetide")
-	if out, err := exec.Command("go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program, "dunetide/cmd/dunetide").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	a, err := tier.Night(t.Context(), tier.Options{Program: program, Dir: t.TempDir(), Seed: 1, Length: 8 * time.Second, Say: t.Logf})
--- a/cmd/winglab/tier_test.go
+++ b/cmd/winglab/tier_test.go
@@ -6,13 +6,13 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/tier"
+	"dunetide/internal/lab/tier"
 )
 
 // TestTierKeepsTheRules plays a short day of the built tier, with losses and spoilt answers.
 func TestTierKeepsTheRules(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "dunetide")
-	if out, err := exec.Command("go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program, "dunetide/cmd/dunetide").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	a, err := tier.Play(t.Context(), tier.Options{Program: program, Dir: t.TempDir(), Seed: 1, Length: 4 * time.Second, Faults: []string{"store", "keeper", "engine"}, Spoil: true, Say: t.Logf})
--- a/cmd/wingmount/bench_test.go
+++ b/cmd/wingmount/bench_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/fleet"
+	"dunetide/internal/fleet"
 )
 
 // BenchmarkHandIn hands messages in to a real node, by one client and by several. It
--- a/cmd/wingmount/copies_test.go
+++ b/cmd/wingmount/copies_test.go
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/lab/faults"
-	"wingmount/internal/replica"
+	"dunetide/internal/fleet"
+	"dunetide/internal/lab/faults"
+	"dunetide/internal/replica"
 )
 
 // copiesPatience is the time of the messages here: none runs out of it, also on a busy machine.
--- a/cmd/wingmount/fleet_test.go
+++ b/cmd/wingmount/fleet_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/lab/faults"
+	"dunetide/internal/fleet"
+	"dunetide/internal/lab/faults"
 )
 
 // fleetPatience is for what takes memberlist some of its periods, on a busy machine.
--- a/cmd/wingmount/lease_test.go
+++ b/cmd/wingmount/lease_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/lease"
+	"dunetide/internal/fleet"
+	"dunetide/internal/lease"
 )
 
 // newLeases makes a fleet of n nodes with leases, of which the first so many vote.
--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -13,10 +13,10 @@
 	"path/filepath"
 	"syscall"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/group"
-	"wingmount/internal/journal"
-	"wingmount/internal/node"
+	"dunetide/internal/fleet"
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+	"dunetide/internal/node"
 )
 
 const usage = `usage: wingmount [flags]      a delivery node; PROXY_CONFIG and PROXY_STATE say how and where
--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -19,7 +19,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/node"
+	"dunetide/internal/node"
 )
 
 const patience = 15 * time.Second
--- a/cmd/wingmount/recovery_test.go
+++ b/cmd/wingmount/recovery_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/node"
+	"dunetide/internal/node"
 )
 
 // chargeSettings have a class that may not be repeated and one that may.
--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -15,7 +15,7 @@
 
 	"github.com/zeebo/errs"
 
-	"wingmount/internal/link"
+	"dunetide/internal/link"
 )
 
 // Errors of proposals and reads. After all but ErrTimeout nothing was written, for sure.
--- a/internal/agree/sim_test.go
+++ b/internal/agree/sim_test.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/link"
+	"dunetide/internal/link"
 )
 
 // world is a simulation by seed: machines with disks, links between them, clients, and one clock. It panics with
--- a/internal/agree/state.go
+++ b/internal/agree/state.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"slices"
 
-	"wingmount/internal/link"
+	"dunetide/internal/link"
 )
 
 // Voter is one who decides. Its ID is drawn at random when its disk is first used and kept there: an emptied disk
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -15,10 +15,10 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/certify"
-	"wingmount/internal/journal"
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/certify"
+	"dunetide/internal/journal"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 func must(t testing.TB, err error) {
--- a/internal/audit/kinds.go
+++ b/internal/audit/kinds.go
@@ -1,6 +1,6 @@
 package audit
 
-import "wingmount/internal/link"
+import "dunetide/internal/link"
 
 // The kinds of messages on links to stores, all of them here. Those of batch jobs end before them.
 const (
--- a/internal/audit/read.go
+++ b/internal/audit/read.go
@@ -11,10 +11,10 @@
 	"strings"
 	"time"
 
-	"wingmount/internal/certify"
-	"wingmount/internal/journal"
-	"wingmount/internal/link"
-	"wingmount/internal/record"
+	"dunetide/internal/certify"
+	"dunetide/internal/journal"
+	"dunetide/internal/link"
+	"dunetide/internal/record"
 )
 
 // chainOf follows one file.
--- a/internal/audit/recorder.go
+++ b/internal/audit/recorder.go
@@ -10,8 +10,8 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 const (
--- a/internal/audit/run.go
+++ b/internal/audit/run.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"time"
 
-	"wingmount/internal/link"
+	"dunetide/internal/link"
 )
 
 // Run is one sending of a regulated request or item to an endpoint.
--- a/internal/audit/store.go
+++ b/internal/audit/store.go
@@ -13,9 +13,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/journal"
-	"wingmount/internal/link"
-	"wingmount/internal/record"
+	"dunetide/internal/journal"
+	"dunetide/internal/link"
+	"dunetide/internal/record"
 )
 
 const (
--- a/internal/batch/assign.go
+++ b/internal/batch/assign.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"wingmount/internal/view"
+	"dunetide/internal/view"
 )
 
 // nextCopies is the group of a part once those that join have all and those that leave are gone.
--- a/internal/batch/assign_test.go
+++ b/internal/batch/assign_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"wingmount/internal/view"
+	"dunetide/internal/view"
 )
 
 func someStores(n, zones int) (all []view.Store) {
--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/journal"
-	"wingmount/internal/link"
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/journal"
+	"dunetide/internal/link"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 // echo is a runner whose text is the item's body, an event a byte.
--- a/internal/batch/clients_test.go
+++ b/internal/batch/clients_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"slices"
 
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 // promise is what clients know of a job.
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -6,10 +6,10 @@
 	"hash/crc32"
 	"slices"
 
-	"wingmount/internal/link"
-	"wingmount/internal/operator"
-	"wingmount/internal/record"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/operator"
+	"dunetide/internal/record"
+	"dunetide/internal/view"
 )
 
 // disk is the log of a store: appended records. Here at is the place of a payload's first byte.
--- a/internal/batch/edge.go
+++ b/internal/batch/edge.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/link"
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 // EdgeOptions say what the edge's side of batch jobs is.
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"wingmount/internal/operator"
+	"dunetide/internal/operator"
 )
 
 const mostItems = 200
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -3,7 +3,7 @@
 import (
 	"hash/crc32"
 
-	"wingmount/internal/link"
+	"dunetide/internal/link"
 )
 
 // Job is a batch job as it is handed in.
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 // pool holds a connection to each store of the table. A store that answers with another identity than the
--- a/internal/batch/scale_test.go
+++ b/internal/batch/scale_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 // scaleRig steps the cores of a few stores by hand, with many workers that run items at a pace. Nothing
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 
-	"wingmount/internal/link"
-	"wingmount/internal/operator"
+	"dunetide/internal/link"
+	"dunetide/internal/operator"
 )
 
 // worker is a proxy that runs items.
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"wingmount/internal/link"
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 // world is a whole system in one goroutine: stores, keepers, workers and clients on a clock and links of its
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/journal"
-	"wingmount/internal/link"
-	"wingmount/internal/record"
-	"wingmount/internal/view"
+	"dunetide/internal/journal"
+	"dunetide/internal/link"
+	"dunetide/internal/record"
+	"dunetide/internal/view"
 )
 
 // Log is where a store keeps what it has: internal/record's. Here at is the position after a record.
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 // Item is one to be run.
--- a/internal/control/certificates_test.go
+++ b/internal/control/certificates_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/certify"
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/certify"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 const patience = 20 * time.Second
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -14,11 +14,11 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/certify"
-	"wingmount/internal/link"
-	"wingmount/internal/operator"
-	"wingmount/internal/registry"
-	"wingmount/internal/view"
+	"dunetide/internal/certify"
+	"dunetide/internal/link"
+	"dunetide/internal/operator"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
 )
 
 const (
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -14,9 +14,9 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/link"
-	"wingmount/internal/registry"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
 )
 
 var stateNames = []string{"ready", "draining", "gone"}
--- a/internal/control/kinds.go
+++ b/internal/control/kinds.go
@@ -2,7 +2,7 @@
 // and the side of those attached.
 package control
 
-import "wingmount/internal/link"
+import "dunetide/internal/link"
 
 // Kinds of messages on links to keepers. Those of batch jobs have their own, from 64 on.
 const (
--- a/internal/control/merge_test.go
+++ b/internal/control/merge_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/link"
-	"wingmount/internal/operator"
-	"wingmount/internal/registry"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/operator"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
 )
 
 // pushing is a keeper that says what the test has it say.
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -4,9 +4,9 @@
 	"encoding/binary"
 	"sort"
 
-	"wingmount/internal/link"
-	"wingmount/internal/registry"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
 )
 
 // Roles of processes.
--- a/internal/control/messages_test.go
+++ b/internal/control/messages_test.go
@@ -7,9 +7,9 @@
 
 	"pgregory.net/rapid"
 
-	"wingmount/internal/link"
-	"wingmount/internal/registry"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
 )
 
 func nodes() *rapid.Generator[Node] {
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/view"
+	"dunetide/internal/view"
 )
 
 // BenchmarkAcquireBySize is a request's admission and placement among so many endpoints of its service.
--- a/internal/dispatch/certified_test.go
+++ b/internal/dispatch/certified_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 // regulated is a request that only some endpoints may have; the list may change later.
--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/view"
+	"dunetide/internal/view"
 )
 
 // choose picks the endpoint for a request, nil when none has room.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/sendlog"
-	"wingmount/internal/view"
+	"dunetide/internal/sendlog"
+	"dunetide/internal/view"
 )
 
 // Time is a reading of a steady clock.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 // bench steps a core by hand.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"wingmount/internal/operator"
+	"dunetide/internal/operator"
 )
 
 // Request is what is asked for, as dispatch sees it. An item of a batch job is one too.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/view"
+	"dunetide/internal/view"
 )
 
 // Options of a dispatcher.
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 func snapshot(senders int, eps ...*view.Endpoint) *view.Snapshot {
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/view"
+	"dunetide/internal/view"
 )
 
 // limited is an endpoint that takes so many starts in a second and turns the others away.
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 // world plays several senders and model endpoints in steps of a ms.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"wingmount/internal/journal"
+	"dunetide/internal/journal"
 )
 
 const (
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
-	"wingmount/internal/lab/faults"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
+	"dunetide/internal/lab/faults"
 )
 
 // world is a fleet in simulated time: the real code above a network in memory.
--- a/internal/fleet/fleettest/fleettest.go
+++ b/internal/fleet/fleettest/fleettest.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/fleet"
+	"dunetide/internal/fleet"
 )
 
 // Fate is what becomes of a question.
--- a/internal/fleet/fleettest/fleettest_test.go
+++ b/internal/fleet/fleettest/fleettest_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/fleet"
+	"dunetide/internal/fleet"
 )
 
 // What the page says of news and questions holds of the fake.
--- a/internal/fleet/identity.go
+++ b/internal/fleet/identity.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"wingmount/internal/journal"
+	"dunetide/internal/journal"
 )
 
 const (
--- a/internal/fleet/identity_test.go
+++ b/internal/fleet/identity_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"wingmount/internal/journal/disktest"
+	"dunetide/internal/journal/disktest"
 )
 
 // Whatever operation fails, and whether power is lost then: an incarnation that was given out
--- a/internal/fleet/simulated_test.go
+++ b/internal/fleet/simulated_test.go
@@ -21,8 +21,8 @@
 	"testing/synctest"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/lab/faults"
+	"dunetide/internal/fleet"
+	"dunetide/internal/lab/faults"
 )
 
 // simulated is a world in a bubble of simulated time.
--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"testing"
 
-	"wingmount/internal/operator"
+	"dunetide/internal/operator"
 )
 
 // One request after the other on one connection, from a client over the proxy to an endpoint and back.
--- a/internal/forward/certified.go
+++ b/internal/forward/certified.go
@@ -4,10 +4,10 @@
 	"errors"
 	"time"
 
-	"wingmount/internal/audit"
-	"wingmount/internal/certify"
-	"wingmount/internal/dispatch"
-	"wingmount/internal/upstream"
+	"dunetide/internal/audit"
+	"dunetide/internal/certify"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/upstream"
 )
 
 // Recorder keeps the record of regulated runs.
--- a/internal/forward/certified_test.go
+++ b/internal/forward/certified_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/audit"
-	"wingmount/internal/certify"
-	"wingmount/internal/dispatch"
-	"wingmount/internal/operator"
+	"dunetide/internal/audit"
+	"dunetide/internal/certify"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
 )
 
 // book is a record in memory.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/dispatch"
-	"wingmount/internal/operator"
-	"wingmount/internal/upstream"
-	"wingmount/internal/view"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
+	"dunetide/internal/upstream"
+	"dunetide/internal/view"
 )
 
 // The names of headers, as the parser writes them.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/dispatch"
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 const patience = 10 * time.Second
--- a/internal/forward/item.go
+++ b/internal/forward/item.go
@@ -10,9 +10,9 @@
 
 	"golang.org/x/net/http/httpguts"
 
-	"wingmount/internal/dispatch"
-	"wingmount/internal/operator"
-	"wingmount/internal/upstream"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
+	"dunetide/internal/upstream"
 )
 
 // Item is one request of a batch job.
--- a/internal/forward/item_test.go
+++ b/internal/forward/item_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/dispatch"
-	"wingmount/internal/operator"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
 )
 
 func item(r *operator.Route) *Item {
--- a/internal/forward/night_test.go
+++ b/internal/forward/night_test.go
@@ -25,13 +25,13 @@
 	"testing/synctest"
 	"time"
 
-	"wingmount/internal/audit"
-	"wingmount/internal/certify"
-	"wingmount/internal/dispatch"
-	"wingmount/internal/journal"
-	"wingmount/internal/link"
-	"wingmount/internal/operator"
-	"wingmount/internal/view"
+	"dunetide/internal/audit"
+	"dunetide/internal/certify"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/journal"
+	"dunetide/internal/link"
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
 )
 
 // A busy night: proxies with their dispatchers, gates and records, engines, stores with disks, and clients, in simulated time.
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -17,11 +17,11 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sys/unix"
 
-	"wingmount/internal/certify"
-	"wingmount/internal/dispatch"
-	"wingmount/internal/operator"
-	"wingmount/internal/upstream"
-	"wingmount/internal/view"
+	"dunetide/internal/certify"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
+	"dunetide/internal/upstream"
+	"dunetide/internal/view"
 )
 
 const (
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"wingmount/internal/dispatch"
-	"wingmount/internal/operator"
-	"wingmount/internal/upstream"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
+	"dunetide/internal/upstream"
 )
 
 const (
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/wrongline"
+	"dunetide/internal/lab/wrongline"
 )
 
 // wrong are lines that are wrong, for TestBusyNights to find.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"wingmount/internal/outbox"
+	"dunetide/internal/outbox"
 )
 
 const (
--- a/internal/journal/checkpoint.go
+++ b/internal/journal/checkpoint.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 const (
--- a/internal/journal/damage_test.go
+++ b/internal/journal/damage_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 // golden is the script that the version in service wrote testdata/v1 with.
--- a/internal/journal/disktest/disktest.go
+++ b/internal/journal/disktest/disktest.go
@@ -9,7 +9,7 @@
 	"maps"
 	"slices"
 
-	"wingmount/internal/journal"
+	"dunetide/internal/journal"
 )
 
 // ErrFull is what a failing operation says.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 const (
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 // Notice is the end of a message that was not delivered, in the platform's form.
--- a/internal/journal/power_test.go
+++ b/internal/journal/power_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 var errPower = errors.New("the power is gone")
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 const (
--- a/internal/journal/runs_test.go
+++ b/internal/journal/runs_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 // Runs of failures come back as they were, from records and from a checkpoint alike, and are bounded;
--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -11,10 +11,10 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/agree"
-	"wingmount/internal/control"
-	"wingmount/internal/link"
-	"wingmount/internal/record"
+	"dunetide/internal/agree"
+	"dunetide/internal/control"
+	"dunetide/internal/link"
+	"dunetide/internal/record"
 )
 
 const (
--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"wingmount/internal/control"
-	"wingmount/internal/link"
-	"wingmount/internal/registry"
-	"wingmount/internal/view"
+	"dunetide/internal/control"
+	"dunetide/internal/link"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
 )
 
 // attachedMost bounds the processes attached to one keeper.
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -9,13 +9,13 @@
 	"strings"
 	"time"
 
-	"wingmount/internal/agree"
-	"wingmount/internal/batch"
-	"wingmount/internal/certify"
-	"wingmount/internal/control"
-	"wingmount/internal/operator"
-	"wingmount/internal/registry"
-	"wingmount/internal/view"
+	"dunetide/internal/agree"
+	"dunetide/internal/batch"
+	"dunetide/internal/certify"
+	"dunetide/internal/control"
+	"dunetide/internal/operator"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
 )
 
 const (
--- a/internal/keeper/certificates.go
+++ b/internal/keeper/certificates.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/agree"
-	"wingmount/internal/certify"
-	"wingmount/internal/control"
-	"wingmount/internal/link"
+	"dunetide/internal/agree"
+	"dunetide/internal/certify"
+	"dunetide/internal/control"
+	"dunetide/internal/link"
 )
 
 const (
--- a/internal/keeper/certificates_test.go
+++ b/internal/keeper/certificates_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/certify"
-	"wingmount/internal/control"
-	"wingmount/internal/view"
+	"dunetide/internal/certify"
+	"dunetide/internal/control"
+	"dunetide/internal/view"
 )
 
 const stale = time.Second
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -6,12 +6,12 @@
 	"sort"
 	"time"
 
-	"wingmount/internal/agree"
-	"wingmount/internal/batch"
-	"wingmount/internal/control"
-	"wingmount/internal/duty"
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/agree"
+	"dunetide/internal/batch"
+	"dunetide/internal/control"
+	"dunetide/internal/duty"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 const (
--- a/internal/keeper/faults_test.go
+++ b/internal/keeper/faults_test.go
@@ -12,14 +12,14 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/agree"
-	"wingmount/internal/control"
-	"wingmount/internal/journal/disktest"
-	"wingmount/internal/link"
-	"wingmount/internal/record"
-	"wingmount/internal/registry"
-	"wingmount/internal/settings"
-	"wingmount/internal/view"
+	"dunetide/internal/agree"
+	"dunetide/internal/control"
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/link"
+	"dunetide/internal/record"
+	"dunetide/internal/registry"
+	"dunetide/internal/settings"
+	"dunetide/internal/view"
 )
 
 // still makes a keeper that does not run: its parts are called by the test.
--- a/internal/keeper/http_test.go
+++ b/internal/keeper/http_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/control"
-	"wingmount/internal/journal/disktest"
-	"wingmount/internal/registry"
-	"wingmount/internal/view"
+	"dunetide/internal/control"
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
 )
 
 func (r *rig) untilMet(keepers ...int) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -17,13 +17,13 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/control"
-	"wingmount/internal/duty"
-	"wingmount/internal/journal"
-	"wingmount/internal/link"
-	"wingmount/internal/registry"
-	"wingmount/internal/settings"
-	"wingmount/internal/view"
+	"dunetide/internal/control"
+	"dunetide/internal/duty"
+	"dunetide/internal/journal"
+	"dunetide/internal/link"
+	"dunetide/internal/registry"
+	"dunetide/internal/settings"
+	"dunetide/internal/view"
 )
 
 const (
--- a/internal/keeper/learn_test.go
+++ b/internal/keeper/learn_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/journal"
-	"wingmount/internal/settings"
+	"dunetide/internal/journal"
+	"dunetide/internal/settings"
 )
 
 // A keeper that met the first voters before they knew of each other hears of all registers, with a disk and
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -7,10 +7,10 @@
 	"sort"
 	"time"
 
-	"wingmount/internal/agree"
-	"wingmount/internal/control"
-	"wingmount/internal/link"
-	"wingmount/internal/registry"
+	"dunetide/internal/agree"
+	"dunetide/internal/control"
+	"dunetide/internal/link"
+	"dunetide/internal/registry"
 )
 
 const (
--- a/internal/keeper/rig_test.go
+++ b/internal/keeper/rig_test.go
@@ -15,12 +15,12 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/control"
-	"wingmount/internal/journal"
-	"wingmount/internal/journal/disktest"
-	"wingmount/internal/link"
-	"wingmount/internal/settings"
-	"wingmount/internal/view"
+	"dunetide/internal/control"
+	"dunetide/internal/journal"
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/link"
+	"dunetide/internal/settings"
+	"dunetide/internal/view"
 )
 
 // patience is how long a test waits for what must come.
--- a/internal/keeper/value.go
+++ b/internal/keeper/value.go
@@ -6,8 +6,8 @@
 
 	"github.com/zeebo/errs"
 
-	"wingmount/internal/certify"
-	"wingmount/internal/link"
+	"dunetide/internal/certify"
+	"dunetide/internal/link"
 )
 
 // Names of the registers.
--- a/internal/keeper/value_test.go
+++ b/internal/keeper/value_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 
-	"wingmount/internal/operator"
+	"dunetide/internal/operator"
 )
 
 func configBody(version uint64, mark string) []byte {
--- a/internal/lab/faults/memory.go
+++ b/internal/lab/faults/memory.go
@@ -9,7 +9,7 @@
 	"sync"
 	"syscall"
 
-	"wingmount/internal/fleet"
+	"dunetide/internal/fleet"
 )
 
 // inbox bounds the datagrams that wait at a node, as a socket's buffer does.
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -8,7 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"wingmount/internal/lab/trace"
+	"dunetide/internal/lab/trace"
 )
 
 // Class is what a class of message is worth.
--- a/internal/lab/figures/figures_test.go
+++ b/internal/lab/figures/figures_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	. "wingmount/internal/lab/trace"
+	. "dunetide/internal/lab/trace"
 )
 
 var classes = []Class{{Name: "charge", Aim: 4 * time.Second, Deadline: 24 * time.Second, Worth: 1, Late: 0.3}}
--- a/internal/lab/insim/insim.go
+++ b/internal/lab/insim/insim.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"time"
 
-	"wingmount/internal/lab/agenda"
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
-	"wingmount/internal/wire"
-	"wingmount/policy"
+	"dunetide/internal/lab/agenda"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
+	"dunetide/internal/wire"
+	"dunetide/policy"
 )
 
 // clockStart keeps the module's clock away from zero, which means 'never' to it.
--- a/internal/lab/insim/insim_test.go
+++ b/internal/lab/insim/insim_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/rules"
-	"wingmount/internal/lab/scenario"
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/rules"
+	"dunetide/internal/lab/scenario"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 func day(t testing.TB, name string, seed uint64, change func(*scenario.Scenario)) world.Day {
--- a/internal/lab/live/agent.go
+++ b/internal/lab/live/agent.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 // agent is discovery on a node's own machine, and the place for notices.
--- a/internal/lab/live/clients.go
+++ b/internal/lab/live/clients.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 const (
--- a/internal/lab/live/endpoint.go
+++ b/internal/lab/live/endpoint.go
@@ -15,8 +15,8 @@
 	"syscall"
 	"time"
 
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 // maxCallBody is the longest body that is read of a call, somewhat over what is allowed.
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -12,12 +12,12 @@
 	"strings"
 	"time"
 
-	fleets "wingmount/internal/fleet"
-	"wingmount/internal/lab/faults"
-	"wingmount/internal/lab/rules"
-	"wingmount/internal/lab/scenario"
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	fleets "dunetide/internal/fleet"
+	"dunetide/internal/lab/faults"
+	"dunetide/internal/lab/rules"
+	"dunetide/internal/lab/scenario"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 // fleet is what stands between the nodes of a run, where they are one. All of it belongs to
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 const (
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/scenario"
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/scenario"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 // TestADoor is refused, silent and open in turn, as the kernel shows it to a node.
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -19,8 +19,8 @@
 	"syscall"
 	"time"
 
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 const (
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -13,10 +13,10 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/lab/figures"
-	"wingmount/internal/lab/rules"
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/lab/figures"
+	"dunetide/internal/lab/rules"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/lab/world"
 )
 
 // Summary is a run in short.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -16,8 +16,8 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgimg"
 
-	"wingmount/internal/lab/figures"
-	"wingmount/internal/lab/record"
+	"dunetide/internal/lab/figures"
+	"dunetide/internal/lab/record"
 )
 
 const (
--- a/internal/lab/rules/fleet.go
+++ b/internal/lab/rules/fleet.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/lab/trace"
+	"dunetide/internal/lab/trace"
 )
 
 // The rules of a fleet.
--- a/internal/lab/rules/fleet_test.go
+++ b/internal/lab/rules/fleet_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	. "wingmount/internal/lab/trace"
+	. "dunetide/internal/lab/trace"
 )
 
 func ready(s float64, node int) Record { return Record{At: at(s), What: Ready, Node: node} }
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"wingmount/internal/lab/trace"
+	"dunetide/internal/lab/trace"
 )
 
 // Limits are the figures of the rules.
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	. "wingmount/internal/lab/trace"
+	. "dunetide/internal/lab/trace"
 )
 
 func at(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -11,7 +11,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	network "wingmount/internal/lab/faults"
+	network "dunetide/internal/lab/faults"
 )
 
 // Range is a lowest and a highest value; a day draws evenly between them.
--- a/internal/lab/tier/hollow/endpoint.go
+++ b/internal/lab/tier/hollow/endpoint.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"wingmount/internal/lab/tier/engine"
+	"dunetide/internal/lab/tier/engine"
 )
 
 const (
--- a/internal/lab/tier/hollow/hollow.go
+++ b/internal/lab/tier/hollow/hollow.go
@@ -18,9 +18,9 @@
 	"text/tabwriter"
 	"time"
 
-	"wingmount/internal/control"
-	"wingmount/internal/lab/tier/cluster"
-	"wingmount/internal/lab/tier/operator"
+	"dunetide/internal/control"
+	"dunetide/internal/lab/tier/cluster"
+	"dunetide/internal/lab/tier/operator"
 )
 
 const (
--- a/internal/lab/tier/hollow/hollow_test.go
+++ b/internal/lab/tier/hollow/hollow_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/operator"
+	"dunetide/internal/operator"
 )
 
 func TestFitFindsAPlane(t *testing.T) {
@@ -75,7 +75,7 @@
 // TestASmallSizeIsMeasured runs real keepers and stores; it asks only for what holds at any load.
 func TestASmallSizeIsMeasured(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "dunetide")
-	if out, err := exec.Command("go", "build", "-o", program, "wingmount/cmd/dunetide").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program, "dunetide/cmd/dunetide").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
--- a/internal/lab/tier/hollow/proxy.go
+++ b/internal/lab/tier/hollow/proxy.go
@@ -12,9 +12,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wingmount/internal/control"
-	"wingmount/internal/membership"
-	"wingmount/internal/view"
+	"dunetide/internal/control"
+	"dunetide/internal/membership"
+	"dunetide/internal/view"
 )
 
 // startEvery is between the starts of proxies.
--- a/internal/lab/tier/load/book.go
+++ b/internal/lab/tier/load/book.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/lab/tier/engine"
+	"dunetide/internal/lab/tier/engine"
 )
 
 // The rules that are checked.
--- a/internal/lab/tier/load/client.go
+++ b/internal/lab/tier/load/client.go
@@ -16,8 +16,8 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/lab/tier/engine"
-	"wingmount/internal/operator"
+	"dunetide/internal/lab/tier/engine"
+	"dunetide/internal/operator"
 )
 
 const (
--- a/internal/lab/tier/load/jobs.go
+++ b/internal/lab/tier/load/jobs.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"wingmount/internal/lab/tier/engine"
-	"wingmount/internal/operator"
+	"dunetide/internal/lab/tier/engine"
+	"dunetide/internal/operator"
 )
 
 const (
--- a/internal/lab/tier/load/load.go
+++ b/internal/lab/tier/load/load.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/lab/tier/engine"
-	"wingmount/internal/lab/world"
-	"wingmount/internal/operator"
+	"dunetide/internal/lab/tier/engine"
+	"dunetide/internal/lab/world"
+	"dunetide/internal/operator"
 )
 
 // Traffic is a stream of requests on one route.
--- a/internal/lab/tier/load/load_test.go
+++ b/internal/lab/tier/load/load_test.go
@@ -15,10 +15,10 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/tier/engine"
-	"wingmount/internal/lab/tier/tiertest"
-	"wingmount/internal/lab/world"
-	"wingmount/internal/operator"
+	"dunetide/internal/lab/tier/engine"
+	"dunetide/internal/lab/tier/tiertest"
+	"dunetide/internal/lab/world"
+	"dunetide/internal/operator"
 )
 
 // proxy is a trivial tier with an endpoint for each of two services.
--- a/internal/lab/tier/night.go
+++ b/internal/lab/tier/night.go
@@ -13,13 +13,13 @@
 	"strings"
 	"time"
 
-	"wingmount/internal/audit"
-	"wingmount/internal/certify"
-	"wingmount/internal/lab/tier/cluster"
-	"wingmount/internal/lab/tier/engine"
-	"wingmount/internal/lab/tier/load"
-	"wingmount/internal/lab/tier/operator"
-	"wingmount/internal/lab/world"
+	"dunetide/internal/audit"
+	"dunetide/internal/certify"
+	"dunetide/internal/lab/tier/cluster"
+	"dunetide/internal/lab/tier/engine"
+	"dunetide/internal/lab/tier/load"
+	"dunetide/internal/lab/tier/operator"
+	"dunetide/internal/lab/world"
 )
 
 const (
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -17,11 +17,11 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/lab/tier/cluster"
-	"wingmount/internal/lab/tier/engine"
-	"wingmount/internal/lab/tier/load"
-	"wingmount/internal/lab/tier/operator"
-	config "wingmount/internal/operator"
+	"dunetide/internal/lab/tier/cluster"
+	"dunetide/internal/lab/tier/engine"
+	"dunetide/internal/lab/tier/load"
+	"dunetide/internal/lab/tier/operator"
+	config "dunetide/internal/operator"
 )
 
 const (
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/tier/tiertest"
+	"dunetide/internal/lab/tier/tiertest"
 )
 
 // TestMain plays a process of a trivial tier when it is started as one. Its processes share what they
--- a/internal/lab/tier/tiertest/proxy.go
+++ b/internal/lab/tier/tiertest/proxy.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/lab/tier/engine"
+	"dunetide/internal/lab/tier/engine"
 )
 
 // Result of an item.
--- a/internal/lab/world/day.go
+++ b/internal/lab/world/day.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/lab/scenario"
+	"dunetide/internal/lab/scenario"
 )
 
 // Day is one draw from a scenario: all that is fixed before anything happens.
--- a/internal/lab/world/settings.go
+++ b/internal/lab/world/settings.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"wingmount/internal/lab/trace"
+	"dunetide/internal/lab/trace"
 )
 
 // Settings is what a node is told of the day, in the form of the platform.
--- a/internal/lab/world/trouble.go
+++ b/internal/lab/world/trouble.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"wingmount/internal/lab/trace"
+	"dunetide/internal/lab/trace"
 )
 
 // trouble begins a fault.
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	"wingmount/internal/lab/agenda"
-	"wingmount/internal/lab/trace"
-	"wingmount/policy"
+	"dunetide/internal/lab/agenda"
+	"dunetide/internal/lab/trace"
+	"dunetide/policy"
 )
 
 // Host plays a world: it carries the world's word to the delivery nodes.
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/scenario"
-	"wingmount/internal/lab/trace"
-	"wingmount/internal/wire"
+	"dunetide/internal/lab/scenario"
+	"dunetide/internal/lab/trace"
+	"dunetide/internal/wire"
 )
 
 // host keeps what the world says.
--- a/internal/lease/book.go
+++ b/internal/lease/book.go
@@ -17,7 +17,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"wingmount/internal/fleet"
+	"dunetide/internal/fleet"
 )
 
 const (
--- a/internal/lease/book_test.go
+++ b/internal/lease/book_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal/disktest"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal/disktest"
 )
 
 // As many leases and nodes as there may be, with the longest names, fit a frame of a link and the room
--- a/internal/lease/disk.go
+++ b/internal/lease/disk.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
 )
 
 const (
--- a/internal/lease/disk_test.go
+++ b/internal/lease/disk_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"testing"
 
-	"wingmount/internal/journal/disktest"
+	"dunetide/internal/journal/disktest"
 )
 
 // entries are what the records of a disk hold, as texts.
--- a/internal/lease/fence.go
+++ b/internal/lease/fence.go
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"wingmount/internal/journal"
+	"dunetide/internal/journal"
 )
 
 const maxFence = 2 << 20
--- a/internal/lease/fence_test.go
+++ b/internal/lease/fence_test.go
@@ -4,7 +4,7 @@
 	"errors"
 	"testing"
 
-	"wingmount/internal/journal/disktest"
+	"dunetide/internal/journal/disktest"
 )
 
 // Whatever fails, and whether the power goes then: an act that passed keeps lower tokens out for
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
 )
 
 const (
--- a/internal/lease/members.go
+++ b/internal/lease/members.go
@@ -9,7 +9,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"wingmount/internal/fleet"
+	"dunetide/internal/fleet"
 )
 
 // Receive takes in what another voter, or one that may be one, tells.
--- a/internal/lease/process_test.go
+++ b/internal/lease/process_test.go
@@ -19,10 +19,10 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
-	"wingmount/internal/lab/faults"
-	"wingmount/internal/lease"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
+	"dunetide/internal/lab/faults"
+	"dunetide/internal/lease"
 )
 
 const (
--- a/internal/lease/step_test.go
+++ b/internal/lease/step_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal/disktest"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal/disktest"
 )
 
 // sim steps the whole of leases, but for goroutines and sockets: voters over raft and disks, and
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -13,8 +13,8 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
 )
 
 const (
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"wingmount/internal/link"
+	"dunetide/internal/link"
 )
 
 // A datagram: magic, kind, number of the question, whether the sender lacks keepers, the sender, the
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,10 +16,10 @@
 	"sync/atomic"
 	"time"
 
-	"wingmount/internal/group"
-	"wingmount/internal/journal"
-	"wingmount/internal/upstream"
-	"wingmount/policy"
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+	"dunetide/internal/upstream"
+	"dunetide/policy"
 )
 
 const (
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/journal"
-	"wingmount/internal/upstream"
-	"wingmount/policy"
+	"dunetide/internal/journal"
+	"dunetide/internal/upstream"
+	"dunetide/policy"
 )
 
 const patience = 10 * time.Second
--- a/internal/node/cohort.go
+++ b/internal/node/cohort.go
@@ -16,9 +16,9 @@
 	"syscall"
 	"time"
 
-	"wingmount/internal/group"
-	"wingmount/internal/journal"
-	"wingmount/policy"
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+	"dunetide/policy"
 )
 
 // With -group several processes of one machine are one node. This file wires the group to
--- a/internal/node/cohort_loop.go
+++ b/internal/node/cohort_loop.go
@@ -5,9 +5,9 @@
 	"math"
 	"time"
 
-	"wingmount/internal/group"
-	"wingmount/internal/journal"
-	"wingmount/policy"
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+	"dunetide/policy"
 )
 
 // This file is the loop's side of a group: all of it runs in the loop.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,10 +9,10 @@
 	"strconv"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
-	"wingmount/internal/wire"
-	"wingmount/policy"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
+	"dunetide/internal/wire"
+	"dunetide/policy"
 )
 
 // Config is what a delivery node is told when it starts.
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -14,10 +14,10 @@
 	"sync/atomic"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
-	"wingmount/internal/lease"
-	"wingmount/policy"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
+	"dunetide/internal/lease"
+	"dunetide/policy"
 )
 
 const (
--- a/internal/node/copies.go
+++ b/internal/node/copies.go
@@ -14,12 +14,12 @@
 	"syscall"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/group"
-	"wingmount/internal/journal"
-	"wingmount/internal/lease"
-	"wingmount/internal/replica"
-	"wingmount/policy"
+	"dunetide/internal/fleet"
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+	"dunetide/internal/lease"
+	"dunetide/internal/replica"
+	"dunetide/policy"
 )
 
 const (
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/journal"
+	"dunetide/internal/journal"
 )
 
 const (
--- a/internal/node/finals_test.go
+++ b/internal/node/finals_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"wingmount/internal/journal"
+	"dunetide/internal/journal"
 )
 
 type roundTrip func(*http.Request) (*http.Response, error)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -9,9 +9,9 @@
 
 	"golang.org/x/sys/unix"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
-	"wingmount/internal/lease"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
+	"dunetide/internal/lease"
 )
 
 // fleetConns bounds the connections to other nodes where the descriptors are few: so many of
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,10 +13,10 @@
 	"syscall"
 	"time"
 
-	"wingmount/internal/group"
-	"wingmount/internal/journal"
-	"wingmount/internal/upstream"
-	"wingmount/policy"
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+	"dunetide/internal/upstream"
+	"dunetide/policy"
 )
 
 // At an upgrade a second process takes over from the first. What is owned is the
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/journal"
+	"dunetide/internal/journal"
 )
 
 const (
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -17,8 +17,8 @@
 
 	"golang.org/x/net/netutil"
 
-	"wingmount/internal/journal"
-	"wingmount/policy"
+	"dunetide/internal/journal"
+	"dunetide/policy"
 )
 
 // newIntake has one keyed class and remembers what it accepts.
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/journal"
-	"wingmount/policy"
+	"dunetide/internal/journal"
+	"dunetide/policy"
 )
 
 func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -7,10 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"wingmount/internal/group"
-	"wingmount/internal/journal"
-	"wingmount/internal/upstream"
-	"wingmount/policy"
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+	"dunetide/internal/upstream"
+	"dunetide/policy"
 )
 
 // clockStart keeps the module's clock away from zero, which means 'never' to it.
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/journal"
-	"wingmount/policy"
+	"dunetide/internal/journal"
+	"dunetide/policy"
 )
 
 // Sends of one step to one endpoint travel as one call, up to what its kind takes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,9 +16,9 @@
 
 	"golang.org/x/net/netutil"
 
-	"wingmount/internal/group"
-	"wingmount/internal/journal"
-	"wingmount/policy"
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+	"dunetide/policy"
 )
 
 const (
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,8 +7,8 @@
 	"net"
 	"net/netip"
 
-	"wingmount/internal/wire"
-	"wingmount/policy"
+	"dunetide/internal/wire"
+	"dunetide/policy"
 )
 
 // maxNote is the longest datagram that delivery nodes may send each other.
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 // Notes reach the others in the adapter's format; what a stranger sends, or what
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -18,7 +18,7 @@
 
 	"github.com/zeebo/errs"
 
-	"wingmount/internal/journal"
+	"dunetide/internal/journal"
 )
 
 // The kinds of errors.
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"testing/synctest"
 
-	"wingmount/internal/journal"
-	"wingmount/internal/journal/disktest"
+	"dunetide/internal/journal"
+	"dunetide/internal/journal/disktest"
 )
 
 const name = "t.log"
--- a/internal/registry/entry.go
+++ b/internal/registry/entry.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 // Parts is the number of parts of the table.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"wingmount/internal/view"
+	"dunetide/internal/view"
 )
 
 // Options of a Table. Zero values stand for the defaults.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 
-	"wingmount/internal/link"
-	"wingmount/internal/view"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 func entries() *rapid.Generator[Entry] {
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -14,8 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"wingmount/internal/journal"
-	"wingmount/policy"
+	"dunetide/internal/journal"
+	"dunetide/policy"
 )
 
 const (
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -17,10 +17,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
-	"wingmount/internal/lease"
-	"wingmount/policy"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
+	"dunetide/internal/lease"
+	"dunetide/policy"
 )
 
 // Kinds of questions between nodes.
--- a/internal/replica/source_test.go
+++ b/internal/replica/source_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/journal"
-	"wingmount/internal/journal/disktest"
+	"dunetide/internal/journal"
+	"dunetide/internal/journal/disktest"
 )
 
 // pair is a log and its copies, stepped by hand.
--- a/internal/replica/work.go
+++ b/internal/replica/work.go
@@ -11,10 +11,10 @@
 	"sync"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
-	"wingmount/internal/lease"
-	"wingmount/policy"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
+	"dunetide/internal/lease"
+	"dunetide/policy"
 )
 
 // Work is a log that this node works on, or would: its own, or one that it has taken over.
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -16,11 +16,11 @@
 	"testing/synctest"
 	"time"
 
-	"wingmount/internal/fleet"
-	"wingmount/internal/journal"
-	"wingmount/internal/journal/disktest"
-	"wingmount/internal/lease"
-	"wingmount/policy"
+	"dunetide/internal/fleet"
+	"dunetide/internal/journal"
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/lease"
+	"dunetide/policy"
 )
 
 // world is a fleet in simulated time: the real Keepers, leases, journals and copies of each node, over
--- a/internal/replica/wrong_test.go
+++ b/internal/replica/wrong_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/lab/wrongline"
+	"dunetide/internal/lab/wrongline"
 )
 
 // wrong are lines that would break what the page promises, one at a time. The tests have to find each.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -5,8 +5,8 @@
 import (
 	"sync/atomic"
 
-	"wingmount/internal/certify"
-	"wingmount/internal/operator"
+	"dunetide/internal/certify"
+	"dunetide/internal/operator"
 )
 
 // State of an endpoint's incarnation. It only grows.
--- a/internal/wire/note.go
+++ b/internal/wire/note.go
@@ -1,6 +1,6 @@
 package wire
 
-import "wingmount/policy"
+import "dunetide/policy"
 
 // noteSize is the length of a note: two bits of news, then a tag.
 const noteSize = 3
--- a/internal/wire/note_test.go
+++ b/internal/wire/note_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 func TestNotesKeepTheirContent(t *testing.T) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 // config is the part of the settings that the module acts on. Other keys are
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"io"
 	"math"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 const (
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"wingmount/internal/sendlog"
+	"dunetide/internal/sendlog"
 )
 
 // newPath starts with an unbound slice, or with this sender's part of the
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"wingmount/policy"
+	"dunetide/policy"
 )
 
 // A node hands in what it has seen and carries out what comes back.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/sendlog"
+	"dunetide/internal/sendlog"
 )
 
 // bench drives one sender by hand; calls end when a test says so.
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/sendlog"
+	"dunetide/internal/sendlog"
 )
 
 // This file holds what a sender remembers, the plain handling of it, and the figures
