--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -102,43 +101,6 @@
 	return a, nil
 }
 
-func (a *agreement) identity() []byte {
-	w := link.Writer{}
-	w.U8(recordIdentity)
-	w.U64(a.id)
-	return w.B
-}
-
-func registerRecord(name string, payload []byte) []byte {
-	w := link.Writer{}
-	w.U8(recordRegister)
-	w.String(name)
-	w.Bytes(payload)
-	return w.B
-}
-
-func (a *agreement) replay(b []byte) error {
-	r := link.Reader{B: append([]byte(nil), b...)}
-	switch r.U8() {
-	case recordIdentity:
-		a.id = r.U64()
-	case recordRegister:
-		name := r.String()
-		a.saved[name] = append(a.saved[name], r.Bytes())
-	}
-	return r.Err
-}
-
-func (a *agreement) append(b []byte) error {
-	if a.log == nil {
-		return errors.New("no disk")
-	}
-	if _, err := a.log.Append(b); err != nil {
-		return err
-	}
-	return a.log.Sync()
-}
-
 func (a *agreement) now() time.Duration { return time.Since(a.start) }
 
 // do queues a command, and waits while the queue is full. It is not for the keeper's own goroutine, which must
@@ -194,31 +156,6 @@
 	}
 }
 
-func (a *agreement) rewrite() {
-	if a.log == nil || a.log.Size() < max(rewriteAbove, 4*a.grown) || time.Now().Before(a.later) {
-		return
-	}
-	err := a.log.Rewrite(func(add func([]byte) (int64, error)) error {
-		if _, err := add(a.identity()); err != nil {
-			return err
-		}
-		for _, name := range registerNames {
-			for _, p := range a.regs[name].Snapshot() {
-				if _, err := add(registerRecord(name, p)); err != nil {
-					return err
-				}
-			}
-		}
-		return nil
-	})
-	if err != nil {
-		a.k.log.Error("log not rewritten", "err", err)
-		a.later = time.Now().Add(rewriteAgain)
-		return
-	}
-	a.grown = a.log.Size()
-}
-
 // send passes a message of agreement to a voter, or to oneself.
 func (a *agreement) send(name string, to agree.Voter, msg []byte) {
 	b := a.envelope(name, msg)
@@ -275,24 +212,6 @@
 	a.k.post(func() { a.k.decided(name, s) })
 }
 
-func (a *agreement) voters() []agree.Voter {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return append([]agree.Voter(nil), a.known...)
-}
-
-// votes tells whether this keeper is a voter of all registers.
-func (a *agreement) votes() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, name := range registerNames {
-		if !slices.ContainsFunc(a.states[name].Voters, func(v agree.Voter) bool { return v.ID == a.id }) {
-			return false
-		}
-	}
-	return true
-}
-
 // newest are the decided states, as messages.
 func (a *agreement) newest() [][]byte {
 	a.mu.Lock()
@@ -313,98 +232,6 @@
 	return w.B
 }
 
-// met looks whether the first voters can be told: at the very first start they are the seeds that have a disk.
-func (a *agreement) met() {
-	s := a.k.o.Settings
-	if !s.FirstStart || a.id == 0 {
-		return
-	}
-	var voters []agree.Voter
-	in := false
-	for _, addr := range control.SeedLinks(s.Seeds, s.InternalFirst) {
-		if addr == a.k.self.Addr {
-			voters = append(voters, agree.Voter{ID: a.id, Name: a.k.self.Name, Addr: addr})
-			in = true
-			continue
-		}
-		var node *control.Node
-		for _, p := range a.k.peers {
-			if p.node.Addr == addr {
-				node = &p.node
-			}
-		}
-		if node == nil {
-			return
-		}
-		if node.ID != 0 {
-			voters = append(voters, agree.Voter{ID: node.ID, Name: node.Name, Addr: addr})
-		}
-	}
-	if !in {
-		return
-	}
-	a.offer(func() { a.bootstrap(voters) }) // else at the next meeting
-}
-
-func (a *agreement) bootstrap(voters []agree.Voter) {
-	if a.booted {
-		return
-	}
-	a.booted = true
-	for _, name := range registerNames {
-		if _, ok := a.regs[name].State(); !ok {
-			a.regs[name].Bootstrap(voters, nil)
-		}
-	}
-	a.k.log.Info("first voters", "count", len(voters))
-}
-
-// join proposes this keeper as a voter where it is none, and asks others where it knows nothing.
-func (a *agreement) join(name string) {
-	if a.joining[name] || time.Since(a.tried[name]) < 300*time.Millisecond {
-		return
-	}
-	s, ok := a.regs[name].State()
-	if !ok { // it met the others before they knew anything
-		a.tried[name] = time.Now()
-		if whom, there := a.k.links().any(); there {
-			a.regs[name].Ask(a.now(), agree.Voter{ID: whom.ID, Name: whom.Name, Addr: whom.Addr})
-		}
-		return
-	}
-	if a.id == 0 {
-		return
-	}
-	for _, v := range s.Voters {
-		if v.ID == a.id {
-			return
-		}
-	}
-	a.tried[name] = time.Now().Add(rand.N(300 * time.Millisecond))
-	met := a.k.links().metIDs(a.id, time.Now())
-	alive := 0
-	for _, v := range s.Voters {
-		if met[v.ID] {
-			alive++
-		}
-	}
-	if alive <= len(s.Voters)/2 || a.now() < deadAfter {
-		return
-	}
-	a.joining[name] = true
-	me := agree.Voter{ID: a.id, Name: a.k.self.Name, Addr: a.k.self.Addr}
-	a.regs[name].Propose(a.now(), 2*time.Second, func(cur agree.State) (agree.State, error) {
-		next, changed := agree.Admit(cur, me, func(v agree.Voter) bool { return !met[v.ID] }, votersMost)
-		if !changed {
-			return cur, agree.ErrUnchanged
-		}
-		return next, nil
-	}, func(_ agree.State, err error) {
-		a.joining[name] = false
-		a.k.log.Info("voter joins", "register", name, "err", err)
-	})
-}
-
 // propose changes a register; done is called from the registers' goroutine, or at once where too much waits.
 func (a *agreement) propose(name string, timeout time.Duration, change func(cur agree.State) (agree.State, error), done func(agree.State, error)) {
 	if !a.offer(func() { a.regs[name].Propose(a.now(), timeout, change, done) }) {
@@ -457,24 +284,3 @@
 	}
 }
 
-// confirm makes the keeper fresh once a majority has confirmed the newest configuration and certificates.
-func (k *Keeper) confirm() {
-	var try func(name string)
-	try = func(name string) {
-		k.agree.read(name, time.Second, func(_ agree.State, err error) {
-			k.post(func() {
-				if err != nil && time.Since(k.life) < confirmWait {
-					time.AfterFunc(100*time.Millisecond, func() { try(name) })
-					return
-				}
-				if name == configRegister && time.Since(k.life) < confirmWait {
-					try(certificatesRegister)
-					return
-				}
-				k.fresh, k.dirty = true, true
-				k.log.Info("ready to push", "confirmed", err == nil)
-			})
-		})
-	}
-	try(configRegister)
-}
