Keepers report their state to each other: contact, stored slots, voters heard

Cause: changes of voters and of contact with a majority have to be judged by more than one keeper's word. This is the message and its bookkeeping alone; nothing acts on it yet.

--- /dev/null
+++ b/internal/control/report.go
@@ -0,0 +1,42 @@
+package control
+
+import "dunetide/internal/link"
+
+// KeeperReport is what a keeper tells the others of itself, at least once per heartbeat interval and at once after each change.
+type KeeperReport struct {
+	// InContact says that a majority of the voters has answered the sender recently enough for it to serve.
+	InContact bool
+	// Leaving says that the sender has been told to stop and hands over its seats.
+	Leaving bool
+	// Slots are the newest decided slots that the sender has stored, by the order in which the registers are declared.
+	Slots []uint64
+	// Heard are the identities of the voters with which the sender has a link, or had one until a moment ago.
+	Heard []uint64
+}
+
+// Append writes a report into a message.
+func (report KeeperReport) Append(w *link.Writer) {
+	w.Bool(report.InContact)
+	w.Bool(report.Leaving)
+	appendNumbers(w, report.Slots)
+	appendNumbers(w, report.Heard)
+}
+
+// ReadKeeperReport takes a report out of a message.
+func ReadKeeperReport(r *link.Reader) KeeperReport {
+	return KeeperReport{InContact: r.Bool(), Leaving: r.Bool(), Slots: readNumbers(r), Heard: readNumbers(r)}
+}
+
+func appendNumbers(w *link.Writer, numbers []uint64) {
+	w.U32(uint32(len(numbers)))
+	for _, n := range numbers {
+		w.U64(n)
+	}
+}
+
+func readNumbers(r *link.Reader) (numbers []uint64) {
+	for range r.Count(8) {
+		numbers = append(numbers, r.U64())
+	}
+	return numbers
+}
--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -283,4 +283,3 @@
 		}
 	}
 }
-
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -298,6 +298,8 @@
 		k.confirmCertificates()
 	case control.InForce:
 		k.inForceAsked(m)
+	case control.Report:
+		k.reported(m)
 	case control.Lease:
 		k.leaseAsked(now, m)
 	case control.Missing:
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -68,4 +68,3 @@
 	}
 	a.grown = a.log.Size()
 }
-
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -32,8 +32,9 @@
 	conn     *link.Conn // nil: not met at present
 	lost     time.Time
 	attached []control.Node
-	differs  int       // words in a row by which its list is not this one
-	asked    time.Time // for its entries, because of that
+	report   control.KeeperReport // its newest one; zero before the first
+	differs  int                  // words in a row by which its list is not this one
+	asked    time.Time            // for its entries, because of that
 }
 
 // peerLink is a link to another keeper.
@@ -343,6 +344,7 @@
 			_ = p.conn.Send(control.Heard, w.B)
 		}
 	}
+	k.sendReports(now)
 }
 
 func (k *Keeper) heard(now time.Time, m *link.Message) {
--- a/internal/keeper/voters.go
+++ b/internal/keeper/voters.go
@@ -118,4 +118,3 @@
 		a.k.log.Info("voter joins", "register", name, "err", err)
 	})
 }
-
