--- a/internal/fleet/peer_test.go
+++ b/internal/fleet/peer_test.go
@@ -13,8 +13,7 @@
 	now     time.Duration
 	wire    []frame // on its way, in order
 	back    []frame
-	next    uint64 // the last news that the other side has on this link
-	heard   int    // the newest value that the other side has of the one key
+	heard   int // the newest value that the other side has of the one key
 	told    int
 	handled map[string]int
 	ended   map[string][]error
--- a/internal/journal/power_test.go
+++ b/internal/journal/power_test.go
@@ -243,12 +243,6 @@
 	return &world{t: t, taken: map[string]bool{}, done: map[string]bool{}, sent: map[string]int{}, out: map[string]bool{}, orders: map[string]bool{}}
 }
 
-func (w *world) clone() *world {
-	c := *w
-	c.taken, c.done, c.sent, c.out = maps.Clone(w.taken), maps.Clone(w.done), maps.Clone(w.sent), maps.Clone(w.out)
-	return &c
-}
-
 // A message whose id begins with c is a charge.
 func charge(id string) bool { return strings.HasPrefix(id, "c") }
 
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -106,7 +106,6 @@
 	held    int
 	outOver time.Duration // over its slots since then; 0: it is not
 	hldOver time.Duration
-	life    int
 	waits   map[int]wait
 	leaves  map[int]time.Duration
 	lines   map[int]int // of the trace: where it was told that an endpoint leaves
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -202,7 +202,7 @@
 	Lost  bool   `toml:"lost"`   // kill: the folder goes with the process
 }
 
-// Load reads a file and checks it.
+// Read reads a scenario file and checks it.
 func Read(path string) (Scenario, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -87,7 +87,6 @@
 type call struct {
 	endpoint *endpoint
 	addr     string
-	bundle   bool // its kind takes bundles
 	started  time.Time
 	limit    time.Duration
 
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -98,12 +98,6 @@
 	return err
 }
 
-// closesUnanswered reads one request and closes.
-func closesUnanswered(_ int64, conn net.Conn) {
-	_ = readRequest(bufio.NewReader(conn))
-	_ = conn.Close()
-}
-
 // http.Transport sends a request again by itself when a kept connection turns out
 // to be closed, and an Idempotency-Key makes it willing: a copy that the journal
 // knows nothing of. The calls must never do that.
--- a/internal/node/cohort.go
+++ b/internal/node/cohort.go
@@ -131,7 +131,6 @@
 	owners    map[int]string
 	deathAt   time.Time
 	listeners map[string]*net.TCPListener
-	quick     bool // usable is closed
 	adoptions int
 	stale     staleness
 }
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -126,8 +126,7 @@
 
 // Keeper is one node's part in the copies of its fleet.
 type Keeper struct {
-	o    Options
-	wake chan struct{}
+	o Options
 
 	mu      sync.Mutex // over what follows; taken before a Work's or a held copy's
 	copies  map[string]*heldCopy
@@ -190,7 +189,7 @@
 // New reads what earlier lives have left. The node's own journal is open, and its owed messages are
 // not yet worked on.
 func New(o Options, own *journal.Journal) (*Keeper, error) {
-	k := &Keeper{o: o, wake: make(chan struct{}, 1), copies: map[string]*heldCopy{}, works: map[string]*Work{},
+	k := &Keeper{o: o, copies: map[string]*heldCopy{}, works: map[string]*Work{},
 		unfit: map[string]time.Duration{}, missing: map[string]*missing{}, rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
 	var m ownMeta
 	spoilt := false
@@ -270,13 +269,6 @@
 // Own is the work on this node's own log.
 func (k *Keeper) Own() *Work { return k.own }
 
-func (k *Keeper) rouse() {
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
-
 // changed hears of members' steps.
 func (k *Keeper) changed(c fleet.Change) {
 	k.mu.Lock()
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -99,9 +99,8 @@
 // follower is a copy as its source sees it.
 type follower struct {
 	name     string
-	began    bool   // it has said what it has, under this token
-	at       uint64 // it has all up to here
-	has      map[uint64]uint64
+	began    bool            // it has said what it has, under this token
+	at       uint64          // it has all up to here
 	bodies   map[uint64]bool // ranges whose bodies it surely has, from a tenure before
 	whole    []uint64        // ranges to be sent whole
 	checkAt  time.Duration   // when it is compared next
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -64,7 +64,7 @@
 	Retiring map[uint64]bool
 }
 
-// Part of a batch job, by its id.
+// PartOf is the part that holds a batch job, found by a hash of its id; -1 where there are no parts.
 func (t *Table) PartOf(lot string) int {
 	if t == nil || len(t.Parts) == 0 {
 		return -1
--- a/internal/wire/note_test.go
+++ b/internal/wire/note_test.go
@@ -12,7 +12,7 @@
 	if len(data) != noteSize {
 		t.Fatalf("a note of %d bytes, want %d", len(data), noteSize)
 	}
-	if got, ok := DecodeNote(data); !ok || got != (policy.Told{Tag: want.Tag, News: want.News}) {
+	if got, ok := DecodeNote(data); !ok || got != policy.Told(want) {
 		t.Errorf("note %+v came back as %+v, %v", want, got, ok)
 	}
 	if got, ok := DecodeNote([]byte("what?")); ok {
--- a/policy/coldreturn_test.go
+++ b/policy/coldreturn_test.go
@@ -56,7 +56,7 @@
 				f.sent = append(f.sent, f.now)
 			}
 		case Tell:
-			f.notes, f.by = append(f.notes, Told{Tag: a.Tag, News: a.News}), append(f.by, i)
+			f.notes, f.by = append(f.notes, Told(a)), append(f.by, i)
 		}
 	}
 }
@@ -279,7 +279,9 @@
 		t.Error("no note after a tick for each sender")
 	}
 	b.step(Told{Tag: 1<<TagBits - 1, News: Jam})
-	if !b.s.tell(e, Down) || !b.s.tell(e, Down) {
-		t.Error("held back though notes come")
+	for note := range 2 {
+		if !b.s.tell(e, Down) {
+			t.Errorf("note %d is held back though notes come", note)
+		}
 	}
 }
--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -13,11 +13,11 @@
 	span  time.Duration
 	f     *fleet
 
-	from             Time
-	used             float64
-	passed, refused  int
-	lookedAt, toldAt Time
-	looked, told     Allowance
+	from            Time
+	used            float64
+	passed, refused int
+	lookedAt        Time
+	looked, told    Allowance
 }
 
 func (c *counted) call() Outcome {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -847,7 +847,7 @@
 	c := with(t, toldSettings(), 0, 1, 0)
 	for _, a := range told {
 		if n, ok := a.(Tell); ok {
-			c.step(Told{Tag: n.Tag, News: n.News})
+			c.step(Told(n))
 		}
 	}
 	e := c.path().endpoints[0]
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -358,7 +358,8 @@
 		}
 		return log
 	}
-	if play() != play() {
+	first, second := play(), play()
+	if first != second {
 		t.Error("two runs of the same stream differ")
 	}
 }
