Attempt: the rule for sending a request again is a package of its own

Cause: proxied requests used the state machine of internal/forward, batch items a second rule written out by hand in item.go. Change: internal/attempt holds the pure state machine under the field's usual names; requests and items both go through it. An item that ran out of time before any of it was written is now told as not run.

--- /dev/null
+++ b/internal/attempt/attempt_test.go
@@ -0,0 +1,159 @@
+package attempt
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// allConditions lists all that a verdict may depend on.
+func allConditions() []Conditions {
+	var all []Conditions
+	for n := range 16 {
+		all = append(all, Conditions{n&1 != 0, n&2 != 0, n&4 != 0, n&8 != 0})
+	}
+	return all
+}
+
+// Every pair of a state and an event. A line names the verdict for a request that has everything,
+// then what is missing where that changes it.
+func TestEveryStateAndEvent(t *testing.T) {
+	const table = `
+not-sent refused        -> refuse
+not-sent deadline       -> refuse
+not-sent client-gone    -> abort
+not-sent rejected       -> retry; no turns: refuse
+not-sent not-written    -> retry; no turns: refuse
+not-sent broken         -> retry; may run once: bad-gateway; no tries: bad-gateway
+not-sent failed         -> retry; may run once: forward; no tries: forward
+not-sent false-refusal  -> retry; may run once: bad-gateway; no tries: bad-gateway
+not-sent answered       -> forward
+not-sent body-cut       -> retry; may run once: bad-gateway; no tries: bad-gateway
+not-sent body-complete  -> done
+sent refused            -> bad-gateway
+sent deadline           -> gateway-timeout
+sent client-gone        -> abort
+sent rejected           -> retry; may run once: bad-gateway; no turns: bad-gateway
+sent not-written        -> retry; may run once: bad-gateway; no turns: bad-gateway
+sent broken             -> retry; may run once: bad-gateway; no tries: bad-gateway
+sent failed             -> retry; may run once: forward; no tries: forward
+sent false-refusal      -> retry; may run once: bad-gateway; no tries: bad-gateway
+sent answered           -> forward
+sent body-cut           -> retry; may run once: bad-gateway; no tries: bad-gateway
+sent body-complete      -> done
+head-sent refused       -> abort
+head-sent deadline      -> abort
+head-sent client-gone   -> abort
+head-sent rejected      -> retry; not resumable: abort; no turns: abort
+head-sent not-written   -> retry; not resumable: abort; no turns: abort
+head-sent broken        -> retry; not resumable: abort; no tries: abort
+head-sent failed        -> retry; not resumable: abort; no tries: abort
+head-sent false-refusal -> retry; not resumable: abort; no tries: abort
+head-sent answered      -> forward; not resumable: abort
+head-sent body-cut      -> retry; not resumable: abort; no tries: abort
+head-sent body-complete -> done
+ended refused           -> done
+ended deadline          -> done
+ended client-gone       -> done
+ended rejected          -> done
+ended not-written       -> done
+ended broken            -> done
+ended failed            -> done
+ended false-refusal     -> done
+ended answered          -> done
+ended body-cut          -> done
+ended body-complete     -> done
+`
+	lines := strings.Split(strings.TrimSpace(table), "\n")
+	n := 0
+	for s := NotSent; s <= Ended; s++ {
+		for e := Refused; e <= BodyComplete; e++ {
+			if n == len(lines) {
+				t.Fatalf("no line for %v %v", s, e)
+			}
+			pair, rest, _ := strings.Cut(lines[n], "->")
+			n++
+			if got := strings.Fields(pair); got[0] != s.String() || got[1] != e.String() {
+				t.Fatalf("%q where %v %v is due", pair, s, e)
+			}
+			verdicts := strings.Split(rest, ";")
+			for _, h := range allConditions() {
+				want := strings.TrimSpace(verdicts[0])
+				for _, v := range verdicts[1:] {
+					missing, other, _ := strings.Cut(strings.TrimSpace(v), ": ")
+					if map[string]bool{"may run once": !h.Idempotent, "not resumable": !h.Resumable, "no tries": !h.TriesLeft, "no turns": !h.TurnsLeft}[missing] {
+						want = other
+					}
+				}
+				if _, got := Next(s, e, h); got.String() != want {
+					t.Errorf("%v %v %+v: %v, want %s", s, e, h, got, want)
+				}
+			}
+		}
+	}
+	if n != len(lines) {
+		t.Errorf("%d lines for %d pairs", len(lines), n)
+	}
+}
+
+// Whatever happens, in any order: a request that may run once only is never sent on after it may have
+// run, one that may have run is never refused, and nothing is answered after a head was passed on.
+func TestNoSequenceOfEventsBreaksAPromise(t *testing.T) {
+	type at struct {
+		s      State
+		mayRun bool // an endpoint may have run it
+		headed bool
+	}
+	for _, idempotent := range []bool{false, true} {
+		seen := map[at]bool{}
+		var walk func(a at, path string)
+		walk = func(a at, path string) {
+			if seen[a] || a.s == Ended {
+				return
+			}
+			seen[a] = true
+			for e := Refused; e <= BodyComplete; e++ {
+				for _, h := range allConditions() {
+					if h.Idempotent != idempotent || h.Resumable && !idempotent {
+						continue
+					}
+					b := a
+					var v Verdict
+					b.s, v = Next(a.s, e, h)
+					switch e {
+					case Broken, Failed, FalseRefusal, Answered, BodyCut, BodyComplete:
+						b.mayRun = true
+					default:
+					}
+					here := fmt.Sprintf("%s, %v %v %+v", path, a.s, e, h)
+					if b.s < a.s {
+						t.Errorf("%s: the state went back", here)
+					}
+					switch v {
+					case Retry:
+						if b.mayRun && !idempotent {
+							t.Errorf("%s: sent again", here)
+						}
+					case Refuse:
+						if b.mayRun || b.headed {
+							t.Errorf("%s: refused", here)
+						}
+					case BadGateway, GatewayTimeout:
+						if b.headed {
+							t.Errorf("%s: answered twice", here)
+						}
+					case Forward:
+						if !b.headed {
+							c := b
+							c.s, c.headed = HeadSent, true
+							walk(c, here)
+						}
+					case Abort, Done:
+					}
+					walk(b, here)
+				}
+			}
+		}
+		walk(at{}, "")
+	}
+}
--- a/internal/forward/certified.go
+++ b/internal/forward/certified.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"dunetide/internal/attempt"
 	"dunetide/internal/audit"
 	"dunetide/internal/certify"
 	"dunetide/internal/dispatch"
@@ -44,7 +45,7 @@
 
 // certified is asked right before a request is written to an endpoint: what let it go there may have been withdrawn since. It
 // begins the record of a regulated run.
-func (x *exchange) certified(endpoint string) (Event, bool) {
+func (x *exchange) certified(endpoint string) (attempt.Event, bool) {
 	gate, route := x.p.o.Certified, x.req.Route
 	regime, by, ok := gate.Allows(route.Name, endpoint)
 	if regime != x.req.Regime {
@@ -55,7 +56,7 @@
 		x.err = errNotCertified
 		x.reason = "no certified node for regime " + regime + " is free"
 		x.finish(dispatch.Left, upstream.Unused)
-		return Unsent, false
+		return attempt.NotWritten, false
 	}
 	if regime == "" {
 		return 0, true
@@ -68,7 +69,7 @@
 			x.err = errRecordFull
 			x.refusedFor(regime, recordFull)
 			x.finish(dispatch.Left, upstream.Unused)
-			return Refused, false
+			return attempt.Refused, false
 		}
 	}
 	gate.Count(regime, func(c *certify.Counts) { c.Runs++ })
--- a/internal/forward/certified_test.go
+++ b/internal/forward/certified_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"dunetide/internal/attempt"
 	"dunetide/internal/audit"
 	"dunetide/internal/certify"
 	"dunetide/internal/dispatch"
@@ -144,7 +145,7 @@
 		t.Fatal("not granted")
 	}
 	g.p.o.Certified.Update(set)
-	if e, ok := x.certified("e1"); ok || e != Unsent || x.grant != nil {
+	if e, ok := x.certified("e1"); ok || e != attempt.NotWritten || x.grant != nil {
 		t.Errorf("%v, %v", e, ok)
 	}
 	if x.req.Regime != "fin" || x.req.Certified("e1") {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"dunetide/internal/attempt"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/operator"
 	"dunetide/internal/upstream"
@@ -81,7 +82,7 @@
 	deadline time.Time // of the answer to the client; zero: none
 	last     string    // the event that was passed on last, or was named by the client
 
-	state      State
+	state      attempt.State
 	headed     bool // the head was passed on
 	tries      int  // endpoints that had it
 	turns      int  // those that turned it away, or could not be reached
@@ -109,39 +110,39 @@
 	return x.deadline.Sub(x.now())
 }
 
-// having is what the next verdict depends on.
-func (x *exchange) having() having {
+// conditions are what the next verdict depends on.
+func (x *exchange) conditions() attempt.Conditions {
 	r := x.req.Route
-	time := x.left() > worthwhile
-	return having{
-		idempotent: r.Idempotent(),
-		resumable:  r.Resume && x.stream.lastID != "" && !x.stream.unnamed,
-		triesLeft:  time && x.tries < max(1, r.Tries),
-		turnsLeft:  time && x.turns < max(1, r.Tries)+moreTurns,
+	timeLeft := x.left() > worthwhile
+	return attempt.Conditions{
+		Idempotent: r.Idempotent() || x.req.Bulk,
+		Resumable:  r.Resume && x.stream.lastID != "" && !x.stream.unnamed,
+		TriesLeft:  timeLeft && !x.req.Bulk && x.tries < max(1, r.Tries),
+		TurnsLeft:  timeLeft && x.turns < max(1, r.Tries)+moreTurns,
 	}
 }
 
 // follow takes an event in and says what is next.
-func (x *exchange) follow(e Event) Verdict {
+func (x *exchange) follow(e attempt.Event) attempt.Verdict {
 	switch e {
-	case TurnedAway, Unsent:
+	case attempt.Rejected, attempt.NotWritten:
 		x.turns++
-	case Broken, Failed, Unkept, Cut:
+	case attempt.Broken, attempt.Failed, attempt.FalseRefusal, attempt.BodyCut:
 		x.tries++
 	default:
 	}
 	if x.headed {
-		x.state = Headed
+		x.state = attempt.HeadSent
 	}
-	var v Verdict
-	x.state, v = next(x.state, e, x.having())
+	var v attempt.Verdict
+	x.state, v = attempt.Next(x.state, e, x.conditions())
 	return v
 }
 
 // acquire asks for an endpoint.
-func (x *exchange) acquire() (Event, bool) {
+func (x *exchange) acquire() (attempt.Event, bool) {
 	if x.left() <= 0 {
-		return Late, false
+		return attempt.DeadlineExceeded, false
 	}
 	since := time.Time{}
 	if x.req.Regime != "" && x.req.Bulk {
@@ -156,7 +157,7 @@
 		return 0, true
 	}
 	if x.ctx.Err() != nil {
-		return ClientGone, false
+		return attempt.ClientGone, false
 	}
 	var refused *dispatch.Refused
 	if errors.As(err, &refused) {
@@ -167,14 +168,14 @@
 	}
 	x.err = err
 	if x.left() <= worthwhile {
-		return Late, false
+		return attempt.DeadlineExceeded, false
 	}
-	return Refused, false
+	return attempt.Refused, false
 }
 
 // send sends the request to the endpoint of the grant and reads the head of its answer. Unless
 // it was answered, the sending is over then; a 500 that may have to be passed on is left open.
-func (x *exchange) send() Event {
+func (x *exchange) send() attempt.Event {
 	target := x.grant.Endpoint()
 	x.req.Avoid = append(x.req.Avoid, target.ID)
 	x.load = dispatch.Load{}
@@ -184,18 +185,18 @@
 		switch {
 		case x.ctx.Err() != nil:
 			x.finish(dispatch.Unsent, upstream.Unused)
-			return ClientGone
+			return attempt.ClientGone
 		case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone):
 			x.finish(dispatch.Unsent, upstream.Unused)
 		default: // nobody takes its connections
 			x.finish(dispatch.Broken, upstream.Unused)
 		}
-		return Unsent
+		return attempt.NotWritten
 	}
 	x.conn = conn
 	if x.left() <= worthwhile {
 		x.finish(dispatch.Unsent, upstream.Unused)
-		return Late
+		return attempt.DeadlineExceeded
 	}
 	x.layOut(target.ID)
 	if x.p.o.Certified.Set() != nil {
@@ -218,9 +219,9 @@
 	x.load = loadOf(x.resp.Header)
 	e, outcome := x.classify()
 	switch e {
-	case Answered, Failed:
+	case attempt.Answered, attempt.Failed:
 		x.grant.First(x.load)
-	case TurnedAway:
+	case attempt.Rejected:
 		x.retryAfter = retryAfterOf(x.resp.Header)
 		x.finishDrained(outcome)
 	default:
@@ -231,53 +232,53 @@
 }
 
 // failed ends a sending that broke, and says what that was.
-func (x *exchange) failed(err error) Event {
+func (x *exchange) failed(err error) attempt.Event {
 	x.err = err
 	var call *upstream.CallError
 	sent := !errors.As(err, &call) || call.Sent
 	switch {
 	case x.ctx.Err() != nil:
 		x.finish(dispatch.Left, upstream.GaveUp)
-		return ClientGone
+		return attempt.ClientGone
 	case errors.Is(err, os.ErrDeadlineExceeded) && x.left() <= worthwhile:
 		x.finish(dispatch.Silent, upstream.GaveUp)
 		if sent {
-			x.state = max(x.state, Sent)
+			x.state = max(x.state, attempt.Sent)
 		}
-		return Late
+		return attempt.DeadlineExceeded
 	case !sent:
 		x.unsent = true
 		x.finish(dispatch.Broken, upstream.Broken)
-		return Unsent
+		return attempt.NotWritten
 	default:
 		x.finish(dispatch.Broken, upstream.Broken)
-		return Broken
+		return attempt.Broken
 	}
 }
 
 // classify says what a head tells.
-func (x *exchange) classify() (Event, dispatch.Outcome) {
+func (x *exchange) classify() (attempt.Event, dispatch.Outcome) {
 	h, status := x.resp.Header, x.resp.StatusCode
 	notRun := h.Get(headNotRun) != ""
 	switch {
 	case status == http.StatusMisdirectedRequest:
-		return TurnedAway, dispatch.WrongOne
+		return attempt.Rejected, dispatch.WrongOne
 	case notRun && status >= 400 && status != http.StatusBadRequest:
-		return TurnedAway, dispatch.NotRun
+		return attempt.Rejected, dispatch.NotRun
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable, status == http.StatusRequestTimeout:
-		return Unkept, dispatch.Failed
+		return attempt.FalseRefusal, dispatch.Failed
 	case !plain(h.Get("Content-Encoding")), !x.delimited():
-		return Broken, dispatch.Broken
+		return attempt.Broken, dispatch.Broken
 	case status < 300 && (notRun || h.Get(headSeal) == ""):
-		return Broken, dispatch.Broken
+		return attempt.Broken, dispatch.Broken
 	case x.headed && (status != http.StatusOK || !isStream(h)) && status != http.StatusInternalServerError:
-		return Broken, dispatch.Failed
+		return attempt.Broken, dispatch.Failed
 	case status == http.StatusInternalServerError:
-		return Failed, dispatch.Failed
+		return attempt.Failed, dispatch.Failed
 	case status == http.StatusGatewayTimeout:
-		return Answered, dispatch.Failed
+		return attempt.Answered, dispatch.Failed
 	}
-	return Answered, dispatch.Served
+	return attempt.Answered, dispatch.Served
 }
 
 func plain(encoding string) bool { return encoding == "" || strings.EqualFold(encoding, "identity") }
--- a/internal/forward/item.go
+++ b/internal/forward/item.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"dunetide/internal/attempt"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/operator"
 	"dunetide/internal/upstream"
@@ -94,36 +95,37 @@
 	}()
 	x.head, x.stream.buf = *headBuffer, *streamBuffer
 	x.layOutHead(it.Path, it.Host, header, len(it.Body))
+	return x.runItem(it, event)
+}
+
+// runItem sends an item until an endpoint has run it or none will. Only a send that ran nowhere is repeated here; what follows
+// a run that broke off or failed is decided by its job.
+func (x *exchange) runItem(it *Item, event func(id string, data []byte)) Result {
 	for {
-		e, ok := x.acquire()
-		if ok {
+		e, granted := x.acquire()
+		if granted {
 			if it.MayStart != nil && !it.MayStart() {
 				x.finish(dispatch.Unsent, upstream.Unused)
 				return Result{ItemNotRun, errMayNotStart}
 			}
 			e = x.send()
 		}
-		switch e {
-		case TurnedAway, Unsent:
-			if x.turns++; x.having().turnsLeft {
-				continue
+		switch x.follow(e) {
+		case attempt.Retry:
+		case attempt.Refuse:
+			return Result{ItemNotRun, errors.Join(context.Cause(x.ctx), x.err)}
+		case attempt.Forward:
+			if e == attempt.Failed {
+				x.finishDrained(dispatch.Failed)
+				return Result{ItemFailed, nil}
 			}
-			return Result{ItemNotRun, x.err}
-		case Refused:
-			return Result{ItemNotRun, x.err}
-		case Late, ClientGone:
+			return x.itemAnswer(event)
+		default: // BadGateway, GatewayTimeout, Abort
 			state := ItemBroken
-			if !ok {
+			if !granted {
 				state = ItemNotRun
 			}
-			return Result{state, errors.Join(context.Cause(ctx), x.err)}
-		case Failed:
-			x.finishDrained(dispatch.Failed)
-			return Result{ItemFailed, nil}
-		case Answered:
-			return x.itemAnswer(event)
-		default:
-			return Result{ItemBroken, x.err}
+			return Result{state, errors.Join(context.Cause(x.ctx), x.err)}
 		}
 	}
 }
@@ -160,7 +162,7 @@
 		}
 		return nil
 	})
-	if e != Whole {
+	if e != attempt.BodyComplete {
 		return Result{ItemBroken, x.err}
 	}
 	if !stream {
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"dunetide/internal/attempt"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/operator"
 	"dunetide/internal/upstream"
@@ -111,16 +112,16 @@
 			e = x.send()
 		}
 		v := x.follow(e)
-		if v == PassOn {
-			if e = x.passOn(w, rc); e == Whole {
-				x.state = Ended
+		if v == attempt.Forward {
+			if e = x.passOn(w, rc); e == attempt.BodyComplete {
+				x.state = attempt.Ended
 				return
 			}
 			v = x.follow(e)
 		}
 		switch v {
-		case Again:
-			if e == Failed {
+		case attempt.Retry:
+			if e == attempt.Failed {
 				x.finishDrained(dispatch.Failed)
 			}
 			if x.headed {
@@ -128,21 +129,21 @@
 			}
 			e, ok = x.acquire()
 			continue
-		case Refuse:
+		case attempt.Refuse:
 			if x.reason != "" {
 				w.Header().Set(headReason, x.reason)
 			}
 			p.answer(w, r, http.StatusServiceUnavailable, x.comeBack())
-		case NoAnswer:
+		case attempt.BadGateway:
 			p.answer(w, r, http.StatusBadGateway, 0)
-		case TooLate:
+		case attempt.GatewayTimeout:
 			p.answer(w, r, http.StatusGatewayTimeout, 0)
-		case Abort:
-			if e == Failed {
+		case attempt.Abort:
+			if e == attempt.Failed {
 				x.finishDrained(dispatch.Failed)
 			}
 			panic(http.ErrAbortHandler)
-		case Nothing, PassOn:
+		case attempt.Done, attempt.Forward:
 		}
 		return
 	}
@@ -238,7 +239,7 @@
 }
 
 // passOn passes an answer on. It says how that ended.
-func (x *exchange) passOn(w http.ResponseWriter, rc *http.ResponseController) Event {
+func (x *exchange) passOn(w http.ResponseWriter, rc *http.ResponseController) attempt.Event {
 	if x.resp.StatusCode == http.StatusOK && isStream(x.resp.Header) && x.method != http.MethodHead {
 		return x.passEvents(w, rc)
 	}
@@ -251,7 +252,7 @@
 		x.conn.Whole(x.resp)
 		x.passHead(w, length)
 		x.finish(outcome, upstream.Answered)
-		return Whole
+		return attempt.BodyComplete
 	}
 	b := x.stream.buf[:0]
 	if length >= int64(cap(b)) && length <= atOnce {
@@ -274,10 +275,10 @@
 			x.finish(outcome, upstream.Answered) // before the client has it all, who may ask again at once
 			if len(b) > 0 {
 				if _, err := w.Write(b); err != nil {
-					return ClientGone
+					return attempt.ClientGone
 				}
 			}
-			return Whole
+			return attempt.BodyComplete
 		}
 		if err != nil {
 			return x.cut(err)
@@ -294,7 +295,7 @@
 		}
 		if _, err := w.Write(b); err != nil {
 			x.finish(dispatch.Left, upstream.GaveUp)
-			return ClientGone
+			return attempt.ClientGone
 		}
 		b = b[:0]
 	}
@@ -306,15 +307,15 @@
 }
 
 // cut ends a sending whose body broke off.
-func (x *exchange) cut(err error) Event {
-	if e := x.failed(err); e != Broken && e != Unsent {
+func (x *exchange) cut(err error) attempt.Event {
+	if e := x.failed(err); e != attempt.Broken && e != attempt.NotWritten {
 		return e
 	}
-	return Cut
+	return attempt.BodyCut
 }
 
 // passEvents passes a stream on: each event as it comes, and only whole ones.
-func (x *exchange) passEvents(w http.ResponseWriter, rc *http.ResponseController) Event {
+func (x *exchange) passEvents(w http.ResponseWriter, rc *http.ResponseController) attempt.Event {
 	after := int64(-1)
 	if x.headed {
 		after, _ = strconv.ParseInt(x.last, 10, 64)
@@ -340,7 +341,7 @@
 
 // readEvents reads the answer's body as events and hands on what is whole. The end comes with what
 // is left, which the endpoint has ended properly.
-func (x *exchange) readEvents(hand func(whole []byte, end bool) error) Event {
+func (x *exchange) readEvents(hand func(whole []byte, end bool) error) attempt.Event {
 	s := &x.stream
 	for {
 		if len(s.buf) == cap(s.buf) {
@@ -356,14 +357,14 @@
 			x.conn.Whole(x.resp)
 			x.finish(dispatch.Served, upstream.Answered)
 			if hand(s.buf, true) != nil {
-				return ClientGone
+				return attempt.ClientGone
 			}
-			return Whole
+			return attempt.BodyComplete
 		}
 		if whole > 0 {
 			if hand(s.buf[:whole], false) != nil {
 				x.finish(dispatch.Left, upstream.GaveUp)
-				return ClientGone
+				return attempt.ClientGone
 			}
 			s.take()
 		}
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -20,7 +20,7 @@
 	{"runs of clients that leave have no end", "exchange.go", "	if x.run != 0 {", "	if x.run != 0 && o != dispatch.Left {"},
 	{"any endpoint is chosen", "../dispatch/choice.go", "slices.Contains(w.r.Avoid, e.target.ID) || !w.r.may(e.target.ID) {", "slices.Contains(w.r.Avoid, e.target.ID) {"},
 	{"a broken run counts as not written", "certified.go", "	if x.unsent {", "	if x.unsent || out == audit.Broken {"},
-	{"a try that broke off is repeated", "state.go", "	case Broken, Unkept, Cut:\n		if h.idempotent && h.triesLeft {\n			return Sent, Again", "	case Broken, Unkept, Cut:\n		if h.triesLeft {\n			return Sent, Again"},
+	{"a try that broke off is repeated", "../attempt/attempt.go", "	case Broken, FalseRefusal, BodyCut:\n		if c.Idempotent && c.TriesLeft {", "	case Broken, FalseRefusal, BodyCut:\n		if c.TriesLeft {"},
 	{"entries are dropped with too few stores", "../audit/recorder.go", "	r.kept(len(b.entries))\n	return nil", "	r.kept(len(b.entries) + min(1, r.Waiting()-len(b.entries)))\n	return nil"},
 	{"the chain is not gone on with", "../audit/store.go", "	s.last = next\n	return nil\n}\n\n// open opens", "	_ = next\n	return nil\n}\n\n// open opens"},
 }
