Forward: answers matched by one id, requests bounded by their deadline, no smuggling

Cause: found in review of each place where an answer is matched to a call. (1) A chunked request with a Content-Length kept its connection, so what stood behind it ran as a second request. (2) Taking a connection to an endpoint could outlast the call's deadline by the dial timeout of 0.5 s, and a slow body by 30 s. (3) A batch item may come back to a connection under the same id, where a late duplicate of its 500 would end the new run. (4) X-Dunetide-Not-Run counted beside any status. (5) Requests with two ids or none went out. Change: client connections count Content-Length headers and close behind an ambiguous request; Pool.TakeBefore and the body's read deadline end with the call; a connection remembers ids that may come again; Not-Run counts with 408, 429 and 503 only; requests without exactly one id are 400, HTTP/1.0 is 505. Result: go test of forward, upstream, node and cmd/dunetide is green; new tests in client_test.go.

--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -90,7 +90,7 @@
 		}
 	}()
 	served := make(chan error, 1)
-	go func() { served <- proxy.Server().Serve(front) }()
+	go func() { served <- proxy.Serve(front) }()
 	select {
 	case err = <-served:
 	case <-p.ctx.Done():
--- /dev/null
+++ b/internal/forward/client_test.go
@@ -0,0 +1,170 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"dunetide/internal/operator"
+)
+
+// Requests whose end can be read in two ways run once at most, as net/http reads them, and nothing that stands behind them is
+// taken for a request of its own.
+func TestNothingIsSmuggledInsideARequest(t *testing.T) {
+	const inner = "POST /r/inner HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: inner\r\nContent-Length: 0\r\n\r\n"
+	const start = "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: outer\r\n"
+	for name, c := range map[string]struct {
+		bytes string
+		body  string // that reaches an endpoint; "-": none does
+	}{
+		"length and chunks":           {start + fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner), ""},
+		"chunks and length":           {start + fmt.Sprintf("Transfer-Encoding: chunked\r\ncONTENT-lENGTH: %d\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner), ""},
+		"two lengths":                 {start + "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + inner, "-"},
+		"a list of lengths":           {start + "Content-Length: 0, 5\r\n\r\n" + inner, "-"},
+		"a signed length":             {start + "Content-Length: +0\r\n\r\n" + inner, "-"},
+		"chunked twice":               {start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner, "-"},
+		"another coding":              {start + "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n" + inner, "-"},
+		"a space before the colon":    {start + "Transfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\n" + inner, "-"},
+		"a bare CR in a value":        {start + "X-A: b\rContent-Length: 100\r\n\r\n" + inner, "-"},
+		"a bare LF in a chunk's size": {start + "Transfer-Encoding: chunked\r\n\r\n0\n\n" + inner, "-"},
+		"a chunk that is too long":    {start + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n" + inner, "-"},
+		"a body that breaks off":      {start + "Content-Length: 9999\r\n\r\n" + inner, "-"},
+		"no id":                       {strings.Replace(start, "X-Dunetide-Request-Id: outer\r\n", "", 1) + "Content-Length: 0\r\n\r\n", "-"},
+		"two ids":                     {start + "X-Dunetide-Request-Id: inner\r\nContent-Length: 0\r\n\r\n", "-"},
+		"an older protocol":           {strings.Replace(start, "1.1", "1.0", 1) + "Content-Length: 0\r\n\r\n", "-"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, "e1", says(sealed, "ok"))
+			g := newRig(t, route(operator.Writes, 1), e)
+			client := g.dial()
+			_, err := io.WriteString(client, c.bytes)
+			must(t, err)
+			must(t, client.Conn.(*net.TCPConn).CloseWrite())
+			rest, _ := io.ReadAll(client) // ends as the connection is closed
+			if n := strings.Count(string(rest), "HTTP/1.1 "); n > 1 {
+				t.Errorf("%d answers: %q", n, rest)
+			}
+			calls := e.got()
+			switch {
+			case c.body == "-" && len(calls) > 0:
+				t.Errorf("it was run: %+v", calls)
+			case c.body != "-" && len(calls) > 1, len(calls) == 1 && (calls[0].body != c.body || calls[0].Header.Get(headID) != "outer"):
+				t.Errorf("calls %+v", calls)
+			}
+		})
+	}
+}
+
+// Chunked requests that are clear keep their connection, also behind requests with a length.
+func TestClearRequestsKeepTheirConnection(t *testing.T) {
+	e := newEndpoint(t, "e1", says(sealed, "ok"))
+	g := newRig(t, route(operator.Writes, 1), e)
+	c := g.dial()
+	for n := range 6 {
+		if n%2 == 0 {
+			must(t, c.ask(fmt.Sprintf("POST /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id%d", n), "body"))
+		} else {
+			must(t, c.ask(fmt.Sprintf("POST /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id%d|Transfer-Encoding: chunked", n), ""))
+			_, err := io.WriteString(c, chunked("bo", "dy", ""))
+			must(t, err)
+		}
+		a, err := c.answer()
+		if err != nil || a.status != 200 || a.closes || a.header.Get(headID) != fmt.Sprint("id", n) {
+			t.Fatalf("%d: %+v, %v", n, a, err)
+		}
+	}
+}
+
+// Pipelined requests are answered in order, each with its own answer.
+func TestPipelinedRequests(t *testing.T) {
+	e := newEndpoint(t, "e1", func(c net.Conn, r call) bool {
+		_, err := io.WriteString(c, answerOf(r.Header.Get(headID), sealed, "of "+r.body))
+		return err == nil
+	})
+	g := newRig(t, route(operator.Writes, 1), e)
+	c := g.dial()
+	const requests = 20
+	for n := range requests {
+		must(t, c.ask(fmt.Sprintf("POST /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id%d", n), fmt.Sprint("body", n)))
+	}
+	for n := range requests {
+		a, err := c.answer()
+		if err != nil || a.header.Get(headID) != fmt.Sprint("id", n) || a.body != fmt.Sprint("of body", n) {
+			t.Fatalf("%d: %+v, %v", n, a, err)
+		}
+	}
+}
+
+// A client that is cut off at any byte of its request: nothing of it runs before its last byte.
+func TestRequestCutAtEveryByte(t *testing.T) {
+	e := newEndpoint(t, "e1", says(sealed, "ok"))
+	g := newRig(t, route(operator.Writes, 1), e)
+	for name, whole := range map[string]string{
+		"length": "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: id1\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks": "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: id1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked("bo", "dy", ""),
+	} {
+		for cut := range len(whole) {
+			for _, reset := range []bool{false, true} {
+				c := g.dial()
+				_, err := io.WriteString(c, whole[:cut])
+				must(t, err)
+				if reset {
+					must(t, c.Conn.(*net.TCPConn).SetLinger(0))
+					_ = c.Close()
+				} else {
+					must(t, c.Conn.(*net.TCPConn).CloseWrite())
+					if a, err := c.answer(); err == nil && a.status < 400 {
+						t.Errorf("%s cut at %d: %+v", name, cut, a)
+					}
+					_ = c.Close()
+				}
+			}
+		}
+	}
+	if n := len(e.got()); n > 0 {
+		t.Errorf("%d ran", n)
+	}
+}
+
+// A body that does not arrive in time is not waited for beyond the route's timeout.
+func TestSlowBodyIsNotHeldBeyondTheTimeout(t *testing.T) {
+	r := route(operator.Writes, 1)
+	r.TimeoutMs = 100
+	g := newRig(t, r, newEndpoint(t, "e1", says(sealed, "ok")))
+	c := g.dial()
+	began := time.Now()
+	_, err := io.WriteString(c, "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: id1\r\nContent-Length: 4\r\n\r\nbo")
+	must(t, err)
+	a, err := c.answer()
+	if err != nil || a.status != 408 || !a.closes {
+		t.Errorf("%+v, %v", a, err)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("held for %v", took)
+	}
+}
+
+// A request is not held beyond its deadline by an endpoint that takes no connections.
+func TestDialIsNotWaitedForBeyondTheDeadline(t *testing.T) {
+	r := route(operator.Writes, 1)
+	r.TimeoutMs = 60
+	dials := make(chan time.Duration, 1)
+	g := newRigWith(t, r, func(o *Options) {
+		o.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			began := time.Now()
+			<-ctx.Done()
+			dials <- time.Since(began)
+			return nil, ctx.Err()
+		}
+	}, &endpoint{id: "dark", addr: "127.0.0.1:1"})
+	if a := g.do(plainCall, "x"); a.status != 503 {
+		t.Errorf("%+v", a)
+	}
+	if took := <-dials; took > dialTimeout*3/4 {
+		t.Errorf("the dial was waited for %v", took)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -174,29 +174,13 @@
 }
 
 // send sends the request to the endpoint of the grant and reads the head of its answer. Unless
-// it was answered, the sending is over then; a 500 that may have to be passed on is left open.
+// it was answered, the send is over then; a 500 that may have to be passed on is left open.
 func (x *exchange) send() attempt.Event {
 	target := x.grant.Endpoint()
 	x.req.Avoid = append(x.req.Avoid, target.ID)
 	x.load = dispatch.Load{}
-	conn, err := x.p.poolOf(target).Take(x.ctx)
-	if err != nil {
-		x.err = err
-		switch {
-		case x.ctx.Err() != nil:
-			x.finish(dispatch.Unsent, upstream.Unused)
-			return attempt.ClientGone
-		case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone):
-			x.finish(dispatch.Unsent, upstream.Unused)
-		default: // nobody takes its connections
-			x.finish(dispatch.Broken, upstream.Unused)
-		}
-		return attempt.NotWritten
-	}
-	x.conn = conn
-	if x.left() <= worthwhile {
-		x.finish(dispatch.Unsent, upstream.Unused)
-		return attempt.DeadlineExceeded
+	if e, ok := x.connect(target); !ok {
+		return e
 	}
 	x.layOut(target.ID)
 	if x.p.o.Certified.Set() != nil {
@@ -204,16 +188,7 @@
 			return e
 		}
 	}
-	x.resp, err = conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
-	for n := 0; err == nil && x.resp.Header.Get(headID) != x.req.ID; n++ {
-		// The surplus of an earlier call, if it has an id and an end.
-		if n == maxSurplus || x.resp.Header.Get(headID) == "" || !x.delimited() || !x.drain(atOnce) {
-			err = &upstream.CallError{Sent: true, Err: errForeign}
-			break
-		}
-		x.resp, err = conn.Next()
-	}
-	if err != nil {
+	if err := x.roundTrip(); err != nil {
 		return x.failed(err)
 	}
 	x.load = loadOf(x.resp.Header)
@@ -231,6 +206,70 @@
 	return e
 }
 
+// connect takes a connection to the endpoint. If there is none, or no time is left, the send is over.
+func (x *exchange) connect(target dispatch.Target) (attempt.Event, bool) {
+	conn, err := x.takeConn(target)
+	switch {
+	case err == nil:
+		x.conn = conn
+	case x.ctx.Err() != nil:
+		x.err = err
+		x.finish(dispatch.Unsent, upstream.Unused)
+		return attempt.ClientGone, false
+	case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone), errors.Is(err, upstream.ErrDeadline):
+		x.err = err
+		x.finish(dispatch.Unsent, upstream.Unused)
+		return attempt.NotWritten, false
+	default: // nobody accepts its connections
+		x.err = err
+		x.finish(dispatch.Broken, upstream.Unused)
+		return attempt.NotWritten, false
+	}
+	if x.left() <= worthwhile {
+		x.finish(dispatch.Unsent, upstream.Unused)
+		return attempt.DeadlineExceeded, false
+	}
+	return 0, true
+}
+
+// takeConn takes a connection that has not carried this id before.
+func (x *exchange) takeConn(target dispatch.Target) (*upstream.Conn, error) {
+	pool := x.p.poolOf(target)
+	for {
+		conn, err := pool.TakeBefore(x.ctx, x.deadline)
+		if err != nil || !conn.Carried(x.req.ID) {
+			return conn, err
+		}
+		conn.Retire()
+		conn.Done(upstream.Unused)
+	}
+}
+
+// roundTrip writes the request and reads the head of its answer. Before it, duplicates of answers
+// to earlier calls on the connection may arrive: their ids differ, and they are read over.
+func (x *exchange) roundTrip() (err error) {
+	x.resp, err = x.conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
+	for n := 0; err == nil && !x.matches(); n++ {
+		if n == maxSurplus || !x.skippable() || !x.drain(atOnce) {
+			return &upstream.CallError{Sent: true, Err: errForeign}
+		}
+		x.resp, err = x.conn.Next()
+	}
+	return err
+}
+
+// matches tells whether the answer names this request, and no other.
+func (x *exchange) matches() bool {
+	ids := x.resp.Header[headID]
+	return len(ids) == 1 && ids[0] == x.req.ID
+}
+
+// skippable tells whether an answer to another call can be read over: it has to have an id, and an
+// end that does not depend on the method of the call that it belongs to.
+func (x *exchange) skippable() bool {
+	return x.method != http.MethodHead && x.resp.Header.Get(headID) != "" && x.delimited()
+}
+
 // failed ends a sending that broke, and says what that was.
 func (x *exchange) failed(err error) attempt.Event {
 	x.err = err
@@ -263,9 +302,9 @@
 	switch {
 	case status == http.StatusMisdirectedRequest:
 		return attempt.Rejected, dispatch.WrongOne
-	case notRun && status >= 400 && status != http.StatusBadRequest:
+	case notRun && promisesNotRun(status):
 		return attempt.Rejected, dispatch.NotRun
-	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable, status == http.StatusRequestTimeout:
+	case promisesNotRun(status):
 		return attempt.FalseRefusal, dispatch.Failed
 	case !plain(h.Get("Content-Encoding")), !x.delimited():
 		return attempt.Broken, dispatch.Broken
@@ -281,6 +320,12 @@
 	return attempt.Answered, dispatch.Served
 }
 
+// promisesNotRun tells of the statuses that promise that a request has not run, if the endpoint says so
+// in X-Dunetide-Not-Run too. Beside any other status that header is no proof.
+func promisesNotRun(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout
+}
+
 func plain(encoding string) bool { return encoding == "" || strings.EqualFold(encoding, "identity") }
 
 func isStream(h http.Header) bool {
@@ -306,6 +351,9 @@
 		end = upstream.Broken
 	} else if x.drain(4 << 10) {
 		x.conn.Whole(x.resp)
+		if x.req.Bulk { // it may be sent here again under the same id
+			x.conn.Remember(x.req.ID)
+		}
 	}
 	if o == dispatch.NotRun && x.resp.StatusCode == http.StatusServiceUnavailable {
 		end = upstream.Full
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -237,17 +237,25 @@
 }
 
 func newRig(t testing.TB, r operator.Route, endpoints ...*endpoint) *rig {
+	t.Helper()
+	return newRigWith(t, r, func(*Options) {}, endpoints...)
+}
+
+// newRigWith is newRig with other options.
+func newRigWith(t testing.TB, r operator.Route, change func(o *Options), endpoints ...*endpoint) *rig {
 	t.Helper()
 	c := &operator.Config{Version: 1, Routes: []operator.Route{r}, Services: map[string]*operator.Service{"svc": {Name: "svc"}}}
 	g := &rig{t: t, a: &admission{all: endpoints}, config: c}
 	holder := &view.Holder{}
 	holder.Set(&view.Snapshot{Config: c, Senders: 1})
-	g.p = New(Options{Holder: holder, Admission: g.a, DrainWait: time.Millisecond, Match: firstMatch})
+	o := Options{Holder: holder, Admission: g.a, DrainWait: time.Millisecond, Match: firstMatch}
+	change(&o)
+	g.p = New(o)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	g.addr = l.Addr().String()
 	done := make(chan error, 1)
-	go func() { done <- g.p.Server().Serve(l) }()
+	go func() { done <- g.p.Serve(l) }()
 	t.Cleanup(func() {
 		_ = g.p.Server().Close()
 		if err := <-done; !errors.Is(err, http.ErrServerClosed) {
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -116,6 +116,7 @@
 		MaxOpen: o.MaxOpen, IdleLimit: idleLimit, DialTimeout: dialTimeout, Wait: placeWait})
 	p.server = &http.Server{
 		Handler:           p,
+		ConnContext:       withClientConn,
 		ReadHeaderTimeout: o.HeaderWait,
 		IdleTimeout:       o.IdleTimeout,
 		MaxHeaderBytes:    256 << 10, // what the configuration allows is checked with it
@@ -139,7 +140,7 @@
 	return d.DialContext(ctx, "tcp4", addr)
 }
 
-// Server is the server of clients' connections; it is the same one each time.
+// Server is the server of clients' connections; it is the same one each time. Serve is the way to start it.
 func (p *Proxy) Server() *http.Server { return p.server }
 
 // ServeReady answers whether clients should come here.
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -23,12 +23,13 @@
 	// soon is when to come back where nothing better is known.
 	soon = 100 * time.Millisecond
 	// lateWrite is how long after the deadline a client may still take its answer.
-	lateWrite = 250 * time.Millisecond
+	lateWrite = 150 * time.Millisecond
 )
 
 // ServeHTTP answers a client.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := p.o.Now()
+	closeIfAmbiguous(w, r)
 	target, path := r.RequestURI, r.URL.EscapedPath()
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
@@ -64,6 +65,11 @@
 
 // forward answers a client's request of a route from an endpoint.
 func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, route *operator.Route, limits *operator.Limits, target string, arrived time.Time) {
+	if status := unanswerable(r); status != 0 {
+		w.Header().Set("Connection", "close")
+		p.answer(w, r, status, 0)
+		return
+	}
 	x := &exchange{p: p, ctx: r.Context(), method: r.Method}
 	x.describe(route, r.Header.Get)
 	aim := time.Duration(route.TimeoutMs) * time.Millisecond
@@ -87,10 +93,8 @@
 	}()
 	x.head, x.stream.buf = *headBuffer, *streamBuffer
 	if r.ContentLength != 0 {
-		if status := readBody(rc, r, limits, bodyBuffer); status != 0 {
-			if status == http.StatusRequestEntityTooLarge || status == http.StatusRequestTimeout {
-				w.Header().Set("Connection", "close")
-			}
+		if status := readBody(rc, r, limits, bodyBuffer, x.deadline); status != 0 {
+			w.Header().Set("Connection", "close") // what follows on it can't be told from the rest of the body
 			p.answer(w, r, status, 0)
 			return
 		}
@@ -104,6 +108,18 @@
 	p.answerFrom(x, w, r, rc)
 }
 
+// unanswerable is the status for a request whose answer could not be told from others, or not from a
+// part of itself; 0 for any other.
+func unanswerable(r *http.Request) int {
+	switch {
+	case !r.ProtoAtLeast(1, 1): // a stream that is cut would look complete
+		return http.StatusHTTPVersionNotSupported
+	case len(r.Header[headID]) != 1 || r.Header[headID][0] == "":
+		return http.StatusBadRequest
+	}
+	return 0
+}
+
 // answerFrom goes from endpoint to endpoint until there is an answer.
 func (p *Proxy) answerFrom(x *exchange, w http.ResponseWriter, r *http.Request, rc *http.ResponseController) {
 	e, ok := x.acquire()
@@ -180,9 +196,9 @@
 	w.WriteHeader(status)
 }
 
-// readBody reads a request's body whole. It returns the status to answer if that can't be; 0 if
-// it is there.
-func readBody(rc *http.ResponseController, r *http.Request, limits *operator.Limits, into *[]byte) int {
+// readBody reads a request's body whole, up to the request's deadline. It returns the status to answer
+// if that can't be; 0 if it is there.
+func readBody(rc *http.ResponseController, r *http.Request, limits *operator.Limits, into *[]byte, deadline time.Time) int {
 	most := limits.MaxBodyBytes
 	if most <= 0 {
 		most = defaultBody
@@ -190,7 +206,11 @@
 	if r.ContentLength > most {
 		return http.StatusRequestEntityTooLarge
 	}
-	_ = rc.SetReadDeadline(time.Now().Add(bodyWait))
+	wait := time.Now().Add(bodyWait)
+	if deadline.Before(wait) {
+		wait = deadline
+	}
+	_ = rc.SetReadDeadline(wait)
 	b := *into
 	if n := int(r.ContentLength); n >= cap(b) {
 		b = make([]byte, 0, min(n+1, atOnce)) // what is only announced takes no more
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -61,6 +62,9 @@
 	surplus bool          // an answer came that was not this call's
 	timed   bool          // it has a deadline
 	keep    time.Duration // the far side said that it keeps an idle connection for so long; 0: nothing
+
+	carried []string // the ids of earlier calls that may be sent again under the same id
+	retired bool     // it is closed after this call, whatever comes
 }
 
 func newConn(p *Pool, nc net.Conn, opened time.Time) *Conn {
@@ -94,6 +98,25 @@
 	return whole && (version == "HTTP/1.1" || version == "HTTP/1.0") && status == "200"
 }
 
+// maxCarried is how many ids a connection remembers; it is closed rather than forget one.
+const maxCarried = 8
+
+// Remember notes the id of a call that has ended on this connection and may be sent again under the
+// same id: a late duplicate of its answer could not be told from the answer to the next send.
+func (c *Conn) Remember(id string) {
+	if len(c.carried) == maxCarried {
+		c.retired = true
+		return
+	}
+	c.carried = append(c.carried, id)
+}
+
+// Carried tells whether an id was remembered: a call with it has to go over another connection.
+func (c *Conn) Carried(id string) bool { return slices.Contains(c.carried, id) }
+
+// Retire closes the connection once it is given back.
+func (c *Conn) Retire() { c.retired = true }
+
 // Reused tells whether the connection was there before this call.
 func (c *Conn) Reused() bool { return c.age >= 0 }
 
@@ -268,11 +291,11 @@
 // came behind it.
 func (c *Conn) clean() bool {
 	if !c.used {
-		return true
+		return !c.retired
 	}
 	c.used = false
 	c.settle()
-	if !c.stop() || !c.sent || !c.whole || c.br.Buffered() != 0 {
+	if !c.stop() || c.retired || !c.sent || !c.whole || c.br.Buffered() != 0 {
 		return false
 	}
 	if c.timed {
--- a/internal/upstream/pools.go
+++ b/internal/upstream/pools.go
@@ -26,6 +26,8 @@
 	ErrGone = errors.New("the endpoint is gone")
 	// ErrBusy says that no connection came free in time, or that too many calls wait.
 	ErrBusy = errors.New("no connection to spare")
+	// ErrDeadline says that the call's deadline came before a connection did.
+	ErrDeadline = errors.New("no connection before the deadline")
 )
 
 // End says how a call ended, as far as its connection can tell of it.
@@ -282,7 +284,11 @@
 // Take returns a connection for one call: the one that was used last, if its far side
 // has not closed it, or a new one. It waits for a place no longer than Wait, DialTimeout
 // and the context allow. What is taken has to be given back by Done.
-func (p *Pool) Take(ctx context.Context) (*Conn, error) {
+func (p *Pool) Take(ctx context.Context) (*Conn, error) { return p.TakeBefore(ctx, time.Time{}) }
+
+// TakeBefore is Take with a deadline of the call, if that is not zero: neither the wait for
+// a place nor the dial outlasts it.
+func (p *Pool) TakeBefore(ctx context.Context, deadline time.Time) (*Conn, error) {
 	ps := p.set
 	var cancel context.CancelFunc // once it has to wait or dial
 	waits, dialing := false, ctx
@@ -304,7 +310,7 @@
 			return c, nil
 		}
 		if cancel == nil {
-			ctx, cancel = context.WithTimeout(ctx, ps.cfg.DialTimeout)
+			ctx, cancel = p.bounded(ctx, deadline, now)
 			defer cancel()
 			dialing = ctx // that wait may end sooner than the dial
 		}
@@ -331,28 +337,47 @@
 			ctx, end = context.WithTimeout(ctx, ps.cfg.Wait)
 			defer end()
 		}
-		turn := make(chan struct{})
-		*queue = append(*queue, turn)
-		ps.mu.Unlock()
-		closeAll(stale)
-		select {
-		case <-turn:
-			ps.mu.Lock()
-		case <-ctx.Done():
-			ps.mu.Lock()
-			defer ps.mu.Unlock()
-			if i := slices.Index(*queue, turn); i >= 0 {
-				*queue = slices.Delete(*queue, i, i+1)
-			} else if queue == &p.waiting { // its turn came too late: it is the next one's
-				p.wake()
-			} else {
-				ps.wakeRoom()
-			}
-			return nil, fmt.Errorf("%w: %w", ErrBusy, ctx.Err())
+		if err := p.await(ctx, queue, stale); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// bounded ends a context after DialTimeout, or at the call's deadline if that is sooner.
+func (p *Pool) bounded(ctx context.Context, deadline, now time.Time) (context.Context, context.CancelFunc) {
+	limit := p.set.cfg.DialTimeout
+	if left := deadline.Sub(now); !deadline.IsZero() && left < limit {
+		return context.WithTimeoutCause(ctx, max(0, left), ErrDeadline)
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
+// await gives up the lock, waits in a queue for its turn, and takes the lock again. After
+// an error the lock is free.
+func (p *Pool) await(ctx context.Context, queue *[]chan struct{}, stale []*Conn) error {
+	ps := p.set
+	turn := make(chan struct{})
+	*queue = append(*queue, turn)
+	ps.mu.Unlock()
+	closeAll(stale)
+	select {
+	case <-turn:
+		ps.mu.Lock()
+		return nil
+	case <-ctx.Done():
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if i := slices.Index(*queue, turn); i >= 0 {
+		*queue = slices.Delete(*queue, i, i+1)
+	} else if queue == &p.waiting { // its turn came too late: it is the next one's
+		p.wake()
+	} else {
+		ps.wakeRoom()
+	}
+	return fmt.Errorf("%w: %w", ErrBusy, ctx.Err())
+}
+
 // wakeRoom lets the next one look that waits for room among all connections.
 func (ps *Pools) wakeRoom() {
 	if len(ps.waiting) > 0 {
@@ -463,7 +488,11 @@
 		err = ErrGone
 	}
 	if err != nil {
-		if !errors.Is(err, ErrGone) && !errors.Is(ctx.Err(), context.Canceled) {
+		cut := errors.Is(context.Cause(ctx), ErrDeadline) // no sign of the endpoint's health
+		if cut {
+			err = errors.Join(ErrDeadline, err)
+		}
+		if !cut && !errors.Is(err, ErrGone) && !errors.Is(ctx.Err(), context.Canceled) {
 			p.counts.refused++
 			p.failedAt = now
 			p.size.refused(now)
