--- /dev/null
+++ b/internal/forward/early_test.go
@@ -0,0 +1,161 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
+)
+
+// newRawEndpoint hands each of its connections to a function, which reads and writes as it likes.
+func newRawEndpoint(t *testing.T, id string, serve func(c *net.TCPConn)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() {
+				defer func() { _ = c.Close() }()
+				_ = c.SetDeadline(time.Now().Add(patience))
+				serve(c.(*net.TCPConn))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		running.Wait()
+	})
+	return &endpoint{id: id, addr: l.Addr().String()}
+}
+
+// An endpoint that turns a long request away before it has read it, broken off at any byte: it goes to the next one if that was
+// whole, or if the request was surely not written whole, and else to nobody.
+func TestEarlyRejectionAtEveryByte(t *testing.T) {
+	body := strings.Repeat("b", 1<<20)
+	for _, end := range []string{"close", "reset", "wait"} {
+		t.Run(end, func(t *testing.T) {
+			t.Parallel()
+			for at := range len(rejectedAnswer.of("id1", 0)) + 1 {
+				if end == "wait" && at < len(rejectedAnswer.of("id1", 0)) {
+					continue
+				}
+				early := newRawEndpoint(t, "early", func(c *net.TCPConn) {
+					if _, err := http.ReadRequest(bufio.NewReaderSize(c, 512)); err != nil {
+						return
+					}
+					write(c, rejectedAnswer.of("id1", 0)[:at])
+					switch end {
+					case "reset":
+						_ = c.SetLinger(0)
+					case "wait":
+						untilClosed(c)
+					}
+				})
+				good := newEndpoint(t, "good", says(sealed, "fine"))
+				g := newRig(t, route(operator.Writes, 2), early, good)
+				a := g.do(plainCall, body)
+				calls := good.got()
+				switch { // what the system's buffers took may have been read: then it is not sent again
+				case a.status == 200 && a.body == "fine" && a.err == nil && len(calls) == 1 && calls[0].body == body:
+				case a.status == 502 && len(calls) == 0 && end != "wait":
+				default:
+					t.Errorf("%s at %d: %+v, %d calls at the next", end, at, a, len(calls))
+				}
+			}
+		})
+	}
+}
+
+// An endpoint that speaks before it was asked, any part of an answer: it is never taken for the answer to what is asked then.
+func TestEndpointThatSpeaksFirstAtEveryByte(t *testing.T) {
+	greeting := answerOf("foreign", sealed, "not asked for")
+	for _, method := range []string{"POST", "HEAD"} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			at := 0
+			e := newRawEndpoint(t, "e1", func(c *net.TCPConn) {
+				write(c, greeting[:at])
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				body := "of " + r.Header.Get(headID)
+				if method == "HEAD" {
+					body = ""
+				}
+				write(c, answerOf(r.Header.Get(headID), sealed, body))
+			})
+			g := newRig(t, route(operator.Writes, 1), e)
+			for at = range len(greeting) + 1 {
+				id := fmt.Sprint("id", at)
+				conn := g.dial()
+				must(t, conn.ask(method+" /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: "+id, ""))
+				resp, err := http.ReadResponse(conn.br, &http.Request{Method: method})
+				must(t, err)
+				body, err := io.ReadAll(resp.Body)
+				right := err == nil && resp.Header.Get(headID) == id && (method == "HEAD" || string(body) == "of "+id)
+				if resp.StatusCode != http.StatusBadGateway && (resp.StatusCode != 200 || !right) {
+					t.Errorf("%d: %d %v %q %v", at, resp.StatusCode, resp.Header, body, err)
+				}
+				if whole := at == 0 || at == len(greeting); whole && method == "POST" && resp.StatusCode != 200 {
+					t.Errorf("%d: %d though the answer came", at, resp.StatusCode)
+				}
+				_ = conn.Close()
+				g.p.poolOf(dispatch.Target{ID: e.id, Address: e.addr, Service: "svc"}).CloseIdle()
+			}
+		})
+	}
+}
+
+// A duplicate of an item's failure that arrives late never ends the item's next run: that goes over another connection.
+func TestLateDuplicateDoesNotEndTheNextRunOfAnItem(t *testing.T) {
+	for name, first := range map[string]string{
+		"failure":   answerOf("id1", "500 X|X-Dunetide-Server-Seal: s1", "sorry"),
+		"rejection": answerOf("id1", "503 X|X-Dunetide-Not-Run: full", ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newRawEndpoint(t, "e1", func(c *net.TCPConn) {
+				br := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if r.Header.Get("X-Attempt") == "1" {
+						write(c, first)
+						continue
+					}
+					if n > 0 { // the duplicate of the answer before, in the slot of this one
+						write(c, first)
+					}
+					write(c, streamHead("id1")+chunked(oneEvent(1), ""))
+				}
+			})
+			g := newRig(t, route(operator.Bulk, 1), e)
+			it := item(&g.config.Routes[0])
+			it.Header["X-Attempt"] = "1"
+			if res := g.p.RunItem(t.Context(), it, "", func(string, []byte) {}); res.State == ItemDone {
+				t.Fatalf("%+v", res)
+			}
+			it.Header["X-Attempt"] = "2"
+			if res := g.p.RunItem(t.Context(), it, "", func(string, []byte) {}); res.State != ItemDone {
+				t.Errorf("%+v", res)
+			}
+		})
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -249,8 +249,12 @@
 // to earlier calls on the connection may arrive: their ids differ, and they are read over.
 func (x *exchange) roundTrip() (err error) {
 	x.resp, err = x.conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
-	for n := 0; err == nil && !x.matches(); n++ {
-		if n == maxSurplus || !x.skippable() || !x.drain(atOnce) {
+	for n := 0; err == nil; n++ {
+		matches, spliced := x.matches(), x.spliced()
+		if matches && !spliced {
+			return nil
+		}
+		if spliced || n == maxSurplus || !x.skippable() || !x.drain(atOnce) {
 			return &upstream.CallError{Sent: true, Err: errForeign}
 		}
 		x.resp, err = x.conn.Next()
@@ -264,6 +268,35 @@
 	return len(ids) == 1 && ids[0] == x.req.ID
 }
 
+// spliced tells whether the head of the answer has another status line inside: the endpoint broke off
+// the head of one answer and sent another one behind it. The status, and any header, may be of either.
+func (x *exchange) spliced() bool {
+	if hasStatusLine(x.resp.Status) {
+		return true
+	}
+	for _, values := range x.resp.Header {
+		if slices.ContainsFunc(values, hasStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasStatusLine finds "HTTP/1.x NNN".
+func hasStatusLine(s string) bool {
+	const version, digits = "HTTP/1.", 3
+	for {
+		at := strings.Index(s, version)
+		if at < 0 {
+			return false
+		}
+		s = s[at+len(version):]
+		if len(s) >= 2+digits && s[1] == ' ' && !strings.ContainsFunc(s[2:2+digits], func(r rune) bool { return r < '0' || r > '9' }) {
+			return true
+		}
+	}
+}
+
 // skippable tells whether an answer to another call can be read over: it has to have an id, and an
 // end that does not depend on the method of the call that it belongs to.
 func (x *exchange) skippable() bool {
