Fuzz targets for what clients send and for replies over links

Cause: only endpoints' bytes and one-way frames were fuzzed. Change: FuzzClient holds calls at an endpoint against the client's bytes; FuzzReplies holds each waiting call against an independent reading of the frames.

--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -168,3 +169,57 @@
 		t.Errorf("the dial was waited for %v", took)
 	}
 }
+
+// Whatever a client sends: each request that reaches an endpoint stands in its bytes, under one id, and there are no more answers
+// than requests.
+func FuzzClient(f *testing.F) {
+	const start = "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: id1\r\n"
+	f.Add([]byte(start + "Content-Length: 4\r\n\r\nbody"))
+	f.Add([]byte(start + "Transfer-Encoding: chunked\r\n\r\n" + chunked("bo", "dy", "")))
+	f.Add([]byte(start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + start + "\r\n"))
+	f.Add([]byte(start + "\r\n" + start + "\r\n"))
+	f.Add([]byte(start + "Expect: 100-continue\r\nContent-Length: 1\r\n\r\nx"))
+	f.Add([]byte("GET http://h.example/r/%2f?a#b HTTP/1.1\nHost: h.example\nX-Dunetide-Request-Id: id1\nConnection: x-dunetide-request-id\n\n"))
+	e := newEndpoint(f, "e1", says(sealed, "ok"))
+	g := newRig(f, route(operator.Writes, 1), e)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		before := len(e.got())
+		c, err := net.Dial("tcp", g.addr)
+		must(t, err)
+		defer func() { _ = c.Close() }()
+		must(t, c.SetDeadline(time.Now().Add(patience)))
+		if _, err := c.Write(b); err == nil {
+			_ = c.(*net.TCPConn).CloseWrite()
+		}
+		answers, _ := io.ReadAll(c)
+		calls := e.got()[before:]
+		ambiguous := false
+		for n, r := range calls {
+			ids := r.Header[headID]
+			if len(ids) != 1 || !bytes.Contains(b, []byte(ids[0])) || !bytes.Contains(b, []byte(r.Method)) || !strings.HasPrefix(r.RequestURI, "/") {
+				t.Errorf("call %d of %q: %+v", n, b, r)
+			}
+			if ambiguous {
+				t.Errorf("call %d of %q stood behind an ambiguous one", n, b)
+			}
+			ambiguous = n == 0 && ambiguousHead(b)
+		}
+		if n := bytes.Count(answers, []byte("HTTP/1.1 ")); n > bytes.Count(b, []byte("\n")) {
+			t.Errorf("%d answers to %q", n, b)
+		}
+	})
+}
+
+// ambiguousHead tells whether the first head has a length and a transfer coding.
+func ambiguousHead(b []byte) bool {
+	length, coding := false, false
+	for line := range bytes.Lines(b) {
+		line = bytes.ToLower(bytes.TrimRight(line, "\r\n"))
+		if len(line) == 0 {
+			break
+		}
+		length = length || bytes.HasPrefix(line, []byte("content-length:"))
+		coding = coding || bytes.HasPrefix(line, []byte("transfer-encoding:"))
+	}
+	return length && coding
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -383,3 +384,72 @@
 		}
 	})
 }
+
+// firstReplies reads frames as the format says, apart from the code under test: the first reply to each of some calls before
+// anything that ends the link.
+func firstReplies(b []byte, calls uint32) map[uint32]Reply {
+	first := map[uint32]Reply{}
+	for len(b) >= head {
+		n := binary.BigEndian.Uint32(b)
+		if n < 5 || n-5 > maxFrame-head || uint64(len(b)) < uint64(n)+4 {
+			break
+		}
+		kind, call, body := Kind(b[4]), binary.BigEndian.Uint32(b[5:]), b[head:n+4]
+		b = b[n+4:]
+		if _, known := first[call]; known || call == 0 || call > calls {
+			continue
+		}
+		switch kind {
+		case kindReply:
+			first[call] = Reply{Body: body}
+		case kindError:
+			first[call] = Reply{Err: RemoteError(body)}
+		}
+	}
+	return first
+}
+
+// FuzzReplies reads any bytes while calls wait: each call gets the first reply with its number, or ErrClosed, once.
+func FuzzReplies(f *testing.F) {
+	reply := func(kind Kind, call byte, body ...byte) []byte {
+		return append([]byte{0, 0, 0, byte(5 + len(body)), byte(kind), 0, 0, 0, call}, body...)
+	}
+	f.Add(reply(kindReply, 1, 7))
+	f.Add(slices.Concat(reply(kindReply, 2, 7), reply(kindReply, 2, 8), reply(kindError, 1, 'n', 'o'), reply(kindReply, 3)))
+	f.Add(slices.Concat(reply(kindReply, 0, 7), reply(kindReply, 9, 8), reply(kindProbe, 1), reply(kindError, 3)))
+	f.Add(reply(kindReply, 1, 7)[:9])
+	const calls = 3
+	f.Fuzz(func(t *testing.T, b []byte) {
+		raw, nb := net.Pipe()
+		s := newSide()
+		s.act = func(*Message) {}
+		c := start(nb, s, steady)
+		var waiting []<-chan Reply
+		for range calls {
+			waiting = append(waiting, c.Go(1, nil))
+		}
+		go func() { _, _ = io.Copy(io.Discard, raw) }()
+		go func() {
+			_, _ = raw.Write(b)
+			_ = raw.Close()
+		}()
+		want := firstReplies(b, calls)
+		for n, ch := range waiting {
+			got := get(t, ch, "a reply")
+			expected, replied := want[uint32(n+1)]
+			switch {
+			case !replied && !errors.Is(got.Err, ErrClosed):
+				t.Fatalf("call %d: %+v though nobody replied", n+1, got)
+			case replied && (string(got.Body) != string(expected.Body) || got.Err != expected.Err):
+				t.Fatalf("call %d: %+v in place of %+v", n+1, got, expected)
+			}
+		}
+		get(t, s.closed, "the end")
+		c.Close()
+		for n, ch := range waiting {
+			if len(ch) > 0 {
+				t.Fatalf("call %d was answered twice", n+1)
+			}
+		}
+	})
+}
