--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"dunetide/internal/attempt"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/operator"
 	"dunetide/internal/upstream"
@@ -22,12 +23,13 @@
 	// soon is when to come back where nothing better is known.
 	soon = 100 * time.Millisecond
 	// lateWrite is how long after the deadline a client may still take its answer.
-	lateWrite = 250 * time.Millisecond
+	lateWrite = 150 * time.Millisecond
 )
 
 // ServeHTTP answers a client.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := p.o.Now()
+	closeIfAmbiguous(w, r)
 	target, path := r.RequestURI, r.URL.EscapedPath()
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
@@ -63,6 +65,11 @@
 
 // forward answers a client's request of a route from an endpoint.
 func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, route *operator.Route, limits *operator.Limits, target string, arrived time.Time) {
+	if status := unanswerable(r); status != 0 {
+		w.Header().Set("Connection", "close")
+		p.answer(w, r, status, 0)
+		return
+	}
 	x := &exchange{p: p, ctx: r.Context(), method: r.Method}
 	x.describe(route, r.Header.Get)
 	aim := time.Duration(route.TimeoutMs) * time.Millisecond
@@ -86,10 +93,8 @@
 	}()
 	x.head, x.stream.buf = *headBuffer, *streamBuffer
 	if r.ContentLength != 0 {
-		if status := readBody(rc, r, limits, bodyBuffer); status != 0 {
-			if status == http.StatusRequestEntityTooLarge || status == http.StatusRequestTimeout {
-				w.Header().Set("Connection", "close")
-			}
+		if status := readBody(rc, r, limits, bodyBuffer, x.deadline); status != 0 {
+			w.Header().Set("Connection", "close") // what follows on it can't be told from the rest of the body
 			p.answer(w, r, status, 0)
 			return
 		}
@@ -103,6 +108,18 @@
 	p.answerFrom(x, w, r, rc)
 }
 
+// unanswerable is the status for a request whose answer could not be told from others, or not from a
+// part of itself; 0 for any other.
+func unanswerable(r *http.Request) int {
+	switch {
+	case !r.ProtoAtLeast(1, 1): // a stream that is cut would look complete
+		return http.StatusHTTPVersionNotSupported
+	case len(r.Header[headID]) != 1 || r.Header[headID][0] == "":
+		return http.StatusBadRequest
+	}
+	return 0
+}
+
 // answerFrom goes from endpoint to endpoint until there is an answer.
 func (p *Proxy) answerFrom(x *exchange, w http.ResponseWriter, r *http.Request, rc *http.ResponseController) {
 	e, ok := x.acquire()
@@ -111,16 +128,16 @@
 			e = x.send()
 		}
 		v := x.follow(e)
-		if v == PassOn {
-			if e = x.passOn(w, rc); e == Whole {
-				x.state = Ended
+		if v == attempt.Forward {
+			if e = x.passOn(w, rc); e == attempt.BodyComplete {
+				x.state = attempt.Ended
 				return
 			}
 			v = x.follow(e)
 		}
 		switch v {
-		case Again:
-			if e == Failed {
+		case attempt.Retry:
+			if e == attempt.Failed {
 				x.finishDrained(dispatch.Failed)
 			}
 			if x.headed {
@@ -128,21 +145,21 @@
 			}
 			e, ok = x.acquire()
 			continue
-		case Refuse:
+		case attempt.Refuse:
 			if x.reason != "" {
 				w.Header().Set(headReason, x.reason)
 			}
 			p.answer(w, r, http.StatusServiceUnavailable, x.comeBack())
-		case NoAnswer:
+		case attempt.BadGateway:
 			p.answer(w, r, http.StatusBadGateway, 0)
-		case TooLate:
+		case attempt.GatewayTimeout:
 			p.answer(w, r, http.StatusGatewayTimeout, 0)
-		case Abort:
-			if e == Failed {
+		case attempt.Abort:
+			if e == attempt.Failed {
 				x.finishDrained(dispatch.Failed)
 			}
 			panic(http.ErrAbortHandler)
-		case Nothing, PassOn:
+		case attempt.Done, attempt.Forward:
 		}
 		return
 	}
@@ -179,9 +196,9 @@
 	w.WriteHeader(status)
 }
 
-// readBody reads a request's body whole. It returns the status to answer if that can't be; 0 if
-// it is there.
-func readBody(rc *http.ResponseController, r *http.Request, limits *operator.Limits, into *[]byte) int {
+// readBody reads a request's body whole, up to the request's deadline. It returns the status to answer
+// if that can't be; 0 if it is there.
+func readBody(rc *http.ResponseController, r *http.Request, limits *operator.Limits, into *[]byte, deadline time.Time) int {
 	most := limits.MaxBodyBytes
 	if most <= 0 {
 		most = defaultBody
@@ -189,7 +206,11 @@
 	if r.ContentLength > most {
 		return http.StatusRequestEntityTooLarge
 	}
-	_ = rc.SetReadDeadline(time.Now().Add(bodyWait))
+	wait := time.Now().Add(bodyWait)
+	if deadline.Before(wait) {
+		wait = deadline
+	}
+	_ = rc.SetReadDeadline(wait)
 	b := *into
 	if n := int(r.ContentLength); n >= cap(b) {
 		b = make([]byte, 0, min(n+1, atOnce)) // what is only announced takes no more
@@ -238,7 +259,7 @@
 }
 
 // passOn passes an answer on. It says how that ended.
-func (x *exchange) passOn(w http.ResponseWriter, rc *http.ResponseController) Event {
+func (x *exchange) passOn(w http.ResponseWriter, rc *http.ResponseController) attempt.Event {
 	if x.resp.StatusCode == http.StatusOK && isStream(x.resp.Header) && x.method != http.MethodHead {
 		return x.passEvents(w, rc)
 	}
@@ -251,7 +272,7 @@
 		x.conn.Whole(x.resp)
 		x.passHead(w, length)
 		x.finish(outcome, upstream.Answered)
-		return Whole
+		return attempt.BodyComplete
 	}
 	b := x.stream.buf[:0]
 	if length >= int64(cap(b)) && length <= atOnce {
@@ -274,10 +295,10 @@
 			x.finish(outcome, upstream.Answered) // before the client has it all, who may ask again at once
 			if len(b) > 0 {
 				if _, err := w.Write(b); err != nil {
-					return ClientGone
+					return attempt.ClientGone
 				}
 			}
-			return Whole
+			return attempt.BodyComplete
 		}
 		if err != nil {
 			return x.cut(err)
@@ -294,7 +315,7 @@
 		}
 		if _, err := w.Write(b); err != nil {
 			x.finish(dispatch.Left, upstream.GaveUp)
-			return ClientGone
+			return attempt.ClientGone
 		}
 		b = b[:0]
 	}
@@ -306,15 +327,15 @@
 }
 
 // cut ends a sending whose body broke off.
-func (x *exchange) cut(err error) Event {
-	if e := x.failed(err); e != Broken && e != Unsent {
+func (x *exchange) cut(err error) attempt.Event {
+	if e := x.failed(err); e != attempt.Broken && e != attempt.NotWritten {
 		return e
 	}
-	return Cut
+	return attempt.BodyCut
 }
 
 // passEvents passes a stream on: each event as it comes, and only whole ones.
-func (x *exchange) passEvents(w http.ResponseWriter, rc *http.ResponseController) Event {
+func (x *exchange) passEvents(w http.ResponseWriter, rc *http.ResponseController) attempt.Event {
 	after := int64(-1)
 	if x.headed {
 		after, _ = strconv.ParseInt(x.last, 10, 64)
@@ -340,7 +361,7 @@
 
 // readEvents reads the answer's body as events and hands on what is whole. The end comes with what
 // is left, which the endpoint has ended properly.
-func (x *exchange) readEvents(hand func(whole []byte, end bool) error) Event {
+func (x *exchange) readEvents(hand func(whole []byte, end bool) error) attempt.Event {
 	s := &x.stream
 	for {
 		if len(s.buf) == cap(s.buf) {
@@ -356,14 +377,14 @@
 			x.conn.Whole(x.resp)
 			x.finish(dispatch.Served, upstream.Answered)
 			if hand(s.buf, true) != nil {
-				return ClientGone
+				return attempt.ClientGone
 			}
-			return Whole
+			return attempt.BodyComplete
 		}
 		if whole > 0 {
 			if hand(s.buf[:whole], false) != nil {
 				x.finish(dispatch.Left, upstream.GaveUp)
-				return ClientGone
+				return attempt.ClientGone
 			}
 			s.take()
 		}
