Orders: refused only by the register's decided state, else 503 and Retry-After

Cause: a version older than the 1,024 remembered got 412 when sent again, though it may have been taken; a body cut on its way got 400, which ends an operator's call, also for an order that was taken before; a retirement got 404 for a store that had joined but was not in the agreed table, and 409 by one keeper's view of who is attached. Change: below the oldest remembered version 503; a cut body 408, after which callers go on; 404 and 409 only by the agreed table, 503 where just this keeper's view stands against it, or where the store has had an order to retire before.

--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -66,7 +66,8 @@
 					refuse(w, http.StatusRequestEntityTooLarge, "the body is over "+strconv.FormatInt(c.most, 10)+" bytes: send less")
 					return
 				}
-				refuse(w, http.StatusBadRequest, "the body was cut: send it again whole")
+				// What came is no order, so it says nothing about the whole one, which may have been taken before.
+				refuse(w, http.StatusRequestTimeout, "the body was cut: send it again whole")
 				return
 			}
 			c.serve(k, w, name, body, r)
--- a/internal/keeper/documents.go
+++ b/internal/keeper/documents.go
@@ -10,6 +10,9 @@
 	"dunetide/internal/operator"
 )
 
+// retryAfter is in how many seconds an order without a clear answer may be sent again.
+const retryAfter = "0.2"
+
 // putDocument makes a document the newest value of its register, and tells its slot. On an error it has answered.
 func (k *Keeper) putDocument(w http.ResponseWriter, r *http.Request, of documentKind, body []byte, parse func([]byte) (uint64, error)) (uint64, bool) {
 	base, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
@@ -22,41 +25,39 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return 0, false
 	}
+	order := documentOrder{version: version, base: base, raw: body}
+	if err := k.proposeOrder(order, of); err != nil {
+		k.log.Info("document refused", "register", of.register, "version", version, "base", base, "err", err)
+		refuseOrder(w, statusOf(err), err.Error())
+		return 0, false
+	}
+	return version, true
+}
+
+// proposeOrder has an order decided; nil: it is in force, or was before its successors.
+func (k *Keeper) proposeOrder(order documentOrder, of documentKind) error {
 	done := make(chan error, 1)
-	k.agree.propose(of.register, proposeWait, func(cur agree.State) (agree.State, error) {
-		v, err := readDocument(cur.Value)
-		if err != nil {
-			return cur, err
-		}
-		next, err := v.put(body, version, base, of)
-		if err != nil {
-			return cur, err
-		}
-		if next == nil {
-			return cur, agree.ErrUnchanged
-		}
-		cur.Value = next.encode()
-		return cur, nil
-	}, func(s agree.State, err error) {
-		if err == agree.ErrUnchanged {
-			err = nil
-		}
+	k.agree.propose(of.register, proposeWait, order.change(of), func(s agree.State, err error) {
 		if err == nil {
 			k.spread(of.register, s)
 		}
 		done <- err
 	})
 	select {
-	case err = <-done:
+	case err := <-done:
+		return err
 	case <-k.ended:
-		err = errStops
+		return errStops
 	}
-	if err != nil {
-		k.log.Info("document refused", "register", of.register, "version", version, "base", base, "err", err)
-		refuse(w, statusOf(err), err.Error())
-		return 0, false
+}
+
+// refuseOrder answers an order that was not confirmed. 503 says that it is not known what became of it, or will: it is to be
+// sent again as it is.
+func refuseOrder(w http.ResponseWriter, code int, why string) {
+	if code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
 	}
-	return version, true
+	refuse(w, code, why)
 }
 
 func (k *Keeper) putConfig(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
@@ -109,11 +110,11 @@
 		err = res.err
 	}
 	if err != nil {
-		refuse(w, http.StatusServiceUnavailable, err.Error())
+		refuseOrder(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	if v.version == 0 {
-		refuse(w, none, why)
+		refuseOrder(w, none, why)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/internal/keeper/retire_test.go
@@ -0,0 +1,91 @@
+package keeper
+
+import (
+	"errors"
+	"testing"
+
+	"dunetide/internal/agree"
+	"dunetide/internal/view"
+)
+
+// A retirement is refused by what the agreed table says, and put off where only this keeper's view stands against it.
+func TestRetirementIsRefusedByTheTableAlone(t *testing.T) {
+	store := func(id uint64) view.Store { return view.Store{ID: id, Name: string(rune('a' + id - 1))} }
+	table := func(ids ...uint64) *view.Table {
+		table := &view.Table{Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}}
+		for _, id := range ids {
+			table.Stores[id] = store(id)
+		}
+		return table
+	}
+	retiring := func(table *view.Table, ids ...uint64) *view.Table {
+		for _, id := range ids {
+			table.Retiring[id] = true
+		}
+		return table
+	}
+	replaced := func() *view.Table {
+		table := retiring(table(1, 2, 3), 1)
+		table.Stores[9] = view.Store{ID: 9, Name: "a"} // the same machine on an emptied disk
+		return table
+	}
+	for _, test := range []struct {
+		what  string
+		table *view.Table
+		name  string
+		alive []uint64
+		want  error
+	}{
+		{"enough are left", table(1, 2, 3), "a", []uint64{1, 2, 3}, nil},
+		{"one that is not heard of itself", table(1, 2, 3), "a", []uint64{2, 3}, nil},
+		{"no table yet, and nobody of this name", nil, "a", nil, errUnknownStore},
+		{"no table yet, and it is attached", nil, "a", []uint64{1}, errStoreJoins},
+		{"the table does not name it", table(1, 2, 3), "x", []uint64{1, 2, 3}, errUnknownStore},
+		{"it has joined and the table does not name it yet", table(1, 2, 3), "d", []uint64{1, 2, 3, 4}, errStoreJoins},
+		{"the table has too few", table(1, 2), "a", []uint64{1, 2}, errTooFew},
+		{"the table has too few and none is heard of", table(1, 2), "a", nil, errTooFew},
+		{"the others retire", retiring(table(1, 2, 3), 2), "a", []uint64{1, 2, 3}, errTooFew},
+		{"this keeper hears of too few", table(1, 2, 3), "a", []uint64{1, 3}, errStoresMissing},
+		{"one of those left is not in the table yet", table(1, 2), "a", []uint64{1, 2, 3}, nil},
+		{"a repeat", retiring(table(1, 2, 3), 1), "a", []uint64{1, 2, 3}, agree.ErrUnchanged},
+		{"a repeat when too few are left by now", retiring(table(1, 2), 1), "a", nil, agree.ErrUnchanged},
+		{"a repeat for a machine whose disk was emptied", replaced(), "a", []uint64{9, 2, 3}, nil},
+		{"such a repeat when too few are left by now", retiring(replaced(), 2), "a", []uint64{9, 3}, errStoresMissing},
+	} {
+		t.Run(test.what, func(t *testing.T) {
+			order := retirement{name: test.name, lost: func(uint64) bool { return false }, spare: 1}
+			for _, id := range test.alive {
+				s := store(id)
+				if id == 9 {
+					s.Name = "a"
+				}
+				order.alive = append(order.alive, s)
+			}
+			next, err := order.change(test.table)
+			if !errors.Is(err, test.want) || err == nil && next == nil {
+				t.Fatalf("%v, %v", next, err)
+			}
+		})
+	}
+}
+
+// Nothing but the two refusals ends an operator's call.
+func TestRetireStatus(t *testing.T) {
+	for err, want := range map[error]int{
+		nil: 200, agree.ErrUnchanged: 200, errUnknownStore: 404, errTooFew: 409, errStoreJoins: 503, errStoresMissing: 503,
+		errStoresUnheard: 503, errStops: 503, errBusy: 503,
+	} {
+		if got := retireStatus(err); got != want {
+			t.Errorf("%v: %d", err, got)
+		}
+	}
+	for _, class := range []interface{ New(string, ...any) error }{&agree.ErrTimeout, &agree.ErrNoMajority, &agree.ErrUnknown, &agree.ErrBusy, &agree.ErrVoters} {
+		err := class.New("x")
+		if got := retireStatus(err); got != 503 {
+			t.Errorf("%v: %d", err, got)
+		}
+		if got := statusOf(err); got != 503 {
+			t.Errorf("%v: %d to a document", err, got)
+		}
+	}
+}
