Model of operators' orders, checked for linearizability with porcupine

Cause: that two operators are never both confirmed, and no repeat refused, was shown by tables and a few races only. Change: a simulator with the real registers and the real decision on an order; eight operators at most put, repeat, race and read through several machines under one-way and whole cuts, lost answers, freezes, restarts, loss of power everywhere and replaced voters. Each history is checked as one register with conditional writes and conditional repeats.

--- /dev/null
+++ b/internal/keeper/history_test.go
@@ -0,0 +1,178 @@
+package keeper
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// history is what operators saw of one register: each call from when it was sent to when its answer came.
+type history struct {
+	clock      int64
+	operations []porcupine.Operation
+	orders     []documentOrder // by the numbers that their bytes tell
+}
+
+func newHistory() *history { return &history{} }
+
+// unanswered is the status of a call whose answer did not come.
+const unanswered = 0
+
+// registerCall is a call of an operator: an order, or a read where it is negative.
+type registerCall struct {
+	order   int
+	version uint64
+	base    uint64
+}
+
+const (
+	readCall = -1 - iota
+	endCall  // marks the end of the history
+	noOrder  // what a read found before the first order
+)
+
+// registerAnswer is a status, and what a read found.
+type registerAnswer struct {
+	status int
+	found  int
+}
+
+// clear reports whether an operator knows by it what became of its call.
+func (a registerAnswer) clear() bool {
+	return a.status != unanswered && a.status != http.StatusServiceUnavailable
+}
+
+func (h *history) tick() int64 {
+	h.clock++
+	return h.clock
+}
+
+// newOrder makes an order whose bytes no other one has.
+func (h *history) newOrder(version, base uint64) int {
+	h.orders = append(h.orders, documentOrder{version: version, base: base, raw: fmt.Appendf(nil, "order %d", len(h.orders))})
+	return len(h.orders) - 1
+}
+
+// orderOf is the number of the order that a document came with.
+func orderOf(v *document) int {
+	if v.version == 0 {
+		return noOrder
+	}
+	var number int
+	if _, err := fmt.Sscanf(string(v.raw), "order %d", &number); err != nil {
+		panic(err) // all bytes are made by newOrder
+	}
+	return number
+}
+
+// begin notes a call; the result takes its answer. Without a clear one it may have any effect at any later time.
+func (h *history) begin(order int) (answered func(registerAnswer)) {
+	call := registerCall{order: order}
+	if order >= 0 {
+		call.version, call.base = h.orders[order].version, h.orders[order].base
+	}
+	i := len(h.operations)
+	h.operations = append(h.operations, porcupine.Operation{ClientId: i, Input: call, Call: h.tick(), Output: registerAnswer{}, Return: math.MaxInt64})
+	return func(a registerAnswer) {
+		h.operations[i].Output = a
+		if a.clear() {
+			h.operations[i].Return = h.tick()
+		}
+	}
+}
+
+// registerState is the register as operators know it: one document at a time, and all that ever were in force.
+type registerState struct {
+	version uint64
+	newest  int
+	taken   string // the orders that were in force, each as a character
+	ended   bool
+}
+
+func (s registerState) has(order int) bool { return strings.ContainsRune(s.taken, rune(order)) }
+
+// put is a conditional write; false: it is none on this state.
+func (s registerState) put(c registerCall) (registerState, bool) {
+	if c.base != s.version || c.version <= s.version {
+		return s, false
+	}
+	s.version, s.newest, s.taken = c.version, c.order, s.taken+string(rune(c.order))
+	return s, true
+}
+
+// registerModel is one register with conditional writes and conditional repeats: 200 says that the order is in force or was,
+// 412 that it never was and that another version is in place, 400 that it never was and its number is too low. Without an
+// answer it takes effect once, at any later time, or not at all.
+var registerModel = porcupine.Model{
+	Init: func() any { return registerState{newest: noOrder} },
+	Step: func(state, input, output any) (bool, any) {
+		return state.(registerState).step(input.(registerCall), output.(registerAnswer))
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+	DescribeState:     func(state any) string { return fmt.Sprintf("%+v", state) },
+}
+
+func (s registerState) step(c registerCall, a registerAnswer) (bool, registerState) {
+	switch {
+	case c.order == endCall:
+		s.ended = true
+		return true, s
+	case c.order == readCall:
+		return s.newest == a.found, s
+	}
+	next, applies := s.put(c)
+	switch a.status {
+	case http.StatusOK:
+		return applies || s.has(c.order), next
+	case http.StatusPreconditionFailed:
+		return !s.has(c.order) && c.base != s.version, s
+	case http.StatusBadRequest:
+		return !s.has(c.order) && c.base == s.version && c.version <= s.version, s
+	default: // it has its effect where it can have one; those that have none are left for the end
+		if s.ended {
+			return true, s
+		}
+		return applies, next
+	}
+}
+
+// check looks whether some order of the calls explains all that was seen.
+func (h *history) check(within time.Duration) error {
+	var all []porcupine.Operation
+	for _, o := range h.operations {
+		if o.Input.(registerCall).order == readCall && o.Output.(registerAnswer).status != http.StatusOK {
+			continue // it says nothing
+		}
+		all = append(all, o)
+	}
+	now := h.tick()
+	all = append(all, porcupine.Operation{ClientId: len(h.operations), Input: registerCall{order: endCall}, Call: now, Output: registerAnswer{}, Return: h.tick()})
+	switch porcupine.CheckOperationsTimeout(registerModel, all, within) {
+	case porcupine.Ok:
+		return nil
+	case porcupine.Unknown:
+		return fmt.Errorf("not decided within %v: %d calls", within, len(all))
+	}
+	return fmt.Errorf("not linearizable:\n%s", h)
+}
+
+func (h *history) String() string {
+	var b strings.Builder
+	for _, o := range h.operations {
+		call, a := o.Input.(registerCall), o.Output.(registerAnswer)
+		until := fmt.Sprint(o.Return)
+		if o.Return == math.MaxInt64 {
+			until = "-"
+		}
+		if call.order == readCall {
+			fmt.Fprintf(&b, "%5d %5s read: %d, order %d\n", o.Call, until, a.status, a.found)
+			continue
+		}
+		fmt.Fprintf(&b, "%5d %5s put order %d (version %d on %d): %d\n", o.Call, until, call.order, call.version, call.base, a.status)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/keeper/model_test.go
@@ -0,0 +1,314 @@
+package keeper
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"dunetide/internal/agree"
+)
+
+// The model plays the configurations' register, with the real agreement and the real decision on an order, on simulated
+// machines with a simulated network, clock and disks. Operators call it, and what they see is a history.
+
+// modelCluster is a simulation by seed: machines with disks, links between them, operators, and one clock.
+type modelCluster struct {
+	rng      *rand.Rand
+	now      time.Duration
+	events   modelEvents
+	sequence int
+	machines []*modelMachine
+	document documentKind
+
+	delay      time.Duration // of a message, at most
+	loss       float64       // share of messages between machines that are lost
+	double     float64       // share of messages that come twice
+	late       float64       // share of messages that come up to a second late
+	lostAnswer float64       // share of answers to operators that are lost
+	cut        map[[2]int]bool
+	replacing  bool // a voter's disk was lost, and its successor is not in yet
+
+	history *history
+}
+
+type modelEvent struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type modelEvents []modelEvent
+
+func (e modelEvents) Len() int { return len(e) }
+func (e modelEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e modelEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *modelEvents) Push(x any)   { *e = append(*e, x.(modelEvent)) }
+func (e *modelEvents) Pop() any {
+	last := len(*e) - 1
+	event := (*e)[last]
+	*e = (*e)[:last]
+	return event
+}
+
+// modelMachine is a keeper's register on a machine with a disk.
+type modelMachine struct {
+	cluster     *modelCluster
+	index       int
+	id          uint64
+	disk        [][]byte
+	register    *agree.Register
+	life        int // counts starts, so that what belongs to an earlier life is dropped
+	up          bool
+	frozenUntil time.Duration
+	tick        int // counts schedules, so that only the newest runs
+}
+
+func newModelCluster(seed uint64, voters, remembered int) *modelCluster {
+	c := &modelCluster{rng: rand.New(rand.NewPCG(seed, 41)), cut: map[[2]int]bool{}, delay: 10 * time.Millisecond, history: newHistory(),
+		document: documentKind{configRegister, "/config", &ErrInvalid, remembered}}
+	var first []agree.Voter
+	for i := range voters {
+		m := &modelMachine{cluster: c, index: i, id: uint64(i + 1)}
+		c.machines = append(c.machines, m)
+		first = append(first, m.voter())
+	}
+	for _, m := range c.machines {
+		m.start()
+		m.step(func() { m.register.Bootstrap(first, nil) })
+	}
+	return c
+}
+
+func (c *modelCluster) after(wait time.Duration, run func()) {
+	c.sequence++
+	heap.Push(&c.events, modelEvent{c.now + wait, c.sequence, run})
+}
+
+// run plays events until a time, or until there is nothing more to wait for.
+func (c *modelCluster) run(until time.Duration, more func() bool) {
+	for len(c.events) > 0 && c.events[0].at <= until && more() {
+		event := heap.Pop(&c.events).(modelEvent)
+		c.now = event.at
+		event.run()
+	}
+}
+
+func (c *modelCluster) chance(p float64) bool { return p > 0 && c.rng.Float64() < p }
+
+func (c *modelCluster) upTo(d time.Duration) time.Duration {
+	return time.Duration(c.rng.Int64N(int64(d) + 1))
+}
+
+func (c *modelCluster) anyMachine() *modelMachine { return c.machines[c.rng.IntN(len(c.machines))] }
+
+func (m *modelMachine) voter() agree.Voter {
+	return agree.Voter{ID: m.id, Name: fmt.Sprint("k", m.index), Addr: fmt.Sprint(m.index)}
+}
+
+func (m *modelMachine) start() {
+	c := m.cluster
+	m.up, m.life = true, m.life+1
+	var err error
+	m.register, err = agree.New(agree.Options{Name: configRegister, ID: m.id, Proposer: c.rng.Uint64() | 1, Rand: c.rng.Float64,
+		Save: func(payload []byte) error { m.disk = append(m.disk, bytes.Clone(payload)); return nil },
+		Send: m.send}, m.disk)
+	if err != nil {
+		panic(err) // a disk only holds what was saved
+	}
+	m.schedule()
+	m.askUntilKnown(m.life)
+}
+
+// askUntilKnown is what a process does that knows nothing.
+func (m *modelMachine) askUntilKnown(life int) {
+	if m.life != life {
+		return
+	}
+	if _, known := m.register.State(); known {
+		return
+	}
+	m.step(func() { m.register.Ask(m.cluster.now, m.cluster.anyMachine().voter()) })
+	m.cluster.after(200*time.Millisecond, func() { m.askUntilKnown(life) })
+}
+
+// stop is a kill or a loss of power alike: Save returns when the payload is on disk.
+func (m *modelMachine) stop() {
+	m.up, m.life = false, m.life+1
+}
+
+// step runs something on this machine, once it is not frozen, unless its life ends before.
+func (m *modelMachine) step(run func()) {
+	if !m.up {
+		return
+	}
+	if wait := m.frozenUntil - m.cluster.now; wait > 0 {
+		life := m.life
+		m.cluster.after(wait, func() {
+			if m.life == life {
+				m.step(run)
+			}
+		})
+		return
+	}
+	run()
+	m.schedule()
+}
+
+func (m *modelMachine) schedule() {
+	m.tick++
+	tick, next := m.tick, m.register.Next()
+	if next == agree.Never {
+		return
+	}
+	m.cluster.after(max(next-m.cluster.now, time.Microsecond), func() {
+		if m.tick == tick {
+			m.step(func() { m.register.Tick(m.cluster.now) })
+		}
+	})
+}
+
+func (m *modelMachine) send(to agree.Voter, message []byte) {
+	c := m.cluster
+	var target int
+	if _, err := fmt.Sscan(to.Addr, &target); err != nil {
+		panic(err) // all addresses are made by voter
+	}
+	copies := 1
+	if c.chance(c.double) {
+		copies = 2
+	}
+	from := agree.Voter{Name: fmt.Sprint("k", m.index), Addr: fmt.Sprint(m.index)}
+	for range copies {
+		if c.cut[[2]int{m.index, target}] || c.chance(c.loss) {
+			continue
+		}
+		receiver := c.machines[target]
+		c.after(c.travel(), func() {
+			receiver.step(func() { receiver.register.Receive(c.now, from, message) })
+		})
+	}
+}
+
+// travel is how long a message is on its way.
+func (c *modelCluster) travel() time.Duration {
+	if c.chance(c.late) {
+		return c.upTo(time.Second)
+	}
+	return 100*time.Microsecond + c.upTo(c.delay)
+}
+
+// put is an operator's order at this machine; answer is called once, or never if the machine is lost meanwhile.
+func (m *modelMachine) put(order documentOrder, answer func(status int)) {
+	m.step(func() {
+		m.register.Propose(m.cluster.now, proposeWait, order.change(m.cluster.document), func(_ agree.State, err error) { answer(statusOf(err)) })
+	})
+}
+
+// get reads what is in force.
+func (m *modelMachine) get(answer func(v *document, err error)) {
+	m.step(func() {
+		m.register.Read(m.cluster.now, proposeWait, func(s agree.State, err error) {
+			if err != nil {
+				answer(nil, err)
+				return
+			}
+			answer(readDocument(s.Value))
+		})
+	})
+}
+
+// loseDisk empties a machine's disk: it comes back as another voter, and asks to be one until it is.
+func (m *modelMachine) loseDisk() {
+	c := m.cluster
+	m.stop()
+	m.id, m.disk = c.rng.Uint64()|1, nil
+	c.replacing = true
+	c.after(c.upTo(300*time.Millisecond), func() {
+		if !m.up {
+			m.start()
+		}
+	})
+	c.after(300*time.Millisecond, func() { m.join(m.id) })
+}
+
+func (m *modelMachine) join(id uint64) {
+	c := m.cluster
+	joined := false
+	proposer := c.anyMachine()
+	proposer.step(func() {
+		proposer.register.Propose(c.now, time.Second, func(cur agree.State) (agree.State, error) {
+			if m.id != id {
+				return cur, agree.ErrUnchanged
+			}
+			next, changed := agree.Admit(cur, m.voter(), func(agree.Voter) bool { return false }, len(cur.Voters))
+			if !changed {
+				return cur, agree.ErrUnchanged
+			}
+			return next, nil
+		}, func(_ agree.State, err error) { joined = err == nil })
+	})
+	c.after(1100*time.Millisecond, func() {
+		if joined {
+			c.replacing = false
+			return
+		}
+		m.join(id)
+	})
+}
+
+// calm ends all troubles and starts all machines.
+func (c *modelCluster) calm() {
+	c.loss, c.double, c.late, c.lostAnswer = 0, 0, 0, 0
+	clear(c.cut)
+	for _, m := range c.machines {
+		m.frozenUntil = 0
+		if !m.up {
+			m.start()
+		}
+	}
+}
+
+// someTrouble starts a trouble, which ends by itself.
+func (c *modelCluster) someTrouble() {
+	m, other := c.anyMachine(), c.anyMachine()
+	length := 50*time.Millisecond + c.upTo(1500*time.Millisecond)
+	switch c.rng.IntN(7) {
+	case 0:
+		c.cutFor(length, [2]int{m.index, other.index})
+	case 1: // cut off from all, both ways
+		for _, p := range c.machines {
+			c.cutFor(length, [2]int{m.index, p.index})
+			c.cutFor(length, [2]int{p.index, m.index})
+		}
+	case 2:
+		c.restart(m, length)
+	case 3:
+		m.frozenUntil = c.now + length
+	case 4: // power is lost everywhere
+		for _, p := range c.machines {
+			c.restart(p, length/4)
+		}
+	case 5, 6:
+		if !c.replacing {
+			m.loseDisk()
+		}
+	}
+}
+
+func (c *modelCluster) cutFor(length time.Duration, link [2]int) {
+	c.cut[link] = true
+	c.after(length, func() { delete(c.cut, link) })
+}
+
+func (c *modelCluster) restart(m *modelMachine, after time.Duration) {
+	m.stop()
+	c.after(after, func() {
+		if !m.up {
+			m.start()
+		}
+	})
+}
--- /dev/null
+++ b/internal/keeper/operators_test.go
@@ -0,0 +1,237 @@
+package keeper
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	operatorCount = 8
+	// operatorWait is how long an operator waits for an answer.
+	operatorWait  = time.Second
+	operatorTries = 5
+	// checkWait bounds the check of one history.
+	checkWait = 20 * time.Second
+)
+
+// modelOperator puts, repeats and reads through any machine, one call or two at a time.
+type modelOperator struct {
+	cluster *modelCluster
+	known   uint64 // the newest version that it has heard of
+	until   time.Duration
+}
+
+// call sends a call and tells its answer, or unanswered after a second.
+func (o *modelOperator) call(order int, m *modelMachine, then func(registerAnswer)) {
+	c := o.cluster
+	answered := c.history.begin(order)
+	waits := true
+	heard := func(a registerAnswer) {
+		if c.chance(c.lostAnswer) {
+			return
+		}
+		c.after(c.travel(), func() {
+			if waits {
+				waits = false
+				answered(a)
+				then(a)
+			}
+		})
+	}
+	c.after(c.travel(), func() {
+		if order == readCall {
+			m.get(func(v *document, err error) {
+				if err != nil {
+					heard(registerAnswer{status: http.StatusServiceUnavailable})
+					return
+				}
+				heard(registerAnswer{http.StatusOK, orderOf(v)})
+			})
+			return
+		}
+		m.put(c.history.orders[order], func(status int) { heard(registerAnswer{status: status}) })
+	})
+	c.after(operatorWait, func() {
+		if waits {
+			waits = false
+			then(registerAnswer{status: unanswered})
+		}
+	})
+}
+
+// order sends an order until it has a clear answer or has been tried often enough, each time to any machine.
+func (o *modelOperator) order(order, tries int, then func()) {
+	o.call(order, o.cluster.anyMachine(), func(a registerAnswer) {
+		if !a.clear() && tries > 1 {
+			o.cluster.after(o.cluster.upTo(200*time.Millisecond), func() { o.order(order, tries-1, then) })
+			return
+		}
+		if a.status == http.StatusOK {
+			o.known = max(o.known, o.cluster.history.orders[order].version)
+		}
+		then()
+	})
+}
+
+func (o *modelOperator) read(then func()) {
+	o.call(readCall, o.cluster.anyMachine(), func(a registerAnswer) {
+		if a.status == http.StatusOK && a.found != noOrder {
+			o.known = max(o.known, o.cluster.history.orders[a.found].version)
+		}
+		then()
+	})
+}
+
+// act does the next thing after a pause, and goes on until its time is over.
+func (o *modelOperator) act() {
+	c := o.cluster
+	if c.now >= o.until {
+		return
+	}
+	again := func() { c.after(c.upTo(800*time.Millisecond), o.act) }
+	orders := c.history.orders
+	switch draw := c.rng.IntN(10); {
+	case draw < 3:
+		o.read(again)
+	case draw < 5 && len(orders) > 0: // one that anybody sent before, whatever became of it
+		o.order(c.rng.IntN(len(orders)), 1, again)
+	case draw < 6 && len(orders) > 0: // a rival of one that was sent before
+		rival := orders[len(orders)-1-c.rng.IntN(min(3, len(orders)))]
+		base := rival.base
+		if c.chance(.5) {
+			base = o.known
+		}
+		o.order(c.history.newOrder(rival.version, base), operatorTries, again)
+	default:
+		order := c.history.newOrder(o.known+1+uint64(c.rng.IntN(3)), o.known)
+		if c.chance(.3) { // twice at the same time
+			o.order(order, 1, func() {})
+		}
+		o.order(order, operatorTries, again)
+	}
+}
+
+// playOperators plays a drawn history and ends it in calm, where every machine is read and every order is repeated.
+func playOperators(seed uint64) (*history, error) {
+	voters := []int{3, 3, 4, 5}[seed%4]
+	remembered := []int{2, 4, rememberedVersions}[seed%3]
+	c := newModelCluster(seed, voters, remembered)
+	c.loss, c.double, c.late = .1*c.rng.Float64(), .1*c.rng.Float64(), .05*c.rng.Float64()
+	c.lostAnswer = .4 * c.rng.Float64()
+	length := 2*time.Second + c.upTo(4*time.Second)
+	for range 2 + c.rng.IntN(operatorCount-1) {
+		o := &modelOperator{cluster: c, until: length}
+		c.after(c.upTo(500*time.Millisecond), o.act)
+	}
+	for range c.rng.IntN(8) {
+		c.after(c.upTo(length), c.someTrouble)
+	}
+	c.run(length+10*time.Second, func() bool { return true })
+	c.calm()
+	c.run(c.now+5*time.Second, func() bool { return true })
+	if err := c.repeatAll(); err != nil {
+		return c.history, err
+	}
+	return c.history, c.history.check(checkWait)
+}
+
+// calmTries is how many calls an operator needs at most in calm: after a conflict a proposer waits for up to twice the slowest
+// phase that it has seen, which may have been a cut.
+const calmTries = 4
+
+// repeatAll has each order sent again and each machine read. In calm all get a clear answer, but for versions that are no
+// longer remembered.
+func (c *modelCluster) repeatAll() error {
+	o := &modelOperator{cluster: c}
+	for _, m := range c.machines {
+		if a := o.callUntilClear(readCall, m); !a.clear() {
+			return fmt.Errorf("machine %d can't be read in calm", m.index)
+		}
+	}
+	for order, put := range c.history.orders {
+		a := o.callUntilClear(order, c.anyMachine())
+		if !a.clear() && !c.forgotten(put.version) {
+			return fmt.Errorf("order %d (version %d) gets %d in calm", order, put.version, a.status)
+		}
+	}
+	return nil
+}
+
+// callUntilClear calls one machine a few times.
+func (o *modelOperator) callUntilClear(order int, m *modelMachine) (answer registerAnswer) {
+	for try := 0; try < calmTries && !answer.clear(); try++ {
+		waits := true
+		o.call(order, m, func(a registerAnswer) { answer, waits = a, false })
+		o.cluster.run(o.cluster.now+2*operatorWait, func() bool { return waits })
+	}
+	return answer
+}
+
+// forgotten reports whether a version is below all that some machine remembers.
+func (c *modelCluster) forgotten(version uint64) bool {
+	for _, m := range c.machines {
+		s, _ := m.register.State()
+		if v, err := readDocument(s.Value); err == nil && len(v.past) >= c.document.remembered && version < v.past[0].version {
+			return true
+		}
+	}
+	return false
+}
+
+// historiesPlayed is how many a test draws: ORDERS_SEEDS, or what fits into a few seconds.
+func historiesPlayed(usual int) int {
+	if n, err := strconv.Atoi(os.Getenv("ORDERS_SEEDS")); err == nil {
+		return n
+	}
+	return usual
+}
+
+// Drawn histories of operators who put, repeat, race and read through several keepers, under cuts, losses, restarts and
+// replaced voters, are linearizable. ORDERS_SEED plays one seed and shows its history.
+func TestOperatorsHistoriesAreLinearizable(t *testing.T) {
+	if seed, err := strconv.ParseUint(os.Getenv("ORDERS_SEED"), 10, 64); err == nil {
+		h, err := playOperators(seed)
+		t.Log(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	var next, calls, unclear atomic.Uint64
+	answers := map[int]*atomic.Uint64{200: {}, 400: {}, 412: {}}
+	n := historiesPlayed(1000)
+	var group sync.WaitGroup
+	for range min(4, runtime.GOMAXPROCS(0)) {
+		group.Go(func() {
+			for seed := next.Add(1); seed <= uint64(n) && !t.Failed(); seed = next.Add(1) {
+				h, err := playOperators(seed)
+				if err != nil {
+					t.Errorf("seed %d: %v", seed, err)
+				}
+				for _, o := range h.operations {
+					calls.Add(1)
+					if count := answers[o.Output.(registerAnswer).status]; count != nil {
+						count.Add(1)
+					} else {
+						unclear.Add(1)
+					}
+				}
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d histories, %d calls: 200 to %d, 400 to %d, 412 to %d, %d without a clear answer", n, calls.Load(),
+		answers[200].Load(), answers[400].Load(), answers[412].Load(), unclear.Load())
+	for status, count := range answers {
+		if n >= 1000 && count.Load() == 0 {
+			t.Errorf("no call got %d: the histories show nothing of it", status)
+		}
+	}
+}
