Model of orders: every order of the first events of six small cases

Change: rivals under one number, a repeat at another machine while the first try is under way, a successor and a read, with each message delivered or lost in any order, and with a restart.

--- /dev/null
+++ b/internal/keeper/every_order_test.go
@@ -0,0 +1,226 @@
+package keeper
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"dunetide/internal/agree"
+)
+
+// smallCase is a few calls on three machines that are all sent before the first message arrives.
+type smallCase struct {
+	what  string
+	calls []smallCall
+	// restarts has each machine restarted, at any moment, once.
+	restarts bool
+}
+
+// smallCall is a call to one machine; order: an index of smallOrders, or a read.
+type smallCall struct{ machine, order int }
+
+// smallOrders are two rivals under one number, and one that builds on it.
+var smallOrders = [][2]uint64{{5, 0}, {5, 0}, {7, 5}}
+
+var smallCases = []smallCase{
+	{"rivals", []smallCall{{0, 0}, {1, 1}}, false},
+	{"a repeat at another machine while the first try is under way", []smallCall{{0, 0}, {1, 0}}, false},
+	{"rivals and a repeat", []smallCall{{0, 0}, {1, 1}, {2, 0}}, false},
+	{"an order, its successor and a read", []smallCall{{0, 0}, {1, 2}, {2, readCall}}, false},
+	{"rivals, and a machine is restarted", []smallCall{{0, 0}, {1, 1}}, true},
+	{"a repeat, and a machine is restarted", []smallCall{{0, 0}, {1, 0}}, true},
+}
+
+// smallWorld is three machines whose messages are delivered in the order that the test chooses.
+type smallWorld struct {
+	now       time.Duration
+	registers []*agree.Register
+	disks     [][][]byte
+	lives     uint64
+	wire      []smallMessage
+	history   *history
+	waiting   int // calls that have not ended
+	restarts  int // that may still come
+}
+
+type smallMessage struct {
+	from, to int
+	body     []byte
+}
+
+// smallVoters is the number of machines in a small world.
+const smallVoters = 3
+
+func newSmallWorld(play smallCase) *smallWorld {
+	w := &smallWorld{registers: make([]*agree.Register, smallVoters), disks: make([][][]byte, smallVoters), history: newHistory()}
+	if play.restarts {
+		w.restarts = 1
+	}
+	var voters []agree.Voter
+	for i := range smallVoters {
+		voters = append(voters, agree.Voter{ID: uint64(i + 1), Addr: strconv.Itoa(i)})
+	}
+	for i := range smallVoters {
+		w.start(i)
+		w.registers[i].Bootstrap(voters, nil)
+	}
+	for _, order := range smallOrders {
+		w.history.newOrder(order[0], order[1])
+	}
+	for _, call := range play.calls {
+		w.call(call.machine, call.order)
+	}
+	return w
+}
+
+func (w *smallWorld) start(i int) {
+	w.lives++
+	register, err := agree.New(agree.Options{Name: configRegister, ID: uint64(i + 1), Proposer: w.lives, Rand: func() float64 { return float64(i) / smallVoters },
+		Save: func(payload []byte) error { w.disks[i] = append(w.disks[i], payload); return nil },
+		Send: func(to agree.Voter, body []byte) {
+			w.wire = append(w.wire, smallMessage{i, int(to.ID) - 1, body})
+		}}, w.disks[i])
+	if err != nil {
+		panic(err) // a disk only holds what was saved
+	}
+	w.registers[i] = register
+}
+
+func (w *smallWorld) call(machine, order int) {
+	answered := w.history.begin(order)
+	w.waiting++
+	if order == readCall {
+		w.registers[machine].Read(w.now, proposeWait, func(s agree.State, err error) {
+			w.waiting--
+			v, unreadable := readDocument(s.Value)
+			if err != nil || unreadable != nil {
+				return
+			}
+			answered(registerAnswer{200, orderOf(v)})
+		})
+		return
+	}
+	change := w.history.orders[order].change(configDocument)
+	w.registers[machine].Propose(w.now, proposeWait, change, func(_ agree.State, err error) {
+		w.waiting--
+		answered(registerAnswer{status: statusOf(err)})
+	})
+}
+
+// choices is in how many ways the world may go on: each message delivered or lost, each machine restarted, the clock moved on.
+func (w *smallWorld) choices() int {
+	n := 2*len(w.wire) + 1
+	if w.restarts > 0 {
+		n += smallVoters
+	}
+	return n
+}
+
+func (w *smallWorld) choose(choice int) {
+	switch messages := len(w.wire); {
+	case choice < messages:
+		w.deliver(choice)
+	case choice < 2*messages:
+		w.take(choice - messages)
+	case choice == 2*messages:
+		w.tick()
+	default:
+		w.restarts--
+		w.start(choice - 2*messages - 1)
+	}
+}
+
+func (w *smallWorld) take(i int) smallMessage {
+	m := w.wire[i]
+	w.wire = append(w.wire[:i:i], w.wire[i+1:]...)
+	return m
+}
+
+func (w *smallWorld) deliver(i int) {
+	m := w.take(i)
+	w.registers[m.to].Receive(w.now, agree.Voter{ID: uint64(m.from + 1), Addr: strconv.Itoa(m.from)}, m.body)
+}
+
+// tick moves the clock to when some register has something to do.
+func (w *smallWorld) tick() {
+	next := agree.Never
+	for _, r := range w.registers {
+		next = min(next, r.Next())
+	}
+	w.now = max(w.now, next)
+	for _, r := range w.registers {
+		r.Tick(w.now)
+	}
+}
+
+// finish delivers all in the order sent until every call has ended, then repeats every order at every machine and reads.
+func (w *smallWorld) finish() {
+	w.settle()
+	for machine := range smallVoters {
+		for order := range smallOrders[:2] {
+			w.waiting = 0 // those of a machine that was restarted never end
+			w.call(machine, order)
+			w.settle()
+		}
+		w.waiting = 0
+		w.call(machine, readCall)
+		w.settle()
+	}
+}
+
+// settle goes on until all calls have ended, or would have.
+func (w *smallWorld) settle() {
+	for until := w.now + 2*proposeWait; w.waiting > 0 && w.now < until; {
+		if len(w.wire) > 0 {
+			w.deliver(0)
+		} else {
+			w.tick()
+		}
+	}
+}
+
+// TestEveryOrderOfASmallCase goes through every order of the first events of small cases, to a depth: ORDERS_DEPTH.
+func TestEveryOrderOfASmallCase(t *testing.T) {
+	depth := 3
+	if n, err := strconv.Atoi(os.Getenv("ORDERS_DEPTH")); err == nil {
+		depth = n
+	}
+	for _, play := range smallCases {
+		t.Run(play.what, func(t *testing.T) {
+			t.Parallel()
+			worlds := 0
+			everyPath(depth, func(path []int) (choices int) {
+				w := newSmallWorld(play)
+				for _, choice := range path {
+					w.choose(choice)
+				}
+				if len(path) < depth {
+					return w.choices()
+				}
+				worlds++
+				w.finish()
+				if err := w.history.check(checkWait); err != nil {
+					t.Fatalf("after the choices %v: %v", path, err)
+				}
+				return 0
+			})
+			t.Logf("%d worlds to depth %d", worlds, depth)
+		})
+	}
+}
+
+// everyPath calls back with every path of choices to a depth; visit tells how many choices there are after a path.
+func everyPath(depth int, visit func(path []int) (choices int)) {
+	var extend func(path []int)
+	extend = func(path []int) {
+		choices := visit(path)
+		if len(path) == depth {
+			return
+		}
+		for choice := range choices {
+			extend(append(path[:len(path):len(path)], choice))
+		}
+	}
+	extend(nil)
+}
