--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -9,11 +9,7 @@
 	"strings"
 	"time"
 
-	"dunetide/internal/agree"
-	"dunetide/internal/batch"
 	"dunetide/internal/certify"
-	"dunetide/internal/control"
-	"dunetide/internal/operator"
 	"dunetide/internal/registry"
 	"dunetide/internal/view"
 )
@@ -70,7 +66,8 @@
 					refuse(w, http.StatusRequestEntityTooLarge, "the body is over "+strconv.FormatInt(c.most, 10)+" bytes: send less")
 					return
 				}
-				refuse(w, http.StatusBadRequest, "the body was cut: send it again whole")
+				// What came is no order, so it says nothing about the whole one, which may have been taken before.
+				refuse(w, http.StatusRequestTimeout, "the body was cut: send it again whole")
 				return
 			}
 			c.serve(k, w, name, body, r)
@@ -218,201 +215,6 @@
 	return ""
 }
 
-// putDocument makes a document the newest value of its register, and tells its slot. On an error it has answered.
-func (k *Keeper) putDocument(w http.ResponseWriter, r *http.Request, of documentKind, body []byte, parse func([]byte) (uint64, error)) (uint64, bool) {
-	base, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "If-Match: must be the number of the version that this builds on, 0 for the first")
-		return 0, false
-	}
-	version, err := parse(body)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return 0, false
-	}
-	done := make(chan error, 1)
-	k.agree.propose(of.register, proposeWait, func(cur agree.State) (agree.State, error) {
-		v, err := readDocument(cur.Value)
-		if err != nil {
-			return cur, err
-		}
-		next, err := v.put(body, version, base, of)
-		if err != nil {
-			return cur, err
-		}
-		if next == nil {
-			return cur, agree.ErrUnchanged
-		}
-		cur.Value = next.encode()
-		return cur, nil
-	}, func(s agree.State, err error) {
-		if err == agree.ErrUnchanged {
-			err = nil
-		}
-		if err == nil {
-			k.spread(of.register, s)
-		}
-		done <- err
-	})
-	select {
-	case err = <-done:
-	case <-k.ended:
-		err = errStops
-	}
-	if err != nil {
-		k.log.Info("document refused", "register", of.register, "version", version, "base", base, "err", err)
-		refuse(w, statusOf(err), err.Error())
-		return 0, false
-	}
-	return version, true
-}
-
-func (k *Keeper) putConfig(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
-	version, ok := k.putDocument(w, r, configDocument, body, func(b []byte) (uint64, error) {
-		c, err := operator.Parse(b)
-		if err != nil {
-			return 0, err
-		}
-		return c.Version, nil
-	})
-	if !ok {
-		return
-	}
-	wt := &waiter{config: version, done: make(chan struct{})}
-	k.do(func() { k.wait(wt) })
-	select {
-	case <-wt.done:
-	case <-k.ended: // it is decided all the same
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write([]byte("{}"))
-}
-
-// spread tells all other keepers of a decided state, also those who have no vote.
-func (k *Keeper) spread(name string, s agree.State) {
-	body := learnBody(name, s)
-	for _, l := range k.links() {
-		if l.conn != nil {
-			_ = l.conn.Send(control.Learn, body)
-		}
-	}
-}
-
-// getDocument answers with the newest document of a register.
-func (k *Keeper) getDocument(w http.ResponseWriter, register string, none int, why string) {
-	type result struct {
-		s   agree.State
-		err error
-	}
-	done := make(chan result, 1)
-	k.agree.read(register, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
-	var res result
-	select {
-	case res = <-done:
-	case <-k.ended:
-		res.err = errStops
-	}
-	v, err := readDocument(res.s.Value)
-	if res.err != nil {
-		err = res.err
-	}
-	if err != nil {
-		refuse(w, http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	if v.version == 0 {
-		refuse(w, none, why)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(v.raw)
-}
-
-func (k *Keeper) getConfig(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
-	k.getDocument(w, configRegister, http.StatusServiceUnavailable, "no configuration was taken yet: put one first")
-}
-
-func (k *Keeper) postRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
-	code := make(chan int, 1)
-	alive, lost, ok := k.storesNow()
-	if !ok {
-		refuse(w, http.StatusServiceUnavailable, "this keeper has just started, or stops: ask another one, or again in a second")
-		return
-	}
-	k.changeTable(func(cur *view.Table) (*view.Table, error) {
-		next, known, few := batch.Retire(cur, name, alive, lost, k.o.Settings.SurviveMachines)
-		switch {
-		case !known:
-			return nil, errUnknownStore
-		case few:
-			return nil, errTooFew
-		case next == nil || next == cur:
-			return nil, agree.ErrUnchanged
-		}
-		return next, nil
-	}, func(err error) {
-		switch {
-		case err == nil:
-			code <- http.StatusOK
-		case errors.Is(err, errUnknownStore):
-			code <- http.StatusNotFound
-		case errors.Is(err, errTooFew):
-			code <- http.StatusConflict
-		default:
-			code <- http.StatusServiceUnavailable
-		}
-	})
-	var c int
-	select {
-	case c = <-code:
-	case <-k.ended:
-		c = http.StatusServiceUnavailable
-	}
-	if c != http.StatusOK {
-		refuse(w, c, map[int]string{http.StatusNotFound: errUnknownStore.Error(), http.StatusConflict: errTooFew.Error(),
-			http.StatusServiceUnavailable: "no majority answers: ask another keeper"}[c])
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write([]byte("{}"))
-}
-
-func (k *Keeper) getRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
-	type result struct {
-		s   agree.State
-		err error
-	}
-	done := make(chan result, 1)
-	k.agree.read(tableRegister, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
-	var res result
-	select {
-	case res = <-done:
-	case <-k.ended:
-		res.err = errStops
-	}
-	if res.err != nil {
-		refuse(w, http.StatusServiceUnavailable, res.err.Error())
-		return
-	}
-	table, err := tableOf(res.s)
-	if err != nil {
-		refuse(w, http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	known, finished := batch.Retired(table, name, k.o.Settings.SurviveMachines)
-	state := "in_progress"
-	if finished {
-		state = "finished"
-	}
-	if !known {
-		refuse(w, http.StatusNotFound, errUnknownStore.Error())
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	b, _ := json.Marshal(map[string]string{"state": state}) // strings always marshal
-	_, _ = w.Write(b)
-}
-
 func (k *Keeper) getStatus(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
 	b, ok := ask(k, k.statusJSON)
 	if !ok {
--- /dev/null
+++ b/internal/keeper/documents.go
@@ -0,0 +1,126 @@
+package keeper
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"dunetide/internal/agree"
+	"dunetide/internal/control"
+	"dunetide/internal/operator"
+)
+
+// retryAfter is in how many seconds an order without a clear answer may be sent again.
+const retryAfter = "0.2"
+
+// putDocument makes a document the newest value of its register, and tells its slot. On an error it has answered.
+func (k *Keeper) putDocument(w http.ResponseWriter, r *http.Request, of documentKind, body []byte, parse func([]byte) (uint64, error)) (uint64, bool) {
+	base, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "If-Match: must be the number of the version that this builds on, 0 for the first")
+		return 0, false
+	}
+	version, err := parse(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return 0, false
+	}
+	order := documentOrder{version: version, base: base, raw: body}
+	if err := k.proposeOrder(order, of); err != nil {
+		k.log.Info("document refused", "register", of.register, "version", version, "base", base, "err", err)
+		refuseOrder(w, statusOf(err), err.Error())
+		return 0, false
+	}
+	return version, true
+}
+
+// proposeOrder has an order decided; nil: it is in force, or was before its successors.
+func (k *Keeper) proposeOrder(order documentOrder, of documentKind) error {
+	done := make(chan error, 1)
+	k.agree.propose(of.register, proposeWait, order.change(of), func(s agree.State, err error) {
+		if err == nil {
+			k.spread(of.register, s)
+		}
+		done <- err
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-k.ended:
+		return errStops
+	}
+}
+
+// refuseOrder answers an order that was not confirmed. 503 says that it is not known what became of it, or will: it is to be
+// sent again as it is.
+func refuseOrder(w http.ResponseWriter, code int, why string) {
+	if code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
+	refuse(w, code, why)
+}
+
+func (k *Keeper) putConfig(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
+	version, ok := k.putDocument(w, r, configDocument, body, func(b []byte) (uint64, error) {
+		c, err := operator.Parse(b)
+		if err != nil {
+			return 0, err
+		}
+		return c.Version, nil
+	})
+	if !ok {
+		return
+	}
+	wt := &waiter{config: version, done: make(chan struct{})}
+	k.do(func() { k.wait(wt) })
+	select {
+	case <-wt.done:
+	case <-k.ended: // it is decided all the same
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte("{}"))
+}
+
+// spread tells all other keepers of a decided state, also those who have no vote.
+func (k *Keeper) spread(name string, s agree.State) {
+	body := learnBody(name, s)
+	for _, l := range k.links() {
+		if l.conn != nil {
+			_ = l.conn.Send(control.Learn, body)
+		}
+	}
+}
+
+// getDocument answers with the newest document of a register.
+func (k *Keeper) getDocument(w http.ResponseWriter, register string, none int, why string) {
+	type result struct {
+		s   agree.State
+		err error
+	}
+	done := make(chan result, 1)
+	k.agree.read(register, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
+	var res result
+	select {
+	case res = <-done:
+	case <-k.ended:
+		res.err = errStops
+	}
+	v, err := readDocument(res.s.Value)
+	if res.err != nil {
+		err = res.err
+	}
+	if err != nil {
+		refuseOrder(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	if v.version == 0 {
+		refuseOrder(w, none, why)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(v.raw)
+}
+
+func (k *Keeper) getConfig(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
+	k.getDocument(w, configRegister, http.StatusServiceUnavailable, "no configuration was taken yet: put one first")
+}
