Store: hands the lead of its parts over before it ends at SIGTERM

Cause: at SIGTERM a store just ended; its parts had no primary until keepers had missed it (0.3 s and a table). Change: it takes no more jobs, announces that it stops (control.Stopping, a mark in the agreed table under which the assignment gives it nothing to lead), and ends when the new primaries have brought its copy up to date, or after 2 s. A store that runs and finds itself marked takes the mark away. A lead moves only to a copy that may lead better, so the lead of a group of retiring copies rests. Result: TestHandOver (12 worlds): led by others within 0.5 s, no item ran twice, back as a copy; seven new disturbances in TestEachStep and the storms.

--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -50,6 +50,9 @@
 	if err != nil {
 		return err
 	}
+	// What is told to keepers outlasts SIGTERM: the lead of the parts is handed over then.
+	attached, detach := context.WithCancel(context.WithoutCancel(p.ctx))
+	defer detach()
 	var client *control.Client
 	store, err := batch.NewStore(batch.StoreOptions{
 		Open: func(replay func(payload []byte, at int64) error) (batch.Log, error) {
@@ -59,16 +62,18 @@
 		RoomBytes: int64(s.Limits.DiskMB) << 20 / 10 * 4, // a rewrite needs as much again
 		Ready: func(part int, epoch uint64) {
 			go func() {
-				w := link.Writer{}
-				w.Int(part)
-				w.U64(epoch)
-				ctx, cancel := context.WithTimeout(p.ctx, 3*time.Second)
-				defer cancel()
-				if err := client.Report(ctx, control.Joined, w.B); err != nil {
+				if err := reportJoined(attached, client, part, epoch); err != nil {
 					p.log.Warn("part not switched", "part", part, "epoch", epoch, "err", err)
 				}
 			}()
 		},
+		AnnounceStopping: func(store uint64, stopping bool) {
+			go func() {
+				if err := reportStopping(attached, client, store, stopping); err != nil {
+					p.log.Warn("stopping not announced", "stopping", stopping, "err", err)
+				}
+			}()
+		},
 		Logf: func(format string, args ...any) { p.log.Info("batch", "event", fmt.Sprintf(format, args...)) }})
 	if err != nil {
 		return err
@@ -91,14 +96,14 @@
 	client = control.NewClient(control.ClientOptions{Self: control.Node{Name: s.NodeName, Role: control.RoleStore, Zone: s.Zone,
 		Addr: p.addr(storePort), ID: store.ID(), Life: uint64(time.Now().UnixNano())}, Seeds: control.SeedLinks(s.Seeds, s.InternalFirst+keeperPort),
 		Known: members.keepers, Holder: &view.Holder{}, Changed: store.Update, Log: p.log})
-	ctx, cancel := context.WithCancel(p.ctx)
-	defer cancel()
 	wg.Add(1)
-	go func() { defer wg.Done(); client.Run(ctx) }()
+	go func() { defer wg.Done(); client.Run(attached) }()
+	defer detach() // before the wait for the goroutines
 	select {
 	case <-store.Done():
 		return store.Err()
 	case <-p.ctx.Done():
+		p.handOver(store)
 		return nil
 	}
 }
--- /dev/null
+++ b/cmd/dunetide/store_control.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"dunetide/internal/batch"
+	"dunetide/internal/control"
+	"dunetide/internal/link"
+)
+
+const (
+	// reportWait bounds a report to the keepers.
+	reportWait = 3 * time.Second
+	// handOverWait is how long a store that was told to end waits for others to lead its parts. It is well under the time
+	// that the platform leaves a process (grace_s), as a store has nothing else to wait for.
+	handOverWait = 2 * time.Second
+)
+
+// reportJoined tells a keeper that the next group of a part has all of it.
+func reportJoined(ctx context.Context, client *control.Client, part int, epoch uint64) error {
+	w := link.Writer{}
+	w.Int(part)
+	w.U64(epoch)
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	return client.Report(ctx, control.Joined, w.B)
+}
+
+// reportStopping tells a keeper whether a store is about to stop.
+func reportStopping(ctx context.Context, client *control.Client, store uint64, stopping bool) error {
+	w := link.Writer{}
+	w.U64(store)
+	w.Bool(stopping)
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	return client.Report(ctx, control.Stopping, w.B)
+}
+
+// handOver gives the lead of the store's parts to others before the process ends.
+func (p *process) handOver(store *batch.Store) {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(p.ctx), handOverWait)
+	defer cancel()
+	if err := store.HandOver(ctx); err != nil {
+		p.log.Warn("parts not handed over", "err", err, "waited", time.Since(begin))
+		return
+	}
+	p.log.Info("parts handed over", "took", time.Since(begin))
+}
--- a/internal/batch/assign.go
+++ b/internal/batch/assign.go
@@ -20,13 +20,16 @@
 }
 
 func cloneTable(t *view.Table) *view.Table {
-	n := &view.Table{Number: t.Number + 1, Parts: slices.Clone(t.Parts), Stores: maps.Clone(t.Stores), Retiring: maps.Clone(t.Retiring)}
+	n := &view.Table{Number: t.Number + 1, Parts: slices.Clone(t.Parts), Stores: maps.Clone(t.Stores), Retiring: maps.Clone(t.Retiring), Stopping: maps.Clone(t.Stopping)}
 	if n.Stores == nil {
 		n.Stores = map[uint64]view.Store{}
 	}
 	if n.Retiring == nil {
 		n.Retiring = map[uint64]bool{}
 	}
+	if n.Stopping == nil {
+		n.Stopping = map[uint64]bool{}
+	}
 	return n
 }
 
@@ -46,6 +49,24 @@
 	return next, true
 }
 
+// SetStopping is the table in which a store is marked as one that is about to stop, or as one that runs. A store that the
+// table does not have can't be marked. False: nothing changes.
+func SetStopping(cur *view.Table, store uint64, stopping bool) (*view.Table, bool) {
+	if cur == nil || cur.Stopping[store] == stopping {
+		return cur, false
+	}
+	if _, known := cur.Stores[store]; !known {
+		return cur, false
+	}
+	next := cloneTable(cur)
+	if stopping {
+		next.Stopping[store] = true
+	} else {
+		delete(next.Stopping, store)
+	}
+	return next, true
+}
+
 // assigner has what Assign looks at.
 type assigner struct {
 	f         int
@@ -140,6 +161,7 @@
 	for id := range a.next.Stores {
 		if _, ok := a.alive[id]; !ok && !used[id] && a.lost(id) && !a.next.Retiring[id] {
 			delete(a.next.Stores, id)
+			delete(a.next.Stopping, id)
 			changed = true
 		}
 	}
@@ -164,8 +186,8 @@
 	old := *row
 	row.Joining, row.Leaving = slices.Clone(row.Joining), slices.Clone(row.Leaving)
 	_, there := a.alive[row.Primary]
-	if bad := !there && a.lost(row.Primary) || a.lost(row.Primary) || a.next.Retiring[row.Primary]; bad && a.full(row) >= max(len(row.Copies)-a.f, 1) {
-		if id := a.leader(row); id != 0 && id != row.Primary {
+	if bad := !there && a.lost(row.Primary) || a.lost(row.Primary) || a.next.Retiring[row.Primary] || a.next.Stopping[row.Primary]; bad && a.full(row) >= max(len(row.Copies)-a.f, 1) {
+		if id := a.leader(row); id != 0 && a.reluctance(id) < a.reluctance(row.Primary) {
 			a.primaries[row.Primary]--
 			a.primaries[id]++
 			row.Primary = id
@@ -256,18 +278,36 @@
 		return a.copies[x] < a.copies[y]
 	}
 	for _, id := range ids {
-		if a.usable(id) && !slices.Contains(others, id) && (best == 0 || less(id, best)) {
+		if a.usable(id) && !a.next.Stopping[id] && !slices.Contains(others, id) && (best == 0 || less(id, best)) {
 			best = id
 		}
 	}
 	return best
 }
 
-// leader is the copy that is there and leads the fewest parts; one that retires only if there is no other.
+// reluctances is how many kinds of copies may lead; a lost one may not.
+const reluctances = 3
+
+// reluctance orders the copies by how well they may lead: those that stay before those that retire, and these before those
+// that are about to stop.
+func (a *assigner) reluctance(id uint64) int {
+	switch {
+	case a.lost(id):
+		return reluctances
+	case a.next.Stopping[id]:
+		return 2
+	case a.next.Retiring[id]:
+		return 1
+	}
+	return 0
+}
+
+// leader is the copy that is there and leads the fewest parts; one that retires or is about to stop only if there is no
+// other.
 func (a *assigner) leader(row *view.Part) (best uint64) {
-	for _, retiring := range []bool{false, true} {
+	for reluctance := range reluctances {
 		for _, id := range row.Copies {
-			if _, ok := a.alive[id]; !ok || a.lost(id) || a.next.Retiring[id] != retiring {
+			if _, ok := a.alive[id]; !ok || a.lost(id) || a.reluctance(id) != reluctance {
 				continue
 			}
 			if best == 0 || a.primaries[id] < a.primaries[best] {
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -53,19 +53,22 @@
 // core is a store without goroutines, clock, network and disk: each of its methods is one event. All
 // it does to the outside is to append to the disk, send, and reply.
 type core struct {
-	self  uint64
-	zone  string
-	most  int // copies that may be lost (f)
-	keep  int64
-	small int64 // a log of fewer bytes is never rewritten
-	room  int64 // bytes that the log may have; 0: no limit
-	now   int64 // steady, in ms; set before each event
-	wall  int64
-	disk  disk
-	fail  func(error)                      // the disk can't be used any more
-	ready func(part int, epoch uint64)     // the group of the next epoch has all
-	logf  func(format string, args ...any) // may be nil
-	wrong wrongLine
+	self             uint64
+	zone             string
+	most             int // copies that may be lost (f)
+	keep             int64
+	small            int64 // a log of fewer bytes is never rewritten
+	room             int64 // bytes that the log may have; 0: no limit
+	now              int64 // steady, in ms; set before each event
+	wall             int64
+	disk             disk
+	fail             func(error)                      // the disk can't be used any more
+	ready            func(part int, epoch uint64)     // the group of the next epoch has all
+	announceStopping func(stopping bool)              // the table is to be told whether this store is about to stop
+	stopping         bool                             // takes no jobs and hands the lead of its parts over
+	handingOver      []*part                          // what it led when it was told to stop
+	logf             func(format string, args ...any) // may be nil
+	wrong            wrongLine
 
 	table    *view.Table
 	config   *operator.Config
@@ -184,7 +187,7 @@
 
 func newCore(self uint64, d disk) *core {
 	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, limbo: map[*worker]int64{}, keep: 120_000, most: 1, small: 4 << 20,
-		ready: func(int, uint64) {}, fail: func(error) {}}
+		ready: func(int, uint64) {}, announceStopping: func(bool) {}, fail: func(error) {}}
 }
 
 func (c *core) log(format string, args ...any) {
@@ -460,6 +463,7 @@
 		return
 	}
 	c.table = t
+	c.checkStopping()
 	for no := range t.Parts {
 		row, p := &t.Parts[no], c.part(no)
 		if row.Epoch <= p.epoch {
--- a/internal/batch/promises_test.go
+++ b/internal/batch/promises_test.go
@@ -71,6 +71,36 @@
 	{"kill for long", func(w *world, s *simStore) { s.kill(); w.after(3000, s.boot) }},
 	{"power", func(w *world, s *simStore) { s.power(); w.after(400, s.boot) }},
 	{"wipe", func(w *world, s *simStore) { s.wipe(); w.after(400, s.boot) }},
+	{"terminate", func(w *world, s *simStore) { s.terminate(func() { w.after(400, s.boot) }) }},
+	{"terminate for long", func(w *world, s *simStore) { s.terminate(func() { w.after(3000, s.boot) }) }},
+	{"terminate, then power of another", func(w *world, s *simStore) {
+		o := w.next(s)
+		s.terminate(func() {
+			w.after(300, s.boot)
+			o.power()
+			w.after(300, o.boot)
+		})
+	}},
+	{"terminate, then the disk of another when it is back", func(w *world, s *simStore) {
+		o := w.next(s)
+		s.terminate(func() {
+			s.boot()
+			w.after(4000, func() { o.wipe(); w.after(400, o.boot) })
+		})
+	}},
+	{"terminate, then the disk of another at once", func(w *world, s *simStore) {
+		o := w.next(s)
+		s.terminate(func() { w.after(300, s.boot); o.wipe(); w.after(400, o.boot) })
+	}},
+	{"terminate all at once", func(w *world, s *simStore) {
+		for _, o := range w.stores {
+			o.terminate(func() { w.after(300+w.rng.Float64()*200, o.boot) })
+		}
+	}},
+	{"terminate and a kill while it hands over", func(w *world, s *simStore) {
+		s.terminate(func() {})
+		w.after(60+w.rng.Float64()*60, func() { s.kill(); w.after(400, s.boot) })
+	}},
 	{"freeze", func(w *world, s *simStore) { s.freeze(2600) }},
 	{"cut", func(w *world, s *simStore) {
 		w.cut = func(a, b string) bool { return a == s.name }
@@ -149,6 +179,16 @@
 	}},
 }
 
+// next is another store than this one.
+func (w *world) next(s *simStore) *simStore {
+	for i, o := range w.stores {
+		if o == s {
+			return w.stores[(i+1)%len(w.stores)]
+		}
+	}
+	return s
+}
+
 // enumerate plays a life for each step, store and disturbance.
 func enumerate(wrong wrongLine, every int, report func(what string, w *world) bool) {
 	for step := 1; step < 1400; step += every {
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -92,7 +92,7 @@
 		return
 	}
 	j, err := decodeJob(enc, 0)
-	if err != nil || c.room > 0 && c.live+2*int64(len(enc)) > c.room*40/100 {
+	if c.stopping || err != nil || c.room > 0 && c.live+2*int64(len(enc)) > c.room*40/100 {
 		m.Reply([]byte{codeUnavailable})
 		return
 	}
@@ -650,6 +650,7 @@
 	c.quotaTick()
 	if c.now >= c.nextWork {
 		c.nextWork = c.now + 500
+		c.checkStopping()
 		c.ages()
 		c.compact()
 	}
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -40,6 +40,7 @@
 	trace    func(format string, args ...any)
 	hook     func() // before each step
 	served   int
+	handed   int // stores that ended after others had their parts
 	all      []*simPipe
 }
 
@@ -328,6 +329,18 @@
 			}
 		})
 	}
+	c.announceStopping = func(stopping bool) {
+		if s.deaf {
+			return
+		}
+		id := c.self
+		w.after(w.delay()*3, func() {
+			if next, ok := SetStopping(w.table, id, stopping); ok {
+				w.say("%s: stopping %v", s.name, stopping)
+				w.publish(next)
+			}
+		})
+	}
 	w.say("%s starts as %d", s.name, c.self)
 	var tick func()
 	tick = func() {
@@ -435,6 +448,30 @@
 	s.w.drop(s.name, 1)
 }
 
+// terminate tells a store to end: it hands its parts over, and ends when that is done or its time is over.
+func (s *simStore) terminate(then func()) {
+	w, life := s.w, s.life
+	s.do(life, func() { s.core.stop() })
+	until := w.ms() + 2000
+	var poll func()
+	poll = func() {
+		if s.life != life || s.core == nil {
+			then()
+			return
+		}
+		if s.core.handedOver() || w.ms() > until {
+			if s.core.led() == 0 {
+				w.handed++
+			}
+			s.kill()
+			then()
+			return
+		}
+		w.after(25, poll)
+	}
+	w.after(25, poll)
+}
+
 // power takes the power away.
 func (s *simStore) power() {
 	s.kill()
--- /dev/null
+++ b/internal/batch/stopping_test.go
@@ -0,0 +1,114 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"dunetide/internal/view"
+)
+
+// runsOf counts how often items began, over all workers.
+func (w *world) runsOf() (n int) {
+	for _, k := range w.works {
+		n += k.runs
+	}
+	return n
+}
+
+// TestHandOver: a store that is told to end gives the lead of its parts to others within half a second, in which a job is
+// not taken by it; what workers have in hand does not run twice; it comes back as a copy, and the mark goes.
+func TestHandOver(t *testing.T) {
+	for seed := range uint64(12) {
+		w := newWorld(seed, 3+int(seed%3), 1, 6)
+		w.start()
+		for i := range 3 {
+			w.addWorker(fmt.Sprint("p", i))
+		}
+		w.run(2000)
+		var jobs []*promise
+		for i := range 6 {
+			j := w.newJob(fmt.Sprint("j", i), 5, 5, 5)
+			j.slow = 1500
+			w.insist(j, 12)
+			jobs = append(jobs, j)
+		}
+		w.run(700)
+		s := w.stores[int(seed)%len(w.stores)]
+		self := s.core.self
+		begin, ended := w.ms(), int64(0)
+		s.terminate(func() { ended = w.ms() })
+		late := w.newJob("late", 5)
+		w.insist(late, 12)
+		w.run(2500)
+		switch {
+		case ended == 0 || ended-begin > 500:
+			t.Errorf("seed %d: %s ended after %d ms", seed, s.name, ended-begin)
+		case w.handed != 1:
+			t.Errorf("seed %d: %s had not handed over", seed, s.name)
+		case !late.taken || late.takenAt-begin > 1000:
+			t.Errorf("seed %d: a job was taken after %d ms (taken: %v)", seed, late.takenAt-begin, late.taken)
+		case slices.ContainsFunc(w.table.Parts, func(p view.Part) bool { return p.Primary == self }):
+			t.Errorf("seed %d: %s leads in the table: %v", seed, s.name, w.table.Parts)
+		}
+		w.run(3000)
+		if runs, items := w.runsOf(), 3*len(jobs)+1; runs != items {
+			t.Errorf("seed %d: %d runs of %d items", seed, runs, items)
+		}
+		s.boot()
+		w.run(8000)
+		if bad := w.whole(); bad != "" {
+			t.Errorf("seed %d: after the return: %s", seed, bad)
+		}
+		if w.table.Stopping[self] {
+			t.Errorf("seed %d: %s is still marked", seed, s.name)
+		}
+		w.settle(3000)
+		if !check(t, w, fmt.Sprint("seed ", seed)) {
+			return
+		}
+	}
+}
+
+// TestStoppingStoresDontLead: the table gives a store that is about to stop nothing to lead as long as another copy is
+// there, and comes to rest also when all of them stop.
+func TestStoppingStoresDontLead(t *testing.T) {
+	for _, f := range []int{1, 2} {
+		for n := f + 2; n <= f+4; n++ {
+			for stopping := 1; stopping <= n; stopping++ {
+				all := someStores(n, 3)
+				cur, _ := Assign(nil, all, none, 8, f)
+				for id := 1; id <= stopping; id++ {
+					cur, _ = SetStopping(cur, uint64(id), true)
+				}
+				cur = settleTable(t, cur, all, none, f)
+				for no, row := range cur.Parts {
+					other := slices.ContainsFunc(row.Copies, func(id uint64) bool { return !cur.Stopping[id] })
+					if other && cur.Stopping[row.Primary] {
+						t.Fatalf("f %d, %d stores, %d stop: part %d: %v", f, n, stopping, no, row)
+					}
+				}
+				for id := 1; id <= stopping; id++ {
+					next, changed := SetStopping(cur, uint64(id), false)
+					if _, again := SetStopping(next, uint64(id), false); !changed || again {
+						t.Fatalf("f %d, %d stores: the mark of %d does not go", f, n, id)
+					}
+					cur = next
+				}
+				if cur = settleTable(t, cur, all, none, f); len(cur.Stopping) != 0 {
+					t.Fatalf("marks are left: %v", cur.Stopping)
+				}
+			}
+		}
+	}
+}
+
+// TestRestOfRetiringPrimaries: where all copies of a part retire, its lead does not go back and forth.
+func TestRestOfRetiringPrimaries(t *testing.T) {
+	all := someStores(4, 3)
+	cur, _ := Assign(nil, all, none, 8, 2)
+	for id := range cur.Stores {
+		cur.Retiring[id] = true
+	}
+	settleTable(t, cur, all, none, 2)
+}
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
@@ -38,9 +39,15 @@
 	// Ready is called, again and again, when the next group of a part has all of it: Switch belongs into the register.
 	// It must not block.
 	Ready func(part int, epoch uint64)
+	// AnnounceStopping is called, again and again, while the table does not say whether this store is about to stop:
+	// SetStopping belongs into the register. It must not block.
+	AnnounceStopping func(store uint64, stopping bool)
 	Logf  func(format string, args ...any)
 }
 
+// handOverPoll is how often a store that stops looks whether others lead its parts.
+const handOverPoll = 25 * time.Millisecond
+
 // Store keeps batch jobs. It is the link.Handler of the connections that others open to it.
 type Store struct {
 	core  *core
@@ -108,6 +115,9 @@
 	if o.Ready != nil {
 		c.ready = o.Ready
 	}
+	if o.AnnounceStopping != nil {
+		c.announceStopping = func(stopping bool) { o.AnnounceStopping(c.self, stopping) }
+	}
 	c.fail = func(err error) { s.end(fmt.Errorf("the log of batch jobs: %w", err)) }
 	log, err := o.Open(func(payload []byte, at int64) error { return c.replay(payload, at-int64(len(payload))) })
 	if err != nil {
@@ -163,6 +173,35 @@
 	}
 }
 
+// HandOver makes the store take no more jobs and give the lead of its parts to other copies. It returns nil when the
+// store leads nothing, and the context's error when that ends first: then others take over after they have missed it.
+func (s *Store) HandOver(ctx context.Context) error {
+	s.do(s.core.stop)
+	tick := time.NewTicker(handOverPoll)
+	defer tick.Stop()
+	for {
+		over := make(chan bool, 1)
+		s.do(func() { over <- s.core.handedOver() })
+		select {
+		case done := <-over:
+			if done {
+				return nil
+			}
+		case <-s.done:
+			return s.Err()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case <-tick.C:
+		case <-s.done:
+			return s.Err()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Done is closed when the store can't go on; Err tells why.
 func (s *Store) Done() <-chan struct{} { return s.done }
 
--- a/internal/control/kinds.go
+++ b/internal/control/kinds.go
@@ -20,5 +20,6 @@
 	Status   link.Kind = 11 // call: the status as JSON
 	Confirm  link.Kind = 13 // call, attached to keeper: answered once a majority has said, after it came, that the certificates pushed are the newest
 	Report   link.Kind = 15 // one way, between keepers: the state of the sender (KeeperReport)
+	Stopping link.Kind = 20 // call, store to keeper: whether the store (its identity) is about to stop and is to lead nothing
 	InForce  link.Kind = 14 // call, between keepers: a version of the certificates; the reply says whether all attached have it in force
 )
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -155,10 +155,26 @@
 		w.String(s.Name)
 		w.String(s.Addr)
 		w.String(s.Zone)
-		w.Bool(t.Retiring[id])
+		w.U8(storeFlags(t, id))
 	}
 }
 
+// Flags of a store in an encoded table.
+const (
+	flagRetiring uint8 = 1 << iota
+	flagStopping
+)
+
+func storeFlags(t *view.Table, id uint64) (flags uint8) {
+	if t.Retiring[id] {
+		flags |= flagRetiring
+	}
+	if t.Stopping[id] {
+		flags |= flagStopping
+	}
+	return flags
+}
+
 // ReadTable takes a table out of a message.
 func ReadTable(r *link.Reader) *view.Table {
 	ids := func() (list []uint64) {
@@ -167,16 +183,20 @@
 		}
 		return list
 	}
-	t := &view.Table{Number: r.U64(), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}}
+	t := &view.Table{Number: r.U64(), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}, Stopping: map[uint64]bool{}}
 	for range r.Count(28) {
 		t.Parts = append(t.Parts, view.Part{Epoch: r.U64(), Primary: r.U64(), Copies: ids(), Joining: ids(), Leaving: ids()})
 	}
 	for range r.Count(21) {
 		s := view.Store{ID: r.U64(), Name: r.String(), Addr: r.String(), Zone: r.String()}
 		t.Stores[s.ID] = s
-		if r.Bool() {
+		flags := r.U8()
+		if flags&flagRetiring != 0 {
 			t.Retiring[s.ID] = true
 		}
+		if flags&flagStopping != 0 {
+			t.Stopping[s.ID] = true
+		}
 	}
 	return t
 }
--- a/internal/control/messages_test.go
+++ b/internal/control/messages_test.go
@@ -32,7 +32,7 @@
 
 func tables() *rapid.Generator[*view.Table] {
 	return rapid.Custom(func(t *rapid.T) *view.Table {
-		v := &view.Table{Number: rapid.Uint64().Draw(t, "number"), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}}
+		v := &view.Table{Number: rapid.Uint64().Draw(t, "number"), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}, Stopping: map[uint64]bool{}}
 		for range rapid.IntRange(0, 4).Draw(t, "parts") {
 			g := idLists()
 			v.Parts = append(v.Parts, view.Part{Epoch: rapid.Uint64().Draw(t, "epoch"), Primary: rapid.Uint64().Draw(t, "primary"),
@@ -43,6 +43,9 @@
 			if rapid.Bool().Draw(t, "retiring") {
 				v.Retiring[n.ID] = true
 			}
+			if rapid.Bool().Draw(t, "stopping") {
+				v.Stopping[n.ID] = true
+			}
 		}
 		return v
 	})
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -172,6 +172,29 @@
 	})
 }
 
+// stopping notes that a store is about to stop, or that it runs again.
+func (k *Keeper) stopping(m *link.Message) {
+	r := link.Reader{B: m.Body}
+	store, stopping := r.U64(), r.Bool()
+	if r.Err != nil {
+		m.Fail("%v", r.Err)
+		return
+	}
+	k.changeTable(func(cur *view.Table) (*view.Table, error) {
+		next, changed := batch.SetStopping(cur, store, stopping)
+		if !changed {
+			return nil, agree.ErrUnchanged
+		}
+		return next, nil
+	}, func(err error) {
+		if err != nil && err != agree.ErrUnchanged {
+			m.Fail("%v", err)
+			return
+		}
+		m.Reply(nil)
+	})
+}
+
 // Refusals of a retirement.
 var (
 	errUnknownStore = errors.New("no store has this name: GET /status tells of those that are there")
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -306,6 +306,8 @@
 		k.sendEntries(m.Conn, k.table.Entries(k.since(now), -1), nil)
 	case control.Joined:
 		k.joined(m)
+	case control.Stopping:
+		k.stopping(m)
 	case control.Status:
 		m.Reply(k.statusJSON())
 	default:
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -62,6 +62,8 @@
 	Parts    []Part
 	Stores   map[uint64]Store
 	Retiring map[uint64]bool
+	// Stopping are the stores that have said that they are about to stop: they lead nothing until they say that they run.
+	Stopping map[uint64]bool
 }
 
 // Part of a batch job, by its id.
