Keepers serve only while a majority has answered recently

Cause: a keeper was ready to push once in its life, after 3 s even without a majority, so one that was cut off handed out old configurations and acknowledged heartbeats that nobody else heard of.

A process that attaches is handed the registers after a read that began later.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sort"
@@ -74,10 +73,12 @@
 
 // source is one keeper's word.
 type source struct {
-	node    Node
-	listed  bool
-	whole   bool
-	entries map[string]registry.Entry
+	node      Node
+	inContact bool          // the keeper is in contact with a majority, as it said last
+	changed   chan struct{} // wakes the place that holds it after a change of that
+	listed    bool
+	whole     bool
+	entries   map[string]registry.Entry
 }
 
 type saying struct {
@@ -191,129 +192,25 @@
 	return conns
 }
 
-// hold keeps one place of attachment filled.
-func (c *Client) hold(ctx context.Context, place int) {
-	wait := 100 * time.Millisecond
-	for ctx.Err() == nil {
-		for _, addr := range c.candidates(place) {
-			if c.attach(ctx, addr) {
-				wait = 100 * time.Millisecond
-				break
-			}
-		}
-		select {
-		case <-time.After(wait/2 + rand.N(wait)):
-		case <-ctx.Done():
-		}
-		wait = min(wait*2, time.Second)
-	}
-}
-
-// attach holds a link to a keeper until it ends. False: there was none.
-func (c *Client) attach(ctx context.Context, addr string) bool {
-	if !c.reserve(addr) {
-		return false // the other place has it
-	}
-	defer c.release(addr)
-	conn, err := link.Dial(ctx, addr, c, link.DefaultOptions)
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	w := link.Writer{}
-	c.o.Self.Append(&w)
-	w.Bool(c.o.Endpoints)
-	hctx, cancel := context.WithTimeout(ctx, time.Second)
-	b, err := conn.Call(hctx, Hello, w.B)
-	cancel()
-	r := link.Reader{B: b}
-	node := ReadNode(&r)
-	if err != nil || r.Err != nil || node.Role != RoleKeeper || !c.adopt(conn, node) {
-		return false
-	}
-	select {
-	case <-conn.Done():
-	case <-ctx.Done():
-	}
-	c.o.Log.Info("keeper detached", "keeper", node.Name)
-	return true
-}
-
-func (c *Client) reserve(addr string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.trying[addr] {
-		return false
+// sourceOf is the word of the keeper at the other end of a link; the first push may come before the reply to Hello.
+func sourceOf(conn *link.Conn, inContact bool) *source {
+	s, _ := conn.Tag.Load().(*source)
+	if s == nil {
+		s = &source{entries: map[string]registry.Entry{}, inContact: inContact, changed: make(chan struct{}, 1)}
+		conn.Tag.Store(s)
 	}
-	c.trying[addr] = true
-	return true
+	return s
 }
 
-func (c *Client) release(addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.trying, addr)
-}
-
-// candidates are keepers to try, the own zone's first for the first place and another's for the second.
-func (c *Client) candidates(place int) []string {
-	c.mu.Lock()
-	nodes := append([]Node(nil), c.keepers...)
-	attached := maps.Clone(c.trying)
-	for _, s := range c.sources {
-		attached[s.node.Addr] = true
-	}
-	c.mu.Unlock()
-	if c.o.Known != nil {
-		nodes = append(nodes, c.o.Known()...)
-	}
-	zones := map[string]string{}
-	var addrs []string
-	add := func(addr, zone string) {
-		if _, there := zones[addr]; !there && !attached[addr] {
-			zones[addr] = zone
-			addrs = append(addrs, addr)
-		}
-	}
-	for _, n := range nodes {
-		add(n.Addr, n.Zone)
-	}
-	for _, s := range c.o.Seeds {
-		add(s, "")
+func (s *source) setContact(inContact bool) {
+	if s.inContact == inContact {
+		return
 	}
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	sort.SliceStable(addrs, func(i, j int) bool {
-		a, b := zones[addrs[i]] == c.o.Self.Zone, zones[addrs[j]] == c.o.Self.Zone
-		return a != b && a == (place == 0)
-	})
-	return addrs
-}
-
-func (c *Client) adopt(conn *link.Conn, node Node) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	s.inContact = inContact
 	select {
-	case <-conn.Done(): // Closed has been, or will find nothing
-		return false
+	case s.changed <- struct{}{}:
 	default:
 	}
-	for _, s := range c.sources {
-		if s.node.Name == node.Name {
-			return false
-		}
-	}
-	// The first push may have come already.
-	s, _ := conn.Tag.Load().(*source)
-	if s == nil {
-		s = &source{entries: map[string]registry.Entry{}}
-		conn.Tag.Store(s)
-	}
-	s.node = node
-	c.sources[conn] = s
-	c.rebuild(true)
-	c.ask()
-	c.o.Log.Info("keeper attached", "keeper", node.Name)
-	return true
 }
 
 // Closed forgets a keeper's word once another one's is there.
@@ -372,13 +269,10 @@
 		}
 	}
 	c.mu.Lock()
-	s, _ := m.Conn.Tag.Load().(*source)
-	if s == nil {
-		s = &source{entries: map[string]registry.Entry{}}
-		m.Conn.Tag.Store(s)
-	}
+	s := sourceOf(m.Conn, u.InContact)
+	s.setContact(u.InContact)
 	endpoints := c.take(s, u, config)
-	c.certificatesKnown = true
+	c.certificatesKnown = c.certificatesKnown || u.InContact
 	if certificates != nil && (c.certificates == nil || certificates.Version > c.certificates.Version) {
 		c.certificates = certificates
 		c.o.Log.Info("certificates in force", "version", certificates.Version, "certificates", len(certificates.Certificates), "regulated_routes", len(certificates.Routes))
--- a/internal/control/kinds.go
+++ b/internal/control/kinds.go
@@ -6,7 +6,7 @@
 
 // Kinds of messages on links to keepers. Those of batch jobs have their own, from 64 on.
 const (
-	Hello    link.Kind = 1  // call: who dials (Node); the reply says who was dialled (Node)
+	Hello    link.Kind = 1  // call: who dials (Node); the reply says who was dialled (Node), whether it has a disk, and whether it is in contact
 	Push     link.Kind = 2  // one way, keeper to attached: a numbered change (Update)
 	Ack      link.Kind = 3  // one way, attached to keeper: the number of the newest change that is in force there
 	Agree    link.Kind = 4  // one way, between keepers: a register's name, the sender as a voter, a message of agreement
@@ -20,5 +20,7 @@
 	Status   link.Kind = 11 // call: the status as JSON
 	Confirm  link.Kind = 13 // call, attached to keeper: answered once a majority has said, after it came, that the certificates pushed are the newest
 	Report   link.Kind = 15 // one way, between keepers: the state of the sender (KeeperReport)
-	InForce  link.Kind = 14 // call, between keepers: a version of the certificates; the reply says whether all attached have it in force
+	// InContact is a call, to a keeper by a process that looks for one: the reply says whether the keeper is in contact with a majority.
+	InContact link.Kind = 20
+	InForce   link.Kind = 14 // call, between keepers: a version of the certificates; the reply says whether all attached have it in force
 )
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -61,16 +61,19 @@
 
 // Update is a numbered change. What is not in it stays as it was.
 type Update struct {
-	Number  uint64 // grows by one a push, in one life of the keeper
-	Whole   bool   // the entries are all that there are
-	Listed  bool   // the keeper has heard a whole round of heartbeats
-	Senders int    // 0: not in it
-	Config  []byte // as the operator sent it; nil: not in it
-	Version uint64 // of Config
-	Table   *view.Table
-	Entries []registry.Entry
-	Keepers []Node // nil: not in it
-	// CertificatesVersion is always told; 0: none were ever put.
+	Number uint64 // grows by one a push, in one life of the keeper
+	Whole  bool   // the entries are all that there are
+	// InContact says that a majority has answered the keeper recently. Without, the update tells nothing of what the
+	// registers hold: no configuration, no table and no certificates.
+	InContact bool
+	Listed    bool   // the keeper has heard a whole round of heartbeats
+	Senders   int    // 0: not in it
+	Config    []byte // as the operator sent it; nil: not in it
+	Version   uint64 // of Config
+	Table     *view.Table
+	Entries   []registry.Entry
+	Keepers   []Node // nil: not in it
+	// CertificatesVersion is told by a keeper in contact; 0: none were ever put.
 	CertificatesVersion uint64
 	Certificates        []byte // as the operator sent them; nil: not in it
 }
@@ -80,6 +83,7 @@
 	w := link.Writer{}
 	w.U64(u.Number)
 	w.Bool(u.Whole)
+	w.Bool(u.InContact)
 	w.Bool(u.Listed)
 	w.Int(u.Senders)
 	w.Bytes(u.Config)
@@ -104,7 +108,7 @@
 // ReadUpdate reads the update's message.
 func ReadUpdate(b []byte) (*Update, error) {
 	r := link.Reader{B: b}
-	u := &Update{Number: r.U64(), Whole: r.Bool(), Listed: r.Bool(), Senders: r.Int(), Config: r.Bytes(), Version: r.U64()}
+	u := &Update{Number: r.U64(), Whole: r.Bool(), InContact: r.Bool(), Listed: r.Bool(), Senders: r.Int(), Config: r.Bytes(), Version: r.U64()}
 	if len(u.Config) == 0 {
 		u.Config = nil
 	}
--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -29,9 +29,6 @@
 	votersMost = 9
 	// deadAfter is how long a voter is not met before another may take its place.
 	deadAfter = 1500 * time.Millisecond
-	// confirmWait is how long a keeper that has just started waits for a majority before it serves
-	// with what it has.
-	confirmWait = 3 * time.Second
 )
 
 var registerNames = []string{configRegister, tableRegister, certificatesRegister}
@@ -234,12 +231,18 @@
 
 // propose changes a register; done is called from the registers' goroutine, or at once where too much waits.
 func (a *agreement) propose(name string, timeout time.Duration, change func(cur agree.State) (agree.State, error), done func(agree.State, error)) {
+	if name == configRegister {
+		done = a.k.confirmedSince(done)
+	}
 	if !a.offer(func() { a.regs[name].Propose(a.now(), timeout, change, done) }) {
 		done(agree.State{}, errBusy)
 	}
 }
 
 func (a *agreement) read(name string, timeout time.Duration, done func(agree.State, error)) {
+	if name == configRegister {
+		done = a.k.confirmedSince(done)
+	}
 	if !a.offer(func() { a.regs[name].Read(a.now(), timeout, done) }) {
 		done(agree.State{}, errBusy)
 	}
--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -28,7 +28,8 @@
 	// certificates is the version that was pushed.
 	certificates uint64
 	senders      int
-	keepers      uint64 // Keeper.met
+	keepers      uint64 // Keeper.keepersChange
+	inContact    bool   // as it was told last
 	marks        []mark // what is in force, and pushes that are not acknowledged, oldest first
 }
 
@@ -69,6 +70,7 @@
 	w := link.Writer{}
 	k.self.Append(&w)
 	w.Bool(k.agree.id != 0)
+	w.Bool(k.contact.MayServe(k.since(time.Now())))
 	if node.Role == control.RoleKeeper {
 		if node.Name == k.self.Name {
 			m.Fail("that is this keeper itself")
@@ -81,7 +83,7 @@
 	// Its link broke and this side has not seen it yet, or it has started again.
 	for c, p := range k.attached {
 		if p.node.Name == node.Name && p.node.Role == node.Role && c != m.Conn {
-			delete(k.attached, c)
+			k.detach(c)
 			c.Close()
 		}
 	}
@@ -91,6 +93,7 @@
 	}
 	m.Reply(w.B)
 	k.attached[m.Conn] = &attachedProcess{node: node, conn: m.Conn, endpoints: endpoints}
+	k.contact.Attach(m.Conn)
 	k.log.Info("attached", "node", node.Name, "role", node.Role, "zone", node.Zone)
 	k.recount()
 	k.tellAttached()
@@ -98,9 +101,23 @@
 	k.dirty = true
 }
 
+// detach forgets an attached process.
+func (k *Keeper) detach(c *link.Conn) {
+	delete(k.attached, c)
+	k.contact.Detach(c)
+}
+
+// contactBody tells whether this keeper is in contact, for processes that look for one that is.
+func (k *Keeper) contactBody() []byte {
+	w := link.Writer{}
+	w.Bool(k.contact.MayServe(k.since(time.Now())))
+	return w.B
+}
+
 // state is what pushes carry on from.
 type state struct {
 	whole, listed, endpoints bool
+	inContact                bool
 	change, version, table   uint64
 	certificates             uint64
 	senders                  int
@@ -108,66 +125,81 @@
 }
 
 func (p *attachedProcess) state() state {
-	return state{p.whole, p.listed, p.endpoints, p.change, p.version, p.table, p.certificates, p.senders, p.keepers}
+	return state{p.whole, p.listed, p.endpoints, p.inContact, p.change, p.version, p.table, p.certificates, p.senders, p.keepers}
 }
 
-// behind tells whether a process lacks something.
-func (p *attachedProcess) behind(k *Keeper) bool {
-	return !p.whole || p.version < k.config.version || p.certificates < k.certificates.version || k.parts != nil && p.table < k.parts.Number || p.senders != k.senders ||
-		p.endpoints && (p.change < k.table.Newest() || p.listed != k.listens) || p.keepers != k.met
+// behind tells whether a process lacks something. Without contact, nothing that the registers hold counts.
+func (p *attachedProcess) behind(k *Keeper, inContact bool) bool {
+	if !p.whole || p.inContact != inContact || p.senders != k.senders || p.keepers != k.keepersChange {
+		return true
+	}
+	if p.endpoints && (p.change < k.table.Newest() || p.listed != k.pushedListening) {
+		return true
+	}
+	return inContact && p.behindRegisters(k)
+}
+
+func (p *attachedProcess) behindRegisters(k *Keeper) bool {
+	return p.version < k.config.version || p.certificates < k.certificates.version || k.parts != nil && p.table < k.parts.Number
 }
 
-// pushAll tells every attached process what it lacks.
+// pushAll tells every attached process what it lacks. With contact, one that has just attached is told nothing before
+// a majority has confirmed the registers for it; without contact, all are told of endpoints alone.
 func (k *Keeper) pushAll() {
 	k.dirty = false
-	if !k.fresh {
-		return
-	}
 	now := time.Now()
-	k.listens, k.told = k.table.Listening(k.since(now)), k.table.Newest()
-	type message struct {
-		body []byte
-		to   uint64
-	}
-	made := map[state]message{} // most lack the same
-	for _, p := range k.attached {
-		if !p.behind(k) || p.full() {
+	inContact := k.contact.MayServe(k.since(now))
+	k.pushedListening, k.pushedChange = k.table.Listening(k.since(now)), k.table.Newest()
+	made := map[state]pushMessage{} // most lack the same
+	for c, p := range k.attached {
+		if inContact && !k.contact.MayHandOut(k.since(now), c) {
+			continue
+		}
+		if !p.behind(k, inContact) || p.full() {
 			continue
 		}
 		m, there := made[p.state()]
 		if !there {
-			u, to := k.update(p, now)
-			m = message{u.Encode(), to}
+			u, change := k.update(p, now, inContact)
+			m = pushMessage{u.Encode(), change}
 			made[p.state()] = m
 		}
-		p.pushed++
-		control.Renumber(m.body, p.pushed)
-		p.whole, p.listed, p.senders, p.keepers = true, k.listens, k.senders, k.met
-		p.change, p.version, p.certificates = m.to, k.config.version, k.certificates.version
+		k.push(p, m, inContact)
+	}
+}
+
+// pushMessage is an update as it is sent, and the change of the list that a process then has.
+type pushMessage struct {
+	body   []byte
+	change uint64
+}
+
+// push sends an update to a process, and takes note of what it then has.
+func (k *Keeper) push(p *attachedProcess, m pushMessage, inContact bool) {
+	p.pushed++
+	control.Renumber(m.body, p.pushed)
+	p.whole, p.inContact, p.listed, p.senders, p.keepers = true, inContact, k.pushedListening, k.senders, k.keepersChange
+	p.change = m.change
+	if inContact {
+		p.version, p.certificates = k.config.version, k.certificates.version
 		if k.parts != nil {
 			p.table = k.parts.Number
 		}
-		p.marks = append(p.marks, mark{p.pushed, p.version, p.change, p.table, p.certificates})
-		if err := p.conn.Send(control.Push, m.body); err != nil {
-			k.log.Warn("push not sent", "node", p.node.Name, "err", err)
-			p.conn.Close() // it attaches anew, and is told all
-		}
+	}
+	p.marks = append(p.marks, mark{p.pushed, p.version, p.change, p.table, p.certificates})
+	if err := p.conn.Send(control.Push, m.body); err != nil {
+		k.log.Warn("push not sent", "node", p.node.Name, "err", err)
+		p.conn.Close() // it attaches anew, and is told all
 	}
 }
 
 // update is what a process lacks, and the change of the list that it then has.
-func (k *Keeper) update(p *attachedProcess, now time.Time) (u *control.Update, change uint64) {
-	u = &control.Update{Listed: k.listens, Senders: k.senders, CertificatesVersion: k.certificates.version}
-	if p.certificates < k.certificates.version {
-		u.Certificates = k.certificates.raw
+func (k *Keeper) update(p *attachedProcess, now time.Time, inContact bool) (u *control.Update, change uint64) {
+	u = &control.Update{InContact: inContact, Listed: k.pushedListening, Senders: k.senders, CertificatesVersion: p.certificates}
+	if inContact {
+		k.addRegisters(u, p)
 	}
-	if p.version < k.config.version {
-		u.Config, u.Version = k.config.raw, k.config.version
-	}
-	if k.parts != nil && p.table < k.parts.Number {
-		u.Table = k.parts
-	}
-	if p.keepers != k.met {
+	if p.keepers != k.keepersChange {
 		u.Keepers = k.keeperNodes()
 	}
 	if p.endpoints {
@@ -178,6 +210,20 @@
 	return u, change
 }
 
+// addRegisters puts what a process lacks of the registers into an update.
+func (k *Keeper) addRegisters(u *control.Update, p *attachedProcess) {
+	u.CertificatesVersion = k.certificates.version
+	if p.certificates < k.certificates.version {
+		u.Certificates = k.certificates.raw
+	}
+	if p.version < k.config.version {
+		u.Config, u.Version = k.config.raw, k.config.version
+	}
+	if k.parts != nil && p.table < k.parts.Number {
+		u.Table = k.parts
+	}
+}
+
 // waiter is an answer that waits until pushes are acknowledged.
 type waiter struct {
 	until  time.Time
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -10,12 +10,9 @@
 	"time"
 
 	"dunetide/internal/agree"
-	"dunetide/internal/batch"
 	"dunetide/internal/certify"
 	"dunetide/internal/control"
 	"dunetide/internal/operator"
-	"dunetide/internal/registry"
-	"dunetide/internal/view"
 )
 
 const (
@@ -25,7 +22,14 @@
 	proposeWait = 900 * time.Millisecond
 )
 
-var errStops = errors.New("this keeper stops: ask another one")
+// Refusals that say nothing of what was asked: another keeper may answer.
+var (
+	errStops     = errors.New("this keeper stops: ask another one")
+	errNoContact = errors.New("no contact with a majority: ask another keeper")
+)
+
+// retryAfter is how long a caller that gets 503 waits before it asks the same keeper again, in seconds.
+const retryAfter = "1"
 
 // call is a row of the table of all calls of endpoints and operators.
 type call struct {
@@ -86,138 +90,14 @@
 
 func refuse(w http.ResponseWriter, code int, why string) {
 	w.Header().Set("Content-Type", "application/json")
+	if code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
 	w.WriteHeader(code)
 	b, _ := json.Marshal(map[string]string{"error": why}) // strings always marshal
 	_, _ = w.Write(b)
 }
 
-// heartbeat is what an endpoint says of itself.
-type heartbeat struct {
-	Service    string  `json:"service"`
-	Address    string  `json:"address"`
-	Zone       string  `json:"zone"`
-	Version    string  `json:"version"`
-	Capacity   int     `json:"capacity"`
-	State      string  `json:"state"`
-	ColdLeftMs float64 `json:"cold_left_ms"`
-	CallCount  uint64  `json:"call_count"`
-	Models     []struct {
-		Name    string `json:"name"`
-		Version int    `json:"version"`
-	} `json:"models"`
-}
-
-func (k *Keeper) beat(w http.ResponseWriter, id string, body []byte, _ *http.Request) {
-	var h heartbeat
-	if err := json.Unmarshal(body, &h); err != nil {
-		refuse(w, http.StatusBadRequest, "a heartbeat must be JSON: "+err.Error())
-		return
-	}
-	e := view.Endpoint{ID: id, Service: h.Service, Address: h.Address, Zone: h.Zone, Version: h.Version, Capacity: h.Capacity,
-		ColdLeftMs: int(h.ColdLeftMs), CallCount: h.CallCount}
-	switch h.State {
-	case "ready":
-	case "draining":
-		e.State = view.Draining
-	default:
-		refuse(w, http.StatusBadRequest, `state: must be "ready" or "draining"`)
-		return
-	}
-	if h.Service == "" || h.Address == "" {
-		refuse(w, http.StatusBadRequest, "service and address: must be there")
-		return
-	}
-	for _, m := range h.Models {
-		e.Models = append(e.Models, view.Model{Name: m.Name, Version: m.Version})
-	}
-	if err := registry.Check(&e); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	k.register(w, id, func(now time.Time) bool { return k.table.Beat(k.since(now), e) }, h.Zone, e.State == view.Draining)
-}
-
-func (k *Keeper) leave(w http.ResponseWriter, id string, _ []byte, _ *http.Request) {
-	if err := registry.Check(&view.Endpoint{ID: id}); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	k.register(w, id, func(now time.Time) bool { return k.table.Leave(k.since(now), id) }, "", true)
-}
-
-// register changes the list and answers once those who need it have acknowledged the change, or have
-// had time to.
-func (k *Keeper) register(w http.ResponseWriter, id string, change func(now time.Time) bool, zone string, ends bool) {
-	type result struct {
-		waiter *waiter
-		beatTo string
-		full   bool
-	}
-	res, ok := ask(k, func() result {
-		now := time.Now()
-		before := k.table.Newest()
-		changed := change(now) || k.table.Newest() != before // of another, whose address it has
-		beatTo := k.beatTo(zone)
-		if _, there := k.table.Get(k.since(now), id); !there && !ends {
-			return result{full: true}
-		}
-		if !changed && !ends {
-			return result{beatTo: beatTo}
-		}
-		wt := &waiter{change: k.table.Newest(), until: now.Add(k.o.PushWait), done: make(chan struct{})}
-		switch {
-		case changed:
-			k.dirty = true
-			list, _, whole := k.table.Changes(k.since(now), before)
-			if whole { // the first change of all, which may be an end
-				list = k.table.Entries(k.since(now), -1)
-			}
-			k.tellEntries(list, wt)
-		default: // a repeat: others may lack it all the same, as who took it first may be dead
-			if e, there := k.table.Get(k.since(now), id); there {
-				k.tellEntries([]registry.Entry{e}, wt)
-			}
-		}
-		k.wait(wt)
-		return result{waiter: wt, beatTo: beatTo}
-	})
-	if ok && res.waiter != nil {
-		select {
-		case <-res.waiter.done:
-		case <-k.ended:
-			ok = false
-		}
-	}
-	if !ok {
-		refuse(w, http.StatusServiceUnavailable, errStops.Error())
-		return
-	}
-	if res.full {
-		refuse(w, http.StatusServiceUnavailable, "the list of endpoints is full: remove some")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if res.beatTo != "" {
-		b, _ := json.Marshal(map[string]string{"beat_to": res.beatTo}) // strings always marshal
-		_, _ = w.Write(b)
-		return
-	}
-	_, _ = w.Write([]byte("{}"))
-}
-
-// beatTo names a keeper in an endpoint's own zone, so that its heartbeats stay there.
-func (k *Keeper) beatTo(zone string) string {
-	if zone == "" || zone == k.self.Zone {
-		return k.self.Control
-	}
-	for _, n := range k.keeperNodes() {
-		if n.Zone == zone {
-			return n.Control
-		}
-	}
-	return ""
-}
-
 // putDocument makes a document the newest value of its register, and tells its slot. On an error it has answered.
 func (k *Keeper) putDocument(w http.ResponseWriter, r *http.Request, of documentKind, body []byte, parse func([]byte) (uint64, error)) (uint64, bool) {
 	base, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
@@ -332,87 +212,6 @@
 	k.getDocument(w, configRegister, http.StatusServiceUnavailable, "no configuration was taken yet: put one first")
 }
 
-func (k *Keeper) postRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
-	code := make(chan int, 1)
-	alive, lost, ok := k.storesNow()
-	if !ok {
-		refuse(w, http.StatusServiceUnavailable, "this keeper has just started, or stops: ask another one, or again in a second")
-		return
-	}
-	k.changeTable(func(cur *view.Table) (*view.Table, error) {
-		next, known, few := batch.Retire(cur, name, alive, lost, k.o.Settings.SurviveMachines)
-		switch {
-		case !known:
-			return nil, errUnknownStore
-		case few:
-			return nil, errTooFew
-		case next == nil || next == cur:
-			return nil, agree.ErrUnchanged
-		}
-		return next, nil
-	}, func(err error) {
-		switch {
-		case err == nil:
-			code <- http.StatusOK
-		case errors.Is(err, errUnknownStore):
-			code <- http.StatusNotFound
-		case errors.Is(err, errTooFew):
-			code <- http.StatusConflict
-		default:
-			code <- http.StatusServiceUnavailable
-		}
-	})
-	var c int
-	select {
-	case c = <-code:
-	case <-k.ended:
-		c = http.StatusServiceUnavailable
-	}
-	if c != http.StatusOK {
-		refuse(w, c, map[int]string{http.StatusNotFound: errUnknownStore.Error(), http.StatusConflict: errTooFew.Error(),
-			http.StatusServiceUnavailable: "no majority answers: ask another keeper"}[c])
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write([]byte("{}"))
-}
-
-func (k *Keeper) getRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
-	type result struct {
-		s   agree.State
-		err error
-	}
-	done := make(chan result, 1)
-	k.agree.read(tableRegister, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
-	var res result
-	select {
-	case res = <-done:
-	case <-k.ended:
-		res.err = errStops
-	}
-	if res.err != nil {
-		refuse(w, http.StatusServiceUnavailable, res.err.Error())
-		return
-	}
-	table, err := tableOf(res.s)
-	if err != nil {
-		refuse(w, http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	known, finished := batch.Retired(table, name, k.o.Settings.SurviveMachines)
-	state := "in_progress"
-	if finished {
-		state = "finished"
-	}
-	if !known {
-		refuse(w, http.StatusNotFound, errUnknownStore.Error())
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	b, _ := json.Marshal(map[string]string{"state": state}) // strings always marshal
-	_, _ = w.Write(b)
-}
-
 func (k *Keeper) getStatus(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
 	b, ok := ask(k, k.statusJSON)
 	if !ok {
--- a/internal/keeper/certificates.go
+++ b/internal/keeper/certificates.go
@@ -155,38 +155,44 @@
 // confirmCertificates has a majority say what the newest certificates are, for all who asked before it begins, at most once in
 // confirmEvery. They are pushed before those who asked are answered, on the same links.
 func (k *Keeper) confirmCertificates() {
-	if k.confirming || len(k.asking) == 0 {
+	delay, needed := k.certificateReads.Delay(k.since(time.Now()))
+	if !needed {
 		return
 	}
-	k.confirming = true
-	if wait := confirmEvery - time.Since(k.confirmed); wait > 0 {
-		time.AfterFunc(wait, func() { k.do(k.readCertificates) })
+	if delay > 0 {
+		time.AfterFunc(delay, func() { k.do(k.confirmCertificates) })
 		return
 	}
 	k.readCertificates()
 }
 
 func (k *Keeper) readCertificates() {
-	asked := k.asking
-	k.asking, k.confirmed = nil, time.Now()
+	if !k.certificateReads.Begin(k.since(time.Now())) {
+		return
+	}
 	k.agree.read(certificatesRegister, confirmRead, func(s agree.State, err error) {
 		k.post(func() {
-			k.confirming = false
 			if err == nil {
 				k.decided(certificatesRegister, s)
 				if k.dirty {
 					k.pushAll()
 				}
 			}
-			for _, m := range asked {
-				// One that was not pushed them, as it has yet to acknowledge too much, may not take the answer for theirs.
-				if p := k.attached[m.Conn]; err != nil || !k.fresh || p == nil || p.certificates < k.certificates.version {
-					m.Fail("no majority confirms the certificates")
-					continue
-				}
-				m.Reply(nil)
+			for _, m := range k.certificateReads.Done() {
+				k.confirmFor(m, err == nil)
 			}
 			k.confirmCertificates()
 		})
 	})
 }
+
+// confirmFor answers one who asked whether the certificates that it was pushed are the newest. One that was not pushed
+// them, as it has yet to acknowledge too much or there is no contact, may not take the answer for theirs.
+func (k *Keeper) confirmFor(m *link.Message, read bool) {
+	p := k.attached[m.Conn]
+	if !read || p == nil || !k.contact.MayHandOut(k.since(time.Now()), m.Conn) || p.certificates < k.certificates.version {
+		m.Fail("no majority confirms the certificates")
+		return
+	}
+	m.Reply(nil)
+}
--- a/internal/keeper/contact.go
+++ b/internal/keeper/contact.go
@@ -6,24 +6,96 @@
 	"dunetide/internal/agree"
 )
 
-// confirm makes the keeper fresh once a majority has confirmed the newest configuration and certificates.
-func (k *Keeper) confirm() {
-	var try func(name string)
-	try = func(name string) {
-		k.agree.read(name, time.Second, func(_ agree.State, err error) {
+const (
+	// contactRead bounds the read by which a majority is asked. Operations that are ahead of it in the register's
+	// queue count as answers themselves.
+	contactRead = 700 * time.Millisecond
+	// attachRead bounds the reads for processes that have attached.
+	attachRead = time.Second
+)
+
+// inContact tells whether a majority has answered recently. It may be called from any goroutine, and is to be looked
+// at right before each thing that is said.
+func (k *Keeper) inContact() bool {
+	return time.Since(k.life) < time.Duration(k.contactUntil.Load())
+}
+
+// stepContact asks the majority where that is due, tells of a change, and sets the timer for the next step.
+func (k *Keeper) stepContact() {
+	now := k.since(time.Now())
+	if k.contact.Due(now) {
+		k.askMajority(now)
+	}
+	k.beginAttachRead(now)
+	k.contactUntil.Store(int64(k.contact.Until()))
+	if holds := k.contact.MayServe(now); holds != k.hadContact {
+		k.hadContact = holds
+		k.contactChanged(now)
+	}
+	next := tickEvery
+	if at, ok := k.contact.Next(now); ok {
+		next = min(next, at-now)
+	}
+	if delay, ok := k.contact.ReadDelay(now); ok {
+		next = min(next, delay)
+	}
+	k.contactTimer.Reset(max(next, time.Millisecond))
+}
+
+// contactChanged tells the others and the attached processes.
+func (k *Keeper) contactChanged(now time.Duration) {
+	if k.hadContact {
+		k.log.Info("contact with a majority", "after", now)
+	} else {
+		k.log.Warn("no contact with a majority")
+	}
+	k.sendReports(time.Now())
+	k.dirty = true
+}
+
+// askMajority asks by a read of the configuration's register.
+func (k *Keeper) askMajority(askedAt time.Duration) {
+	k.contact.Asked(askedAt)
+	k.agree.read(configRegister, contactRead, func(s agree.State, err error) {
+		k.post(func() {
+			if err == nil {
+				k.decided(configRegister, s)
+			}
+			k.contact.Answered(k.since(time.Now()), askedAt, err == nil)
+		})
+	})
+}
+
+// confirmedSince wraps the end of an operation on a register: one that a majority took part in is contact, counted
+// from before it began.
+func (k *Keeper) confirmedSince(done func(agree.State, error)) func(agree.State, error) {
+	beganAt := k.since(time.Now())
+	return func(s agree.State, err error) {
+		if err == nil {
+			k.post(func() { k.contact.Confirmed(k.since(time.Now()), beganAt) })
+		}
+		done(s, err)
+	}
+}
+
+// beginAttachRead reads all registers for the processes that have attached since the last such read began.
+func (k *Keeper) beginAttachRead(now time.Duration) {
+	if !k.contact.BeginRead(now) {
+		return
+	}
+	left, allRead := len(registerNames), true
+	for _, name := range registerNames {
+		k.agree.read(name, attachRead, func(s agree.State, err error) {
 			k.post(func() {
-				if err != nil && time.Since(k.life) < confirmWait {
-					time.AfterFunc(100*time.Millisecond, func() { try(name) })
-					return
+				if err == nil {
+					k.decided(name, s)
 				}
-				if name == configRegister && time.Since(k.life) < confirmWait {
-					try(certificatesRegister)
-					return
+				allRead = allRead && err == nil
+				if left--; left == 0 {
+					k.contact.ReadDone(allRead)
+					k.dirty = true
 				}
-				k.fresh, k.dirty = true, true
-				k.log.Info("ready to push", "confirmed", err == nil)
 			})
 		})
 	}
-	try(configRegister)
 }
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -36,7 +36,7 @@
 		return
 	}
 	w := link.Writer{}
-	w.Bool(k.lease.Ask(k.since(now), name, holder))
+	w.Bool(k.contact.MayServe(k.since(now)) && k.lease.Ask(k.since(now), name, holder))
 	m.Reply(w.B)
 }
 
@@ -59,7 +59,7 @@
 	for id := range stores {
 		a.seen[id] = now
 	}
-	if k.fresh {
+	if k.contact.MayServe(k.since(now)) {
 		k.askLease(now)
 	}
 	if held := a.lease.Holds(k.since(now)); held != a.held {
@@ -204,7 +204,8 @@
 	return alive, func(id uint64) bool { return lost[id] }
 }
 
-// storesNow is storesAt for other goroutines. Not ok: this keeper ends, or has not had the time to hear of all.
+// storesNow is storesAt for other goroutines. Not ok: this keeper ends, or has not been in
+// contact for long enough to have heard of all.
 func (k *Keeper) storesNow() (alive []view.Store, lost func(uint64) bool, ok bool) {
 	type result struct {
 		alive []view.Store
@@ -212,7 +213,7 @@
 	}
 	res, ok := ask(k, func() result {
 		now := time.Now()
-		if k.since(now) < settle {
+		if k.contact.HeldFor(k.since(now)) < settle {
 			return result{}
 		}
 		alive, lost := k.storesAt(now, k.stores())
@@ -225,7 +226,7 @@
 type status struct {
 	Node         string           `json:"node"`
 	Voter        bool             `json:"voter"`
-	Fresh        bool             `json:"fresh"`
+	InContact    bool             `json:"in_contact"`
 	Version      uint64           `json:"config_version"`
 	Certificates uint64           `json:"certificates_version"`
 	Table        uint64           `json:"table_number"`
@@ -247,7 +248,7 @@
 }
 
 func (k *Keeper) statusJSON() []byte {
-	s := status{Node: k.self.Name, Fresh: k.fresh, Version: k.config.version, Certificates: k.certificates.version, Senders: k.senders, Voter: k.agree.votes(), Services: map[string]int{},
+	s := status{Node: k.self.Name, InContact: k.inContact(), Version: k.config.version, Certificates: k.certificates.version, Senders: k.senders, Voter: k.agree.votes(), Services: map[string]int{},
 		Duty: k.assigner.lease.Holds(k.since(time.Now()))}
 	if k.parts != nil {
 		s.Table = k.parts.Number
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"dunetide/internal/contact"
 	"dunetide/internal/control"
 	"dunetide/internal/duty"
 	"dunetide/internal/journal"
@@ -65,25 +66,27 @@
 	config   *document // newest decided that is known
 	// certificates are the newest decided that are known; version 0: none were ever put.
 	certificates *document
-	confirming   bool            // a read of the certificates' register is under way, or about to begin
-	confirmed    time.Time       // the last one began
-	asking       []*link.Message // those who wait for the next one
-	fresh        bool            // a majority has confirmed it in this life, or can't be had
-	parts        *view.Table
-	senders      int
-	dirty        bool
-	lease        *duty.Grants
-	assigner     assigner
-	sentBeat     time.Time
-	dialling     map[string]bool
-	wanted       map[string]time.Time // addresses of keepers' links: when each may be dialled again
-	waiting      []*waiter
-	met          uint64 // counts changes of the keepers that are met
-	listens      bool   // as the attached were told last
-	told         uint64 // the list's newest change, as they were told last
-	sums         digests
+	// certificateReads are for those who ask whether theirs are the newest.
+	certificateReads *contact.Barrier[*link.Message]
+	contact          *contact.Gate[*link.Conn]
+	contactTimer     *time.Timer
+	hadContact       bool // as the others were told last
+	parts            *view.Table
+	senders          int
+	dirty            bool
+	lease            *duty.Grants
+	assigner         assigner
+	sentBeat         time.Time
+	dialling         map[string]bool
+	wanted           map[string]time.Time // addresses of keepers' links: when each may be dialled again
+	waiting          []*waiter
+	keepersChange    uint64 // counts changes of the keepers that are connected
+	pushedListening  bool   // whether the list may be believed, as the attached were told last
+	pushedChange     uint64 // the list's newest change, as they were told last
+	sums             digests
 
-	linked atomic.Pointer[links] // for other goroutines
+	linked       atomic.Pointer[links] // for other goroutines
+	contactUntil atomic.Int64          // for other goroutines: the end of contact, as a time of this life
 
 	mu     sync.Mutex
 	posts  []func() // from the registers' goroutine, which never waits for the owner
@@ -96,7 +99,8 @@
 	now := time.Now()
 	k := &Keeper{o: o, log: o.Log, life: now, commands: make(chan func(), queueMost), ended: make(chan struct{}),
 		posted: make(chan struct{}, 1), attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peerLink{},
-		config: &document{}, certificates: &document{}, dialling: map[string]bool{}, wanted: map[string]time.Time{}}
+		config: &document{}, certificates: &document{}, certificateReads: contact.NewBarrier[*link.Message](confirmEvery),
+		contact: contact.NewGate[*link.Conn](), contactTimer: time.NewTimer(0), dialling: map[string]bool{}, wanted: map[string]time.Time{}}
 	if k.o.PushWait <= 0 {
 		k.o.PushWait = pushWait
 	}
@@ -140,8 +144,8 @@
 	go func() { defer wg.Done(); _ = server.Serve(calls) }()
 	go func() { defer wg.Done(); defer cancel(); k.agree.run(ctx) }()
 	k.agree.met() // a single keeper meets nobody
-	k.confirm()
 	k.loop(ctx)
+	k.contactTimer.Stop()
 	close(k.ended)
 	_ = links.Close()
 	for c := range k.attached {
@@ -177,9 +181,11 @@
 			}
 		case <-tick.C:
 			k.tick(time.Now())
+		case <-k.contactTimer.C:
 		case <-ctx.Done():
 			return
 		}
+		k.stepContact()
 		if k.dirty {
 			k.pushAll()
 		}
@@ -244,7 +250,7 @@
 	}
 	k.wakeWaiters(now)
 	k.assign(now)
-	if k.table.Listening(k.since(now)) != k.listens || k.table.Newest() != k.told {
+	if k.table.Listening(k.since(now)) != k.pushedListening || k.table.Newest() != k.pushedChange {
 		k.dirty = true
 	}
 }
@@ -294,8 +300,10 @@
 		}
 		m.Conn.Tag.Store(nodes) // until it is known whose word it is
 	case control.Confirm:
-		k.asking = append(k.asking, m)
+		k.certificateReads.Add(m)
 		k.confirmCertificates()
+	case control.InContact:
+		m.Reply(k.contactBody())
 	case control.InForce:
 		k.inForceAsked(m)
 	case control.Report:
@@ -317,7 +325,7 @@
 func (k *Keeper) Closed(c *link.Conn) {
 	k.do(func() {
 		if p := k.attached[c]; p != nil {
-			delete(k.attached, c)
+			k.detach(c)
 			k.log.Info("detached", "node", p.node.Name, "role", p.node.Role)
 			k.recount()
 			k.tellAttached()
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -97,7 +97,7 @@
 		l = append(l, linked{p.node, p.conn, p.lost})
 	}
 	k.linked.Store(&l)
-	k.met++
+	k.keepersChange++
 	k.dirty = true
 	k.recount()
 }
@@ -192,7 +192,7 @@
 		k.log.Info("keeper met", "keeper", node.Name, "zone", node.Zone)
 	}
 	if p.node.Life != node.Life {
-		p.attached, p.differs = nil, 0
+		p.attached, p.differs, p.report = nil, 0, control.KeeperReport{}
 		for other, l := range k.conns {
 			if l.peer == p && other != c {
 				other.Close()
@@ -239,6 +239,7 @@
 		_ = c.Send(control.Learn, body)
 	}
 	_ = c.Send(control.Attached, k.attachedBody())
+	_ = c.Send(control.Report, k.reportBody(time.Now()))
 }
 
 // parted forgets a link to a keeper. Another one to the same life takes its place.
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -13,20 +13,25 @@
 func (k *Keeper) report(now time.Time) control.KeeperReport {
 	met := k.links().metIDs(k.agree.id, now)
 	delete(met, 0) // keepers without a disk
-	return control.KeeperReport{InContact: k.fresh, Slots: k.agree.slots(), Heard: slices.Sorted(maps.Keys(met))}
+	return control.KeeperReport{InContact: k.contact.MayServe(k.since(now)), Slots: k.agree.slots(), Heard: slices.Sorted(maps.Keys(met))}
 }
 
 // sendReports tells all keepers that are met.
 func (k *Keeper) sendReports(now time.Time) {
-	w := link.Writer{}
-	k.report(now).Append(&w)
+	body := k.reportBody(now)
 	for _, p := range k.peers {
 		if p.conn != nil {
-			_ = p.conn.Send(control.Report, w.B)
+			_ = p.conn.Send(control.Report, body)
 		}
 	}
 }
 
+func (k *Keeper) reportBody(now time.Time) []byte {
+	w := link.Writer{}
+	k.report(now).Append(&w)
+	return w.B
+}
+
 // reported takes the report of another keeper in.
 func (k *Keeper) reported(m *link.Message) {
 	r := link.Reader{B: m.Body}
