--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -42,7 +42,7 @@
 	// AnnounceStopping is called, again and again, while the table does not say whether this store is about to stop:
 	// SetStopping belongs into the register. It must not block.
 	AnnounceStopping func(store uint64, stopping bool)
-	Logf  func(format string, args ...any)
+	Logf             func(format string, args ...any)
 }
 
 // handOverPoll is how often a store that stops looks whether others lead its parts.
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"dunetide/internal/certify"
-	"dunetide/internal/registry"
-	"dunetide/internal/view"
 )
 
 const (
@@ -21,7 +19,14 @@
 	proposeWait = 900 * time.Millisecond
 )
 
-var errStops = errors.New("this keeper stops: ask another one")
+// Refusals that say nothing of what was asked: another keeper may answer.
+var (
+	errStops     = errors.New("this keeper stops: ask another one")
+	errNoContact = errors.New("no contact with a majority: ask another keeper")
+)
+
+// retryAfter is in how many seconds a call that got 503 may be sent again as it is.
+const retryAfter = "0.2"
 
 // call is a row of the table of all calls of endpoints and operators.
 type call struct {
@@ -81,140 +86,17 @@
 	})
 }
 
+// refuse answers a call that did not succeed. 503 says that nothing is known, here and now, of what was asked.
 func refuse(w http.ResponseWriter, code int, why string) {
 	w.Header().Set("Content-Type", "application/json")
+	if code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
 	w.WriteHeader(code)
 	b, _ := json.Marshal(map[string]string{"error": why}) // strings always marshal
 	_, _ = w.Write(b)
 }
 
-// heartbeat is what an endpoint says of itself.
-type heartbeat struct {
-	Service    string  `json:"service"`
-	Address    string  `json:"address"`
-	Zone       string  `json:"zone"`
-	Version    string  `json:"version"`
-	Capacity   int     `json:"capacity"`
-	State      string  `json:"state"`
-	ColdLeftMs float64 `json:"cold_left_ms"`
-	CallCount  uint64  `json:"call_count"`
-	Models     []struct {
-		Name    string `json:"name"`
-		Version int    `json:"version"`
-	} `json:"models"`
-}
-
-func (k *Keeper) beat(w http.ResponseWriter, id string, body []byte, _ *http.Request) {
-	var h heartbeat
-	if err := json.Unmarshal(body, &h); err != nil {
-		refuse(w, http.StatusBadRequest, "a heartbeat must be JSON: "+err.Error())
-		return
-	}
-	e := view.Endpoint{ID: id, Service: h.Service, Address: h.Address, Zone: h.Zone, Version: h.Version, Capacity: h.Capacity,
-		ColdLeftMs: int(h.ColdLeftMs), CallCount: h.CallCount}
-	switch h.State {
-	case "ready":
-	case "draining":
-		e.State = view.Draining
-	default:
-		refuse(w, http.StatusBadRequest, `state: must be "ready" or "draining"`)
-		return
-	}
-	if h.Service == "" || h.Address == "" {
-		refuse(w, http.StatusBadRequest, "service and address: must be there")
-		return
-	}
-	for _, m := range h.Models {
-		e.Models = append(e.Models, view.Model{Name: m.Name, Version: m.Version})
-	}
-	if err := registry.Check(&e); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	k.register(w, id, func(now time.Time) bool { return k.table.Beat(k.since(now), e) }, h.Zone, e.State == view.Draining)
-}
-
-func (k *Keeper) leave(w http.ResponseWriter, id string, _ []byte, _ *http.Request) {
-	if err := registry.Check(&view.Endpoint{ID: id}); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	k.register(w, id, func(now time.Time) bool { return k.table.Leave(k.since(now), id) }, "", true)
-}
-
-// register changes the list and answers once those who need it have acknowledged the change, or have
-// had time to.
-func (k *Keeper) register(w http.ResponseWriter, id string, change func(now time.Time) bool, zone string, ends bool) {
-	type result struct {
-		waiter *waiter
-		beatTo string
-		full   bool
-	}
-	res, ok := ask(k, func() result {
-		now := time.Now()
-		before := k.table.Newest()
-		changed := change(now) || k.table.Newest() != before // of another, whose address it has
-		beatTo := k.beatTo(zone)
-		if _, there := k.table.Get(k.since(now), id); !there && !ends {
-			return result{full: true}
-		}
-		if !changed && !ends {
-			return result{beatTo: beatTo}
-		}
-		wt := &waiter{change: k.table.Newest(), until: now.Add(k.o.PushWait), done: make(chan struct{})}
-		switch {
-		case changed:
-			k.dirty = true
-			list, _, whole := k.table.Changes(k.since(now), before)
-			if whole { // the first change of all, which may be an end
-				list = k.table.Entries(k.since(now), -1)
-			}
-			k.tellEntries(list, wt)
-		default: // a repeat: others may lack it all the same, as who took it first may be dead
-			if e, there := k.table.Get(k.since(now), id); there {
-				k.tellEntries([]registry.Entry{e}, wt)
-			}
-		}
-		k.wait(wt)
-		return result{waiter: wt, beatTo: beatTo}
-	})
-	if ok && res.waiter != nil {
-		select {
-		case <-res.waiter.done:
-		case <-k.ended:
-			ok = false
-		}
-	}
-	if !ok {
-		refuse(w, http.StatusServiceUnavailable, errStops.Error())
-		return
-	}
-	if res.full {
-		refuse(w, http.StatusServiceUnavailable, "the list of endpoints is full: remove some")
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if res.beatTo != "" {
-		b, _ := json.Marshal(map[string]string{"beat_to": res.beatTo}) // strings always marshal
-		_, _ = w.Write(b)
-		return
-	}
-	_, _ = w.Write([]byte("{}"))
-}
-
-// beatTo names a keeper in an endpoint's own zone, so that its heartbeats stay there.
-func (k *Keeper) beatTo(zone string) string {
-	if zone == "" || zone == k.self.Zone {
-		return k.self.Control
-	}
-	for _, n := range k.keeperNodes() {
-		if n.Zone == zone {
-			return n.Control
-		}
-	}
-	return ""
-}
-
 func (k *Keeper) getStatus(w http.ResponseWriter, _ string, _ []byte, _ *http.Request) {
 	b, ok := ask(k, k.statusJSON)
 	if !ok {
--- a/internal/keeper/retire.go
+++ b/internal/keeper/retire.go
@@ -87,10 +87,15 @@
 	return http.StatusServiceUnavailable
 }
 
+// refuses reports whether a status ends an order for good.
+func refuses(code int) bool {
+	return code == http.StatusNotFound || code == http.StatusConflict
+}
+
 func (k *Keeper) postRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
 	alive, lost, ok := k.storesNow()
 	if !ok {
-		refuseOrder(w, http.StatusServiceUnavailable, errStoresUnheard.Error())
+		refuse(w, http.StatusServiceUnavailable, errStoresUnheard.Error())
 		return
 	}
 	order := retirement{name: name, alive: alive, lost: lost, spare: k.o.Settings.SurviveMachines}
@@ -102,9 +107,13 @@
 	case <-k.ended:
 		err = errStops
 	}
-	if code := retireStatus(err); code != http.StatusOK {
+	code := retireStatus(err)
+	if refuses(code) && !k.inContact() {
+		code = http.StatusServiceUnavailable // stores that are attached elsewhere may not be known here
+	}
+	if code != http.StatusOK {
 		k.log.Info("retirement not taken", "store", name, "code", code, "err", err)
-		refuseOrder(w, code, err.Error())
+		refuse(w, code, err.Error())
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -125,12 +134,12 @@
 		res.err = errStops
 	}
 	if res.err != nil {
-		refuseOrder(w, http.StatusServiceUnavailable, res.err.Error())
+		refuse(w, http.StatusServiceUnavailable, res.err.Error())
 		return
 	}
 	table, err := tableOf(res.s)
 	if err != nil {
-		refuseOrder(w, http.StatusServiceUnavailable, err.Error())
+		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	known, finished := batch.Retired(table, name, k.o.Settings.SurviveMachines)
@@ -154,5 +163,5 @@
 	if (retirement{name: name, alive: alive}).joins() {
 		err = errStoreJoins
 	}
-	refuseOrder(w, retireStatus(err), err.Error())
+	refuse(w, retireStatus(err), err.Error())
 }
