--- a/internal/agree/kill_test.go
+++ b/internal/agree/kill_test.go
@@ -41,7 +41,7 @@
 		w.run(w.now + 30*time.Millisecond)
 		spare := w.machines[sh.sz.n]
 		w.propose(w.machines[1], 2*time.Second, func(cur State) (State, error) {
-			next, ok := Admit(cur, spare.voter(), func(v Voter) bool { return v.Name == "n0" }, sh.sz.n)
+			next, ok := admitVoter(cur, spare.voter(), func(v Voter) bool { return v.Name == "n0" }, sh.sz.n)
 			if !ok {
 				return cur, ErrUnchanged
 			}
--- a/internal/agree/members.go
+++ b/internal/agree/members.go
@@ -2,38 +2,39 @@
 
 import "slices"
 
-// Admit gives the State with v among its voters: in the place of one with the same name, or the same address, or
-// of a dead one, or added where there are fewer than most. False: nothing to change.
-func Admit(cur State, v Voter, dead func(Voter) bool, most int) (State, bool) {
-	if v.ID == 0 || slices.Contains(cur.Voters, v) {
-		return cur, false
+// WithVoter gives the state with one more voter. False: it has no identity, or is a voter already.
+func (s State) WithVoter(joiner Voter) (State, bool) {
+	if joiner.ID == 0 || s.Has(joiner.ID) {
+		return s, false
 	}
-	next := cur.Clone()
-	for _, same := range []func(Voter) bool{
-		func(w Voter) bool { return w.ID == v.ID },
-		func(w Voter) bool { return w.Name == v.Name },
-		func(w Voter) bool { return w.Addr == v.Addr },
-		dead,
-	} {
-		if i := slices.IndexFunc(next.Voters, same); i >= 0 {
-			next.Voters[i] = v
-			return next, true
-		}
-	}
-	if len(next.Voters) >= most {
-		return cur, false
-	}
-	next.Voters = append(next.Voters, v)
+	next := s.Clone()
+	next.Voters = append(next.Voters, joiner)
 	return next, true
 }
 
-// Expel gives the State without one dead voter, where more than least are left. False: nothing to change.
-func Expel(cur State, dead func(Voter) bool, least int) (State, bool) {
-	i := slices.IndexFunc(cur.Voters, dead)
-	if i < 0 || len(cur.Voters) <= least {
-		return cur, false
+// WithoutVoter gives the state without a voter. False: it is none, or the only one.
+func (s State) WithoutVoter(id uint64) (State, bool) {
+	i := s.voterIndex(id)
+	if i < 0 || len(s.Voters) == 1 {
+		return s, false
 	}
-	next := cur.Clone()
+	next := s.Clone()
 	next.Voters = slices.Delete(next.Voters, i, i+1)
 	return next, true
 }
+
+// WithReplacement gives the state with a joiner in the place of a voter, which may be the same identity at another
+// address. False: the old one is no voter, or the joiner is one already or has no identity.
+func (s State) WithReplacement(old uint64, joiner Voter) (State, bool) {
+	i := s.voterIndex(old)
+	if i < 0 || joiner.ID == 0 || joiner.ID != old && s.Has(joiner.ID) || s.Voters[i] == joiner {
+		return s, false
+	}
+	next := s.Clone()
+	next.Voters[i] = joiner
+	return next, true
+}
+
+func (s State) voterIndex(id uint64) int {
+	return slices.IndexFunc(s.Voters, func(v Voter) bool { return v.ID == id })
+}
--- a/internal/agree/members_test.go
+++ b/internal/agree/members_test.go
@@ -6,6 +6,76 @@
 	"testing"
 )
 
+// admitVoter gives the State with v among its voters: in the place of one with the same identity, the same name, the same
+// address, or of a dead one, or added where there are fewer than most. The simulations draw changes with it that are
+// wilder than those that package reconfigure decides on. False: nothing to change.
+func admitVoter(cur State, v Voter, dead func(Voter) bool, most int) (State, bool) {
+	if v.ID == 0 || slices.Contains(cur.Voters, v) {
+		return cur, false
+	}
+	for _, same := range []func(Voter) bool{
+		func(w Voter) bool { return w.ID == v.ID },
+		func(w Voter) bool { return w.Name == v.Name },
+		func(w Voter) bool { return w.Addr == v.Addr },
+		dead,
+	} {
+		if i := slices.IndexFunc(cur.Voters, same); i >= 0 {
+			return cur.WithReplacement(cur.Voters[i].ID, v)
+		}
+	}
+	if len(cur.Voters) >= most {
+		return cur, false
+	}
+	return cur.WithVoter(v)
+}
+
+// expelVoter gives the State without one dead voter, where more than least are left. False: nothing to change.
+func expelVoter(cur State, dead func(Voter) bool, least int) (State, bool) {
+	i := slices.IndexFunc(cur.Voters, dead)
+	if i < 0 || len(cur.Voters) <= least {
+		return cur, false
+	}
+	return cur.WithoutVoter(cur.Voters[i].ID)
+}
+
+// The three changes of voters leave the state alone that they start from, and refuse what would leave no voters, a
+// voter without an identity, or one twice.
+func TestChangesOfVoters(t *testing.T) {
+	cur := State{Slot: 4, Voters: []Voter{{1, "a", "A"}, {2, "b", "B"}}}
+	joiner, moved := Voter{9, "d", "D"}, Voter{2, "b", "E"}
+	one := State{Voters: cur.Voters[:1]}
+	type result struct {
+		State
+		ok bool
+	}
+	from := func(s State, ok bool) result { return result{s, ok} }
+	for i, c := range []struct {
+		got  result
+		want string
+	}{
+		{from(cur.WithVoter(joiner)), "1a 2b 9d"},
+		{from(cur.WithVoter(moved)), ""},
+		{from(cur.WithVoter(Voter{0, "d", "D"})), ""},
+		{from(cur.WithoutVoter(1)), "2b"},
+		{from(cur.WithoutVoter(9)), ""},
+		{from(one.WithoutVoter(1)), ""},
+		{from(cur.WithReplacement(1, joiner)), "9d 2b"},
+		{from(cur.WithReplacement(2, moved)), "1a 2b"},
+		{from(cur.WithReplacement(1, moved)), ""},
+		{from(cur.WithReplacement(9, joiner)), ""},
+		{from(cur.WithReplacement(1, Voter{0, "d", "D"})), ""},
+		{from(cur.WithReplacement(2, cur.Voters[1])), ""},
+	} {
+		got := ""
+		if c.got.ok {
+			got = show(c.got.State)
+		}
+		if got != c.want || show(cur) != "1a 2b" || cur.Voters[1].Addr != "B" {
+			t.Errorf("%d: %q, not %q", i, got, c.want)
+		}
+	}
+}
+
 func TestAdmitAndExpel(t *testing.T) {
 	v := func(id uint64, name, addr string) Voter { return Voter{id, name, addr} }
 	cur := State{Slot: 4, Voters: []Voter{v(1, "a", "A"), v(2, "b", "B"), v(3, "c", "C")}}
@@ -27,7 +97,7 @@
 		{v(2, "e", "E"), dead("a"), 9, "1a 2e 3c"}, // it moved
 		{v(0, "d", "D"), dead("a"), 9, ""},
 	} {
-		next, ok := Admit(cur, c.in, c.dead, c.most)
+		next, ok := admitVoter(cur, c.in, c.dead, c.most)
 		got := ""
 		if ok {
 			got = show(next)
@@ -36,13 +106,13 @@
 			t.Errorf("%d: %q, not %q", i, got, c.want)
 		}
 	}
-	if next, ok := Expel(cur, dead("b"), 2); !ok || show(next) != "1a 3c" || show(cur) != "1a 2b 3c" {
+	if next, ok := expelVoter(cur, dead("b"), 2); !ok || show(next) != "1a 3c" || show(cur) != "1a 2b 3c" {
 		t.Error(show(next), ok)
 	}
-	if _, ok := Expel(cur, dead("b"), 3); ok {
+	if _, ok := expelVoter(cur, dead("b"), 3); ok {
 		t.Error("too few are left")
 	}
-	if _, ok := Expel(cur, none, 0); ok {
+	if _, ok := expelVoter(cur, none, 0); ok {
 		t.Error("nobody is dead")
 	}
 }
@@ -55,7 +125,7 @@
 	return out[min(1, len(out)):]
 }
 
-// TestOneVoterAtATime: whatever Admit makes, one voter at most is new, and one at most is gone.
+// TestOneVoterAtATime: whatever admitVoter makes, one voter at most is new, and one at most is gone.
 func TestOneVoterAtATime(t *testing.T) {
 	for n := 1; n <= 8; n++ {
 		var cur State
@@ -64,7 +134,7 @@
 		}
 		for _, in := range append(slices.Clone(cur.Voters), Voter{99, "new", "new"}) {
 			in.ID += 100
-			next, _ := Admit(cur, in, func(v Voter) bool { return v.ID%2 == 0 }, 8)
+			next, _ := admitVoter(cur, in, func(v Voter) bool { return v.ID%2 == 0 }, 8)
 			gone, come := 0, 0
 			for _, v := range cur.Voters {
 				if !next.Has(v.ID) {
--- a/internal/agree/steps_test.go
+++ b/internal/agree/steps_test.go
@@ -153,7 +153,7 @@
 			case "admit":
 				who := tb.nodes[node(arg(1))].voter
 				tb.nodes[node(arg(0))].reg.Propose(tb.now, second, func(cur State) (State, error) {
-					next, ok := Admit(cur, who, func(v Voter) bool { return v.Name == arg(2) }, 9)
+					next, ok := admitVoter(cur, who, func(v Voter) bool { return v.Name == arg(2) }, 9)
 					if !ok {
 						return cur, ErrUnchanged
 					}
--- a/internal/agree/troubles_test.go
+++ b/internal/agree/troubles_test.go
@@ -89,7 +89,7 @@
 			if in.ID != joiner.id {
 				return cur, ErrUnchanged // it lost its disk meanwhile
 			}
-			next, ok := Admit(cur, in, func(v Voter) bool { return v.Name == dead }, sz.n+1)
+			next, ok := admitVoter(cur, in, func(v Voter) bool { return v.Name == dead }, sz.n+1)
 			if !ok {
 				return cur, ErrUnchanged
 			}
@@ -98,7 +98,7 @@
 	case 6:
 		dead := w.any().name
 		w.propose(m, timeout, func(cur State) (State, error) {
-			next, ok := Expel(cur, func(v Voter) bool { return v.Name == dead }, 2*sz.f+1)
+			next, ok := expelVoter(cur, func(v Voter) bool { return v.Name == dead }, 2*sz.f+1)
 			if !ok {
 				return cur, ErrUnchanged
 			}
@@ -185,7 +185,7 @@
 		}
 		in := false
 		o := w.propose(w.any(), time.Second, func(cur State) (State, error) {
-			next, ok := Admit(cur, m.voter(), func(v Voter) bool { return false }, len(cur.Voters))
+			next, ok := admitVoter(cur, m.voter(), func(v Voter) bool { return false }, len(cur.Voters))
 			if in = !ok; in {
 				return cur, ErrUnchanged
 			}
@@ -355,7 +355,7 @@
 			})
 		}
 		admit = w.propose(proposer, 5*time.Second, func(cur State) (State, error) {
-			next, ok := Admit(cur, joiner.voter(), func(v Voter) bool { return v.Name == first.name }, sz.n)
+			next, ok := admitVoter(cur, joiner.voter(), func(v Voter) bool { return v.Name == first.name }, sz.n)
 			if !ok {
 				return cur, ErrUnchanged
 			}
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -8,9 +8,10 @@
 	InContact bool
 	// Leaving says that the sender has been told to stop and hands over its seats.
 	Leaving bool
-	// Slots are the newest decided slots that the sender has stored, by the order in which the registers are declared.
+	// Slots tell the newest decided slots that the sender has stored, by the order in which the registers are declared:
+	// the slot plus one, and 0 where it knows none.
 	Slots []uint64
-	// Heard are the identities of the voters with which the sender has a link, or had one until a moment ago.
+	// Heard are the identities of the keepers with which the sender has a link, and its own.
 	Heard []uint64
 }
 
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -109,6 +109,9 @@
 	return true, false, c.round
 }
 
+// Stop ends the use of the lease and of grants that are under way.
+func (c *Candidate) Stop() { c.until, c.open = 0, false }
+
 // Granted takes a voter's grant of a round in.
 func (c *Candidate) Granted(now time.Duration, round uint64, voter string) {
 	if round != c.round || !c.open {
--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -27,8 +27,6 @@
 	rewriteAgain = 5 * time.Second
 	// votersMost bounds the voters of a register.
 	votersMost = 9
-	// deadAfter is how long a voter is not met before another may take its place.
-	deadAfter = 1500 * time.Millisecond
 	// confirmWait is how long a keeper that has just started waits for a majority before it serves
 	// with what it has.
 	confirmWait = 3 * time.Second
@@ -52,12 +50,11 @@
 	known  []agree.Voter // of all registers
 	states map[string]agree.State
 
-	booted  bool
-	joining map[string]bool
-	tried   map[string]time.Time
-	grown   int64     // size of the log after it was last rewritten
-	later   time.Time // when it is tried again, after it failed
-	failed  error     // for the owner of the rest, once ended is closed
+	booted bool
+	asked  map[string]time.Time // when another keeper was last asked for a register that is not known
+	grown  int64                // size of the log after it was last rewritten
+	later  time.Time            // when it is tried again, after it failed
+	failed error                // for the owner of the rest, once ended is closed
 }
 
 // errBusy says that too much waits for the disk.
@@ -66,7 +63,7 @@
 func openAgreement(k *Keeper) (*agreement, error) {
 	a := &agreement{k: k, start: k.life, proposer: rand.Uint64() | 1, commands: make(chan func(), queueMost), ended: make(chan struct{}),
 		regs: map[string]*agree.Register{}, saved: map[string][][]byte{}, states: map[string]agree.State{},
-		joining: map[string]bool{}, tried: map[string]time.Time{}}
+		asked: map[string]time.Time{}}
 	if k.o.Folder != nil {
 		log, err := record.Open(k.o.Folder, logName, func(b []byte, _ int64) error { return a.replay(b) })
 		if err != nil {
@@ -148,7 +145,7 @@
 				_ = a.log.Close() // what was saved decides when the process starts again
 				return
 			}
-			a.join(name)
+			a.askWhereUnknown(name)
 			next = min(next, reg.Next()-a.now())
 		}
 		a.rewrite()
--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -78,6 +78,10 @@
 		k.meeting(m.Conn, node, false)
 		return
 	}
+	if k.leaving {
+		m.Fail("this keeper ends: go to another keeper")
+		return
+	}
 	// Its link broke and this side has not seen it yet, or it has started again.
 	for c, p := range k.attached {
 		if p.node.Name == node.Name && p.node.Role == node.Role && c != m.Conn {
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -30,13 +30,17 @@
 		m.Fail("%v", r.Err)
 		return
 	}
+	var holderID uint64
+	if l := k.conns[m.Conn]; l != nil && l.peer.node.Name == holder {
+		holderID = l.peer.node.ID
+	}
 	if release {
 		k.lease.Release(name, holder)
 		m.Reply(nil)
 		return
 	}
 	w := link.Writer{}
-	w.Bool(k.lease.Ask(k.since(now), name, holder))
+	w.Bool(k.mayGrant(now, holderID) && k.lease.Ask(k.since(now), name, holder))
 	m.Reply(w.B)
 }
 
@@ -60,7 +64,7 @@
 		a.seen[id] = now
 	}
 	if k.fresh {
-		k.askLease(now)
+		k.askLease(now, dutyAssign, k.assigner.lease)
 	}
 	if held := a.lease.Holds(k.since(now)); held != a.held {
 		a.held = held
@@ -112,38 +116,35 @@
 	}, func(_ agree.State, err error) { done(err) })
 }
 
-func (k *Keeper) askLease(now time.Time) {
-	voters := map[uint64]bool{}
-	for _, v := range k.agree.voters() {
-		voters[v.ID] = true
-	}
-	if k.agree.id == 0 || !voters[k.agree.id] {
+// askLease asks the voters for the lease of a duty when it is due.
+func (k *Keeper) askLease(now time.Time, name string, lease *duty.Candidate) {
+	voters := k.leaseVoters()
+	if k.leaving || !voters[k.agree.id] {
 		return
 	}
-	lease := k.assigner.lease
 	ask, release, round := lease.Step(k.since(now), len(voters))
 	if !ask && !release {
 		return
 	}
 	if release {
-		k.lease.Release(dutyAssign, k.self.Name)
-	} else if k.lease.Ask(k.since(now), dutyAssign, k.self.Name) {
+		k.lease.Release(name, k.self.Name)
+	} else if k.mayGrant(now, k.agree.id) && k.lease.Ask(k.since(now), name, k.self.Name) {
 		lease.Granted(k.since(now), round, k.self.Name)
 	}
 	w := link.Writer{}
-	w.String(dutyAssign)
+	w.String(name)
 	w.String(k.self.Name)
 	w.Bool(release)
 	for _, p := range k.peers {
 		if p.conn == nil || !voters[p.node.ID] {
 			continue
 		}
-		name, ch := p.node.Name, p.conn.Go(control.Lease, w.B)
+		voter, ch := p.node.Name, p.conn.Go(control.Lease, w.B)
 		go func() {
 			reply := <-ch
 			r := link.Reader{B: reply.Body}
 			if ok := r.Bool(); reply.Err == nil && ok && r.Err == nil {
-				k.do(func() { lease.Granted(k.since(time.Now()), round, name) })
+				k.do(func() { lease.Granted(k.since(time.Now()), round, voter) })
 			}
 		}()
 	}
--- a/internal/keeper/faults_test.go
+++ b/internal/keeper/faults_test.go
@@ -88,7 +88,7 @@
 		defer close(done)
 		k.agree.decided(configRegister, agree.State{Slot: 1, Voters: []agree.Voter{{ID: 9, Name: "k2"}}})
 		k.agree.send(configRegister, agree.Voter{ID: 9, Name: "k2"}, nil)
-		k.agree.join(configRegister)
+		k.agree.askWhereUnknown(configRegister)
 		k.spread(configRegister, agree.State{})
 	}()
 	get(t, done, "the end of what the registers' goroutine does")
@@ -194,12 +194,15 @@
 		if p.conn != other {
 			t.Fatalf("%s: the other link is not used", c.what)
 		}
+		if !k.links().connectedIDs(1)[7] {
+			t.Fatalf("%s: it does not count as connected", c.what)
+		}
 		k.parted(other)
 		if p.conn != nil || len(k.conns) != 0 || k.links().to(agree.Voter{ID: 7}) != nil {
 			t.Fatalf("%s: links are left", c.what)
 		}
-		if !k.links().metIDs(1, time.Now())[7] || k.links().metIDs(1, time.Now().Add(2*deadAfter))[7] {
-			t.Fatalf("%s: who was met a moment ago", c.what)
+		if k.links().connectedIDs(1)[7] {
+			t.Fatalf("%s: it counts as connected", c.what)
 		}
 	}
 
@@ -417,7 +420,7 @@
 	k := still(t, "k1")
 	conns, far := wires(t, 1)
 	k.meeting(conns[0], control.Node{Name: "k2", Role: control.RoleKeeper, ID: 7, Life: 1}, true)
-	k.agree.join(tableRegister)
+	k.agree.askWhereUnknown(tableRegister)
 	for m := get(t, far.messages, "the question"); m.Kind != control.Agree; m = get(t, far.messages, "the question") {
 	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -56,6 +56,8 @@
 
 	commands chan func()
 	ended    chan struct{}
+	serving  context.Context    // ends when the keeper does
+	halt     context.CancelFunc // ends it without handing over
 
 	// Owned by the loop.
 	table    *registry.Table
@@ -74,6 +76,9 @@
 	dirty        bool
 	lease        *duty.Grants
 	assigner     assigner
+	voterDuty    voterDuty
+	leaving      bool                 // it was told to end, and hands over
+	reportSent   control.KeeperReport // the newest
 	sentBeat     time.Time
 	dialling     map[string]bool
 	wanted       map[string]time.Time // addresses of keepers' links: when each may be dialled again
@@ -100,10 +105,12 @@
 	if k.o.PushWait <= 0 {
 		k.o.PushWait = pushWait
 	}
+	k.serving, k.halt = context.WithCancel(context.Background())
 	k.linked.Store(&links{})
 	k.table = registry.New(0, registry.Options{BeatEvery: time.Duration(s.BeatEveryMs) * time.Millisecond})
 	k.lease = duty.NewGrants(0)
 	k.assigner.lease = duty.NewCandidate(rand.Float64)
+	k.voterDuty = newVoterDuty()
 	a, err := openAgreement(k)
 	if err != nil {
 		return nil, err
@@ -119,7 +126,7 @@
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.InternalFirst))
 }
 
-// Run serves until the context ends.
+// Run serves until the context ends, and then until its votes are handed over.
 func (k *Keeper) Run(ctx context.Context) error {
 	links, err := net.Listen("tcp4", linkAddr(k.o.Settings))
 	if err != nil {
@@ -132,16 +139,16 @@
 	}
 	server := k.server()
 	defer server.Close()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	defer k.halt()
+	defer context.AfterFunc(ctx, func() { defer k.halt(); k.shutdown() })()
 	var wg sync.WaitGroup
 	wg.Add(3)
 	go func() { defer wg.Done(); _ = link.Serve(links, k, link.DefaultOptions) }()
 	go func() { defer wg.Done(); _ = server.Serve(calls) }()
-	go func() { defer wg.Done(); defer cancel(); k.agree.run(ctx) }()
-	k.agree.met() // a single keeper meets nobody
+	go func() { defer wg.Done(); defer k.halt(); k.agree.run(k.serving) }()
+	k.agree.bootstrapFromSeeds() // a single keeper is connected to nobody
 	k.confirm()
-	k.loop(ctx)
+	k.loop(k.serving)
 	close(k.ended)
 	_ = links.Close()
 	for c := range k.attached {
@@ -244,6 +251,7 @@
 	}
 	k.wakeWaiters(now)
 	k.assign(now)
+	k.changeVoters(now)
 	if k.table.Listening(k.since(now)) != k.listens || k.table.Newest() != k.told {
 		k.dirty = true
 	}
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -79,15 +79,16 @@
 	return node, false
 }
 
-// metIDs are the identities of keepers that are met, or were until a moment ago, and the own one.
-func (l links) metIDs(self uint64, now time.Time) map[uint64]bool {
-	met := map[uint64]bool{self: true}
+// connectedIDs are the identities of the keepers that are connected, and the own one; keepers without a disk have none.
+func (l links) connectedIDs(self uint64) map[uint64]bool {
+	connected := map[uint64]bool{self: true}
 	for _, x := range l {
-		if x.conn != nil || now.Sub(x.lost) < deadAfter {
-			met[x.node.ID] = true
+		if x.conn != nil {
+			connected[x.node.ID] = true
 		}
 	}
-	return met
+	delete(connected, 0)
+	return connected
 }
 
 // relinked is called after each change of who is met.
@@ -206,7 +207,7 @@
 	}
 	k.choose(p, c)
 	k.greet(c)
-	k.agree.met()
+	k.agree.bootstrapFromSeeds()
 	k.relinked()
 }
 
@@ -253,6 +254,7 @@
 		return
 	}
 	p.conn = nil
+	p.report = control.KeeperReport{}
 	for other, l := range k.conns {
 		if l.peer == p && l.life == p.node.Life {
 			p.conn = other
@@ -344,7 +346,7 @@
 			_ = p.conn.Send(control.Heard, w.B)
 		}
 	}
-	k.sendReports(now)
+	k.sendReports()
 }
 
 func (k *Keeper) heard(now time.Time, m *link.Message) {
@@ -404,11 +406,11 @@
 	return k.sums.sums
 }
 
-// keeperNodes are this keeper and those that are met, by name.
+// keeperNodes are this keeper and those that are connected and not leaving, by name.
 func (k *Keeper) keeperNodes() []control.Node {
 	nodes := []control.Node{k.self}
 	for _, p := range k.peers {
-		if p.conn != nil {
+		if p.conn != nil && !p.report.Leaving {
 			nodes = append(nodes, p.node)
 		}
 	}
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -3,23 +3,22 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"dunetide/internal/control"
 	"dunetide/internal/link"
 )
 
 // report is what this keeper tells the others of itself.
-func (k *Keeper) report(now time.Time) control.KeeperReport {
-	met := k.links().metIDs(k.agree.id, now)
-	delete(met, 0) // keepers without a disk
-	return control.KeeperReport{InContact: k.fresh, Slots: k.agree.slots(), Heard: slices.Sorted(maps.Keys(met))}
+func (k *Keeper) report() control.KeeperReport {
+	connected := k.links().connectedIDs(k.agree.id)
+	return control.KeeperReport{InContact: k.fresh, Leaving: k.leaving, Slots: k.agree.slots(), Heard: slices.Sorted(maps.Keys(connected))}
 }
 
-// sendReports tells all keepers that are met.
-func (k *Keeper) sendReports(now time.Time) {
+// sendReports tells all keepers that are connected.
+func (k *Keeper) sendReports() {
+	k.reportSent = k.report()
 	w := link.Writer{}
-	k.report(now).Append(&w)
+	k.reportSent.Append(&w)
 	for _, p := range k.peers {
 		if p.conn != nil {
 			_ = p.conn.Send(control.Report, w.B)
@@ -27,22 +26,44 @@
 	}
 }
 
+// sendChangedReport tells them between heartbeats when the report has changed.
+func (k *Keeper) sendChangedReport() {
+	report := k.report()
+	if report.InContact != k.reportSent.InContact || report.Leaving != k.reportSent.Leaving ||
+		!slices.Equal(report.Slots, k.reportSent.Slots) || !slices.Equal(report.Heard, k.reportSent.Heard) {
+		k.sendReports()
+	}
+}
+
 // reported takes the report of another keeper in.
 func (k *Keeper) reported(m *link.Message) {
 	r := link.Reader{B: m.Body}
 	report := control.ReadKeeperReport(&r)
-	if l := k.conns[m.Conn]; l != nil && r.Err == nil {
-		l.peer.report = report
+	l := k.conns[m.Conn]
+	if l == nil || r.Err != nil || len(report.Slots) != len(registerNames) {
+		return
+	}
+	if report.Leaving != l.peer.report.Leaving {
+		k.met++ // the attached are told which keepers to go to
+		k.dirty = true
+	}
+	l.peer.report = report
+	for i, stored := range k.agree.slots() {
+		if stored < report.Slots[i] {
+			k.agree.askPeer(registerNames[i], l.peer.node)
+		}
 	}
 }
 
-// slots are the newest decided slots that are known, by the order of registerNames; 0 where nothing is known.
+// slots are the newest decided slots that are stored, as KeeperReport tells them.
 func (a *agreement) slots() []uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	slots := make([]uint64, 0, len(registerNames))
-	for _, name := range registerNames {
-		slots = append(slots, a.states[name].Slot)
+	slots := make([]uint64, len(registerNames))
+	for i, name := range registerNames {
+		if state, known := a.states[name]; known {
+			slots[i] = state.Slot + 1
+		}
 	}
 	return slots
 }
--- a/internal/keeper/rig_test.go
+++ b/internal/keeper/rig_test.go
@@ -102,11 +102,27 @@
 	r.first = false
 }
 
-// kill ends a keeper; its disk stays as it is.
+// kill ends a keeper without a word to the others; its disk stays as it is.
 func (r *rig) kill(i int) {
+	if run := r.running[i]; run != nil {
+		run.k.halt()
+		r.ended(i)
+	}
+}
+
+// terminate ends a keeper as SIGTERM does: it hands over what it has. It returns how long that took.
+func (r *rig) terminate(i int) time.Duration {
+	began := time.Now()
+	r.running[i].stop()
+	r.ended(i)
+	return time.Since(began)
+}
+
+// ended waits for the end of a keeper.
+func (r *rig) ended(i int) {
 	if run := r.running[i]; run != nil {
 		r.running[i] = nil
-		run.stop()
+		defer run.stop()
 		select {
 		case err := <-run.done:
 			if err != nil {
--- a/internal/keeper/voters.go
+++ b/internal/keeper/voters.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -9,6 +8,9 @@
 	"dunetide/internal/control"
 )
 
+// askStateEvery is how often another keeper is asked for a register of which nothing is known.
+const askStateEvery = 300 * time.Millisecond
+
 func (a *agreement) voters() []agree.Voter {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -27,8 +29,9 @@
 	return true
 }
 
-// met looks whether the first voters can be told: at the very first start they are the seeds that have a disk.
-func (a *agreement) met() {
+// bootstrapFromSeeds makes the first voters at the very first start, once all seeds are connected: they are the seeds
+// that have a disk.
+func (a *agreement) bootstrapFromSeeds() {
 	s := a.k.o.Settings
 	if !s.FirstStart || a.id == 0 {
 		return
@@ -57,7 +60,7 @@
 	if !in {
 		return
 	}
-	a.offer(func() { a.bootstrap(voters) }) // else at the next meeting
+	a.offer(func() { a.bootstrap(voters) }) // else when the next keeper is connected
 }
 
 func (a *agreement) bootstrap(voters []agree.Voter) {
@@ -73,48 +76,32 @@
 	a.k.log.Info("first voters", "count", len(voters))
 }
 
-// join proposes this keeper as a voter where it is none, and asks others where it knows nothing.
-func (a *agreement) join(name string) {
-	if a.joining[name] || time.Since(a.tried[name]) < 300*time.Millisecond {
-		return
-	}
-	s, ok := a.regs[name].State()
-	if !ok { // it met the others before they knew anything
-		a.tried[name] = time.Now()
-		if whom, there := a.k.links().any(); there {
-			a.regs[name].Ask(a.now(), agree.Voter{ID: whom.ID, Name: whom.Name, Addr: whom.Addr})
-		}
+// askWhereUnknown asks another keeper for a register of which nothing is known here. It proposes nothing: who votes is
+// decided by the holder of the duty and by keepers that leave.
+func (a *agreement) askWhereUnknown(name string) {
+	if _, known := a.regs[name].State(); known || time.Since(a.asked[name]) < askStateEvery {
 		return
 	}
-	if a.id == 0 {
-		return
+	a.asked[name] = time.Now()
+	if node, connected := a.k.links().any(); connected {
+		a.regs[name].Ask(a.now(), voterOf(node))
 	}
-	for _, v := range s.Voters {
-		if v.ID == a.id {
-			return
-		}
-	}
-	a.tried[name] = time.Now().Add(rand.N(300 * time.Millisecond))
-	met := a.k.links().metIDs(a.id, time.Now())
-	alive := 0
-	for _, v := range s.Voters {
-		if met[v.ID] {
-			alive++
-		}
-	}
-	if alive <= len(s.Voters)/2 || a.now() < deadAfter {
-		return
-	}
-	a.joining[name] = true
-	me := agree.Voter{ID: a.id, Name: a.k.self.Name, Addr: a.k.self.Addr}
-	a.regs[name].Propose(a.now(), 2*time.Second, func(cur agree.State) (agree.State, error) {
-		next, changed := agree.Admit(cur, me, func(v agree.Voter) bool { return !met[v.ID] }, votersMost)
-		if !changed {
-			return cur, agree.ErrUnchanged
-		}
-		return next, nil
-	}, func(_ agree.State, err error) {
-		a.joining[name] = false
-		a.k.log.Info("voter joins", "register", name, "err", err)
-	})
+}
+
+// askPeer asks a keeper for what it has of a register beyond what is known here.
+func (a *agreement) askPeer(name string, node control.Node) {
+	a.offer(func() { a.regs[name].Ask(a.now(), voterOf(node)) }) // else at its next report
+}
+
+// voterOf gives a keeper as a voter.
+func voterOf(node control.Node) agree.Voter {
+	return agree.Voter{ID: node.ID, Name: node.Name, Addr: node.Addr}
+}
+
+// state gives the newest decided state of a register that is known and stored here; false: nothing is known.
+func (a *agreement) state(name string) (agree.State, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s, known := a.states[name]
+	return s, known
 }
--- /dev/null
+++ b/internal/keeper/voters_test.go
@@ -0,0 +1,245 @@
+package keeper
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"dunetide/internal/agree"
+	"dunetide/internal/journal/disktest"
+)
+
+// votersOf are the names of those who vote on each register, as a keeper knows them.
+func (r *rig) votersOf(i int, register string) []string {
+	state, _ := r.running[i].k.agree.state(register)
+	var names []string
+	for _, voter := range state.Voters {
+		names = append(names, voter.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// untilVoters waits until some keepers, by their numbers, are the voters of all registers, as each of them knows.
+func (r *rig) untilVoters(keepers ...int) {
+	r.t.Helper()
+	var want []string
+	for _, i := range keepers {
+		want = append(want, fmt.Sprint("k", i+1))
+	}
+	for _, i := range keepers {
+		for _, register := range registerNames {
+			until(r.t, fmt.Sprint("keeper ", i+1, " knows that ", want, " vote on ", register), func() bool {
+				return slices.Equal(r.votersOf(i, register), want)
+			})
+		}
+	}
+}
+
+// orders puts configurations one on top of the other, and fails if one is not taken in the time that the platform
+// allows in calm.
+type orders struct {
+	*rig
+	version uint64
+}
+
+func (o *orders) take(i int) {
+	o.t.Helper()
+	began := time.Now()
+	mark := fmt.Sprint("version ", o.version+1)
+	o.untilCode(200, func() answer { return o.put(i, o.version+1, o.version, mark) })
+	o.version++
+	if took := time.Since(began); took > 4*time.Second {
+		o.t.Errorf("an order was taken after %v", took)
+	}
+}
+
+// readable checks that the newest order that was acknowledged is what a keeper answers with.
+func (o *orders) readable(i int) {
+	o.t.Helper()
+	want := string(configBody(o.version, fmt.Sprint("version ", o.version)))
+	if got := o.untilCode(200, func() answer { return o.call(i, "GET", "/config", "", nil) }); got.body != want {
+		o.t.Fatalf("keeper %d reads %v", i+1, got)
+	}
+}
+
+// startRig starts the first so many of n machines.
+func startRig(t *testing.T, n, first int) *orders {
+	t.Helper()
+	r := newRig(t, n)
+	var all []int
+	for i := range first {
+		r.start(i)
+		all = append(all, i)
+	}
+	r.first = false
+	r.untilMet(all...)
+	return &orders{rig: r}
+}
+
+// A keeper that is told to end and whose vote is needed ends at once: it is probably restarted.
+func TestRestartKeepsTheVote(t *testing.T) {
+	o := startRig(t, 3, 3)
+	for i := range 3 {
+		if took := o.terminate(i); took > time.Second {
+			t.Errorf("keeper %d ended after %v", i+1, took)
+		}
+		o.start(i)
+		o.untilMet(0, 1, 2)
+	}
+	o.untilVoters(0, 1, 2)
+	o.take(0)
+}
+
+// The successor becomes a voter before the one that leaves is told to end; that one is out when it has ended, and one
+// more loss leaves a majority. Then the next is replaced.
+func TestTwoPlannedReplacementsInARow(t *testing.T) {
+	o := startRig(t, 5, 3)
+	o.take(0)
+	for _, step := range []struct {
+		joins, leaves int
+		before, after []int
+	}{
+		{3, 0, []int{0, 1, 2, 3}, []int{1, 2, 3}},
+		{4, 1, []int{1, 2, 3, 4}, []int{2, 3, 4}},
+	} {
+		o.start(step.joins)
+		o.untilVoters(step.before...)
+		took := o.terminate(step.leaves)
+		t.Logf("keeper %d handed over in %v", step.leaves+1, took)
+		if took > handOverMost {
+			t.Errorf("keeper %d ended after %v", step.leaves+1, took)
+		}
+		for _, register := range registerNames {
+			if names := o.votersOf(step.joins, register); len(names) != 3 || slices.Contains(names, fmt.Sprint("k", step.leaves+1)) {
+				t.Errorf("once keeper %d has ended %v vote on %s", step.leaves+1, names, register)
+			}
+		}
+		o.take(step.after[0])
+		o.untilVoters(step.after...)
+	}
+	o.kill(2)
+	o.take(3)
+	o.readable(4)
+}
+
+// A machine is lost for good, and another one takes its vote; then one more is lost.
+func TestReplacementAfterALoss(t *testing.T) {
+	o := startRig(t, 4, 3)
+	o.take(0)
+	o.kill(0)
+	o.start(3)
+	o.untilVoters(1, 2, 3)
+	o.kill(1)
+	o.take(2)
+	o.readable(3)
+}
+
+// A machine comes back under its name with an empty disk, and one more is lost.
+func TestEmptyDiskUnderTheOldName(t *testing.T) {
+	o := startRig(t, 3, 3)
+	o.take(0)
+	lost := o.running[1].k.agree.id
+	o.kill(1)
+	o.disks[1] = disktest.New()
+	o.start(1)
+	until(t, "the identity of the lost disk votes no more", func() bool {
+		return !slices.ContainsFunc(registerNames, func(name string) bool {
+			state, _ := o.running[0].k.agree.state(name)
+			return state.Has(lost) || len(state.Voters) != 3
+		})
+	})
+	o.kill(2)
+	o.take(0)
+	o.readable(1)
+}
+
+// A disk that comes back in another machine keeps its vote, under the machine's name and address.
+func TestOldDiskAtANewAddress(t *testing.T) {
+	o := startRig(t, 4, 3)
+	o.take(0)
+	o.kill(0)
+	o.disks[3] = o.disks[0]
+	o.start(3)
+	o.untilVoters(1, 2, 3)
+	o.kill(1)
+	o.take(2)
+	o.readable(3)
+}
+
+// A voter that wakes after it was replaced is no voter: it is told so, asks for no lease and grants none. When it has
+// caught up it becomes one again, with the disk that it had.
+func TestReplacedVoterThatReturns(t *testing.T) {
+	o := startRig(t, 4, 3)
+	o.take(0)
+	o.kill(0)
+	o.start(3)
+	o.untilVoters(1, 2, 3)
+	o.take(1)
+	o.start(0)
+	o.readable(0)
+	o.untilVoters(0, 1, 2, 3)
+	o.take(0)
+}
+
+// The day on which a planned replacement, the loss of a voter for a while and another replacement during that loss left
+// no majority: orders are taken at each point, and all can be read at the end.
+func TestReplacementsAroundALoss(t *testing.T) {
+	o := startRig(t, 5, 3)
+	o.take(0)
+	o.start(3)
+	o.untilVoters(0, 1, 2, 3)
+	o.terminate(0)
+	o.take(1)
+	o.kill(2) // it is away for a while
+	o.take(3)
+	o.start(4)
+	o.untilVoters(1, 3, 4)
+	o.take(4)
+	o.terminate(1)
+	o.take(3)
+	o.start(2)
+	o.untilVoters(2, 3, 4)
+	o.take(2)
+	o.kill(3)
+	o.take(4)
+	o.readable(2)
+}
+
+// Leases are granted by voters to voters, by the newest state that is known, and by none that lacks a state that
+// another one has.
+func TestWhoMayGrantLeases(t *testing.T) {
+	k := still(t, "k1")
+	now := k.life.Add(time.Minute)
+	const other, stranger = 7, 8
+	if k.mayGrant(now, other) {
+		t.Error("a lease from a keeper that knows nothing")
+	}
+	voters := func(ids ...uint64) {
+		state := agree.State{Slot: k.agree.slots()[0]}
+		for _, id := range ids {
+			state.Voters = append(state.Voters, agree.Voter{ID: id, Name: fmt.Sprint(id)})
+		}
+		k.agree.decided(configRegister, state)
+	}
+	voters(k.agree.id, other)
+	if !k.mayGrant(now, other) || !k.mayGrant(now, k.agree.id) {
+		t.Error("no lease among voters")
+	}
+	if k.mayGrant(now, stranger) || k.mayGrant(now, 0) {
+		t.Error("a lease to one that is no voter")
+	}
+	k.voterDuty.behind = now.Add(-behindMost)
+	if k.mayGrant(now, other) {
+		t.Error("a lease from one that lacks a newer state")
+	}
+	k.voterDuty.behind = now
+	if !k.mayGrant(now, other) {
+		t.Error("no lease while a state is under way")
+	}
+	voters(other, stranger)
+	if k.mayGrant(now, other) || k.mayGrant(now, k.agree.id) {
+		t.Error("a lease from one that was replaced")
+	}
+}
--- /dev/null
+++ b/internal/reconfigure/enumerate_test.go
@@ -0,0 +1,415 @@
+package reconfigure
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"dunetide/internal/agree"
+)
+
+// machine is a machine with a disk in the enumeration, or what is left of one in the voters.
+type machine struct {
+	voter      bool  // its present identity is a voter
+	ghosts     uint8 // voters under its name whose disks are lost
+	up         bool
+	cut        bool
+	gone       bool // it never comes back
+	holds      bool // it has stored all that was acknowledged
+	recovering bool // it is back or new, and counts as lost until the world has settled
+	spare      bool // it came ahead of a planned replacement, and no machine has left for it yet
+}
+
+func (m machine) connected() bool { return m.up && !m.cut }
+func (m machine) lost() bool      { return !m.gone && (!m.connected() || m.recovering) }
+
+// model is a set of machines that share one register.
+type model struct {
+	machines []machine
+	survive  int
+}
+
+func (w model) clone() model {
+	w.machines = slices.Clone(w.machines)
+	return w
+}
+
+// key is the same for models that differ only in the order of their machines.
+func (w model) key() string {
+	texts := make([]string, len(w.machines))
+	for i, m := range w.machines {
+		bits := []bool{m.voter, m.up, m.cut, m.gone, m.holds, m.recovering, m.spare}
+		code := m.ghosts << 1
+		for _, bit := range bits {
+			code <<= 1
+			if bit {
+				code |= 1
+			}
+		}
+		texts[i] = string([]byte{m.ghosts, code})
+	}
+	slices.Sort(texts)
+	return fmt.Sprintf("%q", texts)
+}
+
+func (w model) losses() int {
+	n := 0
+	for _, m := range w.machines {
+		if m.lost() {
+			n++
+		}
+	}
+	return n
+}
+
+// votersHeard counts the voters, those that are connected, and the connected ones that hold all that was acknowledged.
+func (w model) votersHeard() (voters, heard, holders int) {
+	for _, m := range w.machines {
+		voters += int(m.ghosts)
+		if !m.voter {
+			continue
+		}
+		voters++
+		if m.connected() {
+			heard++
+			if m.holds {
+				holders++
+			}
+		}
+	}
+	return voters, heard, holders
+}
+
+// situation is what the connected keepers know. Identities are in the order of the machines, or in the reverse one.
+func (w model) situation(unheardFor time.Duration, reverse bool, leaver int) Situation {
+	s := Situation{Survive: w.survive, MostVoters: 9, GiveUpAfter: testGiveUp}
+	for i, m := range w.machines {
+		id := uint64(1000 * (i + 1))
+		if reverse {
+			id = uint64(1000 * (len(w.machines) - i))
+		}
+		identity := agree.Voter{ID: id, Name: fmt.Sprint("n", i), Addr: fmt.Sprint("a", i)}
+		if m.voter {
+			voter := Voter{Voter: identity, Heard: m.connected()}
+			if !voter.Heard {
+				voter.UnheardFor = unheardFor
+			}
+			s.Voters = append(s.Voters, voter)
+		}
+		for g := range m.ghosts {
+			ghost := identity
+			ghost.ID += uint64(g) + 1
+			s.Voters = append(s.Voters, Voter{Voter: ghost, UnheardFor: unheardFor})
+		}
+		if m.connected() {
+			s.Keepers = append(s.Keepers, Keeper{Voter: identity, CaughtUp: m.holds, Leaving: i == leaver})
+		}
+	}
+	return s
+}
+
+// changed gives the models that the next change of voters may lead to: it is done when some majority of the new voters
+// has stored it.
+func (w model) changed(s Situation) []model {
+	change, found := Next(s)
+	if !found {
+		return nil
+	}
+	next := w.clone()
+	for i := range next.machines {
+		m := &next.machines[i]
+		name := fmt.Sprint("n", i)
+		if change.Old != nil && change.Old.Name == name {
+			if change.Old.ID%1000 == 0 {
+				m.voter = false
+			} else {
+				m.ghosts--
+			}
+		}
+		if change.New != nil && change.New.Name == name {
+			m.voter = true
+		}
+	}
+	next.forget()
+	return next.written()
+}
+
+// forget drops machines that neither come back nor vote.
+func (w *model) forget() {
+	w.machines = slices.DeleteFunc(w.machines, func(m machine) bool { return m.gone && !m.voter && m.ghosts == 0 })
+}
+
+// written gives a model for each least majority that may have stored a write when it is acknowledged.
+func (w model) written() []model {
+	voters, _, _ := w.votersHeard()
+	var connected []int
+	for i, m := range w.machines {
+		if m.voter && m.connected() {
+			connected = append(connected, i)
+		}
+	}
+	var all []model
+	for set := range 1 << len(connected) {
+		next := w.clone()
+		stored := 0
+		for i := range next.machines {
+			next.machines[i].holds = false
+		}
+		for bit, i := range connected {
+			if set>>bit&1 == 1 {
+				next.machines[i].holds = true
+				stored++
+			}
+		}
+		if stored == Majority(voters) {
+			all = append(all, next)
+		}
+	}
+	return all
+}
+
+func (w model) spread() model {
+	next := w.clone()
+	for i := range next.machines {
+		if m := &next.machines[i]; m.connected() {
+			m.holds = true
+		}
+	}
+	return next
+}
+
+// settled passes the time that a repair may take.
+func (w model) settled(reverse bool) model {
+	next := w.spread()
+	for range 100 {
+		after := next.changed(next.situation(testGiveUp, reverse, -1))
+		if len(after) == 0 {
+			break
+		}
+		next = after[0].spread()
+	}
+	for i := range next.machines {
+		if next.machines[i].connected() {
+			next.machines[i].recovering = false
+		}
+	}
+	return next
+}
+
+// handedOver is SIGTERM to a machine: it changes the voters with itself as leaving until it is none, before it ends.
+func (w model) handedOver(leaver int, reverse bool) []model {
+	var after []model
+	if w.machines[leaver].voter {
+		after = w.changed(w.situation(0, reverse, leaver))
+	}
+	if len(after) == 0 {
+		return []model{w.clone()}
+	}
+	var models []model
+	for _, next := range after {
+		models = append(models, next.spread().handedOver(leaver, reverse)...)
+	}
+	return models
+}
+
+// step is a model that follows, and what led to it.
+type step struct {
+	event string
+	model model
+}
+
+// next are all models that may follow.
+func (w model) next() []step {
+	var steps []step
+	add := func(event string, models ...model) {
+		for _, m := range models {
+			m.forget()
+			steps = append(steps, step{event, m})
+		}
+	}
+	add("spread", w.spread())
+	add("write", w.written()...)
+	for _, reverse := range []bool{false, true} {
+		add("change", w.changed(w.situation(0, reverse, -1))...)
+		add("change after giving up", w.changed(w.situation(testGiveUp, reverse, -1))...)
+		add("settle", w.settled(reverse))
+	}
+	for i, m := range w.machines {
+		with := func(change func(m *machine)) model {
+			next := w.clone()
+			change(&next.machines[i])
+			return next
+		}
+		mayBeLost := m.connected() && (m.recovering && w.losses() <= w.survive || w.losses() < w.survive)
+		if mayBeLost {
+			add("crash", with(func(m *machine) { m.up, m.recovering = false, false }))
+			add("cut", with(func(m *machine) { m.cut, m.recovering = true, false }))
+			add("loss of the disk", with(func(m *machine) { m.loseDisk(); m.up, m.recovering = false, false }))
+			add("restart", w.restarted(i)...)
+		}
+		if mayBeLost || m.lost() && !m.recovering && !m.gone {
+			replaced := with(func(m *machine) { m.up, m.gone, m.recovering, m.holds = false, true, false, false })
+			replaced.machines = append(replaced.machines, machine{up: true, recovering: true})
+			add("replacement", replaced)
+		}
+		if !m.gone && !m.up {
+			add("return", with(func(m *machine) { m.up, m.recovering = true, true }))
+		}
+		if m.up && m.cut {
+			add("return", with(func(m *machine) { m.cut, m.recovering = false, true }))
+		}
+		if m.connected() && !m.spare {
+			add("planned end", w.ended(i)...)
+		}
+	}
+	if w.spareMachine() < 0 {
+		next := w.clone()
+		next.machines = append(next.machines, machine{up: true, spare: true, recovering: true})
+		add("planned arrival", next)
+	}
+	return steps
+}
+
+func (m *machine) loseDisk() {
+	if m.voter {
+		m.voter = false
+		m.ghosts++
+	}
+	m.holds = false
+}
+
+func (w model) spareMachine() int {
+	return slices.IndexFunc(w.machines, func(m machine) bool { return m.spare })
+}
+
+// restarted are the models after SIGTERM to a machine that will come back.
+func (w model) restarted(i int) []model {
+	var models []model
+	for _, reverse := range []bool{false, true} {
+		for _, next := range w.handedOver(i, reverse) {
+			next.machines[i].up, next.machines[i].recovering = false, false
+			models = append(models, next)
+		}
+	}
+	return models
+}
+
+// ended are the models after SIGTERM to a machine whose successor came before and has caught up.
+func (w model) ended(i int) []model {
+	spare := w.spareMachine()
+	if spare < 0 || !w.machines[spare].connected() || !w.machines[spare].holds || w.machines[i].recovering {
+		return nil
+	}
+	ready := w.clone()
+	ready.machines[spare].spare = false
+	var models []model
+	for _, reverse := range []bool{false, true} {
+		for _, next := range ready.handedOver(i, reverse) {
+			m := &next.machines[i]
+			m.up, m.gone, m.holds = false, true, false
+			models = append(models, next)
+		}
+	}
+	return models
+}
+
+// check tells what is wrong with a model; "": nothing.
+func (w model) check(settled bool) string {
+	voters, heard, holders := w.votersHeard()
+	if heard < Majority(voters) {
+		return fmt.Sprintf("%d of %d voters are connected", heard, voters)
+	}
+	if holders == 0 {
+		return "no voter that is connected holds all that was acknowledged"
+	}
+	if more := w.survive - w.losses(); settled && heard-more < Majority(voters) {
+		return fmt.Sprintf("%d of %d voters are connected, and %d more may be lost", heard, voters, more)
+	}
+	if unfilled := w.unfilled(); settled && w.losses() == 0 && unfilled != "" {
+		return unfilled
+	}
+	return ""
+}
+
+// unfilled tells what the voters lack where nothing is lost any more; "": nothing.
+func (w model) unfilled() string {
+	voters, heard, _ := w.votersHeard()
+	wanted := 0
+	for _, m := range w.machines {
+		if m.connected() {
+			wanted++
+		}
+	}
+	if voters != heard || voters != min(wanted, 9) {
+		return fmt.Sprintf("%d of %d voters are connected, and there are %d machines", heard, voters, wanted)
+	}
+	return ""
+}
+
+// enumerationDepth is how many events are played in a row: RECONFIGURE_DEPTH, or what takes a few seconds.
+func enumerationDepth(usual int) int {
+	if n, err := strconv.Atoi(os.Getenv("RECONFIGURE_DEPTH")); err == nil {
+		return n
+	}
+	return usual
+}
+
+// TestEveryOrderOfEvents plays every order of losses, losses of disks, cuts, returns, restarts, replacements, planned
+// replacements, writes and changes of voters within what may be lost. A majority is connected at each moment, with a
+// holder of all that was acknowledged, and after each repair as many more may be lost as the rules allow.
+func TestEveryOrderOfEvents(t *testing.T) {
+	for _, c := range []struct{ machines, survive, depth int }{{3, 1, 9}, {4, 1, 7}, {5, 1, 6}, {5, 2, 6}, {8, 1, 4}, {8, 2, 4}, {9, 1, 4}, {9, 2, 4}} {
+		t.Run(fmt.Sprintf("%d machines, %d lost", c.machines, c.survive), func(t *testing.T) {
+			t.Parallel()
+			first := model{survive: c.survive}
+			for range c.machines {
+				first.machines = append(first.machines, machine{voter: true, up: true, holds: true})
+			}
+			enumerate(t, first, enumerationDepth(c.depth))
+		})
+	}
+}
+
+func enumerate(t *testing.T, first model, depth int) {
+	type reached struct {
+		model
+		path *node
+	}
+	seen := map[string]bool{first.key(): true}
+	level := []reached{{first, nil}}
+	steps := 0
+	for range depth {
+		var following []reached
+		for _, from := range level {
+			for _, s := range from.next() {
+				steps++
+				path := &node{s.event, from.path}
+				if wrong := s.model.check(s.event == "settle"); wrong != "" {
+					t.Fatalf("after %v: %s\n%+v", path, wrong, s.model.machines)
+				}
+				if key := s.model.key(); !seen[key] {
+					seen[key] = true
+					following = append(following, reached{s.model, path})
+				}
+			}
+		}
+		level = following
+	}
+	t.Logf("%d events deep: %d steps, %d states, %d of them first reached by the last event", depth, steps, len(seen), len(level))
+}
+
+// node is an event and those before it.
+type node struct {
+	event  string
+	before *node
+}
+
+func (n *node) String() string {
+	if n.before == nil {
+		return n.event
+	}
+	return n.before.String() + ", " + n.event
+}
--- /dev/null
+++ b/internal/reconfigure/reconfigure_test.go
@@ -0,0 +1,208 @@
+package reconfigure
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dunetide/internal/agree"
+)
+
+const testGiveUp = 2500 * time.Millisecond
+
+// parse reads voters and keepers, such as "1a 2b! 3c?9" and "1a 4d 5e~": ! is a voter that a majority does not hear,
+// ?9 one that it has not heard for 9 seconds, ~ a keeper that lacks the newest state, - one that is leaving, @ one at
+// another address.
+func parse(voters, keepers string) Situation {
+	s := Situation{Survive: 1, MostVoters: 9, GiveUpAfter: testGiveUp}
+	identity := func(text string) agree.Voter {
+		return agree.Voter{ID: uint64(text[0] - '0'), Name: text[1:2], Addr: strings.ToUpper(text[1:2])}
+	}
+	for _, text := range strings.Fields(voters) {
+		voter := Voter{Voter: identity(text), Heard: len(text) == 2}
+		if _, seconds, found := strings.Cut(text, "?"); found {
+			voter.UnheardFor, _ = time.ParseDuration(seconds + "s")
+		}
+		s.Voters = append(s.Voters, voter)
+	}
+	for _, text := range strings.Fields(keepers) {
+		keeper := Keeper{Voter: identity(text), CaughtUp: !strings.Contains(text, "~"), Leaving: strings.Contains(text, "-")}
+		if strings.Contains(text, "@") {
+			keeper.Addr = "elsewhere"
+		}
+		s.Keepers = append(s.Keepers, keeper)
+	}
+	return s
+}
+
+func (s Situation) state() agree.State {
+	var state agree.State
+	for _, voter := range s.Voters {
+		state.Voters = append(state.Voters, voter.Voter)
+	}
+	return state
+}
+
+func show(voters []agree.Voter) string {
+	var names []string
+	for _, voter := range voters {
+		names = append(names, fmt.Sprint(voter.ID, voter.Name))
+	}
+	return strings.Join(names, " ")
+}
+
+func TestNext(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		voters, keepers string
+		survive, most   int
+		want            string
+	}{
+		{"all is well", "1a 2b 3c", "1a 2b 3c", 1, 9, ""},
+		{"a voter moved", "1a 2b 3c", "1a 2b@ 3c", 1, 9, "moved: 1a 2b 3c"},
+		{"its disk was lost", "1a 2b! 3c", "1a 3c 9b", 1, 9, "disk lost: 1a 9b 3c"},
+		{"its disk was lost, its successor lacks the state", "1a 2b! 3c", "1a 3c 9b~", 1, 9, ""},
+		{"two processes under one name", "1a 2b 3c", "1a 2b 3c 9b", 1, 3, ""},
+		{"its disk was lost, and another is lost beyond what may be", "1a 2b! 3c! 4d!", "1a 9b", 1, 9, ""},
+		{"leaving, with a candidate", "1a 2b 3c", "1a- 2b 3c 4d", 1, 9, "leaving: 4d 2b 3c"},
+		{"leaving, the candidate lacks the state", "1a 2b 3c", "1a- 2b 3c 4d~", 1, 9, ""},
+		{"leaving, as is the candidate", "1a 2b 3c", "1a- 2b 3c 4d-", 1, 9, ""},
+		{"leaving, with voters to spare", "1a 2b 3c 4d", "1a- 2b 3c 4d", 1, 9, "leaving: 2b 3c 4d"},
+		{"leaving, with voters to spare and a candidate", "1a 2b 3c 4d", "1a- 2b 3c 4d 5e", 1, 9, "leaving: 2b 3c 4d"},
+		{"leaving, with none to spare for two losses", "1a 2b 3c 4d 5e", "1a- 2b 3c 4d 5e", 2, 9, ""},
+		{"leaving, while another is not heard", "1a 2b 3c 4d!", "1a- 2b 3c", 1, 9, "leaving: 2b 3c 4d"},
+		{"leaving, while too many are not heard", "1a 2b 3c! 4d!", "1a- 2b", 1, 9, ""},
+		{"not heard for a moment", "1a 2b 3c?2", "1a 2b 4d", 1, 9, ""},
+		{"given up, with a candidate", "1a 2b 3c?2.5", "1a 2b 4d", 1, 9, "given up: 1a 2b 4d"},
+		{"given up, without one", "1a 2b 3c?9", "1a 2b", 1, 9, ""},
+		{"given up, with voters to spare", "1a 2b 3c?9 4d", "1a 2b 4d", 1, 9, "given up: 1a 2b 4d"},
+		{"given up, with none to spare for two losses", "1a 2b 3c 4d 5e?9", "1a 2b 3c 4d", 2, 9, ""},
+		{"the one unheard for longest goes first", "1a 2b 3c 4d?4 5e?9", "1a 2b 3c 6f", 2, 9, "given up: 1a 2b 3c 4d 6f"},
+		{"no majority is heard", "1a 2b?9 3c?9", "1a 4d", 1, 9, "given up: 1a 4d 3c"},
+		{"no majority would be heard", "1a 2b?9 3c?9 4d?9", "1a 5e", 1, 9, ""},
+		{"one more", "1a 2b 3c", "1a 2b 3c 4d", 1, 9, "expansion: 1a 2b 3c 4d"},
+		{"one more, which lacks the state", "1a 2b 3c", "1a 2b 3c 4d~", 1, 9, ""},
+		{"one more, without a disk", "1a 2b 3c", "1a 2b 3c 0d", 1, 9, ""},
+		{"one more, while a voter is not heard", "1a 2b 3c!", "1a 2b 4d", 1, 9, ""},
+		{"one more than the most", "1a 2b 3c", "1a 2b 3c 4d", 1, 3, ""},
+		{"two more come one at a time", "1a 2b 3c", "1a 2b 3c 5e 4d", 1, 9, "expansion: 1a 2b 3c 4d"},
+		{"leaving goes before giving up", "1a 2b 3c?9", "1a- 2b 4d", 1, 9, "leaving: 4d 2b 3c"},
+	} {
+		s := parse(c.voters, c.keepers)
+		s.Survive, s.MostVoters = c.survive, c.most
+		got := ""
+		if change, found := Next(s); found {
+			next, applied := change.Apply(s.state(), s.state().Voters)
+			if !applied {
+				t.Errorf("%s: the change does not apply", c.name)
+			}
+			got = fmt.Sprint(change.Reason, ": ", show(next.Voters))
+		}
+		if got != c.want {
+			t.Errorf("%s: %q, not %q", c.name, got, c.want)
+		}
+	}
+}
+
+// A change that was decided for other voters than those of the newest state is not made.
+func TestApplyComparesVoters(t *testing.T) {
+	s := parse("1a 2b 3c", "1a 2b 3c 4d")
+	change, found := Next(s)
+	if !found {
+		t.Fatal("no change")
+	}
+	newer := parse("1a 2b 5e", "").state()
+	if _, applied := change.Apply(newer, s.state().Voters); applied {
+		t.Error("the change was made to other voters")
+	}
+}
+
+func TestGiveUpAfter(t *testing.T) {
+	for catchUp, want := range map[time.Duration]time.Duration{5 * time.Second: 2500 * time.Millisecond, 5100 * time.Millisecond: 2550 * time.Millisecond,
+		time.Second: 1500 * time.Millisecond} {
+		if got := GiveUpAfter(catchUp); got != want {
+			t.Errorf("%v: %v, not %v", catchUp, got, want)
+		}
+	}
+}
+
+// Whatever the situation is, a change adds one voter at most and removes one at most, leaves a majority that is heard,
+// and never removes a voter below those that are needed.
+func TestEveryChangeIsSmall(t *testing.T) {
+	kinds := []Voter{{Heard: true}, {}, {UnheardFor: time.Second}, {UnheardFor: 9 * time.Second}}
+	situations := 0
+	for voters := 1; voters <= 5; voters++ {
+		for drawn := range pow(len(kinds), voters) {
+			for flags := range 1 << (voters + 4) {
+				s := Situation{Survive: 1 + flags>>(voters+3)&1, MostVoters: 5, GiveUpAfter: testGiveUp}
+				rest := drawn
+				for i := range voters {
+					voter := kinds[rest%len(kinds)]
+					rest /= len(kinds)
+					voter.Voter = agree.Voter{ID: uint64(i + 1), Name: fmt.Sprint("n", i), Addr: fmt.Sprint("a", i)}
+					s.Voters = append(s.Voters, voter)
+					if voter.Heard {
+						s.Keepers = append(s.Keepers, Keeper{Voter: voter.Voter, CaughtUp: true, Leaving: flags>>i&1 == 1})
+					}
+				}
+				for i := range 2 {
+					if flags>>(voters+i)&1 == 1 {
+						joiner := agree.Voter{ID: uint64(50 + i), Name: fmt.Sprint("n", 4*i), Addr: fmt.Sprint("b", i)}
+						s.Keepers = append(s.Keepers, Keeper{Voter: joiner, CaughtUp: flags>>(voters+2)&1 == 1})
+					}
+				}
+				situations++
+				checkChange(t, s)
+			}
+		}
+	}
+	t.Logf("%d situations", situations)
+}
+
+func pow(base, exponent int) int {
+	result := 1
+	for range exponent {
+		result *= base
+	}
+	return result
+}
+
+func checkChange(t *testing.T, s Situation) {
+	t.Helper()
+	change, found := Next(s)
+	if !found {
+		return
+	}
+	before := s.state()
+	after, applied := change.Apply(before, before.Voters)
+	if !applied {
+		t.Fatalf("%+v: %+v does not apply", s, change)
+	}
+	heard, joined, left := 0, 0, 0
+	for _, voter := range after.Voters {
+		if !before.Has(voter.ID) {
+			joined++
+			i := slices.IndexFunc(s.Keepers, func(k Keeper) bool { return k.ID == voter.ID })
+			if i < 0 || !s.Keepers[i].CaughtUp {
+				t.Fatalf("%+v: %d joins and has not caught up", s, voter.ID)
+			}
+			heard++
+		}
+	}
+	for _, voter := range s.Voters {
+		switch {
+		case !after.Has(voter.ID):
+			left++
+		case voter.Heard:
+			heard++
+		}
+	}
+	if joined > 1 || left > 1 || heard < Majority(len(after.Voters)) {
+		t.Fatalf("%+v: %d joined, %d left, %d of %d are heard", s, joined, left, heard, len(after.Voters))
+	}
+	if left > joined && len(after.Voters) < 2*s.Survive+1 {
+		t.Fatalf("%+v: %d voters are left", s, len(after.Voters))
+	}
+}
