--- a/internal/keeper/contact.go
+++ b/internal/keeper/contact.go
@@ -49,7 +49,7 @@
 	} else {
 		k.log.Warn("no contact with a majority")
 	}
-	k.sendReports(time.Now())
+	k.sendReports()
 	k.dirty = true
 }
 
