--- a/cmd/winglab/main_test.go
+++ b/cmd/winglab/main_test.go
@@ -129,7 +129,7 @@
 
 // TestNothingOfTheLabIsInTheNode keeps its libraries out of the program in service.
 func TestNothingOfTheLabIsInTheNode(t *testing.T) {
-	out, err := exec.Command("go", "list", "-deps", "dunetide/cmd/wingmount", "wingmount/cmd/adapter").CombinedOutput()
+	out, err := exec.Command("go", "list", "-deps", "dunetide/cmd/wingmount", "dunetide/cmd/adapter").CombinedOutput()
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
