Upstream: a forgotten connection is found before the request's end is sent

Cause: an endpoint may forget an idle connection and reset it at the next byte. The whole request was written by then, so one that may run only once was answered 502, though no endpoint had received it: from a reset alone that can't be told. Result: TestForgottenConnection (writes, streams, long bodies, none) is served by the next endpoint; one that read the request whole and then resets still draws 502 and no second run.

--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +161,83 @@
 		})
 	}
 }
+
+// patientConn makes reads wait longer than asked, so that a reset is in time on a busy machine too.
+type patientConn struct{ *net.TCPConn }
+
+func (c patientConn) SetReadDeadline(t time.Time) error {
+	if time.Until(t) > 0 {
+		t = t.Add(300 * time.Millisecond)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// An endpoint that has forgotten an idle connection resets it at the next byte: what may run only once goes to another endpoint,
+// as its end was not sent yet. One that resets after the last byte may have run it: then it goes nowhere.
+func TestForgottenConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind   operator.Kind
+		body   string
+		method string
+		read   bool // the endpoint reads the second request whole, and then resets
+		status int
+	}{
+		"writes":           {operator.Writes, "body", "POST", false, 200},
+		"writes, no body":  {operator.Writes, "", "DELETE", false, 200},
+		"writes, long":     {operator.Writes, strings.Repeat("b", 100<<10), "POST", false, 200},
+		"stream":           {operator.Streaming, "body", "POST", false, 200},
+		"read":             {operator.Writes, "body", "POST", true, 502},
+		"read, no body":    {operator.Writes, "", "DELETE", true, 502},
+		"read, idempotent": {operator.ReadOnly, "body", "POST", true, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forgetful := newRawEndpoint(t, "forgetful", func(conn *net.TCPConn) {
+				br := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					if n == 1 && !c.read {
+						_, _ = br.ReadByte()
+						_ = conn.SetLinger(0)
+						return
+					}
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if n == 1 {
+						_ = conn.SetLinger(0)
+						return
+					}
+					write(conn, answerOf(r.Header.Get(headID), sealed, "first"))
+				}
+			})
+			good := newEndpoint(t, "good", says(sealed, "fine"))
+			var later atomic.Int64
+			g := newRigWith(t, route(c.kind, 2), func(o *Options) {
+				o.Now = func() time.Time { return time.Now().Add(time.Duration(later.Load())) }
+				o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+					conn, err := dial(ctx, addr)
+					if err != nil {
+						return nil, err
+					}
+					return patientConn{conn.(*net.TCPConn)}, nil
+				}
+			}, forgetful, good)
+			call := c.method + " /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id1"
+			if a := g.do(call, c.body); a.body != "first" {
+				t.Fatalf("%+v", a)
+			}
+			later.Store(int64(100 * time.Millisecond)) // so long the connection was idle
+			if a := g.do(call, c.body); a.status != c.status || a.err != nil {
+				t.Errorf("%+v, want %d", a, c.status)
+			}
+			want := 1
+			if c.status != 200 {
+				want = 0
+			}
+			if calls := good.got(); len(calls) != want || want == 1 && calls[0].body != c.body {
+				t.Errorf("%d calls at the next", len(calls))
+			}
+		})
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -248,6 +248,9 @@
 // roundTrip writes the request and reads the head of its answer. Before it, duplicates of answers
 // to earlier calls on the connection may arrive: their ids differ, and they are read over.
 func (x *exchange) roundTrip() (err error) {
+	if !x.conditions().Idempotent {
+		x.conn.HoldBackEnd()
+	}
 	x.resp, err = x.conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
 	for n := 0; err == nil; n++ {
 		matches, spliced := x.matches(), x.spliced()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,6 +32,10 @@
 	inlineWrite = 8 << 10
 	// afterWrite is how long an answer may still come once the request can't be written.
 	afterWrite = 200 * time.Millisecond
+	// shortestProbe and longestProbe bound how long the end of a request is held back. A reset takes a round trip,
+	// which a handshake takes too.
+	shortestProbe = time.Millisecond
+	longestProbe  = 5 * time.Millisecond
 	// keepSlack is how long before the far side closes an idle connection it is not used any more.
 	keepSlack = 400 * time.Millisecond
 )
@@ -52,16 +57,19 @@
 	age    time.Duration // how long it was idle before this call; negative if it is new
 
 	// Of this call.
-	used    bool
-	size    int  // of the request
-	sent    bool // its last byte was written
-	whole   bool // the answer was read to its end, and another may follow
-	stop    func() bool
-	written chan int // the bytes written, once; nil where that is known
-	asked   http.Request
-	surplus bool          // an answer came that was not this call's
-	timed   bool          // it has a deadline
-	keep    time.Duration // the far side said that it keeps an idle connection for so long; 0: nothing
+	used     bool
+	sent     bool // its last byte was written
+	whole    bool // the answer was read to its end, and another may follow
+	stop     func() bool
+	written  chan bool // whether all of it was written, once; nil where that is known
+	asked    http.Request
+	surplus  bool          // an answer came that was not this call's
+	timed    bool          // it has a deadline
+	deadline time.Time     // zero: none
+	keep     time.Duration // the far side said that it keeps an idle connection for so long; 0: nothing
+
+	handshake time.Duration // how long the dial took
+	holdBack  bool          // this call's end waits until the connection has shown that it is alive
 
 	carried []string // the ids of earlier calls that may be sent again under the same id
 	retired bool     // it is closed after this call, whatever comes
@@ -117,6 +125,11 @@
 // Retire closes the connection once it is given back.
 func (c *Conn) Retire() { c.retired = true }
 
+// HoldBackEnd is for a call that may not run twice. On a connection that was idle for long the end of the request follows its
+// start only after the time of a round trip or two. If the far side had forgotten the connection, its reset comes first, and the
+// call was surely not received whole: it may be sent again.
+func (c *Conn) HoldBackEnd() { c.holdBack = c.age >= youngest }
+
 // Reused tells whether the connection was there before this call.
 func (c *Conn) Reused() bool { return c.age >= 0 }
 
@@ -151,7 +164,7 @@
 // body. It ends at a deadline, if that is not zero, and with the context. Both pieces
 // are in use until Done. Once the body was read to its end, Whole says so.
 func (c *Conn) Open(ctx context.Context, method string, head, body []byte, deadline time.Time) (*http.Response, error) {
-	c.timed = !deadline.IsZero()
+	c.timed, c.deadline = !deadline.IsZero(), deadline
 	if c.timed {
 		_ = c.nc.SetDeadline(deadline)
 	}
@@ -199,24 +212,19 @@
 
 // send writes a call of two pieces and reads the head of its answer.
 func (c *Conn) send(ctx context.Context, req *http.Request, first, second []byte) (*http.Response, error) {
-	c.used, c.size, c.sent, c.whole, c.surplus, c.written = true, len(first)+len(second), false, false, false, nil
+	c.used, c.sent, c.whole, c.surplus, c.written = true, false, false, false, nil
 	c.in.left, c.in.head = maxAnswer, c.in.head[:0]
 	c.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(longAgo) })
-	if c.size <= inlineWrite {
-		n, err := c.write(first, second)
-		if c.sent = n == c.size; !c.sent {
+	if c.holdBack {
+		c.holdBack = false
+		end, err := c.writeStart(ctx, first, second)
+		if err != nil {
 			return nil, &CallError{Err: err}
 		}
-	} else {
-		written := make(chan int, 1)
-		c.written = written
-		go func() {
-			n, err := c.write(first, second)
-			if err != nil { // what the endpoint said before may still be read
-				_ = c.nc.SetReadDeadline(time.Now().Add(afterWrite))
-			}
-			written <- n
-		}()
+		first, second = end, nil
+	}
+	if err := c.writeRest(first, second); err != nil {
+		return nil, &CallError{Err: err}
 	}
 	resp, err := c.readHead(req)
 	if err != nil {
@@ -226,6 +234,58 @@
 	return resp, nil
 }
 
+// writeRest writes what is left of a request: beside the reading if it is long.
+func (c *Conn) writeRest(first, second []byte) error {
+	size := len(first) + len(second)
+	if size <= inlineWrite {
+		n, err := c.write(first, second)
+		c.sent = n == size
+		if c.sent {
+			return nil
+		}
+		return err
+	}
+	written := make(chan bool, 1)
+	c.written = written
+	go func() {
+		n, err := c.write(first, second)
+		if err != nil { // what the endpoint said before may still be read
+			_ = c.nc.SetReadDeadline(time.Now().Add(afterWrite))
+		}
+		written <- n == size
+	}()
+	return nil
+}
+
+// writeStart writes a request without its end, which is returned, and looks whether the connection is alive. The end is its body,
+// or its last byte if it has none.
+func (c *Conn) writeStart(ctx context.Context, first, second []byte) (end []byte, err error) {
+	start, end := first, second
+	if len(end) == 0 {
+		start, end = first[:len(first)-1], first[len(first)-1:]
+	}
+	if _, err := c.write(start, nil); err != nil {
+		return nil, err
+	}
+	return end, c.probe(ctx)
+}
+
+// probe waits for a reset or a close by the far side, for the time of a round trip or two. Without one, or if
+// the far side says something, it returns nil.
+func (c *Conn) probe(ctx context.Context) error {
+	_ = c.nc.SetReadDeadline(time.Now().Add(min(max(2*c.handshake, shortestProbe), longestProbe)))
+	_, err := c.br.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	}
+	_ = c.nc.SetReadDeadline(c.deadline)
+	if ctx.Err() != nil { // its end may have come before that line
+		_ = c.nc.SetDeadline(longAgo)
+		return context.Cause(ctx)
+	}
+	return err
+}
+
 func (c *Conn) write(first, second []byte) (int, error) {
 	if len(second) == 0 {
 		return c.nc.Write(first)
@@ -280,7 +340,7 @@
 		return
 	}
 	_ = c.nc.SetWriteDeadline(longAgo) // no answer, or one that did not wait for the rest
-	c.sent, c.written = <-c.written == c.size, nil
+	c.sent, c.written = <-c.written, nil
 	if c.sent {
 		_ = c.nc.SetWriteDeadline(time.Time{})
 	}
--- a/internal/upstream/open_test.go
+++ b/internal/upstream/open_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -166,3 +167,111 @@
 		t.Errorf("%d are kept, want 1", f.open)
 	}
 }
+
+// patientConn makes reads wait longer than asked, so that a reset is in time on a busy machine too.
+type patientConn struct{ *net.TCPConn }
+
+func (c patientConn) SetReadDeadline(t time.Time) error {
+	if time.Until(t) > 0 {
+		t = t.Add(300 * time.Millisecond)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Endpoints that forget idle connections and reset them at the next byte: a call whose end is held back was surely not
+// received, at whatever age of the connection. One that an endpoint has read whole is never told as not sent.
+func TestForgottenConnectionIsFoundBeforeTheEnd(t *testing.T) {
+	for _, end := range []string{"reset", "close"} {
+		t.Run(end, func(t *testing.T) {
+			var whole atomic.Int64
+			s := newStandIn(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+				if readCall(r) != nil {
+					return
+				}
+				whole.Add(1)
+				_, _ = io.WriteString(conn, ok200)
+				_, _ = r.ReadByte() // the next byte
+				if end == "reset" {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			ps := newPools(t, func(c *Config) {
+				c.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+					conn, err := dialTCP(ctx, addr)
+					if err != nil {
+						return nil, err
+					}
+					return patientConn{conn.(*net.TCPConn)}, nil
+				}
+			})
+			p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+			for _, body := range []string{"", "a body", strings.Repeat("b", 60<<10)} {
+				for call := range 2 {
+					c, err := p.Take(t.Context())
+					must(t, err)
+					if call == 1 {
+						c.age = youngest // as if it had been idle
+					}
+					c.HoldBackEnd()
+					resp, err := c.Open(t.Context(), "POST", []byte(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))), []byte(body), time.Now().Add(patience))
+					if call == 0 {
+						must(t, err)
+						_, err := io.Copy(io.Discard, resp.Body)
+						must(t, err)
+						c.Whole(resp)
+						c.Done(Answered)
+						continue
+					}
+					var broke *CallError
+					if !errors.As(err, &broke) || broke.Sent {
+						t.Errorf("%v, want a call that was not sent", err)
+					}
+					c.Done(Broken)
+				}
+			}
+			if n := whole.Load(); n != 3 {
+				t.Errorf("%d calls were received", n)
+			}
+		})
+	}
+}
+
+// An end that was held back follows, and the answer comes, also where the endpoint speaks before it.
+func TestHeldBackEndFollows(t *testing.T) {
+	s := newStandIn(t, answers(ok200))
+	ps := newPools(t, nil)
+	p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+	for call := range 20 {
+		c, err := p.Take(t.Context())
+		must(t, err)
+		if call > 0 {
+			c.age = youngest
+		}
+		c.HoldBackEnd()
+		resp, err := c.Open(t.Context(), "POST", []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"), []byte("ab"), time.Now().Add(patience))
+		must(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		must(t, err)
+		c.Whole(resp)
+		c.Done(Answered)
+	}
+	wantStats(t, ps, 1, 1, 1, 19, 0)
+}
+
+// A call that is given up while its end is held back was not sent.
+func TestGivenUpBeforeTheEnd(t *testing.T) {
+	s := newStandIn(t, answers(ok200))
+	ps := newPools(t, nil)
+	p := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr})
+	ctx, cancel := context.WithCancel(t.Context())
+	c, err := p.Take(ctx)
+	must(t, err)
+	c.age = youngest
+	c.HoldBackEnd()
+	cancel()
+	var broke *CallError
+	if _, err := c.Open(ctx, "POST", []byte("POST / HTTP/1.1\r\nHost: h\r\n\r\n"), nil, time.Time{}); !errors.As(err, &broke) || broke.Sent {
+		t.Errorf("%v, want a call that was not sent", err)
+	}
+	c.Done(GaveUp)
+}
--- a/internal/upstream/pools.go
+++ b/internal/upstream/pools.go
@@ -506,6 +506,7 @@
 	p.counts.opened++
 	p.inUse++
 	c := newConn(p, nc, began)
+	c.handshake = now.Sub(began)
 	return c, nil
 }
 
