--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -241,3 +241,20 @@
 		})
 	}
 }
+
+// The body of another's answer, whose length a HEAD can't tell, is not taken for an answer.
+func TestBodyOfAForeignAnswerIsNoAnswer(t *testing.T) {
+	e := newEndpoint(t, "e1", func(c net.Conn, r call) bool {
+		id := r.Header.Get(headID)
+		_, err := io.WriteString(c, answerOf("foreign", sealed, answerOf(id, "404 X", "")))
+		return err == nil
+	})
+	g := newRig(t, route(operator.ReadOnly, 1), e)
+	conn := g.dial()
+	must(t, conn.ask("HEAD /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id1", ""))
+	resp, err := http.ReadResponse(conn.br, &http.Request{Method: http.MethodHead})
+	must(t, err)
+	if resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("%d", resp.StatusCode)
+	}
+}
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -34,3 +34,48 @@
 	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "TestBusyNights", "-timeout", "150s"},
 		Env: []string{"CERTIFIED_WRONG=", "CERTIFIED_NIGHTS_S=25"}, Within: 3 * time.Minute})
 }
+
+// wrongCalls are lines that would send an answer to the wrong caller, or a request twice.
+var wrongCalls = []wrongline.Line{
+	{"a broken try is repeated", "../attempt/attempt.go", "	case Broken, FalseRefusal, BodyCut:\n		if c.Idempotent && c.TriesLeft {", "	case Broken, FalseRefusal, BodyCut:\n		if c.TriesLeft {"},
+	{"a failed run is repeated", "../attempt/attempt.go", "	case Failed:\n		if c.Idempotent && c.TriesLeft {", "	case Failed:\n		if c.TriesLeft {"},
+	{"it goes on after it may have run", "../attempt/attempt.go", "if c.TurnsLeft && (s == NotSent || c.Idempotent) {", "if c.TurnsLeft {"},
+	{"what may have run is refused", "../attempt/attempt.go", "	case s == NotSent:\n		return Refuse", "	case s <= Sent:\n		return Refuse"},
+	{"an answer that can't be continued is continued", "../attempt/attempt.go", "retry = c.Resumable && c.TriesLeft", "retry = c.TriesLeft"},
+	{"tries are not counted", "exchange.go", "		x.tries++\n", ""},
+	{"any id matches", "exchange.go", "return len(ids) == 1 && ids[0] == x.req.ID", "return len(ids) == 1"},
+	{"one of two ids matches", "exchange.go", "return len(ids) == 1 && ids[0] == x.req.ID", "return slices.Contains(ids, x.req.ID)"},
+	{"a spliced head matches", "exchange.go", "if matches && !spliced {", "if matches {"},
+	{"bodies of others are read as answers to HEAD", "exchange.go", "return x.method != http.MethodHead && ", "return "},
+	{"a success needs no seal", "exchange.go", "status < 300 && (notRun || h.Get(headSeal) == \"\")", "status < 300 && notRun"},
+	{"an answer needs no end", "exchange.go", "	case !plain(h.Get(\"Content-Encoding\")), !x.delimited():", "	case !plain(h.Get(\"Content-Encoding\")):"},
+	{"not run counts beside any status", "exchange.go", "	case notRun && promisesNotRun(status):", "	case notRun:"},
+	{"a refusal needs no proof", "exchange.go", "	case promisesNotRun(status):\n		return attempt.FalseRefusal, dispatch.Failed", "	case promisesNotRun(status):\n		return attempt.Rejected, dispatch.NotRun"},
+	{"a reset proves that it was not read", "exchange.go", "	sent := !errors.As(err, &call) || call.Sent", "	sent := (!errors.As(err, &call) || call.Sent) && !strings.Contains(err.Error(), \"reset\")"},
+	{"silence proves that it was not read", "exchange.go", "			x.state = max(x.state, attempt.Sent)", "			x.state = max(x.state, attempt.NotSent)"},
+	{"ids of items are not remembered", "exchange.go", "			x.conn.Remember(x.req.ID)", "			_ = x.req.ID"},
+	{"any end of a body is its end", "serve.go", "		if errors.Is(err, io.EOF) {\n			x.conn.Whole(x.resp)\n			if !x.headed", "		if err != nil {\n			x.conn.Whole(x.resp)\n			if !x.headed"},
+	{"any end of a stream is its end", "serve.go", "if errors.Is(err, io.EOF) && wrong == nil {", "if err != nil && wrong == nil {"},
+	{"a cut answer looks complete", "serve.go", "			panic(http.ErrAbortHandler)", "			return"},
+	{"a request's length may be read in two ways", "listener.go", "&& c.arrived.Load() > c.handled", "&& c.handled < 0"},
+	{"a request may have two ids", "serve.go", "len(r.Header[headID]) != 1 ||", "len(r.Header[headID]) < 1 ||"},
+	{"a protocol whose answers can't be told from cut ones", "serve.go", "!r.ProtoAtLeast(1, 1)", "!r.ProtoAtLeast(1, 0)"},
+	{"a body is waited for beyond the deadline", "serve.go", "	if deadline.Before(wait) {", "	if wait.Before(deadline) {"},
+	{"a connection is waited for beyond the deadline", "../upstream/pools.go", "!deadline.IsZero() && left < limit {", "!deadline.IsZero() && left < 0 {"},
+	{"bytes behind an answer are kept", "../upstream/conn.go", " || c.br.Buffered() != 0 {", " {"},
+	{"nobody looks before a connection is used", "../upstream/pools.go", "if c.age = now.Sub(c.since); c.age < c.idleFor(limit) && c.quiet() {", "if c.age = now.Sub(c.since); c.age < c.idleFor(limit) {"},
+	{"a part that was written is the whole", "../upstream/conn.go", "		c.sent = n == size\n", "		c.sent = n >= 0\n"},
+	{"interim answers count", "../upstream/conn.go", "case resp.StatusCode >= 200:", "case resp.StatusCode >= 100:"},
+	{"a close before the end is not looked at", "../upstream/conn.go", "	return end, c.probe(ctx)", "	_ = c.probe(ctx)\n	return end, nil"},
+	{"a surplus does not end a connection", "../upstream/conn.go", "c.whole = !resp.Close && !c.surplus", "c.whole = !resp.Close"},
+}
+
+// Each wrong line is found by the tests of calls. This takes minutes, so it is asked for: CALLS_WRONG=1, or a part of a name.
+func TestWrongCallsAreFound(t *testing.T) {
+	only := os.Getenv("CALLS_WRONG")
+	if only == "" {
+		t.Skip("CALLS_WRONG is not set")
+	}
+	wrongline.Find(t, wrongCalls, wrongline.Options{Only: only, Args: []string{"-p", "2", "-skip", "TestBusyNights|TestFleet|TestCapGrows", "-timeout", "150s", "../attempt", "../upstream"},
+		Env: []string{"CALLS_WRONG="}, Within: 3 * time.Minute})
+}
