Link: replies cut at every byte, and replies to questions of an older link

Cause: nothing held that a reply belongs to the link its question came over. Change: two tests; FuzzReplies reads the calls first, as a close that ends a write under way may come before a reply that has arrived (the call then ends with ErrClosed, which promises nothing). passOn is split by step.

--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -267,13 +267,19 @@
 	if x.resp.StatusCode == http.StatusInternalServerError || x.resp.StatusCode == http.StatusGatewayTimeout {
 		outcome = dispatch.Failed
 	}
-	length := x.resp.ContentLength
 	if x.method == http.MethodHead {
 		x.conn.Whole(x.resp)
-		x.passHead(w, length)
+		x.passHead(w, x.resp.ContentLength)
 		x.finish(outcome, upstream.Answered)
 		return attempt.BodyComplete
 	}
+	return x.passBody(w, outcome)
+}
+
+// passBody passes on an answer that is no stream. Up to atOnce bytes are read before anything is passed on, so that an answer that
+// breaks off there may still be replaced.
+func (x *exchange) passBody(w http.ResponseWriter, outcome dispatch.Outcome) attempt.Event {
+	length := x.resp.ContentLength
 	b := x.stream.buf[:0]
 	if length >= int64(cap(b)) && length <= atOnce {
 		b = make([]byte, 0, length+1)
@@ -283,22 +289,7 @@
 		n, err := x.resp.Body.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
 		if errors.Is(err, io.EOF) {
-			x.conn.Whole(x.resp)
-			if !x.headed {
-				if bodyAllowed(x.resp.StatusCode) {
-					length = int64(len(b))
-				} else {
-					length = -1
-				}
-				x.passHead(w, length)
-			}
-			x.finish(outcome, upstream.Answered) // before the client has it all, who may ask again at once
-			if len(b) > 0 {
-				if _, err := w.Write(b); err != nil {
-					return attempt.ClientGone
-				}
-			}
-			return attempt.BodyComplete
+			return x.passEnd(w, b, outcome)
 		}
 		if err != nil {
 			return x.cut(err)
@@ -321,6 +312,25 @@
 	}
 }
 
+// passEnd passes on the end of a body, with the head if that has not gone yet.
+func (x *exchange) passEnd(w http.ResponseWriter, end []byte, outcome dispatch.Outcome) attempt.Event {
+	x.conn.Whole(x.resp)
+	if !x.headed {
+		length := int64(len(end))
+		if !bodyAllowed(x.resp.StatusCode) {
+			length = -1
+		}
+		x.passHead(w, length)
+	}
+	x.finish(outcome, upstream.Answered) // before the client has it all, who may ask again at once
+	if len(end) > 0 {
+		if _, err := w.Write(end); err != nil {
+			return attempt.ClientGone
+		}
+	}
+	return attempt.BodyComplete
+}
+
 // bodyAllowed tells whether answers of a status may have a body.
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -54,7 +54,7 @@
 	{"a reset proves that it was not read", "exchange.go", "	sent := !errors.As(err, &call) || call.Sent", "	sent := (!errors.As(err, &call) || call.Sent) && !strings.Contains(err.Error(), \"reset\")"},
 	{"silence proves that it was not read", "exchange.go", "			x.state = max(x.state, attempt.Sent)", "			x.state = max(x.state, attempt.NotSent)"},
 	{"ids of items are not remembered", "exchange.go", "			x.conn.Remember(x.req.ID)", "			_ = x.req.ID"},
-	{"any end of a body is its end", "serve.go", "		if errors.Is(err, io.EOF) {\n			x.conn.Whole(x.resp)\n			if !x.headed", "		if err != nil {\n			x.conn.Whole(x.resp)\n			if !x.headed"},
+	{"any end of a body is its end", "serve.go", "		if errors.Is(err, io.EOF) {\n			return x.passEnd", "		if err != nil {\n			return x.passEnd"},
 	{"any end of a stream is its end", "serve.go", "if errors.Is(err, io.EOF) && wrong == nil {", "if err != nil && wrong == nil {"},
 	{"a cut answer looks complete", "serve.go", "			panic(http.ErrAbortHandler)", "			return"},
 	{"a request's length may be read in two ways", "listener.go", "&& c.arrived.Load() > c.handled", "&& c.handled < 0"},
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -409,6 +409,14 @@
 	return first
 }
 
+// readCalls reads some calls without bodies: then no write is under way that a close would end before a reply is read.
+func readCalls(t *testing.T, raw net.Conn, calls int64) {
+	t.Helper()
+	if _, err := io.CopyN(io.Discard, raw, calls*head); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // FuzzReplies reads any bytes while calls wait: each call gets the first reply with its number, or ErrClosed, once.
 func FuzzReplies(f *testing.F) {
 	reply := func(kind Kind, call byte, body ...byte) []byte {
@@ -428,7 +436,7 @@
 		for range calls {
 			waiting = append(waiting, c.Go(1, nil))
 		}
-		go func() { _, _ = io.Copy(io.Discard, raw) }()
+		readCalls(t, raw, calls)
 		go func() {
 			_, _ = raw.Write(b)
 			_ = raw.Close()
@@ -453,3 +461,57 @@
 		}
 	})
 }
+
+// A link that breaks at any byte of two replies: what came whole counts, the other call ends with ErrClosed, and the next link,
+// whose calls have the same numbers, gets nothing of it.
+func TestLinkCutAtEveryByteOfAReply(t *testing.T) {
+	reply := func(call byte, body string) []byte {
+		return append([]byte{0, 0, 0, byte(5 + len(body)), byte(kindReply), 0, 0, 0, call}, body...)
+	}
+	first, second := reply(1, "first"), reply(2, "second")
+	both := slices.Concat(first, second)
+	for cut := range len(both) + 1 {
+		raw, nb := net.Pipe()
+		c := start(nb, newSide(), steady)
+		one, two := c.Go(1, nil), c.Go(1, nil)
+		readCalls(t, raw, 2)
+		if _, err := raw.Write(both[:cut]); err != nil {
+			t.Fatal(err)
+		}
+		_ = raw.Close()
+		for call, ch := range []<-chan Reply{one, two} {
+			got, whole := get(t, ch, "a reply"), []int{len(first), len(both)}[call]
+			want := Reply{Body: []byte([]string{"first", "second"}[call])}
+			if cut < whole {
+				want = Reply{Err: ErrClosed}
+			}
+			if string(got.Body) != string(want.Body) || got.Err != want.Err {
+				t.Errorf("cut at %d, call %d: %+v, want %+v", cut, call+1, got, want)
+			}
+		}
+	}
+}
+
+// A reply to a question that came over an older link ends no call of a newer one, though both have the same number.
+func TestReplyToAnOlderLinkEndsNoNewerCall(t *testing.T) {
+	contract(t, steady, func(t *testing.T, a, b *Conn, _, bs *side) {
+		old := a.Go(1, []byte("old"))
+		question := get(t, bs.messages, "the old question")
+		a.Close()
+		if r := get(t, old, "the end of the old call"); !errors.Is(r.Err, ErrClosed) {
+			t.Errorf("%+v", r)
+		}
+		contract(t, steady, func(t *testing.T, newer, _ *Conn, _, newerSide *side) {
+			now := newer.Go(1, []byte("new"))
+			next := get(t, newerSide.messages, "the new question")
+			if next.call != question.call {
+				t.Fatalf("numbers %d and %d", question.call, next.call)
+			}
+			question.Reply([]byte("to the old one"))
+			next.Reply([]byte("to the new one"))
+			if r := get(t, now, "a reply"); string(r.Body) != "to the new one" || r.Err != nil {
+				t.Errorf("%+v", r)
+			}
+		})
+	})
+}
