--- /dev/null
+++ b/internal/forward/budget_test.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"dunetide/internal/operator"
+)
+
+// A request runs at no more endpoints than its route's tries, whatever they answer; those that reject it, or that take no
+// connection, don't count.
+func TestTriesBoundTheEndpointsThatRunARequest(t *testing.T) {
+	for name, answer := range map[string]func(id string, after int) string{
+		"closed":        func(string, int) string { return "" },
+		"500":           failureAnswer.of,
+		"false refusal": func(id string, _ int) string { return answerOf(id, "503 X", "") },
+		"no seal":       func(id string, _ int) string { return answerOf(id, "200 OK", "x") },
+		"body cut":      func(id string, _ int) string { return strings.TrimSuffix(answerOf(id, sealed, "body"), "y") },
+		"stream cut": func(id string, after int) string {
+			return streamHead(id) + chunked(eventOf(id, after+1))
+		},
+	} {
+		for tries := 1; tries <= 3; tries++ {
+			t.Run(fmt.Sprintf("%s/%d", name, tries), func(t *testing.T) {
+				endpoints := []*endpoint{
+					newEndpoint(t, "rejects", says("503 X|X-Dunetide-Not-Run: full", "")),
+					{id: "dark", addr: "127.0.0.1:1"},
+				}
+				for n := range 5 {
+					endpoints = append(endpoints, newEndpoint(t, fmt.Sprint("e", n), func(c net.Conn, r call) bool {
+						_, _ = io.WriteString(c, answer(r.Header.Get(headID), atoi(r.Header.Get(headLast))))
+						return false
+					}))
+				}
+				r := route(operator.Streaming, tries)
+				r.Resume = true
+				g := newRig(t, r, endpoints...)
+				a := g.do(plainCall, "body")
+				if a.status == 200 && a.err == nil {
+					t.Errorf("%+v looks complete", a)
+				}
+				ran := 0
+				for _, e := range endpoints[2:] {
+					ran += len(e.got())
+				}
+				if ran != tries {
+					t.Errorf("it ran at %d endpoints, tries %d: %+v", ran, tries, a)
+				}
+			})
+		}
+	}
+}
