--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -196,7 +196,8 @@
 		ambiguous := false
 		for n, r := range calls {
 			ids := r.Header[headID]
-			if len(ids) != 1 || !bytes.Contains(b, []byte(ids[0])) || !bytes.Contains(b, []byte(r.Method)) || !strings.HasPrefix(r.RequestURI, "/") {
+			// A value that is folded over lines is joined by a space (RFC 9112, 5.2).
+			if len(ids) != 1 || !bytes.Contains(joinedFields(b), joinedFields([]byte(ids[0]))) || !bytes.Contains(b, []byte(r.Method)) || !strings.HasPrefix(r.RequestURI, "/") {
 				t.Errorf("call %d of %q: %+v", n, b, r)
 			}
 			if ambiguous {
@@ -213,6 +214,9 @@
 	})
 }
 
+// joinedFields drops all white space.
+func joinedFields(b []byte) []byte { return bytes.Join(bytes.Fields(b), nil) }
+
 // ambiguousHead tells whether the first head has a length and a transfer coding.
 func ambiguousHead(b []byte) bool {
 	length, coding := false, false
