Test of endpoints that speak first: no race in the test itself

Cause: go test -race found the test's own counter read by the endpoint without sync. Change: an atomic one.

--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -87,9 +87,9 @@
 	for _, method := range []string{"POST", "HEAD"} {
 		t.Run(method, func(t *testing.T) {
 			t.Parallel()
-			at := 0
+			var part atomic.Int64
 			e := newRawEndpoint(t, "e1", func(c *net.TCPConn) {
-				write(c, greeting[:at])
+				write(c, greeting[:part.Load()])
 				r, err := http.ReadRequest(bufio.NewReader(c))
 				if err != nil {
 					return
@@ -102,7 +102,8 @@
 				write(c, answerOf(r.Header.Get(headID), sealed, body))
 			})
 			g := newRig(t, route(operator.Writes, 1), e)
-			for at = range len(greeting) + 1 {
+			for at := range len(greeting) + 1 {
+				part.Store(int64(at))
 				id := fmt.Sprint("id", at)
 				conn := g.dial()
 				must(t, conn.ask(method+" /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: "+id, ""))
