--- a/internal/keeper/reconfigure.go
+++ b/internal/keeper/reconfigure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dunetide/internal/agree"
+	"dunetide/internal/control"
 	"dunetide/internal/duty"
 	"dunetide/internal/reconfigure"
 )
@@ -22,15 +23,19 @@
 // voterDuty is the duty of changing who votes, and what this keeper has observed of the voters. All keepers observe,
 // so that one that takes the duty over knows already who has not been heard, and for how long.
 type voterDuty struct {
-	lease   *duty.Candidate
-	held    bool
-	running map[string]bool                 // registers whose voters are being changed
-	unheard map[string]map[uint64]time.Time // by register: since when a majority has reported not to hear a voter
-	behind  time.Time                       // since when others have reported newer states; zero: they have not
+	lease     *duty.Candidate
+	held      bool
+	running   map[string]bool // registers whose voters are being changed
+	observers map[string]*reconfigure.Observer
+	behind    time.Time // since when others have reported newer states; zero: they have not
 }
 
 func newVoterDuty() voterDuty {
-	return voterDuty{lease: duty.NewCandidate(rand.Float64), running: map[string]bool{}, unheard: map[string]map[uint64]time.Time{}}
+	d := voterDuty{lease: duty.NewCandidate(rand.Float64), running: map[string]bool{}, observers: map[string]*reconfigure.Observer{}}
+	for _, name := range registerNames {
+		d.observers[name] = &reconfigure.Observer{}
+	}
+	return d
 }
 
 // changeVoters observes the voters and, while this keeper has the duty, changes them.
@@ -95,93 +100,36 @@
 
 // situation is what is known of a register's voters and of the keepers that could be voters.
 func (k *Keeper) situation(now time.Time, name string, state agree.State) reconfigure.Situation {
-	s := reconfigure.Situation{Survive: k.o.Settings.SurviveMachines, MostVoters: votersMost, GiveUpAfter: reconfigure.GiveUpAfter(k.o.Settings.Bounds.CatchUp)}
-	contacts := k.contacts(state.Voters)
-	for _, voter := range state.Voters {
-		known := reconfigure.Voter{Voter: voter, Heard: contacts[voter.ID].heard}
-		if since, unheard := k.voterDuty.unheard[name][voter.ID]; unheard {
-			known.UnheardFor = now.Sub(since)
-		}
-		s.Voters = append(s.Voters, known)
-	}
-	if k.agree.id != 0 {
-		s.Keepers = append(s.Keepers, reconfigure.Keeper{Voter: voterOf(k.self), CaughtUp: true, Leaving: k.leaving})
-	}
-	register := slices.Index(registerNames, name)
-	for _, p := range k.peers {
-		if p.conn == nil || p.node.ID == 0 || len(p.report.Slots) == 0 {
-			continue
-		}
-		caughtUp := p.report.Slots[register] > state.Slot
-		s.Keepers = append(s.Keepers, reconfigure.Keeper{Voter: voterOf(p.node), CaughtUp: caughtUp, Leaving: p.report.Leaving})
-	}
-	return s
+	settings := k.o.Settings
+	limits := reconfigure.Limits{Survive: settings.SurviveMachines, MostVoters: votersMost, GiveUpAfter: reconfigure.GiveUpAfter(settings.Bounds.CatchUp)}
+	return k.voterDuty.observers[name].Situation(k.since(now), state, k.registerReports(name), limits)
 }
 
-// contact is what the voters report of one of them.
-type contact struct{ heard, unheard bool }
-
-// contacts tells which voters a majority hears, itself included, and which ones a majority reports not to hear.
-func (k *Keeper) contacts(voters []agree.Voter) map[uint64]contact {
-	reports := k.voterReports(voters)
-	majority := reconfigure.Majority(len(voters))
-	contacts := map[uint64]contact{}
-	for _, voter := range voters {
-		hearing, notHearing := 0, 0
-		for reporter, heard := range reports {
-			switch {
-			case reporter == voter.ID:
-			case slices.Contains(heard, voter.ID):
-				hearing++
-			default:
-				notHearing++
-			}
-		}
-		if hearing > 0 || voter.ID == k.agree.id {
-			hearing++ // it runs, so it hears itself
+// registerReports are what this keeper and those with a disk that are connected have reported, as to one register.
+func (k *Keeper) registerReports(name string) []reconfigure.Report {
+	register := slices.Index(registerNames, name)
+	var reports []reconfigure.Report
+	add := func(node control.Node, report control.KeeperReport) {
+		if node.ID != 0 && len(report.Slots) > 0 {
+			reports = append(reports, reconfigure.Report{Keeper: voterOf(node), Heard: report.Heard, Stored: report.Slots[register], Leaving: report.Leaving})
 		}
-		contacts[voter.ID] = contact{heard: hearing >= majority, unheard: notHearing >= majority}
-	}
-	return contacts
-}
-
-// voterReports are the identities that each voter hears, by the identity of the voter.
-func (k *Keeper) voterReports(voters []agree.Voter) map[uint64][]uint64 {
-	isVoter := map[uint64]bool{}
-	for _, voter := range voters {
-		isVoter[voter.ID] = true
-	}
-	reports := map[uint64][]uint64{}
-	if isVoter[k.agree.id] {
-		reports[k.agree.id] = k.report().Heard
 	}
+	add(k.self, k.report())
 	for _, p := range k.peers {
-		if p.conn != nil && isVoter[p.node.ID] && len(p.report.Slots) > 0 {
-			reports[p.node.ID] = p.report.Heard
+		if p.conn != nil {
+			add(p.node, p.report)
 		}
 	}
 	return reports
 }
 
-// observeVoters notes since when voters have not been heard, and since when this keeper has been behind.
+// observeVoters notes which voters are not heard, and since when this keeper has been behind.
 func (k *Keeper) observeVoters(now time.Time) {
 	d := &k.voterDuty
-	for _, name := range registerNames {
-		state, _ := k.agree.state(name)
-		unheard := map[uint64]time.Time{}
-		for id, c := range k.contacts(state.Voters) {
-			if !c.unheard {
-				continue
-			}
-			unheard[id] = now
-			if since, before := d.unheard[name][id]; before {
-				unheard[id] = since
-			}
-		}
-		d.unheard[name] = unheard
-	}
 	behind := false
-	for i := range registerNames {
+	for i, name := range registerNames {
+		state, _ := k.agree.state(name)
+		d.observers[name].Observe(k.since(now), state.Voters, k.registerReports(name))
 		behind = behind || k.isBehind(i)
 	}
 	switch {
--- a/internal/reconfigure/enumerate_test.go
+++ b/internal/reconfigure/enumerate_test.go
@@ -85,7 +85,7 @@
 
 // situation is what the connected keepers know. Identities are in the order of the machines, or in the reverse one.
 func (w model) situation(unheardFor time.Duration, reverse bool, leaver int) Situation {
-	s := Situation{Survive: w.survive, MostVoters: 9, GiveUpAfter: testGiveUp}
+	s := Situation{Limits: Limits{w.survive, 9, testGiveUp}}
 	for i, m := range w.machines {
 		id := uint64(1000 * (i + 1))
 		if reverse {
--- a/internal/reconfigure/reconfigure.go
+++ b/internal/reconfigure/reconfigure.go
@@ -39,11 +39,16 @@
 
 // Situation is all that a decision depends on.
 type Situation struct {
-	Voters      []Voter
-	Keepers     []Keeper
+	Voters  []Voter
+	Keepers []Keeper
+	Limits
+}
+
+// Limits are what the deployment asks for.
+type Limits struct {
 	Survive     int // machines that may be lost at once
 	MostVoters  int
-	GiveUpAfter time.Duration
+	GiveUpAfter time.Duration // see the function of that name
 }
 
 // Reason says which rule asks for a change.
--- a/internal/reconfigure/reconfigure_test.go
+++ b/internal/reconfigure/reconfigure_test.go
@@ -16,7 +16,7 @@
 // ?9 one that it has not heard for 9 seconds, ~ a keeper that lacks the newest state, - one that is leaving, @ one at
 // another address.
 func parse(voters, keepers string) Situation {
-	s := Situation{Survive: 1, MostVoters: 9, GiveUpAfter: testGiveUp}
+	s := Situation{Limits: Limits{1, 9, testGiveUp}}
 	identity := func(text string) agree.Voter {
 		return agree.Voter{ID: uint64(text[0] - '0'), Name: text[1:2], Addr: strings.ToUpper(text[1:2])}
 	}
@@ -136,7 +136,7 @@
 	for voters := 1; voters <= 5; voters++ {
 		for drawn := range pow(len(kinds), voters) {
 			for flags := range 1 << (voters + 4) {
-				s := Situation{Survive: 1 + flags>>(voters+3)&1, MostVoters: 5, GiveUpAfter: testGiveUp}
+				s := Situation{Limits: Limits{1 + flags>>(voters+3)&1, 5, testGiveUp}}
 				rest := drawn
 				for i := range voters {
 					voter := kinds[rest%len(kinds)]
