--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"sort"
 	"time"
 
@@ -40,7 +39,7 @@
 		return
 	}
 	w := link.Writer{}
-	w.Bool(k.mayGrant(now, holderID) && k.lease.Ask(k.since(now), name, holder))
+	w.Bool(k.contact.MayServe(k.since(now)) && k.mayGrant(now, holderID) && k.lease.Ask(k.since(now), name, holder))
 	m.Reply(w.B)
 }
 
@@ -63,7 +62,7 @@
 	for id := range stores {
 		a.seen[id] = now
 	}
-	if k.fresh {
+	if k.contact.MayServe(k.since(now)) {
 		k.askLease(now, dutyAssign, k.assigner.lease)
 	}
 	if held := a.lease.Holds(k.since(now)); held != a.held {
@@ -173,11 +172,28 @@
 	})
 }
 
-// Refusals of a retirement.
-var (
-	errUnknownStore = errors.New("no store has this name: GET /status tells of those that are there")
-	errTooFew       = errors.New("too few stores would be left: add one first")
-)
+// stopping notes that a store is about to stop, or that it runs again.
+func (k *Keeper) stopping(m *link.Message) {
+	r := link.Reader{B: m.Body}
+	store, stopping := r.U64(), r.Bool()
+	if r.Err != nil {
+		m.Fail("%v", r.Err)
+		return
+	}
+	k.changeTable(func(cur *view.Table) (*view.Table, error) {
+		next, changed := batch.SetStopping(cur, store, stopping)
+		if !changed {
+			return nil, agree.ErrUnchanged
+		}
+		return next, nil
+	}, func(err error) {
+		if err != nil && err != agree.ErrUnchanged {
+			m.Fail("%v", err)
+			return
+		}
+		m.Reply(nil)
+	})
+}
 
 // tableOf reads the register's value; nil before the first table.
 func tableOf(s agree.State) (*view.Table, error) {
@@ -205,7 +221,8 @@
 	return alive, func(id uint64) bool { return lost[id] }
 }
 
-// storesNow is storesAt for other goroutines. Not ok: this keeper ends, or has not had the time to hear of all.
+// storesNow is storesAt for other goroutines. Not ok: this keeper ends, or has not been in
+// contact for long enough to have heard of all.
 func (k *Keeper) storesNow() (alive []view.Store, lost func(uint64) bool, ok bool) {
 	type result struct {
 		alive []view.Store
@@ -213,7 +230,7 @@
 	}
 	res, ok := ask(k, func() result {
 		now := time.Now()
-		if k.since(now) < settle {
+		if k.contact.HeldFor(k.since(now)) < settle {
 			return result{}
 		}
 		alive, lost := k.storesAt(now, k.stores())
@@ -226,7 +243,7 @@
 type status struct {
 	Node         string           `json:"node"`
 	Voter        bool             `json:"voter"`
-	Fresh        bool             `json:"fresh"`
+	InContact    bool             `json:"in_contact"`
 	Version      uint64           `json:"config_version"`
 	Certificates uint64           `json:"certificates_version"`
 	Table        uint64           `json:"table_number"`
@@ -248,7 +265,7 @@
 }
 
 func (k *Keeper) statusJSON() []byte {
-	s := status{Node: k.self.Name, Fresh: k.fresh, Version: k.config.version, Certificates: k.certificates.version, Senders: k.senders, Voter: k.agree.votes(), Services: map[string]int{},
+	s := status{Node: k.self.Name, InContact: k.inContact(), Version: k.config.version, Certificates: k.certificates.version, Senders: k.senders, Voter: k.agree.votes(), Services: map[string]int{},
 		Duty: k.assigner.lease.Holds(k.since(time.Now()))}
 	if k.parts != nil {
 		s.Table = k.parts.Number
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -98,7 +98,7 @@
 		l = append(l, linked{p.node, p.conn, p.lost})
 	}
 	k.linked.Store(&l)
-	k.met++
+	k.keepersChange++
 	k.dirty = true
 	k.recount()
 }
@@ -106,7 +106,7 @@
 // meet dials the keepers that are known and not met.
 func (k *Keeper) meet(now time.Time) {
 	addrs := map[string]bool{}
-	for _, s := range control.SeedLinks(k.o.Settings.Seeds, k.o.Settings.InternalFirst) {
+	for _, s := range control.SeedLinks(*k.seeds.Load(), k.o.Settings.InternalFirst) {
 		addrs[s] = true
 	}
 	if k.o.Known != nil {
@@ -193,7 +193,7 @@
 		k.log.Info("keeper met", "keeper", node.Name, "zone", node.Zone)
 	}
 	if p.node.Life != node.Life {
-		p.attached, p.differs = nil, 0
+		p.attached, p.differs, p.report = nil, 0, control.KeeperReport{}
 		for other, l := range k.conns {
 			if l.peer == p && other != c {
 				other.Close()
@@ -240,6 +240,7 @@
 		_ = c.Send(control.Learn, body)
 	}
 	_ = c.Send(control.Attached, k.attachedBody())
+	_ = c.Send(control.Report, encodeReport(k.report()))
 }
 
 // parted forgets a link to a keeper. Another one to the same life takes its place.
--- a/internal/keeper/reconfigure.go
+++ b/internal/keeper/reconfigure.go
@@ -43,7 +43,7 @@
 	d := &k.voterDuty
 	k.observeVoters(now)
 	k.sendChangedReport()
-	if k.fresh {
+	if k.contact.MayServe(k.since(now)) {
 		k.askLease(now, dutyVoters, d.lease)
 	}
 	if held := d.lease.Holds(k.since(now)); held != d.held {
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -11,21 +11,27 @@
 // report is what this keeper tells the others of itself.
 func (k *Keeper) report() control.KeeperReport {
 	connected := k.links().connectedIDs(k.agree.id)
-	return control.KeeperReport{InContact: k.fresh, Leaving: k.leaving, Slots: k.agree.slots(), Heard: slices.Sorted(maps.Keys(connected))}
+	return control.KeeperReport{InContact: k.inContact(), Leaving: k.leaving, Slots: k.agree.slots(), Heard: slices.Sorted(maps.Keys(connected))}
 }
 
 // sendReports tells all keepers that are connected.
 func (k *Keeper) sendReports() {
 	k.reportSent = k.report()
-	w := link.Writer{}
-	k.reportSent.Append(&w)
+	body := encodeReport(k.reportSent)
 	for _, p := range k.peers {
 		if p.conn != nil {
-			_ = p.conn.Send(control.Report, w.B)
+			_ = p.conn.Send(control.Report, body)
 		}
 	}
 }
 
+// encodeReport writes the message of a report.
+func encodeReport(report control.KeeperReport) []byte {
+	w := link.Writer{}
+	report.Append(&w)
+	return w.B
+}
+
 // sendChangedReport tells them between heartbeats when the report has changed.
 func (k *Keeper) sendChangedReport() {
 	report := k.report()
@@ -44,7 +50,7 @@
 		return
 	}
 	if report.Leaving != l.peer.report.Leaving {
-		k.met++ // the attached are told which keepers to go to
+		k.keepersChange++ // the attached are told which keepers to go to
 		k.dirty = true
 	}
 	l.peer.report = report
