Keeper: a full disk is a silent voter, not the end of the process

Cause: agree took every failed Save for final, so a keeper on a full disk ended and started again until there was room. A stalled disk held operators' calls and the end of the process.

Change: agree.ErrNotSaved marks a Save that left the log intact. The register then gives no vote for it, counts nowhere as a holder of a State that is not stored, votes on no later slot before that, and tries again. Stored and Unsaved go into the keeper's report and status, one log line each way. The log is rewritten by the size of the disk too.

In the simulator "the disk is full" joins the troubles; the two wrong lines about save and learn are the same errors, written for the lines as they stand now.

--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -33,6 +33,8 @@
 	ErrVoters = errs.Class("agree: voters that can't decide, name each once and with its identity")
 	// ErrSaved says that what was saved can't be read: this disk must not vote. Empty it, and it joins anew.
 	ErrSaved = errs.Class("agree: what was saved is damaged, empty this disk")
+	// ErrNotSaved is for a Save that left the disk as it was, such as one that is full: it is tried again.
+	ErrNotSaved = errs.Class("agree: nothing was saved, make room on the disk")
 
 	// ErrUnchanged is for a change that has nothing to write: the proposal ends with the State it saw.
 	ErrUnchanged = errs.New("agree: unchanged")
@@ -45,7 +47,8 @@
 	ID uint64
 	// Proposer is drawn at random at each start of the process.
 	Proposer uint64
-	// Save has put the payload on disk, to stay, when it returns. After an error the register votes no more.
+	// Save has put the payload on disk, to stay, when it returns. After an ErrNotSaved the disk is as it was, and Save
+	// is called again. After any other error it is not known what the disk holds: the register votes no more.
 	Save func(payload []byte) error
 	// Send may lose, double, delay and reorder messages. A Voter here is where a message goes; it may have no ID.
 	Send func(to Voter, msg []byte)
@@ -61,6 +64,8 @@
 	spreadTries   = 6
 	announceEvery = 5 * time.Second
 	maxQueued     = 256
+	// saveRetry is how long nothing is saved after an ErrNotSaved.
+	saveRetry = 250 * time.Millisecond
 )
 
 // Register is one agreed register, as one process sees it.
@@ -74,7 +79,14 @@
 	promised ballot
 	accepted ballot // zero: nothing
 	proposal State  // what is accepted
-	failed   error  // a Save that failed: no votes any more
+	failed   error  // a Save that failed for good: no votes any more
+	// stored: the state is on disk. While it is not, no vote is given, as what is saved for a slot is read back only behind
+	// the State of the slot before, and nobody is told that this node holds it.
+	stored     bool
+	storedSlot uint64        // of the newest State that is on disk, if any is
+	everStored bool          // one is
+	unsaved    error         // the newest Save, if it left the disk as it was
+	saveAt     time.Duration // after that: nothing is saved before
 
 	holders map[uint64]bool // voters known to have stored state
 
@@ -112,8 +124,8 @@
 			return nil, ErrSaved.Wrap(fmt.Errorf("payload %d of %d of register %s: %w", i+1, len(saved), o.Name, err))
 		}
 	}
-	if r.known && o.ID != 0 {
-		r.holders[o.ID] = true
+	if r.known {
+		r.noteStored()
 	}
 	return r, nil
 }
@@ -198,22 +210,66 @@
 	return out
 }
 
-// save reports whether the payload is on disk. Once one isn't, this node votes no more: what the disk holds is
-// not known.
+// save reports whether the payload is on disk. Where the disk was left as it was, it may be saved later. Any other
+// error ends this node's votes: what the disk holds is not known.
 func (r *Register) save(b []byte) bool {
-	if r.failed != nil {
-		return false
-	}
 	if r.o.ID == 0 {
 		return true
 	}
-	r.failed = r.o.Save(b)
-	return r.failed == nil
+	if r.failed != nil || r.now < r.saveAt {
+		return false
+	}
+	err := r.o.Save(b)
+	if ErrNotSaved.Has(err) {
+		r.unsaved, r.saveAt = err, r.now+saveRetry
+		return false
+	}
+	r.unsaved, r.failed = nil, err
+	return err == nil
+}
+
+// store puts the decided State on disk, if the disk takes it.
+func (r *Register) store() {
+	r.stored = false
+	if r.save(decidedPayload(r.state)) {
+		r.noteStored()
+	}
+}
+
+// noteStored takes down that the State is on disk.
+func (r *Register) noteStored() {
+	r.stored, r.everStored, r.storedSlot = true, true, r.state.Slot
+	if r.o.ID != 0 {
+		r.holders[r.o.ID] = true
+	}
+}
+
+// storeAgain tries what store could not do, and says so to those who may wait for it.
+func (r *Register) storeAgain() {
+	if r.store(); !r.stored {
+		return
+	}
+	for _, v := range r.state.Voters {
+		if v.ID != r.o.ID {
+			r.sendHave(v)
+		}
+	}
+	r.settle()
 }
 
+// storeDue tells whether a State waits to be stored.
+func (r *Register) storeDue() bool { return r.known && !r.stored && r.failed == nil }
+
 // Failed gives the error of the Save that ended this node's votes.
 func (r *Register) Failed() error { return r.failed }
 
+// Unsaved gives the error of the newest Save if that left the disk as it was: this node gives no votes that have to be
+// saved until a Save succeeds.
+func (r *Register) Unsaved() error { return r.unsaved }
+
+// Stored gives the newest decided slot that is on disk here, or known where there is no disk; false: there is none.
+func (r *Register) Stored() (slot uint64, there bool) { return r.storedSlot, r.everStored }
+
 // State gives the newest decided State that is known here.
 func (r *Register) State() (State, bool) { return r.state.Clone(), r.known }
 
@@ -252,8 +308,11 @@
 	}
 }
 
-func (r *Register) send(to Voter, m message) {
-	m.id = r.o.ID
+func (r *Register) send(to Voter, m message) { r.sendAs(r.o.ID, to, m) }
+
+// sendAs names the sender: 0 is one without a disk, whom nobody counts.
+func (r *Register) sendAs(id uint64, to Voter, m message) {
+	m.id = id
 	b := m.encode(r.o.Name)
 	if to.ID != 0 && to.ID == r.o.ID {
 		r.loopback = append(r.loopback, b)
@@ -262,6 +321,7 @@
 	r.o.Send(to, b)
 }
 
+// sendHave tells which slot is known here. Only with the identity does it say that the slot is on this disk.
 func (r *Register) sendHave(to Voter) {
 	if r.failed != nil {
 		return
@@ -270,7 +330,11 @@
 	if r.known {
 		m.slot = r.state.Slot + 1
 	}
-	r.send(to, m)
+	id := r.o.ID
+	if !r.stored {
+		id = 0
+	}
+	r.sendAs(id, to, m)
 }
 
 func (r *Register) sendState(to Voter) { r.send(to, message{kind: decided, state: r.state}) }
@@ -320,7 +384,7 @@
 	case !r.known || r.state.Slot+1 < m.slot:
 		r.sendHave(from)
 		return
-	case !r.state.Has(r.o.ID):
+	case !r.stored, !r.state.Has(r.o.ID):
 		return
 	}
 	out := message{slot: m.slot, ballot: m.ballot}
@@ -357,13 +421,10 @@
 	if r.known && s.Slot <= r.state.Slot {
 		return
 	}
-	r.save(decidedPayload(s))
 	r.known, r.state = true, s
 	r.promised, r.accepted, r.proposal = ballot{}, ballot{}, State{}
 	clear(r.holders)
-	if r.o.ID != 0 && r.failed == nil {
-		r.holders[r.o.ID] = true
-	}
+	r.store()
 	to := r.deciding
 	r.spreadTo, r.deciding = nil, nil
 	if len(to) > 0 {
@@ -378,6 +439,9 @@
 // Tick does what is due and says when to come again; Next says it after any other step.
 func (r *Register) Tick(now time.Duration) (next time.Duration) {
 	r.step(now, func() {
+		if r.storeDue() && r.now >= r.saveAt {
+			r.storeAgain()
+		}
 		r.tickProposer()
 		if len(r.spreadTo) > 0 && r.now >= r.spreadAt {
 			r.spread()
@@ -392,6 +456,9 @@
 // Next is when Tick has something to do, if nothing else happens before.
 func (r *Register) Next() time.Duration {
 	next := r.nextProposer()
+	if r.storeDue() {
+		next = min(next, r.saveAt)
+	}
 	if len(r.spreadTo) > 0 {
 		next = min(next, r.spreadAt)
 	}
--- a/internal/agree/sim_test.go
+++ b/internal/agree/sim_test.go
@@ -76,7 +76,8 @@
 	tick       int
 	last       uint64 // the newest slot told in this life
 	known      bool
-	failing    int // Saves that will fail
+	failing    int     // Saves that will fail
+	full       float64 // how likely a Save finds no room, and leaves the disk as it was
 	saved      uint64
 }
 
@@ -192,7 +193,7 @@
 		return
 	}
 	m.busy = m.clock
-	if len(m.payloads) > 40 && m.reg.Failed() == nil {
+	if len(m.payloads) > 40 && m.reg.Failed() == nil && m.full == 0 {
 		m.payloads = m.reg.Snapshot()
 	}
 	m.schedule()
@@ -231,6 +232,9 @@
 				}
 				return errors.New("the disk is sick")
 			}
+			if w.chance(m.full) {
+				return ErrNotSaved.New("the disk is full")
+			}
 			m.payloads = append(m.payloads, bytes.Clone(b))
 			m.clock += w.upTo(w.slow)
 			m.point()
@@ -436,7 +440,7 @@
 	w.loss, w.double, w.late, w.delay, w.slow, w.killAt = 0, 0, 0, 10*time.Millisecond, 5*time.Millisecond, -1
 	clear(w.cut)
 	for _, m := range w.machines {
-		m.failing = 0
+		m.failing, m.full = 0, 0
 		if m.reg.Failed() != nil {
 			m.kill() // as a process whose disk fails does
 		}
--- a/internal/agree/troubles_test.go
+++ b/internal/agree/troubles_test.go
@@ -113,7 +113,7 @@
 func (w *world) someTrouble() {
 	m, o := w.any(), w.any()
 	length := 50*time.Millisecond + w.upTo(1500*time.Millisecond)
-	switch w.rng.IntN(9) {
+	switch w.rng.IntN(12) {
 	case 0:
 		w.cut[[2]int{m.i, o.i}] = true
 		w.after(length, func() { delete(w.cut, [2]int{m.i, o.i}) })
@@ -166,9 +166,33 @@
 	case 8:
 		w.slow = 200 * time.Millisecond
 		w.after(length, func() { w.slow = 5 * time.Millisecond })
+	case 9:
+		m.fill(length)
+	case 10: // killed while its disk is full
+		m.fill(length)
+		w.after(w.upTo(200*time.Millisecond), func() {
+			m.kill()
+			m.start()
+		})
+	case 11:
+		for _, p := range w.machines {
+			if w.chance(.7) {
+				p.fill(length)
+			}
+		}
 	}
 }
 
+// fill leaves no room on a disk for a while, or now and then some.
+func (m *machine) fill(length time.Duration) {
+	m.full = 1
+	if m.w.chance(.5) {
+		m.full = .3 + .6*m.w.rng.Float64()
+	}
+	m.w.note("%s: disk full, %.2f", m.name, m.full)
+	m.w.after(length, func() { m.full = 0 })
+}
+
 // loseDisk has a machine start with an empty disk and ask to be a voter again until it is.
 func (w *world) loseDisk(m *machine, joined func()) {
 	m.lose()
@@ -320,6 +344,13 @@
 		set(w)
 		w.loss, w.double, w.delay = .2*w.rng.Float64(), .1*w.rng.Float64(), 40*time.Millisecond
 		w.run(time.Second)
+		if seed%3 == 0 { // disks that are full until the fault, and not after it
+			for _, m := range w.machines {
+				if w.chance(.4) {
+					m.fill(time.Hour)
+				}
+			}
+		}
 		w.propose(w.any(), 2*time.Second, nil)
 		w.run(w.now + 2*time.Second)
 		first, other := w.machines[w.rng.IntN(sz.n)], w.chance(.5)
@@ -369,6 +400,7 @@
 		w.onDone = nil
 		w.loss, w.double = 0, 0
 		for _, m := range w.machines {
+			m.full = 0
 			if m != first || !other {
 				w.after(200*time.Millisecond+w.upTo(200*time.Millisecond), m.start)
 			}
--- a/internal/agree/wrong_test.go
+++ b/internal/agree/wrong_test.go
@@ -12,8 +12,8 @@
 var wrong = []wrongline.Line{
 	{"a promise is not saved", "agree.go", "if !r.save(promisePayload(m.slot, m.ballot)) {", "if false {"},
 	{"what is accepted is not saved", "agree.go", "if !r.save(acceptedPayload(m.ballot, m.state)) {", "if false {"},
-	{"what is decided is not saved", "agree.go", "	r.save(decidedPayload(s))\n", ""},
-	{"a vote after a Save that failed", "agree.go", "	r.failed = r.o.Save(b)\n	return r.failed == nil", "	r.o.Save(b)\n	return true"},
+	{"what is decided is not saved", "agree.go", "	if r.save(decidedPayload(r.state)) {", "	if true {"},
+	{"a vote after a Save that failed", "agree.go", "	r.unsaved, r.failed = nil, err\n	return err == nil", "	r.unsaved = nil\n	return true"},
 	{"a promise is broken by an accept", "agree.go", "case m.ballot.less(r.promised):", "case m.kind == prepare && m.ballot.less(r.promised):"},
 	{"a promise is broken by a prepare", "agree.go", "case m.ballot.less(r.promised):", "case m.kind == accept && m.ballot.less(r.promised):"},
 	{"a promise does not tell what was accepted", "agree.go", "out.kind, out.other, out.state = promise, r.accepted, r.proposal", "out.kind = promise"},
@@ -39,6 +39,13 @@
 	{"nobody says what he knows", "agree.go", "	for _, v := range others {\n		r.sendHave(v)\n	}\n", "	_ = others\n"},
 	{"a snapshot without the promise", "agree.go", "	if r.promised != r.accepted {\n", "	if false {\n"},
 	{"a snapshot without what is accepted", "agree.go", "	if r.accepted != (ballot{}) {\n		out", "	if false {\n		out"},
+	{"a full disk counts as saved", "agree.go", "r.unsaved, r.saveAt = err, r.now+saveRetry\n		return false", "r.unsaved, r.saveAt = err, r.now+saveRetry\n		return true"},
+	{"a vote for a slot before the one before it is stored", "agree.go", "	case !r.stored, !r.state.Has(r.o.ID):", "	case !r.state.Has(r.o.ID):"},
+	{"told to be held and not stored", "agree.go", "	if !r.stored {\n		id = 0\n	}\n", "	_ = id\n"},
+	{"its own holder before it is stored", "agree.go", "	r.stored = false\n	if r.save(decidedPayload(r.state)) {", "	r.stored = false\n	r.holders[r.o.ID] = true\n	if r.save(decidedPayload(r.state)) {"},
+	{"a state that found no room is never stored", "agree.go", "		if r.storeDue() && r.now >= r.saveAt {\n			r.storeAgain()\n		}\n", ""},
+	{"nothing is saved any more after a full disk", "agree.go", "	if r.failed != nil || r.now < r.saveAt {", "	if r.failed != nil || r.unsaved != nil {"},
+	{"what was stored is not told", "agree.go", "		if v.ID != r.o.ID {\n			r.sendHave(v)\n		}\n	}\n	r.settle()", "		_ = v\n	}"},
 	{"who is told has stored it", "proposer.go", "		if r.holders[v.ID] {\n			n++", "		if r.holders[v.ID] || v.ID != 0 {\n			n++"},
 }
 
--- a/internal/journal/disktest/disktest.go
+++ b/internal/journal/disktest/disktest.go
@@ -23,6 +23,10 @@
 	FailAt, Fails int
 	// Ops counts operations.
 	Ops int
+	// Room is how many bytes all files may have; a write beyond writes what fits. 0: no limit.
+	Room int
+	// Stall, if set, is called before each write and sync, and may block.
+	Stall func()
 
 	names, durable map[string]*inode
 	pending        []func(map[string]*inode) // changes of names since the last sync of the folder
@@ -225,14 +229,41 @@
 }
 
 func (w *file) Write(b []byte) (int, error) {
+	w.d.stall()
 	if err := w.d.op(); err != nil {
 		w.append(b[:len(b)/2])
 		return len(b) / 2, err
 	}
-	w.append(b)
+	fits := w.d.fits(len(b))
+	w.append(b[:fits])
+	if fits < len(b) {
+		return fits, ErrFull
+	}
 	return len(b), nil
 }
 
+func (d *Disk) stall() {
+	if d.Stall != nil {
+		d.Stall()
+	}
+}
+
+// fits tells how many of n bytes there is room for.
+func (d *Disk) fits(n int) int {
+	if d.Room == 0 {
+		return n
+	}
+	return max(0, min(n, d.Room-d.Used()))
+}
+
+// Used is how many bytes all files have.
+func (d *Disk) Used() (bytes int) {
+	for _, f := range d.names {
+		bytes += len(f.data)
+	}
+	return bytes
+}
+
 func (w *file) append(b []byte) {
 	w.f.writes = append(w.f.writes, [2]int{len(w.f.data), len(w.f.data) + len(b)})
 	w.f.data = append(w.f.data, b...)
@@ -252,6 +283,7 @@
 }
 
 func (w *file) Sync() error {
+	w.d.stall()
 	if err := w.d.op(); err != nil {
 		return err
 	}
--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -23,7 +23,7 @@
 	recordRegister = 2
 	// rewriteAbove is the least size at which the log is rewritten.
 	rewriteAbove = 1 << 20
-	// rewriteAgain is how long after a failure it is tried again.
+	// rewriteAgain is how long after a failure, or after making room on a full disk, it is tried again.
 	rewriteAgain = 5 * time.Second
 	// votersMost bounds the voters of a register.
 	votersMost = 9
@@ -43,6 +43,7 @@
 	proposer uint64
 	start    time.Time
 	log      *record.Log
+	policy   rewritePolicy
 	saved    map[string][][]byte
 	commands chan func()
 	ended    chan struct{}
@@ -55,9 +56,11 @@
 	booted  bool
 	joining map[string]bool
 	tried   map[string]time.Time
-	grown   int64     // size of the log after it was last rewritten
-	later   time.Time // when it is tried again, after it failed
-	failed  error     // for the owner of the rest, once ended is closed
+	grown   int64             // size of the log after it was last rewritten
+	later   time.Time         // before that it is not tried again
+	stored  map[string]uint64 // newest decided slots that are on disk, with mu
+	unsaved error             // why nothing can be saved at present, with mu
+	failed  error             // for the owner of the rest, once ended is closed
 }
 
 // errBusy says that too much waits for the disk.
@@ -66,7 +69,8 @@
 func openAgreement(k *Keeper) (*agreement, error) {
 	a := &agreement{k: k, start: k.life, proposer: rand.Uint64() | 1, commands: make(chan func(), queueMost), ended: make(chan struct{}),
 		regs: map[string]*agree.Register{}, saved: map[string][][]byte{}, states: map[string]agree.State{},
-		joining: map[string]bool{}, tried: map[string]time.Time{}}
+		joining: map[string]bool{}, tried: map[string]time.Time{}, stored: map[string]uint64{}}
+	a.policy.diskBytes = int64(k.o.Settings.Limits.DiskMB) << 20
 	if k.o.Folder != nil {
 		log, err := record.Open(k.o.Folder, logName, func(b []byte, _ int64) error { return a.replay(b) })
 		if err != nil {
@@ -98,6 +102,7 @@
 		}
 	}
 	a.saved = nil
+	a.noteStored()
 	return a, nil
 }
 
@@ -151,7 +156,8 @@
 			a.join(name)
 			next = min(next, reg.Next()-a.now())
 		}
-		a.rewrite()
+		a.noteStored()
+		a.rewriteWhenGrown()
 		timer.Reset(max(next, 2*time.Millisecond))
 	}
 }
@@ -187,7 +193,8 @@
 	if r.Err != nil || a.regs[name] == nil {
 		return
 	}
-	a.do(func() { a.regs[name].Receive(a.now(), from, msg) })
+	// One that finds no room is lost, as messages may be: a link must not wait for the disk.
+	a.offer(func() { a.regs[name].Receive(a.now(), from, msg) })
 }
 
 func (a *agreement) learn(b []byte) {
@@ -197,7 +204,7 @@
 	if r.Err != nil || a.regs[name] == nil {
 		return
 	}
-	a.do(func() { a.regs[name].Learn(a.now(), s) })
+	a.offer(func() { a.regs[name].Learn(a.now(), s) })
 }
 
 // decided takes a newer state to the owner of the rest. It is called from the registers.
@@ -232,16 +239,27 @@
 	return w.B
 }
 
-// propose changes a register; done is called from the registers' goroutine, or at once where too much waits.
+// propose changes a register. done is called once, also where the disk has stalled, and from any goroutine.
 func (a *agreement) propose(name string, timeout time.Duration, change func(cur agree.State) (agree.State, error), done func(agree.State, error)) {
-	if !a.offer(func() { a.regs[name].Propose(a.now(), timeout, change, done) }) {
-		done(agree.State{}, errBusy)
+	op := boundOperation(name, timeout, done)
+	if !a.offer(func() {
+		if op.start() {
+			a.regs[name].Propose(a.now(), timeout, change, op.finish)
+		}
+	}) {
+		op.finish(agree.State{}, errBusy)
 	}
 }
 
+// read reads a register, as propose changes it.
 func (a *agreement) read(name string, timeout time.Duration, done func(agree.State, error)) {
-	if !a.offer(func() { a.regs[name].Read(a.now(), timeout, done) }) {
-		done(agree.State{}, errBusy)
+	op := boundOperation(name, timeout, done)
+	if !a.offer(func() {
+		if op.start() {
+			a.regs[name].Read(a.now(), timeout, op.finish)
+		}
+	}) {
+		op.finish(agree.State{}, errBusy)
 	}
 }
 
--- /dev/null
+++ b/internal/keeper/disk_test.go
@@ -0,0 +1,204 @@
+package keeper
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dunetide/internal/agree"
+)
+
+// onDisk runs a change of a running keeper's disk in the goroutine that owns it.
+func (r *rig) onDisk(i int, change func()) {
+	done := make(chan struct{})
+	r.running[i].k.agree.do(func() { change(); close(done) })
+	get(r.t, done, "the change of the disk")
+}
+
+// fill leaves no room on a keeper's disk; empty ends it.
+func (r *rig) fill(i int)  { r.onDisk(i, func() { r.disks[i].Room = r.disks[i].Used() + 1 }) }
+func (r *rig) empty(i int) { r.onDisk(i, func() { r.disks[i].Room = 0 }) }
+
+// countingLog counts the lines that hold some words.
+type countingLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *countingLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *countingLog) count(words string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), words)
+}
+
+// TestFullDiskOfOne has one of three keepers without room: changes go on, it does not count as holding them, and it has
+// them on its disk by itself once there is room.
+func TestFullDiskOfOne(t *testing.T) {
+	r := newRig(t, 3)
+	log := &countingLog{}
+	r.log = hclog.New(&hclog.LoggerOptions{Output: log})
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	if a := r.put(0, 1, 0, "a"); a.code != 200 {
+		t.Fatal(a)
+	}
+	stored := func() uint64 { return r.running[2].k.agree.slots()[0] }
+	until(t, "all have it", func() bool { return stored() == 1 })
+	r.fill(2)
+	for version := uint64(2); version < 20; version++ {
+		r.untilCode(200, func() answer { return r.put(int(version%2), version, version-1, "a") })
+	}
+	until(t, "it knows the newest", func() bool { return r.status(2).Version == 19 })
+	if s := r.status(2); !strings.Contains(s.Disk, "the disk is full") || stored() != 1 {
+		t.Errorf("disk %q, slot %d is stored", s.Disk, stored())
+	}
+	if a := r.call(2, "GET", "/config", "", nil); a.code != 200 || !strings.Contains(a.body, `"version":19`) {
+		t.Errorf("it does not relay: %v", a)
+	}
+	r.empty(2)
+	until(t, "it has stored the newest", func() bool { return stored() == 19 && r.status(2).Disk == "" })
+	if full, again := log.count("disk takes nothing"), log.count("disk takes records again"); full != 1 || again != 1 {
+		t.Errorf("logged %d and %d times", full, again)
+	}
+	// Its vote counts: without it there is no majority.
+	r.kill(1)
+	r.untilCode(200, func() answer { return r.put(0, 20, 19, "a") })
+}
+
+// TestFullDisksOfAMajority has no order confirmed until there is room, and then all goes on.
+func TestFullDisksOfAMajority(t *testing.T) {
+	r := newRig(t, 3)
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	if a := r.put(0, 1, 0, "a"); a.code != 200 {
+		t.Fatal(a)
+	}
+	until(t, "all have it", func() bool {
+		return r.running[1].k.agree.slots()[0] == 1 && r.running[2].k.agree.slots()[0] == 1
+	})
+	r.fill(1)
+	r.fill(2)
+	for i := range 3 {
+		if a := r.put(i, 2, 1, "a"); a.code != 503 {
+			t.Errorf("keeper %d: %v", i+1, a)
+		}
+	}
+	// Nothing has to be saved to read.
+	if a := r.call(1, "GET", "/config", "", nil); a.code != 200 && a.code != 503 {
+		t.Error(a)
+	}
+	// A loss of power while they are full: what was confirmed is there.
+	r.kill(2)
+	r.disks[2].PowerLoss(func(int) int { return 0 })
+	r.disks[2].Room = r.disks[2].Used() + 1
+	r.start(2)
+	r.untilMet(0, 1, 2)
+	r.empty(1)
+	r.empty(2)
+	r.untilCode(200, func() answer { return r.put(0, 2, 1, "a") })
+	for i := range 3 {
+		until(t, "all have it", func() bool { return r.running[i].k.agree.slots()[0] == 2 })
+	}
+}
+
+// TestStalledDisk has a keeper whose writes do not return: callers are answered within their bounds, what is no business of the
+// disk goes on, and the keeper can be stopped.
+func TestStalledDisk(t *testing.T) {
+	r := newRig(t, 1)
+	r.startAll()
+	r.untilMet(0)
+	if a := r.put(0, 1, 0, "a"); a.code != 200 {
+		t.Fatal(a)
+	}
+	release := make(chan struct{})
+	var stalled atomic.Bool
+	r.onDisk(0, func() { r.disks[0].Stall = func() { stalled.Store(true); <-release } })
+	t.Cleanup(func() { close(release) })
+	for range 3 {
+		began := time.Now()
+		if a := r.put(0, 2, 1, "a"); a.code != 503 {
+			t.Error(a)
+		}
+		if took := time.Since(began); took > patience/3 {
+			t.Errorf("a caller waited for %v", took)
+		}
+	}
+	if !stalled.Load() {
+		t.Error("nothing was written")
+	}
+	if a := r.beat(0, "1", "ready", 1); a.code != 200 {
+		t.Error(a)
+	}
+	if a := r.call(0, "GET", "/config", "", nil); a.code != 503 {
+		t.Error(a)
+	}
+	if s := r.status(0); s.Version != 1 {
+		t.Errorf("%+v", s)
+	}
+	run := r.running[0]
+	r.running[0] = nil
+	run.stop()
+	if err := get(t, run.done, "the end of the keeper"); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestBoundedOperation answers once, whichever comes first.
+func TestBoundedOperation(t *testing.T) {
+	answers := make(chan error, 2)
+	done := func(_ agree.State, err error) { answers <- err }
+	waiting := boundOperation("r", time.Nanosecond, done)
+	if err := get(t, answers, "the answer"); !agree.ErrNoMajority.Has(err) || waiting.start() {
+		t.Errorf("%v, and it may still be started", err)
+	}
+	started := boundOperation("r", 50*time.Millisecond, done)
+	if !started.start() {
+		t.Error("not started")
+	}
+	if err := get(t, answers, "the answer"); !agree.ErrTimeout.Has(err) {
+		t.Error(err)
+	}
+	started.finish(agree.State{}, nil)
+	quick := boundOperation("r", time.Hour, done)
+	quick.start()
+	want := errors.New("x")
+	quick.finish(agree.State{}, want)
+	quick.giveUp("r")
+	if err := get(t, answers, "the answer"); err != want {
+		t.Error(err)
+	}
+	if len(answers) > 0 {
+		t.Error("answered twice")
+	}
+}
+
+func TestRewritePolicy(t *testing.T) {
+	const mb = 1 << 20
+	for _, c := range []struct{ disk, rewritten, due int64 }{
+		{0, 0, mb}, {0, 10 * mb, 40 * mb},
+		{64 * mb, 0, mb}, {64 * mb, mb / 2, 2 * mb}, {64 * mb, 8 * mb, 32 * mb}, {64 * mb, 16 * mb, 32 * mb}, {64 * mb, 24 * mb, 30 * mb},
+		{2 * mb, 1 * mb, 5 * mb / 4},
+	} {
+		if got := (rewritePolicy{c.disk}).due(c.rewritten); got != c.due {
+			t.Errorf("disk %d, rewritten %d: %d, want %d", c.disk, c.rewritten, got, c.due)
+		}
+	}
+	// The log and the rewritten one fit together as long as twice what is kept does.
+	for kept := int64(0); kept <= 28*mb; kept += mb / 2 {
+		if due := (rewritePolicy{64 * mb}).due(kept); due+kept > 64*mb {
+			t.Error(fmt.Sprint(kept, due))
+		}
+	}
+}
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -235,6 +235,7 @@
 	Keepers      []string         `json:"keepers_met"`
 	Attached     []attachedStatus `json:"attached"`
 	Services     map[string]int   `json:"endpoints"`
+	Disk         string           `json:"disk_trouble,omitempty"` // why nothing can be saved
 }
 
 type attachedStatus struct {
@@ -249,6 +250,7 @@
 func (k *Keeper) statusJSON() []byte {
 	s := status{Node: k.self.Name, Fresh: k.fresh, Version: k.config.version, Certificates: k.certificates.version, Senders: k.senders, Voter: k.agree.votes(), Services: map[string]int{},
 		Duty: k.assigner.lease.Holds(k.since(time.Now()))}
+	s.Disk = k.agree.diskTrouble()
 	if k.parts != nil {
 		s.Table = k.parts.Number
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -35,6 +35,8 @@
 	drainMost = 256
 	// pushWait is how long an acknowledgement waits for those it concerns.
 	pushWait = 250 * time.Millisecond
+	// stallWait is how long the end of a keeper waits for its disk.
+	stallWait = 2 * time.Second
 )
 
 // Options of a keeper.
@@ -161,8 +163,21 @@
 	defer stop()
 	_ = server.Shutdown(sctx)
 	_ = server.Close()
-	wg.Wait()
-	return k.agree.failed
+	return k.awaitEnd(&wg)
+}
+
+// awaitEnd waits for the goroutines, but no longer than stallWait for one that is stuck in a write: what was saved decides
+// when the process starts again.
+func (k *Keeper) awaitEnd(wg *sync.WaitGroup) error {
+	ended := make(chan struct{})
+	go func() { wg.Wait(); close(ended) }()
+	select {
+	case <-ended:
+		return k.agree.failed
+	case <-time.After(stallWait):
+		k.log.Error("the disk does not answer: ending without it", "file", logName)
+		return nil
+	}
 }
 
 func (k *Keeper) loop(ctx context.Context) {
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -36,13 +36,13 @@
 	}
 }
 
-// slots are the newest decided slots that are known, by the order of registerNames; 0 where nothing is known.
+// slots are the newest decided slots that are stored, by the order of registerNames; 0 where nothing is.
 func (a *agreement) slots() []uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	slots := make([]uint64, 0, len(registerNames))
 	for _, name := range registerNames {
-		slots = append(slots, a.states[name].Slot)
+		slots = append(slots, a.stored[name])
 	}
 	return slots
 }
