Stores: a full disk takes a store out of service, and does not end its process

Cause: a record that found no room ended the store's process, again and again until there was some. The audit record was out of use until a restart after one full disk.

Change: batch.ErrNoRoom; the store ends as in a crash (its links end, so that other copies lead its parts), and is opened again in the same process once 1 MB fits. A keeper that starts on a full disk waits the same way.

--- a/cmd/dunetide/keeper.go
+++ b/cmd/dunetide/keeper.go
@@ -32,8 +32,12 @@
 			return err
 		}
 	}
-	k, err := keeper.New(keeper.Options{Settings: p.settings, Folder: folder, Known: members.keepers, Log: p.log})
-	if err != nil {
+	var k *keeper.Keeper
+	err = p.whenRoom(folder, func() (err error) {
+		k, err = keeper.New(keeper.Options{Settings: p.settings, Folder: folder, Known: members.keepers, Log: p.log})
+		return err
+	})
+	if err != nil || k == nil {
 		return err
 	}
 	p.watcher.Subscribe(func(s *settings.Settings) { k.SetSeeds(s.Seeds) })
--- /dev/null
+++ b/cmd/dunetide/room.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"errors"
+	"io/fs"
+	"time"
+
+	"dunetide/internal/batch"
+	"dunetide/internal/journal"
+	"dunetide/internal/record"
+)
+
+const (
+	// roomEvery is how often a full disk is tried again.
+	roomEvery = 500 * time.Millisecond
+	// roomFile is written for that, and removed.
+	roomFile = "room.probe"
+	// roomBytes have to fit before the disk is used again.
+	roomBytes = 1 << 20
+)
+
+// whenRoom runs f, again once there is room wherever it ends because the disk is full. Nothing of f may be left when it
+// returns. Told to stop, it ends with nil.
+func (p *process) whenRoom(folder journal.Folder, f func() error) error {
+	for {
+		err := f()
+		if !record.NoRoom(err) && !batch.ErrNoRoom.Has(err) {
+			return err
+		}
+		p.log.Error("disk is full: out of service until there is room", "err", err)
+		if !p.awaitRoom(folder) {
+			return nil
+		}
+		p.log.Info("disk has room again")
+	}
+}
+
+// awaitRoom waits until a file of roomBytes fits; false: told to stop before.
+func (p *process) awaitRoom(folder journal.Folder) bool {
+	tick := time.NewTicker(roomEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if probeRoom(folder) == nil {
+				return true
+			}
+		case <-p.ctx.Done():
+			return false
+		}
+	}
+}
+
+// probeRoom tries whether a disk takes bytes.
+func probeRoom(folder journal.Folder) error {
+	if err := folder.Remove(roomFile); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	f, err := folder.Create(roomFile)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(make([]byte, roomBytes))
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close(), folder.Remove(roomFile))
+}
--- /dev/null
+++ b/cmd/dunetide/room_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dunetide/internal/batch"
+	"dunetide/internal/journal"
+	"dunetide/internal/journal/disktest"
+)
+
+func TestWhenRoom(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &process{log: hclog.NewNullLogger(), ctx: ctx}
+	disk := disktest.New()
+	calls := 0
+	other := errors.New("other")
+	err := p.whenRoom(disk, func() error {
+		if calls++; calls == 1 {
+			return batch.ErrNoRoom.New("full")
+		}
+		return other
+	})
+	if err != other || calls != 2 {
+		t.Errorf("%v after %d calls", err, calls)
+	}
+	// A disk that stays full: it ends when the process is told to.
+	disk.Room = roomBytes / 2
+	probed := &atomic.Int32{}
+	err = p.whenRoom(countedFolder{disk, func() {
+		if probed.Add(1) == 2 {
+			cancel()
+		}
+	}}, func() error { return syscall.ENOSPC })
+	if err != nil || probed.Load() < 2 {
+		t.Errorf("%v after %d probes", err, probed.Load())
+	}
+	if files, _ := disk.List(); len(files) != 0 {
+		t.Errorf("left over: %v", files)
+	}
+}
+
+// countedFolder tells of each file that is made.
+type countedFolder struct {
+	journal.Folder
+	created func()
+}
+
+func (f countedFolder) Create(name string) (journal.File, error) {
+	f.created()
+	return f.Folder.Create(name)
+}
--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -10,6 +10,7 @@
 	"dunetide/internal/audit"
 	"dunetide/internal/batch"
 	"dunetide/internal/control"
+	"dunetide/internal/journal"
 	"dunetide/internal/link"
 	"dunetide/internal/record"
 	"dunetide/internal/settings"
@@ -21,28 +22,12 @@
 
 type storeCmd struct{}
 
-// storeLinks passes on what comes over links to whom it is for.
-type storeLinks struct {
-	*batch.Store
-	records *audit.Store
-}
-
-// Message passes a message on.
-func (l storeLinks) Message(m *link.Message) {
-	if audit.Handles(m.Kind) {
-		l.records.Message(m)
-		return
-	}
-	l.Store.Message(m)
-}
-
 // Run serves the role until the process is told to stop.
 func (storeCmd) Run(c *cli) error {
 	p, err := start(c, control.RoleStore)
 	if err != nil {
 		return err
 	}
-	s := p.settings
 	members, err := p.join(control.RoleStore, storePort)
 	if err != nil {
 		return err
@@ -51,6 +36,17 @@
 	if err != nil {
 		return err
 	}
+	records, err := audit.OpenStore(audit.StoreOptions{Folder: folder, FileBytes: int64(p.settings.Limits.DiskMB) << 20 / 128, Log: p.log})
+	if err != nil {
+		return err
+	}
+	defer records.Close()
+	return p.whenRoom(folder, func() error { return p.serveStore(members, folder, records) })
+}
+
+// serveStore serves until the process is told to stop, or the store can't go on.
+func (p *process) serveStore(members *members, folder journal.Folder, records *audit.Store) error {
+	s := p.settings
 	var client *control.Client
 	store, err := batch.NewStore(batch.StoreOptions{
 		Open: func(replay func(payload []byte, at int64) error) (batch.Log, error) {
@@ -74,12 +70,8 @@
 	if err != nil {
 		return err
 	}
+	defer p.awaitStopped(store) // before the log is opened again
 	defer store.Close()
-	records, err := audit.OpenStore(audit.StoreOptions{Folder: folder, FileBytes: int64(s.Limits.DiskMB) << 20 / 128, Log: p.log})
-	if err != nil {
-		return err
-	}
-	defer records.Close()
 	links, err := net.Listen("tcp4", p.addr(storePort))
 	if err != nil {
 		return err
@@ -87,12 +79,14 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer links.Close()
+	handler := newStoreLinks(store, records)
+	defer handler.end()
 	wg.Add(1)
-	go func() { defer wg.Done(); _ = link.Serve(links, storeLinks{store, records}, link.DefaultOptions) }() // ends with the listener
+	go func() { defer wg.Done(); _ = link.Serve(links, handler, link.DefaultOptions) }() // ends with the listener
 	client = control.NewClient(control.ClientOptions{Self: control.Node{Name: s.NodeName, Role: control.RoleStore, Zone: s.Zone,
 		Addr: p.addr(storePort), ID: store.ID(), Life: uint64(time.Now().UnixNano())}, Seeds: seedLinks(s),
 		Known: members.keepers, Holder: &view.Holder{}, Changed: store.Update, Log: p.log})
-	p.watcher.Subscribe(func(s *settings.Settings) { client.SetSeeds(seedLinks(s)) })
+	defer p.watcher.Subscribe(func(s *settings.Settings) { client.SetSeeds(seedLinks(s)) })()
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
 	wg.Add(1)
@@ -104,3 +98,11 @@
 		return nil
 	}
 }
+
+// awaitStopped waits until a store does not use its log any more, or the process is to end anyway.
+func (p *process) awaitStopped(store *batch.Store) {
+	select {
+	case <-store.Stopped():
+	case <-p.ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/audit/room_test.go
@@ -0,0 +1,86 @@
+package audit
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/link"
+)
+
+// handOver is a message with a run that has ended and the document that it names.
+func handOver(t *testing.T, number uint64) []byte {
+	w := link.Writer{}
+	w.U32(1)
+	w.U64(1)
+	w.Bytes(text(t, 1, "e1"))
+	k := key{"p", 1, number}
+	w.U32(2)
+	w.Bytes(begunEntry(k, run(fmt.Sprint("id", number), "e1", 1, 0)))
+	w.Bytes(endedEntry(k, at.Add(time.Second), Answered))
+	return w.B
+}
+
+func (s *Store) appendNow(body []byte) error {
+	answer := make(chan error, 1)
+	s.Append(body, func(err error) { answer <- err })
+	return <-answer
+}
+
+// TestFullDiskIsNotForGood fills the disk at each of many places, also in the middle of a change of files. What was acknowledged is
+// there, the chain holds, and records are taken again as soon as there is room, which is logged once.
+func TestFullDiskIsNotForGood(t *testing.T) {
+	const messages, fileBytes = 12, 1 << 10
+	whole := disktest.New()
+	s, err := OpenStore(StoreOptions{Folder: whole, FileBytes: fileBytes})
+	must(t, err)
+	for n := range messages {
+		must(t, s.appendNow(handOver(t, uint64(n))))
+	}
+	s.Close()
+	if s.number < 2 {
+		t.Fatal("the file was never changed")
+	}
+	for room := 1; room < whole.Used(); room += 23 {
+		var log bytes.Buffer
+		disk := disktest.New()
+		disk.Room = room
+		s, err := OpenStore(StoreOptions{Folder: disk, FileBytes: fileBytes, Log: hclog.New(&hclog.LoggerOptions{Output: &log})})
+		must(t, err)
+		refused := 0
+		for n := range messages {
+			body := handOver(t, uint64(n))
+			if s.appendNow(body) == nil {
+				continue
+			}
+			refused++
+			if s.appendNow(body) == nil {
+				t.Fatalf("room %d: taken though nothing has changed", room)
+			}
+			disk.Room = 0
+			if err := s.appendNow(body); err != nil {
+				t.Fatalf("room %d: not taken though there is room: %v", room, err)
+			}
+		}
+		s.Close()
+		// The change of files may find no room right behind the last message.
+		if said := strings.Count(log.String(), "takes nothing"); refused > 1 || said > 1 || said < refused {
+			t.Fatalf("room %d: refused %d times\n%s", room, refused, log.String())
+		}
+		var files []file
+		infos, err := disk.List()
+		must(t, err)
+		for _, info := range infos {
+			files = append(files, file{info.Name, disk.File(info.Name)})
+		}
+		report := check(files, Options{})
+		if len(report.Runs) != messages || len(report.Problems) > 0 {
+			t.Fatalf("room %d: %d runs, %v", room, len(report.Runs), report.Problems)
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/room_test.go
@@ -0,0 +1,101 @@
+package batch
+
+import (
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"dunetide/internal/journal"
+)
+
+// fullFolder is a folder whose files take half of each write, and no more, while it is full.
+type fullFolder struct {
+	journal.Folder
+	full *atomic.Bool
+}
+
+func (f fullFolder) Create(name string) (journal.File, error) {
+	file, err := f.Folder.Create(name)
+	return fullFile{file, f.full}, err
+}
+
+func (f fullFolder) Open(name string) (journal.OpenFile, error) {
+	file, err := f.Folder.Open(name)
+	return fullOpenFile{file, f.full}, err
+}
+
+type fullFile struct {
+	journal.File
+	full *atomic.Bool
+}
+
+func (f fullFile) Write(b []byte) (int, error) { return writeHalf(f.File, b, f.full) }
+
+type fullOpenFile struct {
+	journal.OpenFile
+	full *atomic.Bool
+}
+
+func (f fullOpenFile) Write(b []byte) (int, error) { return writeHalf(f.OpenFile, b, f.full) }
+
+func writeHalf(to journal.File, b []byte, full *atomic.Bool) (int, error) {
+	if !full.Load() {
+		return to.Write(b)
+	}
+	n, err := to.Write(b[:len(b)/2])
+	if err != nil {
+		return n, err
+	}
+	return n, syscall.ENOSPC
+}
+
+func closed(t *testing.T, what string, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(30 * time.Second):
+		t.Fatal("in vain: " + what)
+	}
+}
+
+// TestFullDiskEndsTheStoreNotItsLog has a store whose disk takes no more: it ends with an error that says so, and holds what it held
+// once it is opened again.
+func TestFullDiskEndsTheStoreNotItsLog(t *testing.T) {
+	folder := fullFolder{journal.Dir(t.TempDir()), &atomic.Bool{}}
+	options := StoreOptions{Open: OpenIn(folder), Logf: t.Logf}
+	folder.full.Store(true)
+	if _, err := NewStore(options); !ErrNoRoom.Has(err) {
+		t.Fatalf("an empty disk that is full: %v", err)
+	}
+	folder.full.Store(false)
+	s, err := NewStore(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := s.ID()
+	promise := func(s *Store, part int, ballot uint64) {
+		s.do(func() { s.core.append(encodeRec(recPromise, part, ballot)) })
+	}
+	promise(s, 3, 7)
+	s.do(func() { folder.full.Store(true) })
+	promise(s, 4, 9)
+	promise(s, 5, 11)
+	closed(t, "the end of the store", s.Done())
+	closed(t, "the end of what uses the log", s.Stopped())
+	if err := s.Err(); !ErrNoRoom.Has(err) {
+		t.Error(err)
+	}
+	if _, err := NewStore(options); !ErrNoRoom.Has(err) {
+		t.Errorf("opened while it is full: %v", err)
+	}
+	folder.full.Store(false)
+	s, err = NewStore(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { s.Close(); <-s.Stopped() }()
+	if s.ID() != id || s.core.part(3).promised != 7 || s.core.part(4).promised != 0 || s.core.part(5).promised != 0 {
+		t.Errorf("identity %d after %d, promises %d, %d, %d", s.ID(), id, s.core.part(3).promised, s.core.part(4).promised, s.core.part(5).promised)
+	}
+}
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"dunetide/internal/journal"
 	"dunetide/internal/link"
 	"dunetide/internal/record"
@@ -41,6 +43,10 @@
 	Logf  func(format string, args ...any)
 }
 
+// ErrNoRoom is for a store whose disk takes no more and holds what it held before: the store can be opened again once there
+// is room.
+var ErrNoRoom = errs.Class("the disk of batch jobs takes no more, make room")
+
 // Store keeps batch jobs. It is the link.Handler of the connections that others open to it.
 type Store struct {
 	core  *core
@@ -50,6 +56,9 @@
 	wake  chan struct{}
 	done  chan struct{}
 	err   error
+	// stopped is closed once nothing uses the log any more, which workers do.
+	stopped chan struct{}
+	workers sync.WaitGroup
 
 	mu     sync.Mutex
 	queue  []func()
@@ -69,6 +78,9 @@
 
 func (n noting) Append(b []byte) (int64, error) {
 	at, err := n.Log.Append(b)
+	if err != nil && !record.Failed.Has(err) {
+		err = ErrNoRoom.Wrap(err)
+	}
 	if err == nil {
 		n.s.syncMu.Lock()
 		n.s.syncAt = at
@@ -101,7 +113,8 @@
 
 // NewStore opens a store's log and begins to serve. An empty disk gets a new identity.
 func NewStore(o StoreOptions) (*Store, error) {
-	s := &Store{start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), syncWake: make(chan struct{}, 1)}
+	s := &Store{start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), syncWake: make(chan struct{}, 1),
+		stopped: make(chan struct{})}
 	c := newCore(0, nil)
 	s.core = c
 	c.zone, c.most, c.keep, c.room, c.logf = o.Zone, o.MachinesLost, o.KeepMs, o.RoomBytes, o.Logf
@@ -110,6 +123,9 @@
 	}
 	c.fail = func(err error) { s.end(fmt.Errorf("the log of batch jobs: %w", err)) }
 	log, err := o.Open(func(payload []byte, at int64) error { return c.replay(payload, at-int64(len(payload))) })
+	if record.NoRoom(err) {
+		return nil, ErrNoRoom.Wrap(err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -128,6 +144,7 @@
 		c.append(encodeRec(recID, 0, c.self)) // so that all that was replayed is durable with it
 	}
 	if c.dead {
+		<-s.stopped
 		return nil, s.err
 	}
 	if err := log.SyncTo(s.syncAt); err != nil {
@@ -139,8 +156,8 @@
 		down:    func(id uint64, conn *link.Conn) { s.do(func() { c.peerDown(id, conn) }) },
 		message: func(_ uint64, m *link.Message) { s.Message(m) },
 	}
-	go s.run()
-	go s.syncLoop()
+	s.workers.Go(s.run)
+	s.workers.Go(s.syncLoop)
 	return s, nil
 }
 
@@ -166,6 +183,9 @@
 // Done is closed when the store can't go on; Err tells why.
 func (s *Store) Done() <-chan struct{} { return s.done }
 
+// Stopped is closed when nothing uses the store's log any more, some time after Done.
+func (s *Store) Stopped() <-chan struct{} { return s.stopped }
+
 // Err is why the store ended.
 func (s *Store) Err() error {
 	s.mu.Lock()
@@ -185,10 +205,17 @@
 		if s.pool != nil {
 			go s.pool.close()
 		}
-		if l, ok := s.log.(interface{ Close() error }); ok {
-			go func() { _ = l.Close() }() // what was not synced was not promised
-		}
+		go s.closeLog()
+	}
+}
+
+// closeLog closes the log once nobody writes to it any more. What was not synced was not promised.
+func (s *Store) closeLog() {
+	s.workers.Wait()
+	if l, ok := s.log.(interface{ Close() error }); ok {
+		_ = l.Close()
 	}
+	close(s.stopped)
 }
 
 // Message takes what a peer sends.
--- a/internal/journal/disktest/disktest.go
+++ b/internal/journal/disktest/disktest.go
@@ -5,15 +5,17 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io/fs"
 	"maps"
 	"slices"
+	"syscall"
 
 	"dunetide/internal/journal"
 )
 
 // ErrFull is what a failing operation says.
-var ErrFull = errors.New("the disk is full")
+var ErrFull = fmt.Errorf("the disk is full: %w", syscall.ENOSPC)
 
 // Disk is a journal.Folder. Each creation, write, sync, close, renaming and removal is one
 // operation. It is not safe for concurrent use.
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -25,7 +25,8 @@
 	text        []byte // of the file, as it was looked at last; nil: it could not be read
 	problem     string // that was logged last; empty: the file was sound
 	waiting     string // fields that were logged last as needing a restart
-	subscribers []func(*Settings)
+	subscribers map[int]func(*Settings)
+	subscribed  int // so many times: the next subscriber's number
 }
 
 // NewWatcher reads the file for the start of a process.
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Watcher{path: path, log: log, inForce: s, text: text}, nil
+	return &Watcher{path: path, log: log, inForce: s, text: text, subscribers: map[int]func(*Settings){}}, nil
 }
 
 // Current returns the settings in force.
@@ -49,12 +50,19 @@
 }
 
 // Subscribe has f called with the settings in force, at once and after each change, one call at a time. f must not call
-// the Watcher.
-func (w *Watcher) Subscribe(f func(*Settings)) {
+// the Watcher. The function that is returned ends it.
+func (w *Watcher) Subscribe(f func(*Settings)) (unsubscribe func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.subscribers = append(w.subscribers, f)
+	number := w.subscribed
+	w.subscribed++
+	w.subscribers[number] = f
 	f(w.inForce)
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.subscribers, number)
+	}
 }
 
 // Run looks at the file after each signal, and now and then without one, until the context ends.
