--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"dunetide/internal/journal"
 	"dunetide/internal/link"
 	"dunetide/internal/record"
@@ -48,6 +50,10 @@
 // handOverPoll is how often a store that stops looks whether others lead its parts.
 const handOverPoll = 25 * time.Millisecond
 
+// ErrNoRoom is for a store whose disk takes no more and holds what it held before: the store can be opened again once there
+// is room.
+var ErrNoRoom = errs.Class("the disk of batch jobs takes no more, make room")
+
 // Store keeps batch jobs. It is the link.Handler of the connections that others open to it.
 type Store struct {
 	core  *core
@@ -57,6 +63,9 @@
 	wake  chan struct{}
 	done  chan struct{}
 	err   error
+	// stopped is closed once nothing uses the log any more, which workers do.
+	stopped chan struct{}
+	workers sync.WaitGroup
 
 	mu     sync.Mutex
 	queue  []func()
@@ -76,6 +85,9 @@
 
 func (n noting) Append(b []byte) (int64, error) {
 	at, err := n.Log.Append(b)
+	if err != nil && !record.Failed.Has(err) {
+		err = ErrNoRoom.Wrap(err)
+	}
 	if err == nil {
 		n.s.syncMu.Lock()
 		n.s.syncAt = at
@@ -108,7 +120,8 @@
 
 // NewStore opens a store's log and begins to serve. An empty disk gets a new identity.
 func NewStore(o StoreOptions) (*Store, error) {
-	s := &Store{start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), syncWake: make(chan struct{}, 1)}
+	s := &Store{start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), syncWake: make(chan struct{}, 1),
+		stopped: make(chan struct{})}
 	c := newCore(0, nil)
 	s.core = c
 	c.zone, c.most, c.keep, c.room, c.logf = o.Zone, o.MachinesLost, o.KeepMs, o.RoomBytes, o.Logf
@@ -120,6 +133,9 @@
 	}
 	c.fail = func(err error) { s.end(fmt.Errorf("the log of batch jobs: %w", err)) }
 	log, err := o.Open(func(payload []byte, at int64) error { return c.replay(payload, at-int64(len(payload))) })
+	if record.NoRoom(err) {
+		return nil, ErrNoRoom.Wrap(err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -138,6 +154,7 @@
 		c.append(encodeRec(recID, 0, c.self)) // so that all that was replayed is durable with it
 	}
 	if c.dead {
+		<-s.stopped
 		return nil, s.err
 	}
 	if err := log.SyncTo(s.syncAt); err != nil {
@@ -149,8 +166,8 @@
 		down:    func(id uint64, conn *link.Conn) { s.do(func() { c.peerDown(id, conn) }) },
 		message: func(_ uint64, m *link.Message) { s.Message(m) },
 	}
-	go s.run()
-	go s.syncLoop()
+	s.workers.Go(s.run)
+	s.workers.Go(s.syncLoop)
 	return s, nil
 }
 
@@ -205,6 +222,9 @@
 // Done is closed when the store can't go on; Err tells why.
 func (s *Store) Done() <-chan struct{} { return s.done }
 
+// Stopped is closed when nothing uses the store's log any more, some time after Done.
+func (s *Store) Stopped() <-chan struct{} { return s.stopped }
+
 // Err is why the store ended.
 func (s *Store) Err() error {
 	s.mu.Lock()
@@ -224,10 +244,17 @@
 		if s.pool != nil {
 			go s.pool.close()
 		}
-		if l, ok := s.log.(interface{ Close() error }); ok {
-			go func() { _ = l.Close() }() // what was not synced was not promised
-		}
+		go s.closeLog()
+	}
+}
+
+// closeLog closes the log once nobody writes to it any more. What was not synced was not promised.
+func (s *Store) closeLog() {
+	s.workers.Wait()
+	if l, ok := s.log.(interface{ Close() error }); ok {
+		_ = l.Close()
 	}
+	close(s.stopped)
 }
 
 // Message takes what a peer sends.
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -61,15 +61,13 @@
 	}
 }
 
-// slots are the newest decided slots that are stored, as KeeperReport tells them.
+// slots are the newest decided slots that are stored, each plus one, by the order of registerNames; 0 where nothing is.
 func (a *agreement) slots() []uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	slots := make([]uint64, len(registerNames))
-	for i, name := range registerNames {
-		if state, known := a.states[name]; known {
-			slots[i] = state.Slot + 1
-		}
+	slots := make([]uint64, 0, len(registerNames))
+	for _, name := range registerNames {
+		slots = append(slots, a.stored[name])
 	}
 	return slots
 }
