Contact: table of steps, and a simulated model under cuts, freezes and restarts

Change: tests of the tracker, the read barrier and the gate by steps; a model of four keepers on one register checks that nothing is handed out first that is older than what was confirmed before the question, and that each acknowledgement and push is backed by a majority that answered something sent within 1.5 s.

--- /dev/null
+++ b/internal/contact/contact_test.go
@@ -0,0 +1,180 @@
+package contact
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// Each step is made at a moment in milliseconds; what must hold right after it stands beside it.
+type trackerStep struct {
+	at      time.Duration
+	do      func(t *Tracker, now time.Duration)
+	holds   bool
+	due     bool
+	nextAt  time.Duration // -1: nothing is due before an answer comes
+	heldFor time.Duration
+}
+
+func asked(t *Tracker, now time.Duration) { t.Asked(now) }
+
+func answered(askedAt time.Duration, ok bool) func(*Tracker, time.Duration) {
+	return func(t *Tracker, now time.Duration) { t.Answered(now, askedAt*ms, ok) }
+}
+
+func confirmed(beganAt time.Duration) func(*Tracker, time.Duration) {
+	return func(t *Tracker, now time.Duration) { t.Confirmed(now, beganAt*ms) }
+}
+
+func nothing(*Tracker, time.Duration) {}
+
+func TestTracker(t *testing.T) {
+	for name, steps := range map[string][]trackerStep{
+		"asks at once, then every AskEvery, and contact counts from the question": {
+			{0, nothing, false, true, 0, 0},
+			{10, asked, false, false, -1, 0},
+			{30, answered(10, true), true, false, 410, 0},
+			{409, nothing, true, false, 410, 379},
+			{410, nothing, true, true, 410, 380},
+			{410, asked, true, false, 1510, 380},
+			{1509, nothing, true, false, 1510, 1479},
+			{1510, nothing, false, false, -1, 0},
+		},
+		"a question that fails is asked again soon, and takes no contact away": {
+			{0, asked, false, false, -1, 0},
+			{10, answered(0, true), true, false, 400, 0},
+			{400, asked, true, false, 1500, 390},
+			{1100, answered(400, false), true, false, 1200, 1090},
+			{1200, nothing, true, true, 1200, 1190},
+			{1200, asked, true, false, 1500, 1190},
+			{1210, answered(1200, true), true, false, 1600, 1200},
+			{2699, nothing, true, true, 1600, 2689},
+		},
+		"frozen between question and answer": {
+			{0, asked, false, false, -1, 0},
+			{20000, answered(0, true), false, true, 400, 0},
+			{20000, asked, false, false, -1, 0},
+			{20005, answered(20000, true), true, false, 20400, 0},
+		},
+		"frozen with contact": {
+			{0, asked, false, false, -1, 0},
+			{1, answered(0, true), true, false, 400, 0},
+			{20000, nothing, false, true, 400, 0},
+		},
+		"an answer that comes after contact has ended begins it anew": {
+			{0, asked, false, false, -1, 0},
+			{1, answered(0, true), true, false, 400, 0},
+			{400, asked, true, false, 1500, 399},
+			{1600, answered(400, true), true, true, 800, 0},
+			{1700, nothing, true, true, 800, 100},
+		},
+		"an answer that is too old is none": {
+			{0, asked, false, false, -1, 0},
+			{1500, answered(0, true), false, true, 400, 0},
+		},
+		"other operations count from when they began, and never shorten contact": {
+			{0, asked, false, false, -1, 0},
+			{900, confirmed(100), true, false, 1600, 0},
+			{950, confirmed(50), true, false, 1600, 50},
+			{1000, confirmed(800), true, false, 2300, 100},
+			{1100, answered(0, false), true, false, 1200, 200},
+		},
+		"the clock never goes back": {
+			{0, asked, false, false, -1, 0},
+			{10, answered(0, true), true, false, 400, 0},
+			{1500, nothing, false, true, 400, 0},
+			{100, nothing, false, true, 400, 0},
+			{100, asked, false, false, -1, 0},
+			{100, answered(100, true), true, false, 1600, 0},
+		},
+		"no majority for long: no contact, and it is asked again and again": {
+			{0, asked, false, false, -1, 0},
+			{700, answered(0, false), false, false, 800, 0},
+			{800, asked, false, false, -1, 0},
+			{1500, answered(800, false), false, false, 1600, 0},
+			{3000, asked, false, false, -1, 0},
+			{3700, answered(3000, false), false, false, 3800, 0},
+			{60000, nothing, false, true, 3800, 0},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := &Tracker{}
+			for i, s := range steps {
+				now := s.at * ms
+				s.do(tracker, now)
+				next, ok := tracker.Next(now)
+				if !ok {
+					next = -ms
+				}
+				if holds, due := tracker.Holds(now), tracker.Due(now); holds != s.holds || due != s.due || next != s.nextAt*ms || tracker.HeldFor(now) != s.heldFor*ms {
+					t.Fatalf("step %d at %v: holds %v, due %v, next %v, held for %v", i+1, now, holds, due, next, tracker.HeldFor(now))
+				}
+			}
+		})
+	}
+}
+
+func TestBarrier(t *testing.T) {
+	b := NewBarrier[string](100 * ms)
+	if b.Begin(0) {
+		t.Fatal("a read for nobody")
+	}
+	b.Add("a", "b")
+	if !b.Begin(0) || b.Begin(0) {
+		t.Fatal("not one read")
+	}
+	b.Add("c") // the read has begun already
+	if _, ok := b.Delay(500 * ms); ok {
+		t.Fatal("two reads at once")
+	}
+	if got := b.Done(); !slices.Equal(got, []string{"a", "b"}) {
+		t.Fatalf("the read was for %v", got)
+	}
+	if delay, ok := b.Delay(40 * ms); !ok || delay != 60*ms || b.Begin(40*ms) {
+		t.Fatalf("the next read is due in %v, %v", delay, ok)
+	}
+	if !b.Begin(100 * ms) {
+		t.Fatal("no read for who came during the one before")
+	}
+	if got := b.Done(); !slices.Equal(got, []string{"c"}) || len(b.Done()) != 0 {
+		t.Fatalf("the read was for %v", got)
+	}
+}
+
+func TestGate(t *testing.T) {
+	g := NewGate[string]()
+	g.Attach("a")
+	if g.MayHandOut(0, "a") || !g.BeginRead(0) {
+		t.Fatal("no read for who has attached")
+	}
+	g.Attach("late")
+	g.Attach("gone")
+	g.ReadDone(true)
+	g.Detach("gone")
+	if g.MayHandOut(0, "a") {
+		t.Fatal("handed out without contact")
+	}
+	g.Confirmed(0, 0)
+	if !g.MayHandOut(0, "a") || g.MayHandOut(0, "late") || g.MayHandOut(0, "stranger") {
+		t.Fatal("handed out to others than those who were there when the read began")
+	}
+	if !g.BeginRead(RetryAfter) {
+		t.Fatal("no read for who came late")
+	}
+	g.ReadDone(false)
+	if g.MayHandOut(RetryAfter, "late") || !g.MayHandOut(RetryAfter, "a") {
+		t.Fatal("a read that failed")
+	}
+	if delay, ok := g.ReadDelay(RetryAfter); !ok || delay != RetryAfter || !g.BeginRead(2*RetryAfter) {
+		t.Fatal("a read that failed is not made again")
+	}
+	g.ReadDone(true)
+	if !g.MayHandOut(2*RetryAfter, "late") || g.MayHandOut(2*RetryAfter, "gone") || g.MayHandOut(Length, "a") {
+		t.Fatal("after the second read")
+	}
+	if _, ok := g.ReadDelay(time.Hour); ok {
+		t.Fatal("a read for nobody")
+	}
+}
--- /dev/null
+++ b/internal/contact/model_test.go
@@ -0,0 +1,502 @@
+package contact
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"dunetide/internal/agree"
+	"dunetide/internal/lab/wrongline"
+)
+
+// The model has keepers with a gate and a register each, in one simulated time. They are cut off from each other in one
+// direction or both, for long or each second, frozen, killed and started again, while operators put values, processes
+// attach and heartbeats come. Two things must hold at each moment:
+//
+//   - what a process is handed first is not older than the newest value that was confirmed before it asked;
+//   - what is acknowledged or pushed is backed by a majority that has answered something which was sent no longer than
+//     Length ago.
+
+const (
+	modelVoters  = 3
+	modelKeepers = 4 // one of them does not vote
+	modelTime    = 40 * time.Second
+	// acknowledgeWait is how long an acknowledgement waits for pushes, after which contact is looked at again.
+	acknowledgeWait = 250 * time.Millisecond
+)
+
+type violation string
+
+type modelEvent struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type modelEvents []modelEvent
+
+func (e modelEvents) Len() int { return len(e) }
+func (e modelEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e modelEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *modelEvents) Push(x any)   { *e = append(*e, x.(modelEvent)) }
+func (e *modelEvents) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+type model struct {
+	rnd       *rand.Rand
+	now       time.Duration
+	events    modelEvents
+	seq       int
+	keepers   []*modelKeeper
+	cut       [modelKeepers][modelKeepers]bool // from, to
+	confirmed uint64                           // the newest value that an operator has been told is taken
+	processes int
+
+	// Counts of what was played, so that a run that shows nothing is seen.
+	handedOut, acknowledged, refused, taken int
+}
+
+type modelKeeper struct {
+	m        *model
+	i        int
+	born     time.Duration
+	life     int
+	up       bool
+	frozen   bool
+	waiting  []func() // what comes while it is frozen
+	payloads [][]byte
+	register *agree.Register
+	gate     *Gate[int]
+	value    uint64
+	attached map[int]*modelProcess
+	tick     int
+	// received is the newest time of sending of a message from another keeper; answered the newest of the own messages
+	// that the other had received before it sent something that has come here.
+	received, answered [modelKeepers]time.Duration
+}
+
+type modelProcess struct {
+	floor uint64 // the newest value that was confirmed before it asked
+	value uint64
+}
+
+func (m *model) fail(format string, args ...any) { panic(violation(fmt.Sprintf(format, args...))) }
+
+func (m *model) after(d time.Duration, do func()) {
+	m.seq++
+	heap.Push(&m.events, modelEvent{m.now + d, m.seq, do})
+}
+
+func (m *model) upTo(d time.Duration) time.Duration { return time.Duration(m.rnd.Int64N(int64(d) + 1)) }
+
+func (m *model) anyKeeper() *modelKeeper { return m.keepers[m.rnd.IntN(modelKeepers)] }
+
+func newModel(seed uint64) *model {
+	m := &model{rnd: rand.New(rand.NewPCG(seed, 11))}
+	var voters []agree.Voter
+	for i := range modelKeepers {
+		k := &modelKeeper{m: m, i: i}
+		m.keepers = append(m.keepers, k)
+		if i < modelVoters {
+			voters = append(voters, k.voter())
+		}
+	}
+	for i, k := range m.keepers {
+		k.start()
+		if i < modelVoters {
+			k.do(func() { k.register.Bootstrap(voters, nil) })
+		}
+	}
+	return m
+}
+
+func (k *modelKeeper) voter() agree.Voter {
+	return agree.Voter{ID: uint64(k.i + 1), Name: fmt.Sprint("k", k.i), Addr: strconv.Itoa(k.i)}
+}
+
+// clock is the steady clock of this life.
+func (k *modelKeeper) clock() time.Duration { return k.m.now - k.born }
+
+func (k *modelKeeper) start() {
+	k.up, k.life, k.born = true, k.life+1, k.m.now
+	k.gate, k.attached, k.value = NewGate[int](), map[int]*modelProcess{}, 0
+	k.answered = [modelKeepers]time.Duration{}
+	for j := range k.answered {
+		k.answered[j] = -time.Hour
+	}
+	id := uint64(0)
+	if k.i < modelVoters {
+		id = uint64(k.i + 1)
+	}
+	register, err := agree.New(agree.Options{Name: "r", ID: id, Proposer: k.m.rnd.Uint64() | 1, Rand: k.m.rnd.Float64,
+		Save:    func(b []byte) error { k.payloads = append(k.payloads, bytes.Clone(b)); return nil },
+		Send:    k.transmit,
+		Decided: k.decided,
+	}, k.payloads)
+	if err != nil {
+		k.m.fail("keeper %d: %v", k.i, err)
+	}
+	k.register = register
+	if s, ok := register.State(); ok {
+		k.decided(s)
+	}
+	k.askAround(k.life)
+}
+
+// askAround is what a keeper does that knows nothing.
+func (k *modelKeeper) askAround(life int) {
+	if k.life != life || !k.up {
+		return
+	}
+	k.do(func() {
+		if _, ok := k.register.State(); !ok {
+			k.register.Ask(k.clock(), k.m.anyKeeper().voter())
+		}
+	})
+	k.m.after(300*ms, func() { k.askAround(life) })
+}
+
+func (k *modelKeeper) kill() {
+	k.up, k.frozen, k.waiting, k.life = false, false, nil, k.life+1
+}
+
+func (k *modelKeeper) thaw() {
+	k.frozen = false
+	waiting := k.waiting
+	k.waiting = nil
+	for _, f := range waiting {
+		k.do(f)
+	}
+}
+
+// do makes a step, or has it wait while the keeper is frozen.
+func (k *modelKeeper) do(f func()) {
+	if !k.up {
+		return
+	}
+	if k.frozen {
+		k.waiting = append(k.waiting, f)
+		return
+	}
+	f()
+	k.step()
+}
+
+// later makes a step of this life.
+func (k *modelKeeper) later(d time.Duration, f func()) {
+	life := k.life
+	k.m.after(d, func() {
+		if k.life == life {
+			k.do(f)
+		}
+	})
+}
+
+// step does what is due after each event, as a keeper's owner does.
+func (k *modelKeeper) step() {
+	now := k.clock()
+	if k.gate.Due(now) {
+		k.gate.Asked(now)
+		k.register.Read(now, 700*ms, func(s agree.State, err error) {
+			if err == nil {
+				k.decided(s)
+			}
+			k.gate.Answered(k.clock(), now, err == nil)
+		})
+	}
+	if k.gate.BeginRead(now) {
+		k.register.Read(now, time.Second, func(s agree.State, err error) {
+			if err == nil {
+				k.decided(s)
+			}
+			k.gate.ReadDone(err == nil)
+		})
+	}
+	k.push()
+	k.schedule()
+}
+
+func (k *modelKeeper) schedule() {
+	next := k.clock() + 200*ms
+	if at := k.register.Next(); at != agree.Never {
+		next = min(next, at)
+	}
+	if at, ok := k.gate.Next(k.clock()); ok {
+		next = min(next, at)
+	}
+	k.tick++
+	tick, life := k.tick, k.life
+	k.m.after(max(next-k.clock(), ms), func() {
+		if k.tick != tick || k.life != life {
+			return // another step came before
+		}
+		k.do(func() {
+			if k.register.Next() <= k.clock() {
+				k.register.Tick(k.clock())
+			}
+		})
+	})
+}
+
+func (k *modelKeeper) decided(s agree.State) {
+	if len(s.Value) == 8 {
+		k.value = max(k.value, binary.BigEndian.Uint64(s.Value))
+	}
+}
+
+// transmit sends a message. It bears when it was sent, and when the newest was that has come from the other side.
+func (k *modelKeeper) transmit(to agree.Voter, b []byte) {
+	j, _ := strconv.Atoi(to.Addr)
+	if k.m.cut[k.i][j] {
+		return
+	}
+	sent, echo, other, body := k.m.now, k.received[j], k.m.keepers[j], bytes.Clone(b)
+	k.m.after(k.m.upTo(10*ms), func() {
+		other.do(func() {
+			other.received[k.i] = max(other.received[k.i], sent)
+			if echo >= other.born {
+				other.answered[k.i] = max(other.answered[k.i], echo)
+			}
+			other.register.Receive(other.clock(), k.voter(), body)
+		})
+	})
+}
+
+// mustBeBacked fails unless a majority has answered something that was sent no longer than Length ago.
+func (k *modelKeeper) mustBeBacked(what string) {
+	backing := 0
+	for j := range modelVoters {
+		if j == k.i || k.m.now-k.answered[j] <= Length {
+			backing++
+		}
+	}
+	if backing <= modelVoters/2 {
+		k.m.fail("%v: keeper %d, without a majority: %s", k.m.now, k.i, what)
+	}
+}
+
+// push hands the newest value that is known to all who may have it.
+func (k *modelKeeper) push() {
+	for id, p := range k.attached {
+		if p.value >= k.value || !k.gate.MayHandOut(k.clock(), id) {
+			continue
+		}
+		if p.value == 0 && k.value < p.floor {
+			k.m.fail("%v: keeper %d hands out %d first, and %d was confirmed before", k.m.now, k.i, k.value, p.floor)
+		}
+		k.mustBeBacked("a push")
+		p.value = k.value
+		k.m.handedOut++
+	}
+}
+
+// put is an operator's call.
+func (k *modelKeeper) put() {
+	k.register.Propose(k.clock(), 900*ms, func(cur agree.State) (agree.State, error) {
+		value := uint64(0)
+		if len(cur.Value) == 8 {
+			value = binary.BigEndian.Uint64(cur.Value)
+		}
+		cur.Value = binary.BigEndian.AppendUint64(nil, value+1)
+		return cur, nil
+	}, func(s agree.State, err error) {
+		if err == nil {
+			k.decided(s)
+			k.m.confirmed = max(k.m.confirmed, binary.BigEndian.Uint64(s.Value))
+			k.m.taken++
+		}
+	})
+}
+
+func (k *modelKeeper) attach(floor uint64) {
+	k.m.processes++
+	id := k.m.processes
+	k.attached[id] = &modelProcess{floor: floor}
+	k.gate.Attach(id)
+	k.later(k.m.upTo(3*time.Second), func() {
+		delete(k.attached, id)
+		k.gate.Detach(id)
+	})
+}
+
+// beat is a heartbeat; with news, it is acknowledged after a wait.
+func (k *modelKeeper) beat(news bool) {
+	if !k.gate.MayServe(k.clock()) {
+		k.m.refused++
+		return
+	}
+	if news {
+		k.later(acknowledgeWait, func() { k.acknowledge() })
+		return
+	}
+	k.acknowledge()
+}
+
+func (k *modelKeeper) acknowledge() {
+	if !k.gate.MayServe(k.clock()) {
+		k.m.refused++
+		return
+	}
+	k.mustBeBacked("an acknowledgement")
+	k.m.acknowledged++
+}
+
+// calls play what comes from outside, which no cut between keepers keeps away.
+func (m *model) calls() {
+	k := m.anyKeeper()
+	switch m.rnd.IntN(4) {
+	case 0:
+		k.do(k.put)
+	case 1:
+		floor := m.confirmed
+		m.after(m.upTo(10*ms), func() { k.do(func() { k.attach(floor) }) })
+	default:
+		news := m.rnd.IntN(2) == 0
+		k.do(func() { k.beat(news) })
+	}
+	m.after(m.upTo(60*ms), m.calls)
+}
+
+// troubles play one trouble after the other.
+func (m *model) troubles() {
+	k := m.anyKeeper()
+	length := 300*ms + m.upTo(6*time.Second)
+	switch m.rnd.IntN(6) {
+	case 0:
+		m.cutOff(k, true, true, length)
+	case 1:
+		m.cutOff(k, m.rnd.IntN(2) == 0, true, length)
+	case 2: // each second
+		for at := time.Duration(0); at < length; at += time.Second {
+			m.after(at, func() { m.cutOff(k, true, true, 500*ms) })
+		}
+	case 3:
+		m.freeze(k, length)
+	case 4: // frozen, and cut off when it wakes
+		m.freeze(k, length)
+		m.after(m.upTo(length), func() { m.cutOff(k, true, true, length+2*time.Second) })
+	default:
+		k.kill()
+		m.after(m.upTo(time.Second), func() {
+			if !k.up {
+				k.start()
+				k.do(func() {})
+			}
+		})
+	}
+	m.after(m.upTo(4*time.Second), m.troubles)
+}
+
+// cutOff cuts a keeper off from all others: what it sends, what it is sent, or both.
+func (m *model) cutOff(k *modelKeeper, from, to bool, length time.Duration) {
+	set := func(cut bool) {
+		for j := range m.keepers {
+			if j != k.i {
+				m.cut[k.i][j] = from && cut
+				m.cut[j][k.i] = to && cut
+			}
+		}
+	}
+	set(true)
+	m.after(length, func() { set(false) })
+}
+
+func (m *model) freeze(k *modelKeeper, length time.Duration) {
+	if !k.up || k.frozen {
+		return
+	}
+	life := k.life
+	k.frozen = true
+	m.after(length, func() {
+		if k.life == life {
+			k.thaw()
+		}
+	})
+}
+
+// play runs a model, and tells what was violated.
+func play(seed uint64) (m *model, broken error) {
+	defer func() {
+		if x := recover(); x != nil {
+			v, ok := x.(violation)
+			if !ok {
+				panic(x)
+			}
+			broken = fmt.Errorf("seed %d: %s", seed, v)
+		}
+	}()
+	m = newModel(seed)
+	m.calls()
+	m.after(2*time.Second, m.troubles)
+	for m.now < modelTime && len(m.events) > 0 {
+		e := heap.Pop(&m.events).(modelEvent)
+		m.now = e.at
+		e.do()
+	}
+	return m, nil
+}
+
+func modelSeeds(t *testing.T) uint64 {
+	if text := os.Getenv("CONTACT_SEEDS"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	return 20
+}
+
+func TestModel(t *testing.T) {
+	var total model
+	for seed := range modelSeeds(t) {
+		m, err := play(seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		total.handedOut += m.handedOut
+		total.acknowledged += m.acknowledged
+		total.refused += m.refused
+		total.taken += m.taken
+	}
+	t.Logf("%d handed out, %d acknowledged, %d refused, %d taken", total.handedOut, total.acknowledged, total.refused, total.taken)
+	if total.handedOut == 0 || total.acknowledged == 0 || total.refused == 0 || total.taken == 0 {
+		t.Error("the model does not play what it is there for")
+	}
+}
+
+// wrong are lines that would break what the package promises, one at a time. The model alone has to find each of them.
+var wrong = []wrongline.Line{
+	{"contact counted from the answer", "tracker.go", "	until := beganAt + Length\n", "	until := now + Length\n"},
+	{"contact not looked at again after a freeze", "tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 && (t.latest < t.until || t.asking) }"},
+	{"contact for life", "tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 }"},
+	{"serving without a majority after 3 s", "tracker.go", "return t.advance(now) < t.until }", "return t.advance(now) < t.until || now > 3*time.Second }"},
+	{"a question that failed counts", "tracker.go", "	if !ok {\n		t.nextAsk", "	if !ok && t.until < 0 {\n		t.nextAsk"},
+	{"the first push without a new read", "gate.go", "return g.MayServe(now) && g.confirmed[key] }", "_ = key; return g.MayServe(now) }"},
+	{"a read that failed counts for who has attached", "gate.go", "		case ok:\n", "		case ok || confirmed == ok:\n"},
+	{"a read that had begun before counts", "barrier.go", "	keys := b.reading\n	b.reading, b.busy = nil, false\n", "	keys := append(b.reading, b.waiting...)\n	b.reading, b.waiting, b.busy = nil, nil, false\n"},
+	{"acknowledged without contact", "gate.go", "MayServe(now time.Duration) bool { return g.Holds(now) }", "MayServe(now time.Duration) bool { return g.Holds(now) || g.HeldFor(now) == 0 }"},
+	{"handed out without contact", "gate.go", "return g.MayServe(now) && g.confirmed[key] }", "return g.confirmed[key] }"},
+}
+
+// Each wrong line is found by the model. This takes a while, so it is asked for: CONTACT_WRONG=1, or a part of a name.
+func TestWrongLinesAreFound(t *testing.T) {
+	only := os.Getenv("CONTACT_WRONG")
+	if only == "" {
+		t.Skip("CONTACT_WRONG is not set")
+	}
+	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "^TestModel$"},
+		Env: []string{"CONTACT_WRONG=", "CONTACT_SEEDS=100"}, Within: 2 * time.Minute})
+}
