--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -23,6 +23,9 @@
 
 var errStops = errors.New("this keeper stops: ask another one")
 
+// retryAfter is how long a caller that gets 503 waits before it asks the same keeper again, in seconds.
+const retryAfter = "1"
+
 // call is a row of the table of all calls of endpoints and operators.
 type call struct {
 	method string
@@ -83,6 +86,9 @@
 
 func refuse(w http.ResponseWriter, code int, why string) {
 	w.Header().Set("Content-Type", "application/json")
+	if code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
 	w.WriteHeader(code)
 	b, _ := json.Marshal(map[string]string{"error": why}) // strings always marshal
 	_, _ = w.Write(b)
--- a/internal/keeper/documents.go
+++ b/internal/keeper/documents.go
@@ -10,9 +10,6 @@
 	"dunetide/internal/operator"
 )
 
-// retryAfter is in how many seconds an order without a clear answer may be sent again.
-const retryAfter = "0.2"
-
 // putDocument makes a document the newest value of its register, and tells its slot. On an error it has answered.
 func (k *Keeper) putDocument(w http.ResponseWriter, r *http.Request, of documentKind, body []byte, parse func([]byte) (uint64, error)) (uint64, bool) {
 	base, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
@@ -28,7 +25,7 @@
 	order := documentOrder{version: version, base: base, raw: body}
 	if err := k.proposeOrder(order, of); err != nil {
 		k.log.Info("document refused", "register", of.register, "version", version, "base", base, "err", err)
-		refuseOrder(w, statusOf(err), err.Error())
+		refuse(w, statusOf(err), err.Error())
 		return 0, false
 	}
 	return version, true
@@ -51,15 +48,6 @@
 	}
 }
 
-// refuseOrder answers an order that was not confirmed. 503 says that it is not known what became of it, or will: it is to be
-// sent again as it is.
-func refuseOrder(w http.ResponseWriter, code int, why string) {
-	if code == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAfter)
-	}
-	refuse(w, code, why)
-}
-
 func (k *Keeper) putConfig(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
 	version, ok := k.putDocument(w, r, configDocument, body, func(b []byte) (uint64, error) {
 		c, err := operator.Parse(b)
@@ -110,11 +98,11 @@
 		err = res.err
 	}
 	if err != nil {
-		refuseOrder(w, http.StatusServiceUnavailable, err.Error())
+		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	if v.version == 0 {
-		refuseOrder(w, none, why)
+		refuse(w, none, why)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"sort"
 	"time"
 
@@ -171,6 +172,12 @@
 	})
 }
 
+// Refusals of a retirement.
+var (
+	errUnknownStore = errors.New("no store has this name: GET /status tells of those that are there")
+	errTooFew       = errors.New("too few stores would be left: add one first")
+)
+
 // tableOf reads the register's value; nil before the first table.
 func tableOf(s agree.State) (*view.Table, error) {
 	if len(s.Value) == 0 {
--- a/internal/keeper/retire.go
+++ b/internal/keeper/retire.go
@@ -11,12 +11,8 @@
 	"dunetide/internal/view"
 )
 
-// Answers to a retirement that was not taken.
+// Reasons to put a retirement off: what this keeper hears of the stores differs from the agreed table, or is not enough.
 var (
-	// errUnknownStore and errTooFew are refusals: the agreed table says so.
-	errUnknownStore = errors.New("no store has this name: GET /status tells of those that are there")
-	errTooFew       = errors.New("too few stores would be left: add one first")
-	// errStoreJoins and errStoresMissing say that the agreed table and the stores that are attached differ.
 	errStoreJoins    = errors.New("the store has joined and is not in the agreed table yet: ask again in a second")
 	errStoresMissing = errors.New("too few stores are heard of here to spare one: ask again in a second, or another keeper")
 	errStoresUnheard = errors.New("this keeper has just started, or stops: ask another one, or again in a second")
@@ -90,7 +86,7 @@
 func (k *Keeper) postRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
 	alive, lost, ok := k.storesNow()
 	if !ok {
-		refuseOrder(w, http.StatusServiceUnavailable, errStoresUnheard.Error())
+		refuse(w, http.StatusServiceUnavailable, errStoresUnheard.Error())
 		return
 	}
 	order := retirement{name: name, alive: alive, lost: lost, spare: k.o.Settings.SurviveMachines}
@@ -104,7 +100,7 @@
 	}
 	if code := retireStatus(err); code != http.StatusOK {
 		k.log.Info("retirement not taken", "store", name, "code", code, "err", err)
-		refuseOrder(w, code, err.Error())
+		refuse(w, code, err.Error())
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -125,12 +121,12 @@
 		res.err = errStops
 	}
 	if res.err != nil {
-		refuseOrder(w, http.StatusServiceUnavailable, res.err.Error())
+		refuse(w, http.StatusServiceUnavailable, res.err.Error())
 		return
 	}
 	table, err := tableOf(res.s)
 	if err != nil {
-		refuseOrder(w, http.StatusServiceUnavailable, err.Error())
+		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	known, finished := batch.Retired(table, name, k.o.Settings.SurviveMachines)
@@ -154,5 +150,5 @@
 	if (retirement{name: name, alive: alive}).joins() {
 		err = errStoreJoins
 	}
-	refuseOrder(w, retireStatus(err), err.Error())
+	refuse(w, retireStatus(err), err.Error())
 }
--- a/internal/keeper/retire_test.go
+++ b/internal/keeper/retire_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"dunetide/internal/agree"
@@ -89,3 +91,14 @@
 		}
 	}
 }
+
+// An answer for lack of knowledge says when to come back; a refusal does not.
+func TestRefusalForLackOfKnowledge(t *testing.T) {
+	for status, want := range map[int]string{http.StatusServiceUnavailable: retryAfter, http.StatusPreconditionFailed: "", http.StatusNotFound: ""} {
+		w := httptest.NewRecorder()
+		refuse(w, status, "why")
+		if got := w.Header().Get("Retry-After"); got != want || w.Code != status {
+			t.Errorf("%d: Retry-After %q", w.Code, got)
+		}
+	}
+}
