--- a/internal/keeper/documents.go
+++ b/internal/keeper/documents.go
@@ -10,7 +10,7 @@
 	"dunetide/internal/operator"
 )
 
-// putDocument makes a document the newest value of its register, and tells its slot. On an error it has answered.
+// putDocument has an order decided and tells its version. Not ok: it was not confirmed, and the answer is given.
 func (k *Keeper) putDocument(w http.ResponseWriter, r *http.Request, of documentKind, body []byte, parse func([]byte) (uint64, error)) (uint64, bool) {
 	base, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
 	if err != nil {
@@ -40,6 +40,11 @@
 		}
 		done <- err
 	})
+	return k.await(done)
+}
+
+// await waits for what the registers' goroutine makes of a proposal.
+func (k *Keeper) await(done <-chan error) error {
 	select {
 	case err := <-done:
 		return err
@@ -48,6 +53,29 @@
 	}
 }
 
+// readRegister gives the newest State of a register, as a majority confirms it.
+func (k *Keeper) readRegister(register string) (agree.State, error) {
+	var state agree.State
+	done := make(chan error, 1)
+	k.agree.read(register, proposeWait, func(s agree.State, err error) {
+		state = s
+		done <- err
+	})
+	if err := k.await(done); err != nil {
+		return agree.State{}, err
+	}
+	return state, nil
+}
+
+// readNewest gives the newest document of a register.
+func (k *Keeper) readNewest(register string) (*document, error) {
+	s, err := k.readRegister(register)
+	if err != nil {
+		return nil, err
+	}
+	return readDocument(s.Value)
+}
+
 func (k *Keeper) putConfig(w http.ResponseWriter, _ string, body []byte, r *http.Request) {
 	version, ok := k.putDocument(w, r, configDocument, body, func(b []byte) (uint64, error) {
 		c, err := operator.Parse(b)
@@ -81,22 +109,7 @@
 
 // getDocument answers with the newest document of a register.
 func (k *Keeper) getDocument(w http.ResponseWriter, register string, none int, why string) {
-	type result struct {
-		s   agree.State
-		err error
-	}
-	done := make(chan result, 1)
-	k.agree.read(register, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
-	var res result
-	select {
-	case res = <-done:
-	case <-k.ended:
-		res.err = errStops
-	}
-	v, err := readDocument(res.s.Value)
-	if res.err != nil {
-		err = res.err
-	}
+	v, err := k.readNewest(register)
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
--- a/internal/keeper/retire.go
+++ b/internal/keeper/retire.go
@@ -92,12 +92,7 @@
 	order := retirement{name: name, alive: alive, lost: lost, spare: k.o.Settings.SurviveMachines}
 	done := make(chan error, 1)
 	k.changeTable(order.change, func(err error) { done <- err })
-	var err error
-	select {
-	case err = <-done:
-	case <-k.ended:
-		err = errStops
-	}
+	err := k.await(done)
 	if code := retireStatus(err); code != http.StatusOK {
 		k.log.Info("retirement not taken", "store", name, "code", code, "err", err)
 		refuse(w, code, err.Error())
@@ -108,23 +103,7 @@
 }
 
 func (k *Keeper) getRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
-	type result struct {
-		s   agree.State
-		err error
-	}
-	done := make(chan result, 1)
-	k.agree.read(tableRegister, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
-	var res result
-	select {
-	case res = <-done:
-	case <-k.ended:
-		res.err = errStops
-	}
-	if res.err != nil {
-		refuse(w, http.StatusServiceUnavailable, res.err.Error())
-		return
-	}
-	table, err := tableOf(res.s)
+	table, err := k.readTable()
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
@@ -143,6 +122,15 @@
 	_, _ = w.Write(b)
 }
 
+// readTable gives the newest table of the batch parts; nil before the first one.
+func (k *Keeper) readTable() (*view.Table, error) {
+	s, err := k.readRegister(tableRegister)
+	if err != nil {
+		return nil, err
+	}
+	return tableOf(s)
+}
+
 // refuseUnknownStore answers for a store that the agreed table does not name.
 func (k *Keeper) refuseUnknownStore(w http.ResponseWriter, name string) {
 	alive, _, _ := k.storesNow()
