--- a/internal/keeper/retire.go
+++ b/internal/keeper/retire.go
@@ -11,12 +11,14 @@
 	"dunetide/internal/view"
 )
 
-// Answers to a retirement that was not taken.
+// Refusals of a retirement: the agreed table says so.
 var (
-	// errUnknownStore and errTooFew are refusals: the agreed table says so.
 	errUnknownStore = errors.New("no store has this name: GET /status tells of those that are there")
 	errTooFew       = errors.New("too few stores would be left: add one first")
-	// errStoreJoins and errStoresMissing say that the agreed table and the stores that are attached differ.
+)
+
+// Reasons to put a retirement off: what this keeper hears of the stores differs from the agreed table, or is not enough.
+var (
 	errStoreJoins    = errors.New("the store has joined and is not in the agreed table yet: ask again in a second")
 	errStoresMissing = errors.New("too few stores are heard of here to spare one: ask again in a second, or another keeper")
 	errStoresUnheard = errors.New("this keeper has just started, or stops: ask another one, or again in a second")
@@ -101,12 +103,7 @@
 	order := retirement{name: name, alive: alive, lost: lost, spare: k.o.Settings.SurviveMachines}
 	done := make(chan error, 1)
 	k.changeTable(order.change, func(err error) { done <- err })
-	var err error
-	select {
-	case err = <-done:
-	case <-k.ended:
-		err = errStops
-	}
+	err := k.await(done)
 	code := retireStatus(err)
 	if refuses(code) && !k.inContact() {
 		code = http.StatusServiceUnavailable // stores that are attached elsewhere may not be known here
@@ -121,23 +118,7 @@
 }
 
 func (k *Keeper) getRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
-	type result struct {
-		s   agree.State
-		err error
-	}
-	done := make(chan result, 1)
-	k.agree.read(tableRegister, proposeWait, func(s agree.State, err error) { done <- result{s, err} })
-	var res result
-	select {
-	case res = <-done:
-	case <-k.ended:
-		res.err = errStops
-	}
-	if res.err != nil {
-		refuse(w, http.StatusServiceUnavailable, res.err.Error())
-		return
-	}
-	table, err := tableOf(res.s)
+	table, err := k.readTable()
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
@@ -156,6 +137,15 @@
 	_, _ = w.Write(b)
 }
 
+// readTable gives the newest table of the batch parts; nil before the first one.
+func (k *Keeper) readTable() (*view.Table, error) {
+	s, err := k.readRegister(tableRegister)
+	if err != nil {
+		return nil, err
+	}
+	return tableOf(s)
+}
+
 // refuseUnknownStore answers for a store that the agreed table does not name.
 func (k *Keeper) refuseUnknownStore(w http.ResponseWriter, name string) {
 	alive, _, _ := k.storesNow()
