Store: a log of segments, so that small disks bear a steady rate; full stores say so

Change: the log is a row of files. The oldest goes as a whole when what is left in it has been appended again, so nothing needs room twice and no rewrite stops the store. Each file tells how long the one before it was, so a cut, emptied, missing or changed one is found. A job is refused when it, its results and those of open jobs don't fit into 80 in 100 of the log's room, or a copy says so (kAck, kConfirmed): 503 with Retry-After 2 at once instead of after 1.2 s of retries, and a line in the store's log when that begins and ends.

--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -11,13 +11,16 @@
 	"dunetide/internal/batch"
 	"dunetide/internal/control"
 	"dunetide/internal/link"
-	"dunetide/internal/record"
 	"dunetide/internal/view"
 )
 
 // jobsLog is the file of batch jobs.
 const jobsLog = "lots.log"
 
+// jobsLogPercent of the disk is for batch jobs. The rest is for the record of regulated runs, and for a segment of the log
+// that is written before another one is removed.
+const jobsLogPercent = 85
+
 type storeCmd struct{}
 
 // storeLinks passes on what comes over links to whom it is for.
@@ -56,10 +59,10 @@
 	var client *control.Client
 	store, err := batch.NewStore(batch.StoreOptions{
 		Open: func(replay func(payload []byte, at int64) error) (batch.Log, error) {
-			return record.Open(folder, jobsLog, replay)
+			return batch.OpenLog(folder, jobsLog, replay)
 		},
 		Zone: s.Zone, MachinesLost: s.SurviveMachines, KeepMs: s.Bounds.StatusEvery.Milliseconds(),
-		RoomBytes: int64(s.Limits.DiskMB) << 20 / 10 * 4, // a rewrite needs as much again
+		RoomBytes: int64(s.Limits.DiskMB) << 20 / 100 * jobsLogPercent,
 		Ready: func(part int, epoch uint64) {
 			go func() {
 				if err := reportJoined(attached, client, part, epoch); err != nil {
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -8,17 +8,28 @@
 
 	"dunetide/internal/link"
 	"dunetide/internal/operator"
-	"dunetide/internal/record"
 	"dunetide/internal/view"
 )
 
+// segmented is what a log does to give space back: see segments.go.
+type segmented interface {
+	// NewestSize is how many bytes the segment has that is appended to.
+	NewestSize() int64
+	// Oldest is the number of the oldest segment, and whether there is a newer one.
+	Oldest() (number int64, more bool)
+	// Rotate makes all that was appended durable and begins a new segment.
+	Rotate() error
+	// DropOldest makes all that was appended durable and removes the oldest segment.
+	DropOldest() error
+}
+
 // disk is the log of a store: appended records. Here at is the place of a payload's first byte.
 type disk interface {
 	Append(payload []byte) (at int64, err error)
 	// ReadRaw reads bytes inside a payload, unchecked.
 	ReadRaw(at int64, n int) ([]byte, error)
-	Rewrite(func(add func([]byte) (int64, error)) error) error
 	Size() int64
+	segmented
 }
 
 // Pipe is a connection to another process; messages keep their order.
@@ -57,7 +68,7 @@
 	zone             string
 	most             int // copies that may be lost (f)
 	keep             int64
-	small            int64 // a log of fewer bytes is never rewritten
+	segmentSize      int64 // bytes of a segment of the log; 0: by the room
 	room             int64 // bytes that the log may have; 0: no limit
 	now              int64 // steady, in ms; set before each event
 	wall             int64
@@ -83,7 +94,9 @@
 	waits    []wait // for a sync
 	sessions uint64
 	ends     []*ending
-	live     int64 // bytes of jobs that the log must keep
+	live     int64           // bytes of jobs that the log must keep
+	liveIn   map[int64]int64 // of them, by segment
+	full     bool            // for want of room no job is taken
 	dead     bool
 	nextWork int64 // when tick looks at ages next
 }
@@ -159,6 +172,7 @@
 	live    bool
 	acked   int64
 	stamp   int64 // the newest confirmation
+	full    bool  // it has no room for more jobs
 }
 
 type pending struct {
@@ -186,7 +200,7 @@
 }
 
 func newCore(self uint64, d disk) *core {
-	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, limbo: map[*worker]int64{}, keep: 120_000, most: 1, small: 4 << 20,
+	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, limbo: map[*worker]int64{}, liveIn: map[int64]int64{}, keep: 120_000, most: 1,
 		ready: func(int, uint64) {}, announceStopping: func(bool) {}, fail: func(error) {}}
 }
 
@@ -211,18 +225,32 @@
 	if c.dead {
 		return
 	}
-	at, err := c.disk.Append(rec)
-	if err != nil {
-		c.dead = true
-		c.fail(err)
+	at, ok := c.write(rec)
+	if !ok {
 		return
 	}
-	c.appended++
 	if err := c.replay(rec, at); err != nil {
 		c.log("a record of our own can't be read: %v", err)
 	}
 }
 
+// write writes a record and tells its place. False: the store can't go on.
+func (c *core) write(rec []byte) (at int64, ok bool) {
+	at, err := c.disk.Append(rec)
+	if err != nil {
+		c.failed(err)
+		return 0, false
+	}
+	c.appended++
+	return at, true
+}
+
+// failed ends the store: its disk can't be used any more.
+func (c *core) failed(err error) {
+	c.dead = true
+	c.fail(err)
+}
+
 // replay does to the state what a record at a place in the log says.
 func (c *core) replay(rec []byte, at int64) error {
 	r := link.Reader{B: rec}
@@ -264,14 +292,14 @@
 		j.ended = r.Bool()
 		c.forget(p, id)
 		p.jobs[id] = j
-		c.live += j.bytes
+		c.chargeJob(j, 1)
 	}
 	return r.Err
 }
 
 func (c *core) forget(p *part, id string) {
 	if j := p.jobs[id]; j != nil {
-		c.live -= j.bytes
+		c.chargeJob(j, -1)
 		j.dropping = true
 		for _, r := range j.readers {
 			r.from.Reply([]byte{codeUnavailable})
@@ -291,16 +319,18 @@
 		}
 		c.forget(p, j.id)
 		p.jobs[j.id] = j
-		c.live += j.bytes
+		c.chargeJob(j, 1)
 	case opList:
 		id, no, gu := r.String(), int(r.U32()), r.Bool()
 		if r.Err != nil {
 			return r.Err
 		}
 		if j := p.jobs[id]; j != nil {
-			was := j.bytes
-			j.list(no, gu, r.B, at+int64(len(op)-len(r.B)))
-			c.live += j.bytes - was
+			before := len(j.results)
+			if j.list(no, gu, r.B, at+int64(len(op)-len(r.B))); len(j.results) > before {
+				res := j.results[before]
+				c.chargeLog(res.at, int64(res.n))
+			}
 		}
 	case opEnd:
 		if j := p.jobs[r.String()]; j != nil {
@@ -378,76 +408,6 @@
 	}
 }
 
-// compact rewrites the log when most of it is garbage.
-func (c *core) compact() {
-	size := c.disk.Size()
-	garbage := size - c.live
-	if c.dead || size < c.small || garbage*2 < size && !(c.room > 0 && size > c.room*45/100 && garbage*5 > size) {
-		return
-	}
-	type moved struct {
-		j   *job
-		at  int64
-		res []int64
-	}
-	var all []moved
-	err := c.disk.Rewrite(func(add func([]byte) (int64, error)) error {
-		all = all[:0]
-		if _, err := add(encodeRec(recID, 0, c.self)); err != nil {
-			return err
-		}
-		for _, p := range c.parts {
-			for _, id := range sortedKeys(p.jobs) {
-				j := p.jobs[id]
-				b, err := c.whole(j)
-				if err != nil {
-					return err
-				}
-				rec := append(encodeRec(recPut, p.no), b...)
-				at, err := add(rec)
-				if err != nil {
-					return err
-				}
-				pos := at + 5 + 4 + int64(len(j.id)) + 4
-				m := moved{j: j, at: pos}
-				pos += int64(j.n) + 4
-				for _, res := range j.results {
-					pos += 4 + 1 + 4
-					m.res = append(m.res, pos)
-					pos += int64(res.n)
-				}
-				all = append(all, m)
-			}
-			if p.claimB > 0 {
-				if _, err := add(encodeRec(recMark, p.no, p.claimB, p.claimS)); err != nil {
-					return err
-				}
-			}
-			if p.promised > 0 {
-				if _, err := add(encodeRec(recPromise, p.no, p.promised)); err != nil {
-					return err
-				}
-			}
-		}
-		return nil
-	})
-	if record.Failed.Has(err) {
-		c.dead = true
-		c.fail(err)
-	}
-	if err != nil {
-		c.log("the log of batch jobs stays as it is: %v", err)
-		return
-	}
-	for _, m := range all {
-		m.j.at = m.at
-		for i := range m.res {
-			m.j.results[i].at = m.res[i]
-		}
-	}
-	c.synced(c.appended)
-}
-
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
@@ -709,6 +669,7 @@
 			w.U32(uint32(p.no))
 			w.U64(ballot)
 			w.U64(r.U64())
+			w.Bool(c.full)
 			_ = pipe.Send(kConfirmed, w.B)
 		}
 	case kStale:
@@ -762,20 +723,20 @@
 		}
 	case kAck:
 		if mine {
-			seq := int64(r.U64())
+			seq, full := int64(r.U64()), r.Bool()
 			for _, q := range l.peers {
-				if q.pipe == pipe && q.live && seq > q.acked {
-					q.acked = seq
+				if q.pipe == pipe && q.live {
+					q.acked, q.full = max(q.acked, seq), full
 				}
 			}
 			c.advance(p)
 		}
 	case kConfirmed:
 		if mine {
-			stamp := int64(r.U64())
+			stamp, full := int64(r.U64()), r.Bool()
 			for _, q := range l.peers {
-				if q.pipe == pipe && stamp > q.stamp {
-					q.stamp = stamp
+				if q.pipe == pipe {
+					q.stamp, q.full = max(q.stamp, stamp), full
 				}
 			}
 			c.countConfirmed(p)
@@ -859,6 +820,7 @@
 		w.U32(uint32(p.no))
 		w.U64(ballot)
 		w.U64(seq)
+		w.Bool(c.full)
 		_ = pipe.Send(kAck, w.B)
 	}
 	if c.wrong == wrongAckEarly {
@@ -991,8 +953,7 @@
 		}
 		b, err := c.whole(j)
 		if err != nil {
-			c.dead = true
-			c.fail(err)
+			c.failed(err)
 			return
 		}
 		var w link.Writer
--- a/internal/batch/edge.go
+++ b/internal/batch/edge.go
@@ -110,6 +110,7 @@
 	Full                       // the quota has no room; it was not taken
 	Unavailable                // it was not taken
 	Unknown                    // it may have been taken: the answer must promise nothing
+	NoRoom                     // it was not taken, and none will be for some time: disks are full
 )
 
 // call asks the primary of a job's part until one answers or the context ends. Maybe tells that one may have
@@ -145,6 +146,8 @@
 		return Unknown
 	case len(b) > 0 && b[0] == codeFull:
 		return Full
+	case len(b) > 0 && b[0] == codeNoRoom:
+		return NoRoom
 	}
 	return Unavailable
 }
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -64,6 +64,9 @@
 
 var unavailable = Answer{Status: 503, RetryAfter: "0.2"}
 
+// noRoom is the answer while disks are full: jobs leave them some time after they were sent.
+var noRoom = Answer{Status: 503, RetryAfter: "2"}
+
 // Serve answers a client's call.
 func (e *Edge) Serve(ctx context.Context, c *Call) Answer {
 	v := e.o.Views.Get()
@@ -152,6 +155,8 @@
 		return Answer{Status: 429, RetryAfter: "0.5"}
 	case Unavailable:
 		return unavailable
+	case NoRoom:
+		return noRoom
 	}
 	return Answer{}
 }
--- a/internal/batch/kinds.go
+++ b/internal/batch/kinds.go
@@ -36,10 +36,10 @@
 	kPutAck    // part, ballot, session
 	kMark      // part, ballot, session, seq: you have all up to seq now
 	kOp        // part, ballot, session, seq (0: before the mark), operation
-	kAck       // part, ballot, seq: on disk up to there
+	kAck       // part, ballot, seq, full: on disk up to there; whether there is no room for more jobs
 	kStale     // part, ballot that is known: you have been replaced
 	kConfirm   // part, ballot, stamp
-	kConfirmed // part, ballot, stamp: nothing newer is known here
+	kConfirmed // part, ballot, stamp, full: nothing newer is known here; whether there is no room for more jobs
 
 	// Between the primary of a part and the owner of a route's quota (the primary of the part that the route hashes to).
 
@@ -56,4 +56,5 @@
 	codeFull              // the quota has no room
 	codeUnavailable       // not done, and it won't be
 	codeUnknown           // may have been done
+	codeNoRoom            // not done, and it won't be for some time: a disk is full
 )
--- a/internal/batch/scale_test.go
+++ b/internal/batch/scale_test.go
@@ -50,9 +50,10 @@
 	return bytes.Clone(d.recs[i][at-d.starts[i]:][:n]), nil
 }
 
-func (d *scaleDisk) Rewrite(func(func([]byte) (int64, error)) error) error {
-	return errors.New("not in this test")
-}
+func (d *scaleDisk) NewestSize() int64     { return 0 }
+func (d *scaleDisk) Oldest() (int64, bool) { return 0, false }
+func (d *scaleDisk) Rotate() error         { return errors.New("not in this test") }
+func (d *scaleDisk) DropOldest() error     { return errors.New("not in this test") }
 
 func (d *scaleDisk) Size() int64 { return d.size }
 
@@ -79,11 +80,16 @@
 func (f replied) Reply(b []byte) { f(b) }
 
 func newScaleRig(stores, workers, inHand int, perSecond int64) *scaleRig {
+	return newScaleRigOn(stores, workers, inHand, perSecond, func() disk { return &scaleDisk{} })
+}
+
+// newScaleRigOn has stores on disks of the caller's.
+func newScaleRigOn(stores, workers, inHand int, perSecond int64, newDisk func() disk) *scaleRig {
 	g := &scaleRig{most: workers * inHand * stores / 2, pace: 1e6 / perSecond}
 	var all []view.Store
 	for i := range stores {
-		c := newCore(uint64(i+1), &scaleDisk{})
-		c.zone, c.small, c.config = fmt.Sprint("z", i%3), 1<<60, bulkConfig(1<<40)
+		c := newCore(uint64(i+1), newDisk())
+		c.zone, c.config = fmt.Sprint("z", i%3), bulkConfig(1<<40)
 		g.cores = append(g.cores, c)
 		all = append(all, view.Store{ID: c.self, Name: fmt.Sprint("s", i), Zone: c.zone})
 	}
--- /dev/null
+++ b/internal/batch/segments_test.go
@@ -0,0 +1,183 @@
+package batch
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/record"
+)
+
+// openedLog is a log and what its replay told.
+type openedLog struct {
+	*segmentedLog
+	payloads []string
+	at       []int64
+}
+
+func openSegments(d *disktest.Disk) (o openedLog, err error) {
+	log, err := OpenLog(d, "t.log", func(payload []byte, at int64) error {
+		o.payloads, o.at = append(o.payloads, string(payload)), append(o.at, at)
+		return nil
+	})
+	if err == nil {
+		o.segmentedLog = log.(*segmentedLog)
+	}
+	return o, err
+}
+
+// segmentScript appends three records to each of four segments, and removes the oldest segment twice on the way. It ends
+// at the first error. Appended is all that it has written, durable how much of that is promised, and removed how much of
+// it may be gone.
+func segmentScript(d *disktest.Disk) (appended []string, durable, removed int) {
+	log, err := openSegments(d)
+	if err != nil {
+		return nil, 0, 0
+	}
+	for segment := range 4 {
+		for i := range 3 {
+			p := fmt.Sprintf("record %d of segment %d", i, segment)
+			appended = append(appended, p)
+			at, err := log.Append([]byte(p))
+			if err != nil {
+				return appended, durable, removed
+			}
+			if i == 1 {
+				if log.SyncTo(at) != nil {
+					return appended, durable, removed
+				}
+				durable = len(appended)
+			}
+		}
+		if log.Rotate() != nil {
+			return appended, durable, removed
+		}
+		durable = len(appended)
+		if segment%2 == 1 {
+			removed += 3
+			if log.DropOldest() != nil {
+				return appended, durable, removed
+			}
+		}
+	}
+	_ = log.Close()
+	return appended, durable, removed
+}
+
+// TestSegmentsAfterPowerLoss: whatever a loss of power at any step leaves, what was durable is there and in order, and the
+// log can be appended to and read back.
+func TestSegmentsAfterPowerLoss(t *testing.T) {
+	whole := disktest.New()
+	if _, durable, removed := segmentScript(whole); durable != 12 || removed != 6 {
+		t.Fatalf("without losses: %d durable, %d removed", durable, removed)
+	}
+	for step := 1; step <= whole.Ops+1; step++ {
+		for kept := range 3 {
+			d := disktest.New()
+			d.FailAt, d.Fails = step, 1<<30
+			appended, durable, removed := segmentScript(d)
+			d.FailAt = 0
+			d.PowerLossEach(func(n int) int { return kept * (n - 1) / 2 })
+			log, err := openSegments(d)
+			if err != nil {
+				t.Fatalf("step %d, kept %d: %v", step, kept, err)
+			}
+			n := len(log.payloads)
+			first := 0
+			if n > 0 {
+				first = slices.Index(appended, log.payloads[0])
+			}
+			if first > removed || first < 0 || n == 0 && durable > removed || first+n < durable || !slices.Equal(log.payloads, appended[first:first+n]) {
+				t.Fatalf("step %d, kept %d: %q of %q, %d durable, %d removed", step, kept, log.payloads, appended, durable, removed)
+			}
+			checkUse(t, log)
+		}
+	}
+}
+
+// checkUse reads all records back, appends one and finds it again.
+func checkUse(t *testing.T, log openedLog) {
+	t.Helper()
+	for i, at := range log.at {
+		want := []byte(log.payloads[i])
+		if b, err := log.ReadRaw(at-int64(len(want)), len(want)); err != nil || !bytes.Equal(b, want) {
+			t.Fatalf("read back %q, %v, want %q", b, err, want)
+		}
+	}
+	at, err := log.Append([]byte("again"))
+	if err == nil {
+		err = log.SyncTo(at)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, err := log.ReadRaw(at-5, 5); err != nil || string(b) != "again" {
+		t.Fatalf("read back %q, %v", b, err)
+	}
+}
+
+// TestDamagedSegments: a segment that is missing, cut or changed after it was synced is found, and the log not used.
+func TestDamagedSegments(t *testing.T) {
+	build := func() *disktest.Disk {
+		d := disktest.New()
+		log, err := openSegments(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for segment := range 3 {
+			for i := range 3 {
+				if _, err := log.Append(fmt.Appendf(nil, "record %d of segment %d", i, segment)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if segment < 2 {
+				if err := log.Rotate(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if err := log.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	middle := "t.log.000001"
+	for name, spoil := range map[string]func(d *disktest.Disk){
+		"a missing segment": func(d *disktest.Disk) { _ = d.Remove(middle) },
+		"a cut segment":     func(d *disktest.Disk) { b := d.File(middle); d.Put(middle, b[:len(b)-7]) },
+		"a flipped byte": func(d *disktest.Disk) {
+			b := bytes.Clone(d.File(middle))
+			b[len(b)-3] ^= 1
+			d.Put(middle, b)
+		},
+		"an emptied segment": func(d *disktest.Disk) { b := d.File(middle); d.Put(middle, b[:len(b)/4]) },
+	} {
+		d := build()
+		if log, err := openSegments(d); err != nil || len(log.payloads) != 9 {
+			t.Fatalf("before: %d records, %v", len(log.payloads), err)
+		}
+		spoil(d)
+		if log, err := openSegments(d); !record.Damaged.Has(err) {
+			t.Errorf("%s: %v, %d records", name, err, len(log.payloads))
+		}
+	}
+	// A log of before there were segments is the first one.
+	d := disktest.New()
+	old, err := record.Open(d, "t.log", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := old.Append([]byte("old")); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.Close(); err != nil {
+		t.Fatal(err)
+	}
+	log, err := openSegments(d)
+	if err != nil || !slices.Equal(log.payloads, []string{"old"}) {
+		t.Fatalf("an old log: %q, %v", log.payloads, err)
+	}
+	checkUse(t, log)
+}
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -92,10 +92,14 @@
 		return
 	}
 	j, err := decodeJob(enc, 0)
-	if c.stopping || err != nil || c.room > 0 && c.live+2*int64(len(enc)) > c.room*40/100 {
+	if c.stopping || err != nil {
 		m.Reply([]byte{codeUnavailable})
 		return
 	}
+	if !c.hasRoom(len(enc)) || l.copyFull() {
+		m.Reply([]byte{codeNoRoom})
+		return
+	}
 	in := &incoming{enc: enc, id: id, route: j.route, tokens: j.tokens(), most: j.maxQueued, from: []Caller{m}}
 	if j.maxQueued <= 0 {
 		c.take(p, in)
@@ -652,7 +656,7 @@
 		c.nextWork = c.now + 500
 		c.checkStopping()
 		c.ages()
-		c.compact()
+		c.keepSpace()
 	}
 	for _, p := range c.parts {
 		if p.lead == nil {
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -101,11 +101,12 @@
 
 // simDisk is a disk whose records may be lost until they are synced.
 type simDisk struct {
-	data   []byte
-	recs   []simRec
-	synced int // records
-	base   int64
-	broken bool
+	first   int64    // number of the oldest segment
+	data    [][]byte // of each segment
+	recs    []simRec
+	synced  int   // records
+	dropped int64 // how often the oldest segment was removed
+	broken  bool
 }
 
 type simRec struct {
@@ -117,37 +118,63 @@
 	if d.broken {
 		return 0, errors.New("broken")
 	}
-	at := d.base + int64(len(d.data))
-	d.data = append(d.data, b...)
+	if len(d.data) == 0 {
+		d.data = append(d.data, nil)
+	}
+	last := len(d.data) - 1
+	at := (d.first+int64(last))<<segmentShift | int64(len(d.data[last]))
+	d.data[last] = append(d.data[last], b...)
 	d.recs = append(d.recs, simRec{at, len(b)})
 	return at, nil
 }
 
 func (d *simDisk) ReadRaw(at int64, n int) ([]byte, error) {
-	at -= d.base
-	if at < 0 || at+int64(n) > int64(len(d.data)) {
+	i, from := segmentOf(at)-d.first, at&segmentMask
+	if i < 0 || i >= int64(len(d.data)) || from+int64(n) > int64(len(d.data[i])) {
 		return nil, errors.New("outside")
 	}
-	return slices.Clone(d.data[at : at+int64(n)]), nil
+	return slices.Clone(d.data[i][from : from+int64(n)]), nil
+}
+
+func (d *simDisk) Size() (size int64) {
+	for _, b := range d.data {
+		size += int64(len(b))
+	}
+	return size
 }
 
-func (d *simDisk) Rewrite(fn func(add func([]byte) (int64, error)) error) error {
-	next := &simDisk{base: d.base + int64(len(d.data))}
-	if err := fn(next.Append); err != nil {
-		return err
+func (d *simDisk) NewestSize() int64 {
+	if len(d.data) == 0 {
+		return 0
 	}
-	*d = *next
+	return int64(len(d.data[len(d.data)-1]))
+}
+
+func (d *simDisk) Oldest() (int64, bool) { return d.first, len(d.data) > 1 }
+
+func (d *simDisk) Rotate() error {
 	d.synced = len(d.recs)
+	d.data = append(d.data, nil)
 	return nil
 }
 
-func (d *simDisk) Size() int64 { return int64(len(d.data)) }
+func (d *simDisk) DropOldest() error {
+	d.data = d.data[1:]
+	d.first++
+	d.recs = slices.DeleteFunc(d.recs, func(r simRec) bool { return segmentOf(r.at) < d.first })
+	d.synced = len(d.recs)
+	d.dropped++
+	return nil
+}
 
 // powerLoss leaves what was synced, and some of what came after.
 func (d *simDisk) powerLoss(pick func(int) int) {
 	n := d.synced + pick(len(d.recs)-d.synced+1)
 	if n < len(d.recs) {
-		d.data = d.data[:d.recs[n].at-d.base]
+		at := d.recs[n].at
+		i := segmentOf(at) - d.first
+		d.data = d.data[:i+1]
+		d.data[i] = d.data[i][:at&segmentMask]
 		d.recs = d.recs[:n]
 	}
 	d.synced = n
@@ -273,7 +300,7 @@
 	}
 	s.synced = true
 	n, recs, life, disk := s.core.appended, len(s.disk.recs), s.life, s.disk
-	base := disk.base
+	dropped := disk.dropped
 	most := 4.0
 	if s.w.slowSync {
 		most = 60
@@ -283,7 +310,7 @@
 			return
 		}
 		s.synced = false
-		if disk.base == base {
+		if disk.dropped == dropped {
 			disk.synced = max(disk.synced, recs)
 		}
 		s.do(life, func() { s.core.synced(n); s.core.dispatch() })
@@ -299,12 +326,16 @@
 	life := s.life
 	c := newCore(0, s.disk)
 	c.most, c.zone, c.wrong = w.f, s.zone, w.wrong
-	c.keep, c.small = 1<<40, 3000
+	c.keep, c.segmentSize = 1<<40, 1500
 	if w.trace != nil {
 		c.logf = func(f string, a ...any) { w.say(s.name+": "+f, a...) }
 	}
 	for _, r := range s.disk.recs {
-		if err := c.replay(s.disk.data[r.at-s.disk.base:][:r.n], r.at); err != nil {
+		b, err := s.disk.ReadRaw(r.at, r.n)
+		if err != nil {
+			w.fault("%s: reading record %d: %v", s.name, r.at, err)
+		}
+		if err := c.replay(b, r.at); err != nil {
 			w.fault("%s: replay: %v", s.name, err)
 		}
 	}
--- /dev/null
+++ b/internal/batch/steady_test.go
@@ -0,0 +1,172 @@
+package batch
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"dunetide/internal/link"
+)
+
+// boundedDisk is a simDisk that never holds more than its size.
+type boundedDisk struct {
+	*simDisk
+	bytes int64
+	most  int64 // ever held
+	moved int64 // appended
+}
+
+func (d *boundedDisk) Append(b []byte) (int64, error) {
+	if d.Size()+int64(len(b)) > d.bytes {
+		return 0, errors.New("no space left on device")
+	}
+	d.moved += int64(len(b))
+	at, err := d.simDisk.Append(b)
+	d.most = max(d.most, d.Size())
+	return at, err
+}
+
+const (
+	steadyDisk    = 1_400_000 // bytes of a store: a hundredth of the smallest that is known
+	steadyItems   = 3
+	steadyBody    = 210 // of an item: 960 bytes a job, with what else there is
+	steadyText    = 900 // of an item: 2,700 bytes a job
+	steadyEveryMs = 240 // 4.2 jobs a second
+)
+
+// newSteadyRig has nine stores with small disks.
+func newSteadyRig(t *testing.T) (*scaleRig, []*boundedDisk) {
+	scaleBody, scaleText = bytes.Repeat([]byte("b"), steadyBody), bytes.Repeat([]byte("t"), steadyText)
+	t.Cleanup(func() { scaleBody, scaleText = bytes.Repeat([]byte("b"), 1000), bytes.Repeat([]byte("t"), 500) })
+	var disks []*boundedDisk
+	g := newScaleRigOn(9, 8, 4, 100, func() disk {
+		d := &boundedDisk{simDisk: &simDisk{}, bytes: steadyDisk}
+		disks = append(disks, d)
+		return d
+	})
+	for _, c := range g.cores {
+		c.room = steadyDisk * 85 / 100
+		c.segmentSize = c.room / segmentsInRoom
+		c.fail = func(err error) { t.Errorf("store %d: %v", c.self, err) }
+	}
+	return g, disks
+}
+
+// hand hands a job in and returns the code of its answer.
+func (g *scaleRig) hand(id string, items int) (code uint8) {
+	c := g.cores[g.cores[0].table.Parts[g.cores[0].table.PartOf(id)].Primary-1]
+	g.clock()
+	c.message(nil, replied(func(b []byte) { code = b[0] }), kAccept, scaleLot(id, items, g.now/1000))
+	for range 20 {
+		g.settle()
+		if code != 0 {
+			return code
+		}
+		g.now += 25_000
+	}
+	return code
+}
+
+// step lets a ms pass, in which items end at the rig's pace.
+func (g *scaleRig) step(ms int64) {
+	for range ms / 10 {
+		g.now += 10_000
+		for n := 10_000 / g.pace; n > 0 && len(g.running) > 0; n-- {
+			f := g.running[0]
+			g.running = g.running[1:]
+			f()
+		}
+		g.settle()
+	}
+}
+
+// TestTenSteadyMinutes: at a steady rate the stores take all jobs for ten minutes, and their disks hold what must stay.
+func TestTenSteadyMinutes(t *testing.T) {
+	g, disks := newSteadyRig(t)
+	jobs, begin := 0, g.now
+	for g.now-begin < 600e6 {
+		jobs++
+		if code := g.hand(fmt.Sprint("job-", jobs), steadyItems); code != codeOK {
+			t.Fatalf("job %d, after %d s: code %d", jobs, (g.now-begin)/1e6, code)
+		}
+		g.step(steadyEveryMs)
+		if jobs%500 == 0 {
+			g.checkReadable(t, fmt.Sprint("job-", jobs-400), steadyItems)
+		}
+	}
+	for i, d := range disks {
+		if d.dropped == 0 || d.most > steadyDisk*85/100 {
+			t.Errorf("store %d held %d bytes at most, and gave %d segments back", i+1, d.most, d.dropped)
+		}
+		if jobs := g.cores[i].live; d.moved > 3*jobs*600/123 {
+			t.Errorf("store %d appended %d bytes, while %d bytes of jobs stayed", i+1, d.moved, jobs)
+		}
+	}
+	t.Logf("%d jobs, the fullest disk held %d of %d bytes", jobs, fullest(disks), steadyDisk)
+}
+
+func fullest(disks []*boundedDisk) (most int64) {
+	for _, d := range disks {
+		most = max(most, d.most)
+	}
+	return most
+}
+
+// checkReadable reads a job whole.
+func (g *scaleRig) checkReadable(t *testing.T, id string, items int) {
+	t.Helper()
+	c := g.cores[g.cores[0].table.Parts[g.cores[0].table.PartOf(id)].Primary-1]
+	var b link.Writer
+	b.String(id)
+	b.Int(0)
+	b.Int(0)
+	var answer []byte
+	c.message(nil, replied(func(b []byte) { answer = bytes.Clone(b) }), kRead, b.B)
+	for range 5 {
+		g.settle()
+	}
+	r := link.Reader{B: answer}
+	if code, total, n := r.U8(), int(r.U32()), r.Count(9); code != codeOK || total != items || n != items {
+		t.Fatalf("%s: code %d, %d of %d results", id, code, n, total)
+	}
+}
+
+// TestFullStores: at three times the rate that the disks bear, jobs are refused at once and as such, no disk runs full, and
+// what was taken is read whole; at the old rate all are taken again.
+func TestFullStores(t *testing.T) {
+	g, disks := newSteadyRig(t)
+	codes := map[uint8]int{}
+	taken, jobs := "", 0
+	for begin := g.now; g.now-begin < 300e6; {
+		jobs++
+		at := g.now
+		code := g.hand(fmt.Sprint("job-", jobs), steadyItems)
+		codes[code]++
+		switch code {
+		case codeOK:
+			taken = fmt.Sprint("job-", jobs)
+		case codeNoRoom:
+			if g.now-at > 100_000 {
+				t.Fatalf("job %d was refused after %d ms", jobs, (g.now-at)/1000)
+			}
+		default:
+			t.Fatalf("job %d: code %d", jobs, code)
+		}
+		g.step(steadyEveryMs / 3)
+	}
+	if codes[codeNoRoom] == 0 || codes[codeOK] < 300*1000/steadyEveryMs {
+		t.Errorf("answers: %v", codes)
+	}
+	g.step(20_000)
+	g.checkReadable(t, taken, steadyItems)
+	t.Logf("answers %v, the fullest disk held %d of %d bytes", codes, fullest(disks), steadyDisk)
+	g.step(130_000)
+	for range 200 {
+		jobs++
+		if code := g.hand(fmt.Sprint("job-", jobs), steadyItems); code != codeOK {
+			t.Fatalf("job %d, at the old rate: code %d", jobs, code)
+		}
+		g.step(steadyEveryMs)
+	}
+}
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -10,17 +10,16 @@
 
 	"dunetide/internal/journal"
 	"dunetide/internal/link"
-	"dunetide/internal/record"
 	"dunetide/internal/view"
 )
 
-// Log is where a store keeps what it has: internal/record's. Here at is the position after a record.
+// Log is where a store keeps what it has: OpenLog's. Here at is the position after a record.
 type Log interface {
 	Append(payload []byte) (at int64, err error)
 	// ReadRaw reads bytes inside a payload, unchecked: at is the place of the first of them.
 	ReadRaw(at int64, n int) ([]byte, error)
-	Rewrite(func(add func([]byte) (int64, error)) error) error
 	Size() int64
+	segmented
 	// SyncTo returns when all up to a position is durable.
 	SyncTo(at int64) error
 }
@@ -42,7 +41,7 @@
 	// AnnounceStopping is called, again and again, while the table does not say whether this store is about to stop:
 	// SetStopping belongs into the register. It must not block.
 	AnnounceStopping func(store uint64, stopping bool)
-	Logf  func(format string, args ...any)
+	Logf             func(format string, args ...any)
 }
 
 // handOverPoll is how often a store that stops looks whether others lead its parts.
@@ -90,19 +89,10 @@
 	return at, err
 }
 
-func (n noting) Rewrite(write func(add func([]byte) (int64, error)) error) error {
-	return n.Log.Rewrite(func(add func([]byte) (int64, error)) error {
-		return write(func(b []byte) (int64, error) {
-			at, err := add(b)
-			return at - int64(len(b)), err
-		})
-	})
-}
-
 // OpenIn opens the log of a store in a folder.
 func OpenIn(folder journal.Folder) func(replay func(payload []byte, at int64) error) (Log, error) {
 	return func(replay func(payload []byte, at int64) error) (Log, error) {
-		return record.Open(folder, "lots.log", replay)
+		return OpenLog(folder, "lots.log", replay)
 	}
 }
 
