--- a/internal/forward/item.go
+++ b/internal/forward/item.go
@@ -78,7 +78,7 @@
 	for name, value := range it.Header {
 		header.Set(name, strings.TrimSpace(value))
 	}
-	header.Set(headID, it.ID)
+	header.Set(headerID, it.ID)
 	x := &exchange{p: p, ctx: ctx, method: http.MethodPost, last: lastEventID, body: it.Body}
 	x.describe(it.Route, header.Get)
 	x.req.Bulk, x.req.Arrived = true, p.o.Now()
@@ -94,7 +94,7 @@
 		putBuffer(streamBuffer)
 	}()
 	x.head, x.stream.buf = *headBuffer, *streamBuffer
-	x.layOutHead(it.Path, it.Host, header, len(it.Body))
+	x.buildHead(it.Path, it.Host, header, len(it.Body))
 	return x.runItem(it, event)
 }
 
@@ -116,7 +116,7 @@
 			return Result{ItemNotRun, errors.Join(context.Cause(x.ctx), x.err)}
 		case attempt.Forward:
 			if e == attempt.Failed {
-				x.finishDrained(dispatch.Failed)
+				x.drainAndFinish(dispatch.Failed)
 				return Result{ItemFailed, nil}
 			}
 			return x.itemAnswer(event)
@@ -135,13 +135,13 @@
 	status := x.resp.StatusCode
 	switch {
 	case status == http.StatusUnprocessableEntity:
-		x.finishDrained(dispatch.Served)
+		x.drainAndFinish(dispatch.Served)
 		return Result{State: ItemNever}
-	case status == http.StatusBadRequest && x.resp.Header.Get(headNotRun) != "":
-		x.finishDrained(dispatch.NotRun)
+	case status == http.StatusBadRequest && x.resp.Header.Get(headerNotRun) != "":
+		x.drainAndFinish(dispatch.NotRun)
 		return Result{ItemNotRun, errNotAnItem}
 	case status >= 300:
-		x.finishDrained(dispatch.Failed)
+		x.drainAndFinish(dispatch.Failed)
 		return Result{ItemBroken, fmt.Errorf("the endpoint answered %d", status)}
 	}
 	stream := isStream(x.resp.Header)
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -26,11 +26,11 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// placeWait is how long a call waits for a connection where there may be no more of them: another
+	// connWait is how long a call waits for a connection where there may be no more of them: another
 	// endpoint may have one to spare.
-	placeWait = 100 * time.Millisecond
-	// deadLink is how long bytes may stay unacknowledged before a link counts as dead.
-	deadLink = 2 * time.Second
+	connWait = 100 * time.Millisecond
+	// deadLinkTimeout is how long bytes may stay unacknowledged before a link counts as dead.
+	deadLinkTimeout = 2 * time.Second
 	// idleLimit is the longest that a connection to an endpoint stands idle.
 	idleLimit = 20 * time.Second
 	// growthShare is how many senders are taken to share an endpoint, where a pool tries to grow.
@@ -113,7 +113,7 @@
 	}
 	p := &Proxy{o: o, pools: map[string]pool{}}
 	p.conns = upstream.New(upstream.Config{Dial: o.Dial, Now: o.Now, Rand: o.Rand, Senders: growthShare,
-		MaxOpen: o.MaxOpen, IdleLimit: idleLimit, DialTimeout: dialTimeout, Wait: placeWait})
+		MaxOpen: o.MaxOpen, IdleLimit: idleLimit, DialTimeout: dialTimeout, Wait: connWait})
 	p.server = &http.Server{
 		Handler:           p,
 		ConnContext:       withClientConn,
@@ -133,7 +133,7 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(fd uintptr) {
 				// Without it a cut is found later, which is no reason not to connect.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadLink.Milliseconds()))
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadLinkTimeout.Milliseconds()))
 			})
 		},
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -20,10 +20,10 @@
 	bodyWait = 30 * time.Second
 	// defaultBody bounds a body where the configuration doesn't.
 	defaultBody = 16 << 20
-	// soon is when to come back where nothing better is known.
-	soon = 100 * time.Millisecond
-	// lateWrite is how long after the deadline a client may still take its answer.
-	lateWrite = 150 * time.Millisecond
+	// defaultRetryAfter is when to come back where nothing better is known.
+	defaultRetryAfter = 100 * time.Millisecond
+	// writeMargin is how long after the deadline a client may still take its answer.
+	writeMargin = 150 * time.Millisecond
 )
 
 // ServeHTTP answers a client.
@@ -47,7 +47,7 @@
 	}
 	s := p.o.Holder.Get()
 	if s == nil || s.Config == nil {
-		p.answer(w, r, http.StatusServiceUnavailable, 3*soon)
+		p.answer(w, r, http.StatusServiceUnavailable, 3*defaultRetryAfter)
 		return
 	}
 	route := p.o.Match(s.Config, r.Host, path)
@@ -73,16 +73,16 @@
 	x := &exchange{p: p, ctx: r.Context(), method: r.Method}
 	x.describe(route, r.Header.Get)
 	aim := time.Duration(route.TimeoutMs) * time.Millisecond
-	if ms, err := strconv.ParseInt(r.Header.Get(headTimeLeft), 10, 64); err == nil && ms >= 0 && ms < aim.Milliseconds() {
+	if ms, err := strconv.ParseInt(r.Header.Get(headerTimeLeft), 10, 64); err == nil && ms >= 0 && ms < aim.Milliseconds() {
 		aim = time.Duration(ms) * time.Millisecond
 	}
-	x.deadline = arrived.Add(aim - min(ownAnswer, aim/8))
+	x.deadline = arrived.Add(aim - min(answerMargin, aim/8))
 	x.req.Arrived, x.req.Deadline = arrived, x.deadline
 	x.req.Due = arrived.Add(time.Duration(route.TargetMs) * time.Millisecond)
-	x.last = r.Header.Get(headLast)
+	x.last = r.Header.Get(headerLastEvent)
 
 	rc := http.NewResponseController(w)
-	_ = rc.SetWriteDeadline(arrived.Add(aim + lateWrite)) // a client that doesn't read holds nothing up for longer
+	_ = rc.SetWriteDeadline(arrived.Add(aim + writeMargin)) // a client that doesn't read holds nothing up for longer
 	bodyBuffer, headBuffer, streamBuffer := getBuffer(), getBuffer(), getBuffer()
 	defer func() {
 		x.finish(dispatch.Left, upstream.GaveUp) // where the handler was left early
@@ -100,7 +100,7 @@
 		}
 		x.body = *bodyBuffer
 	}
-	x.layOutHead(target, r.Host, r.Header, len(x.body))
+	x.buildHead(target, r.Host, r.Header, len(x.body))
 	if limits.MaxHeaderBytes > 0 && x.base > limits.MaxHeaderBytes+256 { // some is laid out otherwise than it came
 		p.answer(w, r, http.StatusRequestHeaderFieldsTooLarge, 0)
 		return
@@ -114,7 +114,7 @@
 	switch {
 	case !r.ProtoAtLeast(1, 1): // a stream that is cut would look complete
 		return http.StatusHTTPVersionNotSupported
-	case len(r.Header[headID]) != 1 || r.Header[headID][0] == "":
+	case len(r.Header[headerID]) != 1 || r.Header[headerID][0] == "":
 		return http.StatusBadRequest
 	}
 	return 0
@@ -138,7 +138,7 @@
 		switch v {
 		case attempt.Retry:
 			if e == attempt.Failed {
-				x.finishDrained(dispatch.Failed)
+				x.drainAndFinish(dispatch.Failed)
 			}
 			if x.headed {
 				x.last = x.stream.lastID
@@ -147,16 +147,16 @@
 			continue
 		case attempt.Refuse:
 			if x.reason != "" {
-				w.Header().Set(headReason, x.reason)
+				w.Header().Set(headerReason, x.reason)
 			}
-			p.answer(w, r, http.StatusServiceUnavailable, x.comeBack())
+			p.answer(w, r, http.StatusServiceUnavailable, x.retryAfterHint())
 		case attempt.BadGateway:
 			p.answer(w, r, http.StatusBadGateway, 0)
 		case attempt.GatewayTimeout:
 			p.answer(w, r, http.StatusGatewayTimeout, 0)
 		case attempt.Abort:
 			if e == attempt.Failed {
-				x.finishDrained(dispatch.Failed)
+				x.drainAndFinish(dispatch.Failed)
 			}
 			panic(http.ErrAbortHandler)
 		case attempt.Done, attempt.Forward:
@@ -165,11 +165,11 @@
 	}
 }
 
-// comeBack is when a client that is refused should come back: in a third of its time at most.
-func (x *exchange) comeBack() time.Duration {
+// retryAfterHint is when a client that is refused should come back: in a third of its time at most.
+func (x *exchange) retryAfterHint() time.Duration {
 	d := x.retryAfter
 	if d <= 0 {
-		d = soon
+		d = defaultRetryAfter
 	}
 	return max(time.Millisecond, min(d, x.left()/3))
 }
@@ -187,8 +187,8 @@
 	p.sayClose(h)
 	h["Date"], h["Content-Type"] = nil, nil
 	h.Set("Content-Length", "0")
-	if id := r.Header.Get(headID); id != "" {
-		h[headID] = []string{id}
+	if id := r.Header.Get(headerID); id != "" {
+		h[headerID] = []string{id}
 	}
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
@@ -213,7 +213,7 @@
 	_ = rc.SetReadDeadline(wait)
 	b := *into
 	if n := int(r.ContentLength); n >= cap(b) {
-		b = make([]byte, 0, min(n+1, atOnce)) // what is only announced takes no more
+		b = make([]byte, 0, min(n+1, maxBuffered)) // what is only announced takes no more
 	}
 	defer func() { *into = b }()
 	for {
@@ -247,7 +247,7 @@
 		case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
 			continue
 		}
-		if !drop(name) || name == headID || name == headSeal {
+		if !drop(name) || name == headerID || name == headerSeal {
 			h[name] = values
 		}
 	}
@@ -276,12 +276,12 @@
 	return x.passBody(w, outcome)
 }
 
-// passBody passes on an answer that is no stream. Up to atOnce bytes are read before anything is passed on, so that an answer that
+// passBody passes on an answer that is no stream. Up to maxBuffered bytes are read before anything is passed on, so that an answer that
 // breaks off there may still be replaced.
 func (x *exchange) passBody(w http.ResponseWriter, outcome dispatch.Outcome) attempt.Event {
 	length := x.resp.ContentLength
 	b := x.stream.buf[:0]
-	if length >= int64(cap(b)) && length <= atOnce {
+	if length >= int64(cap(b)) && length <= maxBuffered {
 		b = make([]byte, 0, length+1)
 	}
 	defer func() { x.stream.buf = b }()
@@ -297,7 +297,7 @@
 		if len(b) < cap(b) {
 			continue
 		}
-		if len(b) < atOnce {
+		if len(b) < maxBuffered {
 			b = append(b, 0)[:len(b)]
 			continue
 		}
@@ -375,7 +375,7 @@
 	s := &x.stream
 	for {
 		if len(s.buf) == cap(s.buf) {
-			if len(s.buf) > longestEvent {
+			if len(s.buf) > maxEvent {
 				return x.cut(errTooLong)
 			}
 			s.buf = append(s.buf, 0)[:len(s.buf)]
