--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -15,10 +15,9 @@
 	return all
 }
 
-// Every pair of a state and an event. A line names the verdict for a request that has everything,
+// verdicts has every pair of a state and an event. A line names the verdict for a request that has everything,
 // then what is missing where that changes it.
-func TestEveryStateAndEvent(t *testing.T) {
-	const table = `
+const verdicts = `
 not-sent refused        -> refuse
 not-sent deadline       -> refuse
 not-sent client-gone    -> abort
@@ -64,7 +63,9 @@
 ended body-cut          -> done
 ended body-complete     -> done
 `
-	lines := strings.Split(strings.TrimSpace(table), "\n")
+
+func TestEveryStateAndEvent(t *testing.T) {
+	lines := strings.Split(strings.TrimSpace(verdicts), "\n")
 	n := 0
 	for s := NotSent; s <= Ended; s++ {
 		for e := Refused; e <= BodyComplete; e++ {
@@ -76,10 +77,10 @@
 			if got := strings.Fields(pair); got[0] != s.String() || got[1] != e.String() {
 				t.Fatalf("%q where %v %v is due", pair, s, e)
 			}
-			verdicts := strings.Split(rest, ";")
+			alternatives := strings.Split(rest, ";")
 			for _, h := range allConditions() {
-				want := strings.TrimSpace(verdicts[0])
-				for _, v := range verdicts[1:] {
+				want := strings.TrimSpace(alternatives[0])
+				for _, v := range alternatives[1:] {
 					missing, other, _ := strings.Cut(strings.TrimSpace(v), ": ")
 					if map[string]bool{"may run once": !h.Idempotent, "not resumable": !h.Resumable, "no tries": !h.TriesLeft, "no turns": !h.TurnsLeft}[missing] {
 						want = other
--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -173,6 +173,31 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// newForgetfulEndpoint answers the first request on each connection. At the next byte it resets the connection; or, if it is to
+// read, after the next request.
+func newForgetfulEndpoint(t *testing.T, read bool) *endpoint {
+	return newRawEndpoint(t, "forgetful", func(conn *net.TCPConn) {
+		br := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			if n == 1 && !read {
+				_, _ = br.ReadByte()
+				_ = conn.SetLinger(0)
+				return
+			}
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if n == 1 {
+				_ = conn.SetLinger(0)
+				return
+			}
+			write(conn, answerOf(r.Header.Get(headerID), sealed, "first"))
+		}
+	})
+}
+
 // An endpoint that has forgotten an idle connection resets it at the next byte: what may run only once goes to another endpoint,
 // as its end was not sent yet. One that resets after the last byte may have run it: then it goes nowhere.
 func TestForgottenConnection(t *testing.T) {
@@ -192,26 +217,7 @@
 		"read, idempotent": {operator.ReadOnly, "body", "POST", true, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
-			forgetful := newRawEndpoint(t, "forgetful", func(conn *net.TCPConn) {
-				br := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					if n == 1 && !c.read {
-						_, _ = br.ReadByte()
-						_ = conn.SetLinger(0)
-						return
-					}
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					if n == 1 {
-						_ = conn.SetLinger(0)
-						return
-					}
-					write(conn, answerOf(r.Header.Get(headerID), sealed, "first"))
-				}
-			})
+			forgetful := newForgetfulEndpoint(t, c.read)
 			good := newEndpoint(t, "good", says(sealed, "fine"))
 			var later atomic.Int64
 			g := newRigWith(t, route(c.kind, 2), func(o *Options) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -373,44 +373,47 @@
 	}
 }
 
-// What each kind of answer of the first endpoint comes to, for requests that may run once only and
+var wholeAnswer = answerOf("id1", sealed, "ok")
+
+// endpointAnswers tells what each kind of answer of the first endpoint comes to, for requests that may run once only and
 // for those that may run again. The second endpoint serves.
+var endpointAnswers = map[string]struct {
+	bytes        string
+	writes, read int // the status that the client gets; 0: none
+	outcome      dispatch.Outcome
+}{
+	"whole":            {wholeAnswer, 200, 200, dispatch.Served},
+	"interim":          {"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + wholeAnswer, 200, 200, dispatch.Served},
+	"surplus before":   {answerOf("id0", sealed, "other") + wholeAnswer, 200, 200, dispatch.Served},
+	"surplus only":     {answerOf("id0", sealed, "other"), 502, 200, dispatch.Broken},
+	"four surplus":     {strings.Repeat(answerOf("id0", sealed, "other"), 4) + wholeAnswer, 502, 200, dispatch.Broken},
+	"no id":            {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok", 502, 200, dispatch.Broken},
+	"not run, not our": {answerOf("id0", "503 X|X-Dunetide-Not-Run: 1", ""), 502, 200, dispatch.Broken},
+	"no seal":          {answerOf("id1", "200 OK", "ok"), 502, 200, dispatch.Broken},
+	"encoded":          {answerOf("id1", sealed+"|Content-Encoding: gzip", "ok"), 502, 200, dispatch.Broken},
+	"no end":           {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\n\r\nok", 502, 200, dispatch.Broken},
+	"not http":         {"what?\r\n\r\n", 502, 200, dispatch.Broken},
+	"nothing":          {"", 502, 200, dispatch.Broken},
+	"503 not run":      {answerOf("id1", "503 X|X-Dunetide-Not-Run: full", ""), 200, 200, dispatch.NotRun},
+	"429 not run":      {answerOf("id1", "429 X|X-Dunetide-Not-Run: 1", "x"), 200, 200, dispatch.NotRun},
+	"421":              {answerOf("id1", "421 X", ""), 200, 200, dispatch.WrongOne},
+	"503":              {answerOf("id1", "503 X", ""), 502, 200, dispatch.Failed},
+	"429":              {answerOf("id1", "429 X", ""), 502, 200, dispatch.Failed},
+	"408":              {answerOf("id1", "408 X", ""), 502, 200, dispatch.Failed},
+	"500":              {answerOf("id1", "500 X", "sorry"), 500, 200, dispatch.Failed},
+	"500 not run":      {answerOf("id1", "500 X|X-Dunetide-Not-Run: 1", "sorry"), 500, 200, dispatch.Failed},
+	"504 not run":      {answerOf("id1", "504 X|X-Dunetide-Not-Run: 1", ""), 504, 504, dispatch.Failed},
+	"200 not run":      {answerOf("id1", sealed+"|X-Dunetide-Not-Run: 1", "x"), 502, 200, dispatch.Broken},
+	"two ids":          {answerOf("id1", sealed+"|X-Dunetide-Request-Id: id0", "ok"), 502, 200, dispatch.Broken},
+	"504":              {answerOf("id1", "504 X", ""), 504, 504, dispatch.Failed},
+	"422":              {answerOf("id1", "422 X", "no"), 422, 422, dispatch.Served},
+	"400 not run":      {answerOf("id1", "400 X|X-Dunetide-Not-Run: 1", "no"), 400, 400, dispatch.Served},
+	"204":              {"HTTP/1.1 204 X\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\n\r\n", 204, 204, dispatch.Served},
+	"chunked":          {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked("o", "k", ""), 200, 200, dispatch.Served},
+}
+
 func TestAnswersOfAnEndpoint(t *testing.T) {
-	whole := answerOf("id1", sealed, "ok")
-	for name, c := range map[string]struct {
-		bytes        string
-		writes, read int // the status that the client gets; 0: none
-		outcome      dispatch.Outcome
-	}{
-		"whole":            {whole, 200, 200, dispatch.Served},
-		"interim":          {"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + whole, 200, 200, dispatch.Served},
-		"surplus before":   {answerOf("id0", sealed, "other") + whole, 200, 200, dispatch.Served},
-		"surplus only":     {answerOf("id0", sealed, "other"), 502, 200, dispatch.Broken},
-		"four surplus":     {strings.Repeat(answerOf("id0", sealed, "other"), 4) + whole, 502, 200, dispatch.Broken},
-		"no id":            {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok", 502, 200, dispatch.Broken},
-		"not run, not our": {answerOf("id0", "503 X|X-Dunetide-Not-Run: 1", ""), 502, 200, dispatch.Broken},
-		"no seal":          {answerOf("id1", "200 OK", "ok"), 502, 200, dispatch.Broken},
-		"encoded":          {answerOf("id1", sealed+"|Content-Encoding: gzip", "ok"), 502, 200, dispatch.Broken},
-		"no end":           {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\n\r\nok", 502, 200, dispatch.Broken},
-		"not http":         {"what?\r\n\r\n", 502, 200, dispatch.Broken},
-		"nothing":          {"", 502, 200, dispatch.Broken},
-		"503 not run":      {answerOf("id1", "503 X|X-Dunetide-Not-Run: full", ""), 200, 200, dispatch.NotRun},
-		"429 not run":      {answerOf("id1", "429 X|X-Dunetide-Not-Run: 1", "x"), 200, 200, dispatch.NotRun},
-		"421":              {answerOf("id1", "421 X", ""), 200, 200, dispatch.WrongOne},
-		"503":              {answerOf("id1", "503 X", ""), 502, 200, dispatch.Failed},
-		"429":              {answerOf("id1", "429 X", ""), 502, 200, dispatch.Failed},
-		"408":              {answerOf("id1", "408 X", ""), 502, 200, dispatch.Failed},
-		"500":              {answerOf("id1", "500 X", "sorry"), 500, 200, dispatch.Failed},
-		"500 not run":      {answerOf("id1", "500 X|X-Dunetide-Not-Run: 1", "sorry"), 500, 200, dispatch.Failed},
-		"504 not run":      {answerOf("id1", "504 X|X-Dunetide-Not-Run: 1", ""), 504, 504, dispatch.Failed},
-		"200 not run":      {answerOf("id1", sealed+"|X-Dunetide-Not-Run: 1", "x"), 502, 200, dispatch.Broken},
-		"two ids":          {answerOf("id1", sealed+"|X-Dunetide-Request-Id: id0", "ok"), 502, 200, dispatch.Broken},
-		"504":              {answerOf("id1", "504 X", ""), 504, 504, dispatch.Failed},
-		"422":              {answerOf("id1", "422 X", "no"), 422, 422, dispatch.Served},
-		"400 not run":      {answerOf("id1", "400 X|X-Dunetide-Not-Run: 1", "no"), 400, 400, dispatch.Served},
-		"204":              {"HTTP/1.1 204 X\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\n\r\n", 204, 204, dispatch.Served},
-		"chunked":          {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked("o", "k", ""), 200, 200, dispatch.Served},
-	} {
+	for name, c := range endpointAnswers {
 		for kind, status := range map[operator.Kind]int{operator.Writes: c.writes, operator.ReadOnly: c.read} {
 			t.Run(fmt.Sprintf("%s/%d", name, kind), func(t *testing.T) {
 				bad := newEndpoint(t, "bad", func(conn net.Conn, _ call) bool {
