--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -111,7 +111,7 @@
 // says answers with a head and a length. Lines are parted by "|".
 func says(lines, body string) func(net.Conn, call) bool {
 	return func(c net.Conn, r call) bool {
-		_, err := io.WriteString(c, answerOf(r.Header.Get(headID), lines, body))
+		_, err := io.WriteString(c, answerOf(r.Header.Get(headerID), lines, body))
 		return err == nil
 	}
 }
@@ -357,10 +357,10 @@
 	if !slices.Equal(names, want) {
 		t.Errorf("headers %v, want %v", names, want)
 	}
-	if left := atoi(r.Header.Get(headTimeLeft)); left < 3000 || left >= 4000 {
+	if left := atoi(r.Header.Get(headerTimeLeft)); left < 3000 || left >= 4000 {
 		t.Errorf("%d ms left", left)
 	}
-	if r.Header.Get(headTarget) != "e1" || len(r.Header["X-Mine"]) != 2 || r.Header.Get(headLast) != "4" {
+	if r.Header.Get(headerTarget) != "e1" || len(r.Header["X-Mine"]) != 2 || r.Header.Get(headerLastEvent) != "4" {
 		t.Errorf("%v", r.Header)
 	}
 	q := g.a.asked[0]
@@ -373,44 +373,47 @@
 	}
 }
 
-// What each kind of answer of the first endpoint comes to, for requests that may run once only and
+var wholeAnswer = answerOf("id1", sealed, "ok")
+
+// endpointAnswers tells what each kind of answer of the first endpoint comes to, for requests that may run once only and
 // for those that may run again. The second endpoint serves.
+var endpointAnswers = map[string]struct {
+	bytes        string
+	writes, read int // the status that the client gets; 0: none
+	outcome      dispatch.Outcome
+}{
+	"whole":            {wholeAnswer, 200, 200, dispatch.Served},
+	"interim":          {"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + wholeAnswer, 200, 200, dispatch.Served},
+	"surplus before":   {answerOf("id0", sealed, "other") + wholeAnswer, 200, 200, dispatch.Served},
+	"surplus only":     {answerOf("id0", sealed, "other"), 502, 200, dispatch.Broken},
+	"four surplus":     {strings.Repeat(answerOf("id0", sealed, "other"), 4) + wholeAnswer, 502, 200, dispatch.Broken},
+	"no id":            {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok", 502, 200, dispatch.Broken},
+	"not run, not our": {answerOf("id0", "503 X|X-Dunetide-Not-Run: 1", ""), 502, 200, dispatch.Broken},
+	"no seal":          {answerOf("id1", "200 OK", "ok"), 502, 200, dispatch.Broken},
+	"encoded":          {answerOf("id1", sealed+"|Content-Encoding: gzip", "ok"), 502, 200, dispatch.Broken},
+	"no end":           {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\n\r\nok", 502, 200, dispatch.Broken},
+	"not http":         {"what?\r\n\r\n", 502, 200, dispatch.Broken},
+	"nothing":          {"", 502, 200, dispatch.Broken},
+	"503 not run":      {answerOf("id1", "503 X|X-Dunetide-Not-Run: full", ""), 200, 200, dispatch.NotRun},
+	"429 not run":      {answerOf("id1", "429 X|X-Dunetide-Not-Run: 1", "x"), 200, 200, dispatch.NotRun},
+	"421":              {answerOf("id1", "421 X", ""), 200, 200, dispatch.WrongOne},
+	"503":              {answerOf("id1", "503 X", ""), 502, 200, dispatch.Failed},
+	"429":              {answerOf("id1", "429 X", ""), 502, 200, dispatch.Failed},
+	"408":              {answerOf("id1", "408 X", ""), 502, 200, dispatch.Failed},
+	"500":              {answerOf("id1", "500 X", "sorry"), 500, 200, dispatch.Failed},
+	"500 not run":      {answerOf("id1", "500 X|X-Dunetide-Not-Run: 1", "sorry"), 500, 200, dispatch.Failed},
+	"504 not run":      {answerOf("id1", "504 X|X-Dunetide-Not-Run: 1", ""), 504, 504, dispatch.Failed},
+	"200 not run":      {answerOf("id1", sealed+"|X-Dunetide-Not-Run: 1", "x"), 502, 200, dispatch.Broken},
+	"two ids":          {answerOf("id1", sealed+"|X-Dunetide-Request-Id: id0", "ok"), 502, 200, dispatch.Broken},
+	"504":              {answerOf("id1", "504 X", ""), 504, 504, dispatch.Failed},
+	"422":              {answerOf("id1", "422 X", "no"), 422, 422, dispatch.Served},
+	"400 not run":      {answerOf("id1", "400 X|X-Dunetide-Not-Run: 1", "no"), 400, 400, dispatch.Served},
+	"204":              {"HTTP/1.1 204 X\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\n\r\n", 204, 204, dispatch.Served},
+	"chunked":          {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked("o", "k", ""), 200, 200, dispatch.Served},
+}
+
 func TestAnswersOfAnEndpoint(t *testing.T) {
-	whole := answerOf("id1", sealed, "ok")
-	for name, c := range map[string]struct {
-		bytes        string
-		writes, read int // the status that the client gets; 0: none
-		outcome      dispatch.Outcome
-	}{
-		"whole":            {whole, 200, 200, dispatch.Served},
-		"interim":          {"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + whole, 200, 200, dispatch.Served},
-		"surplus before":   {answerOf("id0", sealed, "other") + whole, 200, 200, dispatch.Served},
-		"surplus only":     {answerOf("id0", sealed, "other"), 502, 200, dispatch.Broken},
-		"four surplus":     {strings.Repeat(answerOf("id0", sealed, "other"), 4) + whole, 502, 200, dispatch.Broken},
-		"no id":            {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok", 502, 200, dispatch.Broken},
-		"not run, not our": {answerOf("id0", "503 X|X-Dunetide-Not-Run: 1", ""), 502, 200, dispatch.Broken},
-		"no seal":          {answerOf("id1", "200 OK", "ok"), 502, 200, dispatch.Broken},
-		"encoded":          {answerOf("id1", sealed+"|Content-Encoding: gzip", "ok"), 502, 200, dispatch.Broken},
-		"no end":           {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\n\r\nok", 502, 200, dispatch.Broken},
-		"not http":         {"what?\r\n\r\n", 502, 200, dispatch.Broken},
-		"nothing":          {"", 502, 200, dispatch.Broken},
-		"503 not run":      {answerOf("id1", "503 X|X-Dunetide-Not-Run: full", ""), 200, 200, dispatch.NotRun},
-		"429 not run":      {answerOf("id1", "429 X|X-Dunetide-Not-Run: 1", "x"), 200, 200, dispatch.NotRun},
-		"421":              {answerOf("id1", "421 X", ""), 200, 200, dispatch.WrongOne},
-		"503":              {answerOf("id1", "503 X", ""), 502, 200, dispatch.Failed},
-		"429":              {answerOf("id1", "429 X", ""), 502, 200, dispatch.Failed},
-		"408":              {answerOf("id1", "408 X", ""), 502, 200, dispatch.Failed},
-		"500":              {answerOf("id1", "500 X", "sorry"), 500, 200, dispatch.Failed},
-		"500 not run":      {answerOf("id1", "500 X|X-Dunetide-Not-Run: 1", "sorry"), 500, 200, dispatch.Failed},
-		"504 not run":      {answerOf("id1", "504 X|X-Dunetide-Not-Run: 1", ""), 504, 504, dispatch.Failed},
-		"200 not run":      {answerOf("id1", sealed+"|X-Dunetide-Not-Run: 1", "x"), 502, 200, dispatch.Broken},
-		"two ids":          {answerOf("id1", sealed+"|X-Dunetide-Request-Id: id0", "ok"), 502, 200, dispatch.Broken},
-		"504":              {answerOf("id1", "504 X", ""), 504, 504, dispatch.Failed},
-		"422":              {answerOf("id1", "422 X", "no"), 422, 422, dispatch.Served},
-		"400 not run":      {answerOf("id1", "400 X|X-Dunetide-Not-Run: 1", "no"), 400, 400, dispatch.Served},
-		"204":              {"HTTP/1.1 204 X\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\n\r\n", 204, 204, dispatch.Served},
-		"chunked":          {"HTTP/1.1 200 OK\r\nX-Dunetide-Server-Seal: s\r\nX-Dunetide-Request-Id: id1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked("o", "k", ""), 200, 200, dispatch.Served},
-	} {
+	for name, c := range endpointAnswers {
 		for kind, status := range map[operator.Kind]int{operator.Writes: c.writes, operator.ReadOnly: c.read} {
 			t.Run(fmt.Sprintf("%s/%d", name, kind), func(t *testing.T) {
 				bad := newEndpoint(t, "bad", func(conn net.Conn, _ call) bool {
@@ -426,7 +429,7 @@
 				if got := g.a.outcomes(); got[0] != c.outcome {
 					t.Errorf("outcomes %v, want %v first", got, c.outcome)
 				}
-				if a.status >= 200 && a.status < 300 && a.header.Get(headSeal) == "" || a.header.Get(headID) != "id1" {
+				if a.status >= 200 && a.status < 300 && a.header.Get(headerSeal) == "" || a.header.Get(headerID) != "id1" {
 					t.Errorf("headers %v", a.header)
 				}
 				if len(bad.got()) != 1 {
@@ -476,7 +479,7 @@
 func TestStreamIsPassedOnEventByEvent(t *testing.T) {
 	step := make(chan string)
 	e := newEndpoint(t, "e1", func(c net.Conn, r call) bool {
-		_, _ = io.WriteString(c, streamHead(r.Header.Get(headID)))
+		_, _ = io.WriteString(c, streamHead(r.Header.Get(headerID)))
 		for s := range step {
 			if _, err := io.WriteString(c, s); err != nil {
 				return false
@@ -506,7 +509,7 @@
 	if rest, err := io.ReadAll(resp.Body); err != nil || len(rest) > 0 {
 		t.Errorf("%q, %v", rest, err)
 	}
-	if resp.Header.Get("Content-Type") != "text/event-stream" || resp.Header.Get(headSeal) != "s1" {
+	if resp.Header.Get("Content-Type") != "text/event-stream" || resp.Header.Get(headerSeal) != "s1" {
 		t.Errorf("%v", resp.Header)
 	}
 }
@@ -536,7 +539,7 @@
 			e1, e2 := newEndpoint(t, "e1", send(first)), newEndpoint(t, "e2", send(c.second))
 			e3 := newEndpoint(t, "e3", func(conn net.Conn, r call) bool {
 				var all []string
-				for n := atoi(r.Header.Get(headLast)) + 1; n <= 4; n++ {
+				for n := atoi(r.Header.Get(headerLastEvent)) + 1; n <= 4; n++ {
 					all = append(all, oneEvent(n))
 				}
 				_, _ = io.WriteString(conn, streamHead("id1")+chunked(append(all, "")...))
@@ -549,7 +552,7 @@
 			if want := oneEvent(1) + oneEvent(2) + oneEvent(3) + oneEvent(4); a.body != want || a.err != nil {
 				t.Errorf("%+v", a)
 			}
-			if got := e2.got(); len(got) != 1 || got[0].Header.Get(headLast) != "2" || got[0].body != "body" {
+			if got := e2.got(); len(got) != 1 || got[0].Header.Get(headerLastEvent) != "2" || got[0].body != "body" {
 				t.Errorf("second: %+v", got)
 			}
 			if n := len(e3.got()); n != c.calls {
@@ -705,7 +708,7 @@
 		if r.URL.Path == "/r/quick" {
 			return says(sealed, "ok")(c, r)
 		}
-		_, _ = io.WriteString(c, streamHead(r.Header.Get(headID))+chunked(oneEvent(1)))
+		_, _ = io.WriteString(c, streamHead(r.Header.Get(headerID))+chunked(oneEvent(1)))
 		came <- true
 		<-step
 		_, _ = io.WriteString(c, chunked(oneEvent(2), ""))
@@ -778,7 +781,7 @@
 			})
 			e2 := newEndpoint(t, "e2", func(conn net.Conn, r call) bool {
 				body := ""
-				for n := atoi(r.Header.Get(headLast)) + 1; n <= 3; n++ {
+				for n := atoi(r.Header.Get(headerLastEvent)) + 1; n <= 3; n++ {
 					body += oneEvent(n)
 				}
 				_, _ = io.WriteString(conn, streamHead("id1")+chunked(body, ""))
@@ -799,7 +802,7 @@
 	spoil, spoilt := make(chan bool), make(chan bool)
 	e := newEndpoint(t, "e1", func(conn net.Conn, r call) bool {
 		says(sealed, "ok")(conn, r)
-		if r.Header.Get(headID) == "id1" {
+		if r.Header.Get(headerID) == "id1" {
 			<-spoil
 			_, _ = io.WriteString(conn, answerOf("id2", sealed, "not it"))
 			close(spoilt)
@@ -886,7 +889,7 @@
 	if a := g.do(plainCall, "x"); a.status != 503 || a.header.Get("Retry-After") != "0.500" {
 		t.Errorf("%+v", a)
 	}
-	if n := len(g.a.outcomes()); n != 2+moreTurns {
+	if n := len(g.a.outcomes()); n != 2+extraTurns {
 		t.Errorf("%d were asked", n)
 	}
 }
@@ -895,7 +898,7 @@
 func TestClientThatDoesNotRead(t *testing.T) {
 	gone := make(chan bool)
 	e := newEndpoint(t, "e1", func(conn net.Conn, r call) bool {
-		if r.Header.Get(headID) == "id2" {
+		if r.Header.Get(headerID) == "id2" {
 			return says(sealed, "ok")(conn, r)
 		}
 		_, err := io.WriteString(conn, streamHead("id1"))
