--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -167,3 +167,27 @@
 		t.Error("one holder at a time, until its end")
 	}
 }
+
+// A candidate that stops holds nothing, whatever grants are still under way.
+func TestStop(t *testing.T) {
+	c := NewCandidate(func() float64 { return 0 })
+	_, _, round := c.Step(0, 1)
+	c.Granted(1, round, "a")
+	if !c.Holds(2) {
+		t.Fatal("no lease")
+	}
+	c.Stop()
+	if c.Holds(2) {
+		t.Error("it holds the lease that it gave up")
+	}
+	ask, _, round := c.Step(3, 2)
+	if !ask {
+		t.Fatal("it does not ask again")
+	}
+	c.Granted(4, round, "a")
+	c.Stop()
+	c.Granted(5, round, "b")
+	if c.Holds(6) {
+		t.Error("a late grant gave it a lease")
+	}
+}
--- a/internal/keeper/voters_test.go
+++ b/internal/keeper/voters_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"dunetide/internal/agree"
+	"dunetide/internal/control"
 	"dunetide/internal/journal/disktest"
+	"dunetide/internal/link"
 )
 
 // votersOf are the names of those who vote on each register, as a keeper knows them.
@@ -261,3 +263,68 @@
 		t.Error("a lease from one that was replaced")
 	}
 }
+
+// A keeper that is told to end gives its attached processes and its leases to others, and takes no new ones.
+func TestLeavingKeeperIsLeft(t *testing.T) {
+	o := startRig(t, 4, 4)
+	o.untilVoters(0, 1, 2, 3)
+	leaver := -1
+	until(t, "one has the duty", func() bool {
+		for i := range 4 {
+			k := o.running[i].k
+			if holds, _ := ask(k, func() bool { return k.voterDuty.lease.Holds(k.since(time.Now())) }); holds {
+				leaver = i
+			}
+		}
+		return leaver >= 0
+	})
+	process, name := o.raw(leaver, "p"), fmt.Sprint("k", leaver+1)
+	o.terminate(leaver)
+	get(t, process.closed, "the end of the link")
+	for _, register := range registerNames {
+		stored := 0
+		for i := range 4 {
+			if i != leaver && !slices.Contains(o.votersOf(i, register), name) {
+				stored++
+			}
+		}
+		if stored < 2 {
+			t.Errorf("%d of 3 voters of %s know that %s has left", stored, register, name)
+		}
+	}
+	until(t, "another one has the duty", func() bool {
+		for i := range 4 {
+			if i == leaver {
+				continue
+			}
+			k := o.running[i].k
+			if holds, _ := ask(k, func() bool { return k.voterDuty.lease.Holds(k.since(time.Now())) }); holds {
+				return true
+			}
+		}
+		return false
+	})
+	o.take((leaver + 1) % 4)
+}
+
+// A keeper that leaves takes no new attachments, and others don't send processes to it.
+func TestLeavingKeeperTakesNobody(t *testing.T) {
+	k := still(t, "k1")
+	conns, _ := wires(t, 2)
+	k.leaving = true
+	k.hello(&link.Message{Conn: conns[0], Body: hello("p", control.RoleProxy)})
+	if len(k.attached) != 0 {
+		t.Error("a process was attached")
+	}
+	k.leaving = false
+	k.adoptLink(conns[1], control.Node{Name: "k2", Role: control.RoleKeeper, ID: 7, Life: 1}, false)
+	if len(k.keeperNodes()) != 2 {
+		t.Errorf("%d keepers", len(k.keeperNodes()))
+	}
+	changes := k.keepersChange
+	body := encodeReport(control.KeeperReport{Leaving: true, Slots: make([]uint64, len(registerNames))})
+	k.reported(&link.Message{Conn: conns[1], Body: body})
+	if len(k.keeperNodes()) != 1 || k.keepersChange == changes {
+		t.Error("the attached are still sent to one that leaves")
+	}
+}
