Reconfigure: a keeper that was behind a second ago at most counts as caught up

Change: Observer compares with the slot that was the newest a second ago. The change that makes it a voter sends it the rest, and is done only when a majority has that.

--- a/internal/keeper/reconfigure.go
+++ b/internal/keeper/reconfigure.go
@@ -131,7 +131,7 @@
 	behind := false
 	for i, name := range registerNames {
 		state, _ := k.agree.state(name)
-		d.observers[name].Observe(k.since(now), state.Voters, k.registerReports(name))
+		d.observers[name].Observe(k.since(now), state, k.registerReports(name))
 		behind = behind || k.isBehind(i)
 	}
 	switch {
--- a/internal/reconfigure/observer.go
+++ b/internal/reconfigure/observer.go
@@ -21,16 +21,29 @@
 // decision on changes knows already for how long a voter has not been heard.
 type Observer struct {
 	unheardSince map[uint64]time.Duration
+	slots        []slotAt // the newest slots that were known, oldest first; the first is CatchUpLag old, or the first known
 }
 
+// slotAt is the newest slot that was known at a time.
+type slotAt struct {
+	at   time.Duration
+	slot uint64
+}
+
+// CatchUpLag is how far a keeper may be behind and still count as caught up. What it has stored is told by reports, so
+// with many changes a second it would never be reported to have the newest. It is sent that by the change that makes it
+// a voter, which is done only when a majority of the new voters has it.
+const CatchUpLag = time.Second
+
 // contact says whether a majority of the voters hears one of them, itself included, and whether a majority reports not
 // to hear it. Neither may be so, where reports are missing.
 type contact struct{ heard, unheard bool }
 
 // Observe takes in the newest reports of the keepers that are connected, the own one included.
-func (o *Observer) Observe(now time.Duration, voters []agree.Voter, reports []Report) {
+func (o *Observer) Observe(now time.Duration, state agree.State, reports []Report) {
+	o.observeSlot(now, state.Slot)
 	unheardSince := map[uint64]time.Duration{}
-	for id, c := range contacts(voters, reports) {
+	for id, c := range contacts(state.Voters, reports) {
 		if !c.unheard {
 			continue
 		}
@@ -42,6 +55,22 @@
 	o.unheardSince = unheardSince
 }
 
+// observeSlot notes the newest slot that is known.
+func (o *Observer) observeSlot(now time.Duration, slot uint64) {
+	o.slots = append(o.slots, slotAt{now, slot})
+	for len(o.slots) > 1 && now-o.slots[1].at >= CatchUpLag {
+		o.slots = o.slots[1:]
+	}
+}
+
+// mustHave is the slot that a keeper must have stored to count as caught up.
+func (o *Observer) mustHave(newest uint64) uint64 {
+	if len(o.slots) == 0 {
+		return newest
+	}
+	return o.slots[0].slot
+}
+
 // Situation is what is known for a decision on the voters of a state.
 func (o *Observer) Situation(now time.Duration, state agree.State, reports []Report, limits Limits) Situation {
 	s := Situation{Limits: limits}
@@ -54,7 +83,7 @@
 		s.Voters = append(s.Voters, v)
 	}
 	for _, report := range reports {
-		s.Keepers = append(s.Keepers, Keeper{Voter: report.Keeper, CaughtUp: report.Stored > state.Slot, Leaving: report.Leaving})
+		s.Keepers = append(s.Keepers, Keeper{Voter: report.Keeper, CaughtUp: report.Stored > o.mustHave(state.Slot), Leaving: report.Leaving})
 	}
 	return s
 }
