Agree: a decided State that is on disk as accepted takes a short record, not the whole again

Cause: each slot wrote the whole State twice, accepted and then decided, so a log of large configurations grew twice as fast as it had to.

Change: savedChosen names the slot and the ballot of what was accepted; it is written only where the decided State equals that, and refused at a start where something else is accepted.

--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -83,6 +83,7 @@
 	// stored: the state is on disk. While it is not, no vote is given, as what is saved for a slot is read back only behind
 	// the State of the slot before, and nobody is told that this node holds it.
 	stored     bool
+	toStore    []byte        // what has to be saved for that
 	storedSlot uint64        // of the newest State that is on disk, if any is
 	everStored bool          // one is
 	unsaved    error         // the newest Save, if it left the disk as it was
@@ -134,6 +135,7 @@
 	savedPromise uint8 = iota + 1
 	savedAccepted
 	savedDecided
+	savedChosen // what is accepted for a slot at a ballot is decided
 )
 
 func promisePayload(slot uint64, b ballot) []byte {
@@ -160,14 +162,35 @@
 	return w.B
 }
 
+func chosenPayload(slot uint64, b ballot) []byte {
+	w := &link.Writer{}
+	w.U8(savedChosen)
+	w.U64(slot)
+	b.append(w)
+	return w.B
+}
+
+// decidedRecord is what has to be saved for a decided State: a short record where the disk holds it as accepted.
+func (r *Register) decidedRecord(s State) []byte {
+	if s.Slot == r.state.Slot+1 && r.accepted != (ballot{}) && r.proposal.equal(s) {
+		return chosenPayload(s.Slot, r.accepted)
+	}
+	return decidedPayload(s)
+}
+
+// setState makes a decided State the one of which the voters decide the next slot.
+func (r *Register) setState(s State) {
+	r.known, r.state = true, s
+	r.promised, r.accepted, r.proposal = ballot{}, ballot{}, State{}
+}
+
 func (r *Register) load(b []byte) error {
 	in := &link.Reader{B: b}
 	kind := in.U8()
 	if kind == savedDecided {
 		s := ReadState(in)
 		if in.Err == nil && (!r.known || s.Slot > r.state.Slot) {
-			r.known, r.state = true, s
-			r.promised, r.accepted, r.proposal = ballot{}, ballot{}, State{}
+			r.setState(s)
 		}
 		return in.Err
 	}
@@ -179,12 +202,17 @@
 	switch {
 	case in.Err != nil:
 		return in.Err
-	case kind != savedPromise && kind != savedAccepted:
+	case kind != savedPromise && kind != savedAccepted && kind != savedChosen:
 		return fmt.Errorf("kind %d is unknown", kind)
 	case !r.known || slot > r.state.Slot+1:
 		return fmt.Errorf("it is about slot %d, and the one before is not there", slot)
 	case slot <= r.state.Slot:
 		return nil
+	case kind == savedChosen && b2 != r.accepted:
+		return fmt.Errorf("it says that slot %d is decided, and something else is accepted", slot)
+	case kind == savedChosen:
+		r.setState(r.proposal)
+		return nil
 	}
 	if !b2.less(r.promised) {
 		r.promised = b2
@@ -231,14 +259,14 @@
 // store puts the decided State on disk, if the disk takes it.
 func (r *Register) store() {
 	r.stored = false
-	if r.save(decidedPayload(r.state)) {
+	if r.save(r.toStore) {
 		r.noteStored()
 	}
 }
 
 // noteStored takes down that the State is on disk.
 func (r *Register) noteStored() {
-	r.stored, r.everStored, r.storedSlot = true, true, r.state.Slot
+	r.stored, r.everStored, r.storedSlot, r.toStore = true, true, r.state.Slot, nil
 	if r.o.ID != 0 {
 		r.holders[r.o.ID] = true
 	}
@@ -421,8 +449,8 @@
 	if r.known && s.Slot <= r.state.Slot {
 		return
 	}
-	r.known, r.state = true, s
-	r.promised, r.accepted, r.proposal = ballot{}, ballot{}, State{}
+	r.toStore = r.decidedRecord(s)
+	r.setState(s)
 	clear(r.holders)
 	r.store()
 	to := r.deciding
--- a/internal/agree/state.go
+++ b/internal/agree/state.go
@@ -36,6 +36,10 @@
 	return slices.ContainsFunc(s.Voters, func(v Voter) bool { return v.ID == id })
 }
 
+func (s State) equal(t State) bool {
+	return s.Slot == t.Slot && slices.Equal(s.Voters, t.Voters) && bytes.Equal(s.Value, t.Value) && slices.Equal(s.marks, t.marks)
+}
+
 // Clone shares no memory with s.
 func (s State) Clone() State {
 	s.Voters, s.Value, s.marks = slices.Clone(s.Voters), bytes.Clone(s.Value), slices.Clone(s.marks)
--- a/internal/lab/wrongline/wrongline.go
+++ b/internal/lab/wrongline/wrongline.go
@@ -29,6 +29,20 @@
 	Parallel bool
 }
 
+// Check fails for each line that does not stand once in its file, so that Find could not replace it.
+func Check(t *testing.T, lines []Line) {
+	for _, w := range lines {
+		text, err := os.ReadFile(w[1])
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if n := strings.Count(string(text), w[2]); n != 1 {
+			t.Errorf("%q stands %d times in %s:\n%s", w[0], n, w[1], w[2])
+		}
+	}
+}
+
 // Find fails for each line that no test finds. The tests run in the folder of the calling test's package.
 func Find(t *testing.T, lines []Line, o Options) {
 	for _, w := range lines {
