Keeper: the log's size and its rewrite are shown over 400 changes and each point of a rewrite

Cause: nothing showed what hundreds of changes and large configurations come to on a disk of 64 MB, nor what a kill, a loss of power or a full disk does in the middle of a rewrite.

Change: tests on the simulated disk: sizes from 4 kB to 8 MB, 7 troubles at each operation around a rewrite after 400 changes of two registers, and room for a part of the rewritten log only. BenchmarkRestart has the start of a keeper.

--- /dev/null
+++ b/internal/keeper/log_test.go
@@ -0,0 +1,287 @@
+package keeper
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dunetide/internal/agree"
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/settings"
+)
+
+const (
+	diskMB  = 64
+	changes = 400
+)
+
+// lone is the registers of a keeper that is the only voter, stepped by the test: a change is done, or not, when it returns.
+type lone struct {
+	t    testing.TB
+	disk *disktest.Disk
+	a    *agreement
+	now  time.Duration
+}
+
+func openLone(t testing.TB, disk *disktest.Disk) (*lone, error) {
+	s := &settings.Settings{NodeName: "k1", IP: "127.0.0.1", InternalFirst: 1, BeatEveryMs: 1200, Control: "127.0.0.1:2", Limits: settings.Limits{DiskMB: diskMB}}
+	k, err := New(Options{Settings: s, Folder: disk, Log: hclog.NewNullLogger()})
+	if err != nil {
+		return nil, err
+	}
+	l := &lone{t: t, disk: disk, a: k.agree}
+	l.a.bootstrap([]agree.Voter{{ID: l.a.id, Name: "k1"}})
+	return l, nil
+}
+
+func mustOpen(t testing.TB, disk *disktest.Disk) *lone {
+	t.Helper()
+	l, err := openLone(t, disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// change makes a value the newest of a register; false: it is not acknowledged.
+func (l *lone) change(name string, value []byte) bool {
+	l.now += time.Second
+	reg, ended, done := l.a.regs[name], false, false
+	reg.Propose(l.now, 2*time.Second, func(cur agree.State) (agree.State, error) {
+		cur.Value = value
+		return cur, nil
+	}, func(_ agree.State, err error) { ended, done = true, err == nil })
+	l.tickUntil(reg, &ended)
+	l.a.rewriteWhenGrown()
+	return done
+}
+
+// tickUntil lets time pass until an operation has ended: after a restart a ballot that was promised before takes a second try.
+func (l *lone) tickUntil(reg *agree.Register, ended *bool) {
+	for range 100 {
+		if *ended {
+			return
+		}
+		l.now += 50 * time.Millisecond
+		reg.Tick(l.now)
+	}
+}
+
+// value reads a register: what was accepted before a kill is finished first.
+func (l *lone) value(name string) (value []byte) {
+	reg, ended := l.a.regs[name], false
+	reg.Read(l.now, 2*time.Second, func(s agree.State, err error) { value, ended = s.Value, true })
+	l.tickUntil(reg, &ended)
+	return value
+}
+
+func (l *lone) ended() bool { return l.a.regs[configRegister].Failed() != nil }
+
+// numbered is a value of some bytes that tells which change it is.
+func numbered(n, size int) []byte {
+	b := make([]byte, size)
+	copy(b, fmt.Sprintf("change %d ", n))
+	return b
+}
+
+// usage is what changes cost.
+type usage struct {
+	peak, file, saved int
+	restart           time.Duration
+}
+
+// play makes changes of a size on a disk of 64 MB and starts again.
+func play(t testing.TB, count, size int) (u usage) {
+	disk := disktest.New()
+	disk.Room = diskMB << 20
+	disk.Stall = func() { u.peak = max(u.peak, disk.Used()) }
+	l := mustOpen(t, disk)
+	for n := range count {
+		before := int(l.a.log.Size())
+		if !l.change(configRegister, numbered(n, size)) {
+			t.Fatalf("change %d of %d bytes is not acknowledged; %d bytes are used", n, size, disk.Used())
+		}
+		u.saved += max(0, int(l.a.log.Size())-before)
+	}
+	u.file = int(l.a.log.Size())
+	began := time.Now()
+	again := mustOpen(t, disk)
+	u.restart = time.Since(began)
+	if !bytes.Equal(again.value(configRegister), numbered(count-1, size)) {
+		t.Fatalf("%d changes of %d bytes: another value after a restart", count, size)
+	}
+	return u
+}
+
+// TestLogIsBounded makes hundreds of changes up to the largest that operators may send.
+func TestLogIsBounded(t *testing.T) {
+	for _, c := range []struct{ count, size int }{{50, 4 << 10}, {200, 4 << 10}, {changes, 4 << 10}, {changes, 64 << 10}, {50, 1 << 20}, {100, 1 << 20}, {40, configMost}} {
+		u := play(t, c.count, c.size)
+		t.Logf("%3d changes of %4d kB: file %6d kB, most on the disk %6d kB, restart %5.1f ms", c.count, c.size>>10, u.file>>10, u.peak>>10, float64(u.restart.Microseconds())/1000)
+		kept := c.size + 4<<10 // what has to be kept; a change that is under way has it twice
+		if bound := max(rewriteAbove, 4*2*kept) + 3*kept; u.file > bound || u.peak > min(bound+2*kept, diskMB<<20) {
+			t.Errorf("%d changes of %d bytes: file %d, most on the disk %d, bound %d", c.count, c.size, u.file, u.peak, bound)
+		}
+	}
+}
+
+// nearRewrite is a disk whose log is rewritten with one of the next changes, after hundreds, and the number of the last one.
+func nearRewrite(t *testing.T) (*disktest.Disk, int) {
+	disk := disktest.New()
+	l := mustOpen(t, disk)
+	const size = 4 << 10
+	rewritten, n := 0, 0
+	for ; n < changes || l.a.log.Size() < l.a.policy.due(l.a.grown)-2*size; n++ {
+		before := l.a.log.Size()
+		if !l.change(configRegister, numbered(n, size)) || !l.change(tableRegister, numbered(n, 100)) {
+			t.Fatal("not acknowledged")
+		}
+		if l.a.log.Size() < before {
+			rewritten++
+		}
+	}
+	if rewritten == 0 {
+		t.Fatal("the log was never rewritten")
+	}
+	return disk, n - 1
+}
+
+// trouble is what happens at one operation of the disk.
+type trouble struct {
+	name string
+	hit  func(disk *disktest.Disk, step int)
+	// after is done once the process has ended.
+	after func(disk *disktest.Disk)
+}
+
+func troubles() []trouble {
+	kill := func(disk *disktest.Disk, step int) { disk.FailAt, disk.Fails = step, 1<<30 }
+	return []trouble{
+		{"kill", kill, func(*disktest.Disk) {}},
+		{"loss of power, nothing stays", kill, func(d *disktest.Disk) { d.PowerLossEach(func(int) int { return 0 }) }},
+		{"loss of power, all stays", kill, func(d *disktest.Disk) { d.PowerLossEach(func(n int) int { return min(1, n-1) }) }},
+		{"loss of power, names stay", kill, func(d *disktest.Disk) { d.PowerLoss(func(n int) int { return n - 1 }) }},
+		{"loss of power, some stays", kill, func(d *disktest.Disk) { d.PowerLossEach(rand.IntN) }},
+		{"one operation fails", func(d *disktest.Disk, step int) { d.FailAt, d.Fails = step, 1 }, func(*disktest.Disk) {}},
+		{"three operations fail, then power is lost", func(d *disktest.Disk, step int) { d.FailAt, d.Fails = step, 3 },
+			func(d *disktest.Disk) { d.PowerLossEach(rand.IntN) }},
+	}
+}
+
+// TestRewriteAtEachPoint has a kill, a loss of power or a disk that fails at each operation around a rewrite after hundreds of changes:
+// what was acknowledged stays, of each register, and the log goes on.
+func TestRewriteAtEachPoint(t *testing.T) {
+	base, last := nearRewrite(t)
+	const more = 6
+	whole := base.Copy()
+	l := mustOpen(t, whole)
+	first := whole.Ops + 1
+	for n := 1; n <= more; n++ {
+		l.change(configRegister, numbered(last+n, 4<<10))
+	}
+	if int(l.a.log.Size()) > 100<<10 {
+		t.Fatalf("not rewritten: %d bytes", l.a.log.Size())
+	}
+	cases := 0
+	for step := first; step <= whole.Ops; step++ {
+		for _, trouble := range troubles() {
+			cases++
+			rewriteWithTrouble(t, base.Copy(), last, more, step, trouble)
+		}
+	}
+	t.Log(cases, "cases")
+}
+
+func rewriteWithTrouble(t *testing.T, disk *disktest.Disk, last, more, step int, trouble trouble) {
+	t.Helper()
+	what := fmt.Sprintf("%s at operation %d", trouble.name, step)
+	l := mustOpen(t, disk)
+	trouble.hit(disk, step)
+	acknowledged, proposed := last, last
+	for n := last + 1; n <= last+more && !l.ended(); n++ {
+		proposed = n
+		if l.change(configRegister, numbered(n, 4<<10)) {
+			acknowledged = n
+		}
+	}
+	disk.FailAt = 0
+	trouble.after(disk)
+	again, err := openLone(t, disk)
+	if err != nil {
+		t.Fatalf("%s: %v", what, err)
+	}
+	found := -1
+	for n := acknowledged; n <= proposed; n++ {
+		if bytes.Equal(again.value(configRegister), numbered(n, 4<<10)) {
+			found = n
+		}
+	}
+	if found < 0 {
+		t.Fatalf("%s: change %d was acknowledged, and %.20q is there", what, acknowledged, again.value(configRegister))
+	}
+	if !bytes.Equal(again.value(tableRegister), numbered(last, 100)) {
+		t.Fatalf("%s: the other register has %.20q", what, again.value(tableRegister))
+	}
+	if !again.change(configRegister, numbered(proposed+1, 4<<10)) {
+		t.Fatalf("%s: no change after it", what)
+	}
+	if third := mustOpen(t, disk); !bytes.Equal(third.value(configRegister), numbered(proposed+1, 4<<10)) {
+		t.Fatalf("%s: the change after it is lost", what)
+	}
+}
+
+// TestRewriteWithoutRoom leaves room for a part of the rewritten log only: nothing ends, what has room is taken, and the log is
+// rewritten once there is some.
+func TestRewriteWithoutRoom(t *testing.T) {
+	base, last := nearRewrite(t)
+	for room := 0; room < 12<<10; room += 500 {
+		disk := base.Copy()
+		l := mustOpen(t, disk)
+		disk.Room = disk.Used() + 1 + room
+		acknowledged := last
+		for n := last + 1; n <= last+6; n++ {
+			if l.change(configRegister, numbered(n, 4<<10)) {
+				acknowledged = n
+			}
+		}
+		if l.ended() {
+			t.Fatalf("room for %d: it ended: %v", room, l.a.regs[configRegister].Failed())
+		}
+		if again := mustOpen(t, disk.Copy()); bytes.Compare(again.value(configRegister)[:20], numbered(acknowledged, 20)) < 0 {
+			t.Fatalf("room for %d: change %d was acknowledged, and %.20q is there", room, acknowledged, again.value(configRegister))
+		}
+		disk.Room = 0
+		l.a.later = time.Time{}
+		if !l.change(configRegister, numbered(last+7, 4<<10)) {
+			t.Fatalf("room for %d: not taken once there is room", room)
+		}
+		l.a.rewriteWhenGrown()
+		if l.a.log.Size() > rewriteAbove {
+			t.Fatalf("room for %d: not rewritten once there is room", room)
+		}
+	}
+}
+
+// BenchmarkRestart is a keeper's start after many changes.
+func BenchmarkRestart(b *testing.B) {
+	for _, c := range []struct{ count, size int }{{100, 4 << 10}, {400, 4 << 10}, {400, 64 << 10}, {100, 1 << 20}, {24, configMost}} {
+		b.Run(fmt.Sprintf("%dx%dkB", c.count, c.size>>10), func(b *testing.B) {
+			disk := disktest.New()
+			disk.Room = diskMB << 20
+			l := mustOpen(b, disk)
+			for n := range c.count {
+				if !l.change(configRegister, numbered(n, c.size)) {
+					b.Fatal("not acknowledged")
+				}
+			}
+			for b.Loop() {
+				mustOpen(b, disk)
+			}
+			b.ReportMetric(float64(l.a.log.Size())/1024, "file-kB")
+		})
+	}
+}
