Keepers: each call observed at a keeper that is cut off; processes find the others

Cause: a process at a keeper that was cut off knew no other keeper any more, as that one told of itself alone. The new test of processes that move found it.

Change: processes remember keepers that they were told of before and try them last. Tests run real keepers with relays between them, cut both ways and in either direction: all calls, pushes, Hello, leases and confirmations.

Options.DialAddress is for tests alone: no setting leads to it.

--- a/internal/control/attach.go
+++ b/internal/control/attach.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -189,31 +190,36 @@
 	delete(c.trying, addr)
 }
 
-// candidates are keepers to try, the own zone's first for the first place and another's for the second.
+// candidates are keepers to try, the own zone's first for the first place and another's for the second. Those that were
+// told of before, and are not any more, come last.
 func (c *Client) candidates(place int) []string {
 	c.mu.Lock()
-	nodes := append([]Node(nil), c.keepers...)
-	attached := maps.Clone(c.trying)
+	nodes := slices.Clone(c.keepers)
+	former := slices.Clone(c.former)
+	taken := maps.Clone(c.trying)
 	for _, s := range c.sources {
-		attached[s.node.Addr] = true
+		taken[s.node.Addr] = true
 	}
 	c.mu.Unlock()
 	if c.o.Known != nil {
 		nodes = append(nodes, c.o.Known()...)
 	}
+	for _, s := range c.o.Seeds {
+		nodes = append(nodes, Node{Addr: s})
+	}
+	return append(c.ordered(nodes, place, taken), c.ordered(former, place, taken)...)
+}
+
+// ordered draws an order of addresses that are not taken, and takes them.
+func (c *Client) ordered(nodes []Node, place int, taken map[string]bool) []string {
 	zones := map[string]string{}
 	var addrs []string
-	add := func(addr, zone string) {
-		if _, there := zones[addr]; !there && !attached[addr] {
-			zones[addr] = zone
-			addrs = append(addrs, addr)
-		}
-	}
 	for _, n := range nodes {
-		add(n.Addr, n.Zone)
-	}
-	for _, s := range c.o.Seeds {
-		add(s, "")
+		if !taken[n.Addr] {
+			taken[n.Addr] = true
+			zones[n.Addr] = n.Zone
+			addrs = append(addrs, n.Addr)
+		}
 	}
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	sort.SliceStable(addrs, func(i, j int) bool {
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -27,6 +27,8 @@
 	saidFor = 2 * time.Minute
 	// saidMost bounds what is remembered of drains and ends.
 	saidMost = 8192
+	// formerMost bounds the keepers that are remembered beside those that were told of last.
+	formerMost = 64
 )
 
 // ClientOptions of a process that is attached to keepers.
@@ -56,7 +58,8 @@
 	trying  map[string]bool // addresses that a place is dialling or holds
 	stale   *source         // of the last keeper, while there is no other
 	said    map[string]saying
-	keepers []Node
+	keepers []Node // as a keeper told last
+	former  []Node // keepers that were told of before, the latest last: the teller may be cut off from them
 	config  *operator.Config
 	table   *view.Table
 	senders int
@@ -308,7 +311,7 @@
 		c.senders = u.Senders
 	}
 	if u.Keepers != nil {
-		c.keepers = u.Keepers
+		c.takeKeepers(u.Keepers)
 	}
 	before := s.entries
 	endpoints = u.Whole || len(u.Entries) > 0 || u.Listed && !s.listed
@@ -338,6 +341,24 @@
 	return endpoints
 }
 
+// takeKeepers takes in which keepers there are, and remembers those that are not told of any more.
+func (c *Client) takeKeepers(told []Node) {
+	former := slices.Concat(c.former, c.keepers)
+	c.keepers = told
+	seen := map[string]bool{}
+	for _, n := range told {
+		seen[n.Name] = true
+	}
+	c.former = c.former[:0:0]
+	for _, n := range slices.Backward(former) {
+		if !seen[n.Name] && len(c.former) < formerMost {
+			seen[n.Name] = true
+			c.former = append(c.former, n)
+		}
+	}
+	slices.Reverse(c.former)
+}
+
 // forget keeps what was said bounded: what is old goes, and if that is not enough, the oldest.
 func (c *Client) forget(now time.Time) {
 	if len(c.said) <= saidMost {
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -220,3 +220,29 @@
 		}
 	}
 }
+
+// A keeper that is cut off tells of itself alone. The others that it told of before are tried all the same, last.
+func TestFormerKeepersAreTriedLast(t *testing.T) {
+	c := newPlayer().c
+	nodes := func(names ...string) (list []Node) {
+		for _, n := range names {
+			list = append(list, Node{Name: n, Addr: n + ":1"})
+		}
+		return list
+	}
+	c.takeKeepers(nodes("a", "b", "c"))
+	c.takeKeepers(nodes("a"))
+	if got := c.candidates(0); len(got) != 3 || got[0] != "a:1" {
+		t.Fatal(got)
+	}
+	c.takeKeepers(nodes("b", "d"))
+	if got := c.candidates(0); len(got) != 4 || got[0] != "b:1" && got[0] != "d:1" || got[2] != "a:1" && got[2] != "c:1" {
+		t.Fatal(got)
+	}
+	for i := range 3 * formerMost {
+		c.takeKeepers(nodes(fmt.Sprint("k", i)))
+	}
+	if got := c.candidates(0); len(got) != 1+formerMost || len(c.former) != formerMost || c.former[formerMost-1].Name != fmt.Sprint("k", 3*formerMost-2) {
+		t.Fatalf("%d candidates, %d former", len(got), len(c.former))
+	}
+}
--- /dev/null
+++ b/internal/keeper/contact_test.go
@@ -0,0 +1,312 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"dunetide/internal/control"
+	"dunetide/internal/link"
+	"dunetide/internal/registry"
+	"dunetide/internal/view"
+)
+
+// noConfig takes what has been pushed, and fails if anything of the registers is in it.
+func noConfig(t *testing.T, w *raw) {
+	t.Helper()
+	for {
+		select {
+		case u := <-w.pushes:
+			if u.Version != 0 || u.Config != nil || u.Table != nil || u.Certificates != nil || u.CertificatesVersion != 0 || u.InContact {
+				t.Fatalf("registers are handed out without contact: %+v", u)
+			}
+			w.ack(u.Number)
+		default:
+			return
+		}
+	}
+}
+
+func (w *raw) call(t *testing.T, kind link.Kind, body []byte) ([]byte, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	return w.conn.Call(ctx, kind, body)
+}
+
+func lease(holder string, release bool) []byte {
+	w := link.Writer{}
+	w.String(dutyAssign)
+	w.String(holder)
+	w.Bool(release)
+	return w.B
+}
+
+// Each row of the table in docs/control.md, at a keeper that is cut off from the others and can still be called.
+func TestCallsWithoutContact(t *testing.T) {
+	for name, cut := range map[string]struct{ from, to bool }{
+		"both ways": {true, true}, "its words are lost": {true, false}, "it hears nothing": {false, true},
+	} {
+		t.Run(name, func(t *testing.T) { testCallsWithoutContact(t, cut.from, cut.to) })
+	}
+}
+
+func testCallsWithoutContact(t *testing.T, from, to bool) {
+	const lone = 0
+	r := newRig(t, 3)
+	r.wait = patience // an answer that waits for pushes is seen
+	relays := r.relayed()
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	if a := r.put(lone, 3, 0, "a"); a.code != 200 {
+		t.Fatal(a)
+	}
+	if a := r.certify(lone, "0", certificates(t, 1, "e1")); a.code != 200 {
+		t.Fatal(a)
+	}
+	if a := r.beat(lone, "1", "ready", 1); a.code != 200 {
+		t.Fatal(a)
+	}
+	before := r.raw(lone, "before") // attached, and acknowledges nothing
+	for u := get(t, before.pushes, "the first push"); u.Version != 3; u = get(t, before.pushes, "the configuration") {
+		if !u.InContact {
+			t.Fatalf("pushed in contact: %+v", u)
+		}
+	}
+
+	relays.cutOff(lone, from, to)
+	until(t, "contact is lost", func() bool { return !r.status(lone).InContact })
+	if s := r.status(1); !s.InContact {
+		t.Fatal("the majority has no contact")
+	}
+	until(t, "the majority takes the next", func() bool { return r.put(1, 5, 3, "b").code == 200 })
+
+	refused := map[string]func() answer{
+		"a configuration":                    func() answer { return r.put(lone, 6, 3, "c") },
+		"a configuration on the newest":      func() answer { return r.put(lone, 6, 5, "c") },
+		"a configuration under an old one":   func() answer { return r.put(lone, 2, 3, "c") },
+		"a configuration that was taken":     func() answer { return r.put(lone, 5, 3, "b") },
+		"a configuration that was known":     func() answer { return r.put(lone, 3, 0, "a") },
+		"the configuration read":             func() answer { return r.call(lone, "GET", "/config", "", nil) },
+		"certificates":                       func() answer { return r.certify(lone, "1", certificates(t, 2, "e1")) },
+		"certificates read":                  func() answer { return r.call(lone, "GET", certificatesPath, "", nil) },
+		"a retirement":                       func() answer { return r.call(lone, "POST", "/retire/x", "", []byte(`{"over_s":10}`)) },
+		"a retirement read":                  func() answer { return r.call(lone, "GET", "/retire/x", "", nil) },
+		"a heartbeat without news":           func() answer { return r.beat(lone, "1", "ready", 2) },
+		"a heartbeat with news":              func() answer { return r.beat(lone, "2", "ready", 1) },
+		"a drain":                            func() answer { return r.beat(lone, "3", "draining", 1) },
+		"the end of one that is not known":   func() answer { return r.call(lone, "DELETE", "/instances/9", "", nil) },
+		"the end of an endpoint that drains": func() answer { return r.call(lone, "DELETE", "/instances/4", "", nil) },
+	}
+	for what, call := range refused {
+		began := time.Now()
+		if a := call(); a.code != 503 || a.retryAfter != retryAfter {
+			t.Errorf("%s: %v, Retry-After %q", what, a, a.retryAfter)
+		}
+		if took := time.Since(began); took > patience/2 {
+			t.Errorf("%s: it took %v", what, took)
+		}
+	}
+	for what, call := range map[string]func() answer{
+		"a heartbeat that can't be read":     func() answer { return r.call(lone, "PUT", "/instances/1", "", []byte("{")) },
+		"a configuration that can't be read": func() answer { return r.call(lone, "PUT", "/config", "5", []byte("{")) },
+	} {
+		if a := call(); a.code != 400 {
+			t.Errorf("%s: %v", what, a)
+		}
+	}
+
+	// What endpoints said is kept, and pushed to those who are attached, without anything of the registers.
+	count := 10
+	until(t, "what endpoints say is kept", func() bool {
+		count++
+		r.beat(lone, "1", "ready", count)
+		r.beat(lone, "2", "ready", count)
+		r.beat(lone, "3", "draining", count)
+		return r.status(lone).Services["s"] == 3
+	})
+	for drains := false; !drains; {
+		u := get(t, before.pushes, "the drain")
+		if u.InContact && u.Entries != nil {
+			continue // from before
+		}
+		if u.Version != 0 || u.CertificatesVersion > 1 {
+			t.Fatalf("registers are pushed without contact: %+v", u)
+		}
+		for _, e := range u.Entries {
+			drains = drains || e.ID == "3" && e.State == view.Draining
+		}
+	}
+
+	// Who attaches is told that there is no contact, and is handed nothing of the registers.
+	late := r.raw(lone, "late")
+	reply := link.Reader{B: late.hello}
+	control.ReadNode(&reply)
+	reply.Bool()
+	if inContact := reply.Bool(); inContact || reply.Err != nil {
+		t.Errorf("the reply to Hello says contact: %v, %v", inContact, reply.Err)
+	}
+	if b, err := late.call(t, control.InContact, nil); err != nil || !bytes.Equal(b, []byte{0}) {
+		t.Errorf("asked whether it is in contact, it says %v, %v", b, err)
+	}
+	if _, err := late.call(t, control.Confirm, nil); err == nil {
+		t.Error("certificates are confirmed")
+	}
+	if _, err := before.call(t, control.Confirm, nil); err == nil {
+		t.Error("certificates are confirmed for one that was pushed them before")
+	}
+	if b, err := late.call(t, control.Lease, lease("x", false)); err != nil || !bytes.Equal(b, []byte{0}) {
+		t.Errorf("a lease is answered %v, %v", b, err)
+	}
+	noConfig(t, late)
+	if s := r.status(lone); s.InContact || to && s.Version != 3 || s.Duty {
+		t.Errorf("%+v", s)
+	}
+
+	relays.heal()
+	until(t, "contact is back", func() bool { return r.status(lone).InContact })
+	for first := true; first; {
+		if u := get(t, late.pushes, "the configuration"); u.Version != 0 {
+			if u.Version != 5 || u.CertificatesVersion != 1 || !u.InContact {
+				t.Fatalf("handed out first: %+v", u)
+			}
+			first = false
+		}
+	}
+	before.conn.Close() // which would hold up the answer
+	late.conn.Close()
+	if a := r.untilCode(200, func() answer { return r.call(lone, "GET", "/config", "", nil) }); !bytes.Equal([]byte(a.body), configBody(5, "b")) {
+		t.Error(a)
+	}
+	r.untilCode(200, func() answer { return r.put(lone, 5, 3, "b") })
+}
+
+// Processes of a keeper that is cut off go on with what they have, find keepers that are in contact, and come by what
+// is new.
+func TestProcessesMoveToKeepersInContact(t *testing.T) {
+	r := newRig(t, 5)
+	relays := r.relayed()
+	r.startAll()
+	r.untilMet(0, 1, 2, 3, 4)
+	if a := r.put(1, 3, 0, "a"); a.code != 200 {
+		t.Fatal(a)
+	}
+	var clients []*attachedClient
+	for _, name := range []string{"p1", "p2", "p3", "p4"} {
+		clients = append(clients, r.client(name, 0)) // it learns of the others by what is pushed
+	}
+	until(t, "all have the configuration", func() bool {
+		for _, c := range clients {
+			if c.version() != 3 || len(c.c.Keepers()) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	relays.cutOff(0, true, true)
+	until(t, "contact is lost", func() bool { return !r.status(0).InContact })
+	r.untilCode(200, func() answer { return r.put(2, 5, 3, "b") })
+	until(t, "nobody is attached to the keeper that is cut off", func() bool { return len(r.status(0).Attached) == 0 })
+	until(t, "all have the next, and two keepers each", func() bool {
+		for _, c := range clients {
+			if c.version() != 5 || len(c.c.Keepers()) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// With no majority anywhere, processes stay where they are and keep what they have, and contact comes back by itself.
+func TestProcessesStayWithoutAnyContact(t *testing.T) {
+	r := newRig(t, 3)
+	relays := r.relayed()
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	if a := r.put(1, 3, 0, "a"); a.code != 200 {
+		t.Fatal(a)
+	}
+	c := r.client("p1", 0, 1, 2)
+	until(t, "it has the configuration", func() bool { return c.version() == 3 && len(c.c.Keepers()) == 2 })
+	attached := c.c.Keepers()
+	for i := range 3 {
+		relays.cutOff(i, true, true)
+	}
+	until(t, "no keeper has contact", func() bool {
+		return !r.status(0).InContact && !r.status(1).InContact && !r.status(2).InContact
+	})
+	relays.heal()
+	until(t, "contact is back", func() bool { return r.status(0).InContact && r.status(1).InContact && r.status(2).InContact })
+	if c.version() != 3 {
+		t.Error("it has lost its configuration")
+	}
+	for _, conn := range attached {
+		if ended(conn) {
+			t.Error("it has left a keeper, and no other was in contact")
+		}
+	}
+}
+
+// beat_to names no keeper without contact.
+func TestBeatToNamesKeepersInContact(t *testing.T) {
+	k := still(t, "k1")
+	conns, _ := wires(t, 2)
+	for i, name := range []string{"k2", "k3"} {
+		k.meeting(conns[i], control.Node{Name: name, Role: control.RoleKeeper, Zone: "far", Control: name + ":1", Life: 1}, true)
+	}
+	report := func(i int, inContact bool) {
+		w := link.Writer{}
+		control.KeeperReport{InContact: inContact}.Append(&w)
+		k.reported(&link.Message{Conn: conns[i], Body: w.B})
+	}
+	for _, step := range []struct {
+		second, third bool
+		want          string
+	}{{false, false, ""}, {false, true, "k3:1"}, {true, true, "k2:1"}, {true, false, "k2:1"}, {false, false, ""}} {
+		report(0, step.second)
+		report(1, step.third)
+		if got := k.beatTo("far"); got != step.want {
+			t.Errorf("%+v: %q", step, got)
+		}
+	}
+	report(0, true)
+	k.meeting(conns[1], control.Node{Name: "k2", Role: control.RoleKeeper, Zone: "far", Control: "k2:1", Life: 2}, true)
+	if got := k.beatTo("far"); got != "" {
+		t.Errorf("by the report of a former life: %q", got)
+	}
+}
+
+// An acknowledgement that waits looks at contact again before it says so.
+func TestContactLostWhileAnAnswerWaits(t *testing.T) {
+	r := newRig(t, 3)
+	relays := r.relayed()
+	r.wait = 4 * time.Second
+	r.startAll()
+	r.untilMet(0, 1, 2)
+	p := r.raw(0, "p") // acknowledges nothing
+	get(t, p.pushes, "the first push")
+	answers := make(chan answer, 1)
+	go func() { answers <- r.beat(0, "1", "ready", 1) }()
+	until(t, "the call waits", func() bool {
+		waits, _ := ask(r.running[0].k, func() bool { return len(r.running[0].k.waiting) > 0 })
+		return waits
+	})
+	relays.cutOff(0, true, true)
+	if a := get(t, answers, "the answer"); a.code != 503 {
+		t.Error(a)
+	}
+}
+
+// The entries of endpoints are handed on between keepers, in contact or not.
+func TestEntriesAreTakenWithoutContact(t *testing.T) {
+	k := still(t, "k1")
+	conns, _ := wires(t, 1)
+	w := link.Writer{}
+	w.U32(1)
+	registry.AppendEntry(&w, &registry.Entry{Endpoint: view.Endpoint{ID: "1", Service: "s", CallCount: 2, State: view.Draining}, Alive: 2})
+	k.entries(time.Now(), &link.Message{Conn: conns[0], Body: w.B})
+	if e, there := k.table.Get(k.since(time.Now()), "1"); !there || e.State != view.Draining {
+		t.Errorf("%+v, %v", e, there)
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -45,6 +45,8 @@
 	Known    func() []control.Node
 	Log      hclog.Logger
 	PushWait time.Duration // how long an acknowledgement waits for those it concerns; 0: pushWait
+	// DialAddress tells where another keeper's link address is dialled; nil: there. Tests put relays between keepers by it.
+	DialAddress func(addr string) string
 }
 
 // Keeper is one process of the role.
@@ -104,6 +106,9 @@
 	if k.o.PushWait <= 0 {
 		k.o.PushWait = pushWait
 	}
+	if k.o.DialAddress == nil {
+		k.o.DialAddress = func(addr string) string { return addr }
+	}
 	k.linked.Store(&links{})
 	k.table = registry.New(0, registry.Options{BeatEvery: time.Duration(s.BeatEveryMs) * time.Millisecond})
 	k.lease = duty.NewGrants(0)
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -148,7 +148,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	defer k.do(func() { delete(k.dialling, addr) })
-	conn, err := link.Dial(ctx, addr, k, link.DefaultOptions)
+	conn, err := link.Dial(ctx, k.o.DialAddress(addr), k, link.DefaultOptions)
 	if err != nil {
 		return
 	}
--- a/internal/keeper/rig_test.go
+++ b/internal/keeper/rig_test.go
@@ -37,6 +37,7 @@
 	log     hclog.Logger
 	disks   []*disktest.Disk // nil: none
 	running []*running
+	relays  *relays // between the keepers; nil: none
 }
 
 type running struct {
@@ -85,7 +86,7 @@
 	if r.disks[i] != nil {
 		folder = r.disks[i]
 	}
-	k, err := New(Options{Settings: r.settings(i), Folder: folder, Log: r.log, PushWait: r.wait})
+	k, err := New(Options{Settings: r.settings(i), Folder: folder, Log: r.log, PushWait: r.wait, DialAddress: r.dialAddress(i)})
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -119,8 +120,9 @@
 }
 
 type answer struct {
-	code int
-	body string
+	code       int
+	body       string
+	retryAfter string
 }
 
 func (a answer) String() string { return fmt.Sprint(a.code, " ", strings.TrimSpace(a.body)) }
@@ -137,11 +139,11 @@
 	client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		return answer{0, err.Error()}
+		return answer{body: err.Error()}
 	}
 	defer resp.Body.Close()
 	b, _ := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, string(b)}
+	return answer{resp.StatusCode, string(b), resp.Header.Get("Retry-After")}
 }
 
 func (r *rig) put(i int, version, base uint64, mark string) answer {
@@ -231,6 +233,7 @@
 // raw is an attached process that acknowledges when it is told to.
 type raw struct {
 	conn   *link.Conn
+	hello  []byte // the reply to Hello
 	pushes chan *control.Update
 	closed chan struct{}
 }
@@ -263,7 +266,7 @@
 	b := link.Writer{}
 	control.Node{Name: name, Role: control.RoleProxy}.Append(&b)
 	b.Bool(true)
-	if _, err := conn.Call(ctx, control.Hello, b.B); err != nil {
+	if w.hello, err = conn.Call(ctx, control.Hello, b.B); err != nil {
 		r.t.Fatal(err)
 	}
 	return w
