--- a/internal/contact/contact_test.go
+++ b/internal/contact/contact_test.go
@@ -160,18 +160,18 @@
 	if !g.MayHandOut(0, "a") || g.MayHandOut(0, "late") || g.MayHandOut(0, "stranger") {
 		t.Fatal("handed out to others than those who were there when the read began")
 	}
-	if !g.BeginRead(RetryAfter) {
+	if !g.BeginRead(AttachReadEvery) {
 		t.Fatal("no read for who came late")
 	}
 	g.ReadDone(false)
-	if g.MayHandOut(RetryAfter, "late") || !g.MayHandOut(RetryAfter, "a") {
+	if g.MayHandOut(AttachReadEvery, "late") || !g.MayHandOut(AttachReadEvery, "a") {
 		t.Fatal("a read that failed")
 	}
-	if delay, ok := g.ReadDelay(RetryAfter); !ok || delay != RetryAfter || !g.BeginRead(2*RetryAfter) {
+	if delay, ok := g.ReadDelay(AttachReadEvery); !ok || delay != AttachReadEvery || !g.BeginRead(2*AttachReadEvery) {
 		t.Fatal("a read that failed is not made again")
 	}
 	g.ReadDone(true)
-	if !g.MayHandOut(2*RetryAfter, "late") || g.MayHandOut(2*RetryAfter, "gone") || g.MayHandOut(Length, "a") {
+	if !g.MayHandOut(2*AttachReadEvery, "late") || g.MayHandOut(2*AttachReadEvery, "gone") || g.MayHandOut(Length, "a") {
 		t.Fatal("after the second read")
 	}
 	if _, ok := g.ReadDelay(time.Hour); ok {
--- a/internal/contact/gate.go
+++ b/internal/contact/gate.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// AttachReadEvery is how far apart reads for processes that attach begin at least.
+const AttachReadEvery = 20 * time.Millisecond
+
 // Gate decides what a keeper may say: to callers, and to processes that attach to it, which are its keys.
 //
 // A process that attaches has no value of the registers that the keeper could compare with, so it is handed none
@@ -14,7 +17,7 @@
 
 // NewGate returns a gate without contact.
 func NewGate[K comparable]() *Gate[K] {
-	return &Gate[K]{reads: NewBarrier[K](RetryAfter), confirmed: map[K]bool{}}
+	return &Gate[K]{reads: NewBarrier[K](AttachReadEvery), confirmed: map[K]bool{}}
 }
 
 // Attach has a process wait for a read.
