Keeper: pushes, waiting answers and endpoints' calls in files of their own

Change: attached.go and calls.go held several concerns; no behaviour changes.

Measured: go test ./internal/keeper ./internal/control ./internal/contact: ok, 78 s, 2 s and 4 s on a busy machine.

--- a/internal/keeper/contact.go
+++ b/internal/keeper/contact.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dunetide/internal/agree"
+	"dunetide/internal/link"
 )
 
 const (
@@ -99,3 +100,10 @@
 		})
 	}
 }
+
+// contactBody tells whether this keeper is in contact, for processes that look for one that is.
+func (k *Keeper) contactBody() []byte {
+	w := link.Writer{}
+	w.Bool(k.contact.MayServe(k.since(time.Now())))
+	return w.B
+}
--- a/internal/keeper/endpoints.go
+++ b/internal/keeper/endpoints.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dunetide/internal/control"
+	"dunetide/internal/link"
 	"dunetide/internal/registry"
 	"dunetide/internal/view"
 )
@@ -162,3 +163,39 @@
 	}
 	return named.Control
 }
+
+// entries takes what another keeper tells of endpoints, and answers once the attached processes have it in force.
+func (k *Keeper) entries(now time.Time, m *link.Message) {
+	r := link.Reader{B: m.Body}
+	var list []registry.Entry
+	for range r.Count(16) {
+		e, err := registry.ReadEntry(&r)
+		if err != nil {
+			m.Fail("%v", err)
+			return
+		}
+		list = append(list, e)
+	}
+	if r.Err != nil {
+		m.Fail("%v", r.Err)
+		return
+	}
+	if len(k.table.Merge(k.since(now), list)) > 0 {
+		k.dirty = true
+	}
+	// What is known already may be on its way to the attached.
+	w := &waiter{change: k.table.Newest(), done: make(chan struct{})}
+	k.wait(w)
+	select {
+	case <-w.done:
+		m.Reply(nil)
+	default:
+		go func() {
+			select {
+			case <-w.done:
+				m.Reply(nil)
+			case <-k.ended:
+			}
+		}()
+	}
+}
