--- a/internal/control/messages_test.go
+++ b/internal/control/messages_test.go
@@ -32,7 +32,7 @@
 
 func tables() *rapid.Generator[*view.Table] {
 	return rapid.Custom(func(t *rapid.T) *view.Table {
-		v := &view.Table{Number: rapid.Uint64().Draw(t, "number"), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}}
+		v := &view.Table{Number: rapid.Uint64().Draw(t, "number"), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}, Stopping: map[uint64]bool{}}
 		for range rapid.IntRange(0, 4).Draw(t, "parts") {
 			g := idLists()
 			v.Parts = append(v.Parts, view.Part{Epoch: rapid.Uint64().Draw(t, "epoch"), Primary: rapid.Uint64().Draw(t, "primary"),
@@ -43,6 +43,9 @@
 			if rapid.Bool().Draw(t, "retiring") {
 				v.Retiring[n.ID] = true
 			}
+			if rapid.Bool().Draw(t, "stopping") {
+				v.Stopping[n.ID] = true
+			}
 		}
 		return v
 	})
@@ -50,7 +53,7 @@
 
 func updates() *rapid.Generator[*Update] {
 	return rapid.Custom(func(t *rapid.T) *Update {
-		u := &Update{Number: rapid.Uint64().Draw(t, "number"), Whole: rapid.Bool().Draw(t, "whole"), Listed: rapid.Bool().Draw(t, "listed"),
+		u := &Update{Number: rapid.Uint64().Draw(t, "number"), Whole: rapid.Bool().Draw(t, "whole"), InContact: rapid.Bool().Draw(t, "in contact"), Listed: rapid.Bool().Draw(t, "listed"),
 			Senders: rapid.IntRange(0, 9).Draw(t, "senders")}
 		if rapid.Bool().Draw(t, "has config") {
 			u.Config, u.Version = rapid.SliceOfN(rapid.Byte(), 1, 9).Draw(t, "config"), rapid.Uint64().Draw(t, "version")
--- /dev/null
+++ b/internal/forward/early_test.go
@@ -0,0 +1,261 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dunetide/internal/dispatch"
+	"dunetide/internal/operator"
+)
+
+// newRawEndpoint hands each of its connections to a function, which reads and writes as it likes.
+func newRawEndpoint(t *testing.T, id string, serve func(c *net.TCPConn)) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() {
+				defer func() { _ = c.Close() }()
+				_ = c.SetDeadline(time.Now().Add(patience))
+				serve(c.(*net.TCPConn))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		running.Wait()
+	})
+	return &endpoint{id: id, addr: l.Addr().String()}
+}
+
+// An endpoint that turns a long request away before it has read it, broken off at any byte: it goes to the next one if that was
+// whole, or if the request was surely not written whole, and else to nobody.
+func TestEarlyRejectionAtEveryByte(t *testing.T) {
+	body := strings.Repeat("b", 1<<20)
+	for _, end := range []string{"close", "reset", "wait"} {
+		t.Run(end, func(t *testing.T) {
+			t.Parallel()
+			for at := range len(rejectedAnswer.of("id1", 0)) + 1 {
+				if end == "wait" && at < len(rejectedAnswer.of("id1", 0)) {
+					continue
+				}
+				early := newRawEndpoint(t, "early", func(c *net.TCPConn) {
+					if _, err := http.ReadRequest(bufio.NewReaderSize(c, 512)); err != nil {
+						return
+					}
+					write(c, rejectedAnswer.of("id1", 0)[:at])
+					switch end {
+					case "reset":
+						_ = c.SetLinger(0)
+					case "wait":
+						untilClosed(c)
+					}
+				})
+				good := newEndpoint(t, "good", says(sealed, "fine"))
+				g := newRig(t, route(operator.Writes, 2), early, good)
+				a := g.do(plainCall, body)
+				calls := good.got()
+				switch { // what the system's buffers took may have been read: then it is not sent again
+				case a.status == 200 && a.body == "fine" && a.err == nil && len(calls) == 1 && calls[0].body == body:
+				case a.status == 502 && len(calls) == 0 && end != "wait":
+				default:
+					t.Errorf("%s at %d: %+v, %d calls at the next", end, at, a, len(calls))
+				}
+			}
+		})
+	}
+}
+
+// An endpoint that speaks before it was asked, any part of an answer: it is never taken for the answer to what is asked then.
+func TestEndpointThatSpeaksFirstAtEveryByte(t *testing.T) {
+	greeting := answerOf("foreign", sealed, "not asked for")
+	for _, method := range []string{"POST", "HEAD"} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			var part atomic.Int64
+			e := newRawEndpoint(t, "e1", func(c *net.TCPConn) {
+				write(c, greeting[:part.Load()])
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				body := "of " + r.Header.Get(headID)
+				if method == "HEAD" {
+					body = ""
+				}
+				write(c, answerOf(r.Header.Get(headID), sealed, body))
+			})
+			g := newRig(t, route(operator.Writes, 1), e)
+			for at := range len(greeting) + 1 {
+				part.Store(int64(at))
+				id := fmt.Sprint("id", at)
+				conn := g.dial()
+				must(t, conn.ask(method+" /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: "+id, ""))
+				resp, err := http.ReadResponse(conn.br, &http.Request{Method: method})
+				must(t, err)
+				body, err := io.ReadAll(resp.Body)
+				right := err == nil && resp.Header.Get(headID) == id && (method == "HEAD" || string(body) == "of "+id)
+				if resp.StatusCode != http.StatusBadGateway && (resp.StatusCode != 200 || !right) {
+					t.Errorf("%d: %d %v %q %v", at, resp.StatusCode, resp.Header, body, err)
+				}
+				if whole := at == 0 || at == len(greeting); whole && method == "POST" && resp.StatusCode != 200 {
+					t.Errorf("%d: %d though the answer came", at, resp.StatusCode)
+				}
+				_ = conn.Close()
+				g.p.poolOf(dispatch.Target{ID: e.id, Address: e.addr, Service: "svc"}).CloseIdle()
+			}
+		})
+	}
+}
+
+// A duplicate of an item's failure that arrives late never ends the item's next run: that goes over another connection.
+func TestLateDuplicateDoesNotEndTheNextRunOfAnItem(t *testing.T) {
+	for name, first := range map[string]string{
+		"failure":   answerOf("id1", "500 X|X-Dunetide-Server-Seal: s1", "sorry"),
+		"rejection": answerOf("id1", "503 X|X-Dunetide-Not-Run: full", ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newRawEndpoint(t, "e1", func(c *net.TCPConn) {
+				br := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if r.Header.Get("X-Attempt") == "1" {
+						write(c, first)
+						continue
+					}
+					if n > 0 { // the duplicate of the answer before, in the slot of this one
+						write(c, first)
+					}
+					write(c, streamHead("id1")+chunked(oneEvent(1), ""))
+				}
+			})
+			g := newRig(t, route(operator.Bulk, 1), e)
+			it := item(&g.config.Routes[0])
+			it.Header["X-Attempt"] = "1"
+			if res := g.p.RunItem(t.Context(), it, "", func(string, []byte) {}); res.State == ItemDone {
+				t.Fatalf("%+v", res)
+			}
+			it.Header["X-Attempt"] = "2"
+			if res := g.p.RunItem(t.Context(), it, "", func(string, []byte) {}); res.State != ItemDone {
+				t.Errorf("%+v", res)
+			}
+		})
+	}
+}
+
+// patientConn makes reads wait longer than asked, so that a reset is in time on a busy machine too.
+type patientConn struct{ *net.TCPConn }
+
+func (c patientConn) SetReadDeadline(t time.Time) error {
+	if time.Until(t) > 0 {
+		t = t.Add(300 * time.Millisecond)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// An endpoint that has forgotten an idle connection resets it at the next byte: what may run only once goes to another endpoint,
+// as its end was not sent yet. One that resets after the last byte may have run it: then it goes nowhere.
+func TestForgottenConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind   operator.Kind
+		body   string
+		method string
+		read   bool // the endpoint reads the second request whole, and then resets
+		status int
+	}{
+		"writes":           {operator.Writes, "body", "POST", false, 200},
+		"writes, no body":  {operator.Writes, "", "DELETE", false, 200},
+		"writes, long":     {operator.Writes, strings.Repeat("b", 100<<10), "POST", false, 200},
+		"stream":           {operator.Streaming, "body", "POST", false, 200},
+		"read":             {operator.Writes, "body", "POST", true, 502},
+		"read, no body":    {operator.Writes, "", "DELETE", true, 502},
+		"read, idempotent": {operator.ReadOnly, "body", "POST", true, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forgetful := newRawEndpoint(t, "forgetful", func(conn *net.TCPConn) {
+				br := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					if n == 1 && !c.read {
+						_, _ = br.ReadByte()
+						_ = conn.SetLinger(0)
+						return
+					}
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if n == 1 {
+						_ = conn.SetLinger(0)
+						return
+					}
+					write(conn, answerOf(r.Header.Get(headID), sealed, "first"))
+				}
+			})
+			good := newEndpoint(t, "good", says(sealed, "fine"))
+			var later atomic.Int64
+			g := newRigWith(t, route(c.kind, 2), func(o *Options) {
+				o.Now = func() time.Time { return time.Now().Add(time.Duration(later.Load())) }
+				o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+					conn, err := dial(ctx, addr)
+					if err != nil {
+						return nil, err
+					}
+					return patientConn{conn.(*net.TCPConn)}, nil
+				}
+			}, forgetful, good)
+			call := c.method + " /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id1"
+			if a := g.do(call, c.body); a.body != "first" {
+				t.Fatalf("%+v", a)
+			}
+			later.Store(int64(100 * time.Millisecond)) // so long the connection was idle
+			if a := g.do(call, c.body); a.status != c.status || a.err != nil {
+				t.Errorf("%+v, want %d", a, c.status)
+			}
+			want := 1
+			if c.status != 200 {
+				want = 0
+			}
+			if calls := good.got(); len(calls) != want || want == 1 && calls[0].body != c.body {
+				t.Errorf("%d calls at the next", len(calls))
+			}
+		})
+	}
+}
+
+// The body of another's answer, whose length a HEAD can't tell, is not taken for an answer.
+func TestBodyOfAForeignAnswerIsNoAnswer(t *testing.T) {
+	e := newEndpoint(t, "e1", func(c net.Conn, r call) bool {
+		id := r.Header.Get(headID)
+		_, err := io.WriteString(c, answerOf("foreign", sealed, answerOf(id, "404 X", "")))
+		return err == nil
+	})
+	g := newRig(t, route(operator.ReadOnly, 1), e)
+	conn := g.dial()
+	must(t, conn.ask("HEAD /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id1", ""))
+	resp, err := http.ReadResponse(conn.br, &http.Request{Method: http.MethodHead})
+	must(t, err)
+	if resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("%d", resp.StatusCode)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"dunetide/internal/attempt"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/operator"
 	"dunetide/internal/upstream"
@@ -81,7 +82,7 @@
 	deadline time.Time // of the answer to the client; zero: none
 	last     string    // the event that was passed on last, or was named by the client
 
-	state      State
+	state      attempt.State
 	headed     bool // the head was passed on
 	tries      int  // endpoints that had it
 	turns      int  // those that turned it away, or could not be reached
@@ -109,39 +110,39 @@
 	return x.deadline.Sub(x.now())
 }
 
-// having is what the next verdict depends on.
-func (x *exchange) having() having {
+// conditions are what the next verdict depends on.
+func (x *exchange) conditions() attempt.Conditions {
 	r := x.req.Route
-	time := x.left() > worthwhile
-	return having{
-		idempotent: r.Idempotent(),
-		resumable:  r.Resume && x.stream.lastID != "" && !x.stream.unnamed,
-		triesLeft:  time && x.tries < max(1, r.Tries),
-		turnsLeft:  time && x.turns < max(1, r.Tries)+moreTurns,
+	timeLeft := x.left() > worthwhile
+	return attempt.Conditions{
+		Idempotent: r.Idempotent() || x.req.Bulk,
+		Resumable:  r.Resume && x.stream.lastID != "" && !x.stream.unnamed,
+		TriesLeft:  timeLeft && !x.req.Bulk && x.tries < max(1, r.Tries),
+		TurnsLeft:  timeLeft && x.turns < max(1, r.Tries)+moreTurns,
 	}
 }
 
 // follow takes an event in and says what is next.
-func (x *exchange) follow(e Event) Verdict {
+func (x *exchange) follow(e attempt.Event) attempt.Verdict {
 	switch e {
-	case TurnedAway, Unsent:
+	case attempt.Rejected, attempt.NotWritten:
 		x.turns++
-	case Broken, Failed, Unkept, Cut:
+	case attempt.Broken, attempt.Failed, attempt.FalseRefusal, attempt.BodyCut:
 		x.tries++
 	default:
 	}
 	if x.headed {
-		x.state = Headed
+		x.state = attempt.HeadSent
 	}
-	var v Verdict
-	x.state, v = next(x.state, e, x.having())
+	var v attempt.Verdict
+	x.state, v = attempt.Next(x.state, e, x.conditions())
 	return v
 }
 
 // acquire asks for an endpoint.
-func (x *exchange) acquire() (Event, bool) {
+func (x *exchange) acquire() (attempt.Event, bool) {
 	if x.left() <= 0 {
-		return Late, false
+		return attempt.DeadlineExceeded, false
 	}
 	since := time.Time{}
 	if x.req.Regime != "" && x.req.Bulk {
@@ -156,7 +157,7 @@
 		return 0, true
 	}
 	if x.ctx.Err() != nil {
-		return ClientGone, false
+		return attempt.ClientGone, false
 	}
 	var refused *dispatch.Refused
 	if errors.As(err, &refused) {
@@ -167,35 +168,19 @@
 	}
 	x.err = err
 	if x.left() <= worthwhile {
-		return Late, false
+		return attempt.DeadlineExceeded, false
 	}
-	return Refused, false
+	return attempt.Refused, false
 }
 
 // send sends the request to the endpoint of the grant and reads the head of its answer. Unless
-// it was answered, the sending is over then; a 500 that may have to be passed on is left open.
-func (x *exchange) send() Event {
+// it was answered, the send is over then; a 500 that may have to be passed on is left open.
+func (x *exchange) send() attempt.Event {
 	target := x.grant.Endpoint()
 	x.req.Avoid = append(x.req.Avoid, target.ID)
 	x.load = dispatch.Load{}
-	conn, err := x.p.poolOf(target).Take(x.ctx)
-	if err != nil {
-		x.err = err
-		switch {
-		case x.ctx.Err() != nil:
-			x.finish(dispatch.Unsent, upstream.Unused)
-			return ClientGone
-		case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone):
-			x.finish(dispatch.Unsent, upstream.Unused)
-		default: // nobody takes its connections
-			x.finish(dispatch.Broken, upstream.Unused)
-		}
-		return Unsent
-	}
-	x.conn = conn
-	if x.left() <= worthwhile {
-		x.finish(dispatch.Unsent, upstream.Unused)
-		return Late
+	if e, ok := x.connect(target); !ok {
+		return e
 	}
 	x.layOut(target.ID)
 	if x.p.o.Certified.Set() != nil {
@@ -203,24 +188,15 @@
 			return e
 		}
 	}
-	x.resp, err = conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
-	for n := 0; err == nil && x.resp.Header.Get(headID) != x.req.ID; n++ {
-		// The surplus of an earlier call, if it has an id and an end.
-		if n == maxSurplus || x.resp.Header.Get(headID) == "" || !x.delimited() || !x.drain(atOnce) {
-			err = &upstream.CallError{Sent: true, Err: errForeign}
-			break
-		}
-		x.resp, err = conn.Next()
-	}
-	if err != nil {
+	if err := x.roundTrip(); err != nil {
 		return x.failed(err)
 	}
 	x.load = loadOf(x.resp.Header)
 	e, outcome := x.classify()
 	switch e {
-	case Answered, Failed:
+	case attempt.Answered, attempt.Failed:
 		x.grant.First(x.load)
-	case TurnedAway:
+	case attempt.Rejected:
 		x.retryAfter = retryAfterOf(x.resp.Header)
 		x.finishDrained(outcome)
 	default:
@@ -230,54 +206,160 @@
 	return e
 }
 
+// connect takes a connection to the endpoint. If there is none, or no time is left, the send is over.
+func (x *exchange) connect(target dispatch.Target) (attempt.Event, bool) {
+	conn, err := x.takeConn(target)
+	switch {
+	case err == nil:
+		x.conn = conn
+	case x.ctx.Err() != nil:
+		x.err = err
+		x.finish(dispatch.Unsent, upstream.Unused)
+		return attempt.ClientGone, false
+	case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone), errors.Is(err, upstream.ErrDeadline):
+		x.err = err
+		x.finish(dispatch.Unsent, upstream.Unused)
+		return attempt.NotWritten, false
+	default: // nobody accepts its connections
+		x.err = err
+		x.finish(dispatch.Broken, upstream.Unused)
+		return attempt.NotWritten, false
+	}
+	if x.left() <= worthwhile {
+		x.finish(dispatch.Unsent, upstream.Unused)
+		return attempt.DeadlineExceeded, false
+	}
+	return 0, true
+}
+
+// takeConn takes a connection that has not carried this id before.
+func (x *exchange) takeConn(target dispatch.Target) (*upstream.Conn, error) {
+	pool := x.p.poolOf(target)
+	for {
+		conn, err := pool.TakeBefore(x.ctx, x.deadline)
+		if err != nil || !conn.Carried(x.req.ID) {
+			return conn, err
+		}
+		conn.Retire()
+		conn.Done(upstream.Unused)
+	}
+}
+
+// roundTrip writes the request and reads the head of its answer. Before it, duplicates of answers
+// to earlier calls on the connection may arrive: their ids differ, and they are read over.
+func (x *exchange) roundTrip() (err error) {
+	if !x.conditions().Idempotent {
+		x.conn.HoldBackEnd()
+	}
+	x.resp, err = x.conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
+	for n := 0; err == nil; n++ {
+		matches, spliced := x.matches(), x.spliced()
+		if matches && !spliced {
+			return nil
+		}
+		if spliced || n == maxSurplus || !x.skippable() || !x.drain(atOnce) {
+			return &upstream.CallError{Sent: true, Err: errForeign}
+		}
+		x.resp, err = x.conn.Next()
+	}
+	return err
+}
+
+// matches tells whether the answer names this request, and no other.
+func (x *exchange) matches() bool {
+	ids := x.resp.Header[headID]
+	return len(ids) == 1 && ids[0] == x.req.ID
+}
+
+// spliced tells whether the head of the answer has another status line inside: the endpoint broke off
+// the head of one answer and sent another one behind it. The status, and any header, may be of either.
+func (x *exchange) spliced() bool {
+	if hasStatusLine(x.resp.Status) {
+		return true
+	}
+	for _, values := range x.resp.Header {
+		if slices.ContainsFunc(values, hasStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasStatusLine finds "HTTP/1.x NNN".
+func hasStatusLine(s string) bool {
+	const version, digits = "HTTP/1.", 3
+	for {
+		at := strings.Index(s, version)
+		if at < 0 {
+			return false
+		}
+		s = s[at+len(version):]
+		if len(s) >= 2+digits && s[1] == ' ' && !strings.ContainsFunc(s[2:2+digits], func(r rune) bool { return r < '0' || r > '9' }) {
+			return true
+		}
+	}
+}
+
+// skippable tells whether an answer to another call can be read over: it has to have an id, and an
+// end that does not depend on the method of the call that it belongs to.
+func (x *exchange) skippable() bool {
+	return x.method != http.MethodHead && x.resp.Header.Get(headID) != "" && x.delimited()
+}
+
 // failed ends a sending that broke, and says what that was.
-func (x *exchange) failed(err error) Event {
+func (x *exchange) failed(err error) attempt.Event {
 	x.err = err
 	var call *upstream.CallError
 	sent := !errors.As(err, &call) || call.Sent
 	switch {
 	case x.ctx.Err() != nil:
 		x.finish(dispatch.Left, upstream.GaveUp)
-		return ClientGone
+		return attempt.ClientGone
 	case errors.Is(err, os.ErrDeadlineExceeded) && x.left() <= worthwhile:
 		x.finish(dispatch.Silent, upstream.GaveUp)
 		if sent {
-			x.state = max(x.state, Sent)
+			x.state = max(x.state, attempt.Sent)
 		}
-		return Late
+		return attempt.DeadlineExceeded
 	case !sent:
 		x.unsent = true
 		x.finish(dispatch.Broken, upstream.Broken)
-		return Unsent
+		return attempt.NotWritten
 	default:
 		x.finish(dispatch.Broken, upstream.Broken)
-		return Broken
+		return attempt.Broken
 	}
 }
 
 // classify says what a head tells.
-func (x *exchange) classify() (Event, dispatch.Outcome) {
+func (x *exchange) classify() (attempt.Event, dispatch.Outcome) {
 	h, status := x.resp.Header, x.resp.StatusCode
 	notRun := h.Get(headNotRun) != ""
 	switch {
 	case status == http.StatusMisdirectedRequest:
-		return TurnedAway, dispatch.WrongOne
-	case notRun && status >= 400 && status != http.StatusBadRequest:
-		return TurnedAway, dispatch.NotRun
-	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable, status == http.StatusRequestTimeout:
-		return Unkept, dispatch.Failed
+		return attempt.Rejected, dispatch.WrongOne
+	case notRun && promisesNotRun(status):
+		return attempt.Rejected, dispatch.NotRun
+	case promisesNotRun(status):
+		return attempt.FalseRefusal, dispatch.Failed
 	case !plain(h.Get("Content-Encoding")), !x.delimited():
-		return Broken, dispatch.Broken
+		return attempt.Broken, dispatch.Broken
 	case status < 300 && (notRun || h.Get(headSeal) == ""):
-		return Broken, dispatch.Broken
+		return attempt.Broken, dispatch.Broken
 	case x.headed && (status != http.StatusOK || !isStream(h)) && status != http.StatusInternalServerError:
-		return Broken, dispatch.Failed
+		return attempt.Broken, dispatch.Failed
 	case status == http.StatusInternalServerError:
-		return Failed, dispatch.Failed
+		return attempt.Failed, dispatch.Failed
 	case status == http.StatusGatewayTimeout:
-		return Answered, dispatch.Failed
+		return attempt.Answered, dispatch.Failed
 	}
-	return Answered, dispatch.Served
+	return attempt.Answered, dispatch.Served
+}
+
+// promisesNotRun tells of the statuses that promise that a request has not run, if the endpoint says so
+// in X-Dunetide-Not-Run too. Beside any other status that header is no proof.
+func promisesNotRun(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout
 }
 
 func plain(encoding string) bool { return encoding == "" || strings.EqualFold(encoding, "identity") }
@@ -305,6 +387,9 @@
 		end = upstream.Broken
 	} else if x.drain(4 << 10) {
 		x.conn.Whole(x.resp)
+		if x.req.Bulk { // it may be sent here again under the same id
+			x.conn.Remember(x.req.ID)
+		}
 	}
 	if o == dispatch.NotRun && x.resp.StatusCode == http.StatusServiceUnavailable {
 		end = upstream.Full
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -237,17 +237,25 @@
 }
 
 func newRig(t testing.TB, r operator.Route, endpoints ...*endpoint) *rig {
+	t.Helper()
+	return newRigWith(t, r, func(*Options) {}, endpoints...)
+}
+
+// newRigWith is newRig with other options.
+func newRigWith(t testing.TB, r operator.Route, change func(o *Options), endpoints ...*endpoint) *rig {
 	t.Helper()
 	c := &operator.Config{Version: 1, Routes: []operator.Route{r}, Services: map[string]*operator.Service{"svc": {Name: "svc"}}}
 	g := &rig{t: t, a: &admission{all: endpoints}, config: c}
 	holder := &view.Holder{}
 	holder.Set(&view.Snapshot{Config: c, Senders: 1})
-	g.p = New(Options{Holder: holder, Admission: g.a, DrainWait: time.Millisecond, Match: firstMatch})
+	o := Options{Holder: holder, Admission: g.a, DrainWait: time.Millisecond, Match: firstMatch}
+	change(&o)
+	g.p = New(o)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	g.addr = l.Addr().String()
 	done := make(chan error, 1)
-	go func() { done <- g.p.Server().Serve(l) }()
+	go func() { done <- g.p.Serve(l) }()
 	t.Cleanup(func() {
 		_ = g.p.Server().Close()
 		if err := <-done; !errors.Is(err, http.ErrServerClosed) {
@@ -393,6 +401,10 @@
 		"429":              {answerOf("id1", "429 X", ""), 502, 200, dispatch.Failed},
 		"408":              {answerOf("id1", "408 X", ""), 502, 200, dispatch.Failed},
 		"500":              {answerOf("id1", "500 X", "sorry"), 500, 200, dispatch.Failed},
+		"500 not run":      {answerOf("id1", "500 X|X-Dunetide-Not-Run: 1", "sorry"), 500, 200, dispatch.Failed},
+		"504 not run":      {answerOf("id1", "504 X|X-Dunetide-Not-Run: 1", ""), 504, 504, dispatch.Failed},
+		"200 not run":      {answerOf("id1", sealed+"|X-Dunetide-Not-Run: 1", "x"), 502, 200, dispatch.Broken},
+		"two ids":          {answerOf("id1", sealed+"|X-Dunetide-Request-Id: id0", "ok"), 502, 200, dispatch.Broken},
 		"504":              {answerOf("id1", "504 X", ""), 504, 504, dispatch.Failed},
 		"422":              {answerOf("id1", "422 X", "no"), 422, 422, dispatch.Served},
 		"400 not run":      {answerOf("id1", "400 X|X-Dunetide-Not-Run: 1", "no"), 400, 400, dispatch.Served},
--- a/internal/keeper/faults_test.go
+++ b/internal/keeper/faults_test.go
@@ -33,6 +33,19 @@
 	return k
 }
 
+// confirmContact has a keeper that does not run in contact, and the registers confirmed for all who are attached.
+func confirmContact(t *testing.T, k *Keeper) {
+	t.Helper()
+	now := k.since(time.Now()) + time.Hour // it lasts for the test
+	k.contact.Confirmed(now, now)
+	if k.contact.BeginRead(now) {
+		k.contact.ReadDone(true)
+	}
+	if !k.contact.MayServe(k.since(time.Now())) {
+		t.Fatal("no contact")
+	}
+}
+
 // sink takes what comes over links, at the far end.
 type sink struct{ messages chan *link.Message }
 
@@ -88,7 +101,7 @@
 		defer close(done)
 		k.agree.decided(configRegister, agree.State{Slot: 1, Voters: []agree.Voter{{ID: 9, Name: "k2"}}})
 		k.agree.send(configRegister, agree.Voter{ID: 9, Name: "k2"}, nil)
-		k.agree.join(configRegister)
+		k.agree.askWhereUnknown(configRegister)
 		k.spread(configRegister, agree.State{})
 	}()
 	get(t, done, "the end of what the registers' goroutine does")
@@ -119,9 +132,9 @@
 // Who acknowledges nothing is pushed no more than so much, and is told all in one once it does.
 func TestUnacknowledgedIsBounded(t *testing.T) {
 	k := still(t, "k1")
-	k.fresh = true
 	conns, _ := wires(t, 1)
 	k.hello(&link.Message{Conn: conns[0], Body: hello("p", control.RoleProxy)})
+	confirmContact(t, k)
 	p := k.attached[conns[0]]
 	beat := func(i int) {
 		k.table.Beat(0, view.Endpoint{ID: fmt.Sprint("i", i), Service: "s", Address: fmt.Sprint("a:", i), CallCount: 1})
@@ -194,12 +207,15 @@
 		if p.conn != other {
 			t.Fatalf("%s: the other link is not used", c.what)
 		}
+		if !k.links().connectedIDs(1)[7] {
+			t.Fatalf("%s: it does not count as connected", c.what)
+		}
 		k.parted(other)
 		if p.conn != nil || len(k.conns) != 0 || k.links().to(agree.Voter{ID: 7}) != nil {
 			t.Fatalf("%s: links are left", c.what)
 		}
-		if !k.links().metIDs(1, time.Now())[7] || k.links().metIDs(1, time.Now().Add(2*deadAfter))[7] {
-			t.Fatalf("%s: who was met a moment ago", c.what)
+		if k.links().connectedIDs(1)[7] {
+			t.Fatalf("%s: it counts as connected", c.what)
 		}
 	}
 
@@ -417,7 +433,7 @@
 	k := still(t, "k1")
 	conns, far := wires(t, 1)
 	k.meeting(conns[0], control.Node{Name: "k2", Role: control.RoleKeeper, ID: 7, Life: 1}, true)
-	k.agree.join(tableRegister)
+	k.agree.askWhereUnknown(tableRegister)
 	for m := get(t, far.messages, "the question"); m.Kind != control.Agree; m = get(t, far.messages, "the question") {
 	}
 }
--- a/internal/keeper/model_test.go
+++ b/internal/keeper/model_test.go
@@ -259,6 +259,16 @@
 	c.after(300*time.Millisecond, func() { m.join(m.id) })
 }
 
+// replaceByName gives the state with a voter in the place of the one of its name, whose disk is lost.
+func replaceByName(cur agree.State, joiner agree.Voter) (agree.State, bool) {
+	for _, voter := range cur.Voters {
+		if voter.Name == joiner.Name {
+			return cur.WithReplacement(voter.ID, joiner)
+		}
+	}
+	return cur, false
+}
+
 func (m *modelMachine) join(id uint64) {
 	c := m.cluster
 	joined := false
@@ -268,7 +278,7 @@
 			if m.id != id {
 				return cur, agree.ErrUnchanged
 			}
-			next, changed := agree.Admit(cur, m.voter(), func(agree.Voter) bool { return false }, len(cur.Voters))
+			next, changed := replaceByName(cur, m.voter())
 			if !changed {
 				return cur, agree.ErrUnchanged
 			}
--- a/internal/keeper/peers.go
+++ b/internal/keeper/peers.go
@@ -79,15 +79,16 @@
 	return node, false
 }
 
-// metIDs are the identities of keepers that are met, or were until a moment ago, and the own one.
-func (l links) metIDs(self uint64, now time.Time) map[uint64]bool {
-	met := map[uint64]bool{self: true}
+// connectedIDs are the identities of the keepers that are connected, and the own one; keepers without a disk have none.
+func (l links) connectedIDs(self uint64) map[uint64]bool {
+	connected := map[uint64]bool{self: true}
 	for _, x := range l {
-		if x.conn != nil || now.Sub(x.lost) < deadAfter {
-			met[x.node.ID] = true
+		if x.conn != nil {
+			connected[x.node.ID] = true
 		}
 	}
-	return met
+	delete(connected, 0)
+	return connected
 }
 
 // relinked is called after each change of who is met.
@@ -97,7 +98,7 @@
 		l = append(l, linked{p.node, p.conn, p.lost})
 	}
 	k.linked.Store(&l)
-	k.met++
+	k.keepersChange++
 	k.dirty = true
 	k.recount()
 }
@@ -105,7 +106,7 @@
 // meet dials the keepers that are known and not met.
 func (k *Keeper) meet(now time.Time) {
 	addrs := map[string]bool{}
-	for _, s := range control.SeedLinks(k.o.Settings.Seeds, k.o.Settings.InternalFirst) {
+	for _, s := range control.SeedLinks(*k.seeds.Load(), k.o.Settings.InternalFirst) {
 		addrs[s] = true
 	}
 	if k.o.Known != nil {
@@ -192,7 +193,7 @@
 		k.log.Info("keeper met", "keeper", node.Name, "zone", node.Zone)
 	}
 	if p.node.Life != node.Life {
-		p.attached, p.differs = nil, 0
+		p.attached, p.differs, p.report = nil, 0, control.KeeperReport{}
 		for other, l := range k.conns {
 			if l.peer == p && other != c {
 				other.Close()
@@ -206,7 +207,7 @@
 	}
 	k.choose(p, c)
 	k.greet(c)
-	k.agree.met()
+	k.agree.bootstrapFromSeeds()
 	k.relinked()
 }
 
@@ -239,6 +240,7 @@
 		_ = c.Send(control.Learn, body)
 	}
 	_ = c.Send(control.Attached, k.attachedBody())
+	_ = c.Send(control.Report, encodeReport(k.report()))
 }
 
 // parted forgets a link to a keeper. Another one to the same life takes its place.
@@ -253,6 +255,7 @@
 		return
 	}
 	p.conn = nil
+	p.report = control.KeeperReport{}
 	for other, l := range k.conns {
 		if l.peer == p && l.life == p.node.Life {
 			p.conn = other
@@ -344,7 +347,7 @@
 			_ = p.conn.Send(control.Heard, w.B)
 		}
 	}
-	k.sendReports(now)
+	k.sendReports()
 }
 
 func (k *Keeper) heard(now time.Time, m *link.Message) {
@@ -404,11 +407,11 @@
 	return k.sums.sums
 }
 
-// keeperNodes are this keeper and those that are met, by name.
+// keeperNodes are this keeper and those that are connected and not leaving, by name.
 func (k *Keeper) keeperNodes() []control.Node {
 	nodes := []control.Node{k.self}
 	for _, p := range k.peers {
-		if p.conn != nil {
+		if p.conn != nil && !p.report.Leaving {
 			nodes = append(nodes, p.node)
 		}
 	}
--- a/internal/keeper/retire.go
+++ b/internal/keeper/retire.go
@@ -11,8 +11,12 @@
 	"dunetide/internal/view"
 )
 
-// Reasons to put a retirement off: what this keeper hears of the stores differs from the agreed table, or is not enough.
+// Answers to a retirement that was not taken.
 var (
+	// errUnknownStore and errTooFew are refusals: the agreed table says so.
+	errUnknownStore = errors.New("no store has this name: GET /status tells of those that are there")
+	errTooFew       = errors.New("too few stores would be left: add one first")
+	// The others put it off: what this keeper hears of the stores differs from the agreed table, or is not enough.
 	errStoreJoins    = errors.New("the store has joined and is not in the agreed table yet: ask again in a second")
 	errStoresMissing = errors.New("too few stores are heard of here to spare one: ask again in a second, or another keeper")
 	errStoresUnheard = errors.New("this keeper has just started, or stops: ask another one, or again in a second")
@@ -83,6 +87,11 @@
 	return http.StatusServiceUnavailable
 }
 
+// refuses reports whether a status ends an order for good.
+func refuses(code int) bool {
+	return code == http.StatusNotFound || code == http.StatusConflict
+}
+
 func (k *Keeper) postRetire(w http.ResponseWriter, name string, _ []byte, _ *http.Request) {
 	alive, lost, ok := k.storesNow()
 	if !ok {
@@ -93,7 +102,11 @@
 	done := make(chan error, 1)
 	k.changeTable(order.change, func(err error) { done <- err })
 	err := k.await(done)
-	if code := retireStatus(err); code != http.StatusOK {
+	code := retireStatus(err)
+	if refuses(code) && !k.inContact() {
+		code = http.StatusServiceUnavailable // stores that are attached elsewhere may not be known here
+	}
+	if code != http.StatusOK {
 		k.log.Info("retirement not taken", "store", name, "code", code, "err", err)
 		refuse(w, code, err.Error())
 		return
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -62,9 +62,11 @@
 	Parts    []Part
 	Stores   map[uint64]Store
 	Retiring map[uint64]bool
+	// Stopping are the stores that have said that they are about to stop: they lead nothing until they say that they run.
+	Stopping map[uint64]bool
 }
 
-// Part of a batch job, by its id.
+// PartOf is the part that holds a batch job, found by a hash of its id; -1 where there are no parts.
 func (t *Table) PartOf(lot string) int {
 	if t == nil || len(t.Parts) == 0 {
 		return -1
