--- a/internal/keeper/wrong_orders_test.go
+++ b/internal/keeper/wrong_orders_test.go
@@ -32,7 +32,7 @@
 	{"an order is judged while another may be taken", "../agree/proposer.go", "if r.best == (ballot{}) && !r.choose() {", "if (r.best == ballot{} || !r.op.read) && !r.choose() {"},
 	{"an order that lost its slot is confirmed", "../agree/proposer.go", "			op.proposed, op.next = false, State{}\n", "			r.finish(op.next, nil)\n			return\n"},
 	{"a read of what is known here", "../agree/proposer.go", "case r.op.read && r.op.tries == 0:", "case r.op.read && r.op.tries == 0 && r.known && r.o.ID != 0:\n		r.finish(r.state, nil)\n	case r.op.read && r.op.tries == 0:"},
-	{"the value is not kept over a change of voters", "../agree/members.go", "			next.Voters[i] = v\n", "			next.Voters[i], next.Value = v, nil\n"},
+	{"the value is not kept over a change of voters", "../agree/members.go", "	next.Voters[i] = joiner\n", "	next.Voters[i], next.Value = joiner, nil\n"},
 	{"what a voter accepted is not on its disk", "../agree/agree.go", "if !r.save(acceptedPayload(m.ballot, m.state)) {", "if false {"},
 }
 
