Test of all errors on the way to an order: only the decided state refuses

Change: TestOnlyTheDecidedStateRefuses replaces TestRetireStatus and also has each error for documents, those of the contact, of the queues and of the register's value.

--- a/internal/keeper/retire_test.go
+++ b/internal/keeper/retire_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"dunetide/internal/agree"
+	"dunetide/internal/certify"
 	"dunetide/internal/view"
 )
 
@@ -71,23 +73,29 @@
 	}
 }
 
-// Nothing but the two refusals ends an operator's call.
-func TestRetireStatus(t *testing.T) {
+// What ends an operator's call comes from the decided state of a register; all that may go wrong on the way to it is 503.
+func TestOnlyTheDecidedStateRefuses(t *testing.T) {
 	for err, want := range map[error]int{
-		nil: 200, agree.ErrUnchanged: 200, errUnknownStore: 404, errTooFew: 409, errStoreJoins: 503, errStoresMissing: 503,
-		errStoresUnheard: 503, errStops: 503, errBusy: 503,
+		nil: 200, agree.ErrUnchanged: 200, errUnknownStore: 404, errTooFew: 409, errStoreJoins: 503, errStoresMissing: 503, errStoresUnheard: 503,
 	} {
 		if got := retireStatus(err); got != want {
-			t.Errorf("%v: %d", err, got)
+			t.Errorf("%v to a retirement: %d", err, got)
 		}
 	}
-	for _, class := range []interface{ New(string, ...any) error }{&agree.ErrTimeout, &agree.ErrNoMajority, &agree.ErrUnknown, &agree.ErrBusy, &agree.ErrVoters} {
-		err := class.New("x")
-		if got := retireStatus(err); got != 503 {
-			t.Errorf("%v: %d", err, got)
+	for err, want := range map[error]int{
+		nil: 200, ErrInvalid.New("x"): 400, certify.Invalid.New("x"): 400, ErrVersion.New("x"): 412, ErrForgotten.New("x"): 503,
+	} {
+		if got := statusOf(err); got != want {
+			t.Errorf("%v to a document: %d", err, got)
 		}
+	}
+	for _, err := range []error{errStops, errBusy, errNoContact, agree.ErrTimeout.New("x"), agree.ErrNoMajority.New("x"), agree.ErrUnknown.New("x"),
+		agree.ErrBusy.New("x"), agree.ErrVoters.New("x"), io.ErrUnexpectedEOF} {
 		if got := statusOf(err); got != 503 {
-			t.Errorf("%v: %d to a document", err, got)
+			t.Errorf("%v to a document: %d", err, got)
+		}
+		if got := retireStatus(err); got != 503 {
+			t.Errorf("%v to a retirement: %d", err, got)
 		}
 	}
 }
