--- a/internal/keeper/retire.go
+++ b/internal/keeper/retire.go
@@ -11,14 +11,12 @@
 	"dunetide/internal/view"
 )
 
-// Refusals of a retirement: the agreed table says so.
+// Answers to a retirement that was not taken.
 var (
+	// errUnknownStore and errTooFew are refusals: the agreed table says so.
 	errUnknownStore = errors.New("no store has this name: GET /status tells of those that are there")
 	errTooFew       = errors.New("too few stores would be left: add one first")
-)
-
-// Reasons to put a retirement off: what this keeper hears of the stores differs from the agreed table, or is not enough.
-var (
+	// The others put it off: what this keeper hears of the stores differs from the agreed table, or is not enough.
 	errStoreJoins    = errors.New("the store has joined and is not in the agreed table yet: ask again in a second")
 	errStoresMissing = errors.New("too few stores are heard of here to spare one: ask again in a second, or another keeper")
 	errStoresUnheard = errors.New("this keeper has just started, or stops: ask another one, or again in a second")
