--- a/internal/batch/assign.go
+++ b/internal/batch/assign.go
@@ -83,6 +83,17 @@
 	return ok && !a.lost(id) && !a.next.Retiring[id]
 }
 
+// machineRetires tells whether the machine of a store is to be emptied. One that has lost its disk since that was asked for
+// comes back as another store, by the same name and at the same address.
+func machineRetires(t *view.Table, store view.Store) bool {
+	for id, s := range t.Stores {
+		if t.Retiring[id] && s.Name == store.Name && s.Addr == store.Addr {
+			return true
+		}
+	}
+	return false
+}
+
 // Assign says how the parts should be placed. Alive are the stores that are heard of; lost tells of a store that it has
 // been away for so long that others should take its place. Every change of a part has a new epoch. The first table needs
 // f+2 stores, or as many as there are, so the caller asks for it when all that start together have been heard of.
@@ -104,10 +115,14 @@
 	}
 	changed := false
 	for _, s := range alive {
-		if cur.Stores[s.ID] != s {
-			a.next.Stores[s.ID] = s
-			changed = true
+		if cur.Stores[s.ID] == s {
+			continue
+		}
+		if _, known := cur.Stores[s.ID]; !known && machineRetires(cur, s) {
+			a.next.Retiring[s.ID] = true
 		}
+		a.next.Stores[s.ID] = s
+		changed = true
 	}
 	if len(a.next.Parts) == 0 {
 		usable := 0
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -79,7 +79,6 @@
 	stopping         bool                             // takes no jobs and hands the lead of its parts over
 	handingOver      []*part                          // what it led when it was told to stop
 	logf             func(format string, args ...any) // may be nil
-	wrong            wrongLine
 
 	table    *view.Table
 	config   *operator.Config
@@ -604,9 +603,6 @@
 // stale tells a primary that it has been replaced, if it has.
 func (c *core) stale(p *part, ballot uint64, pipe Pipe) bool {
 	known := max(p.promised, ballotOf(p.epoch))
-	if c.wrong == wrongOldBallots {
-		return false
-	}
 	if ballot >= known {
 		return false
 	}
@@ -823,10 +819,6 @@
 		w.Bool(c.full)
 		_ = pipe.Send(kAck, w.B)
 	}
-	if c.wrong == wrongAckEarly {
-		ack()
-		return
-	}
 	c.afterSync(ack)
 }
 
@@ -844,15 +836,12 @@
 			n++
 		case q != nil && q.have != nil:
 			n++
-			if c.wrong != wrongOwnState && (q.claimB > cb || q.claimB == cb && q.claimS > cs) {
+			if q.claimB > cb || q.claimB == cb && q.claimS > cs {
 				best, cb, cs = id, q.claimB, q.claimS
 			}
 		}
 	}
 	need := len(l.copies) - c.most
-	if c.wrong == wrongFewCollected {
-		need = 1
-	}
 	if n < max(need, 1) {
 		return
 	}
@@ -1019,9 +1008,6 @@
 		}
 	}
 	need := c.most + 1
-	if c.wrong == wrongOneDisk {
-		need = 1
-	}
 	if len(s) < need {
 		return -1
 	}
@@ -1154,5 +1140,5 @@
 
 // sure tells whether this one was not replaced a moment ago.
 func (c *core) sure(l *lead) bool {
-	return c.wrong == wrongUnsure || c.now-l.confirmed <= confirmMs
+	return c.now-l.confirmed <= confirmMs
 }
--- a/internal/batch/promises_test.go
+++ b/internal/batch/promises_test.go
@@ -190,7 +190,7 @@
 }
 
 // enumerate plays a life for each step, store and disturbance.
-func enumerate(wrong wrongLine, every int, report func(what string, w *world) bool) {
+func enumerate(every int, report func(what string, w *world) bool) {
 	for step := 1; step < 1400; step += every {
 		for s := range 4 {
 			for _, d := range disturbances {
@@ -200,7 +200,7 @@
 					continue
 				}
 				w := newWorld(seed, n, 1, 4)
-				w.wrong, w.slowSync = wrong, step/37%2 == 1
+				w.slowSync = step/37%2 == 1
 				at := 0
 				life(w, func() {
 					if at++; at == step {
@@ -216,68 +216,41 @@
 }
 
 func TestEachStep(t *testing.T) {
-	every := 61
+	every := *stepEvery
 	if testing.Short() {
 		every = 211
 	}
 	n := 0
-	enumerate(noWrong, every, func(what string, w *world) bool {
+	enumerate(every, func(what string, w *world) bool {
 		n++
 		return check(t, w, what)
 	})
 	t.Logf("%d lives", n)
 }
 
-// TestWrongLines: each mistake that is put in on purpose is found.
-func TestWrongLines(t *testing.T) {
-	for wrong := wrongOldBallots; wrong < wrongLines; wrong++ {
-		if wrong == wrongRefusal {
-			continue // TestUnsureIsNoPromise has it
-		}
-		t.Run(wrong.String(), func(t *testing.T) {
-			t.Parallel()
-			lives, found := 0, ""
-			enumerate(wrong, 37, func(what string, w *world) bool {
-				lives++
-				if len(w.bad) > 0 {
-					found = what + ": " + w.bad[0]
-				}
-				return found == "" && lives < 1600
-			})
-			if found == "" {
-				t.Fatalf("not found in %d lives", lives)
-			}
-			t.Logf("life %d, %s", lives, found)
-		})
-	}
-}
-
 // TestUnsureIsNoPromise: a job that was ordered and not committed when its primary is replaced is answered neither as taken
 // nor as refused.
 func TestUnsureIsNoPromise(t *testing.T) {
-	for _, wrong := range []wrongLine{noWrong, wrongRefusal} {
-		w := newWorld(1, 3, 1, 1)
-		w.wrong = wrong
-		w.start()
-		w.addWorker("p0")
-		w.run(400)
-		leads := w.store(w.table.Stores[w.table.Parts[0].Primary].Name)
-		w.cut = func(a, b string) bool { return b == leads.name && a[0] == 's' }
-		j := w.newJob("a", 10)
-		var code uint8
-		w.works[0].send(j, func(c uint8) { code = c })
-		w.run(50)
-		if code != 0 {
-			t.Fatalf("answered %d without a copy", code)
-		}
-		next := cloneTable(w.table)
-		next.Parts[0].Epoch++
-		next.Parts[0].Primary = next.Parts[0].Copies[1]
-		w.publish(next)
-		w.run(100)
-		if good := code == codeUnknown; good != (wrong == noWrong) {
-			t.Errorf("with the wrong line %q: answered %d", wrong, code)
-		}
+	w := newWorld(1, 3, 1, 1)
+	w.start()
+	w.addWorker("p0")
+	w.run(400)
+	leads := w.store(w.table.Stores[w.table.Parts[0].Primary].Name)
+	w.cut = func(a, b string) bool { return b == leads.name && a[0] == 's' }
+	j := w.newJob("a", 10)
+	var code uint8
+	w.works[0].send(j, func(c uint8) { code = c })
+	w.run(50)
+	if code != 0 {
+		t.Fatalf("answered %d without a copy", code)
+	}
+	next := cloneTable(w.table)
+	next.Parts[0].Epoch++
+	next.Parts[0].Primary = next.Parts[0].Copies[1]
+	w.publish(next)
+	w.run(100)
+	if code != codeUnknown {
+		t.Errorf("answered %d", code)
 	}
 }
 
@@ -415,6 +388,7 @@
 var (
 	storms    = flag.Uint64("storms", 12, "how many storms")
 	firstSeed = flag.Uint64("storms.from", 0, "the seed of the first storm")
+	stepEvery = flag.Int("steps.every", 61, "how many steps lie between those that are disturbed")
 )
 
 func TestStorms(t *testing.T) {
--- a/internal/batch/quota.go
+++ b/internal/batch/quota.go
@@ -295,7 +295,7 @@
 	if len(a.held) == 0 || a.busy {
 		return
 	}
-	if missing := a.missing(len(c.table.Parts)); len(missing) > 0 && c.wrong != wrongNoCount {
+	if missing := a.missing(len(c.table.Parts)); len(missing) > 0 {
 		if c.now-a.asked >= 100 {
 			a.busy = true
 			c.askUsage(a, missing)
@@ -344,9 +344,7 @@
 		c.grant(a.route, a.life, h, codeFull)
 		return
 	}
-	if c.wrong != wrongNoReserve {
-		s.grants = append(s.grants, grantedTokens{h.number, h.tokens})
-	}
+	s.grants = append(s.grants, grantedTokens{h.number, h.tokens})
 	c.grant(a.route, a.life, h, codeOK)
 }
 
--- /dev/null
+++ b/internal/batch/retire_test.go
@@ -0,0 +1,190 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+
+	"dunetide/internal/view"
+)
+
+// steadyJobs hands jobs in until a time.
+func (w *world) steadyJobs(until int64) {
+	n := len(w.names) + 1
+	if w.ms() > until {
+		return
+	}
+	j := w.newJob(fmt.Sprint("j", n), 3, 3)
+	w.insist(j, 12)
+	w.follow(j, w.ms()+1500)
+	w.after(40+w.rng.Float64()*80, func() { w.steadyJobs(until) })
+}
+
+// retired waits until a store is finished, and calls then in that moment.
+func (w *world) retired(name string, then func()) {
+	if _, finished := Retired(w.table, name, w.f); finished {
+		then()
+		return
+	}
+	w.after(5, func() { w.retired(name, then) })
+}
+
+// startRetiring asks for a store to be emptied.
+func (w *world) startRetiring(t *testing.T, name string) {
+	t.Helper()
+	next, known, few := Retire(w.table, name, w.alive(), func(id uint64) bool { return w.ms()-w.heard[id] > 1000 }, w.f)
+	if !known || few {
+		t.Fatalf("%s: known %v, too few %v", name, known, few)
+	}
+	w.publish(next)
+}
+
+// TestRetireAtTheWorstMoment: a store retires while another one lags behind or is away for a while; in the moment that
+// it is finished it goes with its disk, and yet another one loses its disk. Each order is played for four stores, and a third of them for five.
+func TestRetireAtTheWorstMoment(t *testing.T) {
+	type trouble struct {
+		name string
+		do   func(w *world, o *simStore) (end func())
+	}
+	troubles := []trouble{
+		{"none", func(*world, *simStore) func() { return func() {} }},
+		{"slow", func(w *world, o *simStore) func() {
+			w.slow = func(a, b string) bool { return b == o.name && a[0] == 's' }
+			return func() { w.slow = nil }
+		}},
+		{"terminated and back", func(w *world, o *simStore) func() {
+			o.terminate(func() { w.after(600, o.boot) })
+			return func() {}
+		}},
+	}
+	for _, n := range []int{4, 5} {
+		for retiring := range n {
+			for other := range n {
+				for victim := range n {
+					for _, tr := range troubles {
+						if retiring == other || retiring == victim || other == victim {
+							continue
+						}
+						if n > 4 && (retiring+other+victim)%3 != 0 || testing.Short() && (retiring+other+victim)%2 != 0 {
+							continue
+						}
+						w := newWorld(uint64(n*1000+retiring*100+other*10+victim), n, 1, 4)
+						w.start()
+						for i := range 2 {
+							w.addWorker(fmt.Sprint("p", i))
+						}
+						w.run(600)
+						w.most = 10_000
+						w.steadyJobs(w.ms() + 3000)
+						w.run(500)
+						s, o, v := w.stores[retiring], w.stores[other], w.stores[victim]
+						end := tr.do(w, o)
+						done := false
+						w.run(30)
+						w.startRetiring(t, s.name)
+						w.retired(s.name, func() {
+							done = true
+							s.wipe()
+							s.wiped = true
+							v.wipe()
+							w.after(300, func() { end(); v.boot() })
+						})
+						w.run(9000)
+						end()
+						what := fmt.Sprintf("%d stores, %d retires, %d %s, %d wiped", n, retiring, other, tr.name, victim)
+						if !done {
+							t.Fatalf("%s: not finished: %v", what, w.table.Parts)
+						}
+						w.settle(5000)
+						if !check(t, w, what) {
+							return
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestRetireTwice: two stores retire at once, asked for again and again; both are finished, and both may go.
+func TestRetireTwice(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newWorld(seed, 5, 1, 4)
+		w.start()
+		w.addWorker("p0")
+		w.run(600)
+		w.most = 10_000
+		w.steadyJobs(w.ms() + 2500)
+		w.run(400)
+		a, b := w.stores[seed%5], w.stores[(seed+2)%5]
+		for range 3 {
+			w.startRetiring(t, a.name)
+			w.startRetiring(t, b.name)
+			w.run(50)
+		}
+		gone := 0
+		for _, s := range []*simStore{a, b} {
+			w.retired(s.name, func() { gone++; s.wipe(); s.wiped = true })
+		}
+		w.run(8000)
+		if gone != 2 {
+			t.Fatalf("seed %d: %d of two are finished: %v", seed, gone, w.table.Parts)
+		}
+		w.settle(4000)
+		if !check(t, w, fmt.Sprint("seed ", seed)) {
+			return
+		}
+	}
+}
+
+// TestRetireOfAWipedStore: a store that loses its disk while it retires, and comes back under its name, is to be emptied
+// too: the order is about the machine.
+func TestRetireOfAWipedStore(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newWorld(seed, 5, 1, 4)
+		w.start()
+		w.addWorker("p0")
+		w.run(600)
+		w.most = 10_000
+		w.steadyJobs(w.ms() + 2500)
+		w.run(400)
+		s := w.stores[seed%5]
+		w.startRetiring(t, s.name)
+		w.run(20 + int64(seed)*20)
+		if _, finished := Retired(w.table, s.name, w.f); finished {
+			t.Fatalf("seed %d: finished before its disk was lost", seed)
+		}
+		s.wipe()
+		w.after(300, s.boot)
+		gone := false
+		w.run(400)
+		w.retired(s.name, func() { gone = true; s.wipe(); s.wiped = true })
+		w.run(9000)
+		if !gone {
+			t.Fatalf("seed %d: not finished: %v, retiring %v", seed, w.table.Parts, w.table.Retiring)
+		}
+		w.settle(4000)
+		if !check(t, w, fmt.Sprint("seed ", seed)) {
+			return
+		}
+	}
+}
+
+// TestRetiredNeedsEnoughOthers: nothing is finished where too few others would be left, or one still joins.
+func TestRetiredNeedsEnoughOthers(t *testing.T) {
+	table := &view.Table{Stores: map[uint64]view.Store{1: {ID: 1, Name: "a"}, 2: {ID: 2, Name: "b"}, 3: {ID: 3, Name: "c"}}, Retiring: map[uint64]bool{1: true}}
+	for _, c := range []struct {
+		part     view.Part
+		finished bool
+	}{
+		{view.Part{Copies: []uint64{2, 3}}, true},
+		{view.Part{Copies: []uint64{2}}, false},
+		{view.Part{Copies: []uint64{1, 2, 3}}, false},
+		{view.Part{Copies: []uint64{1, 2, 3}, Leaving: []uint64{1}}, false},
+		{view.Part{Copies: []uint64{2, 3}, Joining: []uint64{1}}, false},
+	} {
+		table.Parts = []view.Part{c.part}
+		if known, finished := Retired(table, "a", 1); !known || finished != c.finished {
+			t.Errorf("%v: known %v, finished %v", c.part, known, finished)
+		}
+	}
+}
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -117,8 +117,6 @@
 	return func(ok bool) {
 		if ok {
 			m.Reply([]byte{codeOK})
-		} else if c.wrong == wrongRefusal {
-			m.Reply([]byte{codeUnavailable})
 		} else {
 			m.Reply([]byte{codeUnknown})
 		}
@@ -573,9 +571,6 @@
 
 // seen is how many results of a job may be read.
 func (c *core) seen(j *job) int {
-	if c.wrong == wrongEarlyRead {
-		return len(j.results)
-	}
 	return j.visible
 }
 
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -27,7 +27,6 @@
 	config *operator.Config
 	cut    func(a, b string) bool // links that are cut
 	slow   func(a, b string) bool // links on which messages take 0.9 s
-	wrong  wrongLine
 
 	heard    map[uint64]int64
 	slowSync bool // syncs take up to 60 ms
@@ -325,7 +324,7 @@
 	s.life++
 	life := s.life
 	c := newCore(0, s.disk)
-	c.most, c.zone, c.wrong = w.f, s.zone, w.wrong
+	c.most, c.zone = w.f, s.zone
 	c.keep, c.segmentSize = 1<<40, 1500
 	if w.trace != nil {
 		c.logf = func(f string, a ...any) { w.say(s.name+": "+f, a...) }
@@ -350,6 +349,7 @@
 	s.disk.synced = len(s.disk.recs)
 	c.synced(c.appended)
 	c.ready = func(part int, epoch uint64) {
+		w.checkReady(c, part)
 		if s.deaf {
 			return
 		}
@@ -394,6 +394,19 @@
 	w.after(20, func() { s.dial(life) })
 }
 
+// checkReady checks, when a primary says that the next group of a part has all of it, that those that join do.
+func (w *world) checkReady(primary *core, part int) {
+	l := primary.part(part).lead
+	for _, o := range w.stores {
+		if o.core == nil || o.core == primary || !slices.Contains(l.next, o.core.self) || slices.Contains(l.copies, o.core.self) {
+			continue
+		}
+		if p := o.core.part(part); p.claimB != l.ballot || int64(p.claimS) < max(l.commit, l.start) {
+			w.fault("part %d is to be handed to %s, which has (%x, %d) of (%x, %d)", part, o.name, p.claimB, p.claimS, l.ballot, max(l.commit, l.start))
+		}
+	}
+}
+
 // news gives a store the newest table now and then, as a keeper that it has found does.
 func (s *simStore) news(life int) {
 	if s.life != life || s.core == nil {
--- a/internal/batch/steady_test.go
+++ b/internal/batch/steady_test.go
@@ -170,3 +170,87 @@
 		g.step(steadyEveryMs)
 	}
 }
+
+// TestFullCopy: a job is refused as well when one of those that would hold it has no room.
+func TestFullCopy(t *testing.T) {
+	g, _ := newSteadyRig(t)
+	g.step(1000)
+	table := g.cores[0].table
+	row := &table.Parts[table.PartOf("job")]
+	full := g.cores[row.Copies[0]-1]
+	if full.self == row.Primary {
+		full = g.cores[row.Copies[1]-1]
+	}
+	for i := 0; full.live == 0; i++ {
+		g.hand(fmt.Sprint("job-", i), 1)
+	}
+	room := full.room
+	full.room = 1
+	g.step(1000)
+	g.read("job") // a read is confirmed by the copies, which say that they are full
+	if code := g.hand("job", 1); code != codeNoRoom {
+		t.Errorf("with a full copy: code %d", code)
+	}
+	full.room = room
+	g.step(1000)
+	g.read("job")
+	if code := g.hand("job", 1); code != codeOK {
+		t.Errorf("with room again: code %d", code)
+	}
+}
+
+// read reads a job and waits until the copies have answered.
+func (g *scaleRig) read(id string) {
+	c := g.cores[g.cores[0].table.Parts[g.cores[0].table.PartOf(id)].Primary-1]
+	var b link.Writer
+	b.String(id)
+	b.Int(0)
+	b.Int(0)
+	c.message(nil, replied(func([]byte) {}), kRead, b.B)
+	g.step(1000)
+}
+
+// TestClaimsOutliveSegments: what a store promised and claimed, and its jobs, are the same after each segment but the
+// newest has been given back and the store has started again.
+func TestClaimsOutliveSegments(t *testing.T) {
+	g, disks := newSteadyRig(t)
+	for i := range 40 {
+		if code := g.hand(fmt.Sprint("job-", i), steadyItems); code != codeOK {
+			t.Fatalf("code %d", code)
+		}
+		g.step(steadyEveryMs)
+	}
+	for i, c := range g.cores {
+		if err := disks[i].Rotate(); err != nil {
+			t.Fatal(err)
+		}
+		for oldest, more := disks[i].Oldest(); more; oldest, more = disks[i].Oldest() {
+			c.emptyOldest(oldest)
+		}
+		again := newCore(0, disks[i])
+		for _, r := range disks[i].recs {
+			b, err := disks[i].ReadRaw(r.at, r.n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := again.replay(b, r.at); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for no, p := range c.parts {
+			q := again.part(no)
+			if p.claimB != q.claimB || p.claimS != q.claimS || p.promised != q.promised || len(p.jobs) != len(q.jobs) {
+				t.Fatalf("store %d, part %d: claim (%x, %d), promise %x, %d jobs; again (%x, %d), %x, %d", c.self, no,
+					p.claimB, p.claimS, p.promised, len(p.jobs), q.claimB, q.claimS, q.promised, len(q.jobs))
+			}
+			for id, j := range p.jobs {
+				if other := q.jobs[id]; other == nil || other.digest() != j.digest() {
+					t.Fatalf("store %d: job %s is another one", c.self, id)
+				}
+			}
+		}
+		if again.live != c.live {
+			t.Errorf("store %d: %d bytes of jobs, and %d again", c.self, c.live, again.live)
+		}
+	}
+}
--- a/internal/batch/stopping_test.go
+++ b/internal/batch/stopping_test.go
@@ -112,3 +112,18 @@
 	}
 	settleTable(t, cur, all, none, 2)
 }
+
+// TestStoppingTakesNoJobs: a store that is about to stop refuses what is new to it, and acknowledges again what it has.
+func TestStoppingTakesNoJobs(t *testing.T) {
+	g := newScaleRig(3, 2, 2, 1000)
+	g.accept(t, "job", 2)
+	for _, c := range g.cores {
+		c.stop()
+	}
+	if code := g.hand("job", 2); code != codeOK {
+		t.Errorf("a job that was taken: code %d", code)
+	}
+	if code := g.hand("another", 2); code != codeUnavailable {
+		t.Errorf("a new job: code %d", code)
+	}
+}
