--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -28,19 +28,20 @@
 	cut    func(a, b string) bool // links that are cut
 	slow   func(a, b string) bool // links on which messages take 0.9 s
 
-	heard    map[uint64]int64
-	slowSync bool // syncs take up to 60 ms
-	jobs     map[string]*promise
-	names    []string
-	bad      []string
-	nextID   uint64
-	most     int64
-	nParts   int
-	trace    func(format string, args ...any)
-	hook     func() // before each step
-	served   int
-	handed   int // stores that ended after others had their parts
-	all      []*simPipe
+	heard       map[uint64]int64
+	slowSync    bool // syncs take up to 60 ms
+	jobs        map[string]*promise
+	names       []string
+	bad         []string
+	nextID      uint64
+	most        int64
+	nParts      int
+	trace       func(format string, args ...any)
+	hook        func() // before each step
+	noAgreement bool   // keepers have no majority: the table can't change
+	served      int
+	handed      int // stores that ended after others had their parts
+	all         []*simPipe
 }
 
 type event struct {
@@ -589,6 +590,9 @@
 }
 
 func (w *world) publish(t *view.Table) {
+	if w.noAgreement {
+		return
+	}
 	w.table = t
 	for _, s := range w.stores {
 		life := s.life
