--- /dev/null
+++ b/internal/batch/dispatch.go
@@ -0,0 +1,141 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+
+	"dunetide/internal/link"
+)
+
+// Items are handed out to workers.
+
+// enqueue puts a job among those with items to hand out.
+func (c *core) enqueue(j *job) {
+	if j.ended || j.queued {
+		return
+	}
+	j.waiting, j.next = 0, 0
+	for i := range j.items {
+		if j.items[i].state == itemWaiting {
+			j.waiting++
+		}
+	}
+	if len(j.results) == len(j.items) {
+		return
+	}
+	j.queued = true
+	due := func(j *job) int64 { return j.sentMs + j.dueMs }
+	at, _ := slices.BinarySearchFunc(c.open, j, func(a, b *job) int {
+		if d := cmp.Compare(due(a), due(b)); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.id, b.id)
+	})
+	c.open = slices.Insert(c.open, at, j)
+}
+
+// dispatch hands out items: earliest due first, to the workers with most room, those of the own zone first.
+func (c *core) dispatch() {
+	if len(c.open) == 0 || len(c.attached) == 0 {
+		return
+	}
+	c.open = slices.DeleteFunc(c.open, func(j *job) bool {
+		if j.dropping || j.ended || !j.queued || len(j.results) == len(j.items) {
+			j.queued = false
+			return true
+		}
+		return false
+	})
+	for _, j := range c.open {
+		if j.waiting == 0 {
+			continue
+		}
+		p := c.part(c.table.PartOf(j.id))
+		if p.lead == nil || !p.lead.active || c.now < p.lead.handAt {
+			continue
+		}
+		if !c.sure(p.lead) {
+			if p.lead.asked+100 < c.now {
+				c.confirm(p)
+			}
+			if !c.sure(p.lead) {
+				continue
+			}
+		}
+		for i := j.next; i < len(j.items); i++ {
+			if j.items[i].state != itemWaiting {
+				if i == j.next {
+					j.next++
+				}
+				continue
+			}
+			w := c.pick()
+			if w == nil {
+				return
+			}
+			c.give(p, j, i, w)
+		}
+	}
+}
+
+func (c *core) pick() (best *worker) {
+	for _, w := range c.attached {
+		free := w.limit - len(w.held)
+		if free <= 0 {
+			continue
+		}
+		if best == nil || (w.zone == c.zone) != (best.zone == c.zone) {
+			if best == nil || w.zone == c.zone {
+				best = w
+			}
+			continue
+		}
+		if free > best.limit-len(best.held) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (c *core) give(p *part, j *job, no int, w *worker) {
+	it := &j.items[no]
+	seg, err := c.segment(j, no)
+	if err != nil {
+		c.log("reading an item of job %s: %v", j.id, err)
+		return
+	}
+	c.hand(p, j, no, w)
+	b := link.Writer{B: make([]byte, 0, len(seg)+200)}
+	b.U32(uint32(p.no))
+	b.U64(p.epoch)
+	b.String(j.id)
+	b.U32(uint32(no))
+	b.Int(int(j.sentMs + j.dueMs))
+	b.Int(j.tries)
+	b.String(j.route)
+	b.String(j.host)
+	b.String(it.id)
+	b.Int(int(it.tokens))
+	b.Bytes(seg)
+	_ = w.pipe.Send(kGive, b.B)
+}
+
+func (c *core) hand(p *part, j *job, no int, w *worker) {
+	j.items[no].state, j.items[no].by = itemHanded, w
+	j.waiting--
+	w.held[itemKey{p.no, j.id, no}] = true
+}
+
+// takeBack makes an item that a worker had in hand wait again.
+func (c *core) takeBack(w *worker, k itemKey) {
+	delete(w.held, k)
+	j := c.part(k.part).jobs[k.job]
+	if j == nil || k.item < 0 || k.item >= len(j.items) {
+		return
+	}
+	if it := &j.items[k.item]; it.state == itemHanded && it.by == w {
+		it.state, it.by = itemWaiting, nil
+		j.waiting++
+		j.next = min(j.next, k.item)
+	}
+}
--- /dev/null
+++ b/internal/batch/takeover.go
@@ -0,0 +1,134 @@
+package batch
+
+import "dunetide/internal/link"
+
+// A new primary collects what the copies have before it goes on.
+
+func (c *core) ask(p *part, id uint64) {
+	pipe := c.peers[id]
+	if pipe == nil || id == c.self {
+		return
+	}
+	c.sessions++
+	p.lead.peers[id] = &peer{pipe: pipe, session: c.sessions, acked: -1, stamp: -1 << 60}
+	var w link.Writer
+	w.U32(uint32(p.no))
+	w.U64(p.lead.ballot)
+	w.U64(c.sessions)
+	_ = pipe.Send(kAsk, w.B)
+}
+
+// asked promises a ballot and tells what there is.
+func (c *core) asked(p *part, ballot, session uint64, pipe Pipe) {
+	if c.stale(p, ballot, pipe) {
+		return
+	}
+	if p.lead != nil {
+		c.stopLead(p)
+	}
+	if ballot > p.promised {
+		c.append(encodeRec(recPromise, p.no, ballot))
+	}
+	p.session, p.from = session, pipe
+	c.afterSync(func() {
+		if p.session != session || p.from != pipe || p.promised != ballot {
+			return
+		}
+		var w link.Writer
+		w.U32(uint32(p.no))
+		w.U64(ballot)
+		w.U64(session)
+		w.U64(p.claimB)
+		w.U64(p.claimS)
+		w.U32(uint32(len(p.jobs)))
+		for _, id := range sortedKeys(p.jobs) {
+			w.String(id)
+			w.U64(p.jobs[id].digest())
+		}
+		_ = pipe.Send(kHave, w.B)
+	})
+}
+
+// collected looks whether enough have told what they have, and takes the most complete.
+func (c *core) collected(p *part) {
+	l := p.lead
+	if l == nil || l.stage != collecting {
+		return
+	}
+	n, best, cb, cs := 0, c.self, p.claimB, p.claimS
+	for _, id := range l.copies {
+		q := l.peers[id]
+		switch {
+		case id == c.self:
+			n++
+		case q != nil && q.have != nil:
+			n++
+			if q.claimB > cb || q.claimB == cb && q.claimS > cs {
+				best, cb, cs = id, q.claimB, q.claimS
+			}
+		}
+	}
+	need := len(l.copies) - c.most
+	if n < max(need, 1) {
+		return
+	}
+	l.best, l.fetch = best, map[string]bool{}
+	if best == c.self {
+		c.fetched2(p, cs)
+		return
+	}
+	l.stage = fetching
+	q := l.peers[best]
+	for _, id := range sortedKeys(p.jobs) {
+		if _, ok := q.have[id]; !ok {
+			c.append(append(encodeRec(recOp, p.no, l.ballot, 0), encodeNamed(opDrop, id)...))
+		}
+	}
+	for _, id := range sortedKeys(q.have) {
+		if j := p.jobs[id]; j == nil || j.digest() != q.have[id] {
+			l.fetch[id] = true
+			var w link.Writer
+			w.U32(uint32(p.no))
+			w.U64(l.ballot)
+			w.String(id)
+			_ = q.pipe.Send(kFetch, w.B)
+		}
+	}
+	c.fetched(p)
+}
+
+func (c *core) fetched(p *part) {
+	if l := p.lead; len(l.fetch) == 0 {
+		c.fetched2(p, l.peers[l.best].claimS)
+	}
+}
+
+// fetched2: the state is the part's under this ballot.
+func (c *core) fetched2(p *part, seq uint64) {
+	p.lead.seq = seq
+	c.mark(p)
+	for _, id := range p.lead.all() {
+		if q := p.lead.peers[id]; q != nil && q.have != nil {
+			c.bring(p, q)
+		}
+	}
+	c.advance(p)
+}
+
+func (c *core) mark(p *part) {
+	l := p.lead
+	l.stage, l.start = ordering, int64(l.seq)
+	c.append(encodeRec(recMark, p.no, l.ballot, l.seq))
+	c.selfSynced(p, l.seq)
+}
+
+func (c *core) selfSynced(p *part, seq uint64) {
+	l := p.lead
+	ballot := l.ballot
+	c.afterSync(func() {
+		if p.lead == l && l.ballot == ballot && int64(seq) > l.selfS {
+			l.selfS = int64(seq)
+			c.advance(p)
+		}
+	})
+}
