--- /dev/null
+++ b/internal/keeper/stopping_test.go
@@ -0,0 +1,87 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"dunetide/internal/control"
+	"dunetide/internal/link"
+	"dunetide/internal/view"
+)
+
+// attachStore attaches a store to a keeper. Its pushes come with the connection.
+func (r *rig) attachStore(i int, id uint64) *raw {
+	r.t.Helper()
+	w := &raw{pushes: make(chan *control.Update, 1<<12), closed: make(chan struct{})}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var conn *link.Conn
+	until(r.t, "a connection to a keeper", func() (ok bool) {
+		c, err := link.Dial(ctx, fmt.Sprintf("%s:%d", r.ip(i), r.links), w, link.DefaultOptions)
+		conn = c
+		return err == nil
+	})
+	w.conn = conn
+	r.t.Cleanup(conn.Close)
+	var b link.Writer
+	control.Node{Name: fmt.Sprint("store", id), Role: control.RoleStore, Zone: fmt.Sprint("z", id), Addr: fmt.Sprint("127.0.0.1:", id), ID: id, Life: 1}.Append(&b)
+	b.Bool(true)
+	if _, err := conn.Call(ctx, control.Hello, b.B); err != nil {
+		r.t.Fatal(err)
+	}
+	return w
+}
+
+// tableWhere waits for a pushed table of which something holds.
+func (w *raw) tableWhere(t *testing.T, what string, holds func(*view.Table) bool) {
+	t.Helper()
+	for {
+		u := get(t, w.pushes, what)
+		w.ack(u.Number)
+		if u.Table != nil && holds(u.Table) {
+			return
+		}
+	}
+}
+
+// leads is how many parts a store leads.
+func leads(t *view.Table, id uint64) (n int) {
+	for _, part := range t.Parts {
+		if part.Primary == id {
+			n++
+		}
+	}
+	return n
+}
+
+// TestStoppingStore: a store says at any keeper that it is about to stop; the table marks it and gives its parts to others
+// to lead, and says so no longer when the store says that it runs.
+func TestStoppingStore(t *testing.T) {
+	r := newRig(t, 3)
+	r.startAll()
+	var stores []*raw
+	for id := uint64(1); id <= 3; id++ {
+		stores = append(stores, r.attachStore(int(id-1), id))
+	}
+	stores[0].tableWhere(t, "the first table", func(table *view.Table) bool { return leads(table, 1) > 0 })
+	announce := func(stopping bool) {
+		t.Helper()
+		var b link.Writer
+		b.U64(1)
+		b.Bool(stopping)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		for range 2 { // it comes again when an answer is lost
+			if _, err := stores[1].conn.Call(ctx, control.Stopping, b.B); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	announce(true)
+	stores[0].tableWhere(t, "a table that gives its parts to others", func(table *view.Table) bool {
+		return table.Stopping[1] && leads(table, 1) == 0
+	})
+	announce(false)
+	stores[0].tableWhere(t, "a table without the mark", func(table *view.Table) bool { return !table.Stopping[1] })
+}
