--- a/internal/batch/stopping_test.go
+++ b/internal/batch/stopping_test.go
@@ -1,10 +1,17 @@
 package batch
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"net"
 	"slices"
+	"sync"
 	"testing"
+	"time"
 
+	"dunetide/internal/journal"
+	"dunetide/internal/link"
 	"dunetide/internal/view"
 )
 
@@ -127,3 +134,82 @@
 		t.Errorf("a new job: code %d", code)
 	}
 }
+
+// storeGroup is some real stores on loopback and a table that changes by what they announce.
+type storeGroup struct {
+	t      *testing.T
+	mu     sync.Mutex
+	table  *view.Table
+	stores []*Store
+	all    []view.Store
+}
+
+// change changes the table and gives it to all stores.
+func (g *storeGroup) change(change func(cur *view.Table) (*view.Table, bool)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next, changed := change(g.table)
+	if !changed {
+		return
+	}
+	if better, ok := Assign(next, g.all, none, 8, 1); ok {
+		next = better
+	}
+	g.table = next
+	for _, s := range g.stores {
+		s.Update(&view.Snapshot{Config: bulkConfig(1000), Table: next})
+	}
+}
+
+// newStoreGroup starts three stores.
+func newStoreGroup(t *testing.T) *storeGroup {
+	g := &storeGroup{t: t}
+	for i := range 3 {
+		s, err := NewStore(StoreOptions{Zone: "z", MachinesLost: 1, KeepMs: 60000, Open: OpenIn(journal.Dir(t.TempDir())),
+			AnnounceStopping: func(store uint64, stopping bool) {
+				go g.change(func(cur *view.Table) (*view.Table, bool) { return SetStopping(cur, store, stopping) })
+			}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() { _ = link.Serve(listener, s, link.DefaultOptions) }()
+		g.stores = append(g.stores, s)
+		g.all = append(g.all, view.Store{ID: s.ID(), Name: fmt.Sprint("s", i), Addr: listener.Addr().String(), Zone: fmt.Sprint("z", i)})
+	}
+	g.change(func(*view.Table) (*view.Table, bool) { return Assign(nil, g.all, none, 8, 1) })
+	return g
+}
+
+// TestHandOverOverLinks: a real store has handed its parts over when HandOver returns; where nobody changes the table, it
+// returns when its time is over, with the error that says so.
+func TestHandOverOverLinks(t *testing.T) {
+	g := newStoreGroup(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := g.stores[0].HandOver(ctx); err != nil {
+		t.Fatal(err)
+	}
+	g.mu.Lock()
+	for no, row := range g.table.Parts {
+		if row.Primary == g.stores[0].ID() {
+			t.Errorf("part %d is still led by the store that stops", no)
+		}
+	}
+	g.mu.Unlock()
+	g.stores[0].Close()
+
+	g.mu.Lock() // nobody changes the table from here on
+	short, cancelShort := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancelShort()
+	err := g.stores[1].HandOver(short)
+	g.mu.Unlock()
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("without a table: %v", err)
+	}
+}
