Batch: messages between stores in short functions; standard names in place of own ones

Cause: storeMessage had 130 lines; limbo, fetched2 and most needed explaining. Change: one function a kind of message; limbo is disconnected, fetched2 adopt, most maxLost. No behaviour changes.

--- a/internal/batch/confirm.go
+++ b/internal/batch/confirm.go
@@ -22,6 +22,19 @@
 	return true
 }
 
+// confirmAsked says to a primary that it has not been replaced as far as this store knows, or that it has.
+func (c *core) confirmAsked(p *part, ballot, stamp uint64, pipe Pipe) {
+	if c.stale(p, ballot, pipe) {
+		return
+	}
+	var w link.Writer
+	w.U32(uint32(p.no))
+	w.U64(ballot)
+	w.U64(stamp)
+	w.Bool(c.full)
+	_ = pipe.Send(kConfirmed, w.B)
+}
+
 // confirm asks the copies whether this one has been replaced.
 func (c *core) confirm(p *part) {
 	l := p.lead
@@ -52,11 +65,11 @@
 			s = append(s, q.stamp)
 		}
 	}
-	if len(s) < c.most+1 {
+	if len(s) < c.maxLost+1 {
 		return
 	}
 	slices.SortFunc(s, func(a, b int64) int { return cmp.Compare(b, a) })
-	l.confirmed = max(l.confirmed, s[c.most])
+	l.confirmed = max(l.confirmed, s[c.maxLost])
 	if c.sure(l) {
 		readers := l.readers
 		l.readers = nil
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -40,17 +40,17 @@
 }
 
 const (
-	confirmMs     = 600  // how old a confirmation that a primary has not been replaced may be
-	confirmWaitMs = 700  // how long a read waits for one
-	reserveWaitMs = 1200 // how long a job waits for its tokens
-	cancelWaitMs  = 300  // how long an end waits for workers
-	limboMs       = 1000 // how long the items of a worker whose connection ended wait for it to come back
-	handAfterMs   = 400  // how long a new primary waits for workers to say what they have in hand
-	usageEveryMs  = 50
-	putWindow     = 4
-	readBytes     = 800_000 // of texts in an answer
-	dropMarginMs  = 3000
-	giveUpMargin  = 1500
+	confirmMs       = 600  // how old a confirmation that a primary has not been replaced may be
+	confirmWaitMs   = 700  // how long a read waits for one
+	reserveWaitMs   = 1200 // how long a job waits for its tokens
+	cancelWaitMs    = 300  // how long an end waits for workers
+	reconnectWaitMs = 1000 // how long the items of a worker whose connection ended wait for it to come back
+	handAfterMs     = 400  // how long a new primary waits for workers to say what they have in hand
+	usageEveryMs    = 50
+	putWindow       = 4
+	readBytes       = 800_000 // of texts in an answer
+	dropMarginMs    = 3000
+	giveUpMargin    = 1500
 )
 
 // core is a store without goroutines, clock, network and disk: each of its methods is one event. All
@@ -58,7 +58,7 @@
 type core struct {
 	self             uint64
 	zone             string
-	most             int // copies that may be lost (f)
+	maxLost          int // copies that may be lost (f)
 	keep             int64
 	segmentSize      int64 // bytes of a segment of the log; 0: by the room
 	room             int64 // bytes that the log may have; 0: no limit
@@ -72,24 +72,24 @@
 	handingOver      []*part                          // what it led when it was told to stop
 	logf             func(format string, args ...any) // may be nil
 
-	table    *view.Table
-	config   *operator.Config
-	parts    []*part
-	peers    map[uint64]Pipe
-	workers  map[Pipe]*worker
-	limbo    map[*worker]int64 // workers whose connection ended, and until when they may come back
-	attached []*worker         // in the order of their coming
-	open     []*job            // of parts led here, with items to hand out, by due time
-	appended uint64            // records
-	syncedN  uint64
-	waits    []wait // for a sync
-	sessions uint64
-	ends     []*ending
-	live     int64           // bytes of jobs that the log must keep
-	liveIn   map[int64]int64 // of them, by segment
-	full     bool            // for want of room no job is taken
-	dead     bool
-	nextWork int64 // when tick looks at ages next
+	table        *view.Table
+	config       *operator.Config
+	parts        []*part
+	peers        map[uint64]Pipe
+	workers      map[Pipe]*worker
+	disconnected map[*worker]int64 // workers whose connection ended, and until when they may come back
+	attached     []*worker         // in the order of their coming
+	open         []*job            // of parts led here, with items to hand out, by due time
+	appended     uint64            // records
+	syncedN      uint64
+	waits        []wait // for a sync
+	sessions     uint64
+	ends         []*ending
+	live         int64           // bytes of jobs that the log must keep
+	liveIn       map[int64]int64 // of them, by segment
+	full         bool            // for want of room no job is taken
+	dead         bool
+	nextWork     int64 // when tick looks at ages next
 }
 
 type wait struct {
@@ -112,7 +112,7 @@
 }
 
 func newCore(self uint64, d disk) *core {
-	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, limbo: map[*worker]int64{}, liveIn: map[int64]int64{}, keep: 120_000, most: 1,
+	return &core{self: self, disk: d, peers: map[uint64]Pipe{}, workers: map[Pipe]*worker{}, disconnected: map[*worker]int64{}, liveIn: map[int64]int64{}, keep: 120_000, maxLost: 1,
 		ready: func(int, uint64) {}, announceStopping: func(bool) {}, fail: func(error) {}}
 }
 
@@ -196,7 +196,7 @@
 	if c.dead || c.table == nil {
 		return
 	}
-	c.leaveLimbo()
+	c.takeBackFromLost()
 	c.ends = slices.DeleteFunc(c.ends, func(e *ending) bool {
 		if c.now < e.deadline {
 			return false
@@ -251,7 +251,7 @@
 
 // busy tells whether somebody waits for a time to come.
 func (c *core) busy() bool {
-	if len(c.ends)+len(c.limbo) > 0 {
+	if len(c.ends)+len(c.disconnected) > 0 {
 		return true
 	}
 	for _, p := range c.parts {
--- a/internal/batch/replication.go
+++ b/internal/batch/replication.go
@@ -22,33 +22,11 @@
 	if r.Err != nil || p == nil {
 		return
 	}
-	l := p.lead
-	mine := l != nil && l.ballot == ballot
 	switch kind {
 	case kAsk:
 		c.asked(p, ballot, r.U64(), pipe)
 	case kFetch:
-		if ballot == p.promised {
-			id := r.String()
-			var w link.Writer
-			w.U32(uint32(p.no))
-			w.U64(ballot)
-			w.String(id)
-			if j := p.jobs[id]; j != nil {
-				b, err := c.whole(j)
-				if err != nil {
-					c.log("reading job %s: %v", id, err)
-					return
-				}
-				w.Bool(true)
-				w.B = append(w.B, b...)
-			} else {
-				w.Bool(false)
-			}
-			_ = pipe.Send(kWhole, w.B)
-		} else {
-			c.stale(p, ballot, pipe)
-		}
+		c.fetchAsked(p, ballot, r.String(), pipe)
 	case kPut, kMark, kOp:
 		session := r.U64()
 		if c.stale(p, ballot, pipe) || ballot != p.promised || session != p.session || pipe != p.from {
@@ -56,83 +34,48 @@
 		}
 		c.follow(p, ballot, kind, &r, pipe)
 	case kConfirm:
-		if !c.stale(p, ballot, pipe) {
-			var w link.Writer
-			w.U32(uint32(p.no))
-			w.U64(ballot)
-			w.U64(r.U64())
-			w.Bool(c.full)
-			_ = pipe.Send(kConfirmed, w.B)
-		}
+		c.confirmAsked(p, ballot, r.U64(), pipe)
 	case kStale:
-		if l != nil && l.ballot < ballot {
+		if l := p.lead; l != nil && l.ballot < ballot {
 			// The table that says so is on its way. Until then nothing is committed and nobody is sure.
 			l.confirmed, l.barred = -1<<60, true
 		}
-	case kHave:
-		if !mine {
-			return
-		}
-		session, cb, cs := r.U64(), r.U64(), r.U64()
-		from := l.bySession(session)
-		if from == nil {
-			return
-		}
-		have := map[string]uint64{}
-		for n := r.Count(12); n > 0; n-- {
-			id := r.String()
-			have[id] = r.U64()
-		}
-		if r.Err != nil {
-			return
-		}
-		from.have, from.claimB, from.claimS = have, cb, cs
-		if l.stage == collecting {
-			c.collected(p)
-		} else if l.stage == ordering {
-			c.bring(p, from)
+	default:
+		if p.lead != nil && p.lead.ballot == ballot {
+			c.copyMessage(p, kind, &r, pipe)
 		}
+	}
+}
+
+// copyMessage is the event of a message of a copy to the primary that it follows.
+func (c *core) copyMessage(p *part, kind link.Kind, r *link.Reader, pipe Pipe) {
+	l := p.lead
+	switch kind {
+	case kHave:
+		c.have(p, r)
 	case kWhole:
-		if !mine || l.stage != fetching {
-			return
-		}
-		id, found := r.String(), r.Bool()
-		if !l.fetch[id] || r.Err != nil {
-			return
-		}
-		if !found { // it told of it; it can't lose it while it follows this ballot
-			return
-		}
-		delete(l.fetch, id)
-		c.append(append(encodeRec(recPut, p.no), r.B...))
-		c.fetched(p)
+		c.wholeCame(p, r)
 	case kPutAck:
-		if mine {
-			if from := l.bySession(r.U64()); from != nil {
-				from.flight--
-				c.pump(p, from)
-			}
+		if from := l.bySession(r.U64()); from != nil {
+			from.flight--
+			c.pump(p, from)
 		}
 	case kAck:
-		if mine {
-			seq, full := int64(r.U64()), r.Bool()
-			for _, q := range l.peers {
-				if q.pipe == pipe && q.live {
-					q.acked, q.full = max(q.acked, seq), full
-				}
+		seq, full := int64(r.U64()), r.Bool()
+		for _, q := range l.peers {
+			if q.pipe == pipe && q.live {
+				q.acked, q.full = max(q.acked, seq), full
 			}
-			c.advance(p)
 		}
+		c.advance(p)
 	case kConfirmed:
-		if mine {
-			stamp, full := int64(r.U64()), r.Bool()
-			for _, q := range l.peers {
-				if q.pipe == pipe {
-					q.stamp, q.full = max(q.stamp, stamp), full
-				}
+		stamp, full := int64(r.U64()), r.Bool()
+		for _, q := range l.peers {
+			if q.pipe == pipe {
+				q.stamp, q.full = max(q.stamp, stamp), full
 			}
-			c.countConfirmed(p)
 		}
+		c.countConfirmed(p)
 	}
 }
 
@@ -279,7 +222,7 @@
 			s = append(s, q.acked)
 		}
 	}
-	need := c.most + 1
+	need := c.maxLost + 1
 	if len(s) < need {
 		return -1
 	}
--- a/internal/batch/scale_test.go
+++ b/internal/batch/scale_test.go
@@ -333,7 +333,7 @@
 	check()
 	g.settle()
 	check()
-	for range 3*items + limboMs { // its results come too, to a store that knows it no longer; what it had waits for it first
+	for range 3*items + reconnectWaitMs { // its results come too, to a store that knows it no longer; what it had waits for it first
 		if len(j.results) == items {
 			break
 		}
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -325,7 +325,7 @@
 	s.life++
 	life := s.life
 	c := newCore(0, s.disk)
-	c.most, c.zone = w.f, s.zone
+	c.maxLost, c.zone = w.f, s.zone
 	c.keep, c.segmentSize = 1<<40, 1500
 	if w.trace != nil {
 		c.logf = func(f string, a ...any) { w.say(s.name+": "+f, a...) }
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -101,7 +101,7 @@
 	s := &Store{start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), syncWake: make(chan struct{}, 1)}
 	c := newCore(0, nil)
 	s.core = c
-	c.zone, c.most, c.keep, c.room, c.logf = o.Zone, o.MachinesLost, o.KeepMs, o.RoomBytes, o.Logf
+	c.zone, c.maxLost, c.keep, c.room, c.logf = o.Zone, o.MachinesLost, o.KeepMs, o.RoomBytes, o.Logf
 	if o.Ready != nil {
 		c.ready = o.Ready
 	}
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -49,6 +49,69 @@
 	})
 }
 
+// have is what a copy says that it has.
+func (c *core) have(p *part, r *link.Reader) {
+	l := p.lead
+	session, claimBallot, claimSeq := r.U64(), r.U64(), r.U64()
+	from := l.bySession(session)
+	if from == nil {
+		return
+	}
+	digests := map[string]uint64{}
+	for n := r.Count(12); n > 0; n-- {
+		id := r.String()
+		digests[id] = r.U64()
+	}
+	if r.Err != nil {
+		return
+	}
+	from.have, from.claimB, from.claimS = digests, claimBallot, claimSeq
+	switch l.stage {
+	case collecting:
+		c.collected(p)
+	case ordering:
+		c.bring(p, from)
+	}
+}
+
+// fetchAsked sends a job whole to a new primary.
+func (c *core) fetchAsked(p *part, ballot uint64, id string, pipe Pipe) {
+	if ballot != p.promised {
+		c.stale(p, ballot, pipe)
+		return
+	}
+	var w link.Writer
+	w.U32(uint32(p.no))
+	w.U64(ballot)
+	w.String(id)
+	j := p.jobs[id]
+	w.Bool(j != nil)
+	if j != nil {
+		whole, err := c.whole(j)
+		if err != nil {
+			c.log("reading job %s: %v", id, err)
+			return
+		}
+		w.B = append(w.B, whole...)
+	}
+	_ = pipe.Send(kWhole, w.B)
+}
+
+// wholeCame takes in a job that this new primary did not have as the most complete copy has it.
+func (c *core) wholeCame(p *part, r *link.Reader) {
+	l := p.lead
+	id, found := r.String(), r.Bool()
+	if l.stage != fetching || !l.fetch[id] || r.Err != nil {
+		return
+	}
+	if !found { // it told of it; it can't lose it while it follows this ballot
+		return
+	}
+	delete(l.fetch, id)
+	c.append(append(encodeRec(recPut, p.no), r.B...))
+	c.fetched(p)
+}
+
 // collected looks whether enough have told what they have, and takes the most complete.
 func (c *core) collected(p *part) {
 	l := p.lead
@@ -68,13 +131,13 @@
 			}
 		}
 	}
-	need := len(l.copies) - c.most
+	need := len(l.copies) - c.maxLost
 	if n < max(need, 1) {
 		return
 	}
 	l.best, l.fetch = best, map[string]bool{}
 	if best == c.self {
-		c.fetched2(p, cs)
+		c.adopt(p, cs)
 		return
 	}
 	l.stage = fetching
@@ -99,12 +162,12 @@
 
 func (c *core) fetched(p *part) {
 	if l := p.lead; len(l.fetch) == 0 {
-		c.fetched2(p, l.peers[l.best].claimS)
+		c.adopt(p, l.peers[l.best].claimS)
 	}
 }
 
-// fetched2: the state is the part's under this ballot.
-func (c *core) fetched2(p *part, seq uint64) {
+// adopt: the state is the part's under this ballot.
+func (c *core) adopt(p *part, seq uint64) {
 	p.lead.seq = seq
 	c.mark(p)
 	for _, id := range p.lead.all() {
--- a/internal/batch/workers.go
+++ b/internal/batch/workers.go
@@ -115,7 +115,7 @@
 			c.cancel(w, p.no, k.job)
 			continue
 		}
-		if it := &j.items[k.item]; it.state == itemHanded && it.by != w && c.limbo[it.by] != 0 {
+		if it := &j.items[k.item]; it.state == itemHanded && it.by != w && c.disconnected[it.by] != 0 {
 			c.takeBack(it.by, k)
 		}
 		switch it := &j.items[k.item]; {
@@ -204,7 +204,7 @@
 	c.attached = slices.DeleteFunc(c.attached, func(v *worker) bool { return v == w })
 	// A link may break while its worker runs on: it comes back and says what it has in hand.
 	if len(w.held) > 0 {
-		c.limbo[w] = c.now + limboMs
+		c.disconnected[w] = c.now + reconnectWaitMs
 	}
 	c.ends = slices.DeleteFunc(c.ends, func(e *ending) bool {
 		if !e.waiting[w] {
@@ -216,13 +216,13 @@
 	c.dispatch()
 }
 
-// leaveLimbo takes back what workers had in hand that have not come back.
-func (c *core) leaveLimbo() {
-	for w, until := range c.limbo {
+// takeBackFromLost takes back what workers had in hand that have not come back.
+func (c *core) takeBackFromLost() {
+	for w, until := range c.disconnected {
 		if c.now < until && len(w.held) > 0 {
 			continue
 		}
-		delete(c.limbo, w)
+		delete(c.disconnected, w)
 		for k := range w.held {
 			c.takeBack(w, k)
 		}
