--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -115,7 +115,7 @@
 		stopped: make(chan struct{})}
 	c := newCore(0, nil)
 	s.core = c
-	c.zone, c.most, c.keep, c.room, c.logf = o.Zone, o.MachinesLost, o.KeepMs, o.RoomBytes, o.Logf
+	c.zone, c.maxLost, c.keep, c.room, c.logf = o.Zone, o.MachinesLost, o.KeepMs, o.RoomBytes, o.Logf
 	if o.Ready != nil {
 		c.ready = o.Ready
 	}
