Forward: a forgotten connection says nothing of its endpoint

Cause: a connection that had ended while it was idle was told to admission as a broken run; two in a row take an endpoint out for half a second, though it is well. Change: CallError.Stale, told as left, where the end of the request was held back.

--- a/internal/forward/early_test.go
+++ b/internal/forward/early_test.go
@@ -242,6 +242,13 @@
 			if c.status != 200 {
 				want = 0
 			}
+			outcome := dispatch.Left // it says nothing of the endpoint
+			if c.read {
+				outcome = dispatch.Broken
+			}
+			if got := g.a.outcomes()[1]; got != outcome {
+				t.Errorf("admission was told %v, want %v", got, outcome)
+			}
 			if calls := good.got(); len(calls) != want || want == 1 && calls[0].body != c.body {
 				t.Errorf("%d calls at the next", len(calls))
 			}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -240,6 +240,10 @@
 			x.state = max(x.state, attempt.Sent)
 		}
 		return attempt.DeadlineExceeded
+	case !sent && call.Stale:
+		x.unsent = true
+		x.finish(dispatch.Left, upstream.Broken)
+		return attempt.NotWritten
 	case !sent:
 		x.unsent = true
 		x.finish(dispatch.Broken, upstream.Broken)
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -67,6 +67,7 @@
 	{"a part that was written is the whole", "../upstream/conn.go", "		c.sent = n == size\n", "		c.sent = n >= 0\n"},
 	{"interim answers count", "../upstream/conn.go", "case resp.StatusCode >= 200:", "case resp.StatusCode >= 100:"},
 	{"a close before the end is not looked at", "../upstream/conn.go", "	return end, c.probe(ctx)", "	_ = c.probe(ctx)\n	return end, nil"},
+	{"a forgotten connection counts against its endpoint", "exchange.go", "	case !sent && call.Stale:", "	case !sent && call.Stale && false:"},
 	{"a surplus does not end a connection", "../upstream/conn.go", "c.whole = !resp.Close && !c.surplus", "c.whole = !resp.Close"},
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -137,6 +137,7 @@
 type CallError struct {
 	Sent      bool // its last byte was written: it may have run. If not, it never will
 	Delivered bool // the first line of its answer said 200
+	Stale     bool // the connection had ended while it was idle, which says nothing of the endpoint
 	Err       error
 }
 
@@ -219,7 +220,7 @@
 		c.holdBack = false
 		end, err := c.writeStart(ctx, first, second)
 		if err != nil {
-			return nil, &CallError{Err: err}
+			return nil, &CallError{Stale: true, Err: err}
 		}
 		first, second = end, nil
 	}
--- a/internal/upstream/open_test.go
+++ b/internal/upstream/open_test.go
@@ -223,7 +223,7 @@
 						continue
 					}
 					var broke *CallError
-					if !errors.As(err, &broke) || broke.Sent {
+					if !errors.As(err, &broke) || broke.Sent || !broke.Stale {
 						t.Errorf("%v, want a call that was not sent", err)
 					}
 					c.Done(Broken)
