--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -15,7 +15,8 @@
 // roundTrip writes the request and reads the head of its answer. Before it, duplicates of answers
 // to earlier calls on the connection may arrive: their ids differ, and they are read over.
 func (x *exchange) roundTrip() (err error) {
-	if !x.conditions().Idempotent {
+	// A regulated request goes out at once: it was judged a moment ago, and the endpoint's certificate may be withdrawn.
+	if !x.conditions().Idempotent && x.req.Regime == "" {
 		x.conn.HoldBackEnd()
 	}
 	x.resp, err = x.conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
