Duty: a round that can't be granted any more is released at once

Cause: two candidates that each held their own grant kept each other out for 300 ms a round. Change: Candidate takes refusals in, and voters that are not connected count as such; the keeper releases then.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -69,10 +69,13 @@
 	asked time.Duration // when the round began
 	open  bool          // the round waits for grants
 	need  int
-	got   map[string]bool
-	until time.Duration // of the lease; 0: none
-	since time.Duration // of the lease held without a break
-	next  time.Duration
+	// refusals is how many voters may refuse a round that can still be granted.
+	refusals int
+	got      map[string]bool
+	refused  map[string]bool
+	until    time.Duration // of the lease; 0: none
+	since    time.Duration // of the lease held without a break
+	next     time.Duration
 }
 
 // NewCandidate draws its pauses with rand, from 0 to 1.
@@ -97,7 +100,7 @@
 	if c.open && now-c.asked >= askWait {
 		c.open = false
 		if !c.Holds(now) {
-			c.next = now + backoff + time.Duration(c.rand()*float64(2*backoff))
+			c.pause(now)
 			return false, true, c.round
 		}
 	}
@@ -105,13 +108,36 @@
 		return false, false, c.round
 	}
 	c.round++
-	c.open, c.asked, c.need, c.got = true, now, voters/2+1, map[string]bool{}
+	c.open, c.asked, c.need, c.got, c.refused = true, now, voters/2+1, map[string]bool{}, map[string]bool{}
+	c.refusals = voters - c.need
 	return true, false, c.round
 }
 
 // Stop ends the use of the lease and of grants that are under way.
 func (c *Candidate) Stop() { c.until, c.open = 0, false }
 
+func (c *Candidate) pause(now time.Duration) {
+	c.next = now + backoff + time.Duration(c.rand()*float64(2*backoff))
+}
+
+// Refused takes in that a voter has refused a round, or can't be asked. True: no majority can grant the round any more,
+// and what was granted is to be released at once, as others may ask for it.
+func (c *Candidate) Refused(now time.Duration, round uint64, voter string) (release bool) {
+	if round != c.round || !c.open || c.got[voter] {
+		return false
+	}
+	c.refused[voter] = true
+	if len(c.refused) <= c.refusals {
+		return false
+	}
+	c.open = false
+	if c.Holds(now) {
+		return false
+	}
+	c.pause(now)
+	return true
+}
+
 // Granted takes a voter's grant of a round in.
 func (c *Candidate) Granted(now time.Duration, round uint64, voter string) {
 	if round != c.round || !c.open {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -191,3 +191,37 @@
 		t.Error("a late grant gave it a lease")
 	}
 }
+
+// A round ends as soon as no majority can grant it, so that it does not stand in the way of another candidate's.
+func TestRefused(t *testing.T) {
+	c := NewCandidate(func() float64 { return 0 })
+	_, _, round := c.Step(0, 3)
+	c.Granted(1, round, "a")
+	if c.Refused(2, round, "a") || c.Refused(2, round+1, "b") || c.Refused(2, round, "b") || c.Refused(2, round, "b") {
+		t.Error("a round ended that can be granted")
+	}
+	if !c.Refused(3, round, "c") {
+		t.Error("a round goes on that can't be granted")
+	}
+	c.Granted(4, round, "c")
+	if c.Holds(5) {
+		t.Error("a round that has ended was granted")
+	}
+	if ask, release, _ := c.Step(3+backoff-1, 3); ask || release {
+		t.Error("it asks again at once")
+	}
+	ask, _, round := c.Step(3+backoff, 3)
+	if !ask {
+		t.Fatal("it does not ask again")
+	}
+	c.Granted(3+backoff, round, "a")
+	c.Granted(3+backoff, round, "b")
+	if !c.Holds(3 + backoff) {
+		t.Fatal("no lease")
+	}
+	_, _, round = c.Step(3+backoff+Use-Renew, 3)
+	c.Refused(3+backoff+Use-Renew, round, "a")
+	if c.Refused(3+backoff+Use-Renew, round, "b") {
+		t.Error("a lease that is held is released because it is not renewed")
+	}
+}
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sort"
+	"strconv"
 	"time"
 
 	"dunetide/internal/agree"
@@ -126,27 +127,66 @@
 		return
 	}
 	if release {
-		k.lease.Release(name, k.self.Name)
-	} else if k.mayGrant(now, k.agree.id) && k.lease.Ask(k.since(now), name, k.self.Name) {
-		lease.Granted(k.since(now), round, k.self.Name)
+		k.releaseGrants(name)
+		return
 	}
-	w := link.Writer{}
-	w.String(name)
-	w.String(k.self.Name)
-	w.Bool(release)
+	k.requestGrants(now, name, lease, round, voters)
+}
+
+// requestGrants asks all voters for a lease; those that are not connected count as refusing. A round that can't be
+// granted any more is released at once, as another keeper may be asking.
+func (k *Keeper) requestGrants(now time.Time, name string, lease *duty.Candidate, round uint64, voters map[uint64]bool) {
+	answered := func(voter uint64, granted bool) {
+		at, key := k.since(time.Now()), strconv.FormatUint(voter, 16)
+		if granted {
+			lease.Granted(at, round, key)
+		} else if lease.Refused(at, round, key) {
+			k.releaseGrants(name)
+		}
+	}
+	body := leaseBody(name, k.self.Name, false)
+	asked := map[uint64]bool{k.agree.id: true}
+	answered(k.agree.id, k.mayGrant(now, k.agree.id) && k.lease.Ask(k.since(now), name, k.self.Name))
 	for _, p := range k.peers {
-		if p.conn == nil || !voters[p.node.ID] {
+		voter := p.node.ID
+		if p.conn == nil || !voters[voter] {
 			continue
 		}
-		voter, ch := p.node.Name, p.conn.Go(control.Lease, w.B)
+		asked[voter] = true
+		reply := p.conn.Go(control.Lease, body)
 		go func() {
-			reply := <-ch
-			r := link.Reader{B: reply.Body}
-			if ok := r.Bool(); reply.Err == nil && ok && r.Err == nil {
-				k.do(func() { lease.Granted(k.since(time.Now()), round, voter) })
-			}
+			answer := <-reply
+			r := link.Reader{B: answer.Body}
+			granted := r.Bool() && answer.Err == nil && r.Err == nil
+			k.do(func() { answered(voter, granted) })
 		}()
 	}
+	for voter := range voters {
+		if !asked[voter] {
+			answered(voter, false)
+		}
+	}
+}
+
+// releaseGrants gives back what was granted of a lease, and returns where the others' answers come.
+func (k *Keeper) releaseGrants(name string) (answers []<-chan link.Reply) {
+	k.lease.Release(name, k.self.Name)
+	body := leaseBody(name, k.self.Name, true)
+	for _, p := range k.peers {
+		if p.conn != nil {
+			answers = append(answers, p.conn.Go(control.Lease, body))
+		}
+	}
+	return answers
+}
+
+// leaseBody is a request for a grant, or its release.
+func leaseBody(name, holder string, release bool) []byte {
+	w := link.Writer{}
+	w.String(name)
+	w.String(holder)
+	w.Bool(release)
+	return w.B
 }
 
 // joined takes the word of a store that it has all of a part.
--- a/internal/keeper/leave.go
+++ b/internal/keeper/leave.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"dunetide/internal/agree"
-	"dunetide/internal/control"
 	"dunetide/internal/duty"
 	"dunetide/internal/link"
 	"dunetide/internal/reconfigure"
@@ -53,22 +52,12 @@
 }
 
 // releaseLease gives a lease back to all who may have granted it.
-func (k *Keeper) releaseLease(name string, lease *duty.Candidate) (answers []<-chan link.Reply) {
+func (k *Keeper) releaseLease(name string, lease *duty.Candidate) []<-chan link.Reply {
 	if !lease.Holds(k.since(time.Now())) {
 		return nil
 	}
 	lease.Stop()
-	k.lease.Release(name, k.self.Name)
-	w := link.Writer{}
-	w.String(name)
-	w.String(k.self.Name)
-	w.Bool(true)
-	for _, p := range k.peers {
-		if p.conn != nil {
-			answers = append(answers, p.conn.Go(control.Lease, w.B))
-		}
-	}
-	return answers
+	return k.releaseGrants(name)
 }
 
 // awaitReleases waits until those who granted leases have taken them back, or for a moment.
--- a/internal/reconfigure/sim_test.go
+++ b/internal/reconfigure/sim_test.go
@@ -365,36 +365,53 @@
 	if !ask && !release {
 		return
 	}
+	if release {
+		m.releaseGrants(state)
+		return
+	}
 	for _, voter := range state.Voters {
-		for _, other := range s.machines {
-			if other.id != voter.ID {
-				continue
-			}
-			if other == m {
-				m.leaseAsked(m, release, round)
-			} else {
-				m.transmit(other, func() { other.leaseAsked(m, release, round) })
-			}
+		switch peer := m.peer(voter.ID); {
+		case voter.ID == m.id:
+			m.answered(state, round, voter, m.grants.Ask(s.now, simDuty, m.name))
+		case peer == nil:
+			m.answered(state, round, voter, false)
+		default:
+			m.transmit(peer, func() { peer.leaseAsked(m, state, round) })
 		}
 	}
 }
 
-func (m *simMachine) leaseAsked(by *simMachine, release bool, round uint64) {
-	if release {
-		m.grants.Release(simDuty, by.name)
-		return
+// peer is the machine with an identity that is connected; nil: it is not.
+func (m *simMachine) peer(id uint64) *simMachine {
+	if r, connected := m.reports[id]; connected {
+		return r.from
 	}
-	if !m.mayGrant(by.id) || !m.grants.Ask(m.s.now, simDuty, by.name) {
-		return
+	return nil
+}
+
+func (m *simMachine) answered(state agree.State, round uint64, voter agree.Voter, granted bool) {
+	if granted {
+		m.candidate.Granted(m.s.now, round, voter.Name)
+	} else if m.candidate.Refused(m.s.now, round, voter.Name) {
+		m.releaseGrants(state)
 	}
-	if by == m {
-		m.candidate.Granted(m.s.now, round, m.name)
-		return
+}
+
+func (m *simMachine) releaseGrants(state agree.State) {
+	m.grants.Release(simDuty, m.name)
+	for _, voter := range state.Voters {
+		if peer := m.peer(voter.ID); peer != nil {
+			m.transmit(peer, func() { peer.grants.Release(simDuty, m.name) })
+		}
 	}
+}
+
+func (m *simMachine) leaseAsked(by *simMachine, state agree.State, round uint64) {
+	granted := m.mayGrant(by.id) && m.grants.Ask(m.s.now, simDuty, by.name)
 	life := by.life
 	m.transmit(by, func() {
 		if by.life == life {
-			by.candidate.Granted(m.s.now, round, m.name)
+			by.answered(state, round, m.voter(), granted)
 		}
 	})
 }
