--- a/internal/audit/room_test.go
+++ b/internal/audit/room_test.go
@@ -84,3 +84,26 @@
 		}
 	}
 }
+
+// TestStalledDiskDoesNotHoldTheEndOfTheRecord stops a store of records in the middle of a write.
+func TestStalledDiskDoesNotHoldTheEndOfTheRecord(t *testing.T) {
+	disk, reached, release := disktest.New(), make(chan struct{}), make(chan struct{})
+	s, err := OpenStore(StoreOptions{Folder: disk})
+	must(t, err)
+	disk.Stall = func() {
+		disk.Stall = nil
+		close(reached)
+		<-release
+	}
+	answer := make(chan error, 1)
+	s.Append(handOver(t, 1), func(err error) { answer <- err })
+	<-reached
+	s.Close() // or the test takes too long
+	select {
+	case <-answer:
+		t.Error("acknowledged before it was written")
+	default:
+	}
+	close(release)
+	must(t, <-answer)
+}
--- a/internal/batch/room_test.go
+++ b/internal/batch/room_test.go
@@ -99,3 +99,52 @@
 		t.Errorf("identity %d after %d, promises %d, %d, %d", s.ID(), id, s.core.part(3).promised, s.core.part(4).promised, s.core.part(5).promised)
 	}
 }
+
+// stalledFolder is a folder whose writes do not return, from the first on that finds stalled set, until they are released.
+type stalledFolder struct {
+	journal.Folder
+	stalled *atomic.Bool
+	reached chan struct{}
+	release chan struct{}
+}
+
+func (f stalledFolder) Open(name string) (journal.OpenFile, error) {
+	file, err := f.Folder.Open(name)
+	return stalledFile{file, f}, err
+}
+
+type stalledFile struct {
+	journal.OpenFile
+	folder stalledFolder
+}
+
+func (f stalledFile) Write(b []byte) (int, error) {
+	if f.folder.stalled.Load() {
+		close(f.folder.reached)
+		<-f.folder.release
+	}
+	return f.OpenFile.Write(b)
+}
+
+// TestStalledDiskDoesNotHoldTheEnd stops a store in the middle of a write: it ends at once, and its log is in use until the write
+// has returned.
+func TestStalledDiskDoesNotHoldTheEnd(t *testing.T) {
+	folder := stalledFolder{journal.Dir(t.TempDir()), &atomic.Bool{}, make(chan struct{}), make(chan struct{})}
+	s, err := NewStore(StoreOptions{Open: OpenIn(folder), Logf: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder.stalled.Store(true)
+	s.do(func() { s.core.append(encodeRec(recPromise, 3, 7)) })
+	closed(t, "the write", folder.reached)
+	s.Close()
+	closed(t, "the end of the store", s.Done())
+	select {
+	case <-s.Stopped():
+		t.Error("the log is said to be free while it is written")
+	default:
+	}
+	folder.stalled.Store(false)
+	close(folder.release)
+	closed(t, "the end of what uses the log", s.Stopped())
+}
