Keeper: a first start that is cut off between its registers goes on where it was

Cause: each register's first State is a record of its own, and nothing but the very first start tells the first voters. A keeper that was killed, or found its disk full, between two of them knew some of its registers for ever, unless another keeper knew the rest; if all were killed there, nobody did. Found by the new test of starts on a full disk.

Change: the first voters are a record before the registers'; at a start on it the registers that are not known yet are made from it. An identity that finds no room closes the log again.

--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -19,8 +19,9 @@
 const (
 	logName = "keeper.log"
 	// Records of the log.
-	recordIdentity = 1
-	recordRegister = 2
+	recordIdentity    = 1
+	recordRegister    = 2
+	recordFirstVoters = 3
 	// rewriteAbove is the least size at which the log is rewritten.
 	rewriteAbove = 1 << 20
 	// rewriteAgain is how long after a failure, or after making room on a full disk, it is tried again.
@@ -45,6 +46,7 @@
 	log      *record.Log
 	policy   rewritePolicy
 	saved    map[string][][]byte
+	first    []agree.Voter // of the very first start, if this keeper was told them then
 	commands chan func()
 	ended    chan struct{}
 	regs     map[string]*agree.Register
@@ -84,7 +86,7 @@
 			}
 			a.id = binary.BigEndian.Uint64(b[:]) | 1
 			if err := a.append(a.identity()); err != nil {
-				return nil, err
+				return nil, errors.Join(err, log.Close())
 			}
 		}
 	}
@@ -102,6 +104,7 @@
 		}
 	}
 	a.saved = nil
+	a.bootstrapRest()
 	a.noteStored()
 	return a, nil
 }
--- a/internal/keeper/disk_test.go
+++ b/internal/keeper/disk_test.go
@@ -12,6 +12,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"dunetide/internal/agree"
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/record"
+	"dunetide/internal/settings"
 )
 
 // onDisk runs a change of a running keeper's disk in the goroutine that owns it.
@@ -202,3 +205,63 @@
 		}
 	}
 }
+
+// TestStartOnAFullDisk tries to start at each amount of room: it fails with an error that says so, or the keeper has its identity, and
+// keeps it.
+func TestStartOnAFullDisk(t *testing.T) {
+	started := false
+	for room := 1; room < 200; room++ {
+		disk := disktest.New()
+		disk.Room = room
+		first, err := openLone(t, disk)
+		if err != nil && (!record.NoRoom(err) || started) {
+			t.Fatalf("room for %d: %v", room, err)
+		}
+		started = started || err == nil
+		disk.Room = 0
+		again := mustOpen(t, disk)
+		if again.a.id == 0 || first != nil && again.a.id != first.a.id {
+			t.Fatalf("room for %d: another identity", room)
+		}
+		if !again.change(configRegister, numbered(1, 100)) {
+			t.Fatalf("room for %d: no change", room)
+		}
+	}
+	if !started {
+		t.Error("it never started")
+	}
+}
+
+// TestFirstStartIsCutOff kills a keeper at each operation of its first start: it knows all registers after it, or none, as no other
+// start tells it the first voters.
+func TestFirstStartIsCutOff(t *testing.T) {
+	whole := disktest.New()
+	mustOpen(t, whole)
+	seen := map[int]bool{}
+	for step := 1; step <= whole.Ops; step++ {
+		for _, trouble := range troubles()[:5] {
+			disk := disktest.New()
+			trouble.hit(disk, step)
+			_, _ = openLone(t, disk) // whether it comes as far as that
+			disk.FailAt = 0
+			trouble.after(disk)
+			k, err := New(Options{Settings: &settings.Settings{NodeName: "k1", IP: "127.0.0.1", InternalFirst: 1, Control: "127.0.0.1:2"},
+				Folder: disk, Log: hclog.NewNullLogger()})
+			if err != nil {
+				t.Fatalf("%s at operation %d: %v", trouble.name, step, err)
+			}
+			known := 0
+			for _, reg := range k.agree.regs {
+				if _, there := reg.State(); there {
+					known++
+				}
+			}
+			if seen[known] = true; known != 0 && known != len(registerNames) {
+				t.Errorf("%s at operation %d: %d registers are known", trouble.name, step, known)
+			}
+		}
+	}
+	if len(seen) != 2 {
+		t.Errorf("known were %v", seen)
+	}
+}
--- a/internal/keeper/log.go
+++ b/internal/keeper/log.go
@@ -45,6 +45,31 @@
 	return w.B
 }
 
+// firstVoters is the record of the voters of the very first start. It is written before the registers are, each of which has a record
+// of its own: a process that ends between two of these goes on where it was.
+func firstVoters(voters []agree.Voter) []byte {
+	w := link.Writer{}
+	w.U8(recordFirstVoters)
+	w.U32(uint32(len(voters)))
+	for _, v := range voters {
+		w.U64(v.ID)
+		w.String(v.Name)
+		w.String(v.Addr)
+	}
+	return w.B
+}
+
+// bootstrapRest makes the first State of registers that the first start did not come to.
+func (a *agreement) bootstrapRest() {
+	if len(a.first) == 0 {
+		return
+	}
+	for _, name := range registerNames {
+		a.regs[name].Bootstrap(a.first, nil)
+	}
+	a.booted = true
+}
+
 func (a *agreement) replay(b []byte) error {
 	r := link.Reader{B: append([]byte(nil), b...)}
 	switch r.U8() {
@@ -53,6 +78,10 @@
 	case recordRegister:
 		name := r.String()
 		a.saved[name] = append(a.saved[name], r.Bytes())
+	case recordFirstVoters:
+		for range r.Count(16) {
+			a.first = append(a.first, agree.Voter{ID: r.U64(), Name: r.String(), Addr: r.String()})
+		}
 	}
 	return r.Err
 }
--- a/internal/keeper/voters.go
+++ b/internal/keeper/voters.go
@@ -65,6 +65,9 @@
 		return
 	}
 	a.booted = true
+	if err := a.append(firstVoters(voters)); err != nil {
+		a.k.log.Error("first voters not saved", "err", err) // the registers are tried all the same
+	}
 	for _, name := range registerNames {
 		if _, ok := a.regs[name].State(); !ok {
 			a.regs[name].Bootstrap(voters, nil)
