--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -67,73 +67,107 @@
 // noRoom is the answer while disks are full: jobs leave them some time after they were sent.
 var noRoom = Answer{Status: 503, RetryAfter: "2"}
 
+// How long the edge goes on asking stores before it says that nothing can be said now.
+const (
+	acceptWait = 1500 * time.Millisecond
+	readWait   = 1200 * time.Millisecond
+	endWait    = 1500 * time.Millisecond
+	// mostHold is how long a read may be held until there is a result.
+	mostHold = 10_000 * time.Millisecond
+)
+
+// timeLeft is what the client says that it still waits; 0: it says nothing.
+func (c *Call) timeLeft() time.Duration {
+	if ms, err := strconv.Atoi(c.Header("X-Dunetide-Time-Left-Ms")); err == nil && ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return 0
+}
+
+// within is a wait, cut to what the client's time bears.
+func (c *Call) within(wait time.Duration) time.Duration {
+	if left := c.timeLeft(); left > 0 {
+		return min(wait, left*8/10)
+	}
+	return wait
+}
+
 // Serve answers a client's call.
 func (e *Edge) Serve(ctx context.Context, c *Call) Answer {
 	v := e.o.Views.Get()
 	if v == nil || v.Config == nil {
 		return unavailable
 	}
-	left := time.Duration(0)
-	if ms, err := strconv.Atoi(c.Header("X-Dunetide-Time-Left-Ms")); err == nil && ms > 0 {
-		left = time.Duration(ms) * time.Millisecond
-	}
-	most := func(d time.Duration) time.Duration {
-		if left > 0 {
-			return min(d, left*8/10)
-		}
-		return d
-	}
-	switch {
-	case strings.HasPrefix(c.Path, "/lots/"):
-		id := c.Path[len("/lots/"):]
+	if id, ok := strings.CutPrefix(c.Path, "/lots/"); ok {
 		switch c.Method {
 		case http.MethodGet:
-			q, _ := url.ParseQuery(c.Query)
-			after, err := strconv.Atoi(q.Get("start_after"))
-			if q.Get("start_after") == "" {
-				after, err = 0, nil
-			}
-			if err != nil || after < 0 || id == "" {
-				return Answer{Status: 400}
-			}
-			ms, _ := strconv.Atoi(c.Header("X-Dunetide-Wait-Ms"))
-			wait := time.Duration(min(max(ms, 0), 10_000)) * time.Millisecond
-			if left > 0 {
-				wait = min(wait, left/2)
-			}
-			ctx, cancel := context.WithTimeout(ctx, wait+most(1200*time.Millisecond))
-			defer cancel()
-			r, found := e.Read(ctx, id, after, wait)
-			return readAnswer(r, after, found)
+			return e.serveRead(ctx, c, id)
 		case http.MethodDelete:
-			ctx, cancel := context.WithTimeout(ctx, most(1500*time.Millisecond))
-			defer cancel()
-			switch e.End(ctx, id) {
-			case OK:
-				return Answer{Status: 200}
-			case None:
-				return Answer{Status: 404}
-			}
-			return unavailable
+			return e.serveEnd(ctx, c, id)
 		}
 		return Answer{Status: 405}
-	case strings.HasPrefix(c.Path, "/items/"):
-		q, err := url.ParseQuery(c.Query)
-		if err != nil || c.Method != http.MethodGet {
-			return Answer{Status: 400}
-		}
-		ctx, cancel := context.WithTimeout(ctx, most(1200*time.Millisecond))
-		defer cancel()
-		b, found := e.Body(ctx, c.Path[len("/items/"):], q.Get("id"))
-		switch found {
-		case OK:
-			return Answer{Status: 200, Type: "application/octet-stream", Body: b}
-		case None:
-			return Answer{Status: 404}
-		}
-		return unavailable
 	}
-	route := bulkRoute(v.Config, hostOnly(c.Host), c.Path)
+	if id, ok := strings.CutPrefix(c.Path, "/items/"); ok {
+		return e.serveBody(ctx, c, id)
+	}
+	return e.serveAccept(ctx, c, v.Config)
+}
+
+// serveRead answers a read of results.
+func (e *Edge) serveRead(ctx context.Context, c *Call, id string) Answer {
+	q, _ := url.ParseQuery(c.Query)
+	after, err := strconv.Atoi(q.Get("start_after"))
+	if q.Get("start_after") == "" {
+		after, err = 0, nil
+	}
+	if err != nil || after < 0 || id == "" {
+		return Answer{Status: 400}
+	}
+	ms, _ := strconv.Atoi(c.Header("X-Dunetide-Wait-Ms"))
+	wait := min(time.Duration(max(ms, 0))*time.Millisecond, mostHold)
+	if left := c.timeLeft(); left > 0 {
+		wait = min(wait, left/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+c.within(readWait))
+	defer cancel()
+	r, found := e.Read(ctx, id, after, wait)
+	return readAnswer(r, after, found)
+}
+
+// serveEnd answers the end of a job.
+func (e *Edge) serveEnd(ctx context.Context, c *Call, id string) Answer {
+	ctx, cancel := context.WithTimeout(ctx, c.within(endWait))
+	defer cancel()
+	switch e.End(ctx, id) {
+	case OK:
+		return Answer{Status: 200}
+	case None:
+		return Answer{Status: 404}
+	}
+	return unavailable
+}
+
+// serveBody answers a read of an item's body.
+func (e *Edge) serveBody(ctx context.Context, c *Call, id string) Answer {
+	q, err := url.ParseQuery(c.Query)
+	if err != nil || c.Method != http.MethodGet {
+		return Answer{Status: 400}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.within(readWait))
+	defer cancel()
+	b, found := e.Body(ctx, id, q.Get("id"))
+	switch found {
+	case OK:
+		return Answer{Status: 200, Type: "application/octet-stream", Body: b}
+	case None:
+		return Answer{Status: 404}
+	}
+	return unavailable
+}
+
+// serveAccept answers a job that is handed in.
+func (e *Edge) serveAccept(ctx context.Context, c *Call, config *operator.Config) Answer {
+	route := bulkRoute(config, hostOnly(c.Host), c.Path)
 	if route == nil {
 		return Answer{Status: 404}
 	}
@@ -144,9 +178,9 @@
 	if !ok {
 		return Answer{Status: 400}
 	}
-	j.Version = v.Config.Version
+	j.Version = config.Version
 	j.SentMs = time.Now().UnixMilli()
-	ctx, cancel := context.WithTimeout(ctx, most(1500*time.Millisecond))
+	ctx, cancel := context.WithTimeout(ctx, c.within(acceptWait))
 	defer cancel()
 	switch e.Accept(ctx, j) {
 	case Taken:
--- a/internal/batch/steady_test.go
+++ b/internal/batch/steady_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/http"
 	"testing"
+	"time"
 
 	"dunetide/internal/link"
+	"dunetide/internal/view"
 )
 
 // boundedDisk is a simDisk that never holds more than its size.
@@ -254,3 +257,28 @@
 		}
 	}
 }
+
+// TestFullStoresSaySo: a client whose job is refused for want of room hears so at once, and when to come again.
+func TestFullStoresSaySo(t *testing.T) {
+	g := newStoreGroup(t, 10)
+	views := &view.Holder{}
+	views.Set(&view.Snapshot{Config: bulkConfig(0), Table: g.table})
+	e := NewEdge(EdgeOptions{Views: views, Name: "p", Zone: "z", Logf: t.Logf})
+	defer e.Close()
+	header := map[string]string{"X-Dunetide-Request-Id": "job"}
+	call := &Call{Method: http.MethodPost, Host: "h.example", Path: "/b/x", Header: func(name string) string { return header[name] },
+		Body: []byte(`{"requests":[{"id":"i","path":"/b/x","body":"eHl6","tokens":5}]}`)}
+	for begin := time.Now(); ; {
+		asked := time.Now()
+		a := e.Serve(t.Context(), call)
+		switch {
+		case a.Status == 503 && a.RetryAfter == noRoom.RetryAfter:
+			if took := time.Since(asked); took > 2*time.Second {
+				t.Errorf("it took %v", took)
+			}
+			return
+		case a.Status != 503 || time.Since(begin) > 20*time.Second: // 503 while no store leads yet
+			t.Fatalf("answer %+v", a)
+		}
+	}
+}
--- a/internal/batch/stopping_test.go
+++ b/internal/batch/stopping_test.go
@@ -161,11 +161,11 @@
 	}
 }
 
-// newStoreGroup starts three stores.
-func newStoreGroup(t *testing.T) *storeGroup {
+// newStoreGroup starts three stores whose logs may have so many bytes; 0: any.
+func newStoreGroup(t *testing.T, room int64) *storeGroup {
 	g := &storeGroup{t: t}
 	for i := range 3 {
-		s, err := NewStore(StoreOptions{Zone: "z", MachinesLost: 1, KeepMs: 60000, Open: OpenIn(journal.Dir(t.TempDir())),
+		s, err := NewStore(StoreOptions{Zone: "z", MachinesLost: 1, KeepMs: 60000, RoomBytes: room, Open: OpenIn(journal.Dir(t.TempDir())),
 			AnnounceStopping: func(store uint64, stopping bool) {
 				go g.change(func(cur *view.Table) (*view.Table, bool) { return SetStopping(cur, store, stopping) })
 			}})
@@ -189,7 +189,7 @@
 // TestHandOverOverLinks: a real store has handed its parts over when HandOver returns; where nobody changes the table, it
 // returns when its time is over, with the error that says so.
 func TestHandOverOverLinks(t *testing.T) {
-	g := newStoreGroup(t)
+	g := newStoreGroup(t, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	if err := g.stores[0].HandOver(ctx); err != nil {
