--- a/internal/batch/assign.go
+++ b/internal/batch/assign.go
@@ -101,6 +101,31 @@
 	if cur == nil {
 		cur = &view.Table{}
 	}
+	a := newAssigner(cur, alive, lost, f)
+	changed := a.noteStores(cur, alive)
+	if len(a.next.Parts) == 0 {
+		if a.usableStores() < f+1 {
+			return cur, false
+		}
+		a.firstParts(parts)
+		return a.next, true
+	}
+	a.countHeld()
+	for i := range a.next.Parts {
+		changed = a.part(&a.next.Parts[i]) || changed
+	}
+	if !changed {
+		changed = a.balance()
+	}
+	changed = a.forgetStores() || changed
+	if !changed {
+		return cur, false
+	}
+	return a.next, true
+}
+
+// newAssigner begins with a table.
+func newAssigner(cur *view.Table, alive []view.Store, lost func(id uint64) bool, f int) *assigner {
 	a := &assigner{f: f, alive: map[uint64]view.Store{}, next: cloneTable(cur), copies: map[uint64]int{}, primaries: map[uint64]int{}}
 	names := map[string]uint64{}
 	for _, s := range alive {
@@ -113,7 +138,11 @@
 		}
 		return lost(id)
 	}
-	changed := false
+	return a
+}
+
+// noteStores takes in the stores that are heard of.
+func (a *assigner) noteStores(cur *view.Table, alive []view.Store) (changed bool) {
 	for _, s := range alive {
 		if cur.Stores[s.ID] == s {
 			continue
@@ -124,33 +153,40 @@
 		a.next.Stores[s.ID] = s
 		changed = true
 	}
-	if len(a.next.Parts) == 0 {
-		usable := 0
-		for id := range a.alive {
-			if a.usable(id) {
-				usable++
-			}
-		}
-		if usable < f+1 {
-			return cur, false
+	return changed
+}
+
+// usableStores is how many stores may get something new to hold.
+func (a *assigner) usableStores() (n int) {
+	for id := range a.alive {
+		if a.usable(id) {
+			n++
 		}
-		a.next.Parts = make([]view.Part, parts)
-		for i := range a.next.Parts {
-			row := &a.next.Parts[i]
-			row.Epoch = 1
-			for len(row.Copies) < f+2 {
-				id := a.pick(row.Copies)
-				if id == 0 {
-					break
-				}
-				row.Copies = append(row.Copies, id)
-				a.copies[id]++
+	}
+	return n
+}
+
+// firstParts places all parts for the first time.
+func (a *assigner) firstParts(parts int) {
+	a.next.Parts = make([]view.Part, parts)
+	for i := range a.next.Parts {
+		row := &a.next.Parts[i]
+		row.Epoch = 1
+		for len(row.Copies) < a.f+2 {
+			id := a.pick(row.Copies)
+			if id == 0 {
+				break
 			}
-			row.Primary = a.leader(row)
-			a.primaries[row.Primary]++
+			row.Copies = append(row.Copies, id)
+			a.copies[id]++
 		}
-		return a.next, true
+		row.Primary = a.leader(row)
+		a.primaries[row.Primary]++
 	}
+}
+
+// countHeld counts what each store leads and holds, or is to hold.
+func (a *assigner) countHeld() {
 	for i := range a.next.Parts {
 		row := &a.next.Parts[i]
 		a.primaries[row.Primary]++
@@ -158,19 +194,15 @@
 			a.copies[id]++
 		}
 	}
-	for i := range a.next.Parts {
-		changed = a.part(&a.next.Parts[i]) || changed
-	}
-	if !changed {
-		changed = a.balance()
-	}
+}
+
+// forgetStores takes those out of the table that are lost and hold nothing.
+func (a *assigner) forgetStores() (changed bool) {
 	used := map[uint64]bool{}
 	for i := range a.next.Parts {
 		row := &a.next.Parts[i]
-		for _, ids := range [][]uint64{row.Copies, row.Joining} {
-			for _, id := range ids {
-				used[id] = true
-			}
+		for _, id := range append(slices.Clone(row.Copies), row.Joining...) {
+			used[id] = true
 		}
 	}
 	for id := range a.next.Stores {
@@ -180,10 +212,7 @@
 			changed = true
 		}
 	}
-	if !changed {
-		return cur, false
-	}
-	return a.next, true
+	return changed
 }
 
 // full are the copies that are there.
@@ -199,32 +228,39 @@
 // part brings one part on its way.
 func (a *assigner) part(row *view.Part) bool {
 	old := *row
-	row.Joining, row.Leaving = slices.Clone(row.Joining), slices.Clone(row.Leaving)
-	_, there := a.alive[row.Primary]
-	if bad := !there && a.lost(row.Primary) || a.lost(row.Primary) || a.next.Retiring[row.Primary] || a.next.Stopping[row.Primary]; bad && a.full(row) >= max(len(row.Copies)-a.f, 1) {
-		if id := a.leader(row); id != 0 && a.reluctance(id) < a.reluctance(row.Primary) {
-			a.primaries[row.Primary]--
-			a.primaries[id]++
-			row.Primary = id
-		}
-	}
-	// Which copies should go, and how many are wanted for them.
+	a.moveLead(row)
 	var leaving []uint64
-	usable := 0
-	for id := range a.alive {
-		if a.usable(id) {
-			usable++
-		}
-	}
 	for _, id := range row.Copies {
-		if id != row.Primary && (a.lost(id) || a.next.Retiring[id]) {
+		if id != row.Primary && a.gone(id) {
 			leaving = append(leaving, id)
 		}
 	}
-	want := min(a.f+2, usable)
-	stay := len(row.Copies) - len(leaving)
+	row.Joining = a.joining(row, len(row.Copies)-len(leaving))
+	row.Leaving = a.leaving(row, leaving)
+	if old.Primary == row.Primary && slices.Equal(old.Joining, row.Joining) && slices.Equal(old.Leaving, row.Leaving) {
+		*row = old
+		return false
+	}
+	row.Epoch++
+	return true
+}
+
+// moveLead gives the lead of a part to a copy that may lead better, where enough copies are there for it to take over.
+func (a *assigner) moveLead(row *view.Part) {
+	if a.reluctance(row.Primary) == 0 || a.full(row) < max(len(row.Copies)-a.f, 1) {
+		return
+	}
+	if id := a.leader(row); id != 0 && a.reluctance(id) < a.reluctance(row.Primary) {
+		a.primaries[row.Primary]--
+		a.primaries[id]++
+		row.Primary = id
+	}
+}
+
+// joining are those that are to join a group of which so many stay.
+func (a *assigner) joining(row *view.Part, stay int) []uint64 {
 	joining := slices.DeleteFunc(slices.Clone(row.Joining), func(id uint64) bool { return !a.usable(id) && a.gone(id) })
-	need := max(want-stay, 0)
+	need := max(min(a.f+2, a.usableStores())-stay, 0)
 	if len(joining) > need {
 		joining = joining[:need]
 	}
@@ -236,37 +272,30 @@
 		joining = append(joining, id)
 		a.copies[id]++
 	}
-	// Those that retire go first, and without one in their place as long as f+1 are left. Those that are lost go only when
-	// there is one for them: they may come back.
-	slices.SortStableFunc(leaving, func(x, y uint64) int {
+	if len(joining) == 0 {
+		return nil
+	}
+	return joining
+}
+
+// leaving are those copies, of the ones that should go, that may go with the ones that join. Those that retire go first, and
+// without one in their place as long as f+1 are left. Those that are lost go only when there is one for them: they may come back.
+func (a *assigner) leaving(row *view.Part, gone []uint64) (leaving []uint64) {
+	slices.SortStableFunc(gone, func(x, y uint64) int {
 		return cmp.Compare(b2i(!a.next.Retiring[x]), b2i(!a.next.Retiring[y]))
 	})
-	spare := len(joining)
-	goes := leaving[:0:0]
-	for _, id := range leaving {
+	spare := len(row.Joining)
+	for _, id := range gone {
 		switch {
 		case spare > 0:
 			spare--
-		case a.next.Retiring[id] && len(row.Copies)-len(goes)-1+len(joining) >= a.f+1:
+		case a.next.Retiring[id] && len(row.Copies)-len(leaving)-1+len(row.Joining) >= a.f+1:
 		default:
 			continue
 		}
-		goes = append(goes, id)
-	}
-	leaving = goes
-	row.Joining, row.Leaving = joining, leaving
-	if len(row.Joining) == 0 {
-		row.Joining = nil
-	}
-	if len(row.Leaving) == 0 {
-		row.Leaving = nil
-	}
-	if old.Primary == row.Primary && slices.Equal(old.Joining, row.Joining) && slices.Equal(old.Leaving, row.Leaving) {
-		*row = old
-		return false
+		leaving = append(leaving, id)
 	}
-	row.Epoch++
-	return true
+	return leaving
 }
 
 func b2i(b bool) int {
--- a/internal/batch/workers.go
+++ b/internal/batch/workers.go
@@ -33,16 +33,7 @@
 	r := link.Reader{B: body}
 	w := c.workers[pipe]
 	if kind == kAttach {
-		name, zone, limit := r.String(), r.String(), r.Int()
-		if r.Err != nil {
-			return
-		}
-		if w == nil {
-			w = &worker{pipe: pipe, held: map[itemKey]bool{}, holds: map[int]hold{}}
-			c.workers[pipe] = w
-			c.attached = append(c.attached, w)
-		}
-		w.name, w.zone, w.limit = name, zone, limit
+		c.attach(pipe, &r)
 		return
 	}
 	if w == nil {
@@ -55,18 +46,7 @@
 	}
 	switch kind {
 	case kHold:
-		epoch := r.U64()
-		var all []itemKey
-		for n := r.Count(8); n > 0; n-- {
-			all = append(all, itemKey{k.part, r.String(), int(r.U32())})
-		}
-		if r.Err != nil {
-			return
-		}
-		w.holds[k.part] = hold{epoch, all}
-		if p.lead != nil && p.lead.active {
-			c.claim(p, w)
-		}
+		c.holding(p, w, &r)
 	case kResult:
 		k.job, k.item = r.String(), int(r.U32())
 		givenUp := r.Bool()
@@ -74,28 +54,63 @@
 			c.result(p, w, k, givenUp, text)
 		}
 	case kCancelled:
-		k.job = r.String()
-		for h := range w.held {
-			if h.part == k.part && h.job == k.job {
-				c.takeBack(w, h)
-			}
-		}
-		c.ends = slices.DeleteFunc(c.ends, func(e *ending) bool {
-			if e.part != p || e.job != k.job {
-				return false
-			}
-			delete(e.waiting, w)
-			if len(e.waiting) == 0 {
-				e.reply()
-			}
-			return len(e.waiting) == 0
-		})
+		c.cancelled(p, w, r.String())
 	case kPutBack:
 		k.job, k.item = r.String(), int(r.U32())
 		c.takeBack(w, k)
 	}
 }
 
+// attach notes a worker, or another limit of it.
+func (c *core) attach(pipe Pipe, r *link.Reader) {
+	name, zone, limit := r.String(), r.String(), r.Int()
+	if r.Err != nil {
+		return
+	}
+	w := c.workers[pipe]
+	if w == nil {
+		w = &worker{pipe: pipe, held: map[itemKey]bool{}, holds: map[int]hold{}}
+		c.workers[pipe] = w
+		c.attached = append(c.attached, w)
+	}
+	w.name, w.zone, w.limit = name, zone, limit
+}
+
+// holding notes what a worker says that it has in hand of a part.
+func (c *core) holding(p *part, w *worker, r *link.Reader) {
+	epoch := r.U64()
+	var all []itemKey
+	for n := r.Count(8); n > 0; n-- {
+		all = append(all, itemKey{p.no, r.String(), int(r.U32())})
+	}
+	if r.Err != nil {
+		return
+	}
+	w.holds[p.no] = hold{epoch, all}
+	if p.lead != nil && p.lead.active {
+		c.claim(p, w)
+	}
+}
+
+// cancelled is a worker's word that nothing of a job starts there any more.
+func (c *core) cancelled(p *part, w *worker, job string) {
+	for k := range w.held {
+		if k.part == p.no && k.job == job {
+			c.takeBack(w, k)
+		}
+	}
+	c.ends = slices.DeleteFunc(c.ends, func(e *ending) bool {
+		if e.part != p || e.job != job {
+			return false
+		}
+		delete(e.waiting, w)
+		if len(e.waiting) == 0 {
+			e.reply()
+		}
+		return len(e.waiting) == 0
+	})
+}
+
 // claim notes what a worker has in hand of a part that is led here now.
 func (c *core) claim(p *part, w *worker) {
 	h, said := w.holds[p.no]
