--- a/internal/batch/stopping_test.go
+++ b/internal/batch/stopping_test.go
@@ -63,7 +63,13 @@
 			t.Errorf("seed %d: %d runs of %d items", seed, runs, items)
 		}
 		s.boot()
-		w.run(8000)
+		w.run(1500)
+		for no, row := range w.table.Parts {
+			if p := s.core.part(no); slices.Contains(row.Copies, self) && (epochOf(p.claimB) != row.Epoch || p.lead == nil && p.from == nil) {
+				t.Errorf("seed %d: after 1.5 s it is no copy of part %d: claim %x, epoch %d", seed, no, p.claimB, row.Epoch)
+			}
+		}
+		w.run(6500)
 		if bad := w.whole(); bad != "" {
 			t.Errorf("seed %d: after the return: %s", seed, bad)
 		}
