--- a/internal/agree/proposer.go
+++ b/internal/agree/proposer.go
@@ -246,12 +246,16 @@
 	return nil
 }
 
-// backOff waits longer from try to try, and not less than what a phase takes on these disks.
+// maxBackOff bounds the pause after a conflict. It is well below the time that callers give an operation (0.9 s), so that
+// one that begins in a conflict is tried again within it, also where a cut has made a phase look slow.
+const maxBackOff = 400 * time.Millisecond
+
+// backOff waits longer from try to try, and not less than what a phase takes on these disks, up to a bound.
 func (r *Register) backOff() {
 	r.op.tries++
 	window := max(50*time.Millisecond, 2*r.slowest) << min(r.op.tries-1, 5)
 	r.phase = waiting
-	r.wakeAt = r.now + 10*time.Millisecond + time.Duration(r.o.Rand()*float64(min(window, 2*time.Second)))
+	r.wakeAt = r.now + 10*time.Millisecond + time.Duration(r.o.Rand()*float64(min(window, maxBackOff)))
 }
 
 // learned goes on after a newer State is known: what the operation proposed for its slot, or one before, is
