--- a/scenarios/control/play_test.go
+++ b/scenarios/control/play_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+func TestPlayKeepsWhatTheBenchPrinted(t *testing.T) {
+	root := playRoot(t, `{"days":[{"rules":{},"fault":null,"gate":true,"restarts":0}]}`, 0)
+	kept := filepath.Join(root, "kept")
+	if output, status := play(t, root, "--out", kept, "--day", "a-day", filepath.Join(root, "a-site.toml")); status != 0 {
+		t.Fatalf("exit %d:\n%s", status, output)
+	}
+	text, err := os.ReadFile(filepath.Join(kept, "a-site-a-day.txt"))
+	if err != nil || !strings.Contains(string(text), "snapshot abcd") {
+		t.Errorf("kept %q: %v", text, err)
+	}
+}
+
 func TestPlayRefusesWrongCalls(t *testing.T) {
 	root := playRoot(t, "{}", 0)
 	site := filepath.Join(root, "a-site.toml")
