Reports name the voters that are heard, not all keepers

Cause: a report held the identities of all connected keepers, though only those of voters are looked at: with 24 others that is some 200 bytes to each of them, several times a second.

--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -11,7 +11,8 @@
 	// Slots tell the newest decided slots that the sender has stored, by the order in which the registers are declared:
 	// the slot plus one, and 0 where it knows none.
 	Slots []uint64
-	// Heard are the identities of the keepers with which the sender has a link, and its own.
+	// Heard are the identities of the voters with which the sender has a link, and its own if it votes. Those of other
+	// keepers are left out: nothing depends on them, and there may be many.
 	Heard []uint64
 }
 
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -10,8 +10,13 @@
 
 // report is what this keeper tells the others of itself.
 func (k *Keeper) report() control.KeeperReport {
-	connected := k.links().connectedIDs(k.agree.id)
-	return control.KeeperReport{InContact: k.inContact(), Leaving: k.leaving, Slots: k.agree.slots(), Heard: slices.Sorted(maps.Keys(connected))}
+	connected, heard := k.links().connectedIDs(k.agree.id), map[uint64]bool{}
+	for _, voter := range k.agree.voters() {
+		if connected[voter.ID] {
+			heard[voter.ID] = true
+		}
+	}
+	return control.KeeperReport{InContact: k.inContact(), Leaving: k.leaving, Slots: k.agree.slots(), Heard: slices.Sorted(maps.Keys(heard))}
 }
 
 // sendReports tells all keepers that are connected.
--- a/internal/keeper/voters_test.go
+++ b/internal/keeper/voters_test.go
@@ -240,6 +240,25 @@
 	o.readable(0)
 }
 
+// A report names the voters that are heard, itself if it votes, and no other keepers.
+func TestReportNamesVoters(t *testing.T) {
+	k := still(t, "k1")
+	conns, _ := wires(t, 2)
+	for i, id := range []uint64{7, 8} {
+		k.adoptLink(conns[i], control.Node{Name: fmt.Sprint("k", id), Role: control.RoleKeeper, ID: id, Life: 1}, false)
+	}
+	if heard := k.report().Heard; len(heard) != 0 {
+		t.Errorf("%v are heard before anything is known of the voters", heard)
+	}
+	state := agree.State{Voters: []agree.Voter{{ID: k.agree.id, Name: "k1"}, {ID: 7, Name: "k7"}, {ID: 9, Name: "k9"}}}
+	k.agree.decided(configRegister, state)
+	want := []uint64{7, k.agree.id}
+	slices.Sort(want)
+	if heard := k.report().Heard; !slices.Equal(heard, want) {
+		t.Errorf("%v are heard, not %v", heard, want)
+	}
+}
+
 // Leases are granted by voters to voters, by the newest state that is known, and by none that lacks a state that
 // another one has.
 func TestWhoMayGrantLeases(t *testing.T) {
