--- a/internal/batch/ages.go
+++ b/internal/batch/ages.go
@@ -2,7 +2,9 @@
 
 import "dunetide/internal/operator"
 
-// Jobs that are too old are given up and dropped.
+// Jobs that are too old are given up and dropped. How old a job is, is counted on the steady clock from when this store first
+// knew of it: no less than that has passed since it was sent, whatever the time of day is said to be. After a restart, or at
+// a store that got the job later, it counts as younger than it is, and is given up and dropped later, which is allowed.
 
 // ages gives up and drops what is too old, and tells again of groups that are ready.
 func (c *core) ages() {
@@ -20,7 +22,7 @@
 			if j == nil || !j.committed {
 				continue
 			}
-			age := c.wall - j.sentMs
+			age := c.now - j.knownSince
 			if !j.open() {
 				if age > c.keep+dropMarginMs && (j.ended && j.endSeen || j.visible == len(j.items)) && !j.dropping {
 					j.dropping = true
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -63,7 +63,6 @@
 	segmentSize      int64 // bytes of a segment of the log; 0: by the room
 	room             int64 // bytes that the log may have; 0: no limit
 	now              int64 // steady, in ms; set before each event
-	wall             int64
 	disk             disk
 	fail             func(error)                      // the disk can't be used any more
 	ready            func(part int, epoch uint64)     // the group of the next epoch has all
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -12,7 +12,7 @@
 	Route     string
 	Host      string
 	PathStart string
-	SentMs    int64 // wall clock at which an edge took it first
+	SentMs    int64 // time of day at which an edge took it first; it only orders jobs, as clocks may be stepped
 	DueMs     int64
 	Tries     int
 	MaxWaitMs int64  // 0: never given up for its age
@@ -82,6 +82,7 @@
 type job struct {
 	id, route, host, pathStart string
 	sentMs, dueMs, maxWaitMs   int64
+	knownSince                 int64 // steady clock of this life when the job was first known here; its age is not less than since then
 	maxQueued                  int64
 	version                    uint64
 	tries                      int
--- a/internal/batch/records.go
+++ b/internal/batch/records.go
@@ -36,7 +36,7 @@
 		}
 		return c.apply(p, r.B, pos())
 	case recPut:
-		id := r.String()
+		_ = r.String() // the id, which the job has too
 		enc := r.Bytes()
 		j, err := decodeJob(enc, pos()-int64(len(enc)))
 		if err != nil {
@@ -48,13 +48,22 @@
 			j.list(no, gu, text, pos()-int64(len(text)))
 		}
 		j.ended = r.Bool()
-		c.forget(p, id)
-		p.jobs[id] = j
-		c.chargeJob(j, 1)
+		c.keepJob(p, j)
 	}
 	return r.Err
 }
 
+// keepJob takes a job in, in the place of what was known of it. It has been known since it was known first.
+func (c *core) keepJob(p *part, j *job) {
+	j.knownSince = c.now
+	if known := p.jobs[j.id]; known != nil {
+		j.knownSince = known.knownSince
+	}
+	c.forget(p, j.id)
+	p.jobs[j.id] = j
+	c.chargeJob(j, 1)
+}
+
 func (c *core) forget(p *part, id string) {
 	if j := p.jobs[id]; j != nil {
 		c.chargeJob(j, -1)
@@ -75,9 +84,7 @@
 		if err != nil {
 			return err
 		}
-		c.forget(p, j.id)
-		p.jobs[j.id] = j
-		c.chargeJob(j, 1)
+		c.keepJob(p, j)
 	case opList:
 		id, no, gu := r.String(), int(r.U32()), r.Bool()
 		if r.Err != nil {
--- a/internal/batch/scale_test.go
+++ b/internal/batch/scale_test.go
@@ -149,7 +149,7 @@
 
 func (g *scaleRig) clock() {
 	for _, c := range g.cores {
-		c.now, c.wall = g.now/1000+1, g.now/1000+1
+		c.now = g.now/1000 + 1
 	}
 }
 
--- a/internal/batch/sim_test.go
+++ b/internal/batch/sim_test.go
@@ -289,7 +289,7 @@
 		s.waiting = append(s.waiting, func() { s.do(life, fn) })
 		return
 	}
-	s.core.now, s.core.wall = s.w.ms()+1, s.w.ms()
+	s.core.now = s.w.ms() + 1
 	fn()
 	s.sync()
 }
@@ -325,6 +325,7 @@
 	s.life++
 	life := s.life
 	c := newCore(0, s.disk)
+	c.now = w.ms() + 1
 	c.maxLost, c.zone = w.f, s.zone
 	c.keep, c.segmentSize = 1<<40, 1500
 	if w.trace != nil {
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -317,9 +317,7 @@
 }
 
 func (s *Store) clock() {
-	now := time.Now()
-	s.core.now = now.Sub(s.start).Milliseconds() + 1
-	s.core.wall = now.UnixMilli()
+	s.core.now = time.Since(s.start).Milliseconds() + 1
 }
 
 // syncLoop syncs what was appended, all that waits at once.
