--- a/internal/batch/stopping_test.go
+++ b/internal/batch/stopping_test.go
@@ -63,7 +63,13 @@
 			t.Errorf("seed %d: %d runs of %d items", seed, runs, items)
 		}
 		s.boot()
-		w.run(8000)
+		w.run(1500)
+		for no, row := range w.table.Parts {
+			if p := s.core.part(no); slices.Contains(row.Copies, self) && (epochOf(p.claimB) != row.Epoch || p.lead == nil && p.from == nil) {
+				t.Errorf("seed %d: after 1.5 s it is no copy of part %d: claim %x, epoch %d", seed, no, p.claimB, row.Epoch)
+			}
+		}
+		w.run(6500)
 		if bad := w.whole(); bad != "" {
 			t.Errorf("seed %d: after the return: %s", seed, bad)
 		}
@@ -161,11 +167,11 @@
 	}
 }
 
-// newStoreGroup starts three stores.
-func newStoreGroup(t *testing.T) *storeGroup {
+// newStoreGroup starts three stores whose logs may have so many bytes; 0: any.
+func newStoreGroup(t *testing.T, room int64) *storeGroup {
 	g := &storeGroup{t: t}
 	for i := range 3 {
-		s, err := NewStore(StoreOptions{Zone: "z", MachinesLost: 1, KeepMs: 60000, Open: OpenIn(journal.Dir(t.TempDir())),
+		s, err := NewStore(StoreOptions{Zone: "z", MachinesLost: 1, KeepMs: 60000, RoomBytes: room, Open: OpenIn(journal.Dir(t.TempDir())),
 			AnnounceStopping: func(store uint64, stopping bool) {
 				go g.change(func(cur *view.Table) (*view.Table, bool) { return SetStopping(cur, store, stopping) })
 			}})
@@ -189,7 +195,7 @@
 // TestHandOverOverLinks: a real store has handed its parts over when HandOver returns; where nobody changes the table, it
 // returns when its time is over, with the error that says so.
 func TestHandOverOverLinks(t *testing.T) {
-	g := newStoreGroup(t)
+	g := newStoreGroup(t, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	if err := g.stores[0].HandOver(ctx); err != nil {
