--- a/internal/batch/ages_test.go
+++ b/internal/batch/ages_test.go
@@ -32,7 +32,13 @@
 	for _, sentMs := range []int64{-3_600_000, 0, 3_600_000} {
 		g := newScaleRig(4, 0, 0, 1)
 		primary := g.handAged(t, "job", sentMs, maxWaitMs)
-		results := func() int { return len(primary.parts[primary.table.PartOf("job")].jobs["job"].results) }
+		results := func() int {
+			j := primary.parts[primary.table.PartOf("job")].jobs["job"]
+			if j == nil {
+				t.Fatalf("sent at %d: the job was dropped", sentMs)
+			}
+			return len(j.results)
+		}
 		g.step(maxWaitMs - 100)
 		if n := results(); n != 0 {
 			t.Errorf("sent at %d: %d results before its time is over", sentMs, n)
