Fleet: a removal counts also where a later incarnation of the name is heard first

Cause: gossip announces a process without the words said of its name. A node in incarnation 1 whose name was removed up to 1 could hear another process of the name announced in incarnation 2 before it heard of the removal. It took incarnation 3 for the announcement alone, and from then on the removal of 1 was about an earlier incarnation: whoever builds on members was never told that what belonged to it is void. The same was lost where the removal was heard while the raise was under way.

Change: the table keeps the first incarnation that no removal has made void. A removal of that one or a later one counts, whatever incarnation was taken meanwhile; the node takes a further one and is told once. A claim holds which incarnation was removed in place of a yes or no, so that one that was settled already asks for nothing.

TestNewsOfOneself compares the incarnation that was removed, where it compared a bool.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -397,6 +397,12 @@
 		return false
 	}
 	own := f.Self()
+	f.mu.Lock()
+	removed := f.table.Removes(c)
+	f.mu.Unlock()
+	if removed { // also where it was raised meanwhile
+		c.Raise = max(c.Raise, own.Incarnation+1)
+	}
 	if c.Raise <= own.Incarnation {
 		return true
 	}
@@ -423,9 +429,12 @@
 	f.stats.raised.Add(1)
 	f.mu.Lock()
 	f.table.Raised(id.Incarnation)
+	if removed {
+		f.table.Renewed()
+	}
 	f.mu.Unlock()
-	f.o.Log.Info("fleet: a new incarnation", "incarnation", id.Incarnation, "removed", c.Void, "old folder", c.Old)
-	if c.Void { // whoever builds on members hears it as of any other
+	f.o.Log.Info("fleet: a new incarnation", "incarnation", id.Incarnation, "removed", removed, "old folder", c.Old)
+	if removed { // whoever builds on members hears it as of any other
 		f.inOrder.Lock()
 		defer f.inOrder.Unlock()
 		f.tellChanges([]Change{{f.o.Name, own.Incarnation, Alive, Removed}, {f.o.Name, id.Incarnation, Removed, Alive}})
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -75,8 +75,10 @@
 // It is not safe for concurrent use.
 type Table struct {
 	self string
-	rows map[string]*row
-	seen []sight // own counts of late, each greater than those after it
+	// memberSince is the node's first incarnation that no removal has made void.
+	memberSince uint64
+	rows        map[string]*row
+	seen        []sight // own counts of late, each greater than those after it
 	// Refused counts members for whom there was no room.
 	Refused int
 }
@@ -88,7 +90,7 @@
 
 // NewTable begins with the node itself.
 func NewTable(self Record, now time.Duration) *Table {
-	t := &Table{self: self.Name, rows: map[string]*row{}}
+	t := &Table{self: self.Name, memberSince: self.Incarnation, rows: map[string]*row{}}
 	t.rows[self.Name] = &row{Record: self, heard: true, heardAs: self.Incarnation, state: Alive, since: now}
 	t.sight(now)
 	return t
@@ -196,15 +198,15 @@
 
 // Claim is what news of the node's own name ask of it.
 type Claim struct {
-	Raise uint64 // take at least this incarnation; 0: none
-	Void  bool   // it was removed: what belonged to the incarnation so far is void
-	Old   bool   // others know a later start than this one: the folder is from before it
-	Rival string // the name is in use at this address, or was; empty: it is not
+	Raise   uint64 // take at least this incarnation; 0: none
+	Removed uint64 // it was removed up to this incarnation, and has not been told; 0: it was not
+	Old     bool   // others know a later start than this one: the folder is from before it
+	Rival   string // the name is in use at this address, or was; empty: it is not
 }
 
 // keep adds what another claim asks for besides; the rival is looked for, not kept.
 func (c *Claim) keep(o Claim) {
-	c.Raise, c.Void, c.Old = max(c.Raise, o.Raise), c.Void || o.Void, c.Old || o.Old
+	c.Raise, c.Removed, c.Old = max(c.Raise, o.Raise), max(c.Removed, o.Removed), c.Old || o.Old
 }
 
 // Mine judges what somebody tells of the node itself.
@@ -212,7 +214,12 @@
 	own := t.Self()
 	if word := max(rec.Removed, rec.Left); word >= own.Incarnation {
 		// No process says its own word under an incarnation that it goes on with.
-		c.Raise, c.Void, c.Old = word+1, rec.Removed >= own.Incarnation, word > own.Incarnation || rec.Left >= own.Incarnation
+		c.Raise, c.Old = word+1, word > own.Incarnation || rec.Left >= own.Incarnation
+	}
+	// Gossip may announce a later incarnation before it tells of the removal, so the node may have gone
+	// above the incarnation that was removed: the removal counts none the less.
+	if rec.Removed >= t.memberSince {
+		c.Raise, c.Removed = max(c.Raise, own.Incarnation+1), rec.Removed
 	}
 	if rec.Start != own.Start && rec.Incarnation >= own.Incarnation {
 		c.Raise, c.Old = max(c.Raise, rec.Incarnation+1), true
@@ -231,6 +238,13 @@
 	r.Incarnation, r.heardAs = incarnation, incarnation
 }
 
+// Removes tells whether a claim holds a removal that the node has not been told of.
+func (t *Table) Removes(c Claim) bool { return c.Removed >= t.memberSince }
+
+// Renewed tells that the node is a new member in its present incarnation: a removal of an earlier one
+// asks for nothing any more.
+func (t *Table) Renewed() { t.memberSince = t.Self().Incarnation }
+
 // Word says that a member is gone, up to its present incarnation, by the staff's word.
 func (t *Table) Word(name string, now time.Duration) (Record, []Change, bool) {
 	r := t.rows[name]
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -136,8 +136,8 @@
 		{"somebody else", Record{Name: "a", Incarnation: 8, Start: 7, Address: "X"}, Claim{Raise: 9, Old: true, Rival: "X"}},
 		{"an earlier one, elsewhere", Record{Name: "a", Incarnation: 3, Start: 7, Address: "X"}, Claim{Rival: "X"}},
 		{"an earlier one, elsewhere, that has left", Record{Name: "a", Incarnation: 3, Start: 7, Address: "X", Left: 3}, Claim{}},
-		{"removed", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 5}, Claim{Raise: 6, Void: true}},
-		{"removed in a later life", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 6}, Claim{Raise: 7, Void: true, Old: true}},
+		{"removed", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 5}, Claim{Raise: 6, Removed: 5}},
+		{"removed in a later life", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 6}, Claim{Raise: 7, Removed: 6, Old: true}},
 		{"it has left, in this life", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Left: 5}, Claim{Raise: 6, Old: true}},
 		{"removed before", Record{Name: "a", Incarnation: 5, Start: 9, Address: "A", Removed: 4}, Claim{}},
 	} {
