Fleet: a node that stays outside asks what was said of its name before it comes in

Cause: a node outside takes no part in gossip, so it heard of its removal only after it had come in: the parts that run while it is joined began before they were told that what they held is void.

Change: each time before it looks whether the name is free it asks the seeds, as at a start.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -270,6 +270,7 @@
 	for ctx.Err() == nil {
 		if !f.settleClaim(ctx) { // somebody has the name
 			wait(ctx, rivalEvery)
+			f.lookAround(ctx) // outside nobody else tells of a removal
 			continue
 		}
 		g, err := f.startGossip()
@@ -442,8 +443,8 @@
 	return true
 }
 
-// lookAround asks a few seeds who has this node's name before it says its own. Nobody waits
-// for it but the joining itself.
+// lookAround asks a few seeds what they know of this node's name before it says its own: who has it,
+// and whether it was removed. Nobody waits for it but the joining itself.
 func (f *Fleet) lookAround(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askWho)
 	defer cancel()
--- a/internal/fleet/simulated_test.go
+++ b/internal/fleet/simulated_test.go
@@ -157,6 +157,48 @@
 	})
 }
 
+// A node whose name is removed while it is outside is told before it takes part again.
+func TestRemovedWhileOutside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := simulated(t, 4, 1)
+		// Places 0 and 1, 2 and 3: each half has a seed, and the name of 1 is also at 3.
+		w.file.Nodes[2].Seed = true
+		w.net.Apply(faults.Pattern{What: faults.Split})
+		var toldAtStart atomic.Bool
+		n := w.nodes[1]
+		w.start(0)
+		w.start(1, func(f *fleet.Fleet) {
+			f.While(func(ctx context.Context) {
+				n.mu.Lock()
+				toldAtStart.Store(slices.ContainsFunc(n.changes, func(c fleet.Change) bool { return c.Name == n.name && c.To == fleet.Removed }))
+				n.mu.Unlock()
+				<-ctx.Done()
+			})
+		})
+		w.start(2)
+		w.file.Nodes = slices.Clone(w.file.Nodes[:3])
+		w.file.Nodes[1].Address = w.net.Address(3).String()
+		w.nodes[3].name = n.name
+		w.start(3)
+		w.await(healTime, "two halves", func() bool { return w.whole(0, 1) && w.whole(2, 3) })
+		w.net.Heal()
+		w.await(time.Minute, "both outside", func() bool {
+			return n.Status().State == fleet.Outside && w.nodes[3].Status().State == fleet.Outside
+		})
+		w.await(healTime, "the others are one", func() bool { return w.whole(0, 2) })
+		if err := w.nodes[2].Remove(n.name); err != nil {
+			t.Fatal(err)
+		}
+		w.kill(3)
+		w.await(2*time.Minute, "it comes in", func() bool { return w.whole(0, 1, 2) })
+		if !toldAtStart.Load() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			t.Errorf("it took part again before it was told of its removal: %v", n.changes)
+		}
+	})
+}
+
 // A seed that is down for ever costs nobody anything, and a node that can't be heard by one
 // other for longer than every time-out stays what it is: a member.
 func TestOneWayAndASeedThatIsDown(t *testing.T) {
