Fleet: fleet.go split by job, moves alone

767 lines held the session, claims to the name, what is known of members, whom to meet again and the connections. No line differs but for package clauses and imports.

Measured: tests of internal/fleet pass.

--- /dev/null
+++ b/internal/fleet/connection.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// open is the transport of the session; memberlist may ask for it a moment longer.
+func (f *Fleet) open() (Transport, context.Context, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.transport == nil {
+		return nil, nil, net.ErrClosed
+	}
+	return f.transport, f.life, nil
+}
+
+// sendPacket sends a datagram.
+func (f *Fleet) sendPacket(payload []byte, to netip.AddrPort) error {
+	transport, _, err := f.open()
+	if err != nil {
+		return err
+	}
+	b := sealPacket(f.key, payload)
+	f.stats.packetsOut.Add(1)
+	f.stats.bytesOut.Add(int64(len(b)))
+	return transport.SendTo(b, to)
+}
+
+// place takes a place for a connection; false: there is none.
+func (f *Fleet) place() bool {
+	select {
+	case f.conns <- struct{}{}:
+		return true
+	default:
+	}
+	f.stats.crowded.Add(1)
+	return false
+}
+
+var errCrowded = errors.New("no place for a further connection")
+
+// counted counts a connection's bytes, ends with the session and gives its place back.
+type counted struct {
+	net.Conn
+	f *Fleet
+
+	mu     sync.Mutex
+	stop   func() bool
+	closed bool
+}
+
+func (f *Fleet) counted(life context.Context, raw net.Conn) *counted {
+	c := &counted{Conn: raw, f: f}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stop = context.AfterFunc(life, func() { _ = c.Close() })
+	return c
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.f.stats.bytesIn.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.f.stats.bytesOut.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Close() error {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if first {
+		c.stop()
+		<-c.f.conns
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/fleet/members.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+)
+
+// learn steps the table and tells what changed.
+func (f *Fleet) learn(step func(t *Table, now time.Duration) []Change) {
+	f.inOrder.Lock()
+	defer f.inOrder.Unlock()
+	f.mu.Lock()
+	changes := step(f.table, f.o.Clock())
+	if len(changes) > 0 {
+		f.news = f.o.Clock()
+	}
+	var over []*link
+	for _, c := range changes {
+		if l := f.links[c.Name]; l != nil && c.To.Gone() {
+			over = append(over, l)
+			delete(f.links, c.Name)
+		}
+	}
+	f.mu.Unlock()
+	for _, l := range over {
+		l.close()
+	}
+	f.tellChanges(changes)
+}
+
+func (f *Fleet) tellChanges(changes []Change) {
+	for _, c := range changes {
+		f.o.Log.Info("fleet: member", "name", c.Name, "incarnation", c.Incarnation, "was", c.From, "is", c.To)
+		for _, hear := range f.onChange {
+			hear(c)
+		}
+	}
+}
+
+// take takes in words; those that it returns were new, and others should hear them.
+func (f *Fleet) take(w words) (fresh []Record) {
+	f.learn(func(t *Table, now time.Duration) (all []Change) {
+		for _, rec := range w.Records {
+			if rec.Name == f.o.Name {
+				f.judge(rec)
+			}
+			before, known := t.Member(rec.Name)
+			all = append(all, t.Merge(rec, now)...)
+			if after, _ := t.Member(rec.Name); known && (after.Left > before.Left || after.Removed > before.Removed) {
+				fresh = append(fresh, after.Record)
+			}
+		}
+		t.Told(w.Counts, now)
+		return all
+	})
+	return fresh
+}
+
+// known is all that others may know.
+func (f *Fleet) known() words {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return words{f.table.Records(), f.table.Sightings(f.o.Clock())}
+}
+
+func (f *Fleet) current() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Current()
+}
+
+// Self is this node as the others should see it.
+func (f *Fleet) Self() Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, _ := f.table.Member(f.o.Name)
+	return m
+}
+
+// Members are all that are known, the gone and this node among them, by name.
+func (f *Fleet) Members() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Members()
+}
+
+// Count is the largest number of members that any current one has seen within CountTime.
+func (f *Fleet) Count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Count(f.o.Clock())
+}
+
+// Remove says, by the staff's word, that a member is gone in its present incarnation.
+func (f *Fleet) Remove(name string) error {
+	var rec Record
+	var ok bool
+	f.learn(func(t *Table, now time.Duration) (all []Change) {
+		rec, all, ok = t.Word(name, now)
+		return all
+	})
+	if !ok {
+		return fmt.Errorf("%w: %s", ErrUnknown, name)
+	}
+	f.mu.Lock()
+	g := f.gossip
+	f.mu.Unlock()
+	if g != nil {
+		g.spread(rec)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/session.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Prepare takes the next incarnation and listens. An error that a start should end with is one
+// of ErrOtherNode and those of Listen; a disk that takes nothing is none, Run tries again.
+func (f *Fleet) Prepare() error {
+	if f.transport != nil {
+		return nil
+	}
+	transport, err := f.o.Listen(f.listen) // first: whoever has the address has the file too
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	id, spoilt, err := loadIdentity(f.o.Folder, f.o.File.Fleet, f.o.Name)
+	if err != nil {
+		return errors.Join(fmt.Errorf("fleet: %w", err), transport.Close())
+	}
+	if spoilt != nil {
+		f.o.Log.Warn("fleet: the incarnation is lost; others may know it", "err", spoilt)
+	}
+	id.Incarnation = max(id.Incarnation, f.id.Incarnation) + 1
+	if err := id.save(f.o.Folder); err != nil {
+		f.o.Log.Error("fleet: not joined, tried again", "err", errors.Join(err, transport.Close()))
+		f.stand(Waiting, err.Error())
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.id, f.transport = id, transport
+	return nil
+}
+
+// Run takes part until the context ends. Leave tells, then, whether the node has ended its
+// work: it says so only in that case, and else is silent.
+func (f *Fleet) Run(ctx context.Context, leave func() bool) {
+	for ctx.Err() == nil {
+		if err := f.Prepare(); err != nil {
+			f.stand(Waiting, err.Error())
+			f.o.Log.Error("fleet: not joined, tried again", "err", err)
+		}
+		if f.transport == nil {
+			wait(ctx, againAfter)
+			continue
+		}
+		f.session(ctx, leave)
+	}
+	f.stand(Ended, "")
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Fleet) stand(state, why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state, f.why = state, why
+}
+
+// session is one life in the fleet, under one incarnation or those that it is raised to.
+func (f *Fleet) session(ctx context.Context, leave func() bool) {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	self := Record{Name: f.o.Name, Incarnation: f.id.Incarnation, Start: rand.Uint64() | 1, Address: f.address.String()}
+	f.mu.Lock()
+	f.life, f.running, f.claim, f.state, f.why = life, &sync.WaitGroup{}, Claim{}, Starting, ""
+	old := f.table
+	f.table = NewTable(self, f.o.Clock())
+	for _, rec := range old.Records() { // what was known outlasts the session
+		f.table.Merge(rec, f.o.Clock())
+	}
+	f.mu.Unlock()
+	transport := f.transport
+	defer func() {
+		end()
+		if err := transport.Close(); err != nil {
+			f.o.Log.Debug("fleet: closing", "err", err)
+		}
+		f.mu.Lock()
+		f.transport = nil
+		f.mu.Unlock()
+		f.running.Wait()
+	}()
+	f.running.Go(func() { f.acceptAll(transport) })
+	f.running.Go(func() { f.receiveAll(transport) })
+	f.lookAround(ctx)
+	for ctx.Err() == nil {
+		if !f.settleClaim(ctx) { // somebody has the name
+			wait(ctx, rivalEvery)
+			f.lookAround(ctx) // outside nobody else tells of a removal
+			continue
+		}
+		g, err := f.startGossip()
+		if err != nil {
+			f.stand(Waiting, err.Error())
+			f.o.Log.Error("fleet: not joined, tried again", "err", err)
+			wait(ctx, againAfter)
+			continue
+		}
+		f.follow(ctx, g, leave)
+	}
+}
+
+// follow takes part in gossip until the context ends or the name turns out to be another's too.
+func (f *Fleet) follow(ctx context.Context, g *gossip, leave func() bool) {
+	life, end := context.WithCancel(f.life)
+	f.mu.Lock()
+	f.gossip, f.state, f.why = g, Joined, ""
+	f.mu.Unlock()
+	f.o.Log.Info("fleet: joined", "fleet", f.o.File.Fleet, "name", f.o.Name, "incarnation", f.Self().Incarnation)
+	var meeting sync.WaitGroup
+	meeting.Go(func() { g.rejoin(life) })
+	working, rest := context.WithCancel(f.life)
+	var parts sync.WaitGroup
+	for _, run := range f.parts {
+		parts.Go(func() { run(working) })
+	}
+	fenced := false
+	for ctx.Err() == nil && !fenced {
+		select {
+		case <-f.changed:
+			if !f.settleClaim(ctx) {
+				fenced = true
+				break
+			}
+			if err := g.list.UpdateNode(streamTime); err != nil {
+				f.o.Log.Debug("fleet: telling of an incarnation", "err", err)
+			}
+			wait(ctx, raiseEvery)
+		case <-ctx.Done():
+		}
+	}
+	rest()
+	parts.Wait()
+	if !fenced && leave() {
+		rec := f.Self().Record
+		rec.Left = rec.Incarnation
+		g.leave(rec, leaveTime)
+	}
+	f.mu.Lock()
+	f.gossip = nil
+	f.mu.Unlock()
+	f.closeLinks()
+	end()
+	g.end()
+	meeting.Wait()
+}
+
+func (f *Fleet) closeLinks() {
+	f.mu.Lock()
+	links := f.links
+	f.links = map[string]*link{}
+	f.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+}
