Fleet: greetings and datagrams moved out of link.go, moves alone

No line differs but for package clauses and imports.

Measured: tests of internal/fleet pass, with the race detector too.

--- /dev/null
+++ b/internal/fleet/datagrams.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// receiveAll hands datagrams on until the transport closes.
+func (f *Fleet) receiveAll(transport Transport) {
+	for {
+		b, from, err := transport.Receive()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // a port that nobody had was hit before
+			if f.life.Err() != nil {
+				return
+			}
+			continue
+		}
+		f.stats.packetsIn.Add(1)
+		f.stats.bytesIn.Add(int64(len(b)))
+		payload, err := openPacket(f.key, b)
+		var version VersionError
+		switch {
+		case errors.As(err, &version):
+			f.refuse(from.String(), err)
+			continue
+		case errors.Is(err, errSpoilt):
+			f.stats.spoilt.Add(1)
+			continue
+		case err != nil:
+			f.stats.strangers.Add(1)
+			continue
+		}
+		f.mu.Lock()
+		g := f.gossip
+		f.mu.Unlock()
+		if g == nil {
+			continue
+		}
+		select {
+		case g.packets <- &memberlist.Packet{Buf: append([]byte(nil), payload...), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}:
+		default:
+			f.stats.dropped.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/greeting.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+)
+
+// hello begins a link, welcome is its answer.
+type hello struct {
+	Self      Record `cbor:"1,keyasint"`
+	To        string `cbor:"2,keyasint"`
+	Candidate bool   `cbor:"3,keyasint,omitempty"` // its sender was not announced yet, and will not use the link
+}
+
+type welcome struct {
+	Self    Record `cbor:"1,keyasint"`
+	Known   Record `cbor:"2,keyasint,omitempty"` // of who said hello
+	Refused string `cbor:"3,keyasint,omitempty"`
+}
+
+// dial connects, greets, and takes a place for the connection.
+func (f *Fleet) dial(ctx context.Context, to netip.AddrPort, purpose byte) (*framed, error) {
+	transport, life, err := f.open()
+	if err != nil {
+		return nil, err
+	}
+	if !f.place() {
+		return nil, errCrowded
+	}
+	f.stats.dials.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, greetTime)
+	defer cancel()
+	raw, err := transport.Dial(ctx, to)
+	if err != nil {
+		<-f.conns
+		return nil, err
+	}
+	conn := f.counted(life, raw)
+	defer closeWith(ctx, conn)()
+	if err := greet(conn, f.key, purpose); err != nil {
+		_ = conn.Close()
+		var version VersionError
+		var no RefusedError
+		if errors.As(err, &version) || errors.As(err, &no) {
+			f.refuse(to.String(), err)
+		}
+		return nil, err
+	}
+	return &framed{Conn: conn, key: f.key}, nil
+}
+
+// hello dials and says who this is.
+func (f *Fleet) hello(ctx context.Context, to netip.AddrPort, name string, candidate bool) (*framed, welcome, error) {
+	var w welcome
+	conn, err := f.dial(ctx, to, forLink)
+	if err != nil {
+		return nil, w, err
+	}
+	defer closeWith(ctx, conn)()
+	if err = conn.SetDeadline(time.Now().Add(greetTime)); err == nil {
+		err = conn.send(hello{f.Self().Record, name, candidate})
+	}
+	if err == nil {
+		err = conn.receive(&w, maxHello)
+	}
+	if err != nil {
+		return nil, w, errors.Join(err, conn.Close())
+	}
+	_ = conn.SetDeadline(time.Time{}) // it may be closed already: whoever uses it will see
+	return conn, w, nil
+}
+
+// acceptAll takes connections until the transport closes.
+func (f *Fleet) acceptAll(transport Transport) {
+	for {
+		raw, err := transport.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // no descriptors, say
+			f.o.Log.Debug("fleet: accepting", "err", err)
+			wait(f.life, dialLeast)
+			if f.life.Err() != nil {
+				return
+			}
+			continue
+		}
+		if !f.place() {
+			_ = raw.Close()
+			continue
+		}
+		conn := f.counted(f.life, raw)
+		f.running.Go(func() { f.accept(conn) })
+	}
+}
+
+func (f *Fleet) accept(raw net.Conn) {
+	bad := func(err error) {
+		_ = raw.Close()
+		var version VersionError
+		switch {
+		case errors.As(err, &version):
+			f.refuse(raw.RemoteAddr().String(), err)
+		case errors.Is(err, errSpoilt):
+			f.stats.spoilt.Add(1)
+		default:
+			f.stats.strangers.Add(1)
+		}
+		f.o.Log.Debug("fleet: a connection", "from", raw.RemoteAddr(), "err", err)
+	}
+	if err := raw.SetDeadline(time.Now().Add(greetTime)); err != nil {
+		bad(err)
+		return
+	}
+	purpose, err := greeted(raw, f.key)
+	if err != nil {
+		bad(err)
+		return
+	}
+	conn := &framed{Conn: raw, key: f.key}
+	if purpose == forGossip {
+		f.mu.Lock()
+		g := f.gossip
+		f.mu.Unlock()
+		if g == nil {
+			bad(errors.New("not joined"))
+			return
+		}
+		select {
+		case g.streams <- conn: // it has deadlines of its own from here on, and closes it
+		case <-f.life.Done():
+			bad(f.life.Err())
+		case <-time.After(greetTime):
+			bad(errors.New("gossip is busy"))
+		}
+		return
+	}
+	var h hello
+	if err := conn.receive(&h, maxHello); err != nil {
+		bad(err)
+		return
+	}
+	w, l := f.welcome(h)
+	if err := conn.send(w); err != nil || l == nil || w.Refused != "" {
+		_ = raw.Close()
+		return
+	}
+	if err := raw.SetDeadline(time.Time{}); err != nil {
+		bad(err)
+		return
+	}
+	l.attach(conn, h.Self)
+}
+
+// welcome judges a hello. Who only asks gets no link.
+func (f *Fleet) welcome(h hello) (welcome, *link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := f.table.Self()
+	w := welcome{Self: own}
+	if m, there := f.table.Member(h.Self.Name); there {
+		w.Known = m.Record
+	}
+	switch {
+	case h.To != own.Name:
+		w.Refused = "this is " + own.Name
+	case h.Self.Name == own.Name && h.Self.Start == own.Start:
+		w.Refused = "this is the same process"
+	case h.Self.Name == own.Name:
+		w.Refused = "the name is in use here"
+		if !h.Candidate && f.gossip != nil {
+			f.claim.Rival = h.Self.Address
+			f.rouse()
+		}
+	case h.Candidate:
+	case w.Known.Name != "" && h.Self.Incarnation <= max(w.Known.Removed, w.Known.Left):
+		w.Refused = "it was said to be gone"
+	case w.Known.Name != "" && h.Self.Incarnation < w.Known.Incarnation:
+		w.Refused = "a later incarnation is known"
+	case f.gossip == nil:
+		w.Refused = "not joined"
+	default:
+		l := f.link(h.Self.Name)
+		if l.mine(h.Self) {
+			w.Refused = "a link from here stands or is on its way"
+			return w, nil
+		}
+		return w, l
+	}
+	return w, nil
+}
