Fleet: settling a claim in short functions; misses and asked seeds named

settleClaim was 75 lines that looked for rivals, kept the claim, saved the incarnation and told of it. No behaviour is meant to change.

Measured: tests of internal/fleet pass, with the race detector too.

--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -11,21 +11,22 @@
 	"time"
 )
 
-// heardOfSelf hears what others say of this node.
+// heardOfSelf takes in what another node tells of this one.
 func (f *Fleet) heardOfSelf(rec Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.judge(rec)
 }
 
+// judge keeps what a record of this node asks for until the session settles it; f.mu is held.
 func (f *Fleet) judge(rec Record) {
-	c := f.table.Mine(rec)
-	if c == (Claim{}) {
+	claim := f.table.Mine(rec)
+	if claim == (Claim{}) {
 		return
 	}
-	f.claim.keep(c)
-	if c.Rival != "" {
-		f.claim.Rival = c.Rival
+	f.claim.keep(claim)
+	if claim.Rival != "" {
+		f.claim.Rival = claim.Rival
 	}
 	f.rouse()
 }
@@ -38,97 +39,122 @@
 	}
 }
 
-// settleClaim does what was heard asks for; false: another process has the name, now.
+// settleClaim does what the claims heard so far ask for. It returns false while another process has the
+// name: the node stays outside, and the claims wait for the next call.
 func (f *Fleet) settleClaim(ctx context.Context) bool {
 	f.mu.Lock()
-	c := f.claim
+	claim := f.claim
 	f.claim = Claim{}
-	rivals := slices.Compact([]string{f.rival, c.Rival})
+	rivals := slices.Compact([]string{f.rival, claim.Rival})
 	f.mu.Unlock()
 	for _, rival := range rivals {
-		seen := f.isThere(ctx, rival)
-		f.mu.Lock()
-		known := rival != "" && f.rival == rival
-		if known && seen == gone {
-			f.missed++
-		} else {
-			f.missed = 0
-		}
-		if seen != there && (!known || seen == gone && f.missed >= 2) {
-			if known {
-				f.rival = ""
-			}
-			f.mu.Unlock()
-			continue
+		if rival != "" && f.nameInUseAt(ctx, rival) {
+			f.stayOutside(rival, claim)
+			return false
 		}
-		f.claim.keep(c) // until it is let in
-		f.rival, f.state, f.why = rival, Outside, fmt.Sprintf("%s is in use at %s", f.o.Name, rival)
-		f.mu.Unlock()
-		if !known {
-			f.o.Log.Error("fleet: this node stays outside: its name is in use", "name", f.o.Name, "at", rival)
-		}
-		return false
 	}
-	own := f.Self()
+	f.raise(claim)
+	return true
+}
+
+// nameInUseAt looks for a rival at an address. A rival that was found before counts as gone only when
+// nobody was there rivalMisses times in a row.
+func (f *Fleet) nameInUseAt(ctx context.Context, address string) bool {
+	found := f.lookAt(ctx, address)
 	f.mu.Lock()
-	removed := f.table.Removes(c)
-	f.mu.Unlock()
-	if removed { // also where it was raised meanwhile
-		c.Raise = max(c.Raise, own.Incarnation+1)
+	defer f.mu.Unlock()
+	if f.rival != address {
+		f.missed = 0
+		return found == present
 	}
-	if c.Raise <= own.Incarnation {
+	if found != absent {
+		f.missed = 0
 		return true
 	}
-	id := f.id
-	id.Incarnation = c.Raise
-	var err error
-	if c.Old { // before the folder has an incarnation that looks up to date
-		for _, hear := range f.onOld {
-			err = errors.Join(err, hear())
-		}
+	f.missed++
+	if f.missed < rivalMisses {
+		return true
 	}
-	if err == nil {
-		err = id.save(f.o.Folder)
+	f.rival, f.missed = "", 0
+	return false
+}
+
+// stayOutside keeps a claim until the rival at an address has ended.
+func (f *Fleet) stayOutside(rival string, claim Claim) {
+	f.mu.Lock()
+	known := f.rival == rival
+	f.claim.keep(claim)
+	f.rival, f.state, f.why = rival, Outside, fmt.Sprintf("%s is in use at %s", f.o.Name, rival)
+	f.mu.Unlock()
+	if !known {
+		f.o.Log.Error("fleet: this node stays outside: its name is in use", "name", f.o.Name, "at", rival)
 	}
-	if err != nil {
+}
+
+// raise takes the incarnation that a claim asks for. Where it can't be saved the claim is kept, and
+// settled again after a pause.
+func (f *Fleet) raise(claim Claim) {
+	own := f.Self().Incarnation
+	f.mu.Lock()
+	removed := f.table.Removes(claim)
+	f.mu.Unlock()
+	if removed { // also where the node was raised above the removed incarnation meanwhile
+		claim.Raise = max(claim.Raise, own+1)
+	}
+	if claim.Raise <= own {
+		return
+	}
+	if err := f.saveIncarnation(claim); err != nil {
 		f.o.Log.Error("fleet: no new incarnation, tried again", "err", err)
 		f.mu.Lock()
-		f.claim.keep(c)
+		f.claim.keep(claim)
 		f.mu.Unlock()
 		time.AfterFunc(againAfter, f.rouse)
-		return true
+		return
 	}
-	f.id = id
 	f.stats.raised.Add(1)
 	f.mu.Lock()
-	f.table.Raised(id.Incarnation)
+	f.table.Raised(claim.Raise)
 	if removed {
 		f.table.Renewed()
 	}
 	f.mu.Unlock()
-	f.o.Log.Info("fleet: a new incarnation", "incarnation", id.Incarnation, "removed", removed, "old folder", c.Old)
+	f.o.Log.Info("fleet: a new incarnation", "incarnation", claim.Raise, "removed", removed, "old folder", claim.Old)
 	if removed { // whoever builds on members hears it as of any other
 		f.inOrder.Lock()
 		defer f.inOrder.Unlock()
-		f.tellChanges([]Change{{f.o.Name, own.Incarnation, Alive, Removed}, {f.o.Name, id.Incarnation, Removed, Alive}})
+		f.tellChanges([]Change{{f.o.Name, own, Alive, Removed}, {f.o.Name, claim.Raise, Removed, Alive}})
 	}
-	return true
 }
 
-// lookAround asks a few seeds what they know of this node's name before it says its own: who has it,
+// saveIncarnation puts the incarnation that a claim asks for on disk. Those who keep something in the
+// folder hear first that it is old, as the folder looks up to date afterwards.
+func (f *Fleet) saveIncarnation(claim Claim) error {
+	var err error
+	if claim.Old {
+		for _, hear := range f.onOld {
+			err = errors.Join(err, hear())
+		}
+	}
+	if err != nil {
+		return err
+	}
+	id := f.id
+	id.Incarnation = claim.Raise
+	if err := id.save(f.o.Folder); err != nil {
+		return err
+	}
+	f.id = id
+	return nil
+}
+
+// askSeeds asks up to askedSeeds seeds what they know of this node's name before it says its own: who has it,
 // and whether it was removed. Nobody waits for it but the joining itself.
-func (f *Fleet) lookAround(ctx context.Context) {
+func (f *Fleet) askSeeds(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, askWho)
 	defer cancel()
-	seeds := f.seeds
-	if len(seeds) > 3 {
-		f.mu.Lock()
-		order := f.rand.Perm(len(seeds))
-		f.mu.Unlock()
-		seeds = []Node{seeds[order[0]], seeds[order[1]], seeds[order[2]]}
-	}
 	var asked sync.WaitGroup
-	for _, s := range seeds {
+	for _, s := range f.drawSeeds(askedSeeds) {
 		asked.Go(func() {
 			to, err := netip.ParseAddrPort(s.Address)
 			if err != nil {
@@ -146,6 +172,21 @@
 	asked.Wait()
 }
 
+// drawSeeds draws so many seeds, or returns all where there are no more.
+func (f *Fleet) drawSeeds(count int) []Node {
+	if len(f.seeds) <= count {
+		return f.seeds
+	}
+	f.mu.Lock()
+	order := f.rand.Perm(len(f.seeds))
+	f.mu.Unlock()
+	drawn := make([]Node, 0, count)
+	for _, i := range order[:count] {
+		drawn = append(drawn, f.seeds[i])
+	}
+	return drawn
+}
+
 // meet takes in what a welcome tells.
 func (f *Fleet) meet(w welcome) {
 	f.learn(func(t *Table, now time.Duration) []Change { return t.Merge(w.Self, now) })
@@ -154,20 +195,20 @@
 	}
 }
 
-// What a look at another process of this name finds. One that is silent is not gone.
-type sightOf int
+// presence is what a look at another process of this name finds. Silence leaves it unknown.
+type presence int
 
 const (
-	unsure sightOf = iota
-	there
-	gone
+	unknownPresence presence = iota
+	present
+	absent
 )
 
-// isThere looks whether a process answers to this node's name at an address.
-func (f *Fleet) isThere(ctx context.Context, address string) sightOf {
+// lookAt looks whether a process answers to this node's name at an address.
+func (f *Fleet) lookAt(ctx context.Context, address string) presence {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil || to == f.address {
-		return gone
+		return absent
 	}
 	ctx, cancel := context.WithTimeout(ctx, greetTime)
 	defer cancel()
@@ -178,13 +219,13 @@
 	var timeout net.Error
 	switch {
 	case err != nil && (ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout()):
-		return unsure
+		return unknownPresence
 	case err != nil:
-		return gone // refused or reset: nobody of this program is there
+		return absent // refused or reset: nobody of this program is there
 	}
 	_ = conn.Close()
 	if w.Self.Name == f.o.Name && w.Self.Start != f.Self().Start {
-		return there
+		return present
 	}
-	return gone
+	return absent
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,8 +21,12 @@
 	againAfter = time.Second
 	// rivalEvery is how often a node that stays outside looks whether the other one has ended.
 	rivalEvery = 2 * time.Second
-	// askWho is how long a start looks for another process of its name before it says its own.
+	// rivalMisses is so often in a row nobody must be at a rival's address before it counts as gone.
+	rivalMisses = 2
+	// askWho bounds how long the seeds are asked about this node's name before it says its own.
 	askWho = 1500 * time.Millisecond
+	// askedSeeds is how many seeds are asked.
+	askedSeeds = 3
 	// raiseEvery is the least time between two new incarnations, so that two who contend for
 	// a name, unseen by each other, cost little.
 	raiseEvery = 100 * time.Millisecond
--- a/internal/fleet/session.go
+++ b/internal/fleet/session.go
@@ -95,11 +95,11 @@
 	}()
 	f.running.Go(func() { f.acceptAll(transport) })
 	f.running.Go(func() { f.receiveAll(transport) })
-	f.lookAround(ctx)
+	f.askSeeds(ctx)
 	for ctx.Err() == nil {
 		if !f.settleClaim(ctx) { // somebody has the name
 			wait(ctx, rivalEvery)
-			f.lookAround(ctx) // outside nobody else tells of a removal
+			f.askSeeds(ctx) // outside nobody else tells of a removal
 			continue
 		}
 		g, err := f.startGossip()
