Registry: plain names and doc comments

The fields and methods of the table had names that needed their comments to be understood (held, settle, bury, cold, own, touched), and one-letter locals over long functions. They are named after what they hold or do now, defaults and bounds are named constants, and the comments state units, bounds and errors. No behaviour changes; the table's test reads the field tombstones by its new name.

--- a/internal/registry/entry.go
+++ b/internal/registry/entry.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -12,36 +13,40 @@
 	"dunetide/internal/view"
 )
 
-// Parts is the number of parts of the table.
+// Parts is the number of parts into which the table is divided for comparison between keepers.
 const Parts = 16
 
+// Bounds of an endpoint's fields.
 const (
-	maxField  = 256
-	maxModels = 64
-	maxNumber = 1 << 40 // of a capacity, a version, a time in ms
+	maxField  = 256     // bytes of a text field
+	maxModels = 64      // models of one endpoint
+	maxNumber = 1 << 40 // a capacity, a model version, a time in ms
 )
 
-// PartOf returns the part that a service belongs to.
+// leastModel is the encoded size of a model with an empty name, in bytes.
+const leastModel = 12
+
+// PartOf returns the part of the table that a service belongs to, from 0 to Parts-1.
 func PartOf(service string) int { return int(view.Hash(service) % Parts) }
 
-// Entry is what is known of one incarnation. Entries of one ID form a join semilattice (Join).
+// Entry is what a keeper knows of one incarnation of an endpoint. Entries of one ID form a join semilattice under Join.
 type Entry struct {
-	// Endpoint is what the incarnation last said of itself, under its CallCount. Its State is
-	// Gone only where that was said, by itself or by the incarnation that took its address: final.
+	// Endpoint is the content of the newest heartbeat, which CallCount numbers. State is Gone only if the
+	// incarnation itself, or the one that took over its address, said so; that is final.
 	view.Endpoint
-	// Alive is the highest call count that any keeper is known to have heard, Silent that nothing
-	// was heard after it for too long. A higher count ends the silence.
+	// Alive is the highest call count that any keeper is known to have heard. Silent says that no heartbeat
+	// followed it within the table's limit. A higher call count ends the silence.
 	Alive  uint64
 	Silent bool
-	// Age is the time since it was heard, or, when it is gone, since it went. It is no part of the
-	// semilattice.
+	// Age is the time since the last heartbeat or, if the incarnation is gone, since it went. Join takes the
+	// smaller one; Age is not part of the semilattice.
 	Age time.Duration
 }
 
-// Gone says whether it is to be left out of lists, for either reason.
+// Gone reports whether the incarnation must be left out of lists: it said that it is gone, or it is silent.
 func (e *Entry) Gone() bool { return e.State == view.Gone || e.Silent }
 
-// Shown returns the endpoint as those who send to it should see it: silent is gone.
+// Shown returns the endpoint as senders should see it: a silent one has the state Gone.
 func (e *Entry) Shown() view.Endpoint {
 	p := e.Endpoint
 	if e.Silent {
@@ -50,8 +55,8 @@
 	return p
 }
 
-// Join returns the least entry that has what both know: states only grow, the newest content and
-// the newest sign of life win. It is idempotent, commutative and associative.
+// Join returns the least upper bound of two entries of one ID: the higher state, the newest content and the newest
+// sign of life. It is idempotent, commutative and associative.
 func Join(a, b Entry) Entry {
 	out := a
 	if compareContent(&b, &a) > 0 {
@@ -68,8 +73,8 @@
 	return out
 }
 
-// compareContent orders by count. One count has one content, but what breaks that must not break
-// the semilattice, so the rest decides.
+// compareContent orders entries by call count, and then by content. Each call count should have one content only, but
+// an endpoint that violates this must not break the semilattice.
 func compareContent(a, b *Entry) int {
 	return cmp.Or(
 		cmp.Compare(a.CallCount, b.CallCount),
@@ -77,7 +82,7 @@
 		cmp.Compare(a.ColdLeftMs, b.ColdLeftMs))
 }
 
-// compareSaid leaves out what changes with each heartbeat, and the state.
+// compareSaid orders endpoints by their content, without the state and the fields that change with each heartbeat.
 func compareSaid(a, b *view.Endpoint) int {
 	return cmp.Or(
 		strings.Compare(a.ID, b.ID),
@@ -91,7 +96,7 @@
 		}))
 }
 
-// Check says what in an endpoint is over the bounds.
+// Check returns an error that names the first field of an endpoint that is out of bounds.
 func Check(e *view.Endpoint) error {
 	if e.ID == "" {
 		return errors.New("an endpoint without an id")
@@ -118,7 +123,7 @@
 	return nil
 }
 
-// AppendEntry appends an entry to a message.
+// AppendEntry appends the encoding of an entry to a message.
 func AppendEntry(w *link.Writer, e *Entry) {
 	w.String(e.ID)
 	w.String(e.Service)
@@ -139,11 +144,11 @@
 	appendAge(w, e.Age)
 }
 
-// ReadEntry takes an entry off a message.
+// ReadEntry decodes an entry from a message. It fails if the message is too short or the entry is out of bounds.
 func ReadEntry(r *link.Reader) (Entry, error) {
 	e := Entry{Endpoint: view.Endpoint{ID: r.String(), Service: r.String(), Address: r.String(), Zone: r.String(), Version: r.String(),
 		Capacity: r.Int(), State: view.State(r.U8()), ColdLeftMs: r.Int(), CallCount: r.U64()}}
-	for range r.Count(12) {
+	for range r.Count(leastModel) {
 		e.Models = append(e.Models, view.Model{Name: r.String(), Version: r.Int()})
 	}
 	e.Alive, e.Silent, e.Age = r.U64(), r.Bool(), readAge(r)
@@ -153,28 +158,29 @@
 	return e, Check(&e.Endpoint)
 }
 
-// Heard tells that an incarnation was heard, and how long ago.
+// Heard is the last sign of life of one incarnation, exchanged between keepers in place of a whole Entry.
 type Heard struct {
 	ID    string
-	Alive uint64
-	Age   time.Duration
+	Alive uint64        // the call count of the last heartbeat
+	Age   time.Duration // since that heartbeat
 }
 
-// AppendHeard appends a digest to a message.
+// AppendHeard appends the encoding of a Heard to a message.
 func AppendHeard(w *link.Writer, h *Heard) {
 	w.String(h.ID)
 	w.U64(h.Alive)
 	appendAge(w, h.Age)
 }
 
-// ReadHeard takes a digest off a message.
+// ReadHeard decodes a Heard from a message. It fails if the message is too short.
 func ReadHeard(r *link.Reader) (Heard, error) {
 	h := Heard{ID: r.String(), Alive: r.U64(), Age: readAge(r)}
 	return h, r.Err
 }
 
-func appendAge(w *link.Writer, d time.Duration) {
-	w.U32(uint32(min(max(d.Milliseconds(), 0), 1<<32-1)))
+// appendAge appends an age in whole milliseconds, limited to the range of 32 bits.
+func appendAge(w *link.Writer, age time.Duration) {
+	w.U32(uint32(min(max(age.Milliseconds(), 0), math.MaxUint32)))
 }
 
 func readAge(r *link.Reader) time.Duration { return time.Duration(r.U32()) * time.Millisecond }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,6 +1,7 @@
-// Package registry is a keeper's table of endpoints: what the incarnations say of themselves, who of
-// them is gone, and numbered changes for those who follow. It is soft state without an owner: each
-// incarnation is the only writer of its entry, and entries merge in any order.
+// Package registry holds a keeper's table of endpoints: the last heartbeat of each incarnation, which
+// incarnations are gone, and a numbered log of changes for subscribers. The table is soft state without a
+// leader: each incarnation is the only writer of its entry, and entries of several keepers merge in any order
+// to the same result.
 package registry
 
 import (
@@ -12,334 +13,356 @@
 	"dunetide/internal/view"
 )
 
-// Options of a Table. Zero values stand for the defaults.
+// Options configures a Table. A zero field takes its default.
 type Options struct {
-	BeatEvery    time.Duration // between heartbeats of an endpoint; 1.2 s
-	TombstoneFor time.Duration // 60 s
-	Tombstones   int           // 4,096; the oldest are forgotten first
-	Endpoints    int           // 8,192 that live; more are refused
+	BeatEvery    time.Duration // interval between heartbeats of an endpoint; default 1.2 s
+	TombstoneFor time.Duration // how long an endpoint that is gone is remembered; default 60 s
+	Tombstones   int           // most endpoints that are gone and remembered, the oldest are dropped first; default 4,096
+	Endpoints    int           // most live endpoints, further ones are refused; default 8,192
 }
 
-// coldSlack is by how much cold_left_ms may differ from its course without being a change.
+// Defaults of Options.
+const (
+	defaultBeatEvery    = 1200 * time.Millisecond
+	defaultTombstoneFor = time.Minute
+	defaultTombstones   = 4096
+	defaultEndpoints    = 8192
+)
+
+// minSilence is the least silence after which an endpoint counts as gone.
+const minSilence = 3 * time.Second
+
+// coldSlack is the difference between the reported cold_left_ms and the value expected from the last report
+// up to which a heartbeat does not count as a change.
 const coldSlack = 500 * time.Millisecond
 
-// Stats counts what a Table did not take.
+// Stats counts the messages that a Table did not accept.
 type Stats struct {
-	Late      uint64 // heartbeats older than what is known
-	AfterGone uint64 // heartbeats of those that said they were gone
-	Refused   uint64 // over the bounds
+	Late      uint64 // heartbeats with a call count that is not newer than the known one
+	AfterGone uint64 // heartbeats of incarnations that had said they were gone
+	Refused   uint64 // entries that exceed a bound
 }
 
+// record is an entry with the times and list positions that the table keeps of it.
 type record struct {
-	e      Entry
-	heard  time.Duration // by any keeper
-	own    time.Duration // by this one
-	ownSet bool
-	coldAt time.Duration // when e.ColdLeftMs held
-	gone   time.Duration // since when, if e.Gone()
-	number uint64
-	change *list.Element // its place among the changes
-	tomb   *list.Element // its place among the tombstones
+	entry       Entry
+	heardAt     time.Duration // the last heartbeat at any keeper
+	heardHereAt time.Duration // the last heartbeat at this keeper, if heardHere
+	heardHere   bool
+	coldAt      time.Duration // the time at which entry.ColdLeftMs held
+	goneAt      time.Duration // when it went, if entry.Gone()
+	number      uint64        // of its newest change
+	change      *list.Element // its element in Table.changes
+	tombstone   *list.Element // its element in Table.tombstones, nil while it is live
 }
 
-// Table is the list. It has no clock and no goroutine; now is a steady clock's. It is not safe for concurrent use.
+// Table is the table of endpoints. It has no clock and no goroutine: now is the reading of a monotonic clock.
+// It is not safe for concurrent use.
 type Table struct {
-	o         Options
-	limit     time.Duration
-	since     time.Duration // listens since then
-	looked    time.Duration // the last Expire
-	touched   time.Duration // the last heartbeat or word from another keeper
-	byID      map[string]*record
-	byAddress map[string]string // to the ID that lives there
-	changes   *list.List        // of *record, by number
-	tombs     *list.List        // of *record, the longest gone first
-	number    uint64
-	forgotten uint64 // the highest number of a tombstone that is forgotten
-	stats     Stats
+	options     Options
+	limit       time.Duration
+	listensFrom time.Duration // start of the current period without a break in Expire
+	expiredAt   time.Duration // the last Expire
+	receivedAt  time.Duration // the last message from an endpoint or another keeper
+	byID        map[string]*record
+	byAddress   map[string]string // address to the ID of the incarnation that has it
+	changes     *list.List        // of *record, in the order of their numbers
+	tombstones  *list.List        // of *record, the longest gone first
+	number      uint64            // of the newest change
+	forgotten   uint64            // the highest number of a tombstone that was dropped
+	stats       Stats
 }
 
-// New makes an empty table that listens from now.
-func New(now time.Duration, o Options) *Table {
-	if o.BeatEvery <= 0 {
-		o.BeatEvery = 1200 * time.Millisecond
+// New returns an empty table that listens from now.
+func New(now time.Duration, options Options) *Table {
+	if options.BeatEvery <= 0 {
+		options.BeatEvery = defaultBeatEvery
 	}
-	if o.TombstoneFor <= 0 {
-		o.TombstoneFor = time.Minute
+	if options.TombstoneFor <= 0 {
+		options.TombstoneFor = defaultTombstoneFor
 	}
-	if o.Tombstones <= 0 {
-		o.Tombstones = 4096
+	if options.Tombstones <= 0 {
+		options.Tombstones = defaultTombstones
 	}
-	if o.Endpoints <= 0 {
-		o.Endpoints = 8192
+	if options.Endpoints <= 0 {
+		options.Endpoints = defaultEndpoints
 	}
-	return &Table{o: o, limit: max(o.BeatEvery*7/2, 3*time.Second), since: now, looked: now, touched: now,
-		byID: map[string]*record{}, byAddress: map[string]string{}, changes: list.New(), tombs: list.New()}
+	return &Table{options: options, limit: max(options.BeatEvery*7/2, minSilence), listensFrom: now, expiredAt: now, receivedAt: now,
+		byID: map[string]*record{}, byAddress: map[string]string{}, changes: list.New(), tombstones: list.New()}
 }
 
-// Limit is the silence after which an incarnation counts as gone.
+// Limit returns the silence after which an incarnation counts as gone: 3.5 heartbeats, at least 3 s.
 func (t *Table) Limit() time.Duration { return t.limit }
 
-// Listening says whether the table has listened for a whole round of heartbeats without a break: one
-// beat, and time for an endpoint to find this keeper. Before, what it lacks may yet exist.
-func (t *Table) Listening(now time.Duration) bool { return now-t.since >= 2*t.o.BeatEvery }
+// Listening reports whether the table has listened without a break for two heartbeat intervals: one heartbeat,
+// and the time an endpoint takes to find this keeper. Until then, an endpoint that the table lacks may exist.
+func (t *Table) Listening(now time.Duration) bool { return now-t.listensFrom >= 2*t.options.BeatEvery }
 
-// Stats returns the counts so far.
+// Stats returns the counts since New.
 func (t *Table) Stats() Stats { return t.stats }
 
-// Live is the number of endpoints that are not gone.
-func (t *Table) Live() int { return len(t.byID) - t.tombs.Len() }
+// Live returns the number of endpoints that are not gone.
+func (t *Table) Live() int { return len(t.byID) - t.tombstones.Len() }
 
-// Beat takes a heartbeat. changed says that others must be told.
-func (t *Table) Beat(now time.Duration, e view.Endpoint) (changed bool) {
-	if Check(&e) != nil {
+// Beat applies a heartbeat and reports whether the other keepers and subscribers must be told of a change.
+// A heartbeat that is out of bounds, late, or of an incarnation that is gone changes nothing and is counted in Stats.
+func (t *Table) Beat(now time.Duration, endpoint view.Endpoint) (changed bool) {
+	if Check(&endpoint) != nil {
 		t.stats.Refused++
 		return false
 	}
-	if e.State == view.Gone {
-		return t.Leave(now, e.ID)
+	if endpoint.State == view.Gone {
+		return t.Leave(now, endpoint.ID)
 	}
-	t.touched = now
-	r := t.byID[e.ID]
+	t.receivedAt = now
+	stored := t.byID[endpoint.ID]
 	switch {
-	case r == nil:
-		if t.Live() >= t.o.Endpoints {
+	case stored == nil:
+		if t.Live() >= t.options.Endpoints {
 			t.stats.Refused++
 			return false
 		}
-	case r.e.State == view.Gone:
+	case stored.entry.State == view.Gone:
 		t.stats.AfterGone++
 		return false
-	case e.CallCount <= r.e.CallCount || e.CallCount <= r.e.Alive:
+	case endpoint.CallCount <= stored.entry.CallCount || endpoint.CallCount <= stored.entry.Alive:
 		t.stats.Late++
 		return false
 	}
-	fresh := r == nil
-	changed = t.join(now, Entry{Endpoint: e, Alive: e.CallCount})
-	r = t.byID[e.ID]
-	r.own, r.ownSet = now, true
-	if id := t.byAddress[e.Address]; id != e.ID {
-		if old := t.byID[id]; old != nil && fresh { // it has just come up where the other was
-			gone := t.held(now, old)
+	fresh := stored == nil
+	changed = t.join(now, Entry{Endpoint: endpoint, Alive: endpoint.CallCount})
+	stored = t.byID[endpoint.ID]
+	stored.heardHereAt, stored.heardHere = now, true
+	if id := t.byAddress[endpoint.Address]; id != endpoint.ID {
+		if old := t.byID[id]; old != nil && fresh { // a new incarnation replaces the one at its address
+			gone := t.ageless(now, old)
 			gone.State = view.Gone
 			t.join(now, gone)
 		}
-		t.settle(now, r)
+		t.claimAddress(now, stored)
 	}
 	return changed
 }
 
-// Leave takes an incarnation's word, or its successor's, that it is gone.
+// Leave marks an incarnation as gone for good, as said by itself or by its successor at its address, and reports
+// whether that is a change.
 func (t *Table) Leave(now time.Duration, id string) (changed bool) {
 	gone := Entry{Endpoint: view.Endpoint{ID: id, State: view.Gone}}
 	if Check(&gone.Endpoint) != nil {
 		t.stats.Refused++
 		return false
 	}
-	t.touched = now
+	t.receivedAt = now
 	return t.join(now, gone)
 }
 
-// Merge takes what another keeper knows, and returns what is new here by it.
+// Merge joins entries of another keeper into the table and returns those that changed here. Entries that are out of
+// bounds, and new ones over Options.Endpoints, are counted as refused.
 func (t *Table) Merge(now time.Duration, entries []Entry) (changed []Entry) {
 	from := t.number
-	t.touched = now
-	for _, e := range entries {
-		if Check(&e.Endpoint) != nil {
+	t.receivedAt = now
+	for _, entry := range entries {
+		if Check(&entry.Endpoint) != nil {
 			t.stats.Refused++
 			continue
 		}
-		if t.byID[e.ID] == nil {
-			if e.Gone() && e.Age >= t.o.TombstoneFor || !e.Gone() && e.Age >= t.limit {
-				continue // forgotten here, or about to be
+		if t.byID[entry.ID] == nil {
+			if entry.Gone() && entry.Age >= t.options.TombstoneFor || !entry.Gone() && entry.Age >= t.limit {
+				continue // it was dropped here, or would be at once
 			}
-			if !e.Gone() && t.Live() >= t.o.Endpoints {
+			if !entry.Gone() && t.Live() >= t.options.Endpoints {
 				t.stats.Refused++
 				continue
 			}
 		}
-		t.join(now, e)
-		if r := t.byID[e.ID]; r != nil && !r.e.Gone() {
-			t.settle(now, r)
+		t.join(now, entry)
+		if stored := t.byID[entry.ID]; stored != nil && !stored.entry.Gone() {
+			t.claimAddress(now, stored)
 		}
 	}
-	return t.after(now, from)
+	return t.changesAfter(now, from)
 }
 
-// join is the only place where entries change.
-func (t *Table) join(now time.Duration, in Entry) (changed bool) {
-	r := t.byID[in.ID]
-	fresh := r == nil
+// join merges an entry into its record and reports whether that is a change. All changes of entries are made here.
+func (t *Table) join(now time.Duration, received Entry) (changed bool) {
+	stored := t.byID[received.ID]
+	fresh := stored == nil
 	if fresh {
-		r = &record{e: in, heard: now - in.Age, coldAt: now}
-		t.byID[in.ID] = r
+		stored = &record{entry: received, heardAt: now - received.Age, coldAt: now}
+		t.byID[received.ID] = stored
 	}
-	old := r.e
+	old := stored.entry
 	wasGone := !fresh && old.Gone()
-	old.ColdLeftMs = t.cold(now, r)
-	was := old.Shown()
-	r.e = Join(old, in)
-	r.coldAt = now
-	if !in.Gone() {
-		r.heard = max(r.heard, now-in.Age)
+	old.ColdLeftMs = t.coldLeftMs(now, stored)
+	before := old.Shown()
+	stored.entry = Join(old, received)
+	stored.coldAt = now
+	if !received.Gone() {
+		stored.heardAt = max(stored.heardAt, now-received.Age)
 	}
-	if a := old.Address; a != r.e.Address && t.byAddress[a] == in.ID {
-		delete(t.byAddress, a)
+	if address := old.Address; address != stored.entry.Address && t.byAddress[address] == received.ID {
+		delete(t.byAddress, address)
 	}
-	is := r.e.Shown()
-	drift := time.Duration(max(was.ColdLeftMs-is.ColdLeftMs, is.ColdLeftMs-was.ColdLeftMs)) * time.Millisecond
-	changed = fresh || was.State != is.State || compareSaid(&was, &is) != 0 || drift > coldSlack || old.State != r.e.State
+	after := stored.entry.Shown()
+	drift := time.Duration(max(before.ColdLeftMs-after.ColdLeftMs, after.ColdLeftMs-before.ColdLeftMs)) * time.Millisecond
+	changed = fresh || before.State != after.State || compareSaid(&before, &after) != 0 || drift > coldSlack || old.State != stored.entry.State
 
-	switch gone := r.e.Gone(); {
+	switch gone := stored.entry.Gone(); {
 	case gone && !wasGone:
-		r.gone = now - in.Age
-		if !in.Gone() {
-			r.gone = now
+		stored.goneAt = now - received.Age
+		if !received.Gone() {
+			stored.goneAt = now
 		}
-		t.bury(r)
-		if t.byAddress[r.e.Address] == in.ID {
-			delete(t.byAddress, r.e.Address)
+		t.addTombstone(stored)
+		if t.byAddress[stored.entry.Address] == received.ID {
+			delete(t.byAddress, stored.entry.Address)
 		}
 	case !gone && wasGone:
-		t.tombs.Remove(r.tomb)
-		r.tomb = nil
+		t.tombstones.Remove(stored.tombstone)
+		stored.tombstone = nil
 	}
 	if changed {
 		t.number++
-		r.number = t.number
-		if r.change != nil {
-			t.changes.MoveToBack(r.change)
+		stored.number = t.number
+		if stored.change != nil {
+			t.changes.MoveToBack(stored.change)
 		} else {
-			r.change = t.changes.PushBack(r)
+			stored.change = t.changes.PushBack(stored)
 		}
 	}
-	t.forget(now)
+	t.dropTombstones(now)
 	return changed
 }
 
-// bury puts a record among the tombstones, by when it went.
-func (t *Table) bury(r *record) {
-	at := t.tombs.Back()
-	for at != nil && at.Value.(*record).gone > r.gone {
+// addTombstone inserts a record into the tombstones, which are ordered by the time at which the endpoints went.
+func (t *Table) addTombstone(stored *record) {
+	at := t.tombstones.Back()
+	for at != nil && at.Value.(*record).goneAt > stored.goneAt {
 		at = at.Prev()
 	}
 	if at == nil {
-		r.tomb = t.tombs.PushFront(r)
+		stored.tombstone = t.tombstones.PushFront(stored)
 	} else {
-		r.tomb = t.tombs.InsertAfter(r, at)
+		stored.tombstone = t.tombstones.InsertAfter(stored, at)
 	}
 }
 
-func (t *Table) forget(now time.Duration) {
-	for t.tombs.Len() > 0 {
-		r := t.tombs.Front().Value.(*record)
-		if t.tombs.Len() <= t.o.Tombstones && now-r.gone < t.o.TombstoneFor {
+// dropTombstones drops the records of endpoints that have been gone for Options.TombstoneFor, and the oldest of those
+// over Options.Tombstones.
+func (t *Table) dropTombstones(now time.Duration) {
+	for t.tombstones.Len() > 0 {
+		stored := t.tombstones.Front().Value.(*record)
+		if t.tombstones.Len() <= t.options.Tombstones && now-stored.goneAt < t.options.TombstoneFor {
 			return
 		}
-		t.tombs.Remove(r.tomb)
-		t.changes.Remove(r.change)
-		delete(t.byID, r.e.ID)
-		t.forgotten = max(t.forgotten, r.number)
+		t.tombstones.Remove(stored.tombstone)
+		t.changes.Remove(stored.change)
+		delete(t.byID, stored.entry.ID)
+		t.forgotten = max(t.forgotten, stored.number)
 	}
 }
 
-// settle gives an address to one incarnation. Between two that other keepers heard, the one heard
-// last has it; the other is taken as silent, so it comes back by itself if that was wrong.
-func (t *Table) settle(now time.Duration, r *record) {
-	if r.e.Address == "" {
+// claimAddress assigns the address of a record to one incarnation. Of two live ones the one heard last gets it and the
+// other is marked silent, which its next heartbeat undoes.
+func (t *Table) claimAddress(now time.Duration, stored *record) {
+	if stored.entry.Address == "" {
 		return
 	}
-	id, taken := t.byAddress[r.e.Address]
-	if other := t.byID[id]; taken && other != nil && other != r && !other.e.Gone() {
+	id, taken := t.byAddress[stored.entry.Address]
+	if other := t.byID[id]; taken && other != nil && other != stored && !other.entry.Gone() {
 		loser := other
-		if other.heard > r.heard || other.heard == r.heard && other.e.ID > r.e.ID {
-			loser = r
+		if other.heardAt > stored.heardAt || other.heardAt == stored.heardAt && other.entry.ID > stored.entry.ID {
+			loser = stored
 		}
-		e := t.held(now, loser)
-		e.Silent = true
-		t.join(now, e)
-		if loser == r {
+		silenced := t.ageless(now, loser)
+		silenced.Silent = true
+		t.join(now, silenced)
+		if loser == stored {
 			return
 		}
 	}
-	t.byAddress[r.e.Address] = r.e.ID
+	t.byAddress[stored.entry.Address] = stored.entry.ID
 }
 
-// Expire takes away who has been silent for too long, and forgets old tombstones. It wants to be called
-// several times a beat: after a longer break the table starts to listen anew, as the silence may have been
-// its own. For the same reason nothing goes while it hears nothing at all, neither endpoints nor keepers.
+// Expire marks endpoints as silent that were not heard for Limit, drops old tombstones, and returns the entries that
+// changed. It must be called several times per heartbeat interval: after a longer break the table starts to listen
+// anew, because the silence may have been its own. For the same reason no endpoint expires while the table receives
+// nothing at all, neither from endpoints nor from keepers.
 func (t *Table) Expire(now time.Duration) (changed []Entry) {
-	if now-t.looked > max(t.o.BeatEvery, time.Second) {
-		t.since = now
+	if now-t.expiredAt > max(t.options.BeatEvery, time.Second) {
+		t.listensFrom = now
 	}
-	t.looked = now
-	t.forget(now)
-	if !t.Listening(now) || now-t.touched > t.limit {
+	t.expiredAt = now
+	t.dropTombstones(now)
+	if !t.Listening(now) || now-t.receivedAt > t.limit {
 		return nil
 	}
 	from := t.number
-	for _, r := range t.byID {
-		if !r.e.Gone() && now-max(r.heard, t.since) > t.limit {
-			e := t.held(now, r)
-			e.Silent = true
-			t.join(now, e)
+	for _, stored := range t.byID {
+		if !stored.entry.Gone() && now-max(stored.heardAt, t.listensFrom) > t.limit {
+			silenced := t.ageless(now, stored)
+			silenced.Silent = true
+			t.join(now, silenced)
 		}
 	}
-	return t.after(now, from)
+	return t.changesAfter(now, from)
 }
 
-// Heard returns who was heard within the limit, for the other keepers: by this keeper or, with relay, by any.
+// Heard returns the live incarnations that were heard within Limit, ordered by ID, for the other keepers: those heard
+// by this keeper or, with relay, by any keeper.
 func (t *Table) Heard(now time.Duration, relay bool) (heard []Heard) {
-	for _, r := range t.byID {
-		at, ok := r.own, r.ownSet
+	for _, stored := range t.byID {
+		at, ok := stored.heardHereAt, stored.heardHere
 		if relay {
-			at, ok = r.heard, true
+			at, ok = stored.heardAt, true
 		}
-		if ok && !r.e.Gone() && now-at <= t.limit {
-			heard = append(heard, Heard{r.e.ID, r.e.Alive, now - at})
+		if ok && !stored.entry.Gone() && now-at <= t.limit {
+			heard = append(heard, Heard{stored.entry.ID, stored.entry.Alive, now - at})
 		}
 	}
 	slices.SortFunc(heard, func(a, b Heard) int { return strings.Compare(a.ID, b.ID) })
 	return heard
 }
 
-// MergeHeard takes another keeper's Heard. missing are those that are not known here: that keeper
-// should be asked for its entries.
+// MergeHeard applies the Heard of another keeper. It returns the entries that changed, and the IDs that are unknown
+// here: the caller should ask that keeper for its Entries.
 func (t *Table) MergeHeard(now time.Duration, heard []Heard) (changed []Entry, missing []string) {
 	from := t.number
-	t.touched = now
-	for _, h := range heard {
-		r := t.byID[h.ID]
-		if r == nil {
-			missing = append(missing, h.ID)
+	t.receivedAt = now
+	for _, other := range heard {
+		stored := t.byID[other.ID]
+		if stored == nil {
+			missing = append(missing, other.ID)
 			continue
 		}
-		if r.e.State == view.Gone || h.Alive < r.e.Alive || h.Alive == r.e.Alive && r.e.Silent {
+		if stored.entry.State == view.Gone || other.Alive < stored.entry.Alive || other.Alive == stored.entry.Alive && stored.entry.Silent {
 			continue
 		}
-		e := t.held(now, r)
-		e.Alive, e.Silent, e.Age = h.Alive, false, h.Age
-		t.join(now, e)
-		t.settle(now, r)
+		entry := t.ageless(now, stored)
+		entry.Alive, entry.Silent, entry.Age = other.Alive, false, other.Age
+		t.join(now, entry)
+		t.claimAddress(now, stored)
 	}
-	return t.after(now, from), missing
+	return t.changesAfter(now, from), missing
 }
 
-// Changes returns what changed after number since, oldest first, and the number to ask with next. Where the
-// table can't tell (since is 0, too old, or of another life), whole is set and entries are all that live.
-// Numbers hold for the life of the table.
+// Changes returns the entries that changed after number since, oldest first, and the number for the next call. If the
+// table cannot tell (since is 0, older than a dropped tombstone, or newer than the table), whole is true and the
+// entries are all live ones. Numbers are valid for one Table only.
 func (t *Table) Changes(now time.Duration, since uint64) (entries []Entry, to uint64, whole bool) {
 	if since == 0 || since < t.forgotten || since > t.number {
 		for at := t.changes.Front(); at != nil; at = at.Next() {
-			if r := at.Value.(*record); !r.e.Gone() {
-				entries = append(entries, t.entry(now, r))
+			if stored := at.Value.(*record); !stored.entry.Gone() {
+				entries = append(entries, t.entry(now, stored))
 			}
 		}
 		return entries, t.number, true
 	}
-	return t.after(now, since), t.number, false
+	return t.changesAfter(now, since), t.number, false
 }
 
-func (t *Table) after(now time.Duration, since uint64) (entries []Entry) {
+// changesAfter returns the entries with a change after number since, oldest first.
+func (t *Table) changesAfter(now time.Duration, since uint64) (entries []Entry) {
 	for at := t.changes.Back(); at != nil && at.Value.(*record).number > since; at = at.Prev() {
 		entries = append(entries, t.entry(now, at.Value.(*record)))
 	}
@@ -347,59 +370,60 @@
 	return entries
 }
 
-// Newest is the number of the newest change.
+// Newest returns the number of the newest change, 0 if there was none.
 func (t *Table) Newest() uint64 { return t.number }
 
-// Get returns the entry of an incarnation.
+// Get returns the entry of an incarnation, and false if it is unknown.
 func (t *Table) Get(now time.Duration, id string) (Entry, bool) {
-	r := t.byID[id]
-	if r == nil {
+	stored := t.byID[id]
+	if stored == nil {
 		return Entry{}, false
 	}
-	return t.entry(now, r), true
+	return t.entry(now, stored), true
 }
 
-// Entries returns all of a part, tombstones too, for another keeper. Part -1 is all parts.
+// Entries returns all entries of a part, also of endpoints that are gone, for another keeper. Part -1 means all parts.
 func (t *Table) Entries(now time.Duration, part int) (entries []Entry) {
 	for at := t.changes.Front(); at != nil; at = at.Next() {
-		if r := at.Value.(*record); part < 0 || PartOf(r.e.Service) == part {
-			entries = append(entries, t.entry(now, r))
+		if stored := at.Value.(*record); part < 0 || PartOf(stored.entry.Service) == part {
+			entries = append(entries, t.entry(now, stored))
 		}
 	}
 	return entries
 }
 
-// Digests returns a sum over each part's living entries. Two keepers whose sums of a part differ, for
-// longer than a change is under way, should exchange its Entries.
+// Digests returns a checksum of the live entries of each part. Two keepers whose checksums of a part differ for longer
+// than a change takes to arrive should exchange their Entries of that part.
 func (t *Table) Digests() (sums [Parts]uint64) {
-	for _, r := range t.byID {
-		if e := &r.e; !e.Gone() {
-			sums[PartOf(e.Service)] ^= view.Hash(strings.Join([]string{e.ID, e.Address, e.Version, e.Zone, e.Service}, "\n")) + uint64(e.State)
+	for _, stored := range t.byID {
+		if entry := &stored.entry; !entry.Gone() {
+			sums[PartOf(entry.Service)] ^= view.Hash(strings.Join([]string{entry.ID, entry.Address, entry.Version, entry.Zone, entry.Service}, "\n")) + uint64(entry.State)
 		}
 	}
 	return sums
 }
 
-func (t *Table) entry(now time.Duration, r *record) Entry {
-	e := r.e
-	e.ColdLeftMs = t.cold(now, r)
-	e.Models = slices.Clone(e.Models)
-	e.Age = now - r.heard
-	if e.Gone() {
-		e.Age = now - r.gone
+// entry returns a copy of a record's entry with its remaining cold time and its age at now.
+func (t *Table) entry(now time.Duration, stored *record) Entry {
+	entry := stored.entry
+	entry.ColdLeftMs = t.coldLeftMs(now, stored)
+	entry.Models = slices.Clone(entry.Models)
+	entry.Age = now - stored.heardAt
+	if entry.Gone() {
+		entry.Age = now - stored.goneAt
 	}
-	e.Age = max(e.Age, 0)
-	return e
+	entry.Age = max(entry.Age, 0)
+	return entry
 }
 
-// held is a record's entry as it stands now, of no age.
-func (t *Table) held(now time.Duration, r *record) Entry {
-	e := r.e
-	e.ColdLeftMs, e.Age = t.cold(now, r), 0
-	return e
+// ageless returns a record's entry with its remaining cold time at now and age 0.
+func (t *Table) ageless(now time.Duration, stored *record) Entry {
+	entry := stored.entry
+	entry.ColdLeftMs, entry.Age = t.coldLeftMs(now, stored), 0
+	return entry
 }
 
-// cold is what is left of the cold time by now.
-func (t *Table) cold(now time.Duration, r *record) int {
-	return max(0, r.e.ColdLeftMs-int((now-r.coldAt).Milliseconds()))
+// coldLeftMs returns the milliseconds that are left of the cold time at now.
+func (t *Table) coldLeftMs(now time.Duration, stored *record) int {
+	return max(0, stored.entry.ColdLeftMs-int((now-stored.coldAt).Milliseconds()))
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -151,8 +151,8 @@
 				table.Beat(now, view.Endpoint{ID: id, Service: "s", Address: fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "address")), CallCount: count,
 					State: view.State(rapid.IntRange(0, 1).Draw(t, "state"))})
 			}
-			if table.tombs.Len() > 2 || len(table.byID) != table.changes.Len() {
-				t.Fatalf("%d tombstones, %d entries, %d changes", table.tombs.Len(), len(table.byID), table.changes.Len())
+			if table.tombstones.Len() > 2 || len(table.byID) != table.changes.Len() {
+				t.Fatalf("%d tombstones, %d entries, %d changes", table.tombstones.Len(), len(table.byID), table.changes.Len())
 			}
 		}
 	})
