--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,6 +1,6 @@
-// Package membership keeps a partial view of the system's processes at each of them. Views are
-// shuffled between neighbours, one datagram out and one back a round, so what a process sends does
-// not depend on how many there are. A part of the view is kept for keepers, which everyone must find.
+// Package membership keeps, at each process of the system, a partial view of the other processes. In each round a
+// process exchanges entries with one neighbour, one datagram each way, so the traffic of a process does not depend
+// on the size of the system. A share of each view is reserved for keepers, which every process must be able to find.
 package membership
 
 import (
@@ -12,37 +12,47 @@
 	"time"
 )
 
-// RoleKeeper is the role that the reserved share of a view is for.
+// RoleKeeper is the role whose processes have a reserved share of each view.
 const RoleKeeper = "keeper"
 
 const (
 	maxField    = 64  // bytes of a name, role, zone or address
 	maxLives    = 512 // processes and addresses whose newest life is remembered
-	maxPending  = 64
-	maxContacts = 16 // seeds and keepers that were lost
-	maxLost     = 8  // of these, keepers that were lost
-
-	staleAge    = 60 // rounds; a keeper that nobody has heard of for so long is forgotten
-	youngAge    = 30 // rounds; younger entries count as alive
-	fewKeepers  = 3  // so many are never forgotten, however old
-	enoughYoung = 2  // young keepers that spare a process the seeds
-
-	joinEvery = 300 * time.Millisecond
-	joinTries = 33 // at that pace, before waits double
-	maxWait   = 32 * time.Second
-	lostTries = 45 // then a lost keeper is given up; a seed never is
+	maxPending  = 64  // questions without an answer
+	maxContacts = 16  // seeds and lost keepers
+	maxLost     = 8   // lost keepers among the contacts
+
+	staleAge    = 60 // rounds after which a keeper's entry is dropped if it was not refreshed
+	youngAge    = 30 // rounds up to which an entry counts as alive
+	fewKeepers  = 3  // keepers that are retained at any age
+	enoughYoung = 2  // young keepers with which a process does not ask the seeds
+
+	joinEvery = 300 * time.Millisecond // between the first datagrams to a seed
+	joinTries = 33                     // datagrams at that interval, before it doubles each time
+	maxWait   = 32 * time.Second       // the longest interval between datagrams to one contact
+	lostTries = 45                     // further datagrams after which a lost keeper is given up; a seed never is
 )
 
-// Peer is one life of a process. Name and Role together identify the process.
+// Defaults of Options.
+const (
+	defaultViewSize    = 12
+	defaultShuffleSize = 6
+	defaultKeepers     = 6
+	defaultEvery       = 2 * time.Second
+)
+
+// Peer is one life of a process, from its start to its end. Name and Role together identify the process.
 type Peer struct {
 	Name, Role, Zone string
 	Addr             string // ip:port of its internal port, UDP and TCP
-	Life             uint64 // grows with each start
-	Age              uint16 // rounds since it said so itself
+	Life             uint64 // number of the life, which grows with each start
+	Age              uint16 // rounds since the process itself sent this entry
 }
 
-func (p *Peer) same(q *Peer) bool { return p.Name == q.Name && p.Role == q.Role }
+// same reports whether two entries are of one process, of any life.
+func (p *Peer) same(other *Peer) bool { return p.Name == other.Name && p.Role == other.Role }
 
+// check returns an error if a field is out of bounds or the address is not ip:port.
 func (p *Peer) check() error {
 	if p.Name == "" || len(p.Name) > maxField || len(p.Role) > maxField || len(p.Zone) > maxField || len(p.Addr) > maxField {
 		return fmt.Errorf("peer %.80q: a name is needed, and no field may be longer than %d bytes", p.Name, maxField)
@@ -53,242 +63,147 @@
 	return nil
 }
 
-// Options of a Core. Zero values stand for the defaults.
+// Options configures a Core. A zero field other than Self and Send takes its default.
 type Options struct {
 	Self        Peer
-	ViewSize    int           // 12
-	ShuffleSize int           // 6; entries of a shuffle, the sender's own among them
-	Every       time.Duration // 2 s
-	Keepers     int           // 6; the share of the view that is kept for keepers
+	ViewSize    int           // most entries of the view; default 12
+	ShuffleSize int           // most entries of one exchange, the sender's own included; default 6
+	Every       time.Duration // interval between rounds; default 2 s
+	Keepers     int           // entries of the view that are reserved for keepers; default 6
 	Rand        *rand.Rand
-	// Send must not keep msg. It is called from Tick and Receive.
+	// Send sends a datagram. It is called from Tick and Receive and must not retain msg.
 	Send func(addr string, msg []byte)
 }
 
-// Stats counts what a Core has done since it was made.
+// Stats counts the datagrams of a Core since New.
 type Stats struct {
 	Sent, SentBytes, Received, Malformed uint64
-	Unasked                              uint64 // answers to nothing that was asked, or that came late
-	Unanswered                           uint64 // neighbours dropped for it
-}
-
-// contact is an address that is tried when the view doesn't show that it lives: a seed or a keeper
-// that was lost.
-type contact struct {
-	addr  string
-	seed  bool
-	tries int
-	wait  time.Duration
-	next  time.Duration
-	heard time.Duration
-	known bool // heard is set
+	Unasked                              uint64 // answers to no pending question: unsolicited, or too late
+	Unanswered                           uint64 // questions to neighbours that got no answer in time
 }
 
+// pending is a question that has no answer yet.
 type pending struct {
 	seq  uint32
-	at   time.Duration
-	peer Peer // the neighbour asked; a contact has only Addr
-	sent []Peer
+	at   time.Duration // when it was sent
+	peer Peer          // the process asked; of a contact only Addr is known
+	sent []Peer        // the entries that were sent with it
 }
 
-// Core is the pure part: it has no clock, no socket and no goroutine. now is a steady clock's.
+// Core is the protocol without clock, socket and goroutine: now is the reading of a monotonic clock. It is not safe
+// for concurrent use.
 type Core struct {
-	o        Options
+	options  Options
 	self     Peer
-	peers    []Peer // the neighbours, any role: shuffled
-	keepers  []Peer // the reserved share: copied, youngest kept
+	peers    []Peer // neighbours of any role, whose entries are exchanged
+	keepers  []Peer // the reserved share, whose entries are copied; the youngest are retained
 	lives    lives
 	contacts []contact
 	pending  []pending
-	seq      uint32
-	round    time.Duration
+	seq      uint32        // of the last question
+	round    time.Duration // when the next round is due
 	started  bool
-	joined   bool // somebody has answered
+	joined   bool // a question was answered
 	buf      []byte
 	stats    Stats
 }
 
-// New makes a Core that knows nobody.
-func New(o Options) (*Core, error) {
-	if err := o.Self.check(); err != nil {
+// New returns a Core with an empty view. It fails if Self is out of bounds or Send is missing.
+func New(options Options) (*Core, error) {
+	if err := options.Self.check(); err != nil {
 		return nil, err
 	}
-	if o.Send == nil {
+	if options.Send == nil {
 		return nil, errors.New("membership: Send is missing")
 	}
-	def := func(v *int, d int) {
-		if *v <= 0 {
-			*v = d
-		}
-	}
-	def(&o.ViewSize, 12)
-	def(&o.ShuffleSize, 6)
-	def(&o.Keepers, 6)
-	o.Keepers = min(o.Keepers, o.ViewSize-1)
-	if o.Every <= 0 {
-		o.Every = 2 * time.Second
-	}
-	if o.Rand == nil {
-		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	}
-	c := &Core{o: o, self: o.Self, seq: o.Rand.Uint32()}
+	options.setDefaults()
+	c := &Core{options: options, self: options.Self, seq: options.Rand.Uint32()}
 	c.self.Age = 0
 	return c, nil
 }
 
-// Seed adds addresses of keepers that may be alive. They are tried at the next Tick, and again, with
-// growing waits, whenever the view does not show enough keepers.
-func (c *Core) Seed(now time.Duration, addrs []string) {
-	for _, a := range addrs {
-		if _, err := netip.ParseAddrPort(a); err == nil && a != c.self.Addr {
-			c.contact(now, a, true)
-		}
-	}
-}
-
-// SetSeeds replaces the seeds. One that is no longer named counts as a keeper that was lost: it is given up in the end.
-func (c *Core) SetSeeds(now time.Duration, addrs []string) {
-	for i := range c.contacts {
-		k := &c.contacts[i]
-		if k.seed && !slices.Contains(addrs, k.addr) {
-			k.seed, k.tries = false, max(k.tries, joinTries)
-		}
-	}
-	c.Seed(now, addrs)
-}
-
-// makeRoom drops the contact that was lost first where there are too many.
-func (c *Core) makeRoom() {
-	if len(c.contacts) < maxContacts {
-		return
-	}
-	if i := slices.IndexFunc(c.contacts, func(k contact) bool { return !k.seed }); i >= 0 {
-		c.contacts = slices.Delete(c.contacts, i, i+1)
-	}
-}
-
-func (c *Core) contact(now time.Duration, addr string, seed bool) {
-	i := slices.IndexFunc(c.contacts, func(k contact) bool { return k.addr == addr })
-	if i >= 0 {
-		c.contacts[i].seed = c.contacts[i].seed || seed
-		return
+// setDefaults fills in the fields that are not set.
+func (o *Options) setDefaults() {
+	if o.ViewSize <= 0 {
+		o.ViewSize = defaultViewSize
 	}
-	if !seed {
-		lost := 0
-		for _, k := range c.contacts {
-			if !k.seed {
-				lost++
-			}
-		}
-		if lost >= maxLost {
-			i := slices.IndexFunc(c.contacts, func(k contact) bool { return !k.seed })
-			c.contacts = slices.Delete(c.contacts, i, i+1)
-		}
+	if o.ShuffleSize <= 0 {
+		o.ShuffleSize = defaultShuffleSize
 	}
-	if seed {
-		c.makeRoom()
+	if o.Keepers <= 0 {
+		o.Keepers = defaultKeepers
 	}
-	if len(c.contacts) >= maxContacts {
-		return
+	o.Keepers = min(o.Keepers, o.ViewSize-1)
+	if o.Every <= 0 {
+		o.Every = defaultEvery
 	}
-	k := contact{addr: addr, seed: seed, next: now, wait: joinEvery}
-	if !seed {
-		k.tries, k.wait, k.next = joinTries, c.o.Every, now+c.o.Every
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	c.contacts = append(c.contacts, k)
 }
 
-// View returns all that are known, each once.
+// View returns all entries that are known, each process once.
 func (c *Core) View() []Peer {
-	v := slices.Clone(c.peers)
+	view := slices.Clone(c.peers)
 	for i := range c.keepers {
-		if find(v, &c.keepers[i]) < 0 {
-			v = append(v, c.keepers[i])
+		if find(view, &c.keepers[i]) < 0 {
+			view = append(view, c.keepers[i])
 		}
 	}
-	return v
+	return view
 }
 
-// Keepers returns the keepers that are known, the youngest entries first.
+// Keepers returns the entries of keepers that are known, the youngest first.
 func (c *Core) Keepers() []Peer {
-	v := slices.Clone(c.keepers)
-	slices.SortStableFunc(v, func(a, b Peer) int { return int(a.Age) - int(b.Age) })
-	return v
+	keepers := slices.Clone(c.keepers)
+	slices.SortStableFunc(keepers, func(a, b Peer) int { return int(a.Age) - int(b.Age) })
+	return keepers
 }
 
-// Self returns this process's own entry. Its Life grows when others know a later one of it.
+// Self returns this process's own entry. Its Life is raised when another process knows a later one of it.
 func (c *Core) Self() Peer { return c.self }
 
-// Stats returns the counts so far.
+// Stats returns the counts since New.
 func (c *Core) Stats() Stats { return c.stats }
 
-// Joined says whether anybody has ever answered.
+// Joined reports whether any question was ever answered.
 func (c *Core) Joined() bool { return c.joined }
 
-// Tick does what is due and returns when it wants to be called next.
+// Tick starts a round and tries contacts if they are due, and returns the time by which it must be called again.
 func (c *Core) Tick(now time.Duration) (next time.Duration) {
 	if !c.started {
 		c.started = true
-		c.round = now + c.jitter(c.o.Every, 2) // processes that start together don't stay in step
+		c.round = now + c.jitter(c.options.Every, 2) // processes that start together must not run in step
 	}
 	inRound := now >= c.round
 	if inRound {
 		c.shuffle(now)
-		c.round = now + c.o.Every - c.o.Every/10 + c.jitter(c.o.Every/5, 1)
+		c.round = now + c.options.Every - c.options.Every/10 + c.jitter(c.options.Every/5, 1)
 	}
 	next = c.round
 	alone := c.alone()
 	for i := 0; i < len(c.contacts); i++ {
-		k := &c.contacts[i]
-		if !c.needs(now, k, alone) {
+		known := &c.contacts[i]
+		if !c.needs(now, known, alone) {
 			continue
 		}
-		// Long waits end with a round: no wake-up of their own.
-		if k.next <= now || inRound && k.wait >= c.o.Every && k.next <= now+c.o.Every/2 {
-			if !k.seed && k.tries >= joinTries+lostTries {
+		// A wait of a round or longer ends with a round, so that it needs no wake-up of its own.
+		if known.next <= now || inRound && known.wait >= c.options.Every && known.next <= now+c.options.Every/2 {
+			if !known.seed && known.tries >= joinTries+lostTries {
 				c.contacts = slices.Delete(c.contacts, i, i+1)
 				i--
 				continue
 			}
-			c.try(now, k, alone)
+			c.try(now, known, alone)
 		}
-		if k.wait < c.o.Every {
-			next = min(next, k.next)
+		if known.wait < c.options.Every {
+			next = min(next, known.next)
 		}
 	}
 	return next
 }
 
-func (c *Core) try(now time.Duration, k *contact, alone bool) {
-	k.tries++
-	if k.tries > joinTries {
-		most := maxWait
-		if alone {
-			most = max(c.o.Every, joinEvery)
-		}
-		k.wait = min(2*k.wait, most)
-	}
-	k.next = now + k.wait*2/3 + c.jitter(k.wait*2/3, 1)
-	c.ask(now, Peer{Addr: k.addr})
-}
-
-func (c *Core) needs(now time.Duration, k *contact, alone bool) bool {
-	if !c.joined || alone {
-		return true
-	}
-	for _, list := range [][]Peer{c.peers, c.keepers} {
-		for i := range list {
-			if list[i].Addr == k.addr && list[i].Age <= youngAge {
-				return false
-			}
-		}
-	}
-	if c.self.Role == RoleKeeper { // keepers look for keepers, so that parts that were cut off meet again
-		return !k.known || now-k.heard >= maxWait
-	}
-	return c.young() < enoughYoung
-}
-
+// young returns the number of keepers whose entries count as alive.
 func (c *Core) young() (n int) {
 	for i := range c.keepers {
 		if c.keepers[i].Age <= youngAge {
@@ -298,14 +213,16 @@
 	return n
 }
 
+// alone reports whether the view has no neighbour and no live keeper.
 func (c *Core) alone() bool { return len(c.peers) == 0 && c.young() == 0 }
 
-func (c *Core) jitter(d time.Duration, least time.Duration) time.Duration {
-	return time.Duration(c.o.Rand.Int64N(int64(max(d, least, 1))))
+// jitter returns a random duration below most, or below least if that is longer.
+func (c *Core) jitter(most, least time.Duration) time.Duration {
+	return time.Duration(c.options.Rand.Int64N(int64(max(most, least, 1))))
 }
 
-// shuffle is a round: the neighbour heard of longest ago is asked to exchange entries. Its own entry
-// goes with the question, and it gets this process's in return; so in-degrees stay alike.
+// shuffle runs a round: it ages all entries and asks the neighbour with the oldest entry to exchange entries. That
+// entry leaves this view, and the neighbour gets this process's own, so all processes appear in about as many views.
 func (c *Core) shuffle(now time.Duration) {
 	c.expire(now)
 	for _, list := range [][]Peer{c.peers, c.keepers} {
@@ -320,7 +237,7 @@
 		if c.keepers[i].Age <= staleAge {
 			break
 		}
-		c.contact(now, c.keepers[i].Addr, false)
+		c.addLost(now, c.keepers[i].Addr)
 		c.keepers = slices.Delete(c.keepers, i, i+1)
 	}
 	switch {
@@ -330,14 +247,14 @@
 		c.peers = slices.Delete(c.peers, i, i+1)
 		c.ask(now, p)
 	case len(c.keepers) > 0:
-		c.ask(now, c.keepers[c.o.Rand.IntN(len(c.keepers))])
+		c.ask(now, c.keepers[c.options.Rand.IntN(len(c.keepers))])
 	}
 }
 
-// expire drops who has not answered since the round before.
+// expire drops the questions that have had no answer for half a round.
 func (c *Core) expire(now time.Duration) {
 	c.pending = slices.DeleteFunc(c.pending, func(p pending) bool {
-		if now-p.at < c.o.Every/2 {
+		if now-p.at < c.options.Every/2 {
 			return false
 		}
 		if p.peer.Name != "" {
@@ -348,93 +265,101 @@
 	})
 }
 
-func (c *Core) unanswered(now time.Duration, p *Peer) {
-	if i := find(c.peers, p); i >= 0 && c.peers[i].Life == p.Life && c.peers[i].Age > p.Age {
+// unanswered drops the entry of a process that did not answer. Of the last few keepers it only raises the age, so
+// that they no longer count as alive.
+func (c *Core) unanswered(now time.Duration, silent *Peer) {
+	if i := find(c.peers, silent); i >= 0 && c.peers[i].Life == silent.Life && c.peers[i].Age > silent.Age {
 		c.peers = slices.Delete(c.peers, i, i+1)
 	}
-	i := find(c.keepers, p)
-	if i < 0 || c.keepers[i].Life != p.Life {
+	i := find(c.keepers, silent)
+	if i < 0 || c.keepers[i].Life != silent.Life {
 		return
 	}
 	if len(c.keepers) > fewKeepers {
-		c.contact(now, p.Addr, false)
+		c.addLost(now, silent.Addr)
 		c.keepers = slices.Delete(c.keepers, i, i+1)
 	} else {
 		c.keepers[i].Age = max(c.keepers[i].Age, youngAge+1)
 	}
 }
 
-func (c *Core) ask(now time.Duration, p Peer) {
+// ask sends a question with entries of this view. The oldest pending question is dropped if there are too many.
+func (c *Core) ask(now time.Duration, peer Peer) {
 	if len(c.pending) >= maxPending {
 		c.pending = slices.Delete(c.pending, 0, 1)
 	}
 	c.seq++
-	sent := c.send(p.Addr, message{kind: kindAsk, seq: c.seq, hungry: c.young() < fewKeepers}, c.some(c.portion()-1, &p), c.someKeepers(&p, false))
-	c.pending = append(c.pending, pending{seq: c.seq, at: now, peer: p, sent: sent})
+	sent := c.send(peer.Addr, message{kind: kindAsk, seq: c.seq, needsKeepers: c.young() < fewKeepers}, c.some(c.portion()-1, &peer), c.someKeepers(&peer, false))
+	c.pending = append(c.pending, pending{seq: c.seq, at: now, peer: peer, sent: sent})
 }
 
-// portion is the entries of a shuffle, the own one too. To send all would move views, not mix them.
-func (c *Core) portion() int { return min(c.o.ShuffleSize, len(c.peers)/2+1) }
+// portion returns the number of entries to send in a shuffle, the own one included: at most half of the neighbours,
+// because exchanging all entries would swap two views in place of mixing them.
+func (c *Core) portion() int { return min(c.options.ShuffleSize, len(c.peers)/2+1) }
 
-func (c *Core) some(n int, but *Peer) []Peer {
-	var v []Peer
-	for _, i := range c.o.Rand.Perm(len(c.peers)) {
-		if len(v) >= n {
+// some returns up to n random neighbours other than one.
+func (c *Core) some(n int, except *Peer) []Peer {
+	var chosen []Peer
+	for _, i := range c.options.Rand.Perm(len(c.peers)) {
+		if len(chosen) >= n {
 			break
 		}
-		if p := &c.peers[i]; !p.same(but) && p.Addr != but.Addr {
-			v = append(v, *p)
+		if peer := &c.peers[i]; !peer.same(except) && peer.Addr != except.Addr {
+			chosen = append(chosen, *peer)
 		}
 	}
-	return v
+	return chosen
 }
 
-func (c *Core) someKeepers(but *Peer, all bool) []Peer {
-	n := c.o.Keepers
+// someKeepers returns random keepers other than one that are not stale: up to half of the reserved share, or up to
+// the whole one with all.
+func (c *Core) someKeepers(except *Peer, all bool) []Peer {
+	n := c.options.Keepers
 	if !all {
 		n = (n + 1) / 2
 	}
-	var v []Peer
-	for _, i := range c.o.Rand.Perm(len(c.keepers)) {
-		if len(v) >= n {
+	var chosen []Peer
+	for _, i := range c.options.Rand.Perm(len(c.keepers)) {
+		if len(chosen) >= n {
 			break
 		}
-		if p := &c.keepers[i]; !p.same(but) && p.Addr != but.Addr && p.Age <= staleAge {
-			v = append(v, *p)
+		if keeper := &c.keepers[i]; !keeper.same(except) && keeper.Addr != except.Addr && keeper.Age <= staleAge {
+			chosen = append(chosen, *keeper)
 		}
 	}
-	return v
+	return chosen
 }
 
+// send sends a message with as many of the entries as fit, and returns which of peers did.
 func (c *Core) send(addr string, m message, peers, keepers []Peer) (sent []Peer) {
 	m.from = c.self
 	c.buf, sent = m.encode(c.buf[:0], peers, keepers)
 	c.stats.Sent++
 	c.stats.SentBytes += uint64(len(c.buf))
-	c.o.Send(addr, c.buf)
+	c.options.Send(addr, c.buf)
 	return sent
 }
 
-// Receive takes a datagram in.
+// Receive handles a datagram that arrived from an address. A malformed one is counted and otherwise ignored.
 func (c *Core) Receive(now time.Duration, from string, msg []byte) {
 	c.stats.Received++
-	m, err := decode(msg)
+	received, err := decode(msg)
 	if err != nil {
 		c.stats.Malformed++
 		return
 	}
-	switch m.kind {
+	switch received.kind {
 	case kindAsk:
-		if m.from.same(&c.self) {
-			c.admit(&m.from)
+		if received.from.same(&c.self) {
+			c.admit(&received.from)
 			return
 		}
-		sent := c.send(from, message{kind: kindAnswer, seq: m.seq}, c.some(max(c.portion(), min(c.o.ShuffleSize, len(c.peers))/2), &m.from),
-			c.someKeepers(&m.from, m.hungry))
+		sent := c.send(from, message{kind: kindAnswer, seq: received.seq}, c.some(max(c.portion(), min(c.options.ShuffleSize, len(c.peers))/2), &received.from),
+			c.someKeepers(&received.from, received.needsKeepers))
 		c.heard(now, from)
-		c.take(append([]Peer{m.from}, m.peers...), m.keepers, sent)
+		c.take(append([]Peer{received.from}, received.peers...), received.keepers, sent)
 	case kindAnswer:
-		i := slices.IndexFunc(c.pending, func(p pending) bool { return p.seq == m.seq })
+		i := slices.IndexFunc(c.pending, func(p pending) bool { return p.seq == received.seq })
 		if i < 0 {
 			c.stats.Unasked++
 			return
@@ -443,43 +368,34 @@
 		c.pending = slices.Delete(c.pending, i, i+1)
 		c.joined = true
 		c.heard(now, from)
-		c.take(m.peers, m.keepers, sent)
-		// Who answers gave its place in the view up for what it sent; there may be room for both.
-		if c.admit(&m.from) {
-			c.keep(m.from)
-			if len(c.peers) < c.room() && find(c.peers, &m.from) < 0 {
-				c.peers = append(c.peers, m.from)
+		c.take(received.peers, received.keepers, sent)
+		// The entry of the answering process was removed from the view by shuffle; there may be room for it again.
+		if c.admit(&received.from) {
+			c.keep(received.from)
+			if len(c.peers) < c.room() && find(c.peers, &received.from) < 0 {
+				c.peers = append(c.peers, received.from)
 			}
 		}
 	}
 }
 
-func (c *Core) heard(now time.Duration, addr string) {
-	for i := range c.contacts {
-		if k := &c.contacts[i]; k.addr == addr {
-			k.heard, k.known = now, true
-			k.tries, k.wait, k.next = joinTries, c.o.Every/2, now+c.o.Every
-		}
-	}
-}
-
-// room is how many neighbours there may be: what keepers leave of their share is used.
-func (c *Core) room() int { return c.o.ViewSize - len(c.keepers) }
+// room returns the most neighbours that the view may have. Places that are reserved but not taken by keepers count.
+func (c *Core) room() int { return c.options.ViewSize - len(c.keepers) }
 
-// take puts received entries in free places first, then in those of the entries that were sent away.
+// take adds received entries to the view: in free places first, then in place of the entries that were sent.
 func (c *Core) take(peers, keepers, sent []Peer) {
-	for _, p := range keepers {
-		if c.admit(&p) {
-			c.keep(p)
+	for _, peer := range keepers {
+		if c.admit(&peer) {
+			c.keep(peer)
 		}
 	}
-	for _, p := range peers {
-		if !c.admit(&p) {
+	for _, peer := range peers {
+		if !c.admit(&peer) {
 			continue
 		}
-		c.keep(p)
-		if i := find(c.peers, &p); i >= 0 {
-			c.peers[i].Age = min(c.peers[i].Age, p.Age)
+		c.keep(peer)
+		if i := find(c.peers, &peer); i >= 0 {
+			c.peers[i].Age = min(c.peers[i].Age, peer.Age)
 			continue
 		}
 		for len(c.peers) >= c.room() && len(sent) > 0 {
@@ -489,7 +405,7 @@
 			sent = sent[1:]
 		}
 		if len(c.peers) < c.room() {
-			c.peers = append(c.peers, p)
+			c.peers = append(c.peers, peer)
 		}
 	}
 	for len(c.peers) > c.room() {
@@ -498,54 +414,55 @@
 	}
 }
 
-// keep puts an admitted keeper in the reserved share, where the youngest entries stay.
-func (c *Core) keep(p Peer) {
-	if p.Role != RoleKeeper {
+// keep adds an admitted keeper to the reserved share, which retains the youngest entries. It ignores other roles.
+func (c *Core) keep(keeper Peer) {
+	if keeper.Role != RoleKeeper {
 		return
 	}
-	if i := find(c.keepers, &p); i >= 0 {
-		c.keepers[i].Age = min(c.keepers[i].Age, p.Age)
+	if i := find(c.keepers, &keeper); i >= 0 {
+		c.keepers[i].Age = min(c.keepers[i].Age, keeper.Age)
 		return
 	}
-	if p.Age > staleAge && len(c.keepers) >= fewKeepers {
+	if keeper.Age > staleAge && len(c.keepers) >= fewKeepers {
 		return
 	}
-	c.keepers = append(c.keepers, p)
-	if len(c.keepers) > c.o.Keepers {
+	c.keepers = append(c.keepers, keeper)
+	if len(c.keepers) > c.options.Keepers {
 		i := c.oldest(c.keepers)
 		c.keepers = slices.Delete(c.keepers, i, i+1)
 	}
 }
 
-// admit says whether an entry may enter the view: not the own one, and none of an older life of the
-// process or at its address. A newer life drives the older ones out.
-func (c *Core) admit(p *Peer) bool {
-	if p.Addr == c.self.Addr || p.same(&c.self) {
-		if p.same(&c.self) && p.Addr == c.self.Addr && p.Life > c.self.Life && p.Life < 1<<64-1 {
-			c.self.Life = p.Life + 1 // the clock went back between two starts
+// admit reports whether an entry may enter the view. The process's own entry may not, nor one that is older than a
+// known life of the same process or of another at the same address. A newer life removes the older ones from the view.
+func (c *Core) admit(peer *Peer) bool {
+	if peer.Addr == c.self.Addr || peer.same(&c.self) {
+		if peer.same(&c.self) && peer.Addr == c.self.Addr && peer.Life > c.self.Life && peer.Life < 1<<64-1 {
+			c.self.Life = peer.Life + 1 // the clock went back between two starts
 		}
 		return false
 	}
-	if !c.lives.admit(p) {
+	if !c.lives.admit(peer) {
 		return false
 	}
-	older := func(q Peer) bool { return (q.same(p) || q.Addr == p.Addr) && q.Life < p.Life }
+	older := func(known Peer) bool { return (known.same(peer) || known.Addr == peer.Addr) && known.Life < peer.Life }
 	c.peers = slices.DeleteFunc(c.peers, older)
 	c.keepers = slices.DeleteFunc(c.keepers, older)
-	// The same life at another address, or two of one life at one address: the entry that is here stays.
-	clash := func(q Peer) bool { return q.same(p) != (q.Addr == p.Addr) }
+	// Of one life at two addresses, or two processes of one life at one address, the entry in the view stays.
+	clash := func(known Peer) bool { return known.same(peer) != (known.Addr == peer.Addr) }
 	return !slices.ContainsFunc(c.peers, clash) && !slices.ContainsFunc(c.keepers, clash)
 }
 
-func (c *Core) oldest(v []Peer) int {
-	best, n := 0, 0
-	for i := range v {
+// oldest returns the index of the entry with the highest age, a random one of several.
+func (c *Core) oldest(entries []Peer) int {
+	best, equal := 0, 0
+	for i := range entries {
 		switch {
-		case v[i].Age > v[best].Age || n == 0:
-			best, n = i, 1
-		case v[i].Age == v[best].Age: // one of the oldest, at random
-			n++
-			if c.o.Rand.IntN(n) == 0 {
+		case entries[i].Age > entries[best].Age || equal == 0:
+			best, equal = i, 1
+		case entries[i].Age == entries[best].Age: // one of the oldest, at random
+			equal++
+			if c.options.Rand.IntN(equal) == 0 {
 				best = i
 			}
 		}
@@ -553,18 +470,20 @@
 	return best
 }
 
-func find(v []Peer, p *Peer) int {
-	return slices.IndexFunc(v, func(q Peer) bool { return q.same(p) })
+// find returns the index of the entry of a process, or -1.
+func find(entries []Peer, peer *Peer) int {
+	return slices.IndexFunc(entries, func(entry Peer) bool { return entry.same(peer) })
 }
 
-// lives remembers the newest life of the processes and of the addresses met last, also of those
-// that are not in the view, so that a late entry does not bring an older one back.
+// lives remembers the newest life of the processes and addresses that were admitted last, so that a delayed entry does
+// not bring back an older life after the newer one has left the view. It has at most maxLives keys.
 type lives struct {
 	newest map[string]uint64
-	ring   []string
-	at     int
+	ring   []string // the keys of newest, in the order in which they were added
+	at     int      // index in ring of the key to replace next, once the ring is full
 }
 
+// admit records the life of an entry, unless a newer one of its process or address is known.
 func (l *lives) admit(p *Peer) bool {
 	process := p.Role + "/" + p.Name
 	if l.newest[process] > p.Life || l.newest[p.Addr] > p.Life {
@@ -575,6 +494,7 @@
 	return true
 }
 
+// set records the newest life of a process or address, in place of the oldest key if there are too many.
 func (l *lives) set(key string, life uint64) {
 	if l.newest == nil {
 		l.newest = map[string]uint64{}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -501,7 +501,7 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		c := lone(t)
 		c.Receive(0, "10.0.0.2:7660", b)
-		if len(c.View()) > c.o.ViewSize {
+		if len(c.View()) > c.options.ViewSize {
 			t.Errorf("%d in view", len(c.View()))
 		}
 	})
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Service runs a Core on a socket, with one goroutine.
+// Service runs a Core on a UDP socket, with one goroutine. It is safe for concurrent use.
 type Service struct {
 	mu    sync.Mutex
 	core  *Core
@@ -19,17 +19,17 @@
 	done  chan struct{}
 }
 
-// Start runs a Core over conn, which should be bound to Self.Addr, until ctx ends; conn is closed then. Send in o is
-// set here. Seeds are addresses of keepers' internal ports.
-func Start(ctx context.Context, conn *net.UDPConn, o Options, seeds []string) (*Service, error) {
+// Start runs a Core over conn, which must be bound to Self.Addr, until ctx ends, and then closes conn. It sets Send in
+// the options. Seeds are addresses of keepers' internal ports. It fails if the options are invalid; conn stays open then.
+func Start(ctx context.Context, conn *net.UDPConn, options Options, seeds []string) (*Service, error) {
 	s := &Service{conn: conn, start: time.Now(), done: make(chan struct{})}
-	o.Send = func(addr string, msg []byte) {
-		if a, err := netip.ParseAddrPort(addr); err == nil {
-			_, _ = conn.WriteToUDPAddrPort(msg, a) // a datagram may be lost anyway
+	options.Send = func(addr string, msg []byte) {
+		if to, err := netip.ParseAddrPort(addr); err == nil {
+			_, _ = conn.WriteToUDPAddrPort(msg, to) // the protocol allows for datagrams that are lost
 		}
 	}
 	var err error
-	if s.core, err = New(o); err != nil {
+	if s.core, err = New(options); err != nil {
 		return nil, err
 	}
 	s.core.Seed(0, seeds)
@@ -42,7 +42,10 @@
 	return s, nil
 }
 
-// run reads until the next Tick is due: the socket's read deadline is the only timer.
+// errorPause is the wait after a read error that may persist, so that the goroutine does not spin.
+const errorPause = 10 * time.Millisecond
+
+// run reads datagrams until the socket is closed. The read deadline of the socket is the timer of the next Tick.
 func (s *Service) run() {
 	defer s.conn.Close()
 	buf := make([]byte, maxMessage+1)
@@ -61,7 +64,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			time.Sleep(10 * time.Millisecond) // an error that stays must not spin
+			time.Sleep(errorPause)
 		}
 		if time.Since(s.start) >= next {
 			next = s.tick()
@@ -69,39 +72,40 @@
 	}
 }
 
+// tick runs the Core's Tick and returns when the next one is due, as time since the start.
 func (s *Service) tick() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.core.Tick(time.Since(s.start))
 }
 
-// Seed adds addresses of keepers; they are tried within a round.
+// Seed adds addresses of keepers that may be alive. They are asked within a round.
 func (s *Service) Seed(addrs []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.core.Seed(time.Since(s.start), addrs)
 }
 
-// SetSeeds replaces the seeds.
+// SetSeeds replaces the seeds. See Core.SetSeeds.
 func (s *Service) SetSeeds(addrs []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.core.SetSeeds(time.Since(s.start), addrs)
 }
 
-// View returns all that are known.
+// View returns all entries that are known, each process once.
 func (s *Service) View() []Peer { s.mu.Lock(); defer s.mu.Unlock(); return s.core.View() }
 
-// Keepers returns the keepers that are known, the youngest entries first.
+// Keepers returns the entries of keepers that are known, the youngest first.
 func (s *Service) Keepers() []Peer { s.mu.Lock(); defer s.mu.Unlock(); return s.core.Keepers() }
 
 // Self returns this process's own entry.
 func (s *Service) Self() Peer { s.mu.Lock(); defer s.mu.Unlock(); return s.core.Self() }
 
-// Stats returns the counts so far.
+// Stats returns the counts since Start.
 func (s *Service) Stats() Stats { s.mu.Lock(); defer s.mu.Unlock(); return s.core.Stats() }
 
-// Joined says whether anybody has ever answered.
+// Joined reports whether any question was ever answered.
 func (s *Service) Joined() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.core.Joined() }
 
 // Done is closed when the goroutine has ended.
