--- /dev/null
+++ b/internal/journal/begin.go
@@ -0,0 +1,147 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sort"
+	"strings"
+	"time"
+
+	"dunetide/policy"
+)
+
+// Open replays the journal in a folder. The messages that are owed something come back
+// in the order in which they were taken.
+func Open(o Options) (*Journal, []*Message, error) {
+	j, err := Replay(o)
+	if err != nil {
+		return nil, nil, err
+	}
+	owed, err := j.Begin(nil)
+	return j, owed, err
+}
+
+// Replay reads what is in a folder and writes nothing.
+func Replay(o Options) (*Journal, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	j := &Journal{fs: o.Folder, limit: o.Limit, base: o.Base, sync: o.Sync, log: o.Log, now: o.Now, next: 1,
+		segSize: max(o.Limit/24, MaxBody+4<<10),
+		live:    map[policy.MessageID]*Message{}, home: map[policy.MessageID]uint64{}, Memories: map[string]*Memory{},
+		Over: NewIDRing(maxOver), orders: map[string]uint64{}}
+	return j, j.replay()
+}
+
+// Begin makes this process the one that writes. Out are the attempts whose outcome
+// another process still waits for.
+func (j *Journal) Begin(out []AttemptOut) ([]*Message, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if n := len(j.segments); j.sync && n > 0 { // as each is before the next one is begun
+		last := j.segments[n-1]
+		if err := j.fs.Cut(segmentPath(last.number), last.size); err != nil {
+			return nil, fmt.Errorf("opening the journal: %w", err)
+		}
+	}
+	// Always a new segment: nothing is ever written behind a torn tail.
+	if err := j.roll(); err != nil {
+		return nil, err
+	}
+	waits := map[policy.MessageID]AttemptOut{}
+	for _, a := range out {
+		waits[a.Message] = a
+	}
+	owed := make([]*Message, 0, len(j.live))
+	for _, m := range j.live {
+		if a, ok := waits[m.Seq]; ok && m.Past.Out {
+			m.Past.OutTo, m.Past.OutAt = a.Endpoint, a.At
+		} else if m.Past.Out { // when the process ended; it may have run, or may yet
+			m.Past.Out, m.Past.Settled = false, true
+		}
+		owed = append(owed, m)
+		j.liveSize += cost(m)
+	}
+	for name := range j.orders {
+		j.liveSize += orderCost(name)
+	}
+	if j.sync {
+		j.recent, j.recentOver = cloneMemories(j.Memories), j.Over.clone()
+	}
+	if err := errors.Join(j.tidy(), j.recovery.repair()); err != nil {
+		return nil, errors.Join(err, j.file.Close())
+	}
+	j.told()
+	sort.Slice(owed, func(a, b int) bool { return owed[a].Seq < owed[b].Seq })
+	return owed, nil
+}
+
+// tidy removes what a checkpoint replaces, and one that was not finished.
+func (j *Journal) tidy() error {
+	if err := j.removeStray(); err != nil {
+		return fmt.Errorf("recovering the journal: %w", err)
+	}
+	if len(j.replaced) > 0 { // the checkpoint's name must last before they go
+		if err := j.fs.Sync(); err != nil {
+			return fmt.Errorf("recovering the journal: %w", err)
+		}
+	}
+	for len(j.replaced) > 0 {
+		if err := j.fs.Remove(segmentPath(j.replaced[0].number)); err != nil {
+			return fmt.Errorf("recovering the journal: %w", err)
+		}
+		j.replaced = j.replaced[1:]
+	}
+	return nil
+}
+
+// told logs what the replay found.
+func (j *Journal) told() {
+	r := &j.recovery.report
+	level := slog.LevelInfo
+	if len(r.Problems) > 0 {
+		level = slog.LevelWarn
+	}
+	for _, p := range r.Problems {
+		j.log.Warn("journal: recovery", "file", p.File, "at", p.At, "what", p.What)
+	}
+	if r.Damaged() {
+		j.log.Error("journal: damaged, what is in doubt counts as possibly run", "messages", strings.Join(r.Doubt, " "),
+			"lost numbers", r.Lost, "set aside", r.SetAside)
+	}
+	j.log.Log(context.Background(), level, "journal: recovered", "segments", r.Segments, "records", r.Records, "bytes", r.Bytes,
+		"owed", r.Owed, "in doubt", len(r.Doubt), "set aside", len(r.SetAside), "checkpoint", r.Checkpoint, "took", r.Took)
+}
+
+// AttemptOut is an attempt without an outcome yet.
+type AttemptOut struct {
+	Message  policy.MessageID
+	Endpoint string
+	At       time.Time
+}
+
+// GiveAway lets nothing more be written, and tells which attempts are out.
+func (j *Journal) GiveAway() []AttemptOut {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.given = true
+	var out []AttemptOut
+	for _, m := range j.live {
+		if m.Past.Out {
+			out = append(out, AttemptOut{Message: m.Seq, Endpoint: m.Past.OutTo, At: m.Past.OutAt})
+		}
+	}
+	return out
+}
+
+// TakeBack goes on writing: nobody else has begun to.
+func (j *Journal) TakeBack() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.given = false
+}
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -92,3 +92,54 @@
 	}
 	r.known[id] = struct{}{}
 }
+
+// Message is one message that the node has taken on.
+type Message struct {
+	Seq      policy.MessageID
+	ID       string
+	Key      string
+	Class    int
+	Dest     int
+	Deadline time.Time
+	Body     []byte
+	Window   time.Duration // how long its key is remembered, 0 where it has none
+
+	// The rest is owned by the journal.
+	home   *Journal
+	Past   Past
+	Notice *Notice // the end that is owed, nil while it runs
+}
+
+// Past is what a message has behind it, as the module counts it.
+type Past struct {
+	Attempts int
+	Settled  bool // a finished attempt may have run
+	Out      bool // the last attempt has no outcome yet
+	MayRun   bool
+	RanAt    time.Time
+	RanZone  int
+	// Where and when the last attempt was sent; known to the process that sent it and
+	// to one that takes over from it, and not on disk.
+	OutTo string
+	OutAt time.Time
+}
+
+func (p *Past) attempt(endpoint string, zone int, at time.Time) {
+	p.Attempts++
+	p.Out, p.OutTo, p.OutAt = true, endpoint, at
+	if !p.MayRun {
+		p.MayRun, p.RanAt, p.RanZone = true, at, zone
+	}
+}
+
+func (p *Past) outcome(neverRan bool) {
+	p.Out = false
+	if !neverRan {
+		p.Settled = true
+	} else if !p.Settled {
+		p.MayRun = false
+	}
+}
+
+// cost is the room that a message may take up until nothing is owed for it.
+func cost(m *Message) int64 { return int64(len(m.Body)+len(m.ID)+len(m.Key)) + ownShare }
--- /dev/null
+++ b/internal/journal/segment.go
@@ -0,0 +1,187 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+)
+
+// segment is one file of the journal.
+type segment struct {
+	number uint64
+	size   int64
+}
+
+func segmentPath(n uint64) string { return fmt.Sprintf(segmentName, n) }
+
+func onDisk(n int64) int64 { return (n + block - 1) / block * block }
+
+// append writes one record, after making room for it. Taken is the message that
+// the record holds whole, if it does.
+func (j *Journal) append(payload []byte, taken *Message) error {
+	if j.checkpointDue() {
+		if err := j.writeCheckpoint(); err != nil {
+			j.log.Error("journal: no checkpoint", "err", err)
+			j.retryAt = j.sinceCheckpoint() + j.segSize
+		}
+	}
+	size := int64(len(payload) + j.format.head())
+	if err := j.makeRoom(size); err != nil {
+		return err
+	}
+	return j.write(payload, taken)
+}
+
+func (j *Journal) write(payload []byte, taken *Message) error {
+	size := int64(len(payload) + j.format.head())
+	if last := &j.segments[len(j.segments)-1]; last.size > j.headSize() && last.size+size > j.segSize {
+		if err := j.roll(); err != nil {
+			return err
+		}
+	}
+	last := &j.segments[len(j.segments)-1]
+	j.buf = j.format.frame(j.buf[:0], payload, last.size)
+	if n, err := j.file.Write(j.buf); err != nil {
+		// Part of a record may lie there now. It must not hide what comes after.
+		last.size += int64(n)
+		if n > 0 {
+			if t := j.file.Truncate(last.size - int64(n)); t == nil {
+				last.size -= int64(n)
+			} else if r := j.roll(); r != nil {
+				err = errors.Join(err, r)
+			}
+		}
+		return fmt.Errorf("writing the journal: %w", err)
+	}
+	last.size += size
+	j.syncer.written += uint64(size)
+	if taken != nil {
+		j.home[taken.Seq] = last.number
+	}
+	return nil
+}
+
+// headSize is how long a segment is that holds nothing.
+func (j *Journal) headSize() int64 {
+	if j.sync {
+		return headers
+	}
+	return 0
+}
+
+// roll starts a new segment. Where that is asked for, the one before is durable first, and
+// the new one's header: so damage elsewhere than at the end is no loss of power.
+func (j *Journal) roll() error {
+	n := uint64(1)
+	if len(j.segments) > 0 {
+		n = j.segments[len(j.segments)-1].number + 1
+	}
+	if err := j.syncFile(); err != nil {
+		return err
+	}
+	f := format{number: n}
+	if j.sync {
+		f = format{keyed: true, number: n, salt: rand.Uint64()}
+	}
+	file, err := j.create(segmentPath(n), f)
+	if err != nil {
+		return fmt.Errorf("starting a segment of the journal: %w", err)
+	}
+	if j.file != nil {
+		if err := j.file.Close(); err != nil {
+			j.log.Warn("journal: closing a segment", "err", err)
+		}
+	}
+	j.file, j.format = file, f
+	j.segments = append(j.segments, segment{number: n, size: j.headSize()})
+	return nil
+}
+
+// create makes a file, durable with its header if it has one.
+func (j *Journal) create(name string, f format) (File, error) {
+	file, err := j.fs.Create(name)
+	if err != nil || !f.keyed {
+		return file, err
+	}
+	if _, err = file.Write(f.header()); err == nil {
+		err = file.Sync()
+	}
+	if err == nil {
+		err = j.fs.Sync()
+	}
+	if err != nil {
+		return nil, errors.Join(err, file.Close(), j.fs.Remove(name))
+	}
+	return file, nil
+}
+
+func (j *Journal) diskSize() int64 {
+	sum := j.foreign
+	for _, s := range slices.Concat(j.segments, j.aside, j.replaced) {
+		sum += onDisk(s.size)
+	}
+	return sum
+}
+
+// makeRoom cleans the oldest segments until a record fits, with a segment's room
+// to spare: a cleaned segment and its copy lie there together for a moment.
+func (j *Journal) makeRoom(size int64) error {
+	for tries := 2 * len(j.segments); j.diskSize()+size+j.segSize+2*block > j.limit; tries-- {
+		if len(j.aside) > 0 { // evidence goes before work is refused
+			if err := j.dropAside(0); err != nil {
+				return err
+			}
+			continue
+		}
+		if tries <= 0 || len(j.segments) < 2 {
+			return ErrNoRoom
+		}
+		if err := j.clean(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// clean moves what still counts of the oldest segment on, and removes it.
+func (j *Journal) clean() error {
+	oldest := j.segments[0]
+	var move []*Message
+	for seq, n := range j.home {
+		if n == oldest.number {
+			move = append(move, j.live[seq])
+		}
+	}
+	sort.Slice(move, func(a, b int) bool { return move[a].Seq < move[b].Seq })
+	for _, m := range move {
+		if err := j.write(takenRecord(m), m); err != nil {
+			return err
+		}
+	}
+	for name, n := range j.orders {
+		if n == oldest.number {
+			if err := j.write(orderRecord(name, true, j.now()), nil); err != nil {
+				return err
+			}
+			j.orders[name] = j.segments[len(j.segments)-1].number
+		}
+	}
+	// What was moved is durable before it goes, and that it goes before the next one does:
+	// an old segment that came back alone would owe what has ended.
+	err := j.syncFile()
+	if err == nil {
+		err = j.fs.Remove(segmentPath(oldest.number))
+	}
+	if err == nil && j.sync {
+		err = j.fs.Sync()
+	}
+	if err != nil {
+		return fmt.Errorf("cleaning the journal: %w", err)
+	}
+	if j.segments = j.segments[1:]; oldest.number == j.checkpoint {
+		j.checkpoint = 0
+	}
+	return nil
+}
