--- /dev/null
+++ b/internal/node/cohort_discovery.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+)
+
+// taken tells whether another member has, or had, a message that a client hands in. That
+// matters only soon after a member has died: its client sends once more on a new connection.
+// What the dead had, somebody has adopted first.
+func (co *cohort) taken(id string) bool {
+	co.mu.Lock()
+	changed := false
+	for n := range co.slots {
+		owner, err := os.ReadFile(filepath.Join(co.cfg.State, groupFolder, fmt.Sprintf("owner-%d", n)))
+		if err != nil {
+			continue
+		}
+		if was, known := co.owners[n]; string(owner) != was {
+			co.owners[n] = string(owner)
+			changed = changed || known
+		}
+		if string(owner) == string(co.group.ID()) || co.isAdopted(n) {
+			continue
+		}
+		if lock, err := journal.Lock(co.path(n)); err == nil && lock != nil { // its owner is dead
+			_ = lock.Close()
+			if print := fingerprint(co.path(n)); print != "" && co.looked[n] != print {
+				changed = true
+			}
+		}
+	}
+	if changed {
+		co.deathAt = time.Now()
+		if co.group.MaySend() {
+			co.adopt()
+		}
+	}
+	recent := time.Since(co.deathAt) < deathMatters
+	co.mu.Unlock()
+	if !recent {
+		return false
+	}
+	if co.loop.intake.knows(id) {
+		return true
+	}
+	return co.anyone(askHave, id)
+}
+
+// anyone tells whether any other member says yes to a question.
+func (co *cohort) anyone(kind string, v any) bool {
+	ids, err := co.group.Members()
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), haveTimeout)
+	defer cancel()
+	var yes atomic.Bool
+	var asked sync.WaitGroup
+	for _, id := range ids {
+		asked.Go(func() {
+			var a yesNo
+			if err := co.group.Ask(ctx, id, kind, v, &a); err == nil && a.Yes {
+				yes.Store(true)
+			}
+		})
+	}
+	asked.Wait()
+	return yes.Load()
+}
+
+// hear takes in what another member tells or asks.
+func (co *cohort) hear(m group.Message, asked bool) (any, error) {
+	select {
+	case <-co.up:
+	default:
+		if m.Kind == askState {
+			return memberState{Starting: true}, nil
+		}
+		return nil, errors.New("starting")
+	}
+	if !asked {
+		select {
+		case co.loop.events <- heardNews{m}:
+			return nil, nil
+		default:
+			return nil, errors.New("too busy to hear") // it is told again
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), consoleAnswer*3/4)
+	defer cancel()
+	switch m.Kind {
+	case askState:
+		ask := stateAsk{make(chan memberState, 1)}
+		co.loop.post(ask)
+		select {
+		case s := <-ask.reply:
+			return s, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	case askOrder:
+		var o orderAsk
+		if err := json.Unmarshal(m.Body, &o); err != nil {
+			return nil, err
+		}
+		status, text := co.loop.obeyHere(ctx, o.Host, o.Out)
+		return orderAnswer{status, text}, nil
+	case askHave:
+		var id string
+		if err := json.Unmarshal(m.Body, &id); err != nil {
+			return nil, err
+		}
+		return yesNo{co.loop.intake.knows(id)}, nil
+	case askReady:
+		return yesNo{co.inUse()}, nil
+	}
+	return nil, fmt.Errorf("%q is no question", m.Kind)
+}
+
+// tell lets the others know what this member has just seen.
+func (co *cohort) tell(kind, key string, v any) { co.tellOf(group.Clock(), kind, key, v) }
+
+func (co *cohort) tellOf(at time.Duration, kind, key string, v any) {
+	if err := co.group.TellOf(at, kind, key, v); err != nil {
+		co.log.Error("group: telling", "kind", kind, "err", err)
+	}
+}
+
+// order has an order carried out by all members. A yes says that each that lives has it; after
+// a no none has.
+func (co *cohort) order(ctx context.Context, host string, out bool) (status int, text string) {
+	status, text = co.loop.obeyHere(ctx, host, out)
+	if status != 200 {
+		return status, text
+	}
+	ids, err := co.group.Members()
+	refused := ""
+	if err != nil {
+		refused = err.Error()
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	answers := make([]orderAnswer, len(ids))
+	var asked sync.WaitGroup
+	for i, id := range ids {
+		asked.Go(func() {
+			if err := co.group.Ask(ctx, id, askOrder, orderAsk{host, out}, &answers[i]); err != nil {
+				answers[i].Text = err.Error()
+			}
+		})
+	}
+	asked.Wait()
+	for i, a := range answers {
+		// One that does not know the endpoint yet keeps the order for when it does.
+		if a.Status != 200 {
+			refused = fmt.Sprintf("member %s: %s", ids[i], a.Text)
+		}
+	}
+	if refused == "" {
+		return status, text
+	}
+	undo, end := context.WithTimeout(context.Background(), undoTimeout)
+	defer end()
+	co.loop.obeyHere(undo, host, !out)
+	for i, id := range ids { // also those that may have heard of it and did not say so in time
+		asked.Go(func() {
+			if err := co.group.Ask(undo, id, askOrder, orderAsk{host, !out}, nil); err != nil && answers[i].Status == 200 {
+				co.log.Error("group: an order that was refused could not be taken back", "member", id, "host", host, "err", err)
+			}
+		})
+	}
+	asked.Wait()
+	return 503, "not all members have it, and none keeps it: " + refused
+}
+
+// inUse tells whether this member takes clients.
+func (co *cohort) inUse() bool {
+	select {
+	case <-co.usable:
+		return !co.loop.intake.isRefusing() && co.group.MaySend()
+	default:
+		return false
+	}
+}
+
+// follow runs the watch of discovery while this member coordinates.
+func (co *cohort) follow(ctx context.Context, watch func(ctx context.Context, known int64)) {
+	co.whileLeading(ctx, func(life context.Context) { watch(life, co.loop.known.Load()) })
+}
+
+// whileLeading runs what one process of the node does for all, while this member coordinates.
+func (co *cohort) whileLeading(ctx context.Context, f func(ctx context.Context)) {
+	tick := time.NewTicker(joinPause)
+	defer tick.Stop()
+	var end context.CancelFunc
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		leads := co.group.Leads()
+		switch {
+		case leads && end == nil:
+			var life context.Context
+			life, end = context.WithCancel(ctx)
+			running.Go(func() { f(life) })
+		case !leads && end != nil:
+			end()
+			end = nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			if end != nil {
+				end()
+			}
+			return
+		}
+	}
+}
+
+// leaving closes this member's listeners, where others have them still.
+func (co *cohort) leaving() {
+	if co.alone() {
+		return
+	}
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	for name, l := range co.listeners {
+		if strings.HasPrefix(name, "clients ") {
+			_ = l.Close() // the others' stay
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/cohort_status.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"dunetide/internal/group"
+	"dunetide/internal/journal"
+)
+
+// groupStatus is what the console shows.
+type groupStatus struct {
+	group.Status
+	Share     float64        `json:"share_in_use"`
+	Serves    bool           `json:"takes_clients"`
+	Journal   string         `json:"journal"`
+	Adopted   []adoptedState `json:"adopted"`
+	Adoptions int            `json:"adoptions"`
+	Staleness map[string]age `json:"staleness"`
+}
+
+type adoptedState struct {
+	Journal string `json:"journal"`
+	Owed    int    `json:"owed"`
+}
+
+func (co *cohort) status() groupStatus {
+	s := groupStatus{Status: co.group.Status(), Share: co.loop.share(), Serves: co.inUse(), Journal: filepath.Base(co.mine.path),
+		Adopted: []adoptedState{}, Staleness: co.stale.show()}
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	s.Adoptions = co.adoptions
+	for _, a := range co.adopted {
+		s.Adopted = append(s.Adopted, adoptedState{filepath.Base(a.path), a.journal.Status().Live})
+	}
+	return s
+}
+
+// MemberFolders are the journals of a group's members in a state folder.
+func MemberFolders(dir string) (all []string) {
+	for n := range 2 * group.MaxMembers {
+		if path := filepath.Join(dir, fmt.Sprintf(slotForm, n)); fingerprint(path) != "" {
+			all = append(all, path)
+		}
+	}
+	return all
+}
+
+// owedByGroup tells what members of a group owe in a folder, for a process without one.
+func owedByGroup(dir string, limit int64) (owed int, err error) {
+	if _, err := os.Stat(filepath.Join(dir, groupFolder)); errors.Is(err, os.ErrNotExist) {
+		return 0, nil
+	}
+	for _, path := range MemberFolders(dir) {
+		report, err := journal.Check(journal.Dir(path), max(limit, 64<<20))
+		if err != nil {
+			return 0, err
+		}
+		owed += report.Owed
+	}
+	return owed, nil
+}
