Dispatch: the choice of an endpoint in short functions, plain names and comments

choose had 89 lines that found candidates, probed, fell back to ejected endpoints, computed costs and drew among equals. Each of these is a function now, what the costs have in common is one value, and choose returns the run alone. Endpoints that are left out for a time are called ejected, and fields and comments say what they hold and in which unit. The draws of random numbers and their order are as before. Two tests read fields by their new names.

--- a/internal/dispatch/certified_test.go
+++ b/internal/dispatch/certified_test.go
@@ -73,7 +73,7 @@
 		w := b.ask(regulated("s", &certified))
 		b.c.end(w.grant, Broken, Load{})
 	}
-	if b.endpoint("e1").outTill == 0 {
+	if b.endpoint("e1").ejectedUntil == 0 {
 		t.Fatal("e1 is not out")
 	}
 	b.said = nil
--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -8,98 +8,148 @@
 	"dunetide/internal/view"
 )
 
-// choose picks the endpoint for a request, nil when none has room.
-func (c *core) choose(p *pool, w *waiter) (*endpoint, *run) {
-	var room []*endpoint
-	var probe *endpoint
-	total, n := 0.0, 0
-	for _, e := range p.eps {
+// similarCost is the difference in cost, in ms, up to which endpoints count as equal.
+const similarCost = 0.25
+
+// candidates are the endpoints that may serve a request.
+type candidates struct {
+	sound []*endpoint // not ejected
+	probe *endpoint   // an ejected one with room, which the request should try; nil if there is none
+	load  float64     // the sum of the loads of all
+	count int
+}
+
+// placement is what the costs of all endpoints for one request have in common.
+type placement struct {
+	base, slope float64           // ms to the first word, and more for each token to read
+	bound       float64           // the load above which an endpoint is too full for further requests of a shared prefix
+	ranks       map[*endpoint]int // the endpoints' places in the common order of homes of the shared prefix
+	shared      float64           // tokens of the prefix that other requests may share
+}
+
+// choose picks the endpoint for a request and returns the run that it would be, or nil if no endpoint has room.
+func (c *core) choose(p *pool, w *waiter) *run {
+	found := c.candidates(p, w)
+	if found.count == 0 {
+		return nil
+	}
+	base, slope := p.first.fit()
+	if found.probe != nil {
+		probe := run{endpoint: found.probe, read: float64(w.r.TokensIn)}
+		probe.expected = c.toFirst(found.probe, w, base, slope, &probe.read)
+		return &probe
+	}
+	sound := found.sound
+	if len(sound) == 0 { // all are ejected: the one that is ejected for the shortest time is better than none
+		least := leastEjected(p, w)
+		if least == nil {
+			return nil
+		}
+		sound = append(sound, least)
+	}
+	room := slices.DeleteFunc(sound, func(e *endpoint) bool { return !c.hasRoom(e, w) })
+	if len(room) == 0 {
+		return nil
+	}
+	common := placement{base: base, slope: slope, bound: c.settings.LoadFactor*found.load/float64(found.count) + c.settings.LoadSlack}
+	if len(w.chains) > 0 {
+		common.ranks, common.shared = c.ranksOf(p, w), sharedTokens(w)
+	}
+	return c.cheapest(room, w, &common)
+}
+
+// candidates returns the endpoints of a pool that may serve a request.
+func (c *core) candidates(p *pool, w *waiter) candidates {
+	found := candidates{sound: make([]*endpoint, 0, len(p.endpoints))}
+	for _, e := range p.endpoints {
 		if !e.may(w) {
 			continue
 		}
-		total += e.load(c)
-		n++
+		found.load += e.load(c)
+		found.count++
 		switch {
-		case e.outTill == 0:
-			room = append(room, e)
+		case e.ejectedUntil == 0:
+			found.sound = append(found.sound, e)
 		case e.probe(c, w) && c.hasRoom(e, w):
-			probe = e
+			found.probe = e
 		}
 	}
-	if n == 0 {
-		return nil, nil
-	}
-	base, slope := p.first.fit()
-	if probe != nil {
-		r := run{e: probe, read: float64(w.r.TokensIn)}
-		r.expected = c.toFirst(probe, w, base, slope, &r.read)
-		return probe, &r
-	}
-	if len(room) == 0 { // all are out: the least bad one is better than none
-		var least *endpoint
-		for _, e := range p.eps {
-			if e.may(w) && (least == nil || e.outTill < least.outTill) {
-				least = e
-			}
-		}
-		if least == nil {
-			return nil, nil
+	return found
+}
+
+// leastEjected returns the endpoint that may serve a request and is ejected for the shortest time.
+func leastEjected(p *pool, w *waiter) *endpoint {
+	var least *endpoint
+	for _, e := range p.endpoints {
+		if e.may(w) && (least == nil || e.ejectedUntil < least.ejectedUntil) {
+			least = e
 		}
-		room = append(room, least)
 	}
-	room = slices.DeleteFunc(room, func(e *endpoint) bool { return !c.hasRoom(e, w) })
-	if len(room) == 0 {
-		return nil, nil
+	return least
+}
+
+// ranksOf returns the ranks for a request, which are computed once for each snapshot.
+func (c *core) ranksOf(p *pool, w *waiter) map[*endpoint]int {
+	if w.listing != c.listing {
+		w.ranks, w.listing = c.ranks(p, w), c.listing
 	}
-	var ranks map[*endpoint]int
+	return w.ranks
+}
+
+// sharedTokens returns the tokens of a prompt's prefix that other requests may share.
+func sharedTokens(w *waiter) float64 {
 	shared := 0.0
-	if len(w.chains) > 0 {
-		if w.listing != c.listing {
-			w.ranks, w.listing = c.ranks(p, w), c.listing
-		}
-		ranks = w.ranks
-		for _, part := range w.r.Prefix[:sharedParts(w)] {
-			shared += float64(part.Tokens)
-		}
+	for _, part := range w.r.Prefix[:sharedParts(w)] {
+		shared += float64(part.Tokens)
 	}
-	bound := c.set.LoadFactor*total/float64(n) + c.set.LoadSlack
-	var best *endpoint
-	var bestRun run
-	bestCost, similar := math.Inf(1), 0
+	return shared
+}
+
+// cheapest returns the run at the endpoint with the lowest cost, a random one of those with a similar cost, or nil if a
+// run would be too late at each of them.
+func (c *core) cheapest(room []*endpoint, w *waiter, common *placement) *run {
+	var best run
+	lowest, similar := math.Inf(1), 0
 	for _, e := range room {
-		r := run{e: e, read: float64(w.r.TokensIn)}
-		r.read -= c.kept(e, w, ranks, shared)
-		r.expected = c.toFirst(e, w, base, slope, &r.read)
-		cost := r.expected + c.preference(e, w)
-		if shared > 0 {
-			cost += c.set.Reread * slope * min(shared, r.read)
-			// A home takes no more than its part, unless all are as full.
-			if l := e.load(c); l > bound && l > c.set.FreeShare*float64(e.slots()) {
-				cost += float64(c.set.LoadCost) / float64(time.Millisecond) * (l - bound)
-			}
-		}
-		if !c.inTime(e, w, r.expected) {
+		candidate, cost := c.runAt(e, w, common)
+		if !c.inTime(e, w, candidate.expected) {
 			continue
 		}
-		const near = 0.25 // ms
 		switch {
-		case cost < bestCost-near:
-			best, bestRun, bestCost, similar = e, r, cost, 1
-		case cost <= bestCost+near: // one of those that are alike
+		case cost < lowest-similarCost:
+			best, lowest, similar = candidate, cost, 1
+		case cost <= lowest+similarCost:
 			similar++
 			if c.rng()*float64(similar) < 1 {
-				best, bestRun = e, r
+				best = candidate
 			}
-			bestCost = min(bestCost, cost)
+			lowest = min(lowest, cost)
 		}
 	}
-	if best == nil {
-		return nil, nil
+	if best.endpoint == nil {
+		return nil
+	}
+	return &best
+}
+
+// runAt returns the run of a request at an endpoint and its cost in ms: the expected time to the first word, and what
+// else speaks against the endpoint.
+func (c *core) runAt(e *endpoint, w *waiter, common *placement) (run, float64) {
+	r := run{endpoint: e, read: float64(w.r.TokensIn)}
+	r.read -= c.kept(e, w, common.ranks, common.shared)
+	r.expected = c.toFirst(e, w, common.base, common.slope, &r.read)
+	cost := r.expected + c.preference(e, w)
+	if common.shared > 0 {
+		cost += c.settings.Reread * common.slope * min(common.shared, r.read)
+		// An endpoint with the prefix takes no more than its part, unless all are as full.
+		if load := e.load(c); load > common.bound && load > c.settings.FreeShare*float64(e.slots()) {
+			cost += float64(c.settings.LoadCost) / float64(time.Millisecond) * (load - common.bound)
+		}
 	}
-	return best, &bestRun
+	return r, cost
 }
 
-// may tells whether a request may go to an endpoint at all.
+// may reports whether a request may go to an endpoint, whatever its load.
 func (e *endpoint) may(w *waiter) bool {
 	if e.unlisted || e.state != view.Ready || slices.Contains(w.r.Avoid, e.target.ID) || !w.r.may(e.target.ID) {
 		return false
@@ -108,20 +158,22 @@
 		slices.ContainsFunc(e.models, func(m view.Model) bool { return m.Name == w.r.Model })
 }
 
-// probe tells whether a request should find out whether an endpoint that was out is well again. One at a
-// time does: first one that may run twice, then a small one, then any.
+// probe reports whether a request should try an ejected endpoint. One request at a time does: from the end of the ejection
+// on a request that may run twice, later also a small one, and later still any.
 func (e *endpoint) probe(c *core, w *waiter) bool {
-	from := e.outTill
+	from := e.ejectedUntil
 	if !w.r.Bulk && (w.r.Route == nil || !w.r.Route.Idempotent()) {
-		if from += e.outFor; float64(w.r.TokensIn) > e.pool.size.v {
-			from += e.outFor
+		if from += e.ejectedFor; float64(w.r.TokensIn) > e.pool.size.v {
+			from += e.ejectedFor
 		}
 	}
-	return e.outTill != 0 && c.now >= from && !e.probing
+	return e.ejectedUntil != 0 && c.now >= from && !e.probing
 }
 
+// slotsUnknown is the number of slots of an endpoint whose capacity is unknown.
 const slotsUnknown = 8
 
+// slots returns the number of requests that an endpoint runs at a time.
 func (e *endpoint) slots() int {
 	switch {
 	case e.capacity > 0:
@@ -132,39 +184,44 @@
 	return slotsUnknown
 }
 
-// rest guesses how many requests of others an endpoint has: what it told last, which fades to the mean.
+// rest estimates the requests of other senders at an endpoint: by the load that it reported last, which fades to the mean
+// of the pool.
 func (e *endpoint) rest(c *core) float64 {
 	if !e.told {
 		return e.pool.rest.v
 	}
-	keep := math.Exp(-float64(c.now-e.toldAt) / float64(c.set.TrustLoad))
+	keep := math.Exp(-float64(c.now-e.toldAt) / float64(c.settings.TrustLoad))
 	return e.pool.rest.v + keep*(e.others-e.pool.rest.v)
 }
 
+// load estimates the requests at an endpoint, of this sender and others.
 func (e *endpoint) load(c *core) float64 { return float64(len(e.running)) + e.rest(c) }
 
-// limit is the slice with what it has grown since it was cut.
+// limit returns the slice with its growth since the last refusal: the most starts in a narrow window.
 func (e *endpoint) limit(c *core) float64 {
 	if math.IsInf(e.slice, 1) {
 		return e.slice
 	}
-	return e.slice * (1 + float64(c.now-e.refusedAt)/(float64(c.set.Recover)*e.spread))
+	return e.slice * (1 + float64(c.now-e.refusedAt)/(float64(c.settings.Recover)*e.spread))
 }
 
+// ratio returns how many narrow windows the wide one has.
 func (e *endpoint) ratio() float64 { return float64(e.wide.Window) / float64(e.narrow.Window) }
 
-// open checks both counts.
+// open reports whether both send logs have room for another start. It lifts a limit that was far from being reached for a
+// narrow window.
 func (e *endpoint) open(c *core) bool {
 	limit := e.limit(c)
 	narrow, wide := float64(e.narrow.Count(c.now)), float64(e.wide.Count(c.now))
-	if !math.IsInf(limit, 1) && limit > 4*(narrow+4) && c.now-e.refusedAt > c.set.Narrow {
-		e.slice = math.Inf(1) // it has not bound for a window
+	if !math.IsInf(limit, 1) && limit > 4*(narrow+4) && c.now-e.refusedAt > c.settings.Narrow {
+		e.slice = math.Inf(1)
 		return true
 	}
 	return narrow < limit && wide < limit*e.ratio()
 }
 
-// roomAt is when both logs have room, at the latest: a slice that grows has it sooner.
+// roomAt returns the time by which both send logs have room for another start: when enough old starts have left them, or
+// the slice has grown, whichever is first.
 func (e *endpoint) roomAt(c *core) Time {
 	if e.open(c) {
 		return c.now
@@ -172,11 +229,11 @@
 	limit := e.limit(c)
 	at := max(e.narrow.RoomAt(c.now, int(limit)), e.wide.RoomAt(c.now, int(limit*e.ratio())))
 	n := max(float64(e.narrow.Count(c.now)), float64(e.wide.Count(c.now))/e.ratio()) + 1e-3
-	grown := time.Duration((n/e.slice - 1) * float64(c.set.Recover) * e.spread)
+	grown := time.Duration((n/e.slice - 1) * float64(c.settings.Recover) * e.spread)
 	return max(c.now, min(at, e.refusedAt+grown))
 }
 
-// hasRoom tells whether a request may go to an endpoint now.
+// hasRoom reports whether an endpoint has room for a request now.
 func (c *core) hasRoom(e *endpoint, w *waiter) bool {
 	if m := e.pool.maxConns; m > 0 && len(e.running) >= max(1, m*9/10/c.senders) {
 		return false
@@ -189,35 +246,35 @@
 		return false
 	}
 	if w.r.Bulk {
-		most := max(slots*(1-c.set.BulkHeadroom), 1)
+		most := max(slots*(1-c.settings.BulkHeadroom), 1)
 		if c.pressing(w) {
 			if most = slots; c.underFloor(e.pool, w) {
-				most = slots * (1 + c.set.QueueInAim)
+				most = slots * (1 + c.settings.QueueInAim)
 			}
 		}
 		return e.load(c)+1 <= most+1e-9
 	}
-	return e.load(c) < slots*(1+c.set.QueueInAim)
+	return e.load(c) < slots*(1+c.settings.QueueInAim)
 }
 
-// pressing tells whether a bulk item falls due soon, so that it may have the headroom too.
+// pressing reports whether a bulk request is due soon, so that it may also use the headroom.
 func (c *core) pressing(w *waiter) bool {
-	return c.now+c.set.Pressing > w.due
+	return c.now+c.settings.Pressing > w.due
 }
 
-// underFloor tells whether less bulk runs than always may, of this sender.
+// underFloor reports whether this sender runs less bulk than the share that is guaranteed to bulk.
 func (c *core) underFloor(p *pool, w *waiter) bool {
 	slots := 0
-	for _, e := range p.eps {
+	for _, e := range p.endpoints {
 		if !e.unlisted && e.state == view.Ready && w.r.may(e.target.ID) {
 			slots += e.slots()
 		}
 	}
-	return float64(p.bulk) < max(1, c.set.BulkFloor*float64(slots)/float64(c.senders))
+	return float64(p.bulk) < max(1, c.settings.BulkFloor*float64(slots)/float64(c.senders))
 }
 
-// kept guesses how many tokens of a prompt are kept at an endpoint: what this sender has sent there within the
-// lifetime of parts in that memory, or, of the shared parts, what others have by the order that all have in common.
+// kept estimates how many tokens of a prompt an endpoint has cached: the prefix that this sender has sent there within the
+// lifetime of cache entries, or the shared part that others have probably sent there, by its rank.
 func (c *core) kept(e *endpoint, w *waiter, ranks map[*endpoint]int, shared float64) float64 {
 	if len(w.chains) == 0 {
 		return 0
@@ -233,7 +290,8 @@
 	return known
 }
 
-// toFirst guesses the ms until the first word: a slot, what is read before it, its own prompt.
+// toFirst estimates the ms until the first word: the wait for a slot, and the reading of the prompts before this one and of
+// this one. It raises negative tokens to read to 0.
 func (c *core) toFirst(e *endpoint, w *waiter, base, slope float64, read *float64) float64 {
 	*read = max(*read, 0)
 	t := base + slope*(*read+e.unread())
@@ -244,7 +302,7 @@
 	return t
 }
 
-// unread is how many tokens of this sender's prompts are still to be read there.
+// unread returns the tokens of this sender's prompts that the endpoint has still to read.
 func (e *endpoint) unread() float64 {
 	n := 0.0
 	for _, r := range e.running {
@@ -255,18 +313,19 @@
 	return n
 }
 
-// preference is what an endpoint costs beside its time, in ms.
+// preference returns the cost of an endpoint in addition to the expected time, in ms: for its load, another zone, a cold
+// start, an overdue first word, and recent failures.
 func (c *core) preference(e *endpoint, w *waiter) float64 {
 	ms := float64(time.Millisecond)
 	taken := e.load(c) / float64(e.slots())
-	cost := float64(c.set.LoadCost) / ms * taken * taken
+	cost := float64(c.settings.LoadCost) / ms * taken * taken
 	if e.target.Zone != c.zone {
-		cost += float64(c.set.OtherZone) / ms
+		cost += float64(c.settings.OtherZone) / ms
 	}
 	if e.coldTill > c.now {
-		cost += c.set.ColdCost * float64(e.coldTill-c.now) / ms
+		cost += c.settings.ColdCost * float64(e.coldTill-c.now) / ms
 	}
-	if len(e.running) > 0 { // its oldest call has no word for longer than it should
+	if len(e.running) > 0 { // the oldest run without a first word may be overdue
 		for _, r := range e.running {
 			if !r.told {
 				late := float64(c.now-r.sent)/ms - 3*max(r.expected, 20)
@@ -278,13 +337,13 @@
 	return cost + 10*e.score
 }
 
-// inTime tells whether an answer that takes so long is worth asking for: in the aim a long queue may be joined,
-// late only a short one, and a shorter one the less urgent the route is.
+// inTime reports whether a run is worth starting whose first word is expected after so many ms. It must come before the
+// deadline. If it comes after the due time, the load must be low, the lower the less urgent the route is.
 func (c *core) inTime(e *endpoint, w *waiter, ms float64) bool {
 	if w.r.Bulk {
 		return true
 	}
-	late := e.pool.late.v * math.Exp(-float64(c.now-e.pool.word)/float64(c.set.LagFades))
+	late := e.pool.late.v * math.Exp(-float64(c.now-e.pool.word)/float64(c.settings.LagFades))
 	at := c.now + time.Duration((ms+max(0, late))*float64(time.Millisecond))
 	if at >= w.deadline {
 		return false
@@ -292,22 +351,22 @@
 	if w.due == 0 || at <= w.due {
 		return true
 	}
-	return e.load(c) < float64(e.slots())*c.set.QueueLate*math.Pow(0.8, float64(priority(w.r)))
+	return e.load(c) < float64(e.slots())*c.settings.QueueLate*math.Pow(0.8, float64(priority(w.r)))
 }
 
-// sharedParts is how many parts of a prompt others may bring too: all but the last, if there are more.
+// sharedParts returns the number of parts of a prompt that other requests may share: all but the last, if there are more.
 func sharedParts(w *waiter) int { return max(len(w.r.Prefix)-1, min(len(w.r.Prefix), 1)) }
 
-// ranks orders the endpoints that a request may go to by the hash of its shared parts, the same for all senders. Those
-// that are not certified for its regime are no homes.
+// ranks orders the endpoints that are ready and certified for a request's regime by rendezvous hashing of its shared
+// parts, with the same result at all senders.
 func (c *core) ranks(p *pool, w *waiter) map[*endpoint]int {
 	key := uint64(w.chains[sharedParts(w)-1])
 	type scored struct {
 		e *endpoint
 		h uint64
 	}
-	list := make([]scored, 0, len(p.eps))
-	for _, e := range p.eps {
+	list := make([]scored, 0, len(p.endpoints))
+	for _, e := range p.endpoints {
 		if !e.unlisted && e.state == view.Ready && w.r.may(e.target.ID) {
 			list = append(list, scored{e, mix(key, e.hash)})
 		}
@@ -327,8 +386,8 @@
 	return out
 }
 
-// belief is how surely shared parts that this sender has not sent to an endpoint are kept there, by its place in
-// their order: others send them there too.
+// belief estimates the probability that an endpoint has cached shared parts that this sender has not sent there, by its
+// rank: other senders prefer the same endpoints.
 func belief(rank int) float64 {
 	switch rank {
 	case 0:
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -9,44 +9,45 @@
 	"dunetide/internal/view"
 )
 
-// Time is a reading of a steady clock.
+// Time is a reading of a monotonic clock.
 type Time = sendlog.Time
 
-// core decides. It is stepped: it has no clock, no goroutine, and no randomness but what it is given.
+// core makes the decisions of a Dispatcher. It has no clock, no goroutine and no source of randomness of its own. It is not
+// safe for concurrent use.
 type core struct {
-	set     Settings
-	zone    string
-	rng     func() float64 // in [0, 1)
-	now     Time
-	senders int
+	settings Settings
+	zone     string
+	rng      func() float64 // in [0, 1)
+	now      Time
+	senders  int // processes that send to the same endpoints
 
 	endpoints map[string]*endpoint
 	pools     map[string]*pool
-	order     []*pool // in order of first mention
-	held      int
-	listing   uint64 // counts the snapshots
+	order     []*pool // in the order in which they were first named
+	held      int     // requests that wait, in all pools
+	listing   uint64  // the number of snapshots so far
 }
 
-// pool is the endpoints of a service with those who wait for one of them.
+// pool is the endpoints of a service and the requests that wait for one of them.
 type pool struct {
-	service  string
-	eps      []*endpoint // by id
-	maxConns int
-	capacity int
-	cache    int64 // tokens
-	known    bool  // an endpoint was ever listed
-
-	first line // ms to the first word, by tokens to read
-	work  mean // ms from the grant to the end
-	rest  mean // requests of others at an endpoint
-	bulk  int  // running
-	size  mean // tokens of a prompt
-	late  mean // ms that first words come later than expected, of late
-	word  Time // the last first word
-	hold  []*waiter
+	service   string
+	endpoints []*endpoint // by id
+	maxConns  int
+	capacity  int
+	cache     int64 // tokens
+	known     bool  // an endpoint has been listed
+
+	first line      // ms to the first word, by tokens to read
+	work  mean      // ms from the grant to the end
+	rest  mean      // requests of other senders at an endpoint
+	bulk  int       // bulk requests that are running
+	size  mean      // tokens of a prompt
+	late  mean      // ms by which recent first words came later than expected
+	word  Time      // when the last first word came
+	hold  []*waiter // in the order of before
 }
 
-// endpoint is one incarnation.
+// endpoint is one incarnation of an endpoint.
 type endpoint struct {
 	pool     *pool
 	target   Target
@@ -57,33 +58,35 @@
 	coldTill Time
 
 	narrow, wide sendlog.Log
-	passed       sendlog.Log // runs that were served, in the narrow window
-	slice        float64     // starts in a narrow window; infinite until a refusal
-	cutAt        Time        // the last refusal that cut it
-	refusedAt    Time        // the last refusal, since which it has grown
-	spread       float64     // so that senders that saw the same do not come back together
-
-	running  []*run // granted and not ended, oldest first
-	others   float64
-	toldAt   Time
-	told     bool
-	fullTill Time
-	fullAt   float64 // requests running and waiting that it turned others away at; 0: not known
-	slowness mean    // its time to the first word against what was expected
-
-	score    float64
-	outTill  Time // 0: sound
-	outFor   time.Duration
-	probing  bool
-	cache    prefixCache
-	unlisted bool // not in the newest snapshot: gets nothing, and is forgotten when its runs have ended
+	passed       sendlog.Log // runs that were served in the narrow window
+	slice        float64     // most starts in a narrow window; infinite until a refusal
+	cutAt        Time        // the last refusal that cut the slice
+	refusedAt    Time        // the last refusal, from which on the slice grows
+	spread       float64     // random factor of the growth, so that senders do not return all at once
+
+	running  []*run  // granted and not ended, the oldest first
+	others   float64 // requests of other senders, by the last load that it reported
+	toldAt   Time    // when it last reported a load
+	told     bool    // it has reported a load
+	fullTill Time    // it counts as full until then
+	fullAt   float64 // running and waiting requests with which it refused one; 0 if unknown
+	slowness mean    // time to the first word as a multiple of the expected time
+
+	score        float64       // failures since the last success
+	ejectedUntil Time          // 0 if it is not ejected
+	ejectedFor   time.Duration // how long it was ejected last
+	probing      bool          // a probe is running
+	cache        prefixCache
+	unlisted     bool // not in the newest snapshot: it gets no requests, and is dropped when its runs have ended
 }
 
-func newCore(set Settings, zone string, rng func() float64) *core {
-	return &core{set: set.withDefaults(), zone: zone, rng: rng, senders: 1,
+// newCore returns a core without endpoints. The function rng returns random numbers in [0, 1).
+func newCore(settings Settings, zone string, rng func() float64) *core {
+	return &core{settings: settings.withDefaults(), zone: zone, rng: rng, senders: 1,
 		endpoints: map[string]*endpoint{}, pools: map[string]*pool{}}
 }
 
+// pool returns the pool of a service, a new one if there is none.
 func (c *core) pool(service string) *pool {
 	p := c.pools[service]
 	if p == nil {
@@ -94,7 +97,7 @@
 	return p
 }
 
-// update takes in a new snapshot. What is not in it gets nothing more.
+// update applies a new snapshot. Endpoints that are not in it get no further requests.
 func (c *core) update(s *view.Snapshot) {
 	if s == nil {
 		return
@@ -128,7 +131,7 @@
 	}
 	c.order = slices.DeleteFunc(c.order, func(p *pool) bool {
 		configured := s.Config == nil || s.Config.Services[p.service] != nil
-		if len(p.eps) > 0 || len(p.hold) > 0 || configured {
+		if len(p.endpoints) > 0 || len(p.hold) > 0 || configured {
 			return false
 		}
 		delete(c.pools, p.service)
@@ -137,6 +140,7 @@
 	c.serveAll()
 }
 
+// listed adds an endpoint of a snapshot, or updates it.
 func (c *core) listed(p *pool, v *view.Endpoint) {
 	e := c.endpoints[v.ID]
 	if e == nil {
@@ -145,12 +149,12 @@
 		}
 		e = &endpoint{pool: p, hash: view.Hash(v.ID), slice: math.Inf(1), slowness: mean{1},
 			spread: 0.75 + 0.5*c.rng(),
-			narrow: sendlog.Log{Window: c.set.Narrow, Most: c.set.MostSends},
-			passed: sendlog.Log{Window: c.set.Narrow, Most: c.set.MostSends},
-			wide:   sendlog.Log{Window: c.set.Wide, Most: c.set.MostSends}}
+			narrow: sendlog.Log{Window: c.settings.Narrow, Most: c.settings.MostSends},
+			passed: sendlog.Log{Window: c.settings.Narrow, Most: c.settings.MostSends},
+			wide:   sendlog.Log{Window: c.settings.Wide, Most: c.settings.MostSends}}
 		c.endpoints[v.ID] = e
 		p.known = true
-		i, _ := slices.BinarySearchFunc(p.eps, v.ID, func(e *endpoint, id string) int {
+		i, _ := slices.BinarySearchFunc(p.endpoints, v.ID, func(e *endpoint, id string) int {
 			if e.target.ID < id {
 				return -1
 			} else if e.target.ID > id {
@@ -158,7 +162,7 @@
 			}
 			return 0
 		})
-		p.eps = slices.Insert(p.eps, i, e)
+		p.endpoints = slices.Insert(p.endpoints, i, e)
 	}
 	if e.pool != p { // an incarnation never changes its service
 		return
@@ -177,17 +181,18 @@
 	}
 }
 
-// forget drops an incarnation that is listed no more and at which nothing runs.
+// forget drops an endpoint that is no longer listed and has no runs.
 func (c *core) forget(e *endpoint) {
 	if !e.unlisted || len(e.running) > 0 {
 		return
 	}
 	delete(c.endpoints, e.target.ID)
-	e.pool.eps = slices.DeleteFunc(e.pool.eps, func(x *endpoint) bool { return x == e })
+	e.pool.endpoints = slices.DeleteFunc(e.pool.endpoints, func(x *endpoint) bool { return x == e })
 }
 
+// anyListed reports whether a pool has a listed endpoint that is ready.
 func (c *core) anyListed(p *pool) bool {
-	for _, e := range p.eps {
+	for _, e := range p.endpoints {
 		if !e.unlisted && e.state == view.Ready {
 			return true
 		}
@@ -195,9 +200,10 @@
 	return false
 }
 
-const mostLag = 300 // ms that one first word counts
+// mostLag is the most ms by which one first word counts as late or early.
+const mostLag = 300
 
-// lag takes in how many ms later than expected a first word came.
+// lag adds the ms by which a first word came later than expected to the recent mean. Older values fade.
 func (p *pool) lag(now Time, ms float64, fades time.Duration) {
 	old := math.Exp(-float64(now-p.word) / float64(fades))
 	p.late.v *= old
@@ -205,7 +211,7 @@
 	p.word = now
 }
 
-// tell takes in what an endpoint says of its load: the part that isn't this sender's is the others'.
+// tell applies a load that an endpoint reported. The part of it that is not this sender's belongs to others.
 func (c *core) tell(e *endpoint, l Load) {
 	if !l.Known {
 		return
@@ -219,7 +225,7 @@
 		e.fullAt = max(e.fullAt, float64(l.Running+l.Waiting))
 	}
 	e.pool.rest.add(e.others, 0.1)
-	if l.Waiting == 0 && 2*l.Running < l.Slots && c.now-e.cutAt > c.set.FullFor {
-		e.slice = math.Inf(1) // half of it is free: nothing is full any more
+	if l.Waiting == 0 && 2*l.Running < l.Slots && c.now-e.cutAt > c.settings.FullFor {
+		e.slice = math.Inf(1) // half of its slots are free, so the limit no longer holds
 	}
 }
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -269,7 +269,7 @@
 		t.Error("forgotten though a request runs there")
 	}
 	b.c.end(w.grant, Served, Load{})
-	if b.endpoint("e1") != nil || len(b.c.pool("s").eps) != 0 {
+	if b.endpoint("e1") != nil || len(b.c.pool("s").endpoints) != 0 {
 		t.Error("not forgotten")
 	}
 }
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -8,36 +8,36 @@
 	"dunetide/internal/view"
 )
 
-// waiter is a request in the hold, or on its way through.
+// waiter is a request that waits in the hold of its pool, or is being decided on.
 type waiter struct {
 	r        *Request
 	chains   []chain
 	deadline Time
 	due      Time
-	giveUp   Time // refused then
+	giveUp   Time // when it is refused
 	seq      uint64
-	ranks    map[*endpoint]int // of listing
+	ranks    map[*endpoint]int // computed for the snapshot listing
 	listing  uint64
 	grant    *run
 	refused  *Refused
 	done     func(*waiter) // called once, with grant or refused set
 }
 
-// acquire lets a request through, holds it or refuses it.
+// acquire grants a run to a request, holds it, or refuses it.
 func (c *core) acquire(w *waiter) {
 	p := c.pool(w.r.Service)
 	if len(w.r.Prefix) > 0 {
 		w.chains = chainOf(w.r.Model, w.r.Prefix)
 	}
 	if !c.mustWait(p, w) {
-		if e, run := c.choose(p, w); e != nil {
+		if run := c.choose(p, w); run != nil {
 			c.start(w, run)
 			return
 		}
 	}
 	if !w.r.Bulk {
-		// A certificate may come or count again within the hold; another endpoint that was asked already doesn't.
-		if w.r.Regime == "" && c.anyListed(p) && !slices.ContainsFunc(p.eps, func(e *endpoint) bool { return e.may(w) }) {
+		// A certificate may become valid while the request waits, but an endpoint that it must avoid stays excluded.
+		if w.r.Regime == "" && c.anyListed(p) && !slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return e.may(w) }) {
 			c.refuse(p, w, "no endpoint is left to ask")
 			return
 		}
@@ -47,7 +47,7 @@
 			return
 		}
 	}
-	if c.held >= c.set.MostHeld {
+	if c.held >= c.settings.MostHeld {
 		c.refuse(p, w, "the hold is full")
 		return
 	}
@@ -56,7 +56,8 @@
 	c.held++
 }
 
-// before orders the hold: interactive by priority, then by deadline; then bulk by what falls due first.
+// before compares the places of two requests in the hold: first interactive ones by priority and deadline, then bulk by
+// due time. It returns a negative number if a goes first.
 func before(a, b *waiter) int {
 	switch {
 	case a.r.Bulk != b.r.Bulk:
@@ -85,6 +86,7 @@
 	return 0
 }
 
+// priority returns the priority of a request. Lower numbers are more urgent.
 func priority(r *Request) int {
 	if r.Route == nil {
 		return 0
@@ -92,7 +94,7 @@
 	return r.Route.Priority
 }
 
-// mustWait tells whether others wait that go first and may go wherever this one may.
+// mustWait reports whether a request that goes first waits for the same endpoints.
 func (c *core) mustWait(p *pool, w *waiter) bool {
 	for _, h := range p.hold {
 		if before(h, w) > 0 {
@@ -114,15 +116,16 @@
 	return false
 }
 
-// overlaps tells whether one that waits may go wherever another may, by its regime: else it has not to be waited for,
-// as what it waits for may be of no use to the other.
+// overlaps reports whether a waiting request may go, by its regime, to all endpoints that another one may go to. If not,
+// the other one need not wait for it, because it may wait for endpoints that the other one cannot use.
 func overlaps(h, w *waiter) bool { return h.r.Regime == "" || h.r.Regime == w.r.Regime }
 
-// giveUp is how long a request is held: a share of its target, and twice that where an endpoint had a try.
+// giveUp returns when a request is refused if it still waits: after a share of its route's target, or twice that if an
+// endpoint was tried before, and at its deadline at the latest.
 func (c *core) giveUp(w *waiter, arrived Time) Time {
 	hold := time.Duration(math.MaxInt64 / 4)
 	if t := w.r.Route; t != nil && t.TargetMs > 0 {
-		hold = time.Duration(c.set.HoldShare * float64(t.TargetMs) * float64(time.Millisecond))
+		hold = time.Duration(c.settings.HoldShare * float64(t.TargetMs) * float64(time.Millisecond))
 	}
 	if len(w.r.Avoid) > 0 {
 		hold *= 2
@@ -139,8 +142,9 @@
 	return min(w.deadline, arrived+hold)
 }
 
+// refuse refuses a request for a reason and says when to retry.
 func (c *core) refuse(p *pool, w *waiter, reason string) {
-	wait := max(c.expectedWait(p, w), c.set.LeastRetry)
+	wait := max(c.expectedWait(p, w), c.settings.LeastRetry)
 	wait = min(wait, max(0, w.deadline-c.now)/3)
 	w.refused = &Refused{Reason: p.service + ": " + reason, RetryAfter: max(wait, 0)}
 	if w.r.Regime != "" && reason != closing {
@@ -149,20 +153,20 @@
 	w.done(w)
 }
 
-// expectedWait guesses how long until an endpoint has room for a request.
+// expectedWait estimates the time until an endpoint has room for a request.
 func (c *core) expectedWait(p *pool, w *waiter) time.Duration {
 	soonest := time.Duration(math.MaxInt64)
 	slots := 0.0
-	for _, e := range p.eps {
+	for _, e := range p.endpoints {
 		if e.unlisted || e.state != view.Ready || !w.r.may(e.target.ID) {
 			continue
 		}
-		wait := max(0, e.outTill-c.now, e.fullTill-c.now, e.roomAt(c)-c.now)
+		wait := max(0, e.ejectedUntil-c.now, e.fullTill-c.now, e.roomAt(c)-c.now)
 		soonest = min(soonest, wait)
 		slots += float64(e.slots())
 	}
 	if slots == 0 {
-		return c.set.LeastRetry
+		return c.settings.LeastRetry
 	}
 	ahead := 0
 	for _, h := range p.hold {
@@ -170,19 +174,19 @@
 			ahead++
 		}
 	}
-	// Of the slots that come free, this sender has its part.
+	// Of the slots that become free, each sender gets an equal part.
 	each := time.Duration(p.work.v * float64(time.Millisecond) * float64(c.senders) / slots)
 	return soonest + time.Duration(ahead+1)*each
 }
 
-// serveAll goes through the holds after something has changed.
+// serveAll serves the holds of all pools after a change.
 func (c *core) serveAll() {
 	for _, p := range c.order {
 		c.serve(p)
 	}
 }
 
-// interactive tells whether interactive requests wait that may go wherever one may.
+// interactive reports whether interactive requests found no room that may go to all endpoints of a request.
 func interactive(all []failures, r *Request) bool {
 	for _, f := range all {
 		if !f.bulk && f.n > 0 && (f.regime == "" || f.regime == r.Regime) {
@@ -192,12 +196,14 @@
 	return false
 }
 
+// serve goes through the hold of a pool, and starts the requests that have room and refuses those that have waited for
+// too long.
 func (c *core) serve(p *pool) {
 	if len(p.hold) == 0 {
 		return
 	}
 	list := slices.Clone(p.hold)
-	// Bulk that is overdue goes last: else all of it would be late once some is.
+	// Overdue bulk goes last. Otherwise all bulk would be late once some is.
 	slices.SortStableFunc(list, func(a, b *waiter) int { return c.overdue(a) - c.overdue(b) })
 	gone := false
 	var few [4]failures
@@ -210,7 +216,7 @@
 		}
 		n := failuresOf(&all, w.r)
 		if *n < mostFailures && (!w.r.Bulk || !interactive(all, w.r) || c.pressing(w)) {
-			if e, run := c.choose(p, w); e != nil {
+			if run := c.choose(p, w); run != nil {
 				c.start(w, run)
 				gone = true
 				continue
@@ -225,6 +231,7 @@
 	}
 }
 
+// overdue returns 1 for a bulk request whose due time has passed, else 0.
 func (c *core) overdue(w *waiter) int {
 	if w.r.Bulk && c.now >= w.due {
 		return 1
@@ -232,7 +239,7 @@
 	return 0
 }
 
-// withdraw takes a request out of the hold again. It tells whether it was there.
+// withdraw removes a request from the hold and reports whether it was there.
 func (c *core) withdraw(w *waiter) bool {
 	p := c.pools[w.r.Service]
 	if p == nil || w.grant != nil || w.refused != nil {
@@ -247,7 +254,7 @@
 	return true
 }
 
-// wake is when to step again though nothing happens, if at all.
+// wake returns when step must be called even if nothing happens, and false if it need not be.
 func (c *core) wake() (Time, bool) {
 	at := Time(math.MaxInt64)
 	for _, p := range c.order {
@@ -260,13 +267,13 @@
 			}
 		}
 		soonest := Time(math.MaxInt64)
-		for _, e := range p.eps {
+		for _, e := range p.endpoints {
 			if e.unlisted || e.state != view.Ready {
 				continue
 			}
-			next := max(e.outTill, e.fullTill, e.roomAt(c))
-			if next <= c.now { // no clock opens it; what is told of others fades
-				next = c.now + c.set.TrustLoad/10
+			next := max(e.ejectedUntil, e.fullTill, e.roomAt(c))
+			if next <= c.now { // it is full by its load, of which the part of others fades
+				next = c.now + c.settings.TrustLoad/10
 			}
 			soonest = min(soonest, next)
 		}
@@ -275,21 +282,21 @@
 	return max(at, c.now+time.Millisecond), at != math.MaxInt64
 }
 
-// step lets time pass.
+// step applies the passing of time.
 func (c *core) step() { c.serveAll() }
 
-// first takes in that a run's first word came.
+// first records that the first word of a run came, with a load.
 func (c *core) first(r *run, l Load) {
 	if r.ended || r.told {
 		return
 	}
 	r.told = true
 	r.heard = l.Known
-	e := r.e
+	e := r.endpoint
 	c.tell(e, l)
 	took := float64(c.now-r.sent) / float64(time.Millisecond)
 	e.slowness.add(min(max(took/max(r.expected, 0.5), 0.25), 4), 0.1)
-	e.pool.lag(c.now, min(max(took-r.expected, -mostLag), mostLag), c.set.LagFades)
+	e.pool.lag(c.now, min(max(took-r.expected, -mostLag), mostLag), c.settings.LagFades)
 	if r.alone {
 		e.pool.first.add(r.read, took)
 	}
