Dispatch: settings, requests and the dispatcher described in plain words

Comments said what a figure was for in half sentences; they give the unit, the bound and the default now.

go test -race ./internal/dispatch passes (37 s on a machine under full load).

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,18 +9,18 @@
 	"dunetide/internal/view"
 )
 
-// Options of a dispatcher.
+// Options configures a Dispatcher.
 type Options struct {
-	Zone     string       // of this machine
-	Holder   *view.Holder // whose newest snapshot it begins with; may be nil
-	Now      func() time.Time
-	Rand     func() float64 // in [0, 1)
+	Zone     string           // of this machine
+	Holder   *view.Holder     // whose newest snapshot it starts with; may be nil
+	Now      func() time.Time // default time.Now
+	Rand     func() float64   // random numbers in [0, 1); default rand.Float64
 	Settings Settings
 }
 
-// Dispatcher is the Admission of a proxy. Its core is owned by one goroutine at a time, which works through the
-// queue of commands: whoever posts to an idle queue is the owner until it is empty, so that a request that need
-// not wait passes without a switch of goroutines.
+// Dispatcher is the Admission of a proxy. It is safe for concurrent use. One goroutine at a time owns the core and runs the
+// queue of commands: the goroutine that posts to an idle queue owns the core until the queue is empty, so a request that
+// need not wait is granted without a switch of goroutines.
 type Dispatcher struct {
 	now    func() time.Time
 	origin time.Time
@@ -30,17 +30,17 @@
 	spare   []func(*core)
 	working bool
 
-	core  *core // of the owner
-	timer *time.Timer
-	armed Time // of the owner; 0: not
-	seq   uint64
-
-	closing bool // of the owner
+	// Only the owner uses these.
+	core    *core
+	timer   *time.Timer
+	armed   Time   // when the timer fires, 0 if it is stopped
+	seq     uint64 // of the last request
+	closing bool
 }
 
 var _ Admission = (*Dispatcher)(nil)
 
-// New returns a dispatcher that knows what the holder has.
+// New returns a dispatcher with the newest snapshot of the holder.
 func New(o Options) *Dispatcher {
 	if o.Now == nil {
 		o.Now = time.Now
@@ -57,14 +57,15 @@
 	return d
 }
 
-// Update takes in a new snapshot.
+// Update applies a new snapshot.
 func (d *Dispatcher) Update(s *view.Snapshot) {
 	d.post(func(c *core) { c.update(s) })
 }
 
+// closing is the reason for refusals after Close.
 const closing = "this node is closing"
 
-// Close refuses what waits and all that comes.
+// Close refuses all requests that wait and all later ones.
 func (d *Dispatcher) Close() {
 	d.post(func(c *core) {
 		d.closing = true
@@ -78,7 +79,7 @@
 	})
 }
 
-// Acquire is of Admission.
+// Acquire implements Admission.
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (Grant, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
@@ -116,7 +117,7 @@
 	return &grant{d, w.grant}, nil
 }
 
-// at is a moment on the core's clock; 0 when none is told.
+// at converts a time to the core's clock. The zero time is 0.
 func (d *Dispatcher) at(t time.Time) Time {
 	if t.IsZero() {
 		return 0
@@ -124,6 +125,10 @@
 	return t.Sub(d.origin)
 }
 
+// maxSpare is the most commands for which a batch is kept for reuse.
+const maxSpare = 256
+
+// post queues a command, and runs the queue if no other goroutine does.
 func (d *Dispatcher) post(command func(*core)) {
 	d.mu.Lock()
 	d.queue = append(d.queue, command)
@@ -143,7 +148,7 @@
 		d.arm()
 		d.mu.Lock()
 		clear(batch)
-		if d.spare = batch; cap(batch) > 256 {
+		if d.spare = batch; cap(batch) > maxSpare {
 			d.spare = nil
 		}
 	}
@@ -151,7 +156,7 @@
 	d.mu.Unlock()
 }
 
-// arm sets the one timer to the first moment that matters.
+// arm sets the timer to the time at which the core has to step next, or stops it.
 func (d *Dispatcher) arm() {
 	at, any := d.core.wake()
 	switch {
@@ -166,6 +171,7 @@
 	}
 }
 
+// woken steps the core when the timer fires.
 func (d *Dispatcher) woken() {
 	d.post(func(c *core) {
 		d.armed = 0
@@ -173,6 +179,7 @@
 	})
 }
 
+// grant implements Grant.
 type grant struct {
 	d   *Dispatcher
 	run *run
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -2,46 +2,48 @@
 
 import "time"
 
-// Settings are the figures of admission and placement. Zero fields take their defaults.
+// Settings are the parameters of admission and placement. A zero field takes its default.
 type Settings struct {
-	Narrow, Wide time.Duration // windows of the send logs
-	MostSends    int           // entries a log keeps
-	Recover      time.Duration // after a refusal a slice grows by itself in this time, while no other comes
-	Cut          float64       // what a further refusal leaves of a slice
-	LeastCut     float64       // but no less than this of what was served in a narrow window
+	Narrow, Wide time.Duration // windows of the two send logs of an endpoint
+	MostSends    int           // most entries of a send log
+	Recover      time.Duration // time after a refusal in which a slice grows by its own size
+	Cut          float64       // factor by which a further refusal reduces a slice
+	LeastCut     float64       // lower bound of a slice, as a share of the runs served in a narrow window
 
-	MostHeld     int           // requests in the hold, over all services
-	HoldShare    float64       // of a route's target, the longest a request is held
-	LeastRetry   time.Duration // the least that a refused client is told
-	TrustLoad    time.Duration // in which what others are told to run fades to their mean
-	FullFor      time.Duration // an endpoint that refused without telling its load counts as full
-	QueueInAim   float64       // capacities that may queue at an endpoint while the answer is in aim
-	QueueLate    float64       // capacities that may be taken or queue where the answer will be late
-	LagFades     time.Duration // in which the lateness of first words fades
-	BulkHeadroom float64       // share of capacity that bulk leaves free
-	BulkFloor    float64       // share of capacity that pressing bulk may have however full it is
-	Pressing     time.Duration // before it falls due, bulk has the headroom too and waits for nobody
+	MostHeld     int           // most waiting requests of all services
+	HoldShare    float64       // longest wait of a request, as a share of its route's target
+	LeastRetry   time.Duration // shortest time after which a refused client may retry
+	TrustLoad    time.Duration // time constant with which a reported load of other senders fades to the mean
+	FullFor      time.Duration // time for which an endpoint counts as full that refused without a load
+	QueueInAim   float64       // capacities that may queue at an endpoint if the answer is in time
+	QueueLate    float64       // capacities that may run or queue at an endpoint if the answer is late
+	LagFades     time.Duration // time constant with which the lateness of first words fades
+	BulkHeadroom float64       // share of the capacity that bulk leaves free
+	BulkFloor    float64       // share of the capacity that pressing bulk may use at any load
+	Pressing     time.Duration // time before its due time from which bulk may use the headroom and need not wait for others
 
-	LoadFactor, LoadSlack float64 // bounded load: at most factor x mean + slack at a prompt's home
-	FreeShare             float64 // of a capacity; a load below it is never too much for a home
-	Reread                float64 // what reading a shared part again costs beside its time, in its time
-	OtherZone             time.Duration
-	LoadCost              time.Duration // what a fully taken capacity costs
-	ColdCost              float64       // what each ms of start-up that is left costs
+	LoadFactor, LoadSlack float64       // a load above factor x mean + slack is too much for further requests of a shared prefix
+	FreeShare             float64       // share of the capacity up to which a load is never too much
+	Reread                float64       // cost of reading a shared part again, as a multiple of the time it takes
+	OtherZone             time.Duration // cost of an endpoint in another zone
+	LoadCost              time.Duration // cost of an endpoint that is fully loaded
+	ColdCost              float64       // cost of each ms that is left of a cold start, in ms
 
-	SickFrom   float64 // failure score that takes an endpoint out
-	OutLeast   time.Duration
-	OutMost    time.Duration
-	CacheParts int // parts that are remembered an endpoint
+	SickFrom   float64       // failure score from which an endpoint is ejected
+	OutLeast   time.Duration // shortest ejection
+	OutMost    time.Duration // longest ejection
+	CacheParts int           // most parts of prompts that are remembered for each endpoint
 }
 
-func orElse[T comparable](v *T, d T) {
+// orElse sets a value to a default if it is zero.
+func orElse[T comparable](value *T, byDefault T) {
 	var zero T
-	if *v == zero {
-		*v = d
+	if *value == zero {
+		*value = byDefault
 	}
 }
 
+// withDefaults returns the settings with defaults in place of zero fields.
 func (s Settings) withDefaults() Settings {
 	orElse(&s.Narrow, 5*time.Second)
 	orElse(&s.Wide, 12*s.Narrow)
