--- a/internal/journal/apply.go
+++ b/internal/journal/apply.go
@@ -3,90 +3,37 @@
 import (
 	"fmt"
 	"io"
-	"time"
 
 	"dunetide/policy"
 )
 
-// apply takes one record into the state. In doubt, an outcome proves nothing: the
-// attempt that it belongs to may not be the one on record.
+// apply applies one record of a segment to the state. With doubt, an outcome is no proof that the message has not run:
+// the attempt that it belongs to may be missing from the records that were read.
 func (j *Journal) apply(segment uint64, payload []byte, doubt bool) error {
 	r := reader{b: payload}
 	kind, seq := r.u8(), policy.MessageID(r.uvarint())
 	j.next = max(j.next, seq+1)
-	m := j.live[seq]
+	message := j.live[seq]
 	switch kind {
 	case recTaken:
-		m = &Message{Seq: seq, home: j}
-		m.ID, m.Key = string(r.bytes()), string(r.bytes())
-		m.Class, m.Dest = int(r.uvarint()), int(r.uvarint())
-		m.Deadline = time.UnixMicro(int64(r.uvarint()))
-		m.Past.Attempts, m.Past.RanZone = int(r.uvarint()), int(r.uvarint())
-		flags := r.u8()
-		m.Past.Settled, m.Past.Out, m.Past.MayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
-		if at := r.uvarint(); m.Past.MayRun {
-			m.Past.RanAt = time.UnixMicro(int64(at))
-		}
-		if flags&8 != 0 {
-			m.Notice = r.notice(m.ID)
-		}
-		m.Body = append([]byte(nil), r.bytes()...)
-		if r.bad {
-			return io.ErrUnexpectedEOF
-		}
-		j.live[seq], j.home[seq] = m, segment
+		j.applyTaken(&r, seq, segment)
 	case recAttempt:
-		name, zone, at := string(r.bytes()), int(r.uvarint()), time.UnixMicro(int64(r.uvarint()))
-		if r.bad {
-			break
-		}
-		if e := j.remember(name); len(e.Sent) == 0 || !e.Sent[len(e.Sent)-1].Equal(at) {
-			e.Sent = append(e.Sent, at)
-		}
-		if m != nil {
-			m.Past.attempt(name, zone, at)
-		}
+		j.applyAttempt(&r, message)
 	case recOutcome:
-		outcome, name, at := policy.Outcome(r.u8()), string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
-		if r.bad {
-			break
-		}
-		if m != nil {
-			m.Past.outcome(neverRan(outcome) && !doubt)
-		}
-		if failed(outcome) {
-			j.remember(name).fail(outcome, at)
-		}
+		j.applyOutcome(&r, message, doubt)
 	case recEnded:
-		if m != nil {
-			m.Notice = r.notice(m.ID)
+		if message != nil {
+			message.Notice = r.notice(message.ID)
 		}
 	case recClosed:
-		name, at := string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
-		if e := j.remember(name); name != "" && !r.bad {
-			e.back(at)
-		}
-		if m != nil {
-			j.Over.Add(m.ID)
-		}
-		delete(j.live, seq)
-		delete(j.home, seq)
+		j.applyClosed(&r, seq, message)
 	case recOrder:
-		out, name, at := r.u8() == 1, string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
-		if r.bad {
-			break
-		}
-		if out {
-			j.orders[name] = segment
-			break
-		}
-		delete(j.orders, name)
-		j.remember(name).restarted(at)
+		j.applyOrder(&r, segment)
 	case recOver:
 		for _, id := range r.ids() {
 			j.Over.Add(id)
 		}
-	case recNext, recEnd: // its number counts already
+	case recNext, recEnd: // the number of recNext has been applied above
 	default:
 		return fmt.Errorf("unknown kind %d", kind)
 	}
@@ -95,3 +42,81 @@
 	}
 	return nil
 }
+
+// applyTaken adds a message with its past, in place of what is known of it.
+func (j *Journal) applyTaken(r *reader, seq policy.MessageID, segment uint64) {
+	message := &Message{Seq: seq, home: j}
+	message.ID, message.Key = string(r.bytes()), string(r.bytes())
+	message.Class, message.Dest = int(r.uvarint()), int(r.uvarint())
+	message.Deadline = r.time()
+	past := &message.Past
+	past.Attempts, past.RanZone = int(r.uvarint()), int(r.uvarint())
+	flags := r.u8()
+	past.Settled, past.Out, past.MayRun = flags&flagSettled != 0, flags&flagOut != 0, flags&flagMayRun != 0
+	if ranAt := r.time(); past.MayRun {
+		past.RanAt = ranAt
+	}
+	if flags&flagNotice != 0 {
+		message.Notice = r.notice(message.ID)
+	}
+	message.Body = append([]byte(nil), r.bytes()...)
+	if !r.bad {
+		j.live[seq], j.home[seq] = message, segment
+	}
+}
+
+// applyAttempt adds an attempt to a message, if it is known, and to what is known of the endpoint.
+func (j *Journal) applyAttempt(r *reader, message *Message) {
+	endpoint, zone, at := string(r.bytes()), int(r.uvarint()), r.time()
+	if r.bad {
+		return
+	}
+	// The messages of a bundle have one record each for the same call.
+	if memory := j.remember(endpoint); len(memory.Sent) == 0 || !memory.Sent[len(memory.Sent)-1].Equal(at) {
+		memory.Sent = append(memory.Sent, at)
+	}
+	if message != nil {
+		message.Past.attempt(endpoint, zone, at)
+	}
+}
+
+// applyOutcome ends the last attempt at a message, if it is known, and adds a failure to what is known of the endpoint.
+func (j *Journal) applyOutcome(r *reader, message *Message, doubt bool) {
+	outcome, endpoint, at := policy.Outcome(r.u8()), string(r.bytes()), r.time()
+	if r.bad {
+		return
+	}
+	if message != nil {
+		message.Past.outcome(neverRan(outcome) && !doubt)
+	}
+	if failed(outcome) {
+		j.remember(endpoint).fail(outcome, at)
+	}
+}
+
+// applyClosed removes a message and adds the success to what is known of the endpoint, if one is named.
+func (j *Journal) applyClosed(r *reader, seq policy.MessageID, message *Message) {
+	endpoint, at := string(r.bytes()), r.time()
+	if memory := j.remember(endpoint); endpoint != "" && !r.bad {
+		memory.back(at)
+	}
+	if message != nil {
+		j.Over.Add(message.ID)
+	}
+	delete(j.live, seq)
+	delete(j.home, seq)
+}
+
+// applyOrder adds or removes an order for an endpoint. One that may serve again counts as restarted.
+func (j *Journal) applyOrder(r *reader, segment uint64) {
+	out, endpoint, at := r.u8() == 1, string(r.bytes()), r.time()
+	if r.bad {
+		return
+	}
+	if out {
+		j.orders[endpoint] = segment
+		return
+	}
+	delete(j.orders, endpoint)
+	j.remember(endpoint).restarted(at)
+}
--- a/internal/journal/begin.go
+++ b/internal/journal/begin.go
@@ -12,10 +12,10 @@
 	"dunetide/policy"
 )
 
-// Open replays the journal in a folder. The messages that are owed something come back
-// in the order in which they were taken.
-func Open(o Options) (*Journal, []*Message, error) {
-	j, err := Replay(o)
+// Open replays the journal in a folder and begins to write it. It returns the live messages in the order in which they
+// were accepted.
+func Open(options Options) (*Journal, []*Message, error) {
+	j, err := Replay(options)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -23,7 +23,11 @@
 	return j, owed, err
 }
 
-// Replay reads what is in a folder and writes nothing.
+// segmentsOfLimit is the number of full segments into which Options.Limit is divided.
+const segmentsOfLimit = 24
+
+// Replay reads the journal in a folder and writes nothing. It fails if a file cannot be read or was written by a newer
+// program (ErrNewer); damage is no failure (Problems).
 func Replay(o Options) (*Journal, error) {
 	if o.Now == nil {
 		o.Now = time.Now
@@ -32,24 +36,25 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	j := &Journal{fs: o.Folder, limit: o.Limit, base: o.Base, sync: o.Sync, log: o.Log, now: o.Now, next: 1,
-		segSize: max(o.Limit/24, MaxBody+4<<10),
+		segSize: max(o.Limit/segmentsOfLimit, MaxBody+4<<10),
 		live:    map[policy.MessageID]*Message{}, home: map[policy.MessageID]uint64{}, Memories: map[string]*Memory{},
 		Over: NewIDRing(maxOver), orders: map[string]uint64{}}
 	return j, j.replay()
 }
 
-// Begin makes this process the one that writes. Out are the attempts whose outcome
-// another process still waits for.
+// Begin makes this process the writer: it repairs the folder, starts a new segment, and returns the live messages in the
+// order in which they were accepted. Out are the attempts whose outcome another process still waits for; any other
+// attempt without an outcome counts as possibly run.
 func (j *Journal) Begin(out []AttemptOut) ([]*Message, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if n := len(j.segments); j.sync && n > 0 { // as each is before the next one is begun
+	if n := len(j.segments); j.sync && n > 0 { // each segment must be durable before the next one is started
 		last := j.segments[n-1]
 		if err := j.fs.Cut(segmentPath(last.number), last.size); err != nil {
 			return nil, fmt.Errorf("opening the journal: %w", err)
 		}
 	}
-	// Always a new segment: nothing is ever written behind a torn tail.
+	// A new segment is started each time, so that nothing is written behind a torn tail.
 	if err := j.roll(); err != nil {
 		return nil, err
 	}
@@ -61,7 +66,7 @@
 	for _, m := range j.live {
 		if a, ok := waits[m.Seq]; ok && m.Past.Out {
 			m.Past.OutTo, m.Past.OutAt = a.Endpoint, a.At
-		} else if m.Past.Out { // when the process ended; it may have run, or may yet
+		} else if m.Past.Out { // the process ended before the outcome; the message may have run, or may run yet
 			m.Past.Out, m.Past.Settled = false, true
 		}
 		owed = append(owed, m)
@@ -76,17 +81,17 @@
 	if err := errors.Join(j.tidy(), j.recovery.repair()); err != nil {
 		return nil, errors.Join(err, j.file.Close())
 	}
-	j.told()
+	j.logReport()
 	sort.Slice(owed, func(a, b int) bool { return owed[a].Seq < owed[b].Seq })
 	return owed, nil
 }
 
-// tidy removes what a checkpoint replaces, and one that was not finished.
+// tidy removes an unfinished checkpoint and the segments that the last checkpoint replaces.
 func (j *Journal) tidy() error {
 	if err := j.removeStray(); err != nil {
 		return fmt.Errorf("recovering the journal: %w", err)
 	}
-	if len(j.replaced) > 0 { // the checkpoint's name must last before they go
+	if len(j.replaced) > 0 { // the checkpoint's name must be durable before they are removed
 		if err := j.fs.Sync(); err != nil {
 			return fmt.Errorf("recovering the journal: %w", err)
 		}
@@ -100,8 +105,8 @@
 	return nil
 }
 
-// told logs what the replay found.
-func (j *Journal) told() {
+// logReport logs the result of the replay.
+func (j *Journal) logReport() {
 	r := &j.recovery.report
 	level := slog.LevelInfo
 	if len(r.Problems) > 0 {
@@ -118,14 +123,15 @@
 		"owed", r.Owed, "in doubt", len(r.Doubt), "set aside", len(r.SetAside), "checkpoint", r.Checkpoint, "took", r.Took)
 }
 
-// AttemptOut is an attempt without an outcome yet.
+// AttemptOut is an attempt that has no outcome yet.
 type AttemptOut struct {
 	Message  policy.MessageID
 	Endpoint string
 	At       time.Time
 }
 
-// GiveAway lets nothing more be written, and tells which attempts are out.
+// GiveAway ends the writing by this process, so that another one can begin, and returns the attempts that have no
+// outcome yet. From then on writes fail with ErrGiven.
 func (j *Journal) GiveAway() []AttemptOut {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -139,7 +145,7 @@
 	return out
 }
 
-// TakeBack goes on writing: nobody else has begun to.
+// TakeBack resumes the writing after GiveAway. No other process may have begun to write.
 func (j *Journal) TakeBack() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/journal/checkpoint.go
+++ b/internal/journal/checkpoint.go
@@ -11,19 +11,19 @@
 )
 
 const (
-	// checkpointSegments is how many segments may come after a checkpoint, and
-	// checkpointShare how many times what is owed, before the next one is written.
+	// A checkpoint is due when the segments after the last one exceed both checkpointSegments full segments and
+	// checkpointShare times the bytes reserved for live messages.
 	checkpointSegments = 4
 	checkpointShare    = 2
-	// overChunk is how many ids stand in one record.
+	// overChunk is the most ids in one recOver.
 	overChunk = 256
-	// manySent and manyEndpoints bound what is kept of the endpoints' last calls: more than
-	// a node makes to one of them within any window, and than there are.
-	manySent      = 256
-	manyEndpoints = 1024
+	// maxSent is the number of calls to an endpoint that are remembered: more than a node makes to one within any
+	// window. maxEndpoints is the number of endpoints: more than there are.
+	maxSent      = 256
+	maxEndpoints = 1024
 )
 
-// sinceCheckpoint is what the segments hold that come after the checkpoint.
+// sinceCheckpoint returns the bytes of the segments after the last checkpoint.
 func (j *Journal) sinceCheckpoint() int64 {
 	sum := int64(0)
 	for _, s := range j.segments {
@@ -34,14 +34,15 @@
 	return sum
 }
 
-// checkpointDue tells whether a checkpoint is worth its writing, and fits.
+// checkpointDue reports whether a checkpoint should be written and the folder has room for it.
 func (j *Journal) checkpointDue() bool {
 	since := j.sinceCheckpoint()
 	return j.sync && since > j.retryAt && since > checkpointSegments*j.segSize && since > checkpointShare*j.liveSize &&
 		j.diskSize()+j.liveSize+2*j.segSize+2*block <= j.limit
 }
 
-// writeCheckpoint writes all that counts into one segment, and removes those before it.
+// writeCheckpoint writes the whole state into one segment, starts a new one after it, and removes the segments before.
+// An error from the renaming on makes the journal refuse messages.
 func (j *Journal) writeCheckpoint() error {
 	if err := j.syncFile(); err != nil {
 		return err
@@ -49,11 +50,11 @@
 	n := j.segments[len(j.segments)-1].number + 1
 	f := format{keyed: true, checkpoint: true, number: n, salt: rand.Uint64()}
 	size, err := j.writeState(f)
-	if err != nil { // what lies there is removed by the next one, or at the next start
+	if err != nil { // the next checkpoint, or the next start, removes the unfinished file
 		return fmt.Errorf("writing a checkpoint: %w", err)
 	}
-	// From here on a start may begin with it: what would be written to the present segment
-	// might not be read any more.
+	// From the renaming on, a replay may begin with the checkpoint and not read the present segment: nothing more may
+	// be written to that one.
 	if err = j.fs.Rename(checkpointName, segmentPath(n)); err == nil {
 		err = j.fs.Sync()
 	}
@@ -74,13 +75,13 @@
 		j.orders[name] = n
 	}
 	j.replaced = append(j.replaced, old...)
-	if err := j.tidy(); err != nil { // they are counted, and removed at the next start
+	if err := j.tidy(); err != nil { // diskSize counts them, and the next start removes them
 		j.log.Warn("journal: what a checkpoint replaces is still there", "err", err)
 	}
 	return nil
 }
 
-// writeState writes a checkpoint to its temporary file.
+// writeState writes the state to the temporary file of a checkpoint, makes it durable, and returns its size.
 func (j *Journal) writeState(f format) (size int64, err error) {
 	if err := j.removeStray(); err != nil {
 		return 0, err
@@ -112,10 +113,11 @@
 	if err := file.Sync(); err != nil {
 		return 0, err
 	}
-	j.stray = false // it is about to have its name
+	j.stray = false // the caller renames it
 	return size, nil
 }
 
+// removeStray removes an unfinished checkpoint, if there is one.
 func (j *Journal) removeStray() error {
 	if !j.stray {
 		return nil
@@ -127,7 +129,7 @@
 	return nil
 }
 
-// state are the records that hold all that counts.
+// state yields records that rebuild the present state.
 func (j *Journal) state() func(yield func([]byte) bool) {
 	return func(yield func([]byte) bool) {
 		if !yield(record(recNext, j.next)) {
@@ -158,7 +160,7 @@
 	}
 }
 
-// records tell of an endpoint's calls and health with no message: number 0 is nobody's.
+// records returns records that rebuild a memory. They have the message number 0, which no message has.
 func (m *Memory) records(endpoint string) [][]byte {
 	var out [][]byte
 	for _, at := range m.Sent {
@@ -175,6 +177,7 @@
 	return out
 }
 
+// cloneMemories returns a deep copy.
 func cloneMemories(in map[string]*Memory) map[string]*Memory {
 	out := make(map[string]*Memory, len(in))
 	for name, m := range in {
@@ -188,8 +191,8 @@
 	return out
 }
 
-// note returns what is known of an endpoint, for the next checkpoint; nil where there are
-// none. Of too many, the one that was called longest ago goes.
+// note returns the memory of an endpoint for the next checkpoint, a new one if there is none, or nil without
+// Options.Sync. If there are too many endpoints, the one with the oldest call or failure is dropped.
 func (j *Journal) note(endpoint string) *Memory {
 	if !j.sync {
 		return nil
@@ -198,7 +201,7 @@
 	if m != nil {
 		return m
 	}
-	if len(j.recent) >= manyEndpoints {
+	if len(j.recent) >= maxEndpoints {
 		oldest := slices.MinFunc(sorted(j.recent), func(a, b string) int {
 			return j.recent[a].last().Compare(j.recent[b].last())
 		})
@@ -209,6 +212,7 @@
 	return m
 }
 
+// last returns the time of the last call or failure.
 func (m *Memory) last() time.Time {
 	var last time.Time
 	if n := len(m.Runs); n > 0 {
@@ -220,12 +224,14 @@
 	return last
 }
 
+// noteSent records a call for the next checkpoint.
 func (j *Journal) noteSent(endpoint string, at time.Time) {
 	if m := j.note(endpoint); m != nil {
 		m.sentAt(at)
 	}
 }
 
+// noteOutcome records a failure for the next checkpoint. It ignores other outcomes.
 func (j *Journal) noteOutcome(endpoint string, o policy.Outcome, at time.Time) {
 	if m := j.note(endpoint); m != nil {
 		if failed(o) {
@@ -234,6 +240,7 @@
 	}
 }
 
+// noteClosed records the end of a message, and a success if an endpoint is named, for the next checkpoint.
 func (j *Journal) noteClosed(id, endpoint string, at time.Time) {
 	if !j.sync {
 		return
@@ -244,25 +251,27 @@
 	}
 }
 
+// noteOrder records for the next checkpoint that the staff let an endpoint serve again.
 func (j *Journal) noteOrder(endpoint string, out bool, at time.Time) {
 	if m := j.note(endpoint); m != nil && !out {
 		m.restarted(at)
 	}
 }
 
+// sentAt adds a call. The oldest one is dropped if there are too many.
 func (m *Memory) sentAt(at time.Time) {
-	if n := len(m.Sent); n > 0 && m.Sent[n-1].Equal(at) { // a bundle's
+	if n := len(m.Sent); n > 0 && m.Sent[n-1].Equal(at) { // another message of the same bundle
 		return
 	}
-	if len(m.Sent) >= manySent {
+	if len(m.Sent) >= maxSent {
 		m.Sent = slices.Delete(m.Sent, 0, 1)
 	}
 	m.Sent = append(m.Sent, at)
 }
 
-// Status is what the staff are shown of the journal.
+// Status is the state of a journal as it is shown to the staff.
 type Status struct {
-	Bytes      int64     `json:"bytes"` // on disk, with what is set aside
+	Bytes      int64     `json:"bytes"` // on disk, with the copies of damaged segments
 	Limit      int64     `json:"limit"`
 	Segments   int       `json:"segments"`
 	Live       int       `json:"live_messages"`
@@ -271,7 +280,7 @@
 	Syncs      int64     `json:"syncs"`
 	Waiting    int       `json:"waiting_for_sync"`
 	Failed     string    `json:"failed,omitempty"`
-	Checkpoint uint64    `json:"checkpoint"` // its segment, 0 for none
+	Checkpoint uint64    `json:"checkpoint"` // number of its segment, 0 if there is none
 	CheckedAt  time.Time `json:"checkpoint_written,omitzero"`
 	SetAside   int       `json:"set_aside"`
 	Recovery   struct {
@@ -286,7 +295,7 @@
 	} `json:"last_recovery"`
 }
 
-// Status tells of the journal as it is, and of what its start found.
+// Status returns the state of the journal and the result of its last replay.
 func (j *Journal) Status() Status {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/journal/folder.go
+++ b/internal/journal/folder.go
@@ -10,41 +10,41 @@
 	"syscall"
 )
 
-// Folder is where a journal lies. Names are of files in it. Tests put a disk in its
-// place that loses what was not synced, or fails.
+// Folder is the directory of a journal. Names are of files in it. Tests use a simulated disk that fails or loses what
+// was not synced.
 type Folder interface {
-	// List tells of the files, with their sizes. What is no file has no size.
+	// List returns the entries with their sizes. An entry that is no regular file has size 0.
 	List() ([]FileInfo, error)
-	// Read reads a file whole, if it is no longer than so many bytes.
+	// Read returns the content of a file. It fails if the file is longer than most bytes.
 	Read(name string, most int64) ([]byte, error)
-	// Head reads the beginning of a file.
+	// Head returns up to most bytes from the beginning of a file.
 	Head(name string, most int) ([]byte, error)
-	// Create makes a file that must not be there yet, for appending.
+	// Create creates a file for appending. It fails if the file exists.
 	Create(name string) (File, error)
-	// Open opens a file that is there, for reading anywhere and appending.
+	// Open opens an existing file for appending, and for reading at any place.
 	Open(name string) (OpenFile, error)
-	// Cut shortens a file, for good.
+	// Cut truncates a file to a size and makes that durable.
 	Cut(name string, size int64) error
 	Rename(from, to string) error
 	Remove(name string) error
-	// Sync makes the names durable.
+	// Sync makes the creation, renaming and removal of files durable.
 	Sync() error
 }
 
-// FileInfo is the name and size of a file.
+// FileInfo is the name and the size in bytes of a file.
 type FileInfo struct {
 	Name string
 	Size int64
 }
 
-// File is a file that is written. Sync makes what was written durable.
+// File is a file that is open for writing. Sync makes what was written durable.
 type File interface {
 	io.WriteCloser
 	Truncate(size int64) error
 	Sync() error
 }
 
-// OpenFile is a File that can be read too.
+// OpenFile is a File that can also be read.
 type OpenFile interface {
 	File
 	io.ReaderAt
@@ -52,8 +52,8 @@
 
 var errTooLarge = errors.New("larger than anything that was written here")
 
-// Lock takes the lock on a folder; nil if another process has it. The kernel lets go of it
-// when its holder dies.
+// Lock locks a folder and returns the file that holds the lock, or nil if another process has it. Closing the file, or
+// the end of the process, releases the lock.
 func Lock(path string) (*os.File, error) {
 	f, err := os.Open(path)
 	if err != nil {
@@ -69,8 +69,8 @@
 	return f, nil
 }
 
-// Replace writes a small file whole in the place of the one of its name, synced, or leaves that as it
-// was. It needs the name with ".new" behind it for itself.
+// Replace atomically and durably replaces the content of a file, or leaves the file as it was. It uses the name with the
+// suffix ".new" for a temporary file.
 func Replace(folder Folder, name string, text []byte) error {
 	next := name + ".new"
 	if err := folder.Remove(next); err != nil && !errors.Is(err, fs.ErrNotExist) {
@@ -93,9 +93,10 @@
 	return folder.Sync()
 }
 
-// Dir is a folder of the file system.
+// Dir returns the folder at a path of the file system.
 func Dir(path string) Folder { return dir(path) }
 
+// dir is a Folder at a path of the file system.
 type dir string
 
 func (d dir) path(name string) string { return filepath.Join(string(d), name) }
--- a/internal/journal/format.go
+++ b/internal/journal/format.go
@@ -8,31 +8,33 @@
 )
 
 const (
-	// plainHead is the length and the checksum before each record without a header.
+	// plainHead is the size of a record's head in the plain form: the length and the checksum of the payload.
 	plainHead = 8
-	// keyedHead is the length, its checksum and that of the payload.
+	// keyedHead is the size of a record's head in the keyed form: the length, its checksum, and that of the payload.
 	keyedHead = 12
-	// A segment with a header has it twice.
+	// headerSize is the size of a segment's header, which stands twice at its beginning.
 	headerSize = 32
 	headers    = 2 * headerSize
 	magic      = "wingjrnl"
-	// formatVersion is the newest that this program reads.
+	// formatVersion is the newest version that this program reads.
 	formatVersion = 2
 	checkpointBit = 1
-	// diskBlock is the least that a disk writes at once.
+	// diskBlock is the size in bytes of the smallest write of a disk.
 	diskBlock = 512
 )
 
 var (
-	// ErrNewer refuses a folder that a newer program has written to.
+	// ErrNewer is returned for a folder that a newer program has written to.
 	ErrNewer = errors.New("written by a newer program")
-	// A record is torn where it ends with the file or in zeros; else it is bad.
+	// A damaged record is torn if it was not written to its end: it reaches the end of the file, or ends in zeros up to
+	// there. Otherwise it is bad.
 	errTorn  = errors.New("torn tail")
 	errBad   = errors.New("a record that does not check")
 	crcTable = crc32.MakeTable(crc32.Castagnoli)
 )
 
-// format is how a segment's records are framed. The zero one is the plain form.
+// format is the encoding of a segment's records. The zero value is the plain form without headers, in which the checksum
+// covers the payload only; in the keyed form it also covers the place of the record.
 type format struct {
 	keyed      bool
 	checkpoint bool
@@ -40,7 +42,7 @@
 	salt       uint64
 }
 
-// header begins a segment. It stands there twice, so that one may be spoilt.
+// header returns the beginning of a segment: the header twice, so that one may be damaged.
 func (f format) header() []byte {
 	b := append([]byte(nil), magic...)
 	b = binary.LittleEndian.AppendUint16(b, formatVersion)
@@ -55,7 +57,7 @@
 	return append(b, b...)
 }
 
-// readHeader reads one of the two headers; ok tells whether it checks.
+// readHeader decodes one of the two headers, and returns false if it is damaged.
 func readHeader(b []byte) (f format, version uint16, ok bool) {
 	if len(b) < headerSize || string(b[:len(magic)]) != magic {
 		return format{}, 0, false
@@ -69,8 +71,8 @@
 		salt: binary.LittleEndian.Uint64(b[20:])}, binary.LittleEndian.Uint16(b[8:]), true
 }
 
-// formatOf tells how a segment is framed and where its records begin. Damage to one of
-// its headers comes as an error beside the format that the other one tells.
+// formatOf returns the format of a segment and the offset of its first record, which is 0 in the plain form. If one header
+// is damaged, it also returns an error. If the segment cannot be used at all, the offset is 0 and the error is set.
 func formatOf(data []byte, number uint64) (f format, at int, err error) {
 	one, version, ok := readHeader(data)
 	two, version2, ok2 := format{}, uint16(0), false
@@ -79,7 +81,7 @@
 	}
 	if !ok && !ok2 {
 		if begun := data[:min(len(data), headers)]; len(begun) < headers && likeHeader(begun) || len(data) > 0 && zeros(data) {
-			return format{keyed: true, number: number}, 0, errTorn // it was only just begun
+			return format{keyed: true, number: number}, 0, errTorn // its header was not written to the end
 		} else if likeHeader(begun) {
 			return format{keyed: true, number: number}, 0, errors.New("both headers are spoilt")
 		}
@@ -101,8 +103,8 @@
 	return one, headers, nil
 }
 
-// likeHeader tells whether a segment was meant to have a header: most of the magic is
-// there, in either place, or all that there is begins it.
+// likeHeader reports whether a segment was probably written with headers: the beginning of either one matches the magic,
+// as far as it is there, up to two bytes.
 func likeHeader(data []byte) bool {
 	like := func(b []byte) bool {
 		n := min(len(b), len(magic))
@@ -117,6 +119,7 @@
 	return like(data) || len(data) > headerSize && like(data[headerSize:])
 }
 
+// zeros reports whether all bytes are zero.
 func zeros(b []byte) bool {
 	for _, v := range b {
 		if v != 0 {
@@ -126,14 +129,14 @@
 	return true
 }
 
-// keyedSum is a checksum that holds in one place of one segment only.
+// keyedSum returns a checksum of bytes at an offset of this segment, which differs at any other place.
 func (f format) keyedSum(at int64, b []byte) uint32 {
 	key := binary.LittleEndian.AppendUint64(nil, f.salt)
 	key = binary.LittleEndian.AppendUint64(key, uint64(at))
 	return crc32.Update(crc32.Checksum(key, crcTable), crcTable, b)
 }
 
-// frame appends a record as it stands at a place of the segment.
+// frame appends the encoding of a record for the offset at in the segment.
 func (f format) frame(b, payload []byte, at int64) []byte {
 	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
 	if !f.keyed {
@@ -145,6 +148,7 @@
 	return append(b, payload...)
 }
 
+// head returns the size of a record's head.
 func (f format) head() int {
 	if f.keyed {
 		return keyedHead
@@ -152,9 +156,8 @@
 	return plainHead
 }
 
-// record reads the record at a place and tells where the next one begins. Where it does
-// not check, next is the next place that may be sound, 0 if there is none, and in the
-// plain form it counts only if a record that checks stands there.
+// record returns the payload of the record at an offset, and the offset of the next one. If the record is damaged, next is
+// the offset where the next one should be, or 0 if that is unknown; resume must be used to go on from there.
 func (f format) record(data []byte, at int) (payload []byte, next int, err error) {
 	rest, head := data[at:], f.head()
 	if len(rest) < head {
@@ -176,7 +179,7 @@
 	payload = rest[head : head+int(size)]
 	sum := binary.LittleEndian.Uint32(rest[head-4:])
 	switch {
-	case size == 0: // zeros would check in the plain form
+	case size == 0: // zeros would have a valid checksum in the plain form
 		return nil, 0, errBad
 	case f.keyed && f.keyedSum(int64(at), payload) != sum:
 		if tornAt(data, at, next) {
@@ -189,8 +192,8 @@
 	return payload, next, nil
 }
 
-// tornAt tells whether a record was only begun when the power went: from the beginning of
-// some block within it up to the end of the file there are zeros.
+// tornAt reports whether a loss of power interrupted the writing of the record from at to end: the file has zeros from
+// the beginning of some disk block within the record up to its end.
 func tornAt(data []byte, at, end int) bool {
 	last := len(data)
 	for last > at && data[last-1] == 0 {
@@ -200,9 +203,8 @@
 	return last == at || block < end && block < len(data)
 }
 
-// resume finds the next record that checks, after one that does not; -1 if there is none.
-// In the plain form it looks in one place only: what a client handed in might look like a
-// record anywhere else.
+// resume returns the offset of the next sound record after a damaged one, or -1 if there is none. In the plain form only
+// the offset next is tried, because a client's data might look like a record elsewhere.
 func (f format) resume(data []byte, at, next int) int {
 	if !f.keyed {
 		if next > 0 && next < len(data) {
--- a/internal/journal/frames.go
+++ b/internal/journal/frames.go
@@ -6,24 +6,25 @@
 )
 
 const (
-	// FrameHead is how many bytes stand before the payload of a record of Frames.
+	// FrameHead is the number of bytes before the payload of a record.
 	FrameHead = keyedHead
-	// FramesHeader is how many bytes stand before the first record.
+	// FramesHeader is the number of bytes before the first record of a file.
 	FramesHeader = headers
 )
 
 var errNoHeader = errors.New("both headers are spoilt")
 
-// Frames is the form of records whose checksums hold in one place of one file only, for files
-// other than the journal's segments.
+// Frames encodes records whose checksums are valid at one place of one file only. It is for files other than the
+// journal's segments.
 type Frames struct{ f format }
 
-// NewFrames is the form of a file that carries a number. Salt is drawn at random for each file.
+// NewFrames returns the encoding of a new file with a number. Salt must be drawn at random for each file.
 func NewFrames(number, salt uint64) Frames {
 	return Frames{format{keyed: true, number: number, salt: salt}}
 }
 
-// ReadFrames reads what a file begins with. One of its two headers may be spoilt.
+// ReadFrames returns the encoding that the beginning of a file describes. It fails if both headers are damaged, or with
+// ErrNewer if a newer program wrote the file.
 func ReadFrames(b []byte) (Frames, error) {
 	for len(b) >= headerSize {
 		if f, version, ok := readHeader(b); ok && version > formatVersion {
@@ -36,22 +37,22 @@
 	return Frames{}, errNoHeader
 }
 
-// Number is the number that the file carries.
+// Number returns the number of the file.
 func (f Frames) Number() uint64 { return f.f.number }
 
-// Header begins the file.
+// Header returns the beginning of the file, FramesHeader bytes.
 func (f Frames) Header() []byte { return f.f.header() }
 
-// Append appends a record as it stands at a place of the file.
+// Append appends the encoding of a record for the offset at in the file.
 func (f Frames) Append(b, payload []byte, at int64) []byte { return f.f.frame(b, payload, at) }
 
-// Len is how long the payload is of the record that a head begins; ok tells whether that checks.
+// Len returns the length of the payload of the record with a head at an offset, and whether the head is sound.
 func (f Frames) Len(head []byte, at int64) (n int64, ok bool) {
 	ok = f.f.keyedSum(at, head[:4]) == binary.LittleEndian.Uint32(head[4:])
 	return int64(binary.LittleEndian.Uint32(head)), ok
 }
 
-// Checks tells whether the payload is the one that the head was written with.
+// Checks reports whether a payload belongs to the head of a record at an offset.
 func (f Frames) Checks(head, payload []byte, at int64) bool {
 	return f.f.keyedSum(at, payload) == binary.LittleEndian.Uint32(head[8:])
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,5 +1,5 @@
-// Package journal keeps what a node owes, so that it outlasts the process and, where that
-// is asked for, a loss of power. docs/recovery.md says what it guarantees.
+// Package journal stores the messages for which a node is responsible, so that they survive the end of the process and,
+// with Options.Sync, a loss of power. docs/recovery.md says what it guarantees.
 package journal
 
 import (
@@ -14,88 +14,90 @@
 )
 
 const (
-	// MinDisk is the least room in which a journal of full bodies can be cleaned.
+	// MinDisk is the smallest Options.Limit, in bytes, with which segments of messages with bodies of MaxBody can be
+	// compacted.
 	MinDisk = 512 << 10
-	// MaxBody is the longest body of a message.
+	// MaxBody is the most bytes of a message's body.
 	MaxBody = 64 << 10
-	// maxOver is how many ids of messages that are over are known still: more than a
-	// node takes on within any message's time.
+	// maxOver is the number of ids of ended messages that are remembered: more than a node accepts within the
+	// lifetime of any message.
 	maxOver = 4096
-	// ownShare is room counted for each message beyond what is written of it: its
-	// attempts, their outcomes, its end, and its state when it is moved on.
-	ownShare = 512
-	// block is the unit in which the platform counts files.
+	// recordReserve is the number of bytes reserved for each message or order in addition to its own content: for its
+	// attempts, their outcomes, its end, and its state when its segment is cleaned.
+	recordReserve = 512
+	// block is the unit, in bytes, to which the platform rounds up the sizes of files.
 	block = 512
 )
 
 var (
-	// ErrNoRoom refuses a message for which the journal has no room.
+	// ErrNoRoom is returned for a message or an order for which the journal has no room.
 	ErrNoRoom = errors.New("the journal is full")
-	// ErrLate says that a message which may have run can't be sent any more.
+	// ErrLate is returned for an attempt at a message that may have run, when the destination no longer remembers
+	// its key.
 	ErrLate = errors.New("the destination has forgotten the key")
-	// ErrGiven says that another process writes the journal now, or is about to.
+	// ErrGiven is returned when another process writes the journal or is about to (GiveAway).
 	ErrGiven = errors.New("the journal has been given away")
 )
 
-// Options say where and how a journal is kept.
+// Options configures a journal.
 type Options struct {
 	Folder Folder
-	Limit  int64 // bytes in the folder at most
-	// Base is added to the numbers of its messages where a process has several journals.
+	Limit  int64 // most bytes in the folder
+	// Base is added to the numbers of the messages (Message.Number), for a process that has several journals.
 	Base policy.MessageID
-	// Sync makes a message durable before Take says that it is taken, lets Sync wait for
-	// all that was written, and writes segments with headers and checkpoints.
+	// Sync makes a message durable before Take returns, makes Sync wait until everything written is durable, and adds
+	// headers and checkpoints to the segments.
 	Sync bool
-	Now  func() time.Time // time.Now if nil
-	Log  *slog.Logger     // nothing is logged if nil
+	Now  func() time.Time // default time.Now
+	Log  *slog.Logger     // default no log
 }
 
-// Journal keeps what outlasts the process: records in segments of one folder.
-// The oldest segment is cleaned first, by writing what still counts of it to the
-// newest: so an end never goes before the message that it ends. It is safe for
-// concurrent use.
+// Journal is a log of records in the segments of one folder. To make room, the records of the oldest segment that
+// are still needed are written to the newest, so the record that ends a message never goes before the message itself.
+// It is safe for concurrent use.
 type Journal struct {
 	fs      Folder
 	limit   int64
 	base    policy.MessageID
 	sync    bool
-	segSize int64
+	segSize int64 // most bytes of a segment
 	now     func() time.Time
 	log     *slog.Logger
 
-	// What a replay found, until Begin has dealt with it.
+	// The result of the replay, until Begin has repaired the folder.
 	recovery *recovery
-	replaced []segment // older than the checkpoint
-	stray    bool      // a checkpoint that was not finished lies there
+	replaced []segment // segments older than the checkpoint
+	stray    bool      // the folder has an unfinished checkpoint
 
 	mu         sync.Mutex
 	file       File // the newest segment
 	format     format
 	segments   []segment
-	aside      []segment // copies of damaged ones
+	aside      []segment // copies of damaged segments
 	foreign    int64     // bytes on disk of files that are not the journal's
-	checkpoint uint64    // the segment that is the last checkpoint, or 0
-	checkedAt  time.Time // when it was written by this process
-	retryAt    int64     // how much is to be written before one is tried again that failed
+	checkpoint uint64    // the number of the segment that is the last checkpoint, or 0
+	checkedAt  time.Time // when this process wrote it
+	retryAt    int64     // bytes after the checkpoint from which one that failed is tried again
 	live       map[policy.MessageID]*Message
-	home       map[policy.MessageID]uint64 // the segment with the last recTaken of each
-	liveSize   int64
+	home       map[policy.MessageID]uint64 // the segment with the last recTaken of each message
+	liveSize   int64                       // bytes reserved for the live messages and the orders
 	next       policy.MessageID
-	Memories   map[string]*Memory // of the lives before this one
-	Over       IDRing             // of messages that those lives brought to their end
-	recent     map[string]*Memory // as Memories, with this life, for the next checkpoint
-	recentOver IDRing
+	// Memories is what earlier processes recorded of each endpoint, Over the ids of messages that they ended.
+	Memories   map[string]*Memory
+	Over       IDRing
+	recent     map[string]*Memory // Memories and what this process recorded, for the next checkpoint
+	recentOver IDRing             // Over and the messages that this process ended, for the next checkpoint
 	buf        []byte
-	given      bool              // another process writes it, or is about to
-	orders     map[string]uint64 // endpoints that the staff have taken out; the segment with the order
+	given      bool              // another process writes the journal or is about to
+	orders     map[string]uint64 // endpoints that the staff have taken out, and the segment with the order
 	syncer     syncer
-	watch      Watcher // nil for none
+	watch      Watcher // nil if there is none
 }
 
-// Problems are what the replay found that does not check.
+// Problems returns what the replay found to be damaged or torn.
 func (j *Journal) Problems() []Problem { return j.recovery.report.Problems }
 
-// Owed are the messages that are owed, in the order in which they were taken.
+// Owed returns the live messages in the order in which they were accepted.
 func (j *Journal) Owed() (all []*Message) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -105,7 +107,7 @@
 	return all
 }
 
-// NoteOver writes down ids of messages that are over and were not in this journal.
+// NoteOver records ids of ended messages that were not in this journal.
 func (j *Journal) NoteOver(ids []string) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -123,15 +125,15 @@
 	return nil
 }
 
-// Skip lets the next messages have numbers from here on, where they would have lower ones.
+// Skip raises the number of the next message to at least the given one.
 func (j *Journal) Skip(to policy.MessageID) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.next = max(j.next, to)
 }
 
-// Put writes a message whole, under the number that it has, in the place of what was written of it
-// before. It is for a journal that is a copy: nothing decides on it here.
+// Put writes a whole message under the number that it has, in place of its earlier records. It is for a journal that
+// is a replica. It tells no watcher.
 func (j *Journal) Put(m *Message) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -154,8 +156,8 @@
 	return nil
 }
 
-// Take journals a new message and numbers it. Where it can't be made durable in time it
-// is ended, with ErrNotDurable: it may come back after a loss of power.
+// Take writes a new message and numbers it. It fails with ErrGiven, with ErrNoRoom, or with ErrNotDurable if the message
+// could not be made durable in time: then the message is ended, but may come back after a loss of power.
 func (j *Journal) Take(m *Message) error {
 	at, err := j.take(m)
 	if err != nil {
@@ -167,6 +169,7 @@
 	return nil
 }
 
+// take writes a new message and returns the number of bytes that must be durable before it is.
 func (j *Journal) take(m *Message) (at uint64, err error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -176,8 +179,8 @@
 	if j.syncer.failed != nil {
 		return 0, j.syncer.failed
 	}
-	// Three segments are left: for records that no longer count, for the next one,
-	// and for a copy made while old and new lie there together.
+	// Three segments are held in reserve: for records that are no longer needed, for the next segment, and for the
+	// copy of a segment that is being cleaned.
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
 		return 0, ErrNoRoom
 	}
@@ -192,7 +195,7 @@
 	return j.syncer.written, nil
 }
 
-// change writes something about a message, if it is still owed and this process writes.
+// change runs a write about a message if the message is live. It fails with ErrGiven if another process writes.
 func (j *Journal) change(m *Message, write func() error) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -205,9 +208,9 @@
 	return write()
 }
 
-// Attempt journals that a message is about to be sent. The module counts the key's
-// window when it decides; making the connection may have taken until after it. One that
-// may not be repeated is made only after Sync.
+// Attempt records that a message is about to be sent. It fails with ErrLate if the message may have run and its key's
+// window has passed: the decision to send is made earlier, before a connection is there. A message that must not be
+// repeated may be sent only after Sync.
 func (j *Journal) Attempt(m *Message, endpoint string, zone int, at time.Time) error {
 	return j.change(m, func() error {
 		if m.Window > 0 && m.Past.MayRun && at.Sub(m.Past.RanAt) >= m.Window {
@@ -223,7 +226,7 @@
 	})
 }
 
-// Outcome journals how the last attempt at a message ended.
+// Outcome records how the last attempt at a message ended.
 func (j *Journal) Outcome(m *Message, o policy.Outcome, endpoint string, at time.Time) error {
 	return j.change(m, func() error {
 		m.Past.outcome(neverRan(o))
@@ -233,7 +236,7 @@
 	})
 }
 
-// Ended journals that a message is over and that its notice is owed.
+// Ended records that a message ended undelivered and that its notice is owed.
 func (j *Journal) Ended(m *Message, n *Notice) error {
 	return j.change(m, func() error {
 		m.Notice = n
@@ -242,8 +245,8 @@
 	})
 }
 
-// Closed journals that nothing is owed for a message any more. It names the
-// endpoint that took it, if one did.
+// Closed records that nothing is owed for a message any more, and removes it. Endpoint is the one that accepted the
+// message, or empty.
 func (j *Journal) Closed(m *Message, endpoint string, at time.Time) error {
 	return j.change(m, func() error {
 		j.liveSize -= cost(m)
@@ -257,10 +260,10 @@
 	})
 }
 
-// OverIDs are the ids of messages that the lives before this one brought to their end.
+// OverIDs returns the ids of messages that earlier processes ended, the oldest first.
 func (j *Journal) OverIDs() []string { return j.Over.all() }
 
-// Close ends the writing, with all of it durable where that is asked for.
+// Close closes the journal, after making everything durable if Options.Sync is set.
 func (j *Journal) Close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -7,19 +7,21 @@
 	"dunetide/policy"
 )
 
-// Notice is the end of a message that was not delivered, in the platform's form.
+// Notice reports the end of a message that was not delivered, in the platform's form.
 type Notice struct {
 	Message   string `json:"message"`
 	Outcome   string `json:"outcome"`
 	RetryInMs int64  `json:"retry_in_ms,omitempty"`
 }
 
+// Outcomes of a Notice.
 const (
 	givenUp    = "given_up"
 	handedBack = "handed_back"
 )
 
-// NewNotice says whether a message is handed back, and when its client may come again.
+// NewNotice returns the notice of a message that is handed back to its client, which may retry after wait, or that is
+// given up.
 func NewNotice(id string, back bool, wait time.Duration) *Notice {
 	if back {
 		return &Notice{Message: id, Outcome: handedBack, RetryInMs: wait.Milliseconds()}
@@ -27,10 +29,10 @@
 	return &Notice{Message: id, Outcome: givenUp}
 }
 
-// Home is the journal that owes the message.
+// Home returns the journal that holds the message.
 func (m *Message) Home() *Journal { return m.home }
 
-// Number is the message's number among those of all journals that a process has.
+// Number returns the message's number among the messages of all journals of the process.
 func (m *Message) Number() policy.MessageID {
 	if m.home == nil {
 		return m.Seq
@@ -38,32 +40,32 @@
 	return m.home.base + m.Seq
 }
 
-// HandedBack tells whether the client may come again.
+// HandedBack reports whether the client may retry.
 func (n *Notice) HandedBack() bool { return n.Outcome == handedBack }
 
-// IDRing knows the last ids that were added to it, up to its size.
+// IDRing is a set of the ids that were added last, up to its size.
 type IDRing struct {
 	size  int
 	ids   []string
-	next  int
+	next  int // index in ids of the id to replace next, once it is full
 	known map[string]struct{}
 }
 
-// NewIDRing knows up to so many ids.
+// NewIDRing returns an empty set of up to size ids.
 func NewIDRing(size int) IDRing {
 	return IDRing{size: size, ids: make([]string, 0, size), known: make(map[string]struct{}, size)}
 }
 
-// Has tells whether an id is known.
+// Has reports whether an id is in the set.
 func (r *IDRing) Has(id string) bool {
 	_, ok := r.known[id]
 	return ok
 }
 
-// all are the known ids, the one known for longest first.
+// all returns the ids in the order in which they were added.
 func (r *IDRing) all() []string { return slices.Concat(r.ids[r.next:], r.ids[:r.next]) }
 
-// clone returns one that knows the same.
+// clone returns a copy of the set.
 func (r *IDRing) clone() IDRing {
 	c := NewIDRing(r.size)
 	for _, id := range r.all() {
@@ -72,13 +74,13 @@
 	return c
 }
 
-// IDs are the known ids, the one known for longest first.
+// IDs returns the ids in the order in which they were added.
 func (r *IDRing) IDs() []string { return r.all() }
 
-// Len is how many ids are known.
+// Len returns the number of ids.
 func (r *IDRing) Len() int { return len(r.ids) }
 
-// Add makes an id known, in place of the one known for longest where there is no room.
+// Add adds an id, in place of the one that was added first if the set is full.
 func (r *IDRing) Add(id string) {
 	if r.size == 0 || r.Has(id) {
 		return
@@ -93,7 +95,7 @@
 	r.known[id] = struct{}{}
 }
 
-// Message is one message that the node has taken on.
+// Message is a message that the node has accepted.
 type Message struct {
 	Seq      policy.MessageID
 	ID       string
@@ -102,28 +104,29 @@
 	Dest     int
 	Deadline time.Time
 	Body     []byte
-	Window   time.Duration // how long its key is remembered, 0 where it has none
+	Window   time.Duration // how long the destination remembers its key, 0 if it has none
 
-	// The rest is owned by the journal.
+	// The journal owns the following fields.
 	home   *Journal
 	Past   Past
-	Notice *Notice // the end that is owed, nil while it runs
+	Notice *Notice // the notice that is owed, nil until the message has ended undelivered
 }
 
-// Past is what a message has behind it, as the module counts it.
+// Past is the history of a message's attempts, as the decision module counts it.
 type Past struct {
 	Attempts int
 	Settled  bool // a finished attempt may have run
 	Out      bool // the last attempt has no outcome yet
-	MayRun   bool
+	MayRun   bool // some attempt may have run
 	RanAt    time.Time
 	RanZone  int
-	// Where and when the last attempt was sent; known to the process that sent it and
-	// to one that takes over from it, and not on disk.
+	// OutTo and OutAt are the endpoint and the time of the last attempt. They are not on disk: only the process that
+	// made the attempt, and one that it hands over to, know them.
 	OutTo string
 	OutAt time.Time
 }
 
+// attempt adds an attempt that has no outcome yet.
 func (p *Past) attempt(endpoint string, zone int, at time.Time) {
 	p.Attempts++
 	p.Out, p.OutTo, p.OutAt = true, endpoint, at
@@ -132,6 +135,7 @@
 	}
 }
 
+// outcome ends the last attempt. neverRan says that it is proven not to have run.
 func (p *Past) outcome(neverRan bool) {
 	p.Out = false
 	if !neverRan {
@@ -141,5 +145,5 @@
 	}
 }
 
-// cost is the room that a message may take up until nothing is owed for it.
-func cost(m *Message) int64 { return int64(len(m.Body)+len(m.ID)+len(m.Key)) + ownShare }
+// cost returns the bytes reserved for a message until nothing is owed for it.
+func cost(m *Message) int64 { return int64(len(m.Body)+len(m.ID)+len(m.Key)) + recordReserve }
--- a/internal/journal/order.go
+++ b/internal/journal/order.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// staffOrders are the endpoints that the staff have taken out, without those that leave by the list.
+// staffOrders returns the endpoints that the staff have taken out, in order, without the records of Leaves.
 func (j *Journal) staffOrders() (out []string) {
 	for _, name := range sorted(j.orders) {
 		if !strings.HasPrefix(name, leavingMark) {
@@ -17,9 +17,11 @@
 	return out
 }
 
-func orderCost(endpoint string) int64 { return int64(len(endpoint)) + ownShare }
+// orderCost returns the bytes reserved for an order.
+func orderCost(endpoint string) int64 { return int64(len(endpoint)) + recordReserve }
 
-// Order journals that the staff take an endpoint out or let it serve again.
+// Order records that the staff take an endpoint out or let it serve again. An order that holds already is not written.
+// It fails with ErrGiven, or with ErrNoRoom.
 func (j *Journal) Order(endpoint string, out bool, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -50,14 +52,14 @@
 	return nil
 }
 
-// Orders are the names of all orders that hold, those for what leaves among them.
+// Orders returns the names of all orders that hold, in order, the records of Leaves included.
 func (j *Journal) Orders() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return slices.Sorted(maps.Keys(j.orders))
 }
 
-// Barred tells whether the staff have taken an endpoint out.
+// Barred reports whether the staff have taken an endpoint out.
 func (j *Journal) Barred(endpoint string) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -65,15 +67,14 @@
 	return out
 }
 
-// leavingMark stands before the name of an endpoint in the record that it was told to
-// leave. No endpoint has a name that begins so.
+// leavingMark is the prefix of an endpoint's name in a record of Leaves. No endpoint has a name that begins with it.
 const leavingMark = "\x00"
 
-// maxLeaving bounds these records in a long life.
+// maxLeaving is the number of orders from which on Leaves adds no further ones.
 const maxLeaving = 256
 
-// Leaves journals whether an endpoint was last told to drain or to be gone: the list that
-// the next life starts with may be older than that.
+// Leaves records whether the last list had an endpoint as draining or gone, because the list with which the next process
+// starts may be older.
 func (j *Journal) Leaves(endpoint string, leaves bool, at time.Time) error {
 	j.mu.Lock()
 	full := len(j.orders) >= maxLeaving
@@ -84,5 +85,5 @@
 	return j.Order(leavingMark+endpoint, leaves, at)
 }
 
-// Left tells whether an endpoint was last told to drain or to be gone.
+// Left reports whether the last list had an endpoint as draining or gone.
 func (j *Journal) Left(endpoint string) bool { return j.Barred(leavingMark + endpoint) }
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -9,18 +9,27 @@
 
 // Kinds of record.
 const (
-	recTaken   = 1 // a message with all that lies behind it; replaces what came before
-	recAttempt = 2 // written before the first byte of an attempt
+	recTaken   = 1 // a message with its past; it replaces the earlier records of the message
+	recAttempt = 2 // written before the first byte of an attempt is sent
 	recOutcome = 3 // how the last attempt ended
-	recEnded   = 4 // ended undelivered; the notice is owed
-	recClosed  = 5 // nothing is owed any more; delivered where it names an endpoint
-	recOrder   = 6 // the staff's order for an endpoint, in place of the one before
-	// These come in segments with a header, and when a folder was mended.
-	recOver = 7 // ids of messages that are over
-	recNext = 8 // the next number of a message; those below it are taken
+	recEnded   = 4 // the message ended undelivered, and its notice is owed
+	recClosed  = 5 // nothing is owed for the message; if it names an endpoint, that one accepted the message
+	recOrder   = 6 // the staff's order for an endpoint; it replaces the one before
+	// These are written to segments with a header, and when a damaged folder is repaired.
+	recOver = 7 // ids of messages that have ended
+	recNext = 8 // the lowest number that no message has had
 	recEnd  = 9 // the end of a checkpoint
 )
 
+// Flags of a recTaken.
+const (
+	flagSettled = 1 << iota
+	flagOut
+	flagMayRun
+	flagNotice
+)
+
+// orderRecord returns the encoding of a recOrder.
 func orderRecord(endpoint string, out bool, at time.Time) []byte {
 	flag := byte(0)
 	if out {
@@ -29,52 +38,70 @@
 	return binary.AppendUvarint(appendBytes(append(record(recOrder, 0), flag), []byte(endpoint)), uint64(at.UnixMicro()))
 }
 
+// record returns the beginning of every record: its kind and the number of its message, 0 if it has none.
 func record(kind byte, seq policy.MessageID) []byte {
 	return binary.AppendUvarint([]byte{kind}, uint64(seq))
 }
 
+// appendBytes appends bytes after their length.
 func appendBytes(b, data []byte) []byte {
 	return append(binary.AppendUvarint(b, uint64(len(data))), data...)
 }
 
-// takenRecord holds a message with all that lies behind it.
+// takenRecord returns the encoding of a recTaken: a message with its past, and its notice if it has one.
 func takenRecord(m *Message) []byte {
 	b := record(recTaken, m.Seq)
 	b = appendBytes(appendBytes(b, []byte(m.ID)), []byte(m.Key))
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.Class)), uint64(m.Dest))
 	b = binary.AppendUvarint(b, uint64(m.Deadline.UnixMicro()))
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.Past.Attempts)), uint64(m.Past.RanZone))
-	flags := byte(0)
-	for i, set := range []bool{m.Past.Settled, m.Past.Out, m.Past.MayRun, m.Notice != nil} {
-		if set {
-			flags |= 1 << i
-		}
-	}
 	ranAt := uint64(0)
 	if m.Past.MayRun {
 		ranAt = uint64(m.Past.RanAt.UnixMicro())
 	}
-	b = binary.AppendUvarint(append(b, flags), ranAt)
+	b = binary.AppendUvarint(append(b, takenFlags(m)), ranAt)
 	if m.Notice != nil {
 		b = appendNotice(b, m.Notice)
 	}
 	return appendBytes(b, m.Body)
 }
 
+// takenFlags returns the flags of a recTaken.
+func takenFlags(m *Message) byte {
+	flags := byte(0)
+	if m.Past.Settled {
+		flags |= flagSettled
+	}
+	if m.Past.Out {
+		flags |= flagOut
+	}
+	if m.Past.MayRun {
+		flags |= flagMayRun
+	}
+	if m.Notice != nil {
+		flags |= flagNotice
+	}
+	return flags
+}
+
+// attemptRecord returns the encoding of a recAttempt.
 func attemptRecord(seq policy.MessageID, endpoint string, zone int, at time.Time) []byte {
 	b := appendBytes(record(recAttempt, seq), []byte(endpoint))
 	return binary.AppendUvarint(binary.AppendUvarint(b, uint64(zone)), uint64(at.UnixMicro()))
 }
 
+// outcomeRecord returns the encoding of a recOutcome.
 func outcomeRecord(seq policy.MessageID, o policy.Outcome, endpoint string, at time.Time) []byte {
 	b := appendBytes(append(record(recOutcome, seq), byte(o)), []byte(endpoint))
 	return binary.AppendUvarint(b, uint64(at.UnixMicro()))
 }
 
+// closedRecord returns the encoding of a recClosed.
 func closedRecord(seq policy.MessageID, endpoint string, at time.Time) []byte {
 	return binary.AppendUvarint(appendBytes(record(recClosed, seq), []byte(endpoint)), uint64(at.UnixMicro()))
 }
 
+// overRecord returns the encoding of a recOver.
 func overRecord(ids []string) []byte {
 	b := record(recOver, 0)
 	for _, id := range ids {
@@ -83,6 +110,7 @@
 	return b
 }
 
+// appendNotice appends the encoding of a notice without the message's id.
 func appendNotice(b []byte, n *Notice) []byte {
 	kind := byte(0)
 	if n.HandedBack() {
@@ -91,12 +119,14 @@
 	return binary.AppendUvarint(append(b, kind), uint64(n.RetryInMs))
 }
 
-// reader reads the fields of a record in turn.
+// reader reads the fields of a record in turn. After a field that does not fit, bad is set and all further fields
+// are zero.
 type reader struct {
 	b   []byte
 	bad bool
 }
 
+// u8 reads one byte.
 func (r *reader) u8() byte {
 	if len(r.b) == 0 {
 		r.bad = true
@@ -107,6 +137,10 @@
 	return v
 }
 
+// time reads a time that is stored as microseconds since 1970.
+func (r *reader) time() time.Time { return time.UnixMicro(int64(r.uvarint())) }
+
+// uvarint reads an unsigned varint.
 func (r *reader) uvarint() uint64 {
 	v, n := binary.Uvarint(r.b)
 	if n <= 0 {
@@ -117,6 +151,7 @@
 	return v
 }
 
+// bytes reads bytes that stand after their length. The result shares memory with the record.
 func (r *reader) bytes() []byte {
 	n := r.uvarint()
 	if n > uint64(len(r.b)) {
@@ -128,7 +163,7 @@
 	return v
 }
 
-// ids reads what is left as ids.
+// ids reads the rest of the record as ids.
 func (r *reader) ids() []string {
 	var ids []string
 	for len(r.b) > 0 {
@@ -139,17 +174,18 @@
 	return ids
 }
 
+// notice reads a notice for the message of an id.
 func (r *reader) notice(id string) *Notice {
 	handedBack, retry := r.u8() == 1, r.uvarint()
 	return NewNotice(id, handedBack, time.Duration(retry)*time.Millisecond)
 }
 
-// failed tells which outcomes say that the endpoint is not well.
+// failed reports whether an outcome counts as a failure of the endpoint.
 func failed(o policy.Outcome) bool {
 	return o == policy.Failed || o == policy.TimedOut || o == policy.Unreachable || o == policy.Reset
 }
 
-// neverRan tells which outcomes prove that an attempt has not run.
+// neverRan reports whether an outcome proves that the endpoint has not run the message.
 func neverRan(o policy.Outcome) bool {
 	return o == policy.Full || o == policy.Unreachable || o == policy.Moot
 }
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -17,39 +17,39 @@
 const (
 	segmentName = "journal-%016d"
 	damagedName = "damaged-%016d"
-	// checkpointName is where a checkpoint lies until it is whole.
+	// checkpointName is the file name of a checkpoint until it is complete.
 	checkpointName = "checkpoint.tmp"
-	// maxProblems bounds a report.
+	// maxProblems is the most problems in a report.
 	maxProblems = 64
 )
 
-// longAgo is when an attempt is taken to have been made of which nothing is known.
+// longAgo is the time assigned to attempts and ends whose time is unknown.
 var longAgo = time.UnixMicro(1)
 
-// Problem is something in a folder that does not check.
+// Problem is a place of a file that is damaged or torn.
 type Problem struct {
 	File string
-	At   int
+	At   int // offset in bytes
 	What string
-	Torn bool // a tail that was not written to its end: it tells of no damage
+	Torn bool // a record at the end that was not written completely, which is no damage
 }
 
-// Report is what a start found in its folder.
+// Report is the result of a replay.
 type Report struct {
 	Segments   int
-	Headed     int // of them have headers
+	Headed     int // segments with headers
 	Records    int
-	Bytes      int64 // read
-	Checkpoint uint64
-	Owed       int
+	Bytes      int64  // read
+	Checkpoint uint64 // number of the checkpoint's segment, 0 if there is none
+	Owed       int    // live messages
 	Problems   []Problem
-	Doubt      []string // ids of messages whose last state is not known
-	Lost       []uint64 // numbers of messages of which only traces are left
-	SetAside   []string
+	Doubt      []string // ids of messages whose last state is unknown
+	Lost       []uint64 // numbers of messages that have records, but not the one with the message
+	SetAside   []string // file names of the copies of damaged segments
 	Took       time.Duration
 }
 
-// Damaged tells whether anything was found but a torn tail.
+// Damaged reports whether there is a problem other than a torn tail.
 func (r *Report) Damaged() bool {
 	return slices.ContainsFunc(r.Problems, func(p Problem) bool { return !p.Torn })
 }
@@ -59,16 +59,16 @@
 	j      *Journal
 	report Report
 	number uint64                    // of the segment that is being read
-	cuts   map[uint64]int64          // where to cut segments, and which missing ones to fill in
-	keep   map[uint64]bool           // segments to keep a copy of
-	doubt  map[policy.MessageID]bool // whose state at the last damage is not known
-	trace  map[policy.MessageID]bool // heard of after damage, but unknown
+	cuts   map[uint64]int64          // sizes to cut segments to; a missing segment is created empty
+	keep   map[uint64]bool           // segments to copy before they are cut
+	doubt  map[policy.MessageID]bool // live messages whose records may be incomplete because of damage
+	trace  map[policy.MessageID]bool // messages that have records after damage, but are unknown
 	behind behind
 }
 
-// behind is what was read behind a cut, and will be gone with it.
+// behind is what the records after a cut say, which must be written anew because they are cut off.
 type behind struct {
-	on       bool // such is being read
+	on       bool // the records that are being read come after a cut
 	taken    map[policy.MessageID]bool
 	attempts map[policy.MessageID]int
 	ended    map[policy.MessageID]bool
@@ -77,7 +77,7 @@
 	orders   map[string]bool
 }
 
-// numberOf reads the name of a segment.
+// numberOf returns the number in a file name of a form, and false if the name is not of that form.
 func numberOf(name, form string) (uint64, bool) {
 	var n uint64
 	if _, err := fmt.Sscanf(name, form, &n); err != nil || name != fmt.Sprintf(form, n) || n == 0 {
@@ -86,83 +86,120 @@
 	return n, true
 }
 
-// replay reads what is in the folder and writes nothing.
+// replay reads the files of the folder and rebuilds the state. It writes nothing.
 func (j *Journal) replay() error {
 	began := j.now()
+	if err := j.listFiles(); err != nil {
+		return err
+	}
+	r := newRecovery(j)
+	j.recovery = r
+	checkpoints, err := j.findCheckpoints()
+	if err != nil {
+		return err
+	}
+	if err := r.skipReplaced(checkpoints); err != nil {
+		return err
+	}
+	r.report.Problems = nil // problems of checkpoints are found again below if the checkpoint is used
+	if err := r.readSegments(); err != nil {
+		return err
+	}
+	r.report.Segments = len(j.segments)
+	r.settle()
+	r.report.Took = j.now().Sub(began)
+	return nil
+}
+
+// newRecovery returns a recovery that has read nothing yet.
+func newRecovery(j *Journal) *recovery {
+	return &recovery{j: j, cuts: map[uint64]int64{}, keep: map[uint64]bool{}, doubt: map[policy.MessageID]bool{},
+		trace: map[policy.MessageID]bool{}, behind: behind{taken: map[policy.MessageID]bool{}, attempts: map[policy.MessageID]int{},
+			ended: map[policy.MessageID]bool{}, closed: map[policy.MessageID]bool{}, orders: map[string]bool{}}}
+}
+
+// listFiles sorts the files of the folder into segments, copies of damaged ones, an unfinished checkpoint, and
+// others. The segments and the copies are in the order of their numbers.
+func (j *Journal) listFiles() error {
 	files, err := j.fs.List()
 	if err != nil {
 		return fmt.Errorf("opening the journal: %w", err)
 	}
-	var numbers []uint64
-	for _, f := range files {
-		switch n, ok := numberOf(f.Name, segmentName); {
-		case ok:
-			numbers = append(numbers, n)
-			j.segments = append(j.segments, segment{number: n, size: f.Size})
-		case f.Name == checkpointName:
+	for _, file := range files {
+		if number, ok := numberOf(file.Name, segmentName); ok {
+			j.segments = append(j.segments, segment{number: number, size: file.Size})
+		} else if file.Name == checkpointName {
 			j.stray = true
-		default:
-			if n, ok := numberOf(f.Name, damagedName); ok {
-				j.aside = append(j.aside, segment{number: n, size: f.Size})
-			} else {
-				j.foreign += onDisk(f.Size)
-			}
+		} else if number, ok := numberOf(file.Name, damagedName); ok {
+			j.aside = append(j.aside, segment{number: number, size: file.Size})
+		} else {
+			j.foreign += onDisk(file.Size)
 		}
 	}
-	slices.Sort(numbers)
 	byNumber := func(a, b segment) int { return cmp.Compare(a.number, b.number) }
 	slices.SortFunc(j.segments, byNumber)
 	slices.SortFunc(j.aside, byNumber)
-	r := &recovery{j: j, cuts: map[uint64]int64{}, keep: map[uint64]bool{}, doubt: map[policy.MessageID]bool{},
-		trace: map[policy.MessageID]bool{}, behind: behind{taken: map[policy.MessageID]bool{}, attempts: map[policy.MessageID]int{},
-			ended: map[policy.MessageID]bool{}, closed: map[policy.MessageID]bool{}, orders: map[string]bool{}}}
-	j.recovery = r
-	var checkpoints []int // in the order of their numbers
-	for i, n := range numbers {
-		head, err := j.fs.Head(segmentPath(n), headers)
+	return nil
+}
+
+// findCheckpoints returns the indexes of the segments whose header says that they are checkpoints, in ascending order.
+// It fails if a segment was written by a newer program.
+func (j *Journal) findCheckpoints() ([]int, error) {
+	var checkpoints []int
+	for i, s := range j.segments {
+		head, err := j.fs.Head(segmentPath(s.number), headers)
 		if err != nil {
-			return fmt.Errorf("replaying the journal: %w", err)
+			return nil, fmt.Errorf("replaying the journal: %w", err)
 		}
-		f, at, err := formatOf(head, n)
+		f, at, err := formatOf(head, s.number)
 		if errors.Is(err, ErrNewer) {
-			return fmt.Errorf("%s: %w", segmentPath(n), err)
+			return nil, fmt.Errorf("%s: %w", segmentPath(s.number), err)
 		}
-		if at > 0 && f.checkpoint { // one spoilt header is no loss, and told of when it is read
+		if at > 0 && f.checkpoint { // one spoilt header is enough to read it, and is reported when it is read
 			checkpoints = append(checkpoints, i)
 		}
 	}
-	for _, i := range slices.Backward(checkpoints) { // what a whole one replaces does not count
-		data, err := r.read(numbers[i])
+	return checkpoints, nil
+}
+
+// skipReplaced finds the last checkpoint that is complete and leaves the segments before it out of the replay.
+func (r *recovery) skipReplaced(checkpoints []int) error {
+	j := r.j
+	for _, i := range slices.Backward(checkpoints) {
+		number := j.segments[i].number
+		data, err := r.read(number)
 		if err != nil {
 			return err
 		}
-		if f, at, _ := formatOf(data, numbers[i]); at == 0 || !whole(f, data, at) {
+		if f, at, _ := formatOf(data, number); at == 0 || !whole(f, data, at) {
 			continue
 		}
-		r.report.Checkpoint, j.checkpoint = numbers[i], numbers[i]
+		r.report.Checkpoint, j.checkpoint = number, number
 		j.replaced = slices.Clone(j.segments[:i])
-		j.segments, numbers = j.segments[i:], numbers[i:]
-		break
+		j.segments = j.segments[i:]
+		return nil
 	}
-	r.report.Problems = nil // of those that were only looked at
-	for i, n := range numbers {
-		if i > 0 && n != numbers[i-1]+1 {
-			r.missing(numbers[i-1]+1, n-1)
+	return nil
+}
+
+// readSegments replays the segments in order, one at a time because the folder may be larger than the memory.
+func (r *recovery) readSegments() error {
+	segments := r.j.segments
+	for i, s := range segments {
+		if i > 0 && s.number != segments[i-1].number+1 {
+			r.missing(segments[i-1].number+1, s.number-1)
 		}
-		data, err := r.read(n) // one at a time: the folder may be larger than the memory
+		data, err := r.read(s.number)
 		if err != nil {
 			return err
 		}
-		r.segment(n, data, i == len(numbers)-1)
+		r.segment(s.number, data, i == len(segments)-1)
 	}
-	r.report.Segments = len(numbers)
-	r.settle()
-	r.report.Took = j.now().Sub(began)
 	return nil
 }
 
-// read reads a segment. One that is too large to be anything of ours has nothing that
-// checks, and no copy of it fits.
+// read returns the content of a segment. One that is larger than the journal could have written counts as damaged from
+// its beginning, and is not copied because no copy would fit.
 func (r *recovery) read(n uint64) ([]byte, error) {
 	j := r.j
 	data, err := j.fs.Read(segmentPath(n), max(j.limit, 2*(MaxBody+4<<10)))
@@ -178,7 +215,7 @@
 	return data, nil
 }
 
-// whole tells whether a checkpoint was written to its end.
+// whole reports whether a checkpoint is complete.
 func whole(f format, data []byte, at int) bool {
 	for at < len(data) {
 		payload, next, err := f.record(data, at)
@@ -193,13 +230,14 @@
 	return false
 }
 
+// problem adds a problem to the report, if that has room.
 func (r *recovery) problem(file string, at int, what string, torn bool) {
 	if len(r.report.Problems) < maxProblems {
 		r.report.Problems = append(r.report.Problems, Problem{File: file, At: at, What: what, Torn: torn})
 	}
 }
 
-// missing tells of segments that are not there between others.
+// missing reports segments that are missing between others, and plans to create them empty.
 func (r *recovery) missing(from, to uint64) {
 	what := "missing"
 	if to > from {
@@ -207,21 +245,21 @@
 	}
 	r.problem(segmentPath(from), 0, what, false)
 	r.inDoubt()
-	if to-from < maxProblems { // more can't be filled in, and are told of at each start
+	if to-from < maxProblems { // more are not created, and are reported at each start
 		for n := from; n <= to; n++ {
 			r.cuts[n] = 0
 		}
 	}
 }
 
-// inDoubt tells that records may be missing here: whatever is live may have run.
+// inDoubt marks all live messages as possibly run, because records may be missing at this place.
 func (r *recovery) inDoubt() {
 	for seq := range r.j.live {
 		r.doubt[seq] = true
 	}
 }
 
-// segment reads one segment up to its end, its torn tail, or past what is damaged.
+// segment replays a segment up to its end or its torn tail. After damage it goes on with the next sound record.
 func (r *recovery) segment(n uint64, data []byte, last bool) {
 	r.number, r.behind.on = n, false
 	f, at, err := formatOf(data, n)
@@ -232,7 +270,7 @@
 	case err != nil && at == 0:
 		r.damaged(n, 0, err)
 		return
-	case err != nil: // the other header has all
+	case err != nil: // the other header is sound
 		r.problem(segmentPath(n), 0, err.Error(), false)
 		r.keep[n] = true
 	}
@@ -252,7 +290,7 @@
 		if errors.Is(err, errTorn) && (last || !f.keyed) && !r.behind.on {
 			r.torn(n, at, len(data))
 			if !f.keyed && !(len(data) > at+plainHead && data[at+plainHead] == recTaken) {
-				// By its length alone: a spoilt length looks the same.
+				// Only the length says so, and a damaged length looks the same.
 				r.inDoubt()
 			}
 			return
@@ -270,11 +308,13 @@
 	}
 }
 
+// torn reports a torn tail and plans to cut it off.
 func (r *recovery) torn(n uint64, at, size int) {
 	r.problem(segmentPath(n), at, fmt.Sprintf("torn tail of %d bytes", size-at), true)
 	r.cuts[n] = int64(at)
 }
 
+// damaged reports damage, and plans to copy the segment and to cut it there.
 func (r *recovery) damaged(n uint64, at int, err error) {
 	r.problem(segmentPath(n), at, err.Error(), false)
 	r.cuts[n] = int64(at)
@@ -282,7 +322,7 @@
 	r.inDoubt()
 }
 
-// apply takes in a record. After damage it counts only where that makes things safer.
+// apply applies a record to the journal's state, and notes what has to be written anew if it comes after a cut.
 func (r *recovery) apply(payload []byte) error {
 	rd := reader{b: payload}
 	kind, seq := rd.u8(), policy.MessageID(rd.uvarint())
@@ -292,7 +332,7 @@
 		return err
 	}
 	switch kind {
-	case recTaken, recClosed: // nothing before them counts
+	case recTaken, recClosed: // they replace all records before them
 		delete(r.doubt, seq)
 		delete(r.trace, seq)
 		delete(r.behind.attempts, seq)
@@ -326,7 +366,7 @@
 	return nil
 }
 
-// settle makes what is in doubt count as possibly run.
+// settle makes the messages in doubt count as possibly run, and completes the report.
 func (r *recovery) settle() {
 	for _, seq := range sorted(r.doubt) {
 		m := r.j.live[seq]
@@ -348,14 +388,14 @@
 	r.report.Owed = len(r.j.live)
 }
 
-// repair makes the folder such that the next start finds the same and no damage. What
-// will be gone, and what is in doubt, is written anew before any file is changed.
+// repair changes the folder so that the next replay finds the same state and no damage. What is to be cut off, and
+// which messages are in doubt, is written to the newest segment before any other file is changed.
 func (r *recovery) repair() error {
 	j := r.j
 	if len(r.cuts) == 0 && len(r.keep) == 0 && len(r.doubt) == 0 {
 		return nil
 	}
-	j.retryAt = math.MaxInt64 // a checkpoint amid this would have half of it
+	j.retryAt = math.MaxInt64 // no checkpoint may be written in the middle of the repair
 	defer func() { j.retryAt = 0 }()
 	for _, n := range sorted(r.keep) {
 		if i := slices.IndexFunc(j.segments, func(s segment) bool { return s.number == n }); i >= 0 {
@@ -386,7 +426,7 @@
 	return nil
 }
 
-// rewrite writes what would be gone with the cuts, and the doubt.
+// rewrite writes records of all that the cuts remove, and of the messages in doubt.
 func (r *recovery) rewrite() error {
 	j := r.j
 	first := j.segments[len(j.segments)-1].number
@@ -432,7 +472,7 @@
 			if err := j.makeRoom(int64(len(b) + j.format.head())); err != nil {
 				return err
 			}
-			if j.home[seq] >= first { // it has just been moved on, with all this
+			if j.home[seq] >= first { // makeRoom has just copied the message, with all this
 				break
 			}
 			if err := j.write(b, nil); err != nil {
@@ -443,12 +483,12 @@
 	return nil
 }
 
-// cut shortens a segment to what is sound. An empty one takes the place of one that is
-// missing, or the next start would miss it again.
+// cut shortens a segment to a size, or creates it empty if it is missing, so that the next replay does not report it
+// again.
 func (r *recovery) cut(n uint64, size int64) error {
 	j := r.j
 	if n < j.segments[0].number {
-		return nil // it has been cleaned meanwhile
+		return nil // it has been removed by clean meanwhile
 	}
 	i := slices.IndexFunc(j.segments, func(s segment) bool { return s.number >= n })
 	if i >= 0 && j.segments[i].number == n {
@@ -463,10 +503,10 @@
 	return f.Close()
 }
 
-// sorted are the keys of a map, in order.
+// sorted returns the keys of a map in order.
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
-// setAside copies a segment, if there is room; older copies make room.
+// setAside copies a damaged segment, if there is room. Older copies are removed to make room.
 func (r *recovery) setAside(s segment) error {
 	j := r.j
 	if s.size == 0 {
@@ -474,7 +514,7 @@
 	}
 	name := fmt.Sprintf(damagedName, s.number)
 	if slices.ContainsFunc(j.aside, func(a segment) bool { return a.number == s.number && a.size >= s.size }) {
-		return nil // an earlier start came as far as here
+		return nil // an earlier start has made the copy
 	}
 	for {
 		i := slices.IndexFunc(j.aside, func(a segment) bool { return a.number == s.number })
@@ -509,7 +549,7 @@
 	return nil
 }
 
-// dropAside removes the copy of a damaged segment.
+// dropAside removes a copy of a damaged segment to make room.
 func (j *Journal) dropAside(i int) error {
 	name := fmt.Sprintf(damagedName, j.aside[i].number)
 	if err := j.fs.Remove(name); err != nil {
@@ -520,7 +560,7 @@
 	return nil
 }
 
-// Check reads a folder and changes nothing.
+// Check replays the journal in a folder, with a limit in bytes, and returns the report. It writes nothing.
 func Check(fs Folder, limit int64) (*Report, error) {
 	j, err := Replay(Options{Folder: fs, Limit: limit})
 	if err != nil {
@@ -529,7 +569,7 @@
 	return &j.recovery.report, nil
 }
 
-// Write prints a report for the staff.
+// Write prints the report as text.
 func (r *Report) Write(w io.Writer) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%d segments (%d with headers), %d records, %d bytes, %d messages owed", r.Segments, r.Headed, r.Records, r.Bytes, r.Owed)
--- a/internal/journal/runs_test.go
+++ b/internal/journal/runs_test.go
@@ -17,17 +17,17 @@
 	m.fail(policy.Failed, at(1))
 	m.back(at(2))
 	m.back(at(3)) // not the first success
-	for i := range 3 * manyRuns {
+	for i := range 3 * maxRuns {
 		m.fail(policy.Failed, at(10+2*i))
 		m.back(at(11 + 2*i))
 	}
-	for i := range 2 * manyOutcomes {
+	for i := range 2 * maxOutcomes {
 		m.fail(policy.TimedOut, at(100+i))
 	}
-	if len(m.Runs) != manyRuns || len(m.Runs[0].Outcomes) != 2 || !m.Runs[0].FailedAt.Equal(at(1)) || !m.Runs[0].BackAt.Equal(at(2)) {
+	if len(m.Runs) != maxRuns || len(m.Runs[0].Outcomes) != 2 || !m.Runs[0].FailedAt.Equal(at(1)) || !m.Runs[0].BackAt.Equal(at(2)) {
 		t.Fatalf("%+v", m.Runs)
 	}
-	if last := m.Runs[manyRuns-1]; len(last.Outcomes) != manyOutcomes || !last.BackAt.IsZero() || !last.FailedAt.Equal(at(99+2*manyOutcomes)) {
+	if last := m.Runs[maxRuns-1]; len(last.Outcomes) != maxOutcomes || !last.BackAt.IsZero() || !last.FailedAt.Equal(at(99+2*maxOutcomes)) {
 		t.Errorf("%+v", last)
 	}
 	dir := t.TempDir()
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -14,12 +14,14 @@
 	size   int64
 }
 
+// segmentPath returns the file name of a segment.
 func segmentPath(n uint64) string { return fmt.Sprintf(segmentName, n) }
 
+// onDisk returns the size that the platform counts for a file of n bytes.
 func onDisk(n int64) int64 { return (n + block - 1) / block * block }
 
-// append writes one record, after making room for it. Taken is the message that
-// the record holds whole, if it does.
+// append writes a record, after a checkpoint if one is due and after making room. If the record is a recTaken, taken is
+// its message. It fails with ErrNoRoom if there is no room.
 func (j *Journal) append(payload []byte, taken *Message) error {
 	if j.checkpointDue() {
 		if err := j.writeCheckpoint(); err != nil {
@@ -34,6 +36,7 @@
 	return j.write(payload, taken)
 }
 
+// write writes a record to the newest segment, or to a new one if that is full.
 func (j *Journal) write(payload []byte, taken *Message) error {
 	size := int64(len(payload) + j.format.head())
 	if last := &j.segments[len(j.segments)-1]; last.size > j.headSize() && last.size+size > j.segSize {
@@ -44,7 +47,7 @@
 	last := &j.segments[len(j.segments)-1]
 	j.buf = j.format.frame(j.buf[:0], payload, last.size)
 	if n, err := j.file.Write(j.buf); err != nil {
-		// Part of a record may lie there now. It must not hide what comes after.
+		// A part of the record may have been written. It must not hide the records that follow.
 		last.size += int64(n)
 		if n > 0 {
 			if t := j.file.Truncate(last.size - int64(n)); t == nil {
@@ -63,7 +66,7 @@
 	return nil
 }
 
-// headSize is how long a segment is that holds nothing.
+// headSize returns the size of a segment without records.
 func (j *Journal) headSize() int64 {
 	if j.sync {
 		return headers
@@ -71,8 +74,8 @@
 	return 0
 }
 
-// roll starts a new segment. Where that is asked for, the one before is durable first, and
-// the new one's header: so damage elsewhere than at the end is no loss of power.
+// roll starts a new segment. With Options.Sync the last segment and the header of the new one are made durable first, so
+// a loss of power can only leave damage at the end of the last segment.
 func (j *Journal) roll() error {
 	n := uint64(1)
 	if len(j.segments) > 0 {
@@ -99,7 +102,7 @@
 	return nil
 }
 
-// create makes a file, durable with its header if it has one.
+// create creates a file. With a header, the header and the file's name are durable when it returns.
 func (j *Journal) create(name string, f format) (File, error) {
 	file, err := j.fs.Create(name)
 	if err != nil || !f.keyed {
@@ -117,6 +120,7 @@
 	return file, nil
 }
 
+// diskSize returns the bytes that all files of the folder take up on disk.
 func (j *Journal) diskSize() int64 {
 	sum := j.foreign
 	for _, s := range slices.Concat(j.segments, j.aside, j.replaced) {
@@ -125,11 +129,11 @@
 	return sum
 }
 
-// makeRoom cleans the oldest segments until a record fits, with a segment's room
-// to spare: a cleaned segment and its copy lie there together for a moment.
+// makeRoom cleans the oldest segments until a record fits and a segment's size remains free: while a segment is cleaned
+// it and its copy are both on disk. It fails with ErrNoRoom.
 func (j *Journal) makeRoom(size int64) error {
 	for tries := 2 * len(j.segments); j.diskSize()+size+j.segSize+2*block > j.limit; tries-- {
-		if len(j.aside) > 0 { // evidence goes before work is refused
+		if len(j.aside) > 0 { // copies of damaged segments are dropped before messages are refused
 			if err := j.dropAside(0); err != nil {
 				return err
 			}
@@ -145,7 +149,7 @@
 	return nil
 }
 
-// clean moves what still counts of the oldest segment on, and removes it.
+// clean copies the records of the oldest segment that are still needed to the newest, and removes the oldest.
 func (j *Journal) clean() error {
 	oldest := j.segments[0]
 	var move []*Message
@@ -168,8 +172,8 @@
 			j.orders[name] = j.segments[len(j.segments)-1].number
 		}
 	}
-	// What was moved is durable before it goes, and that it goes before the next one does:
-	// an old segment that came back alone would owe what has ended.
+	// The copies must be durable before the segment is removed, and its removal before the next segment is: an older
+	// segment that came back alone would revive messages that have ended.
 	err := j.syncFile()
 	if err == nil {
 		err = j.fs.Remove(segmentPath(oldest.number))
--- a/internal/journal/sync.go
+++ b/internal/journal/sync.go
@@ -7,34 +7,35 @@
 	"time"
 )
 
-// durableWait is how long one waits for the disk: a client waits for 400 ms.
+// durableWait is the longest wait for a sync. A client waits for its answer for 400 ms.
 const durableWait = 300 * time.Millisecond
 
 var (
-	// ErrNotDurable says that a message was written and is not known to outlast a loss of
-	// power: the disk failed, or was too slow.
+	// ErrNotDurable is returned for a message that was written but may not survive a loss of power, because the disk
+	// failed or was too slow.
 	ErrNotDurable = errors.New("not known to be durable")
-	// ErrFailed says that the disk failed before, and nothing more is taken.
+	// ErrFailed is returned after the disk has failed: the journal accepts no more messages.
 	ErrFailed = errors.New("the disk failed")
 	errSlow   = fmt.Errorf("the disk takes over %v", durableWait)
 )
 
-// syncer makes what was written durable, for all that wait together. It is guarded by the
-// journal's lock.
+// syncer makes the written bytes durable with one sync for all callers that wait. It is guarded by the journal's lock.
 type syncer struct {
-	written, synced uint64 // bytes so far
+	written, synced uint64 // bytes written, and bytes known to be durable, since Begin
 	waiting         []waiter
-	running         bool
-	failed          error // for good: what the kernel had may be gone
-	count           int64
+	running         bool  // syncAll is running
+	failed          error // permanent: the kernel may have dropped what it had not written
+	count           int64 // syncs since Begin
 }
 
+// waiter is a caller that waits until all bytes up to a place are durable.
 type waiter struct {
 	place uint64
 	done  chan error
 }
 
-// durable waits until what was written up to a place outlasts a loss of power.
+// durable waits until all bytes up to a place are durable, but no longer than durableWait. Without Options.Sync it
+// returns at once.
 func (j *Journal) durable(place uint64) error {
 	if !j.sync || place == 0 {
 		return nil
@@ -62,7 +63,7 @@
 	}
 }
 
-// syncAll syncs for as long as anything waits.
+// syncAll syncs as long as there are waiters.
 func (j *Journal) syncAll() {
 	s := &j.syncer
 	j.mu.Lock()
@@ -77,14 +78,14 @@
 	s.running = false
 }
 
-// synced takes in how a sync of the newest segment ended. One that was closed meanwhile,
-// as another has taken its place, was synced before that.
+// synced handles the result of a sync of a segment up to a place, and answers the waiters. A segment that was closed
+// meanwhile, because a new one was started, had been synced before.
 func (j *Journal) synced(file File, place uint64, err error) {
 	s := &j.syncer
 	s.count++
 	if err != nil && !(file != j.file && errors.Is(err, os.ErrClosed)) {
-		// Also of a segment that another has taken the place of: a failure is told once.
-		_ = j.fail(err) // it is told to those who wait
+		// Also if a new segment was started meanwhile, because the kernel reports a failure only once.
+		_ = j.fail(err) // the waiters get it below
 	}
 	if err == nil {
 		s.synced = max(s.synced, place)
@@ -104,8 +105,8 @@
 	s.waiting = left
 }
 
-// fail stops the taking of messages, for good: what the kernel had may be gone, and the
-// next sync would not tell.
+// fail makes the journal refuse messages from now on and returns the error to return to callers: the kernel may have
+// dropped what it had not written, and the next sync would not report it.
 func (j *Journal) fail(err error) error {
 	if j.syncer.failed == nil {
 		j.syncer.failed = fmt.Errorf("%w: %w", ErrFailed, err)
@@ -114,7 +115,7 @@
 	return j.syncer.failed
 }
 
-// syncFile makes the newest segment durable, with the lock held.
+// syncFile makes the newest segment durable if Options.Sync is set. The lock is held.
 func (j *Journal) syncFile() error {
 	s := &j.syncer
 	if !j.sync || j.file == nil {
@@ -130,7 +131,7 @@
 	return s.failed
 }
 
-// Sync waits until all that was written is durable, where that is asked for.
+// Sync waits until everything written so far is durable, if Options.Sync is set.
 func (j *Journal) Sync() error {
 	j.mu.Lock()
 	place := j.syncer.written
@@ -138,7 +139,7 @@
 	return j.durable(place)
 }
 
-// Failed tells why nothing more is taken; nil while it is.
+// Failed returns the error for which the journal refuses messages, or nil.
 func (j *Journal) Failed() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/journal/watch.go
+++ b/internal/journal/watch.go
@@ -1,18 +1,18 @@
 package journal
 
-// Watcher hears of what counts in a journal, in the order in which it was written and before whoever
-// wrote it goes on. It must not wait, nor call the journal.
+// Watcher is told of the changes of a journal, in the order in which they are written and before the writing call
+// returns. Its methods run under the journal's lock: they must not block or call the journal.
 type Watcher interface {
-	// Changed tells of a message as it is now: it was taken, sent, answered for, or has ended.
+	// Changed reports the present state of a message that was accepted, sent, answered, or has ended.
 	Changed(m *Message)
-	// Over tells that nothing is owed for a message any more.
+	// Over reports that nothing is owed for a message any more.
 	Over(m *Message)
-	// Ordered tells of all the staff's orders that hold now.
+	// Ordered reports all endpoints that the staff have taken out at present.
 	Ordered(out []string)
 }
 
-// Watch tells a watcher of all that is owed now, in the order in which it was taken, and from
-// here on of each change. Nil ends that.
+// Watch sets the watcher of the journal, or removes it if w is nil. The watcher is told of all live messages, in the
+// order in which they were accepted, and from then on of each change.
 func (j *Journal) Watch(w Watcher) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -26,7 +26,7 @@
 	w.Ordered(j.staffOrders())
 }
 
-// changed tells the watcher, where there is one.
+// changed reports a message to the watcher, if there is one.
 func (j *Journal) changed(m *Message) {
 	if j.watch != nil {
 		j.watch.Changed(m)
