--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -216,55 +216,60 @@
 			d.ScanArgs(t, "at", &ms)
 			now := time.Duration(ms) * time.Millisecond
 			d.ScanArgs(t, "k", &key)
-			table := tables[key]
-			if table == nil {
-				table = New(now, Options{BeatEvery: time.Second})
-				tables[key] = table
-			}
-			var out strings.Builder
-			show := func(v []Entry) {
-				for _, e := range v {
-					p := e.Shown()
-					fmt.Fprintf(&out, "%s %s %s state=%d count=%d alive=%d silent=%v cold=%d age=%v\n", p.ID, p.Service, p.Address, p.State, p.CallCount, e.Alive, e.Silent, p.ColdLeftMs, e.Age)
-				}
+			if tables[key] == nil {
+				tables[key] = New(now, Options{BeatEvery: time.Second})
 			}
 			var from string
 			if d.HasArg("from") {
 				d.ScanArgs(t, "from", &from)
 			}
-			switch d.Cmd {
-			case "new":
-			case "beat":
-				for _, line := range strings.Split(d.Input, "\n") {
-					e := view.Endpoint{Service: "s"}
-					if _, err := fmt.Sscanf(line, "%s %s %d %d %d", &e.ID, &e.Address, &e.CallCount, &e.State, &e.ColdLeftMs); err != nil {
-						t.Fatal(err)
-					}
-					fmt.Fprintf(&out, "changed=%v\n", table.Beat(now, e))
-				}
-			case "leave":
-				fmt.Fprintf(&out, "changed=%v\n", table.Leave(now, d.Input))
-			case "merge":
-				show(table.Merge(now, tables[from].Entries(now, -1)))
-			case "heard":
-				v, missing := table.MergeHeard(now, tables[from].Heard(now, d.HasArg("relay")))
-				show(v)
-				fmt.Fprintf(&out, "missing=%v\n", missing)
-			case "expire":
-				show(table.Expire(now))
-				fmt.Fprintf(&out, "listening=%v live=%d\n", table.Listening(now), table.Live())
-			case "changes":
-				var since uint64
-				d.ScanArgs(t, "since", &since)
-				v, to, whole := table.Changes(now, since)
-				show(v)
-				fmt.Fprintf(&out, "to=%d whole=%v\n", to, whole)
-			case "list":
-				show(table.Entries(now, -1))
-			default:
-				t.Fatalf("unknown command %s", d.Cmd)
-			}
-			return out.String()
+			return play(t, d, now, tables[key], tables[from])
 		})
 	})
 }
+
+// play runs a command of a test file on a table, and returns what it shows.
+func play(t *testing.T, d *datadriven.TestData, now time.Duration, table, from *Table) string {
+	var out strings.Builder
+	switch d.Cmd {
+	case "new":
+	case "beat":
+		for _, line := range strings.Split(d.Input, "\n") {
+			e := view.Endpoint{Service: "s"}
+			if _, err := fmt.Sscanf(line, "%s %s %d %d %d", &e.ID, &e.Address, &e.CallCount, &e.State, &e.ColdLeftMs); err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(&out, "changed=%v\n", table.Beat(now, e))
+		}
+	case "leave":
+		fmt.Fprintf(&out, "changed=%v\n", table.Leave(now, d.Input))
+	case "merge":
+		show(&out, table.Merge(now, from.Entries(now, -1)))
+	case "heard":
+		changed, missing := table.MergeHeard(now, from.Heard(now, d.HasArg("relay")))
+		show(&out, changed)
+		fmt.Fprintf(&out, "missing=%v\n", missing)
+	case "expire":
+		show(&out, table.Expire(now))
+		fmt.Fprintf(&out, "listening=%v live=%d\n", table.Listening(now), table.Live())
+	case "changes":
+		var since uint64
+		d.ScanArgs(t, "since", &since)
+		changed, to, whole := table.Changes(now, since)
+		show(&out, changed)
+		fmt.Fprintf(&out, "to=%d whole=%v\n", to, whole)
+	case "list":
+		show(&out, table.Entries(now, -1))
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return out.String()
+}
+
+// show writes entries, one a line.
+func show(out *strings.Builder, entries []Entry) {
+	for _, e := range entries {
+		p := e.Shown()
+		fmt.Fprintf(out, "%s %s %s state=%d count=%d alive=%d silent=%v cold=%d age=%v\n", p.ID, p.Service, p.Address, p.State, p.CallCount, e.Alive, e.Silent, p.ColdLeftMs, e.Age)
+	}
+}
