--- a/internal/lease/asker.go
+++ b/internal/lease/asker.go
@@ -11,47 +11,49 @@
 )
 
 const (
-	// askGap is the least time between two asks of a node.
+	// askGap is the shortest time between two asks of a node.
 	askGap = 50 * time.Millisecond
-	// backoffLeast and backoffMost are the pauses after an ask that came to nothing.
+	// backoffLeast and backoffMost bound the pause after an ask that failed.
 	backoffLeast = 100 * time.Millisecond
 	backoffMost  = 2 * time.Second
-	// renewAfter of a lease's length is when it is renewed: two thirds are left for an election.
+	// A lease is renewed after a renewAfter-th of its length, so that the rest is left for an election.
 	renewAfter = 3
-	// wantedLeast and wantedMost are the pauses after which one asks again for what another
-	// has; in between an eighth of its length. The log tells, besides, when it is free.
+	// wantedLeast and wantedMost bound the pause before asking again for a lease that another node has, which is a
+	// wantedShare-th of its length. The leader also says when it becomes free.
 	wantedLeast = 250 * time.Millisecond
 	wantedMost  = 10 * time.Second
-	// avoidFor is how long one that has not answered is asked after all others: an election.
+	wantedShare = 8
+	// avoidFor is the time for which a voter that has not answered is not asked if there are others: as long as an
+	// election takes.
 	avoidFor = 3 * time.Second
 )
 
-// tenure is what an asker knows of one name.
+// tenure is what an Asker knows of one name.
 type tenure struct {
 	length time.Duration
-	wanted bool          // else it is to be given back
-	token  uint64        // 0: not held
-	giving uint64        // the token of what is to be given back before anything else; 0: nothing is
-	until  time.Duration // of either, by this node's own clock
-	askAt  time.Duration // when something is to be asked for it next
-	holder string        // who had it when it was asked for last
-	since  uint64        // as of op; 0 for none
-	note   []byte        // of the name, as the log had it when it was asked last
-	set    []byte        // a note that is to take its place
+	wanted bool          // otherwise it is to be given back
+	token  uint64        // 0 if it is not held
+	giving uint64        // token of a lease that is to be given back before anything else, 0 if there is none
+	until  time.Duration // when the lease of token or giving expires, by this node's clock
+	askAt  time.Duration // when the next ask for it is due
+	holder string        // its holder at the last ask
+	since  uint64        // see op.Since
+	note   []byte        // the note of the name at the last ask
+	set    []byte        // the note to set, if toSet
 	toSet  bool
-	no     string // why there was no grant
+	no     string // why it was not granted
 }
 
-// request is one ask on its way.
+// request is an ask that was sent and not answered yet.
 type request struct {
 	Number uint64
 	To     string // a voter
 	Ask    ask
-	at     time.Duration // before it left
+	at     time.Duration // a time before it was sent
 }
 
-// patience is how long an answer is waited for: little where a lease is short, so that one of
-// the other voters is asked in time.
+// patience returns how long to wait for the answer: a part of the shortest lease that is asked for, so that there is time
+// to ask another voter.
 func (r *request) patience() time.Duration {
 	shortest := 4 * askTime
 	for _, o := range r.Ask.Ops {
@@ -62,43 +64,44 @@
 	return max(shortest/4, backoffLeast)
 }
 
-// Asker is one node's asks, and what it holds: pure, and stepped with times of one clock that
-// never stops. It is not safe for concurrent use.
+// Asker is the client of the leases at one node: it decides when to ask for what, and knows what the node holds. It has no
+// clock or goroutine: now is the reading of a monotonic clock that does not stop while the machine sleeps. It is not safe
+// for concurrent use.
 type Asker struct {
 	name        string
 	incarnation uint64
 	number      uint64
-	voters      []string // of the file
-	learnt      []string // as the log has them
-	leader      string   // who is asked next; empty: any voter
-	avoid       string   // who has not answered, until avoidTo: others may take it to lead still
+	voters      []string // by the configuration
+	learnt      []string // by the last answer
+	leader      string   // the voter to ask next; empty for any
+	avoid       string   // a voter that has not answered, which is avoided until avoidTo
 	avoidTo     time.Duration
 	log         logID
 	tenures     map[string]*tenure
 	out         *request
-	next        time.Duration // no ask before
+	next        time.Duration // the earliest time of the next ask
 	backoff     time.Duration
 	random      func() float64
 	stats       AskerStats
 }
 
-// AskerStats count since the start.
+// AskerStats counts the asks, those without an answer, and the leases lost, since the start.
 type AskerStats struct {
 	Asks, NoAnswer, Lost int
 }
 
-// NewAsker begins with nothing. Random draws from 0 to 1.
+// NewAsker returns an Asker that wants no leases. The function random returns random numbers in [0, 1).
 func NewAsker(name string, voters []string, random func() float64) *Asker {
 	return &Asker{name: name, voters: voters, tenures: map[string]*tenure{}, random: random}
 }
 
-// Restart tells the incarnation that the node has now. What was held under another one is lost,
-// and so is what is on its way.
+// Restart sets the incarnation of the node. If it has changed, the leases that were held and the ask without an answer are
+// lost.
 func (a *Asker) Restart(incarnation uint64) {
 	if incarnation == a.incarnation {
 		return
 	}
-	a.incarnation, a.out = incarnation, nil // numbers go on: an incarnation may join twice
+	a.incarnation, a.out = incarnation, nil // the numbers go on, because an incarnation may join twice
 	for name, t := range a.tenures {
 		t.toSet = false
 		t.token, t.giving = 0, 0
@@ -108,7 +111,8 @@
 	}
 }
 
-// Want asks for a lease from now on, and renews it, until Drop.
+// Want asks for a lease from now on, and renews it, until Drop. It fails if the name or the length is invalid or there are
+// too many leases.
 func (a *Asker) Want(name string, length, now time.Duration) error {
 	if name == blocked || len(name) > MaxName || !utf8.ValidString(name) {
 		return fmt.Errorf("%q is no name of a lease (1 to %d bytes)", name, MaxName)
@@ -126,25 +130,25 @@
 	case t.wanted:
 		return nil
 	}
-	t.length, t.wanted, t.askAt = length, true, min(t.askAt, now) // after the give-back, if there is one
+	t.length, t.wanted, t.askAt = length, true, min(t.askAt, now) // a lease that is being given back is given back first
 	return nil
 }
 
-// Succeed lets a wish that is there take what earlier incarnations of this node have, as op says.
+// Succeed allows a lease that is wanted to be taken from earlier incarnations of this node (op.Since).
 func (a *Asker) Succeed(name string, since uint64) {
 	if t := a.tenures[name]; t != nil {
 		t.since = since
 	}
 }
 
-// SetNote asks for another note of a lease that is held.
+// SetNote asks to replace the note of a lease that is held.
 func (a *Asker) SetNote(name string, text []byte, now time.Duration) {
 	if t := a.tenures[name]; t != nil && t.token != 0 {
 		t.set, t.toSet, t.askAt = text, true, min(t.askAt, now)
 	}
 }
 
-// Note is the note of a lease as the log had it last, and whether it is the one that was asked for last.
+// Note returns the note of a lease at the last answer, and whether no SetNote is outstanding.
 func (a *Asker) Note(name string) (text []byte, settled bool) {
 	t := a.tenures[name]
 	if t == nil {
@@ -153,7 +157,7 @@
 	return t.note, !t.toSet
 }
 
-// Drop gives a lease back. The caller has ended what it did under it.
+// Drop gives a lease back. The caller must have ended its work under it.
 func (a *Asker) Drop(name string, now time.Duration) {
 	t := a.tenures[name]
 	if t == nil {
@@ -168,10 +172,10 @@
 	}
 }
 
-// Forget ends the wish for a lease and says so to nobody: it runs out.
+// Forget stops renewing a lease without giving it back: it expires.
 func (a *Asker) Forget(name string) { delete(a.tenures, name) }
 
-// Held tells the token of a lease that this node has now, and how long it has it.
+// Held returns the token of a lease that this node holds and the time until it expires, or zeros.
 func (a *Asker) Held(name string, now time.Duration) (token uint64, left time.Duration) {
 	t := a.tenures[name]
 	if t == nil || !t.wanted || t.token == 0 || now >= t.until {
@@ -180,14 +184,14 @@
 	return t.token, t.until - now
 }
 
-// Freed tells that a name may be free.
+// Freed makes the next ask for a name due at once, because it may be free.
 func (a *Asker) Freed(name string, now time.Duration) {
 	if t := a.tenures[name]; t != nil && t.wanted && t.token == 0 {
 		t.askAt = min(t.askAt, now)
 	}
 }
 
-// runOut ends what has run out.
+// runOut ends the leases that have expired.
 func (a *Asker) runOut(now time.Duration) {
 	for name, t := range a.tenures {
 		if t.token == 0 && t.giving == 0 || now < t.until {
@@ -198,12 +202,12 @@
 		}
 		t.token, t.giving, t.askAt, t.toSet = 0, 0, min(t.askAt, now), false
 		if !t.wanted {
-			delete(a.tenures, name) // it was not answered; the log finds out by itself
+			delete(a.tenures, name) // no answer to the give; it expires at the voters too
 		}
 	}
 }
 
-// Step makes the next ask, if one is due; nil: none is.
+// Step returns the next ask, or nil if none is due.
 func (a *Asker) Step(now time.Duration) *request {
 	a.runOut(now)
 	if a.out != nil || now < a.next || a.incarnation == 0 || len(a.voters) == 0 {
@@ -218,7 +222,7 @@
 	if len(due) == 0 {
 		return nil
 	}
-	urgent := func(name string) time.Duration { // what would be lost first
+	urgent := func(name string) time.Duration { // leases that expire first are asked for first
 		if t := a.tenures[name]; t.token != 0 {
 			return t.until
 		}
@@ -245,6 +249,7 @@
 	return r
 }
 
+// anyVoter returns a random voter, if possible one that is not avoided.
 func (a *Asker) anyVoter(now time.Duration) string {
 	all := slices.Concat(a.learnt, a.voters)
 	if others := slices.DeleteFunc(slices.Clone(all), func(name string) bool { return name == a.avoid }); now < a.avoidTo && len(others) > 0 {
@@ -253,7 +258,7 @@
 	return all[int(a.random()*float64(len(all)))%len(all)]
 }
 
-// Wake is when Step has something to do; false: nothing is wanted.
+// Wake returns when Step must be called next, and false if no lease is wanted.
 func (a *Asker) Wake() (at time.Duration, ok bool) {
 	for _, t := range a.tenures {
 		due := max(t.askAt, a.next)
@@ -270,7 +275,7 @@
 	return at, ok
 }
 
-// NoAnswer tells that an ask came to nothing, as far as can be known here.
+// NoAnswer reports that an ask was not answered. It may have had an effect.
 func (a *Asker) NoAnswer(number uint64, now time.Duration) {
 	if a.out == nil || a.out.Number != number {
 		return
@@ -281,13 +286,13 @@
 	a.pause(now)
 }
 
-// pause grows with each ask in a row that came to nothing, and no two nodes' are alike.
+// pause delays the next ask by a random time whose mean doubles with each failed ask in a row.
 func (a *Asker) pause(now time.Duration) {
 	a.backoff = min(max(2*a.backoff, backoffLeast), backoffMost)
 	a.next = now + time.Duration(float64(a.backoff)*(0.5+a.random()))
 }
 
-// Answer takes in what became of an ask. One that is no longer waited for is nothing.
+// Answer handles the answer to an ask. An answer to any but the last ask is ignored.
 func (a *Asker) Answer(number uint64, ans answer, now time.Duration) {
 	if a.out == nil || a.out.Number != number {
 		return
@@ -315,11 +320,11 @@
 	}
 }
 
-// another tells whether an answer is from a log that this node must not listen to: an earlier
-// epoch, or another log while something is held by the one that it knows.
+// another reports whether an answer must be ignored because of its log: it is of an earlier epoch, or of another log while
+// this node holds leases of the one that it knows.
 func (a *Asker) another(log logID, now time.Duration) bool {
 	if log == (logID{}) {
-		return false // it only says who leads, or that it has none
+		return false // the voter is in no log, or only names the leader
 	}
 	if log.ID != a.log.ID {
 		for _, t := range a.tenures {
@@ -334,7 +339,7 @@
 	return false
 }
 
-// settle takes in what became of one name. A lease is counted from before it was asked for.
+// settle applies the outcome of one op. The time of a lease is counted from before the ask was sent.
 func (a *Asker) settle(o op, out outcome, asked, now time.Duration) {
 	t := a.tenures[o.Name]
 	if t == nil {
@@ -349,7 +354,7 @@
 		}
 		return
 	}
-	if t.giving != 0 { // given back since it was asked for: that goes on
+	if t.giving != 0 { // Drop was called after the ask: the give goes on
 		t.until = max(t.until, asked+out.Length)
 		return
 	}
@@ -363,10 +368,10 @@
 			delete(a.tenures, o.Name)
 			return
 		}
-		pause := min(max(out.Length/8, wantedLeast), wantedMost)
+		pause := min(max(out.Length/wantedShare, wantedLeast), wantedMost)
 		t.askAt = now + time.Duration(float64(pause)*(0.5+a.random()))
 		if o.Token != 0 && out.Token == 0 {
-			t.askAt = now // this node's own has run out: anew
+			t.askAt = now // the lease of this node has expired: ask for a new one
 		}
 		return
 	}
@@ -384,5 +389,5 @@
 	}
 }
 
-// names are all that is asked for or held, in order.
+// names returns the names that are wanted or held, in order.
 func (a *Asker) names() []string { return slices.Sorted(maps.Keys(a.tenures)) }
--- a/internal/lease/book.go
+++ b/internal/lease/book.go
@@ -1,10 +1,9 @@
-// Package lease names the one node of a fleet that may do a task, until when, and with what
-// token. Its page is docs/leases.md.
+// Package lease grants leases on names to the nodes of a fleet: at any time at most one node may do the task of a name,
+// until its lease expires, under a fencing token that grows with each grant. docs/leases.md describes it.
 //
-// What decides is pure and stepped: Book (what the agreed log says), Voter (one voter's part in
-// it, over raft and a folder), Asker (one node's asks and what it holds). Leases runs both over
-// a fleet.Net. It imports internal/fleet for the interface of the links, and internal/journal
-// for the seam of the file system.
+// The decisions are made by types without clock, goroutine or socket: Book is the replicated state, Voter one member of
+// the raft group that replicates it, Asker the client of one node. Leases runs a Voter and an Asker over a fleet.Net.
+// The package uses internal/journal for its interface to the file system.
 package lease
 
 import (
@@ -21,42 +20,42 @@
 )
 
 const (
-	// MaxLeases bounds what may be held at a time, so that a snapshot fits a frame of a link.
+	// MaxLeases is the most leases that may be held at a time, so that a snapshot fits into a frame of a link.
 	MaxLeases = fleet.MostLeases
-	// MaxName bounds a lease's name, in bytes.
+	// MaxName is the most bytes of a lease's name.
 	MaxName = 48
-	// maxOps bounds the names in one ask.
+	// maxOps is the most names in one ask.
 	maxOps = 256
-	// newEpoch is between the tokens of two epochs of a log: more than the lost can have granted
-	// that the survivor does not know of.
+	// newEpoch is the distance between the tokens of two epochs of a log: more than the lost voters can have granted
+	// without the survivor knowing.
 	newEpoch = 1 << 30
-	// MaxNote bounds a note; as many are kept as leases may be held.
+	// MaxNote is the most bytes of a note. The log keeps as many notes as leases may be held.
 	MaxNote = 256
-	// Shortest is the least length of a lease; the greatest is the log's own.
+	// Shortest is the least length of a lease. The greatest is a setting of the log.
 	Shortest = 500 * time.Millisecond
 )
 
-// What an ask may do to a name.
+// Kinds of op.
 const (
-	take = iota + 1 // take it, or renew what the asker has
-	give            // give it back
+	take = iota + 1 // take a lease, or renew it
+	give            // give a lease back
 )
 
-// op is one name of an ask.
+// op is the operation of an ask on one name.
 type op struct {
 	Do     uint8         `cbor:"1,keyasint"`
 	Name   string        `cbor:"2,keyasint"`
-	Token  uint64        `cbor:"3,keyasint,omitempty"` // give: of this alone; take: no other, if not 0
+	Token  uint64        `cbor:"3,keyasint,omitempty"` // give: the lease to give back; take: the only lease to renew, if not 0
 	Length time.Duration `cbor:"4,keyasint,omitempty"` // take
-	// SetNote: Note takes the place of the name's note, if the asker has the lease after this op; give: if it had.
+	// SetNote replaces the name's note by Note, if the asker has the lease after a take or had it before a give.
 	SetNote bool   `cbor:"5,keyasint,omitempty"`
 	Note    []byte `cbor:"6,keyasint,omitempty"`
-	// Since, where it is not 0, is an incarnation of the asker from which on all before the present one
-	// have surely ended what they did under this name: what such a one has is the asker's to take.
+	// Since, if not 0, is the first of the asker's earlier incarnations that are known to have ended their work under
+	// this name: the asker may take the lease from them.
 	Since uint64 `cbor:"7,keyasint,omitempty"`
 }
 
-// ask is what one node wants of the log, all at once.
+// ask is a request of one node to the log, for several names at once.
 type ask struct {
 	Node        string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
@@ -64,33 +63,32 @@
 	Ops         []op   `cbor:"4,keyasint"`
 }
 
-// outcome is what became of one op. Token and Length are of the lease as it is now held; a zero
-// token: nobody has it.
+// outcome is the result of one op. Token and Length are those of the lease after it; token 0 means that nobody has it.
 type outcome struct {
 	Token  uint64        `cbor:"1,keyasint,omitempty"`
 	Holder string        `cbor:"2,keyasint,omitempty"`
-	Mine   bool          `cbor:"3,keyasint,omitempty"` // the asker has it, from before this ask on for Length
+	Mine   bool          `cbor:"3,keyasint,omitempty"` // the asker has the lease, for Length from a time before this ask
 	Length time.Duration `cbor:"4,keyasint,omitempty"`
-	No     string        `cbor:"5,keyasint,omitempty"` // why there was no grant, where nobody has it
-	Note   []byte        `cbor:"6,keyasint,omitempty"` // of the name, where the asker has it
+	No     string        `cbor:"5,keyasint,omitempty"` // why it was not granted, if nobody has it
+	Note   []byte        `cbor:"6,keyasint,omitempty"` // the note of the name, if the asker has the lease
 }
 
-// lapse says that a lease has run out, as far as it was renewed so often.
+// lapse states that a lease has expired, if it was not renewed more often than Renewed.
 type lapse struct {
 	Name    string `cbor:"1,keyasint"`
 	Token   uint64 `cbor:"2,keyasint"`
 	Renewed uint64 `cbor:"3,keyasint"`
 }
 
-// command is an entry of the log: one of its parts.
+// command is an entry of the log. Exactly one of Ask, Lapsed and Wanted is set.
 type command struct {
 	Ask     *ask     `cbor:"1,keyasint,omitempty"`
 	Lapsed  []lapse  `cbor:"2,keyasint,omitempty"`
-	Wanted  []string `cbor:"3,keyasint,omitempty"` // who should vote from now on
-	Request uint64   `cbor:"4,keyasint,omitempty"` // of Wanted: which order it was
+	Wanted  []string `cbor:"3,keyasint,omitempty"` // names of the nodes that should be voters from now on
+	Request uint64   `cbor:"4,keyasint,omitempty"` // number of the order in Wanted
 }
 
-// held is one lease as the log has it.
+// held is a lease in the log.
 type held struct {
 	Node        uint32        `cbor:"1,keyasint"` // an index into the book's nodes
 	Incarnation uint64        `cbor:"2,keyasint"`
@@ -99,17 +97,16 @@
 	Length      time.Duration `cbor:"5,keyasint"`
 }
 
-// session is what the log keeps of a node that asks.
+// session is what the log keeps of a node that has asked, so that late and repeated asks have no effect.
 type session struct {
 	Name        string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 	Number      uint64 `cbor:"3,keyasint"` // of its last ask
-	At          uint64 `cbor:"4,keyasint"` // so many commands had come then
-	Holds       int    `cbor:"5,keyasint"` // so many leases, under any incarnation
+	At          uint64 `cbor:"4,keyasint"` // number of commands at its last ask
+	Holds       int    `cbor:"5,keyasint"` // number of leases, under any incarnation
 }
 
-// blocked is the name of the lease that nobody has and that holds up all grants of a log
-// that has just begun.
+// blocked is the name of a lease without a holder. Until it expires, a log that has just begun grants nothing.
 const blocked = ""
 
 var (
@@ -117,42 +114,42 @@
 	errFull = errors.New("no room for another node's asks")
 )
 
-// Book is the state that the log agrees on: pure, the same on all that have applied the same
-// commands, and without any time. It is not safe for concurrent use.
+// Book is the replicated state machine: it is the same at all voters that have applied the same commands, and has no
+// notion of time. It is not safe for concurrent use.
 type Book struct {
 	state bookState
 	index map[string]uint32 // of sessions, by name
-	freed []string          // names that nobody has any more, since this was emptied
+	freed []string          // names whose leases have ended since the caller last emptied this
 }
 
-// bookState is what a snapshot has.
+// bookState is the part of a Book that is in a snapshot.
 type bookState struct {
 	Commands uint64            `cbor:"1,keyasint"`
-	Token    uint64            `cbor:"2,keyasint"` // the last that was granted
+	Token    uint64            `cbor:"2,keyasint"` // of the last grant
 	Leases   map[string]held   `cbor:"3,keyasint"`
 	Nodes    []session         `cbor:"4,keyasint"`
-	Voters   map[uint64]string `cbor:"5,keyasint"` // the names of voters and of those who learn
+	Voters   map[uint64]string `cbor:"5,keyasint"` // names of the voters and learners by their raft ids
 	Wanted   []string          `cbor:"6,keyasint"`
 	Longest  time.Duration     `cbor:"7,keyasint"`
 	Most     int               `cbor:"8,keyasint"`
 	Notes    map[string]note   `cbor:"9,keyasint,omitempty"`
 }
 
-// note is what the last holder of a name, who may have it no longer, has left for the next.
+// note is a text that the last holder of a name has left for the next one.
 type note struct {
 	Text []byte `cbor:"1,keyasint"`
 	At   uint64 `cbor:"2,keyasint"` // so many commands had come then
 }
 
-// newBook begins a log: nothing is granted until a lease of the greatest length would have
-// run out, and tokens are above one.
+// newBook returns the state of a log that begins: nothing is granted until a lease of the greatest length would have
+// expired, and all tokens are greater than above.
 func newBook(above uint64, longest time.Duration, most int, wanted []string) *Book {
 	return &Book{state: bookState{Token: above + 1, Leases: map[string]held{blocked: {Token: above + 1, Length: longest}},
 		Nodes: []session{{Holds: 1}}, Voters: map[uint64]string{}, Wanted: wanted,
 		Longest: longest, Most: min(most, MaxLeases)}, index: map[string]uint32{}}
 }
 
-// The book is read from disk and links within its own bounds.
+// Encoding of all messages and files. Decoding limits the sizes of what comes from disk and links.
 var (
 	encoding = must(cbor.CoreDetEncOptions().EncMode())
 	decoding = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxArrayElements: 1 << 16,
@@ -166,8 +163,10 @@
 	return v
 }
 
+// snapshot encodes the state.
 func (b *Book) snapshot() ([]byte, error) { return encoding.Marshal(b.state) }
 
+// readBook decodes a snapshot. It fails if the snapshot contradicts itself.
 func readBook(text []byte) (*Book, error) {
 	b := &Book{index: map[string]uint32{}}
 	if err := decoding.Unmarshal(text, &b.state); err != nil {
@@ -193,8 +192,8 @@
 	return b, nil
 }
 
-// node finds or makes the session of an asker. One that holds nothing and has asked for
-// longest makes room.
+// node returns the index of a node's session, a new one if there is none. If there are too many, the one that has no
+// leases and has not asked for longest is replaced.
 func (b *Book) node(name string) (uint32, error) {
 	if i, ok := b.index[name]; ok {
 		return i, nil
@@ -220,8 +219,8 @@
 	return uint32(oldest), nil
 }
 
-// ask applies one node's ask; an error means that nothing of it has an effect. Changed are the
-// leases that have begun or were renewed: who counts their time counts it from here on.
+// ask applies an ask. It returns the outcomes of its ops, and the names of the leases that were granted or renewed, whose
+// time starts anew. After an error the ask has had no effect.
 func (b *Book) ask(a *ask) (all []outcome, changed []string, err error) {
 	b.state.Commands++
 	if len(a.Ops) > maxOps {
@@ -246,6 +245,7 @@
 	return all, changed, nil
 }
 
+// do applies one op of the node with session i, and reports whether the lease was granted or renewed.
 func (b *Book) do(i uint32, incarnation uint64, o op) (out outcome, began bool) {
 	h, there := b.state.Leases[o.Name]
 	if there && o.Do == take && h.Node == i && o.Since != 0 && h.Incarnation >= o.Since && h.Incarnation < incarnation {
@@ -292,8 +292,8 @@
 	return outcome{Token: h.Token, Holder: b.state.Nodes[h.Node].Name, Length: h.Length}, false
 }
 
-// note keeps the note of a name that is held, or none. Of too many, the one goes that was left longest ago
-// and that nobody holds the name of: whoever finds none must not take that for the first of a name.
+// note replaces the note of a name that is held; an empty or too long text removes it. If there are too many notes, the
+// oldest one whose name is not held is dropped, so the absence of a note does not prove that a name is new.
 func (b *Book) note(name string, text []byte) {
 	if len(text) == 0 || len(text) > MaxNote {
 		delete(b.state.Notes, name)
@@ -311,20 +311,21 @@
 			}
 		}
 		if oldest == "" {
-			return // its holder sees that it is not there
+			return // the holder sees in its outcome that there is no note
 		}
 		delete(b.state.Notes, oldest)
 	}
 	b.state.Notes[name] = note{slices.Clone(text), b.state.Commands}
 }
 
+// drop ends a lease.
 func (b *Book) drop(name string, h held) {
 	delete(b.state.Leases, name)
 	b.freed = append(b.freed, name)
 	b.state.Nodes[h.Node].Holds--
 }
 
-// lapse applies that leases have run out: each only if it was not renewed since.
+// lapse ends leases that have expired, except those that were renewed since.
 func (b *Book) lapse(all []lapse) {
 	b.state.Commands++
 	for _, l := range all {
@@ -334,13 +335,13 @@
 	}
 }
 
-// want applies an order of who should vote.
+// want sets which nodes should be voters.
 func (b *Book) want(names []string) {
 	b.state.Commands++
 	b.state.Wanted = slices.Clone(names)
 }
 
-// Holding is one lease for the staff to see.
+// Holding is a lease as it is shown to the staff.
 type Holding struct {
 	Name        string  `json:"name"`
 	Holder      string  `json:"holder"`
@@ -350,7 +351,7 @@
 	Length      float64 `json:"length_s"`
 }
 
-// holdings are all leases by name, so many of them at most.
+// holdings returns up to most leases in the order of their names.
 func (b *Book) holdings(most int) (all []Holding) {
 	for _, name := range slices.Sorted(maps.Keys(b.state.Leases)) {
 		h := b.state.Leases[name]
--- a/internal/lease/explore_test.go
+++ b/internal/lease/explore_test.go
@@ -118,6 +118,16 @@
 		do(c)
 		all, events = append(all, c), append(events, event)
 	}
+	m.nextOfVoters(add)
+	m.nextOfAskers(add)
+	for _, t := range m.moments() {
+		add(fmt.Sprint("time goes on by ", t-m.now), func(c *model) { c.now = t })
+	}
+	return all, events
+}
+
+// nextOfVoters adds what may happen to the log and the voters.
+func (m *model) nextOfVoters(add func(event string, do func(c *model))) {
 	for i := range m.pool {
 		add(fmt.Sprint("lands ", i), func(c *model) { c.land(i, false) })
 		if len(m.landed)-m.voters[0].applied < 2 {
@@ -141,6 +151,10 @@
 			}
 		})
 	}
+}
+
+// nextOfAskers adds what may happen to the askers.
+func (m *model) nextOfAskers(add func(event string, do func(c *model))) {
 	for i, a := range m.askers {
 		now := slowClock(m.now)
 		if probe := m.clone(); len(m.pool) < 3 && probe.askers[i].Step(now) != nil {
@@ -168,10 +182,6 @@
 			add("another incarnation of 0", func(c *model) { c.askers[0].Restart(2) })
 		}
 	}
-	for _, t := range m.moments() {
-		add(fmt.Sprint("time goes on by ", t-m.now), func(c *model) { c.now = t })
-	}
-	return all, events
 }
 
 func cloneModelDue(v modelVoter, now time.Duration) []lapse {
--- a/internal/lease/fence.go
+++ b/internal/lease/fence.go
@@ -15,13 +15,14 @@
 	"dunetide/internal/journal"
 )
 
+// maxFence is the most bytes of a file of tokens.
 const maxFence = 2 << 20
 
-// ErrFenced says that somebody has acted under a later token.
+// ErrFenced is returned for an act under a token when an act under a later one was seen.
 var ErrFenced = errors.New("a later token was seen")
 
-// Fence refuses acts under lower tokens than it has seen, on behalf of whoever they are done to.
-// With a folder that outlasts the process. It may be used by many at once.
+// Fence refuses acts under fencing tokens that are lower than one it has seen. With a folder, it remembers the tokens beyond
+// the end of the process. It is safe for concurrent use.
 type Fence struct {
 	folder journal.Folder
 	name   string
@@ -30,8 +31,8 @@
 	seen map[string]uint64
 }
 
-// OpenFence reads what an earlier life has seen. Folder nil: nothing is kept. What can't be read is
-// an error: without it a lower token could pass.
+// OpenFence reads the tokens that an earlier process has seen. If folder is nil, none are stored. It fails if the file is
+// damaged, because a lower token could pass without it.
 func OpenFence(folder journal.Folder, name string) (*Fence, error) {
 	f := &Fence{folder: folder, name: name, seen: map[string]uint64{}}
 	if folder == nil {
@@ -58,8 +59,8 @@
 	return f, nil
 }
 
-// Pass lets an act through, or refuses it with ErrFenced. A token that is later than all before is
-// on disk before the act may begin; another error says that it is not, and then it may not.
+// Pass returns nil if an act under a token may begin, and ErrFenced if a later token was seen. A token that is higher than
+// all before is on disk when Pass returns nil; if it cannot be stored, Pass returns another error.
 func (f *Fence) Pass(lease string, token uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -83,12 +84,13 @@
 	return nil
 }
 
+// save stores the tokens.
 func (f *Fence) save(seen map[string]uint64) error {
 	body, err := encoding.Marshal(seen)
 	if err != nil {
 		return err
 	}
-	// A line of its own for the checksum, so the body goes as digits.
+	// The body is written in hexadecimal, so that the checksum can have a line of its own.
 	text := fmt.Sprintf("%x", body)
 	return journal.Replace(f.folder, f.name, fmt.Appendf(nil, "%s\n%016x\n", text, xxhash.Sum64String(text)))
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -17,29 +17,29 @@
 )
 
 const (
-	// kind is what news and questions about leases go by, over the fleet's links.
+	// kind is the kind of the messages about leases on the fleet's links.
 	kind = "lease"
-	// eventRoom bounds what waits for the voter's loop; more is refused. Each takes some
-	// microseconds, but while the disk syncs.
+	// eventRoom is the most events that wait for the voter's loop; further ones are refused. An event takes some
+	// microseconds, or as long as a sync of the disk.
 	eventRoom = 2048
-	// flushEvery bounds how many events are taken in before what follows is carried out.
+	// flushEvery is the most events before a Flush.
 	flushEvery = 256
-	// tookRoom is how many asks' times are kept for the staff.
+	// tookRoom is the number of asks whose times are kept for the staff.
 	tookRoom = 256
-	// voterPause is before a voter that has failed begins anew from its folder.
+	// voterPause is the pause before a voter that has failed is started again from its folder.
 	voterPause = 5 * time.Second
-	// askTime is how long an answer is waited for: a little longer than the leader waits.
+	// askTime is how long to wait for an answer: a little longer than the leader waits.
 	askTime = answerTime + 500*time.Millisecond
 )
 
 var (
-	// ErrNotHeld says that a lease is not held, or not for long enough.
+	// ErrNotHeld is returned when a lease is not held, or not for long enough.
 	ErrNotHeld = errors.New("the lease is not held for so long")
-	// ErrOutside says that this node takes no part in its fleet just now.
+	// ErrOutside is returned when this node is not joined to its fleet.
 	ErrOutside = errors.New("this node is not joined")
 )
 
-// Options are what leases stand on.
+// Options configures Leases.
 type Options struct {
 	Net     fleet.Net
 	Folder  journal.Folder
@@ -47,34 +47,34 @@
 	Voters  []string
 	Longest time.Duration
 	Most    int
-	// Clock never stops, also not while the machine sleeps.
+	// Clock is a monotonic clock that does not stop while the machine sleeps.
 	Clock func() time.Duration
-	// Above is what tokens are above of a log that begins.
+	// Above returns a number that all tokens of a log that begins must exceed.
 	Above func() uint64
 	Seed  uint64
 	Log   *slog.Logger
 }
 
-// Leases is one node's part in the leases of its fleet.
+// Leases is the part of one node in the leases of its fleet: a client and, if it is one, a voter. It is safe for concurrent use.
 type Leases struct {
 	o      Options
 	events chan func(v *Voter, now time.Duration) // for the voter's loop
-	life   sync.Mutex                             // held where the voter begins and ends
-	votes  bool                                   // under life
-	wake   chan struct{}                          // for the asker's
+	life   sync.Mutex                             // held while the voter is started or stopped
+	votes  bool                                   // there is a voter; guarded by life
+	wake   chan struct{}                          // wakes the asker's loop
 
-	mu     sync.Mutex // over what follows
+	mu     sync.Mutex // guards the following
 	asker  *Asker
 	leases map[string]*Lease
 	rand   *rand.Rand
 	start  uint64
-	took   []time.Duration // by the last asks, from before they left to their answers
+	took   []time.Duration // times of the last asks until their answers
 	joined bool
 	failed string        // why there is no voter
-	turn   chan struct{} // closed when something of what is held may have changed
+	turn   chan struct{} // closed and replaced when a lease may have changed
 }
 
-// New registers with the fleet; Run does the rest.
+// New registers the handlers of messages with the fleet. Run does the work.
 func New(o Options) *Leases {
 	l := &Leases{o: o, events: make(chan func(*Voter, time.Duration), eventRoom), wake: make(chan struct{}, 1),
 		leases: map[string]*Lease{}, turn: make(chan struct{}), rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
@@ -90,14 +90,15 @@
 	return l
 }
 
+// random returns a random number.
 func (l *Leases) random() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.rand.Uint64()
 }
 
-// Overtaken tells that others know a later start of this node than its folder does: what it has of
-// the log is from before, and is set aside. Without an error it surely is.
+// Overtaken sets the log in the folder aside, because other nodes know a later start of this node than its folder does. If
+// it returns nil, the log is set aside.
 func (l *Leases) Overtaken() error {
 	l.life.Lock()
 	defer l.life.Unlock()
@@ -110,8 +111,8 @@
 	return errors.Join(err, out)
 }
 
-// Run takes part until the context ends: for as long as this node is joined to its fleet, and no
-// longer, since then another process may have its folder.
+// Run runs the voter and the asker until the context ends. It must not run longer than this node is joined to its fleet,
+// because another process may have the folder afterwards.
 func (l *Leases) Run(ctx context.Context) {
 	l.mu.Lock()
 	l.joined, l.failed = true, ""
@@ -128,6 +129,7 @@
 	l.settle(l.o.Clock())
 }
 
+// rouse wakes the asker's loop.
 func (l *Leases) rouse() {
 	select {
 	case l.wake <- struct{}{}:
@@ -135,7 +137,7 @@
 	}
 }
 
-// post hands an event to the voter's loop; false: there is no room.
+// post queues an event for the voter's loop, and returns false if there is no room.
 func (l *Leases) post(f func(v *Voter, now time.Duration)) bool {
 	select {
 	case l.events <- f:
@@ -145,6 +147,7 @@
 	}
 }
 
+// fail records why there is no voter.
 func (l *Leases) fail(why string) {
 	l.o.Log.Error("leases: this node does not vote", "why", why)
 	l.mu.Lock()
@@ -152,8 +155,8 @@
 	l.failed = why
 }
 
-// runVoter steps the voter. What it can't go on after ends its part in the log for a while, and
-// nothing else: a panic of raft says that what it stands on contradicts itself, as on an old folder.
+// runVoter runs the voter, and starts it again after a pause when it fails. A panic of raft is such a failure: it means that
+// its state is inconsistent, for example because the folder is old.
 func (l *Leases) runVoter(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.stepVoter(ctx)
@@ -166,7 +169,7 @@
 	}
 }
 
-// stepVoter is one life of the voter.
+// stepVoter runs the voter until it fails or the context ends.
 func (l *Leases) stepVoter(ctx context.Context) {
 	l.life.Lock()
 	v, err := NewVoter(VoterOptions{Name: l.o.Name, Start: l.start, Folder: l.o.Folder,
@@ -186,7 +189,7 @@
 		defer l.life.Unlock()
 		l.votes = false
 		v.Close()
-		for len(l.events) > 0 { // whoever waits has a time
+		for len(l.events) > 0 { // callers that wait for them have a time limit
 			<-l.events
 		}
 	}()
@@ -217,12 +220,13 @@
 			}
 		}
 		v.Tick(l.o.Clock())
-		for _, out := range v.Flush(l.o.Clock()) { // the time after all that was taken in
+		for _, out := range v.Flush(l.o.Clock()) { // the time is read after the events
 			l.tell(v, out)
 		}
 	}
 }
 
+// tell sends a message, or handles it if it is for this node.
 func (l *Leases) tell(v *Voter, out Outbound) {
 	if name, free := strings.CutPrefix(out.Key, freeKey); free && out.To == l.o.Name {
 		l.hearFree(name)
@@ -233,14 +237,16 @@
 	}
 }
 
+// hear handles a message of another node.
 func (l *Leases) hear(from fleet.Peer, key string, _ time.Duration, body []byte) {
 	if name, free := strings.CutPrefix(key, freeKey); free {
 		l.hearFree(name)
 		return
 	}
-	l.post(func(v *Voter, now time.Duration) { v.Receive(now, from, body) }) // else it comes again, or raft says it anew
+	l.post(func(v *Voter, now time.Duration) { v.Receive(now, from, body) }) // if there is no room, raft or the sender repeats it
 }
 
+// hearFree handles the message that a lease may be free.
 func (l *Leases) hearFree(name string) {
 	l.mu.Lock()
 	l.asker.Freed(name, l.o.Clock())
@@ -254,7 +260,7 @@
 	if err := decoding.Unmarshal(body, &a); err != nil {
 		return nil, fmt.Errorf("unreadable: %w", err)
 	}
-	if a.Node != from.Name { // its incarnation may be later than when the link began
+	if a.Node != from.Name { // the incarnation may differ: that of the link is older
 		return nil, fmt.Errorf("%s asks as %s", from.Name, a.Node)
 	}
 	ans, err := l.put(ctx, a)
@@ -264,12 +270,12 @@
 	return encoding.Marshal(ans)
 }
 
-// put has an ask answered by this node's voter.
+// put lets this node's voter answer an ask.
 func (l *Leases) put(ctx context.Context, a ask) (answer, error) {
 	return await(ctx, l, func(v *Voter, now time.Duration, reply func(answer)) { v.Ask(now, a, reply) })
 }
 
-// await has something done by the voter's loop, and waits for its reply.
+// await runs a function in the voter's loop and waits for its reply.
 func await[T any](ctx context.Context, l *Leases, f func(v *Voter, now time.Duration, reply func(T))) (out T, err error) {
 	got := make(chan T, 1)
 	if !l.post(func(v *Voter, now time.Duration) { f(v, now, func(t T) { got <- t }) }) {
@@ -283,7 +289,7 @@
 	}
 }
 
-// runAsker puts what the asker wants, one ask at a time.
+// runAsker sends the asks of the asker, one at a time.
 func (l *Leases) runAsker(ctx context.Context) {
 	var asking sync.WaitGroup
 	defer asking.Wait()
@@ -325,6 +331,7 @@
 	}
 }
 
+// ask sends an ask to a voter and returns the answer.
 func (l *Leases) ask(ctx context.Context, r *request) (ans answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, r.patience())
 	defer cancel()
@@ -342,15 +349,15 @@
 	return ans, decoding.Unmarshal(text, &ans)
 }
 
-// Names are the leases that this node wants.
+// Names returns the names of the leases that this node wants.
 func (l *Leases) Names() (all []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.asker.names()
 }
 
-// Take is Want and Wait for the staff, who have no act of which the end could be seen: the lease is
-// renewed until Give, or until this process ends. Without it by the context's end nothing is wanted.
+// Take wants a lease on behalf of the staff and waits for it. It is renewed until Give or the end of the process. If the
+// context ends first, the lease is not wanted any more.
 func (l *Leases) Take(ctx context.Context, name string, length time.Duration) (token uint64, err error) {
 	t, err := l.Want(name, length)
 	if err != nil {
@@ -369,7 +376,7 @@
 	return token, err
 }
 
-// Give is GiveBack for the staff.
+// Give gives back a lease that the staff have taken under a token.
 func (l *Leases) Give(ctx context.Context, name string, token uint64) error {
 	l.mu.Lock()
 	t := l.leases[name]
@@ -384,8 +391,8 @@
 	return nil
 }
 
-// SetVoters orders who should vote from now on. A yes means that the log has it; the voters
-// are changed one by one after that.
+// SetVoters sets which nodes should be voters. When it returns nil the order is committed; the voters are changed one by
+// one afterwards.
 func (l *Leases) SetVoters(ctx context.Context, names []string) error {
 	if err := fleet.CheckVoters(names); err != nil {
 		return err
@@ -407,11 +414,11 @@
 	return nil
 }
 
-// GivesUp is what has to be said, word for word, with the order to recover.
+// GivesUp is the text with which the staff must confirm the order to recover.
 const GivesUp = "what the lost voters alone have agreed on is void"
 
-// Recover begins the next epoch of the log at this node alone. Log is the number of the present
-// one, as Status shows it.
+// Recover begins a new epoch of the log with this node as the only voter (Voter.Recover). Log is the present log, as Status
+// shows it, and givesUp must be GivesUp. It fails if the log has a leader.
 func (l *Leases) Recover(ctx context.Context, log, givesUp string) error {
 	if givesUp != GivesUp {
 		return fmt.Errorf("the order has to say what it gives up, word for word: %q", GivesUp)
--- a/internal/lease/lease_handle.go
+++ b/internal/lease/lease_handle.go
@@ -8,12 +8,12 @@
 	"time"
 )
 
-// Lease is one name that this node wants, until GiveBack.
+// Lease is a lease that this node wants, from Want until GiveBack. It is safe for concurrent use.
 type Lease struct {
 	l    *Leases
 	name string
 
-	// Under l.mu.
+	// Guarded by l.mu.
 	token uint64
 	held  chan struct{} // closed while it is held
 	lost  chan struct{} // closed while it is not
@@ -21,8 +21,8 @@
 	given bool
 }
 
-// Want asks for a lease, and renews it, from now on. It is the same for all who want a name at
-// this node.
+// Want asks for a lease from now on, and renews it, until GiveBack. It fails if the name is wanted at this node already or
+// the length is out of bounds.
 func (l *Leases) Want(name string, length time.Duration) (*Lease, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -42,7 +42,7 @@
 	return t, nil
 }
 
-// settle tells whoever waits what is held now and what is not; l.mu is held.
+// settle updates the leases by what the asker holds and wakes those that wait for a change. l.mu is held.
 func (l *Leases) settle(now time.Duration) {
 	for _, t := range l.leases {
 		token, _ := l.asker.Held(t.name, now)
@@ -64,8 +64,8 @@
 	l.turn = make(chan struct{})
 }
 
-// Succeed lets this lease be taken from an earlier incarnation of this node, from one on that the caller
-// names: it knows that all of them have ended what they did under it.
+// Succeed allows this lease to be taken from the earlier incarnations of this node from since on. The caller knows that all
+// of them have ended their work under it.
 func (t *Lease) Succeed(since uint64) {
 	t.l.mu.Lock()
 	defer t.l.mu.Unlock()
@@ -73,8 +73,8 @@
 	t.l.rouse()
 }
 
-// Note is what the last holder has left under this name, as the log had it when this node got the lease,
-// or what this node has set since. None is none, or one that was forgotten.
+// Note returns the note that the last holder left under this name, as it was when this node got the lease, or the one that
+// this node has set since. An empty note may also mean that the log has dropped it.
 func (t *Lease) Note() []byte {
 	t.l.mu.Lock()
 	defer t.l.mu.Unlock()
@@ -82,8 +82,8 @@
 	return text
 }
 
-// SetNote leaves a note under this name, for whoever holds it next. Without an error the log has it, and
-// this node still held the lease under the token.
+// SetNote leaves a note under this name for the next holder. When it returns nil the note is committed, at a time when this
+// node held the lease under the token.
 func (t *Lease) SetNote(ctx context.Context, token uint64, text []byte) error {
 	if len(text) > MaxNote {
 		return fmt.Errorf("a note of %d bytes, over %d", len(text), MaxNote)
@@ -115,7 +115,7 @@
 	}
 }
 
-// Holder is who had the lease when it was asked for last; empty: nobody, or nobody knows.
+// Holder returns the holder of the lease at the last ask, or an empty string if there was none or it is unknown.
 func (t *Lease) Holder() string {
 	t.l.mu.Lock()
 	defer t.l.mu.Unlock()
@@ -125,7 +125,7 @@
 	return ""
 }
 
-// Held tells the token that this node has the lease under, and for how long still; 0: it has not.
+// Held returns the token under which this node holds the lease and the time until it expires, or zeros.
 func (t *Lease) Held() (token uint64, left time.Duration) {
 	t.l.mu.Lock()
 	defer t.l.mu.Unlock()
@@ -135,7 +135,7 @@
 	return t.l.asker.Held(t.name, t.l.o.Clock())
 }
 
-// Wait waits until the lease is held.
+// Wait waits until the lease is held and returns its token. It fails if the context ends or the lease was given back.
 func (t *Lease) Wait(ctx context.Context) (token uint64, err error) {
 	for {
 		t.l.mu.Lock()
@@ -149,7 +149,7 @@
 			if token, _ := t.Held(); token != 0 {
 				return token, nil
 			}
-			t.l.rouse() // it has run out just now
+			t.l.rouse() // it has just expired
 			select {
 			case <-time.After(time.Millisecond):
 			case <-ctx.Done():
@@ -162,16 +162,15 @@
 	}
 }
 
-// Lost is closed when the lease is not held, or no longer.
+// Lost returns a channel that is closed when the lease is not held, or when it is lost.
 func (t *Lease) Lost() <-chan struct{} {
 	t.l.mu.Lock()
 	defer t.l.mu.Unlock()
 	return t.lost
 }
 
-// Begin begins an act under the lease: only while more of it is left than the longest that the
-// act may take. The act has to end, with its last byte out, when its context does, and End
-// says that it has. Error: ErrNotHeld.
+// Begin begins an act under the lease that takes up to longest. It fails with ErrNotHeld if the lease does not last that
+// long. The act must have ended, with its last byte sent, when its context ends, and End must be called then.
 func (t *Lease) Begin(ctx context.Context, longest time.Duration) (act *Act, err error) {
 	t.l.mu.Lock()
 	token, left := t.l.asker.Held(t.name, t.l.o.Clock())
@@ -196,7 +195,7 @@
 	return a, nil
 }
 
-// Act is something that is being done under a lease.
+// Act is a piece of work under a lease.
 type Act struct {
 	Token   uint64
 	Context context.Context
@@ -205,7 +204,7 @@
 	once    sync.Once
 }
 
-// End says that the act has ended.
+// End reports that the act has ended. Further calls have no effect.
 func (a *Act) End() {
 	a.once.Do(func() {
 		a.cancel()
@@ -213,9 +212,8 @@
 	})
 }
 
-// GiveBack ends the wish for the lease. No act begins any more; when those that are going on have
-// ended, the others may have it. It waits for them, unless the context ends: then the lease is
-// not renewed any more, and runs out.
+// GiveBack gives the lease back. No further act can begin; it waits for the acts that are under way and then releases the
+// lease. If the context ends first, the lease is no longer renewed, and expires.
 func (t *Lease) GiveBack(ctx context.Context) {
 	t.l.mu.Lock()
 	if t.given {
@@ -225,7 +223,7 @@
 	t.given = true
 	t.l.mu.Unlock()
 	ended := make(chan struct{})
-	go func() { // each act has a time, after which it must have ended
+	go func() { // each act has a time limit
 		t.acts.Wait()
 		close(ended)
 	}()
--- a/internal/lease/members.go
+++ b/internal/lease/members.go
@@ -12,7 +12,7 @@
 	"dunetide/internal/fleet"
 )
 
-// Receive takes in what another voter, or one that may be one, tells.
+// Receive handles a message of another node that is a voter or may become one.
 func (v *Voter) Receive(now time.Duration, from fleet.Peer, body []byte) {
 	var m message
 	if err := decoding.Unmarshal(body, &m); err != nil {
@@ -64,6 +64,7 @@
 	}
 }
 
+// hear hands a message to raft, after recording a new incarnation of its sender.
 func (v *Voter) hear(from fleet.Peer, m message) {
 	in := &raftpb.Message{}
 	if err := proto.Unmarshal(m.Raft, in); err != nil || in.GetFrom() != m.From || in.GetTo() != m.To || raft.IsLocalMsg(in.GetType()) {
@@ -87,8 +88,8 @@
 	}
 }
 
-// bare tells whether there is nothing of a log here but its name: whoever was asked into one that
-// was lost then must not keep another from beginning.
+// bare reports whether this node has no entries of a log: a node that was invited to a log that was lost since must not
+// prevent a new one.
 func (v *Voter) bare() bool {
 	if v.node == nil {
 		return true
@@ -97,8 +98,8 @@
 	return err == nil && last == 0
 }
 
-// look asks others who they are: those that should vote, or, before there is a log, those that
-// are to be in its beginning.
+// look asks other nodes for their identities: as the leader those that should be voters; before there is a log, the first
+// configured voter asks the others, and begins a log if none of them has one.
 func (v *Voter) look(now time.Duration) {
 	begins := v.bare() && len(v.o.Voters) > 0 && v.o.Voters[0] == v.o.Name
 	if !begins && !v.leads() || now-v.looked < lookEvery {
@@ -133,8 +134,8 @@
 	}
 }
 
-// arrange brings the voters, one change at a time, to those that should vote: first who is
-// missing learns, then it takes its own lost number's place, then the others go.
+// arrange changes the voters, one at a time, to those that should be voters: a missing one becomes a learner first, then
+// replaces the raft id that it had lost, and then the others are removed.
 func (v *Voter) arrange(now time.Duration) {
 	if now-v.changed < changeEvery {
 		return
@@ -158,6 +159,7 @@
 	}
 }
 
+// nextChange returns the next change of the voters, or nil if there is none now.
 func (v *Voter) nextChange(now time.Duration) *raftpb.ConfChange {
 	change := func(t raftpb.ConfChangeType, id uint64, name string) *raftpb.ConfChange {
 		return &raftpb.ConfChange{Type: &t, NodeId: &id, Context: []byte(name)}
@@ -210,15 +212,15 @@
 	return nil
 }
 
-// caughtUp tells whether a learner has all that is agreed on.
+// caughtUp reports whether a learner has all committed entries.
 func (v *Voter) caughtUp(id uint64) bool {
 	s := v.node.Status()
 	p, there := s.Progress[id]
 	return there && p.RecentActive && p.Match >= s.HardState.GetCommit()
 }
 
-// Recover begins the next epoch of the log with this voter alone and what it has: the way out
-// when a majority is lost for good. What others alone have agreed on is void.
+// Recover begins a new epoch of the log with this node's state and this node as the only voter, for when a majority is
+// lost for good. Entries that only the lost voters had are void.
 func (v *Voter) Recover(now time.Duration) error {
 	if v.node == nil {
 		return errors.New("this node has nothing of the log")
@@ -232,7 +234,7 @@
 		return err
 	}
 	book.state.Token = max(book.state.Token+newEpoch, v.o.Above())
-	// What is held is held to its end and not renewed: the lost may have given it to others since.
+	// Present leases are left to expire and are not renewed, because the lost voters may have granted them to others.
 	book.state.Leases = map[string]held{blocked: {Token: book.state.Token, Length: book.state.Longest}}
 	book.state.Notes = nil // the lost may have agreed on others
 	for i := range book.state.Nodes {
--- a/internal/lease/process_test.go
+++ b/internal/lease/process_test.go
@@ -46,18 +46,47 @@
 // actor is a process of the fleet's and the lease's own code. It wants the lease "task", and while it
 // has it tells the witness: a line for each byte of its acts.
 func actor() error {
+	name := os.Getenv(nodeEnv)
+	l, err := actorLeases(name)
+	if err != nil {
+		return err
+	}
+	witness, err := net.Dial("tcp", os.Getenv("WITNESS"))
+	if err != nil {
+		return err
+	}
+	tell := func(token uint64) error {
+		_, err := fmt.Fprintf(witness, "%s %d %d\n", name, os.Getpid(), token)
+		return err
+	}
+	for {
+		task, err := l.Want("task", processLease)
+		if err != nil {
+			return err
+		}
+		for range 25 {
+			if err := actOnce(task, tell); err != nil {
+				return err
+			}
+		}
+		task.GiveBack(context.Background())
+	}
+}
+
+// actorLeases joins the fleet that the environment names, and its leases.
+func actorLeases(name string) (*lease.Leases, error) {
 	var file fleet.File
 	text, err := os.ReadFile(os.Getenv("FLEET_FILE"))
 	if err == nil {
 		err = json.Unmarshal(text, &file)
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
-	name, dir := os.Getenv(nodeEnv), os.Getenv("FOLDER")
+	dir := os.Getenv("FOLDER")
 	rate, err := strconv.ParseFloat(os.Getenv("RATE"), 64)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	began := time.Now()
@@ -65,51 +94,40 @@
 	f, err := fleet.New(fleet.Options{File: file, Name: name, Folder: journal.Dir(dir), Listen: fleet.Sockets, Clock: clock,
 		Seed: uint64(os.Getpid()), Log: log})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	l := lease.New(lease.Options{Net: f, Folder: journal.Dir(dir), Name: name, Voters: file.Leases.Voters, Longest: file.Leases.Longest(),
 		Most: 100, Clock: clock, Above: func() uint64 { return uint64(time.Now().Unix()) << 20 }, Seed: uint64(os.Getpid()), Log: log})
 	f.OnOld(l.Overtaken)
 	f.While(l.Run)
 	if err := f.Prepare(); err != nil {
-		return err
+		return nil, err
 	}
 	go f.Run(context.Background(), func() bool { return false })
-	witness, err := net.Dial("tcp", os.Getenv("WITNESS"))
-	if err != nil {
+	return l, nil
+}
+
+// actOnce waits for the task and acts on it for a while, if enough of the lease is left.
+func actOnce(task *lease.Lease, tell func(token uint64) error) error {
+	if _, err := task.Wait(context.Background()); err != nil {
 		return err
 	}
-	tell := func(token uint64) error {
-		_, err := fmt.Fprintf(witness, "%s %d %d\n", name, os.Getpid(), token)
-		return err
+	act, err := task.Begin(context.Background(), actTime)
+	if errors.Is(err, lease.ErrNotHeld) {
+		time.Sleep(5 * time.Millisecond) // too little of it is left
+		return nil
 	}
-	for k := 1; ; k++ {
-		task, err := l.Want("task", processLease)
-		if err != nil {
-			return err
+	for range 4 { // it has ended well before its time, unless this process stands still
+		if act.Context.Err() != nil {
+			break
 		}
-		for range 25 {
-			if _, err := task.Wait(context.Background()); err != nil {
-				return err
-			}
-			act, err := task.Begin(context.Background(), actTime)
-			if errors.Is(err, lease.ErrNotHeld) {
-				time.Sleep(5 * time.Millisecond) // too little of it is left
-				continue
-			}
-			for range 4 { // it has ended well before its time, unless this process stands still
-				if act.Context.Err() != nil {
-					break
-				}
-				if err := tell(act.Token); err != nil {
-					return err
-				}
-				time.Sleep(5 * time.Millisecond)
-			}
-			act.End()
+		if err := tell(act.Token); err != nil {
+			return err
 		}
-		task.GiveBack(context.Background())
+		time.Sleep(5 * time.Millisecond)
 	}
+	act.End()
+	return nil
 }
 
 // court is the witness: it sees each byte of each act, in the order in which they come.
@@ -372,8 +390,17 @@
 		b.signal(i, syscall.SIGCONT)
 		b.acts("an act after that", patience)
 	}
-	// A voter's folder is lost, then another's is one of long ago: each is set aside, learns, and takes
-	// its old number's place.
+	b.replaceVoters(old)
+	b.kill(0) // so that it is needed
+	b.acts("an act with a majority that has the new voter in it", patience)
+	b.start(0)
+	b.holdersDie()
+	b.verdict(stopped)
+}
+
+// replaceVoters has a voter's folder lost, then another's replaced by one of long ago: each is set aside, learns, and takes
+// its old number's place.
+func (b *bench) replaceVoters(old string) {
 	for _, c := range []struct {
 		voter  int
 		others [2]int
@@ -392,10 +419,10 @@
 		b.start(c.voter)
 		b.await("a new voter for "+b.names[c.voter], patience, func() bool { return promoted() == before+2 })
 	}
-	b.kill(0) // so that it is needed
-	b.acts("an act with a majority that has the new voter in it", patience)
-	b.start(0)
-	// The holder dies: a successor within the lease, the clocks' error and an election.
+}
+
+// holdersDie has holders die: each time there is a successor within the lease, the clocks' error and an election.
+func (b *bench) holdersDie() {
 	var took []time.Duration
 	deaths := 6
 	if n, err := strconv.Atoi(os.Getenv("LEASE_DEATHS")); err == nil {
@@ -409,7 +436,6 @@
 		b.acts("an act with it back", patience)
 	}
 	slices.Sort(took)
-	t.Logf("a successor's first act after %v (median), %v (99th percentile), %v (most) of %d deaths; a lease is %v",
+	b.t.Logf("a successor's first act after %v (median), %v (99th percentile), %v (most) of %d deaths; a lease is %v",
 		took[len(took)/2], took[len(took)*99/100], took[len(took)-1], len(took), processLease)
-	b.verdict(stopped)
 }
--- a/internal/lease/raft_log.go
+++ b/internal/lease/raft_log.go
@@ -5,8 +5,7 @@
 	"log/slog"
 )
 
-// raftLog puts what raft says on the node's log. What it panics with ends the voter, not the
-// process: see Leases.
+// raftLog writes raft's messages to the node's log. A panic of raft ends the voter, not the process (Leases.runVoter).
 type raftLog struct{ log *slog.Logger }
 
 func (l raftLog) Debug(v ...any)           {}
--- a/internal/lease/step_test.go
+++ b/internal/lease/step_test.go
@@ -323,17 +323,7 @@
 	n := s.nodes[i]
 	switch c := s.pick(1000); {
 	case c < 500 && len(s.way) > 0:
-		k := s.pick(min(len(s.way), 8))
-		if s.pick(10) == 0 {
-			k = s.pick(len(s.way))
-		}
-		p := s.way[k]
-		switch {
-		case s.cut[[2]int{p.from, p.to}] || s.pick(40) == 0:
-			s.way = slices.Delete(s.way, k, k+1)
-		default:
-			s.arrive(k, s.pick(30) == 0)
-		}
+		s.deliver()
 	case c < 800:
 		s.pass(time.Duration(1+s.pick(30)) * time.Millisecond)
 	case c < 880:
@@ -345,7 +335,34 @@
 			}
 			s.settle(i)
 		}
-	case c >= 880 && c < 960 && s.pick(4) > 0: // faults are rarer than that: an election takes 200 steps
+	default:
+		s.fault(i, c)
+	}
+	s.believe()
+	if s.pending != nil && s.pick(100) == 0 {
+		s.wish()
+	}
+}
+
+// deliver lets one of the messages that are on their way arrive, or be lost.
+func (s *sim) deliver() {
+	k := s.pick(min(len(s.way), 8))
+	if s.pick(10) == 0 {
+		k = s.pick(len(s.way))
+	}
+	p := s.way[k]
+	if s.cut[[2]int{p.from, p.to}] || s.pick(40) == 0 {
+		s.way = slices.Delete(s.way, k, k+1)
+		return
+	}
+	s.arrive(k, s.pick(30) == 0)
+}
+
+// fault lets something go wrong at a node or on the network, or right again.
+func (s *sim) fault(i, c int) {
+	n := s.nodes[i]
+	switch {
+	case c < 960 && s.pick(4) > 0: // faults are rarer than that: an election takes 200 steps
 	case c < 890 && s.pick(4) == 0:
 		s.cut[[2]int{i, s.pick(len(s.nodes))}] = s.pick(3) > 0
 	case c < 893:
@@ -376,10 +393,6 @@
 	case c < 960 && s.rng.IntN(20) == 0:
 		s.pass(time.Duration(s.pick(5000)) * time.Millisecond)
 	}
-	s.believe()
-	if s.pending != nil && s.pick(100) == 0 {
-		s.wish()
-	}
 }
 
 // fresh lets a node on an old folder hear that others know a later incarnation.
--- a/internal/lease/timekeeper.go
+++ b/internal/lease/timekeeper.go
@@ -7,44 +7,44 @@
 )
 
 const (
-	// clockErrorPercent: a voter counts a lease longer by 3%, for two clocks whose rates are each
-	// wrong by up to 1% (1.01/0.99 is 1.0202).
+	// clockErrorPercent is by how much longer a voter counts a lease, in percent, to allow for the clocks of voter and
+	// holder: the rate of each may be wrong by 1% (1.01/0.99 is 1.0202).
 	clockErrorPercent = 3
-	// sayAgain is when it is proposed again that a lease has run out.
+	// sayAgain is the time after which the expiry of a lease is proposed again.
 	sayAgain = time.Second
 )
 
-// counted is for how long a lease has been counted here, as it was renewed last.
+// counted is the time of a lease at this voter since its last renewal.
 type counted struct {
 	token, renewed uint64
 	since          time.Duration
-	said           time.Duration // when it was proposed last that it has run out
+	said           time.Duration // when its expiry was proposed last
 }
 
-// timekeeper is the time of leases at one voter, by its own clock: from when it has applied a
-// grant or a renewal, which is after it was asked for.
+// timekeeper counts the times of leases at one voter by its own clock. A lease is counted from when the voter has applied
+// its grant or renewal, which is later than from when its holder counts it.
 type timekeeper map[string]counted
 
-// count begins the time of a lease anew.
+// count restarts the time of a lease.
 func (k timekeeper) count(b *Book, name string, now time.Duration) {
 	h := b.state.Leases[name]
 	k[name] = counted{token: h.Token, renewed: h.Renewed, since: now, said: now - sayAgain}
 }
 
-// forget ends the time of one that nobody has any more.
+// forget removes the time of a lease that has ended.
 func (k timekeeper) forget(b *Book, name string) {
 	if _, there := b.state.Leases[name]; !there {
 		delete(k, name)
 	}
 }
 
-// longer is how long a voter counts a lease.
+// longer returns the time for which a voter counts a lease of a length.
 func longer(length time.Duration) time.Duration {
 	return length + length*clockErrorPercent/100
 }
 
-// due are leases that have run out, to be proposed as such: each only as it was renewed last when
-// its time began.
+// due returns the leases whose expiry is to be proposed now, up to maxOps. Each has the number of renewals from which its
+// time was counted, so that a later renewal makes the proposal void.
 func (k timekeeper) due(b *Book, now time.Duration) (all []lapse) {
 	for _, name := range slices.Sorted(maps.Keys(k)) {
 		c := k[name]
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -13,93 +13,94 @@
 )
 
 const (
-	// tickEvery is the log's own clock: a leader is heard each beatTicks of it, and missed after
-	// electionTicks to twice as many. An election must outlast a slow sync and a link that dials.
+	// tickEvery is the length of a raft tick. A leader sends heartbeats every beatTicks, and an election begins after
+	// electionTicks to twice as many without one: long enough for a slow sync and for a link that has to be dialled.
 	tickEvery     = 100 * time.Millisecond
 	electionTicks = 10
 	beatTicks     = 2
-	// lookEvery is how often the leader, and who may begin a log, ask other voters who they are;
-	// seenFor is how long their answer holds.
+	// lookEvery is how often the leader, or the node that may begin a log, asks other nodes for their identities.
+	// seenFor is how long an answer is valid.
 	lookEvery = time.Second
 	seenFor   = 3 * time.Second
-	// snapshotTime is how long a snapshot may take on its way: 1 MiB at the most.
+	// snapshotTime is how long the transfer of a snapshot may take, which has up to 1 MiB.
 	snapshotTime = 2 * time.Second
-	// changeEvery is the least time between two changes of the voters.
+	// changeEvery is the shortest time between two changes of the voters.
 	changeEvery = 300 * time.Millisecond
-	// answerTime is how long an ask may wait for the log's agreement.
+	// answerTime is how long an ask may wait to be committed.
 	answerTime = 3 * time.Second
+	// maxPending is the most asks that wait to be committed.
 	maxPending = 1024
-	// maxProposed bounds what a leader has proposed and nobody has agreed to yet, in bytes.
+	// maxProposed is the most bytes of a leader's uncommitted proposals.
 	maxProposed = 64 << 10
-	// windowOf is how many messages of one kind may wait for one voter; later ones replace them.
+	// windowOf is how many messages with entries, or with their answers, may wait for one voter. Later ones replace them.
 	windowOf = 32
 )
 
-// errNotLeader answers an ask at a voter that does not lead.
+// errNotLeader is the answer to an ask at a voter that is not the leader.
 var errNotLeader = errors.New("not the leader")
 
-// errNotProposed answers what raft has not taken: a leader may just have stepped down.
+// errNotProposed is the answer to an ask that raft has not accepted, for example because the leader has just stepped down.
 var errNotProposed = errors.New("not proposed")
 
-// VoterOptions are what a voter stands on.
+// VoterOptions configures a Voter.
 type VoterOptions struct {
 	Name  string
-	Start uint64 // drawn anew by each process
-	// Incarnation is the present one.
+	Start uint64 // a random number of the process
+	// Incarnation returns the present incarnation of the node.
 	Incarnation func() uint64
 	Folder      journal.Folder
-	Voters      []string // who may begin a log, the first of them, and is in it then
-	// The greatest length and number of leases, of a log that begins.
+	Voters      []string // the first voters of a log; only the first of them begins one
+	// Longest and Most are the greatest length and number of leases of a log that begins.
 	Longest time.Duration
 	Most    int
 	Random  func() uint64
-	// Above is what tokens of a log that begins are above.
+	// Above returns a number that all tokens of a log that begins must exceed.
 	Above func() uint64
 	Log   *slog.Logger
 }
 
-// freeKey and a name say, to who waits for a lease, that nobody has it any more.
+// freeKey is the prefix of the key of a message that a lease, whose name follows, has become free.
 const freeKey = "free "
 
-// Voter is one voter's part in the log: raft, the book, the file, and the time of leases. It is
-// stepped by events, after each of which Flush carries out what follows from them, and has no
-// clock, no goroutine and no link of its own. It is not safe for concurrent use.
+// Voter is one member of the raft group: it has the raft node, the replicated state, the file of the log, and the times of
+// leases. It has no clock, goroutine or connection: the caller passes events to it, and calls Flush to carry out their
+// effects. It is not safe for concurrent use.
 type Voter struct {
 	o     VoterOptions
 	disk  disk
 	self  identity
-	seen  map[uint64]life   // the last of each other voter
-	names map[uint64]string // who has said something under a number
+	seen  map[uint64]life   // the last process of each other voter, by raft id
+	names map[uint64]string // names of the senders of messages, by raft id
 
-	node    *raft.RawNode // nil: there is no log
+	node    *raft.RawNode // nil if there is no log
 	store   *raft.MemoryStorage
 	conf    *raftpb.ConfState
 	book    *Book
 	applied uint64
-	stuck   *raft.Ready // what the disk has not taken yet
+	stuck   *raft.Ready // what could not be written yet, nil if there is nothing
 	why     string      // the last error of the disk
 
 	counts  timekeeper
-	pending map[askKey]waiting
-	wanted  map[uint64]waiting // orders of who should vote
-	freed   map[string]map[string]bool
-	here    map[string]sighting // by name
-	// When a snapshot was sent to a voter of which nothing has come back.
+	pending map[askKey]waiting         // asks that are not committed yet
+	wanted  map[uint64]waiting         // orders of voters that are not committed yet
+	freed   map[string]map[string]bool // nodes that wait for each name
+	here    map[string]sighting        // identities of other nodes, by name
+	// snapshots are the times at which snapshots were sent that are not answered yet, by raft id.
 	snapshots map[uint64]time.Duration
-	looked    time.Duration
-	changed   time.Duration
-	ticked    time.Duration
-	keys      uint64
+	looked    time.Duration // the last look
+	changed   time.Duration // the last change of the voters
+	ticked    time.Duration // the last raft tick
+	keys      uint64        // number of the last message with entries
 	out       []Outbound
 	stats     VoterStats
 }
 
-// VoterStats count since the start.
+// VoterStats counts events since the start.
 type VoterStats struct {
 	Granted, Renewed, Lapsed, Refused, Syncs, Elections, Strangers int
 }
 
-// Tick tells the time. Each tickEvery of it is a step of the log's own clock; after a stop, few.
+// Tick applies the passing of time: raft ticks every tickEvery, but at most a few times after a break.
 func (v *Voter) Tick(now time.Duration) {
 	if v.node == nil {
 		v.look(now)
@@ -132,7 +133,7 @@
 	v.look(now)
 }
 
-// Voters are the names that the log has, sorted.
+// Voters returns the names of the voters, in order.
 func (v *Voter) Voters() (all []string) {
 	if v.book == nil {
 		return nil
@@ -144,16 +145,17 @@
 	return slices.Compact(all)
 }
 
-// no answers an ask that this one does nothing for.
+// no returns the answer to an ask that has no effect.
 func (v *Voter) no(err error) answer {
 	return answer{Leader: v.Leader(), Log: v.self.Log, No: err.Error(), Voters: v.Voters()}
 }
 
+// leads reports whether this voter is the leader and can write to its disk.
 func (v *Voter) leads() bool {
 	return v.node != nil && v.stuck == nil && v.node.BasicStatus().RaftState == raft.StateLeader
 }
 
-// Leader is the name of who leads, as far as this one knows.
+// Leader returns the name of the leader that this voter knows, or an empty string.
 func (v *Voter) Leader() string {
 	if v.node == nil {
 		return ""
@@ -161,10 +163,10 @@
 	return v.book.state.Voters[v.node.BasicStatus().Lead]
 }
 
-// expire proposes what has run out.
+// expire proposes to end the leases that have expired.
 func (v *Voter) expire(now time.Duration) {
 	all := v.counts.due(v.book, now)
-	if len(v.conf.GetVoters()) <= len(v.book.state.Wanted)/2 { // a log that has just begun grants nothing that a few could lose
+	if len(v.conf.GetVoters()) <= len(v.book.state.Wanted)/2 { // a log grants nothing before a majority of its voters has joined
 		all = slices.DeleteFunc(all, func(l lapse) bool { return l.Name == blocked })
 	}
 	if len(all) > 0 {
@@ -172,9 +174,10 @@
 	}
 }
 
+// propose proposes an entry and reports whether raft has accepted it.
 func (v *Voter) propose(c command) bool {
 	b, err := encoding.Marshal(c)
-	if err == nil { // what can't be read would end all voters
+	if err == nil { // an entry that cannot be decoded would stop all voters
 		err = decoding.Unmarshal(b, &command{})
 	}
 	if err == nil {
@@ -186,7 +189,7 @@
 	return err == nil
 }
 
-// Ask puts a node's ask; reply is called once, now or from a later Flush or Tick.
+// Ask proposes a node's ask. It calls reply once, at once or from a later Flush or Tick.
 func (v *Voter) Ask(now time.Duration, a ask, reply func(answer)) {
 	switch {
 	case !v.leads():
@@ -204,7 +207,7 @@
 	v.pending[key] = waiting{reply, now + answerTime}
 }
 
-// Want orders who should vote from now on.
+// Want proposes which nodes should be voters from now on. It calls reply once, at once or from a later Flush or Tick.
 func (v *Voter) Want(now time.Duration, names []string, reply func(answer)) {
 	if !v.leads() {
 		reply(v.no(errNotLeader))
@@ -218,7 +221,7 @@
 	v.wanted[request] = waiting{reply, now + answerTime}
 }
 
-// Close lets go of the file.
+// Close answers all asks that wait and closes the file.
 func (v *Voter) Close() {
 	v.dropPending("this voter has ended")
 	v.disk.close()
--- a/internal/lease/voter_log.go
+++ b/internal/lease/voter_log.go
@@ -14,7 +14,8 @@
 	"dunetide/internal/fleet"
 )
 
-// Flush carries out what follows from the events since the last one. Now was read after them.
+// Flush carries out the effects of the events since the last Flush and returns the messages to send. Now must have been read
+// after these events.
 func (v *Voter) Flush(now time.Duration) []Outbound {
 	for v.node != nil && v.stuck == nil && v.node.HasReady() {
 		rd := v.node.Ready()
@@ -34,7 +35,7 @@
 	return out
 }
 
-// save keeps what must be on disk before anybody hears of it.
+// save writes what must be durable before the messages of rd may be sent.
 func (v *Voter) save(rd raft.Ready) (err error) {
 	var rec record
 	snapshot, hard := !raft.IsEmptySnap(rd.Snapshot), rd.HardState != nil && !raft.IsEmptyHardState(rd.HardState)
@@ -47,7 +48,7 @@
 	if err == nil && hard {
 		err = v.store.SetHardState(rd.HardState)
 	}
-	if err != nil { // nothing of the disk's: it would come again
+	if err != nil { // not an error of the disk: it would occur again
 		return fmt.Errorf("%w: %w", errDamaged, err)
 	}
 	if snapshot {
@@ -60,11 +61,11 @@
 		return err
 	}
 	if rec.Snapshot == nil && rec.Entries == nil && !(hard && rd.MustSync) {
-		return nil // a commit alone is learnt again
+		return nil // a commit index alone need not be durable
 	}
-	// With what was agreed on before, also where that came alone: who has the second of two changes
-	// of the voters knows after any restart that the first holds, and so never counts with voters two
-	// changes old, of whom a majority need not meet one of today's.
+	// The HardState is written with every record, for its commit index: a voter that has the second of two changes of the
+	// voters must know after a restart that the first one is committed. Otherwise it could count a majority of the voters
+	// of two changes ago, which need not intersect one of today's.
 	if rec.Hard, err = v.hard(); err != nil {
 		return err
 	}
@@ -72,8 +73,8 @@
 	return v.disk.append(rec)
 }
 
-// unstick writes all of it anew. An append that has failed is never followed by another: what
-// the file has then is not known.
+// unstick rewrites the file after a failed write and resumes. A failed append is never followed by another one, because the
+// content of the file is unknown then.
 func (v *Voter) unstick(now time.Duration) {
 	if err := v.renew(); err != nil {
 		v.why = err.Error()
@@ -87,6 +88,7 @@
 	}
 }
 
+// carryOut applies a Ready of raft whose content is durable.
 func (v *Voter) carryOut(rd raft.Ready, now time.Duration) {
 	if rd.SoftState != nil {
 		v.stats.Elections++
@@ -114,7 +116,7 @@
 	v.compact()
 }
 
-// compact makes a snapshot where much has come since the last one.
+// compact makes a snapshot and shortens the log if the file is full.
 func (v *Voter) compact() {
 	first, err := v.store.FirstIndex()
 	if err != nil || v.applied < first || !v.disk.full() {
@@ -146,7 +148,7 @@
 	}
 }
 
-// apply takes in an entry that is agreed on.
+// apply applies a committed entry.
 func (v *Voter) apply(e *raftpb.Entry, now time.Duration) error {
 	v.applied = e.GetIndex()
 	switch e.GetType() {
@@ -162,7 +164,7 @@
 		} else {
 			v.book.state.Voters[cc.GetNodeId()] = string(cc.GetContext())
 		}
-		// A learner takes no snapshot that does not know it.
+		// A learner accepts only a snapshot whose configuration includes it.
 		data, err := v.book.snapshot()
 		if err == nil {
 			_, err = v.store.CreateSnapshot(v.applied, v.conf, data)
@@ -200,6 +202,7 @@
 	return nil
 }
 
+// applyAsk applies an ask and answers it if it came to this voter.
 func (v *Voter) applyAsk(a *ask, now time.Duration) {
 	all, changed, err := v.book.ask(a)
 	for _, name := range changed {
@@ -229,7 +232,7 @@
 	w.reply(out)
 }
 
-// watch notes who is to be told when a name is free.
+// watch records that a node is to be told when a name becomes free.
 func (v *Voter) watch(name, node string) {
 	if len(v.freed) >= MaxLeases && v.freed[name] == nil {
 		return
@@ -242,8 +245,8 @@
 	}
 }
 
-// tellFreed forgets the time of what nobody has any more, and tells those who wait for it. One
-// that misses it asks again by itself.
+// tellFreed removes the times of leases that have ended, and as the leader tells the nodes that wait for them. A node that
+// misses the message asks again by itself.
 func (v *Voter) tellFreed() {
 	if v.book == nil {
 		return
--- a/internal/lease/voter_message.go
+++ b/internal/lease/voter_message.go
@@ -10,57 +10,62 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Outbound is what a voter wants told to another. Newer replaces older of its key.
+// Outbound is a message to another node. It replaces an earlier one of the same key that was not sent yet.
 type Outbound struct {
 	To, Key string
 	Body    []byte
 }
 
-// answer is what an asker gets.
+// answer is the answer of a voter to an ask.
 type answer struct {
-	Leader   string    `cbor:"1,keyasint,omitempty"` // who leads, where this one doesn't
+	Leader   string    `cbor:"1,keyasint,omitempty"` // the leader, if it is another voter
 	Log      logID     `cbor:"2,keyasint"`
 	Outcomes []outcome `cbor:"3,keyasint,omitempty"`
-	No       string    `cbor:"4,keyasint,omitempty"` // the ask had no effect
-	Maybe    bool      `cbor:"5,keyasint,omitempty"` // it may have one yet
-	Voters   []string  `cbor:"6,keyasint,omitempty"` // who may be asked
+	No       string    `cbor:"4,keyasint,omitempty"` // why the ask had no effect
+	Maybe    bool      `cbor:"5,keyasint,omitempty"` // it may have an effect later
+	Voters   []string  `cbor:"6,keyasint,omitempty"` // names of the voters
 }
 
-// What voters tell each other.
+// Kinds of message.
 const (
-	sayRaft = iota + 1
-	sayWho  // who are you? With a log: be a voter of it
-	sayHere // the answer
-	sayOld  // another life of you, no earlier than what you say, was seen by this one
+	sayRaft = iota + 1 // a message of raft
+	sayWho             // asks for the identity, and with a log invites to be a voter of it
+	sayHere            // the identity
+	sayOld             // says that a process of the receiver was seen that is no older than the one it answers
 )
 
+// message is a message between voters.
 type message struct {
 	What uint8  `cbor:"1,keyasint"`
-	Log  logID  `cbor:"2,keyasint"` // the sender's; none: it has none
+	Log  logID  `cbor:"2,keyasint"` // the sender's; zero if it has none
 	From uint64 `cbor:"3,keyasint,omitempty"`
 	To   uint64 `cbor:"4,keyasint,omitempty"`
 	Raft []byte `cbor:"5,keyasint,omitempty"`
-	// Start is drawn by the sender's process: two of one incarnation are of two folders.
+	// Start is a random number of the sender's process. Two processes of one incarnation have different folders.
 	Start uint64 `cbor:"6,keyasint,omitempty"`
-	// Seen is, where the receiver is told that it is old, the last life of it that was seen.
+	// Seen is, in sayOld, the last process of the receiver that was seen.
 	Seen life `cbor:"7,keyasint,omitempty"`
 }
 
+// sighting is the identity of a node and when it was received.
 type sighting struct {
 	id identity
 	at time.Duration
 }
 
+// waiting is a caller that waits for an entry to be committed.
 type waiting struct {
 	reply func(answer)
 	until time.Duration
 }
 
+// askKey identifies an ask.
 type askKey struct {
 	node                string
 	incarnation, number uint64
 }
 
+// marshalled encodes entries.
 func marshalled(entries []*raftpb.Entry) (all [][]byte, err error) {
 	for _, e := range entries {
 		b, err := proto.Marshal(e)
@@ -72,8 +77,8 @@
 	return all, nil
 }
 
-// send hands a message of raft on. Each kind has so many places on its way to a voter, and a
-// later one takes the place of an earlier: raft sends again what was lost.
+// send queues a message of raft. A later message may replace an earlier one of its kind that was not sent yet (windowOf),
+// because raft repeats what is lost.
 func (v *Voter) send(m *raftpb.Message) {
 	name := cmp.Or(v.book.state.Voters[m.GetTo()], v.names[m.GetTo()])
 	b, err := proto.Marshal(m)
@@ -81,7 +86,7 @@
 		v.node.ReportUnreachable(m.GetTo())
 		return
 	}
-	key := fmt.Sprintf("%v %x", m.GetType(), m.GetTo()) // a name may have two numbers for a while
+	key := fmt.Sprintf("%v %x", m.GetType(), m.GetTo()) // a name may have two raft ids for a while
 	if t := m.GetType(); t == raftpb.MsgApp || t == raftpb.MsgAppResp {
 		v.keys++
 		key = fmt.Sprint(key, " ", v.keys%windowOf)
@@ -92,8 +97,7 @@
 	}
 }
 
-// reportSnapshots lets raft try again where a snapshot has had its time. One that came is seen by
-// its answer.
+// reportSnapshots reports the snapshots to raft as failed that were not answered in time, so that it tries again.
 func (v *Voter) reportSnapshots() {
 	for id, sent := range v.snapshots {
 		if v.ticked-sent >= snapshotTime {
@@ -103,11 +107,13 @@
 	}
 }
 
+// say queues a message with this voter's log.
 func (v *Voter) say(to, key string, m message) {
 	m.Log, m.Start = v.self.Log, v.o.Start
 	v.put(to, key, m)
 }
 
+// put queues a message.
 func (v *Voter) put(to, key string, m message) {
 	b, err := encoding.Marshal(m)
 	if err != nil {
@@ -117,7 +123,7 @@
 	v.out = append(v.out, Outbound{to, key, b})
 }
 
-// Unreachable tells that what was for a voter found no room, or that it is not there.
+// Unreachable reports that a message to a node could not be sent.
 func (v *Voter) Unreachable(name string) {
 	if v.node == nil {
 		return
--- a/internal/lease/voter_open.go
+++ b/internal/lease/voter_open.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// NewVoter reads the folder. A log of which a part is lost is set aside. The error is of a disk
-// that can't be read.
+// NewVoter returns a voter with the log in its folder. A damaged log is set aside, and the voter begins without one. It fails
+// if the folder cannot be read.
 func NewVoter(o VoterOptions, now time.Duration) (*Voter, error) {
 	v := &Voter{o: o, disk: disk{folder: o.Folder}}
 	v.empty()
@@ -29,7 +29,7 @@
 	return v, err
 }
 
-// empty forgets all that belongs to a log.
+// empty drops the state of the log.
 func (v *Voter) empty() {
 	v.dropPending("this voter has left the log")
 	v.self, v.node, v.store, v.conf, v.book, v.applied, v.stuck, v.why = identity{}, nil, nil, nil, nil, 0, nil, ""
@@ -38,13 +38,14 @@
 	v.pending, v.wanted, v.freed = map[askKey]waiting{}, map[uint64]waiting{}, map[string]map[string]bool{}
 }
 
+// dropPending answers all callers that wait.
 func (v *Voter) dropPending(why string) {
 	all, ans := time.Duration(1<<63-1), answer{No: why, Maybe: true}
 	drop(v.pending, all, ans)
 	drop(v.wanted, all, ans)
 }
 
-// drop answers those whose time is over, and no longer waits for them.
+// drop answers the callers that have waited for too long and removes them.
 func drop[K comparable](all map[K]waiting, now time.Duration, ans answer) {
 	for key, w := range all {
 		if now >= w.until {
@@ -54,7 +55,7 @@
 	}
 }
 
-// leave gives this part in the log up for good: it is to be a new voter.
+// leave sets the log aside for good, so that this node can join as a new voter.
 func (v *Voter) leave(why string) error {
 	v.o.Log.Error("leases: set aside, this node is to be a new voter", "why", why, "log", v.self.Log)
 	v.empty()
@@ -65,8 +66,8 @@
 	return err
 }
 
-// Old tells that others know a later incarnation of this node than its folder does: the folder
-// is from before, and so is what it has of the log.
+// Old sets the log aside because other nodes know a later incarnation of this node than its folder: the folder, and the log
+// in it, are out of date.
 func (v *Voter) Old() error {
 	if v.node == nil {
 		return v.disk.setAside()
@@ -74,7 +75,7 @@
 	return v.leave("the folder is older than what others know of this node")
 }
 
-// restore rebuilds what was written.
+// restore rebuilds the state from the records of the file.
 func (v *Voter) restore(all []record, now time.Duration) error {
 	v.store = raft.NewMemoryStorage()
 	for _, rec := range all {
@@ -115,7 +116,7 @@
 	return v.begin(now)
 }
 
-// append keeps entries in memory. There is no gap before them, or the file has lost something.
+// append adds entries to the store. A gap before them means that the file is damaged.
 func (v *Voter) append(entries []*raftpb.Entry) error {
 	if len(entries) == 0 {
 		return nil
@@ -130,8 +131,7 @@
 	return err
 }
 
-// begin starts raft on what is in the store, and writes the file anew: what was read may be in
-// the machine's memory alone.
+// begin starts raft with the store, and rewrites the file, because what was read may not be durable yet.
 func (v *Voter) begin(now time.Duration) error {
 	snap, err := v.store.Snapshot()
 	if err != nil {
@@ -154,13 +154,13 @@
 	return nil
 }
 
-// take makes a snapshot the state. All leases are counted anew from now.
+// take replaces the state by a snapshot. The times of all leases start anew.
 func (v *Voter) take(snap *raftpb.Snapshot, now time.Duration) error {
 	v.applied, v.conf, v.book = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetConfState(), nil
 	v.counts = timekeeper{}
 	if v.applied == 0 {
 		v.book, v.conf = newBook(0, 0, 0, nil), &raftpb.ConfState{}
-		delete(v.book.state.Leases, blocked) // it has no log yet
+		delete(v.book.state.Leases, blocked) // the log itself is still to come
 		return nil
 	}
 	book, err := readBook(snap.GetData())
@@ -174,7 +174,7 @@
 	return nil
 }
 
-// create begins a log with this voter alone in it.
+// create begins a log with this node as the only voter.
 func (v *Voter) create(id identity, book *Book, now time.Duration) error {
 	book.state.Voters = map[uint64]string{id.Voter: v.o.Name}
 	data, err := book.snapshot()
@@ -192,7 +192,7 @@
 	return v.begin(now)
 }
 
-// join begins to learn a log that another has asked this one into.
+// join joins the log of a leader that has invited this node.
 func (v *Voter) join(log logID, now time.Duration) {
 	v.empty()
 	v.self, v.store = identity{log, v.o.Random() | 1}, raft.NewMemoryStorage()
@@ -204,7 +204,7 @@
 	v.o.Log.Info("leases: a new voter is to learn", "log", log, "voter", v.self.Voter)
 }
 
-// hard is raft's state that has to outlast a restart.
+// hard returns the encoding of raft's HardState.
 func (v *Voter) hard() ([]byte, error) {
 	hard, _, err := v.store.InitialState()
 	if err != nil {
@@ -213,7 +213,7 @@
 	return proto.Marshal(hard)
 }
 
-// renew writes the file anew.
+// renew rewrites the file with the present state.
 func (v *Voter) renew() error {
 	rec := record{Self: &v.self, Seen: v.seen}
 	var err error
