--- a/internal/replica/entry.go
+++ b/internal/replica/entry.go
@@ -1,10 +1,9 @@
-// Package replica keeps copies of what a delivery node has taken on at other nodes of its fleet. Its
-// page is docs/copies.md.
+// Package replica replicates the log of a delivery node, that is the messages it has accepted, to other nodes of its fleet.
+// docs/copies.md describes it.
 //
-// What decides is pure and stepped: Entry (a message as copies have it, and how two that differ become
-// one), Source (a log at the node that works on it, and what its copies still lack), Copy (a log at
-// another node). Keeper runs them over a fleet.Net, leases and folders. It imports internal/fleet for
-// the links, internal/lease for who may work on a log, and internal/journal for the disk.
+// The decisions are made by types without clock, goroutine or socket: Entry is a message in a replica, with the merging of
+// two versions of it; Source is the log at the node that works on it, with what its replicas lack; Copy is a replica at
+// another node. Keeper runs them over a fleet.Net and folders; a lease says which node works on a log.
 package replica
 
 import (
@@ -17,22 +16,21 @@
 )
 
 const (
-	// maxTenures bounds how many holders of its log a message may have had. Its life is some seconds, a
-	// take-over waits for longer than that; of more, the oldest are folded together.
+	// maxTenures is the most tenures of an entry. There are rarely several: a message lives for some seconds, and a
+	// takeover waits for longer than that. Of more, the oldest are merged into one.
 	maxTenures = 8
-	// rangeSize is how many numbers of messages have a digest in common.
+	// rangeSize is the number of messages that one digest covers.
 	rangeSize = 32
 )
 
-// How a message has ended.
+// Values of Tenure.End.
 const (
 	Runs       = iota
 	GivenUp    // the platform is to be told
 	HandedBack // the same, and its client may come again
 )
 
-// Entry is a message as its copies have it: what was taken, which never changes, and what was done to
-// it, by tenure.
+// Entry is a message in a replica: its content, which never changes, and the state of its delivery by tenure.
 type Entry struct {
 	Seq      uint64   `cbor:"1,keyasint"`
 	ID       string   `cbor:"2,keyasint,omitempty"`
@@ -41,12 +39,12 @@
 	Dest     int      `cbor:"5,keyasint,omitempty"`
 	Deadline int64    `cbor:"6,keyasint,omitempty"` // Unix microseconds
 	Body     []byte   `cbor:"7,keyasint,omitempty"`
-	Bare     bool     `cbor:"8,keyasint,omitempty"` // Key to Body are left out: whoever gets it has them
+	Bare     bool     `cbor:"8,keyasint,omitempty"` // Key to Body are left out, because the receiver has them
 	Tenures  []Tenure `cbor:"9,keyasint"`           // by token, each once
 }
 
-// Tenure is what was done to a message under one token, that is, by one holder of its log. Only that
-// holder writes it, and numbers what it writes.
+// Tenure is the state of a message's delivery under one token, that is, by one holder of its log. Only that holder writes
+// it, and it numbers the versions.
 type Tenure struct {
 	Token    uint64 `cbor:"1,keyasint"`
 	Version  uint64 `cbor:"2,keyasint"`
@@ -61,7 +59,7 @@
 	RetryMs  int64  `cbor:"11,keyasint,omitempty"`
 }
 
-// Past is what a message has behind it, over all tenures.
+// Past is the state of a message's delivery over all tenures.
 type Past struct {
 	Attempts int
 	MayRun   bool
@@ -84,8 +82,8 @@
 	return v
 }
 
-// compare orders tenures of one token: the later version, and where a spoilt copy has another text
-// under the same one, whichever way, as long as all choose alike.
+// compare orders the versions of a tenure. Where a damaged replica has another content under the same version, the order is
+// arbitrary but the same at all nodes.
 func (t Tenure) compare(o Tenure) int {
 	if c := cmp.Compare(t.Version, o.Version); c != 0 {
 		return c
@@ -93,7 +91,8 @@
 	return bytes.Compare(must(encoding.Marshal(t)), must(encoding.Marshal(o)))
 }
 
-// mergeTenures is the union by token, of each the later. It is commutative, associative and idempotent.
+// mergeTenures returns the union of two lists, with the later version of each tenure. It is commutative, associative and
+// idempotent.
 func mergeTenures(a, b []Tenure) (all []Tenure) {
 	for len(a) > 0 || len(b) > 0 {
 		switch {
@@ -112,14 +111,14 @@
 	return all
 }
 
-// taken compares what was taken, which differs only where a copy is spoilt.
+// taken compares the contents of two entries, which differ only if a replica is damaged.
 func (e Entry) taken() []byte {
 	e.Tenures, e.Bare = nil, false
 	return must(encoding.Marshal(e))
 }
 
-// Merge makes one of two entries of the same message. It is commutative, associative and idempotent:
-// taken if either has it, each tenure as its holder wrote it last.
+// Merge merges two entries of one message: the content that either has, and the latest version of each tenure. It is
+// commutative, associative and idempotent.
 func Merge(a, b Entry) Entry {
 	out := a
 	switch {
@@ -132,8 +131,8 @@
 	return out
 }
 
-// Past folds the tenures, the earliest first: the number of attempts is that of all, what may have run
-// in any may have run, and an attempt that its holder saw no end of is one of these. The first end stands.
+// Past combines the tenures, the earliest first: the attempts of all are counted, and the message may have run if it may
+// have in any tenure, or if an attempt has no outcome. The first end counts.
 func (e Entry) Past() (p Past) {
 	for _, t := range e.Tenures {
 		p.Attempts = max(p.Attempts, t.Base) + t.Attempts
@@ -150,7 +149,7 @@
 	return p
 }
 
-// tenure is what was done under a token.
+// tenure returns the tenure of a token.
 func (e Entry) tenure(token uint64) (t Tenure, ok bool) {
 	i := slices.IndexFunc(e.Tenures, func(t Tenure) bool { return t.Token == token })
 	if i < 0 {
@@ -159,17 +158,17 @@
 	return e.Tenures[i], true
 }
 
-// under is the entry as one holder wrote it: what is compared between it and a copy.
+// under returns the entry with the tenure of one token only, which a holder compares with its replicas.
 func (e Entry) under(token uint64) (Entry, bool) {
 	t, ok := e.tenure(token)
 	e.Tenures = []Tenure{t}
 	return e, ok
 }
 
-// digest is of what one holder wrote of a message.
+// digest returns a checksum of the content and the tenure of one token.
 func (e Entry) digest() uint64 { return xxhash.Sum64(must(encoding.Marshal(e))) }
 
-// fold keeps an entry's tenures to their bound: the oldest become one.
+// fold merges the oldest tenures of an entry into one if there are more than maxTenures.
 func (e Entry) fold() Entry {
 	if len(e.Tenures) <= maxTenures {
 		return e
--- a/internal/replica/held_copy.go
+++ b/internal/replica/held_copy.go
@@ -14,12 +14,12 @@
 	"dunetide/internal/journal"
 )
 
-// heldCopy is a copy at this node, and what is done about it.
+// heldCopy is a copy at this node.
 type heldCopy struct {
 	name  string // its folder
 	owner string
 
-	mu       sync.Mutex // over what follows
+	mu       sync.Mutex // guards the following
 	copy     *Copy
 	writer   string
 	taking   bool
@@ -45,7 +45,7 @@
 	return CopyOptions{Folder: folder, Place: k.o.Folders.Place(name), Limit: k.o.Limit, Sync: k.o.Sync, Now: k.o.Now, Log: k.o.Log}
 }
 
-// askedBatch keeps what another node tells of a log that it works on.
+// askedBatch handles a batch of another node for the copy of its log.
 func (k *Keeper) askedBatch(_ context.Context, from fleet.Peer, body []byte) ([]byte, error) {
 	var b Batch
 	if err := decoding.Unmarshal(body, &b); err != nil {
@@ -94,7 +94,7 @@
 	return h.copy.Apply(b, k.o.Clock())
 }
 
-// newCopy begins one; k.mu is held.
+// newCopy creates a copy; k.mu is held.
 func (k *Keeper) newCopy(id string, b Batch) (*heldCopy, error) {
 	if len(k.copies)+len(k.works)-1 >= k.o.Slots {
 		return nil, fmt.Errorf("no room: %d copies and logs are here", k.o.Slots)
@@ -113,13 +113,13 @@
 	return h, nil
 }
 
-// drop ends a copy; its lock is held. Who has a hold of it still finds that it is gone.
+// drop ends a copy; its lock is held. Other users of the copy see that it is gone.
 func (h *heldCopy) drop() error {
 	h.copy.gone = true
 	return h.copy.Close()
 }
 
-// forget removes a copy that was dropped.
+// forget removes the folder of a copy that was dropped.
 func (k *Keeper) forget(h *heldCopy, id string) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -133,8 +133,8 @@
 	return nil
 }
 
-// scrub reads a copy from its disk again, where it is time to. One that is not as it should be is written
-// anew: what is in memory was checked against its writer.
+// scrub compares a copy with its files if that is due. If they differ, the files are rewritten from memory, which was
+// compared with the writer's log.
 func (k *Keeper) scrub(h *heldCopy) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -174,8 +174,8 @@
 	h.copy, h.writer = c, writer
 }
 
-// begin tells, once, that this copy's log should be taken over by this node: its writer has said nothing
-// for the stated time, or staff said that it is gone.
+// begin reports, once, that this node should take over the log of this copy: its writer has been silent for the configured
+// time, or the staff have removed it.
 func (h *heldCopy) begin(k *Keeper) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/replica/keeper.go
+++ b/internal/replica/keeper.go
@@ -30,30 +30,30 @@
 )
 
 const (
-	// stepEvery is how often timed things are looked after.
+	// stepEvery is the interval of periodic work.
 	stepEvery = 100 * time.Millisecond
-	// unfitFor is how long a node that can't hold a copy is passed over.
+	// unfitFor is how long a node that cannot hold a copy is not chosen again.
 	unfitFor = 30 * time.Second
-	// batchTime is how long a copy's answer is waited for.
+	// batchTime is how long to wait for the answer of a copy.
 	batchTime = 1500 * time.Millisecond
-	// rankPause is between the tries of the holders of copies to take a log over: one tries first.
+	// rankPause is the delay between the attempts of the holders of copies to take a log over, so that one is first.
 	rankPause = time.Second
-	// gatherTime is how long whoever takes a log over waits for other copies of it, and settleTime how long
-	// it waits until its own new copies are whole.
+	// gatherTime is how long a takeover waits for other copies of the log, settleTime how long it waits until its own new
+	// copies are complete.
 	gatherTime = 2 * time.Second
 	settleTime = 2 * time.Second
-	// writerTime is how long an owner whose log was taken over asks for whoever did, where that node has the
-	// log no longer.
+	// writerTime is how long an owner waits for an answer of the node that took its log over, if that node no longer holds
+	// the log's lease.
 	writerTime = 10 * time.Second
-	// pageBytes bounds an answer of kindFetch.
+	// pageBytes is the most bytes of an answer to kindFetch.
 	pageBytes = 512 << 10
-	// haveMost bounds the ids in one question.
+	// haveMost is the most ids in one question.
 	haveMost = 2048
-	// whoEvery is how often it is asked who has the messages of a silent member.
+	// whoEvery is how often the nodes are asked which of them have the messages of a silent member.
 	whoEvery = 5 * time.Second
-	// missingFor is for how long after a member fell silent others' copies are asked for an id that comes in.
+	// missingFor is for how long after a member fell silent other nodes are asked about each id that comes in.
 	missingFor = 5 * time.Minute
-	// haveTime bounds that asking: well within a client's patience.
+	// haveTime is the time limit of such a question: well below that of a client.
 	haveTime = 150 * time.Millisecond
 
 	copyFolder = "copy-"
@@ -62,48 +62,47 @@
 )
 
 var (
-	// ErrShort says that fewer copies are in reach than staff asked for.
+	// ErrShort is returned when there are fewer copies than configured.
 	ErrShort = errors.New("too few copies are in reach")
-	// ErrNotOurs says that this node does not hold the lease of the log.
+	// ErrNotOurs is returned when this node does not hold the lease of the log.
 	ErrNotOurs = errors.New("the log is not this node's to work on just now")
 )
 
-// Folders are the state folder's: what has a folder of its own there.
+// Folders are the folders within the state folder.
 type Folders interface {
-	// Open gives a folder, made where there is none.
+	// Open returns a folder, and creates it if there is none.
 	Open(name string) (journal.Folder, error)
-	// List tells the names of those that there are.
+	// List returns the names of the folders.
 	List() ([]string, error)
-	// Remove removes one with all that is in it.
+	// Remove removes a folder and its content.
 	Remove(name string) error
-	// Top is the state folder itself.
+	// Top returns the state folder itself.
 	Top() journal.Folder
-	// Place tells the machine's present run and the folder in it: another process in the same place has
-	// surely ended when this one has the folder's lock.
+	// Place identifies the folder and the boot of the machine: another process in the same place has ended if this process
+	// has the folder's lock.
 	Place(name string) string
 }
 
-// Host is the node that the logs are worked on by. Its methods may be called by many at once; none
-// may wait for the Work's lock.
+// Host is the node that works on the logs. Its methods must be safe for concurrent use and must not wait for a Work's lock.
 type Host interface {
-	// Adopt goes on with what another node owed.
+	// Adopt starts the work on the live messages of a log that was taken over.
 	Adopt(w *Work, owed []*journal.Message)
-	// Found goes on with a message of this node's own log that only a copy still had.
+	// Found starts the work on a message of this node's own log that only a copy had.
 	Found(w *Work, m *journal.Message)
-	// Forget ends the work on messages without a word to anybody: they are another node's, or over. Those in
-	// doubt get their end: they may have run, and may not be repeated.
+	// Forget ends the work on messages that belong to another node now or have ended, without notices. Doubted are messages
+	// that may have run and must not be repeated: they end as such.
 	Forget(w *Work, gone, doubted []*journal.Message)
-	// Acts tells that work on a log may go on, or may not.
+	// Acts reports whether this node may work on a log.
 	Acts(w *Work, may bool)
-	// Orders are the staff's that held at the node whose log was taken over.
+	// Orders passes on the staff's orders of the node whose log was taken over.
 	Orders(out []string)
-	// Once tells whether a message of a class may not be sent again.
+	// Once reports whether messages of a class must not be sent again.
 	Once(class int) bool
-	// Knows tells whether a message is held at this node, or is over.
+	// Knows reports whether this node has a message, or had it and it has ended.
 	Knows(id string) bool
 }
 
-// Options are what a Keeper stands on.
+// Options configures a Keeper.
 type Options struct {
 	Net      fleet.Net
 	Leases   *lease.Leases
@@ -112,8 +111,8 @@
 	Settings fleet.Copies
 	Locality func(string) string
 	Folders  Folders
-	Limit    int64 // bytes of one copy, or of one log that was taken over
-	Slots    int   // so many of both at most
+	Limit    int64 // most bytes of one copy, or of one log that was taken over
+	Slots    int   // most copies and logs that were taken over
 	Sync     bool
 	Clock    func() time.Duration
 	Now      func() time.Time
@@ -122,27 +121,27 @@
 	Log      *slog.Logger
 }
 
-// Keeper is one node's part in the copies of its fleet.
+// Keeper manages the logs that one node works on and the copies that it holds for others. It is safe for concurrent use.
 type Keeper struct {
 	o Options
 
-	mu      sync.Mutex // over what follows; taken before a Work's or a held copy's
+	mu      sync.Mutex // guards the following; locked before the lock of a Work or a held copy
 	copies  map[string]*heldCopy
 	works   map[string]*Work
 	own     *Work
 	unfit   map[string]time.Duration
 	missing map[string]*missing
-	adopted int // logs that were taken over so far
+	adopted int // number of logs that were taken over so far
 	rand    *rand.Rand
 	joined  bool
 }
 
-// note is what the holder of a log leaves in the log of the leases.
+// note is the note that the holder of a log leaves in the log's lease.
 type note struct {
-	Writer  string   `cbor:"1,keyasint"`           // who works on it, or did last
-	Token   uint64   `cbor:"2,keyasint"`           // under which Holders have all that Writer acts on
+	Writer  string   `cbor:"1,keyasint"`           // the node that works on the log, or did last
+	Token   uint64   `cbor:"2,keyasint"`           // the token under which Holders have all attempts of Writer
 	Holders []string `cbor:"3,keyasint,omitempty"` // of its copies
-	Done    bool     `cbor:"4,keyasint,omitempty"` // it was worked off
+	Done    bool     `cbor:"4,keyasint,omitempty"` // nothing is owed in the log any more
 }
 
 func readNote(text []byte) (n note, there bool) {
@@ -152,21 +151,21 @@
 	return n, true
 }
 
-// key is a log's name among folders, and its lease's.
+// key returns the name of a log in the names of folders and leases.
 func key(owner string, log uint64) string {
 	return fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprintf("%s\n%016x", owner, log)))
 }
 
-// ownMeta is what a node keeps of its own log.
+// ownMeta is what is stored of a node's own log.
 type ownMeta struct {
 	Log   uint64 `cbor:"1,keyasint"`
 	Place string `cbor:"2,keyasint"`
 	Since uint64 `cbor:"3,keyasint"` // the first incarnation in this place
-	Noted bool   `cbor:"4,keyasint"` // a note was left under it
+	Noted bool   `cbor:"4,keyasint"` // a note was left in the log's lease
 }
 
-// New reads what earlier lives have left. The node's own journal is open, and its owed messages are
-// not yet worked on.
+// New opens the copies and logs that earlier processes have left. The node's own journal must be open, and the work on its
+// messages must not have begun.
 func New(o Options, own *journal.Journal) (*Keeper, error) {
 	k := &Keeper{o: o, copies: map[string]*heldCopy{}, works: map[string]*Work{},
 		unfit: map[string]time.Duration{}, missing: map[string]*missing{}, rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
@@ -207,8 +206,8 @@
 	return k, nil
 }
 
-// Old tells that the state folder is from before a later start of this node: its copies may lack what
-// they have acknowledged, and its own log what was sent.
+// Old reports that the state folder is older than the last start of this node: its copies may lack what they have
+// acknowledged, and its own log may lack attempts.
 func (k *Keeper) Old() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -226,10 +225,10 @@
 	return errors.Join(errs...)
 }
 
-// Own is the work on this node's own log.
+// Own returns this node's own log.
 func (k *Keeper) Own() *Work { return k.own }
 
-// changed hears of members' steps.
+// changed handles a change of the members.
 func (k *Keeper) changed(c fleet.Change) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -241,7 +240,7 @@
 	}
 }
 
-// Run takes part until the context ends: for as long as this node is joined.
+// Run works until the context ends. It must not run longer than this node is joined to its fleet.
 func (k *Keeper) Run(ctx context.Context) {
 	k.mu.Lock()
 	k.joined = true
@@ -277,7 +276,7 @@
 	k.joined = false
 }
 
-// Close ends what New has opened, but for the node's own journal.
+// Close closes the journals that New has opened, but not the node's own.
 func (k *Keeper) Close() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -295,7 +294,7 @@
 	return errors.Join(errs...)
 }
 
-// candidates are who could hold copies of a log, the best first.
+// candidates returns the nodes that could hold copies of a log, the best first.
 func (k *Keeper) candidates(owner string, log uint64) []string {
 	now := k.o.Clock()
 	var all []string
@@ -310,7 +309,7 @@
 	return Rank(owner, log, k.o.Locality, all)
 }
 
-// tellBatch brings one batch to a copy.
+// tellBatch sends a batch to a copy and returns the answer.
 func (k *Keeper) tellBatch(ctx context.Context, to string, b *Batch) (a Ack, err error) {
 	body, err := encoding.Marshal(b)
 	if err != nil {
--- a/internal/replica/lookup.go
+++ b/internal/replica/lookup.go
@@ -11,18 +11,18 @@
 	"dunetide/internal/fleet"
 )
 
-// missing is a member that fell silent: its clients come to others.
+// missing is a member that fell silent, so that its clients come to other nodes.
 type missing struct {
 	since   time.Duration
-	askedAt time.Duration // when it was last asked who has its messages
-	holders []string      // who has
+	askedAt time.Duration // when the nodes were last asked which of them have its messages
+	holders []string      // the nodes that have
 }
 
-// fetch asks for a page of a copy; answered with fetched.
+// fetch asks for a page of a copy. The answer is a fetched.
 type fetch struct {
 	Owner string `cbor:"1,keyasint"`
 	Log   uint64 `cbor:"2,keyasint"`
-	From  int    `cbor:"3,keyasint,omitempty"` // so many entries were told already
+	From  int    `cbor:"3,keyasint,omitempty"` // index of the first entry
 }
 
 type fetched struct {
@@ -51,7 +51,7 @@
 	return encoding.Marshal(h.copy.page(q.From))
 }
 
-// page is what a copy has from an entry on.
+// page returns the entries of a copy from an index on.
 func (c *Copy) page(from int) fetched {
 	f := fetched{Token: c.meta.Token, Complete: c.meta.Complete, Orders: c.meta.Orders.Out}
 	if from == 0 {
@@ -69,8 +69,8 @@
 	return f
 }
 
-// have asks which of some messages a node has, or had; answered with the ids. With an owner, only of that log:
-// as a copy, or as work that was taken over.
+// have asks which of some messages a node has or had. The answer is their ids. With an owner, only that log counts: a copy of
+// it, or the log if it was taken over.
 type have struct {
 	IDs   []string `cbor:"1,keyasint"`
 	Owner string   `cbor:"2,keyasint,omitempty"`
@@ -95,7 +95,7 @@
 	return encoding.Marshal(a)
 }
 
-// knows tells whether a copy here, or only that of one log, has a message, or had it.
+// knows reports whether a copy here, or only that of one log, has or had a message.
 func (k *Keeper) knows(id, only string) bool {
 	k.mu.Lock()
 	var held []*heldCopy
@@ -127,7 +127,7 @@
 	return false
 }
 
-// askHave asks one node which of some messages it knows.
+// askHave asks a node which of some messages it has or had.
 func (k *Keeper) askHave(ctx context.Context, of string, q have) ([]string, error) {
 	body, err := encoding.Marshal(q)
 	if err != nil {
@@ -141,7 +141,7 @@
 	return a.IDs, decoding.Unmarshal(text, &a)
 }
 
-// who asks which of some nodes' messages a node has, as copies or as work; answered with their names.
+// who asks of which of some nodes a node has the messages, in copies or in logs that it works on. The answer is their names.
 type who struct {
 	Owners []string `cbor:"1,keyasint"`
 }
@@ -176,7 +176,7 @@
 	return false
 }
 
-// dueMissing are the silent members of whom it should be asked who has their messages.
+// dueMissing returns the silent members for which the nodes should be asked who has their messages.
 func (k *Keeper) dueMissing() (names []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -192,8 +192,8 @@
 	return names
 }
 
-// askWho finds out who has the messages of silent members: it is asked now and then, and not for each
-// message that comes in.
+// askWho finds out which nodes have the messages of silent members. The nodes are asked periodically and not for each message
+// that comes in.
 func (k *Keeper) askWho(ctx context.Context, names []string) {
 	body, err := encoding.Marshal(who{names})
 	if err != nil {
@@ -223,8 +223,8 @@
 	}
 }
 
-// Elsewhere tells whether another node has a message that a client hands in here, or a copy of it. It
-// asks only while some member has been silent for a while: its clients come to others then.
+// Elsewhere reports whether another node has a message that a client hands in here, or a copy of it. It asks other nodes only
+// while some member is silent, because its clients come to other nodes then.
 func (k *Keeper) Elsewhere(id string) bool {
 	k.mu.Lock()
 	var holders []string
@@ -256,7 +256,7 @@
 	return yes.Load()
 }
 
-// candidatesAnd are the candidates with this node among them.
+// candidatesAnd returns the candidates with this node among them, the best first.
 func (k *Keeper) candidatesAnd(owner string, log uint64) []string {
 	all := []string{k.o.Name}
 	for _, m := range k.o.Net.Members() {
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -8,38 +8,38 @@
 	"time"
 )
 
-// Status is how copies look from one node, for the staff.
+// Status is the state of the copies at one node as it is shown to the staff.
 type Status struct {
 	Mode    string       `json:"mode"`
 	Wanted  int          `json:"copies_wanted"`
 	Works   []WorkStatus `json:"logs"`
 	Copies  []CopyStatus `json:"copies_held"`
 	Slots   int          `json:"room_for"`
-	Missing []string     `json:"silent_members"` // others' copies are asked for their ids
-	// Known is how many nodes are known to have the messages of each of these.
+	Missing []string     `json:"silent_members"` // other nodes are asked for the ids of their messages
+	// Known is, for each of these, the number of nodes that are known to have its messages.
 	Known map[string]int `json:"silent_members_copies"`
 }
 
-// WorkStatus is a log that this node works on.
+// WorkStatus is the state of a log that this node works on.
 type WorkStatus struct {
 	Owner   string           `json:"owner"`
 	Log     string           `json:"log"`
 	Own     bool             `json:"own"`
 	Acting  bool             `json:"acting"`
-	Why     string           `json:"why,omitempty"` // it is not
+	Why     string           `json:"why,omitempty"` // why it is not worked on
 	Token   uint64           `json:"token"`
 	LeaseS  float64          `json:"lease_left_s"`
 	Live    int              `json:"owed"`
 	Doubted int              `json:"in_doubt"`
-	Holders []string         `json:"copies_at"` // those that count
+	Holders []string         `json:"copies_at"` // the copies that count
 	Changes uint64           `json:"lag_changes"`
 	LagMs   float64          `json:"lag_ms"`
-	Promise bool             `json:"promise_holds"` // the copies are as many, and as new, as staff want
+	Promise bool             `json:"promise_holds"` // there are enough copies, within the allowed lag
 	Stats   SourceStats      `json:"since_start"`
 	Told    []FollowerStatus `json:"told"`
 }
 
-// FollowerStatus is one of its copies.
+// FollowerStatus is the state of one of its copies.
 type FollowerStatus struct {
 	Name     string  `json:"name"`
 	Complete bool    `json:"complete"`
@@ -48,7 +48,7 @@
 	Why      string  `json:"why,omitempty"`
 }
 
-// CopyStatus is a copy that this node holds.
+// CopyStatus is the state of a copy that this node holds.
 type CopyStatus struct {
 	Owner    string  `json:"owner"`
 	Log      string  `json:"log"`
@@ -58,11 +58,11 @@
 	Bytes    int64   `json:"bytes"`
 	Complete bool    `json:"complete"`
 	Silent   float64 `json:"silent_s"`
-	Same     float64 `json:"compared_s,omitempty"` // so long ago it was found to be as its writer's
+	Same     float64 `json:"compared_s,omitempty"` // seconds since it was last found equal to its writer's log
 	Taking   bool    `json:"being_taken_over"`
 }
 
-// Status tells all of it.
+// Status returns the state of all logs and copies.
 func (k *Keeper) Status() Status {
 	s := Status{Mode: k.o.Settings.Mode, Wanted: k.o.Copies, Works: []WorkStatus{}, Copies: []CopyStatus{}, Slots: k.o.Slots, Missing: []string{}, Known: map[string]int{}}
 	k.mu.Lock()
--- a/internal/replica/takeover.go
+++ b/internal/replica/takeover.go
@@ -71,11 +71,11 @@
 	k.o.Host.Orders(orders)
 	k.o.Host.Adopt(w, owed)
 	keep = true
-	// From here on the work renews the lease itself: it is the same wish.
+	// From here on runUnder uses the same Lease, which goes on being renewed.
 	running.Go(func() { w.runUnder(ctx, l) })
 }
 
-// cancelWhenBack ends the waiting for a log's lease when the copy is gone or its writer is heard again.
+// cancelWhenBack cancels the wait for a log's lease when the copy is gone or its writer is heard again.
 func (k *Keeper) cancelWhenBack(waits context.Context, cancel context.CancelFunc, h *heldCopy) {
 	for pause(waits, stepEvery) {
 		h.mu.Lock()
@@ -87,7 +87,7 @@
 	}
 }
 
-// dropCopy removes a copy that is of no more use.
+// dropCopy removes a copy that is no longer needed.
 func (k *Keeper) dropCopy(h *heldCopy, id string) error {
 	h.mu.Lock()
 	err := h.drop()
@@ -98,12 +98,12 @@
 // gathered is what all reachable copies of a log have.
 type gathered struct {
 	entries [][]Entry       // of each copy
-	over    map[string]bool // ids of messages that are over
+	over    map[string]bool // ids of messages that have ended
 	orders  []string        // of the staff
-	current bool            // one of the copies has all that the last holder of the log acted on
+	current bool            // one of the copies has all attempts of the last holder of the log
 }
 
-// assemble makes a log of this node's copy and of all others that can be reached.
+// assemble builds a log from this node's copy and all others that can be reached.
 func (k *Keeper) assemble(ctx context.Context, h *heldCopy, n note, noted bool, token uint64) (w *Work, owed []*journal.Message, orders []string, err error) {
 	h.mu.Lock()
 	m := h.copy.meta
@@ -144,7 +144,7 @@
 	return all
 }
 
-// combine puts together what copies have, under the note of the log's last holder.
+// combine combines copies. The note is that of the log's last holder, if noted.
 func combine(all map[string]fetched, n note, noted bool) gathered {
 	found := gathered{over: map[string]bool{}}
 	for name, f := range all {
@@ -157,7 +157,7 @@
 				found.orders = append(found.orders, o)
 			}
 		}
-		// One that counted, and has lost nothing since, has all that the last holder acted on.
+		// A copy that counted and has lost nothing since has all attempts of the last holder.
 		found.current = found.current || noted && f.Complete && f.Token == n.Token && slices.Contains(n.Holders, name)
 	}
 	return found
@@ -177,8 +177,8 @@
 	return w, folder, err
 }
 
-// fill writes what was gathered to the journal of a log, durably, and returns the messages that are owed. What may not be
-// repeated counts as possibly run unless a copy proves that it was not sent.
+// fill writes what was gathered to the journal of a log, durably, and returns the live messages. Those that must not be
+// repeated count as possibly run unless a copy proves that they were not sent.
 func (k *Keeper) fill(w *Work, found *gathered) (owed []*journal.Message, err error) {
 	known := func(id string) bool { return found.over[id] || k.o.Host.Knows(id) }
 	for _, e := range Union(known, found.entries...) {
--- a/internal/replica/work.go
+++ b/internal/replica/work.go
@@ -10,33 +10,34 @@
 	"dunetide/internal/lease"
 )
 
-// Work is a log that this node works on, or would: its own, or one that it has taken over.
+// Work is a log that this node works on when it holds the log's lease: its own, or one that it has taken over. It is safe for
+// concurrent use.
 type Work struct {
 	k       *Keeper
 	owner   string
 	own     bool
-	folder  string // of one that was taken over
+	folder  string // of a log that was taken over
 	journal *journal.Journal
 
-	mu       sync.Mutex // over what follows; never held while the journal is called
+	mu       sync.Mutex // guards the following; never held while the journal is called
 	key      string
 	log      uint64
-	place    ownMeta // of the own log
+	place    ownMeta // what is stored of the own log
 	lease    *lease.Lease
 	source   *Source
 	acting   bool
-	settled  bool // the log of the leases has who holds the copies under this token
-	mine     bool // it has that this node works on the log, and nobody had it in between
-	behind   bool // the folder may lack what copies have
+	settled  bool // the lease's note names the holders of the copies under this token
+	mine     bool // the note names this node, and no other node has held the lease since
+	behind   bool // the folder may lack entries that copies have
 	wake     chan struct{}
 	waiting  []copyWaiter
-	lagSince time.Duration // since when the lag has been over its bound; 0: it is not
+	lagSince time.Duration // since when the lag has exceeded its bound, 0 if it does not
 	why      string
-	over     journal.IDRing // of messages of this log for which nothing is owed any more
-	// inherited says that the own log knows what is over of this one.
+	over     journal.IDRing // ids of the messages of this log that have ended
+	// inherited says that the own log has recorded the ids in over.
 	inherited bool
-	since0    time.Duration // since when it is asked in vain who has gone on with the log
-	doubted   int           // messages that count as may have run, as nothing proved that they had not
+	askedFrom time.Duration // since when the node that took the log over has not answered, 0 if it is not asked
+	doubted   int           // messages that count as possibly run because nothing proves the opposite
 }
 
 func (k *Keeper) newWork(owner string, log uint64, j *journal.Journal, place ownMeta) *Work {
@@ -44,7 +45,7 @@
 		source: k.newSource(owner, log), over: journal.NewIDRing(maxGone), wake: make(chan struct{}, 1)}
 }
 
-// begin tells the source all that the journal has, and of what is over.
+// begin gives the source all messages of the journal and the ids of those that have ended.
 func (w *Work) begin() {
 	over := w.journal.OverIDs()
 	w.mu.Lock()
@@ -56,7 +57,7 @@
 	w.journal.Watch(w)
 }
 
-// knows tells whether a message is in this log, or was and is over.
+// knows reports whether a message is in this log, or was and has ended.
 func (w *Work) knows(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -67,13 +68,14 @@
 	return NewSource(owner, log, k.o.Copies, time.Duration(k.o.Settings.ScrubS*float64(time.Second)))
 }
 
-// name is the log's number and key, which are another's once it was begun anew.
+// name returns the log's number and key, which change in beginAnew.
 func (w *Work) name() (log uint64, key string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.log, w.key
 }
 
+// rouse wakes follow.
 func (w *Work) rouse() {
 	select {
 	case w.wake <- struct{}{}:
@@ -81,10 +83,10 @@
 	}
 }
 
-// Journal is where the log lies.
+// Journal returns the journal of the log.
 func (w *Work) Journal() *journal.Journal { return w.journal }
 
-// run works on the log under its lease, again and again, until the context ends or the log is done.
+// run works on the log whenever this node holds its lease, until the context ends or the log is done.
 func (w *Work) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		l, err := w.wanted(ctx)
@@ -97,7 +99,8 @@
 	}
 }
 
-// runUnder works on the log for as long as its lease can be had; again: this node has begun another.
+// runUnder works on the log as long as its lease can be obtained. It returns true if the log was begun anew under another
+// number.
 func (w *Work) runUnder(ctx context.Context, l *lease.Lease) (again bool) {
 	w.mu.Lock()
 	w.lease = l
@@ -125,7 +128,7 @@
 				return false
 			}
 			if w.renew(ctx, n, elsewhere != "") {
-				l.GiveBack(ctx) // its note stays: a holder of an old copy must see that the log is done
+				l.GiveBack(ctx) // the note remains, so that a node with an old copy sees that the log is done
 				return true
 			}
 			pause(ctx, settleTime/4)
@@ -137,23 +140,23 @@
 	w.mu.Lock()
 	w.lease = nil
 	w.mu.Unlock()
-	// Renewed no more, and not given back: what this process has out may go on until it runs out.
+	// The lease is not given back but expires: calls of this process may go on until then.
 	gone, cancel := context.WithCancel(context.Background())
 	cancel()
 	l.GiveBack(gone)
 	return false
 }
 
-// held is how a tenure ended.
+// held says how a tenure ended.
 type held int
 
 const (
-	isLost held = iota
-	isDone
-	isElsewhere
+	isLost      held = iota // the lease was lost
+	isDone                  // nothing is owed in the log any more
+	isElsewhere             // another node works on the log
 )
 
-// await waits until the lease is held, or another node holds it, as whoever takes a log over does.
+// await waits until this node holds the lease or another node does. It returns the token, or the other node's name.
 func (w *Work) await(ctx context.Context, l *lease.Lease) (token uint64, elsewhere string) {
 	for ctx.Err() == nil {
 		some, cancel := context.WithTimeout(ctx, time.Second)
@@ -169,7 +172,7 @@
 	return 0, ""
 }
 
-// wanted asks for the log's lease.
+// wanted asks for the log's lease, again until it is possible or the context ends.
 func (w *Work) wanted(ctx context.Context) (*lease.Lease, error) {
 	length := time.Duration(w.k.o.Settings.LeaseS * float64(time.Second))
 	for {
@@ -182,20 +185,21 @@
 		w.mu.Lock()
 		w.why = err.Error()
 		w.mu.Unlock()
-		if !pause(ctx, time.Second) { // another session's has not ended yet
+		if !pause(ctx, time.Second) { // an earlier Lease of this name has not ended yet
 			return nil, err
 		}
 	}
 }
 
-// since is the first incarnation in this place, of the own log: whoever had a log's lease under a later
-// one was this process, or one that has ended, as this one has its folder's lock.
+// since returns the first incarnation that used the state folder in this place. A later incarnation with a log's lease was
+// this process or one that has ended, because this process has the folder's lock.
 func (w *Work) since() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.place.Since
 }
 
+// pause waits for a time and returns false if the context ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -207,6 +211,7 @@
 	}
 }
 
+// fail records why the log is not worked on.
 func (w *Work) fail(err error) {
 	w.k.o.Log.Error("copies: a log is not worked on", "owner", w.owner, "err", err)
 	w.mu.Lock()
@@ -214,7 +219,7 @@
 	w.why = err.Error()
 }
 
-// stop ends what is done under the lease.
+// stop ends the work under the lease.
 func (w *Work) stop(why string) {
 	w.mu.Lock()
 	was := w.acting
@@ -227,7 +232,8 @@
 	}
 }
 
-// hold is one tenure of the log, from what the last holder has left to the loss of the lease.
+// hold works on the log under a token until the lease is lost. It begins with the note that the last holder has left, which
+// it returns.
 func (w *Work) hold(ctx context.Context, l *lease.Lease, token uint64) (note, held) {
 	k := w.k
 	n, noted := readNote(l.Note())
@@ -246,8 +252,8 @@
 	}()
 	w.mu.Lock()
 	w.source.Begin(token, k.o.Clock())
-	// A folder in another place may be from before what was done last, and so is one that others know to be
-	// old, or that is damaged. A note that is gone was forgotten, or agreed on in a log that is void.
+	// A folder in another place may be out of date, and so may be one that is damaged or that others know to be old. A
+	// missing note was dropped, or was committed in an epoch that is void.
 	behind := w.own && (w.behind || w.place.Since == 0 && noted || w.place.Noted && !noted)
 	w.mu.Unlock()
 	if behind {
@@ -266,7 +272,7 @@
 		l.Succeed(w.since())
 	}
 	if !noted || n.Writer != k.o.Name {
-		// Whoever takes it over from here on must know that this node has acted.
+		// The next holder must know that this node has worked on the log.
 		if err := w.leave(life, l, token, note{Writer: k.o.Name, Token: token}, false); err != nil {
 			w.stop(err.Error())
 			return n, isLost
@@ -281,14 +287,14 @@
 	return n, w.follow(life, l, token)
 }
 
-// isSettled tells that this node has just noted the log as its own.
+// isSettled reports whether the note names this node and no other has held the lease since.
 func (w *Work) isSettled() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.mine
 }
 
-// leave notes who holds the copies that count.
+// leave stores a note in the lease, and makes its holders the copies that count. Settled says that the holders are complete.
 func (w *Work) leave(ctx context.Context, l *lease.Lease, token uint64, n note, settled bool) error {
 	text, err := encoding.Marshal(n)
 	if err == nil {
--- a/internal/replica/work_follow.go
+++ b/internal/replica/work_follow.go
@@ -11,7 +11,7 @@
 	"dunetide/internal/lease"
 )
 
-// follow brings the copies what changes, until the lease is lost.
+// follow sends changes to the copies until the lease is lost, or until nothing is owed in a log that was taken over.
 func (w *Work) follow(ctx context.Context, l *lease.Lease, token uint64) held {
 	var telling sync.WaitGroup
 	defer telling.Wait()
@@ -25,7 +25,7 @@
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		now := w.k.o.Clock()
-		if now-chosen >= stepEvery { // a change of a message changes no members
+		if now-chosen >= stepEvery { // the members do not change with each message
 			chosen = now
 			w.chooseCopies(now)
 		}
@@ -42,7 +42,7 @@
 				planned <- w.leave(ctx, l, token, note{Writer: w.k.o.Name, Token: token, Holders: step.holders}, true)
 			})
 		}
-		if !w.own && !planning && w.journal.Status().Live == 0 && now-began > BeatEvery { // no other note comes after this
+		if !w.own && !planning && w.journal.Status().Live == 0 && now-began > BeatEvery { // no later note may follow the one that finish leaves
 			if w.finish(ctx, l, token) {
 				return isDone
 			}
@@ -125,7 +125,7 @@
 	w.rouse()
 }
 
-// watchLag says when the copies fall too far behind, and when they have caught up; w.mu is held.
+// watchLag logs when the copies exceed the allowed lag and when they have caught up; w.mu is held.
 func (w *Work) watchLag(now time.Duration) {
 	s := w.k.o.Settings
 	changes, age := w.source.Lag(now)
@@ -141,19 +141,19 @@
 	}
 }
 
-// settleFound goes on with messages that only a copy had: they were lost here, or their end was. Proven:
-// the copies have all that was done to them.
+// settleFound adds messages that only a copy had, because they or their ends were lost here. Proven says that the copies have
+// all attempts at them; otherwise those that must not be repeated count as possibly run.
 func (w *Work) settleFound(found []Entry, proven bool) {
 	for _, e := range found {
 		if w.k.o.Host.Knows(e.ID) {
 			w.mu.Lock()
-			w.source.Over(e.Seq, e.ID, w.k.o.Clock()) // under that number
+			w.source.Over(e.Seq, e.ID, w.k.o.Clock()) // the copy has it under this number
 			w.mu.Unlock()
 			continue
 		}
 		m := e.message()
 		if w.k.o.Host.Once(m.Class) && m.Notice == nil && !proven {
-			doubt(m) // it was over here, or lost with what was done to it
+			doubt(m) // it had ended here, or was lost with its attempts
 		}
 		if err := w.journal.Put(m); err != nil {
 			w.k.o.Log.Error("copies: a message that only a copy has", "id", m.ID, "err", err)
@@ -165,7 +165,7 @@
 	}
 }
 
-// keepPlace writes down whose log lies in the state folder, and where.
+// keepPlace stores which log is in the state folder, and in which place that is.
 func (w *Work) keepPlace(noted bool) error {
 	w.mu.Lock()
 	was := w.place
@@ -187,7 +187,7 @@
 	return nil
 }
 
-// everywhere asks all other members that are not gone, and waits for their answers or gatherTime.
+// everywhere asks all other members that are not gone, and waits for their answers, but no longer than gatherTime.
 func (k *Keeper) everywhere(ctx context.Context, ask func(ctx context.Context, name string)) {
 	ctx, cancel := context.WithTimeout(ctx, gatherTime)
 	defer cancel()
--- a/internal/replica/work_recover.go
+++ b/internal/replica/work_recover.go
@@ -15,16 +15,16 @@
 	"dunetide/policy"
 )
 
-// catchUp takes in what copies have of this node's own log that its folder may lack. Where none of those
-// that count can be asked, and in the mode after, where they may lack it too, what may not be repeated
-// counts as possibly run.
+// catchUp adds the entries of this node's own log that copies have and the folder may lack. Messages that must not be
+// repeated count as possibly run if none of the copies that count can be asked, or in the mode "after", in which the copies
+// may lack the last attempts too.
 func (w *Work) catchUp(ctx context.Context, n note) error {
 	log, _ := w.name()
 	var mu sync.Mutex
 	current := false
 	over := map[string]bool{}
 	copies := map[string]Entry{}
-	patience := settleTime // a start has met nobody yet
+	patience := settleTime // after a start, no other member may be connected yet
 	if len(n.Holders) > 0 {
 		patience = writerTime
 	}
@@ -71,24 +71,26 @@
 	for _, m := range w.journal.Owed() {
 		here[m.ID] = true
 	}
-	// Whoever has what is not here may not be among those that hold the copies next.
+	// The nodes that have these messages may not hold copies in the future.
 	known := func(id string) bool { return over[id] || here[id] || w.k.o.Host.Knows(id) }
 	w.settleFound(Union(known, slices.Collect(maps.Values(copies))), current && w.k.before())
 	return nil
 }
 
-// runsOnce tells whether a message has no end yet and may not be repeated, and mayHaveRun whether it may
-// have run: as the source has it, since the node may be at the message itself.
+// runsOnce reports whether a message has not ended and must not be repeated. It uses the source's state, because the node may
+// be changing the message itself.
 func (w *Work) runsOnce(m *journal.Message) bool {
 	t, there := w.tenure(m)
 	return there && t.End == Runs && w.k.o.Host.Once(m.Class)
 }
 
+// mayHaveRun reports whether a message may have run, by the source's state.
 func (w *Work) mayHaveRun(m *journal.Message) bool {
 	t, _ := w.tenure(m)
 	return t.MayRun || t.Out || t.Settled
 }
 
+// tenure returns the present tenure of a message, and false if the source does not have the message.
 func (w *Work) tenure(m *journal.Message) (t Tenure, there bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -99,15 +101,15 @@
 	return el.Value.(*item).entry.Tenures[0], true
 }
 
-// renew begins another log for this node, whose own was taken over: it keeps what no other has, or had.
-// False: whoever has gone on with it can't be asked. While that node has the log's lease, it is waited for;
-// else only for some time.
+// renew begins another log for this node after its own was taken over, with the messages that no other node has or had. It
+// returns false if it must be tried again, because the node that took the log over has not answered: that node is waited for
+// without limit while it holds the log's lease, otherwise for writerTime.
 func (w *Work) renew(ctx context.Context, n note, held bool) bool {
 	live := w.journal.Owed()
 	known, answered := w.askEverywhere(ctx, live)
 	waited := w.askedInVain()
 	if ctx.Err() != nil || !answered[n.Writer] && (held || waited < writerTime) {
-		return false // it may be at work on any of them, or knows what has become of them
+		return false // it may be working on any of the messages, or knows their ends
 	}
 	var gone, doubted []*journal.Message
 	for _, m := range live {
@@ -123,7 +125,7 @@
 	w.k.o.Log.Warn("copies: this node's log was taken over, and another is begun", "by", n.Writer, "theirs", len(gone), "in doubt", len(doubted),
 		"kept", len(live)-len(gone)-len(doubted), "log", fmt.Sprintf("%016x", next))
 	if err := w.keepPlace(false); err != nil {
-		w.fail(err) // hold writes it before anything is done
+		w.fail(err) // hold stores it before any work on the log
 	}
 	return true
 }
@@ -139,7 +141,7 @@
 	var mu sync.Mutex
 	known, answered = map[string]bool{}, map[string]bool{}
 	w.k.everywhere(ctx, func(ctx context.Context, name string) {
-		for some := range slices.Chunk(append(ids, ""), haveMost) { // one question at least
+		for some := range slices.Chunk(append(ids, ""), haveMost) { // at least one question, also without messages
 			yes, err := w.k.askHave(ctx, name, have{IDs: some, Owner: w.owner, Log: log})
 			if err != nil {
 				return
@@ -157,15 +159,15 @@
 	return known, answered
 }
 
-// askedInVain returns since when it is asked in vain who has gone on with the log, as the time that has passed.
+// askedInVain returns for how long the node that took the log over has not answered.
 func (w *Work) askedInVain() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.k.o.Clock()
-	if w.since0 == 0 {
-		w.since0 = now
+	if w.askedFrom == 0 {
+		w.askedFrom = now
 	}
-	return now - w.since0
+	return now - w.askedFrom
 }
 
 // beginAnew gives this node's own log another number, and returns it.
@@ -175,7 +177,7 @@
 	delete(w.k.works, w.key)
 	w.log = w.k.rand.Uint64() | 1
 	w.key = key(w.owner, w.log)
-	w.source, w.since0 = w.k.newSource(w.owner, w.log), 0
+	w.source, w.askedFrom = w.k.newSource(w.owner, w.log), 0
 	w.k.works[w.key] = w
 	next := w.log
 	w.mu.Unlock()
@@ -184,7 +186,7 @@
 	return next
 }
 
-// abandon gives up a log that was taken over here, and then by another.
+// abandon removes a log that this node had taken over, and that is done or another node's now.
 func (w *Work) abandon() {
 	w.k.o.Log.Warn("copies: a log that was taken over here is done, or another node's now", "owner", w.owner)
 	w.k.o.Host.Forget(w, w.journal.Owed(), nil)
@@ -194,8 +196,8 @@
 	w.remove()
 }
 
-// inherit keeps, in this node's own log and so in its copies, which messages of one that was taken over
-// are over: its owner asks for them when it returns.
+// inherit records in this node's own log, and so in its copies, which messages of a log that was taken over have ended,
+// because the owner asks for them when it returns.
 func (w *Work) inherit() error {
 	w.mu.Lock()
 	ids := w.over.IDs()
@@ -214,11 +216,11 @@
 		own.over.Add(id)
 		own.source.Over(0, id, w.k.o.Clock())
 	}
-	w.inherited = true // finish alone calls it again, from the same goroutine
+	w.inherited = true // only finish calls it again, from the same goroutine
 	return nil
 }
 
-// finish ends a log that was taken over, when nothing is owed for it any more.
+// finish ends a log that was taken over and in which nothing is owed any more.
 func (w *Work) finish(ctx context.Context, l *lease.Lease, token uint64) bool {
 	if err := w.inherit(); err != nil {
 		w.fail(err)
@@ -250,7 +252,7 @@
 	return true
 }
 
-// remove closes a log that was taken over and removes it.
+// remove closes and removes a log that was taken over.
 func (w *Work) remove() {
 	k := w.k
 	k.mu.Lock()
@@ -262,14 +264,14 @@
 	}
 }
 
-// workMeta says whose log lies in a folder.
+// workMeta is what is stored of a log that was taken over.
 type workMeta struct {
 	Owner string `cbor:"1,keyasint"`
 	Log   uint64 `cbor:"2,keyasint"`
-	Token uint64 `cbor:"3,keyasint"` // under which it was taken over
+	Token uint64 `cbor:"3,keyasint"` // the token under which it was taken over
 }
 
-// reopenWork goes on with a log that an earlier life of this node had taken over.
+// reopenWork opens a log that an earlier process of this node had taken over.
 func (k *Keeper) reopenWork(name string) {
 	folder, err := k.o.Folders.Open(name)
 	var m workMeta
@@ -280,7 +282,7 @@
 	if err == nil {
 		w, err = k.openWork(name, folder, m)
 	}
-	if errors.Is(err, fs.ErrNotExist) { // it was not begun
+	if errors.Is(err, fs.ErrNotExist) { // the takeover was not completed
 		if err := k.o.Folders.Remove(name); err != nil {
 			k.o.Log.Error("copies: removing", "folder", name, "err", err)
 		}
@@ -303,13 +305,13 @@
 	return w, nil
 }
 
-// base keeps the numbers of messages of different journals apart.
+// base returns what is added to the numbers of a journal's messages, so that those of different journals differ.
 func (k *Keeper) base() policy.MessageID {
 	k.adopted++
 	return policy.MessageID(k.adopted+64) << 40
 }
 
-// Resume hands the host what it owes of logs that an earlier life had taken over.
+// Resume gives the host the messages of the logs that an earlier process had taken over.
 func (k *Keeper) Resume() {
 	k.mu.Lock()
 	works := slices.Collect(maps.Values(k.works))
--- a/internal/replica/work_wait.go
+++ b/internal/replica/work_wait.go
@@ -14,8 +14,8 @@
 	done    chan error
 }
 
-// MaySend tells whether this node may begin something for the log that takes so long at most. It looks
-// at the clock each time: a process that stood still finds that the lease has run out.
+// MaySend reports whether this node may begin work on the log that takes up to longest, that is whether its lease lasts that
+// long. It reads the clock at each call, so a process that was suspended sees that its lease has expired.
 func (w *Work) MaySend(longest time.Duration) bool {
 	w.mu.Lock()
 	acting, l := w.acting, w.lease
@@ -28,7 +28,7 @@
 	return have == token && left > longest
 }
 
-// Lost is closed when the log's lease is not held, or no longer.
+// Lost returns a channel that is closed when the log's lease is not held, or when it is lost.
 func (w *Work) Lost() <-chan struct{} {
 	w.mu.Lock()
 	l := w.lease
@@ -39,14 +39,15 @@
 	return l.Lost()
 }
 
+// closed is a closed channel.
 var closed = func() chan struct{} {
 	c := make(chan struct{})
 	close(c)
 	return c
 }()
 
-// Ready tells whether a message may be taken on: in the mode before, only with the copies that staff
-// asked for in reach, unless they said to go on without.
+// Ready returns nil if a message may be accepted. In the mode "before" that needs the configured number of copies, unless the
+// configuration allows fewer; otherwise it fails with ErrShort or ErrNotOurs.
 func (w *Work) Ready() error {
 	if !w.k.before() || w.k.o.Settings.Short == fleet.GoOn {
 		return nil
@@ -62,9 +63,9 @@
 	return nil
 }
 
-// Copied waits until the copies have all that was written so far, in the mode before, so many of them at
-// least unless staff said to go on without; in the other mode it does not wait. Errors: ErrShort, ErrNotOurs,
-// the context's.
+// Copied waits, in the mode "before", until at least so many copies have all that was written so far. It fails with ErrShort
+// if there are fewer copies and the configuration does not allow that, with ErrNotOurs, or with the context's error. In the
+// other mode it does not wait.
 func (w *Work) Copied(ctx context.Context, least int) error {
 	if !w.k.before() {
 		return nil
@@ -87,10 +88,10 @@
 	}
 }
 
-// enough tells whether the copies that count have a version, and are as many as they have to be.
+// enough reports whether the copies that count have the version of a waiter. It fails if they are too few; w.mu is held.
 func (w *Work) enough(wait copyWaiter) (bool, error) {
 	if !w.settled {
-		return false, nil // who they are is being settled
+		return false, nil // it is not settled yet which copies count
 	}
 	at, copies := w.source.Copied()
 	if copies < wait.least && w.k.o.Settings.Short != fleet.GoOn {
@@ -99,7 +100,7 @@
 	return at >= wait.version, nil
 }
 
-// answer lets those go on whose versions the copies have; w.mu is held.
+// answer answers the waiters whose versions the copies have; w.mu is held.
 func (w *Work) answer() {
 	left := w.waiting[:0]
 	for _, wait := range w.waiting {
@@ -113,6 +114,7 @@
 	w.waiting = left
 }
 
+// answerAll answers all waiters with an error; w.mu is held.
 func (w *Work) answerAll(err error) {
 	for _, wait := range w.waiting {
 		wait.done <- err
--- a/internal/replica/work_watch.go
+++ b/internal/replica/work_watch.go
@@ -8,7 +8,7 @@
 	"dunetide/policy"
 )
 
-// entryOf is a message as copies have it.
+// entryOf converts a message to an entry with one tenure.
 func entryOf(m *journal.Message) Entry {
 	t := Tenure{Attempts: m.Past.Attempts, Settled: m.Past.Settled, Out: m.Past.Out, MayRun: m.Past.MayRun, RanZone: m.Past.RanZone}
 	if m.Past.MayRun {
@@ -24,7 +24,7 @@
 		Body: m.Body, Tenures: []Tenure{t}}
 }
 
-// message is an entry as its next holder goes on with it.
+// message converts an entry to a message for its next holder. Attempts without an outcome count as possibly run.
 func (e Entry) message() *journal.Message {
 	p := e.Past()
 	m := &journal.Message{Seq: policy.MessageID(e.Seq), ID: e.ID, Key: e.Key, Class: e.Class, Dest: e.Dest,
@@ -47,7 +47,7 @@
 	}
 }
 
-// Changed is journal.Watcher's, as the next two.
+// Changed implements journal.Watcher.
 func (w *Work) Changed(m *journal.Message) {
 	w.mu.Lock()
 	w.source.Change(entryOf(m), w.k.o.Clock())
@@ -55,7 +55,7 @@
 	w.rouse()
 }
 
-// Over is journal.Watcher's.
+// Over implements journal.Watcher.
 func (w *Work) Over(m *journal.Message) {
 	w.mu.Lock()
 	w.over.Add(m.ID)
@@ -64,7 +64,7 @@
 	w.rouse()
 }
 
-// Ordered is journal.Watcher's.
+// Ordered implements journal.Watcher.
 func (w *Work) Ordered(out []string) {
 	w.mu.Lock()
 	w.source.Order(out)
@@ -72,5 +72,5 @@
 	w.rouse()
 }
 
-// before tells whether a message is taken on, and a charge sent, only when copies have it.
+// before reports whether the mode is "before": messages are accepted, and charges sent, only when copies have them.
 func (k *Keeper) before() bool { return k.o.Settings.Mode == fleet.CopyBefore }
--- a/internal/replica/world_process_test.go
+++ b/internal/replica/world_process_test.go
@@ -345,54 +345,47 @@
 
 // call is one call to an endpoint.
 func (p *wproc) call(h *wheld, wk *Work) {
-	w, m := p.n.w, h.m
-	settle := func(never bool) {
-		if p.life.Err() != nil {
-			return
-		}
-		outcome := policy.Failed
-		if never {
-			outcome = policy.Full
-		}
-		_ = m.Home().Outcome(m, outcome, "e", time.Now())
-		p.mu.Lock()
-		h.out = false
-		p.mu.Unlock()
-	}
+	m := h.m
 	if m.Class == 1 {
 		ctx, cancel := context.WithTimeout(p.life, 300*time.Millisecond)
 		err := wk.Copied(ctx, 1)
 		cancel()
 		if err != nil {
-			settle(true)
+			p.settle(h, true)
 			return
 		}
 	}
 	if !wk.MaySend(lookTime) || p.life.Err() != nil {
-		settle(true)
+		p.settle(h, true)
 		return
 	}
-	lost := wk.Lost()
+	p.send(h, wk.Lost())
+}
+
+// settle records the outcome of a call that failed. Never: it is known that it has not run.
+func (p *wproc) settle(h *wheld, never bool) {
+	if p.life.Err() != nil {
+		return
+	}
+	outcome := policy.Failed
+	if never {
+		outcome = policy.Full
+	}
+	_ = h.m.Home().Outcome(h.m, outcome, "e", time.Now())
+	p.mu.Lock()
+	h.out = false
+	p.mu.Unlock()
+}
+
+// send plays the endpoint: it takes a while to answer a call, refuses some and fails some.
+func (p *wproc) send(h *wheld, lost <-chan struct{}) {
+	w, m := p.n.w, h.m
 	w.mu.Lock()
 	a := w.truth[m.ID]
 	refused := w.rand.Float64() < 0.1
 	fails := w.rand.Float64() < 0.1
 	took := time.Duration(5+w.rand.IntN(200)) * time.Millisecond
-	bad := ""
-	switch {
-	case a.out > 0:
-		bad = "was sent by %s while %s had it out"
-	case a.once && a.ran > 0:
-		bad = "may not be repeated and was sent by %s after %s"
-	case a.back && a.once:
-		bad = "was sent by %s after its client was told to come again (by %s)"
-	}
-	by := a.by
-	a.out++
-	a.by = p.n.name
-	if !refused {
-		a.ran++
-	}
+	bad, by := a.sent(p.n.name, refused)
 	w.mu.Unlock()
 	w.log("%s sent by %s", m.ID, p.n.name)
 	if bad != "" {
@@ -419,5 +412,24 @@
 		p.end(m, func() { _ = m.Home().Closed(m, "e", time.Now()) })
 		return
 	}
-	settle(refused && !broken)
+	p.settle(h, refused && !broken)
+}
+
+// sent accounts for a message that a node sends. It returns what is wrong with that, and who sent the message before.
+func (a *account) sent(node string, refused bool) (bad, by string) {
+	switch {
+	case a.out > 0:
+		bad = "was sent by %s while %s had it out"
+	case a.once && a.ran > 0:
+		bad = "may not be repeated and was sent by %s after %s"
+	case a.back && a.once:
+		bad = "was sent by %s after its client was told to come again (by %s)"
+	}
+	by = a.by
+	a.out++
+	a.by = node
+	if !refused {
+		a.ran++
+	}
+	return bad, by
 }
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -143,24 +143,13 @@
 	if os.Getenv("COPIES_LOG") != "" {
 		quiet = slog.New(slog.NewTextHandler(&eventWriter{w, n.name}, nil))
 	}
-	clock := func() time.Duration { return time.Since(w.began) }
 	j, owed, err := journal.Open(journal.Options{Folder: n.disk.Top(), Limit: 4 << 20, Sync: w.o.sync, Log: quiet})
 	if err != nil {
 		w.breaks("%s: its journal: %v", n.name, err)
 		return
 	}
 	p.journal = j
-	var voters []string
-	for _, v := range w.nodes[:3] {
-		voters = append(voters, v.name)
-	}
-	p.leases = lease.New(lease.Options{Net: p, Folder: n.disk.Top(), Name: n.name, Voters: voters, Longest: time.Duration(w.o.leaseS * float64(time.Second)),
-		Most: 50, Clock: clock, Above: func() uint64 { return uint64(time.Now().Unix()) << 20 }, Seed: seed, Log: quiet})
-	f := fleet.File{Leases: &fleet.Leases{Voters: voters}, Copies: &fleet.Copies{Mode: w.o.mode, Short: w.o.short, LeaseS: w.o.leaseS,
-		SilenceS: w.o.silenceS, ScrubS: 5}}
-	p.keeper, err = New(Options{Net: p, Leases: p.leases, Name: n.name, Copies: w.o.copies, Settings: f.CopiesOf(), Locality: func(string) string { return "" },
-		Folders: n.disk, Limit: 2 << 20, Slots: 2*w.o.copies + 1, Sync: w.o.sync, Clock: clock, Now: time.Now, Seed: seed, Host: p, Log: quiet}, j)
-	if err != nil {
+	if err := p.open(j, seed, quiet); err != nil {
 		w.breaks("%s: its copies: %v", n.name, err)
 		return
 	}
@@ -190,6 +179,23 @@
 	p.running.Go(p.serve)
 }
 
+// open opens the leases and the copies of a process.
+func (p *wproc) open(j *journal.Journal, seed uint64, log *slog.Logger) (err error) {
+	n, w := p.n, p.n.w
+	clock := func() time.Duration { return time.Since(w.began) }
+	var voters []string
+	for _, v := range w.nodes[:3] {
+		voters = append(voters, v.name)
+	}
+	p.leases = lease.New(lease.Options{Net: p, Folder: n.disk.Top(), Name: n.name, Voters: voters, Longest: time.Duration(w.o.leaseS * float64(time.Second)),
+		Most: 50, Clock: clock, Above: func() uint64 { return uint64(time.Now().Unix()) << 20 }, Seed: seed, Log: log})
+	f := fleet.File{Leases: &fleet.Leases{Voters: voters}, Copies: &fleet.Copies{Mode: w.o.mode, Short: w.o.short, LeaseS: w.o.leaseS,
+		SilenceS: w.o.silenceS, ScrubS: 5}}
+	p.keeper, err = New(Options{Net: p, Leases: p.leases, Name: n.name, Copies: w.o.copies, Settings: f.CopiesOf(), Locality: func(string) string { return "" },
+		Folders: n.disk, Limit: 2 << 20, Slots: 2*w.o.copies + 1, Sync: w.o.sync, Clock: clock, Now: time.Now, Seed: seed, Host: p, Log: log}, j)
+	return err
+}
+
 type eventWriter struct {
 	w    *world
 	name string
@@ -315,6 +321,38 @@
 func (w *world) fault() {
 	n := w.nodes[w.draw(len(w.nodes))]
 	switch k := w.draw(300); {
+	case k < 34:
+		w.machineFault(n, k)
+	case k < 54:
+		w.networkFault(n, k)
+	case k < 64: // a copy of its folder is made, and later takes its place
+		n.saved = n.disk.clone()
+	case k < 70:
+		w.oldFolder(n)
+	case k < 120:
+		for _, n := range w.nodes {
+			if n.alive() == nil && w.draw(3) == 0 {
+				n.start()
+			}
+		}
+	case k < 200:
+	case k < 220:
+		w.mu.Lock()
+		clear(w.cuts)
+		w.mu.Unlock()
+	case k < 225:
+		if n.alive() == nil {
+			w.log("%s is removed", n.name)
+			w.mu.Lock()
+			n.removed = true
+			w.mu.Unlock()
+		}
+	}
+}
+
+// machineFault kills or starts a node, or takes its disk or its power.
+func (w *world) machineFault(n *wnode, k int) {
+	switch {
 	case k < 8:
 		w.log("%s is killed", n.name)
 		n.die()
@@ -332,7 +370,7 @@
 				n.excuse()
 			}
 		}
-	case k < 34:
+	default:
 		w.log("%s loses its power", n.name)
 		n.die()
 		if w.o.sync {
@@ -340,6 +378,12 @@
 		} else {
 			n.disk.elsewhere()
 		}
+	}
+}
+
+// networkFault cuts nodes off from each other, loses messages, or heals all of that.
+func (w *world) networkFault(n *wnode, k int) {
+	switch {
 	case k < 40:
 		i, j := w.draw(len(w.nodes)), w.draw(len(w.nodes))
 		w.mu.Lock()
@@ -361,40 +405,24 @@
 		clear(w.cuts)
 		w.loss = 0
 		w.mu.Unlock()
-	case k < 54:
+	default:
 		w.mu.Lock()
 		w.loss = 0.05
 		w.mu.Unlock()
-	case k < 64: // a copy of its folder is made, and later takes its place
-		n.saved = n.disk.clone()
-	case k < 70:
-		if n.saved != nil && n.i >= 3 { // old voters have a proof of their own
-			w.log("%s goes back to an old folder", n.name)
-			n.die()
-			n.disk, n.old = n.saved.clone(), true
-			n.excuse()
-			if w.draw(2) == 0 {
-				n.disk.elsewhere()
-			}
-		}
-	case k < 120:
-		for _, n := range w.nodes {
-			if n.alive() == nil && w.draw(3) == 0 {
-				n.start()
-			}
-		}
-	case k < 200:
-	case k < 220:
-		w.mu.Lock()
-		clear(w.cuts)
-		w.mu.Unlock()
-	case k < 225:
-		if n.alive() == nil {
-			w.log("%s is removed", n.name)
-			w.mu.Lock()
-			n.removed = true
-			w.mu.Unlock()
-		}
+	}
+}
+
+// oldFolder puts a node's folder of long ago in the place of its present one.
+func (w *world) oldFolder(n *wnode) {
+	if n.saved == nil || n.i < 3 { // old voters have a proof of their own
+		return
+	}
+	w.log("%s goes back to an old folder", n.name)
+	n.die()
+	n.disk, n.old = n.saved.clone(), true
+	n.excuse()
+	if w.draw(2) == 0 {
+		n.disk.elsewhere()
 	}
 }
 
