--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -18,29 +17,29 @@
 )
 
 const (
-	// kind is what news and questions about leases go by, over the fleet's links.
+	// kind is the kind of the messages about leases on the fleet's links.
 	kind = "lease"
-	// eventRoom bounds what waits for the voter's loop; more is refused. Each takes some
-	// microseconds, but while the disk syncs.
+	// eventRoom is the most events that wait for the voter's loop; further ones are refused. An event takes some
+	// microseconds, or as long as a sync of the disk.
 	eventRoom = 2048
-	// flushEvery bounds how many events are taken in before what follows is carried out.
+	// flushEvery is the most events before a Flush.
 	flushEvery = 256
-	// tookRoom is how many asks' times are kept for the staff.
+	// tookRoom is the number of asks whose times are kept for the staff.
 	tookRoom = 256
-	// voterPause is before a voter that has failed begins anew from its folder.
+	// voterPause is the pause before a voter that has failed is started again from its folder.
 	voterPause = 5 * time.Second
-	// askTime is how long an answer is waited for: a little longer than the leader waits.
+	// askTime is how long to wait for an answer: a little longer than the leader waits.
 	askTime = answerTime + 500*time.Millisecond
 )
 
 var (
-	// ErrNotHeld says that a lease is not held, or not for long enough.
+	// ErrNotHeld is returned when a lease is not held, or not for long enough.
 	ErrNotHeld = errors.New("the lease is not held for so long")
-	// ErrOutside says that this node takes no part in its fleet just now.
+	// ErrOutside is returned when this node is not joined to its fleet.
 	ErrOutside = errors.New("this node is not joined")
 )
 
-// Options are what leases stand on.
+// Options configures Leases.
 type Options struct {
 	Net     fleet.Net
 	Folder  journal.Folder
@@ -48,34 +47,34 @@
 	Voters  []string
 	Longest time.Duration
 	Most    int
-	// Clock never stops, also not while the machine sleeps.
+	// Clock is a monotonic clock that does not stop while the machine sleeps.
 	Clock func() time.Duration
-	// Above is what tokens are above of a log that begins.
+	// Above returns a number that all tokens of a log that begins must exceed.
 	Above func() uint64
 	Seed  uint64
 	Log   *slog.Logger
 }
 
-// Leases is one node's part in the leases of its fleet.
+// Leases is the part of one node in the leases of its fleet: a client and, if it is one, a voter. It is safe for concurrent use.
 type Leases struct {
 	o      Options
 	events chan func(v *Voter, now time.Duration) // for the voter's loop
-	life   sync.Mutex                             // held where the voter begins and ends
-	votes  bool                                   // under life
-	wake   chan struct{}                          // for the asker's
+	life   sync.Mutex                             // held while the voter is started or stopped
+	votes  bool                                   // there is a voter; guarded by life
+	wake   chan struct{}                          // wakes the asker's loop
 
-	mu     sync.Mutex // over what follows
+	mu     sync.Mutex // guards the following
 	asker  *Asker
 	leases map[string]*Lease
 	rand   *rand.Rand
 	start  uint64
-	took   []time.Duration // by the last asks, from before they left to their answers
+	took   []time.Duration // times of the last asks until their answers
 	joined bool
 	failed string        // why there is no voter
-	turn   chan struct{} // closed when something of what is held may have changed
+	turn   chan struct{} // closed and replaced when a lease may have changed
 }
 
-// New registers with the fleet; Run does the rest.
+// New registers the handlers of messages with the fleet. Run does the work.
 func New(o Options) *Leases {
 	l := &Leases{o: o, events: make(chan func(*Voter, time.Duration), eventRoom), wake: make(chan struct{}, 1),
 		leases: map[string]*Lease{}, turn: make(chan struct{}), rand: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))}
@@ -91,14 +90,15 @@
 	return l
 }
 
+// random returns a random number.
 func (l *Leases) random() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.rand.Uint64()
 }
 
-// Overtaken tells that others know a later start of this node than its folder does: what it has of
-// the log is from before, and is set aside. Without an error it surely is.
+// Overtaken sets the log in the folder aside, because other nodes know a later start of this node than its folder does. If
+// it returns nil, the log is set aside.
 func (l *Leases) Overtaken() error {
 	l.life.Lock()
 	defer l.life.Unlock()
@@ -111,8 +111,8 @@
 	return errors.Join(err, out)
 }
 
-// Run takes part until the context ends: for as long as this node is joined to its fleet, and no
-// longer, since then another process may have its folder.
+// Run runs the voter and the asker until the context ends. It must not run longer than this node is joined to its fleet,
+// because another process may have the folder afterwards.
 func (l *Leases) Run(ctx context.Context) {
 	l.mu.Lock()
 	l.joined, l.failed = true, ""
@@ -129,6 +129,7 @@
 	l.settle(l.o.Clock())
 }
 
+// rouse wakes the asker's loop.
 func (l *Leases) rouse() {
 	select {
 	case l.wake <- struct{}{}:
@@ -136,7 +137,7 @@
 	}
 }
 
-// post hands an event to the voter's loop; false: there is no room.
+// post queues an event for the voter's loop, and returns false if there is no room.
 func (l *Leases) post(f func(v *Voter, now time.Duration)) bool {
 	select {
 	case l.events <- f:
@@ -146,6 +147,7 @@
 	}
 }
 
+// fail records why there is no voter.
 func (l *Leases) fail(why string) {
 	l.o.Log.Error("leases: this node does not vote", "why", why)
 	l.mu.Lock()
@@ -153,8 +155,8 @@
 	l.failed = why
 }
 
-// runVoter steps the voter. What it can't go on after ends its part in the log for a while, and
-// nothing else: a panic of raft says that what it stands on contradicts itself, as on an old folder.
+// runVoter runs the voter, and starts it again after a pause when it fails. A panic of raft is such a failure: it means that
+// its state is inconsistent, for example because the folder is old.
 func (l *Leases) runVoter(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.stepVoter(ctx)
@@ -167,7 +169,7 @@
 	}
 }
 
-// stepVoter is one life of the voter.
+// stepVoter runs the voter until it fails or the context ends.
 func (l *Leases) stepVoter(ctx context.Context) {
 	l.life.Lock()
 	v, err := NewVoter(VoterOptions{Name: l.o.Name, Start: l.start, Folder: l.o.Folder,
@@ -187,7 +189,7 @@
 		defer l.life.Unlock()
 		l.votes = false
 		v.Close()
-		for len(l.events) > 0 { // whoever waits has a time
+		for len(l.events) > 0 { // callers that wait for them have a time limit
 			<-l.events
 		}
 	}()
@@ -218,12 +220,13 @@
 			}
 		}
 		v.Tick(l.o.Clock())
-		for _, out := range v.Flush(l.o.Clock()) { // the time after all that was taken in
+		for _, out := range v.Flush(l.o.Clock()) { // the time is read after the events
 			l.tell(v, out)
 		}
 	}
 }
 
+// tell sends a message, or handles it if it is for this node.
 func (l *Leases) tell(v *Voter, out Outbound) {
 	if name, free := strings.CutPrefix(out.Key, freeKey); free && out.To == l.o.Name {
 		l.hearFree(name)
@@ -234,14 +237,16 @@
 	}
 }
 
+// hear handles a message of another node.
 func (l *Leases) hear(from fleet.Peer, key string, _ time.Duration, body []byte) {
 	if name, free := strings.CutPrefix(key, freeKey); free {
 		l.hearFree(name)
 		return
 	}
-	l.post(func(v *Voter, now time.Duration) { v.Receive(now, from, body) }) // else it comes again, or raft says it anew
+	l.post(func(v *Voter, now time.Duration) { v.Receive(now, from, body) }) // if there is no room, raft or the sender repeats it
 }
 
+// hearFree handles the message that a lease may be free.
 func (l *Leases) hearFree(name string) {
 	l.mu.Lock()
 	l.asker.Freed(name, l.o.Clock())
@@ -255,7 +260,7 @@
 	if err := decoding.Unmarshal(body, &a); err != nil {
 		return nil, fmt.Errorf("unreadable: %w", err)
 	}
-	if a.Node != from.Name { // its incarnation may be later than when the link began
+	if a.Node != from.Name { // the incarnation may differ: that of the link is older
 		return nil, fmt.Errorf("%s asks as %s", from.Name, a.Node)
 	}
 	ans, err := l.put(ctx, a)
@@ -265,12 +270,12 @@
 	return encoding.Marshal(ans)
 }
 
-// put has an ask answered by this node's voter.
+// put lets this node's voter answer an ask.
 func (l *Leases) put(ctx context.Context, a ask) (answer, error) {
 	return await(ctx, l, func(v *Voter, now time.Duration, reply func(answer)) { v.Ask(now, a, reply) })
 }
 
-// await has something done by the voter's loop, and waits for its reply.
+// await runs a function in the voter's loop and waits for its reply.
 func await[T any](ctx context.Context, l *Leases, f func(v *Voter, now time.Duration, reply func(T))) (out T, err error) {
 	got := make(chan T, 1)
 	if !l.post(func(v *Voter, now time.Duration) { f(v, now, func(t T) { got <- t }) }) {
@@ -284,7 +289,7 @@
 	}
 }
 
-// runAsker puts what the asker wants, one ask at a time.
+// runAsker sends the asks of the asker, one at a time.
 func (l *Leases) runAsker(ctx context.Context) {
 	var asking sync.WaitGroup
 	defer asking.Wait()
@@ -326,6 +331,7 @@
 	}
 }
 
+// ask sends an ask to a voter and returns the answer.
 func (l *Leases) ask(ctx context.Context, r *request) (ans answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, r.patience())
 	defer cancel()
@@ -343,257 +349,15 @@
 	return ans, decoding.Unmarshal(text, &ans)
 }
 
-// Lease is one name that this node wants, until GiveBack.
-type Lease struct {
-	l    *Leases
-	name string
-
-	// Under l.mu.
-	token uint64
-	held  chan struct{} // closed while it is held
-	lost  chan struct{} // closed while it is not
-	acts  sync.WaitGroup
-	given bool
-}
-
-// Want asks for a lease, and renews it, from now on. It is the same for all who want a name at
-// this node.
-func (l *Leases) Want(name string, length time.Duration) (*Lease, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if have := l.leases[name]; have != nil {
-		return nil, fmt.Errorf("%q is wanted at this node already", name)
-	}
-	if length > l.o.Longest {
-		return nil, fmt.Errorf("a lease of %v: %v is the most", length, l.o.Longest)
-	}
-	if err := l.asker.Want(name, length, l.o.Clock()); err != nil {
-		return nil, err
-	}
-	t := &Lease{l: l, name: name, held: make(chan struct{}), lost: make(chan struct{})}
-	close(t.lost)
-	l.leases[name] = t
-	l.rouse()
-	return t, nil
-}
-
-// settle tells whoever waits what is held now and what is not; l.mu is held.
-func (l *Leases) settle(now time.Duration) {
-	for _, t := range l.leases {
-		token, _ := l.asker.Held(t.name, now)
-		if token == t.token {
-			continue
-		}
-		if t.token != 0 {
-			close(t.lost)
-			t.held = make(chan struct{})
-		}
-		if token != 0 {
-			close(t.held)
-			t.lost = make(chan struct{})
-		}
-		l.o.Log.Info("leases: held", "name", t.name, "token", token, "was", t.token)
-		t.token = token
-	}
-	close(l.turn)
-	l.turn = make(chan struct{})
-}
-
-// Succeed lets this lease be taken from an earlier incarnation of this node, from one on that the caller
-// names: it knows that all of them have ended what they did under it.
-func (t *Lease) Succeed(since uint64) {
-	t.l.mu.Lock()
-	defer t.l.mu.Unlock()
-	t.l.asker.Succeed(t.name, since)
-	t.l.rouse()
-}
-
-// Note is what the last holder has left under this name, as the log had it when this node got the lease,
-// or what this node has set since. None is none, or one that was forgotten.
-func (t *Lease) Note() []byte {
-	t.l.mu.Lock()
-	defer t.l.mu.Unlock()
-	text, _ := t.l.asker.Note(t.name)
-	return text
-}
-
-// SetNote leaves a note under this name, for whoever holds it next. Without an error the log has it, and
-// this node still held the lease under the token.
-func (t *Lease) SetNote(ctx context.Context, token uint64, text []byte) error {
-	if len(text) > MaxNote {
-		return fmt.Errorf("a note of %d bytes, over %d", len(text), MaxNote)
-	}
-	for first := true; ; first = false {
-		t.l.mu.Lock()
-		have, _ := t.l.asker.Held(t.name, t.l.o.Clock())
-		if first && have == token && !t.given {
-			t.l.asker.SetNote(t.name, text, t.l.o.Clock())
-			t.l.rouse()
-		}
-		is, settled := t.l.asker.Note(t.name)
-		turn := t.l.turn
-		held := have == token && !t.given
-		t.l.mu.Unlock()
-		switch {
-		case !held:
-			return fmt.Errorf("%w: %q under %d", ErrNotHeld, t.name, token)
-		case settled && !bytes.Equal(is, text):
-			return fmt.Errorf("the log has no room for the note of %q", t.name)
-		case settled:
-			return nil
-		}
-		select {
-		case <-turn:
-		case <-ctx.Done():
-			return fmt.Errorf("leaving a note under %q: %w", t.name, ctx.Err())
-		}
-	}
-}
-
-// Holder is who had the lease when it was asked for last; empty: nobody, or nobody knows.
-func (t *Lease) Holder() string {
-	t.l.mu.Lock()
-	defer t.l.mu.Unlock()
-	if tenure := t.l.asker.tenures[t.name]; tenure != nil {
-		return tenure.holder
-	}
-	return ""
-}
-
-// Held tells the token that this node has the lease under, and for how long still; 0: it has not.
-func (t *Lease) Held() (token uint64, left time.Duration) {
-	t.l.mu.Lock()
-	defer t.l.mu.Unlock()
-	if t.given {
-		return 0, 0
-	}
-	return t.l.asker.Held(t.name, t.l.o.Clock())
-}
-
-// Wait waits until the lease is held.
-func (t *Lease) Wait(ctx context.Context) (token uint64, err error) {
-	for {
-		t.l.mu.Lock()
-		held, given := t.held, t.given
-		t.l.mu.Unlock()
-		if given {
-			return 0, fmt.Errorf("%w: it was given back", ErrNotHeld)
-		}
-		select {
-		case <-held:
-			if token, _ := t.Held(); token != 0 {
-				return token, nil
-			}
-			t.l.rouse() // it has run out just now
-			select {
-			case <-time.After(time.Millisecond):
-			case <-ctx.Done():
-			}
-		case <-ctx.Done():
-		}
-		if ctx.Err() != nil {
-			return 0, fmt.Errorf("waiting for the lease %q: %w", t.name, ctx.Err())
-		}
-	}
-}
-
-// Lost is closed when the lease is not held, or no longer.
-func (t *Lease) Lost() <-chan struct{} {
-	t.l.mu.Lock()
-	defer t.l.mu.Unlock()
-	return t.lost
-}
-
-// Begin begins an act under the lease: only while more of it is left than the longest that the
-// act may take. The act has to end, with its last byte out, when its context does, and End
-// says that it has. Error: ErrNotHeld.
-func (t *Lease) Begin(ctx context.Context, longest time.Duration) (act *Act, err error) {
-	t.l.mu.Lock()
-	token, left := t.l.asker.Held(t.name, t.l.o.Clock())
-	ok := token != 0 && left > longest && !t.given
-	lost := t.lost
-	if ok {
-		t.acts.Add(1)
-	}
-	t.l.mu.Unlock()
-	if !ok {
-		return nil, fmt.Errorf("%w: %q, for %v", ErrNotHeld, t.name, longest)
-	}
-	a := &Act{Token: token, lease: t}
-	a.Context, a.cancel = context.WithTimeout(ctx, longest)
-	go func() { // ended by End at the latest
-		select {
-		case <-lost:
-			a.cancel()
-		case <-a.Context.Done():
-		}
-	}()
-	return a, nil
-}
-
-// Act is something that is being done under a lease.
-type Act struct {
-	Token   uint64
-	Context context.Context
-	cancel  context.CancelFunc
-	lease   *Lease
-	once    sync.Once
-}
-
-// End says that the act has ended.
-func (a *Act) End() {
-	a.once.Do(func() {
-		a.cancel()
-		a.lease.acts.Done()
-	})
-}
-
-// GiveBack ends the wish for the lease. No act begins any more; when those that are going on have
-// ended, the others may have it. It waits for them, unless the context ends: then the lease is
-// not renewed any more, and runs out.
-func (t *Lease) GiveBack(ctx context.Context) {
-	t.l.mu.Lock()
-	if t.given {
-		t.l.mu.Unlock()
-		return
-	}
-	t.given = true
-	t.l.mu.Unlock()
-	ended := make(chan struct{})
-	go func() { // each act has a time, after which it must have ended
-		t.acts.Wait()
-		close(ended)
-	}()
-	clean := true
-	select {
-	case <-ended:
-	case <-ctx.Done():
-		clean = false
-	}
-	t.l.mu.Lock()
-	defer t.l.mu.Unlock()
-	if clean {
-		t.l.asker.Drop(t.name, t.l.o.Clock())
-	} else {
-		t.l.asker.Forget(t.name)
-	}
-	delete(t.l.leases, t.name)
-	if t.token != 0 {
-		close(t.lost)
-		t.token = 0
-	}
-	t.l.rouse()
-}
-
-// Names are the leases that this node wants.
+// Names returns the names of the leases that this node wants.
 func (l *Leases) Names() (all []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.asker.names()
 }
 
-// Take is Want and Wait for the staff, who have no act of which the end could be seen: the lease is
-// renewed until Give, or until this process ends. Without it by the context's end nothing is wanted.
+// Take wants a lease on behalf of the staff and waits for it. It is renewed until Give or the end of the process. If the
+// context ends first, the lease is not wanted any more.
 func (l *Leases) Take(ctx context.Context, name string, length time.Duration) (token uint64, err error) {
 	t, err := l.Want(name, length)
 	if err != nil {
@@ -612,7 +376,7 @@
 	return token, err
 }
 
-// Give is GiveBack for the staff.
+// Give gives back a lease that the staff have taken under a token.
 func (l *Leases) Give(ctx context.Context, name string, token uint64) error {
 	l.mu.Lock()
 	t := l.leases[name]
@@ -627,8 +391,8 @@
 	return nil
 }
 
-// SetVoters orders who should vote from now on. A yes means that the log has it; the voters
-// are changed one by one after that.
+// SetVoters sets which nodes should be voters. When it returns nil the order is committed; the voters are changed one by
+// one afterwards.
 func (l *Leases) SetVoters(ctx context.Context, names []string) error {
 	if err := fleet.CheckVoters(names); err != nil {
 		return err
@@ -650,11 +414,11 @@
 	return nil
 }
 
-// GivesUp is what has to be said, word for word, with the order to recover.
+// GivesUp is the text with which the staff must confirm the order to recover.
 const GivesUp = "what the lost voters alone have agreed on is void"
 
-// Recover begins the next epoch of the log at this node alone. Log is the number of the present
-// one, as Status shows it.
+// Recover begins a new epoch of the log with this node as the only voter (Voter.Recover). Log is the present log, as Status
+// shows it, and givesUp must be GivesUp. It fails if the log has a leader.
 func (l *Leases) Recover(ctx context.Context, log, givesUp string) error {
 	if givesUp != GivesUp {
 		return fmt.Errorf("the order has to say what it gives up, word for word: %q", GivesUp)
