Batch items are handed out with the time left, not with a time of day

Cause: a store ordered jobs by the time of day at which an edge took them, and told workers a time of day as the due time. A stepped clock changed the order in which jobs were handed out, and what endpoints' queues held for overdue.

Change: a store orders jobs by when they became known to it on its steady clock, and sends the time left in a new last field of the message; the old field stays for workers of older versions, and messages without the new one are read as before. A job that is sent whole to another store, or moved within the log, takes its age along (new last field of the record, absent in older ones), so that the order holds there too. The time of day only decides among jobs that became known in the same millisecond, such as those read from the log at a start.

--- a/internal/batch/ages.go
+++ b/internal/batch/ages.go
@@ -3,8 +3,9 @@
 import "dunetide/internal/operator"
 
 // Jobs that are too old are given up and dropped. How old a job is, is counted on the steady clock from when this store first
-// knew of it: no less than that has passed since it was sent, whatever the time of day is said to be. After a restart, or at
-// a store that got the job later, it counts as younger than it is, and is given up and dropped later, which is allowed.
+// knew of it: no less than that has passed since it was sent, whatever the time of day is said to be. A job that is sent on
+// whole takes its age along. After a restart it counts as younger than it is, and is given up and dropped later, which is
+// allowed.
 
 // ages gives up and drops what is too old, and tells again of groups that are ready.
 func (c *core) ages() {
--- a/internal/batch/ages_test.go
+++ b/internal/batch/ages_test.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.keepJob(p, j)
+		c.keepJob(p, j, 0)
 	}
 	if since := p.jobs["job"].knownSince; since != 10 {
 		t.Errorf("known since %d", since)
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"dunetide/internal/link"
 )
 
 // Items are handed out to workers.
@@ -24,16 +22,22 @@
 		return
 	}
 	j.queued = true
-	due := func(j *job) int64 { return j.sentMs + j.dueMs }
-	at, _ := slices.BinarySearchFunc(c.open, j, func(a, b *job) int {
-		if d := cmp.Compare(due(a), due(b)); d != 0 {
-			return d
-		}
-		return cmp.Compare(a.id, b.id)
-	})
+	at, _ := slices.BinarySearchFunc(c.open, j, compareDue)
 	c.open = slices.Insert(c.open, at, j)
 }
 
+// dueAt is when the results of a job are due, on the steady clock of this store.
+func (j *job) dueAt() int64 { return j.knownSince + j.dueMs }
+
+// dueTimeOfDay is when the results of a job are due by the clock of the edge that took it.
+func (j *job) dueTimeOfDay() int64 { return j.sentMs + j.dueMs }
+
+// compareDue orders jobs by when they are due. The time of day only decides among jobs that became known here at once, as
+// those that are read from the log at a start.
+func compareDue(a, b *job) int {
+	return cmp.Or(cmp.Compare(a.dueAt(), b.dueAt()), cmp.Compare(a.dueTimeOfDay(), b.dueTimeOfDay()), cmp.Compare(a.id, b.id))
+}
+
 // dispatch hands out items: earliest due first, to the workers with most room, those of the own zone first.
 func (c *core) dispatch() {
 	if len(c.open) == 0 || len(c.attached) == 0 {
@@ -105,19 +109,9 @@
 		return
 	}
 	c.hand(p, j, no, w)
-	b := link.Writer{B: make([]byte, 0, len(seg)+200)}
-	b.U32(uint32(p.no))
-	b.U64(p.epoch)
-	b.String(j.id)
-	b.U32(uint32(no))
-	b.Int(int(j.sentMs + j.dueMs))
-	b.Int(j.tries)
-	b.String(j.route)
-	b.String(j.host)
-	b.String(it.id)
-	b.Int(int(it.tokens))
-	b.Bytes(seg)
-	_ = w.pipe.Send(kGive, b.B)
+	message := giveMessage{key: itemKey{p.no, j.id, no}, epoch: p.epoch, dueMs: j.dueTimeOfDay(), tries: j.tries, route: j.route,
+		host: j.host, itemID: it.id, tokens: it.tokens, segment: seg, leftMs: j.dueAt() - c.now}
+	_ = w.pipe.Send(kGive, message.encode())
 }
 
 func (c *core) hand(p *part, j *job, no int, w *worker) {
--- /dev/null
+++ b/internal/batch/due_test.go
@@ -0,0 +1,180 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"dunetide/internal/link"
+)
+
+const hourMs = 3_600_000
+
+// idsOfOnePart are ids of jobs that one part holds.
+func (g *scaleRig) idsOfOnePart(n int) (ids []string) {
+	table := g.cores[0].table
+	for i := 0; len(ids) < n; i++ {
+		if id := fmt.Sprint("job", i); table.PartOf(id) == 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// giveAll attaches a worker to a store, and returns the items that it is handed.
+func (g *scaleRig) giveAll(c *core) (given [][]byte) {
+	worker := g.connect(func(_ *scaleEnd, kind link.Kind, body []byte) {
+		if kind == kGive {
+			given = append(given, slices.Clone(body))
+		}
+	}, func(e *scaleEnd, kind link.Kind, body []byte) { c.message(e, nil, kind, body) })
+	var attach link.Writer
+	attach.String("worker")
+	attach.String("z0")
+	attach.Int(100)
+	_ = worker.Send(kAttach, attach.B)
+	for range 100 {
+		g.now += 1000
+		g.settle()
+	}
+	return given
+}
+
+// jobOfGive is the job that an item is of which a worker is handed.
+func jobOfGive(body []byte) string {
+	r := link.Reader{B: body}
+	r.U32()
+	r.U64()
+	return r.String()
+}
+
+// TestTimeOfDayDoesNotOrderJobs: jobs of one route are handed out in the order in which they came, also when the clock of
+// the edge that took them was stepped between them.
+func TestTimeOfDayDoesNotOrderJobs(t *testing.T) {
+	for _, step := range []int64{-hourMs, 0, hourMs} {
+		g := newScaleRig(4, 0, 0, 1)
+		ids := g.idsOfOnePart(3)
+		var primary *core
+		for i, id := range ids {
+			primary = g.handAged(t, id, int64(i)*step, 60_000)
+			g.step(100)
+		}
+		var order []string
+		for _, body := range g.giveAll(primary) {
+			order = append(order, jobOfGive(body))
+		}
+		if !slices.Equal(order, ids) {
+			t.Errorf("the clock was stepped by %d ms: came as %v, handed out as %v", step, ids, order)
+		}
+	}
+}
+
+// dueRunner takes note of when the items it is to run are due.
+type dueRunner chan time.Time
+
+func (r dueRunner) Run(_ context.Context, item *Item, _ string, _ func(string, []byte)) Result {
+	r <- item.Due
+	return Result{End: Never}
+}
+
+// workerDue is when an item that a worker is handed is due by the worker's word.
+func workerDue(t *testing.T, body []byte) time.Time {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() { _ = link.Serve(listener, make(kindsHandler, 10), link.DefaultOptions) }()
+	conn, err := link.Dial(context.Background(), listener.Addr().String(), make(kindsHandler, 10), link.DefaultOptions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	runner := make(dueRunner, 1)
+	worker := newWorkerSide(&Edge{o: EdgeOptions{Runner: runner}})
+	worker.message(0, &link.Message{Conn: conn, Kind: kGive, Body: body})
+	select {
+	case due := <-runner:
+		return due
+	case <-time.After(time.Minute):
+		t.Fatal("the item was not run")
+		return time.Time{}
+	}
+}
+
+// TestWorkersCountTheTimeLeft: when an item is due is told as the time that is left, whatever the time of day was said to be
+// when its job came.
+func TestWorkersCountTheTimeLeft(t *testing.T) {
+	const dueMs, waitedMs = 600_000, 200_000
+	for _, step := range []int64{-hourMs, 0, hourMs} {
+		g := newScaleRig(4, 0, 0, 1)
+		id := g.idsOfOnePart(1)[0]
+		primary := g.handAged(t, id, time.Now().UnixMilli()+step, dueMs)
+		g.step(waitedMs)
+		given := g.giveAll(primary)
+		if len(given) != 1 {
+			t.Fatalf("%d items handed out", len(given))
+		}
+		left := time.Until(workerDue(t, given[0]))
+		// A slow machine may take long between; the clock was stepped by far more.
+		most := (dueMs - waitedMs) * time.Millisecond
+		if left > most || left < most-5*time.Minute {
+			t.Errorf("the clock was stepped by %d ms: due in %v, should be %v", step, left, most)
+		}
+	}
+}
+
+// TestGiveOfAnOlderVersion: a store of a version that does not tell the time left tells the time of day.
+func TestGiveOfAnOlderVersion(t *testing.T) {
+	due := time.Now().Add(time.Hour).Truncate(time.Millisecond)
+	message := giveMessage{key: itemKey{1, "job", 2}, epoch: 3, dueMs: due.UnixMilli(), tries: 4, route: "r", host: "h", itemID: "id",
+		tokens: 5, segment: encodeSegment("/x", nil, []byte("body")), leftMs: 60_000}
+	body := message.encode()
+	if got := time.Until(workerDue(t, body)); got > time.Minute {
+		t.Errorf("due in %v by the time left", got)
+	}
+	older := body[:len(body)-8]
+	if got := workerDue(t, older); !got.Equal(due) {
+		t.Errorf("due at %v, should be %v", got, due)
+	}
+	decoded, err := decodeGive(older)
+	if err != nil || decoded.hasLeft || decoded.key != message.key || decoded.epoch != 3 || decoded.tries != 4 || decoded.itemID != "id" || decoded.tokens != 5 {
+		t.Errorf("%+v, %v", decoded, err)
+	}
+}
+
+// TestJobsTakeTheirAgeAlong: a copy that is sent a job whole knows how old it is, also after a restart; without its age, as from
+// an older version, it counts from when it came.
+func TestJobsTakeTheirAgeAlong(t *testing.T) {
+	donor := newCore(1, &simDisk{})
+	donor.now = 1000
+	donor.append(append(encodeRec(recOp, 3, ballotOf(1)+1, 1), append([]byte{opAccept}, scaleLot("job", 1, hourMs)...)...))
+	donor.now = 5000
+	whole, err := donor.whole(donor.part(3).jobs["job"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name  string
+		whole []byte
+		age   int64
+	}{{"with its age", whole, 4000}, {"without", whole[:len(whole)-8], 0}} {
+		log := &simDisk{}
+		receiver, restarted := newCore(2, log), newCore(2, log)
+		receiver.now, restarted.now = 70_000, 10
+		record := append(encodeRec(recPut, 3), c.whole...)
+		receiver.append(record)
+		if err := restarted.replay(record, 0); err != nil {
+			t.Fatal(err)
+		}
+		for _, at := range []*core{receiver, restarted} {
+			if j := at.part(3).jobs["job"]; j == nil || at.now-j.knownSince != c.age {
+				t.Errorf("%s: %+v at %d", c.name, j, at.now)
+			}
+		}
+	}
+}
--- a/internal/batch/kinds.go
+++ b/internal/batch/kinds.go
@@ -19,7 +19,7 @@
 	kHold      // worker: part, epoch, count, (job, item): what it has in hand of a part whose primary is new to it
 	kHeld      // store: part, epoch (0: any): that is noted, and what has ended of it was said before
 	kUnsure    // store: part: this store may have been replaced, so nothing of the part is to start
-	kGive      // store: part, epoch, job, item number, dueMs, tries, route, host, item id, tokens, segment
+	kGive      // store: part, epoch, job, item number, dueMs, tries, route, host, item id, tokens, segment, leftMs (giveMessage)
 	kResult    // worker: part, job, item number, given up, text
 	kListed    // store: part, job, item number: the result is kept, or is not wanted
 	kCancel    // store: part, job: the job has ended
@@ -31,7 +31,7 @@
 	kAsk       // part, ballot, session: promise, and tell what you have
 	kHave      // part, ballot, session, claim ballot, claim seq, count, (job, digest)
 	kFetch     // part, ballot, job: send the job whole
-	kWhole     // part, ballot, job, found, whole job
+	kWhole     // part, ballot, job, found, whole job (core.whole)
 	kPut       // part, ballot, session, whole job: takes the place of what there is
 	kPutAck    // part, ballot, session
 	kMark      // part, ballot, session, seq: you have all up to seq now
--- a/internal/batch/records.go
+++ b/internal/batch/records.go
@@ -48,16 +48,24 @@
 			j.list(no, gu, text, pos()-int64(len(text)))
 		}
 		j.ended = r.Bool()
-		c.keepJob(p, j)
+		age := int64(0)
+		if len(r.B) > 0 { // records of older versions end before it
+			age = max(0, int64(r.Int()))
+		}
+		if r.Err != nil {
+			return r.Err
+		}
+		c.keepJob(p, j, age)
 	}
 	return r.Err
 }
 
-// keepJob takes a job in, in the place of what was known of it. It has been known since it was known first.
-func (c *core) keepJob(p *part, j *job) {
-	j.knownSince = c.now
+// keepJob takes a job in that is at least so many ms old, in the place of what was known of it. It has been known since it
+// was known first.
+func (c *core) keepJob(p *part, j *job, age int64) {
+	j.knownSince = c.now - age
 	if known := p.jobs[j.id]; known != nil {
-		j.knownSince = known.knownSince
+		j.knownSince = min(j.knownSince, known.knownSince)
 	}
 	c.forget(p, j.id)
 	p.jobs[j.id] = j
@@ -84,7 +92,7 @@
 		if err != nil {
 			return err
 		}
-		c.keepJob(p, j)
+		c.keepJob(p, j, 0)
 	case opList:
 		id, no, gu := r.String(), int(r.U32()), r.Bool()
 		if r.Err != nil {
@@ -107,7 +115,8 @@
 	return r.Err
 }
 
-// whole is a job with all that happened to it, as kPut and recPut have it.
+// whole is a job with all that happened to it, as kPut and recPut have it: the id, the encoded job, the results, whether it
+// has ended, and its age in ms.
 func (c *core) whole(j *job) ([]byte, error) {
 	w := link.Writer{B: make([]byte, 0, j.bytes+int64(64+16*len(j.results)))}
 	w.String(j.id)
@@ -132,6 +141,7 @@
 		w.Bytes(text)
 	}
 	w.Bool(j.ended)
+	w.Int(int(c.now - j.knownSince))
 	return w.B, nil
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -221,16 +221,15 @@
 	k := itemKey{part: int(r.U32())}
 	switch m.Kind {
 	case kGive:
-		epoch := r.U64()
-		k.job, k.item = r.String(), int(r.U32())
-		due, tries := int64(r.Int()), r.Int()
-		it := &Item{Job: k.job, Due: time.UnixMilli(due), Route: r.String(), Host: r.String(), ID: r.String(), Tokens: int64(r.Int())}
-		seg := r.Bytes()
-		var err error
-		if it.Path, it.Headers, it.Body, err = decodeSegment(seg); err != nil || r.Err != nil {
+		given, err := decodeGive(m.Body)
+		if err != nil {
+			return
+		}
+		item, err := given.item(time.Now())
+		if err != nil {
 			return
 		}
-		w.take(m.Conn, epoch, k, it, tries)
+		w.take(m.Conn, given.epoch, given.key, item, given.tries)
 	case kHeld:
 		w.mu.Lock()
 		defer w.mu.Unlock()
