Test of a full store: the core is read on its own goroutine

Cause: TestFullDiskEndsTheStoreNotItsLog read promises of a running store from the test's goroutine, which the race detector reports now and then.

Change: the same promises are read on the store's goroutine and compared as before.

--- a/internal/batch/room_test.go
+++ b/internal/batch/room_test.go
@@ -95,8 +95,10 @@
 		t.Fatal(err)
 	}
 	defer func() { s.Close(); <-s.Stopped() }()
-	if s.ID() != id || s.core.part(3).promised != 7 || s.core.part(4).promised != 0 || s.core.part(5).promised != 0 {
-		t.Errorf("identity %d after %d, promises %d, %d, %d", s.ID(), id, s.core.part(3).promised, s.core.part(4).promised, s.core.part(5).promised)
+	read := make(chan [3]uint64, 1)
+	s.do(func() { read <- [3]uint64{s.core.part(3).promised, s.core.part(4).promised, s.core.part(5).promised} })
+	if promised := <-read; s.ID() != id || promised != [3]uint64{7, 0, 0} {
+		t.Errorf("identity %d after %d, promises %v", s.ID(), id, promised)
 	}
 }
 
