Status: stores that are full, and those whose disk does not answer, are shown

Cause: a store without room, or whose disk stalls, said so in its own log alone.

Change: a process that can't do its work tells a keeper every second (new call ProcessTrouble, kind 22; keepers of older versions refuse it and the process goes on), which passes it on to the other keepers. `dunetide status` shows it at any of them under in_trouble: out of service for a full disk (also a keeper that starts), no room in the log for jobs, an operation of the disk that has not returned for 2 s.

Not covered: a disk that stalls while a store's log is opened, and the record of regulated runs, which still tell it in the log alone.

--- a/cmd/dunetide/keeper.go
+++ b/cmd/dunetide/keeper.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		return err
 	}
+	p.startTroubleReports(control.RoleKeeper, keeperPort, members)
 	var folder journal.Folder
 	if p.settings.DataDir != "" {
 		if folder, err = p.dataFolder(); err != nil {
--- a/cmd/dunetide/main.go
+++ b/cmd/dunetide/main.go
@@ -69,6 +69,7 @@
 	watcher  *settings.Watcher  // for what may change
 	log      hclog.Logger
 	ctx      context.Context
+	trouble  troubleHolder // what keeps it from its work
 }
 
 // start reads the settings and prepares the runtime. The context ends at SIGTERM or SIGINT.
--- a/cmd/dunetide/room.go
+++ b/cmd/dunetide/room.go
@@ -17,6 +17,8 @@
 	roomFile = "room.probe"
 	// roomBytes have to fit before the disk is used again.
 	roomBytes = 1 << 20
+	// outOfService is what operators are told of a full disk, in the log and by the status of keepers.
+	outOfService = "disk is full: out of service until there is room"
 )
 
 // whenRoom runs f, again once there is room wherever it ends because the disk is full. Nothing of f may be left when it
@@ -27,10 +29,12 @@
 		if !record.NoRoom(err) && !batch.ErrNoRoom.Has(err) {
 			return err
 		}
-		p.log.Error("disk is full: out of service until there is room", "err", err)
+		p.log.Error(outOfService, "err", err)
+		p.trouble.set(func() string { return outOfService })
 		if !p.awaitRoom(folder) {
 			return nil
 		}
+		p.trouble.clear()
 		p.log.Info("disk has room again")
 	}
 }
--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	p.startTroubleReports(control.RoleStore, storePort, members)
 	folder, err := p.dataFolder()
 	if err != nil {
 		return err
@@ -78,6 +79,8 @@
 	if err != nil {
 		return err
 	}
+	p.trouble.set(store.Trouble)
+	defer p.trouble.clear()
 	defer p.awaitStopped(store) // before the log is opened again
 	defer store.Close()
 	links, err := net.Listen("tcp4", p.addr(storePort))
--- /dev/null
+++ b/cmd/dunetide/trouble.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"dunetide/internal/control"
+)
+
+const (
+	// troubleEvery is how often keepers are told of what keeps the process from its work. They forget it after 5 s.
+	troubleEvery = time.Second
+	// troubleWait bounds the answer of one keeper.
+	troubleWait = time.Second
+)
+
+// troubleSource tells what keeps the process from its work; empty: nothing.
+type troubleSource func() string
+
+// troubleHolder holds the source in force. The zero value has none.
+type troubleHolder struct{ source atomic.Pointer[troubleSource] }
+
+func (h *troubleHolder) set(source troubleSource) { h.source.Store(&source) }
+func (h *troubleHolder) clear()                   { h.source.Store(nil) }
+
+func (h *troubleHolder) reason() string {
+	if source := h.source.Load(); source != nil {
+		return (*source)()
+	}
+	return ""
+}
+
+// reportTrouble tells keepers what keeps the process from its work while it lasts, and once when it is over.
+func (p *process) reportTrouble(node control.Node, keepers func() []string) {
+	tick := time.NewTicker(troubleEvery)
+	defer tick.Stop()
+	told := ""
+	for {
+		if reason := p.trouble.reason(); reason != "" || told != "" {
+			if p.tellTrouble(control.Trouble{Node: node, Reason: reason}, keepers()) {
+				told = reason
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+// tellTrouble tells the first keeper that answers.
+func (p *process) tellTrouble(trouble control.Trouble, keepers []string) bool {
+	for _, addr := range keepers {
+		ctx, cancel := context.WithTimeout(p.ctx, troubleWait)
+		err := control.ReportTrouble(ctx, addr, trouble)
+		cancel()
+		if err == nil {
+			return true
+		}
+		p.log.Debug("trouble not reported", "keeper", addr, "err", err)
+	}
+	return false
+}
+
+// startTroubleReports has keepers that membership and the settings know of told.
+func (p *process) startTroubleReports(role string, port int, members *members) {
+	self := control.Node{Name: p.settings.NodeName, Role: role, Zone: p.settings.Zone, Addr: p.addr(port), Life: uint64(time.Now().UnixNano())}
+	go p.reportTrouble(self, func() []string {
+		var addrs []string
+		for _, keeper := range members.keepers() {
+			if keeper.Addr != self.Addr {
+				addrs = append(addrs, keeper.Addr)
+			}
+		}
+		for _, addr := range seedLinks(p.watcher.Current()) {
+			if addr != self.Addr {
+				addrs = append(addrs, addr)
+			}
+		}
+		return addrs
+	})
+}
--- /dev/null
+++ b/cmd/dunetide/trouble_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dunetide/internal/batch"
+	"dunetide/internal/control"
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/link"
+)
+
+// troubleListener takes the place of a keeper.
+type troubleListener chan string
+
+func (l troubleListener) Message(m *link.Message) {
+	told, err := control.ReadTrouble(m.Body)
+	if m.Kind != control.ProcessTrouble || err != nil {
+		m.Fail("kind %d, %v", m.Kind, err)
+		return
+	}
+	l <- told.Node.Name + ": " + told.Reason
+	m.Reply(nil)
+}
+
+func (l troubleListener) Closed(*link.Conn) {}
+
+func (l troubleListener) await(t *testing.T, want string) {
+	t.Helper()
+	late := time.After(time.Minute)
+	for last := ""; ; {
+		select {
+		case last = <-l:
+			if last == want {
+				return
+			}
+		case <-late:
+			t.Fatalf("keepers were told %q last, not %q", last, want)
+		}
+	}
+}
+
+// TestKeepersAreToldOfAFullDisk: a process that is out of service as its disk is full tells keepers so, passing over one
+// that does not answer, and tells when that is over.
+func TestKeepersAreToldOfAFullDisk(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	none, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	none.Close() // nobody listens there
+	told := make(troubleListener, 1000)
+	go func() { _ = link.Serve(listener, told, link.DefaultOptions) }()
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &process{log: hclog.NewNullLogger(), ctx: ctx}
+	disk := disktest.New()
+	disk.Room = roomBytes / 2
+	ended, reported := make(chan error, 1), make(chan struct{})
+	go func() {
+		p.reportTrouble(control.Node{Name: "s1", Role: control.RoleStore}, func() []string {
+			return []string{none.Addr().String(), listener.Addr().String()}
+		})
+		close(reported)
+	}()
+	var makeRoom atomic.Bool
+	folder := countedFolder{disk, func() { // on the goroutine that writes to the disk
+		if makeRoom.Load() {
+			disk.Room = 0
+		}
+	}}
+	calls, other := 0, errors.New("other")
+	go func() {
+		ended <- p.whenRoom(folder, func() error {
+			if calls++; calls == 1 {
+				return batch.ErrNoRoom.New("full")
+			}
+			return other
+		})
+	}()
+	told.await(t, "s1: "+outOfService)
+	makeRoom.Store(true)
+	told.await(t, "s1: ")
+	if err := <-ended; err != other {
+		t.Error(err)
+	}
+	cancel()
+	<-reported
+}
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -71,19 +72,24 @@
 	queue  []func()
 	closed bool
 
+	using   operation   // of the disk, by the goroutine of run
+	syncing operation   // of the disk, by that of syncLoop
+	full    atomic.Bool // core.full, for other goroutines
+
 	syncMu   sync.Mutex
 	syncWake chan struct{}
 	syncN    uint64
 	syncAt   int64
 }
 
-// noting notes where the last record ends, for the sync.
+// noting notes where the last record ends, for the sync, and how long the disk takes.
 type noting struct {
 	Log
 	s *Store
 }
 
 func (n noting) Append(b []byte) (int64, error) {
+	defer n.timed()()
 	at, err := n.Log.Append(b)
 	if err != nil && !record.Failed.Has(err) {
 		err = ErrNoRoom.Wrap(err)
@@ -102,6 +108,27 @@
 	return at, err
 }
 
+func (n noting) ReadRaw(at int64, size int) ([]byte, error) {
+	defer n.timed()()
+	return n.Log.ReadRaw(at, size)
+}
+
+func (n noting) Rotate() error {
+	defer n.timed()()
+	return n.Log.Rotate()
+}
+
+func (n noting) DropOldest() error {
+	defer n.timed()()
+	return n.Log.DropOldest()
+}
+
+// timed begins an operation of the disk, and returns what ends it.
+func (n noting) timed() (end func()) {
+	n.s.using.begin(time.Since(n.s.start))
+	return n.s.using.end
+}
+
 // OpenIn opens the log of a store in a folder.
 func OpenIn(folder journal.Folder) func(replay func(payload []byte, at int64) error) (Log, error) {
 	return func(replay func(payload []byte, at int64) error) (Log, error) {
@@ -313,6 +340,7 @@
 			next = now.Add(pause)
 			timer.Reset(pause)
 		}
+		s.full.Store(s.core.full)
 	}
 }
 
@@ -336,7 +364,10 @@
 			continue
 		}
 		last = n
-		if err := s.log.SyncTo(at); err != nil {
+		s.syncing.begin(time.Since(s.start))
+		err := s.log.SyncTo(at)
+		s.syncing.end()
+		if err != nil {
 			s.end(fmt.Errorf("syncing the log of batch jobs: %w", err))
 			return
 		}
--- /dev/null
+++ b/internal/batch/trouble_test.go
@@ -0,0 +1,69 @@
+package batch
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dunetide/internal/journal"
+)
+
+// untilTrouble waits until the trouble of a store begins with something; empty: until there is none.
+func untilTrouble(t *testing.T, s *Store, prefix string) {
+	t.Helper()
+	pace := time.NewTicker(10 * time.Millisecond)
+	defer pace.Stop()
+	for began := time.Now(); ; <-pace.C {
+		trouble := s.Trouble()
+		if prefix == "" && trouble == "" || prefix != "" && strings.HasPrefix(trouble, prefix) {
+			return
+		}
+		if time.Since(began) > time.Minute {
+			t.Fatalf("the trouble is %q, should be %q", trouble, prefix)
+		}
+	}
+}
+
+// TestTroubleOfAStalledDisk: a store whose disk does not answer says so until it does.
+func TestTroubleOfAStalledDisk(t *testing.T) {
+	folder := stalledFolder{journal.Dir(t.TempDir()), &atomic.Bool{}, make(chan struct{}), make(chan struct{})}
+	s, err := NewStore(StoreOptions{Open: OpenIn(folder), Logf: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { s.Close(); <-s.Stopped() }()
+	untilTrouble(t, s, "")
+	folder.stalled.Store(true)
+	s.do(func() { s.core.append(encodeRec(recPromise, 3, 7)) })
+	closed(t, "the write", folder.reached)
+	untilTrouble(t, s, "the disk has not answered for ")
+	folder.stalled.Store(false)
+	close(folder.release)
+	untilTrouble(t, s, "")
+}
+
+// TestTroubleOfAStalledSync: a sync that does not return counts too.
+func TestTroubleOfAStalledSync(t *testing.T) {
+	s := &Store{start: time.Now().Add(-time.Hour)}
+	s.syncing.begin(time.Hour - 10*stalledAfter)
+	untilTrouble(t, s, "the disk has not answered for ")
+	s.syncing.end()
+	untilTrouble(t, s, "")
+}
+
+// TestTroubleOfAFullStore: a store that takes no jobs for want of room says so until it has room again.
+func TestTroubleOfAFullStore(t *testing.T) {
+	s, err := NewStore(StoreOptions{Open: OpenIn(journal.Dir(t.TempDir())), RoomBytes: 1 << 20, Logf: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { s.Close(); <-s.Stopped() }()
+	charge := func(bytes int64) {
+		s.do(func() { s.core.chargeLog(0, bytes); s.core.reportRoom() })
+	}
+	charge(1 << 20)
+	untilTrouble(t, s, reasonFull)
+	charge(-1 << 20)
+	untilTrouble(t, s, "")
+}
--- a/internal/control/kinds.go
+++ b/internal/control/kinds.go
@@ -23,5 +23,7 @@
 	Stopping link.Kind = 20 // call, store to keeper: whether the store (its identity) is about to stop and is to lead nothing
 	// InContact is a call, to a keeper by a process that looks for one: the reply says whether the keeper is in contact with a majority.
 	InContact link.Kind = 21
-	InForce   link.Kind = 14 // call, between keepers: a version of the certificates; the reply says whether all attached have it in force
+	// ProcessTrouble is a call, to a keeper by a process that can't do its work; between keepers it is one way (Trouble).
+	ProcessTrouble link.Kind = 22
+	InForce        link.Kind = 14 // call, between keepers: a version of the certificates; the reply says whether all attached have it in force
 )
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -93,6 +93,7 @@
 	pushedListening  bool   // whether the list may be believed, as the attached were told last
 	pushedChange     uint64 // the list's newest change, as they were told last
 	sums             digests
+	troubles         troubleTable
 
 	linked       atomic.Pointer[links]    // for other goroutines
 	seeds        atomic.Pointer[[]string] // control addresses that are dialled; those of the first voters stay those of the start
@@ -110,7 +111,8 @@
 	k := &Keeper{o: o, log: o.Log, life: now, commands: make(chan func(), queueMost), ended: make(chan struct{}),
 		posted: make(chan struct{}, 1), attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peerLink{},
 		config: &document{}, certificates: &document{}, certificateReads: contact.NewBarrier[*link.Message](confirmEvery),
-		contact: contact.NewGate[*link.Conn](), contactTimer: time.NewTimer(0), dialling: map[string]bool{}, wanted: map[string]time.Time{}}
+		contact: contact.NewGate[*link.Conn](), contactTimer: time.NewTimer(0), dialling: map[string]bool{}, wanted: map[string]time.Time{},
+		troubles: troubleTable{}}
 	if k.o.PushWait <= 0 {
 		k.o.PushWait = pushWait
 	}
@@ -350,6 +352,8 @@
 		k.joined(m)
 	case control.Stopping:
 		k.stopping(m)
+	case control.ProcessTrouble:
+		k.troubleReported(now, m)
 	case control.Status:
 		m.Reply(k.statusJSON())
 	default:
--- a/internal/keeper/status.go
+++ b/internal/keeper/status.go
@@ -20,6 +20,16 @@
 	Attached     []attachedStatus `json:"attached"`
 	Services     map[string]int   `json:"endpoints"`
 	Disk         string           `json:"disk_trouble,omitempty"` // why nothing can be saved
+	// Troubled are processes that can't do their work, attached or not, as they told any keeper.
+	Troubled []troubleStatus `json:"in_trouble,omitempty"`
+}
+
+type troubleStatus struct {
+	Node    string `json:"node"`
+	Role    string `json:"role"`
+	Zone    string `json:"zone"`
+	Reason  string `json:"reason"`
+	Seconds int    `json:"for_s"`
 }
 
 type attachedStatus struct {
@@ -52,6 +62,11 @@
 		m := p.inForce()
 		s.Attached = append(s.Attached, attachedStatus{p.node.Name, p.node.Role, p.node.Zone, m.version, m.certificates, p.pushed - p.acked})
 	}
+	now := time.Now()
+	k.troubles.expire(now)
+	for _, t := range k.troubles.sorted() {
+		s.Troubled = append(s.Troubled, troubleStatus{t.node.Name, t.node.Role, t.node.Zone, t.reason, int(now.Sub(t.began).Seconds())})
+	}
 	list, _, _ := k.table.Changes(k.since(time.Now()), 0)
 	for _, e := range list {
 		s.Services[e.Service]++
--- /dev/null
+++ b/internal/keeper/troubles_test.go
@@ -0,0 +1,85 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dunetide/internal/control"
+)
+
+// TestTroublesAreShown: what keeps a store from its work, as it tells one keeper, is in the status of all of them until it is
+// over.
+func TestTroublesAreShown(t *testing.T) {
+	r := newRig(t, 2)
+	r.startAll()
+	r.untilMet(0, 1)
+	store := control.Node{Name: "s1", Role: control.RoleStore, Zone: "z", Life: 2}
+	report := func(node control.Node, reason string) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		if err := control.ReportTrouble(ctx, fmt.Sprintf("%s:%d", r.ip(0), r.links), control.Trouble{Node: node, Reason: reason}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	shown := func(keeper int) string {
+		var all []string
+		for _, trouble := range r.status(keeper).Troubled {
+			all = append(all, fmt.Sprint(trouble.Role, " ", trouble.Node, " ", trouble.Zone, ": ", trouble.Reason))
+		}
+		return strings.Join(all, ", ")
+	}
+	const want = "store s1 z: no room"
+	for keeper := range 2 {
+		until(t, fmt.Sprintf("the trouble at keeper %d", keeper+1), func() bool {
+			report(store, "no room") // again and again, as processes do
+			return shown(keeper) == want
+		})
+	}
+	for keeper := range 2 {
+		until(t, fmt.Sprintf("the end of the trouble at keeper %d", keeper+1), func() bool {
+			report(store, "")
+			return shown(keeper) == ""
+		})
+	}
+}
+
+// TestTroublesOfOthers: a trouble lasts while it is told, whoever tells others, and not by the word of a former life.
+func TestTroublesOfOthers(t *testing.T) {
+	now := time.Now()
+	table := troubleTable{}
+	told := func(name string, life uint64, reason string) {
+		table.take(now, control.Trouble{Node: control.Node{Name: name, Role: control.RoleStore, Life: life}, Reason: reason})
+	}
+	check := func(want string) {
+		t.Helper()
+		table.expire(now)
+		var got []string
+		for _, known := range table.sorted() {
+			got = append(got, fmt.Sprintf("%s: %s for %v", known.node.Name, known.reason, now.Sub(known.began)))
+		}
+		if all := strings.Join(got, ", "); all != want {
+			t.Errorf("%q, should be %q", all, want)
+		}
+	}
+	told("b", 2, "full")
+	told("a", 1, "stalled")
+	check("a: stalled for 0s, b: full for 0s")
+	now = now.Add(troubleLasts)
+	told("b", 1, "") // of a former life
+	told("b", 2, "stalled")
+	check("a: stalled for 5s, b: stalled for 5s")
+	now = now.Add(time.Second)
+	check("b: stalled for 6s")
+	told("b", 3, "")
+	check("")
+	for i := range troublesMost + 10 {
+		told(fmt.Sprint(i), 1, strings.Repeat("x", 10*troubleReasonMost))
+	}
+	if len(table) != troublesMost || len(table.sorted()[0].reason) != troubleReasonMost {
+		t.Errorf("%d are kept, the first has %d bytes", len(table), len(table.sorted()[0].reason))
+	}
+}
