Forward: the last try of a request is not lost on a forgotten connection

Cause: only requests that may run once held their end back on idle connections. A request that may be repeated went out at once, and where the endpoints of all its tries had forgotten their connections, it was answered 502 though no endpoint had read it. Change: the end of the last try is held back too, so a connection that is reset costs no try. A reset after the last byte is still 502, which TestResetAfterTheLastByteTellsNothing shows to be due.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -15,8 +15,7 @@
 // roundTrip writes the request and reads the head of its answer. Before it, duplicates of answers
 // to earlier calls on the connection may arrive: their ids differ, and they are read over.
 func (x *exchange) roundTrip() (err error) {
-	// A regulated request goes out at once: it was judged a moment ago, and the endpoint's certificate may be withdrawn.
-	if !x.conditions().Idempotent && x.req.Regime == "" {
+	if x.holdsBackEnd() {
 		x.conn.HoldBackEnd()
 	}
 	x.resp, err = x.conn.Open(x.ctx, x.method, x.head, x.body, x.deadline)
@@ -33,6 +32,16 @@
 	return err
 }
 
+// holdsBackEnd tells whether the request must not be lost on a connection that the endpoint has forgotten: no other endpoint may have it
+// after a reset, as it may run once or this is its last try. A regulated request goes out at once: it was judged a moment ago, and the
+// endpoint's certificate may be withdrawn. An item goes out at once too: it comes back after a pause.
+func (x *exchange) holdsBackEnd() bool {
+	if x.req.Regime != "" || x.req.Bulk {
+		return false
+	}
+	return !x.req.Route.Idempotent() || x.tries+1 >= max(1, x.req.Route.Tries)
+}
+
 // matches tells whether the answer names this request, and no other.
 func (x *exchange) matches() bool {
 	ids := x.resp.Header[headerID]
--- /dev/null
+++ b/internal/forward/forgotten_test.go
@@ -0,0 +1,134 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dunetide/internal/operator"
+)
+
+// idleFor is longer than a connection may stand idle and still count as new.
+const idleFor = 100 * time.Millisecond
+
+// newForgetfulRig is a proxy whose connections count as idle from the second request on, and wait long for a reset.
+func newForgetfulRig(t *testing.T, r operator.Route, endpoints ...*endpoint) (g *rig, idle func()) {
+	var later atomic.Int64
+	g = newRigWith(t, r, func(o *Options) {
+		o.Now = func() time.Time { return time.Now().Add(time.Duration(later.Load())) }
+		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			conn, err := dial(ctx, addr)
+			if err != nil {
+				return nil, err
+			}
+			return patientConn{conn.(*net.TCPConn)}, nil
+		}
+	}, endpoints...)
+	return g, func() { later.Add(int64(idleFor)) }
+}
+
+// A request that may be repeated is not lost where every endpoint has forgotten its connections: the end of its last try is held back.
+func TestEveryConnectionIsForgotten(t *testing.T) {
+	for _, tries := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(tries, " tries"), func(t *testing.T) {
+			all := []*endpoint{newForgetfulEndpoint(t, false), newForgetfulEndpoint(t, false), newForgetfulEndpoint(t, false)}
+			for i, e := range all {
+				e.id = fmt.Sprint("forgetful", i)
+			}
+			g, idle := newForgetfulRig(t, route(operator.ReadOnly, tries), all...)
+			for i := range all { // a connection to each
+				g.a.all = all[i : i+1]
+				if a := g.do(plainCall, "x"); a.body != "first" {
+					t.Fatalf("%+v", a)
+				}
+			}
+			g.a.all = append(all, newEndpoint(t, "good", says(sealed, "fine")))
+			idle()
+			if a := g.do(plainCall, "x"); a.status != 200 || a.err != nil {
+				t.Errorf("%+v", a)
+			}
+		})
+	}
+}
+
+// unread is how many bytes have arrived on a connection that nobody has read.
+func unread(t *testing.T, conn *net.TCPConn) (count int) {
+	raw, err := conn.SyscallConn()
+	must(t, err)
+	must(t, raw.Control(func(fd uintptr) { count, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }))
+	must(t, err)
+	return count
+}
+
+// A reset after the last byte looks the same whether the endpoint has run the request or has not read a byte of it. So what may run
+// once is answered 502 and goes nowhere else, in both cases.
+func TestResetAfterTheLastByteTellsNothing(t *testing.T) {
+	const body = "the whole body"
+	for name, runs := range map[string]bool{"after the run": true, "unread": false} {
+		t.Run(name, func(t *testing.T) {
+			ran := make(chan bool, 1)
+			late := newRawEndpoint(t, "late", func(conn *net.TCPConn) {
+				reader := bufio.NewReader(conn)
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				write(conn, answerOf(request.Header.Get(headerID), sealed, "first"))
+				if runs {
+					ran <- readsWhole(reader, body)
+				} else {
+					ran <- awaitUnread(t, conn, body)
+				}
+				_ = conn.SetLinger(0)
+			})
+			good := newEndpoint(t, "good", says(sealed, "fine"))
+			g := newRigWith(t, route(operator.Writes, 2), func(*Options) {}, late, good)
+			if a := g.do(plainCall, "x"); a.body != "first" {
+				t.Fatalf("%+v", a)
+			}
+			if a := g.do(plainCall, body); a.status != http.StatusBadGateway {
+				t.Errorf("%+v", a)
+			}
+			if !<-ran {
+				t.Error("the second request did not arrive whole")
+			}
+			if calls := good.got(); len(calls) > 0 {
+				t.Errorf("%d calls at the next", len(calls))
+			}
+		})
+	}
+}
+
+// readsWhole reads a request and tells whether it has the body.
+func readsWhole(reader *bufio.Reader, body string) bool {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return false
+	}
+	whole, err := io.ReadAll(request.Body)
+	return err == nil && string(whole) == body
+}
+
+// awaitUnread waits until a whole request has arrived and leaves it unread.
+func awaitUnread(t *testing.T, conn *net.TCPConn, body string) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		held := make([]byte, unread(t, conn))
+		raw, err := conn.SyscallConn()
+		must(t, err)
+		must(t, raw.Control(func(fd uintptr) { _, _, _ = unix.Recvfrom(int(fd), held, unix.MSG_PEEK|unix.MSG_DONTWAIT) }))
+		if strings.HasSuffix(string(held), body) {
+			return true
+		}
+	}
+	return false
+}
