Account of each call over real processes, from outside

Cause: what endpoints ran and what clients received was held together inside one process only, or in plays of the whole lab, where nothing freezes and no address is taken by another service. Change: a package of tests plays proxies, keepers and endpoints as processes of their own under resets at every stage, freezes, kills, lost, late, doubled and foreign answers and reused addresses, and settles each call's id from both sides.

--- /dev/null
+++ b/internal/forward/account/play_test.go
@@ -0,0 +1,341 @@
+package account
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"dunetide/internal/lab/tier/cluster"
+	"dunetide/internal/lab/tier/operator"
+)
+
+const (
+	// shortPlay is how long clients call where CALLS_MINUTES does not say.
+	shortPlay = 5 * time.Second
+	// startPatience is how long the processes may take to serve.
+	startPatience = 90 * time.Second
+	// settleTime is more than any call may still take.
+	settleTime = 2500 * time.Millisecond
+
+	clients        = 24
+	endpointsOfOne = 4 // endpoints of a service at the start
+	proxies        = 2
+	mostPause      = 900 * time.Millisecond // between two troubles
+	mostFrozen     = 2500 * time.Millisecond
+	mostDown       = 2 * time.Second
+	reuseAfter     = 2 * time.Second // before an address goes to another service
+	leastOfOne     = 2               // endpoints that a service keeps
+	oneForgetful   = 3               // so many endpoints, of which one forgets idle connections
+	leastServed    = 10              // so many calls, of which one is answered 200 at least
+)
+
+func TestMain(m *testing.M) {
+	if description := os.Getenv(endpointVariable); description != "" {
+		fmt.Fprintln(os.Stderr, serveAsEndpoint(description))
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// slot is an address with the endpoint that has it.
+type slot struct {
+	address string
+	options endpointOptions
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// play is a tier with its endpoints and clients.
+type play struct {
+	t       *testing.T
+	cluster *cluster.Cluster
+	seed    uint64
+	random  *rand.Rand // of the troubles of endpoints
+	file    string
+	slots   []*slot
+	started int
+	ledger  ledger
+	calls   atomic.Int64
+
+	mu       sync.Mutex
+	troubles map[string]int
+}
+
+// TestAccountOfEachCall plays for some seconds, or CALLS_MINUTES, and holds what clients received against what endpoints ran.
+func TestAccountOfEachCall(t *testing.T) {
+	length := shortPlay
+	if minutes, err := strconv.ParseFloat(os.Getenv("CALLS_MINUTES"), 64); err == nil {
+		length = time.Duration(minutes * float64(time.Minute))
+	}
+	seed := uint64(1)
+	if given, err := strconv.ParseUint(os.Getenv("CALLS_SEED"), 10, 64); err == nil {
+		seed = given
+	}
+	p := startPlay(t, seed)
+	p.run(length)
+	time.Sleep(settleTime)
+	runs, err := readRuns(p.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	breaches, total := p.ledger.settle(runs)
+	t.Logf("seed %d, %v: %d calls, %d runs, ended %v", seed, length, total.calls, total.runs, total.ended)
+	t.Logf("ran more than once: %v; ran, and the client received no whole answer: %d; troubles %v", total.repeated, total.ranUnseen, p.troubles)
+	for i, b := range breaches {
+		if i < 20 {
+			t.Error(b)
+		}
+	}
+	if len(breaches) > 0 {
+		t.Errorf("%d breaches", len(breaches))
+	}
+	if ends := p.cluster.Ends(); len(ends) > 0 {
+		t.Errorf("processes ended by themselves: %v", ends)
+	}
+	if total.ended["200"]*leastServed < total.calls {
+		t.Errorf("only %d of %d calls were served", total.ended["200"], total.calls)
+	}
+}
+
+// startPlay starts all processes and waits until the tier serves.
+func startPlay(t *testing.T, seed uint64) *play {
+	t.Helper()
+	dir := t.TempDir()
+	program := filepath.Join(dir, "dunetide")
+	if out, err := exec.Command("go", "build", "-o", program, "dunetide/cmd/dunetide").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	c, err := cluster.New(cluster.Options{Program: program, Dir: filepath.Join(dir, "tier"), Zones: 1, Edges: proxies, Keepers: 2, Stores: 1,
+		BeatEvery: beatEvery, Grace: 3 * time.Second, Rules: "base,stream"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p := &play{t: t, cluster: c, seed: seed, random: rand.New(rand.NewPCG(seed, 2)), file: filepath.Join(dir, "runs"), troubles: map[string]int{}}
+	p.ledger.calls = map[string]sentCall{}
+	ctx, cancel := context.WithTimeout(t.Context(), startPatience)
+	defer cancel()
+	if err := operator.New(c.Controls).Put(ctx, 0, configuration()); err != nil {
+		t.Fatal(err, c.Ends())
+	}
+	for n := range endpointsOfOne * len(services) {
+		s := &slot{address: c.EndpointAddress(0, n)}
+		p.slots = append(p.slots, s)
+		p.startEndpoint(s, services[n%len(services)])
+		t.Cleanup(func() { s.kill() })
+	}
+	if err := c.AwaitReady(ctx); err != nil {
+		t.Fatal(err, c.Ends())
+	}
+	return p
+}
+
+// configuration has a route of each kind for each service.
+func configuration() []byte {
+	var routes, all []map[string]any
+	for _, service := range services {
+		all = append(all, map[string]any{"name": service, "health_path": "/health", "max_conns": 200, "protocol": "h1", "tls": false})
+		for _, kind := range callKinds {
+			r := map[string]any{"name": service + "-" + string(kind), "host": hostOf(service), "path_start": "/" + string(kind) + "/", "kind": "streaming",
+				"timeout_ms": 2000, "target_ms": 300, "priority": 0, "service": service, "tries": tries}
+			switch kind {
+			case readCall:
+				r["kind"] = "read_only"
+			case writeCall:
+				r["kind"] = "writes"
+			default:
+				r["sticky"], r["resume"], r["gap_aim_ms"] = false, kind == resumableCall, 250
+			}
+			routes = append(routes, r)
+		}
+	}
+	text, err := json.Marshal(map[string]any{"version": 1, "routes": routes, "services": all,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_wait_ms": 3000, "idle_ms": 15000}})
+	if err != nil {
+		panic(err) // maps of plain values
+	}
+	return text
+}
+
+// startEndpoint starts a new incarnation at the address of a slot.
+func (p *play) startEndpoint(s *slot, service string) {
+	p.started++
+	s.options = endpointOptions{Instance: fmt.Sprintf("i-%d", p.started), Service: service, Address: s.address, Controls: p.cluster.Controls(),
+		Seed: p.seed<<16 + uint64(p.started), RunsFile: p.file, Forgetful: p.started%oneForgetful == 0}
+	description, err := json.Marshal(s.options)
+	if err != nil {
+		p.t.Error(err)
+		return
+	}
+	s.command = exec.Command(os.Args[0])
+	s.command.Env = append(os.Environ(), endpointVariable+"="+string(description))
+	s.command.Stderr = os.Stderr
+	s.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := s.command.Start(); err != nil {
+		p.t.Error(err)
+		return
+	}
+	exited := make(chan struct{})
+	s.exited = exited
+	command := s.command
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+}
+
+// kill ends the endpoint of a slot at once and waits for that.
+func (s *slot) kill() {
+	_ = s.command.Process.Kill()
+	<-s.exited
+}
+
+// run has clients call while troubles happen.
+func (p *play) run(length time.Duration) {
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for n := range clients {
+		c := &client{random: rand.New(rand.NewPCG(p.seed, uint64(100+n))), done: p.ledger.add,
+			nextID: func() string { return fmt.Sprintf("call-%d", p.calls.Add(1)) },
+			front:  func(hash uint64) (string, bool) { return p.cluster.Front(p.cluster.Zones()[0], hash) }}
+		running.Go(func() { c.run(stop) })
+	}
+	running.Go(func() { p.troubleEndpoints(stop) })
+	running.Go(func() { p.troubleProcesses(stop) })
+	time.Sleep(length)
+	close(stop)
+	running.Wait()
+}
+
+func (p *play) note(trouble string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.troubles[trouble]++
+}
+
+// sleepUpTo sleeps for a drawn time.
+func sleepUpTo(random *rand.Rand, most time.Duration) {
+	time.Sleep(time.Duration(random.Int64N(int64(most))))
+}
+
+// troubleEndpoints freezes, kills and replaces endpoints, one after another.
+func (p *play) troubleEndpoints(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(p.random.Int64N(int64(mostPause)))):
+		}
+		s := p.slots[p.random.IntN(len(p.slots))]
+		switch p.random.IntN(5) {
+		case 0:
+			p.note("endpoint frozen")
+			p.freezeEndpoint(s)
+		case 1:
+			p.note("endpoint frozen, killed, replaced at its address")
+			_ = s.command.Process.Signal(syscall.SIGSTOP)
+			sleepUpTo(p.random, mostFrozen)
+			s.kill()
+			p.startEndpoint(s, s.options.Service)
+		case 2:
+			p.note("endpoint killed, replaced at its address at once")
+			s.kill()
+			p.startEndpoint(s, s.options.Service)
+		case 3:
+			p.note("endpoint left as planned, replaced at its address")
+			_ = s.command.Process.Signal(syscall.SIGTERM)
+			<-s.exited
+			p.startEndpoint(s, s.options.Service)
+		case 4:
+			p.note("address taken by another service")
+			s.kill()
+			time.Sleep(reuseAfter)
+			p.startEndpoint(s, p.otherService(s.options.Service))
+		}
+	}
+}
+
+func (p *play) freezeEndpoint(s *slot) {
+	_ = s.command.Process.Signal(syscall.SIGSTOP)
+	sleepUpTo(p.random, mostFrozen)
+	_ = s.command.Process.Signal(syscall.SIGCONT)
+}
+
+// otherService is another service than one, as long as that keeps enough endpoints.
+func (p *play) otherService(service string) string {
+	left := 0
+	for _, s := range p.slots {
+		if s.options.Service == service {
+			left++
+		}
+	}
+	if left <= leastOfOne {
+		return service
+	}
+	for _, other := range services {
+		if other != service {
+			return other
+		}
+	}
+	return service
+}
+
+// troubleProcesses freezes and kills proxies and keepers, one after another.
+func (p *play) troubleProcesses(stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(p.seed, 3))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.Int64N(int64(2 * mostPause)))):
+		}
+		proxy := p.cluster.Find(cluster.Proxy, random.IntN(proxies))
+		switch random.IntN(4) {
+		case 0:
+			p.note("proxy frozen")
+			p.freeze(random, proxy)
+		case 1:
+			p.note("proxy killed")
+			p.restart(random, proxy, proxy.Kill)
+		case 2:
+			p.note("proxy stopped as planned")
+			p.restart(random, proxy, proxy.Term)
+		case 3:
+			p.note("keeper frozen")
+			p.freeze(random, p.cluster.Find(cluster.Keeper, random.IntN(2)))
+		}
+	}
+}
+
+func (p *play) freeze(random *rand.Rand, process *cluster.Process) {
+	if err := process.Freeze(); err != nil {
+		p.t.Error(err)
+	}
+	sleepUpTo(random, mostFrozen)
+	if err := process.Thaw(); err != nil {
+		p.t.Error(err)
+	}
+}
+
+func (p *play) restart(random *rand.Rand, process *cluster.Process, end func() error) {
+	if err := end(); err != nil {
+		p.t.Error(err)
+	}
+	sleepUpTo(random, mostDown)
+	if err := process.Start(); err != nil {
+		p.t.Error(err)
+	}
+}
