Dispatch: drop a look into the model of kept parts that tests alone used

Cause: prefixCache.cached was called by tests only. The program asks fresh. Change: the tests ask fresh with the longest lifetime, as the program does.

--- a/internal/dispatch/cache.go
+++ b/internal/dispatch/cache.go
@@ -85,16 +85,6 @@
 	at     Time // when it was last sent
 }
 
-// cached is how many of the parts, from the first on, are believed to be kept.
-func (c *prefixCache) cached(chains []chain) int {
-	for i, h := range chains {
-		if c.parts[h] == nil {
-			return i
-		}
-	}
-	return len(chains)
-}
-
 // sent notes that the parts were read there. The last is some request's own: all the senders bring such.
 func (c *prefixCache) sent(chains []chain, parts []Part, senders int, most int64, mostParts int) {
 	if c.parts == nil {
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -195,14 +195,14 @@
 func TestModelOfKeptParts(t *testing.T) {
 	var c prefixCache
 	add := func(most int64, parts ...Part) { c.sent(chainOf("m", parts), parts, 1, most, 100) }
-	kept := func(parts ...Part) int { return c.cached(chainOf("m", parts)) }
+	kept := func(parts ...Part) int { return c.fresh(chainOf("m", parts), c.now, longestLife) }
 	a, x, y, z := Part{1, 100}, Part{2, 50}, Part{3, 50}, Part{4, 50}
 	add(250, a, x)
 	add(250, a, y)
 	if kept(a, x) != 2 || kept(a, y) != 2 || kept(a, z) != 1 || kept(x) != 0 {
 		t.Error("parts that were sent are not kept with those before them")
 	}
-	if c.cached(chainOf("n", []Part{a})) != 0 {
+	if c.fresh(chainOf("n", []Part{a}), c.now, longestLife) != 0 {
 		t.Error("a part is kept for another model")
 	}
 	add(250, a, z) // over: the least recent gives way, and that is x
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -157,7 +157,7 @@
 func (w *world) read(e *engine, t *task) {
 	chains := chainOf(t.r.Model, t.r.Prefix)
 	t.toRead = float64(t.r.TokensIn)
-	cached := e.cache.cached(chains)
+	cached := e.cache.fresh(chains, e.cache.now, longestLife)
 	for i := range cached {
 		t.toRead -= float64(t.r.Prefix[i].Tokens)
 	}
