Batch: links that break at each message, and repeats by their numbers

Cause: that messages between stores and proxies may come again after a broken link was shown by drawn troubles of machines, not link by link and message by message. Change: tests. The life of a few jobs is played with one link broken at each of its messages: before it, behind it, and so that it comes again over the next link. Hand-ins, ends, results, reservations, grants, acknowledgements and operations that come again, or of an older life, session or ballot, change nothing.

--- /dev/null
+++ b/internal/batch/repeat_numbers_test.go
@@ -0,0 +1,298 @@
+package batch
+
+import (
+	"slices"
+	"testing"
+
+	"dunetide/internal/link"
+)
+
+// leaderOf is the store of a rig that leads a job's part.
+func leaderOf(t *testing.T, g *scaleRig, job string) (*core, *part) {
+	t.Helper()
+	no := g.cores[0].table.PartOf(job)
+	for _, c := range g.cores {
+		if p := c.part(no); p.lead != nil && p.lead.active {
+			return c, p
+		}
+	}
+	t.Fatalf("nobody leads the part of %s", job)
+	return nil, nil
+}
+
+// answerCode calls a store and gives the code of its answer, after which the rig has settled; 0: there was none.
+func answerCode(g *scaleRig, c *core, kind link.Kind, body []byte) (code uint8) {
+	c.message(nil, replied(func(b []byte) { code = b[0] }), kind, body)
+	for range 40 {
+		if code != 0 {
+			break
+		}
+		g.now += 25_000
+		g.settle()
+	}
+	return code
+}
+
+// waitingTokens are the tokens that the owner of the quota of route "b" counts: those told, and those granted since.
+func waitingTokens(g *scaleRig) (sum int64) {
+	no, store := g.cores[0].quotaOwner("b")
+	for _, s := range g.cores[store-1].part(no).lead.accts["b"].shares {
+		sum += s.tokens
+		for _, grant := range s.grants {
+			sum += grant.tokens
+		}
+	}
+	return sum
+}
+
+// A job that is handed in again, while the first hand-in is under way and after it, is kept once and counts once against the quota.
+func TestHandInSentAgainIsTakenOnce(t *testing.T) {
+	g := newScaleRig(3, 1, 0, 1000)
+	no := g.cores[0].table.PartOf("job")
+	c := g.cores[g.cores[0].table.Parts[no].Primary-1]
+	var codes []uint8
+	for range 3 {
+		c.message(nil, replied(func(b []byte) { codes = append(codes, b[0]) }), kAccept, scaleLot("job", 2, 0))
+	}
+	for range 40 {
+		g.now += 25_000
+		g.settle()
+	}
+	codes = append(codes, answerCode(g, c, kAccept, scaleLot("job", 2, 0)))
+	if !slices.Equal(codes, []uint8{codeOK, codeOK, codeOK, codeOK}) {
+		t.Errorf("answered %v", codes)
+	}
+	g.now += 200_000
+	g.settle()
+	if sum := waitingTokens(g); len(c.part(no).jobs) != 1 || sum != 200 {
+		t.Errorf("%d jobs are kept, and %d tokens counted, want 1 and 200", len(c.part(no).jobs), sum)
+	}
+}
+
+// An end that is sent again is answered again, and gives the quota its tokens back once.
+func TestEndSentAgainCountsOnce(t *testing.T) {
+	g := newScaleRig(3, 1, 0, 1000)
+	g.accept(t, "other", 3)
+	g.accept(t, "job", 2)
+	c, p := leaderOf(t, g, "job")
+	for n := range 3 {
+		if code := answerCode(g, c, kEnd, encodeNamed(0, "job")[1:]); code != codeOK {
+			t.Errorf("end %d: answered %d", n, code)
+		}
+	}
+	g.now += 200_000
+	g.settle()
+	if sum := waitingTokens(g); sum != 300 || !p.jobs["job"].ended {
+		t.Errorf("%d tokens are counted, want 300", sum)
+	}
+}
+
+// resultOf is a worker's message of an item's text.
+func resultOf(part int, job string, item int, text string) []byte {
+	var w link.Writer
+	w.U32(uint32(part))
+	w.String(job)
+	w.U32(uint32(item))
+	w.Bool(false)
+	w.Bytes([]byte(text))
+	return w.B
+}
+
+// A result that is delivered again, over the same link, over a newer one of its worker, or by another worker that had the item in an
+// older life of the part, is acknowledged and changes nothing: the first one counts.
+func TestResultDeliveredAgainIsListedOnce(t *testing.T) {
+	g := newScaleRig(3, 1, 4, 1000)
+	g.accept(t, "job", 1)
+	c, p := leaderOf(t, g, "job")
+	first := p.jobs["job"].items[0].by
+	if first == nil {
+		t.Fatal("the item is not handed out")
+	}
+	newer, other := &sentPipe{}, &sentPipe{}
+	for name, pipe := range map[string]*sentPipe{"w0": newer, "w9": other} {
+		var attach link.Writer
+		attach.String(name)
+		attach.String("z0")
+		attach.Int(4)
+		c.message(pipe, nil, kAttach, attach.B)
+	}
+	before := g.listed
+	for _, pipe := range []Pipe{first.pipe, first.pipe, newer, other} {
+		c.message(pipe, nil, kResult, resultOf(p.no, "job", 0, "the first text"))
+		c.message(pipe, nil, kResult, resultOf(p.no, "job", 0, "another text"))
+		g.settle()
+	}
+	j := p.jobs["job"]
+	if len(j.results) != 1 || j.visible != 1 {
+		t.Fatalf("%d results, %d may be read", len(j.results), j.visible)
+	}
+	if text, err := c.text(j.results[0]); err != nil || string(text) != "the first text" {
+		t.Errorf("%q, %v", text, err)
+	}
+	acknowledged := func(p *sentPipe) (n int) {
+		for _, kind := range p.kinds {
+			if kind == kListed {
+				n++
+			}
+		}
+		return n
+	}
+	if g.listed-before != 4 || acknowledged(newer) != 2 || acknowledged(other) != 2 {
+		t.Errorf("acknowledged %d, %d and %d times, want 4, 2 and 2", g.listed-before, acknowledged(newer), acknowledged(other))
+	}
+}
+
+// reservation asks for tokens of route "b".
+func reservation(part int, life, number uint64, tokens, most int) []byte {
+	var w link.Writer
+	w.String("b")
+	w.U32(uint32(part))
+	w.U64(life)
+	w.U64(number)
+	w.Int(tokens)
+	w.Int(most)
+	return w.B
+}
+
+// A reservation that is sent again is granted again and counted once; one that is decided is not answered any more.
+func TestReservationSentAgainIsCountedOnce(t *testing.T) {
+	g := newScaleRig(3, 1, 0, 1000)
+	g.accept(t, "job", 2)
+	g.now += 200_000
+	g.settle()
+	no, store := g.cores[0].quotaOwner("b")
+	owner := g.cores[store-1]
+	_, p := leaderOf(t, g, "job")
+	settled := owner.part(no).lead.accts["b"].shares[p.no].settled
+	before := waitingTokens(g)
+	const asked = 5
+	pipe := &sentPipe{}
+	for range 3 {
+		owner.storeMessage(pipe, kReserve, reservation(p.no, p.lead.life, settled+1, asked, 1<<30))
+	}
+	if got := waitingTokens(g) - before; got != asked {
+		t.Errorf("%d tokens are counted, want %d", got, asked)
+	}
+	if !slices.Equal(pipe.kinds, []link.Kind{kGrant, kGrant, kGrant}) {
+		t.Errorf("answered with %v", pipe.kinds)
+	}
+	decided := &sentPipe{}
+	owner.storeMessage(decided, kReserve, reservation(p.no, p.lead.life, settled, asked, 1<<30))
+	if got := waitingTokens(g) - before; got != asked || len(decided.kinds) != 0 {
+		t.Errorf("one that is decided: %d tokens, answered with %v", got, decided.kinds)
+	}
+}
+
+// grantOf is an owner's answer to a reservation.
+func grantOf(part int, life, number uint64, code uint8, owner uint64) []byte {
+	var w link.Writer
+	w.String("b")
+	w.U32(uint32(part))
+	w.U64(life)
+	w.U64(number)
+	w.U8(code)
+	w.U64(owner)
+	return w.B
+}
+
+// An answer to a reservation ends that one alone: one that was made by an older life of the primary under the same number, or an
+// answer that comes twice, ends no other.
+func TestGrantOfAnOlderLifeEndsNoNewerReservation(t *testing.T) {
+	for name, code := range map[string]uint8{"granted": codeOK, "full": codeFull, "unavailable": codeUnavailable} {
+		t.Run(name, func(t *testing.T) {
+			g := newScaleRig(3, 1, 0, 1000)
+			g.accept(t, "job", 1)
+			c, p := leaderOf(t, g, "job")
+			l := p.lead
+			l.reserveN++
+			number := l.reserveN
+			answered := 0
+			in := &incoming{id: "new", route: "b", tokens: 1, most: 1 << 30, enc: scaleLot("new", 1, 0), from: []Caller{replied(func([]byte) { answered++ })}}
+			l.incoming["new"] = in
+			l.reserves[number] = &reserve{route: "b", number: number, in: in, deadline: c.now + 10_000, sent: true}
+			owner := p.ownerB["b"]
+			for what, body := range map[string][]byte{
+				"of an older life": grantOf(p.no, l.life-1, number, code, owner),
+				"of another one":   grantOf(p.no, l.life, number-1, code, owner),
+				"of a later one":   grantOf(p.no, l.life, number+1, code, owner),
+				"of another part":  grantOf((p.no+1)%len(c.table.Parts), l.life, number, code, owner),
+			} {
+				c.storeMessage(&sentPipe{}, kGrant, body)
+				if r := l.reserves[number]; r == nil || !r.sent || p.jobs["new"] != nil || answered != 0 {
+					t.Errorf("an answer %s counts", what)
+				}
+			}
+			for range 2 { // its own, twice
+				c.storeMessage(&sentPipe{}, kGrant, grantOf(p.no, l.life, number, codeOK, owner))
+			}
+			g.settle()
+			if j := p.jobs["new"]; j == nil || !j.committed || answered != 1 || l.reserves[number] != nil {
+				t.Errorf("its own answer: answered %d times", answered)
+			}
+		})
+	}
+}
+
+// What copies acknowledge and confirm under an older ballot counts for nothing under the newer one.
+func TestAcknowledgementOfAnOlderBallotCountsForNothing(t *testing.T) {
+	g := newScaleRig(3, 1, 0, 1000)
+	g.accept(t, "job", 1)
+	c, p := leaderOf(t, g, "job")
+	l := p.lead
+	if len(l.peers) == 0 {
+		t.Fatal("it has no copies")
+	}
+	for _, q := range l.peers {
+		acked, stamp := q.acked, q.stamp
+		var ack, confirmed link.Writer
+		ack.B, confirmed.B = numbers(p.no, l.ballot-1, 1<<40), numbers(p.no, l.ballot-1, 1<<40)
+		ack.Bool(true)
+		confirmed.Bool(true)
+		c.storeMessage(q.pipe, kAck, ack.B)
+		c.storeMessage(q.pipe, kConfirmed, confirmed.B)
+		if q.acked != acked || q.stamp != stamp || q.full {
+			t.Errorf("it counts: %d, %d before, stamp %d, %d before", q.acked, acked, q.stamp, stamp)
+		}
+		var again link.Writer // its own, again and older than the newest
+		again.B = numbers(p.no, l.ballot, 0)
+		again.Bool(false)
+		c.storeMessage(q.pipe, kAck, again.B)
+		if q.acked != acked {
+			t.Errorf("an older acknowledgement takes back: %d, %d before", q.acked, acked)
+		}
+	}
+}
+
+// Operations that come again, or out of their order, change nothing at a copy.
+func TestOperationSentAgainChangesNothing(t *testing.T) {
+	g := newScaleRig(3, 1, 0, 1000)
+	g.accept(t, "job", 2)
+	leader, led := leaderOf(t, g, "job")
+	copies := 0
+	for _, c := range g.cores {
+		p := c.part(led.no)
+		if c == leader || p.claimB != led.lead.ballot {
+			continue
+		}
+		copies++
+		before, digest := p.claimS, p.jobs["job"].digest()
+		appended := c.appended
+		for _, seq := range []uint64{before, before + 2, 1} {
+			body := append(numbers(p.no, led.lead.ballot, p.session, seq), encodeList("job", 0, false, []byte("x"))...)
+			c.storeMessage(p.from, kOp, body)
+		}
+		if p.claimS != before || p.jobs["job"].digest() != digest || c.appended != appended {
+			t.Errorf("an operation that does not follow counts: up to %d, %d before", p.claimS, before)
+		}
+		for _, session := range []uint64{p.session - 1, p.session + 1} {
+			c.storeMessage(p.from, kOp, append(numbers(p.no, led.lead.ballot, session, before+1), encodeList("job", 0, false, []byte("x"))...))
+		}
+		c.storeMessage(&sentPipe{}, kOp, append(numbers(p.no, led.lead.ballot, p.session, before+1), encodeList("job", 0, false, []byte("x"))...))
+		if p.claimS != before || p.jobs["job"].digest() != digest || c.appended != appended {
+			t.Errorf("an operation of another session or link counts: up to %d, %d before", p.claimS, before)
+		}
+	}
+	if copies == 0 {
+		t.Error("it has no copies")
+	}
+}
--- /dev/null
+++ b/internal/batch/repeat_test.go
@@ -0,0 +1,142 @@
+package batch
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"dunetide/internal/link"
+)
+
+// repeatSteps is how many messages lie between those at which a link breaks, in the short test. BATCH_REPEATS=1 breaks at each.
+const repeatSteps = 23
+
+// breakKind is how a link breaks at a message.
+type breakKind int
+
+const (
+	// breakBefore loses the message with its link.
+	breakBefore breakKind = iota
+	// breakAfter loses the link right behind the message, with all that it caused to be sent back.
+	breakAfter
+	// breakAndRepeat is breakAfter, and the message comes once more over the next link between the two.
+	breakAndRepeat
+)
+
+func (k breakKind) String() string { return [...]string{"before", "after", "after, and repeated"}[k] }
+
+// linkBreaker ends one link of a world at one of its messages.
+type linkBreaker struct {
+	w       *world
+	kind    breakKind
+	at      int // the message at which it breaks; 0: none
+	seen    int // messages until now
+	known   map[*simPipe]bool
+	broken  *brokenMessage // nil: not yet, or repeated
+	repeats int
+	hit     link.Kind // at which it broke
+}
+
+// brokenMessage is the message at which a link broke.
+type brokenMessage struct {
+	from, to string
+	call     bool
+	kind     link.Kind
+	body     []byte
+}
+
+func newLinkBreaker(w *world, kind breakKind, at int) *linkBreaker {
+	return &linkBreaker{w: w, kind: kind, at: at, known: map[*simPipe]bool{}}
+}
+
+// watch stands in the way of all messages of links that are new.
+func (b *linkBreaker) watch() {
+	for _, p := range b.w.all {
+		if b.known[p] {
+			continue
+		}
+		b.known[p] = true
+		for _, side := range []*simPipe{p, p.peer} {
+			deliver := side.deliver
+			side.deliver = func(side *simPipe, m Caller, kind link.Kind, body []byte) { b.message(deliver, side, m, kind, body) }
+			b.repeat(side, deliver)
+		}
+	}
+}
+
+func (b *linkBreaker) message(deliver func(*simPipe, Caller, link.Kind, []byte), side *simPipe, m Caller, kind link.Kind, body []byte) {
+	if b.w.hook == nil { // the life is over: what follows is the account of it
+		deliver(side, m, kind, body)
+		return
+	}
+	b.seen++
+	if b.seen != b.at {
+		deliver(side, m, kind, body)
+		return
+	}
+	b.hit = kind
+	if b.kind != breakBefore {
+		deliver(side, m, kind, body)
+	}
+	side.end(0)
+	if b.kind == breakAndRepeat {
+		b.broken = &brokenMessage{side.peer.from, side.from, m != nil, kind, body}
+	}
+}
+
+// repeat delivers the message at which the former link of two broke once more.
+func (b *linkBreaker) repeat(side *simPipe, deliver func(*simPipe, Caller, link.Kind, []byte)) {
+	again := b.broken
+	if again == nil || side.from != again.to || side.to != again.from || !sentAgain(again.kind) {
+		return
+	}
+	b.broken = nil
+	b.w.after(b.w.delay(), func() {
+		if !side.open {
+			return
+		}
+		b.repeats++
+		var nobody Caller // who asked has its answer, or has given up
+		if again.call {
+			nobody = replied(func([]byte) {})
+		}
+		deliver(side, nobody, again.kind, again.body)
+	})
+}
+
+// sentAgain tells of the kinds that may be sent again or be late. An item that is handed out is not: it would run again.
+func sentAgain(kind link.Kind) bool { return kind != kGive }
+
+// playBroken plays the life of a few jobs, one link of which breaks.
+func playBroken(kind breakKind, at int) (*world, *linkBreaker) {
+	w := newWorld(uint64(at), 3+at%2, 1, 4)
+	b := newLinkBreaker(w, kind, at)
+	life(w, b.watch)
+	return w, b
+}
+
+// TestLinkBreaksAtEachMessage breaks the links between stores, and between stores and proxies, at each message of a life of jobs:
+// before it, behind it, and so that it comes again over the next link. No promise is broken: no job, result, end or grant counts twice.
+func TestLinkBreaksAtEachMessage(t *testing.T) {
+	step := repeatSteps
+	if os.Getenv("BATCH_REPEATS") != "" {
+		step = 1
+	}
+	_, counted := playBroken(breakBefore, 0)
+	lives, repeats, hits := 0, 0, map[link.Kind]int{}
+	for at := 1; at <= counted.seen; at += step {
+		for _, kind := range []breakKind{breakBefore, breakAfter, breakAndRepeat} {
+			w, b := playBroken(kind, at)
+			lives++
+			repeats += b.repeats
+			hits[b.hit]++
+			if !check(t, w, fmt.Sprintf("%v message %d, of kind %d", kind, at, b.hit)) {
+				return
+			}
+			if w.served < 7 {
+				t.Fatalf("%v message %d: only %d results", kind, at, w.served)
+			}
+		}
+	}
+	t.Logf("%d lives of %d messages or so, %d of them with a repeat; by kind: %v", lives, counted.seen, repeats, hits)
+}
