Keepers: heartbeats, orders and register messages cut at each byte and sent again

Cause: of the calls to keepers only one cut of a body was tested, and of their links only cuts where no connection ends. Change: a package of tests over real keepers. Orders and heartbeats are cut at bytes of the call and of its answer and sent again unchanged to all keepers; late heartbeats follow; links between keepers break behind a count of bytes from or to the keeper that takes an order. RESEND_EVERY_BYTE=1 tries each byte of a call, and each seventh of a link.

--- /dev/null
+++ b/internal/link/resend/calls_test.go
@@ -0,0 +1,152 @@
+package resend
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"dunetide/internal/view"
+)
+
+// cuts are the bytes at which a text of a length is cut, its end among them.
+func cuts(length, step int) (at []int) {
+	if everyByte() {
+		step = 1
+	}
+	for n := 0; n < length; n += step {
+		at = append(at, n)
+	}
+	return append(at, length)
+}
+
+// configuration is one under a number; the mark tells two of the same number apart.
+func configuration(version int, mark string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","path_start":"/%s/","kind":"writes","timeout_ms":100,"service":"s"}],`+
+		`"services":[{"name":"s","health_path":"/health","max_conns":1}]}`, version, mark)
+}
+
+// heartbeat is one of an endpoint.
+func heartbeat(state string, count int) string {
+	return fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v","capacity":4,"state":%q,"cold_left_ms":0,"call_count":%d}`, state, count)
+}
+
+// partsOfAnswer are how many bytes of an answer are read before its connection ends.
+var partsOfAnswer = []int{1, 20, 1000}
+
+// A part of an order is none. The whole one, sent again unchanged after a cut at any of its bytes or in its answer, is taken once: it gets 200
+// at each keeper, and another one under its number 412.
+func TestOrderCutAtEachByte(t *testing.T) {
+	k := startKeepers(t)
+	version := 0
+	order := func(sent func(length int) int, read int) {
+		base := version
+		version++
+		body := configuration(version, "a")
+		text := layOut(http.MethodPut, "/config", fmt.Sprint(base), body)
+		cutAt := sent(len(text))
+		k.cutCall(version%keeperCount, text, cutAt, read, version%2 == 0)
+		if cutAt < len(text) && base > 0 {
+			if got := k.untilStatus((version+1)%keeperCount, http.StatusOK, http.MethodGet, "/config", "", ""); got.body != configuration(base, "a") {
+				t.Fatalf("cut at %d of %d: %s is in place", cutAt, len(text), got.body)
+			}
+		}
+		for i := range keeperCount {
+			k.untilStatus(i, http.StatusOK, http.MethodPut, "/config", fmt.Sprint(base), body)
+			k.untilStatus(i, http.StatusPreconditionFailed, http.MethodPut, "/config", fmt.Sprint(base), configuration(version, "b"))
+			if got := k.untilStatus(i, http.StatusOK, http.MethodGet, "/config", "", ""); got.body != body {
+				t.Fatalf("cut at %d: keeper %d has %s", cutAt, i, got.body)
+			}
+		}
+	}
+	length := len(layOut(http.MethodPut, "/config", "0", configuration(1, "a")))
+	for _, at := range cuts(length-1, 23) {
+		order(func(int) int { return at }, 0)
+	}
+	for _, read := range append(partsOfAnswer, 0) {
+		order(func(length int) int { return length }, read)
+	}
+	t.Logf("%d orders", version)
+}
+
+// A part of a heartbeat is none. The whole one counts once, by its call_count: sent again after a cut, also by another keeper, it is
+// acknowledged, and one that is late takes nothing back.
+func TestHeartbeatCutAtEachByte(t *testing.T) {
+	k := startKeepers(t)
+	holder := k.attach()
+	eventually(t, "the process is attached", func() bool { s := holder.Get(); return s != nil && s.Listed })
+	beats := 0
+	beat := func(cutAt, read int) {
+		beats++
+		id := fmt.Sprint("i-", beats)
+		path, at := "/instances/"+id, beats%keeperCount
+		k.untilStatus(at, http.StatusOK, http.MethodPut, path, "", heartbeat("ready", 1))
+		drain := layOut(http.MethodPut, path, "", heartbeat("draining", 2))
+		whole := cutAt < 0 || cutAt >= len(drain)
+		if whole {
+			cutAt = len(drain)
+		}
+		k.cutCall(at, drain, cutAt, read, beats%2 == 0)
+		if !whole {
+			k.untilStatus(at, http.StatusOK, http.MethodPut, path, "", heartbeat("ready", 1))
+			if got := stateOf(holder, "s", id); got != view.Ready {
+				t.Fatalf("cut at %d: it is %v", cutAt, got)
+			}
+		}
+		for range 2 {
+			for i := range keeperCount {
+				k.untilStatus(i, http.StatusOK, http.MethodPut, path, "", heartbeat("draining", 2))
+				k.untilStatus(i, http.StatusOK, http.MethodPut, path, "", heartbeat("ready", 1)) // a late one
+			}
+		}
+		if got := stateOf(holder, "s", id); got != view.Draining {
+			t.Fatalf("cut at %d: acknowledged to drain, and it is %v", cutAt, got)
+		}
+		for i := range keeperCount {
+			k.untilStatus(i, http.StatusOK, http.MethodDelete, path, "", "")
+			k.untilStatus(i, http.StatusOK, http.MethodPut, path, "", heartbeat("ready", 1)) // a late one
+		}
+		if got := stateOf(holder, "s", id); got != view.Gone {
+			t.Fatalf("acknowledged to be gone, and it is %v", got)
+		}
+	}
+	length := len(layOut(http.MethodPut, "/instances/i-1", "", heartbeat("draining", 2)))
+	for _, at := range cuts(length-1, 23) {
+		beat(at, 0)
+	}
+	for _, read := range append(partsOfAnswer, 0) {
+		beat(-1, read)
+	}
+	t.Logf("%d endpoints", beats)
+}
+
+// Messages of the registers are sent again where a link between keepers breaks at any byte, from or to the keeper that takes an order:
+// the order is decided once, and each keeper tells the same.
+func TestRegisterMessagesOverBrokenLinks(t *testing.T) {
+	k := startKeepers(t)
+	version := 0
+	most, step := 1500, 131
+	if everyByte() {
+		step = 7
+	}
+	for _, side := range []string{bytesFrom, bytesTo} {
+		for at := 0; at < most; at += step {
+			base := version
+			version++
+			body := configuration(version, strings.Repeat("a", 1+version%7))
+			taker := version % keeperCount
+			k.relays.breakAfter(taker, side, at)
+			before := k.relays.brokenLinks()
+			k.untilStatus(taker, http.StatusOK, http.MethodPut, "/config", fmt.Sprint(base), body)
+			eventually(t, "a link breaks", func() bool { return k.relays.brokenLinks() > before })
+			for i := range keeperCount {
+				k.untilStatus(i, http.StatusOK, http.MethodPut, "/config", fmt.Sprint(base), body)
+				k.untilStatus(i, http.StatusPreconditionFailed, http.MethodPut, "/config", fmt.Sprint(base), configuration(version, "b"))
+				if got := k.untilStatus(i, http.StatusOK, http.MethodGet, "/config", "", ""); got.body != body {
+					t.Fatalf("%d bytes %s keeper %d: keeper %d has %s", at, side, taker, i, got.body)
+				}
+			}
+		}
+	}
+	t.Logf("%d orders, %d links broken", version, k.relays.brokenLinks())
+}
--- /dev/null
+++ b/internal/link/resend/keepers_test.go
@@ -0,0 +1,228 @@
+// Package resend breaks the connections and links of real keepers at each byte, sends again what was under way, and checks that it
+// counts once. It has tests only.
+package resend
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dunetide/internal/control"
+	"dunetide/internal/journal/disktest"
+	"dunetide/internal/keeper"
+	"dunetide/internal/settings"
+	"dunetide/internal/view"
+)
+
+const (
+	// patience is how long a test waits for what must come.
+	patience   = 30 * time.Second
+	keeperZone = "z"
+	// keeperCount is how many keepers there are; one of them may be lost.
+	keeperCount = 3
+	poll        = 10 * time.Millisecond
+)
+
+// everyByte tells whether all bytes are tried, which takes minutes: RESEND_EVERY_BYTE=1. Otherwise a test tries some.
+func everyByte() bool { return os.Getenv("RESEND_EVERY_BYTE") != "" }
+
+// keepers are some in one process, each on a loopback address of its own, with relays between them.
+type keepers struct {
+	t           *testing.T
+	network     string
+	linkPort    int
+	controlPort int
+	relays      *relays
+}
+
+// startKeepers starts them and waits until each is in contact with all.
+func startKeepers(t *testing.T) *keepers {
+	t.Helper()
+	k := &keepers{t: t, network: fmt.Sprintf("127.%d.%d.", 2+rand.N(250), rand.N(250))}
+	k.drawPorts()
+	k.relays = newRelays(t)
+	for i := range keeperCount {
+		k.start(i)
+	}
+	for i := range keeperCount {
+		eventually(t, fmt.Sprint("contact of keeper ", i), func() bool {
+			var status struct {
+				InContact bool  `json:"in_contact"`
+				Voter     bool  `json:"voter"`
+				Keepers   []any `json:"keepers_met"`
+			}
+			answer := k.call(i, http.MethodGet, "/status", "", "")
+			return json.Unmarshal([]byte(answer.body), &status) == nil && status.InContact && status.Voter && len(status.Keepers) == keeperCount
+		})
+	}
+	return k
+}
+
+// drawPorts takes two ports that are free.
+func (k *keepers) drawPorts() {
+	for _, port := range []*int{&k.linkPort, &k.controlPort} {
+		listener, err := net.Listen("tcp4", k.ip(0)+":0")
+		if err != nil {
+			k.t.Fatal(err)
+		}
+		*port = listener.Addr().(*net.TCPAddr).Port
+		defer func() { _ = listener.Close() }()
+	}
+}
+
+func (k *keepers) ip(i int) string             { return fmt.Sprint(k.network, i+1) }
+func (k *keepers) linkAddress(i int) string    { return fmt.Sprintf("%s:%d", k.ip(i), k.linkPort) }
+func (k *keepers) controlAddress(i int) string { return fmt.Sprintf("%s:%d", k.ip(i), k.controlPort) }
+
+func (k *keepers) start(i int) {
+	k.t.Helper()
+	s := &settings.Settings{NodeName: fmt.Sprint("k", i), IP: k.ip(i), Zone: keeperZone, Control: k.controlAddress(i), InternalFirst: k.linkPort,
+		InternalLast: k.linkPort + 15, FirstStart: true, BeatEveryMs: 200, SurviveMachines: 1}
+	for j := range keeperCount {
+		s.Seeds = append(s.Seeds, k.controlAddress(j))
+	}
+	one, err := keeper.New(keeper.Options{Settings: s, Folder: disktest.New(), Log: hclog.NewNullLogger(), DialAddress: func(addr string) string {
+		for j := range keeperCount {
+			if addr == k.linkAddress(j) {
+				return k.relays.address(i, j, addr)
+			}
+		}
+		return addr
+	}})
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- one.Run(ctx) }()
+	k.t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-ended:
+			if err != nil {
+				k.t.Errorf("keeper %d: %v", i, err)
+			}
+		case <-time.After(patience):
+			k.t.Errorf("keeper %d does not end", i)
+		}
+	})
+}
+
+// attach attaches a process to all keepers.
+func (k *keepers) attach() *view.Holder {
+	holder := &view.Holder{}
+	var seeds []string
+	for i := range keeperCount {
+		seeds = append(seeds, k.linkAddress(i))
+	}
+	client := control.NewClient(control.ClientOptions{Self: control.Node{Name: "p", Role: control.RoleProxy, Zone: keeperZone, Life: uint64(time.Now().UnixNano())},
+		Seeds: seeds, Endpoints: true, Holder: holder, Log: hclog.NewNullLogger()})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { client.Run(ctx); close(ended) }()
+	k.t.Cleanup(func() { cancel(); <-ended })
+	return holder
+}
+
+// stateOf is how an attached process sees an endpoint.
+func stateOf(holder *view.Holder, service, id string) view.State {
+	if s := holder.Get(); s != nil {
+		if i := slices.IndexFunc(s.Endpoints[service], func(e *view.Endpoint) bool { return e.ID == id }); i >= 0 {
+			return s.Endpoints[service][i].State
+		}
+	}
+	return view.Gone
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(poll) {
+		if time.Now().After(end) {
+			t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
+// answer is what a keeper said; status 0: nothing whole.
+type answer struct {
+	status int
+	body   string
+}
+
+// layOut writes a call out.
+func layOut(method, path, match, body string) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: keeper\r\nContent-Length: %d\r\nConnection: close\r\n", method, path, len(body))
+	if match != "" {
+		fmt.Fprintf(&text, "If-Match: %s\r\n", match)
+	}
+	return text.String() + "\r\n" + body
+}
+
+// call calls a keeper, once.
+func (k *keepers) call(i int, method, path, match, body string) answer {
+	conn, err := net.Dial("tcp4", k.controlAddress(i))
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(conn, layOut(method, path, match, body)); err != nil {
+		return answer{}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return answer{}
+	}
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{response.StatusCode, string(text)}
+}
+
+// untilStatus repeats a call, unchanged, until a keeper answers it with a status; any other than 503 ends the test.
+func (k *keepers) untilStatus(i, want int, method, path, match, body string) answer {
+	k.t.Helper()
+	var last answer
+	eventually(k.t, fmt.Sprintf("%d to %s %s at keeper %d", want, method, path, i), func() bool {
+		last = k.call(i, method, path, match, body)
+		if last.status != want && last.status != http.StatusServiceUnavailable && last.status != 0 {
+			k.t.Fatalf("%s %s at keeper %d: %+v, want %d", method, path, i, last, want)
+		}
+		return last.status == want
+	})
+	return last
+}
+
+// cutCall sends a part of a call, or all of it and reads a part of its answer, and resets or closes the connection.
+func (k *keepers) cutCall(i int, text string, sent, read int, reset bool) {
+	k.t.Helper()
+	conn, err := net.Dial("tcp4", k.controlAddress(i))
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(conn, text[:sent]); err != nil {
+		k.t.Fatal(err)
+	}
+	if read > 0 {
+		_, _ = io.ReadFull(conn, make([]byte, read)) // the answer may be shorter
+	}
+	if reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
