Faults: a hub of relays for processes that dial through it

Cause: relays between processes need addresses of their own in the processes' settings, which a tier whose processes tell each other their addresses does not have. A cut ends nothing.

--- /dev/null
+++ b/internal/lab/faults/hub.go
@@ -0,0 +1,181 @@
+package faults
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"dunetide/internal/lab/faults/hubdial"
+)
+
+// longestRequest bounds the line with which a connection to a hub begins.
+const longestRequest = 128
+
+// Hub relays the connections of a fleet whose processes dial through it instead of dialling each other. A connection
+// to it begins with the line that hubdial.Request makes; the hub dials the target, answers with one byte, and relays.
+// Where the pair is cut, neither the answer nor anything else comes, and no connection ends.
+type Hub struct {
+	*carrier
+	nodes    map[netip.Addr]int
+	outside  int // the index of whoever is no node
+	listener net.Listener
+
+	mu      sync.Mutex
+	entries map[string]net.Listener // of callers from outside, by target
+	closed  bool
+}
+
+// NewHub opens a hub for the nodes with these addresses.
+func NewHub(nodes []netip.Addr, seed uint64) (*Hub, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("a hub: %w", err)
+	}
+	h := &Hub{carrier: newCarrier(len(nodes)+1, seed), nodes: map[netip.Addr]int{}, outside: len(nodes), listener: listener,
+		entries: map[string]net.Listener{}}
+	for i, node := range nodes {
+		h.nodes[node] = i
+	}
+	h.wg.Go(func() { h.accept(listener, h.serve) })
+	return h, nil
+}
+
+// Address is where the processes of the fleet dial.
+func (h *Hub) Address() string { return h.listener.Addr().String() }
+
+// Entry is the address at which whoever is no node of the fleet reaches a target.
+func (h *Hub) Entry(target string) (string, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if entry, there := h.entries[target]; there {
+		return entry.Addr().String(), nil
+	}
+	if h.closed {
+		return "", net.ErrClosed
+	}
+	to, err := h.node(target)
+	if err != nil {
+		return "", err
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("an entry of a hub: %w", err)
+	}
+	h.entries[target] = listener
+	h.wg.Go(func() {
+		h.accept(listener, func(conn net.Conn) {
+			h.carry(conn, h.outside, to, func(ctx context.Context) (net.Conn, error) { return dialTarget(ctx, target) })
+		})
+	})
+	return listener.Addr().String(), nil
+}
+
+// CutOff has nothing pass between one node and all others, and between it and those outside, until Heal.
+func (h *Hub) CutOff(node netip.Addr) error {
+	cut, there := h.nodes[node]
+	if !there {
+		return fmt.Errorf("no node has the address %v", node)
+	}
+	h.Change(func(from, to int, old Fault) Fault {
+		if from == cut || to == cut {
+			old.Cut = true
+		}
+		return old
+	})
+	return nil
+}
+
+// Close ends all connections and listeners.
+func (h *Hub) Close() error {
+	h.end()
+	h.mu.Lock()
+	h.closed = true
+	all := []error{h.listener.Close()}
+	for _, entry := range h.entries {
+		all = append(all, entry.Close())
+	}
+	h.mu.Unlock()
+	h.wg.Wait()
+	return errors.Join(all...)
+}
+
+// accept serves each connection of a listener until it is closed.
+func (h *Hub) accept(listener net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond) // out of descriptors
+			continue
+		}
+		h.wg.Go(func() { serve(conn) })
+	}
+}
+
+// serve relays a connection of a process of the fleet.
+func (h *Hub) serve(conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Now().Add(connectTime))
+	from, target, err := readHubRequest(conn)
+	if err != nil {
+		abort(conn)
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	to, err := h.node(target)
+	source, there := h.nodes[from]
+	if err != nil || !there {
+		abort(conn)
+		return
+	}
+	h.carry(conn, source, to, func(ctx context.Context) (net.Conn, error) {
+		other, err := dialTarget(ctx, target)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := conn.Write([]byte{hubdial.Connected}); err != nil {
+			return nil, errors.Join(err, other.Close())
+		}
+		return other, nil
+	})
+}
+
+// node is the index of the node that a target belongs to.
+func (h *Hub) node(target string) (int, error) {
+	at, err := netip.ParseAddrPort(target)
+	if err != nil {
+		return 0, err
+	}
+	i, there := h.nodes[at.Addr()]
+	if !there {
+		return 0, fmt.Errorf("no node has the address %v", at.Addr())
+	}
+	return i, nil
+}
+
+// readHubRequest reads the line and nothing behind it.
+func readHubRequest(conn net.Conn) (from netip.Addr, target string, err error) {
+	var line []byte
+	for one := make([]byte, 1); len(line) < longestRequest; line = append(line, one[0]) {
+		if _, err := conn.Read(one); err != nil {
+			return netip.Addr{}, "", err
+		}
+		if one[0] == '\n' {
+			break
+		}
+	}
+	address, target, _ := strings.Cut(string(line), " ")
+	from, err = netip.ParseAddr(address)
+	return from, target, err
+}
+
+func dialTarget(ctx context.Context, target string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: connectTime, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp4", target)
+}
--- /dev/null
+++ b/internal/lab/faults/hub_test.go
@@ -0,0 +1,193 @@
+package faults
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"dunetide/internal/lab/faults/hubdial"
+)
+
+const (
+	hubPatience = 20 * time.Second
+	hubSilence  = 300 * time.Millisecond
+)
+
+// echo serves a node that says each line again, and returns where.
+func echo(t *testing.T, ip string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn); _ = conn.Close() }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func openHub(t *testing.T, nodes ...string) *Hub {
+	t.Helper()
+	var addrs []netip.Addr
+	for _, node := range nodes {
+		addrs = append(addrs, netip.MustParseAddr(node))
+	}
+	hub, err := NewHub(addrs, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = hub.Close() })
+	return hub
+}
+
+// ask opens a connection through the hub, without waiting for its answer.
+func ask(t *testing.T, hub *Hub, from, target string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", hub.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, hubdial.Request(from, target)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func says(t *testing.T, conn net.Conn, line string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, line); err != nil {
+		t.Fatal(err)
+	}
+	hears(t, conn, line)
+}
+
+func hears(t *testing.T, conn net.Conn, line string) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(hubPatience))
+	if got, err := bufio.NewReader(conn).ReadString('\n'); err != nil || got != line {
+		t.Fatalf("%q, %v came, not %q", got, err, line)
+	}
+}
+
+func hearsNothing(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(hubSilence))
+	if n, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("%d bytes, %v through a cut", n, err)
+	}
+}
+
+// A cut holds up what is under way and who dials, ends nothing, and leaves the other pairs alone.
+func TestHubHoldsUpACutNode(t *testing.T) {
+	const a, b, c = "127.0.77.1", "127.0.77.2", "127.0.77.3"
+	hub := openHub(t, a, b, c)
+	atB, atC := echo(t, b), echo(t, c)
+	connected := func(conn net.Conn) net.Conn {
+		_ = conn.SetReadDeadline(time.Now().Add(hubPatience))
+		if err := hubdial.ReadAnswer(conn); err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	toB, toC := connected(ask(t, hub, a, atB)), connected(ask(t, hub, a, atC))
+	entry, err := hub.Entry(atB)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fromOutside, err := net.Dial("tcp4", entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = fromOutside.Close() })
+	says(t, toB, "one\n")
+	says(t, fromOutside, "one\n")
+	if err := hub.CutOff(netip.MustParseAddr(b)); err != nil {
+		t.Fatal(err)
+	}
+	for _, conn := range []net.Conn{toB, fromOutside} {
+		if _, err := io.WriteString(conn, "two\n"); err != nil {
+			t.Fatal(err)
+		}
+		hearsNothing(t, conn)
+	}
+	late := ask(t, hub, c, atB)
+	hearsNothing(t, late)
+	says(t, toC, "two\n")
+	hub.Heal()
+	hears(t, toB, "two\n")
+	hears(t, fromOutside, "two\n")
+	says(t, connected(late), "three\n")
+}
+
+// A target that nobody serves, one that is no node and a caller that is none are refused.
+func TestHubRefuses(t *testing.T) {
+	const a, b, stranger = "127.0.78.1", "127.0.78.2", "127.0.78.3"
+	hub := openHub(t, a, b)
+	atA, atStranger := echo(t, a), echo(t, stranger)
+	for what, request := range map[string][2]string{
+		"nobody serves": {a, net.JoinHostPort(b, "1")}, "no node": {a, atStranger}, "a strange caller": {stranger, atA}, "no address": {"x", atA},
+	} {
+		conn := ask(t, hub, request[0], request[1])
+		_ = conn.SetReadDeadline(time.Now().Add(hubPatience))
+		if err := hubdial.ReadAnswer(conn); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	if _, err := hub.Entry(atStranger); err == nil {
+		t.Error("an entry to no node")
+	}
+	if err := hub.CutOff(netip.MustParseAddr(stranger)); err == nil {
+		t.Error("a cut of no node")
+	}
+}
+
+// A process of a node dials through the hub that its environment names, and directly where it names none.
+func TestHubIsDialled(t *testing.T) {
+	const a, b = "127.0.79.1", "127.0.79.2"
+	hub := openHub(t, a, b)
+	target := echo(t, b)
+	dial := func(wait time.Duration) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		defer cancel()
+		conn, err := hubdial.Dial(ctx, net.Dialer{}, target)
+		if err == nil {
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+		return conn, err
+	}
+	direct, err := dial(hubPatience)
+	if err != nil || direct.RemoteAddr().String() != target {
+		t.Fatalf("%v, %v", direct, err)
+	}
+	t.Setenv(hubdial.HubVariable, hub.Address())
+	t.Setenv(hubdial.NodeVariable, a)
+	relayed, err := dial(hubPatience)
+	if err != nil || relayed.RemoteAddr().String() != hub.Address() {
+		t.Fatalf("%v, %v", relayed, err)
+	}
+	says(t, relayed, "one\n")
+	if err := hub.CutOff(netip.MustParseAddr(a)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := dial(hubSilence); err == nil {
+		t.Error("connected through a cut")
+	}
+	hub.Heal()
+	if _, err := dial(hubPatience); err != nil {
+		t.Error(err)
+	}
+}
