Tier lab: spare machines, and machines that are cut off in silence

Cause: the rig could kill and freeze processes, and neither replace a machine nor hold its links up. Change: Options.Spares and Process.Remove; with Options.Relayed the processes, built by BuildRelayed with one line of internal/link replaced by an overlay, and the lab dial through a hub, and CutOff and Heal act on a machine.

--- a/internal/lab/tier/cluster/cluster.go
+++ b/internal/lab/tier/cluster/cluster.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dunetide/internal/lab/faults"
 )
 
 // Options of a cluster.
@@ -26,6 +28,10 @@
 	Edges   int // a zone
 	Keepers int // a zone, on the first edges
 	Stores  int // over all zones in turn
+	Spares  int // more edges with keepers, over all zones in turn, that do not run before they are started one by one
+	// Relayed has all that the lab and the processes dial led through relays, so that a machine can be cut off. It
+	// takes a program that BuildRelayed has made.
+	Relayed bool
 	// BeatEvery and Grace go into the settings.
 	BeatEvery time.Duration
 	Grace     time.Duration
@@ -61,17 +67,23 @@
 	life   context.Context
 	cancel context.CancelFunc
 
+	hub *faults.Hub // nil: nothing is relayed
+
 	mu     sync.Mutex
 	fronts []*front
 }
 
 // front is an edge machine as the platform sees it.
 type front struct {
+	proxy             *Process
 	zone, addr, ready string
 	in                bool
 	misses            int
 }
 
+// expected tells whether the machine is one of the tier at present.
+func (f *front) expected() bool { return f.proxy == nil || !f.proxy.absent() }
+
 // machine addresses of a zone: edges from 10 on, stores from 50 on, endpoints from 100 on.
 func address(zone, n int) string { return fmt.Sprintf("127.0.%d.%d", firstNet+zone, n) }
 
@@ -85,12 +97,12 @@
 	}
 	for z := range o.Zones {
 		for n := range o.Edges {
-			name := fmt.Sprintf("edge-%s-%d", c.zones[z], n+1)
-			disk := n < o.Keepers
-			c.procs = append(c.procs, &Process{c: c, Role: Proxy, Machine: name, class: "edge", serves: "edge", zone: z, ip: address(z, 10+n), disk: disk})
-			if disk {
-				c.procs = append(c.procs, &Process{c: c, Role: Keeper, Machine: name, class: "edge", serves: "control", zone: z, ip: address(z, 10+n), disk: true})
-			}
+			c.addEdge(z, n, n < o.Keepers)
+		}
+	}
+	for n := range o.Spares {
+		for _, p := range c.addEdge(n%o.Zones, o.Edges+n/o.Zones, true) {
+			p.spare = true
 		}
 	}
 	for n := range o.Stores {
@@ -101,15 +113,29 @@
 	if err := c.drawPorts(); err != nil {
 		return nil, err
 	}
+	if err := c.relay(); err != nil {
+		return nil, err
+	}
 	for _, p := range c.procs {
 		p.dir = filepath.Join(o.Dir, p.Machine, string(p.Role))
 		if p.Role == Proxy {
-			c.fronts = append(c.fronts, &front{zone: c.zones[p.zone], addr: p.at(portFront), ready: p.at(portReady)})
+			c.fronts = append(c.fronts, &front{proxy: p, zone: c.zones[p.zone], addr: p.reached(portFront), ready: p.reached(portReady)})
 		}
 	}
 	return c, nil
 }
 
+// addEdge lays out the processes of an edge machine.
+func (c *Cluster) addEdge(zone, n int, keeps bool) (added []*Process) {
+	machine, ip := fmt.Sprintf("edge-%s-%d", c.zones[zone], n+1), address(zone, 10+n)
+	added = append(added, &Process{c: c, Role: Proxy, Machine: machine, class: "edge", serves: "edge", zone: zone, ip: ip, disk: keeps})
+	if keeps {
+		added = append(added, &Process{c: c, Role: Keeper, Machine: machine, class: "edge", serves: "control", zone: zone, ip: ip, disk: true})
+	}
+	c.procs = append(c.procs, added...)
+	return added
+}
+
 // The ports of a machine, from the cluster's first.
 const (
 	portFront = iota
@@ -158,7 +184,7 @@
 func (c *Cluster) Controls() (out []string) {
 	for _, p := range c.procs {
 		if p.Role == Keeper {
-			out = append(out, p.at(portControl))
+			out = append(out, p.reached(portControl))
 		}
 	}
 	return out
@@ -166,7 +192,12 @@
 
 // Seeds are the control addresses of three machines, of as many zones as there are.
 func (c *Cluster) Seeds() (out []string) {
-	all := c.Controls()
+	var all []string
+	for _, p := range c.procs {
+		if p.Role == Keeper && !p.spare {
+			all = append(all, p.at(portControl))
+		}
+	}
 	for n := range c.o.Keepers {
 		for z := range c.o.Zones {
 			if len(out) < 3 {
@@ -177,7 +208,7 @@
 	return out
 }
 
-// Start empties all disks, starts all processes and the platform's look at who is ready.
+// Start empties all disks, starts all processes but spares, and the platform's look at who is ready.
 func (c *Cluster) Start() error {
 	for _, p := range c.procs {
 		if err := os.RemoveAll(p.dir); err != nil { // of an earlier run
@@ -185,6 +216,9 @@
 		}
 	}
 	for _, p := range c.procs {
+		if p.spare {
+			continue
+		}
 		if err := p.Start(); err != nil {
 			return err
 		}
@@ -234,6 +268,7 @@
 	var own, ready, far []*front
 	for _, f := range c.fronts {
 		switch {
+		case !f.expected():
 		case f.zone == zone:
 			own = append(own, f)
 			if f.in {
@@ -263,7 +298,7 @@
 		var out []string
 		c.mu.Lock()
 		for _, f := range c.fronts {
-			if !f.in {
+			if !f.in && f.expected() {
 				out = append(out, f.ready)
 			}
 		}
@@ -312,6 +347,9 @@
 	}
 	wg.Wait()
 	c.wg.Wait()
+	if c.hub != nil {
+		_ = c.hub.Close()
+	}
 }
 
 // settings are a process's, as lines.
--- a/internal/lab/tier/cluster/process.go
+++ b/internal/lab/tier/cluster/process.go
@@ -31,6 +31,7 @@
 	zone   int
 	ip     string
 	disk   bool
+	spare  bool // the first start of all is not for it
 	dir    string
 
 	mu      sync.Mutex
@@ -38,6 +39,8 @@
 	exited  chan struct{} // of cmd
 	planned bool          // its end is the lab's doing
 	closed  bool
+	started bool
+	removed bool     // for good
 	ended   []string // by itself
 }
 
@@ -54,7 +57,7 @@
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.exited != nil {
+	if p.closed || p.removed || p.exited != nil {
 		return nil
 	}
 	if err := os.MkdirAll(p.data(), 0o755); err != nil {
@@ -70,14 +73,14 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(p.c.o.Program, string(p.Role))
-	cmd.Env = []string{"DUNETIDE_CONFIG=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	cmd.Env = append([]string{"DUNETIDE_CONFIG=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, p.relayedEnvironment()...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the lab, however that ends
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("starting %v: %w", p, err)
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited, p.planned = cmd, exited, false
+	p.cmd, p.exited, p.planned, p.started = cmd, exited, false, true
 	p.c.wg.Go(func() { p.wait(cmd, exited) })
 	return nil
 }
@@ -168,6 +171,21 @@
 // Term asks it to end, and ends it by force after the grace.
 func (p *Process) Term() error { return p.end(syscall.SIGTERM, p.c.o.Grace) }
 
+// Remove is Term for the last time: its machine is taken out of the tier.
+func (p *Process) Remove() error {
+	p.mu.Lock()
+	p.removed = true
+	p.mu.Unlock()
+	return p.Term()
+}
+
+// absent tells whether it is a spare that was not started yet, or was removed.
+func (p *Process) absent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.spare && !p.started || p.removed
+}
+
 func (p *Process) end(s syscall.Signal, grace time.Duration) error {
 	p.mu.Lock()
 	p.planned = true
--- /dev/null
+++ b/internal/lab/tier/cluster/relayed.go
@@ -0,0 +1,152 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"dunetide/internal/lab/faults"
+	"dunetide/internal/lab/faults/hubdial"
+)
+
+const (
+	programPackage = "dunetide/cmd/dunetide"
+	linkPackage    = "dunetide/internal/link"
+	linkFile       = "link.go"
+	relaySeed      = 1 // nothing is drawn where the only fault is a cut
+)
+
+// relayedLines are the lines of linkFile that are others in a program that dials through a hub.
+var relayedLines = [][2]string{
+	{`nc, err := d.DialContext(ctx, "tcp4", addr)`, `nc, err := hubdial.Dial(ctx, d, addr)`},
+	{"\nimport (\n", "\nimport (\n\t\"dunetide/internal/lab/faults/hubdial\"\n"},
+}
+
+// BuildRelayed builds the command as it is, but for the one line that dials links: it dials through the hub of a
+// cluster that is relayed. Nothing in the source folder is changed.
+func BuildRelayed(ctx context.Context, program string) error {
+	found, err := exec.CommandContext(ctx, "go", "list", "-f", "{{.Dir}}", linkPackage).Output()
+	if err != nil {
+		return fmt.Errorf("finding %s: %w", linkPackage, err)
+	}
+	source := filepath.Join(strings.TrimSpace(string(found)), linkFile)
+	text, err := os.ReadFile(source)
+	if err != nil {
+		return err
+	}
+	relayed, err := relayedSource(string(text))
+	if err != nil {
+		return fmt.Errorf("%s: %w", source, err)
+	}
+	dir, err := os.MkdirTemp("", "relayed")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	changed, overlay := filepath.Join(dir, linkFile), filepath.Join(dir, "overlay.json")
+	list, err := json.Marshal(map[string]map[string]string{"Replace": {source: changed}})
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(os.WriteFile(changed, []byte(relayed), 0o600), os.WriteFile(overlay, list, 0o600)); err != nil {
+		return err
+	}
+	if out, err := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-o", program, programPackage).CombinedOutput(); err != nil {
+		return fmt.Errorf("building %s: %w\n%s", programPackage, err, out)
+	}
+	return nil
+}
+
+// relayedSource puts relayedLines into the text of linkFile.
+func relayedSource(text string) (string, error) {
+	for _, line := range relayedLines {
+		if n := strings.Count(text, line[0]); n != 1 {
+			return "", fmt.Errorf("%q stands there %d times, not once", line[0], n)
+		}
+		text = strings.Replace(text, line[0], line[1], 1)
+	}
+	return text, nil
+}
+
+// relay opens the hub, if there is to be one.
+func (c *Cluster) relay() error {
+	if !c.o.Relayed {
+		return nil
+	}
+	var nodes []netip.Addr
+	known := map[string]bool{}
+	for _, p := range c.procs {
+		if known[p.ip] {
+			continue
+		}
+		known[p.ip] = true
+		node, err := netip.ParseAddr(p.ip)
+		if err != nil {
+			return err
+		}
+		nodes = append(nodes, node)
+	}
+	hub, err := faults.NewHub(nodes, relaySeed)
+	if err != nil {
+		return err
+	}
+	c.hub = hub
+	for _, p := range c.procs {
+		for _, port := range []int{portFront, portReady, portControl} {
+			if _, err := hub.Entry(p.at(port)); err != nil {
+				return errors.Join(err, hub.Close())
+			}
+		}
+	}
+	return nil
+}
+
+// reached is where the lab reaches a port of a process.
+func (p *Process) reached(port int) string {
+	if p.c.hub == nil {
+		return p.at(port)
+	}
+	entry, err := p.c.hub.Entry(p.at(port))
+	if err != nil {
+		return p.at(port) // the hub is closed, and the cluster with it
+	}
+	return entry
+}
+
+// relayedEnvironment tells a process where it dials.
+func (p *Process) relayedEnvironment() []string {
+	if p.c.hub == nil {
+		return nil
+	}
+	return []string{hubdial.HubVariable + "=" + p.c.hub.Address(), hubdial.NodeVariable + "=" + p.ip}
+}
+
+var errNotRelayed = errors.New("the cluster is not relayed")
+
+// CutOff has nothing pass between the machine of a process and all others, and the lab, until Heal. No connection
+// ends by it. Datagrams of membership and calls of endpoints are not held up: they carry nothing that is agreed.
+func (c *Cluster) CutOff(p *Process) error {
+	if c.hub == nil {
+		return errNotRelayed
+	}
+	node, err := netip.ParseAddr(p.ip)
+	if err != nil {
+		return err
+	}
+	return c.hub.CutOff(node)
+}
+
+// Heal ends all cuts. What was held up comes late.
+func (c *Cluster) Heal() error {
+	if c.hub == nil {
+		return errNotRelayed
+	}
+	c.hub.Heal()
+	return nil
+}
--- /dev/null
+++ b/internal/lab/tier/cluster/relayed_test.go
@@ -0,0 +1,108 @@
+package cluster
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// TestRelayedLinesStand has the lines that are replaced follow the code.
+func TestRelayedLinesStand(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "..", "link", linkFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := relayedSource(string(text)); err != nil {
+		t.Error(err)
+	}
+	if _, err := relayedSource("package link\n"); err == nil {
+		t.Error("lines that are missing were replaced")
+	}
+}
+
+// A machine that is cut off is taken for one that is not ready, and is ready again after the cut; a spare counts from its start to its removal.
+func TestCutOffAndSpares(t *testing.T) {
+	c, err := New(Options{Program: os.Args[0], Dir: t.TempDir(), Zones: 1, Edges: 2, Keepers: 2, Spares: 1, Relayed: true, BeatEvery: time.Second,
+		Grace: 2 * time.Second, Rules: "base"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	await := func(what string, holds func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("in vain: ", what, c.Ends())
+			}
+		}
+	}
+	if err := c.AwaitReady(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if seeds, controls := len(c.Seeds()), len(c.Controls()); seeds != 2 || controls != 3 {
+		t.Errorf("%d seeds and %d control addresses", seeds, controls)
+	}
+	spare := c.Find(Proxy, 2)
+	if spare.PID() != 0 || !spare.absent() {
+		t.Error("a spare runs from the first start on")
+	}
+	in := func(n int) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.fronts[n].in
+	}
+	if err := spare.Start(); err != nil {
+		t.Fatal(err)
+	}
+	await("the spare is ready", func() bool { return in(2) })
+
+	cut := c.Find(Proxy, 1)
+	if err := c.CutOff(cut); err != nil {
+		t.Fatal(err)
+	}
+	await("the one that is cut off is out", func() bool { return !in(1) })
+	if !in(0) || !in(2) {
+		t.Error("others are out, too")
+	}
+	client := http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	if _, err := client.Get("http://" + cut.reached(portReady)); err == nil {
+		t.Error("a call came through the cut")
+	}
+	if conn, err := net.Dial("tcp4", cut.at(portReady)); err != nil {
+		t.Errorf("the process itself is harmed: %v", err)
+	} else {
+		_ = conn.Close()
+	}
+	if err := c.Heal(); err != nil {
+		t.Fatal(err)
+	}
+	await("the one that was cut off is ready", func() bool { return in(1) })
+
+	if err := spare.Remove(); err != nil {
+		t.Fatal(err)
+	}
+	if err := spare.Start(); err != nil || spare.PID() != 0 || !spare.absent() {
+		t.Errorf("what was removed starts again: %v", err)
+	}
+	if ends := c.Ends(); len(ends) > 0 {
+		t.Error(ends)
+	}
+}
+
+// A cluster without relays says that nothing can be cut.
+func TestNothingIsCutWithoutRelays(t *testing.T) {
+	c := &Cluster{}
+	p := &Process{c: c, ip: address(0, 10)}
+	if c.CutOff(p) == nil || c.Heal() == nil {
+		t.Error("cut, without relays")
+	}
+	if p.reached(portFront) != p.at(portFront) || p.relayedEnvironment() != nil {
+		t.Error("relayed, without relays")
+	}
+}
