--- /dev/null
+++ b/internal/lab/tier/replacements.go
@@ -0,0 +1,393 @@
+package tier
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"dunetide/internal/lab/tier/cluster"
+	"dunetide/internal/lab/tier/load"
+	"dunetide/internal/lab/tier/operator"
+)
+
+// ReplacementDay is a day on which voters are replaced while another one is cut off in silence. Its times are counted
+// from when the tier is ready. Which machines are met is drawn by the seed of the play.
+type ReplacementDay struct {
+	Machines      int           // with disks, and so voters
+	FirstReplaced time.Duration // a new machine starts
+	HandOver      time.Duration // from the start of a new machine to the SIGTERM of the one that it replaces
+	CutFrom       time.Duration // a voter that is not replaced is cut off
+	SecondStarts  time.Duration // the next new machine starts
+	CutTo         time.Duration
+	Length        time.Duration
+}
+
+// DefaultReplacementDay is the day that a former program did not pass: it took no order from the second replacement on.
+var DefaultReplacementDay = ReplacementDay{Machines: 3, FirstReplaced: 2 * time.Second, HandOver: 5 * time.Second, CutFrom: 17 * time.Second,
+	SecondStarts: 23 * time.Second, CutTo: 37 * time.Second, Length: 40 * time.Second}
+
+const (
+	replacementSpares  = 2
+	replacementEngines = 2
+	orderEvery         = time.Second
+	orderWait          = 30 * time.Second
+	jobEvery           = 2 * time.Second
+	jobItems           = 4
+	readWait           = 20 * time.Second
+	// unrest is how long after an event of the day no time is calm: in_touch_ms.
+	unrest = 3 * time.Second
+	// contactLost is what a keeper logs that has lost its contact with a majority.
+	contactLost = "no contact with a majority"
+)
+
+// Order is one configuration of the operator. Times are counted from the beginning of the day.
+type Order struct {
+	Version uint64        `json:"version"`
+	Asked   time.Duration `json:"asked"`
+	Took    time.Duration `json:"took"`
+	Calm    time.Duration `json:"calm"` // the longest calm stretch in which it lacked its acknowledgement
+}
+
+// DayEvent is what the day did to a machine.
+type DayEvent struct {
+	At   time.Duration `json:"at"`
+	What string        `json:"what"`
+}
+
+// ReplacementAccount is what became of the orders and jobs of such a day.
+type ReplacementAccount struct {
+	load.Account
+	Events   []DayEvent `json:"events"`
+	Orders   []Order    `json:"orders"`
+	ReadBack string     `json:"read_back"` // same, or what came
+	Accepted int        `json:"accepted"`  // jobs
+	Unread   []string   `json:"unread"`    // accepted jobs that could not be read at the end
+	CutFelt  bool       `json:"cut_felt"`  // the keeper that was cut off lost its contact with a majority, by its log
+	Ends     []string   `json:"ends"`      // processes that ended by themselves
+}
+
+// LongestCalm is the longest calm stretch in which an order lacked its acknowledgement.
+func (a ReplacementAccount) LongestCalm() (longest Order) {
+	for _, o := range a.Orders {
+		if longest.Version == 0 || o.Calm > longest.Calm {
+			longest = o
+		}
+	}
+	return longest
+}
+
+// LongestOrder is the order that took longest, calm or not.
+func (a ReplacementAccount) LongestOrder() (longest Order) {
+	for _, o := range a.Orders {
+		if o.Took > longest.Took {
+			longest = o
+		}
+	}
+	return longest
+}
+
+// Bad tells whether anything acknowledged was lost, a rule was broken, a process ended by itself, or the cut was none.
+func (a ReplacementAccount) Bad() bool {
+	return !a.CutFelt || len(a.Broken) > 0 || len(a.Ends) > 0 || a.ReadBack != "same" || len(a.Unread) > 0
+}
+
+// replacements is such a day under way.
+type replacements struct {
+	*rig
+	day      ReplacementDay
+	operator *operator.Operator
+	config   []byte // of the version that was acknowledged last
+	version  uint64
+
+	mu     sync.Mutex
+	began  time.Time
+	events []DayEvent
+}
+
+// Replacements plays such a day. The program has to be one that cluster.BuildRelayed has made.
+func Replacements(ctx context.Context, o Options, day ReplacementDay) (out ReplacementAccount, err error) {
+	c, err := cluster.New(cluster.Options{Program: o.Program, Dir: o.Dir, Zones: day.Machines, Edges: 1, Keepers: 1, Spares: replacementSpares, Stores: 3,
+		Relayed: true, BeatEvery: beatEvery, Grace: grace, Rules: "base,drain,config,batch,engine"})
+	if err != nil {
+		return out, err
+	}
+	defer c.Close()
+	d := &replacements{rig: newRig(o, c), day: day, operator: operator.New(c.Controls)}
+	defer d.close()
+	for n := range replacementEngines {
+		if _, err := d.endpoint(gen, c.EndpointAddress(n, 0), n); err != nil {
+			return out, err
+		}
+	}
+	if err := c.Start(); err != nil {
+		return out, err
+	}
+	traffic, jobs := traffic()
+	d.config = configuration(traffic, jobs)
+	d.version = configVersion
+	if err := bounded(ctx, configWait, func(ctx context.Context) error { return d.operator.Put(ctx, 0, d.config) }); err != nil {
+		return out, explain(fmt.Errorf("the first configuration: %w", err), c)
+	}
+	if err := bounded(ctx, readyWait, c.AwaitReady); err != nil {
+		return out, explain(err, c)
+	}
+	d.began = time.Now()
+	var failed [2]error
+	var running sync.WaitGroup
+	running.Go(func() { failed[0] = d.troubles(ctx) })
+	running.Go(func() { out.Orders, failed[1] = d.orders(ctx) })
+	out.Account = d.play(ctx, jobs[0])
+	running.Wait()
+	if err := errors.Join(failed[:]...); err != nil {
+		return out, explain(err, c)
+	}
+	out.Events = d.events
+	for i := range out.Orders {
+		out.Orders[i].Calm = longestCalm(out.Orders[i], d.events)
+	}
+	out.ReadBack = d.readBack(ctx)
+	out.Accepted, out.Unread = d.readJobs(ctx, out.Jobs)
+	logged, err := d.cutKeeper().Log()
+	out.CutFelt = strings.Contains(logged, contactLost)
+	out.Ends = c.Ends()
+	return out, errors.Join(err, ctx.Err())
+}
+
+// longestCalm is the longest stretch, from the asking for an order to its acknowledgement, in which nothing had happened for unrest.
+func longestCalm(o Order, events []DayEvent) (longest time.Duration) {
+	calmFrom := o.Asked
+	for _, e := range events {
+		if e.At >= o.Asked+o.Took {
+			break
+		}
+		longest = max(longest, e.At-calmFrom)
+		calmFrom = max(calmFrom, e.At+unrest)
+	}
+	return max(longest, o.Asked+o.Took-calmFrom)
+}
+
+// event notes what happens now.
+func (d *replacements) event(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := DayEvent{time.Since(d.began), fmt.Sprintf(format, args...)}
+	d.events = append(d.events, e)
+	d.o.Say("%5.1f s  %s", e.At.Seconds(), e.What)
+}
+
+// machine n, from 0; the spares stand behind the others.
+func (d *replacements) machine(n int) (proxy, keeper *cluster.Process) {
+	return d.cluster.Find(cluster.Proxy, n), d.cluster.Find(cluster.Keeper, n)
+}
+
+// met is the machine that something happens to: 0 and 2 are replaced, 1 is cut off.
+func (d *replacements) met(n int) int { return int((d.o.Seed + uint64(n)) % uint64(d.day.Machines)) }
+
+func (d *replacements) cutKeeper() *cluster.Process {
+	_, keeper := d.machine(d.met(1))
+	return keeper
+}
+
+// troubles plays what the day does to machines.
+func (d *replacements) troubles(ctx context.Context) error {
+	cut := d.cutKeeper()
+	var replaced [2]error
+	var replacing sync.WaitGroup
+	replace := func(n int) func() error {
+		return func() error {
+			replacing.Go(func() { replaced[n] = d.replaceMachine(ctx, d.met(2*n), d.day.Machines+n) })
+			return nil
+		}
+	}
+	steps := []struct {
+		at time.Duration
+		do func() error
+	}{
+		{d.day.FirstReplaced, replace(0)},
+		{d.day.CutFrom, func() error { d.event("%s is cut off", cut.Machine); return d.cluster.CutOff(cut) }},
+		{d.day.SecondStarts, replace(1)},
+		{d.day.CutTo, func() error { d.event("%s is connected again", cut.Machine); return d.cluster.Heal() }},
+	}
+	defer replacing.Wait()
+	for _, step := range steps {
+		if !d.sleepUntil(ctx, step.at) {
+			return ctx.Err()
+		}
+		if err := step.do(); err != nil {
+			return err
+		}
+	}
+	replacing.Wait()
+	return errors.Join(replaced[:]...)
+}
+
+// replaceMachine starts a spare, and ends another machine as planned after a while.
+func (d *replacements) replaceMachine(ctx context.Context, old, spare int) error {
+	newProxy, newKeeper := d.machine(spare)
+	oldProxy, oldKeeper := d.machine(old)
+	d.event("%s starts", newKeeper.Machine)
+	if err := errors.Join(newKeeper.Start(), newProxy.Start()); err != nil {
+		return err
+	}
+	if !pauseFor(ctx, d.day.HandOver) {
+		return ctx.Err()
+	}
+	d.event("%s is told to end", oldKeeper.Machine)
+	var failed [2]error
+	var ending sync.WaitGroup
+	for i, p := range []*cluster.Process{oldProxy, oldKeeper} {
+		ending.Go(func() { failed[i] = p.Remove() })
+	}
+	ending.Wait()
+	d.event("%s has ended", oldKeeper.Machine)
+	return errors.Join(failed[:]...)
+}
+
+func (d *replacements) sleepUntil(ctx context.Context, at time.Duration) bool {
+	return pauseFor(ctx, at-time.Since(d.began))
+}
+
+func pauseFor(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// orders sends a configuration every second, one on top of the other.
+func (d *replacements) orders(ctx context.Context) (all []Order, err error) {
+	for next := time.Duration(0); next < d.day.Length; next = max(next+orderEvery, time.Since(d.began)) {
+		if !d.sleepUntil(ctx, next) {
+			return all, ctx.Err()
+		}
+		text, err := withVersion(d.config, d.version+1)
+		if err != nil {
+			return all, err
+		}
+		order := Order{Version: d.version + 1, Asked: time.Since(d.began)}
+		err = bounded(ctx, orderWait, func(ctx context.Context) error { return d.operator.Put(ctx, d.version, text) })
+		order.Took = time.Since(d.began) - order.Asked
+		all = append(all, order)
+		if err != nil {
+			return all, fmt.Errorf("version %d, sent at %v: %w", order.Version, order.Asked, err)
+		}
+		d.version, d.config = order.Version, text
+	}
+	return all, nil
+}
+
+// withVersion is the same configuration under another version.
+func withVersion(text []byte, version uint64) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return nil, err
+	}
+	fields["version"] = fmt.Append(nil, version)
+	return json.Marshal(fields)
+}
+
+// play has clients hand in batch jobs throughout the day and read them.
+func (d *replacements) play(ctx context.Context, jobs load.Jobs) load.Account {
+	jobs.Count, jobs.Items, jobs.EndEvery = int(d.day.Length/jobEvery), jobItems, 0
+	// Jobs begin in the first half of a length.
+	return load.Run(ctx, load.Options{Seed: d.o.Seed, Length: 2 * d.day.Length, Zones: d.cluster.Zones(), Front: d.cluster.Front, Jobs: []load.Jobs{jobs},
+		Stride: stride, FinishBy: finishBy - d.day.Length, Settle: settle, Cancel: cancelAfter, Runs: d.runs})
+}
+
+// readBack reads the configuration, which has to be the one that was acknowledged last.
+func (d *replacements) readBack(ctx context.Context) string {
+	var got []byte
+	err := bounded(ctx, configWait, func(ctx context.Context) (err error) { got, err = d.operator.Config(ctx); return err })
+	switch {
+	case err != nil:
+		return err.Error()
+	case !operator.Same(got, d.config):
+		return fmt.Sprintf("another one, of %d bytes", len(got))
+	}
+	return "same"
+}
+
+// readJobs reads all jobs that were accepted, and tells which could not be read.
+func (d *replacements) readJobs(ctx context.Context, jobs []load.Job) (accepted int, unread []string) {
+	for _, job := range jobs {
+		if job.Taken < 0 {
+			continue
+		}
+		accepted++
+		last := errors.New("not asked")
+		_ = bounded(ctx, readWait, func(ctx context.Context) error {
+			for n := uint64(0); last != nil; n++ {
+				if last = d.readJob(ctx, job, n); last != nil && !pauseFor(ctx, 100*time.Millisecond) {
+					return ctx.Err()
+				}
+			}
+			return nil
+		})
+		if last != nil {
+			unread = append(unread, fmt.Sprintf("%v: %v", job, last))
+		}
+	}
+	return accepted, unread
+}
+
+// readJob reads a job at one of the machines that are ready.
+func (d *replacements) readJob(ctx context.Context, job load.Job, hash uint64) error {
+	front, ready := d.cluster.Front(d.cluster.Zones()[0], hash)
+	if !ready {
+		return errors.New("no machine is ready")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/lots/%s?start_after=0", front, job.ID), nil)
+	if err != nil {
+		return err
+	}
+	req.Host = host
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	var got struct {
+		Total   int
+		Results []json.RawMessage
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("the answer is %s", resp.Status)
+	}
+	if err := json.Unmarshal(text, &got); err != nil {
+		return err
+	}
+	if got.Total != job.Items || len(got.Results) < job.Listed {
+		return fmt.Errorf("%d results of %d items, where %d were listed before", len(got.Results), got.Total, job.Listed)
+	}
+	return nil
+}
+
+// Print writes the account for people.
+func (a ReplacementAccount) Print(w io.Writer) error {
+	calm, longest := a.LongestCalm(), a.LongestOrder()
+	listed := 0
+	for _, job := range a.Jobs {
+		listed += job.Listed
+	}
+	_, err := fmt.Fprintf(w, "%d orders; the longest without an acknowledgement in calm: %v (version %d); the longest at all: %v, sent at %v\n"+
+		"%d of %d jobs accepted, %d unread at the end, %d items listed; read back: %s; broken %v, ended %v\n", len(a.Orders), calm.Calm.Round(time.Millisecond),
+		calm.Version, longest.Took.Round(time.Millisecond), longest.Asked.Round(time.Millisecond), a.Accepted, len(a.Jobs), len(a.Unread), listed,
+		cmp.Or(a.ReadBack, "nothing"), a.Broken, a.Ends)
+	return err
+}
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -192,6 +192,10 @@
 	all     map[*engine.Endpoint]bool
 }
 
+func newRig(o Options, c *cluster.Cluster) *rig {
+	return &rig{o: o, cluster: c, runs: &engine.Runs{}, all: map[*engine.Endpoint]bool{}}
+}
+
 func (r *rig) endpoint(service, addr string, zone int) (*engine.Endpoint, error) {
 	o := endpointOptions(service)
 	r.mu.Lock()
@@ -228,7 +232,7 @@
 		return out, err
 	}
 	defer c.Close()
-	r := &rig{o: o, cluster: c, runs: &engine.Runs{}, all: map[*engine.Endpoint]bool{}}
+	r := newRig(o, c)
 	defer r.close()
 	models := engines
 	if o.night != nil {
