--- /dev/null
+++ b/internal/keeper/restart_measure_test.go
@@ -0,0 +1,159 @@
+package keeper
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dunetide/internal/journal/disktest"
+)
+
+// restartCost is what a restart took.
+type restartCost struct {
+	read   int64         // bytes, from its disk
+	sent   int64         // bytes that the others sent to it until it pushed
+	votes  time.Duration // until another keeper had contact with a majority by its vote
+	pushes time.Duration // until a process that is attached to it alone had the newest configuration
+}
+
+// measureRestart has a keeper miss some changes of a size, and come back.
+func measureRestart(t *testing.T, changes, size int) (cost restartCost) {
+	m := newMeasuredRig(t)
+	version := uint64(0)
+	put := func() {
+		body := configBody(version+1, fmt.Sprint(version+1, strings.Repeat("x", size)))
+		m.untilCode(200, func() answer { return m.call(0, "PUT", "/config", fmt.Sprint(version), body) })
+		version++
+	}
+	put()
+	until(t, "all have the first", func() bool {
+		return slices.Equal(m.running[0].k.agree.slots(), m.running[measuredKeeper].k.agree.slots())
+	})
+	m.kill(measuredKeeper)
+	for range changes {
+		put()
+	}
+	disks := m.killAll()
+
+	m.restartOthers(disks)
+	cost.read, cost.sent, cost.pushes = m.measurePush(version)
+	m.killAll()
+	m.restartOthers(disks)
+	cost.votes = m.measureVote()
+	return cost
+}
+
+// killAll ends all keepers, and gives their disks.
+func (m *measuredRig) killAll() (disks []*disktest.Disk) {
+	for i := range m.running {
+		m.kill(i)
+	}
+	return slices.Clone(m.disks)
+}
+
+// restartOthers starts the keepers that are not measured, all on copies of disks.
+func (m *measuredRig) restartOthers(disks []*disktest.Disk) {
+	m.t.Helper()
+	for i := range disks {
+		m.disks[i] = disks[i].Copy()
+	}
+	for i := range m.running {
+		if i != measuredKeeper {
+			m.startMeasured(i)
+		}
+	}
+	m.untilMet(0, needlessKeeper)
+}
+
+// measurePush starts the keeper while both others run, until it pushes.
+func (m *measuredRig) measurePush(version uint64) (read, sent int64, took time.Duration) {
+	m.t.Helper()
+	before := m.counter.sent.Load()
+	began := time.Now()
+	m.startMeasured(measuredKeeper)
+	read = m.folders[measuredKeeper].read.Load()
+	until(m.t, "it listens", func() bool { return m.call(measuredKeeper, "GET", "/status", "", nil).code == 200 })
+	process := m.raw(measuredKeeper, "p")
+	for {
+		update := get(m.t, process.pushes, "a push")
+		process.ack(update.Number)
+		if update.Version == version {
+			return read, m.counter.sent.Load() - before, time.Since(began)
+		}
+	}
+}
+
+// measureVote starts the keeper while one of the others runs, until that one has contact with a majority.
+func (m *measuredRig) measureVote() time.Duration {
+	m.t.Helper()
+	m.kill(needlessKeeper)
+	k := m.running[0].k
+	until(m.t, "one alone has no contact", func() bool { return !k.inContact() })
+	began := time.Now()
+	m.startMeasured(measuredKeeper)
+	until(m.t, "the vote gives contact", k.inContact)
+	return time.Since(began)
+}
+
+// slope is that of the line of least squares through some points.
+func slope(x, y []float64) float64 {
+	var meanX, meanY, covariance, variance float64
+	for i := range x {
+		meanX += x[i] / float64(len(x))
+		meanY += y[i] / float64(len(y))
+	}
+	for i := range x {
+		covariance += (x[i] - meanX) * (y[i] - meanY)
+		variance += (x[i] - meanX) * (x[i] - meanX)
+	}
+	return covariance / variance
+}
+
+// TestSlope fits a line.
+func TestSlope(t *testing.T) {
+	if got := slope([]float64{0, 1, 2, 5}, []float64{3, 5, 7, 13}); got != 2 {
+		t.Errorf("%v, not 2", got)
+	}
+}
+
+// TestRestartCostsNoMoreAfterManyChanges compares a keeper that was away for no change with one that was away for some: what it reads
+// and is sent is bounded by the size of the state. RESTART_CHANGES=1 measures it for up to 400 changes of up to 1 MB.
+func TestRestartCostsNoMoreAfterManyChanges(t *testing.T) {
+	if os.Getenv("RESTART_CHANGES") != "" {
+		measureRestarts(t)
+		return
+	}
+	const (
+		away  = 30
+		size  = 64 << 10
+		times = 6 // that each of two others may tell of the state, in links that meet and in what was changed meanwhile
+		small = 128 << 10
+	)
+	cost := measureRestart(t, away, size)
+	t.Logf("%+v", cost)
+	if most := int64(times*size + small); cost.sent > most {
+		t.Errorf("it was sent %d bytes, over %d, after %d changes of %d", cost.sent, most, away, size)
+	}
+	if cost.read > rewriteAbove+times*size {
+		t.Errorf("it read %d bytes", cost.read)
+	}
+}
+
+// measureRestarts prints the table of docs/agreement.md.
+func measureRestarts(t *testing.T) {
+	counts := []int{0, 100, 200, changes}
+	for _, size := range []int{4 << 10, 64 << 10, 1 << 20} {
+		var away, read, sent, votes, pushes []float64
+		for _, count := range counts {
+			cost := measureRestart(t, count, size)
+			t.Logf("| %d kB | %d | %.0f | %.0f | %.0f | %.0f |", size>>10, count, float64(cost.read)/1024, float64(cost.sent)/1024,
+				cost.votes.Seconds()*1000, cost.pushes.Seconds()*1000)
+			away, read, sent = append(away, float64(count)), append(read, float64(cost.read)), append(sent, float64(cost.sent))
+			votes, pushes = append(votes, cost.votes.Seconds()*1000), append(pushes, cost.pushes.Seconds()*1000)
+		}
+		t.Logf("| %d kB | a change | %.2f | %.2f | %.2f | %.2f |", size>>10, slope(away, read)/1024, slope(away, sent)/1024, slope(away, votes), slope(away, pushes))
+	}
+}
