--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -23,6 +23,13 @@
 		{"a name with a blank", `{"fleet":"f","nodes":[` + two + `,{"name":"c d","address":"127.0.0.3:1"}]}`, "no name of a node"},
 		{"no port", `{"fleet":"f","nodes":[` + two + `,{"name":"c","address":"127.0.0.3"}]}`, "no IPv4 address with a port"},
 		{"a host's name", `{"fleet":"f","nodes":[` + two + `,{"name":"c","address":"host:1"}]}`, "no IPv4 address with a port"},
+		{"leases", `{"fleet":"f","nodes":[` + two + `],"leases":{"voters":["a"],"longest_s":3600,"most":10000}}`, ""},
+		{"two voters", `{"fleet":"f","nodes":[` + two + `],"leases":{"voters":["a","b"]}}`, "2 voters: 1, 3 or 5"},
+		{"a voter that is no node", `{"fleet":"f","nodes":[` + two + `],"leases":{"voters":["c"]}}`, `"c" is to be a voter and is no node`},
+		{"a lease too short", `{"fleet":"f","nodes":[` + two + `],"leases":{"voters":["a"],"longest_s":0.5}}`, "longest_s of 0.5"},
+		{"a lease too long", `{"fleet":"f","nodes":[` + two + `],"leases":{"voters":["a"],"longest_s":3601}}`, "longest_s of 3601"},
+		{"too many leases", `{"fleet":"f","nodes":[` + two + `],"leases":{"voters":["a"],"most":10001}}`, "most of 10001"},
+		{"copies without leases", `{"fleet":"f","nodes":[` + two + `],"copies":{}}`, "copies need leases"},
 		{"too long", `{"fleet":"` + strings.Repeat("f", maxFile) + `"}`, "longer than"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
