Node: calls, lists of endpoints, the console and the configuration in short functions

Connecting, recording the attempts, broken calls, bundles, new and missing endpoints, and reading the environment and the settings are functions of their own, and the console's methods are a table.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -151,86 +151,121 @@
 	}()
 }
 
+// run makes one call: it connects, records the attempts, sends, and takes in the answer.
 func (c *caller) run(ctx context.Context, k *call) {
 	ctx, cancel := context.WithDeadline(ctx, k.started.Add(k.limit))
 	defer cancel()
 	ctx, end := c.copies.whileOurs(ctx, k)
 	defer end()
-	conn, err := k.endpoint.pool.Take(ctx)
-	switch {
-	case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone): // it says nothing of the endpoint
-		c.log.Debug("call: not sent", "endpoint", k.endpoint.name, "err", err)
-		c.endAll(k, policy.Moot, 0, false)
-		return
-	case err != nil:
-		c.log.Debug("call: no connection", "endpoint", k.endpoint.name, "err", err)
-		c.endAll(k, policy.Unreachable, 0, false)
+	conn := c.connect(ctx, k)
+	if conn == nil {
 		return
 	}
 	now := time.Now()
-	// Between the module's decision and now the connection was made. What was told
-	// in the meantime binds this call too, and it has not been sent.
+	// The connection was made after the module's decision. What was learned in the meantime applies to this call too,
+	// because it has not been sent.
 	if !c.mayCall(k.endpoint) || !c.copies.maySend(k) {
-		conn.Done(upstream.Unused)
-		c.endAll(k, policy.Moot, 0, false)
+		c.notSent(k, conn)
 		return
 	}
-	for _, p := range k.parts {
-		if err := p.message.Home().Attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
-			c.log.Warn("call: not sent", "id", p.message.ID, "err", err)
-			conn.Done(upstream.Unused)
-			c.endAll(k, policy.Moot, 0, false)
-			return
-		}
-		p.attempted = true
+	if !c.recordAttempts(k, now) {
+		c.notSent(k, conn)
+		return
 	}
 	if err := c.settled(k); err != nil {
 		c.log.Warn("call: not sent", "endpoint", k.endpoint.name, "err", err)
-		conn.Done(upstream.Unused)
-		c.endAll(k, policy.Moot, 0, false)
+		c.notSent(k, conn)
 		return
 	}
-	for _, p := range k.parts {
-		if p.timeout < k.limit {
-			t := time.AfterFunc(p.timeout-time.Since(k.started), func() { c.end(k, p, policy.TimedOut, 0, false) })
-			defer t.Stop()
-		}
-	}
+	defer c.limitParts(k)()
 	req, err := k.request(ctx)
 	if err != nil {
-		conn.Done(upstream.Unused)
 		c.log.Error("call: no request", "err", err)
-		c.endAll(k, policy.Moot, 0, false)
+		c.notSent(k, conn)
 		return
 	}
 	resp, err := conn.Send(ctx, req)
 	if err != nil {
-		// Given back before the outcome is told: the slot and the endpoint must be free
-		// of this call when the next one goes out.
-		late := errors.Is(ctx.Err(), context.DeadlineExceeded)
-		if late {
-			conn.Done(upstream.GaveUp)
-		} else {
-			conn.Done(upstream.Broken)
-		}
-		var broke *upstream.CallError
-		sent := !errors.As(err, &broke) || broke.Sent
-		switch {
-		case len(k.parts) == 1 && broke != nil && broke.Delivered:
-			c.endAll(k, policy.Delivered, 0, false)
-		case !sent:
-			c.endAll(k, policy.Unreachable, 0, false)
-		case late:
-			c.endAll(k, policy.TimedOut, 0, false)
-		default:
-			c.log.Debug("call: broken", "endpoint", k.endpoint.name, "err", err)
-			c.endAll(k, policy.Reset, 0, false)
-		}
+		c.broken(ctx, k, conn, err)
 		return
 	}
 	c.answered(ctx, k, conn, resp)
 }
 
+// connect returns a connection to the endpoint of a call. Without one it ends the call and returns nil.
+func (c *caller) connect(ctx context.Context, k *call) *upstream.Conn {
+	conn, err := k.endpoint.pool.Take(ctx)
+	switch {
+	case errors.Is(err, upstream.ErrBusy), errors.Is(err, upstream.ErrGone): // it says nothing of the endpoint
+		c.log.Debug("call: not sent", "endpoint", k.endpoint.name, "err", err)
+		c.endAll(k, policy.Moot, 0, false)
+		return nil
+	case err != nil:
+		c.log.Debug("call: no connection", "endpoint", k.endpoint.name, "err", err)
+		c.endAll(k, policy.Unreachable, 0, false)
+		return nil
+	}
+	return conn
+}
+
+// notSent gives back the connection of a call that was not sent, and ends the call.
+func (c *caller) notSent(k *call, conn *upstream.Conn) {
+	conn.Done(upstream.Unused)
+	c.endAll(k, policy.Moot, 0, false)
+}
+
+// recordAttempts records an attempt at each message of a call, and reports whether all were recorded.
+func (c *caller) recordAttempts(k *call, at time.Time) bool {
+	for _, p := range k.parts {
+		if err := p.message.Home().Attempt(p.message, k.endpoint.name, k.endpoint.zone, at); err != nil {
+			c.log.Warn("call: not sent", "id", p.message.ID, "err", err)
+			return false
+		}
+		p.attempted = true
+	}
+	return true
+}
+
+// limitParts ends the messages of a call that time out before the call itself does. The function that it returns stops
+// the timers.
+func (c *caller) limitParts(k *call) (stop func()) {
+	var timers []*time.Timer
+	for _, p := range k.parts {
+		if p.timeout < k.limit {
+			timers = append(timers, time.AfterFunc(p.timeout-time.Since(k.started), func() { c.end(k, p, policy.TimedOut, 0, false) }))
+		}
+	}
+	return func() {
+		for _, timer := range timers {
+			timer.Stop()
+		}
+	}
+}
+
+// broken ends a call that got no answer. The connection is given back before the outcome is told: the slot and the
+// endpoint must be free of this call when the next one goes out.
+func (c *caller) broken(ctx context.Context, k *call, conn *upstream.Conn, err error) {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if late {
+		conn.Done(upstream.GaveUp)
+	} else {
+		conn.Done(upstream.Broken)
+	}
+	var broke *upstream.CallError
+	sent := !errors.As(err, &broke) || broke.Sent
+	switch {
+	case len(k.parts) == 1 && broke != nil && broke.Delivered:
+		c.endAll(k, policy.Delivered, 0, false)
+	case !sent:
+		c.endAll(k, policy.Unreachable, 0, false)
+	case late:
+		c.endAll(k, policy.TimedOut, 0, false)
+	default:
+		c.log.Debug("call: broken", "endpoint", k.endpoint.name, "err", err)
+		c.endAll(k, policy.Reset, 0, false)
+	}
+}
+
 // mayCall tells whether a call may go out at this moment: a process that stood still may
 // find that its share of the node has run out.
 func (c *caller) mayCall(e *endpoint) bool {
@@ -316,35 +351,45 @@
 			c.cohort.tell(newsWait, k.endpoint.name, waitNews{group.Clock() + wait})
 		}
 	}
-	bundle := len(k.parts) > 1 && resp.StatusCode == http.StatusOK
-	if !bundle {
-		outcome, over := c.single(k, resp)
-		if outcome == policy.Delivered { // whatever comes behind the first line
-			c.endAll(k, outcome, wait, over)
-		}
-		drain, cancel := context.WithTimeout(ctx, drainAnswer)
-		defer cancel()
-		_, err := conn.Body(drain, resp, maxAnswer)
-		end := endOf(err)
-		if err == nil && outcome == policy.Full && wait == 0 {
-			end = upstream.Full
-		}
-		conn.Done(end)
-		if err != nil || !waitOK {
-			// Only an answer that can be read proves that nothing ran.
-			c.log.Debug("call: unreadable answer", "endpoint", k.endpoint.name, "status", resp.Status, "err", err)
-			outcome, over = policy.Failed, false
-		}
+	if len(k.parts) > 1 && resp.StatusCode == http.StatusOK {
+		c.answeredBundle(ctx, k, conn, resp, wait)
+	} else {
+		c.answeredSingle(ctx, k, conn, resp, wait, waitOK)
+	}
+}
+
+// answeredSingle takes in an answer that is one for all messages of a call.
+func (c *caller) answeredSingle(ctx context.Context, k *call, conn *upstream.Conn, resp *http.Response, wait time.Duration, waitOK bool) {
+	outcome, over := c.single(k, resp)
+	if outcome == policy.Delivered { // whatever comes behind the first line
 		c.endAll(k, outcome, wait, over)
-		return
 	}
-	var ends map[string]string // none, if the answer can't be read
+	drain, cancel := context.WithTimeout(ctx, drainAnswer)
+	defer cancel()
+	_, err := conn.Body(drain, resp, maxAnswer)
+	end := endOf(err)
+	if err == nil && outcome == policy.Full && wait == 0 {
+		end = upstream.Full
+	}
+	conn.Done(end)
+	if err != nil || !waitOK {
+		// Only an answer that can be read proves that nothing ran.
+		c.log.Debug("call: unreadable answer", "endpoint", k.endpoint.name, "status", resp.Status, "err", err)
+		outcome, over = policy.Failed, false
+	}
+	c.endAll(k, outcome, wait, over)
+}
+
+// answeredBundle takes in an answer that has an end for each message of a bundle. Messages that it leaves out may have
+// run.
+func (c *caller) answeredBundle(ctx context.Context, k *call, conn *upstream.Conn, resp *http.Response, wait time.Duration) {
+	var ends map[string]string // empty if the answer can't be read
 	body, err := conn.Body(ctx, resp, maxAnswer)
 	if err == nil {
 		ends = readEnds(body)
 	}
 	conn.Done(endOf(err))
-	lost := policy.Failed // an answer that leaves a message out: it may have run
+	lost := policy.Failed // the outcome of messages that are left out
 	if err != nil {
 		lost = policy.Reset
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -353,21 +398,26 @@
 		c.log.Warn("call: unreadable answer", "endpoint", k.endpoint.name, "err", err)
 	}
 	for _, p := range k.parts {
-		switch ends[p.message.ID] {
-		case "done":
-			c.end(k, p, policy.Delivered, wait, false)
-		case "failed":
-			c.end(k, p, policy.Failed, wait, false)
-		case "busy":
-			c.end(k, p, policy.Full, wait, false)
-		case "void":
-			c.end(k, p, policy.Moot, wait, true)
-		case "used_up":
-			c.end(k, p, policy.Moot, wait, false)
-		default:
-			c.end(k, p, lost, wait, false)
-		}
+		outcome, over := bundledOutcome(ends[p.message.ID], lost)
+		c.end(k, p, outcome, wait, over)
+	}
+}
+
+// bundledOutcome returns what the end of a message in a bundle's answer means, and whether the message is over.
+func bundledOutcome(end string, lost policy.Outcome) (outcome policy.Outcome, over bool) {
+	switch end {
+	case "done":
+		return policy.Delivered, false
+	case "failed":
+		return policy.Failed, false
+	case "busy":
+		return policy.Full, false
+	case "void":
+		return policy.Moot, true
+	case "used_up":
+		return policy.Moot, false
 	}
+	return lost, false
 }
 
 // endOf tells what reading an answer to its end says of the connection.
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -287,6 +287,10 @@
 			}
 		})
 	}
+}
+
+// TestTornAnswers has endpoints close the connection within the head of an answer.
+func TestTornAnswers(t *testing.T) {
 	for answer, want := range map[string]policy.Outcome{
 		"what?\r\n\r\n":                  policy.Reset,
 		"HTTP/1.1 20":                    policy.Reset,
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -108,28 +108,8 @@
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		DiskBytes: int64(f.Limits.DiskMB * 1e6), PeerBind: f.PeerListen, PeersAll: f.PeersAll, Known: f.Known,
 	}
-	for name, field := range map[string]*string{
-		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_CONSOLE": &c.Console} {
-		if v := env(name); v != "" {
-			*field = v
-		}
-	}
-	addresses := map[string]string{"PROXY_LISTEN": c.Listen, "PROXY_DISCOVERY": c.Discovery}
-	if c.Console != "" {
-		addresses["PROXY_CONSOLE"] = c.Console
-	}
-	for name, value := range addresses {
-		if _, err := netip.ParseAddrPort(value); err != nil {
-			return Config{}, fmt.Errorf("%s: %w", name, err)
-		}
-	}
-	if v := env("PROXY_ACCEPT_FD"); v != "" {
-		if c.AcceptFD, err = strconv.Atoi(v); err != nil || c.AcceptFD < 3 {
-			return Config{}, fmt.Errorf("PROXY_ACCEPT_FD: %q is no descriptor that can be inherited", v)
-		}
-	}
-	if c.State == "" {
-		return Config{}, errors.New("PROXY_STATE is not set")
+	if err := c.readEnvironment(env); err != nil {
+		return Config{}, err
 	}
 	if c.DiskBytes < journal.MinDisk {
 		return Config{}, fmt.Errorf("limits.disk_mb is %v, less than a journal needs", f.Limits.DiskMB)
@@ -146,28 +126,68 @@
 		}
 		c.Peers = append(c.Peers, a)
 	}
-	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
+	if err := c.readSettings(f.Settings); err != nil {
 		return Config{}, err
 	}
+	return c, nil
+}
+
+// readEnvironment takes in the variables of the platform, and checks the addresses and the state folder.
+func (c *Config) readEnvironment(env func(string) string) (err error) {
+	for name, field := range map[string]*string{
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_CONSOLE": &c.Console} {
+		if value := env(name); value != "" {
+			*field = value
+		}
+	}
+	addresses := map[string]string{"PROXY_LISTEN": c.Listen, "PROXY_DISCOVERY": c.Discovery}
+	if c.Console != "" {
+		addresses["PROXY_CONSOLE"] = c.Console
+	}
+	for name, value := range addresses {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if value := env("PROXY_ACCEPT_FD"); value != "" {
+		if c.AcceptFD, err = strconv.Atoi(value); err != nil || c.AcceptFD < 3 {
+			return fmt.Errorf("PROXY_ACCEPT_FD: %q is no descriptor that can be inherited", value)
+		}
+	}
+	if c.State == "" {
+		return errors.New("PROXY_STATE is not set")
+	}
+	return nil
+}
+
+// defaultIdleClose is how long a connection may be idle where the settings do not say it.
+const defaultIdleClose = 15 * time.Second
+
+// readSettings takes in the settings, with the part of them that only a real node needs.
+func (c *Config) readSettings(text json.RawMessage) error {
+	var err error
+	if c.Settings, err = wire.DecodeSettings(text); err != nil {
+		return err
+	}
 	var n settingNames
-	if err := json.Unmarshal(f.Settings, &n); err != nil {
-		return Config{}, fmt.Errorf("unreadable settings: %w", err)
+	if err := json.Unmarshal(text, &n); err != nil {
+		return fmt.Errorf("unreadable settings: %w", err)
 	}
 	classes := make([]string, len(n.Classes))
-	for i, k := range n.Classes {
-		if k.Name == "" {
-			return Config{}, fmt.Errorf("unreadable settings: class %d has no name", i)
+	for i, class := range n.Classes {
+		if class.Name == "" {
+			return fmt.Errorf("unreadable settings: class %d has no name", i)
 		}
-		classes[i] = k.Name
+		classes[i] = class.Name
 	}
 	c.Me = n.Me
 	c.Names = names{classes: index(classes), kinds: index(n.MachineTypes), zones: index(n.FailureDomains)}
 	c.IdleClose = time.Duration(n.PolicyLimits.IdleCloseUs) * time.Microsecond
 	c.AskEvery = time.Duration(n.Obligations.AskEveryUs) * time.Microsecond
 	if c.IdleClose <= 0 {
-		c.IdleClose = 15 * time.Second
+		c.IdleClose = defaultIdleClose
 	}
-	return c, nil
+	return nil
 }
 
 func readConfig(path string) (configFile, error) {
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -82,15 +82,29 @@
 	close(c.up)
 }
 
-// ServeHTTP answers one call: 2xx is yes, all else is no.
+// consoleMethods are the methods of the console's calls by path.
+var consoleMethods = map[string]string{
+	"/ops/readiness": http.MethodGet,
+	"/ops/pools":     http.MethodGet,
+	"/ops/journal":   http.MethodGet,
+	"/ops/group":     http.MethodGet,
+	"/ops/fleet":     http.MethodGet,
+	"/ops/leases":    http.MethodGet,
+	"/ops/copies":    http.MethodGet,
+
+	"/ops/endpoints/down": http.MethodPut,
+	"/ops/endpoints/up":   http.MethodPut,
+	"/ops/fleet/remove":   http.MethodPut,
+	"/ops/leases/voters":  http.MethodPut,
+	"/ops/leases/recover": http.MethodPut,
+	"/ops/leases/take":    http.MethodPut,
+	"/ops/leases/give":    http.MethodPut,
+}
+
+// ServeHTTP answers one call: a status of 2xx means yes, any other no.
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var method string
-	switch r.URL.Path {
-	case "/ops/readiness", "/ops/pools", "/ops/journal", "/ops/group", "/ops/fleet", "/ops/leases", "/ops/copies":
-		method = http.MethodGet
-	case "/ops/endpoints/down", "/ops/endpoints/up", "/ops/fleet/remove", "/ops/leases/voters", "/ops/leases/recover", "/ops/leases/take", "/ops/leases/give":
-		method = http.MethodPut
-	default:
+	method, known := consoleMethods[r.URL.Path]
+	if !known {
 		http.Error(w, "no such call", http.StatusNotFound)
 		return
 	}
@@ -99,36 +113,41 @@
 		http.Error(w, method+" only", http.StatusMethodNotAllowed)
 		return
 	}
-	var status int
-	var text string
+	if method == http.MethodGet && r.URL.Path != "/ops/readiness" {
+		c.show(w, r)
+		return
+	}
+	status, text := c.carryOut(w, r)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	fmt.Fprintln(w, text)
+}
+
+// show answers a call that asks for a part of the node's state.
+func (c *console) show(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/ops/pools":
 		c.shows(w, func(l *loop) any { return l.caller.pools.Stats(maxPools) })
-		return
 	case "/ops/journal":
 		c.shows(w, func(l *loop) any { return l.journal.Status() })
-		return
 	case "/ops/group":
 		if c.cohort == nil {
 			http.Error(w, "this process is in no group", http.StatusNotFound)
 			return
 		}
 		c.shows(w, func(*loop) any { return c.cohort.status() })
-		return
 	case "/ops/fleet":
 		if c.fleet == nil {
 			http.Error(w, errNoFleet.Error(), http.StatusNotFound)
 			return
 		}
 		c.shows(w, func(*loop) any { return c.fleet.Status() })
-		return
 	case "/ops/copies":
 		if !c.copied {
 			http.Error(w, errNoCopies.Error(), http.StatusNotFound)
 			return
 		}
 		c.shows(w, func(*loop) any { return c.copies.keeper.Status() })
-		return
 	case "/ops/leases":
 		if c.leases == nil {
 			http.Error(w, errNoLeases.Error(), http.StatusNotFound)
@@ -137,25 +156,26 @@
 		ctx, cancel := context.WithTimeout(r.Context(), consoleAnswer)
 		defer cancel()
 		c.shows(w, func(*loop) any { return c.leases.Status(ctx) })
-		return
+	}
+}
+
+// carryOut answers readiness and the calls that change something.
+func (c *console) carryOut(w http.ResponseWriter, r *http.Request) (status int, text string) {
+	switch r.URL.Path {
 	case "/ops/leases/voters", "/ops/leases/recover", "/ops/leases/take", "/ops/leases/give":
-		status, text = c.orderLeases(r.Context(), r.URL.Path, http.MaxBytesReader(w, r.Body, maxOrder))
+		return c.orderLeases(r.Context(), r.URL.Path, http.MaxBytesReader(w, r.Body, maxOrder))
 	case "/ops/fleet/remove":
-		status, text = c.removeMember(http.MaxBytesReader(w, r.Body, maxOrder))
+		return c.removeMember(http.MaxBytesReader(w, r.Body, maxOrder))
 	case "/ops/readiness":
-		status, text = c.readiness()
-	default:
-		id, err := orderedHost(http.MaxBytesReader(w, r.Body, maxOrder))
-		if err != nil {
-			status, text = http.StatusBadRequest, err.Error()
-			break
-		}
-		status, text = c.order(id, r.URL.Path == "/ops/endpoints/down")
-		c.log.Info("console", "call", r.URL.Path, "host", id, "status", status, "text", text)
+		return c.readiness()
 	}
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(status)
-	fmt.Fprintln(w, text)
+	id, err := orderedHost(http.MaxBytesReader(w, r.Body, maxOrder))
+	if err != nil {
+		return http.StatusBadRequest, err.Error()
+	}
+	status, text = c.order(id, r.URL.Path == "/ops/endpoints/down")
+	c.log.Info("console", "call", r.URL.Path, "host", id, "status", status, "text", text)
+	return status, text
 }
 
 // shows answers with figures of the node, once it has any.
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -120,81 +120,102 @@
 	c := Config{AskEvery: askEvery}
 	c.Settings.Senders, c.Settings.MustSubscribe = nodes, true
 	synctest.Test(t, func(t *testing.T) {
-		d := &shortOfRoom{work: 64 * time.Millisecond, born: time.Now()}
-		var mu sync.Mutex
-		knows := make([]int64, nodes)
-		calls := 0
-		last := make([]time.Time, nodes)
+		fleet := &askingFleet{t: t, config: c, discovery: &shortOfRoom{work: 64 * time.Millisecond, born: time.Now()},
+			knows: make([]int64, nodes), last: make([]time.Time, nodes)}
 		ctx, cancel := context.WithCancel(context.Background())
-		start := func(ctx context.Context, n int) {
-			mu.Lock()
-			known := knows[n]
-			mu.Unlock()
-			one := newDiscovery(newAgent("127.0.0.1:1"), known, discoveryTurn(c), quietLog(), func(l list) {
-				mu.Lock()
-				defer mu.Unlock()
-				knows[n] = l.Revision
-			})
-			one.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
-				mu.Lock()
-				calls++
-				if gap := time.Since(last[n]); gap > askEvery {
-					t.Errorf("node %d asked after %v only", n, gap)
-				}
-				mu.Unlock()
-				resp, err := d.RoundTrip(r)
-				mu.Lock()
-				last[n] = time.Now()
-				mu.Unlock()
-				return resp, err
-			})
-			go one.run(ctx)
-		}
 		killed, kill := context.WithCancel(ctx)
 		for n := range nodes {
-			mu.Lock()
-			last[n] = time.Now()
-			mu.Unlock()
+			fleet.mu.Lock()
+			fleet.last[n] = time.Now()
+			fleet.mu.Unlock()
 			if n < restarted {
-				start(killed, n)
+				fleet.start(killed, n)
 			} else {
-				start(ctx, n)
+				fleet.start(ctx, n)
 			}
 		}
 		time.Sleep(13 * time.Second)
 		kill()
 		time.Sleep(1500 * time.Millisecond)
 		for n := range restarted {
-			start(ctx, n)
-		}
-		behind, most := 0.0, 0.0
-		for range 43 {
-			time.Sleep(500 * time.Millisecond)
-			mu.Lock()
-			now := d.revision()
-			for _, k := range knows {
-				behind += float64(now-k) / 43 / nodes
-				most = max(most, float64(now-k))
-			}
-			mu.Unlock()
+			fleet.start(ctx, n)
 		}
-		mu.Lock()
+		behind, most := fleet.watch(43)
+		fleet.mu.Lock()
 		late := 0
-		for _, k := range knows {
+		for _, k := range fleet.knows {
 			if k < 15 {
 				late++
 			}
 		}
-		d.mu.Lock()
-		failed := d.failed
-		d.mu.Unlock()
+		calls, failed := fleet.calls, fleet.discovery.failures()
+		fleet.mu.Unlock()
 		t.Logf("%d calls, %d in vain, %d nodes lack the last change after 8 s; %.1f changes behind in the mean, %.0f at the most",
 			calls, failed, late, behind, most)
 		if failed > calls/4 || late > nodes/20 {
 			t.Errorf("%d of %d calls in vain; %d of %d nodes lack the last change after 8 s", failed, calls, late, nodes)
 		}
-		mu.Unlock()
 		cancel()
 		time.Sleep(time.Minute)
 	})
 }
+
+// askingFleet is nodes that ask the same discovery.
+type askingFleet struct {
+	t         *testing.T
+	config    Config
+	discovery *shortOfRoom
+
+	mu    sync.Mutex
+	knows []int64     // the revision that each node knows
+	last  []time.Time // when each node was answered last
+	calls int
+}
+
+// start has a node ask until the context ends.
+func (f *askingFleet) start(ctx context.Context, n int) {
+	f.mu.Lock()
+	known := f.knows[n]
+	f.mu.Unlock()
+	one := newDiscovery(newAgent("127.0.0.1:1"), known, discoveryTurn(f.config), quietLog(), func(l list) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.knows[n] = l.Revision
+	})
+	one.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+		f.mu.Lock()
+		f.calls++
+		if gap := time.Since(f.last[n]); gap > f.config.AskEvery {
+			f.t.Errorf("node %d asked after %v only", n, gap)
+		}
+		f.mu.Unlock()
+		resp, err := f.discovery.RoundTrip(r)
+		f.mu.Lock()
+		f.last[n] = time.Now()
+		f.mu.Unlock()
+		return resp, err
+	})
+	go one.run(ctx)
+}
+
+// watch looks every half second, so many times, how many changes the nodes are behind, in the mean and at the most.
+func (f *askingFleet) watch(looks int) (behind, most float64) {
+	for range looks {
+		time.Sleep(500 * time.Millisecond)
+		f.mu.Lock()
+		now := f.discovery.revision()
+		for _, k := range f.knows {
+			behind += float64(now-k) / float64(looks) / float64(len(f.knows))
+			most = max(most, float64(now-k))
+		}
+		f.mu.Unlock()
+	}
+	return behind, most
+}
+
+// failures returns how many calls were refused.
+func (s *shortOfRoom) failures() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -207,79 +207,102 @@
 	for _, m := range in.Members {
 		// The same at all nodes, so that they can tell each other of it.
 		id := policy.EndpointID(hash(m.ID))
-		e := l.endpoints[id]
-		var state policy.EndpointState
-		switch m.Phase {
-		case "active":
-			state = policy.Ready
-		case "leaving":
-			state = policy.Draining
-		case "left":
-			state = policy.Gone
-		default:
-			l.log.Warn("discovery: unknown phase, nothing changes", "id", m.ID, "phase", m.Phase)
-			if e != nil {
-				// The module takes what a whole list leaves out for gone.
-				state = policy.Ready
-				if e.leaves.closedFrom.Load() != 0 {
-					state = policy.Draining
-				}
-				named[id] = true
-				out.Entries = append(out.Entries, l.entry(e, m, state))
-			}
+		entry, ok := l.listedOne(id, m)
+		if !ok {
 			continue
 		}
-		if e == nil {
-			if state != policy.Ready {
-				// An earlier life may have been told that it drains, and the grace
-				// may be over: one that is first heard of as leaving gets nothing.
-				continue
-			}
-			kind, okKind := l.names.kinds[m.Flavor]
-			zone, okZone := l.names.zones[m.Locality]
-			if !okKind || !okZone || m.ID == "" || m.Cell < 0 {
-				l.log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality)
-				continue
-			}
-			e = &endpoint{id: id, name: m.ID, dest: m.Cell, kind: kind, zone: zone, leaves: &gate{}, waits: &gate{}}
-			if kind >= len(l.settings.Kinds) || !l.settings.Kinds[kind].RoutesApart {
-				if l.waits[m.Cell] == nil {
-					l.waits[m.Cell] = e.waits
-				}
-				e.waits = l.waits[m.Cell]
-			}
-			l.endpoints[id] = e
-			if l.journal.Barred(e.name) {
-				e.barred.Store(true)
-				l.orders = append(l.orders, policy.Ordered{Endpoint: id, Out: true})
-			}
+		named[id] = true
+		out.Entries = append(out.Entries, entry)
+	}
+	if in.Complete {
+		l.leaveOut(named)
+	}
+	return out
+}
+
+// phases are the module's names of the phases in discovery's lists.
+var phases = map[string]policy.EndpointState{"active": policy.Ready, "leaving": policy.Draining, "left": policy.Gone}
+
+// listedOne takes in one entry of a list, and returns what the module is told of it, if anything.
+func (l *loop) listedOne(id policy.EndpointID, m member) (policy.Entry, bool) {
+	e := l.endpoints[id]
+	state, known := phases[m.Phase]
+	if !known {
+		l.log.Warn("discovery: unknown phase, nothing changes", "id", m.ID, "phase", m.Phase)
+		return l.unchanged(e, m)
+	}
+	if e == nil {
+		if state != policy.Ready {
+			// An earlier process may have been told that it drains, and the grace
+			// may be over: one that is first heard of as leaving gets nothing.
+			return policy.Entry{}, false
 		}
-		if state != policy.Gone {
-			e.addr = m.HostPort
-			e.pool = l.caller.pools.Endpoint(upstream.Endpoint{Name: e.name, Addr: e.addr, Since: m.UpSince, MayWarm: e.mayWarm})
+		if e = l.newEndpoint(id, m); e == nil {
+			return policy.Entry{}, false
 		}
-		named[id] = true
-		e.last = m
-		l.setLeaving(e, state != policy.Ready)
-		l.recordLeaving(e, state != policy.Ready)
-		out.Entries = append(out.Entries, l.entry(e, m, state))
-		if state == policy.Gone {
-			e.pool.Leave()
-			l.forgetGone(e)
+	}
+	if state != policy.Gone {
+		e.addr = m.HostPort
+		e.pool = l.caller.pools.Endpoint(upstream.Endpoint{Name: e.name, Addr: e.addr, Since: m.UpSince, MayWarm: e.mayWarm})
+	}
+	e.last = m
+	l.setLeaving(e, state != policy.Ready)
+	l.recordLeaving(e, state != policy.Ready)
+	entry := l.entry(e, m, state)
+	if state == policy.Gone {
+		e.pool.Leave()
+		l.forgetGone(e)
+	}
+	return entry, true
+}
+
+// unchanged returns the entry of an endpoint as the module knows it, because the module takes what a whole list leaves
+// out for gone.
+func (l *loop) unchanged(e *endpoint, m member) (policy.Entry, bool) {
+	if e == nil {
+		return policy.Entry{}, false
+	}
+	state := policy.Ready
+	if e.leaves.closedFrom.Load() != 0 {
+		state = policy.Draining
+	}
+	return l.entry(e, m, state), true
+}
+
+// newEndpoint adds an endpoint that is listed for the first time; nil if its entry makes no sense.
+func (l *loop) newEndpoint(id policy.EndpointID, m member) *endpoint {
+	kind, okKind := l.names.kinds[m.Flavor]
+	zone, okZone := l.names.zones[m.Locality]
+	if !okKind || !okZone || m.ID == "" || m.Cell < 0 {
+		l.log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality)
+		return nil
+	}
+	e := &endpoint{id: id, name: m.ID, dest: m.Cell, kind: kind, zone: zone, leaves: &gate{}, waits: &gate{}}
+	if kind >= len(l.settings.Kinds) || !l.settings.Kinds[kind].RoutesApart {
+		if l.waits[m.Cell] == nil {
+			l.waits[m.Cell] = e.waits
 		}
+		e.waits = l.waits[m.Cell]
 	}
-	if in.Complete {
-		for id, e := range l.endpoints {
-			if !named[id] {
-				e.last.Phase = "left"
-				l.setLeaving(e, true)
-				l.recordLeaving(e, true)
-				e.pool.Leave()
-				l.forgetGone(e)
-			}
+	l.endpoints[id] = e
+	if l.journal.Barred(e.name) {
+		e.barred.Store(true)
+		l.orders = append(l.orders, policy.Ordered{Endpoint: id, Out: true})
+	}
+	return e
+}
+
+// leaveOut takes the endpoints that a whole list does not name for gone.
+func (l *loop) leaveOut(named map[policy.EndpointID]bool) {
+	for id, e := range l.endpoints {
+		if !named[id] {
+			e.last.Phase = "left"
+			l.setLeaving(e, true)
+			l.recordLeaving(e, true)
+			e.pool.Leave()
+			l.forgetGone(e)
 		}
 	}
-	return out
 }
 
 // forgetGone drops an endpoint that is no longer listed, once no call to it is out. The
