--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -88,92 +88,32 @@
 }
 
 func (b *bench) play(t *testing.T, d *datadriven.TestData) *bench {
-	arg := func(key string) string {
-		for _, a := range d.CmdArgs {
-			if a.Key == key && len(a.Vals) > 0 {
-				return a.Vals[0]
-			}
-		}
-		return ""
-	}
-	number := func(key string, otherwise int) int {
-		if v := arg(key); v != "" {
-			n, err := strconv.Atoi(v)
-			if err != nil {
-				t.Fatal(err)
-			}
-			return n
-		}
-		return otherwise
-	}
+	c := command{t, d}
 	switch d.Cmd {
 	case "new":
 		b = newBench(Settings{})
-		b.c.senders = number("senders", 1)
+		b.c.senders = c.number("senders", 1)
 		b.snap.Senders = b.c.senders
-		b.snap.Config.Services["s"].MaxConns = number("conns", 0)
+		b.snap.Config.Services["s"].MaxConns = c.number("conns", 0)
 	case "endpoint":
-		v := &view.Endpoint{ID: d.CmdArgs[0].Key, Service: "s", Zone: "a", Capacity: number("slots", 4),
-			ColdLeftMs: number("cold", 0)}
-		if z := arg("zone"); z != "" {
-			v.Zone = z
-		}
-		if m := arg("model"); m != "" {
-			v.Models = []view.Model{{Name: m}}
-		}
-		switch arg("state") {
-		case "draining":
-			v.State = view.Draining
-		case "gone":
-			v.State = view.Gone
-		}
-		list := slices.DeleteFunc(slices.Clone(b.snap.Endpoints["s"]), func(o *view.Endpoint) bool { return o.ID == v.ID })
-		b.snap.Endpoints["s"] = append(list, v)
-		b.c.update(b.snap)
+		b.playEndpoint(c)
 	case "remove":
 		b.snap.Endpoints["s"] = slices.DeleteFunc(slices.Clone(b.snap.Endpoints["s"]),
 			func(o *view.Endpoint) bool { return o.ID == d.CmdArgs[0].Key })
 		b.c.update(b.snap)
 	case "ask":
-		for _, a := range d.CmdArgs {
-			if len(a.Vals) > 0 {
-				continue
-			}
-			r := &Request{ID: a.Key, Model: arg("model"), Bulk: number("bulk", 0) == 1,
-				Route: &operator.Route{Kind: operator.Kind(number("kind", 0)), TargetMs: number("aim", 400), Priority: number("priority", 0)}}
-			if v := arg("avoid"); v != "" {
-				r.Avoid = strings.Split(v, "+")
-			}
-			b.ask(r)
-		}
+		b.playAsk(c)
 	case "deadline": // moves that of one in the hold
 		w := b.wait[d.CmdArgs[0].Key]
 		p := b.c.pool("s")
 		p.hold = slices.DeleteFunc(p.hold, func(o *waiter) bool { return o == w })
-		w.deadline = b.c.now + time.Duration(number("ms", 0))*time.Millisecond
+		w.deadline = b.c.now + time.Duration(c.number("ms", 0))*time.Millisecond
 		i, _ := slices.BinarySearchFunc(p.hold, w, before)
 		p.hold = slices.Insert(p.hold, i, w)
 	case "end":
-		o := Served
-		l := Load{}
-		for name, v := range outcomes {
-			if slices.ContainsFunc(d.CmdArgs, func(a datadriven.CmdArg) bool { return a.Key == name }) {
-				o = v
-			}
-		}
-		if v := arg("load"); v != "" {
-			if _, err := fmt.Sscanf(v, "%d/%d/%d", &l.Running, &l.Waiting, &l.Slots); err != nil {
-				t.Fatal(err)
-			}
-			l.Known = true
-		}
-		for _, a := range d.CmdArgs {
-			if r := b.runs[a.Key]; r != nil && len(a.Vals) == 0 {
-				b.c.end(r, o, l)
-			}
-		}
+		b.playEnd(c)
 	case "pass":
-		left := time.Duration(number("ms", 0)) * time.Millisecond
+		left := time.Duration(c.number("ms", 0)) * time.Millisecond
 		for ; left > 0; left -= 5 * time.Millisecond {
 			b.pass(min(left, 5*time.Millisecond))
 		}
@@ -182,3 +122,88 @@
 	}
 	return b
 }
+
+// command is one command of a test file.
+type command struct {
+	t *testing.T
+	*datadriven.TestData
+}
+
+// arg returns the value of an argument, or an empty string.
+func (c command) arg(key string) string {
+	for _, a := range c.CmdArgs {
+		if a.Key == key && len(a.Vals) > 0 {
+			return a.Vals[0]
+		}
+	}
+	return ""
+}
+
+// number returns the value of an argument, or otherwise if there is none.
+func (c command) number(key string, otherwise int) int {
+	text := c.arg(key)
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return n
+}
+
+// playEndpoint adds an endpoint to the snapshot, or replaces it.
+func (b *bench) playEndpoint(c command) {
+	v := &view.Endpoint{ID: c.CmdArgs[0].Key, Service: "s", Zone: "a", Capacity: c.number("slots", 4), ColdLeftMs: c.number("cold", 0)}
+	if zone := c.arg("zone"); zone != "" {
+		v.Zone = zone
+	}
+	if model := c.arg("model"); model != "" {
+		v.Models = []view.Model{{Name: model}}
+	}
+	switch c.arg("state") {
+	case "draining":
+		v.State = view.Draining
+	case "gone":
+		v.State = view.Gone
+	}
+	list := slices.DeleteFunc(slices.Clone(b.snap.Endpoints["s"]), func(o *view.Endpoint) bool { return o.ID == v.ID })
+	b.snap.Endpoints["s"] = append(list, v)
+	b.c.update(b.snap)
+}
+
+// playAsk asks for each request that the command names.
+func (b *bench) playAsk(c command) {
+	for _, a := range c.CmdArgs {
+		if len(a.Vals) > 0 {
+			continue
+		}
+		r := &Request{ID: a.Key, Model: c.arg("model"), Bulk: c.number("bulk", 0) == 1,
+			Route: &operator.Route{Kind: operator.Kind(c.number("kind", 0)), TargetMs: c.number("aim", 400), Priority: c.number("priority", 0)}}
+		if avoid := c.arg("avoid"); avoid != "" {
+			r.Avoid = strings.Split(avoid, "+")
+		}
+		b.ask(r)
+	}
+}
+
+// playEnd ends the runs that the command names.
+func (b *bench) playEnd(c command) {
+	outcome, load := Served, Load{}
+	for name, v := range outcomes {
+		if slices.ContainsFunc(c.CmdArgs, func(a datadriven.CmdArg) bool { return a.Key == name }) {
+			outcome = v
+		}
+	}
+	if text := c.arg("load"); text != "" {
+		if _, err := fmt.Sscanf(text, "%d/%d/%d", &load.Running, &load.Waiting, &load.Slots); err != nil {
+			c.t.Fatal(err)
+		}
+		load.Known = true
+	}
+	for _, a := range c.CmdArgs {
+		if r := b.runs[a.Key]; r != nil && len(a.Vals) == 0 {
+			b.c.end(r, outcome, load)
+		}
+	}
+}
