Replica: two wrong lines build again after the split

After work.go and renew were split, two wrong lines left an unused import and an unused variable, so that they would have failed to build instead of being played: "the adopter forgets what is over" and "an owner keeps what another has". What stands in their place uses both now and is as wrong as before.

--- a/internal/replica/wrong_test.go
+++ b/internal/replica/wrong_test.go
@@ -29,8 +29,8 @@
 	{"copies that do not answer stay", "source.go", "(well(name) || now-s.followers[name].heardAt <= holderPatience) {", "true {"},
 	{"any copy proves that a charge was not sent", "takeover.go", "found.current || noted && f.Complete && f.Token == n.Token && slices.Contains(n.Holders, name)\n", "found.current || name != \"\"\n"},
 	{"a charge is sent with no copy of its attempt", "work_wait.go", "return at >= wait.version, nil", "return at >= 0, nil"},
-	{"the adopter forgets what is over", "takeover.go", "\terr = w.journal.NoteOver(slices.Sorted(maps.Keys(found.over)))\n", ""},
-	{"an owner keeps what another has", "work_recover.go", "\t\tcase known[m.ID]:\n\t\t\tgone = append(gone, m)\n\t\tcase !answered", "\t\tcase !answered"},
+	{"the adopter forgets what is over", "takeover.go", "\terr = w.journal.NoteOver(slices.Sorted(maps.Keys(found.over)))\n", "\t_ = slices.Sorted(maps.Keys(found.over))\n"},
+	{"an owner keeps what another has", "work_recover.go", "\t\tcase known[m.ID]:\n\t\t\tgone = append(gone, m)\n\t\tcase !answered", "\t\tcase len(known) < 0:\n\t\tcase !answered"},
 	{"a folder from before is taken for the last", "work.go", "behind := w.own && (w.behind || w.place.Since == 0 && noted || w.place.Noted && !noted)", "behind := false"},
 	{"a log that was taken over is gone on with", "work.go", "if noted && (n.Writer != k.o.Name || n.Done) && !w.isSettled() {", "if false {"},
 }
