--- a/internal/journal/damage_test.go
+++ b/internal/journal/damage_test.go
@@ -241,25 +241,7 @@
 			dir := t.TempDir()
 			four(t, dir)
 			c.spoil(t, dir)
-			report, err := Check(Dir(dir), MinDisk)
-			must(t, err)
-			if report.Damaged() != c.damaged || report.Owed != c.owed {
-				t.Errorf("damaged %v and %d owed, want %v and %d: %+v", report.Damaged(), report.Owed, c.damaged, c.owed, report.Problems)
-			}
-			first := ""
-			for start := range 2 {
-				j, owed, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: true})
-				must(t, err)
-				if start == 0 {
-					first = state(j, owed)
-				} else if second := state(j, owed); second != first || len(j.recovery.report.Problems) > 0 {
-					t.Errorf("then %s and %+v, first %s", second, j.recovery.report.Problems, first)
-				}
-				if len(owed) != c.owed || len(j.aside) != c.aside {
-					t.Errorf("%d owed and %d set aside, want %d and %d", len(owed), len(j.aside), c.owed, c.aside)
-				}
-				must(t, j.Close())
-			}
+			startTwice(t, dir, c.damaged, c.owed, c.aside)
 			if files := names(t, dir); strings.Contains(files, checkpointName) {
 				t.Errorf("left over: %s", files)
 			}
@@ -267,6 +249,30 @@
 	}
 }
 
+// startTwice checks what a folder is reported to have, and that a second start finds the same as the first, and no problem.
+func startTwice(t *testing.T, dir string, damaged bool, owedThen, aside int) {
+	t.Helper()
+	report, err := Check(Dir(dir), MinDisk)
+	must(t, err)
+	if report.Damaged() != damaged || report.Owed != owedThen {
+		t.Errorf("damaged %v and %d owed, want %v and %d: %+v", report.Damaged(), report.Owed, damaged, owedThen, report.Problems)
+	}
+	first := ""
+	for start := range 2 {
+		j, owed, err := Open(Options{Folder: Dir(dir), Limit: MinDisk, Sync: true})
+		must(t, err)
+		if start == 0 {
+			first = state(j, owed)
+		} else if second := state(j, owed); second != first || len(j.recovery.report.Problems) > 0 {
+			t.Errorf("then %s and %+v, first %s", second, j.recovery.report.Problems, first)
+		}
+		if len(owed) != owedThen || len(j.aside) != aside {
+			t.Errorf("%d owed and %d set aside, want %d and %d", len(owed), len(j.aside), owedThen, aside)
+		}
+		must(t, j.Close())
+	}
+}
+
 func names(t *testing.T, dir string) string {
 	files, err := os.ReadDir(dir)
 	must(t, err)
--- a/internal/journal/power_test.go
+++ b/internal/journal/power_test.go
@@ -272,18 +272,11 @@
 	at := time.UnixMicro(1764600000000000)
 	var open []*Message
 	for i := range p.rounds {
-		id := fmt.Sprintf("s%d", i)
-		if i%2 == 1 {
-			id = fmt.Sprintf("c%d", i)
-		}
-		m := &Message{ID: id, Deadline: at.Add(time.Hour), Body: make([]byte, 20+i*37%400)}
-		for k := range m.Body {
-			m.Body[k] = byte(i + k)
-		}
+		m := scripted(i, at.Add(time.Hour))
 		if err := j.Take(m); err != nil {
 			return err
 		}
-		w.taken[id] = true
+		w.taken[m.ID] = true
 		if i > 3 { // the first ones stay, and have to be moved on
 			open = append(open, m)
 		}
@@ -300,44 +293,66 @@
 			}
 		}
 		if len(open) > p.hold {
-			m, k := open[0], open[0]
-			open = open[1:]
-			if m.Past.MayRun {
-				w.done[m.ID] = true // delivered; this is on record when it may
-				if err := j.Closed(m, "e1", at); err != nil {
-					return err
-				}
-			} else {
-				if err := j.Ended(k, NewNotice(k.ID, true, 0)); err != nil {
-					return err
-				}
-				if charge(k.ID) { // its client may hand it in again
-					if err := j.Sync(); err != nil {
-						return err
-					}
-				}
-				w.done[m.ID] = true
-				if err := j.Closed(k, "", at); err != nil {
-					return err
-				}
+			if err := w.end(j, open[0], at); err != nil {
+				return err
 			}
+			open = open[1:]
 		}
 		if i%7 == 3 {
-			name, out := fmt.Sprintf("e%d", i%3), i%2 == 0
-			w.orders[name] = true
-			delete(w.out, name) // until it is settled, either may hold
-			if err := j.Order(name, out, at); err != nil {
+			if err := w.order(j, i, at); err != nil {
 				return err
 			}
-			if err := j.Sync(); err != nil {
-				return err
-			}
-			w.out[name] = out
 		}
 	}
 	return nil
 }
 
+// scripted returns the message of a round.
+func scripted(round int, deadline time.Time) *Message {
+	id := fmt.Sprintf("s%d", round)
+	if round%2 == 1 {
+		id = fmt.Sprintf("c%d", round)
+	}
+	m := &Message{ID: id, Deadline: deadline, Body: make([]byte, 20+round*37%400)}
+	for k := range m.Body {
+		m.Body[k] = byte(round + k)
+	}
+	return m
+}
+
+// end ends a message: as delivered if it may have run, else with a notice that its client may come again.
+func (w *world) end(j *Journal, m *Message, at time.Time) error {
+	if m.Past.MayRun {
+		w.done[m.ID] = true // delivered; this is on record when it may
+		return j.Closed(m, "e1", at)
+	}
+	if err := j.Ended(m, NewNotice(m.ID, true, 0)); err != nil {
+		return err
+	}
+	if charge(m.ID) { // its client may hand it in again
+		if err := j.Sync(); err != nil {
+			return err
+		}
+	}
+	w.done[m.ID] = true
+	return j.Closed(m, "", at)
+}
+
+// order has the staff take an endpoint out or let it serve again.
+func (w *world) order(j *Journal, round int, at time.Time) error {
+	name, out := fmt.Sprintf("e%d", round%3), round%2 == 0
+	w.orders[name] = true
+	delete(w.out, name) // until it is settled, either may hold
+	if err := j.Order(name, out, at); err != nil {
+		return err
+	}
+	if err := j.Sync(); err != nil {
+		return err
+	}
+	w.out[name] = out
+	return nil
+}
+
 // owes checks what a start finds against what the world knows.
 func (w *world) owes(j *Journal, owed []*Message, what string) {
 	w.t.Helper()
