Keeper and store: the calls that change the table are written once

Cause: Keeper.joined and Keeper.stopping were one loop twice, as were proposeTable's change, reportJoined and reportStopping of the store, and the lists of numbers in the table's and the reports' messages; their bodies were written and read field by field at both ends.

Change: PartJoined and StoreStopping are typed messages of internal/control (same bytes); tableStep and answerStep change the table for a call; internal/keeper/table.go has what concerns the table, moved out of duty.go.

--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -63,14 +63,14 @@
 		RoomBytes: int64(s.Limits.DiskMB) << 20 / 100 * jobsLogPercent,
 		Ready: func(part int, epoch uint64) {
 			go func() {
-				if err := reportJoined(attached, client, part, epoch); err != nil {
+				if err := reportToKeeper(attached, client, control.Joined, control.PartJoined{Part: part, Epoch: epoch}.Encode()); err != nil {
 					p.log.Warn("part not switched", "part", part, "epoch", epoch, "err", err)
 				}
 			}()
 		},
 		AnnounceStopping: func(store uint64, stopping bool) {
 			go func() {
-				if err := reportStopping(attached, client, store, stopping); err != nil {
+				if err := reportToKeeper(attached, client, control.Stopping, control.StoreStopping{Store: store, Stopping: stopping}.Encode()); err != nil {
 					p.log.Warn("stopping not announced", "stopping", stopping, "err", err)
 				}
 			}()
--- a/cmd/dunetide/store_control.go
+++ b/cmd/dunetide/store_control.go
@@ -17,24 +17,11 @@
 	handOverWait = 2 * time.Second
 )
 
-// reportJoined tells a keeper that the next group of a part has all of it.
-func reportJoined(ctx context.Context, client *control.Client, part int, epoch uint64) error {
-	w := link.Writer{}
-	w.Int(part)
-	w.U64(epoch)
+// reportToKeeper sends a keeper a call that the store has to be sure of.
+func reportToKeeper(ctx context.Context, client *control.Client, kind link.Kind, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, reportWait)
 	defer cancel()
-	return client.Report(ctx, control.Joined, w.B)
-}
-
-// reportStopping tells a keeper whether a store is about to stop.
-func reportStopping(ctx context.Context, client *control.Client, store uint64, stopping bool) error {
-	w := link.Writer{}
-	w.U64(store)
-	w.Bool(stopping)
-	ctx, cancel := context.WithTimeout(ctx, reportWait)
-	defer cancel()
-	return client.Report(ctx, control.Stopping, w.B)
+	return client.Report(ctx, kind, body)
 }
 
 // handOver gives the lead of the store's parts to others before the process ends.
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -132,20 +132,14 @@
 
 // AppendTable writes the table of the batch parts.
 func AppendTable(w *link.Writer, t *view.Table) {
-	ids := func(list []uint64) {
-		w.U32(uint32(len(list)))
-		for _, id := range list {
-			w.U64(id)
-		}
-	}
 	w.U64(t.Number)
 	w.U32(uint32(len(t.Parts)))
 	for _, p := range t.Parts {
 		w.U64(p.Epoch)
 		w.U64(p.Primary)
-		ids(p.Copies)
-		ids(p.Joining)
-		ids(p.Leaving)
+		appendNumbers(w, p.Copies)
+		appendNumbers(w, p.Joining)
+		appendNumbers(w, p.Leaving)
 	}
 	stores := make([]uint64, 0, len(t.Stores))
 	for id := range t.Stores {
@@ -181,15 +175,9 @@
 
 // ReadTable takes a table out of a message.
 func ReadTable(r *link.Reader) *view.Table {
-	ids := func() (list []uint64) {
-		for range r.Count(8) {
-			list = append(list, r.U64())
-		}
-		return list
-	}
 	t := &view.Table{Number: r.U64(), Stores: map[uint64]view.Store{}, Retiring: map[uint64]bool{}, Stopping: map[uint64]bool{}}
 	for range r.Count(28) {
-		t.Parts = append(t.Parts, view.Part{Epoch: r.U64(), Primary: r.U64(), Copies: ids(), Joining: ids(), Leaving: ids()})
+		t.Parts = append(t.Parts, view.Part{Epoch: r.U64(), Primary: r.U64(), Copies: readNumbers(r), Joining: readNumbers(r), Leaving: readNumbers(r)})
 	}
 	for range r.Count(21) {
 		s := view.Store{ID: r.U64(), Name: r.String(), Addr: r.String(), Zone: r.String()}
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -78,17 +78,14 @@
 func (k *Keeper) proposeTable(now time.Time, stores map[uint64]view.Store) {
 	a := &k.assigner
 	alive, isLost := k.storesAt(now, stores)
-	if _, changed := batch.Assign(k.parts, alive, isLost, partCount, k.o.Settings.SurviveMachines); !changed {
+	var assign tableStep = func(cur *view.Table) (*view.Table, bool) {
+		return batch.Assign(cur, alive, isLost, partCount, k.o.Settings.SurviveMachines)
+	}
+	if _, changed := assign(k.parts); !changed {
 		return
 	}
 	a.running, a.proposed = true, now
-	k.changeTable(func(cur *view.Table) (*view.Table, error) {
-		next, changed := batch.Assign(cur, alive, isLost, partCount, k.o.Settings.SurviveMachines)
-		if !changed {
-			return nil, agree.ErrUnchanged
-		}
-		return next, nil
-	}, func(err error) {
+	k.changeTable(assign.orUnchanged, func(err error) {
 		k.post(func() { a.running = false })
 		k.log.Info("table proposed", "err", err)
 		if err != nil && err != agree.ErrUnchanged {
@@ -97,24 +94,6 @@
 	})
 }
 
-// changeTable changes the agreed table; done is called from the registers' goroutine.
-func (k *Keeper) changeTable(change func(cur *view.Table) (*view.Table, error), done func(error)) {
-	k.agree.propose(tableRegister, 2*time.Second, func(cur agree.State) (agree.State, error) {
-		t, err := tableOf(cur)
-		if err != nil {
-			return cur, err
-		}
-		next, err := change(t)
-		if err != nil {
-			return cur, err
-		}
-		w := link.Writer{}
-		control.AppendTable(&w, next)
-		cur.Value = w.B
-		return cur, nil
-	}, func(_ agree.State, err error) { done(err) })
-}
-
 // askLease asks the voters for the lease of a duty when it is due.
 func (k *Keeper) askLease(now time.Time, name string, lease *duty.Candidate) {
 	voters := k.leaseVoters()
@@ -188,62 +167,6 @@
 	return w.B
 }
 
-// joined takes the word of a store that it has all of a part.
-func (k *Keeper) joined(m *link.Message) {
-	r := link.Reader{B: m.Body}
-	part, epoch := r.Int(), r.U64()
-	if r.Err != nil {
-		m.Fail("%v", r.Err)
-		return
-	}
-	k.changeTable(func(cur *view.Table) (*view.Table, error) {
-		next, changed := batch.Switch(cur, part, epoch)
-		if !changed {
-			return nil, agree.ErrUnchanged
-		}
-		return next, nil
-	}, func(err error) {
-		if err != nil && err != agree.ErrUnchanged {
-			m.Fail("%v", err)
-			return
-		}
-		m.Reply(nil)
-	})
-}
-
-// stopping notes that a store is about to stop, or that it runs again.
-func (k *Keeper) stopping(m *link.Message) {
-	r := link.Reader{B: m.Body}
-	store, stopping := r.U64(), r.Bool()
-	if r.Err != nil {
-		m.Fail("%v", r.Err)
-		return
-	}
-	k.changeTable(func(cur *view.Table) (*view.Table, error) {
-		next, changed := batch.SetStopping(cur, store, stopping)
-		if !changed {
-			return nil, agree.ErrUnchanged
-		}
-		return next, nil
-	}, func(err error) {
-		if err != nil && err != agree.ErrUnchanged {
-			m.Fail("%v", err)
-			return
-		}
-		m.Reply(nil)
-	})
-}
-
-// tableOf reads the register's value; nil before the first table.
-func tableOf(s agree.State) (*view.Table, error) {
-	if len(s.Value) == 0 {
-		return nil, nil
-	}
-	r := link.Reader{B: s.Value}
-	t := control.ReadTable(&r)
-	return t, r.Err
-}
-
 // storesAt are the stores that are attached, and whether one has been away for too long.
 func (k *Keeper) storesAt(now time.Time, stores map[uint64]view.Store) ([]view.Store, func(uint64) bool) {
 	lost := map[uint64]bool{}
