Contact: Holds has no second name; a lease without contact is tested again

Cause: Gate.MayServe was Tracker.Holds under another name. The wrong line "a lease granted without contact" named code that has changed and stood nowhere any more; put back, no test found it, as the caller in TestCallsWithoutContact is no voter and is refused for that.

Change: MayServe is gone, its comment is with Gate. grantLease is what leaseAsked decides, with a test of its own (TestLeaseNeedsContact), which the wrong line's run includes. The model's wrong line on MayServe now puts the same mistake into Holds.

--- a/internal/contact/gate.go
+++ b/internal/contact/gate.go
@@ -5,7 +5,8 @@
 // AttachReadEvery is how far apart reads for processes that attach begin at least.
 const AttachReadEvery = 20 * time.Millisecond
 
-// Gate decides what a keeper may say: to callers, and to processes that attach to it, which are its keys.
+// Gate decides what a keeper may say: to callers, and to processes that attach to it, which are its keys. Nothing may be
+// acknowledged, refused for what is known, granted or pushed of registers unless contact Holds.
 //
 // A process that attaches has no value of the registers that the keeper could compare with, so it is handed none
 // before a read that began after it attached. From then on versions only grow for it, and contact is enough.
@@ -29,12 +30,9 @@
 // Detach forgets a process.
 func (g *Gate[K]) Detach(key K) { delete(g.confirmed, key) }
 
-// MayServe tells whether anything may be acknowledged, refused for what is known, granted or pushed of registers.
-func (g *Gate[K]) MayServe(now time.Duration) bool { return g.Holds(now) }
-
 // MayHandOut tells whether a process may be pushed what the registers hold.
 func (g *Gate[K]) MayHandOut(now time.Duration, key K) bool {
-	return g.MayServe(now) && g.confirmed[key]
+	return g.Holds(now) && g.confirmed[key]
 }
 
 // ReadDelay is how long it takes until the next read for those who have attached; not ok: none is needed.
--- a/internal/contact/model_test.go
+++ b/internal/contact/model_test.go
@@ -337,7 +337,7 @@
 
 // beat is a heartbeat; with news, it is acknowledged after a wait.
 func (k *modelKeeper) beat(news bool) {
-	if !k.gate.MayServe(k.clock()) {
+	if !k.gate.Holds(k.clock()) {
 		k.m.refused++
 		return
 	}
@@ -349,7 +349,7 @@
 }
 
 func (k *modelKeeper) acknowledge() {
-	if !k.gate.MayServe(k.clock()) {
+	if !k.gate.Holds(k.clock()) {
 		k.m.refused++
 		return
 	}
@@ -488,11 +488,11 @@
 	{"contact for life", "tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 }"},
 	{"serving without a majority after 3 s", "tracker.go", "return t.advance(now) < t.until }", "return t.advance(now) < t.until || now > 3*time.Second }"},
 	{"a question that failed counts", "tracker.go", "	if !ok {\n		t.nextAsk", "	if !ok && t.until < 0 {\n		t.nextAsk"},
-	{"the first push without a new read", "gate.go", "	return g.MayServe(now) && g.confirmed[key]\n", "	return g.MayServe(now)\n"},
+	{"the first push without a new read", "gate.go", "	return g.Holds(now) && g.confirmed[key]\n", "	return g.Holds(now)\n"},
 	{"a read that failed counts for who has attached", "gate.go", "		case ok:\n", "		case ok || confirmed == ok:\n"},
 	{"a read that had begun before counts", "barrier.go", "	keys := b.reading\n	b.reading, b.busy = nil, false\n", "	keys := append(b.reading, b.waiting...)\n	b.reading, b.waiting, b.busy = nil, nil, false\n"},
-	{"acknowledged without contact", "gate.go", "MayServe(now time.Duration) bool { return g.Holds(now) }", "MayServe(now time.Duration) bool { return g.Holds(now) || g.HeldFor(now) == 0 }"},
-	{"handed out without contact", "gate.go", "	return g.MayServe(now) && g.confirmed[key]\n", "	return g.confirmed[key]\n"},
+	{"acknowledged without contact", "tracker.go", "return t.advance(now) < t.until }", "return t.advance(now) >= 0 }"},
+	{"handed out without contact", "gate.go", "	return g.Holds(now) && g.confirmed[key]\n", "	return g.confirmed[key]\n"},
 }
 
 // Each wrong line is found by the model. This takes a while, so it is asked for: CONTACT_WRONG=1, or a part of a name.
--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -43,7 +43,7 @@
 	w := link.Writer{}
 	k.self.Append(&w)
 	w.Bool(k.agree.id != 0)
-	w.Bool(k.contact.MayServe(k.since(time.Now())))
+	w.Bool(k.contact.Holds(k.since(time.Now())))
 	if node.Role == control.RoleKeeper {
 		if node.Name == k.self.Name {
 			m.Fail("that is this keeper itself")
--- a/internal/keeper/contact.go
+++ b/internal/keeper/contact.go
@@ -29,7 +29,7 @@
 	}
 	k.beginAttachRead(now)
 	k.contactUntil.Store(int64(k.contact.Until()))
-	if holds := k.contact.MayServe(now); holds != k.hadContact {
+	if holds := k.contact.Holds(now); holds != k.hadContact {
 		k.hadContact = holds
 		k.contactChanged(now)
 	}
@@ -111,6 +111,6 @@
 // contactBody tells whether this keeper is in contact, for processes that look for one that is.
 func (k *Keeper) contactBody() []byte {
 	w := link.Writer{}
-	w.Bool(k.contact.MayServe(k.since(time.Now())))
+	w.Bool(k.contact.Holds(k.since(time.Now())))
 	return w.B
 }
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -39,10 +39,15 @@
 		return
 	}
 	w := link.Writer{}
-	w.Bool(k.contact.MayServe(k.since(now)) && k.mayGrant(now, holderID) && k.lease.Ask(k.since(now), name, holder))
+	w.Bool(k.grantLease(now, name, holder, holderID))
 	m.Reply(w.B)
 }
 
+// grantLease grants a lease to another keeper, if this one may and nobody else has it.
+func (k *Keeper) grantLease(now time.Time, name, holder string, holderID uint64) bool {
+	return k.contact.Holds(k.since(now)) && k.mayGrant(now, holderID) && k.lease.Ask(k.since(now), name, holder)
+}
+
 // assigner is the duty of placing the batch parts on stores.
 type assigner struct {
 	lease    *duty.Candidate
@@ -62,7 +67,7 @@
 	for id := range stores {
 		a.seen[id] = now
 	}
-	if k.contact.MayServe(k.since(now)) {
+	if k.contact.Holds(k.since(now)) {
 		k.askLease(now, dutyAssign, k.assigner.lease)
 	}
 	if held := a.lease.Holds(k.since(now)); held != a.held {
--- a/internal/keeper/endpoints.go
+++ b/internal/keeper/endpoints.go
@@ -101,7 +101,7 @@
 	now := time.Now()
 	before := k.table.Newest()
 	changed := change(now) || k.table.Newest() != before // of another, whose address it has
-	res := registered{beatTo: k.beatTo(zone), noContact: !k.contact.MayServe(k.since(now))}
+	res := registered{beatTo: k.beatTo(zone), noContact: !k.contact.Holds(k.since(now))}
 	if _, there := k.table.Get(k.since(now), id); !there && !ends {
 		return registered{full: true}
 	}
--- a/internal/keeper/faults_test.go
+++ b/internal/keeper/faults_test.go
@@ -41,7 +41,7 @@
 	if k.contact.BeginRead(now) {
 		k.contact.ReadDone(true)
 	}
-	if !k.contact.MayServe(k.since(time.Now())) {
+	if !k.contact.Holds(k.since(time.Now())) {
 		t.Fatal("no contact")
 	}
 }
--- /dev/null
+++ b/internal/keeper/lease_test.go
@@ -0,0 +1,30 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"dunetide/internal/agree"
+	"dunetide/internal/contact"
+)
+
+// TestLeaseNeedsContact: a voter grants a lease to a voter only while it is in contact with a majority.
+func TestLeaseNeedsContact(t *testing.T) {
+	k := still(t, "k1")
+	const other = 7
+	k.agree.decided(configRegister, agree.State{Slot: k.agree.slots()[0], Voters: []agree.Voter{{ID: k.agree.id, Name: "k1"}, {ID: other, Name: "k2"}}})
+	now := k.life.Add(time.Minute)
+	if !k.mayGrant(now, other) {
+		t.Fatal("both vote")
+	}
+	if k.grantLease(now, "duty", "k2", other) {
+		t.Error("granted without contact")
+	}
+	k.contact.Confirmed(k.since(now), k.since(now))
+	if !k.grantLease(now, "duty", "k2", other) {
+		t.Error("refused in contact")
+	}
+	if later := now.Add(contact.Length); k.grantLease(later, "duty", "k2", other) {
+		t.Error("granted after contact has ended")
+	}
+}
--- a/internal/keeper/pushes.go
+++ b/internal/keeper/pushes.go
@@ -66,7 +66,7 @@
 func (k *Keeper) pushAll() {
 	k.dirty = false
 	now := time.Now()
-	inContact := k.contact.MayServe(k.since(now))
+	inContact := k.contact.Holds(k.since(now))
 	k.pushedListening, k.pushedChange = k.table.Listening(k.since(now)), k.table.Newest()
 	made := map[state]pushMessage{} // most lack the same
 	for c, p := range k.attached {
--- a/internal/keeper/reconfigure.go
+++ b/internal/keeper/reconfigure.go
@@ -45,7 +45,7 @@
 	d := &k.voterDuty
 	k.observeVoters(now)
 	k.sendChangedReport()
-	if k.contact.MayServe(k.since(now)) {
+	if k.contact.Holds(k.since(now)) {
 		k.askLease(now, dutyVoters, d.lease)
 	}
 	if held := d.lease.Holds(k.since(now)); held != d.held {
--- a/internal/keeper/wrong_test.go
+++ b/internal/keeper/wrong_test.go
@@ -15,7 +15,7 @@
 	{"contact not looked at again after a wait", "endpoints.go", "	case res.noContact || !k.inContact():\n", "	case res.noContact:\n"},
 	{"registers pushed without contact", "pushes.go", "	if inContact {\n		k.addRegisters(u, p)\n	}\n", "	k.addRegisters(u, p)\n"},
 	{"endpoints not pushed without contact", "pushes.go", "		if inContact && !k.contact.MayHandOut(k.since(now), c) {\n", "		if !k.contact.MayHandOut(k.since(now), c) {\n"},
-	{"a lease granted without contact", "duty.go", "w.Bool(k.contact.MayServe(k.since(now)) && k.lease.Ask(", "w.Bool(k.lease.Ask("},
+	{"a lease granted without contact", "duty.go", "return k.contact.Holds(k.since(now)) && k.mayGrant(now, holderID) && ", "return k.mayGrant(now, holderID) && "},
 	{"beat_to names a keeper without contact", "endpoints.go", " || !p.report.InContact {\n", " {\n"},
 	{"a report of a former life counts", "peers.go", "p.attached, p.differs, p.report = nil, 0, control.KeeperReport{}\n", "p.attached, p.differs = nil, 0\n"},
 	{"the attached are not told", "pushes.go", "p.inContact != inContact || ", ""},
@@ -31,6 +31,6 @@
 		t.Skip("KEEPER_WRONG is not set")
 	}
 	wrongline.Find(t, wrong, wrongline.Options{Only: only,
-		Args: []string{"-run", "TestCallsWithoutContact/both|TestProcessesMove|TestBeatTo|TestContactLost"},
+		Args: []string{"-run", "TestCallsWithoutContact/both|TestProcessesMove|TestBeatTo|TestContactLost|TestLeaseNeedsContact"},
 		Env:  []string{"KEEPER_WRONG="}, Within: 2 * time.Minute})
 }
