--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -79,17 +79,10 @@
 	}()
 	go func() {
 		defer wg.Done()
-		tick := time.NewTicker(time.Second)
-		defer tick.Stop()
-		for {
-			select {
-			case <-tick.C:
-				proxy.Tidy()
-				regulated.tell()
-			case <-ctx.Done():
-				return
-			}
-		}
+		everySecond(ctx, func() {
+			proxy.Tidy()
+			regulated.tell()
+		})
 	}()
 	served := make(chan error, 1)
 	go func() { served <- proxy.Serve(front) }()
@@ -105,3 +98,17 @@
 	_ = readyServer.Close()
 	return err
 }
+
+// everySecond calls until the context ends.
+func everySecond(ctx context.Context, call func()) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			call()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -56,7 +56,7 @@
 
 	mu     sync.Mutex
 	limit  int
-	told   map[uint64]int // the limit that each store was told
+	limits map[uint64]int // the limit that each store knows
 	conns  map[uint64]*link.Conn
 	jobs   map[itemKey]*running
 	parts  map[int]*holding // by part: whether its primary knows what is in hand here
@@ -85,7 +85,7 @@
 }
 
 func newWorkerSide(e *Edge) *workerSide {
-	return &workerSide{e: e, told: map[uint64]int{}, conns: map[uint64]*link.Conn{}, jobs: map[itemKey]*running{}, parts: map[int]*holding{}}
+	return &workerSide{e: e, limits: map[uint64]int{}, conns: map[uint64]*link.Conn{}, jobs: map[itemKey]*running{}, parts: map[int]*holding{}}
 }
 
 func (w *workerSide) close() {
@@ -129,10 +129,10 @@
 func (w *workerSide) attachAll() {
 	n := w.share()
 	for id, c := range w.conns {
-		if told, ok := w.told[id]; ok && told == n {
+		if known, ok := w.limits[id]; ok && known == n {
 			continue
 		}
-		w.told[id] = n
+		w.limits[id] = n
 		var b link.Writer
 		b.String(w.e.o.Name)
 		b.String(w.e.o.Zone)
@@ -145,7 +145,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.conns[id] = c
-	delete(w.told, id)
+	delete(w.limits, id)
 	w.attachAll()
 	w.hold()
 }
--- a/internal/keeper/attached.go
+++ b/internal/keeper/attached.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// stores are those attached to any keeper that is met.
+// stores are those attached to any keeper that is connected.
 func (k *Keeper) stores() map[uint64]view.Store {
 	all := map[uint64]view.Store{}
 	add := func(n control.Node) {
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	beatMost   = 64 << 10
+	bodyMost   = 64 << 10
 	configMost = 8 << 20
 	// proposeWait is below the second after which an operator goes on to another keeper.
 	proposeWait = 900 * time.Millisecond
@@ -37,13 +37,13 @@
 }
 
 var calls = []call{
-	{http.MethodPut, "/instances/", beatMost, (*Keeper).beat},
-	{http.MethodDelete, "/instances/", beatMost, (*Keeper).leave},
+	{http.MethodPut, "/instances/", bodyMost, (*Keeper).heartbeat},
+	{http.MethodDelete, "/instances/", bodyMost, (*Keeper).leave},
 	{http.MethodPut, "/config", configMost, (*Keeper).putConfig},
 	{http.MethodGet, "/config", 0, (*Keeper).getConfig},
 	{http.MethodPut, certificatesPath, certify.DocumentMost, (*Keeper).putCertificates},
 	{http.MethodGet, certificatesPath, 0, (*Keeper).getCertificates},
-	{http.MethodPost, "/retire/", beatMost, (*Keeper).postRetire},
+	{http.MethodPost, "/retire/", bodyMost, (*Keeper).postRetire},
 	{http.MethodGet, "/retire/", 0, (*Keeper).getRetire},
 	{http.MethodGet, "/status", 0, (*Keeper).getStatus},
 }
--- a/internal/keeper/certificates.go
+++ b/internal/keeper/certificates.go
@@ -57,7 +57,7 @@
 	routes("route regulated", s.Routes, old.Routes)
 }
 
-// putAnswer tells how far a document has come: whether all processes that are attached to any keeper that is met have
+// putAnswer tells how far a document has come: whether all processes that are attached to any keeper that is connected have
 // it in force, and within which time the others use none any more.
 type putAnswer struct {
 	Version  uint64 `json:"version"`
--- a/internal/keeper/endpoints.go
+++ b/internal/keeper/endpoints.go
@@ -27,7 +27,7 @@
 	} `json:"models"`
 }
 
-func (k *Keeper) beat(w http.ResponseWriter, id string, body []byte, _ *http.Request) {
+func (k *Keeper) heartbeat(w http.ResponseWriter, id string, body []byte, _ *http.Request) {
 	var h heartbeat
 	if err := json.Unmarshal(body, &h); err != nil {
 		refuse(w, http.StatusBadRequest, "a heartbeat must be JSON: "+err.Error())
--- a/internal/keeper/exchange.go
+++ b/internal/keeper/exchange.go
@@ -43,13 +43,13 @@
 // tellPeer tells one of them, again where its link broke and another one is there.
 func (k *Keeper) tellPeer(p *peer, list []registry.Entry, wait *waiter) {
 	conn := p.conn
-	var told func(err error)
-	told = func(err error) {
+	var answered func(err error)
+	answered = func(err error) {
 		if errors.Is(err, link.ErrClosed) && p.conn != nil && time.Now().Before(wait.until) {
 			if p.conn != conn {
 				k.tellPeer(p, list, wait)
 			} else { // the end of the link is not known here yet
-				time.AfterFunc(closedWait, func() { k.do(func() { told(err) }) })
+				time.AfterFunc(closedWait, func() { k.do(func() { answered(err) }) })
 			}
 			return
 		}
@@ -57,7 +57,7 @@
 			k.wakeWaiters(time.Now())
 		}
 	}
-	k.sendEntries(conn, list, told)
+	k.sendEntries(conn, list, answered)
 }
 
 func (k *Keeper) attachedBody() []byte {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -85,7 +85,7 @@
 	voterDuty        voterDuty
 	leaving          bool                 // it was told to end, and hands over
 	reportSent       control.KeeperReport // the newest
-	sentBeat         time.Time
+	sentHeartbeat    time.Time
 	dialling         map[string]bool
 	wanted           map[string]time.Time // addresses of keepers' links: when each may be dialled again
 	waiting          []*waiter
@@ -279,8 +279,8 @@
 		}
 		k.dirty = true
 	}
-	if now.Sub(k.sentBeat) >= time.Duration(k.o.Settings.BeatEveryMs)*time.Millisecond/2 {
-		k.sentBeat = now
+	if now.Sub(k.sentHeartbeat) >= time.Duration(k.o.Settings.BeatEveryMs)*time.Millisecond/2 {
+		k.sentHeartbeat = now
 		k.sendHeard(now)
 	}
 	k.wakeWaiters(now)
--- a/internal/keeper/table.go
+++ b/internal/keeper/table.go
@@ -66,12 +66,14 @@
 
 // stopping takes in that a store is about to stop, or that it runs again.
 func (k *Keeper) stopping(m *link.Message) {
-	told, err := control.ReadStoreStopping(m.Body)
+	report, err := control.ReadStoreStopping(m.Body)
 	if err != nil {
 		m.Fail("%v", err)
 		return
 	}
-	k.answerStep(m, func(cur *view.Table) (*view.Table, bool) { return batch.SetStopping(cur, told.Store, told.Stopping) })
+	k.answerStep(m, func(cur *view.Table) (*view.Table, bool) {
+		return batch.SetStopping(cur, report.Store, report.Stopping)
+	})
 }
 
 // tableOf reads the register's value; nil before the first table.
--- a/internal/keeper/troubles.go
+++ b/internal/keeper/troubles.go
@@ -22,28 +22,28 @@
 
 // reportedTrouble is a trouble of another process.
 type reportedTrouble struct {
-	node   control.Node
-	reason string
-	began  time.Time // when this keeper heard of it first
-	told   time.Time // when it was told last
+	node     control.Node
+	reason   string
+	began    time.Time // when this keeper heard of it first
+	reported time.Time // when it was told last
 }
 
 // troubleTable has those of other processes, as they tell them.
 type troubleTable map[processName]*reportedTrouble
 
 // take takes in what a process tells of itself. The word of a former life of it counts for nothing.
-func (t troubleTable) take(now time.Time, told control.Trouble) {
+func (t troubleTable) take(now time.Time, report control.Trouble) {
 	t.expire(now)
-	name := processName{told.Node.Role, told.Node.Name}
+	name := processName{report.Node.Role, report.Node.Name}
 	known := t[name]
 	switch {
-	case known != nil && known.node.Life > told.Node.Life:
-	case told.Reason == "":
+	case known != nil && known.node.Life > report.Node.Life:
+	case report.Reason == "":
 		delete(t, name)
 	case known != nil:
-		known.node, known.reason, known.told = told.Node, shortReason(told.Reason), now
+		known.node, known.reason, known.reported = report.Node, shortReason(report.Reason), now
 	case len(t) < troublesMost:
-		t[name] = &reportedTrouble{node: told.Node, reason: shortReason(told.Reason), began: now, told: now}
+		t[name] = &reportedTrouble{node: report.Node, reason: shortReason(report.Reason), began: now, reported: now}
 	}
 }
 
@@ -52,7 +52,7 @@
 // expire forgets what has not been told again: the process has ended, or reaches no keeper.
 func (t troubleTable) expire(now time.Time) {
 	for name, known := range t {
-		if now.Sub(known.told) > troubleLasts {
+		if now.Sub(known.reported) > troubleLasts {
 			delete(t, name)
 		}
 	}
@@ -72,18 +72,18 @@
 
 // troubleReported takes in the trouble of another process, and passes it on to the other keepers.
 func (k *Keeper) troubleReported(now time.Time, m *link.Message) {
-	told, err := control.ReadTrouble(m.Body)
+	report, err := control.ReadTrouble(m.Body)
 	if err != nil {
 		m.Fail("%v", err)
 		return
 	}
-	k.troubles.take(now, told)
+	k.troubles.take(now, report)
 	m.Reply(nil)
-	if told.Relayed {
+	if report.Relayed {
 		return
 	}
-	told.Relayed = true
-	body := told.Encode()
+	report.Relayed = true
+	body := report.Encode()
 	for _, p := range k.peers {
 		if p.conn != nil {
 			_ = p.conn.Send(control.ProcessTrouble, body)
