--- a/internal/keeper/endpoints.go
+++ b/internal/keeper/endpoints.go
@@ -27,7 +27,7 @@
 	} `json:"models"`
 }
 
-func (k *Keeper) beat(w http.ResponseWriter, id string, body []byte, _ *http.Request) {
+func (k *Keeper) heartbeat(w http.ResponseWriter, id string, body []byte, _ *http.Request) {
 	var h heartbeat
 	if err := json.Unmarshal(body, &h); err != nil {
 		refuse(w, http.StatusBadRequest, "a heartbeat must be JSON: "+err.Error())
@@ -101,7 +101,7 @@
 	now := time.Now()
 	before := k.table.Newest()
 	changed := change(now) || k.table.Newest() != before // of another, whose address it has
-	res := registered{beatTo: k.beatTo(zone), noContact: !k.contact.MayServe(k.since(now))}
+	res := registered{beatTo: k.beatTo(zone), noContact: !k.contact.Holds(k.since(now))}
 	if _, there := k.table.Get(k.since(now), id); !there && !ends {
 		return registered{full: true}
 	}
