--- a/internal/forward/account/play_test.go
+++ b/internal/forward/account/play_test.go
@@ -44,7 +44,36 @@
 		fmt.Fprintln(os.Stderr, serveAsEndpoint(description))
 		os.Exit(1)
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	if dir, err := programFolder(); err == nil {
+		_ = os.RemoveAll(dir) // in the system's folder for what may go
+	}
+	os.Exit(code)
+}
+
+// programFolder has the program of all tests.
+var programFolder = sync.OnceValues(func() (string, error) { return os.MkdirTemp("", "account-") })
+
+// build builds the program, once.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := programFolder()
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(dir, "dunetide")
+	if out, err := exec.Command("go", "build", "-o", file, "dunetide/cmd/dunetide").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building dunetide: %w\n%s", err, out)
+	}
+	return file, nil
+})
+
+func program(t *testing.T) string {
+	t.Helper()
+	file, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file
 }
 
 // slot is an address with the endpoint that has it.
@@ -111,11 +140,7 @@
 func startPlay(t *testing.T, seed uint64) *play {
 	t.Helper()
 	dir := t.TempDir()
-	program := filepath.Join(dir, "dunetide")
-	if out, err := exec.Command("go", "build", "-o", program, "dunetide/cmd/dunetide").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
-	c, err := cluster.New(cluster.Options{Program: program, Dir: filepath.Join(dir, "tier"), Zones: 1, Edges: proxies, Keepers: 2, Stores: 1,
+	c, err := cluster.New(cluster.Options{Program: program(t), Dir: filepath.Join(dir, "tier"), Zones: 1, Edges: proxies, Keepers: 2, Stores: 1,
 		BeatEvery: beatEvery, Grace: 3 * time.Second, Rules: "base,stream"})
 	if err != nil {
 		t.Fatal(err)
