Keepers: pushes over links that break at each byte

Cause: that a push cut by a broken link comes whole over the next one was not tested byte by byte. Change: a process attaches through relays that break behind a count of bytes; it has each version soon and goes back to none. The short tests wait for conditions on slow machines too.

--- a/internal/link/resend/calls_test.go
+++ b/internal/link/resend/calls_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"dunetide/internal/view"
 )
@@ -73,7 +75,7 @@
 // acknowledged, and one that is late takes nothing back.
 func TestHeartbeatCutAtEachByte(t *testing.T) {
 	k := startKeepers(t)
-	holder := k.attach()
+	holder, _ := k.attach()
 	eventually(t, "the process is attached", func() bool { s := holder.Get(); return s != nil && s.Listed })
 	beats := 0
 	beat := func(cutAt, read int) {
@@ -89,6 +91,7 @@
 		k.cutCall(at, drain, cutAt, read, beats%2 == 0)
 		if !whole {
 			k.untilStatus(at, http.StatusOK, http.MethodPut, path, "", heartbeat("ready", 1))
+			eventually(t, "it is known", func() bool { return stateOf(holder, "s", id) != view.Gone })
 			if got := stateOf(holder, "s", id); got != view.Ready {
 				t.Fatalf("cut at %d: it is %v", cutAt, got)
 			}
@@ -150,3 +153,57 @@
 	}
 	t.Logf("%d orders, %d links broken", version, k.relays.brokenLinks())
 }
+
+// follow follows the versions that an attached process holds, until it is stopped: they never go back.
+func follow(t *testing.T, holder *view.Holder) (newest func() uint64, stop func()) {
+	var held atomic.Uint64
+	stopped, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			s := holder.Get()
+			if s == nil || s.Config == nil {
+				continue
+			}
+			if before := held.Swap(s.Config.Version); before > s.Config.Version {
+				t.Errorf("version %d is held after %d", s.Config.Version, before)
+			}
+		}
+	}()
+	return held.Load, func() { close(stopped); <-ended }
+}
+
+// A push that a broken link cuts at any byte comes whole over the next link; a process that attaches has each version soon, and goes back
+// to none.
+func TestPushOverABrokenLink(t *testing.T) {
+	k := startKeepers(t)
+	k.untilStatus(0, http.StatusOK, http.MethodPut, "/config", "0", configuration(1, "a"))
+	version := 1
+	most, step := 700, 47
+	if everyByte() {
+		step = 2
+	}
+	for _, side := range []string{bytesTo, bytesFrom} {
+		for at := 0; at < most; at += step {
+			k.relays.breakAfter(attached, side, at)
+			holder, stopHolder := k.attach()
+			newest, stopFollowing := follow(t, holder)
+			eventually(t, "the process is attached", func() bool { return newest() == uint64(version) })
+			base := version
+			version++
+			k.untilStatus(version%keeperCount, http.StatusOK, http.MethodPut, "/config", fmt.Sprint(base), configuration(version, "a"))
+			eventually(t, "the process has the version", func() bool { return newest() == uint64(version) })
+			stopFollowing()
+			stopHolder()
+		}
+	}
+	if k.relays.brokenLinks() < version/4 {
+		t.Errorf("only %d links broke", k.relays.brokenLinks())
+	}
+	t.Logf("%d versions, %d links broken", version, k.relays.brokenLinks())
+}
--- a/internal/link/resend/keepers_test.go
+++ b/internal/link/resend/keepers_test.go
@@ -93,7 +93,7 @@
 	for j := range keeperCount {
 		s.Seeds = append(s.Seeds, k.controlAddress(j))
 	}
-	one, err := keeper.New(keeper.Options{Settings: s, Folder: disktest.New(), Log: hclog.NewNullLogger(), DialAddress: func(addr string) string {
+	one, err := keeper.New(keeper.Options{Settings: s, Folder: disktest.New(), Log: hclog.NewNullLogger(), PushWait: patience, DialAddress: func(addr string) string {
 		for j := range keeperCount {
 			if addr == k.linkAddress(j) {
 				return k.relays.address(i, j, addr)
@@ -120,20 +120,24 @@
 	})
 }
 
-// attach attaches a process to all keepers.
-func (k *keepers) attach() *view.Holder {
-	holder := &view.Holder{}
+// attached is the number of the process that attaches, among the relays.
+const attached = keeperCount
+
+// attach attaches a process to keepers through relays, until it is stopped. What keepers tell it leads it past the relays later.
+func (k *keepers) attach() (holder *view.Holder, stop func()) {
+	holder = &view.Holder{}
 	var seeds []string
 	for i := range keeperCount {
-		seeds = append(seeds, k.linkAddress(i))
+		seeds = append(seeds, k.relays.address(attached, i, k.linkAddress(i)))
 	}
 	client := control.NewClient(control.ClientOptions{Self: control.Node{Name: "p", Role: control.RoleProxy, Zone: keeperZone, Life: uint64(time.Now().UnixNano())},
 		Seeds: seeds, Endpoints: true, Holder: holder, Log: hclog.NewNullLogger()})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { client.Run(ctx); close(ended) }()
-	k.t.Cleanup(func() { cancel(); <-ended })
-	return holder
+	stop = func() { cancel(); <-ended }
+	k.t.Cleanup(stop)
+	return holder, stop
 }
 
 // stateOf is how an attached process sees an endpoint.
