--- /dev/null
+++ b/internal/lab/tier/faults.go
@@ -0,0 +1,160 @@
+package tier
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"dunetide/internal/lab/tier/cluster"
+	"dunetide/internal/lab/tier/engine"
+)
+
+const (
+	backAfter  = time.Second // what was killed starts again
+	spoilEvery = 100 * time.Millisecond
+	frozenFor  = 3 * time.Second
+)
+
+// losses are the faults that a play may have, one after another.
+var losses = map[string]func(*rig) error{
+	"store":         func(r *rig) error { return r.kill(r.cluster.Find(cluster.Store, 0), false) },
+	"keeper":        func(r *rig) error { return r.kill(r.cluster.Find(cluster.Keeper, 0), false) },
+	"proxy":         func(r *rig) error { return r.kill(r.cluster.Find(cluster.Proxy, 0), false) },
+	"engine":        (*rig).crash,
+	"store-disk":    func(r *rig) error { return r.kill(r.cluster.Find(cluster.Store, 1), true) },
+	"keeper-disk":   func(r *rig) error { return r.kill(r.cluster.Find(cluster.Keeper, 1), true) },
+	"freeze-store":  func(r *rig) error { return r.freeze(r.cluster.Find(cluster.Store, 2)) },
+	"freeze-keeper": func(r *rig) error { return r.freeze(r.cluster.Find(cluster.Keeper, 2)) },
+	"kill-all":      (*rig).killAll,
+	"dark":          (*rig).dark,
+	"leave":         (*rig).leave,
+}
+
+// Faults names all of them.
+func Faults() []string { return slices.Sorted(maps.Keys(losses)) }
+
+// faults plays the faults that were asked for, spread over the play.
+func (r *rig) faults(ctx context.Context) error {
+	began := time.Now()
+	for i, name := range r.o.Faults {
+		at := time.Duration(float64(r.o.Length) * (0.3 + 0.5*float64(i)/float64(len(r.o.Faults))))
+		t := time.NewTimer(time.Until(began.Add(at)))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return nil
+		}
+		r.o.Say("%4.1f s  %s", time.Since(began).Seconds(), name)
+		if err := losses[name](r); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// kill kills a process and starts it again after a while.
+func (r *rig) kill(p *cluster.Process, disk bool) error {
+	if err := p.Kill(); err != nil {
+		return err
+	}
+	if disk {
+		if err := p.Wipe(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(backAfter)
+	return p.Start()
+}
+
+func (r *rig) killAll() error {
+	all := r.cluster.Processes()
+	for _, p := range all {
+		if err := p.Kill(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(backAfter)
+	for _, p := range all {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *rig) freeze(p *cluster.Process) error {
+	if err := p.Freeze(); err != nil {
+		return err
+	}
+	time.Sleep(frozenFor)
+	return p.Thaw()
+}
+
+// victim is an engine that runs.
+func (r *rig) victim() *engine.Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ordered()[0]
+}
+
+// ordered are all endpoints in the order of their starts, the plain ones behind.
+func (r *rig) ordered() []*engine.Endpoint {
+	return slices.SortedFunc(maps.Keys(r.all), func(a, b *engine.Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Service(), b.Service()), cmp.Compare(a.ID(), b.ID()))
+	})
+}
+
+// replace starts a new incarnation where one has ended.
+func (r *rig) replace(e *engine.Endpoint) error {
+	r.mu.Lock()
+	delete(r.all, e)
+	r.mu.Unlock()
+	time.Sleep(backAfter)
+	_, err := r.endpoint(gen, e.Address(), 0)
+	return err
+}
+
+func (r *rig) crash() error {
+	e := r.victim()
+	e.Crash()
+	return r.replace(e)
+}
+
+// leave has an engine end as planned.
+func (r *rig) leave() error {
+	e := r.victim()
+	if e.Leave(context.Background()).IsZero() {
+		r.o.Say("nobody acknowledged that %s leaves", e.ID())
+	}
+	return r.replace(e)
+}
+
+func (r *rig) dark() error {
+	e := r.victim()
+	e.Dark(true)
+	time.Sleep(frozenFor)
+	e.Dark(false)
+	return nil
+}
+
+// spoil has endpoints spoil answers, each in its turn.
+func (r *rig) spoil(ctx context.Context) {
+	tick := time.NewTicker(spoilEvery)
+	defer tick.Stop()
+	kinds := []engine.Fault{engine.Garble, engine.Surplus, engine.Lost, engine.Broken}
+	for n := 0; ; n++ {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		r.mu.Lock()
+		all := r.ordered()
+		r.mu.Unlock()
+		all[n%len(all)].Break(kinds[n/len(all)%len(kinds)])
+	}
+}
