--- /dev/null
+++ b/cmd/dunetide/cut_wrong_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dunetide/internal/lab/wrongline"
+)
+
+// wrongCuts are lines that would break what a keeper without contact promises, one at a time. Keepers that are built with one of
+// them have to be found out from outside.
+var wrongCuts = []wrongline.Line{
+	{"acknowledged without contact", "../../internal/keeper/endpoints.go", "	case res.noContact || !k.inContact():\n", "	case false:\n"},
+	{"registers pushed without contact", "../../internal/keeper/pushes.go", "	if inContact {\n		k.addRegisters(u, p)\n	}\n", "	k.addRegisters(u, p)\n"},
+	{"endpoints not pushed without contact", "../../internal/keeper/pushes.go", "		if inContact && !k.contact.MayHandOut(k.since(now), c) {\n", "		if !k.contact.MayHandOut(k.since(now), c) {\n"},
+	{"contact for life", "../../internal/contact/tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 }"},
+	{"contact without a majority after 3 s", "../../internal/keeper/contact.go", "k.contact.Answered(k.since(time.Now()), askedAt, err == nil)",
+		"k.contact.Answered(k.since(time.Now()), askedAt, err == nil || k.since(time.Now()) > 3*time.Second)"},
+	{"what endpoints say without contact is not kept", "../../internal/keeper/endpoints.go", "	if !changed && !ends {\n", "	if !changed && !ends || res.noContact {\n"},
+	{"the first push without a new read", "../../internal/contact/gate.go", "	return g.MayServe(now) && g.confirmed[key]\n", "	return g.MayServe(now)\n"},
+	{"contact that lasts twice as long", "../../internal/contact/tracker.go", "	until := beganAt + Length\n", "	until := beganAt + 2*Length\n"},
+}
+
+// Each wrong line is found. This takes minutes, so it is asked for: CUT_WRONG=1, or a part of a name.
+func TestWrongCutsAreFound(t *testing.T) {
+	only := os.Getenv("CUT_WRONG")
+	if only == "" {
+		t.Skip("CUT_WRONG is not set")
+	}
+	for _, line := range wrongCuts {
+		if only != "1" && !strings.Contains(line[0], only) {
+			continue
+		}
+		t.Run(line[0], func(t *testing.T) {
+			dir := t.TempDir()
+			if err := buildRelayed(dir, line); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 6*time.Minute)
+			defer cancel()
+			play := exec.CommandContext(ctx, os.Args[0], "-test.run", "^TestCutOffKeeperProcess$", "-test.count=1")
+			play.Env = append(os.Environ(), programVar+"="+filepath.Join(dir, "dunetide"))
+			out, err := play.CombinedOutput()
+			if ctx.Err() != nil {
+				t.Fatal("it takes too long")
+			}
+			if err == nil || !strings.Contains(string(out), "--- FAIL: TestCutOffKeeperProcess") {
+				t.Fatalf("not found: %v\n%s", err, out)
+			}
+			for said := range strings.Lines(string(out)) {
+				if strings.Contains(said, "    --- FAIL") {
+					t.Log(strings.TrimSpace(said))
+				}
+			}
+		})
+	}
+}
