--- a/internal/journal/begin.go
+++ b/internal/journal/begin.go
@@ -38,7 +38,7 @@
 	j := &Journal{fs: o.Folder, limit: o.Limit, base: o.Base, sync: o.Sync, log: o.Log, now: o.Now, next: 1,
 		segSize: max(o.Limit/segmentsOfLimit, MaxBody+4<<10),
 		live:    map[policy.MessageID]*Message{}, home: map[policy.MessageID]uint64{}, Memories: map[string]*Memory{},
-		Over: NewIDRing(maxOver), orders: map[string]uint64{}}
+		Over: NewIDRing(maxOver), recentOver: NewIDRing(0), orders: map[string]uint64{}}
 	return j, j.replay()
 }
 
--- a/internal/journal/checkpoint.go
+++ b/internal/journal/checkpoint.go
@@ -135,7 +135,7 @@
 		if !yield(record(recNext, j.next)) {
 			return
 		}
-		for ids := range slices.Chunk(j.recentOver.all(), overChunk) {
+		for ids := range slices.Chunk(j.recentOver.IDs(), overChunk) {
 			if !yield(overRecord(ids)) {
 				return
 			}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -84,9 +84,9 @@
 	next       policy.MessageID
 	// Memories is what earlier processes recorded of each endpoint, Over the ids of messages that they ended.
 	Memories   map[string]*Memory
-	Over       IDRing
+	Over       *IDRing
 	recent     map[string]*Memory // Memories and what this process recorded, for the next checkpoint
-	recentOver IDRing             // Over and the messages that this process ended, for the next checkpoint
+	recentOver *IDRing            // Over and the messages that this process ended, for the next checkpoint
 	buf        []byte
 	given      bool              // another process writes the journal or is about to
 	orders     map[string]uint64 // endpoints that the staff have taken out, and the segment with the order
@@ -261,7 +261,7 @@
 }
 
 // OverIDs returns the ids of messages that earlier processes ended, the oldest first.
-func (j *Journal) OverIDs() []string { return j.Over.all() }
+func (j *Journal) OverIDs() []string { return j.Over.IDs() }
 
 // Close closes the journal, after making everything durable if Options.Sync is set.
 func (j *Journal) Close() error {
--- a/internal/journal/message.go
+++ b/internal/journal/message.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"slices"
 	"time"
 
 	"dunetide/policy"
@@ -43,58 +42,6 @@
 // HandedBack reports whether the client may retry.
 func (n *Notice) HandedBack() bool { return n.Outcome == handedBack }
 
-// IDRing is a set of the ids that were added last, up to its size.
-type IDRing struct {
-	size  int
-	ids   []string
-	next  int // index in ids of the id to replace next, once it is full
-	known map[string]struct{}
-}
-
-// NewIDRing returns an empty set of up to size ids.
-func NewIDRing(size int) IDRing {
-	return IDRing{size: size, ids: make([]string, 0, size), known: make(map[string]struct{}, size)}
-}
-
-// Has reports whether an id is in the set.
-func (r *IDRing) Has(id string) bool {
-	_, ok := r.known[id]
-	return ok
-}
-
-// all returns the ids in the order in which they were added.
-func (r *IDRing) all() []string { return slices.Concat(r.ids[r.next:], r.ids[:r.next]) }
-
-// clone returns a copy of the set.
-func (r *IDRing) clone() IDRing {
-	c := NewIDRing(r.size)
-	for _, id := range r.all() {
-		c.Add(id)
-	}
-	return c
-}
-
-// IDs returns the ids in the order in which they were added.
-func (r *IDRing) IDs() []string { return r.all() }
-
-// Len returns the number of ids.
-func (r *IDRing) Len() int { return len(r.ids) }
-
-// Add adds an id, in place of the one that was added first if the set is full.
-func (r *IDRing) Add(id string) {
-	if r.size == 0 || r.Has(id) {
-		return
-	}
-	if len(r.ids) < r.size {
-		r.ids = append(r.ids, id)
-	} else {
-		delete(r.known, r.ids[r.next])
-		r.ids[r.next] = id
-		r.next = (r.next + 1) % r.size
-	}
-	r.known[id] = struct{}{}
-}
-
 // Message is a message that the node has accepted.
 type Message struct {
 	Seq      policy.MessageID
--- /dev/null
+++ b/internal/node/ended_ids_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"dunetide/internal/journal"
+)
+
+// The intake and the journal add to one set of ended ids at once: clients' messages end here while a log that was taken over is
+// finished. Neither loses an id of the other.
+func TestIntakeAndJournalShareEndedIDs(t *testing.T) {
+	const each = 200
+	j, _ := mustOpen(t, t.TempDir(), journal.MinDisk)
+	in := &intake{held: map[string]bool{}, journal: j, over: j.Over}
+	var both sync.WaitGroup
+	both.Go(func() {
+		for i := range each {
+			id := fmt.Sprint("own", i)
+			in.taken(id)
+			in.ended(id)
+		}
+	})
+	both.Go(func() {
+		for i := range each {
+			if err := j.NoteOver([]string{fmt.Sprint("inherited", i)}); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	both.Wait()
+	for i := range each {
+		for _, id := range []string{fmt.Sprint("own", i), fmt.Sprint("inherited", i)} {
+			if !in.knows(id) {
+				t.Errorf("%s is not known to be over", id)
+			}
+		}
+	}
+}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -36,7 +36,7 @@
 
 	mu      sync.Mutex
 	held    map[string]bool // ids of messages that have not ended; true once taken
-	over    journal.IDRing  // ids of messages taken that are over
+	over    *journal.IDRing // shared with the journal: ids of messages taken that are over
 	closing bool            // answers close their connections
 	refuse  bool            // nothing is taken any more
 
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -38,7 +38,7 @@
 			Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1}}}
 	l := &loop{sender: policy.New(settings, 1), settings: settings, log: quietLog(), journal: j, origin: time.Now(),
 		names: names{kinds: map[string]int{"major": 0}, zones: map[string]int{"a": 0}}, finals: newFinals(newAgent("127.0.0.1:1"), quietLog()),
-		intake: &intake{held: map[string]bool{}}, held: map[policy.MessageID]*journal.Message{},
+		intake: &intake{held: map[string]bool{}, over: journal.NewIDRing(0)}, held: map[policy.MessageID]*journal.Message{},
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
 	outcomes := make(chan policy.Event, 8)
 	l.caller = newCaller(Config{Settings: settings, IdleClose: time.Minute}, quietLog(), func(e policy.Event) { outcomes <- e })
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -106,7 +106,6 @@
 			return err
 		}
 	}
-	p.intake.over = p.estate.journal.Over
 	p.copies, err = joinCopies(p.config, p.fleet, p.loop, p.staff.leases, copyLimit)
 	if err != nil {
 		return err
@@ -130,7 +129,7 @@
 // newIntake returns the handler of clients' requests.
 func (p *process) newIntake() *intake {
 	c := p.config
-	in := &intake{cohort: p.cohort, names: c.Names, journal: p.estate.journal, owner: p.owner, log: p.log, maxHeld: c.Settings.MaxHeld,
+	in := &intake{cohort: p.cohort, names: c.Names, journal: p.estate.journal, over: p.estate.journal.Over, owner: p.owner, log: p.log, maxHeld: c.Settings.MaxHeld,
 		held: map[string]bool{}}
 	for _, class := range c.Settings.Classes {
 		in.keyed = append(in.keyed, class.Repeat == policy.Deduplicated)
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -51,7 +51,7 @@
 	entries map[uint64]Entry
 	held    map[uint64]*journal.Message
 	ids     map[string]uint64
-	over    journal.IDRing
+	over    *journal.IDRing
 	at      uint64 // all that the writer has said up to here, under meta.Token, is here
 	place   string
 	gone    bool // it was dropped
--- a/internal/replica/work.go
+++ b/internal/replica/work.go
@@ -33,7 +33,7 @@
 	waiting  []copyWaiter
 	lagSince time.Duration // since when the lag has exceeded its bound, 0 if it does not
 	why      string
-	over     journal.IDRing // ids of the messages of this log that have ended
+	over     *journal.IDRing // ids of the messages of this log that have ended
 	// inherited says that the own log has recorded the ids in over.
 	inherited bool
 	askedFrom time.Duration // since when the node that took the log over has not answered, 0 if it is not asked
