--- a/internal/journal/power_test.go
+++ b/internal/journal/power_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,8 +17,10 @@
 var errPower = errors.New("the power is gone")
 
 // disk is a folder that tells what is durable from what is not. Each write, sync,
-// rename, removal and so on is one operation; from one of them on all fail.
+// rename, removal and so on is one operation; from one of them on all fail. It is safe for
+// concurrent use: a sync that the journal no longer waits for goes on beside the next write.
 type disk struct {
+	mu      sync.Mutex
 	names   map[string]*inode
 	durable map[string]*inode
 	pending []nameOp // since the last sync of the names
@@ -54,6 +57,8 @@
 }
 
 func (d *disk) List() ([]FileInfo, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var files []FileInfo
 	for _, name := range sorted(d.names) {
 		files = append(files, FileInfo{name, int64(len(d.names[name].data))})
@@ -62,6 +67,8 @@
 }
 
 func (d *disk) Read(name string, most int64) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	f := d.names[name]
 	if f == nil {
 		return nil, fmt.Errorf("%s is not there", name)
@@ -73,6 +80,8 @@
 }
 
 func (d *disk) Head(name string, most int) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	f := d.names[name]
 	if f == nil {
 		return nil, fmt.Errorf("%s is not there", name)
@@ -81,6 +90,8 @@
 }
 
 func (d *disk) Create(name string) (File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.names[name] != nil {
 		return nil, fmt.Errorf("%s is there", name)
 	}
@@ -93,6 +104,8 @@
 }
 
 func (d *disk) Open(name string) (OpenFile, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	f := d.names[name]
 	if f == nil {
 		return nil, fmt.Errorf("%s is not there", name)
@@ -101,10 +114,14 @@
 }
 
 func (w *diskFile) ReadAt(b []byte, at int64) (int, error) {
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
 	return bytes.NewReader(w.f.data).ReadAt(b, at)
 }
 
 func (d *disk) Cut(name string, size int64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err := d.op(); err != nil {
 		return err
 	}
@@ -115,6 +132,8 @@
 }
 
 func (d *disk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err := d.op(); err != nil {
 		return err
 	}
@@ -128,6 +147,8 @@
 }
 
 func (d *disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err := d.op(); err != nil {
 		return err
 	}
@@ -136,6 +157,8 @@
 }
 
 func (d *disk) Sync() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err := d.op(); err != nil {
 		return err
 	}
@@ -149,6 +172,8 @@
 }
 
 func (w *diskFile) Write(b []byte) (int, error) {
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
 	if err := w.d.op(); err != nil {
 		return 0, err
 	}
@@ -158,6 +183,8 @@
 }
 
 func (w *diskFile) Truncate(size int64) error {
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
 	if err := w.d.op(); err != nil {
 		return err
 	}
@@ -166,6 +193,8 @@
 }
 
 func (w *diskFile) Sync() error {
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
 	if err := w.d.op(); err != nil {
 		return err
 	}
@@ -188,6 +217,8 @@
 
 // after is the disk as the next start finds it.
 func (d *disk) after(loss int) *disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	names := maps.Clone(d.durable)
 	for i, op := range d.pending {
 		if loss == kept || loss == cut && i < (len(d.pending)+1)/2 || loss == reordered && i == len(d.pending)-1 {
