--- a/internal/batch/repeat_numbers_test.go
+++ b/internal/batch/repeat_numbers_test.go
@@ -183,6 +183,42 @@
 	}
 }
 
+// A report of what waits in a part that comes again, or after a newer one of the same life, changes nothing at the owner.
+func TestUsageSentAgainChangesNothing(t *testing.T) {
+	g := newScaleRig(3, 1, 0, 1000)
+	g.accept(t, "job", 2)
+	g.now += 200_000
+	g.settle()
+	no, store := g.cores[0].quotaOwner("b")
+	owner := g.cores[store-1]
+	_, p := leaderOf(t, g, "job")
+	known := owner.part(no).lead.accts["b"].shares[p.no]
+	if known.version == 0 {
+		t.Fatal("nothing was reported")
+	}
+	report := func(version uint64, tokens int) {
+		var w link.Writer
+		w.String("b")
+		w.U32(uint32(p.no))
+		w.U64(known.life)
+		w.U64(known.epoch)
+		w.U64(version)
+		w.Int(tokens)
+		w.U64(known.settled)
+		owner.storeMessage(&sentPipe{}, kUsage, w.B)
+	}
+	tokens, version := known.tokens, known.version
+	report(version, 7)
+	report(version-1, 8)
+	if now := owner.part(no).lead.accts["b"].shares[p.no]; now.tokens != tokens || now.version != version {
+		t.Errorf("%d tokens at version %d, want %d at %d", now.tokens, now.version, tokens, version)
+	}
+	report(version+1, 9)
+	if now := owner.part(no).lead.accts["b"].shares[p.no]; now.tokens != 9 || now.version != version+1 {
+		t.Errorf("a newer report does not count: %+v", now)
+	}
+}
+
 // grantOf is an owner's answer to a reservation.
 func grantOf(part int, life, number uint64, code uint8, owner uint64) []byte {
 	var w link.Writer
