Keeper: a test of a removal that is heard of before the word that its keeper leaves

Change: four real keepers, the link from the one that leaves to the holder of the duty held up by the relays.

--- /dev/null
+++ b/internal/keeper/restart_removed_test.go
@@ -0,0 +1,61 @@
+package keeper
+
+import (
+	"slices"
+	"testing"
+
+	"dunetide/internal/agree"
+)
+
+// hold stops all bytes from one keeper to another, until heal.
+func (l *relays) hold(from, to int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.flow[[2]int{from, to}] = make(chan struct{})
+}
+
+// A keeper leaves, and the holder of the duty hears of its removal from others, before the word that it leaves: it does not make it a voter again.
+func TestRemovalHeardOfBeforeTheLeaving(t *testing.T) {
+	const machines = 4
+	r := newRig(t, machines)
+	links := r.relayed()
+	r.startAll()
+	all := []int{0, 1, 2, 3}
+	r.untilMet(all...)
+	r.untilVoters(all...)
+	holder := r.untilVoterDuty()
+	leaver := (holder + 1) % machines
+	holderKeeper, gone := r.running[holder].k, r.running[leaver].k.agree.id
+	removed := map[string]bool{}
+	var voters map[string][]agree.Voter
+	observe := func() {
+		voters = map[string][]agree.Voter{}
+		for _, name := range registerNames {
+			state, _ := holderKeeper.agree.state(name)
+			voters[name] = state.Voters
+			if !state.Has(gone) {
+				removed[name] = true
+			} else if removed[name] {
+				t.Fatalf("the keeper that left votes on %s again: %v", name, state.Voters)
+			}
+		}
+	}
+	heardOf := func() bool {
+		return slices.ContainsFunc(holderKeeper.links(), func(l linked) bool { return l.node.ID == gone && l.conn != nil })
+	}
+	links.hold(leaver, holder)
+	ended := make(chan struct{})
+	go func() { r.running[leaver].stop(); close(ended) }()
+	get(t, ended, "the word to end")
+	until(t, "the holder hears no more of the keeper that left", func() bool { observe(); return !heardOf() })
+	r.ended(leaver)
+	links.heal()
+	until(t, "all know of the removal", func() bool { observe(); return len(removed) == len(registerNames) })
+	for _, name := range registerNames {
+		if len(voters[name]) != machines-1 {
+			t.Errorf("%v vote on %s", voters[name], name)
+		}
+	}
+	o := &orders{rig: r}
+	o.take(holder)
+}
