A keeper has no more than two bodies of over 1 MB in hand at once

Each body was read and parsed as soon as it came, and parsing one allocates 48 MB; the register's copies of the value come on top.

Where a body may be over 1 MB, it is read only once less than two such are in hand. Others wait up to the 900 ms of an order, and get 503 then, after which callers send the same order again. Heartbeats, retirements and smaller orders never wait.

--- a/cmd/dunetide/keepers_test.go
+++ b/cmd/dunetide/keepers_test.go
@@ -189,8 +189,8 @@
 		seeds = append(seeds, k.control(j))
 	}
 	return fmt.Sprintf("node_name=k%d\nip=%s\nzone=z%d\ninternal_ports=%d,%d\nlisten_on.control=%s\ndata_dir=%s\nseeds=%s\nfirst_start=%v\n"+
-		"beat_every_ms=200\nsurvive.machines=1\nlimits.memory_mb=256\nlimits.disk_mb=256\n",
-		i+1, k.ip(i), i+1, k.port, k.port+internalSpan, k.control(i), filepath.Join(k.folder(i), "data"), strings.Join(seeds, ","), k.first)
+		"beat_every_ms=200\nsurvive.machines=1\nlimits.memory_mb=%d\nlimits.disk_mb=256\n",
+		i+1, k.ip(i), i+1, k.port, k.port+internalSpan, k.control(i), filepath.Join(k.folder(i), "data"), strings.Join(seeds, ","), k.first, memoryBound)
 }
 
 func (k *keeperProcesses) start(i int) {
@@ -209,6 +209,9 @@
 	defer log.Close()
 	p := &keeperProcess{cmd: exec.Command(k.program, "keeper"), exited: make(chan struct{})}
 	p.cmd.Env = []string{settingsVar + "=" + file, relaysVar + "=" + k.dialled[i], "HOME=" + os.Getenv("HOME"), "PATH=" + os.Getenv("PATH")}
+	if processors := os.Getenv("GOMAXPROCS"); processors != "" {
+		p.cmd.Env = append(p.cmd.Env, "GOMAXPROCS="+processors)
+	}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -15,6 +15,10 @@
 const (
 	beatMost   = 64 << 10
 	configMost = 8 << 20
+	// largeBytes is above what orders have day by day. Reading and parsing one takes several times its bytes, so that no more
+	// than largeMost are in hand at once: eight orders of 8 MB would take a keeper over the memory of its machine.
+	largeBytes = 1 << 20
+	largeMost  = 2
 	// proposeWait is below the second after which an operator goes on to another keeper.
 	proposeWait = 900 * time.Millisecond
 )
@@ -64,6 +68,13 @@
 			if c.method != r.Method {
 				continue
 			}
+			release, ok := k.admit(c, r)
+			if !ok {
+				_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, c.most)) // else the answer may be lost with the connection
+				refuse(w, http.StatusServiceUnavailable, "too many large bodies are in hand: send it again, or to another keeper")
+				return
+			}
+			defer release()
 			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(c.most, 1)))
 			if err != nil {
 				var long *http.MaxBytesError
@@ -86,6 +97,24 @@
 	})
 }
 
+// admit waits until a call's body may be read; not ok: others were in hand for too long. A body of unknown length counts as large
+// where it may be.
+func (k *Keeper) admit(c call, r *http.Request) (release func(), ok bool) {
+	if c.most <= largeBytes || r.ContentLength >= 0 && r.ContentLength <= largeBytes {
+		return func() {}, true
+	}
+	timeout := time.NewTimer(proposeWait)
+	defer timeout.Stop()
+	select {
+	case k.largeBodies <- struct{}{}:
+		return func() { <-k.largeBodies }, true
+	case <-timeout.C:
+	case <-r.Context().Done():
+	case <-k.ended:
+	}
+	return nil, false
+}
+
 // refuse answers a call that did not succeed. 503 says that nothing is known, here and now, of what was asked.
 func refuse(w http.ResponseWriter, code int, why string) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -98,6 +98,8 @@
 	seeds        atomic.Pointer[[]string] // control addresses that are dialled; those of the first voters stay those of the start
 	contactUntil atomic.Int64             // for other goroutines: the end of contact, as a time of this life
 
+	largeBodies chan struct{} // holds one for each large body that is in hand
+
 	mu     sync.Mutex
 	posts  []func() // from the registers' goroutine, which never waits for the owner
 	posted chan struct{}
@@ -108,7 +110,7 @@
 	s := o.Settings
 	now := time.Now()
 	k := &Keeper{o: o, log: o.Log, life: now, commands: make(chan func(), queueMost), ended: make(chan struct{}),
-		posted: make(chan struct{}, 1), attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peerLink{},
+		posted: make(chan struct{}, 1), largeBodies: make(chan struct{}, largeMost), attached: map[*link.Conn]*attachedProcess{}, peers: map[string]*peer{}, conns: map[*link.Conn]*peerLink{},
 		config: &document{}, certificates: &document{}, certificateReads: contact.NewBarrier[*link.Message](confirmEvery),
 		contact: contact.NewGate[*link.Conn](), contactTimer: time.NewTimer(0), dialling: map[string]bool{}, wanted: map[string]time.Time{}}
 	if k.o.PushWait <= 0 {
--- a/internal/keeper/orders_test.go
+++ b/internal/keeper/orders_test.go
@@ -220,6 +220,43 @@
 	}
 }
 
+// While as many large bodies as may be are in hand, another one is put off, and nothing else is.
+func TestLargeBodiesWaitForEachOther(t *testing.T) {
+	r := newRig(t, 1)
+	r.startAll()
+	r.untilMet(0)
+	k := r.running[0].k
+	for range largeMost {
+		k.largeBodies <- struct{}{}
+	}
+	large := largeBody(5, 'a', largeBytes+1)
+	for _, size := range []int{largeBytes + 1, configMost + 1} {
+		if a := r.call(0, "PUT", "/config", "0", largeBody(5, 'a', size)); a.code != 503 || a.retryAfter != retryAfter {
+			t.Errorf("one of %d bytes: %v", size, a)
+		}
+	}
+	r.untilCode(200, func() answer { return r.put(0, 3, 0, "small") })
+	r.untilCode(200, func() answer { return r.beat(0, "1", "ready", 1) })
+	if a := r.call(0, "PUT", "/instances/1", "", large); a.code != 413 {
+		t.Errorf("a heartbeat of so many bytes: %v", a)
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		var a answer
+		for a.code != 200 && a.code != 400 {
+			a = r.call(0, "PUT", "/config", "3", large)
+		}
+		answers <- a
+	}()
+	<-k.largeBodies
+	if a := get(t, answers, "the answer"); a.code != 200 {
+		t.Error(a)
+	}
+	<-k.largeBodies
+	r.untilCode(200, func() answer { return r.call(0, "PUT", "/config", "3", large) })
+	until(t, "none is in hand", func() bool { return len(k.largeBodies) == 0 })
+}
+
 // A body that is cut on its way is no order: the answer ends no operator's call, and says nothing against the whole one.
 func TestCutBody(t *testing.T) {
 	r := newRig(t, 1)
