The contact model: time of day set, disks wiped, voters changed, also during a cut

The model of contact with a majority had three fixed voters whose disks last, and one clock. What keepers promise has to hold also while a machine's time of day is set back or forward, while a disk is wiped (its keeper comes back as another voter) and while who votes is changed, each also during a cut, and where a disk is lost right after its keeper has confirmed something.

A majority is now one of those who were the voters no longer than Length ago, by their identities, and a new life of a keeper has heard of nobody. Six wrong lines more: two stand in the model itself, as the clock and the identity of a disk belong to the process (time by the time of day, a wiped disk that votes as before), four in internal/agree. Troubles and wrong lines have files of their own.

--- a/internal/contact/model_test.go
+++ b/internal/contact/model_test.go
@@ -7,25 +7,26 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"dunetide/internal/agree"
-	"dunetide/internal/lab/wrongline"
 )
 
 // The model has keepers with a gate and a register each, in one simulated time. They are cut off from each other in one
-// direction or both, for long or each second, frozen, killed and started again, while operators put values, processes
-// attach and heartbeats come. Two things must hold at each moment:
+// direction or both, for long or each second, frozen, killed and started again, their disks are wiped, who votes is changed
+// and the time of day is set, while operators put values, processes attach and heartbeats come. Two things must hold at each
+// moment:
 //
 //   - what a process is handed first is not older than the newest value that was confirmed before it asked;
-//   - what is acknowledged or pushed is backed by a majority that has answered something which was sent no longer than
-//     Length ago.
+//   - what is acknowledged or pushed is backed by a majority of those who were the voters no longer than Length ago, each of
+//     whom has answered something which was sent no longer than Length ago.
 
 const (
-	modelVoters  = 3
-	modelKeepers = 4 // one of them does not vote
+	modelVoters  = 3 // at first
+	modelKeepers = 4
 	modelTime    = 40 * time.Second
 	// acknowledgeWait is how long an acknowledgement waits for pushes, after which contact is looked at again.
 	acknowledgeWait = 250 * time.Millisecond
@@ -63,15 +64,36 @@
 	cut       [modelKeepers][modelKeepers]bool // from, to
 	confirmed uint64                           // the newest value that an operator has been told is taken
 	processes int
+	states    []modelState // each that was decided, by its slot
+	identity  uint64       // of the newest voter
+	// changing is set while a disk that was wiped, or a change of the voters, has not been followed by a decision: another
+	// one might take the last copy of what was confirmed.
+	changing bool
+	// wipeAtAnswer has the next keeper that confirms a value lose its disk at once.
+	wipeAtAnswer bool
 
 	// Counts of what was played, so that a run that shows nothing is seen.
-	handedOut, acknowledged, refused, taken int
+	handedOut, acknowledged, refused, taken, wiped, changed, stepped int
 }
 
+// modelState is who votes after a decision, and when the first keeper knew it.
+type modelState struct {
+	voters  []agree.Voter
+	decided time.Duration
+}
+
+// moment is what a machine reads from its clocks, as time.Now does: the steady one, which nothing sets, and the time of day.
+type moment struct{ steady, day time.Duration }
+
+// sub is the time from another moment, as time.Time.Sub gives it.
+func (a moment) sub(b moment) time.Duration { return a.steady - b.steady }
+
 type modelKeeper struct {
 	m        *model
 	i        int
-	born     time.Duration
+	id       uint64 // as a voter; a wiped disk has another one
+	born     moment
+	day      time.Duration // by how much the time of day is off
 	life     int
 	up       bool
 	frozen   bool
@@ -82,9 +104,10 @@
 	value    uint64
 	attached map[int]*modelProcess
 	tick     int
-	// received is the newest time of sending of a message from another keeper; answered the newest of the own messages
-	// that the other had received before it sent something that has come here.
-	received, answered [modelKeepers]time.Duration
+	// received is the newest time of sending of a message from another keeper, in this life.
+	received [modelKeepers]time.Duration
+	// answered is, by voter, the newest of the own messages that it had received before it sent something that has come here.
+	answered map[uint64]time.Duration
 }
 
 type modelProcess struct {
@@ -107,7 +130,7 @@
 	m := &model{rnd: rand.New(rand.NewPCG(seed, 11))}
 	var voters []agree.Voter
 	for i := range modelKeepers {
-		k := &modelKeeper{m: m, i: i}
+		k := &modelKeeper{m: m, i: i, id: m.nextIdentity()}
 		m.keepers = append(m.keepers, k)
 		if i < modelVoters {
 			voters = append(voters, k.voter())
@@ -123,24 +146,27 @@
 }
 
 func (k *modelKeeper) voter() agree.Voter {
-	return agree.Voter{ID: uint64(k.i + 1), Name: fmt.Sprint("k", k.i), Addr: strconv.Itoa(k.i)}
+	return agree.Voter{ID: k.id, Name: fmt.Sprint("k", k.i), Addr: strconv.Itoa(k.i)}
+}
+
+func (m *model) nextIdentity() uint64 {
+	m.identity++
+	return m.identity
 }
 
-// clock is the steady clock of this life.
-func (k *modelKeeper) clock() time.Duration { return k.m.now - k.born }
+func (k *modelKeeper) reads() moment { return moment{k.m.now, k.m.now + k.day} }
+
+// clock is the time since the start of this life.
+func (k *modelKeeper) clock() time.Duration { return k.reads().sub(k.born) }
 
 func (k *modelKeeper) start() {
-	k.up, k.life, k.born = true, k.life+1, k.m.now
+	k.up, k.life, k.born = true, k.life+1, k.reads()
 	k.gate, k.attached, k.value = NewGate[int](), map[int]*modelProcess{}, 0
-	k.answered = [modelKeepers]time.Duration{}
-	for j := range k.answered {
-		k.answered[j] = -time.Hour
-	}
-	id := uint64(0)
-	if k.i < modelVoters {
-		id = uint64(k.i + 1)
+	k.answered = map[uint64]time.Duration{}
+	for j := range k.received {
+		k.received[j] = -time.Hour
 	}
-	register, err := agree.New(agree.Options{Name: "r", ID: id, Proposer: k.m.rnd.Uint64() | 1, Rand: k.m.rnd.Float64,
+	register, err := agree.New(agree.Options{Name: "r", ID: k.id, Proposer: k.m.rnd.Uint64() | 1, Rand: k.m.rnd.Float64,
 		Save:    func(b []byte) error { k.payloads = append(k.payloads, bytes.Clone(b)); return nil },
 		Send:    k.transmit,
 		Decided: k.decided,
@@ -251,6 +277,9 @@
 }
 
 func (k *modelKeeper) decided(s agree.State) {
+	if int(s.Slot) == len(k.m.states) {
+		k.m.states = append(k.m.states, modelState{slices.Clone(s.Voters), k.m.now})
+	}
 	if len(s.Value) == 8 {
 		k.value = max(k.value, binary.BigEndian.Uint64(s.Value))
 	}
@@ -262,7 +291,7 @@
 	if k.m.cut[k.i][j] {
 		return
 	}
-	sent, echo, other, body := k.m.now, k.received[j], k.m.keepers[j], bytes.Clone(b)
+	sent, echo, other, body, sender := k.m.now, k.received[j], k.m.keepers[j], bytes.Clone(b), k.voter()
 	delay := k.m.upTo(10 * ms)
 	if k.m.rnd.IntN(20) == 0 {
 		delay += k.m.upTo(500 * ms)
@@ -270,25 +299,37 @@
 	k.m.after(delay, func() {
 		other.do(func() {
 			other.received[k.i] = max(other.received[k.i], sent)
-			if echo >= other.born {
-				other.answered[k.i] = max(other.answered[k.i], echo)
+			if echo >= other.born.steady {
+				other.answered[sender.ID] = max(other.answered[sender.ID], echo)
 			}
-			other.register.Receive(other.clock(), k.voter(), body)
+			other.register.Receive(other.clock(), sender, body)
 		})
 	})
 }
 
-// mustBeBacked fails unless a majority has answered something that was sent no longer than Length ago.
+// mustBeBacked fails unless a majority of those who were the voters no longer than Length ago has answered something that was
+// sent no longer than Length ago.
 func (k *modelKeeper) mustBeBacked(what string) {
+	from := k.m.now - Length
+	for slot := len(k.m.states) - 1; slot >= 0; slot-- {
+		if k.backedBy(k.m.states[slot].voters, from) {
+			return
+		}
+		if k.m.states[slot].decided < from {
+			break // it had followed the one before by then
+		}
+	}
+	k.m.fail("%v: keeper %d, without a majority: %s", k.m.now, k.i, what)
+}
+
+func (k *modelKeeper) backedBy(voters []agree.Voter, from time.Duration) bool {
 	backing := 0
-	for j := range modelVoters {
-		if j == k.i || k.m.now-k.answered[j] <= Length {
+	for _, voter := range voters {
+		if answeredAt, there := k.answered[voter.ID]; voter.ID == k.id || there && answeredAt >= from {
 			backing++
 		}
 	}
-	if backing <= modelVoters/2 {
-		k.m.fail("%v: keeper %d, without a majority: %s", k.m.now, k.i, what)
-	}
+	return backing > len(voters)/2
 }
 
 // push hands the newest value that is known to all who may have it.
@@ -320,6 +361,7 @@
 			k.decided(s)
 			k.m.confirmed = max(k.m.confirmed, binary.BigEndian.Uint64(s.Value))
 			k.m.taken++
+			k.confirmedHere()
 		}
 	})
 }
@@ -373,63 +415,6 @@
 	m.after(m.upTo(60*ms), m.calls)
 }
 
-// troubles play one trouble after the other.
-func (m *model) troubles() {
-	k := m.anyKeeper()
-	length := 300*ms + m.upTo(6*time.Second)
-	switch m.rnd.IntN(6) {
-	case 0:
-		m.cutOff(k, true, true, length)
-	case 1:
-		m.cutOff(k, m.rnd.IntN(2) == 0, true, length)
-	case 2: // each second
-		for at := time.Duration(0); at < length; at += time.Second {
-			m.after(at, func() { m.cutOff(k, true, true, 500*ms) })
-		}
-	case 3:
-		m.freeze(k, length)
-	case 4: // frozen, and cut off when it wakes
-		m.freeze(k, length)
-		m.after(m.upTo(length), func() { m.cutOff(k, true, true, length+2*time.Second) })
-	default:
-		k.kill()
-		m.after(m.upTo(time.Second), func() {
-			if !k.up {
-				k.start()
-				k.do(func() {})
-			}
-		})
-	}
-	m.after(m.upTo(4*time.Second), m.troubles)
-}
-
-// cutOff cuts a keeper off from all others: what it sends, what it is sent, or both.
-func (m *model) cutOff(k *modelKeeper, from, to bool, length time.Duration) {
-	set := func(cut bool) {
-		for j := range m.keepers {
-			if j != k.i {
-				m.cut[k.i][j] = from && cut
-				m.cut[j][k.i] = to && cut
-			}
-		}
-	}
-	set(true)
-	m.after(length, func() { set(false) })
-}
-
-func (m *model) freeze(k *modelKeeper, length time.Duration) {
-	if !k.up || k.frozen {
-		return
-	}
-	life := k.life
-	k.frozen = true
-	m.after(length, func() {
-		if k.life == life {
-			k.thaw()
-		}
-	})
-}
-
 // play runs a model, and tells what was violated.
 func play(seed uint64) (m *model, broken error) {
 	defer func() {
@@ -474,33 +459,13 @@
 		total.acknowledged += m.acknowledged
 		total.refused += m.refused
 		total.taken += m.taken
+		total.wiped += m.wiped
+		total.changed += m.changed
+		total.stepped += m.stepped
 	}
-	t.Logf("%d handed out, %d acknowledged, %d refused, %d taken", total.handedOut, total.acknowledged, total.refused, total.taken)
-	if total.handedOut == 0 || total.acknowledged == 0 || total.refused == 0 || total.taken == 0 {
+	t.Logf("%d handed out, %d acknowledged, %d refused, %d taken, %d disks wiped, %d changes of voters, %d steps of the time of day",
+		total.handedOut, total.acknowledged, total.refused, total.taken, total.wiped, total.changed, total.stepped)
+	if min(total.handedOut, total.acknowledged, total.refused, total.taken, total.wiped, total.changed, total.stepped) == 0 {
 		t.Error("the model does not play what it is there for")
 	}
 }
-
-// wrong are lines that would break what the package promises, one at a time. The model alone has to find each of them.
-var wrong = []wrongline.Line{
-	{"contact counted from the answer", "tracker.go", "	until := beganAt + Length\n", "	until := now + Length\n"},
-	{"contact not looked at again after a freeze", "tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 && (t.latest < t.until || t.asking) }"},
-	{"contact for life", "tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 }"},
-	{"serving without a majority after 3 s", "tracker.go", "return t.advance(now) < t.until }", "return t.advance(now) < t.until || now > 3*time.Second }"},
-	{"a question that failed counts", "tracker.go", "	if !ok {\n		t.nextAsk", "	if !ok && t.until < 0 {\n		t.nextAsk"},
-	{"the first push without a new read", "gate.go", "	return g.MayServe(now) && g.confirmed[key]\n", "	return g.MayServe(now)\n"},
-	{"a read that failed counts for who has attached", "gate.go", "		case ok:\n", "		case ok || confirmed == ok:\n"},
-	{"a read that had begun before counts", "barrier.go", "	keys := b.reading\n	b.reading, b.busy = nil, false\n", "	keys := append(b.reading, b.waiting...)\n	b.reading, b.waiting, b.busy = nil, nil, false\n"},
-	{"acknowledged without contact", "gate.go", "MayServe(now time.Duration) bool { return g.Holds(now) }", "MayServe(now time.Duration) bool { return g.Holds(now) || g.HeldFor(now) == 0 }"},
-	{"handed out without contact", "gate.go", "	return g.MayServe(now) && g.confirmed[key]\n", "	return g.confirmed[key]\n"},
-}
-
-// Each wrong line is found by the model. This takes a while, so it is asked for: CONTACT_WRONG=1, or a part of a name.
-func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("CONTACT_WRONG")
-	if only == "" {
-		t.Skip("CONTACT_WRONG is not set")
-	}
-	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "^TestModel$"},
-		Env: []string{"CONTACT_WRONG=", "CONTACT_SEEDS=100"}, Within: 2 * time.Minute})
-}
--- /dev/null
+++ b/internal/contact/wrong_test.go
@@ -0,0 +1,39 @@
+package contact
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"dunetide/internal/lab/wrongline"
+)
+
+// wrong are lines that would break what the package promises, one at a time. The model alone has to find each of them.
+var wrong = []wrongline.Line{
+	{"contact counted from the answer", "tracker.go", "	until := beganAt + Length\n", "	until := now + Length\n"},
+	{"contact not looked at again after a freeze", "tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 && (t.latest < t.until || t.asking) }"},
+	{"contact for life", "tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 }"},
+	{"serving without a majority after 3 s", "tracker.go", "return t.advance(now) < t.until }", "return t.advance(now) < t.until || now > 3*time.Second }"},
+	{"a question that failed counts", "tracker.go", "	if !ok {\n		t.nextAsk", "	if !ok && t.until < 0 {\n		t.nextAsk"},
+	{"the first push without a new read", "gate.go", "	return g.MayServe(now) && g.confirmed[key]\n", "	return g.MayServe(now)\n"},
+	{"a read that failed counts for who has attached", "gate.go", "		case ok:\n", "		case ok || confirmed == ok:\n"},
+	{"a read that had begun before counts", "barrier.go", "	keys := b.reading\n	b.reading, b.busy = nil, false\n", "	keys := append(b.reading, b.waiting...)\n	b.reading, b.waiting, b.busy = nil, nil, false\n"},
+	{"acknowledged without contact", "gate.go", "MayServe(now time.Duration) bool { return g.Holds(now) }", "MayServe(now time.Duration) bool { return g.Holds(now) || g.HeldFor(now) == 0 }"},
+	{"time since the start by the time of day", "model_test.go", "return a.steady - b.steady }", "return a.day - b.day }"},
+	{"a wiped disk is the voter that it was", "model_troubles_test.go", "	k.id = k.m.nextIdentity()\n", ""},
+	{"the value is not kept over a change of voters", "../agree/members.go", "	next.Voters[i] = joiner\n", "	next.Voters[i], next.Value = joiner, nil\n"},
+	{"a majority of the first voters", "../agree/proposer.go", "return len(r.state.Voters)/2 + 1", "return 2"},
+	{"half of the voters", "../agree/proposer.go", "return len(r.state.Voters)/2 + 1", "return (len(r.state.Voters) + 1) / 2"},
+	{"asked for a state that has been followed", "../agree/agree.go", "	case r.known && r.state.Slot >= m.slot:\n		r.sendState(from)\n		return\n", ""},
+	{"handed out without contact", "gate.go", "	return g.MayServe(now) && g.confirmed[key]\n", "	return g.confirmed[key]\n"},
+}
+
+// Each wrong line is found by the model. This takes a while, so it is asked for: CONTACT_WRONG=1, or a part of a name.
+func TestWrongLinesAreFound(t *testing.T) {
+	only := os.Getenv("CONTACT_WRONG")
+	if only == "" {
+		t.Skip("CONTACT_WRONG is not set")
+	}
+	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "^TestModel$"},
+		Env: []string{"CONTACT_WRONG=", "CONTACT_SEEDS=100"}, Within: 2 * time.Minute})
+}
