--- a/cmd/dunetide/cut_wrong_test.go
+++ b/cmd/dunetide/cut_wrong_test.go
@@ -22,7 +22,7 @@
 	{"contact without a majority after 3 s", "../../internal/keeper/contact.go", "k.contact.Answered(k.since(time.Now()), askedAt, err == nil)",
 		"k.contact.Answered(k.since(time.Now()), askedAt, err == nil || k.since(time.Now()) > 3*time.Second)"},
 	{"what endpoints say without contact is not kept", "../../internal/keeper/endpoints.go", "	if !changed && !ends {\n", "	if !changed && !ends || res.noContact {\n"},
-	{"the first push without a new read", "../../internal/contact/gate.go", "	return g.MayServe(now) && g.confirmed[key]\n", "	return g.MayServe(now)\n"},
+	{"the first push without a new read", "../../internal/contact/gate.go", "	return g.Holds(now) && g.confirmed[key]\n", "	return g.Holds(now)\n"},
 	{"contact that lasts twice as long", "../../internal/contact/tracker.go", "	until := beganAt + Length\n", "	until := beganAt + 2*Length\n"},
 }
 
