--- a/internal/keeper/wrong_test.go
+++ b/internal/keeper/wrong_test.go
@@ -24,6 +24,12 @@
 	{"contact without a majority after 3 s", "contact.go", "k.contact.Answered(k.since(time.Now()), askedAt, err == nil)", "k.contact.Answered(k.since(time.Now()), askedAt, err == nil || k.since(time.Now()) > 3*time.Second)"},
 }
 
+// Each wrong line can still be put where it belongs.
+func TestWrongLinesStand(t *testing.T) {
+	wrongline.Check(t, wrong)
+	wrongline.Check(t, wrongOrders)
+}
+
 // Each wrong line is found. This takes minutes, so it is asked for: KEEPER_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
 	only := os.Getenv("KEEPER_WRONG")
