--- a/internal/lab/tier/replacements.go
+++ b/internal/lab/tier/replacements.go
@@ -43,7 +43,9 @@
 	orderWait          = 30 * time.Second
 	jobEvery           = 2 * time.Second
 	jobItems           = 4
-	readWait           = 20 * time.Second
+	// jobsFinishBy bounds, from the end of the day, how long a job may still be handed in and read; most have ended long before.
+	jobsFinishBy = 30 * time.Second
+	readWait     = 20 * time.Second
 	// unrest is how long after an event of the day no time is calm: in_touch_ms.
 	unrest = 3 * time.Second
 	// A sync of the lab's own that takes longer than stalledSync is trouble with the disk, of which no tier is free.
@@ -286,7 +288,7 @@
 	jobs.Count, jobs.Items, jobs.EndEvery = int(d.day.Length/jobEvery), jobItems, 0
 	// Jobs begin in the first half of a length.
 	return load.Run(ctx, load.Options{Seed: d.o.Seed, Length: 2 * d.day.Length, Zones: d.cluster.Zones(), Front: d.cluster.Front, Jobs: []load.Jobs{jobs},
-		Stride: stride, FinishBy: finishBy - d.day.Length, Settle: settle, Cancel: cancelAfter, Runs: d.runs})
+		Stride: stride, FinishBy: jobsFinishBy - d.day.Length, Settle: settle, Cancel: cancelAfter, Runs: d.runs})
 }
 
 // readBack reads the configuration, which has to be the one that was acknowledged last.
