Calls: wrong lines that were not found any more, or by chance only

Cause: of 33 wrong lines 29 were found. One did not build since exchange.go was split. The client of TestNothingIsSmuggledInsideARequest half-closed, which ends what runs, so two ids and HTTP/1.0 were found by chance. That a part written is not the whole hung on the system's buffers. Change: the client of that test waits for its answer first, unless its request lacks its end, so it is stricter; a connection that takes some bytes and then fails tests the last; the line that did not build is another one of the same meaning.

--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -21,22 +21,23 @@
 	for name, c := range map[string]struct {
 		bytes string
 		body  string // that reaches an endpoint; "-": none does
+		cut   bool   // it lacks its end
 	}{
-		"length and chunks":           {start + fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner), ""},
-		"chunks and length":           {start + fmt.Sprintf("Transfer-Encoding: chunked\r\ncONTENT-lENGTH: %d\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner), ""},
-		"two lengths":                 {start + "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + inner, "-"},
-		"a list of lengths":           {start + "Content-Length: 0, 5\r\n\r\n" + inner, "-"},
-		"a signed length":             {start + "Content-Length: +0\r\n\r\n" + inner, "-"},
-		"chunked twice":               {start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner, "-"},
-		"another coding":              {start + "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n" + inner, "-"},
-		"a space before the colon":    {start + "Transfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\n" + inner, "-"},
-		"a bare CR in a value":        {start + "X-A: b\rContent-Length: 100\r\n\r\n" + inner, "-"},
-		"a bare LF in a chunk's size": {start + "Transfer-Encoding: chunked\r\n\r\n0\n\n" + inner, "-"},
-		"a chunk that is too long":    {start + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n" + inner, "-"},
-		"a body that breaks off":      {start + "Content-Length: 9999\r\n\r\n" + inner, "-"},
-		"no id":                       {strings.Replace(start, "X-Dunetide-Request-Id: outer\r\n", "", 1) + "Content-Length: 0\r\n\r\n", "-"},
-		"two ids":                     {start + "X-Dunetide-Request-Id: inner\r\nContent-Length: 0\r\n\r\n", "-"},
-		"an older protocol":           {strings.Replace(start, "1.1", "1.0", 1) + "Content-Length: 0\r\n\r\n", "-"},
+		"length and chunks":           {start + fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner), "", false},
+		"chunks and length":           {start + fmt.Sprintf("Transfer-Encoding: chunked\r\ncONTENT-lENGTH: %d\r\n\r\n0\r\n\r\n%s", len(inner)+5, inner), "", false},
+		"two lengths":                 {start + "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + inner, "-", false},
+		"a list of lengths":           {start + "Content-Length: 0, 5\r\n\r\n" + inner, "-", false},
+		"a signed length":             {start + "Content-Length: +0\r\n\r\n" + inner, "-", false},
+		"chunked twice":               {start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner, "-", false},
+		"another coding":              {start + "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n" + inner, "-", false},
+		"a space before the colon":    {start + "Transfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\n" + inner, "-", false},
+		"a bare CR in a value":        {start + "X-A: b\rContent-Length: 100\r\n\r\n" + inner, "-", false},
+		"a bare LF in a chunk's size": {start + "Transfer-Encoding: chunked\r\n\r\n0\n\n" + inner, "-", false},
+		"a chunk that is too long":    {start + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n" + inner, "-", false},
+		"a body that breaks off":      {start + "Content-Length: 9999\r\n\r\n" + inner, "-", true},
+		"no id":                       {strings.Replace(start, "X-Dunetide-Request-Id: outer\r\n", "", 1) + "Content-Length: 0\r\n\r\n", "-", false},
+		"two ids":                     {start + "X-Dunetide-Request-Id: inner\r\nContent-Length: 0\r\n\r\n", "-", false},
+		"an older protocol":           {strings.Replace(start, "1.1", "1.0", 1) + "Content-Length: 0\r\n\r\n", "-", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, "e1", says(sealed, "ok"))
@@ -44,10 +45,16 @@
 			client := g.dial()
 			_, err := io.WriteString(client, c.bytes)
 			must(t, err)
-			must(t, client.Conn.(*net.TCPConn).CloseWrite())
-			rest, _ := io.ReadAll(client) // ends as the connection is closed
-			if n := strings.Count(string(rest), "HTTP/1.1 "); n > 1 {
-				t.Errorf("%d answers: %q", n, rest)
+			answers := 0
+			if !c.cut { // a client that half-closes before its answer ends what runs, and would see nothing of a second run
+				if _, err := client.answer(); err == nil {
+					answers++
+				}
+			}
+			_ = client.Conn.(*net.TCPConn).CloseWrite() // it may be closed already
+			rest, _ := io.ReadAll(client.br)            // ends as the connection is closed
+			if answers += strings.Count(string(rest), "HTTP/1.1 "); answers > 1 {
+				t.Errorf("%d answers, the last: %q", answers, rest)
 			}
 			calls := e.got()
 			switch {
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -51,7 +51,7 @@
 	{"an answer needs no end", "answer.go", "	case !plain(h.Get(\"Content-Encoding\")), !x.delimited():", "	case !plain(h.Get(\"Content-Encoding\")):"},
 	{"not run counts beside any status", "answer.go", "	case notRun && promisesNotRun(status):", "	case notRun:"},
 	{"a refusal needs no proof", "answer.go", "	case promisesNotRun(status):\n		return attempt.FalseRefusal, dispatch.Failed", "	case promisesNotRun(status):\n		return attempt.Rejected, dispatch.NotRun"},
-	{"a reset proves that it was not read", "exchange.go", "	sent := !errors.As(err, &call) || call.Sent", "	sent := (!errors.As(err, &call) || call.Sent) && !strings.Contains(err.Error(), \"reset\")"},
+	{"a reset proves that it was not read", "exchange.go", "	sent := !errors.As(err, &call) || call.Sent", "	sent := !errors.As(err, &call) || call.Sent && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, os.ErrDeadlineExceeded))"},
 	{"silence proves that it was not read", "exchange.go", "			x.state = max(x.state, attempt.Sent)", "			x.state = max(x.state, attempt.NotSent)"},
 	{"ids of items are not remembered", "exchange.go", "			x.conn.Remember(x.req.ID)", "			_ = x.req.ID"},
 	{"any end of a body is its end", "serve.go", "		if errors.Is(err, io.EOF) {\n			return x.passEnd", "		if err != nil {\n			return x.passEnd"},
--- /dev/null
+++ b/internal/upstream/partial_test.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// partialConn takes some bytes of what is written, and then it is reset.
+type partialConn struct {
+	net.Conn
+	left int
+}
+
+func (c *partialConn) Write(b []byte) (int, error) {
+	if len(b) <= c.left {
+		c.left -= len(b)
+		return c.Conn.Write(b)
+	}
+	n, err := c.Conn.Write(b[:c.left])
+	c.left = 0
+	if err == nil {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// A call of which a part was written, but not its last byte, was not sent, however long that part is.
+func TestPartThatWasWrittenIsNotTheWhole(t *testing.T) {
+	s := newStandIn(t, answers(ok200))
+	for _, body := range []string{"", "a body", strings.Repeat("b", 2*inlineWrite)} {
+		head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
+		size := len(head) + len(body)
+		for _, part := range []int{0, 1, len(head) - 1, len(head), size - 1} {
+			if part >= size {
+				continue
+			}
+			ps := newPools(t, func(c *Config) {
+				c.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+					conn, err := dialTCP(ctx, addr)
+					if err != nil {
+						return nil, err
+					}
+					return &partialConn{conn, part}, nil
+				}
+			})
+			c, err := ps.Endpoint(Endpoint{Name: "e", Addr: s.addr}).Take(t.Context())
+			must(t, err)
+			resp, err := c.Open(t.Context(), "POST", []byte(head), []byte(body), time.Now().Add(patience/4))
+			var broke *CallError
+			switch {
+			case err == nil:
+				_, _ = io.Copy(io.Discard, resp.Body)
+				t.Errorf("%d of %d bytes were written, and an answer came", part, size)
+			case !errors.As(err, &broke) || broke.Sent:
+				t.Errorf("%d of %d bytes were written: %v, want a call that was not sent", part, size, err)
+			}
+			c.Done(Broken)
+		}
+	}
+}
