--- a/cmd/dunetide/cut_wrong_test.go
+++ b/cmd/dunetide/cut_wrong_test.go
@@ -19,7 +19,7 @@
 	{"acknowledged without contact", "../../internal/keeper/endpoints.go", "	case res.noContact || !k.inContact():\n", "	case false:\n"},
 	{"registers pushed without contact", "../../internal/keeper/pushes.go", "	if inContact {\n		k.addRegisters(u, p)\n	}\n", "	k.addRegisters(u, p)\n"},
 	{"endpoints not pushed without contact", "../../internal/keeper/pushes.go", "		if inContact && !k.contact.MayHandOut(k.since(now), c) {\n", "		if !k.contact.MayHandOut(k.since(now), c) {\n"},
-	{"a lease granted without contact", "../../internal/keeper/duty.go", "w.Bool(k.contact.MayServe(k.since(now)) && k.mayGrant(", "w.Bool(k.mayGrant("},
+	{"a lease granted without contact", "../../internal/keeper/duty.go", "return k.contact.Holds(k.since(now)) && k.mayGrant(now, holderID) && ", "return k.mayGrant(now, holderID) && "},
 	{"contact for life", "../../internal/contact/tracker.go", "return t.advance(now) < t.until }", "return t.until != 0 }"},
 	{"contact without a majority after 3 s", "../../internal/keeper/contact.go", "k.contact.Answered(k.since(time.Now()), askedAt, err == nil)",
 		"k.contact.Answered(k.since(time.Now()), askedAt, err == nil || k.since(time.Now()) > 3*time.Second)"},
@@ -29,6 +29,9 @@
 	{"contact that lasts twice as long", "../../internal/contact/tracker.go", "	until := beganAt + Length\n", "	until := beganAt + 2*Length\n"},
 }
 
+// TestWrongCutsStand fails when a line of the list no longer stands once in the file that it names.
+func TestWrongCutsStand(t *testing.T) { wrongline.Check(t, wrongCuts) }
+
 // Each wrong line can still be put where it belongs.
 func TestWrongLinesStand(t *testing.T) {
 	wrongline.Check(t, wrongCuts)
--- a/internal/batch/repeat_wrong_test.go
+++ b/internal/batch/repeat_wrong_test.go
@@ -26,6 +26,9 @@
 	{"an end counts twice", "calls.go", "	if j.endSeen {\n		c.endWorkers(e)\n		return\n	}\n", ""},
 }
 
+// TestWrongRepeatsStand fails when a line of the list no longer stands once in the file that it names.
+func TestWrongRepeatsStand(t *testing.T) { wrongline.Check(t, wrongRepeats) }
+
 // Each wrong line is found by the tests of repeats. It takes a minute or two, so it is asked for: REPEATS_WRONG=1, or a part of a name.
 func TestWrongRepeatsAreFound(t *testing.T) {
 	only := os.Getenv("REPEATS_WRONG")
--- a/internal/batch/wrong_test.go
+++ b/internal/batch/wrong_test.go
@@ -44,6 +44,12 @@
 
 var onlyWrong = flag.String("wrong", "1", "which wrong lines: a part of a name; 1 for all, nothing for none")
 
+// TestWrongLinesStand fails when a line of the lists no longer stands once in the file that it names.
+func TestWrongLinesStand(t *testing.T) {
+	wrongline.Check(t, wrongReplication)
+	wrongline.Check(t, wrongMembers)
+}
+
 // TestWrongLines: each mistake that is put in on purpose is found.
 func TestWrongLines(t *testing.T) {
 	if testing.Short() || *onlyWrong == "" {
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -25,6 +25,12 @@
 	{"the chain is not gone on with", "../audit/store.go", "	s.last = next\n	return nil\n}\n\n// open opens", "	_ = next\n	return nil\n}\n\n// open opens"},
 }
 
+// TestWrongLinesStand fails when a line of the lists no longer stands once in the file that it names.
+func TestWrongLinesStand(t *testing.T) {
+	wrongline.Check(t, wrong)
+	wrongline.Check(t, wrongCalls)
+}
+
 // Each wrong line is found by drawn nights. This takes minutes, so it is asked for: CERTIFIED_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
 	only := os.Getenv("CERTIFIED_WRONG")
--- a/internal/link/wrong_test.go
+++ b/internal/link/wrong_test.go
@@ -19,6 +19,9 @@
 	{"a frame that is too long is read", "link.go", "if n < 0 || n > maxFrame-head {", "if n < 0 {"},
 }
 
+// TestWrongLinesStand fails when a line of the list no longer stands once in the file that it names.
+func TestWrongLinesStand(t *testing.T) { wrongline.Check(t, wrong) }
+
 // Each wrong line is found by the tests: LINK_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
 	only := os.Getenv("LINK_WRONG")
--- a/internal/reconfigure/wrong_test.go
+++ b/internal/reconfigure/wrong_test.go
@@ -41,6 +41,9 @@
 	{"a leaver waits for one that leaves, too", "handover.go", "!keeper.CaughtUp && !keeper.Leaving {", "!keeper.CaughtUp {"},
 }
 
+// TestWrongLinesStand fails when a line of the list no longer stands once in the file that it names.
+func TestWrongLinesStand(t *testing.T) { wrongline.Check(t, wrong) }
+
 // Each wrong line is found by the tests. This takes minutes, so it is asked for: RECONFIGURE_WRONG=1, or a part of a
 // name.
 func TestWrongLinesAreFound(t *testing.T) {
