--- a/internal/agree/wrong_test.go
+++ b/internal/agree/wrong_test.go
@@ -1,7 +1,6 @@
 package agree
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -57,10 +56,7 @@
 // Each wrong line is found by the tests. This takes minutes and all cores, so it is asked for: AGREE_WRONG=1, or
 // a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("AGREE_WRONG")
-	if only == "" {
-		t.Skip("AGREE_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "AGREE_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "TestChaos|TestLastFault|TestKilled|TestEveryOrder|TestStrangers|TestNoVoter|TestSnapshot"},
 		Env: []string{"AGREE_WRONG=", "AGREE_SEEDS=5000"}, Within: 5 * time.Minute})
 }
--- a/internal/batch/repeat_wrong_test.go
+++ b/internal/batch/repeat_wrong_test.go
@@ -3,7 +3,6 @@
 package batch
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -31,10 +30,7 @@
 
 // Each wrong line is found by the tests of repeats. It takes a minute or two, so it is asked for: REPEATS_WRONG=1, or a part of a name.
 func TestWrongRepeatsAreFound(t *testing.T) {
-	only := os.Getenv("REPEATS_WRONG")
-	if only == "" {
-		t.Skip("REPEATS_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "REPEATS_WRONG")
 	wrongline.Find(t, wrongRepeats, wrongline.Options{Only: only, Args: []string{"-run", "SentAgain|DeliveredAgain|OlderLife|OlderBallot"},
 		Env: []string{"REPEATS_WRONG="}, Within: 2 * time.Minute})
 }
--- a/internal/contact/wrong_test.go
+++ b/internal/contact/wrong_test.go
@@ -1,7 +1,6 @@
 package contact
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -35,10 +34,7 @@
 
 // Each wrong line is found by the model. This takes a while, so it is asked for: CONTACT_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("CONTACT_WRONG")
-	if only == "" {
-		t.Skip("CONTACT_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "CONTACT_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "^TestModel$"},
 		Env: []string{"CONTACT_WRONG=", "CONTACT_SEEDS=100"}, Within: 2 * time.Minute})
 }
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -3,7 +3,6 @@
 package forward
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -33,10 +32,7 @@
 
 // Each wrong line is found by drawn nights. This takes minutes, so it is asked for: CERTIFIED_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("CERTIFIED_WRONG")
-	if only == "" {
-		t.Skip("CERTIFIED_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "CERTIFIED_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "TestBusyNights", "-timeout", "150s"},
 		Env: []string{"CERTIFIED_WRONG=", "CERTIFIED_NIGHTS_S=25"}, Within: 3 * time.Minute})
 }
@@ -80,10 +76,7 @@
 
 // Each wrong line is found by the tests of calls. This takes minutes, so it is asked for: CALLS_WRONG=1, or a part of a name.
 func TestWrongCallsAreFound(t *testing.T) {
-	only := os.Getenv("CALLS_WRONG")
-	if only == "" {
-		t.Skip("CALLS_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "CALLS_WRONG")
 	wrongline.Find(t, wrongCalls, wrongline.Options{Only: only, Args: []string{"-p", "2", "-skip", "TestBusyNights|TestFleet|TestCapGrows", "-timeout", "150s", "../attempt", "../upstream"},
 		Env: []string{"CALLS_WRONG="}, Within: 3 * time.Minute})
 }
--- a/internal/keeper/wrong_orders_test.go
+++ b/internal/keeper/wrong_orders_test.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -38,10 +37,7 @@
 
 // Each wrong line is found by the model. This takes minutes, so it is asked for: ORDERS_WRONG=1, or a part of a name.
 func TestWrongOrdersAreFound(t *testing.T) {
-	only := os.Getenv("ORDERS_WRONG")
-	if only == "" {
-		t.Skip("ORDERS_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "ORDERS_WRONG")
 	wrongline.Find(t, wrongOrders, wrongline.Options{Only: only, Args: []string{"-run", "TestOperatorsHistoriesAreLinearizable|TestEveryOrderOfASmallCase"},
 		Env: []string{"ORDERS_WRONG=", "ORDERS_SEEDS=10000"}, Within: 5 * time.Minute})
 }
--- a/internal/keeper/wrong_test.go
+++ b/internal/keeper/wrong_test.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -32,10 +31,7 @@
 
 // Each wrong line is found. This takes minutes, so it is asked for: KEEPER_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("KEEPER_WRONG")
-	if only == "" {
-		t.Skip("KEEPER_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "KEEPER_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only,
 		Args: []string{"-run", "TestCallsWithoutContact/both|TestProcessesMove|TestBeatTo|TestContactLost|TestLeaseNeedsContact"},
 		Env:  []string{"KEEPER_WRONG="}, Within: 2 * time.Minute})
--- a/internal/lab/wrongline/wrongline.go
+++ b/internal/lab/wrongline/wrongline.go
@@ -29,6 +29,16 @@
 	Parallel bool
 }
 
+// Asked is which lines a variable of the environment asks for, as Options.Only. A test that is not asked for is skipped.
+func Asked(t *testing.T, variable string) string {
+	t.Helper()
+	only := os.Getenv(variable)
+	if only == "" {
+		t.Skipf("%s is not set", variable)
+	}
+	return only
+}
+
 // Check fails for each line that does not stand once in its file, so that Find could not replace it.
 func Check(t *testing.T, lines []Line) {
 	for _, w := range lines {
--- a/internal/lease/wrong_test.go
+++ b/internal/lease/wrong_test.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -46,10 +45,7 @@
 // Each wrong line is found by the steps that CI plays, or by more of them. This takes minutes and
 // all cores, so it is asked for: LEASE_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("LEASE_WRONG")
-	if only == "" {
-		t.Skip("LEASE_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "LEASE_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-run", "TestDisk|TestEveryOrder"},
 		Env: []string{"LEASE_WRONG=", "LEASE_SEEDS=100", "LEASE_STEPS=100000", "LEASE_DEPTH=7"}, Within: 4 * time.Minute, Parallel: true})
 }
--- a/internal/link/wrong_test.go
+++ b/internal/link/wrong_test.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -24,9 +23,6 @@
 
 // Each wrong line is found by the tests: LINK_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("LINK_WRONG")
-	if only == "" {
-		t.Skip("LINK_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "LINK_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-timeout", "60s"}, Env: []string{"LINK_WRONG="}, Within: 2 * time.Minute})
 }
--- a/internal/reconfigure/wrong_test.go
+++ b/internal/reconfigure/wrong_test.go
@@ -1,7 +1,6 @@
 package reconfigure
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -47,10 +46,7 @@
 // Each wrong line is found by the tests. This takes minutes, so it is asked for: RECONFIGURE_WRONG=1, or a part of a
 // name.
 func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("RECONFIGURE_WRONG")
-	if only == "" {
-		t.Skip("RECONFIGURE_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "RECONFIGURE_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-cpu", "2", "-run", "TestNext|TestHandOver|TestApply|TestEvery|TestContacts|TestUnheard|TestCaughtUp|TestRemoved|TestHistories|TestFenced"},
 		Env: []string{"RECONFIGURE_WRONG=", "RECONFIGURE_HISTORIES=15"}, Within: 5 * time.Minute})
 }
--- a/internal/replica/wrong_test.go
+++ b/internal/replica/wrong_test.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"os"
 	"testing"
 	"time"
 
@@ -41,9 +40,6 @@
 // Each wrong line is found by the tests. This takes minutes and all cores, so it is asked for:
 // COPIES_WRONG=1, or a part of a name.
 func TestWrongLinesAreFound(t *testing.T) {
-	only := os.Getenv("COPIES_WRONG")
-	if only == "" {
-		t.Skip("COPIES_WRONG is not set")
-	}
+	only := wrongline.Asked(t, "COPIES_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only, Args: []string{"-timeout", "150s"}, Env: []string{"COPIES_WRONG=", "COPIES_SEEDS=120"}, Within: 3 * time.Minute})
 }
