--- a/internal/batch/retire_test.go
+++ b/internal/batch/retire_test.go
@@ -105,16 +105,22 @@
 	}
 }
 
+// newBusyWorld is five stores, of which one may be lost, with a worker and jobs that come and are run.
+func newBusyWorld(seed uint64) *world {
+	w := newWorld(seed, 5, 1, 4)
+	w.start()
+	w.addWorker("p0")
+	w.run(600)
+	w.most = 10_000
+	w.steadyJobs(w.ms() + 2500)
+	w.run(400)
+	return w
+}
+
 // TestRetireTwice: two stores retire at once, asked for again and again; both are finished, and both may go.
 func TestRetireTwice(t *testing.T) {
 	for seed := range uint64(6) {
-		w := newWorld(seed, 5, 1, 4)
-		w.start()
-		w.addWorker("p0")
-		w.run(600)
-		w.most = 10_000
-		w.steadyJobs(w.ms() + 2500)
-		w.run(400)
+		w := newBusyWorld(seed)
 		a, b := w.stores[seed%5], w.stores[(seed+2)%5]
 		for range 3 {
 			w.startRetiring(t, a.name)
@@ -140,13 +146,7 @@
 // too: the order is about the machine.
 func TestRetireOfAWipedStore(t *testing.T) {
 	for seed := range uint64(6) {
-		w := newWorld(seed, 5, 1, 4)
-		w.start()
-		w.addWorker("p0")
-		w.run(600)
-		w.most = 10_000
-		w.steadyJobs(w.ms() + 2500)
-		w.run(400)
+		w := newBusyWorld(seed)
 		s := w.stores[seed%5]
 		w.startRetiring(t, s.name)
 		w.run(20 + int64(seed)*20)
