Keeper: drains and ends are acknowledged once a majority of the voters knows them

Cause: an acknowledgement waited 250 ms for the other keepers and was then given whatever they had said, with contact that a cut has not used up yet (1.5 s). An endpoint that was told so says nothing more.

Change: the waiter of a drain or an end counts the voters that have confirmed; without a majority within 700 ms the answer is 503 and the endpoint goes on to another keeper.

--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -27,6 +27,8 @@
 var (
 	errStops     = errors.New("this keeper stops: ask another one")
 	errNoContact = errors.New("no contact with a majority: ask another keeper")
+	// errNotAtMajority is for what was done here, and told to whom it reached: a repeat does no harm.
+	errNotAtMajority = errors.New("a majority has not confirmed in time that the endpoint ends: send it again, or to another keeper")
 )
 
 // retryAfter is in how many seconds a call that got 503 may be sent again as it is.
--- a/internal/keeper/endpoints.go
+++ b/internal/keeper/endpoints.go
@@ -74,7 +74,9 @@
 }
 
 // register changes the list and answers once those who need it have acknowledged the change, or have
-// had time to. Without contact the change is made and told all the same, as it does no harm, but not acknowledged.
+// had time to. Without contact the change is made and told all the same, as it does no harm, but not acknowledged. Nor is the end of
+// an endpoint that a majority of the voters has not taken in: an endpoint that was told so says nothing more, so what only this
+// keeper knew would be lost with its contact.
 func (k *Keeper) register(w http.ResponseWriter, id string, change func(now time.Time) bool, zone string, ends bool) {
 	res, ok := ask(k, func() registered { return k.changeList(id, change, zone, ends) })
 	if ok && res.waiter != nil {
@@ -91,6 +93,8 @@
 		refuse(w, http.StatusServiceUnavailable, "the list of endpoints is full: remove some")
 	case res.noContact || !k.inContact():
 		refuse(w, http.StatusServiceUnavailable, errNoContact.Error())
+	case res.waiter != nil && !res.waiter.quorate:
+		refuse(w, http.StatusServiceUnavailable, errNotAtMajority.Error())
 	default:
 		acknowledge(w, res.beatTo)
 	}
@@ -110,6 +114,9 @@
 	}
 	wt := &waiter{change: k.table.Newest(), until: now.Add(k.o.PushWait), done: make(chan struct{})}
 	if list := k.entriesToTell(now, id, before, changed); len(list) > 0 {
+		if ends {
+			wt.quorum = newQuorum(k.agree.votersOf(configRegister), k.agree.id)
+		}
 		k.tellEntries(list, wt)
 	}
 	if changed {
--- a/internal/keeper/exchange.go
+++ b/internal/keeper/exchange.go
@@ -42,7 +42,7 @@
 
 // tellPeer tells one of them, again where its link broke and another one is there.
 func (k *Keeper) tellPeer(p *peer, list []registry.Entry, wait *waiter) {
-	conn := p.conn
+	conn, id := p.conn, p.node.ID
 	var answered func(err error)
 	answered = func(err error) {
 		if errors.Is(err, link.ErrClosed) && p.conn != nil && time.Now().Before(wait.until) {
@@ -53,8 +53,12 @@
 			}
 			return
 		}
-		if wait.peers--; wait.peers == 0 {
-			k.wakeWaiters(time.Now())
+		if err == nil {
+			wait.quorum.confirm(id)
+		}
+		wait.peers--
+		if now := time.Now(); wait.peers == 0 || !now.Before(wait.until) {
+			k.wakeWaiters(now)
 		}
 	}
 	k.sendEntries(conn, list, answered)
--- /dev/null
+++ b/internal/keeper/quorum_test.go
@@ -0,0 +1,47 @@
+package keeper
+
+import (
+	"testing"
+
+	"dunetide/internal/agree"
+)
+
+func TestQuorum(t *testing.T) {
+	voters := func(ids ...uint64) (all []agree.Voter) {
+		for _, id := range ids {
+			all = append(all, agree.Voter{ID: id})
+		}
+		return all
+	}
+	for name, c := range map[string]struct {
+		voters    []agree.Voter
+		self      uint64
+		confirmed []uint64
+		reached   bool
+	}{
+		"no voters are known":                     {nil, 1, []uint64{1, 2}, false},
+		"a single voter is a majority":            {voters(1), 1, nil, true},
+		"one of three is none":                    {voters(1, 2, 3), 1, nil, false},
+		"two of three are one":                    {voters(1, 2, 3), 1, []uint64{3}, true},
+		"two of four are none":                    {voters(1, 2, 3, 4), 1, []uint64{2}, false},
+		"three of four are one":                   {voters(1, 2, 3, 4), 1, []uint64{2, 4}, true},
+		"the same voter counts once":              {voters(1, 2, 3, 4), 1, []uint64{2, 2, 2, 1}, false},
+		"keepers without a vote count for nobody": {voters(1, 2, 3), 0, []uint64{0, 7, 8, 2}, false},
+		"who asks need not vote":                  {voters(1, 2, 3), 9, []uint64{1, 2}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newQuorum(c.voters, c.self)
+			for _, id := range c.confirmed {
+				q.confirm(id)
+			}
+			if q.reached() != c.reached {
+				t.Fatalf("reached is %v", q.reached())
+			}
+		})
+	}
+	var none *quorum
+	none.confirm(1)
+	if !none.reached() {
+		t.Fatal("what needs no majority waits for one")
+	}
+}
--- a/internal/keeper/waiters.go
+++ b/internal/keeper/waiters.go
@@ -10,15 +10,36 @@
 	// certificates is their version.
 	certificates uint64
 	peers        int // keepers that have yet to say that they have it
-	done         chan struct{}
+	// quorum is the majority that has to know it before it may be acknowledged; nil: none has to.
+	quorum  *quorum
+	quorate bool // whether the majority knew it in time; to be read once done is closed
+	done    chan struct{}
+}
+
+// end lets whoever waits go on.
+func (w *waiter) end() {
+	w.quorate = w.quorum.reached()
+	close(w.done)
+}
+
+// over reports whether nothing more is to be waited for: all have it, or the time is over. Where a majority is needed and has not
+// answered, it goes on for quorumWait while there are keepers that may still answer.
+func (w *waiter) over(now time.Time, inForce bool) bool {
+	if w.peers == 0 && inForce {
+		return true
+	}
+	if now.Before(w.until) {
+		return false
+	}
+	return w.quorum.reached() || w.peers == 0 || !now.Before(w.until.Add(quorumWait))
 }
 
 // wait ends a waiter once all attached processes have acknowledged a state of the list or of the configuration, or
-// the time is over. What they lack is pushed before the owner waits for its next command.
+// it is over. What they lack is pushed before the owner waits for its next command.
 func (k *Keeper) wait(w *waiter) {
 	w.until = time.Now().Add(k.o.PushWait)
-	if w.peers == 0 && k.inForceAt(w) {
-		close(w.done)
+	if w.over(time.Now(), k.inForceAt(w)) {
+		w.end()
 		return
 	}
 	k.waiting = append(k.waiting, w)
@@ -27,11 +48,11 @@
 func (k *Keeper) wakeWaiters(now time.Time) {
 	left := k.waiting[:0]
 	for _, w := range k.waiting {
-		if now.Before(w.until) && (w.peers > 0 || !k.inForceAt(w)) {
+		if !w.over(now, k.inForceAt(w)) {
 			left = append(left, w)
 			continue
 		}
-		close(w.done)
+		w.end()
 	}
 	clear(k.waiting[len(left):])
 	k.waiting = left
--- a/internal/keeper/wrong_test.go
+++ b/internal/keeper/wrong_test.go
@@ -12,6 +12,9 @@
 var wrong = []wrongline.Line{
 	{"acknowledged without contact", "endpoints.go", "	case res.noContact || !k.inContact():\n", "	case false:\n"},
 	{"contact not looked at again after a wait", "endpoints.go", "	case res.noContact || !k.inContact():\n", "	case res.noContact:\n"},
+	{"a drain acknowledged without a majority", "endpoints.go", "	case res.waiter != nil && !res.waiter.quorate:\n", "	case false:\n"},
+	{"every keeper counts as a voter", "quorum.go", "	if q == nil || !q.pending[id] {\n", "	if q == nil {\n"},
+	{"half of the voters count as a majority", "quorum.go", "majority: len(voters)/2 + 1}", "majority: (len(voters) + 1) / 2}"},
 	{"registers pushed without contact", "pushes.go", "	if inContact {\n		k.addRegisters(u, p)\n	}\n", "	k.addRegisters(u, p)\n"},
 	{"endpoints not pushed without contact", "pushes.go", "		if inContact && !k.contact.MayHandOut(k.since(now), c) {\n", "		if !k.contact.MayHandOut(k.since(now), c) {\n"},
 	{"a lease granted without contact", "duty.go", "return k.contact.Holds(k.since(now)) && k.mayGrant(now, holderID) && ", "return k.mayGrant(now, holderID) && "},
@@ -33,6 +36,6 @@
 func TestWrongLinesAreFound(t *testing.T) {
 	only := wrongline.Asked(t, "KEEPER_WRONG")
 	wrongline.Find(t, wrong, wrongline.Options{Only: only,
-		Args: []string{"-run", "TestCallsWithoutContact/both|TestProcessesMove|TestBeatTo|TestContactLost|TestLeaseNeedsContact"},
+		Args: []string{"-run", "TestCallsWithoutContact/both|TestProcessesMove|TestBeatTo|TestContactLost|TestLeaseNeedsContact|TestDrainAtAKeeper|TestQuorum"},
 		Env:  []string{"KEEPER_WRONG="}, Within: 2 * time.Minute})
 }
