Invariants that are checked while the tier runs, counted and fatal in tests

internal/invariant counts checks and violations with the metrics library, logs a violation with the ids found, and panics in a test binary. Twelve promises have one: one value a slot, versions that never go back (agreement, keepers, attached processes), reads not older than known, drains known to a majority, requests that run once, refusals, answers' ids, commits on enough disks, epochs, readable positions, grants of ready endpoints. Each has a test in which it is violated.

--- a/cmd/dunetide/main.go
+++ b/cmd/dunetide/main.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"dunetide/internal/control"
+	"dunetide/internal/invariant"
 	"dunetide/internal/settings"
 	"dunetide/internal/sighup"
 )
@@ -79,6 +80,7 @@
 		return nil, errUsage.New("%s is not set: let it hold the path of the settings file", settingsVar)
 	}
 	log := newLogger(role, c.LogLevel)
+	invariant.SetLogger(log)
 	watcher, err := settings.NewWatcher(path, log)
 	if err != nil {
 		return nil, errUsage.Wrap(err)
--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -447,6 +447,7 @@
 // learn takes a decided State in.
 func (r *Register) learn(s State) {
 	if r.known && s.Slot <= r.state.Slot {
+		r.checkSameValue(s)
 		return
 	}
 	r.toStore = r.decidedRecord(s)
--- /dev/null
+++ b/internal/batch/invariants_test.go
@@ -0,0 +1,31 @@
+package batch
+
+import (
+	"testing"
+
+	"dunetide/internal/invariant/invarianttest"
+	"dunetide/internal/view"
+)
+
+func TestBrokenPromisesOfStoresAreFound(t *testing.T) {
+	c := newCore(1, nil)
+	p := &part{no: 3, lead: &lead{commit: 7, selfS: 7, peers: map[uint64]*peer{2: {acked: 7}, 3: {acked: 6}}}}
+	c.checkCommit(p, []uint64{1, 2, 3})
+	invarianttest.Violates(t, "commits_are_on_enough_disks", func() { c.checkCommit(p, []uint64{1, 3}) })
+	p.lead.selfS = 6
+	invarianttest.Violates(t, "commits_are_on_enough_disks", func() { c.checkCommit(p, []uint64{1, 2, 3}) })
+
+	table := func(number uint64, epochs ...uint64) *view.Table {
+		out := &view.Table{Number: number}
+		for _, epoch := range epochs {
+			out.Parts = append(out.Parts, view.Part{Epoch: epoch})
+		}
+		return out
+	}
+	checkEpochs(nil, table(1, 1, 1))
+	checkEpochs(table(1, 1, 4), table(2, 2, 4))
+	invarianttest.Violates(t, "part_epochs_never_go_back", func() { checkEpochs(table(1, 1, 4), table(2, 2, 3)) })
+
+	checkVisible(&job{visible: 1, results: make([]result, 1)})
+	invarianttest.Violates(t, "readable_results_have_positions", func() { checkVisible(&job{visible: 2, results: make([]result, 1)}) })
+}
--- a/internal/batch/lead.go
+++ b/internal/batch/lead.go
@@ -78,6 +78,7 @@
 	if t == nil || c.table != nil && t.Number <= c.table.Number {
 		return
 	}
+	checkEpochs(c.table, t)
 	c.table = t
 	c.checkStopping()
 	for no := range t.Parts {
--- a/internal/batch/replication.go
+++ b/internal/batch/replication.go
@@ -255,7 +255,13 @@
 	if n < l.start || l.selfS < 0 {
 		return
 	}
-	l.commit = max(l.commit, n)
+	if n > l.commit {
+		l.commit = n
+		c.checkCommit(p, l.copies)
+		if l.nextReady {
+			c.checkCommit(p, l.next)
+		}
+	}
 	for len(l.pend) > 0 && l.pend[0].seq <= l.commit {
 		done := l.pend[0].done
 		l.pend = l.pend[1:]
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -393,6 +393,7 @@
 	}
 	snap := &view.Snapshot{Config: c.config, Senders: max(c.senders, 1), Table: c.table, Listed: c.listed, Endpoints: c.merged,
 		Certificates: c.certificates, CertificatesKnown: c.certificatesKnown}
+	checkSuccessor(c.o.Holder.Get(), snap, endpoints)
 	c.o.Holder.Set(snap)
 	if c.o.Changed != nil {
 		c.o.Changed(snap)
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -25,6 +25,7 @@
 // start grants a run to a request and records it at the endpoint.
 func (c *core) start(w *waiter, r *run) {
 	e := r.endpoint
+	checkGrant(w, e)
 	r.target, r.sent, r.deadline, r.bulk = e.target, c.now, w.deadline, w.r.Bulk
 	e.pool.size.add(float64(w.r.TokensIn), 0.02)
 	e.narrow.Record(c.now)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -64,6 +64,7 @@
 
 	state      attempt.State
 	headed     bool // the head was passed on
+	mayHaveRun bool // an endpoint had all of it and has not said that it did not run it
 	tries      int  // endpoints that had it
 	turns      int  // those that turned it away, or could not be reached
 	retryAfter time.Duration
@@ -168,11 +169,14 @@
 			return e
 		}
 	}
+	x.checkSend(target.ID)
 	if err := x.roundTrip(); err != nil {
+		x.noteSent(err, 0)
 		return x.failed(err)
 	}
 	x.load = loadOf(x.resp.Header)
 	e, outcome := x.classify()
+	x.noteSent(nil, e)
 	switch e {
 	case attempt.Answered, attempt.Failed:
 		x.grant.First(x.load)
--- /dev/null
+++ b/internal/forward/invariants_test.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"dunetide/internal/attempt"
+	"dunetide/internal/dispatch"
+	"dunetide/internal/invariant/invarianttest"
+	"dunetide/internal/operator"
+	"dunetide/internal/upstream"
+)
+
+func TestWhatMayHaveRunIsAccountedFor(t *testing.T) {
+	once := &operator.Route{Name: "save", Kind: operator.Writes}
+	request := func() *exchange { return &exchange{req: dispatch.Request{ID: "r1", Route: once}} }
+	for name, sending := range map[string]struct {
+		err        error
+		head       attempt.Event
+		mayHaveRun bool
+	}{
+		"the endpoint says that it has not run": {nil, attempt.Rejected, false},
+		"it was not written whole":              {&upstream.CallError{Sent: false, Err: errors.New("reset")}, 0, false},
+		"it was written and reset":              {&upstream.CallError{Sent: true, Err: errors.New("reset")}, 0, true},
+		"an error that tells nothing":           {errors.New("reset"), 0, true},
+		"it was answered":                       {nil, attempt.Answered, true},
+		"it failed":                             {nil, attempt.Failed, true},
+		"a refusal without proof":               {nil, attempt.FalseRefusal, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := request()
+			x.checkSend("e1")
+			x.noteSent(sending.err, sending.head)
+			if x.mayHaveRun != sending.mayHaveRun {
+				t.Fatalf("it may have run: %v", x.mayHaveRun)
+			}
+			if !x.mayHaveRun {
+				x.checkSend("e2")
+				x.checkRefusal()
+				return
+			}
+			invarianttest.Violates(t, "requests_that_run_once_are_sent_once", func() { x.checkSend("e2") })
+			invarianttest.Violates(t, "refused_requests_have_not_run", x.checkRefusal)
+		})
+	}
+	x := request()
+	x.resp = &http.Response{Header: http.Header{headerID: {"r1"}}}
+	x.checkAnswer()
+	x.resp.Header[headerID] = []string{"r2"}
+	invarianttest.Violates(t, "answers_belong_to_their_request", x.checkAnswer)
+}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -149,6 +149,7 @@
 			if x.reason != "" {
 				w.Header().Set(headerReason, x.reason)
 			}
+			x.checkRefusal()
 			p.answer(w, r, http.StatusServiceUnavailable, x.retryAfterHint())
 		case attempt.BadGateway:
 			p.answer(w, r, http.StatusBadGateway, 0)
@@ -238,6 +239,7 @@
 
 // passHead passes an answer's head on, with the length of its body if that is known.
 func (x *exchange) passHead(w http.ResponseWriter, length int64) {
+	x.checkAnswer()
 	h := w.Header()
 	drop := named(x.resp.Header)
 	x.p.sayClose(h)
--- /dev/null
+++ b/internal/invariant/invarianttest/invarianttest.go
@@ -0,0 +1,20 @@
+// Package invarianttest is for tests of checks: each has to fail where its promise is broken.
+package invarianttest
+
+import (
+	"strings"
+	"testing"
+)
+
+// Violates fails the test unless f violates the invariant of that name.
+func Violates(t *testing.T, name string, f func()) {
+	t.Helper()
+	defer func() {
+		t.Helper()
+		found, _ := recover().(string)
+		if !strings.Contains(found, name) {
+			t.Errorf("%s is not violated: %q", name, found)
+		}
+	}()
+	f()
+}
--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -275,6 +275,7 @@
 			k.log.Error("configuration's register unreadable", "slot", s.Slot, "err", err)
 			return
 		}
+		k.decidedConfig.rise(name, s.Slot, v.version)
 		if v.version > k.config.version {
 			k.config = v
 			k.dirty = true
@@ -286,6 +287,7 @@
 			k.log.Error("certificates' register unreadable", "slot", s.Slot, "err", err)
 			return
 		}
+		k.decidedCertificates.rise(name, s.Slot, v.version)
 		if v.version > k.certificates.version {
 			k.tellCertificates(v, s.Slot)
 			k.certificates = v
--- a/internal/keeper/documents.go
+++ b/internal/keeper/documents.go
@@ -109,11 +109,13 @@
 
 // getDocument answers with the newest document of a register.
 func (k *Keeper) getDocument(w http.ResponseWriter, register string, none int, why string) {
+	known := k.agree.knownVersion(register)
 	v, err := k.readNewest(register)
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
+	checkRead(register, known, v.version)
 	if v.version == 0 {
 		refuse(w, none, why)
 		return
--- a/internal/keeper/endpoints.go
+++ b/internal/keeper/endpoints.go
@@ -96,6 +96,7 @@
 	case res.waiter != nil && !res.waiter.quorate:
 		refuse(w, http.StatusServiceUnavailable, errNotAtMajority.Error())
 	default:
+		k.checkAcknowledgement(id, res)
 		acknowledge(w, res.beatTo)
 	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -72,6 +72,8 @@
 	config   *document // newest decided that is known
 	// certificates are the newest decided that are known; version 0: none were ever put.
 	certificates *document
+	// decidedConfig and decidedCertificates are the newest decided states that were taken in.
+	decidedConfig, decidedCertificates decidedVersion
 	// certificateReads are for those who ask whether theirs are the newest.
 	certificateReads *contact.Barrier[*link.Message]
 	contact          *contact.Gate[*link.Conn]
