Metrics in the text format of scrapers, and log lines for what failed

A failed request left no trace at a proxy, nor did a configuration that came in force there, a drain at a keeper, or a refused call of a batch job. A port that is taken is told and keeps nobody from work.

--- a/cmd/dunetide/jobs.go
+++ b/cmd/dunetide/jobs.go
@@ -34,7 +34,7 @@
 
 func newJobs(p *process, holder *view.Holder) *jobs {
 	j := &jobs{holder: holder, runner: &runner{holder: holder}}
-	j.edge = batch.NewEdge(batch.EdgeOptions{Views: holder, Name: p.settings.NodeName, Zone: p.settings.Zone, Runner: j.runner,
+	j.edge = batch.NewEdge(batch.EdgeOptions{Views: holder, Name: p.settings.NodeName, Zone: p.settings.Zone, Runner: j.runner, Log: p.log,
 		Logf: func(format string, args ...any) { p.log.Info("batch", "event", fmt.Sprintf(format, args...)) }})
 	return j
 }
--- a/cmd/dunetide/main.go
+++ b/cmd/dunetide/main.go
@@ -91,7 +91,9 @@
 	go watcher.Run(context.Background(), sighup.Received())
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	signal.Ignore(syscall.SIGPIPE)
-	return &process{settings: s, watcher: watcher, log: log, ctx: ctx}, nil
+	p := &process{settings: s, watcher: watcher, log: log, ctx: ctx}
+	p.startMetrics(role)
+	return p, nil
 }
 
 // limitMemory leaves room below the limit for what the collector has not freed yet.
--- /dev/null
+++ b/cmd/dunetide/metrics.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"dunetide/internal/control"
+	"dunetide/internal/observe"
+	"dunetide/internal/settings"
+)
+
+// metricsPorts are where the roles tell their figures; deploy/system.toml names them too. Two roles may share a machine.
+var metricsPorts = map[string]int{control.RoleProxy: 19101, control.RoleKeeper: 19102, control.RoleStore: 19103}
+
+// metricsAfter is how long after its start a process begins to tell its figures, so that a port that another role of the machine needs
+// for its own work goes to that one.
+const metricsAfter = 2 * time.Second
+
+// startMetrics serves the figures of the process until it ends. A port that is taken is no reason not to work: it is told in the log.
+func (p *process) startMetrics(role string) {
+	port := metricsPorts[role]
+	if portIsUsed(p.settings, port) {
+		p.log.Warn("metrics not served: the settings give their port to something else", "port", port)
+		return
+	}
+	time.AfterFunc(metricsAfter, func() {
+		listener, err := net.Listen("tcp4", net.JoinHostPort(p.settings.IP, strconv.Itoa(port)))
+		if err == nil {
+			err = observe.Serve(listener)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
+			p.log.Warn("metrics not served", "port", port, "err", err)
+		}
+	})
+}
+
+// portIsUsed reports whether the settings give a port to something else of this process or between nodes.
+func portIsUsed(s *settings.Settings, port int) bool {
+	if port >= s.InternalFirst && port <= s.InternalLast {
+		return true
+	}
+	return slices.ContainsFunc([]string{s.Front, s.Ready, s.Control}, func(address string) bool {
+		_, used, err := net.SplitHostPort(address)
+		return err == nil && used == strconv.Itoa(port)
+	})
+}
--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -43,6 +43,7 @@
 			snap := holder.Get()
 			return snap != nil && snap.Config != nil && snap.Listed && snap.CertificatesKnown
 		}})
+	proxy.Observe()
 	jobs.work(proxy)
 	client = control.NewClient(control.ClientOptions{Self: control.Node{Name: s.NodeName, Role: control.RoleProxy, Zone: s.Zone,
 		Life: uint64(time.Now().UnixNano())}, Seeds: seedLinks(s), Known: members.keepers,
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -224,6 +224,7 @@
 	c.quotaTick()
 	if c.now >= c.nextWork {
 		c.nextWork = c.now + 500
+		c.setFigures()
 		c.checkStopping()
 		c.ages()
 		c.keepSpace()
--- a/internal/batch/edge.go
+++ b/internal/batch/edge.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"dunetide/internal/link"
+	"dunetide/internal/observe"
 	"dunetide/internal/operator"
 	"dunetide/internal/view"
 )
@@ -17,6 +20,7 @@
 	Zone   string
 	Runner Runner // nil: this edge runs no items
 	Logf   func(format string, args ...any)
+	Log    hclog.Logger // of calls that failed; nil: none
 }
 
 // Edge is the side of batch jobs on a proxy: the calls of clients, and the worker that runs items.
@@ -24,8 +28,10 @@
 	o      EdgeOptions
 	pool   *pool
 	worker *workerSide
-	stop   chan struct{}
-	once   sync.Once
+	// callEvents are calls that failed.
+	callEvents *observe.Log
+	stop       chan struct{}
+	once       sync.Once
 
 	mu   sync.Mutex
 	seen *view.Table
@@ -33,7 +39,7 @@
 
 // NewEdge begins to hold connections to the stores.
 func NewEdge(o EdgeOptions) *Edge {
-	e := &Edge{o: o, stop: make(chan struct{})}
+	e := &Edge{o: o, stop: make(chan struct{}), callEvents: newCallEvents(o.Log)}
 	e.worker = newWorkerSide(e)
 	e.pool = &pool{to: map[uint64]*dialled{}, up: e.worker.up, down: e.worker.down, message: e.worker.message}
 	go e.watch()
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -94,6 +94,13 @@
 
 // Serve answers a client's call.
 func (e *Edge) Serve(ctx context.Context, c *Call) Answer {
+	began := time.Now()
+	answer := e.serve(ctx, c)
+	e.noteCall(c, answer, began)
+	return answer
+}
+
+func (e *Edge) serve(ctx context.Context, c *Call) Answer {
 	v := e.o.Views.Get()
 	if v == nil || v.Config == nil {
 		return unavailable
--- a/internal/batch/lead.go
+++ b/internal/batch/lead.go
@@ -113,6 +113,7 @@
 	}
 	l := p.lead
 	if l == nil {
+		leadsBegun.Inc()
 		l = &lead{life: ballot, commit: -1, usage: map[string]*usage{}, reserves: map[uint64]*reserve{}, accts: map[string]*account{}, incoming: map[string]*incoming{}}
 		p.lead = l
 	}
--- a/internal/batch/replication.go
+++ b/internal/batch/replication.go
@@ -257,6 +257,7 @@
 	}
 	if n > l.commit {
 		l.commit = n
+		commits.Inc()
 		c.checkCommit(p, l.copies)
 		if l.nextReady {
 			c.checkCommit(p, l.next)
--- a/internal/batch/workers.go
+++ b/internal/batch/workers.go
@@ -200,6 +200,7 @@
 	c.order(p, encodeList(j.id, no, givenUp, text), func(ok bool) {
 		if ok {
 			j.visible++
+			itemsListed.Inc()
 			checkVisible(j)
 			if !j.endSeen {
 				c.usageChange(p, j.route, -tokens)
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -315,9 +315,11 @@
 func (c *Client) take(s *source, u *Update, config *operator.Config) (endpoints bool) {
 	if config != nil && (c.config == nil || config.Version > c.config.Version) {
 		c.config = config
+		c.o.Log.Info("configuration in force", "version", config.Version)
 	}
 	if u.Table != nil && (c.table == nil || u.Table.Number > c.table.Number) {
 		c.table = u.Table
+		c.o.Log.Info("table in force", "number", u.Table.Number, "stores", len(u.Table.Stores))
 	}
 	if u.Senders > 0 {
 		c.senders = u.Senders
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -19,6 +19,7 @@
 
 	"dunetide/internal/certify"
 	"dunetide/internal/dispatch"
+	"dunetide/internal/observe"
 	"dunetide/internal/operator"
 	"dunetide/internal/upstream"
 	"dunetide/internal/view"
@@ -71,6 +72,8 @@
 	conns    *upstream.Pools
 	server   *http.Server
 	draining atomic.Bool
+	failures *observe.Log
+	states   *connStates
 
 	mu    sync.Mutex
 	pools map[string]pool // by incarnation
@@ -111,12 +114,13 @@
 	if o.HeaderWait == 0 {
 		o.HeaderWait = 10 * time.Second
 	}
-	p := &Proxy{o: o, pools: map[string]pool{}}
+	p := &Proxy{o: o, pools: map[string]pool{}, failures: observe.NewLog(o.Log), states: newConnStates()}
 	p.conns = upstream.New(upstream.Config{Dial: o.Dial, Now: o.Now, Rand: o.Rand, Senders: growthShare,
 		MaxOpen: o.MaxOpen, IdleLimit: idleLimit, DialTimeout: dialTimeout, Wait: connWait})
 	p.server = &http.Server{
 		Handler:           p,
 		ConnContext:       withClientConn,
+		ConnState:         p.states.change,
 		ReadHeaderTimeout: o.HeaderWait,
 		IdleTimeout:       o.IdleTimeout,
 		MaxHeaderBytes:    256 << 10, // what the configuration allows is checked with it
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -37,7 +37,7 @@
 		path = raw
 	}
 	if !strings.HasPrefix(target, "/") {
-		p.answer(w, r, http.StatusBadRequest, 0)
+		p.refuse(w, r, http.StatusBadRequest, 0, nil)
 		return
 	}
 	if p.o.Bulk != nil && (strings.HasPrefix(path, "/lots/") || strings.HasPrefix(path, "/items/")) {
@@ -47,12 +47,12 @@
 	}
 	s := p.o.Holder.Get()
 	if s == nil || s.Config == nil {
-		p.answer(w, r, http.StatusServiceUnavailable, 3*defaultRetryAfter)
+		p.refuse(w, r, http.StatusServiceUnavailable, 3*defaultRetryAfter, nil)
 		return
 	}
 	route := p.o.Match(s.Config, r.Host, path)
 	if route == nil {
-		p.answer(w, r, http.StatusNotFound, 0)
+		p.refuse(w, r, http.StatusNotFound, 0, nil)
 		return
 	}
 	if route.Kind == operator.Bulk && p.o.Bulk != nil {
@@ -67,7 +67,7 @@
 func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, route *operator.Route, limits *operator.Limits, target string, arrived time.Time) {
 	if status := unanswerable(r); status != 0 {
 		w.Header().Set("Connection", "close")
-		p.answer(w, r, status, 0)
+		p.refuse(w, r, status, 0, route)
 		return
 	}
 	x := &exchange{p: p, ctx: r.Context(), method: r.Method}
@@ -95,14 +95,14 @@
 	if r.ContentLength != 0 {
 		if status := readBody(rc, r, limits, bodyBuffer, x.deadline); status != 0 {
 			w.Header().Set("Connection", "close") // what follows on it can't be told from the rest of the body
-			p.answer(w, r, status, 0)
+			p.refuse(w, r, status, 0, route)
 			return
 		}
 		x.body = *bodyBuffer
 	}
 	x.buildHead(target, r.Host, r.Header, len(x.body))
 	if limits.MaxHeaderBytes > 0 && x.base > limits.MaxHeaderBytes+256 { // some is laid out otherwise than it came
-		p.answer(w, r, http.StatusRequestHeaderFieldsTooLarge, 0)
+		p.refuse(w, r, http.StatusRequestHeaderFieldsTooLarge, 0, route)
 		return
 	}
 	p.answerFrom(x, w, r, rc)
@@ -126,15 +126,21 @@
 	for {
 		if ok {
 			e = x.send()
+			sends[e].Inc()
 		}
 		v := x.follow(e)
 		if v == attempt.Forward {
 			if e = x.passOn(w, rc); e == attempt.BodyComplete {
 				x.state = attempt.Ended
+				x.noteVerdict(attempt.Forward, e)
 				return
 			}
+			sends[e].Inc()
 			v = x.follow(e)
 		}
+		if v != attempt.Retry {
+			x.noteVerdict(v, e)
+		}
 		switch v {
 		case attempt.Retry:
 			if e == attempt.Failed {
@@ -182,6 +188,12 @@
 	}
 }
 
+// refuse answers a request that goes to no endpoint; route is nil where none was found.
+func (p *Proxy) refuse(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration, route *operator.Route) {
+	p.noteOwnAnswer(r, status, route)
+	p.answer(w, r, status, retryAfter)
+}
+
 // answer answers a client with a status of our own.
 func (p *Proxy) answer(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration) {
 	h := w.Header()
--- a/internal/keeper/calls.go
+++ b/internal/keeper/calls.go
@@ -56,7 +56,7 @@
 
 func (k *Keeper) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		found := false
+		found, began := false, time.Now()
 		for _, c := range calls {
 			name, under := "", r.URL.Path == c.path
 			if strings.HasSuffix(c.path, "/") {
@@ -88,7 +88,9 @@
 				refuse(w, http.StatusRequestTimeout, "the body was cut: send it again whole")
 				return
 			}
-			c.serve(k, w, name, body, r)
+			counted := &statusWriter{w, http.StatusOK}
+			c.serve(k, counted, name, body, r)
+			k.answered(c, name, counted, began)
 			return
 		}
 		if found {
--- a/internal/keeper/contact.go
+++ b/internal/keeper/contact.go
@@ -55,6 +55,7 @@
 	if k.hadContact {
 		k.log.Info("contact with a majority", "after", now)
 	} else {
+		contactLosses.Inc()
 		k.log.Warn("no contact with a majority")
 	}
 	k.sendReports()
--- a/internal/keeper/endpoints.go
+++ b/internal/keeper/endpoints.go
@@ -86,19 +86,28 @@
 			ok = false
 		}
 	}
+	status, why := http.StatusServiceUnavailable, ""
 	switch {
 	case !ok:
-		refuse(w, http.StatusServiceUnavailable, errStops.Error())
+		why = errStops.Error()
 	case res.full:
-		refuse(w, http.StatusServiceUnavailable, "the list of endpoints is full: remove some")
+		why = "the list of endpoints is full: remove some"
 	case res.noContact || !k.inContact():
-		refuse(w, http.StatusServiceUnavailable, errNoContact.Error())
+		why = errNoContact.Error()
 	case res.waiter != nil && !res.waiter.quorate:
-		refuse(w, http.StatusServiceUnavailable, errNotAtMajority.Error())
+		why = errNotAtMajority.Error()
 	default:
-		k.checkAcknowledgement(id, res)
-		acknowledge(w, res.beatTo)
+		status = http.StatusOK
 	}
+	if ends && ok {
+		k.noteEnd(id, res, status)
+	}
+	if status != http.StatusOK {
+		refuse(w, status, why)
+		return
+	}
+	k.checkAcknowledgement(id, res)
+	acknowledge(w, res.beatTo)
 }
 
 // changeList changes the list, for the owner, and tells the other keepers and the attached processes.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -22,6 +22,7 @@
 	"dunetide/internal/duty"
 	"dunetide/internal/journal"
 	"dunetide/internal/link"
+	"dunetide/internal/observe"
 	"dunetide/internal/registry"
 	"dunetide/internal/settings"
 	"dunetide/internal/view"
@@ -101,6 +102,8 @@
 	seeds        atomic.Pointer[[]string] // control addresses that are dialled; those of the first voters stay those of the start
 	contactUntil atomic.Int64             // for other goroutines: the end of contact, as a time of this life
 
+	callEvents *observe.Log // answers that somebody may ask about
+
 	largeBodies chan struct{} // holds one for each large body that is in hand
 
 	mu     sync.Mutex
@@ -117,6 +120,7 @@
 		config: &document{}, certificates: &document{}, certificateReads: contact.NewBarrier[*link.Message](confirmEvery),
 		contact: contact.NewGate[*link.Conn](), contactTimer: time.NewTimer(0), dialling: map[string]bool{}, wanted: map[string]time.Time{},
 		troubles: troubleTable{}}
+	k.callEvents = observe.NewLog(o.Log)
 	if k.o.PushWait <= 0 {
 		k.o.PushWait = pushWait
 	}
@@ -288,6 +292,7 @@
 		k.sendHeard(now)
 	}
 	k.wakeWaiters(now)
+	k.setFigures(now)
 	k.assign(now)
 	k.changeVoters(now)
 	if k.table.Listening(k.since(now)) != k.pushedListening || k.table.Newest() != k.pushedChange {
