--- a/cmd/winglab/main.go
+++ b/cmd/winglab/main.go
@@ -31,6 +31,7 @@
 	Run     runCommand     `cmd:"" help:"Play a scenario against real delivery nodes on loopback sockets."`
 	Fleet   fleetCommand   `cmd:"" help:"Play a fleet of real nodes, with relays that break what is between them."`
 	Tier    tierCommand    `cmd:"" help:"Play a small serving tier of real dunetide processes, with endpoints and clients around it."`
+	Soak    soakCommand    `cmd:"" help:"Play a serving tier of real dunetide processes under drawn troubles that overlap, and check what it promises."`
 	Night   nightCommand   `cmd:"" help:"Play a busy night with certified nodes: real dunetide processes, twice the traffic, nodes lost, a certificate withdrawn."`
 	Hollow  hollowCommand  `cmd:"" help:"Measure what control costs by size: real keepers and stores, hollow proxies and endpoints."`
 	Sim     simCommand     `cmd:"" help:"Play a scenario in simulated time: one module for each node, no sockets."`
--- /dev/null
+++ b/cmd/winglab/soak.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"dunetide/internal/lab/soak"
+	"dunetide/internal/lab/tier/cluster"
+)
+
+type soakCommand struct {
+	Seed    uint64        `default:"1" help:"The first seed. Each draws a plan: what there is, the troubles, the end."`
+	Seeds   int           `default:"1" help:"How many seeds are played, one after another."`
+	Length  time.Duration `default:"24s" help:"How long troubles come; the end and the time to recover come on top."`
+	Only    []int         `help:"Only the troubles of these numbers, of the plan of one seed."`
+	Final   string        `help:"Another end than the drawn one: none, kill-all, wipe-and-dark or restart-all." default:""`
+	Shrink  bool          `help:"Play a seed that broke a promise again, each time without one of its troubles, and keep those that it takes."`
+	Show    bool          `help:"Print the plans and play nothing."`
+	Out     string        `help:"A folder for the accounts, settings, disks and logs of the plays that broke a promise; without it they are removed."`
+	Program string        `help:"A program that dials through the lab's hub; without it, dunetide of this checkout is built so." type:"existingfile"`
+}
+
+// soakMost bounds a play beyond its length: starting, the end, recovering, finishing jobs, reading back.
+const soakMost = 90 * time.Second
+
+// Run plays plans of troubles that overlap.
+func (c *soakCommand) Run(ctx context.Context) error {
+	work, err := os.MkdirTemp("", "winglab-soak-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(work)
+	program := c.Program
+	if program == "" && !c.Show {
+		program = filepath.Join(work, "dunetide")
+		if err := cluster.BuildRelayed(ctx, program); err != nil {
+			return err
+		}
+	}
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
+		plan := soak.Draw(seed, c.Length).Only(c.Only)
+		if c.Final != "" {
+			plan.Final = soak.Final(c.Final)
+		}
+		if c.Show {
+			showPlan(plan)
+			continue
+		}
+		bad, err := c.play(ctx, program, work, plan, true)
+		if err != nil {
+			return err
+		}
+		if !bad {
+			continue
+		}
+		broken++
+		if c.Shrink {
+			if err := c.shrink(ctx, program, work, plan); err != nil {
+				return err
+			}
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%w: %d of %d seeds", errBroken, broken, c.Seeds)
+	}
+	return nil
+}
+
+func showPlan(plan soak.Plan) {
+	fmt.Printf("seed %d: %+v, final %s, load %.2f, clients that leave %.2f\n", plan.Seed, plan.Shape, plan.Final, plan.Load, plan.GiveUp)
+	for _, t := range plan.Troubles {
+		fmt.Printf("  %v\n", t)
+	}
+}
+
+// play plays one plan and tells whether a promise was broken.
+func (c *soakCommand) play(ctx context.Context, program, work string, plan soak.Plan, tell bool) (bad bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, plan.Length+soakMost)
+	defer cancel()
+	dir := filepath.Join(work, "run")
+	if err := os.RemoveAll(dir); err != nil {
+		return false, err
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return false, err
+	}
+	account, err := soak.Play(ctx, soak.Options{Program: program, Dir: dir, Plan: plan, Say: say})
+	if err != nil {
+		return true, errors.Join(fmt.Errorf("seed %d: %w", plan.Seed, err), c.keep(dir, plan.Seed))
+	}
+	if tell {
+		err = account.Print(os.Stdout)
+	}
+	if account.Bad() {
+		err = errors.Join(err, account.Save(dir), c.keep(dir, plan.Seed))
+	}
+	return account.Bad(), err
+}
+
+// keep moves the folder of a play to where it is looked at later.
+func (c *soakCommand) keep(dir string, seed uint64) error {
+	if c.Out == "" {
+		return nil
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	kept := filepath.Join(c.Out, fmt.Sprintf("seed-%d", seed))
+	if err := os.RemoveAll(kept); err != nil {
+		return err
+	}
+	return os.CopyFS(kept, os.DirFS(dir))
+}
+
+// shrink takes troubles away for as long as a promise is still broken without them.
+func (c *soakCommand) shrink(ctx context.Context, program, work string, plan soak.Plan) error {
+	for i := 0; i < len(plan.Troubles); {
+		less := plan
+		less.Troubles = slices.Delete(slices.Clone(plan.Troubles), i, i+1)
+		bad, err := c.play(ctx, program, work, less, false)
+		if err != nil {
+			return err
+		}
+		if bad {
+			plan = less
+		} else {
+			i++
+		}
+	}
+	var numbers []string
+	for _, t := range plan.Troubles {
+		numbers = append(numbers, strconv.Itoa(t.Number))
+	}
+	fmt.Printf("seed %d takes --only=%s\n", plan.Seed, strings.Join(numbers, ","))
+	showPlan(plan)
+	return nil
+}
--- a/internal/lab/faults/hub.go
+++ b/internal/lab/faults/hub.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,7 +28,9 @@
 
 	mu      sync.Mutex
 	entries map[string]net.Listener // of callers from outside, by target
-	closed  bool
+	// separations are in force.
+	separations []*separation
+	closed      bool
 }
 
 // NewHub opens a hub for the nodes with these addresses.
@@ -90,6 +93,64 @@
 	return nil
 }
 
+// separation keeps some nodes from others.
+type separation struct {
+	from, to map[int]bool
+	oneWay   bool
+}
+
+// cuts reports whether nothing passes from one node to another.
+func (s *separation) cuts(source, target int) bool {
+	return s.from[source] && s.to[target] || !s.oneWay && s.from[target] && s.to[source]
+}
+
+// Separate has nothing pass from some nodes to others, and back too unless it is one way, until what it returns is called.
+// Separations may overlap; those outside reach all. CutOff and Heal are not to be used beside it.
+func (h *Hub) Separate(from, to []string, oneWay bool) (heal func(), err error) {
+	s := &separation{oneWay: oneWay}
+	if s.from, err = h.indices(from); err != nil {
+		return nil, err
+	}
+	if s.to, err = h.indices(to); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.separations = append(h.separations, s)
+	h.applySeparations()
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.separations = slices.DeleteFunc(h.separations, func(other *separation) bool { return other == s })
+		h.applySeparations()
+	}, nil
+}
+
+// applySeparations cuts the pairs that any separation cuts, and no others.
+func (h *Hub) applySeparations() {
+	h.Change(func(source, target int, old Fault) Fault {
+		old.Cut = slices.ContainsFunc(h.separations, func(s *separation) bool { return s.cuts(source, target) })
+		return old
+	})
+}
+
+// indices are those of nodes, by their addresses.
+func (h *Hub) indices(addresses []string) (map[int]bool, error) {
+	found := map[int]bool{}
+	for _, address := range addresses {
+		node, err := netip.ParseAddr(address)
+		if err != nil {
+			return nil, err
+		}
+		i, there := h.nodes[node]
+		if !there {
+			return nil, fmt.Errorf("no node has the address %v", node)
+		}
+		found[i] = true
+	}
+	return found, nil
+}
+
 // Close ends all connections and listeners.
 func (h *Hub) Close() error {
 	h.end()
--- /dev/null
+++ b/internal/lab/soak/orders.go
@@ -0,0 +1,242 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"dunetide/internal/lab/tier/cluster"
+	"dunetide/internal/lab/tier/operator"
+)
+
+const (
+	orderEvery  = 400 * time.Millisecond
+	orderWait   = 5 * time.Second
+	readEvery   = 120 * time.Millisecond
+	readWait    = 2 * time.Second
+	ackedWait   = 4 * time.Second
+	raceVersion = 2 // the versions of two rivals differ, or not, by turns
+)
+
+// document is a configuration that was sent.
+type document struct {
+	version uint64
+	text    []byte
+}
+
+// orders are what the operators sent and what they were told, and what readers of the configuration saw.
+type orders struct {
+	mu      sync.Mutex
+	current document // acknowledged, or read back
+	taken   map[uint64]uint64
+	sent    map[uint64][][]byte // all that were sent under a version
+	racing  time.Time           // until when two operators race
+	acked   int
+	broken  []string
+	reads   int
+	refused int
+}
+
+// begin is the first configuration, before it is sent.
+func (o *orders) begin(text []byte) {
+	o.current = document{version: 3, text: text}
+	o.taken = map[uint64]uint64{0: 3}
+	o.sent = map[uint64][][]byte{3: {text}}
+}
+
+func (o *orders) newest() document {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.current
+}
+
+func (o *orders) race(length time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.racing = time.Now().Add(length)
+}
+
+func (o *orders) races() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return time.Now().Before(o.racing)
+}
+
+func (o *orders) broke(form string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.broken = append(o.broken, fmt.Sprintf(form, args...))
+}
+
+// next makes an order on top of a document. The number tells two rivals' apart, also where both take the same version.
+func (o *orders) next(base document, rival int) (document, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(base.text, &fields); err != nil {
+		return document{}, err
+	}
+	version := base.version + 1
+	if rival > 0 {
+		version += (base.version % raceVersion) * uint64(rival)
+	}
+	fields["version"] = fmt.Append(nil, version)
+	fields["limits"] = fmt.Appendf(nil, `{"max_header_bytes":16384,"max_body_bytes":4194304,"header_wait_ms":%d,"idle_ms":15000}`, 3000+2*int(version%500)+rival)
+	text, err := json.Marshal(fields)
+	if err != nil {
+		return document{}, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent[version] = append(o.sent[version], text)
+	return document{version, text}, nil
+}
+
+// acknowledged notes that an order was; two on top of one version break what is promised.
+func (o *orders) acknowledged(base uint64, d document) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.acked++
+	if other, there := o.taken[base]; there && other != d.version {
+		o.broken = append(o.broken, fmt.Sprintf("versions %d and %d are both acknowledged on top of %d", other, d.version, base))
+	}
+	o.taken[base] = d.version
+	if d.version > o.current.version {
+		o.current = d
+	}
+}
+
+// putOrders has an operator send orders, and a rival too while they race.
+func (p *play) putOrders(ctx context.Context) {
+	first, second := operator.New(p.cluster.Controls), operator.New(p.cluster.Controls)
+	for pause(ctx, orderEvery) {
+		base := p.orders.newest()
+		rivals := []*operator.Operator{first}
+		if p.orders.races() {
+			rivals = append(rivals, second)
+		}
+		var sending sync.WaitGroup
+		results := make([]error, len(rivals))
+		for i, rival := range rivals {
+			order, err := p.orders.next(base, i)
+			if err != nil {
+				p.orders.broke("an order can't be made: %v", err)
+				return
+			}
+			sending.Go(func() {
+				results[i] = bounded(ctx, orderWait, func(ctx context.Context) error { return rival.Put(ctx, base.version, order.text) })
+				if results[i] == nil {
+					p.orders.acknowledged(base.version, order)
+				}
+			})
+		}
+		sending.Wait()
+		p.orders.afterwards(ctx, first, results)
+	}
+}
+
+// afterwards finds out what is in place where an order got no clear answer, or another version was in the way.
+func (o *orders) afterwards(ctx context.Context, operator *operator.Operator, results []error) {
+	for _, err := range results {
+		if err == nil {
+			continue
+		}
+		var text []byte
+		if bounded(ctx, orderWait, func(ctx context.Context) (err error) { text, err = operator.Config(ctx); return err }) != nil {
+			return // the next order is tried on what is known
+		}
+		if d, err := o.identify(text); err == nil {
+			o.mu.Lock()
+			if d.version > o.current.version {
+				o.current = d
+			}
+			o.mu.Unlock()
+		}
+		return
+	}
+}
+
+// identify finds the order that a configuration is; one that nobody sent breaks what is promised.
+func (o *orders) identify(text []byte) (document, error) {
+	var head struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(text, &head); err != nil {
+		return document{}, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, sent := range o.sent[head.Version] {
+		if operator.Same(sent, text) {
+			return document{head.Version, sent}, nil
+		}
+	}
+	o.broken = append(o.broken, fmt.Sprintf("version %d is read, and nobody sent it so", head.Version))
+	return document{}, errors.New("nobody sent it")
+}
+
+// readConfig reads the configuration at one keeper again and again. What is answered is not older than what was acknowledged to
+// anybody, or read by anybody, before the read was sent.
+func (p *play) readConfig(ctx context.Context, keeper *cluster.Process) {
+	client := &http.Client{Timeout: readWait, Transport: &http.Transport{DisableKeepAlives: true}}
+	for pause(ctx, readEvery) {
+		floor := p.orders.newest().version
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+keeper.ReachedControl()+"/config", nil)
+		if err != nil {
+			return
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		text, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			continue
+		}
+		p.orders.read(keeper, floor, resp.StatusCode, text)
+	}
+}
+
+// read takes the answer to a read in.
+func (o *orders) read(keeper *cluster.Process, floor uint64, status int, text []byte) {
+	if status != http.StatusOK {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.refused++
+		if status < http.StatusInternalServerError {
+			o.broken = append(o.broken, fmt.Sprintf("a read at %v is answered %s", keeper, strconv.Itoa(status)))
+		}
+		return
+	}
+	d, err := o.identify(text)
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reads++
+	if d.version < floor {
+		o.broken = append(o.broken, fmt.Sprintf("%v answers version %d to a read that was sent after %d was acknowledged or read", keeper, d.version, floor))
+	}
+	if d.version > o.current.version {
+		o.current = d
+	}
+}
+
+// awaitAcknowledged waits until one more order was acknowledged, or a while.
+func (o *orders) awaitAcknowledged(ctx context.Context) {
+	count := func() int {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.acked
+	}
+	before := count()
+	for until := time.Now().Add(ackedWait); count() == before && time.Now().Before(until) && pause(ctx, time.Millisecond); {
+		continue
+	}
+}
--- a/internal/lab/tier/account.go
+++ b/internal/lab/tier/account.go
@@ -54,7 +54,7 @@
 		if name == web {
 			count = plain
 		}
-		s.Busy = busy.Seconds() / length.Seconds() / float64(count*endpointOptions(name).Capacity)
+		s.Busy = busy.Seconds() / length.Seconds() / float64(count*EndpointOptions(name).Capacity)
 		out = append(out, s)
 	}
 	return out
--- a/internal/lab/tier/cluster/cluster.go
+++ b/internal/lab/tier/cluster/cluster.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,6 +37,7 @@
 	BeatEvery time.Duration
 	Grace     time.Duration
 	Rules     string // the parts in force, joined by commas
+	Survive   int    // machines whose loss is to be borne at once; 0: 1
 }
 
 // Role of a process.
@@ -49,16 +51,18 @@
 )
 
 const (
-	firstNet    = 20 // machines of zone z are 127.0.(firstNet+z).n
+	firstNet    = 20 // machines of zone z are 127.net.(firstNet+z).n
 	portTries   = 50
 	readyEvery  = time.Second
 	missesOut   = 2
 	machinePort = 40 // ports that a machine uses, from the first
+	netsMost    = 250
 )
 
 // Cluster is what runs.
 type Cluster struct {
 	o      Options
+	net    int // the second part of all addresses
 	port   int // the first of all machines' ports
 	zones  []string
 	procs  []*Process
@@ -84,12 +88,15 @@
 // expected tells whether the machine is one of the tier at present.
 func (f *front) expected() bool { return f.proxy == nil || !f.proxy.absent() }
 
-// machine addresses of a zone: edges from 10 on, stores from 50 on, endpoints from 100 on.
-func address(zone, n int) string { return fmt.Sprintf("127.0.%d.%d", firstNet+zone, n) }
+// address is that of a machine of a zone: edges from 10 on, stores from 50 on, endpoints from 100 on. Each cluster has a net of its
+// own among the loopback addresses, so that several may run side by side.
+func (c *Cluster) address(zone, n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", c.net, firstNet+zone, n)
+}
 
 // New lays a cluster out and draws ports that are free; nothing runs yet.
 func New(o Options) (*Cluster, error) {
-	c := &Cluster{o: o}
+	c := &Cluster{o: o, net: 1 + rand.IntN(netsMost)}
 	c.first.Store(true)
 	c.life, c.cancel = context.WithCancel(context.Background())
 	for z := range o.Zones {
@@ -108,7 +115,7 @@
 	for n := range o.Stores {
 		z := n % o.Zones
 		c.procs = append(c.procs, &Process{c: c, Role: Store, Machine: fmt.Sprintf("storage-%s-%d", c.zones[z], n/o.Zones+1), class: "storage", serves: "storage",
-			zone: z, ip: address(z, 50+n/o.Zones), disk: true})
+			zone: z, ip: c.address(z, 50+n/o.Zones), disk: true})
 	}
 	if err := c.drawPorts(); err != nil {
 		return nil, err
@@ -127,7 +134,7 @@
 
 // addEdge lays out the processes of an edge machine.
 func (c *Cluster) addEdge(zone, n int, keeps bool) (added []*Process) {
-	machine, ip := fmt.Sprintf("edge-%s-%d", c.zones[zone], n+1), address(zone, 10+n)
+	machine, ip := fmt.Sprintf("edge-%s-%d", c.zones[zone], n+1), c.address(zone, 10+n)
 	added = append(added, &Process{c: c, Role: Proxy, Machine: machine, class: "edge", serves: "edge", zone: zone, ip: ip, disk: keeps})
 	if keeps {
 		added = append(added, &Process{c: c, Role: Keeper, Machine: machine, class: "edge", serves: "control", zone: zone, ip: ip, disk: true})
@@ -177,7 +184,7 @@
 
 // EndpointAddress is where endpoint n of a zone may listen.
 func (c *Cluster) EndpointAddress(zone, n int) string {
-	return fmt.Sprintf("%s:%d", address(zone, 100+n), c.port+portEndpoint)
+	return fmt.Sprintf("%s:%d", c.address(zone, 100+n), c.port+portEndpoint)
 }
 
 // Controls are the addresses that take heartbeats and the operator's calls.
@@ -375,7 +382,9 @@
 		set("listen_on.control", p.at(portControl))
 	}
 	set("internal_ports", fmt.Sprintf("%d,%d", c.port+portInternal, c.port+portInternalLast))
-	set("seeds", strings.Join(c.Seeds(), ","))
+	seeds := c.Seeds()
+	turn := p.seedRotation % max(1, len(seeds))
+	set("seeds", strings.Join(slices.Concat(seeds[turn:], seeds[:turn]), ","))
 	set("first_start", c.first.Load())
 	set("counts_loss", true)
 	set("limits.cpu_share", 1.0)
@@ -391,7 +400,7 @@
 	set("entry", "shared_ip")
 	set("beat_every_ms", c.o.BeatEvery.Milliseconds())
 	set("rules_in_force", c.o.Rules)
-	set("survive.machines", 1)
+	set("survive.machines", cmp.Or(c.o.Survive, 1))
 	set("survive.zones", 0)
 	set("survive.regions", 0)
 	for _, b := range []struct {
--- a/internal/lab/tier/cluster/process.go
+++ b/internal/lab/tier/cluster/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -40,8 +41,10 @@
 	planned bool          // its end is the lab's doing
 	closed  bool
 	started bool
-	removed bool     // for good
-	ended   []string // by itself
+	removed bool // for good
+	// seedRotation is by how much the order of the seeds in its settings is turned.
+	seedRotation int
+	ended        []string // by itself
 }
 
 func (p *Process) String() string { return fmt.Sprintf("%s on %s", p.Role, p.Machine) }
@@ -73,7 +76,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(p.c.o.Program, string(p.Role))
-	cmd.Env = append([]string{"DUNETIDE_CONFIG=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, p.relayedEnvironment()...)
+	cmd.Env = p.environment()
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the lab, however that ends
 	if err := cmd.Start(); err != nil {
@@ -85,6 +88,11 @@
 	return nil
 }
 
+// environment is that of the process.
+func (p *Process) environment() []string {
+	return append([]string{"DUNETIDE_CONFIG=" + p.SettingsFile(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, p.relayedEnvironment()...)
+}
+
 func (p *Process) log() string { return filepath.Join(p.dir, "log") }
 
 // wait is told when a process has ended; one that did so by itself is started again.
@@ -246,3 +254,47 @@
 	text, err := os.ReadFile(p.log())
 	return string(text), err
 }
+
+// Address is that of its machine.
+func (p *Process) Address() string { return p.ip }
+
+// HasDisk tells whether its machine has a disk.
+func (p *Process) HasDisk() bool { return p.disk }
+
+// Zone is that of its machine.
+func (p *Process) Zone() string { return p.c.zones[p.zone] }
+
+// ReachedFront is where clients reach a proxy.
+func (p *Process) ReachedFront() string { return p.reached(portFront) }
+
+// ReachedControl is where operators and endpoints reach a keeper.
+func (p *Process) ReachedControl() string { return p.reached(portControl) }
+
+// SecondTerm sends one more SIGTERM to a process that has been told to end.
+func (p *Process) SecondTerm() error { return p.signal(syscall.SIGTERM) }
+
+// Rewrite writes its settings file anew, with the seeds in another order.
+func (p *Process) Rewrite(rotation int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seedRotation = rotation
+	return os.WriteFile(p.SettingsFile(), []byte(p.settings()), 0o644)
+}
+
+// StartTwin starts a second process of the same machine and role beside the one that runs. It can't take the ports that are taken, so
+// it ends by itself; it is waited for, and ended by force after a while.
+func (p *Process) StartTwin(most time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), most)
+	defer cancel()
+	log, err := os.OpenFile(p.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.CommandContext(ctx, p.c.o.Program, string(p.Role))
+	cmd.Env = p.environment()
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	_ = cmd.Run() // that it fails is what is expected
+	return nil
+}
--- a/internal/lab/tier/cluster/relayed.go
+++ b/internal/lab/tier/cluster/relayed.go
@@ -142,6 +142,15 @@
 	return c.hub.CutOff(node)
 }
 
+// Separate has nothing pass from the machines of some addresses to those of others, and back too unless it is one way, until what it
+// returns is called. Datagrams of membership are not held up.
+func (c *Cluster) Separate(from, to []string, oneWay bool) (heal func(), err error) {
+	if c.hub == nil {
+		return nil, errNotRelayed
+	}
+	return c.hub.Separate(from, to, oneWay)
+}
+
 // Heal ends all cuts. What was held up comes late.
 func (c *Cluster) Heal() error {
 	if c.hub == nil {
--- a/internal/lab/tier/cluster/relayed_test.go
+++ b/internal/lab/tier/cluster/relayed_test.go
@@ -96,7 +96,7 @@
 // A cluster without relays says that nothing can be cut.
 func TestNothingIsCutWithoutRelays(t *testing.T) {
 	c := &Cluster{}
-	p := &Process{c: c, ip: address(0, 10)}
+	p := &Process{c: c, ip: c.address(0, 10)}
 	if c.CutOff(p) == nil || c.Heal() == nil {
 		t.Error("cut, without relays")
 	}
--- a/internal/lab/tier/engine/beats.go
+++ b/internal/lab/tier/engine/beats.go
@@ -142,6 +142,28 @@
 	return acked
 }
 
+// Depart ends it without saying that it drains: it says that it is gone to the first node that takes that, serves on for a while, and
+// ends. It tells when that was acknowledged; zero: never.
+func (e *Endpoint) Depart(ctx context.Context) (acked time.Time) {
+	e.mute()
+	client := &http.Client{Timeout: beatWait, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for range drainTries {
+		for _, a := range e.o.Beats.Controls() {
+			if _, err := call(ctx, client, http.MethodDelete, a, e.o.ID, nil); err == nil && acked.IsZero() {
+				acked = time.Now()
+				break
+			}
+		}
+		if !acked.IsZero() {
+			break
+		}
+	}
+	pause(ctx, e.o.Beats.DrainFor+afterDrain)
+	e.Crash()
+	return acked
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/lab/tier/load/book.go
+++ b/internal/lab/tier/load/book.go
@@ -54,6 +54,37 @@
 	status     int    // of its answer; 0: none came
 	seal       string // of a success
 	job        *job   // of an item
+	front      string // the address that the try went to
+	kept       bool   // on a connection that was kept
+	left       time.Time
+	end        string // how the try ended
+}
+
+// Try is one request of a client as the client saw it.
+type Try struct {
+	ID    string    `json:"id"`
+	Front string    `json:"front"` // the address that it went to
+	Kept  bool      `json:"kept"`  // on a connection that was kept
+	End   string    `json:"end"`   // a status, or what went wrong
+	Left  time.Time `json:"left"`  // when its client closed the connection, having had enough; zero: it did not
+	// Idempotent tells whether it may run more than once.
+	Idempotent bool `json:"idempotent"`
+}
+
+// leftEnd is the end of a try whose client has left.
+const leftEnd = "left"
+
+// tries are all requests but those of batch jobs, by their ids.
+func (b *book) tries() map[string]Try {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make(map[string]Try, len(b.sent))
+	for id, s := range b.sent {
+		if s.job == nil {
+			all[id] = Try{ID: id, Front: s.front, Kept: s.kept, End: s.end, Left: s.left, Idempotent: s.idempotent}
+		}
+	}
+	return all
 }
 
 // book keeps what the clients did and saw.
--- a/internal/lab/tier/load/client.go
+++ b/internal/lab/tier/load/client.go
@@ -117,6 +117,7 @@
 	events int // of the whole stream; 0: a plain request
 	ids    *rand.Rand
 	born   time.Time
+	leaves time.Duration // after which the client closes the connection of its try; 0: it does not
 
 	last     int // the newest event that came
 	first    time.Time
@@ -130,11 +131,14 @@
 	whole  bool
 	unsent bool // no node can have read it
 	wait   time.Duration
+	left   bool // the client has closed its connection
 	err    error
 }
 
 func (o outcome) String() string {
 	switch {
+	case o.left:
+		return leftEnd
 	case o.whole:
 		return strconv.Itoa(o.status)
 	case o.err == nil:
@@ -160,7 +164,7 @@
 	for try := range mostTry {
 		o = c.try(r, uint64(try), deadline)
 		c.book.count(r.kind, func(f *Figures) { f.Tries++; f.Ends[o.String()]++ })
-		if o.whole || !c.again(r, o) {
+		if o.whole || o.left || !c.again(r, o) {
 			break
 		}
 		left := time.Until(deadline)
@@ -214,6 +218,7 @@
 	if try == 0 {
 		k = c.take()
 	}
+	kept := k != nil
 	if k == nil {
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		defer cancel()
@@ -226,11 +231,15 @@
 	for _, share := range r.route.Shares {
 		s.services = append(s.services, share.Service)
 	}
+	s.front, s.kept = k.RemoteAddr().String(), kept
 	c.book.send(s)
 	keep := false
+	leave := c.leaveLater(r, s, k)
 	defer func() {
+		leave()
 		c.book.mu.Lock()
-		s.status = o.status
+		o.left = !s.left.IsZero() && !o.whole
+		s.status, s.end = o.status, o.String()
 		c.book.mu.Unlock()
 		if keep {
 			c.put(k)
@@ -294,6 +303,20 @@
 	return o
 }
 
+// leaveLater closes the connection of a try when its client has had enough. What it returns ends that.
+func (c *client) leaveLater(r *request, s *sent, k *conn) (stop func()) {
+	if r.leaves == 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(r.leaves, func() {
+		c.book.mu.Lock()
+		s.left = time.Now()
+		c.book.mu.Unlock()
+		_ = k.Close()
+	})
+	return func() { timer.Stop() }
+}
+
 func isNet(err error) bool {
 	var n net.Error
 	return errors.As(err, &n) || errors.Is(err, io.EOF)
--- a/internal/lab/tier/load/load.go
+++ b/internal/lab/tier/load/load.go
@@ -45,6 +45,8 @@
 	Settle   time.Duration
 	Cancel   time.Duration
 	Runs     *engine.Runs
+	// GiveUp is the share of requests whose client closes its connection within half of the aim.
+	GiveUp float64
 }
 
 // Account is what became of all.
@@ -55,6 +57,8 @@
 	Cut    int       `json:"cut"` // runs that were not answered whole
 	Late   int       `json:"sent_late"`
 	Jobs   []Job     `json:"jobs"`
+	// Tries are all requests of clients, by their ids.
+	Tries map[string]Try `json:"-"`
 }
 
 const sentLate = 50 * time.Millisecond
@@ -85,7 +89,7 @@
 		}
 	}
 	wg.Wait()
-	out := Account{Kinds: sorted(b.figures), Late: b.late}
+	out := Account{Kinds: sorted(b.figures), Late: b.late, Tries: b.tries()}
 	runs := o.Runs.All()
 	out.Broken, out.Runs = b.check(runs, o.Cancel), len(runs)
 	whole := map[string]bool{}
@@ -121,6 +125,9 @@
 		rng := world.Random(o.Seed, "request", number, n)
 		r := draw(t, rng, o.Stride)
 		r.born = began.Add(at)
+		if o.GiveUp > 0 && rng.Float64() < o.GiveUp {
+			r.leaves = time.Duration(rng.Float64() * float64(t.Route.TargetMs) / 2 * float64(time.Millisecond))
+		}
 		c := clients[rng.IntN(len(clients))]
 		wg.Go(func() { c.do(ctx, r) })
 	}
--- a/internal/lab/tier/replacements.go
+++ b/internal/lab/tier/replacements.go
@@ -76,8 +76,8 @@
 		return out, err
 	}
 	defer c.Close()
-	traffic, jobs := traffic()
-	d := &replacements{rig: newRig(o, c), day: day, operator: operator.New(c.Controls), config: configuration(traffic, jobs), version: configVersion}
+	traffic, jobs := DefaultTraffic()
+	d := &replacements{rig: newRig(o, c), day: day, operator: operator.New(c.Controls), config: Configuration(traffic, jobs), version: configVersion}
 	defer d.close()
 	if err := d.start(ctx); err != nil {
 		return out, explain(err, c)
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -51,8 +51,8 @@
 	night *night // nil: nothing is regulated
 }
 
-// traffic is what the clients ask for.
-func traffic() ([]load.Traffic, []load.Jobs) {
+// DefaultTraffic is what the clients of a play ask for.
+func DefaultTraffic() ([]load.Traffic, []load.Jobs) {
 	route := func(name, service string, kind config.Kind, timeout, aim int) *config.Route {
 		return &config.Route{Name: name, Host: host, PathStart: "/" + name + "/", Kind: kind, TimeoutMs: timeout, TargetMs: aim, Tries: 2,
 			Shares: []config.Share{{Service: service, Weight: 1}}}
@@ -75,8 +75,8 @@
 		}
 }
 
-// configuration is what the operator sends: all the routes of the traffic.
-func configuration(ts []load.Traffic, js []load.Jobs) []byte {
+// Configuration is what the operator sends: all the routes of the traffic.
+func Configuration(ts []load.Traffic, js []load.Jobs) []byte {
 	kinds := map[config.Kind]string{config.ReadOnly: "read_only", config.Writes: "writes", config.Streaming: "streaming", config.Bulk: "bulk"}
 	var routes []map[string]any
 	add := func(r *config.Route) {
@@ -96,14 +96,14 @@
 	for _, j := range js {
 		add(j.Route)
 	}
-	o := endpointOptions(gen)
+	o := EndpointOptions(gen)
 	text, err := json.Marshal(map[string]any{
 		"version": configVersion, "routes": routes,
 		"services": []map[string]any{
 			{"name": gen, "health_path": "/health", "max_conns": o.MaxConns, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"capacity": o.Capacity, "cache_tokens": o.CacheTokens, "token_bytes": 327680, "network_mbps": 4400000.0, "stride": stride,
 				"models": []map[string]any{{"name": "m"}}}},
-			{"name": web, "health_path": "/health", "max_conns": endpointOptions(web).MaxConns, "protocol": "h1", "tls": false},
+			{"name": web, "health_path": "/health", "max_conns": EndpointOptions(web).MaxConns, "protocol": "h1", "tls": false},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_wait_ms": 3000, "idle_ms": 15000},
 	})
@@ -113,7 +113,8 @@
 	return text
 }
 
-func endpointOptions(service string) engine.Options {
+// EndpointOptions are those of the endpoints of a service of the default configuration.
+func EndpointOptions(service string) engine.Options {
 	o := engine.Options{Service: service, Capacity: 8, Queue: 8, MaxConns: 60}
 	if service == web {
 		o.Work = 20 * time.Millisecond
@@ -139,7 +140,7 @@
 }
 
 func (r *rig) endpoint(service, addr string, zone int) (*engine.Endpoint, error) {
-	o := endpointOptions(service)
+	o := EndpointOptions(service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts++
@@ -193,11 +194,11 @@
 	if err := c.Start(); err != nil {
 		return out, err
 	}
-	ts, js := traffic()
+	ts, js := DefaultTraffic()
 	for i := range ts {
 		ts[i].Rate *= cmp.Or(o.Load, 1)
 	}
-	text := configuration(ts, js)
+	text := Configuration(ts, js)
 	op := operator.New(c.Controls)
 	if err := bounded(ctx, configWait, func(ctx context.Context) error { return op.Put(ctx, 0, text) }); err != nil {
 		return out, explain(fmt.Errorf("the first configuration: %w", err), c)
--- a/internal/lab/tier/tier_test.go
+++ b/internal/lab/tier/tier_test.go
@@ -72,7 +72,7 @@
 		}
 		return find(shared, service)
 	}}
-	const first = "127.0.20.10"
+	first := firstEdge(ip)
 	if ip == first {
 		return p
 	}
@@ -88,6 +88,12 @@
 	})
 }
 
+// firstEdge is the first edge machine of the cluster that an address is of.
+func firstEdge(ip string) string {
+	parts := strings.Split(ip, ".")
+	return strings.Join(append(parts[:2], "20", "10"), ".")
+}
+
 func known(shared string) bool {
 	_, err := os.Stat(filepath.Join(shared, "config"))
 	return err == nil && find(shared, gen) != "" && find(shared, web) != ""
