Clients' bodies are bounded in bytes, in time and together, on every path

Cause: requests read their bodies with a deadline, calls about batch jobs with io.ReadAll and none; their answers had no deadline either, and nothing bounded all bodies together. A stalled client held its connection and memory without an end.

Change: internal/clientbody reads bodies for both paths, up to the client's time, and counts their bytes against a fifth of the memory of the process; beyond that the answer is 503. Answers about jobs are written within 15 s. The same cause at keepers: their answers had no deadline; a minute now.

Tests of forward, keeper, cmd/dunetide pass; the wrong line of deadlines, now in clientbody.go, is found.

--- a/cmd/dunetide/jobs.go
+++ b/cmd/dunetide/jobs.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"dunetide/internal/batch"
+	"dunetide/internal/clientbody"
 	"dunetide/internal/forward"
 	"dunetide/internal/operator"
 	"dunetide/internal/view"
@@ -19,6 +20,12 @@
 	callMost = 4 * time.Second
 	// bodyMost bounds such a call's body where no configuration says it.
 	bodyMost = 8 << 20
+	// answerMost is how long a client may take to read the answer to such a call.
+	answerMost = 15 * time.Second
+	// retryAfterBodies is in how many seconds a call comes again for which too many bodies were in hand.
+	retryAfterBodies = "0.5"
+	// headerTimeLeft is what the client says that it still waits, in ms.
+	headerTimeLeft = "X-Dunetide-Time-Left-Ms"
 	// spareItems are in hand beyond the share, so that none has to be asked for when one ends.
 	spareItems = 2
 )
@@ -28,12 +35,13 @@
 	edge   *batch.Edge
 	holder *view.Holder
 	runner *runner
+	bodies *clientbody.Budget // shared with the requests of clients
 	// stopped: no more items are taken up.
 	stopped atomic.Bool
 }
 
-func newJobs(p *process, holder *view.Holder) *jobs {
-	j := &jobs{holder: holder, runner: &runner{holder: holder}}
+func newJobs(p *process, holder *view.Holder, bodies *clientbody.Budget) *jobs {
+	j := &jobs{holder: holder, bodies: bodies, runner: &runner{holder: holder}}
 	j.edge = batch.NewEdge(batch.EdgeOptions{Views: holder, Name: p.settings.NodeName, Zone: p.settings.Zone, Runner: j.runner, Log: p.log,
 		Logf: func(format string, args ...any) { p.log.Info("batch", "event", fmt.Sprintf(format, args...)) }})
 	return j
@@ -83,16 +91,17 @@
 }
 
 // serve answers a client's call about batch jobs.
-func (j *jobs) serve(w http.ResponseWriter, r *http.Request, _ *operator.Route) {
-	most := int64(bodyMost)
-	if snap := j.holder.Get(); snap != nil && snap.Config != nil && snap.Config.Limits.MaxBodyBytes > 0 {
-		most = snap.Config.Limits.MaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
-	if err != nil {
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
+func (j *jobs) serve(w http.ResponseWriter, r *http.Request, route *operator.Route) {
+	body, status := j.readBody(w, r, route)
+	if status != 0 {
+		w.Header().Set("Connection", "close") // what follows on it can't be told from the rest of the body
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", retryAfterBodies)
+		}
+		w.WriteHeader(status)
 		return
 	}
+	defer j.bodies.Give(len(body))
 	ctx, cancel := context.WithTimeout(r.Context(), callMost)
 	defer cancel()
 	a := j.edge.Serve(ctx, &batch.Call{Method: r.Method, Host: r.Host, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header.Get, Body: body})
@@ -105,6 +114,34 @@
 	if a.Type != "" {
 		w.Header().Set("Content-Type", a.Type)
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerMost)) // a client that doesn't read holds nothing up for longer
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
+
+// readBody reads the body of a call whole, in the time that the client has; status 0: it is there.
+func (j *jobs) readBody(w http.ResponseWriter, r *http.Request, route *operator.Route) (body []byte, status int) {
+	if r.ContentLength == 0 {
+		return nil, 0
+	}
+	limits := clientbody.Limits{Most: bodyMost, Until: time.Now().Add(clientbody.Wait), Budget: j.bodies}
+	if snap := j.holder.Get(); snap != nil && snap.Config != nil && snap.Config.Limits.MaxBodyBytes > 0 {
+		limits.Most = snap.Config.Limits.MaxBodyBytes
+	}
+	if route != nil && route.TimeoutMs > 0 {
+		limits.Until = earlier(limits.Until, route.TimeoutMs)
+	}
+	if ms, err := strconv.Atoi(r.Header.Get(headerTimeLeft)); err == nil && ms > 0 {
+		limits.Until = earlier(limits.Until, ms)
+	}
+	status = clientbody.Read(http.NewResponseController(w), r, limits, &body)
+	return body, status
+}
+
+// earlier is a moment, or so many ms from now where that is sooner.
+func earlier(at time.Time, ms int) time.Time {
+	if end := time.Now().Add(time.Duration(ms) * time.Millisecond); end.Before(at) {
+		return end
+	}
+	return at
+}
--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"dunetide/internal/clientbody"
 	"dunetide/internal/control"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/forward"
@@ -16,6 +17,9 @@
 	"dunetide/internal/view"
 )
 
+// bodiesPart is what part of the memory of a proxy clients' bodies may have: one in so many.
+const bodiesPart = 5
+
 type proxyCmd struct{}
 
 // Run serves the role until the process is told to stop, and then what is under way.
@@ -32,12 +36,13 @@
 	holder := &view.Holder{}
 	admission := dispatch.New(dispatch.Options{Zone: s.Zone, Holder: holder})
 	defer admission.Close()
-	jobs := newJobs(p, holder)
+	bodies := clientbody.NewBudget(int64(s.Limits.MemoryMB) << 20 / bodiesPart)
+	jobs := newJobs(p, holder, bodies)
 	var client *control.Client
 	regulated := newRegulated(p, holder, func() time.Time { return client.Confirmed() })
 	proxy := forward.New(forward.Options{Holder: holder, Admission: admission, Log: p.log,
-		Match:     func(c *operator.Config, host, path string) *operator.Route { return c.Match(host, path) },
-		Bulk:      jobs.serve,
+		Match: func(c *operator.Config, host, path string) *operator.Route { return c.Match(host, path) },
+		Bulk:  jobs.serve, Bodies: bodies,
 		Certified: regulated.gate, Record: regulated.recorder,
 		Ready: func() bool {
 			snap := holder.Get()
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"dunetide/internal/certify"
+	"dunetide/internal/clientbody"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/observe"
 	"dunetide/internal/operator"
@@ -62,6 +63,8 @@
 	DrainWait time.Duration
 	// IdleTimeout is how long a client's connection may stand idle; 0: 60 s.
 	IdleTimeout time.Duration
+	// Bodies bounds the bytes of clients' bodies that are in hand; nil: nothing does.
+	Bodies *clientbody.Budget
 	// HeaderWait is how long a client may take for a header; 0: 10 s.
 	HeaderWait time.Duration
 }
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -4,22 +4,18 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"dunetide/internal/attempt"
+	"dunetide/internal/clientbody"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/operator"
 	"dunetide/internal/upstream"
 )
 
 const (
-	// bodyWait is how long a client may take for its body where no time is told.
-	bodyWait = 30 * time.Second
-	// defaultBody bounds a body where the configuration doesn't.
-	defaultBody = 16 << 20
 	// defaultRetryAfter is when to come back where nothing better is known.
 	defaultRetryAfter = 100 * time.Millisecond
 	// writeMargin is how long after the deadline a client may still take its answer.
@@ -93,12 +89,14 @@
 	}()
 	x.head, x.stream.buf = *headBuffer, *streamBuffer
 	if r.ContentLength != 0 {
-		if status := readBody(rc, r, limits, bodyBuffer, x.deadline); status != 0 {
+		status := clientbody.Read(rc, r, clientbody.Limits{Most: limits.MaxBodyBytes, Until: x.deadline, Budget: p.o.Bodies}, bodyBuffer)
+		if status != 0 {
 			w.Header().Set("Connection", "close") // what follows on it can't be told from the rest of the body
-			p.refuse(w, r, status, 0, route)
+			p.refuse(w, r, status, defaultRetryAfter, route)
 			return
 		}
 		x.body = *bodyBuffer
+		defer p.o.Bodies.Give(len(x.body))
 	}
 	x.buildHead(target, r.Host, r.Header, len(x.body))
 	if limits.MaxHeaderBytes > 0 && x.base > limits.MaxHeaderBytes+256 { // some is laid out otherwise than it came
@@ -203,52 +201,12 @@
 	if id := r.Header.Get(headerID); id != "" {
 		h[headerID] = []string{id}
 	}
-	if retryAfter > 0 {
+	if retryAfter > 0 && status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(status)
 }
 
-// readBody reads a request's body whole, up to the request's deadline. It returns the status to answer
-// if that can't be; 0 if it is there.
-func readBody(rc *http.ResponseController, r *http.Request, limits *operator.Limits, into *[]byte, deadline time.Time) int {
-	most := limits.MaxBodyBytes
-	if most <= 0 {
-		most = defaultBody
-	}
-	if r.ContentLength > most {
-		return http.StatusRequestEntityTooLarge
-	}
-	wait := time.Now().Add(bodyWait)
-	if deadline.Before(wait) {
-		wait = deadline
-	}
-	_ = rc.SetReadDeadline(wait)
-	b := *into
-	if n := int(r.ContentLength); n >= cap(b) {
-		b = make([]byte, 0, min(n+1, maxBuffered)) // what is only announced takes no more
-	}
-	defer func() { *into = b }()
-	for {
-		if len(b) == cap(b) {
-			b = append(b, 0)[:len(b)]
-		}
-		n, err := r.Body.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		switch {
-		case int64(len(b)) > most:
-			return http.StatusRequestEntityTooLarge
-		case errors.Is(err, io.EOF):
-			_ = rc.SetReadDeadline(time.Time{})
-			return 0
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return http.StatusRequestTimeout
-		case err != nil:
-			return http.StatusBadRequest
-		}
-	}
-}
-
 // passHead passes an answer's head on, with the length of its body if that is known.
 func (x *exchange) passHead(w http.ResponseWriter, length int64) {
 	x.checkAnswer()
--- a/internal/forward/wrong_test.go
+++ b/internal/forward/wrong_test.go
@@ -62,7 +62,7 @@
 	{"a request's length may be read in two ways", "listener.go", "&& c.arrived.Load() > c.handled", "&& c.handled < 0"},
 	{"a request may have two ids", "serve.go", "len(r.Header[headerID]) != 1 ||", "len(r.Header[headerID]) < 1 ||"},
 	{"a protocol whose answers can't be told from cut ones", "serve.go", "!r.ProtoAtLeast(1, 1)", "!r.ProtoAtLeast(1, 0)"},
-	{"a body is waited for beyond the deadline", "serve.go", "	if deadline.Before(wait) {", "	if wait.Before(deadline) {"},
+	{"a body is waited for beyond the deadline", "../clientbody/clientbody.go", "	if limits.Until.Before(until) {\n", "	if false {\n"},
 	{"a connection is waited for beyond the deadline", "../upstream/pools.go", "!deadline.IsZero() && left < limit {", "!deadline.IsZero() && left < 0 {"},
 	{"bytes behind an answer are kept", "../upstream/conn.go", " || c.br.Buffered() != 0 {", " {"},
 	{"nobody looks before a connection is used", "../upstream/pools.go", "if c.age = now.Sub(c.since); c.age < c.idleFor(limit) && c.quiet() {", "if c.age = now.Sub(c.since); c.age < c.idleFor(limit) {"},
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -385,6 +385,6 @@
 }
 
 func (k *Keeper) server() *http.Server {
-	return &http.Server{Handler: k.handler(), ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: 30 * time.Second,
+	return &http.Server{Handler: k.handler(), ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 30 * time.Second, WriteTimeout: time.Minute, IdleTimeout: 30 * time.Second,
 		MaxHeaderBytes: 32 << 10}
 }
