Soak: streams of some seconds, and work that goes on counts for those that would last

The checker took a success whose run had not ended for one without a status; where its client has left, it has none yet. Such a run counts as before once it has ended.

--- a/internal/lab/soak/account.go
+++ b/internal/lab/soak/account.go
@@ -34,9 +34,10 @@
 
 const (
 	goneAfter   = 500 * time.Millisecond
-	goneLeast   = 12 // requests whose clients left while they ran, below which no share of them is taken
-	goneReach   = 3  // requests that may reach an endpoint later than that
-	lostKept    = 3  // requests on kept connections that may be lost in a play
+	longStream  = 100 // events; at 10 ms each and more, such a stream would last well beyond goneAfter
+	goneLeast   = 12  // requests whose clients left while they ran, below which no share of them is taken
+	goneReach   = 3   // requests that may reach an endpoint later than that
+	lostKept    = 3   // requests on kept connections that may be lost in a play
 	scrapeEvery = 2 * time.Second
 	scrapeWait  = time.Second
 	storyMost   = 40 // log lines that tell of one broken promise
@@ -53,6 +54,8 @@
 	Refused  int      `json:"config_reads_refused"`
 	Drains   int      `json:"drains_acknowledged"`
 	Left     int      `json:"clients_left"`
+	LeftRuns int      `json:"runs_left"`        // that were under way when their client left
+	LeftWork int      `json:"runs_go_on"`       // of these, those that went on for long
 	Checks   uint64   `json:"invariant_checks"` // as the processes counted them at the last scrape of each
 	Scraped  int      `json:"processes_scraped"`
 	ReadBack string   `json:"read_back"`
@@ -105,7 +108,7 @@
 		if !try.Left.IsZero() && run.Arrived.Sub(try.Left) > goneAfter && p.timeline.inTouch(at, run.Arrived) {
 			late = append(late, run)
 		}
-		if !try.Left.IsZero() && run.Began.Before(try.Left) && (run.Ended.IsZero() || run.Ended.After(try.Left)) && p.timeline.inTouch(at, try.Left) {
+		if !try.Left.IsZero() && try.Events >= longStream && run.Began.Before(try.Left) && (run.Ended.IsZero() || run.Ended.After(try.Left)) && p.timeline.inTouch(at, try.Left) {
 			begun++
 			if run.Ended.IsZero() || run.Ended.Sub(try.Left) > goneAfter {
 				working++
@@ -123,6 +126,7 @@
 	if len(late) > goneReach {
 		a.broke(ruleGone, late[0].Request, "%d requests reach an endpoint over %v after their clients have left", len(late), goneAfter)
 	}
+	a.LeftRuns, a.LeftWork = begun, working
 	if begun >= goneLeast && working > begun/4 {
 		a.broke(ruleGone, "", "endpoints are still at work %v after the client has left on %d of %d requests", goneAfter, working, begun)
 	}
@@ -234,8 +238,8 @@
 // Print tells the account in a few lines.
 func (a Account) Print(w io.Writer) error {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d: %+v, %d troubles, final %s: %d runs, %d orders acknowledged, %d reads of the configuration and %d refused, %d drains, %d clients left, %d checks of invariants at %d processes\n",
-		a.Plan.Seed, a.Plan.Shape, len(a.Plan.Troubles), a.Plan.Final, a.Runs, a.Acked, a.Reads, a.Refused, a.Drains, a.Left, a.Checks, a.Scraped)
+	fmt.Fprintf(&out, "seed %d: %+v, %d troubles, final %s: %d runs, %d orders acknowledged, %d reads of the configuration and %d refused, %d drains, %d clients left (%d runs, %d go on), %d checks of invariants at %d processes\n",
+		a.Plan.Seed, a.Plan.Shape, len(a.Plan.Troubles), a.Plan.Final, a.Runs, a.Acked, a.Reads, a.Refused, a.Drains, a.Left, a.LeftRuns, a.LeftWork, a.Checks, a.Scraped)
 	for _, k := range a.Kinds {
 		fmt.Fprintf(&out, "  %-8s asked %d: %d in aim, %d late, %d refused, %d failed\n", k.Kind, k.Asked, k.InAim, k.Late, k.Refused, k.Failed)
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -34,9 +34,11 @@
 	plain       = 2
 	clients     = 16
 	stride      = 10
-	jobs        = 6
-	jobItems    = 12
-	drainedFor  = 5 * time.Second // an endpoint serves on for so long after its drain was acknowledged, so that late requests are seen
+	// longerStreams is by how much streams are longer than the default ones.
+	longerStreams = 4
+	jobs          = 6
+	jobItems      = 12
+	drainedFor    = 5 * time.Second // an endpoint serves on for so long after its drain was acknowledged, so that late requests are seen
 )
 
 // Options of a play.
@@ -157,6 +159,10 @@
 	ts, js := tier.DefaultTraffic()
 	for i := range ts {
 		ts[i].Rate *= p.plan.Load
+		if ts[i].Out > 0 { // streams of some seconds, so that troubles meet them
+			ts[i].Out *= longerStreams
+			ts[i].Rate /= longerStreams / 2
+		}
 	}
 	for i := range js {
 		js[i].Count, js[i].Items = jobs, jobItems
--- a/internal/lab/soak/wrong_test.go
+++ b/internal/lab/soak/wrong_test.go
@@ -52,8 +52,10 @@
 		}}, []string{"TWICE", ruleInvariant}},
 	{"work goes on when its client has left",
 		[]cluster.Replacement{{File: "internal/forward/serve.go", Old: "x := &exchange{p: p, ctx: r.Context(), method: r.Method}", New: "x := &exchange{p: p, ctx: context.WithoutCancel(r.Context()), method: r.Method}"},
-			{File: "internal/forward/serve.go", Old: "import (\n", New: "import (\n	\"context\"\n"}},
-		Plan{Seed: 5, Shape: shapes[0], Length: 6 * time.Second, Final: FinalNone, Load: 1, GiveUp: 0.5}, []string{ruleGone}},
+			{File: "internal/forward/serve.go", Old: "import (\n", New: "import (\n	\"context\"\n"},
+			{File: "internal/forward/serve.go", Old: "			if _, err := w.Write(whole); err != nil {\n				return err\n			}\n", New: "			_, _ = w.Write(whole)\n"},
+			{File: "internal/forward/serve.go", Old: "		return rc.Flush()\n", New: "		_ = rc.Flush()\n		return nil\n"}},
+		Plan{Seed: 5, Shape: shapes[0], Length: 12 * time.Second, Final: FinalNone, Load: 2, GiveUp: 0.6}, []string{ruleGone}},
 }
 
 // Each wrong program is found. This takes minutes, so it is asked for: SOAK_WRONG=1, or a part of a name.
@@ -72,7 +74,10 @@
 			for _, b := range account.Broken {
 				found[b.Rule]++
 			}
-			t.Log(found)
+			for _, b := range account.Broken[:min(3, len(account.Broken))] {
+				t.Log(b)
+			}
+			t.Logf("%v; %d clients left, of %d runs %d went on", found, account.Left, account.LeftRuns, account.LeftWork)
 			for _, rule := range w.rules {
 				if found[rule] == 0 {
 					t.Errorf("%s is not broken", rule)
--- a/internal/lab/tier/load/book.go
+++ b/internal/lab/tier/load/book.go
@@ -57,6 +57,7 @@
 	front      string // the address that the try went to
 	kept       bool   // on a connection that was kept
 	left       time.Time
+	events     int    // of the whole stream
 	end        string // how the try ended
 }
 
@@ -67,6 +68,8 @@
 	Kept  bool      `json:"kept"`  // on a connection that was kept
 	End   string    `json:"end"`   // a status, or what went wrong
 	Left  time.Time `json:"left"`  // when its client closed the connection, having had enough; zero: it did not
+	// Events are those of the whole stream; 0: it is none.
+	Events int `json:"events"`
 	// Idempotent tells whether it may run more than once.
 	Idempotent bool `json:"idempotent"`
 }
@@ -81,7 +84,7 @@
 	all := make(map[string]Try, len(b.sent))
 	for id, s := range b.sent {
 		if s.job == nil {
-			all[id] = Try{ID: id, Front: s.front, Kept: s.kept, End: s.end, Left: s.left, Idempotent: s.idempotent}
+			all[id] = Try{ID: id, Front: s.front, Kept: s.kept, End: s.end, Left: s.left, Events: s.events, Idempotent: s.idempotent}
 		}
 	}
 	return all
@@ -177,6 +180,9 @@
 		if s.seal == "" {
 			continue
 		}
+		if !s.left.IsZero() && seals[s.seal].Request == s.id && seals[s.seal].Ended.IsZero() {
+			continue // its client has left, and it has no status yet
+		}
 		if r, ok := seals[s.seal]; !ok || r.Request != s.id || r.Status/100 != 2 {
 			broke(Mixed, s.id, "a success bears the stamp %q of %q, status %d", s.seal, r.Request, r.Status)
 		}
--- a/internal/lab/tier/load/client.go
+++ b/internal/lab/tier/load/client.go
@@ -231,7 +231,7 @@
 	for _, share := range r.route.Shares {
 		s.services = append(s.services, share.Service)
 	}
-	s.front, s.kept = k.RemoteAddr().String(), kept
+	s.front, s.kept, s.events = k.RemoteAddr().String(), kept, r.events
 	c.book.send(s)
 	keep := false
 	leave := c.leaveLater(r, s, k)
