Descriptors are divided: clients' connections leave a process those that its own work takes

Cause: limits.open_files was read and used nowhere, so connections that clients open and leave idle could take all descriptors of a proxy or a keeper, and with them its links and its connections to endpoints.

Change: internal/descriptors gives half to connections from outside and a quarter at most to endpoints; more wait in the kernel's queue.

--- a/cmd/dunetide/descriptors_test.go
+++ b/cmd/dunetide/descriptors_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -29,7 +30,7 @@
 			dir := t.TempDir()
 			ip, port := freeMachine(t)
 			file := filepath.Join(dir, "boot.conf")
-			called := fmt.Sprintf("%s:%d", ip, port+8)
+			called := net.JoinHostPort(ip, strconv.Itoa(port+8))
 			text := fmt.Sprintf("node_name=n\nip=%s\ninternal_ports=%d,%d\nlisten_on.front=%s\nlisten_on.ready=%s:%d\nlisten_on.control=%s\ndata_dir=%s\n"+
 				"limits.open_files=%d\nseeds=%s:%d\nfirst_start=true\n", ip, port, port+7, called, ip, port+9, called, dir, descriptorsMost, ip, port+8)
 			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -10,6 +10,7 @@
 
 	"dunetide/internal/clientbody"
 	"dunetide/internal/control"
+	"dunetide/internal/descriptors"
 	"dunetide/internal/dispatch"
 	"dunetide/internal/forward"
 	"dunetide/internal/operator"
@@ -36,13 +37,14 @@
 	holder := &view.Holder{}
 	admission := dispatch.New(dispatch.Options{Zone: s.Zone, Holder: holder})
 	defer admission.Close()
+	files := descriptors.NewBudget(s.Limits.OpenFiles)
 	bodies := clientbody.NewBudget(int64(s.Limits.MemoryMB) << 20 / bodiesPart)
 	jobs := newJobs(p, holder, bodies)
 	var client *control.Client
 	regulated := newRegulated(p, holder, func() time.Time { return client.Confirmed() })
 	proxy := forward.New(forward.Options{Holder: holder, Admission: admission, Log: p.log,
 		Match: func(c *operator.Config, host, path string) *operator.Route { return c.Match(host, path) },
-		Bulk:  jobs.serve, Bodies: bodies,
+		Bulk:  jobs.serve, Bodies: bodies, MaxOpen: files.Endpoints(forward.DefaultMaxOpen),
 		Certified: regulated.gate, Record: regulated.recorder,
 		Ready: func() bool {
 			snap := holder.Get()
@@ -65,7 +67,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	front, err := net.Listen("tcp4", s.Front)
+	front, err := files.Listen(s.Front)
 	if err != nil {
 		return err
 	}
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -26,6 +26,9 @@
 	"dunetide/internal/view"
 )
 
+// DefaultMaxOpen bounds the connections to all endpoints together where nothing else does.
+const DefaultMaxOpen = 1024
+
 const (
 	dialTimeout = 500 * time.Millisecond
 	// connWait is how long a call waits for a connection where there may be no more of them: another
@@ -58,7 +61,7 @@
 	Log   hclog.Logger     // nil: nothing is logged
 	// Dial opens connections to endpoints; nil: TCP.
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
-	MaxOpen int // connections to all endpoints together; 0: 1024
+	MaxOpen int // connections to all endpoints together; 0: DefaultMaxOpen
 	// DrainWait is how long new connections are still served once the process is stopped; 0: 2.2 s.
 	DrainWait time.Duration
 	// IdleTimeout is how long a client's connection may stand idle; 0: 60 s.
@@ -106,7 +109,7 @@
 		o.Dial = dial
 	}
 	if o.MaxOpen == 0 {
-		o.MaxOpen = 1024
+		o.MaxOpen = DefaultMaxOpen
 	}
 	if o.DrainWait == 0 {
 		o.DrainWait = 2200 * time.Millisecond
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -19,6 +19,7 @@
 
 	"dunetide/internal/contact"
 	"dunetide/internal/control"
+	"dunetide/internal/descriptors"
 	"dunetide/internal/duty"
 	"dunetide/internal/journal"
 	"dunetide/internal/link"
@@ -160,7 +161,7 @@
 		return err
 	}
 	defer links.Close()
-	calls, err := net.Listen("tcp4", k.o.Settings.Control)
+	calls, err := descriptors.NewBudget(k.o.Settings.Limits.OpenFiles).Listen(k.o.Settings.Control)
 	if err != nil {
 		return err
 	}
