--- a/internal/keeper/wrong_test.go
+++ b/internal/keeper/wrong_test.go
@@ -22,7 +22,7 @@
 	{"a report of a former life counts", "peers.go", "p.attached, p.differs, p.report = nil, 0, control.KeeperReport{}\n", "p.attached, p.differs = nil, 0\n"},
 	{"the attached are not told", "pushes.go", "p.inContact != inContact || ", ""},
 	{"processes stay at a keeper without contact", "../control/attach.go", "		if !c.inContact(a) {\n", "		if false {\n"},
-	{"processes forget keepers that are not told of any more", "../control/client.go", "	former := slices.Concat(c.former, c.keepers)\n", "	var former []Node\n"},
+	{"processes forget keepers that are not told of any more", "../control/merge.go", "	former := slices.Concat(c.former, c.keepers)\n", "	var former []Node\n"},
 	{"contact without a majority after 3 s", "contact.go", "k.contact.Answered(k.since(time.Now()), askedAt, err == nil)", "k.contact.Answered(k.since(time.Now()), askedAt, err == nil || k.since(time.Now()) > 3*time.Second)"},
 }
 
