--- a/internal/keeper/agreement.go
+++ b/internal/keeper/agreement.go
@@ -302,7 +302,9 @@
 		if r.Err == nil && (k.parts == nil || t.Number > k.parts.Number) {
 			k.parts = t
 			k.dirty = true
-			k.log.Debug("table in force", "number", t.Number, "parts", fmt.Sprint(t.Parts), "stores", fmt.Sprint(t.Stores))
+			if k.log.IsDebug() { // their texts are long
+				k.log.Debug("table in force", "number", t.Number, "parts", fmt.Sprint(t.Parts), "stores", fmt.Sprint(t.Stores))
+			}
 		}
 	}
 }
