--- a/internal/lab/faults/hub.go
+++ b/internal/lab/faults/hub.go
@@ -93,6 +93,9 @@
 	return nil
 }
 
+// Outside names whoever is no node, among the nodes of a separation.
+const Outside = "outside"
+
 // separation keeps some nodes from others.
 type separation struct {
 	from, to map[int]bool
@@ -105,7 +108,7 @@
 }
 
 // Separate has nothing pass from some nodes to others, and back too unless it is one way, until what it returns is called.
-// Separations may overlap; those outside reach all. CutOff and Heal are not to be used beside it.
+// Separations may overlap; those outside reach all, unless Outside is named. CutOff and Heal are not to be used beside it.
 func (h *Hub) Separate(from, to []string, oneWay bool) (heal func(), err error) {
 	s := &separation{oneWay: oneWay}
 	if s.from, err = h.indices(from); err != nil {
@@ -138,6 +141,10 @@
 func (h *Hub) indices(addresses []string) (map[int]bool, error) {
 	found := map[int]bool{}
 	for _, address := range addresses {
+		if address == Outside {
+			found[h.outside] = true
+			continue
+		}
 		node, err := netip.ParseAddr(address)
 		if err != nil {
 			return nil, err
--- a/internal/lab/faults/separate_test.go
+++ b/internal/lab/faults/separate_test.go
@@ -43,6 +43,15 @@
 	healSecond()
 	healThird()
 	cut()
+	healAnswers := separate(nodes[:1], []string{Outside}, true)
+	if fault, _ := hub.At(0, hub.outside); !fault.Cut {
+		t.Error("answers to those outside are not lost")
+	}
+	cut()
+	healAnswers()
+	if fault, _ := hub.At(0, hub.outside); fault.Cut {
+		t.Error("answers to those outside are lost after the end")
+	}
 	if _, err := hub.Separate([]string{"127.0.79.1"}, nodes, false); err == nil {
 		t.Error("a machine that is no node is separated")
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -27,6 +27,7 @@
 	CutOff      Kind = "cut-off"        // a machine is cut off from all others in silence; clients and operators reach it
 	CutOneWay   Kind = "cut-one-way"    // its words are lost
 	Halves      Kind = "halves"         // the machines with disks are cut into two halves
+	LoseAnswers Kind = "lose-answers"   // nothing that a machine says reaches clients, operators and endpoints, which it hears
 	WipeDisk    Kind = "wipe"           // a process is killed and loses its disk
 	KillKeepers Kind = "kill-keepers"   // all keepers are killed at once
 	Leave       Kind = "leave"          // an endpoint leaves; How "silent": without saying that it drains; "lured": to the machine that is cut off
@@ -126,6 +127,7 @@
 	{Spoil, 3, []string{""}},
 	{Misbehave, 3, []string{""}},
 	{Race, 3, []string{""}},
+	{LoseAnswers, 4, []string{"keeper", "proxy"}},
 	{Twin, 1, []string{"keeper", "store", "proxy"}},
 }
 
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"dunetide/internal/lab/faults"
 	"dunetide/internal/lab/tier/cluster"
 	"dunetide/internal/lab/tier/engine"
 	"dunetide/internal/lab/wait"
@@ -67,6 +68,9 @@
 		return p.hangup(t)
 	case CutOff, CutOneWay:
 		return p.cut(ctx, t, addressesOf(p.processes(t, cluster.Role(role), 1)), t.Kind == CutOneWay)
+	case LoseAnswers:
+		machines := addressesOf(p.processes(t, cluster.Role(role), 2))
+		return p.separate(ctx, t, machines, []string{faults.Outside}, true, machines)
 	case Halves:
 		return p.halves(ctx, t)
 	case Leave:
