--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,14 +13,12 @@
 	"dunetide/internal/lab/tier/load"
 	"dunetide/internal/lab/tier/operator"
 	"dunetide/internal/lab/wait"
-	"dunetide/internal/lab/world"
 )
 
 // Bounds of the deployment that a play stands for, and of what a play waits for.
 const (
 	inTouch     = 3 * time.Second
 	drainFor    = 2 * time.Second
-	applyFor    = 2 * time.Second
 	recoverFor  = 12 * time.Second
 	settle      = time.Second
 	cancelAfter = 3 * time.Second
@@ -56,7 +53,6 @@
 	plan    Plan
 	cluster *cluster.Cluster
 	runs    *engine.Runs
-	rng     *rand.Rand
 	began   time.Time
 
 	endpointsMu sync.Mutex
@@ -88,7 +84,7 @@
 		return out, err
 	}
 	defer c.Close()
-	p := &play{o: o, plan: o.Plan, cluster: c, runs: &engine.Runs{}, rng: world.Random(o.Plan.Seed, "soak play"), addresses: map[*engine.Endpoint]place{}}
+	p := &play{o: o, plan: o.Plan, cluster: c, runs: &engine.Runs{}, addresses: map[*engine.Endpoint]place{}}
 	defer p.closeEndpoints()
 	p.timeline.machines = machinesOf(c)
 	if err := p.start(ctx); err != nil {
