--- a/internal/lab/faults/hub.go
+++ b/internal/lab/faults/hub.go
@@ -80,17 +80,20 @@
 
 // CutOff has nothing pass between one node and all others, and between it and those outside, until Heal.
 func (h *Hub) CutOff(node netip.Addr) error {
-	cut, there := h.nodes[node]
-	if !there {
-		return fmt.Errorf("no node has the address %v", node)
+	all := []string{Outside}
+	for other := range h.nodes {
+		all = append(all, other.String())
 	}
-	h.Change(func(from, to int, old Fault) Fault {
-		if from == cut || to == cut {
-			old.Cut = true
-		}
-		return old
-	})
-	return nil
+	_, err := h.Separate([]string{node.String()}, all, false)
+	return err
+}
+
+// Heal ends all separations.
+func (h *Hub) Heal() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.separations = nil
+	h.applySeparations()
 }
 
 // Outside names whoever is no node, among the nodes of a separation.
@@ -108,7 +111,7 @@
 }
 
 // Separate has nothing pass from some nodes to others, and back too unless it is one way, until what it returns is called.
-// Separations may overlap; those outside reach all, unless Outside is named. CutOff and Heal are not to be used beside it.
+// Separations may overlap; those outside reach all, unless Outside is named.
 func (h *Hub) Separate(from, to []string, oneWay bool) (heal func(), err error) {
 	s := &separation{oneWay: oneWay}
 	if s.from, err = h.indices(from); err != nil {
