--- a/cmd/winglab/main.go
+++ b/cmd/winglab/main.go
@@ -39,6 +39,7 @@
 	Sweep   sweepCommand   `cmd:"" help:"One setting, or two, over some values, in step."`
 	Report  reportCommand  `cmd:"" help:"One page with plots of a run, or of two."`
 	Check   checkCommand   `cmd:"" help:"Read the trace of a run again: its rules and its figures."`
+	Ledger  ledgerCommand  `cmd:"" help:"Account for what days of the bench lost: by kind of request, reason and second."`
 }
 
 type simCommand struct {
