Requests wait for a proxy that has just started instead of being refused by it

Change: such a request waits, a third of its client's time and 2 s at most, 512 of them at most, with its body read; Holder.Await.

--- /dev/null
+++ b/internal/forward/prepare_test.go
@@ -0,0 +1,121 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dunetide/internal/operator"
+	"dunetide/internal/view"
+)
+
+// unprepared is a proxy that has just started: it knows no configuration.
+func unprepared(t *testing.T, e ...*endpoint) (*rig, *view.Holder) {
+	holder := &view.Holder{}
+	return newRigWith(t, route(operator.Writes, 1), func(o *Options) { o.Holder = holder }, e...), holder
+}
+
+func TestRequestsWaitForAProxyThatHasJustStarted(t *testing.T) {
+	e := newEndpoint(t, "e1", says(sealed, "the body"))
+	g, holder := unprepared(t, e)
+	const clients = 8
+	answers := make(chan got, clients)
+	for i := range clients {
+		c := g.dial()
+		must(t, c.ask(fmt.Sprintf("POST /r/x HTTP/1.1|Host: h.example|X-Dunetide-Request-Id: id%d|X-Dunetide-Time-Left-Ms: 9000", i), strings.Repeat("b", 9000)))
+		go func() {
+			a, err := c.answer()
+			if err != nil {
+				a.err = err
+			}
+			answers <- a
+		}()
+	}
+	for g.p.unprepared.Load() < clients { // each has been read and waits
+		time.Sleep(time.Millisecond)
+	}
+	holder.Set(&view.Snapshot{Senders: 1, Listed: true}) // not enough
+	if n := g.p.unprepared.Load(); n != clients {
+		t.Errorf("%d of %d requests wait for a configuration", n, clients)
+	}
+	holder.Set(&view.Snapshot{Config: g.config, Senders: 1})
+	for range clients {
+		if a := <-answers; a.err != nil || a.status != http.StatusOK || a.body != "the body" {
+			t.Errorf("%+v", a)
+		}
+	}
+	for _, c := range e.got() {
+		if len(c.body) != 9000 {
+			t.Errorf("a body of %d bytes arrived", len(c.body))
+		}
+	}
+}
+
+// The wait ends while the client can still come again, with the promise that the request has not run.
+func TestRequestIsRefusedWhereAProxyStaysUnprepared(t *testing.T) {
+	e := newEndpoint(t, "e1", says(sealed, "x"))
+	g, _ := unprepared(t, e)
+	a := g.do(plainCall+"|X-Dunetide-Time-Left-Ms: 90", "b")
+	if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || len(e.got()) > 0 {
+		t.Errorf("%+v, %d calls", a, len(e.got()))
+	}
+}
+
+func TestRequestsThatWaitAreBounded(t *testing.T) {
+	g, _ := unprepared(t)
+	g.p.unprepared.Store(maxUnprepared)
+	if a := g.do(plainCall+"|X-Dunetide-Time-Left-Ms: 60000", "b"); a.status != http.StatusServiceUnavailable {
+		t.Errorf("%+v", a)
+	}
+	if n := g.p.unprepared.Load(); n != maxUnprepared {
+		t.Errorf("%d are counted as waiting", n)
+	}
+}
+
+func TestRequestWhoseClientLeavesNoLongerWaits(t *testing.T) {
+	g, _ := unprepared(t)
+	c := g.dial()
+	must(t, c.ask(plainCall+"|X-Dunetide-Time-Left-Ms: 60000", "b"))
+	for g.p.unprepared.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	must(t, c.Close())
+	for end := time.Now().Add(unpreparedMost / 2); g.p.unprepared.Load() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it still waits")
+		}
+	}
+}
+
+func TestUnpreparedWait(t *testing.T) {
+	for timeLeft, want := range map[string]time.Duration{"900": 300 * time.Millisecond, "60000": unpreparedMost, "0": 0, "": unpreparedMost, "x": unpreparedMost, "-1": unpreparedMost} {
+		if got := unpreparedWait(timeLeft); got != want {
+			t.Errorf("%q: %v, want %v", timeLeft, got, want)
+		}
+	}
+}
+
+func TestAwaitSeesEachSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder := &view.Holder{}
+		go func() {
+			for senders := range 4 {
+				time.Sleep(time.Second)
+				holder.Set(&view.Snapshot{Senders: senders})
+			}
+		}()
+		began := time.Now()
+		if err := holder.Await(t.Context(), func(s *view.Snapshot) bool { return s != nil && s.Senders == 3 }); err != nil || time.Since(began) != 4*time.Second {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if holder.Await(ctx, func(*view.Snapshot) bool { return false }) == nil {
+			t.Error("it was never accepted")
+		}
+	})
+}
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -78,8 +78,10 @@
 	conns    *upstream.Pools
 	server   *http.Server
 	draining atomic.Bool
-	failures *observe.Log
-	states   *connStates
+	// unprepared is the number of requests that wait for the process to be able to serve.
+	unprepared atomic.Int32
+	failures   *observe.Log
+	states     *connStates
 
 	mu    sync.Mutex
 	pools map[string]pool // by incarnation
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -36,16 +36,22 @@
 		p.refuse(w, r, http.StatusBadRequest, 0, nil)
 		return
 	}
+	admitted := arrived // when admission first hears of it
+	if !prepared(p.o.Holder.Get()) {
+		if status := p.awaitPrepared(w, r); status != 0 {
+			refusedUnready.Inc()
+			p.refuse(w, r, status, 3*defaultRetryAfter, nil)
+			return
+		}
+		servedAfterWait.Inc()
+		admitted = p.o.Now()
+	}
 	if p.o.Bulk != nil && (strings.HasPrefix(path, "/lots/") || strings.HasPrefix(path, "/items/")) {
 		p.sayClose(w.Header())
 		p.o.Bulk(w, r, nil)
 		return
 	}
 	s := p.o.Holder.Get()
-	if s == nil || s.Config == nil {
-		p.refuse(w, r, http.StatusServiceUnavailable, 3*defaultRetryAfter, nil)
-		return
-	}
 	route := p.o.Match(s.Config, r.Host, path)
 	if route == nil {
 		p.refuse(w, r, http.StatusNotFound, 0, nil)
@@ -56,11 +62,17 @@
 		p.o.Bulk(w, r, route)
 		return
 	}
-	p.forward(w, r, route, &s.Config.Limits, target, arrived)
+	p.forward(w, r, route, &s.Config.Limits, target, arrival{arrived, admitted})
+}
+
+// arrival is when a request came.
+type arrival struct {
+	at       time.Time // its header was read
+	admitted time.Time // the process could serve it: later than at where the process had just started
 }
 
 // forward answers a client's request of a route from an endpoint.
-func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, route *operator.Route, limits *operator.Limits, target string, arrived time.Time) {
+func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, route *operator.Route, limits *operator.Limits, target string, arrived arrival) {
 	if status := unanswerable(r); status != 0 {
 		w.Header().Set("Connection", "close")
 		p.refuse(w, r, status, 0, route)
@@ -72,13 +84,13 @@
 	if ms, err := strconv.ParseInt(r.Header.Get(headerTimeLeft), 10, 64); err == nil && ms >= 0 && ms < aim.Milliseconds() {
 		aim = time.Duration(ms) * time.Millisecond
 	}
-	x.deadline = arrived.Add(aim - min(answerMargin, aim/8))
-	x.req.Arrived, x.req.Deadline = arrived, x.deadline
-	x.req.Due = arrived.Add(time.Duration(route.TargetMs) * time.Millisecond)
+	x.deadline = arrived.at.Add(aim - min(answerMargin, aim/8))
+	x.req.Arrived, x.req.Deadline = arrived.admitted, x.deadline
+	x.req.Due = arrived.at.Add(time.Duration(route.TargetMs) * time.Millisecond)
 	x.last = r.Header.Get(headerLastEvent)
 
 	rc := http.NewResponseController(w)
-	_ = rc.SetWriteDeadline(arrived.Add(aim + writeMargin)) // a client that doesn't read holds nothing up for longer
+	_ = rc.SetWriteDeadline(arrived.at.Add(aim + writeMargin)) // a client that doesn't read holds nothing up for longer
 	bodyBuffer, headBuffer, streamBuffer := getBuffer(), getBuffer(), getBuffer()
 	defer func() {
 		x.finish(dispatch.Left, upstream.GaveUp) // where the handler was left early
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -3,6 +3,8 @@
 package view
 
 import (
+	"context"
+	"sync"
 	"sync/atomic"
 
 	"dunetide/internal/certify"
@@ -102,11 +104,49 @@
 	CertificatesKnown bool
 }
 
-// Holder holds the newest snapshot.
-type Holder struct{ p atomic.Pointer[Snapshot] }
+// Holder holds the newest snapshot. The zero value holds none. It is safe for concurrent use.
+type Holder struct {
+	p atomic.Pointer[Snapshot]
+
+	mu   sync.Mutex
+	next chan struct{} // closed by the next Set; nil while nobody awaits it
+}
 
 // Get returns the newest snapshot, nil before the first.
 func (h *Holder) Get() *Snapshot { return h.p.Load() }
 
 // Set puts a newer one in its place.
-func (h *Holder) Set(s *Snapshot) { h.p.Store(s) }
+func (h *Holder) Set(s *Snapshot) {
+	h.p.Store(s)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.next != nil {
+		close(h.next)
+		h.next = nil
+	}
+}
+
+// Await waits until ready accepts the newest snapshot, which may be nil. It returns the error of the context if that ends first.
+func (h *Holder) Await(ctx context.Context, ready func(*Snapshot) bool) error {
+	for {
+		next := h.changed()
+		if ready(h.Get()) {
+			return nil
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// changed returns a channel that the next Set closes.
+func (h *Holder) changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.next == nil {
+		h.next = make(chan struct{})
+	}
+	return h.next
+}
