Placement: each sender prefers a subset of the endpoints, and bulk goes where loads are known

Cause: 61 senders before 89 endpoints each hear of an endpoint's load every 5 to 7 s, while requests last one; in a rush of bulk all of them fill endpoints that are full already, and interactive requests stand behind it. Bulk goes beyond it only where a load was told so lately that three deviations of what may have come since fit, and to an endpoint that has not answered yet one at a time.

--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	holder := &view.Holder{}
-	admission := dispatch.New(dispatch.Options{Zone: s.Zone, Holder: holder})
+	admission := dispatch.New(dispatch.Options{Name: s.NodeName, Zone: s.Zone, Holder: holder})
 	defer admission.Close()
 	files := descriptors.NewBudget(s.Limits.OpenFiles)
 	bodies := clientbody.NewBudget(int64(s.Limits.MemoryMB) << 20 / bodiesPart)
--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -246,13 +246,16 @@
 		return false
 	}
 	if w.r.Bulk {
+		if c.untried(e) {
+			return false
+		}
 		most := max(slots*(1-c.settings.BulkHeadroom), 1)
 		if c.pressing(w) {
 			if most = slots; c.underFloor(e.pool, w) {
 				most = slots * (1 + c.settings.QueueInAim)
 			}
 		}
-		return e.load(c)+1 <= most+1e-9
+		return e.load(c)+1+c.doubt(e) <= most+1e-9
 	}
 	return e.load(c) < slots*(1+c.settings.QueueInAim)
 }
@@ -322,6 +325,9 @@
 	if e.target.Zone != c.zone {
 		cost += float64(c.settings.OtherZone) / ms
 	}
+	if !e.preferred {
+		cost += float64(c.settings.OutsideSubset) / ms
+	}
 	if e.coldTill > c.now {
 		cost += c.settings.ColdCost * float64(e.coldTill-c.now) / ms
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 type core struct {
 	settings Settings
 	zone     string
+	self     uint64         // hash of this sender's name
 	rng      func() float64 // in [0, 1)
 	now      Time
 	senders  int // processes that send to the same endpoints
@@ -77,6 +78,8 @@
 	ejectedFor   time.Duration // how long it was ejected last
 	probing      bool          // a probe is running
 	cache        prefixCache
+	preferred    bool // it is in the subset of endpoints that this sender prefers
+	answered     bool // this sender has had a first word or an end of a run from it
 	unlisted     bool // not in the newest snapshot: it gets no requests, and is dropped when its runs have ended
 }
 
@@ -129,6 +132,9 @@
 	for _, e := range c.endpoints {
 		c.forget(e)
 	}
+	for _, p := range c.order {
+		c.chooseSubset(p)
+	}
 	c.order = slices.DeleteFunc(c.order, func(p *pool) bool {
 		configured := s.Config == nil || s.Config.Services[p.service] != nil
 		if len(p.endpoints) > 0 || len(p.hold) > 0 || configured {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 
 // Options configures a Dispatcher.
 type Options struct {
+	Name     string           // of this sender, by which it chooses its subset of endpoints
 	Zone     string           // of this machine
 	Holder   *view.Holder     // whose newest snapshot it starts with; may be nil
 	Now      func() time.Time // default time.Now
@@ -49,6 +50,7 @@
 		o.Rand = rand.Float64
 	}
 	d := &Dispatcher{now: o.Now, origin: o.Now(), core: newCore(o.Settings, o.Zone, o.Rand)}
+	d.core.self = view.Hash(o.Name)
 	d.timer = time.AfterFunc(time.Hour, d.woken)
 	d.timer.Stop()
 	if o.Holder != nil {
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -76,6 +76,7 @@
 	}
 	r.ended = true
 	e := r.endpoint
+	e.answered = true
 	if i := slices.Index(e.running, r); i >= 0 {
 		e.running = slices.Delete(e.running, i, i+1)
 	}
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -293,6 +293,7 @@
 	r.told = true
 	r.heard = l.Known
 	e := r.endpoint
+	e.answered = true
 	c.tell(e, l)
 	took := float64(c.now-r.sent) / float64(time.Millisecond)
 	e.slowness.add(min(max(took/max(r.expected, 0.5), 0.25), 4), 0.1)
