Placement: what was measured in a queue does not make a sender refuse for seconds

Change: the fit believes an outlier only up to three times what it expects, takes no run beside which others ran, and starts with more weight on the first estimate; estimates refuse nobody while no first word has come for a second.

--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -344,11 +344,15 @@
 }
 
 // inTime reports whether a run is worth starting whose first word is expected after so many ms. It must come before the
-// deadline. If it comes after the due time, the load must be low, the lower the less urgent the route is.
+// deadline. If it comes after the due time, the load must be low, the lower the less urgent the route is. An estimate that refuses all
+// requests would never be corrected, so it counts only as long as first words come.
 func (c *core) inTime(e *endpoint, w *waiter, ms float64) bool {
 	if w.r.Bulk {
 		return true
 	}
+	if c.now-e.pool.word > c.settings.EstimateAge {
+		return true // nothing has tested the estimates for a while: a request does
+	}
 	late := e.pool.late.v * math.Exp(-float64(c.now-e.pool.word)/float64(c.settings.LagFades))
 	at := c.now + time.Duration((ms+max(0, late))*float64(time.Millisecond))
 	if at >= w.deadline {
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -13,6 +13,13 @@
 	firstBase  = 5.0                   // ms to the first word of a prompt without tokens
 	firstSlope = 1.0 / 130             // ms for each token of a prompt
 
+	// firstWeight is the weight of each of the points of the first estimate.
+	firstWeight = 5
+
+	// outlier bounds a measured time, as a multiple of the expected one: a request that stood in a queue of which its sender knew
+	// nothing tells how long the queue was, not how fast prompts are read. What lasts is learnt all the same, a little more slowly.
+	outlier = 3
+
 	// Bounds of a fitted slope, in ms for each token.
 	leastSlope = 1.0 / 1000
 	mostSlope  = 1.0 / 5
@@ -22,7 +29,9 @@
 func firstLine() line {
 	var l line
 	for _, x := range []float64{0, 1000, 4000, 16000} {
-		l.add(x, firstBase+firstSlope*x)
+		y := firstBase + firstSlope*x
+		l.n, l.x, l.y = l.n+firstWeight, l.x+firstWeight*x, l.y+firstWeight*y
+		l.xx, l.xy = l.xx+firstWeight*x*x, l.xy+firstWeight*x*y
 	}
 	return l
 }
@@ -33,6 +42,12 @@
 	l.xx, l.xy = lineKeeps*l.xx+x*x, lineKeeps*l.xy+x*y
 }
 
+// addBounded adds a point, of which it believes no more than outlier times what the fit expects there.
+func (l *line) addBounded(x, y float64) {
+	base, slope := l.fit()
+	l.add(x, min(y, outlier*(base+slope*x)))
+}
+
 // fit returns the fitted line, with its slope limited to the range from leastSlope to mostSlope.
 func (l *line) fit() (base, slope float64) {
 	d := l.n*l.xx - l.x*l.x
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -10,14 +10,15 @@
 	Cut          float64       // factor by which a further refusal reduces a slice
 	LeastCut     float64       // lower bound of a slice, as a share of the runs served in a narrow window
 
-	MostHeld   int           // most waiting requests of all services
-	HoldShare  float64       // longest wait of a request, as a share of its route's target
-	LeastRetry time.Duration // shortest time after which a refused client may retry
-	TrustLoad  time.Duration // time constant with which a reported load of other senders fades to the mean
-	FullFor    time.Duration // time for which an endpoint counts as full that refused without a load
-	QueueInAim float64       // capacities that may queue at an endpoint if the answer is in time
-	QueueLate  float64       // capacities that may run or queue at an endpoint if the answer is late
-	LagFades   time.Duration // time constant with which the lateness of first words fades
+	MostHeld    int           // most waiting requests of all services
+	HoldShare   float64       // longest wait of a request, as a share of its route's target
+	LeastRetry  time.Duration // shortest time after which a refused client may retry
+	TrustLoad   time.Duration // time constant with which a reported load of other senders fades to the mean
+	FullFor     time.Duration // time for which an endpoint counts as full that refused without a load
+	QueueInAim  float64       // capacities that may queue at an endpoint if the answer is in time
+	QueueLate   float64       // capacities that may run or queue at an endpoint if the answer is late
+	EstimateAge time.Duration // time without a first word after which estimates refuse nobody
+	LagFades    time.Duration // time constant with which the lateness of first words fades
 	// Subsets of endpoints (subset.go).
 	Sharers         float64       // senders that should share an endpoint by their subsets
 	LeastSubset     int           // fewest endpoints of a subset: one may be ejected, one full
@@ -64,6 +65,7 @@
 	orElse(&s.FullFor, 60*time.Millisecond)
 	orElse(&s.QueueInAim, 3)
 	orElse(&s.QueueLate, 1)
+	orElse(&s.EstimateAge, time.Second)
 	orElse(&s.LagFades, 300*time.Millisecond)
 	orElse(&s.Sharers, 4)
 	orElse(&s.LeastSubset, 3)
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -298,8 +298,9 @@
 	took := float64(c.now-r.sent) / float64(time.Millisecond)
 	e.slowness.add(min(max(took/max(r.expected, 0.5), 0.25), 4), 0.1)
 	e.pool.lag(c.now, min(max(took-r.expected, -mostLag), mostLag), c.settings.LagFades)
-	if r.alone {
-		e.pool.first.add(r.read, took)
+	queued := l.Known && 2*l.Running > l.Slots // by requests of others of which this sender did not know
+	if r.alone && !queued {
+		e.pool.first.addBounded(r.read, took)
 	}
 	c.serve(e.pool)
 }
