--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -40,13 +40,9 @@
 }
 
 const (
-	confirmMs     = 600  // how old a confirmation that a primary has not been replaced may be
-	confirmWaitMs = 700  // how long a read waits for one
-	reserveWaitMs = 1200 // how long a job waits for its tokens
-	// roomWaitMs is how long a job waits at the owner of its route's quota for room, before it is refused for want of it. It leaves the
-	// answer time within reserveWaitMs. Jobs that wait are served in the order of their coming, so one that comes again and again has
-	// its turn before those that have just come.
-	roomWaitMs      = 900
+	confirmMs       = 600  // how old a confirmation that a primary has not been replaced may be
+	confirmWaitMs   = 700  // how long a read waits for one
+	reserveWaitMs   = 1200 // how long a job waits for its tokens
 	cancelWaitMs    = 300  // how long an end waits for workers
 	reconnectWaitMs = 1000 // how long the items of a worker whose connection ended wait for it to come back
 	handAfterMs     = 400  // how long a new primary waits for workers to say what they have in hand
--- a/internal/batch/quota.go
+++ b/internal/batch/quota.go
@@ -72,7 +72,6 @@
 	tokens   int64
 	most     int64
 	deadline int64
-	fullAt   int64 // when it is refused if there is no room
 }
 
 func quotaKey(route string) string { return "quota:" + route }
@@ -217,8 +216,7 @@
 	}
 	switch kind {
 	case kReserve:
-		h := heldReserve{pipe: pipe, part: no, life: life, number: r.U64(), tokens: int64(r.Int()), most: int64(r.Int()),
-			deadline: c.now + reserveWaitMs, fullAt: c.now + roomWaitMs}
+		h := heldReserve{pipe, no, life, r.U64(), int64(r.Int()), int64(r.Int()), c.now + reserveWaitMs}
 		if r.Err != nil {
 			return
 		}
@@ -292,8 +290,7 @@
 	}
 }
 
-// serveHeld answers those who asked for tokens, once all parts have told theirs, in the order in which they asked: nobody takes the room
-// that one before it waits for, unless its own time to wait is over.
+// serveHeld answers those who asked for tokens, once all parts have told theirs.
 func (c *core) serveHeld(a *account) {
 	if len(a.held) == 0 || a.busy {
 		return
@@ -312,26 +309,23 @@
 	held := a.held
 	a.held = nil
 	for _, h := range held {
-		if !c.grantOne(a, h) {
-			a.held = append(a.held, h)
-		}
+		c.grantOne(a, h)
 	}
 }
 
-// grantOne answers one who asked for tokens. It returns false if that one has to wait for room.
-func (c *core) grantOne(a *account, h heldReserve) (answered bool) {
+func (c *core) grantOne(a *account, h heldReserve) {
 	s := a.shares[h.part]
 	if s == nil {
 		s = &share{}
 		a.shares[h.part] = s
 	}
 	if h.life < s.life || h.life == s.life && h.number <= s.settled {
-		return true // of one who has been replaced, or decided
+		return // of one who has been replaced, or decided
 	}
 	if h.life > s.life {
 		// A new life of the primary, whose usage is not known: it tells it when it begins, so it comes.
 		c.grant(a.route, a.life, h, codeUnavailable)
-		return true
+		return
 	}
 	var sum int64
 	for _, t := range a.shares {
@@ -343,20 +337,15 @@
 	for _, g := range s.grants {
 		if g.number == h.number {
 			c.grant(a.route, a.life, h, codeOK)
-			return true
+			return
 		}
 	}
-	fits, timeLeft := sum+h.tokens <= h.most, c.now < h.fullAt
-	switch {
-	case timeLeft && (!fits || len(a.held) > 0): // those that are held by now asked before it
-		return false
-	case !fits:
+	if sum+h.tokens > h.most {
 		c.grant(a.route, a.life, h, codeFull)
-		return true
+		return
 	}
 	s.grants = append(s.grants, grantedTokens{h.number, h.tokens})
 	c.grant(a.route, a.life, h, codeOK)
-	return true
 }
 
 func (c *core) grant(route string, owner uint64, h heldReserve, code uint8) {
