--- a/internal/control/attach.go
+++ b/internal/control/attach.go
@@ -15,6 +15,9 @@
 	// attachPause is the least mean pause between tries to attach a place, attachPauseMost the greatest.
 	attachPause     = 100 * time.Millisecond
 	attachPauseMost = time.Second
+	// quickAttaches is the number of tries after which the pause begins to double. When all machines start at once, keepers listen some
+	// tenths of a second after the others have first asked, and nobody serves until it is attached.
+	quickAttaches = 5
 	// movePause is the mean pause before another keeper is looked for in the place of one that has lost contact with a
 	// majority; it doubles up to movePauseMost. It is drawn, so that the processes of one keeper don't move at once.
 	movePause     = 300 * time.Millisecond
@@ -38,20 +41,31 @@
 
 // hold keeps one place of attachment filled.
 func (c *Client) hold(ctx context.Context, place int) {
-	pause := attachPause
+	tries := 0
 	for ctx.Err() == nil {
 		if a := c.attachAny(ctx, place); a != nil {
 			c.keep(ctx, place, a)
-			pause = attachPause
+			tries = 0
 		}
+		tries++
 		select {
-		case <-time.After(drawn(pause)):
+		case <-time.After(drawn(pauseAfter(tries))):
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, attachPauseMost)
 	}
 }
 
+// pauseAfter returns the mean pause after so many tries in a row to attach a place.
+func pauseAfter(tries int) time.Duration {
+	pause := attachPause
+	for range tries - quickAttaches {
+		if pause *= 2; pause >= attachPauseMost {
+			return attachPauseMost
+		}
+	}
+	return pause
+}
+
 // attachAny attaches to the first candidate that takes it, in contact or not: at a start it has what there is as soon
 // as there is contact. nil: there is none.
 func (c *Client) attachAny(ctx context.Context, place int) *attachment {
--- a/internal/forward/prepare.go
+++ b/internal/forward/prepare.go
@@ -17,9 +17,8 @@
 	// maxUnprepared bounds the requests that wait for a process that has just started; further ones are refused at once. A proxy takes
 	// some tens of requests a second, and each that waits costs a goroutine and its body.
 	maxUnprepared = 512
-	// unpreparedShare is the part of its time, one in so many, that a request waits at most. A client that is refused heeds a
-	// Retry-After of the same length.
-	unpreparedShare = 3
+	// unpreparedShare is the part of its time, one in so many, that a request waits at most: whoever is refused then has as much left.
+	unpreparedShare = 2
 	// unpreparedMost is the longest wait of a request that does not tell its time, or a long one.
 	unpreparedMost = 2 * time.Second
 )
