--- a/cmd/winglab/main.go
+++ b/cmd/winglab/main.go
@@ -40,6 +40,7 @@
 	Report  reportCommand  `cmd:"" help:"One page with plots of a run, or of two."`
 	Check   checkCommand   `cmd:"" help:"Read the trace of a run again: its rules and its figures."`
 	Ledger  ledgerCommand  `cmd:"" help:"Account for what days of the bench lost: by kind of request, reason and second."`
+	Ablate  ablateCommand  `cmd:"" help:"Play days of the bench with one mechanism of placement switched off at a time."`
 }
 
 type simCommand struct {
--- /dev/null
+++ b/internal/dispatch/ablation_test.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// switchedOff are the settings without one mechanism each.
+var switchedOff = []struct {
+	name     string
+	settings Settings
+}{
+	{"(nothing)", Settings{}},
+	{"subsets of endpoints", everywhere},
+	{"doubt outside the subset", Settings{DoubtDeviations: 1e-9}},
+	{"cost outside the subset", Settings{OutsideSubset: 1}},
+	{"estimates that end", Settings{EstimateAge: time.Hour}},
+	{"headroom that bulk leaves", Settings{BulkHeadroom: 1e-9}},
+	{"pressing bulk uses the headroom", Settings{Pressing: 1}},
+	{"floor of bulk", Settings{BulkFloor: 1e-9}},
+	{"bound on the load of homes", Settings{LoadFactor: 1e6}},
+	{"price of reading again", Settings{Reread: 1e-9}},
+	{"cost of load", Settings{LoadCost: 1}},
+	{"cost of another zone", Settings{OtherZone: 1}},
+	{"late requests only where a slot is free", Settings{QueueLate: 4}},
+	{"memory of what was sent where", Settings{CacheParts: 1}},
+}
+
+// TestAblationTable prints what each mechanism is worth in the worlds of worlds_test.go: ABLATION=1 go test -v -run AblationTable.
+func TestAblationTable(t *testing.T) {
+	if os.Getenv("ABLATION") == "" {
+		t.Skip("ABLATION is not set")
+	}
+	const seeds = 3
+	var names []string
+	for name := range fleetWorlds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	rows := make([]string, len(switchedOff))
+	t.Run("worlds", func(t *testing.T) {
+		for i, off := range switchedOff {
+			t.Run(off.name, func(t *testing.T) {
+				t.Parallel()
+				row := "| " + off.name
+				for _, name := range names {
+					sum, squares, over := 0.0, 0.0, 0.0
+					for seed := range seeds {
+						w := fleetWorlds[name]
+						w.layout.seed = uint64(seed)
+						worth, missed := playWorld(t, w, off.settings, false)
+						sum, squares, over = sum+worth, squares+worth*worth, over+missed
+					}
+					mean := sum / seeds
+					row += fmt.Sprintf(" | %.3f ± %.3f, %.1f %%", mean, math.Sqrt(max(0, squares/seeds-mean*mean)), 100*over/seeds)
+				}
+				rows[i] = row + " |"
+			})
+		}
+	})
+	fmt.Println("worth and its deviation over the seeds; interactive requests not served in time")
+	fmt.Println("| without | " + strings.Join(names, " | ") + " |")
+	for _, row := range rows {
+		fmt.Println(row)
+	}
+}
--- /dev/null
+++ b/internal/lab/ablation/ablation.go
@@ -0,0 +1,243 @@
+// Package ablation plays days of the bench with one mechanism of placement and admission switched off at a time, to tell what each is
+// worth. A mechanism is switched off by replaced lines in a clone of the repository; the repository itself is not changed.
+package ablation
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// Edit replaces a text that stands once in a file.
+type Edit struct{ File, Old, New string }
+
+// Mechanism is one that can be switched off.
+type Mechanism struct {
+	Name  string
+	Edits []Edit
+}
+
+// Files that the mechanisms are in.
+const (
+	settingsFile = "internal/dispatch/settings.go"
+	choiceFile   = "internal/dispatch/choice.go"
+	estimateFile = "internal/dispatch/estimate.go"
+	waiterFile   = "internal/dispatch/waiter.go"
+	serveFile    = "internal/forward/serve.go"
+	attachFile   = "internal/control/attach.go"
+)
+
+// Mechanisms are those that docs/placement.md names.
+func Mechanisms() []Mechanism {
+	return []Mechanism{
+		{"subsets of endpoints", []Edit{{settingsFile, "orElse(&s.Sharers, 4)", "orElse(&s.Sharers, 1e6)"}}},
+		{"doubt outside the subset", []Edit{{settingsFile, "orElse(&s.DoubtDeviations, 3)", "orElse(&s.DoubtDeviations, 1e-9)"}}},
+		{"cost outside the subset", []Edit{{settingsFile, "orElse(&s.OutsideSubset, 10*time.Millisecond)", "orElse(&s.OutsideSubset, 1)"}}},
+		{"one bulk request at an endpoint that has not answered", []Edit{{choiceFile, "		if c.untried(e) {\n", "		if false {\n"}}},
+		{"bounded outliers of the fit", []Edit{{estimateFile, "	outlier = 3\n", "	outlier = 1e9\n"}}},
+		{"estimates that end", []Edit{{settingsFile, "orElse(&s.EstimateAge, time.Second)", "orElse(&s.EstimateAge, time.Hour)"}}},
+		{"waiting for a configuration", []Edit{{serveFile, "p.awaitPrepared(w, r)", "http.StatusServiceUnavailable"}}},
+		{"quick attachment", []Edit{{attachFile, "	quickAttaches = 5\n", "	quickAttaches = 1\n"}}},
+		{"headroom that bulk leaves", []Edit{{settingsFile, "orElse(&s.BulkHeadroom, 0.15)", "orElse(&s.BulkHeadroom, 1e-9)"}}},
+		{"pressing bulk uses the headroom", []Edit{{settingsFile, "orElse(&s.Pressing, 3*time.Second)", "orElse(&s.Pressing, 1)"}}},
+		{"common order of homes", []Edit{{choiceFile, "	case 0:\n		return 0.9\n	case 1:\n		return 0.5\n	case 2:\n		return 0.2\n", ""}}},
+		{"bound on the load of homes", []Edit{{settingsFile, "orElse(&s.LoadFactor, 1.25)", "orElse(&s.LoadFactor, 1e6)"}}},
+		{"price of reading again", []Edit{{settingsFile, "orElse(&s.Reread, 1)", "orElse(&s.Reread, 1e-9)"}}},
+		{"cost of load", []Edit{{settingsFile, "orElse(&s.LoadCost, 20*time.Millisecond)", "orElse(&s.LoadCost, 1)"}}},
+		{"cost of another zone", []Edit{{settingsFile, "orElse(&s.OtherZone, 4*time.Millisecond)", "orElse(&s.OtherZone, 1)"}}},
+		{"late requests only where a slot is free", []Edit{{settingsFile, "orElse(&s.QueueLate, 1)", "orElse(&s.QueueLate, 4)"}}},
+		{"ejection", []Edit{{settingsFile, "orElse(&s.SickFrom, 2)", "orElse(&s.SickFrom, 1e9)"}}},
+		{"lateness of recent first words", []Edit{{waiterFile, "	e.pool.lag(c.now, min(max(took-r.expected, -mostLag), mostLag), c.settings.LagFades)\n", "	e.pool.lag(c.now, 0, c.settings.LagFades)\n"}}},
+	}
+}
+
+// apply makes the edits of a mechanism in a folder that holds the repository.
+func (m Mechanism) apply(dir string) error {
+	for _, edit := range m.Edits {
+		path := filepath.Join(dir, edit.File)
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if n := strings.Count(string(text), edit.Old); n != 1 {
+			return fmt.Errorf("%s: %q stands %d times in %s", m.Name, edit.Old, n, edit.File)
+		}
+		if err := os.WriteFile(path, []byte(strings.Replace(string(text), edit.Old, edit.New, 1)), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Options say what is played.
+type Options struct {
+	Repository string // whose committed state is played
+	Bench      string // the bench's program
+	Site       string // the deployment
+	Jobs       int    // days at a time
+	Quick      bool   // the light days only
+	Only       string // mechanisms whose names have this; empty: all
+	Journal    string // where the bench's journal entries are brought
+}
+
+// Result is what was measured without a mechanism; without none for the empty name.
+type Result struct {
+	Mechanism string
+	Score     float64
+	Days      []DayScore
+}
+
+// DayScore is the score of one day.
+type DayScore struct {
+	Name  string
+	Score float64
+}
+
+// Play plays the days as they are and without each mechanism, one run of the bench after the other, and hands on each result.
+func Play(ctx context.Context, o Options, each func(Result)) error {
+	all := append([]Mechanism{{}}, Mechanisms()...)
+	for _, m := range all {
+		if m.Name != "" && !strings.Contains(m.Name, o.Only) {
+			continue
+		}
+		result, err := playWithout(ctx, o, m)
+		if err != nil {
+			return fmt.Errorf("without %q: %w", m.Name, err)
+		}
+		each(result)
+	}
+	return nil
+}
+
+// playWithout plays the days in a clone in which a mechanism is switched off.
+func playWithout(ctx context.Context, o Options, m Mechanism) (Result, error) {
+	dir, err := os.MkdirTemp("", "ablation-")
+	if err != nil {
+		return Result{}, err
+	}
+	defer os.RemoveAll(dir)
+	clone := exec.CommandContext(ctx, "git", "clone", "--quiet", o.Repository, dir)
+	if out, err := clone.CombinedOutput(); err != nil {
+		return Result{}, fmt.Errorf("cloning the repository: %w\n%s", err, out)
+	}
+	if err := m.apply(dir); err != nil {
+		return Result{}, err
+	}
+	before, err := entries(dir)
+	if err != nil {
+		return Result{}, err
+	}
+	out, err := bench(ctx, o, m, dir)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := bringEntries(dir, o.Journal, before); err != nil {
+		return Result{}, err
+	}
+	result, err := parseScores(out)
+	result.Mechanism = m.Name
+	return result, err
+}
+
+// bench runs the bench in a clone and returns what it printed.
+func bench(ctx context.Context, o Options, m Mechanism, dir string) ([]byte, error) {
+	why := "ablation: nothing is switched off"
+	if m.Name != "" {
+		why = "ablation: without " + m.Name
+	}
+	args := []string{"score", o.Site, "--jobs", strconv.Itoa(max(o.Jobs, 1)), "--why", why}
+	if o.Quick {
+		args = append(args, "--quick")
+	}
+	command := exec.CommandContext(ctx, o.Bench, args...)
+	command.Dir = dir
+	var out bytes.Buffer
+	command.Stdout, command.Stderr = &out, &out
+	err := command.Run()
+	// The bench ends with a status of its own where the gate is not passed: that is a result.
+	if exit := (*exec.ExitError)(nil); err != nil && !errors.As(err, &exit) {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// journalFolder is where the bench leaves its entries, in a repository.
+const journalFolder = "journal"
+
+// entries lists the files of a clone's journal.
+func entries(dir string) (map[string]bool, error) {
+	files, err := os.ReadDir(filepath.Join(dir, journalFolder))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	names := map[string]bool{}
+	for _, f := range files {
+		names[f.Name()] = true
+	}
+	return names, nil
+}
+
+// bringEntries copies the new journal entries of a clone.
+func bringEntries(dir, to string, before map[string]bool) error {
+	if to == "" {
+		return nil
+	}
+	now, err := entries(dir)
+	if err != nil {
+		return err
+	}
+	for name := range now {
+		if before[name] || filepath.Ext(name) != ".json" {
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join(dir, journalFolder, name))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(to, name), text, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Lines of the bench that hold a score.
+var (
+	scoreLine = regexp.MustCompile(`^score on the standard days of \S+ \(.*\): ([0-9.]+)`)
+	dayLine   = regexp.MustCompile(`^([a-z]+-[0-9a-z]+)\s+[0-9]+/[0-9]+\s+([0-9.]+)\s`)
+)
+
+// parseScores reads the scores from what the bench printed.
+func parseScores(out []byte) (Result, error) {
+	var result Result
+	found := false
+	lines := bufio.NewScanner(bytes.NewReader(out))
+	for lines.Scan() {
+		if match := scoreLine.FindStringSubmatch(lines.Text()); match != nil {
+			score, err := strconv.ParseFloat(match[1], 64)
+			if err != nil {
+				return result, err
+			}
+			result.Score, found = score, true
+		}
+		if match := dayLine.FindStringSubmatch(lines.Text()); match != nil {
+			score, err := strconv.ParseFloat(match[2], 64)
+			if err != nil {
+				return result, err
+			}
+			result.Days = append(result.Days, DayScore{match[1], score})
+		}
+	}
+	if !found {
+		return result, fmt.Errorf("the bench printed no score:\n%s", out)
+	}
+	return result, lines.Err()
+}
