Placement: an endpoint that lies about its load or capacity neither draws all requests nor starves the others

Cause: what an endpoint told was taken as it was. One of 15 that told a load of 2^31 raised the mean of its pool, by which the load of all that had not told lately is guessed, and a quarter of all requests was refused (failing test). Change: slots are believed up to twice the configured ones, requests up to eight times the slots, and one word moves the mean by the slots at most; the configuration is applied before the list.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -115,11 +115,6 @@
 	for _, e := range c.endpoints {
 		e.unlisted = true
 	}
-	for name, list := range s.Endpoints {
-		for _, v := range list {
-			c.listed(c.pool(name), v)
-		}
-	}
 	if s.Config != nil {
 		for name, service := range s.Config.Services {
 			p := c.pool(name)
@@ -129,6 +124,11 @@
 			}
 		}
 	}
+	for name, list := range s.Endpoints {
+		for _, v := range list {
+			c.listed(c.pool(name), v)
+		}
+	}
 	for _, e := range c.endpoints {
 		c.forget(e)
 	}
@@ -178,7 +178,7 @@
 	if e.target.Service == "" {
 		e.target.Service = p.service
 	}
-	e.capacity, e.models = v.Capacity, v.Models
+	e.capacity, e.models = e.plausible(v.Capacity), v.Models
 	e.state = max(e.state, v.State)
 	if v.ColdLeftMs > 0 {
 		e.coldTill = c.now + time.Duration(v.ColdLeftMs)*time.Millisecond
@@ -217,20 +217,41 @@
 	p.word = now
 }
 
+// Bounds of what an endpoint is believed about itself: one that tells nonsense must neither draw all requests nor, by way of the mean of
+// its pool, make all others look full.
+const (
+	mostCapacityFactor = 2    // slots, as a multiple of those that are configured for its service
+	mostCapacity       = 4096 // slots, where none are configured
+	mostToldFactor     = 8    // running and waiting requests, as a multiple of its slots
+)
+
+// plausible returns a number of slots that an endpoint tells, or 0 if it can't be believed.
+func (e *endpoint) plausible(slots int) int {
+	most := mostCapacity
+	if e.pool.capacity > 0 {
+		most = mostCapacityFactor * e.pool.capacity
+	}
+	if slots < 1 || slots > most {
+		return 0
+	}
+	return slots
+}
+
 // tell applies a load that an endpoint reported. The part of it that is not this sender's belongs to others.
 func (c *core) tell(e *endpoint, l Load) {
 	if !l.Known {
 		return
 	}
-	if l.Slots > 0 {
-		e.capacity = l.Slots
+	if plausible := e.plausible(l.Slots); plausible > 0 {
+		e.capacity = plausible
 	}
-	e.others = float64(max(0, l.Running+l.Waiting-len(e.running)))
+	there := min(max(l.Running, 0)+max(l.Waiting, 0), mostToldFactor*e.slots())
+	e.others = float64(max(0, there-len(e.running)))
 	e.toldAt, e.told = c.now, true
 	if e.fullAt > 0 {
 		e.fullAt = max(e.fullAt, float64(l.Running+l.Waiting))
 	}
-	e.pool.rest.add(e.others, 0.1)
+	e.pool.rest.add(min(e.others, e.pool.rest.v+float64(e.slots())), 0.1)
 	if l.Waiting == 0 && 2*l.Running < l.Slots && c.now-e.cutAt > c.settings.FullFor {
 		e.slice = math.Inf(1) // half of its slots are free, so the limit no longer holds
 	}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -104,14 +104,16 @@
 }
 
 type fleetEndpoint struct {
-	id    string
-	zone  int
-	speed float64
-	tasks []*fleetTask // in the order of their coming: the first of them run
-	cache prefixCache
-	free  float64 // ms that the present step has left
-	loads []Load  // of the last ms, the newest last
-	down  bool
+	id       string
+	zone     int
+	speed    float64
+	tasks    []*fleetTask // in the order of their coming: the first of them run
+	cache    prefixCache
+	free     float64         // ms that the present step has left
+	loads    []Load          // of the last ms, the newest last
+	lie      func(Load) Load // what it tells in place of its load; nil: the truth
+	arrivals int
+	down     bool
 }
 
 func newFleet(l fleetLayout, kinds ...*fleetKind) *fleet {
@@ -240,6 +242,7 @@
 		})
 		return
 	}
+	e.arrivals++
 	e.tasks = append(e.tasks, t)
 }
 
@@ -248,10 +251,14 @@
 	if !f.layout.tellsLoad {
 		return Load{}
 	}
-	if len(e.loads) == 0 {
-		return f.loadOf(e)
+	load := f.loadOf(e)
+	if len(e.loads) > 0 {
+		load = e.loads[0]
 	}
-	return e.loads[0]
+	if e.lie != nil {
+		load = e.lie(load)
+	}
+	return load
 }
 
 func (f *fleet) loadOf(e *fleetEndpoint) Load {
