Placement: homes are the first three of the common order, found without sorting all endpoints

Cause: each request with a shared prefix sorted all endpoints of its service and kept a place for each, though only the first three places are believed to keep anything. Change: one pass that keeps three. Choices are the same (test against the sorted order).

--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -21,10 +21,10 @@
 
 // placement is what the costs of all endpoints for one request have in common.
 type placement struct {
-	base, slope float64           // ms to the first word, and more for each token to read
-	bound       float64           // the load above which an endpoint is too full for further requests of a shared prefix
-	ranks       map[*endpoint]int // the endpoints' places in the common order of homes of the shared prefix
-	shared      float64           // tokens of the prefix that other requests may share
+	base, slope float64     // ms to the first word, and more for each token to read
+	bound       float64     // the load above which an endpoint is too full for further requests of a shared prefix
+	homes       []*endpoint // the first endpoints in the common order of homes of the shared prefix
+	shared      float64     // tokens of the prefix that other requests may share
 }
 
 // choose picks the endpoint for a request and returns the run that it would be, or nil if no endpoint has room.
@@ -53,7 +53,7 @@
 	}
 	common := placement{base: base, slope: slope, bound: c.settings.LoadFactor*found.load/float64(found.count) + c.settings.LoadSlack}
 	if len(w.chains) > 0 {
-		common.ranks, common.shared = c.ranksOf(p, w), sharedTokens(w)
+		common.homes, common.shared = c.homesOf(p, w), sharedTokens(w)
 	}
 	return c.cheapest(room, w, &common)
 }
@@ -88,12 +88,12 @@
 	return least
 }
 
-// ranksOf returns the ranks for a request, which are computed once for each snapshot.
-func (c *core) ranksOf(p *pool, w *waiter) map[*endpoint]int {
+// homesOf returns the homes for a request, which are computed once for each snapshot.
+func (c *core) homesOf(p *pool, w *waiter) []*endpoint {
 	if w.listing != c.listing {
-		w.ranks, w.listing = c.ranks(p, w), c.listing
+		w.homes, w.listing = c.homes(p, w), c.listing
 	}
-	return w.ranks
+	return w.homes
 }
 
 // sharedTokens returns the tokens of a prompt's prefix that other requests may share.
@@ -136,7 +136,7 @@
 // else speaks against the endpoint.
 func (c *core) runAt(e *endpoint, w *waiter, common *placement) (run, float64) {
 	r := run{endpoint: e, read: float64(w.r.TokensIn)}
-	r.read -= c.kept(e, w, common.ranks, common.shared)
+	r.read -= c.kept(e, w, common.homes, common.shared)
 	r.expected = c.toFirst(e, w, common.base, common.slope, &r.read)
 	cost := r.expected + c.preference(e, w)
 	if common.shared > 0 {
@@ -278,7 +278,7 @@
 
 // kept estimates how many tokens of a prompt an endpoint has cached: the prefix that this sender has sent there within the
 // lifetime of cache entries, or the shared part that others have probably sent there, by its rank.
-func (c *core) kept(e *endpoint, w *waiter, ranks map[*endpoint]int, shared float64) float64 {
+func (c *core) kept(e *endpoint, w *waiter, homes []*endpoint, shared float64) float64 {
 	if len(w.chains) == 0 {
 		return 0
 	}
@@ -287,8 +287,8 @@
 	for _, part := range w.r.Prefix[:e.cache.fresh(w.chains, c.now, lifetime)] {
 		known += float64(part.Tokens)
 	}
-	if rank, there := ranks[e]; there {
-		known = max(known, belief(rank)*shared)
+	if rank := slices.Index(homes, e); rank >= 0 {
+		known = max(known, beliefs[rank]*shared)
 	}
 	return known
 }
@@ -367,45 +367,33 @@
 // sharedParts returns the number of parts of a prompt that other requests may share: all but the last, if there are more.
 func sharedParts(w *waiter) int { return max(len(w.r.Prefix)-1, min(len(w.r.Prefix), 1)) }
 
-// ranks orders the endpoints that are ready and certified for a request's regime by rendezvous hashing of its shared
-// parts, with the same result at all senders.
-func (c *core) ranks(p *pool, w *waiter) map[*endpoint]int {
+// beliefs are the probabilities that an endpoint has cached shared parts that this sender has not sent there, by its place in the common
+// order of homes: other senders prefer the same endpoints.
+var beliefs = [...]float64{0.9, 0.5, 0.2}
+
+// homes returns the first endpoints in the common order of those that are ready and certified for a request's regime: by rendezvous
+// hashing of its shared parts, with the same result at all senders.
+func (c *core) homes(p *pool, w *waiter) []*endpoint {
 	key := uint64(w.chains[sharedParts(w)-1])
-	type scored struct {
-		e *endpoint
-		h uint64
-	}
-	list := make([]scored, 0, len(p.endpoints))
+	var first [len(beliefs)]*endpoint
+	var scores [len(beliefs)]uint64
+	found := 0
 	for _, e := range p.endpoints {
-		if !e.unlisted && e.state == view.Ready && w.r.may(e.target.ID) {
-			list = append(list, scored{e, mix(key, e.hash)})
+		if e.unlisted || e.state != view.Ready || !w.r.may(e.target.ID) {
+			continue
 		}
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		if a.h > b.h {
-			return -1
-		} else if a.h < b.h {
-			return 1
+		score := mix(key, e.hash)
+		at := found
+		for at > 0 && scores[at-1] < score {
+			at--
 		}
-		return 0
-	})
-	out := make(map[*endpoint]int, len(list))
-	for i, s := range list {
-		out[s.e] = i
+		if at == len(first) {
+			continue
+		}
+		found = min(found+1, len(first))
+		copy(first[at+1:], first[at:])
+		copy(scores[at+1:], scores[at:])
+		first[at], scores[at] = e, score
 	}
-	return out
-}
-
-// belief estimates the probability that an endpoint has cached shared parts that this sender has not sent there, by its
-// rank: other senders prefer the same endpoints.
-func belief(rank int) float64 {
-	switch rank {
-	case 0:
-		return 0.9
-	case 1:
-		return 0.5
-	case 2:
-		return 0.2
-	}
-	return 0
+	return slices.Clone(first[:found])
 }
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -273,3 +275,23 @@
 		t.Error("not forgotten")
 	}
 }
+
+// Homes are the endpoints with the highest scores, in their order, whatever the order in which they are listed.
+func TestHomesAreTheFirstOfTheCommonOrder(t *testing.T) {
+	for n := range 8 {
+		b := newBench(Settings{})
+		for i := range n {
+			b.add(fmt.Sprint("e", i))
+		}
+		for subject := range uint64(20) {
+			w := &waiter{r: prompt(subject, 1)}
+			w.chains = chainOf("", w.r.Prefix)
+			all := slices.Clone(b.c.pool("s").endpoints)
+			key := uint64(w.chains[0])
+			slices.SortFunc(all, func(x, y *endpoint) int { return cmp.Compare(mix(key, y.hash), mix(key, x.hash)) })
+			if homes := b.c.homes(b.c.pool("s"), w); !slices.Equal(homes, all[:min(n, len(beliefs))]) {
+				t.Fatalf("%d endpoints, subject %d: other homes than the first of all", n, subject)
+			}
+		}
+	}
+}
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -16,7 +16,7 @@
 	due      Time
 	giveUp   Time // when it is refused
 	seq      uint64
-	ranks    map[*endpoint]int // computed for the snapshot listing
+	homes    []*endpoint // computed for the snapshot listing
 	listing  uint64
 	grant    *run
 	refused  *Refused
--- a/internal/lab/ablation/ablation.go
+++ b/internal/lab/ablation/ablation.go
@@ -48,7 +48,7 @@
 		{"quick attachment", []Edit{{attachFile, "	quickAttaches = 5\n", "	quickAttaches = 1\n"}}},
 		{"headroom that bulk leaves", []Edit{{settingsFile, "orElse(&s.BulkHeadroom, 0.15)", "orElse(&s.BulkHeadroom, 1e-9)"}}},
 		{"pressing bulk uses the headroom", []Edit{{settingsFile, "orElse(&s.Pressing, 3*time.Second)", "orElse(&s.Pressing, 1)"}}},
-		{"common order of homes", []Edit{{choiceFile, "	case 0:\n		return 0.9\n	case 1:\n		return 0.5\n	case 2:\n		return 0.2\n", ""}}},
+		{"common order of homes", []Edit{{choiceFile, "{0.9, 0.5, 0.2}", "{1e-9, 1e-9, 1e-9}"}}},
 		{"bound on the load of homes", []Edit{{settingsFile, "orElse(&s.LoadFactor, 1.25)", "orElse(&s.LoadFactor, 1e6)"}}},
 		{"price of reading again", []Edit{{settingsFile, "orElse(&s.Reread, 1)", "orElse(&s.Reread, 1e-9)"}}},
 		{"cost of load", []Edit{{settingsFile, "orElse(&s.LoadCost, 20*time.Millisecond)", "orElse(&s.LoadCost, 1)"}}},
