--- a/cmd/dunetide/jobs.go
+++ b/cmd/dunetide/jobs.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +23,6 @@
 	answerMost = 15 * time.Second
 	// retryAfterBodies is in how many seconds a call comes again for which too many bodies were in hand.
 	retryAfterBodies = "0.5"
-	// headerTimeLeft is what the client says that it still waits, in ms.
-	headerTimeLeft = "X-Dunetide-Time-Left-Ms"
 	// spareItems are in hand beyond the share, so that none has to be asked for when one ends.
 	spareItems = 2
 )
@@ -129,18 +126,18 @@
 		limits.Most = snap.Config.Limits.MaxBodyBytes
 	}
 	if route != nil && route.TimeoutMs > 0 {
-		limits.Until = earlier(limits.Until, route.TimeoutMs)
+		limits.Until = earlier(limits.Until, time.Duration(route.TimeoutMs)*time.Millisecond)
 	}
-	if ms, err := strconv.Atoi(r.Header.Get(headerTimeLeft)); err == nil && ms > 0 {
-		limits.Until = earlier(limits.Until, ms)
+	if left := batch.TimeLeft(r.Header.Get); left > 0 {
+		limits.Until = earlier(limits.Until, left)
 	}
 	status = clientbody.Read(http.NewResponseController(w), r, limits, &body)
 	return body, status
 }
 
-// earlier is a moment, or so many ms from now where that is sooner.
-func earlier(at time.Time, ms int) time.Time {
-	if end := time.Now().Add(time.Duration(ms) * time.Millisecond); end.Before(at) {
+// earlier is a moment, or the end of a time from now where that is sooner.
+func earlier(at time.Time, wait time.Duration) time.Time {
+	if end := time.Now().Add(wait); end.Before(at) {
 		return end
 	}
 	return at
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -76,9 +76,12 @@
 	mostHold = 10_000 * time.Millisecond
 )
 
-// timeLeft is what the client says that it still waits; 0: it says nothing.
-func (c *Call) timeLeft() time.Duration {
-	if ms, err := strconv.Atoi(c.Header("X-Dunetide-Time-Left-Ms")); err == nil && ms > 0 {
+// headerTimeLeft is what a client says that it still waits, in ms.
+const headerTimeLeft = "X-Dunetide-Time-Left-Ms"
+
+// TimeLeft returns what a client says that it still waits, or 0 if it says nothing.
+func TimeLeft(header func(name string) string) time.Duration {
+	if ms, err := strconv.Atoi(header(headerTimeLeft)); err == nil && ms > 0 {
 		return time.Duration(ms) * time.Millisecond
 	}
 	return 0
@@ -86,7 +89,7 @@
 
 // within is a wait, cut to what the client's time bears.
 func (c *Call) within(wait time.Duration) time.Duration {
-	if left := c.timeLeft(); left > 0 {
+	if left := TimeLeft(c.Header); left > 0 {
 		return min(wait, left*8/10)
 	}
 	return wait
@@ -132,7 +135,7 @@
 	}
 	ms, _ := strconv.Atoi(c.Header("X-Dunetide-Wait-Ms"))
 	wait := min(time.Duration(max(ms, 0))*time.Millisecond, mostHold)
-	if left := c.timeLeft(); left > 0 {
+	if left := TimeLeft(c.Header); left > 0 {
 		wait = min(wait, left/2)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+c.within(readWait))
--- a/internal/forward/listener.go
+++ b/internal/forward/listener.go
@@ -20,6 +20,10 @@
 	arrived atomic.Int64 // headers that were read
 	matched int          // bytes of lengthHeader that the current line begins with; -1: it begins otherwise
 	handled int64        // headers of the requests that were handled
+
+	state   http.ConnState // of connStates, with the two below
+	counted bool           // it is in the count of its state
+	ended   bool
 }
 
 // Read is of net.Conn.
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -4,7 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -73,40 +73,35 @@
 	return 0
 }
 
-// connStates keeps the states of clients' connections, so that one that ends can be counted by what it was in.
+// connStates counts clients' connections by their state, so that one that ends can be counted by what it was in. Each connection keeps
+// its own state, which its server changes one call at a time.
 type connStates struct {
-	mu    sync.Mutex
-	state map[net.Conn]http.ConnState
+	open [http.StateClosed + 1]atomic.Int64
 }
 
-func newConnStates() *connStates { return &connStates{state: map[net.Conn]http.ConnState{}} }
-
 // change is the hook of the server.
 func (c *connStates) change(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state != http.StateClosed && state != http.StateHijacked {
-		c.state[conn] = state
+	client, ok := conn.(*clientConn)
+	if !ok || client.ended {
 		return
 	}
-	if counter := closedWhile[c.state[conn]]; counter != nil {
-		counter.Inc()
+	if client.counted {
+		c.open[client.state].Add(-1)
 	}
-	delete(c.state, conn)
-}
-
-// count is how many connections are in a state.
-func (c *connStates) count(state http.ConnState) (n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.state {
-		if s == state {
-			n++
+	if state == http.StateClosed || state == http.StateHijacked {
+		client.ended = true
+		if counter := closedWhile[client.state]; counter != nil && client.counted {
+			counter.Inc()
 		}
+		return
 	}
-	return n
+	client.state, client.counted = state, true
+	c.open[state].Add(1)
 }
 
+// count is how many connections are in a state.
+func (c *connStates) count(state http.ConnState) int { return int(c.open[state].Load()) }
+
 // Observe declares the figures of this proxy.
 func (p *Proxy) Observe() {
 	observe.Gauge("dunetide_proxy_config_version", func() float64 { return float64(p.version()) })
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -81,7 +81,7 @@
 	// unprepared is the number of requests that wait for the process to be able to serve.
 	unprepared atomic.Int32
 	failures   *observe.Log
-	states     *connStates
+	states     connStates
 
 	mu    sync.Mutex
 	pools map[string]pool // by incarnation
@@ -122,7 +122,7 @@
 	if o.HeaderWait == 0 {
 		o.HeaderWait = 10 * time.Second
 	}
-	p := &Proxy{o: o, pools: map[string]pool{}, failures: observe.NewLog(o.Log), states: newConnStates()}
+	p := &Proxy{o: o, pools: map[string]pool{}, failures: observe.NewLog(o.Log)}
 	p.conns = upstream.New(upstream.Config{Dial: o.Dial, Now: o.Now, Rand: o.Rand, Senders: growthShare,
 		MaxOpen: o.MaxOpen, IdleLimit: idleLimit, DialTimeout: dialTimeout, Wait: connWait})
 	p.server = &http.Server{
