Placement: bulk that no endpoint of the subset may serve takes the others as they are

Cause: outside the subset bulk was held back by doubt even where only endpoints outside it have its model or its certificate, or where the whole subset is ejected: it waited until it was pressing (failing test first: three cases). Change: the doubt counts only for what a sound endpoint of the subset may serve.

--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -61,10 +61,14 @@
 // candidates returns the endpoints of a pool that may serve a request.
 func (c *core) candidates(p *pool, w *waiter) candidates {
 	found := candidates{sound: make([]*endpoint, 0, len(p.endpoints))}
+	w.confined = false
 	for _, e := range p.endpoints {
 		if !e.may(w) {
 			continue
 		}
+		if e.preferred && e.ejectedUntil == 0 {
+			w.confined = true
+		}
 		found.load += e.load(c)
 		found.count++
 		switch {
@@ -255,7 +259,7 @@
 				most = slots * (1 + c.settings.QueueInAim)
 			}
 		}
-		return e.load(c)+1+c.doubt(e) <= most+1e-9
+		return e.load(c)+1+c.doubt(e, w) <= most+1e-9
 	}
 	return e.load(c) < slots*(1+c.settings.QueueInAim)
 }
--- a/internal/dispatch/subset.go
+++ b/internal/dispatch/subset.go
@@ -45,9 +45,10 @@
 }
 
 // doubt returns by how much an endpoint's load may exceed its estimate, in requests. Within the subset the estimate is trusted; outside
-// it the doubt grows with the age of what the endpoint told last, up to DoubtDeviations of the spread of independent arrivals.
-func (c *core) doubt(e *endpoint) float64 {
-	if e.preferred {
+// it the doubt grows with the age of what the endpoint told last, up to DoubtDeviations of the spread of independent arrivals. A request
+// that no sound endpoint of the subset may serve, by its model, its regime or what it must avoid, takes the estimates as they are.
+func (c *core) doubt(e *endpoint, w *waiter) float64 {
+	if e.preferred || !w.confined {
 		return 0
 	}
 	known := 0.0
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -18,6 +18,7 @@
 	seq      uint64
 	homes    []*endpoint // computed for the snapshot listing
 	listing  uint64
+	confined bool // a sound endpoint of the subset may serve it
 	grant    *run
 	refused  *Refused
 	done     func(*waiter) // called once, with grant or refused set
--- a/internal/dispatch/worlds_test.go
+++ b/internal/dispatch/worlds_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"dunetide/internal/view"
 )
 
 // wideLayout is a fleet with many senders before many endpoints, each of which has few slots: a sender meets an endpoint seldom.
@@ -170,3 +172,59 @@
 		t.Errorf("%d other endpoints entered or left the subset when one went", changed)
 	}
 }
+
+// Bulk that no endpoint of the subset may serve goes to others, whatever is known of them: those of its regime, those of its model, or
+// any while the subset is ejected.
+func TestBulkOutsideTheSubset(t *testing.T) {
+	layout := wideLayout()
+	layout.senders = 100
+	busy := func() (*core, []*endpoint) {
+		f := newFleet(layout, mixture(1, 1, 1)...)
+		c := f.senders[0].core
+		c.now = time.Minute
+		p := c.pool("s")
+		p.rest.v = 6 // of 12 slots: a doubt of three deviations leaves no room
+		var outside []*endpoint
+		for _, e := range p.endpoints {
+			if !e.preferred {
+				outside = append(outside, e)
+			}
+		}
+		return c, outside
+	}
+	ask := func(c *core, r *Request) *run {
+		r.ID, r.Service, r.Bulk = "1", "s", true
+		var granted *run
+		w := &waiter{r: r, done: func(w *waiter) { granted = w.grant }}
+		w.giveUp = c.giveUp(w, c.now)
+		w.due = c.now + time.Minute
+		c.acquire(w)
+		return granted
+	}
+	c, outside := busy()
+	if granted := ask(c, &Request{}); granted == nil || !granted.endpoint.preferred {
+		t.Error("not granted an endpoint of the subset")
+	}
+	only := outside[0].target.ID
+	if granted := ask(c, &Request{Regime: "r", Certified: func(id string) bool { return id == only }}); granted == nil {
+		t.Error("waits, though a certified endpoint outside the subset has room")
+	}
+	outside[1].models = []view.Model{{Name: "m"}}
+	for _, e := range c.pool("s").endpoints {
+		if e != outside[1] {
+			e.models = []view.Model{{Name: "other"}}
+		}
+	}
+	if granted := ask(c, &Request{Model: "m"}); granted == nil {
+		t.Error("waits, though the endpoint with its model has room")
+	}
+	c, _ = busy()
+	for _, e := range c.pool("s").endpoints {
+		if e.preferred {
+			c.eject(e, 0)
+		}
+	}
+	if granted := ask(c, &Request{}); granted == nil || granted.endpoint.preferred {
+		t.Error("waits for a subset that is ejected")
+	}
+}
