Tests of placement: quantiles and the mean size of a request are worked out in one place

Two stepped worlds had the same quantile, the fleet worked out the mean size of a kind twice, and a count of requests to other zones was written and never read. Test files only; assertions, bounds and results are unchanged.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -26,7 +26,6 @@
 	byID      map[string]*fleetEndpoint
 	kinds     []*fleetKind
 	mail      map[time.Duration][]func() // what arrives at a ms
-	crossed   int                        // requests that went to another zone
 	counted   time.Duration              // requests count that came later
 }
 
@@ -170,8 +169,7 @@
 		Route:  &operator.Route{Name: k.name, Kind: operator.Streaming, TargetMs: int(k.aim.Milliseconds()), Tries: 1},
 		Prefix: []Part{{uint64(len(k.name))<<40 + uint64(subject), k.sharedOf[subject]}, {1<<60 + f.ids, own}}}
 	k.asked++
-	mean := k.shared.mean + k.own.mean + 10*k.out.mean*f.layout.tokensPerEvent
-	t.kind.weight += f.worthOf(t, mean)
+	t.kind.weight += f.worthOf(t)
 	f.ask(t)
 }
 
@@ -184,9 +182,11 @@
 }
 
 // worthOf is what a request in time earns: larger ones earn more.
-func (f *fleet) worthOf(t *fleetTask, mean float64) float64 {
+func (f *fleet) worthOf(t *fleetTask) float64 {
+	k := t.kind
+	mean := k.shared.mean + k.own.mean + 10*k.out.mean*f.layout.tokensPerEvent
 	size := float64(t.request.TokensIn + 10*t.request.TokensOut)
-	return t.kind.worth * min(4, 0.3+0.7*size/mean)
+	return k.worth * min(4, 0.3+0.7*size/mean)
 }
 
 func (f *fleet) ask(t *fleetTask) {
@@ -222,7 +222,6 @@
 	if s.zone == e.zone {
 		return 0
 	}
-	f.crossed++
 	return f.layout.zoneDelay
 }
 
@@ -388,19 +387,18 @@
 		took = f.now - t.born
 	}
 	k.firsts = append(k.firsts, float64(took)/float64(time.Millisecond))
-	mean := k.shared.mean + k.own.mean + 10*k.out.mean*f.layout.tokensPerEvent
 	switch {
 	case took > k.aim:
 		k.over++
 		k.lateFirst++
-		k.earned += f.worthOf(t, mean) * k.late
+		k.earned += f.worthOf(t) * k.late
 	case !k.bulk && t.paused > k.pause:
 		k.over++
 		k.pauses++
-		k.earned += f.worthOf(t, mean) * k.late
+		k.earned += f.worthOf(t) * k.late
 	default:
 		k.inAim++
-		k.earned += f.worthOf(t, mean)
+		k.earned += f.worthOf(t)
 	}
 }
 
@@ -434,12 +432,7 @@
 	t.Helper()
 	for _, k := range f.kinds {
 		slices.Sort(k.firsts)
-		q := func(p float64) float64 {
-			if len(k.firsts) == 0 {
-				return 0
-			}
-			return k.firsts[int(p*float64(len(k.firsts)-1))]
-		}
+		q := func(share float64) float64 { return quantile(k.firsts, share) }
 		t.Logf("%-9s %6d asked, worth %.3f; late %.4f by the first word, %.4f by a pause; lost %.4f; %8d tokens read anew; p50 %.0f p90 %.0f p99 %.0f",
 			k.name, k.asked, k.earned/k.weight, float64(k.lateFirst)/float64(k.asked), float64(k.pauses)/float64(k.asked),
 			float64(k.lost)/float64(k.asked), k.reread, q(0.5), q(0.9), q(0.99))
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -294,6 +294,14 @@
 	}
 }
 
+// quantile returns the value below which a share of sorted values lies, 0 if there are none.
+func quantile(sorted []float64, share float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(share*float64(len(sorted)-1))]
+}
+
 func (w *world) report(t *testing.T) {
 	reread := 0.0
 	most := 0
@@ -303,12 +311,7 @@
 	}
 	for _, k := range w.kinds {
 		slices.Sort(k.firsts)
-		q := func(f float64) float64 {
-			if len(k.firsts) == 0 {
-				return 0
-			}
-			return k.firsts[int(f*float64(len(k.firsts)-1))]
-		}
+		q := func(share float64) float64 { return quantile(k.firsts, share) }
 		t.Logf("%s: %d asked, in aim %.3f, late %.3f, failed %.3f, turned away %d, reread %d, first p50 %.0f p90 %.0f p99 %.0f",
 			k.name, k.asked, float64(k.inAim)/float64(k.asked), float64(k.late)/float64(k.asked),
 			float64(k.failed)/float64(k.asked), k.notRun, k.reread, q(0.5), q(0.9), q(0.99))
--- a/internal/dispatch/worlds_test.go
+++ b/internal/dispatch/worlds_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// world is a fleet with its traffic: a warm-up, and then a rush of bulk with what follows it.
+// fleetWorld is a fleet with its traffic: a warm-up, and then a rush of bulk with what follows it.
 type fleetWorld struct {
 	layout fleetLayout
 	kinds  func() []*fleetKind
