Dispatch: the check of a grant takes the answer that the choice had

Cause: checkGrant asked for the certificate again after the choice, so a certificate withdrawn between the two was reported as a violation, and ended a test (TestRandomizedRegulatedScenarios, twice at a load of 100).

Change: a waiter keeps which endpoints its newest choice found certified, and the invariant holds the grant against these. The request is still checked again right before it is sent.

--- a/internal/proxy/dispatch/capacity.go
+++ b/internal/proxy/dispatch/capacity.go
@@ -9,9 +9,25 @@
 // loadTolerance absorbs rounding where a load is compared with a whole number of slots.
 const loadTolerance = 1e-9
 
+// mayChoose asks whether the regime of the request allows an endpoint, and keeps the answer of this choice.
+func (w *waiter) mayChoose(id string) bool {
+	if !w.request.mayUse(id) {
+		return false
+	}
+	if w.request.Certified != nil {
+		w.certified = append(w.certified, id)
+	}
+	return true
+}
+
+// choiceAllows reports whether the newest choice found that the regime of the request allows an endpoint.
+func (w *waiter) choiceAllows(id string) bool {
+	return w.request.Certified == nil || slices.Contains(w.certified, id)
+}
+
 // eligible reports whether a request may go to an endpoint, whatever its load.
 func (e *endpoint) eligible(w *waiter) bool {
-	if !e.ready() || slices.Contains(w.request.Avoid, e.target.ID) || !w.request.mayUse(e.target.ID) {
+	if !e.ready() || slices.Contains(w.request.Avoid, e.target.ID) || !w.mayChoose(e.target.ID) {
 		return false
 	}
 	return w.request.Model == "" || len(e.models) == 0 ||
--- a/internal/proxy/dispatch/invariants.go
+++ b/internal/proxy/dispatch/invariants.go
@@ -6,13 +6,15 @@
 	"dunetide/internal/platform/invariant"
 )
 
-// grantsAreOfReadyEndpoints: nothing begins at an endpoint that drains, has ended or may not have
+// grantsOnlyReadyEndpoints: nothing begins at an endpoint that drains, has ended or may not have
 // the request.
 var grantsOnlyReadyEndpoints = invariant.New("requests_are_granted_ready_endpoints")
 
-// checkGrant is called right before a request is granted an endpoint.
+// checkGrant is called right before a request is granted an endpoint. It holds the grant against what the choice
+// was told of certificates: a certificate that is withdrawn after the choice is no fault of the choice, and the
+// request is checked again before it is sent.
 func checkGrant(w *waiter, e *endpoint) {
-	grantsOnlyReadyEndpoints.Check(e.ready() && w.request.mayUse(e.target.ID), func() string {
+	grantsOnlyReadyEndpoints.Check(e.ready() && w.choiceAllows(e.target.ID), func() string {
 		return fmt.Sprintf("request %s is granted %s, which is listed %v, in state %v",
 			w.request.ID, e.target.ID, !e.unlisted, e.state)
 	})
--- a/internal/proxy/dispatch/queue.go
+++ b/internal/proxy/dispatch/queue.go
@@ -18,6 +18,7 @@
 	preferred     []*endpoint // for the prompt's prefix
 	preferredAsOf uint64      // the snapshot for which the preferred endpoints were computed
 	subsetServes  bool        // a healthy endpoint of the subset may serve it
+	certified     []string    // ids of endpoints that the newest choice found certified, of a request with a regime
 
 	// One of these two is set when decided is called, which is once.
 	granted *run
--- a/internal/proxy/dispatch/selection.go
+++ b/internal/proxy/dispatch/selection.go
@@ -33,6 +33,7 @@
 // choose picks the endpoint for a request and returns the run that it would be, or nil if no
 // endpoint has capacity.
 func (c *core) choose(p *pool, w *waiter) *run {
+	w.certified = w.certified[:0]
 	found := c.candidates(p, w)
 	if found.count == 0 {
 		return nil
