Batch: a late confirmation does not revive a primary that knows of its successor; refusals of stale terms are seen

Cause: core.countConfirmations did not look at primaryState.superseded, so a confirmation that was under way when a replica reported a newer term counted, and reads were answered again. rejectStaleTerm left neither a line in the log nor a count.

Change: a superseded primary counts no confirmations. Each refusal of a stale term is counted (dunetide_store_stale_terms_rejected_total), the first of a term is logged with partition, both terms and the sender. The comment on kindStaleTerm says what holds: what such a primary ordered is still committed if enough replicas have it, as its successor takes it over.

Result: without the first change TestLateConfirmationDoesNotReviveAReplacedPrimary fails ("a late confirmation counts", the read is answered 1); with it internal/batch passes.

--- a/internal/batch/confirmation.go
+++ b/internal/batch/confirmation.go
@@ -15,11 +15,27 @@
 	if term >= known {
 		return false
 	}
+	c.reportStaleTerm(p, term, known, pipe)
 	w := encodeTermMessage(0, p.index, known)
 	_ = pipe.Send(kindStaleTerm, w.Buf)
 	return true
 }
 
+// reportStaleTerm counts the refusal of a stale term, and logs the first one of each term: a primary that was replaced
+// may send many messages before it hears of it.
+func (c *core) reportStaleTerm(p *partition, term, known uint64, pipe Pipe) {
+	staleTermsRejected.Inc()
+	if p.rejectedTerm == term {
+		return
+	}
+	p.rejectedTerm = term
+	sender := "unknown"
+	if connection, ok := pipe.(interface{ Addr() string }); ok {
+		sender = connection.Addr()
+	}
+	c.log("part %d: refused term %x of %s, as term %x is known", p.index, term, sender, known)
+}
+
 // handleConfirm confirms to a primary that it has not been replaced as far as this store knows.
 func (c *core) handleConfirm(p *partition, term, stamp uint64, pipe Pipe) {
 	if c.rejectStaleTerm(p, term, pipe) {
@@ -49,9 +65,14 @@
 	c.countConfirmations(p)
 }
 
-// countConfirmations works out when this primary was last confirmed, and answers what waited for that.
+// countConfirmations works out when this primary was last confirmed, and answers what waited for that. A primary that
+// knows that it was replaced is not confirmed any more: a replica's confirmation may have been under way when another
+// replica reported the newer term.
 func (c *core) countConfirmations(p *partition) {
 	primary := p.primary
+	if primary.superseded {
+		return
+	}
 	stamps := []int64{c.nowMs} // its own
 	for _, id := range primary.replicas {
 		if replica := primary.progress[id]; replica != nil {
--- a/internal/batch/fencing_test.go
+++ b/internal/batch/fencing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"slices"
 	"testing"
@@ -95,6 +96,67 @@
 	}
 }
 
+// TestLateConfirmationDoesNotReviveAReplacedPrimary: a confirmation that was under way when the primary learned of a newer
+// term confirms nothing.
+func TestLateConfirmationDoesNotReviveAReplacedPrimary(t *testing.T) {
+	g := newStoreRig(3, 2, 2, 1000)
+	g.accept(t, "job", 2)
+	c, p := primaryOfJob(t, g)
+	primary := p.primary
+	pipes := map[uint64]Pipe{}
+	for id, replica := range primary.progress {
+		pipes[id] = replica.pipe
+	}
+	if len(pipes) == 0 {
+		t.Fatal("the primary has no replicas")
+	}
+	c.handleStoreMessage(&recordingPipe{}, kindStaleTerm, encodeNumbers(p.index, primary.term+1))
+	if !primary.superseded || c.isConfirmed(primary) {
+		t.Fatalf("the primary does not know that it was replaced: %+v", primary)
+	}
+	for _, pipe := range pipes {
+		late := append(encodeNumbers(p.index, primary.term, uint64(c.nowMs)), 0)
+		c.handleStoreMessage(pipe, kindConfirmed, late)
+	}
+	if c.isConfirmed(primary) {
+		t.Error("a late confirmation counts")
+	}
+	var code uint8
+	read := encodeReadResults("job", 0, 0)
+	c.handleMessage(nil, callerFunc(func(b []byte) { code = b[0] }), kindReadResults, read)
+	g.step(confirmationWaitMs + 100)
+	if code != codeUnavailable {
+		t.Errorf("a read was answered %d", code)
+	}
+}
+
+// TestRefusalsOfStaleTermsAreReported: each is counted, the first of a term is logged with partition and terms.
+func TestRefusalsOfStaleTermsAreReported(t *testing.T) {
+	g, index, old, _, third := replacedPrimary(t)
+	term := old.partition(index).primary.term
+	g.step(1000)
+	var lines []string
+	third.logf = func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	before := staleTermsRejected.Get()
+	third.partition(index).rejectedTerm = 0 // the rig may have had one refused already
+	for range 3 {
+		third.handleStoreMessage(addressedPipe{&recordingPipe{}}, kindConfirm, encodeNumbers(index, term, 1))
+	}
+	if n := staleTermsRejected.Get() - before; n != 3 {
+		t.Errorf("%d of 3 refusals are counted", n)
+	}
+	known := third.partition(index).promisedTerm
+	want := fmt.Sprintf("part %d: refused term %x of 10.0.0.7:99, as term %x is known", index, term, known)
+	if !slices.Equal(lines, []string{want}) {
+		t.Errorf("%q, want only %q", lines, want)
+	}
+}
+
+// addressedPipe is a connection that knows its other end.
+type addressedPipe struct{ *recordingPipe }
+
+func (addressedPipe) Addr() string { return "10.0.0.7:99" }
+
 // TestQuotaOwnersAreFenced: grants of an owner that is older than the newest one are not used, and
 // what an earlier incarnation of a primary reports or asks for changes nothing at the owner.
 func TestQuotaOwnersAreFenced(t *testing.T) {
--- a/internal/batch/metrics.go
+++ b/internal/batch/metrics.go
@@ -25,9 +25,10 @@
 
 // Counters of a store.
 var (
-	commits          = telemetry.Counter("dunetide_store_commits_total")
-	termsStarted     = telemetry.Counter("dunetide_store_leads_begun_total")
-	resultsCommitted = telemetry.Counter("dunetide_store_items_listed_total")
+	commits            = telemetry.Counter("dunetide_store_commits_total")
+	termsStarted       = telemetry.Counter("dunetide_store_leads_begun_total")
+	staleTermsRejected = telemetry.Counter("dunetide_store_stale_terms_rejected_total")
+	resultsCommitted   = telemetry.Counter("dunetide_store_items_listed_total")
 )
 
 // setMetrics sets the gauges to the state of this moment.
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -10,6 +10,8 @@
 
 	// promisedTerm is the newest term that this store has promised to follow. It refuses all older ones.
 	promisedTerm uint64
+	// rejectedTerm is the newest stale term whose refusal was logged.
+	rejectedTerm uint64
 	// position is how much of the partition's log this store has.
 	position logPosition
 	// followedPrimary is the connection to the primary that this store follows, nil if none, and
--- a/internal/batch/replication.go
+++ b/internal/batch/replication.go
@@ -41,8 +41,9 @@
 		c.handleConfirm(p, term, r.U64(), pipe)
 	case kindStaleTerm:
 		if primary := p.primary; primary != nil && primary.term < term {
-			// The table that says so is on its way. Until it is here nothing is committed and
-			// nothing is confirmed.
+			// The table that says so is on its way. Until it is here this primary is not confirmed, so
+			// nothing is read from it. What it has ordered is still committed if enough replicas have
+			// it: the successor takes it over then.
 			primary.confirmedAt, primary.superseded = never, true
 		}
 	default:
