Messages that end early change nothing; a voter whose old log can't be set aside does not vote; voters' confirmations

Cause, each by reading: an audit message without its count of entries was acknowledged as an empty one; a store took what was cut off a message of replication for zero, acknowledged it, and could write a record that it could not replay at its next start; a call for an item's body that ended early was answered 'not found'; a digest of another length in a document was taken as it was. Voter.leave's error was dropped at five places. A nil *voterAcks meant that nobody has to confirm, against the comment of its field.

Change: these decoders check the reader's error before anything is done, operations and whole jobs of other stores are read before they are appended. A delivery node's voter that could not set its old log aside tries again each lookEvery, and begins or joins no log before. noVoterAcks stands for 'nobody has to', majorities are counted by paxos.QuorumSize.

Delivery node, -copies: a client's message waits for this node's copies instead of being refused at once (-copy-wait, 300 ms unless set, as before); who holds copies of a silent member is not forgotten when it does not answer once; a charge is not accepted while a live node that may have it does not answer, as it would be sent twice.

--- a/cmd/deliverynode/main.go
+++ b/cmd/deliverynode/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"dunetide/internal/deliverynode/fleet"
 	"dunetide/internal/deliverynode/group"
@@ -35,6 +36,7 @@
 	group      int
 	fleet      string
 	copies     int
+	copyWait   time.Duration
 }
 
 func main() {
@@ -48,6 +50,7 @@
 		"with the same environment on the same state folder")
 	flags.StringVar(&o.fleet, "fleet", "", "know of the other delivery nodes that this `file` names, and talk to them; docs/fleet.md")
 	flags.IntVar(&o.copies, "copies", 0, "have so many other nodes of the fleet keep what this one has taken on, and keep theirs; docs/copies.md")
+	flags.DurationVar(&o.copyWait, "copy-wait", node.DefaultCopyWait, "wait so long for the copies of a client's message before it is refused: less than clients wait")
 	flags.Usage = func() {
 		fmt.Fprint(flags.Output(), usage)
 		flags.PrintDefaults()
@@ -95,7 +98,7 @@
 		}
 		c.Fleet = &f
 	}
-	c.Copies = o.copies
+	c.Copies, c.CopyWait = o.copies, o.copyWait
 	return node.Run(ctx, c, hangups, log)
 }
 
--- a/internal/batch/audit/audit_test.go
+++ b/internal/batch/audit/audit_test.go
@@ -19,6 +19,7 @@
 	"dunetide/internal/control/snapshot"
 	"dunetide/internal/platform/link"
 	"dunetide/internal/platform/vfs"
+	"dunetide/internal/platform/vfs/vfstest"
 )
 
 func must(t testing.TB, err error) {
@@ -498,3 +499,18 @@
 		t.Errorf("%s", people.String())
 	}
 }
+
+// A message that ends early is rejected, also where its entries are missing as a whole: an empty reply would tell the
+// proxy that its records are on disk.
+func TestMessagesThatEndEarlyAreRejected(t *testing.T) {
+	s, err := OpenStore(StoreOptions{Folder: vfstest.New()})
+	must(t, err)
+	defer s.Close()
+	whole := goldenMessage(1)
+	for length := range whole {
+		if err := s.appendNow(slices.Clone(whole[:length])); err == nil {
+			t.Errorf("%d of %d bytes were acknowledged", length, len(whole))
+		}
+	}
+	must(t, s.appendNow(whole))
+}
--- a/internal/batch/audit/store.go
+++ b/internal/batch/audit/store.go
@@ -197,6 +197,9 @@
 	in := link.Reader{Buf: body}
 	s.readCertificates(&in)
 	n := in.Count(4)
+	if in.Err != nil { // an empty list is acknowledged, one that is cut short is not
+		return in.Err
+	}
 	if n > maxEntriesPerMessage {
 		return fmt.Errorf("%d entries in a message, over %d", n, maxEntriesPerMessage)
 	}
--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -37,10 +37,15 @@
 			confirmBy:  c.nowMs + waitMs + confirmationWaitMs,
 		})
 	case kindReadItemBody:
+		itemID := r.String()
+		if r.Err != nil { // what it does not name it would be told not to exist
+			replyCode(caller, codeUnavailable)
+			return
+		}
 		c.readJob(p, pendingRead{
 			caller:    caller,
 			jobID:     jobID,
-			itemID:    r.String(),
+			itemID:    itemID,
 			readsBody: true,
 			confirmBy: c.nowMs + confirmationWaitMs,
 		})
--- a/internal/batch/itemrunner.go
+++ b/internal/batch/itemrunner.go
@@ -237,9 +237,11 @@
 	partition := int(body.U32())
 	switch m.Kind {
 	case kindRunningNoted:
-		r.handleRunningNoted(m.Conn, partition, body.U64())
+		if epoch := body.U64(); body.Err == nil {
+			r.handleRunningNoted(m.Conn, partition, epoch)
+		}
 	case kindPauseStarts:
-		if contact := r.contacts[partition]; contact != nil && contact.conn == m.Conn {
+		if contact := r.contacts[partition]; contact != nil && body.Err == nil && contact.conn == m.Conn {
 			contact.startsPaused = true
 		}
 	case kindResultStored:
@@ -249,7 +251,9 @@
 			delete(r.running, key)
 		}
 	case kindCancelJob:
-		r.handleCancel(m, partition, body.String())
+		if jobID := body.String(); body.Err == nil {
+			r.handleCancel(m, partition, jobID)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/batch/malformed_test.go
@@ -0,0 +1,151 @@
+package batch
+
+import (
+	"slices"
+	"testing"
+
+	"dunetide/internal/platform/link"
+)
+
+// Messages that end early change nothing, and nothing is answered that a whole one would be: what is cut off must not be
+// taken for zero or for an empty list.
+
+// storeState is what a message may change at a store.
+type storeState struct {
+	appended uint64
+	promised uint64
+	position logPosition
+	session  uint64
+	jobs     int
+}
+
+func stateOf(c *core, p *partition) storeState {
+	return storeState{
+		appended: c.appendedRecords,
+		promised: p.promisedTerm,
+		position: p.position,
+		session:  p.session,
+		jobs:     len(p.jobs),
+	}
+}
+
+// followerOf is a rig in which a store follows the primary of a job's partition.
+func followerOf(t *testing.T) (g *storeRig, primary, follower *core, p *partition) {
+	t.Helper()
+	g = newStoreRig(3, 2, 2, 1000)
+	g.accept(t, "job", 2)
+	primary, led := primaryOfJob(t, g)
+	for _, c := range g.cores {
+		if q := c.partition(led.index); c != primary && q.session != 0 && q.promisedTerm == led.primary.term {
+			return g, primary, c, q
+		}
+	}
+	t.Fatal("nobody follows the primary")
+	return nil, nil, nil, nil
+}
+
+func TestMessagesToAReplicaThatEndEarly(t *testing.T) {
+	_, primary, c, p := followerOf(t)
+	term, next := p.promisedTerm, p.position.sequence+1
+	whole, err := primary.encodeWholeJob(primary.partition(p.index).jobs["job"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	const age = 8 // versions before it end a whole job without its age
+	operation := func(encoded []byte) []byte { return append(encodeNumbers(p.index, term, p.session, next), encoded...) }
+	for name, m := range map[string]struct {
+		kind link.Kind
+		body []byte
+		from int // the shortest that is whole, if that is not all
+	}{
+		"prepare":       {kind: kindPrepare, body: encodeNumbers(p.index, term+1, 7)},
+		"fetch":         {kind: kindFetchJob, body: append(encodeNumbers(p.index, term), 0, 0, 0, 3, 'j', 'o', 'b')},
+		"start of term": {kind: kindStartTerm, body: encodeNumbers(p.index, term, p.session, 99)},
+		"confirm":       {kind: kindConfirm, body: encodeNumbers(p.index, term, 1)},
+		"accept":        {kind: kindOperation, body: operation(encodeAcceptJob(encodedJob("new", 2, 0)))},
+		"end":           {kind: kindOperation, body: operation(encodeJobOperation(opEndJob, "job"))},
+		"drop":          {kind: kindOperation, body: operation(encodeJobOperation(opDropJob, "job"))},
+		"whole job": {
+			kind: kindInstallJob,
+			body: append(encodeNumbers(p.index, term, p.session), whole...),
+			from: len(encodeNumbers(p.index, term, p.session)) + len(whole) - age,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for length := range len(m.body) {
+				if m.from != 0 && length == m.from {
+					continue
+				}
+				pipe := &recordingPipe{}
+				if m.kind != kindPrepare { // which any store may send
+					pipe, _ = p.followedPrimary.(*recordingPipe)
+					if pipe == nil {
+						pipe = &recordingPipe{}
+						p.followedPrimary = pipe
+					}
+					pipe.kinds = nil
+				}
+				before := stateOf(c, p)
+				c.handleStoreMessage(pipe, m.kind, slices.Clone(m.body[:length]))
+				c.recordsSynced(c.appendedRecords)
+				if after := stateOf(c, p); after != before {
+					t.Fatalf("%d of %d bytes changed %+v to %+v", length, len(m.body), before, after)
+				}
+				if len(pipe.kinds) != 0 {
+					t.Fatalf("%d of %d bytes were answered with %v", length, len(m.body), pipe.kinds)
+				}
+			}
+		})
+	}
+}
+
+func TestAnswersOfReplicasThatEndEarly(t *testing.T) {
+	g := newStoreRig(3, 2, 2, 1000)
+	g.accept(t, "job", 2)
+	c, p := primaryOfJob(t, g)
+	term := p.primary.term
+	for _, replica := range p.primary.progress {
+		// With the space that a cut message would be taken to report.
+		replica.logFull = true
+		for kind, body := range map[link.Kind][]byte{
+			kindOperationAck: append(encodeNumbers(p.index, term, 1<<40), 0),
+			kindConfirmed:    append(encodeNumbers(p.index, term, 1<<40), 0),
+			kindJobInstalled: encodeNumbers(p.index, term, replica.session),
+		} {
+			for length := range len(body) {
+				before := *replica
+				c.handleStoreMessage(replica.pipe, kind, slices.Clone(body[:length]))
+				if replica.acknowledged != before.acknowledged || replica.confirmedAt != before.confirmedAt ||
+					replica.logFull != before.logFull || replica.transfersInFlight != before.transfersInFlight {
+					t.Fatalf("kind %d: %d of %d bytes changed %+v to %+v", kind, length, len(body), before, *replica)
+				}
+			}
+		}
+	}
+}
+
+// A call that ends early is refused: whoever asks again is told nothing that is not known.
+func TestCallsThatEndEarly(t *testing.T) {
+	g := newStoreRig(3, 2, 2, 1000)
+	g.accept(t, "job", 2)
+	c, _ := primaryOfJob(t, g)
+	for kind, body := range map[link.Kind][]byte{
+		kindAcceptJob:    encodedJob("job", 2, 0),
+		kindReadResults:  encodeReadResults("job", 0, 0),
+		kindReadItemBody: encodeReadItemBody("job", "item"),
+		kindEndJob:       encodeEndJob("job"),
+	} {
+		begin := len(encodeEndJob("job")) // from here on the call reaches the job
+		for length := range len(body) {
+			if kind == kindAcceptJob && length >= begin {
+				break // the job is there already: its ID says all
+			}
+			var codes []uint8
+			c.handleMessage(nil, callerFunc(func(b []byte) { codes = append(codes, b[0]) }), kind, slices.Clone(body[:length]))
+			g.step(confirmationWaitMs + 100)
+			if !slices.Equal(codes, []uint8{codeUnavailable}) {
+				t.Errorf("kind %d: %d of %d bytes were answered %v", kind, length, len(body), codes)
+			}
+		}
+	}
+}
--- a/internal/batch/operations.go
+++ b/internal/batch/operations.go
@@ -38,6 +38,22 @@
 	return r.String()
 }
 
+// validateOperation reports whether an operation that another store has sent can be read. What can't be read must not get
+// into the log, which could not be replayed with it.
+func validateOperation(operation []byte) error {
+	r := link.Reader{Buf: operation}
+	switch r.U8() {
+	case opAcceptJob:
+		_, err := decodeJob(r.Buf, 0)
+		return err
+	case opAddResult:
+		_, _, _ = r.String(), r.U32(), r.Bool()
+	case opEndJob, opDropJob:
+		_ = r.String()
+	}
+	return r.Err
+}
+
 // applyOperation applies an operation whose first byte lies at an offset of the log.
 func (c *core) applyOperation(p *partition, operation []byte, offset int64) error {
 	r := link.Reader{Buf: operation}
--- a/internal/batch/records.go
+++ b/internal/batch/records.go
@@ -61,12 +61,29 @@
 
 // replayWholeJob replaces a job by one that encodeWholeJob wrote. The record ends at an offset of the log.
 func (c *core) replayWholeJob(p *partition, r *link.Reader, end int64) error {
+	j, ageMs, err := decodeWholeJob(r, end)
+	if err != nil {
+		return err
+	}
+	c.putJob(p, j, ageMs)
+	return nil
+}
+
+// validateWholeJob reports whether another store has sent a whole job that can be read. What can't be read must not get
+// into the log, which could not be replayed with it.
+func validateWholeJob(encoded []byte) error {
+	_, _, err := decodeWholeJob(&link.Reader{Buf: encoded}, int64(len(encoded)))
+	return err
+}
+
+// decodeWholeJob reads what encodeWholeJob wrote, which ends at an offset of the log, and the job's age in ms.
+func decodeWholeJob(r *link.Reader, end int64) (*job, int64, error) {
 	offset := func() int64 { return end - int64(len(r.Buf)) } // of what is read next
 	_ = r.String()                                            // the ID, which the encoded job has too
 	encoded := r.Bytes()
 	j, err := decodeJob(encoded, offset()-int64(len(encoded)))
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
 	for n := r.Count(9); n > 0; n-- {
 		index, abandoned := int(r.U32()), r.Bool()
@@ -78,11 +95,7 @@
 	if len(r.Buf) > 0 { // records of older versions end before it
 		ageMs = max(0, int64(r.Int()))
 	}
-	if r.Err != nil {
-		return r.Err
-	}
-	c.putJob(p, j, ageMs)
-	return nil
+	return j, ageMs, r.Err
 }
 
 // encodeWholeJob encodes a job with its results: the ID, the encoded job, the results in their
--- a/internal/batch/replication.go
+++ b/internal/batch/replication.go
@@ -25,12 +25,16 @@
 	}
 	switch kind {
 	case kindPrepare:
-		c.handlePrepare(p, term, r.U64(), pipe)
+		if session := r.U64(); r.Err == nil {
+			c.handlePrepare(p, term, session, pipe)
+		}
 	case kindFetchJob:
-		c.handleFetchJob(p, term, r.String(), pipe)
+		if jobID := r.String(); r.Err == nil {
+			c.handleFetchJob(p, term, jobID, pipe)
+		}
 	case kindInstallJob, kindStartTerm, kindOperation:
 		session := r.U64()
-		if c.rejectStaleTerm(p, term, pipe) {
+		if r.Err != nil || c.rejectStaleTerm(p, term, pipe) {
 			return
 		}
 		if term != p.promisedTerm || session != p.session || pipe != p.followedPrimary {
@@ -38,7 +42,9 @@
 		}
 		c.followPrimary(p, term, kind, &r, pipe)
 	case kindConfirm:
-		c.handleConfirm(p, term, r.U64(), pipe)
+		if stamp := r.U64(); r.Err == nil {
+			c.handleConfirm(p, term, stamp, pipe)
+		}
 	case kindStaleTerm:
 		if primary := p.primary; primary != nil && primary.term < term {
 			// The table that says so is on its way. Until it is here this primary is not confirmed, so
@@ -62,12 +68,15 @@
 	case kindJobContents:
 		c.handleJobContents(p, r)
 	case kindJobInstalled:
-		if replica := primary.progressOfSession(r.U64()); replica != nil {
+		if replica := primary.progressOfSession(r.U64()); replica != nil && r.Err == nil {
 			replica.transfersInFlight--
 			c.continueCatchUp(p, replica)
 		}
 	case kindOperationAck:
 		sequence, logFull := int64(r.U64()), r.Bool()
+		if r.Err != nil {
+			return
+		}
 		for _, replica := range primary.progress {
 			if replica.pipe == pipe && replica.upToDate {
 				replica.acknowledged, replica.logFull = max(replica.acknowledged, sequence), logFull
@@ -76,6 +85,9 @@
 		c.advanceCommit(p)
 	case kindConfirmed:
 		stamp, logFull := int64(r.U64()), r.Bool()
+		if r.Err != nil {
+			return
+		}
 		for _, replica := range primary.progress {
 			if replica.pipe == pipe {
 				replica.confirmedAt, replica.logFull = max(replica.confirmedAt, stamp), logFull
@@ -89,11 +101,18 @@
 func (c *core) followPrimary(p *partition, term uint64, kind link.Kind, r *link.Reader, pipe Pipe) {
 	switch kind {
 	case kindInstallJob:
+		if err := validateWholeJob(r.Buf); err != nil {
+			c.log("part %d: a job that the primary sent can't be read: %v", p.index, err)
+			return
+		}
 		c.appendRecord(append(encodeRecord(recordJob, p.index), r.Buf...))
 		w := encodeTermMessage(0, p.index, term, p.session)
 		_ = pipe.Send(kindJobInstalled, w.Buf)
 	case kindStartTerm:
 		sequence := r.U64()
+		if r.Err != nil {
+			return
+		}
 		c.appendRecord(encodeRecord(recordTermStart, p.index, term, sequence))
 		c.acknowledgeAfterSync(p, term, sequence, pipe)
 	case kindOperation:
@@ -105,6 +124,10 @@
 			c.log("part %d: operation %d does not follow %d", p.index, sequence, p.position.sequence)
 			return
 		}
+		if err := validateOperation(r.Buf); err != nil {
+			c.log("part %d: operation %d can't be read: %v", p.index, sequence, err)
+			return
+		}
 		c.appendRecord(append(encodeRecord(recordOperation, p.index, term, sequence), r.Buf...))
 		if sequence > 0 {
 			c.acknowledgeAfterSync(p, term, sequence, pipe)
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -111,6 +111,10 @@
 	if !found { // it reported the job, and can't lose it while it follows this term
 		return
 	}
+	if err := validateWholeJob(r.Buf); err != nil {
+		c.log("part %d: job %s, which a replica sent, can't be read: %v", p.index, jobID, err)
+		return
+	}
 	delete(primary.awaitedJobs, jobID)
 	c.appendRecord(append(encodeRecord(recordJob, p.index), r.Buf...))
 	c.finishFetching(p)
--- a/internal/batch/workers.go
+++ b/internal/batch/workers.go
@@ -88,10 +88,13 @@
 			c.handleResult(p, w, key, abandoned, text)
 		}
 	case kindJobCancelled:
-		c.jobCancelled(p, w, r.String())
+		if jobID := r.String(); r.Err == nil {
+			c.jobCancelled(p, w, jobID)
+		}
 	case kindReturnItem:
-		key.jobID, key.index = r.String(), int(r.U32())
-		c.unassignItem(w, key)
+		if key.jobID, key.index = r.String(), int(r.U32()); r.Err == nil {
+			c.unassignItem(w, key)
+		}
 	}
 }
 
--- a/internal/control/keeper/ack_waiters.go
+++ b/internal/control/keeper/ack_waiters.go
@@ -17,17 +17,19 @@
 	configVersion       uint64
 	certificatesVersion uint64
 
-	pendingPeers  int           // keepers that have yet to answer that they have the change
-	voters        *voterAcks    // the voters of which a majority must know the change; nil: none
-	majorityAcked bool          // whether a majority knew it in time, or none had to; to be read once done is closed
-	done          chan struct{} // closed once there is nothing more to wait for
+	pendingPeers int           // keepers that have yet to answer that they have the change
+	voters       *voterAcks    // the voters of which a majority must know the change, or noVoterAcks
+	enoughAcked  bool          // whether enough voters knew it in time; to be read once done is closed
+	done         chan struct{} // closed once there is nothing more to wait for
 }
 
-func newAckWaiter() *ackWaiter { return &ackWaiter{done: make(chan struct{})} }
+func newAckWaiter() *ackWaiter {
+	return &ackWaiter{voters: noVoterAcks(), done: make(chan struct{})}
+}
 
 // complete ends the wait.
 func (w *ackWaiter) complete() {
-	w.majorityAcked = w.voters.majorityReached()
+	w.enoughAcked = w.voters.enough()
 	close(w.done)
 }
 
@@ -41,7 +43,7 @@
 	if now.Before(w.deadline) {
 		return false
 	}
-	return w.voters.majorityReached() || w.pendingPeers == 0 || !now.Before(w.deadline.Add(majorityWait))
+	return w.voters.enough() || w.pendingPeers == 0 || !now.Before(w.deadline.Add(majorityWait))
 }
 
 // addWaiter begins a wait of Options.PushWait, and completes it at once if nothing is missing. What the attached
--- a/internal/control/keeper/document.go
+++ b/internal/control/keeper/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"net/http"
 	"slices"
 
@@ -95,7 +96,11 @@
 	d.version, d.raw = r.U64(), r.Bytes()
 	for range r.Count(minAcceptedBytes) {
 		a := acceptedVersion{version: r.U64()}
-		copy(a.digest[:], r.Bytes())
+		digest := r.Bytes()
+		if r.Err == nil && len(digest) != len(a.digest) {
+			return d, fmt.Errorf("the digest of version %d has %d bytes, not %d", a.version, len(digest), len(a.digest))
+		}
+		copy(a.digest[:], digest)
 		d.accepted = append(d.accepted, a)
 	}
 	return d, r.Err
--- a/internal/control/keeper/endpoints.go
+++ b/internal/control/keeper/endpoints.go
@@ -140,7 +140,7 @@
 		refusal = errListFull
 	case result.noContact || !k.inContact():
 		refusal = errNoContact
-	case result.waiter != nil && !result.waiter.majorityAcked:
+	case result.waiter != nil && !result.waiter.enoughAcked:
 		refusal = errNotAtMajority
 	}
 	status := http.StatusOK
--- a/internal/control/keeper/metrics.go
+++ b/internal/control/keeper/metrics.go
@@ -89,7 +89,7 @@
 		return []any{
 			"id", id,
 			"status", status,
-			"majority_knows", result.waiter.majorityAcked,
+			"majority_knows", result.waiter.enoughAcked,
 			"in_contact", !result.noContact,
 		}
 	})
--- a/internal/control/keeper/pushes.go
+++ b/internal/control/keeper/pushes.go
@@ -50,7 +50,11 @@
 		return
 	}
 	r := link.Reader{Buf: m.Body}
-	if process.acknowledge(r.U64()) {
+	number := r.U64()
+	if r.Err != nil {
+		return
+	}
+	if process.acknowledge(number) {
 		k.pushNeeded = true
 	}
 	k.completeWaiters(now)
--- a/internal/control/keeper/voter_acks.go
+++ b/internal/control/keeper/voter_acks.go
@@ -2,16 +2,19 @@
 
 import "dunetide/internal/consensus/paxos"
 
-// voterAcks counts the voters that have confirmed to know a fact, by their identities. A nil *voterAcks asks for none.
+// voterAcks counts the voters that have confirmed to know a fact, by their identities.
 type voterAcks struct {
 	pending  map[uint64]bool // voters that haven't confirmed yet
-	majority int
-	acked    int // voters that have confirmed
+	required int             // voters that have to confirm
+	acked    int             // voters that have confirmed
 }
 
+// noVoterAcks is what a change waits for that no voter has to confirm.
+func noVoterAcks() *voterAcks { return &voterAcks{} }
+
 // newVoterAcks asks for a majority of voters, of which self is the first to know.
 func newVoterAcks(voters []paxos.Voter, self uint64) *voterAcks {
-	acks := &voterAcks{pending: map[uint64]bool{}, majority: len(voters)/2 + 1}
+	acks := &voterAcks{pending: map[uint64]bool{}, required: paxos.QuorumSize(len(voters))}
 	for _, voter := range voters {
 		acks.pending[voter.ID] = true
 	}
@@ -21,12 +24,13 @@
 
 // confirm notes that a keeper knows the fact. A keeper that is no voter, or has confirmed before, changes nothing.
 func (acks *voterAcks) confirm(id uint64) {
-	if acks == nil || !acks.pending[id] {
+	if !acks.pending[id] {
 		return
 	}
 	delete(acks.pending, id)
 	acks.acked++
 }
 
-// majorityReached reports whether a majority knows the fact. Without voters none does.
-func (acks *voterAcks) majorityReached() bool { return acks == nil || acks.acked >= acks.majority }
+// enough reports whether all know the fact that have to: a majority of the voters, or nobody. Of no voters at all no
+// majority knows anything.
+func (acks *voterAcks) enough() bool { return acks.acked >= acks.required }
--- a/internal/deliverynode/lease/lease.go
+++ b/internal/deliverynode/lease/lease.go
@@ -107,7 +107,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTime)
 	defer cancel()
-	out, err := await(ctx, l, func(v *Voter, _ time.Duration, reply func(error)) { reply(v.Old()) })
+	out, err := await(ctx, l, func(v *Voter, now time.Duration, reply func(error)) { reply(v.Old(now)) })
 	return errors.Join(err, out)
 }
 
--- a/internal/deliverynode/lease/members.go
+++ b/internal/deliverynode/lease/members.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if v.node != nil && m.Log.ID == v.self.Log.ID && m.Log.Epoch > v.self.Log.Epoch && m.What != sayOld {
-		_ = v.leave("a later epoch of the log has begun: " + m.Log.String()) // it has logged the error
+		v.leave("a later epoch of the log has begun: "+m.Log.String(), now)
 	}
 	if v.node != nil && m.Log.ID == v.self.Log.ID && m.Log.Epoch < v.self.Log.Epoch && m.What == sayRaft {
 		v.say(from.Name, "here", message{What: sayHere, From: v.self.Voter}) // so it leaves the old epoch
@@ -31,7 +31,7 @@
 	case sayWho:
 		begins := m.Log == logID{}
 		if v.node != nil && !begins && !same && m.Log.ID != v.self.Log.ID && v.bare() {
-			_ = v.leave("it has nothing of its log, and another asks it in") // join takes the file's place
+			v.leave("it has nothing of its log, and another asks it in", now)
 		}
 		if v.node == nil && !begins {
 			v.join(m.Log, now)
@@ -47,7 +47,7 @@
 		// What came late from an earlier life is answered so too: then the later one is this, or
 		// one before it.
 		if same && m.To == v.self.Voter && m.Seen.Incarnation >= v.options.Incarnation() && m.Seen.Start != v.options.Start {
-			_ = v.leave("another voter has seen a later incarnation of this node") // it has logged the error
+			v.leave("another voter has seen a later incarnation of this node", now)
 		}
 	case sayRaft:
 		if !same || m.To != v.self.Voter || v.stuck != nil {
@@ -123,7 +123,7 @@
 		}
 		v.put(name, "who", who)
 	}
-	if begins && none {
+	if begins && none && v.notAside == nil {
 		id := identity{logID{v.options.Random() | 1, 1}, v.options.Random() | 1}
 		if err := v.create(id, newStateMachine(v.options.Above(), v.options.Longest, v.options.Most, v.options.Voters), now); err != nil {
 			v.options.Log.Error("leases: beginning a log", "err", err)
--- a/internal/deliverynode/lease/voter.go
+++ b/internal/deliverynode/lease/voter.go
@@ -79,6 +79,10 @@
 	applied uint64
 	stuck   *raft.Ready // what could not be written yet, nil if there is nothing
 	why     string      // the last error of the disk
+	// notAside is why the file of a log that this voter has left is still in its place; nil: it is not. It was last tried to
+	// be set aside at triedAside.
+	notAside   error
+	triedAside time.Duration
 
 	counts  timekeeper
 	pending map[requestKey]waiting     // asks that are not committed yet
@@ -103,6 +107,7 @@
 // Tick applies the passing of time: raft ticks every tickEvery, but at most a few times after a break.
 func (v *Voter) Tick(now time.Duration) {
 	if v.node == nil {
+		v.retryAside(now)
 		v.look(now)
 		return
 	}
--- a/internal/deliverynode/lease/voter_log.go
+++ b/internal/deliverynode/lease/voter_log.go
@@ -20,7 +20,7 @@
 	for v.node != nil && v.stuck == nil && v.node.HasReady() {
 		rd := v.node.Ready()
 		if err := v.save(rd); errors.Is(err, errDamaged) {
-			_ = v.leave(err.Error()) // it has logged the error
+			v.leave(err.Error(), now)
 			break
 		} else if err != nil {
 			v.options.Log.Error("leases: no part in the log until the disk takes it", "err", err)
@@ -99,7 +99,7 @@
 	}
 	if !raft.IsEmptySnap(rd.Snapshot) {
 		if err := v.applySnapshot(rd.Snapshot, now); err != nil {
-			_ = v.leave(err.Error()) // it has logged the error
+			v.leave(err.Error(), now)
 			return
 		}
 	}
@@ -108,7 +108,7 @@
 	}
 	for _, e := range rd.CommittedEntries {
 		if err := v.apply(e, now); err != nil {
-			_ = v.leave(err.Error()) // it has logged the error
+			v.leave(err.Error(), now)
 			return
 		}
 	}
--- a/internal/deliverynode/lease/voter_open.go
+++ b/internal/deliverynode/lease/voter_open.go
@@ -24,7 +24,8 @@
 		}
 	}
 	if errors.Is(err, errDamaged) {
-		return v, v.leave(err.Error())
+		v.leave(err.Error(), now)
+		return v, v.notAside
 	}
 	return v, err
 }
@@ -55,24 +56,38 @@
 	}
 }
 
-// leave sets the log aside for good, so that this node can join as a new voter.
-func (v *Voter) leave(why string) error {
+// leave ends the part in the log and sets its file aside for good, so that this node can join as a new voter. If the disk
+// does not allow that, it is tried again; until it is done this node joins no log.
+func (v *Voter) leave(why string, now time.Duration) {
 	v.options.Log.Error("leases: set aside, this node is to be a new voter", "why", why, "log", v.self.Log)
 	v.empty()
-	err := v.disk.setAside()
-	if err != nil {
-		v.options.Log.Error("leases", "err", err)
+	v.setAside(now)
+}
+
+// setAside sets the file of a log that this voter has left aside. A process that found it would vote with it again.
+func (v *Voter) setAside(now time.Duration) {
+	v.notAside, v.triedAside = v.disk.setAside(), now
+	if v.notAside != nil {
+		v.options.Log.Error("leases: this node votes on nothing until its old log is set aside", "err", v.notAside)
+	}
+}
+
+// retryAside tries again to set the file of a log aside, if that has failed.
+func (v *Voter) retryAside(now time.Duration) {
+	if v.notAside != nil && now-v.triedAside >= lookEvery {
+		v.setAside(now)
 	}
-	return err
 }
 
 // Old sets the log aside because other nodes know a later incarnation of this node than its folder: the folder, and the log
 // in it, are out of date.
-func (v *Voter) Old() error {
+func (v *Voter) Old(now time.Duration) error {
 	if v.node == nil {
-		return v.disk.setAside()
+		v.setAside(now)
+	} else {
+		v.leave("the folder is older than what others know of this node", now)
 	}
-	return v.leave("the folder is older than what others know of this node")
+	return v.notAside
 }
 
 // restore rebuilds the state from the records of the file.
@@ -194,6 +209,9 @@
 
 // join joins the log of a leader that has invited this node.
 func (v *Voter) join(log logID, now time.Duration) {
+	if v.notAside != nil {
+		return // the leader asks again
+	}
 	v.empty()
 	v.self, v.store = identity{log, v.options.Random() | 1}, raft.NewMemoryStorage()
 	if err := v.begin(now); err != nil {
--- a/internal/deliverynode/node/config.go
+++ b/internal/deliverynode/node/config.go
@@ -37,12 +37,15 @@
 	Settings  policy.Settings
 	Names     names
 	IdleClose time.Duration
-	Sync      bool          // what is taken on outlasts a loss of power too
-	Members   int           // processes at most that are this node together; 0 for this one alone
-	Fleet     *fleet.File   // the nodes that are told of each other; nil for none
-	Copies    int           // other nodes that keep what this one has taken on; 0 for none
-	Warm      bool          // connections are opened ahead, for demand that was seen
-	AskEvery  time.Duration // a node that has not asked for so long counts as told; 0 if nothing is said
+	Sync      bool        // what is taken on outlasts a loss of power too
+	Members   int         // processes at most that are this node together; 0 for this one alone
+	Fleet     *fleet.File // the nodes that are told of each other; nil for none
+	Copies    int         // other nodes that keep what this one has taken on; 0 for none
+	// CopyWait is how long a client's message, or a charge that is about to be sent, waits for its copies before it
+	// is refused. Clients should wait for longer. DefaultCopyWait if 0.
+	CopyWait time.Duration
+	Warm     bool          // connections are opened ahead, for demand that was seen
+	AskEvery time.Duration // a node that has not asked for so long counts as told; 0 if nothing is said
 }
 
 // names translates between the words of the settings and the module's numbers.
--- a/internal/deliverynode/node/copies.go
+++ b/internal/deliverynode/node/copies.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,9 +25,8 @@
 )
 
 const (
-	// copyWait is how long a client's message, or a charge that is about to go out, waits for its copies: a
-	// client waits for 400 ms.
-	copyWait = 300 * time.Millisecond
+	// DefaultCopyWait leaves 100 ms of the 400 ms that the platform's clients wait for an answer.
+	DefaultCopyWait = 300 * time.Millisecond
 	// lookTime is how much of a log's lease must be left when a call goes out: what is between that look and
 	// the call's last byte takes less than a millisecond, and is closed when the lease ends.
 	lookTime = 100 * time.Millisecond
@@ -39,6 +39,7 @@
 type copies struct {
 	keeper *replica.Keeper
 	wanted int
+	wait   time.Duration // Config.CopyWait
 	loop   *loop
 	log    *slog.Logger
 
@@ -55,6 +56,8 @@
 	switch {
 	case c.Copies == 0:
 		return nil
+	case c.CopyWait < 0:
+		return fmt.Errorf("-copy-wait %v: it has to be over 0", c.CopyWait)
 	case c.Copies < 0 || c.Copies > fleet.MaxCopies:
 		return fmt.Errorf("-copies %d: it has to be between 1 and %d, or 0 for none", c.Copies, fleet.MaxCopies)
 	case c.Fleet == nil || c.Fleet.Copies == nil:
@@ -79,7 +82,13 @@
 	if c.Copies == 0 {
 		return nil, nil
 	}
-	cs := &copies{wanted: c.Copies, loop: l, log: l.log, works: map[*journal.Journal]*replica.Work{}}
+	cs := &copies{
+		wanted: c.Copies,
+		wait:   cmp.Or(c.CopyWait, DefaultCopyWait),
+		loop:   l,
+		log:    l.log,
+		works:  map[*journal.Journal]*replica.Work{},
+	}
 	var err error
 	cs.keeper, err = replica.New(replica.Options{Net: f, Leases: leases, Name: c.Name, Copies: c.Copies, Settings: c.Fleet.CopiesOf(),
 		Locality: c.Fleet.Locality, Folders: stateFolders(c.State), Limit: limit, Slots: c.copySlots(), Sync: c.Sync,
@@ -135,10 +144,20 @@
 	return ours, end
 }
 
+// waitContext bounds how long a message waits for its copies.
+func (cs *copies) waitContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), cs.wait)
+}
+
 // copied waits until copies have what was written of some messages, where staff want that first.
 func (cs *copies) copied(all []*journal.Journal, least int) error {
-	ctx, cancel := context.WithTimeout(context.Background(), copyWait)
+	ctx, cancel := cs.waitContext()
 	defer cancel()
+	return cs.copiedWithin(ctx, all, least)
+}
+
+// copiedWithin is copied, for as long as a context lasts.
+func (cs *copies) copiedWithin(ctx context.Context, all []*journal.Journal, least int) error {
 	for _, j := range all {
 		w := cs.work(j)
 		if w == nil {
--- a/internal/deliverynode/node/intake.go
+++ b/internal/deliverynode/node/intake.go
@@ -123,11 +123,15 @@
 		if to != nil {
 			return in.passOn(to, m)
 		}
-		if in.cohort != nil && in.cohort.taken(m.ID) || in.copies != nil && in.copies.keeper.Elsewhere(m.ID) {
+		if in.cohort != nil && in.cohort.taken(m.ID) {
 			return http.StatusAccepted, ""
 		}
 		if in.copies != nil {
-			if err := in.copies.keeper.Own().Ready(); err != nil {
+			elsewhere, err := in.copies.keeper.Elsewhere(m.ID)
+			if elsewhere {
+				return http.StatusAccepted, ""
+			}
+			if err != nil && in.copies.Once(m.Class) { // sent by both, it would be sent twice
 				return http.StatusServiceUnavailable, err.Error()
 			}
 		}
@@ -139,6 +143,9 @@
 			return http.StatusServiceUnavailable, "the hold is full"
 		}
 		switch err := in.journaled(m); {
+		case errors.Is(err, errNotReady): // nothing was written
+			in.ended(m.ID)
+			return http.StatusServiceUnavailable, err.Error()
 		case err == nil:
 			in.accepted(m.ID)
 			in.accept(m)
@@ -159,14 +166,25 @@
 	}
 }
 
-// journaled takes a message into the journal, and where staff want that first into its copies. One that
-// does not get there in time is ended, as nobody can say whether they have it.
+// errNotReady says that a message was refused before anything of it was written.
+var errNotReady = errors.New("this node takes no messages now")
+
+// journaled takes a message into the journal, and where staff want that first into its copies. It waits
+// until this node may work on its log and has its copies. A message that is written and does not get to
+// the copies in time is ended, as nobody can say whether they have it.
 func (in *intake) journaled(m *journal.Message) error {
-	err := in.journal.Accept(m)
-	if err != nil || in.copies == nil {
+	if in.copies == nil {
+		return in.journal.Accept(m)
+	}
+	ctx, cancel := in.copies.waitContext()
+	defer cancel()
+	if err := in.copies.keeper.Own().AwaitReady(ctx); err != nil {
+		return fmt.Errorf("%w: %w", errNotReady, err)
+	}
+	if err := in.journal.Accept(m); err != nil {
 		return err
 	}
-	if err := in.copies.copied([]*journal.Journal{in.journal}, in.copies.wanted); err != nil {
+	if err := in.copies.copiedWithin(ctx, []*journal.Journal{in.journal}, in.copies.wanted); err != nil {
 		return errors.Join(fmt.Errorf("%w: %w", journal.ErrNotDurable, err), in.journal.Closed(m, "", time.Now()))
 	}
 	return nil
--- a/internal/deliverynode/replica/lookup.go
+++ b/internal/deliverynode/replica/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -202,6 +203,7 @@
 	}
 	var mu sync.Mutex
 	found := map[string][]string{}
+	answered := map[string]bool{}
 	k.everywhere(ctx, func(ctx context.Context, of string) {
 		text, err := k.options.Net.Ask(ctx, of, kindWho, body)
 		var a who
@@ -210,6 +212,7 @@
 		}
 		mu.Lock()
 		defer mu.Unlock()
+		answered[of] = true
 		for _, owner := range a.Owners {
 			found[owner] = append(found[owner], of)
 		}
@@ -218,14 +221,20 @@
 	defer k.mu.Unlock()
 	for _, name := range names {
 		if m := k.missing[name]; m != nil {
-			m.holders = found[name]
+			// A node that did not answer this time still has what it had.
+			kept := slices.DeleteFunc(m.holders, func(of string) bool { return answered[of] })
+			m.holders = append(kept, found[name]...)
 		}
 	}
 }
 
+// ErrUnknown says that it can't be known whether another node has a message, as one that may have it did not answer.
+var ErrUnknown = errors.New("whether another node has the message is not known")
+
 // Elsewhere reports whether another node has a message that a client hands in here, or a copy of it. It asks other nodes only
-// while some member is silent, because its clients come to other nodes then.
-func (k *Keeper) Elsewhere(id string) bool {
+// while some member is silent, because its clients come to other nodes then. It fails with ErrUnknown if no node says that it
+// has the message, and one that is alive and has messages of a silent member did not answer.
+func (k *Keeper) Elsewhere(id string) (bool, error) {
 	k.mu.Lock()
 	var holders []string
 	for _, m := range k.missing {
@@ -234,26 +243,43 @@
 	asks := k.joined && len(k.missing) > 0
 	k.mu.Unlock()
 	if !asks {
-		return false
+		return false, nil
 	}
 	if k.knows(id, "") {
-		return true
+		return true, nil
 	}
+	alive := k.aliveMembers()
 	slices.Sort(holders)
 	ctx, cancel := context.WithTimeout(context.Background(), haveTime)
 	defer cancel()
-	var yes atomic.Bool
+	var yes, unanswered atomic.Bool
 	var asked sync.WaitGroup
 	for _, name := range slices.Compact(holders) {
 		asked.Go(func() {
-			if known, err := k.queryMessages(ctx, name, have{IDs: []string{id}}); err == nil && len(known) > 0 {
+			known, err := k.queryMessages(ctx, name, have{IDs: []string{id}})
+			switch {
+			case err != nil && alive[name]:
+				unanswered.Store(true)
+			case len(known) > 0:
 				yes.Store(true)
 				cancel()
 			}
 		})
 	}
 	asked.Wait()
-	return yes.Load()
+	if !yes.Load() && unanswered.Load() {
+		return false, ErrUnknown
+	}
+	return yes.Load(), nil
+}
+
+// aliveMembers returns the names of the members that are alive, as far as this node knows.
+func (k *Keeper) aliveMembers() map[string]bool {
+	alive := map[string]bool{}
+	for _, m := range k.options.Net.Members() {
+		alive[m.Name] = m.State == fleet.Alive
+	}
+	return alive
 }
 
 // candidatesAnd returns the candidates with this node among them, the best first.
