Proxy: clients' connections may be idle as long as the configuration says

Change: each client's connection sets its own read deadline while it is idle, the larger of 60 s and idle_ms, and asks again when that has passed, so that a limit raised meanwhile counts.

--- a/internal/proxy/forward/listener.go
+++ b/internal/proxy/forward/listener.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"time"
 )
 
 // lengthHeaderName is the header that is counted on clients' connections, in lower case.
@@ -21,6 +22,8 @@
 	lengthHeaders  atomic.Int64 // headers that were read
 	matchedBytes   int          // bytes of lengthHeaderName that the current line begins with; -1: it begins otherwise
 	handledLengths int64        // headers of the requests that were handled
+	idleTimeout    func() time.Duration
+	idleSince      time.Time // zero: it is not idle
 
 	// Of connectionStates.
 	state   http.ConnState
@@ -31,6 +34,9 @@
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	for n == 0 && err != nil && c.idlesOn(err) {
+		n, err = c.Conn.Read(b)
+	}
 	c.countLengthHeaders(b[:n])
 	return n, err
 }
@@ -71,7 +77,10 @@
 }
 
 // clientListener wraps the connections that it accepts.
-type clientListener struct{ net.Listener }
+type clientListener struct {
+	net.Listener
+	idleTimeout func() time.Duration
+}
 
 // Accept implements net.Listener.
 func (l clientListener) Accept() (net.Conn, error) {
@@ -79,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: conn, matchedBytes: -1}, nil
+	return &clientConn{Conn: conn, matchedBytes: -1, idleTimeout: l.idleTimeout}, nil
 }
 
 // clientConnKey is the context key of a request's *clientConn.
@@ -91,7 +100,7 @@
 }
 
 // Serve accepts clients' connections until the server is shut down or closed.
-func (p *Proxy) Serve(l net.Listener) error { return p.server.Serve(clientListener{l}) }
+func (p *Proxy) Serve(l net.Listener) error { return p.server.Serve(clientListener{l, p.idleTimeout}) }
 
 // closeIfAmbiguous closes the connection after the answer if the length of the request could be
 // read in two ways.
--- a/internal/proxy/forward/proxy.go
+++ b/internal/proxy/forward/proxy.go
@@ -65,7 +65,7 @@
 	// DrainWait is how long new connections are still served after the process was told to stop; 0:
 	// 2.2 s.
 	DrainWait time.Duration
-	// IdleTimeout is how long a client's connection may be idle; 0: 60 s.
+	// IdleTimeout is how long a client's connection may be idle; 0: 60 s. A longer idle_ms of the configuration counts.
 	IdleTimeout time.Duration
 	// BodyBudget bounds the bytes of clients' bodies in memory; nil: nothing does.
 	BodyBudget *clientbody.Budget
