Keeper: senders that stall in a large body hold up nobody else

Change: a slot is taken only once a body is there, for parsing and deciding; while bodies come, their bytes together are bounded (16 MB), and one that does not come at 32 KB a second over two seconds is given up. The reader of bodies is that of the proxies, which moved to internal/platform/clientbody. TestLargeBodiesWaitForEachOther: a body that is too large by itself is now answered 413 also while others are in memory, where 503 would have it sent again for nothing; the clause on 503 holds the largest allowed size in its place.

--- a/cmd/dunetide/batchcalls.go
+++ b/cmd/dunetide/batchcalls.go
@@ -9,7 +9,7 @@
 	"dunetide/internal/batch"
 	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/control/snapshot"
-	"dunetide/internal/proxy/clientbody"
+	"dunetide/internal/platform/clientbody"
 	"dunetide/internal/proxy/forward"
 )
 
--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -12,7 +12,7 @@
 	"dunetide/internal/control/snapshot"
 	"dunetide/internal/platform/descriptors"
 	"dunetide/internal/platform/settings"
-	"dunetide/internal/proxy/clientbody"
+	"dunetide/internal/platform/clientbody"
 	"dunetide/internal/proxy/dispatch"
 	"dunetide/internal/proxy/forward"
 )
--- a/internal/control/keeper/http.go
+++ b/internal/control/keeper/http.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -16,11 +14,6 @@
 	// maxSmallBody and maxConfigBody bound request bodies, in bytes.
 	maxSmallBody  = 64 << 10
 	maxConfigBody = 8 << 20
-	// largeBodyBytes is above the size of everyday documents. Reading and parsing a larger one takes several times
-	// its size, so no more than maxLargeBodies of them are in memory at once: eight documents of 8 MB would take a
-	// keeper over the memory of its machine.
-	largeBodyBytes = 1 << 20
-	maxLargeBodies = 2
 	// proposeTimeout bounds an operation on a register for a caller. It is below the second after which an operator
 	// goes on to another keeper.
 	proposeTimeout = 900 * time.Millisecond
@@ -112,53 +105,17 @@
 
 // serveRoute reads the body of a call and serves it.
 func (k *Keeper) serveRoute(w http.ResponseWriter, r *http.Request, route route, name string, began time.Time) {
-	release, ok := k.admitBody(route, r)
-	if !ok {
-		// Unless the body is read, the answer may be lost with the connection.
-		_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, route.maxBody))
-		refuse(w, http.StatusServiceUnavailable,
-			"too many large bodies are in hand: send it again, or to another keeper")
+	body, release, status := k.readBody(w, r, route)
+	if status != 0 {
+		refuseBody(w, r, route, status)
 		return
 	}
 	defer release()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(route.maxBody, 1)))
-	if err != nil {
-		refuseBody(w, route, err)
-		return
-	}
 	recorder := &statusWriter{w, http.StatusOK}
 	route.serve(k, recorder, name, body, r)
 	k.recordAnswer(route, name, recorder.status, began)
 }
 
-// refuseBody answers a call whose body could not be read.
-func refuseBody(w http.ResponseWriter, route route, err error) {
-	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
-		refuse(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes: send less", route.maxBody))
-		return
-	}
-	// A part of a request says nothing about the whole one, which may have been accepted before.
-	refuse(w, http.StatusRequestTimeout, "the body was cut: send it again whole")
-}
-
-// admitBody waits until a call's body may be read; !ok: others were in memory for too long. A body of unknown length
-// counts as large where it may be.
-func (k *Keeper) admitBody(route route, r *http.Request) (release func(), ok bool) {
-	if route.maxBody <= largeBodyBytes || r.ContentLength >= 0 && r.ContentLength <= largeBodyBytes {
-		return func() {}, true
-	}
-	timeout := time.NewTimer(proposeTimeout)
-	defer timeout.Stop()
-	select {
-	case k.largeBodySlots <- struct{}{}:
-		return func() { <-k.largeBodySlots }, true
-	case <-timeout.C:
-	case <-r.Context().Done():
-	case <-k.ended:
-	}
-	return nil, false
-}
-
 // answerJSON answers a call that succeeded.
 func answerJSON(w http.ResponseWriter, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"dunetide/internal/control/controlclient"
 	"dunetide/internal/control/registry"
 	"dunetide/internal/control/snapshot"
+	"dunetide/internal/platform/clientbody"
 	"dunetide/internal/platform/descriptors"
 	"dunetide/internal/platform/link"
 	"dunetide/internal/platform/settings"
@@ -104,7 +105,8 @@
 	seeds          atomic.Pointer[[]string] // control addresses of keepers, dialed until others are known
 	contactUntil   atomic.Int64             // the end of contact with a majority, in ns since startedAt
 	callEvents     *telemetry.EventLog      // rate-limited log of answers that a caller may ask about
-	largeBodySlots chan struct{}            // holds one element for each large request body in memory
+	largeBodySlots chan struct{}            // holds one element for each large request body that is parsed and decided
+	receivedBodies *clientbody.Budget       // of the large bodies that are received
 
 	postsMu    sync.Mutex
 	posts      []func()      // for the owner goroutine; unbounded, see post
@@ -122,6 +124,7 @@
 		ended:          make(chan struct{}),
 		postsReady:     make(chan struct{}, 1),
 		largeBodySlots: make(chan struct{}, maxLargeBodies),
+		receivedBodies: clientbody.NewBudget(maxReceivedBytes),
 
 		attached:         map[*link.Conn]*attachedProcess{},
 		peers:            map[string]*peer{},
--- a/internal/proxy/clientbody/clientbody.go
+++ b/internal/platform/clientbody/clientbody.go
@@ -2,7 +2,7 @@
 // together in bytes, so that clients that send slowly, much or many at once cost a process a bounded amount of
 // memory.
 //
-// Proxies read requests and batch jobs through it. Every byte that was read is reserved in a Budget until the caller
+// Proxies read requests and batch jobs through it, keepers the requests of operators and endpoints. Every byte that was read is reserved in a Budget until the caller
 // releases it; Read releases what it reserved itself when it fails.
 package clientbody
 
@@ -21,6 +21,9 @@
 	// MaxDuration is how long a client may take to send a body where the deadline is not earlier.
 	MaxDuration = 30 * time.Second
 
+	// rateWindow is over how long a body has to come at Limits.MinRate. A sender that stalls is given up after it.
+	rateWindow = 2 * time.Second
+
 	// maxPreallocated is how many bytes are allocated for a length that is only announced.
 	maxPreallocated = 256 << 10
 	// minGrowth is by how many bytes a buffer that is full grows at least.
@@ -69,10 +72,53 @@
 	MaxBytes int64     // 0: DefaultMaxBytes
 	Deadline time.Time // when the body has to be complete; at most MaxDuration from now
 	Budget   *Budget   // in which its bytes are reserved until they are released; nil: none
+	// MinRate is how many bytes a second have to come, over rateWindow; 0: any number may.
+	MinRate int
+}
+
+// readDeadline keeps the read deadline of a request while its body is read.
+type readDeadline struct {
+	control    *http.ResponseController
+	last       time.Time // when the body has to be complete
+	windowSize int       // bytes that have to come in a rateWindow; 0: any number may
+	received   int       // in the present window
+}
+
+func newReadDeadline(control *http.ResponseController, limits *Limits) *readDeadline {
+	d := &readDeadline{
+		control:    control,
+		last:       time.Now().Add(MaxDuration),
+		windowSize: int(float64(limits.MinRate) * rateWindow.Seconds()),
+	}
+	if limits.Deadline.Before(d.last) {
+		d.last = limits.Deadline
+	}
+	d.begin()
+	return d
 }
 
+// begin begins a window.
+func (d *readDeadline) begin() {
+	d.received = 0
+	until := d.last
+	if end := time.Now().Add(rateWindow); d.windowSize > 0 && end.Before(until) {
+		until = end
+	}
+	_ = d.control.SetReadDeadline(until) // fails only on connections of tests, which have no deadlines
+}
+
+// read notes bytes that have come.
+func (d *readDeadline) read(n int) {
+	if d.received += n; d.windowSize > 0 && d.received >= d.windowSize {
+		d.begin()
+	}
+}
+
+// end removes the deadline.
+func (d *readDeadline) end() { _ = d.control.SetReadDeadline(time.Time{}) } // as in begin
+
 // Read reads the whole body of a request into the buffer that into points at, and grows that as needed. It returns 0
-// or, if the body can't be had, the status to answer: 413 if it is too long, 408 if it takes too long, 503 if the
+// or, if the body can't be had, the status to answer: 413 if it is too long, 408 if it comes too slowly, 503 if the
 // budget is used up by others, 400 if it breaks off. After 0 the caller has to release len(*into) bytes of the
 // budget.
 func Read(rc *http.ResponseController, r *http.Request, limits Limits, into *[]byte) (status int) {
@@ -83,11 +129,7 @@
 	if r.ContentLength > maxBytes {
 		return http.StatusRequestEntityTooLarge
 	}
-	deadline := time.Now().Add(MaxDuration)
-	if limits.Deadline.Before(deadline) {
-		deadline = limits.Deadline
-	}
-	_ = rc.SetReadDeadline(deadline) // fails only on connections of tests, which have no deadlines
+	deadline := newReadDeadline(rc, &limits)
 	buffer := (*into)[:0]
 	if announced := min(r.ContentLength+1, maxPreallocated); announced > int64(cap(buffer)) {
 		buffer = make([]byte, 0, announced)
@@ -108,11 +150,12 @@
 			return http.StatusServiceUnavailable
 		}
 		buffer = buffer[:len(buffer)+n]
+		deadline.read(n)
 		switch {
 		case int64(len(buffer)) > maxBytes:
 			return http.StatusRequestEntityTooLarge
 		case errors.Is(err, io.EOF):
-			_ = rc.SetReadDeadline(time.Time{}) // as above
+			deadline.end()
 			return 0
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return http.StatusRequestTimeout
--- a/internal/proxy/forward/intake.go
+++ b/internal/proxy/forward/intake.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"dunetide/internal/control/operatorconfig"
-	"dunetide/internal/proxy/clientbody"
+	"dunetide/internal/platform/clientbody"
 )
 
 const (
--- a/internal/proxy/forward/prepare.go
+++ b/internal/proxy/forward/prepare.go
@@ -10,7 +10,7 @@
 
 	"dunetide/internal/control/snapshot"
 	"dunetide/internal/platform/telemetry"
-	"dunetide/internal/proxy/clientbody"
+	"dunetide/internal/platform/clientbody"
 )
 
 const (
--- a/internal/proxy/forward/proxy.go
+++ b/internal/proxy/forward/proxy.go
@@ -17,7 +17,7 @@
 	"dunetide/internal/control/snapshot"
 	"dunetide/internal/platform/telemetry"
 	"dunetide/internal/platform/upstream"
-	"dunetide/internal/proxy/clientbody"
+	"dunetide/internal/platform/clientbody"
 	"dunetide/internal/proxy/dispatch"
 )
 
