Keeper: the repeat of a document that an earlier program accepted is acknowledged before the parser has its say

Change: a document that does not parse is looked up by its digest in the newest decided state, which a majority confirms, and acknowledged where it was accepted; without a majority it is answered 503. What is not JSON is refused at once, as before: no program accepted it.

Result: TestRepeatOfWhatAnEarlierProgramAccepted at three keepers, before and after a successor; the table of calls without contact (TestCallsWithoutContact) is unchanged and passes; internal/control/keeper passes.

--- a/internal/control/keeper/concurrent_puts_test.go
+++ b/internal/control/keeper/concurrent_puts_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -313,6 +314,39 @@
 	eventually(t, "nothing of them is in memory", func() bool { return k.receivedBodies.Reserved() == 0 })
 }
 
+// TestRepeatOfWhatAnEarlierProgramAccepted: a document that a stricter parser would refuse, and that an earlier program
+// accepted, is acknowledged again at every keeper, also after its successors. What nobody accepted is refused.
+func TestRepeatOfWhatAnEarlierProgramAccepted(t *testing.T) {
+	r := newRig(t, 3)
+	r.startAll()
+	r.untilConnected(0, 1, 2)
+	old, other := []byte(`{"old": "document"}`), []byte(`{"other": "document"}`)
+	accepting := func([]byte) (uint64, error) { return 3, nil }
+	strict := func([]byte) (uint64, error) { return 0, errors.New("no such document") }
+	put := func(i int, body []byte, parse func([]byte) (uint64, error)) (int, uint64) {
+		w, request := httptest.NewRecorder(), httptest.NewRequest(http.MethodPut, "/config", nil)
+		request.Header.Set("If-Match", "0")
+		version, _ := r.running[i].keeper.putDocument(w, request, configDocument, body, parse)
+		return w.Code, version
+	}
+	eventually(t, "accepted by the earlier program", func() bool {
+		_, version := put(0, old, accepting)
+		return version == 3
+	})
+	repeated := func(what string) {
+		for i := range 3 {
+			eventually(t, what, func() bool { code, version := put(i, old, strict); return code == http.StatusOK && version == 3 })
+			eventually(t, "what nobody accepted is refused", func() bool {
+				code, _ := put(i, other, strict)
+				return code == http.StatusBadRequest
+			})
+		}
+	}
+	repeated("acknowledged again")
+	r.untilCode(200, func() response { return r.putConfig(1, 4, 3, "next") })
+	repeated("acknowledged again after its successor")
+}
+
 // TestTruncatedBody: a body that is cut on its way isn't a put. The answer makes the operator send it again, and says
 // nothing about the whole one.
 func TestTruncatedBody(t *testing.T) {
--- a/internal/control/keeper/document.go
+++ b/internal/control/keeper/document.go
@@ -135,6 +135,15 @@
 	return slices.Contains(d.accepted, acceptedVersion{version, digest})
 }
 
+// acceptedAs returns the version under which a document with a digest was accepted, if it is remembered.
+func (d *document) acceptedAs(digest [sha256.Size]byte) (version uint64, ok bool) {
+	at := slices.IndexFunc(d.accepted, func(a acceptedVersion) bool { return a.digest == digest })
+	if at < 0 {
+		return 0, false
+	}
+	return d.accepted[at].version, true
+}
+
 // mayHaveForgotten reports whether a version would no longer be remembered, had it been accepted. Versions only rise,
 // so those that were dropped are below the oldest that is left.
 func (d *document) mayHaveForgotten(version uint64, maxRemembered int) bool {
--- a/internal/control/keeper/document_calls.go
+++ b/internal/control/keeper/document_calls.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"crypto/sha256"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -51,8 +53,7 @@
 		return 0, false
 	}
 	if version, err = parse(body); err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return 0, false
+		return k.putInvalid(w, kind, body, err)
 	}
 	request := documentPut{version: version, base: base, raw: body}
 	if err := k.proposeDocument(request, kind); err != nil {
@@ -63,6 +64,28 @@
 	return version, true
 }
 
+// putInvalid answers a put of a document that this program does not accept. An earlier program with a less strict parser
+// may have: then this is a repeat, which is never refused, and the version that was accepted is returned. A keeper that
+// can't read the newest document rejects only what isn't JSON, which no program has accepted.
+func (k *Keeper) putInvalid(
+	w http.ResponseWriter, kind documentKind, body []byte, invalid error,
+) (version uint64, ok bool) {
+	if !json.Valid(body) {
+		refuse(w, http.StatusBadRequest, invalid.Error())
+		return 0, false
+	}
+	newest, err := k.readNewestDocument(kind.register)
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return 0, false
+	}
+	if version, ok = newest.acceptedAs(sha256.Sum256(body)); ok {
+		return version, true
+	}
+	refuse(w, http.StatusBadRequest, invalid.Error())
+	return 0, false
+}
+
 // parseIfMatch reads the version in an If-Match header, with or without quotes.
 func parseIfMatch(header string) (uint64, error) {
 	return strconv.ParseUint(strings.Trim(strings.TrimSpace(header), `"`), 10, 64)
