--- a/internal/batch/timers.go
+++ b/internal/batch/timers.go
@@ -15,6 +15,7 @@
 	if c.nowMs >= c.nextMaintenanceMs {
 		c.nextMaintenanceMs = c.nowMs + maintenanceMs
 		c.setMetrics()
+		c.endStall()
 		c.announceDraining()
 		c.expireJobs()
 		c.reclaimSpace()
