--- a/internal/deliverynode/node/intake.go
+++ b/internal/deliverynode/node/intake.go
@@ -123,17 +123,11 @@
 		if to != nil {
 			return in.passOn(to, m)
 		}
-		if in.cohort != nil && in.cohort.taken(m.ID) {
+		switch elsewhere, err := in.elsewhere(m); {
+		case elsewhere:
 			return http.StatusAccepted, ""
-		}
-		if in.copies != nil {
-			elsewhere, err := in.copies.keeper.Elsewhere(m.ID)
-			if elsewhere {
-				return http.StatusAccepted, ""
-			}
-			if err != nil && in.copies.Once(m.Class) { // sent by both, it would be sent twice
-				return http.StatusServiceUnavailable, err.Error()
-			}
+		case err != nil && in.copies.Once(m.Class): // sent by both, it would be sent twice
+			return http.StatusServiceUnavailable, err.Error()
 		}
 		again, ok := in.reserve(m.ID)
 		if again { // sent once more by a client that did not hear the answer
@@ -166,6 +160,18 @@
 	}
 }
 
+// elsewhere reports whether another process of this machine or another node of the fleet has a message. It fails if that
+// can't be known.
+func (in *intake) elsewhere(m *journal.Message) (bool, error) {
+	if in.cohort != nil && in.cohort.taken(m.ID) {
+		return true, nil
+	}
+	if in.copies == nil {
+		return false, nil
+	}
+	return in.copies.keeper.Elsewhere(m.ID)
+}
+
 // errNotReady says that a message was refused before anything of it was written.
 var errNotReady = errors.New("this node takes no messages now")
 
--- a/internal/proxy/forward/idle_test.go
+++ b/internal/proxy/forward/idle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -53,7 +54,9 @@
 		test(g)
 		_ = g.client.Close()
 		close(listener)
-		<-done
+		if err := <-done; !errors.Is(err, net.ErrClosed) {
+			t.Errorf("the server has ended with %v", err)
+		}
 		_ = p.Server().Close()
 		p.connections.Close()
 	})
