--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -10,9 +10,9 @@
 
 	"dunetide/internal/control/controlclient"
 	"dunetide/internal/control/snapshot"
+	"dunetide/internal/platform/clientbody"
 	"dunetide/internal/platform/descriptors"
 	"dunetide/internal/platform/settings"
-	"dunetide/internal/platform/clientbody"
 	"dunetide/internal/proxy/dispatch"
 	"dunetide/internal/proxy/forward"
 )
--- a/internal/proxy/forward/prepare.go
+++ b/internal/proxy/forward/prepare.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"dunetide/internal/control/snapshot"
-	"dunetide/internal/platform/telemetry"
 	"dunetide/internal/platform/clientbody"
+	"dunetide/internal/platform/telemetry"
 )
 
 const (
--- a/internal/proxy/forward/proxy.go
+++ b/internal/proxy/forward/proxy.go
@@ -15,9 +15,9 @@
 	"dunetide/internal/control/certification"
 	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/control/snapshot"
+	"dunetide/internal/platform/clientbody"
 	"dunetide/internal/platform/telemetry"
 	"dunetide/internal/platform/upstream"
-	"dunetide/internal/platform/clientbody"
 	"dunetide/internal/proxy/dispatch"
 )
 
