--- a/internal/lab/soak/mutants_test.go
+++ b/internal/lab/soak/mutants_test.go
@@ -21,7 +21,7 @@
 }{
 	{"a drain acknowledged by who is cut off, with the invariant off",
 		[]mutation.Mutant{
-			{File: "internal/control/keeper/endpoints.go", Old: "	case result.waiter != nil && !result.waiter.majorityAcked:\n", New: "	case false:\n"},
+			{File: "internal/control/keeper/endpoints.go", Old: "	case result.waiter != nil && !result.waiter.enoughAcked:\n", New: "	case false:\n"},
 			{File: "internal/control/keeper/endpoints.go", Old: "	k.checkAcknowledgement(change.id, result)\n", New: ""},
 		},
 		Plan{Seed: 1, Shape: shapes[3], Length: 12 * time.Second, Final: FinalNone, Load: 2, Faults: []Fault{
@@ -29,7 +29,7 @@
 			{Number: 2, At: 2 * time.Second, For: time.Second, Kind: Leave, How: "silent lured", Targets: []int{4}},
 		}}, []string{ruleDrain}},
 	{"the same, found by the invariant",
-		[]mutation.Mutant{{File: "internal/control/keeper/endpoints.go", Old: "	case result.waiter != nil && !result.waiter.majorityAcked:\n", New: "	case false:\n"}},
+		[]mutation.Mutant{{File: "internal/control/keeper/endpoints.go", Old: "	case result.waiter != nil && !result.waiter.enoughAcked:\n", New: "	case false:\n"}},
 		Plan{Seed: 1, Shape: shapes[3], Length: 12 * time.Second, Final: FinalNone, Load: 1, Faults: []Fault{
 			{Number: 1, At: 2 * time.Second, For: 6 * time.Second, Kind: CutOff, How: "keeper", Targets: []int{1}},
 			{Number: 2, At: 2 * time.Second, For: time.Second, Kind: Leave, How: "silent lured", Targets: []int{4}},
