--- a/internal/proxy/forward/mutants_test.go
+++ b/internal/proxy/forward/mutants_test.go
@@ -50,7 +50,7 @@
 	{
 		Name: "any endpoint is chosen",
 		File: "../dispatch/capacity.go",
-		Old:  "slices.Contains(w.request.Avoid, e.target.ID) || !w.request.mayUse(e.target.ID) {",
+		Old:  "slices.Contains(w.request.Avoid, e.target.ID) || !w.mayChoose(e.target.ID) {",
 		New:  "slices.Contains(w.request.Avoid, e.target.ID) {",
 	},
 	{
