--- a/cmd/dunetide-lab/compare.go
+++ b/cmd/dunetide-lab/compare.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 
 	"dunetide/internal/lab/figures"
@@ -112,44 +112,84 @@
 	return "./cmd/deliverynode"
 }
 
-// Run plays the pairs, A first in every second one, so that what drifts strikes both.
+// sideNames are the names of the two sides in what is printed; in folders they are in lower case.
+var sideNames = [2]string{"A", "B"}
+
+// Run plays the pairs and compares them.
 func (c *compareCommand) Run(ctx context.Context) error {
-	dir := c.Out
-	if dir == "" {
-		tmp, err := os.MkdirTemp("", "dunetide-lab-compare-")
-		if err != nil {
-			return err
-		}
-		defer func() { _ = os.RemoveAll(tmp) }() // a temporary folder
-		dir = tmp
+	dir, clean, err := c.folder()
+	if err != nil {
+		return err
 	}
-	dir, err := filepath.Abs(dir)
+	defer clean()
+	sides, cleanProgram, err := c.variants(ctx, dir)
 	if err != nil {
 		return err
 	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	defer cleanProgram()
+	runs, broken, err := c.playPairs(ctx, dir, sides)
+	if err != nil {
 		return err
 	}
-	var sides [2]variant
-	for i, words := range [][]string{c.WithA, c.WithB} {
-		if sides[i], err = variantOf(ctx, c.Scenario, c.Way, words, dir); err != nil {
+	effects := effectsOf(runs)
+	fmt.Printf("A: %s\nB: %s\n", sides[0].name, sides[1].name)
+	printEffects(effects)
+	if c.Out != "" && len(runs[0]) > 0 {
+		if err := c.page(dir, sides, runs, effects); err != nil {
 			return err
 		}
 	}
-	if c.Way == "run" {
-		built, clean, err := nodeProgram(ctx, "")
-		if err != nil {
-			return err
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// folder returns the folder of all runs, which exists, and what removes a temporary one.
+func (c *compareCommand) folder() (dir string, clean func(), err error) {
+	clean = func() {}
+	if dir = c.Out; dir == "" {
+		if dir, err = os.MkdirTemp("", "dunetide-lab-compare-"); err != nil {
+			return "", clean, err
 		}
-		defer clean()
-		for i := range sides {
-			if sides[i].program == "" {
-				sides[i].program = built
-			}
+		temporary := dir
+		clean = func() { _ = os.RemoveAll(temporary) } // a temporary folder
+	}
+	if dir, err = filepath.Abs(dir); err != nil {
+		return "", clean, err
+	}
+	return dir, clean, os.MkdirAll(dir, 0o755)
+}
+
+// variants returns the two sides. Real nodes whose program is not named are built from the working tree, which clean
+// removes.
+func (c *compareCommand) variants(ctx context.Context, dir string) (sides [2]variant, clean func(), err error) {
+	clean = func() {}
+	for i, words := range [][]string{c.WithA, c.WithB} {
+		if sides[i], err = variantOf(ctx, c.Scenario, c.Way, words, dir); err != nil {
+			return sides, clean, err
+		}
+	}
+	if c.Way != "run" {
+		return sides, clean, nil
+	}
+	built, clean, err := nodeProgram(ctx, "")
+	if err != nil {
+		return sides, func() {}, err
+	}
+	for i := range sides {
+		if sides[i].program == "" {
+			sides[i].program = built
 		}
 	}
-	var runs [2][]record.Summary
-	var broken int
+	return sides, clean, nil
+}
+
+// playPairs plays each seed on both sides, A first in every second pair, so that what drifts strikes both. It returns the
+// pairs that are valid, and how many rules were broken in all.
+func (c *compareCommand) playPairs(
+	ctx context.Context, dir string, sides [2]variant,
+) (runs [2][]record.Summary, broken int, err error) {
 	for n := range c.Seeds {
 		seed := c.First + uint64(n)
 		order := []int{0, 1}
@@ -158,38 +198,32 @@
 		}
 		var pair [2]record.Summary
 		for _, side := range order {
-			v := sides[side]
-			out := filepath.Join(dir, fmt.Sprintf("%s-%d", []string{"a", "b"}[side], seed))
-			var sum record.Summary
-			if c.Way == "sim" {
-				sum, err = playInStep(ctx, world.Draw(v.scenario, seed), out)
-			} else {
-				sum, err = playLive(ctx, world.Draw(v.scenario, seed), out, v.program, v.flags)
+			out := filepath.Join(dir, fmt.Sprintf("%s-%d", strings.ToLower(sideNames[side]), seed))
+			if pair[side], err = c.playSide(ctx, sides[side], seed, out); err != nil {
+				return runs, broken, fmt.Errorf("%s, seed %d: %w", sides[side].name, seed, err)
 			}
-			if err != nil {
-				return fmt.Errorf("%s, seed %d: %w", v.name, seed, err)
-			}
-			broken += len(sum.Broken)
-			fmt.Printf("seed %d %s: served %.4f, refused %.3f, broken %d%s\n", seed, []string{"A", "B"}[side], sum.Figures.Served,
-				sum.Figures.Refused, len(sum.Broken), invalid(sum))
-			pair[side] = sum
+			broken += len(pair[side].Broken)
+			printSide(seed, side, pair[side])
 		}
 		if pair[0].Invalid == "" && pair[1].Invalid == "" { // else the pair tells nothing
 			runs[0], runs[1] = append(runs[0], pair[0]), append(runs[1], pair[1])
 		}
 	}
-	effects := effectsOf(runs)
-	fmt.Printf("A: %s\nB: %s\n", sides[0].name, sides[1].name)
-	printEffects(effects)
-	if c.Out != "" && len(runs[0]) > 0 {
-		if err := c.page(dir, sides, runs, effects); err != nil {
-			return err
-		}
-	}
-	if broken > 0 {
-		return errBroken
+	return runs, broken, nil
+}
+
+// playSide plays a seed on one side.
+func (c *compareCommand) playSide(ctx context.Context, v variant, seed uint64, out string) (record.Summary, error) {
+	drawn := world.Draw(v.scenario, seed)
+	if c.Way == "sim" {
+		return playInStep(ctx, drawn, out)
 	}
-	return nil
+	return playLive(ctx, drawn, out, v.program, v.flags)
+}
+
+func printSide(seed uint64, side int, s record.Summary) {
+	fmt.Printf("seed %d %s: served %.4f, refused %.3f, broken %d%s\n",
+		seed, sideNames[side], s.Figures.Served, s.Figures.Refused, len(s.Broken), invalid(s))
 }
 
 func invalid(s record.Summary) string {
@@ -348,56 +382,87 @@
 	if err != nil {
 		return err
 	}
-	points := []map[string]string{{}}
-	for _, s := range c.Set {
-		key, values, ok := strings.Cut(s, "=")
-		if !ok {
-			return fmt.Errorf("%q is no setting with values", s)
-		}
-		var next []map[string]string
-		for _, p := range points {
-			for _, v := range strings.Split(values, ",") {
-				q := map[string]string{key: v}
-				for k, old := range p {
-					q[k] = old
-				}
-				next = append(next, q)
-			}
-		}
-		points = next
+	points, err := sweepPoints(c.Set)
+	if err != nil {
+		return err
 	}
 	fmt.Printf("%-40s %8s %8s %8s %8s %8s %6s\n", "", "served", "least", "most", "p99 ms", "refused", "broken")
 	broken := 0
-	for _, p := range points {
-		s, err := scenario.Override(text, p)
+	for _, point := range points {
+		s, err := scenario.Override(text, point)
 		if err != nil {
 			return err
 		}
 		if c.Nodes > 0 {
 			s.Nodes.Count = c.Nodes
 		}
-		var served, p99, refused float64
-		least, most, here := math.Inf(1), math.Inf(-1), 0
-		for n := range c.Seeds {
-			sum, err := playInStep(ctx, world.Draw(s, c.First+uint64(n)), "")
-			if err != nil {
-				return err
-			}
-			f := sum.Figures
-			served, p99, refused = served+f.Served, p99+f.P99, refused+f.Refused
-			least, most, here = min(least, f.Served), max(most, f.Served), here+len(sum.Broken)
-		}
-		n := float64(c.Seeds)
-		var names []string
-		for _, set := range c.Set {
-			key, _, _ := strings.Cut(set, "=")
-			names = append(names, key+"="+p[key])
+		row, err := c.playPoint(ctx, s)
+		if err != nil {
+			return err
 		}
-		broken += here
-		fmt.Printf("%-40s %8.4f %8.4f %8.4f %8.0f %8.3f %6s\n", strings.Join(names, " "), served/n, least, most, p99/n, refused/n, strconv.Itoa(here))
+		broken += row.broken
+		row.print(c.pointName(point), float64(c.Seeds))
 	}
 	if broken > 0 {
 		return errBroken
 	}
 	return nil
 }
+
+// sweepPoints returns all combinations of the values of settings, each as settings by their names.
+func sweepPoints(settings []string) ([]map[string]string, error) {
+	points := []map[string]string{{}}
+	for _, setting := range settings {
+		key, values, ok := strings.Cut(setting, "=")
+		if !ok {
+			return nil, fmt.Errorf("%q is no setting with values", setting)
+		}
+		var next []map[string]string
+		for _, point := range points {
+			for _, value := range strings.Split(values, ",") {
+				combined := maps.Clone(point)
+				combined[key] = value
+				next = append(next, combined)
+			}
+		}
+		points = next
+	}
+	return points, nil
+}
+
+// pointName is a point in the order of the command line.
+func (c *sweepCommand) pointName(point map[string]string) string {
+	var names []string
+	for _, setting := range c.Set {
+		key, _, _ := strings.Cut(setting, "=")
+		names = append(names, key+"="+point[key])
+	}
+	return strings.Join(names, " ")
+}
+
+// sweepRow sums up the seeds of a point.
+type sweepRow struct {
+	served, p99, refused float64 // sums over the seeds
+	least, most          float64 // served
+	broken               int
+}
+
+func (c *sweepCommand) playPoint(ctx context.Context, s scenario.Scenario) (sweepRow, error) {
+	row := sweepRow{least: math.Inf(1), most: math.Inf(-1)}
+	for n := range c.Seeds {
+		sum, err := playInStep(ctx, world.Draw(s, c.First+uint64(n)), "")
+		if err != nil {
+			return row, err
+		}
+		f := sum.Figures
+		row.served, row.p99, row.refused = row.served+f.Served, row.p99+f.P99, row.refused+f.Refused
+		row.least, row.most = min(row.least, f.Served), max(row.most, f.Served)
+		row.broken += len(sum.Broken)
+	}
+	return row, nil
+}
+
+func (r *sweepRow) print(name string, seeds float64) {
+	fmt.Printf("%-40s %8.4f %8.4f %8.4f %8.0f %8.3f %6d\n",
+		name, r.served/seeds, r.least, r.most, r.p99/seeds, r.refused/seeds, r.broken)
+}
--- a/internal/lab/soak/account.go
+++ b/internal/lab/soak/account.go
@@ -55,7 +55,7 @@
 		a.Acked, a.Reads, a.Refused, a.Drains,
 		a.ClientsLeft, a.AbandonedRuns, a.ContinuedRuns, a.Checks, a.Scraped)
 	for _, k := range a.Kinds {
-		fmt.Fprintf(&out, "  %-8s asked %d: %d in aim, %d late, %d refused, %d failed\n",
+		fmt.Fprintf(&out, "  %-8s sent %d: %d in time, %d late, %d refused, %d failed\n",
 			k.Kind, k.Requested, k.WithinTarget, k.Late, k.Refused, k.Failed)
 	}
 	for _, b := range a.Violations {
--- a/internal/lab/tier/account.go
+++ b/internal/lab/tier/account.go
@@ -28,8 +28,8 @@
 type Service struct {
 	Name     string  `json:"name"`
 	Runs     int     `json:"runs"`
-	Rejected int     `json:"turned"` // requests turned away because an endpoint was full
-	Busy     float64 `json:"busy"`   // part of the places that runs took, over the time in which clients asked
+	Rejected int     `json:"turned"` // requests rejected because an endpoint was full
+	Busy     float64 `json:"busy"`   // part of the slots that runs used, over the time in which clients asked
 }
 
 // services counts the runs of the time in which clients sent requests.
@@ -71,13 +71,13 @@
 	fmt.Fprintf(&out, "seed %d: configuration after %.1f s, ready after %.1f s; %d runs at endpoints, %d of them cut\n\n",
 		a.Seed, a.ConfigS, a.ReadyS, a.Runs, a.Cut)
 	fmt.Fprintf(&out, "%-8s %7s %7s %7s %7s %7s   tries, by their end\n",
-		"kind", "asked", "in aim", "late", "refused", "failed")
+		"kind", "sent", "in time", "late", "refused", "failed")
 	for _, k := range a.Kinds {
 		fmt.Fprintf(&out, "%-8s %7d %7d %7d %7d %7d   %d: %v\n",
 			k.Kind, k.Requested, k.WithinTarget, k.Late, k.Refused, k.Failed, k.Tries, k.Ends)
 	}
 	for _, s := range a.Services {
-		fmt.Fprintf(&out, "endpoints of %s: %d runs, %.2f of the places taken, %d requests turned away\n",
+		fmt.Fprintf(&out, "endpoints of %s: %d runs, %.2f of the slots in use, %d requests rejected\n",
 			s.Name, s.Runs, s.Busy, s.Rejected)
 	}
 	for _, j := range a.Jobs {
--- a/internal/lab/tier/load/jobs.go
+++ b/internal/lab/tier/load/jobs.go
@@ -193,7 +193,7 @@
 		if err != nil {
 			end = "no answer"
 		}
-		j.ledger.count(j.route.Name, func(f *Figures) { f.Tries++; f.Ends["hand-in "+end]++ })
+		j.ledger.count(j.route.Name, func(f *Figures) { f.Tries++; f.Ends["submit "+end]++ })
 		if err == nil && status == http.StatusAccepted {
 			j.accepted = time.Now()
 			return true
@@ -381,9 +381,9 @@
 func (j Job) String() string {
 	out := fmt.Sprintf("%s of %d items", j.ID, j.Items)
 	if j.AcceptedS < 0 {
-		return out + ": never taken on"
+		return out + ": never accepted"
 	}
-	out += fmt.Sprintf(": taken on after %.2f s", j.AcceptedS)
+	out += fmt.Sprintf(": accepted after %.2f s", j.AcceptedS)
 	if j.Listed > 0 {
 		out += fmt.Sprintf(", the newest of %d read after %.2f s", j.Listed, j.Last)
 	}
