--- a/internal/lab/golden/golden.go
+++ b/internal/lab/golden/golden.go
@@ -15,6 +15,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -58,6 +59,28 @@
 	}
 }
 
+// CompareLines fails the test if lines, sorted and each once, differ from those of the golden files NAME.txt and
+// NAME-*.txt in a folder together. Files that exist don't change: lines that are added later get a file of their own.
+func CompareLines(t testing.TB, folder, name string, lines []string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(folder, name+"-*.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []string
+	for _, file := range append(files, filepath.Join(folder, name+".txt")) {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want = append(want, strings.Fields(string(text))...)
+	}
+	got := slices.Compact(slices.Sorted(slices.Values(lines)))
+	if slices.Sort(want); !slices.Equal(got, want) {
+		t.Errorf("%s: has\n%s\nthe golden files have\n%s", name, strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
 // Codec tests the encoding of one type by two golden files: one of a value in which each field differs from zero and from
 // the other fields (Filled), and one of the zero value, which shows what is left out. The first must decode to that value,
 // and both must be encoded to the same bytes again after they have been decoded.
--- a/internal/proxy/forward/idle.go
+++ b/internal/proxy/forward/idle.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
 	"os"
 	"time"
 )
@@ -20,22 +19,26 @@
 	return limit
 }
 
-// SetReadDeadline implements net.Conn. In place of a deadline for an idle connection it sets that of idleTimeout.
+// SetReadDeadline implements net.Conn. The first deadline that the server sets once the connection has become idle is that
+// of the wait for the next request: in its place it sets that of idleTimeout. Later ones are those of headers and bodies.
 func (c *clientConn) SetReadDeadline(deadline time.Time) error {
-	if c.state != http.StateIdle || deadline.IsZero() || c.idleTimeout == nil {
-		c.idleSince = time.Time{}
+	if !c.becameIdle || deadline.IsZero() || c.idleTimeout == nil {
+		c.idleSince.Store(nil)
 		return c.Conn.SetReadDeadline(deadline)
 	}
-	c.idleSince = time.Now()
-	return c.Conn.SetReadDeadline(c.idleSince.Add(c.idleTimeout()))
+	c.becameIdle = false
+	now := time.Now()
+	c.idleSince.Store(&now)
+	return c.Conn.SetReadDeadline(now.Add(c.idleTimeout()))
 }
 
 // idlesOn reports whether a read of an idle connection that ended with an error is to go on, as the connection may be idle
 // for longer than was known when it became idle.
 func (c *clientConn) idlesOn(err error) bool {
-	if c.idleSince.IsZero() || !errors.Is(err, os.ErrDeadlineExceeded) {
+	since := c.idleSince.Load()
+	if since == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
-	until := c.idleSince.Add(c.idleTimeout())
+	until := since.Add(c.idleTimeout())
 	return time.Now().Before(until) && c.Conn.SetReadDeadline(until) == nil
 }
--- a/internal/proxy/forward/idle_test.go
+++ b/internal/proxy/forward/idle_test.go
@@ -131,3 +131,21 @@
 		}
 	})
 }
+
+// Once the next request has begun, its header has to come in its own time.
+func TestHeaderAfterAnIdleTimeHasItsOwnLimit(t *testing.T) {
+	withIdleRig(t, 600_000, func(g *idleRig) {
+		if !g.ask() {
+			g.Fatal("the first request is not answered")
+		}
+		time.Sleep(30 * time.Second)
+		if _, err := io.WriteString(g.client, "GET /none HTTP/1.1\r\nHo"); err != nil {
+			g.Fatal(err)
+		}
+		began := time.Now()
+		_, err := io.ReadAll(g.reader) // an answer may come before the close
+		if took := time.Since(began); err != nil || took > defaultHeaderTimeout+time.Second {
+			g.Errorf("a header that stalls was waited for %v: %v", took, err)
+		}
+	})
+}
--- a/internal/proxy/forward/listener.go
+++ b/internal/proxy/forward/listener.go
@@ -23,7 +23,8 @@
 	matchedBytes   int          // bytes of lengthHeaderName that the current line begins with; -1: it begins otherwise
 	handledLengths int64        // headers of the requests that were handled
 	idleTimeout    func() time.Duration
-	idleSince      time.Time // zero: it is not idle
+	becameIdle     bool                      // the deadline of the wait for the next request has yet to be set
+	idleSince      atomic.Pointer[time.Time] // nil: it does not wait for the next request; read by the server's background reads too
 
 	// Of connectionStates.
 	state   http.ConnState
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -121,6 +121,7 @@
 		return
 	}
 	client.state, client.counted = state, true
+	client.becameIdle = state == http.StateIdle
 	c.open[state].Add(1)
 }
 
