Revert "Batch: a store whose disk does not answer gives up its primaries"

Cause: with a fixed bound of 500 ms, on a machine where all disks are slow each store is marked in turn and the primaries go round, while before they only were slow.

Change: reverted.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -73,7 +73,7 @@
 		return
 	}
 	j, err := decodeJob(encoded, 0)
-	if c.mustNotLead() || err != nil {
+	if c.stopping || err != nil {
 		replyCode(caller, codeUnavailable)
 		return
 	}
--- a/internal/batch/condition.go
+++ b/internal/batch/condition.go
@@ -16,23 +16,10 @@
 // diskOperation is the operation of the disk that one goroutine waits for.
 type diskOperation struct {
 	startedAt atomic.Int64 // ns since the start of the store; 0: none is under way
-	overdue   *time.Timer  // fires when an operation takes longer than bound; nil: nobody asks
-	bound     time.Duration
 }
 
-func (o *diskOperation) begin(now time.Duration) {
-	o.startedAt.Store(max(1, int64(now)))
-	if o.overdue != nil {
-		o.overdue.Reset(o.bound)
-	}
-}
-
-func (o *diskOperation) end() {
-	o.startedAt.Store(0)
-	if o.overdue != nil {
-		o.overdue.Stop()
-	}
-}
+func (o *diskOperation) begin(now time.Duration) { o.startedAt.Store(max(1, int64(now))) }
+func (o *diskOperation) end()                    { o.startedAt.Store(0) }
 
 // elapsed is for how long an operation has been under way.
 func (o *diskOperation) elapsed(now time.Duration) time.Duration {
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -94,8 +94,6 @@
 	diskFailed         bool            // nothing goes on
 
 	stopping          bool         // it accepts no jobs, and others are to lead its partitions
-	stalled           bool         // the disk has not answered a while ago, so others are to lead
-	stalledAtMs       int64        // when it was last seen to
 	transferring      []*partition // the partitions that it led when it began to stop
 	nextMaintenanceMs int64
 }
--- a/internal/batch/draining.go
+++ b/internal/batch/draining.go
@@ -19,14 +19,14 @@
 	c.announceDraining()
 }
 
-// announceDraining announces whether others are to lead, as a store is marked that is about to stop, as long as the table
-// says otherwise. So a mark that an earlier process left, or that was set late, is removed.
+// announceDraining announces whether this store is about to stop as long as the table says
+// otherwise. So a mark that an earlier process left, or that was set late, is removed.
 func (c *core) announceDraining() {
 	if c.table == nil {
 		return
 	}
-	if _, known := c.table.Stores[c.self]; known && c.table.Stopping[c.self] != c.mustNotLead() {
-		c.announceStopping(c.mustNotLead())
+	if _, known := c.table.Stores[c.self]; known && c.table.Stopping[c.self] != c.stopping {
+		c.announceStopping(c.stopping)
 	}
 }
 
--- a/internal/batch/metrics.go
+++ b/internal/batch/metrics.go
@@ -27,7 +27,6 @@
 var (
 	commits            = telemetry.Counter("dunetide_store_commits_total")
 	termsStarted       = telemetry.Counter("dunetide_store_leads_begun_total")
-	diskStalls         = telemetry.Counter("dunetide_store_disk_stalls_total")
 	staleTermsRejected = telemetry.Counter("dunetide_store_stale_terms_rejected_total")
 	resultsCommitted   = telemetry.Counter("dunetide_store_items_listed_total")
 )
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -33,12 +32,8 @@
 	// to date, so that SwitchReplicas should be applied to the table. It must not block.
 	ReportReady func(partition int, epoch uint64)
 	// AnnounceStopping is called, again and again, while the table does not say whether this store
-	// is about to stop, or can't lead as its disk does not answer, so that SetStopping should be
-	// applied to it. It must not block, and is called by several goroutines.
+	// is about to stop, so that SetStopping should be applied to it. It must not block.
 	AnnounceStopping func(store uint64, stopping bool)
-	// StallBound is how long an operation of the disk may take before other replicas are to lead;
-	// 0: 500 ms.
-	StallBound time.Duration
 	// Logf logs; nil: nothing is logged.
 	Logf func(format string, args ...any)
 }
@@ -68,11 +63,9 @@
 	closed bool
 	err    error
 
-	announceStopping func(stopping bool) // StoreOptions.AnnounceStopping; never nil
-	stallBound       time.Duration
-	diskUse          diskOperation // of run
-	diskSync         diskOperation // of syncLoop
-	logFull          atomic.Bool   // core.logFull, for other goroutines
+	diskUse  diskOperation // of run
+	diskSync diskOperation // of syncLoop
+	logFull  atomic.Bool   // core.logFull, for other goroutines
 
 	syncWake        chan struct{} // for syncLoop: records have been appended
 	syncMu          sync.Mutex
@@ -92,12 +85,6 @@
 		stopped:  make(chan struct{}),
 		syncWake: make(chan struct{}, 1),
 	}
-	s.stallBound = cmp.Or(options.StallBound, defaultStallBound)
-	s.announceStopping = func(stopping bool) {
-		if options.AnnounceStopping != nil {
-			options.AnnounceStopping(s.core.self, stopping)
-		}
-	}
 	s.configureCore(options)
 	if err := s.openLog(options); err != nil {
 		return nil, err
@@ -107,8 +94,6 @@
 		disconnected: func(id uint64, conn *link.Conn) { s.enqueue(func() { s.core.peerDisconnected(id, conn) }) },
 		message:      s.Message,
 	})
-	s.watchDisk(&s.diskUse)
-	s.watchDisk(&s.diskSync)
 	s.goroutines.Go(s.run)
 	s.goroutines.Go(s.syncLoop)
 	return s, nil
@@ -124,7 +109,9 @@
 	if options.ReportReady != nil {
 		c.reportReady = options.ReportReady
 	}
-	c.announceStopping = s.announceStopping
+	if options.AnnounceStopping != nil {
+		c.announceStopping = func(stopping bool) { options.AnnounceStopping(c.self, stopping) }
+	}
 	c.onDiskFailure = func(err error) { s.end(fmt.Errorf("the log of batch jobs: %w", err)) }
 }
 
--- a/internal/batch/timers.go
+++ b/internal/batch/timers.go
@@ -15,7 +15,6 @@
 	if c.nowMs >= c.nextMaintenanceMs {
 		c.nextMaintenanceMs = c.nowMs + maintenanceMs
 		c.setMetrics()
-		c.endStall()
 		c.announceDraining()
 		c.expireJobs()
 		c.reclaimSpace()
