--- a/internal/batch/malformed_test.go
+++ b/internal/batch/malformed_test.go
@@ -149,3 +149,59 @@
 		}
 	}
 }
+
+// FuzzMessages gives stores messages of every kind with any body. Whatever comes, a store goes on, and can replay all that it
+// has appended to its log.
+func FuzzMessages(f *testing.F) {
+	const index, term, session = 3, 1 << 16, 1
+	whole := append(encodeNumbers(index, term+1, session), 0, 0, 0, 3, 'j', 'o', 'b')
+	for kind, body := range map[link.Kind][]byte{
+		kindPrepare:      encodeNumbers(index, term+2, 7),
+		kindFetchJob:     append(encodeNumbers(index, term+1), 0, 0, 0, 3, 'j', 'o', 'b'),
+		kindInstallJob:   whole,
+		kindStartTerm:    encodeNumbers(index, term+1, session, 99),
+		kindOperation:    append(encodeNumbers(index, term+1, session, 1), encodeAcceptJob(encodedJob("new", 2, 0))...),
+		kindOperationAck: append(encodeNumbers(index, term+1, 1), 0),
+		kindStaleTerm:    encodeNumbers(index, term+9),
+		kindConfirm:      encodeNumbers(index, term+1, 1),
+		kindConfirmed:    append(encodeNumbers(index, term+1, 1), 0),
+		kindAcceptJob:    encodedJob("job", 2, 0),
+		kindReadResults:  encodeReadResults("job", 0, 0),
+		kindReadItemBody: encodeReadItemBody("job", "item"),
+		kindEndJob:       encodeEndJob("job"),
+		kindAttachWorker: encodeAttachWorker("w", "z", 3),
+		kindItemResult:   encodeItemResult(itemKey{index, "job", 0}, false, []byte("text")),
+	} {
+		f.Add(uint8(kind), body)
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
+		g := newStoreRig(3, 1, 1, 1000)
+		g.accept(t, "job", 2)
+		for _, c := range g.cores {
+			pipe := Pipe(&recordingPipe{})
+			if p := c.partition(index); p.followedPrimary != nil {
+				pipe = p.followedPrimary
+			}
+			for range 2 { // it may come again
+				c.handleMessage(pipe, callerFunc(func([]byte) {}), link.Kind(kind), slices.Clone(body))
+			}
+			c.recordsSynced(c.appendedRecords)
+		}
+		g.step(100)
+		for _, c := range g.cores {
+			checkReplay(t, c)
+		}
+	})
+}
+
+// checkReplay replays the log of a core of a rig.
+func checkReplay(t *testing.T, c *core) {
+	t.Helper()
+	log := c.disk.(*memoryDisk)
+	again := newCore(0, log)
+	for i, record := range log.records {
+		if err := again.replay(slices.Clone(record), log.offsets[i]); err != nil {
+			t.Fatalf("record %d of store %d can't be replayed: %v, %x", i, c.self, err, record)
+		}
+	}
+}
