--- a/internal/platform/settings/deploy_test.go
+++ b/deploy/files_test.go
@@ -1,10 +1,11 @@
-package settings
+// Package deploy holds the files by which the platform builds and starts the programs. Its tests pin what the platform reads
+// and build as a machine does that is not the developers'.
+package deploy
 
 import (
 	"fmt"
 	"maps"
 	"os"
-	"path/filepath"
 	"reflect"
 	"slices"
 	"testing"
@@ -12,24 +13,10 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// deployFile reads a file of the folder deploy at the root of the module.
+// deployFile reads a file of this folder.
 func deployFile(t *testing.T, name string) map[string]any {
 	t.Helper()
-	folder, err := os.Getwd()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for {
-		if _, err := os.Stat(filepath.Join(folder, "go.mod")); err == nil {
-			break
-		}
-		parent := filepath.Dir(folder)
-		if parent == folder {
-			t.Fatal("no go.mod above the test's folder")
-		}
-		folder = parent
-	}
-	text, err := os.ReadFile(filepath.Join(folder, "deploy", name))
+	text, err := os.ReadFile(name)
 	if err != nil {
 		t.Fatal(err)
 	}
