Sources: folders of tests in memory are named in test files alone

What users saw: the system did not start on any deployment.

Cause: brought a package of the lab that names a folder of shared memory. The platform reads all sources but tests and refuses those, so nothing was built and nothing started.

Change: internal/lab/tempdir makes folders of tests below a folder of the caller's choice; the tests that keep their files in memory name it in their _test.go files, which the platform does not read as sources. The tests demand what they did.

--- a/cmd/deliverynode/main_test.go
+++ b/cmd/deliverynode/main_test.go
@@ -20,7 +20,7 @@
 	"time"
 
 	"dunetide/internal/deliverynode/node"
-	"dunetide/internal/lab/memorydir"
+	"dunetide/internal/lab/tempdir"
 )
 
 const patience = 15 * time.Second
@@ -66,9 +66,13 @@
 	whole    int // so many watches are answered with the whole list
 }
 
+// memoryRoot is a file system in memory, where the machine has one: syncs of processes that hold limits in real time do not wait
+// there for a disk that other tests keep busy.
+const memoryRoot = "/dev/shm"
+
 func newPlatform(t testing.TB) *platform {
 	t.Helper()
-	p := &platform{t: t, dir: memorydir.New(t), settings: settings, calls: map[string]int{}, finals: map[string]string{},
+	p := &platform{t: t, dir: tempdir.Below(t, memoryRoot), settings: settings, calls: map[string]int{}, finals: map[string]string{},
 		answer: func(string) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
 	p.endpoint = httptest.NewServer(http.HandlerFunc(p.serveEndpoint))
--- a/internal/proxy/forward/account/jobs_test.go
+++ b/internal/proxy/forward/account/jobs_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"dunetide/internal/lab/memorydir"
+	"dunetide/internal/lab/tempdir"
 	"dunetide/internal/lab/tier/cluster"
 	"dunetide/internal/lab/tier/operator"
 )
@@ -37,7 +37,7 @@
 
 func startJobTier(t *testing.T) *jobTier {
 	t.Helper()
-	dir := memorydir.New(t)
+	dir := tempdir.Below(t, memoryRoot)
 	c, err := cluster.New(cluster.Options{Program: program(t), Dir: filepath.Join(dir, "tier"), Zones: 1, Edges: proxies, Keepers: 2, Stores: 3,
 		HeartbeatInterval: beatEvery, Grace: 3 * time.Second, Rules: "base,batch"})
 	if err != nil {
--- a/internal/proxy/forward/account/play_test.go
+++ b/internal/proxy/forward/account/play_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"dunetide/internal/lab/memorydir"
+	"dunetide/internal/lab/tempdir"
 	"dunetide/internal/lab/tier/cluster"
 	"dunetide/internal/lab/tier/operator"
 )
@@ -137,10 +137,14 @@
 	}
 }
 
+// memoryRoot is a file system in memory, where the machine has one: syncs of processes that hold limits in real time do not wait
+// there for a disk that other tests keep busy.
+const memoryRoot = "/dev/shm"
+
 // startPlay starts all processes and waits until the tier serves.
 func startPlay(t *testing.T, seed uint64) *play {
 	t.Helper()
-	dir := memorydir.New(t)
+	dir := tempdir.Below(t, memoryRoot)
 	c, err := cluster.New(cluster.Options{Program: program(t), Dir: filepath.Join(dir, "tier"), Zones: 1, Edges: proxies, Keepers: 2, Stores: 1,
 		HeartbeatInterval: beatEvery, Grace: 3 * time.Second, Rules: "base,stream"})
 	if err != nil {
