--- a/cmd/dunetide-lab/compare.go
+++ b/cmd/dunetide-lab/compare.go
@@ -96,7 +96,7 @@
 			err = errors.Join(err, fmt.Errorf("removing the work tree of %s: %w\n%s", rev, e, out))
 		}
 	}()
-	build := exec.CommandContext(ctx, "go", "build", "-o", program, nodePackage(tree))
+	build := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", program, nodePackage(tree))
 	build.Dir = tree
 	if out, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("building %s: %w\n%s", rev, err, out)
--- a/cmd/dunetide-lab/main.go
+++ b/cmd/dunetide-lab/main.go
@@ -195,7 +195,7 @@
 	}
 	clean = func() { _ = os.RemoveAll(dir) }
 	program = filepath.Join(dir, "deliverynode")
-	if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "dunetide/cmd/deliverynode").CombinedOutput(); err != nil {
+	if out, err := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", program, "dunetide/cmd/deliverynode").CombinedOutput(); err != nil {
 		clean()
 		return "", nil, fmt.Errorf("building the node (run this inside the checkout, or give --node): %w\n%s", err, out)
 	}
--- a/cmd/dunetide-lab/tier.go
+++ b/cmd/dunetide-lab/tier.go
@@ -118,7 +118,7 @@
 		return filepath.Abs(named)
 	}
 	program := filepath.Join(dir, "dunetide")
-	if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "dunetide/cmd/dunetide").CombinedOutput(); err != nil {
+	if out, err := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", program, "dunetide/cmd/dunetide").CombinedOutput(); err != nil {
 		return "", fmt.Errorf("building dunetide (run this inside the checkout, or give --program): %w\n%s", err, out)
 	}
 	return program, nil
--- a/cmd/dunetide/version.go
+++ b/cmd/dunetide/version.go
@@ -5,7 +5,8 @@
 	"runtime/debug"
 )
 
-// versionCmd prints the revision that the program was built from.
+// versionCmd prints the revision that the program was built from. It is unknown where the build left it out, as that of
+// deploy/system.toml does: a build must not depend on git and on who owns the checkout.
 type versionCmd struct{}
 
 // Run implements the command.
--- a/deploy/files_test.go
+++ b/deploy/files_test.go
@@ -30,7 +30,7 @@
 // TestSystemDeployFile pins deploy/system.toml, which the platform reads: its roles, commands and ports.
 func TestSystemDeployFile(t *testing.T) {
 	want := map[string]any{
-		"build":    "go build -ldflags=-linkmode=external -o target/ ./cmd/dunetide",
+		"build":    "CGO_ENABLED=1 go build -buildvcs=false -ldflags=-linkmode=external -o target/ ./cmd/dunetide",
 		"packages": []any{"ca-certificates", "gcc", "libc6-dev"},
 		"roles": map[string]any{
 			"proxy": map[string]any{
--- a/internal/lab/tier/cluster/relayed.go
+++ b/internal/lab/tier/cluster/relayed.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	build := exec.CommandContext(ctx, "go", "build", "-overlay", list, "-o", program, programPackage)
+	build := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-overlay", list, "-o", program, programPackage)
 	if out, err := build.CombinedOutput(); err != nil {
 		return fmt.Errorf("building %s: %w\n%s", programPackage, err, out)
 	}
