Settings: a start waits for a file that is being written

Cause: the first read took a file that was empty or cut short for a wrong one; only reloads tolerate that.

Change: the start reads a missing or invalid file again for one second. A file that stays wrong ends the process as before, a second later. A file that is cut at the end of a line and still has all required keys can't be told from a whole one: open.

--- a/internal/platform/settings/watch.go
+++ b/internal/platform/settings/watch.go
@@ -11,8 +11,14 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// pollInterval is the time between two reads of the file without a signal.
-const pollInterval = 2 * time.Second
+const (
+	// pollInterval is the time between two reads of the file without a signal.
+	pollInterval = 2 * time.Second
+	// startWait is how long the start of a process waits for a valid file.
+	startWait = time.Second
+	// startRetryInterval is the time between two reads of a file for which the start waits.
+	startRetryInterval = 20 * time.Millisecond
+)
 
 // Watcher holds the settings in force in a running process, and takes over what a changed file allows. It is safe for
 // concurrent use. Settings that it has returned are not changed any more.
@@ -29,17 +35,28 @@
 	nextSubscriber   int // key of the next subscriber in subscribers
 }
 
-// NewWatcher reads the file for the start of a process. Its errors are of the class Invalid.
+// NewWatcher reads the file for the start of a process. A file that is missing or invalid may be one that is being written: it
+// is read again for startWait. Its errors are of the class Invalid.
 func NewWatcher(path string, log hclog.Logger) (*Watcher, error) {
-	text, err := readFile(path)
-	if err != nil {
-		return nil, err
+	w := &Watcher{path: path, log: log, subscribers: map[int]func(*Settings){}}
+	err := w.readFirst()
+	for deadline := time.Now().Add(startWait); err != nil && time.Now().Before(deadline); {
+		time.Sleep(startRetryInterval)
+		err = w.readFirst()
 	}
-	inForce, err := Parse(text, path)
 	if err != nil {
 		return nil, err
 	}
-	return &Watcher{path: path, log: log, inForce: inForce, text: text, subscribers: map[int]func(*Settings){}}, nil
+	return w, nil
+}
+
+// readFirst puts the settings of the file in force.
+func (w *Watcher) readFirst() (err error) {
+	if w.text, err = readFile(w.path); err != nil {
+		return err
+	}
+	w.inForce, err = Parse(w.text, w.path)
+	return err
 }
 
 // Current returns the settings in force.
--- a/internal/platform/settings/watch_test.go
+++ b/internal/platform/settings/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -168,6 +169,37 @@
 	}
 }
 
+// writtenAfter is how long the writer of a file takes.
+const writtenAfter = 40 * time.Millisecond
+
+// Guards against a process that ends at its start because its file was being written at that moment: it is read once it is whole.
+func TestNewWatcherWaitsForAFileThatIsBeingWritten(t *testing.T) {
+	for name, first := range map[string]string{
+		"empty":             "",
+		"cut short":         validFile[:len(validFile)/3],
+		"cut inside a line": validFile[:strings.Index(validFile, "internal_ports")+len("internal_ports=7")],
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "boot.conf")
+			if err := os.WriteFile(path, []byte(first), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			written := make(chan error, 1)
+			time.AfterFunc(writtenAfter, func() {
+				whole := path + ".new"
+				written <- errors.Join(os.WriteFile(whole, []byte(validFile), 0o600), os.Rename(whole, path))
+			})
+			w, err := NewWatcher(path, hclog.NewNullLogger())
+			if err := <-written; err != nil {
+				t.Fatal(err)
+			}
+			if err != nil || w.Current().NodeName == "" {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
+
 // TestDiffComparesEachField changes every field of the settings by itself.
 func TestDiffComparesEachField(t *testing.T) {
 	base, err := Parse([]byte(validFile), "f")
