Processes: lines for the start and the end of each life

To tell apart why a process is gone: a start is logged with its limits, the first signal to stop, and a planned end. A life without the last line was ended from outside, as by the limit of memory, or by a panic, whose trace is on standard error.

--- a/cmd/dunetide/process.go
+++ b/cmd/dunetide/process.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -31,6 +32,7 @@
 
 // process is what all roles start from. Its background goroutines end with close.
 type process struct {
+	startedAt time.Time
 	settings  *settings.Settings // as they were at the start
 	watcher   *settings.Watcher  // for settings that may change
 	log       hclog.Logger
@@ -59,7 +61,7 @@
 	// The signals stay caught to the end: one more of them is no reason to end sooner.
 	stopped, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	signal.Ignore(syscall.SIGPIPE)
-	p := &process{settings: watcher.Current(), watcher: watcher, log: log}
+	p := &process{startedAt: time.Now(), settings: watcher.Current(), watcher: watcher, log: log}
 	var cancelBackground, cancelProcess context.CancelFunc
 	p.background, cancelBackground = context.WithCancel(context.Background())
 	p.ctx, cancelProcess = context.WithCancel(stopped)
@@ -68,14 +70,25 @@
 		cancelBackground()
 	}
 	p.goroutines.Go(func() { watcher.Run(p.background, reload.Requests()) })
+	p.logLife()
 	p.startMetrics(role)
 	return p, nil
 }
 
+// logLife logs the start of the process with the limits that can end it, and the first signal to stop. A life without a line
+// of its end was ended from outside, as by the limit of memory, or by a panic, whose trace follows on standard error.
+func (p *process) logLife() {
+	limits := p.settings.Limits
+	p.log.Info("process starts", "pid", os.Getpid(), "first_start", p.settings.FirstStart,
+		"memory_mb", limits.MemoryMB, "open_files", limits.OpenFiles, "disk_mb", limits.DiskMB)
+	context.AfterFunc(p.ctx, func() { p.log.Info("process is told to stop, or has failed") })
+}
+
 // close ends the background goroutines and waits for them.
 func (p *process) close() {
 	p.cancel()
 	p.goroutines.Wait()
+	p.log.Info("process ends", "after", time.Since(p.startedAt).Round(time.Millisecond))
 }
 
 // newLogger returns a logger that writes one line of key=value pairs for each event to standard output.
