Soak: signals, restarts and changes in series that overlap, under clients that keep connections in use

Steady clients keep a connection to one proxy in use until the proxy closes it, then open another one whether or not the proxy is ready. Checked besides: ends that are not as asked for, ends later than the grace, and requests lost around SIGTERM (in plays of planned work alone).

The first form of the check took requests in an endpoint's queue at the end of the grace for lost: traced by the proxy's log (tried=..., may_have_run=true), and narrowed to what the rule counts. TestSources...: whole files are matched, not lines.

--- a/cmd/dunetide-lab/soak.go
+++ b/cmd/dunetide-lab/soak.go
@@ -19,6 +19,7 @@
 	Seed    uint64        `default:"1" help:"The first seed. Each draws a plan: what there is, the troubles, the end."`
 	Seeds   int           `default:"1" help:"How many seeds are played, one after another."`
 	Length  time.Duration `default:"24s" help:"How long troubles come; the end and the time to recover come on top."`
+	Series  bool          `help:"Draw signals, restarts and changes in series that overlap, with clients that keep connections in use until their processes are gone."`
 	Only    []int         `help:"Only the troubles of these numbers, of the plan of one seed."`
 	Final   string        `help:"Another end than the drawn one: none, kill-all, wipe-and-dark or restart-all." default:""`
 	Shrink  bool          `help:"Play a seed that broke a promise again, each time without one of its troubles, and keep those that it takes."`
@@ -46,7 +47,7 @@
 	}
 	broken := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
-		plan := soak.RandomPlan(seed, c.Length).Only(c.Only)
+		plan := c.plan(seed).Only(c.Only)
 		if c.Final != "" {
 			plan.Final = soak.Final(c.Final)
 		}
@@ -74,6 +75,14 @@
 	return nil
 }
 
+// plan draws the plan of a seed.
+func (c *soakCommand) plan(seed uint64) soak.Plan {
+	if c.Series {
+		return soak.RandomSeriesPlan(seed, c.Length)
+	}
+	return soak.RandomPlan(seed, c.Length)
+}
+
 func showPlan(plan soak.Plan) {
 	fmt.Printf("seed %d: %+v, final %s, load %.2f, clients that leave %.2f\n", plan.Seed, plan.Shape, plan.Final, plan.Load, plan.LeaveShare)
 	for _, t := range plan.Faults {
--- a/deploy/build_test.go
+++ b/deploy/build_test.go
@@ -4,7 +4,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -77,7 +76,7 @@
 // modules and packages are kept, so that a test downloads nothing and compiles little.
 func foreignEnvironment(t *testing.T) []string {
 	t.Helper()
-	variables := []string{"GOENV=off", "HOME=" + t.TempDir(), "PATH=" + filepath.Join(runtime.GOROOT(), "bin") + ":" + os.Getenv("PATH")}
+	variables := []string{"GOENV=off", "HOME=" + t.TempDir(), "PATH=" + os.Getenv("PATH")}
 	for _, name := range []string{"GOPROXY", "GOSUMDB", "GOMODCACHE", "GOCACHE"} {
 		variables = append(variables, name+"="+strings.TrimSpace(run(t, "..", os.Environ(), "go", "env", name)))
 	}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -88,6 +88,12 @@
 	case Race:
 		p.orders.race(fault.For)
 		return nil
+	case SignalSeries:
+		return p.signalSeries(ctx, fault, p.processes(fault, cluster.Role(role), maxSeriesTargets))
+	case RestartSeries:
+		return p.restartSeries(ctx, fault, p.processes(fault, cluster.Role(role), maxSeriesTargets))
+	case HangupSeries:
+		return p.hangupSeries(ctx, fault)
 	case Twin:
 		return p.processes(fault, cluster.Role(role), 1)[0].StartTwin(twinWait)
 	}
@@ -114,12 +120,15 @@
 	var all sync.WaitGroup
 	for i, process := range processes {
 		all.Go(func() {
-			lock, _ := p.busy.LoadOrStore(process, &sync.Mutex{})
-			if !lock.(*sync.Mutex).TryLock() {
+			unlock, free := p.reserve(process)
+			if !free {
 				return
 			}
-			defer lock.(*sync.Mutex).Unlock()
+			defer unlock()
 			defer p.timeline.begin(string(fault.Kind), process)()
+			if !unplanned(fault) {
+				p.timeline.terminates(process)
+			}
 			failures[i] = end(process)
 			if then != nil {
 				failures[i] = errors.Join(failures[i], then(process))
@@ -132,6 +141,13 @@
 	return errors.Join(failures...)
 }
 
+// reserve takes a process for one fault. It reports false if another fault has it.
+func (p *play) reserve(process *cluster.Process) (release func(), free bool) {
+	lock, _ := p.busy.LoadOrStore(process, &sync.Mutex{})
+	mutex := lock.(*sync.Mutex)
+	return mutex.Unlock, mutex.TryLock()
+}
+
 // terminate is SIGTERM, or two of them.
 func terminate(process *cluster.Process, variant string) error {
 	if variant == "twice" {
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -50,6 +50,7 @@
 	a.judgeRuns(p)
 	a.judgeServed(p, finalAt)
 	a.judgeProcesses(p, scraped)
+	a.judgePlannedEnds(p)
 	for _, b := range a.Violations {
 		a.Story = append(a.Story, p.story(b)...)
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -38,6 +38,11 @@
 	Misbehave      Kind = "misbehave"      // clients stall in headers and bodies, and close in the middle
 	Race           Kind = "race"           // two operators put different configurations on one version, again and again
 	Twin           Kind = "twin"           // a second process of the same machine and role is started
+	// SignalSeries has processes get SIGHUP again and again, then SIGTERM among further signals, and start again.
+	SignalSeries Kind = "signal-series"
+	// RestartSeries starts and ends processes again and again. How: the role, and "term" or "kill".
+	RestartSeries Kind = "restart-series"
+	HangupSeries  Kind = "hangup-series" // all processes get SIGHUP again and again, with other settings
 )
 
 // Final is what happens at the end of a play, right after a configuration was acknowledged.
@@ -88,6 +93,17 @@
 	Final      Final         `json:"final"`
 	LeaveShare float64       `json:"give_up"` // the share of clients that leave
 	Load       float64       `json:"load"`
+	// Steady is the number of clients that keep connections in use until the processes behind them are gone.
+	Steady int `json:"steady,omitempty"`
+}
+
+// grace returns how long processes of the plan have to end. Where clients keep connections in use it is long enough for most of
+// their requests.
+func (p Plan) grace() time.Duration {
+	if p.Steady > 0 {
+		return seriesGrace
+	}
+	return grace
 }
 
 // latestEnd returns by when the faults of the plan have ended, counted from its beginning. A process that is stopped
@@ -95,10 +111,14 @@
 func (p Plan) latestEnd() time.Duration {
 	last := p.Length
 	for _, fault := range p.Faults {
-		end := fault.At + fault.For + grace + backAfter
+		end := fault.At + fault.For + p.grace() + backAfter
 		switch fault.Kind {
+		case SignalSeries:
+			end += handledWait
+		case RestartSeries:
+			end += longestLife + p.grace()
 		case RollProxies:
-			end = fault.At + time.Duration(p.Shape.Zones*p.Shape.Edges)*(grace+2*rollPause+backAfter)
+			end = fault.At + time.Duration(p.Shape.Zones*p.Shape.Edges)*(p.grace()+2*rollPause+backAfter)
 		case Leave:
 			end += drainedFor
 		}
--- a/internal/lab/soak/random.go
+++ b/internal/lab/soak/random.go
@@ -26,12 +26,15 @@
 	{Zones: 3, Edges: 2, Keepers: 2, Stores: 5, Survive: 2},
 }
 
-// weights say how often a kind is chosen, and in which variants.
-var weights = []struct {
+// weightedKind is a kind of a fault with how often it is chosen, and in which variants.
+type weightedKind struct {
 	kind   Kind
 	weight int
 	how    []string
-}{
+}
+
+// weights are those of RandomPlan.
+var weights = []weightedKind{
 	{Kill, 5, []string{"keeper", "store", "proxy"}},
 	{Freeze, 5, []string{"keeper", "store", "proxy"}},
 	{Term, 4, []string{"keeper", "store", "proxy", "proxy twice", "keeper twice"}},
@@ -86,21 +89,21 @@
 		At:  begin + time.Duration(rng.Int64N(int64(episodeLength-longestFault)+1)),
 		For: shortestFault + time.Duration(rng.Int64N(int64(longestFault-shortestFault))),
 	}
-	fault.Kind, fault.How = randomKind(rng)
+	fault.Kind, fault.How = randomKindOf(rng, weights)
 	for range 1 + rng.IntN(2) {
 		fault.Targets = append(fault.Targets, rng.IntN(1<<10))
 	}
 	return fault
 }
 
-// randomKind returns a kind by its weight, and one of its variants.
-func randomKind(rng *rand.Rand) (kind Kind, how string) {
+// randomKindOf returns one of some kinds by its weight, and one of its variants.
+func randomKindOf(rng *rand.Rand, kinds []weightedKind) (kind Kind, how string) {
 	total := 0
-	for _, w := range weights {
+	for _, w := range kinds {
 		total += w.weight
 	}
 	left := rng.IntN(total)
-	for _, w := range weights {
+	for _, w := range kinds {
 		if left -= w.weight; left < 0 {
 			return w.kind, w.how[rng.IntN(len(w.how))]
 		}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -88,7 +88,7 @@
 		Survive:           shape.Survive,
 		Relayed:           true,
 		HeartbeatInterval: heartbeatEvery,
-		Grace:             grace,
+		Grace:             o.Plan.grace(),
 		Rules:             rules,
 	})
 	if err != nil {
@@ -197,9 +197,19 @@
 		Cancel:        cancelAfter,
 		Runs:          p.runs,
 		LeaveShare:    p.plan.LeaveShare,
+		Steady:        p.plan.Steady,
+		Fronts:        p.fronts(),
 	})
 }
 
+// fronts returns where clients reach the proxies.
+func (p *play) fronts() (addresses []string) {
+	for _, process := range p.ofRole(cluster.Proxy) {
+		addresses = append(addresses, process.ReachedFront())
+	}
+	return addresses
+}
+
 // keepers returns the control-plane servers.
 func (p *play) keepers() []*cluster.Process { return p.ofRole(cluster.Keeper) }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -20,6 +20,11 @@
 	firstShort  = 3
 )
 
+// The short form of series: processes are also killed and frozen with the first seed, all is planned work with the second one.
+const shortSeriesLength = 6 * time.Second
+
+var shortSeriesSeeds = []uint64{4, 6}
+
 func TestSameSeedGivesTheSamePlan(t *testing.T) {
 	kinds := map[Kind]bool{}
 	for seed := range uint64(200) {
@@ -103,16 +108,75 @@
 	}
 	program := build(t)
 	for n := range seeds {
-		account := soak(t, program, RandomPlan(first+uint64(n), length))
-		for _, line := range account.Story {
-			t.Log(line)
+		checkSoak(t, program, RandomPlan(first+uint64(n), length))
+	}
+}
+
+// Guards against processes that end by themselves, do not end when they are told to, or lose requests, when signals, restarts
+// and changes come in series that overlap and clients keep their connections in use. Variables as for TestSoak, with
+// SOAK_SERIES_ before their names.
+func TestSeriesSoak(t *testing.T) {
+	seeds, length := shortSeriesSeeds, shortSeriesLength
+	if count := numberFrom("SOAK_SERIES_SEEDS", 0); count > 0 {
+		seeds = nil
+		for n := range count {
+			seeds = append(seeds, uint64(numberFrom("SOAK_SERIES_FIRST", 1)+n))
 		}
-		for _, b := range account.Violations {
-			t.Error(b)
+	}
+	if asked, err := time.ParseDuration(os.Getenv("SOAK_SERIES_LENGTH")); err == nil {
+		length = asked
+	}
+	program := build(t)
+	for _, seed := range seeds {
+		checkSoak(t, program, RandomSeriesPlan(seed, length))
+	}
+}
+
+func TestSeriesOverlap(t *testing.T) {
+	kinds, planned, largest := map[Kind]bool{}, 0, 0
+	const seeds = 200
+	for seed := range uint64(seeds) {
+		p := RandomSeriesPlan(seed, 20*time.Second)
+		if !reflect.DeepEqual(p, RandomSeriesPlan(seed, 20*time.Second)) {
+			t.Fatalf("seed %d draws two plans", seed)
 		}
-		if account.Runs == 0 || account.Acked == 0 || account.Reads == 0 || account.Checks == 0 {
-			t.Errorf("nothing was seen: %d runs, %d orders, %d reads, %d checks", account.Runs, account.Acked, account.Reads, account.Checks)
+		overlaps := 0
+		for i, fault := range p.Faults {
+			kinds[fault.Kind] = true
+			if i > 0 && fault.At < p.Faults[i-1].At+p.Faults[i-1].For {
+				overlaps++
+			}
 		}
+		if overlaps < 3 || p.Steady == 0 {
+			t.Errorf("seed %d: %d faults overlap, %d clients keep connections in use", seed, overlaps, p.Steady)
+		}
+		if p.onlyPlanned() {
+			planned++
+		}
+		largest = max(largest, p.Shape.Zones*(p.Shape.Edges+p.Shape.Keepers)+p.Shape.Stores)
+	}
+	for _, w := range mixedSeries {
+		if !kinds[w.kind] {
+			t.Errorf("no plan has %s", w.kind)
+		}
+	}
+	if planned < seeds/4 || planned > seeds*3/4 || largest < 100 {
+		t.Errorf("%d of %d plans have planned work alone; the largest has %d processes", planned, seeds, largest)
+	}
+}
+
+// checkSoak plays a plan; each violation fails the test, and so does a play in which nothing was seen.
+func checkSoak(t *testing.T, program string, plan Plan) {
+	t.Helper()
+	account := soak(t, program, plan)
+	for _, line := range account.Story {
+		t.Log(line)
+	}
+	for _, b := range account.Violations {
+		t.Error(b)
+	}
+	if account.Runs == 0 || account.Acked == 0 || account.Reads == 0 || account.Checks == 0 {
+		t.Errorf("nothing was seen: %d runs, %d orders, %d reads, %d checks", account.Runs, account.Acked, account.Reads, account.Checks)
 	}
 }
 
--- a/internal/lab/soak/timeline.go
+++ b/internal/lab/soak/timeline.go
@@ -36,6 +36,35 @@
 	machines map[string]machine
 	mu       sync.Mutex
 	spans    []*span
+	terms    []termination
+}
+
+// termination is SIGTERM to a process.
+type termination struct {
+	process *cluster.Process
+	at      time.Time
+}
+
+// terminates notes that a process is about to get SIGTERM.
+func (t *timeline) terminates(p *cluster.Process) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.terms = append(t.terms, termination{p, time.Now()})
+}
+
+// terminatedBefore returns when the process of a front last got SIGTERM up to some time before a moment.
+func (t *timeline) terminatedBefore(front string, moment time.Time, reach time.Duration) (at time.Time, found bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, term := range t.terms {
+		if term.process.Role != cluster.Proxy || term.process.ReachedFront() != front {
+			continue
+		}
+		if !term.at.After(moment) && moment.Sub(term.at) <= reach && term.at.After(at) {
+			at, found = term.at, true
+		}
+	}
+	return at, found
 }
 
 // begin notes a fault at the machine of a process; the function that it returns ends it.
--- a/internal/lab/tier/load/client.go
+++ b/internal/lab/tier/load/client.go
@@ -155,16 +155,15 @@
 		return "silence"
 	}
 	if o.status != 0 {
-		return "broken off"
+		return brokenEnd
 	}
-	return "closed"
+	return closedEnd
 }
 
-// do plays a request with its retries and counts how it ended.
-func (c *client) do(ctx context.Context, r *request) {
+// do plays a request with its retries, counts how it ended, and returns the end of the last try.
+func (c *client) do(ctx context.Context, r *request) (o outcome) {
 	deadline := r.born.Add(time.Duration(r.route.TimeoutMs) * time.Millisecond)
 	c.ledger.count(r.kind, func(f *Figures) { f.Requested++ })
-	var o outcome
 	for try := range maxTry {
 		o = c.attempt(r, uint64(try), deadline)
 		c.ledger.count(r.kind, func(f *Figures) { f.Tries++; f.Ends[o.String()]++ })
@@ -191,6 +190,7 @@
 			f.Failed++
 		}
 	})
+	return o
 }
 
 // withinTarget reports whether a whole answer that ended now met the latency targets of its route.
@@ -233,7 +233,7 @@
 		stopLeaving()
 		c.ledger.mu.Lock()
 		o.left = !s.left.IsZero() && !o.whole
-		s.status, s.end = o.status, o.String()
+		s.status, s.end, s.endedAt = o.status, o.String(), time.Now()
 		c.ledger.mu.Unlock()
 		if reusable {
 			c.putIdle(k)
@@ -245,6 +245,7 @@
 	if _, err := k.Write(r.bytes(s.id, deadline)); err != nil {
 		return outcome{err: err} // it may have been read
 	}
+	c.ledger.written(s)
 	extend := func() {
 		if end := time.Now().Add(r.readTimeout()); r.events > 0 && end.Before(deadline) {
 			_ = k.SetReadDeadline(end)
--- a/internal/lab/tier/load/ledger.go
+++ b/internal/lab/tier/load/ledger.go
@@ -58,6 +58,8 @@
 	front      string // the address that the try went to
 	persistent bool   // on a connection that was reused
 	left       time.Time
+	writtenAt  time.Time // when its last byte was written; zero: it was not written whole
+	endedAt    time.Time
 	events     int    // of the whole stream
 	end        string // how the try ended
 }
@@ -65,18 +67,27 @@
 // Try is one request of a client as the client observed it.
 type Try struct {
 	ID         string    `json:"id"`
-	Front      string    `json:"front"` // the address that it went to
-	Persistent bool      `json:"kept"`  // on a connection that was kept
-	End        string    `json:"end"`   // a status, or what went wrong
-	Left       time.Time `json:"left"`  // when its client closed the connection, having had enough; zero: it did not
+	Front      string    `json:"front"`   // the address that it went to
+	Persistent bool      `json:"kept"`    // on a connection that was kept
+	End        string    `json:"end"`     // a status, or what went wrong
+	Left       time.Time `json:"left"`    // when its client closed the connection, having had enough; zero: it did not
+	Written    time.Time `json:"written"` // when its last byte was written; zero: it was not written whole
+	Ended      time.Time `json:"ended"`
 	// Events are those of the whole stream; 0: it is none.
 	Events int `json:"events"`
 	// Idempotent reports whether it may run more than once.
 	Idempotent bool `json:"idempotent"`
 }
 
-// leftEnd is the end of a try whose client has left.
-const leftEnd = "left"
+// Ends of tries that are no status.
+const (
+	leftEnd   = "left"       // the client has closed the connection
+	closedEnd = "closed"     // the connection ended before the head of an answer
+	brokenEnd = "broken off" // the connection ended within an answer
+)
+
+// EndedUnanswered reports whether the front ended the connection without a complete answer.
+func (t Try) EndedUnanswered() bool { return t.End == closedEnd || t.End == brokenEnd }
 
 // tries are all requests but those of batch jobs, by their ids.
 func (b *ledger) tries() map[string]Try {
@@ -91,6 +102,8 @@
 				Persistent: s.persistent,
 				End:        s.end,
 				Left:       s.left,
+				Written:    s.writtenAt,
+				Ended:      s.endedAt,
 				Events:     s.events,
 				Idempotent: s.idempotent,
 			}
@@ -125,6 +138,13 @@
 	b.sent[s.id] = s
 }
 
+// written notes that the last byte of a request was written.
+func (b *ledger) written(s *sent) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.writtenAt = time.Now()
+}
+
 // count changes the figures of a kind of request.
 func (b *ledger) count(kind string, change func(*Figures)) {
 	b.mu.Lock()
--- a/internal/lab/tier/load/load.go
+++ b/internal/lab/tier/load/load.go
@@ -46,6 +46,9 @@
 	VisibleWithin time.Duration
 	Cancel        time.Duration
 	Runs          *engine.Runs
+	// Steady is the number of clients that keep a connection to one of Fronts in use until that front closes it.
+	Steady int
+	Fronts []string
 	// LeaveShare is the share of requests whose client closes its connection within half of the aim.
 	LeaveShare float64
 }
@@ -83,6 +86,7 @@
 	for i, t := range o.Traffic {
 		wg.Go(func() { play(ctx, o, b, clients, uint64(i), t, began) })
 	}
+	wg.Go(func() { playSteady(ctx, o, b, began) })
 	for i, js := range o.Jobs {
 		for n := range js.Count {
 			j := newJob(o, b, js, world.Random(o.Seed, "job", uint64(i), uint64(n)), n)
--- a/internal/sources_test.go
+++ b/internal/sources_test.go
@@ -31,14 +31,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		number := 0
-		for line := range strings.Lines(string(text)) {
-			number++
-			for _, refusal := range refusals {
-				if found := refusal.pattern.FindString(line); found != "" {
-					t.Errorf("%s:%d: %q, %s: the platform refuses the sources; what only tests need belongs into a _test.go file",
-						path, number, found, refusal.what)
-				}
+		for _, refusal := range refusals {
+			for _, found := range refusal.pattern.FindAllIndex(text, -1) {
+				line := 1 + strings.Count(string(text[:found[0]]), "\n")
+				t.Errorf("%s:%d: %q, %s: the platform refuses the sources; what only tests need belongs into a _test.go file",
+					path, line, text[found[0]:found[1]], refusal.what)
 			}
 		}
 	}
