--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -31,6 +31,9 @@
 
 // What a play consists of, and what it waits for.
 const (
+	// maxStartAndFinal bounds a play beyond its faults: starting, the end, reading back.
+	maxStartAndFinal = 90 * time.Second
+
 	configWait = 15 * time.Second
 	readyWait  = 20 * time.Second
 	gen, web   = "gen", "web" // the services of model endpoints and of plain ones
