--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -130,10 +130,11 @@
 	return last
 }
 
+// loadLength returns for how long clients send requests.
+func (p Plan) loadLength() time.Duration { return p.latestEnd() + ackedWait + recoverFor }
+
 // LongestPlay returns how long the play of the plan may take, from its faults on to the last read.
-func (p Plan) LongestPlay() time.Duration {
-	return p.latestEnd() + ackedWait + recoverFor + finishBy + maxStartAndFinal
-}
+func (p Plan) LongestPlay() time.Duration { return p.loadLength() + finishBy + maxStartAndFinal }
 
 // Only returns the plan with the faults of these numbers; without any number, with all.
 func (p Plan) Only(numbers []int) Plan {
--- a/internal/lab/soak/planned_ends.go
+++ b/internal/lab/soak/planned_ends.go
@@ -11,6 +11,10 @@
 // passed on: the request and the close have crossed.
 const lostSlack = 200 * time.Millisecond
 
+// deadlineSlack is how long before its client's deadline a proxy may take it for reached: the time left is sent in whole
+// milliseconds.
+const deadlineSlack = 2 * time.Millisecond
+
 // judgePlannedEnds checks, in a play of planned work alone, that SIGTERM of a proxy loses no request that the proxy has read,
 // and that it ends every process within the grace.
 func (a *Account) judgePlannedEnds(p *play) {
@@ -42,9 +46,12 @@
 
 // lostAtPlannedEnd returns why a try that ended without a complete answer counts as lost; empty: it does not. Not counted is
 // what an endpoint was still at work on, or had in its queue, in the second half of the grace, which begins at halfway, and
-// what an endpoint that leaves has broken off. What no endpoint ran counts on persistent connections alone: of a new one, which
-// a relay of the lab has accepted, the proxy may not have read anything.
+// what an endpoint that leaves has broken off, nor what reached its deadline. What no endpoint ran counts on persistent
+// connections alone: of a new one, which a relay of the lab has accepted, the proxy may not have read anything.
 func lostAtPlannedEnd(try load.Try, run engine.Run, ran bool, halfway time.Time, endpointLeaves bool) string {
+	if run.Expired || !try.Ended.Before(try.Deadline.Add(-deadlineSlack)) {
+		return ""
+	}
 	if !ran {
 		queued := try.Ended.After(halfway)
 		if try.Persistent && !queued && !try.Written.IsZero() && try.Ended.Sub(try.Written) > lostSlack {
--- a/internal/lab/tier/engine/engine.go
+++ b/internal/lab/tier/engine/engine.go
@@ -290,6 +290,7 @@
 
 // expire ends a run whose caller closed the connection or whose time is up.
 func (e *Endpoint) expire(ctx context.Context, w http.ResponseWriter, run *Run) {
+	e.options.Runs.expire(ctx, run)
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		e.options.Runs.end(run, 0, false)
 		panic(http.ErrAbortHandler)
@@ -530,6 +531,7 @@
 	switch {
 	case e.ctx.Err() != nil || sent:
 		if s.begun != nil {
+			e.options.Runs.expire(ctx, s.begun)
 			e.options.Runs.end(s.begun, http.StatusOK, false)
 		}
 		panic(http.ErrAbortHandler)
--- a/internal/lab/tier/engine/runs.go
+++ b/internal/lab/tier/engine/runs.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
@@ -40,6 +42,7 @@
 	Ended    time.Time // zero while it runs
 	Status   int
 	Whole    bool // the whole answer was written
+	Expired  bool // the endpoint broke it off, as the time that it was given was up
 }
 
 // Sum is a digest of a request: method, path with query, and body.
@@ -115,6 +118,13 @@
 	run.Ended, run.Status, run.Whole = time.Now(), status, whole
 }
 
+// expire notes that the time of a run is up if its context says so.
+func (r *Runs) expire(ctx context.Context, run *Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.Expired = errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 // All returns the runs there were, in the order in which they began.
 func (r *Runs) All() []Run {
 	r.mu.Lock()
--- a/internal/lab/tier/load/client.go
+++ b/internal/lab/tier/load/client.go
@@ -226,6 +226,7 @@
 		return outcome{unsent: true, err: err}
 	}
 	s := r.newAttempt(k, persistent)
+	s.deadline = deadline
 	c.ledger.send(s)
 	reusable := false
 	stopLeaving := c.leaveLater(r, s, k)
--- a/internal/lab/tier/load/ledger.go
+++ b/internal/lab/tier/load/ledger.go
@@ -58,6 +58,7 @@
 	front      string // the address that the try went to
 	persistent bool   // on a connection that was reused
 	left       time.Time
+	deadline   time.Time // of its client
 	writtenAt  time.Time // when its last byte was written; zero: it was not written whole
 	endedAt    time.Time
 	events     int    // of the whole stream
@@ -73,6 +74,7 @@
 	Left       time.Time `json:"left"`    // when its client closed the connection, having had enough; zero: it did not
 	Written    time.Time `json:"written"` // when its last byte was written; zero: it was not written whole
 	Ended      time.Time `json:"ended"`
+	Deadline   time.Time `json:"deadline"` // of its client
 	// Events are those of the whole stream; 0: it is none.
 	Events int `json:"events"`
 	// Idempotent reports whether it may run more than once.
@@ -104,6 +106,7 @@
 				Left:       s.left,
 				Written:    s.writtenAt,
 				Ended:      s.endedAt,
+				Deadline:   s.deadline,
 				Events:     s.events,
 				Idempotent: s.idempotent,
 			}
