Tenants: customers of a configuration, and the types that the parts build on

Change: operatorconfig reads and checks customers and public; package quota has the messages and interfaces between proxies and the stores that count. No caller uses them yet.

--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -43,6 +43,7 @@
 type Call struct {
 	Method string
 	Host   string
+	Tenant string // whose key the client has; empty if the configuration has no tenants
 	Path   string // without the query
 	Query  string
 	Header func(name string) string
--- a/internal/control/operatorconfig/config.go
+++ b/internal/control/operatorconfig/config.go
@@ -19,9 +19,11 @@
 	Routes   []Route             // routes: required
 	Services map[string]*Service // services by name: required
 	Limits   Limits              // limits
+	Tenants  []Tenant            // customers; nil: requests need no key
 	Raw      []byte              // the JSON as the operator sent it
 
 	byPath *iradix.Tree[*Route] // by host, NUL, path prefix
+	byKey  map[string]*Tenant   // by API key
 }
 
 // Route maps requests to services by their host and the prefix of their path.
@@ -40,6 +42,7 @@
 	Shares           []Share // shares or, for a single service, service: required
 	Sticky           bool    // sticky: requests of one session prefer the same endpoint
 	Resumable        bool    // resume: a stream may continue at another endpoint
+	Public           bool    // public: requests need no key
 
 	// The fields below apply to Bulk routes only.
 
--- a/internal/control/operatorconfig/object.go
+++ b/internal/control/operatorconfig/object.go
@@ -185,4 +185,23 @@
 	return objects, values != nil
 }
 
+// strings returns a field whose value is a list of non-empty strings. Problems name places, not values, because the
+// values may be secret.
+func (o object) strings(field string) (texts []string) {
+	for i, value := range typed(o, field, "a list of strings", []any(nil)) {
+		path := fmt.Sprintf("%s[%d]", o.pathOf(field), i)
+		text, ok := value.(string)
+		if !ok {
+			o.add(&InvalidType, path, "it must be a string that isn't empty")
+			continue
+		}
+		if text == "" {
+			o.add(&OutOfRange, path, "it must be a string that isn't empty")
+			continue
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
 func formatNumber(number float64) string { return strconv.FormatFloat(number, 'f', -1, 64) }
--- a/internal/control/operatorconfig/parse.go
+++ b/internal/control/operatorconfig/parse.go
@@ -46,6 +46,7 @@
 	c.Limits = readLimits(root)
 	c.Services = readServices(root)
 	c.Routes, c.byPath = readRoutes(root, c.Services)
+	c.Tenants, c.byKey = readTenants(root)
 	if err := p.err(); err != nil {
 		return nil, err
 	}
@@ -132,6 +133,7 @@
 		MaxAttempts:      max(1, o.count("tries")),
 		Sticky:           o.flag("sticky"),
 		Resumable:        o.flag("resume"),
+		Public:           o.flag("public"),
 		DueMs:            o.count("due_ms"),
 		MaxWaitMs:        int(math.Ceil(o.number("max_wait_s", 0, maxWaitSeconds, 0) * 1000)),
 		MaxQueuedTokens:  o.integer("max_queued", 0, 0),
--- a/internal/layout_test.go
+++ b/internal/layout_test.go
@@ -21,7 +21,9 @@
 	{"consensus", []string{"platform"}},
 	{"control", []string{"consensus", "platform"}},
 	{"batch", []string{"consensus", "control", "platform"}},
-	{"proxy", []string{"batch", "consensus", "control", "platform"}},
+	{"proxy", []string{"batch", "consensus", "control", "platform", "quota"}},
+	// Rates of tenants. Which store leads a partition reaches it through an interface.
+	{"quota", []string{"control", "platform"}},
 	// The delivery node shares only the platform with the tier.
 	{"deliverynode", []string{"platform"}},
 }
--- a/internal/proxy/dispatch/dispatch.go
+++ b/internal/proxy/dispatch/dispatch.go
@@ -20,8 +20,10 @@
 	Arrived   time.Time    // when it was first ready for admission; zero: now
 	Deadline  time.Time    // when the answer must be complete; zero if there is none
 	Due       time.Time    // after which the answer is worth less; zero if there is none
-	Bulk      bool         // it waits until its context ends and is not refused; interactive requests go first
-	Avoid     []string     // ids of endpoint incarnations to which it must not be sent
+	// TenantPriority is the priority of the tenant, which precedes that of the route. 0 is the highest.
+	TenantPriority int
+	Bulk           bool     // it waits until its context ends and is not refused; interactive requests go first
+	Avoid          []string // ids of endpoint incarnations to which it must not be sent
 	// Regime is the certification that the route demands of endpoints, or empty. If it is set,
 	// Certified reports whether an endpoint has it, and is called at each choice.
 	Regime    string
