Quota: the proxy's side asks the counting stores for tokens

Seen: nothing limits a tenant's rate over all proxies; each counts alone. Change: quota.Client implements Limiter. A core without I/O or clock decides which demands go to which store (at most two calls in flight per store, one demand per tenant in a call), who gets a token, what is refunded and when a tenant is asked for again. batch.Proxy gives it the links (PrimaryOf, CallStore); cmd/dunetide passes it to forward.Options.RateLimiter, which nothing uses yet.

--- a/cmd/dunetide/proxy.go
+++ b/cmd/dunetide/proxy.go
@@ -15,6 +15,7 @@
 	"dunetide/internal/platform/settings"
 	"dunetide/internal/proxy/dispatch"
 	"dunetide/internal/proxy/forward"
+	"dunetide/internal/quota"
 )
 
 const (
@@ -46,6 +47,7 @@
 	}
 	r := newProxyRole(p, members)
 	defer r.admission.Close()
+	defer r.rates.Close()
 	p.watcher.Subscribe(func(s *settings.Settings) { r.client.SetSeeds(seedLinks(s)) })
 	return r.serve()
 }
@@ -57,6 +59,7 @@
 	files     descriptors.Budget
 	admission *dispatch.Dispatcher
 	calls     *batchCalls
+	rates     *quota.Client
 	regulated *regulatedWork
 	proxy     *forward.Proxy
 	client    *controlclient.Client
@@ -70,6 +73,8 @@
 	r.admission = dispatch.New(dispatch.Options{Name: s.NodeName, Zone: s.Zone, Snapshots: r.snapshots})
 	bodies := clientbody.NewBudget(int64(s.Limits.MemoryMB) << 20 / bodyMemoryDivisor)
 	r.calls = newBatchCalls(p, r.snapshots, bodies)
+	r.rates = quota.NewClient(quota.ClientOptions{Stores: r.calls.jobs, Log: p.log})
+	r.rates.RegisterMetrics()
 	r.regulated = newRegulatedWork(p, r.snapshots, func() time.Time { return r.client.CertificatesConfirmedAt() })
 	r.proxy = forward.New(forward.Options{
 		Snapshots:    r.snapshots,
@@ -77,6 +82,7 @@
 		ServeBatch:   r.calls.serveCall,
 		Certificates: r.regulated.gate,
 		Recorder:     r.regulated.recorder,
+		RateLimiter:  r.rates,
 		Ready:        r.ready,
 		Log:          p.log,
 		MaxOpen:      r.files.Endpoints(forward.DefaultMaxOpen),
--- a/internal/batch/proxy.go
+++ b/internal/batch/proxy.go
@@ -122,6 +122,27 @@
 	return p.stores.get(table.Partitions[partition].Primary)
 }
 
+// PrimaryOf returns the store that is primary of the partition to which a key hashes, by the newest table; false if it is
+// not known or not connected.
+func (p *Proxy) PrimaryOf(key string) (store uint64, connected bool) {
+	table := p.currentTable()
+	partition := table.PartitionOf(key)
+	if partition < 0 {
+		return 0, false
+	}
+	store = table.Partitions[partition].Primary
+	return store, p.stores.get(store) != nil
+}
+
+// CallStore calls a store over the link that exists to it. It fails with link.ErrClosed if there is none.
+func (p *Proxy) CallStore(ctx context.Context, store uint64, kind link.Kind, body []byte) ([]byte, error) {
+	conn := p.stores.get(store)
+	if conn == nil {
+		return nil, link.ErrClosed
+	}
+	return conn.Call(ctx, kind, body)
+}
+
 // call calls the primary of a job's partition, with retries, until one answers or the context is
 // cancelled; the reply is nil then. MayBeDone reports that a primary may have executed the call
 // although its answer is not known.
--- a/internal/platform/telemetry/golden_test.go
+++ b/internal/platform/telemetry/golden_test.go
@@ -20,6 +20,7 @@
 	"dunetide/internal/control/snapshot"
 	"dunetide/internal/lab/golden"
 	"dunetide/internal/proxy/forward"
+	_ "dunetide/internal/quota"
 )
 
 // The series that each role exposes from its start must not change, including their labels and label values.
--- a/internal/proxy/forward/proxy.go
+++ b/internal/proxy/forward/proxy.go
@@ -19,6 +19,7 @@
 	"dunetide/internal/platform/telemetry"
 	"dunetide/internal/platform/upstream"
 	"dunetide/internal/proxy/dispatch"
+	"dunetide/internal/quota"
 )
 
 const (
@@ -50,6 +51,8 @@
 	Certificates *certification.Gate
 	// Recorder records regulated runs; nil: nothing is recorded.
 	Recorder Recorder
+	// RateLimiter limits the rate of each tenant's requests; nil: no limits.
+	RateLimiter quota.Limiter
 	// Ready reports whether the process can serve; nil: it always can.
 	Ready func() bool
 	// Now returns the time; nil: time.Now.
--- /dev/null
+++ b/internal/quota/client_core.go
@@ -0,0 +1,499 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Bounds and times of a proxy's side. docs/quotas-client.md has the reasons.
+const (
+	// maxCallsPerStore is how many calls to one store may be in flight. Requests that arrive meanwhile go with the next.
+	maxCallsPerStore = 2
+	// maxDemandsPerCall bounds a message. Tenants beyond it go first with the next call.
+	maxDemandsPerCall = 256
+	// maxWaiters and maxWaitersPerTenant bound the requests that wait. The second keeps one tenant from taking all places.
+	maxWaiters          = 4096
+	maxWaitersPerTenant = 1024
+	// maxRefundsPerTenant bounds the grants with tokens to return. Others are lost: the tenant gets them back by its rate.
+	maxRefundsPerTenant = 64
+	// askAgainDelay and maxAskAgainDelay bound the pause before a tenant's next demand after one that nobody answered.
+	askAgainDelay    = 30 * time.Millisecond
+	maxAskAgainDelay = 100 * time.Millisecond
+	// refundDelay is how long refunds wait for a call that goes to their store anyway.
+	refundDelay = 50 * time.Millisecond
+	// maxGrantAge is the limit of the time from the sending of a call to the use of its tokens.
+	maxGrantAge = 500 * time.Millisecond
+	// maxRetrySpread bounds what is added to a store's RetryAfter so that refused clients don't come back at once. A
+	// client honours a Retry-After only up to a third of the time that it has left.
+	maxRetrySpread = time.Second
+)
+
+// noStore is the identity of no store.
+const noStore uint64 = 0
+
+// clientCore decides what a proxy asks which store, and which request gets a token. It has no I/O and no clock: its
+// caller passes the time since a fixed moment, by a steady clock, and sends the calls that startCalls returns.
+//
+// It keeps these invariants, whatever answers are lost, late or doubled:
+//   - Each waiter gets at most one answer.
+//   - A token goes to a waiter that arrived before the call that obtained the token was sent, at most maxGrantAge after
+//     that. So a token is granted between the arrival of its request and the moment at which the request goes on.
+//   - The tokens used and refunded of a call are no more than those that its first answer granted. A call without an
+//     answer is never repeated, because its tokens may have been granted.
+type clientCore struct {
+	// primaryOf returns the store that counts for a tenant by the newest table; false if it is not connected.
+	primaryOf func(tenant string) (store uint64, connected bool)
+
+	tenants     map[string]*tenantQueue
+	order       []*tenantQueue // the same: those that were asked for last are at the end
+	calls       map[uint64]*clientCall
+	callsTo     map[uint64]int // number of calls in flight by store
+	lastCall    uint64
+	lastArrival uint64
+	waiting     int // waiters without an answer
+	closed      bool
+}
+
+func newClientCore(primaryOf func(tenant string) (store uint64, connected bool)) *clientCore {
+	return &clientCore{
+		primaryOf: primaryOf,
+		tenants:   map[string]*tenantQueue{},
+		calls:     map[uint64]*clientCall{},
+		callsTo:   map[uint64]int{},
+	}
+}
+
+// waiterState is the state of a waiter.
+type waiterState uint8
+
+const (
+	waiterPending waiterState = iota // it has no answer
+	waiterGranted                    // it has a token
+	waiterRefused                    // its tenant is over the limit
+	waiterClosed                     // the client was closed
+	waiterGone                       // its request takes no answer any more
+)
+
+// waiter is a request that waits for a token.
+type waiter struct {
+	tenant     *tenantQueue
+	arrival    uint64 // orders the waiters
+	state      waiterState
+	token      token         // if granted
+	retryAfter time.Duration // if refused
+	// answered receives a value when the waiter has got an answer, which claim then returns.
+	answered chan struct{}
+}
+
+// token is a granted token.
+type token struct {
+	store   uint64
+	grant   GrantID
+	askedAt time.Duration // when the call that obtained it was sent
+}
+
+// clientCall is a call to a store.
+type clientCall struct {
+	number  uint64
+	store   uint64
+	sentAt  time.Duration
+	demands []clientDemand
+}
+
+// clientDemand is the demand of one tenant in a call.
+type clientDemand struct {
+	tenant  *tenantQueue
+	waiters []*waiter
+	request Demand
+}
+
+// request returns the message of a call.
+func (call *clientCall) request() *AdmitRequest {
+	message := &AdmitRequest{Demands: make([]Demand, len(call.demands))}
+	for i := range call.demands {
+		message.Demands[i] = call.demands[i].request
+	}
+	return message
+}
+
+// admit adds a request of a tenant; nil if there are too many.
+func (c *clientCore) admit(name string, limit Limit) *waiter {
+	if c.closed || c.waiting >= maxWaiters {
+		return nil
+	}
+	t := c.queueOf(name, limit)
+	if t.waiting >= maxWaitersPerTenant {
+		return nil
+	}
+	c.lastArrival++
+	w := &waiter{tenant: t, arrival: c.lastArrival, answered: make(chan struct{}, 1)}
+	t.waiters = append(t.waiters, w)
+	t.waiting++
+	c.waiting++
+	return w
+}
+
+// queueOf returns the queue of a tenant, which it creates if needed, and updates its limit.
+func (c *clientCore) queueOf(name string, limit Limit) *tenantQueue {
+	t := c.tenants[name]
+	if t == nil {
+		t = &tenantQueue{name: name, limit: limit}
+		c.tenants[name] = t
+		c.order = append(c.order, t)
+	}
+	if limit.ConfigVersion >= t.limit.ConfigVersion {
+		t.limit = limit
+	}
+	return t
+}
+
+// startCalls returns the calls to send now. It has to be called after each change, and at the time that nextTime
+// returns.
+func (c *clientCore) startCalls(now time.Duration) []*clientCall {
+	var started []*clientCall
+	for _, t := range c.order {
+		if t.isDue(now) {
+			started = c.addDemand(started, t, now)
+		}
+	}
+	if len(started) > 0 {
+		c.addRefunds(started)
+	}
+	c.reorder()
+	return started
+}
+
+// addDemand adds the demand of a tenant to the call to its store, which it starts if there is none yet.
+func (c *clientCore) addDemand(started []*clientCall, t *tenantQueue, now time.Duration) []*clientCall {
+	store, connected := c.primaryOf(t.name)
+	if !connected {
+		t.keepRefunds(noStore)
+		t.pause(now + askAgainDelay)
+		return started
+	}
+	t.keepRefunds(store)
+	if !t.wants() {
+		return started
+	}
+	call := callTo(started, store)
+	if call == nil {
+		if c.callsTo[store] >= maxCallsPerStore {
+			return started
+		}
+		call = c.newCall(store, now)
+		started = append(started, call)
+	}
+	if len(call.demands) < maxDemandsPerCall {
+		call.demands = append(call.demands, t.takeDemand())
+	}
+	return started
+}
+
+// addRefunds adds the refunds of tenants without a demand to the calls that go to their stores.
+func (c *clientCore) addRefunds(started []*clientCall) {
+	for _, t := range c.order {
+		if len(t.refunds) == 0 || len(t.waiters) > 0 {
+			continue
+		}
+		store, connected := c.primaryOf(t.name)
+		call := callTo(started, store)
+		if !connected || call == nil || len(call.demands) >= maxDemandsPerCall {
+			continue
+		}
+		if t.keepRefunds(store); t.wants() {
+			call.demands = append(call.demands, t.takeDemand())
+		}
+	}
+}
+
+func (c *clientCore) newCall(store uint64, now time.Duration) *clientCall {
+	c.lastCall++
+	call := &clientCall{number: c.lastCall, store: store, sentAt: now}
+	c.calls[call.number] = call
+	c.callsTo[store]++
+	return call
+}
+
+// callTo returns the call that goes to a store; nil if there is none.
+func callTo(calls []*clientCall, store uint64) *clientCall {
+	for _, call := range calls {
+		if call.store == store {
+			return call
+		}
+	}
+	return nil
+}
+
+// reorder moves the tenants that were just asked for behind the others, and removes those with nothing left.
+func (c *clientCore) reorder() {
+	var kept, asked []*tenantQueue
+	for _, t := range c.order {
+		switch {
+		case t.isIdle():
+			delete(c.tenants, t.name)
+		case t.justAsked:
+			asked = append(asked, t)
+		default:
+			kept = append(kept, t)
+		}
+		t.justAsked = false
+	}
+	c.order = append(kept, asked...)
+}
+
+// nextTime returns when startCalls has something to do although nothing else happens; false: never.
+func (c *clientCore) nextTime(now time.Duration) (at time.Duration, any bool) {
+	for _, t := range c.order {
+		due, waits := t.dueAt()
+		if waits && due > now && (!any || due < at) {
+			at, any = due, true
+		}
+	}
+	return at, any
+}
+
+// endCall ends a call with its answer; nil: there is none and will be none. Calls that have ended are ignored.
+func (c *clientCore) endCall(number uint64, reply *AdmitReply, now time.Duration) {
+	call := c.calls[number]
+	if call == nil {
+		return
+	}
+	delete(c.calls, number)
+	c.callsTo[call.store]--
+	if c.callsTo[call.store] == 0 {
+		delete(c.callsTo, call.store)
+	}
+	if reply != nil && len(reply.Answers) != len(call.demands) {
+		reply = nil // of another version of the program
+	}
+	for i := range call.demands {
+		demand := &call.demands[i]
+		demand.tenant.demandsInFlight--
+		var answer Answer
+		if reply != nil {
+			answer = reply.Answers[i]
+		}
+		if answer.Outcome == Granted {
+			c.distribute(call, demand, answer, now)
+		} else {
+			demand.tenant.requeue(demand.waiters)
+			demand.tenant.pause(now + min(max(answer.RetryAfter, askAgainDelay), maxAskAgainDelay))
+		}
+	}
+}
+
+// distribute gives the tokens of an answer to the waiters in the order of their arrival, and refuses the others.
+func (c *clientCore) distribute(call *clientCall, demand *clientDemand, answer Answer, now time.Duration) {
+	tokens := min(answer.Granted, demand.request.Wanted)
+	refused := 0
+	for _, w := range demand.waiters {
+		switch {
+		case w.state != waiterPending:
+		case tokens > 0:
+			tokens--
+			w.token = token{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
+			c.answer(w, waiterGranted)
+		default:
+			w.retryAfter = answer.RetryAfter + spreadOf(refused, demand.request.Limit.RatePerSecond)
+			refused++
+			c.answer(w, waiterRefused)
+		}
+	}
+	if tokens > 0 { // their waiters are gone
+		c.refund(demand.tenant.name, demand.request.Limit, token{store: call.store, grant: answer.Grant}, tokens, now)
+	}
+}
+
+// spreadOf returns what is added to the RetryAfter of a waiter that was refused after so many others.
+func spreadOf(refusedBefore int, ratePerSecond float64) time.Duration {
+	if ratePerSecond <= 0 {
+		return 0
+	}
+	seconds := float64(refusedBefore) / ratePerSecond
+	return time.Duration(min(seconds, maxRetrySpread.Seconds()) * float64(time.Second))
+}
+
+// answer gives a waiter its answer.
+func (c *clientCore) answer(w *waiter, state waiterState) {
+	w.state = state
+	w.tenant.waiting--
+	c.waiting--
+	select {
+	case w.answered <- struct{}{}:
+	default: // it has not yet seen that an earlier answer was discarded
+	}
+}
+
+// claim returns the state of a waiter, right before its request goes on or is refused. A token that is too old by now is
+// discarded: the waiter is pending again, and stale is true.
+func (c *clientCore) claim(w *waiter, now time.Duration) (state waiterState, stale bool) {
+	if w.state != waiterGranted || now-w.token.askedAt <= maxGrantAge {
+		return w.state, false
+	}
+	if c.closed {
+		w.state = waiterClosed
+		return w.state, true
+	}
+	w.state, w.token = waiterPending, token{}
+	// Its queue may have been removed, and created anew, meanwhile.
+	w.tenant = c.queueOf(w.tenant.name, w.tenant.limit)
+	w.tenant.waiting++
+	c.waiting++
+	w.tenant.requeue([]*waiter{w})
+	return w.state, true
+}
+
+// leave removes a waiter whose request takes no answer any more. Its token is refunded.
+func (c *clientCore) leave(w *waiter, now time.Duration) {
+	switch w.state {
+	case waiterPending:
+		w.tenant.waiting--
+		c.waiting--
+		w.tenant.remove(w)
+	case waiterGranted:
+		c.refund(w.tenant.name, w.tenant.limit, w.token, 1, now)
+	default:
+	}
+	w.state = waiterGone
+}
+
+// refund has tokens of a tenant returned to the store that granted them. They are dropped if another store counts by then.
+func (c *clientCore) refund(name string, limit Limit, from token, tokens uint32, now time.Duration) {
+	if c.closed {
+		return
+	}
+	c.queueOf(name, limit).addRefund(pendingRefund{
+		store:  from.store,
+		refund: Refund{Tokens: tokens, Grant: from.grant},
+	}, now)
+}
+
+// close refuses all waiters, and those to come.
+func (c *clientCore) close() {
+	c.closed = true
+	for _, t := range c.order {
+		for _, w := range t.waiters {
+			c.answer(w, waiterClosed)
+		}
+		t.waiters, t.refunds = nil, nil
+	}
+	for _, call := range c.calls {
+		for i := range call.demands {
+			for _, w := range call.demands[i].waiters {
+				if w.state == waiterPending {
+					c.answer(w, waiterClosed)
+				}
+			}
+		}
+	}
+}
+
+// tenantQueue has what one tenant's requests at this proxy want of its store.
+type tenantQueue struct {
+	name            string
+	limit           Limit     // by the newest configuration
+	waiters         []*waiter // those in no call, in the order of their arrival
+	waiting         int       // waiters without an answer, those in calls too
+	demandsInFlight int
+	pausedUntil     time.Duration
+	refunds         []pendingRefund
+	refundsDue      time.Duration
+	justAsked       bool
+}
+
+// pendingRefund is a refund with the store to which it belongs.
+type pendingRefund struct {
+	store  uint64
+	refund Refund
+}
+
+func (t *tenantQueue) isIdle() bool {
+	return t.waiting == 0 && t.demandsInFlight == 0 && len(t.refunds) == 0
+}
+
+// isDue reports whether the tenant should be asked for now.
+func (t *tenantQueue) isDue(now time.Duration) bool {
+	at, waits := t.dueAt()
+	return waits && at <= now
+}
+
+// dueAt returns when the tenant should be asked for; false: there is nothing to ask.
+func (t *tenantQueue) dueAt() (at time.Duration, waits bool) {
+	switch {
+	case len(t.waiters) > 0:
+		return t.pausedUntil, true
+	case len(t.refunds) > 0:
+		return max(t.refundsDue, t.pausedUntil), true
+	default:
+		return 0, false
+	}
+}
+
+// pause defers the next demand.
+func (t *tenantQueue) pause(until time.Duration) { t.pausedUntil = max(t.pausedUntil, until) }
+
+// wants reports whether there is something to ask or to return.
+func (t *tenantQueue) wants() bool { return len(t.waiters) > 0 || len(t.refunds) > 0 }
+
+// takeDemand takes all waiters and refunds into a demand.
+func (t *tenantQueue) takeDemand() clientDemand {
+	demand := clientDemand{
+		tenant:  t,
+		waiters: t.waiters,
+		request: Demand{Tenant: t.name, Limit: t.limit, Wanted: uint32(len(t.waiters))},
+	}
+	for _, pending := range t.refunds {
+		demand.request.Refunds = append(demand.request.Refunds, pending.refund)
+	}
+	t.waiters, t.refunds = nil, nil
+	t.demandsInFlight++
+	t.justAsked = true
+	return demand
+}
+
+// requeue puts waiters that are still pending back into the order of arrival.
+func (t *tenantQueue) requeue(waiters []*waiter) {
+	for _, w := range waiters {
+		if w.state == waiterPending {
+			t.waiters = append(t.waiters, w)
+		}
+	}
+	slices.SortFunc(t.waiters, func(a, b *waiter) int { return cmp.Compare(a.arrival, b.arrival) })
+}
+
+// remove removes a waiter, unless it is in a call, which skips it then.
+func (t *tenantQueue) remove(w *waiter) {
+	t.waiters = slices.DeleteFunc(t.waiters, func(other *waiter) bool { return other == w })
+}
+
+// keepRefunds drops the refunds that are not for the store that counts for the tenant now. The tenant gets those tokens
+// back by its rate.
+func (t *tenantQueue) keepRefunds(store uint64) {
+	t.refunds = slices.DeleteFunc(t.refunds, func(pending pendingRefund) bool {
+		dropped := pending.store != store
+		if dropped {
+			refundsDropped.Add(int(pending.refund.Tokens))
+		}
+		return dropped
+	})
+}
+
+// addRefund adds a refund, or drops it if there are too many.
+func (t *tenantQueue) addRefund(added pendingRefund, now time.Duration) {
+	if len(t.refunds) == 0 {
+		t.refundsDue = now + refundDelay
+	}
+	for i := range t.refunds {
+		known := &t.refunds[i]
+		if known.store == added.store && known.refund.Grant == added.refund.Grant {
+			known.refund.Tokens += added.refund.Tokens
+			return
+		}
+	}
+	if len(t.refunds) >= maxRefundsPerTenant {
+		refundsDropped.Add(int(added.refund.Tokens))
+		return
+	}
+	t.refunds = append(t.refunds, added)
+}
