Quota client: a store says when to ask again; mutants; metrics named as the store's

A store whose lead needs a fresh confirmation says 5 ms; the client waited 30 ms after each such answer. It now follows the store within 5 and 100 ms. Types are renamed so that they don't clash with the store's side.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -82,7 +82,7 @@
 
 // RegisterMetrics registers the gauge of the requests that wait for a token.
 func (c *Client) RegisterMetrics() {
-	telemetry.GaugeFunc("dunetide_proxy_rate_waiting", func() float64 { return float64(c.waiting()) })
+	telemetry.GaugeFunc("dunetide_proxy_quota_waiting", func() float64 { return float64(c.waiting()) })
 }
 
 // Close refuses all requests that wait, gives the calls in flight up, and waits for the goroutines.
@@ -141,7 +141,7 @@
 
 // claim returns the answer that a waiter has. With the error of its context, a waiter without an answer leaves, and so
 // does one whose request was cancelled: its token is refunded.
-func (c *Client) claim(w *waiter, contextErr error) (state waiterState, granted token) {
+func (c *Client) claim(w *waiter, contextErr error) (state waiterState, granted grantedToken) {
 	c.step(func() {
 		var stale bool
 		state, stale = c.core.claim(w, c.now())
@@ -277,7 +277,7 @@
 	client   *Client
 	tenant   string
 	limit    Limit
-	token    token
+	token    grantedToken
 	refunded atomic.Bool
 }
 
--- a/internal/quota/client_core.go
+++ b/internal/quota/client_core.go
@@ -17,8 +17,10 @@
 	maxWaitersPerTenant = 1024
 	// maxRefundsPerTenant bounds the grants with tokens to return. Others are lost: the tenant gets them back by its rate.
 	maxRefundsPerTenant = 64
-	// askAgainDelay and maxAskAgainDelay bound the pause before a tenant's next demand after one that nobody answered.
+	// askAgainDelay is the pause before a tenant's next demand after one without an answer. A store that does not count
+	// says how long the pause should be; it is kept within the other two.
 	askAgainDelay    = 30 * time.Millisecond
+	minAskAgainDelay = 5 * time.Millisecond
 	maxAskAgainDelay = 100 * time.Millisecond
 	// refundDelay is how long refunds wait for a call that goes to their store anyway.
 	refundDelay = 50 * time.Millisecond
@@ -80,14 +82,14 @@
 	tenant     *tenantQueue
 	arrival    uint64 // orders the waiters
 	state      waiterState
-	token      token         // if granted
+	token      grantedToken  // if granted
 	retryAfter time.Duration // if refused
 	// answered receives a value when the waiter has got an answer, which claim then returns.
 	answered chan struct{}
 }
 
-// token is a granted token.
-type token struct {
+// grantedToken is a token with its origin.
+type grantedToken struct {
 	store   uint64
 	grant   GrantID
 	askedAt time.Duration // when the call that obtained it was sent
@@ -278,11 +280,20 @@
 			c.distribute(call, demand, answer, now)
 		} else {
 			demand.tenant.requeue(demand.waiters)
-			demand.tenant.pause(now + min(max(answer.RetryAfter, askAgainDelay), maxAskAgainDelay))
+			demand.tenant.pause(now + pauseAfter(answer))
 		}
 	}
 }
 
+// pauseAfter returns the pause after an answer that grants nothing. A new primary may have to wait for longer than
+// maxAskAgainDelay, but it may be replaced by one that need not.
+func pauseAfter(answer Answer) time.Duration {
+	if answer.RetryAfter <= 0 {
+		return askAgainDelay
+	}
+	return min(max(answer.RetryAfter, minAskAgainDelay), maxAskAgainDelay)
+}
+
 // distribute gives the tokens of an answer to the waiters in the order of their arrival, and refuses the others.
 func (c *clientCore) distribute(call *clientCall, demand *clientDemand, answer Answer, now time.Duration) {
 	tokens := min(answer.Granted, demand.request.Wanted)
@@ -292,7 +303,7 @@
 		case w.state != waiterPending:
 		case tokens > 0:
 			tokens--
-			w.token = token{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
+			w.token = grantedToken{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
 			c.answer(w, waiterGranted)
 		default:
 			w.retryAfter = answer.RetryAfter + spreadOf(refused, demand.request.Limit.RatePerSecond)
@@ -301,7 +312,7 @@
 		}
 	}
 	if tokens > 0 { // their waiters are gone
-		c.refund(demand.tenant.name, demand.request.Limit, token{store: call.store, grant: answer.Grant}, tokens, now)
+		c.refund(demand.tenant.name, demand.request.Limit, grantedToken{store: call.store, grant: answer.Grant}, tokens, now)
 	}
 }
 
@@ -335,7 +346,7 @@
 		w.state = waiterClosed
 		return w.state, true
 	}
-	w.state, w.token = waiterPending, token{}
+	w.state, w.token = waiterPending, grantedToken{}
 	// Its queue may have been removed, and created anew, meanwhile.
 	w.tenant = c.queueOf(w.tenant.name, w.tenant.limit)
 	w.tenant.waiting++
@@ -359,7 +370,7 @@
 }
 
 // refund has tokens of a tenant returned to the store that granted them. They are dropped if another store counts by then.
-func (c *clientCore) refund(name string, limit Limit, from token, tokens uint32, now time.Duration) {
+func (c *clientCore) refund(name string, limit Limit, from grantedToken, tokens uint32, now time.Duration) {
 	if c.closed {
 		return
 	}
--- a/internal/quota/client_history_test.go
+++ b/internal/quota/client_history_test.go
@@ -8,13 +8,13 @@
 	"time"
 )
 
-// history plays a core against stores, a network and requests in simulated time. Faults are drawn from a seed. Its
+// clientHistory plays a core against stores, a network and requests in simulated time. Faults are drawn from a seed. Its
 // account is kept by the stores and the requests, and never looks into the core.
-type history struct {
+type clientHistory struct {
 	t       *testing.T
 	rng     *rand.Rand
 	now     time.Duration
-	events  historyEvents
+	events  clientHistoryEvents
 	core    *clientCore
 	ringAt  time.Duration // the newest event by the core's next time
 	faults  bool
@@ -23,35 +23,35 @@
 	owners       map[string]uint64 // the store that counts for a tenant
 	tableOwners  map[string]uint64 // and by the proxy's table
 	disconnected map[uint64]bool
-	grants       map[GrantID]*historyGrant
+	grants       map[GrantID]*clientHistoryGrant
 	inFlight     map[uint64]int
 	lastGrant    uint64
 
-	requests map[*waiter]*historyRequest
+	requests map[*waiter]*clientHistoryRequest
 	pending  int
 	ends     map[string]int
 }
 
-// historyGrant is the account of one grant of a store.
-type historyGrant struct {
+// clientHistoryGrant is the account of one grant of a store.
+type clientHistoryGrant struct {
 	store                   uint64
 	at                      time.Duration
 	granted, used, refunded uint32
 }
 
-// historyRequest is a request that waits.
-type historyRequest struct {
+// clientHistoryRequest is a request that waits.
+type clientHistoryRequest struct {
 	arrivedAt time.Duration
 	deadline  time.Duration
 	end       string // empty: it waits
 }
 
-// historyStores is the number of stores.
-const historyStores = 3
+// clientHistoryStores is the number of stores.
+const clientHistoryStores = 3
 
-func newHistory(t *testing.T, seed uint64, faults bool) *history {
+func newClientHistory(t *testing.T, seed uint64, faults bool) *clientHistory {
 	t.Helper()
-	h := &history{
+	h := &clientHistory{
 		t:            t,
 		rng:          rand.New(rand.NewPCG(seed, 1)),
 		now:          time.Minute,
@@ -60,13 +60,13 @@
 		owners:       map[string]uint64{},
 		tableOwners:  map[string]uint64{},
 		disconnected: map[uint64]bool{},
-		grants:       map[GrantID]*historyGrant{},
+		grants:       map[GrantID]*clientHistoryGrant{},
 		inFlight:     map[uint64]int{},
-		requests:     map[*waiter]*historyRequest{},
+		requests:     map[*waiter]*clientHistoryRequest{},
 		ends:         map[string]int{},
 	}
 	for i, tenant := range h.tenants {
-		h.owners[tenant] = uint64(1 + i%historyStores)
+		h.owners[tenant] = uint64(1 + i%clientHistoryStores)
 		h.tableOwners[tenant] = h.owners[tenant]
 	}
 	h.core = newClientCore(func(tenant string) (uint64, bool) {
@@ -77,22 +77,24 @@
 }
 
 // chance draws whether a fault happens.
-func (h *history) chance(probability float64) bool { return h.faults && h.rng.Float64() < probability }
+func (h *clientHistory) chance(probability float64) bool {
+	return h.faults && h.rng.Float64() < probability
+}
 
 // between draws a duration.
-func (h *history) between(low, high time.Duration) time.Duration {
+func (h *clientHistory) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(h.rng.Int64N(int64(high-low)))
 }
 
 // after schedules an event.
-func (h *history) after(delay time.Duration, do func()) {
-	heap.Push(&h.events, historyEvent{at: h.now + delay, order: h.rng.Uint64(), do: do})
+func (h *clientHistory) after(delay time.Duration, do func()) {
+	heap.Push(&h.events, clientHistoryEvent{at: h.now + delay, order: h.rng.Uint64(), do: do})
 }
 
 // run plays events until a time, or until there are none.
-func (h *history) run(until time.Duration) {
+func (h *clientHistory) run(until time.Duration) {
 	for len(h.events) > 0 && h.events[0].at <= until {
-		event := heap.Pop(&h.events).(historyEvent)
+		event := heap.Pop(&h.events).(clientHistoryEvent)
 		h.now = event.at
 		event.do()
 		h.sendCalls()
@@ -102,7 +104,7 @@
 }
 
 // sendCalls does what the shell does after each change.
-func (h *history) sendCalls() {
+func (h *clientHistory) sendCalls() {
 	for _, call := range h.core.startCalls(h.now) {
 		h.send(call)
 	}
@@ -118,7 +120,7 @@
 }
 
 // send plays the way of a call, its answer, or the lack of one.
-func (h *history) send(call *clientCall) {
+func (h *clientHistory) send(call *clientCall) {
 	h.inFlight[call.store]++
 	if h.inFlight[call.store] > maxCallsPerStore {
 		h.t.Fatalf("%d calls in flight to a store", h.inFlight[call.store])
@@ -166,7 +168,7 @@
 }
 
 // latency draws the time of a message one way.
-func (h *history) latency() time.Duration {
+func (h *clientHistory) latency() time.Duration {
 	if h.chance(0.05) {
 		return h.between(time.Millisecond, 700*time.Millisecond)
 	}
@@ -174,7 +176,7 @@
 }
 
 // checkDemands guards against a tenant that appears twice in a call, and against demands for nothing.
-func (h *history) checkDemands(request *AdmitRequest) {
+func (h *clientHistory) checkDemands(request *AdmitRequest) {
 	seen := map[string]bool{}
 	for _, d := range request.Demands {
 		if seen[d.Tenant] {
@@ -194,7 +196,7 @@
 }
 
 // answer is a store's side. Each grant has an identity of its own, so that the account can follow it.
-func (h *history) answer(store uint64, request *AdmitRequest) *AdmitReply {
+func (h *clientHistory) answer(store uint64, request *AdmitRequest) *AdmitReply {
 	reply := &AdmitReply{}
 	for _, d := range request.Demands {
 		for _, refund := range d.Refunds {
@@ -210,7 +212,7 @@
 		}
 		h.lastGrant++
 		id := GrantID{Lead: store, AtMs: h.lastGrant}
-		h.grants[id] = &historyGrant{store: store, at: h.now, granted: granted}
+		h.grants[id] = &clientHistoryGrant{store: store, at: h.now, granted: granted}
 		reply.Answers = append(reply.Answers, Answer{
 			Outcome: Granted, Granted: granted, RetryAfter: 50 * time.Millisecond, Grant: id,
 		})
@@ -219,7 +221,7 @@
 }
 
 // refund guards against refunds of tokens that were used, refunded before, or granted by another store.
-func (h *history) refund(store uint64, refund Refund) {
+func (h *clientHistory) refund(store uint64, refund Refund) {
 	grant := h.grants[refund.Grant]
 	if grant == nil || grant.store != store {
 		h.t.Fatalf("refund of an unknown grant %+v at store %d", refund, store)
@@ -228,27 +230,27 @@
 	h.checkGrant(grant)
 }
 
-func (h *history) checkGrant(grant *historyGrant) {
+func (h *clientHistory) checkGrant(grant *clientHistoryGrant) {
 	if grant.used+grant.refunded > grant.granted {
 		h.t.Fatalf("of %d tokens %d were used and %d refunded", grant.granted, grant.used, grant.refunded)
 	}
 }
 
 // arrive plays a request from its arrival on.
-func (h *history) arrive(tenant string) {
+func (h *clientHistory) arrive(tenant string) {
 	w := h.core.admit(tenant, Limit{ConfigVersion: 1, RatePerSecond: 100, Burst: 100})
 	if w == nil {
 		h.ends["queue full"]++
 		return
 	}
-	r := &historyRequest{arrivedAt: h.now, deadline: h.now + h.between(50*time.Millisecond, 2*time.Second)}
+	r := &clientHistoryRequest{arrivedAt: h.now, deadline: h.now + h.between(50*time.Millisecond, 2*time.Second)}
 	h.requests[w] = r
 	h.pending++
 	h.after(r.deadline-h.now, func() { h.leave(w, r) })
 }
 
 // wake has a request take its answer if there is one: its goroutine wakes, or is frozen for a while.
-func (h *history) wake(w *waiter) {
+func (h *clientHistory) wake(w *waiter) {
 	select {
 	case <-w.answered:
 		delay := time.Duration(0)
@@ -261,7 +263,7 @@
 }
 
 // claim has the request take its answer.
-func (h *history) claim(w *waiter, r *historyRequest) {
+func (h *clientHistory) claim(w *waiter, r *clientHistoryRequest) {
 	if r.end != "" {
 		return
 	}
@@ -283,7 +285,7 @@
 }
 
 // use guards against tokens that were granted to nobody, before their request arrived, or long before their use.
-func (h *history) use(w *waiter, r *historyRequest) {
+func (h *clientHistory) use(w *waiter, r *clientHistoryRequest) {
 	grant := h.grants[w.token.grant]
 	if grant == nil {
 		h.t.Fatalf("a token of no grant: %+v", w.token)
@@ -300,7 +302,7 @@
 }
 
 // leave ends a request whose time is up.
-func (h *history) leave(w *waiter, r *historyRequest) {
+func (h *clientHistory) leave(w *waiter, r *clientHistoryRequest) {
 	if r.end == "" {
 		h.end(r, "left")
 		h.core.leave(w, h.now)
@@ -308,7 +310,7 @@
 }
 
 // end guards against a second answer of a request.
-func (h *history) end(r *historyRequest, end string) {
+func (h *clientHistory) end(r *clientHistoryRequest, end string) {
 	if r.end != "" {
 		h.t.Fatalf("%s after %s", end, r.end)
 	}
@@ -318,7 +320,7 @@
 }
 
 // checkBounds guards against queues that grow without a request that waits, or without bound.
-func (h *history) checkBounds() {
+func (h *clientHistory) checkBounds() {
 	if h.core.waiting > h.pending || h.core.waiting > maxWaiters {
 		h.t.Fatalf("%d waiters of %d requests", h.core.waiting, h.pending)
 	}
@@ -328,22 +330,22 @@
 }
 
 // moveOwner has another store count for a tenant. The proxy's table follows later.
-func (h *history) moveOwner() {
+func (h *clientHistory) moveOwner() {
 	tenant := h.tenants[h.rng.IntN(len(h.tenants))]
-	store := 1 + h.rng.Uint64N(historyStores)
+	store := 1 + h.rng.Uint64N(clientHistoryStores)
 	h.owners[tenant] = store
 	h.after(h.between(0, 500*time.Millisecond), func() { h.tableOwners[tenant] = h.owners[tenant] })
 }
 
 // disconnect cuts the proxy off from a store for a while.
-func (h *history) disconnect() {
-	store := 1 + h.rng.Uint64N(historyStores)
+func (h *clientHistory) disconnect() {
+	store := 1 + h.rng.Uint64N(clientHistoryStores)
 	h.disconnected[store] = true
 	h.after(h.between(0, time.Second), func() { delete(h.disconnected, store) })
 }
 
 // play plays a history of requests with or without faults, and then lets everything end without faults.
-func (h *history) play(perSecond int, lasts time.Duration) {
+func (h *clientHistory) play(perSecond int, lasts time.Duration) {
 	end := h.now + lasts
 	for at := time.Duration(0); at < lasts; at += time.Duration(h.rng.ExpFloat64() * float64(time.Second) / float64(perSecond)) {
 		tenant := h.tenants[min(h.rng.IntN(2*len(h.tenants)), len(h.tenants)-1)] // the last one sends more than the others
@@ -373,22 +375,22 @@
 	}
 }
 
-// historyEvents is a heap of events by time. Events of one moment are played in an order that is drawn.
-type historyEvents []historyEvent
+// clientHistoryEvents is a heap of events by time. Events of one moment are played in an order that is drawn.
+type clientHistoryEvents []clientHistoryEvent
 
-type historyEvent struct {
+type clientHistoryEvent struct {
 	at    time.Duration
 	order uint64
 	do    func()
 }
 
-func (e historyEvents) Len() int { return len(e) }
-func (e historyEvents) Less(i, j int) bool {
+func (e clientHistoryEvents) Len() int { return len(e) }
+func (e clientHistoryEvents) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
 }
-func (e historyEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *historyEvents) Push(x any)   { *e = append(*e, x.(historyEvent)) }
-func (e *historyEvents) Pop() any {
+func (e clientHistoryEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *clientHistoryEvents) Push(x any)   { *e = append(*e, x.(clientHistoryEvent)) }
+func (e *clientHistoryEvents) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
 	return last
@@ -400,7 +402,7 @@
 	ends := map[string]int{}
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			h := newHistory(t, seed, true)
+			h := newClientHistory(t, seed, true)
 			h.play([]int{10, 100, 1000}[seed%3], 5*time.Second)
 			for end, count := range h.ends {
 				ends[end] += count
@@ -418,7 +420,7 @@
 // Guards against requests that wait without a fault: two calls in flight have to be enough for any rate.
 func TestClientHistoriesWithoutFaults(t *testing.T) {
 	for seed := range uint64(10) {
-		h := newHistory(t, seed, false)
+		h := newClientHistory(t, seed, false)
 		h.play(1000, 2*time.Second)
 		if h.ends["left"]+h.ends["stale"]+h.ends["queue full"] > 0 {
 			t.Errorf("seed %d: %v", seed, h.ends)
--- a/internal/quota/client_metrics.go
+++ b/internal/quota/client_metrics.go
@@ -15,18 +15,18 @@
 	requestsUnavailable = requestCounter("unavailable")
 	requestsLeft        = requestCounter("left") // the client was gone
 
-	callsAnswered = telemetry.Counter("dunetide_proxy_rate_calls_total", "end", "answered")
-	callsFailed   = telemetry.Counter("dunetide_proxy_rate_calls_total", "end", "failed") // or no answer in time
+	callsAnswered = telemetry.Counter("dunetide_proxy_quota_calls_total", "end", "answered")
+	callsFailed   = telemetry.Counter("dunetide_proxy_quota_calls_total", "end", "failed") // or no answer in time
 
-	tokensStale     = telemetry.Counter("dunetide_proxy_rate_stale_tokens_total")
-	refundsSent     = telemetry.Counter("dunetide_proxy_rate_refunds_total", "end", "sent")
-	refundsDropped  = telemetry.Counter("dunetide_proxy_rate_refunds_total", "end", "dropped")
-	notOwnerAnswers = telemetry.Counter("dunetide_proxy_rate_not_owner_total")
+	tokensStale     = telemetry.Counter("dunetide_proxy_quota_stale_tokens_total")
+	refundsSent     = telemetry.Counter("dunetide_proxy_quota_refunds_total", "end", "sent")
+	refundsDropped  = telemetry.Counter("dunetide_proxy_quota_refunds_total", "end", "dropped")
+	notOwnerAnswers = telemetry.Counter("dunetide_proxy_quota_not_owner_total")
 )
 
 // requestCounter returns the counter of the requests that ended their wait for a token in some way.
 func requestCounter(end string) *metrics.Counter {
-	return telemetry.Counter("dunetide_proxy_rate_requests_total", "end", end)
+	return telemetry.Counter("dunetide_proxy_quota_requests_total", "end", end)
 }
 
 // waitCounters count the requests that got a token or were refused by the time that they waited for that.
@@ -42,7 +42,7 @@
 }
 
 func waitCounter(within string) *metrics.Counter {
-	return telemetry.Counter("dunetide_proxy_rate_waits_total", "within", within)
+	return telemetry.Counter("dunetide_proxy_quota_waits_total", "within", within)
 }
 
 // countWait counts a wait that ended with an answer of a store.
--- /dev/null
+++ b/internal/quota/client_mutants_test.go
@@ -0,0 +1,153 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"dunetide/internal/lab/mutation"
+)
+
+// clientMutants are source changes with which requests would run without a token, or wait without need.
+var clientMutants = []mutation.Mutant{
+	{
+		Name: "an answer counts twice",
+		File: "client_core.go",
+		Old:  "	delete(c.calls, number)\n",
+		New:  "",
+	},
+	{
+		Name: "a call without an answer counts as granted",
+		File: "client_core.go",
+		Old:  "		var answer Answer\n",
+		New:  "		answer := Answer{Outcome: Granted, Granted: 1}\n",
+	},
+	{
+		Name: "a token is given twice",
+		File: "client_core.go",
+		Old:  "			tokens--\n",
+		New:  "",
+	},
+	{
+		Name: "tokens of requests that left go nowhere",
+		File: "client_core.go",
+		Old:  "	if tokens > 0 { // their waiters are gone\n",
+		New:  "	if tokens > demand.request.Wanted {\n",
+	},
+	{
+		Name: "an old token is used",
+		File: "client_core.go",
+		Old:  "now-w.token.askedAt <= maxGrantAge {",
+		New:  "now-w.token.askedAt <= 4*maxGrantAge {",
+	},
+	{
+		Name: "the age of a token is taken from nothing",
+		File: "client_core.go",
+		Old:  "askedAt: call.sentAt}\n			c.answer",
+		New:  "askedAt: now}\n			c.answer",
+	},
+	{
+		Name: "a request that left is asked for",
+		File: "client_core.go",
+		Old:  "		w.tenant.remove(w)\n",
+		New:  "",
+	},
+	{
+		Name: "refunds go to a store that did not grant",
+		File: "client_core.go",
+		Old:  "		dropped := pending.store != store\n",
+		New:  "		dropped := false\n",
+	},
+	{
+		Name: "refunds of a call are sent again",
+		File: "client_core.go",
+		Old:  "	t.waiters, t.refunds = nil, nil\n	t.demandsInFlight++\n",
+		New:  "	t.waiters = nil\n	t.demandsInFlight++\n",
+	},
+	{
+		Name: "calls in flight are not bounded",
+		File: "client_core.go",
+		Old:  "c.callsTo[store] >= maxCallsPerStore {",
+		New:  "c.callsTo[store] >= 3*maxCallsPerStore {",
+	},
+	{
+		Name: "requests come back in another order",
+		File: "client_core.go",
+		Old:  "cmp.Compare(a.arrival, b.arrival)",
+		New:  "cmp.Compare(b.arrival, a.arrival)",
+	},
+	{
+		Name: "a store that does not count is asked again at once",
+		File: "client_core.go",
+		Old:  "	return min(max(answer.RetryAfter, minAskAgainDelay), maxAskAgainDelay)\n",
+		New:  "	return 0\n",
+	},
+	{
+		Name: "a pause is as long as a store says",
+		File: "client_core.go",
+		Old:  "	return min(max(answer.RetryAfter, minAskAgainDelay), maxAskAgainDelay)\n",
+		New:  "	return max(answer.RetryAfter, minAskAgainDelay)\n",
+	},
+	{
+		Name: "an older limit replaces a newer one",
+		File: "client_core.go",
+		Old:  "	if limit.ConfigVersion >= t.limit.ConfigVersion {\n",
+		New:  "	if t.limit != limit {\n",
+	},
+	{
+		Name: "a queue of a tenant stays for ever",
+		File: "client_core.go",
+		Old:  "			delete(c.tenants, t.name)\n",
+		New:  "",
+	},
+	{
+		Name: "tenants go first that were asked for last",
+		File: "client_core.go",
+		Old:  "append(kept, asked...)",
+		New:  "append(asked, kept...)",
+	},
+	{
+		Name: "one tenant takes all places",
+		File: "client_core.go",
+		Old:  "t.waiting >= maxWaitersPerTenant {",
+		New:  "t.waiting >= maxWaiters {",
+	},
+	{
+		Name: "the timer does not ring earlier",
+		File: "client.go",
+		Old:  "	if !any || at >= c.ringAt {\n",
+		New:  "	if !any || at >= c.ringAt || c.ringAt < idleInterval {\n",
+	},
+	{
+		Name: "a permit is refunded twice",
+		File: "client.go",
+		Old:  "	if p.refunded.Swap(true) {\n",
+		New:  "	if p.refunded.Load() {\n",
+	},
+	{
+		Name: "a cancelled request keeps its token",
+		File: "client.go",
+		Old:  "		if unanswered || cancelled {\n",
+		New:  "		if _ = cancelled; unanswered {\n",
+	},
+	{
+		Name: "a client that closes leaves its requests waiting",
+		File: "client_core.go",
+		Old:  "					c.answer(w, waiterClosed)\n",
+		New:  "					w.state = waiterClosed\n",
+	},
+}
+
+// TestClientMutantsStand fails if the source text that a mutant replaces does not occur exactly once in its file.
+func TestClientMutantsStand(t *testing.T) { mutation.CheckPresent(t, clientMutants) }
+
+// TestClientMutantsAreFound runs the tests against each mutant, which takes minutes: it runs if QUOTA_CLIENT_MUTANTS is 1
+// or part of a mutant's name.
+func TestClientMutantsAreFound(t *testing.T) {
+	only := mutation.Requested(t, "QUOTA_CLIENT_MUTANTS")
+	mutation.Find(t, clientMutants, mutation.Options{
+		Only:   only,
+		Args:   []string{"-timeout", "30s"},
+		Env:    []string{"QUOTA_CLIENT_MUTANTS="},
+		Within: time.Minute,
+	})
+}
--- a/internal/quota/client_test.go
+++ b/internal/quota/client_test.go
@@ -278,7 +278,7 @@
 		t.Fatalf("%d admitted beyond the bound", admitted)
 	}
 	for i := range 2 * maxRefundsPerTenant {
-		core.refund("t0", Limit{}, token{store: 1, grant: GrantID{AtMs: uint64(i)}}, 1, 0)
+		core.refund("t0", Limit{}, grantedToken{store: 1, grant: GrantID{AtMs: uint64(i)}}, 1, 0)
 	}
 	if kept := len(core.tenants["t0"].refunds); kept != maxRefundsPerTenant {
 		t.Fatalf("%d refunds kept", kept)
