--- a/internal/quota/client_test.go
+++ b/internal/quota/client_test.go
@@ -223,6 +223,57 @@
 	})
 }
 
+// Guards against a token that is lost because its request was cancelled just after the grant.
+func TestATokenOfACancelledRequestIsRefunded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient(ClientOptions{Stores: &scriptedStores{answer: grantAll}})
+		defer c.Close()
+		var w *waiter
+		c.step(func() { w = c.core.admit("a", testClientLimit) })
+		synctest.Wait() // the call has ended
+		state, _ := c.claim(w, context.Canceled)
+		if state != waiterGone || len(c.core.tenants["a"].refunds) != 1 {
+			t.Fatalf("state %d, tenant %+v", state, c.core.tenants["a"])
+		}
+	})
+}
+
+// Guards against a tenant that waits because another one has a longer pause.
+func TestTheTimerRingsForTheShortestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		stores := &scriptedStores{answer: func(ctx context.Context, r *AdmitRequest) (*AdmitReply, error) {
+			if time.Since(startedAt) > 0 {
+				return grantAll(ctx, r)
+			}
+			pause := minAskAgainDelay
+			if r.Demands[0].Tenant == "slow" {
+				pause = maxAskAgainDelay
+			}
+			return &AdmitReply{Answers: []Answer{{Outcome: NotOwner, RetryAfter: pause}}}, nil
+		}}
+		c := NewClient(ClientOptions{Stores: stores})
+		defer c.Close()
+		took := map[string]time.Duration{}
+		var mu sync.Mutex
+		var requests sync.WaitGroup
+		for _, tenant := range []string{"slow", "fast"} {
+			requests.Go(func() {
+				_, err := c.Admit(context.Background(), limitedTenant(tenant), 1)
+				mu.Lock()
+				defer mu.Unlock()
+				if took[tenant] = time.Since(startedAt); err != nil {
+					t.Error(err)
+				}
+			})
+			synctest.Wait() // the call has ended
+		}
+		if requests.Wait(); took["fast"] != minAskAgainDelay || took["slow"] != maxAskAgainDelay {
+			t.Fatal(took)
+		}
+	})
+}
+
 // Guards against a token that is used long after its grant, because the process was frozen meanwhile.
 func TestStaleTokensAreDiscarded(t *testing.T) {
 	core := newClientCore(func(string) (uint64, bool) { return 1, true })
