--- a/internal/control/operatorconfig/config_test.go
+++ b/internal/control/operatorconfig/config_test.go
@@ -69,6 +69,9 @@
 	for _, r := range c.Routes {
 		fmt.Fprintf(&out, "%+v\n", r)
 	}
+	for _, tenant := range c.Tenants {
+		fmt.Fprintf(&out, "%+v\n", tenant)
+	}
 	var names []string
 	for name := range c.Services {
 		names = append(names, name)
@@ -87,6 +90,39 @@
 	return out.String()
 }
 
+// Guards against a key that is found under another customer, or without any.
+func TestTenantOfKey(t *testing.T) {
+	parse := func(customers string) *Config {
+		c, err := Parse([]byte(`{"version":7,"routes":[],"services":` + services + customers + `}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	c := parse(`,"customers":[{"name":"one","api_keys":["k1","k2"]},{"name":"two","api_keys":["k3"],"rate_per_s":1}]`)
+	for key, want := range map[string]string{"k1": "one", "k2": "one", "k3": "two", "K1": "", "": "", "k": ""} {
+		got := ""
+		if tenant := c.TenantOfKey(key); tenant != nil {
+			got = tenant.Name
+		}
+		if got != want {
+			t.Errorf("key %q belongs to %q, want %q", key, got, want)
+		}
+	}
+	if one, two := c.Tenant("one"), c.Tenant("two"); one.Limited() || !two.Limited() || c.Tenant("k1") != nil {
+		t.Errorf("%+v, %+v, %+v", one, two, c.Tenant("k1"))
+	}
+	for customers, want := range map[string]bool{"": false, `,"customers":null`: false, `,"customers":[]`: true} {
+		if c := parse(customers); c.HasTenants() != want || c.TenantOfKey("k1") != nil {
+			t.Errorf("%q: %v", customers, c.HasTenants())
+		}
+	}
+	var none *Config
+	if none.HasTenants() || none.TenantOfKey("k1") != nil || none.Tenant("one") != nil {
+		t.Error("no configuration has tenants")
+	}
+}
+
 func TestMatchOfEmptyConfigIsNil(t *testing.T) {
 	if r := new(Config).Match("h", "/"); r != nil {
 		t.Error(r)
--- a/internal/control/operatorconfig/keys_test.go
+++ b/internal/control/operatorconfig/keys_test.go
@@ -39,6 +39,7 @@
 			{"gap_aim_ms", "0", `7`, "7", `-1`, &OutOfRange, "it must be a number from 0 to 2147483647", func(c *Config) any { return route(c).EventGapTargetMs }},
 			{"priority", "0", `7`, "7", `-1`, &OutOfRange, "it must be a number from 0 to 2147483647", func(c *Config) any { return route(c).Priority }},
 			{"tries", "1", `7`, "7", `"7"`, &InvalidType, "it must be a number from 0 to 2147483647", func(c *Config) any { return route(c).MaxAttempts }},
+			{"public", "false", `true`, "true", `1`, &InvalidType, "it must be true or false", func(c *Config) any { return route(c).Public }},
 			{"sticky", "false", `true`, "true", `1`, &InvalidType, "it must be true or false", func(c *Config) any { return route(c).Sticky }},
 			{"resume", "false", `true`, "true", `"yes"`, &InvalidType, "it must be true or false", func(c *Config) any { return route(c).Resumable }},
 			{"due_ms", "0", `7`, "7", `-1`, &OutOfRange, "it must be a number from 0 to 2147483647", func(c *Config) any { return route(c).DueMs }},
@@ -105,6 +106,7 @@
 			{"version", "required", `7`, "7", `0`, &OutOfRange, "it must be a whole number over 0", func(c *Config) any { return c.Version }},
 			{"routes", "required", `[]`, "0", `{}`, &InvalidType, "it must be a list of objects", func(c *Config) any { return len(c.Routes) }},
 			{"services", "required", `[{"name":"a"}]`, "1", `7`, &InvalidType, "it must be a list of objects", func(c *Config) any { return len(c.Services) }},
+			{"customers", "0", `[{"name":"t"}]`, "1", `7`, &InvalidType, "it must be a list of objects", func(c *Config) any { return len(c.Tenants) }},
 			{"limits", "{16384 4194304 3000 15000}", `{"idle_ms":1}`, "{16384 4194304 3000 1}", `7`, &InvalidType, "it must be an object", func(c *Config) any { return c.Limits }},
 		})
 	testKeys(t, "limits.", `{"version":1,"routes":[],"services":[],"limits":{%s}}`, `"x":0`,
@@ -116,6 +118,20 @@
 		})
 }
 
+// TestTenantKeys checks each key of a customer.
+func TestTenantKeys(t *testing.T) {
+	testKeys(t, "customers[0].", `{"version":1,"routes":[],"services":[],"customers":[{%s}]}`, `"name":"t"`,
+		[]key{
+			{"name", "required", `"x"`, "x", `"a\nb"`, &OutOfRange, "it must be a name without control characters and without spaces around it", func(c *Config) any { return tenant(c).Name }},
+			{"api_keys", "[]", `["k1","k2"]`, "[k1 k2]", `["k1",""]`, &OutOfRange, "it must be a string that isn't empty", func(c *Config) any { return tenant(c).Keys }},
+			{"priority", "0", `7`, "7", `-1`, &OutOfRange, "it must be a number from 0 to 2147483647", func(c *Config) any { return tenant(c).Priority }},
+			{"rate_per_s", "0", `7.5`, "7.5", `-1`, &OutOfRange, "it must be a number from 0 to 1000000000", func(c *Config) any { return tenant(c).RatePerSecond }},
+			{"burst", "0", `7`, "7", `"7"`, &InvalidType, "it must be a number from 0 to 1000000000", func(c *Config) any { return tenant(c).Burst }},
+		})
+}
+
+func tenant(c *Config) *Tenant { return &c.Tenants[0] }
+
 // testKeys checks each key of an object. template is a configuration with the placeholder %s for the fields of the
 // object, and base has the object's required fields. If a key occurs twice, the last one takes precedence.
 func testKeys(t *testing.T, path, template, base string, keys []key) {
--- a/internal/control/operatorconfig/tenant.go
+++ b/internal/control/operatorconfig/tenant.go
@@ -1,6 +1,11 @@
 package operatorconfig
 
-import "math"
+import (
+	"math"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // maxRate is the limit of a rate and of a burst, which keeps sums of tokens exact.
 const maxRate = 1e9
@@ -66,7 +71,7 @@
 
 func readTenant(o object) Tenant {
 	return Tenant{
-		Name:          o.name("name"),
+		Name:          tenantName(o),
 		Keys:          o.strings("api_keys"),
 		Priority:      o.count("priority"),
 		RatePerSecond: o.number("rate_per_s", 0, maxRate, 0),
@@ -74,6 +79,16 @@
 	}
 }
 
+// tenantName reads a tenant's name, which endpoints receive as a header field.
+func tenantName(o object) string {
+	name := o.name("name")
+	if strings.TrimSpace(name) != name || !httpguts.ValidHeaderFieldValue(name) {
+		o.add(&OutOfRange, o.pathOf("name"),
+			"%q; it must be a name without control characters and without spaces around it", name)
+	}
+	return name
+}
+
 // indexKeys adds a tenant's keys to the index. Problems name the tenants but never a key.
 func indexKeys(o object, tenant *Tenant, byKey map[string]*Tenant) {
 	for _, key := range tenant.Keys {
