--- a/internal/control/operatorconfig/match.go
+++ b/internal/control/operatorconfig/match.go
@@ -15,6 +15,9 @@
 	return route
 }
 
+// ServesHost reports whether a Host header names the host of the route.
+func (r *Route) ServesHost(host string) bool { return r.Host == normalizeHost(host) }
+
 // normalizeHost returns a host in lower case, without its port.
 func normalizeHost(host string) string {
 	colon := strings.LastIndexByte(host, ':')
