Requests: 401 without a tenant's key, key withheld, tenant named; place for the limiter

Cause: the proxy knew no keys and forwarded Authorization as any other header. Change: Proxy.ServeHTTP identifies the client with the configuration in force once the route is found, before any body is read, and answers 401; buildHead withholds the key and a client's X-Dunetide-Tenant and writes ours behind all else, so that no Connection header takes it out. Calls about batch jobs are identified the same way; batch.Call.Tenant is set. Items never carry a key. Options.RateLimiter obtains a permit before admission; 429 has a Retry-After; a request that has surely not run gives its token back. dunetide_proxy_tenant_refusals_total counts by reason.

--- a/cmd/dunetide/batchcalls.go
+++ b/cmd/dunetide/batchcalls.go
@@ -98,8 +98,8 @@
 	b.jobs.SetMaxRunning(0)
 }
 
-// serveCall serves a client's call to the batch interface.
-func (b *batchCalls) serveCall(w http.ResponseWriter, r *http.Request, route *operatorconfig.Route) {
+// serveCall serves a call of one of a tenant's clients to the batch interface.
+func (b *batchCalls) serveCall(w http.ResponseWriter, r *http.Request, route *operatorconfig.Route, tenant string) {
 	body, status := b.readBody(w, r, route)
 	if status != 0 {
 		w.Header().Set("Connection", "close") // a next request can't be distinguished from the rest of the body
@@ -115,6 +115,7 @@
 	a := b.jobs.Serve(ctx, &batch.Call{
 		Method: r.Method,
 		Host:   r.Host,
+		Tenant: tenant,
 		Path:   r.URL.Path,
 		Query:  r.URL.RawQuery,
 		Header: r.Header.Get,
--- a/cmd/dunetide/stalled_test.go
+++ b/cmd/dunetide/stalled_test.go
@@ -38,7 +38,7 @@
 // the partial body without limit: when the client's time is up, the call is answered and its connection closed.
 func TestStalledBatchCall(t *testing.T) {
 	j := newTestBatchCalls(t)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { j.serveCall(w, r, nil) }))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { j.serveCall(w, r, nil, "") }))
 	defer server.Close()
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	if err != nil {
@@ -81,7 +81,7 @@
 func TestBatchAnswersHaveADeadline(t *testing.T) {
 	j := newTestBatchCalls(t)
 	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
-	j.serveCall(w, httptest.NewRequest(http.MethodGet, "/lots/a?start_after=0", nil), nil)
+	j.serveCall(w, httptest.NewRequest(http.MethodGet, "/lots/a?start_after=0", nil), nil, "")
 	if w.write.IsZero() || time.Until(w.write) > time.Minute {
 		t.Errorf("the write deadline of the response is %v", w.write)
 	}
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -9,6 +9,7 @@
 	"dunetide/internal/platform/upstream"
 	"dunetide/internal/proxy/attempt"
 	"dunetide/internal/proxy/dispatch"
+	"dunetide/internal/quota"
 )
 
 const (
@@ -37,6 +38,11 @@
 	sharedHeadLength int
 	lastEventID      string // of the last event forwarded, or as stated by the client
 
+	tenant            string       // named to endpoints; empty: none
+	withholdsIdentity bool         // endpoints must not see the client's own Authorization and X-Dunetide-Tenant
+	withheldLength    int          // bytes of the head that were withheld for that reason
+	permit            quota.Permit // a token of the tenant's limit; nil: none is held
+
 	state         attempt.State
 	headSent      bool // the head of an answer was forwarded to the client
 	mayHaveRun    bool // an endpoint received all of it and did not state that it has not run it
--- a/internal/proxy/forward/forward_test.go
+++ b/internal/proxy/forward/forward_test.go
@@ -853,12 +853,12 @@
 func TestBatchCallsAreServedByServeBatch(t *testing.T) {
 	g := newRig(t, route(operatorconfig.Bulk, 1))
 	var calls []string
-	g.p.options.ServeBatch = func(w http.ResponseWriter, r *http.Request, route *operatorconfig.Route) {
+	g.p.options.ServeBatch = func(w http.ResponseWriter, r *http.Request, route *operatorconfig.Route, tenant string) {
 		name := ""
 		if route != nil {
 			name = route.Name
 		}
-		calls = append(calls, r.Method+" "+r.URL.Path+" "+name)
+		calls = append(calls, r.Method+" "+r.URL.Path+" "+name+tenant)
 		w.WriteHeader(http.StatusAccepted)
 	}
 	for _, line := range []string{"POST /r/1", "GET /lots/1?start_after=2", "DELETE /lots/1", "GET /items/1?id=2"} {
--- a/internal/proxy/forward/golden_test.go
+++ b/internal/proxy/forward/golden_test.go
@@ -23,6 +23,7 @@
 	"dunetide/internal/control/certification"
 	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/control/snapshot"
+	"dunetide/internal/lab/golden"
 	"dunetide/internal/proxy/dispatch"
 )
 
@@ -232,6 +233,5 @@
 			names = append(names, name)
 		}
 	}
-	slices.Sort(names)
-	compareGolden(t, "metrics.txt", strings.Join(names, "\n")+"\n")
+	golden.CompareLines(t, golden.Dir, "metrics", names)
 }
--- a/internal/proxy/forward/head.go
+++ b/internal/proxy/forward/head.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"dunetide/internal/proxy/identity"
 )
 
 // Names of headers in canonical form, as they are written on the wire.
@@ -22,7 +24,8 @@
 	headerReason    = "X-Dunetide-Reason"
 )
 
-// buildHead builds the part of the request's head that all sends share. Hop-by-hop fields are dropped.
+// buildHead builds the part of the request's head that all sends share. Hop-by-hop fields are dropped, and those that
+// identify the client are replaced by the tenant's name.
 func (x *exchange) buildHead(target, host string, h http.Header, length int) {
 	b := append(x.head[:0], x.method...)
 	b = append(b, ' ')
@@ -31,6 +34,10 @@
 	b = appendField(b, "Host", host)
 	drop := connectionHeaders(h)
 	for name, values := range h {
+		if x.withholds(name) {
+			x.withheldLength += fieldsLength(name, values)
+			continue
+		}
 		if hopByHop[name] || drop(name) && name != headerID {
 			continue
 		}
@@ -38,6 +45,9 @@
 			b = appendField(b, name, v)
 		}
 	}
+	if x.tenant != "" { // after the loop: a Connection header of the client can't take it out
+		b = appendField(b, identity.HeaderTenant, x.tenant)
+	}
 	if length > 0 || x.method != http.MethodGet && x.method != http.MethodHead {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(length), 10)
@@ -63,6 +73,21 @@
 	x.head = append(h, "\r\n"...)
 }
 
+// withholds reports whether a client's header must not reach endpoints, as it identifies the client.
+func (x *exchange) withholds(name string) bool {
+	return x.withholdsIdentity && (name == identity.HeaderAuthorization || name == identity.HeaderTenant)
+}
+
+// fieldsLength returns how many bytes the fields of one name take up in a head.
+func fieldsLength(name string, values []string) int {
+	const separators = len(": \r\n")
+	length := 0
+	for _, v := range values {
+		length += len(name) + len(v) + separators
+	}
+	return length
+}
+
 // appendField appends a header field.
 func appendField(b []byte, name, value string) []byte {
 	b = append(b, name...)
--- a/internal/proxy/forward/intake.go
+++ b/internal/proxy/forward/intake.go
@@ -8,6 +8,7 @@
 
 	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/platform/clientbody"
+	"dunetide/internal/proxy/identity"
 )
 
 const (
@@ -39,21 +40,35 @@
 		servedAfterPreparation.Inc()
 		arrived.admitted = p.options.Now()
 	}
+	config := p.options.Snapshots.Get().Config
 	if p.options.ServeBatch != nil && isBatchPath(path) {
-		p.serveBatch(w, r, nil)
+		p.serveBatch(w, r, nil, identity.OfJobCall(config, r.Host, r.Header))
 		return
 	}
-	config := p.options.Snapshots.Get().Config
 	route := p.options.Match(config, r.Host, path)
 	if route == nil {
 		p.refuse(w, r, http.StatusNotFound, 0, nil)
 		return
 	}
+	asker := identity.OfRequest(config, route, r.Header)
 	if route.Kind == operatorconfig.Bulk && p.options.ServeBatch != nil {
-		p.serveBatch(w, r, route)
+		p.serveBatch(w, r, route, asker)
+		return
+	}
+	if asker.Refused() {
+		p.refuseUnidentified(w, r, route, asker)
 		return
 	}
-	p.forward(w, r, route, &config.Limits, target, arrived)
+	p.forward(w, r, &admissible{config: config, route: route, asker: asker, target: target, arrived: arrived})
+}
+
+// admissible is a request that the configuration allows.
+type admissible struct {
+	config  *operatorconfig.Config // in force when the request's header had been read
+	route   *operatorconfig.Route
+	asker   identity.Identity
+	target  string // as it is forwarded
+	arrived arrival
 }
 
 // arrival has the times at which a request arrived and was admitted.
@@ -79,26 +94,31 @@
 	return strings.HasPrefix(path, "/lots/") || strings.HasPrefix(path, "/items/")
 }
 
-// serveBatch answers a call of the batch API.
-func (p *Proxy) serveBatch(w http.ResponseWriter, r *http.Request, route *operatorconfig.Route) {
+// serveBatch answers a call of the batch API; route is nil if only the job is known.
+func (p *Proxy) serveBatch(
+	w http.ResponseWriter, r *http.Request,
+	route *operatorconfig.Route, asker identity.Identity,
+) {
+	if asker.Refused() {
+		p.refuseUnidentified(w, r, route, asker)
+		return
+	}
 	p.closeWhenDraining(w.Header())
-	p.options.ServeBatch(w, r, route)
+	p.options.ServeBatch(w, r, route, asker.TenantName())
 }
 
 // forward reads a client's request, sends it to an endpoint and forwards the answer.
-func (p *Proxy) forward(
-	w http.ResponseWriter, r *http.Request,
-	route *operatorconfig.Route, limits *operatorconfig.Limits, target string, arrived arrival,
-) {
+func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, a *admissible) {
+	route, limits := a.route, &a.config.Limits
 	if status := statusIfUnanswerable(r); status != 0 {
 		w.Header().Set("Connection", "close")
 		p.refuse(w, r, status, 0, route)
 		return
 	}
 	timeout := clientTimeout(route, r.Header)
-	x := p.newExchange(r, route, arrived, timeout)
+	x := p.newExchange(r, a, timeout)
 	rc := http.NewResponseController(w)
-	_ = rc.SetWriteDeadline(arrived.at.Add(timeout + writeMargin)) // otherwise a client that doesn't read would block the write
+	_ = rc.SetWriteDeadline(a.arrived.at.Add(timeout + writeMargin)) // otherwise a client that doesn't read would block the write
 	body := getBuffer()
 	defer putBuffer(body)
 	head, stream := x.acquireBuffers()
@@ -113,11 +133,15 @@
 		x.body = *body
 		defer p.options.BodyBudget.Release(len(x.body))
 	}
-	x.buildHead(target, r.Host, r.Header, len(x.body))
-	if limits.MaxHeaderBytes > 0 && x.sharedHeadLength > limits.MaxHeaderBytes+headerMargin {
+	x.buildHead(a.target, r.Host, r.Header, len(x.body))
+	if limits.MaxHeaderBytes > 0 && x.sharedHeadLength+x.withheldLength > limits.MaxHeaderBytes+headerMargin {
 		p.refuse(w, r, http.StatusRequestHeaderFieldsTooLarge, 0, route)
 		return
 	}
+	if err := x.acquirePermit(a.asker.Tenant, a.config.Version); err != nil {
+		p.refuseUncounted(x, w, r, err)
+		return
+	}
 	p.answerFromEndpoints(x, w, r, rc)
 }
 
@@ -145,14 +169,14 @@
 }
 
 // newExchange returns the exchange of a client's request.
-func (p *Proxy) newExchange(
-	r *http.Request, route *operatorconfig.Route, arrived arrival, timeout time.Duration,
-) *exchange {
+func (p *Proxy) newExchange(r *http.Request, a *admissible, timeout time.Duration) *exchange {
 	x := &exchange{proxy: p, ctx: r.Context(), method: r.Method}
-	x.describe(route, r.Header.Get)
-	x.deadline = arrived.at.Add(timeout - min(answerMargin, timeout/8))
-	x.request.Arrived, x.request.Deadline = arrived.admitted, x.deadline
-	x.request.Due = arrived.at.Add(time.Duration(route.LatencyTargetMs) * time.Millisecond)
+	x.describe(a.route, r.Header.Get)
+	x.setTenant(a.asker.Tenant)
+	x.withholdsIdentity = a.asker.WithholdsHeaders()
+	x.deadline = a.arrived.at.Add(timeout - min(answerMargin, timeout/8))
+	x.request.Arrived, x.request.Deadline = a.arrived.admitted, x.deadline
+	x.request.Due = a.arrived.at.Add(time.Duration(a.route.LatencyTargetMs) * time.Millisecond)
 	x.lastEventID = r.Header.Get(headerLastEvent)
 	return x
 }
--- a/internal/proxy/forward/item.go
+++ b/internal/proxy/forward/item.go
@@ -14,13 +14,15 @@
 	"dunetide/internal/platform/upstream"
 	"dunetide/internal/proxy/attempt"
 	"dunetide/internal/proxy/dispatch"
+	"dunetide/internal/proxy/identity"
 )
 
 // Item is one request of a batch job.
 type Item struct {
-	ID     string
-	Host   string // of its route
-	Path   string // with a query, if any
+	ID   string
+	Host string // of its route
+	Path string // with a query, if any
+	// Header has the item's headers. If X-Dunetide-Tenant is among them, it is forwarded, and Authorization is not.
 	Header map[string]string
 	Body   []byte
 	Route  *operatorconfig.Route
@@ -93,6 +95,7 @@
 		body:        it.Body,
 	}
 	x.describe(it.Route, header.Get)
+	x.identifyItem(header.Get(identity.HeaderTenant))
 	x.request.Bulk, x.request.Arrived = true, p.options.Now()
 	if deadline, ok := ctx.Deadline(); ok {
 		x.deadline, x.request.Deadline = deadline, deadline
@@ -104,6 +107,20 @@
 	return x.runItem(it, event)
 }
 
+// identifyItem sets the tenant of an item, which its job states. A key that a client put among the headers of an item
+// is withheld wherever keys have a meaning.
+func (x *exchange) identifyItem(tenant string) {
+	var config *operatorconfig.Config
+	if s := x.proxy.options.Snapshots.Get(); s != nil {
+		config = s.Config
+	}
+	x.withholdsIdentity = tenant != "" || config.HasTenants()
+	x.tenant = tenant
+	if t := config.Tenant(tenant); t != nil {
+		x.setTenant(t)
+	}
+}
+
 // runItem sends an item until an endpoint has run it or no endpoint accepts it. It retries only sends
 // that certainly did not run; the job decides what follows a truncated or failed run.
 func (x *exchange) runItem(it *Item, event func(id string, data []byte)) Result {
--- a/internal/proxy/forward/metrics.go
+++ b/internal/proxy/forward/metrics.go
@@ -12,6 +12,7 @@
 	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/platform/telemetry"
 	"dunetide/internal/proxy/attempt"
+	"dunetide/internal/proxy/identity"
 )
 
 var (
@@ -23,6 +24,16 @@
 	sendsByEvent = newCounters("dunetide_proxy_sends_total", "event", int(attempt.BodyComplete)+1, func(i int) string {
 		return attempt.Event(i).String()
 	})
+	// unidentifiedRequests counts requests and batch calls that were answered 401, by the outcome of the identification.
+	unidentifiedRequests = map[identity.Outcome]*metrics.Counter{
+		identity.MissingKey:   tenantRefusals(identity.MissingKey.String()),
+		identity.MalformedKey: tenantRefusals(identity.MalformedKey.String()),
+		identity.UnknownKey:   tenantRefusals(identity.UnknownKey.String()),
+	}
+	// overLimitRequests counts requests that were answered 429, and uncountableRequests those answered 503 because the
+	// store that counts for their tenant did not answer.
+	overLimitRequests   = tenantRefusals("over_limit")
+	uncountableRequests = tenantRefusals("not_countable")
 	// closedConnections counts closed client connections by their last state.
 	closedConnections = map[http.ConnState]*metrics.Counter{
 		http.StateNew:    telemetry.Counter("dunetide_proxy_client_connections_closed_total", "while", "new"),
@@ -31,6 +42,11 @@
 	}
 )
 
+// tenantRefusals returns the counter of requests that were refused on behalf of tenants for a reason.
+func tenantRefusals(reason string) *metrics.Counter {
+	return telemetry.Counter("dunetide_proxy_tenant_refusals_total", "reason", reason)
+}
+
 // newCounters returns a counter for each value of an enumeration.
 func newCounters(name, label string, values int, value func(i int) string) []*metrics.Counter {
 	all := make([]*metrics.Counter, values)
--- a/internal/proxy/forward/proxy.go
+++ b/internal/proxy/forward/proxy.go
@@ -19,6 +19,7 @@
 	"dunetide/internal/platform/telemetry"
 	"dunetide/internal/platform/upstream"
 	"dunetide/internal/proxy/dispatch"
+	"dunetide/internal/quota"
 )
 
 const (
@@ -44,8 +45,11 @@
 	// the query; nil: the configuration's own.
 	Match func(c *operatorconfig.Config, host, path string) *operatorconfig.Route
 	// ServeBatch answers calls of batch jobs: those of bulk routes, and those of /lots/ and /items/,
-	// for which route is nil; nil: there are no batch jobs.
-	ServeBatch func(w http.ResponseWriter, r *http.Request, route *operatorconfig.Route)
+	// for which route is nil. The tenant is that of the client's key; empty if the call needs none. Its
+	// body has not been read; nil: there are no batch jobs.
+	ServeBatch func(w http.ResponseWriter, r *http.Request, route *operatorconfig.Route, tenant string)
+	// RateLimiter decides whether a request of a tenant with a limit may run now; nil: no tenant is limited.
+	RateLimiter quota.Limiter
 	// Certificates decides which endpoints may run regulated requests; nil: nothing is regulated.
 	Certificates *certification.Gate
 	// Recorder records regulated runs; nil: nothing is recorded.
--- a/internal/proxy/forward/refuse.go
+++ b/internal/proxy/forward/refuse.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dunetide/internal/control/operatorconfig"
+	"dunetide/internal/proxy/identity"
 )
 
 // defaultRetryAfter is the Retry-After if no better estimate is known.
@@ -20,7 +21,17 @@
 	p.answerStatus(w, r, status, retryAfter)
 }
 
-// answerStatus answers a client with a status of the proxy's own, without a body. A 503 has a
+// refuseUnidentified answers 401 to a request or call without a valid key; route is nil if only a job is known.
+func (p *Proxy) refuseUnidentified(
+	w http.ResponseWriter, r *http.Request,
+	route *operatorconfig.Route, asker identity.Identity,
+) {
+	unidentifiedRequests[asker.Outcome].Inc()
+	w.Header().Set("WWW-Authenticate", identity.Challenge)
+	p.refuse(w, r, http.StatusUnauthorized, 0, route)
+}
+
+// answerStatus answers a client with a status of the proxy's own, without a body. A 429 or 503 has a
 // Retry-After header.
 func (p *Proxy) answerStatus(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration) {
 	h := w.Header()
@@ -30,7 +41,7 @@
 	if id := r.Header.Get(headerID); id != "" {
 		h[headerID] = []string{id}
 	}
-	if retryAfter > 0 && status == http.StatusServiceUnavailable {
+	if retryAfter > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(status)
--- a/internal/proxy/forward/retry.go
+++ b/internal/proxy/forward/retry.go
@@ -31,6 +31,7 @@
 		}
 		if verdict != attempt.Retry {
 			x.recordVerdict(verdict, event)
+			x.refundPermit(verdict)
 			p.answerVerdict(x, w, r, verdict, event)
 			return
 		}
