--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -24,7 +24,7 @@
 	case kindAcceptJob:
 		c.acceptJob(p, jobID, body, caller)
 	case kindReadResults:
-		startAfter, waitMs := r.Int(), int64(r.Int())
+		startAfter, waitMs, by := r.Int(), int64(r.Int()), readPrincipal(&r)
 		if r.Err != nil || startAfter < 0 {
 			replyCode(caller, codeUnavailable)
 			return
@@ -32,12 +32,13 @@
 		c.readJob(p, pendingRead{
 			caller:     caller,
 			jobID:      jobID,
+			by:         by,
 			startAfter: startAfter,
 			deadline:   c.nowMs + waitMs,
 			confirmBy:  c.nowMs + waitMs + confirmationWaitMs,
 		})
 	case kindReadItemBody:
-		itemID := r.String()
+		itemID, by := r.String(), readPrincipal(&r)
 		if r.Err != nil { // an empty item ID would be answered with codeNotFound
 			replyCode(caller, codeUnavailable)
 			return
@@ -45,12 +46,18 @@
 		c.readJob(p, pendingRead{
 			caller:    caller,
 			jobID:     jobID,
+			by:        by,
 			itemID:    itemID,
 			readsBody: true,
 			confirmBy: c.nowMs + confirmationWaitMs,
 		})
 	case kindEndJob:
-		c.endJob(p, jobID, caller)
+		by := readPrincipal(&r)
+		if r.Err != nil { // it may name another tenant
+			replyCode(caller, codeUnavailable)
+			return
+		}
+		c.endJob(p, jobID, by, caller)
 	default:
 		replyCode(caller, codeUnavailable)
 	}
@@ -60,20 +67,24 @@
 // while that is in flight.
 func (c *core) acceptJob(p *partition, jobID string, encoded []byte, caller Caller) {
 	primary := p.primary
-	if j := p.jobs[jobID]; j != nil {
-		if j.committed {
-			replyCode(caller, codeOK)
-			return
-		}
-		primary.afterCommit(func(ok bool) { replyAccepted(caller, ok) })
+	j, err := decodeJob(encoded, 0)
+	if err != nil {
+		replyCode(caller, codeUnavailable)
+		return
+	}
+	if known := p.jobs[jobID]; known != nil {
+		c.acceptKnownJob(p, known, j.submitter, caller)
 		return
 	}
 	if incoming := primary.incomingJobs[jobID]; incoming != nil {
+		if !j.submitter.mayUse(incoming.tenant) {
+			replyCode(caller, codeUnavailable) // the outcome of the other tenant's submission is not known yet
+			return
+		}
 		incoming.callers = append(incoming.callers, caller)
 		return
 	}
-	j, err := decodeJob(encoded, 0)
-	if c.stopping || err != nil {
+	if c.stopping {
 		replyCode(caller, codeUnavailable)
 		return
 	}
@@ -84,7 +95,8 @@
 	incoming := &incomingJob{
 		encoded:   encoded,
 		id:        jobID,
-		route:     j.route,
+		tenant:    j.submitter.Tenant,
+		account:   j.account,
 		tokens:    j.openTokens(),
 		maxTokens: j.maxQueuedTokens,
 		callers:   []Caller{caller},
@@ -101,10 +113,25 @@
 	c.reserveTokens(p, incoming)
 }
 
+// acceptKnownJob answers the submission of a job whose ID is that of a known job. No confirmation is needed, as a later
+// primary can't know otherwise: a committed job keeps its ID.
+func (c *core) acceptKnownJob(p *partition, known *job, by Principal, caller Caller) {
+	switch {
+	case known.committed && by.mayUse(known.submitter.Tenant):
+		replyCode(caller, codeOK)
+	case known.committed:
+		replyCode(caller, codeConflict)
+	case by.mayUse(known.submitter.Tenant):
+		p.primary.afterCommit(func(ok bool) { replyAccepted(caller, ok) })
+	default:
+		replyCode(caller, codeUnavailable) // the outcome of the other tenant's submission is not known yet
+	}
+}
+
 // replicateAccept orders a job whose tokens are granted. From here on the job may be stored, even
 // if this store fails, so it can't be refused any more.
 func (c *core) replicateAccept(p *partition, incoming *incomingJob) {
-	c.addUsage(p, incoming.route, incoming.tokens)
+	c.addUsage(p, incoming.account, incoming.tokens)
 	callers := incoming.callers
 	c.replicate(p, encodeAcceptJob(incoming.encoded), func(ok bool) {
 		if ok {
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -32,7 +32,7 @@
 	dispatchDelayMs    = 400  // how long a new primary waits for workers to report what they run
 	dispatchConfirmMs  = 100  // how often dispatch requests a confirmation
 	maintenanceMs      = 500  // how often metrics are set, jobs are checked for expiry and space is reclaimed
-	usageReportMs      = 50   // minimum interval between reports of a route's usage
+	usageReportMs      = 50   // minimum interval between reports of an account's usage
 	reservationRetryMs = 100  // delay before a reservation is retried after the owner was unavailable
 	usageRequestMs     = 100  // how often missing usage is requested
 	staleUsageMs       = 1000 // how often usage reported by an earlier primary is requested again
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -21,11 +21,11 @@
 
 // endJob ends a job: its items are no longer assigned, and workers cancel those that they have
 // before the call is answered.
-func (c *core) endJob(p *partition, jobID string, caller Caller) {
+func (c *core) endJob(p *partition, jobID string, by Principal, caller Caller) {
 	j := p.jobs[jobID]
-	if j == nil || !j.committed {
-		// The job is not known here, which may be answered once this primary is confirmed.
-		c.readJob(p, pendingRead{caller: caller, jobID: jobID, endsJob: true, confirmBy: c.nowMs + confirmationWaitMs})
+	if j == nil || !j.committed || !by.mayUse(j.submitter.Tenant) {
+		// There is no such job for the caller, which may be answered once this primary is confirmed.
+		c.readJob(p, pendingRead{caller: caller, jobID: jobID, by: by, endsJob: true, confirmBy: c.nowMs + confirmationWaitMs})
 		return
 	}
 	end := &pendingEnd{partition: p, jobID: jobID, callers: []Caller{caller}, awaitedWorkers: map[*worker]bool{}}
@@ -47,7 +47,7 @@
 	c.replicate(p, encodeJobOperation(opEndJob, jobID), func(ok bool) {
 		if ok {
 			j.endCommitted = true
-			c.addUsage(p, j.route, -j.openTokens())
+			c.addUsage(p, j.account, -j.openTokens())
 			c.resumeReads(p, j)
 		}
 		done(ok)
--- a/internal/batch/fencing_test.go
+++ b/internal/batch/fencing_test.go
@@ -81,8 +81,8 @@
 	}
 	for kind, body := range map[link.Kind][]byte{
 		kindAcceptJob:   encodedJob("job", 2, 0),
-		kindEndJob:      encodeEndJob("job"),
-		kindReadResults: encodeReadResults("job", 0, 0),
+		kindEndJob:      encodeEndJob("job", Principal{}),
+		kindReadResults: encodeReadResults("job", 0, 0, Principal{}),
 	} {
 		var code uint8
 		old.handleMessage(nil, callerFunc(func(b []byte) { code = b[0] }), kind, body)
@@ -122,7 +122,7 @@
 		t.Error("a late confirmation was accepted")
 	}
 	var code uint8
-	read := encodeReadResults("job", 0, 0)
+	read := encodeReadResults("job", 0, 0, Principal{})
 	c.handleMessage(nil, callerFunc(func(b []byte) { code = b[0] }), kindReadResults, read)
 	g.step(confirmationWaitMs + 100)
 	if code != codeUnavailable {
@@ -178,10 +178,10 @@
 		t.Errorf("a reservation of an older incarnation was answered: %v", pipe.kinds)
 	}
 
-	incoming := &incomingJob{id: "new", route: "b", tokens: 1, maxTokens: 10, encoded: encodedJob("new", 1, 0)}
+	incoming := &incomingJob{id: "new", account: "b", tokens: 1, maxTokens: 10, encoded: encodedJob("new", 1, 0)}
 	p.primary.incomingJobs["new"] = incoming
 	p.primary.reservations[77] = &reservation{
-		route:    "b",
+		account:  "b",
 		number:   77,
 		job:      incoming,
 		deadline: c.nowMs + 10_000,
--- a/internal/batch/frozen_table_test.go
+++ b/internal/batch/frozen_table_test.go
@@ -45,9 +45,13 @@
 		sim.tableFrozen = true
 		wiped := sim.stores[sim.rng.IntN(len(sim.stores))]
 		wipeIn := sim.rng.IntN(5)
-		// If the owner of the quota is lost, no job is accepted, as only a new table could appoint
-		// another one.
-		ownerLost := sim.table.Partitions[sim.table.PartitionOf(quotaKey("b"))].Primary == wiped.core.self
+		// If the owner of a tenant's quota is lost, no job of that tenant is accepted, as only a new table
+		// could appoint another one.
+		ownerLost := map[string]bool{}
+		for _, tenant := range simTenants {
+			owner := sim.table.PartitionOf(quotaKey(accountKey("b", tenant)))
+			ownerLost[tenant] = sim.table.Partitions[owner].Primary == wiped.core.self
+		}
 		for round := range 5 {
 			s := sim.stores[sim.rng.IntN(len(sim.stores))]
 			switch {
@@ -65,17 +69,20 @@
 				sim.violation("round %d: %d of %d jobs can be read", round, read, led)
 			}
 		}
-		taken := 0
+		taken := map[string]int{}
 		for _, id := range sim.jobIDs {
 			if j := sim.jobs[id]; j.accepted && j.acceptedAt > 6000 {
-				taken++
+				taken[j.tenant]++
 			}
 		}
-		if taken < 20 && !ownerLost {
-			sim.violation("only %d jobs were accepted while the table could not change", taken)
-		}
-		if !ownerLost {
+		for _, tenant := range simTenants {
+			if ownerLost[tenant] {
+				continue
+			}
 			counted++
+			if taken[tenant] < 10 {
+				sim.violation("only %d jobs of %s were accepted while the table could not change", taken[tenant], tenant)
+			}
 		}
 		sim.tableFrozen = false
 		if s := sim.nextStore(wiped); seed%2 == 0 { // at the first change of the table, another store is down for a moment
@@ -91,7 +98,7 @@
 			return
 		}
 	}
-	if counted < 8 {
-		t.Errorf("the owner of the quota survived with only %d seeds", counted)
+	if counted < 16 {
+		t.Errorf("the owners of quotas survived only %d times", counted)
 	}
 }
--- a/internal/batch/golden_test.go
+++ b/internal/batch/golden_test.go
@@ -278,7 +278,7 @@
 		replicas:     []uint64{leaderID, followerID},
 		nextReplicas: []uint64{leaderID, joinerID},
 		progress:     map[uint64]*replicaProgress{},
-		usage:        map[string]*routeUsage{},
+		usage:        map[string]*accountUsage{},
 		reservations: map[uint64]*reservation{},
 		accounts:     map[string]*quotaAccount{},
 		incomingJobs: map[string]*incomingJob{},
@@ -432,7 +432,7 @@
 			stage:        stageReplicating,
 			serving:      true,
 			progress:     map[uint64]*replicaProgress{},
-			usage:        map[string]*routeUsage{},
+			usage:        map[string]*accountUsage{},
 			reservations: map[uint64]*reservation{},
 			accounts:     map[string]*quotaAccount{},
 			incomingJobs: map[string]*incomingJob{},
@@ -451,7 +451,7 @@
 		}
 	}
 
-	in := &incomingJob{encoded: goldenJob().encode(), id: goldenJobID, route: route, tokens: 515, maxTokens: 90_105}
+	in := &incomingJob{encoded: goldenJob().encode(), id: goldenJobID, account: route, tokens: 515, maxTokens: 90_105}
 	p.primary.incomingJobs[goldenJobID] = in
 	primary.reserveTokens(p, in)
 	owner.handleMessage(toPrimary, nil, kindReserveTokens, toOwner.next(t, kindReserveTokens, "quota-reserve.bin"))
@@ -502,7 +502,7 @@
 		committed:    -1,
 		replicas:     []uint64{id},
 		progress:     map[uint64]*replicaProgress{},
-		usage:        map[string]*routeUsage{},
+		usage:        map[string]*accountUsage{},
 		reservations: map[uint64]*reservation{},
 		accounts:     map[string]*quotaAccount{},
 		incomingJobs: map[string]*incomingJob{},
@@ -590,17 +590,17 @@
 		if outcome := edge.Submit(t.Context(), goldenJob()); outcome != Accepted {
 			t.Errorf("accept: %d", outcome)
 		}
-		reading, found := edge.ReadResults(t.Context(), goldenJobID, 0, 77*time.Millisecond)
+		reading, found := edge.ReadResults(t.Context(), Principal{}, goldenJobID, 0, 77*time.Millisecond)
 		wantValue(t, "reply-read", []any{reading, found}, []any{
 			ResultPage{Total: 2, Results: []ItemResult{{ID: "item-b", Abandoned: true, Message: []byte("text of b")}}},
 			Found,
 		})
-		if _, found := edge.ReadResults(t.Context(), goldenJobID, 1, 0); found != Found {
+		if _, found := edge.ReadResults(t.Context(), Principal{}, goldenJobID, 1, 0); found != Found {
 			t.Errorf("second read: %d", found)
 		}
-		body, found := edge.ReadItemBody(t.Context(), goldenJobID, "item-b")
+		body, found := edge.ReadItemBody(t.Context(), Principal{}, goldenJobID, "item-b")
 		wantValue(t, "reply-body", []any{body, found}, []any{[]byte{0, 1, 0xfe, 0xff}, Found})
-		if found := edge.EndJob(t.Context(), goldenJobID); found != Found {
+		if found := edge.EndJob(t.Context(), Principal{}, goldenJobID); found != Found {
 			t.Errorf("end: %d", found)
 		}
 	}()
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -122,23 +122,24 @@
 	if v == nil || v.Config == nil {
 		return responseUnavailable
 	}
+	by := principalOf(call, v.Config)
 	if jobID, ok := strings.CutPrefix(call.Path, pathJobs); ok {
 		switch call.Method {
 		case http.MethodGet:
-			return p.serveResults(ctx, call, jobID)
+			return p.serveResults(ctx, call, by, jobID)
 		case http.MethodDelete:
-			return p.serveEnd(ctx, call, jobID)
+			return p.serveEnd(ctx, call, by, jobID)
 		}
 		return Response{Status: http.StatusMethodNotAllowed}
 	}
 	if jobID, ok := strings.CutPrefix(call.Path, pathItems); ok {
-		return p.serveItemBody(ctx, call, jobID)
+		return p.serveItemBody(ctx, call, by, jobID)
 	}
-	return p.serveSubmit(ctx, call, v.Config)
+	return p.serveSubmit(ctx, call, by, v.Config)
 }
 
 // serveResults handles a read of results.
-func (p *Proxy) serveResults(ctx context.Context, call *Call, jobID string) Response {
+func (p *Proxy) serveResults(ctx context.Context, call *Call, by Principal, jobID string) Response {
 	query, _ := url.ParseQuery(call.Query) // invalid parameters are ignored
 	startAfter, err := strconv.Atoi(query.Get("start_after"))
 	if query.Get("start_after") == "" {
@@ -149,7 +150,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.readWait()+call.limitTimeout(readTimeout))
 	defer cancel()
-	page, outcome := p.ReadResults(ctx, jobID, startAfter, call.readWait())
+	page, outcome := p.ReadResults(ctx, by, jobID, startAfter, call.readWait())
 	return resultsResponse(page, startAfter, outcome)
 }
 
@@ -165,10 +166,10 @@
 }
 
 // serveEnd handles the end of a job.
-func (p *Proxy) serveEnd(ctx context.Context, call *Call, jobID string) Response {
+func (p *Proxy) serveEnd(ctx context.Context, call *Call, by Principal, jobID string) Response {
 	ctx, cancel := context.WithTimeout(ctx, call.limitTimeout(endTimeout))
 	defer cancel()
-	switch p.EndJob(ctx, jobID) {
+	switch p.EndJob(ctx, by, jobID) {
 	case Found:
 		return Response{Status: http.StatusOK}
 	case NotFound:
@@ -178,14 +179,14 @@
 }
 
 // serveItemBody handles a read of an item's body.
-func (p *Proxy) serveItemBody(ctx context.Context, call *Call, jobID string) Response {
+func (p *Proxy) serveItemBody(ctx context.Context, call *Call, by Principal, jobID string) Response {
 	query, err := url.ParseQuery(call.Query)
 	if err != nil || call.Method != http.MethodGet {
 		return Response{Status: http.StatusBadRequest}
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.limitTimeout(readTimeout))
 	defer cancel()
-	body, outcome := p.ReadItemBody(ctx, jobID, query.Get("id"))
+	body, outcome := p.ReadItemBody(ctx, by, jobID, query.Get("id"))
 	switch outcome {
 	case Found:
 		return Response{Status: http.StatusOK, ContentType: "application/octet-stream", Body: body}
@@ -196,7 +197,9 @@
 }
 
 // serveSubmit handles the submission of a job.
-func (p *Proxy) serveSubmit(ctx context.Context, call *Call, config *operatorconfig.Config) Response {
+func (p *Proxy) serveSubmit(
+	ctx context.Context, call *Call, by Principal, config *operatorconfig.Config,
+) Response {
 	route := bulkRoute(config, hostOnly(call.Host), call.Path)
 	if route == nil {
 		return Response{Status: http.StatusNotFound}
@@ -210,6 +213,7 @@
 	}
 	j.ConfigVersion = config.Version
 	j.SentMs = time.Now().UnixMilli()
+	j.setSubmitter(by)
 	ctx, cancel := context.WithTimeout(ctx, call.limitTimeout(submitTimeout))
 	defer cancel()
 	switch p.Submit(ctx, j) {
@@ -221,6 +225,8 @@
 		return responseUnavailable
 	case StoresFull:
 		return responseStoresFull
+	case Conflict:
+		return Response{Status: http.StatusConflict}
 	}
 	return Response{}
 }
--- a/internal/batch/idempotence_test.go
+++ b/internal/batch/idempotence_test.go
@@ -71,7 +71,7 @@
 	g.accept(t, "job", 2)
 	_, p := primaryOfJob(t, g)
 	for n := range 3 {
-		if code := g.call("job", kindEndJob, encodeEndJob("job")); code != codeOK {
+		if code := g.call("job", kindEndJob, encodeEndJob("job", Principal{})); code != codeOK {
 			t.Errorf("end %d: answered %d", n, code)
 		}
 	}
@@ -201,7 +201,7 @@
 			answered := 0
 			incoming := &incomingJob{
 				id:        "new",
-				route:     "b",
+				account:   "b",
 				tokens:    1,
 				maxTokens: 1 << 30,
 				encoded:   encodedJob("new", 1, 0),
@@ -209,7 +209,7 @@
 			}
 			primary.incomingJobs["new"] = incoming
 			primary.reservations[number] = &reservation{
-				route:    "b",
+				account:  "b",
 				number:   number,
 				job:      incoming,
 				deadline: c.nowMs + 10_000,
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -19,12 +19,14 @@
 	MaxAttempts int
 	// MaxWaitMs is the age at which items without a result are abandoned; 0: never.
 	MaxWaitMs int64
-	// MaxQueuedTokens is the route's quota: the maximum number of tokens of items without a result,
-	// over all its jobs; 0: no limit.
+	// MaxQueuedTokens is the quota of each tenant on the route: the maximum number of tokens of items
+	// without a result, over all its jobs; 0: no limit.
 	MaxQueuedTokens int64
 	// ConfigVersion is the version of the configuration under which the proxy accepted it.
 	ConfigVersion uint64
 	Items         []JobItem
+	// Submitter is who submitted it. The job belongs to its tenant.
+	Submitter Principal
 }
 
 // JobItem is one request of a batch job.
@@ -33,7 +35,15 @@
 	Path    string
 	Headers [][2]string // name and value
 	Body    []byte
-	Tokens  int64 // that count against the quota of its route
+	Tokens  int64 // that count against the quota of its tenant on the route
+}
+
+// setSubmitter makes the job, and the requests of its items, those of whoever submitted it.
+func (j *Job) setSubmitter(by Principal) {
+	j.Submitter = by
+	for i := range j.Items {
+		j.Items[i].Headers = by.identify(j.Items[i].Headers)
+	}
 }
 
 func (j *Job) encode() []byte {
@@ -60,6 +70,7 @@
 		w.Int(int(it.Tokens))
 		w.Bytes(encodeRequest(it.Path, it.Headers, it.Body))
 	}
+	j.Submitter.appendTo(w)
 	return w.Buf
 }
 
--- a/internal/batch/jobstate.go
+++ b/internal/batch/jobstate.go
@@ -11,6 +11,8 @@
 type job struct {
 	id         string
 	route      string
+	submitter  Principal // the job belongs to its tenant
+	account    string    // on which its tokens count (see accountKey)
 	host       string
 	pathPrefix string
 
@@ -140,6 +142,8 @@
 		it.offset = uint32(len(encoded) - len(r.Buf) - len(request))
 		it.checksum = crc32.Checksum(request, castagnoli)
 	}
+	j.submitter = readPrincipal(&r)
+	j.account = accountKey(j.route, j.submitter.Tenant)
 	return j, r.Err
 }
 
--- a/internal/batch/malformed_test.go
+++ b/internal/batch/malformed_test.go
@@ -131,11 +131,11 @@
 	c, _ := primaryOfJob(t, g)
 	for kind, body := range map[link.Kind][]byte{
 		kindAcceptJob:    encodedJob("job", 2, 0),
-		kindReadResults:  encodeReadResults("job", 0, 0),
-		kindReadItemBody: encodeReadItemBody("job", "item"),
-		kindEndJob:       encodeEndJob("job"),
+		kindReadResults:  encodeReadResults("job", 0, 0, Principal{}),
+		kindReadItemBody: encodeReadItemBody("job", "item", Principal{}),
+		kindEndJob:       encodeEndJob("job", Principal{}),
 	} {
-		begin := len(encodeEndJob("job")) // from this length on the call identifies the job
+		begin := len(encodeEndJob("job", Principal{})) // from this length on the call identifies the job
 		for length := range len(body) {
 			if kind == kindAcceptJob && length >= begin {
 				break // the job exists already, so its ID suffices
@@ -167,9 +167,9 @@
 		kindConfirm:      encodeNumbers(index, term, 1),
 		kindConfirmed:    append(encodeNumbers(index, term, 1), 0),
 		kindAcceptJob:    encodedJob("job", 2, 0),
-		kindReadResults:  encodeReadResults("job", 0, 0),
-		kindReadItemBody: encodeReadItemBody("job", "item"),
-		kindEndJob:       encodeEndJob("job"),
+		kindReadResults:  encodeReadResults("job", 0, 0, Principal{}),
+		kindReadItemBody: encodeReadItemBody("job", "item", Principal{}),
+		kindEndJob:       encodeEndJob("job", Principal{}),
 		kindAttachWorker: encodeAttachWorker("w", "z", 3),
 		kindItemResult:   encodeItemResult(itemKey{index, "job", 0}, false, []byte("text")),
 	} {
--- a/internal/batch/messages.go
+++ b/internal/batch/messages.go
@@ -8,7 +8,8 @@
 // in ms.
 const (
 	// Calls of a proxy to the primary of a partition. Each reply except that to kindHello begins
-	// with a code.
+	// with a code. Those about a job end with the name of the caller's tenant, if the configuration
+	// has tenants (see Principal.appendTo).
 
 	kindHello     link.Kind = 100 + iota // (nothing) -> identity of the store
 	kindAcceptJob                        // encoded job -> code
@@ -51,9 +52,9 @@
 	kindConfirm      // stamp: has this term been replaced?
 	kindConfirmed    // stamp, log full: no newer term is known here; whether there is no space for more jobs
 
-	// Between the primary of a partition and the owner of a route's quota, which is the primary of
-	// the partition that the route hashes to. All begin with route, partition, and the primary's
-	// incarnation.
+	// Between the primary of a partition and the owner of a quota, which is the primary of the
+	// partition that the account hashes to. All begin with account (see accountKey), partition, and
+	// the primary's incarnation.
 
 	kindReserveTokens    // number, tokens, maximum tokens of items without a result
 	kindReservationReply // number, code, the owner's incarnation
@@ -68,33 +69,37 @@
 const (
 	codeOK          uint8 = 1 + iota
 	codeNotFound          // there is no such job or item; confirmed by the replicas
-	codeQuotaFull         // not done: the route's token quota is exhausted
+	codeQuotaFull         // not done: the token quota is exhausted
 	codeUnavailable       // not done, and will not be done
 	codeUnknown           // it may have been done
 	codeLogFull           // not done, and retrying soon is no use: the log of this store or of a replica is full
+	codeConflict          // not done, and will not be done: the ID is that of another tenant's job
 )
 
 // encodeReadResults encodes kindReadResults.
-func encodeReadResults(jobID string, startAfter int, waitMs int64) []byte {
-	w := link.Writer{Buf: make([]byte, 0, 4+len(jobID)+16)}
+func encodeReadResults(jobID string, startAfter int, waitMs int64, by Principal) []byte {
+	w := link.Writer{Buf: make([]byte, 0, 4+len(jobID)+16+4+len(by.Tenant))}
 	w.String(jobID)
 	w.Int(startAfter)
 	w.Int(int(waitMs))
+	by.appendTo(&w)
 	return w.Buf
 }
 
 // encodeReadItemBody encodes kindReadItemBody.
-func encodeReadItemBody(jobID, itemID string) []byte {
-	w := link.Writer{Buf: make([]byte, 0, 8+len(jobID)+len(itemID))}
+func encodeReadItemBody(jobID, itemID string, by Principal) []byte {
+	w := link.Writer{Buf: make([]byte, 0, 8+len(jobID)+len(itemID)+4+len(by.Tenant))}
 	w.String(jobID)
 	w.String(itemID)
+	by.appendTo(&w)
 	return w.Buf
 }
 
 // encodeEndJob encodes kindEndJob.
-func encodeEndJob(jobID string) []byte {
+func encodeEndJob(jobID string, by Principal) []byte {
 	var w link.Writer
 	w.String(jobID)
+	by.appendTo(&w)
 	return w.Buf
 }
 
--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -92,8 +92,8 @@
 	{
 		Name: "a store that stops accepts jobs",
 		File: "calls.go",
-		Old:  "	if c.stopping || err != nil {\n",
-		New:  "	if err != nil {\n",
+		Old:  "	if c.stopping {\n",
+		New:  "	if c.stopping && err != nil {\n",
 	},
 	{
 		Name: "a store ends before others are primaries",
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -21,7 +21,7 @@
 	session         uint64
 	// primary is the state of the primary, nil if this store is not the primary.
 	primary *primaryState
-	// quotaOwnerIncarnations has, by route, the newest incarnation of the quota's owner that this
+	// quotaOwnerIncarnations has, by account, the newest incarnation of the quota's owner that this
 	// store has accepted. Grants of older ones are rejected.
 	quotaOwnerIncarnations map[string]uint64
 }
--- a/internal/batch/primary.go
+++ b/internal/batch/primary.go
@@ -34,11 +34,11 @@
 	pendingReads            []pendingRead // waiting for a confirmation
 	dispatchFrom            int64         // when the first items may be assigned
 
-	usage           map[string]*routeUsage   // by route
+	usage           map[string]*accountUsage // by account
 	usageVersion    uint64                   // of the newest usage report
 	reservations    map[uint64]*reservation  // by their numbers
 	lastReservation uint64                   // number
-	accounts        map[string]*quotaAccount // of the routes whose quota this primary owns
+	accounts        map[string]*quotaAccount // whose quota this primary owns
 	incomingJobs    map[string]*incomingJob  // jobs that wait for their tokens, by ID
 }
 
@@ -116,7 +116,7 @@
 	return &primaryState{
 		incarnation:  term,
 		committed:    -1,
-		usage:        map[string]*routeUsage{},
+		usage:        map[string]*accountUsage{},
 		reservations: map[uint64]*reservation{},
 		accounts:     map[string]*quotaAccount{},
 		incomingJobs: map[string]*incomingJob{},
@@ -174,7 +174,7 @@
 		j.readableResults = len(j.results)
 		j.endCommitted = j.ended
 		if !j.ended {
-			primary.usageOf(j.route).tokens += j.openTokens()
+			primary.usageOf(j.account).tokens += j.openTokens()
 		}
 		c.enqueueJob(j)
 	}
--- a/internal/batch/proxy.go
+++ b/internal/batch/proxy.go
@@ -158,10 +158,11 @@
 // The values of SubmitOutcome.
 const (
 	Accepted    SubmitOutcome = iota // the job is stored
-	QuotaFull                        // not accepted: the quota of the route is exhausted
+	QuotaFull                        // not accepted: the quota is exhausted
 	Unavailable                      // not accepted
 	Unresolved                       // it may have been accepted: the response must promise nothing
 	StoresFull                       // not accepted, and retrying soon is no use: logs are full
+	Conflict                         // not accepted: the ID is that of another tenant's job
 )
 
 // Submit submits a job, with retries until the context is cancelled.
@@ -176,6 +177,8 @@
 		return QuotaFull
 	case code == codeLogFull:
 		return StoresFull
+	case code == codeConflict:
+		return Conflict
 	}
 	return Unavailable
 }
@@ -186,7 +189,7 @@
 // The values of CallOutcome.
 const (
 	Found        CallOutcome = iota // the call was executed
-	NotFound                        // there is certainly no such job or item
+	NotFound                        // there is certainly no such job or item that the caller may use
 	NotConfirmed                    // the outcome is unknown
 )
 
@@ -216,9 +219,9 @@
 // ReadResults reads the results of a job from an index on. If there are none yet it waits up to the
 // given time for one.
 func (p *Proxy) ReadResults(
-	ctx context.Context, jobID string, startAfter int, wait time.Duration,
+	ctx context.Context, by Principal, jobID string, startAfter int, wait time.Duration,
 ) (ResultPage, CallOutcome) {
-	body := encodeReadResults(jobID, startAfter, wait.Milliseconds())
+	body := encodeReadResults(jobID, startAfter, wait.Milliseconds(), by)
 	reply, _ := p.call(ctx, jobID, kindReadResults, body)
 	r := link.Reader{Buf: reply}
 	outcome := callOutcome(r.U8())
@@ -236,8 +239,8 @@
 }
 
 // ReadItemBody reads the body of an item as it was submitted.
-func (p *Proxy) ReadItemBody(ctx context.Context, jobID, itemID string) ([]byte, CallOutcome) {
-	reply, _ := p.call(ctx, jobID, kindReadItemBody, encodeReadItemBody(jobID, itemID))
+func (p *Proxy) ReadItemBody(ctx context.Context, by Principal, jobID, itemID string) ([]byte, CallOutcome) {
+	reply, _ := p.call(ctx, jobID, kindReadItemBody, encodeReadItemBody(jobID, itemID, by))
 	outcome := callOutcome(codeOf(reply))
 	if outcome != Found {
 		return nil, outcome
@@ -246,7 +249,7 @@
 }
 
 // EndJob ends a job: once it returns Found, no more items of the job are started.
-func (p *Proxy) EndJob(ctx context.Context, jobID string) CallOutcome {
-	reply, _ := p.call(ctx, jobID, kindEndJob, encodeEndJob(jobID))
+func (p *Proxy) EndJob(ctx context.Context, by Principal, jobID string) CallOutcome {
+	reply, _ := p.call(ctx, jobID, kindEndJob, encodeEndJob(jobID, by))
 	return callOutcome(codeOf(reply))
 }
--- a/internal/batch/quota.go
+++ b/internal/batch/quota.go
@@ -1,15 +1,20 @@
 package batch
 
-import "dunetide/internal/platform/link"
+import (
+	"slices"
 
-// A route's quota bounds the tokens of its items that have no result, over all partitions. One
-// primary owns the quota of a route (quotaowner.go). The primary of a job's partition reserves the
-// tokens of a job with the owner before it orders the job, and reports to the owner how many tokens
-// are in use in its partition. This file has that primary's side.
+	"dunetide/internal/platform/link"
+)
 
-// routeUsage is the number of tokens of a route that are in use in a partition, as its primary
+// A quota bounds the tokens of a tenant's items on a route that have no result, over all partitions.
+// They count on one account (accountKey), whose quota one primary owns (quotaowner.go). The primary
+// of a job's partition reserves the tokens of a job with the owner before it orders the job, and
+// reports to the owner how many tokens are in use in its partition. This file has that primary's
+// side.
+
+// accountUsage is the number of tokens of an account that are in use in a partition, as its primary
 // knows it.
-type routeUsage struct {
+type accountUsage struct {
 	tokens  int64
 	changed bool // since the last report
 	sentAt  int64
@@ -17,7 +22,7 @@
 
 // reservation is an unanswered request for tokens.
 type reservation struct {
-	route    string
+	account  string
 	number   uint64 // unique in the incarnation of the primary
 	job      *incomingJob
 	deadline int64
@@ -30,9 +35,10 @@
 type incomingJob struct {
 	encoded   []byte
 	id        string
-	route     string
+	tenant    string // that submitted it
+	account   string // on which its tokens count
 	tokens    int64
-	maxTokens int64 // the quota of the route
+	maxTokens int64 // the quota
 	callers   []Caller
 }
 
@@ -43,13 +49,26 @@
 	j.callers = nil
 }
 
-// quotaKey returns the key whose hash gives the partition whose primary owns a route's quota.
-func quotaKey(route string) string { return "quota:" + route }
+// accountSeparator stands between the names of route and tenant in the key of an account. If a name
+// had it too, two accounts could at most count together, which refuses more jobs, never fewer.
+const accountSeparator = "\x00"
+
+// accountKey returns the key of the account on which the tokens of a tenant's jobs on a route count.
+// It is on the wire. Jobs without a tenant have the account that versions without tenants use.
+func accountKey(route, tenant string) string {
+	if tenant == "" {
+		return route
+	}
+	return route + accountSeparator + tenant
+}
+
+// quotaKey returns the key whose hash gives the partition whose primary owns an account's quota.
+func quotaKey(account string) string { return "quota:" + account }
 
-// quotaOwner returns the partition whose primary owns a route's quota, and the store that is that
+// quotaOwner returns the partition whose primary owns an account's quota, and the store that is that
 // primary. The partition is -1 if there is none.
-func (c *core) quotaOwner(route string) (partition int, store uint64) {
-	partition = c.table.PartitionOf(quotaKey(route))
+func (c *core) quotaOwner(account string) (partition int, store uint64) {
+	partition = c.table.PartitionOf(quotaKey(account))
 	if partition < 0 {
 		return -1, 0
 	}
@@ -58,9 +77,9 @@
 
 // encodeQuotaMessage begins a message between a primary and the owner of a quota. It reserves
 // capacity for extraBytes more bytes.
-func encodeQuotaMessage(route string, partition int, incarnation uint64, extraBytes int) link.Writer {
-	w := link.Writer{Buf: make([]byte, 0, 4+len(route)+4+8+extraBytes)}
-	w.String(route)
+func encodeQuotaMessage(account string, partition int, incarnation uint64, extraBytes int) link.Writer {
+	w := link.Writer{Buf: make([]byte, 0, 4+len(account)+4+8+extraBytes)}
+	w.String(account)
 	w.U32(uint32(partition))
 	w.U64(incarnation)
 	return w
@@ -78,7 +97,7 @@
 
 // handleQuotaMessage handles a message between a primary and the owner of a quota.
 func (c *core) handleQuotaMessage(pipe Pipe, kind link.Kind, r *link.Reader) {
-	route, index, incarnation := r.String(), int(r.U32()), r.U64()
+	account, index, incarnation := r.String(), int(r.U32()), r.U64()
 	if r.Err != nil || c.table == nil || index < 0 || index >= len(c.table.Partitions) {
 		return
 	}
@@ -94,7 +113,7 @@
 			deadline:    c.nowMs + reservationWaitMs,
 		}
 		if r.Err == nil {
-			c.handleReservation(route, request)
+			c.handleReservation(account, request)
 		}
 	case kindUsageReport:
 		report := partitionUsage{
@@ -105,7 +124,7 @@
 			resolvedReservations: r.U64(),
 		}
 		if r.Err == nil {
-			c.handleUsageReport(route, index, report)
+			c.handleUsageReport(account, index, report)
 		}
 	case kindReservationReply:
 		number, code, owner := r.U64(), r.U8(), r.U64()
@@ -113,7 +132,7 @@
 			c.handleReservationReply(p, number, code, owner)
 		}
 	case kindUsageRequest:
-		c.handleUsageRequest(c.partition(index), route, incarnation, pipe)
+		c.handleUsageRequest(c.partition(index), account, incarnation, pipe)
 	}
 }
 
@@ -122,7 +141,7 @@
 	primary := p.primary
 	primary.lastReservation++
 	r := &reservation{
-		route:    job.route,
+		account:  job.account,
 		number:   primary.lastReservation,
 		job:      job,
 		deadline: c.nowMs + reservationWaitMs,
@@ -133,13 +152,13 @@
 
 // sendReservation sends a reservation if the owner is connected; otherwise tickQuota retries.
 func (c *core) sendReservation(p *partition, r *reservation) {
-	_, store := c.quotaOwner(r.route)
+	_, store := c.quotaOwner(r.account)
 	pipe := c.peers[store]
 	if pipe == nil && store != c.self {
 		return
 	}
 	r.sent, r.sentTo = true, store
-	w := encodeQuotaMessage(r.route, p.index, p.primary.incarnation, 24)
+	w := encodeQuotaMessage(r.account, p.index, p.primary.incarnation, 24)
 	w.U64(r.number)
 	w.Int(int(r.job.tokens))
 	w.Int(int(r.job.maxTokens))
@@ -165,11 +184,11 @@
 	if r == nil {
 		return
 	}
-	if code == codeUnavailable || owner < p.quotaOwnerIncarnations[r.route] {
+	if code == codeUnavailable || owner < p.quotaOwnerIncarnations[r.account] {
 		r.sent, r.retryAt = false, c.nowMs+reservationRetryMs
 		return
 	}
-	p.quotaOwnerIncarnations[r.route] = owner
+	p.quotaOwnerIncarnations[r.account] = owner
 	primary.resolveReservation(r)
 	if code != codeOK {
 		r.job.reply(code)
@@ -182,7 +201,7 @@
 func (s *primaryState) resolveReservation(r *reservation) {
 	delete(s.reservations, r.number)
 	delete(s.incomingJobs, r.job.id)
-	s.usageOf(r.route).changed = true
+	s.usageOf(r.account).changed = true
 }
 
 // resolvedReservations returns the number up to which all reservations are resolved.
@@ -194,30 +213,30 @@
 	return resolved
 }
 
-func (s *primaryState) usageOf(route string) *routeUsage {
-	usage := s.usage[route]
+func (s *primaryState) usageOf(account string) *accountUsage {
+	usage := s.usage[account]
 	if usage == nil {
-		usage = &routeUsage{sentAt: never}
-		s.usage[route] = usage
+		usage = &accountUsage{sentAt: never}
+		s.usage[account] = usage
 	}
 	return usage
 }
 
-// addUsage adds to the tokens of a route that are in use, or subtracts if the number is negative.
-func (c *core) addUsage(p *partition, route string, tokens int64) {
+// addUsage adds to the tokens of an account that are in use, or subtracts if the number is negative.
+func (c *core) addUsage(p *partition, account string, tokens int64) {
 	if primary := p.primary; primary != nil && tokens != 0 {
-		usage := primary.usageOf(route)
+		usage := primary.usageOf(account)
 		usage.tokens += tokens
 		usage.changed = true
 	}
 }
 
-// sendUsage reports to the owner of a route's quota how many tokens are in use here.
-func (c *core) sendUsage(p *partition, route string, pipe Pipe) {
+// sendUsage reports to the owner of an account's quota how many tokens are in use here.
+func (c *core) sendUsage(p *partition, account string, pipe Pipe) {
 	primary := p.primary
-	usage := primary.usageOf(route)
+	usage := primary.usageOf(account)
 	primary.usageVersion++
-	w := encodeQuotaMessage(route, p.index, primary.incarnation, 32)
+	w := encodeQuotaMessage(account, p.index, primary.incarnation, 32)
 	w.U64(p.epoch)
 	w.U64(primary.usageVersion)
 	w.Int(int(usage.tokens))
@@ -226,11 +245,11 @@
 	c.sendQuotaMessage(pipe, kindUsageReport, w.Buf)
 }
 
-// sendUsageTo reports the usage of all routes whose quota a store owns.
+// sendUsageTo reports the usage of all accounts whose quota a store owns.
 func (c *core) sendUsageTo(p *partition, store uint64) {
-	for _, route := range sortedKeys(p.primary.usage) {
-		if _, owner := c.quotaOwner(route); owner == store {
-			c.sendUsage(p, route, c.peers[store])
+	for _, account := range sortedKeys(p.primary.usage) {
+		if _, owner := c.quotaOwner(account); owner == store {
+			c.sendUsage(p, account, c.peers[store])
 		}
 	}
 }
@@ -241,27 +260,35 @@
 		if p.primary == nil || !p.primary.serving {
 			continue
 		}
-		for _, route := range sortedKeys(p.primary.usage) {
-			usage := p.primary.usage[route]
-			if !usage.changed || c.nowMs-usage.sentAt < usageReportMs {
-				continue
-			}
-			_, owner := c.quotaOwner(route)
+		for _, account := range c.reportableAccounts(p.primary) {
+			_, owner := c.quotaOwner(account)
 			if pipe := c.peers[owner]; pipe != nil || owner == c.self {
-				c.sendUsage(p, route, pipe)
+				c.sendUsage(p, account, pipe)
 			}
 		}
 	}
 }
 
+// reportableAccounts returns the accounts whose usage has changed and may be reported now, in order. There may be many
+// accounts, of which few change at a time.
+func (c *core) reportableAccounts(primary *primaryState) (accounts []string) {
+	for account, usage := range primary.usage {
+		if usage.changed && c.nowMs-usage.sentAt >= usageReportMs {
+			accounts = append(accounts, account)
+		}
+	}
+	slices.Sort(accounts)
+	return accounts
+}
+
 // handleUsageRequest handles a usage request from the owner of a quota. From then on, grants of
 // older owners are ignored.
-func (c *core) handleUsageRequest(p *partition, route string, owner uint64, pipe Pipe) {
-	if p.primary == nil || !p.primary.serving || owner < p.quotaOwnerIncarnations[route] {
+func (c *core) handleUsageRequest(p *partition, account string, owner uint64, pipe Pipe) {
+	if p.primary == nil || !p.primary.serving || owner < p.quotaOwnerIncarnations[account] {
 		return
 	}
-	p.quotaOwnerIncarnations[route] = owner
-	c.sendUsage(p, route, pipe)
+	p.quotaOwnerIncarnations[account] = owner
+	c.sendUsage(p, account, pipe)
 }
 
 // tickQuota retries what was not answered, and rejects what has timed out.
--- a/internal/batch/quotaowner.go
+++ b/internal/batch/quotaowner.go
@@ -2,13 +2,13 @@
 
 import "slices"
 
-// The owner of a route's quota is the primary of the partition that the route hashes to. It stores
+// The owner of a quota is the primary of the partition that the account hashes to. It stores
 // nothing on disk: a new owner requests the usage of all primaries before it grants anything.
 
-// quotaAccount is the owner's state of a route's quota: for each partition an upper bound of the
+// quotaAccount is the owner's state of an account: for each partition an upper bound of the
 // tokens in use there.
 type quotaAccount struct {
-	route            string
+	key              string // see accountKey
 	incarnation      uint64 // of this owner, as a primary
 	usage            map[int]*partitionUsage
 	pending          []pendingReservation // waiting until the usage of all partitions is known
@@ -43,10 +43,10 @@
 	deadline    int64
 }
 
-// ownedAccount returns the account of a route; nil if this store does not own the quota, or does
+// ownedAccount returns an account; nil if this store does not own the quota, or does
 // not serve the owner's partition yet.
-func (c *core) ownedAccount(route string) *quotaAccount {
-	index, store := c.quotaOwner(route)
+func (c *core) ownedAccount(key string) *quotaAccount {
+	index, store := c.quotaOwner(key)
 	if index < 0 || store != c.self {
 		return nil
 	}
@@ -54,15 +54,15 @@
 	if primary == nil || !primary.serving {
 		return nil
 	}
-	account := primary.accounts[route]
+	account := primary.accounts[key]
 	if account == nil {
 		account = &quotaAccount{
-			route:            route,
+			key:              key,
 			incarnation:      primary.incarnation,
 			usage:            map[int]*partitionUsage{},
 			usageRequestedAt: never,
 		}
-		primary.accounts[route] = account
+		primary.accounts[key] = account
 	}
 	return account
 }
@@ -77,7 +77,7 @@
 	return usage
 }
 
-// countedTokens returns the upper bound of the tokens in use on the route: those reported, and
+// countedTokens returns the upper bound of the tokens in use on the account: those reported, and
 // those granted since.
 func (a *quotaAccount) countedTokens() (tokens int64) {
 	for _, usage := range a.usage {
@@ -100,10 +100,10 @@
 }
 
 // handleReservation handles a primary's request for tokens.
-func (c *core) handleReservation(route string, request pendingReservation) {
-	account := c.ownedAccount(route)
+func (c *core) handleReservation(key string, request pendingReservation) {
+	account := c.ownedAccount(key)
 	if account == nil {
-		c.sendReservationReply(route, 0, request, codeUnavailable)
+		c.sendReservationReply(key, 0, request, codeUnavailable)
 		return
 	}
 	account.pending = append(account.pending, request)
@@ -112,8 +112,8 @@
 
 // handleUsageReport handles a usage report from a primary. Repeated and outdated reports are
 // ignored.
-func (c *core) handleUsageReport(route string, partition int, report partitionUsage) {
-	account := c.ownedAccount(route)
+func (c *core) handleUsageReport(key string, partition int, report partitionUsage) {
+	account := c.ownedAccount(key)
 	if account == nil {
 		return
 	}
@@ -140,7 +140,7 @@
 		if pipe == nil && store != c.self {
 			continue
 		}
-		w := encodeQuotaMessage(account.route, index, account.incarnation, 0)
+		w := encodeQuotaMessage(account.key, index, account.incarnation, 0)
 		c.sendQuotaMessage(pipe, kindUsageRequest, w.Buf)
 	}
 }
@@ -180,27 +180,27 @@
 	if request.incarnation > usage.incarnation {
 		// The usage of this new primary is not known yet. It reports its usage when it begins to
 		// serve.
-		c.sendReservationReply(account.route, account.incarnation, request, codeUnavailable)
+		c.sendReservationReply(account.key, account.incarnation, request, codeUnavailable)
 		return
 	}
 	for _, grant := range usage.grants {
 		if grant.number == request.number {
-			c.sendReservationReply(account.route, account.incarnation, request, codeOK)
+			c.sendReservationReply(account.key, account.incarnation, request, codeOK)
 			return
 		}
 	}
 	if account.countedTokens()+request.tokens > request.maxTokens {
-		c.sendReservationReply(account.route, account.incarnation, request, codeQuotaFull)
+		c.sendReservationReply(account.key, account.incarnation, request, codeQuotaFull)
 		return
 	}
 	usage.grants = append(usage.grants, tokenGrant{request.number, request.tokens})
-	c.sendReservationReply(account.route, account.incarnation, request, codeOK)
+	c.sendReservationReply(account.key, account.incarnation, request, codeOK)
 }
 
 // sendReservationReply answers a reservation. Owner is the incarnation of the owner; 0 if this
 // store is not the owner.
-func (c *core) sendReservationReply(route string, owner uint64, request pendingReservation, code uint8) {
-	w := encodeQuotaMessage(route, request.partition, request.incarnation, 17)
+func (c *core) sendReservationReply(key string, owner uint64, request pendingReservation, code uint8) {
+	w := encodeQuotaMessage(key, request.partition, request.incarnation, 17)
 	w.U64(request.number)
 	w.U8(code)
 	w.U64(owner)
@@ -212,7 +212,7 @@
 	pending := a.pending
 	a.pending = nil
 	for _, request := range pending {
-		c.sendReservationReply(a.route, a.incarnation, request, codeUnavailable)
+		c.sendReservationReply(a.key, a.incarnation, request, codeUnavailable)
 	}
 }
 
@@ -220,8 +220,8 @@
 // possible, and requests the usage of partitions for which only a primary of an earlier epoch has
 // reported usage.
 func (c *core) refreshAccounts(primary *primaryState) {
-	for _, route := range sortedKeys(primary.accounts) {
-		account := primary.accounts[route]
+	for _, key := range sortedKeys(primary.accounts) {
+		account := primary.accounts[key]
 		account.pending = slices.DeleteFunc(account.pending, func(request pendingReservation) bool {
 			return c.nowMs >= request.deadline
 		})
--- a/internal/batch/reads.go
+++ b/internal/batch/reads.go
@@ -11,12 +11,13 @@
 type pendingRead struct {
 	caller     Caller
 	jobID      string
+	by         Principal
 	itemID     string // the item whose body is read
 	startAfter int    // index of the first result to read
 	deadline   int64  // until when it waits for a result
 	confirmBy  int64  // until when it waits for a confirmation after that
 	readsBody  bool
-	endsJob    bool // the call ends a job that is not known here
+	endsJob    bool // the call ends a job that is not known here, or belongs to another tenant
 }
 
 func rejectReads(reads []pendingRead) {
@@ -29,11 +30,11 @@
 // primary.
 func (c *core) readJob(p *partition, read pendingRead) {
 	j := p.jobs[read.jobID]
-	if j != nil && !j.committed {
-		j = nil
+	if j != nil && (!j.committed || !read.by.mayUse(j.submitter.Tenant)) {
+		j = nil // answered alike, so nobody learns of other tenants' jobs
 	}
 	if j != nil && read.endsJob {
-		c.endJob(p, read.jobID, read.caller)
+		c.endJob(p, read.jobID, read.by, read.caller)
 		return
 	}
 	if j != nil && c.awaitsResult(j, &read) {
--- a/internal/batch/scenarios_test.go
+++ b/internal/batch/scenarios_test.go
@@ -13,7 +13,7 @@
 		sim.addWorker(fmt.Sprintf("p%d", i))
 	}
 	sim.run(400)
-	sim.beforeStep = hook
+	sim.beforeStep, sim.calm = hook, hook == nil
 	a := sim.newJob("a", 10, 10, 10, 10, 10)
 	b := sim.newJob("b", 20, 20)
 	c := sim.newJob("c", 30, 30)
--- a/internal/batch/simclients_test.go
+++ b/internal/batch/simclients_test.go
@@ -12,6 +12,7 @@
 // clientJob is the clients' view of a job.
 type clientJob struct {
 	id           string
+	tenant       string // whose keys its clients have
 	items        []string
 	tokens       []int64
 	extraMs      float64 // additional duration of each item
@@ -289,10 +290,29 @@
 	})
 }
 
+// simTenants are the tenants whose clients submit jobs, in turn.
+var simTenants = []string{"rizzo", "salvo"}
+
+func principalOfTenant(tenant string) Principal { return Principal{HasTenants: true, Tenant: tenant} }
+
+// principal is that of a client of the tenant that submits the job.
+func (j *clientJob) principal() Principal { return principalOfTenant(j.tenant) }
+
+// stranger is a client of another tenant.
+func (j *clientJob) stranger() Principal {
+	for _, tenant := range simTenants {
+		if tenant != j.tenant {
+			return principalOfTenant(tenant)
+		}
+	}
+	return principalOfTenant("")
+}
+
 // newJob adds a job for clients to submit.
 func (sim *simulation) newJob(id string, tokens ...int64) *clientJob {
 	j := &clientJob{
 		id:        id,
+		tenant:    simTenants[len(sim.jobIDs)%len(simTenants)],
 		tokens:    tokens,
 		positions: map[int]string{},
 		readAt:    map[int]int64{},
@@ -319,6 +339,7 @@
 		MaxAttempts:     2,
 		MaxQueuedTokens: sim.maxQueuedTokens,
 		ConfigVersion:   1,
+		Submitter:       j.principal(),
 	}
 	for i, id := range j.items {
 		out.Items = append(out.Items, JobItem{ID: id, Path: "/b/1", Body: []byte("body of " + id), Tokens: j.tokens[i]})
@@ -344,6 +365,9 @@
 				sim.checkQuota()
 			}
 		case codeQuotaFull, codeUnavailable:
+			if code == codeQuotaFull {
+				sim.checkQuotaRefusal(j)
+			}
 			j.refusals++
 			if j.refusals == j.attempts && len(j.started) > 0 {
 				sim.violation("job %s ran although all its submissions were rejected", j.id)
@@ -355,21 +379,39 @@
 	})
 }
 
-// checkQuota checks the quota after a job has been accepted.
+// checkQuota checks the quota of each tenant after a job has been accepted.
 func (sim *simulation) checkQuota() {
-	var sum int64
+	inUse := map[string]int64{}
 	for _, j := range sim.jobs {
 		if !j.accepted || j.endRequested {
 			continue
 		}
 		for i, id := range j.items {
 			if !j.finished[id] {
-				sum += j.tokens[i]
+				inUse[j.tenant] += j.tokens[i]
 			}
 		}
 	}
-	if sim.maxQueuedTokens > 0 && sum > sim.maxQueuedTokens {
-		sim.violation("%d tokens are in use, over the quota of %d", sum, sim.maxQueuedTokens)
+	for _, tenant := range simTenants {
+		if sim.maxQueuedTokens > 0 && inUse[tenant] > sim.maxQueuedTokens {
+			sim.violation("%d tokens of %s are in use, over the quota of %d", inUse[tenant], tenant, sim.maxQueuedTokens)
+		}
+	}
+}
+
+// checkQuotaRefusal checks that a job that was refused for the quota would not have fitted. With faults that is not
+// certain: a grant whose answer was lost counts until the next report.
+func (sim *simulation) checkQuotaRefusal(refused *clientJob) {
+	var submitted int64
+	for _, j := range sim.jobs {
+		for _, tokens := range j.tokens {
+			if j.tenant == refused.tenant && j.attempts > 0 {
+				submitted += tokens
+			}
+		}
+	}
+	if sim.calm && submitted <= sim.maxQueuedTokens {
+		sim.violation("job %s of %s was refused, though all its jobs have %d tokens", refused.id, refused.tenant, submitted)
 	}
 }
 
@@ -387,7 +429,7 @@
 // readResults reads the results of a job and checks the answer.
 func (proxy *simWorker) readResults(j *clientJob, after int, wait int64, then func(ok bool)) {
 	sim := proxy.simulation
-	proxy.call(j.id, kindReadResults, encodeReadResults(j.id, after, wait), float64(wait)+1200, func(b []byte, _ bool) {
+	proxy.call(j.id, kindReadResults, encodeReadResults(j.id, after, wait, j.principal()), float64(wait)+1200, func(b []byte, _ bool) {
 		r := link.Reader{Buf: b}
 		ok := false
 		switch r.U8() {
@@ -453,14 +495,35 @@
 		after = sim.rng.IntN(n + 1)
 	}
 	proxy.readResults(j, after, int64(sim.rng.IntN(300)), nil)
+	if sim.calm { // with faults the scenario keeps its steps, and healAndCheck calls as a stranger
+		proxy.readAsStranger(j)
+	}
 	sim.after(60+sim.rng.Float64()*100, func() { sim.readRepeatedly(j, until) })
 }
 
+// readAsStranger calls about a job with a key of another tenant, for which it must not exist.
+func (proxy *simWorker) readAsStranger(j *clientJob) {
+	for _, m := range []struct {
+		kind link.Kind
+		body []byte
+	}{
+		{kindReadResults, encodeReadResults(j.id, 0, 0, j.stranger())},
+		{kindReadItemBody, encodeReadItemBody(j.id, j.items[0], j.stranger())},
+		{kindEndJob, encodeEndJob(j.id, j.stranger())},
+	} {
+		proxy.call(j.id, m.kind, m.body, 1500, func(b []byte, _ bool) {
+			if code := codeOf(b); code != 0 && code != codeNotFound && code != codeUnavailable {
+				proxy.simulation.violation("call of kind %d about job %s of %s by another tenant: code %d", m.kind, j.id, j.tenant, code)
+			}
+		})
+	}
+}
+
 // endUntilAcknowledged ends a job, with retries until that is acknowledged.
 func (sim *simulation) endUntilAcknowledged(j *clientJob) {
 	proxy := sim.workers[sim.rng.IntN(len(sim.workers))]
 	j.endRequested = true
-	proxy.call(j.id, kindEndJob, encodeEndJob(j.id), 1500, func(b []byte, _ bool) {
+	proxy.call(j.id, kindEndJob, encodeEndJob(j.id, j.principal()), 1500, func(b []byte, _ bool) {
 		if len(b) > 0 && b[0] == codeOK {
 			if !j.ended {
 				j.ended, j.endedAt = true, sim.nowMs()
@@ -495,6 +558,7 @@
 		if !j.accepted {
 			continue
 		}
+		sim.workers[0].readAsStranger(j)
 		read, had := false, len(j.positions)
 		sim.workers[0].readResults(j, 0, 0, func(ok bool) { read = ok })
 		sim.run(1500)
@@ -510,7 +574,7 @@
 		}
 		sim.resultsRead += len(j.positions)
 		body := ""
-		request := encodeReadItemBody(id, j.items[0])
+		request := encodeReadItemBody(id, j.items[0], j.principal())
 		sim.workers[0].call(id, kindReadItemBody, request, 1000, func(b []byte, _ bool) { body = string(b) })
 		sim.run(1500)
 		if want := string([]byte{codeOK}) + "body of " + j.items[0]; body != want {
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -39,6 +39,7 @@
 	partitionCount  int
 	trace           func(format string, args ...any)
 	beforeStep      func() // called before each step
+	calm            bool   // no faults
 	tableFrozen     bool   // keepers have no majority: the table can't change
 	resultsRead     int
 	drainedStores   int // stores that stopped after others had taken over the lead of their partitions
--- a/internal/batch/space_test.go
+++ b/internal/batch/space_test.go
@@ -108,7 +108,7 @@
 	c := g.primaryOf(id)
 	var answer []byte
 	caller := callerFunc(func(b []byte) { answer = bytes.Clone(b) })
-	c.handleMessage(nil, caller, kindReadResults, encodeReadResults(id, 0, 0))
+	c.handleMessage(nil, caller, kindReadResults, encodeReadResults(id, 0, 0, Principal{}))
 	for range 5 {
 		g.deliverAll()
 	}
@@ -189,7 +189,7 @@
 // read reads a job and waits until the replicas have answered.
 func (g *storeRig) read(id string) {
 	c := g.primaryOf(id)
-	c.handleMessage(nil, callerFunc(func([]byte) {}), kindReadResults, encodeReadResults(id, 0, 0))
+	c.handleMessage(nil, callerFunc(func([]byte) {}), kindReadResults, encodeReadResults(id, 0, 0, Principal{}))
 	g.step(1000)
 }
 
--- a/internal/batch/workers.go
+++ b/internal/batch/workers.go
@@ -225,7 +225,7 @@
 			resultsCommitted.Inc()
 			checkReadable(j)
 			if !j.endCommitted {
-				c.addUsage(p, j.route, -tokens)
+				c.addUsage(p, j.account, -tokens)
 			}
 			c.resumeReads(p, j)
 		}
