Dispatch: a tenant's priority precedes that of the route

Callers of tenants with a high priority waited behind those of others, as only the route's priority ordered the queue of a proxy.

compareUrgency now goes by the tenant's priority, the route's, the deadline and the arrival; bulk stays behind interactive requests and goes by due time. The load up to which a late request may be started follows the same order: a step of the tenant's priority counts as all steps that the routes of the service may have, down to half of the slots, so that an endpoint with half of its slots free is not withheld. A request without a tenant has priority 0, the highest, so configurations without tenants are served as before.

--- a/internal/proxy/dispatch/core.go
+++ b/internal/proxy/dispatch/core.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/control/snapshot"
 	"dunetide/internal/platform/sendlog"
 )
@@ -37,6 +38,9 @@
 	maxConns    int         // connections to an endpoint, of all senders; 0: not bounded
 	capacity    int         // configured slots of an endpoint; 0: unknown
 	cacheTokens int64       // configured size of an endpoint's prefix cache; 0: unknown
+	// routePriorities is the number of priorities that the interactive routes of the service may
+	// have: one more than the highest number.
+	routePriorities int
 
 	firstTokenFit  linearFit     // ms to the first token, by tokens to prefill
 	runTime        movingAverage // ms from the grant to the end
@@ -104,9 +108,10 @@
 	p := c.pools[service]
 	if p == nil {
 		p = &pool{
-			service:       service,
-			firstTokenFit: initialFit(),
-			runTime:       movingAverage{float64(initialRunTime.Milliseconds())},
+			service:         service,
+			routePriorities: 1,
+			firstTokenFit:   initialFit(),
+			runTime:         movingAverage{float64(initialRunTime.Milliseconds())},
 		}
 		c.pools[service] = p
 		c.poolOrder = append(c.poolOrder, p)
@@ -162,6 +167,21 @@
 		if service.Engine != nil {
 			p.capacity, p.cacheTokens = service.Engine.Capacity, service.Engine.CacheTokens
 		}
+		p.routePriorities = 1
+	}
+	for i := range s.Config.Routes {
+		c.countRoutePriorities(&s.Config.Routes[i])
+	}
+}
+
+// countRoutePriorities raises the number of priorities in the pools of a route to include its own.
+func (c *core) countRoutePriorities(route *operatorconfig.Route) {
+	if route.Kind == operatorconfig.Bulk {
+		return
+	}
+	for _, share := range route.Shares {
+		p := c.pool(share.Service)
+		p.routePriorities = max(p.routePriorities, route.Priority+1)
 	}
 }
 
--- a/internal/proxy/dispatch/dispatch.go
+++ b/internal/proxy/dispatch/dispatch.go
@@ -20,7 +20,8 @@
 	Arrived   time.Time    // when it was first ready for admission; zero: now
 	Deadline  time.Time    // when the answer must be complete; zero if there is none
 	Due       time.Time    // after which the answer is worth less; zero if there is none
-	// TenantPriority is the priority of the tenant, which precedes that of the route. 0 is the highest.
+	// TenantPriority is the priority of the tenant, which precedes that of the route. 0 is the highest,
+	// and is that of requests without a tenant.
 	TenantPriority int
 	Bulk           bool     // it waits until its context ends and is not refused; interactive requests go first
 	Avoid          []string // ids of endpoint incarnations to which it must not be sent
--- a/internal/proxy/dispatch/doc.go
+++ b/internal/proxy/dispatch/doc.go
@@ -5,8 +5,8 @@
 // A Dispatcher wraps a core, which makes all decisions and has neither a clock nor goroutines, so
 // that it can be stepped in tests. For each request the core
 //
-//   - queues the request by priority and deadline, or refuses it at once if it cannot be served in
-//     time (admission.go, queue.go);
+//   - queues the request by the priority of its tenant, that of its route and its deadline, or
+//     refuses it at once if it cannot be served in time (admission.go, queue.go);
 //   - finds the endpoints with capacity: below their rate limit (ratelimit.go), with a free slot or
 //     a queue that is short enough (capacity.go, load.go), not ejected as outliers (ejection.go);
 //   - chooses the cheapest of them (selection.go) by the expected time to the first token and other
--- a/internal/proxy/dispatch/harness_test.go
+++ b/internal/proxy/dispatch/harness_test.go
@@ -181,7 +181,7 @@
 		if len(a.Vals) > 0 {
 			continue
 		}
-		r := &Request{ID: a.Key, Model: c.arg("model"), Bulk: c.number("bulk", 0) == 1,
+		r := &Request{ID: a.Key, Model: c.arg("model"), Bulk: c.number("bulk", 0) == 1, TenantPriority: c.number("tenant", 0),
 			Route: &operatorconfig.Route{Kind: operatorconfig.RouteKind(c.number("kind", 0)), LatencyTargetMs: c.number("aim", 400), Priority: c.number("priority", 0)}}
 		if avoid := c.arg("avoid"); avoid != "" {
 			r.Avoid = strings.Split(avoid, "+")
--- a/internal/proxy/dispatch/queue.go
+++ b/internal/proxy/dispatch/queue.go
@@ -26,30 +26,29 @@
 	decided func(*waiter)
 }
 
-// compareUrgency compares the positions of two requests in a queue: first interactive ones by priority
-// and deadline, then bulk by due time. It returns a negative number if a goes first.
+// compareUrgency compares the positions of two requests in a queue and returns a negative number if a
+// goes first. Interactive requests precede bulk. They go by the priority of their tenant, then of
+// their route, then by deadline; bulk goes by due time. The order is total: ties go by arrival.
 func compareUrgency(a, b *waiter) int {
-	switch {
-	case a.request.Bulk != b.request.Bulk:
-		if b.request.Bulk {
-			return -1
+	if a.request.Bulk != b.request.Bulk {
+		if a.request.Bulk {
+			return 1
 		}
-		return 1
-	case !a.request.Bulk && priority(a.request) != priority(b.request):
-		return priority(a.request) - priority(b.request)
+		return -1
 	}
-	endA, endB := a.deadline, b.deadline
 	if a.request.Bulk {
-		endA, endB = a.due, b.due
-	}
-	if endA != endB {
-		return cmp.Compare(endA, endB)
+		return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.sequence, b.sequence))
 	}
-	return cmp.Compare(a.sequence, b.sequence)
+	return cmp.Or(
+		cmp.Compare(a.request.TenantPriority, b.request.TenantPriority),
+		cmp.Compare(routePriority(a.request), routePriority(b.request)),
+		cmp.Compare(a.deadline, b.deadline),
+		cmp.Compare(a.sequence, b.sequence),
+	)
 }
 
-// priority returns the priority of a request. Lower numbers are more urgent.
-func priority(r *Request) int {
+// routePriority returns the priority of a request's route. Lower numbers are more urgent.
+func routePriority(r *Request) int {
 	if r.Route == nil {
 		return 0
 	}
--- a/internal/proxy/dispatch/selection.go
+++ b/internal/proxy/dispatch/selection.go
@@ -12,6 +12,9 @@
 	// urgencyFactor reduces the load at which a late request may still be started, for each step of
 	// lower priority.
 	urgencyFactor = 0.8
+	// minTenantLoadShare is the share of the load limit for late requests that remains to a tenant of
+	// any priority: an endpoint with half of its slots free has capacity to spare.
+	minTenantLoadShare = 0.5
 )
 
 // candidates are the endpoints that may serve a request.
@@ -116,7 +119,7 @@
 
 // estimateAllows reports whether to start a run whose first token is expected after ms milliseconds.
 // The first token must come before the deadline. If it comes after the due time, the load must be
-// low, and the lower, the less urgent the route is. An estimate that refuses all requests would
+// low, and the lower, the less urgent its tenant and its route are. An estimate that refuses all requests would
 // never be corrected, so it is ignored if no first token has come for Settings.MaxEstimateAge.
 func (c *core) estimateAllows(e *endpoint, w *waiter, ms float64) bool {
 	if w.request.Bulk {
@@ -133,6 +136,18 @@
 	if w.due == 0 || at <= w.due {
 		return true
 	}
-	urgency := math.Pow(urgencyFactor, float64(priority(w.request)))
-	return e.load(c) < float64(e.slots())*c.settings.QueueLate*urgency
+	return e.load(c) < float64(e.slots())*c.settings.QueueLate*e.pool.lateLoadShare(w.request)
+}
+
+// lateLoadShare returns the share of the load limit for late requests up to which a request may be
+// started. It never rises in the order of compareUrgency: each step of lower priority reduces it, and
+// a step of the tenant's counts as much as all steps that the routes of the pool may have.
+func (p *pool) lateLoadShare(r *Request) float64 {
+	steps := r.TenantPriority*p.routePriorities + routePriority(r)
+	share := math.Pow(urgencyFactor, float64(steps))
+	if r.TenantPriority == 0 {
+		return share
+	}
+	leastOfFirstTenants := math.Pow(urgencyFactor, float64(p.routePriorities-1))
+	return max(share, min(minTenantLoadShare, leastOfFirstTenants))
 }
