--- a/cmd/dunetide/batchcalls.go
+++ b/cmd/dunetide/batchcalls.go
@@ -112,15 +112,7 @@
 	defer b.bodies.Release(len(body))
 	ctx, cancel := context.WithTimeout(r.Context(), batchCallTimeout)
 	defer cancel()
-	a := b.jobs.Serve(ctx, &batch.Call{
-		Method: r.Method,
-		Host:   r.Host,
-		Tenant: tenant,
-		Path:   r.URL.Path,
-		Query:  r.URL.RawQuery,
-		Header: r.Header.Get,
-		Body:   body,
-	})
+	a := b.jobs.Serve(ctx, newBatchCall(r, tenant, body))
 	if a.Status == 0 {
 		panic(http.ErrAbortHandler) // closes the connection: the outcome of the call is unknown
 	}
@@ -136,6 +128,19 @@
 	_, _ = w.Write(a.Body)
 }
 
+// newBatchCall returns a client's call as package batch takes it.
+func newBatchCall(r *http.Request, tenant string, body []byte) *batch.Call {
+	return &batch.Call{
+		Method: r.Method,
+		Host:   r.Host,
+		Tenant: tenant,
+		Path:   r.URL.Path,
+		Query:  r.URL.RawQuery,
+		Header: r.Header.Get,
+		Body:   body,
+	}
+}
+
 // readBody reads the complete body of a call within the client's time limit. The status is 0, or the
 // HTTP status with which to refuse the call.
 func (b *batchCalls) readBody(
--- a/cmd/dunetide/batchcalls_test.go
+++ b/cmd/dunetide/batchcalls_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"dunetide/internal/control/operatorconfig"
@@ -35,3 +37,15 @@
 		}
 	}
 }
+
+// TestBatchCallNamesTheTenant guards against calls that are served as everybody's, or for the tenant that a client names.
+func TestBatchCallNamesTheTenant(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "/lots/a?start_after=3", nil)
+	r.Host = "h.example"
+	r.Header.Set("X-Dunetide-Tenant", "gym")
+	call := newBatchCall(r, "club", []byte("body"))
+	if call.Tenant != "club" || call.Method != "GET" || call.Host != "h.example" || call.Path != "/lots/a" || call.Query != "start_after=3" ||
+		string(call.Body) != "body" {
+		t.Errorf("%+v", call)
+	}
+}
--- a/internal/proxy/forward/doc.go
+++ b/internal/proxy/forward/doc.go
@@ -5,8 +5,10 @@
 //
 // How a request is processed, by file:
 //
-//   - listener.go accepts the connection; intake.go reads the request and finds its route;
+//   - listener.go accepts the connection; intake.go reads the request, finds its route and has package
+//     identity find its tenant;
 //   - prepare.go holds it until a process that has just started has a configuration;
+//   - limit.go obtains a permit for it if its tenant's requests are limited;
 //   - place.go describes it for package dispatch and acquires an endpoint;
 //   - send.go sends it over a connection to the endpoint (connections.go), with the head that
 //     head.go builds;
@@ -20,8 +22,8 @@
 // metrics.go has the counters and log lines.
 //
 // invariants.go checks these invariants while serving: a request that may run only once is not sent
-// again after it may have run; 503 is answered only to a request that has not run; an answer carries
-// the id of its own request.
+// again after it may have run; 429 and 503 are answered only to a request that has not run; an answer
+// carries the id of its own request.
 //
-// docs/calls.md gives the reasons.
+// docs/calls.md and docs/tenants.md give the reasons.
 package forward
--- a/internal/proxy/forward/invariants.go
+++ b/internal/proxy/forward/invariants.go
@@ -12,7 +12,7 @@
 var (
 	// sentOnceInvariant: a request that may run only once is not sent again after an endpoint may have run it.
 	sentOnceInvariant = invariant.New("requests_that_run_once_are_sent_once")
-	// refusedNotRunInvariant: 503 is answered only if no endpoint can have run the request.
+	// refusedNotRunInvariant: 429 and 503 are answered only if no endpoint can have run the request.
 	refusedNotRunInvariant = invariant.New("refused_requests_have_not_run")
 	// answersMatchInvariant: an endpoint's answer to a client carries the id of the client's request.
 	answersMatchInvariant = invariant.New("answers_belong_to_their_request")
@@ -40,7 +40,7 @@
 	x.mayHaveRun = x.mayHaveRun || !errors.As(err, &call) || call.Sent
 }
 
-// checkRefusal is called before 503 is answered.
+// checkRefusal is called before 429 or 503 is answered.
 func (x *exchange) checkRefusal() {
 	refusedNotRunInvariant.Check(!x.mayHaveRun, func() string {
 		return fmt.Sprintf("request %s of route %s is refused after it was sent to %v and may have run",
