--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -163,19 +163,74 @@
 	},
 }
 
+// tenantMutants concern the jobs of tenants. tenantTests must detect them.
+var tenantMutants = []mutation.Mutant{
+	{
+		Name: "the tenants of caller and job are not compared",
+		File: "principal.go",
+		Old:  "	return !p.HasTenants || tenant == \"\" || tenant == p.Tenant\n",
+		New:  "	return !p.HasTenants || tenant == \"\" || tenant != \"\"\n",
+	},
+	{
+		Name: "the tokens of all tenants count together",
+		File: "quota.go",
+		Old:  "	if tenant == \"\" {\n		return route\n",
+		New:  "	if tenant != accountSeparator {\n		return route\n",
+	},
+	{
+		Name: "a job without a tenant is nobody's",
+		File: "principal.go",
+		Old:  "	return !p.HasTenants || tenant == \"\" || tenant == p.Tenant\n",
+		New:  "	return !p.HasTenants || tenant == p.Tenant\n",
+	},
+	{
+		Name: "a stranger's end of a job is carried out",
+		File: "ends.go",
+		Old:  "!j.committed || !by.mayUse(j.submitter.Tenant) {",
+		New:  "!j.committed {",
+	},
+	{
+		Name: "a stranger's submission of a known ID is accepted",
+		File: "calls.go",
+		Old:  "	case known.committed && by.mayUse(known.submitter.Tenant):\n",
+		New:  "	case known.committed:\n",
+	},
+	{
+		Name: "the tenant of a job is not stored",
+		File: "job.go",
+		Old:  "	j.Submitter.appendTo(w)\n",
+		New:  "",
+	},
+	{
+		Name: "an item keeps the key of its client",
+		File: "principal.go",
+		Old:  "	case headerTenant, headerAuthorization:\n",
+		New:  "	case headerTenant:\n",
+	},
+	{
+		Name: "an item does not name its tenant",
+		File: "principal.go",
+		Old:  "		identified = append(identified, [2]string{headerTenant, p.Tenant})\n",
+		New:  "",
+	},
+}
+
 var onlyMutants = flag.String("wrong", "1", "mutants to test: a substring of the name; 1: all; empty: none")
 
-// The tests that must detect the mutants of the two lists.
+// The tests that must detect the mutants of each list.
 const (
 	replicationTests = "TestPromisesHoldWithAFaultAtEachStep|TestUncommittedJob"
 	membershipTests  = "TestDrain|TestStopping|TestRetirement|TestTwoStoresRetire|TestStoreThatLosesItsDisk|TestSegments|" +
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
+	tenantTests = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
+		"TestWhoMayUseAJob|TestJobsCompleteWithoutFaults"
 )
 
 // TestMutantsStand fails unless the text of each mutant occurs exactly once in its file.
 func TestMutantsStand(t *testing.T) {
 	mutation.CheckPresent(t, replicationMutants)
 	mutation.CheckPresent(t, membershipMutants)
+	mutation.CheckPresent(t, tenantMutants)
 }
 
 // TestMutantsAreFound applies each mutant to the sources and expects its tests to fail.
@@ -193,4 +248,5 @@
 	}
 	find(replicationMutants, replicationTests)
 	find(membershipMutants, membershipTests)
+	find(tenantMutants, tenantTests)
 }
