--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -21,9 +21,12 @@
 // primary can't commit anything. It can't serve reads either, as a read needs a confirmation by f
 // replicas.
 //
-// The owner of a route's quota counts the tokens of the route's items that have no result, over all
-// partitions. The owner is the primary of the partition that the route's name hashes to. The
-// primary of a job reserves the job's tokens with the owner before it orders the job.
+// A job belongs to the tenant whose client submitted it. Calls on behalf of others are answered as if
+// there were no such job.
+//
+// The owner of a quota counts the tokens of a tenant's items on a route that have no result, over all
+// partitions. The owner is the primary of the partition that this account hashes to. The primary of a
+// job reserves the job's tokens with the owner before it orders the job.
 //
 // A worker is the component of a proxy that runs items. Stores assign items to workers. A worker
 // may start items only while the primary of their partition is connected and has acknowledged the
@@ -46,7 +49,7 @@
 //
 // Messages and records:
 //   - messages.go: message kinds and reply codes; assignment.go: the message that assigns an item
-//   - job.go: Job and its encoding; jobstate.go: a job in a store's memory
+//   - job.go: Job and its encoding; jobstate.go: a job in a store's memory; principal.go: whose a job is
 //   - operations.go: operations on jobs; records.go: records of the log
 //
 // The core:
