Items: no endless wait for a lost answer; one run ends when the other's result is stored

Callers saw: an item whose endpoint sent nothing more on a connection that stayed open got no result until its job was given up; an item that two workers ran was run to its end by both, each whole run after the first being priced. Cause: items have no deadline and nothing bounded silence; the store told only the worker that brought the result; a worker that reported an item late was ignored; workers believed any store that an item was not needed, a replaced primary too. Change: a run whose endpoint has sent nothing for 5 s is ended and goes on after its last event (Last-Event-Id); the bound doubles up to a minute while runs bring nothing, and the wait for an endpoint does not count. The first stored result ends the other run. A late reporter keeps its item, the later run is ended. Words of a replaced primary about items are ignored. The simulated worker ignores a replaced primary's words as the real one does.

--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -63,7 +63,8 @@
 //
 // The shell: store.go, storeloop.go, storelog.go, segments.go, disk.go, connections.go.
 //
-// The proxy: proxy.go (calls), http.go (the client API), itemrunner.go and itemrun.go (the worker).
+// The proxy: proxy.go (calls), http.go (the client API), itemrunner.go, itemrun.go and
+// itemsilence.go (the worker).
 //
 // The partition table, as the keepers compute it: table.go, placement.go, retirement.go.
 package batch
--- a/internal/batch/expiry.go
+++ b/internal/batch/expiry.go
@@ -50,11 +50,7 @@
 		}
 		key := itemKey{p.index, j.id, index}
 		w := j.items[index].worker
-		c.addResult(p, j, index, true, nil, func(ok bool) {
-			if w != nil && c.workers[w.pipe] == w {
-				sendResultStored(w, key)
-			}
-		})
+		c.addResult(p, j, index, true, nil, func(bool) { c.endOtherRun(w, key) })
 	}
 }
 
--- a/internal/batch/itemrun.go
+++ b/internal/batch/itemrun.go
@@ -52,11 +52,17 @@
 	defer running.cancel()
 	text := newEventText()
 	failures := 0
-	delay := minRunDelay
+	delay, silence := minRunDelay, minRunSilence
 	for running.ctx.Err() == nil {
-		result := RunResult{End: RunNotStarted}
+		result, silent, before := RunResult{End: RunNotStarted}, false, text.lastEvent
 		if running.item.MayStart() {
-			result = r.runner.Run(running.ctx, running.item, text.lastEventID(), text.addEvent)
+			result, silent = r.runOnce(running, text, silence)
+		}
+		switch {
+		case text.lastEvent != before: // the run made progress
+			silence = minRunSilence
+		case silent:
+			silence = min(silence*2, maxRunSilence)
 		}
 		if text.invalid { // the text is discarded, and the item starts from the beginning
 			text = newEventText()
--- a/internal/batch/itemrunner.go
+++ b/internal/batch/itemrunner.go
@@ -251,9 +251,8 @@
 		}
 	case kindResultStored:
 		key := itemKey{partition: partition, jobID: body.String(), index: int(body.U32())}
-		if item := r.running[key]; item != nil && body.Err == nil {
-			item.cancel()
-			delete(r.running, key)
+		if body.Err == nil {
+			r.handleResultStored(m.Conn, key)
 		}
 	case kindCancelJob:
 		if jobID := body.String(); body.Err == nil {
@@ -277,11 +276,28 @@
 	}
 }
 
-// handleCancel handles the end of a job. It is ignored unless it comes from the primary that the
-// report was sent to, or no primary is known for the partition.
+// fromReplacedPrimary reports whether a connection is not that of the primary that the report of a partition was sent to.
+// What a replaced primary says of items is ignored: the new one may have assigned them to this worker.
+func (r *itemRunner) fromReplacedPrimary(conn *link.Conn, partition int) bool {
+	contact := r.contacts[partition]
+	return contact != nil && contact.conn != conn
+}
+
+// handleResultStored is called when the result of an item is stored, or no longer needed. If a replaced primary says so,
+// the result is sent to the new one, which answers.
+func (r *itemRunner) handleResultStored(conn *link.Conn, key itemKey) {
+	item := r.running[key]
+	if item == nil || r.fromReplacedPrimary(conn, key.partition) {
+		return
+	}
+	item.cancel()
+	delete(r.running, key)
+}
+
+// handleCancel handles the end of a job.
 func (r *itemRunner) handleCancel(m *link.Message, partition int, jobID string) {
-	if contact := r.contacts[partition]; contact != nil && contact.conn != m.Conn {
-		return // from a replaced primary
+	if r.fromReplacedPrimary(m.Conn, partition) {
+		return
 	}
 	for key, item := range r.running {
 		if key.partition == partition && key.jobID == jobID {
--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -215,6 +215,58 @@
 	},
 }
 
+// rerunMutants make items run more often than they must. rerunTests must detect them.
+var rerunMutants = []mutation.Mutant{
+	{
+		Name: "the other run of an item goes on after the first result",
+		File: "workers.go",
+		Old:  "		if running != w {\n			c.endOtherRun(running, key)\n		}\n",
+		New:  "		_ = running\n",
+	},
+	{
+		Name: "an item that is reported late runs at two workers",
+		File: "workers.go",
+		Old:  "	if it.state == itemAssigned && it.worker != w {\n",
+		New:  "	if it.state == itemAssigned && it.worker != w && c.disconnectedWorkers[it.worker] != 0 {\n",
+	},
+	{
+		Name: "a worker's own item is ended over its previous connection",
+		File: "workers.go",
+		Old:  "	if from.name != reporting.name {",
+		New:  "	if from != reporting {",
+	},
+	{
+		Name: "a replaced primary ends an item",
+		File: "itemrunner.go",
+		Old:  "	if item == nil || r.fromReplacedPrimary(conn, key.partition) {\n",
+		New:  "	if item == nil {\n",
+	},
+	{
+		Name: "a lost answer is awaited for ever",
+		File: "itemsilence.go",
+		Old:  "		s.timer = time.AfterFunc(s.bound, s.end)\n",
+		New:  "		s.timer = time.NewTimer(s.bound)\n",
+	},
+	{
+		Name: "the wait for an endpoint counts as silence",
+		File: "itemsilence.go",
+		Old:  "	defer silence.stop()\n",
+		New:  "	defer silence.stop()\n	silence.restart()\n",
+	},
+	{
+		Name: "an event does not end a silence",
+		File: "itemsilence.go",
+		Old:  "	s.timer.Reset(s.bound)\n",
+		New:  "",
+	},
+	{
+		Name: "the bound of silence stays when all endpoints are slow",
+		File: "itemrun.go",
+		Old:  "			silence = min(silence*2, maxRunSilence)\n",
+		New:  "			silence = min(silence, maxRunSilence)\n",
+	},
+}
+
 var onlyMutants = flag.String("wrong", "1", "mutants to test: a substring of the name; 1: all; empty: none")
 
 // The tests that must detect the mutants of each list.
@@ -224,6 +276,8 @@
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
 	tenantTests = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
 		"TestWhoMayUseAJob|TestJobsCompleteWithoutFaults"
+	rerunTests = "TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
+		"TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
 )
 
 // TestMutantsStand fails unless the text of each mutant occurs exactly once in its file.
@@ -231,6 +285,7 @@
 	mutation.CheckPresent(t, replicationMutants)
 	mutation.CheckPresent(t, membershipMutants)
 	mutation.CheckPresent(t, tenantMutants)
+	mutation.CheckPresent(t, rerunMutants)
 }
 
 // TestMutantsAreFound applies each mutant to the sources and expects its tests to fail.
@@ -249,4 +304,5 @@
 	find(replicationMutants, replicationTests)
 	find(membershipMutants, membershipTests)
 	find(tenantMutants, tenantTests)
+	find(rerunMutants, rerunTests)
 }
--- a/internal/batch/simclients_test.go
+++ b/internal/batch/simclients_test.go
@@ -174,7 +174,9 @@
 		}
 	case kindResultStored:
 		key.jobID, key.index = r.String(), int(r.U32())
-		delete(proxy.assigned, key)
+		if contact := proxy.contacts[key.partition]; contact == nil || contact.pipe == p {
+			delete(proxy.assigned, key)
+		}
 	case kindCancelJob:
 		key.jobID = r.String()
 		if contact := proxy.contacts[key.partition]; contact != nil && contact.pipe != p {
--- a/internal/batch/workers.go
+++ b/internal/batch/workers.go
@@ -166,8 +166,8 @@
 		return
 	}
 	it := &j.items[key.index]
-	if it.state == itemAssigned && it.worker != w && c.disconnectedWorkers[it.worker] != 0 {
-		c.unassignItem(it.worker, key) // most likely this worker itself, over its previous connection
+	if it.state == itemAssigned && it.worker != w {
+		c.takeItemBack(it.worker, key, w)
 	}
 	switch {
 	case it.state == itemWaiting && j.queued:
@@ -181,6 +181,22 @@
 	}
 }
 
+// takeItemBack unassigns an item from a worker in favor of another one, which reports that it runs the item. The reporting
+// worker had the item first and so is further on; the other one's run is ended, as one whole run is enough.
+func (c *core) takeItemBack(from *worker, key itemKey, reporting *worker) {
+	c.unassignItem(from, key)
+	if from.name != reporting.name { // otherwise it is the same worker, over its previous connection
+		c.endOtherRun(from, key)
+	}
+}
+
+// endOtherRun makes a worker that is still connected drop an item, which it need not run to its end.
+func (c *core) endOtherRun(w *worker, key itemKey) {
+	if w != nil && c.workers[w.pipe] == w {
+		sendResultStored(w, key)
+	}
+}
+
 // handleResult handles a worker's result of an item. Only the first result counts.
 func (c *core) handleResult(p *partition, w *worker, key itemKey, abandoned bool, text []byte) {
 	primary := p.primary
@@ -203,10 +219,15 @@
 		c.advanceCommit(p)
 		return
 	}
+	running := j.items[key.index].worker
 	c.addResult(p, j, key.index, abandoned, text, func(ok bool) {
 		delete(w.assigned, key)
-		if ok {
-			sendResultStored(w, key)
+		if !ok {
+			return
+		}
+		sendResultStored(w, key)
+		if running != w {
+			c.endOtherRun(running, key)
 		}
 	})
 }
