Settings: quota_slack and quota_window_s

The bounds of the rule on tenants' requests had no keys beside quota_excess, so that no store could know how far a count may be off after a takeover. Absent, the slack is 0 and the window 5 s.

--- a/internal/platform/settings/keys_test.go
+++ b/internal/platform/settings/keys_test.go
@@ -60,6 +60,8 @@
 		{"limits.network_mbps", "0", "12.5", "12.5", "-1", count, func(s *Settings) any { return s.Limits.NetworkMbps }},
 		{"limits.disk_mb", "0", "63", "63", "-1", count, func(s *Settings) any { return s.Limits.DiskMB }},
 		{"bounds.quota_excess", "0.1", "0.25", "0.25", "-1", count, func(s *Settings) any { return s.Bounds.QuotaExcess }},
+		{"bounds.quota_slack", "0", "20", "20", "-1", count, func(s *Settings) any { return s.Bounds.QuotaSlack }},
+		{"bounds.quota_window_s", "5s", "1.5", "1.5s", "-1", count, func(s *Settings) any { return s.Bounds.QuotaWindow }},
 		{"bounds.list_lag_s", "3s", "1.5", "1.5s", "-1", count, func(s *Settings) any { return s.Bounds.ListLag }},
 		{"bounds.reuse_after_s", "2s", "1.5", "1.5s", "-1", count, func(s *Settings) any { return s.Bounds.ReuseAfter }},
 		{"bounds.in_touch_ms", "3s", "1.5", "1.5ms", "-1", count, func(s *Settings) any { return s.Bounds.InTouch }},
--- a/internal/platform/settings/parse.go
+++ b/internal/platform/settings/parse.go
@@ -120,7 +120,10 @@
 // bounds reads the bounds of the rules, from a table of keys and defaults.
 func (r *reader) bounds() Bounds {
 	const ms = time.Millisecond
-	b := Bounds{QuotaExcess: r.number("bounds.quota_excess", 0, 0.1)}
+	b := Bounds{
+		QuotaExcess: r.number("bounds.quota_excess", 0, 0.1),
+		QuotaSlack:  r.number("bounds.quota_slack", 0, 0),
+	}
 	for _, bound := range []struct {
 		target       *time.Duration
 		key          string
@@ -141,6 +144,7 @@
 		{&b.Pass, "bounds.pass_ms", 120 * ms},
 		{&b.FinishBy, "bounds.finish_by_s", 10 * time.Second},
 		{&b.StatusEvery, "bounds.status_every_s", 120 * time.Second},
+		{&b.QuotaWindow, "bounds.quota_window_s", 5 * time.Second},
 		{&b.Cancel, "bounds.cancel_ms", 3000 * ms},
 		{&b.JobKnown, "bounds.settle_ms", 1000 * ms},
 	} {
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -58,8 +58,8 @@
 
 // Bounds are the bounds of the platform's rules, by which the platform judges the tier. Their keys begin with bounds,
 // as in bounds.list_lag_s. A key that ends in _ms or _s is a duration in that unit and may have a fraction; the
-// comments give the key, the default and the meaning. The process uses CatchUp, Drain, Grace and StatusEvery; the
-// others are unused.
+// comments give the key, the default and the meaning. The process uses CatchUp, Drain, Grace, StatusEvery and the
+// three of quotas; the others are unused.
 type Bounds struct {
 	ListLag     time.Duration // list_lag_s: 3 s; lag of the operator's list of control addresses
 	ReuseAfter  time.Duration // reuse_after_s: 2 s; until the address of a terminated endpoint may be reused
@@ -79,5 +79,7 @@
 	Cancel      time.Duration // cancel_ms: 3,000 ms; from a batch job's acknowledged end until no item of it starts
 	JobKnown    time.Duration // settle_ms: 1,000 ms; from a batch job's 202 until the job is visible on all machines
 
-	QuotaExcess float64 // quota_excess: 0.1; the share by which a quota may be exceeded
+	QuotaExcess float64       // quota_excess: 0.1; the share by which a quota may be exceeded
+	QuotaSlack  float64       // quota_slack: 0; requests of a tenant that may run in a window beyond its limit and QuotaExcess
+	QuotaWindow time.Duration // quota_window_s: 5 s; the window in which the requests of a tenant are counted
 }
