--- a/internal/quota/leadership.go
+++ b/internal/quota/leadership.go
@@ -10,6 +10,11 @@
 	ServingSince time.Time
 	// ConfirmedAt is a time at which certainly no other store led the partition; zero if there was none yet.
 	ConfirmedAt time.Time
+	// PredecessorSince is since when this process knows that no store but the predecessor led the partition. The lead
+	// before it may have begun at any time before.
+	PredecessorSince time.Time
+	// First is true if no store led the partition before.
+	First bool
 }
 
 // Leadership tells a store which partitions it leads. It is safe for concurrent use.
