Stores count the requests of tenants for the partitions that they lead

The core publishes its leads, with when they began and were confirmed, for other goroutines. While a group of replicas changes, a lead needs f confirmations of both groups: the next primary may collect its promises from the next one. The reads of batch jobs stay as they were.

--- a/cmd/dunetide/store.go
+++ b/cmd/dunetide/store.go
@@ -77,7 +77,7 @@
 	var serving sync.WaitGroup
 	defer serving.Wait()
 	defer links.Close()
-	handler := newStoreLinkHandler(store, records)
+	handler := newStoreLinkHandler(store, records, newQuotaServer(store, &p.settings.Bounds))
 	defer handler.closeAll()
 	serving.Go(func() { _ = link.Serve(links, handler, link.DefaultOptions) }) // ends with the listener
 	client := p.newStoreClient(members, store)
--- a/cmd/dunetide/storelinks.go
+++ b/cmd/dunetide/storelinks.go
@@ -6,21 +6,23 @@
 	"dunetide/internal/batch"
 	"dunetide/internal/batch/audit"
 	"dunetide/internal/platform/link"
+	"dunetide/internal/quota"
 )
 
-// storeLinkHandler passes messages to the batch store or to the record of regulated runs. It closes
+// storeLinkHandler passes messages to the batch store, to the record of regulated runs or to the count of tenants' requests. It closes
 // the links when the store closes, so that callers do not wait for a store that is out of service.
 type storeLinkHandler struct {
 	store   *batch.Store
 	records *audit.Store
+	rates   *quota.Server
 
 	mu    sync.Mutex
 	conns map[*link.Conn]bool // nil after closeAll
 }
 
 // newStoreLinkHandler returns the handler for a store's links.
-func newStoreLinkHandler(store *batch.Store, records *audit.Store) *storeLinkHandler {
-	return &storeLinkHandler{store: store, records: records, conns: map[*link.Conn]bool{}}
+func newStoreLinkHandler(store *batch.Store, records *audit.Store, rates *quota.Server) *storeLinkHandler {
+	return &storeLinkHandler{store: store, records: records, rates: rates, conns: map[*link.Conn]bool{}}
 }
 
 // Message implements link.Handler.
@@ -29,11 +31,14 @@
 		m.Conn.Close()
 		return
 	}
-	if audit.Handles(m.Kind) {
+	switch {
+	case audit.Handles(m.Kind):
 		l.records.HandleAppend(m)
-		return
+	case quota.Handles(m.Kind):
+		l.rates.Message(m)
+	default:
+		l.store.Message(m)
 	}
-	l.store.Message(m)
 }
 
 // register records a link. It returns false after closeAll.
--- a/internal/batch/confirmation.go
+++ b/internal/batch/confirmation.go
@@ -57,7 +57,7 @@
 		return
 	}
 	w := encodeTermMessage(0, p.index, primary.term, uint64(c.nowMs))
-	for _, id := range primary.replicas {
+	for _, id := range primary.allReplicas() {
 		if replica := primary.progress[id]; replica != nil {
 			_ = replica.pipe.Send(kindConfirm, w.Buf)
 		}
@@ -73,6 +73,7 @@
 	if primary.superseded {
 		return
 	}
+	c.confirmLead(primary)
 	stamps := []int64{c.nowMs} // its own
 	for _, id := range primary.replicas {
 		if replica := primary.progress[id]; replica != nil {
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -24,6 +24,8 @@
 	// quotaOwnerIncarnations has, by route, the newest incarnation of the quota's owner that this
 	// store has accepted. Grants of older ones are rejected.
 	quotaOwnerIncarnations map[string]uint64
+	// witness is what this store has seen of the partition's primaries.
+	witness primaryWitness
 }
 
 // logPosition is how much of a partition's log a replica has: all operations of a term up to a
@@ -81,6 +83,7 @@
 		}
 		previousEpoch := p.epoch
 		p.epoch = row.Epoch
+		p.witness.see(row, previousEpoch, c.nowMs)
 		if row.Primary != c.self {
 			c.stepDown(p)
 			continue
--- a/internal/batch/primary.go
+++ b/internal/batch/primary.go
@@ -31,6 +31,9 @@
 	confirmationRequestedAt int64         // stamp of the newest request
 	superseded              bool          // a replica knows a newer term
 	startsPaused            bool          // workers were notified not to start items
+	servingSince            int64         // when the takeover was completed
+	predecessorSince        int64         // see PartitionLead
+	leadConfirmedAt         int64         // a time at which certainly no other store led; epochs that keep the primary keep it
 	pendingReads            []pendingRead // waiting for a confirmation
 	dispatchFrom            int64         // when the first items may be assigned
 
@@ -87,6 +90,7 @@
 	if p.primary == nil {
 		termsStarted.Inc()
 		p.primary = newPrimaryState(term)
+		p.primary.predecessorSince = p.witness.predecessorSince
 	}
 	primary := p.primary
 	p.followedPrimary, p.session = nil, 0
@@ -114,7 +118,10 @@
 
 func newPrimaryState(term uint64) *primaryState {
 	return &primaryState{
-		incarnation:  term,
+		incarnation: term,
+
+		leadConfirmedAt: never,
+
 		committed:    -1,
 		usage:        map[string]*routeUsage{},
 		reservations: map[uint64]*reservation{},
@@ -166,6 +173,7 @@
 func (c *core) startServing(p *partition) {
 	primary := p.primary
 	primary.serving = true
+	primary.servingSince = c.nowMs
 	c.log("partition %d: primary in term %x with %d jobs", p.index, primary.term, len(p.jobs))
 	primary.dispatchFrom = c.nowMs + dispatchDelayMs
 	for _, id := range sortedKeys(p.jobs) {
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -69,6 +69,8 @@
 	diskSync diskOperation // of syncLoop
 	logFull  atomic.Bool   // core.logFull, for other goroutines
 
+	leads leadBoard // the lead of each partition, for other goroutines
+
 	syncWake        chan struct{} // for syncLoop: records have been appended
 	syncMu          sync.Mutex
 	appendedRecords uint64
--- a/internal/batch/storeloop.go
+++ b/internal/batch/storeloop.go
@@ -55,6 +55,7 @@
 			timer.Reset(interval)
 		}
 		s.logFull.Store(s.core.logFull)
+		s.publishLeads()
 	}
 }
 
