--- a/internal/proxy/forward/proxy.go
+++ b/internal/proxy/forward/proxy.go
@@ -55,7 +55,6 @@
 	// Recorder records regulated runs; nil: nothing is recorded.
 	Recorder Recorder
 	// RateLimiter limits the rate of each tenant's requests; nil: no limits.
-	RateLimiter quota.Limiter
 	// Ready reports whether the process can serve; nil: it always can.
 	Ready func() bool
 	// Now returns the time; nil: time.Now.
