--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -21,9 +21,11 @@
 	session         uint64
 	// primary is the state of the primary, nil if this store is not the primary.
 	primary *primaryState
-	// quotaOwnerIncarnations has, by route, the newest incarnation of the quota's owner that this
+	// quotaOwnerIncarnations has, by account, the newest incarnation of the quota's owner that this
 	// store has accepted. Grants of older ones are rejected.
 	quotaOwnerIncarnations map[string]uint64
+	// witness is what this store has seen of the partition's primaries.
+	witness primaryWitness
 }
 
 // logPosition is how much of a partition's log a replica has: all operations of a term up to a
@@ -81,6 +83,7 @@
 		}
 		previousEpoch := p.epoch
 		p.epoch = row.Epoch
+		p.witness.see(row, previousEpoch, c.nowMs)
 		if row.Primary != c.self {
 			c.stepDown(p)
 			continue
