Requests without a key: an unfinished body holds the connection for a second at most

What callers saw: a client without a valid key that stalls in its body got no 401 and kept its connection, as net/http reads the rest of a short body before it writes an answer, without a time limit. Change: the 401 sets a read deadline of a second. Evidence: TestUnidentifiedRequestWithAStalledBodyIsAnswered failed before (no answer within the test's 10 s) and passes in 1 s; complete bodies keep their connection. A 404 for an unknown route has the same fault; it is left as it was.

--- a/internal/proxy/forward/refuse.go
+++ b/internal/proxy/forward/refuse.go
@@ -12,6 +12,10 @@
 // defaultRetryAfter is the Retry-After if no better estimate is known.
 const defaultRetryAfter = 100 * time.Millisecond
 
+// maxUnidentifiedBodyWait is how long the rest of the body of a request without a valid key may take to arrive. Later
+// the connection is closed with the answer.
+const maxUnidentifiedBodyWait = time.Second
+
 // refuse answers a request that is sent to no endpoint with a status; route is nil if none matched.
 func (p *Proxy) refuse(
 	w http.ResponseWriter, r *http.Request,
@@ -27,6 +31,9 @@
 	route *operatorconfig.Route, asker identity.Identity,
 ) {
 	unidentifiedRequests[asker.Outcome].Inc()
+	if r.ContentLength != 0 { // the server reads the rest of a short body before it writes the answer
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxUnidentifiedBodyWait)) // fails only in tests
+	}
 	w.Header().Set("WWW-Authenticate", identity.Challenge)
 	p.refuse(w, r, http.StatusUnauthorized, 0, route)
 }
--- a/internal/proxy/forward/tenant_test.go
+++ b/internal/proxy/forward/tenant_test.go
@@ -411,6 +411,25 @@
 	}
 }
 
+// A client without a key holds a connection for as long as it likes, by never sending the end of its body; or the limit
+// on that ends a connection whose bodies were complete.
+func TestUnidentifiedRequestWithAStalledBodyIsAnswered(t *testing.T) {
+	g := newTenantRig(t, "writes", twoTenants(), unchanged)
+	c := g.dial()
+	for range 2 {
+		must(t, c.send(keyedCall("/r/x", ""), "body"))
+		if a, err := c.receive(); err != nil || a.status != 401 || a.closes {
+			t.Fatalf("%+v, %v", a, err)
+		}
+		time.Sleep(maxUnidentifiedBodyWait + 100*time.Millisecond) // beyond the deadline that the request had
+	}
+	_, err := io.WriteString(c, "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: id1\r\nContent-Length: 4\r\n\r\nbo")
+	must(t, err)
+	if a, err := c.receive(); err != nil || a.status != 401 || !a.closes {
+		t.Errorf("%+v, %v; want 401 and the end of the connection", a, err)
+	}
+}
+
 // UNASKED: an item runs with the key or for the tenant that a client put among its headers.
 func TestItemsCarryTheirTenantAndNoKey(t *testing.T) {
 	for name, c := range map[string]struct {
