Requests refused unread: a stalled body holds the connection for a second at most, with 404 and 400 too

What callers saw: no answer and a connection without end, if the body of a request for an unknown route, or without a path, stalls; the same fault as with 401. Change: one function for all three. The test of 401 covers all three now, and is renamed: TestUnidentifiedRequestWithAStalledBodyIsAnswered is TestRefusedRequestWithAStalledBodyIsAnswered.

--- a/internal/proxy/forward/intake.go
+++ b/internal/proxy/forward/intake.go
@@ -27,7 +27,7 @@
 	closeIfAmbiguous(w, r)
 	target, path := requestTarget(r)
 	if !strings.HasPrefix(target, "/") {
-		p.refuse(w, r, http.StatusBadRequest, 0, nil)
+		p.refuseUnread(w, r, http.StatusBadRequest, nil)
 		return
 	}
 	arrived.admitted = arrived.at
@@ -47,7 +47,7 @@
 	}
 	route := p.options.Match(config, r.Host, path)
 	if route == nil {
-		p.refuse(w, r, http.StatusNotFound, 0, nil)
+		p.refuseUnread(w, r, http.StatusNotFound, nil)
 		return
 	}
 	asker := identity.OfRequest(config, route, r.Header)
--- a/internal/proxy/forward/refuse.go
+++ b/internal/proxy/forward/refuse.go
@@ -12,9 +12,9 @@
 // defaultRetryAfter is the Retry-After if no better estimate is known.
 const defaultRetryAfter = 100 * time.Millisecond
 
-// maxUnidentifiedBodyWait is how long the rest of the body of a request without a valid key may take to arrive. Later
-// the connection is closed with the answer.
-const maxUnidentifiedBodyWait = time.Second
+// maxUnreadBodyWait is how long the rest of the body of a request that is refused unread may take to arrive. Later the
+// connection is closed with the answer.
+const maxUnreadBodyWait = time.Second
 
 // refuse answers a request that is sent to no endpoint with a status; route is nil if none matched.
 func (p *Proxy) refuse(
@@ -31,11 +31,17 @@
 	route *operatorconfig.Route, asker identity.Identity,
 ) {
 	unidentifiedRequests[asker.Outcome].Inc()
-	if r.ContentLength != 0 { // the server reads the rest of a short body before it writes the answer
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxUnidentifiedBodyWait)) // fails only in tests
-	}
 	w.Header().Set("WWW-Authenticate", identity.Challenge)
-	p.refuse(w, r, http.StatusUnauthorized, 0, route)
+	p.refuseUnread(w, r, http.StatusUnauthorized, route)
+}
+
+// refuseUnread answers a request whose body has not been read, and keeps its connection. The server reads the rest of a
+// short body before it writes the answer, for which it knows no time limit of its own.
+func (p *Proxy) refuseUnread(w http.ResponseWriter, r *http.Request, status int, route *operatorconfig.Route) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxUnreadBodyWait)) // fails only in tests
+	}
+	p.refuse(w, r, status, 0, route)
 }
 
 // answerStatus answers a client with a status of the proxy's own, without a body. A 429 or 503 has a
--- a/internal/proxy/forward/tenant_test.go
+++ b/internal/proxy/forward/tenant_test.go
@@ -411,22 +411,32 @@
 	}
 }
 
-// A client without a key holds a connection for as long as it likes, by never sending the end of its body; or the limit
-// on that ends a connection whose bodies were complete.
-func TestUnidentifiedRequestWithAStalledBodyIsAnswered(t *testing.T) {
-	g := newTenantRig(t, "writes", twoTenants(), unchanged)
-	c := g.dial()
-	for range 2 {
-		must(t, c.send(keyedCall("/r/x", ""), "body"))
-		if a, err := c.receive(); err != nil || a.status != 401 || a.closes {
-			t.Fatalf("%+v, %v", a, err)
-		}
-		time.Sleep(maxUnidentifiedBodyWait + 100*time.Millisecond) // beyond the deadline that the request had
-	}
-	_, err := io.WriteString(c, "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: id1\r\nContent-Length: 4\r\n\r\nbo")
-	must(t, err)
-	if a, err := c.receive(); err != nil || a.status != 401 || !a.closes {
-		t.Errorf("%+v, %v; want 401 and the end of the connection", a, err)
+// A client whose request is refused holds its connection for as long as it likes, by never sending the end of its body; or
+// the limit on that ends a connection whose bodies were complete.
+func TestRefusedRequestWithAStalledBodyIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		target string
+		status int
+	}{
+		{"/r/x", 401}, {"/elsewhere", 404}, {"*", 400},
+	} {
+		t.Run(c.target, func(t *testing.T) {
+			t.Parallel() // it mostly sleeps
+			g := newTenantRig(t, "writes", twoTenants(), unchanged)
+			client := g.dial()
+			for range 2 {
+				must(t, client.send(keyedCall(c.target, ""), "body"))
+				if a, err := client.receive(); err != nil || a.status != c.status || a.closes {
+					t.Fatalf("%+v, %v", a, err)
+				}
+				time.Sleep(maxUnreadBodyWait + 100*time.Millisecond) // beyond the deadline that the request had
+			}
+			_, err := fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Dunetide-Request-Id: id1\r\nContent-Length: 4\r\n\r\nbo", c.target)
+			must(t, err)
+			if a, err := client.receive(); err != nil || a.status != c.status || !a.closes {
+				t.Errorf("%+v, %v; want %d and the end of the connection", a, err, c.status)
+			}
+		})
 	}
 }
 
