--- a/internal/proxy/forward/proxy.go
+++ b/internal/proxy/forward/proxy.go
@@ -54,7 +54,6 @@
 	Certificates *certification.Gate
 	// Recorder records regulated runs; nil: nothing is recorded.
 	Recorder Recorder
-	// RateLimiter limits the rate of each tenant's requests; nil: no limits.
 	// Ready reports whether the process can serve; nil: it always can.
 	Ready func() bool
 	// Now returns the time; nil: time.Now.
