--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -163,19 +163,55 @@
 	},
 }
 
+// leadMutants concern what other parts of a store may rely on. leadTests must detect them.
+var leadMutants = []mutation.Mutant{
+	{
+		Name: "a lead needs no confirmation of replicas",
+		File: "leadership.go",
+		Old:  "	return stamps[c.maxLostReplicas]\n",
+		New:  "	return stamps[0]\n",
+	},
+	{
+		Name: "a lead is confirmed by the old group alone",
+		File: "leadership.go",
+		Old:  "	if primary.nextReplicas != nil {\n",
+		New:  "	if false {\n",
+	},
+	{
+		Name: "a lead does not tell when it began",
+		File: "primary.go",
+		Old:  "	primary.servingSince = c.nowMs\n",
+		New:  "",
+	},
+	{
+		Name: "a lead that was replaced is published",
+		File: "leadership.go",
+		Old:  " || primary.superseded {",
+		New:  " {",
+	},
+	{
+		Name: "epochs that were not seen had no other primary",
+		File: "leadership.go",
+		Old:  "	if follows {\n",
+		New:  "	if previousEpoch > 0 {\n",
+	},
+}
+
 var onlyMutants = flag.String("wrong", "1", "mutants to test: a substring of the name; 1: all; empty: none")
 
-// The tests that must detect the mutants of the two lists.
+// The tests that must detect the mutants of the lists.
 const (
 	replicationTests = "TestPromisesHoldWithAFaultAtEachStep|TestUncommittedJob"
 	membershipTests  = "TestDrain|TestStopping|TestRetirement|TestTwoStoresRetire|TestStoreThatLosesItsDisk|TestSegments|" +
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
+	leadTests = "TestLead|TestWitnessOfPrimaries|TestStorePublishesItsLeads"
 )
 
 // TestMutantsStand fails unless the text of each mutant occurs exactly once in its file.
 func TestMutantsStand(t *testing.T) {
 	mutation.CheckPresent(t, replicationMutants)
 	mutation.CheckPresent(t, membershipMutants)
+	mutation.CheckPresent(t, leadMutants)
 }
 
 // TestMutantsAreFound applies each mutant to the sources and expects its tests to fail.
@@ -193,4 +229,5 @@
 	}
 	find(replicationMutants, replicationTests)
 	find(membershipMutants, membershipTests)
+	find(leadMutants, leadTests)
 }
--- a/internal/quota/counter_test.go
+++ b/internal/quota/counter_test.go
@@ -64,7 +64,9 @@
 	}
 }
 
-func (r *counterRig) ask(d Demand) Answer { return r.counter.answer(&d, func() time.Time { return r.now }) }
+func (r *counterRig) ask(d Demand) Answer {
+	return r.counter.answer(&d, func() time.Time { return r.now })
+}
 
 // take asks for more than any bucket has.
 func (r *counterRig) take(tenant string) Answer {
