--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -101,15 +101,16 @@
 }
 
 // open returns the bucket of a tenant that has had no account under a lead. Its level is what a bucket that was opened
-// at the beginning of the lead would have by now.
+// at the end of the lead's wait would have by now. It gains nothing during the wait, as the bucket of the predecessor may
+// have gained until then.
 func (c *counter) open(l *Limit, lead *Lead, now time.Time) *bucket {
 	p := c.slack.paceOf(l)
-	b := newBucket(p, c.ms(lead.ServingSince), c.firstLevel(l, lead))
+	b := newBucket(p, c.ms(lead.ServingSince.Add(takeoverWait)), c.firstLevel(l, lead))
 	b.advance(c.ms(now))
 	return b
 }
 
-// firstLevel returns the level of a tenant's bucket at the beginning of a lead. It is full if the partition had no lead
+// firstLevel returns the level with which a tenant's bucket begins under a lead. It is full if the partition had no lead
 // before. It is empty if this process can't tell how many other leads there were within a window, as each of them may
 // have granted its part of the slack.
 func (c *counter) firstLevel(l *Limit, lead *Lead) microTokens {
--- a/internal/quota/mutants_test.go
+++ b/internal/quota/mutants_test.go
@@ -38,6 +38,12 @@
 
 // stepMutants break what tests of single steps show.
 var stepMutants = []mutation.Mutant{
+	{
+		Name: "a bucket gains during the wait of a lead",
+		File: "counter.go",
+		Old:  "c.ms(lead.ServingSince.Add(takeoverWait)), c.firstLevel",
+		New:  "c.ms(lead.ServingSince), c.firstLevel",
+	},
 	{
 		Name: "a raised limit fills the bucket",
 		File: "bucket.go",
