--- a/internal/quota/counter_test.go
+++ b/internal/quota/counter_test.go
@@ -185,7 +185,7 @@
 	if again := refund(7); again.Granted != 7 {
 		t.Errorf("%+v after a refund of 7", again)
 	}
-	r.serve(6, 0)
+	r.serve(6, time.Minute)
 	r.wait(takeoverWait)
 	a.Grant.AtMs = r.take("a").Grant.AtMs // the clocks of stores differ
 	if again := refund(7); again.Granted != 0 {
