The test of counting stores has names of its own

countingStore, startCountingStore and ignoreMessages are quotaStore, startQuotaStore and proxySideOfLink; TestStoresCountATenant is TestSuccessorContinuesTheCount. Nothing else changes.

--- a/cmd/dunetide/countingstores_test.go
+++ b/cmd/dunetide/countingstores_test.go
@@ -16,22 +16,22 @@
 	"dunetide/internal/quota"
 )
 
-// countingStore is a store over real links that counts the requests of tenants.
-type countingStore struct {
+// quotaStore is a store over real links that counts the requests of tenants.
+type quotaStore struct {
 	store *batch.Store
 	entry snapshot.Store
 	conn  *link.Conn // from a proxy
 	stop  func()
 }
 
-// ignoreMessages is the proxy's side of a link.
-type ignoreMessages struct{}
+// proxySideOfLink is the proxy's side of a link.
+type proxySideOfLink struct{}
 
-func (ignoreMessages) Message(*link.Message) {}
-func (ignoreMessages) Closed(*link.Conn)     {}
+func (proxySideOfLink) Message(*link.Message) {}
+func (proxySideOfLink) Closed(*link.Conn)     {}
 
-// startCountingStore starts a store in an empty folder.
-func startCountingStore(t *testing.T, index int) *countingStore {
+// startQuotaStore starts a store in an empty folder.
+func startQuotaStore(t *testing.T, index int) *quotaStore {
 	t.Helper()
 	zone := fmt.Sprint("z", index)
 	store, err := batch.NewStore(batch.StoreOptions{
@@ -52,7 +52,7 @@
 	handler := newStoreLinkHandler(store, nil, newQuotaServer(store, bounds))
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = link.Serve(listener, handler, link.DefaultOptions) }) // ends with the listener
-	s := &countingStore{
+	s := &quotaStore{
 		store: store,
 		entry: snapshot.Store{ID: store.ID(), Name: fmt.Sprint("s", index), Addr: listener.Addr().String(), Zone: zone},
 		stop: sync.OnceFunc(func() {
@@ -64,7 +64,7 @@
 		}),
 	}
 	t.Cleanup(s.stop)
-	if s.conn, err = link.Dial(t.Context(), s.entry.Addr, ignoreMessages{}, link.DefaultOptions); err != nil {
+	if s.conn, err = link.Dial(t.Context(), s.entry.Addr, proxySideOfLink{}, link.DefaultOptions); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.conn.Close)
@@ -72,7 +72,7 @@
 }
 
 // ask asks a store for tokens of a tenant with a burst of 100 and hardly any rate; its slack is 30.
-func (s *countingStore) ask(t *testing.T, wanted uint32) quota.Answer {
+func (s *quotaStore) ask(t *testing.T, wanted uint32) quota.Answer {
 	t.Helper()
 	request := quota.AdmitRequest{Demands: []quota.Demand{{
 		Tenant: "banco",
@@ -93,7 +93,7 @@
 }
 
 // askUntilGranted asks again as the store says.
-func (s *countingStore) askUntilGranted(t *testing.T, wanted uint32) quota.Answer {
+func (s *quotaStore) askUntilGranted(t *testing.T, wanted uint32) quota.Answer {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); {
 		a := s.ask(t, wanted)
@@ -106,13 +106,13 @@
 	return quota.Answer{}
 }
 
-// TestStoresCountATenant guards against two stores that grant at once, and against a successor that grants a burst again:
+// TestSuccessorContinuesTheCount guards against two stores that grant at once, and against a successor that grants a burst again:
 // over real links, a tenant gets its burst from the first owner, and nothing from a successor that has only just started.
-func TestStoresCountATenant(t *testing.T) {
-	byID := map[uint64]*countingStore{}
+func TestSuccessorContinuesTheCount(t *testing.T) {
+	byID := map[uint64]*quotaStore{}
 	var entries []snapshot.Store
 	for i := range 3 {
-		s := startCountingStore(t, i)
+		s := startQuotaStore(t, i)
 		byID[s.store.ID()] = s
 		entries = append(entries, s.entry)
 	}
