--- a/internal/batch/reruns_test.go
+++ b/internal/batch/reruns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strconv"
 	"testing"
@@ -95,6 +96,40 @@
 	}
 }
 
+// TestWorkerThatComesBackRunsItsItemsOnce guards against items that a worker and its substitute both run to the end, as the
+// worker's connections were broken for longer than its items wait for it.
+func TestWorkerThatComesBackRunsItsItemsOnce(t *testing.T) {
+	const away = 2000 // ms; items take 1200 ms
+	for seed := range uint64(12) {
+		sim := newSimulation(seed, 4, 1, 4)
+		sim.start()
+		for i := range 3 {
+			sim.addWorker(fmt.Sprint("p", i))
+		}
+		sim.run(800)
+		sim.maxQueuedTokens = 10_000
+		for i := range 12 {
+			j := sim.newJob(fmt.Sprint("j", i), 1, 1, 1, 1, 1, 1)
+			j.extraMs = 1200
+			sim.submitUntilAccepted(j, 12)
+		}
+		sim.run(600)
+		sim.cutLinks = func(a, b string) bool { return a == "p0" || b == "p0" }
+		sim.dropConnections("p0", 0)
+		sim.after(away, func() { sim.cutLinks = nil })
+		sim.run(20_000)
+		for item, runs := range sim.wholeRuns {
+			if runs > 1 {
+				t.Errorf("seed %d: %s ran %d times to its end", seed, item, runs)
+			}
+		}
+		if len(sim.wholeRuns) != 12*6 {
+			t.Errorf("seed %d: %d items were run", seed, len(sim.wholeRuns))
+		}
+		reportViolations(t, sim, fmt.Sprint("seed ", seed))
+	}
+}
+
 // quietRunner sends an item and passes some events, with pauses; then it waits for the end of its context, as for an
 // endpoint whose answer is lost while the connection stays open.
 type quietRunner struct {
--- a/internal/batch/simclients_test.go
+++ b/internal/batch/simclients_test.go
@@ -231,6 +231,7 @@
 			return
 		}
 		j.finished[item] = true
+		sim.wholeRuns[item]++
 		run.text, run.done = text, true
 		if contact := proxy.contacts[key.partition]; contact != nil && contact.runningNoted {
 			proxy.sendResult(contact.pipe, key, run)
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -38,9 +38,10 @@
 	maxQueuedTokens int64
 	partitionCount  int
 	trace           func(format string, args ...any)
-	beforeStep      func() // called before each step
-	calm            bool   // no faults
-	tableFrozen     bool   // keepers have no majority: the table can't change
+	beforeStep      func()         // called before each step
+	calm            bool           // no faults
+	wholeRuns       map[string]int // of each item
+	tableFrozen     bool           // keepers have no majority: the table can't change
 	resultsRead     int
 	drainedStores   int // stores that stopped after others had taken over the lead of their partitions
 	connections     []*simPipe
@@ -283,6 +284,7 @@
 		maxLost:         f,
 		jobs:            map[string]*clientJob{},
 		lastHeard:       map[uint64]int64{},
+		wholeRuns:       map[string]int{},
 		partitionCount:  parts,
 		maxQueuedTokens: 100,
 	}
