--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -120,7 +120,7 @@
 	case known.committed && by.mayUse(known.submitter.Tenant):
 		replyCode(caller, codeOK)
 	case known.committed:
-		replyCode(caller, codeConflict)
+		replyCode(caller, codeOtherTenant)
 	case by.mayUse(known.submitter.Tenant):
 		p.primary.afterCommit(func(ok bool) { replyAccepted(caller, ok) })
 	default:
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -225,8 +225,6 @@
 		return responseUnavailable
 	case StoresFull:
 		return responseStoresFull
-	case Conflict:
-		return Response{Status: http.StatusConflict}
 	}
 	return Response{}
 }
--- a/internal/batch/messages.go
+++ b/internal/batch/messages.go
@@ -73,7 +73,7 @@
 	codeUnavailable       // not done, and will not be done
 	codeUnknown           // it may have been done
 	codeLogFull           // not done, and retrying soon is no use: the log of this store or of a replica is full
-	codeConflict          // not done, and will not be done: the ID is that of another tenant's job
+	codeOtherTenant       // not done, and will not be done: the job belongs to another tenant
 )
 
 // encodeReadResults encodes kindReadResults.
--- a/internal/batch/proxy.go
+++ b/internal/batch/proxy.go
@@ -183,7 +183,6 @@
 	Unavailable                      // not accepted
 	Unresolved                       // it may have been accepted: the response must promise nothing
 	StoresFull                       // not accepted, and retrying soon is no use: logs are full
-	Conflict                         // not accepted: the ID is that of another tenant's job
 )
 
 // Submit submits a job, with retries until the context is cancelled.
@@ -198,8 +197,6 @@
 		return QuotaFull
 	case code == codeLogFull:
 		return StoresFull
-	case code == codeConflict:
-		return Conflict
 	}
 	return Unavailable
 }
@@ -210,8 +207,8 @@
 // The values of CallOutcome.
 const (
 	Found        CallOutcome = iota // the call was executed
-	NotFound                        // there is certainly no such job or item that the caller may use
-	NotConfirmed                    // the outcome is unknown
+	NotFound                        // there is certainly no such job or item
+	NotConfirmed                    // the outcome is unknown, or the job belongs to another tenant
 )
 
 func callOutcome(code uint8) CallOutcome {
--- a/internal/batch/reads.go
+++ b/internal/batch/reads.go
@@ -30,8 +30,13 @@
 // primary.
 func (c *core) readJob(p *partition, read pendingRead) {
 	j := p.jobs[read.jobID]
-	if j != nil && (!j.committed || !read.by.mayUse(j.submitter.Tenant)) {
-		j = nil // answered alike, so nobody learns of other tenants' jobs
+	if j != nil && !j.committed {
+		j = nil
+	}
+	if j != nil && !read.by.mayUse(j.submitter.Tenant) {
+		// The key may be one that has just been passed on from the job's tenant, or to it, so nothing is certain.
+		replyCode(read.caller, codeOtherTenant)
+		return
 	}
 	if j != nil && read.endsJob {
 		c.endJob(p, read.jobID, read.by, read.caller)
--- a/internal/proxy/identity/identity.go
+++ b/internal/proxy/identity/identity.go
@@ -40,7 +40,7 @@
 	NotRequired Outcome = iota
 	// Identified: the key belongs to a tenant.
 	Identified
-	// Anonymous: the route is public, and the request has no key of a tenant.
+	// Anonymous: the route is public, and the request states no key.
 	Anonymous
 	// MissingKey: there is no Authorization header.
 	MissingKey
@@ -92,10 +92,10 @@
 		return Identity{Outcome: NotRequired}
 	}
 	identity := ofKey(config, header[HeaderAuthorization])
-	if public && identity.Refused() {
+	if public && (identity.Outcome == MissingKey || identity.Outcome == MalformedKey) {
 		return Identity{Outcome: Anonymous}
 	}
-	return identity
+	return identity // an unknown key is refused on public routes too: it may have been taken away
 }
 
 // ofKey identifies a client by the values of its Authorization headers.
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -70,6 +70,14 @@
 	b.history.restart(b.atMs, b.level)
 }
 
+// lower cuts the level off at another one. Earlier grants can no longer be refunded.
+func (b *bucket) lower(level microTokens) {
+	if level < b.level {
+		b.level = level
+		b.history.restart(b.atMs, b.level)
+	}
+}
+
 // retryAfter returns the time until the bucket has a token.
 func (b *bucket) retryAfter() time.Duration {
 	waitMs := b.fillMs(token - b.level)
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// callTimeout is how long a call may take. After that its tokens count as granted and lost.
-	callTimeout = 150 * time.Millisecond
+	// callTimeout is how long a call may take. After that its tokens count as granted and lost. A short time
+	// would lose tokens whenever a store or this process is slow, a long one delays the demand to another store.
+	callTimeout = maxGrantAge * 7 / 10
 	// minUnavailableRetry and maxUnavailableRetry bound the RetryAfter of requests that could not be counted. It is drawn,
 	// so that the clients of all proxies don't come back at once when a store counts again.
 	minUnavailableRetry = 300 * time.Millisecond
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -95,6 +95,7 @@
 	if d.Limit.ConfigVersion > a.configVersion {
 		a.configVersion = d.Limit.ConfigVersion
 		a.bucket.setPace(c.ms(now), c.slack.paceOf(&d.Limit))
+		a.bucket.lower(c.open(&d.Limit, lead, now).level) // the first demand may have stated a higher limit that is old
 	}
 	a.usedAt = now
 	return a
