Batch: a new primary without jobs gets tokens; refusals by a quota are logged

The owner of a quota grants nothing to a primary whose usage it does not know. A new primary reported the usage of the accounts whose jobs it had and was never asked for others, so its first reservation timed out. With an account for each tenant on a route most primaries have no jobs of most accounts. The owner now asks at once, and the repeated reservation is granted after 100 ms. TestANewPrimaryWithoutJobsGetsTokens failed before (no answer within 500 ms).

A quota that is used up looked from the outside like one that counts wrongly: the owner logs refusals, at most one line in 5 s for each account (TestRefusalsByAQuotaAreLogged; there was no such line before).

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -35,6 +35,7 @@
 	usageReportMs      = 50   // minimum interval between reports of an account's usage
 	reservationRetryMs = 100  // delay before a reservation is retried after the owner was unavailable
 	usageRequestMs     = 100  // how often missing usage is requested
+	refusalLogMs       = 5000 // minimum interval between logs of refusals by one quota
 	staleUsageMs       = 1000 // how often usage reported by an earlier primary is requested again
 	dropMarginMs       = 3000 // how much longer than promised a job is retained
 	abandonMarginMs    = 1500 // how much later than promised items are abandoned
--- a/internal/batch/quotaowner.go
+++ b/internal/batch/quotaowner.go
@@ -1,6 +1,9 @@
 package batch
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // The owner of a quota is the primary of the partition that the account hashes to. It stores
 // nothing on disk: a new owner requests the usage of all primaries before it grants anything.
@@ -13,7 +16,9 @@
 	usage            map[int]*partitionUsage
 	pending          []pendingReservation // waiting until the usage of all partitions is known
 	usageRequestedAt int64
-	requestingUsage  bool // guards against reentry, as this store may answer its own request synchronously
+	refusals         int   // since the last log of one
+	refusalLoggedAt  int64 // when a refusal was last logged
+	requestingUsage  bool  // guards against reentry, as this store may answer its own request synchronously
 }
 
 // partitionUsage is the last report of a partition's primary, and what it was granted since.
@@ -61,6 +66,7 @@
 			incarnation:      primary.incarnation,
 			usage:            map[int]*partitionUsage{},
 			usageRequestedAt: never,
+			refusalLoggedAt:  never,
 		}
 		primary.accounts[key] = account
 	}
@@ -140,11 +146,17 @@
 		if pipe == nil && store != c.self {
 			continue
 		}
-		w := encodeQuotaMessage(account.key, index, account.incarnation, 0)
-		c.sendQuotaMessage(pipe, kindUsageRequest, w.Buf)
+		c.requestUsageFrom(account, index, pipe)
 	}
 }
 
+// requestUsageFrom requests the usage of a partition from the store at the other end of a pipe, or
+// from this store if the pipe is nil.
+func (c *core) requestUsageFrom(account *quotaAccount, partition int, pipe Pipe) {
+	w := encodeQuotaMessage(account.key, partition, account.incarnation, 0)
+	c.sendQuotaMessage(pipe, kindUsageRequest, w.Buf)
+}
+
 // answerPendingReservations answers the pending reservations, once the usage of all partitions is
 // known.
 func (c *core) answerPendingReservations(account *quotaAccount) {
@@ -178,8 +190,9 @@
 		return // the primary has been replaced, or the reservation is resolved
 	}
 	if request.incarnation > usage.incarnation {
-		// The usage of this new primary is not known yet. It reports its usage when it begins to
-		// serve.
+		// The usage of this new primary is not known yet. When it begins to serve it reports that of
+		// the accounts whose jobs it has, so without jobs it must be asked.
+		c.requestUsageFrom(account, request.partition, request.pipe)
 		c.sendReservationReply(account.key, account.incarnation, request, codeUnavailable)
 		return
 	}
@@ -189,7 +202,8 @@
 			return
 		}
 	}
-	if account.countedTokens()+request.tokens > request.maxTokens {
+	if counted := account.countedTokens(); counted+request.tokens > request.maxTokens {
+		c.logRefusal(account, request, counted)
 		c.sendReservationReply(account.key, account.incarnation, request, codeQuotaFull)
 		return
 	}
@@ -197,6 +211,19 @@
 	c.sendReservationReply(account.key, account.incarnation, request, codeOK)
 }
 
+// logRefusal logs that a reservation does not fit into the quota, at a limited rate for each account:
+// from the outside a quota that is used up looks like one that counts wrongly.
+func (c *core) logRefusal(account *quotaAccount, request pendingReservation, counted int64) {
+	account.refusals++
+	if c.nowMs-account.refusalLoggedAt < refusalLogMs {
+		return
+	}
+	route, tenant, _ := strings.Cut(account.key, accountSeparator)
+	c.log("quota of route %q, tenant %q: %d of %d tokens are waiting, a job needs %d; refused %d times since the last report",
+		route, tenant, counted, request.maxTokens, request.tokens, account.refusals)
+	account.refusals, account.refusalLoggedAt = 0, c.nowMs
+}
+
 // sendReservationReply answers a reservation. Owner is the incarnation of the owner; 0 if this
 // store is not the owner.
 func (c *core) sendReservationReply(key string, owner uint64, request pendingReservation, code uint8) {
