Partitions: a keeper that acquires the lease assigns at once if it knows all stores

Keepers have contact with a majority again 0.46 s after their start, the lease of the assigner is held 1.8 s after it, and the table that replaces the lost replicas is proposed 1.0 s after that. Meanwhile jobs and requests of tenants of those partitions are refused.

Cause: the holder waited a second from the acquisition of the lease on, to collect the attachments of all stores. Every keeper collects them all the time, so the second counts from the beginning of contact, as it does for decisions on retirements.

TestNewAssignerProposesAtOnce holds the cases; the condition before it (LeaseAge of at least a second) is not met in the first one. LeaseAge has no other use and goes.

--- a/internal/consensus/singleton/candidate.go
+++ b/internal/consensus/singleton/candidate.go
@@ -44,7 +44,6 @@
 	refused     map[string]bool
 
 	until       time.Duration // end of the lease; 0: no lease
-	since       time.Duration // start of the current uninterrupted lease
 	nextRequest time.Duration
 }
 
@@ -54,14 +53,6 @@
 // HasLease reports whether the candidate may act in the role now. Callers check it immediately before each act.
 func (c *Candidate) HasLease(now time.Duration) bool { return now < c.until }
 
-// LeaseAge returns how long the lease has been held without interruption; 0 without a lease.
-func (c *Candidate) LeaseAge(now time.Duration) time.Duration {
-	if !c.HasLease(now) {
-		return 0
-	}
-	return now - c.since
-}
-
 // Step returns the action to take now and the round that it applies to.
 func (c *Candidate) Step(now time.Duration, voters int) (action Action, round uint64) {
 	if c.until != 0 && now >= c.until {
@@ -114,9 +105,6 @@
 		return
 	}
 	c.requesting = false
-	if !c.HasLease(now) {
-		c.since = now
-	}
 	if until := c.requestedAt + LeaseDuration; until > now {
 		c.until = until
 	}
--- a/internal/control/keeper/partition_assignment.go
+++ b/internal/control/keeper/partition_assignment.go
@@ -19,9 +19,9 @@
 	partitionCount = 16
 	// storeLostAfter is how long a store may be unattached before its partitions are assigned to other stores.
 	storeLostAfter = 300 * time.Millisecond
-	// takeoverDelay is how long a keeper that has acquired the lease collects the attachments of all stores before it
-	// proposes tables. A keeper that has just gained contact waits as long before it decides on retirements.
-	takeoverDelay = time.Second
+	// attachmentDelay is how long a keeper that has just gained contact collects the attachments of all stores, which the
+	// other keepers report, before it proposes tables or decides on retirements.
+	attachmentDelay = time.Second
 	// assignInterval is the minimum time between two proposals of a table.
 	assignInterval = 100 * time.Millisecond
 )
@@ -47,10 +47,20 @@
 		a.lastSeen[id] = now
 	}
 	a.hasLease = k.maintainLease(now, assignRole, a.lease, a.hasLease)
-	if a.lease.LeaseAge(k.sinceStart(now)) < takeoverDelay || a.proposing || now.Sub(a.proposedAt) < assignInterval {
-		return
+	if k.mayAssign(now) {
+		k.proposeAssignment(now, stores)
 	}
-	k.proposeAssignment(now, stores)
+}
+
+// mayAssign reports whether this keeper may propose a table now.
+func (k *Keeper) mayAssign(now time.Time) bool {
+	a := &k.assigner
+	return a.hasLease && k.knowsAttachments(now) && !a.proposing && now.Sub(a.proposedAt) >= assignInterval
+}
+
+// knowsAttachments reports whether this keeper has been in contact for long enough to know all attached stores.
+func (k *Keeper) knowsAttachments(now time.Time) bool {
+	return k.contact.ContactDuration(k.sinceStart(now)) >= attachmentDelay
 }
 
 // proposeAssignment proposes the table that fits the attached stores, if it differs from the current one. A proposal
@@ -101,7 +111,7 @@
 	}
 	r, ok := query(k, func() result {
 		now := time.Now()
-		if k.contact.ContactDuration(k.sinceStart(now)) < takeoverDelay {
+		if !k.knowsAttachments(now) {
 			return result{}
 		}
 		alive, isLost := k.storeLiveness(now, k.attachedStores())
