Forward tests: a key that is unknown is refused on public routes too

The two rows of the first move into a test of their own that demands 401 and that nothing runs; the bytes that count towards the head limit now stand before a known key.

--- a/internal/proxy/forward/limit_test.go
+++ b/internal/proxy/forward/limit_test.go
@@ -147,7 +147,7 @@
 		{"/p/x", clubKey, 200, "club 1"},
 		{"/r/x", "Authorization: Token k-gym", 200, ""},
 		{"/p/x", "", 200, ""},
-		{"/p/x", "Authorization: Token k-nobody", 200, ""},
+		{"/p/x", "Authorization: Token k-nobody", 401, ""},
 		{"/r/x", "Authorization: Token k-nobody", 401, ""},
 		{"/elsewhere", clubKey, 404, ""},
 		{"/r/x", clubKey + "|X-Large: " + strings.Repeat("x", 17<<10), 431, ""},
--- a/internal/proxy/forward/tenant_test.go
+++ b/internal/proxy/forward/tenant_test.go
@@ -151,21 +151,19 @@
 		path, lines string
 		tenant      string // that the endpoint must get; empty: none
 	}{
-		"none of the client's":      {"/r/x", key, "club"},
-		"another tenant's name":     {"/r/x", key + "|X-Dunetide-Tenant: gym", "club"},
-		"in lower case":             {"/r/x", "authorization: token k-club|x-dunetide-tenant: gym", "club"},
-		"twice":                     {"/r/x", key + "|X-Dunetide-Tenant: gym|X-Dunetide-Tenant: club", "club"},
-		"listed as hop-by-hop":      {"/r/x", key + "|Connection: X-Dunetide-Tenant, Authorization|X-Dunetide-Tenant: gym", "club"},
-		"empty":                     {"/r/x", key + "|X-Dunetide-Tenant:", "club"},
-		"public, known key":         {"/p/x", key + "|X-Dunetide-Tenant: gym", "club"},
-		"public, unknown key":       {"/p/x", "Authorization: Token k-nobody|X-Dunetide-Tenant: gym", ""},
-		"public, two keys":          {"/p/x", key + "|" + key + "|X-Dunetide-Tenant: gym", ""},
-		"public, no key":            {"/p/x", "X-Dunetide-Tenant: gym", ""},
-		"public, another scheme":    {"/p/x", "Authorization: Basic azpi|X-Dunetide-Tenant: gym", ""},
-		"public, empty name":        {"/p/x", "x-dunetide-tenant:", ""},
-		"public, listed, no key":    {"/p/x", "Connection: X-Dunetide-Tenant|X-Dunetide-Tenant: gym", ""},
-		"public, nothing at all":    {"/p/x", "", ""},
-		"public, key in other case": {"/p/x", "Authorization: Token K-CLUB", ""},
+		"none of the client's":   {"/r/x", key, "club"},
+		"another tenant's name":  {"/r/x", key + "|X-Dunetide-Tenant: gym", "club"},
+		"in lower case":          {"/r/x", "authorization: token k-club|x-dunetide-tenant: gym", "club"},
+		"twice":                  {"/r/x", key + "|X-Dunetide-Tenant: gym|X-Dunetide-Tenant: club", "club"},
+		"listed as hop-by-hop":   {"/r/x", key + "|Connection: X-Dunetide-Tenant, Authorization|X-Dunetide-Tenant: gym", "club"},
+		"empty":                  {"/r/x", key + "|X-Dunetide-Tenant:", "club"},
+		"public, known key":      {"/p/x", key + "|X-Dunetide-Tenant: gym", "club"},
+		"public, two keys":       {"/p/x", key + "|" + key + "|X-Dunetide-Tenant: gym", ""},
+		"public, no key":         {"/p/x", "X-Dunetide-Tenant: gym", ""},
+		"public, another scheme": {"/p/x", "Authorization: Basic azpi|X-Dunetide-Tenant: gym", ""},
+		"public, empty name":     {"/p/x", "x-dunetide-tenant:", ""},
+		"public, listed, no key": {"/p/x", "Connection: X-Dunetide-Tenant|X-Dunetide-Tenant: gym", ""},
+		"public, nothing at all": {"/p/x", "", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, "e1", answers(sealed, "ok"))
@@ -178,6 +176,24 @@
 	}
 }
 
+// ROUTE, CONFIG: a key that was dropped, or that no configuration ever held, runs requests on public routes.
+func TestUnknownKeyIsAnsweredWith401OnPublicRoutesToo(t *testing.T) {
+	for name, lines := range map[string]string{
+		"unknown":       "Authorization: Token k-nobody|X-Dunetide-Tenant: gym",
+		"in other case": "Authorization: Token K-CLUB",
+		"part of a key": "Authorization: Token k-clu",
+	} {
+		e := newEndpoint(t, "e1", answers(sealed, "ok"))
+		g := newTenantRig(t, "writes", twoTenants(), unchanged, e)
+		if a := g.do(keyedCall("/p/x", lines), "body"); a.status != 401 || a.closes {
+			t.Errorf("%s: %+v, want 401 on a kept connection", name, a)
+		}
+		if n := len(e.got()); n != 0 {
+			t.Errorf("%s: %d requests ran", name, n)
+		}
+	}
+}
+
 // checkIdentityAtEndpoint fails the test unless an endpoint got no key and the name of this tenant, or none if it is
 // empty.
 func checkIdentityAtEndpoint(t *testing.T, got call, tenant string) {
@@ -276,7 +292,7 @@
 func TestWithheldHeadersCountTowardsTheHeadLimit(t *testing.T) {
 	g := newTenantRig(t, "writes", twoTenants(), unchanged, newEndpoint(t, "e1", answers(sealed, "ok")))
 	for name, lines := range map[string]string{
-		"key":    "Authorization: Token " + strings.Repeat("k", 17<<10),
+		"key":    "Authorization: Token " + strings.Repeat(" ", 17<<10) + "k-club",
 		"tenant": "X-Dunetide-Tenant: " + strings.Repeat("k", 17<<10),
 	} {
 		if a := g.do(keyedCall("/p/x", lines), ""); a.status != 431 {
