Keepers tell where a tenant's requests are counted: GET /tenants, dunetide tenants

An engineer who is told that a tenant is refused below its limit had no page that names the store which counts for it. The keeper knows the configuration and the partition table, so no message between processes is added: by tenant its limit, the number of its keys, the partition with its epoch, the owner, the successors, and how often the keeper has seen the owner change within ten minutes.

--- a/cmd/dunetide/command_table_test.go
+++ b/cmd/dunetide/command_table_test.go
@@ -36,6 +36,7 @@
 		"check config":       {"<file>"},
 		"check certificates": {"<file>"},
 		"status":             {"<control>"},
+		"tenants":            {"<control>", "<name>", "--after"},
 		"certify put":        {"<file>", "--control required", "--base"},
 		"certify get":        {"--control required"},
 		"certify withdraw":   {"<endpoint>", "--control required", "--regime"},
--- a/cmd/dunetide/main.go
+++ b/cmd/dunetide/main.go
@@ -33,6 +33,7 @@
 	Store   storeCmd   `cmd:"" help:"Store batch jobs and distribute their items to proxies."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file or a configuration, offline."`
 	Status  statusCmd  `cmd:"" help:"Print a keeper's view of the system."`
+	Tenants tenantsCmd `cmd:"" help:"Print a keeper's view of the tenants: limits, and which stores count their requests."`
 	Certify certifyCmd `cmd:"" help:"Manage the certificates: which endpoints are certified for which regimes, and which routes require one."`
 	Audit   auditCmd   `cmd:"" help:"Check the record of regulated runs, offline."`
 	Version versionCmd `cmd:"" help:"Print the version."`
--- a/internal/control/keeper/decided.go
+++ b/internal/control/keeper/decided.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"dunetide/internal/consensus/paxos"
 )
@@ -58,6 +59,7 @@
 		return
 	}
 	k.partitions = decided
+	k.partitionOwners = updateOwners(k.partitionOwners, decided, time.Now())
 	k.pushNeeded = true
 	if k.log.IsDebug() { // formatting the table is expensive
 		k.log.Debug("table in force", "number", decided.Version, "parts", fmt.Sprint(decided.Partitions),
--- a/internal/control/keeper/http.go
+++ b/internal/control/keeper/http.go
@@ -60,6 +60,7 @@
 	{http.MethodPost, "/retire/", maxSmallBody, (*Keeper).postRetire},
 	{http.MethodGet, "/retire/", 0, (*Keeper).getRetire},
 	{http.MethodGet, "/status", 0, (*Keeper).getStatus},
+	{http.MethodGet, "/tenants", 0, (*Keeper).getTenants},
 }
 
 func (k *Keeper) newHTTPServer() *http.Server {
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -76,6 +76,8 @@
 	certificates  *document                // the newest known decided ones; version 0: none have been put
 	partitions    *snapshot.PartitionTable // the newest known decided one; nil: none yet
 	newestDecided map[string]*versionWatermark
+	// partitionOwners has the primaries of each partition that this keeper has seen.
+	partitionOwners []ownerHistory
 	// certificateReads groups the Confirm calls that one read of the certificates answers.
 	certificateReads *quorum.ReadBarrier[*link.Message]
 
--- a/internal/control/snapshot/partition.go
+++ b/internal/control/snapshot/partition.go
@@ -29,6 +29,12 @@
 	Stopping map[uint64]bool
 }
 
+// rateKeyPrefix keeps the keys of tenants apart from those of jobs and routes.
+const rateKeyPrefix = "rate:"
+
+// RateKey returns the key whose hash gives the partition whose primary counts the requests of a tenant.
+func RateKey(tenant string) string { return rateKeyPrefix + tenant }
+
 // PartitionOf returns the index of the partition of a batch job, by the hash of its ID; -1 if the table has none.
 // The receiver may be nil.
 func (t *PartitionTable) PartitionOf(jobID string) int {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dunetide/internal/control/operatorconfig"
+	"dunetide/internal/control/snapshot"
 )
 
 // Limiter decides whether requests of tenants may run now. It is safe for concurrent use.
@@ -44,8 +45,5 @@
 	return fmt.Sprintf("the store that counts the requests of tenant %s does not answer; retry after %v", e.Tenant, e.RetryAfter)
 }
 
-// partitionKeyPrefix keeps the keys of tenants apart from those of jobs and routes.
-const partitionKeyPrefix = "rate:"
-
 // PartitionKey returns the key whose hash gives the partition whose primary counts the requests of a tenant.
-func PartitionKey(tenant string) string { return partitionKeyPrefix + tenant }
+func PartitionKey(tenant string) string { return snapshot.RateKey(tenant) }
