Requests: the name of a tenant that a client wrote is always taken out; a wait for a permit is none for an endpoint

Found by a review. It is taken out always; Authorization passes without customers, as before. TestWithoutTenantsAuthorizationPassesAndNobodyIsNamed takes the place of TestWithoutTenantsHeadersPassUnchanged, which demanded that the name passes.

Worth: admission refuses a request that has waited for a quarter of its aim. The wait for a permit, up to 2 s while the store that counts is replaced, was counted in, so such a request got no place in the queue. TestWaitForAPermitIsNotCountedAsAWaitForAnEndpoint failed before.

--- a/internal/batch/principal.go
+++ b/internal/batch/principal.go
@@ -51,14 +51,12 @@
 }
 
 // identify replaces what a client wrote about itself in an item's headers. The tenant is stored with the item, so the item
-// runs as that tenant's also once the client's key has been withdrawn.
+// runs as that tenant's also once the client's key has been withdrawn. Without tenants only the name of one is taken out:
+// the item may run when a later configuration has tenants.
 func (p Principal) identify(headers [][2]string) [][2]string {
-	if !p.HasTenants {
-		return headers
-	}
 	var identified [][2]string
 	for _, header := range headers {
-		if !isIdentityHeader(header[0]) {
+		if !p.withholds(header[0]) {
 			identified = append(identified, header)
 		}
 	}
@@ -68,11 +66,14 @@
 	return identified
 }
 
-// isIdentityHeader reports whether a header says who a request is from, in any spelling that a proxy would send as such.
-func isIdentityHeader(name string) bool {
+// withholds reports whether a client's header of an item says who the item is from, in any spelling that a proxy would
+// send as such.
+func (p Principal) withholds(name string) bool {
 	switch http.CanonicalHeaderKey(strings.TrimSpace(name)) {
-	case headerTenant, headerAuthorization:
+	case headerTenant:
 		return true
+	case headerAuthorization:
+		return p.HasTenants
 	}
 	return false
 }
--- a/internal/batch/tenants_core_test.go
+++ b/internal/batch/tenants_core_test.go
@@ -221,7 +221,7 @@
 	}{
 		{rizzo, [][2]string{{"A", "1"}, {"B", "2"}, {headerTenant, "rizzo"}}},
 		{keyless, [][2]string{{"A", "1"}, {"B", "2"}}},
-		{everyone, own},
+		{everyone, [][2]string{{"A", "1"}, {"authorization", "Token k"}, {" Authorization", "Token k"}, {"B", "2"}}},
 	} {
 		if got := c.by.identify(own); !slices.Equal(got, c.want) {
 			t.Errorf("%+v: %q, want %q", c.by, got, c.want)
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -38,10 +38,10 @@
 	sharedHeadLength int
 	lastEventID      string // of the last event forwarded, or as stated by the client
 
-	tenant            string       // named to endpoints; empty: none
-	withholdsIdentity bool         // endpoints must not see the client's own Authorization and X-Dunetide-Tenant
-	withheldLength    int          // bytes of the head that were withheld for that reason
-	permit            quota.Permit // a token of the tenant's limit; nil: none is held
+	tenant         string       // named to endpoints; empty: none
+	withholdsKey   bool         // endpoints must not see the client's own Authorization
+	withheldLength int          // bytes of the head that were withheld for that reason
+	permit         quota.Permit // a token of the tenant's limit; nil: none is held
 
 	state         attempt.State
 	headSent      bool // the head of an answer was forwarded to the client
--- a/internal/proxy/forward/head.go
+++ b/internal/proxy/forward/head.go
@@ -73,9 +73,11 @@
 	x.head = append(h, "\r\n"...)
 }
 
-// withholds reports whether a client's header must not reach endpoints, as it identifies the client.
+// withholds reports whether a client's header must not reach endpoints, as it identifies the client. A client's key has
+// a meaning only where the configuration has tenants. The name of a tenant is the proxy's alone to set: other proxies
+// may have a configuration with tenants already.
 func (x *exchange) withholds(name string) bool {
-	return x.withholdsIdentity && (name == identity.HeaderAuthorization || name == identity.HeaderTenant)
+	return name == identity.HeaderTenant || name == identity.HeaderAuthorization && x.withholdsKey
 }
 
 // fieldsLength returns how many bytes the fields of one name take up in a head.
--- a/internal/proxy/forward/intake.go
+++ b/internal/proxy/forward/intake.go
@@ -173,7 +173,7 @@
 	x := &exchange{proxy: p, ctx: r.Context(), method: r.Method}
 	x.describe(a.route, r.Header.Get)
 	x.setTenant(a.asker.Tenant)
-	x.withholdsIdentity = a.asker.WithholdsHeaders()
+	x.withholdsKey = a.asker.WithholdsKey()
 	x.deadline = a.arrived.at.Add(timeout - min(answerMargin, timeout/8))
 	x.request.Arrived, x.request.Deadline = a.arrived.admitted, x.deadline
 	x.request.Due = a.arrived.at.Add(time.Duration(a.route.LatencyTargetMs) * time.Millisecond)
--- a/internal/proxy/forward/item.go
+++ b/internal/proxy/forward/item.go
@@ -114,7 +114,7 @@
 	if s := x.proxy.options.Snapshots.Get(); s != nil {
 		config = s.Config
 	}
-	x.withholdsIdentity = tenant != "" || config.HasTenants()
+	x.withholdsKey = tenant != "" || config.HasTenants()
 	x.tenant = tenant
 	if t := config.Tenant(tenant); t != nil {
 		x.setTenant(t)
--- a/internal/proxy/forward/limit.go
+++ b/internal/proxy/forward/limit.go
@@ -46,6 +46,7 @@
 		return err
 	}
 	x.permit = permit
+	x.request.Arrived = x.proxy.options.Now() // the wait for the permit is none for an endpoint
 	return nil
 }
 
--- a/internal/proxy/forward/limit_test.go
+++ b/internal/proxy/forward/limit_test.go
@@ -165,6 +165,27 @@
 	}
 }
 
+// A request that waited for its permit counts in admission as one that has waited there: it is refused at once unless an
+// endpoint has a free place in that very moment.
+func TestWaitForAPermitIsNotCountedAsAWaitForAnEndpoint(t *testing.T) {
+	limiter := &scriptedLimiter{block: make(chan struct{})}
+	g := limitedRig(t, "writes", limiter, newEndpoint(t, "e1", answers(sealed, "ok")))
+	var permitted time.Time
+	time.AfterFunc(50*time.Millisecond, func() { // a wait that the clock shows
+		permitted = time.Now()
+		close(limiter.block)
+	})
+	if a := g.do(keyedCall("/r/x", clubKey), "body"); a.status != 200 {
+		t.Fatalf("%+v", a)
+	}
+	if len(g.a.requests) != 1 {
+		t.Fatalf("%d requests in admission", len(g.a.requests))
+	}
+	if arrived := g.a.requests[0].Arrived; arrived.Before(permitted) {
+		t.Errorf("in admission it counts as waiting for %v already", permitted.Sub(arrived))
+	}
+}
+
 // QUOTA: the token of a request that an endpoint may have run is returned. Worth: that of one that has not run is lost.
 func TestPermitIsRefundedOnlyIfTheRequestHasNotRun(t *testing.T) {
 	refused := func(*rig) error { return &dispatch.RefusedError{Reason: "none", RetryAfter: time.Millisecond} }
--- a/internal/proxy/forward/tenant_test.go
+++ b/internal/proxy/forward/tenant_test.go
@@ -235,8 +235,9 @@
 	}
 }
 
-// A configuration without customers changes what endpoints have got so far.
-func TestWithoutTenantsHeadersPassUnchanged(t *testing.T) {
+// A configuration without customers changes what endpoints have got so far; or (UNASKED) the name of a tenant that a
+// client wrote reaches an endpoint through a proxy that does not have the configuration with customers yet.
+func TestWithoutTenantsAuthorizationPassesAndNobodyIsNamed(t *testing.T) {
 	e := newEndpoint(t, "e1", answers(sealed, "ok"))
 	g := newTenantRig(t, "writes", nil, unchanged, e)
 	if a := g.do(keyedCall("/r/x", "Authorization: Basic azpi|Authorization: Token k-club|X-Dunetide-Tenant: gym|x-dunetide-tenant: b"), "body"); a.status != 200 {
@@ -246,8 +247,8 @@
 	if keys := strings.Join(got["Authorization"], "|"); keys != "Basic azpi|Token k-club" {
 		t.Errorf("the endpoint got %q", keys)
 	}
-	if names := strings.Join(got["X-Dunetide-Tenant"], "|"); names != "gym|b" {
-		t.Errorf("the endpoint got tenants %q", names)
+	if names := got["X-Dunetide-Tenant"]; names != nil {
+		t.Errorf("the endpoint got tenants %q, which the client wrote", names)
 	}
 	if priority := g.a.requests[0].TenantPriority; priority != 0 {
 		t.Errorf("priority %d", priority)
--- a/internal/proxy/identity/identity.go
+++ b/internal/proxy/identity/identity.go
@@ -64,8 +64,8 @@
 // Refused reports whether the request must be answered 401.
 func (i Identity) Refused() bool { return i.Outcome >= MissingKey }
 
-// WithholdsHeaders reports whether endpoints must not see the client's Authorization and X-Dunetide-Tenant headers.
-func (i Identity) WithholdsHeaders() bool { return i.Outcome != NotRequired }
+// WithholdsKey reports whether endpoints must not see the client's Authorization header.
+func (i Identity) WithholdsKey() bool { return i.Outcome != NotRequired }
 
 // TenantName returns the name of the tenant; empty if there is none.
 func (i Identity) TenantName() string {
--- a/internal/proxy/identity/identity_test.go
+++ b/internal/proxy/identity/identity_test.go
@@ -109,8 +109,8 @@
 			if got.Outcome != c.want || got.TenantName() != c.tenant {
 				t.Errorf("%v for tenant %q, want %v for %q", got.Outcome, got.TenantName(), c.want, c.tenant)
 			}
-			if got.Refused() != (c.tenant == "") || !got.WithholdsHeaders() {
-				t.Errorf("refused %v, withholds headers %v", got.Refused(), got.WithholdsHeaders())
+			if got.Refused() != (c.tenant == "") || !got.WithholdsKey() {
+				t.Errorf("refused %v, withholds the key %v", got.Refused(), got.WithholdsKey())
 			}
 			public := OfRequest(restricted(t), &restricted(t).Routes[1], header)
 			wantPublic, refused := Anonymous, false
@@ -121,15 +121,15 @@
 				wantPublic, refused = UnknownKey, true
 			default:
 			}
-			if public.Outcome != wantPublic || public.TenantName() != c.tenant || public.Refused() != refused || !public.WithholdsHeaders() {
+			if public.Outcome != wantPublic || public.TenantName() != c.tenant || public.Refused() != refused || !public.WithholdsKey() {
 				t.Errorf("public: %v for tenant %q, want %v for %q", public.Outcome, public.TenantName(), wantPublic, c.tenant)
 			}
 			without := config(t, nil, plainRoute(false))
-			if open := OfRequest(without, &without.Routes[0], header); open.Outcome != NotRequired || open.WithholdsHeaders() || open.Refused() {
+			if open := OfRequest(without, &without.Routes[0], header); open.Outcome != NotRequired || open.WithholdsKey() || open.Refused() {
 				t.Errorf("without tenants: %+v", open)
 			}
 			nobody := config(t, []customer{}, plainRoute(false))
-			if got := OfRequest(nobody, &nobody.Routes[0], header); !got.Refused() || !got.WithholdsHeaders() {
+			if got := OfRequest(nobody, &nobody.Routes[0], header); !got.Refused() || !got.WithholdsKey() {
 				t.Errorf("an empty list of tenants: %+v", got)
 			}
 		})
