Partitions: a lead moves for balance only after five seconds

Each move stops the count of the partition's tenants for 0.62 s, and a third lead within a window begins with an empty bucket, so requests below their limit are refused with 429.

Cause: the assigner balances primaries as soon as all replicas are alive, without regard to how long a lead has lasted. It now leaves leads alone that this keeper has seen for less than 5 s. Losses, stops and retirements move leads at once, as before.

TestBalanceLeavesYoungLeads, TestLongLedPartitions.

--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -8,27 +8,45 @@
 	"dunetide/internal/control/snapshot"
 )
 
-// AssignPartitions places the replicas and primaries of partitions. It returns the next table, or
-// false if the current one needs no change. Alive are the stores that currently send heartbeats.
-// Lost reports that a store has been silent for so long that it should be replaced. F is how many
-// replicas of a partition may be lost at once; a partition has f+2 replicas, or as many as there
-// are stores. Each change of a partition increases its epoch.
-//
-// The first table needs f+1 stores and should include all, so the caller should wait until all
-// stores that start together are alive.
+// Assignment places the replicas and primaries of partitions.
+type Assignment struct {
+	// Alive are the stores that currently send heartbeats.
+	Alive []snapshot.Store
+	// Lost reports that a store has been silent for so long that it should be replaced.
+	Lost func(id uint64) bool
+	// Partitions is the number of partitions of a first table.
+	Partitions int
+	// MaxLost is how many replicas of a partition may be lost at once. A partition has two more
+	// replicas, or as many as there are stores.
+	MaxLost int
+	// MayBalance reports whether the lead of a partition may move although its primary is well, so
+	// that stores lead equally many; nil: all may. Each move interrupts what relies on the lead.
+	MayBalance func(partition int) bool
+}
+
+// AssignPartitions is Assignment.Next with all leads free to move.
 func AssignPartitions(
 	current *snapshot.PartitionTable, alive []snapshot.Store, lost func(id uint64) bool, partitions, f int,
 ) (*snapshot.PartitionTable, bool) {
+	return Assignment{Alive: alive, Lost: lost, Partitions: partitions, MaxLost: f}.Next(current)
+}
+
+// Next returns the next table, or false if the current one needs no change. Each change of a
+// partition increases its epoch.
+//
+// The first table needs one store more than may be lost and should include all, so the caller
+// should wait until all stores that start together are alive.
+func (assignment Assignment) Next(current *snapshot.PartitionTable) (*snapshot.PartitionTable, bool) {
 	if current == nil {
 		current = &snapshot.PartitionTable{}
 	}
-	a := newAssigner(current, alive, lost, f)
-	changed := a.addStores(current, alive)
+	a := newAssigner(current, assignment.Alive, assignment.Lost, assignment.MaxLost)
+	changed := a.addStores(current, assignment.Alive)
 	if len(a.next.Partitions) == 0 {
-		if a.usableStores() < f+1 {
+		if a.usableStores() < assignment.MaxLost+1 {
 			return current, false
 		}
-		a.placeAll(partitions)
+		a.placeAll(assignment.Partitions)
 		return a.next, true
 	}
 	a.countReplicas()
@@ -36,7 +54,7 @@
 		changed = a.reassign(&a.next.Partitions[i]) || changed
 	}
 	if !changed {
-		changed = a.balancePrimaries()
+		changed = a.balancePrimaries(assignment.MayBalance)
 	}
 	changed = a.removeUnusedStores() || changed
 	if !changed {
@@ -324,9 +342,9 @@
 	return 0
 }
 
-// balancePrimaries moves the lead of one partition to a store that leads at least two fewer, while
-// all replicas are alive and no group changes.
-func (a *assigner) balancePrimaries() (changed bool) {
+// balancePrimaries moves the lead of one partition that may move to a store that leads at least two
+// fewer, while all replicas are alive and no group changes.
+func (a *assigner) balancePrimaries(mayMove func(partition int) bool) (changed bool) {
 	for i := range a.next.Partitions {
 		row := &a.next.Partitions[i]
 		if len(row.Joining)+len(row.Leaving) > 0 || a.availableReplicas(row) < len(row.Replicas) {
@@ -335,6 +353,9 @@
 	}
 	for i := range a.next.Partitions {
 		row := &a.next.Partitions[i]
+		if mayMove != nil && !mayMove(i) {
+			continue
+		}
 		id := a.pickPrimary(row)
 		if id != 0 && a.primaryCounts[row.Primary] > a.primaryCounts[id]+1 {
 			row.Primary = id
--- a/internal/batch/placement_test.go
+++ b/internal/batch/placement_test.go
@@ -151,3 +151,48 @@
 	t.Fatalf("the table does not become stable: %v", cur.Partitions)
 	return nil
 }
+
+// TestBalanceLeavesYoungLeads guards against leads that move again and again while stores come back: each move interrupts
+// the count of tenants' requests.
+func TestBalanceLeavesYoungLeads(t *testing.T) {
+	none := func(uint64) bool { return false }
+	stores := someStores(4)
+	current, ok := AssignPartitions(nil, stores, none, 8, 1)
+	if !ok {
+		t.Fatal("no first table")
+	}
+	unbalanced := cloneTable(current)
+	for i := range unbalanced.Partitions { // all are led by one store as far as it has replicas
+		if row := &unbalanced.Partitions[i]; slices.Contains(row.Replicas, stores[0].ID) {
+			row.Primary = stores[0].ID
+		}
+	}
+	next, changed := Assignment{
+		Alive: stores, Lost: none, MaxLost: 1, MayBalance: func(int) bool { return false },
+	}.Next(unbalanced)
+	if changed {
+		t.Errorf("young leads have moved: %v", next.Partitions)
+	}
+	old := -1 // the last partition with that primary
+	for i := range unbalanced.Partitions {
+		if unbalanced.Partitions[i].Primary == stores[0].ID {
+			old = i
+		}
+	}
+	next, changed = Assignment{
+		Alive: stores, Lost: none, MaxLost: 1, MayBalance: func(partition int) bool { return partition == old },
+	}.Next(unbalanced)
+	if !changed || next.Partitions[old].Primary == stores[0].ID || next.Partitions[old].Epoch != unbalanced.Partitions[old].Epoch+1 {
+		t.Errorf("the old lead has not moved: %v", next.Partitions)
+	}
+	// A primary that is lost is replaced at once.
+	lost := func(id uint64) bool { return id == stores[0].ID }
+	next, _ = Assignment{
+		Alive: stores[1:], Lost: lost, MaxLost: 1, MayBalance: func(int) bool { return false },
+	}.Next(unbalanced)
+	for i := range next.Partitions {
+		if next.Partitions[i].Primary == stores[0].ID {
+			t.Errorf("partition %d is still led by a store that is lost", i)
+		}
+	}
+}
--- a/internal/control/keeper/owner_history.go
+++ b/internal/control/keeper/owner_history.go
@@ -53,3 +53,15 @@
 	}
 	return owners
 }
+
+// longLed returns a function that reports whether a partition has had its primary for minLeadDuration. It may be called
+// by any goroutine.
+func longLed(owners []ownerHistory, now time.Time) func(partition int) bool {
+	since := make([]time.Time, len(owners))
+	for i := range owners {
+		since[i] = owners[i].since
+	}
+	return func(partition int) bool {
+		return partition < len(since) && now.Sub(since[partition]) >= minLeadDuration
+	}
+}
--- a/internal/control/keeper/partition_assignment.go
+++ b/internal/control/keeper/partition_assignment.go
@@ -24,6 +24,9 @@
 	attachmentDelay = time.Second
 	// assignInterval is the minimum time between two proposals of a table.
 	assignInterval = 100 * time.Millisecond
+	// minLeadDuration is how long a store leads a partition at least before the lead moves for balance alone. A move
+	// interrupts the count of tenants' requests, and a second one within a window of their quotas begins with nothing.
+	minLeadDuration = 5 * time.Second
 )
 
 // partitionAssigner is the singleton role that assigns the partitions to stores.
@@ -68,9 +71,13 @@
 func (k *Keeper) proposeAssignment(now time.Time, stores map[uint64]snapshot.Store) {
 	a := &k.assigner
 	alive, isLost := k.storeLiveness(now, stores)
-	var assign tableStep = func(current *snapshot.PartitionTable) (*snapshot.PartitionTable, bool) {
-		return batch.AssignPartitions(current, alive, isLost, partitionCount, k.options.Settings.SurviveMachines)
-	}
+	var assign tableStep = batch.Assignment{
+		Alive:      alive,
+		Lost:       isLost,
+		Partitions: partitionCount,
+		MaxLost:    k.options.Settings.SurviveMachines,
+		MayBalance: longLed(k.partitionOwners, now),
+	}.Next
 	if _, changed := assign(k.partitions); !changed {
 		return
 	}
--- a/internal/control/keeper/tenants_test.go
+++ b/internal/control/keeper/tenants_test.go
@@ -120,3 +120,16 @@
 		t.Error("an owner of a tenant without a limit")
 	}
 }
+
+// TestLongLedPartitions guards against leads that move for balance right after they have moved.
+func TestLongLedPartitions(t *testing.T) {
+	start := time.Now()
+	table := &snapshot.PartitionTable{Partitions: []snapshot.Partition{{Primary: 1}, {Primary: 2}}}
+	owners := updateOwners(nil, table, start)
+	table.Partitions[1].Primary = 1
+	owners = updateOwners(owners, table, start.Add(minLeadDuration))
+	mayMove := longLed(owners, start.Add(minLeadDuration))
+	if !mayMove(0) || mayMove(1) || mayMove(2) {
+		t.Errorf("may move: %v %v %v, want true false false", mayMove(0), mayMove(1), mayMove(2))
+	}
+}
