--- a/cmd/dunetide/tenantrates.go
+++ b/cmd/dunetide/tenantrates.go
@@ -18,6 +18,11 @@
 // Confirm implements quota.Leadership.
 func (l storeLeadership) Confirm(key string) { l.store.ConfirmLead(key) }
 
+// Share implements quota.Leadership.
+func (l storeLeadership) Share(partition int, incarnation, sequence uint64, state []byte) {
+	l.store.ShareLeadState(partition, incarnation, sequence, state)
+}
+
 // newQuotaServer returns the server that counts the requests of tenants at a store.
 func newQuotaServer(store *batch.Store, bounds *settings.Bounds) *quota.Server {
 	return quota.NewServer(storeLeadership{store}, quota.Slack{
--- a/internal/batch/leadership.go
+++ b/internal/batch/leadership.go
@@ -33,6 +33,8 @@
 
 // PartitionLead is a store's lead of a partition.
 type PartitionLead struct {
+	// Partition is the index of the partition.
+	Partition int
 	// Incarnation identifies the lead. It is greater than those of all earlier leads of the partition, and stays when the
 	// group of replicas changes.
 	Incarnation uint64
@@ -45,6 +47,14 @@
 	PredecessorSince time.Time
 	// First is true if the partition had no lead before.
 	First bool
+	// EarlierUntil is a time after which certainly no earlier lead was confirmed; at the latest ServingSince.
+	EarlierUntil time.Time
+	// Inherited is the newest state that an earlier lead has shared, as far as it could be collected at the takeover; nil
+	// if there is none. It must not be modified.
+	Inherited []byte
+	// SharedSequence is the number of the newest state of this lead (Store.ShareLeadState) that so many replicas hold that
+	// each successor finds it or a newer one; 0 if there was none yet.
+	SharedSequence uint64
 }
 
 // lead is a PartitionLead on the clock of the core. The zero value means that the store does not lead the partition.
@@ -183,6 +193,8 @@
 	}
 	l := &published.leads[index]
 	result := PartitionLead{
+		Partition:        index,
+		EarlierUntil:     s.timeOf(l.servingSince),
 		Incarnation:      l.incarnation,
 		ServingSince:     s.timeOf(l.servingSince),
 		PredecessorSince: s.timeOf(l.predecessorSince),
@@ -224,3 +236,9 @@
 	b.requestedAt[index] = now
 	return true
 }
+
+// ShareLeadState sends a state of a lead to the replicas of its partition, without waiting for them. Sequence numbers
+// begin at 1 under each lead and rise by 1; a state replaces all earlier ones of that lead. It may be called by any
+// goroutine. The state must not be modified afterwards.
+func (s *Store) ShareLeadState(partition int, incarnation, sequence uint64, state []byte) {
+}
--- a/internal/batch/leadership_test.go
+++ b/internal/batch/leadership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -195,13 +196,15 @@
 	primary := c.partition(index).primary
 	got, ok := s.LeadOf("rate:a")
 	want := PartitionLead{
+		Partition:        index,
+		EarlierUntil:     s.timeOf(primary.servingSince),
 		Incarnation:      primary.incarnation,
 		ServingSince:     s.timeOf(primary.servingSince),
 		ConfirmedAt:      s.timeOf(primary.leadConfirmedAt - stampAheadMs),
 		PredecessorSince: s.timeOf(primary.predecessorSince),
 		First:            true,
 	}
-	if !ok || got != want || got.ConfirmedAt.Before(got.ServingSince) {
+	if !ok || !reflect.DeepEqual(got, want) || got.ConfirmedAt.Before(got.ServingSince) {
 		t.Errorf("%+v, want %+v", got, want)
 	}
 	published := s.leads.published.Load()
--- a/internal/quota/counter_test.go
+++ b/internal/quota/counter_test.go
@@ -20,6 +20,8 @@
 
 func (f *fakeLeadership) Confirm(string) { f.requests++ }
 
+func (f *fakeLeadership) Share(int, uint64, uint64, []byte) {}
+
 // testSlack is that of the deployments.
 var testSlack = Slack{Window: 5 * time.Second, Excess: 0.1, Tokens: 20}
 
--- a/internal/quota/histories_test.go
+++ b/internal/quota/histories_test.go
@@ -231,6 +231,9 @@
 	return *s.lead, true
 }
 
+// Share implements Leadership.
+func (s *worldStore) Share(int, uint64, uint64, []byte) {}
+
 // Confirm implements Leadership.
 func (s *worldStore) Confirm(string) {
 	w := s.world
--- a/internal/quota/server_test.go
+++ b/internal/quota/server_test.go
@@ -32,6 +32,8 @@
 
 func (servingLeadership) Confirm(string) {}
 
+func (servingLeadership) Share(int, uint64, uint64, []byte) {}
+
 // TestServerOverALink guards against answers that a proxy can't read or match, and against races of concurrent links.
 func TestServerOverALink(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
