A confirmation is not in force everywhere: test with processes that reach one keeper

Cause: the test took a process that was given one keeper as a seed for a process that is attached to that keeper alone. A process learns the other keepers from the first push and attaches to a second one about 100 ms later, and to another when it loses one.

Change: the three processes still are real clients that learn of all keepers, but their dials to all but one are refused (controlclient.Options.DialAddress, which keeper.Options has already). So the test checks the same statement at any speed, and a process that is attached to a second keeper can't hide a fault of the first any more.

--- a/internal/control/controlclient/attach.go
+++ b/internal/control/controlclient/attach.go
@@ -163,7 +163,7 @@
 		defer cancel()
 		dialCtx = limited
 	}
-	conn, err := link.Dial(dialCtx, addr, c, link.DefaultOptions)
+	conn, err := link.Dial(dialCtx, c.options.DialAddress(addr), c, link.DefaultOptions)
 	if err != nil {
 		return nil // the caller tries the next candidate
 	}
--- a/internal/control/controlclient/client.go
+++ b/internal/control/controlclient/client.go
@@ -40,7 +40,10 @@
 	// ConfirmInterval is the interval at which keepers are asked to confirm that the certificates are the newest, once
 	// there are any; 0 means never.
 	ConfirmInterval time.Duration
-	Log             hclog.Logger
+	// DialAddress maps the link address of a keeper to the address to dial; nil: the same. Tests use it to keep a process
+	// from a keeper.
+	DialAddress func(addr string) string
+	Log         hclog.Logger
 }
 
 // Client attaches a process to keepers and publishes snapshots of their updates. As long as the process runs, no
@@ -86,6 +89,9 @@
 
 // New returns a Client that is not attached yet; Run attaches it.
 func New(o Options) *Client {
+	if o.DialAddress == nil {
+		o.DialAddress = func(addr string) string { return addr }
+	}
 	return &Client{
 		options:     o,
 		parseConfig: operatorconfig.Parse,
--- a/internal/control/keeper/concurrent_puts_test.go
+++ b/internal/control/keeper/concurrent_puts_test.go
@@ -396,7 +396,9 @@
 	r := newRig(t, 3)
 	r.startAll()
 	r.untilConnected(0, 1, 2)
-	detached, blockedClient, reachable := r.attachClient("detached", 0), r.attachClient("blocked", 1), r.attachClient("reachable", 2)
+	// Each process reaches one keeper, as otherwise it attaches to a second, also when it loses one.
+	detached, blockedClient := r.attachClientOnlyTo(0, "detached"), r.attachClientOnlyTo(1, "blocked")
+	reachable := r.attachClientOnlyTo(2, "reachable")
 	if a := r.putConfig(0, 3, 0, "a"); a.status != 200 {
 		t.Fatal(a)
 	}
@@ -413,7 +415,7 @@
 	}
 	has(3, detached, blockedClient, reachable)
 
-	r.kill(0) // now the first client isn't attached
+	r.kill(0) // now the first client isn't attached, and finds no other keeper
 	k := r.running[1].keeper
 	release := make(chan struct{})
 	blocked := make(chan struct{})
--- a/internal/control/keeper/rig_test.go
+++ b/internal/control/keeper/rig_test.go
@@ -257,7 +257,23 @@
 	client    *controlclient.Client
 }
 
+// attachClient attaches a process that knows some keepers, learns the others from them, and reaches all.
 func (r *rig) attachClient(name string, seeds ...int) *clientProcess {
+	return r.attach(name, nil, seeds...)
+}
+
+// attachClientOnlyTo attaches a process that reaches one keeper: it learns of the others, and each dial to them is refused.
+func (r *rig) attachClientOnlyTo(keeper int, name string) *clientProcess {
+	reached, nobody := r.linkAddress(keeper), r.linkAddress(len(r.running))
+	return r.attach(name, func(addr string) string {
+		if addr != reached {
+			return nobody
+		}
+		return addr
+	}, keeper)
+}
+
+func (r *rig) attach(name string, dialAddress func(addr string) string, seeds ...int) *clientProcess {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &clientProcess{stop: cancel}
 	var addrs []string
@@ -270,7 +286,7 @@
 		Zone:        "z",
 		Incarnation: uint64(time.Now().UnixNano()),
 	},
-		Seeds: addrs, WantEndpoints: true, Snapshots: &a.snapshots, Log: hclog.NewNullLogger()})
+		Seeds: addrs, WantEndpoints: true, Snapshots: &a.snapshots, DialAddress: dialAddress, Log: hclog.NewNullLogger()})
 	ended := make(chan struct{})
 	go func() { a.client.Run(ctx); close(ended) }()
 	r.t.Cleanup(func() { cancel(); <-ended })
