Certification run of the lab: clients start once the first certificates are in force everywhere

Cause: a fault of the lab. begin sent the first document once, logged "not yet in force at all processes" when the keeper said so, and started the clients all the same. A proxy that has not heard of certificates regulates nothing (docs/certified.md, "First set-up"), so regulated requests ran at any endpoint, and the lab reported CERTIFIED.

Change: begin does what the page asks operators for: it repeats the same document until the answer says in force, and until keepers show that version at the proxy of each machine (operator.CertificatesAtProxies); otherwise the run fails after 10 s, and says which proxies miss it. The check of the runs is unchanged.

Measured: TestClientsStartOnceTheFirstCertificatesAreInForce fails with begin as it was (3 of 4 statements) and passes now, 5 of 5 with the race detector. TestABusyNightKeepsToCertifiedNodes itself was not brought to fail: 9 of 9 passed before on one or two cores, three of them beside six busy loops on that core; 3 of 3 after beside the same loops. Packages internal/lab/tier, operator and cluster pass with the race detector at a load of 140 to 154.

--- a/internal/lab/tier/certification.go
+++ b/internal/lab/tier/certification.go
@@ -34,6 +34,8 @@
 	// auditTimeout bounds how long the audit records may take to reach the stores after the clients have finished.
 	auditTimeout = 5 * time.Second
 	putWait      = 10 * time.Second
+	// inForceEvery is the pause between repeats of the first certificates until they are in force everywhere.
+	inForceEvery = 50 * time.Millisecond
 	// auditEvery is the interval at which the audit logs are read until they are complete.
 	auditEvery = 200 * time.Millisecond
 )
@@ -117,13 +119,47 @@
 			})
 		}
 	}
-	return n.put(ctx, op, func(inForce bool) {
-		if !inForce {
-			r.options.Logf("first certificates not yet in force at all processes")
+	return n.putEverywhere(ctx, op, proxyMachines(r.cluster))
+}
+
+// proxyMachines returns the machines that run a proxy.
+func proxyMachines(c *cluster.Cluster) (machines []string) {
+	for _, p := range c.Processes() {
+		if p.Role == cluster.Proxy {
+			machines = append(machines, p.Machine)
+		}
+	}
+	return machines
+}
+
+// putEverywhere sends the first certificate document until a keeper answers that it is in force at all attached processes, and
+// keepers show it at the proxies of all given machines: until then a proxy regulates nothing (docs/certified.md, "First set-up").
+func (n *certificationRun) putEverywhere(ctx context.Context, op *operator.Operator, machines []string) error {
+	return wait.Within(ctx, putWait, func(ctx context.Context) error {
+		for {
+			missing := machines
+			inForce := false
+			err := n.put(ctx, op, func(everywhere bool) { inForce = everywhere })
+			if err == nil && inForce {
+				missing, err = proxiesWithout(ctx, op, machines, n.document.Version)
+			}
+			if err != nil || inForce && len(missing) == 0 {
+				return err
+			}
+			if !wait.For(ctx, inForceEvery) {
+				return fmt.Errorf("the first certificates: in force at all attached processes: %v; not known to be in force at the proxies of %v",
+					inForce, missing)
+			}
 		}
 	})
 }
 
+// proxiesWithout returns the machines at whose proxy no keeper shows a version of the certificates in force.
+func proxiesWithout(ctx context.Context, op *operator.Operator, machines []string, version uint64) ([]string, error) {
+	shown, err := op.CertificatesAtProxies(ctx)
+	return slices.DeleteFunc(slices.Clone(machines), func(m string) bool { return shown[m] >= version }), err
+}
+
 // put sends the certificate document and calls then with whether it is in force at all processes.
 func (n *certificationRun) put(ctx context.Context, op *operator.Operator, then func(inForce bool)) error {
 	text, err := json.Marshal(n.document)
--- a/internal/lab/tier/operator/operator.go
+++ b/internal/lab/tier/operator/operator.go
@@ -85,6 +85,33 @@
 	return o.call(ctx, http.MethodGet, "/certificates", nil)
 }
 
+// CertificatesAtProxies returns the newest version of the certificates that any node shows at the attached proxy of each machine.
+// A node that does not answer shows none.
+func (o *Operator) CertificatesAtProxies(ctx context.Context) (map[string]uint64, error) {
+	versions := map[string]uint64{}
+	for range o.Controls() {
+		status, text, err := o.once(ctx, http.MethodGet, "/status", nil, nil)
+		if err != nil || status != http.StatusOK {
+			continue
+		}
+		var answer struct {
+			Attached []struct {
+				Node, Role string
+				Version    uint64 `json:"certificates_version"`
+			}
+		}
+		if err := json.Unmarshal(text, &answer); err != nil {
+			return nil, fmt.Errorf("decoding the status of a node: %w", err)
+		}
+		for _, process := range answer.Attached {
+			if process.Role == "proxy" {
+				versions[process.Node] = max(versions[process.Node], process.Version)
+			}
+		}
+	}
+	return versions, nil
+}
+
 // Retire requests that a storage machine is emptied over the given time.
 func (o *Operator) Retire(ctx context.Context, node string, over time.Duration) error {
 	_, err := o.call(ctx, http.MethodPost, "/retire/"+node, fmt.Appendf(nil, `{"over_s":%g}`, over.Seconds()))
