--- a/internal/lab/soak/account.go
+++ b/internal/lab/soak/account.go
@@ -14,18 +14,19 @@
 // Account is the result of a soak run: observations and violations. Stored accounts use its JSON keys.
 type Account struct {
 	load.Account
-	Plan          Plan     `json:"plan"`
-	Acked         int      `json:"orders_acknowledged"`
-	Reads         int      `json:"config_reads"`
-	Refused       int      `json:"config_reads_refused"`
-	Drains        int      `json:"drains_acknowledged"`
-	ClientsLeft   int      `json:"clients_left"`
-	AbandonedRuns int      `json:"runs_left"`        // runs in progress when their client disconnected
-	ContinuedRuns int      `json:"runs_go_on"`       // those of them that continued for longer than cancelBound
-	Checks        uint64   `json:"invariant_checks"` // as counted by the processes, at the last scrape of each
-	Scraped       int      `json:"processes_scraped"`
-	ReadBack      string   `json:"read_back"`
-	Story         []string `json:"story"` // for each violation: preceding faults, and the log lines with its ID
+	Plan          Plan          `json:"plan"`
+	Acked         int           `json:"orders_acknowledged"`
+	Reads         int           `json:"config_reads"`
+	Refused       int           `json:"config_reads_refused"`
+	Drains        int           `json:"drains_acknowledged"`
+	ClientsLeft   int           `json:"clients_left"`
+	AbandonedRuns int           `json:"runs_left"`        // runs in progress when their client disconnected
+	ContinuedRuns int           `json:"runs_go_on"`       // those of them that continued for longer than cancelBound
+	Checks        uint64        `json:"invariant_checks"` // as counted by the processes, at the last scrape of each
+	Scraped       int           `json:"processes_scraped"`
+	Tenants       TenantFigures `json:"tenants"`
+	ReadBack      string        `json:"read_back"`
+	Story         []string      `json:"story"` // for each violation: preceding faults, and the log lines with its ID
 }
 
 // Failed reports whether any rule was violated.
@@ -58,6 +59,9 @@
 		fmt.Fprintf(&out, "  %-8s sent %d: %d within target, %d late, %d refused, %d failed\n",
 			k.Kind, k.Requested, k.WithinTarget, k.Late, k.Refused, k.Failed)
 	}
+	if t := a.Tenants; a.Plan.Tenants {
+		fmt.Fprintf(&out, "  tenants: %d changes, %d runs, %d requests denied, %d over a limit\n", t.Changes, t.Runs, t.Denied, t.OverLimit)
+	}
 	for _, b := range a.Violations {
 		fmt.Fprintf(&out, "  BROKEN %v\n", b)
 	}
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -51,6 +51,7 @@
 	a.checkServed(p, finalAt)
 	a.checkProcesses(p, scraped)
 	a.checkPlannedEnds(p)
+	a.checkTenants(p, finalAt)
 	for _, b := range a.Violations {
 		a.Story = append(a.Story, p.describe(b)...)
 	}
--- a/internal/lab/soak/mutants_test.go
+++ b/internal/lab/soak/mutants_test.go
@@ -58,8 +58,44 @@
 			{File: "internal/proxy/forward/stream.go", Old: "			if _, err := w.Write(whole); err != nil {\n				return err\n			}\n", New: "			_, _ = w.Write(whole)\n"},
 			{File: "internal/proxy/forward/stream.go", Old: "		return rc.Flush()\n", New: "		_ = rc.Flush()\n		return nil\n"}},
 		Plan{Seed: 5, Shape: shapes[0], Length: 12 * time.Second, Final: FinalNone, Load: 2, LeaveShare: 0.6}, []string{ruleClientLeft}},
+	{"a proxy remembers whose a key was",
+		[]mutation.Mutant{
+			{File: "internal/proxy/identity/identity.go", Old: "	tenant := config.TenantOfKey(key)\n", New: "	tenant := config.TenantOfKey(key)\n	if tenant != nil {\n		first, _ := remembered.LoadOrStore(key, tenant)\n		tenant = first.(*operatorconfig.Tenant)\n	}\n"},
+			{File: "internal/proxy/identity/identity.go", Old: "import (\n", New: "import (\n	\"sync\"\n"},
+			{File: "internal/proxy/identity/identity.go", Old: "const Challenge = scheme\n", New: "const Challenge = scheme\n\nvar remembered sync.Map\n"},
+		},
+		tenantPlan, []string{ruleConfig}},
+	{"a proxy goes on with keys that were dropped",
+		[]mutation.Mutant{
+			{File: "internal/proxy/identity/identity.go", Old: "	tenant := config.TenantOfKey(key)\n", New: "	tenant := config.TenantOfKey(key)\n	if tenant != nil {\n		remembered.Store(key, tenant)\n	} else if known, there := remembered.Load(key); there {\n		tenant = known.(*operatorconfig.Tenant)\n	}\n"},
+			{File: "internal/proxy/identity/identity.go", Old: "import (\n", New: "import (\n	\"sync\"\n"},
+			{File: "internal/proxy/identity/identity.go", Old: "const Challenge = scheme\n", New: "const Challenge = scheme\n\nvar remembered sync.Map\n"},
+		},
+		tenantPlan, []string{ruleConfig}},
+	{"nobody counts the requests of a tenant",
+		[]mutation.Mutant{{File: "internal/proxy/forward/limit.go", Old: "	if limiter == nil || tenant == nil || !tenant.Limited() {\n", New: "	if limiter == nil || tenant == nil || tenant.Limited() {\n"}},
+		tenantPlan, []string{ruleQuota}},
+	{"endpoints see the client's key",
+		[]mutation.Mutant{{File: "internal/proxy/forward/head.go", Old: "	return x.withholdsIdentity && (name == identity.HeaderAuthorization || name == identity.HeaderTenant)\n", New: "	return x.withholdsIdentity && name == identity.HeaderTenant\n"}},
+		tenantPlan, []string{ruleUnasked}},
+	{"a client may name its tenant itself",
+		[]mutation.Mutant{{File: "internal/proxy/forward/head.go", Old: "	return x.withholdsIdentity && (name == identity.HeaderAuthorization || name == identity.HeaderTenant)\n", New: "	return x.withholdsIdentity && name == identity.HeaderAuthorization\n"}},
+		tenantPlan, []string{ruleUnasked}},
+	{"a request without a known key runs",
+		[]mutation.Mutant{{File: "internal/proxy/identity/identity.go", Old: "func (i Identity) Refused() bool { return i.Outcome >= MissingKey }\n", New: "func (i Identity) Refused() bool { return false }\n"}},
+		tenantPlan, []string{ruleRoute}},
+	{"a proxy takes no keys that are added",
+		[]mutation.Mutant{
+			{File: "internal/proxy/identity/identity.go", Old: "	tenant := config.TenantOfKey(key)\n", New: "	started.Do(func() { startedWith = config })\n	tenant := config.TenantOfKey(key)\n	if startedWith.TenantOfKey(key) == nil {\n		tenant = nil\n	}\n"},
+			{File: "internal/proxy/identity/identity.go", Old: "import (\n", New: "import (\n	\"sync\"\n"},
+			{File: "internal/proxy/identity/identity.go", Old: "const Challenge = scheme\n", New: "const Challenge = scheme\n\nvar (\n	started     sync.Once\n	startedWith *operatorconfig.Config\n)\n"},
+		},
+		tenantPlan, []string{ruleConfig}},
 }
 
+// tenantPlan has tenants and no faults.
+var tenantPlan = Plan{Seed: 6, Shape: shapes[0], Length: 12 * time.Second, Final: FinalNone, Load: 0.5, Tenants: true}
+
 // TestMutantsApply fails if a source line that a mutant replaces does not occur exactly once in the named file.
 func TestMutantsApply(t *testing.T) {
 	for _, w := range mutantPrograms {
--- a/internal/lab/soak/orders.go
+++ b/internal/lab/soak/orders.go
@@ -14,6 +14,7 @@
 	"dunetide/internal/lab/tier/cluster"
 	"dunetide/internal/lab/tier/operator"
 	"dunetide/internal/lab/wait"
+	"dunetide/internal/lab/world"
 )
 
 const (
@@ -42,15 +43,18 @@
 	racing     time.Time           // two operators race until then
 	acked      int
 	violations []string
+	tenancy    *tenancy // nil without tenants
+	seed       uint64   // that changes of tenants are drawn from
 	reads      int
 	refused    int
 }
 
 // start records the first configuration before it is sent.
-func (o *orders) start(text []byte) {
+func (o *orders) start(text []byte) error {
 	o.current = document{version: 3, text: text}
 	o.successors = map[uint64]uint64{0: 3}
 	o.sent = map[uint64][][]byte{3: {text}}
+	return o.tenancy.send(o.current)
 }
 
 // newest returns the newest configuration that was acknowledged or read.
@@ -96,13 +100,27 @@
 	const limits = `{"max_header_bytes":16384,"max_body_bytes":4194304,"header_wait_ms":%d,"idle_ms":15000}`
 	fields["limits"] = fmt.Appendf(nil, limits, 3000+2*int(version%500)+rival)
 	text, err := json.Marshal(fields)
+	if err == nil && o.tenancy != nil {
+		text, err = o.changeTenants(text, version, rival)
+	}
 	if err != nil {
 		return document{}, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.sent[version] = append(o.sent[version], text)
-	return document{version, text}, nil
+	created := document{version, text}
+	return created, o.tenancy.send(created)
+}
+
+// changeTenants returns a configuration with its tenants' keys and limits changed at random.
+func (o *orders) changeTenants(text []byte, version uint64, rival int) ([]byte, error) {
+	customers, err := customersOf(text)
+	if err != nil {
+		return nil, err
+	}
+	changeCustomers(customers, world.Random(o.seed, "soak tenants", version, uint64(rival)))
+	return withCustomers(text, customers)
 }
 
 // acknowledged records the acknowledgement of a configuration. Two different ones with the same base version are a
@@ -116,6 +134,7 @@
 			fmt.Sprintf("versions %d and %d are both acknowledged with base version %d", other, d.version, base))
 	}
 	o.successors[base] = d.version
+	o.tenancy.acknowledge(d)
 	if d.version > o.current.version {
 		o.current = d
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -100,6 +100,8 @@
 	Load       float64       `json:"load"`
 	// Steady is the number of clients that use their connections until the processes behind them close them.
 	Steady int `json:"steady,omitempty"`
+	// Tenants makes configurations have tenants, with keys and limits that change.
+	Tenants bool `json:"tenants,omitempty"`
 }
 
 // grace returns the grace period of the processes. With steady clients it is long enough for most of their requests.
@@ -137,6 +139,9 @@
 // MaxDuration returns how long a soak run of the plan may take, from its faults to the last read.
 func (p Plan) MaxDuration() time.Duration { return p.loadLength() + finishBy + maxStartAndFinal }
 
+// hasTenants reports whether the plan of a seed has tenants: three of four have.
+func hasTenants(seed uint64) bool { return seed%4 != 0 }
+
 // Only returns the plan reduced to the faults with these numbers, or unchanged if no number is given.
 func (p Plan) Only(numbers []int) Plan {
 	if len(numbers) > 0 {
--- a/internal/lab/soak/random.go
+++ b/internal/lab/soak/random.go
@@ -61,7 +61,7 @@
 // their seeds.
 func RandomPlan(seed uint64, length time.Duration) Plan {
 	rng := world.Random(seed, "soak plan")
-	p := Plan{Seed: seed, Shape: shapes[rng.IntN(len(shapes))], Length: length, Load: 0.5 + rng.Float64()}
+	p := Plan{Seed: seed, Shape: shapes[rng.IntN(len(shapes))], Length: length, Load: 0.5 + rng.Float64(), Tenants: hasTenants(seed)}
 	if rng.IntN(2) == 0 {
 		p.LeaveShare = 0.05 + 0.2*rng.Float64()
 	}
--- a/internal/lab/soak/series.go
+++ b/internal/lab/soak/series.go
@@ -80,7 +80,9 @@
 		Length: length,
 		Load:   0.5 + rng.Float64(),
 		Steady: seriesSteady,
-		Final:  []Final{FinalNone, FinalRestart}[rng.IntN(2)],
+
+		Tenants: hasTenants(seed),
+		Final:   []Final{FinalNone, FinalRestart}[rng.IntN(2)],
 	}
 	kinds := plannedSeries
 	if rng.IntN(2) == 0 {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -40,8 +40,10 @@
 	models     = 4
 	plain      = 2
 	clients    = 16
-	jobs       = 6
-	jobItems   = 12
+	// plainTraffic is the position of a read-only route in the default traffic.
+	plainTraffic = 2
+	jobs         = 6
+	jobItems     = 12
 	// longerStreams is the factor by which streams are longer than the default, so that faults happen during streams.
 	longerStreams = 4
 	// drainedFor is how long an endpoint continues to serve after its drain was acknowledged, so that late requests are observed.
@@ -132,16 +134,33 @@
 	if err := p.cluster.Start(); err != nil {
 		return err
 	}
-	traffic, _ := tier.DefaultTraffic()
-	p.orders.start(tier.Configuration(traffic, p.batchJobs()))
+	if err := p.startOrders(); err != nil {
+		return err
+	}
 	if err := wait.Within(ctx, configWait, func(ctx context.Context) error {
 		return operator.New(p.cluster.Controls).Put(ctx, 0, p.orders.newest().text)
 	}); err != nil {
 		return fmt.Errorf("sending the first configuration: %w", err)
 	}
+	p.orders.tenancy.acknowledge(p.orders.newest())
 	return wait.Within(ctx, readyWait, p.cluster.AwaitReady)
 }
 
+// startOrders creates the first configuration.
+func (p *soakRun) startOrders() (err error) {
+	traffic, _ := tier.DefaultTraffic()
+	if !p.plan.Tenants {
+		return p.orders.start(tier.Configuration(traffic, p.batchJobs()))
+	}
+	p.orders.tenancy, p.orders.seed = &tenancy{}, p.plan.Seed
+	traffic = append(traffic, tenantTraffic(traffic[plainTraffic])...)
+	text, err := withCustomers(tier.Configuration(traffic, p.batchJobs()), firstCustomers())
+	if err != nil {
+		return err
+	}
+	return p.orders.start(text)
+}
+
 // run runs clients, operators, readers and faults concurrently, then triggers the final event and leaves time to recover.
 func (p *soakRun) run(ctx context.Context, out *Account) error {
 	p.began = time.Now()
@@ -192,13 +211,12 @@
 			traffic[i].Rate /= longerStreams / 2
 		}
 	}
-	return load.Run(ctx, load.Options{
+	options := load.Options{
 		Seed:          p.plan.Seed,
 		Length:        length,
 		Clients:       clients,
 		Zones:         p.cluster.Zones(),
 		Front:         p.cluster.Front,
-		Traffic:       traffic,
 		Jobs:          p.batchJobs(),
 		Stride:        stride,
 		FinishBy:      finishBy,
@@ -208,7 +226,13 @@
 		LeaveShare:    p.plan.LeaveShare,
 		Steady:        p.plan.Steady,
 		Fronts:        p.fronts(),
-	})
+	}
+	if p.plan.Tenants {
+		traffic = append(traffic, tenantTraffic(traffic[plainTraffic])...)
+		options.Directory = directory{p.orders.tenancy}
+	}
+	options.Traffic = traffic
+	return load.Run(ctx, options)
 }
 
 // fronts returns the addresses at which clients reach the proxies.
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -176,6 +176,9 @@
 	for _, b := range account.Violations {
 		t.Error(b)
 	}
+	if seen := account.Tenants; plan.Tenants && (seen.Runs == 0 || seen.Denied == 0 || seen.OverLimit == 0 || seen.Changes == 0) {
+		t.Errorf("tenants were not observed: %+v", seen)
+	}
 	if account.Runs == 0 || account.Acked == 0 || account.Reads == 0 || account.Checks == 0 {
 		t.Errorf("nothing was observed: %d runs, %d configurations acknowledged, %d reads, %d invariant checks", account.Runs, account.Acked, account.Reads, account.Checks)
 	}
--- a/internal/lab/tier/cluster/settings.go
+++ b/internal/lab/tier/cluster/settings.go
@@ -95,7 +95,9 @@
 		{"status_every_s", 120},
 		{"cancel_ms", 3000},
 		{"settle_ms", 1000},
+		{"quota_window_s", 5},
 		{"quota_excess", 0.1},
+		{"quota_slack", 20},
 	} {
 		lines.set("bounds."+bound.name, bound.value)
 	}
--- a/internal/lab/tier/engine/engine.go
+++ b/internal/lab/tier/engine/engine.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -232,6 +233,8 @@
 		Instance: e.options.ID,
 		Arrived:  time.Now(),
 		URI:      r.URL.RequestURI(),
+		Tenants:  r.Header.Values(HeaderTenant),
+		Keys:     slices.Concat(r.Header.Values("Authorization"), r.Trailer.Values("Authorization")),
 		Sum:      Sum(r.Method, r.URL.RequestURI(), body),
 	}
 	ctx := r.Context()
--- a/internal/lab/tier/engine/runs.go
+++ b/internal/lab/tier/engine/runs.go
@@ -25,6 +25,7 @@
 	HeaderModel    = "X-Dunetide-Model"
 	HeaderTokens   = "X-Dunetide-Token-Count"
 	HeaderPrefix   = "X-Dunetide-Prompt-Prefix"
+	HeaderTenant   = "X-Dunetide-Tenant"
 	HeaderLast     = "Last-Event-Id"
 )
 
@@ -34,9 +35,11 @@
 	Service  string
 	Instance string
 	Seal     string
-	Sum      string // digest of the request, from Sum
-	URI      string // path with query
-	From     int    // the Last-Event-Id of the request
+	Sum      string   // digest of the request, from Sum
+	URI      string   // path with query
+	Tenants  []string // the values of X-Dunetide-Tenant
+	Keys     []string // the values of Authorization, which no endpoint may see
+	From     int      // the Last-Event-Id of the request
 	Arrived  time.Time
 	Began    time.Time
 	Ended    time.Time // zero while it runs
--- a/internal/lab/tier/load/client.go
+++ b/internal/lab/tier/load/client.go
@@ -40,6 +40,8 @@
 	zone   string
 	hash   uint64
 	front  Front
+	// directory is nil if clients state nothing about themselves.
+	directory Directory
 
 	mu   sync.Mutex
 	idle []*conn
@@ -229,7 +231,10 @@
 		return outcome{unsent: true, err: err}
 	}
 	s := r.newAttempt(k, persistent)
-	s.deadline = deadline
+	s.deadline, s.sentAt = deadline, time.Now()
+	if c.directory != nil {
+		s.identity = c.directory.Identify(r.route, r.ids)
+	}
 	c.ledger.send(s)
 	reusable := false
 	stopLeaving := c.leaveLater(r, s, k)
@@ -246,7 +251,7 @@
 		}
 	}()
 	_ = k.SetDeadline(deadline)
-	if _, err := k.Write(r.bytes(s.id, deadline)); err != nil {
+	if _, err := k.Write(r.bytes(s.id, deadline, s.identity)); err != nil {
 		return outcome{err: err} // the node may have read the request
 	}
 	c.ledger.written(s)
@@ -282,6 +287,7 @@
 		front:      k.RemoteAddr().String(),
 		persistent: persistent,
 		events:     r.events,
+		route:      r.route.Name,
 	}
 	for _, share := range r.route.Shares {
 		s.services = append(s.services, share.Service)
@@ -378,7 +384,7 @@
 }
 
 // bytes returns the request of one attempt in wire format.
-func (r *request) bytes(id string, deadline time.Time) []byte {
+func (r *request) bytes(id string, deadline time.Time, identity Identity) []byte {
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n%s: %s\r\n%s: %d\r\n",
 		r.method, r.uri, r.route.Host, len(r.body),
@@ -386,7 +392,9 @@
 	if r.last > 0 {
 		fmt.Fprintf(&out, "%s: %d\r\n", engine.HeaderLast, r.last)
 	}
-	_ = r.header.Write(&out) // writing to memory cannot fail
+	header := r.header.Clone()
+	identity.set(header)
+	_ = header.Write(&out) // writing to memory cannot fail
 	out.WriteString("\r\n")
 	out.Write(r.body)
 	return out.Bytes()
--- a/internal/lab/tier/load/jobs.go
+++ b/internal/lab/tier/load/jobs.go
@@ -50,6 +50,7 @@
 	id      string
 	items   map[string]*item
 	order   []*item
+	tenant  string
 	early   bool // the client ends the job midway
 
 	created  time.Time
@@ -73,6 +74,9 @@
 		at:      map[string]int{},
 		early:   js.EndEvery > 0 && n%js.EndEvery == js.EndEvery-1,
 	}
+	if o.Directory != nil {
+		j.tenant = o.Directory.JobTenant(n)
+	}
 	var services []string
 	for _, s := range js.Route.Shares {
 		services = append(services, s.Service)
@@ -85,6 +89,7 @@
 			Body:    randomBytes(rng, 100+rng.IntN(400)),
 		}
 		out := setPrompt(func(k, v string) { it.Headers[k] = v }, rng, js.In, js.Out, 4)
+		j.misleadEndpoint(it)
 		in, _, _ := parseTokens(it.Headers[engine.HeaderTokens])
 		it.Tokens, it.events = in+out, engine.Events(out, o.Stride)
 		j.items[it.ID] = it
@@ -127,6 +132,7 @@
 	for i := 0; i < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
+	key, sentAt := j.identify(req.Header), time.Now()
 	if err := req.Write(c); err != nil {
 		return 0, nil, nil, err
 	}
@@ -134,6 +140,7 @@
 	if err != nil {
 		return 0, nil, nil, err
 	}
+	j.recordDenial(c.RemoteAddr().String(), key, sentAt, resp.StatusCode)
 	got, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
 	return resp.StatusCode, resp.Header, got, err
 }
@@ -198,7 +205,8 @@
 			return true
 		}
 		onlyRefused = onlyRefused && err == nil && provesNotRun(status)
-		if err == nil && status/100 == 4 && !provesNotRun(status) {
+		denied := status == http.StatusUnauthorized && j.options.Directory != nil // its key may have been taken away meanwhile
+		if err == nil && status/100 == 4 && !provesNotRun(status) && !denied {
 			return false
 		}
 		retryAfter := 100 * time.Millisecond
--- a/internal/lab/tier/load/ledger.go
+++ b/internal/lab/tier/load/ledger.go
@@ -63,6 +63,9 @@
 	endedAt    time.Time
 	events     int    // of the complete stream
 	end        string // the outcome
+	route      string
+	identity   Identity
+	sentAt     time.Time // right before the first byte was written
 }
 
 // Try is one attempt of a client as the client observed it.
@@ -77,6 +80,12 @@
 	Deadline   time.Time `json:"deadline"` // of the client
 	// Events is the number of events of the complete stream, 0 if the answer is not a stream.
 	Events int `json:"events"`
+	// Route is the name of the route, and Identity is what the client stated about itself.
+	Route    string   `json:"route"`
+	Identity Identity `json:"identity"`
+	// Sent is when the client began to write, and Status is that of the answer; 0 without an answer.
+	Sent   time.Time `json:"sent"`
+	Status int       `json:"status"`
 	// Idempotent reports whether the request may run more than once.
 	Idempotent bool `json:"idempotent"`
 }
@@ -109,6 +118,10 @@
 				Deadline:   s.deadline,
 				Events:     s.events,
 				Idempotent: s.idempotent,
+				Route:      s.route,
+				Identity:   s.identity,
+				Sent:       s.sentAt,
+				Status:     s.status,
 			}
 		}
 	}
@@ -122,6 +135,7 @@
 	violations []Violation
 	figures    map[string]*Figures
 	jobs       []*job
+	denials    []Denial
 	late       int // requests that the lab itself sent late
 }
 
--- a/internal/lab/tier/load/load.go
+++ b/internal/lab/tier/load/load.go
@@ -21,6 +21,8 @@
 	// In, Out and Sessions apply to streams.
 	In, Out  int // maximum numbers of prompt and output tokens; each request has at least a third of them
 	Sessions int
+	// Paced keeps the traffic at its rate: steady clients send none of it.
+	Paced bool
 }
 
 // Jobs are batch jobs on one route.
@@ -51,6 +53,8 @@
 	Fronts []string
 	// LeaveShare is the share of requests whose client disconnects within half of the latency target.
 	LeaveShare float64
+	// Directory tells clients how to identify themselves; nil: they don't.
+	Directory Directory
 }
 
 // Account is the result of a load run.
@@ -63,6 +67,9 @@
 	Jobs       []Job       `json:"jobs"`
 	// Tries are all attempts of clients, by request ID.
 	Tries map[string]Try `json:"-"`
+	// Owners are the tenants of all items of jobs, by item ID, and Denials the denied calls about jobs.
+	Owners  map[string]string `json:"-"`
+	Denials []Denial          `json:"-"`
 }
 
 // maxSendDelay is how late the lab may send a request before it counts as sent late.
@@ -80,6 +87,8 @@
 			zone:   o.Zones[i%len(o.Zones)],
 			hash:   world.Random(o.Seed, "client", uint64(i)).Uint64(),
 			front:  o.Front,
+
+			directory: o.Directory,
 		}
 		defer clients[i].close()
 	}
@@ -100,7 +109,7 @@
 		}
 	}
 	wg.Wait()
-	out := Account{Kinds: sorted(b.figures), Late: b.late, Tries: b.tries()}
+	out := Account{Kinds: sorted(b.figures), Late: b.late, Tries: b.tries(), Owners: b.owners(), Denials: b.denials}
 	runs := o.Runs.All()
 	out.Violations, out.Runs = b.check(runs, o.Cancel), len(runs)
 	complete := map[string]bool{}
--- a/internal/lab/tier/load/steady.go
+++ b/internal/lab/tier/load/steady.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 			ledger: b,
 			zone:   o.Zones[n%len(o.Zones)],
 			front:  func(string, uint64) (string, bool) { return front, true },
+
+			directory: o.Directory,
 		}
 		wg.Go(func() {
 			defer c.close()
@@ -42,8 +45,9 @@
 // sendUntil sends requests one after another until the load run reaches its length.
 func (c *client) sendUntil(ctx context.Context, o Options, number uint64, began time.Time) {
 	rng := world.Random(o.Seed, steadyRequests, number)
+	traffics := slices.DeleteFunc(slices.Clone(o.Traffic), func(t Traffic) bool { return t.Paced })
 	for n := int(number); time.Since(began) < o.Length && ctx.Err() == nil; n++ {
-		traffic := o.Traffic[n%len(o.Traffic)]
+		traffic := traffics[n%len(traffics)]
 		r := newRequest(traffic, world.Random(o.Seed, steadyRequests, number, uint64(n)), o.Stride)
 		r.created = time.Now()
 		pause := time.Duration(rng.Int64N(int64(maxSteadyPause)))
--- a/internal/lab/tier/tier.go
+++ b/internal/lab/tier/tier.go
@@ -140,6 +140,9 @@
 		"service":    r.Shares[0].Service,
 		"tries":      r.MaxAttempts,
 	}
+	if r.Public {
+		out["public"] = true
+	}
 	switch r.Kind {
 	case config.Streaming:
 		out["sticky"], out["resume"], out["gap_aim_ms"] = r.Sticky, r.Resumable, r.EventGapTargetMs
