--- a/internal/lab/tier/load/client.go
+++ b/internal/lab/tier/load/client.go
@@ -24,6 +24,8 @@
 const (
 	dialTimeout = time.Second
 	maxAttempts = 4
+	// maxIdle bounds the idle connections of a client. Each retry opens a new one, so many refusals leave many.
+	maxIdle = 32
 	// peekTimeout is how long an idle connection is checked for unsolicited bytes before it is reused.
 	peekTimeout = 200 * time.Microsecond
 	// idleSlack is how long before the announced idle timeout a client stops reusing a connection.
@@ -95,10 +97,14 @@
 	}
 }
 
-// putIdle adds a connection to the pool for later requests.
+// putIdle adds a connection to the pool for later requests, or closes it if the pool is full.
 func (c *client) putIdle(k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.idle) >= maxIdle {
+		_ = k.Close()
+		return
+	}
 	c.idle = append(c.idle, k)
 }
 
