--- a/internal/lab/soak/judge_tenants.go
+++ b/internal/lab/soak/judge_tenants.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -34,6 +36,8 @@
 	Runs      int `json:"runs"`    // for a tenant
 	Denied    int `json:"denied"`  // with 401
 	OverLimit int `json:"over_limit"`
+	// FullestWindow is the largest part of what its limit allows in a window that a tenant's requests took up.
+	FullestWindow float64 `json:"fullest_window"`
 }
 
 // tenantJudge checks the observations of a soak run against the rules on tenants.
@@ -196,37 +200,49 @@
 // checkRate checks that in no window more requests of a tenant were sent and ran than the highest limit allows that may have
 // been in force in it.
 func (j *tenantJudge) checkRate(tenant string, uses map[string]use) {
-	from, most := fullestWindow(uses, func(from time.Time) float64 { return j.allowed(tenant, from) })
-	if most > 0 {
+	w := fullestWindow(uses, func(from time.Time) float64 { return j.allowed(tenant, from) })
+	j.account.Tenants.FullestWindow = max(j.account.Tenants.FullestWindow, w.share())
+	if w.share() > 1 {
 		j.account.violated(ruleQuota, "", "%d requests of %s were sent and ran within %v from %s on; its limit allows %.0f",
-			most, tenant, quotaWindow, from.UTC().Format("15:04:05.000"), j.allowed(tenant, from))
+			w.requests, tenant, quotaWindow, w.from.UTC().Format("15:04:05.000"), w.allowed)
 	}
 }
 
-// fullestWindow returns the window in which most requests were sent and ran of those with more of them than allowed returns,
-// and their number; 0 if there is none.
-func fullestWindow(uses map[string]use, allowed func(from time.Time) float64) (from time.Time, most int) {
-	all := make([]use, 0, len(uses))
-	for _, u := range uses {
-		all = append(all, u)
+// window is a span of quotaWindow with the requests of a tenant that were sent and ran in it.
+type window struct {
+	from     time.Time
+	requests int
+	allowed  float64
+}
+
+// share returns the requests as a part of those that are allowed.
+func (w window) share() float64 {
+	if w.allowed == 0 {
+		return 0
 	}
-	slices.SortFunc(all, func(a, b use) int { return a.sent.Compare(b.sent) })
+	return float64(w.requests) / w.allowed
+}
+
+// fullestWindow returns the window with most requests, as a part of those that are allowed in it. Windows with more than
+// allowed need not begin anywhere but at the sending of a request.
+func fullestWindow(uses map[string]use, allowed func(from time.Time) float64) (fullest window) {
+	all := slices.SortedFunc(maps.Values(uses), func(a, b use) int { return a.sent.Compare(b.sent) })
 	for i, first := range all {
+		w := window{from: first.sent, allowed: allowed(first.sent)}
 		end := first.sent.Add(quotaWindow)
-		count := 0
 		for _, u := range all[i:] {
 			if u.sent.After(end) {
 				break
 			}
 			if !u.arrived.After(end) {
-				count++
+				w.requests++
 			}
 		}
-		if count > max(most, quotaSlack) && float64(count) > allowed(first.sent) {
-			from, most = first.sent, count
+		if w.share() > fullest.share() {
+			fullest = w
 		}
 	}
-	return from, most
+	return fullest
 }
 
 // allowed returns how many requests of a tenant may be sent and run in the window that begins at a moment. A lower limit
@@ -240,7 +256,7 @@
 		highest = max(highest, (l.Rate*quotaWindow.Seconds()+l.Burst)*(1+quotaExcess)+quotaSlack)
 	}
 	if unlimited {
-		return float64(len(j.account.Tries)) + 1
+		return math.Inf(1)
 	}
 	return highest
 }
--- a/internal/lab/soak/tenants_test.go
+++ b/internal/lab/soak/tenants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -136,19 +137,20 @@
 	add(30, 1, 1.1)
 	add(30, 5, 7) // arrive after the window that begins at 1 s
 	add(25, 6.1, 6.2)
-	for _, c := range []struct {
-		allowed float64
-		from    float64
-		want    int
-	}{
-		{100, 0, 0},
-		{55, 0, 0},
-		{54, 5, 55},
-		{29, 5, 55},
-	} {
-		from, got := fullestWindow(uses, func(time.Time) float64 { return c.allowed })
-		if got != c.want || c.want > 0 && !from.Equal(moment(c.from)) {
-			t.Errorf("%d requests from %v on with %v allowed, want %d", got, from, c.allowed, c.want)
+	got := fullestWindow(uses, func(time.Time) float64 { return 50 })
+	if want := (window{from: moment(5), requests: 55, allowed: 50}); got != want || got.share() != 1.1 {
+		t.Errorf("the fullest window is %+v, want %+v", got, want)
+	}
+	tighter := func(from time.Time) float64 {
+		if from.Before(moment(2)) {
+			return 10
 		}
+		return 50
+	}
+	if got, want := fullestWindow(uses, tighter), (window{from: moment(1), requests: 30, allowed: 10}); got != want {
+		t.Errorf("the fullest window is %+v, want %+v", got, want)
+	}
+	if got := fullestWindow(uses, func(time.Time) float64 { return math.Inf(1) }); got.share() != 0 {
+		t.Errorf("without a limit the fullest window is %+v", got)
 	}
 }
