Successors of leads: when the lead before ended, and the state that it shared

Cause: a new primary of a partition knew nothing of the leads before, so a user of leads waited as if the lead before had been confirmed until the takeover, and began without any state.

Change: each replica reports right before its promise how long ago it last confirmed a lead, or was confirmed itself, and the newest state of a lead that it holds.

Four new golden files, none changed.

--- a/internal/batch/confirmation.go
+++ b/internal/batch/confirmation.go
@@ -41,6 +41,7 @@
 	if c.rejectStaleTerm(p, term, pipe) {
 		return
 	}
+	p.confirmations.note(term, c.nowMs)
 	w := encodeTermMessage(1, p.index, term, stamp)
 	w.Bool(c.logFull)
 	_ = pipe.Send(kindConfirmed, w.Buf)
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -60,6 +60,8 @@
 // Times are in ms on the monotonic clock of the process, unless a name says otherwise.
 type core struct {
 	self              uint64 // identity of this store
+	process           uint64 // identity of this process, unlike that of any other one of the store; 0: unknown
+	startedMs         int64  // when this process began to use the store's disk
 	zone              string
 	maxLostReplicas   int // f: how many replicas of a partition may be lost at once
 	retentionMs       int64
--- a/internal/batch/golden_test.go
+++ b/internal/batch/golden_test.go
@@ -95,6 +95,7 @@
 		kindPrepare, kindPromise, kindFetchJob, kindJobContents, kindInstallJob, kindJobInstalled, kindStartTerm,
 		kindOperation, kindOperationAck, kindStaleTerm, kindConfirm, kindConfirmed,
 		kindReserveTokens, kindReservationReply, kindUsageReport, kindUsageRequest,
+		kindLeadReport, kindLeadState, kindLeadStateHeld,
 	}
 	for i, kind := range kinds {
 		if kind != link.Kind(100+i) {
@@ -254,6 +255,7 @@
 	wantValue(t, "record-identity", replayed(t, lastRecord(t, leader)).self, uint64(leaderID))
 
 	// The follower has the job, from an older term.
+	follower.process = 0x2201
 	part := follower.partition(goldenPart)
 	follower.appendRecord(encodeRecord(recordTermStart, goldenPart, firstTerm(1)+7, 30))
 	accept := encodeAcceptJob(goldenJob().encode())
@@ -291,7 +293,17 @@
 	rec = golden(t, "record-promise.bin", lastRecord(t, follower))
 	wantValue(t, "record-promise", replayed(t, rec).partition(goldenPart).promisedTerm, uint64(goldenTerm))
 	wantValue(t, "replication-ask", []uint64{part.promisedTerm, part.session}, []uint64{goldenTerm, 0x2101})
+	part.confirmations.note(goldenTerm-1, follower.nowMs-2000)
+	part.heldState = &leadState{goldenTerm - 9, 41, goldenTerm - 1, []storeProcess{{leaderID, 0x2202}}, []byte("levels")}
 	syncAll(follower)
+	report := fromFollower.next(t, kindLeadReport, "replication-lead-report.bin")
+	leader.handleMessage(toFollower, nil, kindLeadReport, report)
+	wantValue(t, "replication-lead-report", *p.primary.progress[followerID].report, leadReport{
+		process:       0x2201,
+		confirmedTerm: goldenTerm - 1,
+		earlierUntil:  leader.nowMs - (2000 - 2000/clockRateDivisor - stampAheadMs),
+		held:          part.heldState,
+	})
 	leader.handleMessage(toFollower, nil, kindPromise, fromFollower.next(t, kindPromise, "replication-have.bin"))
 	q := p.primary.progress[followerID]
 	wantValue(t, "replication-have", q.position, logPosition{firstTerm(1) + 7, 32})
@@ -326,6 +338,8 @@
 	leader.sendPrepare(p, joinerID)
 	joiner.handleMessage(fromJoiner, nil, kindPrepare, toJoiner.next(t, kindPrepare, "replication-ask-joining.bin"))
 	syncAll(joiner)
+	report = fromJoiner.next(t, kindLeadReport, "replication-lead-report-nothing.bin")
+	leader.handleMessage(toJoiner, nil, kindLeadReport, report)
 	leader.handleMessage(toJoiner, nil, kindPromise, fromJoiner.next(t, kindPromise, "replication-have-nothing.bin"))
 	joiner.handleMessage(fromJoiner, nil, kindInstallJob, toJoiner.next(t, kindInstallJob, "replication-put.bin"))
 	checkTransferredJob(t, joiner, digest, 900)
@@ -356,6 +370,19 @@
 	}
 	golden(t, "record-operation-drop.bin", lastRecord(t, leader))
 
+	// A state of the lead.
+	leader.process = 0x2102
+	leader.shareLeadState(goldenPart, goldenTerm, 42, []byte("state"))
+	state := toFollower.next(t, kindLeadState, "replication-lead-state.bin")
+	syncAll(follower)
+	fromFollower.kinds, fromFollower.bodies = nil, nil
+	follower.handleMessage(fromFollower, nil, kindLeadState, state)
+	wantValue(t, "replication-lead-state", *part.heldState, leadState{goldenTerm, 42, goldenTerm,
+		[]storeProcess{{leaderID, 0x2102}, {followerID, 0x2201}, {joinerID, 0}}, []byte("state")})
+	held := fromFollower.next(t, kindLeadStateHeld, "replication-lead-state-held.bin")
+	leader.handleMessage(toFollower, nil, kindLeadStateHeld, held)
+	wantValue(t, "replication-lead-state-held", q.heldSequence, uint64(42))
+
 	// Confirmations, and the rejection of a stale term.
 	leader.requestConfirmations(p)
 	syncAll(follower)
--- a/internal/batch/helpers_test.go
+++ b/internal/batch/helpers_test.go
@@ -42,3 +42,25 @@
 	w.U64(owner)
 	return w.Buf
 }
+
+// testState returns a state of a lead that lists no processes.
+func testState(incarnation, sequence uint64) *leadState {
+	return &leadState{incarnation: incarnation, sequence: sequence, term: incarnation, state: []byte("state")}
+}
+
+// leadStateOf encodes kindLeadState.
+func leadStateOf(partition int, term, session, sequence uint64) []byte {
+	w := encodeTermMessage(0, partition, term, session)
+	s := testState(term, sequence)
+	s.processes = []storeProcess{{1, 2}, {3, 4}}
+	s.appendTo(&w)
+	return w.Buf
+}
+
+// leadReportOf encodes kindLeadReport.
+func leadReportOf(partition int, term, session uint64) []byte {
+	w := encodeTermMessage(0, partition, term, session, 99, 500, term-1)
+	w.Bool(true)
+	testState(term-1, 7).appendTo(&w)
+	return w.Buf
+}
--- a/internal/batch/leadership.go
+++ b/internal/batch/leadership.go
@@ -49,8 +49,8 @@
 	First bool
 	// EarlierUntil is a time after which certainly no earlier lead was confirmed; at the latest ServingSince.
 	EarlierUntil time.Time
-	// Inherited is the newest state that an earlier lead has shared, as far as it could be collected at the takeover; nil
-	// if there is none. It must not be modified.
+	// Inherited is the newest state that the lead before has shared, if it is certain that no newer one was held by enough
+	// replicas, and that no lead after it was confirmed (see successor.go); else nil. It must not be modified.
 	Inherited []byte
 	// SharedSequence is the number of the newest state of this lead (Store.ShareLeadState) that so many replicas hold that
 	// each successor finds it or a newer one; 0 if there was none yet.
@@ -63,6 +63,9 @@
 	servingSince     int64
 	confirmedAt      int64
 	predecessorSince int64
+	earlierUntil     int64
+	inherited        *leadState // not modified
+	sharedSequence   uint64
 }
 
 // primaryWitness is what a store has seen of the primaries that the table named for a partition.
@@ -97,6 +100,9 @@
 		servingSince:     primary.servingSince,
 		confirmedAt:      primary.leadConfirmedAt,
 		predecessorSince: primary.predecessorSince,
+		earlierUntil:     primary.earlierUntil,
+		inherited:        primary.inherited,
+		sharedSequence:   primary.sharedSequence,
 	}
 }
 
@@ -194,11 +200,15 @@
 	l := &published.leads[index]
 	result := PartitionLead{
 		Partition:        index,
-		EarlierUntil:     s.timeOf(l.servingSince),
 		Incarnation:      l.incarnation,
 		ServingSince:     s.timeOf(l.servingSince),
 		PredecessorSince: s.timeOf(l.predecessorSince),
 		First:            isFirstTerm(l.incarnation),
+		EarlierUntil:     s.timeOf(l.earlierUntil),
+		SharedSequence:   l.sharedSequence,
+	}
+	if l.inherited != nil {
+		result.Inherited = l.inherited.state
 	}
 	if l.confirmedAt != never {
 		result.ConfirmedAt = s.timeOf(l.confirmedAt - stampAheadMs)
@@ -238,7 +248,8 @@
 }
 
 // ShareLeadState sends a state of a lead to the replicas of its partition, without waiting for them. Sequence numbers
-// begin at 1 under each lead and rise by 1; a state replaces all earlier ones of that lead. It may be called by any
-// goroutine. The state must not be modified afterwards.
+// begin at 1 under each lead and rise by 1; a state replaces all earlier ones of that lead. A state of more than 64 KiB is
+// refused, which is logged. It may be called by any goroutine. The state must not be modified afterwards.
 func (s *Store) ShareLeadState(partition int, incarnation, sequence uint64, state []byte) {
+	s.enqueue(func() { s.core.shareLeadState(partition, incarnation, sequence, state) })
 }
--- a/internal/batch/malformed_test.go
+++ b/internal/batch/malformed_test.go
@@ -17,6 +17,7 @@
 	position logPosition
 	session  uint64
 	jobs     int
+	held     *leadState
 }
 
 func stateOf(c *core, p *partition) storeState {
@@ -26,6 +27,7 @@
 		position: p.position,
 		session:  p.session,
 		jobs:     len(p.jobs),
+		held:     p.heldState,
 	}
 }
 
@@ -64,6 +66,7 @@
 		"confirm":       {kind: kindConfirm, body: encodeNumbers(p.index, term, 1)},
 		"accept":        {kind: kindOperation, body: operation(encodeAcceptJob(encodedJob("new", 2, 0)))},
 		"end":           {kind: kindOperation, body: operation(encodeJobOperation(opEndJob, "job"))},
+		"lead state":    {kind: kindLeadState, body: leadStateOf(p.index, term, p.session, 7)},
 		"drop":          {kind: kindOperation, body: operation(encodeJobOperation(opDropJob, "job"))},
 		"job with results": {
 			kind: kindInstallJob,
@@ -111,12 +114,16 @@
 			kindOperationAck: append(encodeNumbers(p.index, term, 1<<40), 0),
 			kindConfirmed:    append(encodeNumbers(p.index, term, 1<<40), 0),
 			kindJobInstalled: encodeNumbers(p.index, term, replica.session),
+
+			kindLeadReport:    leadReportOf(p.index, term, replica.session),
+			kindLeadStateHeld: encodeNumbers(p.index, term, replica.session, 1<<40),
 		} {
 			for length := range len(body) {
 				before := *replica
 				c.handleStoreMessage(replica.pipe, kind, slices.Clone(body[:length]))
 				if replica.acknowledged != before.acknowledged || replica.confirmedAt != before.confirmedAt ||
-					replica.logFull != before.logFull || replica.transfersInFlight != before.transfersInFlight {
+					replica.logFull != before.logFull || replica.transfersInFlight != before.transfersInFlight ||
+					replica.report != before.report || replica.heldSequence != before.heldSequence {
 					t.Fatalf("kind %d: %d of %d bytes changed %+v to %+v", kind, length, len(body), before, *replica)
 				}
 			}
@@ -170,6 +177,8 @@
 		kindReadResults:  encodeReadResults("job", 0, 0, Principal{}),
 		kindReadItemBody: encodeReadItemBody("job", "item", Principal{}),
 		kindEndJob:       encodeEndJob("job", Principal{}),
+		kindLeadReport:   leadReportOf(index, term, 1),
+		kindLeadState:    leadStateOf(index, term, 1, 7)[len(encodeNumbers(index, term, 1)):],
 		kindAttachWorker: encodeAttachWorker("w", "z", 3),
 		kindItemResult:   encodeItemResult(itemKey{index, "job", 0}, false, []byte("text")),
 	} {
@@ -182,7 +191,7 @@
 			pipe, message := Pipe(&recordingPipe{}), slices.Clone(body)
 			if p := c.partition(index); p.followedPrimary != nil {
 				pipe = p.followedPrimary
-				if slices.Contains([]link.Kind{kindInstallJob, kindStartTerm, kindOperation}, link.Kind(kind)) {
+				if slices.Contains([]link.Kind{kindInstallJob, kindStartTerm, kindOperation, kindLeadState}, link.Kind(kind)) {
 					message = append(encodeNumbers(index, p.promisedTerm, p.session), body...)
 				}
 			}
--- a/internal/batch/messages.go
+++ b/internal/batch/messages.go
@@ -60,10 +60,18 @@
 	kindReservationReply // number, code, the owner's incarnation
 	kindUsageReport      // epoch, version, tokens, the number up to which all reservations are resolved
 	kindUsageRequest     // (the incarnation is the owner's): report your usage
+
+	// Between the primary of a partition and its replicas again. All begin with partition and term.
+
+	// session, process, ms since the last confirmation of an earlier lead, the newest term of those, whether there is a
+	// state, the newest state of a lead (see leadState): what is known of earlier leads; the promise follows
+	kindLeadReport
+	kindLeadState     // session, state of the lead: hold it
+	kindLeadStateHeld // session, sequence number: that state or a newer one is held
 )
 
 // Handles reports whether a message kind belongs to batch jobs.
-func Handles(k link.Kind) bool { return k >= kindHello && k <= kindUsageRequest }
+func Handles(k link.Kind) bool { return k >= kindHello && k <= kindLeadStateHeld }
 
 // Reply codes. They are on the wire.
 const (
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -24,8 +24,13 @@
 	// quotaOwnerIncarnations has, by account, the newest incarnation of the quota's owner that this
 	// store has accepted. Grants of older ones are rejected.
 	quotaOwnerIncarnations map[string]uint64
-	// witness is what this store has seen of the partition's primaries.
+	// witness is what this store has seen of the partition's primaries, and group what it has seen of the replicas.
 	witness primaryWitness
+	group   groupWitness
+	// confirmations is what this process remembers of confirmations of the partition's leads.
+	confirmations confirmationMemory
+	// heldState is the newest state of a lead that this process has; nil if none.
+	heldState *leadState
 }
 
 // logPosition is how much of a partition's log a replica has: all operations of a term up to a
@@ -84,6 +89,7 @@
 		previousEpoch := p.epoch
 		p.epoch = row.Epoch
 		p.witness.see(row, previousEpoch, c.nowMs)
+		p.group.see(row, previousEpoch, c.nowMs)
 		if row.Primary != c.self {
 			c.stepDown(p)
 			continue
--- a/internal/batch/primary.go
+++ b/internal/batch/primary.go
@@ -34,6 +34,10 @@
 	servingSince            int64         // when the takeover was completed
 	predecessorSince        int64         // see PartitionLead
 	leadConfirmedAt         int64         // a time at which certainly no other store led; epochs that keep the primary keep it
+	earlierUntil            int64         // see PartitionLead
+	inherited               *leadState    // newest state of an earlier lead; nil: none, or it is not certain
+	sharedSequence          uint64        // newest state of this lead that each successor finds; 0: none
+	stateRefused            bool          // it was logged that a state is too large
 	pendingReads            []pendingRead // waiting for a confirmation
 	dispatchFrom            int64         // when the first items may be assigned
 
@@ -68,6 +72,8 @@
 	acknowledged      int64             // the operation up to which all are durable there; -1: none
 	confirmedAt       int64             // stamp of its newest confirmation
 	logFull           bool              // it has no space for more jobs
+	report            *leadReport       // of earlier leads; nil: none
+	heldSequence      uint64            // newest state of this lead that it has acknowledged; 0: none
 }
 
 // pendingCommit is a callback for when an operation is committed. It is called with false when this
@@ -200,6 +206,9 @@
 		return
 	}
 	p.primary = nil
+	if primary.serving && primary.leadConfirmedAt != never {
+		p.confirmations.note(primary.term, primary.leadConfirmedAt)
+	}
 	for _, commit := range primary.pendingCommits {
 		commit.done(false)
 	}
--- a/internal/batch/replication.go
+++ b/internal/batch/replication.go
@@ -32,7 +32,7 @@
 		if jobID := r.String(); r.Err == nil {
 			c.handleFetchJob(p, term, jobID, pipe)
 		}
-	case kindInstallJob, kindStartTerm, kindOperation:
+	case kindInstallJob, kindStartTerm, kindOperation, kindLeadState:
 		session := r.U64()
 		if r.Err != nil || c.rejectStaleTerm(p, term, pipe) {
 			return
@@ -65,6 +65,10 @@
 	switch kind {
 	case kindPromise:
 		c.handlePromise(p, r)
+	case kindLeadReport:
+		c.handleLeadReport(p, r)
+	case kindLeadStateHeld:
+		c.handleLeadStateHeld(p, r)
 	case kindJobContents:
 		c.handleJobContents(p, r)
 	case kindJobInstalled:
@@ -132,6 +136,8 @@
 		if sequence > 0 {
 			c.acknowledgeAfterSync(p, term, sequence, pipe)
 		}
+	case kindLeadState:
+		c.holdLeadState(p, term, r, pipe)
 	}
 }
 
--- a/internal/batch/rig_test.go
+++ b/internal/batch/rig_test.go
@@ -101,6 +101,7 @@
 	var all []snapshot.Store
 	for i := range stores {
 		c := newCore(uint64(i+1), newDisk())
+		c.process = uint64(1000 + i)
 		c.zone, c.config = fmt.Sprint("z", i%3), bulkConfig(1<<40)
 		g.cores = append(g.cores, c)
 		all = append(all, snapshot.Store{ID: c.self, Name: fmt.Sprint("s", i), Zone: c.zone})
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -29,22 +29,23 @@
 	cutLinks  func(a, b string) bool // links that drop messages
 	slowLinks func(a, b string) bool // links on which messages take 0.9 s
 
-	lastHeard       map[uint64]int64
-	slowSyncs       bool // syncs take up to 60 ms
-	jobs            map[string]*clientJob
-	jobIDs          []string
-	violations      []string
-	nextID          uint64
-	maxQueuedTokens int64
-	partitionCount  int
-	trace           func(format string, args ...any)
-	beforeStep      func()         // called before each step
-	calm            bool           // no faults
-	wholeRuns       map[string]int // of each item
-	tableFrozen     bool           // keepers have no majority: the table can't change
-	resultsRead     int
-	drainedStores   int // stores that stopped after others had taken over the lead of their partitions
-	connections     []*simPipe
+	lastHeard        map[uint64]int64
+	slowSyncs        bool // syncs take up to 60 ms
+	jobs             map[string]*clientJob
+	jobIDs           []string
+	violations       []string
+	nextID           uint64
+	maxQueuedTokens  int64
+	partitionCount   int
+	trace            func(format string, args ...any)
+	beforeStep       func()         // called before each step
+	calm             bool           // no faults
+	wholeRuns        map[string]int // of each item
+	tableFrozen      bool           // keepers have no majority: the table can't change
+	resultsRead      int
+	startedProcesses uint64
+	drainedStores    int // stores that stopped after others had taken over the lead of their partitions
+	connections      []*simPipe
 }
 
 type event struct {
@@ -359,6 +360,8 @@
 	incarnation := s.incarnation
 	c := newCore(0, s.disk)
 	c.nowMs = sim.nowMs() + 1
+	sim.startedProcesses++
+	c.process, c.startedMs = sim.startedProcesses, c.nowMs
 	c.maxLostReplicas, c.zone = sim.maxLost, s.zone
 	c.retentionMs, c.fixedSegmentBytes = 1<<40, 1500
 	if sim.trace != nil {
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -93,6 +93,8 @@
 	if err := s.openLog(options); err != nil {
 		return nil, err
 	}
+	s.setClock()
+	s.core.startedMs = s.core.nowMs
 	s.connections = newStoreConnections(storeEvents{
 		connected:    func(id uint64, conn *link.Conn) { s.enqueue(func() { s.core.peerConnected(id, conn) }) },
 		disconnected: func(id uint64, conn *link.Conn) { s.enqueue(func() { s.core.peerDisconnected(id, conn) }) },
@@ -136,6 +138,9 @@
 			return err
 		}
 	}
+	if c.process, err = newIdentity(); err != nil {
+		return err
+	}
 	// Appended even if the log has the identity already, so that everything replayed is durable
 	// with it.
 	c.appendRecord(encodeRecord(recordIdentity, 0, c.self))
@@ -150,7 +155,7 @@
 	return nil
 }
 
-// newIdentity generates the identity of a store: 63 random bits, not zero.
+// newIdentity generates the identity of a store or of a process: 63 random bits, not zero.
 func newIdentity() (uint64, error) {
 	var b [8]byte
 	for {
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -38,6 +38,7 @@
 	p.session, p.followedPrimary = session, pipe
 	c.afterSync(func() {
 		if p.session == session && p.followedPrimary == pipe && p.promisedTerm == term {
+			_ = pipe.Send(kindLeadReport, c.encodeLeadReport(p))
 			_ = pipe.Send(kindPromise, p.encodePromise())
 		}
 	})
@@ -73,6 +74,7 @@
 		return
 	}
 	replica.digests, replica.position = digests, position
+	c.resendLeadState(p, replica)
 	switch primary.stage {
 	case stageCollecting:
 		c.chooseStateSource(p)
@@ -146,6 +148,7 @@
 	if promised < max(need, 1) {
 		return
 	}
+	c.learnOfEarlierLeads(p)
 	primary.stateSource, primary.awaitedJobs = best, map[string]bool{}
 	if best == c.self {
 		c.adoptState(p, bestPosition.sequence)
