--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -55,6 +55,7 @@
 // The core:
 //   - core.go: the state and the log; partition.go: partitions, terms, the table; timers.go: ticks
 //   - primary.go: how a primary begins and steps down; takeover.go: how it collects the state
+//   - leadership.go: leads that other parts of the process rely on; successor.go: what a new primary learns of earlier leads
 //   - replication.go: ordering, replicas, commits; confirmation.go: confirmations that a primary has not been replaced
 //   - calls.go, reads.go, ends.go: client calls; expiry.go: jobs past their maximum age
 //   - dispatch.go: which worker gets an item; workers.go: messages from workers
--- a/internal/batch/leadership.go
+++ b/internal/batch/leadership.go
@@ -248,8 +248,8 @@
 }
 
 // ShareLeadState sends a state of a lead to the replicas of its partition, without waiting for them. Sequence numbers
-// begin at 1 under each lead and rise by 1; a state replaces all earlier ones of that lead. A state of more than 64 KiB is
-// refused, which is logged. It may be called by any goroutine. The state must not be modified afterwards.
+// begin at 1 under each lead and rise by 1; a state replaces all earlier ones of that lead. A state of more than 64 KiB
+// is refused, which is logged. It may be called by any goroutine. The state must not be modified afterwards.
 func (s *Store) ShareLeadState(partition int, incarnation, sequence uint64, state []byte) {
 	s.enqueue(func() { s.core.shareLeadState(partition, incarnation, sequence, state) })
 }
--- a/internal/batch/leadership_test.go
+++ b/internal/batch/leadership_test.go
@@ -17,8 +17,8 @@
 	leadWaitMs     = 624
 )
 
-// leadMonitor checks at each step of a simulation which stores may rely on their leads, and what they were told of earlier
-// ones. The stores share states, which hold the incarnation and the number.
+// leadMonitor checks at each step of a simulation which stores may rely on their leads, and what they were told of
+// earlier ones. The stores share states, which hold the incarnation and the number.
 type leadMonitor struct {
 	sim      *simulation
 	waitMs   int64
@@ -248,7 +248,8 @@
 const leadSeeds = 120
 
 // TestLeadsAreExclusive guards against two stores that rely on the lead of one partition at the same time, and against
-// leads that are told that earlier ones ended before their last confirmation, or inherit a state that is not the newest.
+// leads that are told that earlier ones ended before their last confirmation, or inherit a state that is not the
+// newest.
 func TestLeadsAreExclusive(t *testing.T) {
 	held, steps, successors, heirs, early := 0, 0, 0, 0, 0
 	for seed := range uint64(leadSeeds) {
--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -301,6 +301,160 @@
 	},
 }
 
+// successorMutants concern what a new primary learns of earlier leads. successorTests must detect them.
+var successorMutants = []mutation.Mutant{
+	{
+		Name: "a replica does not remember its confirmations",
+		File: "confirmation.go",
+		Old:  "	p.confirmations.note(term, c.nowMs)\n",
+		New:  "",
+	},
+	{
+		Name: "an old primary does not remember its confirmations",
+		File: "primary.go",
+		Old:  "	if primary.serving && primary.leadConfirmedAt != never {\n",
+		New:  "	if false {\n",
+	},
+	{
+		Name: "confirmations of the own term count as earlier ones",
+		File: "successor.go",
+		Old:  "	if m.newest.term >= term {\n",
+		New:  "	if false {\n",
+	},
+	{
+		Name: "a confirmation of a later term hides the one before",
+		File: "successor.go",
+		Old:  "		m.earlier = leadConfirmation{m.newest.term, max(m.newest.at, m.earlier.at)}\n",
+		New:  "",
+	},
+	{
+		Name: "a process knows of the time before its start",
+		File: "successor.go",
+		Old:  "max(newest.at, c.startedMs),",
+		New:  "newest.at,",
+	},
+	{
+		Name: "ages are used as they are",
+		File: "successor.go",
+		Old:  "	return max(0, ms-(ms+clockRateDivisor-1)/clockRateDivisor-stampAheadMs)\n",
+		New:  "	return max(0, ms, clockRateDivisor-clockRateDivisor)\n",
+	},
+	{
+		Name: "the group of earlier leads is the present one",
+		File: "successor.go",
+		Old:  "max(own.earlierUntil, p.group.since)",
+		New:  "own.earlierUntil",
+	},
+	{
+		Name: "this store's own knowledge does not count",
+		File: "successor.go",
+		Old:  "max(own.earlierUntil, p.group.since)",
+		New:  "p.group.since",
+	},
+	{
+		Name: "a version without reports knows of no lead",
+		File: "successor.go",
+		Old:  "leadReport{earlierUntil: c.nowMs} //",
+		New:  "leadReport{} //",
+	},
+	{
+		Name: "an epoch that was not seen had the same group",
+		File: "successor.go",
+		Old:  "	case follows && slices.Equal(row.Replicas, w.replicas):\n",
+		New:  "	case slices.Equal(row.Replicas, w.replicas):\n",
+	},
+	{
+		Name: "a state is inherited although its holders have restarted",
+		File: "successor.go",
+		Old:  "		if report.process == 0 || !listed || report.confirmedTerm > newest.term {\n",
+		New:  "		if _ = listed; report.process == 0 || report.confirmedTerm > newest.term {\n",
+	},
+	{
+		Name: "an unknown process counts as the same one",
+		File: "successor.go",
+		Old:  "		if report.process == 0 || !listed || report.confirmedTerm > newest.term {\n",
+		New:  "		if !listed || report.confirmedTerm > newest.term {\n",
+	},
+	{
+		Name: "a state is inherited although a later lead was confirmed",
+		File: "successor.go",
+		Old:  "		if report.process == 0 || !listed || report.confirmedTerm > newest.term {\n",
+		New:  "		if report.process == 0 || !listed {\n",
+	},
+	{
+		Name: "a state of another group is inherited",
+		File: "successor.go",
+		Old:  "	if epochOfTerm(newest.term) < p.group.epoch {\n",
+		New:  "	if false {\n",
+	},
+	{
+		Name: "an older state replaces the newest one that is doubtful",
+		File: "successor.go",
+		Old:  "compareLeadStates(held, newest) == 0 && p.isNewest(held, reports) {",
+		New:  "held != nil && p.isNewest(held, reports) {",
+	},
+	{
+		Name: "a new primary keeps to its own state",
+		File: "successor.go",
+		Old:  "		if compareLeadStates(report.held, newest) > 0 {\n",
+		New:  "		if report.process == c.process && compareLeadStates(report.held, newest) > 0 {\n",
+	},
+	{
+		Name: "a replica keeps a late state",
+		File: "successor.go",
+		Old:  "	if compareLeadStates(s, p.heldState) >= 0 {\n",
+		New:  "	if true {\n",
+	},
+	{
+		Name: "a replica takes states of any primary",
+		File: "replication.go",
+		Old:  "	case kindInstallJob, kindStartTerm, kindOperation, kindLeadState:\n",
+		New:  "	case kindLeadState:\n		r.U64()\n		c.holdLeadState(p, term, &r, pipe)\n	case kindInstallJob, kindStartTerm, kindOperation:\n",
+	},
+	{
+		Name: "one replica is enough for a state",
+		File: "successor.go",
+		Old:  "	return held[c.maxLostReplicas]\n",
+		New:  "	return held[0]\n",
+	},
+	{
+		Name: "the old group alone is enough for a state",
+		File: "successor.go",
+		Old:  "		shared = min(shared, c.heldBy(p, primary.nextReplicas))\n",
+		New:  "",
+	},
+	{
+		Name: "a replica that was out of touch misses the state",
+		File: "takeover.go",
+		Old:  "	c.resendLeadState(p, replica)\n",
+		New:  "",
+	},
+	{
+		Name: "a state that is sent again lists the processes of the first time",
+		File: "successor.go",
+		Old:  "		c.refreshLeadState(p)\n		c.sendLeadState",
+		New:  "		c.sendLeadState",
+	},
+	{
+		Name: "a takeover tells nothing of earlier leads",
+		File: "takeover.go",
+		Old:  "	c.learnOfEarlierLeads(p)\n",
+		New:  "	primary.earlierUntil = c.nowMs\n",
+	},
+	{
+		Name: "the report comes after the promise",
+		File: "takeover.go",
+		Old:  "			_ = pipe.Send(kindLeadReport, c.encodeLeadReport(p))\n			_ = pipe.Send(kindPromise, p.encodePromise())\n",
+		New:  "			_ = pipe.Send(kindPromise, p.encodePromise())\n			_ = pipe.Send(kindLeadReport, c.encodeLeadReport(p))\n",
+	},
+	{
+		Name: "a state may have any size",
+		File: "successor.go",
+		Old:  "	if len(state) > maxLeadStateBytes {\n",
+		New:  "	if len(state) > maxLeadStateBytes<<10 {\n",
+	},
+}
+
 var onlyMutants = flag.String("wrong", "1", "mutants to test: a substring of the name; 1: all; empty: none")
 
 // The tests that must detect the mutants of each list.
@@ -313,6 +467,10 @@
 	rerunTests = "TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
 		"TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
 	leadTests = "TestLead|TestWitnessOfPrimaries|TestStorePublishesItsLeads"
+
+	successorTests = "TestLeadsAreExclusive|TestSuccessors|TestAgesAreReduced|TestConfirmationsThatAreRemembered|" +
+		"TestWitnessOfGroups|TestEndOfEarlierLeads|TestInheritedStates|TestStateIsShared|TestReplicaHoldsTheNewestState|" +
+		"TestStoreSharesStates|TestReconnectedReplicaGetsTheState"
 )
 
 // TestMutantsStand fails unless the text of each mutant occurs exactly once in its file.
@@ -322,6 +480,7 @@
 	mutation.CheckPresent(t, tenantMutants)
 	mutation.CheckPresent(t, rerunMutants)
 	mutation.CheckPresent(t, leadMutants)
+	mutation.CheckPresent(t, successorMutants)
 }
 
 // TestMutantsAreFound applies each mutant to the sources and expects its tests to fail.
@@ -342,4 +501,5 @@
 	find(tenantMutants, tenantTests)
 	find(rerunMutants, rerunTests)
 	find(leadMutants, leadTests)
+	find(successorMutants, successorTests)
 }
--- a/internal/batch/successor.go
+++ b/internal/batch/successor.go
@@ -12,21 +12,21 @@
 // A new primary learns from its replicas what they remember of earlier leads: until when one may have been confirmed,
 // and the newest state that one has shared with its replicas. Each replica reports that right before its promise.
 //
-// Until when an earlier lead may have been confirmed. A confirmation needs f+1 of the group, the primary included, and a
-// takeover R-f, so one member M is among both. If M is a replica that confirmed, it answered after the stamp was taken,
-// and remembers when. If M is the old primary, it remembers its newest confirmation from when it stepped down. If M has
-// started since, its start is later than either. Its promise excludes any later confirmation. All of this is about leads
-// whose confirmations needed this group of replicas. Those of other groups ended with the change to this group at the
-// latest, which was before this process saw a table with it.
+// Until when an earlier lead may have been confirmed. A confirmation needs f+1 of the group, the primary included, and
+// a takeover R-f, so one member M is among both. If M is a replica that confirmed, it answered after the stamp was
+// taken, and remembers when. If M is the old primary, it remembers its newest confirmation from when it stepped down.
+// If M has started since, its start is later than either. Its promise excludes any later confirmation. All of this is
+// about leads whose confirmations needed this group of replicas. Those of other groups ended with the change to this
+// group at the latest, which was before this process saw a table with it.
 //
-// Which state may be inherited. Let Y be the newest that was found, and X a newer one that f+1 members hold. One of them,
-// M, has promised too. Y lists the processes that had promised to its primary when it was sent, and is inherited only if
-// it lists that of each member that has promised now. So M has been running since before its promise to the lead of Y. M
-// got X after that: X is of the same lead and was sent after Y, or M follows the later lead of X since it promised to do
-// so, and it makes its promises in the order of terms. M therefore still has X, and would have reported it, so there is
-// no X. This holds only for X that f+1 of this group have to hold, so Y must be from an epoch since when this group has
-// been the group of the partition, or the next one. A lead after that of Y that shared nothing may have been confirmed;
-// one of its f+1 members has promised and reports its term, so then nothing is inherited either.
+// Which state may be inherited. Let Y be the newest that was found, and X a newer one that f+1 members hold. One of
+// them, M, has promised too. Y lists the processes that had promised to its primary when it was sent, and is inherited
+// only if it lists that of each member that has promised now. So M has been running since before its promise to the
+// lead of Y. M got X after that: X is of the same lead and was sent after Y, or M follows the later lead of X since it
+// promised to do so, and it makes its promises in the order of terms. M therefore still has X, and would have reported
+// it, so there is no X. This holds only for X that f+1 of this group have to hold, so Y must be from an epoch since
+// when this group has been the group of the partition, or the next one. A lead after that of Y that shared nothing may
+// have been confirmed; one of its f+1 members has promised and reports its term, so then nothing is inherited either.
 
 const (
 	// maxLeadStateBytes bounds the state of a lead.
@@ -46,8 +46,8 @@
 	state       []byte
 }
 
-// storeProcess is a process of a store. The state of a lead lists those that had promised to follow the term when it was
-// sent, and that of the primary.
+// storeProcess is a process of a store. The state of a lead lists those that had promised to follow the term when it
+// was sent, and that of the primary.
 type storeProcess struct {
 	store   uint64
 	process uint64
@@ -123,7 +123,8 @@
 	}
 }
 
-// before returns the newest term before the given one that was confirmed, and the latest time at which any such term was.
+// before returns the newest term before the given one that was confirmed, and the latest time at which any such term
+// was.
 func (m *confirmationMemory) before(term uint64) leadConfirmation {
 	if m.newest.term >= term {
 		return m.earlier
@@ -237,7 +238,8 @@
 	primary.inherited = c.inheritedState(p, reports)
 }
 
-// inheritedState returns the newest state that was reported, unless there may have been a newer one; nil if there is none.
+// inheritedState returns the newest state that was reported, unless there may have been a newer one; nil if there is
+// none.
 func (c *core) inheritedState(p *partition, reports map[uint64]leadReport) *leadState {
 	var newest *leadState
 	for _, report := range reports {
@@ -301,14 +303,15 @@
 	c.countHolders(p)
 }
 
-// refreshLeadState makes a copy of the newest state of this lead that lists the processes that follow it now. There is no
-// newer state yet, so the copy may be used like one that was sent at first.
+// refreshLeadState makes a copy of the newest state of this lead that lists the processes that follow it now, that is,
+// those that have sent a report, which they do once their promise is durable. There is no newer state yet, so the copy
+// may be used like one that was sent at first.
 func (c *core) refreshLeadState(p *partition) {
 	primary := p.primary
 	fresh := *p.heldState
 	fresh.term, fresh.processes = primary.term, []storeProcess{{c.self, c.process}}
 	for _, id := range primary.allReplicas() {
-		if replica := primary.progress[id]; replica != nil && replica.digests != nil && replica.report != nil {
+		if replica := primary.progress[id]; replica != nil && replica.report != nil {
 			fresh.processes = append(fresh.processes, storeProcess{id, replica.report.process})
 		}
 	}
--- a/internal/batch/successor_test.go
+++ b/internal/batch/successor_test.go
@@ -13,8 +13,8 @@
 	"dunetide/internal/platform/link"
 )
 
-// TestSuccessorsOfAKilledPrimaryKnowWhenItsLeadEnded: a new primary had to wait as if the lead before had been confirmed
-// until its own takeover, although its replicas had last confirmed it when the old primary was killed.
+// TestSuccessorsOfAKilledPrimaryKnowWhenItsLeadEnded: a new primary had to wait as if the lead before had been
+// confirmed until its own takeover, although its replicas had last confirmed it when the old primary was killed.
 func TestSuccessorsOfAKilledPrimaryKnowWhenItsLeadEnded(t *testing.T) {
 	const (
 		leastDetectionMs = 300 // the table changes no earlier than this after the kill
@@ -65,8 +65,8 @@
 	}
 }
 
-// TestConfirmationsThatAreRemembered guards against confirmations of the own term, or of none, that are reported as those
-// of earlier leads.
+// TestConfirmationsThatAreRemembered guards against confirmations of the own term, or of none, that are reported as
+// those of earlier leads.
 func TestConfirmationsThatAreRemembered(t *testing.T) {
 	c := newCore(1, &memoryDisk{})
 	c.process, c.startedMs = 5, 100
@@ -123,8 +123,8 @@
 	see(snapshot.Partition{Epoch: 14, Replicas: first}, 12, 7000, 7000, 14) // the epoch between was not seen
 }
 
-// successorCore returns the core of store 1, process 11, which collects promises at 10000 ms for the group of stores 1, 2
-// and 3, which was seen first at 4000 ms, in epoch 5.
+// successorCore returns the core of store 1, process 11, which collects promises at 10000 ms for the group of stores 1,
+// 2 and 3, which was seen first at 4000 ms, in epoch 5.
 func successorCore(f int) (*core, *partition) {
 	c := newCore(1, &memoryDisk{})
 	c.process, c.startedMs, c.nowMs, c.maxLostReplicas = 11, 100, 10_000, f
@@ -140,7 +140,12 @@
 
 // promise adds a promise with a report.
 func (s *primaryState) promise(id uint64, report *leadReport) {
-	s.progress[id] = &replicaProgress{pipe: &recordingPipe{}, digests: map[string]uint64{}, report: report, acknowledged: -1}
+	s.progress[id] = &replicaProgress{
+		pipe:         &recordingPipe{},
+		digests:      map[string]uint64{},
+		report:       report,
+		acknowledged: -1,
+	}
 }
 
 // TestEndOfEarlierLeads guards against a bound that leaves out what this store or a replica knows, or does not know.
@@ -185,8 +190,8 @@
 	}
 }
 
-// TestInheritedStates guards against an older state that is taken for the newest, and against states that are lost for no
-// reason.
+// TestInheritedStates guards against an older state that is taken for the newest, and against states that are lost for
+// no reason.
 func TestInheritedStates(t *testing.T) {
 	old, lead := firstTerm(6)+1, firstTerm(7)+1
 	listed := func(s *leadState, processes ...uint64) *leadState {
@@ -195,6 +200,8 @@
 		}
 		return s
 	}
+	unknown := listed(testState(lead, 4), 11, 12, 13)
+	unknown.processes = append(unknown.processes, storeProcess{store: 2})
 	for name, example := range map[string]struct {
 		own, second, third *leadReport // of the processes 11, 12 and 13
 		groupEpoch         uint64
@@ -226,7 +233,7 @@
 			second: &leadReport{process: 22}, want: "",
 		},
 		"a replica of an older version": {
-			own:    &leadReport{held: listed(testState(lead, 4), 11, 12, 13, 2)},
+			own:    &leadReport{held: unknown},
 			second: &leadReport{}, want: "",
 		},
 		"this store has restarted": {
@@ -417,15 +424,15 @@
 	}
 	c.peerConnected(replica.self, pipe)
 	g.deliverAll()
-	if s := replica.partition(0).heldState; s == nil || s.sequence != 1 || !slices.Equal(s.processes, p.heldState.processes) ||
-		len(s.processes) != 3 {
+	s := replica.partition(0).heldState
+	if s == nil || s.sequence != 1 || len(s.processes) != 3 || !slices.Equal(s.processes, p.heldState.processes) {
 		t.Errorf("the replica holds %+v", s)
 	}
 }
 
 // TestUnknownKindsAreIgnored stands for versions that do not know the messages of later ones.
 func TestUnknownKindsAreIgnored(t *testing.T) {
-	_, primary, c, p := followerOf(t)
+	g, primary, c, p := followerOf(t)
 	pipe := &recordingPipe{}
 	p.followedPrimary = pipe
 	for _, to := range []*core{primary, c} {
@@ -435,4 +442,7 @@
 			t.Errorf("%+v became %+v, answered with %v", before, after, pipe.kinds)
 		}
 	}
+	if code := g.submit("later", 2); code != codeOK {
+		t.Errorf("a later job was answered %d", code)
+	}
 }
