--- a/internal/quota/histories_test.go
+++ b/internal/quota/histories_test.go
@@ -690,9 +690,18 @@
 	}
 }
 
-// TestNobodyIsRefusedBelowTheLimit guards against refusals of requests that an ideal bucket admits. A tenant spends its
-// burst and then its rate, in clumps, at six proxies whose messages overtake each other.
+// mostDelay bounds how late a request runs if nothing fails. It may meet a lead that has to be confirmed first, and a floor:
+// twice if its retry overtakes the acknowledgement. Each of these takes a round trip and the pause that the answer states.
+const (
+	worldRoundTrip = 2 * 2 * worldMs
+	mostDelay      = worldRoundTrip + (worldRoundTrip + 5*worldMs) + 2*(worldRoundTrip+2*worldMs)
+)
+
+// TestNobodyIsRefusedBelowTheLimit guards against refusals of requests that an ideal bucket admits, and against floors that
+// hold up more than a few of them for more than a round trip. A tenant spends its burst and then its rate, in clumps, at six
+// proxies whose messages overtake each other.
 func TestNobodyIsRefusedBelowTheLimit(t *testing.T) {
+	heldUp, sent, latest := 0, 0, int64(0)
 	for seed := range uint64(50) {
 		limit := Limit{ConfigVersion: 1, RatePerSecond: float64(1 + seed*7), Burst: float64(seed % 3 * 40)}
 		w := newWorld(seed, false, limit)
@@ -716,5 +725,17 @@
 		if refused > 0 || answers > 0 || len(w.runs) != w.sent || w.sent < 15 {
 			t.Errorf("seed %d: %d requests refused, %d without an answer, %d of %d ran with %+v", seed, refused, answers, len(w.runs), w.sent, limit)
 		}
+		heldUp += w.heldUp
+		sent += w.sent
+		for _, run := range w.runs {
+			latest = max(latest, run.ran-run.sent)
+		}
+	}
+	t.Logf("%d of %d requests met an answer of a floor; the latest ran after %d µs", heldUp, sent, latest)
+	if latest > mostDelay {
+		t.Errorf("a request ran %d µs after it was sent", latest)
+	}
+	if heldUp > sent/200 {
+		t.Errorf("floors held up %d of %d requests", heldUp, sent)
 	}
 }
