--- a/internal/quota/succession_test.go
+++ b/internal/quota/succession_test.go
@@ -50,6 +50,7 @@
 
 // leadLong returns a store whose lead began a minute ago and whose buckets are full.
 func leadLong(t *testing.T) *counterRig {
+	t.Helper()
 	r := newCounterRig(t)
 	r.serve(5, time.Minute)
 	r.wait(time.Minute)
