Tests of successors: a lead after a loss of all memory

Cause: the level that such a lead begins with depends on the starts of the processes alone. Change: a test with a first level of 0, also for a time before the process began.

--- a/internal/quota/succession_test.go
+++ b/internal/quota/succession_test.go
@@ -88,6 +88,20 @@
 	r.expectNotOwner(takeoverWait)
 }
 
+// TestLeadAfterALossOfAllMemory guards against a first level under a lead that can't know of earlier ones: its buckets have
+// what the rate gave since the earlier ones were certainly not confirmed any more, which are the starts of the processes.
+func TestLeadAfterALossOfAllMemory(t *testing.T) {
+	r := newCounterRig(t)
+	r.serve(5, 0)
+	r.leadership.lead.EarlierUntil = r.now.Add(-takeoverWait - 300*time.Millisecond)
+	r.expectGranted("a", 30)
+	early := newCounterRig(t)
+	early.now = early.counter.start.Add(400 * time.Millisecond)
+	early.serve(5, 0)
+	early.leadership.lead.EarlierUntil = early.counter.start.Add(-time.Hour) // before the process began
+	early.expectGranted("a", 40)
+}
+
 // TestSuccessorHasTheFloor guards against tenants far below their limit whose burst is cut to a part of the slack when
 // their store is lost.
 func TestSuccessorHasTheFloor(t *testing.T) {
