Rates, proxies: pauses double while a store says that it is not confirmed

Cause: a store that leads and can't be confirmed (its replicas are cut off or slow) says 5 ms.

Change: the pause of a tenant doubles up to 100 ms while the same store says the same or a longer time, once a round of calls in flight. It starts anew with another primary, a shorter time (the wait of a new lead comes to its end) or a grant, which also ends the pause itself. In the second half of its pause a demand goes with any call to its store, so tenants that wait for the same store come to share calls. Pauses are kept per tenant, as grants of one partition say nothing of another one of the same store.

TestClientHistoriesWithFaults: stores that lead without being confirmed are drawn too.

--- a/internal/quota/client_core.go
+++ b/internal/quota/client_core.go
@@ -18,7 +18,8 @@
 	// maxRefundsPerTenant bounds the grants with tokens to return. Others are lost: the tenant gets them back by its rate.
 	maxRefundsPerTenant = 64
 	// askAgainDelay is the pause before a tenant's next demand after one without an answer. A store that does not count
-	// says how long the pause should be; it is kept within the other two.
+	// says how long the pause should be; it is kept within the other two. While nothing changes the pause doubles, up to
+	// maxAskAgainDelay.
 	askAgainDelay    = 30 * time.Millisecond
 	minAskAgainDelay = 5 * time.Millisecond
 	maxAskAgainDelay = 100 * time.Millisecond
@@ -160,7 +161,7 @@
 		}
 	}
 	if len(started) > 0 {
-		c.addRefunds(started)
+		c.addCompanions(started, now)
 	}
 	c.reorder()
 	return started
@@ -192,10 +193,11 @@
 	return started
 }
 
-// addRefunds adds the refunds of tenants without a demand to the calls that go to their stores.
-func (c *clientCore) addRefunds(started []*clientCall) {
+// addCompanions adds what need not be asked for now, but may, to the calls that go to its stores anyway. So the tenants
+// that wait for the same store come to share their calls to it.
+func (c *clientCore) addCompanions(started []*clientCall, now time.Duration) {
 	for _, t := range c.order {
-		if len(t.refunds) == 0 || len(t.waiters) > 0 {
+		if !t.mayAccompany(now) {
 			continue
 		}
 		store, connected := c.primaryOf(t.name)
@@ -280,22 +282,43 @@
 			c.distribute(call, demand, answer, now)
 		} else {
 			demand.tenant.requeue(demand.waiters)
-			demand.tenant.pause(now + pauseAfter(answer))
+			demand.tenant.pause(now + demand.tenant.backoff.next(call, answer.RetryAfter, now))
 		}
 	}
 }
 
-// pauseAfter returns the pause after an answer that grants nothing. A new primary may have to wait for longer than
-// maxAskAgainDelay, but it may be replaced by one that need not.
-func pauseAfter(answer Answer) time.Duration {
-	if answer.RetryAfter <= 0 {
-		return askAgainDelay
+// backoff computes the pauses of a tenant after answers that grant nothing. A store that leads and is not confirmed, as
+// its replicas are slow or cut off, says 5 ms for as long as that lasts: without longer pauses, all proxies would spend its
+// processor time on the same question.
+type backoff struct {
+	store      uint64        // the store that answered last; noStore: none since the last grant
+	retryAfter time.Duration // what it said
+	pause      time.Duration // what followed
+	since      time.Duration // when that pause was computed
+}
+
+// next returns the pause after an answer that grants nothing. It is twice the previous one if the same store was asked
+// again after that and said no shorter time. Otherwise something has changed (another primary, a new lead, a wait that
+// comes to its end), and the pause is what the store says. That may be longer than maxAskAgainDelay, but the store may be
+// replaced by one that need not wait.
+func (b *backoff) next(call *clientCall, retryAfter, now time.Duration) time.Duration {
+	pause := askAgainDelay
+	if retryAfter > 0 {
+		pause = max(retryAfter, minAskAgainDelay)
+	}
+	if call.store == b.store && retryAfter >= b.retryAfter {
+		if call.sentAt <= b.since { // both calls were in flight
+			return b.pause
+		}
+		pause = max(pause, 2*b.pause)
 	}
-	return min(max(answer.RetryAfter, minAskAgainDelay), maxAskAgainDelay)
+	*b = backoff{store: call.store, retryAfter: retryAfter, pause: min(pause, maxAskAgainDelay), since: now}
+	return b.pause
 }
 
 // distribute gives the tokens of an answer to the waiters in the order of their arrival, and refuses the others.
 func (c *clientCore) distribute(call *clientCall, demand *clientDemand, answer Answer, now time.Duration) {
+	demand.tenant.resume()
 	tokens := min(answer.Granted, demand.request.Wanted)
 	refused := 0
 	for _, w := range demand.waiters {
@@ -408,6 +431,7 @@
 	waiting         int       // waiters without an answer, those in calls too
 	demandsInFlight int
 	pausedUntil     time.Duration
+	backoff         backoff
 	refunds         []pendingRefund
 	refundsDue      time.Duration
 	justAsked       bool
@@ -429,6 +453,15 @@
 	return waits && at <= now
 }
 
+// mayAccompany reports whether the tenant's demand may go with a call to its store before it is due: refunds at any time,
+// requests in the second half of their pause.
+func (t *tenantQueue) mayAccompany(now time.Duration) bool {
+	if len(t.waiters) > 0 {
+		return t.pausedUntil-now <= t.backoff.pause/2
+	}
+	return len(t.refunds) > 0
+}
+
 // dueAt returns when the tenant should be asked for; false: there is nothing to ask.
 func (t *tenantQueue) dueAt() (at time.Duration, waits bool) {
 	switch {
@@ -444,6 +477,9 @@
 // pause defers the next demand.
 func (t *tenantQueue) pause(until time.Duration) { t.pausedUntil = max(t.pausedUntil, until) }
 
+// resume ends the pause and its growth: a store counts.
+func (t *tenantQueue) resume() { t.pausedUntil, t.backoff = 0, backoff{} }
+
 // wants reports whether there is something to ask or to return.
 func (t *tenantQueue) wants() bool { return len(t.waiters) > 0 || len(t.refunds) > 0 }
 
--- a/internal/quota/client_core_test.go
+++ b/internal/quota/client_core_test.go
@@ -75,6 +75,154 @@
 	}
 }
 
+// Guards against the same question at a pace that no change asks for, and against long pauses after a change: another
+// primary, a new lead with a wait that comes to its end, or a grant.
+func TestPausesDoubleWhileNothingChanges(t *testing.T) {
+	const ms = time.Millisecond
+	type step struct {
+		store            uint64
+		retryAfter, want time.Duration
+		granted          bool
+	}
+	for name, steps := range map[string][]step{
+		"not confirmed": {
+			{1, 5 * ms, 5 * ms, false},
+			{1, 5 * ms, 10 * ms, false},
+			{1, 5 * ms, 20 * ms, false},
+			{1, 5 * ms, 40 * ms, false},
+			{1, 5 * ms, 80 * ms, false},
+			{1, 5 * ms, 100 * ms, false},
+			{1, 5 * ms, 100 * ms, false},
+		},
+		"no answer":       {{1, 0, 30 * ms, false}, {1, 0, 60 * ms, false}, {1, 0, 100 * ms, false}},
+		"a longer answer": {{1, 5 * ms, 5 * ms, false}, {1, 30 * ms, 30 * ms, false}, {1, 50 * ms, 60 * ms, false}},
+		"the wait of a new lead": {
+			{1, 50 * ms, 50 * ms, false},
+			{1, 50 * ms, 100 * ms, false},
+			{1, 224 * ms, 100 * ms, false},
+			{1, 122 * ms, 100 * ms, false},
+			{1, 20 * ms, 20 * ms, false},
+			{1, 5 * ms, 5 * ms, false},
+			{1, 5 * ms, 10 * ms, false},
+		},
+		"another primary": {
+			{1, 5 * ms, 5 * ms, false},
+			{1, 5 * ms, 10 * ms, false},
+			{2, 5 * ms, 5 * ms, false},
+			{2, 50 * ms, 50 * ms, false},
+		},
+		"a grant": {{1, 5 * ms, 5 * ms, false}, {1, 5 * ms, 10 * ms, false}, {store: 1, granted: true}, {1, 5 * ms, 5 * ms, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store, now := uint64(0), time.Second
+			core := newClientCore(func(string) (uint64, bool) { return store, true })
+			core.admit("a", testClientLimit)
+			for i, s := range steps {
+				store = s.store
+				call := startOne(t, core, now)
+				answer := Answer{Outcome: NotOwner, RetryAfter: s.retryAfter}
+				if s.granted {
+					answer = Answer{Outcome: Granted, Granted: 1}
+					core.admit("a", testClientLimit)
+				}
+				core.endCall(call.number, &AdmitReply{Answers: []Answer{answer}}, now)
+				if s.granted {
+					continue // asked again at once
+				}
+				if early := core.startCalls(now + s.want - 1); len(early) > 0 {
+					t.Fatalf("step %d: asked again too early", i)
+				}
+				now += s.want
+			}
+			startOne(t, core, now)
+		})
+	}
+}
+
+// Guards against pauses that double for each of the calls that were in flight at once.
+func TestPausesDoubleOnceARound(t *testing.T) {
+	core := connectedTo(1)
+	now := time.Second
+	for _, want := range []time.Duration{5, 10, 20, 40, 80, 100, 100} {
+		var calls []*clientCall
+		for range maxCallsPerStore {
+			core.admit("a", testClientLimit)
+			calls = append(calls, startOne(t, core, now))
+		}
+		now += time.Millisecond
+		for _, call := range calls {
+			answer := Answer{Outcome: NotOwner, RetryAfter: unconfirmedRetry}
+			core.endCall(call.number, &AdmitReply{Answers: []Answer{answer}}, now)
+		}
+		if at, _ := core.nextTime(now); at != now+want*time.Millisecond {
+			t.Fatalf("next at %v, want a pause of %d ms after %v", at, want, now)
+		}
+		now += want * time.Millisecond
+	}
+}
+
+// Guards against pauses that stay short because another call is always in flight when an answer comes.
+func TestPausesDoubleWhileCallsOverlap(t *testing.T) {
+	core := connectedTo(1)
+	const latency = 20 * time.Millisecond
+	ends := map[time.Duration][]*clientCall{}
+	calls := 0
+	core.admit("a", testClientLimit)
+	for now := time.Second; now < 3*time.Second; now += time.Millisecond {
+		for _, call := range ends[now] {
+			answer := Answer{Outcome: NotOwner, RetryAfter: unconfirmedRetry}
+			core.endCall(call.number, &AdmitReply{Answers: []Answer{answer}}, now)
+		}
+		if now >= time.Second+latency/2 && core.waiting < 500 {
+			core.admit("a", testClientLimit)
+		}
+		for _, call := range core.startCalls(now) {
+			calls++
+			ends[now+latency] = append(ends[now+latency], call)
+		}
+	}
+	if most := 10 + maxCallsPerStore*int(2*time.Second/maxAskAgainDelay); calls > most {
+		t.Errorf("%d calls in 2 s, want %d at most", calls, most)
+	}
+}
+
+// Guards against a tenant that waits for a store although that has begun to count for it.
+func TestAGrantEndsThePause(t *testing.T) {
+	core := connectedTo(1)
+	core.admit("a", testClientLimit)
+	first := startOne(t, core, 0)
+	core.admit("a", testClientLimit)
+	second := startOne(t, core, 0)
+	core.endCall(first.number, &AdmitReply{Answers: []Answer{{Outcome: NotOwner, RetryAfter: time.Second}}}, 0)
+	core.endCall(second.number, &AdmitReply{Answers: []Answer{{Outcome: Granted, Granted: 1}}}, 0)
+	startOne(t, core, 0)
+}
+
+// Guards against calls of each tenant's own to a store that does not count, and against companions that ask too early.
+func TestTenantsThatWaitForAStoreShareCalls(t *testing.T) {
+	core := connectedTo(1)
+	notOwner := func(now time.Duration) {
+		call := startOne(t, core, now)
+		reply := &AdmitReply{}
+		for range call.demands {
+			reply.Answers = append(reply.Answers, Answer{Outcome: NotOwner, RetryAfter: time.Second})
+		}
+		core.endCall(call.number, reply, now)
+	}
+	core.admit("a", testClientLimit)
+	notOwner(0)
+	core.admit("b", testClientLimit)
+	const early = maxAskAgainDelay/2 - 1
+	notOwner(early) // b alone
+	if at, _ := core.nextTime(early); at != maxAskAgainDelay {
+		t.Fatalf("a is asked for at %v", at)
+	}
+	notOwner(maxAskAgainDelay) // b goes with a
+	if at, _ := core.nextTime(maxAskAgainDelay); at != 2*maxAskAgainDelay || len(startOne(t, core, at).demands) != 2 {
+		t.Fatalf("next at %v", at)
+	}
+}
+
 // Guards against a proxy that is busy with refunds to a store that it can't reach.
 func TestRefundsToAStoreOutOfReachAreDropped(t *testing.T) {
 	connected := true
--- a/internal/quota/client_history_test.go
+++ b/internal/quota/client_history_test.go
@@ -23,8 +23,11 @@
 	owners       map[string]uint64 // the store that counts for a tenant
 	tableOwners  map[string]uint64 // and by the proxy's table
 	disconnected map[uint64]bool
+	unconfirmed  map[uint64]bool // stores that lead and may not count, as their replicas don't answer
 	grants       map[GrantID]*clientHistoryGrant
 	inFlight     map[uint64]int
+	callsTo      map[uint64]int // number of calls that were sent by store
+	asked        map[string]int // number of demands with requests that were sent by tenant
 	lastGrant    uint64
 
 	requests map[*waiter]*clientHistoryRequest
@@ -60,8 +63,11 @@
 		owners:       map[string]uint64{},
 		tableOwners:  map[string]uint64{},
 		disconnected: map[uint64]bool{},
+		unconfirmed:  map[uint64]bool{},
 		grants:       map[GrantID]*clientHistoryGrant{},
 		inFlight:     map[uint64]int{},
+		callsTo:      map[uint64]int{},
+		asked:        map[string]int{},
 		requests:     map[*waiter]*clientHistoryRequest{},
 		ends:         map[string]int{},
 	}
@@ -121,6 +127,7 @@
 
 // send plays the way of a call, its answer, or the lack of one.
 func (h *clientHistory) send(call *clientCall) {
+	h.callsTo[call.store]++
 	h.inFlight[call.store]++
 	if h.inFlight[call.store] > maxCallsPerStore {
 		h.t.Fatalf("%d calls in flight to a store", h.inFlight[call.store])
@@ -183,6 +190,9 @@
 			h.t.Fatalf("tenant %s twice in a call", d.Tenant)
 		}
 		seen[d.Tenant] = true
+		if d.Wanted > 0 {
+			h.asked[d.Tenant]++
+		}
 		if d.Wanted == 0 && len(d.Refunds) == 0 {
 			h.t.Fatal("a demand for nothing")
 		}
@@ -206,6 +216,10 @@
 			reply.Answers = append(reply.Answers, Answer{Outcome: NotOwner, RetryAfter: h.between(0, time.Second)})
 			continue
 		}
+		if h.unconfirmed[store] {
+			reply.Answers = append(reply.Answers, Answer{Outcome: NotOwner, RetryAfter: unconfirmedRetry})
+			continue
+		}
 		granted := d.Wanted
 		if h.rng.Float64() < 0.3 && granted > 0 {
 			granted = h.rng.Uint32N(granted + 1)
@@ -344,6 +358,13 @@
 	h.after(h.between(0, time.Second), func() { delete(h.disconnected, store) })
 }
 
+// cutReplicas keeps a store from being confirmed for a while.
+func (h *clientHistory) cutReplicas() {
+	store := 1 + h.rng.Uint64N(clientHistoryStores)
+	h.unconfirmed[store] = true
+	h.after(h.between(0, time.Second), func() { delete(h.unconfirmed, store) })
+}
+
 // play plays a history of requests with or without faults, and then lets everything end without faults.
 func (h *clientHistory) play(perSecond int, lasts time.Duration) {
 	end := h.now + lasts
@@ -358,6 +379,9 @@
 				if h.chance(0.3) {
 					h.disconnect()
 				}
+				if h.chance(0.3) {
+					h.cutReplicas()
+				}
 			})
 		}
 	}
