Rates, proxies: late answers are used or refunded, and their requests asked for anew after 100 ms

Cause: a call was given up after 350 ms. Until then it held its requests and one of two places to its store; after that its tokens were lost, and so were tokens that a request found stale. A store that needed 400 ms for each answer granted tokens for all requests, of which none was served.

Change: after overdueAfter = 100 ms a call frees its place and its requests are asked for anew. Its answer is awaited for answerTimeout = 2 s: its tokens go to those of its requests that have none yet, while they are not older than maxGrantAge, and the others are refunded. A late answer refuses nobody. A stale token is taken from its request and refunded. A waiter knows whether it is in its queue, so it is never there twice, nor after a token. The calls open to one store are bounded by 2 x 2 s / 100 ms = 40, one goroutine each.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// callTimeout is how long a call may take. After that its tokens count as granted and lost. A short time
-	// would lose tokens whenever a store or this process is slow, a long one delays the demand to another store.
-	callTimeout = maxGrantAge * 7 / 10
+	// answerTimeout is how long an answer is awaited. After that its tokens count as granted and lost. A store takes
+	// refunds of a grant for 2.56 s (see docs/quotas.md).
+	answerTimeout = 2 * time.Second
 	// minUnavailableRetry and maxUnavailableRetry bound the RetryAfter of requests that could not be counted. It is drawn,
 	// so that the clients of all proxies don't come back at once when a store counts again.
 	minUnavailableRetry = 300 * time.Millisecond
@@ -240,7 +240,7 @@
 
 // call sends a call and passes its answer to the core.
 func (c *Client) call(call *clientCall) {
-	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, answerTimeout)
 	defer cancel()
 	request := call.request()
 	for i := range request.Demands {
@@ -254,6 +254,7 @@
 
 // exchange sends a request to a store and returns its reply; nil if there is none.
 func (c *Client) exchange(ctx context.Context, store uint64, request *AdmitRequest) *AdmitReply {
+	sentAt := c.now()
 	body, err := c.stores.CallStore(ctx, store, KindAdmit, request.Encode())
 	if err != nil {
 		callsFailed.Inc()
@@ -264,7 +265,11 @@
 		callsFailed.Inc()
 		return nil
 	}
-	callsAnswered.Inc()
+	if c.now()-sentAt < overdueAfter {
+		callsAnswered.Inc()
+	} else {
+		callsFailed.Inc()
+	}
 	for _, answer := range reply.Answers {
 		if answer.Outcome == NotOwner {
 			notOwnerAnswers.Inc()
--- a/internal/quota/client_core.go
+++ b/internal/quota/client_core.go
@@ -8,8 +8,13 @@
 
 // Bounds and times of a proxy's side. docs/quotas-client.md has the reasons.
 const (
-	// maxCallsPerStore is how many calls to one store may be in flight. Requests that arrive meanwhile go with the next.
+	// maxCallsPerStore is how many calls to one store may be in flight and not overdue. Requests that arrive meanwhile go
+	// with the next.
 	maxCallsPerStore = 2
+	// overdueAfter is when a call no longer holds its requests and its place: they are asked for anew. Its tokens are
+	// awaited further, to be used or refunded. Short, it repeats demands to a store or a process that is slow; long, it
+	// delays the demand to another store.
+	overdueAfter = maxGrantAge / 5
 	// maxDemandsPerCall bounds a message. Tenants beyond it go first with the next call.
 	maxDemandsPerCall = 256
 	// maxWaiters and maxWaitersPerTenant bound the requests that wait. The second keeps one tenant from taking all places.
@@ -43,7 +48,8 @@
 //   - A token goes to a waiter that arrived before the call that obtained the token was sent, at most maxGrantAge after
 //     that. So a token is granted between the arrival of its request and the moment at which the request goes on.
 //   - The tokens used and refunded of a call are no more than those that its first answer granted. A call without an
-//     answer is never repeated, because its tokens may have been granted.
+//     answer is never repeated, because its tokens may have been granted: its requests are asked for in another call.
+//   - Each token of an answer is given to one waiter or refunded. It is taken from the waiter before it is refunded.
 type clientCore struct {
 	// primaryOf returns the store that counts for a tenant by the newest table; false if it is not connected.
 	primaryOf func(tenant string) (store uint64, connected bool)
@@ -51,7 +57,7 @@
 	tenants     map[string]*tenantQueue
 	order       []*tenantQueue // the same: those that were asked for last are at the end
 	calls       map[uint64]*clientCall
-	callsTo     map[uint64]int // number of calls in flight by store
+	callsTo     map[uint64]int // number of calls in flight by store, without those that are overdue
 	lastCall    uint64
 	lastArrival uint64
 	waiting     int // waiters without an answer
@@ -83,6 +89,7 @@
 	tenant     *tenantQueue
 	arrival    uint64 // orders the waiters
 	state      waiterState
+	queued     bool          // it is in the queue of its tenant, so it waits for a call
 	token      grantedToken  // if granted
 	retryAfter time.Duration // if refused
 	// answered receives a value when the waiter has got an answer, which claim then returns.
@@ -102,6 +109,7 @@
 	store   uint64
 	sentAt  time.Duration
 	demands []clientDemand
+	overdue bool // its requests are asked for anew
 }
 
 // clientDemand is the demand of one tenant in a call.
@@ -130,7 +138,7 @@
 		return nil
 	}
 	c.lastArrival++
-	w := &waiter{tenant: t, arrival: c.lastArrival, answered: make(chan struct{}, 1)}
+	w := &waiter{tenant: t, arrival: c.lastArrival, queued: true, answered: make(chan struct{}, 1)}
 	t.waiters = append(t.waiters, w)
 	t.waiting++
 	c.waiting++
@@ -154,6 +162,7 @@
 // startCalls returns the calls to send now. It has to be called after each change, and at the time that nextTime
 // returns.
 func (c *clientCore) startCalls(now time.Duration) []*clientCall {
+	c.releaseOverdue(now)
 	var started []*clientCall
 	for _, t := range c.order {
 		if t.isDue(now) {
@@ -254,9 +263,49 @@
 			at, any = due, true
 		}
 	}
+	for _, call := range c.calls {
+		due := call.sentAt + overdueAfter
+		if !call.overdue && due > now && (!any || due < at) {
+			at, any = due, true
+		}
+	}
 	return at, any
 }
 
+// releaseOverdue has the requests of calls that are overdue asked for anew.
+func (c *clientCore) releaseOverdue(now time.Duration) {
+	var overdue []*clientCall
+	for _, call := range c.calls {
+		if !call.overdue && now-call.sentAt >= overdueAfter {
+			overdue = append(overdue, call)
+		}
+	}
+	slices.SortFunc(overdue, func(a, b *clientCall) int { return cmp.Compare(a.number, b.number) })
+	for _, call := range overdue {
+		call.overdue = true
+		c.releasePlace(call)
+		for i := range call.demands {
+			c.askAnew(call, &call.demands[i], 0, now)
+		}
+	}
+}
+
+// releasePlace lets another call to the store start.
+func (c *clientCore) releasePlace(call *clientCall) {
+	c.callsTo[call.store]--
+	if c.callsTo[call.store] == 0 {
+		delete(c.callsTo, call.store)
+	}
+}
+
+// askAnew returns the waiters of a demand that was not granted to their queue, which pauses.
+func (c *clientCore) askAnew(call *clientCall, demand *clientDemand, retryAfter, now time.Duration) {
+	t := demand.tenant
+	t.demandsInFlight--
+	t.requeue(demand.waiters)
+	t.pause(now + t.backoff.next(call, retryAfter, now))
+}
+
 // endCall ends a call with its answer; nil: there is none and will be none. Calls that have ended are ignored.
 func (c *clientCore) endCall(number uint64, reply *AdmitReply, now time.Duration) {
 	call := c.calls[number]
@@ -264,25 +313,27 @@
 		return
 	}
 	delete(c.calls, number)
-	c.callsTo[call.store]--
-	if c.callsTo[call.store] == 0 {
-		delete(c.callsTo, call.store)
+	if !call.overdue {
+		c.releasePlace(call)
 	}
 	if reply != nil && len(reply.Answers) != len(call.demands) {
 		reply = nil // of another version of the program
 	}
 	for i := range call.demands {
 		demand := &call.demands[i]
-		demand.tenant.demandsInFlight--
 		var answer Answer
 		if reply != nil {
 			answer = reply.Answers[i]
 		}
-		if answer.Outcome == Granted {
+		switch {
+		case call.overdue && answer.Outcome == Granted:
+			c.distributeLate(call, demand, answer, now)
+		case call.overdue: // asked anew before
+		case answer.Outcome == Granted:
+			demand.tenant.demandsInFlight--
 			c.distribute(call, demand, answer, now)
-		} else {
-			demand.tenant.requeue(demand.waiters)
-			demand.tenant.pause(now + demand.tenant.backoff.next(call, answer.RetryAfter, now))
+		default:
+			c.askAnew(call, demand, answer.RetryAfter, now)
 		}
 	}
 }
@@ -334,8 +385,30 @@
 			c.answer(w, waiterRefused)
 		}
 	}
-	if tokens > 0 { // their waiters are gone
-		c.refund(demand.tenant.name, demand.request.Limit, grantedToken{store: call.store, grant: answer.Grant}, tokens, now)
+	c.refundRest(call, demand, answer, tokens, now)
+}
+
+// distributeLate gives the tokens of an answer that is overdue to those of its waiters that have none yet. It refuses
+// nobody, as all of them have been asked for anew.
+func (c *clientCore) distributeLate(call *clientCall, demand *clientDemand, answer Answer, now time.Duration) {
+	tokens := min(answer.Granted, demand.request.Wanted)
+	if now-call.sentAt <= maxGrantAge {
+		for _, w := range demand.waiters {
+			if w.state == waiterPending && tokens > 0 {
+				tokens--
+				w.token = grantedToken{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
+				c.answer(w, waiterGranted)
+			}
+		}
+	}
+	c.refundRest(call, demand, answer, tokens, now)
+}
+
+// refundRest refunds the tokens of an answer for which there is no waiter.
+func (c *clientCore) refundRest(call *clientCall, demand *clientDemand, answer Answer, tokens uint32, now time.Duration) {
+	if tokens > 0 {
+		from := grantedToken{store: call.store, grant: answer.Grant}
+		c.refund(demand.tenant.name, demand.request.Limit, from, tokens, now)
 	}
 }
 
@@ -353,14 +426,17 @@
 	w.state = state
 	w.tenant.waiting--
 	c.waiting--
+	if w.queued {
+		w.tenant.remove(w)
+	}
 	select {
 	case w.answered <- struct{}{}:
-	default: // it has not yet seen that an earlier answer was discarded
+	default: // it has not yet seen that an earlier token was taken from it
 	}
 }
 
 // claim returns the state of a waiter, right before its request goes on or is refused. A token that is too old by now is
-// discarded: the waiter is pending again, and stale is true.
+// refunded: the waiter is pending again, and stale is true.
 func (c *clientCore) claim(w *waiter, now time.Duration) (state waiterState, stale bool) {
 	if w.state != waiterGranted || now-w.token.askedAt <= maxGrantAge {
 		return w.state, false
@@ -369,7 +445,9 @@
 		w.state = waiterClosed
 		return w.state, true
 	}
+	token := w.token
 	w.state, w.token = waiterPending, grantedToken{}
+	c.refund(w.tenant.name, w.tenant.limit, token, 1, now)
 	// Its queue may have been removed, and created anew, meanwhile.
 	w.tenant = c.queueOf(w.tenant.name, w.tenant.limit)
 	w.tenant.waiting++
@@ -407,10 +485,11 @@
 func (c *clientCore) close() {
 	c.closed = true
 	for _, t := range c.order {
-		for _, w := range t.waiters {
+		waiters := t.takeWaiters()
+		for _, w := range waiters {
 			c.answer(w, waiterClosed)
 		}
-		t.waiters, t.refunds = nil, nil
+		t.refunds = nil
 	}
 	for _, call := range c.calls {
 		for i := range call.demands {
@@ -485,24 +564,36 @@
 
 // takeDemand takes all waiters and refunds into a demand.
 func (t *tenantQueue) takeDemand() clientDemand {
+	waiters := t.takeWaiters()
 	demand := clientDemand{
 		tenant:  t,
-		waiters: t.waiters,
-		request: Demand{Tenant: t.name, Limit: t.limit, Wanted: uint32(len(t.waiters))},
+		waiters: waiters,
+		request: Demand{Tenant: t.name, Limit: t.limit, Wanted: uint32(len(waiters))},
 	}
 	for _, pending := range t.refunds {
 		demand.request.Refunds = append(demand.request.Refunds, pending.refund)
 	}
-	t.waiters, t.refunds = nil, nil
+	t.refunds = nil
 	t.demandsInFlight++
 	t.justAsked = true
 	return demand
 }
 
+// takeWaiters empties the queue.
+func (t *tenantQueue) takeWaiters() []*waiter {
+	taken := t.waiters
+	t.waiters = nil
+	for _, w := range taken {
+		w.queued = false
+	}
+	return taken
+}
+
 // requeue puts waiters that are still pending back into the order of arrival.
 func (t *tenantQueue) requeue(waiters []*waiter) {
 	for _, w := range waiters {
-		if w.state == waiterPending {
+		if w.state == waiterPending && !w.queued {
+			w.queued = true
 			t.waiters = append(t.waiters, w)
 		}
 	}
@@ -511,6 +602,7 @@
 
 // remove removes a waiter, unless it is in a call, which skips it then.
 func (t *tenantQueue) remove(w *waiter) {
+	w.queued = false
 	t.waiters = slices.DeleteFunc(t.waiters, func(other *waiter) bool { return other == w })
 }
 
--- a/internal/quota/client_core_test.go
+++ b/internal/quota/client_core_test.go
@@ -254,3 +254,85 @@
 		t.Fatal("refunded again")
 	}
 }
+
+// Guards against tokens of late answers that are lost, or both used and refunded, and against requests that are refused
+// although they have been asked for anew.
+func TestTokensOfLateAnswersAreUsedOrRefunded(t *testing.T) {
+	grant := GrantID{Lead: 1, AtMs: 1}
+	for _, c := range []struct {
+		name           string
+		answeredAt     time.Duration
+		granted        uint32
+		inAnotherCall  bool
+		used, refunded uint32
+	}{
+		{"in time to be used", overdueAfter + 1, 2, false, 2, 0},
+		{"while they are asked for anew", overdueAfter + askAgainDelay + 1, 2, true, 2, 0},
+		{"too few", overdueAfter + 1, 1, false, 1, 0},
+		{"more than were wanted", overdueAfter + 1, 9, false, 2, 0},
+		{"too old", maxGrantAge + 1, 2, true, 0, 2},
+		{"none", overdueAfter + 1, 0, false, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := connectedTo(1)
+			waiters := []*waiter{core.admit("a", testClientLimit), core.admit("a", testClientLimit)}
+			late := startOne(t, core, 0)
+			if at, any := core.nextTime(0); !any || at != overdueAfter {
+				t.Fatalf("next at %v", at)
+			}
+			if calls := core.startCalls(overdueAfter); len(calls) > 0 || len(core.callsTo) > 0 {
+				t.Fatalf("%d calls start, places: %v", len(calls), core.callsTo)
+			}
+			var second *clientCall
+			if c.inAnotherCall {
+				second = startOne(t, core, overdueAfter+askAgainDelay)
+			}
+			answer := Answer{Outcome: Granted, Granted: c.granted, Grant: grant}
+			core.endCall(late.number, &AdmitReply{Answers: []Answer{answer}}, c.answeredAt)
+			core.endCall(late.number, &AdmitReply{Answers: []Answer{answer}}, c.answeredAt) // twice
+			var used, pending uint32
+			for _, w := range waiters {
+				switch state, _ := core.claim(w, c.answeredAt); state {
+				case waiterGranted:
+					used++
+				case waiterPending:
+					pending++
+				default:
+					t.Errorf("state %d", state)
+				}
+			}
+			var refunded uint32
+			if core.tenants["a"] != nil {
+				for _, r := range core.tenants["a"].refunds {
+					refunded += r.refund.Tokens
+				}
+			}
+			if used != c.used || refunded != c.refunded || pending != 2-c.used {
+				t.Errorf("%d used, %d refunded, %d wait", used, refunded, pending)
+			}
+			if second != nil { // its tokens are for those that have none
+				answer := Answer{Outcome: Granted, Granted: 2, Grant: GrantID{Lead: 1, AtMs: 2}}
+				core.endCall(second.number, &AdmitReply{Answers: []Answer{answer}}, c.answeredAt)
+				refunded = 0
+				for _, r := range core.tenants["a"].refunds {
+					refunded += r.refund.Tokens
+				}
+				if refunded != 2 || core.waiting > 0 {
+					t.Errorf("%d refunded, %d wait", refunded, core.waiting)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a call for requests that have got a token of a late answer.
+func TestRequestsWithALateTokenAreNotAskedFor(t *testing.T) {
+	core := connectedTo(1)
+	core.admit("a", testClientLimit)
+	late := startOne(t, core, 0)
+	core.startCalls(overdueAfter)
+	core.endCall(late.number, &AdmitReply{Answers: []Answer{{Outcome: Granted, Granted: 1}}}, overdueAfter+1)
+	if calls := core.startCalls(time.Second); len(calls) > 0 || len(core.tenants) > 0 {
+		t.Fatalf("%d calls, %d tenants", len(calls), len(core.tenants))
+	}
+}
--- a/internal/quota/client_metrics.go
+++ b/internal/quota/client_metrics.go
@@ -16,7 +16,7 @@
 	requestsLeft        = requestCounter("left") // the client was gone
 
 	callsAnswered = telemetry.Counter("dunetide_proxy_quota_calls_total", "end", "answered")
-	callsFailed   = telemetry.Counter("dunetide_proxy_quota_calls_total", "end", "failed") // or no answer in time
+	callsFailed   = telemetry.Counter("dunetide_proxy_quota_calls_total", "end", "failed") // or no answer within overdueAfter
 
 	tokensStale     = telemetry.Counter("dunetide_proxy_quota_stale_tokens_total")
 	refundsSent     = telemetry.Counter("dunetide_proxy_quota_refunds_total", "end", "sent")
