Rates, proxies: tests find late tokens that are given too old, and requests queued twice

Cause: two mutants passed all tests: a token of a late answer that is older than maxGrantAge was given and taken back by the claim, and a request was in its queue twice after that. Change: TestTokensOfLateAnswersAreUsedOrRefunded looks at what is given before the claims, TestARequestIsInItsQueueOnce is new. A call makes its tokens in one place.

--- a/internal/quota/client_core.go
+++ b/internal/quota/client_core.go
@@ -128,6 +128,11 @@
 	return message
 }
 
+// token returns the token that an answer to a call grants.
+func (call *clientCall) token(answer Answer) grantedToken {
+	return grantedToken{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
+}
+
 // admit adds a request of a tenant; nil if there are too many.
 func (c *clientCore) admit(name string, limit Limit) *waiter {
 	if c.closed || c.waiting >= maxWaiters {
@@ -339,8 +344,8 @@
 }
 
 // backoff computes the pauses of a tenant after answers that grant nothing. A store that leads and is not confirmed, as
-// its replicas are slow or cut off, says 5 ms for as long as that lasts: without longer pauses, all proxies would spend its
-// processor time on the same question.
+// its replicas are slow or cut off, says 5 ms for as long as that lasts: without longer pauses, all proxies would spend
+// its processor time on the same question.
 type backoff struct {
 	store      uint64        // the store that answered last; noStore: none since the last grant
 	retryAfter time.Duration // what it said
@@ -350,8 +355,8 @@
 
 // next returns the pause after an answer that grants nothing. It is twice the previous one if the same store was asked
 // again after that and said no shorter time. Otherwise something has changed (another primary, a new lead, a wait that
-// comes to its end), and the pause is what the store says. That may be longer than maxAskAgainDelay, but the store may be
-// replaced by one that need not wait.
+// comes to its end), and the pause is what the store says. That may be longer than maxAskAgainDelay, but the store may
+// be replaced by one that need not wait.
 func (b *backoff) next(call *clientCall, retryAfter, now time.Duration) time.Duration {
 	pause := askAgainDelay
 	if retryAfter > 0 {
@@ -370,14 +375,14 @@
 // distribute gives the tokens of an answer to the waiters in the order of their arrival, and refuses the others.
 func (c *clientCore) distribute(call *clientCall, demand *clientDemand, answer Answer, now time.Duration) {
 	demand.tenant.resume()
-	tokens := min(answer.Granted, demand.request.Wanted)
+	token, tokens := call.token(answer), min(answer.Granted, demand.request.Wanted)
 	refused := 0
 	for _, w := range demand.waiters {
 		switch {
 		case w.state != waiterPending:
 		case tokens > 0:
 			tokens--
-			w.token = grantedToken{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
+			w.token = token
 			c.answer(w, waiterGranted)
 		default:
 			w.retryAfter = answer.RetryAfter + spreadOf(refused, demand.request.Limit.RatePerSecond)
@@ -385,29 +390,28 @@
 			c.answer(w, waiterRefused)
 		}
 	}
-	c.refundRest(call, demand, answer, tokens, now)
+	c.refundRest(token, demand, tokens, now)
 }
 
 // distributeLate gives the tokens of an answer that is overdue to those of its waiters that have none yet. It refuses
 // nobody, as all of them have been asked for anew.
 func (c *clientCore) distributeLate(call *clientCall, demand *clientDemand, answer Answer, now time.Duration) {
-	tokens := min(answer.Granted, demand.request.Wanted)
+	token, tokens := call.token(answer), min(answer.Granted, demand.request.Wanted)
 	if now-call.sentAt <= maxGrantAge {
 		for _, w := range demand.waiters {
 			if w.state == waiterPending && tokens > 0 {
 				tokens--
-				w.token = grantedToken{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
+				w.token = token
 				c.answer(w, waiterGranted)
 			}
 		}
 	}
-	c.refundRest(call, demand, answer, tokens, now)
+	c.refundRest(token, demand, tokens, now)
 }
 
 // refundRest refunds the tokens of an answer for which there is no waiter.
-func (c *clientCore) refundRest(call *clientCall, demand *clientDemand, answer Answer, tokens uint32, now time.Duration) {
+func (c *clientCore) refundRest(from grantedToken, demand *clientDemand, tokens uint32, now time.Duration) {
 	if tokens > 0 {
-		from := grantedToken{store: call.store, grant: answer.Grant}
 		c.refund(demand.tenant.name, demand.request.Limit, from, tokens, now)
 	}
 }
--- a/internal/quota/client_core_test.go
+++ b/internal/quota/client_core_test.go
@@ -290,8 +290,11 @@
 			answer := Answer{Outcome: Granted, Granted: c.granted, Grant: grant}
 			core.endCall(late.number, &AdmitReply{Answers: []Answer{answer}}, c.answeredAt)
 			core.endCall(late.number, &AdmitReply{Answers: []Answer{answer}}, c.answeredAt) // twice
-			var used, pending uint32
+			var given, used, pending uint32
 			for _, w := range waiters {
+				if w.state == waiterGranted {
+					given++
+				}
 				switch state, _ := core.claim(w, c.answeredAt); state {
 				case waiterGranted:
 					used++
@@ -307,8 +310,8 @@
 					refunded += r.refund.Tokens
 				}
 			}
-			if used != c.used || refunded != c.refunded || pending != 2-c.used {
-				t.Errorf("%d used, %d refunded, %d wait", used, refunded, pending)
+			if given != c.used || used != c.used || refunded != c.refunded || pending != 2-c.used {
+				t.Errorf("%d given, %d used, %d refunded, %d wait", given, used, refunded, pending)
 			}
 			if second != nil { // its tokens are for those that have none
 				answer := Answer{Outcome: Granted, Granted: 2, Grant: GrantID{Lead: 1, AtMs: 2}}
@@ -336,3 +339,22 @@
 		t.Fatalf("%d calls, %d tenants", len(calls), len(core.tenants))
 	}
 }
+
+// Guards against a request that is asked for twice: its token of a late answer has become stale while it is in another call.
+func TestARequestIsInItsQueueOnce(t *testing.T) {
+	core := connectedTo(1)
+	w := core.admit("a", testClientLimit)
+	late := startOne(t, core, 0)
+	core.startCalls(overdueAfter)
+	now := overdueAfter + askAgainDelay
+	second := startOne(t, core, now)
+	core.endCall(late.number, &AdmitReply{Answers: []Answer{{Outcome: Granted, Granted: 1}}}, now)
+	now = maxGrantAge + 1
+	if state, stale := core.claim(w, now); state != waiterPending || !stale {
+		t.Fatalf("state %d, stale %v", state, stale)
+	}
+	core.endCall(second.number, &AdmitReply{Answers: []Answer{{Outcome: NotOwner}}}, now)
+	if wanted := startOne(t, core, now+maxAskAgainDelay).demands[0].request.Wanted; wanted != 1 {
+		t.Errorf("%d wanted", wanted)
+	}
+}
--- a/internal/quota/client_mutants_test.go
+++ b/internal/quota/client_mutants_test.go
@@ -126,8 +126,8 @@
 	{
 		Name: "the age of a token is taken from nothing",
 		File: "client_core.go",
-		Old:  "askedAt: call.sentAt}\n			c.answer",
-		New:  "askedAt: now}\n			c.answer",
+		Old:  "		case tokens > 0:\n			tokens--\n			w.token = token\n",
+		New:  "		case tokens > 0:\n			tokens--\n			w.token = token\n			w.token.askedAt = now\n",
 	},
 	{
 		Name: "a request that left is asked for",
