--- a/internal/quota/client_core.go
+++ b/internal/quota/client_core.go
@@ -8,8 +8,13 @@
 
 // Bounds and times of a proxy's side. docs/quotas-client.md has the reasons.
 const (
-	// maxCallsPerStore is how many calls to one store may be in flight. Requests that arrive meanwhile go with the next.
+	// maxCallsPerStore is how many calls to one store may be in flight and not overdue. Requests that arrive meanwhile go
+	// with the next.
 	maxCallsPerStore = 2
+	// overdueAfter is when a call no longer holds its requests and its place: they are asked for anew. Its tokens are
+	// awaited further, to be used or refunded. Short, it repeats demands to a store or a process that is slow; long, it
+	// delays the demand to another store.
+	overdueAfter = maxGrantAge / 5
 	// maxDemandsPerCall bounds a message. Tenants beyond it go first with the next call.
 	maxDemandsPerCall = 256
 	// maxWaiters and maxWaitersPerTenant bound the requests that wait. The second keeps one tenant from taking all places.
@@ -18,7 +23,8 @@
 	// maxRefundsPerTenant bounds the grants with tokens to return. Others are lost: the tenant gets them back by its rate.
 	maxRefundsPerTenant = 64
 	// askAgainDelay is the pause before a tenant's next demand after one without an answer. A store that does not count
-	// says how long the pause should be; it is kept within the other two.
+	// says how long the pause should be; it is kept within the other two. While nothing changes the pause doubles, up to
+	// maxAskAgainDelay.
 	askAgainDelay    = 30 * time.Millisecond
 	minAskAgainDelay = 5 * time.Millisecond
 	maxAskAgainDelay = 100 * time.Millisecond
@@ -42,7 +48,8 @@
 //   - A token goes to a waiter that arrived before the call that obtained the token was sent, at most maxGrantAge after
 //     that. So a token is granted between the arrival of its request and the moment at which the request goes on.
 //   - The tokens used and refunded of a call are no more than those that its first answer granted. A call without an
-//     answer is never repeated, because its tokens may have been granted.
+//     answer is never repeated, because its tokens may have been granted: its requests are asked for in another call.
+//   - Each token of an answer is given to one waiter or refunded. It is taken from the waiter before it is refunded.
 type clientCore struct {
 	// primaryOf returns the store that counts for a tenant by the newest table; false if it is not connected.
 	primaryOf func(tenant string) (store uint64, connected bool)
@@ -50,7 +57,7 @@
 	tenants     map[string]*tenantQueue
 	order       []*tenantQueue // the same: those that were asked for last are at the end
 	calls       map[uint64]*clientCall
-	callsTo     map[uint64]int // number of calls in flight by store
+	callsTo     map[uint64]int // number of calls in flight by store, without those that are overdue
 	lastCall    uint64
 	lastArrival uint64
 	waiting     int // waiters without an answer
@@ -82,6 +89,7 @@
 	tenant     *tenantQueue
 	arrival    uint64 // orders the waiters
 	state      waiterState
+	queued     bool          // it is in the queue of its tenant, so it waits for a call
 	token      grantedToken  // if granted
 	retryAfter time.Duration // if refused
 	// answered receives a value when the waiter has got an answer, which claim then returns.
@@ -101,6 +109,7 @@
 	store   uint64
 	sentAt  time.Duration
 	demands []clientDemand
+	overdue bool // its requests are asked for anew
 }
 
 // clientDemand is the demand of one tenant in a call.
@@ -119,6 +128,11 @@
 	return message
 }
 
+// token returns the token that an answer to a call grants.
+func (call *clientCall) token(answer Answer) grantedToken {
+	return grantedToken{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
+}
+
 // admit adds a request of a tenant; nil if there are too many.
 func (c *clientCore) admit(name string, limit Limit) *waiter {
 	if c.closed || c.waiting >= maxWaiters {
@@ -129,7 +143,7 @@
 		return nil
 	}
 	c.lastArrival++
-	w := &waiter{tenant: t, arrival: c.lastArrival, answered: make(chan struct{}, 1)}
+	w := &waiter{tenant: t, arrival: c.lastArrival, queued: true, answered: make(chan struct{}, 1)}
 	t.waiters = append(t.waiters, w)
 	t.waiting++
 	c.waiting++
@@ -153,6 +167,7 @@
 // startCalls returns the calls to send now. It has to be called after each change, and at the time that nextTime
 // returns.
 func (c *clientCore) startCalls(now time.Duration) []*clientCall {
+	c.releaseOverdue(now)
 	var started []*clientCall
 	for _, t := range c.order {
 		if t.isDue(now) {
@@ -160,7 +175,7 @@
 		}
 	}
 	if len(started) > 0 {
-		c.addRefunds(started)
+		c.addCompanions(started, now)
 	}
 	c.reorder()
 	return started
@@ -192,10 +207,11 @@
 	return started
 }
 
-// addRefunds adds the refunds of tenants without a demand to the calls that go to their stores.
-func (c *clientCore) addRefunds(started []*clientCall) {
+// addCompanions adds what need not be asked for now, but may, to the calls that go to its stores anyway. So the tenants
+// that wait for the same store come to share their calls to it.
+func (c *clientCore) addCompanions(started []*clientCall, now time.Duration) {
 	for _, t := range c.order {
-		if len(t.refunds) == 0 || len(t.waiters) > 0 {
+		if !t.mayAccompany(now) {
 			continue
 		}
 		store, connected := c.primaryOf(t.name)
@@ -252,9 +268,49 @@
 			at, any = due, true
 		}
 	}
+	for _, call := range c.calls {
+		due := call.sentAt + overdueAfter
+		if !call.overdue && due > now && (!any || due < at) {
+			at, any = due, true
+		}
+	}
 	return at, any
 }
 
+// releaseOverdue has the requests of calls that are overdue asked for anew.
+func (c *clientCore) releaseOverdue(now time.Duration) {
+	var overdue []*clientCall
+	for _, call := range c.calls {
+		if !call.overdue && now-call.sentAt >= overdueAfter {
+			overdue = append(overdue, call)
+		}
+	}
+	slices.SortFunc(overdue, func(a, b *clientCall) int { return cmp.Compare(a.number, b.number) })
+	for _, call := range overdue {
+		call.overdue = true
+		c.releasePlace(call)
+		for i := range call.demands {
+			c.askAnew(call, &call.demands[i], 0, now)
+		}
+	}
+}
+
+// releasePlace lets another call to the store start.
+func (c *clientCore) releasePlace(call *clientCall) {
+	c.callsTo[call.store]--
+	if c.callsTo[call.store] == 0 {
+		delete(c.callsTo, call.store)
+	}
+}
+
+// askAnew returns the waiters of a demand that was not granted to their queue, which pauses.
+func (c *clientCore) askAnew(call *clientCall, demand *clientDemand, retryAfter, now time.Duration) {
+	t := demand.tenant
+	t.demandsInFlight--
+	t.requeue(demand.waiters)
+	t.pause(now + t.backoff.next(call, retryAfter, now))
+}
+
 // endCall ends a call with its answer; nil: there is none and will be none. Calls that have ended are ignored.
 func (c *clientCore) endCall(number uint64, reply *AdmitReply, now time.Duration) {
 	call := c.calls[number]
@@ -262,48 +318,71 @@
 		return
 	}
 	delete(c.calls, number)
-	c.callsTo[call.store]--
-	if c.callsTo[call.store] == 0 {
-		delete(c.callsTo, call.store)
+	if !call.overdue {
+		c.releasePlace(call)
 	}
 	if reply != nil && len(reply.Answers) != len(call.demands) {
 		reply = nil // of another version of the program
 	}
 	for i := range call.demands {
 		demand := &call.demands[i]
-		demand.tenant.demandsInFlight--
 		var answer Answer
 		if reply != nil {
 			answer = reply.Answers[i]
 		}
-		if answer.Outcome == Granted {
+		switch {
+		case call.overdue && answer.Outcome == Granted:
+			c.distributeLate(call, demand, answer, now)
+		case call.overdue: // asked anew before
+		case answer.Outcome == Granted:
+			demand.tenant.demandsInFlight--
 			c.distribute(call, demand, answer, now)
-		} else {
-			demand.tenant.requeue(demand.waiters)
-			demand.tenant.pause(now + pauseAfter(answer))
+		default:
+			c.askAnew(call, demand, answer.RetryAfter, now)
 		}
 	}
 }
 
-// pauseAfter returns the pause after an answer that grants nothing. A new primary may have to wait for longer than
-// maxAskAgainDelay, but it may be replaced by one that need not.
-func pauseAfter(answer Answer) time.Duration {
-	if answer.RetryAfter <= 0 {
-		return askAgainDelay
+// backoff computes the pauses of a tenant after answers that grant nothing. A store that leads and is not confirmed, as
+// its replicas are slow or cut off, says 5 ms for as long as that lasts: without longer pauses, all proxies would spend
+// its processor time on the same question.
+type backoff struct {
+	store      uint64        // the store that answered last; noStore: none since the last grant
+	retryAfter time.Duration // what it said
+	pause      time.Duration // what followed
+	since      time.Duration // when that pause was computed
+}
+
+// next returns the pause after an answer that grants nothing. It is twice the previous one if the same store was asked
+// again after that and said no shorter time. Otherwise something has changed (another primary, a new lead, a wait that
+// comes to its end), and the pause is what the store says. That may be longer than maxAskAgainDelay, but the store may
+// be replaced by one that need not wait.
+func (b *backoff) next(call *clientCall, retryAfter, now time.Duration) time.Duration {
+	pause := askAgainDelay
+	if retryAfter > 0 {
+		pause = max(retryAfter, minAskAgainDelay)
+	}
+	if call.store == b.store && retryAfter >= b.retryAfter {
+		if call.sentAt <= b.since { // both calls were in flight
+			return b.pause
+		}
+		pause = max(pause, 2*b.pause)
 	}
-	return min(max(answer.RetryAfter, minAskAgainDelay), maxAskAgainDelay)
+	*b = backoff{store: call.store, retryAfter: retryAfter, pause: min(pause, maxAskAgainDelay), since: now}
+	return b.pause
 }
 
 // distribute gives the tokens of an answer to the waiters in the order of their arrival, and refuses the others.
 func (c *clientCore) distribute(call *clientCall, demand *clientDemand, answer Answer, now time.Duration) {
-	tokens := min(answer.Granted, demand.request.Wanted)
+	demand.tenant.resume()
+	token, tokens := call.token(answer), min(answer.Granted, demand.request.Wanted)
 	refused := 0
 	for _, w := range demand.waiters {
 		switch {
 		case w.state != waiterPending:
 		case tokens > 0:
 			tokens--
-			w.token = grantedToken{store: call.store, grant: answer.Grant, askedAt: call.sentAt}
+			w.token = token
 			c.answer(w, waiterGranted)
 		default:
 			w.retryAfter = answer.RetryAfter + spreadOf(refused, demand.request.Limit.RatePerSecond)
@@ -311,8 +390,29 @@
 			c.answer(w, waiterRefused)
 		}
 	}
-	if tokens > 0 { // their waiters are gone
-		c.refund(demand.tenant.name, demand.request.Limit, grantedToken{store: call.store, grant: answer.Grant}, tokens, now)
+	c.refundRest(token, demand, tokens, now)
+}
+
+// distributeLate gives the tokens of an answer that is overdue to those of its waiters that have none yet. It refuses
+// nobody, as all of them have been asked for anew.
+func (c *clientCore) distributeLate(call *clientCall, demand *clientDemand, answer Answer, now time.Duration) {
+	token, tokens := call.token(answer), min(answer.Granted, demand.request.Wanted)
+	if now-call.sentAt <= maxGrantAge {
+		for _, w := range demand.waiters {
+			if w.state == waiterPending && tokens > 0 {
+				tokens--
+				w.token = token
+				c.answer(w, waiterGranted)
+			}
+		}
+	}
+	c.refundRest(token, demand, tokens, now)
+}
+
+// refundRest refunds the tokens of an answer for which there is no waiter.
+func (c *clientCore) refundRest(from grantedToken, demand *clientDemand, tokens uint32, now time.Duration) {
+	if tokens > 0 {
+		c.refund(demand.tenant.name, demand.request.Limit, from, tokens, now)
 	}
 }
 
@@ -330,14 +430,17 @@
 	w.state = state
 	w.tenant.waiting--
 	c.waiting--
+	if w.queued {
+		w.tenant.remove(w)
+	}
 	select {
 	case w.answered <- struct{}{}:
-	default: // it has not yet seen that an earlier answer was discarded
+	default: // it has not yet seen that an earlier token was taken from it
 	}
 }
 
 // claim returns the state of a waiter, right before its request goes on or is refused. A token that is too old by now is
-// discarded: the waiter is pending again, and stale is true.
+// refunded: the waiter is pending again, and stale is true.
 func (c *clientCore) claim(w *waiter, now time.Duration) (state waiterState, stale bool) {
 	if w.state != waiterGranted || now-w.token.askedAt <= maxGrantAge {
 		return w.state, false
@@ -346,7 +449,9 @@
 		w.state = waiterClosed
 		return w.state, true
 	}
+	token := w.token
 	w.state, w.token = waiterPending, grantedToken{}
+	c.refund(w.tenant.name, w.tenant.limit, token, 1, now)
 	// Its queue may have been removed, and created anew, meanwhile.
 	w.tenant = c.queueOf(w.tenant.name, w.tenant.limit)
 	w.tenant.waiting++
@@ -384,10 +489,11 @@
 func (c *clientCore) close() {
 	c.closed = true
 	for _, t := range c.order {
-		for _, w := range t.waiters {
+		waiters := t.takeWaiters()
+		for _, w := range waiters {
 			c.answer(w, waiterClosed)
 		}
-		t.waiters, t.refunds = nil, nil
+		t.refunds = nil
 	}
 	for _, call := range c.calls {
 		for i := range call.demands {
@@ -408,6 +514,7 @@
 	waiting         int       // waiters without an answer, those in calls too
 	demandsInFlight int
 	pausedUntil     time.Duration
+	backoff         backoff
 	refunds         []pendingRefund
 	refundsDue      time.Duration
 	justAsked       bool
@@ -429,6 +536,15 @@
 	return waits && at <= now
 }
 
+// mayAccompany reports whether the tenant's demand may go with a call to its store before it is due: refunds at any time,
+// requests in the second half of their pause.
+func (t *tenantQueue) mayAccompany(now time.Duration) bool {
+	if len(t.waiters) > 0 {
+		return t.pausedUntil-now <= t.backoff.pause/2
+	}
+	return len(t.refunds) > 0
+}
+
 // dueAt returns when the tenant should be asked for; false: there is nothing to ask.
 func (t *tenantQueue) dueAt() (at time.Duration, waits bool) {
 	switch {
@@ -444,29 +560,44 @@
 // pause defers the next demand.
 func (t *tenantQueue) pause(until time.Duration) { t.pausedUntil = max(t.pausedUntil, until) }
 
+// resume ends the pause and its growth: a store counts.
+func (t *tenantQueue) resume() { t.pausedUntil, t.backoff = 0, backoff{} }
+
 // wants reports whether there is something to ask or to return.
 func (t *tenantQueue) wants() bool { return len(t.waiters) > 0 || len(t.refunds) > 0 }
 
 // takeDemand takes all waiters and refunds into a demand.
 func (t *tenantQueue) takeDemand() clientDemand {
+	waiters := t.takeWaiters()
 	demand := clientDemand{
 		tenant:  t,
-		waiters: t.waiters,
-		request: Demand{Tenant: t.name, Limit: t.limit, Wanted: uint32(len(t.waiters))},
+		waiters: waiters,
+		request: Demand{Tenant: t.name, Limit: t.limit, Wanted: uint32(len(waiters))},
 	}
 	for _, pending := range t.refunds {
 		demand.request.Refunds = append(demand.request.Refunds, pending.refund)
 	}
-	t.waiters, t.refunds = nil, nil
+	t.refunds = nil
 	t.demandsInFlight++
 	t.justAsked = true
 	return demand
 }
 
+// takeWaiters empties the queue.
+func (t *tenantQueue) takeWaiters() []*waiter {
+	taken := t.waiters
+	t.waiters = nil
+	for _, w := range taken {
+		w.queued = false
+	}
+	return taken
+}
+
 // requeue puts waiters that are still pending back into the order of arrival.
 func (t *tenantQueue) requeue(waiters []*waiter) {
 	for _, w := range waiters {
-		if w.state == waiterPending {
+		if w.state == waiterPending && !w.queued {
+			w.queued = true
 			t.waiters = append(t.waiters, w)
 		}
 	}
@@ -475,6 +606,7 @@
 
 // remove removes a waiter, unless it is in a call, which skips it then.
 func (t *tenantQueue) remove(w *waiter) {
+	w.queued = false
 	t.waiters = slices.DeleteFunc(t.waiters, func(other *waiter) bool { return other == w })
 }
 
