Batch: an item that two workers report is dropped by one of them only

Callers saw jobs of which an item had neither a result nor a run until its time limit. An item runs at proxy A, whose links are cut for longer than its items wait, so B gets it too. A comes back while an epoch that keeps the primary arrives, and all workers report what they run. The adoption of A's report tells B to drop the item; B's report, which it sent before it received that, was adopted too and told A to drop it. Both dropped it, and the store believed that B runs it.

A store now remembers for each connection of a worker which items it told the worker to drop, until it assigns them to it again. Links deliver in order, so whatever the worker's reports say meanwhile, it has dropped the item or will: such a report assigns nothing, also while the item waits, and the worker is told again. A number in reports and drops would say the same at the price of a change on the wire. The marks outlive a lead of the store, as a report can be in flight for longer; they end with the connection, and those of items that need no run are removed when there are 4,096. Beyond that the other run goes on.

A second way to the same loss: a report that a primary kept as it was not confirmed was adopted when the store led the partition again later, though the lead in between may have told the worker to drop the item. A report of an epoch before the lead's first one is ignored now; the worker reports to the new lead too.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -150,7 +150,9 @@
 func (c *core) markAssigned(p *partition, j *job, index int, w *worker) {
 	j.items[index].state, j.items[index].worker = itemAssigned, w
 	j.waitingItems--
-	w.assigned[itemKey{p.index, j.id, index}] = true
+	key := itemKey{p.index, j.id, index}
+	w.assigned[key] = true
+	delete(w.dropped, key)
 }
 
 // unassignItem makes an item that was assigned to a worker wait again.
--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -235,6 +235,42 @@
 		Old:  "	if from.name != reporting.name {",
 		New:  "	if from != reporting {",
 	},
+	{
+		Name: "an item that its worker was told to drop is adopted",
+		File: "workers.go",
+		Old:  "	if it.state != itemDone && w.dropped[key] {\n",
+		New:  "	if false {\n",
+	},
+	{
+		Name: "an item that its worker was told to drop is adopted while it waits",
+		File: "workers.go",
+		Old:  "	if it.state != itemDone && w.dropped[key] {\n",
+		New:  "	if it.state == itemAssigned && w.dropped[key] {\n",
+	},
+	{
+		Name: "a dropped item that is assigned again counts as dropped",
+		File: "dispatch.go",
+		Old:  "	delete(w.dropped, key)\n",
+		New:  "",
+	},
+	{
+		Name: "dropped items are remembered for ever",
+		File: "workers.go",
+		Old:  "		c.forgetDroppedItems(w)\n",
+		New:  "",
+	},
+	{
+		Name: "a worker is told to drop an item that can't be remembered",
+		File: "workers.go",
+		Old:  "		return // it runs the item to the end:",
+		New:  "		// it runs the item to the end:",
+	},
+	{
+		Name: "a report to an earlier lead is adopted",
+		File: "workers.go",
+		Old:  "	if report.epoch < epochOfTerm(p.primary.incarnation) {\n",
+		New:  "	if report.epoch < 0*epochOfTerm(p.primary.incarnation) {\n",
+	},
 	{
 		Name: "a replaced primary ends an item",
 		File: "itemrunner.go",
@@ -310,7 +346,7 @@
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
 	tenantTests = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
 		"TestWhoMayUseAJob|TestJobsCompleteWithoutFaults"
-	rerunTests = "TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
+	rerunTests = "TestItemReportedByTwo|TestDroppedItem|TestReportToAnEarlierLead|TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
 		"TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
 	leadTests = "TestLead|TestWitnessOfPrimaries|TestStorePublishesItsLeads"
 )
--- a/internal/batch/workers.go
+++ b/internal/batch/workers.go
@@ -14,8 +14,14 @@
 	limit    int // the maximum number of items that this store may have assigned to it
 	assigned map[itemKey]bool
 	reported map[int]runningReport // by partition, until this store serves the partition as its primary
+	// dropped has the items that the worker was told to drop, until they are assigned to it again. Links deliver in order,
+	// so until then it has dropped them, or will, whatever the reports say that it sent before.
+	dropped map[itemKey]bool
 }
 
+// maxDroppedItems bounds worker.dropped.
+const maxDroppedItems = 4096
+
 // runningReport is a worker's report of its items of a partition.
 type runningReport struct {
 	epoch uint64 // according to the worker's table
@@ -106,7 +112,7 @@
 	}
 	w := c.workers[pipe]
 	if w == nil {
-		w = &worker{pipe: pipe, assigned: map[itemKey]bool{}, reported: map[int]runningReport{}}
+		w = &worker{pipe: pipe, assigned: map[itemKey]bool{}, reported: map[int]runningReport{}, dropped: map[itemKey]bool{}}
 		c.workers[pipe] = w
 		c.attachedWorkers = append(c.attachedWorkers, w)
 	}
@@ -150,6 +156,9 @@
 		}
 	}
 	delete(w.reported, p.index)
+	if report.epoch < epochOfTerm(p.primary.incarnation) {
+		return // to an earlier lead: another one may have told the worker to drop items since, and it reports to this one too
+	}
 	for _, key := range report.items {
 		c.adoptItem(p, w, key)
 	}
@@ -166,6 +175,10 @@
 		return
 	}
 	it := &j.items[key.index]
+	if it.state != itemDone && w.dropped[key] {
+		sendResultStored(w, key) // again, as it may have ignored the first one (itemRunner.fromReplacedPrimary)
+		return
+	}
 	if it.state == itemAssigned && it.worker != w {
 		c.takeItemBack(it.worker, key, w)
 	}
@@ -192,8 +205,26 @@
 
 // endOtherRun makes a worker that is still connected drop an item, which it need not run to its end.
 func (c *core) endOtherRun(w *worker, key itemKey) {
-	if w != nil && c.workers[w.pipe] == w {
-		sendResultStored(w, key)
+	if w == nil || c.workers[w.pipe] != w {
+		return
+	}
+	if len(w.dropped) >= maxDroppedItems {
+		c.forgetDroppedItems(w)
+	}
+	if len(w.dropped) >= maxDroppedItems {
+		return // it runs the item to the end: that is wasted, but not knowing what it has dropped could lose an item
+	}
+	w.dropped[key] = true
+	sendResultStored(w, key)
+}
+
+// forgetDroppedItems removes the items that need no run any more from those that a worker was told to drop.
+func (c *core) forgetDroppedItems(w *worker) {
+	for key := range w.dropped {
+		j := c.partition(key.partition).jobs[key.jobID]
+		if j == nil || !j.hasItem(key.index) || j.items[key.index].state == itemDone {
+			delete(w.dropped, key)
+		}
 	}
 }
 
