Batch: the wait after a rejection is no silence of an endpoint

Callers saw items whose answer was lost stay without a result for up to a minute longer than need be, past the time at which their job was due. An item that an endpoint rejects waits in admission for the next endpoint, within the same run. The timer of the endpoint's silence, which began when the item was sent, went on meanwhile. So the run was ended after 5 s in admission, and the bound was doubled for the next one, up to a minute, although no endpoint had been silent.

The timer stops now when a send has ended without a run: RunItem tells that by the hook Rejected, beside MayStart. Each send begins with the full bound. A run that ended without having started an item doubles nothing.

--- a/cmd/dunetide/forwardrunner.go
+++ b/cmd/dunetide/forwardrunner.go
@@ -40,6 +40,7 @@
 		Body:     it.Body,
 		Route:    route,
 		MayStart: it.MayStart,
+		Rejected: it.Rejected,
 		Due:      it.Due,
 	}
 	for _, h := range it.Headers {
--- a/internal/batch/itemrunner.go
+++ b/internal/batch/itemrunner.go
@@ -24,6 +24,8 @@
 	// false, the job may have ended, or this proxy has lost contact with the store; Run returns
 	// RunNotStarted then.
 	MayStart func() bool
+	// Rejected must be called when the item was sent and certainly not run, and Run is to wait for another endpoint.
+	Rejected func()
 }
 
 // Runner runs items. Run sends the item to an endpoint, with Last-Event-Id if that is not empty,
--- a/internal/batch/itemsilence.go
+++ b/internal/batch/itemsilence.go
@@ -17,7 +17,7 @@
 type silenceTimer struct {
 	bound time.Duration
 	end   context.CancelFunc // of the run
-	timer *time.Timer        // nil until the item is sent
+	timer *time.Timer        // nil while the item is at no endpoint
 }
 
 // restart is called when the item is sent, and for each event.
@@ -29,14 +29,17 @@
 	s.timer.Reset(s.bound)
 }
 
+// stop is called when the item is at no endpoint any more.
 func (s *silenceTimer) stop() {
 	if s.timer != nil {
 		s.timer.Stop()
+		s.timer = nil
 	}
 }
 
 // runOnce runs an item once, after the last event of its text. It reports whether the run was ended as its endpoint had
-// sent nothing for the given time. The wait for an endpoint, before the item is sent, doesn't count.
+// sent nothing for the given time. The waits for an endpoint, before the item is sent and after an endpoint has rejected
+// it, don't count.
 func (r *itemRunner) runOnce(running *runningItem, text *eventText, bound time.Duration) (result RunResult, silent bool) {
 	ctx, end := context.WithCancel(running.ctx)
 	defer end()
@@ -50,9 +53,10 @@
 		silence.restart()
 		return true
 	}
+	item.Rejected = silence.stop
 	result = r.runner.Run(ctx, &item, text.lastEventID(), func(id string, data []byte) {
 		silence.restart()
 		text.addEvent(id, data)
 	})
-	return result, ctx.Err() != nil && running.ctx.Err() == nil
+	return result, ctx.Err() != nil && running.ctx.Err() == nil && result.End != RunNotStarted
 }
--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -289,6 +289,18 @@
 		Old:  "	defer silence.stop()\n",
 		New:  "	defer silence.stop()\n	silence.restart()\n",
 	},
+	{
+		Name: "the wait after a rejection counts as silence",
+		File: "itemsilence.go",
+		Old:  "	item.Rejected = silence.stop\n",
+		New:  "	item.Rejected = func() {}\n",
+	},
+	{
+		Name: "an item that was sent again is awaited for ever",
+		File: "itemsilence.go",
+		Old:  "		s.timer.Stop()\n		s.timer = nil\n",
+		New:  "		s.end = func() {}\n		s.timer.Stop()\n		s.timer = nil\n",
+	},
 	{
 		Name: "an event does not end a silence",
 		File: "itemsilence.go",
@@ -347,7 +359,7 @@
 	tenantTests = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
 		"TestWhoMayUseAJob|TestJobsCompleteWithoutFaults"
 	rerunTests = "TestItemReportedByTwo|TestDroppedItem|TestReportToAnEarlierLead|TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
-		"TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
+		"TestWaitAfterARejection|TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
 	leadTests = "TestLead|TestWitnessOfPrimaries|TestStorePublishesItsLeads"
 )
 
--- a/internal/proxy/forward/item.go
+++ b/internal/proxy/forward/item.go
@@ -28,6 +28,9 @@
 	Route  *operatorconfig.Route
 	// MayStart is called right before the item is sent to an endpoint; nil: it always may.
 	MayStart func() bool
+	// Rejected is called when no endpoint has run the item after MayStart allowed it, before the wait for the next endpoint;
+	// nil: nobody needs to know.
+	Rejected func()
 	Due      time.Time // when its result is due; zero: unknown
 }
 
@@ -135,6 +138,9 @@
 		}
 		switch x.nextVerdict(e) {
 		case attempt.Retry:
+			if granted && it.Rejected != nil {
+				it.Rejected()
+			}
 		case attempt.ServiceUnavailable:
 			return Result{State: ItemNotRun, Err: errors.Join(context.Cause(x.ctx), x.err)}
 		case attempt.Forward:
--- a/internal/proxy/forward/item_test.go
+++ b/internal/proxy/forward/item_test.go
@@ -45,14 +45,20 @@
 			e1 := newEndpoint(t, "e1", func(conn net.Conn, _ call) bool { _, _ = io.WriteString(conn, c.bytes); return false })
 			e2 := newEndpoint(t, "e2", answers(sealed, "fine"))
 			g := newRig(t, route(operatorconfig.Bulk, 2), e1, e2)
-			var text []string
-			res := g.p.RunItem(t.Context(), item(&g.config.Routes[0]), "2", func(id string, data []byte) { text = append(text, id+"="+string(data)) })
+			var text, told []string
+			it := item(&g.config.Routes[0])
+			it.MayStart = func() bool { told = append(told, "sent"); return true }
+			it.Rejected = func() { told = append(told, "rejected") }
+			res := g.p.RunItem(t.Context(), it, "2", func(id string, data []byte) { text = append(text, id+"="+string(data)) })
 			if res.State != c.state || strings.Join(text, "|") != c.text {
 				t.Errorf("%+v, %q", res, text)
 			}
 			if n := len(e2.got()); n != c.next {
 				t.Errorf("%d calls at the next endpoint", n)
 			}
+			if want := []string{"sent", "rejected", "sent"}[:1+2*c.next]; !slices.Equal(told, want) {
+				t.Errorf("the job was told %q, want %q", told, want)
+			}
 			r := e1.got()[0]
 			if r.Method != "POST" || r.RequestURI != "/r/1?x" || r.body != "body" || r.Header.Get(headerID) != "id1" || r.Header.Get(headerLastEvent) != "2" ||
 				r.Header.Get(headerTarget) != "e1" || r.Header.Get(headerTimeLeft) != "" || r.Host != "h.example" {
