--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -241,6 +241,42 @@
 		Old:  "	if from.name != reporting.name {",
 		New:  "	if from != reporting {",
 	},
+	{
+		Name: "an item that its worker was told to drop is adopted",
+		File: "workers.go",
+		Old:  "	if it.state != itemDone && w.dropped[key] {\n",
+		New:  "	if false {\n",
+	},
+	{
+		Name: "an item that its worker was told to drop is adopted while it waits",
+		File: "workers.go",
+		Old:  "	if it.state != itemDone && w.dropped[key] {\n",
+		New:  "	if it.state == itemAssigned && w.dropped[key] {\n",
+	},
+	{
+		Name: "a dropped item that is assigned again counts as dropped",
+		File: "dispatch.go",
+		Old:  "	delete(w.dropped, key)\n",
+		New:  "",
+	},
+	{
+		Name: "dropped items are remembered for ever",
+		File: "workers.go",
+		Old:  "		c.forgetDroppedItems(w)\n",
+		New:  "",
+	},
+	{
+		Name: "a worker is told to drop an item that can't be remembered",
+		File: "workers.go",
+		Old:  "		return // it runs the item to the end:",
+		New:  "		// it runs the item to the end:",
+	},
+	{
+		Name: "a report to an earlier lead is adopted",
+		File: "workers.go",
+		Old:  "	if report.epoch < epochOfTerm(p.primary.incarnation) {\n",
+		New:  "	if report.epoch < 0*epochOfTerm(p.primary.incarnation) {\n",
+	},
 	{
 		Name: "a replaced primary ends an item",
 		File: "itemrunner.go",
@@ -259,6 +295,18 @@
 		Old:  "	defer silence.stop()\n",
 		New:  "	defer silence.stop()\n	silence.restart()\n",
 	},
+	{
+		Name: "the wait after a rejection counts as silence",
+		File: "itemsilence.go",
+		Old:  "	item.Rejected = silence.stop\n",
+		New:  "	item.Rejected = func() {}\n",
+	},
+	{
+		Name: "an item that was sent again is awaited for ever",
+		File: "itemsilence.go",
+		Old:  "		s.timer.Stop()\n		s.timer = nil\n",
+		New:  "		s.end = func() {}\n		s.timer.Stop()\n		s.timer = nil\n",
+	},
 	{
 		Name: "an event does not end a silence",
 		File: "itemsilence.go",
@@ -470,8 +518,8 @@
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
 	tenantTests = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
 		"TestWhoMayUseAJob|TestJobsCompleteWithoutFaults"
-	rerunTests = "TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
-		"TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
+	rerunTests = "TestItemReportedByTwo|TestDroppedItem|TestReportToAnEarlierLead|TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
+		"TestWaitAfterARejection|TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
 	leadTests = "TestLead|TestWitnessOfPrimaries|TestStorePublishesItsLeads"
 
 	successorTests = "TestLeadsAreExclusive|TestSuccessors|TestAgesAreReduced|TestConfirmationsThatAreRemembered|" +
