Quota: a configuration that changes no limit keeps a tenant's refunds; none for grants of the ms of a change

Found by a review. QUOTA: a refund of a grant of the very millisecond in which a limit changed gave back tokens that had been granted under the new one (20 + 20 under a limit of 20 in TestRefundOfAGrantBeforeAChangeOfTheLimit).

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -74,14 +74,14 @@
 	b.pace = p
 	b.level = min(b.level, p.capacity)
 	b.remainder = 0
-	b.history.restart(b.atMs, b.level)
+	b.history.forget(b.atMs, b.level)
 }
 
 // lower cuts the level off at another one. Earlier grants can no longer be refunded.
 func (b *bucket) lower(level microTokens) {
 	if level < b.level {
 		b.level = level
-		b.history.restart(b.atMs, b.level)
+		b.history.forget(b.atMs, b.level)
 	}
 }
 
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -121,13 +121,24 @@
 	}
 	if d.Limit.ConfigVersion > a.configVersion {
 		a.configVersion = d.Limit.ConfigVersion
-		a.bucket.setPace(c.ms(now), c.slack.paceOf(&d.Limit))
-		a.bucket.lower(c.open(&d.Limit, lead, s.inherited[d.Tenant], now).level) // the first demand may have stated a higher limit that is old
+		c.changePace(a, &d.Limit, lead, s.inherited[d.Tenant], now)
 	}
 	a.usedAt = now
 	return a
 }
 
+// changePace lets the bucket of an account follow another limit. The first demand may have stated a higher limit that is
+// old, so the bucket has no more than one that was opened with the new limit. Most configurations change no limit: then
+// the bucket stays as it is, and grants can be refunded further.
+func (c *counter) changePace(a *account, l *Limit, lead *Lead, inherited microTokens, now time.Time) {
+	next := c.slack.paceOf(l)
+	if next == a.bucket.pace {
+		return
+	}
+	a.bucket.setPace(c.ms(now), next)
+	a.bucket.lower(c.open(l, lead, inherited, now).level)
+}
+
 // open returns the bucket of a tenant that has had no account under a lead, given the floor that an earlier lead kept. Its
 // level is what a bucket that was opened at the end of the lead's wait would have by now. It gains nothing during the
 // wait, as the bucket of the predecessor may have gained until then.
--- a/internal/quota/history.go
+++ b/internal/quota/history.go
@@ -12,6 +12,14 @@
 	baseLevel microTokens // at baseMs; at most the level that the tokens which were not refunded would have left
 	baseMs    int64
 	taken     [historySlots]uint32 // in each slot since baseMs; slots follow each other around the array
+	// refundableMs is the first time whose grants can be refunded.
+	refundableMs int64
+}
+
+// forget forgets all grants until now, those of this very ms too: they can't be told from later ones of that ms.
+func (h *history) forget(nowMs int64, level microTokens) {
+	h.restart(nowMs, level)
+	h.refundableMs = nowMs + 1
 }
 
 func slotOf(ms int64) int64 { return ms / slotMs }
@@ -39,7 +47,7 @@
 
 // remove removes refunded tokens of a grant. It reports whether there were any.
 func (h *history) remove(grantedMs, nowMs int64, tokens uint32) bool {
-	if grantedMs < h.baseMs || grantedMs > nowMs {
+	if grantedMs < max(h.baseMs, h.refundableMs) || grantedMs > nowMs {
 		return false
 	}
 	slot := &h.taken[slotOf(grantedMs)%historySlots]
