Batch: the newest quota of waiting tokens counts

Callers saw 202 for jobs beyond a tenant's max_queued: a configuration lowers it, or introduces it, and a proxy that is out of touch goes on submitting by the configuration before. A job states the quota of its proxy, and the primary used that, so the older, higher one counted; where it was 0, no tokens were reserved at all.

The primary now decides by the newer of two configurations: that of the job (ConfigVersion) and its own. Nothing changes on the wire. A store that is behind the proxy uses the job's quota as before. A raised or removed quota counts too, so a proxy that is behind refuses nothing that fits. A route is found by its name, else by its host and path (renamed). If the newer configuration no longer has the route, the job's own quota stays: the primary abandons its items unrun.

TestNewestQuotaOfWaitingTokensCounts fails before the change (202 for both jobs of the older configuration) and passes now.

--- a/internal/batch/calls.go
+++ b/internal/batch/calls.go
@@ -92,20 +92,21 @@
 		replyCode(caller, codeLogFull)
 		return
 	}
+	quota := c.quotaInForce(j)
 	incoming := &incomingJob{
 		encoded:   encoded,
 		id:        jobID,
 		tenant:    j.submitter.Tenant,
 		account:   j.account,
 		tokens:    j.openTokens(),
-		maxTokens: j.maxQueuedTokens,
+		maxTokens: quota,
 		callers:   []Caller{caller},
 	}
-	if j.maxQueuedTokens <= 0 {
+	if quota <= 0 {
 		c.replicateAccept(p, incoming)
 		return
 	}
-	if incoming.tokens > j.maxQueuedTokens {
+	if incoming.tokens > quota {
 		replyCode(caller, codeQuotaFull)
 		return
 	}
--- a/internal/batch/expiry.go
+++ b/internal/batch/expiry.go
@@ -60,12 +60,21 @@
 	if c.config == nil || c.config.Version < j.configVersion {
 		return false
 	}
+	return c.routeOf(j) == nil
+}
+
+// routeOf returns the bulk route of a job in the configuration of this store; nil if it has none. A route that was renamed
+// has the same host and path.
+func (c *core) routeOf(j *job) (renamed *operatorconfig.Route) {
 	for i := range c.config.Routes {
 		route := &c.config.Routes[i]
-		samePath := route.Host == j.host && route.PathPrefix == j.pathPrefix
-		if route.Kind == operatorconfig.Bulk && (route.Name == j.route || samePath) {
-			return false
+		switch {
+		case route.Kind != operatorconfig.Bulk:
+		case route.Name == j.route:
+			return route
+		case route.Host == j.host && route.PathPrefix == j.pathPrefix:
+			renamed = route
 		}
 	}
-	return true
+	return renamed
 }
--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -207,6 +207,36 @@
 		Old:  "	case headerTenant, headerAuthorization:\n",
 		New:  "	case headerTenant:\n",
 	},
+	{
+		Name: "the quota of a proxy that is behind counts",
+		File: "quota.go",
+		Old:  "	if c.config == nil || c.config.Version <= j.configVersion {\n",
+		New:  "	if c.config == nil || c.config.Version > 0 {\n",
+	},
+	{
+		Name: "the quota of a store that is behind counts",
+		File: "quota.go",
+		Old:  "	if c.config == nil || c.config.Version <= j.configVersion {\n",
+		New:  "	if c.config == nil {\n",
+	},
+	{
+		Name: "a job of a dropped route has no quota",
+		File: "quota.go",
+		Old:  "		return route.MaxQueuedTokens\n	}\n	return j.maxQueuedTokens\n",
+		New:  "		return route.MaxQueuedTokens\n	}\n	return 0\n",
+	},
+	{
+		Name: "the quota of a route that took over the path counts",
+		File: "expiry.go",
+		Old:  "			renamed = route\n",
+		New:  "			return route\n",
+	},
+	{
+		Name: "no quota stands for none that was introduced",
+		File: "calls.go",
+		Old:  "	if quota <= 0 {\n",
+		New:  "	if quota <= 0 || j.maxQueuedTokens <= 0 {\n",
+	},
 	{
 		Name: "an item does not name its tenant",
 		File: "principal.go",
@@ -357,7 +387,7 @@
 	membershipTests  = "TestDrain|TestStopping|TestRetirement|TestTwoStoresRetire|TestStoreThatLosesItsDisk|TestSegments|" +
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
 	tenantTests = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
-		"TestWhoMayUseAJob|TestJobsCompleteWithoutFaults"
+		"TestWhoMayUseAJob|TestJobsCompleteWithoutFaults|TestNewestQuota|TestQuotaInForce|TestRouteOfAJob"
 	rerunTests = "TestItemReportedByTwo|TestDroppedItem|TestReportToAnEarlierLead|TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
 		"TestWaitAfterARejection|TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
 	leadTests = "TestLead|TestWitnessOfPrimaries|TestStorePublishesItsLeads"
--- a/internal/batch/quota.go
+++ b/internal/batch/quota.go
@@ -75,6 +75,19 @@
 	return partition, c.table.Partitions[partition].Primary
 }
 
+// quotaInForce returns the quota that a submitted job has to fit into; 0: none. A job states the quota of the configuration
+// of the proxy that accepted it. The proxy or this store may be out of touch, so the newer configuration of the two decides.
+// If that no longer has the job's route, the job's own quota stays: its items are abandoned without being run.
+func (c *core) quotaInForce(j *job) int64 {
+	if c.config == nil || c.config.Version <= j.configVersion {
+		return j.maxQueuedTokens
+	}
+	if route := c.routeOf(j); route != nil {
+		return route.MaxQueuedTokens
+	}
+	return j.maxQueuedTokens
+}
+
 // encodeQuotaMessage begins a message between a primary and the owner of a quota. It reserves
 // capacity for extraBytes more bytes.
 func encodeQuotaMessage(account string, partition int, incarnation uint64, extraBytes int) link.Writer {
