--- a/cmd/dunetide/forwardrunner.go
+++ b/cmd/dunetide/forwardrunner.go
@@ -32,6 +32,22 @@
 	if route == nil {
 		return notStarted() // a newer configuration may have it, or the job ends
 	}
+	switch p.RunItem(ctx, forwardItem(it, route), lastEventID, event).State {
+	case forward.ItemDone:
+		return batch.RunResult{End: batch.RunCompleted}
+	case forward.ItemBroken:
+		return batch.RunResult{End: batch.RunInterrupted}
+	case forward.ItemFailed:
+		return batch.RunResult{End: batch.RunFailed}
+	case forward.ItemUnprocessable:
+		return batch.RunResult{End: batch.RunImpossible}
+	default:
+		return notStarted()
+	}
+}
+
+// forwardItem returns an item of a job as the request that is sent for it.
+func forwardItem(it *batch.Item, route *operatorconfig.Route) *forward.Item {
 	item := &forward.Item{
 		ID:       it.ID,
 		Host:     it.Host,
@@ -46,18 +62,7 @@
 	for _, h := range it.Headers {
 		item.Header[h[0]] = h[1]
 	}
-	switch p.RunItem(ctx, item, lastEventID, event).State {
-	case forward.ItemDone:
-		return batch.RunResult{End: batch.RunCompleted}
-	case forward.ItemBroken:
-		return batch.RunResult{End: batch.RunInterrupted}
-	case forward.ItemFailed:
-		return batch.RunResult{End: batch.RunFailed}
-	case forward.ItemUnprocessable:
-		return batch.RunResult{End: batch.RunImpossible}
-	default:
-		return notStarted()
-	}
+	return item
 }
 
 // notStarted returns the result for an item that no endpoint has run.
