Copies: a node that was slow once is asked again soon where a log has too few copies

Cause: a node whose answer to a batch fails after more than 1 s without a word, or that has no room, is not chosen for 30 s ("another can hold the copy meanwhile"), also where there is no other. Beside other load both remaining nodes of a fleet of three were so slow once, were taken off the candidates, told to drop their copies, and a log had none for 30 s.

Change: where fewer nodes are fit than copies are wanted, those that have been unfit for 3 s come after them as candidates. With enough fit nodes all is as before.

--- a/internal/deliverynode/replica/keeper.go
+++ b/internal/deliverynode/replica/keeper.go
@@ -33,8 +33,10 @@
 const (
 	// stepEvery is the interval of periodic work.
 	stepEvery = 100 * time.Millisecond
-	// unfitFor is how long a node that cannot hold a copy is not chosen again.
-	unfitFor = 30 * time.Second
+	// unfitFor is how long a node that cannot hold a copy is not chosen again while there are enough others, and
+	// retryUnfitAfter how long while there are not.
+	unfitFor        = 30 * time.Second
+	retryUnfitAfter = 3 * time.Second
 	// batchTime is the time limit for the answer of a copy to a batch.
 	batchTime = 1500 * time.Millisecond
 	// rankPause is the delay between the takeover attempts of successive holders of copies, so that they do not compete.
@@ -130,7 +132,7 @@
 	copies  map[string]*storedCopy
 	works   map[string]*Work
 	own     *Work
-	unfit   map[string]time.Duration
+	unfit   map[string]time.Duration // since when, by the name of a node
 	missing map[string]*missing
 	adopted int // number of logs that were taken over so far
 	rand    *rand.Rand
@@ -296,19 +298,35 @@
 	return errors.Join(errs...)
 }
 
-// candidates returns the nodes that could hold copies of a log, the best first.
+// candidates returns the nodes that could hold copies of a log, the best first. Where too few nodes are fit for all copies,
+// those that have been unfit for a while come after them: they are better than no copy, and may only have been slow.
 func (k *Keeper) candidates(owner string, log uint64) []string {
 	now := k.options.Clock()
-	var all []string
+	var fit, unfit []string
 	for _, m := range k.options.Net.Members() {
-		k.mu.Lock()
-		until, unfit := k.unfit[m.Name]
-		k.mu.Unlock()
-		if m.Name != k.options.Name && m.State == fleet.Alive && !(unfit && now < until) {
-			all = append(all, m.Name)
+		if m.Name == k.options.Name || m.State != fleet.Alive {
+			continue
 		}
+		switch since, marked := k.unfitSince(m.Name); {
+		case !marked || now-since >= unfitFor:
+			fit = append(fit, m.Name)
+		case now-since >= retryUnfitAfter:
+			unfit = append(unfit, m.Name)
+		}
+	}
+	ranked := Rank(owner, log, k.options.Locality, fit)
+	if len(ranked) < k.options.Copies {
+		ranked = append(ranked, Rank(owner, log, k.options.Locality, unfit)...)
 	}
-	return Rank(owner, log, k.options.Locality, all)
+	return ranked
+}
+
+// unfitSince returns when a node was last found unfit to hold copies, and false if it was not.
+func (k *Keeper) unfitSince(name string) (since time.Duration, marked bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	since, marked = k.unfit[name]
+	return since, marked
 }
 
 // sendBatch sends a batch to a copy and returns the answer.
@@ -328,9 +346,9 @@
 	return a, decoding.Unmarshal(text, &a)
 }
 
-// markUnfit excludes a node from the candidates for unfitFor.
+// markUnfit records that a node cannot hold copies now.
 func (k *Keeper) markUnfit(name string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.unfit[name] = k.options.Clock() + unfitFor
+	k.unfit[name] = k.options.Clock()
 }
