--- a/internal/lab/tier/certification_test.go
+++ b/internal/lab/tier/certification_test.go
@@ -37,6 +37,7 @@
 }
 
 func (k *certificateKeeper) operator(t *testing.T) *operator.Operator {
+	t.Helper()
 	server := httptest.NewServer(k)
 	t.Cleanup(server.Close)
 	return operator.New(func() []string { return []string{server.Listener.Addr().String()} })
