--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -203,6 +203,9 @@
 			}
 		}
 	}
+	if b.Rule == ruleQuota {
+		lines = append(lines, p.takeovers()...)
+	}
 	for _, run := range p.runs.All() {
 		if run.Request == b.ID {
 			lines = append(lines, fmt.Sprintf("  run at %s: arrived %s, status %d, complete %v; faults: %v", run.Instance,
@@ -212,6 +215,18 @@
 	return lines
 }
 
+// takeovers returns the lines in which stores report that they took over a partition from another store.
+func (p *soakRun) takeovers() (lines []string) {
+	const began, firstTerm = ": primary in term ", ": primary in term 10001 "
+	takesOver := func(line string) bool { return strings.Contains(line, began) && !strings.Contains(line, firstTerm) }
+	for _, store := range p.ofRole(cluster.Store) {
+		for _, line := range matching(store, takesOver) {
+			lines = append(lines, fmt.Sprintf("  %v: %s", store, line))
+		}
+	}
+	return lines
+}
+
 // matching returns at most maxStory matching lines of a process's log.
 func matching(process *cluster.Process, matches func(line string) bool) (found []string) {
 	text, err := process.Log()
