--- a/internal/lab/soak/account.go
+++ b/internal/lab/soak/account.go
@@ -60,7 +60,8 @@
 			k.Kind, k.Requested, k.WithinTarget, k.Late, k.Refused, k.Failed)
 	}
 	if t := a.Tenants; a.Plan.Tenants {
-		fmt.Fprintf(&out, "  tenants: %d changes, %d runs, %d requests denied, %d over a limit, fullest window %.2f of the bound\n",
+		fmt.Fprintf(&out, "  tenants: %d changes, %d runs, %d requests denied, %d over a limit, "+
+			"fullest window %.2f of the bound\n",
 			t.Changes, t.Runs, t.Denied, t.OverLimit, t.FullestWindow)
 	}
 	for _, b := range a.Violations {
--- a/internal/lab/soak/judge_tenants.go
+++ b/internal/lab/soak/judge_tenants.go
@@ -103,7 +103,8 @@
 	}
 	if owner, isItem := j.account.Owners[run.Request]; isItem {
 		if !slices.Equal(run.Tenants, []string{owner}) {
-			j.account.violated(ruleUnasked, run.Request, "%s saw the tenants %q of an item of %s", run.Instance, run.Tenants, owner)
+			j.account.violated(ruleUnasked, run.Request, "%s saw the tenants %q of an item of %s",
+				run.Instance, run.Tenants, owner)
 		}
 		return
 	}
@@ -123,7 +124,8 @@
 	var want []string // names that endpoints may see
 	if key == "" {
 		if len(run.Tenants) > 0 {
-			j.account.violated(ruleUnasked, try.ID, "%s saw the tenants %q of a request without a key", run.Instance, run.Tenants)
+			j.account.violated(ruleUnasked, try.ID, "%s saw the tenants %q of a request without a key",
+				run.Instance, run.Tenants)
 		}
 		return
 	}
@@ -139,7 +141,8 @@
 	}
 	holds := func(r *revision) bool { return r.holders[key] == run.Tenants[0] }
 	if !slices.ContainsFunc(j.tenancy.possible(try.Sent, run.Arrived), holds) {
-		j.account.violated(ruleConfig, try.ID, "ran for %s with the key %s, which only a configuration allows that was replaced over %v before",
+		j.account.violated(ruleConfig, try.ID,
+			"ran for %s with the key %s, which only a configuration allows that was replaced over %v before",
 			run.Tenants[0], key, applyWithin)
 	}
 }
@@ -150,8 +153,8 @@
 	return machine != "" && j.run.timeline.inTouch(machine, from) && j.run.timeline.inTouch(machine, to)
 }
 
-// checkTry checks that an attempt was not denied although it is allowed, and that the modest tenant was not refused for its
-// rate in a soak run without faults of stores.
+// checkTry checks that an attempt was not denied although it is allowed, and that the modest tenant was not refused for
+// its rate in a soak run without faults of stores.
 func (j *tenantJudge) checkTry(try load.Try, finalAt time.Time) {
 	switch try.Status {
 	case http.StatusTooManyRequests:
@@ -166,19 +169,21 @@
 	}
 }
 
-// checkDenial checks that an answer that denies a request agrees with a configuration that may be in force. No process may
-// answer 401 to what all configurations allow.
+// checkDenial checks that an answer that denies a request agrees with a configuration that may be in force. No process
+// may answer 401 to what all configurations allow.
 func (j *tenantJudge) checkDenial(id, key, front string, public bool, status int, sentAt, endedAt time.Time) {
 	denies := func(r *revision) bool { return !r.allows(key, public) }
 	contact := j.inContact(front, sentAt, endedAt)
 	if !slices.ContainsFunc(j.tenancy.sent(j.ended), denies) {
 		if status == http.StatusUnauthorized || contact {
-			j.account.violated(ruleDenied, id, "answered %d at %s with the key %q, which all configurations hold", status, front, key)
+			j.account.violated(ruleDenied, id, "answered %d at %s with the key %q, which all configurations hold",
+				status, front, key)
 		}
 		return
 	}
 	if contact && !slices.ContainsFunc(j.tenancy.possible(sentAt, endedAt), denies) {
-		j.account.violated(ruleConfig, id, "answered %d at %s with the key %q over %v after the acknowledgement that it is added",
+		j.account.violated(ruleConfig, id,
+			"answered %d at %s with the key %q over %v after the acknowledgement that it is added",
 			status, front, key, applyWithin)
 	}
 }
@@ -197,8 +202,8 @@
 	spent[tenant][request] = u
 }
 
-// checkRate checks that in no window more requests of a tenant were sent and ran than the highest limit allows that may have
-// been in force in it.
+// checkRate checks that in no window more requests of a tenant were sent and ran than the highest limit allows that may
+// have been in force in it.
 func (j *tenantJudge) checkRate(tenant string, uses map[string]use) {
 	w := fullestWindow(uses, func(from time.Time) float64 { return j.allowed(tenant, from) })
 	j.account.Tenants.FullestWindow = max(j.account.Tenants.FullestWindow, w.share())
@@ -223,8 +228,8 @@
 	return float64(w.requests) / w.allowed
 }
 
-// fullestWindow returns the window with most requests, as a part of those that are allowed in it. Windows with more than
-// allowed need not begin anywhere but at the sending of a request.
+// fullestWindow returns the window with most requests, as a part of those that are allowed in it. Windows with more
+// than allowed need not begin anywhere but at the sending of a request.
 func fullestWindow(uses map[string]use, allowed func(from time.Time) float64) (fullest window) {
 	all := slices.SortedFunc(maps.Values(uses), func(a, b use) int { return a.sent.Compare(b.sent) })
 	for i, first := range all {
@@ -245,8 +250,8 @@
 	return fullest
 }
 
-// allowed returns how many requests of a tenant may be sent and run in the window that begins at a moment. A lower limit
-// counts from one window after all proxies were in contact applyWithin past its acknowledgement.
+// allowed returns how many requests of a tenant may be sent and run in the window that begins at a moment. A lower
+// limit counts from one window after all proxies were in contact applyWithin past its acknowledgement.
 func (j *tenantJudge) allowed(tenant string, from time.Time) float64 {
 	highest := 0.0
 	unlimited := false
--- a/internal/lab/soak/tenancy.go
+++ b/internal/lab/soak/tenancy.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// applyWithin is how long after the acknowledgement of a configuration processes in contact may still follow an older one.
+// applyWithin is how long after the acknowledgement of a configuration processes in contact may still follow an older
+// one.
 const applyWithin = 2500 * time.Millisecond
 
 // revision is one configuration as an operator sent it, with what it says about tenants.
@@ -46,7 +47,8 @@
 	if err != nil {
 		return err
 	}
-	r := &revision{version: d.version, text: d.text, sentAt: time.Now(), holders: map[string]string{}, limits: map[string]limit{}}
+	r := &revision{version: d.version, text: d.text, sentAt: time.Now()}
+	r.holders, r.limits = map[string]string{}, map[string]limit{}
 	for _, c := range customers {
 		for _, key := range c.Keys {
 			r.holders[key] = c.Name
@@ -80,16 +82,16 @@
 	}
 }
 
-// keysOf returns the keys that the newest acknowledged configuration gives to a tenant, in a fixed order and without the
-// one that is passed on.
+// keysOf returns the keys that the newest acknowledged configuration gives to a tenant, in a fixed order and without
+// the one that is passed on.
 func (t *tenancy) keysOf(tenant string) (keys []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return heldBy(t.newest, tenant)
 }
 
-// everHeld returns the keys that any configuration sent so far gives to a tenant, in a fixed order and without the one that
-// is passed on.
+// everHeld returns the keys that any configuration sent so far gives to a tenant, in a fixed order and without the one
+// that is passed on.
 func (t *tenancy) everHeld(tenant string) (keys []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -112,8 +114,8 @@
 	return keys
 }
 
-// possible returns the revisions that a process in contact may have in force at some moment of a span: they had been sent by
-// its end, and no newer one had been acknowledged for applyWithin at its start.
+// possible returns the revisions that a process in contact may have in force at some moment of a span: they had been
+// sent by its end, and no newer one had been acknowledged for applyWithin at its start.
 func (t *tenancy) possible(from, to time.Time) []*revision {
 	return t.possibleUntil(from, to, func(r *revision) time.Time { return r.acknowledgedAt.Add(applyWithin) })
 }
--- a/internal/lab/soak/tenants.go
+++ b/internal/lab/soak/tenants.go
@@ -140,8 +140,8 @@
 	tenants[next].Keys = slices.Insert(tenants[next].Keys, 1, wanderingKey)
 }
 
-// tenantTraffic returns the requests of the flooding and of the modest tenant, and those on a public route. They are like
-// other requests of a plain endpoint.
+// tenantTraffic returns the requests of the flooding and of the modest tenant, and those on a public route. They are
+// like other requests of a plain endpoint.
 func tenantTraffic(like load.Traffic) (traffic []load.Traffic) {
 	for _, t := range []struct {
 		name   string
@@ -162,8 +162,8 @@
 // directory tells clients how to identify themselves, by what the configurations sent so far contain.
 type directory struct{ tenancy *tenancy }
 
-// Identify returns the key of a tenant that sends on the route. On routes of several tenants, some clients have a key that
-// was dropped, that never was, or none, and some claim to be another tenant.
+// Identify returns the key of a tenant that sends on the route. On routes of several tenants, some clients have a key
+// that was dropped, that never was, or none, and some claim to be another tenant.
 func (d directory) Identify(route *config.Route, rng *rand.Rand) (identity load.Identity) {
 	if rng.IntN(10) == 0 {
 		identity.Claimed = wrongName
@@ -198,7 +198,8 @@
 	return []string{tenantWide, tenantOpen, tenantModest, tenantFlooder}[n%4]
 }
 
-// JobKey returns a key that the newest acknowledged configuration gives to the tenant, and that no other tenant ever has.
+// JobKey returns a key that the newest acknowledged configuration gives to the tenant, and that no other tenant ever
+// has.
 func (d directory) JobKey(tenant string, rng *rand.Rand) string {
 	keys := d.tenancy.keysOf(tenant)
 	return keys[rng.IntN(len(keys))]
--- a/internal/lab/tier/load/jobs.go
+++ b/internal/lab/tier/load/jobs.go
@@ -205,7 +205,8 @@
 			return true
 		}
 		onlyRefused = onlyRefused && err == nil && provesNotRun(status)
-		denied := status == http.StatusUnauthorized && j.options.Directory != nil // its key may have been taken away meanwhile
+		// its key may have been taken away meanwhile
+		denied := status == http.StatusUnauthorized && j.options.Directory != nil
 		if err == nil && status/100 == 4 && !provesNotRun(status) && !denied {
 			return false
 		}
