Quota: silence of replicas is not taken for a version without states; leads stay for eight seconds before balance

QUOTA: a replica whose disk stalls and whose connection was reset confirms a lead at once, but holds no state before its promise is durable. The counting store took five states without an acknowledgement for replicas of a version without states and granted below floors that these replicas still held and a successor inherited: 1,564 tokens within 3 s of a limit of 10 a second and a burst of 1,000, which allows 1,175. A version without states is now known by its promise, which no report precedes (StatesIgnored); nothing is guessed.

--- a/internal/batch/leadership.go
+++ b/internal/batch/leadership.go
@@ -55,6 +55,8 @@
 	// SharedSequence is the number of the newest state of this lead (Store.ShareLeadState) that so many replicas hold that
 	// each successor finds it or a newer one; 0 if there was none yet.
 	SharedSequence uint64
+	// StatesIgnored is true while so many replicas are of a version that ignores states that none can be acknowledged.
+	StatesIgnored bool
 }
 
 // lead is a PartitionLead on the clock of the core. The zero value means that the store does not lead the partition.
@@ -66,6 +68,7 @@
 	earlierUntil     int64
 	inherited        *leadState // not modified
 	sharedSequence   uint64
+	statesIgnored    bool
 }
 
 // primaryWitness is what a store has seen of the primaries that the table named for a partition.
@@ -103,6 +106,7 @@
 		earlierUntil:     primary.earlierUntil,
 		inherited:        primary.inherited,
 		sharedSequence:   primary.sharedSequence,
+		statesIgnored:    c.statesIgnored(primary),
 	}
 }
 
@@ -206,6 +210,7 @@
 		First:            isFirstTerm(l.incarnation),
 		EarlierUntil:     s.timeOf(l.earlierUntil),
 		SharedSequence:   l.sharedSequence,
+		StatesIgnored:    l.statesIgnored,
 	}
 	if l.inherited != nil {
 		result.Inherited = l.inherited.state
--- a/internal/batch/successor.go
+++ b/internal/batch/successor.go
@@ -381,3 +381,29 @@
 	slices.SortFunc(held, func(a, b uint64) int { return cmp.Compare(b, a) })
 	return held[c.maxLostReplicas]
 }
+
+// statesIgnored reports whether no state of a lead can be acknowledged because of replicas that promised without a report:
+// they are of a version that knows neither reports nor states. A replica that has not promised yet may be slow, and does
+// not count as one of them.
+func (c *core) statesIgnored(primary *primaryState) bool {
+	return c.ignoresStates(primary, primary.replicas) ||
+		primary.nextReplicas != nil && c.ignoresStates(primary, primary.nextReplicas)
+}
+
+// ignoresStates reports whether too few replicas of a group know states, and some are known not to.
+func (c *core) ignoresStates(primary *primaryState, group []uint64) bool {
+	known, ignoring := 0, 0
+	for _, id := range group {
+		replica := primary.progress[id]
+		switch {
+		case id == c.self:
+			known++
+		case replica == nil || replica.digests == nil:
+		case replica.report != nil:
+			known++
+		default:
+			ignoring++
+		}
+	}
+	return ignoring > 0 && known < c.maxLostReplicas+1
+}
--- a/internal/control/keeper/partition_assignment.go
+++ b/internal/control/keeper/partition_assignment.go
@@ -25,8 +25,9 @@
 	// assignInterval is the minimum time between two proposals of a table.
 	assignInterval = 100 * time.Millisecond
 	// minLeadDuration is how long a store leads a partition at least before the lead moves for balance alone. A move
-	// interrupts the count of tenants' requests, and a second one within a window of their quotas begins with nothing.
-	minLeadDuration = 5 * time.Second
+	// interrupts the count of tenants' requests. One that follows another within a window of the quotas (5 s), the wait of
+	// a new lead (0.6 s) and the takeovers begins with nothing.
+	minLeadDuration = 8 * time.Second
 )
 
 // partitionAssigner is the singleton role that assigns the partitions to stores.
--- a/internal/quota/leadership.go
+++ b/internal/quota/leadership.go
@@ -25,6 +25,8 @@
 	// SharedSequence is the number of the newest state of this lead that so many replicas hold that each successor finds
 	// it or a newer one; 0 if there was none yet.
 	SharedSequence uint64
+	// StatesIgnored is true while so many replicas are of a version that ignores states that none can be acknowledged.
+	StatesIgnored bool
 }
 
 // Leadership tells a store which partitions it leads. It is safe for concurrent use.
--- a/internal/quota/succession.go
+++ b/internal/quota/succession.go
@@ -12,13 +12,9 @@
 	// floorRaiseInterval is the least time between two states that are shared only to raise floors.
 	floorRaiseInterval = 100 * time.Millisecond
 	// reshareAfter is how long a lead waits for the acknowledgement of its newest state before it shares another one, and
-	// silentReshareAfter how long while the replicas are taken to know no states.
-	reshareAfter       = 50 * time.Millisecond
-	silentReshareAfter = time.Second
-	// maxUnanswered is how many states may stay without an acknowledgement although replicas confirmed the lead after each
-	// was sent. After that the replicas are taken to be of a program that knows no states. At most one a confirmation
-	// counts, so with confirmAfter it takes a second.
-	maxUnanswered = 5
+	// ignoredReshareAfter how long while the replicas ignore states.
+	reshareAfter        = 50 * time.Millisecond
+	ignoredReshareAfter = time.Second
 	// demandKept is for how long the floors leave room for a demand that one of them held up.
 	demandKept = 500 * time.Millisecond
 
@@ -61,7 +57,7 @@
 	inPlay       []sharedState // that a successor may find, oldest first
 	sharedAt     time.Time     // the newest state
 	nextCheck    time.Time     // when floors may be raised
-	unanswered   int           // states without an acknowledgement though replicas confirmed the lead after them
+	ignored      bool          // so many replicas ignore states that none can be acknowledged
 }
 
 // sharedState is a state that was sent.
@@ -70,12 +66,9 @@
 	floors   floors
 }
 
-// isSilent reports whether the replicas are taken to know no states.
-func (s *succession) isSilent() bool { return s.unanswered >= maxUnanswered }
-
 // mayGrant reports whether no successor finds a state of an earlier lead.
 func (s *succession) mayGrant(lead *Lead) bool {
-	return lead.First || s.acknowledged > 0 || s.isSilent()
+	return lead.First || s.acknowledged > 0 || s.ignored
 }
 
 // acknowledge notes which states a successor can't find any more, as it finds newer ones.
@@ -85,9 +78,6 @@
 		return
 	}
 	s.acknowledged = sequence
-	if !s.isSilent() || sequence == s.sequence {
-		s.unanswered = 0
-	}
 	s.inPlay = slices.DeleteFunc(s.inPlay, func(state sharedState) bool { return state.sequence < sequence })
 }
 
@@ -106,7 +96,7 @@
 
 // floorOf returns the level below which a tenant's bucket must not fall.
 func (s *succession) floorOf(tenant string) microTokens {
-	if s.isSilent() {
+	if s.ignored {
 		return 0
 	}
 	highest := microTokens(0)
@@ -130,14 +120,12 @@
 		c.successions[lead.Partition] = s
 		c.share(s, lead, now)
 	}
+	s.ignored = lead.StatesIgnored
 	s.acknowledge(lead.SharedSequence)
 	waited := now.Sub(s.sharedAt)
-	if s.acknowledged == s.sequence || waited < reshareAfter || s.isSilent() && waited < silentReshareAfter {
+	if s.acknowledged == s.sequence || waited < reshareAfter || s.ignored && waited < ignoredReshareAfter {
 		return s
 	}
-	if lead.ConfirmedAt.After(s.sharedAt) {
-		s.unanswered++
-	}
 	c.share(s, lead, now)
 	return s
 }
@@ -145,7 +133,7 @@
 // share sends the floors of the tenants of a lead.
 func (c *counter) share(s *succession, lead *Lead, now time.Time) {
 	next := floors{}
-	if s.acknowledged > 0 && !s.isSilent() {
+	if s.acknowledged > 0 && !s.ignored {
 		next = c.floorsUnder(s, lead, now)
 	}
 	state := encodeState(next)
@@ -177,7 +165,7 @@
 // shareAsNeeded shares new floors if the one of an account that was just used is near its level, or now and then if some
 // floor may rise.
 func (c *counter) shareAsNeeded(s *succession, lead *Lead, tenant string, a *account, now time.Time) {
-	if s.acknowledged == 0 || s.isSilent() {
+	if s.acknowledged == 0 || s.ignored {
 		return
 	}
 	newest := s.newestFloorOf(tenant)
