--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -559,7 +559,7 @@
 	membershipTests  = "TestDrain|TestStopping|TestRetirement|TestTwoStoresRetire|TestStoreThatLosesItsDisk|TestSegments|" +
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
 	tenantTests = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
-		"TestWhoMayUseAJob|TestJobsCompleteWithoutFaults|TestNewestQuota|TestQuotaInForce|TestRouteOfAJob"
+		"TestWhoMayUseAJob|TestIdentityOfItems|TestJobsCompleteWithoutFaults|TestNewestQuota|TestQuotaInForce|TestRouteOfAJob"
 	rerunTests = "TestItemReportedByTwo|TestDroppedItem|TestReportToAnEarlierLead|TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
 		"TestWaitAfterARejection|TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
 	leadTests = "TestLead|TestWitnessOfPrimaries|TestStorePublishesItsLeads"
