--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// service is the name of the one service of the deployment.
+// service is the name of the main service of the deployment.
 const service = "underwrite-lm"
 
 // stride is how many tokens an event holds, and tokenBytes how many bytes a token has.
@@ -40,10 +40,14 @@
 
 	mu      sync.Mutex
 	running int
+	waiting int
 	tokens  int // of the running requests, at their end
 	calls   int // heartbeats sent
-	runs    int
-	whole   int // runs whose answer was written to its end
+	crashed bool
+
+	turnedAway int // requests that found no place
+	runs       int
+	whole      int // runs whose answer was written to its end
 }
 
 // start listens and begins to send heartbeats, until the context ends.
@@ -61,10 +65,24 @@
 
 func (e *endpoint) close() { _ = e.server.Close() }
 
+// crash ends the endpoint with its connections and its heartbeats.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	e.crashed = true
+	e.mu.Unlock()
+	e.close()
+}
+
+func (e *endpoint) hasCrashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
 // beat sends heartbeats: to the address that the last answer named, else to one node after the other.
 func (e *endpoint) beat(ctx context.Context) {
 	follow := ""
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !e.hasCrashed() {
 		targets := e.tier.controls()
 		if follow != "" {
 			targets = append([]string{follow}, targets...)
@@ -124,7 +142,9 @@
 		return
 	}
 	tokens := tokensOf(r.Header.Get("X-Dunetide-Token-Count"))
-	if !e.admit(tokens) {
+	admitted := e.admit(r.Context(), tokens)
+	h.Set("X-Dunetide-Server-Load", e.load())
+	if !admitted {
 		h.Set("X-Dunetide-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -135,17 +155,51 @@
 	e.stream(w, r, id)
 }
 
-// admit takes a place, and memory, for a request.
-func (e *endpoint) admit(tokens int) bool {
+// queueLength is how many requests wait at an endpoint whose places are taken: a few.
+const queueLength = 6
+
+// pollEvery is how often a waiting request looks for a place.
+const pollEvery = 5 * time.Millisecond
+
+// admit takes a place, and memory, for a request. A few requests wait for that; others are turned away.
+func (e *endpoint) admit(ctx context.Context, tokens int) bool {
+	if taken, full := e.take(tokens, false); taken || full {
+		return taken
+	}
+	for ctx.Err() == nil {
+		sleep(ctx, pollEvery)
+		if taken, _ := e.take(tokens, true); taken {
+			return true
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	return false
+}
+
+// take takes a place if there is one, else a place in the queue. It reports whether both are full.
+func (e *endpoint) take(tokens int, waits bool) (taken, full bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.running >= e.tier.options.capacity || e.tokens+tokens > e.tier.options.engine.memory {
-		return false
+	free := e.running < e.tier.options.capacity && e.tokens+tokens <= e.tier.options.engine.memory
+	switch {
+	case free && (waits || e.waiting == 0):
+		e.running++
+		e.tokens += tokens
+		e.runs++
+		if waits {
+			e.waiting--
+		}
+		return true, false
+	case waits:
+		return false, false
+	case e.waiting >= queueLength:
+		e.turnedAway++
+		return false, true
 	}
-	e.running++
-	e.tokens += tokens
-	e.runs++
-	return true
+	e.waiting++
+	return false, false
 }
 
 func (e *endpoint) leave(tokens int) {
@@ -155,6 +209,13 @@
 	e.tokens -= tokens
 }
 
+// load returns the load as answers tell it: running, waiting, slots.
+func (e *endpoint) load() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", e.running, e.waiting, e.tier.options.capacity)
+}
+
 // tokensOf returns the tokens of a request at its end.
 func tokensOf(tokenCount string) int {
 	in, out, _ := strings.Cut(tokenCount, ",")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,7 +41,11 @@
 
 // plays lists the cases by name.
 var plays = map[string]play{
-	"large-job": largeJob,
+	"large-job":     largeJob,     // review/1
+	"shed":          shed,         // review/2
+	"moved-route":   movedRoute,   // review/3
+	"renamed-route": renamedRoute, // in the report only, as is the next one
+	"own-prefix":    ownPrefix,
 }
 
 func main() {
--- a/review/standin/tier.go
+++ b/review/standin/tier.go
@@ -35,9 +35,11 @@
 	keepers   int // of each zone: the first edge machines, of which the first has a disk
 	stores    int // over the zones in turn
 	endpoints int // over the zones in turn
-	capacity  int // requests that an endpoint works on at once
-	config    func() []byte
-	engine    engine // how the endpoints answer
+	// oldEndpoints is how many further endpoints the old service has.
+	oldEndpoints int
+	capacity     int // requests that an endpoint works on at once
+	config       func() []byte
+	engine       engine // how the endpoints answer
 }
 
 // tier is the whole deployment.
@@ -118,12 +120,12 @@
 func (t *tier) start(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	t.stop = stop
-	for n := range t.options.endpoints {
+	for n := range t.options.endpoints + t.options.oldEndpoints {
 		z := n % len(t.options.zones)
 		e := &endpoint{
 			tier:    t,
 			id:      fmt.Sprintf("i-%08x", rand.Uint32()),
-			service: service,
+			service: serviceOf(n, t.options.endpoints),
 			zone:    t.options.zones[z],
 			address: fmt.Sprintf("%s:%d", t.ip(z, 100+n/len(t.options.zones)), t.port+portEndpoint),
 		}
@@ -154,6 +156,14 @@
 	return nil
 }
 
+// serviceOf returns the service of an endpoint by its number: the first ones belong to the main service.
+func serviceOf(n, endpoints int) string {
+	if n < endpoints {
+		return service
+	}
+	return oldService
+}
+
 // ready asks a proxy whether it is ready, as the platform does.
 func ready(ctx context.Context, p *process) bool {
 	status, _, err := call(ctx, time.Second, http.MethodGet, p.at(portReady), "/ready", "", nil, nil)
