Review, case 3: items run at the service of another route

Cause: workers find the route of an item by its name alone. Change: a script that removes the route of running jobs and adds one of the same name for another service. The lost service that was case 3 is a play beside the cases now.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,10 +41,11 @@
 
 // plays lists the cases by name.
 var plays = map[string]play{
-	"large-job":     largeJob,     // review/1
-	"shed":          shed,         // review/2
-	"moved-route":   movedRoute,   // review/3
-	"renamed-route": renamedRoute, // in the report only, as is the next one
+	"large-job":     largeJob,   // review/1
+	"shed":          shed,       // review/2
+	"reused-name":   reusedName, // review/3
+	"moved-route":   movedRoute, // in the report only, as are the next ones
+	"renamed-route": renamedRoute,
 	"own-prefix":    ownPrefix,
 }
 
