--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -273,3 +274,38 @@
 	}
 	return strings.Join(events, "\n")
 }
+
+// silence ends the heartbeats.
+func (e *endpoint) silence() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = true
+}
+
+func (e *endpoint) runCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs
+}
+
+// registerAny sends one heartbeat to the first node that accepts it.
+func (e *endpoint) registerAny(ctx context.Context) (next string, ok bool) {
+	for _, address := range e.tier.controls() {
+		if next, ok = e.register(ctx, address); ok {
+			return next, true
+		}
+	}
+	return "", false
+}
+
+// leaveByDelete deregisters the endpoint, which serves on, and returns when that was acknowledged.
+func (e *endpoint) leaveByDelete(ctx context.Context) (time.Time, error) {
+	for _, address := range e.tier.controls() {
+		status, _, err := call(ctx, time.Second, http.MethodDelete, address, "/instances/"+e.id, "", nil, nil)
+		if err == nil && status/100 == 2 {
+			e.tier.log.write("DELETE of %s acknowledged", e.id)
+			return time.Now(), nil
+		}
+	}
+	return time.Time{}, errors.New("no node acknowledged the DELETE")
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -47,6 +47,7 @@
 	"moved-route":   movedRoute, // in the report only, as are the next ones
 	"renamed-route": renamedRoute,
 	"own-prefix":    ownPrefix,
+	"late-beat":     lateBeat,
 }
 
 func main() {
