--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -100,7 +100,7 @@
 	}
 	defer t.close()
 	t.trouble = os.Getenv("TROUBLE") != "0"
-	log.write("disruption: %v; processes in %s", t.trouble, folder)
+	log.write("disruption: %v", t.trouble)
 	if err := t.start(ctx); err != nil {
 		return verdict{}, err
 	}
