--- a/internal/batch/confirmation.go
+++ b/internal/batch/confirmation.go
@@ -17,7 +17,7 @@
 	}
 	c.reportStaleTerm(p, term, known, pipe)
 	w := encodeTermMessage(0, p.index, known)
-	_ = pipe.Send(kindStaleTerm, w.Buf)
+	c.send(pipe, kindStaleTerm, w.Buf)
 	return true
 }
 
@@ -44,7 +44,7 @@
 	p.confirmations.note(term, c.nowMs)
 	w := encodeTermMessage(1, p.index, term, stamp)
 	w.Bool(c.logFull)
-	_ = pipe.Send(kindConfirmed, w.Buf)
+	c.send(pipe, kindConfirmed, w.Buf)
 }
 
 // requestConfirmations asks the replicas whether this primary has been replaced, at most once per ms.
@@ -60,7 +60,7 @@
 	w := encodeTermMessage(0, p.index, primary.term, uint64(c.nowMs))
 	for _, id := range primary.allReplicas() {
 		if replica := primary.progress[id]; replica != nil {
-			_ = replica.pipe.Send(kindConfirm, w.Buf)
+			c.send(replica.pipe, kindConfirm, w.Buf)
 		}
 	}
 	c.countConfirmations(p)
@@ -126,9 +126,9 @@
 	primary.startsPaused = !mayStart
 	for _, w := range running {
 		if mayStart {
-			_ = w.pipe.Send(kindRunningNoted, encodeRunningNoted(p.index, anyEpoch))
+			c.send(w.pipe, kindRunningNoted, encodeRunningNoted(p.index, anyEpoch))
 		} else {
-			_ = w.pipe.Send(kindPauseStarts, encodeStartsPaused(p.index))
+			c.send(w.pipe, kindPauseStarts, encodeStartsPaused(p.index))
 		}
 	}
 }
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 
 	"dunetide/internal/control/operatorconfig"
@@ -10,8 +11,9 @@
 )
 
 // Pipe is a connection to another process. Messages arrive in the order in which they were sent,
-// until it closes. The core ignores errors of Send: they mean that the connection has closed, which
-// is an event of its own, and everything still needed is sent again afterwards.
+// until it closes. An error of Send means that the connection has closed, which is an event of its
+// own, after which everything still needed is sent again; or that the message is too long
+// (link.ErrTooLong), which never changes: see core.send.
 type Pipe interface {
 	Send(kind link.Kind, body []byte) error
 }
@@ -42,8 +44,6 @@
 )
 
 const (
-	// maxJobTransfers is how many jobs may be in flight to a replica that is catching up.
-	maxJobTransfers = 4
 	// maxReadBytes bounds the result texts in one reply, except that one result is always included.
 	maxReadBytes = 800_000
 	// maxPartitions bounds the partition indices in messages and records.
@@ -67,6 +67,7 @@
 	retentionMs       int64
 	fixedSegmentBytes int64 // size of a log segment; 0: derived from logCapacity
 	logCapacity       int64 // maximum size of the log in bytes; 0: no limit
+	transfers         transferLimits
 	nowMs             int64 // set before each event
 
 	disk             disk
@@ -112,6 +113,7 @@
 		self:                self,
 		disk:                d,
 		maxLostReplicas:     1,
+		transfers:           defaultTransferLimits,
 		retentionMs:         120_000,
 		peers:               map[uint64]Pipe{},
 		workers:             map[Pipe]*worker{},
@@ -145,6 +147,17 @@
 	c.dispatchItems()
 }
 
+// send sends a message. It reports whether the message is on its way, or lost with a connection that
+// has closed. A message that is too long is neither: waiting for an answer to it would never end.
+func (c *core) send(pipe Pipe, kind link.Kind, body []byte) bool {
+	err := pipe.Send(kind, body)
+	if !errors.Is(err, link.ErrTooLong) {
+		return true
+	}
+	c.log("a message of kind %d with %d bytes can't be sent: %v", kind, len(body), err)
+	return false
+}
+
 // appendRecord appends a record to the log and applies it.
 func (c *core) appendRecord(record []byte) {
 	if c.diskFailed {
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -143,7 +143,7 @@
 		request:     request,
 		remainingMs: j.dueAt() - c.nowMs,
 	}
-	_ = w.pipe.Send(kindAssignItem, message.encode())
+	c.send(w.pipe, kindAssignItem, message.encode())
 }
 
 // markAssigned records that a worker has an item.
--- a/internal/batch/doc.go
+++ b/internal/batch/doc.go
@@ -54,7 +54,8 @@
 //
 // The core:
 //   - core.go: the state and the log; partition.go: partitions, terms, the table; timers.go: ticks
-//   - primary.go: how a primary begins and steps down; takeover.go: how it collects the state
+//   - primary.go: how a primary begins and steps down; takeover.go: how it collects the state; fetch.go: how it fetches
+//     the jobs that it lacks; catchup.go: how it brings its replicas up to date; jobpart.go: jobs in parts
 //   - leadership.go: leads that other parts of the process rely on; successor.go: what a new primary learns of earlier leads
 //   - replication.go: ordering, replicas, commits; confirmation.go: confirmations that a primary has not been replaced
 //   - calls.go, reads.go, ends.go: client calls; expiry.go: jobs past their maximum age
--- a/internal/batch/fencing_test.go
+++ b/internal/batch/fencing_test.go
@@ -55,7 +55,11 @@
 		kindOperation: append(encodeNumbers(index, term, p.session, p.position.sequence+1),
 			encodeJobOperation(opEndJob, "job")...),
 		kindFetchJob: append(encodeNumbers(index, term), 0, 0, 0, 0),
-		kindConfirm:  encodeNumbers(index, term, 1),
+
+		kindFetchJobPart:   append(encodeNumbers(index, term), 0, 0, 0, 0, 0, 0, 0, 0, 0),
+		kindInstallJobPart: append(encodeNumbers(index, term, p.session), 1, 2, 3),
+
+		kindConfirm: encodeNumbers(index, term, 1),
 	} {
 		pipe := &recordingPipe{}
 		position, promised, appended := p.position, p.promisedTerm, third.appendedRecords
--- a/internal/batch/golden_test.go
+++ b/internal/batch/golden_test.go
@@ -96,6 +96,7 @@
 		kindOperation, kindOperationAck, kindStaleTerm, kindConfirm, kindConfirmed,
 		kindReserveTokens, kindReservationReply, kindUsageReport, kindUsageRequest,
 		kindLeadReport, kindLeadState, kindLeadStateHeld,
+		kindAcceptsParts, kindFetchJobPart, kindJobPart, kindInstallJobPart,
 	}
 	for i, kind := range kinds {
 		if kind != link.Kind(100+i) {
@@ -105,9 +106,9 @@
 	bytesOf := []uint8{
 		codeOK, codeNotFound, codeQuotaFull, codeUnavailable, codeUnknown, codeLogFull,
 		opAcceptJob, opAddResult, opEndJob, opDropJob,
-		recordIdentity, recordPromise, recordTermStart, recordOperation, recordJob,
+		recordIdentity, recordPromise, recordTermStart, recordOperation, recordJob, recordJobPart,
 	}
-	if want := []uint8{1, 2, 3, 4, 5, 6, 1, 2, 3, 4, 1, 2, 3, 4, 5}; !bytes.Equal(bytesOf, want) {
+	if want := []uint8{1, 2, 3, 4, 5, 6, 1, 2, 3, 4, 1, 2, 3, 4, 5, 6}; !bytes.Equal(bytesOf, want) {
 		t.Errorf("codes, operations and records are %v, want %v", bytesOf, want)
 	}
 }
@@ -296,6 +297,8 @@
 	part.confirmations.note(goldenTerm-1, follower.nowMs-2000)
 	part.heldState = &leadState{goldenTerm - 9, 41, goldenTerm - 1, []storeProcess{{leaderID, 0x2202}}, []byte("levels")}
 	syncAll(follower)
+	// The primary is of a version without parts, and ignores this.
+	fromFollower.next(t, kindAcceptsParts, "replication-accepts-parts.bin")
 	report := fromFollower.next(t, kindLeadReport, "replication-lead-report.bin")
 	leader.handleMessage(toFollower, nil, kindLeadReport, report)
 	wantValue(t, "replication-lead-report", *p.primary.progress[followerID].report, leadReport{
@@ -338,17 +341,19 @@
 	leader.sendPrepare(p, joinerID)
 	joiner.handleMessage(fromJoiner, nil, kindPrepare, toJoiner.next(t, kindPrepare, "replication-ask-joining.bin"))
 	syncAll(joiner)
+	accepts := fromJoiner.next(t, kindAcceptsParts, "replication-accepts-parts-joining.bin")
+	leader.handleMessage(toJoiner, nil, kindAcceptsParts, accepts)
 	report = fromJoiner.next(t, kindLeadReport, "replication-lead-report-nothing.bin")
 	leader.handleMessage(toJoiner, nil, kindLeadReport, report)
 	leader.handleMessage(toJoiner, nil, kindPromise, fromJoiner.next(t, kindPromise, "replication-have-nothing.bin"))
 	joiner.handleMessage(fromJoiner, nil, kindInstallJob, toJoiner.next(t, kindInstallJob, "replication-put.bin"))
 	checkTransferredJob(t, joiner, digest, 900)
 	golden(t, "record-job.bin", lastRecord(t, joiner))
-	if inFlight := p.primary.progress[joinerID].transfersInFlight; inFlight != 1 {
+	if inFlight := len(p.primary.progress[joinerID].transfersInFlight); inFlight != 1 {
 		t.Errorf("%d jobs are in flight, want 1", inFlight)
 	}
 	leader.handleMessage(toJoiner, nil, kindJobInstalled, fromJoiner.next(t, kindJobInstalled, "replication-put-ack.bin"))
-	if inFlight := p.primary.progress[joinerID].transfersInFlight; inFlight != 0 {
+	if inFlight := len(p.primary.progress[joinerID].transfersInFlight); inFlight != 0 {
 		t.Errorf("%d jobs are in flight, want none", inFlight)
 	}
 
@@ -1034,3 +1039,54 @@
 	}
 	r.contacts[partition] = contact
 }
+
+// TestGoldenJobParts fixes the messages and the record with which a large job is transferred.
+func TestGoldenJobParts(t *testing.T) {
+	const sourceID, primaryID, session = 0x1101, 0x1202, 0x2101
+	source, primary := goldenCore(sourceID, primaryID, primaryID), goldenCore(primaryID, primaryID, primaryID)
+	limits := transferLimits{wholeJobBytes: 1, partBytes: 1, inFlightBytes: 1, messages: 1}
+	source.transfers, primary.transfers = limits, limits
+	part := source.partition(goldenPart)
+	source.appendRecord(append(encodeRecord(recordOperation, goldenPart, firstTerm(1)+7, 31), encodeAcceptJob(goldenJob().encode())...))
+	result := encodeAddResult(goldenJobID, 1, false, []byte("text of b"))
+	source.appendRecord(append(encodeRecord(recordOperation, goldenPart, firstTerm(1)+7, 32), result...))
+	part.promisedTerm, part.session = goldenTerm, session
+	digest := part.jobs[goldenJobID].digest()
+	syncAll(source)
+
+	toSource, toPrimary := &goldenPipe{}, &goldenPipe{}
+	p := primary.partition(goldenPart)
+	p.epoch, p.promisedTerm = 2, goldenTerm
+	replica := &replicaProgress{
+		pipe: toSource, session: session, acceptsParts: true,
+		digests:  map[string]uint64{goldenJobID: digest},
+		position: logPosition{firstTerm(1) + 7, 32},
+	}
+	p.primary = &primaryState{
+		term: goldenTerm, stateSource: sourceID, replicas: []uint64{primaryID, sourceID},
+		progress: map[uint64]*replicaProgress{sourceID: replica}, awaitedJobs: map[string]bool{},
+	}
+	primary.fetchState(p, replica)
+	source.handleMessage(toPrimary, nil, kindFetchJobPart, toSource.next(t, kindFetchJobPart, "replication-fetch-part.bin"))
+	source.nowMs += 50_000
+	primary.handleMessage(toSource, nil, kindJobPart, toPrimary.next(t, kindJobPart, "replication-job-part.bin"))
+	rec := golden(t, "record-job-part.bin", lastRecord(t, primary))
+	wantValue(t, "record-job-part", len(replayed(t, rec).partition(goldenPart).staged), 1)
+	wantValue(t, "jobs before the last part", len(p.jobs), 0)
+	source.handleMessage(toPrimary, nil, kindFetchJobPart, toSource.next(t, kindFetchJobPart, "replication-fetch-part-next.bin"))
+	primary.handleMessage(toSource, nil, kindJobPart, toPrimary.next(t, kindJobPart, "replication-job-part-last.bin"))
+	wantValue(t, "job", p.jobs[goldenJobID].digest(), digest)
+	wantValue(t, "stage", p.primary.stage, stageReplicating)
+
+	joiner, toJoiner := goldenCore(0x1303, primaryID, primaryID), &goldenPipe{}
+	follows := joiner.partition(goldenPart)
+	follows.promisedTerm, follows.session, follows.followedPrimary = goldenTerm, session+1, toPrimary
+	next := &replicaProgress{pipe: toJoiner, session: session + 1, acceptsParts: true, digests: map[string]uint64{}}
+	p.primary.progress[0x1303] = next
+	primary.startCatchUp(p, next)
+	for _, name := range []string{"replication-put-part.bin", "replication-put-part-last.bin"} {
+		joiner.handleMessage(toPrimary, nil, kindInstallJobPart, toJoiner.next(t, kindInstallJobPart, name))
+		primary.handleMessage(toJoiner, nil, kindJobInstalled, toPrimary.next(t, kindJobInstalled, "replication-put-part-ack.bin"))
+	}
+	wantValue(t, "joined job", follows.jobs[goldenJobID].digest(), digest)
+}
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -225,6 +225,8 @@
 		return responseUnavailable
 	case StoresFull:
 		return responseStoresFull
+	case TooLarge:
+		return Response{Status: http.StatusRequestEntityTooLarge}
 	}
 	return Response{}
 }
--- a/internal/batch/itemrun.go
+++ b/internal/batch/itemrun.go
@@ -17,13 +17,14 @@
 	text      []byte // the data of the events, one line each
 	lastEvent int64  // number of the last event; -1: none yet
 	invalid   bool   // an event is missing or repeated
+	tooLong   bool   // the text exceeds maxResultBytes, so no store could keep it
 }
 
 func newEventText() *eventText { return &eventText{lastEvent: -1} }
 
 // addEvent adds an event if it is the next in sequence. The first one may have any number.
 func (t *eventText) addEvent(id string, data []byte) {
-	if t.invalid {
+	if t.invalid || t.tooLong {
 		return
 	}
 	number, err := strconv.ParseInt(id, 10, 64)
@@ -34,6 +35,10 @@
 	if t.lastEvent >= 0 {
 		t.text = append(t.text, '\n')
 	}
+	if len(t.text)+len(data) > maxResultBytes {
+		t.text, t.tooLong = nil, true
+		return
+	}
 	t.text = append(t.text, data...)
 	t.lastEvent = number
 }
@@ -64,6 +69,10 @@
 		case silent:
 			silence = min(silence*2, maxRunSilence)
 		}
+		if text.tooLong { // each run would be
+			r.finish(running, true, nil)
+			return
+		}
 		if text.invalid { // the text is discarded, and the item starts from the beginning
 			text = newEventText()
 			if result.End == RunCompleted {
--- a/internal/batch/itemsilence.go
+++ b/internal/batch/itemsilence.go
@@ -57,6 +57,9 @@
 	result = r.runner.Run(ctx, &item, text.lastEventID(), func(id string, data []byte) {
 		silence.restart()
 		text.addEvent(id, data)
+		if text.tooLong {
+			end()
+		}
 	})
 	return result, ctx.Err() != nil && running.ctx.Err() == nil && result.End != RunNotStarted
 }
--- a/internal/batch/malformed_test.go
+++ b/internal/batch/malformed_test.go
@@ -53,6 +53,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	jobPart, _, _, err := primary.encodeJobPart(primary.partition(p.index).jobs["job"], partPosition{}, true)
+	if err != nil {
+		t.Fatal(err)
+	}
 	const age = 8 // length of the age, which older versions do not send
 	operation := func(encoded []byte) []byte { return append(encodeNumbers(p.index, term, p.session, next), encoded...) }
 	for name, m := range map[string]struct {
@@ -68,6 +72,10 @@
 		"end":           {kind: kindOperation, body: operation(encodeJobOperation(opEndJob, "job"))},
 		"lead state":    {kind: kindLeadState, body: leadStateOf(p.index, term, p.session, 7)},
 		"drop":          {kind: kindOperation, body: operation(encodeJobOperation(opDropJob, "job"))},
+		"fetch of a part": {
+			kind: kindFetchJobPart, body: append(encodeNumbers(p.index, term), 0, 0, 0, 3, 'j', 'o', 'b', 0, 0, 0, 0, 0),
+		},
+		"job part": {kind: kindInstallJobPart, body: append(encodeNumbers(p.index, term, p.session), jobPart...)},
 		"job with results": {
 			kind: kindInstallJob,
 			body: append(encodeNumbers(p.index, term, p.session), jobWithResults...),
@@ -114,6 +122,7 @@
 			kindOperationAck: append(encodeNumbers(p.index, term, 1<<40), 0),
 			kindConfirmed:    append(encodeNumbers(p.index, term, 1<<40), 0),
 			kindJobInstalled: encodeNumbers(p.index, term, replica.session),
+			kindAcceptsParts: encodeNumbers(p.index, term, replica.session),
 
 			kindLeadReport:    leadReportOf(p.index, term, replica.session),
 			kindLeadStateHeld: encodeNumbers(p.index, term, replica.session, 1<<40),
@@ -122,7 +131,7 @@
 				before := *replica
 				c.handleStoreMessage(replica.pipe, kind, slices.Clone(body[:length]))
 				if replica.acknowledged != before.acknowledged || replica.confirmedAt != before.confirmedAt ||
-					replica.logFull != before.logFull || replica.transfersInFlight != before.transfersInFlight ||
+					replica.logFull != before.logFull || len(replica.transfersInFlight) != len(before.transfersInFlight) || replica.acceptsParts != before.acceptsParts ||
 					replica.report != before.report || replica.heldSequence != before.heldSequence {
 					t.Fatalf("kind %d: %d of %d bytes changed %+v to %+v", kind, length, len(body), before, *replica)
 				}
@@ -164,23 +173,27 @@
 func FuzzMessages(f *testing.F) {
 	const index, term = 3, 1<<16 + 1
 	for kind, body := range map[link.Kind][]byte{
-		kindPrepare:      encodeNumbers(index, term+1, 7),
-		kindFetchJob:     append(encodeNumbers(index, term), 0, 0, 0, 3, 'j', 'o', 'b'),
-		kindInstallJob:   {0, 0, 0, 3, 'j', 'o', 'b'},
-		kindStartTerm:    {0, 0, 0, 0, 0, 0, 0, 99},
-		kindOperation:    append([]byte{0, 0, 0, 0, 0, 0, 0, 0}, encodeAcceptJob(encodedJob("new", 2, 0))...),
-		kindOperationAck: append(encodeNumbers(index, term, 1), 0),
-		kindStaleTerm:    encodeNumbers(index, term+9),
-		kindConfirm:      encodeNumbers(index, term, 1),
-		kindConfirmed:    append(encodeNumbers(index, term, 1), 0),
-		kindAcceptJob:    encodedJob("job", 2, 0),
-		kindReadResults:  encodeReadResults("job", 0, 0, Principal{}),
-		kindReadItemBody: encodeReadItemBody("job", "item", Principal{}),
-		kindEndJob:       encodeEndJob("job", Principal{}),
-		kindLeadReport:   leadReportOf(index, term, 1),
-		kindLeadState:    leadStateOf(index, term, 1, 7)[len(encodeNumbers(index, term, 1)):],
-		kindAttachWorker: encodeAttachWorker("w", "z", 3),
-		kindItemResult:   encodeItemResult(itemKey{index, "job", 0}, false, []byte("text")),
+		kindPrepare:    encodeNumbers(index, term+1, 7),
+		kindFetchJob:   append(encodeNumbers(index, term), 0, 0, 0, 3, 'j', 'o', 'b'),
+		kindInstallJob: {0, 0, 0, 3, 'j', 'o', 'b'},
+
+		kindFetchJobPart:   append(encodeNumbers(index, term), 0, 0, 0, 3, 'j', 'o', 'b', 0, 0, 0, 0, 0),
+		kindInstallJobPart: {0, 0, 0, 3, 'j', 'o', 'b', 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		kindJobPart:        append(encodeNumbers(index, term), 0, 0, 0, 3, 'j', 'o', 'b', 0, 0, 0, 0, 0, 0, 0, 0, 0, 0),
+		kindStartTerm:      {0, 0, 0, 0, 0, 0, 0, 99},
+		kindOperation:      append([]byte{0, 0, 0, 0, 0, 0, 0, 0}, encodeAcceptJob(encodedJob("new", 2, 0))...),
+		kindOperationAck:   append(encodeNumbers(index, term, 1), 0),
+		kindStaleTerm:      encodeNumbers(index, term+9),
+		kindConfirm:        encodeNumbers(index, term, 1),
+		kindConfirmed:      append(encodeNumbers(index, term, 1), 0),
+		kindAcceptJob:      encodedJob("job", 2, 0),
+		kindReadResults:    encodeReadResults("job", 0, 0, Principal{}),
+		kindReadItemBody:   encodeReadItemBody("job", "item", Principal{}),
+		kindEndJob:         encodeEndJob("job", Principal{}),
+		kindLeadReport:     leadReportOf(index, term, 1),
+		kindLeadState:      leadStateOf(index, term, 1, 7)[len(encodeNumbers(index, term, 1)):],
+		kindAttachWorker:   encodeAttachWorker("w", "z", 3),
+		kindItemResult:     encodeItemResult(itemKey{index, "job", 0}, false, []byte("text")),
 	} {
 		f.Add(uint8(kind), body)
 	}
@@ -191,7 +204,7 @@
 			pipe, message := Pipe(&recordingPipe{}), slices.Clone(body)
 			if p := c.partition(index); p.followedPrimary != nil {
 				pipe = p.followedPrimary
-				if slices.Contains([]link.Kind{kindInstallJob, kindStartTerm, kindOperation, kindLeadState}, link.Kind(kind)) {
+				if slices.Contains([]link.Kind{kindInstallJob, kindStartTerm, kindOperation, kindLeadState, kindInstallJobPart}, link.Kind(kind)) {
 					message = append(encodeNumbers(index, p.promisedTerm, p.session), body...)
 				}
 			}
--- a/internal/batch/messages.go
+++ b/internal/batch/messages.go
@@ -68,10 +68,18 @@
 	kindLeadReport
 	kindLeadState     // session, state of the lead: hold it
 	kindLeadStateHeld // session, sequence number: that state or a newer one is held
+
+	// Jobs in parts, between the primary of a partition and its replicas. All begin with partition
+	// and term. A replica that sends no kindAcceptsParts gets and sends whole jobs only.
+
+	kindAcceptsParts   // session: this replica knows the kinds below; the lead report and the promise follow
+	kindFetchJobPart   // job ID, started, number of results: send the part of the job that begins there (see partPosition)
+	kindJobPart        // job part (see jobPart)
+	kindInstallJobPart // session, job part: replace your state of the job once it is complete
 )
 
 // Handles reports whether a message kind belongs to batch jobs.
-func Handles(k link.Kind) bool { return k >= kindHello && k <= kindLeadStateHeld }
+func Handles(k link.Kind) bool { return k >= kindHello && k <= kindInstallJobPart }
 
 // Reply codes. They are on the wire.
 const (
--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -80,6 +80,46 @@
 	},
 }
 
+// transferMutants concern jobs that are moved in parts. transferTests must detect them.
+var transferMutants = []mutation.Mutant{
+	{
+		Name: "large jobs are sent as a whole",
+		File: "catchup.go",
+		Old:  "	case replica.acceptsParts && !c.fitsWhole(j):\n",
+		New:  "	case replica.acceptsParts && !c.fitsWhole(j) && false:\n",
+	},
+	{
+		Name: "large jobs are fetched as a whole",
+		File: "fetch.go",
+		Old:  "	if j == nil || !at.started && c.fitsWhole(j) {\n",
+		New:  "	if j == nil || !at.started {\n",
+	},
+	{
+		Name: "a job is replaced by its first part",
+		File: "jobpart.go",
+		Old:  "	if !part.last {\n		return nil\n	}\n	if staged.digest() != part.digest {\n",
+		New:  "	if part.last && staged.digest() != part.digest {\n",
+	},
+	{
+		Name: "a job counts as transferred after its first part",
+		File: "catchup.go",
+		Old:  "	if last {\n",
+		New:  "	if last || t.sent.started {\n",
+	},
+	{
+		Name: "a segment is removed with the parts of a staged job in it",
+		File: "space.go",
+		Old:  "if j := p.staged[id]; j.hasBytesIn(oldest) && !c.rewriteInParts(p, j, false) {",
+		New:  "if j := p.staged[id]; false && !c.rewriteInParts(p, j, false) {",
+	},
+	{
+		Name: "what is staged of a job is not rewritten with it",
+		File: "space.go",
+		Old:  "		return staged == nil || c.rewriteInParts(p, staged, false)\n",
+		New:  "		return staged == nil || staged != nil\n",
+	},
+}
+
 // membershipMutants concern stores that stop, retire, become full or restart. membershipTests must
 // detect them.
 var membershipMutants = []mutation.Mutant{
@@ -504,8 +544,8 @@
 	{
 		Name: "a replica takes states of any primary",
 		File: "replication.go",
-		Old:  "	case kindInstallJob, kindStartTerm, kindOperation, kindLeadState:\n",
-		New:  "	case kindLeadState:\n		r.U64()\n		c.holdLeadState(p, term, &r, pipe)\n	case kindInstallJob, kindStartTerm, kindOperation:\n",
+		Old:  "	case kindInstallJob, kindStartTerm, kindOperation, kindLeadState, kindInstallJobPart:\n",
+		New:  "	case kindLeadState:\n		r.U64()\n		c.holdLeadState(p, term, &r, pipe)\n	case kindInstallJob, kindStartTerm, kindOperation, kindInstallJobPart:\n",
 	},
 	{
 		Name: "one replica is enough for a state",
@@ -540,8 +580,8 @@
 	{
 		Name: "the report comes after the promise",
 		File: "takeover.go",
-		Old:  "			_ = pipe.Send(kindLeadReport, c.encodeLeadReport(p))\n			_ = pipe.Send(kindPromise, p.encodePromise())\n",
-		New:  "			_ = pipe.Send(kindPromise, p.encodePromise())\n			_ = pipe.Send(kindLeadReport, c.encodeLeadReport(p))\n",
+		Old:  "			c.send(pipe, kindLeadReport, c.encodeLeadReport(p))\n			c.send(pipe, kindPromise, p.encodePromise())\n",
+		New:  "			c.send(pipe, kindPromise, p.encodePromise())\n			c.send(pipe, kindLeadReport, c.encodeLeadReport(p))\n",
 	},
 	{
 		Name: "a state may have any size",
@@ -558,7 +598,8 @@
 	replicationTests = "TestPromisesHoldWithAFaultAtEachStep|TestUncommittedJob"
 	membershipTests  = "TestDrain|TestStopping|TestRetirement|TestTwoStoresRetire|TestStoreThatLosesItsDisk|TestSegments|" +
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
-	tenantTests = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
+	transferTests = "LargeJob|Parts|TestJobsCompleteWithoutFaults|TestPromisesHoldWithAFaultAtEachStep"
+	tenantTests   = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
 		"TestWhoMayUseAJob|TestIdentityOfItems|TestJobsCompleteWithoutFaults|TestNewestQuota|TestQuotaInForce|TestRouteOfAJob"
 	rerunTests = "TestItemReportedByTwo|TestDroppedItem|TestReportToAnEarlierLead|TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
 		"TestWaitAfterARejection|TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
@@ -572,6 +613,7 @@
 // TestMutantsStand fails unless the text of each mutant occurs exactly once in its file.
 func TestMutantsStand(t *testing.T) {
 	mutation.CheckPresent(t, replicationMutants)
+	mutation.CheckPresent(t, transferMutants)
 	mutation.CheckPresent(t, membershipMutants)
 	mutation.CheckPresent(t, tenantMutants)
 	mutation.CheckPresent(t, rerunMutants)
@@ -593,6 +635,7 @@
 		})
 	}
 	find(replicationMutants, replicationTests)
+	find(transferMutants, transferTests)
 	find(membershipMutants, membershipTests)
 	find(tenantMutants, tenantTests)
 	find(rerunMutants, rerunTests)
--- a/internal/batch/operations.go
+++ b/internal/batch/operations.go
@@ -77,7 +77,9 @@
 			j.ended = true
 		}
 	case opDropJob:
-		c.removeJob(p, r.String())
+		id := r.String()
+		c.discardStaged(p, id)
+		c.removeJob(p, id)
 	}
 	return r.Err
 }
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -7,6 +7,9 @@
 	index int
 	epoch uint64 // in the newest table
 	jobs  map[string]*job
+	// staged has the jobs of which not all parts have arrived (see jobpart.go), by ID. They count for
+	// nothing yet: jobs has what this store knew of them before.
+	staged map[string]*job
 
 	// promisedTerm is the newest term that this store has promised to follow. It rejects all older
 	// ones.
@@ -67,6 +70,7 @@
 		c.partitions = append(c.partitions, &partition{
 			index:                  len(c.partitions),
 			jobs:                   map[string]*job{},
+			staged:                 map[string]*job{},
 			quotaOwnerIncarnations: map[string]uint64{},
 		})
 	}
--- a/internal/batch/primary.go
+++ b/internal/batch/primary.go
@@ -20,6 +20,7 @@
 	progress          map[uint64]*replicaProgress // of the other connected replicas, by identity
 	stateSource       uint64                      // the replica whose state is taken over
 	awaitedJobs       map[string]bool             // jobs that have not yet arrived from it
+	requestedJobs     map[string]bool             // those of them that were requested
 
 	lastSequence   uint64          // of the newest operation
 	startSequence  int64           // the operation up to which the state was taken over
@@ -67,7 +68,9 @@
 	digests           map[string]uint64 // of the jobs that it reported; nil: it has not reported yet
 	position          logPosition       // as it reported
 	outdatedJobs      map[string]bool   // jobs that have to be sent with their results; nil: not known yet
-	transfersInFlight int               // jobs that were sent and are not acknowledged
+	acceptsParts      bool              // it accepts jobs in parts, and sends them so
+	transfer          *jobTransfer      // the job that is being sent in parts; nil: none
+	transfersInFlight []int             // sizes of the messages with jobs that are not acknowledged, oldest first
 	upToDate          bool              // it has been sent everything, so its acknowledgements count
 	acknowledged      int64             // the operation up to which all are durable there; -1: none
 	confirmedAt       int64             // stamp of its newest confirmation
@@ -100,6 +103,7 @@
 	}
 	primary := p.primary
 	p.followedPrimary, p.session = nil, 0
+	c.discardAllStaged(p)
 	primary.beginTerm(term, row)
 	if continues {
 		primary.confirmedAt = c.nowMs - confirmationMs - 1 // unconfirmed, but within workerGraceMs for workers
@@ -206,6 +210,7 @@
 		return
 	}
 	p.primary = nil
+	c.discardAllStaged(p)
 	if primary.serving && primary.leadConfirmedAt != never {
 		p.confirmations.note(primary.term, primary.leadConfirmedAt)
 	}
--- a/internal/batch/proxy.go
+++ b/internal/batch/proxy.go
@@ -183,11 +183,16 @@
 	Unavailable                      // not accepted
 	Unresolved                       // it may have been accepted: the response must promise nothing
 	StoresFull                       // not accepted, and retrying soon is no use: logs are full
+	TooLarge                         // not accepted, and never will be: the encoded job exceeds maxEncodedJobBytes
 )
 
 // Submit submits a job, with retries until the context is cancelled.
 func (p *Proxy) Submit(ctx context.Context, j *Job) SubmitOutcome {
-	reply, mayBeDone := p.call(ctx, j.ID, kindAcceptJob, j.encode())
+	encoded := j.encode()
+	if len(encoded) > maxEncodedJobBytes {
+		return TooLarge
+	}
+	reply, mayBeDone := p.call(ctx, j.ID, kindAcceptJob, encoded)
 	switch code := codeOf(reply); {
 	case code == codeOK:
 		return Accepted
--- a/internal/batch/quota.go
+++ b/internal/batch/quota.go
@@ -105,7 +105,7 @@
 		c.handleQuotaMessage(nil, kind, &r)
 		return
 	}
-	_ = pipe.Send(kind, body)
+	c.send(pipe, kind, body)
 }
 
 // handleQuotaMessage handles a message between a primary and the owner of a quota.
--- a/internal/batch/records.go
+++ b/internal/batch/records.go
@@ -15,6 +15,7 @@
 	recordTermStart                  // term, sequence number
 	recordOperation                  // term, sequence number (0: sent before the start of the term), operation
 	recordJob                        // job with results (see encodeJobWithResults)
+	recordJobPart                    // job part (see jobPart)
 )
 
 // encodeRecord encodes a record, or its beginning.
@@ -55,6 +56,8 @@
 		return c.applyOperation(p, r.Buf, offset+int64(len(record)-len(r.Buf)))
 	case recordJob:
 		return c.replayJobWithResults(p, &r, offset+int64(len(record)))
+	case recordJobPart:
+		return c.replayJobPart(p, &r, offset+int64(len(record)))
 	}
 	return r.Err
 }
@@ -87,7 +90,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	for n := r.Count(9); n > 0; n-- {
+	for n := r.Count(minResult); n > 0; n-- {
 		index, abandoned := int(r.U32()), r.Bool()
 		text := r.Bytes()
 		j.addResult(index, abandoned, text, offset()-int64(len(text)))
@@ -100,37 +103,60 @@
 	return j, ageMs, r.Err
 }
 
+// Sizes of the encoding of a job with its results, in bytes.
+const (
+	perJob    = 64 // fields of the job besides the encoded job, with a margin
+	perResult = 16 // fields of a result besides its text, with a margin
+	minResult = 9  // fields of a result with an empty text
+)
+
 // encodeJobWithResults encodes the ID, the encoded job, the results in order, whether the job has
 // ended, and its age in ms.
 func (c *core) encodeJobWithResults(j *job) ([]byte, error) {
-	const perResult = 16
-	w := link.Writer{Buf: make([]byte, 0, j.logBytes+int64(64+perResult*len(j.results)))}
+	w := link.Writer{Buf: make([]byte, 0, j.encodedSize())}
 	w.String(j.id)
-	encoded, err := c.disk.ReadRaw(j.offset, j.encodedLength)
+	encoded, err := c.readEncodedJob(j)
 	if err != nil {
 		return nil, err
 	}
-	for i := range j.items {
-		if it := &j.items[i]; crc32.Checksum(encoded[it.offset:it.offset+it.length], castagnoli) != it.checksum {
-			return nil, errCorruptRead
-		}
-	}
 	w.Bytes(encoded)
 	w.U32(uint32(len(j.results)))
 	for _, res := range j.results {
-		w.U32(uint32(res.itemIndex))
-		w.Bool(res.abandoned)
-		text, err := c.resultText(res)
-		if err != nil {
+		if err := c.encodeResult(&w, res); err != nil {
 			return nil, err
 		}
-		w.Bytes(text)
 	}
 	w.Bool(j.ended)
 	w.Int(int(c.nowMs - j.knownSinceMs))
 	return w.Buf, nil
 }
 
+// readEncodedJob reads the encoded job from the log and verifies the requests of its items.
+func (c *core) readEncodedJob(j *job) ([]byte, error) {
+	encoded, err := c.disk.ReadRaw(j.offset, j.encodedLength)
+	if err != nil {
+		return nil, err
+	}
+	for i := range j.items {
+		if it := &j.items[i]; crc32.Checksum(encoded[it.offset:it.offset+it.length], castagnoli) != it.checksum {
+			return nil, errCorruptRead
+		}
+	}
+	return encoded, nil
+}
+
+// encodeResult appends a result with its text.
+func (c *core) encodeResult(w *link.Writer, res result) error {
+	text, err := c.resultText(res)
+	if err != nil {
+		return err
+	}
+	w.U32(uint32(res.itemIndex))
+	w.Bool(res.abandoned)
+	w.Bytes(text)
+	return nil
+}
+
 // errCorruptRead reports that bytes read from the log do not match their checksum in memory.
 var errCorruptRead = errors.New("the bytes read from disk do not match their checksum")
 
--- a/internal/batch/replication.go
+++ b/internal/batch/replication.go
@@ -32,7 +32,13 @@
 		if jobID := r.String(); r.Err == nil {
 			c.handleFetchJob(p, term, jobID, pipe)
 		}
-	case kindInstallJob, kindStartTerm, kindOperation, kindLeadState:
+	case kindFetchJobPart:
+		jobID := r.String()
+		at := partPosition{started: r.Bool(), results: int(r.U32())}
+		if r.Err == nil {
+			c.handleFetchJobPart(p, term, jobID, at, pipe)
+		}
+	case kindInstallJob, kindStartTerm, kindOperation, kindLeadState, kindInstallJobPart:
 		session := r.U64()
 		if r.Err != nil || c.rejectStaleTerm(p, term, pipe) {
 			return
@@ -71,9 +77,15 @@
 		c.handleLeadStateHeld(p, r)
 	case kindJobContents:
 		c.handleJobContents(p, r)
+	case kindJobPart:
+		c.handleJobPart(p, r)
+	case kindAcceptsParts:
+		if replica := primary.progressOfSession(r.U64()); replica != nil && r.Err == nil {
+			replica.acceptsParts = true
+		}
 	case kindJobInstalled:
 		if replica := primary.progressOfSession(r.U64()); replica != nil && r.Err == nil {
-			replica.transfersInFlight--
+			replica.transferAcknowledged()
 			c.continueCatchUp(p, replica)
 		}
 	case kindOperationAck:
@@ -110,8 +122,11 @@
 			return
 		}
 		c.appendRecord(append(encodeRecord(recordJob, p.index), r.Buf...))
-		w := encodeTermMessage(0, p.index, term, p.session)
-		_ = pipe.Send(kindJobInstalled, w.Buf)
+		c.acknowledgeTransfer(p, term, pipe)
+	case kindInstallJobPart:
+		if _, ok := c.acceptJobPart(p, r.Buf); ok {
+			c.acknowledgeTransfer(p, term, pipe)
+		}
 	case kindStartTerm:
 		sequence := r.U64()
 		if r.Err != nil {
@@ -141,75 +156,28 @@
 	}
 }
 
+// acknowledgeTransfer acknowledges a message with a job or a part of one.
+func (c *core) acknowledgeTransfer(p *partition, term uint64, pipe Pipe) {
+	w := encodeTermMessage(0, p.index, term, p.session)
+	c.send(pipe, kindJobInstalled, w.Buf)
+}
+
 // acknowledgeAfterSync acknowledges operations to the primary once they are durable here.
 func (c *core) acknowledgeAfterSync(p *partition, term, sequence uint64, pipe Pipe) {
 	acknowledge := func() {
 		w := encodeTermMessage(1, p.index, term, sequence)
 		w.Bool(c.logFull)
-		_ = pipe.Send(kindOperationAck, w.Buf)
+		c.send(pipe, kindOperationAck, w.Buf)
 	}
 	c.afterSync(acknowledge)
 }
 
-// startCatchUp begins to bring a replica that has reported its state up to date with this primary.
-func (c *core) startCatchUp(p *partition, replica *replicaProgress) {
-	if replica.outdatedJobs != nil {
-		return
-	}
-	replica.outdatedJobs = map[string]bool{}
-	for id, j := range p.jobs {
-		if digest, ok := replica.digests[id]; !ok || digest != j.digest() {
-			replica.outdatedJobs[id] = true
-		}
-	}
-	for _, id := range sortedKeys(replica.digests) {
-		if p.jobs[id] == nil {
-			c.sendOperation(p, replica, 0, encodeJobOperation(opDropJob, id))
-		}
-	}
-	replica.digests = map[string]uint64{}
-	c.continueCatchUp(p, replica)
-}
-
-// continueCatchUp sends a replica the next outdated jobs with their results, a few at a time, and
-// the start of the term once it has them all.
-func (c *core) continueCatchUp(p *partition, replica *replicaProgress) {
-	primary := p.primary
-	if replica.upToDate || replica.outdatedJobs == nil {
-		return
-	}
-	for len(replica.outdatedJobs) > 0 && replica.transfersInFlight < maxJobTransfers {
-		id := sortedKeys(replica.outdatedJobs)[0]
-		delete(replica.outdatedJobs, id)
-		j := p.jobs[id]
-		if j == nil {
-			c.sendOperation(p, replica, 0, encodeJobOperation(opDropJob, id))
-			continue
-		}
-		encoded, err := c.encodeJobWithResults(j)
-		if err != nil {
-			c.failDisk(err)
-			return
-		}
-		w := encodeTermMessage(len(encoded), p.index, primary.term, replica.session)
-		w.Buf = append(w.Buf, encoded...)
-		replica.transfersInFlight++
-		_ = replica.pipe.Send(kindInstallJob, w.Buf)
-	}
-	if len(replica.outdatedJobs) > 0 || replica.transfersInFlight > 0 {
-		return
-	}
-	w := encodeTermMessage(0, p.index, primary.term, replica.session, primary.lastSequence)
-	replica.upToDate = true
-	_ = replica.pipe.Send(kindStartTerm, w.Buf)
-}
-
 // sendOperation sends a replica an operation. The sequence number is 0 for an operation that is
 // sent before the start of the term and included in it.
 func (c *core) sendOperation(p *partition, replica *replicaProgress, sequence uint64, operation []byte) {
 	w := encodeTermMessage(len(operation), p.index, p.primary.term, replica.session, sequence)
 	w.Buf = append(w.Buf, operation...)
-	_ = replica.pipe.Send(kindOperation, w.Buf)
+	c.send(replica.pipe, kindOperation, w.Buf)
 }
 
 // replicate orders an operation: it assigns the next sequence number, appends the operation to the
--- a/internal/batch/rig_test.go
+++ b/internal/batch/rig_test.go
@@ -62,12 +62,20 @@
 	rig     *storeRig
 	peer    *rigPipe
 	receive rigReceiver
+	closed  bool
 }
 
 // rigReceiver handles a message at one side of a connection.
 type rigReceiver func(side *rigPipe, kind link.Kind, body []byte)
 
+// Send refuses long messages, as a link does.
 func (p *rigPipe) Send(kind link.Kind, body []byte) error {
+	if len(body) > link.MaxBody {
+		return link.ErrTooLong
+	}
+	if p.closed {
+		return link.ErrClosed
+	}
 	p.rig.queue = append(p.rig.queue, func() { p.peer.receive(p.peer, kind, body) })
 	return nil
 }
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -44,7 +44,10 @@
 	tableFrozen      bool           // keepers have no majority: the table can't change
 	resultsRead      int
 	startedProcesses uint64
-	drainedStores    int // stores that stopped after others had taken over the lead of their partitions
+	transfers        transferLimits // of the stores
+	maxBody          int            // maximum size of a message that transfers a job, in bytes; as of a link, but small
+	partsInstalled   int            // parts of jobs that arrived
+	drainedStores    int            // stores that stopped after others had taken over the lead of their partitions
 	connections      []*simPipe
 }
 
@@ -239,6 +242,9 @@
 	if !p.open {
 		return errors.New("closed")
 	}
+	if err := p.simulation.checkLength(kind, body); err != nil {
+		return err
+	}
 	body = slices.Clone(body)
 	at := max(p.lastArrival, p.simulation.now+int64(p.simulation.delay()*10))
 	if p.simulation.slowLinks != nil && p.simulation.slowLinks(p.from, p.to) {
@@ -259,6 +265,21 @@
 	return sim.cutLinks != nil && (sim.cutLinks(a, b) || sim.cutLinks(b, a))
 }
 
+// checkLength refuses messages that transfer jobs and are too long.
+func (sim *simulation) checkLength(kind link.Kind, body []byte) error {
+	switch kind {
+	case kindJobPart, kindInstallJobPart:
+		sim.partsInstalled++
+	case kindJobContents, kindInstallJob:
+	default:
+		return nil
+	}
+	if len(body) > sim.maxBody {
+		return link.ErrTooLong
+	}
+	return nil
+}
+
 // end closes both sides: this one at once, and the other one after ms.
 func (p *simPipe) end(ms float64) {
 	if !p.open {
@@ -290,6 +311,11 @@
 		maxQueuedTokens: 100,
 	}
 	sim.config = bulkConfig(100)
+	sim.transfers, sim.maxBody = defaultTransferLimits, link.MaxBody
+	if seed%2 == 1 { // jobs soon exceed what a message can have
+		sim.transfers = transferLimits{wholeJobBytes: 300, partBytes: 150, inFlightBytes: 400, messages: 2}
+		sim.maxBody = 700
+	}
 	for i := range n {
 		s := &simStore{simulation: sim, name: fmt.Sprintf("s%d", i), zone: fmt.Sprintf("z%d", i%3), disk: &simDisk{}}
 		sim.stores = append(sim.stores, s)
@@ -362,7 +388,7 @@
 	c.nowMs = sim.nowMs() + 1
 	sim.startedProcesses++
 	c.process, c.startedMs = sim.startedProcesses, c.nowMs
-	c.maxLostReplicas, c.zone = sim.maxLost, s.zone
+	c.maxLostReplicas, c.zone, c.transfers = sim.maxLost, s.zone, sim.transfers
 	c.retentionMs, c.fixedSegmentBytes = 1<<40, 1500
 	if sim.trace != nil {
 		c.logf = func(f string, a ...any) { sim.logf(s.name+": "+f, a...) }
--- a/internal/batch/space.go
+++ b/internal/batch/space.go
@@ -97,6 +97,11 @@
 				return
 			}
 		}
+		for _, id := range sortedKeys(p.staged) {
+			if j := p.staged[id]; j.hasBytesIn(oldest) && !c.rewriteInParts(p, j, false) {
+				return
+			}
+		}
 		if p.position.term > 0 {
 			c.appendRecord(encodeRecord(recordTermStart, p.index, p.position.term, p.position.sequence))
 		}
@@ -131,6 +136,14 @@
 // rewriteJob appends a job with its results, which makes its earlier records garbage. It returns
 // false if the disk has failed.
 func (c *core) rewriteJob(p *partition, j *job) bool {
+	if !c.fitsWhole(j) {
+		if !c.rewriteInParts(p, j, true) {
+			return false
+		}
+		// The rewritten parts replace what was staged of the job before them in the log.
+		staged := p.staged[j.id]
+		return staged == nil || c.rewriteInParts(p, staged, false)
+	}
 	encoded, err := c.encodeJobWithResults(j)
 	if err != nil {
 		c.failDisk(err)
--- a/internal/batch/successor.go
+++ b/internal/batch/successor.go
@@ -322,7 +322,7 @@
 func (c *core) sendLeadState(p *partition, replica *replicaProgress) {
 	w := encodeTermMessage(p.heldState.encodedLength(), p.index, p.primary.term, replica.session)
 	p.heldState.appendTo(&w)
-	_ = replica.pipe.Send(kindLeadState, w.Buf)
+	c.send(replica.pipe, kindLeadState, w.Buf)
 }
 
 // resendLeadState sends the newest state of this lead, if it has one, to a replica that has just promised to follow it.
@@ -343,7 +343,7 @@
 		p.heldState = s
 	}
 	w := encodeTermMessage(0, p.index, term, p.session, s.sequence)
-	_ = pipe.Send(kindLeadStateHeld, w.Buf)
+	c.send(pipe, kindLeadStateHeld, w.Buf)
 }
 
 // handleLeadStateHeld handles a replica's acknowledgement of a state.
--- a/internal/batch/successor_test.go
+++ b/internal/batch/successor_test.go
@@ -437,7 +437,7 @@
 	p.followedPrimary = pipe
 	for _, to := range []*core{primary, c} {
 		before := stateOf(to, to.partition(p.index))
-		to.handleMessage(pipe, nil, kindLeadStateHeld+1, leadStateOf(p.index, p.promisedTerm, p.session, 1))
+		to.handleMessage(pipe, nil, kindInstallJobPart+1, leadStateOf(p.index, p.promisedTerm, p.session, 1))
 		if after := stateOf(to, to.partition(p.index)); after != before || len(pipe.kinds) > 0 {
 			t.Errorf("%+v became %+v, answered with %v", before, after, pipe.kinds)
 		}
--- a/internal/batch/takeover.go
+++ b/internal/batch/takeover.go
@@ -20,7 +20,7 @@
 		confirmedAt:  never,
 	}
 	w := encodeTermMessage(0, p.index, p.primary.term, c.lastSession)
-	_ = pipe.Send(kindPrepare, w.Buf)
+	c.send(pipe, kindPrepare, w.Buf)
 }
 
 // handlePrepare promises to follow a term and reports the state of this store, once the promise is
@@ -36,10 +36,12 @@
 		c.appendRecord(encodeRecord(recordPromise, p.index, term))
 	}
 	p.session, p.followedPrimary = session, pipe
+	c.discardAllStaged(p)
 	c.afterSync(func() {
 		if p.session == session && p.followedPrimary == pipe && p.promisedTerm == term {
-			_ = pipe.Send(kindLeadReport, c.encodeLeadReport(p))
-			_ = pipe.Send(kindPromise, p.encodePromise())
+			c.send(pipe, kindAcceptsParts, encodeTermMessage(0, p.index, term, session).Buf)
+			c.send(pipe, kindLeadReport, c.encodeLeadReport(p))
+			c.send(pipe, kindPromise, p.encodePromise())
 		}
 	})
 }
@@ -83,47 +85,6 @@
 	}
 }
 
-// handleFetchJob sends a job with its results to the new primary that this replica follows.
-func (c *core) handleFetchJob(p *partition, term uint64, jobID string, pipe Pipe) {
-	if term != p.promisedTerm {
-		c.rejectStaleTerm(p, term, pipe)
-		return
-	}
-	var encoded []byte
-	j := p.jobs[jobID]
-	if j != nil {
-		var err error
-		if encoded, err = c.encodeJobWithResults(j); err != nil {
-			c.log("reading job %s from the log: %v", jobID, err)
-			return
-		}
-	}
-	w := encodeTermMessage(5+len(jobID)+len(encoded), p.index, term)
-	w.String(jobID)
-	w.Bool(j != nil)
-	w.Buf = append(w.Buf, encoded...)
-	_ = pipe.Send(kindJobContents, w.Buf)
-}
-
-// handleJobContents handles a job from the most complete replica.
-func (c *core) handleJobContents(p *partition, r *link.Reader) {
-	primary := p.primary
-	jobID, found := r.String(), r.Bool()
-	if primary.stage != stageFetching || !primary.awaitedJobs[jobID] || r.Err != nil {
-		return
-	}
-	if !found { // can't happen: it reported the job, and doesn't drop it while it follows this term
-		return
-	}
-	if err := validateJobWithResults(r.Buf); err != nil {
-		c.log("partition %d: job %s from a replica can't be decoded: %v", p.index, jobID, err)
-		return
-	}
-	delete(primary.awaitedJobs, jobID)
-	c.appendRecord(append(encodeRecord(recordJob, p.index), r.Buf...))
-	c.finishFetching(p)
-}
-
 // chooseStateSource chooses the replica with the highest position once enough have promised, and
 // fetches the jobs that differ.
 func (c *core) chooseStateSource(p *partition) {
@@ -157,34 +118,6 @@
 	c.fetchState(p, primary.progress[best])
 }
 
-// fetchState drops the jobs that the most complete replica does not have, and fetches those that
-// differ.
-func (c *core) fetchState(p *partition, replica *replicaProgress) {
-	primary := p.primary
-	primary.stage = stageFetching
-	for _, id := range sortedKeys(p.jobs) {
-		if _, ok := replica.digests[id]; !ok {
-			drop := encodeJobOperation(opDropJob, id)
-			c.appendRecord(append(encodeRecord(recordOperation, p.index, primary.term, 0), drop...))
-		}
-	}
-	for _, id := range sortedKeys(replica.digests) {
-		if j := p.jobs[id]; j == nil || j.digest() != replica.digests[id] {
-			primary.awaitedJobs[id] = true
-			w := encodeTermMessage(4+len(id), p.index, primary.term)
-			w.String(id)
-			_ = replica.pipe.Send(kindFetchJob, w.Buf)
-		}
-	}
-	c.finishFetching(p)
-}
-
-func (c *core) finishFetching(p *partition) {
-	if primary := p.primary; len(primary.awaitedJobs) == 0 {
-		c.adoptState(p, primary.progress[primary.stateSource].position.sequence)
-	}
-}
-
 // adoptState starts the term with the current state of this store, and brings the replicas up to
 // date.
 func (c *core) adoptState(p *partition, sequence uint64) {
--- a/internal/batch/workers.go
+++ b/internal/batch/workers.go
@@ -162,7 +162,7 @@
 	for _, key := range report.items {
 		c.adoptItem(p, w, key)
 	}
-	_ = w.pipe.Send(kindRunningNoted, encodeRunningNoted(p.index, report.epoch))
+	c.send(w.pipe, kindRunningNoted, encodeRunningNoted(p.index, report.epoch))
 	c.advanceCommit(p)
 }
 
@@ -250,6 +250,9 @@
 		c.advanceCommit(p)
 		return
 	}
+	if len(text) > maxResultBytes { // from a worker of a version without that bound
+		abandoned, text = true, nil
+	}
 	running := j.items[key.index].worker
 	c.addResult(p, j, key.index, abandoned, text, func(ok bool) {
 		delete(w.assigned, key)
--- a/internal/platform/link/conn.go
+++ b/internal/platform/link/conn.go
@@ -112,8 +112,8 @@
 	})
 }
 
-// Send sends a one-way message without blocking on the network. An error means that the body is too long, or that the
-// connection has ended; without an error, the message may still be lost with the connection.
+// Send sends a one-way message without blocking on the network. The error is ErrTooLong if the body is too long; any other one
+// means that the connection has ended; without an error, the message may still be lost with the connection.
 func (c *Conn) Send(kind Kind, body []byte) error { return c.write(kind, 0, body) }
 
 // Go sends a call and returns a channel on which its outcome arrives, once, like the Go method of net/rpc.
@@ -138,8 +138,8 @@
 // startCall sends a call. It returns the channel for its reply and its number, which is 0 if it was not sent.
 func (c *Conn) startCall(kind Kind, body []byte) (<-chan Reply, uint32) {
 	pending := make(chan Reply, 1) // buffered, so that an abandoned reply doesn't block the reader
-	if len(body) > maxBody {
-		pending <- Reply{Err: errFrameTooLong}
+	if len(body) > MaxBody {
+		pending <- Reply{Err: ErrTooLong}
 		return pending, 0
 	}
 	number, open := c.addCall(pending)
@@ -190,8 +190,8 @@
 
 // write queues a frame for the writing goroutine. It ends the connection if more than maxQueued bytes are queued.
 func (c *Conn) write(kind Kind, call uint32, body []byte) error {
-	if len(body) > maxBody {
-		return errFrameTooLong
+	if len(body) > MaxBody {
+		return ErrTooLong
 	}
 	c.mu.Lock()
 	if c.err != nil {
--- a/internal/platform/link/frame.go
+++ b/internal/platform/link/frame.go
@@ -27,13 +27,15 @@
 	headerSize    = lengthSize + frameOverhead
 	// maxFrame is the maximum size of a frame, in bytes.
 	maxFrame = 16 << 20
-	maxBody  = maxFrame - headerSize
+	// MaxBody is the maximum size of the body of a message, a call or a reply, in bytes.
+	MaxBody = maxFrame - headerSize
 	// initialBody limits the memory that is allocated for a body before its bytes have arrived.
 	initialBody = 256 << 10
 	readBuffer  = 4 << 10
 )
 
-var errFrameTooLong = errors.New("frame length out of bounds")
+// ErrTooLong is returned for a message with a body of more than MaxBody bytes, of which nothing was sent.
+var ErrTooLong = errors.New("frame length out of bounds")
 
 // appendFrame appends the encoding of a frame.
 func appendFrame(b []byte, kind Kind, call uint32, body []byte) []byte {
@@ -60,14 +62,14 @@
 	return &frameReader{source: bufio.NewReaderSize(source, readBuffer)}
 }
 
-// next reads a frame. It fails with errFrameTooLong if the length is out of bounds.
+// next reads a frame. It fails with ErrTooLong if the length is out of bounds.
 func (r *frameReader) next() (frame, error) {
 	if _, err := io.ReadFull(r.source, r.header[:]); err != nil {
 		return frame{}, err
 	}
 	size := int(binary.BigEndian.Uint32(r.header[:])) - frameOverhead
-	if size < 0 || size > maxBody {
-		return frame{}, errFrameTooLong
+	if size < 0 || size > MaxBody {
+		return frame{}, ErrTooLong
 	}
 	f := frame{
 		kind: Kind(r.header[lengthSize]),
--- a/internal/platform/link/link_test.go
+++ b/internal/platform/link/link_test.go
@@ -132,10 +132,10 @@
 		t.Run(tr.name, func(t *testing.T) {
 			a, _, _, bSide := startPair(t, tr, noProbes)
 			long := make([]byte, maxFrame)
-			if err := a.Send(7, long); !errors.Is(err, errFrameTooLong) {
+			if err := a.Send(7, long); !errors.Is(err, ErrTooLong) {
 				t.Fatal(err)
 			}
-			if r := get(t, a.Go(7, long), "the refusal"); !errors.Is(r.Err, errFrameTooLong) {
+			if r := get(t, a.Go(7, long), "the refusal"); !errors.Is(r.Err, ErrTooLong) {
 				t.Fatal(r.Err)
 			}
 			ch := a.Go(7, nil)
@@ -144,10 +144,10 @@
 			if r := get(t, ch, "the refusal of the reply"); !errors.As(r.Err, &refusal) {
 				t.Fatal(r.Err)
 			}
-			if err := a.Send(7, make([]byte, maxBody)); err != nil {
+			if err := a.Send(7, make([]byte, MaxBody)); err != nil {
 				t.Fatal(err)
 			}
-			if m := get(t, bSide.messages, "the longest frame"); len(m.Body) != maxBody {
+			if m := get(t, bSide.messages, "the longest frame"); len(m.Body) != MaxBody {
 				t.Fatal(len(m.Body))
 			}
 		})
@@ -165,7 +165,7 @@
 			_, _ = raw.Write(binary.BigEndian.AppendUint32(nil, maxFrame+1))
 			_, _ = raw.Write([]byte{7, 0, 0, 0, 0})
 			get(t, bSide.closed, "the end")
-			if !errors.Is(b.err, errFrameTooLong) {
+			if !errors.Is(b.err, ErrTooLong) {
 				t.Fatal(b.err)
 			}
 		})
@@ -341,7 +341,7 @@
 	first := map[uint32]Reply{}
 	for len(b) >= headerSize {
 		n := binary.BigEndian.Uint32(b)
-		if n < 5 || n-5 > maxBody || uint64(len(b)) < uint64(n)+4 {
+		if n < 5 || n-5 > MaxBody || uint64(len(b)) < uint64(n)+4 {
 			break
 		}
 		kind, call, body := Kind(b[4]), binary.BigEndian.Uint32(b[5:]), b[headerSize:n+4]
--- a/internal/platform/link/message.go
+++ b/internal/platform/link/message.go
@@ -29,7 +29,7 @@
 		return
 	}
 	// Any other error means that the connection has ended, and the call with it.
-	if err := m.Conn.write(kindReply, m.call, body); errors.Is(err, errFrameTooLong) {
+	if err := m.Conn.write(kindReply, m.call, body); errors.Is(err, ErrTooLong) {
 		m.Fail("the reply is %d bytes long: ask for less", len(body))
 	}
 }
--- a/internal/platform/link/mutants_test.go
+++ b/internal/platform/link/mutants_test.go
@@ -48,7 +48,7 @@
 	{
 		Name: "a frame that is too long is read",
 		File: "frame.go",
-		Old:  "if size < 0 || size > maxBody {",
+		Old:  "if size < 0 || size > MaxBody {",
 		New:  "if size < 0 {",
 	},
 }
