Dispatch: a bulk request does not wait for endpoints that it avoids

Cause: an item avoids each endpoint that it was sent to until its run ends, also one that was full for a moment. With fewer endpoints than tries + 3 it avoids all; an interactive request is refused then, a bulk one waited, and nothing ends that wait.

Change: a bulk request that only avoided endpoints could take is refused, when it comes and while it waits.

--- a/internal/proxy/dispatch/admission.go
+++ b/internal/proxy/dispatch/admission.go
@@ -28,13 +28,20 @@
 	c.enqueue(p, w)
 }
 
+// noneEligible is the reason of a refusal because a request must avoid all endpoints that are ready.
+const noneEligible = "no eligible endpoint is left"
+
 // refusalReason returns why a request that must wait is refused at once, or "" if it may wait.
 func (c *core) refusalReason(p *pool, w *waiter) string {
-	if !w.request.Bulk {
+	if w.request.Bulk {
+		if p.onlyAvoidedLeft(w) {
+			return noneEligible
+		}
+	} else {
 		// A certificate may become valid while the request waits, but an endpoint that it must
 		// avoid stays excluded.
 		if w.request.Regime == "" && p.hasReadyEndpoint() && !p.hasEligibleEndpoint(w) {
-			return "no eligible endpoint is left"
+			return noneEligible
 		}
 		wait := c.expectedWait(p, w)
 		if c.now+wait >= w.refuseAt && p.hasReadyEndpoint() || c.now >= w.refuseAt {
--- a/internal/proxy/dispatch/capacity.go
+++ b/internal/proxy/dispatch/capacity.go
@@ -27,9 +27,17 @@
 
 // eligible reports whether a request may go to an endpoint, whatever its load.
 func (e *endpoint) eligible(w *waiter) bool {
-	if !e.ready() || slices.Contains(w.request.Avoid, e.target.ID) || !w.mayChoose(e.target.ID) {
+	if !e.ready() || w.avoids(e) || !w.mayChoose(e.target.ID) {
 		return false
 	}
+	return e.serves(w)
+}
+
+// avoids reports whether a request must not be sent to an endpoint.
+func (w *waiter) avoids(e *endpoint) bool { return slices.Contains(w.request.Avoid, e.target.ID) }
+
+// serves reports whether an endpoint has the model of a request.
+func (e *endpoint) serves(w *waiter) bool {
 	return w.request.Model == "" || len(e.models) == 0 ||
 		slices.ContainsFunc(e.models, func(m snapshot.Model) bool { return m.Name == w.request.Model })
 }
--- a/internal/proxy/dispatch/queue.go
+++ b/internal/proxy/dispatch/queue.go
@@ -131,6 +131,11 @@
 			decided = true
 			continue
 		}
+		if w.request.Bulk && p.onlyAvoidedLeft(w) {
+			c.refuse(p, w, noneEligible)
+			decided = true
+			continue
+		}
 		failures := failedPlacementsOf(&failed, w.request)
 		if *failures >= maxFailedPlacements || w.request.Bulk && interactiveBlocked(failed, w.request) && !c.nearDue(w) {
 			continue
--- a/internal/proxy/forward/mutants_test.go
+++ b/internal/proxy/forward/mutants_test.go
@@ -50,8 +50,8 @@
 	{
 		Name: "uncertified endpoints are chosen",
 		File: "../dispatch/capacity.go",
-		Old:  "slices.Contains(w.request.Avoid, e.target.ID) || !w.mayChoose(e.target.ID) {",
-		New:  "slices.Contains(w.request.Avoid, e.target.ID) {",
+		Old:  "	if !e.ready() || w.avoids(e) || !w.mayChoose(e.target.ID) {",
+		New:  "	if !e.ready() || w.avoids(e) {",
 	},
 	{
 		Name: "a broken run counts as not written",
