Batch: the route of a job is the one in force for its host and path

Cause: the worker found the route of an item by its name alone, the store by its name first.

Evidence: on the sources before, TestRouteOfAJobIsThatOfItsHostAndPath (the part of the store) fails for a name on another host, on another path and for a path that was taken over, and TestItemOfARemovedRouteIsNotRun runs the item.

Change: Config.MatchBulk decides for store, worker and intake. A store states the path of the job's route to the worker, in a trailing field that versions before ignore; the golden file without it stays and is read. TestRouteOfAJobIsFoundByItsNameFirst asserted the name for the store's every use; accounts of quotas have the route's name and keep that choice, with that test (now TestRouteOfAnAccountIsFoundByItsNameFirst).

--- a/cmd/dunetide/forwardrunner.go
+++ b/cmd/dunetide/forwardrunner.go
@@ -28,7 +28,7 @@
 	if p == nil || snap == nil || snap.Config == nil {
 		return notStarted()
 	}
-	route := routeByName(snap.Config, it.Route)
+	route := it.RouteIn(snap.Config)
 	if route == nil {
 		return notStarted() // a newer configuration may have it, or the job ends
 	}
@@ -69,13 +69,3 @@
 func notStarted() batch.RunResult {
 	return batch.RunResult{End: batch.RunNotStarted, RetryAfter: itemRetryAfter}
 }
-
-// routeByName returns a route of a configuration; nil if none has that name.
-func routeByName(config *operatorconfig.Config, name string) *operatorconfig.Route {
-	for i := range config.Routes {
-		if config.Routes[i].Name == name {
-			return &config.Routes[i]
-		}
-	}
-	return nil
-}
--- a/cmd/dunetide/forwardrunner_test.go
+++ b/cmd/dunetide/forwardrunner_test.go
@@ -7,8 +7,27 @@
 
 	"dunetide/internal/batch"
 	"dunetide/internal/control/operatorconfig"
+	"dunetide/internal/control/snapshot"
+	"dunetide/internal/proxy/forward"
 )
 
+// TestItemOfARemovedRouteIsNotRun guards against items that run at the service of another route which has got the name
+// of theirs.
+func TestItemOfARemovedRouteIsNotRun(t *testing.T) {
+	config := &operatorconfig.Config{Version: 2, Routes: []operatorconfig.Route{{
+		Name: "b", Host: "other.example", PathPrefix: "/b/", Kind: operatorconfig.Bulk,
+		Shares: []operatorconfig.Share{{Service: "other", Weight: 1}},
+	}}}
+	holder := &snapshot.Latest{}
+	holder.Set(&snapshot.Snapshot{Config: config})
+	runner := &forwardRunner{snapshots: holder}
+	runner.proxy.Store(&forward.Proxy{}) // it is not asked
+	item := &batch.Item{ID: "item", Host: "h.example", Path: "/b/1", PathPrefix: "/b/"}
+	if result := runner.Run(t.Context(), item, "", nil); result.End != batch.RunNotStarted {
+		t.Errorf("the run ended with %+v", result)
+	}
+}
+
 // TestItemsKeepTheirHooks guards against a job that isn't asked whether its item may be sent, and against one that isn't told
 // that an endpoint has rejected the item: it would take the wait for the next endpoint for the silence of one.
 func TestItemsKeepTheirHooks(t *testing.T) {
--- a/internal/batch/assignment.go
+++ b/internal/batch/assignment.go
@@ -12,7 +12,7 @@
 	epoch       uint64
 	dueMs       int64 // time of day at which the result is due, for workers of versions without remainingMs
 	maxAttempts int
-	route       string
+	route       string // name, for workers of versions that find the route by it
 	host        string
 	itemID      string
 	tokens      int64
@@ -22,6 +22,8 @@
 	remainingMs int64
 	// hasRemaining is false in messages of versions without remainingMs.
 	hasRemaining bool
+	// pathPrefix is that of the route by which the job was submitted; empty in messages of versions that don't state it.
+	pathPrefix string
 }
 
 func (m *assignMessage) encode() []byte {
@@ -38,6 +40,9 @@
 	w.Int(int(m.tokens))
 	w.Bytes(m.request)
 	w.Int(int(m.remainingMs))
+	if m.pathPrefix != "" {
+		w.String(m.pathPrefix)
+	}
 	return w.Buf
 }
 
@@ -58,6 +63,9 @@
 	if m.hasRemaining = len(r.Buf) > 0; m.hasRemaining {
 		m.remainingMs = int64(r.Int())
 	}
+	if len(r.Buf) > 0 {
+		m.pathPrefix = r.String()
+	}
 	return m, r.Err
 }
 
@@ -74,12 +82,13 @@
 	return &Item{
 		Job:     m.item.jobID,
 		ID:      m.itemID,
-		Route:   m.route,
 		Host:    m.host,
 		Path:    path,
 		Headers: headers,
 		Body:    body,
 		Tokens:  m.tokens,
 		Due:     due,
+
+		PathPrefix: m.pathPrefix,
 	}, nil
 }
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -142,6 +142,7 @@
 		tokens:      it.tokens,
 		request:     request,
 		remainingMs: j.dueAt() - c.nowMs,
+		pathPrefix:  j.pathPrefix,
 	}
 	c.send(w.pipe, kindAssignItem, message.encode())
 }
--- a/internal/batch/expiry.go
+++ b/internal/batch/expiry.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// routeRemoved reports whether the configuration no longer has the route by which a job was
-// submitted.
+// routeRemoved reports whether the configuration no longer has a bulk route for a job.
 func (c *core) routeRemoved(j *job) bool {
 	if c.config == nil || c.config.Version < j.configVersion {
 		return false
@@ -63,18 +62,6 @@
 	return c.routeOf(j) == nil
 }
 
-// routeOf returns the bulk route of a job in the configuration of this store; nil if it has none. A route that was renamed
-// has the same host and path.
-func (c *core) routeOf(j *job) (renamed *operatorconfig.Route) {
-	for i := range c.config.Routes {
-		route := &c.config.Routes[i]
-		switch {
-		case route.Kind != operatorconfig.Bulk:
-		case route.Name == j.route:
-			return route
-		case route.Host == j.host && route.PathPrefix == j.pathPrefix:
-			renamed = route
-		}
-	}
-	return renamed
-}
+// routeOf returns the route of a job in the configuration of this store; nil if it has none. Workers
+// ask the same of theirs (Item.RouteIn).
+func (c *core) routeOf(j *job) *operatorconfig.Route { return c.config.MatchBulk(j.host, j.pathPrefix) }
--- a/internal/batch/golden_test.go
+++ b/internal/batch/golden_test.go
@@ -685,12 +685,12 @@
 	wantValue(t, "worker-attach", []any{w.name, w.zone, w.limit}, []any{"proxy-7", "zone-b", 9})
 
 	// The store assigns it an item.
-	body = toWorker.next(t, kindAssignItem, "worker-give.bin")
+	body = toWorker.next(t, kindAssignItem, "worker-give-path.bin")
 	given, err := decodeAssignMessage(body)
 	if err != nil {
 		t.Fatal(err)
 	}
-	wantValue(t, "worker-give", given, assignMessage{
+	wantValue(t, "worker-give-path", given, assignMessage{
 		item:         itemKey{p.index, goldenJobID, 0},
 		epoch:        2,
 		dueMs:        1_700_000_000_101 + 60_102,
@@ -702,8 +702,15 @@
 		request:      encodeRequest("/bulk/a", goldenJob().Items[0].Headers, []byte("body of a")),
 		remainingMs:  60_102,
 		hasRemaining: true,
+		pathPrefix:   "/bulk/",
 	})
-	golden(t, "worker-give.bin", given.encode())
+	golden(t, "worker-give-path.bin", given.encode())
+	withoutPath := given
+	withoutPath.pathPrefix = "" // as of versions that don't state it
+	body = golden(t, "worker-give.bin", withoutPath.encode())
+	if older, err := decodeAssignMessage(body); err != nil || !reflect.DeepEqual(older, withoutPath) {
+		t.Errorf("worker-give: read as %+v, %v", older, err)
+	}
 	item, err := given.toItem(time.UnixMilli(5000))
 	if err != nil {
 		t.Fatal(err)
@@ -711,13 +718,14 @@
 	wantValue(t, "worker-give", item, &Item{
 		Job:     goldenJobID,
 		ID:      "item-a",
-		Route:   "nightly",
 		Host:    "batch.example",
 		Path:    "/bulk/a",
 		Headers: goldenJob().Items[0].Headers,
 		Body:    []byte("body of a"),
-		Tokens:  207,
-		Due:     time.UnixMilli(65_102),
+
+		PathPrefix: "/bulk/",
+		Tokens:     207,
+		Due:        time.UnixMilli(65_102),
 	})
 	side.handleMessage(&link.Message{Conn: l.conn, Kind: kindAssignItem, Body: body})
 	if side.runningCount() != 1 {
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -66,33 +65,6 @@
 	responseStoresFull = Response{Status: http.StatusServiceUnavailable, RetryAfter: "2"}
 )
 
-// bulkRoute returns the bulk route for a path under a host; nil if there is none. The longest
-// prefix wins.
-func bulkRoute(c *operatorconfig.Config, host, path string) *operatorconfig.Route {
-	var best *operatorconfig.Route
-	for i := range c.Routes {
-		route := &c.Routes[i]
-		if route.Host != host || !strings.HasPrefix(path, route.PathPrefix) {
-			continue
-		}
-		if best == nil || len(route.PathPrefix) > len(best.PathPrefix) {
-			best = route
-		}
-	}
-	if best != nil && best.Kind == operatorconfig.Bulk {
-		return best
-	}
-	return nil
-}
-
-// hostOnly returns a host without its port, in lower case.
-func hostOnly(host string) string {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	return strings.ToLower(host)
-}
-
 // TimeLeft returns the time that a client states it will still wait, or 0 if it states none.
 func TimeLeft(header func(name string) string) time.Duration {
 	if ms, err := strconv.Atoi(header(headerTimeLeft)); err == nil && ms > 0 {
@@ -200,7 +172,7 @@
 func (p *Proxy) serveSubmit(
 	ctx context.Context, call *Call, by Principal, config *operatorconfig.Config,
 ) Response {
-	route := bulkRoute(config, hostOnly(call.Host), call.Path)
+	route := config.MatchBulk(call.Host, call.Path)
 	if route == nil {
 		return Response{Status: http.StatusNotFound}
 	}
--- a/internal/batch/itemrunner.go
+++ b/internal/batch/itemrunner.go
@@ -2,24 +2,27 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
+	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/control/snapshot"
 	"dunetide/internal/platform/link"
 )
 
 // Item is an item of a job for a worker to run.
 type Item struct {
-	Job     string // ID
-	ID      string
-	Route   string // name
-	Host    string // of the route
-	Path    string
-	Headers [][2]string // name and value
-	Body    []byte
-	Tokens  int64
-	Due     time.Time // when the result is due
+	Job  string // ID
+	ID   string
+	Host string // of the job's route
+	Path string
+	// PathPrefix is that of the route by which the job was submitted; empty: its store is of a version that doesn't state it.
+	PathPrefix string
+	Headers    [][2]string // name and value
+	Body       []byte
+	Tokens     int64
+	Due        time.Time // when the result is due
 	// MayStart must be called immediately before the item is sent to an endpoint. If it returns
 	// false, the job may have ended, or this proxy has lost contact with the store; Run returns
 	// RunNotStarted then.
@@ -28,6 +31,16 @@
 	Rejected func()
 }
 
+// RouteIn returns the route by which the item may be run: that of its job in a configuration, or nil. If the job's path
+// is not known, the item's own one decides, as for other requests.
+func (i *Item) RouteIn(config *operatorconfig.Config) *operatorconfig.Route {
+	if i.PathPrefix != "" {
+		return config.MatchBulk(i.Host, i.PathPrefix)
+	}
+	path, _, _ := strings.Cut(i.Path, "?")
+	return config.MatchBulk(i.Host, path)
+}
+
 // Runner runs items. Run sends the item to an endpoint, with Last-Event-Id if that is not empty,
 // calls event for each event as it arrives, and returns how the run ended. Run stops when the
 // context is cancelled.
--- a/internal/batch/mutants_test.go
+++ b/internal/batch/mutants_test.go
@@ -273,9 +273,9 @@
 	},
 	{
 		Name: "the quota of a route that took over the path counts",
-		File: "expiry.go",
-		Old:  "			renamed = route\n",
-		New:  "			return route\n",
+		File: "quota.go",
+		Old:  "		if route.Kind == operatorconfig.Bulk && route.Name == j.route {\n",
+		New:  "		if route.Kind == operatorconfig.Bulk && route.PathPrefix == j.pathPrefix {\n",
 	},
 	{
 		Name: "no quota stands for none that was introduced",
@@ -600,7 +600,7 @@
 		"TestDamagedSegments|TestStoreDoesNotStart|TestFull|TestJobIsRefusedWhile|TestClientsOfFull|TestPositionsAndPromises"
 	transferTests = "LargeJob|Parts|TestJobsCompleteWithoutFaults|TestPromisesHoldWithAFaultAtEachStep"
 	tenantTests   = "TestJobsBelongToTheirTenant|TestWaitingTokensAreCountedForEachTenant|TestItemsCarryTheTenantAndNoKey|" +
-		"TestWhoMayUseAJob|TestIdentityOfItems|TestJobsCompleteWithoutFaults|TestNewestQuota|TestQuotaInForce|TestRouteOfAJob"
+		"TestWhoMayUseAJob|TestIdentityOfItems|TestJobsCompleteWithoutFaults|TestNewestQuota|TestQuotaInForce|TestRouteOfAnAccount|TestRouteOfAJob"
 	rerunTests = "TestItemReportedByTwo|TestDroppedItem|TestReportToAnEarlierLead|TestFirstResultEndsTheOtherRun|TestWorkerThatReportsLateKeepsItsItem|TestReplacedPrimaryTakesNoItem|" +
 		"TestWaitAfterARejection|TestLostAnswerIsTakenUp|TestSlowEndpointIsNotTaken|TestSilenceIsBounded"
 	leadTests = "TestLead|TestWitnessOfPrimaries|TestStorePublishesItsLeads"
--- a/internal/batch/newestquota_test.go
+++ b/internal/batch/newestquota_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// TestRouteOfAJobIsFoundByItsNameFirst guards against the quota of a route that took over the path of a job's route.
-func TestRouteOfAJobIsFoundByItsNameFirst(t *testing.T) {
+// TestRouteOfAnAccountIsFoundByItsNameFirst guards against the quota of a route that took over the path of a job's route.
+func TestRouteOfAnAccountIsFoundByItsNameFirst(t *testing.T) {
 	routes := []operatorconfig.Route{
 		{Name: "b", Host: "h.example", PathPrefix: "/moved/", Kind: operatorconfig.Bulk},
 		{Name: "c", Host: "h.example", PathPrefix: "/b/", Kind: operatorconfig.Bulk},
@@ -92,7 +92,7 @@
 	for _, order := range [][]operatorconfig.Route{{routes[0], routes[1]}, {routes[1], routes[0]}} {
 		c := newCore(1, &memoryDisk{})
 		c.config = &operatorconfig.Config{Version: 1, Routes: order}
-		if route := c.routeOf(j); route == nil || route.Name != "b" {
+		if route := c.accountRoute(j); route == nil || route.Name != "b" {
 			t.Errorf("the route is %+v", route)
 		}
 	}
--- a/internal/batch/quota.go
+++ b/internal/batch/quota.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/platform/link"
 )
 
@@ -82,12 +83,24 @@
 	if c.config == nil || c.config.Version <= j.configVersion {
 		return j.maxQueuedTokens
 	}
-	if route := c.routeOf(j); route != nil {
+	if route := c.accountRoute(j); route != nil {
 		return route.MaxQueuedTokens
 	}
 	return j.maxQueuedTokens
 }
 
+// accountRoute returns the bulk route whose quota bounds the account of a job; nil if there is none. An account has the
+// name of a route, so the route of that name comes before the one by which the job runs (routeOf).
+func (c *core) accountRoute(j *job) *operatorconfig.Route {
+	for i := range c.config.Routes {
+		route := &c.config.Routes[i]
+		if route.Kind == operatorconfig.Bulk && route.Name == j.route {
+			return route
+		}
+	}
+	return c.routeOf(j)
+}
+
 // encodeQuotaMessage begins a message between a primary and the owner of a quota. It reserves
 // capacity for extraBytes more bytes.
 func encodeQuotaMessage(account string, partition int, incarnation uint64, extraBytes int) link.Writer {
--- a/internal/control/operatorconfig/match.go
+++ b/internal/control/operatorconfig/match.go
@@ -15,6 +15,28 @@
 	return route
 }
 
+// MatchBulk returns the bulk route for a host and a path: the route that Match returns, if that is a bulk route, else nil.
+// This is the route of a batch job, for the host and the path prefix of the route by which it was submitted. Names are
+// the operator's: a route that gets another name stays the route of its jobs, and another route that gets its name does
+// not become it.
+func (c *Config) MatchBulk(host, path string) *Route {
+	host = normalizeHost(host)
+	var best *Route
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if route.Host != host || !strings.HasPrefix(path, route.PathPrefix) {
+			continue
+		}
+		if best == nil || len(route.PathPrefix) > len(best.PathPrefix) {
+			best = route
+		}
+	}
+	if best == nil || best.Kind != Bulk {
+		return nil
+	}
+	return best
+}
+
 // ServesHost reports whether a Host header names the host of the route.
 func (r *Route) ServesHost(host string) bool { return r.Host == normalizeHost(host) }
 
