Dispatch: an item leaves a service to which its route no longer leads

Cause: the service of an item is chosen when its run begins, and nothing ended its wait there: a wait without an end, on a choice made before it.

Evidence: on the sources before, TestBulkLeavesAServiceToWhichItsRouteNoLongerLeads fails ("it still waits after its route has moved", "it was sent to a service to which its route no longer leads").

Change: a bulk request can say whether its route leads to a service under a configuration.

--- a/cmd/dunetide/forwardrunner.go
+++ b/cmd/dunetide/forwardrunner.go
@@ -55,6 +55,7 @@
 		Header:   make(map[string]string, len(it.Headers)),
 		Body:     it.Body,
 		Route:    route,
+		RouteIn:  it.RouteIn,
 		MayStart: it.MayStart,
 		Rejected: it.Rejected,
 		Due:      it.Due,
--- a/cmd/dunetide/forwardrunner_test.go
+++ b/cmd/dunetide/forwardrunner_test.go
@@ -44,6 +44,10 @@
 	if item.Rejected(); !slices.Equal(called, []string{"may start", "rejected"}) {
 		t.Errorf("called %q", called)
 	}
+	moved := &operatorconfig.Config{Routes: []operatorconfig.Route{{Name: "c", Host: "h.example", PathPrefix: "/b/", Kind: operatorconfig.Bulk}}}
+	if item.RouteIn == nil || item.RouteIn(moved) != &moved.Routes[0] {
+		t.Error("the item does not follow its route")
+	}
 	if item.ID != "item" || item.Host != "h.example" || item.Path != "/b/1" || len(item.Header) != 1 || item.Header["A"] != "1" ||
 		string(item.Body) != "body" || item.Route != route || !item.Due.Equal(due) {
 		t.Errorf("%+v", item)
--- a/internal/proxy/dispatch/admission.go
+++ b/internal/proxy/dispatch/admission.go
@@ -12,6 +12,10 @@
 // admit grants a request a run, adds it to the queue, or refuses it.
 func (c *core) admit(w *waiter) {
 	p := c.pool(w.request.Service)
+	if c.routeMoved(w.request) {
+		c.refuse(p, w, leadsElsewhere)
+		return
+	}
 	if len(w.request.Prefix) > 0 {
 		w.prefixHashes = hashPrefixes(w.request.Model, w.request.Prefix)
 	}
--- a/internal/proxy/dispatch/bulkwait_test.go
+++ b/internal/proxy/dispatch/bulkwait_test.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"dunetide/internal/control/operatorconfig"
 	"dunetide/internal/control/snapshot"
 )
 
@@ -76,3 +78,32 @@
 		}
 	}
 }
+
+// TestBulkLeavesAServiceToWhichItsRouteNoLongerLeads guards against items that wait at the service that their route had
+// when their run began.
+func TestBulkLeavesAServiceToWhichItsRouteNoLongerLeads(t *testing.T) {
+	b := newHarness(Settings{})
+	b.c.applySnapshot(b.snap)
+	leadsTo := func(config *operatorconfig.Config, service string) bool {
+		return slices.ContainsFunc(config.Routes, func(r operatorconfig.Route) bool { return r.Shares[0].Service == service })
+	}
+	move := func(service string) {
+		config := *b.snap.Config
+		config.Routes = []operatorconfig.Route{{Shares: []operatorconfig.Share{{Service: service, Weight: 1}}}}
+		b.snap.Config = &config
+		b.c.applySnapshot(b.snap)
+	}
+	move("s")
+	waiting := b.submit(&Request{ID: "waiting", Bulk: true, LeadsTo: leadsTo})
+	if waiting.refused != nil {
+		t.Fatalf("it does not wait at the service of its route: %+v", waiting.refused)
+	}
+	move("other")
+	if waiting.refused == nil {
+		t.Error("it still waits after its route has moved")
+	}
+	b.addEndpoints("e1")
+	if late := b.submit(&Request{ID: "late", Bulk: true, LeadsTo: leadsTo}); late.granted != nil {
+		t.Error("it was sent to a service to which its route no longer leads")
+	}
+}
--- a/internal/proxy/dispatch/core.go
+++ b/internal/proxy/dispatch/core.go
@@ -24,11 +24,12 @@
 	now        Time
 	senders    int // processes that send to the same endpoints, this one included
 
-	endpoints map[string]*endpoint // by id, of all pools
-	pools     map[string]*pool     // by service
-	poolOrder []*pool              // in the order of creation
-	queued    int                  // pending requests of all pools
-	snapshots uint64               // snapshots that were applied so far
+	endpoints map[string]*endpoint   // by id, of all pools
+	pools     map[string]*pool       // by service
+	poolOrder []*pool                // in the order of creation
+	queued    int                    // pending requests of all pools
+	snapshots uint64                 // snapshots that were applied so far
+	config    *operatorconfig.Config // of the newest snapshot that has one
 }
 
 // pool is the endpoints of a service and the requests that wait for one of them.
@@ -141,6 +142,7 @@
 	for _, p := range c.poolOrder {
 		c.chooseSubset(p)
 	}
+	c.refuseMovedBulk()
 	c.removeEmptyPools(s)
 	c.serveAllQueues()
 }
@@ -161,6 +163,7 @@
 	if s.Config == nil {
 		return
 	}
+	c.config = s.Config
 	for name, service := range s.Config.Services {
 		p := c.pool(name)
 		p.maxConns, p.capacity, p.cacheTokens = service.MaxConnections, 0, 0
--- a/internal/proxy/dispatch/dispatch.go
+++ b/internal/proxy/dispatch/dispatch.go
@@ -23,8 +23,10 @@
 	// TenantPriority is the priority of the tenant, which precedes that of the route. 0 is the highest,
 	// and is that of requests without a tenant.
 	TenantPriority int
-	Bulk           bool     // it waits without a deadline, as long as an endpoint may come free (bulkwait.go); interactive requests go first
-	Avoid          []string // ids of endpoint incarnations to which it must not be sent
+	Bulk           bool // it waits without a deadline, as long as an endpoint may come free (bulkwait.go); interactive requests go first
+	// LeadsTo reports whether the route of a bulk request still leads to a service under a configuration; nil: always.
+	LeadsTo func(config *operatorconfig.Config, service string) bool
+	Avoid   []string // ids of endpoint incarnations to which it must not be sent
 	// Regime is the certification that the route demands of endpoints, or empty. If it is set,
 	// Certified reports whether an endpoint has it, and is called at each choice.
 	Regime    string
--- a/internal/proxy/forward/item.go
+++ b/internal/proxy/forward/item.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +27,9 @@
 	Header map[string]string
 	Body   []byte
 	Route  *operatorconfig.Route
+	// RouteIn returns the route of the item's job in a configuration, nil if it has none there. While the item waits for an
+	// endpoint, the newest configuration counts. Nil: the route does not change.
+	RouteIn func(config *operatorconfig.Config) *operatorconfig.Route
 	// MayStart is called right before the item is sent to an endpoint; nil: it always may.
 	MayStart func() bool
 	// Rejected is called when no endpoint has run the item after MayStart allowed it, before the wait for the next endpoint;
@@ -100,6 +104,7 @@
 	x.describe(it.Route, header.Get)
 	x.identifyItem(header.Get(identity.HeaderTenant))
 	x.request.Bulk, x.request.Arrived = true, p.options.Now()
+	x.request.LeadsTo = it.leadsTo()
 	if deadline, ok := ctx.Deadline(); ok {
 		x.deadline, x.request.Deadline = deadline, deadline
 	}
@@ -110,6 +115,19 @@
 	return x.runItem(it, event)
 }
 
+// leadsTo returns the function that reports whether the item's route leads to a service under a configuration.
+func (it *Item) leadsTo() func(config *operatorconfig.Config, service string) bool {
+	if it.RouteIn == nil {
+		return nil
+	}
+	return func(config *operatorconfig.Config, service string) bool {
+		route := it.RouteIn(config)
+		return route != nil && slices.ContainsFunc(route.Shares, func(s operatorconfig.Share) bool {
+			return s.Service == service && (s.Weight > 0 || len(route.Shares) == 1)
+		})
+	}
+}
+
 // identifyItem sets the tenant of an item, which its job states. A key that a client put among the headers of an item
 // is withheld wherever keys have a meaning.
 func (x *exchange) identifyItem(tenant string) {
