Proxy: routes below the paths of the batch interface get their requests

Cause: each path that begins with /lots/ or /items/ was taken for a call of the batch interface, before the routes were asked.

Change: a route whose own prefix is below such a path, of a host without batch jobs, gets them. Shorter prefixes do not, as jobs stay readable after their route is gone.

--- a/internal/proxy/forward/intake.go
+++ b/internal/proxy/forward/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,7 +42,7 @@
 		arrived.admitted = p.options.Now()
 	}
 	config := p.options.Snapshots.Get().Config
-	if p.options.ServeBatch != nil && isBatchPath(path) {
+	if p.options.ServeBatch != nil && isBatchPath(path) && !p.hasOwnRoute(config, r.Host, path) {
 		p.serveBatch(w, r, nil, identity.OfJobCall(config, r.Host, r.Header))
 		return
 	}
@@ -89,7 +90,20 @@
 	return target, path
 }
 
-// isBatchPath reports whether a path belongs to the batch API, whatever the route.
+// hasOwnRoute reports whether a path of the batch API belongs to a route: one of a host without batch jobs whose prefix
+// is below that of the API. A route with a shorter prefix does not take the path, as a job stays readable after its own
+// route is gone.
+func (p *Proxy) hasOwnRoute(config *operatorconfig.Config, host, path string) bool {
+	route := p.options.Match(config, host, path)
+	if route == nil || route.Kind == operatorconfig.Bulk || !isBatchPath(route.PathPrefix) {
+		return false
+	}
+	return !slices.ContainsFunc(config.Routes, func(r operatorconfig.Route) bool {
+		return r.Kind == operatorconfig.Bulk && r.ServesHost(host)
+	})
+}
+
+// isBatchPath reports whether a path is one of the batch API.
 func isBatchPath(path string) bool {
 	return strings.HasPrefix(path, "/lots/") || strings.HasPrefix(path, "/items/")
 }
