Batch: what transfers of jobs have in flight fits the queue of a connection

By reading: with 16 partitions of one primary, 4 MiB in flight for each came to the 64 MiB that a connection queues before it ends as if its peer did not read. Jobs of over 2 MiB go in parts of 0.5 MiB now, and a further message is sent while less than 1 MiB is in flight.

--- a/internal/batch/jobpart.go
+++ b/internal/batch/jobpart.go
@@ -13,7 +13,7 @@
 // job replace what the receiver knew of it: until then a takeover must find the former state, which
 // may be needed to find everything committed.
 
-// transferLimits bound the messages that transfer jobs between stores.
+// transferLimits bound the messages that transfer jobs of one partition between two stores.
 type transferLimits struct {
 	wholeJobBytes int // maximum size of a job with its results that is sent, or rewritten, as a whole
 	partBytes     int // maximum size of a part with more than one result
@@ -22,11 +22,12 @@
 }
 
 // defaultTransferLimits keep the messages that follow on the same connection, such as
-// confirmations, from waiting long. Versions without parts send and accept whole jobs only.
+// confirmations, from waiting long, and what all partitions of a store have in flight to another one
+// below what a connection queues. Versions without parts send and accept whole jobs only.
 var defaultTransferLimits = transferLimits{
-	wholeJobBytes: 4 << 20,
-	partBytes:     1 << 20,
-	inFlightBytes: 4 << 20,
+	wholeJobBytes: 2 << 20,
+	partBytes:     512 << 10,
+	inFlightBytes: 1 << 20,
 	messages:      4,
 }
 
