Batch: parts of a job are taken from the replica that is asked for them

By reading: a part that another connection sent before it closed can arrive after a new source was chosen, and parts of two replicas must not be mixed.

--- a/internal/batch/fetch.go
+++ b/internal/batch/fetch.go
@@ -129,23 +129,28 @@
 }
 
 // handleJobPart handles a part of a job from the most complete replica, and requests the next one.
-func (c *core) handleJobPart(p *partition, r *link.Reader) {
+// It ignores parts of other connections, as parts of two replicas must not be mixed.
+func (c *core) handleJobPart(p *partition, r *link.Reader, pipe Pipe) {
 	primary := p.primary
 	id := link.Reader{Buf: r.Buf}
 	jobID := id.String()
 	if primary.stage != stageFetching || !primary.awaitedJobs[jobID] || id.Err != nil {
 		return
 	}
+	source := primary.progress[primary.stateSource]
+	if source.pipe != pipe {
+		return
+	}
 	part, ok := c.acceptJobPart(p, r.Buf)
 	if !ok {
-		return // a part that was sent over an earlier connection
+		return // the answer to a request that was repeated
 	}
 	if part.last {
 		c.jobFetched(p, jobID)
 		return
 	}
 	received := partPosition{started: true, results: part.begins.results + len(part.results)}
-	c.requestJob(p, primary.progress[primary.stateSource], jobID, received)
+	c.requestJob(p, source, jobID, received)
 }
 
 // jobFetched is called when an awaited job has arrived.
--- a/internal/batch/replication.go
+++ b/internal/batch/replication.go
@@ -78,7 +78,7 @@
 	case kindJobContents:
 		c.handleJobContents(p, r)
 	case kindJobPart:
-		c.handleJobPart(p, r)
+		c.handleJobPart(p, r, pipe)
 	case kindAcceptsParts:
 		if replica := primary.progressOfSession(r.U64()); replica != nil && r.Err == nil {
 			replica.acceptsParts = true
