Batch tests: jobs of the drawn histories do exceed a message

The number of parts was counted and never looked at: each history under random faults must send parts exactly if its limits are the small ones.

--- a/internal/batch/scenarios_test.go
+++ b/internal/batch/scenarios_test.go
@@ -407,6 +407,9 @@
 			if sim.resultsRead < 20 {
 				t.Fatalf("f %d, seed %d: only %d results", f, seed, sim.resultsRead)
 			}
+			if large := sim.transfers != defaultTransferLimits; large != (sim.partsSent > 0) {
+				t.Errorf("f %d, seed %d: jobs exceed a message: %v, but %d parts were sent", f, seed, large, sim.partsSent)
+			}
 		}
 	}
 }
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -46,7 +46,7 @@
 	startedProcesses uint64
 	transfers        transferLimits // of the stores
 	maxBody          int            // maximum size of a message that transfers a job, in bytes; as of a link, but small
-	partsInstalled   int            // parts of jobs that arrived
+	partsSent        int            // messages with a part of a job
 	drainedStores    int            // stores that stopped after others had taken over the lead of their partitions
 	connections      []*simPipe
 }
@@ -269,7 +269,7 @@
 func (sim *simulation) checkLength(kind link.Kind, body []byte) error {
 	switch kind {
 	case kindJobPart, kindInstallJobPart:
-		sim.partsInstalled++
+		sim.partsSent++
 	case kindJobContents, kindInstallJob:
 	default:
 		return nil
@@ -314,7 +314,7 @@
 	sim.transfers, sim.maxBody = defaultTransferLimits, link.MaxBody
 	if seed%2 == 1 { // jobs soon exceed what a message can have
 		sim.transfers = transferLimits{wholeJobBytes: 300, partBytes: 150, inFlightBytes: 400, messages: 2}
-		sim.maxBody = 700
+		sim.maxBody = 420
 	}
 	for i := range n {
 		s := &simStore{simulation: sim, name: fmt.Sprintf("s%d", i), zone: fmt.Sprintf("z%d", i%3), disk: &simDisk{}}
