Registry: a late heartbeat of a former endpoint doesn't remove its successor

Callers saw: after a kill of the core, an endpoint at an address that had been used before got no requests any more, although it served and sent heartbeats.

Cause: a table takes an unknown incarnation for the successor of the one at its address, and the removal of that one is final. A table that has forgotten the order of the two (its keeper restarted, was out of contact, or dropped a tombstone for a newer one) takes the late heartbeat of the former endpoint for that of a new one, and removes the sound endpoint for good.

Change: Table.MarkIncomplete. For the lifetime of a tombstone after a restart, a time without contact, or a tombstone that was dropped by number, a new incarnation only times out the one at its address; the next heartbeat of that one reverts it. With a complete memory the unknown incarnation is surely new, and the removal is final as before. 16,384 tombstones are kept, so that a release of all endpoints (8,192 at most) drops none by number.

--- a/internal/control/keeper/endpoints.go
+++ b/internal/control/keeper/endpoints.go
@@ -162,12 +162,16 @@
 // processes. It runs on the owner goroutine.
 func (k *Keeper) applyChange(now time.Time, change endpointChange) changeResult {
 	at := k.sinceStart(now)
+	inContact := k.contact.InContact(at)
+	if !inContact {
+		k.endpoints.MarkIncomplete(at)
+	}
 	revision := k.endpoints.LastChange()
 	// The change may also have removed another endpoint that had the same address.
 	changed := change.apply(at) || k.endpoints.LastChange() != revision
 	result := changeResult{
 		heartbeatTarget: k.heartbeatTarget(change.zone),
-		noContact:       !k.contact.InContact(at),
+		noContact:       !inContact,
 	}
 	if _, listed := k.endpoints.Get(at, change.id); !listed && !change.ends {
 		return changeResult{listFull: true}
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -153,6 +153,9 @@
 	if k.registers, err = openRegisterSet(k); err != nil {
 		return nil, err
 	}
+	if !options.Settings.FirstStart {
+		k.endpoints.MarkIncomplete(0)
+	}
 	k.self = selfNode(options.Settings, k.registers.id, k.startedAt)
 	return k, nil
 }
--- a/internal/control/keeper/loop.go
+++ b/internal/control/keeper/loop.go
@@ -58,6 +58,9 @@
 
 // expireEndpoints removes endpoints whose heartbeats have stopped.
 func (k *Keeper) expireEndpoints(now time.Time) {
+	if !k.contact.InContact(k.sinceStart(now)) {
+		k.endpoints.MarkIncomplete(k.sinceStart(now))
+	}
 	for _, e := range k.endpoints.Expire(k.sinceStart(now)) {
 		k.log.Info("endpoint expired: heartbeats stopped", "id", e.ID, "service", e.Service, "address", e.Address)
 		k.pushNeeded = true
--- a/internal/control/registry/entry.go
+++ b/internal/control/registry/entry.go
@@ -21,7 +21,8 @@
 // Entry is a keeper's state of one incarnation of an endpoint. Entries of one ID form a join semilattice under Join.
 type Entry struct {
 	// Endpoint is the content of the newest heartbeat, whose sequence number is CallCount. State is Removed only if the
-	// incarnation itself, or its successor at its address, reported it; that is final.
+	// incarnation itself reported it, or its successor at its address did to a table that remembered all recent ends;
+	// that is final.
 	snapshot.Endpoint
 	// HeartbeatCount is the highest call count that any keeper is known to have received. TimedOut reports that no
 	// heartbeat followed it within the table's HeartbeatTimeout; a higher call count resets it.
--- a/internal/control/registry/expiry.go
+++ b/internal/control/registry/expiry.go
@@ -66,9 +66,13 @@
 func (t *Table) dropTombstones(now time.Duration) {
 	for t.tombstones.Len() > 0 {
 		stored := t.tombstones.Front().Value.(*record)
-		if t.tombstones.Len() <= t.options.MaxTombstones && now-stored.deadSince < t.options.TombstoneLifetime {
+		expired := now-stored.deadSince >= t.options.TombstoneLifetime
+		if t.tombstones.Len() <= t.options.MaxTombstones && !expired {
 			return
 		}
+		if !expired {
+			t.MarkIncomplete(now)
+		}
 		t.tombstones.Remove(stored.tombstone)
 		t.changes.Remove(stored.change)
 		delete(t.byID, stored.entry.ID)
--- a/internal/control/registry/table.go
+++ b/internal/control/registry/table.go
@@ -12,7 +12,7 @@
 type Options struct {
 	HeartbeatInterval time.Duration // between heartbeats of an endpoint; default 1.2 s
 	TombstoneLifetime time.Duration // how long the tombstone of a dead endpoint is kept; default 60 s
-	MaxTombstones     int           // maximum number of tombstones, the oldest are dropped first; default 4,096
+	MaxTombstones     int           // maximum number of tombstones, the oldest are dropped first; default 16,384
 	MaxEndpoints      int           // maximum number of live endpoints, further ones are rejected; default 8,192
 }
 
@@ -20,8 +20,9 @@
 const (
 	defaultHeartbeatInterval = 1200 * time.Millisecond
 	defaultTombstoneLifetime = time.Minute
-	defaultMaxTombstones     = 4096
 	defaultMaxEndpoints      = 8192
+	// defaultMaxTombstones holds the removals of all endpoints and of all their successors.
+	defaultMaxTombstones = 2 * defaultMaxEndpoints
 )
 
 // minHeartbeatTimeout is the lower limit of the time without a heartbeat after which an endpoint counts as dead.
@@ -89,6 +90,7 @@
 	tombstones       *list.List        // of *record, ordered by deadSince
 	lastChange       uint64            // number of the newest change
 	droppedChange    uint64            // the highest change number among dropped tombstones
+	completeAt       time.Duration     // from then on the table remembers all recent ends, see MarkIncomplete
 	stats            Stats
 }
 
@@ -133,6 +135,14 @@
 	return now-t.listeningSince >= 2*t.options.HeartbeatInterval
 }
 
+// MarkIncomplete records that incarnations may have ended before now without the knowledge of this table: its keeper has
+// restarted, or had no contact with the others. For TombstoneLifetime, the table can't distinguish a new incarnation from
+// one that ended, whose heartbeat is late. During that time a new incarnation only times out the one at its address, and
+// the next heartbeat of that one reverts it.
+func (t *Table) MarkIncomplete(now time.Duration) {
+	t.completeAt = max(t.completeAt, now+t.options.TombstoneLifetime)
+}
+
 // Stats returns the counts since New.
 func (t *Table) Stats() Stats { return t.stats }
 
@@ -158,7 +168,7 @@
 	stored := t.byID[endpoint.ID]
 	stored.localHeartbeatAt, stored.hasLocalHeartbeat = now, true
 	if id := t.byAddress[endpoint.Address]; id != endpoint.ID {
-		if predecessor := t.byID[id]; predecessor != nil && known == nil {
+		if predecessor := t.byID[id]; predecessor != nil && known == nil && now >= t.completeAt {
 			// A new incarnation replaces the one at its address.
 			removed := predecessor.currentEntry(now)
 			removed.State = snapshot.Removed
