Keeper: an acknowledged drain or removal of an endpoint is on the disks of a majority

Cause: a keeper confirmed an end, that is, a drain or a removal, once it had it in memory, so the acknowledgement rested on the memory of a majority. After a restart of all of them the table knew nothing of the endpoint and took any call count.

Change: endpointEnds. A keeper appends ends to keeper.log and syncs them before it counts as having confirmed them, whether an endpoint or another keeper reported them; ends that arrive during a write share the next one. It replays them at a start, when their retention begins anew, and leaves those that the list has dropped out of the next rewritten log. A keeper with a full or stalled disk doesn't confirm. A keeper doesn't count as caught up, and so becomes no voter, before it has the lists of a majority of the voters and all their ends on its disk. Why this works: ends join monotonically, each majority of voters has a member with the end on its disk, and a keeper without the end receives the lists of a majority before it has contact. Older programs skip the new kind of record. Replies between keepers are as before, so an older keeper still confirms from memory.

newVoterAcks no longer counts the keeper itself as confirmed; TestVoterAcks confirms it in its place, with the same cases.

--- a/internal/control/keeper/ack_waiters.go
+++ b/internal/control/keeper/ack_waiters.go
@@ -17,10 +17,10 @@
 	configVersion       uint64
 	certificatesVersion uint64
 
-	pendingPeers int           // keepers that haven't confirmed the change yet
-	voters       *voterAcks    // confirmations by a majority of the voters, or noVoterAcks
-	enoughAcked  bool          // whether enough voters confirmed in time; valid once done is closed
-	done         chan struct{} // closed when the wait ends
+	pendingKeepers int           // keepers, this one included, that haven't confirmed the change yet
+	voters         *voterAcks    // confirmations by a majority of the voters, or noVoterAcks
+	enoughAcked    bool          // whether enough voters confirmed in time; valid once done is closed
+	done           chan struct{} // closed when the wait ends
 }
 
 func newAckWaiter() *ackWaiter {
@@ -36,13 +36,13 @@
 // finished reports whether the wait is over: all have the change, or the deadline has passed. If a required majority
 // hasn't confirmed yet, the wait is extended by majorityWait as long as replies of keepers are pending.
 func (w *ackWaiter) finished(now time.Time, inForce bool) bool {
-	if w.pendingPeers == 0 && inForce {
+	if w.pendingKeepers == 0 && inForce {
 		return true
 	}
 	if now.Before(w.deadline) {
 		return false
 	}
-	return w.voters.enough() || w.pendingPeers == 0 || !now.Before(w.deadline.Add(majorityWait))
+	return w.voters.enough() || w.pendingKeepers == 0 || !now.Before(w.deadline.Add(majorityWait))
 }
 
 // addWaiter starts a wait of Options.PushWait, and completes it immediately if nothing is missing. The owner goroutine
--- a/internal/control/keeper/dispatch.go
+++ b/internal/control/keeper/dispatch.go
@@ -67,6 +67,7 @@
 // Closed removes a link that has ended; it implements link.Handler.
 func (k *Keeper) Closed(conn *link.Conn) {
 	k.submit(func() {
+		delete(k.fullLists, conn)
 		k.dropAttached(conn)
 		k.dropLink(conn)
 	})
--- a/internal/control/keeper/doc.go
+++ b/internal/control/keeper/doc.go
@@ -8,10 +8,10 @@
 // A keeper owns, or has a replica of:
 //
 //   - three registers, decided by Paxos among the voters and stored on the voters' disks: the configuration, the
-//     certificates, and the partition table of batch jobs (registerSet; a log of records in keeper.log). They hold all
-//     durable state.
-//   - the endpoint list, merged from the heartbeats that reach any keeper (Keeper.endpoints). It is in memory only:
-//     after a start it counts as complete once the keeper has received a full round of heartbeats.
+//     certificates, and the partition table of batch jobs (registerSet; a log of records in keeper.log).
+//   - the endpoint list, merged from the heartbeats that reach any keeper (Keeper.endpoints). It is in memory: after a
+//     start it counts as complete once the keeper has received a full round of heartbeats. Its ends, that is, drained and
+//     removed endpoints, are also in keeper.log (endpointEnds), as the endpoint doesn't report them again.
 //   - the processes attached to it, and what each of them has acknowledged (attachedProcess).
 //   - the state of the other keepers: their links, the processes attached to them, their reports (peer).
 //   - the grants of leases on the two singleton roles: assigning partitions to stores (partitionAssigner) and changing
@@ -78,6 +78,7 @@
 //	shutdown.go              transfer of votes and leases before a keeper ends
 //
 //	endpoints.go             calls of endpoints
+//	endpoint_ends.go         drained and removed endpoints on disk
 //	endpoint_exchange.go     replication of the endpoint list among keepers
 //	peers.go                 links to other keepers
 //	reports.go               status reports between keepers
--- a/internal/control/keeper/endpoint_exchange.go
+++ b/internal/control/keeper/endpoint_exchange.go
@@ -37,7 +37,7 @@
 func (k *Keeper) broadcastEntries(entries []registry.Entry, waiter *ackWaiter) {
 	for _, p := range k.peers {
 		if p.conn != nil {
-			waiter.pendingPeers++
+			waiter.pendingKeepers++
 			k.sendTrackedEntries(p, entries, waiter)
 		}
 	}
@@ -57,17 +57,28 @@
 			}
 			return
 		}
-		if err == nil {
-			waiter.voters.confirm(id)
-		}
-		waiter.pendingPeers--
-		if now := time.Now(); waiter.pendingPeers == 0 || !now.Before(waiter.deadline) {
-			k.completeWaiters(now)
-		}
+		k.keeperAnswered(waiter, id, err)
 	}
 	k.sendEntries(conn, entries, answered)
 }
 
+// storeTrackedEnds stores the ends among the entries on this keeper's disk. The waiter counts it as the other keepers.
+func (k *Keeper) storeTrackedEnds(now time.Time, entries []registry.Entry, waiter *ackWaiter) {
+	waiter.pendingKeepers++
+	k.ends.store(now, entries, func(err error) { k.keeperAnswered(waiter, k.registers.id, err) })
+}
+
+// keeperAnswered records whether a keeper has confirmed a change.
+func (k *Keeper) keeperAnswered(waiter *ackWaiter, id uint64, err error) {
+	if err == nil {
+		waiter.voters.confirm(id)
+	}
+	waiter.pendingKeepers--
+	if now := time.Now(); waiter.pendingKeepers == 0 || !now.Before(waiter.deadline) {
+		k.completeWaiters(now)
+	}
+}
+
 // broadcastLiveness sends the other keepers the time of each endpoint's last heartbeat, the digests of the endpoint
 // list, and this keeper's report. It is called twice per heartbeat interval.
 func (k *Keeper) broadcastLiveness(now time.Time) {
--- a/internal/control/keeper/endpoints.go
+++ b/internal/control/keeper/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -120,9 +121,10 @@
 // answerChange changes the list, and answers once the other keepers and the attached processes have acknowledged the
 // change. It waits for them for Options.PushWait at most.
 //
-// Without contact the change is applied and sent nevertheless, which is harmless, but it isn't acknowledged. A drain or
-// removal is acknowledged only once a majority of the voters knows it: the endpoint sends nothing more after the
-// acknowledgement, so a change that only this keeper knows would be lost if the keeper lost contact.
+// Without contact the change is applied and sent nevertheless, but it isn't acknowledged. That is harmless: a keeper that
+// lacks an acknowledged end learns it from the lists of a majority before it has contact. A drain or removal is
+// acknowledged only once a majority of the voters has it on disk: the endpoint sends nothing more after the
+// acknowledgement, so what only this keeper knows, or what is only in memory, could be lost.
 func (k *Keeper) answerChange(w http.ResponseWriter, change endpointChange) {
 	result, ok := query(k, func() changeResult { return k.applyChange(time.Now(), change) })
 	if ok && result.waiter != nil {
@@ -183,9 +185,10 @@
 	waiter.listRevision, waiter.deadline = k.endpoints.LastChange(), now.Add(k.options.PushWait)
 	if entries := k.entriesToBroadcast(at, change.id, revision, changed); len(entries) > 0 {
 		if change.ends {
-			waiter.voters = newVoterAcks(k.registers.registerVoters(configRegister), k.registers.id)
+			waiter.voters = newVoterAcks(k.registers.registerVoters(configRegister))
 		}
 		k.broadcastEntries(entries, waiter)
+		k.storeTrackedEnds(now, entries, waiter)
 	}
 	if changed {
 		k.pushNeeded = true
@@ -241,13 +244,15 @@
 	return target.ControlAddr
 }
 
-// handleEntries merges entries from another keeper, and replies once the processes attached here have them in force.
+// handleEntries merges entries from another keeper, and replies once the processes attached here have them in force and
+// the ends among them are on this keeper's disk. If these can't be stored, the call fails.
 func (k *Keeper) handleEntries(now time.Time, m *link.Message) {
 	entries, err := decodeEntries(m.Body)
 	if err != nil {
 		m.Fail("%v", err)
 		return
 	}
+	k.fullLists[m.Conn] = true // the first entries over a link are the full list, see sendFullState
 	if len(k.endpoints.Merge(k.sinceStart(now), entries)) > 0 {
 		k.pushNeeded = true
 	}
@@ -255,14 +260,31 @@
 	waiter := newAckWaiter()
 	waiter.listRevision = k.endpoints.LastChange()
 	k.addWaiter(waiter)
+	k.ends.store(now, entries, func(err error) {
+		if errors.Is(err, errNoDisk) {
+			err = nil // this keeper doesn't vote, so nothing depends on its confirmation
+		}
+		k.replyWhenInForce(m, waiter, err)
+	})
+}
+
+// replyWhenInForce replies to a call once a wait for the attached processes has ended: empty, or with an error.
+func (k *Keeper) replyWhenInForce(m *link.Message, waiter *ackWaiter, err error) {
+	reply := func() {
+		if err != nil {
+			m.Fail("%v", err)
+			return
+		}
+		m.Reply(nil)
+	}
 	select {
 	case <-waiter.done:
-		m.Reply(nil)
+		reply()
 	default:
 		go func() { // it ends with the waiter or the keeper
 			select {
 			case <-waiter.done:
-				m.Reply(nil)
+				reply()
 			case <-k.ended:
 			}
 		}()
--- a/internal/control/keeper/golden_test.go
+++ b/internal/control/keeper/golden_test.go
@@ -451,6 +451,21 @@
 	same(t, []any{table, err}, []any{goldenTable, error(nil)})
 }
 
+// TestGoldenEndsRecord: the record of draining and removed endpoints matches the golden file, and programs that don't know
+// a kind of record skip it, as versions before this record do.
+func TestGoldenEndsRecord(t *testing.T) {
+	golden(t, "record-ends", encodeEndsRecord([]registry.Entry{goldenEntry}))
+	replayed := &registerSet{}
+	if err := replayed.replayRecord(readGolden(t, "record-ends")); err != nil {
+		t.Fatal(err)
+	}
+	same(t, replayed.ends, map[string]registry.Entry{goldenEntry.ID: goldenEntry})
+	const unknownKind = 200
+	if err := replayed.replayRecord([]byte{unknownKind, 1, 2}); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestGoldenLog: a keeper restores its identity, the voters and the contents of the registers from the golden log.
 func TestGoldenLog(t *testing.T) {
 	const file = "keeper.log"
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -67,6 +67,8 @@
 	// The fields down to conditions belong to the owner goroutine.
 
 	endpoints     *registry.Table
+	ends          *endpointEnds
+	fullLists     map[*link.Conn]bool // links over which the full endpoint list of a keeper was received
 	attached      map[*link.Conn]*attachedProcess
 	peers         map[string]*peer // other keepers, by name
 	peerLinks     map[*link.Conn]*peerLink
@@ -131,6 +133,7 @@
 		attached:         map[*link.Conn]*attachedProcess{},
 		peers:            map[string]*peer{},
 		peerLinks:        map[*link.Conn]*peerLink{},
+		fullLists:        map[*link.Conn]bool{},
 		dialing:          map[string]bool{},
 		redialAt:         map[string]time.Time{},
 		config:           &document{},
@@ -156,6 +159,7 @@
 	if !options.Settings.FirstStart {
 		k.endpoints.MarkIncomplete(0)
 	}
+	k.ends = newEndpointEnds(k, k.registers.ends)
 	k.self = selfNode(options.Settings, k.registers.id, k.startedAt)
 	return k, nil
 }
--- a/internal/control/keeper/loop.go
+++ b/internal/control/keeper/loop.go
@@ -42,6 +42,7 @@
 func (k *Keeper) tick(now time.Time) {
 	k.dialKeepers(now)
 	k.expireEndpoints(now)
+	k.ends.tick(now)
 	if now.Sub(k.heartbeatSentAt) >= k.heartbeatInterval()/2 {
 		k.heartbeatSentAt = now
 		k.broadcastLiveness(now)
--- a/internal/control/keeper/peers.go
+++ b/internal/control/keeper/peers.go
@@ -8,6 +8,7 @@
 
 	"dunetide/internal/consensus/paxos"
 	"dunetide/internal/control/controlclient"
+	"dunetide/internal/control/registry"
 	"dunetide/internal/platform/link"
 )
 
@@ -261,11 +262,10 @@
 	}
 }
 
-// sendFullState sends a keeper all state that it may lack.
+// sendFullState sends a keeper all state that it may lack. The endpoint list comes first, also if it is empty: see
+// endsSynchronized.
 func (k *Keeper) sendFullState(conn *link.Conn) {
-	if entries := k.endpoints.Entries(k.sinceStart(time.Now()), -1); len(entries) > 0 {
-		k.sendEntries(conn, entries, nil)
-	}
+	k.sendEntries(conn, k.endpoints.Entries(k.sinceStart(time.Now()), registry.AllBuckets), nil)
 	// If a send fails, the link has ended, and the full state is sent again over the next one.
 	for _, body := range k.registers.decidedMessages() {
 		_ = conn.Send(controlclient.KindDecided, body)
--- a/internal/control/keeper/register_log.go
+++ b/internal/control/keeper/register_log.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"dunetide/internal/consensus/paxos"
+	"dunetide/internal/control/registry"
 	"dunetide/internal/platform/link"
 	"dunetide/internal/platform/recordlog"
 	"dunetide/internal/platform/vfs"
@@ -19,6 +22,7 @@
 	recordIdentity    = 1 // this keeper's identity as a voter
 	recordRegister    = 2 // a register's name and one of its payloads
 	recordFirstVoters = 3 // the initial voters, of the first start
+	recordEnds        = 4 // draining and removed endpoints, encoded as in KindEndpoints
 )
 
 const (
@@ -110,6 +114,10 @@
 	return w.Buf
 }
 
+func encodeEndsRecord(entries []registry.Entry) []byte {
+	return append([]byte{recordEnds}, encodeEntries(entries)...)
+}
+
 // replayRecord applies a record of the log. Records of unknown kinds are skipped.
 func (rs *registerSet) replayRecord(b []byte) error {
 	r := link.Reader{Buf: bytes.Clone(b)}
@@ -123,10 +131,49 @@
 		for range r.Count(minVoterBytes) {
 			rs.firstVoters = append(rs.firstVoters, paxos.Voter{ID: r.U64(), Name: r.String(), Addr: r.String()})
 		}
+	case recordEnds:
+		entries, err := decodeEntries(r.Buf)
+		if err != nil {
+			return err
+		}
+		rs.addEnds(entries)
 	}
 	return r.Err
 }
 
+// addEnds adds endpoints to the ends on disk.
+func (rs *registerSet) addEnds(entries []registry.Entry) {
+	if rs.ends == nil {
+		rs.ends = map[string]registry.Entry{}
+	}
+	for _, entry := range entries {
+		if known, found := rs.ends[entry.ID]; found {
+			entry = registry.Join(known, entry)
+		}
+		rs.ends[entry.ID] = entry
+	}
+}
+
+// storeEnds appends ends to the log and syncs it. After an error other than paxos.ErrNotSaved or errNoDisk the log is
+// unusable, and the keeper ends.
+func (rs *registerSet) storeEnds(entries []registry.Entry) error {
+	err := rs.appendRecord(encodeEndsRecord(entries))
+	switch {
+	case err == nil:
+		rs.addEnds(entries)
+	case !paxos.ErrNotSaved.Has(err) && !errors.Is(err, errNoDisk):
+		rs.logFailure = err
+	}
+	return err
+}
+
+// dropEnds leaves out ends from the next rewritten log.
+func (rs *registerSet) dropEnds(ids []string) {
+	for _, id := range ids {
+		delete(rs.ends, id)
+	}
+}
+
 // appendRecord appends a record and syncs the log. After a paxos.ErrNotSaved the log is unchanged; after any other
 // error it is unusable.
 func (rs *registerSet) appendRecord(b []byte) error {
@@ -193,5 +240,18 @@
 			}
 		}
 	}
-	return nil
+	return rs.writeEnds(add)
+}
+
+// writeEnds writes the ends to a new log.
+func (rs *registerSet) writeEnds(add func([]byte) (int64, error)) error {
+	if len(rs.ends) == 0 {
+		return nil
+	}
+	entries := make([]registry.Entry, 0, len(rs.ends))
+	for _, id := range slices.Sorted(maps.Keys(rs.ends)) {
+		entries = append(entries, rs.ends[id])
+	}
+	_, err := add(encodeEndsRecord(entries))
+	return err
 }
--- a/internal/control/keeper/registers.go
+++ b/internal/control/keeper/registers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dunetide/internal/consensus/paxos"
+	"dunetide/internal/control/registry"
 	"dunetide/internal/platform/recordlog"
 )
 
@@ -49,10 +50,12 @@
 	// Owned by the goroutine of run.
 
 	byName          map[string]*paxos.Register
-	queriedAt       map[string]time.Time // when a peer was last queried for a register of unknown state
-	log             *recordlog.Log       // nil: no disk
-	replayed        map[string][][]byte  // payloads of the registers, while opening the log
-	firstVoters     []paxos.Voter        // the initial voters, if the log has them
+	queriedAt       map[string]time.Time      // when a peer was last queried for a register of unknown state
+	log             *recordlog.Log            // nil: no disk
+	replayed        map[string][][]byte       // payloads of the registers, while opening the log
+	firstVoters     []paxos.Voter             // the initial voters, if the log has them
+	ends            map[string]registry.Entry // draining and removed endpoints on disk, by ID; nil: none
+	logFailure      error                     // why the log is unusable, if writing ends found that
 	bootstrapped    bool
 	rewritePolicy   rewritePolicy
 	rewrittenSize   int64     // of the log after its last rewrite, in bytes
@@ -168,7 +171,7 @@
 			return
 		}
 		next, err := rs.stepRegisters()
-		if err != nil {
+		if err = errors.Join(err, rs.logFailure); err != nil {
 			rs.failure = err
 			return
 		}
--- a/internal/control/keeper/reports.go
+++ b/internal/control/keeper/reports.go
@@ -17,10 +17,14 @@
 			connectedVoters[voter.ID] = true
 		}
 	}
+	slots := k.registers.storedSlotNumbers()
+	if !k.endsSynchronized() { // it doesn't count as caught up, so it doesn't become a voter
+		slots[slices.Index(registerNames, configRegister)] = 0
+	}
 	return controlclient.KeeperReport{
 		InContact:       k.inContact(),
 		Stopping:        k.shuttingDown,
-		DecidedSlots:    k.registers.storedSlotNumbers(),
+		DecidedSlots:    slots,
 		ConnectedVoters: slices.Sorted(maps.Keys(connectedVoters)),
 	}
 }
--- a/internal/control/keeper/voter_acks.go
+++ b/internal/control/keeper/voter_acks.go
@@ -12,13 +12,12 @@
 // noVoterAcks returns a voterAcks for a change that no voter must confirm.
 func noVoterAcks() *voterAcks { return &voterAcks{} }
 
-// newVoterAcks returns a voterAcks that requires a majority of voters. If self is a voter, it has confirmed already.
-func newVoterAcks(voters []paxos.Voter, self uint64) *voterAcks {
+// newVoterAcks returns a voterAcks that requires a majority of voters, none of which has confirmed yet.
+func newVoterAcks(voters []paxos.Voter) *voterAcks {
 	acks := &voterAcks{pending: map[uint64]bool{}, required: paxos.QuorumSize(len(voters))}
 	for _, voter := range voters {
 		acks.pending[voter.ID] = true
 	}
-	acks.confirm(self)
 	return acks
 }
 
--- a/internal/control/keeper/voter_acks_test.go
+++ b/internal/control/keeper/voter_acks_test.go
@@ -31,7 +31,8 @@
 		"the keeper that requests need not vote": {voters(1, 2, 3), 9, []uint64{1, 2}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			q := newVoterAcks(c.voters, c.self)
+			q := newVoterAcks(c.voters)
+			q.confirm(c.self)
 			for _, id := range c.confirmed {
 				q.confirm(id)
 			}
--- a/internal/control/registry/changes.go
+++ b/internal/control/registry/changes.go
@@ -68,6 +68,15 @@
 	return entries
 }
 
+// EachEnd calls visit with the ID and the state of each incarnation that is draining or removed, in no order.
+func (t *Table) EachEnd(visit func(id string, state snapshot.State)) {
+	for id, stored := range t.byID {
+		if stored.entry.State != snapshot.Ready {
+			visit(id, stored.entry.State)
+		}
+	}
+}
+
 // Digests returns a checksum of the live entries of each bucket. Two keepers whose checksums of a bucket differ for
 // longer than a change takes to arrive should exchange their Entries of that bucket.
 func (t *Table) Digests() (sums [DigestBuckets]uint64) {
