Lab: a settings file is replaced in one step

Cause: the lab emptied the file and then wrote it, and gives signals with new settings from the moment on at which a started process handles SIGHUP, which is before it has read its settings.

Change: the lab writes another file and renames it.

--- a/internal/lab/tier/cluster/cluster_test.go
+++ b/internal/lab/tier/cluster/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -122,3 +123,37 @@
 		t.Error("no machine is ready, and a client was routed to one")
 	}
 }
+
+// Guards against a process that exits at its start because the lab is writing its settings file at that moment.
+func TestSettingsAreNeverReadInPart(t *testing.T) {
+	c := started(t)
+	p := c.Find(Proxy, 1)
+	if err := p.Rewrite(0); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(p.SettingsFile())
+	if err != nil {
+		t.Fatal(err)
+	}
+	rewritten := make(chan error, 1)
+	go func() {
+		var failed error
+		for range 2000 {
+			failed = errors.Join(failed, p.Rewrite(0))
+		}
+		rewritten <- failed
+	}()
+	for {
+		text, err := os.ReadFile(p.SettingsFile())
+		if err != nil || string(text) != string(whole) {
+			t.Errorf("read %d of %d bytes: %v", len(text), len(whole), err)
+			break
+		}
+		if len(rewritten) > 0 {
+			break
+		}
+	}
+	if err := <-rewritten; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lab/tier/cluster/process.go
+++ b/internal/lab/tier/cluster/process.go
@@ -74,8 +74,7 @@
 	if err := os.MkdirAll(p.data(), 0o755); err != nil {
 		return err
 	}
-	file := p.SettingsFile()
-	if err := os.WriteFile(file, []byte(p.settings()), 0o644); err != nil {
+	if err := p.writeSettings(); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(p.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -346,7 +345,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seedRotation = rotation
-	return os.WriteFile(p.SettingsFile(), []byte(p.settings()), 0o644)
+	return p.writeSettings()
+}
+
+// writeSettings replaces the settings file in one step: a process that starts or reloads never reads a part of it.
+func (p *Process) writeSettings() error {
+	whole := p.SettingsFile() + ".new"
+	if err := os.WriteFile(whole, []byte(p.settings()), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(whole, p.SettingsFile())
 }
 
 // StartTwin starts a second process of the same machine and role in addition to the running one and waits until it exits. The
