Batch: a store whose disk failed acknowledges nothing

Callers would have seen: a job, a result or an end that was acknowledged is lost when further disks fail, as its commit rested on one disk fewer than it has to survive.

Cause: core.appendRecord marks the disk as failed and returns nothing. The caller went on to core.afterSync, which calls back at once if everything appended so far is durable, and the failed record isn't counted as appended. So a replica acknowledged an operation that didn't fit on its disk, and a primary counted its own, before the store ended.

Change: afterSync never calls back once the disk has failed. All acknowledgements, promises and the primary's own count go through it.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -190,8 +190,12 @@
 	c.onDiskFailure(err)
 }
 
-// afterSync calls back once everything appended so far is durable.
+// afterSync calls back once everything appended so far is durable. It never does once the disk has failed: the newest
+// record may be one that was not appended.
 func (c *core) afterSync(callback func()) {
+	if c.diskFailed {
+		return
+	}
 	if c.syncedRecords >= c.appendedRecords {
 		callback()
 		return
