Lab: a second process of a machine keeps no ports from the first

Cause: the lab starts a second process of the same machine and role beside the running one, for 3 s at most. If the first ends and is started again meanwhile, the second may have its ports; the lab then counted the ends of the first.

Change: the start of a process ends the second one first, as a supervisor with one process to a unit does. Nothing is started beside a process that does not run, or that has a second one already. The start of the program stands in one function.

--- a/internal/lab/tier/cluster/cluster_test.go
+++ b/internal/lab/tier/cluster/cluster_test.go
@@ -157,3 +157,24 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a process that ends at its start because a second one, begun before the first had ended, has its ports.
+func TestASecondProcessKeepsNoPortsFromTheFirst(t *testing.T) {
+	c := started(t)
+	for n := range 30 {
+		p := c.Find(Proxy, n%2)
+		second := make(chan error, 1)
+		go func() { second <- p.StartTwin(time.Second) }()
+		time.Sleep(time.Duration(n) * 100 * time.Microsecond) // the start of a program takes about 3 ms
+		if err := errors.Join(p.Kill(), p.Start()); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-second; err != nil {
+			t.Error(err)
+		}
+		time.Sleep(20 * time.Millisecond) // a first process without its ports ends meanwhile
+	}
+	if ends := c.Ends(); len(ends) > 0 {
+		t.Errorf("%d ends: %s", len(ends), ends[0])
+	}
+}
--- a/internal/lab/tier/cluster/process.go
+++ b/internal/lab/tier/cluster/process.go
@@ -50,6 +50,7 @@
 	seedRotation int
 	ended        []string // exits that were unexpected or failed
 	overdue      []string // times that SIGTERM did not end the process within the grace period
+	endTwin      func()   // ends the second process that StartTwin has started; nil: there is none
 }
 
 // String returns the role and the machine of the process.
@@ -64,31 +65,26 @@
 func (p *Process) Data() string { return p.data() }
 
 // Start starts the process with its current settings. It does nothing if the process runs, was removed, or the cluster is
-// closed.
+// closed. A second process of the machine, which could have taken the ports, is ended before.
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.removed || p.exited != nil {
 		return nil
 	}
+	if p.endTwin != nil {
+		p.endTwin()
+	}
 	if err := os.MkdirAll(p.data(), 0o755); err != nil {
 		return err
 	}
 	if err := p.writeSettings(); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(p.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	cmd, err := p.startProgram(context.Background())
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Close() }() // the process has its own descriptor
-	cmd := exec.Command(p.cluster.options.Program, string(p.Role))
-	cmd.Env = p.environment()
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // the process ends with the lab, even if the lab crashes
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("starting %v: %w", p, err)
-	}
 	exited := make(chan struct{})
 	p.cmd, p.exited, p.planned, p.started = cmd, exited, false, true
 	p.cluster.wg.Go(func() { p.wait(cmd, exited) })
@@ -358,19 +354,55 @@
 }
 
 // StartTwin starts a second process of the same machine and role in addition to the running one and waits until it exits. The
-// ports are in use, so it should exit; it is killed after limit.
+// ports are in use, so it should exit; it is killed after limit, or when the first process is started again. It does nothing
+// unless exactly one process runs.
 func (p *Process) StartTwin(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	exited := make(chan struct{})
+	twin, err := p.beginTwin(ctx, func() {
+		cancel()
+		<-exited
+	})
+	if twin == nil || err != nil {
+		return err
+	}
+	_ = twin.Wait() // it is expected to fail
+	close(exited)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endTwin = nil
+	return nil
+}
+
+// beginTwin starts the second process, or returns nil if there is none to start. end kills it and waits until it has exited.
+func (p *Process) beginTwin(ctx context.Context, end func()) (*exec.Cmd, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.exited == nil || p.endTwin != nil {
+		return nil, nil
+	}
+	twin, err := p.startProgram(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p.endTwin = end
+	return twin, nil
+}
+
+// startProgram starts the program of the process with the settings in its file.
+func (p *Process) startProgram(ctx context.Context) (*exec.Cmd, error) {
 	log, err := os.OpenFile(p.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
 	cmd := exec.CommandContext(ctx, p.cluster.options.Program, string(p.Role))
 	cmd.Env = p.environment()
 	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	_ = cmd.Run() // it is expected to fail
-	return nil
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // the process ends with the lab, even if the lab crashes
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("starting %v: %w", p, err)
+	}
+	return cmd, nil
 }
