Keeper: each decided state of a register is observed

Operators would have seen: a keeper that shuts down is made a voter again for about 4 s.

Change: Observer.ObserveDecided is given each decided state when it is known; where slots were skipped, all keepers that don't vote count from the newest one.

--- a/internal/consensus/reconfigure/cluster_test.go
+++ b/internal/consensus/reconfigure/cluster_test.go
@@ -157,6 +157,7 @@
 		Send: m.sendRegister,
 		OnDecided: func(state paxos.State) {
 			m.state, m.known = state, true
+			m.observer.ObserveDecided(state, m.allReports())
 			c.observe(state)
 		},
 	}, m.disk)
--- a/internal/consensus/reconfigure/observer.go
+++ b/internal/consensus/reconfigure/observer.go
@@ -35,6 +35,8 @@
 	// nonVoterSince is, by the ID of a reporting keeper that is not a voter, the first slot observed at which it was
 	// not a voter.
 	nonVoterSince map[uint64]uint64
+	// decidedSlot is the slot of the newest state given to ObserveDecided.
+	decidedSlot uint64
 }
 
 // knownSlot is the newest slot known at a time.
@@ -64,6 +66,20 @@
 	o.unreachableSince = unreachableSince
 }
 
+// ObserveDecided processes a decided state as soon as it is known. Observe alone may miss that a keeper was a voter between
+// two observations, and an older report of that keeper would then make it a voter again. If slots were skipped, any keeper
+// may have been a voter in them.
+func (o *Observer) ObserveDecided(state paxos.State, reports []Report) {
+	if state.Slot <= o.decidedSlot {
+		return
+	}
+	if state.Slot > o.decidedSlot+1 {
+		clear(o.nonVoterSince)
+	}
+	o.decidedSlot = state.Slot
+	o.recordNonVoters(state, reports)
+}
+
 // Situation returns the input of a decision on the voters of a state.
 func (o *Observer) Situation(now time.Duration, state paxos.State, reports []Report, limits Limits) Situation {
 	s := Situation{Limits: limits}
--- a/internal/consensus/reconfigure/observer_test.go
+++ b/internal/consensus/reconfigure/observer_test.go
@@ -173,3 +173,31 @@
 		}
 	}
 }
+
+// TestVoterBetweenObservationsIsNoCandidate guards against a removed keeper that becomes a voter again by an older report:
+// it was added and removed between two periodic observations, or in slots that were never seen.
+func TestVoterBetweenObservationsIsNoCandidate(t *testing.T) {
+	before := paxos.State{Slot: 76, Voters: numbered(3)}
+	with := paxos.State{Slot: 77, Voters: numbered(4)}
+	without := paxos.State{Slot: 78, Voters: numbered(3)}
+	reports := reportsOf("1:1234 2:1234 3:1234 4:1234")
+	for i := range reports {
+		reports[i].NextSlot = with.Slot + 1
+	}
+	limits := Limits{MaxFailures: 1, MaxVoters: 9, UnresponsiveTimeout: time.Second}
+	for name, decided := range map[string][]paxos.State{
+		"every slot is known":    {before, with, without},
+		"the slot is skipped":    {before, without},
+		"states come repeatedly": {before, with, without, with, without},
+	} {
+		var o Observer
+		o.Observe(1, before, reports)
+		for _, state := range decided {
+			o.ObserveDecided(state, reports)
+		}
+		o.Observe(2, without, reports)
+		if change, found := NextChange(o.Situation(2, without, reports, limits)); found {
+			t.Errorf("%s: %v", name, change)
+		}
+	}
+}
