Keeper: whether all ends are on disk is computed once per change of the list

The reports of a keeper that isn't a voter ask for it some fifty times per second, and the list has hundreds of endpoints. The tests of endpoint_ends_test.go pass.

--- a/internal/control/keeper/endpoint_ends.go
+++ b/internal/control/keeper/endpoint_ends.go
@@ -33,6 +33,8 @@
 	inFlight     []*endWaiter              // for the current write
 	writing      bool
 	reconciledAt time.Time
+	// completeRevision is the revision of the endpoint list at which all ends were last seen to be on disk.
+	completeRevision uint64
 }
 
 // endWaiter is a caller that waits until ends are on disk.
@@ -188,10 +190,17 @@
 
 // complete reports whether all ends of the endpoint list are on disk.
 func (ends *endpointEnds) complete() bool {
+	revision := ends.keeper.endpoints.LastChange()
+	if revision == ends.completeRevision {
+		return true
+	}
 	complete := true
 	ends.keeper.endpoints.EachEnd(func(id string, state snapshot.State) {
 		complete = complete && ends.stored[id] >= state
 	})
+	if complete {
+		ends.completeRevision = revision
+	}
 	return complete
 }
 
