--- a/internal/control/keeper/mutants_test.go
+++ b/internal/control/keeper/mutants_test.go
@@ -99,6 +99,7 @@
 func TestMutantsStand(t *testing.T) {
 	mutation.CheckPresent(t, mutants)
 	mutation.CheckPresent(t, documentMutants)
+	mutation.CheckPresent(t, endMutants)
 }
 
 // TestMutantsAreFound runs the tests against each mutant, which takes minutes. KEEPER_MUTANTS enables it: 1, or part of
