--- a/cmd/deliverynode/copies_test.go
+++ b/cmd/deliverynode/copies_test.go
@@ -362,7 +362,7 @@
 	go func() { status <- r.nodes[3].chargeWithin("c", copiesTimeout) }()
 	select {
 	case code := <-status:
-		t.Errorf("answered %d without copies", code)
+		t.Fatalf("answered %d without copies", code)
 	case <-time.After(2 * node.DefaultCopyWait): // longer than the default wait of a message
 	}
 	for i, n := range r.nodes {
