--- a/internal/batch/fulldisk_ack_test.go
+++ b/internal/batch/fulldisk_ack_test.go
@@ -1,32 +1,19 @@
 package batch
 
 import (
+	"math"
 	"slices"
-	"syscall"
 	"testing"
 
 	"dunetide/internal/platform/link"
 )
 
-// fullableDisk is a disk in memory whose appends fail once it is full.
-type fullableDisk struct {
-	memoryDisk
-	full bool
-}
-
-func (d *fullableDisk) Append(b []byte) (int64, error) {
-	if d.full {
-		return 0, syscall.ENOSPC
-	}
-	return d.memoryDisk.Append(b)
-}
-
-// newFullableRig returns a rig of three stores with an accepted job, and their disks.
-func newFullableRig(t *testing.T) (*storeRig, []*fullableDisk) {
+// newBoundedRig returns a rig of three stores with an accepted job, and their disks, which have space.
+func newBoundedRig(t *testing.T) (*storeRig, []*boundedDisk) {
 	t.Helper()
-	var disks []*fullableDisk
+	var disks []*boundedDisk
 	g := newStoreRigOn(3, 2, 2, 1000, func() disk {
-		d := &fullableDisk{}
+		d := &boundedDisk{simDisk: &simDisk{}, bytes: math.MaxInt64}
 		disks = append(disks, d)
 		return d
 	})
@@ -38,7 +25,7 @@
 // TestFullDiskAcknowledgesNothing guards against an operation that counts as durable at a store whose disk was full when
 // it was to be appended: a commit may then rest on one disk fewer than it must survive.
 func TestFullDiskAcknowledgesNothing(t *testing.T) {
-	g, disks := newFullableRig(t)
+	g, disks := newBoundedRig(t)
 	primary, p := primaryOfJob(t, g)
 	for i, replica := range g.cores {
 		if replica == primary {
@@ -50,7 +37,7 @@
 		}
 		pipe := &recordingPipe{}
 		followed.followedPrimary = pipe
-		disks[i].full = true
+		disks[i].bytes = 0
 		replica.handleStoreMessage(pipe, kindOperation, append(
 			encodeNumbers(p.index, p.primary.term, followed.session, followed.position.sequence+1),
 			encodeJobOperation(opEndJob, "job")...))
@@ -58,7 +45,7 @@
 			t.Errorf("store %d acknowledged an operation that is not on its disk", replica.self)
 		}
 	}
-	disks[primary.self-1].full = true
+	disks[primary.self-1].bytes = 0
 	before := p.primary.selfSynced
 	primary.replicate(p, encodeJobOperation(opEndJob, "job"), func(bool) {})
 	if p.primary.selfSynced != before {
@@ -69,11 +56,11 @@
 // TestFullDiskPromisesNothing guards against a promise to follow a newer term that a restart forgets: its record did not
 // fit on the disk.
 func TestFullDiskPromisesNothing(t *testing.T) {
-	g, disks := newFullableRig(t)
+	g, disks := newBoundedRig(t)
 	primary, p := primaryOfJob(t, g)
 	i := slices.IndexFunc(g.cores, func(c *core) bool { return c != primary })
 	replica, pipe := g.cores[i], &recordingPipe{}
-	disks[i].full = true
+	disks[i].bytes = 0
 	replica.handleStoreMessage(pipe, kindPrepare, encodeNumbers(p.index, p.primary.term+1, 7))
 	if len(pipe.kinds) > 0 {
 		t.Errorf("answered with %v", pipe.kinds)
--- a/internal/control/keeper/decided.go
+++ b/internal/control/keeper/decided.go
@@ -10,7 +10,6 @@
 // applyDecided applies a decided state of a register if it is newer; the loop then pushes it to the attached processes.
 // States may arrive repeatedly and out of order.
 func (k *Keeper) applyDecided(register string, s paxos.State) {
-	k.voterManager.observers[register].ObserveDecided(s, k.registerReports(register))
 	switch register {
 	case configRegister:
 		k.applyConfig(s)
--- a/internal/control/keeper/endpoint_ends.go
+++ b/internal/control/keeper/endpoint_ends.go
@@ -75,7 +75,7 @@
 	missing := false
 	for i := range entries {
 		if entry := &entries[i]; ends.stored[entry.ID] < entry.State {
-			ends.enqueue(*entry)
+			joinEntry(ends.queued, *entry)
 			missing = true
 		}
 	}
@@ -89,11 +89,12 @@
 
 func (ends *endpointEnds) hasDisk() bool { return ends.keeper.registers.id != 0 }
 
-func (ends *endpointEnds) enqueue(entry registry.Entry) {
-	if queued, found := ends.queued[entry.ID]; found {
-		entry = registry.Join(queued, entry)
+// joinEntry joins an entry into those of a map, by ID.
+func joinEntry(entries map[string]registry.Entry, entry registry.Entry) {
+	if known, found := entries[entry.ID]; found {
+		entry = registry.Join(known, entry)
 	}
-	ends.queued[entry.ID] = entry
+	entries[entry.ID] = entry
 }
 
 // writeQueued starts a write of the queued ends, unless one is in flight.
@@ -170,7 +171,7 @@
 			return
 		}
 		if entry, found := k.endpoints.Get(k.sinceStart(now), id); found {
-			ends.enqueue(entry)
+			joinEntry(ends.queued, entry)
 		}
 	})
 	ends.writeQueued()
--- a/internal/control/keeper/endpoint_ends_test.go
+++ b/internal/control/keeper/endpoint_ends_test.go
@@ -16,6 +16,18 @@
 // maxEndAnswer is the time after which an endpoint goes on to the next keeper.
 const maxEndAnswer = time.Second * raceSlowdown
 
+// newRigWithEndpoint returns three running keepers that list endpoint "1" as ready.
+func newRigWithEndpoint(t *testing.T) *rig {
+	t.Helper()
+	r := newRig(t, 3)
+	r.startAll()
+	r.untilConnected(0, 1, 2)
+	if a := r.heartbeat(0, "1", "ready", 1); a.status != 200 {
+		t.Fatal(a)
+	}
+	return r
+}
+
 // TestAcknowledgedEndOutlivesAllKeepers guards against an endpoint that is listed as ready again: its removal or drain
 // was acknowledged, all keepers lost power, and a heartbeat that it had sent before arrives late.
 func TestAcknowledgedEndOutlivesAllKeepers(t *testing.T) {
@@ -28,12 +40,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := newRig(t, 3)
-			r.startAll()
-			r.untilConnected(0, 1, 2)
-			if a := r.heartbeat(0, "1", "ready", 1); a.status != 200 {
-				t.Fatal(a)
-			}
+			r := newRigWithEndpoint(t)
 			if a := end.send(r, 1); a.status != 200 {
 				t.Fatal(a)
 			}
@@ -66,12 +73,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := newRig(t, 3)
-			r.startAll()
-			r.untilConnected(0, 1, 2)
-			if a := r.heartbeat(0, "1", "ready", 1); a.status != 200 {
-				t.Fatal(a)
-			}
+			r := newRigWithEndpoint(t)
 			fault.begin(r, 1)
 			r.untilCode(200, func() response { return r.call(0, "DELETE", "/instances/2", "", nil) }) // two of three disks
 			fault.begin(r, 2)
--- a/internal/control/keeper/endpoint_histories_test.go
+++ b/internal/control/keeper/endpoint_histories_test.go
@@ -156,10 +156,7 @@
 
 // untilVoting waits until all keepers are connected and vote.
 func (h *endpointHistory) untilVoting() {
-	all := make([]int, len(h.running))
-	for i := range all {
-		all[i] = i
-	}
+	all := h.keepers()
 	h.untilConnected(all...)
 	h.untilVoters(all...)
 }
--- a/internal/control/keeper/endpoint_successor_test.go
+++ b/internal/control/keeper/endpoint_successor_test.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -11,22 +10,23 @@
 // loseCore ends all keepers at once, loses what their disks have not synced, and starts them again.
 func (r *rig) loseCore() {
 	r.t.Helper()
-	var all []int
-	for i := range r.running {
+	all := r.keepers()
+	for _, i := range all {
 		r.kill(i)
 		r.disks[i].PowerLoss(func(int) int { return 0 })
 	}
-	for i := range r.running {
+	for _, i := range all {
 		r.start(i)
-		all = append(all, i)
 	}
 	r.untilConnected(all...)
 }
 
-// heartbeatFrom sends a heartbeat of an endpoint at an address.
-func (r *rig) heartbeatFrom(i int, address, id, state string, count int) response {
-	return r.call(i, "PUT", "/instances/"+id, "", fmt.Appendf(nil,
-		`{"service":"s","address":%q,"zone":"z","version":"v","capacity":4,"state":%q,"cold_left_ms":0,"call_count":%d}`, address, state, count))
+// keepers returns the indexes of all keepers.
+func (r *rig) keepers() (all []int) {
+	for i := range r.running {
+		all = append(all, i)
+	}
+	return all
 }
 
 // listed returns how a keeper lists an endpoint; Removed: not at all.
--- a/internal/control/keeper/golden_test.go
+++ b/internal/control/keeper/golden_test.go
@@ -455,7 +455,7 @@
 // a kind of record skip it, as versions before this record do.
 func TestGoldenEndsRecord(t *testing.T) {
 	golden(t, "record-ends", encodeEndsRecord([]registry.Entry{goldenEntry}))
-	replayed := &registerSet{}
+	replayed := &registerSet{ends: map[string]registry.Entry{}}
 	if err := replayed.replayRecord(readGolden(t, "record-ends")); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/keeper/register_log.go
+++ b/internal/control/keeper/register_log.go
@@ -143,25 +143,19 @@
 
 // addEnds adds endpoints to the ends on disk.
 func (rs *registerSet) addEnds(entries []registry.Entry) {
-	if rs.ends == nil {
-		rs.ends = map[string]registry.Entry{}
-	}
 	for _, entry := range entries {
-		if known, found := rs.ends[entry.ID]; found {
-			entry = registry.Join(known, entry)
-		}
-		rs.ends[entry.ID] = entry
+		joinEntry(rs.ends, entry)
 	}
 }
 
-// storeEnds appends ends to the log and syncs it. After an error other than paxos.ErrNotSaved or errNoDisk the log is
-// unusable, and the keeper ends.
+// storeEnds appends ends to the log, which must be open, and syncs it. After an error other than paxos.ErrNotSaved the
+// log is unusable, and the keeper ends.
 func (rs *registerSet) storeEnds(entries []registry.Entry) error {
 	err := rs.appendRecord(encodeEndsRecord(entries))
 	switch {
 	case err == nil:
 		rs.addEnds(entries)
-	case !paxos.ErrNotSaved.Has(err) && !errors.Is(err, errNoDisk):
+	case !paxos.ErrNotSaved.Has(err):
 		rs.logFailure = err
 	}
 	return err
--- a/internal/control/keeper/registers.go
+++ b/internal/control/keeper/registers.go
@@ -54,7 +54,7 @@
 	log             *recordlog.Log            // nil: no disk
 	replayed        map[string][][]byte       // payloads of the registers, while opening the log
 	firstVoters     []paxos.Voter             // the initial voters, if the log has them
-	ends            map[string]registry.Entry // draining and removed endpoints on disk, by ID; nil: none
+	ends            map[string]registry.Entry // draining and removed endpoints on disk, by ID
 	logFailure      error                     // why the log is unusable, if writing ends found that
 	bootstrapped    bool
 	rewritePolicy   rewritePolicy
@@ -81,6 +81,7 @@
 		byName:        map[string]*paxos.Register{},
 		queriedAt:     map[string]time.Time{},
 		replayed:      map[string][][]byte{},
+		ends:          map[string]registry.Entry{},
 		rewritePolicy: rewritePolicy{diskBytes: int64(k.options.Settings.Limits.DiskMB) << 20},
 		states:        map[string]paxos.State{},
 		storedSlots:   map[string]uint64{},
@@ -171,7 +172,7 @@
 			return
 		}
 		next, err := rs.stepRegisters()
-		if err = errors.Join(err, rs.logFailure); err != nil {
+		if err != nil {
 			rs.failure = err
 			return
 		}
@@ -184,6 +185,9 @@
 // stepRegisters runs the due work of each register, and returns the time until more is due. After an error the contents
 // of the disk are unknown, so the process must restart and recover from it.
 func (rs *registerSet) stepRegisters() (next time.Duration, err error) {
+	if rs.logFailure != nil {
+		return 0, rs.logFailure
+	}
 	next = maxRegisterIdle
 	for _, name := range registerNames {
 		register := rs.byName[name]
@@ -243,7 +247,10 @@
 		rs.allVoters = append(rs.allVoters, state.Voters...)
 	}
 	rs.mu.Unlock()
-	rs.keeper.post(func() { rs.keeper.applyDecided(name, decided) })
+	rs.keeper.post(func() {
+		rs.keeper.observeDecided(name, decided)
+		rs.keeper.applyDecided(name, decided)
+	})
 }
 
 // publishStored publishes which slots are on disk, and logs when the disk starts to reject records and when it accepts
--- a/internal/control/keeper/rig_test.go
+++ b/internal/control/keeper/rig_test.go
@@ -206,8 +206,13 @@
 }
 
 func (r *rig) heartbeat(i int, id, state string, count int) response {
+	return r.heartbeatFrom(i, "10.0.0.1:"+id, id, state, count)
+}
+
+// heartbeatFrom sends a heartbeat of an endpoint at an address.
+func (r *rig) heartbeatFrom(i int, address, id, state string, count int) response {
 	return r.call(i, "PUT", "/instances/"+id, "", fmt.Appendf(nil,
-		`{"service":"s","address":"10.0.0.1:%s","zone":"z","version":"v","capacity":4,"state":%q,"cold_left_ms":0,"call_count":%d}`, id, state, count))
+		`{"service":"s","address":%q,"zone":"z","version":"v","capacity":4,"state":%q,"cold_left_ms":0,"call_count":%d}`, address, state, count))
 }
 
 // eventually waits until a condition holds.
--- a/internal/control/keeper/voter_changes.go
+++ b/internal/control/keeper/voter_changes.go
@@ -155,6 +155,11 @@
 	}
 }
 
+// observeDecided records who votes in a newly decided state of a register.
+func (k *Keeper) observeDecided(name string, decided paxos.State) {
+	k.voterManager.observers[name].ObserveDecided(decided, k.registerReports(name))
+}
+
 // isBehind reports whether a connected keeper has stored a newer state of a register than this one, or this one has
 // stored none. The register is given as its index in registerNames.
 func (k *Keeper) isBehind(register int) bool {
--- a/internal/quota/all_killed_test.go
+++ b/internal/quota/all_killed_test.go
@@ -21,10 +21,7 @@
 	ran, sent, worst := 0, 0, -1<<30
 	for seed := range uint64(historySeeds) {
 		w := newWorldWith(testSlack, seed, true, Limit{ConfigVersion: 1, RatePerSecond: 119, Burst: 119})
-		factor := 1 + 8*w.rng.Float64()
-		for _, p := range w.proxies {
-			w.flood(p, factor)
-		}
+		w.floodAll()
 		w.after(w.between(2*worldSecond, 5*worldSecond), w.killAllRegularly)
 		w.run(30 * worldSecond)
 		excess, end := w.worstWindow(w.runs)
--- a/internal/quota/histories_test.go
+++ b/internal/quota/histories_test.go
@@ -514,6 +514,14 @@
 	})
 }
 
+// floodAll makes all proxies ask for 1 to 9 times the limit.
+func (w *world) floodAll() {
+	factor := 1 + 8*w.rng.Float64()
+	for _, p := range w.proxies {
+		w.flood(p, factor)
+	}
+}
+
 // moveOwner writes a table with another owner.
 func (w *world) moveOwner() {
 	w.owner = (w.owner + 1 + w.rng.IntN(len(w.stores)-1)) % len(w.stores)
@@ -615,10 +623,7 @@
 		w.refunded = []float64{0, 0, 0.2, 0.9}[seed%4]
 	}
 	w.lost = []float64{0.1, 0.6}[seed/3%2]
-	factor := 1 + 8*w.rng.Float64()
-	for _, p := range w.proxies {
-		w.flood(p, factor)
-	}
+	w.floodAll()
 	if seed%3 == 0 {
 		w.after(w.between(3*worldSecond, 6*worldSecond), w.ambushRegularly)
 	} else {
